workspace: four packages, typed messages of calls and membership

Cause: an empty checkout. Change: packages for core, node, client and bench; the records and messages that the parts agree on; test runner, formatter and linter settings.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core node cli bench
+DEPLOYMENT ?= certitermica
+
+.PHONY: setup check test demo fuzz
+
+$(VENV)/.ready: requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check setuptools wheel
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt \
+		$(foreach p,$(PACKAGES),-e packages/bendwind-$(p))
+	touch $@
+
+setup: $(VENV)/.ready
+
+check: setup
+	$(BIN)/black --quiet --check packages tools
+	$(BIN)/ruff check --quiet packages tools
+
+test: check
+	$(BIN)/python tools/run_tests.py
+
+fuzz: setup
+	HYPOTHESIS_PROFILE=fuzz $(BIN)/python tools/run_tests.py fuzz
+
+demo: setup
+	$(BIN)/python -m bendwind_bench demo --deployment=$(DEPLOYMENT)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/__init__.py
@@ -0,0 +1,1 @@
+"""Bendwind's decisions as pure state machines without sockets, clocks or tasks."""
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/claims/group.py
@@ -0,0 +1,17 @@
+"""Describe which nodes hold the claims of a service."""
+
+from bendwind_core.core import Record
+
+
+class ClaimGroup(Record, frozen=True, array_like=True):
+    """Name the holders of a service's claims in one epoch; the first member is the primary.
+
+    Every member holds every claim. `joining` is copying the claims and is not yet a member.
+    `lost` is set when no member survived: claims made before are unknown.
+    """
+
+    service: str
+    epoch: int
+    members: tuple[str, ...]
+    joining: str | None = None
+    lost: bool = False
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/core/__init__.py
@@ -0,0 +1,6 @@
+"""Offer the types every other subpackage rests on."""
+
+from bendwind_core.core.record import Record
+from bendwind_core.core.units import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+
+__all__ = ["MILLISECONDS_PER_SECOND", "Milliseconds", "Record", "Seconds"]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/timeline/catalogue.py
@@ -0,0 +1,25 @@
+"""Number every event that a process logs and records."""
+
+import enum
+
+
+class EventKind(enum.IntEnum):
+    """List the events; docs/EVENTS.md explains each.
+
+    Ranges: 1xx entry node, 2xx owner node, 3xx claims, 4xx consensus and storage, 5xx plans,
+    6xx membership, 7xx links, 8xx process, 9xx security.
+    """
+
+    CALL_ARRIVED = 101
+    CALL_FINISHED = 102
+    ATTEMPT_SENT = 103
+    ATTEMPT_NOT_RUN = 104
+    ATTEMPT_ANSWERED = 105
+    ATTEMPT_UNKNOWN = 106
+    DISPATCH_STARTED = 201
+    DISPATCH_FINISHED = 202
+    LINK_OPENED = 701
+    LINK_CLOSED = 702
+    PROCESS_STARTED = 801
+    PROCESS_STOPPING = 802
+    PROCESS_STOPPED = 803
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/world/__init__.py
@@ -0,0 +1,33 @@
+"""Offer the objects of the world: data centres, instances, upstreams, services, rules."""
+
+from bendwind_core.world.configuration import EMPTY_CONFIGURATION, Configuration
+from bendwind_core.world.places import DataCentre, Instance
+from bendwind_core.world.service import (
+    Limits,
+    Policy,
+    Repeat,
+    Rule,
+    Service,
+    StaleAction,
+    find_rule,
+    may_serve,
+)
+from bendwind_core.world.upstream import LoadSample, Upstream, UpstreamState
+
+__all__ = [
+    "EMPTY_CONFIGURATION",
+    "Configuration",
+    "DataCentre",
+    "Instance",
+    "Limits",
+    "LoadSample",
+    "Policy",
+    "Repeat",
+    "Rule",
+    "Service",
+    "StaleAction",
+    "Upstream",
+    "UpstreamState",
+    "find_rule",
+    "may_serve",
+]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/world/upstream.py
@@ -0,0 +1,43 @@
+"""Describe an upstream and the load it last reported."""
+
+import enum
+
+from bendwind_core.core import Milliseconds, Record
+from bendwind_core.world.places import Instance
+
+
+class UpstreamState(enum.StrEnum):
+    """Say whether an upstream takes new requests."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Upstream(Record, frozen=True, array_like=True):
+    """Describe an announced upstream and the instance whose node owns it.
+
+    `sequence` orders the announcements of one owner incarnation: the highest is the newest.
+    """
+
+    name: str
+    service: str
+    owner: Instance
+    slots: int
+    connections: int
+    state: UpstreamState = UpstreamState.READY
+    sequence: int = 0
+
+
+class LoadSample(Record, frozen=True, array_like=True):
+    """Report an upstream's load as its owner node counted it.
+
+    Units: `latency_ms` is the moving average service time in milliseconds.
+    """
+
+    in_flight: int
+    queued: int
+    slots: int
+    latency_ms: Milliseconds = 0.0
+    error_rate: float = 0.0
+    draining: bool = False
