--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -0,0 +1,114 @@
+"""Choose the voter that a node is attached to, and judge when to leave it."""
+
+import dataclasses
+import random
+
+from bendwind_core.core import Record, Seconds
+from bendwind_core.membership.digest import digest_text
+from bendwind_core.membership.settings import LeaseTimes
+
+_MAX_PATIENCE_BEATS = 8
+_JITTER = 0.1
+
+
+class VoterPlace(Record, frozen=True, array_like=True):
+    """Name a control voter and the data centre it runs in."""
+
+    name: str
+    data_centre: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentBeat:
+    """Hold when a heartbeat was sent and which Watch it stated."""
+
+    at: Seconds
+    watch: int
+
+
+@dataclasses.dataclass(slots=True)
+class Attachment:
+    """Hold the voter in use, the heartbeats it has not answered and when to leave it.
+
+    Units: `next_beat`, `heard_at`, `good_at`, `behind_since` in seconds of the node's clock;
+    `patience` in heartbeats.
+    """
+
+    order: tuple[str, ...]
+    index: int = 0
+    next_beat: Seconds = 0.0
+    sequence: int = 0
+    sent: dict[int, SentBeat] = dataclasses.field(default_factory=dict)
+    moved_at: Seconds = 0.0
+    heard_at: Seconds = 0.0
+    good_at: Seconds = 0.0
+    behind_since: Seconds | None = None
+    patience: float = 1.0
+
+    @property
+    def voter(self) -> str:
+        """Return the name of the voter in use."""
+        return self.order[self.index]
+
+
+def order_voters(
+    node: str, name: str, data_centre: str, voters: tuple[VoterPlace, ...]
+) -> tuple[str, ...]:
+    """List the voters in the order of preference: itself, own data centre, then by hash.
+
+    Source: Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996.
+    """
+
+    def rank(voter: VoterPlace) -> tuple[bool, bool, int]:
+        score = digest_text(f"{node}\n{voter.name}")
+        return voter.name != name, voter.data_centre != data_centre, score
+
+    return tuple(voter.name for voter in sorted(voters, key=rank))
+
+
+def schedule_beat(
+    attachment: Attachment, times: LeaseTimes, now: Seconds, rng: random.Random
+) -> None:
+    """Set the time of the next heartbeat, jittered so that nodes do not beat in step."""
+    attachment.next_beat = now + times.heartbeat * rng.uniform(1 - _JITTER, 1 + _JITTER)
+
+
+def spread_beat(
+    attachment: Attachment, times: LeaseTimes, now: Seconds, rng: random.Random
+) -> None:
+    """Set the next heartbeat anywhere in one interval, so that nodes losing a voter spread."""
+    attachment.next_beat = now + times.heartbeat * rng.random()
+
+
+def find_reason_to_move(attachment: Attachment, times: LeaseTimes, now: Seconds) -> str | None:
+    """Say why the voter should be left, or None."""
+    stay = attachment.patience * times.heartbeat
+    if now - max(attachment.heard_at, attachment.moved_at) > max(times.reply_timeout, stay):
+        return "no reply"
+    limit = max(times.confirmation_limit, stay)
+    if now - max(attachment.good_at, attachment.moved_at) > limit:
+        return "confirmation too old"
+    behind = attachment.behind_since
+    if behind is not None and now - max(behind, attachment.moved_at) > limit:
+        return "behind its peers"
+    return None
+
+
+def move(attachment: Attachment, times: LeaseTimes, now: Seconds, rng: random.Random) -> None:
+    """Turn to the next voter; wait longer at each while none gives a good reply."""
+    attachment.index = (attachment.index + 1) % len(attachment.order)
+    attachment.sent.clear()
+    attachment.moved_at = now
+    attachment.behind_since = None
+    attachment.patience = min(attachment.patience * 2, _MAX_PATIENCE_BEATS)
+    attachment.next_beat = now + 0.5 * times.heartbeat * rng.random()
+
+
+def go_home(attachment: Attachment, times: LeaseTimes, now: Seconds, rng: random.Random) -> None:
+    """Turn back to the voter that is preferred."""
+    attachment.index = 0
+    attachment.sent.clear()
+    attachment.moved_at = now
+    attachment.behind_since = None
+    attachment.patience = 1.0
+    attachment.next_beat = now + 0.5 * times.heartbeat * rng.random()
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/gossip.py
@@ -0,0 +1,231 @@
+"""Keep the registries of all voters alike by gossip and by digests of what they hold."""
+
+import random
+from collections.abc import Iterable
+
+import msgspec
+
+from bendwind_core.core import Seconds
+from bendwind_core.membership import pushes
+from bendwind_core.membership.events import (
+    MemberAppeared,
+    MemberLost,
+    RegistryEffect,
+    SendTo,
+)
+from bendwind_core.membership.member import Member, bucket_of, merge, put_state
+from bendwind_core.membership.messages import MemberDigest, MemberGossip, MemberPull, MemberState
+from bendwind_core.membership.state import Client, VoterRegistry
+from bendwind_core.world import Upstream, UpstreamState
+
+_NEWS_INTERVAL = 0.1
+_ALIVE_INTERVAL = 0.5
+_DIGEST_INTERVAL = 5.0
+_MEMBERS_PER_MESSAGE = 100
+
+
+def register(
+    registry: VoterRegistry, state: MemberState, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    """Merge what this voter saw itself and tell the others of it."""
+    if _absorb(registry, state, effects, now):
+        registry.news[state.node.name] = None
+
+
+def _absorb(
+    registry: VoterRegistry, state: MemberState, effects: list[RegistryEffect], now: Seconds
+) -> bool:
+    name = state.node.name
+    member = registry.members.get(name)
+    merged = merge(member.state, state) if member else state
+    if member and merged == member.state:
+        return False
+    if member is None:
+        member = registry.members[name] = Member(state, now)
+    before = member.state.upstreams if member.is_visible else ()
+    registry.buckets[bucket_of(name)] ^= put_state(member, merged, now)
+    _show(registry, member, effects, now)
+    _mark_changes(registry, name, before, member)
+    return True
+
+
+def _mark_changes(
+    registry: VoterRegistry, name: str, before: tuple[Upstream, ...], member: Member
+) -> None:
+    after = member.state.upstreams if member.is_visible else ()
+    is_leaving = any(upstream.state is UpstreamState.DRAINING for upstream in after)
+    pushes.mark_dirty(registry, name, (*before, *after), is_urgent=is_leaving)
+
+
+def _is_heard(registry: VoterRegistry, voter: str) -> bool:
+    is_peer = voter in registry.peers and voter not in registry.lost_voters
+    return is_peer or voter == registry.name
+
+
+def _show(
+    registry: VoterRegistry, member: Member, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    state = member.state
+    is_visible = state.is_alive and _is_heard(registry, state.home)
+    if is_visible == member.is_visible:
+        return
+    member.is_visible = is_visible
+    member.changed_at = now
+    effects.append(MemberAppeared(state.node) if is_visible else MemberLost(state.node))
+
+
+def take_gossip(
+    registry: VoterRegistry, message: MemberGossip, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    """Merge what another voter tells, and contradict it where this voter knows better."""
+    if message.voter not in registry.peers:
+        return
+    registry.peers[message.voter] = now
+    if message.voter in registry.lost_voters:
+        registry.lost_voters.discard(message.voter)
+        _reconsider(registry, message.voter, effects, now)
+    for state in message.members:
+        _take_state(registry, state, effects, now)
+
+
+def _take_state(
+    registry: VoterRegistry, state: MemberState, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    name = state.node.name
+    if name not in registry.members and not state.is_alive:
+        # Taken over, a forgotten death would go round between the voters for ever.
+        return
+    if not _absorb(registry, state, effects, now):
+        return
+    merged = registry.members[name].state
+    client = registry.clients.get(name)
+    is_adopted = merged.home == registry.name and merged.is_alive
+    if client is None:
+        if is_adopted:
+            # An earlier run of this voter registered it: it has one lease to be heard of.
+            registry.clients[name] = Client(merged.node.incarnation, merged.beat, now)
+    elif client.incarnation < merged.node.incarnation:
+        pushes.drop_client(registry, name)
+    elif not is_adopted and client.sequence > merged.beat:
+        claim = msgspec.structs.replace(
+            merged, home=registry.name, beat=client.sequence, is_alive=True
+        )
+        register(registry, claim, effects, now)
+    elif not is_adopted:
+        pushes.drop_client(registry, name)
+
+
+def take_digest(
+    registry: VoterRegistry, message: MemberDigest, effects: list[RegistryEffect]
+) -> None:
+    """Send and ask for the members of buckets that differ."""
+    pairs = enumerate(zip(registry.buckets, message.buckets, strict=False))
+    differing = tuple(index for index, (ours, theirs) in pairs if ours != theirs)
+    if not differing:
+        return
+    effects.append(SendTo(message.voter, MemberPull(registry.name, differing)))
+    _send_buckets(registry, message.voter, differing, effects)
+
+
+def take_pull(registry: VoterRegistry, message: MemberPull, effects: list[RegistryEffect]) -> None:
+    """Answer a voter that asked for buckets."""
+    _send_buckets(registry, message.voter, message.buckets, effects)
+
+
+def _send_buckets(
+    registry: VoterRegistry, voter: str, buckets: Iterable[int], effects: list[RegistryEffect]
+) -> None:
+    wanted = frozenset(buckets)
+    states = [
+        member.state for name, member in registry.members.items() if bucket_of(name) in wanted
+    ]
+    _send_states(registry, (voter,), states, effects)
+
+
+def _send_states(
+    registry: VoterRegistry,
+    voters: Iterable[str],
+    states: list[MemberState],
+    effects: list[RegistryEffect],
+) -> None:
+    for start in range(0, len(states), _MEMBERS_PER_MESSAGE):
+        part = tuple(states[start : start + _MEMBERS_PER_MESSAGE])
+        message = MemberGossip(registry.name, part)
+        effects.extend(SendTo(voter, message) for voter in voters)
+
+
+def send_due(
+    registry: VoterRegistry, effects: list[RegistryEffect], now: Seconds, rng: random.Random
+) -> None:
+    """Send news, a sign of life and a digest when each is due."""
+    since = now - registry.gossip_at
+    if since >= _ALIVE_INTERVAL or (registry.news and since >= _NEWS_INTERVAL):
+        registry.gossip_at = now
+        _send_news(registry, effects)
+    if now >= registry.digest_at and registry.peers:
+        registry.digest_at = now + _DIGEST_INTERVAL * rng.uniform(0.5, 1.0)
+        partner = rng.choice(list(registry.peers))
+        digest = MemberDigest(registry.name, tuple(registry.buckets))
+        effects.append(SendTo(partner, digest))
+
+
+def _send_news(registry: VoterRegistry, effects: list[RegistryEffect]) -> None:
+    states = [registry.members[name].state for name in registry.news]
+    registry.news.clear()
+    if states:
+        _send_states(registry, registry.peers, states, effects)
+    else:
+        message = MemberGossip(registry.name)
+        effects.extend(SendTo(voter, message) for voter in registry.peers)
+
+
+def hide_members_of_lost_voters(
+    registry: VoterRegistry, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    """Count no node as alive whose home voter was not heard for a lease.
+
+    A voter without a confirmation within the lease may itself be the one cut off: it hides none.
+    """
+    confirmed = registry.confirmed_from
+    lease = registry.times.lease
+    if confirmed is None or now - confirmed >= lease:
+        return
+    for voter, heard_at in registry.peers.items():
+        if now - heard_at >= lease and voter not in registry.lost_voters:
+            registry.lost_voters.add(voter)
+            _reconsider(registry, voter, effects, now)
+
+
+def _reconsider(
+    registry: VoterRegistry, voter: str, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    for name, member in registry.members.items():
+        if member.state.home == voter:
+            before = member.state.upstreams if member.is_visible else ()
+            _show(registry, member, effects, now)
+            _mark_changes(registry, name, before, member)
+
+
+def set_voters(
+    registry: VoterRegistry, voters: tuple[str, ...], effects: list[RegistryEffect], now: Seconds
+) -> None:
+    """Take over a changed set of voters."""
+    peers = [voter for voter in voters if voter != registry.name]
+    changed = set(peers) ^ set(registry.peers)
+    registry.peers = {voter: registry.peers.get(voter, now) for voter in peers}
+    registry.lost_voters.intersection_update(peers)
+    for voter in changed:
+        _reconsider(registry, voter, effects, now)
+
+
+def forget_dead(registry: VoterRegistry, before: Seconds) -> None:
+    """Drop members that have been dead or hidden since `before`."""
+    names = [
+        name
+        for name, member in registry.members.items()
+        if not member.is_visible and member.changed_at < before
+    ]
+    for name in names:
+        member = registry.members.pop(name)
+        registry.buckets[bucket_of(name)] ^= member.digest
+        registry.news.pop(name, None)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/holdings.py
@@ -0,0 +1,103 @@
+"""Hold what a node knows of the services it watches."""
+
+import dataclasses
+
+from bendwind_core.claims import ClaimGroup
+from bendwind_core.membership.digest import digest_record
+from bendwind_core.membership.messages import ConfigurationChanged, WatchUpdate
+from bendwind_core.world import Service, Upstream, UpstreamState
+
+UpstreamKey = tuple[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class Holdings:
+    """Hold services, claim groups and upstreams of watched services, and their digest.
+
+    `upstreams` is keyed by service, then by (owner, upstream); `digest` covers upstreams and
+    claim groups.
+    """
+
+    watched: dict[str, None] = dataclasses.field(default_factory=dict)
+    services: dict[str, Service] = dataclasses.field(default_factory=dict)
+    claim_groups: dict[str, ClaimGroup] = dataclasses.field(default_factory=dict)
+    upstreams: dict[str, dict[UpstreamKey, Upstream]] = dataclasses.field(default_factory=dict)
+    digest: int = 0
+
+
+def upstream_key(upstream: Upstream) -> UpstreamKey:
+    """Return what tells two registrations apart: the owner and the upstream's name."""
+    return upstream.owner.name, upstream.name
+
+
+def upstream_order(upstream: Upstream) -> tuple[int, int]:
+    """Return what orders the announcements of one upstream: the highest is the newest."""
+    return upstream.owner.incarnation, upstream.sequence
+
+
+def put_services(holdings: Holdings, message: ConfigurationChanged) -> None:
+    """Take over the services of a message that may be applied."""
+    if message.base == 0:
+        holdings.services.clear()
+        listed = {group.service for group in message.claim_groups}
+        _drop_claim_groups(holdings, set(holdings.claim_groups) - listed)
+    for name in message.removed:
+        holdings.services.pop(name, None)
+    for service in message.services:
+        if service.name in holdings.watched:
+            holdings.services[service.name] = service
+
+
+def _drop_claim_groups(holdings: Holdings, services: set[str]) -> None:
+    for service in services:
+        holdings.digest ^= digest_record(holdings.claim_groups.pop(service))
+
+
+def put_claim_groups(holdings: Holdings, groups: tuple[ClaimGroup, ...]) -> None:
+    """Take over claim groups of watched services whose epoch is not older than the one held."""
+    for group in groups:
+        held = holdings.claim_groups.get(group.service)
+        if group.service not in holdings.watched or (held and group.epoch < held.epoch):
+            continue
+        if held:
+            holdings.digest ^= digest_record(held)
+        holdings.claim_groups[group.service] = group
+        holdings.digest ^= digest_record(group)
+
+
+def put_upstreams(holdings: Holdings, update: WatchUpdate) -> bool:
+    """Take over an update and tell whether the set changed."""
+    if update.service not in holdings.watched:
+        return False
+    held = holdings.upstreams.setdefault(update.service, {})
+    pushed = {upstream_key(upstream) for upstream in update.upstreams}
+    dropped = [key for key in held if key not in pushed] if update.is_full else []
+    for key in dropped:
+        holdings.digest ^= digest_record(held.pop(key))
+    changed = [_put_upstream(holdings, held, upstream) for upstream in update.upstreams]
+    return bool(dropped) or any(changed)
+
+
+def _put_upstream(
+    holdings: Holdings, held: dict[UpstreamKey, Upstream], upstream: Upstream
+) -> bool:
+    key = upstream_key(upstream)
+    old = held.get(key)
+    if old == upstream or (old and upstream_order(upstream) < upstream_order(old)):
+        return False
+    if old:
+        holdings.digest ^= digest_record(held.pop(key))
+    if upstream.state is not UpstreamState.GONE:
+        held[key] = upstream
+        holdings.digest ^= digest_record(upstream)
+    return old is not None or key in held
+
+
+def list_upstreams(holdings: Holdings, service: str) -> tuple[Upstream, ...]:
+    """List the upstreams of a service, one a name: that of the newest owner."""
+    newest: dict[str, Upstream] = {}
+    for upstream in holdings.upstreams.get(service, {}).values():
+        other = newest.get(upstream.name)
+        if other is None or upstream_order(upstream) > upstream_order(other):
+            newest[upstream.name] = upstream
+    return tuple(newest.values())
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages between a node and the control voter it is attached to."""
+"""Define the messages between a node and its voter, and between the registries of voters."""
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record
@@ -9,17 +9,24 @@
     """Renew the lease of a node and of the upstreams it announced.
 
     `sequence` numbers the heartbeats of one incarnation; the reply repeats it.
-    `version` is the configuration the node has in force.
+    `version` is the configuration the node has in force for all it watches, -1 if it lacks any.
+    `watch` and `announced` number the newest Watch and Announce the node sent; `digest` sums up
+    the upstreams and claim groups it holds, so that the voter sees what was lost on the way.
     """
 
     node: Instance
     sequence: int
     version: int
+    watch: int = 0
+    announced: int = 0
+    digest: int = 0
 
 
 class HeartbeatReply(Record, frozen=True, array_like=True, tag="beat-reply"):
     """Confirm a heartbeat and say how fresh the voter's configuration is.
 
+    `is_current` says that nothing the node watches changed between the version it stated and
+    `version`. `resync` asks for Watch and Announce again.
     Units: `confirmed_age_ms` is the time since the start of the last quorum round that confirmed
     `version` as the newest, in milliseconds on the voter's clock; None if there was none.
     """
@@ -27,13 +34,17 @@
     sequence: int
     version: int
     confirmed_age_ms: Milliseconds | None
+    is_current: bool = False
     resync: bool = False
 
 
 class Announce(Record, frozen=True, array_like=True, tag="announce"):
-    """Register an upstream's present state with the voter; repeated after each new attachment."""
+    """Register all upstreams of a node with its voter; the highest `sequence` replaces the rest."""
 
-    upstream: Upstream
+    node: str
+    incarnation: int
+    sequence: int
+    upstreams: tuple[Upstream, ...]
 
 
 class Watch(Record, frozen=True, array_like=True, tag="watch"):
@@ -41,27 +52,97 @@
 
     node: str
     services: tuple[str, ...]
+    incarnation: int = 0
+    sequence: int = 0
 
 
 class WatchUpdate(Record, frozen=True, array_like=True, tag="watch-update"):
-    """Push the full set of upstreams of one watched service."""
+    """Push the upstreams of a watched service: all of them, or those that changed.
+
+    In an update that is not full, an upstream in state GONE leaves the set.
+    """
 
     service: str
     upstreams: tuple[Upstream, ...]
+    is_full: bool = True
 
 
 class ConfigurationChanged(Record, frozen=True, array_like=True, tag="configuration"):
-    """Push the services a node watches as of a version; `removed` names those that ended."""
+    """Push the services a node watches as of a version; `removed` names those that ended.
+
+    `base` is the lowest version it may be applied to; 0 means that it is complete, so that a
+    watched service it does not list does not exist. `watch` numbers the Watch it answers.
+    """
 
     version: int
     services: tuple[Service, ...]
     removed: tuple[str, ...] = ()
     claim_groups: tuple[ClaimGroup, ...] = ()
+    base: int = 0
+    watch: int = 0
+
+
+class MemberState(Record, frozen=True, array_like=True):
+    """Describe a node as its home voter, the one it is attached to, last registered it.
+
+    Liveness is ordered by (incarnation, `beat`, not `is_alive`), content by (incarnation,
+    `announced`): the highest wins on every voter, whatever the order of arrival.
+    """
+
+    node: Instance
+    home: str
+    beat: int
+    is_alive: bool = True
+    announced: int = 0
+    upstreams: tuple[Upstream, ...] = ()
 
 
 class MemberGossip(Record, frozen=True, array_like=True, tag="gossip"):
-    """Carry changed upstreams, or a heartbeat digest, from one voter to another."""
+    """Carry changed members from one voter to another; empty, it says that the voter lives."""
 
     voter: str
-    upstreams: tuple[Upstream, ...]
-    alive: tuple[str, ...] = ()
+    members: tuple[MemberState, ...] = ()
+
+
+class MemberDigest(Record, frozen=True, array_like=True, tag="gossip-digest"):
+    """Offer one digest for each bucket of members, so that the receiver sees what differs."""
+
+    voter: str
+    buckets: tuple[int, ...]
+
+
+class MemberPull(Record, frozen=True, array_like=True, tag="gossip-pull"):
+    """Ask a voter for all members in some buckets."""
+
+    voter: str
+    buckets: tuple[int, ...]
+
+
+class NodeStatus(Record, frozen=True, array_like=True):
+    """Report one node as the voter it is attached to last heard of it.
+
+    Units: `heartbeat_age_ms` in milliseconds on the voter's clock.
+    """
+
+    node: str
+    data_centre: str
+    voter: str
+    version: int
+    heartbeat_age_ms: Milliseconds
+    is_fresh: bool
+
+
+class StatusRequest(Record, frozen=True, array_like=True, tag="status-request"):
+    """Ask a voter for the status of the nodes attached to it."""
+
+    voter: str
+    number: int
+
+
+class StatusReply(Record, frozen=True, array_like=True, tag="status-reply"):
+    """Carry a part of the status; `more` says that another part follows."""
+
+    voter: str
+    number: int
+    rows: tuple[NodeStatus, ...]
+    more: bool = False
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -0,0 +1,225 @@
+"""Push configuration and upstreams from a voter to the nodes that watch them."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from bendwind_core.claims import ClaimGroup
+from bendwind_core.membership.digest import digest_record
+from bendwind_core.membership.events import RegistryEffect, SendTo
+from bendwind_core.membership.holdings import UpstreamKey, upstream_key
+from bendwind_core.membership.messages import (
+    ConfigurationChanged,
+    Heartbeat,
+    Watch,
+    WatchUpdate,
+)
+from bendwind_core.membership.state import (
+    Client,
+    ServiceRow,
+    VoterRegistry,
+    find_row,
+    put_claim_group,
+)
+from bendwind_core.world import Configuration, Upstream, UpstreamState
+
+# What one flush sends at most, so that a data centre's loss does not hold up heartbeats.
+_PUSHES_PER_FLUSH = 400
+
+
+def accept_configuration(
+    registry: VoterRegistry, configuration: Configuration, claim_groups: tuple[ClaimGroup, ...]
+) -> None:
+    """Take over a newer configuration and mark who must hear of it."""
+    if configuration.version > registry.configuration.version:
+        _take_services(registry, configuration)
+    groups = {group.service: group for group in claim_groups}
+    for name in groups:
+        find_row(registry, name)
+    for name, row in registry.services.items():
+        if row.claim_group != groups.get(name):
+            put_claim_group(row, groups.get(name))
+            registry.outdated.update(row.watchers)
+
+
+def _take_services(registry: VoterRegistry, configuration: Configuration) -> None:
+    if registry.floor == 0:
+        registry.floor = configuration.version
+    services = {service.name: service for service in configuration.services}
+    for name in services:
+        find_row(registry, name)
+    for name, row in registry.services.items():
+        if row.service != services.get(name):
+            row.service = services.get(name)
+            row.changed_at = configuration.version
+            registry.outdated.update(row.watchers)
+    registry.configuration = configuration
+
+
+def bring_up_to_date(
+    registry: VoterRegistry, beat: Heartbeat, client: Client, effects: list[RegistryEffect]
+) -> bool:
+    """Tell whether a node misses no configuration, and push what it misses."""
+    rows = [find_row(registry, name) for name in client.services]
+    newest = max((row.changed_at for row in rows), default=0)
+    is_current = beat.version >= max(newest, registry.floor)
+    if not is_current:
+        _push_configuration(registry, beat.node.name, client, effects)
+    _compare_digest(registry, beat, client, rows, effects)
+    return is_current
+
+
+def _compare_digest(
+    registry: VoterRegistry,
+    beat: Heartbeat,
+    client: Client,
+    rows: list[ServiceRow],
+    effects: list[RegistryEffect],
+) -> None:
+    expected = 0
+    for row in rows:
+        expected ^= row.digest
+    # One difference may be a push that crossed the heartbeat; two in a row are a loss.
+    if beat.digest == expected:
+        client.is_suspect = False
+    elif client.is_suspect:
+        client.is_suspect = False
+        send_everything(registry, beat.node.name, client, effects)
+    else:
+        client.is_suspect = True
+
+
+def _push_configuration(
+    registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
+) -> None:
+    base = client.version if client.version >= max(registry.floor, 0) else 0
+    rows = [(name, find_row(registry, name)) for name in client.services]
+    changed = [(name, row) for name, row in rows if base == 0 or row.changed_at > base]
+    message = ConfigurationChanged(
+        registry.configuration.version,
+        tuple(row.service for _, row in changed if row.service),
+        tuple(name for name, row in changed if base and not row.service),
+        tuple(row.claim_group for _, row in rows if row.claim_group),
+        base,
+        client.watch,
+    )
+    effects.append(SendTo(node, message))
+
+
+def send_everything(
+    registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
+) -> None:
+    """Push a node the whole of what it watches."""
+    client.version = 0
+    _push_configuration(registry, node, client, effects)
+    for name in client.services:
+        upstreams = tuple(find_row(registry, name).upstreams.values())
+        effects.append(SendTo(node, WatchUpdate(name, upstreams)))
+
+
+def set_watch(registry: VoterRegistry, node: str, client: Client, watch: Watch) -> None:
+    """Replace what a node watches."""
+    _stop_watching(registry, node, client)
+    client.watch = watch.sequence
+    client.services = watch.services
+    for name in watch.services:
+        find_row(registry, name).watchers[node] = None
+
+
+def drop_client(registry: VoterRegistry, node: str) -> None:
+    """Forget a node that is no longer attached here."""
+    client = registry.clients.pop(node, None)
+    if client:
+        _stop_watching(registry, node, client)
+        registry.outdated.pop(node, None)
+
+
+def _stop_watching(registry: VoterRegistry, node: str, client: Client) -> None:
+    for name in client.services:
+        row = registry.services.get(name)
+        if row:
+            row.watchers.pop(node, None)
+            _discard_empty(registry, name, row)
+
+
+def _discard_empty(registry: VoterRegistry, name: str, row: ServiceRow) -> None:
+    is_used = row.watchers or row.upstreams or row.dirty or row.service or row.claim_group
+    if not is_used and row.changed_at == 0:
+        del registry.services[name]
+
+
+def mark_dirty(
+    registry: VoterRegistry, owner: str, upstreams: tuple[Upstream, ...], *, is_urgent: bool
+) -> None:
+    """Note that the upstreams of a node may differ from what was pushed."""
+    queue = registry.urgent if is_urgent else registry.dirty
+    for upstream in upstreams:
+        find_row(registry, upstream.service).dirty.add(owner)
+        queue[upstream.service] = None
+
+
+def flush(registry: VoterRegistry, effects: list[RegistryEffect]) -> None:
+    """Push what changed since the last flush, as far as the limit allows; leaving goes first."""
+    limit = len(effects) + _PUSHES_PER_FLUSH
+    while registry.urgent:
+        _flush_service(registry, _pop_first(registry.urgent), effects)
+    while registry.outdated and len(effects) < limit:
+        node = _pop_first(registry.outdated)
+        client = registry.clients.get(node)
+        if client:
+            _push_configuration(registry, node, client, effects)
+    while registry.dirty and len(effects) < limit:
+        _flush_service(registry, _pop_first(registry.dirty), effects)
+
+
+def _pop_first(queue: dict[str, None]) -> str:
+    name = next(iter(queue))
+    del queue[name]
+    return name
+
+
+def _flush_service(registry: VoterRegistry, service: str, effects: list[RegistryEffect]) -> None:
+    row = find_row(registry, service)
+    changes = [
+        change for owner in row.dirty for change in _find_changes(registry, service, row, owner)
+    ]
+    row.dirty.clear()
+    for change in changes:
+        _put_change(row, change)
+    if changes:
+        update = WatchUpdate(service, tuple(changes), is_full=False)
+        effects.extend(SendTo(node, update) for node in row.watchers)
+    _discard_empty(registry, service, row)
+
+
+def _find_changes(
+    registry: VoterRegistry, service: str, row: ServiceRow, owner: str
+) -> Iterator[Upstream]:
+    pushed = {key: upstream for key, upstream in row.upstreams.items() if key[0] == owner}
+    present = _list_present(registry, service, owner)
+    for key, upstream in present.items():
+        if pushed.get(key) != upstream:
+            yield upstream
+    for key, upstream in pushed.items():
+        if key not in present:
+            yield msgspec.structs.replace(upstream, state=UpstreamState.GONE)
+
+
+def _list_present(registry: VoterRegistry, service: str, owner: str) -> dict[UpstreamKey, Upstream]:
+    member = registry.members.get(owner)
+    if member is None or not member.is_visible:
+        return {}
+    return {
+        upstream_key(upstream): upstream
+        for upstream in member.state.upstreams
+        if upstream.service == service
+    }
+
+
+def _put_change(row: ServiceRow, change: Upstream) -> None:
+    old = row.upstreams.pop(upstream_key(change), None)
+    if old:
+        row.digest ^= digest_record(old)
+    if change.state is not UpstreamState.GONE:
+        row.upstreams[upstream_key(change)] = change
+        row.digest ^= digest_record(change)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -0,0 +1,243 @@
+"""Decide for a voter: which nodes are alive, what they registered and who is told."""
+
+import random
+
+import msgspec
+
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.membership import gossip, pushes
+from bendwind_core.membership.events import (
+    ConfigurationAccepted,
+    MessageReceived,
+    QuorumConfirmed,
+    RegistryEffect,
+    RegistryEvent,
+    SendTo,
+    Tick,
+    VotersChanged,
+)
+from bendwind_core.membership.messages import (
+    Announce,
+    Heartbeat,
+    HeartbeatReply,
+    MemberDigest,
+    MemberGossip,
+    MemberPull,
+    MemberState,
+    NodeStatus,
+    Watch,
+)
+from bendwind_core.membership.settings import LeaseTimes
+from bendwind_core.membership.state import Client, VoterRegistry
+from bendwind_core.world import Instance
+
+# Longer than a voter stays cut off, so that it cannot bring a forgotten node back.
+_FORGET_AFTER = 3600.0
+# Ticks further apart than this share of the lease mean that the voter itself was stopped.
+_OWN_STOP = 0.5
+
+
+def create_voter_registry(
+    name: str, voters: tuple[str, ...], times: LeaseTimes, now: Seconds
+) -> VoterRegistry:
+    """Create the registry of a voter that has just started and knows no node."""
+    peers = {voter: now for voter in voters if voter != name}
+    return VoterRegistry(name, times, peers, ticked_at=now, lenient_until=now)
+
+
+def step_registry(
+    registry: VoterRegistry, event: RegistryEvent, now: Seconds, rng: random.Random
+) -> list[RegistryEffect]:
+    """Apply an event and return what is to be done."""
+    effects: list[RegistryEffect] = []
+    match event:
+        case Tick():
+            _pass_time(registry, effects, now, rng)
+        case MessageReceived(sender=sender, message=message):
+            _receive(registry, sender, message, effects, now)
+        case ConfigurationAccepted(configuration=configuration, claim_groups=claim_groups):
+            pushes.accept_configuration(registry, configuration, claim_groups)
+        case QuorumConfirmed(started=started):
+            registry.confirmed_from = started
+        case VotersChanged(voters=voters):
+            gossip.set_voters(registry, voters, effects, now)
+    return effects
+
+
+def _pass_time(
+    registry: VoterRegistry, effects: list[RegistryEffect], now: Seconds, rng: random.Random
+) -> None:
+    _excuse_own_stop(registry, now)
+    if now >= registry.lenient_until:
+        _expire_clients(registry, effects, now)
+        gossip.hide_members_of_lost_voters(registry, effects, now)
+    gossip.send_due(registry, effects, now, rng)
+    pushes.flush(registry, effects)
+    if now >= registry.forget_at:
+        gossip.forget_dead(registry, now - _FORGET_AFTER)
+        registry.forget_at = now + registry.times.lease
+
+
+def _excuse_own_stop(registry: VoterRegistry, now: Seconds) -> None:
+    if now - registry.ticked_at > _OWN_STOP * registry.times.lease:
+        registry.lenient_until = now + registry.times.lease
+    registry.ticked_at = now
+
+
+def _expire_clients(registry: VoterRegistry, effects: list[RegistryEffect], now: Seconds) -> None:
+    # Each renewal moves its client to the end, so the oldest come first.
+    limit = now - registry.times.lease
+    while registry.clients:
+        name, client = next(iter(registry.clients.items()))
+        if client.renewed_at >= limit:
+            return
+        pushes.drop_client(registry, name)
+        state = registry.members[name].state
+        if state.home == registry.name and state.is_alive:
+            dead = msgspec.structs.replace(state, beat=client.sequence, is_alive=False)
+            gossip.register(registry, dead, effects, now)
+
+
+def _receive(
+    registry: VoterRegistry, sender: str, message, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    match message:
+        case Heartbeat():
+            _take_heartbeat(registry, message, effects, now)
+        case Announce():
+            _take_announce(registry, message, effects, now)
+        case Watch():
+            _take_watch(registry, message, effects)
+        case MemberGossip():
+            gossip.take_gossip(registry, message, effects, now)
+        case MemberDigest():
+            gossip.take_digest(registry, message, effects)
+        case MemberPull():
+            gossip.take_pull(registry, message, effects)
+
+
+def _is_outdated(registry: VoterRegistry, beat: Heartbeat) -> bool:
+    node = beat.node
+    order = node.incarnation, beat.sequence
+    client = registry.clients.get(node.name)
+    if client and order <= (client.incarnation, client.sequence):
+        return True
+    member = registry.members.get(node.name)
+    return member is not None and order <= (member.state.node.incarnation, member.state.beat)
+
+
+def _take_heartbeat(
+    registry: VoterRegistry, beat: Heartbeat, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    node = beat.node
+    if _is_outdated(registry, beat):
+        return
+    client = registry.clients.get(node.name)
+    if client is None or client.incarnation != node.incarnation:
+        pushes.drop_client(registry, node.name)
+        client = Client(node.incarnation)
+    registry.clients.pop(node.name, None)
+    registry.clients[node.name] = client
+    client.sequence = beat.sequence
+    client.renewed_at = now
+    client.version = beat.version
+    _claim_member(registry, beat, effects, now)
+    _reply(registry, client, beat, effects, now)
+
+
+def _claim_member(
+    registry: VoterRegistry, beat: Heartbeat, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    member = registry.members.get(beat.node.name)
+    if member:
+        state = member.state
+        is_same = state.node == beat.node
+        if is_same and state.home == registry.name and state.is_alive:
+            return
+    claim = MemberState(beat.node, registry.name, beat.sequence)
+    gossip.register(registry, claim, effects, now)
+
+
+def _reply(
+    registry: VoterRegistry,
+    client: Client,
+    beat: Heartbeat,
+    effects: list[RegistryEffect],
+    now: Seconds,
+) -> None:
+    announced = registry.members[beat.node.name].state.announced
+    resync = client.watch != beat.watch or announced != beat.announced
+    is_current = False
+    if not resync:
+        is_current = pushes.bring_up_to_date(registry, beat, client, effects)
+    reply = HeartbeatReply(
+        beat.sequence,
+        registry.configuration.version,
+        confirmed_age_ms(registry, now),
+        is_current,
+        resync,
+    )
+    effects.append(SendTo(beat.node.name, reply))
+
+
+def confirmed_age_ms(registry: VoterRegistry, now: Seconds) -> Milliseconds | None:
+    """Return the time since the start of the last confirmed round, None without one."""
+    if registry.confirmed_from is None:
+        return None
+    return (now - registry.confirmed_from) * MILLISECONDS_PER_SECOND
+
+
+def _take_announce(
+    registry: VoterRegistry, announce: Announce, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    member = registry.members.get(announce.node)
+    if member is None or member.state.node.incarnation != announce.incarnation:
+        return
+    if announce.sequence <= member.state.announced:
+        return
+    state = msgspec.structs.replace(
+        member.state, announced=announce.sequence, upstreams=tuple(announce.upstreams)
+    )
+    gossip.register(registry, state, effects, now)
+
+
+def _take_watch(registry: VoterRegistry, watch: Watch, effects: list[RegistryEffect]) -> None:
+    client = registry.clients.get(watch.node)
+    if client is None or client.incarnation != watch.incarnation:
+        return
+    if watch.sequence >= client.watch:
+        pushes.set_watch(registry, watch, client)
+        pushes.send_everything(registry, watch.node, client, effects)
+
+
+def list_alive(registry: VoterRegistry) -> tuple[Instance, ...]:
+    """List the nodes that this voter counts as alive."""
+    return tuple(member.state.node for member in registry.members.values() if member.is_visible)
+
+
+def list_status(registry: VoterRegistry, now: Seconds) -> tuple[NodeStatus, ...]:
+    """List the nodes attached to this voter."""
+    return tuple(
+        _make_status(registry, name, client, now) for name, client in registry.clients.items()
+    )
+
+
+def _make_status(registry: VoterRegistry, name: str, client: Client, now: Seconds) -> NodeStatus:
+    node = registry.members[name].state.node
+    age = now - client.renewed_at
+    confirmed = confirmed_age_ms(registry, now)
+    lease_ms = registry.times.provable * MILLISECONDS_PER_SECOND
+    is_fresh = (
+        client.version == registry.configuration.version
+        and confirmed is not None
+        and confirmed < lease_ms
+        and age < registry.times.lease
+    )
+    return NodeStatus(
+        name,
+        node.data_centre,
+        registry.name,
+        max(client.version, 0),
+        age * MILLISECONDS_PER_SECOND,
+        is_fresh,
+    )
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -0,0 +1,94 @@
+"""Hold what a voter registers of nodes, their upstreams and what they watch."""
+
+import dataclasses
+
+from bendwind_core.claims import ClaimGroup
+from bendwind_core.core import Seconds
+from bendwind_core.membership.digest import digest_record
+from bendwind_core.membership.holdings import UpstreamKey
+from bendwind_core.membership.member import BUCKETS, Member
+from bendwind_core.membership.settings import LeaseTimes
+from bendwind_core.world import EMPTY_CONFIGURATION, Configuration, Service, Upstream
+
+
+@dataclasses.dataclass(slots=True)
+class Client:
+    """Hold a node attached to this voter: its last heartbeat and what it watches.
+
+    `is_suspect` says that the last heartbeat's digest differed from what was pushed.
+    Units: `renewed_at` in seconds of the voter's clock.
+    """
+
+    incarnation: int
+    sequence: int = 0
+    renewed_at: Seconds = 0.0
+    version: int = 0
+    watch: int = 0
+    services: tuple[str, ...] = ()
+    is_suspect: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceRow:
+    """Hold what the watchers of a service were pushed, and who they are.
+
+    `digest` covers `upstreams` and `claim_group`; `dirty` names owners whose upstreams of the
+    service may differ from what was pushed.
+    """
+
+    service: Service | None = None
+    changed_at: int = 0
+    claim_group: ClaimGroup | None = None
+    upstreams: dict[UpstreamKey, Upstream] = dataclasses.field(default_factory=dict)
+    watchers: dict[str, None] = dataclasses.field(default_factory=dict)
+    dirty: set[str] = dataclasses.field(default_factory=set)
+    digest: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class VoterRegistry:
+    """Hold a voter's soft state: all of it is rebuilt from nodes and other voters.
+
+    `clients` is ordered by renewal. `floor` is the first version this run knew: of changes
+    before it nothing is known. `news` names members to tell the other voters of; `dirty` and
+    `urgent` name services and `outdated` clients to push to.
+    Units: times in seconds of the voter's clock.
+    """
+
+    name: str
+    times: LeaseTimes
+    peers: dict[str, Seconds]
+    ticked_at: Seconds
+    lenient_until: Seconds
+    clients: dict[str, Client] = dataclasses.field(default_factory=dict)
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    buckets: list[int] = dataclasses.field(default_factory=lambda: [0] * BUCKETS)
+    services: dict[str, ServiceRow] = dataclasses.field(default_factory=dict)
+    configuration: Configuration = EMPTY_CONFIGURATION
+    floor: int = 0
+    confirmed_from: Seconds | None = None
+    news: dict[str, None] = dataclasses.field(default_factory=dict)
+    dirty: dict[str, None] = dataclasses.field(default_factory=dict)
+    urgent: dict[str, None] = dataclasses.field(default_factory=dict)
+    outdated: dict[str, None] = dataclasses.field(default_factory=dict)
+    lost_voters: set[str] = dataclasses.field(default_factory=set)
+    gossip_at: Seconds = 0.0
+    digest_at: Seconds = 0.0
+    forget_at: Seconds = 0.0
+
+
+def find_row(registry: VoterRegistry, service: str) -> ServiceRow:
+    """Return the row of a service, made if there is none."""
+    row = registry.services.get(service)
+    if row is None:
+        row = registry.services[service] = ServiceRow()
+    return row
+
+
+def put_claim_group(row: ServiceRow, group: ClaimGroup | None) -> None:
+    """Replace the claim group of a row and keep its digest right."""
+    if row.claim_group:
+        row.digest ^= digest_record(row.claim_group)
+    row.claim_group = group
+    if group:
+        row.digest ^= digest_record(group)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -0,0 +1,336 @@
+"""Decide for a node: which voter it renews with, what is in force and whether that is fresh."""
+
+import dataclasses
+import random
+from collections.abc import Mapping
+
+from bendwind_core.claims import ClaimGroup
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.membership import holdings as held
+from bendwind_core.membership.attachment import (
+    Attachment,
+    SentBeat,
+    VoterPlace,
+    find_reason_to_move,
+    go_home,
+    move,
+    order_voters,
+    schedule_beat,
+    spread_beat,
+)
+from bendwind_core.membership.events import (
+    AttachmentChanged,
+    ConfigurationApplied,
+    FreshnessChanged,
+    LinkLost,
+    MessageReceived,
+    PeerSeen,
+    SendTo,
+    ServiceWatched,
+    Tick,
+    UpstreamAnnounced,
+    UpstreamsChanged,
+    ViewEffect,
+    ViewEvent,
+)
+from bendwind_core.membership.messages import (
+    Announce,
+    ConfigurationChanged,
+    Heartbeat,
+    HeartbeatReply,
+    Watch,
+    WatchUpdate,
+)
+from bendwind_core.membership.settings import LeaseTimes
+from bendwind_core.world import Instance, Service, Upstream, UpstreamState
+
+_MAX_UNANSWERED = 8
+# Stated in heartbeats by a node that lacks the configuration of a service it watches.
+INCOMPLETE = -1
+# A node away from its preferred voter tries it again at about one good reply in this many.
+_BEATS_AWAY = 120
+
+
+@dataclasses.dataclass(slots=True)
+class Proof:
+    """Hold a confirmation that waits for the configuration it confirmed."""
+
+    version: int
+    confirmed_at: Seconds
+
+
+@dataclasses.dataclass(slots=True)
+class NodeView:
+    """Hold what one run of a node knows of the configuration and of the upstreams.
+
+    `version` is in force; `is_complete` says that it covers everything now watched.
+    `pending` names watched services of which nothing is known yet.
+    `confirmed_at` is the time, on the node's own clock, up to which nothing newer than `version`
+    had been accepted.
+    """
+
+    instance: Instance
+    times: LeaseTimes
+    attachment: Attachment
+    holdings: held.Holdings
+    version: int = 0
+    is_complete: bool = False
+    confirmed_at: Seconds | None = None
+    waiting_proof: Proof | None = None
+    watch_sequence: int = 0
+    announce_sequence: int = 0
+    announced: dict[str, Upstream] = dataclasses.field(default_factory=dict)
+    pending: set[str] = dataclasses.field(default_factory=set)
+    seen_version: int = 0
+    was_fresh: bool = False
+
+    def is_fresh(self, now: Seconds) -> bool:
+        """Tell whether nothing newer can have been accepted more than a lease ago."""
+        confirmed = self.confirmed_at
+        return confirmed is not None and now - confirmed < self.times.provable
+
+    def confirmed_age_ms(self, now: Seconds) -> Milliseconds | None:
+        """Return the age of the proof of freshness, None without one."""
+        if self.confirmed_at is None:
+            return None
+        return (now - self.confirmed_at) * MILLISECONDS_PER_SECOND
+
+    @property
+    def services(self) -> Mapping[str, Service]:
+        """Return the services in force among those watched."""
+        return self.holdings.services
+
+    @property
+    def claim_groups(self) -> Mapping[str, ClaimGroup]:
+        """Return the claim groups of the watched services."""
+        return self.holdings.claim_groups
+
+    @property
+    def voter(self) -> str:
+        """Return the name of the voter the node renews with."""
+        return self.attachment.voter
+
+    def upstreams(self, service: str) -> tuple[Upstream, ...]:
+        """List the upstreams of a watched service."""
+        return held.list_upstreams(self.holdings, service)
+
+
+def create_node_view(
+    instance: Instance,
+    voters: tuple[VoterPlace, ...],
+    times: LeaseTimes,
+    now: Seconds,
+    rng: random.Random,
+    services: tuple[str, ...] = (),
+) -> NodeView:
+    """Create the view of a node that has just started and knows nothing."""
+    order = order_voters(instance.name, instance.name, instance.data_centre, voters)
+    attachment = Attachment(order, moved_at=now)
+    attachment.next_beat = now + 0.1 * times.heartbeat * rng.random()
+    watched = held.Holdings(watched=dict.fromkeys(services))
+    pending = set(services)
+    return NodeView(instance, times, attachment, watched, watch_sequence=1, pending=pending)
+
+
+def step_view(
+    view: NodeView, event: ViewEvent, now: Seconds, rng: random.Random
+) -> list[ViewEffect]:
+    """Apply an event and return what is to be done."""
+    effects: list[ViewEffect] = []
+    match event:
+        case Tick():
+            _renew(view, effects, now, rng)
+        case MessageReceived(sender=sender, message=message):
+            if sender == view.voter:
+                _receive(view, message, effects, now, rng)
+        case LinkLost(peer=peer):
+            if peer == view.voter:
+                _leave(view, "link lost", effects, now, rng)
+                spread_beat(view.attachment, view.times, now, rng)
+        case ServiceWatched(service=service):
+            _watch(view, service, effects)
+        case UpstreamAnnounced(upstream=upstream):
+            _announce(view, upstream, effects)
+        case PeerSeen(version=version):
+            _compare_with_peer(view, version, now)
+    _note_freshness(view, effects, now)
+    return effects
+
+
+def _note_freshness(view: NodeView, effects: list[ViewEffect], now: Seconds) -> None:
+    is_fresh = view.is_fresh(now)
+    if is_fresh != view.was_fresh:
+        view.was_fresh = is_fresh
+        effects.append(FreshnessChanged(is_fresh))
+
+
+def _renew(view: NodeView, effects: list[ViewEffect], now: Seconds, rng: random.Random) -> None:
+    attachment = view.attachment
+    reason = find_reason_to_move(attachment, view.times, now)
+    if reason:
+        _leave(view, reason, effects, now, rng)
+    if now < attachment.next_beat:
+        return
+    attachment.sequence += 1
+    if len(attachment.sent) >= _MAX_UNANSWERED:
+        attachment.sent.pop(next(iter(attachment.sent)))
+    attachment.sent[attachment.sequence] = SentBeat(now, view.watch_sequence)
+    heartbeat = Heartbeat(
+        view.instance,
+        attachment.sequence,
+        view.version if view.is_complete else INCOMPLETE,
+        view.watch_sequence,
+        view.announce_sequence,
+        view.holdings.digest,
+    )
+    effects.append(SendTo(view.voter, heartbeat))
+    schedule_beat(attachment, view.times, now, rng)
+
+
+def _leave(
+    view: NodeView, reason: str, effects: list[ViewEffect], now: Seconds, rng: random.Random
+) -> None:
+    move(view.attachment, view.times, now, rng)
+    view.waiting_proof = None
+    effects.append(AttachmentChanged(view.voter, reason))
+
+
+def _receive(
+    view: NodeView, message, effects: list[ViewEffect], now: Seconds, rng: random.Random
+) -> None:
+    match message:
+        case HeartbeatReply():
+            _take_reply(view, message, effects, now, rng)
+        case ConfigurationChanged():
+            _take_configuration(view, message, effects)
+        case WatchUpdate(service=service):
+            if held.put_upstreams(view.holdings, message):
+                effects.append(UpstreamsChanged(service))
+
+
+def _take_reply(
+    view: NodeView,
+    reply: HeartbeatReply,
+    effects: list[ViewEffect],
+    now: Seconds,
+    rng: random.Random,
+) -> None:
+    sent = view.attachment.sent.pop(reply.sequence, None)
+    if sent is None:
+        return
+    view.attachment.heard_at = now
+    if reply.resync:
+        _send_everything(view, effects)
+    if reply.is_current and view.is_complete and sent.watch == view.watch_sequence:
+        _put_in_force(view, reply.version, effects)
+    if reply.confirmed_age_ms is not None:
+        _take_proof(view, reply, sent.at, now)
+    if view.attachment.index and view.is_fresh(now) and rng.random() * _BEATS_AWAY < 1:
+        go_home(view.attachment, view.times, now, rng)
+        effects.append(AttachmentChanged(view.voter, "preferred"))
+
+
+def _send_everything(view: NodeView, effects: list[ViewEffect]) -> None:
+    effects.append(SendTo(view.voter, _make_announce(view)))
+    effects.append(SendTo(view.voter, _make_watch(view)))
+
+
+def _make_announce(view: NodeView) -> Announce:
+    instance = view.instance
+    announced = tuple(view.announced.values())
+    return Announce(instance.name, instance.incarnation, view.announce_sequence, announced)
+
+
+def _make_watch(view: NodeView) -> Watch:
+    instance = view.instance
+    services = tuple(view.holdings.watched)
+    return Watch(instance.name, services, instance.incarnation, view.watch_sequence)
+
+
+def _put_in_force(view: NodeView, version: int, effects: list[ViewEffect]) -> None:
+    if version <= view.version:
+        return
+    view.version = version
+    effects.append(ConfigurationApplied(version))
+
+
+def _take_proof(view: NodeView, reply: HeartbeatReply, sent: Seconds, now: Seconds) -> None:
+    # The voter's round began at least this long before it answered, and it answered after the
+    # heartbeat was sent, so the round began no earlier than this on the node's own clock.
+    confirmed_at = sent - reply.confirmed_age_ms / MILLISECONDS_PER_SECOND
+    if now - confirmed_at < view.times.confirmation_limit:
+        view.attachment.good_at = now
+        view.attachment.patience = 1.0
+    _compare_versions(view, reply.version, now)
+    if view.is_complete and view.version >= reply.version:
+        _confirm(view, confirmed_at)
+    else:
+        view.waiting_proof = Proof(reply.version, confirmed_at)
+
+
+def _compare_versions(view: NodeView, voter_version: int, now: Seconds) -> None:
+    attachment = view.attachment
+    if voter_version >= max(view.seen_version, view.version):
+        attachment.behind_since = None
+    elif attachment.behind_since is None:
+        attachment.behind_since = now
+
+
+def _confirm(view: NodeView, confirmed_at: Seconds) -> None:
+    if view.confirmed_at is None or confirmed_at > view.confirmed_at:
+        view.confirmed_at = confirmed_at
+
+
+def _take_configuration(
+    view: NodeView, message: ConfigurationChanged, effects: list[ViewEffect]
+) -> None:
+    held.put_claim_groups(view.holdings, message.claim_groups)
+    is_older = message.version < view.version
+    is_for_other_watch = message.watch != view.watch_sequence
+    known = view.version if view.is_complete else 0
+    if is_older or is_for_other_watch or message.base > known:
+        return
+    held.put_services(view.holdings, message)
+    view.is_complete = True
+    view.pending.clear()
+    _put_in_force(view, message.version, effects)
+    proof = view.waiting_proof
+    if proof and proof.version <= view.version:
+        _confirm(view, proof.confirmed_at)
+        view.waiting_proof = None
+
+
+def _watch(view: NodeView, service: str, effects: list[ViewEffect]) -> None:
+    if service in view.holdings.watched:
+        return
+    view.holdings.watched[service] = None
+    view.pending.add(service)
+    view.watch_sequence += 1
+    view.is_complete = False
+    effects.append(SendTo(view.voter, _make_watch(view)))
+
+
+def _announce(view: NodeView, upstream: Upstream, effects: list[ViewEffect]) -> None:
+    view.announce_sequence += 1
+    if upstream.state is UpstreamState.GONE:
+        view.announced.pop(upstream.name, None)
+    else:
+        stamped = Upstream(
+            upstream.name,
+            upstream.service,
+            view.instance,
+            upstream.slots,
+            upstream.connections,
+            upstream.state,
+            view.announce_sequence,
+        )
+        view.announced[upstream.name] = stamped
+    effects.append(SendTo(view.voter, _make_announce(view)))
+
+
+def _compare_with_peer(view: NodeView, version: int, now: Seconds) -> None:
+    if version <= view.seen_version:
+        return
+    view.seen_version = version
+    if version > view.version and view.attachment.behind_since is None:
+        view.attachment.behind_since = now
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -20,7 +20,11 @@
     ConfigurationChanged,
     Heartbeat,
     HeartbeatReply,
+    MemberDigest,
     MemberGossip,
+    MemberPull,
+    StatusReply,
+    StatusRequest,
     Watch,
     WatchUpdate,
 )
@@ -45,6 +49,10 @@
     | WatchUpdate
     | ConfigurationChanged
     | MemberGossip
+    | MemberDigest
+    | MemberPull
+    | StatusRequest
+    | StatusReply
 )
 
 
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -0,0 +1,216 @@
+"""Run a voter's registry of nodes: leases, pushes, gossip and status."""
+
+import random
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+import trio
+
+from bendwind_core.claims import ClaimGroup
+from bendwind_core.core import Record
+from bendwind_core.membership import (
+    ConfigurationAccepted,
+    LeaseTimes,
+    MemberAppeared,
+    MemberLost,
+    MessageReceived,
+    NodeStatus,
+    QuorumConfirmed,
+    RegistryEffect,
+    RegistryEvent,
+    SendTo,
+    StatusReply,
+    StatusRequest,
+    Tick,
+    VoterRegistry,
+    VotersChanged,
+    create_voter_registry,
+    list_alive,
+    list_status,
+    step_registry,
+)
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.world import Configuration, Instance
+
+Send = Callable[[str, Record], None]
+
+_TICK_SECONDS = 0.05
+_BARRIER_SECONDS = 0.25
+_INBOX = 4096
+_ROWS_PER_REPLY = 200
+_STATUS_SECONDS = 1.0
+
+
+class Control(Protocol):
+    """State what the registry asks of the voter beside it."""
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration as of the newest applied log entry."""
+
+    @property
+    def claim_groups(self) -> Mapping[str, ClaimGroup]:
+        """Return the claim groups by service as of the newest applied log entry."""
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Return the names of the present voters."""
+
+    async def confirm(self) -> bool:
+        """Run a quorum round; after True, all that was accepted before the call is applied."""
+
+
+class RegistryTask:
+    """Own a voter's registry; `inbox` takes (sender, message) of the peer links."""
+
+    __slots__ = (
+        "_groups",
+        "_number",
+        "_outbox",
+        "_replies",
+        "_rng",
+        "control",
+        "inbox",
+        "recorder",
+        "registry",
+        "send",
+    )
+
+    def __init__(
+        self,
+        registry: VoterRegistry,
+        control: Control,
+        send: Send,
+        recorder: Recorder,
+        rng: random.Random,
+    ):
+        self.registry = registry
+        self.control = control
+        self.send = send
+        self.recorder = recorder
+        self._rng = rng
+        self._groups: Mapping[str, ClaimGroup] | None = None
+        self._number = 0
+        self._replies: dict[int, trio.MemorySendChannel] = {}
+        self.inbox, self._outbox = trio.open_memory_channel[tuple[str, Record]](_INBOX)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve nodes and other voters until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._confirm)
+            task_status.started()
+
+    async def _receive(self) -> None:
+        async for sender, message in self._outbox:
+            match message:
+                case StatusRequest():
+                    self._answer_status(message)
+                case StatusReply():
+                    self._take_status(message)
+                case _:
+                    self.step(MessageReceived(sender, message))
+
+    async def _tick(self) -> None:
+        while True:
+            self._take_state()
+            self.step(Tick())
+            await trio.sleep(_TICK_SECONDS)
+
+    async def _confirm(self) -> None:
+        while True:
+            started = trio.current_time()
+            if await self.control.confirm():
+                self._take_state()
+                self.step(QuorumConfirmed(started))
+            await trio.sleep(_BARRIER_SECONDS)
+
+    def _take_state(self) -> None:
+        configuration = self.control.configuration
+        groups = self.control.claim_groups
+        is_newer = configuration.version > self.registry.configuration.version
+        if is_newer or groups != self._groups:
+            self._groups = dict(groups)
+            self.step(ConfigurationAccepted(configuration, tuple(groups.values())))
+        voters = self.control.voters
+        if set(voters) - {self.registry.name} != set(self.registry.peers):
+            self.step(VotersChanged(voters))
+
+    def step(self, event: RegistryEvent) -> None:
+        """Apply an event at once and carry out its effects."""
+        for effect in step_registry(self.registry, event, trio.current_time(), self._rng):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: RegistryEffect) -> None:
+        match effect:
+            case SendTo(to=to, message=message):
+                self.send(to, message)
+            case MemberAppeared(node=node):
+                self.recorder.record(EventKind.MEMBER_APPEARED, detail=node.name)
+            case MemberLost(node=node):
+                self.recorder.record(EventKind.MEMBER_LOST, detail=node.name)
+
+    def alive(self) -> tuple[Instance, ...]:
+        """List the nodes counted as alive, for the placement of claims."""
+        return list_alive(self.registry)
+
+    async def status(self) -> tuple[NodeStatus, ...]:
+        """List the nodes attached to any voter that answers in time, ordered by name."""
+        rows = {row.node: row for row in list_status(self.registry, trio.current_time())}
+        self._number += 1
+        number = self._number
+        sender, receiver = trio.open_memory_channel[StatusReply](_INBOX)
+        self._replies[number] = sender
+        try:
+            with trio.move_on_after(_STATUS_SECONDS):
+                await self._gather(number, receiver, rows)
+        finally:
+            del self._replies[number]
+        return tuple(rows[name] for name in sorted(rows))
+
+    async def _gather(
+        self, number: int, replies: trio.MemoryReceiveChannel, rows: dict[str, NodeStatus]
+    ) -> None:
+        waiting = set(self.registry.peers)
+        for voter in waiting:
+            self.send(voter, StatusRequest(self.registry.name, number))
+        while waiting:
+            reply = await replies.receive()
+            for row in reply.rows:
+                known = rows.get(row.node)
+                if known is None or row.heartbeat_age_ms < known.heartbeat_age_ms:
+                    rows[row.node] = row
+            if not reply.more:
+                waiting.discard(reply.voter)
+
+    def _answer_status(self, request: StatusRequest) -> None:
+        rows = list_status(self.registry, trio.current_time())
+        starts = range(0, max(len(rows), 1), _ROWS_PER_REPLY)
+        for start in starts:
+            part = rows[start : start + _ROWS_PER_REPLY]
+            more = start != starts[-1]
+            reply = StatusReply(self.registry.name, request.number, part, more)
+            self.send(request.voter, reply)
+
+    def _take_status(self, reply: StatusReply) -> None:
+        waiting = self._replies.get(reply.number)
+        if waiting is None:
+            return
+        try:
+            waiting.send_nowait(reply)
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            return
+
+
+def create_registry_task(
+    name: str,
+    control: Control,
+    times: LeaseTimes,
+    send: Send,
+    recorder: Recorder,
+    rng: random.Random,
+) -> RegistryTask:
+    """Create the task of a voter that has just started; call it inside a trio run."""
+    registry = create_voter_registry(name, control.voters, times, trio.current_time())
+    return RegistryTask(registry, control, send, recorder, rng)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -0,0 +1,134 @@
+"""Keep a node attached to a control voter and offer its view to the other tasks."""
+
+import random
+from collections.abc import Callable, Mapping
+
+import trio
+
+from bendwind_core.claims import ClaimGroup
+from bendwind_core.core import Milliseconds, Record
+from bendwind_core.membership import (
+    AttachmentChanged,
+    ConfigurationApplied,
+    FreshnessChanged,
+    LeaseTimes,
+    LinkLost,
+    MessageReceived,
+    NodeView,
+    PeerSeen,
+    SendTo,
+    ServiceWatched,
+    Tick,
+    UpstreamAnnounced,
+    ViewEffect,
+    ViewEvent,
+    VoterPlace,
+    create_node_view,
+    step_view,
+)
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.world import Instance, Service, Upstream
+
+Send = Callable[[str, Record], None]
+Listener = Callable[[ViewEffect], None]
+
+_TICK_SECONDS = 0.05
+_INBOX = 256
+
+
+class MembershipTask:
+    """Own a node's view; `inbox` takes (sender, message) of the peer links."""
+
+    __slots__ = ("_outbox", "_rng", "inbox", "listeners", "recorder", "send", "view")
+
+    def __init__(self, view: NodeView, send: Send, recorder: Recorder, rng: random.Random):
+        self.view = view
+        self.send = send
+        self.recorder = recorder
+        self.listeners: list[Listener] = []
+        self._rng = rng
+        self.inbox, self._outbox = trio.open_memory_channel[tuple[str, Record]](_INBOX)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Renew, receive and push on until cancelled."""
+        task_status.started()
+        while True:
+            with trio.move_on_after(_TICK_SECONDS):
+                sender, message = await self._outbox.receive()
+                self.step(MessageReceived(sender, message))
+                continue
+            self.step(Tick())
+
+    def step(self, event: ViewEvent) -> None:
+        """Apply an event at once and carry out its effects."""
+        for effect in step_view(self.view, event, trio.current_time(), self._rng):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: ViewEffect) -> None:
+        match effect:
+            case SendTo(to=to, message=message):
+                self.send(to, message)
+                return
+            case AttachmentChanged(voter=voter, reason=reason):
+                self.recorder.record(EventKind.VOTER_CHANGED, detail=f"{voter}: {reason}")
+            case ConfigurationApplied(version=version):
+                self.recorder.record(EventKind.CONFIGURATION_APPLIED, detail=str(version))
+            case FreshnessChanged(is_fresh=is_fresh):
+                kind = EventKind.FRESHNESS_GAINED if is_fresh else EventKind.FRESHNESS_LOST
+                self.recorder.record(kind, detail=str(self.view.version))
+        for listener in self.listeners:
+            listener(effect)
+
+    def is_fresh(self) -> bool:
+        """Tell whether calls may be served from the configuration in force."""
+        return self.view.is_fresh(trio.current_time())
+
+    def confirmed_age_ms(self) -> Milliseconds | None:
+        """Return the age of the proof of freshness, None without one."""
+        return self.view.confirmed_age_ms(trio.current_time())
+
+    @property
+    def services(self) -> Mapping[str, Service]:
+        """Return the services in force among those watched."""
+        return self.view.services
+
+    @property
+    def claim_groups(self) -> Mapping[str, ClaimGroup]:
+        """Return the claim groups of the watched services."""
+        return self.view.claim_groups
+
+    def upstreams(self, service: str) -> tuple[Upstream, ...]:
+        """List the upstreams of a watched service."""
+        return self.view.upstreams(service)
+
+    def watch(self, service: str) -> None:
+        """Watch a service from now on."""
+        self.step(ServiceWatched(service))
+
+    def announce(self, upstream: Upstream) -> None:
+        """Register an upstream beside this node, or its new state; GONE takes it back."""
+        detail = f"{upstream.service} {upstream.state}"
+        self.recorder.record(EventKind.UPSTREAM_ANNOUNCED, upstream=upstream.name, detail=detail)
+        self.step(UpstreamAnnounced(upstream))
+
+    def note_link_lost(self, peer: str) -> None:
+        """Take notice that the link to a peer broke."""
+        self.step(LinkLost(peer))
+
+    def note_peer(self, peer: str, version: int, confirmed_age_ms: Milliseconds | None) -> None:
+        """Take notice of what another process stated in its Hello."""
+        self.step(PeerSeen(peer, version, confirmed_age_ms))
+
+
+def create_membership_task(
+    instance: Instance,
+    voters: tuple[VoterPlace, ...],
+    times: LeaseTimes,
+    send: Send,
+    recorder: Recorder,
+    rng: random.Random,
+    services: tuple[str, ...] = (),
+) -> MembershipTask:
+    """Create the task of a node that has just started; call it inside a trio run."""
+    view = create_node_view(instance, voters, times, trio.current_time(), rng, services)
+    return MembershipTask(view, send, recorder, rng)
