--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/settings/__init__.py
@@ -0,0 +1,13 @@
+"""Offer the checked settings of bendwindd."""
+
+from bendwind_node.settings.load import SettingsError, load_settings, parse_settings
+from bendwind_node.settings.tables import Settings, TlsTable, VoterTable
+
+__all__ = [
+    "Settings",
+    "SettingsError",
+    "TlsTable",
+    "VoterTable",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -0,0 +1,184 @@
+"""Define the tables of a bendwindd settings file, with the range and unit of every key."""
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+Name = Annotated[
+    str,
+    Meta(
+        pattern="^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$",
+        extra={"range": "1 to 63 of a-z, 0-9, `.`, `_`, `-`"},
+    ),
+]
+Host = Annotated[str, Meta(min_length=1, max_length=255, extra={"range": "an IP number"})]
+Port = Annotated[int, Meta(ge=0, le=65535, extra={"range": "0 to 65535; 0 picks a free port"})]
+FixedPort = Annotated[int, Meta(ge=1, le=65535)]
+File = Annotated[
+    str, Meta(min_length=1, extra={"range": "a path, relative to the settings file's folder"})
+]
+
+
+def _doc(text: str, unit: str = "") -> Meta:
+    return Meta(description=text, extra={"unit": unit})
+
+
+class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Hold one table of a settings file; unknown keys are refused."""
+
+
+class InstanceTable(Table, frozen=True, kw_only=True):
+    """Say which instance the process runs on."""
+
+    name: Annotated[Name, _doc("Unique name of the instance; its certificate carries it too.")]
+    data_centre: Annotated[Name, _doc("Data centre that holds the instance.")]
+    region: Annotated[str, Meta(max_length=63), _doc("Region that holds the data centre.")] = ""
+
+
+class PeersTable(Table, frozen=True, kw_only=True):
+    """Say where other bendwindd processes reach this one."""
+
+    host: Annotated[Host, _doc("Address to listen on and to announce to peers.")]
+    port: Annotated[Port, _doc("Port of the websocket links between processes.")]
+    insecure: Annotated[
+        bool, _doc("Link without TLS; accepted on loopback only, excludes `[tls]`.")
+    ] = False
+
+
+class CallersTable(Table, frozen=True, kw_only=True):
+    """Say where callers reach the process."""
+
+    host: Annotated[Host, _doc("Address to listen on for callers.")]
+    port: Annotated[Port, _doc("Port of the callers' HTTP.")]
+
+
+class UpstreamsTable(Table, frozen=True, kw_only=True):
+    """Say where the upstream beside the process announces itself."""
+
+    host: Annotated[Host, _doc("Address to listen on for the upstream beside the process.")]
+    port: Annotated[Port, _doc("Port of the upstream's HTTP.")]
+
+
+class OperatorsTable(Table, frozen=True, kw_only=True):
+    """Say where operators reach the process and how they prove who they are."""
+
+    host: Annotated[Host, _doc("Address to listen on for operators.")]
+    port: Annotated[Port, _doc("Port of the operators' HTTP.")]
+    insecure: Annotated[
+        bool, _doc("Ask operators for no credentials; accepted on loopback only.")
+    ] = False
+    token_file: Annotated[
+        File | None, _doc("File whose lines are the tokens operators may present.")
+    ] = None
+    client_authority: Annotated[
+        File | None, _doc("PEM file of the authority that signs operators' client certificates.")
+    ] = None
+
+
+class VoterTable(Table, frozen=True, kw_only=True):
+    """Name one control voter and where its peers reach it."""
+
+    name: Annotated[Name, _doc("Instance name of the voter.")]
+    host: Annotated[Host, _doc("Address of the voter's `[peers]` table.")]
+    port: Annotated[FixedPort, _doc("Port of the voter's `[peers]` table.")]
+
+
+class ControlTable(Table, frozen=True, kw_only=True):
+    """Make the process a control voter."""
+
+    data_folder: Annotated[File, _doc("Folder of the control log and its snapshots.")]
+
+
+class LeaseTable(Table, frozen=True, kw_only=True):
+    """Set how often the node renews its lease and how long that lasts."""
+
+    heartbeat_ms: Annotated[
+        float, Meta(ge=50, le=60_000), _doc("Time between two renewals of the lease.", "ms")
+    ] = 1000
+    lease_ms: Annotated[
+        float,
+        Meta(ge=150, le=600_000),
+        _doc("Time after which an instance that does not renew counts as dead.", "ms"),
+    ] = 4000
+
+
+class WatchTable(Table, frozen=True, kw_only=True):
+    """Name services that the node watches from its start."""
+
+    services: Annotated[
+        tuple[Name, ...], _doc("Services to watch at once; others are added by their first call.")
+    ] = ()
+
+
+class MeasuringTable(Table, frozen=True, kw_only=True):
+    """Bound what the node spends on measuring the load of upstreams."""
+
+    messages_per_s: Annotated[
+        float, Meta(ge=0, le=10_000), _doc("Most load probes in any second.", "messages/s")
+    ] = 20
+    bytes_per_s: Annotated[
+        float, Meta(ge=0, le=10_000_000), _doc("Most bytes of load probes in any second.", "B/s")
+    ] = 4000
+
+
+class LimitsTable(Table, frozen=True, kw_only=True):
+    """Bound what callers may take of the process."""
+
+    connections: Annotated[
+        int, Meta(ge=1, le=65_536), _doc("Open connections of callers.", "connections")
+    ] = 1024
+    in_flight: Annotated[int, Meta(ge=1, le=65_536), _doc("Calls at a time.", "calls")] = 512
+    body_bytes: Annotated[
+        int, Meta(ge=0, le=1 << 30), _doc("Longest request body of a caller.", "B")
+    ] = (8 << 20)
+    header_bytes: Annotated[
+        int, Meta(ge=1024, le=1 << 20), _doc("Longest request line and headers of a caller.", "B")
+    ] = (16 << 10)
+    keep_alive_s: Annotated[
+        float, Meta(gt=0, le=3600), _doc("Time an idle connection of a caller stays open.", "s")
+    ] = 60
+
+
+class TimelineTable(Table, frozen=True, kw_only=True):
+    """Bound the buffer of recorded events."""
+
+    capacity: Annotated[
+        int, Meta(ge=100, le=1_000_000), _doc("Events kept; the oldest go first.", "events")
+    ] = 10_000
+
+
+class LoggingTable(Table, frozen=True, kw_only=True):
+    """Set what the process logs."""
+
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"], _doc("Least severe level to log.")
+    ] = "info"
+    format: Annotated[Literal["json", "text"], _doc("Shape of a log line.")] = "json"
+
+
+class TlsTable(Table, frozen=True, kw_only=True):
+    """Name the keys of the process's links."""
+
+    authority: Annotated[File, _doc("PEM file of the authority that signs every instance's key.")]
+    certificate: Annotated[File, _doc("PEM file of the instance's certificate.")]
+    key: Annotated[File, _doc("PEM file of the instance's private key.")]
+
+
+class Settings(Table, frozen=True, kw_only=True):
+    """Hold a whole settings file of bendwindd."""
+
+    instance: InstanceTable
+    peers: PeersTable
+    callers: CallersTable
+    upstreams: UpstreamsTable
+    operators: OperatorsTable
+    voters: Annotated[tuple[VoterTable, ...], Meta(min_length=1, max_length=9)]
+    control: ControlTable | None = None
+    lease: LeaseTable = LeaseTable()
+    watch: WatchTable = WatchTable()
+    measuring: MeasuringTable = MeasuringTable()
+    limits: LimitsTable = LimitsTable()
+    timeline: TimelineTable = TimelineTable()
+    logging: LoggingTable = LoggingTable()
+    tls: TlsTable | None = None
