bench: stand-in upstreams, open-loop load, deployments of real processes

Cause: nothing could show what callers see of the whole path, or count runs where they happen.

Change: a stand-in that speaks docs/UPSTREAMS.md (h11 on trio streams), a load tool whose arrival times are fixed beforehand, a runner that writes settings for free loopback ports, faults by schedule, and a check of what callers were told against the stand-ins' own record of runs.

Seeded fault: direct calls have no claims, so resent issuances run twice.

--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/__main__.py
@@ -0,0 +1,50 @@
+"""Offer the bench's commands."""
+
+import sys
+from pathlib import Path
+
+
+class Commands:
+    """Measure Bendwind with stand-in upstreams, open-loop load and faults by schedule."""
+
+    def upstream(self, config: str) -> None:
+        """Run one stand-in upstream from a TOML file until SIGTERM."""
+        import trio
+
+        from bendwind_bench.upstream import read_upstream_settings, run_upstream
+
+        trio.run(run_upstream, read_upstream_settings(Path(config)))
+
+    def load(self, plan: str, out: str) -> None:
+        """Send the load of a JSON plan and write its samples as JSON."""
+        from bendwind_bench.load import run_worker
+
+        run_worker(Path(plan), Path(out))
+
+    def run(
+        self,
+        deployment: str = "certitermica",
+        rate: float = 200.0,
+        seconds: float = 5.0,
+        workers: int = 1,
+        seed: int = 0,
+        direct: bool = False,
+    ) -> int:
+        """Send the deployment's mix of requests and print a table; --direct leaves nodes out."""
+        import trio
+
+        from bendwind_bench.mix import run_mix
+
+        return trio.run(run_mix, deployment, rate, seconds, workers, seed, direct)
+
+
+def main() -> int:
+    """Run the command that the arguments name."""
+    import fire
+
+    result = fire.Fire(Commands, name="bendwind_bench", serialize=lambda _: None)
+    return result if isinstance(result, int) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/__init__.py
@@ -0,0 +1,26 @@
+"""Offer deployments of real processes on loopback, and faults injected into them."""
+
+from bendwind_bench.deployment.description import (
+    DeploymentDescription,
+    ServiceDescription,
+    find_description,
+)
+from bendwind_bench.deployment.faults import Action, Fault, inject_faults
+from bendwind_bench.deployment.layout import Layout, Member, make_layout
+from bendwind_bench.deployment.process import Process
+from bendwind_bench.deployment.runner import Deployment, run_deployment
+
+__all__ = [
+    "Action",
+    "Deployment",
+    "DeploymentDescription",
+    "Fault",
+    "Layout",
+    "Member",
+    "Process",
+    "ServiceDescription",
+    "find_description",
+    "inject_faults",
+    "make_layout",
+    "run_deployment",
+]
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/faults.py
@@ -0,0 +1,74 @@
+"""Inject faults into a running deployment by schedule."""
+
+import enum
+import shutil
+import signal
+
+import msgspec
+import trio
+from bendwind_core.core import Seconds
+
+from bendwind_bench.deployment.runner import Deployment
+from bendwind_bench.upstream import Change
+
+
+class Action(enum.StrEnum):
+    """Name what a fault does to its target."""
+
+    KILL = "kill"
+    FREEZE = "freeze"
+    THAW = "thaw"
+    STOP = "stop"
+    RESTART = "restart"
+    WIPE = "wipe"
+    CHANGE = "change"
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """Do something to the process or stand-in of this name at a time after the start."""
+
+    at_s: Seconds
+    action: Action
+    target: str
+    change: Change = Change()
+
+    @property
+    def label(self) -> str:
+        """Return a short text for reports and plots."""
+        if self.action is not Action.CHANGE:
+            return f"{self.action} {self.target}"
+        changed = msgspec.to_builtins(self.change)
+        return f"{self.target} " + " ".join(f"{key}={value}" for key, value in changed.items())
+
+
+async def inject_faults(deployment: Deployment, faults: list[Fault], report=None) -> None:
+    """Inject each fault at its time, counted from now, and report its label."""
+    start = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for fault in sorted(faults, key=lambda fault: fault.at_s):
+            await trio.sleep_until(start + fault.at_s)
+            if report is not None:
+                report(fault.label)
+            nursery.start_soon(_inject, deployment, fault)
+
+
+async def _inject(deployment: Deployment, fault: Fault) -> None:
+    process = deployment.find_process(fault.target)
+    match fault.action:
+        case Action.KILL:
+            process.kill()
+        case Action.FREEZE:
+            process.signal(signal.SIGSTOP)
+        case Action.THAW:
+            process.signal(signal.SIGCONT)
+        case Action.STOP:
+            await process.stop()
+        case Action.RESTART:
+            process.kill()
+            process.start()
+        case Action.WIPE:
+            process.kill()
+            shutil.rmtree(deployment.layout.folder / f"{fault.target}.data", ignore_errors=True)
+            process.start()
+        case Action.CHANGE:
+            await deployment.change(fault.target, [fault.change])
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/layout.py
@@ -0,0 +1,174 @@
+"""Place a deployment's processes on free loopback ports and write their settings files."""
+
+import random
+import socket
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from bendwind_bench.deployment.description import DeploymentDescription, ServiceDescription
+from bendwind_bench.upstream import UpstreamSettings
+
+HOST = "127.0.0.1"
+# Below the range that outgoing connections take their ports from, so that none takes the port of
+# a process which is being restarted.
+PORTS = range(15000, 32000)
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Hold one upstream, the node beside it, and the ports of both."""
+
+    name: str
+    data_centre: str
+    upstream: UpstreamSettings
+    peers: int
+    callers: int
+    upstreams: int
+    operators: int
+    is_voter: bool
+
+    @property
+    def callers_address(self) -> str:
+        """Return where callers reach the node."""
+        return f"{HOST}:{self.callers}"
+
+    @property
+    def operators_address(self) -> str:
+        """Return where operators reach the node."""
+        return f"{HOST}:{self.operators}"
+
+    @property
+    def upstream_address(self) -> str:
+        """Return where the stand-in listens."""
+        return f"{HOST}:{self.upstream.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Hold the members of a deployment and the folder of its files."""
+
+    description: DeploymentDescription
+    folder: Path
+    members: tuple[Member, ...]
+
+    def find(self, name: str) -> Member:
+        """Return the member whose instance or upstream has this name."""
+        return next(item for item in self.members if name in (item.name, item.upstream.name))
+
+    def serving(self, service: str) -> tuple[Member, ...]:
+        """Return the members whose upstream offers a service."""
+        return tuple(item for item in self.members if item.upstream.service == service)
+
+    @property
+    def voters(self) -> tuple[Member, ...]:
+        """Return the members that are control voters."""
+        return tuple(item for item in self.members if item.is_voter)
+
+
+class _FreePorts:
+    """Hand out ports that nobody listens on; each only once."""
+
+    def __init__(self):
+        self.candidates = iter(random.sample(PORTS, len(PORTS)))
+
+    def take(self) -> int:
+        """Return the next free port."""
+        for port in self.candidates:
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+                return port
+        raise OSError("no free port")
+
+
+def make_layout(description: DeploymentDescription, folder: Path, seed: int = 0) -> Layout:
+    """Place every upstream beside a node, in data centres by turns."""
+    ports = _FreePorts()
+    numbers = {centre: 0 for centre in description.data_centres}
+    members: list[Member] = []
+    for service in description.services:
+        for number in range(1, service.upstreams + 1):
+            centre = description.data_centres[len(members) % len(numbers)]
+            numbers[centre] += 1
+            is_voter = len(members) < description.voters
+            name = f"{centre}-{numbers[centre]}"
+            upstreams_port = ports.take()
+            upstream = _describe_upstream(
+                service, number, ports.take(), upstreams_port, folder, seed + len(members)
+            )
+            member = Member(
+                name,
+                centre,
+                upstream,
+                peers=ports.take(),
+                callers=ports.take(),
+                upstreams=upstreams_port,
+                operators=ports.take(),
+                is_voter=is_voter,
+            )
+            members.append(member)
+    return Layout(description, folder, tuple(members))
+
+
+def _describe_upstream(
+    service: ServiceDescription, number: int, port: int, node: int, folder: Path, seed: int
+) -> UpstreamSettings:
+    name = f"{service.name}-{number}"
+    return UpstreamSettings(
+        name=name,
+        service=service.name,
+        port=port,
+        node=f"{HOST}:{node}",
+        slots=service.slots,
+        connections=service.connections,
+        queue=4 * service.slots,
+        service_ms=service.service_ms,
+        spread=service.spread,
+        seed=seed,
+        runs_file=str((folder / f"{name}.runs").absolute()),
+    )
+
+
+def write_settings(layout: Layout, member: Member) -> None:
+    """Write the settings files of one member's two processes."""
+    upstream = layout.folder / f"{member.upstream.name}.toml"
+    upstream.write_text(_format_keys(msgspec.to_builtins(member.upstream)))
+    (layout.folder / f"{member.name}.toml").write_text(_format_node(layout, member))
+
+
+def _format_keys(values: dict) -> str:
+    # A JSON text, number or truth value is the same in TOML.
+    return "".join(
+        f"{key} = {msgspec.json.encode(value).decode()}\n" for key, value in values.items()
+    )
+
+
+def _format_node(layout: Layout, member: Member) -> str:
+    ports = {
+        "peers": member.peers,
+        "callers": member.callers,
+        "upstreams": member.upstreams,
+        "operators": member.operators,
+    }
+    tables = {
+        "instance": {
+            "name": member.name,
+            "data_centre": member.data_centre,
+            "region": layout.description.region,
+        }
+    }
+    for table, port in ports.items():
+        tables[table] = {"host": HOST, "port": port}
+    tables["peers"]["insecure"] = tables["operators"]["insecure"] = True
+    if member.is_voter:
+        tables["control"] = {"data_folder": str((layout.folder / f"{member.name}.data").absolute())}
+    text = "".join(f"[{name}]\n{_format_keys(keys)}\n" for name, keys in tables.items())
+    for voter in layout.voters:
+        keys = {"name": voter.name, "host": HOST, "port": voter.peers}
+        text += f"[[voters]]\n{_format_keys(keys)}\n"
+    return text
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/process.py
@@ -0,0 +1,73 @@
+"""Start, signal and end one process."""
+
+import os
+import signal
+import subprocess
+from pathlib import Path
+
+import trio
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
+# Of the fields of /proc/PID/stat after the command: user time, system time, resident pages.
+_USER, _SYSTEM, _RESIDENT = 11, 12, 21
+
+
+class Process:
+    """Own one process, its command and its log file."""
+
+    def __init__(self, name: str, command: list[str], log: Path):
+        self.name = name
+        self.command = command
+        self.log = log
+        self.popen: subprocess.Popen | None = None
+        self.is_expected_down = False
+
+    def start(self) -> None:
+        """Start the process; its output is appended to its log."""
+        self.is_expected_down = False
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                self.command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process was started and has not ended."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self.is_running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once, even when it is frozen."""
+        self.is_expected_down = True
+        if self.is_running:
+            self.popen.kill()
+            self.popen.wait()
+
+    async def stop(self, within_s: float = 30.0) -> int | None:
+        """Ask the process to stop; return its exit code, or None if it had to be killed."""
+        self.is_expected_down = True
+        self.signal(signal.SIGTERM)
+        with trio.move_on_after(within_s):
+            while self.is_running:
+                await trio.sleep(0.02)
+            return self.popen.returncode
+        self.kill()
+        return None
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time taken so far."""
+        fields = self._read_stat()
+        return (int(fields[_USER]) + int(fields[_SYSTEM])) / CLOCK_TICKS
+
+    def resident_kb(self) -> int:
+        """Return the resident memory in kB."""
+        return int(self._read_stat()[_RESIDENT]) * PAGE_KB
+
+    def _read_stat(self) -> list[str]:
+        text = Path(f"/proc/{self.popen.pid}/stat").read_text()
+        return text.rpartition(")")[2].split()
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
@@ -0,0 +1,154 @@
+"""Run a deployment's real processes on loopback and end them all."""
+
+import contextlib
+import sys
+import tempfile
+from pathlib import Path
+
+import msgspec
+import trio
+
+from bendwind_bench.deployment.layout import Layout, Member, make_layout, write_settings
+from bendwind_bench.deployment.process import Process
+from bendwind_bench.http import HttpBrokenError, send_json
+
+RUN_FOLDER = Path("run")
+READY_WITHIN_S = 60.0
+POLL_S = 0.1
+
+
+class NotReadyError(Exception):
+    """Report a process that did not come up, with the end of its log."""
+
+
+class Deployment:
+    """Own the processes of a layout; `direct` leaves the nodes out."""
+
+    def __init__(self, layout: Layout, direct: bool):
+        self.layout = layout
+        self.direct = direct
+        self.nodes: dict[str, Process] = {}
+        self.upstreams: dict[str, Process] = {}
+
+    @property
+    def runs_files(self) -> list[Path]:
+        """Return the files in which the stand-ins note what they run."""
+        return [Path(member.upstream.runs_file) for member in self.layout.members]
+
+    @property
+    def entries(self) -> list[str]:
+        """Return the callers' addresses of the nodes that are meant to be up."""
+        return [
+            member.callers_address
+            for member in self.layout.members
+            if not self.direct and not self.nodes[member.name].is_expected_down
+        ]
+
+    def direct_addresses(self) -> dict[str, list[str]]:
+        """Return the upstreams' own addresses by service."""
+        services = [service.name for service in self.layout.description.services]
+        return {
+            name: [member.upstream_address for member in self.layout.serving(name)]
+            for name in services
+        }
+
+    def start(self) -> None:
+        """Start every process."""
+        for member in self.layout.members:
+            write_settings(self.layout, member)
+            self.upstreams[member.upstream.name] = self._make_process(
+                member.upstream.name, ["bendwind_bench", "upstream"]
+            )
+            if not self.direct:
+                self.nodes[member.name] = self._make_process(member.name, ["bendwind_node.main"])
+        for process in self.processes():
+            process.start()
+
+    def _make_process(self, name: str, module: list[str]) -> Process:
+        config = self.layout.folder / f"{name}.toml"
+        command = [sys.executable, "-m", *module, f"--config={config}"]
+        return Process(name, command, self.layout.folder / f"{name}.log")
+
+    def processes(self) -> list[Process]:
+        """Return every process."""
+        return [*self.nodes.values(), *self.upstreams.values()]
+
+    def find_process(self, name: str) -> Process:
+        """Return the process of this instance or upstream name."""
+        return self.nodes.get(name) or self.upstreams[name]
+
+    async def wait_ready(self, members: tuple[Member, ...] | None = None) -> None:
+        """Wait until stand-ins and nodes answer.
+
+        Errors: raises NotReadyError when one ends or takes too long.
+        """
+        for member in members or self.layout.members:
+            upstream = self.upstreams[member.upstream.name]
+            await self._wait_answer(upstream, member.upstream_address, "/.bendwind/health")
+            if not self.direct:
+                node = self.nodes[member.name]
+                await self._wait_answer(node, member.operators_address, "/v1/status")
+
+    async def _wait_answer(self, process: Process, address: str, path: str) -> None:
+        with trio.move_on_after(READY_WITHIN_S):
+            while process.is_running:
+                with contextlib.suppress(OSError, HttpBrokenError):
+                    if (await send_json(address, "GET", path)).status == 200:
+                        return
+                await trio.sleep(POLL_S)
+        tail = process.log.read_text(errors="replace")[-2000:]
+        raise NotReadyError(f"{process.name} is not ready\n{tail}")
+
+    async def wait_upstreams_known(self, services: list[str], within_s: float = 30.0) -> bool:
+        """Wait until calls of every service are answered by an upstream at every node."""
+        with trio.move_on_after(within_s):
+            for address in self.entries:
+                for service in services:
+                    await _wait_served(address, service)
+            return True
+        return False
+
+    async def change(self, upstream: str, changes: list) -> None:
+        """Change the behaviour of a stand-in by a schedule that starts now."""
+        member = self.layout.find(upstream)
+        await send_json(member.upstream_address, "POST", "/.bench/changes", changes)
+
+    async def counters(self, upstream: str) -> dict:
+        """Return what a stand-in counted."""
+        member = self.layout.find(upstream)
+        answer = await send_json(member.upstream_address, "GET", "/.bench/counters")
+        return msgspec.json.decode(answer.body)
+
+    def kill_all(self) -> None:
+        """End every process that still runs."""
+        for process in self.processes():
+            process.kill()
+
+
+async def _wait_served(address: str, service: str) -> None:
+    from bendwind_bench.http import pool_of
+
+    headers = [(b"Bendwind-Service", service.encode())]
+    while True:
+        pool = pool_of(address)
+        with contextlib.suppress(OSError, HttpBrokenError):
+            answer = await pool.request("GET", "/", headers)
+            if answer.status == 200:
+                return
+        pool.close()
+        await trio.sleep(POLL_S)
+
+
+@contextlib.asynccontextmanager
+async def run_deployment(description, direct: bool = False, seed: int = 0, ready: bool = True):
+    """Run a deployment's processes while the block lasts."""
+    RUN_FOLDER.mkdir(exist_ok=True)
+    folder = Path(tempfile.mkdtemp(prefix=f"{description.name}-", dir=RUN_FOLDER))
+    deployment = Deployment(make_layout(description, folder, seed), direct)
+    try:
+        deployment.start()
+        if ready:
+            await deployment.wait_ready()
+        yield deployment
+    finally:
+        deployment.kill_all()
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/http.py
@@ -0,0 +1,165 @@
+"""Carry HTTP/1.1 over trio streams with h11, for the stand-ins and the load tool."""
+
+import select
+from dataclasses import dataclass, field
+
+import h11
+import msgspec
+import trio
+
+READ_SIZE = 65536
+MAX_IDLE_S = 2.0
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class HttpBrokenError(Exception):
+    """Report a connection that ended before the answer was whole; `began` if a head was read."""
+
+    def __init__(self, cause: str, began: bool = False):
+        super().__init__(cause)
+        self.began = began
+
+
+@dataclass(slots=True)
+class Message:
+    """Hold one whole request or answer."""
+
+    head: h11.Request | h11.Response
+    body: bytes
+
+    def find(self, name: bytes) -> str:
+        """Return the first header of this lower-case name, or an empty text."""
+        return next((value.decode() for key, value in self.head.headers if key == name), "")
+
+    @property
+    def status(self) -> int:
+        """Return the status code of an answer."""
+        return self.head.status_code
+
+
+class HttpStream:
+    """Own one stream and the h11 state of its connection."""
+
+    __slots__ = ("idle_since", "state", "stream")
+
+    def __init__(self, stream: trio.SocketStream, role: type):
+        self.stream = stream
+        self.state = h11.Connection(role)
+        self.idle_since = 0.0
+
+    async def send(self, *events) -> None:
+        """Send events in one write."""
+        await self.stream.send_all(b"".join(self.state.send(event) or b"" for event in events))
+
+    async def next_event(self):
+        """Return the next event that h11 reads from the peer."""
+        while (event := self.state.next_event()) is h11.NEED_DATA:
+            if self.state.they_are_waiting_for_100_continue:
+                await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            self.state.receive_data(await self.stream.receive_some(READ_SIZE))
+        return event
+
+    async def receive(self) -> Message | None:
+        """Read one whole message, or None when the peer closed before one began."""
+        head = await self.next_event()
+        while type(head) is h11.InformationalResponse:
+            head = await self.next_event()
+        if type(head) not in (h11.Request, h11.Response):
+            return None
+        parts = []
+        while type(event := await self.next_event()) is h11.Data:
+            parts.append(bytes(event.data))
+        if type(event) is not h11.EndOfMessage:
+            raise HttpBrokenError("cut body", began=True)
+        return Message(head, b"".join(parts))
+
+    def has_pending_input(self) -> bool:
+        """Tell whether the peer has sent bytes or closed; on an idle stream both end its use."""
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+
+@dataclass(slots=True)
+class HttpPool:
+    """Own the keep-alive connections to one address."""
+
+    host: str
+    port: int
+    idle: list[HttpStream] = field(default_factory=list)
+
+    async def request(
+        self, method: str, target: str, headers: Headers = (), body: bytes = b""
+    ) -> Message:
+        """Send a request and read the whole answer.
+
+        Errors: raises HttpBrokenError when the connection ends first, OSError when none opens.
+        """
+        connection = self._take_idle() or await self._open()
+        try:
+            answer = await self._exchange(connection, method, target, headers, body)
+        except BaseException as error:
+            await trio.aclose_forcefully(connection.stream)
+            if isinstance(error, (trio.BrokenResourceError, h11.ProtocolError)):
+                raise HttpBrokenError(str(error) or "reset") from error
+            raise
+        await self._put_back(connection)
+        return answer
+
+    async def _open(self) -> HttpStream:
+        return HttpStream(await trio.open_tcp_stream(self.host, self.port), h11.CLIENT)
+
+    def _take_idle(self) -> HttpStream | None:
+        while self.idle:
+            connection = self.idle.pop()
+            is_old = trio.current_time() - connection.idle_since > MAX_IDLE_S
+            if not is_old and not connection.has_pending_input():
+                return connection
+            connection.stream.socket.close()
+        return None
+
+    async def _exchange(self, connection, method, target, headers, body) -> Message:
+        lines = [(b"Host", f"{self.host}:{self.port}".encode()), *headers]
+        if body or method in ("POST", "PUT"):
+            lines.append((b"Content-Length", str(len(body)).encode()))
+        events = [h11.Request(method=method, target=target, headers=lines)]
+        if body:
+            events.append(h11.Data(data=body))
+        await connection.send(*events, h11.EndOfMessage())
+        answer = await connection.receive()
+        if answer is None:
+            raise HttpBrokenError("closed without an answer")
+        return answer
+
+    async def _put_back(self, connection: HttpStream) -> None:
+        if connection.state.our_state is h11.MUST_CLOSE or (
+            connection.state.their_state is not h11.DONE
+        ):
+            await trio.aclose_forcefully(connection.stream)
+            return
+        connection.state.start_next_cycle()
+        connection.idle_since = trio.current_time()
+        self.idle.append(connection)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        while self.idle:
+            self.idle.pop().stream.socket.close()
+
+
+def pool_of(address: str) -> HttpPool:
+    """Make a pool for an address written as host:port."""
+    host, port = address.rsplit(":", 1)
+    return HttpPool(host, int(port))
+
+
+async def send_json(address: str, method: str, target: str, value=None) -> Message:
+    """Send a JSON request on a connection of its own."""
+    pool = pool_of(address)
+    body = b"" if value is None else msgspec.json.encode(value)
+    headers = [(b"Content-Type", b"application/json")] if body else []
+    try:
+        return await pool.request(method, target, headers, body)
+    finally:
+        pool.close()
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/load/plan.py
@@ -0,0 +1,87 @@
+"""Fix every request of a load before it starts, from a seed."""
+
+import random
+
+import msgspec
+from bendwind_core.core import Milliseconds, Seconds
+
+
+class RequestKind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe one kind of request and its weight in the mix.
+
+    A `marked` request must not be repeated. A `keyed` one carries an Idempotency-Key, and a share
+    `resend` of these is sent again with the same key.
+    """
+
+    service: str
+    path: str
+    method: str = "GET"
+    weight: float = 1.0
+    marked: bool = False
+    keyed: bool = False
+    resend: float = 0.0
+    request_bytes: int = 0
+    answer_bytes: tuple[int, int] = (100, 2000)
+    chunked: float = 0.2
+
+
+class LoadPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """State a load: when it starts, its rate, its mix and the addresses that take it.
+
+    `start_at` is wall-clock time in seconds since 1970. `direct` maps a service to the addresses
+    of its upstreams, which then take its requests in turn in place of the `entries`.
+    """
+
+    name: str
+    start_at: Seconds
+    duration_s: Seconds
+    rate: float
+    kinds: list[RequestKind]
+    entries: list[str]
+    seed: int = 0
+    client_delay_ms: Milliseconds = 0.0
+    timeout_ms: Milliseconds = 5000.0
+    most_open: int = 4000
+    direct: dict[str, list[str]] = {}
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Plan one sending of a request; a resend has the request's name and its own `number`."""
+
+    at_s: Seconds
+    request: str
+    number: int
+    kind: int
+    address: str
+    answer_bytes: int
+    chunked: bool
+
+
+RESEND_WITHIN_S = 0.4
+
+
+def schedule_sends(plan: LoadPlan) -> list[Send]:
+    """Draw all sends of a plan in order of time, with Poisson arrivals."""
+    rng = random.Random(f"{plan.name} {plan.seed}")
+    weights = [kind.weight for kind in plan.kinds]
+    sends = []
+    at_s = rng.expovariate(plan.rate)
+    while at_s < plan.duration_s:
+        kind = rng.choices(range(len(weights)), weights)[0]
+        sends += _plan_request(plan, rng, at_s, f"{plan.name}-{plan.seed}-{len(sends)}", kind)
+        at_s += rng.expovariate(plan.rate)
+    return sorted(sends, key=lambda send: send.at_s)
+
+
+def _plan_request(plan: LoadPlan, rng: random.Random, at_s, request: str, number: int):
+    kind = plan.kinds[number]
+    size = rng.randint(*kind.answer_bytes)
+    is_chunked = rng.random() < kind.chunked
+    times = [at_s]
+    if kind.keyed and rng.random() < kind.resend:
+        times.append(at_s + rng.uniform(0.0, RESEND_WITHIN_S))
+    targets = plan.direct.get(kind.service, plan.entries)
+    return [
+        Send(time, request, index, number, rng.choice(targets), size, is_chunked)
+        for index, time in enumerate(times)
+    ]
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/load/sample.py
@@ -0,0 +1,34 @@
+"""Describe what became of one send, as its caller saw it."""
+
+import enum
+
+import msgspec
+from bendwind_core.core import Milliseconds, Seconds
+
+
+class Outcome(enum.StrEnum):
+    """Classify what the caller was told."""
+
+    WHOLE = "whole"
+    FAILED = "failed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    REFUSED = "refused"
+    BROKEN = "broken"
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """Record one send; latency counts from the time the plan gave it."""
+
+    at_s: Seconds
+    latency_ms: Milliseconds
+    service: str
+    outcome: Outcome
+    status: int
+    reason: str
+    request: str
+    number: int
+    address: str
+    marked: bool = False
+    keyed: bool = False
+    call: str = ""
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/load/tests/test_load.py
@@ -0,0 +1,72 @@
+import collections
+import unittest
+
+from bendwind_bench.load import (
+    LoadPlan,
+    Outcome,
+    RequestKind,
+    Sample,
+    check_promises,
+    schedule_sends,
+)
+
+KINDS = [
+    RequestKind("catastro", "/records/1"),
+    RequestKind("emisor", "/certificates", "POST", marked=True, keyed=True, resend=0.5),
+]
+
+
+def make_plan(**keys):
+    return LoadPlan("p", 0.0, 10.0, 100.0, KINDS, ["a:1", "b:2"], **keys)
+
+
+def make_sample(outcome, request="r1", number=0, marked=True):
+    return Sample(0.0, 1.0, "emisor", outcome, 200, "", request, number, "a:1", marked=marked)
+
+
+class ScheduleTests(unittest.TestCase):
+    def test_same_seed_gives_same_sends_and_another_seed_others(self):
+        self.assertEqual(schedule_sends(make_plan(seed=1)), schedule_sends(make_plan(seed=1)))
+        self.assertNotEqual(schedule_sends(make_plan(seed=1)), schedule_sends(make_plan(seed=2)))
+
+    def test_only_keyed_requests_are_sent_again_under_one_name(self):
+        sends = schedule_sends(make_plan())
+        numbers = collections.Counter(send.request for send in sends)
+        kinds = {send.request: KINDS[send.kind] for send in sends}
+        again = [request for request, count in numbers.items() if count > 1]
+        self.assertTrue(again)
+        self.assertTrue(all(kinds[request].keyed for request in again))
+        self.assertEqual(sends, sorted(sends, key=lambda send: send.at_s))
+
+
+class VerdictTests(unittest.TestCase):
+    def broken(self, samples, runs):
+        return len(check_promises(samples, collections.Counter(runs)).broken)
+
+    def test_kept_promises_pass(self):
+        samples = [
+            make_sample(Outcome.WHOLE),
+            make_sample(Outcome.UNKNOWN, number=1),
+            make_sample(Outcome.NOT_RUN, "r2"),
+            make_sample(Outcome.UNKNOWN, "r3"),
+        ]
+        self.assertEqual(self.broken(samples, {("r1", 0): 1}), 0)
+
+    def test_not_run_that_ran_is_broken(self):
+        self.assertEqual(self.broken([make_sample(Outcome.NOT_RUN)], {("r1", 0): 1}), 1)
+
+    def test_marked_request_run_under_two_sends_is_broken(self):
+        samples = [make_sample(Outcome.WHOLE), make_sample(Outcome.WHOLE, number=1)]
+        self.assertEqual(self.broken(samples, {("r1", 0): 1, ("r1", 1): 1}), 1)
+
+    def test_unmarked_request_may_run_twice(self):
+        self.assertEqual(self.broken([make_sample(Outcome.WHOLE, marked=False)], {("r1", 0): 2}), 0)
+
+    def test_wrong_answer_and_answer_from_nowhere_are_broken(self):
+        self.assertEqual(self.broken([make_sample(Outcome.BROKEN)], {("r1", 0): 1}), 1)
+        self.assertEqual(self.broken([make_sample(Outcome.WHOLE)], {}), 1)
+
+    def test_resend_told_not_run_after_the_first_ran_is_counted_as_misleading(self):
+        samples = [make_sample(Outcome.WHOLE), make_sample(Outcome.NOT_RUN, number=1)]
+        verdict = check_promises(samples, collections.Counter({("r1", 0): 1}))
+        self.assertEqual((verdict.is_ok, verdict.misleading), (True, 1))
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/load/worker.py
@@ -0,0 +1,130 @@
+"""Send a planned load at its planned times and record what came back."""
+
+import time
+import zlib
+from pathlib import Path
+
+import msgspec
+import trio
+from bendwind_core.core import MILLISECONDS_PER_SECOND
+
+from bendwind_bench.http import HttpBrokenError, Message, pool_of
+from bendwind_bench.load.plan import LoadPlan, RequestKind, Send, schedule_sends
+from bendwind_bench.load.sample import Outcome, Sample
+from bendwind_bench.upstream.stand_in import make_body
+
+_TOLD = {
+    "not-run": Outcome.NOT_RUN,
+    "unknown": Outcome.UNKNOWN,
+    "refused": Outcome.REFUSED,
+}
+_NO_ANSWER = 0
+
+
+def classify(send: Send, request_body: bytes, answer: Message) -> tuple[Outcome, str]:
+    """Tell the outcome of an answer and, where it has one, the reason."""
+    told = answer.find(b"bendwind-outcome")
+    if told:
+        return _TOLD.get(told, Outcome.BROKEN), answer.find(b"bendwind-reason") or told
+    if answer.find(b"bendwind-shed") == "not-run":
+        return Outcome.NOT_RUN, "shed by the upstream"
+    if answer.find(b"bench-request") != send.request:
+        return Outcome.BROKEN, f"answer to {answer.find(b'bench-request') or 'nobody'}"
+    if answer.find(b"bench-body-crc") != str(zlib.crc32(request_body)):
+        return Outcome.BROKEN, "the upstream read another body"
+    if answer.status != 200:
+        return Outcome.FAILED, f"status {answer.status}"
+    if answer.body != make_body(send.request, send.answer_bytes):
+        return Outcome.BROKEN, "another body"
+    return Outcome.WHOLE, ""
+
+
+class Worker:
+    """Own the connections and the samples of one load process."""
+
+    def __init__(self, plan: LoadPlan):
+        self.plan = plan
+        addresses = {*plan.entries, *(item for items in plan.direct.values() for item in items)}
+        self.pools = {address: pool_of(address) for address in addresses}
+        self.samples: list[Sample] = []
+        self.open = 0
+        self.started = 0.0
+
+    async def run(self) -> list[Sample]:
+        """Send everything and return the samples in order of completion."""
+        sends = schedule_sends(self.plan)
+        self.started = trio.current_time() + self.plan.start_at - time.time()
+        async with trio.open_nursery() as nursery:
+            for send in sends:
+                await trio.sleep_until(self.started + send.at_s)
+                if self.open >= self.plan.most_open:
+                    self._record(send, Outcome.UNKNOWN, _NO_ANSWER, "not sent: too many open")
+                    continue
+                self.open += 1
+                nursery.start_soon(self._send, send)
+        for pool in self.pools.values():
+            pool.close()
+        return self.samples
+
+    async def _send(self, send: Send) -> None:
+        kind = self.plan.kinds[send.kind]
+        body = make_body(send.request, kind.request_bytes)
+        delay_s = self.plan.client_delay_ms / MILLISECONDS_PER_SECOND
+        outcome, status, reason, call = Outcome.UNKNOWN, _NO_ANSWER, "no answer in time", ""
+        with trio.move_on_after(self.plan.timeout_ms / MILLISECONDS_PER_SECOND):
+            try:
+                await trio.sleep(delay_s)
+                answer = await self._exchange(send, kind, body)
+                await trio.sleep(delay_s)
+                status, call = answer.status, answer.find(b"bendwind-call")
+                outcome, reason = classify(send, body, answer)
+            except HttpBrokenError as error:
+                reason = f"connection ended: {error}"
+            except OSError:
+                outcome, reason = Outcome.NOT_RUN, "no connection"
+        self.open -= 1
+        self._record(send, outcome, status, reason, call)
+
+    async def _exchange(self, send: Send, kind: RequestKind, body: bytes) -> Message:
+        headers = [
+            (b"Bendwind-Service", kind.service.encode()),
+            (b"Bench-Request", send.request.encode()),
+            (b"Bench-Send", str(send.number).encode()),
+            (b"Bench-Answer-Bytes", str(send.answer_bytes).encode()),
+        ]
+        if send.chunked:
+            headers.append((b"Bench-Chunked", b"1"))
+        if kind.keyed:
+            headers.append((b"Idempotency-Key", send.request.encode()))
+        return await self.pools[send.address].request(kind.method, kind.path, headers, body)
+
+    def _record(self, send: Send, outcome: Outcome, status: int, reason: str, call="") -> None:
+        kind = self.plan.kinds[send.kind]
+        latency_ms = (trio.current_time() - self.started - send.at_s) * MILLISECONDS_PER_SECOND
+        self.samples.append(
+            Sample(
+                send.at_s,
+                latency_ms,
+                kind.service,
+                outcome,
+                status,
+                reason,
+                send.request,
+                send.number,
+                send.address,
+                kind.marked,
+                kind.keyed,
+                call,
+            )
+        )
+
+
+async def send_load(plan: LoadPlan) -> list[Sample]:
+    """Send a plan's load from this process."""
+    return await Worker(plan).run()
+
+
+def run_worker(plan: Path, out: Path) -> None:
+    """Send the load of a plan file and write its samples."""
+    samples = trio.run(send_load, msgspec.json.decode(plan.read_bytes(), type=LoadPlan))
+    out.write_bytes(msgspec.json.encode(samples))
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/reports/table.py
@@ -0,0 +1,48 @@
+"""Lay out results as text tables."""
+
+from bendwind_bench.load import Outcome, Sample, Verdict
+from bendwind_bench.reports.latency import summarize
+
+SUMMARY_HEADER = [
+    "service",
+    "calls",
+    "p50 ms",
+    "p99 ms",
+    "whole",
+    "not-run",
+    "unknown",
+    "refused",
+    "failed",
+    "doubled",
+]
+
+
+def format_table(header: list[str], rows: list[list[str]]) -> str:
+    """Lay out rows under a header, text to the left and numbers to the right.
+
+    >>> print(format_table(["a", "n"], [["x", "10"]]))
+    a   n
+    x  10
+    """
+    widths = [max(len(row[index]) for row in [header, *rows]) for index in range(len(header))]
+    lines = []
+    for row in [header, *rows]:
+        first = row[0].ljust(widths[0])
+        rest = [cell.rjust(width) for cell, width in zip(row[1:], widths[1:], strict=True)]
+        lines.append("  ".join([first, *rest]))
+    return "\n".join(lines)
+
+
+def summary_table(samples: list[Sample], verdict: Verdict) -> str:
+    """Lay out one row per service: calls, latencies, outcomes and doubled runs."""
+    services = sorted({sample.service for sample in samples})
+    rows = [_summary_row(service, samples, verdict) for service in services]
+    return format_table(SUMMARY_HEADER, rows)
+
+
+def _summary_row(service: str, samples: list[Sample], verdict: Verdict) -> list[str]:
+    summary = summarize([sample for sample in samples if sample.service == service])
+    kinds = (Outcome.WHOLE, Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.REFUSED, Outcome.FAILED)
+    counts = [str(summary.outcomes.get(kind, 0)) for kind in kinds]
+    times = [f"{summary.p50_ms:.1f}", f"{summary.p99_ms:.1f}"]
+    return [service, str(summary.sends), *times, *counts, str(verdict.doubled[service])]
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/__init__.py
@@ -0,0 +1,6 @@
+"""Offer the stand-in upstream."""
+
+from bendwind_bench.upstream.settings import Change, UpstreamSettings, read_upstream_settings
+from bendwind_bench.upstream.stand_in import run_upstream
+
+__all__ = ["Change", "UpstreamSettings", "read_upstream_settings", "run_upstream"]
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/executor.py
@@ -0,0 +1,121 @@
+"""Serve requests in a bounded number of slots, at a speed that the bench changes."""
+
+import math
+import os
+import random
+from dataclasses import dataclass, field
+
+import trio
+from bendwind_core.core import MILLISECONDS_PER_SECOND
+
+from bendwind_bench.upstream.settings import Change, UpstreamSettings
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """Track one request from its arrival to its answer."""
+
+    attempt: str
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    is_cancelled: bool = False
+    ends_at: float = 0.0
+
+    def cancel(self) -> None:
+        """Give the request up."""
+        self.is_cancelled = True
+        self.scope.cancel()
+
+
+@dataclass(slots=True)
+class Counters:
+    """Count what happened to the requests of a stand-in."""
+
+    runs: int = 0
+    shed: int = 0
+    failed: int = 0
+    cancelled: int = 0
+    loads: int = 0
+    most_in_flight: int = 0
+    most_connections: int = 0
+
+
+class Executor:
+    """Own the slots of a stand-in, its jobs and its present behaviour."""
+
+    def __init__(self, settings: UpstreamSettings):
+        self.settings = settings
+        self.rng = random.Random(settings.seed)
+        self.limiter = trio.CapacityLimiter(settings.slots)
+        self.counters = Counters()
+        self.jobs: dict[str, Job] = {}
+        self.serving: set[Job] = set()
+        self.factor = 1.0
+        self.fail_share = 0.0
+        self.shed_share = 0.0
+        self.reported_in_flight: int | None = None
+        self.healthy = True
+        self.draining = False
+        self.started_at = trio.current_time()
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self.runs_file = os.open(settings.runs_file, flags) if settings.runs_file else None
+
+    def must_shed(self) -> bool:
+        """Tell whether a request that arrives now is refused unrun."""
+        is_full = self.limiter.statistics().tasks_waiting >= self.settings.queue
+        return is_full or self.rng.random() < self.shed_share
+
+    def must_fail(self) -> bool:
+        """Tell whether a request that arrives now fails at once."""
+        return self.rng.random() < self.fail_share
+
+    def count_run(self, request: str, send: str) -> None:
+        """Note that a request is run; the line outlives the death of the process."""
+        self.counters.runs += 1
+        if self.runs_file is not None:
+            os.write(self.runs_file, f"{request} {send}\n".encode())
+
+    def draw_work(self) -> float:
+        """Draw a service time in seconds at normal speed."""
+        sigma = self.settings.spread
+        mean = self.settings.service_ms / MILLISECONDS_PER_SECOND
+        work = self.rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
+        age_ms = (trio.current_time() - self.started_at) * MILLISECONDS_PER_SECOND
+        return work * self.settings.cold_factor if age_ms < self.settings.cold_ms else work
+
+    async def work(self, job: Job, until_closed) -> bool:
+        """Take a drawn time for the job and tell whether it ended undisturbed."""
+        end = trio.current_time() + self.draw_work() * self.factor
+        job.ends_at = job.scope.deadline = end
+        self.serving.add(job)
+        self.counters.most_in_flight = max(self.counters.most_in_flight, len(self.serving))
+        try:
+            with job.scope:
+                await until_closed()
+                job.is_cancelled = True
+        finally:
+            self.serving.discard(job)
+        return not job.is_cancelled
+
+    def apply(self, change: Change) -> None:
+        """Put a change of behaviour into force."""
+        if change.factor is not None:
+            self._set_factor(change.factor)
+        if change.fail_share is not None:
+            self.fail_share = change.fail_share
+        if change.shed_share is not None:
+            self.shed_share = change.shed_share
+        if change.noisy_slots is not None:
+            self.limiter.total_tokens = max(1, self.settings.slots - change.noisy_slots)
+        if isinstance(change.reported_in_flight, int):
+            self.reported_in_flight = change.reported_in_flight
+        if change.healthy is not None:
+            self.healthy = change.healthy
+        if change.draining is not None:
+            self.draining = change.draining
+
+    def _set_factor(self, factor: float) -> None:
+        now = trio.current_time()
+        for job in self.serving:
+            job.ends_at = now + (job.ends_at - now) * factor / self.factor
+            job.scope.deadline = job.ends_at
+        self.factor = factor
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
@@ -0,0 +1,228 @@
+"""Run a stand-in upstream: HTTP, the upstream protocol and the bench's control requests."""
+
+import signal
+import socket
+import zlib
+from functools import partial
+
+import h11
+import msgspec
+import trio
+from bendwind_core.core import MILLISECONDS_PER_SECOND
+
+from bendwind_bench.http import HttpBrokenError, HttpStream, Message, send_json
+from bendwind_bench.upstream.executor import Executor, Job
+from bendwind_bench.upstream.settings import Change, UpstreamSettings
+
+ANNOUNCE_EVERY_S = 1.0
+DRAIN_LIMIT_S = 20.0
+ATTEMPTS = "/.bendwind/attempts/"
+SHED = (b"Bendwind-Shed", b"not-run")
+LEFT_OUT = {"request": "-", "send": "-"}
+
+Answer = tuple[int, list[tuple[bytes, bytes]], bytes]
+
+
+def make_body(request: str, size: int) -> bytes:
+    """Make the body that answers a request, so that its sender can tell it from any other.
+
+    >>> make_body("r7", 5)
+    b'r7.r7'
+    """
+    unit = f"{request}.".encode()
+    return (unit * (size // len(unit) + 1))[:size]
+
+
+class StandIn:
+    """Own the listening socket, the connections and the announcements of a stand-in."""
+
+    def __init__(self, settings: UpstreamSettings):
+        self.settings = settings
+        self.executor = Executor(settings)
+        self.connections = 0
+        self.nursery: trio.Nursery | None = None
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Answer the requests of one connection, in order."""
+        self.connections += 1
+        counters = self.executor.counters
+        counters.most_connections = max(counters.most_connections, self.connections)
+        http = HttpStream(stream, h11.SERVER)
+        try:
+            while (request := await http.receive()) is not None:
+                if not await self._answer(http, request):
+                    break
+        except (h11.ProtocolError, trio.BrokenResourceError, HttpBrokenError):
+            pass
+        finally:
+            self.connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _answer(self, http: HttpStream, request: Message) -> bool:
+        target = request.head.target.decode()
+        if target.startswith(ATTEMPTS):
+            answer = self._cancel(target.removeprefix(ATTEMPTS))
+        elif target == "/.bendwind/health":
+            answer = (200 if self.executor.healthy else 503, [], b"")
+        elif target == "/.bendwind/load":
+            answer = self._report_load()
+        elif target.startswith("/.bench/"):
+            answer = self._control(target, request)
+        else:
+            answer = await self._run(http, request)
+        return await _send_answer(http, request, answer)
+
+    def _cancel(self, attempt: str) -> Answer:
+        job = self.executor.jobs.get(attempt)
+        if job is None:
+            return 404, [], b""
+        job.cancel()
+        return 204, [], b""
+
+    def _report_load(self) -> Answer:
+        self.executor.counters.loads += 1
+        statistics = self.executor.limiter.statistics()
+        lie = self.executor.reported_in_flight
+        load = {
+            "in_flight": statistics.borrowed_tokens if lie is None else lie,
+            "queued": statistics.tasks_waiting,
+            "slots": self.settings.slots,
+        }
+        return 200, [(b"Content-Type", b"application/json")], msgspec.json.encode(load)
+
+    def _control(self, target: str, request: Message) -> Answer:
+        if target == "/.bench/counters":
+            return 200, [], msgspec.json.encode(self.executor.counters)
+        if target != "/.bench/changes":
+            return 404, [], b""
+        for change in msgspec.json.decode(request.body, type=list[Change]):
+            self.nursery.start_soon(self._change_later, change)
+        return 204, [], b""
+
+    async def _change_later(self, change: Change) -> None:
+        await trio.sleep(change.at_ms / MILLISECONDS_PER_SECOND)
+        self.executor.apply(change)
+        if change.draining is not None:
+            await self.announce()
+
+    async def _run(self, http: HttpStream, request: Message) -> Answer:
+        executor = self.executor
+        if executor.must_shed():
+            executor.counters.shed += 1
+            return 503, [SHED], b""
+        name = request.find(b"bench-request") or LEFT_OUT["request"]
+        send = request.find(b"bench-send") or LEFT_OUT["send"]
+        if executor.must_fail():
+            executor.count_run(name, send)
+            executor.counters.failed += 1
+            return 500, _echo(name, request), b""
+        attempt = request.find(b"bendwind-attempt")
+        job = Job(attempt)
+        if attempt:
+            executor.jobs[attempt] = job
+        try:
+            return await self._run_in_slot(http, request, job, name, send)
+        finally:
+            executor.jobs.pop(attempt, None)
+
+    async def _run_in_slot(self, http, request, job: Job, name: str, send: str) -> Answer:
+        executor = self.executor
+        remaining = request.find(b"bendwind-timeout-ms")
+        wait_s = float(remaining) / MILLISECONDS_PER_SECOND if remaining else float("inf")
+        with trio.move_on_after(wait_s):
+            await executor.limiter.acquire_on_behalf_of(job)
+            try:
+                if job.is_cancelled:
+                    return 503, [SHED], b""
+                executor.count_run(name, send)
+                if not await executor.work(job, partial(_wait_closed, http.stream.socket)):
+                    executor.counters.cancelled += 1
+                    return 503, _echo(name, request), b""
+                size = int(request.find(b"bench-answer-bytes") or 0)
+                return 200, _echo(name, request), make_body(name, size)
+            finally:
+                executor.limiter.release_on_behalf_of(job)
+        if job.ends_at == 0.0:
+            executor.counters.shed += 1
+            return 503, [SHED], b""
+        executor.counters.cancelled += 1
+        return 504, _echo(name, request), b""
+
+    async def announce(self) -> None:
+        """Tell the node beside this upstream of it; a node that is away is asked again later."""
+        if not self.settings.node:
+            return
+        state = "draining" if self.executor.draining else "ready"
+        keys = ("name", "service", "host", "port", "slots", "connections")
+        body = {key: getattr(self.settings, key) for key in keys} | {"state": state}
+        with trio.move_on_after(ANNOUNCE_EVERY_S):
+            try:
+                await send_json(self.settings.node, "POST", "/v1/upstreams", body)
+            except (OSError, HttpBrokenError):
+                return
+
+    async def keep_announcing(self) -> None:
+        """Announce every second."""
+        while True:
+            await self.announce()
+            await trio.sleep(ANNOUNCE_EVERY_S)
+
+    async def leave(self) -> None:
+        """Drain, wait for the requests in flight and withdraw the announcement."""
+        self.executor.draining = True
+        await self.announce()
+        with trio.move_on_after(DRAIN_LIMIT_S):
+            await trio.sleep(ANNOUNCE_EVERY_S)
+            while self.executor.limiter.statistics().borrowed_tokens:
+                await trio.sleep(0.05)
+        if self.settings.node:
+            with trio.move_on_after(ANNOUNCE_EVERY_S):
+                try:
+                    path = f"/v1/upstreams/{self.settings.name}"
+                    await send_json(self.settings.node, "DELETE", path)
+                except (OSError, HttpBrokenError):
+                    return
+
+
+def _echo(name: str, request: Message) -> list[tuple[bytes, bytes]]:
+    digest = zlib.crc32(request.body)
+    return [(b"Bench-Request", name.encode()), (b"Bench-Body-Crc", str(digest).encode())]
+
+
+async def _send_answer(http: HttpStream, request: Message, answer: Answer) -> bool:
+    status, headers, body = answer
+    is_chunked = request.find(b"bench-chunked") == "1"
+    length = str(len(body)).encode()
+    framing = (b"Transfer-Encoding", b"chunked") if is_chunked else (b"Content-Length", length)
+    if status != 204:
+        headers = [*headers, framing]
+    events = [h11.Response(status_code=status, headers=headers)]
+    if body and request.head.method != b"HEAD":
+        events.append(h11.Data(data=body))
+    await http.send(*events, h11.EndOfMessage())
+    if http.state.our_state is not h11.DONE:
+        return False
+    http.state.start_next_cycle()
+    return True
+
+
+async def _wait_closed(sock) -> None:
+    await trio.lowlevel.wait_readable(sock)
+    if await sock.recv(1, socket.MSG_PEEK):
+        await trio.sleep_forever()
+
+
+async def run_upstream(settings: UpstreamSettings, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    """Run a stand-in until SIGTERM, then drain and leave."""
+    stand_in = StandIn(settings)
+    async with trio.open_nursery() as nursery:
+        stand_in.nursery = nursery
+        listeners = await trio.open_tcp_listeners(settings.port, host=settings.host, backlog=512)
+        task_status.started(listeners[0].socket.getsockname()[1])
+        nursery.start_soon(trio.serve_listeners, stand_in.serve, listeners)
+        nursery.start_soon(stand_in.keep_announcing)
+        with trio.open_signal_receiver(signal.SIGTERM) as signals:
+            async for _ in signals:
+                await stand_in.leave()
+                nursery.cancel_scope.cancel()
+                return
