--- a/packages/bendwind-core/src/bendwind_core/timeline/event.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/event.py
@@ -2,13 +2,14 @@
 
 from bendwind_core.core import Record
 from bendwind_core.timeline.catalogue import EventKind
+from bendwind_core.timeline.clock import HybridTime
 
 
 class Event(Record, frozen=True, array_like=True):
     """Hold one event with its hybrid logical time.
 
-    Units: `physical_ms` is wall-clock time in milliseconds since 1970.
-    Source: Kulkarni et al., "Logical Physical Clocks", 2014.
+    Units: `physical_ms` is wall-clock time in milliseconds since 1970; `monotonic_us` is the
+    process's steady clock in microseconds, comparable within one run of one process only.
     """
 
     kind: EventKind
@@ -19,3 +20,9 @@
     upstream: str = ""
     plan: str = ""
     detail: str = ""
+    monotonic_us: int = 0
+
+    @property
+    def time(self) -> HybridTime:
+        """Return the hybrid logical time of the event."""
+        return HybridTime(self.physical_ms, self.logical)
--- a/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
@@ -2,40 +2,67 @@
 
 import collections
 import logging
+from collections.abc import Callable
 
 from bendwind_core.timeline.catalogue import EventKind
+from bendwind_core.timeline.clock import HybridClock, HybridTime
 from bendwind_core.timeline.event import Event
+from bendwind_core.timeline.levels import find_level
 
 _LOG = logging.getLogger("bendwind")
+_MICROSECONDS_PER_MILLISECOND = 1000
 
 
 class Recorder:
     """Own a process's bounded buffer of events and its hybrid logical clock."""
 
-    __slots__ = ("events", "instance", "logical", "physical_ms", "wall_ms")
+    __slots__ = ("clock", "events", "instance", "monotonic_us", "recorded")
 
-    def __init__(self, instance: str, wall_ms, capacity: int):
+    def __init__(
+        self,
+        instance: str,
+        wall_ms: Callable[[], int],
+        capacity: int,
+        monotonic_us: Callable[[], int] | None = None,
+    ):
         self.instance = instance
-        self.wall_ms = wall_ms
+        self.clock = HybridClock(wall_ms)
         self.events: collections.deque[Event] = collections.deque(maxlen=capacity)
-        self.physical_ms = 0
-        self.logical = 0
+        self.monotonic_us = monotonic_us or (lambda: wall_ms() * _MICROSECONDS_PER_MILLISECOND)
+        self.recorded = 0
+
+    @property
+    def dropped(self) -> int:
+        """Count the events that newer ones pushed out of the buffer."""
+        return self.recorded - len(self.events)
 
     def record(
         self, kind: EventKind, *, call: str = "", upstream: str = "", plan: str = "", detail=""
     ) -> Event:
         """Append an event stamped after every event recorded or observed before it."""
-        self._advance(self.wall_ms())
+        time = self.clock.tick()
         event = Event(
-            kind, self.instance, self.physical_ms, self.logical, call, upstream, plan, detail
+            kind,
+            self.instance,
+            time.physical_ms,
+            time.logical,
+            call,
+            upstream,
+            plan,
+            detail,
+            self.monotonic_us(),
         )
         self.events.append(event)
-        _LOG.debug("%d %s %s", kind, kind.name, event)
+        self.recorded += 1
+        level = find_level(kind)
+        if _LOG.isEnabledFor(level):
+            _LOG.log(level, kind.name, extra={"event": event})
         return event
 
-    def _advance(self, wall_ms: int) -> None:
-        if wall_ms > self.physical_ms:
-            self.physical_ms = wall_ms
-            self.logical = 0
-        else:
-            self.logical += 1
+    def timestamp(self) -> HybridTime:
+        """Return the time to send along with a message."""
+        return self.clock.tick()
+
+    def observe(self, received: HybridTime) -> None:
+        """Make every later event follow the sending of a received message."""
+        self.clock.observe(received)
