--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -0,0 +1,121 @@
+"""Hold the state of one call on its entry node."""
+
+import enum
+from dataclasses import dataclass, field
+
+from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.attempts.messages import AttemptId, CutReason, NotRunReason
+from bendwind_core.core import Seconds
+from bendwind_core.limits import RetryBudget
+from bendwind_core.world import LoadSample, Repeat, Rule, Service, Upstream
+
+
+class CallPhase(enum.Enum):
+    """Name the phases of a call."""
+
+    NEW = "new"
+    CLAIMING = "claiming"
+    TRYING = "trying"
+    DELIVERING = "delivering"
+    FINISHED = "finished"
+
+
+class AttemptState(enum.Enum):
+    """Say what the entry node knows of an attempt.
+
+    LOST: its link broke and a fence is under way. HELD: its whole answer is an error that is
+    delivered only if nothing better comes.
+    """
+
+    OUTSTANDING = "outstanding"
+    LOST = "lost"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    HELD = "held"
+    WON = "won"
+    CANCELLED = "cancelled"
+
+
+_PENDING = (AttemptState.OUTSTANDING, AttemptState.LOST)
+_MAY_HAVE_RUN = (
+    AttemptState.OUTSTANDING,
+    AttemptState.LOST,
+    AttemptState.UNKNOWN,
+    AttemptState.HELD,
+    AttemptState.WON,
+    AttemptState.CANCELLED,
+)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Hold one attempt of a call."""
+
+    id: AttemptId
+    upstream: Upstream
+    state: AttemptState = AttemptState.OUTSTANDING
+    not_run: NotRunReason | None = None
+    cut: CutReason | None = None
+    load: LoadSample | None = None
+
+
+@dataclass(slots=True)
+class EntryCall:
+    """Hold one call from its arrival to its one final outcome."""
+
+    call_id: str
+    service: Service
+    rule: Rule
+    deadline_at: Seconds
+    attempt_ids: AttemptIds
+    budget: RetryBudget
+    has_key: bool = False
+    phase: CallPhase = CallPhase.NEW
+    attempts: list[Attempt] = field(default_factory=list)
+    winner: Attempt | None = None
+    next_part: int = 1
+    is_claim_held: bool = False
+    is_caller_gone: bool = False
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether the rule permits attempts without proof that earlier ones did not run."""
+        return self.rule.repeat is Repeat.IDEMPOTENT
+
+    @property
+    def is_finished(self) -> bool:
+        """Tell whether the call had its final outcome."""
+        return self.phase is CallPhase.FINISHED
+
+
+def create_call(
+    call_id: str,
+    service: Service,
+    rule: Rule,
+    deadline_at: Seconds,
+    attempt_ids: AttemptIds,
+    budget: RetryBudget,
+    *,
+    has_key: bool = False,
+) -> EntryCall:
+    """Create a call; `has_key` says that it carries an idempotency key to be claimed."""
+    is_claimed = has_key and rule.repeat is Repeat.NEVER
+    return EntryCall(call_id, service, rule, deadline_at, attempt_ids, budget, has_key=is_claimed)
+
+
+def find_attempt(call: EntryCall, attempt_id: AttemptId) -> Attempt | None:
+    """Return the call's attempt of this id, or None."""
+    for attempt in call.attempts:
+        if attempt.id == attempt_id:
+            return attempt
+    return None
+
+
+def has_pending(call: EntryCall) -> bool:
+    """Tell whether an attempt may still bring an answer or a proof."""
+    return any(attempt.state in _PENDING for attempt in call.attempts)
+
+
+def may_have_run(call: EntryCall) -> bool:
+    """Tell whether any attempt lacks the proof that it did not run."""
+    return any(attempt.state in _MAY_HAVE_RUN for attempt in call.attempts)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -0,0 +1,189 @@
+"""Define the events and effects of the owner node's desk for one upstream.
+
+The task that owns the upstream feeds events to `bendwind_core.attempts.owner.step` and carries
+out the effects in order. A reply names the link epoch its attempt came in on; where that link is
+gone the task drops the reply, since the entry node then fences the attempt.
+"""
+
+from dataclasses import dataclass
+
+from bendwind_core.attempts.messages import (
+    AttemptId,
+    CutReason,
+    Fence,
+    FenceVerdict,
+    HandOver,
+    NotRunReason,
+)
+from bendwind_core.core import Milliseconds, Seconds
+from bendwind_core.world import LoadSample, UpstreamState
+
+
+@dataclass(slots=True)
+class HandOverArrived:
+    """Report a hand-over that came in on an entry node's link of this epoch."""
+
+    hand_over: HandOver
+    epoch: int
+
+
+@dataclass(slots=True)
+class DispatchHead:
+    """Report the head of the upstream's answer.
+
+    Units: `upstream_ms` is the time from dispatch to the first byte, in milliseconds.
+    """
+
+    attempt: AttemptId
+    status: int
+    upstream_ms: Milliseconds
+
+
+@dataclass(slots=True)
+class DispatchDone:
+    """Report that the upstream's answer ended whole: its slot is free."""
+
+    attempt: AttemptId
+
+
+@dataclass(slots=True)
+class DispatchNotRun:
+    """Report proof that the dispatched attempt did not run: no byte was sent, or a shed reply."""
+
+    attempt: AttemptId
+    reason: NotRunReason
+
+
+@dataclass(slots=True)
+class DispatchUnknown:
+    """Report that the dispatch ended without a whole answer."""
+
+    attempt: AttemptId
+    reason: CutReason
+
+
+@dataclass(slots=True)
+class CancelArrived:
+    """Report an entry node's cancel."""
+
+    attempt: AttemptId
+    epoch: int
+
+
+@dataclass(slots=True)
+class FenceArrived:
+    """Report an entry node's fence."""
+
+    fence: Fence
+    epoch: int
+
+
+@dataclass(slots=True)
+class LinkOpened:
+    """Report that an entry node opened a link; epochs of one incarnation only grow."""
+
+    entry: str
+    incarnation: int
+    epoch: int
+
+
+@dataclass(slots=True)
+class LinkLost:
+    """Report that an entry node's link of this epoch broke."""
+
+    entry: str
+    incarnation: int
+    epoch: int
+
+
+@dataclass(slots=True)
+class Drain:
+    """Refuse new attempts for good: this process or its upstream is to stop."""
+
+
+@dataclass(slots=True)
+class UpstreamAnnounced:
+    """Report the upstream's announced capacity and state."""
+
+    slots: int
+    connections: int
+    state: UpstreamState
+
+
+@dataclass(slots=True)
+class UpstreamLost:
+    """Report that the upstream left or let its lease run out."""
+
+
+@dataclass(slots=True)
+class Tick:
+    """Let queued attempts expire; due at `next_due(desk)`."""
+
+
+OwnerEvent = (
+    HandOverArrived
+    | DispatchHead
+    | DispatchDone
+    | DispatchNotRun
+    | DispatchUnknown
+    | CancelArrived
+    | FenceArrived
+    | LinkOpened
+    | LinkLost
+    | Drain
+    | UpstreamAnnounced
+    | UpstreamLost
+    | Tick
+)
+
+
+@dataclass(slots=True)
+class Dispatch:
+    """Send the request to the upstream, to be given up at `expires_at`."""
+
+    hand_over: HandOver
+    expires_at: Seconds
+
+
+@dataclass(slots=True)
+class CancelDispatch:
+    """Cancel a request at the upstream; its end is still to be reported."""
+
+    attempt: AttemptId
+
+
+@dataclass(slots=True)
+class ReplyNotRun:
+    """Send NotRun to the attempt's entry node."""
+
+    attempt: AttemptId
+    epoch: int
+    reason: NotRunReason
+    load: LoadSample
+
+
+@dataclass(slots=True)
+class ReplyUnknown:
+    """Send Unknown to the attempt's entry node."""
+
+    attempt: AttemptId
+    epoch: int
+    reason: CutReason
+    load: LoadSample
+
+
+@dataclass(slots=True)
+class ReplyFenced:
+    """Send Fenced to the attempt's entry node."""
+
+    attempt: AttemptId
+    epoch: int
+    verdict: FenceVerdict
+
+
+@dataclass(slots=True)
+class Drained:
+    """Report once that a draining desk holds no attempt any more."""
+
+
+OwnerEffect = Dispatch | CancelDispatch | ReplyNotRun | ReplyUnknown | ReplyFenced | Drained
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/routing/__init__.py
@@ -0,0 +1,29 @@
+"""Offer the choice of an upstream for an attempt."""
+
+from bendwind_core.routing.choice import choose_upstream
+from bendwind_core.routing.table import (
+    UpstreamTable,
+    UpstreamView,
+    create_table,
+    note_answered,
+    note_cancelled,
+    note_load,
+    note_not_run,
+    note_sent,
+    note_unknown,
+    set_upstreams,
+)
+
+__all__ = [
+    "UpstreamTable",
+    "UpstreamView",
+    "choose_upstream",
+    "create_table",
+    "note_answered",
+    "note_cancelled",
+    "note_load",
+    "note_not_run",
+    "note_sent",
+    "note_unknown",
+    "set_upstreams",
+]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/routing/choice.py
@@ -0,0 +1,70 @@
+"""Choose the upstream for the next attempt."""
+
+import random
+
+from bendwind_core.core import Milliseconds, Seconds
+from bendwind_core.routing.score import score
+from bendwind_core.routing.table import UpstreamTable, UpstreamView
+from bendwind_core.world import Policy, Upstream
+
+# Power of d choices: the score is compared over this many random upstreams.
+CHOICES = 4
+
+
+def choose_upstream(
+    policy: Policy,
+    table: UpstreamTable,
+    excluded: frozenset[str],
+    now: Seconds,
+    rng: random.Random,
+) -> Upstream | None:
+    """Return an upstream that takes new requests and is not excluded, or None."""
+    views = _find_candidates(table, excluded)
+    if not views:
+        return None
+    if len(views) == 1:
+        return views[0].upstream
+    match policy:
+        case Policy.SCORE:
+            return _choose_by_score(table, views, now, rng).upstream
+        case Policy.RANDOM:
+            return rng.choice(views).upstream
+        case Policy.ROUND_ROBIN:
+            return _choose_in_turn(table, views).upstream
+        case Policy.LEAST_IN_FLIGHT:
+            return _choose_least_in_flight(views, rng).upstream
+
+
+def _find_candidates(table: UpstreamTable, excluded: frozenset[str]) -> list[UpstreamView]:
+    return [
+        view for name, view in table.views.items() if not view.is_draining and name not in excluded
+    ]
+
+
+def _choose_by_score(
+    table: UpstreamTable, views: list[UpstreamView], now: Seconds, rng: random.Random
+) -> UpstreamView:
+    usual_ms = find_usual_latency_ms(table)
+    if len(views) > CHOICES:
+        views = rng.sample(views, CHOICES)
+    else:
+        rng.shuffle(views)
+    return min(views, key=lambda view: score(view, usual_ms, now))
+
+
+def find_usual_latency_ms(table: UpstreamTable) -> Milliseconds:
+    """Return the lowest average latency among the service's upstreams, 0 if none is known."""
+    return min(
+        (view.latency_ms for view in table.views.values() if view.latency_ms > 0.0), default=0.0
+    )
+
+
+def _choose_in_turn(table: UpstreamTable, views: list[UpstreamView]) -> UpstreamView:
+    view = views[table.next_turn % len(views)]
+    table.next_turn += 1
+    return view
+
+
+def _choose_least_in_flight(views: list[UpstreamView], rng: random.Random) -> UpstreamView:
+    rng.shuffle(views)
+    return min(views, key=lambda view: len(view.outstanding))
