claims: grant a key only after every member of its group holds it

Cause: a marked request resent with its key through another node, or after a crash, must find the first call's claim. Change: messages, the holder's and the entry node's state machines, the control log's command on groups, placement of members, and the node task with `claim`, `record`, `release` and `hand_over`. A member is one run of a node (`name#incarnation`), so a node that returns with empty memory is not counted as a holder. A state of a key is ordered by (epoch, sequence), so appends may be lost, repeated or reordered.

--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/claims/commands.py
@@ -0,0 +1,63 @@
+"""Define the control log's command on claim groups and its effect."""
+
+from expression import Error, Ok, Result
+
+from bendwind_core.claims.group import ClaimGroup
+from bendwind_core.core import Record
+
+
+class ChangeClaimGroup(Record, frozen=True, array_like=True, tag="change-claim-group"):
+    """Replace a service's claim group if its epoch is still the expected one.
+
+    `expected_epoch` is 0 for a service without a group. `accept_loss` is an operator's word that
+    the claims of a lost group may be forgotten; only then may members start with no claims.
+    """
+
+    group: ClaimGroup
+    expected_epoch: int
+    accept_loss: bool = False
+
+
+def apply_group_change(
+    groups: dict[str, ClaimGroup], command: ChangeClaimGroup
+) -> Result[ClaimGroup, str]:
+    """Check a change against the present group and store the new one.
+
+    Errors: a text that names the rule which the change would break.
+    """
+    group = command.group
+    present = groups.get(group.service)
+    fault = _find_fault(present, command)
+    if fault:
+        return Error(f"claim group of {group.service}: {fault}")
+    groups[group.service] = group
+    return Ok(group)
+
+
+def _find_fault(present: ClaimGroup | None, command: ChangeClaimGroup) -> str | None:
+    group = command.group
+    epoch = present.epoch if present else 0
+    if command.expected_epoch != epoch:
+        return f"expected epoch {command.expected_epoch}, found {epoch}"
+    if group.epoch != epoch + 1:
+        return f"epoch {group.epoch} does not follow {epoch}"
+    if not group.members or len(set(group.members)) != len(group.members):
+        return "members are missing or repeated"
+    if group.joining in group.members:
+        return "the joining node is a member already"
+    if present is None:
+        return "a new group cannot be lost" if group.lost else None
+    if command.accept_loss:
+        return None if present.lost and not group.lost else "the group is not lost"
+    return _find_broken_copy(present, group)
+
+
+def _find_broken_copy(present: ClaimGroup, group: ClaimGroup) -> str | None:
+    holders = set(present.members)
+    if group.members[0] not in holders:
+        return "the primary must have been a member"
+    if not set(group.members) <= holders | {present.joining}:
+        return "a new member must have been joining"
+    if group.lost and group.members != present.members:
+        return "a lost group keeps its last members"
+    return None
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -15,6 +15,7 @@
     NotRun,
     Unknown,
 )
+from bendwind_core.claims import ClaimMessage
 from bendwind_core.membership import (
     Announce,
     ConfigurationChanged,
@@ -45,6 +46,7 @@
     | WatchUpdate
     | ConfigurationChanged
     | MemberGossip
+    | ClaimMessage
 )
 
 
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/claims/__init__.py
@@ -0,0 +1,21 @@
+"""Offer the tasks that hold claims, ask for them and place their groups."""
+
+from bendwind_node.claims.placer import ClaimPlacer, PlacementView, needs_claims
+from bendwind_node.claims.task import (
+    ClaimTask,
+    GroupsPushed,
+    LeaseProven,
+    PeerClaimMessage,
+    create_claim_task,
+)
+
+__all__ = [
+    "ClaimPlacer",
+    "ClaimTask",
+    "GroupsPushed",
+    "LeaseProven",
+    "PeerClaimMessage",
+    "PlacementView",
+    "create_claim_task",
+    "needs_claims",
+]
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -0,0 +1,129 @@
+"""Keep every service's claim group whole, as a task of the control leader."""
+
+import collections
+import logging
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+
+import trio
+from bendwind_core.claims import (
+    ChangeClaimGroup,
+    ClaimCopied,
+    ClaimGroup,
+    ClaimLeave,
+    choose_claim_group,
+    node_of,
+)
+from bendwind_core.core import Seconds
+from bendwind_core.world import Instance, Repeat, Service
+
+PLACE_EVERY: Seconds = 0.5
+REMEMBER_LEAVING: Seconds = 30.0
+
+_LOG = logging.getLogger("bendwind")
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementView:
+    """Hold what the leader knows: services, groups, living nodes and each service's own nodes.
+
+    Units: `led_for` is the time since this voter became leader, in seconds; before a lease has
+    passed, a node that has not renewed yet is not known to be dead.
+    """
+
+    led_for: Seconds
+    services: tuple[Service, ...]
+    groups: Mapping[str, ClaimGroup]
+    alive: tuple[Instance, ...]
+    owners: Mapping[str, frozenset[str]]
+
+
+def needs_claims(service: Service) -> bool:
+    """Tell whether any request of a service may be marked not to be repeated."""
+    for rule in service.rules:
+        if rule.repeat is Repeat.NEVER:
+            return True
+        if rule.path == "*" and not rule.methods:
+            return False
+    return True
+
+
+class ClaimPlacer:
+    """Propose changes of claim groups while this voter leads."""
+
+    __slots__ = ("copied", "lease", "leaving", "propose", "rng", "view")
+
+    def __init__(
+        self,
+        view: Callable[[], PlacementView | None],
+        propose: Callable[[ChangeClaimGroup], Awaitable[object]],
+        rng: random.Random,
+        lease: Seconds,
+    ):
+        self.view = view
+        self.propose = propose
+        self.rng = rng
+        self.lease = lease
+        self.copied: dict[str, ClaimCopied] = {}
+        self.leaving: dict[str, Seconds] = {}
+
+    def receive(self, message: ClaimCopied | ClaimLeave) -> None:
+        """Take note of a finished copy or of a member that is about to stop."""
+        match message:
+            case ClaimCopied(service=service):
+                self.copied[service] = message
+            case ClaimLeave(member=member):
+                self.leaving[member] = trio.current_time()
+
+    async def run(self) -> None:
+        """Look at every group twice a second until cancelled."""
+        while True:
+            await self.place_all()
+            await trio.sleep(PLACE_EVERY)
+
+    async def place_all(self) -> None:
+        """Propose at most one change of each group."""
+        view = self.view()
+        if view is None or view.led_for < self.lease:
+            return
+        self._forget_old(view)
+        held = _count_memberships(view.groups)
+        for service in view.services:
+            if not needs_claims(service):
+                continue
+            group = self._choose(service.name, view, held)
+            if group is not None:
+                present = view.groups.get(service.name)
+                epoch = present.epoch if present else 0
+                await self.propose(ChangeClaimGroup(group, epoch))
+                held.update(node_of(member) for member in group.members)
+
+    def _choose(
+        self, service: str, view: PlacementView, held: collections.Counter[str]
+    ) -> ClaimGroup | None:
+        present = view.groups.get(service)
+        notice = self.copied.get(service)
+        is_current = notice is not None and present is not None and notice.epoch == present.epoch
+        return choose_claim_group(
+            service,
+            present,
+            view.alive,
+            self.rng,
+            own=view.owners.get(service, frozenset()),
+            leaving=tuple(self.leaving),
+            copied=notice.joining if is_current else None,
+            held=held,
+        )
+
+    def _forget_old(self, view: PlacementView) -> None:
+        horizon = trio.current_time() - REMEMBER_LEAVING
+        self.leaving = {m: since for m, since in self.leaving.items() if since > horizon}
+        names = {service.name for service in view.services}
+        self.copied = {name: notice for name, notice in self.copied.items() if name in names}
+
+
+def _count_memberships(groups: Mapping[str, ClaimGroup]) -> collections.Counter[str]:
+    return collections.Counter(
+        node_of(member) for group in groups.values() for member in group.members
+    )
