--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -206,7 +206,7 @@
     if client is None or client.incarnation != watch.incarnation:
         return
     if watch.sequence >= client.watch:
-        pushes.set_watch(registry, watch, client)
+        pushes.set_watch(registry, watch.node, client, watch)
         pushes.send_everything(registry, watch.node, client, effects)
 
 
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -15,6 +15,7 @@
     NotRun,
     Unknown,
 )
+from bendwind_core.claims import ClaimMessage
 from bendwind_core.membership import (
     Announce,
     ConfigurationChanged,
@@ -53,6 +54,7 @@
     | MemberPull
     | StatusRequest
     | StatusReply
+    | ClaimMessage
 )
 
 
--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 import trio
-
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Record
 from bendwind_core.membership import (
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Mapping
 
 import trio
-
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record
 from bendwind_core.membership import (
