--- a/packages/bendwind-core/src/bendwind_core/membership/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/__init__.py
@@ -3,6 +3,7 @@
 from bendwind_core.membership.attachment import VoterPlace
 from bendwind_core.membership.events import (
     AttachmentChanged,
+    ClaimGroupsChanged,
     ConfigurationAccepted,
     ConfigurationApplied,
     FreshnessChanged,
@@ -52,6 +53,7 @@
 __all__ = [
     "Announce",
     "AttachmentChanged",
+    "ClaimGroupsChanged",
     "ConfigurationAccepted",
     "ConfigurationApplied",
     "ConfigurationChanged",
--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -100,6 +100,11 @@
     service: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimGroupsChanged:
+    """Tell that a claim group of a service which a node watches changed."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttachmentChanged:
     """Tell that a node moved to another voter, and why."""
@@ -130,6 +135,13 @@
 
 
 ViewEvent = Tick | MessageReceived | LinkLost | ServiceWatched | UpstreamAnnounced | PeerSeen
-ViewEffect = SendTo | ConfigurationApplied | UpstreamsChanged | AttachmentChanged | FreshnessChanged
+ViewEffect = (
+    SendTo
+    | ConfigurationApplied
+    | UpstreamsChanged
+    | ClaimGroupsChanged
+    | AttachmentChanged
+    | FreshnessChanged
+)
 RegistryEvent = Tick | MessageReceived | ConfigurationAccepted | QuorumConfirmed | VotersChanged
 RegistryEffect = SendTo | MemberAppeared | MemberLost
--- a/packages/bendwind-core/src/bendwind_core/membership/holdings.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/holdings.py
@@ -53,8 +53,9 @@
         holdings.digest ^= digest_record(holdings.claim_groups.pop(service))
 
 
-def put_claim_groups(holdings: Holdings, groups: tuple[ClaimGroup, ...]) -> None:
-    """Take over claim groups of watched services whose epoch is not older than the one held."""
+def put_claim_groups(holdings: Holdings, groups: tuple[ClaimGroup, ...]) -> bool:
+    """Take over claim groups whose epoch is not older than the one held; tell if any changed."""
+    is_changed = False
     for group in groups:
         held = holdings.claim_groups.get(group.service)
         if group.service not in holdings.watched or (held and group.epoch < held.epoch):
@@ -63,6 +64,8 @@
             holdings.digest ^= digest_record(held)
         holdings.claim_groups[group.service] = group
         holdings.digest ^= digest_record(group)
+        is_changed = is_changed or group != held
+    return is_changed
 
 
 def put_upstreams(holdings: Holdings, update: WatchUpdate) -> bool:
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -20,6 +20,7 @@
 )
 from bendwind_core.membership.events import (
     AttachmentChanged,
+    ClaimGroupsChanged,
     ConfigurationApplied,
     FreshnessChanged,
     LinkLost,
@@ -284,7 +285,8 @@
 def _take_configuration(
     view: NodeView, message: ConfigurationChanged, effects: list[ViewEffect]
 ) -> None:
-    held.put_claim_groups(view.holdings, message.claim_groups)
+    if held.put_claim_groups(view.holdings, message.claim_groups):
+        effects.append(ClaimGroupsChanged())
     is_older = message.version < view.version
     is_for_other_watch = message.watch != view.watch_sequence
     known = view.version if view.is_complete else 0
