--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_freshness.py
@@ -0,0 +1,141 @@
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+import bendwind_core.core.tests.profiles  # noqa: F401
+from bendwind_core.membership import ServiceWatched
+from bendwind_core.membership.tests.fakes import SERVICES, TIMES, VOTERS, World
+from bendwind_core.world import Service
+
+NODES = ("n0", "n1", "n2", "n3")
+VOTER = st.sampled_from(VOTERS)
+NODE = st.sampled_from(NODES)
+
+
+class FreshnessMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 2**32))
+    def start(self, seed):
+        self.world = World(seed)
+        self.content = dict.fromkeys(SERVICES, 0)
+        for index, name in enumerate(NODES):
+            self.world.start_node(name, f"dc{index}")
+        self.world.advance(2)
+
+    @rule(service=st.sampled_from(SERVICES), number=st.integers(1, 9), ends=st.booleans())
+    def accept_change(self, service, number, ends):
+        content = self.content | {service: 0 if ends else number}
+        services = tuple(Service(name, (str(value),)) for name, value in content.items() if value)
+        if self.world.accept(services):
+            self.content = content
+
+    @rule(voter=VOTER)
+    def cut_voter_from_voters(self, voter):
+        self.world.cut |= {frozenset((voter, other)) for other in VOTERS if other != voter}
+
+    @rule(number=st.integers(0, len(VOTERS) - 1))
+    def cut_data_centre(self, number):
+        inside = {f"v{number}", *(name for name in NODES if name.endswith(str(number)))}
+        outside = {*VOTERS, *NODES} - inside
+        self.world.cut |= {frozenset((one, other)) for one in inside for other in outside}
+
+    @rule(number=st.integers(0, len(VOTERS) - 1), delay=st.sampled_from((0.02, 1.2)))
+    def change_behind_a_cut(self, number, delay):
+        self.world.heal()
+        self.world.longest_delay = delay
+        self.pass_time(2.0)
+        self.cut_data_centre(number)
+        self.accept_change(SERVICES[0], number + 1, False)
+        self.pass_time(6.0)
+
+    @rule(voter=VOTER, node=NODE)
+    def cut_node_from_voter(self, voter, node):
+        self.world.cut.add(frozenset((voter, node)))
+
+    @rule()
+    def heal(self):
+        self.world.heal()
+
+    @rule(
+        loss=st.sampled_from((0.0, 0.1, 0.5)),
+        repeat=st.sampled_from((0.0, 0.3)),
+        delay=st.sampled_from((0.02, 0.5, 3.0)),
+    )
+    def degrade_network(self, loss, repeat, delay):
+        self.world.loss, self.world.repeat, self.world.longest_delay = loss, repeat, delay
+
+    @rule(voter=VOTER, share=st.floats(0, 1))
+    def restart_voter(self, voter, share):
+        # It has a part of the log on disk and hears the rest with its first round.
+        known = self.world.voters[voter].applied
+        self.world.voters[voter] = self.world.start_voter(voter)
+        self.world.apply(voter, round(share * known))
+
+    @rule(node=NODE)
+    def restart_node(self, node):
+        self.world.start_node(node, f"dc{node[1]}")
+
+    @rule(node=NODE, service=st.sampled_from(SERVICES))
+    def watch(self, node, service):
+        self.world.step(node, ServiceWatched(service))
+
+    @rule(one=NODE, other=NODE)
+    def greet(self, one, other):
+        self.world.meet(one, other)
+
+    @rule(voter=VOTER, node=NODE)
+    def lose_link(self, voter, node):
+        self.world.lose_link(voter, node)
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, 1.0, 2.0, 4.0)))
+    def pass_time(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.world.advance(0.1)
+            self.check()
+
+    @precondition(lambda self: hasattr(self, "world"))
+    @invariant()
+    def check(self):
+        world = self.world
+        for name, node in world.nodes.items():
+            view = node.view
+            assert view.version >= node.highest, f"{name} went from {node.highest} back"
+            node.highest = view.version
+            if world.is_fresh(name):
+                oldest = world.newest_before(world.now - TIMES.lease)
+                assert view.version >= oldest, f"{name} serves {view.version}, not {oldest}"
+                self.check_content(view)
+
+    def check_content(self, view):
+        configurations = [config for _, config in self.world.accepted]
+        truth = next(config for config in configurations if config.version == view.version)
+        for service in view.holdings.watched.keys() - view.pending:
+            expected = truth.find_service(service)
+            assert view.services.get(service) == expected, f"{service} at {view.version}"
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        self.world.heal()
+        self.world.advance(12)
+        newest = self.world.accepted[-1][1].version
+        for name, node in self.world.nodes.items():
+            assert self.world.is_fresh(name), f"{name} stays stale"
+            assert node.view.version == newest, f"{name} stays at {node.view.version}"
+            assert not node.view.pending, f"{name} never heard of {node.view.pending}"
+            self.check_content(node.view)
+
+
+class FuzzFreshness(FreshnessMachine.TestCase):
+    settings = settings(max_examples=settings().max_examples)
+
+
+if __name__ == "__main__":
+    unittest.main()
