--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -133,6 +133,7 @@
     """Ask the owner to give up an attempt whose answer nobody awaits."""
 
     attempt: AttemptId
+    upstream: str
 
 
 class Fence(Record, frozen=True, array_like=True, tag="fence"):
@@ -140,6 +141,7 @@
 
     attempt: AttemptId
     owner_incarnation: int
+    upstream: str
 
 
 class Fenced(Record, frozen=True, array_like=True, tag="fenced"):
--- a/packages/bendwind-core/src/bendwind_core/messages/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/__init__.py
@@ -1,6 +1,16 @@
 """Offer the codec of the messages between bendwindd processes."""
 
 from bendwind_core.messages.codec import PeerMessage, decode_message, encode_message
+from bendwind_core.messages.frame import Frame, decode_frame, encode_frame
 from bendwind_core.messages.hello import Goodbye, Hello
 
-__all__ = ["Goodbye", "Hello", "PeerMessage", "decode_message", "encode_message"]
+__all__ = [
+    "Frame",
+    "Goodbye",
+    "Hello",
+    "PeerMessage",
+    "decode_frame",
+    "decode_message",
+    "encode_frame",
+    "encode_message",
+]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/messages/frame.py
@@ -0,0 +1,32 @@
+"""Encode several messages and a hybrid logical time as one frame of a link."""
+
+import cbor2
+import msgspec
+from expression import Error, Ok, Result
+
+from bendwind_core.core import Record
+from bendwind_core.messages.codec import PeerMessage
+
+
+class Frame(Record, frozen=True, array_like=True):
+    """Carry messages in order, stamped with the sender's hybrid logical time."""
+
+    physical_ms: int
+    logical: int
+    messages: tuple[PeerMessage, ...]
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame as CBOR."""
+    return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=(bytes,)))
+
+
+def decode_frame(data: bytes) -> Result[Frame, str]:
+    """Decode a frame and check every field.
+
+    Errors: a text that says what was wrong with the data.
+    """
+    try:
+        return Ok(msgspec.convert(cbor2.loads(data), Frame))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+        return Error(f"undecodable frame: {error}")
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: tasks that own sockets and carry out the core's decisions."""
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
@@ -0,0 +1,79 @@
+"""Bound the bodies that travel in parts: credit for the sender, order for the receiver."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from bendwind_core.attempts import BodyPart
+
+PART_BYTES = 64 * 1024
+WINDOW_BYTES = 256 * 1024
+
+
+@dataclass(slots=True, eq=False)
+class Outflow:
+    """Hold the credit of a body this process sends; a lost receiver takes any amount."""
+
+    credit: int = WINDOW_BYTES
+    next_index: int = 1
+    is_lost: bool = False
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def add_credit(self, credit: int) -> None:
+        """Let the sender go on."""
+        self.credit += credit
+        self._wake()
+
+    def lose(self) -> None:
+        """Stop holding back: the link to the receiver is gone."""
+        self.is_lost = True
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def take(self, size: int) -> int:
+        """Wait for credit, spend it and return the index of the part it pays for."""
+        while self.credit <= 0 and not self.is_lost:
+            await self.changed.wait()
+        self.credit -= size
+        index = self.next_index
+        self.next_index += 1
+        return index
+
+
+@dataclass(slots=True, eq=False)
+class Inflow:
+    """Gather the parts of a body until it is complete."""
+
+    limit: int
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+    next_index: int = 1
+
+    def is_next(self, part: BodyPart) -> bool:
+        """Tell whether the part follows the last one and fits the limit."""
+        return part.index == self.next_index and self.size + len(part.data) <= self.limit
+
+    def append(self, data: bytes) -> None:
+        """Add a part."""
+        self.parts.append(data)
+        self.size += len(data)
+        self.next_index += 1
+
+    def join(self) -> bytes:
+        """Return the whole body."""
+        return b"".join(self.parts)
+
+
+def split_body(body: bytes) -> tuple[bytes, tuple[bytes, ...]]:
+    """Split a body into the part that goes with its head and those that follow.
+
+    >>> split_body(b"ab")
+    (b'ab', ())
+    """
+    if len(body) <= PART_BYTES:
+        return body, ()
+    rest = range(PART_BYTES, len(body), PART_BYTES)
+    return body[:PART_BYTES], tuple(body[start : start + PART_BYTES] for start in rest)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/headers.py
@@ -0,0 +1,77 @@
+"""Name the HTTP headers Bendwind reads and writes, and strip those of a single hop."""
+
+from bendwind_core.attempts import Header
+
+SERVICE = b"bendwind-service"
+TIMEOUT_MS = b"bendwind-timeout-ms"
+ATTEMPT = b"bendwind-attempt"
+OUTCOME = b"bendwind-outcome"
+REASON = b"bendwind-reason"
+CALL = b"bendwind-call"
+SHED = b"bendwind-shed"
+IDEMPOTENCY_KEY = b"idempotency-key"
+RETRY_AFTER = b"retry-after"
+CONTENT_LENGTH = b"content-length"
+HOST = b"host"
+VIA = (b"via", b"1.1 bendwind")
+
+SHED_NOT_RUN = b"not-run"
+
+# RFC 9110, section 7.6.1: fields that are meant for one connection only.
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# Bendwind writes these itself, so that a caller cannot forge them towards an upstream.
+_OWN = frozenset((SERVICE, TIMEOUT_MS, ATTEMPT, OUTCOME, REASON, CALL, SHED))
+_EXPECT = b"expect"
+
+
+def find_header(headers: tuple[Header, ...], name: bytes) -> bytes | None:
+    """Return the first value of a header, or None.
+
+    >>> find_header(((b"host", b"emisor"),), b"host")
+    b'emisor'
+    """
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def _find_connection_tokens(headers: tuple[Header, ...]) -> frozenset[bytes]:
+    tokens = [
+        token.strip().lower()
+        for key, value in headers
+        if key == b"connection"
+        for token in value.split(b",")
+    ]
+    return frozenset(tokens)
+
+
+def keep_end_to_end(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+    """Drop the fields of a single hop and those that only Bendwind may write."""
+    named = _find_connection_tokens(headers)
+    dropped = _HOP_BY_HOP | _OWN | named if named else _DROPPED
+    return tuple(header for header in headers if header[0] not in dropped)
+
+
+def keep_request_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+    """Drop what the hand-over of a request restates: hops, length and expectation."""
+    return tuple(
+        header
+        for header in keep_end_to_end(headers)
+        if header[0] not in (CONTENT_LENGTH, _EXPECT)
+    )
+
+
+_DROPPED = _HOP_BY_HOP | _OWN
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -0,0 +1,332 @@
+"""Own the upstreams beside this process: decide by their desks and carry out the effects."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+from msgspec.structs import replace
+
+from bendwind_core.attempts import (
+    AttemptId,
+    BodyCredit,
+    BodyPart,
+    Cancel,
+    Fence,
+    Fenced,
+    FenceVerdict,
+    HandOver,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    owner,
+)
+from bendwind_core.attempts import owner_events as ev
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.messages import PeerMessage
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.world import Instance, Upstream, UpstreamState
+from bendwind_node.calls.body_flow import Inflow, Outflow
+from bendwind_node.calls.dispatch import DispatchEnd, format_attempt, run_dispatch
+from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
+from bendwind_node.calls.upstream_edge import UpstreamPool
+
+QUEUE_LIMIT = 16
+MAX_OWNED_UPSTREAMS = 8
+MAX_ASSEMBLING = 256
+TICK_S: Seconds = 0.02
+
+
+@dataclass(slots=True, eq=False)
+class OwnedUpstream:
+    """Hold one upstream beside this process."""
+
+    upstream: Upstream
+    desk: owner.OwnerDesk
+    pool: UpstreamPool
+    lease_until: Seconds
+    scopes: dict[AttemptId, trio.CancelScope] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class Assembly:
+    """Hold a hand-over whose body is still coming."""
+
+    hand_over: HandOver
+    epoch: int
+    inflow: Inflow
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """Hold what an upstream says of itself."""
+
+    name: str
+    service: str
+    host: str
+    port: int
+    slots: int
+    connections: int
+    state: UpstreamState
+
+
+@dataclass(slots=True, eq=False)
+class OwnerNode:
+    """Own the desks of the upstreams beside this process."""
+
+    own: Instance
+    recorder: Recorder
+    nursery: trio.Nursery
+    lease_ms: Milliseconds
+    body_limit: int
+    announce: Callable[[Upstream], None]
+    replies: ReplyPath = field(default_factory=ReplyPath)
+    owned: dict[str, OwnedUpstream] = field(default_factory=dict)
+    assembling: dict[AttemptId, Assembly] = field(default_factory=dict)
+    outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
+    is_draining: bool = False
+
+    def link_opened(self, link: ReplyLink) -> None:
+        """Hear that an entry node opened a link."""
+        self.replies.open(link)
+        event = ev.LinkOpened(link.peer.name, link.peer.incarnation, link.epoch)
+        self._feed_all(event)
+
+    def link_closed(self, link: ReplyLink) -> None:
+        """Hear that an entry node's link broke."""
+        if not self.replies.close(link):
+            return
+        for attempt in [id for id in self.assembling if id.entry == link.peer.name]:
+            del self.assembling[attempt]
+        for attempt, outflow in self.outflows.items():
+            if attempt.entry == link.peer.name:
+                outflow.lose()
+        self._feed_all(ev.LinkLost(link.peer.name, link.peer.incarnation, link.epoch))
+
+    def receive(self, link: ReplyLink, message: PeerMessage) -> None:
+        """Hear a message of an entry node."""
+        match message:
+            case HandOver(more=False):
+                self._hand_over(message, link.epoch)
+            case HandOver():
+                self._start_assembly(link, message)
+            case BodyPart():
+                self._add_part(link, message)
+            case BodyCredit(attempt=attempt, credit=credit):
+                outflow = self.outflows.get(attempt)
+                if outflow is not None:
+                    outflow.add_credit(credit)
+            case Cancel(attempt=attempt, upstream=name):
+                self._cancel(name, attempt, link.epoch)
+            case Fence():
+                self._fence(message, link.epoch)
+
+    def _hand_over(self, hand_over: HandOver, epoch: int) -> None:
+        owned = self.owned.get(hand_over.upstream)
+        if owned is None:
+            self._refuse(hand_over.attempt, epoch, NotRunReason.WRONG_OWNER)
+            return
+        self._feed(owned, ev.HandOverArrived(hand_over, epoch))
+
+    def _refuse(self, attempt: AttemptId, epoch: int, reason: NotRunReason) -> None:
+        self.replies.send(attempt, epoch, NotRun(attempt, reason))
+
+    def _start_assembly(self, link: ReplyLink, hand_over: HandOver) -> None:
+        if len(self.assembling) >= MAX_ASSEMBLING:
+            self._refuse(hand_over.attempt, link.epoch, NotRunReason.OVERLOADED)
+            return
+        inflow = Inflow(self.body_limit)
+        inflow.append(hand_over.body)
+        inflow.next_index = 1
+        self.assembling[hand_over.attempt] = Assembly(hand_over, link.epoch, inflow)
+
+    def _add_part(self, link: ReplyLink, part: BodyPart) -> None:
+        assembly = self.assembling.get(part.attempt)
+        if assembly is None or assembly.epoch != link.epoch:
+            return
+        if not assembly.inflow.is_next(part):
+            del self.assembling[part.attempt]
+            self._refuse(part.attempt, link.epoch, NotRunReason.OVERLOADED)
+            return
+        assembly.inflow.append(part.data)
+        if part.more:
+            link.send(BodyCredit(part.attempt, len(part.data)))
+            return
+        del self.assembling[part.attempt]
+        whole = replace(assembly.hand_over, body=assembly.inflow.join(), more=False)
+        self._hand_over(whole, link.epoch)
+
+    def _cancel(self, name: str, attempt: AttemptId, epoch: int) -> None:
+        self.assembling.pop(attempt, None)
+        owned = self.owned.get(name)
+        if owned is not None:
+            self._feed(owned, ev.CancelArrived(attempt, epoch))
+
+    def _fence(self, fence: Fence, epoch: int) -> None:
+        # A body that is still coming belongs to an attempt that has not started.
+        self.assembling.pop(fence.attempt, None)
+        owned = self.owned.get(fence.upstream)
+        if owned is not None:
+            self._feed(owned, ev.FenceArrived(fence, epoch))
+            return
+        # A desk lives as long as the process: without one, this run never held the upstream, and
+        # the hand-over, if it still came, would be refused as one to the wrong owner.
+        is_own_run = fence.owner_incarnation == self.own.incarnation
+        verdict = FenceVerdict.NEVER_STARTED if is_own_run else FenceVerdict.FORGOTTEN
+        self.replies.send(fence.attempt, epoch, Fenced(fence.attempt, verdict))
+
+    def announced(self, news: Announcement) -> bool:
+        """Register or renew an upstream; False if this process holds too many."""
+        now = trio.current_time()
+        owned = self.owned.get(news.name)
+        if owned is None:
+            if len(self.owned) >= MAX_OWNED_UPSTREAMS:
+                return False
+            owned = self._create_owned(news)
+        owned.lease_until = now + self.lease_ms / MILLISECONDS_PER_SECOND
+        self._move_pool(owned, news)
+        state = UpstreamState.DRAINING if self.is_draining else news.state
+        self._feed(owned, ev.UpstreamAnnounced(news.slots, news.connections, state))
+        self._publish(owned, news, state)
+        return True
+
+    def _create_owned(self, news: Announcement) -> OwnedUpstream:
+        upstream = Upstream(
+            news.name, news.service, self.own, news.slots, news.connections, UpstreamState.GONE
+        )
+        desk = owner.create_desk(news.name, self.own.incarnation, QUEUE_LIMIT)
+        pool = UpstreamPool(news.host, news.port, news.connections)
+        owned = OwnedUpstream(upstream, desk, pool, 0.0)
+        self.owned[news.name] = owned
+        for link in self.replies.links.values():
+            self._feed(owned, ev.LinkOpened(link.peer.name, link.peer.incarnation, link.epoch))
+        return owned
+
+    def _move_pool(self, owned: OwnedUpstream, news: Announcement) -> None:
+        if (owned.pool.host, owned.pool.port) == (news.host, news.port):
+            return
+        self.nursery.start_soon(owned.pool.aclose)
+        owned.pool = UpstreamPool(news.host, news.port, news.connections)
+
+    def _publish(self, owned: OwnedUpstream, news: Announcement, state: UpstreamState) -> None:
+        changed = replace(
+            owned.upstream,
+            service=news.service,
+            slots=news.slots,
+            connections=news.connections,
+            state=state,
+        )
+        self._change(owned, changed)
+
+    def _change(self, owned: OwnedUpstream, changed: Upstream) -> None:
+        if changed == owned.upstream:
+            return
+        owned.upstream = replace(changed, sequence=changed.sequence + 1)
+        kind = _STATE_EVENTS[changed.state]
+        self.recorder.record(kind, upstream=changed.name, detail=changed.service)
+        self.announce(owned.upstream)
+
+    def left(self, name: str) -> bool:
+        """Hear that an upstream leaves for good; False if it is unknown."""
+        owned = self.owned.get(name)
+        if owned is None:
+            return False
+        self._feed(owned, ev.UpstreamLost())
+        self._set_state(owned, UpstreamState.GONE)
+        return True
+
+    def _set_state(self, owned: OwnedUpstream, state: UpstreamState) -> None:
+        self._change(owned, replace(owned.upstream, state=state))
+
+    def drain(self) -> None:
+        """Refuse new attempts for good and tell every watcher."""
+        self.is_draining = True
+        for owned in self.owned.values():
+            if owned.upstream.state is not UpstreamState.GONE:
+                self._set_state(owned, UpstreamState.DRAINING)
+            self._feed(owned, ev.Drain())
+
+    def is_idle(self) -> bool:
+        """Tell whether no attempt runs, waits or is still coming in."""
+        has_work = any(owned.desk.running or owned.desk.waiting for owned in self.owned.values())
+        return not has_work and not self.assembling and not self.outflows
+
+    async def run_clock(self) -> None:
+        """Let queued attempts and announcements expire."""
+        while True:
+            await trio.sleep(TICK_S)
+            now = trio.current_time()
+            for owned in tuple(self.owned.values()):
+                due = owner.next_due(owned.desk)
+                if due is not None and due <= now:
+                    self._feed(owned, ev.Tick())
+                if owned.lease_until < now and owned.upstream.state is not UpstreamState.GONE:
+                    self.left(owned.upstream.name)
+
+    def _feed_all(self, event: ev.OwnerEvent) -> None:
+        for owned in tuple(self.owned.values()):
+            self._feed(owned, event)
+
+    def _feed(self, owned: OwnedUpstream, event: ev.OwnerEvent) -> None:
+        for effect in owner.step(owned.desk, event, trio.current_time()):
+            self._carry_out(owned, effect)
+
+    def _carry_out(self, owned: OwnedUpstream, effect: ev.OwnerEffect) -> None:
+        match effect:
+            case ev.Dispatch(hand_over=hand_over, expires_at=expires_at):
+                scope = trio.CancelScope(deadline=expires_at)
+                owned.scopes[hand_over.attempt] = scope
+                self.nursery.start_soon(self._dispatch, owned, hand_over, scope)
+            case ev.CancelDispatch(attempt=attempt):
+                scope = owned.scopes.get(attempt)
+                if scope is not None:
+                    scope.cancel()
+            case ev.ReplyNotRun(attempt=attempt, epoch=epoch, reason=reason, load=load):
+                self.replies.send(attempt, epoch, NotRun(attempt, reason, load))
+            case ev.ReplyUnknown(attempt=attempt, epoch=epoch, reason=reason, load=load):
+                self.replies.send(attempt, epoch, Unknown(attempt, reason, load))
+            case ev.ReplyFenced(attempt=attempt, epoch=epoch, verdict=verdict):
+                self.replies.send(attempt, epoch, Fenced(attempt, verdict))
+            case ev.Drained():
+                self.recorder.record(EventKind.DESK_DRAINED, upstream=owned.upstream.name)
+
+    async def _dispatch(
+        self, owned: OwnedUpstream, hand_over: HandOver, scope: trio.CancelScope
+    ) -> None:
+        attempt = hand_over.attempt
+        call = format_attempt(attempt)
+        self.recorder.record(EventKind.DISPATCH_STARTED, call=call, upstream=owned.upstream.name)
+        epoch = owned.desk.running[attempt].epoch
+        outflow = Outflow()
+        self.outflows[attempt] = outflow
+        try:
+            end = await run_dispatch(
+                owned.pool,
+                hand_over,
+                scope,
+                outflow,
+                lambda message: self.replies.send(attempt, epoch, message),
+                lambda event: self._feed(owned, event),
+                lambda: owner.load_sample(owned.desk, trio.current_time()),
+            )
+        finally:
+            del owned.scopes[attempt]
+            del self.outflows[attempt]
+        self._finish_dispatch(owned, call, end)
+
+    def _finish_dispatch(self, owned: OwnedUpstream, call: str, end: DispatchEnd) -> None:
+        self.recorder.record(
+            EventKind.DISPATCH_FINISHED,
+            call=call,
+            upstream=owned.upstream.name,
+            detail=type(end).__name__,
+        )
+        if not isinstance(end, ev.DispatchDone):
+            self._feed(owned, end)
+
+
+_STATE_EVENTS = {
+    UpstreamState.READY: EventKind.UPSTREAM_READY,
+    UpstreamState.DRAINING: EventKind.UPSTREAM_DRAINING,
+    UpstreamState.GONE: EventKind.UPSTREAM_GONE,
+}
+
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -0,0 +1,265 @@
+"""Own the links of one process: accept, dial on demand, send and receive."""
+
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+from expression import Result
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.trio.client import connect
+from websockets.trio.connection import Connection
+from websockets.trio.server import serve
+
+from bendwind_core.core import Seconds
+from bendwind_core.messages import Frame, Hello, PeerMessage, decode_frame, encode_frame
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.world import Instance
+from bendwind_node.links.link import OUTBOX_MESSAGES, Link, Receiver
+
+DIAL_TIMEOUT_S: Seconds = 1.0
+PING_INTERVAL_S: Seconds = 5.0
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_BATCH = 64
+MAX_UNSENT = 256
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Say where a peer listens."""
+
+    host: str
+    port: int
+
+
+@dataclass(slots=True, eq=False)
+class LinkHub:
+    """Own every link of this process, at most one dialed and one accepted for each peer."""
+
+    own: Instance
+    receiver: Receiver
+    recorder: Recorder
+    make_hello: Callable[[int], Hello]
+    server_tls: Callable[[], ssl.SSLContext | None]
+    client_tls: Callable[[], ssl.SSLContext | None]
+    nursery: trio.Nursery | None = None
+    next_epoch: int = 1
+    addresses: dict[str, Address] = field(default_factory=dict)
+    dialed: dict[str, Link] = field(default_factory=dict)
+    accepted: dict[str, Link] = field(default_factory=dict)
+    dialing: dict[str, list[PeerMessage]] = field(default_factory=dict)
+
+    def learn_address(self, peer: str, host: str, port: int) -> None:
+        """Remember where a peer is to be dialed."""
+        self.addresses[peer] = Address(host, port)
+
+    def find_link(self, peer: str) -> Link | None:
+        """Return an open link to the peer, the dialed one first."""
+        return self.dialed.get(peer) or self.accepted.get(peer)
+
+    def send(self, peer: str, message: PeerMessage) -> bool:
+        """Send over any open link, or dial if the address is known; else drop and say so."""
+        link = self.find_link(peer)
+        if link is not None:
+            return link.send(message)
+        return self.send_dialed(peer, message)
+
+    def send_dialed(self, peer: str, message: PeerMessage) -> bool:
+        """Send over the link this process dialed, dialing first if there is none."""
+        link = self.dialed.get(peer)
+        if link is not None:
+            return link.send(message)
+        unsent = self.dialing.get(peer)
+        if unsent is None:
+            return self._start_dialing(peer, message)
+        if len(unsent) >= MAX_UNSENT:
+            return False
+        unsent.append(message)
+        return True
+
+    def _start_dialing(self, peer: str, message: PeerMessage) -> bool:
+        address = self.addresses.get(peer)
+        if address is None or self.nursery is None:
+            return False
+        self.dialing[peer] = [message]
+        self.nursery.start_soon(self._dial, peer, address)
+        return True
+
+    def close_all(self) -> None:
+        """Close every link."""
+        for link in (*self.dialed.values(), *self.accepted.values()):
+            link.close()
+
+    async def run(self, listeners: list[trio.SocketListener]) -> None:
+        """Accept and dial links until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            await serve(
+                self._accept,
+                listeners=listeners,
+                ssl=self.server_tls(),
+                compression=None,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_INTERVAL_S,
+                max_size=MAX_FRAME_BYTES,
+            )
+
+    async def _accept(self, socket: Connection) -> None:
+        hello = None
+        with trio.move_on_after(DIAL_TIMEOUT_S):
+            hello = await self._answer_hello(socket)
+        if hello is not None:
+            await self._carry(socket, hello, hello.epoch, is_dialed=False)
+
+    async def _answer_hello(self, socket: Connection) -> Hello | None:
+        try:
+            hello = await self._receive_hello(socket)
+            if hello is None or not self._is_newer(hello):
+                return None
+            await self._send_hello(socket, hello.epoch)
+        except (ConnectionClosed, trio.BrokenResourceError):
+            return None
+        return hello
+
+    def _is_newer(self, hello: Hello) -> bool:
+        old = self.accepted.get(hello.sender.name)
+        if old is None:
+            return True
+        return (hello.sender.incarnation, hello.epoch) > (old.peer.incarnation, old.epoch)
+
+    async def _dial(self, peer: str, address: Address) -> None:
+        epoch = self.next_epoch
+        self.next_epoch += 1
+        secure = self.client_tls()
+        scheme = "ws" if secure is None else "wss"
+        try:
+            async with connect(
+                f"{scheme}://{address.host}:{address.port}/",
+                ssl=secure,
+                server_hostname=None if secure is None else peer,
+                compression=None,
+                proxy=None,
+                open_timeout=DIAL_TIMEOUT_S,
+                close_timeout=DIAL_TIMEOUT_S,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_INTERVAL_S,
+                max_size=MAX_FRAME_BYTES,
+            ) as socket:
+                hello = None
+                with trio.move_on_after(DIAL_TIMEOUT_S):
+                    await self._send_hello(socket, epoch)
+                    hello = await self._receive_hello(socket)
+                if hello is not None and hello.sender.name == peer:
+                    await self._carry(socket, hello, epoch, is_dialed=True)
+        except (OSError, ConnectionClosed, InvalidHandshake, trio.BrokenResourceError) as error:
+            self.recorder.record(EventKind.DIAL_FAILED, detail=f"{peer}: {error!r}")
+        finally:
+            unsent = self.dialing.pop(peer, None)
+            if unsent is not None:
+                self.receiver.dial_failed(peer, tuple(unsent))
+
+    async def _send_hello(self, socket: Connection, epoch: int) -> None:
+        await socket.send(self._encode([self.make_hello(epoch)]))
+
+    async def _receive_hello(self, socket: Connection) -> Hello | None:
+        match decode_frame(await socket.recv()):
+            case Result(tag="ok", ok=Frame(messages=(Hello() as hello,))):
+                return hello
+        return None
+
+    def _encode(self, messages: list[PeerMessage]) -> bytes:
+        stamp = self.recorder.timestamp()
+        return encode_frame(Frame(stamp.physical_ms, stamp.logical, tuple(messages)))
+
+    async def _carry(self, socket: Connection, hello: Hello, epoch: int, is_dialed: bool) -> None:
+        """Run an open link until either end closes it."""
+        sender, outbox = trio.open_memory_channel[PeerMessage](OUTBOX_MESSAGES)
+        with trio.CancelScope() as scope:
+            link = Link(hello.sender, epoch, is_dialed, sender, scope)
+            self._open(link, hello)
+            try:
+                await self._exchange(link, socket, outbox)
+            finally:
+                self._close(link)
+
+    def _open(self, link: Link, hello: Hello) -> None:
+        table = self.dialed if link.is_dialed else self.accepted
+        old = table.get(link.peer.name)
+        if old is not None:
+            self._close(old)
+            old.close()
+        table[link.peer.name] = link
+        self.recorder.record(EventKind.LINK_OPENED, detail=link.peer.name)
+        self.receiver.link_opened(link, hello)
+        if link.is_dialed:
+            for message in self.dialing.pop(link.peer.name, ()):
+                link.send(message)
+
+    def _close(self, link: Link) -> None:
+        table = self.dialed if link.is_dialed else self.accepted
+        if table.get(link.peer.name) is not link:
+            return
+        del table[link.peer.name]
+        link.is_open = False
+        self.recorder.record(EventKind.LINK_CLOSED, detail=link.peer.name)
+        self.receiver.link_closed(link)
+
+    async def _exchange(
+        self, link: Link, socket: Connection, outbox: trio.MemoryReceiveChannel
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write, link, socket, outbox)
+            await self._read(link, socket)
+            nursery.cancel_scope.cancel()
+
+    async def _read(self, link: Link, socket: Connection) -> None:
+        while link.is_open:
+            try:
+                data = await socket.recv()
+            except (ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            match decode_frame(data):
+                case Result(tag="ok", ok=frame):
+                    self._deliver(link, frame)
+                case Result(error=reason):
+                    self.recorder.record(EventKind.FRAME_REFUSED, detail=reason)
+                    return
+
+    def _deliver(self, link: Link, frame: Frame) -> None:
+        self.recorder.observe(frame.physical_ms, frame.logical)
+        for message in frame.messages:
+            if link.is_open:
+                self.receiver.receive(link, message)
+
+    async def _write(
+        self, link: Link, socket: Connection, outbox: trio.MemoryReceiveChannel
+    ) -> None:
+        async for first in outbox:
+            batch = [first, *_take_queued(outbox)]
+            try:
+                await socket.send(self._encode(batch))
+            except (ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
+                link.close()
+                return
+
+
+def _take_queued(outbox: trio.MemoryReceiveChannel) -> list[PeerMessage]:
+    messages: list[PeerMessage] = []
+    while len(messages) < MAX_BATCH:
+        try:
+            messages.append(outbox.receive_nowait())
+        except trio.WouldBlock:
+            break
+    return messages
+
+
+def create_link_hub(
+    own: Instance,
+    receiver: Receiver,
+    recorder: Recorder,
+    make_hello: Callable[[int], Hello],
+    server_tls: Callable[[], ssl.SSLContext | None] = lambda: None,
+    client_tls: Callable[[], ssl.SSLContext | None] = lambda: None,
+) -> LinkHub:
+    """Create a hub without links."""
+    return LinkHub(own, receiver, recorder, make_hello, server_tls, client_tls)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/links/link.py
@@ -0,0 +1,59 @@
+"""Describe one open link and who hears of its messages."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+
+from bendwind_core.messages import Hello, PeerMessage
+from bendwind_core.world import Instance
+
+OUTBOX_MESSAGES = 2048
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """Hold one open link; the dialer's epoch orders the links of a pair of processes."""
+
+    peer: Instance
+    epoch: int
+    is_dialed: bool
+    outbox: trio.MemorySendChannel
+    scope: trio.CancelScope
+    is_open: bool = True
+
+    def send(self, message: PeerMessage) -> bool:
+        """Queue a message and tell whether the link took it.
+
+        A full queue closes the link: the peer is too slow, and both ends then recover as from a
+        lost link instead of losing single messages in silence.
+        """
+        if not self.is_open:
+            return False
+        try:
+            self.outbox.send_nowait(message)
+        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
+            self.close()
+            return False
+        return True
+
+    def close(self) -> None:
+        """Stop the link's tasks; messages still queued are lost."""
+        self.is_open = False
+        self.scope.cancel()
+
+
+class Receiver(Protocol):
+    """Hear of links and their messages; every method returns without waiting."""
+
+    def link_opened(self, link: Link, hello: Hello) -> None:
+        """Hear that a link is open."""
+
+    def link_closed(self, link: Link) -> None:
+        """Hear that a link is closed; no message of it follows."""
+
+    def dial_failed(self, peer: str, unsent: tuple[PeerMessage, ...]) -> None:
+        """Hear that a peer was not reached and which messages never left."""
+
+    def receive(self, link: Link, message: PeerMessage) -> None:
+        """Hear a message."""
