plans: turn an intent into a plan, and replicate plans by compare and swap

Cause: operators race each other with the same version number and resend after a lost answer. Change: intent from TOML, changes, differences, warnings, and the state that the control log applies. The version is the log index of a confirmation; confirming supersedes every open plan, so an open plan always starts from the version in force. Outcomes and idempotency keys are kept in a bounded table; an id carries its creation index, so that a forgotten plan is told from an unknown one. An intent without any services key is refused, since an empty file would end every service.

--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/__init__.py
@@ -0,0 +1,86 @@
+"""Offer intents, plans and the state that the control log replicates."""
+
+from bendwind_core.plans.changes import Changes, apply_changes, compute_changes
+from bendwind_core.plans.commands import (
+    Command,
+    ConfirmPlan,
+    CreatePlan,
+    DrainTarget,
+    MarkDraining,
+    decode_command,
+    encode_command,
+)
+from bendwind_core.plans.difference import Difference, DifferenceKind, compute_differences
+from bendwind_core.plans.intent import Intent, parse_intent
+from bendwind_core.plans.plan import (
+    Confirmed,
+    Expired,
+    Plan,
+    PlanOutcome,
+    PlanState,
+    WonBy,
+    parse_plan_id,
+)
+from bendwind_core.plans.plan_table import PlanTable
+from bendwind_core.plans.render import render_plan
+from bendwind_core.plans.results import (
+    CommandResult,
+    ForgottenPlan,
+    Marked,
+    PlanKept,
+    RequestReused,
+    TooManyMarks,
+    TooManyPlans,
+    UnknownPlan,
+    VersionMoved,
+)
+from bendwind_core.plans.state import ControlState
+from bendwind_core.plans.warning import (
+    Affected,
+    PlanWarning,
+    WarningKind,
+    find_affected,
+    find_warnings,
+)
+
+__all__ = [
+    "Affected",
+    "Changes",
+    "Command",
+    "CommandResult",
+    "ConfirmPlan",
+    "Confirmed",
+    "ControlState",
+    "CreatePlan",
+    "Difference",
+    "DifferenceKind",
+    "DrainTarget",
+    "Expired",
+    "ForgottenPlan",
+    "Intent",
+    "MarkDraining",
+    "Marked",
+    "Plan",
+    "PlanKept",
+    "PlanOutcome",
+    "PlanState",
+    "PlanTable",
+    "PlanWarning",
+    "RequestReused",
+    "TooManyMarks",
+    "TooManyPlans",
+    "UnknownPlan",
+    "VersionMoved",
+    "WarningKind",
+    "WonBy",
+    "apply_changes",
+    "compute_changes",
+    "compute_differences",
+    "decode_command",
+    "encode_command",
+    "find_affected",
+    "find_warnings",
+    "parse_intent",
+    "parse_plan_id",
+    "render_plan",
+]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/changes.py
@@ -0,0 +1,30 @@
+"""Work out and apply the changes that turn one configuration into another."""
+
+from bendwind_core.core import Record
+from bendwind_core.plans.intent import Intent
+from bendwind_core.world import Configuration, Service
+
+
+class Changes(Record, frozen=True, array_like=True):
+    """Hold the services to put in place, new or changed, and the names of those to remove."""
+
+    put: tuple[Service, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+def compute_changes(configuration: Configuration, intent: Intent) -> Changes:
+    """Return what has to change for the intent to hold, in the order of service names."""
+    present = {service.name: service for service in configuration.services}
+    wanted = {service.name: service for service in intent.services}
+    put = [wanted[name] for name in sorted(wanted) if present.get(name) != wanted[name]]
+    ended = intent.remove if intent.partial else present.keys() - wanted.keys()
+    return Changes(tuple(put), tuple(sorted(name for name in ended if name in present)))
+
+
+def apply_changes(configuration: Configuration, changes: Changes, version: int) -> Configuration:
+    """Return the configuration with the changes made, as of the given version."""
+    services = {service.name: service for service in configuration.services}
+    services |= {service.name: service for service in changes.put}
+    for name in changes.removed:
+        services.pop(name, None)
+    return Configuration(version, tuple(services[name] for name in sorted(services)))
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/intent.py
@@ -0,0 +1,133 @@
+"""Read an operator's intent from TOML text."""
+
+import collections
+from typing import Annotated
+
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta
+
+from bendwind_core.core import TomlError, decode_toml
+from bendwind_core.world import Limits, Policy, Repeat, Service, StaleAction
+
+MAX_WAIT_MS = 3_600_000.0
+MAX_SERVICES = 2_000
+
+_Name = Annotated[str, Meta(pattern="^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$")]
+_Pattern = Annotated[str, Meta(min_length=1, max_length=128)]
+_Host = Annotated[str, Meta(pattern="^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$")]
+_Path = Annotated[str, Meta(pattern=r"^[/*]", max_length=256)]
+_Method = Annotated[str, Meta(pattern="^[A-Z]{1,20}$")]
+_Wait = Annotated[float, Meta(gt=0, le=MAX_WAIT_MS)]
+_Count = Annotated[int, Meta(ge=0, le=100_000)]
+_AtLeastOne = Annotated[int, Meta(ge=1, le=100_000)]
+_BodyBytes = Annotated[int, Meta(ge=0, le=1024 * 1024 * 1024)]
+_Ratio = Annotated[float, Meta(ge=0, le=1)]
+
+
+class _Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Hold one table of an intent; unknown keys are refused."""
+
+
+class StatedRule(_Table, frozen=True, kw_only=True):
+    """State a rule as `[[services.rules]]` does."""
+
+    path: _Path
+    methods: tuple[_Method, ...] = ()
+    repeat: Repeat = Repeat.IDEMPOTENT
+    key_required: bool = False
+    longest_wait_ms: _Wait | None = None
+
+
+class StatedLimits(_Table, frozen=True, kw_only=True):
+    """State the limits of a service as `[services.limits]` does."""
+
+    queue: _Count = Limits().queue
+    body_bytes: _BodyBytes = Limits().body_bytes
+    in_flight_per_entry: _AtLeastOne = Limits().in_flight_per_entry
+    retry_ratio: _Ratio = Limits().retry_ratio
+
+
+class StatedService(_Table, frozen=True, kw_only=True):
+    """State a service as `[[services]]` does."""
+
+    name: _Name
+    upstreams: Annotated[tuple[_Pattern, ...], Meta(min_length=1)]
+    hosts: tuple[_Host, ...] = ()
+    rules: tuple[StatedRule, ...] = ()
+    longest_wait_ms: _Wait = 2000.0
+    limits: StatedLimits = StatedLimits()
+    policy: Policy = Policy.SCORE
+    on_stale: StaleAction = StaleAction.REFUSE
+    hedge_after_ms: _Wait | None = None
+    needed_upstreams: _AtLeastOne = 1
+
+
+class StatedIntent(_Table, frozen=True, kw_only=True):
+    """State the whole content of an intent's file.
+
+    `partial` leaves services that are not named as they are; otherwise they are removed.
+    """
+
+    services: Annotated[tuple[StatedService, ...], Meta(max_length=MAX_SERVICES)] | None = None
+    partial: bool = False
+    remove: tuple[_Name, ...] = ()
+
+
+class Intent(msgspec.Struct, frozen=True):
+    """Hold a checked intent: the services wanted, and those to end when it is partial."""
+
+    services: tuple[Service, ...]
+    partial: bool = False
+    remove: tuple[str, ...] = ()
+
+
+def parse_intent(text: str | bytes, file: str) -> Result[Intent, TomlError]:
+    """Check an intent's TOML text in full.
+
+    Errors: the first thing that is wrong with the text.
+    """
+    data = text.encode() if isinstance(text, str) else text
+    return decode_toml(data, file, StatedIntent).bind(lambda stated: _check(stated, file))
+
+
+def _check(stated: StatedIntent, file: str) -> Result[Intent, TomlError]:
+    clash = _find_clash(stated, file)
+    if clash is not None:
+        return Error(clash)
+    services = msgspec.convert(stated.services or (), tuple[Service, ...], from_attributes=True)
+    return Ok(Intent(services, stated.partial, stated.remove))
+
+
+def _find_clash(stated: StatedIntent, file: str) -> TomlError | None:
+    if stated.remove and not stated.partial:
+        return TomlError(file, "remove", "expected partial = true beside it")
+    if stated.services is None and not stated.partial:
+        # An empty file must not read as the wish to remove every service.
+        return TomlError(file, "services", "expected [[services]], or services = [] to end all")
+    services = stated.services or ()
+    names = [service.name for service in services]
+    hosts = [host for service in services for host in service.hosts]
+    twice = _find_repeated([*names, *stated.remove])
+    if twice is not None:
+        return TomlError(file, "services", f"expected each service once, {twice!r} is named twice")
+    shared = _find_repeated(hosts)
+    if shared is not None:
+        return TomlError(file, "services", f"expected each host once, {shared!r} is named twice")
+    return _find_rule_clash(stated, file)
+
+
+def _find_repeated(names: list[str]) -> str | None:
+    counts = collections.Counter(names)
+    return next((name for name, count in counts.items() if count > 1), None)
+
+
+def _find_rule_clash(stated: StatedIntent, file: str) -> TomlError | None:
+    for i, service in enumerate(stated.services or ()):
+        for j, rule in enumerate(service.rules):
+            key = f"services[{i}].rules[{j}]"
+            if rule.key_required and rule.repeat is not Repeat.NEVER:
+                return TomlError(file, f"{key}.key_required", 'expected repeat = "never" beside it')
+            if rule in service.rules[:j]:
+                return TomlError(file, key, "expected each rule once")
+    return None
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/results.py
@@ -0,0 +1,70 @@
+"""Define what the replicated state answers to a command."""
+
+from bendwind_core.core import Record
+from bendwind_core.plans.commands import DrainTarget
+from bendwind_core.plans.plan import Plan, PlanOutcome
+
+
+class PlanKept(Record, frozen=True, array_like=True, tag="plan-kept"):
+    """Give the plan that the request made; `resent` tells that it was made before."""
+
+    plan: Plan
+    resent: bool = False
+
+
+class VersionMoved(Record, frozen=True, array_like=True, tag="version-moved"):
+    """Refuse a plan whose base is not the version in force, which `plan` made."""
+
+    version: int
+    plan: str
+
+
+class RequestReused(Record, frozen=True, array_like=True, tag="request-reused"):
+    """Refuse an idempotency key that made another plan out of another intent."""
+
+    plan: str
+
+
+class TooManyPlans(Record, frozen=True, array_like=True, tag="too-many-plans"):
+    """Refuse a plan because too many, or too large ones, are open."""
+
+    open: int
+
+
+class UnknownPlan(Record, frozen=True, array_like=True, tag="unknown-plan"):
+    """Tell that no plan of this id was ever made."""
+
+    plan: str
+
+
+class ForgottenPlan(Record, frozen=True, array_like=True, tag="forgotten-plan"):
+    """Tell that the id is older than the oldest outcome that is remembered."""
+
+    plan: str
+
+
+class Marked(Record, frozen=True, array_like=True, tag="marked"):
+    """Give a drain mark as it now stands."""
+
+    target: DrainTarget
+    name: str
+    draining: bool
+
+
+class TooManyMarks(Record, frozen=True, array_like=True, tag="too-many-marks"):
+    """Refuse a drain mark because too many are set."""
+
+    marks: int
+
+
+CommandResult = (
+    PlanKept
+    | PlanOutcome
+    | VersionMoved
+    | RequestReused
+    | TooManyPlans
+    | UnknownPlan
+    | ForgottenPlan
+    | Marked
+    | TooManyMarks
+)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -0,0 +1,183 @@
+"""Apply the control log's commands to the configuration, plans and drain marks."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bendwind_core.claims import ClaimGroup
+from bendwind_core.core import Record
+from bendwind_core.plans.changes import apply_changes
+from bendwind_core.plans.commands import (
+    ConfirmPlan,
+    CreatePlan,
+    DrainTarget,
+    MarkDraining,
+    decode_command,
+)
+from bendwind_core.plans.plan import Confirmed, Plan, PlanOutcome, parse_plan_id
+from bendwind_core.plans.plan_table import PlanTable, create_plan_table
+from bendwind_core.plans.results import (
+    CommandResult,
+    ForgottenPlan,
+    Marked,
+    PlanKept,
+    RequestReused,
+    TooManyMarks,
+    TooManyPlans,
+    UnknownPlan,
+    VersionMoved,
+)
+from bendwind_core.world import EMPTY_CONFIGURATION, Configuration
+
+MAX_DRAIN_MARKS = 4_096
+
+
+class _Snapshot(Record, frozen=True, array_like=True):
+    applied: int
+    configuration: Configuration
+    configuration_plan: str
+    plans: tuple[Plan, ...]
+    forgotten: int
+    claim_groups: tuple[ClaimGroup, ...]
+    draining_instances: tuple[str, ...]
+    draining_upstreams: tuple[str, ...]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Snapshot)
+
+
+@dataclass(slots=True)
+class ControlState:
+    """Hold what the control log decides; equal logs give equal states on every voter.
+
+    The version of a configuration is the log index of its confirmation. Nothing here reads a
+    clock: times come in the commands, set by the leader that proposed them.
+    """
+
+    applied: int = 0
+    configuration: Configuration = EMPTY_CONFIGURATION
+    configuration_plan: str = ""
+    plans: PlanTable = field(default_factory=PlanTable)
+    claim_groups: dict[str, ClaimGroup] = field(default_factory=dict)
+    draining_instances: dict[str, None] = field(default_factory=dict)
+    draining_upstreams: dict[str, None] = field(default_factory=dict)
+
+    def apply(self, index: int, command: bytes) -> CommandResult | None:
+        """Apply the log entry at an index; an empty command only moves the index on.
+
+        Errors: raises on an index out of order and on a command that cannot be decoded.
+        """
+        if index <= self.applied:
+            raise ValueError(f"entry {index} applied after entry {self.applied}")
+        result = self._carry_out(index, command) if command else None
+        self.applied = index
+        return result
+
+    def _carry_out(self, index: int, command: bytes) -> CommandResult:
+        match decode_command(command):
+            case CreatePlan() as create:
+                return self._create_plan(index, create)
+            case ConfirmPlan() as confirm:
+                return self._confirm_plan(index, confirm)
+            case MarkDraining() as mark:
+                return self._mark_draining(mark)
+
+    def find_plan(self, plan_id: str) -> Plan | UnknownPlan | ForgottenPlan:
+        """Return a plan by the id that operators use."""
+        index = parse_plan_id(plan_id)
+        if index is None:
+            return UnknownPlan(plan_id)
+        found = self.plans.plans.get(index)
+        return self.plans.explain_absence(plan_id, index) if found is None else found
+
+    def _create_plan(self, index: int, command: CreatePlan) -> CommandResult:
+        made = self.plans.find_request(command.request)
+        if made is not None and made.digest != command.digest:
+            return RequestReused(made.id)
+        if made is not None:
+            return PlanKept(made, resent=True)
+        if command.base_version != self.configuration.version:
+            return VersionMoved(self.configuration.version, self.configuration_plan)
+        self.plans.expire(command.now_ms)
+        if not self.plans.has_room_for(len(command.changes.put)):
+            return TooManyPlans(len(self.plans.open))
+        plan = Plan(
+            index,
+            command.request,
+            command.digest,
+            command.base_version,
+            command.now_ms,
+            command.now_ms + command.ttl_ms,
+            command.changes,
+        )
+        self.plans.add(plan)
+        return PlanKept(plan)
+
+    def _confirm_plan(
+        self, index: int, command: ConfirmPlan
+    ) -> PlanOutcome | UnknownPlan | ForgottenPlan:
+        self.plans.expire(command.now_ms)
+        plan = self.find_plan(f"p{command.index}")
+        if not isinstance(plan, Plan):
+            return plan
+        if plan.outcome is not None:
+            return plan.outcome
+        return self._put_in_force(index, plan)
+
+    def _put_in_force(self, version: int, plan: Plan) -> PlanOutcome:
+        # Every open plan starts from the version in force: a confirmation supersedes the rest.
+        assert plan.base_version == self.configuration.version
+        outcome = Confirmed(plan.id, version)
+        self.configuration = apply_changes(self.configuration, plan.changes, version)
+        self.configuration_plan = plan.id
+        self.plans.decide(plan.index, outcome)
+        self.plans.supersede(plan, version)
+        return outcome
+
+    def _mark_draining(self, command: MarkDraining) -> Marked | TooManyMarks:
+        marks = self._find_marks(command.target)
+        if command.draining and command.name not in marks:
+            if len(marks) >= MAX_DRAIN_MARKS:
+                return TooManyMarks(len(marks))
+            marks[command.name] = None
+        if not command.draining:
+            marks.pop(command.name, None)
+        return Marked(command.target, command.name, command.draining)
+
+    def _find_marks(self, target: DrainTarget) -> dict[str, None]:
+        match target:
+            case DrainTarget.INSTANCE:
+                return self.draining_instances
+            case DrainTarget.UPSTREAM:
+                return self.draining_upstreams
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        return _ENCODER.encode(
+            _Snapshot(
+                self.applied,
+                self.configuration,
+                self.configuration_plan,
+                tuple(self.plans.plans.values()),
+                self.plans.forgotten,
+                tuple(self.claim_groups.values()),
+                tuple(self.draining_instances),
+                tuple(self.draining_upstreams),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot's.
+
+        Errors: raises msgspec.DecodeError on anything that is no snapshot; storage has checked
+        the bytes before.
+        """
+        snapshot = _DECODER.decode(data)
+        self.applied = snapshot.applied
+        self.configuration = snapshot.configuration
+        self.configuration_plan = snapshot.configuration_plan
+        self.plans = create_plan_table(snapshot.plans, snapshot.forgotten)
+        self.claim_groups = {group.service: group for group in snapshot.claim_groups}
+        self.draining_instances = dict.fromkeys(snapshot.draining_instances)
+        self.draining_upstreams = dict.fromkeys(snapshot.draining_upstreams)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/warning.py
@@ -0,0 +1,166 @@
+"""Warn operators of what a plan may break."""
+
+import enum
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from bendwind_core.plans.changes import Changes, apply_changes
+from bendwind_core.plans.difference import (
+    Difference,
+    DifferenceKind,
+    compute_differences,
+    format_value,
+)
+from bendwind_core.world import Configuration, Service, Upstream, UpstreamState, may_serve
+
+
+class WarningKind(enum.StrEnum):
+    """Name what a plan may break."""
+
+    NO_UPSTREAMS = "no-upstreams"
+    FEWER_UPSTREAMS = "fewer-upstreams"
+    UPSTREAMS_LOST = "upstreams-lost"
+    SERVICE_IN_USE = "service-in-use"
+    RULE_LOOSENED = "rule-loosened"
+    WAIT_SHORTENED = "wait-shortened"
+    LIMIT_LOWERED = "limit-lowered"
+    SHARED_HOST = "shared-host"
+    UNREACHABLE_RULE = "unreachable-rule"
+
+
+class PlanWarning(msgspec.Struct, frozen=True):
+    """Warn of one thing that a plan may break."""
+
+    kind: WarningKind
+    service: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Affected:
+    """Name what a plan reaches: services, their announced upstreams and the instances of those."""
+
+    services: tuple[str, ...]
+    upstreams: tuple[str, ...]
+    instances: tuple[str, ...]
+
+
+def find_affected(changes: Changes, upstreams: Sequence[Upstream]) -> Affected:
+    """Return what the changes reach among the announced upstreams."""
+    services = {service.name for service in changes.put} | set(changes.removed)
+    reached = [upstream for upstream in upstreams if upstream.service in services]
+    return Affected(
+        tuple(sorted(services)),
+        tuple(sorted({upstream.name for upstream in reached})),
+        tuple(sorted({upstream.owner.name for upstream in reached})),
+    )
+
+
+def find_warnings(
+    before: Configuration, changes: Changes, upstreams: Sequence[Upstream]
+) -> tuple[PlanWarning, ...]:
+    """List the warnings of a plan, given the upstreams announced at this moment."""
+    ready = _group_ready(upstreams)
+    present = {service.name: service for service in before.services}
+    found: list[PlanWarning] = []
+    for service in changes.put:
+        candidates = ready.get(service.name, [])
+        found += _check_upstreams(present.get(service.name), service, candidates)
+        found += _check_waits(present.get(service.name), service)
+        found += _check_reachable(service)
+    for name in changes.removed:
+        found += _check_removed(name, ready.get(name, []))
+    found += _check_differences(compute_differences(before, changes))
+    found += _check_hosts(before, changes)
+    return tuple(found)
+
+
+def _group_ready(upstreams: Sequence[Upstream]) -> dict[str, list[Upstream]]:
+    ready: dict[str, list[Upstream]] = {}
+    for upstream in upstreams:
+        if upstream.state is UpstreamState.READY:
+            ready.setdefault(upstream.service, []).append(upstream)
+    return ready
+
+
+def _check_upstreams(
+    before: Service | None, after: Service, candidates: list[Upstream]
+) -> Iterator[PlanWarning]:
+    admitted = [upstream.name for upstream in candidates if may_serve(after, upstream.name)]
+    announced = f"{len(admitted)} announced, {after.needed_upstreams} needed"
+    if not admitted:
+        patterns = format_value(after.upstreams)
+        text = f"no announced upstream matches {patterns}; {after.needed_upstreams} needed"
+        yield PlanWarning(WarningKind.NO_UPSTREAMS, after.name, text)
+    elif len(admitted) < after.needed_upstreams:
+        yield PlanWarning(WarningKind.FEWER_UPSTREAMS, after.name, announced)
+    if before is None:
+        return
+    lost = [u.name for u in candidates if may_serve(before, u.name) and u.name not in admitted]
+    if lost:
+        text = f"no longer admitted: {', '.join(sorted(lost))}"
+        yield PlanWarning(WarningKind.UPSTREAMS_LOST, after.name, text)
+
+
+def _check_waits(before: Service | None, after: Service) -> Iterator[PlanWarning]:
+    if before is None:
+        return
+    waits = {(rule.methods, rule.path): rule.longest_wait_ms for rule in before.rules}
+    pairs = [("longest_wait_ms", before.longest_wait_ms, after.longest_wait_ms)]
+    for rule in after.rules:
+        old = waits.get((rule.methods, rule.path)) or before.longest_wait_ms
+        name = f"{'|'.join(rule.methods) or 'any'} {rule.path}: longest_wait_ms"
+        if rule.longest_wait_ms is not None:
+            pairs.append((name, old, rule.longest_wait_ms))
+    for name, old, new in pairs:
+        if new < old:
+            text = f"{name}: {format_value(old)} -> {format_value(new)}"
+            yield PlanWarning(WarningKind.WAIT_SHORTENED, after.name, text)
+
+
+def _check_reachable(service: Service) -> Iterator[PlanWarning]:
+    for position, rule in enumerate(service.rules):
+        methods = set(rule.methods)
+        for earlier in service.rules[:position]:
+            is_wider = earlier.path in ("*", rule.path)
+            if is_wider and (not earlier.methods or methods and methods <= set(earlier.methods)):
+                name = f"{'|'.join(rule.methods) or 'any'} {rule.path}"
+                text = f"{name} is never reached: an earlier rule matches first"
+                yield PlanWarning(WarningKind.UNREACHABLE_RULE, service.name, text)
+                break
+
+
+def _check_removed(name: str, candidates: list[Upstream]) -> Iterator[PlanWarning]:
+    if candidates:
+        text = f"{len(candidates)} announced upstreams still serve it"
+        yield PlanWarning(WarningKind.SERVICE_IN_USE, name, text)
+
+
+def _check_differences(differences: tuple[Difference, ...]) -> Iterator[PlanWarning]:
+    added = {d.service for d in differences if d.kind is DifferenceKind.SERVICE_ADDED}
+    for difference in differences:
+        text = f"{difference.field}: {difference.before} -> {difference.after}"
+        if difference.service in added:
+            continue
+        if difference.kind is DifferenceKind.RULE_LOOSENED:
+            yield PlanWarning(WarningKind.RULE_LOOSENED, difference.service, text)
+        if difference.field.startswith("limits.") and _is_lower(difference):
+            yield PlanWarning(WarningKind.LIMIT_LOWERED, difference.service, text)
+
+
+def _is_lower(difference: Difference) -> bool:
+    return float(difference.after) < float(difference.before)
+
+
+def _check_hosts(before: Configuration, changes: Changes) -> Iterator[PlanWarning]:
+    after = apply_changes(before, changes, before.version)
+    services: dict[str, list[str]] = {}
+    for service in after.services:
+        for host in service.hosts:
+            services.setdefault(host, []).append(service.name)
+    for host, names in services.items():
+        if len(names) > 1:
+            text = f"host {host} names {', '.join(names)}"
+            yield PlanWarning(WarningKind.SHARED_HOST, names[0], text)
--- a/packages/bendwind-core/src/bendwind_core/world/service.py
+++ b/packages/bendwind-core/src/bendwind_core/world/service.py
@@ -54,7 +54,8 @@
 class Service(Record, frozen=True, array_like=True):
     """State a service: the hosts that name it, the upstreams that may serve it, its rules.
 
-    `upstreams` holds shell-style patterns over upstream names.
+    `upstreams` holds shell-style patterns over upstream names. `needed_upstreams` is how many the
+    operators count on; a plan warns when fewer are announced.
     """
 
     name: str
@@ -66,6 +67,7 @@
     policy: Policy = Policy.SCORE
     on_stale: StaleAction = StaleAction.REFUSE
     hedge_after_ms: Milliseconds | None = None
+    needed_upstreams: int = 1
 
 
 # RFC 9110, section 9.2.2: the methods whose repetition has the effect of a single request.
