operators: serve plans, status and recorded events over HTTP

Change: an ASGI application for hypercorn on trio; control and members are reached through two protocols, ControlClient and StatusSource. Voters that do not lead answer 421 with the leader's name, so that no answer is passed through a second process that may die with it.

--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/__init__.py
@@ -0,0 +1,38 @@
+"""Offer the HTTP API that operators use."""
+
+from bendwind_node.operators.app import OperatorsApp
+from bendwind_node.operators.authority import (
+    OperatorAuthority,
+    create_open_authority,
+    create_token_authority,
+)
+from bendwind_node.operators.control_client import (
+    ControlClient,
+    ControlError,
+    NoQuorum,
+    NotLeader,
+    OutcomeUnknown,
+    VoterStatus,
+)
+from bendwind_node.operators.http import Response
+from bendwind_node.operators.server import OperatorsTls, serve_operators
+from bendwind_node.operators.status_source import NodeVersion, ProcessStatus, StatusSource
+
+__all__ = [
+    "ControlClient",
+    "ControlError",
+    "NoQuorum",
+    "NodeVersion",
+    "NotLeader",
+    "OperatorAuthority",
+    "OperatorsApp",
+    "OperatorsTls",
+    "OutcomeUnknown",
+    "ProcessStatus",
+    "Response",
+    "StatusSource",
+    "VoterStatus",
+    "create_open_authority",
+    "create_token_authority",
+    "serve_operators",
+]
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/authority.py
@@ -0,0 +1,60 @@
+"""Decide whether a request comes from an operator."""
+
+import hashlib
+import hmac
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+
+_SCHEME = "bearer "
+
+
+@dataclass(slots=True)
+class OperatorAuthority:
+    """Hold the file whose lines are the tokens operators may present; None asks for none."""
+
+    token_file: Path | None = None
+
+    def is_allowed(self, authorization: str) -> bool:
+        """Tell whether an Authorization header carries one of the tokens.
+
+        The file is read anew each time, so that tokens are renewed without a restart; a file that
+        cannot be read allows nobody.
+        """
+        if self.token_file is None:
+            return True
+        scheme, presented = authorization[: len(_SCHEME)], authorization[len(_SCHEME) :]
+        if scheme.lower() != _SCHEME:
+            return False
+        digest = _digest(presented.strip().encode("latin-1", "replace"))
+        # Every token is compared, so that the time taken does not tell which one came close.
+        matches = [hmac.compare_digest(digest, known) for known in self._read_digests()]
+        return any(matches)
+
+    def _read_digests(self) -> list[bytes]:
+        assert self.token_file is not None
+        try:
+            lines = self.token_file.read_bytes().splitlines()
+        except OSError:
+            return []
+        return [_digest(line.strip()) for line in lines if line.strip()]
+
+
+def _digest(token: bytes) -> bytes:
+    # Digests have one length, which compare_digest needs to hide the length of the tokens.
+    return hashlib.sha256(token).digest()
+
+
+def create_token_authority(token_file: str | Path) -> OperatorAuthority:
+    """Ask every request for one of the tokens in a file."""
+    return OperatorAuthority(Path(token_file))
+
+
+def create_open_authority(host: str) -> OperatorAuthority:
+    """Ask for no token, on a loopback address only.
+
+    Errors: raises ValueError on any other address.
+    """
+    if host != "localhost" and not ipaddress.ip_address(host).is_loopback:
+        raise ValueError(f"operators without tokens on {host}, which is no loopback address")
+    return OperatorAuthority()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/control_client.py
@@ -0,0 +1,72 @@
+"""Describe what the operators' API needs of the control log."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+from bendwind_core.core import Milliseconds
+from bendwind_core.plans import CommandResult, ControlState
+from expression import Result
+
+
+@dataclass(frozen=True, slots=True)
+class NotLeader:
+    """Tell that nothing was proposed, since another voter leads; None where not known."""
+
+    leader: str | None = None
+    leader_url: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NoQuorum:
+    """Tell that nothing was or will be accepted, since no quorum was reached."""
+
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """Tell that the command entered the log and may yet be accepted."""
+
+    detail: str = ""
+
+
+ControlError = NotLeader | NoQuorum | OutcomeUnknown
+
+
+class VoterStatus(msgspec.Struct, frozen=True):
+    """Say how a control voter is doing, as the voter asked sees it.
+
+    Units: `last_heard_ms` is the time since the last message from it, in milliseconds.
+    """
+
+    name: str
+    role: str
+    applied: int
+    last_heard_ms: Milliseconds | None = None
+
+
+class ControlClient(Protocol):
+    """Propose commands to the control log and read the state it replicates.
+
+    `state` may be read between two awaits; it changes whenever an entry is applied.
+    """
+
+    state: ControlState
+
+    async def propose(self, command: bytes) -> Result[CommandResult, ControlError]:
+        """Propose a command and return its result once it has been applied here."""
+        ...
+
+    async def barrier(self) -> Result[int, ControlError]:
+        """Return an applied index that a quorum has confirmed as the newest since the call."""
+        ...
+
+    def leader(self) -> str | None:
+        """Return the name of the leader, or None where it is not known."""
+        ...
+
+    def voters(self) -> Sequence[VoterStatus]:
+        """Return every voter as this one sees it."""
+        ...
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -0,0 +1,218 @@
+"""Answer the requests that state intents, confirm plans and set drain marks."""
+
+import hashlib
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from bendwind_core.plans import (
+    Command,
+    CommandResult,
+    Confirmed,
+    ConfirmPlan,
+    CreatePlan,
+    DrainTarget,
+    Expired,
+    Intent,
+    MarkDraining,
+    Marked,
+    Plan,
+    PlanKept,
+    VersionMoved,
+    WonBy,
+    compute_changes,
+    encode_command,
+    parse_intent,
+    parse_plan_id,
+)
+from bendwind_core.plans.results import UnknownPlan
+from bendwind_core.timeline import EventKind, Recorder
+from expression import Error, Ok, Result
+
+from bendwind_node.operators.control_client import ControlClient, ControlError, OutcomeUnknown
+from bendwind_node.operators.errors import (
+    ErrorKind,
+    command_error,
+    control_error,
+    intent_error,
+    plain_error,
+)
+from bendwind_node.operators.http import Request, Response, json_response
+from bendwind_node.operators.status_source import StatusSource
+from bendwind_node.operators.views import (
+    MarkView,
+    PlansView,
+    show_configuration,
+    show_outcome,
+    show_plan,
+    summarize_plan,
+)
+
+DEFAULT_TTL_S = 900
+MAX_TTL_S = 86_400
+MAX_KEY_CHARACTERS = 128
+# A plan is made anew this often when others are confirmed while it is being made.
+MAX_ATTEMPTS = 4
+_MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class PlanRequest:
+    """Hold a checked request for a plan; `base_version` None takes the version in force."""
+
+    intent: Intent
+    key: str
+    ttl_ms: int
+    base_version: int | None
+
+
+@dataclass(slots=True)
+class PlanRoutes:
+    """Answer requests about plans on a control voter."""
+
+    control: ControlClient
+    source: StatusSource
+    recorder: Recorder
+    wall_ms: Callable[[], int]
+
+    async def create_plan(self, request: Request) -> Response:
+        """Make a plan out of the intent in the body."""
+        asked = _read_plan_request(request)
+        if asked.is_error():
+            return asked.error
+        outcome = await self._propose_plan(asked.ok)
+        match outcome:
+            case Result(tag="error", error=error):
+                return self._report_failure(error)
+            case Result(tag="ok", ok=PlanKept(plan, resent)):
+                if not resent:
+                    detail = f"base version {plan.base_version}"
+                    self.recorder.record(EventKind.PLAN_CREATED, plan=plan.id, detail=detail)
+                return self._show(plan.id, 200 if resent else 201)
+            case Result(tag="ok", ok=refusal):
+                self.recorder.record(EventKind.PLAN_REFUSED, detail=str(refusal))
+                return command_error(refusal)
+        raise AssertionError(outcome)
+
+    async def _propose_plan(self, asked: PlanRequest) -> Result[CommandResult, ControlError]:
+        outcome = await self._propose(self._build_command(asked))
+        for _ in range(MAX_ATTEMPTS - 1):
+            is_moved = outcome.is_ok() and isinstance(outcome.ok, VersionMoved)
+            if asked.base_version is not None or not is_moved:
+                break
+            outcome = await self._propose(self._build_command(asked))
+        return outcome
+
+    def _build_command(self, asked: PlanRequest) -> CreatePlan:
+        configuration = self.control.state.configuration
+        version = configuration.version if asked.base_version is None else asked.base_version
+        changes = compute_changes(configuration, asked.intent)
+        digest = hashlib.sha256(msgspec.msgpack.encode(asked.intent)).digest()
+        return CreatePlan(asked.key, digest, version, changes, self.wall_ms(), asked.ttl_ms)
+
+    async def confirm_plan(self, plan_id: str) -> Response:
+        """Confirm a plan and give its outcome."""
+        index = parse_plan_id(plan_id)
+        if index is None:
+            return command_error(UnknownPlan(plan_id))
+        outcome = await self._propose(ConfirmPlan(index, self.wall_ms()))
+        match outcome:
+            case Result(tag="error", error=error):
+                return self._report_failure(error, plan_id)
+            case Result(tag="ok", ok=Confirmed() as confirmed):
+                detail = f"version {confirmed.version}"
+                self.recorder.record(EventKind.PLAN_CONFIRMED, plan=plan_id, detail=detail)
+                return json_response(200, show_outcome(confirmed))
+            case Result(tag="ok", ok=WonBy() as lost):
+                detail = f"{lost.plan} is in force as version {lost.version}"
+                self.recorder.record(EventKind.PLAN_LOST, plan=plan_id, detail=detail)
+                return json_response(409, show_outcome(lost))
+            case Result(tag="ok", ok=Expired() as expired):
+                self.recorder.record(EventKind.PLAN_LOST, plan=plan_id, detail="expired")
+                return json_response(410, show_outcome(expired))
+            case Result(tag="ok", ok=refusal):
+                return command_error(refusal)
+        raise AssertionError(outcome)
+
+    async def get_plan(self, plan_id: str) -> Response:
+        """Give a plan as a quorum confirms it."""
+        confirmed = await self.control.barrier()
+        return self._show(plan_id, 200) if confirmed.is_ok() else control_error(confirmed.error)
+
+    async def list_plans(self) -> Response:
+        """Give every plan that is remembered, newest first."""
+        confirmed = await self.control.barrier()
+        if confirmed.is_error():
+            return control_error(confirmed.error)
+        plans = reversed(self.control.state.plans.plans.values())
+        return json_response(200, PlansView(tuple(summarize_plan(plan) for plan in plans)))
+
+    async def get_configuration(self) -> Response:
+        """Give the configuration as a quorum confirms it."""
+        confirmed = await self.control.barrier()
+        if confirmed.is_error():
+            return control_error(confirmed.error)
+        return json_response(200, show_configuration(self.control.state))
+
+    async def mark_draining(self, target: DrainTarget, name: str, draining: bool) -> Response:
+        """Set or take away the drain mark of an instance or upstream."""
+        outcome = await self._propose(MarkDraining(target, name, draining))
+        match outcome:
+            case Result(tag="error", error=error):
+                return self._report_failure(error)
+            case Result(tag="ok", ok=Marked()):
+                word = "set" if draining else "cleared"
+                detail = f"{word} for {target} {name}"
+                upstream = name if target is DrainTarget.UPSTREAM else ""
+                self.recorder.record(EventKind.DRAIN_MARKED, upstream=upstream, detail=detail)
+                version = self.control.state.configuration.version
+                return json_response(200, MarkView(name, draining, version))
+            case Result(tag="ok", ok=refusal):
+                return command_error(refusal)
+        raise AssertionError(outcome)
+
+    async def _propose(self, command: Command) -> Result[CommandResult, ControlError]:
+        return await self.control.propose(encode_command(command))
+
+    def _show(self, plan_id: str, status: int) -> Response:
+        found = self.control.state.find_plan(plan_id)
+        if not isinstance(found, Plan):
+            return command_error(found)
+        view = show_plan(found, self.control.state, self.source.upstreams())
+        return json_response(status, view)
+
+    def _report_failure(self, error: ControlError, plan_id: str = "") -> Response:
+        if isinstance(error, OutcomeUnknown):
+            detail = error.detail
+            self.recorder.record(EventKind.PLAN_OUTCOME_UNKNOWN, plan=plan_id, detail=detail)
+        return control_error(error)
+
+
+def _read_plan_request(request: Request) -> Result[PlanRequest, Response]:
+    ttl_s = _read_number(request, "expires_s", 1, MAX_TTL_S)
+    base_version = _read_number(request, "base_version", 0, 2**62)
+    for number in (ttl_s, base_version):
+        if number.is_error():
+            return Error(plain_error(400, ErrorKind.BAD_REQUEST, number.error))
+    key = request.headers.get("idempotency-key", "") or uuid.uuid4().hex
+    if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
+        text = f"Idempotency-Key: expected at most {MAX_KEY_CHARACTERS} printable characters"
+        return Error(plain_error(400, ErrorKind.BAD_REQUEST, text))
+    intent = parse_intent(request.body, request.query.get("file", "intent"))
+    if intent.is_error():
+        return Error(intent_error(intent.error))
+    ttl_ms = (ttl_s.ok or DEFAULT_TTL_S) * _MILLISECONDS
+    return Ok(PlanRequest(intent.ok, key, ttl_ms, base_version.ok))
+
+
+def _read_number(
+    request: Request, name: str, smallest: int, largest: int
+) -> Result[int | None, str]:
+    text = request.query.get(name)
+    if text is None:
+        return Ok(None)
+    is_number = text.isascii() and text.isdecimal() and len(text) < 20
+    if not is_number or not smallest <= int(text) <= largest:
+        return Error(f"{name}: expected a whole number from {smallest} to {largest}")
+    return Ok(int(text))
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -0,0 +1,130 @@
+"""Answer the requests about the status of a process and its recorded events."""
+
+import itertools
+from dataclasses import dataclass
+
+from bendwind_core.timeline import Event, EventKind, Recorder
+from expression import Error, Ok, Result
+
+from bendwind_node.operators.control_client import ControlClient
+from bendwind_node.operators.errors import ErrorKind, plain_error
+from bendwind_node.operators.http import Request, Response, json_response
+from bendwind_node.operators.status_source import ProcessStatus, StatusSource
+from bendwind_node.operators.views import (
+    DrainingView,
+    StatusView,
+    TimelineView,
+    show_event,
+    show_upstream,
+)
+
+DEFAULT_EVENTS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class EventFilter:
+    """Say which events are asked for; empty fields match all."""
+
+    call: str
+    plan: str
+    upstream: str
+    kind: EventKind | None
+    since_ms: int
+    limit: int
+
+    def is_match(self, event: Event) -> bool:
+        """Tell whether an event is asked for."""
+        return (
+            self.call in ("", event.call)
+            and self.plan in ("", event.plan)
+            and self.upstream in ("", event.upstream)
+            and self.kind in (None, event.kind)
+            and event.physical_ms >= self.since_ms
+        )
+
+
+@dataclass(slots=True)
+class StatusRoutes:
+    """Answer requests for status and events; `control` is None on a process that is no voter."""
+
+    control: ControlClient | None
+    source: StatusSource
+    recorder: Recorder
+
+    async def get_status(self) -> Response:
+        """Give the status, confirmed by a quorum where this process leads."""
+        process = self.source.process()
+        if self.control is None:
+            return json_response(200, self._show_node(process))
+        is_confirmed = (await self.control.barrier()).is_ok()
+        return json_response(200, self._show_voter(self.control, process, is_confirmed))
+
+    def _show_node(self, process: ProcessStatus) -> StatusView:
+        return self._show(process, process.version, is_confirmed=False)
+
+    def _show_voter(
+        self, control: ControlClient, process: ProcessStatus, is_confirmed: bool
+    ) -> StatusView:
+        state = control.state
+        draining = DrainingView(tuple(state.draining_instances), tuple(state.draining_upstreams))
+        version = state.configuration.version
+        return self._show(process, version, is_confirmed, control, draining)
+
+    def _show(
+        self,
+        process: ProcessStatus,
+        version: int,
+        is_confirmed: bool,
+        control: ControlClient | None = None,
+        draining: DrainingView | None = None,
+    ) -> StatusView:
+        nodes = tuple(self.source.nodes())
+        return StatusView(
+            instance=process.name,
+            data_centre=process.data_centre,
+            voter=control is not None,
+            stopping=process.stopping,
+            version=version,
+            confirmed=is_confirmed,
+            confirmed_age_ms=process.confirmed_age_ms,
+            attached_to=process.attached_to,
+            leader=None if control is None else control.leader(),
+            voters=() if control is None else tuple(control.voters()),
+            nodes=nodes,
+            not_there_yet=tuple(node.name for node in nodes if node.version < version),
+            upstreams=tuple(show_upstream(upstream) for upstream in self.source.upstreams()),
+            draining=draining or DrainingView(),
+        )
+
+    def get_timeline(self, request: Request) -> Response:
+        """Give the recorded events that the query asks for."""
+        wanted = _read_filter(request)
+        if wanted.is_error():
+            return plain_error(400, ErrorKind.BAD_REQUEST, wanted.error)
+        newest = (event for event in reversed(self.recorder.events) if wanted.ok.is_match(event))
+        events = list(itertools.islice(newest, wanted.ok.limit))
+        events.reverse()
+        view = TimelineView(self.recorder.instance, tuple(show_event(event) for event in events))
+        return json_response(200, view)
+
+
+def _read_filter(request: Request) -> Result[EventFilter, str]:
+    query = request.query
+    kind = _read_kind(query.get("kind", ""))
+    since, limit = query.get("since", "0"), query.get("limit", str(DEFAULT_EVENTS))
+    if kind.is_error():
+        return Error(kind.error)
+    for name, text in (("since", since), ("limit", limit)):
+        if not text.isascii() or not text.isdecimal() or len(text) > 18:
+            return Error(f"{name}: expected a whole number from 0")
+    texts = [query.get(name, "") for name in ("call", "plan", "upstream")]
+    return Ok(EventFilter(*texts, kind.ok, int(since), int(limit)))
+
+
+def _read_kind(text: str) -> Result[EventKind | None, str]:
+    if not text:
+        return Ok(None)
+    for kind in EventKind:
+        if text.upper().replace("-", "_") == kind.name or text == str(kind.value):
+            return Ok(kind)
+    return Error("kind: expected the number or name of an event, see /v1/events")
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/views.py
@@ -0,0 +1,242 @@
+"""Define the JSON bodies of the operators' API."""
+
+from collections.abc import Sequence
+
+import msgspec
+from bendwind_core.core import Milliseconds
+from bendwind_core.plans import (
+    Confirmed,
+    ControlState,
+    Difference,
+    Expired,
+    Plan,
+    PlanOutcome,
+    PlanState,
+    PlanWarning,
+    WonBy,
+    compute_differences,
+    find_affected,
+    find_warnings,
+    render_plan,
+)
+from bendwind_core.plans.intent import StatedService
+from bendwind_core.timeline import Event, EventKind
+from bendwind_core.world import Upstream
+
+from bendwind_node.operators.control_client import VoterStatus
+from bendwind_node.operators.status_source import NodeVersion
+
+
+class OutcomeView(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Show how a plan ended."""
+
+    kind: str
+    plan: str
+    version: int | None = None
+
+
+class AffectedView(msgspec.Struct, frozen=True):
+    """Show what a plan reaches."""
+
+    services: tuple[str, ...] = ()
+    upstreams: tuple[str, ...] = ()
+    instances: tuple[str, ...] = ()
+
+
+class PlanView(msgspec.Struct, frozen=True):
+    """Show a plan."""
+
+    id: str
+    state: PlanState
+    request: str
+    base_version: int
+    created_ms: int
+    expires_ms: int
+    outcome: OutcomeView | None
+    differences: tuple[Difference, ...] = ()
+    affected: AffectedView = AffectedView()
+    warnings: tuple[PlanWarning, ...] = ()
+    lines: tuple[str, ...] = ()
+
+
+class PlansView(msgspec.Struct, frozen=True):
+    """Show every plan that is remembered."""
+
+    plans: tuple[PlanView, ...]
+
+
+class ConfigurationView(msgspec.Struct, frozen=True):
+    """Show the configuration in force, with the keys of an intent."""
+
+    version: int
+    plan: str
+    services: tuple[StatedService, ...]
+
+
+class MarkView(msgspec.Struct, frozen=True):
+    """Show a drain mark."""
+
+    name: str
+    draining: bool
+    version: int
+
+
+class UpstreamView(msgspec.Struct, frozen=True):
+    """Show an announced upstream."""
+
+    name: str
+    service: str
+    owner: str
+    state: str
+    slots: int
+    connections: int
+
+
+class DrainingView(msgspec.Struct, frozen=True):
+    """Show the drain marks that are set."""
+
+    instances: tuple[str, ...] = ()
+    upstreams: tuple[str, ...] = ()
+
+
+class StatusView(msgspec.Struct, frozen=True):
+    """Show the status of a process and of the members it knows."""
+
+    instance: str
+    data_centre: str
+    voter: bool
+    stopping: bool
+    version: int
+    confirmed: bool
+    confirmed_age_ms: Milliseconds | None
+    attached_to: str | None
+    leader: str | None
+    voters: tuple[VoterStatus, ...]
+    nodes: tuple[NodeVersion, ...]
+    not_there_yet: tuple[str, ...]
+    upstreams: tuple[UpstreamView, ...]
+    draining: DrainingView
+
+
+class EventView(msgspec.Struct, frozen=True):
+    """Show a recorded event."""
+
+    number: int
+    name: str
+    instance: str
+    physical_ms: int
+    logical: int
+    call: str
+    upstream: str
+    plan: str
+    detail: str
+
+
+class TimelineView(msgspec.Struct, frozen=True):
+    """Show recorded events in the order of their time."""
+
+    instance: str
+    events: tuple[EventView, ...]
+
+
+class EventKindView(msgspec.Struct, frozen=True):
+    """Show one entry of the catalogue of events."""
+
+    number: int
+    name: str
+
+
+class CatalogueView(msgspec.Struct, frozen=True):
+    """Show the catalogue of events."""
+
+    events: tuple[EventKindView, ...]
+
+
+class StoppingView(msgspec.Struct, frozen=True):
+    """Tell that the process has begun a planned stop."""
+
+    instance: str
+    stopping: bool = True
+
+
+def show_outcome(outcome: PlanOutcome) -> OutcomeView:
+    """Return the view of an outcome."""
+    match outcome:
+        case Confirmed(plan, version):
+            return OutcomeView("confirmed", plan, version)
+        case WonBy(plan, version):
+            return OutcomeView("won-by", plan, version)
+        case Expired(plan):
+            return OutcomeView("expired", plan)
+
+
+def summarize_plan(plan: Plan) -> PlanView:
+    """Return the view of a plan without what it changes."""
+    return PlanView(
+        plan.id,
+        plan.state,
+        plan.request,
+        plan.base_version,
+        plan.created_ms,
+        plan.expires_ms,
+        None if plan.outcome is None else show_outcome(plan.outcome),
+    )
+
+
+def show_plan(plan: Plan, state: ControlState, upstreams: Sequence[Upstream]) -> PlanView:
+    """Return the view of a plan, with what it changes while it is open."""
+    summary = summarize_plan(plan)
+    if plan.outcome is not None:
+        return summary
+    before = state.configuration
+    differences = compute_differences(before, plan.changes)
+    warnings = find_warnings(before, plan.changes, upstreams)
+    affected = find_affected(plan.changes, upstreams)
+    return msgspec.structs.replace(
+        summary,
+        differences=differences,
+        affected=AffectedView(affected.services, affected.upstreams, affected.instances),
+        warnings=warnings,
+        lines=render_plan(differences, warnings),
+    )
+
+
+def show_configuration(state: ControlState) -> ConfigurationView:
+    """Return the view of the configuration in force."""
+    configuration = state.configuration
+    services = msgspec.convert(
+        configuration.services, tuple[StatedService, ...], from_attributes=True
+    )
+    return ConfigurationView(configuration.version, state.configuration_plan, services)
+
+
+def show_upstream(upstream: Upstream) -> UpstreamView:
+    """Return the view of an announced upstream."""
+    return UpstreamView(
+        upstream.name,
+        upstream.service,
+        upstream.owner.name,
+        upstream.state,
+        upstream.slots,
+        upstream.connections,
+    )
+
+
+def show_event(event: Event) -> EventView:
+    """Return the view of a recorded event."""
+    return EventView(
+        event.kind,
+        event.kind.name,
+        event.instance,
+        event.physical_ms,
+        event.logical,
+        event.call,
+        event.upstream,
+        event.plan,
+        event.detail,
+    )
+
+
+def show_catalogue() -> CatalogueView:
+    """Return the view of the catalogue of events."""
+    return CatalogueView(tuple(EventKindView(kind.value, kind.name) for kind in EventKind))
