--- a/packages/bendwind-core/src/bendwind_core/plans/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/__init__.py
@@ -26,6 +26,8 @@
 from bendwind_core.plans.results import (
     CommandResult,
     ForgottenPlan,
+    GroupChanged,
+    GroupRefused,
     Marked,
     PlanKept,
     RequestReused,
@@ -57,6 +59,8 @@
     "DrainTarget",
     "Expired",
     "ForgottenPlan",
+    "GroupChanged",
+    "GroupRefused",
     "Intent",
     "MarkDraining",
     "Marked",
--- a/packages/bendwind-core/src/bendwind_core/plans/commands.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/commands.py
@@ -1,9 +1,10 @@
-"""Define the commands that the control log carries for plans and drain marks."""
+"""Define the commands that the control log carries."""
 
 import enum
 
 import msgspec
 
+from bendwind_core.claims import ChangeClaimGroup
 from bendwind_core.core import Record
 from bendwind_core.plans.changes import Changes
 
@@ -47,7 +48,7 @@
     draining: bool
 
 
-Command = CreatePlan | ConfirmPlan | MarkDraining
+Command = CreatePlan | ConfirmPlan | MarkDraining | ChangeClaimGroup
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Command)
--- a/packages/bendwind-core/src/bendwind_core/plans/results.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/results.py
@@ -1,5 +1,6 @@
 """Define what the replicated state answers to a command."""
 
+from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Record
 from bendwind_core.plans.commands import DrainTarget
 from bendwind_core.plans.plan import Plan, PlanOutcome
@@ -57,6 +58,18 @@
     marks: int
 
 
+class GroupChanged(Record, frozen=True, array_like=True, tag="group-changed"):
+    """Give a claim group as it now stands."""
+
+    group: ClaimGroup
+
+
+class GroupRefused(Record, frozen=True, array_like=True, tag="group-refused"):
+    """Refuse a change of a claim group; `detail` names the rule that it would break."""
+
+    detail: str
+
+
 CommandResult = (
     PlanKept
     | PlanOutcome
@@ -67,4 +80,6 @@
     | ForgottenPlan
     | Marked
     | TooManyMarks
+    | GroupChanged
+    | GroupRefused
 )
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bendwind_core.claims import ClaimGroup
+from bendwind_core.claims import ChangeClaimGroup, ClaimGroup, apply_group_change
 from bendwind_core.core import Record
 from bendwind_core.plans.changes import apply_changes
 from bendwind_core.plans.commands import (
@@ -19,6 +19,8 @@
 from bendwind_core.plans.results import (
     CommandResult,
     ForgottenPlan,
+    GroupChanged,
+    GroupRefused,
     Marked,
     PlanKept,
     RequestReused,
@@ -82,6 +84,8 @@
                 return self._confirm_plan(index, confirm)
             case MarkDraining() as mark:
                 return self._mark_draining(mark)
+            case ChangeClaimGroup() as change:
+                return self._change_claim_group(change)
 
     def find_plan(self, plan_id: str) -> Plan | UnknownPlan | ForgottenPlan:
         """Return a plan by the id that operators use."""
@@ -145,6 +149,11 @@
             marks.pop(command.name, None)
         return Marked(command.target, command.name, command.draining)
 
+    def _change_claim_group(self, command: ChangeClaimGroup) -> GroupChanged | GroupRefused:
+        # A group outlives its service: its claims must be found if the service comes back.
+        changed = apply_group_change(self.claim_groups, command)
+        return GroupChanged(changed.ok) if changed.is_ok() else GroupRefused(changed.error)
+
     def _find_marks(self, target: DrainTarget) -> dict[str, None]:
         match target:
             case DrainTarget.INSTANCE:
--- a/packages/bendwind-node/src/bendwind_node/operators/app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/app.py
@@ -1,5 +1,6 @@
 """Route the requests of the operators' API."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -7,6 +8,7 @@
 from bendwind_core.timeline import EventKind, Recorder
 
 from bendwind_node.operators.authority import OperatorAuthority
+from bendwind_node.operators.claim_routes import ClaimRoutes
 from bendwind_node.operators.control_client import ControlClient
 from bendwind_node.operators.errors import ErrorKind, plain_error
 from bendwind_node.operators.http import (
@@ -46,13 +48,15 @@
     request_stop: Callable[[], None]
     render_metrics: Callable[[str], Response]
     plans: PlanRoutes | None = field(init=False)
+    claims: ClaimRoutes | None = field(init=False)
     status: StatusRoutes = field(init=False)
 
     def __post_init__(self):
         self.status = StatusRoutes(self.control, self.source, self.recorder)
-        self.plans = None
+        self.plans = self.claims = None
         if self.control is not None:
             self.plans = PlanRoutes(self.control, self.source, self.recorder, self.wall_ms)
+            self.claims = ClaimRoutes(self.control, self.source, self.recorder, random.Random())
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one ASGI connection."""
@@ -91,9 +95,20 @@
                 if self.plans is None:
                     text = "this process keeps no configuration; ask a voter"
                     return plain_error(404, ErrorKind.NOT_A_VOTER, text)
+                if name == "services":
+                    return await self._answer_claims(request, tuple(rest))
                 return await _answer_control(self.plans, request, (name, *rest))
         return plain_error(404, ErrorKind.NOT_FOUND)
 
+    async def _answer_claims(self, request: Request, path: tuple[str, ...]) -> Response:
+        assert self.claims is not None
+        match request.method, path:
+            case "POST", (service, "accept-claim-loss"):
+                return await self.claims.accept_loss(service)
+            case _, (_, "accept-claim-loss"):
+                return _refuse_method()
+        return plain_error(404, ErrorKind.NOT_FOUND)
+
     def _answer_metrics(self, request: Request) -> Response:
         if request.method != "GET":
             return _refuse_method()
--- a/packages/bendwind-node/src/bendwind_node/operators/errors.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/errors.py
@@ -6,6 +6,7 @@
 from bendwind_core.core import TomlError
 from bendwind_core.plans import (
     ForgottenPlan,
+    GroupRefused,
     RequestReused,
     TooManyMarks,
     TooManyPlans,
@@ -27,6 +28,8 @@
     NOT_FOUND = "not-found"
     NOT_A_VOTER = "not-a-voter"
     UNKNOWN_PLAN = "unknown-plan"
+    NO_LOST_CLAIMS = "no-lost-claims"
+    GROUP_REFUSED = "group-refused"
     UNKNOWN_SERVICE = "unknown-service"
     METHOD_NOT_ALLOWED = "method-not-allowed"
     VERSION_MOVED = "version-moved"
@@ -55,7 +58,13 @@
 
 
 CommandRefusal = (
-    VersionMoved | RequestReused | TooManyPlans | UnknownPlan | ForgottenPlan | TooManyMarks
+    VersionMoved
+    | RequestReused
+    | TooManyPlans
+    | UnknownPlan
+    | ForgottenPlan
+    | TooManyMarks
+    | GroupRefused
 )
 
 
@@ -101,6 +110,8 @@
             return plain_error(429, ErrorKind.TOO_MANY_MARKS, f"{count} drain marks are set")
         case UnknownPlan(plan):
             return plain_error(404, ErrorKind.UNKNOWN_PLAN, f"no plan {plan!r} was ever made")
+        case GroupRefused(detail):
+            return plain_error(409, ErrorKind.GROUP_REFUSED, detail)
         case ForgottenPlan(plan):
             text = f"{plan} is older than the oldest outcome remembered"
             return plain_error(410, ErrorKind.FORGOTTEN_PLAN, text)
--- a/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -104,7 +104,8 @@
         newest = (event for event in reversed(self.recorder.events) if wanted.ok.is_match(event))
         events = list(itertools.islice(newest, wanted.ok.limit))
         events.reverse()
-        view = TimelineView(self.recorder.instance, tuple(show_event(event) for event in events))
+        shown = tuple(show_event(event) for event in events)
+        view = TimelineView(self.recorder.instance, self.recorder.dropped, shown)
         return json_response(200, view)
 
 
--- a/packages/bendwind-node/src/bendwind_node/operators/views.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/views.py
@@ -81,6 +81,14 @@
     version: int
 
 
+class GroupView(msgspec.Struct, frozen=True):
+    """Show the claim group of a service."""
+
+    service: str
+    epoch: int
+    members: tuple[str, ...]
+
+
 class UpstreamView(msgspec.Struct, frozen=True):
     """Show an announced upstream."""
 
@@ -130,12 +138,14 @@
     upstream: str
     plan: str
     detail: str
+    monotonic_us: int
 
 
 class TimelineView(msgspec.Struct, frozen=True):
     """Show recorded events in the order of their time."""
 
     instance: str
+    dropped: int
     events: tuple[EventView, ...]
 
 
@@ -234,6 +244,7 @@
         event.upstream,
         event.plan,
         event.detail,
+        event.monotonic_us,
     )
 
 
