--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -21,7 +21,11 @@
     ConfigurationChanged,
     Heartbeat,
     HeartbeatReply,
+    MemberDigest,
     MemberGossip,
+    MemberPull,
+    StatusReply,
+    StatusRequest,
     Watch,
     WatchUpdate,
 )
@@ -46,6 +50,10 @@
     | WatchUpdate
     | ConfigurationChanged
     | MemberGossip
+    | MemberDigest
+    | MemberPull
+    | StatusRequest
+    | StatusReply
     | ClaimMessage
 )
 
