--- a/packages/bendwind-bench/src/bendwind_bench/load/sample.py
+++ b/packages/bendwind-bench/src/bendwind_bench/load/sample.py
@@ -3,6 +3,7 @@
 import enum
 
 import msgspec
+
 from bendwind_core.core import Milliseconds, Seconds
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/load/worker.py
+++ b/packages/bendwind-bench/src/bendwind_bench/load/worker.py
@@ -6,12 +6,12 @@
 
 import msgspec
 import trio
-from bendwind_core.core import MILLISECONDS_PER_SECOND
 
 from bendwind_bench.http import HttpBrokenError, Message, pool_of
 from bendwind_bench.load.plan import LoadPlan, RequestKind, Send, schedule_sends
 from bendwind_bench.load.sample import Outcome, Sample
 from bendwind_bench.upstream.stand_in import make_body
+from bendwind_core.core import MILLISECONDS_PER_SECOND
 
 _TOLD = {
     "not-run": Outcome.NOT_RUN,
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/settings.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/settings.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import msgspec
+
 from bendwind_core.core import Milliseconds
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -46,6 +46,7 @@
     BODY_CUT = "body-cut"
     CANCELLED = "cancelled"
     CLAIM_PENDING = "claim-pending"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     DEADLINE = "deadline"
 
 
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
@@ -0,0 +1,43 @@
+"""Define the seam between the callers' HTTP and the entry node."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from bendwind_core.attempts import Header
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """Hold the head of a caller's request; header names are in lower case."""
+
+    method: str
+    target: bytes
+    headers: tuple[Header, ...]
+
+
+class CallerExchange(Protocol):
+    """Carry one request of a caller and its answer."""
+
+    request: CallerRequest
+
+    async def receive_part(self) -> bytes | None:
+        """Return the next part of the request's body, None at its end.
+
+        Errors: CallerGoneError.
+        """
+
+    async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Send the head of the answer."""
+
+    async def send_part(self, data: bytes, *, more: bool) -> None:
+        """Send a part of the answer's body; the last has `more` false."""
+
+    def abort(self) -> None:
+        """Close the connection, so that the caller sees that the answer is cut."""
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has closed its connection."""
+
+
+class CallerGoneError(Exception):
+    """Tell that the caller closed its connection."""
--- a/packages/bendwind-node/src/bendwind_node/calls/headers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/headers.py
@@ -9,6 +9,7 @@
 REASON = b"bendwind-reason"
 CALL = b"bendwind-call"
 SHED = b"bendwind-shed"
+REPLAYED = b"bendwind-replayed"
 IDEMPOTENCY_KEY = b"idempotency-key"
 RETRY_AFTER = b"retry-after"
 CONTENT_LENGTH = b"content-length"
@@ -32,7 +33,7 @@
     )
 )
 # Bendwind writes these itself, so that a caller cannot forge them towards an upstream.
-_OWN = frozenset((SERVICE, TIMEOUT_MS, ATTEMPT, OUTCOME, REASON, CALL, SHED))
+_OWN = frozenset((SERVICE, TIMEOUT_MS, ATTEMPT, OUTCOME, REASON, CALL, SHED, REPLAYED))
 _EXPECT = b"expect"
 
 
@@ -68,9 +69,7 @@
 def keep_request_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Drop what the hand-over of a request restates: hops, length and expectation."""
     return tuple(
-        header
-        for header in keep_end_to_end(headers)
-        if header[0] not in (CONTENT_LENGTH, _EXPECT)
+        header for header in keep_end_to_end(headers) if header[0] not in (CONTENT_LENGTH, _EXPECT)
     )
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -329,4 +329,3 @@
     UpstreamState.DRAINING: EventKind.UPSTREAM_DRAINING,
     UpstreamState.GONE: EventKind.UPSTREAM_GONE,
 }
-
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+
 from bendwind_core.claims import (
     ClaimAnswer,
     ClaimCopied,
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/claim_routes.py
@@ -0,0 +1,66 @@
+"""Answer the requests that accept the loss of a service's claims."""
+
+import random
+from dataclasses import dataclass
+
+import msgspec
+
+from bendwind_core.claims import ChangeClaimGroup, ClaimGroup, choose_claim_group
+from bendwind_core.plans import GroupChanged, encode_command
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.world import Upstream, UpstreamState
+from bendwind_node.operators.control_client import ControlClient
+from bendwind_node.operators.errors import ErrorKind, command_error, control_error, plain_error
+from bendwind_node.operators.http import Response, json_response
+from bendwind_node.operators.status_source import StatusSource
+from bendwind_node.operators.views import GroupView
+
+
+@dataclass(slots=True)
+class ClaimRoutes:
+    """Answer requests about claims on a control voter."""
+
+    control: ControlClient
+    source: StatusSource
+    recorder: Recorder
+    rng: random.Random
+
+    async def accept_loss(self, service: str) -> Response:
+        """Start a service's claims anew after every holder of them was lost."""
+        confirmed = await self.control.barrier()
+        if confirmed.is_error():
+            return control_error(confirmed.error)
+        group = self.control.state.claim_groups.get(service)
+        if group is None:
+            text = f"{service!r} has no claims"
+            return plain_error(404, ErrorKind.UNKNOWN_SERVICE, text)
+        if not group.lost:
+            text = f"the claims of {service!r} are not lost"
+            return plain_error(409, ErrorKind.NO_LOST_CLAIMS, text)
+        return await self._replace(group)
+
+    async def _replace(self, lost: ClaimGroup) -> Response:
+        new = _choose_members(lost, self.source.upstreams(), self.rng)
+        if new is None:
+            return plain_error(503, ErrorKind.NO_QUORUM, "no node is there to hold claims")
+        command = ChangeClaimGroup(new, lost.epoch, accept_loss=True)
+        outcome = await self.control.propose(encode_command(command))
+        if outcome.is_error():
+            return control_error(outcome.error)
+        if not isinstance(outcome.ok, GroupChanged):
+            return command_error(outcome.ok)
+        detail = f"loss of the claims of {lost.service} accepted, epoch {new.epoch}"
+        self.recorder.record(EventKind.CLAIM_LOSS_ACCEPTED, detail=detail)
+        return json_response(200, GroupView(new.service, new.epoch, new.members))
+
+
+def _choose_members(
+    lost: ClaimGroup, upstreams: tuple[Upstream, ...], rng: random.Random
+) -> ClaimGroup | None:
+    ready = [upstream for upstream in upstreams if upstream.state is UpstreamState.READY]
+    alive = tuple({upstream.owner.name: upstream.owner for upstream in ready}.values())
+    own = {upstream.owner.name for upstream in ready if upstream.service == lost.service}
+    first = choose_claim_group(lost.service, None, alive, rng, own=own)
+    if first is None:
+        return None
+    return msgspec.structs.replace(first, epoch=lost.epoch + 1)
