--- a/packages/bendwind-core/src/bendwind_core/core/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/core/__init__.py
@@ -1,6 +1,14 @@
 """Offer the types every other subpackage rests on."""
 
 from bendwind_core.core.record import Record
+from bendwind_core.core.toml_error import TomlError, decode_toml
 from bendwind_core.core.units import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 
-__all__ = ["MILLISECONDS_PER_SECOND", "Milliseconds", "Record", "Seconds"]
+__all__ = [
+    "MILLISECONDS_PER_SECOND",
+    "Milliseconds",
+    "Record",
+    "Seconds",
+    "TomlError",
+    "decode_toml",
+]
