cli: bendwind's commands over the operators' HTTP API; timeline: where a call's time went

Cause: operators need plan, confirm, status, drain, stop, timeline and events from a shell, with one clear line and a stable exit code for each failure.

--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/client.py
@@ -0,0 +1,199 @@
+"""Ask servers over HTTP, going on to the next one where that is safe."""
+
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TypeVar
+
+import httpcore
+import msgspec
+from expression import Error, Ok, Result
+
+from bendwind_cli.client_settings import ClientSettings, make_ssl_context
+from bendwind_cli.outcome import ExitCode, Failure
+from bendwind_cli.replies import ErrorReply
+
+_Reply = TypeVar("_Reply")
+_PAUSE_S = 0.2
+_CONNECT_TIMEOUT_S = 2.0
+# Every request is safe to resend (docs/OPERATORS_API.md), so these lead on to another server.
+_TRY_ANOTHER = frozenset({"not-leader", "not-a-voter", "no-quorum", "outcome-unknown"})
+_CODES = {
+    "bad-intent": ExitCode.BAD_TOML,
+    "bad-request": ExitCode.USAGE,
+    "refused": ExitCode.NO_CREDENTIALS,
+    "not-leader": ExitCode.NO_ANSWER,
+    "not-a-voter": ExitCode.NO_ANSWER,
+    "no-quorum": ExitCode.NO_ANSWER,
+    "unknown-plan": ExitCode.UNKNOWN_PLAN,
+    "forgotten-plan": ExitCode.UNKNOWN_PLAN,
+    "version-moved": ExitCode.LOST_RACE,
+    "outcome-unknown": ExitCode.OUTCOME_UNKNOWN,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold one HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class Client:
+    """Hold the connections and the addresses to ask, the likeliest first."""
+
+    settings: ClientSettings
+    pool: httpcore.ConnectionPool
+    scheme: str
+    token: str
+    addresses: list[str] = field(default_factory=list)
+
+    def ask(
+        self, method: str, path: str, kind: type[_Reply], body: bytes = b"", key: str = ""
+    ) -> Result[_Reply, Failure]:
+        """Ask control until a voter decides, for as long as the settings allow.
+
+        Errors: no server answered, or a server refused the request.
+        """
+        deadline = time.monotonic() + self.settings.timeout_s
+        while True:
+            done, failure, has_answer = self._ask_round(method, path, body, key)
+            if done is not None:
+                return _decode(done, kind)
+            if not has_answer or time.monotonic() > deadline:
+                return Error(failure)
+            time.sleep(_PAUSE_S)
+
+    def ask_one(
+        self, address: str, method: str, path: str, kind: type[_Reply]
+    ) -> Result[_Reply, Failure]:
+        """Ask one process and no other.
+
+        Errors: it did not answer, or it refused the request.
+        """
+        return self._send(address, method, path, b"", "").bind(lambda got: _decode(got, kind))
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.pool.close()
+
+    def _ask_round(
+        self, method: str, path: str, body: bytes, key: str
+    ) -> tuple[Answer | None, Failure, bool]:
+        failures: list[Failure] = []
+        has_answer = False
+        queue = list(self.addresses)
+        tried: set[str] = set()
+        while queue:
+            address = queue.pop(0)
+            if address in tried:
+                continue
+            tried.add(address)
+            match self._send(address, method, path, body, key):
+                case Result(tag="error", error=failure):
+                    failures.append(failure)
+                case Result(ok=answer):
+                    has_answer = True
+                    error = _read_error(answer)
+                    if error is None or error.error not in _TRY_ANOTHER:
+                        self._prefer(address)
+                        return answer, Failure(ExitCode.DONE, ""), True
+                    failures.append(_explain(error))
+                    if error.leader_url:
+                        queue.insert(0, error.leader_url.partition("//")[2])
+        return None, _worst(failures), has_answer
+
+    def _prefer(self, address: str) -> None:
+        rest = [other for other in self.addresses if other != address]
+        self.addresses = [address, *rest]
+
+    def _send(
+        self, address: str, method: str, path: str, body: bytes, key: str
+    ) -> Result[Answer, Failure]:
+        headers = [("Host", address), ("Content-Length", str(len(body)))]
+        if self.token:
+            headers.append(("Authorization", f"Bearer {self.token}"))
+        if key:
+            headers.append(("Idempotency-Key", key))
+        timeout = self.settings.timeout_s
+        timeouts = {
+            "connect": min(_CONNECT_TIMEOUT_S, timeout),
+            "read": timeout,
+            "write": timeout,
+            "pool": timeout,
+        }
+        url = f"{self.scheme}://{address}{path}"
+        try:
+            response = self.pool.request(
+                method, url, headers=headers, content=body, extensions={"timeout": timeouts}
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+            reason = str(error) or type(error).__name__
+            return Error(Failure(ExitCode.NO_ANSWER, f"{address} did not answer: {reason}"))
+        return Ok(Answer(response.status, response.content))
+
+
+def open_client(settings: ClientSettings) -> Result[Client, Failure]:
+    """Open a client with the settings' credentials.
+
+    Errors: a token or key file that cannot be used.
+    """
+    try:
+        context = make_ssl_context(settings)
+        token = Path(settings.token_file).read_text().split() if settings.token_file else []
+    except OSError as error:
+        reason = f"{error.filename or 'keys'}: {error.strerror or error}"
+        return Error(Failure(ExitCode.NO_CREDENTIALS, reason))
+    pool = httpcore.ConnectionPool(ssl_context=context)
+    scheme = "http" if context is None else "https"
+    return Ok(Client(settings, pool, scheme, token[0] if token else "", list(settings.control)))
+
+
+def _read_error(answer: Answer) -> ErrorReply | None:
+    if answer.status < 400:
+        return None
+    try:
+        return msgspec.json.decode(answer.body, type=ErrorReply)
+    except msgspec.DecodeError:
+        return ErrorReply(f"status {answer.status}")
+
+
+def _decode(answer: Answer, kind: type[_Reply]) -> Result[_Reply, Failure]:
+    # A lost race and an expired plan come as errors in HTTP and as outcomes in the body.
+    try:
+        return Ok(msgspec.json.decode(answer.body, type=kind))
+    except msgspec.DecodeError as fault:
+        error = _read_error(answer)
+        if error is None:
+            return Error(Failure(ExitCode.REFUSED, f"answer not understood: {fault}"))
+        return Error(_explain(error))
+
+
+def _explain(error: ErrorReply) -> Failure:
+    code = _CODES.get(error.error, ExitCode.REFUSED)
+    match error.error:
+        case "bad-intent":
+            place = f"{error.file}: {error.key}" if error.key else error.file
+            line = f"{place}: {error.expected or error.detail}"
+        case "version-moved":
+            line = f"another plan came first: version {error.version} by {error.plan or 'none'}"
+        case "refused":
+            line = "credentials refused"
+        case "not-leader":
+            line = "no leader among the control voters just now"
+        case "no-quorum":
+            line = "control has no quorum; nothing was changed"
+        case "outcome-unknown":
+            line = "outcome not known; run the same command again"
+        case kind:
+            line = f"{kind}: {error.detail}" if error.detail else kind
+    return Failure(code, line)
+
+
+def _worst(failures: list[Failure]) -> Failure:
+    unknown = [found for found in failures if found.code is ExitCode.OUTCOME_UNKNOWN]
+    if unknown:
+        return unknown[0]
+    return Failure(ExitCode.NO_ANSWER, "; ".join(dict.fromkeys(found.line for found in failures)))
--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/outcome.py
@@ -0,0 +1,26 @@
+"""Define how a command can fail and the exit code of each failure."""
+
+import enum
+from dataclasses import dataclass
+
+
+class ExitCode(enum.IntEnum):
+    """List the exit codes of `bendwind`; README.md explains each."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    NO_ANSWER = 3
+    UNKNOWN_PLAN = 4
+    BAD_TOML = 5
+    LOST_RACE = 6
+    NO_CREDENTIALS = 7
+    OUTCOME_UNKNOWN = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Say in one line why a command failed."""
+
+    code: ExitCode
+    line: str
--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -0,0 +1,234 @@
+"""Parse the command line with fire, without running anything."""
+
+import contextlib
+import io
+
+import fire
+import fire.decorators
+from expression import Error, Ok, Result
+
+from bendwind_cli.commands import (
+    Command,
+    ConfirmPlan,
+    Drain,
+    ListEvents,
+    MakeAuthority,
+    MakeInstanceKey,
+    MakeOperatorKey,
+    MakePlan,
+    ShowPlan,
+    ShowStatus,
+    ShowTimeline,
+    Stop,
+    Target,
+)
+
+# fire keeps parse functions in an attribute of this name; the underscore keeps it out of help.
+fire.decorators.FIRE_METADATA = "_fire_metadata"
+# fire would read `007` as 7 and `a,b` as a tuple; every argument here is text.
+_as_text = fire.decorators.SetParseFn(str)
+_YES = frozenset({"True", "true", "yes", "1"})
+
+
+class Help(str):
+    """Hold help text that was asked for."""
+
+    __slots__ = ()
+
+
+def parse_arguments(arguments: list[str]) -> Result[Command | Help, str]:
+    """Turn command-line arguments into a command or the help asked for.
+
+    Errors: one line that says what is wrong with the arguments.
+    """
+    captured = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(captured), contextlib.redirect_stdout(captured):
+            found = fire.Fire(_Bendwind(), arguments, "bendwind", serialize=lambda _: None)
+    except fire.core.FireExit as stop:
+        return _explain_exit(stop.code, captured.getvalue())
+    if isinstance(found, Command):
+        return Ok(found)
+    if isinstance(found, _Bendwind | _Keys):
+        return parse_arguments([*arguments, "--help"])
+    return Error(f"too many arguments: {' '.join(arguments)}")
+
+
+def _explain_exit(code: int, text: str) -> Result[Help, str]:
+    lines = text.splitlines()
+    if code == 0:
+        return Ok(Help("\n".join(line for line in lines if not line.startswith("INFO: "))))
+    errors = [line.removeprefix("ERROR: ") for line in lines if line.startswith("ERROR: ")]
+    first = errors[0] if errors else "wrong usage"
+    return Error(first[:1].lower() + first[1:])
+
+
+class _Keys:
+    """Make the keys of a deployment."""
+
+    @_as_text
+    def authority(self, *, folder: str = "keys", days: str = "3650") -> MakeAuthority:
+        """Make the authority that signs every key of the deployment.
+
+        Args:
+            folder: Where to write authority.pem and authority.key.
+            days: How long the certificate is valid.
+        """
+        return MakeAuthority(folder, days)
+
+    @_as_text
+    def instance(
+        self, name: str, *, hosts: str = "127.0.0.1", folder: str = "keys", days: str = "365"
+    ) -> MakeInstanceKey:
+        """Make an instance's key; write it again to renew it.
+
+        Args:
+            name: The instance's name, as in its settings.
+            hosts: IP numbers or host names it is reached at, separated by commas.
+            folder: Holds the authority; NAME.pem and NAME.key are written there.
+            days: How long the certificate is valid.
+        """
+        return MakeInstanceKey(name, hosts, folder, days)
+
+    @_as_text
+    def operator(self, name: str, *, folder: str = "keys", days: str = "90") -> MakeOperatorKey:
+        """Make an operator's client certificate.
+
+        Args:
+            name: The operator's name, as it appears in logged events.
+            folder: Holds the authority; operator-NAME.pem and operator-NAME.key are written there.
+            days: How long the certificate is valid.
+        """
+        return MakeOperatorKey(name, folder, days)
+
+
+class _Bendwind:
+    """Operate Bendwind: state an intent, read the plan, confirm it, watch what happens.
+
+    Servers are named by --control=HOST:PORT[,HOST:PORT], by a client settings file
+    (--settings=FILE or BENDWIND_SETTINGS), or by BENDWIND_CONTROL.
+    """
+
+    def __init__(self):
+        self.keys = _Keys()
+
+    @_as_text
+    def plan(
+        self,
+        file: str,
+        *,
+        base_version: str = "",
+        expires_s: str = "",
+        control: str = "",
+        settings: str = "",
+    ) -> MakePlan:
+        """Show what an intent would change; nothing takes effect before `confirm`.
+
+        Args:
+            file: The intent, a TOML file.
+            base_version: Refuse unless this version is in force.
+            expires_s: Seconds until the plan can no longer be confirmed.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return MakePlan(Target(control, settings), file, base_version, expires_s)
+
+    @_as_text
+    def confirm(self, plan: str, *, control: str = "", settings: str = "") -> ConfirmPlan:
+        """Put a plan into force; asking again gives the same outcome.
+
+        Args:
+            plan: The plan's id, as `plan` printed it.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return ConfirmPlan(Target(control, settings), plan)
+
+    @_as_text
+    def show(self, plan: str, *, control: str = "", settings: str = "") -> ShowPlan:
+        """Show a plan and what became of it.
+
+        Args:
+            plan: The plan's id.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return ShowPlan(Target(control, settings), plan)
+
+    @_as_text
+    def status(self, *, json: str = "", control: str = "", settings: str = "") -> ShowStatus:
+        """Show the processes, the version in force and who does not have it yet.
+
+        Args:
+            json: Print the server's JSON.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return ShowStatus(Target(control, settings), json in _YES)
+
+    @_as_text
+    def drain(self, name: str, *, kind: str = "", control: str = "", settings: str = "") -> Drain:
+        """Send nothing new to an upstream, or to all upstreams of an instance.
+
+        Args:
+            name: The upstream or instance.
+            kind: Either upstream or instance, where the name alone does not tell.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return Drain(Target(control, settings), name, kind, True)
+
+    @_as_text
+    def undrain(self, name: str, *, kind: str = "", control: str = "", settings: str = "") -> Drain:
+        """Take the mark of `drain` away.
+
+        Args:
+            name: The upstream or instance.
+            kind: Either upstream or instance, where the name alone does not tell.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return Drain(Target(control, settings), name, kind, False)
+
+    @_as_text
+    def stop(self, name: str, *, control: str = "", settings: str = "") -> Stop:
+        """Stop a process once the calls it holds are answered.
+
+        Args:
+            name: The instance.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return Stop(Target(control, settings), name)
+
+    @_as_text
+    def timeline(
+        self,
+        *,
+        call: str = "",
+        plan: str = "",
+        upstream: str = "",
+        event: str = "",
+        limit: str = "200",
+        json: str = "",
+        control: str = "",
+        settings: str = "",
+    ) -> ShowTimeline:
+        """Show the events of all processes in causal order; with --call, where its time went.
+
+        Args:
+            call: Only events of this call, as its Bendwind-Call header names it.
+            plan: Only events of this plan.
+            upstream: Only events of this upstream.
+            event: Only events of this number or name.
+            limit: The newest events of each process.
+            json: Print one JSON object a line.
+            control: Addresses of processes, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        target = Target(control, settings)
+        return ShowTimeline(target, call, plan, upstream, event, limit, json in _YES)
+
+    def events(self) -> ListEvents:
+        """List the numbered events that processes record."""
+        return ListEvents()
--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -0,0 +1,147 @@
+"""Define the answers of the operators' HTTP API that the client reads."""
+
+import msgspec
+
+
+class ErrorReply(msgspec.Struct, frozen=True):
+    """Hold an error as docs/OPERATORS_API.md lists them."""
+
+    error: str
+    detail: str = ""
+    file: str = ""
+    key: str = ""
+    expected: str = ""
+    version: int | None = None
+    plan: str | None = None
+    leader: str | None = None
+    leader_url: str | None = None
+
+
+class OutcomeReply(msgspec.Struct, frozen=True):
+    """Say what became of a plan."""
+
+    kind: str
+    plan: str
+    version: int | None = None
+
+
+class Affected(msgspec.Struct, frozen=True):
+    """Name what a plan touches."""
+
+    services: tuple[str, ...] = ()
+    upstreams: tuple[str, ...] = ()
+    instances: tuple[str, ...] = ()
+
+
+class WarningReply(msgspec.Struct, frozen=True):
+    """Warn of an effect that the operator may not want."""
+
+    kind: str
+    service: str = ""
+    detail: str = ""
+
+
+class PlanReply(msgspec.Struct, frozen=True):
+    """Hold a plan."""
+
+    id: str
+    state: str
+    base_version: int
+    created_ms: int = 0
+    expires_ms: int = 0
+    outcome: OutcomeReply | None = None
+    affected: Affected = Affected()
+    warnings: tuple[WarningReply, ...] = ()
+    lines: tuple[str, ...] = ()
+
+
+class DrainReply(msgspec.Struct, frozen=True):
+    """Hold the drain mark of an instance or upstream."""
+
+    name: str
+    draining: bool
+    version: int | None = None
+
+
+class VoterReply(msgspec.Struct, frozen=True):
+    """Describe a control voter."""
+
+    name: str
+    role: str
+    applied: int = 0
+    last_heard_ms: float | None = None
+
+
+class NodeReply(msgspec.Struct, frozen=True):
+    """Describe a node; `operators` is its operators' address where the server knows it."""
+
+    name: str
+    data_centre: str = ""
+    version: int = 0
+    last_heard_ms: float | None = None
+    operators: str = ""
+
+
+class UpstreamReply(msgspec.Struct, frozen=True):
+    """Describe an upstream."""
+
+    name: str
+    service: str
+    owner: str = ""
+    state: str = ""
+    slots: int = 0
+    connections: int = 0
+
+
+class DrainingReply(msgspec.Struct, frozen=True):
+    """Name what is marked as leaving."""
+
+    instances: tuple[str, ...] = ()
+    upstreams: tuple[str, ...] = ()
+
+
+class StatusReply(msgspec.Struct, frozen=True):
+    """Hold the status of a process and of what it knows."""
+
+    instance: str
+    data_centre: str = ""
+    voter: bool = False
+    stopping: bool = False
+    version: int = 0
+    confirmed: bool = False
+    confirmed_age_ms: float | None = None
+    leader: str | None = None
+    voters: tuple[VoterReply, ...] = ()
+    nodes: tuple[NodeReply, ...] = ()
+    not_there_yet: tuple[str, ...] = ()
+    upstreams: tuple[UpstreamReply, ...] = ()
+    draining: DrainingReply = DrainingReply()
+
+
+class EventReply(msgspec.Struct, frozen=True):
+    """Hold one recorded event."""
+
+    number: int
+    name: str
+    instance: str
+    physical_ms: int
+    logical: int
+    call: str = ""
+    upstream: str = ""
+    plan: str = ""
+    detail: str = ""
+    monotonic_us: int = 0
+
+
+class TimelineReply(msgspec.Struct, frozen=True):
+    """Hold one process's events."""
+
+    instance: str
+    events: tuple[EventReply, ...]
+
+
+class StopReply(msgspec.Struct, frozen=True):
+    """Confirm that a process stops."""
+
+    instance: str
+    stopping: bool
--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -0,0 +1,67 @@
+"""Carry out commands."""
+
+from collections.abc import Callable
+
+from expression import Result
+
+from bendwind_cli import instances, plans, timeline
+from bendwind_cli.client import Client, open_client
+from bendwind_cli.client_settings import find_settings
+from bendwind_cli.commands import (
+    Command,
+    ConfirmPlan,
+    Drain,
+    ListEvents,
+    MakeAuthority,
+    MakeInstanceKey,
+    MakeOperatorKey,
+    MakePlan,
+    ShowPlan,
+    ShowStatus,
+    ShowTimeline,
+    Stop,
+    Target,
+)
+from bendwind_cli.outcome import Failure
+
+
+def run_command(command: Command) -> Result[str, Failure]:
+    """Carry out a command and return the text to print.
+
+    Errors: why the command failed, with its exit code.
+    """
+    match command:
+        case MakePlan():
+            return _with_client(command.target, lambda client: plans.make_plan(client, command))
+        case ConfirmPlan():
+            return _with_client(command.target, lambda client: plans.confirm(client, command.plan))
+        case ShowPlan():
+            return _with_client(command.target, lambda client: plans.show(client, command.plan))
+        case ShowStatus():
+            return _with_client(command.target, lambda client: instances.status(client, command))
+        case Drain():
+            return _with_client(command.target, lambda client: instances.drain(client, command))
+        case Stop():
+            return _with_client(command.target, lambda client: instances.stop(client, command.name))
+        case ShowTimeline():
+            return _with_client(command.target, lambda client: timeline.show(client, command))
+        case ListEvents():
+            return timeline.list_events()
+        case MakeAuthority() | MakeInstanceKey() | MakeOperatorKey():
+            # cryptography is large and only these commands need it.
+            from bendwind_cli.keys import make_keys
+
+            return make_keys(command)
+
+
+def _with_client(
+    target: Target, use: Callable[[Client], Result[str, Failure]]
+) -> Result[str, Failure]:
+    opened = find_settings(target).bind(open_client)
+    if opened.is_error():
+        return opened
+    client = opened.ok
+    try:
+        return use(client)
+    finally:
+        client.close()
--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -0,0 +1,228 @@
+import contextlib
+import io
+import os
+import re
+import tempfile
+import threading
+import unittest
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+
+from bendwind_cli.main import run_arguments
+from bendwind_cli.outcome import ExitCode
+
+PLAN = {
+    "id": "p17",
+    "state": "proposed",
+    "base_version": 12,
+    "created_ms": 0,
+    "expires_ms": 900_000,
+    "affected": {"services": ["emisor"], "upstreams": [], "instances": ["b"]},
+    "warnings": [{"kind": "rule-loosened", "service": "emisor", "detail": "POST /: loosened"}],
+    "lines": ["~ service emisor", "    longest_wait_ms: 2000 -> 1500"],
+}
+STATUS = {
+    "instance": "a",
+    "leader": "a",
+    "version": 18,
+    "confirmed": True,
+    "nodes": [{"name": "b", "data_centre": "x", "version": 17}],
+    "not_there_yet": ["b"],
+    "upstreams": [{"name": "emisor-1", "service": "emisor", "state": "ready"}],
+}
+EVENT = {"number": 501, "name": "X", "instance": "a", "physical_ms": 9, "logical": 0, "plan": "p1"}
+
+
+class Server:
+    """Answer each request by the first script entry whose method and path match."""
+
+    def __init__(self, *script):
+        self.seen = []
+        server = self
+
+        class Handler(BaseHTTPRequestHandler):
+            def handle_any(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                server.seen.append((self.command, self.path, dict(self.headers), body))
+                status, reply = next(
+                    (
+                        entry[1:]
+                        for entry in script
+                        if f"{self.command} {self.path}".startswith(entry[0])
+                    ),
+                    (404, {"error": "not-found", "detail": self.path}),
+                )
+                data = msgspec.json.encode(reply)
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_POST = do_DELETE = handle_any  # noqa: N815 - names of http.server
+
+            def log_message(self, *_):
+                pass
+
+        self.http = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self.http.server_address[1]}"
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class TestMain(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        clean = {name: text for name, text in os.environ.items() if "BENDWIND" not in name}
+        patched = mock.patch.dict(os.environ, clean, clear=True)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def serve(self, *script) -> Server:
+        server = Server(*script)
+        self.addCleanup(server.close)
+        return server
+
+    def run_line(self, *arguments) -> tuple[int, str, str]:
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = run_arguments(list(arguments))
+        return code, out.getvalue(), err.getvalue()
+
+    def assert_fails(self, arguments, code: ExitCode, pattern: str):
+        found, out, err = self.run_line(*arguments)
+        self.assertEqual((found, out), (code, ""), err)
+        self.assertRegex(err, f"^bendwind: .*{pattern}.*\n$")
+
+    def test_every_level_has_help(self):
+        for arguments in ([], ["--help"], ["keys"], ["keys", "--help"]):
+            code, out, err = self.run_line(*arguments)
+            self.assertEqual((code, err), (0, ""), arguments)
+            self.assertIn("COMMAND", out)
+            self.assertNotIn("FIRE_METADATA", out)
+        for name in ("plan", "confirm", "show", "status", "drain", "undrain", "stop", "timeline"):
+            code, out, _ = self.run_line(name, "--help")
+            self.assertEqual((code, "--control" in out), (0, True), name)
+
+    def test_wrong_usage_is_one_line(self):
+        cases = [
+            (["no-such"], "consume arg: no-such"),
+            (["confirm"], "required argument: plan"),
+            (["confirm", "p1", "--bogus=1"], "--bogus"),
+            (["confirm", "p1", "a"], "consume arg: a"),
+            (["confirm", "p1", "plan"], "too many arguments"),
+            (["confirm", "p1"], "no server named"),
+            (["confirm", "p1", "--control=here"], "expected HOST:PORT"),
+            (["timeline", "--event=7", "--control=h:1"], "expected a number or name"),
+            (["plan", "x", "--expires-s=soon", "--control=h:1"], "expires_s"),
+            (["drain", "x", "--kind=y", "--control=h:1"], "kind: expected instance or upstream"),
+            (["keys", "authority", "--days=0"], "days: expected 1 to 36500"),
+        ]
+        for arguments, pattern in cases:
+            with self.subTest(arguments):
+                self.assert_fails(arguments, ExitCode.USAGE, pattern)
+
+    def test_shows_a_plan_like_a_diff(self):
+        server = self.serve(("POST /v1/plans?file=", 201, PLAN))
+        intent = self.folder / "007"
+        intent.write_text("services = []")
+        code, out, err = self.run_line("plan", str(intent), f"--control={server.address}")
+        self.assertEqual((code, err), (0, ""))
+        self.assertIn("    longest_wait_ms: 2000 -> 1500", out)
+        self.assertIn("affects services: emisor", out)
+        self.assertIn("warning: emisor: POST /: loosened", out)
+        self.assertTrue(out.endswith("nothing takes effect before: bendwind confirm p17\n"))
+        self.assertEqual(server.seen[0][3], b"services = []")
+        self.assertIn("Idempotency-Key", server.seen[0][2])
+
+    def test_follows_the_leader_and_passes_dead_servers(self):
+        done = {"kind": "confirmed", "plan": "007", "version": 18}
+        leader = self.serve(("POST /v1/plans/007/confirm", 200, done))
+        hint = {"error": "not-leader", "leader_url": f"http://{leader.address}"}
+        other = self.serve(("POST", 421, hint))
+        line = f"--control=127.0.0.1:1,{other.address}"
+        self.assertEqual(
+            self.run_line("confirm", "007", line), (0, "007: confirmed as version 18\n", "")
+        )
+
+    def test_each_refusal_has_its_exit_code(self):
+        cases = [
+            ((409, {"kind": "won-by", "plan": "p2", "version": 9}), 6, "p2 came first"),
+            ((410, {"kind": "expired", "plan": "p1"}), 4, "expired"),
+            ((404, {"error": "unknown-plan", "detail": "p1"}), 4, "unknown-plan"),
+            ((410, {"error": "forgotten-plan"}), 4, "forgotten-plan"),
+            ((401, {"error": "refused", "detail": ""}), 7, "credentials refused"),
+            ((500, {"oops": 1}), 1, "status 500"),
+            ((503, {"error": "no-quorum"}), 3, "no quorum"),
+            ((504, {"error": "outcome-unknown"}), 8, "run the same command again"),
+        ]
+        settings = self.folder / "client.toml"
+        for (status, reply), code, pattern in cases:
+            with self.subTest(reply):
+                server = self.serve(("POST", status, reply))
+                settings.write_text(f'control = ["{server.address}"]\ntimeout_s = 0.1\n')
+                self.assert_fails(["confirm", "p1", f"--settings={settings}"], code, pattern)
+
+    def test_bad_intent_names_file_key_and_expectation(self):
+        reply = {"error": "bad-intent", "file": "f", "key": "services[0]", "expected": "expected x"}
+        server = self.serve(("POST", 400, reply))
+        (self.folder / "f").write_text("")
+        line = ["plan", str(self.folder / "f"), f"--control={server.address}"]
+        self.assert_fails(line, ExitCode.BAD_TOML, re.escape("f: services[0]: expected x"))
+        self.assert_fails(["plan", "none", "--control=h:1"], ExitCode.BAD_TOML, "readable file")
+
+    def test_no_server_is_one_line(self):
+        os.environ["BENDWIND_CONTROL"] = "127.0.0.1:1,127.0.0.1:2"
+        self.assert_fails(["status"], ExitCode.NO_ANSWER, "127.0.0.1:. did not answer")
+        self.assert_fails(["confirm", "p"], ExitCode.NO_ANSWER, "did not answer.*did not answer")
+
+    def test_status_names_who_lacks_the_version(self):
+        server = self.serve(("GET /v1/status", 200, STATUS))
+        code, out, _ = self.run_line("status", f"--control={server.address}")
+        self.assertEqual(code, 0)
+        self.assertIn("version 18, confirmed by a quorum", out)
+        self.assertIn("node b in x: version 17  (not there yet)", out)
+
+    def test_drain_finds_out_what_a_name_is(self):
+        reply = {"name": "emisor-1", "draining": True, "version": 19}
+        server = self.serve(
+            ("GET /v1/status", 200, STATUS), ("POST /v1/upstreams/emisor-1/drain", 200, reply)
+        )
+        line = f"--control={server.address}"
+        code, out, _ = self.run_line("drain", "emisor-1", line)
+        self.assertEqual((code, out), (0, "emisor-1: draining, as of version 19\n"))
+        self.assert_fails(["drain", "nobody", line], ExitCode.REFUSED, "no such instance")
+
+    def test_stop_goes_to_the_named_process_only(self):
+        server = self.serve(
+            ("GET /v1/status", 200, STATUS),
+            ("POST /v1/stop", 202, {"instance": "a", "stopping": True}),
+        )
+        line = f"--control={server.address}"
+        self.assertEqual(self.run_line("stop", "a", line)[0], 0)
+        self.assert_fails(["stop", "b", line], ExitCode.USAGE, "address not known")
+
+    def test_timeline_merges_and_names_who_did_not_answer(self):
+        server = self.serve(
+            ("GET /v1/status", 200, STATUS),
+            ("GET /v1/timeline", 200, {"instance": "a", "events": [EVENT | {"number": 801}]}),
+        )
+        line = f"--control={server.address},127.0.0.1:1"
+        code, out, err = self.run_line("timeline", line)
+        self.assertEqual(code, 0)
+        self.assertEqual(out, "1970-01-01T00:00:00.009Z+0 a 801 PROCESS_STARTED plan=p1\n")
+        self.assertRegex(err, "^bendwind: left out: 127.0.0.1:1 did not answer.*\n$")
+
+    def test_events_lists_number_level_and_name(self):
+        self.assertIn("801  INFO    PROCESS_STARTED", self.run_line("events")[1])
+
+
+if __name__ == "__main__":
+    unittest.main()
