consensus: replica of the control log as a pure state machine

Cause: configuration, plans and claim groups need one order that survives crashes, and there is no outside store. Replies wait for the sync of what they promise.

--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/consensus/election.py
@@ -0,0 +1,189 @@
+"""Elect one leader a term, with a trial vote first, and let a leader without a quorum go.
+
+Source: Ongaro, "Consensus: Bridging Theory and Practice", 2014, chapters 3, 4.2.3, 6.2 and 9.6.
+"""
+
+import random
+
+from bendwind_core.consensus.durability import is_disk_stalled
+from bendwind_core.consensus.events import Lost, ProposalDone
+from bendwind_core.consensus.messages import VoteReply, VoteRequest
+from bendwind_core.consensus.records import Entry, Voter
+from bendwind_core.consensus.replica import (
+    Replica,
+    Role,
+    append_entry,
+    draw_timeout,
+    send,
+    send_durable,
+    set_hard_state,
+    set_leader,
+)
+from bendwind_core.consensus.replication import broadcast, create_progress, start_round
+from bendwind_core.core import Seconds
+
+
+def tick_election(replica: Replica, now: Seconds, rng: random.Random) -> None:
+    """Campaign when no leader was heard in time; step down when no quorum was."""
+    if replica.is_leader:
+        if not has_quorum_contact(replica, now) or is_disk_stalled(replica, now):
+            become_follower(replica, replica.hard.term, None, now, rng)
+    elif now >= replica.deadline:
+        replica.deadline = now + draw_timeout(replica.settings, rng)
+        if _may_campaign(replica, now):
+            _campaign(replica, Role.TRIAL, now)
+
+
+def has_quorum_contact(replica: Replica, now: Seconds) -> bool:
+    """Tell whether a quorum was heard within one election timeout."""
+    oldest = now - replica.settings.election_s
+    recent = {
+        progress.voter.voter_id
+        for progress in replica.progress.values()
+        if progress.contact_at >= oldest
+    }
+    recent.add(replica.voter.voter_id)
+    present = sum(voter.voter_id in recent for voter in replica.voters.voters)
+    return present >= replica.voters.quorum()
+
+
+def _may_campaign(replica: Replica, now: Seconds) -> bool:
+    is_voter = replica.voters.has_voter(replica.voter.voter_id)
+    is_able = replica.role in (Role.FOLLOWER, Role.TRIAL, Role.CANDIDATE)
+    return is_voter and is_able and not is_disk_stalled(replica, now)
+
+
+def _campaign(replica: Replica, role: Role, now: Seconds) -> None:
+    set_leader(replica, None)
+    replica.role = role
+    replica.votes.clear()
+    is_trial = role is Role.TRIAL
+    if not is_trial:
+        set_hard_state(replica, replica.hard.term + 1, replica.voter.voter_id)
+    term = replica.hard.term + 1 if is_trial else replica.hard.term
+    for voter in replica.voters.voters:
+        if voter.voter_id != replica.voter.voter_id:
+            send_durable(replica, _vote_request(replica, voter, term, is_trial), voter)
+    count_votes(replica, now)
+
+
+def _vote_request(replica: Replica, to: Voter, term: int, is_trial: bool) -> VoteRequest:
+    return VoteRequest(
+        cluster=replica.hard.cluster,
+        sender=replica.voter,
+        to=to.voter_id,
+        term=term,
+        is_trial=is_trial,
+        last_index=replica.log.last_index,
+        last_term=replica.log.last_term,
+    )
+
+
+def receive_vote_request(
+    replica: Replica, request: VoteRequest, now: Seconds, rng: random.Random
+) -> None:
+    """Grant a vote once a term to a candidate whose log is not behind; trials promise nothing."""
+    if _has_recent_leader(replica, now) and request.term > replica.hard.term:
+        return
+    if request.is_trial:
+        is_granted = request.term > replica.hard.term and _is_log_current(replica, request)
+        send(replica, _vote_reply(replica, request, is_granted), request.sender)
+        return
+    if request.term > replica.hard.term:
+        become_follower(replica, request.term, None, now, rng)
+    is_free = replica.hard.voted_for in (0, request.sender.voter_id)
+    is_granted = (
+        request.term == replica.hard.term
+        and replica.role is Role.FOLLOWER
+        and is_free
+        and _is_log_current(replica, request)
+    )
+    if is_granted:
+        set_hard_state(replica, request.term, request.sender.voter_id)
+        replica.deadline = now + draw_timeout(replica.settings, rng)
+    send_durable(replica, _vote_reply(replica, request, is_granted), request.sender)
+
+
+def _has_recent_leader(replica: Replica, now: Seconds) -> bool:
+    if replica.is_leader:
+        return has_quorum_contact(replica, now)
+    heard_at = replica.leader_contact_at
+    return heard_at is not None and now - heard_at < replica.settings.election_s
+
+
+def _is_log_current(replica: Replica, request: VoteRequest) -> bool:
+    own = (replica.log.last_term, replica.log.last_index)
+    return (request.last_term, request.last_index) >= own
+
+
+def _vote_reply(replica: Replica, request: VoteRequest, is_granted: bool) -> VoteReply:
+    return VoteReply(
+        cluster=replica.hard.cluster,
+        sender=replica.voter,
+        to=request.sender.voter_id,
+        term=replica.hard.term,
+        is_trial=request.is_trial,
+        asked_term=request.term,
+        is_granted=is_granted,
+    )
+
+
+def receive_vote_reply(
+    replica: Replica, reply: VoteReply, now: Seconds, rng: random.Random
+) -> None:
+    """Count a vote for the term that was asked for."""
+    if reply.term > replica.hard.term:
+        become_follower(replica, reply.term, None, now, rng)
+        return
+    role = Role.TRIAL if reply.is_trial else Role.CANDIDATE
+    asked_term = replica.hard.term + 1 if reply.is_trial else replica.hard.term
+    if reply.is_granted and replica.role is role and reply.asked_term == asked_term:
+        replica.votes.add(reply.sender.voter_id)
+        count_votes(replica, now)
+
+
+def count_votes(replica: Replica, now: Seconds) -> None:
+    """Move on when a quorum has granted; the own vote counts once it is synced."""
+    if replica.role not in (Role.TRIAL, Role.CANDIDATE):
+        return
+    is_own_durable = replica.durable_hard.term >= replica.hard.term
+    if replica.role is Role.TRIAL or is_own_durable:
+        replica.votes.add(replica.voter.voter_id)
+    granted = sum(voter.voter_id in replica.votes for voter in replica.voters.voters)
+    if granted < replica.voters.quorum():
+        return
+    if replica.role is Role.TRIAL:
+        _campaign(replica, Role.CANDIDATE, now)
+    else:
+        _become_leader(replica, now)
+
+
+def _become_leader(replica: Replica, now: Seconds) -> None:
+    replica.role = Role.LEADER
+    replica.round = 0
+    replica.reads.leader.clear()
+    replica.proposals.clear()
+    replica.progress.clear()
+    create_progress(replica, now)
+    set_leader(replica, replica.voter)
+    append_entry(replica, Entry(replica.log.last_index + 1, replica.hard.term))
+    start_round(replica, now)
+    broadcast(replica, now)
+
+
+def become_follower(
+    replica: Replica, term: int, leader: Voter | None, now: Seconds, rng: random.Random
+) -> None:
+    """Take a term and a leader; proposals that were not committed by now have no known outcome."""
+    if term > replica.hard.term:
+        set_hard_state(replica, term, 0)
+    if replica.role is not Role.REMOVED:
+        replica.role = Role.FOLLOWER
+    replica.deadline = now + draw_timeout(replica.settings, rng)
+    for request_id in replica.proposals.values():
+        replica.effects.append(ProposalDone(request_id, Lost()))
+    replica.proposals.clear()
+    replica.progress.clear()
+    replica.reads.leader.clear()
+    replica.incoming = None
+    set_leader(replica, leader)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/consensus/log.py
@@ -0,0 +1,85 @@
+"""Hold a replica's log in memory: a snapshot and the entries around and after it."""
+
+from dataclasses import dataclass, field
+
+from bendwind_core.consensus.records import EMPTY_SNAPSHOT, Entry, Snapshot
+
+
+@dataclass(slots=True)
+class Log:
+    """Hold consecutive entries; some at or before the snapshot may be kept for slow followers."""
+
+    snapshot: Snapshot = EMPTY_SNAPSHOT
+    entries: list[Entry] = field(default_factory=list)
+    entry_bytes: int = 0
+
+    @property
+    def first_index(self) -> int:
+        """Return the index of the first entry that is or will be held."""
+        return self.entries[0].index if self.entries else self.snapshot.index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry, or of the snapshot."""
+        return self.entries[-1].index if self.entries else self.snapshot.index
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry, or of the snapshot."""
+        return self.entries[-1].term if self.entries else self.snapshot.term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at an index, or None when it is not held."""
+        if index == 0:
+            return 0
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        position = index - self.first_index
+        if 0 <= position < len(self.entries):
+            return self.entries[position].term
+        return None
+
+    def find_entry(self, index: int) -> Entry:
+        """Return the entry at an index that is held."""
+        return self.entries[index - self.first_index]
+
+    def read_batch(self, start: int, max_entries: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return entries from an index on, at least one if there is any, within the bounds."""
+        position = start - self.first_index
+        batch: list[Entry] = []
+        size = 0
+        for entry in self.entries[position : position + max_entries]:
+            size += len(entry.command)
+            if batch and size > max_bytes:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def append(self, entry: Entry) -> None:
+        """Add the next entry."""
+        if entry.index != self.last_index + 1:
+            raise AssertionError(f"entry {entry.index} after {self.last_index}")
+        self.entries.append(entry)
+        self.entry_bytes += len(entry.command)
+
+    def truncate(self, start: int) -> None:
+        """Drop the entries from an index on."""
+        del self.entries[max(0, start - self.first_index) :]
+        self._count_bytes()
+
+    def compact(self, snapshot: Snapshot, keep: int) -> None:
+        """Take a snapshot of applied entries and keep only some entries before it."""
+        self.snapshot = snapshot
+        dropped = snapshot.index - keep - self.first_index + 1
+        if dropped > 0:
+            del self.entries[:dropped]
+        self._count_bytes()
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Replace the whole log by a snapshot."""
+        self.snapshot = snapshot
+        self.entries.clear()
+        self.entry_bytes = 0
+
+    def _count_bytes(self) -> None:
+        self.entry_bytes = sum(len(entry.command) for entry in self.entries)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/consensus/membership.py
@@ -0,0 +1,161 @@
+"""Change the voter set through the log, one voter at a time.
+
+A voter with an empty disk enters as a learner. Once it has caught up, the voter it replaces is
+taken out, and the learner is made a voter by the next change. Source: Ongaro, 2014, chapter 4.
+"""
+
+import random
+
+import msgspec
+
+from bendwind_core.consensus.election import become_follower
+from bendwind_core.consensus.events import (
+    NotLeader,
+    ProposalDone,
+    Refused,
+    RemoveVoter,
+    SelfRemoved,
+)
+from bendwind_core.consensus.messages import Removed
+from bendwind_core.consensus.records import Entry, Voter, VoterSet
+from bendwind_core.consensus.replica import (
+    Progress,
+    Replica,
+    Role,
+    append_entry,
+    send,
+)
+from bendwind_core.consensus.replication import broadcast, create_progress
+from bendwind_core.core import Seconds
+
+# A voter is replaced only after a silence that no restart of its process lasts.
+SILENT_TIMEOUTS = 3
+MAX_REMOVED = 1024
+
+
+def admit_learner(replica: Replica, newcomer: Voter, now: Seconds) -> None:
+    """Take a voter with an empty disk in as a learner, when its name is in the settings."""
+    voters = replica.voters
+    if newcomer.voter_id in voters.removed:
+        tell_removed(replica, newcomer)
+        return
+    is_known = voters.find_member(newcomer.voter_id) is not None
+    if is_known or newcomer.name not in replica.names or not _may_change(replica):
+        return
+    replaced = [learner for learner in voters.learners if learner.name == newcomer.name]
+    kept = tuple(learner for learner in voters.learners if learner not in replaced)
+    changed = msgspec.structs.replace(
+        voters,
+        learners=(*kept, newcomer),
+        removed=_add_removed(voters, replaced),
+    )
+    _append_change(replica, changed, now)
+
+
+def _may_change(replica: Replica) -> bool:
+    is_settled = replica.log.term_at(replica.commit) == replica.hard.term
+    return replica.is_leader and is_settled and not replica.is_change_pending
+
+
+def _add_removed(voters: VoterSet, gone: list[Voter]) -> tuple[int, ...]:
+    ids = tuple(voter.voter_id for voter in gone)
+    return (voters.removed + ids)[-MAX_REMOVED:]
+
+
+def _append_change(replica: Replica, voters: VoterSet, now: Seconds) -> None:
+    entry = Entry(replica.log.last_index + 1, replica.hard.term, voters=voters)
+    append_entry(replica, entry)
+    create_progress(replica, now)
+    broadcast(replica, now)
+
+
+def tick_membership(replica: Replica, now: Seconds) -> None:
+    """Make the next change that a caught-up learner needs."""
+    if not _may_change(replica):
+        return
+    for learner in replica.voters.learners:
+        progress = replica.progress[learner.voter_id]
+        if not _is_caught_up(replica, progress, now):
+            continue
+        former = [voter for voter in replica.voters.voters if voter.name == learner.name]
+        if not former:
+            _promote(replica, learner, now)
+            return
+        if _is_silent(replica, former[0], now):
+            _take_out(replica, former[0], now)
+            return
+
+
+def _is_caught_up(replica: Replica, progress: Progress, now: Seconds) -> bool:
+    is_recent = now - progress.contact_at <= replica.settings.election_s
+    return is_recent and progress.match >= replica.commit
+
+
+def _is_silent(replica: Replica, voter: Voter, now: Seconds) -> bool:
+    progress = replica.progress.get(voter.voter_id)
+    limit = SILENT_TIMEOUTS * replica.settings.election_s
+    return progress is not None and now - progress.contact_at > limit
+
+
+def _promote(replica: Replica, learner: Voter, now: Seconds) -> None:
+    voters = replica.voters
+    learners = tuple(known for known in voters.learners if known != learner)
+    changed = msgspec.structs.replace(voters, voters=(*voters.voters, learner), learners=learners)
+    _append_change(replica, changed, now)
+
+
+def _take_out(replica: Replica, voter: Voter, now: Seconds) -> None:
+    voters = replica.voters
+    changed = msgspec.structs.replace(
+        voters,
+        voters=tuple(known for known in voters.voters if known != voter),
+        removed=_add_removed(voters, [voter]),
+    )
+    _append_change(replica, changed, now)
+
+
+def remove_voter(replica: Replica, event: RemoveVoter, now: Seconds) -> None:
+    """Take the voter of a name out of the set, unless a change is under way or it is the last."""
+    if not replica.is_leader:
+        outcome = NotLeader(replica.leader_name())
+        replica.effects.append(ProposalDone(event.request_id, outcome))
+        return
+    found = [voter for voter in replica.voters.voters if voter.name == event.name]
+    reason = _find_objection(replica, found)
+    if reason:
+        replica.effects.append(ProposalDone(event.request_id, Refused(reason)))
+        return
+    _take_out(replica, found[0], now)
+    replica.proposals[replica.log.last_index] = event.request_id
+
+
+def _find_objection(replica: Replica, found: list[Voter]) -> str:
+    if not found:
+        return "no voter has this name"
+    if len(replica.voters.voters) == 1:
+        return "the last voter cannot be removed"
+    if not _may_change(replica):
+        return "another change of voters is under way"
+    return ""
+
+
+def leave_when_removed(replica: Replica, now: Seconds, rng: random.Random) -> None:
+    """Stop taking part once a committed voter set names the own id as removed."""
+    is_removed = replica.voter.voter_id in replica.committed_voters.removed
+    if is_removed and replica.role is not Role.REMOVED:
+        become_removed(replica, now, rng)
+
+
+def become_removed(replica: Replica, now: Seconds, rng: random.Random) -> None:
+    """Take no further part under this id."""
+    become_follower(replica, replica.hard.term, None, now, rng)
+    replica.role = Role.REMOVED
+    replica.effects.append(SelfRemoved())
+
+
+def tell_removed(replica: Replica, voter: Voter) -> None:
+    """Tell a replaced voter so; only a leader knows that the removal is committed."""
+    if not replica.is_leader or voter.voter_id not in replica.committed_voters.removed:
+        return
+    message = Removed(replica.hard.cluster, replica.voter, voter.voter_id, replica.hard.term)
+    send(replica, message, voter)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/consensus/messages.py
@@ -0,0 +1,155 @@
+"""Define the messages between the voters of the control log.
+
+Every message but an Offer names the cluster, the sender's id and the receiver's id: names outlive
+disks, ids do not.
+"""
+
+from bendwind_core.consensus.records import Entry, Voter, VoterSet
+from bendwind_core.core import Record
+
+
+class Offer(Record, frozen=True, array_like=True, tag="raft-offer"):
+    """Introduce a voter that has no log, and ask who has one."""
+
+    sender: Voter
+
+
+class OfferReply(Record, frozen=True, array_like=True, tag="raft-offer-reply"):
+    """Answer the offer of the voter `to`; `is_formed` tells that the sender has a log."""
+
+    sender: Voter
+    to: int
+    is_formed: bool
+
+
+class Form(Record, frozen=True, array_like=True, tag="raft-form"):
+    """Carry the first entry of the log to a voter that it names."""
+
+    sender: Voter
+    to: int
+    voters: VoterSet
+
+
+class VoteRequest(Record, frozen=True, array_like=True, tag="raft-vote"):
+    """Ask for a vote in a term; with `is_trial`, ask whether it would be given (pre-vote)."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+    is_trial: bool
+    last_index: int
+    last_term: int
+
+
+class VoteReply(Record, frozen=True, array_like=True, tag="raft-vote-reply"):
+    """Answer a vote request; `asked_term` repeats its term, `term` is the sender's own."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+    is_trial: bool
+    asked_term: int
+    is_granted: bool
+
+
+class Append(Record, frozen=True, array_like=True, tag="raft-append"):
+    """Carry entries that follow `previous_index`, or none as a heartbeat.
+
+    `round` numbers the leader's rounds of this term; the reply repeats it.
+    """
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+class AppendReply(Record, frozen=True, array_like=True, tag="raft-append-reply"):
+    """Confirm that the log is durable and equal up to `index`, or ask to try from there."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+    is_matching: bool
+    index: int
+    round: int
+
+
+class SnapshotChunk(Record, frozen=True, array_like=True, tag="raft-chunk"):
+    """Carry one part of a snapshot's data, from `offset` of `size` bytes."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+    index: int
+    snapshot_term: int
+    voters: VoterSet
+    offset: int
+    size: int
+    data: bytes
+    round: int
+
+
+class ChunkReply(Record, frozen=True, array_like=True, tag="raft-chunk-reply"):
+    """Name the offset of the next part wanted of the snapshot at an index."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+    index: int
+    offset: int
+    round: int
+
+
+class ReadRequest(Record, frozen=True, array_like=True, tag="raft-read"):
+    """Ask the leader for an index that holds everything committed by now."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+    number: int
+
+
+class ReadReply(Record, frozen=True, array_like=True, tag="raft-read-reply"):
+    """Answer a read request once a quorum has confirmed the leader."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+    number: int
+    index: int
+
+
+class Removed(Record, frozen=True, array_like=True, tag="raft-removed"):
+    """Tell a voter that its id was replaced and can never vote again."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+
+
+MemberMessage = (
+    VoteRequest
+    | VoteReply
+    | Append
+    | AppendReply
+    | SnapshotChunk
+    | ChunkReply
+    | ReadRequest
+    | ReadReply
+    | Removed
+)
+ConsensusMessage = Offer | OfferReply | Form | MemberMessage
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -0,0 +1,287 @@
+"""Hold the state of one replica of the control log."""
+
+import enum
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from bendwind_core.consensus.events import Effect, LeaderChanged, Send
+from bendwind_core.consensus.log import Log
+from bendwind_core.consensus.records import (
+    EMPTY_SNAPSHOT,
+    Entry,
+    HardState,
+    Snapshot,
+    Voter,
+    VotersAt,
+    VoterSet,
+)
+from bendwind_core.core import Seconds
+
+_READ_NUMBER_BITS = 48
+
+
+class Role(enum.StrEnum):
+    """Say what a replica does in its term."""
+
+    UNFORMED = "unformed"
+    FOLLOWER = "follower"
+    TRIAL = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    REMOVED = "removed"
+
+
+@dataclass(slots=True, frozen=True)
+class ReplicaSettings:
+    """Bound a replica's times and sizes.
+
+    Units: seconds, entries and bytes.
+    """
+
+    heartbeat_s: Seconds = 0.1
+    election_s: Seconds = 1.0
+    barrier_s: Seconds = 3.0
+    batch_entries: int = 64
+    batch_bytes: int = 256 * 1024
+    chunk_bytes: int = 64 * 1024
+    snapshot_entries: int = 1000
+    snapshot_bytes: int = 1024 * 1024
+    kept_entries: int = 100
+    pending_proposals: int = 512
+
+
+@dataclass(slots=True)
+class Progress:
+    """Track what the leader knows of one other replica.
+
+    `awaits_index` is what a reply to the last batch or snapshot part will confirm.
+    """
+
+    voter: Voter
+    next_index: int
+    contact_at: Seconds
+    match: int = 0
+    round: int = 0
+    awaits_index: int | None = None
+    awaits_since: Seconds = 0.0
+    snapshot_index: int = 0
+    snapshot_offset: int = 0
+
+
+@dataclass(slots=True)
+class PendingWrite:
+    """Track a write that is not yet known to be synced, and what waits for it."""
+
+    token: int
+    hard_state: HardState
+    last_index: int
+    requested_at: Seconds
+    sends: list[Send] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class LocalRead:
+    """Track a barrier of this process; `number` is that of the read it waits for, or 0."""
+
+    request_id: int
+    deadline: Seconds
+    number: int = 0
+
+
+@dataclass(slots=True)
+class LeaderRead:
+    """Track a read that the leader confirms with a round; 0 while it waits for one."""
+
+    voter: Voter
+    number: int
+    round: int = 0
+
+
+@dataclass(slots=True)
+class ReadyRead:
+    """Track a confirmed barrier that waits for its index to be applied."""
+
+    request_id: int
+    index: int
+    started_at: Seconds
+
+
+@dataclass(slots=True)
+class Reads:
+    """Hold the barriers of this process and, on a leader, those of all voters.
+
+    One read at a time is open; barriers that come while it is wait for the next.
+    """
+
+    number: int
+    is_open: bool = False
+    started_at: Seconds = 0.0
+    local: list[LocalRead] = field(default_factory=list)
+    ready: list[ReadyRead] = field(default_factory=list)
+    leader: list[LeaderRead] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class IncomingSnapshot:
+    """Collect the parts of a snapshot that a leader sends."""
+
+    index: int
+    term: int
+    data: bytearray
+
+
+@dataclass(slots=True)
+class Replica:
+    """Own everything that one replica knows."""
+
+    voter: Voter
+    names: tuple[str, ...]
+    settings: ReplicaSettings
+    hard: HardState
+    log: Log
+    configurations: list[VotersAt]
+    role: Role
+    deadline: Seconds
+    durable_index: int
+    durable_hard: HardState
+    reads: Reads
+    leader: Voter | None = None
+    leader_contact_at: Seconds | None = None
+    commit: int = 0
+    applied: int = 0
+    votes: set[int] = field(default_factory=set)
+    offers: dict[str, Voter] = field(default_factory=dict)
+    progress: dict[int, Progress] = field(default_factory=dict)
+    proposals: dict[int, int] = field(default_factory=dict)
+    round: int = 0
+    heartbeat_at: Seconds = 0.0
+    incoming: IncomingSnapshot | None = None
+    is_snapshot_due: bool = False
+    token: int = 0
+    writes: deque[PendingWrite] = field(default_factory=deque)
+    is_hard_changed: bool = False
+    truncate_from: int | None = None
+    unwritten: list[Entry] = field(default_factory=list)
+    replies: list[Send] = field(default_factory=list)
+    effects: list[Effect] = field(default_factory=list)
+
+    @property
+    def voters(self) -> VoterSet:
+        """Return the newest voter set in the log, which is in force before it is committed."""
+        return self.configurations[-1].voters
+
+    @property
+    def committed_voters(self) -> VoterSet:
+        """Return the newest committed voter set."""
+        known = [at.voters for at in self.configurations if at.index <= self.commit]
+        return known[-1] if known else VoterSet()
+
+    @property
+    def is_change_pending(self) -> bool:
+        """Tell whether a voter set is in the log but not yet committed."""
+        return self.configurations[-1].index > self.commit
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads its term."""
+        return self.role is Role.LEADER
+
+    def leader_name(self) -> str | None:
+        """Return the name of the leader as far as is known."""
+        return self.leader.name if self.leader else None
+
+
+def create_replica(
+    voter: Voter,
+    names: tuple[str, ...],
+    settings: ReplicaSettings,
+    now: Seconds,
+    rng: random.Random,
+    *,
+    hard_state: HardState | None = None,
+    snapshot: Snapshot = EMPTY_SNAPSHOT,
+    entries: tuple[Entry, ...] = (),
+) -> Replica:
+    """Make a replica from what its disk holds; `names` are the voters that the settings list."""
+    hard = hard_state or HardState()
+    log = Log(snapshot)
+    log.entries = list(entries)
+    configurations = [VotersAt(snapshot.index, snapshot.voters)]
+    configurations += [
+        VotersAt(entry.index, entry.voters)
+        for entry in entries
+        if entry.voters is not None and entry.index > snapshot.index
+    ]
+    is_formed = log.last_index > 0 or hard.cluster != 0
+    return Replica(
+        voter=voter,
+        names=names,
+        settings=settings,
+        hard=hard,
+        log=log,
+        configurations=configurations,
+        role=Role.FOLLOWER if is_formed else Role.UNFORMED,
+        deadline=now + draw_timeout(settings, rng),
+        durable_index=log.last_index,
+        durable_hard=hard,
+        # A reply that was meant for an earlier run must not match a read of this one.
+        reads=Reads(number=rng.getrandbits(_READ_NUMBER_BITS)),
+        commit=snapshot.index,
+        applied=snapshot.index,
+    )
+
+
+def draw_timeout(settings: ReplicaSettings, rng: random.Random) -> Seconds:
+    """Draw an election timeout between one and two base timeouts."""
+    return settings.election_s * (1 + rng.random())
+
+
+def send(replica: Replica, message, to: Voter) -> None:
+    """Send a message that promises nothing about the disk."""
+    replica.effects.append(Send(to.name, message))
+
+
+def send_durable(replica: Replica, message, to: Voter) -> None:
+    """Send a message once every write requested so far is synced."""
+    replica.replies.append(Send(to.name, message))
+
+
+def set_hard_state(replica: Replica, term: int, voted_for: int) -> None:
+    """Change the term or the vote and have it written."""
+    replica.hard = HardState(term, voted_for, replica.hard.cluster)
+    replica.is_hard_changed = True
+
+
+def join_cluster(replica: Replica, cluster: int) -> None:
+    """Take the cluster's id and have it written."""
+    replica.hard = HardState(replica.hard.term, replica.hard.voted_for, cluster)
+    replica.is_hard_changed = True
+
+
+def append_entry(replica: Replica, entry: Entry) -> None:
+    """Add an entry and have it written; a voter set is in force at once."""
+    replica.log.append(entry)
+    replica.unwritten.append(entry)
+    if entry.voters is not None:
+        replica.configurations.append(VotersAt(entry.index, entry.voters))
+
+
+def truncate_log(replica: Replica, start: int) -> None:
+    """Drop entries from an index on, and voter sets with them, and have it written."""
+    if start <= replica.commit:
+        raise AssertionError(f"truncation from {start} of a log committed to {replica.commit}")
+    replica.log.truncate(start)
+    replica.configurations = [at for at in replica.configurations if at.index < start]
+    replica.unwritten = [entry for entry in replica.unwritten if entry.index < start]
+    replica.truncate_from = min(start, replica.truncate_from or start)
+    replica.durable_index = min(replica.durable_index, start - 1)
+    for write in replica.writes:
+        write.last_index = min(write.last_index, start - 1)
+
+
+def set_leader(replica: Replica, leader: Voter | None) -> None:
+    """Note who leads and report a change."""
+    if leader != replica.leader:
+        replica.leader = leader
+        replica.effects.append(LeaderChanged(replica.hard.term, leader))
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replication.py
@@ -0,0 +1,226 @@
+"""Copy the leader's log to the others, and commit what a quorum has synced."""
+
+import random
+
+from bendwind_core.consensus.events import Apply, Committed, ProposalDone, VotersChanged
+from bendwind_core.consensus.messages import Append, AppendReply
+from bendwind_core.consensus.records import Entry, Voter
+from bendwind_core.consensus.replica import (
+    Progress,
+    Replica,
+    append_entry,
+    draw_timeout,
+    send,
+    send_durable,
+    truncate_log,
+)
+from bendwind_core.consensus.snapshots import send_chunk
+from bendwind_core.core import Seconds
+
+
+def create_progress(replica: Replica, now: Seconds) -> None:
+    """Track every member but this one, and forget those that left."""
+    members = replica.voters.voters + replica.voters.learners
+    others = {member.voter_id: member for member in members if member != replica.voter}
+    for voter_id in [known for known in replica.progress if known not in others]:
+        del replica.progress[voter_id]
+    for voter_id, member in others.items():
+        if voter_id not in replica.progress:
+            next_index = replica.log.last_index + 1
+            replica.progress[voter_id] = Progress(member, next_index, contact_at=now)
+
+
+def start_round(replica: Replica, now: Seconds) -> None:
+    """Open the next round of heartbeats, and attach the reads that wait for one."""
+    replica.round += 1
+    replica.heartbeat_at = now + replica.settings.heartbeat_s
+    for read in replica.reads.leader:
+        if read.round == 0:
+            read.round = replica.round
+
+
+def broadcast(replica: Replica, now: Seconds) -> None:
+    """Send each member the entries it misses, or a heartbeat."""
+    for progress in replica.progress.values():
+        send_append(replica, progress, now)
+
+
+def send_news(replica: Replica, now: Seconds) -> None:
+    """Send entries to each member that misses some and is not being waited for."""
+    for progress in replica.progress.values():
+        if progress.awaits_index is None and progress.next_index <= replica.log.last_index:
+            send_append(replica, progress, now)
+
+
+def send_append(replica: Replica, progress: Progress, now: Seconds) -> None:
+    """Send one member a batch, a part of the snapshot, or an empty heartbeat while it owes one."""
+    is_waiting = (
+        progress.awaits_index is not None
+        and now - progress.awaits_since < replica.settings.election_s
+    )
+    if is_waiting:
+        _send_entries(replica, progress, _find_known_index(replica, progress), ())
+        return
+    previous_index = progress.next_index - 1
+    is_compacted = progress.next_index < replica.log.first_index
+    if is_compacted or replica.log.term_at(previous_index) is None:
+        progress.awaits_index = replica.log.snapshot.index
+        progress.awaits_since = now
+        send_chunk(replica, progress)
+        return
+    entries = replica.log.read_batch(
+        progress.next_index, replica.settings.batch_entries, replica.settings.batch_bytes
+    )
+    if entries or progress.match < previous_index:
+        progress.awaits_index = previous_index + len(entries)
+        progress.awaits_since = now
+    _send_entries(replica, progress, previous_index, entries)
+
+
+def _find_known_index(replica: Replica, progress: Progress) -> int:
+    is_held = replica.log.term_at(progress.match) is not None
+    return progress.match if is_held else 0
+
+
+def _send_entries(
+    replica: Replica, progress: Progress, previous_index: int, entries: tuple[Entry, ...]
+) -> None:
+    message = Append(
+        cluster=replica.hard.cluster,
+        sender=replica.voter,
+        to=progress.voter.voter_id,
+        term=replica.hard.term,
+        previous_index=previous_index,
+        previous_term=replica.log.term_at(previous_index) or 0,
+        entries=entries,
+        commit=replica.commit,
+        round=replica.round,
+    )
+    send(replica, message, progress.voter)
+
+
+def receive_append(replica: Replica, message: Append, now: Seconds, rng: random.Random) -> None:
+    """Take entries that follow a known one; reply once they are synced."""
+    replica.leader_contact_at = now
+    replica.deadline = now + draw_timeout(replica.settings, rng)
+    previous_index = message.previous_index
+    if not _has_previous(replica, message):
+        _reply(replica, message, False, _find_retry_index(replica, previous_index))
+        return
+    for entry in message.entries:
+        _take_entry(replica, entry)
+    matched = previous_index + len(message.entries)
+    replica.commit = max(replica.commit, min(message.commit, matched))
+    _reply(replica, message, True, matched)
+
+
+def _has_previous(replica: Replica, message: Append) -> bool:
+    # What is committed is equal everywhere, also where it is compacted away.
+    if message.previous_index <= replica.commit:
+        return True
+    return replica.log.term_at(message.previous_index) == message.previous_term
+
+
+def _take_entry(replica: Replica, entry: Entry) -> None:
+    if entry.index <= replica.commit:
+        return
+    known_term = replica.log.term_at(entry.index)
+    if known_term == entry.term:
+        return
+    if known_term is not None:
+        truncate_log(replica, entry.index)
+    append_entry(replica, entry)
+
+
+def _find_retry_index(replica: Replica, previous_index: int) -> int:
+    """Return the index before the whole term that conflicts, to skip it in one exchange."""
+    index = min(previous_index - 1, replica.log.last_index)
+    conflict = replica.log.term_at(previous_index)
+    while conflict is not None and index > replica.commit:
+        if replica.log.term_at(index) != conflict:
+            break
+        index -= 1
+    return max(index, replica.commit)
+
+
+def _reply(replica: Replica, message: Append, is_matching: bool, index: int) -> None:
+    reply = AppendReply(
+        cluster=replica.hard.cluster,
+        sender=replica.voter,
+        to=message.sender.voter_id,
+        term=replica.hard.term,
+        is_matching=is_matching,
+        index=index,
+        round=message.round,
+    )
+    send_durable(replica, reply, message.sender)
+
+
+def reject_stale_leader(replica: Replica, sender: Voter, round_number: int) -> None:
+    """Tell the leader of an older term which term it is."""
+    reply = AppendReply(
+        cluster=replica.hard.cluster,
+        sender=replica.voter,
+        to=sender.voter_id,
+        term=replica.hard.term,
+        is_matching=False,
+        index=replica.commit,
+        round=round_number,
+    )
+    send_durable(replica, reply, sender)
+
+
+def receive_append_reply(replica: Replica, reply: AppendReply, now: Seconds) -> None:
+    """Advance or move back what is known of a member, and send on."""
+    progress = replica.progress.get(reply.sender.voter_id)
+    if progress is None:
+        return
+    progress.contact_at = now
+    progress.round = max(progress.round, reply.round)
+    if not reply.is_matching:
+        if reply.index >= progress.match and reply.index < progress.next_index:
+            progress.next_index = reply.index + 1
+            progress.awaits_index = None
+            send_append(replica, progress, now)
+        return
+    progress.match = max(progress.match, reply.index)
+    progress.next_index = max(progress.next_index, progress.match + 1)
+    if progress.awaits_index is not None and progress.match >= progress.awaits_index:
+        progress.awaits_index = None
+    if progress.awaits_index is None and progress.next_index <= replica.log.last_index:
+        send_append(replica, progress, now)
+
+
+def advance_commit(replica: Replica) -> None:
+    """Commit the newest entry of the own term that a quorum has synced."""
+    if not replica.is_leader:
+        return
+    synced = sorted(
+        (_synced_index(replica, voter) for voter in replica.voters.voters), reverse=True
+    )
+    index = synced[replica.voters.quorum() - 1] if synced else 0
+    if index > replica.commit and replica.log.term_at(index) == replica.hard.term:
+        replica.commit = index
+
+
+def _synced_index(replica: Replica, voter: Voter) -> int:
+    if voter == replica.voter:
+        return replica.durable_index
+    progress = replica.progress.get(voter.voter_id)
+    return progress.match if progress else 0
+
+
+def apply_committed(replica: Replica) -> None:
+    """Hand on entries that are committed and synced here, and end their proposals."""
+    end = min(replica.commit, replica.durable_index)
+    if end <= replica.applied:
+        return
+    entries = tuple(replica.log.find_entry(index) for index in range(replica.applied + 1, end + 1))
+    replica.applied = end
+    replica.effects.append(Apply(entries))
+    for entry in entries:
+        request_id = replica.proposals.pop(entry.index, None)
+        if request_id is not None:
+            replica.effects.append(ProposalDone(request_id, Committed(entry.index)))
+        if entry.voters is not None:
+            replica.effects.append(VotersChanged(entry.index, entry.voters))
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
@@ -0,0 +1,154 @@
+"""Compact the log into snapshots, and bring members up to date with them."""
+
+import random
+
+from bendwind_core.consensus.durability import request_snapshot_write
+from bendwind_core.consensus.events import InstallSnapshot, SnapshotTaken, TakeSnapshot
+from bendwind_core.consensus.messages import AppendReply, ChunkReply, SnapshotChunk
+from bendwind_core.consensus.records import Snapshot, VotersAt
+from bendwind_core.consensus.replica import (
+    IncomingSnapshot,
+    Progress,
+    Replica,
+    draw_timeout,
+    send,
+    send_durable,
+)
+from bendwind_core.core import Seconds
+
+
+def request_snapshot(replica: Replica) -> None:
+    """Ask for a snapshot when enough was applied since the last one."""
+    applied = replica.applied - replica.log.snapshot.index
+    is_due = (
+        applied >= replica.settings.snapshot_entries
+        or replica.log.entry_bytes >= replica.settings.snapshot_bytes
+    )
+    if is_due and applied > 0 and not replica.is_snapshot_due:
+        replica.is_snapshot_due = True
+        replica.effects.append(TakeSnapshot(replica.applied))
+
+
+def take_snapshot(replica: Replica, event: SnapshotTaken, now: Seconds) -> None:
+    """Replace applied entries by a snapshot and have it written."""
+    replica.is_snapshot_due = False
+    index = event.index
+    if index <= replica.log.snapshot.index or index > replica.applied:
+        return
+    base = _find_voters(replica, index)
+    snapshot = Snapshot(index, replica.log.term_at(index) or 0, base.voters, event.data)
+    newer = [at for at in replica.configurations if at.index > index]
+    replica.configurations = [base, *newer]
+    replica.log.compact(snapshot, replica.settings.kept_entries)
+    request_snapshot_write(replica, snapshot, now, is_installed=False)
+
+
+def _find_voters(replica: Replica, index: int) -> VotersAt:
+    return [at for at in replica.configurations if at.index <= index][-1]
+
+
+def send_chunk(replica: Replica, progress: Progress) -> None:
+    """Send the next part of the snapshot that a member needs."""
+    snapshot = replica.log.snapshot
+    if progress.snapshot_index != snapshot.index:
+        progress.snapshot_index = snapshot.index
+        progress.snapshot_offset = 0
+    start = progress.snapshot_offset
+    message = SnapshotChunk(
+        cluster=replica.hard.cluster,
+        sender=replica.voter,
+        to=progress.voter.voter_id,
+        term=replica.hard.term,
+        index=snapshot.index,
+        snapshot_term=snapshot.term,
+        voters=snapshot.voters,
+        offset=start,
+        size=len(snapshot.data),
+        data=snapshot.data[start : start + replica.settings.chunk_bytes],
+        round=replica.round,
+    )
+    send(replica, message, progress.voter)
+
+
+def receive_chunk(
+    replica: Replica, message: SnapshotChunk, now: Seconds, rng: random.Random
+) -> None:
+    """Collect a snapshot's parts in order; install it when it is whole."""
+    replica.leader_contact_at = now
+    replica.deadline = now + draw_timeout(replica.settings, rng)
+    if message.index <= replica.commit:
+        _confirm(replica, message)
+        return
+    incoming = _find_incoming(replica, message)
+    if message.offset == len(incoming.data):
+        incoming.data += message.data
+    if len(incoming.data) < message.size:
+        _ask_next(replica, message, len(incoming.data))
+        return
+    replica.incoming = None
+    _install(replica, message, bytes(incoming.data), now)
+    _confirm(replica, message)
+
+
+def _find_incoming(replica: Replica, message: SnapshotChunk) -> IncomingSnapshot:
+    known = replica.incoming
+    if known is None or (known.index, known.term) != (message.index, message.snapshot_term):
+        known = IncomingSnapshot(message.index, message.snapshot_term, bytearray())
+        replica.incoming = known
+    return known
+
+
+def _install(replica: Replica, message: SnapshotChunk, data: bytes, now: Seconds) -> None:
+    snapshot = Snapshot(message.index, message.snapshot_term, message.voters, data)
+    replica.unwritten.clear()
+    replica.truncate_from = None
+    replica.log.reset(snapshot)
+    replica.configurations = [VotersAt(snapshot.index, snapshot.voters)]
+    replica.commit = snapshot.index
+    replica.applied = snapshot.index
+    replica.durable_index = min(replica.durable_index, snapshot.index)
+    for write in replica.writes:
+        write.last_index = min(write.last_index, snapshot.index)
+    # The state is committed, so that it may be used before it is synced here.
+    replica.effects.append(InstallSnapshot(snapshot.index, data))
+    request_snapshot_write(replica, snapshot, now, is_installed=True)
+
+
+def _confirm(replica: Replica, message: SnapshotChunk) -> None:
+    reply = AppendReply(
+        cluster=replica.hard.cluster,
+        sender=replica.voter,
+        to=message.sender.voter_id,
+        term=replica.hard.term,
+        is_matching=True,
+        index=message.index,
+        round=message.round,
+    )
+    send_durable(replica, reply, message.sender)
+
+
+def _ask_next(replica: Replica, message: SnapshotChunk, offset: int) -> None:
+    reply = ChunkReply(
+        cluster=replica.hard.cluster,
+        sender=replica.voter,
+        to=message.sender.voter_id,
+        term=replica.hard.term,
+        index=message.index,
+        offset=offset,
+        round=message.round,
+    )
+    send_durable(replica, reply, message.sender)
+
+
+def receive_chunk_reply(replica: Replica, reply: ChunkReply, now: Seconds) -> None:
+    """Send the part that a member asks for next."""
+    progress = replica.progress.get(reply.sender.voter_id)
+    if progress is None:
+        return
+    progress.contact_at = now
+    progress.round = max(progress.round, reply.round)
+    if reply.index == progress.snapshot_index and reply.offset != progress.snapshot_offset:
+        progress.snapshot_offset = reply.offset
+        progress.awaits_index = replica.log.snapshot.index
+        progress.awaits_since = now
+        send_chunk(replica, progress)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/consensus/step.py
@@ -0,0 +1,230 @@
+"""Advance a replica by one event."""
+
+import random
+
+from bendwind_core.consensus.barriers import (
+    confirm_reads,
+    finish_barriers,
+    finish_read,
+    receive_read_request,
+    request_barrier,
+    tick_reads,
+)
+from bendwind_core.consensus.bootstrap import (
+    adopt_cluster,
+    receive_form,
+    receive_offer,
+    receive_offer_reply,
+    tick_bootstrap,
+    tick_outsider,
+)
+from bendwind_core.consensus.durability import confirm_writes, request_write
+from bendwind_core.consensus.election import (
+    become_follower,
+    count_votes,
+    receive_vote_reply,
+    receive_vote_request,
+    tick_election,
+)
+from bendwind_core.consensus.events import (
+    BarrierRequested,
+    Effect,
+    ForeignCluster,
+    NotLeader,
+    Persisted,
+    ProposalDone,
+    Propose,
+    Received,
+    Refused,
+    RemoveVoter,
+    ReplicaEvent,
+    SnapshotTaken,
+    Tick,
+)
+from bendwind_core.consensus.membership import (
+    become_removed,
+    leave_when_removed,
+    remove_voter,
+    tell_removed,
+    tick_membership,
+)
+from bendwind_core.consensus.messages import (
+    Append,
+    AppendReply,
+    ChunkReply,
+    Form,
+    MemberMessage,
+    Offer,
+    OfferReply,
+    ReadReply,
+    ReadRequest,
+    Removed,
+    SnapshotChunk,
+    VoteReply,
+    VoteRequest,
+)
+from bendwind_core.consensus.records import Entry
+from bendwind_core.consensus.replica import Replica, Role, append_entry
+from bendwind_core.consensus.replication import (
+    advance_commit,
+    apply_committed,
+    broadcast,
+    receive_append,
+    receive_append_reply,
+    reject_stale_leader,
+    send_news,
+    start_round,
+)
+from bendwind_core.consensus.snapshots import (
+    receive_chunk,
+    receive_chunk_reply,
+    request_snapshot,
+    take_snapshot,
+)
+from bendwind_core.core import Seconds
+
+
+def step(replica: Replica, event: ReplicaEvent, now: Seconds, rng: random.Random) -> list[Effect]:
+    """Take one event and return the effects to carry out in order."""
+    match event:
+        case Tick():
+            _tick(replica, now, rng)
+        case Received(message=message):
+            _receive(replica, event.sender, message, now, rng)
+        case Propose():
+            _propose(replica, event, now)
+        case RemoveVoter():
+            remove_voter(replica, event, now)
+        case Persisted(token=token):
+            confirm_writes(replica, token)
+            count_votes(replica, now)
+        case BarrierRequested(request_id=request_id):
+            request_barrier(replica, request_id, now)
+        case SnapshotTaken():
+            take_snapshot(replica, event, now)
+    _settle(replica, now, rng)
+    effects = replica.effects
+    replica.effects = []
+    return effects
+
+
+def _settle(replica: Replica, now: Seconds, rng: random.Random) -> None:
+    """Draw the conclusions that may follow from any event."""
+    advance_commit(replica)
+    confirm_reads(replica, now)
+    apply_committed(replica)
+    finish_barriers(replica)
+    leave_when_removed(replica, now, rng)
+    request_snapshot(replica)
+    request_write(replica, now)
+
+
+def _tick(replica: Replica, now: Seconds, rng: random.Random) -> None:
+    if replica.role is Role.UNFORMED:
+        tick_bootstrap(replica, now, rng)
+        tick_reads(replica, now)
+        return
+    tick_election(replica, now, rng)
+    if replica.is_leader:
+        tick_membership(replica, now)
+        if now >= replica.heartbeat_at:
+            start_round(replica, now)
+            broadcast(replica, now)
+    elif replica.role is not Role.REMOVED:
+        tick_outsider(replica, now)
+    tick_reads(replica, now)
+
+
+def _propose(replica: Replica, event: Propose, now: Seconds) -> None:
+    if not replica.is_leader:
+        outcome = NotLeader(replica.leader_name())
+        replica.effects.append(ProposalDone(event.request_id, outcome))
+        return
+    if len(replica.proposals) >= replica.settings.pending_proposals:
+        outcome = Refused("too many proposals are waiting")
+        replica.effects.append(ProposalDone(event.request_id, outcome))
+        return
+    entry = Entry(replica.log.last_index + 1, replica.hard.term, event.command)
+    append_entry(replica, entry)
+    replica.proposals[entry.index] = event.request_id
+    send_news(replica, now)
+
+
+def _receive(replica: Replica, sender: str, message, now: Seconds, rng: random.Random) -> None:
+    match message:
+        case Offer():
+            receive_offer(replica, message.sender, now)
+        case OfferReply():
+            receive_offer_reply(replica, message)
+        case Form():
+            receive_form(replica, message)
+        case _:
+            if _is_for_member(replica, sender, message):
+                _receive_member(replica, message, now, rng)
+
+
+def _is_for_member(replica: Replica, sender: str, message: MemberMessage) -> bool:
+    """Tell whether a message is from this cluster, to this id, and from an id in force."""
+    if message.to != replica.voter.voter_id or message.sender.name != sender:
+        return False
+    if replica.role is Role.REMOVED:
+        return False
+    if replica.role is Role.UNFORMED:
+        if not isinstance(message, Append | SnapshotChunk):
+            return False
+        adopt_cluster(replica, message.cluster)
+    if message.cluster != replica.hard.cluster:
+        replica.effects.append(ForeignCluster(sender))
+        return False
+    if message.sender.voter_id in replica.committed_voters.removed:
+        tell_removed(replica, message.sender)
+        return False
+    return True
+
+
+def _receive_member(
+    replica: Replica, message: MemberMessage, now: Seconds, rng: random.Random
+) -> None:
+    match message:
+        case VoteRequest():
+            receive_vote_request(replica, message, now, rng)
+        case VoteReply():
+            receive_vote_reply(replica, message, now, rng)
+        case Append() | SnapshotChunk():
+            _receive_from_leader(replica, message, now, rng)
+        case AppendReply() | ChunkReply():
+            _receive_from_follower(replica, message, now, rng)
+        case ReadRequest():
+            receive_read_request(replica, message, now)
+        case ReadReply():
+            finish_read(replica, message.number, message.index, now)
+        case Removed():
+            become_removed(replica, now, rng)
+
+
+def _receive_from_leader(
+    replica: Replica, message: Append | SnapshotChunk, now: Seconds, rng: random.Random
+) -> None:
+    if message.term < replica.hard.term:
+        reject_stale_leader(replica, message.sender, message.round)
+        return
+    if message.term > replica.hard.term or replica.leader != message.sender:
+        become_follower(replica, message.term, message.sender, now, rng)
+    if isinstance(message, Append):
+        receive_append(replica, message, now, rng)
+    else:
+        receive_chunk(replica, message, now, rng)
+
+
+def _receive_from_follower(
+    replica: Replica, message: AppendReply | ChunkReply, now: Seconds, rng: random.Random
+) -> None:
+    if message.term > replica.hard.term:
+        become_follower(replica, message.term, None, now, rng)
+        return
+    if not replica.is_leader or message.term < replica.hard.term:
+        return
+    if isinstance(message, AppendReply):
+        receive_append_reply(replica, message, now)
+    else:
+        receive_chunk_reply(replica, message, now)
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -16,6 +16,7 @@
     Unknown,
 )
 from bendwind_core.claims import ClaimMessage
+from bendwind_core.consensus import ConsensusMessage
 from bendwind_core.membership import (
     Announce,
     ConfigurationChanged,
@@ -55,6 +56,7 @@
     | StatusRequest
     | StatusReply
     | ClaimMessage
+    | ConsensusMessage
 )
 
 
