--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
@@ -0,0 +1,180 @@
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+import trio
+import trio.testing
+from bendwind_core.consensus import ReplicaSettings
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.control.voter import ControlVoter, VoterStopped, open_voter, run_voter
+from bendwind_node.storage import open_folder
+
+NAMES = ("a", "b", "c")
+SETTINGS = ReplicaSettings(
+    heartbeat_s=0.02, election_s=0.2, snapshot_entries=20, kept_entries=5, barrier_s=2.0
+)
+
+
+class Register:
+    """Keep every command, as a state machine would."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index: int, command: bytes) -> object:
+        self.commands.append(command)
+        return len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return b",".join(self.commands)
+
+    def restore(self, data: bytes) -> None:
+        self.commands = data.split(b",") if data else []
+
+
+class Deployment:
+    """Run voters on real folders with links in memory."""
+
+    def __init__(self, nursery: trio.Nursery, folder: Path):
+        self.nursery = nursery
+        self.folder = folder
+        self.voters: dict[str, ControlVoter] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.recorders = {name: Recorder(name, lambda: 0, 1000) for name in NAMES}
+        self.cut: set[str] = set()
+        self.runs = 0
+
+    def start(self, name: str, folder: str | None = None) -> ControlVoter:
+        self.runs += 1
+        files = open_folder(self.folder / (folder or name))
+        rng = random.Random(self.runs)
+
+        def send(to, message):
+            if to in self.voters and not {name, to} & self.cut:
+                self.voters[to].deliver(name, message)
+
+        opened = open_voter(
+            name, NAMES, files, Register(), send, self.recorders[name], rng, SETTINGS
+        )
+        self.voters[name] = opened.ok
+        self.scopes[name] = trio.CancelScope()
+        self.nursery.start_soon(self._run, name, opened.ok, self.scopes[name])
+        return opened.ok
+
+    async def _run(self, name: str, voter: ControlVoter, scope: trio.CancelScope) -> None:
+        with scope:
+            await run_voter(voter)
+
+    async def stop(self, name: str) -> None:
+        self.scopes[name].cancel()
+        while self.voters[name].stopped is None:
+            await trio.sleep(0.01)
+        del self.voters[name]
+
+    async def leader(self) -> ControlVoter:
+        while True:
+            for voter in self.voters.values():
+                if voter.is_leader and (await voter.barrier()).is_ok():
+                    return voter
+            await trio.sleep(0.01)
+
+    async def propose(self, command: bytes):
+        result = await (await self.leader()).propose(command)
+        return result.ok
+
+
+class VoterTest(unittest.TestCase):
+    def run_deployment(self, scenario) -> None:
+        async def run():
+            with tempfile.TemporaryDirectory() as folder, trio.fail_after(30):
+                async with trio.open_nursery() as nursery:
+                    await scenario(Deployment(nursery, Path(folder)))
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_three_empty_voters_form_commit_and_survive_a_restart_of_all(self):
+        async def scenario(deployment):
+            for name in NAMES:
+                deployment.start(name)
+            for number in range(50):
+                applied = await deployment.propose(b"%d" % number)
+                self.assertEqual(applied.value, number + 1)
+            for name in NAMES:
+                await deployment.stop(name)
+            for name in NAMES:
+                deployment.start(name)
+            await deployment.leader()
+            for voter in deployment.voters.values():
+                self.assertTrue((await voter.barrier()).is_ok())
+                expected = [b"%d" % number for number in range(50)]
+                self.assertEqual(voter.machine.commands, expected)
+
+        self.run_deployment(scenario)
+
+    def test_an_emptied_voter_learns_then_votes_and_its_old_disk_never_does_again(self):
+        async def scenario(deployment):
+            for name in NAMES:
+                deployment.start(name)
+            await deployment.propose(b"x")
+            lost = next(name for name in NAMES if deployment.voters[name].is_leader)
+            old_id = deployment.voters[lost].replica.voter.voter_id
+            await deployment.stop(lost)
+            for number in range(40):
+                await deployment.propose(b"%d" % number)
+            new = deployment.start(lost, lost + "-new")
+            while not new.replica.voters.has_voter(new.replica.voter.voter_id):
+                await trio.sleep(0.02)
+            second = next(name for name in NAMES if name != lost)
+            await deployment.stop(second)
+            await deployment.propose(b"y")
+            self.assertTrue((await new.barrier()).is_ok())
+            self.assertEqual(len(new.machine.commands), 42)
+            await deployment.stop(lost)
+            deployment.start(second)
+            await deployment.leader()
+            old = deployment.start(lost)
+            while old.replica.role != "removed":
+                await trio.sleep(0.02)
+            self.assertEqual(old.replica.voter.voter_id, old_id)
+            kinds = {event.kind for event in deployment.recorders[lost].events}
+            self.assertIn(EventKind.VOTER_REPLACED, kinds)
+
+        self.run_deployment(scenario)
+
+    def test_a_failing_disk_stops_the_voter_and_answers_its_callers(self):
+        async def scenario(deployment):
+            for name in NAMES:
+                deployment.start(name)
+            leader = await deployment.leader()
+
+            def fail(name):
+                raise OSError(28, "No space left on device")
+
+            leader.store.files = FailingFiles(leader.store.files)
+            error = (await leader.propose(b"z")).error
+            self.assertIsInstance(error, VoterStopped)
+            self.assertIn("No space left", error.reason)
+            name = leader.replica.voter.name
+            kinds = {event.kind for event in deployment.recorders[name].events}
+            self.assertIn(EventKind.DISK_FAILED, kinds)
+            del deployment.voters[name]
+            self.assertIsNotNone(await deployment.propose(b"z"))
+
+        self.run_deployment(scenario)
+
+
+class FailingFiles:
+    def __init__(self, files):
+        self.files = files
+
+    def append(self, name, data):
+        raise OSError(28, "No space left on device")
+
+    def close(self):
+        self.files.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/storage/frames.py
@@ -0,0 +1,94 @@
+"""Frame records with a sequence number and a checksum, and find where a file stops being whole."""
+
+import io
+import zlib
+from dataclasses import dataclass
+
+import cbor2
+from expression import Error, Ok, Result
+
+from bendwind_node.storage.errors import CorruptData
+
+# A frame is the CBOR array [sequence, checksum, payload].
+_ARRAY_OF_THREE = b"\x83"
+_DECODE_ERRORS = (cbor2.CBORError, ValueError, OverflowError, MemoryError, RecursionError)
+
+
+@dataclass(slots=True, frozen=True)
+class Frame:
+    """Hold one record's bytes and where its frame ends in the file."""
+
+    sequence: int
+    payload: bytes
+    end: int
+
+
+@dataclass(slots=True, frozen=True)
+class FrameRun:
+    """Hold a file's whole frames, and the offset where they end."""
+
+    frames: tuple[Frame, ...]
+    end: int
+
+
+def encode_frame(sequence: int, payload: bytes) -> bytes:
+    """Encode one frame.
+
+    >>> read_frame(encode_frame(7, b"state"), 0).payload
+    b'state'
+    """
+    return cbor2.dumps([sequence, _checksum(sequence, payload), payload])
+
+
+def _checksum(sequence: int, payload: bytes) -> int:
+    return zlib.crc32(payload, zlib.crc32(sequence.to_bytes(8, "big")))
+
+
+def read_frame(data: bytes, start: int) -> Frame | None:
+    """Read the frame at an offset, or return None when there is no whole one."""
+    if data[start : start + 1] != _ARRAY_OF_THREE:
+        return None
+    stream = io.BytesIO(data)
+    stream.seek(start)
+    try:
+        sequence, checksum, payload = cbor2.CBORDecoder(stream).decode()
+    except _DECODE_ERRORS:
+        return None
+    is_typed = isinstance(sequence, int) and isinstance(payload, bytes)
+    if not is_typed or not 0 <= sequence < 2**63 or checksum != _checksum(sequence, payload):
+        return None
+    return Frame(sequence, payload, stream.tell())
+
+
+def read_frames(
+    file: str, data: bytes, sequence: int, *, is_last: bool
+) -> Result[FrameRun, CorruptData]:
+    """Read a file's frames, numbered from a sequence on.
+
+    Only the last file may end in a torn frame, and only when no whole frame follows it.
+    Errors: CorruptData for anything else that is not whole.
+    """
+    frames: list[Frame] = []
+    end = 0
+    while end < len(data):
+        frame = read_frame(data, end)
+        if frame is None or frame.sequence != sequence:
+            if not is_last:
+                return Error(CorruptData(file, end, "a record is damaged"))
+            if _has_later_frame(data, end, sequence):
+                return Error(CorruptData(file, end, "a record before the last is damaged"))
+            break
+        frames.append(frame)
+        sequence += 1
+        end = frame.end
+    return Ok(FrameRun(tuple(frames), end))
+
+
+def _has_later_frame(data: bytes, start: int, sequence: int) -> bool:
+    position = data.find(_ARRAY_OF_THREE, start)
+    while position >= 0:
+        frame = read_frame(data, position)
+        if frame is not None and frame.sequence >= sequence:
+            return True
+        position = data.find(_ARRAY_OF_THREE, position + 1)
+    return False
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -0,0 +1,283 @@
+"""Keep a voter's log, votes, snapshot and id on disk, synced before anything is acknowledged.
+
+Segment files hold frames in order; the newest is appended to. Snapshot and identity files are
+written aside, synced, renamed and the folder synced. After any failed operation nothing more is
+written: what the failed sync left behind is not known.
+"""
+
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from bendwind_core.consensus import HardState, Persist, SaveSnapshot
+from expression import Error, Ok, Result
+
+from bendwind_node.storage.errors import CorruptData, DiskFailed, StoreError
+from bendwind_node.storage.files import Files
+from bendwind_node.storage.frames import FrameRun, encode_frame, read_frame, read_frames
+from bendwind_node.storage.records import (
+    EntryWritten,
+    HardStateWritten,
+    Identity,
+    ResetTo,
+    SegmentHead,
+    SnapshotFile,
+    StoredRecord,
+    Truncated,
+    decode_record,
+    encode_record,
+)
+from bendwind_node.storage.replay import Recovered, align_with_snapshot, replay_frame
+
+SEGMENT_BYTES = 256 * 1024
+VOTER_ID_BITS = 63
+_IDENTITY = "identity"
+_SEGMENT_PREFIX = "log-"
+_SNAPSHOT_PREFIX = "snapshot-"
+_TEMPORARY = "new"
+
+
+@dataclass(slots=True)
+class Segment:
+    """Describe a segment file: the last entry it holds, or 0, and its size."""
+
+    name: str
+    last_index: int = 0
+    size: int = 0
+
+
+@dataclass(slots=True)
+class Store:
+    """Own the files of one voter."""
+
+    files: Files
+    identity: Identity
+    segment_bytes: int
+    hard_state: HardState = HardState()
+    segments: list[Segment] = field(default_factory=list)
+    sequence: int = 0
+    snapshot_name: str | None = None
+    failure: DiskFailed | None = None
+
+    def write(self, batch: Sequence[Persist | SaveSnapshot]) -> Result[int, DiskFailed]:
+        """Write a batch in order, sync once, and return the last token.
+
+        Errors: DiskFailed, then and ever after.
+        """
+        if self.failure is not None:
+            return Error(self.failure)
+        try:
+            for request in batch:
+                self._write_one(request)
+            self.files.sync(self.segments[-1].name)
+        except OSError as error:
+            self.failure = DiskFailed("write", str(error))
+            return Error(self.failure)
+        return Ok(batch[-1].token)
+
+    def _write_one(self, request: Persist | SaveSnapshot) -> None:
+        match request:
+            case Persist():
+                self._persist(request)
+            case SaveSnapshot():
+                self._save_snapshot(request)
+
+    def _persist(self, request: Persist) -> None:
+        if not self.identity.is_formed:
+            self._mark_formed()
+        if self.segments[-1].size >= self.segment_bytes:
+            self.files.sync(self.segments[-1].name)
+            self._start_segment()
+        records: list[StoredRecord] = []
+        if request.hard_state != self.hard_state:
+            self.hard_state = request.hard_state
+            records.append(HardStateWritten(request.hard_state))
+        if request.truncate_from is not None:
+            records.append(Truncated(request.truncate_from))
+        records += [EntryWritten(entry) for entry in request.entries]
+        self._append(records)
+        if request.entries:
+            segment = self.segments[-1]
+            segment.last_index = max(segment.last_index, request.entries[-1].index)
+
+    def _mark_formed(self) -> None:
+        self.identity = Identity(self.identity.voter_id, True)
+        replace_file(self.files, _IDENTITY, encode_frame(0, encode_record(self.identity)))
+
+    def _append(self, records: list[StoredRecord]) -> None:
+        data = bytearray()
+        for record in records:
+            data += encode_frame(self.sequence, encode_record(record))
+            self.sequence += 1
+        segment = self.segments[-1]
+        self.files.append(segment.name, bytes(data))
+        segment.size += len(data)
+
+    def _start_segment(self) -> None:
+        self.segments.append(Segment(_segment_name(self.sequence)))
+        self._append([SegmentHead(self.hard_state)])
+        self.files.sync(self.segments[-1].name)
+        self.files.sync_folder()
+
+    def _save_snapshot(self, request: SaveSnapshot) -> None:
+        # The entries that the snapshot stands for must be durable before it.
+        self.files.sync(self.segments[-1].name)
+        name = f"{_SNAPSHOT_PREFIX}{request.snapshot.index:020d}"
+        data = encode_frame(request.snapshot.index, encode_record(SnapshotFile(request.snapshot)))
+        replace_file(self.files, name, data)
+        if request.is_installed:
+            self._append([ResetTo(request.snapshot.index)])
+            self.files.sync(self.segments[-1].name)
+            for segment in self.segments:
+                segment.last_index = 0
+        if self.snapshot_name not in (None, name):
+            self.files.remove(self.snapshot_name)
+        self.snapshot_name = name
+        self._remove_segments(request.first_index)
+
+    def _remove_segments(self, first_index: int) -> None:
+        while len(self.segments) > 1 and self.segments[0].last_index < first_index:
+            self.files.remove(self.segments[0].name)
+            del self.segments[0]
+
+    def close(self) -> None:
+        """Release the files."""
+        self.files.close()
+
+
+@dataclass(slots=True, frozen=True)
+class Opened:
+    """Hold an open store and what it recovered."""
+
+    store: Store
+    recovered: Recovered
+
+
+def open_store(files: Files, segment_bytes: int = SEGMENT_BYTES) -> Result[Opened, StoreError]:
+    """Read everything back, cut a torn tail, and make what was read durable again.
+
+    Errors: CorruptData when synced data is damaged or missing, DiskFailed when a file operation is.
+    """
+    try:
+        return _open(files, segment_bytes)
+    except OSError as error:
+        return Error(DiskFailed("open", str(error)))
+
+
+def _open(files: Files, segment_bytes: int) -> Result[Opened, StoreError]:
+    names = sorted(files.names())
+    if _TEMPORARY in names:
+        files.remove(_TEMPORARY)
+    identity = _read_identity(files, names)
+    if identity.is_error():
+        return identity
+    store = Store(files, identity.ok, segment_bytes)
+    recovered = Recovered()
+    for step in (_read_snapshot, _read_segments):
+        outcome = step(store, names, recovered)
+        if outcome.is_error():
+            return outcome
+    aligned = align_with_snapshot(recovered)
+    if aligned.is_error():
+        return aligned
+    store.hard_state = recovered.hard_state
+    if not store.segments:
+        store._start_segment()
+    if recovered.is_log_void:
+        store._append([ResetTo(recovered.snapshot.index)])
+        files.sync(store.segments[-1].name)
+    return Ok(Opened(store, recovered))
+
+
+def _read_identity(files: Files, names: list[str]) -> Result[Identity, StoreError]:
+    if _IDENTITY not in names:
+        if any(name.startswith((_SEGMENT_PREFIX, _SNAPSHOT_PREFIX)) for name in names):
+            return Error(CorruptData(_IDENTITY, 0, "missing beside a log"))
+        identity = Identity(secrets.randbits(VOTER_ID_BITS), False)
+        replace_file(files, _IDENTITY, encode_frame(0, encode_record(identity)))
+        return Ok(identity)
+    frame = read_frame(files.read(_IDENTITY), 0)
+    if frame is None:
+        return Error(CorruptData(_IDENTITY, 0, "damaged"))
+    identity = decode_record(frame.payload)
+    has_log = any(name.startswith(_SEGMENT_PREFIX) for name in names)
+    if identity.is_formed and not has_log:
+        return Error(CorruptData(_IDENTITY, 0, "the log that was beside it is missing"))
+    return Ok(identity)
+
+
+def _read_snapshot(
+    store: Store, names: list[str], recovered: Recovered
+) -> Result[None, StoreError]:
+    found = [name for name in names if name.startswith(_SNAPSHOT_PREFIX)]
+    if not found:
+        return Ok(None)
+    store.snapshot_name = found[-1]
+    frame = read_frame(store.files.read(found[-1]), 0)
+    if frame is None:
+        return Error(CorruptData(found[-1], 0, "damaged"))
+    recovered.snapshot = decode_record(frame.payload).snapshot
+    for name in found[:-1]:
+        store.files.remove(name)
+    return Ok(None)
+
+
+def _read_segments(
+    store: Store, names: list[str], recovered: Recovered
+) -> Result[None, StoreError]:
+    found = [name for name in names if name.startswith(_SEGMENT_PREFIX)]
+    if found:
+        store.sequence = int(found[0].removeprefix(_SEGMENT_PREFIX))
+    for name in found:
+        if name != _segment_name(store.sequence):
+            return Error(CorruptData(name, 0, f"record {store.sequence} is missing before it"))
+        data = store.files.read(name)
+        run = read_frames(name, data, store.sequence, is_last=name == found[-1])
+        if run.is_error():
+            return run
+        outcome = _replay_run(store, name, run.ok, recovered)
+        if outcome.is_error():
+            return outcome
+    if found:
+        recovered.cut_bytes = len(data) - run.ok.end
+        _renew_tail(store, data[: run.ok.end], recovered)
+    return Ok(None)
+
+
+def _replay_run(
+    store: Store, name: str, run: FrameRun, recovered: Recovered
+) -> Result[None, StoreError]:
+    segment = Segment(name, size=run.end)
+    for frame in run.frames:
+        outcome = replay_frame(recovered, name, frame)
+        if outcome.is_error():
+            return outcome
+        segment.last_index = max(segment.last_index, outcome.ok)
+    store.sequence += len(run.frames)
+    store.segments.append(segment)
+    return Ok(None)
+
+
+def _renew_tail(store: Store, data: bytes, recovered: Recovered) -> None:
+    """Write the last segment anew: what was read may never have reached the disk."""
+    if not data:
+        empty = store.segments.pop()
+        store.files.remove(empty.name)
+        store.hard_state = recovered.hard_state
+        store._start_segment()
+        return
+    replace_file(store.files, store.segments[-1].name, data)
+
+
+def _segment_name(sequence: int) -> str:
+    return f"{_SEGMENT_PREFIX}{sequence:020d}"
+
+
+def replace_file(files: Files, name: str, data: bytes) -> None:
+    """Write a file aside, sync it, rename it into place and sync the folder."""
+    if _TEMPORARY in files.names():
+        files.remove(_TEMPORARY)
+    files.append(_TEMPORARY, data)
+    files.sync(_TEMPORARY)
+    files.replace(_TEMPORARY, name)
+    files.sync_folder()
