--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -15,12 +15,18 @@
     NotRun,
     Unknown,
 )
+from bendwind_core.claims import ClaimMessage
+from bendwind_core.consensus import ConsensusMessage
 from bendwind_core.membership import (
     Announce,
     ConfigurationChanged,
     Heartbeat,
     HeartbeatReply,
+    MemberDigest,
     MemberGossip,
+    MemberPull,
+    StatusReply,
+    StatusRequest,
     Watch,
     WatchUpdate,
 )
@@ -45,6 +51,12 @@
     | WatchUpdate
     | ConfigurationChanged
     | MemberGossip
+    | MemberDigest
+    | MemberPull
+    | StatusRequest
+    | StatusReply
+    | ClaimMessage
+    | ConsensusMessage
 )
 
 
