--- a/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -5,8 +5,13 @@
 import trio
 
 from bendwind_core.attempts import Header
+from bendwind_core.core import Seconds
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
 
+# hypercorn closes a connection after 1,000 requests unless told otherwise.
+MAX_REQUESTS_PER_CONNECTION = 1_000_000_000
+GRACEFUL_TIMEOUT: Seconds = 60.0
+
 Handle = Callable[[CallerExchange], Awaitable[None]]
 
 
@@ -56,23 +61,36 @@
 
 async def serve_callers_asgi(
     handle: Handle,
-    listener_fd: int,
-    keep_alive_s: float,
+    file_number: int,
+    keep_alive_s: Seconds,
     header_bytes: int,
     shutdown: trio.Event,
 ) -> None:
     """Serve callers on an open listening socket until shut down, then finish what is in flight."""
-    from hypercorn.config import Config
-    from hypercorn.trio import serve
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         if scope["type"] == "http":
             await handle(AsgiExchange(scope, receive, send))
 
+    await serve_asgi(app, file_number, keep_alive_s, header_bytes, shutdown)
+
+
+async def serve_asgi(
+    app: Callable,
+    file_number: int,
+    keep_alive_s: Seconds,
+    header_bytes: int,
+    shutdown: trio.Event,
+) -> None:
+    """Serve an ASGI application on an open listening socket until shut down."""
+    from hypercorn.config import Config
+    from hypercorn.trio import serve
+
     config = Config()
-    config.bind = [f"fd://{listener_fd}"]
+    config.bind = [f"fd://{file_number}"]
     config.keep_alive_timeout = keep_alive_s
-    config.keep_alive_max_requests = 1_000_000_000
+    config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
+    config.graceful_timeout = GRACEFUL_TIMEOUT
     config.h11_max_incomplete_size = header_bytes
     config.include_server_header = False
     config.accesslog = None
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -13,7 +13,7 @@
 
 from bendwind_core.core import Seconds
 from bendwind_core.messages import Frame, Hello, PeerMessage, decode_frame, encode_frame
-from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.timeline import EventKind, HybridTime, Recorder
 from bendwind_core.world import Instance
 from bendwind_node.links.link import OUTBOX_MESSAGES, Link, Receiver
 
@@ -226,7 +226,7 @@
                     return
 
     def _deliver(self, link: Link, frame: Frame) -> None:
-        self.recorder.observe(frame.physical_ms, frame.logical)
+        self.recorder.observe(HybridTime(frame.physical_ms, frame.logical))
         for message in frame.messages:
             if link.is_open:
                 self.receiver.receive(link, message)
