--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -7,6 +7,7 @@
 from bendwind_core.core import Milliseconds
 from bendwind_core.world import UpstreamState
 from bendwind_node.calls.owner_node import Announcement, OwnerNode
+from bendwind_node.operators.http import serve_lifespan
 
 MAX_BODY_BYTES = 16 * 1024
 _PREFIX = "/v1/upstreams"
@@ -40,7 +41,8 @@
 
     async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
         """Answer one request."""
-        if scope["type"] != "http":
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
             return
         status, reply = await self._answer(scope["method"], scope["path"], receive)
         body = b"" if reply is None else msgspec.json.encode(reply)
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -7,6 +7,7 @@
 from bendwind_core.attempts import Header
 from bendwind_core.core import Seconds
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
+from bendwind_node.operators.http import serve_lifespan
 
 # hypercorn closes a connection after 1,000 requests unless told otherwise.
 MAX_REQUESTS_PER_CONNECTION = 1_000_000_000
@@ -69,8 +70,11 @@
     """Serve callers on an open listening socket until shut down, then finish what is in flight."""
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
-        if scope["type"] == "http":
-            await handle(AsgiExchange(scope, receive, send))
+        match scope["type"]:
+            case "http":
+                await handle(AsgiExchange(scope, receive, send))
+            case "lifespan":
+                await serve_lifespan(receive, send)
 
     await serve_asgi(app, file_number, keep_alive_s, header_bytes, shutdown)
 
--- a/packages/bendwind-node/src/bendwind_node/operators/app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/app.py
@@ -21,6 +21,7 @@
     read_body,
     read_head,
     send_response,
+    serve_lifespan,
 )
 from bendwind_node.operators.plan_routes import PlanRoutes
 from bendwind_node.operators.status_routes import StatusRoutes
@@ -63,7 +64,7 @@
             case "http":
                 await self._serve(scope, receive, send)
             case "lifespan":
-                await _serve_lifespan(receive, send)
+                await serve_lifespan(receive, send)
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = read_head(scope)
@@ -156,14 +157,3 @@
 
 def _refuse_method() -> Response:
     return plain_error(405, ErrorKind.METHOD_NOT_ALLOWED)
-
-
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        match message["type"]:
-            case "lifespan.startup":
-                await send({"type": "lifespan.startup.complete"})
-            case "lifespan.shutdown":
-                await send({"type": "lifespan.shutdown.complete"})
-                return
