daemon: learn the addresses of owners with the upstreams of a service

Cause: a keyed call was refused as claim-unavailable after its whole wait, since the entry node had never dialed the claim's primary and did not know its address. Change: addresses are learned from each pushed set of upstreams.

--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -279,8 +279,6 @@
             upstream=upstream.name,
             detail=format_attempt(effect.attempt),
         )
-        if owner.name != self.own.name:
-            self.hub.learn_address(owner.name, owner.host, owner.port)
         if not self.send(owner.name, hand_over):
             run.feed(ev.AttemptNotRun(effect.attempt, NotRunReason.CONNECT_FAILED))
         elif rest:
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -291,7 +291,7 @@
             self.recorder.record(EventKind.CLAIM_GRANTED, call=call)
         else:
             self.recorder.record(
-                EventKind.CLAIM_NOT_GRANTED, call=call, detail=repr(decision)[:200]
+                EventKind.CLAIM_NOT_GRANTED, call=call, detail=type(decision).__name__
             )
 
     def _deliver(self, to: str, message: ClaimMessage) -> None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -162,6 +162,9 @@
 def _hear_membership(dispatcher: Dispatcher, effect: ViewEffect) -> None:
     match effect:
         case UpstreamsChanged(service=service):
+            for upstream in dispatcher.membership.upstreams(service):
+                owner = upstream.owner
+                dispatcher.hub.learn_address(owner.name, owner.host, owner.port)
             dispatcher.entry.refresh_upstreams(service)
         case ConfigurationApplied():
             for service in tuple(dispatcher.entry.desks):
