security: mutual TLS contexts, names in certificates, renewed keys without a cut; bendwind keys

Cause: links between processes need to prove who is at either end, and renewing a key must not cut a running call. Event numbers are checked to be unique. Check: real handshakes over memory streams. Conclusion: the links can use Keys.server, Keys.client and read_identity.

--- a/packages/bendwind-core/src/bendwind_core/timeline/catalogue.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/catalogue.py
@@ -3,6 +3,7 @@
 import enum
 
 
+@enum.unique
 class EventKind(enum.IntEnum):
     """List the events; docs/EVENTS.md explains each.
 
@@ -52,3 +53,6 @@
     PROCESS_STOPPING = 802
     PROCESS_STOPPED = 803
     OPERATOR_REFUSED = 901
+    KEYS_RELOADED = 902
+    KEYS_REFUSED = 903
+    PEER_REFUSED = 904
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/security/tests/test_keys.py
@@ -0,0 +1,145 @@
+import os
+import ssl
+import tempfile
+import unittest
+from pathlib import Path
+
+import trio
+import trio.testing
+from bendwind_cli.commands import MakeAuthority, MakeInstanceKey, MakeOperatorKey
+from bendwind_cli.keys import make_keys
+from bendwind_core.timeline import EventKind, Recorder
+
+from bendwind_node.security import Identity, Role, load_keys, read_identity
+from bendwind_node.settings import TlsTable
+
+
+def make_authority(folder: Path) -> Path:
+    assert make_keys(MakeAuthority(str(folder), "1")).is_ok()
+    return folder
+
+
+def make_table(folder: Path, name: str, authority: Path | None = None) -> TlsTable:
+    assert make_keys(MakeInstanceKey(name, "127.0.0.1", str(folder), "1")).is_ok()
+    return read_table(folder, name, authority)
+
+
+def read_table(folder: Path, name: str, authority: Path | None = None) -> TlsTable:
+    return TlsTable(
+        authority=str((authority or folder) / "authority.pem"),
+        certificate=str(folder / f"{name}.pem"),
+        key=str(folder / f"{name}.key"),
+    )
+
+
+def load(table: TlsTable):
+    return load_keys(table).ok
+
+
+async def shake_hands(client_context, server_context, name):
+    """Open a TLS link over memory; return both ends, each with who it sees."""
+    left, right = trio.testing.memory_stream_pair()
+    client = trio.SSLStream(left, client_context, server_hostname=name)
+    server = trio.SSLStream(right, server_context, server_side=True)
+
+    async def serve():
+        await server.do_handshake()
+        await server.send_all(b"!")
+
+    with trio.fail_after(10):
+        async with trio.open_nursery(strict_exception_groups=False) as nursery:
+            nursery.start_soon(serve)
+            await client.do_handshake()
+            # TLS 1.3: a refusal of the client's certificate shows at its first read.
+            await client.receive_some(1)
+    return client, server
+
+
+class TestKeys(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = make_authority(Path(folder.name, "keys"))
+        self.other = make_authority(Path(folder.name, "other"))
+        self.server = load(make_table(self.folder, "b"))
+        self.client = load(make_table(self.folder, "a"))
+        self.recorder = Recorder("b", lambda: 1, 100)
+
+    def link(self, client, server, name="b"):
+        return trio.run(shake_hands, client, server, name)
+
+    def assert_refused(self, client, server, name="b"):
+        with self.assertRaises((trio.BrokenResourceError, ssl.SSLError)) as caught:
+            self.link(client, server, name)
+        return repr(caught.exception.__cause__)
+
+    def test_each_end_learns_the_others_instance_name(self):
+        client, server = self.link(self.client.client, self.server.server)
+        self.assertEqual(read_identity(client), Identity(Role.INSTANCE, "b"))
+        self.assertTrue(read_identity(server).is_instance("a"))
+        self.assertFalse(read_identity(server).is_instance("b"))
+
+    def test_refuses_a_server_of_another_name(self):
+        cause = self.assert_refused(self.client.client, self.server.server, "c")
+        self.assertIn("Hostname mismatch", cause)
+
+    def test_refuses_either_end_of_another_authority(self):
+        table = make_table(self.other, "b")
+        self.assert_refused(self.client.client, load(table).server)
+        stranger = load(make_table(self.other, "a", authority=self.folder))
+        self.assert_refused(stranger.client, self.server.server)
+
+    def test_refuses_a_client_without_a_certificate(self):
+        bare = ssl.create_default_context(cafile=self.server.table.authority)
+        self.assert_refused(bare, self.server.server)
+
+    def test_an_operator_is_no_instance_and_no_server(self):
+        self.assertTrue(make_keys(MakeOperatorKey("a", str(self.folder), "1")).is_ok())
+        operator = load(read_table(self.folder, "operator-a"))
+        _, server = self.link(operator.client, self.server.server)
+        self.assertEqual(read_identity(server), Identity(Role.OPERATOR, "a"))
+        self.assertFalse(read_identity(server).is_instance("a"))
+        self.assert_refused(self.client.client, operator.server, "a")
+
+    def test_renewed_keys_serve_new_links_and_cut_no_running_one(self):
+        running, far = self.link(self.client.client, self.server.server)
+        before = running.getpeercert()["serialNumber"]
+        make_table(self.folder, "b")
+        self.server.reload(self.recorder)
+        renewed, _ = self.link(self.client.client, self.server.server)
+        self.assertNotEqual(renewed.getpeercert()["serialNumber"], before)
+        self.assertEqual([event.kind for event in self.recorder.events], [EventKind.KEYS_RELOADED])
+
+        async def talk():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(far.send_all, b"still here")
+                self.assertEqual(await running.receive_some(20), b"still here")
+
+        trio.run(talk)
+
+    def test_a_renewed_authority_is_asked_of_new_links(self):
+        stranger = load(make_table(self.other, "a", authority=self.folder))
+        self.assert_refused(stranger.client, self.server.server)
+        both = (self.folder / "authority.pem").read_bytes()
+        both += (self.other / "authority.pem").read_bytes()
+        (self.folder / "authority.pem").write_bytes(both)
+        self.server.reload(self.recorder)
+        self.link(stranger.client, self.server.server)
+
+    def test_half_written_keys_are_refused_and_the_old_ones_stay(self):
+        Path(self.server.table.key).write_text("garbage")
+        self.server.reload(self.recorder)
+        self.server.reload(self.recorder)
+        self.assertEqual([event.kind for event in self.recorder.events], [EventKind.KEYS_REFUSED])
+        self.link(self.client.client, self.server.server)
+
+    def test_a_key_of_another_certificate_is_named(self):
+        make_table(self.folder, "c")
+        os.replace(self.folder / "c.key", self.folder / "b.key")
+        self.assertIn("b.pem: ", str(load_keys(self.server.table).error))
+        os.remove(self.folder / "authority.pem")
+        self.assertIn("authority.pem: No such file", str(load_keys(self.server.table).error))
+
+
+if __name__ == "__main__":
+    unittest.main()
