daemon: wake an idle node on what is due, not on a fixed tick

Cause: the owner's clock ran at 50 Hz, membership at 20 Hz, claims and the lease proof at 10 Hz, so an idle node woke 90 times a second.

--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -1,5 +1,6 @@
 """Own the upstreams beside this process: decide by their desks and carry out the effects."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -33,7 +34,8 @@
 QUEUE_LIMIT = 16
 MAX_OWNED_UPSTREAMS = 8
 MAX_ASSEMBLING = 256
-TICK_S: Seconds = 0.02
+# Leases of announcements are looked at this often; queued attempts expire on time.
+LEASE_CHECK: Seconds = 0.5
 
 
 @dataclass(slots=True, eq=False)
@@ -84,6 +86,8 @@
     assembling: dict[AttemptId, Assembly] = field(default_factory=dict)
     outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
     is_draining: bool = False
+    clock_moved: trio.Event = field(default_factory=trio.Event)
+    wakes_at: Seconds = math.inf
 
     def link_opened(self, link: ReplyLink) -> None:
         """Hear that an entry node opened a link."""
@@ -253,14 +257,24 @@
     async def run_clock(self) -> None:
         """Let queued attempts and announcements expire."""
         while True:
-            await trio.sleep(TICK_S)
-            now = trio.current_time()
-            for owned in tuple(self.owned.values()):
-                due = owner.next_due(owned.desk)
-                if due is not None and due <= now:
-                    self._feed(owned, ev.Tick())
-                if owned.lease_until < now and owned.upstream.state is not UpstreamState.GONE:
-                    self.left(owned.upstream.name)
+            self.clock_moved = trio.Event()
+            self.wakes_at = self._find_next_due()
+            with trio.move_on_at(self.wakes_at):
+                await self.clock_moved.wait()
+            self._expire(trio.current_time())
+
+    def _find_next_due(self) -> Seconds:
+        dues = [owner.next_due(owned.desk) for owned in self.owned.values()]
+        soonest = min((due for due in dues if due is not None), default=math.inf)
+        return min(soonest, trio.current_time() + LEASE_CHECK)
+
+    def _expire(self, now: Seconds) -> None:
+        for owned in tuple(self.owned.values()):
+            due = owner.next_due(owned.desk)
+            if due is not None and due <= now:
+                self._feed(owned, ev.Tick())
+            if owned.lease_until < now and owned.upstream.state is not UpstreamState.GONE:
+                self.left(owned.upstream.name)
 
     def _feed_all(self, event: ev.OwnerEvent) -> None:
         for owned in tuple(self.owned.values()):
@@ -269,6 +283,9 @@
     def _feed(self, owned: OwnedUpstream, event: ev.OwnerEvent) -> None:
         for effect in owner.step(owned.desk, event, trio.current_time()):
             self._carry_out(owned, effect)
+        due = owner.next_due(owned.desk)
+        if due is not None and due < self.wakes_at:
+            self.clock_moved.set()
 
     def _carry_out(self, owned: OwnedUpstream, effect: ev.OwnerEffect) -> None:
         match effect:
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -62,6 +62,7 @@
 from bendwind_core.world import Instance
 
 TICK: Seconds = 0.1
+IDLE_TICK: Seconds = 0.5
 INBOX_MESSAGES = 1024
 DEFAULT_LIMITS = ClaimLimits()
 
@@ -215,7 +216,8 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await trio.sleep(TICK)
+            is_idle = not self.entry.asking and not self.entry.settling
+            await trio.sleep(IDLE_TICK if is_idle else TICK)
             self._apply_entry(EntryTick())
             for holder in self.holders.values():
                 self._apply_holder(holder, Tick())
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -32,7 +32,8 @@
 Send = Callable[[str, Record], None]
 Listener = Callable[[ViewEffect], None]
 
-_TICK_SECONDS = 0.05
+# The view acts on heartbeats and timeouts only; this share of a heartbeat is fine enough.
+_TICK_SHARE = 0.25
 _INBOX = 256
 
 
@@ -52,8 +53,9 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Renew, receive and push on until cancelled."""
         task_status.started()
+        tick = self.view.times.heartbeat * _TICK_SHARE
         while True:
-            with trio.move_on_after(_TICK_SECONDS):
+            with trio.move_on_after(tick):
                 sender, message = await self._outbox.receive()
                 self.step(MessageReceived(sender, message))
                 continue
