--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -1,6 +1,8 @@
 """Run one caller's request from its arrival to its one final outcome."""
 
+import contextlib
 import math
+from collections.abc import Iterator
 
 import trio
 from expression import Error, Ok, Result
@@ -220,8 +222,20 @@
 
     async def _watch_gone(self) -> None:
         await self.exchange.wait_gone()
-        self.is_gone = True
-        self.run.feed(ev.CallerGone())
+        self._note_gone()
+
+    def _note_gone(self) -> None:
+        if not self.is_gone:
+            self.is_gone = True
+            self.run.feed(ev.CallerGone())
+
+    @contextlib.contextmanager
+    def _noticing_gone(self) -> Iterator[None]:
+        """Take a failed sending as the caller's end; what follows is not sent either."""
+        try:
+            yield
+        except CallerGoneError:
+            self._note_gone()
 
     async def _go_on(self, *, is_watched: bool) -> bool:
         """Carry out effects; False if the call lasts and its caller is to be watched."""
@@ -287,20 +301,16 @@
 
     async def _send_head(self, head: AnswerHead) -> None:
         self.is_started = True
-        if self.is_gone:
-            return
         call = ((names.CALL, self.run.call.call_id.encode()),)
-        await self.exchange.send_head(head.status, (*head.headers, names.VIA, *call))
-        if not head.more:
-            await self.exchange.send_part(head.body, more=False)
-        elif head.body:
-            await self.exchange.send_part(head.body, more=True)
+        with self._noticing_gone():
+            await self.exchange.send_head(head.status, (*head.headers, names.VIA, *call))
+            await self.exchange.send_part(head.body, more=head.more)
 
     async def _send_part(self, attempt: AttemptId) -> None:
         run = self.run
         index = min(index for id, index in run.incoming if id == attempt)
         part = run.incoming.pop((attempt, index))
-        if not self.is_gone:
+        with self._noticing_gone():
             await self.exchange.send_part(part.data, more=part.more)
         if part.more:
             self._grant_credit(attempt, len(part.data))
@@ -318,14 +328,15 @@
             (names.CALL, self.run.call.call_id.encode()),
             (names.REPLAYED, b"true"),
         )
-        await self.exchange.send_head(answer.status, (*answer.headers, *extra))
-        await self.exchange.send_part(answer.body, more=False)
+        with self._noticing_gone():
+            await self.exchange.send_head(answer.status, (*answer.headers, *extra))
+            await self.exchange.send_part(answer.body, more=False)
 
     async def _send_outcome(
         self, status: int, outcome: bytes, reason: str, retry_after_ms: Milliseconds | None
     ) -> None:
         self._record_end(f"{outcome.decode()}: {reason}")
-        if not self.is_gone:
+        with self._noticing_gone():
             await outcomes.send_outcome(
                 self.exchange, self.run.call.call_id, status, outcome, reason, retry_after_ms
             )
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -0,0 +1,232 @@
+"""Serve callers over HTTP/1.1 with h11 on trio streams, for the least time added to a call."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from functools import partial
+from urllib.parse import urlsplit
+
+import h11
+import trio
+
+from bendwind_core.attempts import Header
+from bendwind_core.core import Seconds
+from bendwind_node.calls import headers as names
+from bendwind_node.calls import outcomes
+from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
+
+Handle = Callable[[CallerExchange], Awaitable[None]]
+
+RECEIVE_BYTES = 64 * 1024
+# Pipelined requests beyond this stay in the socket, and the caller's end is no longer watched.
+MAX_READ_AHEAD = 64 * 1024
+# RFC 9112, section 9.6: reading on for a while lets the caller see the answer before the reset.
+LINGER: Seconds = 1.0
+# Once draining, an idle connection is kept this long for a request that is on its way.
+DRAIN_IDLE: Seconds = 2.0
+
+_SERVICE_UNAVAILABLE = 503
+
+_CLOSE = (b"connection", b"close")
+_BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+def _find_origin_form(target: bytes) -> bytes:
+    # RFC 9112, section 3.2.2: a server must accept the absolute form as well.
+    if target.startswith((b"/", b"*")):
+        return target
+    parts = urlsplit(target)
+    path = parts.path or b"/"
+    return path + b"?" + parts.query if parts.query else path
+
+
+class H11Exchange:
+    """Carry one request of a connection."""
+
+    __slots__ = ("connection", "head", "is_aborted", "read_ahead", "request", "server", "stream")
+
+    def __init__(
+        self, server: "H11Server", stream: trio.SocketStream, connection: h11.Connection, head
+    ):
+        self.server = server
+        self.stream = stream
+        self.connection = connection
+        target = _find_origin_form(head.target)
+        self.request = CallerRequest(head.method.decode(), target, tuple(head.headers))
+        self.head = b""
+        self.is_aborted = False
+        self.read_ahead = 0
+
+    async def receive_part(self) -> bytes | None:
+        """Return the next part of the body, None at its end."""
+        connection = self.connection
+        if connection.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(connection.send(go_ahead))
+        while True:
+            match self._next_event():
+                case h11.NEED_DATA:
+                    await self._receive()
+                case h11.Data(data=data):
+                    return bytes(data)
+                case _:
+                    return None
+
+    def _next_event(self) -> object:
+        try:
+            return self.connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise CallerGoneError from error
+
+    async def _receive(self) -> None:
+        try:
+            data = await self.stream.receive_some(RECEIVE_BYTES)
+        except _BROKEN as error:
+            raise CallerGoneError from error
+        if not data:
+            raise CallerGoneError
+        self.connection.receive_data(data)
+
+    async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Prepare the head of the answer; it goes out with the first part of the body."""
+        if self.server.is_draining:
+            headers = (*headers, _CLOSE)
+        self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
+
+    async def send_part(self, data: bytes, *, more: bool) -> None:
+        """Send a part of the body."""
+        out = self.head
+        self.head = b""
+        if data:
+            out += self.connection.send(h11.Data(data=data))
+        if not more:
+            out += self.connection.send(h11.EndOfMessage())
+        await self._send(out)
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self.stream.send_all(data)
+        except _BROKEN as error:
+            raise CallerGoneError from error
+
+    def abort(self) -> None:
+        """Mark the connection to be closed before the answer is whole."""
+        self.is_aborted = True
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has closed its connection."""
+        while self.read_ahead < MAX_READ_AHEAD:
+            try:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+            except _BROKEN:
+                return
+            if not data:
+                return
+            self.connection.receive_data(data)
+            self.read_ahead += len(data)
+        await trio.sleep_forever()
+
+
+@dataclass(slots=True, eq=False)
+class H11Server:
+    """Own the callers' connections of a process."""
+
+    handle: Handle
+    keep_alive: Seconds
+    header_bytes: int
+    max_connections: int
+    is_draining: bool = False
+    connections: int = 0
+    idle: set[trio.CancelScope] = field(default_factory=set)
+
+    async def run(self, listeners: list[trio.SocketListener], shutdown: trio.Event) -> None:
+        """Accept until shut down; return when what is in flight has been answered."""
+        async with trio.open_nursery() as serving:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    partial(trio.serve_listeners, self._serve, listeners, handler_nursery=serving)
+                )
+                await shutdown.wait()
+                accepting.cancel_scope.cancel()
+            self._start_draining()
+
+    def _start_draining(self) -> None:
+        # An idle caller may be sending just now: it gets a last answer, with "close" in its head.
+        self.is_draining = True
+        for scope in self.idle:
+            scope.deadline = min(scope.deadline, trio.current_time() + DRAIN_IDLE)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.header_bytes)
+        try:
+            async with stream:
+                if self.connections > self.max_connections:
+                    await self._refuse_connection(stream, connection)
+                    return
+                while await self._serve_one(stream, connection):
+                    connection.start_next_cycle()
+        except _BROKEN:
+            return
+        finally:
+            self.connections -= 1
+
+    async def _refuse_connection(
+        self, stream: trio.SocketStream, connection: h11.Connection
+    ) -> None:
+        await stream.send_all(_make_error(connection, _SERVICE_UNAVAILABLE, outcomes.NOT_RUN))
+        await _linger(stream)
+
+    async def _serve_one(self, stream: trio.SocketStream, connection: h11.Connection) -> bool:
+        """Serve one request and tell whether the connection may carry another."""
+        try:
+            head = await self._read_head(stream, connection)
+        except h11.RemoteProtocolError as error:
+            refusal = _make_error(connection, error.error_status_hint, outcomes.REFUSED)
+            await stream.send_all(refusal)
+            await _linger(stream)
+            return False
+        if head is None:
+            return False
+        exchange = H11Exchange(self, stream, connection, head)
+        await self.handle(exchange)
+        if exchange.is_aborted or connection.our_state is not h11.DONE:
+            return False
+        if connection.their_state is not h11.DONE or self.is_draining:
+            await _linger(stream)
+            return False
+        return True
+
+    async def _read_head(
+        self, stream: trio.SocketStream, connection: h11.Connection
+    ) -> h11.Request | None:
+        is_first = True
+        with trio.move_on_after(DRAIN_IDLE if self.is_draining else self.keep_alive) as scope:
+            self.idle.add(scope)
+            try:
+                while (event := connection.next_event()) is h11.NEED_DATA:
+                    connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+                    if is_first:
+                        is_first = False
+                        self.idle.discard(scope)
+            finally:
+                self.idle.discard(scope)
+            return event if isinstance(event, h11.Request) else None
+        return None
+
+
+def _make_error(connection: h11.Connection, status: int, outcome: bytes) -> bytes:
+    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return b""
+    headers = [(names.CONTENT_LENGTH, b"0"), (names.OUTCOME, outcome), _CLOSE]
+    head = connection.send(h11.Response(status_code=status, headers=headers))
+    return head + connection.send(h11.EndOfMessage())
+
+
+async def _linger(stream: trio.SocketStream) -> None:
+    with trio.move_on_after(LINGER):
+        try:
+            await stream.send_eof()
+            while await stream.receive_some(RECEIVE_BYTES):
+                continue
+        except _BROKEN:
+            return
--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -22,16 +22,11 @@
 )
 from bendwind_core.core import MILLISECONDS_PER_SECOND
 from bendwind_core.messages import PeerMessage
-from bendwind_core.world import LoadSample
+from bendwind_core.world import LoadSample, Repeat
 from bendwind_node.calls import headers as names
 from bendwind_node.calls.body_flow import PART_BYTES, Outflow
-from bendwind_node.calls.upstream_edge import (
-    AnswerCut,
-    RequestNotSent,
-    UpstreamAnswer,
-    UpstreamPool,
-    UpstreamRequest,
-)
+from bendwind_node.calls.upstream_h11 import UpstreamAnswer, UpstreamPool
+from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
 
 DispatchEnd = DispatchDone | DispatchNotRun | DispatchUnknown
 Send = Callable[[PeerMessage], bool]
@@ -52,7 +47,13 @@
         (names.TIMEOUT_MS, str(max(1, int(hand_over.remaining_ms))).encode()),
         (names.ATTEMPT, format_attempt(hand_over.attempt).encode()),
     )
-    return UpstreamRequest(hand_over.method.encode(), hand_over.target, headers, hand_over.body)
+    return UpstreamRequest(
+        hand_over.method.encode(),
+        hand_over.target,
+        headers,
+        hand_over.body,
+        hand_over.repeat is Repeat.NEVER,
+    )
 
 
 def format_attempt(attempt: AttemptId) -> str:
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -29,7 +29,7 @@
 from bendwind_node.calls.body_flow import Inflow, Outflow
 from bendwind_node.calls.dispatch import DispatchEnd, format_attempt, run_dispatch
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
-from bendwind_node.calls.upstream_edge import UpstreamPool
+from bendwind_node.calls.upstream_h11 import UpstreamPool
 
 QUEUE_LIMIT = 16
 MAX_OWNED_UPSTREAMS = 8
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -0,0 +1,170 @@
+"""Send requests to an upstream over HTTP/1.1 with h11 on trio streams."""
+
+from dataclasses import dataclass, field
+
+import h11
+import trio
+from expression import Error, Ok, Result
+
+from bendwind_core.attempts import CutReason, Header, NotRunReason
+from bendwind_core.core import Seconds
+from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
+
+KEEP_ALIVE: Seconds = 30.0
+# A request that must not be repeated goes over a connection that the upstream has not had time to
+# tire of: one closed at the same moment would leave its outcome unknown.
+FRESH_FOR_MARKED: Seconds = 1.0
+CONNECT_TIMEOUT: Seconds = 1.0
+RECEIVE_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+
+_BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError)
+_CUT = AnswerCut(CutReason.UPSTREAM_RESET)
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamConnection:
+    """Hold one connection to the upstream."""
+
+    stream: trio.SocketStream
+    protocol: h11.Connection
+    idle_since: Seconds = 0.0
+    is_reused: bool = False
+
+    def is_usable(self, now: Seconds, max_idle: Seconds) -> bool:
+        """Tell whether the connection is young enough and the upstream has not closed it."""
+        return now - self.idle_since < max_idle and not self.stream.socket.is_readable()
+
+    async def next_event(self) -> object:
+        """Return the next event of the upstream's answer.
+
+        Errors: raises those of the stream and h11.RemoteProtocolError.
+        """
+        while True:
+            event = self.protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.protocol.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+
+
+class UpstreamAnswer:
+    """Hold an answer's head and give its body in parts."""
+
+    __slots__ = ("connection", "headers", "is_whole", "pool", "status")
+
+    def __init__(self, pool: "UpstreamPool", connection: UpstreamConnection, head: h11.Response):
+        self.pool = pool
+        self.connection = connection
+        self.status = head.status_code
+        self.headers: tuple[Header, ...] = tuple(head.headers)
+        self.is_whole = False
+
+    async def next_part(self) -> Result[bytes, AnswerCut]:
+        """Return the next part of the body, empty at its end."""
+        if self.is_whole:
+            return _END
+        try:
+            event = await self.connection.next_event()
+        except _BROKEN:
+            return Error(_CUT)
+        if isinstance(event, h11.Data):
+            return Ok(bytes(event.data))
+        if isinstance(event, h11.EndOfMessage):
+            self.is_whole = True
+            return _END
+        return Error(_CUT)
+
+    async def aclose(self) -> None:
+        """Give the connection back, or close it if the body was not read to its end."""
+        await self.pool.put_back(self.connection, is_whole=self.is_whole)
+
+
+_END: Result[bytes, AnswerCut] = Ok(b"")
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamPool:
+    """Own the connections to one upstream; the newest idle one is used first."""
+
+    host: str
+    port: int
+    connections: int
+    idle: list[UpstreamConnection] = field(default_factory=list)
+    is_closed: bool = False
+
+    async def start(
+        self, request: UpstreamRequest
+    ) -> Result[UpstreamAnswer, RequestNotSent | AnswerCut]:
+        """Send a request and return its answer as soon as the head is there."""
+        connection = await self._take(FRESH_FOR_MARKED if request.is_marked else KEEP_ALIVE)
+        if connection is None:
+            return Error(RequestNotSent(NotRunReason.CONNECT_FAILED))
+        answer = await self._exchange(connection, request)
+        if answer.is_ok() or not connection.is_reused or request.is_marked:
+            return answer
+        # The upstream may have closed the kept connection just as the request went out.
+        fresh = await self._connect()
+        return answer if fresh is None else await self._exchange(fresh, request)
+
+    async def _take(self, max_idle: Seconds) -> UpstreamConnection | None:
+        now = trio.current_time()
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_usable(now, max_idle):
+                connection.is_reused = True
+                return connection
+            await trio.aclose_forcefully(connection.stream)
+        return await self._connect()
+
+    async def _connect(self) -> UpstreamConnection | None:
+        with trio.move_on_after(CONNECT_TIMEOUT):
+            try:
+                stream = await trio.open_tcp_stream(self.host, self.port)
+            except OSError:
+                return None
+            protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+            return UpstreamConnection(stream, protocol)
+        return None
+
+    async def _exchange(
+        self, connection: UpstreamConnection, request: UpstreamRequest
+    ) -> Result[UpstreamAnswer, AnswerCut]:
+        try:
+            await connection.stream.send_all(_encode(connection.protocol, request))
+            head = await connection.next_event()
+            while isinstance(head, h11.InformationalResponse):
+                head = await connection.next_event()
+        except _BROKEN:
+            head = None
+        except trio.Cancelled:
+            await trio.aclose_forcefully(connection.stream)
+            raise
+        if isinstance(head, h11.Response):
+            return Ok(UpstreamAnswer(self, connection, head))
+        await trio.aclose_forcefully(connection.stream)
+        return Error(_CUT)
+
+    async def put_back(self, connection: UpstreamConnection, *, is_whole: bool) -> None:
+        """Keep a connection whose answer was read to its end, close any other."""
+        protocol = connection.protocol
+        is_done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+        if is_whole and is_done and not self.is_closed:
+            protocol.start_next_cycle()
+            connection.idle_since = trio.current_time()
+            self.idle.append(connection)
+        else:
+            await trio.aclose_forcefully(connection.stream)
+
+    async def aclose(self) -> None:
+        """Close every idle connection; those in use are closed when they are given back."""
+        self.is_closed = True
+        while self.idle:
+            await trio.aclose_forcefully(self.idle.pop().stream)
+
+
+def _encode(protocol: h11.Connection, request: UpstreamRequest) -> bytes:
+    head = h11.Request(method=request.method, target=request.target, headers=request.headers)
+    out = protocol.send(head)
+    if request.body:
+        out += protocol.send(h11.Data(data=request.body))
+    return out + protocol.send(h11.EndOfMessage())
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_edge.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_httpcore.py
@@ -1,12 +1,12 @@
-"""Send one request to an upstream over HTTP and report exactly how far it got."""
+"""Send requests to an upstream with httpcore."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 
 import httpcore
 from expression import Error, Ok, Result
 
-from bendwind_core.attempts import CutReason, Header, NotRunReason
+from bendwind_core.attempts import CutReason, NotRunReason
+from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
 
 KEEP_ALIVE_S = 30.0
 
@@ -14,30 +14,6 @@
 _CUT_ERRORS = (httpcore.NetworkError, httpcore.RemoteProtocolError, httpcore.LocalProtocolError)
 
 
-@dataclass(slots=True)
-class UpstreamRequest:
-    """Hold one request whose body is complete."""
-
-    method: bytes
-    target: bytes
-    headers: tuple[Header, ...]
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class RequestNotSent:
-    """Tell that no byte of the request went to the upstream."""
-
-    reason: NotRunReason
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerCut:
-    """Tell that the request was sent, at least in part, and its answer did not come whole."""
-
-    reason: CutReason
-
-
 class UpstreamAnswer:
     """Hold an answer's head and give its body in parts."""
 
