logs, metrics: structured log lines and metrics read at each scrape

Cause: a process must show what it does without a cost on each call. Conclusion: METRICS and the log carry numbers, units and the hybrid time.

--- a/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
@@ -14,9 +14,12 @@
 
 
 class Recorder:
-    """Own a process's bounded buffer of events and its hybrid logical clock."""
+    """Own a process's bounded buffer of events and its hybrid logical clock.
 
-    __slots__ = ("clock", "events", "instance", "monotonic_us", "recorded")
+    `counts` holds how often each event was recorded, those no longer in the buffer included.
+    """
+
+    __slots__ = ("clock", "counts", "events", "instance", "monotonic_us")
 
     def __init__(
         self,
@@ -29,12 +32,12 @@
         self.clock = HybridClock(wall_ms)
         self.events: collections.deque[Event] = collections.deque(maxlen=capacity)
         self.monotonic_us = monotonic_us or (lambda: wall_ms() * _MICROSECONDS_PER_MILLISECOND)
-        self.recorded = 0
+        self.counts: collections.Counter[EventKind] = collections.Counter()
 
     @property
     def dropped(self) -> int:
         """Count the events that newer ones pushed out of the buffer."""
-        return self.recorded - len(self.events)
+        return self.counts.total() - len(self.events)
 
     def record(
         self, kind: EventKind, *, call: str = "", upstream: str = "", plan: str = "", detail=""
@@ -53,7 +56,7 @@
             self.monotonic_us(),
         )
         self.events.append(event)
-        self.recorded += 1
+        self.counts[kind] += 1
         level = find_level(kind)
         if _LOG.isEnabledFor(level):
             _LOG.log(level, kind.name, extra={"event": event})
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/logs/configure.py
@@ -0,0 +1,23 @@
+"""Set up the standard logging module to write one line for each event."""
+
+import logging
+import sys
+from typing import TextIO
+
+from bendwind_node.logs.formatters import JsonFormatter, TextFormatter
+from bendwind_node.settings import Settings
+
+# These libraries log each request or frame below this level.
+_CHATTY = ("asyncio", "httpcore", "hypercorn", "websockets")
+
+
+def configure_logging(settings: Settings, stream: TextIO | None = None) -> None:
+    """Write events at or above the settings' level to a stream, standard error by default."""
+    instance = settings.instance.name
+    is_json = settings.logging.format == "json"
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(JsonFormatter(instance) if is_json else TextFormatter(instance))
+    logging.basicConfig(handlers=[handler], level=logging.WARNING, force=True)
+    logging.getLogger("bendwind").setLevel(settings.logging.level.upper())
+    for name in _CHATTY:
+        logging.getLogger(name).setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/logs/formatters.py
@@ -0,0 +1,86 @@
+"""Format log records, those of numbered events and those of libraries alike."""
+
+import logging
+
+import msgspec
+
+from bendwind_core.timeline import Event, render_event
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+class LogLine(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold the fields of one line; libraries' records have no number.
+
+    Units: `physical_ms` is wall-clock time in milliseconds since 1970.
+    """
+
+    level: str
+    instance: str
+    physical_ms: int
+    name: str
+    number: int = 0
+    logical: int = 0
+    call: str = ""
+    upstream: str = ""
+    plan: str = ""
+    detail: str = ""
+
+
+class JsonFormatter(logging.Formatter):
+    """Format each record as one JSON object on one line."""
+
+    def __init__(self, instance: str):
+        super().__init__()
+        self.instance = instance
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        event = _find_event(record)
+        level = record.levelname.lower()
+        if event is None:
+            detail = _describe(self, record)
+            physical_ms = int(record.created * _MILLISECONDS_PER_SECOND)
+            line = LogLine(level, self.instance, physical_ms, record.name, detail=detail)
+        else:
+            line = LogLine(
+                level,
+                event.instance,
+                event.physical_ms,
+                event.kind.name,
+                int(event.kind),
+                event.logical,
+                event.call,
+                event.upstream,
+                event.plan,
+                event.detail,
+            )
+        return msgspec.json.encode(line).decode()
+
+
+class TextFormatter(logging.Formatter):
+    """Format each record as a line for people."""
+
+    def __init__(self, instance: str):
+        super().__init__()
+        self.instance = instance
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        event = _find_event(record)
+        if event is None:
+            text = f"{self.instance} {record.name} {_describe(self, record)}"
+        else:
+            text = render_event(event)
+        return f"{record.levelname} {text}".replace("\n", "\\n")
+
+
+def _find_event(record: logging.LogRecord) -> Event | None:
+    return getattr(record, "event", None)
+
+
+def _describe(formatter: logging.Formatter, record: logging.LogRecord) -> str:
+    text = record.getMessage()
+    if record.exc_info:
+        text = f"{text}\n{formatter.formatException(record.exc_info)}"
+    return text
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/logs/tests/test_logs.py
@@ -0,0 +1,59 @@
+import io
+import json
+import logging
+import unittest
+
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.logs import configure_logging
+from bendwind_node.settings import parse_settings
+from bendwind_node.settings.tests.test_load import PLAIN
+
+
+class TestLogs(unittest.TestCase):
+    def setUp(self):
+        self.addCleanup(logging.basicConfig, force=True, level=logging.WARNING)
+        self.addCleanup(logging.getLogger("bendwind").setLevel, logging.NOTSET)
+        self.recorder = Recorder("b", lambda: 1500, 10)
+
+    def start(self, extra: str = "") -> io.StringIO:
+        stream = io.StringIO()
+        configure_logging(parse_settings((PLAIN + extra).encode(), "f").ok, stream)
+        return stream
+
+    def test_an_event_is_one_json_line_with_number_name_and_time(self):
+        stream = self.start()
+        self.recorder.record(EventKind.PROCESS_STARTED, detail='a "b"\nc')
+        line = {
+            "level": "info",
+            "instance": "b",
+            "physical_ms": 1500,
+            "name": "PROCESS_STARTED",
+            "number": 801,
+            "detail": 'a "b"\nc',
+        }
+        self.assertEqual(json.loads(stream.getvalue()), line)
+        self.assertEqual(stream.getvalue().count("\n"), 1)
+
+    def test_events_of_calls_need_the_debug_level(self):
+        stream = self.start()
+        self.recorder.record(EventKind.CALL_ARRIVED)
+        self.assertEqual(stream.getvalue(), "")
+        stream = self.start('[logging]\nlevel = "debug"\nformat = "text"\n')
+        self.recorder.record(EventKind.CALL_ARRIVED, call="c1", detail="x\ny")
+        line = "DEBUG 1970-01-01T00:00:01.500Z+1 b 101 CALL_ARRIVED call=c1 detail=x\\ny\n"
+        self.assertEqual(stream.getvalue(), line)
+
+    def test_a_librarys_warning_is_logged_with_its_name_and_traceback(self):
+        stream = self.start()
+        try:
+            raise ValueError("odd")
+        except ValueError:
+            logging.getLogger("some.library").warning("failed", exc_info=True)
+        logging.getLogger("some.library").info("chatter")
+        line = json.loads(stream.getvalue())
+        self.assertEqual((line["name"], line["instance"]), ("some.library", "sala-norte-1"))
+        self.assertIn("ValueError: odd", line["detail"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/metrics/__init__.py
@@ -0,0 +1,7 @@
+"""Offer the process's metrics."""
+
+from bendwind_node.metrics.catalogue import Metric, MetricKind
+from bendwind_node.metrics.sample import Sample
+from bendwind_node.metrics.scrape import Metrics
+
+__all__ = ["Metric", "MetricKind", "Metrics", "Sample"]
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -0,0 +1,68 @@
+"""List every metric with its kind, unit, labels and meaning."""
+
+import enum
+from dataclasses import dataclass
+
+
+class MetricKind(enum.StrEnum):
+    """Say whether a metric only grows or goes up and down."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+
+
+@dataclass(frozen=True, slots=True)
+class _Definition:
+    name: str
+    kind: MetricKind
+    unit: str
+    labels: tuple[str, ...]
+    meaning: str
+
+
+def _count(name: str, unit: str, meaning: str, *labels: str) -> _Definition:
+    return _Definition(f"bendwind_{name}_total", MetricKind.COUNTER, unit, labels, meaning)
+
+
+def _gauge(name: str, unit: str, meaning: str, *labels: str) -> _Definition:
+    return _Definition(f"bendwind_{name}", MetricKind.GAUGE, unit, labels, meaning)
+
+
+class Metric(enum.Enum):
+    """Name the metrics; docs/METRICS.md is made from this."""
+
+    EVENTS = _count("events", "events", "Events recorded, see docs/EVENTS.md.", "number", "name")
+    EVENTS_DROPPED = _count(
+        "events_dropped", "events", "Events that newer ones pushed out of the time line's buffer."
+    )
+    CLOCK_IGNORED = _count(
+        "clock_ignored", "messages", "Peer times too far ahead of this wall clock to follow."
+    )
+    CALLS_IN_FLIGHT = _gauge(
+        "calls_in_flight", "calls", "Calls of this entry node without their outcome.", "service"
+    )
+    ATTEMPTS_RUNNING = _gauge(
+        "attempts_running", "attempts", "Attempts at the upstream now.", "upstream"
+    )
+    ATTEMPTS_WAITING = _gauge(
+        "attempts_waiting", "attempts", "Attempts queued for the upstream.", "upstream"
+    )
+    UPSTREAM_SLOTS = _gauge(
+        "upstream_slots", "attempts", "Attempts the upstream takes at a time.", "upstream"
+    )
+    LINKS = _gauge("links", "links", "Open links to peers, by which end opened them.", "opened_by")
+    DRAINING = _gauge("draining", "0 or 1", "Whether the process takes no new attempts.")
+    CONFIGURATION_VERSION = _gauge(
+        "configuration_version", "version", "Configuration in force on this node."
+    )
+    CONFIRMED_AGE = _gauge(
+        "confirmed_age_seconds", "s", "Age of the proof that the version is the newest."
+    )
+    FRESH = _gauge("fresh", "0 or 1", "Whether that proof is young enough to serve calls.")
+    CLAIM_GROUPS = _gauge("claim_groups", "groups", "Claim groups this node is a member of.")
+    VOTER_APPLIED = _gauge("voter_applied_index", "entries", "Log entries this voter applied.")
+    VOTER_TERM = _gauge("voter_term", "term", "Term of this voter.")
+    VOTER_LEADER = _gauge("voter_leader", "0 or 1", "Whether this voter is the leader.")
+    MEMBERS = _gauge("members", "instances", "Instances this voter knows as alive.")
+    CPU = _count("cpu_seconds", "s", "Processor time of the process.")
+    PEAK_MEMORY = _gauge("peak_resident_bytes", "B", "Most memory the process ever held.")
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -0,0 +1,65 @@
+"""Read the values of the metrics from the tasks of a process."""
+
+import resource
+from collections.abc import Iterator
+
+from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.timeline import Recorder
+from bendwind_node.calls.entry_node import EntryNode
+from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.claims.task import ClaimTask
+from bendwind_node.control.service import ControlService
+from bendwind_node.links import LinkHub
+from bendwind_node.membership import MembershipTask
+from bendwind_node.metrics.catalogue import Metric
+from bendwind_node.metrics.sample import Sample
+
+_BYTES_PER_KIB = 1024
+
+
+def gather_timeline(recorder: Recorder) -> Iterator[Sample]:
+    """Read what the recorder counted."""
+    for kind, count in recorder.counts.items():
+        yield Sample(Metric.EVENTS, count, (str(int(kind)), kind.name))
+    yield Sample(Metric.EVENTS_DROPPED, recorder.dropped)
+    yield Sample(Metric.CLOCK_IGNORED, recorder.clock.ignored)
+
+
+def gather_calls(entry: EntryNode, owner: OwnerNode) -> Iterator[Sample]:
+    """Read the calls and attempts under way."""
+    for service, desk in entry.desks.items():
+        yield Sample(Metric.CALLS_IN_FLIGHT, desk.in_flight, (service,))
+    for upstream, owned in owner.owned.items():
+        yield Sample(Metric.ATTEMPTS_RUNNING, len(owned.desk.running), (upstream,))
+        yield Sample(Metric.ATTEMPTS_WAITING, len(owned.desk.waiting), (upstream,))
+        yield Sample(Metric.UPSTREAM_SLOTS, owned.upstream.slots, (upstream,))
+    yield Sample(Metric.DRAINING, int(owner.is_draining))
+
+
+def gather_node(hub: LinkHub, membership: MembershipTask, claims: ClaimTask) -> Iterator[Sample]:
+    """Read the links, the configuration in force and the claim groups."""
+    yield Sample(Metric.LINKS, len(hub.dialed), ("this",))
+    yield Sample(Metric.LINKS, len(hub.accepted), ("peer",))
+    yield Sample(Metric.CONFIGURATION_VERSION, membership.view.version)
+    yield Sample(Metric.FRESH, int(membership.is_fresh()))
+    age_ms = membership.confirmed_age_ms()
+    if age_ms is not None:
+        yield Sample(Metric.CONFIRMED_AGE, age_ms / MILLISECONDS_PER_SECOND)
+    joined = sum(holder.is_member() for holder in claims.holders.values())
+    yield Sample(Metric.CLAIM_GROUPS, joined)
+
+
+def gather_voter(control: ControlService) -> Iterator[Sample]:
+    """Read the state of a control voter."""
+    status = control.voter.status()
+    yield Sample(Metric.VOTER_APPLIED, status.applied)
+    yield Sample(Metric.VOTER_TERM, status.term)
+    yield Sample(Metric.VOTER_LEADER, int(status.leader == status.name))
+    yield Sample(Metric.MEMBERS, len(control.registry.registry.members))
+
+
+def gather_process() -> Iterator[Sample]:
+    """Read what the process used of the machine."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    yield Sample(Metric.CPU, used.ru_utime + used.ru_stime)
+    yield Sample(Metric.PEAK_MEMORY, used.ru_maxrss * _BYTES_PER_KIB)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/metrics/scrape.py
@@ -0,0 +1,42 @@
+"""Render metrics with aioprometheus when they are asked for."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from bendwind_node.metrics.catalogue import MetricKind
+from bendwind_node.metrics.sample import Sample
+
+
+@dataclass(frozen=True, slots=True)
+class Rendered:
+    """Hold a body and its content type."""
+
+    body: bytes
+    content_type: str
+
+
+@dataclass(slots=True)
+class Metrics:
+    """Read the process's state at each scrape; calls pay nothing in between."""
+
+    read: Callable[[], Iterable[Sample]]
+
+    def render(self, accept: str = "") -> Rendered:
+        """Render every metric in the format that an Accept header asks for."""
+        # aioprometheus is large, and a process that nobody scrapes does without it.
+        import aioprometheus
+
+        registry = aioprometheus.Registry()
+        collectors = {}
+        for sample in self.read():
+            metric = sample.metric.value
+            collector = collectors.get(metric.name)
+            if collector is None:
+                is_counter = metric.kind is MetricKind.COUNTER
+                kind = aioprometheus.Counter if is_counter else aioprometheus.Gauge
+                collector = kind(metric.name, metric.meaning, registry=registry)
+                collectors[metric.name] = collector
+            collector.set(dict(zip(metric.labels, sample.labels, strict=True)), sample.value)
+        accepted = [accept] if accept else []
+        body, headers = aioprometheus.render(registry, accepted)
+        return Rendered(body, headers["Content-Type"])
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/metrics/tests/test_metrics.py
@@ -0,0 +1,50 @@
+import unittest
+from pathlib import Path
+
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.metrics import Metric, Metrics, Sample
+from bendwind_node.metrics.gather import gather_process, gather_timeline
+from bendwind_node.metrics.reference import render_reference
+
+ROOT = Path(__file__).parents[6]
+
+
+class TestMetrics(unittest.TestCase):
+    def test_page_lists_every_metric_of_the_code(self):
+        self.assertEqual((ROOT / "docs/METRICS.md").read_text(), render_reference())
+        names = [metric.value.name for metric in Metric]
+        self.assertEqual(len(set(names)), len(Metric))
+
+    def test_every_metric_is_read_somewhere(self):
+        source = (Path(__file__).parents[1] / "gather.py").read_text()
+        unread = [metric for metric in Metric if f"Metric.{metric.name}," not in source]
+        self.assertEqual(unread, [])
+
+    def test_counts_events_by_number_and_what_was_dropped(self):
+        recorder = Recorder("a", lambda: 1, 2)
+        for _ in range(3):
+            recorder.record(EventKind.CALL_ARRIVED)
+        text = Metrics(lambda: gather_timeline(recorder)).render().body.decode()
+        self.assertIn('bendwind_events_total{name="CALL_ARRIVED",number="101"} 3', text)
+        self.assertIn("bendwind_events_dropped_total 1", text)
+
+    def test_renders_help_type_and_labels(self):
+        samples = [
+            Sample(Metric.LINKS, 2, ("this",)),
+            Sample(Metric.LINKS, 1, ("peer",)),
+            *gather_process(),
+        ]
+        rendered = Metrics(lambda: samples).render("text/plain; version=0.0.4")
+        self.assertIn("text/plain", rendered.content_type)
+        text = rendered.body.decode()
+        self.assertIn("# TYPE bendwind_links gauge\n", text)
+        self.assertIn('bendwind_links{opened_by="this"} 2\n', text)
+        self.assertRegex(text, r"bendwind_peak_resident_bytes [1-9]")
+
+    def test_scrapes_do_not_pile_up(self):
+        metrics = Metrics(lambda: [Sample(Metric.FRESH, 1)])
+        self.assertEqual(metrics.render(), metrics.render())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/security/keys.py
+++ b/packages/bendwind-node/src/bendwind_node/security/keys.py
@@ -4,10 +4,10 @@
 import ssl
 from dataclasses import dataclass
 
-from bendwind_core.core import Record
-from bendwind_core.timeline import EventKind, Recorder
 from expression import Error, Ok, Result
 
+from bendwind_core.core import Record
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.settings import TlsTable
 
 
--- a/packages/bendwind-node/src/bendwind_node/security/reload.py
+++ b/packages/bendwind-node/src/bendwind_node/security/reload.py
@@ -1,9 +1,9 @@
 """Take renewed keys into use while the process runs."""
 
 import trio
+
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import Recorder
-
 from bendwind_node.security.keys import Keys
 
 CHECK_PERIOD_S = 5.0
--- a/packages/bendwind-node/src/bendwind_node/security/tests/test_keys.py
+++ b/packages/bendwind-node/src/bendwind_node/security/tests/test_keys.py
@@ -6,10 +6,10 @@
 
 import trio
 import trio.testing
+
 from bendwind_cli.commands import MakeAuthority, MakeInstanceKey, MakeOperatorKey
 from bendwind_cli.keys import make_keys
 from bendwind_core.timeline import EventKind, Recorder
-
 from bendwind_node.security import Identity, Role, load_keys, read_identity
 from bendwind_node.settings import TlsTable
 
