--- a/packages/bendwind-node/src/bendwind_node/security/tests/test_keys.py
+++ b/packages/bendwind-node/src/bendwind_node/security/tests/test_keys.py
@@ -93,21 +93,38 @@
         bare = ssl.create_default_context(cafile=self.server.table.authority)
         self.assert_refused(bare, self.server.server)
 
-    def test_an_operator_is_no_instance_and_no_server(self):
-        self.assertTrue(make_keys(MakeOperatorKey("a", str(self.folder), "1")).is_ok())
-        operator = load(read_table(self.folder, "operator-a"))
-        _, server = self.link(operator.client, self.server.server)
-        self.assertEqual(read_identity(server), Identity(Role.OPERATOR, "a"))
-        self.assertFalse(read_identity(server).is_instance("a"))
-        self.assert_refused(self.client.client, operator.server, "a")
+    def make_operator(self, name: str) -> ssl.SSLContext:
+        self.assertTrue(make_keys(MakeOperatorKey(name, str(self.folder), "1")).is_ok())
+        pair = read_table(self.folder, f"operator-{name}")
+        context = ssl.create_default_context(cafile=pair.authority)
+        context.load_cert_chain(pair.certificate, pair.key)
+        return context
+
+    def test_an_operator_is_no_peer_and_an_instance_no_operator(self):
+        operator = self.make_operator("a")
+        server = load_keys(self.server.table, self.server.table.authority).ok
+        _, seen = self.link(operator, server.operators)
+        self.assertEqual(read_identity(seen), Identity(Role.OPERATOR, "a"))
+        self.assertFalse(read_identity(seen).is_instance("a"))
+        self.assertIn("of an instance", self.assert_refused(operator, server.server))
+        self.assertIn("of an operator", self.assert_refused(self.client.client, server.operators))
+
+    def test_operators_with_tokens_need_no_certificate(self):
+        bare = ssl.create_default_context(cafile=self.server.table.authority)
+        self.link(bare, self.server.operators)
 
     def test_renewed_keys_serve_new_links_and_cut_no_running_one(self):
         running, far = self.link(self.client.client, self.server.server)
         before = running.getpeercert()["serialNumber"]
         make_table(self.folder, "b")
         self.server.reload(self.recorder)
-        renewed, _ = self.link(self.client.client, self.server.server)
-        self.assertNotEqual(renewed.getpeercert()["serialNumber"], before)
+        bare = ssl.create_default_context(cafile=self.server.table.authority)
+        for client, server in (
+            (self.client.client, self.server.server),
+            (bare, self.server.operators),
+        ):
+            renewed, _ = self.link(client, server)
+            self.assertNotEqual(renewed.getpeercert()["serialNumber"], before)
         self.assertEqual([event.kind for event in self.recorder.events], [EventKind.KEYS_RELOADED])
 
         async def talk():
