daemon: configure the log, serve metrics, load and renew keys; cli: print a plan once

Cause: these parts stood beside the daemon; a plan's warnings were printed twice, since the text that the server renders has them. Change: run_daemon configures the log, renders the tasks' metrics at /metrics, loads the [tls] keys for links and the operators' HTTP and looks for renewed ones.

--- a/packages/bendwind-cli/src/bendwind_cli/instances.py
+++ b/packages/bendwind-cli/src/bendwind_cli/instances.py
@@ -112,7 +112,7 @@
 
 def _render_drain(reply: DrainReply) -> str:
     state = "draining" if reply.draining else "not draining"
-    return f"{reply.name}: {state}, as of version {reply.version}"
+    return f"{reply.name}: {state}"
 
 
 def _render_status(reply: StatusReply) -> str:
--- a/packages/bendwind-cli/src/bendwind_cli/plans.py
+++ b/packages/bendwind-cli/src/bendwind_cli/plans.py
@@ -73,7 +73,6 @@
     if plan.state == "proposed" and not plan.lines:
         lines.append("  no change")
     lines += _render_affected(plan)
-    lines += [f"warning: {found.service}: {found.detail or found.kind}" for found in plan.warnings]
     if plan.state == "proposed":
         lines.append(f"nothing takes effect before: bendwind confirm {plan.id}")
     return "\n".join(lines)
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -33,16 +33,8 @@
     instances: tuple[str, ...] = ()
 
 
-class WarningReply(msgspec.Struct, frozen=True):
-    """Warn of an effect that the operator may not want."""
-
-    kind: str
-    service: str = ""
-    detail: str = ""
-
-
 class PlanReply(msgspec.Struct, frozen=True):
-    """Hold a plan."""
+    """Hold a plan; `lines` are its differences and warnings, ready to print."""
 
     id: str
     state: str
@@ -51,7 +43,6 @@
     expires_ms: int = 0
     outcome: OutcomeReply | None = None
     affected: Affected = Affected()
-    warnings: tuple[WarningReply, ...] = ()
     lines: tuple[str, ...] = ()
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -1,5 +1,6 @@
 """Serve callers by hypercorn: HTTP/1.1 and HTTP/2 as the library offers them."""
 
+import ssl
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -85,6 +86,7 @@
     keep_alive_s: Seconds,
     header_bytes: int,
     shutdown: trio.Event,
+    tls: ssl.SSLContext | None = None,
 ) -> None:
     """Serve an ASGI application on an open listening socket until shut down."""
     from hypercorn.config import Config
@@ -99,4 +101,8 @@
     config.include_server_header = False
     config.accesslog = None
     config.errorlog = None
+    if tls is not None:
+        # hypercorn takes file names or, from this method, a context; the context can be renewed.
+        config.certfile = config.keyfile = "held by the context"
+        config.create_ssl_context = lambda: tls
     await serve(app, config, shutdown_trigger=shutdown.wait, mode="asgi")
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -33,16 +33,21 @@
 from bendwind_node.control.service import open_control
 from bendwind_node.daemon.dispatcher import Dispatcher
 from bendwind_node.daemon.listeners import Listeners, find_port, open_listeners
+from bendwind_node.daemon.metrics import render_metrics
 from bendwind_node.daemon.status import DaemonStatus
 from bendwind_node.links import create_link_hub
+from bendwind_node.logs import configure_logging
 from bendwind_node.membership import create_membership_task
 from bendwind_node.operators import (
+    OperatorAuthority,
     OperatorsApp,
     Response,
+    create_certificate_authority,
     create_open_authority,
     create_token_authority,
 )
-from bendwind_node.settings import Settings
+from bendwind_node.security import Keys, load_keys, watch_keys
+from bendwind_node.settings import OperatorsTable, Settings
 
 # Time for the others to hear of a drain before callers are sent away.
 DRAIN_NOTICE: Seconds = 1.0
@@ -64,6 +69,7 @@
     dispatcher: Dispatcher
     stopping: trio.Event
     callers_done: trio.Event
+    keys: Keys | None = None
 
 
 async def run_daemon(settings: Settings) -> Result[None, str]:
@@ -71,6 +77,7 @@
 
     Errors: a text that says why it could not start.
     """
+    configure_logging(settings)
     opened = await open_listeners(settings)
     if opened.is_error():
         return opened
@@ -124,7 +131,17 @@
     def make_hello(epoch: int) -> Hello:
         return Hello(own, epoch, membership.view.version, membership.confirmed_age_ms())
 
-    hub = create_link_hub(own, dispatcher, recorder, make_hello)
+    loaded = _load_keys(daemon)
+    if loaded.is_error():
+        return loaded
+    hub = create_link_hub(
+        own,
+        dispatcher,
+        recorder,
+        make_hello,
+        lambda: None if daemon.keys is None else daemon.keys.server,
+        lambda: None if daemon.keys is None else daemon.keys.client,
+    )
     for voter in settings.voters:
         hub.learn_address(voter.name, voter.host, voter.port)
     dispatcher.hub = hub
@@ -159,6 +176,18 @@
     return Ok(None)
 
 
+def _load_keys(daemon: Daemon) -> Result[None, str]:
+    table = daemon.settings.tls
+    if table is None:
+        return Ok(None)
+    match load_keys(table, daemon.settings.operators.client_authority):
+        case Result(tag="ok", ok=keys):
+            daemon.keys = keys
+            return Ok(None)
+        case Result(error=fault):
+            return Error(str(fault))
+
+
 def _hear_membership(dispatcher: Dispatcher, effect: ViewEffect) -> None:
     match effect:
         case UpstreamsChanged(service=service):
@@ -182,6 +211,8 @@
     nursery.start_soon(dispatcher.owner.run_clock)
     nursery.start_soon(_prove_lease, dispatcher)
     nursery.start_soon(_watch_signals, daemon.stopping)
+    if daemon.keys is not None:
+        nursery.start_soon(watch_keys, daemon.keys, daemon.recorder)
     _serve_upstreams(daemon, nursery)
     _serve_operators(daemon, nursery)
     _serve_callers(daemon, nursery)
@@ -221,11 +252,6 @@
 def _serve_operators(daemon: Daemon, nursery: trio.Nursery) -> None:
     dispatcher = daemon.dispatcher
     table = daemon.settings.operators
-    authority = (
-        create_token_authority(table.token_file)
-        if table.token_file is not None
-        else create_open_authority(table.host)
-    )
     source = DaemonStatus(
         dispatcher.hub.own, dispatcher.membership, dispatcher.owner, dispatcher.control
     )
@@ -233,17 +259,31 @@
         None if dispatcher.control is None else dispatcher.control.client,
         source,
         daemon.recorder,
-        authority,
+        _choose_authority(table),
         lambda: time.time_ns() // 1_000_000,
         daemon.stopping.set,
-        lambda accept: Response(200, b"", "text/plain"),
+        lambda accept: _render_metrics(daemon, accept),
     )
     file_number = _detach(daemon.listeners.operators)
+    tls = None if daemon.keys is None or table.insecure else daemon.keys.operators
     nursery.start_soon(
-        serve_asgi, app, file_number, OPERATORS_KEEP_ALIVE, MAX_HEADER_BYTES, trio.Event()
+        serve_asgi, app, file_number, OPERATORS_KEEP_ALIVE, MAX_HEADER_BYTES, trio.Event(), tls
     )
 
 
+def _render_metrics(daemon: Daemon, accept: str) -> Response:
+    rendered = render_metrics(daemon.dispatcher, daemon.recorder, accept)
+    return Response(200, rendered.body, rendered.content_type)
+
+
+def _choose_authority(table: OperatorsTable) -> OperatorAuthority:
+    if table.token_file is not None:
+        return create_token_authority(table.token_file)
+    if table.client_authority is not None:
+        return create_certificate_authority()
+    return create_open_authority(table.host)
+
+
 def _detach(listeners: list[trio.SocketListener]) -> int:
     return os.dup(listeners[0].socket.fileno())
 
--- a/packages/bendwind-node/src/bendwind_node/operators/__init__.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/__init__.py
@@ -3,6 +3,7 @@
 from bendwind_node.operators.app import OperatorsApp
 from bendwind_node.operators.authority import (
     OperatorAuthority,
+    create_certificate_authority,
     create_open_authority,
     create_token_authority,
 )
@@ -32,6 +33,7 @@
     "Response",
     "StatusSource",
     "VoterStatus",
+    "create_certificate_authority",
     "create_open_authority",
     "create_token_authority",
     "serve_operators",
--- a/packages/bendwind-node/src/bendwind_node/operators/authority.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/authority.py
@@ -58,3 +58,8 @@
     if host != "localhost" and not ipaddress.ip_address(host).is_loopback:
         raise ValueError(f"operators without tokens on {host}, which is no loopback address")
     return OperatorAuthority()
+
+
+def create_certificate_authority() -> OperatorAuthority:
+    """Ask for no token: the TLS handshake has demanded an operator's certificate before."""
+    return OperatorAuthority()
--- a/packages/bendwind-node/src/bendwind_node/settings/__init__.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/__init__.py
@@ -1,9 +1,10 @@
 """Offer the checked settings of bendwindd."""
 
 from bendwind_node.settings.load import SettingsError, load_settings, parse_settings
-from bendwind_node.settings.tables import Settings, TlsTable, VoterTable
+from bendwind_node.settings.tables import OperatorsTable, Settings, TlsTable, VoterTable
 
 __all__ = [
+    "OperatorsTable",
     "Settings",
     "SettingsError",
     "TlsTable",
