--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -191,6 +191,9 @@
 def _hear_membership(dispatcher: Dispatcher, effect: ViewEffect) -> None:
     match effect:
         case UpstreamsChanged(service=service):
+            for upstream in dispatcher.membership.upstreams(service):
+                owner = upstream.owner
+                dispatcher.hub.learn_address(owner.name, owner.host, owner.port)
             dispatcher.entry.refresh_upstreams(service)
         case ConfigurationApplied():
             for service in tuple(dispatcher.entry.desks):
