--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -12,7 +12,9 @@
         extra={"range": "1 to 63 of a-z, 0-9, `.`, `_`, `-`"},
     ),
 ]
-Host = Annotated[str, Meta(min_length=1, max_length=255, extra={"range": "an IP number"})]
+Host = Annotated[
+    str, Meta(min_length=1, max_length=255, extra={"range": "an IP number or host name"})
+]
 Port = Annotated[int, Meta(ge=0, le=65535, extra={"range": "0 to 65535; 0 picks a free port"})]
 FixedPort = Annotated[int, Meta(ge=1, le=65535)]
 File = Annotated[
