--- a/packages/bendwind-node/src/bendwind_node/settings/tests/test_reference.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tests/test_reference.py
@@ -15,7 +15,7 @@
         rows = [line for line in render_reference().splitlines() if line.startswith("| `")]
         self.assertGreater(len(rows), 30)
         for row in rows:
-            _, key, _, default, limits, meaning, _ = (cell.strip() for cell in row.split(" |"))
+            key, _, default, limits, meaning = (cell.strip() for cell in row.split("|")[1:-1])
             self.assertTrue(key and default and limits and meaning, row)
 
     def test_samples_are_valid(self):
