security: a peer's hello must match its certificate; refused handshakes are recorded

Cause: mutual TLS proved that a peer is some instance of the deployment, but its hello could name any other, and a refused handshake left no trace. Change: an accepted link's certificate must name the sender (PEER_REFUSED); a handshake that fails records HANDSHAKE_REFUSED with the library's reason; the other end learns nothing more. Conclusion: a stolen instance key speaks for that instance only.

--- a/packages/bendwind-core/src/bendwind_core/timeline/catalogue.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/catalogue.py
@@ -64,3 +64,4 @@
     KEYS_RELOADED = 902
     KEYS_REFUSED = 903
     PEER_REFUSED = 904
+    HANDSHAKE_REFUSED = 905
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -180,7 +180,7 @@
     table = daemon.settings.tls
     if table is None:
         return Ok(None)
-    match load_keys(table, daemon.settings.operators.client_authority):
+    match load_keys(table, daemon.recorder, daemon.settings.operators.client_authority):
         case Result(tag="ok", ok=keys):
             daemon.keys = keys
             return Ok(None)
@@ -215,7 +215,7 @@
     nursery.start_soon(_prove_lease, dispatcher)
     nursery.start_soon(_watch_signals, daemon.stopping)
     if daemon.keys is not None:
-        nursery.start_soon(watch_keys, daemon.keys, daemon.recorder)
+        nursery.start_soon(watch_keys, daemon.keys)
     _serve_upstreams(daemon, nursery)
     _serve_operators(daemon, nursery)
     _serve_callers(daemon, nursery)
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -16,6 +16,7 @@
 from bendwind_core.timeline import EventKind, HybridTime, Recorder
 from bendwind_core.world import Instance
 from bendwind_node.links.link import OUTBOX_MESSAGES, Link, Receiver
+from bendwind_node.security import read_identity
 
 DIAL_TIMEOUT_S: Seconds = 1.0
 PING_INTERVAL_S: Seconds = 5.0
@@ -114,13 +115,24 @@
     async def _answer_hello(self, socket: Connection) -> Hello | None:
         try:
             hello = await self._receive_hello(socket)
-            if hello is None or not self._is_newer(hello):
+            if hello is None or not self._proves_name(socket, hello) or not self._is_newer(hello):
                 return None
             await self._send_hello(socket, hello.epoch)
         except (ConnectionClosed, trio.BrokenResourceError):
             return None
         return hello
 
+    def _proves_name(self, socket: Connection, hello: Hello) -> bool:
+        """Tell whether the peer's certificate, where links have one, names the sender."""
+        if not isinstance(socket.stream, trio.SSLStream):
+            return True
+        identity = read_identity(socket.stream)
+        if identity is not None and identity.is_instance(hello.sender.name):
+            return True
+        detail = f"{identity} said to be {hello.sender.name}"
+        self.recorder.record(EventKind.PEER_REFUSED, detail=detail)
+        return False
+
     def _is_newer(self, hello: Hello) -> bool:
         old = self.accepted.get(hello.sender.name)
         if old is None:
--- a/packages/bendwind-node/src/bendwind_node/security/contexts.py
+++ b/packages/bendwind-node/src/bendwind_node/security/contexts.py
@@ -6,7 +6,8 @@
 from expression import Error, Ok, Result
 
 from bendwind_core.core import Record
-from bendwind_node.security.roles import InstanceLink, OperatorLink
+from bendwind_node.security.identity import Role
+from bendwind_node.security.roles import RecordRefusal, RoleContext, RoleLink
 from bendwind_node.settings import TlsTable
 
 _HTTP_PROTOCOLS = ("h2", "http/1.1")
@@ -31,44 +32,45 @@
     operators: ssl.SSLContext
 
 
-def make_contexts(table: TlsTable, client_authority: str | None) -> Result[Contexts, KeyFault]:
-    """Make every context of a process.
+def make_contexts(
+    table: TlsTable, client_authority: str | None, record_refusal: RecordRefusal
+) -> Result[Contexts, KeyFault]:
+    """Make every context of a process; `record_refusal` hears why a handshake was refused.
 
     Errors: the file that cannot be used.
     """
-    return server_tls(table).bind(
-        lambda server: client_tls(table).bind(
-            lambda client: operators_tls(table, client_authority).map(
-                lambda operators: Contexts(server, client, operators)
-            )
-        )
-    )
+    server = server_tls(table)
+    client = client_tls(table)
+    operators = operators_tls(table, client_authority)
+    for made in (server, client, operators):
+        if made.is_error():
+            return made
+    server.ok.record_refusal = operators.ok.record_refusal = record_refusal
+    return Ok(Contexts(server.ok, client.ok, operators.ok))
 
 
-def server_tls(table: TlsTable) -> Result[ssl.SSLContext, KeyFault]:
+def server_tls(table: TlsTable) -> Result[RoleContext, KeyFault]:
     """Make the context of the peers' listening socket, which demands an instance's certificate.
 
     Errors: the file that cannot be used.
     """
     context = _start(ssl.PROTOCOL_TLS_SERVER)
-    context.sslobject_class = InstanceLink
+    context.required_role = Role.INSTANCE
     return _load_authority(context, table.authority).bind(lambda made: _load_own(made, table))
 
 
-def client_tls(table: TlsTable) -> Result[ssl.SSLContext, KeyFault]:
+def client_tls(table: TlsTable) -> Result[RoleContext, KeyFault]:
     """Make the context of links to peers, which checks the server's name.
 
     Connect with the peer's instance name as the server's name.
     Errors: the file that cannot be used.
     """
     context = _start(ssl.PROTOCOL_TLS_CLIENT)
-    context.sslobject_class = InstanceLink
+    context.required_role = Role.INSTANCE
     return _load_authority(context, table.authority).bind(lambda made: _load_own(made, table))
 
 
-def operators_tls(
-    table: TlsTable, client_authority: str | None
-) -> Result[ssl.SSLContext, KeyFault]:
+def operators_tls(table: TlsTable, client_authority: str | None) -> Result[RoleContext, KeyFault]:
     """Make the context of the operators' HTTP; with an authority, it demands a certificate of it.
 
     Errors: the file that cannot be used.
@@ -78,12 +80,13 @@
     if client_authority is None:
         context.verify_mode = ssl.CERT_NONE
         return _load_own(context, table)
-    context.sslobject_class = OperatorLink
+    context.required_role = Role.OPERATOR
     return _load_authority(context, client_authority).bind(lambda made: _load_own(made, table))
 
 
-def _start(protocol: int) -> ssl.SSLContext:
-    context = ssl.SSLContext(protocol)
+def _start(protocol: int) -> RoleContext:
+    context = RoleContext(protocol)
+    context.sslobject_class = RoleLink
     context.minimum_version = ssl.TLSVersion.TLSv1_3
     context.verify_mode = ssl.CERT_REQUIRED
     if protocol == ssl.PROTOCOL_TLS_SERVER:
@@ -92,7 +95,7 @@
     return context
 
 
-def _load_authority(context: ssl.SSLContext, file: str) -> Result[ssl.SSLContext, KeyFault]:
+def _load_authority(context: RoleContext, file: str) -> Result[RoleContext, KeyFault]:
     try:
         context.load_verify_locations(cafile=file)
     except (OSError, ssl.SSLError) as error:
@@ -100,7 +103,7 @@
     return Ok(context)
 
 
-def _load_own(context: ssl.SSLContext, table: TlsTable) -> Result[ssl.SSLContext, KeyFault]:
+def _load_own(context: RoleContext, table: TlsTable) -> Result[RoleContext, KeyFault]:
     try:
         context.load_cert_chain(table.certificate, table.key)
     except (OSError, ssl.SSLError) as error:
--- a/packages/bendwind-node/src/bendwind_node/security/keys.py
+++ b/packages/bendwind-node/src/bendwind_node/security/keys.py
@@ -24,6 +24,7 @@
 
     table: TlsTable
     client_authority: str | None
+    recorder: Recorder
     newest: Contexts
     server: ssl.SSLContext
     operators: ssl.SSLContext
@@ -34,7 +35,7 @@
         """Return the context of new links to peers."""
         return self.newest.client
 
-    def reload(self, recorder: Recorder) -> None:
+    def reload(self) -> None:
         """Take the key files into use if they changed and are whole; keep the old ones if not."""
         try:
             stamps = _read_stamps(self.table, self.client_authority)
@@ -44,16 +45,18 @@
         if stamps == self.stamps:
             return
         self.stamps = stamps
-        match make_contexts(self.table, self.client_authority):
+        match _make(self.table, self.client_authority, self.recorder):
             case Result(tag="error", error=fault):
-                recorder.record(EventKind.KEYS_REFUSED, detail=str(fault))
+                self.recorder.record(EventKind.KEYS_REFUSED, detail=str(fault))
             case Result(ok=newest):
                 self.newest = newest
-                recorder.record(EventKind.KEYS_RELOADED, detail=self.table.certificate)
+                self.recorder.record(EventKind.KEYS_RELOADED, detail=self.table.certificate)
 
 
-def load_keys(table: TlsTable, client_authority: str | None = None) -> Result[Keys, KeyFault]:
-    """Load the keys that a settings file names.
+def load_keys(
+    table: TlsTable, recorder: Recorder, client_authority: str | None = None
+) -> Result[Keys, KeyFault]:
+    """Load the keys that a settings file names; the recorder hears of refused handshakes.
 
     Errors: the file that cannot be used.
     """
@@ -61,15 +64,30 @@
         stamps = _read_stamps(table, client_authority)
     except OSError as error:
         return Error(KeyFault(str(error.filename), error.strerror or str(error)))
-    made = make_contexts(table, client_authority)
-    return made.map(lambda contexts: _create_keys(table, client_authority, contexts, stamps))
+    made = _make(table, client_authority, recorder)
+    return made.map(
+        lambda contexts: _create_keys(table, client_authority, recorder, contexts, stamps)
+    )
+
+
+def _make(
+    table: TlsTable, client_authority: str | None, recorder: Recorder
+) -> Result[Contexts, KeyFault]:
+    def record_refusal(reason: str) -> None:
+        recorder.record(EventKind.HANDSHAKE_REFUSED, detail=reason)
+
+    return make_contexts(table, client_authority, record_refusal)
 
 
 def _create_keys(
-    table: TlsTable, client_authority: str | None, contexts: Contexts, stamps: _Stamps
+    table: TlsTable,
+    client_authority: str | None,
+    recorder: Recorder,
+    contexts: Contexts,
+    stamps: _Stamps,
 ) -> Keys:
     server, operators = contexts.server, contexts.operators
-    keys = Keys(table, client_authority, contexts, server, operators, stamps)
+    keys = Keys(table, client_authority, recorder, contexts, server, operators, stamps)
     server.sni_callback = _move_to(lambda: keys.newest.server)
     operators.sni_callback = _move_to(lambda: keys.newest.operators)
     return keys
--- a/packages/bendwind-node/src/bendwind_node/security/reload.py
+++ b/packages/bendwind-node/src/bendwind_node/security/reload.py
@@ -3,14 +3,13 @@
 import trio
 
 from bendwind_core.core import Seconds
-from bendwind_core.timeline import Recorder
 from bendwind_node.security.keys import Keys
 
 CHECK_PERIOD_S = 5.0
 
 
-async def watch_keys(keys: Keys, recorder: Recorder, period_s: Seconds = CHECK_PERIOD_S) -> None:
+async def watch_keys(keys: Keys, period_s: Seconds = CHECK_PERIOD_S) -> None:
     """Look for renewed key files for as long as the process runs."""
     while True:
         await trio.sleep(period_s)
-        keys.reload(recorder)
+        keys.reload()
--- a/packages/bendwind-node/src/bendwind_node/security/tests/test_keys.py
+++ b/packages/bendwind-node/src/bendwind_node/security/tests/test_keys.py
@@ -33,25 +33,31 @@
 
 
 def load(table: TlsTable):
-    return load_keys(table).ok
+    return load_keys(table, Recorder("b", lambda: 1, 100)).ok
 
 
 async def shake_hands(client_context, server_context, name):
-    """Open a TLS link over memory; return both ends, each with who it sees."""
+    """Open a TLS link over memory; return both ends, or raise what the first end to fail did."""
     left, right = trio.testing.memory_stream_pair()
     client = trio.SSLStream(left, client_context, server_hostname=name)
     server = trio.SSLStream(right, server_context, server_side=True)
+    faults = []
 
-    async def serve():
-        await server.do_handshake()
-        await server.send_all(b"!")
+    async def work(stream, use, *arguments):
+        try:
+            await stream.do_handshake()
+            # TLS 1.3: a refusal of the client's certificate shows at its first read.
+            await use(*arguments)
+        except trio.BrokenResourceError as fault:
+            faults.append(fault)
+            await trio.aclose_forcefully(stream)
 
     with trio.fail_after(10):
-        async with trio.open_nursery(strict_exception_groups=False) as nursery:
-            nursery.start_soon(serve)
-            await client.do_handshake()
-            # TLS 1.3: a refusal of the client's certificate shows at its first read.
-            await client.receive_some(1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(work, server, server.send_all, b"!")
+            nursery.start_soon(work, client, client.receive_some, 1)
+    if faults:
+        raise faults[0]
     return client, server
 
 
@@ -63,13 +69,12 @@
         self.other = make_authority(Path(folder.name, "other"))
         self.server = load(make_table(self.folder, "b"))
         self.client = load(make_table(self.folder, "a"))
-        self.recorder = Recorder("b", lambda: 1, 100)
 
     def link(self, client, server, name="b"):
         return trio.run(shake_hands, client, server, name)
 
     def assert_refused(self, client, server, name="b"):
-        with self.assertRaises((trio.BrokenResourceError, ssl.SSLError)) as caught:
+        with self.assertRaises(trio.BrokenResourceError) as caught:
             self.link(client, server, name)
         return repr(caught.exception.__cause__)
 
@@ -102,12 +107,15 @@
 
     def test_an_operator_is_no_peer_and_an_instance_no_operator(self):
         operator = self.make_operator("a")
-        server = load_keys(self.server.table, self.server.table.authority).ok
+        server = load_keys(self.server.table, self.server.recorder, self.server.table.authority).ok
         _, seen = self.link(operator, server.operators)
         self.assertEqual(read_identity(seen), Identity(Role.OPERATOR, "a"))
         self.assertFalse(read_identity(seen).is_instance("a"))
         self.assertIn("of an instance", self.assert_refused(operator, server.server))
         self.assertIn("of an operator", self.assert_refused(self.client.client, server.operators))
+        details = [event.detail for event in self.server.recorder.events]
+        self.assertIn("expected the certificate of an instance", details[0])
+        self.assertEqual(len(details), 2)
 
     def test_operators_with_tokens_need_no_certificate(self):
         bare = ssl.create_default_context(cafile=self.server.table.authority)
@@ -117,7 +125,7 @@
         running, far = self.link(self.client.client, self.server.server)
         before = running.getpeercert()["serialNumber"]
         make_table(self.folder, "b")
-        self.server.reload(self.recorder)
+        self.server.reload()
         bare = ssl.create_default_context(cafile=self.server.table.authority)
         for client, server in (
             (self.client.client, self.server.server),
@@ -125,7 +133,9 @@
         ):
             renewed, _ = self.link(client, server)
             self.assertNotEqual(renewed.getpeercert()["serialNumber"], before)
-        self.assertEqual([event.kind for event in self.recorder.events], [EventKind.KEYS_RELOADED])
+        self.assertEqual(
+            [event.kind for event in self.server.recorder.events], [EventKind.KEYS_RELOADED]
+        )
 
         async def talk():
             async with trio.open_nursery() as nursery:
@@ -140,22 +150,27 @@
         both = (self.folder / "authority.pem").read_bytes()
         both += (self.other / "authority.pem").read_bytes()
         (self.folder / "authority.pem").write_bytes(both)
-        self.server.reload(self.recorder)
+        self.server.reload()
         self.link(stranger.client, self.server.server)
 
     def test_half_written_keys_are_refused_and_the_old_ones_stay(self):
         Path(self.server.table.key).write_text("garbage")
-        self.server.reload(self.recorder)
-        self.server.reload(self.recorder)
-        self.assertEqual([event.kind for event in self.recorder.events], [EventKind.KEYS_REFUSED])
+        self.server.reload()
+        self.server.reload()
+        self.assertEqual(
+            [event.kind for event in self.server.recorder.events], [EventKind.KEYS_REFUSED]
+        )
         self.link(self.client.client, self.server.server)
 
     def test_a_key_of_another_certificate_is_named(self):
         make_table(self.folder, "c")
         os.replace(self.folder / "c.key", self.folder / "b.key")
-        self.assertIn("b.pem: ", str(load_keys(self.server.table).error))
+        self.assertIn("b.pem: ", str(load_keys(self.server.table, self.server.recorder).error))
         os.remove(self.folder / "authority.pem")
-        self.assertIn("authority.pem: No such file", str(load_keys(self.server.table).error))
+        self.assertIn(
+            "authority.pem: No such file",
+            str(load_keys(self.server.table, self.server.recorder).error),
+        )
 
 
 if __name__ == "__main__":
