bench: experiments, plots and the page of measurements

Cause: the figures asked of the product need one tool that repeats, compares and writes them. Change: experiments with variants side by side in a run, medians over runs, aims checked, and docs/MEASUREMENTS.md rewritten from their JSON. The load tool spends the last millisecond before each send looking at the clock, since the event loop's timers end on whole milliseconds, and reports how late it was itself.

--- a/packages/bendwind-bench/src/bendwind_bench/__main__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/__main__.py
@@ -37,6 +37,23 @@
 
         return trio.run(run_mix, deployment, rate, seconds, workers, seed, direct)
 
+    def experiment(self, name: str, runs: int = 5, seed: int = 1, direct: bool = False) -> int:
+        """Run an experiment and write its result; --direct only tries what needs no node."""
+        import trio
+
+        from bendwind_bench.experiments import EXPERIMENTS, run_experiment
+
+        if name not in EXPERIMENTS:
+            print(f"no experiment {name!r}; there are: {', '.join(EXPERIMENTS)}", file=sys.stderr)
+            return 2
+        return trio.run(run_experiment, name, runs, seed, direct)
+
+    def page(self) -> None:
+        """Rewrite the page of measurements from the results."""
+        from bendwind_bench.reports.page import write_page
+
+        write_page()
+
 
 def main() -> int:
     """Run the command that the arguments name."""
--- a/packages/bendwind-bench/src/bendwind_bench/campaign.py
+++ b/packages/bendwind-bench/src/bendwind_bench/campaign.py
@@ -2,6 +2,7 @@
 
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -31,6 +32,7 @@
     workers: int = 1
     client_delay_ms: Milliseconds = 0.0
     timeout_ms: Milliseconds = 5000.0
+    at_start: Callable[[], Awaitable[None]] | None = None
 
 
 async def run_campaign(
@@ -44,6 +46,8 @@
     ]
     try:
         await trio.sleep(start_at - time.time())
+        if campaign.at_start is not None:
+            await campaign.at_start()
         await inject_faults(deployment, campaign.faults, report)
         await _await_ends(workers, start_at + campaign.duration_s + WORKER_END_S)
     finally:
--- a/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
@@ -10,7 +10,7 @@
 
 from bendwind_bench.deployment.layout import Layout, Member, make_layout, write_settings
 from bendwind_bench.deployment.process import Process
-from bendwind_bench.http import HttpBrokenError, send_json
+from bendwind_bench.http import HttpBrokenError, pool_of, send_json
 
 RUN_FOLDER = Path("run")
 READY_WITHIN_S = 60.0
@@ -126,8 +126,6 @@
 
 
 async def _wait_served(address: str, service: str) -> None:
-    from bendwind_bench.http import pool_of
-
     headers = [(b"Bendwind-Service", service.encode())]
     while True:
         pool = pool_of(address)
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/fast_failure.py
@@ -0,0 +1,43 @@
+"""Measure what callers see of an upstream that fails fast."""
+
+from bendwind_bench.deployment import ServiceDescription
+from bendwind_bench.experiments.result import Check
+from bendwind_bench.experiments.scene import Measured, describe_scene, run_phase, run_scene
+from bendwind_bench.experiments.slowdown import KINDS, POLICIES, RATE, write_intent
+from bendwind_bench.operators import apply_intent
+from bendwind_bench.reports.plot import Panel, Span
+from bendwind_bench.upstream import Change
+
+TITLE = "Errors that callers see while an upstream fails fast"
+ABOUT = (
+    "As above, but one of the 4 upstreams answers 500 at once for the middle 8 of 12 seconds, so "
+    "that it looks idle. The calls are idempotent. An error is anything but a whole answer of 200."
+)
+CHECKS = [Check("errors with score, %", "score/errors %", 1.0)]
+SECONDS = 12.0
+FAILING = Span(2.0, 10.0, "statusdesk-2 fails")
+WARM_UP_S = 3.0
+
+
+async def run_once(seed: int, direct: bool) -> Measured:
+    """Measure every policy once."""
+    measured = Measured()
+    service = ServiceDescription("statusdesk", 4, 6, 200, 40.0)
+    async with run_scene(describe_scene([service]), write_intent("score"), seed, direct) as scene:
+
+        async def fail() -> None:
+            begin = Change(FAILING.start_s * 1000.0, fail_share=1.0)
+            end = Change(FAILING.end_s * 1000.0, fail_share=0.0)
+            await scene.change("statusdesk-2", [begin, end])
+
+        for policy in ("direct",) if direct else ("direct", *POLICIES):
+            addresses = scene.direct_addresses() if policy == "direct" else {}
+            if policy != "direct":
+                await apply_intent(scene, write_intent(policy))
+            phase = await run_phase(
+                scene, policy, KINDS, RATE, SECONDS, seed=seed, at_start=fail, direct=addresses
+            )
+            measured.figures[policy] = phase.figures()
+            measured.panels.append(Panel(policy, phase.samples, [FAILING]))
+            measured.broken += phase.verdict.broken
+    return measured
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/overload.py
@@ -0,0 +1,51 @@
+"""Measure goodput and memory as the load grows to ten times what the upstreams can carry."""
+
+from bendwind_bench.deployment import ServiceDescription
+from bendwind_bench.experiments.result import Check
+from bendwind_bench.experiments.scene import Measured, describe_scene, run_phase, run_scene
+from bendwind_bench.load import RequestKind
+from bendwind_bench.reports.plot import Panel
+
+TITLE = "Goodput and memory under ten times overload"
+ABOUT = (
+    "One service with three upstreams of 2 slots and 60 ms, which carry 100 calls a second; calls "
+    "may wait 1 s. Load at 0.5, 1, 2, 5 and 10 times that. `peak kB` is the largest resident "
+    "memory of any node during the phase. Calls that are not served should be told not-run early."
+)
+CAPACITY = 100.0
+TIMES = (0.5, 1.0, 2.0, 5.0, 10.0)
+SECONDS = 10.0
+CHECKS = [
+    Check("goodput at 10 times / at 1 time", "10x/whole/s", 0.9, "1x/whole/s", at_least=True),
+    Check("goodput at 10 times / at 2 times", "10x/whole/s", 0.9, "2x/whole/s", at_least=True),
+    Check("memory at 10 times / at 0.5 times", "10x/peak kB", 1.5, "0.5x/peak kB"),
+]
+KINDS = [RequestKind("desk", "/item", answer_bytes=(200, 400))]
+INTENT = '[[services]]\nname = "desk"\nupstreams = ["desk-*"]\nlongest_wait_ms = 1000\n'
+
+
+async def run_once(seed: int, direct: bool) -> Measured:
+    """Measure each multiple of the capacity once."""
+    measured = Measured()
+    service = ServiceDescription("desk", 3, 2, 200, 60.0)
+    async with run_scene(describe_scene([service]), INTENT, seed, direct) as deployment:
+        for times in TIMES:
+            variant = f"{times:g}x"
+            phase = await run_phase(
+                deployment,
+                variant,
+                KINDS,
+                CAPACITY * times,
+                SECONDS,
+                seed=seed,
+                workers=2,
+                direct=deployment.direct_addresses() if direct else {},
+            )
+            figures = phase.figures()
+            figures["peak kB"] = float(phase.peak_resident_kb)
+            figures["unknown"] = phase.count("unknown")
+            figures["not-run"] = phase.count("not-run")
+            measured.figures[variant] = figures
+            measured.panels.append(Panel(variant, phase.samples))
+            measured.broken += phase.verdict.broken
+    return measured
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/run.py
@@ -0,0 +1,61 @@
+"""Repeat an experiment, write its result, plot and table, and rewrite the page."""
+
+import importlib
+import os
+import platform
+import subprocess
+
+from bendwind_bench.experiments.result import FOLDER, Result, write_result
+from bendwind_bench.reports.page import print_result, write_page
+from bendwind_bench.reports.plot import write_plot
+
+EXPERIMENTS = {
+    "added-latency": "added_latency",
+    "claims": "claims",
+    "fast-failure": "fast_failure",
+    "measuring": "measuring",
+    "overload": "overload",
+    "slowdown": "slowdown",
+    "throughput": "throughput",
+}
+MOST_NOTES = 5
+
+
+async def run_experiment(name: str, runs: int, seed: int, direct: bool) -> int:
+    """Run an experiment; the exit code is 1 when a promise was broken."""
+    module = importlib.import_module(f"bendwind_bench.experiments.{EXPERIMENTS[name]}")
+    result = _begin(name, module, runs, seed)
+    broken: list[str] = []
+    for number in range(runs):
+        print(f"{name}: run {number + 1} of {runs}", flush=True)
+        measured = await module.run_once(seed + number, direct)
+        result.runs.append(measured.figures)
+        broken += measured.broken
+        print_result(result)
+    result.notes = [f"Broken promise: {line}" for line in broken[:MOST_NOTES]]
+    if not direct:
+        write_result(result)
+        if measured.panels:
+            write_plot(measured.panels, FOLDER / f"{name}.png")
+        write_page()
+    return 1 if broken else 0
+
+
+def _begin(name: str, module, runs: int, seed: int) -> Result:
+    return Result(
+        name=name,
+        title=module.TITLE,
+        about=module.ABOUT,
+        command=f"python -m bendwind_bench experiment {name} --runs {runs} --seed {seed}",
+        measured_on=f"Python {platform.python_version()} ({platform.machine()})",
+        commit=_read_commit(),
+        cores=os.cpu_count() or 0,
+        load_average=list(os.getloadavg()),
+        runs=[],
+        checks=module.CHECKS,
+    )
+
+
+def _read_commit() -> str:
+    command = ["git", "describe", "--always", "--dirty"]
+    return subprocess.run(command, capture_output=True, text=True).stdout.strip() or "unknown"
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/scene.py
@@ -0,0 +1,113 @@
+"""Run one phase of an experiment against a small deployment and measure it."""
+
+import contextlib
+from dataclasses import dataclass, field
+
+import trio
+
+from bendwind_bench.campaign import Campaign, run_campaign
+from bendwind_bench.deployment import (
+    Deployment,
+    DeploymentDescription,
+    ServiceDescription,
+    run_deployment,
+)
+from bendwind_bench.load import Outcome, RequestKind, Sample, Verdict
+from bendwind_bench.operators import apply_intent
+from bendwind_bench.reports import summarize, summarize_latency
+from bendwind_bench.reports.plot import Panel
+
+MILLI = 1000.0
+SETTLE_S = 1.0
+TRIM_S = 0.5
+# Outcomes that a caller sees as an error.
+_ERRORS = (Outcome.FAILED, Outcome.UNKNOWN, Outcome.NOT_RUN, Outcome.REFUSED, Outcome.BROKEN)
+
+
+@dataclass(slots=True)
+class Measured:
+    """Collect the figures, plot panels and broken promises of one run."""
+
+    figures: dict[str, dict[str, float]] = field(default_factory=dict)
+    panels: list[Panel] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Phase:
+    """Hold what one phase gave; samples of its first moments are left out."""
+
+    samples: list[Sample]
+    verdict: Verdict
+    seconds: float
+    node_cpu_s: float
+    peak_resident_kb: int
+
+    def figures(self) -> dict[str, float]:
+        """Return the figures that every experiment reports."""
+        summary = summarize(self.samples)
+        errors = sum(summary.outcomes.get(kind, 0) for kind in _ERRORS)
+        whole = summary.outcomes.get(Outcome.WHOLE, 0)
+        return {
+            "calls": summary.sends,
+            "p50 ms": summary.p50_ms,
+            "p99 ms": summary.p99_ms,
+            "errors %": 100.0 * errors / max(1, summary.sends),
+            "late p99 ms": summarize_latency([sample.late_ms for sample in self.samples])[2],
+            "whole/s": whole / self.seconds,
+            "broken": len(self.verdict.broken),
+        }
+
+    def count(self, outcome: str) -> float:
+        """Return how many calls had this outcome."""
+        return float(sum(sample.outcome == outcome for sample in self.samples))
+
+    @property
+    def cpu_ms_per_call(self) -> float:
+        """Return the processor time that all nodes took, divided by the calls."""
+        return self.node_cpu_s * MILLI / max(1, len(self.samples))
+
+
+def describe_scene(services: list[ServiceDescription], voters: int = 3) -> DeploymentDescription:
+    """Describe a deployment of one data centre for each voter."""
+    centres = [f"centre-{number}" for number in range(1, voters + 1)]
+    return DeploymentDescription("scene", "bench", 0.0, 0.0, centres, voters, services, [])
+
+
+@contextlib.asynccontextmanager
+async def run_scene(description: DeploymentDescription, intent: str, seed: int, direct: bool):
+    """Run a deployment with an intent in force while the block lasts."""
+    async with run_deployment(description, direct, seed) as deployment:
+        if not direct:
+            await apply_intent(deployment, intent)
+            await deployment.wait_upstreams_known([item.name for item in description.services])
+        yield deployment
+
+
+async def run_phase(
+    deployment: Deployment, name: str, kinds: list[RequestKind], rate: float, seconds: float, **keys
+) -> Phase:
+    """Send a load and measure what callers saw and what the nodes spent."""
+    await trio.sleep(SETTLE_S)
+    campaign = Campaign(name, rate, seconds, kinds, **keys)
+    cpu_before = _sum_cpu(deployment)
+    peak = 0
+    async with trio.open_nursery() as nursery:
+
+        async def watch_memory() -> None:
+            nonlocal peak
+            while True:
+                running = [node for node in deployment.nodes.values() if node.is_running]
+                peak = max([peak, *(node.resident_kb() for node in running)])
+                await trio.sleep(0.2)
+
+        nursery.start_soon(watch_memory)
+        samples, verdict = await run_campaign(deployment, campaign)
+        nursery.cancel_scope.cancel()
+    cpu = _sum_cpu(deployment) - cpu_before
+    settled = [sample for sample in samples if sample.at_s >= TRIM_S]
+    return Phase(settled, verdict, seconds - TRIM_S, cpu, peak)
+
+
+def _sum_cpu(deployment: Deployment) -> float:
+    return sum(node.cpu_seconds() for node in deployment.nodes.values() if node.is_running)
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/throughput.py
@@ -0,0 +1,41 @@
+"""Measure how many calls a second one node carries and what each costs it."""
+
+from bendwind_bench.experiments.added_latency import INTENT, KINDS, describe_solo
+from bendwind_bench.experiments.scene import Measured, run_phase, run_scene
+
+TITLE = "Throughput of one node and processor time a call"
+ABOUT = (
+    "One upstream that answers at once, behind its own node; open-loop load at rising rates from "
+    "two load processes. `whole/s` is what got a whole answer; it ends to grow where the node's "
+    "one core is full. `node CPU ms/call` is the processor time of all three nodes, heartbeats "
+    "and all, divided by the calls."
+)
+CHECKS = []
+RATES = (100.0, 300.0, 600.0, 1000.0, 1500.0, 2500.0)
+SECONDS = 6.0
+TIMEOUT_MS = 2000.0
+
+
+async def run_once(seed: int, direct: bool) -> Measured:
+    """Measure each rate once."""
+    measured = Measured()
+    async with run_scene(describe_solo(), INTENT, seed, direct) as deployment:
+        node = deployment.layout.members[0]
+        for rate in RATES:
+            phase = await run_phase(
+                deployment,
+                f"rate-{rate:.0f}",
+                KINDS,
+                rate,
+                SECONDS,
+                seed=seed,
+                workers=2,
+                timeout_ms=TIMEOUT_MS,
+                entries=[node.callers_address],
+                direct=deployment.direct_addresses() if direct else {},
+            )
+            figures = phase.figures()
+            figures["node CPU ms/call"] = phase.cpu_ms_per_call
+            measured.figures[f"{rate:.0f}/s"] = figures
+            measured.broken += phase.verdict.broken
+    return measured
--- a/packages/bendwind-bench/src/bendwind_bench/http.py
+++ b/packages/bendwind-bench/src/bendwind_bench/http.py
@@ -156,10 +156,17 @@
 
 async def send_json(address: str, method: str, target: str, value=None) -> Message:
     """Send a JSON request on a connection of its own."""
+    body = "" if value is None else msgspec.json.encode(value).decode()
+    return await send_text(address, method, target, body, "application/json")
+
+
+async def send_text(
+    address: str, method: str, target: str, body: str = "", kind: str = "application/toml"
+) -> Message:
+    """Send a text on a connection of its own."""
     pool = pool_of(address)
-    body = b"" if value is None else msgspec.json.encode(value)
-    headers = [(b"Content-Type", b"application/json")] if body else []
+    headers = [(b"Content-Type", kind.encode())] if body else []
     try:
-        return await pool.request(method, target, headers, body)
+        return await pool.request(method, target, headers, body.encode())
     finally:
         pool.close()
--- a/packages/bendwind-bench/src/bendwind_bench/load/sample.py
+++ b/packages/bendwind-bench/src/bendwind_bench/load/sample.py
@@ -18,7 +18,10 @@
 
 
 class Sample(msgspec.Struct, frozen=True):
-    """Record one send; latency counts from the time the plan gave it."""
+    """Record one send; latency counts from the time the plan gave it.
+
+    Units: `late_ms` is the part of the latency by which the load tool itself was late.
+    """
 
     at_s: Seconds
     latency_ms: Milliseconds
@@ -32,3 +35,4 @@
     marked: bool = False
     keyed: bool = False
     call: str = ""
+    late_ms: Milliseconds = 0.0
--- a/packages/bendwind-bench/src/bendwind_bench/load/worker.py
+++ b/packages/bendwind-bench/src/bendwind_bench/load/worker.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import trio
-from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds
 
 from bendwind_bench.http import HttpBrokenError, Message, pool_of
 from bendwind_bench.load.plan import LoadPlan, RequestKind, Send, schedule_sends
@@ -19,6 +19,7 @@
     "refused": Outcome.REFUSED,
 }
 _NO_ANSWER = 0
+TIMER_STEP_S = 0.001
 
 
 def classify(send: Send, request_body: bytes, answer: Message) -> tuple[Outcome, str]:
@@ -56,7 +57,7 @@
         self.started = trio.current_time() + self.plan.start_at - time.time()
         async with trio.open_nursery() as nursery:
             for send in sends:
-                await trio.sleep_until(self.started + send.at_s)
+                await _wait_until(self.started + send.at_s)
                 if self.open >= self.plan.most_open:
                     self._record(send, Outcome.UNKNOWN, _NO_ANSWER, "not sent: too many open")
                     continue
@@ -66,10 +67,14 @@
             pool.close()
         return self.samples
 
+    def _age_ms(self, send: Send) -> Milliseconds:
+        return (trio.current_time() - self.started - send.at_s) * MILLISECONDS_PER_SECOND
+
     async def _send(self, send: Send) -> None:
         kind = self.plan.kinds[send.kind]
         body = make_body(send.request, kind.request_bytes)
         delay_s = self.plan.client_delay_ms / MILLISECONDS_PER_SECOND
+        late_ms = self._age_ms(send)
         outcome, status, reason, call = Outcome.UNKNOWN, _NO_ANSWER, "no answer in time", ""
         with trio.move_on_after(self.plan.timeout_ms / MILLISECONDS_PER_SECOND):
             try:
@@ -83,7 +88,7 @@
             except OSError:
                 outcome, reason = Outcome.NOT_RUN, "no connection"
         self.open -= 1
-        self._record(send, outcome, status, reason, call)
+        self._record(send, outcome, status, reason, call, late_ms)
 
     async def _exchange(self, send: Send, kind: RequestKind, body: bytes) -> Message:
         headers = [
@@ -98,13 +103,12 @@
             headers.append((b"Idempotency-Key", send.request.encode()))
         return await self.pools[send.address].request(kind.method, kind.path, headers, body)
 
-    def _record(self, send: Send, outcome: Outcome, status: int, reason: str, call="") -> None:
+    def _record(self, send: Send, outcome: Outcome, status: int, reason: str, call="", late_ms=0.0):
         kind = self.plan.kinds[send.kind]
-        latency_ms = (trio.current_time() - self.started - send.at_s) * MILLISECONDS_PER_SECOND
         self.samples.append(
             Sample(
                 send.at_s,
-                latency_ms,
+                self._age_ms(send),
                 kind.service,
                 outcome,
                 status,
@@ -115,10 +119,18 @@
                 kind.marked,
                 kind.keyed,
                 call,
+                late_ms,
             )
         )
 
 
+async def _wait_until(time_s: float) -> None:
+    # Timers of the event loop end on whole milliseconds, so the last stretch is spent looking.
+    await trio.sleep_until(time_s - TIMER_STEP_S)
+    while trio.current_time() < time_s:
+        await trio.lowlevel.checkpoint()
+
+
 async def send_load(plan: LoadPlan) -> list[Sample]:
     """Send a plan's load from this process."""
     return await Worker(plan).run()
