--- a/packages/bendwind-bench/src/bendwind_bench/campaign.py
+++ b/packages/bendwind-bench/src/bendwind_bench/campaign.py
@@ -7,10 +7,10 @@
 
 import msgspec
 import trio
-from bendwind_core.core import Milliseconds, Seconds
 
 from bendwind_bench.deployment import Deployment, Fault, Process, inject_faults
 from bendwind_bench.load import LoadPlan, RequestKind, Sample, Verdict, check_promises, read_runs
+from bendwind_core.core import Milliseconds, Seconds
 
 WORKER_START_S = 1.5
 WORKER_END_S = 30.0
--- a/packages/bendwind-bench/src/bendwind_bench/deployment/description.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/description.py
@@ -3,9 +3,9 @@
 from pathlib import Path
 
 import msgspec
-from bendwind_core.core import Milliseconds
 
 from bendwind_bench.load import RequestKind
+from bendwind_core.core import Milliseconds
 
 EXAMPLES = Path("examples")
 
--- a/packages/bendwind-bench/src/bendwind_bench/load/plan.py
+++ b/packages/bendwind-bench/src/bendwind_bench/load/plan.py
@@ -3,6 +3,7 @@
 import random
 
 import msgspec
+
 from bendwind_core.core import Milliseconds, Seconds
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/reports/plot.py
+++ b/packages/bendwind-bench/src/bendwind_bench/reports/plot.py
@@ -3,9 +3,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from bendwind_core.core import Seconds
-
 from bendwind_bench.load import Outcome, Sample
+from bendwind_core.core import Seconds
 
 _COLOURS = {
     Outcome.WHOLE: "#4477aa",
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/refusal.py
@@ -0,0 +1,28 @@
+"""Describe why a request ends before any attempt is made."""
+
+from dataclasses import dataclass
+
+from bendwind_core.attempts import NotRunReason
+from bendwind_core.core import Milliseconds
+from bendwind_node.calls import outcomes
+
+_OVERLOADED_RETRY_MS: Milliseconds = 50.0
+_STALE_RETRY_MS: Milliseconds = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Hold the answer to a request that nothing was done for."""
+
+    status: int
+    outcome: bytes
+    reason: str
+    retry_after_ms: Milliseconds | None = None
+
+    @staticmethod
+    def not_run(reason: NotRunReason) -> "Refusal":
+        """Refuse a request that may be sent again later."""
+        is_load = reason is NotRunReason.OVERLOADED
+        retry_after_ms = _OVERLOADED_RETRY_MS if is_load else _STALE_RETRY_MS
+        status = outcomes.find_not_run_status(reason)
+        return Refusal(status, outcomes.NOT_RUN, reason, retry_after_ms)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/status.py
@@ -0,0 +1,50 @@
+"""Tell operators what this process knows of itself and of the members."""
+
+from dataclasses import dataclass
+
+import trio
+
+from bendwind_core.membership import list_status
+from bendwind_core.world import Instance, Upstream
+from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.control.service import ControlService
+from bendwind_node.membership import MembershipTask
+from bendwind_node.operators import NodeVersion, ProcessStatus
+
+
+@dataclass(slots=True, eq=False)
+class DaemonStatus:
+    """Implement `operators.StatusSource`."""
+
+    own: Instance
+    membership: MembershipTask
+    owner: OwnerNode
+    control: ControlService | None
+
+    def process(self) -> ProcessStatus:
+        """Return the status of this process."""
+        view = self.membership.view
+        return ProcessStatus(
+            self.own.name,
+            self.own.data_centre,
+            view.version,
+            self.membership.confirmed_age_ms(),
+            view.voter,
+            self.owner.is_draining,
+        )
+
+    def nodes(self) -> tuple[NodeVersion, ...]:
+        """Return the nodes attached to this voter."""
+        if self.control is None:
+            return ()
+        rows = list_status(self.control.registry.registry, trio.current_time())
+        return tuple(
+            NodeVersion(row.node, row.data_centre, row.version, row.heartbeat_age_ms)
+            for row in rows
+        )
+
+    def upstreams(self) -> tuple[Upstream, ...]:
+        """Return every upstream a voter knows, or those beside this process."""
+        if self.control is not None:
+            return self.control.upstreams()
+        return tuple(owned.upstream for owned in self.owner.owned.values())
