bench: the demo, run by the real command line

Cause: nobody could see a whole deployment at work with one command. Change: plan, confirm, drain and stop through `bendwind`, calls of every service meanwhile, then what callers were told against what the stand-ins ran. A drained upstream that still gets requests after 2 s, and a call cut by a planned stop, count as broken promises.

--- a/packages/bendwind-bench/src/bendwind_bench/__main__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/__main__.py
@@ -1,5 +1,6 @@
 """Offer the bench's commands."""
 
+import signal
 import sys
 from pathlib import Path
 
@@ -37,6 +38,14 @@
 
         return trio.run(run_mix, deployment, rate, seconds, workers, seed, direct)
 
+    def demo(self, deployment: str = "certitermica") -> int:
+        """Show a deployment at work; ends with `demo: ok` or `demo: broken: ...`."""
+        import trio
+
+        from bendwind_bench.demo import run_demo
+
+        return trio.run(run_demo, deployment)
+
     def experiment(self, name: str, runs: int = 5, seed: int = 1, direct: bool = False) -> int:
         """Run an experiment and write its result; --direct only tries what needs no node."""
         import trio
@@ -59,6 +68,8 @@
     """Run the command that the arguments name."""
     import fire
 
+    # A bench that is asked to end must end its processes first, as on Ctrl-C.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     result = fire.Fire(Commands, name="bendwind_bench", serialize=lambda _: None)
     return result if isinstance(result, int) else 0
 
--- a/packages/bendwind-bench/src/bendwind_bench/deployment/layout.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/layout.py
@@ -61,6 +61,11 @@
         """Return the members whose upstream offers a service."""
         return tuple(item for item in self.members if item.upstream.service == service)
 
+    @property
+    def client_file(self) -> Path:
+        """Return the settings file of the operators' command line."""
+        return self.folder / "client.toml"
+
     @property
     def voters(self) -> tuple[Member, ...]:
         """Return the members that are control voters."""
@@ -115,6 +120,14 @@
     return Layout(description, folder, tuple(members))
 
 
+def write_client_settings(layout: Layout) -> None:
+    """Write the settings file of the operators' command line."""
+    instances = {member.name: member.operators_address for member in layout.members}
+    control = {"control": [voter.operators_address for voter in layout.voters]}
+    text = f"{_format_keys(control)}\n[instances]\n{_format_keys(instances)}"
+    layout.client_file.write_text(text)
+
+
 def _describe_upstream(
     service: ServiceDescription, number: int, port: int, node: int, folder: Path, seed: int
 ) -> UpstreamSettings:
--- a/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
@@ -8,7 +8,13 @@
 import msgspec
 import trio
 
-from bendwind_bench.deployment.layout import Layout, Member, make_layout, write_settings
+from bendwind_bench.deployment.layout import (
+    Layout,
+    Member,
+    make_layout,
+    write_client_settings,
+    write_settings,
+)
 from bendwind_bench.deployment.process import Process
 from bendwind_bench.http import HttpBrokenError, pool_of, send_json
 
@@ -54,6 +60,7 @@
 
     def start(self) -> None:
         """Start every process."""
+        write_client_settings(self.layout)
         for member in self.layout.members:
             write_settings(self.layout, member)
             self.upstreams[member.upstream.name] = self._make_process(
--- a/packages/bendwind-bench/src/bendwind_bench/load/plan.py
+++ b/packages/bendwind-bench/src/bendwind_bench/load/plan.py
@@ -11,7 +11,7 @@
     """Describe one kind of request and its weight in the mix.
 
     A `marked` request must not be repeated. A `keyed` one carries an Idempotency-Key, and a share
-    `resend` of these is sent again with the same key.
+    `resend` of these is sent again with the same key. `addresses` take it in place of the plan's.
     """
 
     service: str
@@ -24,6 +24,7 @@
     request_bytes: int = 0
     answer_bytes: tuple[int, int] = (100, 2000)
     chunked: float = 0.2
+    addresses: list[str] = []
 
 
 class LoadPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -81,7 +82,7 @@
     times = [at_s]
     if kind.keyed and rng.random() < kind.resend:
         times.append(at_s + rng.uniform(0.0, RESEND_WITHIN_S))
-    targets = plan.direct.get(kind.service, plan.entries)
+    targets = kind.addresses or plan.direct.get(kind.service) or plan.entries
     return [
         Send(time, request, index, number, rng.choice(targets), size, is_chunked)
         for index, time in enumerate(times)
--- a/packages/bendwind-bench/src/bendwind_bench/load/worker.py
+++ b/packages/bendwind-bench/src/bendwind_bench/load/worker.py
@@ -1,5 +1,6 @@
 """Send a planned load at its planned times and record what came back."""
 
+import contextlib
 import time
 import zlib
 from pathlib import Path
@@ -20,6 +21,7 @@
 }
 _NO_ANSWER = 0
 TIMER_STEP_S = 0.001
+MOST_ADDRESSES = 3
 
 
 def classify(send: Send, request_body: bytes, answer: Message) -> tuple[Outcome, str]:
@@ -45,7 +47,8 @@
 
     def __init__(self, plan: LoadPlan):
         self.plan = plan
-        addresses = {*plan.entries, *(item for items in plan.direct.values() for item in items)}
+        groups = [plan.entries, *plan.direct.values(), *(kind.addresses for kind in plan.kinds)]
+        addresses = {address for group in groups for address in group}
         self.pools = {address: pool_of(address) for address in addresses}
         self.samples: list[Sample] = []
         self.open = 0
@@ -101,7 +104,17 @@
             headers.append((b"Bench-Chunked", b"1"))
         if kind.keyed:
             headers.append((b"Idempotency-Key", send.request.encode()))
-        return await self.pools[send.address].request(kind.method, kind.path, headers, body)
+        for address in self._addresses(send, kind)[:-1]:
+            with contextlib.suppress(OSError):
+                return await self.pools[address].request(kind.method, kind.path, headers, body)
+        last = self._addresses(send, kind)[-1]
+        return await self.pools[last].request(kind.method, kind.path, headers, body)
+
+    def _addresses(self, send: Send, kind: RequestKind) -> list[str]:
+        # A caller that can open no connection goes on to the next address: nothing was sent.
+        known = kind.addresses or self.plan.direct.get(kind.service) or self.plan.entries
+        first = known.index(send.address)
+        return (known[first:] + known[:first])[:MOST_ADDRESSES]
 
     def _record(self, send: Send, outcome: Outcome, status: int, reason: str, call="", late_ms=0.0):
         kind = self.plan.kinds[send.kind]
