--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -5,7 +5,53 @@
 from bendwind_core.timeline.catalogue import EventKind
 
 # Events of single calls are many, and are worth a log line only while a fault is looked for.
-_CALL_NUMBERS = range(100, 300)
+_OF_ONE_CALL = frozenset(
+    {
+        EventKind.CALL_ARRIVED,
+        EventKind.CALL_FINISHED,
+        EventKind.ATTEMPT_SENT,
+        EventKind.ATTEMPT_NOT_RUN,
+        EventKind.ATTEMPT_ANSWERED,
+        EventKind.LATE_MESSAGE_DROPPED,
+        EventKind.CALL_REFUSED,
+        EventKind.DISPATCH_STARTED,
+        EventKind.DISPATCH_FINISHED,
+        EventKind.CLAIM_GRANTED,
+        EventKind.CLAIM_NOT_GRANTED,
+    }
+)
+_WARNINGS = frozenset(
+    {
+        EventKind.ATTEMPT_UNKNOWN,
+        EventKind.CLAIM_LOSS_ACCEPTED,
+        EventKind.LEADER_LOST,
+        EventKind.VOTER_REPLACED,
+        EventKind.LOG_TAIL_CUT,
+        EventKind.PLAN_OUTCOME_UNKNOWN,
+        EventKind.FRESHNESS_LOST,
+        EventKind.MEMBER_LOST,
+        EventKind.DIAL_FAILED,
+        EventKind.FRAME_REFUSED,
+        EventKind.OPERATOR_REFUSED,
+        EventKind.KEYS_REFUSED,
+        EventKind.PEER_REFUSED,
+        EventKind.HANDSHAKE_REFUSED,
+    }
+)
+_ERRORS = frozenset(
+    {
+        EventKind.CLAIM_GROUP_LOST,
+        EventKind.FOREIGN_CLUSTER,
+        EventKind.LOG_CORRUPT,
+        EventKind.DISK_FAILED,
+    }
+)
+_LEVELS = (
+    dict.fromkeys(EventKind, logging.INFO)
+    | dict.fromkeys(_OF_ONE_CALL, logging.DEBUG)
+    | dict.fromkeys(_WARNINGS, logging.WARNING)
+    | dict.fromkeys(_ERRORS, logging.ERROR)
+)
 
 
 def find_level(kind: EventKind) -> int:
@@ -14,11 +60,4 @@
     >>> find_level(EventKind.CALL_ARRIVED) == logging.DEBUG
     True
     """
-    if kind in _LEVELS:
-        return _LEVELS[kind]
-    return logging.DEBUG if kind in _CALL_NUMBERS else logging.INFO
-
-
-_LEVELS: dict[EventKind, int] = {
-    EventKind.ATTEMPT_UNKNOWN: logging.WARNING,
-}
+    return _LEVELS[kind]
