operators: status lists the nodes of all voters with their operators' addresses

Cause: status on the leader named only the nodes attached to it, and bendwind stop and timeline could not find a process without a list kept by hand. Change: an instance carries its operators' address; status asks every voter (RegistryTask.status); the API uses the time line's own filter; bendwind says how many events a process no longer holds.

--- a/packages/bendwind-cli/src/bendwind_cli/instances.py
+++ b/packages/bendwind-cli/src/bendwind_cli/instances.py
@@ -124,7 +124,8 @@
     yield f"version {reply.version}, {proof}; told by {reply.instance}"
     yield f"leader: {reply.leader or 'none'}"
     for voter in reply.voters:
-        yield f"voter {voter.name}: {voter.role}, applied {voter.applied}"
+        applied = f", applied {voter.applied}" if voter.applied else ""
+        yield f"voter {voter.name}: {voter.role}{applied}"
     for node in reply.nodes:
         mark = "  (not there yet)" if node.name in reply.not_there_yet else ""
         yield f"node {node.name} in {node.data_centre}: version {node.version}{mark}"
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -125,10 +125,11 @@
 
 
 class TimelineReply(msgspec.Struct, frozen=True):
-    """Hold one process's events."""
+    """Hold one process's events; `dropped` counts those it no longer holds."""
 
     instance: str
     events: tuple[EventReply, ...]
+    dropped: int = 0
 
 
 class StopReply(msgspec.Struct, frozen=True):
--- a/packages/bendwind-cli/src/bendwind_cli/timeline.py
+++ b/packages/bendwind-cli/src/bendwind_cli/timeline.py
@@ -41,6 +41,7 @@
     replies = _ask_all(client, addresses, _make_path(command, kind, command.call))
     if not replies:
         return Error(Failure(ExitCode.NO_ANSWER, "no process answered"))
+    _note_dropped(replies)
     # An owner node knows a call's attempts only, so a call is followed through their names.
     attempts = find_attempts(_merge(replies), command.call) if command.call else ()
     for attempt in attempts:
@@ -79,6 +80,13 @@
     return replies
 
 
+def _note_dropped(replies: list[TimelineReply]) -> None:
+    for reply in replies:
+        if reply.dropped:
+            line = f"{reply.instance} no longer holds its {reply.dropped} oldest events"
+            print(f"bendwind: {line}", file=sys.stderr)
+
+
 def _merge(replies: list[TimelineReply]) -> list[Event]:
     return merge_events(_read_events(reply) for reply in replies)
 
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -130,6 +130,7 @@
     version: int
     heartbeat_age_ms: Milliseconds
     is_fresh: bool
+    operators: str = ""
 
 
 class StatusRequest(Record, frozen=True, array_like=True, tag="status-request"):
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -240,4 +240,5 @@
         max(client.version, 0),
         age * MILLISECONDS_PER_SECOND,
         is_fresh,
+        node.operators,
     )
--- a/packages/bendwind-core/src/bendwind_core/world/places.py
+++ b/packages/bendwind-core/src/bendwind_core/world/places.py
@@ -14,6 +14,7 @@
     """Name one run of a bendwindd process and the address its peers reach it at.
 
     `incarnation` grows with every start of the process, so that two runs under one name differ.
+    `operators` is the address, host and port, that operators reach it at.
     """
 
     name: str
@@ -21,3 +22,4 @@
     host: str
     port: int
     incarnation: int
+    operators: str = ""
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -110,6 +110,7 @@
         settings.peers.host,
         find_port(listeners.peers),
         incarnation,
+        f"{settings.operators.host}:{find_port(listeners.operators)}",
     )
 
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/status.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/status.py
@@ -2,9 +2,6 @@
 
 from dataclasses import dataclass
 
-import trio
-
-from bendwind_core.membership import list_status
 from bendwind_core.world import Instance, Upstream
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.control.service import ControlService
@@ -33,13 +30,13 @@
             self.owner.is_draining,
         )
 
-    def nodes(self) -> tuple[NodeVersion, ...]:
-        """Return the nodes attached to this voter."""
+    async def nodes(self) -> tuple[NodeVersion, ...]:
+        """Return the nodes attached to any voter that answers; none on another process."""
         if self.control is None:
             return ()
-        rows = list_status(self.control.registry.registry, trio.current_time())
+        rows = await self.control.registry.status()
         return tuple(
-            NodeVersion(row.node, row.data_centre, row.version, row.heartbeat_age_ms)
+            NodeVersion(row.node, row.data_centre, row.version, row.heartbeat_age_ms, row.operators)
             for row in rows
         )
 
--- a/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -5,11 +5,11 @@
 
 from expression import Error, Ok, Result
 
-from bendwind_core.timeline import Event, EventKind, Recorder
+from bendwind_core.timeline import EventFilter, EventKind, Recorder, find_kind
 from bendwind_node.operators.control_client import ControlClient
 from bendwind_node.operators.errors import ErrorKind, plain_error
 from bendwind_node.operators.http import Request, Response, json_response
-from bendwind_node.operators.status_source import ProcessStatus, StatusSource
+from bendwind_node.operators.status_source import NodeVersion, ProcessStatus, StatusSource
 from bendwind_node.operators.views import (
     DrainingView,
     StatusView,
@@ -22,25 +22,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EventFilter:
-    """Say which events are asked for; empty fields match all."""
-
-    call: str
-    plan: str
-    upstream: str
-    kind: EventKind | None
-    since_ms: int
-    limit: int
+class EventQuery:
+    """Say which events are asked for, and how many of the newest."""
 
-    def is_match(self, event: Event) -> bool:
-        """Tell whether an event is asked for."""
-        return (
-            self.call in ("", event.call)
-            and self.plan in ("", event.plan)
-            and self.upstream in ("", event.upstream)
-            and self.kind in (None, event.kind)
-            and event.physical_ms >= self.since_ms
-        )
+    wanted: EventFilter
+    limit: int
 
 
 @dataclass(slots=True)
@@ -55,20 +41,22 @@
         """Give the status, confirmed by a quorum where this process leads."""
         process = self.source.process()
         if self.control is None:
-            return json_response(200, self._show_node(process))
+            return json_response(200, self._show(process, process.version, is_confirmed=False))
         is_confirmed = (await self.control.barrier()).is_ok()
-        return json_response(200, self._show_voter(self.control, process, is_confirmed))
-
-    def _show_node(self, process: ProcessStatus) -> StatusView:
-        return self._show(process, process.version, is_confirmed=False)
+        nodes = tuple(await self.source.nodes())
+        return json_response(200, self._show_voter(self.control, process, is_confirmed, nodes))
 
     def _show_voter(
-        self, control: ControlClient, process: ProcessStatus, is_confirmed: bool
+        self,
+        control: ControlClient,
+        process: ProcessStatus,
+        is_confirmed: bool,
+        nodes: tuple[NodeVersion, ...],
     ) -> StatusView:
         state = control.state
         draining = DrainingView(tuple(state.draining_instances), tuple(state.draining_upstreams))
         version = state.configuration.version
-        return self._show(process, version, is_confirmed, control, draining)
+        return self._show(process, version, is_confirmed, control, draining, nodes)
 
     def _show(
         self,
@@ -77,8 +65,8 @@
         is_confirmed: bool,
         control: ControlClient | None = None,
         draining: DrainingView | None = None,
+        nodes: tuple[NodeVersion, ...] = (),
     ) -> StatusView:
-        nodes = tuple(self.source.nodes())
         return StatusView(
             instance=process.name,
             data_centre=process.data_centre,
@@ -101,15 +89,16 @@
         wanted = _read_filter(request)
         if wanted.is_error():
             return plain_error(400, ErrorKind.BAD_REQUEST, wanted.error)
-        newest = (event for event in reversed(self.recorder.events) if wanted.ok.is_match(event))
-        events = list(itertools.islice(newest, wanted.ok.limit))
+        query = wanted.ok
+        newest = (event for event in reversed(self.recorder.events) if query.wanted.admits(event))
+        events = list(itertools.islice(newest, query.limit))
         events.reverse()
         shown = tuple(show_event(event) for event in events)
         view = TimelineView(self.recorder.instance, self.recorder.dropped, shown)
         return json_response(200, view)
 
 
-def _read_filter(request: Request) -> Result[EventFilter, str]:
+def _read_filter(request: Request) -> Result[EventQuery, str]:
     query = request.query
     kind = _read_kind(query.get("kind", ""))
     since, limit = query.get("since", "0"), query.get("limit", str(DEFAULT_EVENTS))
@@ -119,13 +108,13 @@
         if not text.isascii() or not text.isdecimal() or len(text) > 18:
             return Error(f"{name}: expected a whole number from 0")
     texts = [query.get(name, "") for name in ("call", "plan", "upstream")]
-    return Ok(EventFilter(*texts, kind.ok, int(since), int(limit)))
+    return Ok(EventQuery(EventFilter(*texts, kind.ok, int(since)), int(limit)))
 
 
 def _read_kind(text: str) -> Result[EventKind | None, str]:
     if not text:
         return Ok(None)
-    for kind in EventKind:
-        if text.upper().replace("-", "_") == kind.name or text == str(kind.value):
-            return Ok(kind)
+    kind = find_kind(text)
+    if kind is not None:
+        return Ok(kind)
     return Error("kind: expected the number or name of an event, see /v1/events")
--- a/packages/bendwind-node/src/bendwind_node/operators/status_source.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_source.py
@@ -27,6 +27,7 @@
 class NodeVersion(msgspec.Struct, frozen=True):
     """Say which version a node has in force, as it last told.
 
+    `operators` is the address that operators reach it at, empty where it is not known.
     Units: `last_heard_ms` is the time since its last heartbeat, in milliseconds.
     """
 
@@ -34,6 +35,7 @@
     data_centre: str
     version: int
     last_heard_ms: Milliseconds | None = None
+    operators: str = ""
 
 
 class StatusSource(Protocol):
@@ -43,8 +45,8 @@
         """Return the status of this process."""
         ...
 
-    def nodes(self) -> Sequence[NodeVersion]:
-        """Return the nodes this process hears of; all of them on the leader."""
+    async def nodes(self) -> Sequence[NodeVersion]:
+        """Return the nodes attached to any voter that answers; none on another process."""
         ...
 
     def upstreams(self) -> Sequence[Upstream]:
