membership, daemon: put operators' drain marks into force

Cause: `bendwind drain` changed the control state only.

Ruled out: announcing the mark as the owner's own state, since the owner could not then tell when the mark is taken away.

Change: the registry is given the marks with each applied entry and pushes a marked upstream as draining; the owner node watches the services it serves, knows a mark by a pushed state that it did not announce, and refuses new attempts.

--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -61,6 +61,14 @@
     claim_groups: tuple[ClaimGroup, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainMarksAccepted:
+    """Give a voter's registry the drain marks that its control log holds."""
+
+    instances: frozenset[str]
+    upstreams: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuorumConfirmed:
     """Tell that a barrier round which started at `started` has ended.
@@ -143,5 +151,12 @@
     | AttachmentChanged
     | FreshnessChanged
 )
-RegistryEvent = Tick | MessageReceived | ConfigurationAccepted | QuorumConfirmed | VotersChanged
+RegistryEvent = (
+    Tick
+    | MessageReceived
+    | ConfigurationAccepted
+    | DrainMarksAccepted
+    | QuorumConfirmed
+    | VotersChanged
+)
 RegistryEffect = SendTo | MemberAppeared | MemberLost
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -42,6 +42,23 @@
             registry.outdated.update(row.watchers)
 
 
+def accept_drain_marks(
+    registry: VoterRegistry, instances: frozenset[str], upstreams: frozenset[str]
+) -> None:
+    """Take over the drain marks and note whose upstreams they concern."""
+    changed_instances = registry.draining_instances ^ instances
+    changed_upstreams = registry.draining_upstreams ^ upstreams
+    registry.draining_instances = instances
+    registry.draining_upstreams = upstreams
+    for owner, member in registry.members.items():
+        touched = tuple(
+            upstream
+            for upstream in member.state.upstreams
+            if owner in changed_instances or upstream.name in changed_upstreams
+        )
+        mark_dirty(registry, owner, touched, is_urgent=True)
+
+
 def _take_services(registry: VoterRegistry, configuration: Configuration) -> None:
     if registry.floor == 0:
         registry.floor = configuration.version
@@ -210,12 +227,22 @@
     if member is None or not member.is_visible:
         return {}
     return {
-        upstream_key(upstream): upstream
+        upstream_key(upstream): _mark_draining(registry, upstream)
         for upstream in member.state.upstreams
         if upstream.service == service
     }
 
 
+def _mark_draining(registry: VoterRegistry, upstream: Upstream) -> Upstream:
+    is_marked = (
+        upstream.name in registry.draining_upstreams
+        or upstream.owner.name in registry.draining_instances
+    )
+    if is_marked and upstream.state is UpstreamState.READY:
+        return msgspec.structs.replace(upstream, state=UpstreamState.DRAINING)
+    return upstream
+
+
 def _put_change(row: ServiceRow, change: Upstream) -> None:
     old = row.upstreams.pop(upstream_key(change), None)
     if old:
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -8,6 +8,7 @@
 from bendwind_core.membership import gossip, pushes
 from bendwind_core.membership.events import (
     ConfigurationAccepted,
+    DrainMarksAccepted,
     MessageReceived,
     QuorumConfirmed,
     RegistryEffect,
@@ -57,6 +58,8 @@
             _receive(registry, sender, message, effects, now)
         case ConfigurationAccepted(configuration=configuration, claim_groups=claim_groups):
             pushes.accept_configuration(registry, configuration, claim_groups)
+        case DrainMarksAccepted(instances=instances, upstreams=upstreams):
+            pushes.accept_drain_marks(registry, instances, upstreams)
         case QuorumConfirmed(started=started):
             registry.confirmed_from = started
         case VotersChanged(voters=voters):
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -71,6 +71,8 @@
     dirty: dict[str, None] = dataclasses.field(default_factory=dict)
     urgent: dict[str, None] = dataclasses.field(default_factory=dict)
     outdated: dict[str, None] = dataclasses.field(default_factory=dict)
+    draining_instances: frozenset[str] = frozenset()
+    draining_upstreams: frozenset[str] = frozenset()
     lost_voters: set[str] = dataclasses.field(default_factory=set)
     gossip_at: Seconds = 0.0
     digest_at: Seconds = 0.0
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -45,6 +45,7 @@
     pool: UpstreamPool
     lease_until: Seconds
     scopes: dict[AttemptId, trio.CancelScope] = field(default_factory=dict)
+    is_marked: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -185,10 +186,28 @@
         owned.lease_until = now + self.lease_ms / MILLISECONDS_PER_SECOND
         self._move_pool(owned, news)
         state = UpstreamState.DRAINING if self.is_draining else news.state
-        self._feed(owned, ev.UpstreamAnnounced(news.slots, news.connections, state))
         self._publish(owned, news, state)
+        self._feed_state(owned)
         return True
 
+    def hear_pushed(self, pushed: Upstream) -> None:
+        """Hear what the voters push of an upstream; a drain mark shows as a state not announced."""
+        owned = self.owned.get(pushed.name)
+        if owned is None or pushed.owner != self.own:
+            return
+        if pushed.sequence != owned.upstream.sequence:
+            return
+        is_ready = owned.upstream.state is UpstreamState.READY
+        is_marked = is_ready and pushed.state is UpstreamState.DRAINING
+        if is_marked != owned.is_marked:
+            owned.is_marked = is_marked
+            self._feed_state(owned)
+
+    def _feed_state(self, owned: OwnedUpstream) -> None:
+        upstream = owned.upstream
+        state = UpstreamState.DRAINING if owned.is_marked else upstream.state
+        self._feed(owned, ev.UpstreamAnnounced(upstream.slots, upstream.connections, state))
+
     def _create_owned(self, news: Announcement) -> OwnedUpstream:
         upstream = Upstream(
             news.name, news.service, self.own, news.slots, news.connections, UpstreamState.GONE
--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -10,6 +10,7 @@
 from bendwind_core.core import Record
 from bendwind_core.membership import (
     ConfigurationAccepted,
+    DrainMarksAccepted,
     LeaseTimes,
     MemberAppeared,
     MemberLost,
@@ -52,6 +53,10 @@
     def claim_groups(self) -> Mapping[str, ClaimGroup]:
         """Return the claim groups by service as of the newest applied log entry."""
 
+    @property
+    def drain_marks(self) -> DrainMarksAccepted:
+        """Return the drain marks as of the newest applied log entry."""
+
     @property
     def voters(self) -> tuple[str, ...]:
         """Return the names of the present voters."""
@@ -65,6 +70,7 @@
 
     __slots__ = (
         "_groups",
+        "_marks",
         "_number",
         "_outbox",
         "_replies",
@@ -90,6 +96,7 @@
         self.recorder = recorder
         self._rng = rng
         self._groups: Mapping[str, ClaimGroup] | None = None
+        self._marks = DrainMarksAccepted(frozenset(), frozenset())
         self._number = 0
         self._replies: dict[int, trio.MemorySendChannel] = {}
         self.inbox, self._outbox = trio.open_memory_channel[tuple[str, Record]](_INBOX)
@@ -133,6 +140,10 @@
         if is_newer or groups != self._groups:
             self._groups = dict(groups)
             self.step(ConfigurationAccepted(configuration, tuple(groups.values())))
+        marks = self.control.drain_marks
+        if marks != self._marks:
+            self._marks = marks
+            self.step(marks)
         voters = self.control.voters
         if set(voters) - {self.registry.name} != set(self.registry.peers):
             self.step(VotersChanged(voters))
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -11,7 +11,7 @@
 from bendwind_core import consensus
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup
 from bendwind_core.core import Record, Seconds
-from bendwind_core.membership import LeaseTimes
+from bendwind_core.membership import DrainMarksAccepted, LeaseTimes
 from bendwind_core.plans import CommandResult, ControlState, encode_command
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Configuration, Upstream
@@ -97,6 +97,14 @@
         """Return the claim groups by service as of the newest applied log entry."""
         return self.state.claim_groups
 
+    @property
+    def drain_marks(self) -> DrainMarksAccepted:
+        """Return the drain marks as of the newest applied log entry."""
+        state = self.state
+        return DrainMarksAccepted(
+            frozenset(state.draining_instances), frozenset(state.draining_upstreams)
+        )
+
     @property
     def voter_names(self) -> tuple[str, ...]:
         """Return the names of the present voters."""
@@ -119,6 +127,11 @@
         """Return the claim groups as of the newest applied log entry."""
         return self.client.claim_groups
 
+    @property
+    def drain_marks(self) -> DrainMarksAccepted:
+        """Return the drain marks as of the newest applied log entry."""
+        return self.client.drain_marks
+
     @property
     def voters(self) -> tuple[str, ...]:
         """Return the names of the present voters."""
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -23,7 +23,7 @@
 )
 from bendwind_core.messages import Hello
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_core.world import Instance
+from bendwind_core.world import Instance, Upstream
 from bendwind_node.calls.announce_asgi import AnnounceApp
 from bendwind_node.calls.call_task import CallTask
 from bendwind_node.calls.caller_asgi import serve_asgi, serve_callers_asgi
@@ -37,7 +37,7 @@
 from bendwind_node.daemon.status import DaemonStatus
 from bendwind_node.links import create_link_hub
 from bendwind_node.logs import configure_logging
-from bendwind_node.membership import create_membership_task
+from bendwind_node.membership import MembershipTask, create_membership_task
 from bendwind_node.operators import (
     OperatorAuthority,
     OperatorsApp,
@@ -152,7 +152,7 @@
         nursery,
         settings.lease.lease_ms,
         settings.limits.body_bytes,
-        membership.announce,
+        lambda upstream: _announce(membership, upstream),
     )
     dispatcher.entry = EntryNode(
         own,
@@ -194,6 +194,7 @@
             for upstream in dispatcher.membership.upstreams(service):
                 owner = upstream.owner
                 dispatcher.hub.learn_address(owner.name, owner.host, owner.port)
+                dispatcher.owner.hear_pushed(upstream)
             dispatcher.entry.refresh_upstreams(service)
         case ConfigurationApplied():
             for service in tuple(dispatcher.entry.desks):
@@ -203,6 +204,12 @@
             dispatcher.claims.inbox.send_nowait(GroupsPushed(groups))
 
 
+def _announce(membership: MembershipTask, upstream: Upstream) -> None:
+    membership.announce(upstream)
+    # What the voters push of a served service tells this node of operators' drain marks.
+    membership.watch(upstream.service)
+
+
 async def _start(daemon: Daemon, nursery: trio.Nursery) -> None:
     settings = daemon.settings
     dispatcher = daemon.dispatcher
