--- a/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
@@ -134,14 +134,15 @@
 
 async def _wait_served(address: str, service: str) -> None:
     headers = [(b"Bendwind-Service", service.encode())]
-    while True:
-        pool = pool_of(address)
-        with contextlib.suppress(OSError, HttpBrokenError):
-            answer = await pool.request("GET", "/", headers)
-            if answer.status == 200:
-                return
+    pool = pool_of(address)
+    try:
+        while True:
+            with contextlib.suppress(OSError, HttpBrokenError):
+                if (await pool.request("GET", "/", headers)).status == 200:
+                    return
+            await trio.sleep(POLL_S)
+    finally:
         pool.close()
-        await trio.sleep(POLL_S)
 
 
 @contextlib.asynccontextmanager
