--- a/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
@@ -8,11 +8,11 @@
 import h11
 import msgspec
 import trio
-from bendwind_core.core import MILLISECONDS_PER_SECOND
 
 from bendwind_bench.http import HttpBrokenError, HttpStream, Message, send_json
 from bendwind_bench.upstream.executor import Executor, Job
 from bendwind_bench.upstream.settings import Change, UpstreamSettings
+from bendwind_core.core import MILLISECONDS_PER_SECOND
 
 ANNOUNCE_EVERY_S = 1.0
 DRAIN_LIMIT_S = 20.0
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -0,0 +1,321 @@
+"""Carry the calls that reach this process: decide, hand over, deliver."""
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from bendwind_core.attempts import (
+    AnswerHead,
+    AttemptId,
+    BodyCredit,
+    BodyPart,
+    Cancel,
+    Fence,
+    Fenced,
+    HandOver,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    entry,
+)
+from bendwind_core.attempts import events as ev
+from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.attempts.call import find_attempt
+from bendwind_core.claims import ClaimAnswer, ClaimState
+from bendwind_core.claims.messages import MAX_KEPT_ANSWER_BYTES
+from bendwind_core.limits import RetryBudget
+from bendwind_core.messages import PeerMessage
+from bendwind_core.routing import (
+    UpstreamTable,
+    choose_upstream,
+    create_table,
+    note_answered,
+    note_cancelled,
+    note_not_run,
+    note_sent,
+    note_unknown,
+    set_upstreams,
+)
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.world import Instance, Service, Upstream, may_serve
+from bendwind_node.calls.body_flow import Outflow, split_body
+from bendwind_node.calls.call_run import CallRun
+from bendwind_node.calls.dispatch import format_attempt
+from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.claims.task import ClaimTask
+from bendwind_node.links import Link, LinkHub
+from bendwind_node.membership import MembershipTask
+
+LOCAL_EPOCH = 0
+
+
+@dataclass(slots=True, eq=False)
+class LocalLink:
+    """Stand for the link between the entry node and the owner node of one process."""
+
+    peer: Instance
+    deliver: "EntryNode"
+    epoch: int = LOCAL_EPOCH
+
+    def send(self, message: PeerMessage) -> bool:
+        """Hand a reply of the owner node to the entry node."""
+        self.deliver.receive(self, message)
+        return True
+
+
+@dataclass(slots=True, eq=False)
+class ServiceDesk:
+    """Hold what the entry node keeps for one service."""
+
+    table: UpstreamTable
+    budget: RetryBudget
+    in_flight: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class EntryNode:
+    """Own the calls that callers brought to this process."""
+
+    own: Instance
+    recorder: Recorder
+    nursery: trio.Nursery
+    hub: LinkHub
+    owner: OwnerNode
+    membership: MembershipTask
+    claims: ClaimTask
+    rng: random.Random
+    ids: AttemptIds
+    desks: dict[str, ServiceDesk] = field(default_factory=dict)
+    runs: dict[int, CallRun] = field(default_factory=dict)
+    local: LocalLink = field(init=False)
+
+    def __post_init__(self):
+        self.local = LocalLink(self.own, self)
+        self.owner.link_opened(self.local)
+
+    def find_desk(self, service: Service) -> ServiceDesk:
+        """Return the desk of a service, a new one on its first call."""
+        desk = self.desks.get(service.name)
+        if desk is None:
+            budget = RetryBudget(service.limits.retry_ratio)
+            desk = ServiceDesk(create_table(service.name), budget)
+            self.desks[service.name] = desk
+            self.refresh_upstreams(service.name)
+        return desk
+
+    def refresh_upstreams(self, service_name: str) -> None:
+        """Take over the announced upstreams that the service's patterns admit."""
+        desk = self.desks.get(service_name)
+        service = self.membership.services.get(service_name)
+        if desk is None:
+            return
+        announced = self.membership.upstreams(service_name)
+        admitted = [u for u in announced if service is not None and may_serve(service, u.name)]
+        set_upstreams(desk.table, admitted, trio.current_time())
+
+    def link_closed(self, link: Link) -> None:
+        """Hear that a link to an owner node broke."""
+        for run in tuple(self.runs.values()):
+            for attempt in tuple(run.call.attempts):
+                if attempt.upstream.owner.name == link.peer.name:
+                    run.feed(ev.OwnerLost(attempt.id))
+
+    def dial_failed(self, unsent: tuple[PeerMessage, ...]) -> None:
+        """Hear which messages never left this process."""
+        for message in unsent:
+            match message:
+                case HandOver(attempt=attempt):
+                    self._feed(attempt, ev.AttemptNotRun(attempt, NotRunReason.CONNECT_FAILED))
+                case Fence(attempt=attempt):
+                    self._feed(attempt, ev.FenceFailed(attempt))
+
+    def _feed(self, attempt: AttemptId, event: ev.EntryEvent) -> None:
+        run = self._find_run(attempt)
+        if run is not None:
+            run.feed(event)
+
+    def _find_run(self, attempt: AttemptId) -> CallRun | None:
+        is_own = attempt.entry == self.own.name and attempt.incarnation == self.own.incarnation
+        return self.runs.get(attempt.sequence) if is_own else None
+
+    def receive(self, link: Link | LocalLink, message: PeerMessage) -> None:
+        """Hear a message of an owner node; one that matches no open attempt is dropped."""
+        run = self._find_run(message.attempt)
+        attempt = None if run is None else find_attempt(run.call, message.attempt)
+        if attempt is None or attempt.upstream.owner != link.peer:
+            self.recorder.record(
+                EventKind.LATE_MESSAGE_DROPPED,
+                call=format_attempt(message.attempt),
+                detail=type(message).__name__,
+            )
+            return
+        match message:
+            case AnswerHead(attempt=id, status=status, more=more):
+                run.heads[id] = message
+                self._note_answer(run, attempt.upstream, message)
+                run.feed(ev.AttemptHead(id, status, not more))
+            case BodyPart(attempt=id, index=index, more=more):
+                run.incoming[id, index] = message
+                run.feed(ev.AttemptBodyPart(id, index, more))
+            case NotRun(attempt=id, reason=reason, load=load):
+                self._note_not_run(run, attempt.upstream, message)
+                run.feed(ev.AttemptNotRun(id, reason, load))
+            case Unknown(attempt=id, reason=reason):
+                self._note_unknown(run, attempt.upstream, id, reason)
+                run.feed(ev.AttemptUnknown(id, reason))
+            case Fenced(attempt=id, verdict=verdict):
+                run.feed(ev.FenceAnswered(id, verdict))
+            case BodyCredit(attempt=id, credit=credit):
+                outflow = run.outflows.get(id)
+                if outflow is not None:
+                    outflow.add_credit(credit)
+
+    def _note_answer(self, run: CallRun, upstream: Upstream, head: AnswerHead) -> None:
+        table = self.desks[run.call.service.name].table
+        now = trio.current_time()
+        note_answered(table, upstream.name, head.attempt, now, head.status, head.load)
+        self.recorder.record(
+            EventKind.ATTEMPT_ANSWERED,
+            call=run.call.call_id,
+            upstream=upstream.name,
+            detail=str(head.status),
+        )
+
+    def _note_not_run(self, run: CallRun, upstream: Upstream, proof: NotRun) -> None:
+        table = self.desks[run.call.service.name].table
+        now = trio.current_time()
+        note_not_run(table, upstream.name, proof.attempt, now, proof.reason, proof.load)
+        self.recorder.record(
+            EventKind.ATTEMPT_NOT_RUN,
+            call=run.call.call_id,
+            upstream=upstream.name,
+            detail=proof.reason,
+        )
+
+    def _note_unknown(
+        self, run: CallRun, upstream: Upstream, attempt: AttemptId, reason: str
+    ) -> None:
+        table = self.desks[run.call.service.name].table
+        note_unknown(table, upstream.name, attempt, trio.current_time())
+        self.recorder.record(
+            EventKind.ATTEMPT_UNKNOWN,
+            call=run.call.call_id,
+            upstream=upstream.name,
+            detail=reason,
+        )
+
+    def apply(self, run: CallRun, event: ev.EntryEvent) -> None:
+        """Decide on an event and carry out what needs no waiting."""
+        now = trio.current_time()
+        call = run.call
+        desk = self.desks[call.service.name]
+
+        def choose(excluded: frozenset[str]) -> Upstream | None:
+            return choose_upstream(call.service.policy, desk.table, excluded, now, self.rng)
+
+        for effect in entry.step(call, event, now, choose):
+            self._carry_out(run, desk, effect)
+
+    def _carry_out(self, run: CallRun, desk: ServiceDesk, effect: ev.EntryEffect) -> None:
+        match effect:
+            case ev.SendHandOver():
+                self._send_hand_over(run, desk, effect)
+            case ev.StartTimer():
+                run.start_timer(effect)
+            case ev.SendCancel(attempt=attempt, upstream=upstream):
+                note_cancelled(desk.table, upstream.name, attempt, trio.current_time())
+                self.send(upstream.owner.name, Cancel(attempt, upstream.name))
+            case ev.SendFence(attempt=attempt, upstream=upstream):
+                note_unknown(desk.table, upstream.name, attempt, trio.current_time())
+                fence = Fence(attempt, upstream.owner.incarnation, upstream.name)
+                if not self.send(upstream.owner.name, fence):
+                    run.feed(ev.FenceFailed(attempt))
+            case ev.ReleaseClaim():
+                self.claims.release(run.call.service.name, run.key, run.call.call_id)
+            case ev.RecordClaim(outcome=outcome):
+                self._record_claim(run, outcome)
+            case ev.DeliverPart(attempt=attempt):
+                self._keep_part(run, attempt)
+                run.leave_to_task(effect)
+            case _:
+                run.leave_to_task(effect)
+
+    def _keep_part(self, run: CallRun, attempt: AttemptId) -> None:
+        # The part just accepted; a claim's record needs it after the caller has got it.
+        if run.key and sum(map(len, run.kept_parts)) <= MAX_KEPT_ANSWER_BYTES:
+            run.kept_parts.append(run.incoming[attempt, run.call.next_part - 1].data)
+
+    def send(self, owner: str, message: PeerMessage) -> bool:
+        """Send to an owner node, in this process or another; False if it was not even queued."""
+        if owner == self.own.name:
+            self.owner.receive(self.local, message)
+            return True
+        return self.hub.send_dialed(owner, message)
+
+    def _send_hand_over(self, run: CallRun, desk: ServiceDesk, effect: ev.SendHandOver) -> None:
+        upstream = effect.upstream
+        owner = upstream.owner
+        first, rest = split_body(run.body)
+        hand_over = HandOver(
+            effect.attempt,
+            owner.incarnation,
+            run.call.service.name,
+            upstream.name,
+            run.method,
+            run.target,
+            run.headers,
+            effect.remaining_ms,
+            run.call.rule.repeat,
+            self.membership.view.version,
+            first,
+            bool(rest),
+        )
+        self.runs[effect.attempt.sequence] = run
+        note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
+        self.recorder.record(
+            EventKind.ATTEMPT_SENT,
+            call=run.call.call_id,
+            upstream=upstream.name,
+            detail=format_attempt(effect.attempt),
+        )
+        if not self.send(owner.name, hand_over):
+            run.feed(ev.AttemptNotRun(effect.attempt, NotRunReason.CONNECT_FAILED))
+        elif rest:
+            self.nursery.start_soon(self._send_parts, run, effect.attempt, owner.name, rest)
+
+    async def _send_parts(
+        self, run: CallRun, attempt: AttemptId, owner: str, parts: tuple[bytes, ...]
+    ) -> None:
+        outflow = Outflow()
+        run.outflows[attempt] = outflow
+        for number, part in enumerate(parts, start=1):
+            index = await outflow.take(len(part))
+            if attempt.sequence not in self.runs:
+                return
+            self.send(owner, BodyPart(attempt, index, part, number < len(parts)))
+
+    def _record_claim(self, run: CallRun, outcome: ev.ClaimOutcome) -> None:
+        state, answer = _describe_claim(run, outcome)
+        call = run.call
+        self.claims.record(call.service.name, run.key, call.call_id, state, answer)
+
+    def forget(self, run: CallRun) -> None:
+        """Drop a finished call: later messages for its attempts are late."""
+        for attempt in run.call.attempts:
+            self.runs.pop(attempt.id.sequence, None)
+            outflow = run.outflows.get(attempt.id)
+            if outflow is not None:
+                outflow.lose()
+
+
+def _describe_claim(
+    run: CallRun, outcome: ev.ClaimOutcome
+) -> tuple[ClaimState, ClaimAnswer | None]:
+    if outcome is not ev.ClaimOutcome.ANSWERED or run.call.winner is None:
+        return ClaimState.UNKNOWN, None
+    head = run.heads[run.call.winner.id]
+    body = head.body + b"".join(run.kept_parts)
+    if len(body) > MAX_KEPT_ANSWER_BYTES:
+        return ClaimState.NOT_KEPT, None
+    return ClaimState.ANSWERED, ClaimAnswer(head.status, head.headers, body)
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+
 from bendwind_core.claims import (
     ClaimAnswer,
     ClaimCopied,
@@ -61,6 +62,7 @@
 from bendwind_core.world import Instance
 
 TICK: Seconds = 0.1
+IDLE_TICK: Seconds = 0.5
 INBOX_MESSAGES = 1024
 DEFAULT_LIMITS = ClaimLimits()
 
@@ -214,7 +216,8 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await trio.sleep(TICK)
+            is_idle = not self.entry.asking and not self.entry.settling
+            await trio.sleep(IDLE_TICK if is_idle else TICK)
             self._apply_entry(EntryTick())
             for holder in self.holders.values():
                 self._apply_holder(holder, Tick())
@@ -290,7 +293,7 @@
             self.recorder.record(EventKind.CLAIM_GRANTED, call=call)
         else:
             self.recorder.record(
-                EventKind.CLAIM_NOT_GRANTED, call=call, detail=repr(decision)[:200]
+                EventKind.CLAIM_NOT_GRANTED, call=call, detail=type(decision).__name__
             )
 
     def _deliver(self, to: str, message: ClaimMessage) -> None:
--- a/packages/bendwind-node/src/bendwind_node/claims/tests/test_task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/tests/test_task.py
@@ -5,6 +5,7 @@
 
 import trio
 import trio.testing
+
 from bendwind_core.claims import (
     ClaimAnswer,
     ClaimGroup,
@@ -19,7 +20,6 @@
 from bendwind_core.messages import decode_message, encode_message
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance
-
 from bendwind_node.claims import (
     GroupsPushed,
     LeaseProven,
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -0,0 +1,120 @@
+"""Answer the requests about the status of a process and its recorded events."""
+
+import itertools
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from bendwind_core.timeline import EventFilter, EventKind, Recorder, find_kind
+from bendwind_node.operators.control_client import ControlClient
+from bendwind_node.operators.errors import ErrorKind, plain_error
+from bendwind_node.operators.http import Request, Response, json_response
+from bendwind_node.operators.status_source import NodeVersion, ProcessStatus, StatusSource
+from bendwind_node.operators.views import (
+    DrainingView,
+    StatusView,
+    TimelineView,
+    show_event,
+    show_upstream,
+)
+
+DEFAULT_EVENTS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class EventQuery:
+    """Say which events are asked for, and how many of the newest."""
+
+    wanted: EventFilter
+    limit: int
+
+
+@dataclass(slots=True)
+class StatusRoutes:
+    """Answer requests for status and events; `control` is None on a process that is no voter."""
+
+    control: ControlClient | None
+    source: StatusSource
+    recorder: Recorder
+
+    async def get_status(self) -> Response:
+        """Give the status, confirmed by a quorum where this process leads."""
+        process = self.source.process()
+        if self.control is None:
+            return json_response(200, self._show(process, process.version, is_confirmed=False))
+        is_confirmed = (await self.control.barrier()).is_ok()
+        nodes = tuple(await self.source.nodes())
+        return json_response(200, self._show_voter(self.control, process, is_confirmed, nodes))
+
+    def _show_voter(
+        self,
+        control: ControlClient,
+        process: ProcessStatus,
+        is_confirmed: bool,
+        nodes: tuple[NodeVersion, ...],
+    ) -> StatusView:
+        state = control.state
+        draining = DrainingView(tuple(state.draining_instances), tuple(state.draining_upstreams))
+        version = state.configuration.version
+        return self._show(process, version, is_confirmed, control, draining, nodes)
+
+    def _show(
+        self,
+        process: ProcessStatus,
+        version: int,
+        is_confirmed: bool,
+        control: ControlClient | None = None,
+        draining: DrainingView | None = None,
+        nodes: tuple[NodeVersion, ...] = (),
+    ) -> StatusView:
+        return StatusView(
+            instance=process.name,
+            data_centre=process.data_centre,
+            voter=control is not None,
+            stopping=process.stopping,
+            version=version,
+            confirmed=is_confirmed,
+            confirmed_age_ms=process.confirmed_age_ms,
+            attached_to=process.attached_to,
+            leader=None if control is None else control.leader(),
+            voters=() if control is None else tuple(control.voters()),
+            nodes=nodes,
+            not_there_yet=tuple(node.name for node in nodes if node.version < version),
+            upstreams=tuple(show_upstream(upstream) for upstream in self.source.upstreams()),
+            draining=draining or DrainingView(),
+        )
+
+    def get_timeline(self, request: Request) -> Response:
+        """Give the recorded events that the query asks for."""
+        wanted = _read_filter(request)
+        if wanted.is_error():
+            return plain_error(400, ErrorKind.BAD_REQUEST, wanted.error)
+        query = wanted.ok
+        newest = (event for event in reversed(self.recorder.events) if query.wanted.admits(event))
+        events = list(itertools.islice(newest, query.limit))
+        events.reverse()
+        shown = tuple(show_event(event) for event in events)
+        view = TimelineView(self.recorder.instance, self.recorder.dropped, shown)
+        return json_response(200, view)
+
+
+def _read_filter(request: Request) -> Result[EventQuery, str]:
+    query = request.query
+    kind = _read_kind(query.get("kind", ""))
+    since, limit = query.get("since", "0"), query.get("limit", str(DEFAULT_EVENTS))
+    if kind.is_error():
+        return Error(kind.error)
+    for name, text in (("since", since), ("limit", limit)):
+        if not text.isascii() or not text.isdecimal() or len(text) > 18:
+            return Error(f"{name}: expected a whole number from 0")
+    texts = [query.get(name, "") for name in ("call", "plan", "upstream")]
+    return Ok(EventQuery(EventFilter(*texts, kind.ok, int(since)), int(limit)))
+
+
+def _read_kind(text: str) -> Result[EventKind | None, str]:
+    if not text:
+        return Ok(None)
+    kind = find_kind(text)
+    if kind is not None:
+        return Ok(kind)
+    return Error("kind: expected the number or name of an event, see /v1/events")
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -12,7 +12,9 @@
         extra={"range": "1 to 63 of a-z, 0-9, `.`, `_`, `-`"},
     ),
 ]
-Host = Annotated[str, Meta(min_length=1, max_length=255, extra={"range": "an IP number"})]
+Host = Annotated[
+    str, Meta(min_length=1, max_length=255, extra={"range": "an IP number or host name"})
+]
 Port = Annotated[int, Meta(ge=0, le=65535, extra={"range": "0 to 65535; 0 picks a free port"})]
 FixedPort = Annotated[int, Meta(ge=1, le=65535)]
 File = Annotated[
@@ -51,6 +53,10 @@
 
     host: Annotated[Host, _doc("Address to listen on for callers.")]
     port: Annotated[Port, _doc("Port of the callers' HTTP.")]
+    server: Annotated[
+        Literal["h11", "hypercorn"],
+        _doc("HTTP server: `h11` is fastest, `hypercorn` also speaks HTTP/2."),
+    ] = "h11"
 
 
 class UpstreamsTable(Table, frozen=True, kw_only=True):
