daemon: split into build, serve and run; TLS on links and operators, logs, metrics

Change: links are mutually authenticated and a peer's name must be in its certificate; one ASGI server module serves all that is not hot.

--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -7,7 +7,7 @@
 from bendwind_core.core import Milliseconds
 from bendwind_core.world import UpstreamState
 from bendwind_node.calls.owner_node import Announcement, OwnerNode
-from bendwind_node.operators.http import serve_lifespan
+from bendwind_node.http import serve_lifespan
 
 MAX_BODY_BYTES = 16 * 1024
 _PREFIX = "/v1/upstreams"
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -1,18 +1,10 @@
 """Serve callers by hypercorn: HTTP/1.1 and HTTP/2 as the library offers them."""
 
-import ssl
 from collections.abc import Awaitable, Callable
 
-import trio
-
 from bendwind_core.attempts import Header
-from bendwind_core.core import Seconds
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
-from bendwind_node.operators.http import serve_lifespan
-
-# hypercorn closes a connection after 1,000 requests unless told otherwise.
-MAX_REQUESTS_PER_CONNECTION = 1_000_000_000
-GRACEFUL_TIMEOUT: Seconds = 60.0
+from bendwind_node.http import AsgiServer, serve_asgi, serve_lifespan
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
 
@@ -61,14 +53,8 @@
             continue
 
 
-async def serve_callers_asgi(
-    handle: Handle,
-    file_number: int,
-    keep_alive_s: Seconds,
-    header_bytes: int,
-    shutdown: trio.Event,
-) -> None:
-    """Serve callers on an open listening socket until shut down, then finish what is in flight."""
+async def serve_callers_asgi(handle: Handle, server: AsgiServer) -> None:
+    """Serve callers until shut down, then finish what is in flight."""
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         match scope["type"]:
@@ -77,32 +63,4 @@
             case "lifespan":
                 await serve_lifespan(receive, send)
 
-    await serve_asgi(app, file_number, keep_alive_s, header_bytes, shutdown)
-
-
-async def serve_asgi(
-    app: Callable,
-    file_number: int,
-    keep_alive_s: Seconds,
-    header_bytes: int,
-    shutdown: trio.Event,
-    tls: ssl.SSLContext | None = None,
-) -> None:
-    """Serve an ASGI application on an open listening socket until shut down."""
-    from hypercorn.config import Config
-    from hypercorn.trio import serve
-
-    config = Config()
-    config.bind = [f"fd://{file_number}"]
-    config.keep_alive_timeout = keep_alive_s
-    config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
-    config.graceful_timeout = GRACEFUL_TIMEOUT
-    config.h11_max_incomplete_size = header_bytes
-    config.include_server_header = False
-    config.accesslog = None
-    config.errorlog = None
-    if tls is not None:
-        # hypercorn takes file names or, from this method, a context; the context can be renewed.
-        config.certfile = config.keyfile = "held by the context"
-        config.create_ssl_context = lambda: tls
-    await serve(app, config, shutdown_trigger=shutdown.wait, mode="asgi")
+    await serve_asgi(app, server)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -0,0 +1,159 @@
+"""Build a process's tasks from its settings; none of them runs yet."""
+
+import random
+import time
+from pathlib import Path
+
+import trio
+from expression import Error, Ok, Result
+
+from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.membership import (
+    ClaimGroupsChanged,
+    ConfigurationApplied,
+    LeaseTimes,
+    UpstreamsChanged,
+    ViewEffect,
+    VoterPlace,
+)
+from bendwind_core.messages import Hello
+from bendwind_core.timeline import Recorder
+from bendwind_core.world import Instance
+from bendwind_node.calls.entry_node import EntryNode
+from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.claims.task import GroupsPushed, create_claim_task
+from bendwind_node.control.service import open_control
+from bendwind_node.daemon.dispatcher import Dispatcher
+from bendwind_node.daemon.listeners import Listeners, find_port
+from bendwind_node.daemon.state import Daemon
+from bendwind_node.links import LinkHub, create_link_hub
+from bendwind_node.membership import MembershipTask, create_membership_task
+from bendwind_node.security import load_keys
+from bendwind_node.settings import Settings
+
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+_NANOSECONDS_PER_MICROSECOND = 1_000
+
+
+def read_wall_ms() -> int:
+    """Return wall-clock time in milliseconds since 1970."""
+    return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+
+
+def _read_monotonic_us() -> int:
+    return time.monotonic_ns() // _NANOSECONDS_PER_MICROSECOND
+
+
+def build_daemon(
+    settings: Settings, listeners: Listeners, nursery: trio.Nursery
+) -> Result[Daemon, str]:
+    """Build every task; those of calls start theirs in the nursery.
+
+    Errors: a text that names the file or folder that cannot be used.
+    """
+    name = settings.instance.name
+    recorder = Recorder(name, read_wall_ms, settings.timeline.capacity, _read_monotonic_us)
+    daemon = Daemon(settings, listeners, recorder, Dispatcher(name), None)
+    if settings.tls is not None:
+        loaded = load_keys(settings.tls, recorder, settings.operators.client_authority)
+        if loaded.is_error():
+            return Error(str(loaded.error))
+        daemon.keys = loaded.ok
+    rng = random.Random()
+    own = _create_instance(settings, listeners)
+    _build_node(daemon, own, nursery, rng)
+    return _build_control(daemon, own, rng)
+
+
+def _create_instance(settings: Settings, listeners: Listeners) -> Instance:
+    return Instance(
+        settings.instance.name,
+        settings.instance.data_centre,
+        settings.peers.host,
+        find_port(listeners.peers),
+        incarnation=read_wall_ms(),
+    )
+
+
+def _find_times(settings: Settings) -> LeaseTimes:
+    lease = settings.lease
+    return LeaseTimes(
+        lease.heartbeat_ms / MILLISECONDS_PER_SECOND, lease.lease_ms / MILLISECONDS_PER_SECOND
+    )
+
+
+def _build_node(daemon: Daemon, own: Instance, nursery: trio.Nursery, rng: random.Random) -> None:
+    settings = daemon.settings
+    recorder = daemon.recorder
+    dispatcher = daemon.dispatcher
+    voters = tuple(VoterPlace(voter.name) for voter in settings.voters)
+    names = tuple(voter.name for voter in voters)
+    times = _find_times(settings)
+    membership = create_membership_task(
+        own, voters, times, dispatcher.send, recorder, rng, settings.watch.services
+    )
+    dispatcher.membership = membership
+    dispatcher.hub = _build_hub(daemon, own, membership)
+    dispatcher.claims = create_claim_task(own, names, dispatcher.send, membership.watch, recorder)
+    dispatcher.owner = OwnerNode(
+        own,
+        recorder,
+        nursery,
+        settings.lease.lease_ms,
+        settings.limits.body_bytes,
+        membership.announce,
+    )
+    dispatcher.entry = EntryNode(
+        own,
+        recorder,
+        nursery,
+        dispatcher.hub,
+        dispatcher.owner,
+        membership,
+        dispatcher.claims,
+        rng,
+        AttemptIds(own.name, own.incarnation),
+    )
+    membership.listeners.append(lambda effect: _hear_membership(dispatcher, effect))
+
+
+def _build_hub(daemon: Daemon, own: Instance, membership: MembershipTask) -> LinkHub:
+    def make_hello(epoch: int) -> Hello:
+        return Hello(own, epoch, membership.view.version, membership.confirmed_age_ms())
+
+    hub = create_link_hub(own, daemon.dispatcher, daemon.recorder, make_hello, daemon.keys)
+    for voter in daemon.settings.voters:
+        hub.learn_address(voter.name, voter.host, voter.port)
+    return hub
+
+
+def _build_control(daemon: Daemon, own: Instance, rng: random.Random) -> Result[Daemon, str]:
+    settings = daemon.settings
+    if settings.control is None:
+        return Ok(daemon)
+    folder = Path(settings.control.data_folder)
+    names = tuple(voter.name for voter in settings.voters)
+    dispatcher = daemon.dispatcher
+    opened = open_control(
+        own.name, names, folder, _find_times(settings), dispatcher.send, daemon.recorder, rng
+    )
+    if opened.is_error():
+        return Error(f"{folder}: {opened.error}")
+    dispatcher.control = opened.ok
+    return Ok(daemon)
+
+
+def _hear_membership(dispatcher: Dispatcher, effect: ViewEffect) -> None:
+    match effect:
+        case UpstreamsChanged(service=service):
+            for upstream in dispatcher.membership.upstreams(service):
+                owner = upstream.owner
+                dispatcher.hub.learn_address(owner.name, owner.host, owner.port)
+            dispatcher.entry.refresh_upstreams(service)
+        case ConfigurationApplied():
+            for service in tuple(dispatcher.entry.desks):
+                dispatcher.entry.refresh_upstreams(service)
+        case ClaimGroupsChanged():
+            groups = tuple(dispatcher.membership.claim_groups.values())
+            dispatcher.claims.inbox.send_nowait(GroupsPushed(groups))
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -0,0 +1,117 @@
+"""Serve a process's HTTP: callers, the upstream beside it, operators."""
+
+import os
+
+import trio
+
+from bendwind_core.core import Seconds
+from bendwind_node.calls.announce_asgi import AnnounceApp
+from bendwind_node.calls.call_task import CallTask
+from bendwind_node.calls.caller_asgi import serve_callers_asgi
+from bendwind_node.calls.caller_h11 import H11Server
+from bendwind_node.daemon.build import read_wall_ms
+from bendwind_node.daemon.state import Daemon
+from bendwind_node.daemon.status import DaemonStatus
+from bendwind_node.http.asgi_server import AsgiServer, serve_asgi
+from bendwind_node.metrics import Metrics
+from bendwind_node.metrics.gather import (
+    gather_calls,
+    gather_node,
+    gather_process,
+    gather_timeline,
+    gather_voter,
+)
+from bendwind_node.operators import (
+    OperatorAuthority,
+    OperatorsApp,
+    Response,
+    create_open_authority,
+    create_token_authority,
+)
+
+KEEP_ALIVE: Seconds = 30.0
+MAX_HEADER_BYTES = 16 * 1024
+
+
+def serve_callers(daemon: Daemon, nursery: trio.Nursery) -> None:
+    """Start to serve callers by the HTTP server that the settings name."""
+    limits = daemon.settings.limits
+    task = CallTask(daemon.dispatcher.entry, limits.in_flight, limits.body_bytes)
+    match daemon.settings.callers.server:
+        case "h11":
+            server = H11Server(
+                task.handle, limits.keep_alive_s, limits.header_bytes, limits.connections
+            )
+            nursery.start_soon(server.run, daemon.listeners.callers, daemon.callers_done)
+        case "hypercorn":
+            served = AsgiServer(
+                _detach(daemon.listeners.callers),
+                limits.keep_alive_s,
+                limits.header_bytes,
+                daemon.callers_done,
+            )
+            nursery.start_soon(serve_callers_asgi, task.handle, served)
+
+
+def serve_upstreams(daemon: Daemon, nursery: trio.Nursery) -> None:
+    """Start to hear the announcements of the upstream beside this process."""
+    app = AnnounceApp(daemon.dispatcher.owner, daemon.settings.lease.lease_ms)
+    served = AsgiServer(_detach(daemon.listeners.upstreams), KEEP_ALIVE, MAX_HEADER_BYTES)
+    nursery.start_soon(serve_asgi, app, served)
+
+
+def serve_operators(daemon: Daemon, nursery: trio.Nursery) -> None:
+    """Start to serve operators."""
+    dispatcher = daemon.dispatcher
+    table = daemon.settings.operators
+    if table.token_file is not None:
+        authority = create_token_authority(table.token_file)
+    elif table.client_authority is not None:
+        # The handshake has let in holders of an operator's certificate only.
+        authority = OperatorAuthority()
+    else:
+        authority = create_open_authority(table.host)
+    source = DaemonStatus(
+        dispatcher.hub.own, dispatcher.membership, dispatcher.owner, dispatcher.control
+    )
+    app = OperatorsApp(
+        None if dispatcher.control is None else dispatcher.control.client,
+        source,
+        daemon.recorder,
+        authority,
+        read_wall_ms,
+        daemon.stopping.set,
+        _create_metrics_renderer(daemon),
+    )
+    served = AsgiServer(
+        _detach(daemon.listeners.operators),
+        KEEP_ALIVE,
+        MAX_HEADER_BYTES,
+        tls=None if daemon.keys is None else daemon.keys.operators,
+    )
+    nursery.start_soon(serve_asgi, app, served)
+
+
+def _create_metrics_renderer(daemon: Daemon):
+    dispatcher = daemon.dispatcher
+
+    def read():
+        yield from gather_timeline(daemon.recorder)
+        yield from gather_calls(dispatcher.entry, dispatcher.owner)
+        yield from gather_node(dispatcher.hub, dispatcher.membership, dispatcher.claims)
+        if dispatcher.control is not None:
+            yield from gather_voter(dispatcher.control)
+        yield from gather_process()
+
+    metrics = Metrics(read)
+
+    def render(accept: str) -> Response:
+        rendered = metrics.render(accept)
+        return Response(200, rendered.body, rendered.content_type)
+
+    return render
+
+
+def _detach(listeners: list[trio.SocketListener]) -> int:
+    # hypercorn takes a file number and owns it from then on.
+    return os.dup(listeners[0].socket.fileno())
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/state.py
@@ -0,0 +1,24 @@
+"""Hold the tasks of one process and the events that end it."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from bendwind_core.timeline import Recorder
+from bendwind_node.daemon.dispatcher import Dispatcher
+from bendwind_node.daemon.listeners import Listeners
+from bendwind_node.security import Keys
+from bendwind_node.settings import Settings
+
+
+@dataclass(slots=True, eq=False)
+class Daemon:
+    """Hold the tasks of one process; `keys` is None where its links are not encrypted."""
+
+    settings: Settings
+    listeners: Listeners
+    recorder: Recorder
+    dispatcher: Dispatcher
+    keys: Keys | None
+    stopping: trio.Event = field(default_factory=trio.Event)
+    callers_done: trio.Event = field(default_factory=trio.Event)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/http/asgi_server.py
@@ -0,0 +1,52 @@
+"""Run hypercorn on an open listening socket."""
+
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from bendwind_core.core import Seconds
+
+# hypercorn closes a connection after 1,000 requests unless told otherwise.
+MAX_REQUESTS_PER_CONNECTION = 1_000_000_000
+GRACEFUL_TIMEOUT: Seconds = 60.0
+
+
+@dataclass(slots=True, eq=False)
+class AsgiServer:
+    """Say what to serve on: a listening socket's file number, which the server owns from now on."""
+
+    file_number: int
+    keep_alive: Seconds
+    header_bytes: int
+    shutdown: trio.Event = field(default_factory=trio.Event)
+    tls: ssl.SSLContext | None = None
+
+
+async def serve_asgi(app: Callable, server: AsgiServer) -> None:
+    """Serve an ASGI application until shut down, then finish what is in flight."""
+    # hypercorn is heavy, and a process that only checks its settings does without.
+    from hypercorn.config import Config
+    from hypercorn.trio import serve
+
+    class _Config(Config):
+        """Use the process's own TLS context, which follows renewed keys."""
+
+        @property
+        def ssl_enabled(self) -> bool:
+            return server.tls is not None
+
+        def create_ssl_context(self) -> ssl.SSLContext | None:
+            return server.tls
+
+    config = _Config()
+    config.bind = [f"fd://{server.file_number}"]
+    config.keep_alive_timeout = server.keep_alive
+    config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
+    config.graceful_timeout = GRACEFUL_TIMEOUT
+    config.h11_max_incomplete_size = server.header_bytes
+    config.include_server_header = False
+    config.accesslog = None
+    config.errorlog = None
+    await serve(app, config, shutdown_trigger=server.shutdown.wait, mode="asgi")
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -1,6 +1,5 @@
 """Own the links of one process: accept, dial on demand, send and receive."""
 
-import ssl
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -16,7 +15,7 @@
 from bendwind_core.timeline import EventKind, HybridTime, Recorder
 from bendwind_core.world import Instance
 from bendwind_node.links.link import OUTBOX_MESSAGES, Link, Receiver
-from bendwind_node.security import read_identity
+from bendwind_node.security import Keys, read_identity
 
 DIAL_TIMEOUT_S: Seconds = 1.0
 PING_INTERVAL_S: Seconds = 5.0
@@ -41,8 +40,7 @@
     receiver: Receiver
     recorder: Recorder
     make_hello: Callable[[int], Hello]
-    server_tls: Callable[[], ssl.SSLContext | None]
-    client_tls: Callable[[], ssl.SSLContext | None]
+    keys: Keys | None
     nursery: trio.Nursery | None = None
     next_epoch: int = 1
     addresses: dict[str, Address] = field(default_factory=dict)
@@ -98,7 +96,7 @@
             await serve(
                 self._accept,
                 listeners=listeners,
-                ssl=self.server_tls(),
+                ssl=None if self.keys is None else self.keys.server,
                 compression=None,
                 ping_interval=PING_INTERVAL_S,
                 ping_timeout=PING_INTERVAL_S,
@@ -133,6 +131,16 @@
         self.recorder.record(EventKind.PEER_REFUSED, detail=detail)
         return False
 
+    def _is_proven(self, socket: Connection, hello: Hello) -> bool:
+        """Tell whether the peer's certificate carries the name it gives."""
+        if self.keys is None:
+            return True
+        identity = read_identity(socket.stream)
+        is_proven = identity is not None and identity.is_instance(hello.sender.name)
+        if not is_proven:
+            self.recorder.record(EventKind.PEER_REFUSED, detail=hello.sender.name)
+        return is_proven
+
     def _is_newer(self, hello: Hello) -> bool:
         old = self.accepted.get(hello.sender.name)
         if old is None:
@@ -142,7 +150,7 @@
     async def _dial(self, peer: str, address: Address) -> None:
         epoch = self.next_epoch
         self.next_epoch += 1
-        secure = self.client_tls()
+        secure = None if self.keys is None else self.keys.client
         scheme = "ws" if secure is None else "wss"
         try:
             async with connect(
@@ -270,8 +278,7 @@
     receiver: Receiver,
     recorder: Recorder,
     make_hello: Callable[[int], Hello],
-    server_tls: Callable[[], ssl.SSLContext | None] = lambda: None,
-    client_tls: Callable[[], ssl.SSLContext | None] = lambda: None,
+    keys: Keys | None = None,
 ) -> LinkHub:
-    """Create a hub without links."""
-    return LinkHub(own, receiver, recorder, make_hello, server_tls, client_tls)
+    """Create a hub without links; without keys they are not encrypted."""
+    return LinkHub(own, receiver, recorder, make_hello, keys)
--- a/packages/bendwind-node/src/bendwind_node/main.py
+++ b/packages/bendwind-node/src/bendwind_node/main.py
@@ -33,7 +33,9 @@
     import trio
 
     from bendwind_node.daemon import run_daemon
+    from bendwind_node.logs import configure_logging
 
+    configure_logging(settings)
     ended = trio.run(run_daemon, settings)
     if ended.is_error():
         print(f"bendwindd: {ended.error}", file=sys.stderr)
--- a/packages/bendwind-node/src/bendwind_node/operators/__init__.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/__init__.py
@@ -16,7 +16,6 @@
     VoterStatus,
 )
 from bendwind_node.operators.http import Response
-from bendwind_node.operators.server import OperatorsTls, serve_operators
 from bendwind_node.operators.status_source import NodeVersion, ProcessStatus, StatusSource
 
 __all__ = [
@@ -27,7 +26,6 @@
     "NotLeader",
     "OperatorAuthority",
     "OperatorsApp",
-    "OperatorsTls",
     "OutcomeUnknown",
     "ProcessStatus",
     "Response",
@@ -36,5 +34,4 @@
     "create_certificate_authority",
     "create_open_authority",
     "create_token_authority",
-    "serve_operators",
 ]
--- a/packages/bendwind-node/src/bendwind_node/operators/app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/app.py
@@ -6,6 +6,7 @@
 
 from bendwind_core.plans import DrainTarget
 from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.http import serve_lifespan
 from bendwind_node.operators.authority import OperatorAuthority
 from bendwind_node.operators.claim_routes import ClaimRoutes
 from bendwind_node.operators.control_client import ControlClient
@@ -21,7 +22,6 @@
     read_body,
     read_head,
     send_response,
-    serve_lifespan,
 )
 from bendwind_node.operators.plan_routes import PlanRoutes
 from bendwind_node.operators.status_routes import StatusRoutes
--- a/packages/bendwind-node/src/bendwind_node/operators/http.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/http.py
@@ -87,15 +87,3 @@
     ]
     await send({"type": "http.response.start", "status": response.status, "headers": headers})
     await send({"type": "http.response.body", "body": response.body})
-
-
-async def serve_lifespan(receive: Receive, send: Send) -> None:
-    """Answer the ASGI lifespan protocol of a server that starts and stops."""
-    while True:
-        message = await receive()
-        match message["type"]:
-            case "lifespan.startup":
-                await send({"type": "lifespan.startup.complete"})
-            case "lifespan.shutdown":
-                await send({"type": "lifespan.shutdown.complete"})
-                return
