docs: README with a tour by hand, stand-ins of the tour

Cause: a newcomer had no first page. Change: what Bendwind promises, the two commands, a tour, the pages, exit codes (compared with the code by a test).

--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -219,6 +219,11 @@
         self.assertEqual(out, "1970-01-01T00:00:00.009Z+0 a 801 PROCESS_STARTED plan=p1\n")
         self.assertRegex(err, "^bendwind: left out: 127.0.0.1:1 did not answer.*\n$")
 
+    def test_the_readme_lists_every_exit_code(self):
+        page = (Path(__file__).parents[5] / "README.md").read_text()
+        codes = re.findall(r"^\| (\d) \|", page, re.MULTILINE)
+        self.assertEqual([int(code) for code in codes], sorted(ExitCode))
+
     def test_events_lists_number_level_and_name(self):
         self.assertIn("801  INFO    PROCESS_STARTED", self.run_line("events")[1])
 
