--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -63,6 +63,14 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptClaimLoss:
+    """Let a service whose claims are lost take requests with keys again."""
+
+    target: Target
+    service: str
+
+
 @dataclass(frozen=True, slots=True)
 class ShowTimeline:
     """Show the events of all processes in causal order."""
@@ -116,6 +124,7 @@
     | ShowStatus
     | Drain
     | Stop
+    | AcceptClaimLoss
     | ShowTimeline
     | ListEvents
     | KeyCommand
--- a/packages/bendwind-cli/src/bendwind_cli/parsing.py
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from bendwind_cli.commands import (
+    AcceptClaimLoss,
     Command,
     ConfirmPlan,
     Drain,
@@ -201,6 +202,21 @@
         """
         return Stop(Target(control, settings), name)
 
+    @_as_text
+    def accept_claim_loss(
+        self, service: str, *, control: str = "", settings: str = ""
+    ) -> AcceptClaimLoss:
+        """Let a service whose claims are all lost take requests with keys again.
+
+        What ran before is then no longer known: a resent request may run a second time.
+
+        Args:
+            service: The service.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return AcceptClaimLoss(Target(control, settings), service)
+
     @_as_text
     def timeline(
         self,
--- a/packages/bendwind-cli/src/bendwind_cli/plans.py
+++ b/packages/bendwind-cli/src/bendwind_cli/plans.py
@@ -1,4 +1,4 @@
-"""Make, show and confirm plans."""
+"""Make, show and confirm plans, and accept lost claims."""
 
 import uuid
 from pathlib import Path
@@ -7,9 +7,9 @@
 from expression import Error, Ok, Result
 
 from bendwind_cli.client import Client
-from bendwind_cli.commands import MakePlan
+from bendwind_cli.commands import AcceptClaimLoss, MakePlan
 from bendwind_cli.outcome import ExitCode, Failure
-from bendwind_cli.replies import OutcomeReply, PlanReply
+from bendwind_cli.replies import ClaimGroupReply, OutcomeReply, PlanReply
 
 _MILLISECONDS_PER_SECOND = 1000
 
@@ -54,6 +54,18 @@
     return client.ask("POST", path, OutcomeReply).bind(lambda outcome: _judge(outcome, plan))
 
 
+def accept_loss(client: Client, command: AcceptClaimLoss) -> Result[str, Failure]:
+    """Accept that the claims of a service are lost.
+
+    Errors: claims that are not lost, or no answer.
+    """
+    path = f"/v1/services/{quote(command.service, safe='')}/accept-claim-loss"
+    reply = client.ask("POST", path, ClaimGroupReply)
+    return reply.map(
+        lambda group: f"{group.service}: claims start anew on {', '.join(group.members)}"
+    )
+
+
 def _judge(outcome: OutcomeReply, plan: str) -> Result[str, Failure]:
     match outcome.kind:
         case "confirmed":
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -132,6 +132,14 @@
     dropped: int = 0
 
 
+class ClaimGroupReply(msgspec.Struct, frozen=True):
+    """Name the new holders of a service's claims."""
+
+    service: str
+    epoch: int
+    members: tuple[str, ...] = ()
+
+
 class StopReply(msgspec.Struct, frozen=True):
     """Confirm that a process stops."""
 
--- a/packages/bendwind-cli/src/bendwind_cli/run.py
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -8,6 +8,7 @@
 from bendwind_cli.client import Client, open_client
 from bendwind_cli.client_settings import find_settings
 from bendwind_cli.commands import (
+    AcceptClaimLoss,
     Command,
     ConfirmPlan,
     Drain,
@@ -43,6 +44,8 @@
             return _with_client(command.target, lambda client: instances.drain(client, command))
         case Stop():
             return _with_client(command.target, lambda client: instances.stop(client, command.name))
+        case AcceptClaimLoss():
+            return _with_client(command.target, lambda client: plans.accept_loss(client, command))
         case ShowTimeline():
             return _with_client(command.target, lambda client: timeline.show(client, command))
         case ListEvents():
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -199,6 +199,14 @@
         self.assertEqual((code, out), (0, "emisor-1: draining\n"))
         self.assert_fails(["drain", "nobody", line], ExitCode.REFUSED, "no such instance")
 
+    def test_accepts_lost_claims(self):
+        reply = {"service": "emisor", "epoch": 3, "members": ["a", "b"]}
+        server = self.serve(("POST /v1/services/emisor/accept-claim-loss", 200, reply))
+        line = f"--control={server.address}"
+        code, out, _ = self.run_line("accept-claim-loss", "emisor", line)
+        self.assertEqual((code, out), (0, "emisor: claims start anew on a, b\n"))
+        self.assert_fails(["accept-claim-loss", "none", line], ExitCode.REFUSED, "not-found")
+
     def test_stop_goes_to_the_named_process_only(self):
         server = self.serve(
             ("GET /v1/status", 200, STATUS),
