--- a/packages/bendwind-cli/src/bendwind_cli/plans.py
+++ b/packages/bendwind-cli/src/bendwind_cli/plans.py
@@ -61,9 +61,13 @@
     """
     path = f"/v1/services/{quote(command.service, safe='')}/accept-claim-loss"
     reply = client.ask("POST", path, ClaimGroupReply)
-    return reply.map(
-        lambda group: f"{group.service}: claims start anew on {', '.join(group.members)}"
-    )
+    return reply.map(_render_group)
+
+
+def _render_group(group: ClaimGroupReply) -> str:
+    # A member is written NAME#INCARNATION.
+    names = ", ".join(member.partition("#")[0] for member in group.members)
+    return f"{group.service}: claims start anew on {names}"
 
 
 def _judge(outcome: OutcomeReply, plan: str) -> Result[str, Failure]:
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -200,7 +200,7 @@
         self.assert_fails(["drain", "nobody", line], ExitCode.REFUSED, "no such instance")
 
     def test_accepts_lost_claims(self):
-        reply = {"service": "emisor", "epoch": 3, "members": ["a", "b"]}
+        reply = {"service": "emisor", "epoch": 3, "members": ["a#17", "b#18"]}
         server = self.serve(("POST /v1/services/emisor/accept-claim-loss", 200, reply))
         line = f"--control={server.address}"
         code, out, _ = self.run_line("accept-claim-loss", "emisor", line)
