--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -27,6 +27,7 @@
 from bendwind_node.calls.announce_asgi import AnnounceApp
 from bendwind_node.calls.call_task import CallTask
 from bendwind_node.calls.caller_asgi import serve_asgi, serve_callers_asgi
+from bendwind_node.calls.caller_h11 import H11Server
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.claims.task import GroupsPushed, LeaseProven, create_claim_task
@@ -54,7 +55,7 @@
 HAND_OVER_TIMEOUT: Seconds = 10.0
 DRAIN_TIMEOUT: Seconds = 60.0
 IDLE_POLL: Seconds = 0.02
-LEASE_POLL: Seconds = 0.1
+LEASE_POLL: Seconds = 0.5
 OPERATORS_KEEP_ALIVE: Seconds = 30.0
 MAX_HEADER_BYTES = 16 * 1024
 
@@ -240,16 +241,21 @@
     limits = daemon.settings.limits
     task = CallTask(daemon.dispatcher.entry, limits.in_flight, limits.body_bytes)
 
-    async def serve() -> None:
-        await serve_callers_asgi(
-            task.handle,
-            _detach(daemon.listeners.callers),
-            limits.keep_alive_s,
-            limits.header_bytes,
-            daemon.callers_done,
-        )
-
-    nursery.start_soon(serve)
+    match daemon.settings.callers.server:
+        case "h11":
+            server = H11Server(
+                task.handle, limits.keep_alive_s, limits.header_bytes, limits.connections
+            )
+            nursery.start_soon(server.run, daemon.listeners.callers, daemon.callers_done)
+        case "hypercorn":
+            nursery.start_soon(
+                serve_callers_asgi,
+                task.handle,
+                _detach(daemon.listeners.callers),
+                limits.keep_alive_s,
+                limits.header_bytes,
+                daemon.callers_done,
+            )
 
 
 def _serve_upstreams(daemon: Daemon, nursery: trio.Nursery) -> None:
