calls: refusals keep the connection, heads are bounded whole; tests of the callers' edge

Cause: a refused GET (unknown service, overload, no upstream) was answered before the end of the request had been taken from h11, so the connection was closed without saying so: a caller that sends its next request on it loses that request. And h11 bounds only heads that come in pieces, so that one of 4 KiB in a single piece passed a limit of 2 KiB. Ruled out: the caller's half-close; the linger, which is right for bodies still to come. Change: what is already there of an unread body is passed over; if more is to come, the refusal says Connection: close. A whole head is measured, and 431 given. Check: test_caller_h11 over loopback; before the change two of its tests failed (connection closed after a 204 to an unread GET; 200 in place of 431).

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -25,6 +25,10 @@
 DRAIN_IDLE: Seconds = 2.0
 
 _SERVICE_UNAVAILABLE = 503
+_HEADERS_TOO_LARGE = 431
+# What HTTP/1.1 writes beside the text: blanks, the version and line ends.
+_LINE_OVERHEAD = 12
+_HEADER_OVERHEAD = 4
 
 _CLOSE = (b"connection", b"close")
 _BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -88,7 +92,7 @@
 
     async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
         """Prepare the head of the answer; it goes out with the first part of the body."""
-        if self.server.is_draining:
+        if self.server.is_draining or not _has_whole_request(self.connection):
             headers = (*headers, _CLOSE)
         self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
 
@@ -187,6 +191,11 @@
             return False
         if head is None:
             return False
+        if _measure_head(head) > self.header_bytes:
+            refusal = _make_error(connection, _HEADERS_TOO_LARGE, outcomes.REFUSED)
+            await stream.send_all(refusal)
+            await _linger(stream)
+            return False
         exchange = H11Exchange(self, stream, connection, head)
         await self.handle(exchange)
         if exchange.is_aborted or connection.our_state is not h11.DONE:
@@ -214,6 +223,24 @@
         return None
 
 
+def _has_whole_request(connection: h11.Connection) -> bool:
+    """Pass over what came of a body that nobody read, and tell whether the request has ended."""
+    while connection.their_state is h11.SEND_BODY:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return False
+        if event is h11.NEED_DATA:
+            return False
+    return connection.their_state is h11.DONE
+
+
+def _measure_head(head: h11.Request) -> int:
+    # h11 bounds a head that comes in pieces; one that comes in a single piece is measured here.
+    line = len(head.method) + len(head.target) + _LINE_OVERHEAD
+    return line + sum(len(name) + len(text) + _HEADER_OVERHEAD for name, text in head.headers)
+
+
 def _make_error(connection: h11.Connection, status: int, outcome: bytes) -> bytes:
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return b""
