bench: slopes of membership for voters and nodes

Cause: the way 15,000 nodes renew was chosen without figures. Change: python -m bendwind_bench.slopes_membership prints JSON: memory of a registry, processor time a heartbeat, a push and a lost data centre, bytes of each kind of message; pure code and codec in one process, links left out. What one flush sends rose from 400 to 1,000 messages: a lost data centre of 2,100 then takes 30 flushes of 50 ms instead of 72.

--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the slopes of membership."""
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_membership/__main__.py
@@ -0,0 +1,32 @@
+"""Measure what membership costs a voter and a node, and print it as JSON.
+
+Run it with `python -m bendwind_bench.slopes_membership`. All of it is the pure code and the codec
+in this process; links and system calls are not in it.
+"""
+
+import dataclasses
+import json
+import sys
+
+from bendwind_bench.slopes_membership.node import measure_bytes, measure_nodes
+from bendwind_bench.slopes_membership.voter import (
+    measure_data_centre,
+    measure_registries,
+    measure_watchers,
+)
+
+
+def main() -> None:
+    """Measure all and print JSON."""
+    slopes = measure_registries() | measure_watchers() | measure_nodes()
+    result = {
+        "slopes": {name: dataclasses.asdict(slope) for name, slope in slopes.items()},
+        "data_centre": measure_data_centre(),
+        "bytes": measure_bytes(),
+    }
+    json.dump(result, sys.stdout, indent=1)
+    print()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -24,7 +24,7 @@
 from bendwind_core.world import Configuration, Upstream, UpstreamState
 
 # What one flush sends at most, so that a data centre's loss does not hold up heartbeats.
-_PUSHES_PER_FLUSH = 400
+_PUSHES_PER_FLUSH = 1000
 
 
 def accept_configuration(
