membership: tell nodes where claim holders are; owners follow drain marks

Cause: an entry node knew the addresses of a service's owners only, while a claim holder may be any node; an operator's drain mark reached the watchers but not the owner that must refuse. Change: a configuration push carries the holders' instances; an owner watches what it serves and takes marks from the pushed upstreams.

--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -113,6 +113,13 @@
     """Tell that a claim group of a service which a node watches changed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancesLearned:
+    """Tell a node where other instances are reached."""
+
+    instances: tuple[Instance, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttachmentChanged:
     """Tell that a node moved to another voter, and why."""
@@ -144,7 +151,8 @@
 
 ViewEvent = Tick | MessageReceived | LinkLost | ServiceWatched | UpstreamAnnounced | PeerSeen
 ViewEffect = (
-    SendTo
+    InstancesLearned
+    | SendTo
     | ConfigurationApplied
     | UpstreamsChanged
     | ClaimGroupsChanged
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -72,6 +72,7 @@
 
     `base` is the lowest version it may be applied to; 0 means that it is complete, so that a
     watched service it does not list does not exist. `watch` numbers the Watch it answers.
+    `holders` says where the members of the claim groups are reached.
     """
 
     version: int
@@ -80,6 +81,7 @@
     claim_groups: tuple[ClaimGroup, ...] = ()
     base: int = 0
     watch: int = 0
+    holders: tuple[Instance, ...] = ()
 
 
 class MemberState(Record, frozen=True, array_like=True):
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bendwind_core.claims import ClaimGroup
+from bendwind_core.claims import ClaimGroup, node_of
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.events import RegistryEffect, SendTo
 from bendwind_core.membership.holdings import UpstreamKey, upstream_key
@@ -21,7 +21,7 @@
     find_row,
     put_claim_group,
 )
-from bendwind_core.world import Configuration, Upstream, UpstreamState
+from bendwind_core.world import Configuration, Instance, Upstream, UpstreamState
 
 # What one flush sends at most, so that a data centre's loss does not hold up heartbeats.
 _PUSHES_PER_FLUSH = 400
@@ -112,17 +112,27 @@
     base = client.version if client.version >= max(registry.floor, 0) else 0
     rows = [(name, find_row(registry, name)) for name in client.services]
     changed = [(name, row) for name, row in rows if base == 0 or row.changed_at > base]
+    groups = tuple(row.claim_group for _, row in rows if row.claim_group)
     message = ConfigurationChanged(
         registry.configuration.version,
         tuple(row.service for _, row in changed if row.service),
         tuple(name for name, row in changed if base and not row.service),
-        tuple(row.claim_group for _, row in rows if row.claim_group),
+        groups,
         base,
         client.watch,
+        _find_holders(registry, groups),
     )
     effects.append(SendTo(node, message))
 
 
+def _find_holders(registry: VoterRegistry, groups: tuple[ClaimGroup, ...]) -> tuple[Instance, ...]:
+    named = {
+        node_of(member) for group in groups for member in (*group.members, group.joining) if member
+    }
+    known = [registry.members[name].state.node for name in sorted(named & registry.members.keys())]
+    return tuple(known)
+
+
 def send_everything(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -23,6 +23,7 @@
     ClaimGroupsChanged,
     ConfigurationApplied,
     FreshnessChanged,
+    InstancesLearned,
     LinkLost,
     MessageReceived,
     PeerSeen,
@@ -203,6 +204,7 @@
         case HeartbeatReply():
             _take_reply(view, message, effects, now, rng)
         case ConfigurationChanged():
+            effects.append(InstancesLearned(message.holders))
             _take_configuration(view, message, effects)
         case WatchUpdate(service=service):
             if held.put_upstreams(view.holdings, message):
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -12,6 +12,7 @@
 from bendwind_core.membership import (
     ClaimGroupsChanged,
     ConfigurationApplied,
+    InstancesLearned,
     LeaseTimes,
     UpstreamsChanged,
     ViewEffect,
@@ -19,7 +20,7 @@
 )
 from bendwind_core.messages import Hello
 from bendwind_core.timeline import Recorder
-from bendwind_core.world import Instance
+from bendwind_core.world import Instance, Upstream
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.claims.task import GroupsPushed, create_claim_task
@@ -102,7 +103,7 @@
         nursery,
         settings.lease.lease_ms,
         settings.limits.body_bytes,
-        membership.announce,
+        lambda upstream: _announce(membership, upstream),
     )
     dispatcher.entry = EntryNode(
         own,
@@ -144,12 +145,22 @@
     return Ok(daemon)
 
 
+def _announce(membership: MembershipTask, upstream: Upstream) -> None:
+    # An owner watches what it serves: drain marks reach it with the service's upstreams.
+    membership.watch(upstream.service)
+    membership.announce(upstream)
+
+
 def _hear_membership(dispatcher: Dispatcher, effect: ViewEffect) -> None:
     match effect:
+        case InstancesLearned(instances=instances):
+            for instance in instances:
+                dispatcher.hub.learn_address(instance.name, instance.host, instance.port)
         case UpstreamsChanged(service=service):
             for upstream in dispatcher.membership.upstreams(service):
                 owner = upstream.owner
                 dispatcher.hub.learn_address(owner.name, owner.host, owner.port)
+                dispatcher.owner.hear_pushed(upstream)
             dispatcher.entry.refresh_upstreams(service)
         case ConfigurationApplied():
             for service in tuple(dispatcher.entry.desks):
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -122,7 +122,7 @@
 
     def _proves_name(self, socket: Connection, hello: Hello) -> bool:
         """Tell whether the peer's certificate, where links have one, names the sender."""
-        if not isinstance(socket.stream, trio.SSLStream):
+        if self.keys is None:
             return True
         identity = read_identity(socket.stream)
         if identity is not None and identity.is_instance(hello.sender.name):
@@ -131,16 +131,6 @@
         self.recorder.record(EventKind.PEER_REFUSED, detail=detail)
         return False
 
-    def _is_proven(self, socket: Connection, hello: Hello) -> bool:
-        """Tell whether the peer's certificate carries the name it gives."""
-        if self.keys is None:
-            return True
-        identity = read_identity(socket.stream)
-        is_proven = identity is not None and identity.is_instance(hello.sender.name)
-        if not is_proven:
-            self.recorder.record(EventKind.PEER_REFUSED, detail=hello.sender.name)
-        return is_proven
-
     def _is_newer(self, hello: Hello) -> bool:
         old = self.accepted.get(hello.sender.name)
         if old is None:
