--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/scripted_server.py
@@ -0,0 +1,42 @@
+"""Serve scripted bytes on loopback in place of an upstream."""
+
+import contextlib
+
+import trio
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+@contextlib.asynccontextmanager
+async def run_server(handler):
+    """Yield the port of a server that runs `handler(stream, number)` for each connection."""
+    numbers = iter(range(1, 1000))
+
+    async def serve(stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await handler(stream, next(numbers))
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        yield listeners[0].socket.getsockname()[1]
+        nursery.cancel_scope.cancel()
+
+
+async def read_request(stream):
+    """Read up to the end of a request's head; empty when the client closed."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = await stream.receive_some(65536)
+        if not more:
+            return b""
+        data += more
+    return data
+
+
+def reset(stream):
+    """Close a connection so that the client sees a reset."""
+    import socket
+    import struct
+
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_h11.py
@@ -0,0 +1,158 @@
+import unittest
+
+import trio
+
+from bendwind_core.attempts import CutReason, NotRunReason
+from bendwind_node.calls.tests.scripted_server import OK, read_request, reset, run_server
+from bendwind_node.calls.upstream_h11 import UpstreamPool
+from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
+
+HOST = (b"host", b"upstream")
+
+
+def make_request(method=b"GET", *, is_marked=False, body=b""):
+    headers = (HOST, (b"content-length", str(len(body)).encode()))
+    return UpstreamRequest(method, b"/", headers, body, is_marked)
+
+
+async def read_body(answer):
+    body = b""
+    while True:
+        part = await answer.next_part()
+        if part.is_error():
+            return part.error
+        if not part.ok:
+            return body
+        body += part.ok
+
+
+class TestUpstreamPool(unittest.TestCase):
+    def run_with(self, handler, check):
+        async def main():
+            with trio.fail_after(20):
+                async with run_server(handler) as port:
+                    pool = UpstreamPool("127.0.0.1", port, 4)
+                    await check(pool)
+                    await pool.aclose()
+
+        trio.run(main)
+
+    def test_refused_connection_proves_that_nothing_was_sent(self):
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            await listeners[0].aclose()
+            started = await UpstreamPool("127.0.0.1", port, 4).start(make_request())
+            self.assertEqual(started.error, RequestNotSent(NotRunReason.CONNECT_FAILED))
+
+        trio.run(main)
+
+    def test_keeps_a_connection_whose_answer_was_read_whole(self):
+        seen = []
+
+        async def handler(stream, number):
+            while await read_request(stream):
+                seen.append(number)
+                await stream.send_all(OK)
+
+        async def check(pool):
+            for _ in range(3):
+                answer = (await pool.start(make_request())).ok
+                self.assertEqual(await read_body(answer), b"ok")
+                await answer.aclose()
+
+        self.run_with(handler, check)
+        self.assertEqual(seen, [1, 1, 1])
+
+    def test_body_cut_before_its_length_is_an_error_and_closes_the_connection(self):
+        async def handler(stream, number):
+            await read_request(stream)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart")
+            await stream.aclose()
+
+        async def check(pool):
+            answer = (await pool.start(make_request())).ok
+            self.assertEqual(await read_body(answer), AnswerCut(CutReason.UPSTREAM_RESET))
+            await answer.aclose()
+            self.assertEqual(pool.idle, [])
+
+        self.run_with(handler, check)
+
+    def test_reset_after_the_request_is_unknown_not_unsent(self):
+        async def handler(stream, number):
+            await read_request(stream)
+            reset(stream)
+
+        async def check(pool):
+            started = await pool.start(make_request(b"POST", is_marked=True, body=b"x"))
+            self.assertEqual(started.error, AnswerCut(CutReason.UPSTREAM_RESET))
+
+        self.run_with(handler, check)
+
+    def check_stale(self, request):
+        """Let the upstream close the kept connection as the second request goes out."""
+        served = []
+
+        async def handler(stream, number):
+            while await read_request(stream):
+                if number == 1 and served:
+                    reset(stream)
+                    return
+                served.append(number)
+                await stream.send_all(OK)
+
+        outcomes = []
+
+        async def check(pool):
+            answer = (await pool.start(make_request())).ok
+            await read_body(answer)
+            await answer.aclose()
+            outcomes.append(await pool.start(request))
+
+        self.run_with(handler, check)
+        return outcomes[0], served
+
+    def test_idempotent_request_survives_the_close_of_a_kept_connection(self):
+        outcome, served = self.check_stale(make_request())
+        self.assertTrue(outcome.is_ok())
+        self.assertEqual(served, [1, 2])
+
+    def test_marked_request_is_never_sent_a_second_time(self):
+        outcome, served = self.check_stale(make_request(b"POST", is_marked=True))
+        self.assertEqual(outcome.error, AnswerCut(CutReason.UPSTREAM_RESET))
+        self.assertEqual(served, [1])
+
+    def test_connection_that_the_upstream_has_closed_is_not_used(self):
+        served = []
+
+        async def handler(stream, number):
+            await read_request(stream)
+            served.append(number)
+            await stream.send_all(OK)
+            await stream.aclose()
+
+        async def check(pool):
+            for _ in range(2):
+                answer = (await pool.start(make_request(b"POST", is_marked=True))).ok
+                self.assertEqual(await read_body(answer), b"ok")
+                await answer.aclose()
+                while not all(kept.stream.socket.is_readable() for kept in pool.idle):
+                    await trio.sleep(0.001)
+
+        self.run_with(handler, check)
+        self.assertEqual(served, [1, 2])
+
+    def test_cancelled_request_closes_its_connection(self):
+        closed = trio.Event()
+
+        async def handler(stream, number):
+            await read_request(stream)
+            await stream.receive_some(1)
+            closed.set()
+
+        async def check(pool):
+            with trio.move_on_after(0.05):
+                await pool.start(make_request())
+            await closed.wait()
+
+        self.run_with(handler, check)
