--- a/packages/bendwind-bench/src/bendwind_bench/experiments/claims.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/claims.py
@@ -35,11 +35,11 @@
     """Measure requests without and with keys, then rising rates of claims."""
     measured = Measured()
     steps = [("unkeyed", PLAIN, RATE), ("keyed", KEYED, RATE), ("resent", RESENT, RATE)]
-    steps += [(f"keyed {rate:.0f}/s", KEYED, rate) for rate in RATES]
+    steps += [(f"keyed, {rate:.0f} a second", KEYED, rate) for rate in RATES]
     async with run_scene(describe_solo(), INTENT, seed, direct) as deployment:
         entries = [deployment.layout.members[0].callers_address]
         for variant, kind, rate in steps:
-            name = variant.replace(" ", "-").replace("/", "-")
+            name = variant.replace(" ", "-")
             phase = await run_phase(
                 deployment,
                 name,
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/result.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/result.py
@@ -67,7 +67,7 @@
 
 
 def _find(figures: Figures, path: str) -> float | None:
-    variant, _, metric = path.rpartition("/")
+    variant, _, metric = path.partition("/")
     return figures.get(variant, {}).get(metric)
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/scene.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/scene.py
@@ -1,7 +1,7 @@
 """Run one phase of an experiment against a small deployment and measure it."""
 
 import contextlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -58,6 +58,11 @@
             "broken": len(self.verdict.broken),
         }
 
+    def select(self, address: str) -> "Phase":
+        """Return the part of the samples that one address took."""
+        own = [sample for sample in self.samples if sample.address == address]
+        return replace(self, samples=own)
+
     def count(self, outcome: str) -> float:
         """Return how many calls had this outcome."""
         return float(sum(sample.outcome == outcome for sample in self.samples))
@@ -84,6 +89,19 @@
         yield deployment
 
 
+async def measure_idle(deployment: Deployment, seconds: float) -> dict[str, float]:
+    """Return what the nodes spend on control alone, with no calls."""
+    await trio.sleep(SETTLE_S)
+    before = _sum_cpu(deployment)
+    await trio.sleep(seconds)
+    nodes = len(deployment.nodes)
+    resident = [node.resident_kb() for node in deployment.nodes.values() if node.is_running]
+    return {
+        "CPU % of a core": 100.0 * (_sum_cpu(deployment) - before) / seconds / max(1, nodes),
+        "resident kB": float(max(resident, default=0)),
+    }
+
+
 async def run_phase(
     deployment: Deployment, name: str, kinds: list[RequestKind], rate: float, seconds: float, **keys
 ) -> Phase:
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/throughput.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/throughput.py
@@ -1,14 +1,14 @@
 """Measure how many calls a second one node carries and what each costs it."""
 
 from bendwind_bench.experiments.added_latency import INTENT, KINDS, describe_solo
-from bendwind_bench.experiments.scene import Measured, run_phase, run_scene
+from bendwind_bench.experiments.scene import Measured, measure_idle, run_phase, run_scene
 
 TITLE = "Throughput of one node and processor time a call"
 ABOUT = (
     "One upstream that answers at once, behind its own node; open-loop load at rising rates from "
     "two load processes. `whole/s` is what got a whole answer; it ends to grow where the node's "
     "one core is full. `node CPU ms/call` is the processor time of all three nodes, heartbeats "
-    "and all, divided by the calls."
+    "and all, divided by the calls. `no calls` is the mean of the three nodes, all voters."
 )
 CHECKS = []
 RATES = (100.0, 300.0, 600.0, 1000.0, 1500.0, 2500.0)
@@ -21,6 +21,7 @@
     measured = Measured()
     async with run_scene(describe_solo(), INTENT, seed, direct) as deployment:
         node = deployment.layout.members[0]
+        measured.figures["no calls"] = await measure_idle(deployment, SECONDS)
         for rate in RATES:
             phase = await run_phase(
                 deployment,
@@ -36,6 +37,6 @@
             )
             figures = phase.figures()
             figures["node CPU ms/call"] = phase.cpu_ms_per_call
-            measured.figures[f"{rate:.0f}/s"] = figures
+            measured.figures[f"{rate:.0f} a second"] = figures
             measured.broken += phase.verdict.broken
     return measured
