--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -199,6 +199,14 @@
         self.assertEqual((code, out), (0, "emisor-1: draining\n"))
         self.assert_fails(["drain", "nobody", line], ExitCode.REFUSED, "no such instance")
 
+    def test_accepts_lost_claims(self):
+        reply = {"service": "emisor", "epoch": 3, "members": ["a#17", "b#18"]}
+        server = self.serve(("POST /v1/services/emisor/accept-claim-loss", 200, reply))
+        line = f"--control={server.address}"
+        code, out, _ = self.run_line("accept-claim-loss", "emisor", line)
+        self.assertEqual((code, out), (0, "emisor: claims start anew on a, b\n"))
+        self.assert_fails(["accept-claim-loss", "none", line], ExitCode.REFUSED, "not-found")
+
     def test_stop_goes_to_the_named_process_only(self):
         server = self.serve(
             ("GET /v1/status", 200, STATUS),
@@ -219,6 +227,11 @@
         self.assertEqual(out, "1970-01-01T00:00:00.009Z+0 a 801 PROCESS_STARTED plan=p1\n")
         self.assertRegex(err, "^bendwind: left out: 127.0.0.1:1 did not answer.*\n$")
 
+    def test_the_readme_lists_every_exit_code(self):
+        page = (Path(__file__).parents[5] / "README.md").read_text()
+        codes = re.findall(r"^\| (\d) \|", page, re.MULTILINE)
+        self.assertEqual([int(code) for code in codes], sorted(ExitCode))
+
     def test_events_lists_number_level_and_name(self):
         self.assertIn("801  INFO    PROCESS_STARTED", self.run_line("events")[1])
 
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -53,6 +53,10 @@
 
     host: Annotated[Host, _doc("Address to listen on for callers.")]
     port: Annotated[Port, _doc("Port of the callers' HTTP.")]
+    server: Annotated[
+        Literal["h11", "hypercorn"],
+        _doc("HTTP server: `h11` is fastest, `hypercorn` also speaks HTTP/2."),
+    ] = "h11"
 
 
 class UpstreamsTable(Table, frozen=True, kw_only=True):
