--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -114,6 +114,7 @@
         "holders",
         "inbox",
         "instance",
+        "is_draining_local",
         "limits",
         "local",
         "member",
@@ -146,6 +147,7 @@
         self.fresh_until: Seconds = 0.0
         self.waiting: dict[str, _Waiting] = {}
         self.local: collections.deque[ClaimMessage] = collections.deque()
+        self.is_draining_local = False
         self.inbox, self.outbox = trio.open_memory_channel[ClaimInput](INBOX_MESSAGES)
 
     # What the entry task calls.
@@ -304,8 +306,15 @@
             self.send(to, message)
 
     def _drain_local(self) -> None:
-        while self.local:
-            self._receive(self.local.popleft())
+        # What a message gives rise to is drained by the call that is draining, not one deeper.
+        if self.is_draining_local:
+            return
+        self.is_draining_local = True
+        try:
+            while self.local:
+                self._receive(self.local.popleft())
+        finally:
+            self.is_draining_local = False
 
 
 def _describe(group: ClaimGroup) -> str:
--- a/packages/bendwind-node/src/bendwind_node/claims/tests/test_task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/tests/test_task.py
@@ -78,6 +78,24 @@
 
 
 class ClaimTaskTest(unittest.TestCase):
+    def test_many_claims_at_their_own_primary_that_wait_for_members_that_are_cut_off(self):
+        async def scenario(network):
+            network.cut.update("abc")
+            task = network.tasks["a"]
+            refused = []
+
+            async def ask(number):
+                deadline = trio.current_time() + 2.0
+                decision = await task.claim("emisor", f"k{number}", b"f", f"a/{number}", deadline)
+                refused.append(isinstance(decision, ClaimRefused))
+
+            async with trio.open_nursery() as nursery:
+                for number in range(1000):
+                    nursery.start_soon(ask, number)
+            self.assertEqual(refused, [True] * 1000)
+
+        run(scenario)
+
     def test_a_resend_through_another_node_gets_the_recorded_answer(self):
         async def scenario(network):
             self.assertEqual(await claim(network, "b", "b/1"), Granted())
