membership: heartbeats go out also under a steady stream of messages

Cause: the node's task looked at the time only when no message came for a quarter of a heartbeat; a node that was pushed more than four messages a second sent no heartbeat, lost its lease and turned stale. Change: the time is looked at after messages too.

--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -54,12 +54,15 @@
         """Renew, receive and push on until cancelled."""
         task_status.started()
         tick = self.view.times.heartbeat * _TICK_SHARE
+        wake_at = trio.current_time() + tick
         while True:
-            with trio.move_on_after(tick):
+            with trio.move_on_at(wake_at):
                 sender, message = await self._outbox.receive()
                 self.step(MessageReceived(sender, message))
-                continue
-            self.step(Tick())
+            # Looked at after messages too: a steady stream of them must not hold up heartbeats.
+            if trio.current_time() >= wake_at:
+                self.step(Tick())
+                wake_at = trio.current_time() + tick
 
     def step(self, event: ViewEvent) -> None:
         """Apply an event at once and carry out its effects."""
