membership: a voter trusts a stated version only if it held it itself

Cause: a voter told what changed since a node's version by comparing the configurations it held in turn. Change: the registry lists the versions it held (256 at most); of any other version it sends everything. That also covers what the floor of a restarted voter was for, which goes. A Watch states version and digest, so that a node that has all of it is sent nothing: 3,000 nodes may change voter at once. Ruled out: a reordered reply (the reply's watch and version matched).

--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -48,12 +48,17 @@
 
 
 class Watch(Record, frozen=True, array_like=True, tag="watch"):
-    """Name every service whose configuration and upstreams the node wants pushed."""
+    """Name every service whose configuration and upstreams the node wants pushed.
+
+    `version` and `digest` say what the node already has, as in its heartbeats.
+    """
 
     node: str
     services: tuple[str, ...]
     incarnation: int = 0
     sequence: int = 0
+    version: int = -1
+    digest: int = 0
 
 
 class WatchUpdate(Record, frozen=True, array_like=True, tag="watch-update"):
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -1,5 +1,7 @@
 """Push configuration and upstreams from a voter to the nodes that watch them."""
 
+import functools
+import operator
 from collections.abc import Iterator
 
 import msgspec
@@ -25,6 +27,7 @@
 
 # What one flush sends at most, so that a data centre's loss does not hold up heartbeats.
 _PUSHES_PER_FLUSH = 1000
+_HELD_VERSIONS = 256
 
 
 def accept_configuration(
@@ -60,8 +63,6 @@
 
 
 def _take_services(registry: VoterRegistry, configuration: Configuration) -> None:
-    if registry.floor == 0:
-        registry.floor = configuration.version
     services = {service.name: service for service in configuration.services}
     for name in services:
         find_row(registry, name)
@@ -71,6 +72,9 @@
             row.changed_at = configuration.version
             registry.outdated.update(row.watchers)
     registry.configuration = configuration
+    registry.held[configuration.version] = None
+    if len(registry.held) > _HELD_VERSIONS:
+        del registry.held[next(iter(registry.held))]
 
 
 def bring_up_to_date(
@@ -78,38 +82,38 @@
 ) -> bool:
     """Tell whether a node misses no configuration, and push what it misses."""
     rows = [find_row(registry, name) for name in client.services]
-    newest = max((row.changed_at for row in rows), default=0)
-    is_current = beat.version >= max(newest, registry.floor)
-    if not is_current:
+    is_current = _is_current(registry, beat.version, rows)
+    is_ahead = beat.version > registry.configuration.version
+    if not is_current and not is_ahead:
         _push_configuration(registry, beat.node.name, client, effects)
-    _compare_digest(registry, beat, client, rows, effects)
+    # One difference may be a push that crossed the heartbeat; two in a row are a loss.
+    is_in_step = beat.digest == _sum_digests(rows)
+    if not is_in_step and client.is_suspect:
+        send_everything(registry, beat.node.name, client, effects)
+    client.is_suspect = not is_in_step and not client.is_suspect
     return is_current
 
 
-def _compare_digest(
-    registry: VoterRegistry,
-    beat: Heartbeat,
-    client: Client,
-    rows: list[ServiceRow],
-    effects: list[RegistryEffect],
-) -> None:
-    expected = 0
-    for row in rows:
-        expected ^= row.digest
-    # One difference may be a push that crossed the heartbeat; two in a row are a loss.
-    if beat.digest == expected:
-        client.is_suspect = False
-    elif client.is_suspect:
-        client.is_suspect = False
-        send_everything(registry, beat.node.name, client, effects)
-    else:
-        client.is_suspect = True
+def _is_current(registry: VoterRegistry, version: int, rows: list[ServiceRow]) -> bool:
+    # Between two versions that this voter held, a service may have changed and changed back: of
+    # a version that it did not hold itself it cannot tell what the node has.
+    return version in registry.held and all(row.changed_at <= version for row in rows)
+
+
+def _sum_digests(rows: list[ServiceRow]) -> int:
+    return functools.reduce(operator.xor, (row.digest for row in rows), 0)
+
+
+def has_everything(registry: VoterRegistry, watch: Watch) -> bool:
+    """Tell whether a node already has all that it asks for."""
+    rows = [find_row(registry, name) for name in watch.services]
+    return _is_current(registry, watch.version, rows) and watch.digest == _sum_digests(rows)
 
 
 def _push_configuration(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
-    base = client.version if client.version >= max(registry.floor, 0) else 0
+    base = client.version if client.version in registry.held else 0
     rows = [(name, find_row(registry, name)) for name in client.services]
     changed = [(name, row) for name, row in rows if base == 0 or row.changed_at > base]
     groups = tuple(row.claim_group for _, row in rows if row.claim_group)
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -208,8 +208,11 @@
     client = registry.clients.get(watch.node)
     if client is None or client.incarnation != watch.incarnation:
         return
-    if watch.sequence >= client.watch:
-        pushes.set_watch(registry, watch.node, client, watch)
+    if watch.sequence < client.watch:
+        return
+    pushes.set_watch(registry, watch.node, client, watch)
+    # A node that comes from another voter mostly has all of it: 3,000 may come at once.
+    if not pushes.has_everything(registry, watch):
         pushes.send_everything(registry, watch.node, client, effects)
 
 
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -49,9 +49,9 @@
 class VoterRegistry:
     """Hold a voter's soft state: all of it is rebuilt from nodes and other voters.
 
-    `clients` is ordered by renewal. `floor` is the first version this run knew: of changes
-    before it nothing is known. `news` names members to tell the other voters of; `dirty` and
-    `urgent` name services and `outdated` clients to push to.
+    `clients` is ordered by renewal. `held` lists the newest versions that this run held, so
+    that it knows what changed since each. `news` names members to tell the other voters of;
+    `dirty` and `urgent` name services and `outdated` clients to push to.
     Units: times in seconds of the voter's clock.
     """
 
@@ -65,7 +65,7 @@
     buckets: list[int] = dataclasses.field(default_factory=lambda: [0] * BUCKETS)
     services: dict[str, ServiceRow] = dataclasses.field(default_factory=dict)
     configuration: Configuration = EMPTY_CONFIGURATION
-    floor: int = 0
+    held: dict[int, None] = dataclasses.field(default_factory=lambda: {0: None})
     confirmed_from: Seconds | None = None
     news: dict[str, None] = dataclasses.field(default_factory=dict)
     dirty: dict[str, None] = dataclasses.field(default_factory=dict)
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_registry.py
@@ -1,11 +1,10 @@
+import random
 import unittest
 
 from bendwind_core.membership import (
     ConfigurationAccepted,
     Heartbeat,
-    HeartbeatReply,
     MessageReceived,
-    SendTo,
     Tick,
     Watch,
     create_voter_registry,
@@ -71,24 +70,39 @@
         self.assertLess(max(beats.values()), 2 * mean)
 
 
-class FloorTest(unittest.TestCase):
+class UnseenVersionTest(unittest.TestCase):
+    def state_version(self, held: tuple[Configuration, ...], version: int, service: str):
+        """Let a node that watches a service state a version, and return what it is sent."""
+        rng = random.Random(4)
+        registry = create_voter_registry("v0", VOTERS, TIMES, 0.0)
+        for configuration in held:
+            step_registry(registry, ConfigurationAccepted(configuration), 0.0, rng)
+        node = Instance("n0", "dc0", "127.0.0.1", 1, 1)
+        messages = (
+            Heartbeat(node, 1, version, watch=1),
+            Watch("n0", (service,), 1, 1, version),
+            Heartbeat(node, 2, version, watch=1),
+        )
+        for message in messages:
+            effects = step_registry(registry, MessageReceived("n0", message), 0.0, rng)
+        return [effect.message for effect in effects]
+
     def test_node_that_may_hold_an_ended_service_gets_everything(self):
         """A restarted voter does not know which services ended before it started."""
-        world = World(seed=4)
-        registry = create_voter_registry("v0", VOTERS, TIMES, 0.0)
+        held = (Configuration(20, (Service("emisor", ("*",)),)),)
+        push, reply = self.state_version(held, 15, "ended")
+        self.assertEqual((push.version, push.base, push.services), (20, 0, ()))
+        self.assertFalse(reply.is_current)
+
+    def test_node_that_may_hold_a_change_since_taken_back_gets_everything(self):
+        """A voter that jumps from 10 to 17 does not see what 15 changed and 17 took back."""
         services = (Service("emisor", ("*",)),)
-        accepted = ConfigurationAccepted(Configuration(20, services))
-        step_registry(registry, accepted, 0.0, world.rng)
-        node = Instance("n0", "dc0", "127.0.0.1", 1, 1)
-        replies = []
-        for sequence in (1, 2):
-            beat = Heartbeat(node, sequence, version=15, watch=1)
-            effects = step_registry(registry, MessageReceived("n0", beat), 0.0, world.rng)
-            replies += [effect.message for effect in effects if isinstance(effect, SendTo)]
-            watch = Watch("n0", ("ended",), 1, 1)
-            step_registry(registry, MessageReceived("n0", watch), 0.0, world.rng)
-        last = next(reply for reply in reversed(replies) if isinstance(reply, HeartbeatReply))
-        self.assertFalse(last.is_current)
+        held = (Configuration(10, services), Configuration(17, services))
+        push, reply = self.state_version(held, 15, "emisor")
+        self.assertEqual((push.version, push.base, push.services), (17, 0, services))
+        self.assertFalse(reply.is_current)
+        (reply,) = self.state_version(held, 10, "emisor")
+        self.assertTrue(reply.is_current)
 
 
 if __name__ == "__main__":
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -166,6 +166,10 @@
         effects.append(FreshnessChanged(is_fresh))
 
 
+def _stated_version(view: NodeView) -> int:
+    return view.version if view.is_complete else INCOMPLETE
+
+
 def _renew(view: NodeView, effects: list[ViewEffect], now: Seconds, rng: random.Random) -> None:
     attachment = view.attachment
     reason = find_reason_to_move(attachment, view.times, now)
@@ -180,7 +184,7 @@
     heartbeat = Heartbeat(
         view.instance,
         attachment.sequence,
-        view.version if view.is_complete else INCOMPLETE,
+        _stated_version(view),
         view.watch_sequence,
         view.announce_sequence,
         view.holdings.digest,
@@ -247,7 +251,14 @@
 def _make_watch(view: NodeView) -> Watch:
     instance = view.instance
     services = tuple(view.holdings.watched)
-    return Watch(instance.name, services, instance.incarnation, view.watch_sequence)
+    return Watch(
+        instance.name,
+        services,
+        instance.incarnation,
+        view.watch_sequence,
+        _stated_version(view),
+        view.holdings.digest,
+    )
 
 
 def _put_in_force(view: NodeView, version: int, effects: list[ViewEffect]) -> None:
