timeline: events of single calls no longer push out the others

Cause: at the target's 67 calls/s, six events each, a buffer of 10,000 turns over in 25 s, and with it the rare events (a leader lost, freshness lost) that explain an outage. Change: half of the capacity is kept for events that belong to no call. Check: the rule-based machine records both sorts.

--- a/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
@@ -1,6 +1,7 @@
-"""Record a process's events into a bounded buffer."""
+"""Record a process's events into bounded buffers."""
 
 import collections
+import heapq
 import logging
 from collections.abc import Callable
 
@@ -14,12 +15,14 @@
 
 
 class Recorder:
-    """Own a process's bounded buffer of events and its hybrid logical clock.
+    """Own a process's bounded buffers of events and its hybrid logical clock.
 
-    `counts` holds how often each event was recorded, those no longer in the buffer included.
+    Half of the capacity is kept for events that are not of single calls, so that those of a busy
+    minute do not push out what explains it. `counts` holds how often each event was recorded, those
+    no longer held included.
     """
 
-    __slots__ = ("clock", "counts", "events", "instance", "monotonic_us")
+    __slots__ = ("clock", "counts", "instance", "monotonic_us", "of_calls", "of_process")
 
     def __init__(
         self,
@@ -30,14 +33,20 @@
     ):
         self.instance = instance
         self.clock = HybridClock(wall_ms)
-        self.events: collections.deque[Event] = collections.deque(maxlen=capacity)
+        self.of_process: collections.deque[Event] = collections.deque(maxlen=capacity // 2)
+        self.of_calls: collections.deque[Event] = collections.deque(maxlen=capacity - capacity // 2)
         self.monotonic_us = monotonic_us or (lambda: wall_ms() * _MICROSECONDS_PER_MILLISECOND)
         self.counts: collections.Counter[EventKind] = collections.Counter()
 
     @property
     def dropped(self) -> int:
-        """Count the events that newer ones pushed out of the buffer."""
-        return self.counts.total() - len(self.events)
+        """Count the events that newer ones pushed out of the buffers."""
+        return self.counts.total() - len(self.of_process) - len(self.of_calls)
+
+    @property
+    def events(self) -> list[Event]:
+        """Return the events still held, oldest first."""
+        return list(heapq.merge(self.of_process, self.of_calls, key=lambda event: event.time))
 
     def record(
         self, kind: EventKind, *, call: str = "", upstream: str = "", plan: str = "", detail=""
@@ -55,7 +64,8 @@
             detail,
             self.monotonic_us(),
         )
-        self.events.append(event)
+        buffer = self.of_calls if call else self.of_process
+        buffer.append(event)
         self.counts[kind] += 1
         level = find_level(kind)
         if _LOG.isEnabledFor(level):
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -150,7 +150,9 @@
     """Bound the buffer of recorded events."""
 
     capacity: Annotated[
-        int, Meta(ge=100, le=1_000_000), _doc("Events kept; the oldest go first.", "events")
+        int,
+        Meta(ge=100, le=1_000_000),
+        _doc("Events kept, half of them for single calls; the oldest go first.", "events"),
     ] = 10_000
 
 
