cli: keys that do not fit are told apart from a server that does not answer

Check: a TLS server that demands client certificates, with a fitting pair, a wrong authority, a certificate of another authority, none, and a missing file.

--- a/packages/bendwind-cli/src/bendwind_cli/client.py
+++ b/packages/bendwind-cli/src/bendwind_cli/client.py
@@ -1,5 +1,6 @@
 """Ask servers over HTTP, going on to the next one where that is safe."""
 
+import ssl
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -130,8 +131,7 @@
                 method, url, headers=headers, content=body, extensions={"timeout": timeouts}
             )
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
-            reason = str(error) or type(error).__name__
-            return Error(Failure(ExitCode.NO_ANSWER, f"{address} did not answer: {reason}"))
+            return Error(_explain_fault(address, error))
         return Ok(Answer(response.status, response.content))
 
 
@@ -151,6 +151,18 @@
     return Ok(Client(settings, pool, scheme, token[0] if token else "", list(settings.control)))
 
 
+def _explain_fault(address: str, error: Exception) -> Failure:
+    # httpcore raises its own exceptions from those of the ssl module.
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, ssl.SSLError):
+            line = f"{address} and this client refused each other's keys: {cause.reason or cause}"
+            return Failure(ExitCode.NO_CREDENTIALS, line)
+        cause = cause.__cause__ or cause.__context__
+    reason = str(error) or type(error).__name__
+    return Failure(ExitCode.NO_ANSWER, f"{address} did not answer: {reason}")
+
+
 def _read_error(answer: Answer) -> ErrorReply | None:
     if answer.status < 400:
         return None
@@ -193,7 +205,8 @@
 
 
 def _worst(failures: list[Failure]) -> Failure:
-    unknown = [found for found in failures if found.code is ExitCode.OUTCOME_UNKNOWN]
-    if unknown:
-        return unknown[0]
+    for code in (ExitCode.OUTCOME_UNKNOWN, ExitCode.NO_CREDENTIALS):
+        telling = [found for found in failures if found.code is code]
+        if telling:
+            return telling[0]
     return Failure(ExitCode.NO_ANSWER, "; ".join(dict.fromkeys(found.line for found in failures)))
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -2,6 +2,7 @@
 import io
 import os
 import re
+import ssl
 import tempfile
 import threading
 import unittest
@@ -38,7 +39,7 @@
 class Server:
     """Answer each request by the first script entry whose method and path match."""
 
-    def __init__(self, *script):
+    def __init__(self, *script, tls=None):
         self.seen = []
         server = self
 
@@ -67,7 +68,13 @@
 
         self.http = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self.http.server_address[1]}"
-        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+        # A refused handshake would print a traceback.
+        self.http.handle_error = lambda *_: None
+        if tls is not None:
+            self.http.socket = tls.wrap_socket(
+                self.http.socket, server_side=True, do_handshake_on_connect=False
+            )
+        threading.Thread(target=self.http.serve_forever, args=(0.01,), daemon=True).start()
 
     def close(self):
         self.http.shutdown()
@@ -84,8 +91,8 @@
         patched.start()
         self.addCleanup(patched.stop)
 
-    def serve(self, *script) -> Server:
-        server = Server(*script)
+    def serve(self, *script, tls=None) -> Server:
+        server = Server(*script, tls=tls)
         self.addCleanup(server.close)
         return server
 
@@ -182,6 +189,30 @@
         self.assert_fails(["status"], ExitCode.NO_ANSWER, "127.0.0.1:. did not answer")
         self.assert_fails(["confirm", "p"], ExitCode.NO_ANSWER, "did not answer.*did not answer")
 
+    def test_keys_that_do_not_fit_are_one_line(self):
+        keys, other = self.folder / "keys", self.folder / "other"
+        for folder in (keys, other):
+            self.run_line("keys", "authority", f"--folder={folder}")
+            self.run_line("keys", "operator", "oncall", f"--folder={folder}")
+        self.run_line("keys", "instance", "a", f"--folder={keys}")
+        tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=keys / "authority.pem")
+        tls.verify_mode = ssl.CERT_REQUIRED
+        tls.load_cert_chain(keys / "a.pem", keys / "a.key")
+        server = self.serve(("GET /v1/status", 200, STATUS), tls=tls)
+        settings = self.folder / "client.toml"
+        text = 'control = ["{}"]\n[tls]\nauthority = "{}/authority.pem"\n'
+        own = 'certificate = "{0}/operator-oncall.pem"\nkey = "{0}/operator-oncall.key"\n'
+        line = ["status", f"--settings={settings}"]
+        settings.write_text(text.format(server.address, "keys") + own.format("keys"))
+        self.assertEqual(self.run_line(*line)[0], 0)
+        for authority, certificate in (("other", "keys"), ("keys", "other")):
+            settings.write_text(text.format(server.address, authority) + own.format(certificate))
+            self.assert_fails(line, ExitCode.NO_CREDENTIALS, "refused each other's keys")
+        settings.write_text(text.format(server.address, "keys"))
+        self.assert_fails(line, ExitCode.NO_CREDENTIALS, "refused each other's keys")
+        settings.write_text(text.format(server.address, "none"))
+        self.assert_fails(line, ExitCode.NO_CREDENTIALS, "No such file")
+
     def test_status_names_who_lacks_the_version(self):
         server = self.serve(("GET /v1/status", 200, STATUS))
         code, out, _ = self.run_line("status", f"--control={server.address}")
