calls: bound the bytes of bodies held, take in slow bodies by the deadline, judge replies by link

Cause: (1) an entry node buffered up to 512 bodies of 8 MiB, an owner up to 256; (2) a caller that sent its body slowly was never given up; (3) the refusal of a restarted owner was dropped as late, since its incarnation differs from the one the call was sent to, so the call ended unknown at its deadline where a proof of not-run had come; (4) a retry ignored that freshness was lost since. Change: one byte budget a process for bodies (setting limits.buffered_bytes); the deadline covers reading; a reply is matched by attempt and link; every attempt needs a fresh configuration, or on_stale = serve and to be the first.

--- a/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
@@ -4,12 +4,29 @@
 
 import trio
 
-from bendwind_core.attempts import BodyPart
-
 PART_BYTES = 64 * 1024
 WINDOW_BYTES = 256 * 1024
 
 
+@dataclass(slots=True)
+class ByteBudget:
+    """Bound the bytes of bodies that a process holds at a time."""
+
+    limit: int
+    used: int = 0
+
+    def take(self, size: int) -> bool:
+        """Reserve bytes; False, and none reserved, where they do not fit."""
+        if self.used + size > self.limit:
+            return False
+        self.used += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Free reserved bytes."""
+        self.used -= size
+
+
 @dataclass(slots=True, eq=False)
 class Outflow:
     """Hold the credit of a body this process sends; a lost receiver takes any amount."""
@@ -48,19 +65,25 @@
     """Gather the parts of a body until it is complete."""
 
     limit: int
+    budget: ByteBudget
     parts: list[bytes] = field(default_factory=list)
     size: int = 0
-    next_index: int = 1
+    next_index: int = 0
 
-    def is_next(self, part: BodyPart) -> bool:
-        """Tell whether the part follows the last one and fits the limit."""
-        return part.index == self.next_index and self.size + len(part.data) <= self.limit
-
-    def append(self, data: bytes) -> None:
-        """Add a part."""
+    def append(self, index: int, data: bytes) -> bool:
+        """Add the next part; False if it is another, too long, or over the process's budget."""
+        is_next = index == self.next_index and self.size + len(data) <= self.limit
+        if not is_next or not self.budget.take(len(data)):
+            return False
         self.parts.append(data)
         self.size += len(data)
         self.next_index += 1
+        return True
+
+    def free(self) -> None:
+        """Give the body's bytes back to the budget."""
+        self.budget.give_back(self.size)
+        self.size = 0
 
     def join(self) -> bytes:
         """Return the whole body."""
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -0,0 +1,180 @@
+"""Take in one request: its service, rule, deadline, key and body, each within its limits."""
+
+import math
+
+import trio
+from expression import Error, Ok, Result
+
+from bendwind_core.attempts import NotRunReason
+from bendwind_core.attempts.call import create_call
+from bendwind_core.claims import fingerprint_request
+from bendwind_core.claims.messages import MAX_KEY_CHARACTERS
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.world import Repeat, Rule, Service, StaleAction, find_rule
+from bendwind_node.calls import headers as names
+from bendwind_node.calls import outcomes
+from bendwind_node.calls.body_flow import ByteBudget
+from bendwind_node.calls.call_run import CallRun
+from bendwind_node.calls.caller_exchange import CallerExchange, CallerRequest
+from bendwind_node.calls.entry_node import EntryNode
+from bendwind_node.calls.refusal import Refusal
+
+SERVICE_WAIT: Seconds = 2.0
+SERVICE_POLL: Seconds = 0.01
+# Callers may name services that do not exist; a node does not go on to watch ever more of them.
+MAX_WATCHED = 512
+
+_BODY_TOO_LARGE = Refusal(413, outcomes.REFUSED, "body-too-large")
+_BODY_TOO_SLOW = Refusal(408, outcomes.REFUSED, "request-timeout")
+_UNKNOWN_SERVICE = Refusal(404, outcomes.REFUSED, "unknown-service")
+
+
+class CallIntake:
+    """Take in requests for one process."""
+
+    __slots__ = ("budget", "entry", "in_flight", "max_body_bytes", "max_in_flight")
+
+    def __init__(
+        self, entry: EntryNode, max_in_flight: int, max_body_bytes: int, budget: ByteBudget
+    ):
+        self.entry = entry
+        self.max_in_flight = max_in_flight
+        self.max_body_bytes = max_body_bytes
+        self.budget = budget
+        self.in_flight = 0
+
+    async def take(self, exchange: CallerExchange, call_id: str) -> Result[CallRun, Refusal]:
+        """Read a request whole; the bytes of its body are the caller's to give back."""
+        arrived_at = trio.current_time()
+        if self.in_flight > self.max_in_flight:
+            return Error(Refusal.not_run(NotRunReason.OVERLOADED))
+        request = exchange.request
+        service = await self._find_service(request.headers)
+        if service is None:
+            return Error(_UNKNOWN_SERVICE)
+        if not self.entry.membership.is_fresh() and service.on_stale is StaleAction.REFUSE:
+            return Error(Refusal.not_run(NotRunReason.STALE))
+        rule = find_rule(service, request.method, request.path)
+        key = _read_key(request.headers, rule)
+        if key.is_error():
+            return key
+        timeout_ms = _read_timeout_ms(request.headers, service, rule)
+        if timeout_ms.is_error():
+            return timeout_ms
+        deadline_at = arrived_at + timeout_ms.ok / MILLISECONDS_PER_SECOND
+        body: Result[bytes, Refusal] = Error(_BODY_TOO_SLOW)
+        with trio.move_on_at(deadline_at):
+            limit = min(self.max_body_bytes, service.limits.body_bytes)
+            body = await self._read_body(exchange, limit)
+        return body.map(
+            lambda whole: self._create_run(
+                request, call_id, service, rule, deadline_at, key.ok, whole
+            )
+        )
+
+    def _create_run(
+        self,
+        request: CallerRequest,
+        call_id: str,
+        service: Service,
+        rule: Rule,
+        deadline_at: Seconds,
+        key: str,
+        body: bytes,
+    ) -> CallRun:
+        budget = self.entry.find_desk(service).budget
+        call = create_call(
+            call_id, service, rule, deadline_at, self.entry.ids, budget, has_key=bool(key)
+        )
+        headers = (*names.keep_request_headers(request.headers), names.VIA)
+        run = CallRun(call, self.entry.apply, request.method, request.target, headers, body)
+        if call.has_key:
+            run.key = key
+            run.fingerprint = fingerprint_request(request.method, request.target, body)
+        return run
+
+    async def _find_service(self, headers: tuple) -> Service | None:
+        name = self._find_service_name(headers)
+        membership = self.entry.membership
+        service = membership.services.get(name)
+        if service is not None or not name:
+            return service
+        if len(membership.view.holdings.watched) >= MAX_WATCHED:
+            return None
+        membership.watch(name)
+        with trio.move_on_after(SERVICE_WAIT):
+            while name in membership.view.pending:
+                await trio.sleep(SERVICE_POLL)
+        return membership.services.get(name)
+
+    def _find_service_name(self, headers: tuple) -> str:
+        named = names.find_header(headers, names.SERVICE)
+        if named is not None:
+            return named.decode("latin-1")
+        host = (names.find_header(headers, names.HOST) or b"").decode("latin-1").split(":")[0]
+        for service in self.entry.membership.services.values():
+            if host in service.hosts:
+                return service.name
+        return host
+
+    async def _read_body(self, exchange: CallerExchange, limit: int) -> Result[bytes, Refusal]:
+        length = names.find_header(exchange.request.headers, names.CONTENT_LENGTH)
+        if length is not None and int(length) > limit:
+            return Error(_BODY_TOO_LARGE)
+        reading = _BodyReading(self.budget, limit)
+        is_kept = False
+        try:
+            while (part := await exchange.receive_part()) is not None:
+                refusal = reading.add(part)
+                if refusal is not None:
+                    return Error(refusal)
+            is_kept = True
+            return Ok(b"".join(reading.parts))
+        finally:
+            if not is_kept:
+                self.budget.give_back(reading.size)
+
+
+class _BodyReading:
+    """Hold a body while it is read."""
+
+    __slots__ = ("budget", "limit", "parts", "size")
+
+    def __init__(self, budget: ByteBudget, limit: int):
+        self.budget = budget
+        self.limit = limit
+        self.parts: list[bytes] = []
+        self.size = 0
+
+    def add(self, part: bytes) -> Refusal | None:
+        """Add a part, or say why the body is refused."""
+        if self.size + len(part) > self.limit:
+            return _BODY_TOO_LARGE
+        if not self.budget.take(len(part)):
+            return Refusal.not_run(NotRunReason.OVERLOADED)
+        self.parts.append(part)
+        self.size += len(part)
+        return None
+
+
+def _read_timeout_ms(headers: tuple, service: Service, rule: Rule) -> Result[Milliseconds, Refusal]:
+    longest = rule.longest_wait_ms or service.longest_wait_ms
+    stated = names.find_header(headers, names.TIMEOUT_MS)
+    if stated is None:
+        return Ok(longest)
+    try:
+        timeout_ms = float(stated)
+    except ValueError:
+        timeout_ms = math.nan
+    if not timeout_ms > 0:
+        return Error(Refusal(400, outcomes.REFUSED, "bad-timeout"))
+    return Ok(min(timeout_ms, longest))
+
+
+def _read_key(headers: tuple, rule: Rule) -> Result[str, Refusal]:
+    key = (names.find_header(headers, names.IDEMPOTENCY_KEY) or b"").decode("latin-1")
+    if len(key) > MAX_KEY_CHARACTERS:
+        return Error(Refusal(400, outcomes.REFUSED, "key-too-long"))
+    if rule.key_required and rule.repeat is Repeat.NEVER and not key:
+        return Error(Refusal(400, outcomes.REFUSED, "key-missing"))
+    return Ok(key)
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
@@ -14,6 +14,11 @@
     target: bytes
     headers: tuple[Header, ...]
 
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.split(b"?")[0].decode("latin-1")
+
 
 class CallerExchange(Protocol):
     """Carry one request of a caller and its answer."""
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -38,7 +38,7 @@
     set_upstreams,
 )
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_core.world import Instance, Service, Upstream, may_serve
+from bendwind_core.world import Instance, Service, StaleAction, Upstream, may_serve
 from bendwind_node.calls.body_flow import Outflow, split_body
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.dispatch import format_attempt
@@ -143,7 +143,9 @@
         """Hear a message of an owner node; one that matches no open attempt is dropped."""
         run = self._find_run(message.attempt)
         attempt = None if run is None else find_attempt(run.call, message.attempt)
-        if attempt is None or attempt.upstream.owner != link.peer:
+        # Only the name is compared: a newer run of the owner refuses what names an older one, and
+        # since the hand-over went out on this very link, its word is proof.
+        if attempt is None or attempt.upstream.owner.name != link.peer.name:
             self.recorder.record(
                 EventKind.LATE_MESSAGE_DROPPED,
                 call=format_attempt(message.attempt),
@@ -212,11 +214,19 @@
         desk = self.desks[call.service.name]
 
         def choose(excluded: frozenset[str]) -> Upstream | None:
+            if not self._may_send(run):
+                return None
             return choose_upstream(call.service.policy, desk.table, excluded, now, self.rng)
 
         for effect in entry.step(call, event, now, choose):
             self._carry_out(run, desk, effect)
 
+    def _may_send(self, run: CallRun) -> bool:
+        """Tell whether the configuration is fresh, or served stale and this the first attempt."""
+        if self.membership.is_fresh():
+            return True
+        return run.call.service.on_stale is StaleAction.SERVE and not run.call.attempts
+
     def _carry_out(self, run: CallRun, desk: ServiceDesk, effect: ev.EntryEffect) -> None:
         match effect:
             case ev.SendHandOver():
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -26,7 +26,7 @@
 from bendwind_core.messages import PeerMessage
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Upstream, UpstreamState
-from bendwind_node.calls.body_flow import Inflow, Outflow
+from bendwind_node.calls.body_flow import ByteBudget, Inflow, Outflow
 from bendwind_node.calls.dispatch import DispatchEnd, format_attempt, run_dispatch
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_h11 import UpstreamPool
@@ -81,6 +81,7 @@
     nursery: trio.Nursery
     lease_ms: Milliseconds
     body_limit: int
+    body_budget: ByteBudget
     announce: Callable[[Upstream], None]
     replies: ReplyPath = field(default_factory=ReplyPath)
     owned: dict[str, OwnedUpstream] = field(default_factory=dict)
@@ -101,7 +102,7 @@
         if not self.replies.close(link):
             return
         for attempt in [id for id in self.assembling if id.entry == link.peer.name]:
-            del self.assembling[attempt]
+            self._drop_assembly(attempt)
         for attempt, outflow in self.outflows.items():
             if attempt.entry == link.peer.name:
                 outflow.lose()
@@ -139,36 +140,41 @@
         if len(self.assembling) >= MAX_ASSEMBLING:
             self._refuse(hand_over.attempt, link.epoch, NotRunReason.OVERLOADED)
             return
-        inflow = Inflow(self.body_limit)
-        inflow.append(hand_over.body)
-        inflow.next_index = 1
+        inflow = Inflow(self.body_limit, self.body_budget)
+        if not inflow.append(0, hand_over.body):
+            self._refuse(hand_over.attempt, link.epoch, NotRunReason.OVERLOADED)
+            return
         self.assembling[hand_over.attempt] = Assembly(hand_over, link.epoch, inflow)
 
     def _add_part(self, link: ReplyLink, part: BodyPart) -> None:
         assembly = self.assembling.get(part.attempt)
         if assembly is None or assembly.epoch != link.epoch:
             return
-        if not assembly.inflow.is_next(part):
-            del self.assembling[part.attempt]
+        if not assembly.inflow.append(part.index, part.data):
+            self._drop_assembly(part.attempt)
             self._refuse(part.attempt, link.epoch, NotRunReason.OVERLOADED)
             return
-        assembly.inflow.append(part.data)
         if part.more:
             link.send(BodyCredit(part.attempt, len(part.data)))
             return
-        del self.assembling[part.attempt]
+        self._drop_assembly(part.attempt)
         whole = replace(assembly.hand_over, body=assembly.inflow.join(), more=False)
         self._hand_over(whole, link.epoch)
 
+    def _drop_assembly(self, attempt: AttemptId) -> None:
+        assembly = self.assembling.pop(attempt, None)
+        if assembly is not None:
+            assembly.inflow.free()
+
     def _cancel(self, name: str, attempt: AttemptId, epoch: int) -> None:
-        self.assembling.pop(attempt, None)
+        self._drop_assembly(attempt)
         owned = self.owned.get(name)
         if owned is not None:
             self._feed(owned, ev.CancelArrived(attempt, epoch))
 
     def _fence(self, fence: Fence, epoch: int) -> None:
         # A body that is still coming belongs to an attempt that has not started.
-        self.assembling.pop(fence.attempt, None)
+        self._drop_assembly(fence.attempt)
         owned = self.owned.get(fence.upstream)
         if owned is not None:
             self._feed(owned, ev.FenceArrived(fence, epoch))
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_callers_page.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_callers_page.py
@@ -24,8 +24,8 @@
         expected = {reason.value: find_unknown_status(reason) for reason in CutReason}
         self.assertEqual(read_rows("unknown"), expected)
 
-    def test_lists_every_refusal_of_the_call_task(self):
-        source = (Path(__file__).parents[1] / "call_task.py").read_text()
+    def test_lists_every_refusal_at_the_intake(self):
+        source = (Path(__file__).parents[1] / "call_intake.py").read_text()
         found = {reason: int(status) for status, reason in REFUSED.findall(source)}
         self.assertGreaterEqual(len(found), 5)
         self.assertEqual(read_rows("refused"), found | {"key-reused": 422})
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -21,6 +21,7 @@
 from bendwind_core.messages import Hello
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Upstream
+from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.claims.task import GroupsPushed, create_claim_task
@@ -55,7 +56,8 @@
     """
     name = settings.instance.name
     recorder = Recorder(name, read_wall_ms, settings.timeline.capacity, _read_monotonic_us)
-    daemon = Daemon(settings, listeners, recorder, Dispatcher(name), None)
+    budget = ByteBudget(settings.limits.buffered_bytes)
+    daemon = Daemon(settings, listeners, recorder, Dispatcher(name), None, budget)
     if settings.tls is not None:
         loaded = load_keys(settings.tls, recorder, settings.operators.client_authority)
         if loaded.is_error():
@@ -103,6 +105,7 @@
         nursery,
         settings.lease.lease_ms,
         settings.limits.body_bytes,
+        daemon.body_budget,
         lambda upstream: _announce(membership, upstream),
     )
     dispatcher.entry = EntryNode(
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -6,6 +6,7 @@
 
 from bendwind_core.core import Seconds
 from bendwind_node.calls.announce_asgi import AnnounceApp
+from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_task import CallTask
 from bendwind_node.calls.caller_asgi import serve_callers_asgi
 from bendwind_node.calls.caller_h11 import H11Server
@@ -36,7 +37,9 @@
 def serve_callers(daemon: Daemon, nursery: trio.Nursery) -> None:
     """Start to serve callers by the HTTP server that the settings name."""
     limits = daemon.settings.limits
-    task = CallTask(daemon.dispatcher.entry, limits.in_flight, limits.body_bytes)
+    entry = daemon.dispatcher.entry
+    intake = CallIntake(entry, limits.in_flight, limits.body_bytes, daemon.body_budget)
+    task = CallTask(entry, intake)
     match daemon.settings.callers.server:
         case "h11":
             server = H11Server(
--- a/packages/bendwind-node/src/bendwind_node/daemon/state.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/state.py
@@ -5,6 +5,7 @@
 import trio
 
 from bendwind_core.timeline import Recorder
+from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.daemon.dispatcher import Dispatcher
 from bendwind_node.daemon.listeners import Listeners
 from bendwind_node.security import Keys
@@ -20,5 +21,6 @@
     recorder: Recorder
     dispatcher: Dispatcher
     keys: Keys | None
+    body_budget: ByteBudget
     stopping: trio.Event = field(default_factory=trio.Event)
     callers_done: trio.Event = field(default_factory=trio.Event)
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -138,6 +138,13 @@
     body_bytes: Annotated[
         int, Meta(ge=0, le=1 << 30), _doc("Longest request body of a caller.", "B")
     ] = (8 << 20)
+    buffered_bytes: Annotated[
+        int,
+        Meta(ge=1 << 20, le=1 << 36),
+        _doc("Bytes of request bodies held at a time; more is refused as not run.", "B"),
+    ] = (
+        64 << 20
+    )
     header_bytes: Annotated[
         int, Meta(ge=1024, le=1 << 20), _doc("Longest request line and headers of a caller.", "B")
     ] = (16 << 10)
