calls: tests of the whole call path with links that break

Change: ten tests join an entry node, owner nodes and a scripted upstream over links that a test holds back or cuts. Seeding the old comparison of incarnations is caught by test_refusal_of_a_restarted_owner_is_taken_as_proof.

--- a/packages/bendwind-node/src/bendwind_node/calls/tests/scripted_server.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/scripted_server.py
@@ -13,7 +13,7 @@
     numbers = iter(range(1, 1000))
 
     async def serve(stream):
-        with contextlib.suppress(trio.BrokenResourceError):
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             await handler(stream, next(numbers))
 
     async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -0,0 +1,187 @@
+import unittest
+
+import trio
+import trio.testing
+
+from bendwind_core.world import Limits, Service, StaleAction
+from bendwind_node.calls.tests.fakes import MIB, CallBench, announce, make_exchange
+from bendwind_node.calls.tests.scripted_server import OK, read_request, run_server
+
+POST = b"POST"
+
+
+class TestCallPath(unittest.TestCase):
+    def run_with(self, handler, check, **settings):
+        self.runs = 0
+
+        async def count(stream, number):
+            while data := await read_request(stream):
+                self.runs += 1
+                await handler(stream, data)
+
+        async def main():
+            with trio.fail_after(20):
+                async with run_server(count) as port, trio.open_nursery() as nursery:
+                    await check(CallBench(nursery, **settings), port)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def answer_ok(self, stream, data):
+        await stream.send_all(OK)
+
+    def test_own_upstream_answers_whole(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            done = await bench.call(make_exchange())
+            self.assertEqual((done.status, done.body, done.is_complete), (200, b"ok", True))
+            self.assertEqual((bench.entry.runs, bench.intake.in_flight), ({}, 0))
+
+        self.run_with(self.answer_ok, check)
+
+    def test_long_answer_passes_a_slow_caller_within_its_window(self):
+        async def long_answer(stream, data):
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (2 * MIB)
+            await stream.send_all(head + b"z" * 2 * MIB)
+
+        async def check(bench, port):
+            announce(bench.add_owner("other"), port)
+            exchange = make_exchange()
+            exchange.slow = 0.002
+            done = await bench.call(exchange)
+            self.assertEqual((len(done.body), done.is_complete), (2 * MIB, True))
+
+        self.run_with(long_answer, check)
+
+    def test_long_request_reaches_another_owner_whole(self):
+        received = bytearray()
+
+        async def swallow(stream, data):
+            received.extend(data.partition(b"\r\n\r\n")[2])
+            while len(received) < MIB:
+                received.extend(await stream.receive_some(65536))
+            await stream.send_all(OK)
+
+        async def check(bench, port):
+            owner = bench.add_owner("other")
+            announce(owner, port)
+            done = await bench.call(make_exchange(POST, b"q" * MIB))
+            self.assertEqual((done.status, len(received)), (200, MIB))
+            self.assertEqual((owner.body_budget.used, bench.intake.budget.used), (0, 0))
+
+        self.run_with(swallow, check)
+
+    def test_answer_cut_at_the_upstream_aborts_the_caller(self):
+        async def cut(stream, data):
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nso")
+            await stream.aclose()
+
+        async def check(bench, port):
+            announce(bench.owner, port)
+            done = await bench.call(make_exchange())
+            self.assertEqual((done.is_aborted, done.is_complete), (True, False))
+
+        self.run_with(cut, check)
+
+    def test_link_lost_before_the_hand_over_arrived_is_proven_not_run(self):
+        async def check(bench, port):
+            announce(bench.add_owner("other"), port)
+            bench.hub.hold = True
+            exchange = make_exchange(POST, b"x")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(bench.call, exchange)
+                await trio.testing.wait_all_tasks_blocked()
+                bench.hub.hold = False
+                bench.membership.fresh = False
+                bench.hub.cut("other")
+            self.assertEqual(exchange.headers[b"bendwind-outcome"], b"not-run")
+            self.assertEqual(self.runs, 0)
+
+        self.run_with(self.answer_ok, check)
+
+    def test_link_lost_after_the_start_is_unknown_for_a_marked_request(self):
+        go_on = trio.Event()
+
+        async def wait(stream, data):
+            await go_on.wait()
+            await stream.send_all(OK)
+
+        async def check(bench, port):
+            announce(bench.add_owner("other"), port)
+            exchange = make_exchange(POST, b"x")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(bench.call, exchange)
+                while not self.runs:
+                    await trio.sleep(0.001)
+                bench.hub.cut("other")
+            go_on.set()
+            self.assertEqual(exchange.headers[b"bendwind-outcome"], b"unknown")
+            self.assertEqual(self.runs, 1)
+
+        self.run_with(wait, check)
+
+    def test_refusal_of_a_restarted_owner_is_taken_as_proof(self):
+        # It was dropped as late, because the reply's incarnation is not the one called.
+        async def check(bench, port):
+            owner = bench.add_owner("other", incarnation=2)
+            announce(owner, port)
+            bench.stale_upstream(owner, incarnation=1)
+            done = await bench.call(make_exchange(POST, b"x"))
+            self.assertEqual(done.headers[b"bendwind-outcome"], b"not-run")
+            self.assertEqual(done.headers[b"bendwind-reason"], b"wrong-owner")
+            self.assertEqual(self.runs, 0)
+
+        self.run_with(self.answer_ok, check)
+
+    def test_stale_node_refuses_unless_the_service_serves_stale(self):
+        async def refuse(bench, port):
+            announce(bench.owner, port)
+            bench.membership.fresh = False
+            done = await bench.call(make_exchange())
+            self.assertEqual(done.headers[b"bendwind-reason"], b"stale-configuration")
+
+        async def serve(bench, port):
+            announce(bench.owner, port)
+            bench.membership.fresh = False
+            self.assertEqual((await bench.call(make_exchange())).status, 200)
+
+        self.run_with(self.answer_ok, refuse)
+        service = Service("svc", ("*",), on_stale=StaleAction.SERVE)
+        self.run_with(self.answer_ok, serve, service=service)
+
+    def test_bodies_over_the_limit_or_the_budget_are_refused_and_freed(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            done = await bench.call(make_exchange(POST, b"x" * 2000))
+            self.assertEqual(done.status, 413)
+            bench.intake.budget.limit = 500
+            done = await bench.call(make_exchange(POST, b"x" * 900))
+            self.assertEqual(done.headers[b"bendwind-reason"], b"overloaded")
+            self.assertEqual((bench.intake.budget.used, self.runs), (0, 0))
+
+        service = Service("svc", ("*",), limits=Limits(body_bytes=1000))
+        self.run_with(self.answer_ok, check, service=service)
+
+    def test_drained_owner_finishes_what_it_has_and_refuses_the_rest(self):
+        go_on = trio.Event()
+
+        async def wait(stream, data):
+            await go_on.wait()
+            await stream.send_all(OK)
+
+        async def check(bench, port):
+            announce(bench.owner, port)
+            first = make_exchange(POST, b"x")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(bench.call, first)
+                while not self.runs:
+                    await trio.sleep(0.001)
+                bench.owner.drain()
+                second = await bench.call(make_exchange(POST, b"y"))
+                self.assertFalse(bench.owner.is_idle())
+                go_on.set()
+            self.assertEqual((first.status, first.body), (200, b"ok"))
+            self.assertEqual(second.headers[b"bendwind-outcome"], b"not-run")
+            self.assertEqual((self.runs, bench.owner.is_idle()), (1, True))
+
+        self.run_with(wait, check)
