control: the leader records that a service's claims are lost

Cause: CLAIM_GROUP_LOST was recorded by members only; after all members went at once none was left to say so, and operators saw refusals without their reason. Change: the leader records it once the log has accepted the lost group. Checked by hand: three voters stopped at once and started again; four such events, and accept-claim-loss answered. Before the change the same run showed none.

--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -12,8 +12,8 @@
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup
 from bendwind_core.core import Record, Seconds
 from bendwind_core.membership import DrainMarksAccepted, LeaseTimes
-from bendwind_core.plans import CommandResult, ControlState, encode_command
-from bendwind_core.timeline import Recorder
+from bendwind_core.plans import CommandResult, ControlState, GroupChanged, encode_command
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Configuration, Upstream
 from bendwind_node.claims.placer import ClaimPlacer, PlacementView
 from bendwind_node.control.registry import RegistryTask, create_registry_task
@@ -213,7 +213,11 @@
     service: ControlService
 
     async def propose(command: ChangeClaimGroup) -> object:
-        return await client.propose(encode_command(command))
+        outcome = await client.propose(encode_command(command))
+        if command.group.lost and outcome.is_ok() and isinstance(outcome.ok, GroupChanged):
+            # No member is left to record it.
+            recorder.record(EventKind.CLAIM_GROUP_LOST, detail=command.group.service)
+        return outcome
 
     placer = ClaimPlacer(lambda: service.view_placement(), propose, rng, times.lease)
     service = ControlService(voter, client, registry, placer)
