--- a/packages/bendwind-bench/src/bendwind_bench/experiments/measuring.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/measuring.py
@@ -20,7 +20,7 @@
 )
 NORMAL = 20.0
 TIMES = (0.1, 1.0, 10.0)
-SECONDS = 10.0
+SECONDS = 8.0
 BUDGET_PER_S = 20.0
 CHECKS = [
     Check("share of measuring at 10 times, %", "10x/share %", 1.0),
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/overload.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/overload.py
@@ -14,7 +14,7 @@
 )
 CAPACITY = 100.0
 TIMES = (0.5, 1.0, 2.0, 5.0, 10.0)
-SECONDS = 10.0
+SECONDS = 8.0
 CHECKS = [
     Check("goodput at 10 times / at 1 time", "10x/whole/s", 0.9, "1x/whole/s", at_least=True),
     Check("goodput at 10 times / at 2 times", "10x/whole/s", 0.9, "2x/whole/s", at_least=True),
