--- a/packages/bendwind-core/src/bendwind_core/plans/plan_table.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/plan_table.py
@@ -15,68 +15,78 @@
 
 @dataclass(slots=True)
 class PlanTable:
-    """Hold plans by the log index of their creation, oldest first.
+    """Hold plans by the log index of their creation.
 
-    Every voter must use the same bounds, or their tables would differ.
-    `forgotten` is the highest index whose outcome was dropped.
+    `open` is in the order of creation, `decided` in the order of the outcomes: an outcome is
+    remembered until MAX_OUTCOMES later ones have come, however old its plan is. `forgotten` is
+    the highest index whose outcome was dropped. Every voter must use the same bounds.
     """
 
-    plans: dict[int, Plan] = field(default_factory=dict)
+    open: dict[int, Plan] = field(default_factory=dict)
+    decided: dict[int, Plan] = field(default_factory=dict)
     requests: dict[str, int] = field(default_factory=dict)
-    open: set[int] = field(default_factory=set)
     forgotten: int = 0
 
+    def find(self, index: int) -> Plan | None:
+        """Return the plan of a creation index, or None."""
+        return self.open.get(index) or self.decided.get(index)
+
     def find_request(self, request: str) -> Plan | None:
         """Return the plan that an idempotency key made, or None."""
         index = self.requests.get(request)
-        return None if index is None else self.plans[index]
+        return None if index is None else self.find(index)
 
     def explain_absence(self, plan_id: str, index: int) -> UnknownPlan | ForgottenPlan:
         """Tell an id too old to be remembered from one that never existed."""
         return ForgottenPlan(plan_id) if index <= self.forgotten else UnknownPlan(plan_id)
 
+    def list_newest_first(self) -> list[Plan]:
+        """Return every plan, the one created last first."""
+        plans = [*self.open.values(), *self.decided.values()]
+        return sorted(plans, key=lambda plan: plan.index, reverse=True)
+
     def has_room_for(self, services: int) -> bool:
         """Tell whether one more plan that puts this many services may be kept open."""
-        held = sum(len(self.plans[index].changes.put) for index in self.open)
+        held = sum(len(plan.changes.put) for plan in self.open.values())
         return len(self.open) < MAX_OPEN_PLANS and held + services <= MAX_OPEN_SERVICES
 
     def add(self, plan: Plan) -> None:
-        """Keep a plan, and forget the oldest outcomes beyond the bound."""
-        self.plans[plan.index] = plan
+        """Keep an open plan."""
+        self.open[plan.index] = plan
         self.requests[plan.request] = plan.index
-        if plan.outcome is None:
-            self.open.add(plan.index)
-        self._forget_oldest()
 
     def decide(self, index: int, outcome: PlanOutcome) -> None:
-        """Record the outcome of an open plan."""
-        self.plans[index] = self.plans[index].decide(outcome)
-        self.open.discard(index)
-        self._forget_oldest()
+        """Record the outcome of an open plan, and forget the oldest beyond the bound."""
+        self.decided[index] = self.open.pop(index).decide(outcome)
+        if len(self.decided) > MAX_OUTCOMES:
+            self._forget(next(iter(self.decided.values())))
+
+    def _forget(self, plan: Plan) -> None:
+        del self.decided[plan.index]
+        del self.requests[plan.request]
+        self.forgotten = max(self.forgotten, plan.index)
 
     def expire(self, now_ms: int) -> None:
         """Record as expired every open plan whose time has passed."""
-        for index in sorted(self.open):
-            plan = self.plans[index]
+        for plan in list(self.open.values()):
             if plan.expires_ms <= now_ms:
-                self.decide(index, Expired(plan.id))
+                self.decide(plan.index, Expired(plan.id))
 
     def supersede(self, winner: Plan, version: int) -> None:
         """Record for every plan still open that another one won."""
-        for index in sorted(self.open):
-            self.decide(index, WonBy(winner.id, version))
-
-    def _forget_oldest(self) -> None:
-        while len(self.plans) - len(self.open) > MAX_OUTCOMES:
-            oldest = next(index for index in self.plans if index not in self.open)
-            plan = self.plans.pop(oldest)
-            del self.requests[plan.request]
-            self.forgotten = max(self.forgotten, oldest)
-
-
-def create_plan_table(plans: Iterable[Plan], forgotten: int) -> PlanTable:
-    """Build a table out of plans in the order of their creation."""
-    table = PlanTable(forgotten=forgotten)
-    for plan in plans:
-        table.add(plan)
+        for plan in list(self.open.values()):
+            self.decide(plan.index, WonBy(winner.id, version))
+
+
+def create_plan_table(
+    open_plans: Iterable[Plan], decided: Iterable[Plan], forgotten: int
+) -> PlanTable:
+    """Build a table out of plans in the orders that a table keeps them in."""
+    table = PlanTable(
+        open={plan.index: plan for plan in open_plans},
+        decided={plan.index: plan for plan in decided},
+        forgotten=forgotten,
+    )
+    for plan in table.list_newest_first():
+        table.requests[plan.request] = plan.index
     return table
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -38,7 +38,8 @@
     applied: int
     configuration: Configuration
     configuration_plan: str
-    plans: tuple[Plan, ...]
+    open_plans: tuple[Plan, ...]
+    decided_plans: tuple[Plan, ...]
     forgotten: int
     claim_groups: tuple[ClaimGroup, ...]
     draining_instances: tuple[str, ...]
@@ -92,7 +93,7 @@
         index = parse_plan_id(plan_id)
         if index is None:
             return UnknownPlan(plan_id)
-        found = self.plans.plans.get(index)
+        found = self.plans.find(index)
         return self.plans.explain_absence(plan_id, index) if found is None else found
 
     def _create_plan(self, index: int, command: CreatePlan) -> CommandResult:
@@ -168,7 +169,8 @@
                 self.applied,
                 self.configuration,
                 self.configuration_plan,
-                tuple(self.plans.plans.values()),
+                tuple(self.plans.open.values()),
+                tuple(self.plans.decided.values()),
                 self.plans.forgotten,
                 tuple(self.claim_groups.values()),
                 tuple(self.draining_instances),
@@ -186,7 +188,9 @@
         self.applied = snapshot.applied
         self.configuration = snapshot.configuration
         self.configuration_plan = snapshot.configuration_plan
-        self.plans = create_plan_table(snapshot.plans, snapshot.forgotten)
+        self.plans = create_plan_table(
+            snapshot.open_plans, snapshot.decided_plans, snapshot.forgotten
+        )
         self.claim_groups = {group.service: group for group in snapshot.claim_groups}
         self.draining_instances = dict.fromkeys(snapshot.draining_instances)
         self.draining_upstreams = dict.fromkeys(snapshot.draining_upstreams)
--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -145,7 +145,7 @@
         confirmed = await self.control.barrier()
         if confirmed.is_error():
             return control_error(confirmed.error)
-        plans = reversed(self.control.state.plans.plans.values())
+        plans = self.control.state.plans.list_newest_first()
         return json_response(200, PlansView(tuple(summarize_plan(plan) for plan in plans)))
 
     async def get_configuration(self) -> Response:
