--- a/packages/bendwind-bench/src/bendwind_bench/deployment/faults.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/faults.py
@@ -6,10 +6,10 @@
 
 import msgspec
 import trio
-from bendwind_core.core import Seconds
 
 from bendwind_bench.deployment.runner import Deployment
 from bendwind_bench.upstream import Change
+from bendwind_core.core import Seconds
 
 
 class Action(enum.StrEnum):
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/executor.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/executor.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 
 import trio
-from bendwind_core.core import MILLISECONDS_PER_SECOND
 
 from bendwind_bench.upstream.settings import Change, UpstreamSettings
+from bendwind_core.core import MILLISECONDS_PER_SECOND
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bendwind_core.claims import ClaimGroup
+from bendwind_core.claims import ClaimGroup, node_of
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.events import RegistryEffect, SendTo
 from bendwind_core.membership.holdings import UpstreamKey, upstream_key
@@ -21,10 +21,10 @@
     find_row,
     put_claim_group,
 )
-from bendwind_core.world import Configuration, Upstream, UpstreamState
+from bendwind_core.world import Configuration, Instance, Upstream, UpstreamState
 
 # What one flush sends at most, so that a data centre's loss does not hold up heartbeats.
-_PUSHES_PER_FLUSH = 400
+_PUSHES_PER_FLUSH = 1000
 
 
 def accept_configuration(
@@ -42,6 +42,23 @@
             registry.outdated.update(row.watchers)
 
 
+def accept_drain_marks(
+    registry: VoterRegistry, instances: frozenset[str], upstreams: frozenset[str]
+) -> None:
+    """Take over the drain marks and note whose upstreams they concern."""
+    changed_instances = registry.draining_instances ^ instances
+    changed_upstreams = registry.draining_upstreams ^ upstreams
+    registry.draining_instances = instances
+    registry.draining_upstreams = upstreams
+    for owner, member in registry.members.items():
+        touched = tuple(
+            upstream
+            for upstream in member.state.upstreams
+            if owner in changed_instances or upstream.name in changed_upstreams
+        )
+        mark_dirty(registry, owner, touched, is_urgent=True)
+
+
 def _take_services(registry: VoterRegistry, configuration: Configuration) -> None:
     if registry.floor == 0:
         registry.floor = configuration.version
@@ -95,17 +112,27 @@
     base = client.version if client.version >= max(registry.floor, 0) else 0
     rows = [(name, find_row(registry, name)) for name in client.services]
     changed = [(name, row) for name, row in rows if base == 0 or row.changed_at > base]
+    groups = tuple(row.claim_group for _, row in rows if row.claim_group)
     message = ConfigurationChanged(
         registry.configuration.version,
         tuple(row.service for _, row in changed if row.service),
         tuple(name for name, row in changed if base and not row.service),
-        tuple(row.claim_group for _, row in rows if row.claim_group),
+        groups,
         base,
         client.watch,
+        _find_holders(registry, groups),
     )
     effects.append(SendTo(node, message))
 
 
+def _find_holders(registry: VoterRegistry, groups: tuple[ClaimGroup, ...]) -> tuple[Instance, ...]:
+    named = {
+        node_of(member) for group in groups for member in (*group.members, group.joining) if member
+    }
+    known = [registry.members[name].state.node for name in sorted(named & registry.members.keys())]
+    return tuple(known)
+
+
 def send_everything(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
@@ -210,12 +237,22 @@
     if member is None or not member.is_visible:
         return {}
     return {
-        upstream_key(upstream): upstream
+        upstream_key(upstream): _mark_draining(registry, upstream)
         for upstream in member.state.upstreams
         if upstream.service == service
     }
 
 
+def _mark_draining(registry: VoterRegistry, upstream: Upstream) -> Upstream:
+    is_marked = (
+        upstream.name in registry.draining_upstreams
+        or upstream.owner.name in registry.draining_instances
+    )
+    if is_marked and upstream.state is UpstreamState.READY:
+        return msgspec.structs.replace(upstream, state=UpstreamState.DRAINING)
+    return upstream
+
+
 def _put_change(row: ServiceRow, change: Upstream) -> None:
     old = row.upstreams.pop(upstream_key(change), None)
     if old:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_run.py
@@ -0,0 +1,87 @@
+"""Hold one call while its task, its attempts and its timers are under way."""
+
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from bendwind_core.attempts import AnswerHead, AttemptId, BodyPart, CutReason
+from bendwind_core.attempts.call import EntryCall
+from bendwind_core.attempts.events import (
+    FINAL_EFFECTS,
+    EntryEffect,
+    EntryEvent,
+    StartTimer,
+    TimerKind,
+)
+from bendwind_core.claims import ClaimAnswer
+from bendwind_core.core import Seconds
+from bendwind_node.calls.body_flow import Outflow
+
+
+@dataclass(slots=True, eq=False)
+class CallRun:
+    """Hold one call; `apply` decides on an event and carries out what needs no waiting."""
+
+    call: EntryCall
+    apply: Callable[["CallRun", EntryEvent], None]
+    method: str
+    target: bytes
+    headers: tuple
+    body: bytes
+    key: str = ""
+    fingerprint: bytes = b""
+    heads: dict[AttemptId, AnswerHead] = field(default_factory=dict)
+    incoming: dict[tuple[AttemptId, int], BodyPart] = field(default_factory=dict)
+    todo: collections.deque[EntryEffect] = field(default_factory=collections.deque)
+    timers: dict[TimerKind, Seconds] = field(default_factory=dict)
+    events: collections.deque[EntryEvent] = field(default_factory=collections.deque)
+    outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
+    kept_parts: list[bytes] = field(default_factory=list)
+    replay: ClaimAnswer | CutReason | None = None
+    is_stepping: bool = False
+    wake: trio.Event = field(default_factory=trio.Event)
+
+    def feed(self, event: EntryEvent) -> None:
+        """Apply an event; one that comes while another is applied waits its turn."""
+        self.events.append(event)
+        if self.is_stepping:
+            return
+        self.is_stepping = True
+        try:
+            while self.events:
+                self.apply(self, self.events.popleft())
+        finally:
+            self.is_stepping = False
+
+    def leave_to_task(self, effect: EntryEffect) -> None:
+        """Queue an effect that the call's task carries out, and wake it."""
+        self.todo.append(effect)
+        self.wake.set()
+
+    def start_timer(self, timer: StartTimer) -> None:
+        """Set or move a timer."""
+        self.timers[timer.kind] = timer.at
+        self.wake.set()
+
+    async def wait(self) -> None:
+        """Return when there is an effect to carry out or a timer to fire."""
+        if self.todo:
+            return
+        self.wake = trio.Event()
+        with trio.move_on_at(min(self.timers.values(), default=float("inf"))):
+            await self.wake.wait()
+
+    def take_due_timers(self, now: Seconds) -> list[TimerKind]:
+        """Remove and return the timers that are due, earliest first."""
+        due = sorted((at, kind.value) for kind, at in self.timers.items() if at <= now)
+        kinds = [TimerKind(value) for _, value in due]
+        for kind in kinds:
+            del self.timers[kind]
+        return kinds
+
+
+def has_final_effect(run: CallRun) -> bool:
+    """Tell whether the call's final outcome waits to be carried out."""
+    return any(isinstance(effect, FINAL_EFFECTS) for effect in run.todo)
--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import trio
+
 from bendwind_core.claims import (
     ChangeClaimGroup,
     ClaimCopied,
--- a/packages/bendwind-node/src/bendwind_node/operators/__init__.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/__init__.py
@@ -3,6 +3,7 @@
 from bendwind_node.operators.app import OperatorsApp
 from bendwind_node.operators.authority import (
     OperatorAuthority,
+    create_certificate_authority,
     create_open_authority,
     create_token_authority,
 )
@@ -15,7 +16,6 @@
     VoterStatus,
 )
 from bendwind_node.operators.http import Response
-from bendwind_node.operators.server import OperatorsTls, serve_operators
 from bendwind_node.operators.status_source import NodeVersion, ProcessStatus, StatusSource
 
 __all__ = [
@@ -26,13 +26,12 @@
     "NotLeader",
     "OperatorAuthority",
     "OperatorsApp",
-    "OperatorsTls",
     "OutcomeUnknown",
     "ProcessStatus",
     "Response",
     "StatusSource",
     "VoterStatus",
+    "create_certificate_authority",
     "create_open_authority",
     "create_token_authority",
-    "serve_operators",
 ]
--- a/packages/bendwind-node/src/bendwind_node/operators/claim_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/claim_routes.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 
 import msgspec
+
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup, choose_claim_group
 from bendwind_core.plans import GroupChanged, encode_command
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Upstream, UpstreamState
-
 from bendwind_node.operators.control_client import ControlClient
 from bendwind_node.operators.errors import ErrorKind, command_error, control_error, plain_error
 from bendwind_node.operators.http import Response, json_response
--- a/packages/bendwind-node/src/bendwind_node/operators/control_client.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/control_client.py
@@ -5,9 +5,10 @@
 from typing import Protocol
 
 import msgspec
+from expression import Result
+
 from bendwind_core.core import Milliseconds
 from bendwind_core.plans import CommandResult, ControlState
-from expression import Result
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bendwind-node/src/bendwind_node/operators/errors.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/errors.py
@@ -3,6 +3,8 @@
 import enum
 
 import msgspec
+from msgspec import UNSET, UnsetType
+
 from bendwind_core.core import TomlError
 from bendwind_core.plans import (
     ForgottenPlan,
@@ -13,8 +15,6 @@
     UnknownPlan,
     VersionMoved,
 )
-from msgspec import UNSET, UnsetType
-
 from bendwind_node.operators.control_client import ControlError, NoQuorum, NotLeader, OutcomeUnknown
 from bendwind_node.operators.http import Response, json_response
 
--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 
 import msgspec
+from expression import Error, Ok, Result
+
 from bendwind_core.plans import (
     Command,
     CommandResult,
@@ -28,8 +30,6 @@
 )
 from bendwind_core.plans.results import UnknownPlan
 from bendwind_core.timeline import EventKind, Recorder
-from expression import Error, Ok, Result
-
 from bendwind_node.operators.control_client import ControlClient, ControlError, OutcomeUnknown
 from bendwind_node.operators.errors import (
     ErrorKind,
--- a/packages/bendwind-node/src/bendwind_node/operators/views.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/views.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 import msgspec
+
 from bendwind_core.core import Milliseconds
 from bendwind_core.plans import (
     Confirmed,
@@ -22,7 +23,6 @@
 from bendwind_core.plans.intent import StatedService
 from bendwind_core.timeline import Event, EventKind
 from bendwind_core.world import Upstream
-
 from bendwind_node.operators.control_client import VoterStatus
 from bendwind_node.operators.status_source import NodeVersion
 
