--- a/packages/bendwind-bench/src/bendwind_bench/experiments/fast_failure.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/fast_failure.py
@@ -11,9 +11,8 @@
 TITLE = "Errors that callers see while an upstream fails fast"
 ABOUT = (
     "The service, load and policies of the slow-down experiment, but one of the 4 upstreams "
-    "answers "
-    "500 at once for the middle 6 of 8 seconds, so that it looks idle. The calls are idempotent. An "
-    "error is anything but a whole answer of status 200."
+    "answers 500 at once for the middle 6 of 8 seconds, so that it looks idle. The calls are "
+    "idempotent. An error is anything but a whole answer of status 200."
 )
 CHECKS = [Check("errors with score, %", "score/errors %", 1.0)]
 SECONDS = 8.0
