--- a/packages/bendwind-cli/src/bendwind_cli/client.py
+++ b/packages/bendwind-cli/src/bendwind_cli/client.py
@@ -131,7 +131,7 @@
                 method, url, headers=headers, content=body, extensions={"timeout": timeouts}
             )
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
-            return Error(_explain_fault(address, error))
+            return Error(_explain_fault(address, error, is_secure=self.scheme == "https"))
         return Ok(Answer(response.status, response.content))
 
 
@@ -151,7 +151,7 @@
     return Ok(Client(settings, pool, scheme, token[0] if token else "", list(settings.control)))
 
 
-def _explain_fault(address: str, error: Exception) -> Failure:
+def _explain_fault(address: str, error: Exception, *, is_secure: bool) -> Failure:
     # httpcore raises its own exceptions from those of the ssl module.
     cause: BaseException | None = error
     while cause is not None:
@@ -159,6 +159,10 @@
             line = f"{address} and this client refused each other's keys: {cause.reason or cause}"
             return Failure(ExitCode.NO_CREDENTIALS, line)
         cause = cause.__cause__ or cause.__context__
+    # In TLS 1.3 a server judges the client's key after the client's end of the handshake is done.
+    if is_secure and isinstance(error, httpcore.RemoteProtocolError | httpcore.ReadError):
+        line = f"{address} closed the connection, as it does on keys that it refuses"
+        return Failure(ExitCode.NO_CREDENTIALS, f"{line}; its log says why")
     reason = str(error) or type(error).__name__
     return Failure(ExitCode.NO_ANSWER, f"{address} did not answer: {reason}")
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -76,6 +76,7 @@
         settings.peers.host,
         find_port(listeners.peers),
         incarnation=read_wall_ms(),
+        operators=f"{settings.operators.host}:{find_port(listeners.operators)}",
     )
 
 
