operators: race operators over the API, and pin refusals and faulty requests

Cause: the routes had been called by hand only. Tests: test_fuzz_operators states, resends and confirms plans at two voters while the log refuses, loses the answer or delays the command; oracle: one plan a key, one outcome a plan, one winner a version, and no read older than an answer given before. Seeded bugs in a scratch copy: ignoring the idempotency key (AssertionError in state_intent), reading without a barrier ('older than an answer given before'). test_app pins tokens (any line of the file, renewed without restart, refusals recorded without the token), limits, and errors that name file, key and what was expected. Conclusion: no fault found in the routes by these.

--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
@@ -0,0 +1,118 @@
+"""Pin who may call, and what the API answers to faulty requests."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import trio
+
+from bendwind_core.timeline import EventKind
+from bendwind_node.operators import create_open_authority, create_token_authority
+from bendwind_node.operators.http import MAX_BODY_BYTES
+from bendwind_node.operators.tests.fakes import FakeClient, FakeLog, ask, create_app
+
+
+async def serve(app, body: bytes = b"", authorization: str = "") -> tuple[int, bytes]:
+    headers = [(b"Authorization", authorization.encode())] if authorization else []
+    scope = {
+        "type": "http",
+        "method": "POST",
+        "path": "/v1/plans",
+        "query_string": b"",
+        "headers": headers,
+        "client": ("127.0.0.1", 40000),
+    }
+    sent = []
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        sent.append(message)
+
+    await app(scope, receive, send)
+    return sent[0]["status"], sent[1]["body"]
+
+
+class AuthorityTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name, "tokens")
+        self.file.write_text("alpha\nbeta\n")
+        self.app = create_app(FakeClient(FakeLog()), create_token_authority(self.file))
+
+    def check(self, authorization: str) -> int:
+        return trio.run(lambda: serve(self.app, b"services = []", authorization))[0]
+
+    def test_any_token_of_the_file_is_let_in_and_nothing_else(self):
+        self.assertEqual([self.check("Bearer alpha"), self.check("bearer beta")], [201, 201])
+        refused = ["", "Bearer", "Bearer ", "Bearer alph", "Bearer alpha\n beta", "Basic alpha"]
+        self.assertEqual({self.check(text) for text in refused}, {401})
+
+    def test_a_refusal_is_recorded_and_tells_nothing(self):
+        status, body = trio.run(lambda: serve(self.app, b"", "Bearer wrong"))
+        self.assertEqual((status, body), (401, b'{"error":"refused","detail":""}'))
+        self.assertEqual(self.app.recorder.events[-1].kind, EventKind.OPERATOR_REFUSED)
+        self.assertNotIn("wrong", self.app.recorder.events[-1].detail)
+
+    def test_tokens_are_renewed_without_a_restart(self):
+        self.file.write_text("gamma\n")
+        self.assertEqual([self.check("Bearer alpha"), self.check("Bearer gamma")], [401, 201])
+        self.file.unlink()
+        self.assertEqual(self.check("Bearer gamma"), 401)
+
+    def test_no_tokens_are_asked_for_on_loopback_only(self):
+        create_open_authority("::1")
+        self.assertRaises(ValueError, create_open_authority, "10.0.0.1")
+
+
+class RequestTest(unittest.TestCase):
+    def setUp(self):
+        self.app = create_app(FakeClient(FakeLog()), create_open_authority("127.0.0.1"))
+
+    def check(self, method: str, path: str, body: str = "", **query) -> tuple[int, dict]:
+        return trio.run(lambda: ask(self.app, method, path, body, **query))
+
+    def test_a_faulty_intent_is_named_by_file_key_and_what_was_expected(self):
+        text = '[[services]]\nname = "emisor"\nupstreams = ["*"]\n[[services.rules]]\npath = 3'
+        status, body = self.check("POST", "/v1/plans", text, file="mine.toml")
+        self.assertEqual(
+            (status, body["file"], body["key"]), (400, "mine.toml", "services[0].rules[0].path")
+        )
+        self.assertEqual(body["expected"], "expected `str`, got `int`")
+
+    def test_an_empty_intent_does_not_end_every_service(self):
+        self.assertEqual(self.check("POST", "/v1/plans")[0], 400)
+
+    def test_faulty_queries_and_unknown_ids_are_refused(self):
+        refused = {
+            self.check("POST", "/v1/plans", "services = []", base_version="-1")[0],
+            self.check("POST", "/v1/plans", "services = []", expires_s="²")[0],
+            self.check("POST", "/v1/plans", "services = []", key="k" * 129)[0],
+            self.check("GET", "/v1/timeline", limit="x")[0],
+            self.check("GET", "/v1/timeline", kind="none")[0],
+        }
+        self.assertEqual(refused, {400})
+        for plan in ("p1", "1", "p01", "p" + "9" * 40, "p-1"):
+            self.assertEqual(self.check("GET", f"/v1/plans/{plan}")[1]["error"], "unknown-plan")
+
+    def test_a_stated_base_version_that_moved_names_the_plan_that_won(self):
+        self.check("POST", "/v1/plans", "services = []", key="a")
+        self.check("POST", "/v1/plans/p1/confirm")
+        status, body = self.check("POST", "/v1/plans", "services = []", base_version="0")
+        self.assertEqual((status, body["version"], body["plan"]), (409, 2, "p1"))
+
+    def test_a_body_beyond_the_limit_is_refused(self):
+        status, _ = trio.run(lambda: serve(self.app, b"#" * (MAX_BODY_BYTES + 1)))
+        self.assertEqual(status, 413)
+
+    def test_routes_of_voters_are_refused_elsewhere(self):
+        app = create_app(None, create_open_authority("127.0.0.1"))
+        status, body = trio.run(lambda: ask(app, "GET", "/v1/plans"))
+        self.assertEqual((status, body["error"]), (404, "not-a-voter"))
+        self.assertEqual(trio.run(lambda: ask(app, "GET", "/v1/status"))[0], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_fuzz_operators.py
@@ -0,0 +1,100 @@
+"""Have operators race and resend over the API while the log loses commands and answers."""
+
+import logging
+
+import trio
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+import bendwind_core.core.tests.profiles  # noqa: F401
+from bendwind_node.operators import create_open_authority
+from bendwind_node.operators.tests.fakes import FakeClient, FakeLog, Fate, ask, create_app
+
+NAMES = ("agenda", "emisor")
+RESEND_STATUSES = {421, 503, 504}
+
+voters = st.integers(0, 1)
+fates = st.sampled_from([Fate.APPLIED, *Fate])
+keys = st.sampled_from(["k0", "k1", "k2", "k3"])
+intents = st.sampled_from(
+    [
+        "services = []",
+        *(f'[[services]]\nname = "{name}"\nupstreams = ["{name}-*"]' for name in NAMES),
+    ]
+)
+
+
+def setUpModule():
+    logging.disable(logging.CRITICAL)
+
+
+def tearDownModule():
+    logging.disable(logging.NOTSET)
+
+
+class OperatorsMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.log = FakeLog()
+        self.clients = [FakeClient(self.log) for _ in range(2)]
+        authority = create_open_authority("127.0.0.1")
+        self.apps = [create_app(client, authority) for client in self.clients]
+        self.plans: dict[str, tuple[str, str, int]] = {}
+        self.outcomes: dict[str, dict] = {}
+
+    def _ask(self, voter: int, method: str, path: str, body: str = "", **query):
+        return trio.run(lambda: ask(self.apps[voter], method, path, body, **query))
+
+    @rule(voter=voters, key=keys, intent=intents, fate=fates)
+    def state_intent(self, voter, key, intent, fate):
+        self.log.fate = fate
+        status, body = self._ask(voter, "POST", "/v1/plans", intent, key=key)
+        if status in RESEND_STATUSES:
+            return
+        known = self.plans.get(key)
+        if status == 409 and body["error"] == "request-reused":
+            assert known is None or (known[0] == body["plan"] and known[1] != intent)
+            return
+        assert status in (200, 201), body
+        if known is None:
+            self.plans[key] = body["id"], intent, body["base_version"]
+        assert self.plans[key] == (body["id"], intent, body["base_version"])
+
+    @precondition(lambda self: self.plans)
+    @rule(voter=voters, key=keys, fate=fates)
+    def confirm(self, voter, key, fate):
+        if key in self.plans:
+            self.log.fate = fate
+            self._confirm(voter, self.plans[key][0])
+
+    def _confirm(self, voter: int, plan: str) -> None:
+        status, body = self._ask(voter, "POST", f"/v1/plans/{plan}/confirm")
+        if status not in RESEND_STATUSES:
+            assert status == {"confirmed": 200, "won-by": 409}[body["kind"]]
+            assert self.outcomes.setdefault(plan, body) == body, "another outcome than before"
+
+    @precondition(lambda self: self.log.delayed)
+    @rule()
+    def let_a_delayed_command_through(self):
+        self.log.entries.append(self.log.delayed.pop(0))
+
+    @rule(voter=voters, fate=fates)
+    def read(self, voter, fate):
+        self.log.fate = fate
+        status, body = self._ask(voter, "GET", "/v1/configuration")
+        if status == 200:
+            for outcome in self.outcomes.values():
+                assert body["version"] >= outcome["version"], "older than an answer given before"
+
+    def teardown(self):
+        self.log.fate = Fate.APPLIED
+        self.log.entries += self.log.delayed
+        for voter in (0, 1):
+            for plan, _, _ in list(self.plans.values()):
+                self._confirm(voter, plan)
+        won = [outcome for outcome in self.outcomes.values() if outcome["kind"] == "confirmed"]
+        bases = {plan: base for plan, _, base in self.plans.values()}
+        assert len({bases[outcome["plan"]] for outcome in won}) == len(won), "two won a version"
+
+
+TestOperators = OperatorsMachine.TestCase
