claims: fuzz five nodes against an oracle that counts runs

Cause: what makes a key run at most once had only been tested without loss. Change: a stand-in for nodes, links and control, whose messages are lost, repeated and reordered while nodes crash, restart empty, pause, leave, are cut off or hear no group changes; an oracle counts runs for each key and compares each decision with those before it. The size of a chunk of a copy is a limit, so that the test copies one claim at a time. Ruled out: a first version of the stand-in renewed leases on nodes that had not heard of the newest group, and a grant in a given-up epoch followed. A lease is a proof of the newest version, so it must only be renewed with that version in force; the stand-in now does so, and the node must too.

--- a/packages/bendwind-core/src/bendwind_core/claims/holder.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/holder.py
@@ -30,8 +30,6 @@
 
 RESEND_AFTER: Seconds = 0.2
 PATIENCE_MARGIN_MS = 500.0
-COPY_CHUNK_CLAIMS = 64
-COPY_CHUNK_BYTES = 128 * 1024
 MAX_WRITES = 1024
 MAX_WAITERS = 1024
 
@@ -474,7 +472,8 @@
 def _take_chunk(holder: ClaimHolder) -> list[Claim]:
     found: list[Claim] = []
     size = 0
-    while holder.copy_keys and len(found) < COPY_CHUNK_CLAIMS and size < COPY_CHUNK_BYTES:
+    limits = holder.table.limits
+    while holder.copy_keys and len(found) < limits.copy_claims and size < limits.copy_bytes:
         claim = holder.table.find(holder.copy_keys.pop())
         if claim is not None:
             found.append(claim)
--- a/packages/bendwind-core/src/bendwind_core/claims/table.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/table.py
@@ -14,12 +14,15 @@
 class ClaimLimits:
     """Bound what a node keeps of one service's claims.
 
+    `copy_claims` and `copy_bytes` bound a chunk of the copy to a joining member.
     Units: `retention` is in seconds.
     """
 
     retention: Seconds = 24 * 3600.0
     claims: int = 50_000
     bytes: int = 16 * 1024 * 1024
+    copy_claims: int = 64
+    copy_bytes: int = 128 * 1024
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/claims/tests/test_fuzz_claims.py
@@ -0,0 +1,129 @@
+"""Fuzz claims over five nodes against an oracle that counts runs."""
+
+import random
+
+import bendwind_core.core.tests.profiles  # noqa: F401
+from bendwind_core.claims import ClaimState, member_of
+from bendwind_core.claims.tests.cluster import NODES, SERVICE, Cluster
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+NODE = st.sampled_from(NODES)
+SEED = st.integers(0, 1 << 16)
+LOSS = st.sampled_from([0.0, 0.1, 0.5])
+KIND = st.sampled_from("crash restart pause no-control no-peers deaf leave".split())
+KEYS = "klmnopqrstuvwxyz"
+RECENT = 3
+REPAIR_ROUNDS = 24
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster()
+        self.newest = RECENT
+
+    # Callers, links and time.
+
+    @rule()
+    def take_new_keys(self):
+        self.newest = min(len(KEYS), self.newest + 1)
+
+    @rule(nodes=st.lists(NODE, min_size=1, max_size=3), fingerprint=st.sampled_from([b"f", b"g"]))
+    def resend_at_once(self, nodes, fingerprint):
+        for node in nodes:
+            self.cluster.request(node, KEYS[self.newest - 1], fingerprint)
+
+    @rule(seed=SEED, rounds=st.integers(1, 20), loss=LOSS)
+    def live(self, seed, rounds, loss):
+        keys = KEYS[self.newest - RECENT : self.newest]
+        self.cluster.live(random.Random(seed), rounds, keys, loss)
+
+    @rule(seed=SEED, count=st.integers(1, 40), loss=st.sampled_from([0.0, 0.5, 1.0]))
+    def deliver_in_any_order(self, seed, count, loss):
+        self.cluster.deliver_some(random.Random(seed), count, loss)
+
+    @rule()
+    def run_all(self):
+        for call in sorted(self.cluster.oracle.granted):
+            self.cluster.run(call)
+
+    @rule(state=st.sampled_from([ClaimState.ANSWERED, ClaimState.UNKNOWN]))
+    def finish_all(self, state):
+        for call in sorted(self.cluster.oracle.running):
+            self.cluster.finish(call, state)
+
+    @rule()
+    def release_all(self):
+        for call in sorted(self.cluster.oracle.granted):
+            self.cluster.prove_not_run(call)
+
+    @rule(seconds=st.sampled_from([0.05, 0.25, 1.0, 5.0]))
+    def advance(self, seconds):
+        self.cluster.advance(seconds)
+
+    # Faults and repairs.
+
+    @rule(node=NODE, kind=KIND)
+    def disturb(self, node, kind):
+        self._disturb(node, kind)
+
+    @rule(kind=KIND, rounds=st.integers(0, 6))
+    def disturb_primary(self, kind, rounds):
+        name = self._members()[0]
+        self._disturb(name, kind)
+        self.cluster.settle(rounds)
+
+    @rule(times=st.integers(1, 3))
+    def lose_primaries_with_repairs_between(self, times):
+        for _ in range(times):
+            self.cluster.crash(self._members()[0])
+            self.cluster.settle(REPAIR_ROUNDS)
+
+    @rule(kind=st.sampled_from(["crash", "pause", "no-control"]), is_accepted=st.booleans())
+    def lose_every_member(self, kind, is_accepted):
+        for node in self._members():
+            self._disturb(node, kind)
+        self.cluster.settle(REPAIR_ROUNDS)
+        if is_accepted:
+            self.cluster.accept_loss()
+
+    @rule()
+    def heal(self):
+        self.cluster.heal()
+
+    @rule(rounds=st.integers(1, REPAIR_ROUNDS))
+    def settle(self, rounds):
+        self.cluster.settle(rounds)
+
+    @precondition(lambda self: self.cluster.proposals)
+    @rule(seed=SEED)
+    def commit(self, seed):
+        self.cluster.commit(seed % len(self.cluster.proposals))
+
+    def _disturb(self, name, kind):
+        node = self.cluster.nodes[name]
+        match kind:
+            case "crash":
+                self.cluster.crash(name)
+            case "restart":
+                self.cluster.crash(name)
+                self.cluster.restart(name)
+            case "pause":
+                node.is_paused = True
+            case "no-control":
+                node.has_control = False
+            case "no-peers":
+                node.has_peers = False
+            case "deaf":
+                node.hears_groups = False
+            case "leave":
+                self.cluster.leaving.add(member_of(node.instance))
+
+    def _members(self):
+        return [member.partition("#")[0] for member in self.cluster.groups[SERVICE].members]
+
+
+ClaimsTest = ClaimsMachine.TestCase
+ClaimsTest.settings = settings(max_examples=4 * settings().max_examples)
