--- a/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
@@ -8,9 +8,15 @@
 import msgspec
 import trio
 
-from bendwind_bench.deployment.layout import Layout, Member, make_layout, write_settings
+from bendwind_bench.deployment.layout import (
+    Layout,
+    Member,
+    make_layout,
+    write_client_settings,
+    write_settings,
+)
 from bendwind_bench.deployment.process import Process
-from bendwind_bench.http import HttpBrokenError, send_json
+from bendwind_bench.http import HttpBrokenError, pool_of, send_json
 
 RUN_FOLDER = Path("run")
 READY_WITHIN_S = 60.0
@@ -54,6 +60,7 @@
 
     def start(self) -> None:
         """Start every process."""
+        write_client_settings(self.layout)
         for member in self.layout.members:
             write_settings(self.layout, member)
             self.upstreams[member.upstream.name] = self._make_process(
@@ -126,17 +133,16 @@
 
 
 async def _wait_served(address: str, service: str) -> None:
-    from bendwind_bench.http import pool_of
-
     headers = [(b"Bendwind-Service", service.encode())]
-    while True:
-        pool = pool_of(address)
-        with contextlib.suppress(OSError, HttpBrokenError):
-            answer = await pool.request("GET", "/", headers)
-            if answer.status == 200:
-                return
+    pool = pool_of(address)
+    try:
+        while True:
+            with contextlib.suppress(OSError, HttpBrokenError):
+                if (await pool.request("GET", "/", headers)).status == 200:
+                    return
+            await trio.sleep(POLL_S)
+    finally:
         pool.close()
-        await trio.sleep(POLL_S)
 
 
 @contextlib.asynccontextmanager
--- a/packages/bendwind-bench/src/bendwind_bench/reports/latency.py
+++ b/packages/bendwind-bench/src/bendwind_bench/reports/latency.py
@@ -3,9 +3,9 @@
 import collections
 
 import msgspec
-from bendwind_core.core import Milliseconds
 
 from bendwind_bench.load import Outcome, Sample
+from bendwind_core.core import Milliseconds
 
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+
 from bendwind_core.claims import (
     ClaimAnswer,
     ClaimCopied,
@@ -61,6 +62,7 @@
 from bendwind_core.world import Instance
 
 TICK: Seconds = 0.1
+IDLE_TICK: Seconds = 0.5
 INBOX_MESSAGES = 1024
 DEFAULT_LIMITS = ClaimLimits()
 
@@ -112,6 +114,7 @@
         "holders",
         "inbox",
         "instance",
+        "is_draining_local",
         "limits",
         "local",
         "member",
@@ -144,6 +147,7 @@
         self.fresh_until: Seconds = 0.0
         self.waiting: dict[str, _Waiting] = {}
         self.local: collections.deque[ClaimMessage] = collections.deque()
+        self.is_draining_local = False
         self.inbox, self.outbox = trio.open_memory_channel[ClaimInput](INBOX_MESSAGES)
 
     # What the entry task calls.
@@ -214,7 +218,8 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await trio.sleep(TICK)
+            is_idle = not self.entry.asking and not self.entry.settling
+            await trio.sleep(IDLE_TICK if is_idle else TICK)
             self._apply_entry(EntryTick())
             for holder in self.holders.values():
                 self._apply_holder(holder, Tick())
@@ -290,7 +295,7 @@
             self.recorder.record(EventKind.CLAIM_GRANTED, call=call)
         else:
             self.recorder.record(
-                EventKind.CLAIM_NOT_GRANTED, call=call, detail=repr(decision)[:200]
+                EventKind.CLAIM_NOT_GRANTED, call=call, detail=type(decision).__name__
             )
 
     def _deliver(self, to: str, message: ClaimMessage) -> None:
@@ -301,8 +306,15 @@
             self.send(to, message)
 
     def _drain_local(self) -> None:
-        while self.local:
-            self._receive(self.local.popleft())
+        # What a message gives rise to is drained by the call that is draining, not one deeper.
+        if self.is_draining_local:
+            return
+        self.is_draining_local = True
+        try:
+            while self.local:
+                self._receive(self.local.popleft())
+        finally:
+            self.is_draining_local = False
 
 
 def _describe(group: ClaimGroup) -> str:
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -12,7 +12,9 @@
         extra={"range": "1 to 63 of a-z, 0-9, `.`, `_`, `-`"},
     ),
 ]
-Host = Annotated[str, Meta(min_length=1, max_length=255, extra={"range": "an IP number"})]
+Host = Annotated[
+    str, Meta(min_length=1, max_length=255, extra={"range": "an IP number or host name"})
+]
 Port = Annotated[int, Meta(ge=0, le=65535, extra={"range": "0 to 65535; 0 picks a free port"})]
 FixedPort = Annotated[int, Meta(ge=1, le=65535)]
 File = Annotated[
@@ -51,6 +53,10 @@
 
     host: Annotated[Host, _doc("Address to listen on for callers.")]
     port: Annotated[Port, _doc("Port of the callers' HTTP.")]
+    server: Annotated[
+        Literal["h11", "hypercorn"],
+        _doc("HTTP server: `h11` is fastest, `hypercorn` also speaks HTTP/2."),
+    ] = "h11"
 
 
 class UpstreamsTable(Table, frozen=True, kw_only=True):
@@ -132,6 +138,13 @@
     body_bytes: Annotated[
         int, Meta(ge=0, le=1 << 30), _doc("Longest request body of a caller.", "B")
     ] = (8 << 20)
+    buffered_bytes: Annotated[
+        int,
+        Meta(ge=1 << 20, le=1 << 36),
+        _doc("Bytes of request bodies held at a time; more is refused as not run.", "B"),
+    ] = (
+        64 << 20
+    )
     header_bytes: Annotated[
         int, Meta(ge=1024, le=1 << 20), _doc("Longest request line and headers of a caller.", "B")
     ] = (16 << 10)
@@ -144,7 +157,9 @@
     """Bound the buffer of recorded events."""
 
     capacity: Annotated[
-        int, Meta(ge=100, le=1_000_000), _doc("Events kept; the oldest go first.", "events")
+        int,
+        Meta(ge=100, le=1_000_000),
+        _doc("Events kept, half of them for single calls; the oldest go first.", "events"),
     ] = 10_000
 
 
