claims: split the holder by what it does

Change: events, state, replication and requests are modules whose imports point one way. Replication only queues the writes that every member confirmed; `step` then answers those who waited. The fuzz test gains a rule in which control acts before any other message arrives, and one that resends every key.

--- a/packages/bendwind-core/src/bendwind_core/claims/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/__init__.py
@@ -13,7 +13,6 @@
 )
 from bendwind_core.claims.fingerprint import fingerprint_request
 from bendwind_core.claims.group import ClaimGroup
-from bendwind_core.claims.holder import ClaimHolder, create_holder
 from bendwind_core.claims.members import member_of, node_of
 from bendwind_core.claims.messages import (
     MAX_KEPT_ANSWER_BYTES,
@@ -37,6 +36,7 @@
     RefusalReason,
 )
 from bendwind_core.claims.placement import choose_claim_group
+from bendwind_core.claims.state import ClaimHolder, create_holder
 from bendwind_core.claims.table import ClaimLimits
 
 __all__ = [
--- a/packages/bendwind-core/src/bendwind_core/claims/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/entry.py
@@ -6,8 +6,8 @@
 
 from dataclasses import dataclass, field
 
+from bendwind_core.claims.events import Send
 from bendwind_core.claims.group import ClaimGroup
-from bendwind_core.claims.holder import Send
 from bendwind_core.claims.members import node_of
 from bendwind_core.claims.messages import (
     ClaimAnswer,
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/claims/state.py
@@ -0,0 +1,77 @@
+"""Hold the state of one run of a node as a holder of one service's claims."""
+
+import collections
+from dataclasses import dataclass, field
+
+from bendwind_core.claims.group import ClaimGroup
+from bendwind_core.claims.messages import Claim, ClaimOutcome, ClaimRelease, ClaimRequest
+from bendwind_core.claims.table import ClaimLimits, ClaimTable
+from bendwind_core.core import Seconds
+
+
+@dataclass(slots=True)
+class Write:
+    """Hold a claim, or a chunk of a copy, that some members have not confirmed yet.
+
+    `joining_lacks` is set until the joining member confirms an ordinary write; if that write
+    finishes first, its key goes back to the keys to copy.
+    """
+
+    claims: tuple[Claim, ...]
+    waiting: set[str]
+    sent: Seconds
+    requests: list[ClaimRequest] = field(default_factory=list)
+    settles: list[ClaimOutcome | ClaimRelease] = field(default_factory=list)
+    is_copy: bool = False
+    joining_lacks: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Waiter:
+    """Hold a request that waits for the outcome of the call that holds its key."""
+
+    request: ClaimRequest
+    until: Seconds
+
+
+@dataclass(slots=True)
+class ClaimHolder:
+    """Hold the state of one run of a node as a member of one service's claim group.
+
+    `writes` is keyed by sequence; `writing` finds the unconfirmed write of a key.
+    `finished` holds the writes that everyone confirmed and nobody was told of yet.
+    `copy_keys` are the keys that the joining member still lacks; None when no copy runs.
+    `is_copied` stays set until the next epoch: from then on a grant needs the joining member too.
+    """
+
+    member: str
+    service: str
+    table: ClaimTable
+    group: ClaimGroup | None = None
+    fresh_until: Seconds = 0.0
+    sequence: int = 0
+    writes: dict[int, Write] = field(default_factory=dict)
+    writing: dict[str, int] = field(default_factory=dict)
+    waiters: dict[str, list[Waiter]] = field(default_factory=dict)
+    waiter_count: int = 0
+    copy_keys: list[str] | None = None
+    is_copied: bool = False
+    finished: collections.deque[Write] = field(default_factory=collections.deque)
+
+    def is_member(self) -> bool:
+        """Tell whether this run of the node is a member of the group."""
+        return self.group is not None and self.member in self.group.members
+
+    def is_primary(self) -> bool:
+        """Tell whether this run of the node is the primary of a group that is not lost."""
+        group = self.group
+        return group is not None and group.members[0] == self.member and not group.lost
+
+    def is_involved(self) -> bool:
+        """Tell whether this run of the node is a member or is joining."""
+        return self.is_member() or (self.group is not None and self.group.joining == self.member)
+
+
+def create_holder(member: str, service: str, limits: ClaimLimits) -> ClaimHolder:
+    """Create a holder that knows no group and holds no claim."""
+    return ClaimHolder(member, service, ClaimTable(limits))
--- a/packages/bendwind-core/src/bendwind_core/claims/tests/cluster.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/tests/cluster.py
@@ -37,15 +37,15 @@
     Settle,
     step_entry,
 )
-from bendwind_core.claims.holder import (
+from bendwind_core.claims.events import (
     GroupChanged,
     LeaseRenewed,
     Received,
     Send,
     SendControl,
     Tick,
-    step,
 )
+from bendwind_core.claims.holder import step
 from bendwind_core.claims.messages import ClaimReply, ClaimSettled
 from bendwind_core.world import Instance
 
@@ -323,6 +323,16 @@
                 self.commit(0)
             self.deliver_all()
 
+    def change_group_at_once(self) -> None:
+        """Let control act and be heard by every node before any other message arrives."""
+        self.advance(0.02)
+        self.place()
+        while self.proposals:
+            self.commit(0)
+        for index in reversed(range(len(self.network))):
+            if self.network[index][0] == CONTROL:
+                self.deliver_one(index)
+
     def live(self, rng: random.Random, rounds: int, keys: str, loss: float) -> None:
         """Let callers, entry nodes and control act at random while messages are lost."""
         for _ in range(rounds):
--- a/packages/bendwind-core/src/bendwind_core/claims/tests/test_fuzz_claims.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/tests/test_fuzz_claims.py
@@ -2,13 +2,14 @@
 
 import random
 
-import bendwind_core.core.tests.profiles  # noqa: F401
-from bendwind_core.claims import ClaimState, member_of
-from bendwind_core.claims.tests.cluster import NODES, SERVICE, Cluster
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
+import bendwind_core.core.tests.profiles  # noqa: F401
+from bendwind_core.claims import ClaimState, member_of
+from bendwind_core.claims.tests.cluster import NODES, SERVICE, Cluster
+
 NODE = st.sampled_from(NODES)
 SEED = st.integers(0, 1 << 16)
 LOSS = st.sampled_from([0.0, 0.1, 0.5])
@@ -35,6 +36,12 @@
         for node in nodes:
             self.cluster.request(node, KEYS[self.newest - 1], fingerprint)
 
+    @rule(node=NODE)
+    def resend_every_key(self, node):
+        for key in KEYS[: self.newest]:
+            self.cluster.request(node, key, b"f")
+        self.cluster.deliver_all()
+
     @rule(seed=SEED, rounds=st.integers(1, 20), loss=LOSS)
     def live(self, seed, rounds, loss):
         keys = KEYS[self.newest - RECENT : self.newest]
@@ -97,6 +104,11 @@
     def settle(self, rounds):
         self.cluster.settle(rounds)
 
+    @rule(times=st.integers(1, 4))
+    def change_groups_at_once(self, times):
+        for _ in range(times):
+            self.cluster.change_group_at_once()
+
     @precondition(lambda self: self.cluster.proposals)
     @rule(seed=SEED)
     def commit(self, seed):
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -37,8 +37,7 @@
     Settle,
     step_entry,
 )
-from bendwind_core.claims.holder import (
-    ClaimHolder,
+from bendwind_core.claims.events import (
     GroupChanged,
     HolderEvent,
     LeaseRenewed,
@@ -46,8 +45,8 @@
     Send,
     SendControl,
     Tick,
-    step,
 )
+from bendwind_core.claims.holder import step
 from bendwind_core.claims.messages import (
     ClaimAppend,
     ClaimAppended,
@@ -57,6 +56,7 @@
     ClaimSettled,
     ClaimUnavailable,
 )
+from bendwind_core.claims.state import ClaimHolder
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance
