operators: work a plan out from the version that it is said to start from

Cause: with a stated base_version, the changes were worked out from what this voter had applied, and compared with the stated version only in the log. A voter that was behind so made a plan that was accepted with the wrong changes. Found by reading; the fuzz test stated no base version before. Ruled out: the replicated state, which compares rightly what it is given. Change: a command always carries the version that its changes were worked out from; a stated version that differs is checked after a barrier. Tests: test_app pins it, before: [] != ['service-removed']; test_fuzz_operators now states base versions and checks each plan's differences, and fails on the old code.

--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -96,20 +96,33 @@
         raise AssertionError(outcome)
 
     async def _propose_plan(self, asked: PlanRequest) -> Result[CommandResult, ControlError]:
-        outcome = await self._propose(self._build_command(asked))
+        outcome = await self._propose_once(asked)
         for _ in range(MAX_ATTEMPTS - 1):
-            is_moved = outcome.is_ok() and isinstance(outcome.ok, VersionMoved)
-            if asked.base_version is not None or not is_moved:
+            if outcome.is_error() or not isinstance(outcome.ok, VersionMoved):
                 break
-            outcome = await self._propose(self._build_command(asked))
+            outcome = await self._propose_once(asked)
         return outcome
 
+    async def _propose_once(self, asked: PlanRequest) -> Result[CommandResult, ControlError]:
+        state = self.control.state
+        if asked.base_version not in (None, state.configuration.version):
+            # This voter may be behind: the changes must be worked out from the stated version.
+            confirmed = await self.control.barrier()
+            if confirmed.is_error():
+                return Error(confirmed.error)
+            version = state.configuration.version
+            is_resent = state.plans.find_request(asked.key) is not None
+            if asked.base_version != version and not is_resent:
+                return Ok(VersionMoved(version, state.configuration_plan))
+        return await self._propose(self._build_command(asked))
+
     def _build_command(self, asked: PlanRequest) -> CreatePlan:
         configuration = self.control.state.configuration
-        version = configuration.version if asked.base_version is None else asked.base_version
         changes = compute_changes(configuration, asked.intent)
         digest = hashlib.sha256(msgspec.msgpack.encode(asked.intent)).digest()
-        return CreatePlan(asked.key, digest, version, changes, self.wall_ms(), asked.ttl_ms)
+        return CreatePlan(
+            asked.key, digest, configuration.version, changes, self.wall_ms(), asked.ttl_ms
+        )
 
     async def confirm_plan(self, plan_id: str) -> Response:
         """Confirm a plan and give its outcome."""
--- a/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
@@ -103,6 +103,16 @@
         status, body = self.check("POST", "/v1/plans", "services = []", base_version="0")
         self.assertEqual((status, body["version"], body["plan"]), (409, 2, "p1"))
 
+    def test_a_stated_base_version_newer_than_this_voter_has_applied_is_compared_in_full(self):
+        intent = '[[services]]\nname = "agenda"\nupstreams = ["agenda-*"]'
+        self.check("POST", "/v1/plans", intent, key="a")
+        self.check("POST", "/v1/plans/p1/confirm")
+        behind = create_app(FakeClient(self.app.control.log), create_open_authority("127.0.0.1"))
+        _, plan = trio.run(
+            lambda: ask(behind, "POST", "/v1/plans", "services = []", base_version="2")
+        )
+        self.assertEqual([d["kind"] for d in plan["differences"]], ["service-removed"])
+
     def test_a_body_beyond_the_limit_is_refused(self):
         status, _ = trio.run(lambda: serve(self.app, b"#" * (MAX_BODY_BYTES + 1)))
         self.assertEqual(status, 413)
--- a/packages/bendwind-node/src/bendwind_node/operators/tests/test_fuzz_operators.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_fuzz_operators.py
@@ -24,17 +24,10 @@
 )
 
 
-def setUpModule():
-    logging.disable(logging.CRITICAL)
-
-
-def tearDownModule():
-    logging.disable(logging.NOTSET)
-
-
 class OperatorsMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
+        logging.disable(logging.CRITICAL)
         self.log = FakeLog()
         self.clients = [FakeClient(self.log) for _ in range(2)]
         authority = create_open_authority("127.0.0.1")
@@ -45,21 +38,39 @@
     def _ask(self, voter: int, method: str, path: str, body: str = "", **query):
         return trio.run(lambda: ask(self.apps[voter], method, path, body, **query))
 
-    @rule(voter=voters, key=keys, intent=intents, fate=fates)
-    def state_intent(self, voter, key, intent, fate):
+    @rule(voter=voters, key=keys, intent=intents, fate=fates, states_base=st.booleans())
+    def state_intent(self, voter, key, intent, fate, states_base):
         self.log.fate = fate
-        status, body = self._ask(voter, "POST", "/v1/plans", intent, key=key)
+        newest = max((o["version"] for o in self.outcomes.values()), default=0)
+        query = {"base_version": str(newest)} if states_base else {}
+        status, body = self._ask(voter, "POST", "/v1/plans", intent, key=key, **query)
         if status in RESEND_STATUSES:
             return
         known = self.plans.get(key)
         if status == 409 and body["error"] == "request-reused":
             assert known is None or (known[0] == body["plan"] and known[1] != intent)
             return
+        if states_base and status == 409 and body["error"] == "version-moved":
+            assert body["version"] > newest
+            return
         assert status in (200, 201), body
+        if status == 201 and body["state"] == "proposed":
+            self._check_differences(intent, body)
         if known is None:
             self.plans[key] = body["id"], intent, body["base_version"]
         assert self.plans[key] == (body["id"], intent, body["base_version"])
 
+    def _check_differences(self, intent: str, plan: dict) -> None:
+        """Check that the plan turns the version that it starts from into what was intended."""
+        reader = FakeClient(FakeLog(self.log.entries[: plan["base_version"]]))
+        reader.catch_up()
+        held = {service.name for service in reader.state.configuration.services}
+        wanted = {name for name in NAMES if f'"{name}"' in intent}
+        kinds = {(d["kind"], d["service"]) for d in plan["differences"]}
+        added = {("service-added", name) for name in wanted - held}
+        removed = {("service-removed", name) for name in held - wanted}
+        assert added | removed <= kinds
+
     @precondition(lambda self: self.plans)
     @rule(voter=voters, key=keys, fate=fates)
     def confirm(self, voter, key, fate):
@@ -87,6 +98,7 @@
                 assert body["version"] >= outcome["version"], "older than an answer given before"
 
     def teardown(self):
+        logging.disable(logging.NOTSET)
         self.log.fate = Fate.APPLIED
         self.log.entries += self.log.delayed
         for voter in (0, 1):
