calls: a node that has just started waits for its configuration instead of refusing

Cause: with random kills, freezes, stops and slow-downs of 13 nodes and upstreams for 40 s, nodes that had just restarted answered 404 unknown-service (14 of 2,540 calls) and 503 stale-configuration (25). Change: 404 needs proof of freshness, otherwise the call is not run; a node that never had a proof lets a call wait up to 2 s for the first. Ruled out: opening the callers' socket later, since port and readiness would then be unknown.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -21,6 +21,7 @@
 
 SERVICE_WAIT: Seconds = 2.0
 SERVICE_POLL: Seconds = 0.01
+FIRST_PROOF_WAIT: Seconds = 2.0
 # Callers may name services that do not exist; a node does not go on to watch ever more of them.
 MAX_WATCHED = 512
 
@@ -50,9 +51,11 @@
             return Error(Refusal.not_run(NotRunReason.OVERLOADED))
         request = exchange.request
         service = await self._find_service(request.headers)
+        is_fresh = self.entry.membership.is_fresh()
         if service is None:
-            return Error(_UNKNOWN_SERVICE)
-        if not self.entry.membership.is_fresh() and service.on_stale is StaleAction.REFUSE:
+            # A node without proof of freshness cannot tell that there is no such service.
+            return Error(_UNKNOWN_SERVICE if is_fresh else Refusal.not_run(NotRunReason.STALE))
+        if not is_fresh and service.on_stale is StaleAction.REFUSE:
             return Error(Refusal.not_run(NotRunReason.STALE))
         rule = find_rule(service, request.method, request.path)
         key = _read_key(request.headers, rule)
@@ -96,6 +99,7 @@
     async def _find_service(self, headers: tuple) -> Service | None:
         name = self._find_service_name(headers)
         membership = self.entry.membership
+        await self._wait_first_proof()
         service = membership.services.get(name)
         if service is not None or not name:
             return service
@@ -107,6 +111,15 @@
                 await trio.sleep(SERVICE_POLL)
         return membership.services.get(name)
 
+    async def _wait_first_proof(self) -> None:
+        """Give a node that has just started the time to learn the configuration."""
+        view = self.entry.membership.view
+        if view.confirmed_at is not None:
+            return
+        with trio.move_on_after(FIRST_PROOF_WAIT):
+            while view.confirmed_at is None:
+                await trio.sleep(SERVICE_POLL)
+
     def _find_service_name(self, headers: tuple) -> str:
         named = names.find_header(headers, names.SERVICE)
         if named is not None:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -19,6 +19,11 @@
 MIB = 1 << 20
 
 
+def make_view():
+    holdings = types.SimpleNamespace(watched={})
+    return types.SimpleNamespace(version=1, confirmed_at=0.0, pending=set(), holdings=holdings)
+
+
 @dataclass
 class FakeMembership:
     """Hold the services and upstreams that a test sets."""
@@ -26,11 +31,14 @@
     services: dict = field(default_factory=dict)
     known: dict = field(default_factory=dict)
     fresh: bool = True
-    view: object = field(default_factory=lambda: types.SimpleNamespace(version=1))
+    view: object = field(default_factory=lambda: make_view())
 
     def is_fresh(self):
         return self.fresh
 
+    def watch(self, service):
+        self.view.holdings.watched[service] = None
+
     def upstreams(self, service):
         return tuple(self.known.get(service, {}).values())
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -157,6 +157,34 @@
         service = Service("svc", ("*",), on_stale=StaleAction.SERVE)
         self.run_with(self.answer_ok, serve, service=service)
 
+    def test_service_is_unknown_only_to_a_node_that_is_fresh(self):
+        # Nodes that had just restarted answered 404 for every service.
+        async def check(bench, port):
+            bench.membership.services.clear()
+            done = await bench.call(make_exchange())
+            self.assertEqual(done.status, 404)
+            bench.membership.fresh = False
+            done = await bench.call(make_exchange())
+            self.assertEqual(done.headers[b"bendwind-outcome"], b"not-run")
+
+        self.run_with(self.answer_ok, check)
+
+    def test_call_right_after_the_start_waits_for_the_configuration(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            services = dict(bench.membership.services)
+            bench.membership.services.clear()
+            bench.membership.view.confirmed_at = None
+            exchange = make_exchange()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(bench.call, exchange)
+                await trio.testing.wait_all_tasks_blocked()
+                bench.membership.services.update(services)
+                bench.membership.view.confirmed_at = trio.current_time()
+            self.assertEqual(exchange.status, 200)
+
+        self.run_with(self.answer_ok, check)
+
     def test_bodies_over_the_limit_or_the_budget_are_refused_and_freed(self):
         async def check(bench, port):
             announce(bench.owner, port)
