claims: a new leader takes nobody for dead before nodes had time to return

Cause: found by reading: a leader placed claims one lease after its election, while nodes that could not renew for a while come back at intervals of up to eight heartbeats; holders that were alive could be dropped, or a whole group be marked lost, and its operator asked to give up claims that still existed. Change: existing groups are left alone for three leases after an election, and the loss of every holder counts after 30 s of absence. Seeded bugs (no settling time; loss at once) fail the new tests.

--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -21,6 +21,11 @@
 
 PLACE_EVERY: Seconds = 0.5
 REMEMBER_LEAVING: Seconds = 30.0
+# A new leader knows only the nodes that have renewed with some voter since; those that could not
+# for a while come back at longer and longer intervals. Until then absence proves nothing.
+SETTLING_LEASES = 3.0
+# A lost group serves nobody anyway, and a holder that was only cut off may yet return.
+LOST_AFTER: Seconds = 30.0
 
 _LOG = logging.getLogger("bendwind")
 
@@ -53,7 +58,7 @@
 class ClaimPlacer:
     """Propose changes of claim groups while this voter leads."""
 
-    __slots__ = ("copied", "lease", "leaving", "propose", "rng", "view")
+    __slots__ = ("copied", "lease", "leaving", "missing_since", "propose", "rng", "view")
 
     def __init__(
         self,
@@ -68,6 +73,7 @@
         self.lease = lease
         self.copied: dict[str, ClaimCopied] = {}
         self.leaving: dict[str, Seconds] = {}
+        self.missing_since: dict[str, Seconds] = {}
 
     def receive(self, message: ClaimCopied | ClaimLeave) -> None:
         """Take note of a finished copy or of a member that is about to stop."""
@@ -93,13 +99,23 @@
         for service in view.services:
             if not needs_claims(service):
                 continue
+            present = view.groups.get(service.name)
+            if present is not None and view.led_for < SETTLING_LEASES * self.lease:
+                continue
             group = self._choose(service.name, view, held)
-            if group is not None:
-                present = view.groups.get(service.name)
+            if self._is_missing_long_enough(service.name, group):
                 epoch = present.epoch if present else 0
                 await self.propose(ChangeClaimGroup(group, epoch))
                 held.update(node_of(member) for member in group.members)
 
+    def _is_missing_long_enough(self, service: str, group: ClaimGroup | None) -> bool:
+        """Tell whether a change is due; the loss of every holder only after a while."""
+        if group is None or not group.lost:
+            self.missing_since.pop(service, None)
+            return group is not None
+        now = trio.current_time()
+        return now - self.missing_since.setdefault(service, now) >= LOST_AFTER
+
     def _choose(
         self, service: str, view: PlacementView, held: collections.Counter[str]
     ) -> ClaimGroup | None:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/claims/tests/test_placer.py
@@ -0,0 +1,70 @@
+import random
+import unittest
+
+import trio
+import trio.testing
+
+from bendwind_core.claims import ClaimGroup, member_of
+from bendwind_core.world import Instance, Service
+from bendwind_node.claims.placer import LOST_AFTER, ClaimPlacer, PlacementView
+
+LEASE = 4.0
+NODES = tuple(Instance(f"n{i}", f"dc{i}", "127.0.0.1", 1, 1) for i in range(4))
+
+
+class TestClaimPlacer(unittest.TestCase):
+    def run_with(self, check):
+        async def main():
+            self.groups = {}
+            self.alive = NODES
+            self.led_for = 0.0
+            placer = ClaimPlacer(self.make_view, self.propose, random.Random(1), LEASE)
+            await check(placer)
+
+        trio.run(main, clock=trio.testing.MockClock(rate=0.0, autojump_threshold=0.0))
+
+    def make_view(self):
+        services = (Service("emisor", ("*",)),)
+        return PlacementView(self.led_for, services, self.groups, self.alive, {})
+
+    async def propose(self, command):
+        self.groups[command.group.service] = command.group
+
+    async def place(self, placer, times=1, alive=None, led_for=1000.0):
+        self.led_for = led_for
+        self.alive = NODES if alive is None else alive
+        for _ in range(times):
+            await placer.place_all()
+            await trio.sleep(0.5)
+        return self.groups.get("emisor")
+
+    def test_makes_the_first_group_soon_after_the_election(self):
+        async def check(placer):
+            self.assertIsNone(await self.place(placer, led_for=LEASE - 0.1))
+            self.assertEqual(len((await self.place(placer, led_for=LEASE)).members), 3)
+
+        self.run_with(check)
+
+    def test_new_leader_drops_no_holder_before_nodes_had_time_to_return(self):
+        # A leader that did was found by reading: it took unattached nodes for dead ones.
+        async def check(placer):
+            group = await self.place(placer)
+            self.assertEqual(await self.place(placer, 4, alive=(), led_for=2 * LEASE), group)
+            alone = tuple(node for node in NODES if member_of(node) == group.members[0])
+            changed = await self.place(placer, alive=alone, led_for=4 * LEASE)
+            self.assertEqual(changed.members, group.members[:1])
+
+        self.run_with(check)
+
+    def test_group_counts_as_lost_only_after_its_holders_stay_away(self):
+        async def check(placer):
+            group = await self.place(placer)
+            beats = int(LOST_AFTER / 0.5)
+            self.assertEqual(await self.place(placer, beats - 1, alive=()), group)
+            self.assertEqual(await self.place(placer), group)
+            self.assertEqual(await self.place(placer, beats, alive=()), group)
+            lost = await self.place(placer, 1, alive=())
+            self.assertEqual((lost.lost, lost.epoch), (True, group.epoch + 1))
+            self.assertIsInstance(lost, ClaimGroup)
+
+        self.run_with(check)
