membership: prove that a node's claim groups are the newest before it grants

Cause: a change of a claim group does not raise the configuration's version, so a node whose push of a group was lost still renewed its proof of freshness, and a former primary could have granted keys that an operator had given up. Change: the reply to a heartbeat says whether the node's digest, which covers claim groups, was the voter's; only then does `groups_confirmed_at` advance, and claim holders take their lease from it. Ruled out: raising the version with each group, which would move the version that operators' plans are compared with. Before, with the reply's word ignored, the new test fails (`AssertionError: 470362.2850966867 != 470357.2837980334`); after, it passes, with 144 tests of 144.

--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -26,7 +26,8 @@
     """Confirm a heartbeat and say how fresh the voter's configuration is.
 
     `is_current` says that nothing the node watches changed between the version it stated and
-    `version`. `resync` asks for Watch and Announce again.
+    `version`. `resync` asks for Watch and Announce again. `is_same` says that the node's digest was
+    the voter's, so that it holds every upstream and claim group that the voter knew of.
     Units: `confirmed_age_ms` is the time since the start of the last quorum round that confirmed
     `version` as the newest, in milliseconds on the voter's clock; None if there was none.
     """
@@ -36,6 +37,7 @@
     confirmed_age_ms: Milliseconds | None
     is_current: bool = False
     resync: bool = False
+    is_same: bool = False
 
 
 class Announce(Record, frozen=True, array_like=True, tag="announce"):
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -82,20 +82,16 @@
     is_current = beat.version >= max(newest, registry.floor)
     if not is_current:
         _push_configuration(registry, beat.node.name, client, effects)
-    _compare_digest(registry, beat, client, rows, effects)
     return is_current
 
 
-def _compare_digest(
-    registry: VoterRegistry,
-    beat: Heartbeat,
-    client: Client,
-    rows: list[ServiceRow],
-    effects: list[RegistryEffect],
-) -> None:
+def compare_digest(
+    registry: VoterRegistry, beat: Heartbeat, client: Client, effects: list[RegistryEffect]
+) -> bool:
+    """Tell whether a node holds all that the voter knows; push everything after a loss."""
     expected = 0
-    for row in rows:
-        expected ^= row.digest
+    for name in client.services:
+        expected ^= find_row(registry, name).digest
     # One difference may be a push that crossed the heartbeat; two in a row are a loss.
     if beat.digest == expected:
         client.is_suspect = False
@@ -104,6 +100,7 @@
         send_everything(registry, beat.node.name, client, effects)
     else:
         client.is_suspect = True
+    return beat.digest == expected
 
 
 def _push_configuration(
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -171,14 +171,17 @@
     announced = registry.members[beat.node.name].state.announced
     resync = client.watch != beat.watch or announced != beat.announced
     is_current = False
+    is_same = False
     if not resync:
         is_current = pushes.bring_up_to_date(registry, beat, client, effects)
+        is_same = pushes.compare_digest(registry, beat, client, effects)
     reply = HeartbeatReply(
         beat.sequence,
         registry.configuration.version,
         confirmed_age_ms(registry, now),
         is_current,
         resync,
+        is_same,
     )
     effects.append(SendTo(beat.node.name, reply))
 
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -68,7 +68,7 @@
     `version` is in force; `is_complete` says that it covers everything now watched.
     `pending` names watched services of which nothing is known yet.
     `confirmed_at` is the time, on the node's own clock, up to which nothing newer than `version`
-    had been accepted.
+    had been accepted; `groups_confirmed_at` says the same of the claim groups it holds.
     """
 
     instance: Instance
@@ -78,6 +78,7 @@
     version: int = 0
     is_complete: bool = False
     confirmed_at: Seconds | None = None
+    groups_confirmed_at: Seconds | None = None
     waiting_proof: Proof | None = None
     watch_sequence: int = 0
     announce_sequence: int = 0
@@ -264,6 +265,8 @@
     if now - confirmed_at < view.times.confirmation_limit:
         view.attachment.good_at = now
         view.attachment.patience = 1.0
+    if reply.is_same:
+        view.groups_confirmed_at = max(confirmed_at, view.groups_confirmed_at or confirmed_at)
     _compare_versions(view, reply.version, now)
     if view.is_complete and view.version >= reply.version:
         _confirm(view, confirmed_at)
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -73,10 +73,10 @@
 
 
 async def _prove_lease(dispatcher: Dispatcher) -> None:
-    """Tell the claim holders until when the configuration is proven fresh."""
+    """Tell the claim holders until when the claim groups they know are proven the newest."""
     membership = dispatcher.membership
     while True:
-        confirmed_at = membership.view.confirmed_at
+        confirmed_at = membership.view.groups_confirmed_at
         if confirmed_at is not None:
             until = confirmed_at + membership.view.times.provable
             await dispatcher.claims.inbox.send(LeaseProven(until))
