--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
@@ -0,0 +1,63 @@
+"""Write the answers that Bendwind makes itself."""
+
+import math
+
+from bendwind_core.attempts import CutReason, Header, NotRunReason
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds
+from bendwind_node.calls import headers as names
+from bendwind_node.calls.caller_exchange import CallerExchange
+
+NOT_RUN = b"not-run"
+UNKNOWN = b"unknown"
+REFUSED = b"refused"
+
+_RETRY_AFTER_MS = b"bendwind-retry-after-ms"
+_SERVICE_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_BAD_GATEWAY = 502
+
+
+def find_not_run_status(reason: NotRunReason) -> int:
+    """Return the HTTP status of a request that was not run."""
+    return _GATEWAY_TIMEOUT if reason is NotRunReason.DEADLINE else _SERVICE_UNAVAILABLE
+
+
+def find_unknown_status(reason: CutReason) -> int:
+    """Return the HTTP status of a request that may have run."""
+    return _GATEWAY_TIMEOUT if reason is CutReason.DEADLINE else _BAD_GATEWAY
+
+
+def make_headers(
+    call: str, outcome: bytes, reason: str, length: int, retry_after_ms: Milliseconds | None
+) -> tuple[Header, ...]:
+    """Build the headers of an answer made by Bendwind."""
+    headers = (
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (names.CONTENT_LENGTH, str(length).encode()),
+        (names.OUTCOME, outcome),
+        (names.REASON, reason.encode()),
+        (names.CALL, call.encode()),
+    )
+    if retry_after_ms is None:
+        return headers
+    seconds = max(1, math.ceil(retry_after_ms / MILLISECONDS_PER_SECOND))
+    return (
+        *headers,
+        (names.RETRY_AFTER, str(seconds).encode()),
+        (_RETRY_AFTER_MS, str(math.ceil(retry_after_ms)).encode()),
+    )
+
+
+async def send_outcome(
+    exchange: CallerExchange,
+    call: str,
+    status: int,
+    outcome: bytes,
+    reason: str,
+    retry_after_ms: Milliseconds | None = None,
+) -> None:
+    """Answer a caller with an outcome and its reason."""
+    body = f"{outcome.decode()}: {reason}\n".encode()
+    headers = make_headers(call, outcome, reason, len(body), retry_after_ms)
+    await exchange.send_head(status, headers)
+    await exchange.send_part(b"" if exchange.request.method == "HEAD" else body, more=False)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -0,0 +1,220 @@
+"""Run a control voter's tasks: the log, the registry of nodes, the placement of claims."""
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+from expression import Error, Ok, Result
+
+from bendwind_core import consensus
+from bendwind_core.claims import ChangeClaimGroup, ClaimGroup
+from bendwind_core.core import Record, Seconds
+from bendwind_core.membership import DrainMarksAccepted, LeaseTimes
+from bendwind_core.plans import CommandResult, ControlState, encode_command
+from bendwind_core.timeline import Recorder
+from bendwind_core.world import Configuration, Upstream
+from bendwind_node.claims.placer import ClaimPlacer, PlacementView
+from bendwind_node.control.registry import RegistryTask, create_registry_task
+from bendwind_node.control.voter import (
+    ControlVoter,
+    Unconfirmed,
+    VoterStopped,
+    open_voter,
+    run_voter,
+)
+from bendwind_node.operators import (
+    ControlError,
+    NoQuorum,
+    NotLeader,
+    OutcomeUnknown,
+    VoterStatus,
+)
+from bendwind_node.storage import StoreError, open_folder
+
+PROPOSAL_TIMEOUT: Seconds = 5.0
+
+
+@dataclass(slots=True, eq=False)
+class LogClient:
+    """Propose to the log and read its state, as the operators' API and the registry ask."""
+
+    voter: ControlVoter
+    state: ControlState
+    names: tuple[str, ...]
+
+    async def propose(self, command: bytes) -> Result[CommandResult, ControlError]:
+        """Propose a command and return its result once it has been applied here."""
+        with trio.move_on_after(PROPOSAL_TIMEOUT):
+            match await self.voter.propose(command):
+                case Result(tag="ok", ok=applied):
+                    return Ok(applied.value)
+                case Result(error=consensus.NotLeader() as error):
+                    return Error(NotLeader(error.leader))
+                case Result(error=consensus.Refused()):
+                    return Error(NoQuorum("the leader takes no commands now"))
+                case Result(error=VoterStopped(reason=reason)):
+                    return Error(NoQuorum(f"this voter has stopped: {reason}"))
+        return Error(OutcomeUnknown("leadership was lost or no quorum answered in time"))
+
+    async def barrier(self) -> Result[int, ControlError]:
+        """Return an applied index that a quorum has confirmed as the newest since the call."""
+        with trio.move_on_after(PROPOSAL_TIMEOUT):
+            match await self.voter.barrier():
+                case Result(tag="ok", ok=confirmed):
+                    return Ok(confirmed.index)
+                case Result(error=Unconfirmed(leader=leader)):
+                    return Error(NoQuorum(f"no quorum confirmed it; last leader: {leader}"))
+                case Result(error=VoterStopped(reason=reason)):
+                    return Error(NoQuorum(f"this voter has stopped: {reason}"))
+        return Error(NoQuorum("no quorum answered in time"))
+
+    def leader(self) -> str | None:
+        """Return the name of the leader, or None where it is not known."""
+        return self.voter.leader_name
+
+    def voters(self) -> tuple[VoterStatus, ...]:
+        """Return every voter as this one sees it."""
+        own = self.voter.status()
+        known = [*own.voters, *own.learners]
+        return tuple(self._describe(member.name, own) for member in known)
+
+    def _describe(self, name: str, own) -> VoterStatus:
+        if name == own.name:
+            return VoterStatus(name, own.role, own.applied)
+        is_learner = any(member.name == name for member in own.learners)
+        role = "leader" if name == own.leader else "learner" if is_learner else "follower"
+        return VoterStatus(name, role, 0)
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration as of the newest applied log entry."""
+        return self.state.configuration
+
+    @property
+    def claim_groups(self) -> Mapping[str, ClaimGroup]:
+        """Return the claim groups by service as of the newest applied log entry."""
+        return self.state.claim_groups
+
+    @property
+    def drain_marks(self) -> DrainMarksAccepted:
+        """Return the drain marks as of the newest applied log entry."""
+        state = self.state
+        return DrainMarksAccepted(
+            frozenset(state.draining_instances), frozenset(state.draining_upstreams)
+        )
+
+    @property
+    def voter_names(self) -> tuple[str, ...]:
+        """Return the names of the present voters."""
+        return tuple(member.name for member in self.voter.status().voters) or self.names
+
+
+@dataclass(slots=True, eq=False)
+class RegistryControl:
+    """Give the registry what it asks of the log."""
+
+    client: LogClient
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration as of the newest applied log entry."""
+        return self.client.configuration
+
+    @property
+    def claim_groups(self) -> Mapping[str, ClaimGroup]:
+        """Return the claim groups as of the newest applied log entry."""
+        return self.client.claim_groups
+
+    @property
+    def drain_marks(self) -> DrainMarksAccepted:
+        """Return the drain marks as of the newest applied log entry."""
+        return self.client.drain_marks
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Return the names of the present voters."""
+        return self.client.voter_names
+
+    async def confirm(self) -> bool:
+        """Run a quorum round; after True, all that was accepted before the call is applied."""
+        return (await self.client.voter.barrier()).is_ok()
+
+
+@dataclass(slots=True, eq=False)
+class ControlService:
+    """Own the tasks of a control voter."""
+
+    voter: ControlVoter
+    client: LogClient
+    registry: RegistryTask
+    placer: ClaimPlacer
+    led_since: Seconds | None = None
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled; a voter whose disk fails stops alone, the rest goes on."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(run_voter, self.voter)
+            await nursery.start(self.registry.run)
+            nursery.start_soon(self.placer.run)
+            task_status.started()
+
+    def view_placement(self) -> PlacementView | None:
+        """Return what the placement of claims needs; None while this voter does not lead."""
+        now = trio.current_time()
+        if not self.voter.is_leader:
+            self.led_since = None
+            return None
+        if self.led_since is None:
+            self.led_since = now
+        owners: dict[str, set[str]] = {}
+        for upstream in self.upstreams():
+            owners.setdefault(upstream.service, set()).add(upstream.owner.name)
+        return PlacementView(
+            now - self.led_since,
+            self.client.configuration.services,
+            self.client.claim_groups,
+            self.registry.alive(),
+            {service: frozenset(names) for service, names in owners.items()},
+        )
+
+    def upstreams(self) -> tuple[Upstream, ...]:
+        """Return every upstream that the registry knows."""
+        members = self.registry.registry.members.values()
+        return tuple(
+            upstream
+            for member in members
+            if member.is_visible
+            for upstream in member.state.upstreams
+        )
+
+
+def open_control(
+    name: str,
+    names: tuple[str, ...],
+    data_folder: Path,
+    times: LeaseTimes,
+    send: Callable[[str, Record], object],
+    recorder: Recorder,
+    rng: random.Random,
+) -> Result[ControlService, StoreError]:
+    """Read the disk and make a control voter's tasks; call it inside a trio run.
+
+    Errors: StoreError.
+    """
+    state = ControlState()
+    opened = open_voter(name, names, open_folder(data_folder), state, send, recorder, rng)
+    if opened.is_error():
+        return opened
+    voter = opened.ok
+    client = LogClient(voter, state, names)
+    registry = create_registry_task(name, RegistryControl(client), times, send, recorder, rng)
+    service: ControlService
+
+    async def propose(command: ChangeClaimGroup) -> object:
+        return await client.propose(encode_command(command))
+
+    placer = ClaimPlacer(lambda: service.view_placement(), propose, rng, times.lease)
+    service = ControlService(voter, client, registry, placer)
+    return Ok(service)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -0,0 +1,158 @@
+"""Hand each message of a peer to the task that it is for."""
+
+import contextlib
+import typing
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from bendwind_core import claims as claim
+from bendwind_core import consensus
+from bendwind_core import membership as member
+from bendwind_core.attempts import (
+    AnswerHead,
+    BodyCredit,
+    BodyPart,
+    Cancel,
+    Fence,
+    Fenced,
+    HandOver,
+    NotRun,
+    Unknown,
+)
+from bendwind_core.messages import Goodbye, Hello, PeerMessage
+from bendwind_node.calls.entry_node import EntryNode
+from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.claims.task import ClaimTask, PeerClaimMessage
+from bendwind_node.control.service import ControlService
+from bendwind_node.links import Link, LinkHub
+from bendwind_node.membership import MembershipTask
+
+_TO_OWNER = (HandOver, Cancel, Fence)
+_TO_ENTRY = (AnswerHead, NotRun, Unknown, Fenced)
+_TO_NODE = (member.HeartbeatReply, member.ConfigurationChanged, member.WatchUpdate)
+_TO_REGISTRY = (
+    member.Heartbeat,
+    member.Announce,
+    member.Watch,
+    member.MemberGossip,
+    member.MemberDigest,
+    member.MemberPull,
+    member.StatusRequest,
+    member.StatusReply,
+)
+_TO_VOTER = typing.get_args(consensus.ConsensusMessage)
+_TO_PLACER = (claim.ClaimCopied, claim.ClaimLeave)
+
+
+@dataclass(slots=True, eq=False)
+class Dispatcher:
+    """Hear of every link and message of the process; implements `links.Receiver`."""
+
+    own_name: str
+    hub: LinkHub | None = None
+    entry: EntryNode | None = None
+    owner: OwnerNode | None = None
+    membership: MembershipTask | None = None
+    claims: ClaimTask | None = None
+    control: ControlService | None = None
+    handlers: dict[type, Callable[[Link, PeerMessage], None]] = field(default_factory=dict)
+
+    def send(self, to: str, message: PeerMessage) -> bool:
+        """Send a message to a peer or to this process itself; it may be lost."""
+        if to == self.own_name:
+            handler = self._find_handler(type(message))
+            if handler is not None:
+                handler(_OwnLink(to), message)
+            return handler is not None
+        return self.hub.send(to, message)
+
+    def link_opened(self, link: Link, hello: Hello) -> None:
+        """Tell the owner node of entry nodes, and membership of a peer's version."""
+        self.membership.note_peer(hello.sender.name, hello.version, hello.confirmed_age_ms)
+        if not link.is_dialed:
+            self.owner.link_opened(link)
+
+    def link_closed(self, link: Link) -> None:
+        """Tell the tasks that relied on the link."""
+        if link.is_dialed:
+            self.entry.link_closed(link)
+        else:
+            self.owner.link_closed(link)
+        if self.hub.find_link(link.peer.name) is None:
+            self.membership.note_link_lost(link.peer.name)
+
+    def dial_failed(self, peer: str, unsent: tuple[PeerMessage, ...]) -> None:
+        """Tell the entry node which of its messages never left."""
+        self.entry.dial_failed(unsent)
+        self.membership.note_link_lost(peer)
+
+    def receive(self, link: Link, message: PeerMessage) -> None:
+        """Hand a message to its task; one that this process has no task for is dropped."""
+        handler = self._find_handler(type(message))
+        if handler is not None:
+            handler(link, message)
+
+    def _find_handler(self, kind: type) -> Callable[[Link, PeerMessage], None] | None:
+        handler = self.handlers.get(kind)
+        if handler is None:
+            handler = self._choose_handler(kind)
+            if handler is not None:
+                self.handlers[kind] = handler
+        return handler
+
+    def _choose_handler(self, kind: type) -> Callable[[Link, PeerMessage], None] | None:
+        if kind in _TO_OWNER:
+            return self.owner.receive
+        if kind in _TO_ENTRY:
+            return self.entry.receive
+        if kind in (BodyPart, BodyCredit):
+            return self._receive_body
+        if kind in _TO_NODE:
+            return self._to_membership
+        if kind in _TO_PLACER or kind in _TO_REGISTRY or kind in _TO_VOTER:
+            return None if self.control is None else self._to_control
+        return None if kind in (Hello, Goodbye) else self._to_claims
+
+    def _receive_body(self, link: Link, message: PeerMessage) -> None:
+        # The dialer of a link is the entry node: what comes back on it belongs to an answer.
+        if link.is_dialed:
+            self.entry.receive(link, message)
+        else:
+            self.owner.receive(link, message)
+
+    def _to_membership(self, link: Link, message: PeerMessage) -> None:
+        _put(self.membership.inbox, (link.peer.name, message))
+
+    def _to_claims(self, link: Link, message: PeerMessage) -> None:
+        _put(self.claims.inbox, PeerClaimMessage(link.peer.name, message))
+
+    def _to_control(self, link: Link, message: PeerMessage) -> None:
+        if isinstance(message, _TO_PLACER):
+            self.control.placer.receive(message)
+        elif isinstance(message, _TO_REGISTRY):
+            _put(self.control.registry.inbox, (link.peer.name, message))
+        else:
+            self.control.voter.deliver(link.peer.name, message)
+
+
+@dataclass(frozen=True, slots=True)
+class _OwnPeer:
+    name: str
+
+
+class _OwnLink:
+    """Stand for the link of a process to itself; only the sender's name is read."""
+
+    __slots__ = ("is_dialed", "peer")
+
+    def __init__(self, name: str):
+        self.peer = _OwnPeer(name)
+        self.is_dialed = False
+
+
+def _put(inbox: trio.MemorySendChannel, item: object) -> None:
+    # Every sender of these repeats what is not answered, so a full inbox may drop.
+    with contextlib.suppress(trio.WouldBlock, trio.BrokenResourceError):
+        inbox.send_nowait(item)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -0,0 +1,107 @@
+"""Run a process until a planned stop."""
+
+import gc
+import signal
+
+import trio
+from expression import Ok, Result
+
+from bendwind_core.core import Seconds
+from bendwind_core.timeline import EventKind
+from bendwind_node.claims.task import LeaseProven
+from bendwind_node.daemon.build import build_daemon
+from bendwind_node.daemon.dispatcher import Dispatcher
+from bendwind_node.daemon.listeners import find_port, open_listeners
+from bendwind_node.daemon.serve import serve_callers, serve_operators, serve_upstreams
+from bendwind_node.daemon.state import Daemon
+from bendwind_node.security import watch_keys
+from bendwind_node.settings import Settings
+
+# Time for the others to hear of a drain before callers are sent away.
+DRAIN_NOTICE: Seconds = 1.0
+HAND_OVER_TIMEOUT: Seconds = 10.0
+DRAIN_TIMEOUT: Seconds = 60.0
+IDLE_POLL: Seconds = 0.02
+LEASE_POLL: Seconds = 0.5
+
+
+async def run_daemon(settings: Settings) -> Result[None, str]:
+    """Run a process until it is told to stop.
+
+    Errors: a text that says why it could not start.
+    """
+    opened = await open_listeners(settings)
+    if opened.is_error():
+        return opened
+    async with trio.open_nursery() as nursery:
+        built = build_daemon(settings, opened.ok, nursery)
+        if built.is_error():
+            return built
+        daemon = built.ok
+        await _start(daemon, nursery)
+        await daemon.stopping.wait()
+        await _stop(daemon)
+        nursery.cancel_scope.cancel()
+    daemon.recorder.record(EventKind.PROCESS_STOPPED)
+    return Ok(None)
+
+
+async def _start(daemon: Daemon, nursery: trio.Nursery) -> None:
+    dispatcher = daemon.dispatcher
+    nursery.start_soon(dispatcher.hub.run, daemon.listeners.peers)
+    if dispatcher.control is not None:
+        await nursery.start(dispatcher.control.run)
+    await nursery.start(dispatcher.membership.run)
+    nursery.start_soon(dispatcher.claims.run)
+    nursery.start_soon(dispatcher.owner.run_clock)
+    nursery.start_soon(_prove_lease, dispatcher)
+    nursery.start_soon(_watch_signals, daemon.stopping)
+    if daemon.keys is not None:
+        nursery.start_soon(watch_keys, daemon.keys)
+    serve_upstreams(daemon, nursery)
+    serve_operators(daemon, nursery)
+    serve_callers(daemon, nursery)
+    # What is built now lives as long as the process: the collector need not look at it again.
+    gc.collect()
+    gc.freeze()
+    daemon.recorder.record(EventKind.PROCESS_STARTED, detail=_describe_ports(daemon))
+
+
+def _describe_ports(daemon: Daemon) -> str:
+    tables = ("peers", "callers", "upstreams", "operators")
+    return " ".join(f"{table}={find_port(getattr(daemon.listeners, table))}" for table in tables)
+
+
+async def _prove_lease(dispatcher: Dispatcher) -> None:
+    """Tell the claim holders until when the configuration is proven fresh."""
+    membership = dispatcher.membership
+    while True:
+        confirmed_at = membership.view.confirmed_at
+        if confirmed_at is not None:
+            until = confirmed_at + membership.view.times.provable
+            await dispatcher.claims.inbox.send(LeaseProven(until))
+        await trio.sleep(LEASE_POLL)
+
+
+async def _watch_signals(stopping: trio.Event) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stopping.set()
+            return
+
+
+async def _stop(daemon: Daemon) -> None:
+    """Stop as planned: drain, send callers away, hand claims over, finish what is in flight."""
+    dispatcher = daemon.dispatcher
+    daemon.recorder.record(EventKind.PROCESS_STOPPING)
+    dispatcher.owner.drain()
+    await trio.sleep(DRAIN_NOTICE)
+    daemon.callers_done.set()
+    with trio.move_on_after(HAND_OVER_TIMEOUT):
+        await dispatcher.claims.hand_over()
+    with trio.move_on_after(DRAIN_TIMEOUT):
+        while dispatcher.entry.runs or not dispatcher.owner.is_idle():
+            await trio.sleep(IDLE_POLL)
+    for name in tuple(dispatcher.owner.owned):
+        dispatcher.owner.left(name)
+    await trio.sleep(IDLE_POLL)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/main.py
@@ -0,0 +1,51 @@
+"""Run bendwindd from its command line."""
+
+import sys
+from pathlib import Path
+
+import fire
+
+from bendwind_node.settings import load_settings
+
+EXIT_BAD_SETTINGS = 5
+EXIT_CANNOT_START = 1
+
+
+def run(config: str, check: bool = False) -> None:
+    """Run the process that a settings file describes.
+
+    Args:
+        config: the TOML settings file, see docs/SETTINGS.md.
+        check: check the file and end.
+    """
+    loaded = load_settings(Path(str(config)))
+    if loaded.is_error():
+        print(f"bendwindd: {loaded.error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        print(f"{config}: ok")
+        return
+    _run_checked(loaded.ok)
+
+
+def _run_checked(settings) -> None:
+    # What follows is heavy, and a check of settings needs none of it.
+    import trio
+
+    from bendwind_node.daemon import run_daemon
+    from bendwind_node.logs import configure_logging
+
+    configure_logging(settings)
+    ended = trio.run(run_daemon, settings)
+    if ended.is_error():
+        print(f"bendwindd: {ended.error}", file=sys.stderr)
+        sys.exit(EXIT_CANNOT_START)
+
+
+def main() -> None:
+    """Run bendwindd."""
+    fire.Fire(run, name="bendwindd")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/__init__.py
@@ -0,0 +1,37 @@
+"""Offer the HTTP API that operators use."""
+
+from bendwind_node.operators.app import OperatorsApp
+from bendwind_node.operators.authority import (
+    OperatorAuthority,
+    create_certificate_authority,
+    create_open_authority,
+    create_token_authority,
+)
+from bendwind_node.operators.control_client import (
+    ControlClient,
+    ControlError,
+    NoQuorum,
+    NotLeader,
+    OutcomeUnknown,
+    VoterStatus,
+)
+from bendwind_node.operators.http import Response
+from bendwind_node.operators.status_source import NodeVersion, ProcessStatus, StatusSource
+
+__all__ = [
+    "ControlClient",
+    "ControlError",
+    "NoQuorum",
+    "NodeVersion",
+    "NotLeader",
+    "OperatorAuthority",
+    "OperatorsApp",
+    "OutcomeUnknown",
+    "ProcessStatus",
+    "Response",
+    "StatusSource",
+    "VoterStatus",
+    "create_certificate_authority",
+    "create_open_authority",
+    "create_token_authority",
+]
