attempts: fuzz machines meet more live desks; bench: pure routing model

Cause: seeded bugs (floor not raised, fence that marks nothing) passed, since most desks in the owner machine were draining for good after a few steps. Change: draining and loss are drawn rarely, fewer attempt ids; the model of routing policies.

--- a/packages/bendwind-bench/src/bendwind_bench/pure_routing.py
+++ b/packages/bendwind-bench/src/bendwind_bench/pure_routing.py
@@ -15,7 +15,14 @@
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.call import EntryCall, create_call
-from bendwind_core.attempts.messages import Cancel, HandOver, NotRun, NotRunReason, Unknown
+from bendwind_core.attempts.messages import (
+    Cancel,
+    CutReason,
+    HandOver,
+    NotRun,
+    NotRunReason,
+    Unknown,
+)
 from bendwind_core.limits import RetryBudget
 from bendwind_core.routing import (
     UpstreamTable,
@@ -53,11 +60,11 @@
 
     policy: Policy = Policy.SCORE
     upstreams: int = 4
-    slots: int = 12
+    slots: int = 6
     entries: int = 4
     load: float = 0.6
-    mean_time: float = 0.010
-    length: float = 30.0
+    mean_time: float = 0.040
+    length: float = 60.0
     seed: int = 1
     has_slow_down: bool = True
     hedge_ms: float | None = None
@@ -131,7 +138,7 @@
     while when < sim.model.length:
         length = sim.rng.uniform(0.020, 0.500)
         sim.at(when, _slow_down, sim, sim.rng.randrange(sim.model.upstreams), when + length)
-        when += length + sim.rng.expovariate(1.0)
+        when += length + sim.rng.uniform(0.5, 1.5)
 
 
 def _slow_down(sim: Simulation, index: int, until: float) -> None:
@@ -157,7 +164,7 @@
 def _arrive(sim: Simulation, node: EntryNode) -> None:
     service = Service("s", ("*",), hedge_after_ms=sim.model.hedge_ms)
     rule = Rule("*", repeat=Repeat.IDEMPOTENT)
-    call = create_call("c", service, rule, sim.now + 2.0, node.ids, node.budget)
+    call = create_call("c", service, rule, sim.now + 10.0, node.ids, node.budget)
     _step_entry(sim, node, call, sim.now, ev.Begin())
 
 
@@ -177,7 +184,7 @@
                 sim.at(sim.now + ONE_WAY, _reach_owner, sim, int(upstream.name), hand_over, back)
             case ev.SendCancel(attempt, upstream):
                 note_cancelled(node.table, upstream.name, attempt, sim.now)
-                cancel = Cancel(attempt)
+                cancel = Cancel(attempt, upstream.name)
                 sim.at(sim.now + ONE_WAY, _reach_owner, sim, int(upstream.name), cancel, None)
             case ev.StartTimer(ev.TimerKind.HEDGE, when):
                 fired = ev.TimerFired(ev.TimerKind.HEDGE)
@@ -207,7 +214,7 @@
                 _finish_at(sim, index, hand_over.attempt, _stretch(sim, index, work))
             case ov.CancelDispatch(attempt):
                 sim.works.pop(attempt, None)
-                ended = ov.DispatchUnknown(attempt, "cancelled")
+                ended = ov.DispatchUnknown(attempt, CutReason.CANCELLED)
                 sim.at(sim.now, _step_owner, sim, index, ended)
             case ov.ReplyNotRun(attempt, _, reason, load):
                 _send_back(sim, attempt, NotRun(attempt, reason, load))
@@ -272,10 +279,10 @@
 def main() -> None:
     """Print the figures of every policy, with and without slow-downs."""
     for policy in Policy:
-        print(f"{policy:16} {measure(policy=policy, length=10.0)}", flush=True)
-    quiet = measure(policy=Policy.SCORE, length=10.0, has_slow_down=False)
+        print(f"{policy:16} {measure(policy=policy)}", flush=True)
+    quiet = measure(policy=Policy.SCORE, has_slow_down=False)
     print(f"{'score, quiet':16} {quiet}", flush=True)
-    hedged = measure(policy=Policy.SCORE, length=10.0, hedge_ms=40.0)
+    hedged = measure(policy=Policy.SCORE, hedge_ms=150.0)
     print(f"{'score, hedged':16} {hedged}", flush=True)
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/call_path_world.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/call_path_world.py
@@ -136,9 +136,9 @@
             case ev.SendHandOver():
                 self.send_hand_over(caller, effect)
             case ev.SendCancel(attempt, upstream):
-                self.send(caller.entry, upstream, messages.Cancel(attempt))
+                self.send(caller.entry, upstream, messages.Cancel(attempt, upstream.name))
             case ev.SendFence(attempt, upstream):
-                fence = messages.Fence(attempt, upstream.owner.incarnation)
+                fence = messages.Fence(attempt, upstream.owner.incarnation, upstream.name)
                 if not self.send(caller.entry, upstream, fence):
                     self.entry_step(caller, ev.FenceFailed(attempt))
             case ev.StartTimer(kind, at):
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_call_path.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_call_path.py
@@ -96,7 +96,7 @@
             case _:
                 node.is_reachable = kind == "reachable"
 
-    @rule(pick=number, state=st.sampled_from([UpstreamState.READY, *UpstreamState]))
+    @rule(pick=number, state=st.sampled_from([UpstreamState.READY] * 4 + list(UpstreamState)))
     def announce(self, pick, state):
         self.world.announce(self._pick(self.world.owners, pick), state)
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_owner.py
@@ -21,9 +21,9 @@
 
 INCARNATION = 5
 QUEUE = 3
-REMEMBERED = 6
+REMEMBERED = 2
 attempts = st.builds(
-    AttemptId, st.sampled_from(["e0", "e1", "e2"]), st.sampled_from([1, 1, 1, 2]), st.integers(1, 9)
+    AttemptId, st.sampled_from(["e0", "e1"]), st.sampled_from([1, 1, 1, 1, 2]), st.integers(1, 6)
 )
 epochs = st.integers(1, 3)
 incarnations = st.sampled_from([INCARNATION] * 5 + [INCARNATION - 1])
@@ -100,7 +100,7 @@
         attempt=attempts,
         epoch=epochs,
         incarnation=incarnations,
-        remaining_ms=st.sampled_from([0.0, 20.0, 1000.0]),
+        remaining_ms=st.sampled_from([0.0, 20.0, 1000.0, 1000.0]),
         repeat=st.sampled_from(Repeat),
     )
     def hand_over(self, attempt, epoch, incarnation, remaining_ms, repeat):
@@ -120,7 +120,7 @@
     def fence(self, attempt, epoch, incarnation):
         self.seen.add(attempt)
         self.fence_incarnation = incarnation
-        self.step(ov.FenceArrived(Fence(attempt, incarnation), epoch))
+        self.step(ov.FenceArrived(Fence(attempt, incarnation, "u"), epoch))
 
     @rule(attempt=attempts, epoch=epochs, is_lost=st.booleans())
     def link(self, attempt, epoch, is_lost):
@@ -151,9 +151,9 @@
                 self.step(ov.DispatchUnknown(attempt, CutReason.UPSTREAM_RESET))
 
     @rule(
-        slots=st.integers(0, 2),
-        connections=st.sampled_from([1, 9]),
-        state=st.sampled_from([UpstreamState.READY] * 4 + list(UpstreamState)),
+        slots=st.sampled_from([0, 1, 2, 2]),
+        connections=st.sampled_from([1, 9, 9]),
+        state=st.sampled_from([UpstreamState.READY] * 8 + list(UpstreamState)),
     )
     def announce(self, slots, connections, state):
         if state is UpstreamState.READY and not self.desk.is_stopping:
@@ -162,7 +162,7 @@
         self.step(ov.UpstreamAnnounced(slots, connections, state))
         assert len(self.running) <= max(before, min(slots, connections))
 
-    @rule(kind=st.sampled_from([ov.Drain, ov.UpstreamLost, ov.Tick, ov.Tick]))
+    @rule(kind=st.sampled_from([ov.Tick] * 10 + [ov.UpstreamLost, ov.Drain]))
     def change(self, kind):
         self.step(kind())
 
