--- a/packages/bendwind-bench/src/bendwind_bench/pure_routing.py
+++ b/packages/bendwind-bench/src/bendwind_bench/pure_routing.py
@@ -162,7 +162,7 @@
 
 
 def _arrive(sim: Simulation, node: EntryNode) -> None:
-    service = Service("s", ("*",), hedge_after_ms=sim.model.hedge_ms)
+    service = Service("s", ("*",), policy=sim.model.policy, hedge_after_ms=sim.model.hedge_ms)
     rule = Rule("*", repeat=Repeat.IDEMPOTENT)
     call = create_call("c", service, rule, sim.now + 10.0, node.ids, node.budget)
     _step_entry(sim, node, call, sim.now, ev.Begin())
@@ -174,11 +174,21 @@
 
     for effect in entry.step(call, event, sim.now, choose):
         match effect:
-            case ev.SendHandOver(attempt, upstream, remaining_ms):
+            case ev.SendHandOver(attempt, upstream, remaining_ms, insist):
                 sim.attempts += 1
                 note_sent(node.table, upstream.name, attempt, sim.now)
                 hand_over = HandOver(
-                    attempt, 1, "s", upstream.name, "GET", b"/", (), remaining_ms, "idempotent", 1
+                    attempt,
+                    1,
+                    "s",
+                    upstream.name,
+                    "GET",
+                    b"/",
+                    (),
+                    remaining_ms,
+                    "idempotent",
+                    1,
+                    insist=insist,
                 )
                 back = (node, call, arrived)
                 sim.at(sim.now + ONE_WAY, _reach_owner, sim, int(upstream.name), hand_over, back)
--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -58,11 +58,13 @@
 from bendwind_core.attempts.retry_after import estimate_retry_after_ms
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import earn_retry, may_retry, spend_retry
-from bendwind_core.world import Upstream
+from bendwind_core.world import Policy, Upstream
 
 Choose = Callable[[frozenset[str]], Upstream | None]
 
 MAX_ATTEMPTS = 5
+# So many attempts are sent back by a stalled upstream rather than taken.
+POLITE_ATTEMPTS = 2
 # The owner's time ends a little before the caller's, so that its proof still arrives in time.
 REPLY_MARGIN_MAX: Seconds = 0.020
 REPLY_MARGIN_SHARE = 0.1
@@ -80,11 +82,17 @@
         NotRunReason.WRONG_OWNER,
         NotRunReason.CONNECT_FAILED,
         NotRunReason.OVERLOADED,
+        NotRunReason.STALLED,
     }
 )
 # After these the same upstream may well take the next attempt.
 _PASSING_BOUNCES = frozenset(
-    {NotRunReason.FENCED, NotRunReason.WRONG_OWNER, NotRunReason.CONNECT_FAILED}
+    {
+        NotRunReason.STALLED,
+        NotRunReason.FENCED,
+        NotRunReason.WRONG_OWNER,
+        NotRunReason.CONNECT_FAILED,
+    }
 )
 _NONE_EXCLUDED: frozenset[str] = frozenset()
 
@@ -168,7 +176,19 @@
     attempt = Attempt(next_attempt_id(call.attempt_ids), upstream)
     call.attempts.append(attempt)
     remaining = call.deadline_at - now - _reply_margin(call, now)
-    effects.append(SendHandOver(attempt.id, upstream, remaining * MILLISECONDS_PER_SECOND))
+    insist = _must_insist(call, upstream)
+    effects.append(SendHandOver(attempt.id, upstream, remaining * MILLISECONDS_PER_SECOND, insist))
+
+
+def _must_insist(call: EntryCall, upstream: Upstream) -> bool:
+    # The other policies stay the plain baselines that they are.
+    if call.service.policy is not Policy.SCORE:
+        return True
+    # The last attempt in the list is the one being sent.
+    earlier = call.attempts[:-1]
+    if len(earlier) >= POLITE_ATTEMPTS:
+        return True
+    return any(attempt.upstream.name == upstream.name for attempt in earlier)
 
 
 def _on_claim(
--- a/packages/bendwind-core/src/bendwind_core/attempts/events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/events.py
@@ -156,6 +156,7 @@
     attempt: AttemptId
     upstream: Upstream
     remaining_ms: Milliseconds
+    insist: bool = True
 
 
 @dataclass(slots=True)
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -34,6 +34,7 @@
     CONNECT_FAILED = "connect-failed"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     OVERLOADED = "overloaded"
+    STALLED = "stalled"
 
 
 class CutReason(enum.StrEnum):
@@ -62,6 +63,7 @@
     """Hand one attempt to the upstream's owner node.
 
     `owner_incarnation` names the run of the owner this is meant for; any other run refuses it.
+    `insist` says to take the attempt even while the upstream has stalled.
     `body` is the first part of the request body; `more` says that BodyPart messages follow.
     Units: `remaining_ms` is the time left to the caller's deadline, in milliseconds.
     """
@@ -78,6 +80,7 @@
     version: int
     body: bytes = b""
     more: bool = False
+    insist: bool = True
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -55,6 +55,9 @@
 REMEMBERED_PEERS = 16384
 # A leaving upstream gets nothing new after this, not even what was queued before.
 DRAIN_QUEUE_WAIT: Seconds = 1.0
+# An upstream that runs so many attempts, and should have ended so many more, has stalled.
+STALL_RUNNING = 2
+STALL_EXPECTED = 3.0
 
 _FAILED_STATUS = 500
 
@@ -92,6 +95,7 @@
     is_stopping: bool = False
     is_drained: bool = True
     bounce_queue_at: Seconds | None = None
+    progress_at: Seconds = 0.0
     running: dict[AttemptId, RunningAttempt] = field(default_factory=dict)
     waiting: dict[AttemptId, QueuedAttempt] = field(default_factory=dict)
     times: ServiceTime = field(default_factory=ServiceTime)
@@ -149,6 +153,7 @@
             note_time(desk.times, event.upstream_ms)
             note_result(desk.times, is_error=event.status >= _FAILED_STATUS)
         case DispatchDone():
+            desk.progress_at = now
             _end_running(desk, event.attempt, Fate.ENDED)
         case DispatchNotRun():
             _on_dispatch_not_run(desk, event, now, effects)
@@ -191,7 +196,7 @@
     peer.epoch = event.epoch
     if _is_seen(desk, peer, attempt, event.epoch, now, effects):
         return
-    refusal = _find_refusal(desk, hand_over)
+    refusal = _find_refusal(desk, hand_over, now)
     if refusal is not None:
         record_ended(desk.log, attempt, Fate.NEVER_STARTED)
         _refuse(desk, attempt, event.epoch, refusal, now, effects)
@@ -222,16 +227,26 @@
     return False
 
 
-def _find_refusal(desk: OwnerDesk, hand_over: HandOver) -> NotRunReason | None:
+def _find_refusal(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> NotRunReason | None:
     if desk.state is UpstreamState.GONE:
         return NotRunReason.NO_UPSTREAM
     if not _is_open(desk):
         return NotRunReason.DRAINING
     if hand_over.remaining_ms <= 0:
         return NotRunReason.DEADLINE
+    if not hand_over.insist and _is_stalled(desk, now):
+        return NotRunReason.STALLED
     return None
 
 
+def _is_stalled(desk: OwnerDesk, now: Seconds) -> bool:
+    # At the usual pace, this many of the running attempts would have ended since the last one did.
+    if len(desk.running) < STALL_RUNNING:
+        return False
+    expected = len(desk.running) * (now - desk.progress_at) * MILLISECONDS_PER_SECOND
+    return expected > STALL_EXPECTED * desk.times.average_ms > 0.0
+
+
 def _refuse(
     desk: OwnerDesk,
     attempt: AttemptId,
@@ -266,6 +281,8 @@
 ) -> None:
     hand_over = queued.hand_over
     record_live(desk.log, hand_over.attempt, Fate.RUNNING)
+    if not desk.running:
+        desk.progress_at = now
     desk.running[hand_over.attempt] = RunningAttempt(queued.epoch, now, hand_over.repeat)
     effects.append(Dispatch(hand_over, queued.expires_at))
 
--- a/packages/bendwind-core/src/bendwind_core/limits/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/__init__.py
@@ -1,6 +1,24 @@
 """Offer the bounds on what calls and measuring may take."""
 
+from bendwind_core.limits.concurrency_share import ConcurrencyShare, admit, leave, set_services
 from bendwind_core.limits.fair_queue import FairQueue
+from bendwind_core.limits.probe_budget import ProbeBudget, spend_probe
+from bendwind_core.limits.request_size import SizeExceeded, check_body, check_headers
 from bendwind_core.limits.retry_budget import RetryBudget, earn_retry, may_retry, spend_retry
 
-__all__ = ["FairQueue", "RetryBudget", "earn_retry", "may_retry", "spend_retry"]
+__all__ = [
+    "ConcurrencyShare",
+    "FairQueue",
+    "ProbeBudget",
+    "RetryBudget",
+    "SizeExceeded",
+    "admit",
+    "check_body",
+    "check_headers",
+    "earn_retry",
+    "leave",
+    "may_retry",
+    "set_services",
+    "spend_probe",
+    "spend_retry",
+]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/limits/concurrency_share.py
@@ -0,0 +1,58 @@
+"""Share an entry node's calls in flight among its services.
+
+Half of the places are reserved in equal parts, one for each service; the other half goes to
+whoever asks first. So a busy service may take what is idle, but never another's part.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+RESERVED_SHARE = 0.5
+
+
+@dataclass(slots=True)
+class ConcurrencyShare:
+    """Hold the calls in flight of each service of an entry node."""
+
+    capacity: int
+    reserve: int = 0
+    common: int = 0
+    total: int = 0
+    common_used: int = 0
+    in_flight: dict[str, int] = field(default_factory=dict)
+
+
+def set_services(share: ConcurrencyShare, names: Iterable[str]) -> None:
+    """Take over the services; those that left keep no reserve for the calls they still have."""
+    counts = dict.fromkeys(names, 0)
+    number = len(counts)
+    for name, count in share.in_flight.items():
+        if count or name in counts:
+            counts[name] = count
+    share.in_flight = counts
+    share.reserve = int(share.capacity * RESERVED_SHARE) // max(1, number)
+    share.common = share.capacity - share.reserve * number
+    share.common_used = sum(max(0, count - share.reserve) for count in counts.values())
+
+
+def admit(share: ConcurrencyShare, service: str, limit: int) -> bool:
+    """Take a place for a call; `limit` is the service's own bound. Return False if none is free."""
+    count = share.in_flight.get(service)
+    if count is None or count >= limit or share.total >= share.capacity:
+        return False
+    if count >= share.reserve:
+        if share.common_used >= share.common:
+            return False
+        share.common_used += 1
+    share.in_flight[service] = count + 1
+    share.total += 1
+    return True
+
+
+def leave(share: ConcurrencyShare, service: str) -> None:
+    """Give back the place of a call that ended."""
+    count = share.in_flight[service]
+    if count > share.reserve:
+        share.common_used -= 1
+    share.in_flight[service] = count - 1
+    share.total -= 1
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/limits/request_size.py
@@ -0,0 +1,33 @@
+"""Check the size of a request against its limits."""
+
+import enum
+from collections.abc import Sequence
+
+from expression import Error, Ok, Result
+
+from bendwind_core.world import Limits
+
+HEADER_COUNT = 100
+HEADER_BYTES = 32 * 1024
+
+
+class SizeExceeded(enum.StrEnum):
+    """Say which limit a request exceeds."""
+
+    BODY = "body-too-large"
+    HEADERS = "headers-too-large"
+
+
+def check_headers(headers: Sequence[tuple[bytes, bytes]]) -> Result[None, SizeExceeded]:
+    """Check the number of headers and their bytes."""
+    size = sum(len(name) + len(value) for name, value in headers)
+    if len(headers) > HEADER_COUNT or size > HEADER_BYTES:
+        return Error(SizeExceeded.HEADERS)
+    return Ok(None)
+
+
+def check_body(limits: Limits, size: int) -> Result[None, SizeExceeded]:
+    """Check the bytes of a body, as announced or as received so far."""
+    if size > limits.body_bytes:
+        return Error(SizeExceeded.BODY)
+    return Ok(None)
--- a/packages/bendwind-core/src/bendwind_core/routing/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/__init__.py
@@ -1,6 +1,7 @@
 """Offer the choice of an upstream for an attempt."""
 
 from bendwind_core.routing.choice import choose_upstream
+from bendwind_core.routing.probes import plan_probes
 from bendwind_core.routing.table import (
     UpstreamTable,
     UpstreamView,
@@ -25,5 +26,6 @@
     "note_not_run",
     "note_sent",
     "note_unknown",
+    "plan_probes",
     "set_upstreams",
 ]
--- a/packages/bendwind-core/src/bendwind_core/routing/choice.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/choice.py
@@ -9,6 +9,8 @@
 
 # Power of d choices: the score is compared over this many random upstreams.
 CHOICES = 4
+# The median of the upstreams' averages is worked out anew after this time.
+USUAL_REFRESH: Seconds = 0.010
 
 
 def choose_upstream(
@@ -44,19 +46,24 @@
 def _choose_by_score(
     table: UpstreamTable, views: list[UpstreamView], now: Seconds, rng: random.Random
 ) -> UpstreamView:
-    usual_ms = find_usual_latency_ms(table)
+    usual_ms = _find_usual_latency_ms(table, now)
     if len(views) > CHOICES:
         views = rng.sample(views, CHOICES)
-    else:
-        rng.shuffle(views)
-    return min(views, key=lambda view: score(view, usual_ms, now))
+    start = int(rng.random() * len(views))
+    best, best_score = views[start], score(views[start], usual_ms, now)
+    for view in views[start + 1 :] + views[:start]:
+        view_score = score(view, usual_ms, now)
+        if view_score < best_score:
+            best, best_score = view, view_score
+    return best
 
 
-def find_usual_latency_ms(table: UpstreamTable) -> Milliseconds:
-    """Return the lowest average latency among the service's upstreams, 0 if none is known."""
-    return min(
-        (view.latency_ms for view in table.views.values() if view.latency_ms > 0.0), default=0.0
-    )
+def _find_usual_latency_ms(table: UpstreamTable, now: Seconds) -> Milliseconds:
+    if now - table.usual_at >= USUAL_REFRESH:
+        table.usual_at = now
+        known = sorted(view.latency_ms for view in table.views.values() if view.latency_ms > 0.0)
+        table.usual_ms = known[(len(known) - 1) // 2] if known else 0.0
+    return table.usual_ms
 
 
 def _choose_in_turn(table: UpstreamTable, views: list[UpstreamView]) -> UpstreamView:
--- a/packages/bendwind-core/src/bendwind_core/routing/score.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/score.py
@@ -4,13 +4,15 @@
 from bendwind_core.routing.table import UpstreamView
 
 # After this time half of a report's weight is gone.
-REPORT_HALF_LIFE: Seconds = 0.1
-# An attempt older than this many usual latencies speaks for a slow-down.
-SUSPECT_FACTOR = 3.0
+REPORT_HALF_TIME: Seconds = 0.3
+# What others send is counted by half: reports are stale and every entry node sees the same ones.
+REPORT_WEIGHT = 0.5
+# After this time without an answer half of an average's distance from the usual is gone, so that
+# an upstream which was slow is tried again.
+LATENCY_HALF_TIME: Seconds = 0.2
 ERROR_PENALTY = 30.0
 RAMP_UP: Seconds = 10.0
 RAMP_START = 0.1
-UNKNOWN_LATENCY_MS: Milliseconds = 1.0
 
 
 def score(view: UpstreamView, usual_ms: Milliseconds, now: Seconds) -> float:
@@ -18,26 +20,28 @@
 
     `usual_ms` is the latency that the service's upstreams usually have.
     """
-    latency_ms = _expected_latency_ms(view, usual_ms, now)
-    load = _expected_load(view, now) / max(1, view.upstream.slots)
+    load = (1.0 + _expected_load(view, now)) / max(1, view.upstream.slots)
     penalty = 1.0 + ERROR_PENALTY * view.error_rate
-    return latency_ms * (1.0 + load) * penalty / _warmth(view, now)
+    return _slowness(view, usual_ms, now) * load * penalty / _warmth(view, now)
 
 
-def _expected_latency_ms(view: UpstreamView, usual_ms: Milliseconds, now: Seconds) -> Milliseconds:
-    latency_ms = view.latency_ms or usual_ms or UNKNOWN_LATENCY_MS
-    if not view.outstanding:
-        return latency_ms
-    oldest_ms = (now - next(iter(view.outstanding.values()))) * MILLISECONDS_PER_SECOND
-    if oldest_ms > SUSPECT_FACTOR * usual_ms:
-        return max(latency_ms, oldest_ms)
-    return latency_ms
+def _slowness(view: UpstreamView, usual_ms: Milliseconds, now: Seconds) -> float:
+    if usual_ms <= 0.0:
+        return 1.0
+    excess_ms = max(0.0, view.latency_ms - usual_ms)
+    silence = now - view.answered_at
+    latency_ms = usual_ms + excess_ms * 0.5 ** (silence / LATENCY_HALF_TIME)
+    if view.outstanding:
+        # No report is as fresh as the age of an attempt that has not come back.
+        oldest_at = next(iter(view.outstanding.values()))
+        latency_ms = max(latency_ms, (now - oldest_at) * MILLISECONDS_PER_SECOND)
+    return latency_ms / usual_ms
 
 
 def _expected_load(view: UpstreamView, now: Seconds) -> float:
     age = now - view.reported_at
-    others = view.reported_others / (1.0 + age / REPORT_HALF_LIFE)
-    return len(view.outstanding) + others
+    others = view.reported_others * 0.5 ** (age / REPORT_HALF_TIME)
+    return len(view.outstanding) + REPORT_WEIGHT * others
 
 
 def _warmth(view: UpstreamView, now: Seconds) -> float:
--- a/packages/bendwind-core/src/bendwind_core/routing/table.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/table.py
@@ -31,6 +31,8 @@
     error_rate: float = 0.0
     reported_others: float = 0.0
     reported_at: Seconds = 0.0
+    answered_at: Seconds = 0.0
+    probed_at: Seconds = 0.0
     is_draining: bool = False
 
 
@@ -41,6 +43,8 @@
     service: str
     views: dict[str, UpstreamView] = field(default_factory=dict)
     next_turn: int = 0
+    usual_ms: Milliseconds = 0.0
+    usual_at: Seconds = float("-inf")
 
 
 def create_table(service: str) -> UpstreamTable:
@@ -93,6 +97,7 @@
     if view is None:
         return
     is_error = status >= _FAILED_STATUS
+    view.answered_at = now
     sent_at = view.outstanding.pop(attempt, None)
     if sent_at is not None and not is_error:
         _note_latency(view, (now - sent_at) * MILLISECONDS_PER_SECOND)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/routing/tests/test_choice.py
@@ -0,0 +1,122 @@
+"""Check what the choice of an upstream turns away from."""
+
+import collections
+import random
+import unittest
+
+from bendwind_core.attempts.messages import AttemptId, NotRunReason
+from bendwind_core.limits import ProbeBudget
+from bendwind_core.routing import (
+    choose_upstream,
+    create_table,
+    note_answered,
+    note_load,
+    note_not_run,
+    note_sent,
+    plan_probes,
+    set_upstreams,
+)
+from bendwind_core.world import Instance, LoadSample, Policy, Upstream, UpstreamState
+
+NONE = frozenset()
+
+
+def describe(name, state=UpstreamState.READY, incarnation=1):
+    owner = Instance(name, "dc", "h", 1, incarnation)
+    return Upstream(name, "s", owner, 12, 200, state)
+
+
+class TestChoice(unittest.TestCase):
+    def setUp(self):
+        self.rng = random.Random(1)
+        self.sequence = 0
+        self.upstreams = [describe(f"u{index}") for index in range(4)]
+        self.table = create_table("s")
+        set_upstreams(self.table, self.upstreams, 0.0)
+        for _ in range(20):
+            for upstream in self.upstreams:
+                self.answer(upstream.name, 0.0, 0.010)
+
+    def send(self, name, now):
+        self.sequence += 1
+        attempt = AttemptId("e", 1, self.sequence)
+        note_sent(self.table, name, attempt, now)
+        return attempt
+
+    def answer(self, name, now, took, status=200):
+        attempt = self.send(name, now)
+        note_answered(self.table, name, attempt, now + took, status, LoadSample(1, 0, 12))
+
+    def share_of(self, name, now, policy=Policy.SCORE, excluded=NONE):
+        picks = [choose_upstream(policy, self.table, excluded, now, self.rng) for _ in range(200)]
+        counts = collections.Counter(upstream.name for upstream in picks)
+        return counts[name] / 200
+
+    def test_equal_upstreams_share_alike_in_every_policy(self):
+        for policy in Policy:
+            with self.subTest(policy):
+                self.assertAlmostEqual(self.share_of("u0", 1.0, policy), 0.25, delta=0.1)
+
+    def test_an_attempt_that_does_not_come_back_turns_choices_away_at_once(self):
+        for upstream in self.upstreams:
+            self.send(upstream.name, 1.0 if upstream.name == "u0" else 1.030)
+        self.assertEqual(self.share_of("u0", 1.030), 0.0)
+
+    def test_an_upstream_that_fails_fast_does_not_look_idle(self):
+        for _ in range(5):
+            self.answer("u0", 1.0, 0.0001, status=503)
+        self.assertEqual(self.share_of("u0", 1.1), 0.0)
+
+    def test_an_upstream_that_was_slow_is_tried_again_after_silence(self):
+        for _ in range(5):
+            self.answer("u0", 1.0, 0.1)
+        self.assertEqual(self.share_of("u0", 1.2), 0.0)
+        for upstream in self.upstreams[1:]:
+            self.send(upstream.name, 30.0)
+        self.assertGreater(self.share_of("u0", 30.0), 0.0)
+
+    def test_a_new_upstream_is_warmed_up(self):
+        set_upstreams(self.table, [*self.upstreams, describe("u4")], 1.0)
+        cold = self.share_of("u4", 1.5)
+        self.assertLess(cold, 0.05)
+        self.assertGreater(self.share_of("u4", 60.0), cold)
+
+    def test_draining_excluded_and_gone_upstreams_are_never_chosen(self):
+        states = [UpstreamState.DRAINING, UpstreamState.GONE]
+        changed = [describe(f"u{index}", state) for index, state in enumerate(states)]
+        set_upstreams(self.table, changed + self.upstreams[2:], 1.0)
+        for policy in Policy:
+            self.assertEqual(self.share_of("u3", 1.0, policy, frozenset({"u2"})), 1.0)
+
+    def test_a_bounce_by_a_draining_owner_is_believed_before_the_announcement(self):
+        attempt = self.send("u0", 1.0)
+        load = LoadSample(0, 0, 12, draining=True)
+        note_not_run(self.table, "u0", attempt, 1.0, NotRunReason.DRAINING, load)
+        for policy in Policy:
+            self.assertEqual(self.share_of("u0", 1.0, policy), 0.0)
+
+    def test_a_lying_report_fades(self):
+        note_load(self.table, "u0", LoadSample(100, 0, 12), 1.0)
+        self.assertEqual(self.share_of("u0", 1.0), 0.0)
+        for upstream in self.upstreams[1:]:
+            self.send(upstream.name, 9.0)
+        self.assertGreater(self.share_of("u0", 9.0), 0.0)
+
+
+class TestProbes(unittest.TestCase):
+    def test_only_stale_and_idle_upstreams_are_probed_within_the_budget(self):
+        table = create_table("s")
+        set_upstreams(table, [describe(f"u{index}") for index in range(4)], 0.0)
+        note_load(table, "u0", LoadSample(0, 0, 12), 9.5)
+        note_sent(table, "u1", AttemptId("e", 1, 1), 9.9)
+        budget = ProbeBudget(messages_per_s=2, bytes_per_s=1000)
+        first = plan_probes(table, budget, 10.0)
+        self.assertEqual(len(first), 1)
+        self.assertEqual(plan_probes(table, budget, 10.5), [])
+        second = plan_probes(table, budget, 11.1)
+        self.assertEqual(len(second), 1)
+        self.assertNotIn("u1", first + second)
+
+
+if __name__ == "__main__":
+    unittest.main()
