--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -280,6 +280,7 @@
             self.membership.view.version,
             first,
             bool(rest),
+            insist=effect.insist,
         )
         self.runs[effect.attempt.sequence] = run
         note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
