--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -86,11 +86,6 @@
     is_ahead = beat.version > registry.configuration.version
     if not is_current and not is_ahead:
         _push_configuration(registry, beat.node.name, client, effects)
-    # One difference may be a push that crossed the heartbeat; two in a row are a loss.
-    is_in_step = beat.digest == _sum_digests(rows)
-    if not is_in_step and client.is_suspect:
-        send_everything(registry, beat.node.name, client, effects)
-    client.is_suspect = not is_in_step and not client.is_suspect
     return is_current
 
 
@@ -110,6 +105,19 @@
     return _is_current(registry, watch.version, rows) and watch.digest == _sum_digests(rows)
 
 
+def compare_digest(
+    registry: VoterRegistry, beat: Heartbeat, client: Client, effects: list[RegistryEffect]
+) -> bool:
+    """Tell whether a node holds all that the voter knows; push everything after a loss."""
+    rows = [find_row(registry, name) for name in client.services]
+    is_same = beat.digest == _sum_digests(rows)
+    # One difference may be a push that crossed the heartbeat; two in a row are a loss.
+    if not is_same and client.is_suspect:
+        send_everything(registry, beat.node.name, client, effects)
+    client.is_suspect = not is_same and not client.is_suspect
+    return is_same
+
+
 def _push_configuration(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
