--- a/packages/bendwind-core/src/bendwind_core/consensus/barriers.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/barriers.py
@@ -13,6 +13,7 @@
     LocalRead,
     ReadyRead,
     Replica,
+    head_to,
     send,
 )
 from bendwind_core.consensus.replication import broadcast, start_round
@@ -42,10 +43,7 @@
         _queue_read(replica, LeaderRead(replica.voter, reads.number), now)
         return
     request = ReadRequest(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=replica.leader.voter_id,
-        term=replica.hard.term,
+        head_to(replica, replica.leader),
         number=reads.number,
     )
     send(replica, request, replica.leader)
@@ -53,8 +51,8 @@
 
 def receive_read_request(replica: Replica, request: ReadRequest, now: Seconds) -> None:
     """Queue a member's read; a repeated one replaces the one before."""
-    if replica.is_leader and replica.voters.find_member(request.sender.voter_id):
-        _queue_read(replica, LeaderRead(request.sender, request.number), now)
+    if replica.is_leader and replica.voters.find_member(request.head.sender.voter_id):
+        _queue_read(replica, LeaderRead(request.head.sender, request.number), now)
 
 
 def _queue_read(replica: Replica, read: LeaderRead, now: Seconds) -> None:
@@ -99,10 +97,7 @@
         finish_read(replica, read.number, replica.commit, now)
         return
     reply = ReadReply(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=read.voter.voter_id,
-        term=replica.hard.term,
+        head_to(replica, read.voter),
         number=read.number,
         index=replica.commit,
     )
--- a/packages/bendwind-core/src/bendwind_core/consensus/election.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/election.py
@@ -14,6 +14,7 @@
     Role,
     append_entry,
     draw_timeout,
+    head_to,
     send,
     send_durable,
     set_hard_state,
@@ -69,10 +70,7 @@
 
 def _vote_request(replica: Replica, to: Voter, term: int, is_trial: bool) -> VoteRequest:
     return VoteRequest(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=to.voter_id,
-        term=term,
+        head_to(replica, to, term),
         is_trial=is_trial,
         last_index=replica.log.last_index,
         last_term=replica.log.last_term,
@@ -83,25 +81,25 @@
     replica: Replica, request: VoteRequest, now: Seconds, rng: random.Random
 ) -> None:
     """Grant a vote once a term to a candidate whose log is not behind; trials promise nothing."""
-    if _has_recent_leader(replica, now) and request.term > replica.hard.term:
+    if _has_recent_leader(replica, now) and request.head.term > replica.hard.term:
         return
     if request.is_trial:
-        is_granted = request.term > replica.hard.term and _is_log_current(replica, request)
-        send(replica, _vote_reply(replica, request, is_granted), request.sender)
+        is_granted = request.head.term > replica.hard.term and _is_log_current(replica, request)
+        send(replica, _vote_reply(replica, request, is_granted), request.head.sender)
         return
-    if request.term > replica.hard.term:
-        become_follower(replica, request.term, None, now, rng)
-    is_free = replica.hard.voted_for in (0, request.sender.voter_id)
+    if request.head.term > replica.hard.term:
+        become_follower(replica, request.head.term, None, now, rng)
+    is_free = replica.hard.voted_for in (0, request.head.sender.voter_id)
     is_granted = (
-        request.term == replica.hard.term
+        request.head.term == replica.hard.term
         and replica.role is Role.FOLLOWER
         and is_free
         and _is_log_current(replica, request)
     )
     if is_granted:
-        set_hard_state(replica, request.term, request.sender.voter_id)
+        set_hard_state(replica, request.head.term, request.head.sender.voter_id)
         replica.deadline = now + draw_timeout(replica.settings, rng)
-    send_durable(replica, _vote_reply(replica, request, is_granted), request.sender)
+    send_durable(replica, _vote_reply(replica, request, is_granted), request.head.sender)
 
 
 def _has_recent_leader(replica: Replica, now: Seconds) -> bool:
@@ -118,12 +116,9 @@
 
 def _vote_reply(replica: Replica, request: VoteRequest, is_granted: bool) -> VoteReply:
     return VoteReply(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=request.sender.voter_id,
-        term=replica.hard.term,
+        head_to(replica, request.head.sender),
         is_trial=request.is_trial,
-        asked_term=request.term,
+        asked_term=request.head.term,
         is_granted=is_granted,
     )
 
@@ -132,13 +127,13 @@
     replica: Replica, reply: VoteReply, now: Seconds, rng: random.Random
 ) -> None:
     """Count a vote for the term that was asked for."""
-    if reply.term > replica.hard.term:
-        become_follower(replica, reply.term, None, now, rng)
+    if reply.head.term > replica.hard.term:
+        become_follower(replica, reply.head.term, None, now, rng)
         return
     role = Role.TRIAL if reply.is_trial else Role.CANDIDATE
     asked_term = replica.hard.term + 1 if reply.is_trial else replica.hard.term
     if reply.is_granted and replica.role is role and reply.asked_term == asked_term:
-        replica.votes.add(reply.sender.voter_id)
+        replica.votes.add(reply.head.sender.voter_id)
         count_votes(replica, now)
 
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/membership.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/membership.py
@@ -23,6 +23,7 @@
     Replica,
     Role,
     append_entry,
+    head_to,
     send,
 )
 from bendwind_core.consensus.replication import broadcast, create_progress
@@ -157,5 +158,5 @@
     """Tell a replaced voter so; only a leader knows that the removal is committed."""
     if not replica.is_leader or voter.voter_id not in replica.committed_voters.removed:
         return
-    message = Removed(replica.hard.cluster, replica.voter, voter.voter_id, replica.hard.term)
+    message = Removed(head_to(replica, voter))
     send(replica, message, voter)
--- a/packages/bendwind-core/src/bendwind_core/consensus/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/messages.py
@@ -8,6 +8,15 @@
 from bendwind_core.core import Record
 
 
+class Head(Record, frozen=True, array_like=True):
+    """Start a message between members: the cluster, the sender, the receiver's id, the term."""
+
+    cluster: int
+    sender: Voter
+    to: int
+    term: int
+
+
 class Offer(Record, frozen=True, array_like=True, tag="raft-offer"):
     """Introduce a voter that has no log, and ask who has one."""
 
@@ -33,22 +42,16 @@
 class VoteRequest(Record, frozen=True, array_like=True, tag="raft-vote"):
     """Ask for a vote in a term; with `is_trial`, ask whether it would be given (pre-vote)."""
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
     is_trial: bool
     last_index: int
     last_term: int
 
 
 class VoteReply(Record, frozen=True, array_like=True, tag="raft-vote-reply"):
-    """Answer a vote request; `asked_term` repeats its term, `term` is the sender's own."""
+    """Answer a vote request; `asked_term` repeats its term; the head holds the sender's own."""
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
     is_trial: bool
     asked_term: int
     is_granted: bool
@@ -60,10 +63,7 @@
     `round` numbers the leader's rounds of this term; the reply repeats it.
     """
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
     previous_index: int
     previous_term: int
     entries: tuple[Entry, ...]
@@ -74,10 +74,7 @@
 class AppendReply(Record, frozen=True, array_like=True, tag="raft-append-reply"):
     """Confirm that the log is durable and equal up to `index`, or ask to try from there."""
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
     is_matching: bool
     index: int
     round: int
@@ -86,10 +83,7 @@
 class SnapshotChunk(Record, frozen=True, array_like=True, tag="raft-chunk"):
     """Carry one part of a snapshot's data, from `offset` of `size` bytes."""
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
     index: int
     snapshot_term: int
     voters: VoterSet
@@ -102,10 +96,7 @@
 class ChunkReply(Record, frozen=True, array_like=True, tag="raft-chunk-reply"):
     """Name the offset of the next part wanted of the snapshot at an index."""
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
     index: int
     offset: int
     round: int
@@ -114,20 +105,14 @@
 class ReadRequest(Record, frozen=True, array_like=True, tag="raft-read"):
     """Ask the leader for an index that holds everything committed by now."""
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
     number: int
 
 
 class ReadReply(Record, frozen=True, array_like=True, tag="raft-read-reply"):
     """Answer a read request once a quorum has confirmed the leader."""
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
     number: int
     index: int
 
@@ -135,10 +120,7 @@
 class Removed(Record, frozen=True, array_like=True, tag="raft-removed"):
     """Tell a voter that its id was replaced and can never vote again."""
 
-    cluster: int
-    sender: Voter
-    to: int
-    term: int
+    head: Head
 
 
 MemberMessage = (
--- a/packages/bendwind-core/src/bendwind_core/consensus/replica.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -7,6 +7,7 @@
 
 from bendwind_core.consensus.events import Effect, LeaderChanged, Send
 from bendwind_core.consensus.log import Log
+from bendwind_core.consensus.messages import ConsensusMessage, Head
 from bendwind_core.consensus.records import (
     EMPTY_SNAPSHOT,
     Entry,
@@ -55,7 +56,8 @@
 class Progress:
     """Track what the leader knows of one other replica.
 
-    `awaits_index` is what a reply to the last batch or snapshot part will confirm.
+    `awaits_index` is what a reply to the last batch or snapshot part will confirm. `snapshot` is
+    kept while it is sent, though a newer one may exist, so that a slow member gets to its end.
     """
 
     voter: Voter
@@ -65,7 +67,7 @@
     round: int = 0
     awaits_index: int | None = None
     awaits_since: Seconds = 0.0
-    snapshot_index: int = 0
+    snapshot: Snapshot | None = None
     snapshot_offset: int = 0
 
 
@@ -237,12 +239,18 @@
     return settings.election_s * (1 + rng.random())
 
 
-def send(replica: Replica, message, to: Voter) -> None:
+def head_to(replica: Replica, to: Voter, term: int | None = None) -> Head:
+    """Make the head of a message to a member; the term is the replica's own by default."""
+    own = replica.hard
+    return Head(own.cluster, replica.voter, to.voter_id, own.term if term is None else term)
+
+
+def send(replica: Replica, message: ConsensusMessage, to: Voter) -> None:
     """Send a message that promises nothing about the disk."""
     replica.effects.append(Send(to.name, message))
 
 
-def send_durable(replica: Replica, message, to: Voter) -> None:
+def send_durable(replica: Replica, message: ConsensusMessage, to: Voter) -> None:
     """Send a message once every write requested so far is synced."""
     replica.replies.append(Send(to.name, message))
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/replication.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replication.py
@@ -10,10 +10,11 @@
     Replica,
     append_entry,
     draw_timeout,
+    head_to,
     send,
-    send_durable,
     truncate_log,
 )
+from bendwind_core.consensus.replies import reply_append
 from bendwind_core.consensus.snapshots import send_chunk
 from bendwind_core.core import Seconds
 
@@ -64,9 +65,7 @@
     previous_index = progress.next_index - 1
     is_compacted = progress.next_index < replica.log.first_index
     if is_compacted or replica.log.term_at(previous_index) is None:
-        progress.awaits_index = replica.log.snapshot.index
-        progress.awaits_since = now
-        send_chunk(replica, progress)
+        send_chunk(replica, progress, now)
         return
     entries = replica.log.read_batch(
         progress.next_index, replica.settings.batch_entries, replica.settings.batch_bytes
@@ -86,10 +85,7 @@
     replica: Replica, progress: Progress, previous_index: int, entries: tuple[Entry, ...]
 ) -> None:
     message = Append(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=progress.voter.voter_id,
-        term=replica.hard.term,
+        head_to(replica, progress.voter),
         previous_index=previous_index,
         previous_term=replica.log.term_at(previous_index) or 0,
         entries=entries,
@@ -105,13 +101,14 @@
     replica.deadline = now + draw_timeout(replica.settings, rng)
     previous_index = message.previous_index
     if not _has_previous(replica, message):
-        _reply(replica, message, False, _find_retry_index(replica, previous_index))
+        index = _find_retry_index(replica, previous_index)
+        reply_append(replica, message, is_matching=False, index=index)
         return
     for entry in message.entries:
         _take_entry(replica, entry)
     matched = previous_index + len(message.entries)
     replica.commit = max(replica.commit, min(message.commit, matched))
-    _reply(replica, message, True, matched)
+    reply_append(replica, message, is_matching=True, index=matched)
 
 
 def _has_previous(replica: Replica, message: Append) -> bool:
@@ -143,36 +140,9 @@
     return max(index, replica.commit)
 
 
-def _reply(replica: Replica, message: Append, is_matching: bool, index: int) -> None:
-    reply = AppendReply(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=message.sender.voter_id,
-        term=replica.hard.term,
-        is_matching=is_matching,
-        index=index,
-        round=message.round,
-    )
-    send_durable(replica, reply, message.sender)
-
-
-def reject_stale_leader(replica: Replica, sender: Voter, round_number: int) -> None:
-    """Tell the leader of an older term which term it is."""
-    reply = AppendReply(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=sender.voter_id,
-        term=replica.hard.term,
-        is_matching=False,
-        index=replica.commit,
-        round=round_number,
-    )
-    send_durable(replica, reply, sender)
-
-
 def receive_append_reply(replica: Replica, reply: AppendReply, now: Seconds) -> None:
     """Advance or move back what is known of a member, and send on."""
-    progress = replica.progress.get(reply.sender.voter_id)
+    progress = replica.progress.get(reply.head.sender.voter_id)
     if progress is None:
         return
     progress.contact_at = now
@@ -187,6 +157,8 @@
     progress.next_index = max(progress.next_index, progress.match + 1)
     if progress.awaits_index is not None and progress.match >= progress.awaits_index:
         progress.awaits_index = None
+    if progress.snapshot is not None and progress.match >= progress.snapshot.index:
+        progress.snapshot = None
     if progress.awaits_index is None and progress.next_index <= replica.log.last_index:
         send_append(replica, progress, now)
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
@@ -4,16 +4,18 @@
 
 from bendwind_core.consensus.durability import request_snapshot_write
 from bendwind_core.consensus.events import InstallSnapshot, SnapshotTaken, TakeSnapshot
-from bendwind_core.consensus.messages import AppendReply, ChunkReply, SnapshotChunk
+from bendwind_core.consensus.messages import ChunkReply, SnapshotChunk
 from bendwind_core.consensus.records import Snapshot, VotersAt
 from bendwind_core.consensus.replica import (
     IncomingSnapshot,
     Progress,
     Replica,
     draw_timeout,
+    head_to,
     send,
     send_durable,
 )
+from bendwind_core.consensus.replies import reply_append
 from bendwind_core.core import Seconds
 
 
@@ -47,18 +49,17 @@
     return [at for at in replica.configurations if at.index <= index][-1]
 
 
-def send_chunk(replica: Replica, progress: Progress) -> None:
+def send_chunk(replica: Replica, progress: Progress, now: Seconds) -> None:
     """Send the next part of the snapshot that a member needs."""
-    snapshot = replica.log.snapshot
-    if progress.snapshot_index != snapshot.index:
-        progress.snapshot_index = snapshot.index
+    if progress.snapshot is None:
+        progress.snapshot = replica.log.snapshot
         progress.snapshot_offset = 0
+    progress.awaits_index = progress.snapshot.index
+    progress.awaits_since = now
+    snapshot = progress.snapshot
     start = progress.snapshot_offset
     message = SnapshotChunk(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=progress.voter.voter_id,
-        term=replica.hard.term,
+        head_to(replica, progress.voter),
         index=snapshot.index,
         snapshot_term=snapshot.term,
         voters=snapshot.voters,
@@ -77,7 +78,7 @@
     replica.leader_contact_at = now
     replica.deadline = now + draw_timeout(replica.settings, rng)
     if message.index <= replica.commit:
-        _confirm(replica, message)
+        reply_append(replica, message, is_matching=True, index=message.index)
         return
     incoming = _find_incoming(replica, message)
     if message.offset == len(incoming.data):
@@ -87,7 +88,7 @@
         return
     replica.incoming = None
     _install(replica, message, bytes(incoming.data), now)
-    _confirm(replica, message)
+    reply_append(replica, message, is_matching=True, index=message.index)
 
 
 def _find_incoming(replica: Replica, message: SnapshotChunk) -> IncomingSnapshot:
@@ -114,41 +115,24 @@
     request_snapshot_write(replica, snapshot, now, is_installed=True)
 
 
-def _confirm(replica: Replica, message: SnapshotChunk) -> None:
-    reply = AppendReply(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=message.sender.voter_id,
-        term=replica.hard.term,
-        is_matching=True,
-        index=message.index,
-        round=message.round,
-    )
-    send_durable(replica, reply, message.sender)
-
-
 def _ask_next(replica: Replica, message: SnapshotChunk, offset: int) -> None:
     reply = ChunkReply(
-        cluster=replica.hard.cluster,
-        sender=replica.voter,
-        to=message.sender.voter_id,
-        term=replica.hard.term,
+        head_to(replica, message.head.sender),
         index=message.index,
         offset=offset,
         round=message.round,
     )
-    send_durable(replica, reply, message.sender)
+    send_durable(replica, reply, message.head.sender)
 
 
 def receive_chunk_reply(replica: Replica, reply: ChunkReply, now: Seconds) -> None:
     """Send the part that a member asks for next."""
-    progress = replica.progress.get(reply.sender.voter_id)
+    progress = replica.progress.get(reply.head.sender.voter_id)
     if progress is None:
         return
     progress.contact_at = now
     progress.round = max(progress.round, reply.round)
-    if reply.index == progress.snapshot_index and reply.offset != progress.snapshot_offset:
+    is_current = progress.snapshot is not None and reply.index == progress.snapshot.index
+    if is_current and reply.offset != progress.snapshot_offset:
         progress.snapshot_offset = reply.offset
-        progress.awaits_index = replica.log.snapshot.index
-        progress.awaits_since = now
-        send_chunk(replica, progress)
+        send_chunk(replica, progress, now)
--- a/packages/bendwind-core/src/bendwind_core/consensus/step.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/step.py
@@ -52,6 +52,7 @@
     Append,
     AppendReply,
     ChunkReply,
+    ConsensusMessage,
     Form,
     MemberMessage,
     Offer,
@@ -71,10 +72,10 @@
     broadcast,
     receive_append,
     receive_append_reply,
-    reject_stale_leader,
     send_news,
     start_round,
 )
+from bendwind_core.consensus.replies import reply_append
 from bendwind_core.consensus.snapshots import (
     receive_chunk,
     receive_chunk_reply,
@@ -150,7 +151,9 @@
     send_news(replica, now)
 
 
-def _receive(replica: Replica, sender: str, message, now: Seconds, rng: random.Random) -> None:
+def _receive(
+    replica: Replica, sender: str, message: ConsensusMessage, now: Seconds, rng: random.Random
+) -> None:
     match message:
         case Offer():
             receive_offer(replica, message.sender, now)
@@ -165,19 +168,19 @@
 
 def _is_for_member(replica: Replica, sender: str, message: MemberMessage) -> bool:
     """Tell whether a message is from this cluster, to this id, and from an id in force."""
-    if message.to != replica.voter.voter_id or message.sender.name != sender:
+    if message.head.to != replica.voter.voter_id or message.head.sender.name != sender:
         return False
     if replica.role is Role.REMOVED:
         return False
     if replica.role is Role.UNFORMED:
         if not isinstance(message, Append | SnapshotChunk):
             return False
-        adopt_cluster(replica, message.cluster)
-    if message.cluster != replica.hard.cluster:
+        adopt_cluster(replica, message.head.cluster)
+    if message.head.cluster != replica.hard.cluster:
         replica.effects.append(ForeignCluster(sender))
         return False
-    if message.sender.voter_id in replica.committed_voters.removed:
-        tell_removed(replica, message.sender)
+    if message.head.sender.voter_id in replica.committed_voters.removed:
+        tell_removed(replica, message.head.sender)
         return False
     return True
 
@@ -205,11 +208,11 @@
 def _receive_from_leader(
     replica: Replica, message: Append | SnapshotChunk, now: Seconds, rng: random.Random
 ) -> None:
-    if message.term < replica.hard.term:
-        reject_stale_leader(replica, message.sender, message.round)
+    if message.head.term < replica.hard.term:
+        reply_append(replica, message, is_matching=False, index=replica.commit)
         return
-    if message.term > replica.hard.term or replica.leader != message.sender:
-        become_follower(replica, message.term, message.sender, now, rng)
+    if message.head.term > replica.hard.term or replica.leader != message.head.sender:
+        become_follower(replica, message.head.term, message.head.sender, now, rng)
     if isinstance(message, Append):
         receive_append(replica, message, now, rng)
     else:
@@ -219,10 +222,10 @@
 def _receive_from_follower(
     replica: Replica, message: AppendReply | ChunkReply, now: Seconds, rng: random.Random
 ) -> None:
-    if message.term > replica.hard.term:
-        become_follower(replica, message.term, None, now, rng)
+    if message.head.term > replica.hard.term:
+        become_follower(replica, message.head.term, None, now, rng)
         return
-    if not replica.is_leader or message.term < replica.hard.term:
+    if not replica.is_leader or message.head.term < replica.hard.term:
         return
     if isinstance(message, AppendReply):
         receive_append_reply(replica, message, now)
--- a/packages/bendwind-node/src/bendwind_node/storage/records.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/records.py
@@ -43,6 +43,13 @@
     index: int
 
 
+class Synced(Record, frozen=True, array_like=True, tag="synced"):
+    """Mark that every record before was synced; the mark itself need not be.
+
+    A damaged record before a mark is then told from a torn tail.
+    """
+
+
 class SnapshotFile(Record, frozen=True, array_like=True, tag="snapshot"):
     """Hold a snapshot."""
 
@@ -50,7 +57,14 @@
 
 
 StoredRecord = (
-    Identity | SegmentHead | HardStateWritten | EntryWritten | Truncated | ResetTo | SnapshotFile
+    Identity
+    | SegmentHead
+    | HardStateWritten
+    | EntryWritten
+    | Truncated
+    | ResetTo
+    | Synced
+    | SnapshotFile
 )
 
 
--- a/packages/bendwind-node/src/bendwind_node/storage/replay.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/replay.py
@@ -14,6 +14,7 @@
     HardStateWritten,
     ResetTo,
     SegmentHead,
+    Synced,
     Truncated,
     decode_record,
 )
@@ -46,6 +47,8 @@
             recovered.entries = [entry for entry in recovered.entries if entry.index < start]
         case ResetTo():
             recovered.entries.clear()
+        case Synced():
+            pass
         case EntryWritten(entry=entry):
             if recovered.entries and entry.index != recovered.entries[-1].index + 1:
                 return Error(CorruptData(file, frame.end, f"entry {entry.index} out of order"))
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -23,6 +23,7 @@
     SegmentHead,
     SnapshotFile,
     StoredRecord,
+    Synced,
     Truncated,
     decode_record,
     encode_record,
@@ -70,6 +71,7 @@
             for request in batch:
                 self._write_one(request)
             self.files.sync(self.segments[-1].name)
+            self._append([Synced()])
         except OSError as error:
             self.failure = DiskFailed("write", str(error))
             return Error(self.failure)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_store.py
@@ -0,0 +1,70 @@
+import random
+import unittest
+
+from bendwind_core.consensus import Entry, HardState, Persist, SaveSnapshot, Snapshot
+
+from bendwind_node.storage.errors import CorruptData
+from bendwind_node.storage.store import Store, open_store
+from bendwind_node.storage.tests.fake_files import FakeFiles
+
+
+def write_log(segment_bytes: int = 200) -> FakeFiles:
+    files = FakeFiles(random.Random(1))
+    store: Store = open_store(files, segment_bytes).ok.store
+    for index in range(1, 13):
+        entry = Entry(index, 1, b"command %d" % index)
+        store.write([Persist(index, HardState(1, 0, 9), None, (entry,))])
+        if index == 6:
+            snapshot = Snapshot(index, 1, data=b"state")
+            store.write([SaveSnapshot(index, snapshot, 5, False)])
+    return files
+
+
+def read_entries(files: FakeFiles):
+    return open_store(files, 200).ok.recovered.entries
+
+
+class StoreTest(unittest.TestCase):
+    def test_damage_of_any_synced_byte_is_refused_and_never_skipped(self):
+        whole = read_entries(write_log())
+        names = [name for name in write_log().names()]
+        for name in names:
+            for position in range(len(write_log().read(name))):
+                files = write_log()
+                data = bytearray(files.read(name))
+                data[position] ^= 0x10
+                files.present[name].data = bytes(data)
+                opened = open_store(files, 200)
+                if opened.is_ok():
+                    # Only the mark after the last sync may go: nothing was promised of it.
+                    self.assertEqual(opened.ok.recovered.entries, whole, (name, position))
+                    self.assertEqual(opened.ok.recovered.snapshot.index, 6)
+                else:
+                    self.assertIsInstance(opened.error, CorruptData)
+
+    def test_a_missing_file_is_refused(self):
+        for name in write_log().names():
+            files = write_log()
+            last = max(kept for kept in files.names() if kept.startswith("log-"))
+            if name == last:
+                continue
+            files.remove(name)
+            self.assertIsInstance(open_store(files, 200).error, CorruptData, name)
+
+    def test_compaction_removes_segments_below_the_snapshot(self):
+        indexes = [entry.index for entry in read_entries(write_log())]
+        self.assertGreater(indexes[0], 1)
+        self.assertLessEqual(indexes[0], 5)
+        self.assertEqual(indexes[-1], 12)
+
+    def test_a_torn_tail_is_cut_and_counted(self):
+        files = write_log()
+        last = max(name for name in files.names() if name.startswith("log-"))
+        files.append(last, b"\x83\x01torn")
+        recovered = open_store(files, 200).ok.recovered
+        self.assertEqual(recovered.cut_bytes, 6)
+        self.assertEqual(recovered.entries[-1].index, 12)
+
+
+if __name__ == "__main__":
+    unittest.main()
