--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -34,6 +34,7 @@
     CONNECT_FAILED = "connect-failed"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     OVERLOADED = "overloaded"
+    STALLED = "stalled"
 
 
 class CutReason(enum.StrEnum):
@@ -46,6 +47,7 @@
     BODY_CUT = "body-cut"
     CANCELLED = "cancelled"
     CLAIM_PENDING = "claim-pending"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     DEADLINE = "deadline"
 
 
@@ -61,6 +63,7 @@
     """Hand one attempt to the upstream's owner node.
 
     `owner_incarnation` names the run of the owner this is meant for; any other run refuses it.
+    `insist` says to take the attempt even while the upstream has stalled.
     `body` is the first part of the request body; `more` says that BodyPart messages follow.
     Units: `remaining_ms` is the time left to the caller's deadline, in milliseconds.
     """
@@ -77,6 +80,7 @@
     version: int
     body: bytes = b""
     more: bool = False
+    insist: bool = True
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
@@ -133,6 +137,7 @@
     """Ask the owner to give up an attempt whose answer nobody awaits."""
 
     attempt: AttemptId
+    upstream: str
 
 
 class Fence(Record, frozen=True, array_like=True, tag="fence"):
@@ -140,6 +145,7 @@
 
     attempt: AttemptId
     owner_incarnation: int
+    upstream: str
 
 
 class Fenced(Record, frozen=True, array_like=True, tag="fenced"):
--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -61,6 +61,14 @@
     claim_groups: tuple[ClaimGroup, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainMarksAccepted:
+    """Give a voter's registry the drain marks that its control log holds."""
+
+    instances: frozenset[str]
+    upstreams: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuorumConfirmed:
     """Tell that a barrier round which started at `started` has ended.
@@ -105,6 +113,13 @@
     """Tell that a claim group of a service which a node watches changed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancesLearned:
+    """Tell a node where other instances are reached."""
+
+    instances: tuple[Instance, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttachmentChanged:
     """Tell that a node moved to another voter, and why."""
@@ -136,12 +151,20 @@
 
 ViewEvent = Tick | MessageReceived | LinkLost | ServiceWatched | UpstreamAnnounced | PeerSeen
 ViewEffect = (
-    SendTo
+    InstancesLearned
+    | SendTo
     | ConfigurationApplied
     | UpstreamsChanged
     | ClaimGroupsChanged
     | AttachmentChanged
     | FreshnessChanged
 )
-RegistryEvent = Tick | MessageReceived | ConfigurationAccepted | QuorumConfirmed | VotersChanged
+RegistryEvent = (
+    Tick
+    | MessageReceived
+    | ConfigurationAccepted
+    | DrainMarksAccepted
+    | QuorumConfirmed
+    | VotersChanged
+)
 RegistryEffect = SendTo | MemberAppeared | MemberLost
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -26,7 +26,8 @@
     """Confirm a heartbeat and say how fresh the voter's configuration is.
 
     `is_current` says that nothing the node watches changed between the version it stated and
-    `version`. `resync` asks for Watch and Announce again.
+    `version`. `resync` asks for Watch and Announce again. `is_same` says that the node's digest was
+    the voter's, so that it holds every upstream and claim group that the voter knew of.
     Units: `confirmed_age_ms` is the time since the start of the last quorum round that confirmed
     `version` as the newest, in milliseconds on the voter's clock; None if there was none.
     """
@@ -36,6 +37,7 @@
     confirmed_age_ms: Milliseconds | None
     is_current: bool = False
     resync: bool = False
+    is_same: bool = False
 
 
 class Announce(Record, frozen=True, array_like=True, tag="announce"):
@@ -72,6 +74,7 @@
 
     `base` is the lowest version it may be applied to; 0 means that it is complete, so that a
     watched service it does not list does not exist. `watch` numbers the Watch it answers.
+    `holders` says where the members of the claim groups are reached.
     """
 
     version: int
@@ -80,6 +83,7 @@
     claim_groups: tuple[ClaimGroup, ...] = ()
     base: int = 0
     watch: int = 0
+    holders: tuple[Instance, ...] = ()
 
 
 class MemberState(Record, frozen=True, array_like=True):
@@ -130,6 +134,7 @@
     version: int
     heartbeat_age_ms: Milliseconds
     is_fresh: bool
+    operators: str = ""
 
 
 class StatusRequest(Record, frozen=True, array_like=True, tag="status-request"):
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -0,0 +1,87 @@
+"""Hear the announcements of the upstreams beside this process, over HTTP."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from bendwind_core.core import Milliseconds
+from bendwind_core.world import UpstreamState
+from bendwind_node.calls.owner_node import Announcement, OwnerNode
+from bendwind_node.http import serve_lifespan
+
+MAX_BODY_BYTES = 16 * 1024
+_PREFIX = "/v1/upstreams"
+_JSON = [(b"content-type", b"application/json")]
+_DECODER = msgspec.json.Decoder(Announcement)
+
+
+class LeaseReply(msgspec.Struct, frozen=True):
+    """Tell an upstream how long its announcement lasts.
+
+    Units: milliseconds.
+    """
+
+    lease_ms: Milliseconds
+
+
+class ErrorReply(msgspec.Struct, frozen=True):
+    """Tell an upstream what was wrong with its request."""
+
+    error: str
+
+
+class AnnounceApp:
+    """Serve the upstreams' side of docs/UPSTREAMS.md as an ASGI application."""
+
+    __slots__ = ("lease_ms", "owner")
+
+    def __init__(self, owner: OwnerNode, lease_ms: Milliseconds):
+        self.owner = owner
+        self.lease_ms = lease_ms
+
+    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
+        """Answer one request."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+            return
+        status, reply = await self._answer(scope["method"], scope["path"], receive)
+        body = b"" if reply is None else msgspec.json.encode(reply)
+        length = (b"content-length", str(len(body)).encode())
+        headers = _JSON if reply is not None else []
+        await send({"type": "http.response.start", "status": status, "headers": [*headers, length]})
+        await send({"type": "http.response.body", "body": body})
+
+    async def _answer(
+        self, method: str, path: str, receive: Callable
+    ) -> tuple[int, LeaseReply | ErrorReply | None]:
+        if method == "POST" and path == _PREFIX:
+            return self._announce(await _read_body(receive))
+        if method == "DELETE" and path.startswith(_PREFIX + "/"):
+            has_left = self.owner.left(path.removeprefix(_PREFIX + "/"))
+            return (204, None) if has_left else (404, ErrorReply("unknown upstream"))
+        return 404, ErrorReply("no such route")
+
+    def _announce(self, body: bytes | None) -> tuple[int, LeaseReply | ErrorReply]:
+        if body is None:
+            return 413, ErrorReply(f"at most {MAX_BODY_BYTES} bytes")
+        try:
+            news = _DECODER.decode(body)
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            return 400, ErrorReply(str(error))
+        if news.state is UpstreamState.GONE:
+            return 400, ErrorReply("leave by DELETE")
+        if not self.owner.announced(news):
+            return 429, ErrorReply("this node holds no more upstreams")
+        return 200, LeaseReply(self.lease_ms)
+
+
+async def _read_body(receive: Callable) -> bytes | None:
+    body = b""
+    more = True
+    while more:
+        event = await receive()
+        body += event.get("body", b"")
+        more = event.get("more_body", False)
+        if len(body) > MAX_BODY_BYTES:
+            return None
+    return body
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -0,0 +1,74 @@
+"""Run one caller's request from its arrival to its one final outcome."""
+
+from expression import Result
+
+from bendwind_core.attempts import events as ev
+from bendwind_core.timeline import EventKind
+from bendwind_node.calls import outcomes
+from bendwind_node.calls.call_delivery import Delivery
+from bendwind_node.calls.call_intake import CallIntake
+from bendwind_node.calls.call_run import CallRun
+from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError
+from bendwind_node.calls.entry_node import EntryNode
+from bendwind_node.calls.refusal import Refusal
+
+
+class CallTask:
+    """Serve callers' requests for one process."""
+
+    __slots__ = ("entry", "intake", "next_call")
+
+    def __init__(self, entry: EntryNode, intake: CallIntake):
+        self.entry = entry
+        self.intake = intake
+        self.next_call = 1
+
+    async def handle(self, exchange: CallerExchange) -> None:
+        """Serve one request."""
+        call_id = self._make_call_id()
+        self.intake.in_flight += 1
+        body_bytes = 0
+        try:
+            match await self.intake.take(exchange, call_id):
+                case Result(tag="ok", ok=run):
+                    body_bytes = len(run.body)
+                    await self._run(exchange, run)
+                case Result(error=refusal):
+                    await self._refuse(exchange, call_id, refusal)
+        except CallerGoneError:
+            return
+        finally:
+            self.intake.in_flight -= 1
+            self.intake.budget.give_back(body_bytes)
+
+    def _make_call_id(self) -> str:
+        own = self.entry.own
+        call_id = f"{own.name}/{own.incarnation}/c{self.next_call}"
+        self.next_call += 1
+        return call_id
+
+    async def _refuse(self, exchange: CallerExchange, call_id: str, refusal: Refusal) -> None:
+        self.entry.recorder.record(EventKind.CALL_REFUSED, call=call_id, detail=refusal.reason)
+        await outcomes.send_outcome(
+            exchange,
+            call_id,
+            refusal.status,
+            refusal.outcome,
+            refusal.reason,
+            refusal.retry_after_ms,
+        )
+
+    async def _run(self, exchange: CallerExchange, run: CallRun) -> None:
+        call = run.call
+        detail = f"{run.method} {call.service.name}"
+        self.entry.recorder.record(EventKind.CALL_ARRIVED, call=call.call_id, detail=detail)
+        desk = self.entry.find_desk(call.service)
+        desk.in_flight += 1
+        try:
+            run.feed(ev.Begin())
+            await Delivery(self.entry, exchange, run).finish()
+        finally:
+            desk.in_flight -= 1
+            if not call.is_finished:
+                run.feed(ev.CallerGone())
+            self.entry.forget(run)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -0,0 +1,66 @@
+"""Serve callers by hypercorn: HTTP/1.1 and HTTP/2 as the library offers them."""
+
+from collections.abc import Awaitable, Callable
+
+from bendwind_core.attempts import Header
+from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
+from bendwind_node.http import AsgiServer, serve_asgi, serve_lifespan
+
+Handle = Callable[[CallerExchange], Awaitable[None]]
+
+
+class AsgiExchange:
+    """Carry one ASGI request."""
+
+    __slots__ = ("is_aborted", "is_body_read", "receive", "request", "send")
+
+    def __init__(self, scope: dict, receive: Callable, send: Callable):
+        path = scope["raw_path"].split(b"?")[0]
+        query = scope["query_string"]
+        target = path + b"?" + query if query else path
+        headers = tuple((bytes(key), bytes(value)) for key, value in scope["headers"])
+        self.request = CallerRequest(scope["method"], target, headers)
+        self.receive = receive
+        self.send = send
+        self.is_body_read = False
+        self.is_aborted = False
+
+    async def receive_part(self) -> bytes | None:
+        """Return the next part of the body, None at its end."""
+        if self.is_body_read:
+            return None
+        event = await self.receive()
+        if event["type"] == "http.disconnect":
+            raise CallerGoneError
+        self.is_body_read = not event.get("more_body", False)
+        return event.get("body", b"")
+
+    async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Send the head of the answer."""
+        await self.send({"type": "http.response.start", "status": status, "headers": list(headers)})
+
+    async def send_part(self, data: bytes, *, more: bool) -> None:
+        """Send a part of the body."""
+        await self.send({"type": "http.response.body", "body": data, "more_body": more})
+
+    def abort(self) -> None:
+        """End without the rest of the body, upon which hypercorn closes the connection."""
+        self.is_aborted = True
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has closed its connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            continue
+
+
+async def serve_callers_asgi(handle: Handle, server: AsgiServer) -> None:
+    """Serve callers until shut down, then finish what is in flight."""
+
+    async def app(scope: dict, receive: Callable, send: Callable) -> None:
+        match scope["type"]:
+            case "http":
+                await handle(AsgiExchange(scope, receive, send))
+            case "lifespan":
+                await serve_lifespan(receive, send)
+
+    await serve_asgi(app, server)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -0,0 +1,150 @@
+import unittest
+
+import trio
+
+from bendwind_node.calls.caller_exchange import CallerGoneError
+from bendwind_node.calls.caller_h11 import H11Server
+
+
+async def read_body(exchange):
+    body = b""
+    while (part := await exchange.receive_part()) is not None:
+        body += part
+    return body
+
+
+async def echo(exchange):
+    body = await read_body(exchange)
+    await exchange.send_head(200, ((b"content-length", str(len(body)).encode()),))
+    await exchange.send_part(b"" if exchange.request.method == "HEAD" else body, more=False)
+
+
+class TestH11Server(unittest.TestCase):
+    def run_with(self, handle, check, *, max_connections=8, header_bytes=2048):
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            address = listeners[0].socket.getsockname()
+            server = H11Server(handle, 5.0, header_bytes, max_connections)
+            shutdown = trio.Event()
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(server.run, listeners, shutdown)
+                    await check(lambda: trio.open_tcp_stream(*address), shutdown)
+                    shutdown.set()
+
+        trio.run(main)
+
+    def exchange_bytes(self, request, handle=echo, **settings):
+        """Send bytes, end the sending side and return all that came back."""
+        received = bytearray()
+
+        async def check(connect, shutdown):
+            async with await connect() as stream:
+                await stream.send_all(request)
+                await stream.send_eof()
+                while data := await stream.receive_some(65536):
+                    received.extend(data)
+
+        self.run_with(handle, check, **settings)
+        return bytes(received)
+
+    def test_serves_pipelined_requests_in_order_on_one_connection(self):
+        one = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n"
+        received = self.exchange_bytes(one + b"abc" + one + b"def")
+        self.assertEqual(received.count(b"200"), 2)
+        self.assertLess(received.index(b"abc"), received.index(b"def"))
+
+    def test_joins_a_chunked_request_body(self):
+        received = self.exchange_bytes(
+            b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        )
+        self.assertTrue(received.endswith(b"abc"))
+
+    def test_invites_a_body_that_waits_for_100_continue(self):
+        async def check(connect, shutdown):
+            async with await connect() as stream:
+                head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\nexpect: 100-continue"
+                await stream.send_all(head + b"\r\n\r\n")
+                self.assertIn(b"100", await stream.receive_some(65536))
+                await stream.send_all(b"hi")
+                self.assertTrue((await stream.receive_some(65536)).endswith(b"hi"))
+
+        self.run_with(echo, check)
+
+    def test_answers_head_without_a_body(self):
+        received = self.exchange_bytes(b"HEAD / HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue(received.endswith(b"\r\n\r\n"))
+
+    def test_refuses_what_is_not_http_and_heads_over_the_limit(self):
+        self.assertIn(b"400", self.exchange_bytes(b"nonsense\r\n\r\n"))
+        long_head = b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 4000 + b"\r\n\r\n"
+        self.assertIn(b"431", self.exchange_bytes(long_head))
+
+    def test_connection_over_the_limit_is_told_not_run(self):
+        async def check(connect, shutdown):
+            async with await connect() as first, await connect() as second:
+                answered = b""
+                while data := await second.receive_some(65536):
+                    answered += data
+                self.assertIn(b"bendwind-outcome: not-run", answered)
+                del first
+
+        async def refuse_only(exchange):
+            raise AssertionError("no request was sent")
+
+        self.run_with(refuse_only, check, max_connections=1)
+
+    def test_aborted_answer_is_seen_as_cut(self):
+        async def cut(exchange):
+            await exchange.send_head(200, ((b"content-length", b"100"),))
+            await exchange.send_part(b"some", more=True)
+            exchange.abort()
+
+        received = self.exchange_bytes(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n", cut)
+        self.assertTrue(received.endswith(b"some"))
+
+    def test_tells_when_the_caller_goes_away_while_it_waits(self):
+        noticed = trio.Event()
+
+        async def wait(exchange):
+            await exchange.wait_gone()
+            noticed.set()
+            raise CallerGoneError
+
+        async def swallow(exchange):
+            try:
+                await wait(exchange)
+            except CallerGoneError:
+                return
+
+        async def check(connect, shutdown):
+            async with await connect() as stream:
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            await noticed.wait()
+
+        self.run_with(swallow, check)
+
+    def test_shutdown_finishes_a_request_in_flight_and_closes_after_it(self):
+        go_on = trio.Event()
+        begun = trio.Event()
+
+        async def slow(exchange):
+            begun.set()
+            await go_on.wait()
+            await echo(exchange)
+
+        async def check(connect, shutdown):
+            async with await connect() as stream:
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                await begun.wait()
+                shutdown.set()
+                await trio.sleep(0.05)
+                go_on.set()
+                received = b""
+                while data := await stream.receive_some(65536):
+                    received += data
+                self.assertIn(b"200", received)
+                self.assertIn(b"connection: close", received.lower())
+
+        self.run_with(slow, check)
--- a/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
@@ -5,6 +5,7 @@
 
 import trio
 import trio.testing
+
 from bendwind_core.consensus import ReplicaSettings
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.control.voter import ControlVoter, VoterStopped, open_voter, run_voter
--- a/packages/bendwind-node/src/bendwind_node/control/voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter.py
@@ -24,6 +24,8 @@
 from typing import Protocol
 
 import trio
+from expression import Error, Ok, Result
+
 from bendwind_core.consensus import (
     Apply,
     BarrierDone,
@@ -69,7 +71,6 @@
     StoreError,
     open_store,
 )
-from expression import Error, Ok, Result
 
 _INBOX_SIZE = 512
 _TICKS_PER_HEARTBEAT = 2
--- a/packages/bendwind-node/src/bendwind_node/storage/records.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/records.py
@@ -2,6 +2,7 @@
 
 import cbor2
 import msgspec
+
 from bendwind_core.consensus import Entry, HardState, Snapshot
 from bendwind_core.core import Record
 
--- a/packages/bendwind-node/src/bendwind_node/storage/replay.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/replay.py
@@ -4,9 +4,9 @@
 
 import cbor2
 import msgspec
-from bendwind_core.consensus import EMPTY_SNAPSHOT, Entry, HardState, Snapshot
 from expression import Error, Ok, Result
 
+from bendwind_core.consensus import EMPTY_SNAPSHOT, Entry, HardState, Snapshot
 from bendwind_node.storage.errors import CorruptData
 from bendwind_node.storage.frames import Frame
 from bendwind_node.storage.records import (
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -9,9 +9,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from bendwind_core.consensus import HardState, Persist, SaveSnapshot
 from expression import Error, Ok, Result
 
+from bendwind_core.consensus import HardState, Persist, SaveSnapshot
 from bendwind_node.storage.errors import CorruptData, DiskFailed, StoreError
 from bendwind_node.storage.files import Files
 from bendwind_node.storage.frames import FrameRun, encode_frame, read_frame, read_frames
