plans: name the choices of a faulty key, and show each effect of a rule once

Cause: 'invalid enum value' did not say what was expected; a reordering listed the same effect again for every path that matches two patterns. Change: the choices come from the type that the file is decoded into; a path that matches two patterns is shown only where neither pattern shows the effect by itself.

--- a/packages/bendwind-core/src/bendwind_core/core/toml_error.py
+++ b/packages/bendwind-core/src/bendwind_core/core/toml_error.py
@@ -12,6 +12,7 @@
 # msgspec ends its messages with the place of the fault, such as " - at `$.peers.port`".
 _PLACE = re.compile(r"^(?P<expected>.*?)(?: - at `\$\.?(?P<key>.*)`)?$", re.DOTALL)
 _MISSING = re.compile(r"^Object missing required field `(?P<field>.*)`$")
+_NOT_A_CHOICE = re.compile(r"^Invalid enum value ")
 _UNKNOWN = re.compile(r"^Object contains unknown field `(?P<field>.*)`$")
 
 
@@ -36,12 +37,12 @@
     try:
         return Ok(msgspec.toml.decode(data, type=kind))
     except msgspec.ValidationError as error:
-        return Error(_explain(file, str(error)))
+        return Error(_explain(file, str(error), kind))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Error(TomlError(file, "", f"expected TOML: {error}"))
 
 
-def _explain(file: str, message: str) -> TomlError:
+def _explain(file: str, message: str, kind: type) -> TomlError:
     found = _PLACE.match(message)
     assert found is not None
     key, text = found["key"] or "", found["expected"]
@@ -50,6 +51,11 @@
         return TomlError(file, _join(key, missing["field"]), "expected this key, found none")
     if unknown is not None:
         return TomlError(file, _join(key, unknown["field"]), "expected no such key")
+    if _NOT_A_CHOICE.match(text):
+        # What it imports is heavy, and needed only when a file is wrong.
+        from bendwind_core.core.toml_choices import list_choices
+
+        text = list_choices(kind, key) or text
     return TomlError(file, key, text[:1].lower() + text[1:])
 
 
--- a/packages/bendwind-core/src/bendwind_core/plans/rule_effects.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/rule_effects.py
@@ -4,6 +4,7 @@
 decides. Sample requests are therefore put to both lists of rules, and the answers compared.
 """
 
+import itertools
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -36,20 +37,32 @@
     return f"{'|'.join(sorted(rule.methods)) or 'any'} {rule.path}"
 
 
+@dataclass(frozen=True, slots=True)
+class _Sample:
+    """Hold a path, what to show in its place, and the patterns that it was made from."""
+
+    path: str
+    shown: str
+    patterns: tuple[str, ...]
+
+
 def find_rule_effects(before: Service, after: Service) -> Iterator[RuleEffect]:
-    """Yield each sampled request whose repetition or key is treated otherwise, once a path."""
+    """Yield how sampled requests are treated otherwise in repetition or in the key they need.
+
+    A path that matches two patterns is left out where one of them shows the same effect.
+    """
     if before.rules == after.rules:
         return
     rules = dict.fromkeys(before.rules + after.rules)
     methods = _collect_methods(tuple(rules))
-    seen: set[tuple[str, str, str]] = set()
-    for pattern, path in _sample_paths([rule.path for rule in rules]):
+    seen: set[tuple[str, str, str, bool]] = set()
+    for sample in _sample_paths(list(dict.fromkeys(rule.path for rule in rules))):
         for method in methods:
-            for effect in _compare(before, after, method, path, pattern):
-                key = (effect.method, effect.path, effect.aspect)
-                if key not in seen:
-                    seen.add(key)
+            for effect in _compare(before, after, method, sample):
+                keys = {(p, method, effect.aspect, effect.is_loosened) for p in sample.patterns}
+                if not keys & seen:
                     yield effect
+                seen |= keys
 
 
 def _collect_methods(rules: tuple[Rule, ...]) -> tuple[str, ...]:
@@ -57,15 +70,14 @@
     return METHODS + tuple(sorted(named - set(METHODS)))
 
 
-def _sample_paths(patterns: list[str]) -> Iterator[tuple[str, str]]:
+def _sample_paths(patterns: list[str]) -> Iterator[_Sample]:
     """Yield paths that match each pattern, and paths that match two patterns at once."""
-    for pattern in dict.fromkeys(patterns):
-        yield pattern, _fill(pattern, _SAMPLE_TEXT)
-    for pattern in dict.fromkeys(patterns):
-        for other in dict.fromkeys(patterns):
-            if "*" in pattern and other != pattern:
-                path = _fill(pattern, _fill(other, _SAMPLE_TEXT))
-                yield path, path
+    for pattern in patterns:
+        yield _Sample(_fill(pattern, _SAMPLE_TEXT), pattern, (pattern,))
+    for pattern, other in itertools.permutations(patterns, 2):
+        if "*" in pattern:
+            path = _fill(pattern, _fill(other, _SAMPLE_TEXT))
+            yield _Sample(path, path, (pattern, other))
 
 
 def _fill(pattern: str, text: str) -> str:
@@ -74,13 +86,14 @@
     return pattern
 
 
-def _compare(
-    before: Service, after: Service, method: str, path: str, shown: str
-) -> Iterator[RuleEffect]:
-    old, new = find_rule(before, method, path), find_rule(after, method, path)
+def _compare(before: Service, after: Service, method: str, sample: _Sample) -> Iterator[RuleEffect]:
+    old = find_rule(before, method, sample.path)
+    new = find_rule(after, method, sample.path)
     if old.repeat != new.repeat:
         is_loosened = new.repeat is Repeat.IDEMPOTENT
-        yield RuleEffect(method, shown, "repeat", old.repeat, new.repeat, is_loosened)
+        yield RuleEffect(method, sample.shown, "repeat", old.repeat, new.repeat, is_loosened)
     if old.key_required != new.key_required:
         texts = [str(rule.key_required).lower() for rule in (old, new)]
-        yield RuleEffect(method, shown, "key_required", *texts, is_loosened=not new.key_required)
+        yield RuleEffect(
+            method, sample.shown, "key_required", *texts, is_loosened=not new.key_required
+        )
--- a/packages/bendwind-node/src/bendwind_node/operators/errors.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/errors.py
@@ -73,12 +73,11 @@
     return json_response(status, ErrorBody(kind, detail))
 
 
-def intent_error(error: TomlError) -> Response:
-    """Return the error response for a faulty intent."""
-    body = ErrorBody(
+def describe_intent_error(error: TomlError) -> ErrorBody:
+    """Return the body of the error for a faulty intent."""
+    return ErrorBody(
         ErrorKind.BAD_INTENT, str(error), file=error.file, key=error.key, expected=error.expected
     )
-    return json_response(400, body)
 
 
 def control_error(error: ControlError) -> Response:
--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -33,11 +33,11 @@
 from bendwind_node.operators.aside import BYTES_PER_SERVICE, run_aside
 from bendwind_node.operators.control_client import ControlClient, ControlError, OutcomeUnknown
 from bendwind_node.operators.errors import (
+    ErrorBody,
     ErrorKind,
     command_error,
     control_error,
-    intent_error,
-    plain_error,
+    describe_intent_error,
 )
 from bendwind_node.operators.http import Request, Response, json_response
 from bendwind_node.operators.status_source import StatusSource
@@ -81,7 +81,8 @@
         """Make a plan out of the intent in the body."""
         asked = await run_aside(len(request.body), _read_plan_request, request)
         if asked.is_error():
-            return asked.error
+            self.recorder.record(EventKind.PLAN_REFUSED, detail=asked.error.detail)
+            return json_response(400, asked.error)
         outcome = await self._propose_plan(asked.ok)
         match outcome:
             case Result(tag="error", error=error):
@@ -208,19 +209,19 @@
         return control_error(error)
 
 
-def _read_plan_request(request: Request) -> Result[PlanRequest, Response]:
+def _read_plan_request(request: Request) -> Result[PlanRequest, ErrorBody]:
     ttl_s = _read_number(request, "expires_s", 1, MAX_TTL_S)
     base_version = _read_number(request, "base_version", 0, 2**62)
     for number in (ttl_s, base_version):
         if number.is_error():
-            return Error(plain_error(400, ErrorKind.BAD_REQUEST, number.error))
+            return Error(ErrorBody(ErrorKind.BAD_REQUEST, number.error))
     key = request.headers.get("idempotency-key", "") or uuid.uuid4().hex
     if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
         text = f"Idempotency-Key: expected at most {MAX_KEY_CHARACTERS} printable characters"
-        return Error(plain_error(400, ErrorKind.BAD_REQUEST, text))
+        return Error(ErrorBody(ErrorKind.BAD_REQUEST, text))
     intent = parse_intent(request.body, request.query.get("file", "intent"))
     if intent.is_error():
-        return Error(intent_error(intent.error))
+        return Error(describe_intent_error(intent.error))
     ttl_ms = (ttl_s.ok or DEFAULT_TTL_S) * _MILLISECONDS
     return Ok(PlanRequest(intent.ok, key, ttl_ms, base_version.ok))
 
--- a/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
@@ -82,6 +82,12 @@
         )
         self.assertEqual(body["expected"], "expected `str`, got `int`")
 
+    def test_a_faulty_choice_names_the_choices(self):
+        text = '[[services]]\nname = "a"\nupstreams = ["*"]\npolicy = "fair"'
+        _, body = self.check("POST", "/v1/plans", text)
+        choices = "'score', 'random', 'round-robin', 'least-in-flight'"
+        self.assertEqual(body["expected"], f"expected one of {choices}")
+
     def test_an_empty_intent_does_not_end_every_service(self):
         self.assertEqual(self.check("POST", "/v1/plans")[0], 400)
 
