--- a/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
@@ -4,6 +4,7 @@
 import random
 
 import cbor2
+
 from bendwind_core.consensus import (
     Apply,
     BarrierDone,
@@ -28,7 +29,6 @@
     create_replica,
     step,
 )
-
 from bendwind_node.storage.errors import DiskFailed
 from bendwind_node.storage.store import open_store
 from bendwind_node.storage.tests.fake_files import CrashError, FakeFiles
@@ -88,6 +88,11 @@
     def now(self):
         return self.offset + self.cluster.time * self.skew
 
+    def change_skew(self, skew):
+        """Let the clock run at another pace from now on."""
+        self.offset += self.cluster.time * (self.skew - skew)
+        self.skew = skew
+
     def open(self):
         """Open the store, over again when the disk fails at that too."""
         while True:
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_fuzz_consensus.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_fuzz_consensus.py
@@ -1,9 +1,9 @@
 import unittest
 
-import bendwind_core.core.tests.profiles  # noqa: F401
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+import bendwind_core.core.tests.profiles  # noqa: F401
 from bendwind_node.storage.tests.fake_cluster import FakeCluster
 from bendwind_node.storage.tests.fake_files import CrashError
 
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_fuzz_store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_fuzz_store.py
@@ -1,11 +1,11 @@
 import random
 import unittest
 
-import bendwind_core.core.tests.profiles  # noqa: F401
-from bendwind_core.consensus import Entry, HardState, Persist, SaveSnapshot, Snapshot
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
+import bendwind_core.core.tests.profiles  # noqa: F401
+from bendwind_core.consensus import Entry, HardState, Persist, SaveSnapshot, Snapshot
 from bendwind_node.storage.store import open_store
 from bendwind_node.storage.tests.fake_files import CrashError, FakeFiles
 
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_store.py
@@ -2,7 +2,6 @@
 import unittest
 
 from bendwind_core.consensus import Entry, HardState, Persist, SaveSnapshot, Snapshot
-
 from bendwind_node.storage.errors import CorruptData
 from bendwind_node.storage.store import Store, open_store
 from bendwind_node.storage.tests.fake_files import FakeFiles
