daemon: a planned stop waits until claim outcomes are confirmed

Cause: found by reading: an outcome still on its way to the claim's primary was lost with the process, and a resend would have been told unknown.

--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -100,8 +100,14 @@
     with trio.move_on_after(HAND_OVER_TIMEOUT):
         await dispatcher.claims.hand_over()
     with trio.move_on_after(DRAIN_TIMEOUT):
-        while dispatcher.entry.runs or not dispatcher.owner.is_idle():
+        while _has_work(dispatcher):
             await trio.sleep(IDLE_POLL)
     for name in tuple(dispatcher.owner.owned):
         dispatcher.owner.left(name)
     await trio.sleep(IDLE_POLL)
+
+
+def _has_work(dispatcher: Dispatcher) -> bool:
+    # An outcome that no claim holder has confirmed yet would be told as unknown to a resend.
+    has_calls = bool(dispatcher.entry.runs) or not dispatcher.owner.is_idle()
+    return has_calls or bool(dispatcher.claims.entry.settling)
