calls: probes within a budget, shares for services; claims: judge absence by what was heard

Change: (1) probes for services in use, over links that are open anyway, asked and answered from one budget; (2) half of the places are reserved in equal parts; (3) absence counts when this voter heard of the holder's run before, since its start or the last time without a quorum; a first group is made as soon as three of the service's own nodes are known.

--- a/packages/bendwind-bench/src/bendwind_bench/tests/test_end_to_end.py
+++ b/packages/bendwind-bench/src/bendwind_bench/tests/test_end_to_end.py
@@ -6,6 +6,7 @@
 from bendwind_bench.campaign import Campaign, run_campaign
 from bendwind_bench.deployment import Action, Fault, ServiceDescription
 from bendwind_bench.experiments.scene import describe_scene, run_scene
+from bendwind_bench.http import pool_of
 from bendwind_bench.load import Outcome, RequestKind
 
 INTENT = """
@@ -34,11 +35,22 @@
 ]
 
 
+async def wait_claims(deployment):
+    """Wait until a keyed request is answered: the holders of claims are chosen after the plan."""
+    headers = [(b"Bendwind-Service", b"emisor"), (b"Idempotency-Key", b"ready")]
+    status = 0
+    while status != 200:
+        pool = pool_of(deployment.entries[0])
+        status = (await pool.request("POST", "/certificates", headers, b"x")).status
+        pool.close()
+
+
 class EndToEndTests(unittest.TestCase):
     def test_promises_hold_while_a_node_is_killed(self):
         async def main():
             service = ServiceDescription("emisor", 3, 8, 50, 5.0)
             async with run_scene(describe_scene([service]), INTENT, 1, False) as deployment:
+                await wait_claims(deployment)
                 victim = deployment.layout.members[2].name
                 campaign = Campaign(
                     "end",
--- a/packages/bendwind-core/src/bendwind_core/claims/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/__init__.py
@@ -13,7 +13,7 @@
 )
 from bendwind_core.claims.fingerprint import fingerprint_request
 from bendwind_core.claims.group import ClaimGroup
-from bendwind_core.claims.members import member_of, node_of
+from bendwind_core.claims.members import incarnation_of, member_of, node_of
 from bendwind_core.claims.messages import (
     MAX_KEPT_ANSWER_BYTES,
     MAX_KEY_CHARACTERS,
@@ -35,13 +35,14 @@
     ClaimUnavailable,
     RefusalReason,
 )
-from bendwind_core.claims.placement import choose_claim_group
+from bendwind_core.claims.placement import REQUIRED_MEMBERS, choose_claim_group
 from bendwind_core.claims.state import ClaimHolder, create_holder
 from bendwind_core.claims.table import ClaimLimits
 
 __all__ = [
     "MAX_KEPT_ANSWER_BYTES",
     "MAX_KEY_CHARACTERS",
+    "REQUIRED_MEMBERS",
     "AnswerNotKept",
     "ChangeClaimGroup",
     "Claim",
@@ -75,6 +76,7 @@
     "choose_claim_group",
     "create_holder",
     "fingerprint_request",
+    "incarnation_of",
     "member_of",
     "node_of",
 ]
--- a/packages/bendwind-core/src/bendwind_core/claims/members.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/members.py
@@ -25,3 +25,12 @@
     'norte-1'
     """
     return member.rpartition(_SEPARATOR)[0]
+
+
+def incarnation_of(member: str) -> int:
+    """Return the incarnation of the run that a member is.
+
+    >>> incarnation_of("norte-1#3")
+    3
+    """
+    return int(member.rpartition(_SEPARATOR)[2])
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -34,6 +34,7 @@
     WatchUpdate,
 )
 from bendwind_core.messages.hello import Goodbye, Hello
+from bendwind_core.routing import LoadProbe, LoadReport
 
 PeerMessage = (
     Hello
@@ -47,6 +48,8 @@
     | Cancel
     | Fence
     | Fenced
+    | LoadProbe
+    | LoadReport
     | Heartbeat
     | HeartbeatReply
     | Announce
--- a/packages/bendwind-core/src/bendwind_core/routing/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/__init__.py
@@ -1,6 +1,7 @@
 """Offer the choice of an upstream for an attempt."""
 
 from bendwind_core.routing.choice import choose_upstream
+from bendwind_core.routing.messages import LoadProbe, LoadReport
 from bendwind_core.routing.probes import plan_probes
 from bendwind_core.routing.table import (
     UpstreamTable,
@@ -16,6 +17,8 @@
 )
 
 __all__ = [
+    "LoadProbe",
+    "LoadReport",
     "UpstreamTable",
     "UpstreamView",
     "choose_upstream",
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -10,6 +10,7 @@
 from bendwind_core.claims import fingerprint_request
 from bendwind_core.claims.messages import MAX_KEY_CHARACTERS
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.limits import admit, check_headers, leave
 from bendwind_core.world import Repeat, Rule, Service, StaleAction, find_rule
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
@@ -26,6 +27,7 @@
 MAX_WATCHED = 512
 
 _BODY_TOO_LARGE = Refusal(413, outcomes.REFUSED, "body-too-large")
+_HEADERS_TOO_LARGE = Refusal(431, outcomes.REFUSED, "headers-too-large")
 _BODY_TOO_SLOW = Refusal(408, outcomes.REFUSED, "request-timeout")
 _UNKNOWN_SERVICE = Refusal(404, outcomes.REFUSED, "unknown-service")
 
@@ -49,14 +51,31 @@
         arrived_at = trio.current_time()
         if self.in_flight > self.max_in_flight:
             return Error(Refusal.not_run(NotRunReason.OVERLOADED))
-        request = exchange.request
-        service = await self._find_service(request.headers)
+        if check_headers(exchange.request.headers).is_error():
+            return Error(_HEADERS_TOO_LARGE)
+        service = await self._find_service(exchange.request.headers)
         is_fresh = self.entry.membership.is_fresh()
         if service is None:
             # A node without proof of freshness cannot tell that there is no such service.
             return Error(_UNKNOWN_SERVICE if is_fresh else Refusal.not_run(NotRunReason.STALE))
         if not is_fresh and service.on_stale is StaleAction.REFUSE:
             return Error(Refusal.not_run(NotRunReason.STALE))
+        share = self.entry.share
+        self.entry.find_desk(service)
+        if not admit(share, service.name, service.limits.in_flight_per_entry):
+            return Error(Refusal.not_run(NotRunReason.OVERLOADED))
+        taken: Result[CallRun, Refusal] = Error(_BODY_TOO_SLOW)
+        try:
+            taken = await self._take_admitted(exchange, call_id, service, arrived_at)
+        finally:
+            if taken.is_error():
+                leave(share, service.name)
+        return taken
+
+    async def _take_admitted(
+        self, exchange: CallerExchange, call_id: str, service: Service, arrived_at: Seconds
+    ) -> Result[CallRun, Refusal]:
+        request = exchange.request
         rule = find_rule(service, request.method, request.path)
         key = _read_key(request.headers, rule)
         if key.is_error():
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -1,8 +1,10 @@
 """Run one caller's request from its arrival to its one final outcome."""
 
+import trio
 from expression import Result
 
 from bendwind_core.attempts import events as ev
+from bendwind_core.limits import leave
 from bendwind_core.timeline import EventKind
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.call_delivery import Delivery
@@ -64,11 +66,13 @@
         self.entry.recorder.record(EventKind.CALL_ARRIVED, call=call.call_id, detail=detail)
         desk = self.entry.find_desk(call.service)
         desk.in_flight += 1
+        desk.called_at = trio.current_time()
         try:
             run.feed(ev.Begin())
             await Delivery(self.entry, exchange, run).finish()
         finally:
             desk.in_flight -= 1
+            leave(self.entry.share, call.service.name)
             if not call.is_finished:
                 run.feed(ev.CallerGone())
             self.entry.forget(run)
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -1,5 +1,6 @@
 """Carry the calls that reach this process: decide, hand over, deliver."""
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -24,7 +25,8 @@
 from bendwind_core.attempts.call import find_attempt
 from bendwind_core.claims import ClaimAnswer, ClaimState
 from bendwind_core.claims.messages import MAX_KEPT_ANSWER_BYTES
-from bendwind_core.limits import RetryBudget
+from bendwind_core.core import Seconds
+from bendwind_core.limits import ConcurrencyShare, RetryBudget, set_services
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import (
     UpstreamTable,
@@ -71,6 +73,7 @@
     table: UpstreamTable
     budget: RetryBudget
     in_flight: int = 0
+    called_at: Seconds = -math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -86,6 +89,7 @@
     claims: ClaimTask
     rng: random.Random
     ids: AttemptIds
+    share: ConcurrencyShare
     desks: dict[str, ServiceDesk] = field(default_factory=dict)
     runs: dict[int, CallRun] = field(default_factory=dict)
     local: LocalLink = field(init=False)
@@ -101,6 +105,7 @@
             budget = RetryBudget(service.limits.retry_ratio)
             desk = ServiceDesk(create_table(service.name), budget)
             self.desks[service.name] = desk
+            set_services(self.share, self.desks)
             self.refresh_upstreams(service.name)
         return desk
 
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -23,9 +23,11 @@
 )
 from bendwind_core.attempts import owner_events as ev
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.limits import ProbeBudget, spend_probe
 from bendwind_core.messages import PeerMessage
+from bendwind_core.routing import LoadProbe, LoadReport
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_core.world import Instance, Upstream, UpstreamState
+from bendwind_core.world import Instance, LoadSample, Upstream, UpstreamState
 from bendwind_node.calls.body_flow import ByteBudget, Inflow, Outflow
 from bendwind_node.calls.dispatch import DispatchEnd, format_attempt, run_dispatch
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
@@ -34,6 +36,7 @@
 QUEUE_LIMIT = 16
 MAX_OWNED_UPSTREAMS = 8
 MAX_ASSEMBLING = 256
+REPORT_BYTES = 80
 # Leases of announcements are looked at this often; queued attempts expire on time.
 LEASE_CHECK: Seconds = 0.5
 
@@ -82,12 +85,14 @@
     lease_ms: Milliseconds
     body_limit: int
     body_budget: ByteBudget
+    probe_budget: ProbeBudget
     announce: Callable[[Upstream], None]
     replies: ReplyPath = field(default_factory=ReplyPath)
     owned: dict[str, OwnedUpstream] = field(default_factory=dict)
     assembling: dict[AttemptId, Assembly] = field(default_factory=dict)
     outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
     is_draining: bool = False
+    probes_answered: int = 0
     clock_moved: trio.Event = field(default_factory=trio.Event)
     wakes_at: Seconds = math.inf
 
@@ -123,6 +128,8 @@
                     outflow.add_credit(credit)
             case Cancel(attempt=attempt, upstream=name):
                 self._cancel(name, attempt, link.epoch)
+            case LoadProbe(upstream=name):
+                self._answer_probe(link, name)
             case Fence():
                 self._fence(message, link.epoch)
 
@@ -274,6 +281,17 @@
                 self._set_state(owned, UpstreamState.DRAINING)
             self._feed(owned, ev.Drain())
 
+    def read_load(self, name: str) -> LoadSample:
+        """Return the load of an upstream beside this process."""
+        return owner.load_sample(self.owned[name].desk, trio.current_time())
+
+    def _answer_probe(self, link: ReplyLink, name: str) -> None:
+        owned = self.owned.get(name)
+        now = trio.current_time()
+        if owned is not None and spend_probe(self.probe_budget, 1, REPORT_BYTES, now):
+            self.probes_answered += 1
+            link.send(LoadReport(name, owned.upstream.service, self.read_load(name)))
+
     def is_idle(self) -> bool:
         """Tell whether no attempt runs, waits or is still coming in."""
         has_work = any(owned.desk.running or owned.desk.waiting for owned in self.owned.values())
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/probe_task.py
@@ -0,0 +1,59 @@
+"""Ask owner nodes for the load of upstreams that this node's calls have not reached lately."""
+
+from dataclasses import dataclass
+
+import trio
+
+from bendwind_core.core import Seconds
+from bendwind_core.limits import ProbeBudget
+from bendwind_core.routing import LoadProbe, LoadReport, note_load, plan_probes
+from bendwind_node.calls.entry_node import EntryNode, ServiceDesk
+from bendwind_node.calls.owner_node import OwnerNode
+
+PROBE_EVERY: Seconds = 0.25
+IDLE_SLEEP: Seconds = 1.0
+# A service that nobody calls here needs no fresh load.
+IDLE_AFTER: Seconds = 5.0
+
+
+@dataclass(slots=True, eq=False)
+class ProbeTask:
+    """Own the probes of one process; both what it asks and what it answers draw on the budget."""
+
+    entry: EntryNode
+    owner: OwnerNode
+    budget: ProbeBudget
+    sent: int = 0
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            is_active = self.probe_all(trio.current_time())
+            await trio.sleep(PROBE_EVERY if is_active else IDLE_SLEEP)
+
+    def probe_all(self, now: Seconds) -> bool:
+        """Probe for every service in use and tell whether there is one."""
+        active = [d for d in self.entry.desks.values() if now - d.called_at < IDLE_AFTER]
+        for desk in active:
+            self._probe(desk, now)
+        return bool(active)
+
+    def _probe(self, desk: ServiceDesk, now: Seconds) -> None:
+        self._note_own(desk, now)
+        for name in plan_probes(desk.table, self.budget, now):
+            owner = desk.table.views[name].upstream.owner.name
+            # A probe is no reason to open a link.
+            if owner in self.entry.hub.dialed:
+                self.entry.send(owner, LoadProbe(name))
+                self.sent += 1
+
+    def _note_own(self, desk: ServiceDesk, now: Seconds) -> None:
+        for name in self.owner.owned:
+            if name in desk.table.views:
+                note_load(desk.table, name, self.owner.read_load(name), now)
+
+    def receive(self, report: LoadReport) -> None:
+        """Hear the load of an upstream."""
+        desk = self.entry.desks.get(report.service)
+        if desk is not None:
+            note_load(desk.table, report.upstream, report.load, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -7,6 +7,8 @@
 import trio
 
 from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.limits import ConcurrencyShare, ProbeBudget
+from bendwind_core.routing import LoadReport
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Service, Upstream, UpstreamState
 from bendwind_node.calls.body_flow import ByteBudget
@@ -89,11 +91,17 @@
         owner = self.owners[name]
         self.epoch += 1
         here = FakeLink(owner.own, self.epoch, None, [] if self.hold else None)
-        there = FakeLink(self.own, self.epoch, lambda m: self.entry.receive(here, m))
+        there = FakeLink(self.own, self.epoch, lambda m: self._hear(here, m))
         here.deliver = lambda m: owner.receive(there, m)
         self.links[name] = (here, there)
         owner.link_opened(there)
 
+    def _hear(self, link, message):
+        if isinstance(message, LoadReport):
+            self.reports(message)
+        else:
+            self.entry.receive(link, message)
+
     def cut(self, name):
         here, there = self.links.pop(name)
         here.is_open = there.is_open = False
@@ -143,7 +151,14 @@
     own = Instance(name, "dc", "127.0.0.1", 1, incarnation)
     recorder = Recorder(name, lambda: 1, 1000)
     return OwnerNode(
-        own, recorder, nursery, 60_000.0, 8 * MIB, ByteBudget(16 * MIB), membership.add
+        own,
+        recorder,
+        nursery,
+        60_000.0,
+        8 * MIB,
+        ByteBudget(16 * MIB),
+        ProbeBudget(20, 4000),
+        membership.add,
     )
 
 
@@ -173,6 +188,7 @@
             claims,
             random.Random(1),
             ids,
+            ConcurrencyShare(64),
         )
         self.hub.entry = self.entry
         self.intake = CallIntake(self.entry, 64, 8 * MIB, ByteBudget(16 * MIB))
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -3,8 +3,10 @@
 import trio
 import trio.testing
 
+from bendwind_core.limits import ProbeBudget
 from bendwind_core.world import Limits, Service, StaleAction
 from bendwind_node.calls.body_flow import PART_BYTES, WINDOW_BYTES
+from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.calls.tests.fakes import MIB, CallBench, announce, make_exchange
 from bendwind_node.calls.tests.scripted_server import OK, read_request, run_server
 
@@ -198,6 +200,49 @@
         service = Service("svc", ("*",), limits=Limits(body_bytes=1000))
         self.run_with(self.answer_ok, check, service=service)
 
+    def test_busy_service_leaves_others_their_share(self):
+        go_on = trio.Event()
+
+        async def wait(stream, data):
+            await go_on.wait()
+            await stream.send_all(OK)
+
+        async def check(bench, port):
+            quiet = Service("quiet", ("*",))
+            bench.membership.services["quiet"] = quiet
+            bench.entry.find_desk(quiet)
+            announce(bench.owner, port)
+            async with trio.open_nursery() as nursery:
+                for _ in range(80):
+                    nursery.start_soon(bench.call, make_exchange())
+                await trio.testing.wait_all_tasks_blocked()
+                self.assertLess(bench.entry.share.in_flight["svc"], 64)
+                done = await bench.call(make_exchange(bendwind_service="quiet"))
+                self.assertEqual(done.headers[b"bendwind-reason"], b"no-upstream")
+                go_on.set()
+            self.assertEqual(set(bench.entry.share.in_flight.values()), {0})
+
+        self.run_with(wait, check)
+
+    def test_probes_bring_the_load_of_an_upstream_nobody_called_lately(self):
+        async def check(bench, port):
+            owner = bench.add_owner("other")
+            announce(owner, port)
+            await bench.call(make_exchange())
+            desk = bench.entry.desks["svc"]
+            view = desk.table.views["svc-1"]
+            probes = ProbeTask(bench.entry, bench.owner, ProbeBudget(20, 4000))
+            bench.hub.reports = probes.receive
+            bench.hub.dialed = bench.hub.links
+            view.reported_at = view.probed_at = -10.0
+            probes.probe_all(trio.current_time())
+            self.assertEqual((probes.sent, owner.probes_answered), (1, 1))
+            self.assertGreater(view.reported_at, 0.0)
+            probes.probe_all(trio.current_time())
+            self.assertEqual(probes.sent, 1)
+
+        self.run_with(self.answer_ok, check)
+
     def test_drained_owner_finishes_what_it_has_and_refuses_the_rest(self):
         go_on = trio.Event()
 
--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -9,11 +9,13 @@
 import trio
 
 from bendwind_core.claims import (
+    REQUIRED_MEMBERS,
     ChangeClaimGroup,
     ClaimCopied,
     ClaimGroup,
     ClaimLeave,
     choose_claim_group,
+    incarnation_of,
     node_of,
 )
 from bendwind_core.core import Seconds
@@ -21,9 +23,6 @@
 
 PLACE_EVERY: Seconds = 0.5
 REMEMBER_LEAVING: Seconds = 30.0
-# A new leader knows only the nodes that have renewed with some voter since; those that could not
-# for a while come back at longer and longer intervals. Until then absence proves nothing.
-SETTLING_LEASES = 3.0
 # A lost group serves nobody anyway, and a holder that was only cut off may yet return.
 LOST_AFTER: Seconds = 30.0
 
@@ -34,6 +33,9 @@
 class PlacementView:
     """Hold what the leader knows: services, groups, living nodes and each service's own nodes.
 
+    `heard` gives the newest incarnation of every node this voter has heard of since it started or
+    since control was last without a quorum; `is_settled` says that this was long enough ago for
+    every living node to have come back.
     Units: `led_for` is the time since this voter became leader, in seconds; before a lease has
     passed, a node that has not renewed yet is not known to be dead.
     """
@@ -43,6 +45,8 @@
     groups: Mapping[str, ClaimGroup]
     alive: tuple[Instance, ...]
     owners: Mapping[str, frozenset[str]]
+    heard: Mapping[str, int]
+    is_settled: bool
 
 
 def needs_claims(service: Service) -> bool:
@@ -92,7 +96,7 @@
     async def place_all(self) -> None:
         """Propose at most one change of each group."""
         view = self.view()
-        if view is None or view.led_for < self.lease:
+        if view is None:
             return
         self._forget_old(view)
         held = _count_memberships(view.groups)
@@ -100,7 +104,7 @@
             if not needs_claims(service):
                 continue
             present = view.groups.get(service.name)
-            if present is not None and view.led_for < SETTLING_LEASES * self.lease:
+            if not self._may_place(service.name, present, view):
                 continue
             group = self._choose(service.name, view, held)
             if self._is_missing_long_enough(service.name, group):
@@ -108,6 +112,13 @@
                 await self.propose(ChangeClaimGroup(group, epoch))
                 held.update(node_of(member) for member in group.members)
 
+    def _may_place(self, service: str, present: ClaimGroup | None, view: PlacementView) -> bool:
+        if present is not None:
+            return _may_judge(present, view)
+        # Nodes that are still to be heard of may be the better holders, but a lease is enough.
+        own = view.owners.get(service, frozenset())
+        return len(own) >= REQUIRED_MEMBERS or view.led_for >= self.lease
+
     def _is_missing_long_enough(self, service: str, group: ClaimGroup | None) -> bool:
         """Tell whether a change is due; the loss of every holder only after a while."""
         if group is None or not group.lost:
@@ -140,6 +151,16 @@
         self.copied = {name: notice for name, notice in self.copied.items() if name in names}
 
 
+def _may_judge(group: ClaimGroup, view: PlacementView) -> bool:
+    """Tell whether the absence of a member means its end, and not that it was never heard of."""
+    return view.is_settled or all(_is_known(member, view) for member in group.members)
+
+
+def _is_known(member: str, view: PlacementView) -> bool:
+    heard = view.heard.get(node_of(member))
+    return heard is not None and incarnation_of(member) <= heard
+
+
 def _count_memberships(groups: Mapping[str, ClaimGroup]) -> collections.Counter[str]:
     return collections.Counter(
         node_of(member) for group in groups.values() for member in group.members
--- a/packages/bendwind-node/src/bendwind_node/claims/tests/test_placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/tests/test_placer.py
@@ -18,6 +18,7 @@
             self.groups = {}
             self.alive = NODES
             self.led_for = 0.0
+            self.heard = {}
             placer = ClaimPlacer(self.make_view, self.propose, random.Random(1), LEASE)
             await check(placer)
 
@@ -25,7 +26,11 @@
 
     def make_view(self):
         services = (Service("emisor", ("*",)),)
-        return PlacementView(self.led_for, services, self.groups, self.alive, {})
+        self.heard |= {node.name: node.incarnation for node in self.alive}
+        is_settled = self.led_for >= 3 * LEASE
+        return PlacementView(
+            self.led_for, services, self.groups, self.alive, {}, self.heard, is_settled
+        )
 
     async def propose(self, command):
         self.groups[command.group.service] = command.group
@@ -49,6 +54,7 @@
         # A leader that did was found by reading: it took unattached nodes for dead ones.
         async def check(placer):
             group = await self.place(placer)
+            self.heard.clear()
             alone = tuple(node for node in NODES if member_of(node) == group.members[0])
             self.assertEqual(await self.place(placer, 4, alive=alone, led_for=2 * LEASE), group)
             changed = await self.place(placer, alive=alone, led_for=4 * LEASE)
@@ -56,6 +62,16 @@
 
         self.run_with(check)
 
+    def test_holder_that_was_heard_of_and_fell_silent_is_dropped_at_once(self):
+        # Waiting for every holder left a new cluster without keyed calls for three leases.
+        async def check(placer):
+            group = await self.place(placer, led_for=LEASE)
+            rest = tuple(node for node in NODES if member_of(node) != group.members[0])
+            changed = await self.place(placer, alive=rest, led_for=LEASE + 1)
+            self.assertEqual(changed.members, group.members[1:])
+
+        self.run_with(check)
+
     def test_group_counts_as_lost_only_after_its_holders_stay_away(self):
         async def check(placer):
             group = await self.place(placer)
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import trio
@@ -34,6 +34,7 @@
 from bendwind_node.storage import StoreError, open_folder
 
 PROPOSAL_TIMEOUT: Seconds = 5.0
+SETTLING_LEASES = 3.0
 
 
 @dataclass(slots=True, eq=False)
@@ -151,6 +152,8 @@
     registry: RegistryTask
     placer: ClaimPlacer
     led_since: Seconds | None = None
+    settled_at: Seconds | None = None
+    heard: dict[str, int] = field(default_factory=dict)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; a voter whose disk fails stops alone, the rest goes on."""
@@ -163,6 +166,7 @@
     def view_placement(self) -> PlacementView | None:
         """Return what the placement of claims needs; None while this voter does not lead."""
         now = trio.current_time()
+        self._note_heard(now)
         if not self.voter.is_leader:
             self.led_since = None
             return None
@@ -177,8 +181,25 @@
             self.client.claim_groups,
             self.registry.alive(),
             {service: frozenset(names) for service, names in owners.items()},
+            self.heard,
+            now >= self.settled_at,
         )
 
+    def _note_heard(self, now: Seconds) -> None:
+        """Follow which nodes were heard of since the start or the last time without a quorum.
+
+        Nodes that found no voter with a quorum come back at longer and longer intervals, so for a
+        few leases after such a time silence does not mean that they are gone.
+        """
+        registry = self.registry.registry
+        lease = registry.times.lease
+        confirmed = registry.confirmed_from
+        if confirmed is None or now - confirmed > lease or self.settled_at is None:
+            self.settled_at = now + SETTLING_LEASES * lease
+            self.heard.clear()
+        for instance in self.registry.alive():
+            self.heard[instance.name] = instance.incarnation
+
     def upstreams(self) -> tuple[Upstream, ...]:
         """Return every upstream that the registry knows."""
         members = self.registry.registry.members.values()
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -9,6 +9,7 @@
 
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.limits import ConcurrencyShare, ProbeBudget
 from bendwind_core.membership import (
     ClaimGroupsChanged,
     ConfigurationApplied,
@@ -24,6 +25,7 @@
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.claims.task import GroupsPushed, create_claim_task
 from bendwind_node.control.service import open_control
 from bendwind_node.daemon.dispatcher import Dispatcher
@@ -100,6 +102,8 @@
     dispatcher.membership = membership
     dispatcher.hub = _build_hub(daemon, own, membership)
     dispatcher.claims = create_claim_task(own, names, dispatcher.send, membership.watch, recorder)
+    measuring = settings.measuring
+    budget = ProbeBudget(int(measuring.messages_per_s), int(measuring.bytes_per_s))
     dispatcher.owner = OwnerNode(
         own,
         recorder,
@@ -107,6 +111,7 @@
         settings.lease.lease_ms,
         settings.limits.body_bytes,
         daemon.body_budget,
+        budget,
         lambda upstream: _announce(membership, upstream),
     )
     dispatcher.entry = EntryNode(
@@ -119,7 +124,9 @@
         dispatcher.claims,
         rng,
         AttemptIds(own.name, own.incarnation),
+        ConcurrencyShare(settings.limits.in_flight),
     )
+    dispatcher.probes = ProbeTask(dispatcher.entry, dispatcher.owner, budget)
     membership.listeners.append(lambda effect: _hear_membership(dispatcher, effect))
 
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -22,14 +22,16 @@
     Unknown,
 )
 from bendwind_core.messages import Goodbye, Hello, PeerMessage
+from bendwind_core.routing import LoadProbe, LoadReport
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.claims.task import ClaimTask, PeerClaimMessage
 from bendwind_node.control.service import ControlService
 from bendwind_node.links import Link, LinkHub
 from bendwind_node.membership import MembershipTask
 
-_TO_OWNER = (HandOver, Cancel, Fence)
+_TO_OWNER = (HandOver, Cancel, Fence, LoadProbe)
 _TO_ENTRY = (AnswerHead, NotRun, Unknown, Fenced)
 _TO_NODE = (member.HeartbeatReply, member.ConfigurationChanged, member.WatchUpdate)
 _TO_REGISTRY = (
@@ -54,6 +56,7 @@
     hub: LinkHub | None = None
     entry: EntryNode | None = None
     owner: OwnerNode | None = None
+    probes: ProbeTask | None = None
     membership: MembershipTask | None = None
     claims: ClaimTask | None = None
     control: ControlService | None = None
@@ -109,6 +112,8 @@
             return self.entry.receive
         if kind in (BodyPart, BodyCredit):
             return self._receive_body
+        if kind is LoadReport:
+            return self._to_probes
         if kind in _TO_NODE:
             return self._to_membership
         if kind in _TO_PLACER or kind in _TO_REGISTRY or kind in _TO_VOTER:
@@ -122,6 +127,9 @@
         else:
             self.owner.receive(link, message)
 
+    def _to_probes(self, link: Link, message: PeerMessage) -> None:
+        self.probes.receive(message)
+
     def _to_membership(self, link: Link, message: PeerMessage) -> None:
         _put(self.membership.inbox, (link.peer.name, message))
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -54,6 +54,7 @@
     await nursery.start(dispatcher.membership.run)
     nursery.start_soon(dispatcher.claims.run)
     nursery.start_soon(dispatcher.owner.run_clock)
+    nursery.start_soon(dispatcher.probes.run)
     nursery.start_soon(_prove_lease, dispatcher)
     nursery.start_soon(_watch_signals, daemon.stopping)
     if daemon.keys is not None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -18,6 +18,7 @@
 from bendwind_node.metrics.gather import (
     gather_calls,
     gather_node,
+    gather_probes,
     gather_process,
     gather_timeline,
     gather_voter,
@@ -101,6 +102,7 @@
     def read():
         yield from gather_timeline(daemon.recorder)
         yield from gather_calls(dispatcher.entry, dispatcher.owner)
+        yield from gather_probes(dispatcher.probes)
         yield from gather_node(dispatcher.hub, dispatcher.membership, dispatcher.claims)
         if dispatcher.control is not None:
             yield from gather_voter(dispatcher.control)
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -50,6 +50,7 @@
     UPSTREAM_SLOTS = _gauge(
         "upstream_slots", "attempts", "Attempts the upstream takes at a time.", "upstream"
     )
+    LOAD_PROBES = _count("load_probes", "messages", "Load probes asked and answered.", "direction")
     LINKS = _gauge("links", "links", "Open links to peers, by which end opened them.", "opened_by")
     DRAINING = _gauge("draining", "0 or 1", "Whether the process takes no new attempts.")
     CONFIGURATION_VERSION = _gauge(
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -7,6 +7,7 @@
 from bendwind_core.timeline import Recorder
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.claims.task import ClaimTask
 from bendwind_node.control.service import ControlService
 from bendwind_node.links import LinkHub
@@ -36,6 +37,12 @@
     yield Sample(Metric.DRAINING, int(owner.is_draining))
 
 
+def gather_probes(probes: ProbeTask) -> Iterator[Sample]:
+    """Read what was spent on measuring the load of upstreams."""
+    yield Sample(Metric.LOAD_PROBES, probes.sent, ("asked",))
+    yield Sample(Metric.LOAD_PROBES, probes.owner.probes_answered, ("answered",))
+
+
 def gather_node(hub: LinkHub, membership: MembershipTask, claims: ClaimTask) -> Iterator[Sample]:
     """Read the links, the configuration in force and the claim groups."""
     yield Sample(Metric.LINKS, len(hub.dialed), ("this",))
