--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -0,0 +1,179 @@
+"""Hold the attempts at the one node that sends to an upstream."""
+
+from dataclasses import dataclass, field
+
+from bendwind_core.attempts.attempt_log import AttemptLog, Fate, record_ended, record_live
+from bendwind_core.attempts.messages import AttemptId, HandOver, NotRunReason
+from bendwind_core.attempts.owner_events import Dispatch, OwnerEffect, ReplyNotRun
+from bendwind_core.attempts.service_time import ServiceTime
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.limits import FairQueue, fair_queue
+from bendwind_core.world import LoadSample, Repeat, UpstreamState
+
+REMEMBERED_ATTEMPTS = 4096
+
+# One for each node of the largest deployment planned for; about 150 bytes each.
+REMEMBERED_PEERS = 16384
+
+# An upstream that runs so many attempts, and should have ended so many more, has stalled.
+STALL_RUNNING = 2
+
+STALL_EXPECTED = 3.0
+
+
+@dataclass(slots=True)
+class QueuedAttempt:
+    """Hold an attempt that waits for a slot."""
+
+    hand_over: HandOver
+    epoch: int
+    expires_at: Seconds
+
+
+@dataclass(slots=True)
+class RunningAttempt:
+    """Hold a started attempt."""
+
+    epoch: int
+    started_at: Seconds
+    repeat: Repeat
+    is_cancelled: bool = False
+
+
+@dataclass(slots=True)
+class OwnerDesk:
+    """Hold everything that was handed to one upstream's owner node."""
+
+    upstream: str
+    incarnation: int
+    queue: FairQueue[QueuedAttempt]
+    log: AttemptLog
+    slots: int = 0
+    connections: int = 0
+    state: UpstreamState = UpstreamState.GONE
+    is_stopping: bool = False
+    is_drained: bool = True
+    bounce_queue_at: Seconds | None = None
+    progress_at: Seconds = 0.0
+    running: dict[AttemptId, RunningAttempt] = field(default_factory=dict)
+    waiting: dict[AttemptId, QueuedAttempt] = field(default_factory=dict)
+    times: ServiceTime = field(default_factory=ServiceTime)
+
+
+def create_desk(
+    upstream: str,
+    incarnation: int,
+    queue: int,
+    *,
+    remembered_attempts: int = REMEMBERED_ATTEMPTS,
+    remembered_peers: int = REMEMBERED_PEERS,
+) -> OwnerDesk:
+    """Create the desk of an upstream that has yet to announce itself.
+
+    `incarnation` is this process's own run; `queue` bounds the attempts that wait.
+    """
+    log = AttemptLog(remembered_attempts, remembered_peers)
+    return OwnerDesk(upstream, incarnation, FairQueue(queue), log)
+
+
+def load_sample(desk: OwnerDesk, now: Seconds) -> LoadSample:
+    """Count the load as of now."""
+    return LoadSample(
+        in_flight=len(desk.running),
+        queued=desk.queue.size,
+        slots=desk.slots,
+        latency_ms=desk.times.average_ms,
+        error_rate=desk.times.error_rate,
+        draining=not is_open(desk),
+    )
+
+
+def is_open(desk: OwnerDesk) -> bool:
+    """Tell whether new attempts are taken."""
+    return desk.state is UpstreamState.READY and not desk.is_stopping
+
+
+def has_slot(desk: OwnerDesk) -> bool:
+    """Tell whether the upstream may run one more attempt."""
+    return len(desk.running) < min(desk.slots, desk.connections)
+
+
+def is_stalled(desk: OwnerDesk, now: Seconds) -> bool:
+    """Tell whether the running attempts take much longer than usual."""
+    # At the usual pace, this many of the running attempts would have ended since the last one did.
+    if len(desk.running) < STALL_RUNNING:
+        return False
+    expected = len(desk.running) * (now - desk.progress_at) * MILLISECONDS_PER_SECOND
+    return expected > STALL_EXPECTED * desk.times.average_ms > 0.0
+
+
+def next_due(desk: OwnerDesk) -> Seconds | None:
+    """Return when the next Tick is due, or None."""
+    if not desk.waiting:
+        return None
+    due = min(queued.expires_at for queued in desk.waiting.values())
+    if desk.bounce_queue_at is not None:
+        due = min(due, desk.bounce_queue_at)
+    return due
+
+
+def refuse(
+    desk: OwnerDesk,
+    attempt: AttemptId,
+    epoch: int,
+    reason: NotRunReason,
+    now: Seconds,
+    effects: list[OwnerEffect],
+) -> None:
+    """Reply that an attempt did not run; it must be known never to start."""
+    effects.append(ReplyNotRun(attempt, epoch, reason, load_sample(desk, now)))
+
+
+def drop_waiting(
+    desk: OwnerDesk,
+    queued: QueuedAttempt,
+    reason: NotRunReason,
+    now: Seconds,
+    effects: list[OwnerEffect],
+) -> None:
+    """Take an attempt, already out of the queue, off the desk and refuse it."""
+    _forget_waiting(desk, queued)
+    refuse(desk, queued.hand_over.attempt, queued.epoch, reason, now, effects)
+
+
+def fence_waiting(desk: OwnerDesk, queued: QueuedAttempt) -> None:
+    """Take a queued attempt off the desk without a reply."""
+    fair_queue.remove(desk.queue, queued.hand_over.attempt.entry, queued)
+    _forget_waiting(desk, queued)
+
+
+def _forget_waiting(desk: OwnerDesk, queued: QueuedAttempt) -> None:
+    attempt = queued.hand_over.attempt
+    del desk.waiting[attempt]
+    record_ended(desk.log, attempt, Fate.NEVER_STARTED)
+
+
+def bounce_queue(
+    desk: OwnerDesk, reason: NotRunReason, now: Seconds, effects: list[OwnerEffect]
+) -> None:
+    """Refuse everything that waits."""
+    while (queued := fair_queue.pop(desk.queue)) is not None:
+        drop_waiting(desk, queued, reason, now, effects)
+
+
+def end_running(desk: OwnerDesk, attempt: AttemptId, fate: Fate) -> RunningAttempt | None:
+    """Take a running attempt off the desk; return None if it was not there."""
+    running = desk.running.pop(attempt, None)
+    if running is not None:
+        record_ended(desk.log, attempt, fate)
+    return running
+
+
+def start(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds, effects: list[OwnerEffect]) -> None:
+    """Give an attempt a slot and dispatch it."""
+    hand_over = queued.hand_over
+    record_live(desk.log, hand_over.attempt, Fate.RUNNING)
+    if not desk.running:
+        desk.progress_at = now
+    desk.running[hand_over.attempt] = RunningAttempt(queued.epoch, now, hand_over.repeat)
+    effects.append(Dispatch(hand_over, queued.expires_at))
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -0,0 +1,127 @@
+"""Send the attempts of a call."""
+
+from collections.abc import Callable
+
+from bendwind_core.attempts.attempt_ids import next_attempt_id
+from bendwind_core.attempts.call import (
+    Attempt,
+    AttemptState,
+    CallPhase,
+    EntryCall,
+    has_pending,
+    may_have_run,
+)
+from bendwind_core.attempts.endings import finish_not_run, give_up
+from bendwind_core.attempts.events import EntryEffect, SendHandOver, StartTimer, TimerKind
+from bendwind_core.attempts.messages import NotRunReason
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.limits import earn_retry, may_retry, spend_retry
+from bendwind_core.world import Policy, Upstream
+
+Choose = Callable[[frozenset[str]], Upstream | None]
+
+MAX_ATTEMPTS = 5
+# So many attempts are sent back by a stalled upstream rather than taken.
+POLITE_ATTEMPTS = 2
+# The owner's time ends a little before the caller's, so that its proof still arrives in time.
+REPLY_MARGIN_MAX: Seconds = 0.020
+REPLY_MARGIN_SHARE = 0.1
+# After these the same upstream may well take the next attempt.
+_PASSING_BOUNCES = frozenset(
+    {
+        NotRunReason.STALLED,
+        NotRunReason.FENCED,
+        NotRunReason.WRONG_OWNER,
+        NotRunReason.CONNECT_FAILED,
+    }
+)
+
+_NONE_EXCLUDED: frozenset[str] = frozenset()
+
+
+def send_first(call: EntryCall, now: Seconds, choose: Choose, effects: list[EntryEffect]) -> None:
+    """Send the first attempt."""
+    call.phase = CallPhase.TRYING
+    upstream = choose(_NONE_EXCLUDED)
+    if upstream is None:
+        finish_not_run(call, NotRunReason.NO_UPSTREAM, None, effects)
+        return
+    earn_retry(call.budget)
+    _send(call, upstream, now, effects)
+    hedge_after_ms = call.service.hedge_after_ms
+    if hedge_after_ms is not None and call.is_idempotent:
+        hedge_at = now + hedge_after_ms / MILLISECONDS_PER_SECOND
+        if hedge_at < call.deadline_at:
+            effects.append(StartTimer(TimerKind.HEDGE, hedge_at))
+
+
+def send_hedge(call: EntryCall, now: Seconds, choose: Choose, effects: list[EntryEffect]) -> None:
+    """Send a second attempt beside the first."""
+    is_alone = len(call.attempts) == 1
+    is_open = is_alone and call.attempts[0].state is AttemptState.OUTSTANDING
+    if call.phase is not CallPhase.TRYING or not is_open or not may_retry(call.budget):
+        return
+    upstream = choose(frozenset((call.attempts[0].upstream.name,)))
+    if upstream is None:
+        return
+    spend_retry(call.budget)
+    _send(call, upstream, now, effects)
+
+
+def _send(call: EntryCall, upstream: Upstream, now: Seconds, effects: list[EntryEffect]) -> None:
+    attempt = Attempt(next_attempt_id(call.attempt_ids), upstream)
+    call.attempts.append(attempt)
+    remaining = call.deadline_at - now - reply_margin(call, now)
+    insist = _must_insist(call, upstream)
+    effects.append(SendHandOver(attempt.id, upstream, remaining * MILLISECONDS_PER_SECOND, insist))
+
+
+def _must_insist(call: EntryCall, upstream: Upstream) -> bool:
+    # The other policies stay the plain baselines that they are.
+    if call.service.policy is not Policy.SCORE:
+        return True
+    # The last attempt in the list is the one being sent.
+    earlier = call.attempts[:-1]
+    if len(earlier) >= POLITE_ATTEMPTS:
+        return True
+    return any(attempt.upstream.name == upstream.name for attempt in earlier)
+
+
+def reply_margin(call: EntryCall, now: Seconds) -> Seconds:
+    """Return how much of the time left is kept for the owner's proof to arrive in."""
+    return min(REPLY_MARGIN_MAX, REPLY_MARGIN_SHARE * (call.deadline_at - now))
+
+
+def try_again(
+    call: EntryCall, now: Seconds, choose: Choose, effects: list[EntryEffect], *, is_free: bool
+) -> None:
+    """Send another attempt if rule, budget and time permit, else give up."""
+    if has_pending(call):
+        return
+    upstream = None
+    if _may_try_again(call, now, is_free=is_free):
+        upstream = _choose_next(call, choose)
+    if upstream is None:
+        give_up(call, effects)
+        return
+    if not is_free:
+        spend_retry(call.budget)
+    _send(call, upstream, now, effects)
+
+
+def _may_try_again(call: EntryCall, now: Seconds, *, is_free: bool) -> bool:
+    if call.is_caller_gone or len(call.attempts) >= MAX_ATTEMPTS:
+        return False
+    if now + reply_margin(call, now) >= call.deadline_at:
+        return False
+    if not call.is_idempotent and may_have_run(call):
+        return False
+    return is_free or may_retry(call.budget)
+
+
+def _choose_next(call: EntryCall, choose: Choose) -> Upstream | None:
+    upstream = choose(frozenset(attempt.upstream.name for attempt in call.attempts))
+    if upstream is not None:
+        return upstream
+    lasting = [attempt for attempt in call.attempts if attempt.not_run not in _PASSING_BOUNCES]
+    return choose(frozenset(attempt.upstream.name for attempt in lasting))
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_entry.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from bendwind_core.attempts import entry
+from bendwind_core.attempts import entry, sending
 from bendwind_core.attempts import events as ev
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.call import AttemptState, CallPhase, create_call
@@ -17,7 +17,7 @@
 
 UPSTREAMS = [Upstream(f"u{i}", "s", Instance("o", "dc", "h", 1, 1), 1, 1) for i in range(3)]
 DEADLINE = 1.0
-FREE = sorted(entry._FREE_BOUNCES)
+FREE = sorted(entry.FREE_BOUNCES)
 pick = st.integers(0, 3)
 
 
@@ -105,7 +105,7 @@
         tried = {u.name for u in self.sent.values()}
         assert upstream.name not in tried or len(tried) == len(UPSTREAMS)
         assert len(unproven) <= self.tokens, "retried beyond the budget"
-        assert len(self.sent) < entry.MAX_ATTEMPTS
+        assert len(self.sent) < sending.MAX_ATTEMPTS
 
     def _pick(self, pick):
         return list(self.sent)[pick % len(self.sent)]
--- a/packages/bendwind-core/src/bendwind_core/routing/score.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/score.py
@@ -20,17 +20,20 @@
 
     `usual_ms` is the latency that the service's upstreams usually have.
     """
-    load = (1.0 + _expected_load(view, now)) / max(1, view.upstream.slots)
-    penalty = 1.0 + ERROR_PENALTY * view.error_rate
-    return _slowness(view, usual_ms, now) * load * penalty / _warmth(view, now)
+    value = (1.0 + _expected_load(view, now)) / (view.upstream.slots or 1)
+    if usual_ms > 0.0:
+        value *= _slowness(view, usual_ms, now)
+    if now - view.seen_at < RAMP_UP:
+        value /= _warmth(view, now)
+    return value * (1.0 + ERROR_PENALTY * view.error_rate)
 
 
 def _slowness(view: UpstreamView, usual_ms: Milliseconds, now: Seconds) -> float:
-    if usual_ms <= 0.0:
-        return 1.0
-    excess_ms = max(0.0, view.latency_ms - usual_ms)
-    silence = now - view.answered_at
-    latency_ms = usual_ms + excess_ms * 0.5 ** (silence / LATENCY_HALF_TIME)
+    latency_ms = usual_ms
+    excess_ms = view.latency_ms - usual_ms
+    if excess_ms > 0.0:
+        silence = now - view.answered_at
+        latency_ms += excess_ms * 0.5 ** (silence / LATENCY_HALF_TIME)
     if view.outstanding:
         # No report is as fresh as the age of an attempt that has not come back.
         oldest_at = next(iter(view.outstanding.values()))
@@ -39,13 +42,12 @@
 
 
 def _expected_load(view: UpstreamView, now: Seconds) -> float:
+    own = len(view.outstanding)
+    if view.reported_others == 0.0:
+        return own
     age = now - view.reported_at
-    others = view.reported_others * 0.5 ** (age / REPORT_HALF_TIME)
-    return len(view.outstanding) + REPORT_WEIGHT * others
+    return own + REPORT_WEIGHT * view.reported_others * 0.5 ** (age / REPORT_HALF_TIME)
 
 
 def _warmth(view: UpstreamView, now: Seconds) -> float:
-    age = now - view.seen_at
-    if age >= RAMP_UP:
-        return 1.0
-    return max(RAMP_START, age / RAMP_UP)
+    return max(RAMP_START, (now - view.seen_at) / RAMP_UP)
