--- a/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
@@ -82,6 +82,12 @@
         )
         self.assertEqual(body["expected"], "expected `str`, got `int`")
 
+    def test_a_faulty_choice_names_the_choices(self):
+        text = '[[services]]\nname = "a"\nupstreams = ["*"]\npolicy = "fair"'
+        _, body = self.check("POST", "/v1/plans", text)
+        choices = "'score', 'random', 'round-robin', 'least-in-flight'"
+        self.assertEqual(body["expected"], f"expected one of {choices}")
+
     def test_an_empty_intent_does_not_end_every_service(self):
         self.assertEqual(self.check("POST", "/v1/plans")[0], 400)
 
@@ -103,6 +109,16 @@
         status, body = self.check("POST", "/v1/plans", "services = []", base_version="0")
         self.assertEqual((status, body["version"], body["plan"]), (409, 2, "p1"))
 
+    def test_a_stated_base_version_newer_than_this_voter_has_applied_is_compared_in_full(self):
+        intent = '[[services]]\nname = "agenda"\nupstreams = ["agenda-*"]'
+        self.check("POST", "/v1/plans", intent, key="a")
+        self.check("POST", "/v1/plans/p1/confirm")
+        behind = create_app(FakeClient(self.app.control.log), create_open_authority("127.0.0.1"))
+        _, plan = trio.run(
+            lambda: ask(behind, "POST", "/v1/plans", "services = []", base_version="2")
+        )
+        self.assertEqual([d["kind"] for d in plan["differences"]], ["service-removed"])
+
     def test_a_body_beyond_the_limit_is_refused(self):
         status, _ = trio.run(lambda: serve(self.app, b"#" * (MAX_BODY_BYTES + 1)))
         self.assertEqual(status, 413)
