calls: a host names its service whatever its case and port

Cause: Host is case-insensitive (RFC 9110, section 4.2.3) and was compared as it came; an IPv6 address lost its tail at the first colon. Check: test_call_path calls by four spellings; before the change 'Svc.Example:8101' got 404.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -124,7 +124,7 @@
         named = names.find_header(headers, names.SERVICE)
         if named is not None:
             return named.decode("latin-1")
-        host = (names.find_header(headers, names.HOST) or b"").decode("latin-1").split(":")[0]
+        host = names.find_host(headers)
         for service in self.entry.membership.services.values():
             if host in service.hosts:
                 return service.name
--- a/packages/bendwind-node/src/bendwind_node/calls/headers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/headers.py
@@ -49,6 +49,17 @@
     return None
 
 
+def find_host(headers: tuple[Header, ...]) -> str:
+    """Return the host that a request names, in lower case and without its port.
+
+    >>> find_host(((b"host", b"Emisor.example:8101"),))
+    'emisor.example'
+    """
+    text = (find_header(headers, HOST) or b"").decode("latin-1").lower()
+    host, colon, port = text.rpartition(":")
+    return host if colon and port.isdigit() else text
+
+
 def _find_connection_tokens(headers: tuple[Header, ...]) -> frozenset[bytes]:
     tokens = [
         token.strip().lower()
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -40,6 +40,17 @@
 
         self.run_with(self.answer_ok, check)
 
+    def test_a_host_names_its_service_whatever_its_case_and_port(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            for host in (b"svc.example", b"Svc.Example:8101", b"svc", b"SVC:80"):
+                exchange = make_exchange()
+                exchange.request.headers = ((b"host", host),)
+                self.assertEqual((await bench.call(exchange)).status, 200, host)
+
+        service = Service("svc", ("*",), hosts=("svc.example",))
+        self.run_with(self.answer_ok, check, service=service)
+
     def test_long_answer_passes_a_slow_caller_within_its_window(self):
         async def long_answer(stream, data):
             head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (2 * MIB)
