--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -103,7 +103,7 @@
     dispatcher.hub = _build_hub(daemon, own, membership)
     dispatcher.claims = create_claim_task(own, names, dispatcher.send, membership.watch, recorder)
     measuring = settings.measuring
-    budget = ProbeBudget(int(measuring.messages_per_s), int(measuring.bytes_per_s))
+    budget = ProbeBudget(measuring.messages_per_s, measuring.bytes_per_s)
     dispatcher.owner = OwnerNode(
         own,
         recorder,
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -121,10 +121,10 @@
     """Bound what the node spends on measuring the load of upstreams."""
 
     messages_per_s: Annotated[
-        float, Meta(ge=0, le=10_000), _doc("Most load probes in any second.", "messages/s")
+        int, Meta(ge=0, le=10_000), _doc("Most load probes in any second.", "messages/s")
     ] = 20
     bytes_per_s: Annotated[
-        float, Meta(ge=0, le=10_000_000), _doc("Most bytes of load probes in any second.", "B/s")
+        int, Meta(ge=0, le=10_000_000), _doc("Most bytes of load probes in any second.", "B/s")
     ] = 4000
 
 
