membership: bound what a node watches

Cause: a node watches every service that a caller names, also names of no service; each grew the view, its voter's rows and every later Watch for good. Change: at most 512 services; beyond that the oldest name without a service in force makes room. Before: 1,536 made-up names leave 1,537 watched; after: 512, the real service among them and the node complete and fresh (test_view).

--- a/packages/bendwind-core/src/bendwind_core/membership/holdings.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/holdings.py
@@ -96,6 +96,15 @@
     return old is not None or key in held
 
 
+def drop_watched(holdings: Holdings, service: str) -> None:
+    """Forget a service that is no longer watched."""
+    holdings.watched.pop(service, None)
+    holdings.services.pop(service, None)
+    _drop_claim_groups(holdings, {service} & holdings.claim_groups.keys())
+    for upstream in holdings.upstreams.pop(service, {}).values():
+        holdings.digest ^= digest_record(upstream)
+
+
 def list_upstreams(holdings: Holdings, service: str) -> tuple[Upstream, ...]:
     """List the upstreams of a service, one a name: that of the newest owner."""
     newest: dict[str, Upstream] = {}
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -47,6 +47,8 @@
 from bendwind_core.world import Instance, Service, Upstream, UpstreamState
 
 _MAX_UNANSWERED = 8
+# Callers may name services that do not exist: the watch on those makes room for others.
+MAX_WATCHED = 512
 # Stated in heartbeats by a node that lacks the configuration of a service it watches.
 INCOMPLETE = -1
 # A node away from its preferred voter tries it again at about one good reply in this many.
@@ -318,8 +320,20 @@
         view.waiting_proof = None
 
 
+def _make_room(view: NodeView) -> bool:
+    watched = view.holdings.watched
+    if len(watched) < MAX_WATCHED:
+        return True
+    unknown = (name for name in watched if name not in view.services)
+    dropped = next(unknown, None)
+    if dropped is not None:
+        view.pending.discard(dropped)
+        held.drop_watched(view.holdings, dropped)
+    return dropped is not None
+
+
 def _watch(view: NodeView, service: str, effects: list[ViewEffect]) -> None:
-    if service in view.holdings.watched:
+    if service in view.holdings.watched or not _make_room(view):
         return
     view.holdings.watched[service] = None
     view.pending.add(service)
