links: a bounded number of links, closed when idle; routing: a subset of a large service

Nodes also never knew which voter stands in their data centre. Change: an entry node uses 8 upstreams of a service at most; only the dialer pings, every 20 s; idle links are closed after a minute; an owner that control counts as gone is asked once, and its calls are settled then; [[voters]] has data_centre.

--- a/packages/bendwind-bench/src/bendwind_bench/deployment/layout.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/layout.py
@@ -182,6 +182,11 @@
         tables["control"] = {"data_folder": str((layout.folder / f"{member.name}.data").absolute())}
     text = "".join(f"[{name}]\n{_format_keys(keys)}\n" for name, keys in tables.items())
     for voter in layout.voters:
-        keys = {"name": voter.name, "host": HOST, "port": voter.peers}
+        keys = {
+            "name": voter.name,
+            "host": HOST,
+            "port": voter.peers,
+            "data_centre": voter.data_centre,
+        }
         text += f"[[voters]]\n{_format_keys(keys)}\n"
     return text
--- a/packages/bendwind-core/src/bendwind_core/routing/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/__init__.py
@@ -3,6 +3,7 @@
 from bendwind_core.routing.choice import choose_upstream
 from bendwind_core.routing.messages import LoadProbe, LoadReport
 from bendwind_core.routing.probes import plan_probes
+from bendwind_core.routing.subset import choose_subset
 from bendwind_core.routing.table import (
     UpstreamTable,
     UpstreamView,
@@ -21,6 +22,7 @@
     "LoadReport",
     "UpstreamTable",
     "UpstreamView",
+    "choose_subset",
     "choose_upstream",
     "create_table",
     "note_answered",
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/routing/subset.py
@@ -0,0 +1,35 @@
+"""Choose the upstreams that one entry node uses of a service that has many."""
+
+import zlib
+from collections.abc import Iterable
+
+from bendwind_core.world import Upstream, UpstreamState
+
+# Each upstream in use costs a link between two processes. Of eight, four are compared for a call.
+SUBSET = 8
+
+
+def choose_subset(
+    node: str, data_centre: str, upstreams: Iterable[Upstream], size: int = SUBSET
+) -> tuple[Upstream, ...]:
+    """Return the upstreams this node uses: half from its own data centre where there are enough.
+
+    The choice is stable: an upstream that comes or goes changes one place of the subset at most,
+    since nodes rank upstreams by a hash of both names.
+    Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+    """
+    usable = [upstream for upstream in upstreams if upstream.state is not UpstreamState.GONE]
+    if len(usable) <= size:
+        return tuple(usable)
+    usable.sort(key=lambda upstream: _rank(node, upstream.name))
+    # A draining upstream holds no place: its calls end by themselves.
+    ready = [upstream for upstream in usable if upstream.state is UpstreamState.READY] or usable
+    near = [upstream for upstream in ready if upstream.owner.data_centre == data_centre]
+    chosen = near[: size // 2]
+    names = {upstream.name for upstream in chosen}
+    others = [upstream for upstream in ready if upstream.name not in names]
+    return (*chosen, *others[: size - len(chosen)])
+
+
+def _rank(node: str, upstream: str) -> int:
+    return zlib.crc32(f"{node} {upstream}".encode())
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -30,6 +30,7 @@
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import (
     UpstreamTable,
+    choose_subset,
     choose_upstream,
     create_table,
     note_answered,
@@ -117,14 +118,30 @@
             return
         announced = self.membership.upstreams(service_name)
         admitted = [u for u in announced if service is not None and may_serve(service, u.name)]
-        set_upstreams(desk.table, admitted, trio.current_time())
+        used = choose_subset(self.own.name, self.own.data_centre, admitted)
+        before = {view.upstream.owner.name for view in desk.table.views.values()}
+        set_upstreams(desk.table, used, trio.current_time())
+        # An attempt at an owner that fell silent should not have to wait for its deadline.
+        for owner in before - {upstream.owner.name for upstream in used}:
+            if self.has_attempts_at(owner):
+                self.hub.check(owner)
 
     def link_closed(self, link: Link) -> None:
         """Hear that a link to an owner node broke."""
-        for run in tuple(self.runs.values()):
-            for attempt in tuple(run.call.attempts):
-                if attempt.upstream.owner.name == link.peer.name:
-                    run.feed(ev.OwnerLost(attempt.id))
+        for run, attempt in self._find_attempts_at(link.peer.name):
+            run.feed(ev.OwnerLost(attempt))
+
+    def has_attempts_at(self, owner: str) -> bool:
+        """Tell whether a call under way has an attempt at this owner."""
+        return bool(self._find_attempts_at(owner))
+
+    def _find_attempts_at(self, owner: str) -> list[tuple[CallRun, AttemptId]]:
+        found = []
+        for sequence, run in self.runs.items():
+            for attempt in run.call.attempts:
+                if attempt.id.sequence == sequence and attempt.upstream.owner.name == owner:
+                    found.append((run, attempt.id))
+        return found
 
     def dial_failed(self, unsent: tuple[PeerMessage, ...]) -> None:
         """Hear which messages never left this process."""
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -93,7 +93,7 @@
     settings = daemon.settings
     recorder = daemon.recorder
     dispatcher = daemon.dispatcher
-    voters = tuple(VoterPlace(voter.name) for voter in settings.voters)
+    voters = tuple(VoterPlace(voter.name, voter.data_centre) for voter in settings.voters)
     names = tuple(voter.name for voter in voters)
     times = _find_times(settings)
     membership = create_membership_task(
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -97,6 +97,10 @@
         if handler is not None:
             handler(link, message)
 
+    def is_idle(self, peer: str) -> bool:
+        """Tell whether the entry node awaits nothing from an owner."""
+        return not self.entry.has_attempts_at(peer)
+
     def _find_handler(self, kind: type) -> Callable[[Link, PeerMessage], None] | None:
         handler = self.handlers.get(kind)
         if handler is None:
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -1,5 +1,7 @@
 """Own the links of one process: accept, dial on demand, send and receive."""
 
+import contextlib
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,7 +20,10 @@
 from bendwind_node.security import Keys, read_identity
 
 DIAL_TIMEOUT_S: Seconds = 1.0
-PING_INTERVAL_S: Seconds = 5.0
+# The dialer alone looks after a link. What hangs on it has deadlines of its own.
+PING_INTERVAL_S: Seconds = 20.0
+IDLE_LINK: Seconds = 60.0
+CHECK_TIMEOUT: Seconds = 1.0
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_BATCH = 64
 MAX_UNSENT = 256
@@ -98,8 +103,7 @@
                 listeners=listeners,
                 ssl=None if self.keys is None else self.keys.server,
                 compression=None,
-                ping_interval=PING_INTERVAL_S,
-                ping_timeout=PING_INTERVAL_S,
+                ping_interval=None,
                 max_size=MAX_FRAME_BYTES,
             )
 
@@ -185,7 +189,7 @@
         """Run an open link until either end closes it."""
         sender, outbox = trio.open_memory_channel[PeerMessage](OUTBOX_MESSAGES)
         with trio.CancelScope() as scope:
-            link = Link(hello.sender, epoch, is_dialed, sender, scope)
+            link = Link(hello.sender, epoch, is_dialed, sender, scope, socket.ping)
             self._open(link, hello)
             try:
                 await self._exchange(link, socket, outbox)
@@ -244,7 +248,11 @@
     async def _write(
         self, link: Link, socket: Connection, outbox: trio.MemoryReceiveChannel
     ) -> None:
-        async for first in outbox:
+        while link.is_open:
+            first = await self._next_message(link, outbox)
+            if first is None:
+                link.close()
+                return
             batch = [first, *_take_queued(outbox)]
             try:
                 await socket.send(self._encode(batch))
@@ -252,6 +260,32 @@
                 link.close()
                 return
 
+    async def _next_message(
+        self, link: Link, outbox: trio.MemoryReceiveChannel
+    ) -> PeerMessage | None:
+        """Return the next message to send; None if this process needs the link no longer."""
+        while True:
+            with trio.move_on_after(IDLE_LINK if link.is_dialed else math.inf):
+                return await outbox.receive()
+            if self.receiver.is_idle(link.peer.name):
+                return None
+
+    def check(self, peer: str) -> None:
+        """Close the dialed link to a peer unless it answers soon: others count it as gone."""
+        link = self.dialed.get(peer)
+        if link is not None and self.nursery is not None:
+            self.nursery.start_soon(self._check, link)
+
+    async def _check(self, link: Link) -> None:
+        is_answered = False
+        with trio.move_on_after(CHECK_TIMEOUT):
+            with contextlib.suppress(ConnectionClosed, trio.BrokenResourceError):
+                answered = await link.ping()
+                await answered.wait()
+                is_answered = True
+        if not is_answered:
+            link.close()
+
 
 def _take_queued(outbox: trio.MemoryReceiveChannel) -> list[PeerMessage]:
     messages: list[PeerMessage] = []
--- a/packages/bendwind-node/src/bendwind_node/links/link.py
+++ b/packages/bendwind-node/src/bendwind_node/links/link.py
@@ -1,5 +1,6 @@
 """Describe one open link and who hears of its messages."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,6 +21,7 @@
     is_dialed: bool
     outbox: trio.MemorySendChannel
     scope: trio.CancelScope
+    ping: Callable[[], Awaitable[trio.Event]]
     is_open: bool = True
 
     def send(self, message: PeerMessage) -> bool:
@@ -57,3 +59,6 @@
 
     def receive(self, link: Link, message: PeerMessage) -> None:
         """Hear a message."""
+
+    def is_idle(self, peer: str) -> bool:
+        """Tell whether nothing is awaited from a peer that nothing was sent to lately."""
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
@@ -0,0 +1,157 @@
+import unittest
+from unittest import mock
+
+import trio
+
+from bendwind_core.messages import Goodbye, Hello
+from bendwind_core.timeline import Recorder
+from bendwind_core.world import Instance
+from bendwind_node.links import create_link_hub
+
+
+class Ear:
+    def __init__(self):
+        self.opened = []
+        self.closed = []
+        self.heard = []
+        self.unsent = []
+        self.idle = True
+        self.changed = trio.Event()
+
+    def _note(self):
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def link_opened(self, link, hello):
+        self.opened.append(link)
+        self._note()
+
+    def link_closed(self, link):
+        self.closed.append(link)
+        self._note()
+
+    def dial_failed(self, peer, unsent):
+        self.unsent += unsent
+        self._note()
+
+    def receive(self, link, message):
+        self.heard.append(message)
+        self._note()
+
+    def is_idle(self, peer):
+        return self.idle
+
+
+def make_hub(name, incarnation=1):
+    own = Instance(name, "x", "127.0.0.1", 0, incarnation)
+    recorder = Recorder(name, lambda: 1, 100)
+    return create_link_hub(own, Ear(), recorder, lambda epoch: Hello(own, epoch))
+
+
+async def wait_until(ear, is_so):
+    while not is_so():
+        await ear.changed.wait()
+
+
+class TestLinkHub(unittest.TestCase):
+    def run_with(self, check):
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            server = make_hub("b")
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(server.run, listeners)
+
+                    def connect(name="a", incarnation=1):
+                        client = make_hub(name, incarnation)
+                        client.nursery = nursery
+                        client.learn_address("b", "127.0.0.1", port)
+                        return client
+
+                    await check(connect, server)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_messages_sent_before_the_link_is_open_arrive_in_order(self):
+        async def check(connect, server):
+            client = connect()
+            sent = [Goodbye(f"m{number}") for number in range(200)]
+            for message in sent:
+                self.assertTrue(client.send("b", message))
+            await wait_until(server.receiver, lambda: len(server.receiver.heard) == 200)
+            self.assertEqual(server.receiver.heard, sent)
+
+        self.run_with(check)
+
+    def test_unreached_peer_gives_back_what_never_left(self):
+        async def check(connect, server):
+            client = connect()
+            client.learn_address("c", "127.0.0.1", 1)
+            client.send("c", Goodbye("a"))
+            await wait_until(client.receiver, lambda: client.receiver.unsent)
+            self.assertEqual(client.receiver.unsent, [Goodbye("a")])
+            self.assertFalse(client.send("nowhere", Goodbye("a")))
+
+        self.run_with(check)
+
+    def test_newer_run_of_a_peer_replaces_its_link_and_an_older_one_is_turned_away(self):
+        async def check(connect, server):
+            new, old = connect(incarnation=2), connect(incarnation=1)
+            new.send("b", Goodbye("new"))
+            await wait_until(server.receiver, lambda: server.receiver.heard)
+            old.send("b", Goodbye("old"))
+            await wait_until(old.receiver, lambda: old.receiver.unsent)
+            newest = connect(incarnation=3)
+            newest.send("b", Goodbye("newest"))
+            await wait_until(server.receiver, lambda: len(server.receiver.heard) == 2)
+            self.assertEqual(server.receiver.heard, [Goodbye("new"), Goodbye("newest")])
+            closed = [link.peer.incarnation for link in server.receiver.closed]
+            self.assertEqual(closed, [2])
+            self.assertEqual(server.accepted["a"].peer.incarnation, 3)
+
+        self.run_with(check)
+
+    def test_idle_link_is_closed_unless_something_is_awaited(self):
+        async def check(connect, server):
+            client = connect()
+            client.receiver.idle = False
+            with mock.patch("bendwind_node.links.hub.IDLE_LINK", 0.02):
+                client.send("b", Goodbye("a"))
+                await wait_until(client.receiver, lambda: client.receiver.opened)
+                await trio.sleep(0.1)
+                self.assertEqual(client.receiver.closed, [])
+                client.receiver.idle = True
+                await wait_until(client.receiver, lambda: client.receiver.closed)
+            self.assertEqual(client.dialed, {})
+
+        self.run_with(check)
+
+    def test_check_closes_the_link_to_a_peer_that_does_not_answer(self):
+        async def check(connect, server):
+            client = connect()
+            client.send("b", Goodbye("a"))
+            await wait_until(server.receiver, lambda: server.receiver.heard)
+            client.check("b")
+            await trio.sleep(0.05)
+            self.assertEqual(client.receiver.closed, [])
+            with mock.patch("bendwind_node.links.hub.CHECK_TIMEOUT", 0.02):
+                client.dialed["b"].ping = trio.sleep_forever
+                client.check("b")
+                await wait_until(client.receiver, lambda: client.receiver.closed)
+
+        self.run_with(check)
+
+    def test_full_queue_closes_the_link_instead_of_losing_single_messages(self):
+        async def check(connect, server):
+            client = connect()
+            client.send("b", Goodbye("a"))
+            await wait_until(client.receiver, lambda: client.receiver.opened)
+            link = client.dialed["b"]
+            while link.send(Goodbye("x")):
+                continue
+            self.assertFalse(link.is_open)
+            await wait_until(client.receiver, lambda: client.receiver.closed)
+
+        self.run_with(check)
--- a/packages/bendwind-node/src/bendwind_node/links/tests/test_secure_links.py
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_secure_links.py
@@ -29,6 +29,9 @@
     def dial_failed(self, peer, unsent):
         self.has_failed.set()
 
+    def is_idle(self, peer):
+        return True
+
     def receive(self, link, message):
         self.heard.append((link.peer.name, message))
         self.has_heard.set()
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -88,6 +88,11 @@
     name: Annotated[Name, _doc("Instance name of the voter.")]
     host: Annotated[Host, _doc("Address of the voter's `[peers]` table.")]
     port: Annotated[FixedPort, _doc("Port of the voter's `[peers]` table.")]
+    data_centre: Annotated[
+        str,
+        Meta(max_length=63),
+        _doc("Its data centre; nodes renew with a voter of their own first."),
+    ] = ""
 
 
 class ControlTable(Table, frozen=True, kw_only=True):
