--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -91,7 +91,7 @@
     data_centre: Annotated[
         str,
         Meta(max_length=63),
-        _doc("Its data centre; nodes renew with a voter of their own first."),
+        _doc("Its data centre; nodes there prefer it."),
     ] = ""
 
 
