bench: wait until every kind of request is served, keyed ones among them

Cause: the end-to-end test failed 5 of 6 times once claims waited for proof that their groups are the newest: its 4 s of load were over before the first claim could be granted (111 of 111 keyed sends told not-run, claim-unavailable). Ruled out: a lasting refusal; with 30 s of load, claims were granted from about 2 s on and through the kill of a node. Change: deployments are waited for with a request of every kind at every node. The checks of the test are as before.

--- a/packages/bendwind-bench/src/bendwind_bench/demo.py
+++ b/packages/bendwind-bench/src/bendwind_bench/demo.py
@@ -69,10 +69,9 @@
         if plan is None:
             raise CommandFailedError("bendwind plan printed no plan's id")
         await self.bendwind("confirm", plan.group())
-        self.say("waiting until every node serves every service")
-        services = [item.name for item in self.deployment.layout.description.services]
-        if not await self.deployment.wait_upstreams_known(services):
-            self.broken.append("a service was not served everywhere within 30 s of its plan")
+        self.say("waiting until every node serves every kind of request")
+        if not await self.deployment.wait_served(self.deployment.layout.description.requests):
+            self.broken.append("a service was not served everywhere within 60 s of its plan")
         await self.bendwind("status")
 
     async def drain_and_stop(self, upstream: str, instance: str) -> None:
--- a/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
+++ b/packages/bendwind-bench/src/bendwind_bench/deployment/runner.py
@@ -1,8 +1,10 @@
 """Run a deployment's real processes on loopback and end them all."""
 
 import contextlib
+import itertools
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
@@ -17,6 +19,7 @@
 )
 from bendwind_bench.deployment.process import Process
 from bendwind_bench.http import HttpBrokenError, pool_of, send_json
+from bendwind_bench.load import RequestKind
 
 RUN_FOLDER = Path("run")
 READY_WITHIN_S = 60.0
@@ -106,12 +109,12 @@
         tail = process.log.read_text(errors="replace")[-2000:]
         raise NotReadyError(f"{process.name} is not ready\n{tail}")
 
-    async def wait_upstreams_known(self, services: list[str], within_s: float = 30.0) -> bool:
-        """Wait until calls of every service are answered by an upstream at every node."""
+    async def wait_served(self, kinds: Sequence[RequestKind], within_s: float = 60.0) -> bool:
+        """Wait until a request of every kind is served at every node."""
         with trio.move_on_after(within_s):
             for address in self.entries:
-                for service in services:
-                    await _wait_served(address, service)
+                for kind in kinds:
+                    await _wait_served(address, kind)
             return True
         return False
 
@@ -132,17 +135,18 @@
             process.kill()
 
 
-async def _wait_served(address: str, service: str) -> None:
-    headers = [(b"Bendwind-Service", service.encode())]
+async def _wait_served(address: str, kind: RequestKind) -> None:
     pool = pool_of(address)
-    try:
-        while True:
-            with contextlib.suppress(OSError, HttpBrokenError):
-                if (await pool.request("GET", "/", headers)).status == 200:
-                    return
-            await trio.sleep(POLL_S)
-    finally:
-        pool.close()
+    for number in itertools.count():
+        headers = [(b"Bendwind-Service", kind.service.encode())]
+        if kind.keyed:
+            key = f"ready-{address}-{kind.path}-{number}"
+            headers.append((b"Idempotency-Key", key.encode()))
+        with contextlib.suppress(OSError, HttpBrokenError):
+            if (await pool.request(kind.method, kind.path, headers)).status == 200:
+                break
+        await trio.sleep(POLL_S)
+    pool.close()
 
 
 @contextlib.asynccontextmanager
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/claims.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/claims.py
@@ -36,7 +36,7 @@
     measured = Measured()
     steps = [("unkeyed", PLAIN, RATE), ("keyed", KEYED, RATE), ("resent", RESENT, RATE)]
     steps += [(f"keyed, {rate:.0f} a second", KEYED, rate) for rate in RATES]
-    async with run_scene(describe_solo(), INTENT, seed, direct) as deployment:
+    async with run_scene(describe_solo(), INTENT, seed, direct, [KEYED]) as deployment:
         keys = {"entries": [deployment.layout.members[0].callers_address]}
         if direct:
             keys = {"direct": deployment.direct_addresses()}
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/scene.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/scene.py
@@ -13,8 +13,8 @@
     ServiceDescription,
     run_deployment,
 )
-from bendwind_bench.load import Outcome, Sample, Verdict
-from bendwind_bench.operators import apply_intent
+from bendwind_bench.load import Outcome, RequestKind, Sample, Verdict
+from bendwind_bench.operators import IntentRefusedError, apply_intent
 from bendwind_bench.reports import summarize, summarize_latency
 from bendwind_bench.reports.plot import Panel, Span
 
@@ -96,12 +96,20 @@
 
 
 @contextlib.asynccontextmanager
-async def run_scene(description: DeploymentDescription, intent: str, seed: int, direct: bool):
-    """Run a deployment with an intent in force while the block lasts."""
+async def run_scene(
+    description: DeploymentDescription,
+    intent: str,
+    seed: int,
+    direct: bool,
+    kinds: Sequence[RequestKind] = (),
+):
+    """Run a deployment with an intent in force, serving these kinds, while the block lasts."""
     async with run_deployment(description, direct, seed) as deployment:
         if not direct:
             await apply_intent(deployment, intent)
-            await deployment.wait_upstreams_known([item.name for item in description.services])
+            any_kinds = [RequestKind(service.name, "/") for service in description.services]
+            if not await deployment.wait_served([*any_kinds, *kinds]):
+                raise IntentRefusedError("a kind of request is not served")
         yield deployment
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/tests/test_end_to_end.py
+++ b/packages/bendwind-bench/src/bendwind_bench/tests/test_end_to_end.py
@@ -38,7 +38,7 @@
     def test_promises_hold_while_a_node_is_killed(self):
         async def main():
             service = ServiceDescription("emisor", 3, 8, 50, 5.0)
-            async with run_scene(describe_scene([service]), INTENT, 1, False) as deployment:
+            async with run_scene(describe_scene([service]), INTENT, 1, False, KINDS) as deployment:
                 victim = deployment.layout.members[2].name
                 campaign = Campaign(
                     "end",
