--- a/packages/bendwind-core/src/bendwind_core/routing/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/__init__.py
@@ -1,6 +1,8 @@
 """Offer the choice of an upstream for an attempt."""
 
 from bendwind_core.routing.choice import choose_upstream
+from bendwind_core.routing.messages import LoadProbe, LoadReport
+from bendwind_core.routing.probes import plan_probes
 from bendwind_core.routing.table import (
     UpstreamTable,
     UpstreamView,
@@ -15,6 +17,8 @@
 )
 
 __all__ = [
+    "LoadProbe",
+    "LoadReport",
     "UpstreamTable",
     "UpstreamView",
     "choose_upstream",
@@ -25,5 +29,6 @@
     "note_not_run",
     "note_sent",
     "note_unknown",
+    "plan_probes",
     "set_upstreams",
 ]
--- a/packages/bendwind-core/src/bendwind_core/routing/table.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/table.py
@@ -31,6 +31,9 @@
     error_rate: float = 0.0
     reported_others: float = 0.0
     reported_at: Seconds = 0.0
+    answered_at: Seconds = 0.0
+    probed_at: Seconds = 0.0
+    full_at: Seconds = float("-inf")
     is_draining: bool = False
 
 
@@ -41,6 +44,8 @@
     service: str
     views: dict[str, UpstreamView] = field(default_factory=dict)
     next_turn: int = 0
+    usual_ms: Milliseconds = 0.0
+    usual_at: Seconds = float("-inf")
 
 
 def create_table(service: str) -> UpstreamTable:
@@ -93,6 +98,7 @@
     if view is None:
         return
     is_error = status >= _FAILED_STATUS
+    view.answered_at = now
     sent_at = view.outstanding.pop(attempt, None)
     if sent_at is not None and not is_error:
         _note_latency(view, (now - sent_at) * MILLISECONDS_PER_SECOND)
@@ -115,6 +121,8 @@
     view.outstanding.pop(attempt, None)
     if reason in (NotRunReason.SHED, NotRunReason.CONNECT_FAILED, NotRunReason.FENCED):
         _note_result(view, is_error=True)
+    if reason is NotRunReason.QUEUE_FULL:
+        view.full_at = now
     if reason in (NotRunReason.DRAINING, NotRunReason.NO_UPSTREAM):
         view.is_draining = True
     _note_view_load(view, load, now)
