links: a peer that cannot be reached is recorded once

Cause: a dead peer was dialed and recorded about ten times a second by each of its peers (66 of the first 80 lines of a merged time line), which pushes out what explains the outage. Change: DIAL_FAILED is recorded at the first failure, and again only after a link has opened.

--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -47,6 +47,7 @@
     dialed: dict[str, Link] = field(default_factory=dict)
     accepted: dict[str, Link] = field(default_factory=dict)
     dialing: dict[str, list[PeerMessage]] = field(default_factory=dict)
+    unreached: set[str] = field(default_factory=set)
 
     def learn_address(self, peer: str, host: str, port: int) -> None:
         """Remember where a peer is to be dialed."""
@@ -162,12 +163,18 @@
                 if hello is not None and hello.sender.name == peer:
                     await self._carry(socket, hello, epoch, is_dialed=True)
         except (OSError, ConnectionClosed, InvalidHandshake, trio.BrokenResourceError) as error:
-            self.recorder.record(EventKind.DIAL_FAILED, detail=f"{peer}: {error!r}")
+            self._note_unreached(peer, error)
         finally:
             unsent = self.dialing.pop(peer, None)
             if unsent is not None:
                 self.receiver.dial_failed(peer, tuple(unsent))
 
+    def _note_unreached(self, peer: str, error: Exception) -> None:
+        # A dead peer is dialed several times a second; only the first failure is news.
+        if peer not in self.unreached:
+            self.unreached.add(peer)
+            self.recorder.record(EventKind.DIAL_FAILED, detail=f"{peer}: {error!r}")
+
     async def _send_hello(self, socket: Connection, epoch: int) -> None:
         await socket.send(self._encode([self.make_hello(epoch)]))
 
@@ -199,6 +206,7 @@
             self._close(old)
             old.close()
         table[link.peer.name] = link
+        self.unreached.discard(link.peer.name)
         self.recorder.record(EventKind.LINK_OPENED, detail=link.peer.name)
         self.receiver.link_opened(link, hello)
         if link.is_dialed:
