--- a/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
@@ -22,8 +22,8 @@
     """Own a process's bounded buffers of events and its hybrid logical clock.
 
     Half of the capacity is kept for events that are neither of single calls nor of strangers'
-    attempts, so that those of a busy minute do not push out what explains it. `counts` holds how often each event was recorded, those
-    no longer held included.
+    attempts, so that those of a busy minute do not push out what explains it. `counts` holds how
+    often each event was recorded, those no longer held included.
     """
 
     __slots__ = ("clock", "counts", "instance", "monotonic_us", "of_calls", "of_process")
