routing: a failing upstream's penalty fades, so that it is tried again

Cause: the error rate only changed with results, and an upstream with a high one got no attempts, so it never recovered in the eyes of an entry node. Change: the rate halves with every 2 s without a result; test of the return.

--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_owner.py
@@ -89,6 +89,7 @@
     def check_verdict(self, attempt, verdict):
         match verdict:
             case FenceVerdict.NEVER_STARTED:
+                assert self.fence_incarnation == INCARNATION, "spoke for another run"
                 assert attempt not in self.started, "fenced as never started, but it started"
                 self.proven.add(attempt)
             case FenceVerdict.STARTED:
--- a/packages/bendwind-core/src/bendwind_core/routing/score.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/score.py
@@ -1,7 +1,7 @@
 """Score an upstream by the time the next request is expected to take there."""
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
-from bendwind_core.routing.table import UpstreamView
+from bendwind_core.routing.table import UpstreamView, fade_error_rate
 
 # After this time half of a report's weight is gone.
 REPORT_HALF_TIME: Seconds = 0.3
@@ -25,7 +25,7 @@
         value *= _slowness(view, usual_ms, now)
     if now - view.seen_at < RAMP_UP:
         value /= _warmth(view, now)
-    return value * (1.0 + ERROR_PENALTY * view.error_rate)
+    return value * (1.0 + ERROR_PENALTY * fade_error_rate(view, now))
 
 
 def _slowness(view: UpstreamView, usual_ms: Milliseconds, now: Seconds) -> float:
--- a/packages/bendwind-core/src/bendwind_core/routing/table.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/table.py
@@ -13,6 +13,9 @@
 
 LATENCY_WEIGHT = 0.3
 ERROR_WEIGHT = 0.1
+# An upstream that failed is tried again after some such times without an attempt.
+ERROR_HALF_TIME: Seconds = 2.0
+NO_ERRORS = 0.001
 _FAILED_STATUS = 500
 
 
@@ -33,6 +36,7 @@
     reported_at: Seconds = 0.0
     answered_at: Seconds = 0.0
     probed_at: Seconds = 0.0
+    result_at: Seconds = 0.0
     full_at: Seconds = float("-inf")
     is_draining: bool = False
 
@@ -102,7 +106,7 @@
     sent_at = view.outstanding.pop(attempt, None)
     if sent_at is not None and not is_error:
         _note_latency(view, (now - sent_at) * MILLISECONDS_PER_SECOND)
-    _note_result(view, is_error=is_error)
+    _note_result(view, now, is_error=is_error)
     _note_view_load(view, load, now)
 
 
@@ -120,7 +124,7 @@
         return
     view.outstanding.pop(attempt, None)
     if reason in (NotRunReason.SHED, NotRunReason.CONNECT_FAILED, NotRunReason.FENCED):
-        _note_result(view, is_error=True)
+        _note_result(view, now, is_error=True)
     if reason is NotRunReason.QUEUE_FULL:
         view.full_at = now
     if reason in (NotRunReason.DRAINING, NotRunReason.NO_UPSTREAM):
@@ -134,7 +138,7 @@
     if view is None:
         return
     view.outstanding.pop(attempt, None)
-    _note_result(view, is_error=True)
+    _note_result(view, now, is_error=True)
 
 
 def note_cancelled(table: UpstreamTable, name: str, attempt: AttemptId, now: Seconds) -> None:
@@ -164,8 +168,17 @@
         view.latency_ms += LATENCY_WEIGHT * (latency_ms - view.latency_ms)
 
 
-def _note_result(view: UpstreamView, *, is_error: bool) -> None:
-    view.error_rate += ERROR_WEIGHT * ((1.0 if is_error else 0.0) - view.error_rate)
+def _note_result(view: UpstreamView, now: Seconds, *, is_error: bool) -> None:
+    error_rate = fade_error_rate(view, now)
+    view.error_rate = error_rate + ERROR_WEIGHT * ((1.0 if is_error else 0.0) - error_rate)
+    view.result_at = now
+
+
+def fade_error_rate(view: UpstreamView, now: Seconds) -> float:
+    """Return the error rate, faded by the time since the last result."""
+    if view.error_rate < NO_ERRORS:
+        return 0.0
+    return view.error_rate * 0.5 ** ((now - view.result_at) / ERROR_HALF_TIME)
 
 
 def _note_view_load(view: UpstreamView, load: LoadSample | None, now: Seconds) -> None:
--- a/packages/bendwind-core/src/bendwind_core/routing/tests/test_choice.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/tests/test_choice.py
@@ -75,6 +75,14 @@
             self.send(upstream.name, 30.0)
         self.assertGreater(self.share_of("u0", 30.0), 0.0)
 
+    def test_an_upstream_that_failed_is_tried_again_after_silence(self):
+        for _ in range(30):
+            self.answer("u0", 1.0, 0.0001, status=503)
+        for upstream in self.upstreams[1:]:
+            self.send(upstream.name, 1.1)
+        self.assertEqual(self.share_of("u0", 1.1), 0.0)
+        self.assertGreater(self.share_of("u0", 30.0), 0.0)
+
     def test_a_new_upstream_is_warmed_up(self):
         set_upstreams(self.table, [*self.upstreams, describe("u4")], 1.0)
         cold = self.share_of("u4", 1.5)
