operators: a voter that is cut off answers status within a second

Cause: /v1/status waited for its confirmation as long as a proposal may take, 5 s, just when an operator looks for what is wrong.

--- a/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -3,8 +3,10 @@
 import itertools
 from dataclasses import dataclass
 
+import trio
 from expression import Error, Ok, Result
 
+from bendwind_core.core import Seconds
 from bendwind_core.timeline import EventFilter, EventKind, Recorder, find_kind
 from bendwind_node.operators.control_client import ControlClient
 from bendwind_node.operators.errors import ErrorKind, plain_error
@@ -19,6 +21,8 @@
 )
 
 DEFAULT_EVENTS = 1000
+# A voter that is cut off still tells what it knows, and soon.
+CONFIRMATION_TIMEOUT_S: Seconds = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +46,9 @@
         process = self.source.process()
         if self.control is None:
             return json_response(200, self._show(process, process.version, is_confirmed=False))
-        is_confirmed = (await self.control.barrier()).is_ok()
+        is_confirmed = False
+        with trio.move_on_after(CONFIRMATION_TIMEOUT_S):
+            is_confirmed = (await self.control.barrier()).is_ok()
         nodes = tuple(await self.source.nodes())
         return json_response(200, self._show_voter(self.control, process, is_confirmed, nodes))
 
