--- a/packages/bendwind-core/src/bendwind_core/routing/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/__init__.py
@@ -1,7 +1,9 @@
 """Offer the choice of an upstream for an attempt."""
 
 from bendwind_core.routing.choice import choose_upstream
+from bendwind_core.routing.messages import LoadProbe, LoadReport
 from bendwind_core.routing.probes import plan_probes
+from bendwind_core.routing.subset import choose_subset
 from bendwind_core.routing.table import (
     UpstreamTable,
     UpstreamView,
@@ -16,8 +18,11 @@
 )
 
 __all__ = [
+    "LoadProbe",
+    "LoadReport",
     "UpstreamTable",
     "UpstreamView",
+    "choose_subset",
     "choose_upstream",
     "create_table",
     "note_answered",
