control: a proposal cut short by its voter's stop has an unknown outcome

Cause: VoterStopped was told to operators as no-quorum, which says that nothing was accepted; a voter stops (disk failure) also with commands on their way to the others. Change: no-quorum only if the voter had stopped before the command was handed in.

--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -47,6 +47,8 @@
 
     async def propose(self, command: bytes) -> Result[CommandResult, ControlError]:
         """Propose a command and return its result once it has been applied here."""
+        # A voter that stops in between may have handed the command to others before.
+        was_running = self.voter.stopped is None
         with trio.move_on_after(PROPOSAL_TIMEOUT):
             match await self.voter.propose(command):
                 case Result(tag="ok", ok=applied):
@@ -55,7 +57,7 @@
                     return Error(NotLeader(error.leader))
                 case Result(error=consensus.Refused()):
                     return Error(NoQuorum("the leader takes no commands now"))
-                case Result(error=VoterStopped(reason=reason)):
+                case Result(error=VoterStopped(reason=reason)) if not was_running:
                     return Error(NoQuorum(f"this voter has stopped: {reason}"))
         return Error(OutcomeUnknown("leadership was lost or no quorum answered in time"))
 
