membership: pin that a leaving upstream is pushed before all else

Cause: the priority of leaving upstreams had no test of its own. Change: a test that announces a drain while nothing but urgent pushes goes out; it reaches 15 nodes on three voters within half a second.

--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_registry.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+import unittest.mock
 
 from bendwind_core.membership import (
     ConfigurationAccepted,
@@ -9,6 +10,7 @@
     Watch,
     create_voter_registry,
     list_alive,
+    pushes,
     step_registry,
 )
 from bendwind_core.membership.tests.fakes import SERVICES, TIMES, VOTERS, World
@@ -45,6 +47,21 @@
         self.assertEqual(len(list_alive(voter.registry)), 6)
 
 
+class DrainTest(unittest.TestCase):
+    def test_drain_reaches_every_node_at_once_also_in_a_storm(self):
+        world = World(seed=5)
+        announce_everywhere(world, 30)
+        for name in list(world.nodes)[15:]:
+            world.kill_node(name)
+        world.advance(TIMES.lease - 0.5)
+        world.announce("n0", SERVICES[0], UpstreamState.DRAINING)
+        with unittest.mock.patch.object(pushes, "_PUSHES_PER_FLUSH", 0):
+            world.advance(0.5)
+        for node in world.nodes.values():
+            states = {up.name: up.state for up in node.view.upstreams(SERVICES[0])}
+            self.assertIs(states["n0-catastro"], UpstreamState.DRAINING)
+
+
 class StormTest(unittest.TestCase):
     def test_renewals_of_nodes_that_lose_their_voter_at_once_are_spread(self):
         world = World(seed=3)
