claims: forget old answers before keys fill the memory

Cause: a table filled up with kept answers refuses new keys for the rest of the retention; the key is what at-most-once needs, the answer is a courtesy. Change: answers have a budget of 4 MB a service; beyond it the oldest become "ran, answer not kept", while their keys stay. The new script (python -m bendwind_bench.slopes_claims) measures claims by group size and memory at four sizes.

--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_claims.py
@@ -0,0 +1,199 @@
+"""Measure what claims cost their entry node and their group, and print it as JSON.
+
+Run it with `python -m bendwind_bench.slopes_claims`. All of it is the pure code and the codec in
+this process; links and system calls are not in it.
+"""
+
+import collections
+import dataclasses
+import gc
+import json
+import sys
+import tracemalloc
+
+from bendwind_bench.slopes_membership.slope import Point, decode, encode, fit, time_median
+from bendwind_core.claims import (
+    Claim,
+    ClaimAnswer,
+    ClaimGroup,
+    ClaimLimits,
+    ClaimOutcome,
+    ClaimRequest,
+    ClaimSettled,
+    ClaimState,
+    create_holder,
+)
+from bendwind_core.claims.entry import (
+    Ask,
+    EntryClaims,
+    GroupKnown,
+    ReplyReceived,
+    Settle,
+    step_entry,
+)
+from bendwind_core.claims.events import GroupChanged, LeaseRenewed, Received, Send
+from bendwind_core.claims.holder import step
+from bendwind_core.claims.messages import ClaimReply
+from bendwind_core.claims.table import ClaimTable
+from bendwind_core.core import Record
+
+GROUP_SIZES = (1, 2, 3, 5)
+TABLE_SIZES = (1_000, 4_000, 16_000, 50_000)
+ANSWER_BYTES = (0, 300, 4096)
+CLAIMS = 1000
+ENTRY = "entry#1"
+SERVICE = "emisor"
+FINGERPRINT = bytes(16)
+ANSWER = ClaimAnswer(201, ((b"content-type", b"application/json"),), bytes(300))
+LIMITS = ClaimLimits(claims=1_000_000, bytes=1 << 40, answer_bytes=1 << 40)
+FOREVER = 1e9
+
+
+def make_key(number: int) -> str:
+    """Return a key as long as the usual UUID."""
+    return f"{number:08x}-0000-4000-8000-000000000000"
+
+
+class Exchange:
+    """Carry messages between an entry node and the members of one group, without loss."""
+
+    def __init__(self, size: int, is_encoded: bool):
+        self.is_encoded = is_encoded
+        self.claims = 0
+        self.messages = 0
+        self.bytes = 0
+        self.queue: collections.deque[tuple[str, Record]] = collections.deque()
+        members = tuple(f"m{index}#1" for index in range(size))
+        group = ClaimGroup(SERVICE, 1, members)
+        self.entry = EntryClaims()
+        step_entry(self.entry, GroupKnown(group), 0.0)
+        self.holders = {}
+        for index, member in enumerate(members):
+            holder = create_holder(member, SERVICE, LIMITS)
+            step(holder, GroupChanged(group), 0.0)
+            step(holder, LeaseRenewed(FOREVER), 0.0)
+            self.holders[f"m{index}"] = holder
+
+    def claim(self, number: int) -> None:
+        """Claim a key and record its answer."""
+        self.claims += 1
+        key = make_key(number)
+        call = f"{ENTRY}/{number}"
+        request = ClaimRequest(SERVICE, key, FINGERPRINT, call, ENTRY, 0.0)
+        self._apply(step_entry(self.entry, Ask(request, 2.0), 0.0))
+        outcome = ClaimOutcome(SERVICE, key, call, ENTRY, ClaimState.ANSWERED, ANSWER)
+        self._apply(step_entry(self.entry, Settle(outcome), 0.0))
+
+    def _apply(self, effects: list) -> None:
+        self._queue(effects)
+        while self.queue:
+            to, message = self.queue.popleft()
+            if isinstance(message, ClaimReply | ClaimSettled):
+                self._queue(step_entry(self.entry, ReplyReceived(message), 0.0))
+            else:
+                self._queue(step(self.holders[to], Received(message), 0.0))
+
+    def _queue(self, effects: list) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.queue.append((effect.to, self._carry(effect.message)))
+
+    def _carry(self, message: Record) -> Record:
+        if not self.is_encoded:
+            return message
+        data = encode(message)
+        self.messages += 1
+        self.bytes += len(data)
+        return decode(data)
+
+
+def measure_group(size: int, is_encoded: bool) -> tuple[float, Exchange]:
+    """Return the processor time of a whole claim, summed over all nodes.
+
+    Units: microseconds.
+    """
+    exchange = Exchange(size, is_encoded)
+
+    def work() -> int:
+        for holder in exchange.holders.values():
+            holder.table.clear()
+        for number in range(CLAIMS):
+            exchange.claim(number)
+        return CLAIMS
+
+    return time_median(work), exchange
+
+
+def measure_growth() -> dict:
+    """Measure a claim's cost at each group size and fit lines to it."""
+    rows = []
+    for size in GROUP_SIZES:
+        decided, _ = measure_group(size, is_encoded=False)
+        carried, exchange = measure_group(size, is_encoded=True)
+        rows.append(
+            {
+                "members": size,
+                "decisions_us": decided,
+                "with_codec_us": carried,
+                "claims_per_s_all_in_one_process": 1e6 / carried,
+                "messages": exchange.messages / exchange.claims,
+                "bytes": exchange.bytes / exchange.claims,
+            }
+        )
+    columns = {
+        "decisions_us": "us",
+        "with_codec_us": "us",
+        "bytes": "bytes",
+        "messages": "messages",
+    }
+    slopes = {
+        f"claim_{column}_per_member": fit(
+            unit, "member", [Point(row["members"], row[column]) for row in rows]
+        )
+        for column, unit in columns.items()
+    }
+    return {
+        "by_group_size": rows,
+        "slopes": {name: dataclasses.asdict(slope) for name, slope in slopes.items()},
+    }
+
+
+def measure_table(answer_bytes: int) -> dict:
+    """Measure the memory of a table of claims as they arrive from the codec."""
+    points = []
+    for size in TABLE_SIZES:
+        gc.collect()
+        tracemalloc.start()
+        table = ClaimTable(LIMITS)
+        before = tracemalloc.get_traced_memory()[0]
+        for number in range(size):
+            table.merge(_make_claim(number, answer_bytes), 0.0)
+        gc.collect()
+        points.append(Point(size, tracemalloc.get_traced_memory()[0] - before))
+        estimate = table.bytes / size
+        tracemalloc.stop()
+    return dataclasses.asdict(fit("bytes", "claim", points)) | {"estimated": estimate}
+
+
+def _make_claim(number: int, answer_bytes: int) -> Claim:
+    # Fresh objects for every field, as decoding makes them.
+    call = f"{ENTRY}/{number}"
+    answer = None
+    if answer_bytes:
+        header = (bytes(bytearray(b"content-type")), bytes(bytearray(b"application/json")))
+        answer = ClaimAnswer(201, (header,), bytes(bytearray(answer_bytes)))
+    fingerprint = bytes(bytearray(FINGERPRINT))
+    state = ClaimState.ANSWERED
+    return Claim(make_key(number), fingerprint, call, state, 1, number + 300, 0.0, answer)
+
+
+def main() -> None:
+    """Measure all and print JSON."""
+    result = measure_growth()
+    result["memory"] = {f"answer_{size}": measure_table(size) for size in ANSWER_BYTES}
+    json.dump(result, sys.stdout, indent=1)
+    print()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bendwind-core/src/bendwind_core/claims/table.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/table.py
@@ -1,19 +1,24 @@
 """Hold one service's claims in bounded memory."""
 
+import collections
 from dataclasses import dataclass, field
 
+import msgspec
+
 from bendwind_core.claims.messages import Claim, ClaimState
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 
-# What one claim costs besides its texts and answer, rounded up from a measurement
-# (python -m bendwind_core.claims.measure).
-CLAIM_OVERHEAD_BYTES = 640
+# What a claim and its answer cost besides their texts, rounded up from a measurement
+# (python -m bendwind_bench.slopes_claims).
+CLAIM_OVERHEAD_BYTES = 370
+ANSWER_OVERHEAD_BYTES = 260
 
 
 @dataclass(slots=True, frozen=True)
 class ClaimLimits:
     """Bound what a node keeps of one service's claims.
 
+    Answers may take `answer_bytes`; beyond that the oldest are forgotten, but never their keys.
     `copy_claims` and `copy_bytes` bound a chunk of the copy to a joining member.
     Units: `retention` is in seconds.
     """
@@ -21,6 +26,7 @@
     retention: Seconds = 24 * 3600.0
     claims: int = 50_000
     bytes: int = 16 * 1024 * 1024
+    answer_bytes: int = 4 * 1024 * 1024
     copy_claims: int = 64
     copy_bytes: int = 128 * 1024
 
@@ -35,11 +41,16 @@
 
 @dataclass(slots=True)
 class ClaimTable:
-    """Hold claims by key, oldest first; the newest state of a key wins."""
+    """Hold claims by key, oldest first; the newest state of a key wins.
+
+    `answered` lists the keys whose answers are kept, oldest first.
+    """
 
     limits: ClaimLimits = ClaimLimits()
     claims: dict[str, StoredClaim] = field(default_factory=dict)
     bytes: int = 0
+    answer_bytes: int = 0
+    answered: collections.deque[str] = field(default_factory=collections.deque)
 
     def find(self, key: str) -> Claim | None:
         """Return what is held of a key, or None."""
@@ -65,16 +76,38 @@
     def merge(self, claim: Claim, made: Seconds) -> None:
         """Store a claim unless a newer state of its key is held."""
         held = self.claims.get(claim.key)
-        if held is None:
+        if held is not None and not is_newer(claim, held.claim):
+            return
+        if held is not None and held.claim.call == claim.call:
+            self._count(held.claim, -1)
+            held.claim = claim
+        else:
+            self._forget(claim.key)
             self.claims[claim.key] = StoredClaim(claim, made)
-            self.bytes += size_of(claim)
-        elif is_newer(claim, held.claim):
-            self.bytes += size_of(claim) - size_of(held.claim)
-            if claim.call != held.claim.call:
-                del self.claims[claim.key]
-                self.claims[claim.key] = StoredClaim(claim, made)
-            else:
-                held.claim = claim
+        self._count(claim, 1)
+        if claim.answer is not None:
+            self.answered.append(claim.key)
+            self._forget_old_answers()
+
+    def _forget_old_answers(self) -> None:
+        while self.answer_bytes > self.limits.answer_bytes:
+            stored = self.claims.get(self.answered.popleft())
+            if stored is None or stored.claim.answer is None:
+                continue
+            self._count(stored.claim, -1)
+            stored.claim = msgspec.structs.replace(
+                stored.claim, state=ClaimState.NOT_KEPT, answer=None
+            )
+            self._count(stored.claim, 1)
+
+    def _forget(self, key: str) -> None:
+        stored = self.claims.pop(key, None)
+        if stored is not None:
+            self._count(stored.claim, -1)
+
+    def _count(self, claim: Claim, sign: int) -> None:
+        self.bytes += sign * size_of(claim)
+        self.answer_bytes += sign * size_of_answer(claim)
 
     def expire(self, now: Seconds) -> int:
         """Forget the claims at the old end that are past their retention and count them."""
@@ -85,13 +118,17 @@
                 break
             expired.append(key)
         for key in expired:
-            self.bytes -= size_of(self.claims.pop(key).claim)
+            self._forget(key)
+        while self.answered and self.answered[0] not in self.claims:
+            self.answered.popleft()
         return len(expired)
 
     def clear(self) -> None:
         """Forget every claim."""
         self.claims.clear()
+        self.answered.clear()
         self.bytes = 0
+        self.answer_bytes = 0
 
 
 def is_newer(claim: Claim, held: Claim) -> bool:
@@ -104,7 +141,15 @@
 
     Units: bytes.
     """
-    size = CLAIM_OVERHEAD_BYTES + len(claim.key) + len(claim.call)
-    if claim.answer:
-        size += len(claim.answer.body) + sum(len(n) + len(v) for n, v in claim.answer.headers)
-    return size
+    return CLAIM_OVERHEAD_BYTES + len(claim.key) + len(claim.call) + size_of_answer(claim)
+
+
+def size_of_answer(claim: Claim) -> int:
+    """Estimate the memory of the answer that a claim keeps.
+
+    Units: bytes.
+    """
+    if claim.answer is None:
+        return 0
+    headers = sum(len(name) + len(value) for name, value in claim.answer.headers)
+    return ANSWER_OVERHEAD_BYTES + headers + len(claim.answer.body)
