claims: bounds of kept keys are settings, and pushed groups cannot be lost

Cause: how long a key is kept is the operators' choice, and a push of groups was put into a bounded inbox with send_nowait, which raises when it is full. Change: a `[claims]` table (retention_s, keys, key_bytes, answer_bytes); `learn_groups` takes a push at once. Its keyed calls were refused as no-group: the first group is only placed a lease after the election.

--- a/packages/bendwind-node/src/bendwind_node/claims/__init__.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/__init__.py
@@ -3,7 +3,6 @@
 from bendwind_node.claims.placer import ClaimPlacer, PlacementView, needs_claims
 from bendwind_node.claims.task import (
     ClaimTask,
-    GroupsPushed,
     LeaseProven,
     PeerClaimMessage,
     create_claim_task,
@@ -12,7 +11,6 @@
 __all__ = [
     "ClaimPlacer",
     "ClaimTask",
-    "GroupsPushed",
     "LeaseProven",
     "PeerClaimMessage",
     "PlacementView",
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -78,13 +78,6 @@
     message: ClaimMessage
 
 
-@dataclass(slots=True, frozen=True)
-class GroupsPushed:
-    """Carry the claim groups of a configuration push."""
-
-    groups: tuple[ClaimGroup, ...]
-
-
 @dataclass(slots=True, frozen=True)
 class LeaseProven:
     """Carry the time, on this node's clock, until which its configuration is proven fresh."""
@@ -92,7 +85,7 @@
     until: Seconds
 
 
-ClaimInput = PeerClaimMessage | GroupsPushed | LeaseProven
+ClaimInput = PeerClaimMessage | LeaseProven
 
 
 @dataclass(slots=True)
@@ -205,6 +198,11 @@
                 self._deliver(voter, ClaimLeave(self.member))
             await trio.sleep(TICK)
 
+    def learn_groups(self, groups: tuple[ClaimGroup, ...]) -> None:
+        """Take over pushed groups at once, so that no full inbox can lose them."""
+        for group in groups:
+            self._learn_group(group)
+
     def has_memberships(self) -> bool:
         """Tell whether this node holds claims for any group."""
         return any(holder.is_involved() for holder in self.holders.values())
@@ -228,9 +226,6 @@
         match item:
             case PeerClaimMessage(message=message):
                 self._receive(message)
-            case GroupsPushed(groups):
-                for group in groups:
-                    self._learn_group(group)
             case LeaseProven(until):
                 self.fresh_until = max(self.fresh_until, until)
                 for holder in self.holders.values():
--- a/packages/bendwind-node/src/bendwind_node/claims/tests/test_task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/tests/test_task.py
@@ -21,7 +21,6 @@
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance
 from bendwind_node.claims import (
-    GroupsPushed,
     LeaseProven,
     PeerClaimMessage,
     create_claim_task,
@@ -49,7 +48,7 @@
     def push(self, group: ClaimGroup) -> None:
         for task in self.tasks.values():
             task.inbox.send_nowait(LeaseProven(1e9))
-            task.inbox.send_nowait(GroupsPushed((group,)))
+            task.learn_groups((group,))
 
     @contextlib.asynccontextmanager
     async def run(self):
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.claims import ClaimLimits
 from bendwind_core.core import MILLISECONDS_PER_SECOND
 from bendwind_core.membership import (
     ClaimGroupsChanged,
@@ -24,7 +25,7 @@
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
-from bendwind_node.claims.task import GroupsPushed, create_claim_task
+from bendwind_node.claims import create_claim_task
 from bendwind_node.control.service import open_control
 from bendwind_node.daemon.dispatcher import Dispatcher
 from bendwind_node.daemon.listeners import Listeners, find_port
@@ -87,6 +88,11 @@
     )
 
 
+def _find_claim_limits(settings: Settings) -> ClaimLimits:
+    claims = settings.claims
+    return ClaimLimits(claims.retention_s, claims.keys, claims.key_bytes, claims.answer_bytes)
+
+
 def _build_node(daemon: Daemon, own: Instance, nursery: trio.Nursery, rng: random.Random) -> None:
     settings = daemon.settings
     recorder = daemon.recorder
@@ -99,7 +105,9 @@
     )
     dispatcher.membership = membership
     dispatcher.hub = _build_hub(daemon, own, membership)
-    dispatcher.claims = create_claim_task(own, names, dispatcher.send, membership.watch, recorder)
+    dispatcher.claims = create_claim_task(
+        own, names, dispatcher.send, membership.watch, recorder, _find_claim_limits(settings)
+    )
     dispatcher.owner = OwnerNode(
         own,
         recorder,
@@ -171,4 +179,4 @@
                 dispatcher.entry.refresh_upstreams(service)
         case ClaimGroupsChanged():
             groups = tuple(dispatcher.membership.claim_groups.values())
-            dispatcher.claims.inbox.send_nowait(GroupsPushed(groups))
+            dispatcher.claims.learn_groups(groups)
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -153,6 +153,38 @@
     ] = 60
 
 
+class ClaimsTable(Table, frozen=True, kw_only=True):
+    """Bound what the process keeps of the keys of each service whose claims it holds.
+
+    The instances that may hold a service's claims should have the same bounds.
+    """
+
+    retention_s: Annotated[
+        float,
+        Meta(ge=60, le=2_592_000),
+        _doc("Time for which a key is kept; a resend after it may run again.", "s"),
+    ] = 86_400
+    keys: Annotated[
+        int,
+        Meta(ge=100, le=100_000_000),
+        _doc("Keys of a service; further ones are refused as not run.", "keys"),
+    ] = 50_000
+    key_bytes: Annotated[
+        int,
+        Meta(ge=1 << 16, le=1 << 40),
+        _doc("Memory of a service's keys and answers; further keys are refused as not run.", "B"),
+    ] = (
+        16 << 20
+    )
+    answer_bytes: Annotated[
+        int,
+        Meta(ge=0, le=1 << 40),
+        _doc("Memory of a service's answers; the oldest are forgotten, not their keys.", "B"),
+    ] = (
+        4 << 20
+    )
+
+
 class TimelineTable(Table, frozen=True, kw_only=True):
     """Bound the buffer of recorded events."""
 
@@ -193,6 +225,7 @@
     lease: LeaseTable = LeaseTable()
     watch: WatchTable = WatchTable()
     measuring: MeasuringTable = MeasuringTable()
+    claims: ClaimsTable = ClaimsTable()
     limits: LimitsTable = LimitsTable()
     timeline: TimelineTable = TimelineTable()
     logging: LoggingTable = LoggingTable()
