claims: place a first group at once when it spans three data centres

That wait lets nodes renew before they count as dead; a first group takes nothing from anyone, so it only serves the spread. Change: a first group that has three data centres is placed at once; one that has fewer still waits a lease, and a change of a group still waits three.

--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -14,8 +14,10 @@
     ClaimGroup,
     ClaimLeave,
     choose_claim_group,
+    member_of,
     node_of,
 )
+from bendwind_core.claims.placement import REQUIRED_MEMBERS
 from bendwind_core.core import Seconds
 from bendwind_core.world import Instance, Repeat, Service
 
@@ -92,7 +94,7 @@
     async def place_all(self) -> None:
         """Propose at most one change of each group."""
         view = self.view()
-        if view is None or view.led_for < self.lease:
+        if view is None:
             return
         self._forget_old(view)
         held = _count_memberships(view.groups)
@@ -100,14 +102,21 @@
             if not needs_claims(service):
                 continue
             present = view.groups.get(service.name)
-            if present is not None and view.led_for < SETTLING_LEASES * self.lease:
-                continue
             group = self._choose(service.name, view, held)
+            if not self._is_settled(view, group):
+                continue
             if self._is_missing_long_enough(service.name, group):
                 epoch = present.epoch if present else 0
                 await self.propose(ChangeClaimGroup(group, epoch))
                 held.update(node_of(member) for member in group.members)
 
+    def _is_settled(self, view: PlacementView, group: ClaimGroup | None) -> bool:
+        """Tell whether enough nodes had time to renew for this change."""
+        if group is not None and group.epoch == 1:
+            # A first group takes nothing from anyone; waiting could only spread it better.
+            return view.led_for >= self.lease or _is_spread(group, view)
+        return view.led_for >= SETTLING_LEASES * self.lease
+
     def _is_missing_long_enough(self, service: str, group: ClaimGroup | None) -> bool:
         """Tell whether a change is due; the loss of every holder only after a while."""
         if group is None or not group.lost:
@@ -140,6 +149,11 @@
         self.copied = {name: notice for name, notice in self.copied.items() if name in names}
 
 
+def _is_spread(group: ClaimGroup, view: PlacementView) -> bool:
+    members = [instance for instance in view.alive if member_of(instance) in group.members]
+    return len({instance.data_centre for instance in members}) >= REQUIRED_MEMBERS
+
+
 def _count_memberships(groups: Mapping[str, ClaimGroup]) -> collections.Counter[str]:
     return collections.Counter(
         node_of(member) for group in groups.values() for member in group.members
