--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -9,23 +9,20 @@
 import trio
 
 from bendwind_core.claims import (
+    REQUIRED_MEMBERS,
     ChangeClaimGroup,
     ClaimCopied,
     ClaimGroup,
     ClaimLeave,
     choose_claim_group,
-    member_of,
+    incarnation_of,
     node_of,
 )
-from bendwind_core.claims.placement import REQUIRED_MEMBERS
 from bendwind_core.core import Seconds
 from bendwind_core.world import Instance, Repeat, Service
 
 PLACE_EVERY: Seconds = 0.5
 REMEMBER_LEAVING: Seconds = 30.0
-# A new leader knows only the nodes that have renewed with some voter since; those that could not
-# for a while come back at longer and longer intervals. Until then absence proves nothing.
-SETTLING_LEASES = 3.0
 # A lost group serves nobody anyway, and a holder that was only cut off may yet return.
 LOST_AFTER: Seconds = 30.0
 
@@ -36,6 +33,9 @@
 class PlacementView:
     """Hold what the leader knows: services, groups, living nodes and each service's own nodes.
 
+    `heard` gives the newest incarnation of every node this voter has heard of since it started or
+    since control was last without a quorum; `is_settled` says that this was long enough ago for
+    every living node to have come back.
     Units: `led_for` is the time since this voter became leader, in seconds; before a lease has
     passed, a node that has not renewed yet is not known to be dead.
     """
@@ -45,6 +45,8 @@
     groups: Mapping[str, ClaimGroup]
     alive: tuple[Instance, ...]
     owners: Mapping[str, frozenset[str]]
+    heard: Mapping[str, int]
+    is_settled: bool
 
 
 def needs_claims(service: Service) -> bool:
@@ -102,20 +104,20 @@
             if not needs_claims(service):
                 continue
             present = view.groups.get(service.name)
-            group = self._choose(service.name, view, held)
-            if not self._is_settled(view, group):
+            if not self._may_place(service.name, present, view):
                 continue
+            group = self._choose(service.name, view, held)
             if self._is_missing_long_enough(service.name, group):
                 epoch = present.epoch if present else 0
                 await self.propose(ChangeClaimGroup(group, epoch))
                 held.update(node_of(member) for member in group.members)
 
-    def _is_settled(self, view: PlacementView, group: ClaimGroup | None) -> bool:
-        """Tell whether enough nodes had time to renew for this change."""
-        if group is not None and group.epoch == 1:
-            # A first group takes nothing from anyone; waiting could only spread it better.
-            return view.led_for >= self.lease or _is_spread(group, view)
-        return view.led_for >= SETTLING_LEASES * self.lease
+    def _may_place(self, service: str, present: ClaimGroup | None, view: PlacementView) -> bool:
+        if present is not None:
+            return _may_judge(present, view)
+        # Nodes that are still to be heard of may be the better holders, but a lease is enough.
+        own = view.owners.get(service, frozenset())
+        return len(own) >= REQUIRED_MEMBERS or view.led_for >= self.lease
 
     def _is_missing_long_enough(self, service: str, group: ClaimGroup | None) -> bool:
         """Tell whether a change is due; the loss of every holder only after a while."""
@@ -149,9 +151,14 @@
         self.copied = {name: notice for name, notice in self.copied.items() if name in names}
 
 
-def _is_spread(group: ClaimGroup, view: PlacementView) -> bool:
-    members = [instance for instance in view.alive if member_of(instance) in group.members]
-    return len({instance.data_centre for instance in members}) >= REQUIRED_MEMBERS
+def _may_judge(group: ClaimGroup, view: PlacementView) -> bool:
+    """Tell whether the absence of a member means its end, and not that it was never heard of."""
+    return view.is_settled or all(_is_known(member, view) for member in group.members)
+
+
+def _is_known(member: str, view: PlacementView) -> bool:
+    heard = view.heard.get(node_of(member))
+    return heard is not None and incarnation_of(member) <= heard
 
 
 def _count_memberships(groups: Mapping[str, ClaimGroup]) -> collections.Counter[str]:
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -10,6 +10,7 @@
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.claims import ClaimLimits
 from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.limits import ConcurrencyShare, ProbeBudget
 from bendwind_core.membership import (
     ClaimGroupsChanged,
     ConfigurationApplied,
@@ -25,6 +26,7 @@
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.claims import create_claim_task
 from bendwind_node.control.service import open_control
 from bendwind_node.daemon.dispatcher import Dispatcher
@@ -108,6 +110,8 @@
     dispatcher.claims = create_claim_task(
         own, names, dispatcher.send, membership.watch, recorder, _find_claim_limits(settings)
     )
+    measuring = settings.measuring
+    budget = ProbeBudget(measuring.messages_per_s, measuring.bytes_per_s)
     dispatcher.owner = OwnerNode(
         own,
         recorder,
@@ -115,6 +119,7 @@
         settings.lease.lease_ms,
         settings.limits.body_bytes,
         daemon.body_budget,
+        budget,
         lambda upstream: _announce(membership, upstream),
     )
     dispatcher.entry = EntryNode(
@@ -127,7 +132,9 @@
         dispatcher.claims,
         rng,
         AttemptIds(own.name, own.incarnation),
+        ConcurrencyShare(settings.limits.in_flight),
     )
+    dispatcher.probes = ProbeTask(dispatcher.entry, dispatcher.owner, budget)
     membership.listeners.append(lambda effect: _hear_membership(dispatcher, effect))
 
 
