--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/storage/measure.py
@@ -0,0 +1,139 @@
+"""Measure a store's write time, disk use and restart time as changes grow; print JSON."""
+
+import json
+import os
+import random
+import sys
+import tempfile
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from bendwind_core.consensus import (
+    Apply,
+    Persist,
+    Persisted,
+    Propose,
+    Replica,
+    ReplicaEvent,
+    ReplicaSettings,
+    SaveSnapshot,
+    SnapshotTaken,
+    TakeSnapshot,
+    Tick,
+    Voter,
+    create_replica,
+    step,
+)
+from bendwind_core.core import Seconds
+from bendwind_node.storage import Store, open_folder, open_store
+
+CHANGES = (100, 1000, 10_000)
+# About the size of one service with a few rules, and how many services the state keeps.
+COMMAND_BYTES = 400
+SERVICES = 650
+_TICK_S = 0.05
+
+
+@dataclass(slots=True, frozen=True)
+class Measurement:
+    """Hold the figures of one number of changes.
+
+    Units: milliseconds and bytes.
+    """
+
+    changes: int
+    write_ms_per_change: float
+    disk_bytes: int
+    files: int
+    restart_ms: float
+    replayed_entries: int
+    snapshot_bytes: int
+
+
+class _Services:
+    """Keep the newest command of each service, as the real state does."""
+
+    __slots__ = ("commands",)
+
+    def __init__(self):
+        self.commands: dict[int, bytes] = {}
+
+    def apply(self, index: int, command: bytes) -> None:
+        self.commands[index % SERVICES] = command
+
+    def snapshot(self) -> bytes:
+        return b"".join(self.commands.values())
+
+
+def _drive(store: Store, changes: int) -> None:
+    """Commit changes one by one on a single voter, each synced before the next."""
+    rng = random.Random(1)
+    voter = Voter("a", store.identity.voter_id)
+    replica = create_replica(voter, ("a",), ReplicaSettings(), 0.0, rng)
+    services = _Services()
+    now = 0.0
+    while not replica.is_leader:
+        now += _TICK_S
+        _carry_out(replica, store, services, Tick(), now, rng)
+    for number in range(changes):
+        command = number.to_bytes(4, "big") * (COMMAND_BYTES // 4)
+        _carry_out(replica, store, services, Propose(number, command), now, rng)
+
+
+def _carry_out(
+    replica: Replica,
+    store: Store,
+    services: _Services,
+    event: ReplicaEvent,
+    now: Seconds,
+    rng: random.Random,
+) -> None:
+    events = [event]
+    while events:
+        for effect in step(replica, events.pop(0), now, rng):
+            match effect:
+                case Persist() | SaveSnapshot():
+                    events.append(Persisted(store.write([effect]).ok))
+                case Apply(entries=entries):
+                    for entry in entries:
+                        services.apply(entry.index, entry.command)
+                case TakeSnapshot(index=index):
+                    events.append(SnapshotTaken(index, services.snapshot()))
+
+
+def measure(changes: int, folder: Path) -> Measurement:
+    """Write this many changes, close, and open again."""
+    store = open_store(open_folder(folder)).ok.store
+    started = time.perf_counter()
+    _drive(store, changes)
+    written = time.perf_counter()
+    store.close()
+    sizes = [entry.stat().st_size for entry in os.scandir(folder)]
+    opening = time.perf_counter()
+    opened = open_store(open_folder(folder)).ok
+    done = time.perf_counter()
+    opened.store.close()
+    return Measurement(
+        changes=changes,
+        write_ms_per_change=round((written - started) * 1000 / changes, 3),
+        disk_bytes=sum(sizes),
+        files=len(sizes),
+        restart_ms=round((done - opening) * 1000, 2),
+        replayed_entries=len(opened.recovered.entries),
+        snapshot_bytes=len(opened.recovered.snapshot.data),
+    )
+
+
+def main() -> None:
+    """Measure each number of changes in a folder of its own."""
+    found = []
+    for changes in CHANGES:
+        with tempfile.TemporaryDirectory() as folder:
+            found.append(asdict(measure(changes, Path(folder))))
+    json.dump(found, sys.stdout, indent=1)
+    sys.stdout.write("\n")
+
+
+if __name__ == "__main__":
+    main()
