consensus: a learner whose entry was overwritten offers itself again

Cause: a voter with an empty disk that had taken its learner entry from a leader which then lost the term believed itself a member, while no leader knew of it: it stayed behind for good (random fuzz run over 5 voters: 'no progress after healing', one voter at term 12 and index 551 of 735). Change: whoever may not vote and hears no leader offers itself again. Test: test_a_learner_whose_entry_was_overwritten_is_admitted_again fails before with the same line and passes after.

--- a/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
@@ -7,6 +7,7 @@
 
 import random
 
+from bendwind_core.consensus.election import has_recent_leader
 from bendwind_core.consensus.events import Send
 from bendwind_core.consensus.membership import admit_learner
 from bendwind_core.consensus.messages import Form, Offer, OfferReply
@@ -44,9 +45,12 @@
 
 
 def tick_outsider(replica: Replica, now: Seconds) -> None:
-    """Offer this voter again when no voter set that it knows of holds it."""
-    is_member = replica.voters.find_member(replica.voter.voter_id) is not None
-    if is_member or now < replica.heartbeat_at:
+    """Offer this voter again when it may not vote and no leader sends it anything.
+
+    The entry that made it a learner may have been overwritten, so that no leader knows of it.
+    """
+    is_voter = replica.voters.has_voter(replica.voter.voter_id)
+    if is_voter or now < replica.heartbeat_at or has_recent_leader(replica, now):
         return
     replica.heartbeat_at = now + replica.settings.election_s
     _send_offers(replica)
--- a/packages/bendwind-core/src/bendwind_core/consensus/election.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/election.py
@@ -81,7 +81,7 @@
     replica: Replica, request: VoteRequest, now: Seconds, rng: random.Random
 ) -> None:
     """Grant a vote once a term to a candidate whose log is not behind; trials promise nothing."""
-    if _has_recent_leader(replica, now) and request.head.term > replica.hard.term:
+    if has_recent_leader(replica, now) and request.head.term > replica.hard.term:
         return
     if request.is_trial:
         is_granted = request.head.term > replica.hard.term and _is_log_current(replica, request)
@@ -102,7 +102,8 @@
     send_durable(replica, _vote_reply(replica, request, is_granted), request.head.sender)
 
 
-def _has_recent_leader(replica: Replica, now: Seconds) -> bool:
+def has_recent_leader(replica: Replica, now: Seconds) -> bool:
+    """Tell whether a leader was heard, or a leader heard a quorum, within an election timeout."""
     if replica.is_leader:
         return has_quorum_contact(replica, now)
     heard_at = replica.leader_contact_at
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_consensus.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_consensus.py
@@ -3,8 +3,8 @@
 from bendwind_node.storage.tests.fake_cluster import FakeCluster
 
 
-def form(seed: int) -> FakeCluster:
-    cluster = FakeCluster(3, seed)
+def form(seed: int, size: int = 3) -> FakeCluster:
+    cluster = FakeCluster(size, seed)
     cluster.settle()
     for member in cluster.members.values():
         member.disk_speed = 1.0
@@ -54,6 +54,21 @@
         cluster.settle()
         self.assertGreater(cluster.members["b"].applied, behind + 200)
 
+    def test_a_learner_whose_entry_was_overwritten_is_admitted_again(self):
+        cluster = form(3, size=5)
+        leader = cluster.leaders()[-1]
+        name = next(name for name in cluster.names if name != leader.name)
+        cluster.replace_disk(name)
+        while not leader.replica.voters.learners:
+            cluster.run(1)
+        cluster.cut = {leader.name, name}
+        cluster.run(40)
+        learner = cluster.members[name].replica
+        self.assertIn(learner.voter, learner.voters.learners)
+        cluster.cut = {leader.name}
+        cluster.run_busy(60)
+        cluster.settle()
+
     def test_a_lone_voter_of_an_emptied_pair_forms_no_second_cluster(self):
         cluster = form(2)
         formed = cluster.members["c"].replica.hard.cluster
