--- a/packages/bendwind-node/src/bendwind_node/storage/records.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/records.py
@@ -52,9 +52,10 @@
 
 
 class SnapshotFile(Record, frozen=True, array_like=True, tag="snapshot"):
-    """Hold a snapshot."""
+    """Hold a snapshot; one that was installed voids the log until a ResetTo of its index."""
 
     snapshot: Snapshot
+    is_installed: bool
 
 
 StoredRecord = (
--- a/packages/bendwind-node/src/bendwind_node/storage/replay.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/replay.py
@@ -28,6 +28,8 @@
     snapshot: Snapshot = EMPTY_SNAPSHOT
     entries: list[Entry] = field(default_factory=list)
     cut_bytes: int = 0
+    is_snapshot_installed: bool = False
+    reset_index: int = 0
     is_log_void: bool = False
 
 
@@ -45,8 +47,9 @@
             recovered.hard_state = hard_state
         case Truncated(start=start):
             recovered.entries = [entry for entry in recovered.entries if entry.index < start]
-        case ResetTo():
+        case ResetTo(index=index):
             recovered.entries.clear()
+            recovered.reset_index = index
         case Synced():
             pass
         case EntryWritten(entry=entry):
@@ -60,18 +63,20 @@
 
 
 def align_with_snapshot(recovered: Recovered) -> Result[None, CorruptData]:
-    """Drop a log that an installed snapshot voided; refuse a gap between snapshot and log."""
+    """Drop a log that an installed snapshot voided; refuse any other that does not fit it."""
     snapshot = recovered.snapshot
+    if recovered.is_snapshot_installed and recovered.reset_index != snapshot.index:
+        recovered.entries.clear()
+        recovered.is_log_void = True
+        return Ok(None)
     if not recovered.entries:
         return Ok(None)
-    if recovered.entries[0].index > snapshot.index + 1:
-        first = recovered.entries[0].index
-        reason = f"entries start at {first}, the snapshot ends at {snapshot.index}"
+    first = recovered.entries[0].index
+    last = recovered.entries[-1].index
+    if not first <= snapshot.index + 1 <= last + 1:
+        reason = f"entries {first} to {last} do not join the snapshot at {snapshot.index}"
+        return Error(CorruptData("log", 0, reason))
+    if first <= snapshot.index and recovered.entries[snapshot.index - first].term != snapshot.term:
+        reason = f"entry {snapshot.index} is not of the snapshot's term"
         return Error(CorruptData("log", 0, reason))
-    at_snapshot = [entry for entry in recovered.entries if entry.index == snapshot.index]
-    is_joined = recovered.entries[0].index == snapshot.index + 1
-    is_same = bool(at_snapshot) and at_snapshot[0].term == snapshot.term
-    if not is_joined and not is_same:
-        recovered.entries.clear()
-        recovered.is_log_void = True
     return Ok(None)
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -125,7 +125,10 @@
         # The entries that the snapshot stands for must be durable before it.
         self.files.sync(self.segments[-1].name)
         name = f"{_SNAPSHOT_PREFIX}{request.snapshot.index:020d}"
-        data = encode_frame(request.snapshot.index, encode_record(SnapshotFile(request.snapshot)))
+        data = encode_frame(
+            request.snapshot.index,
+            encode_record(SnapshotFile(request.snapshot, request.is_installed)),
+        )
         replace_file(self.files, name, data)
         if request.is_installed:
             self._append([ResetTo(request.snapshot.index)])
@@ -140,6 +143,8 @@
     def _remove_segments(self, first_index: int) -> None:
         while len(self.segments) > 1 and self.segments[0].last_index < first_index:
             self.files.remove(self.segments[0].name)
+            # A later segment must not go before an earlier one: that would read as a gap.
+            self.files.sync_folder()
             del self.segments[0]
 
     def close(self) -> None:
@@ -218,7 +223,9 @@
     frame = read_frame(store.files.read(found[-1]), 0)
     if frame is None:
         return Error(CorruptData(found[-1], 0, "damaged"))
-    recovered.snapshot = decode_record(frame.payload).snapshot
+    record = decode_record(frame.payload)
+    recovered.snapshot = record.snapshot
+    recovered.is_snapshot_installed = record.is_installed
     for name in found[:-1]:
         store.files.remove(name)
     return Ok(None)
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_fuzz_store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_fuzz_store.py
@@ -78,11 +78,12 @@
             self.token += 1
             start = max(self.snapshot.index + 1, self._last() + 1 - cut)
             is_cut = cut > 0 and start <= self._last()
-            if is_cut:
-                self.entries = [entry for entry in self.entries if entry.index < start]
             if is_voting:
                 self.hard = HardState(self.hard.term + 1, self.token, 7)
-            self.possible.append(self._state())
+                self.possible.append(self._state())
+            if is_cut:
+                self.entries = [entry for entry in self.entries if entry.index < start]
+                self.possible.append(self._state())
             added = []
             for number in range(count):
                 index = self._last() + 1
@@ -91,15 +92,15 @@
                 self.possible.append(self._state())
             truncate_from = start if is_cut else None
             batch.append(Persist(self.token, self.hard, truncate_from, tuple(added)))
-        # A cut or a vote may be on disk without the rest of its write.
-        self.possible += [(self.possible[0][0], index, newer) for _, index, newer in self.possible]
         self._write(batch)
 
     @rule(is_installed=st.booleans(), ahead=st.integers(1, 5))
     def save_snapshot(self, is_installed, ahead):
         self.token += 1
         index = self._last() + ahead if is_installed else self._last()
-        self.snapshot = Snapshot(index, self.hard.term, data=b"s" * index)
+        term = self.entries[-1].term if self.entries else self.snapshot.term
+        term = self.hard.term if is_installed else term
+        self.snapshot = Snapshot(index, term, data=b"s" * index)
         if is_installed:
             self.entries.clear()
         self.entries = [entry for entry in self.entries if entry.index > index - KEPT]
