--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -88,6 +88,11 @@
     name: Annotated[Name, _doc("Instance name of the voter.")]
     host: Annotated[Host, _doc("Address of the voter's `[peers]` table.")]
     port: Annotated[FixedPort, _doc("Port of the voter's `[peers]` table.")]
+    data_centre: Annotated[
+        str,
+        Meta(max_length=63),
+        _doc("Its data centre; nodes there prefer it."),
+    ] = ""
 
 
 class ControlTable(Table, frozen=True, kw_only=True):
@@ -121,10 +126,10 @@
     """Bound what the node spends on measuring the load of upstreams."""
 
     messages_per_s: Annotated[
-        float, Meta(ge=0, le=10_000), _doc("Most load probes in any second.", "messages/s")
+        int, Meta(ge=0, le=10_000), _doc("Most load probes in any second.", "messages/s")
     ] = 20
     bytes_per_s: Annotated[
-        float, Meta(ge=0, le=10_000_000), _doc("Most bytes of load probes in any second.", "B/s")
+        int, Meta(ge=0, le=10_000_000), _doc("Most bytes of load probes in any second.", "B/s")
     ] = 4000
 
 
