--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/call_path_world.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/call_path_world.py
@@ -166,6 +166,7 @@
             effect.remaining_ms,
             caller.call.rule.repeat,
             1,
+            insist=effect.insist,
         )
         if not self.send(caller.entry, effect.upstream, hand_over):
             reason = messages.NotRunReason.CONNECT_FAILED
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_owner.py
@@ -76,6 +76,7 @@
             case ov.ReplyNotRun(attempt, _, reason):
                 assert attempt not in self.started, "told not-run, but it started"
                 self.proven.add(attempt)
+                assert reason is not NotRunReason.STALLED or not self.insist
                 if reason is NotRunReason.QUEUE_FULL:
                     assert lines[attempt.entry] >= max(lines.values()), "took another's share"
             case ov.ReplyFenced(attempt, _, verdict):
@@ -105,14 +106,17 @@
         incarnation=incarnations,
         remaining_ms=st.sampled_from([0.0, 20.0, 1000.0, 1000.0]),
         repeat=st.sampled_from(Repeat),
+        insist=st.booleans(),
     )
-    def hand_over(self, attempt, epoch, incarnation, remaining_ms, repeat):
+    def hand_over(self, attempt, epoch, incarnation, remaining_ms, repeat, insist):
         if self.peers == 1 and attempt in self.seen:
             return  # A link is ordered: nothing of an attempt follows once its peer was dropped.
         self.seen.add(attempt)
         if incarnation != INCARNATION:
             attempt = AttemptId("other", 1, attempt.sequence)
-        message = HandOver(attempt, incarnation, "s", "u", "GET", b"/", (), remaining_ms, repeat, 1)
+        self.insist = insist
+        parts = (attempt, incarnation, "s", "u", "GET", b"/", (), remaining_ms, repeat, 1)
+        message = HandOver(*parts, insist=insist)
         self.step(ov.HandOverArrived(message, epoch))
 
     @rule(attempt=attempts, epoch=epochs, incarnation=incarnations)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_sending.py
@@ -0,0 +1,103 @@
+"""Check when an attempt is pressed upon a stalled upstream, and what a refused caller is told."""
+
+import unittest
+
+from bendwind_core.attempts import entry, owner
+from bendwind_core.attempts import events as ev
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.attempts.call import create_call
+from bendwind_core.attempts.messages import AttemptId, HandOver, NotRunReason
+from bendwind_core.attempts.retry_after import LONGEST_MS, SHORTEST_MS, estimate_retry_after_ms
+from bendwind_core.limits import RetryBudget
+from bendwind_core.world import (
+    Instance,
+    LoadSample,
+    Policy,
+    Repeat,
+    Rule,
+    Service,
+    Upstream,
+    UpstreamState,
+)
+
+
+def describe(count):
+    node = Instance("o", "dc", "h", 1, 1)
+    return [Upstream(f"u{index}", "s", node, 4, 4) for index in range(count)]
+
+
+class TestSending(unittest.TestCase):
+    def bounce(self, count, policy, reasons):
+        upstreams = describe(count)
+
+        def choose(excluded):
+            return next((u for u in upstreams if u.name not in excluded), None)
+
+        service = Service("s", ("*",), policy=policy)
+        rule = Rule("*", repeat=Repeat.NEVER)
+        call = create_call("c", service, rule, 1.0, AttemptIds("e", 1), RetryBudget(0.1))
+        effects = entry.step(call, ev.Begin(), 0.0, choose)
+        sent = []
+        for reason in [*reasons, None]:
+            last = effects[-1]
+            if not isinstance(last, ev.SendHandOver):
+                return sent, last
+            sent.append((last.upstream.name, last.insist))
+            if reason is not None:
+                effects = entry.step(call, ev.AttemptNotRun(last.attempt, reason), 0.0, choose)
+        return sent, None
+
+    def test_the_third_attempt_and_a_second_at_one_upstream_insist(self):
+        stalled = [NotRunReason.STALLED] * 2
+        sent, _ = self.bounce(4, Policy.SCORE, stalled)
+        self.assertEqual(sent, [("u0", False), ("u1", False), ("u2", True)])
+        sent, _ = self.bounce(1, Policy.SCORE, stalled[:1])
+        self.assertEqual(sent, [("u0", False), ("u0", True)])
+
+    def test_baseline_policies_always_insist(self):
+        for policy in set(Policy) - {Policy.SCORE}:
+            self.assertEqual(self.bounce(1, policy, [])[0], [("u0", True)])
+
+    def test_a_leaving_upstream_sends_the_call_back_to_a_stalled_one(self):
+        reasons = [NotRunReason.STALLED, NotRunReason.DRAINING]
+        sent, _ = self.bounce(2, Policy.SCORE, reasons)
+        self.assertEqual(sent, [("u0", False), ("u1", False), ("u0", True)])
+
+    def test_full_upstreams_refuse_at_once_and_say_when_to_come_back(self):
+        sent, final = self.bounce(2, Policy.SCORE, [NotRunReason.QUEUE_FULL] * 2)
+        self.assertEqual(len(sent), 2)
+        self.assertEqual(final, ev.FinishNotRun(NotRunReason.QUEUE_FULL, SHORTEST_MS))
+
+
+class TestStall(unittest.TestCase):
+    def test_an_upstream_that_ends_nothing_sends_back_until_it_does(self):
+        desk = owner.create_desk("u", 1, 4)
+        owner.step(desk, ov.UpstreamAnnounced(4, 4, UpstreamState.READY), 0.0)
+        self.hand_over(desk, 1, 0.0)
+        owner.step(desk, ov.DispatchHead(AttemptId("e", 1, 1), 200, 10.0), 0.010)
+        owner.step(desk, ov.DispatchDone(AttemptId("e", 1, 1)), 0.010)
+        for sequence in (2, 3, 4):
+            self.assertIsInstance(self.hand_over(desk, sequence, 0.010), ov.Dispatch)
+        self.assertIsInstance(self.hand_over(desk, 5, 0.021), ov.ReplyNotRun)
+        owner.step(desk, ov.DispatchDone(AttemptId("e", 1, 2)), 0.022)
+        self.assertIsInstance(self.hand_over(desk, 6, 0.022), ov.Dispatch)
+
+    def hand_over(self, desk, sequence, now):
+        attempt = AttemptId("e", 1, sequence)
+        parts = (attempt, 1, "s", "u", "GET", b"/", (), 1000.0, Repeat.NEVER, 1)
+        message = HandOver(*parts, insist=False)
+        return owner.step(desk, ov.HandOverArrived(message, 1), now)[0]
+
+
+class TestRetryAfter(unittest.TestCase):
+    def test_grows_with_the_backlog_within_its_bounds(self):
+        times = [
+            estimate_retry_after_ms(NotRunReason.SHED, LoadSample(4, queued, 4, latency_ms=100.0))
+            for queued in (0, 16, 4000)
+        ]
+        self.assertEqual(times, [100.0, 500.0, LONGEST_MS])
+
+
+if __name__ == "__main__":
+    unittest.main()
