--- a/packages/bendwind-core/src/bendwind_core/claims/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/__init__.py
@@ -1,7 +1,7 @@
 """Offer the claims that make a marked request run at most once."""
 
 from bendwind_core.claims.commands import ChangeClaimGroup, apply_group_change
-from bendwind_core.claims.entry import (
+from bendwind_core.claims.decisions import (
     AnswerNotKept,
     ClaimDecision,
     ClaimRefused,
--- a/packages/bendwind-core/src/bendwind_core/claims/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/entry.py
@@ -6,6 +6,16 @@
 
 from dataclasses import dataclass, field
 
+from bendwind_core.claims.decisions import (
+    AnswerNotKept,
+    ClaimDecision,
+    ClaimRefused,
+    Granted,
+    KeyConflict,
+    OutcomeUnknown,
+    Recorded,
+    StillPending,
+)
 from bendwind_core.claims.events import Send
 from bendwind_core.claims.group import ClaimGroup
 from bendwind_core.claims.members import node_of
@@ -33,50 +43,6 @@
 _FINAL_REFUSALS = frozenset({RefusalReason.FULL, RefusalReason.LOST, RefusalReason.RELEASED})
 
 
-@dataclass(slots=True, frozen=True)
-class Granted:
-    """Permit the call to run its request."""
-
-
-@dataclass(slots=True, frozen=True)
-class Recorded:
-    """Repeat the answer of the call that ran the request."""
-
-    answer: ClaimAnswer
-
-
-@dataclass(slots=True, frozen=True)
-class AnswerNotKept:
-    """Tell that the request ran and its answer was too large to keep."""
-
-
-@dataclass(slots=True, frozen=True)
-class OutcomeUnknown:
-    """Tell that the request may have run and that nobody will learn whether it did."""
-
-
-@dataclass(slots=True, frozen=True)
-class StillPending:
-    """Tell that the request of the call that holds the key was still running at the deadline."""
-
-
-@dataclass(slots=True, frozen=True)
-class KeyConflict:
-    """Tell that the key was used for a different request."""
-
-
-@dataclass(slots=True, frozen=True)
-class ClaimRefused:
-    """Tell that the call does not hold the key and must not run its request."""
-
-    reason: RefusalReason
-
-
-ClaimDecision = (
-    Granted | Recorded | AnswerNotKept | OutcomeUnknown | StillPending | KeyConflict | ClaimRefused
-)
-
-
 @dataclass(slots=True, frozen=True)
 class Ask:
     """Start to ask for a claim; `deadline` is the caller's."""
