claims: index living nodes once a round and leave whole groups alone

Change: one index a round; a group in order is not looked at further; a new member is chosen among the service's own nodes and a sample of 64 others.

--- a/packages/bendwind-core/src/bendwind_core/claims/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/__init__.py
@@ -35,7 +35,13 @@
     ClaimUnavailable,
     RefusalReason,
 )
-from bendwind_core.claims.placement import REQUIRED_MEMBERS, choose_claim_group
+from bendwind_core.claims.placement import (
+    REQUIRED_MEMBERS,
+    AliveNodes,
+    choose_claim_group,
+    index_alive,
+    is_whole,
+)
 from bendwind_core.claims.state import ClaimHolder, create_holder
 from bendwind_core.claims.table import ClaimLimits
 
@@ -43,6 +49,7 @@
     "MAX_KEPT_ANSWER_BYTES",
     "MAX_KEY_CHARACTERS",
     "REQUIRED_MEMBERS",
+    "AliveNodes",
     "AnswerNotKept",
     "ChangeClaimGroup",
     "Claim",
@@ -77,6 +84,8 @@
     "create_holder",
     "fingerprint_request",
     "incarnation_of",
+    "index_alive",
+    "is_whole",
     "member_of",
     "node_of",
 ]
--- a/packages/bendwind-core/src/bendwind_core/claims/placement.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/placement.py
@@ -2,19 +2,44 @@
 
 import collections
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
 
 from bendwind_core.claims.group import ClaimGroup
 from bendwind_core.claims.members import member_of
 from bendwind_core.world import Instance
 
 REQUIRED_MEMBERS = 3
+# Ranking every node for every group would keep a leader of many nodes busy for seconds.
+SAMPLE = 64
+
+
+@dataclass(frozen=True, slots=True)
+class AliveNodes:
+    """Hold the living nodes, found by member and by name; made once for many groups."""
+
+    by_member: Mapping[str, Instance]
+    by_name: Mapping[str, str]
+    members: tuple[str, ...]
+
+
+def index_alive(alive: Iterable[Instance]) -> AliveNodes:
+    """Index the living nodes."""
+    by_member = {member_of(instance): instance for instance in alive}
+    by_name = {instance.name: member for member, instance in by_member.items()}
+    return AliveNodes(by_member, by_name, tuple(by_member))
+
+
+def is_whole(group: ClaimGroup, alive: AliveNodes, required: int = REQUIRED_MEMBERS) -> bool:
+    """Tell whether a group has all its members, alive, and nobody joining."""
+    is_complete = len(group.members) == required and group.joining is None
+    return is_complete and all(member in alive.by_member for member in group.members)
 
 
 def choose_claim_group(
     service: str,
     group: ClaimGroup | None,
-    alive: tuple[Instance, ...],
+    alive: AliveNodes,
     rng: random.Random,
     *,
     own: Collection[str] = (),
@@ -29,52 +54,66 @@
     members that are about to stop; `copied` is the joining member once it holds every claim;
     `held` counts the groups that each node is in already.
     """
-    candidates = _Candidates(alive, frozenset(own), frozenset(leaving), held or {}, rng)
+    candidates = _Candidates(alive, own, frozenset(leaving), held or {}, rng)
     if group is None:
         members = candidates.pick((), required)
         return ClaimGroup(service, 1, members) if members else None
-    present = {member_of(instance) for instance in alive}
-    remaining = tuple(member for member in group.members if member in present)
+    remaining = tuple(member for member in group.members if member in alive.by_member)
     if not remaining:
         return None if group.lost else _next(group, group.members, None, lost=True)
-    return _repair(group, remaining, present, candidates, copied, required)
+    return _repair(group, remaining, candidates, copied, required)
 
 
 class _Candidates:
-    """Rank the nodes that may join a group."""
-
-    __slots__ = ("by_member", "held", "leaving", "own", "rng")
-
-    def __init__(self, alive, own, leaving, held, rng):
-        self.by_member = {member_of(instance): instance for instance in alive}
-        self.own = own
+    """Rank the nodes that may join a group: the service's own and a sample of the others."""
+
+    __slots__ = ("alive", "held", "leaving", "own", "rng")
+
+    def __init__(
+        self,
+        alive: AliveNodes,
+        own: Collection[str],
+        leaving: frozenset[str],
+        held: Mapping[str, int],
+        rng: random.Random,
+    ):
+        self.alive = alive
+        self.own = frozenset(own)
         self.leaving = leaving
         self.held = held
         self.rng = rng
 
     def pick(self, members: tuple[str, ...], count: int) -> tuple[str, ...]:
         """Return up to `count` further members, spread over data centres."""
+        pool = self._find_pool()
         picked: list[str] = []
         for _ in range(count):
-            member = self._pick_one((*members, *picked))
+            member = self._pick_one((*members, *picked), pool)
             if member is None:
                 break
             picked.append(member)
         return tuple(picked)
 
-    def _pick_one(self, members: tuple[str, ...]) -> str | None:
+    def _find_pool(self) -> set[str]:
+        by_name = self.alive.by_name
+        pool = {by_name[name] for name in self.own if name in by_name}
+        others = self.alive.members
+        pool.update(others if len(others) <= SAMPLE else self.rng.sample(others, SAMPLE))
+        return pool - self.leaving
+
+    def _pick_one(self, members: tuple[str, ...], pool: set[str]) -> str | None:
+        by_member = self.alive.by_member
         used = collections.Counter(
-            self.by_member[member].data_centre for member in members if member in self.by_member
+            by_member[member].data_centre for member in members if member in by_member
         )
-        free = [m for m in self.by_member if m not in members and m not in self.leaving]
-        if not free:
+        ranks = {member: self._rank(member, used) for member in pool if member not in members}
+        if not ranks:
             return None
-        ranks = {member: self._rank(member, used) for member in free}
         best = min(ranks.values())
-        return self.rng.choice(sorted(member for member in free if ranks[member] == best))
+        return self.rng.choice(sorted(member for member, rank in ranks.items() if rank == best))
 
     def _rank(self, member: str, used: collections.Counter[str]) -> tuple[int, bool, int]:
-        instance = self.by_member[member]
+        instance = self.alive.by_member[member]
         is_foreign = instance.name not in self.own
         return used[instance.data_centre], is_foreign, self.held.get(instance.name, 0)
 
@@ -82,12 +121,11 @@
 def _repair(
     group: ClaimGroup,
     remaining: tuple[str, ...],
-    present: set[str],
     candidates: _Candidates,
     copied: str | None,
     required: int,
 ) -> ClaimGroup | None:
-    joining = group.joining if group.joining in present else None
+    joining = group.joining if group.joining in candidates.alive.by_member else None
     if group.lost or remaining != group.members:
         return _next(group, remaining, joining)
     if joining is not None:
--- a/packages/bendwind-core/src/bendwind_core/claims/tests/cluster.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/tests/cluster.py
@@ -25,6 +25,7 @@
     apply_group_change,
     choose_claim_group,
     create_holder,
+    index_alive,
     member_of,
 )
 from bendwind_core.claims.entry import (
@@ -287,7 +288,7 @@
         chosen = choose_claim_group(
             SERVICE,
             group,
-            self.alive(),
+            index_alive(self.alive()),
             self.rng,
             leaving=self.leaving,
             copied=notice.joining if is_current else None,
--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -10,12 +10,15 @@
 
 from bendwind_core.claims import (
     REQUIRED_MEMBERS,
+    AliveNodes,
     ChangeClaimGroup,
     ClaimCopied,
     ClaimGroup,
     ClaimLeave,
     choose_claim_group,
     incarnation_of,
+    index_alive,
+    is_whole,
     node_of,
 )
 from bendwind_core.core import Seconds
@@ -99,19 +102,27 @@
         if view is None:
             return
         self._forget_old(view)
+        alive = index_alive(view.alive)
         held = _count_memberships(view.groups)
         for service in view.services:
             if not needs_claims(service):
                 continue
             present = view.groups.get(service.name)
+            if present is not None and self._is_settled(present, alive):
+                self.missing_since.pop(service.name, None)
+                continue
             if not self._may_place(service.name, present, view):
                 continue
-            group = self._choose(service.name, view, held)
+            group = self._choose(service.name, view, alive, held)
             if self._is_missing_long_enough(service.name, group):
                 epoch = present.epoch if present else 0
                 await self.propose(ChangeClaimGroup(group, epoch))
                 held.update(node_of(member) for member in group.members)
 
+    def _is_settled(self, group: ClaimGroup, alive: AliveNodes) -> bool:
+        is_staying = not any(member in self.leaving for member in group.members)
+        return is_staying and is_whole(group, alive)
+
     def _may_place(self, service: str, present: ClaimGroup | None, view: PlacementView) -> bool:
         if present is not None:
             return _may_judge(present, view)
@@ -128,7 +139,11 @@
         return now - self.missing_since.setdefault(service, now) >= LOST_AFTER
 
     def _choose(
-        self, service: str, view: PlacementView, held: collections.Counter[str]
+        self,
+        service: str,
+        view: PlacementView,
+        alive: AliveNodes,
+        held: collections.Counter[str],
     ) -> ClaimGroup | None:
         present = view.groups.get(service)
         notice = self.copied.get(service)
@@ -136,7 +151,7 @@
         return choose_claim_group(
             service,
             present,
-            view.alive,
+            alive,
             self.rng,
             own=view.owners.get(service, frozenset()),
             leaving=tuple(self.leaving),
