--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from expression import Result
 from msgspec.structs import replace
 
 from bendwind_core.attempts import (
@@ -28,14 +29,14 @@
 from bendwind_core.routing import LoadProbe, LoadReport
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, LoadSample, Upstream, UpstreamState
-from bendwind_node.calls.body_flow import ByteBudget, Inflow, Outflow
+from bendwind_node.calls.assembly import AssemblyTable
+from bendwind_node.calls.body_flow import Outflow
 from bendwind_node.calls.dispatch import DispatchEnd, format_attempt, run_dispatch
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
 QUEUE_LIMIT = 16
 MAX_OWNED_UPSTREAMS = 8
-MAX_ASSEMBLING = 256
 REPORT_BYTES = 80
 # Leases of announcements are looked at this often; queued attempts expire on time.
 LEASE_CHECK: Seconds = 0.5
@@ -53,15 +54,6 @@
     is_marked: bool = False
 
 
-@dataclass(slots=True, eq=False)
-class Assembly:
-    """Hold a hand-over whose body is still coming."""
-
-    hand_over: HandOver
-    epoch: int
-    inflow: Inflow
-
-
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """Hold what an upstream says of itself."""
@@ -83,13 +75,11 @@
     recorder: Recorder
     nursery: trio.Nursery
     lease_ms: Milliseconds
-    body_limit: int
-    body_budget: ByteBudget
+    assemblies: AssemblyTable
     probe_budget: ProbeBudget
     announce: Callable[[Upstream], None]
     replies: ReplyPath = field(default_factory=ReplyPath)
     owned: dict[str, OwnedUpstream] = field(default_factory=dict)
-    assembling: dict[AttemptId, Assembly] = field(default_factory=dict)
     outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
     is_draining: bool = False
     probes_answered: int = 0
@@ -106,8 +96,7 @@
         """Hear that an entry node's link broke."""
         if not self.replies.close(link):
             return
-        for attempt in [id for id in self.assembling if id.entry == link.peer.name]:
-            self._drop_assembly(attempt)
+        self.assemblies.drop_all_of(link.peer.name)
         for attempt, outflow in self.outflows.items():
             if attempt.entry == link.peer.name:
                 outflow.lose()
@@ -144,44 +133,28 @@
         self.replies.send(attempt, epoch, NotRun(attempt, reason))
 
     def _start_assembly(self, link: ReplyLink, hand_over: HandOver) -> None:
-        if len(self.assembling) >= MAX_ASSEMBLING:
-            self._refuse(hand_over.attempt, link.epoch, NotRunReason.OVERLOADED)
-            return
-        inflow = Inflow(self.body_limit, self.body_budget)
-        if not inflow.append(0, hand_over.body):
-            self._refuse(hand_over.attempt, link.epoch, NotRunReason.OVERLOADED)
-            return
-        self.assembling[hand_over.attempt] = Assembly(hand_over, link.epoch, inflow)
+        started = self.assemblies.start(hand_over, link.epoch)
+        if started.is_error():
+            self._refuse(hand_over.attempt, link.epoch, started.error)
 
     def _add_part(self, link: ReplyLink, part: BodyPart) -> None:
-        assembly = self.assembling.get(part.attempt)
-        if assembly is None or assembly.epoch != link.epoch:
-            return
-        if not assembly.inflow.append(part.index, part.data):
-            self._drop_assembly(part.attempt)
-            self._refuse(part.attempt, link.epoch, NotRunReason.OVERLOADED)
-            return
-        if part.more:
-            link.send(BodyCredit(part.attempt, len(part.data)))
-            return
-        self._drop_assembly(part.attempt)
-        whole = replace(assembly.hand_over, body=assembly.inflow.join(), more=False)
-        self._hand_over(whole, link.epoch)
-
-    def _drop_assembly(self, attempt: AttemptId) -> None:
-        assembly = self.assembling.pop(attempt, None)
-        if assembly is not None:
-            assembly.inflow.free()
+        match self.assemblies.add(part, link.epoch):
+            case Result(tag="ok", ok=None):
+                link.send(BodyCredit(part.attempt, len(part.data)))
+            case Result(tag="ok", ok=hand_over):
+                self._hand_over(hand_over, link.epoch)
+            case Result(tag="error", error=reason):
+                self._refuse(part.attempt, link.epoch, reason)
 
     def _cancel(self, name: str, attempt: AttemptId, epoch: int) -> None:
-        self._drop_assembly(attempt)
+        self.assemblies.drop(attempt)
         owned = self.owned.get(name)
         if owned is not None:
             self._feed(owned, ev.CancelArrived(attempt, epoch))
 
     def _fence(self, fence: Fence, epoch: int) -> None:
         # A body that is still coming belongs to an attempt that has not started.
-        self._drop_assembly(fence.attempt)
+        self.assemblies.drop(fence.attempt)
         owned = self.owned.get(fence.upstream)
         if owned is not None:
             self._feed(owned, ev.FenceArrived(fence, epoch))
@@ -295,7 +268,7 @@
     def is_idle(self) -> bool:
         """Tell whether no attempt runs, waits or is still coming in."""
         has_work = any(owned.desk.running or owned.desk.waiting for owned in self.owned.values())
-        return not has_work and not self.assembling and not self.outflows
+        return not has_work and not self.assemblies.open and not self.outflows
 
     async def run_clock(self) -> None:
         """Let queued attempts and announcements expire."""
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -11,6 +11,7 @@
 from bendwind_core.routing import LoadReport
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Service, Upstream, UpstreamState
+from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_task import CallTask
@@ -155,8 +156,7 @@
         recorder,
         nursery,
         60_000.0,
-        8 * MIB,
-        ByteBudget(16 * MIB),
+        AssemblyTable(8 * MIB, ByteBudget(16 * MIB)),
         ProbeBudget(20, 4000),
         membership.add,
     )
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -88,7 +88,7 @@
             announce(owner, port)
             done = await bench.call(make_exchange(POST, b"q" * MIB))
             self.assertEqual((done.status, len(received)), (200, MIB))
-            self.assertEqual((owner.body_budget.used, bench.intake.budget.used), (0, 0))
+            self.assertEqual((owner.assemblies.budget.used, bench.intake.budget.used), (0, 0))
 
         self.run_with(swallow, check)
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -23,6 +23,7 @@
 from bendwind_core.messages import Hello
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Upstream
+from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
@@ -117,8 +118,7 @@
         recorder,
         nursery,
         settings.lease.lease_ms,
-        settings.limits.body_bytes,
-        daemon.body_budget,
+        AssemblyTable(settings.limits.body_bytes, daemon.body_budget),
         budget,
         lambda upstream: _announce(membership, upstream),
     )
