--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core node cli bench
 DEPLOYMENT ?= certitermica
 
-.PHONY: setup check test demo fuzz
+.PHONY: setup check test demo fuzz capacity
 
 $(VENV)/.ready: requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -27,3 +27,8 @@
 
 demo: setup
 	$(BIN)/python -m bendwind_bench demo --deployment=$(DEPLOYMENT)
+
+# Takes up to five minutes; NOTE says on the page what else ran on the machine.
+capacity: NOTE ?= Nothing else ran on the machine.
+capacity: setup
+	$(BIN)/python -m bendwind_bench capacity --note="$(NOTE)"
--- a/packages/bendwind-bench/src/bendwind_bench/__main__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/__main__.py
@@ -63,6 +63,16 @@
 
         write_page()
 
+    def capacity(
+        self, note: str = "Nothing else ran.", trial: bool = False, page: bool = False
+    ) -> None:
+        """Measure what the design carries and rewrite its page; --page only rewrites it."""
+        from bendwind_bench.capacity import run_capacity, write_page
+
+        if not page:
+            run_capacity(note, trial)
+        write_page()
+
 
 def main() -> int:
     """Run the command that the arguments name."""
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/model/events.py
@@ -0,0 +1,172 @@
+"""Work through the events of an ordinary day and of a bad one."""
+
+from dataclasses import dataclass
+
+from bendwind_bench.capacity.model.roles import exchange_us, push_us
+from bendwind_bench.capacity.model.sizes import (
+    APART_S,
+    DATA_CENTRE,
+    PEAK_S,
+    PEAK_SHARE,
+    RACK,
+    Size,
+)
+from bendwind_bench.capacity.result import CapacityResult
+from bendwind_core.membership import LeaseTimes
+
+US_PER_SECOND = 1e6
+_CUT_OFF_CENTRES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class EventCost:
+    """Hold what an event causes.
+
+    `voter_messages` counts those of the voter that has most to do. Units: seconds.
+    """
+
+    event: str
+    messages: float
+    voter_messages: float
+    voter_busy_s: float
+    settle_s: float
+    callers: str
+    promise: str
+
+
+def list_events(result: CapacityResult, size: Size) -> list[EventCost]:
+    """Work every event through at a size."""
+    return [
+        _ordinary_day(result, size),
+        _peak(result, size),
+        _rack(result, size),
+        _data_centre_lost(result, size),
+        _data_centre_back(result, size),
+        _regions_apart(result, size),
+        _regions_joined(result, size),
+    ]
+
+
+def _pushes(size: Size, services: float) -> float:
+    return services * size.watchers
+
+
+def _settle_after_loss(result: CapacityResult, size: Size, pushes: float) -> float:
+    """Return lease plus the time that one voter needs for its share of the pushes."""
+    return LeaseTimes().lease + pushes / size.voters * push_us(result) / US_PER_SECOND
+
+
+def _ordinary_day(result: CapacityResult, size: Size) -> EventCost:
+    events = 3 * size.restarts_per_day + 2 * size.failures_per_day
+    messages = _pushes(size, events)
+    return EventCost(
+        f"Ordinary day: {size.failures_per_day:.0f} failures, {size.restarts_per_day:.0f} restarts",
+        messages,
+        messages / size.voters,
+        messages / size.voters * push_us(result) / US_PER_SECOND,
+        _settle_after_loss(result, size, size.watchers),
+        "a failed node's calls in flight end `unknown` where they may not be repeated; a planned "
+        "restart cuts none",
+        "whole answers, at most once: fences prove what did not run; everything else is `unknown`",
+    )
+
+
+def _peak(result: CapacityResult, size: Size) -> EventCost:
+    restarts = size.restarts_per_day * PEAK_SHARE
+    messages = _pushes(size, 3 * restarts)
+    return EventCost(
+        f"A tenth of the restarts in ten minutes: {restarts / PEAK_S:.2f} a second",
+        messages,
+        messages / size.voters,
+        messages / size.voters * push_us(result) / US_PER_SECOND,
+        _settle_after_loss(result, size, size.watchers),
+        "nothing: each is drained first",
+        "a leaving upstream gets nothing new: its owner refuses before anyone has heard",
+    )
+
+
+def _rack(result: CapacityResult, size: Size) -> EventCost:
+    messages = _pushes(size, min(RACK, size.services))
+    return EventCost(
+        f"A rack of {RACK} lost",
+        messages,
+        messages / size.voters,
+        messages / size.voters * push_us(result) / US_PER_SECOND,
+        _settle_after_loss(result, size, messages),
+        "calls in flight there end `unknown` or are tried elsewhere; new ones fail to link and go "
+        "elsewhere at once",
+        "at most once: a claim group has at most one member in a rack's data centre, two keep it",
+    )
+
+
+def _data_centre_lost(result: CapacityResult, size: Size) -> EventCost:
+    pushes = result.figures["data_centre_lost_pushes"]
+    busy = result.figures["data_centre_lost_processor_s"]
+    busy += pushes * result.slopes["exchange_server_us"].slope / 2 / US_PER_SECOND
+    moved = DATA_CENTRE / size.voters / (size.voters - 1)
+    return EventCost(
+        f"A data centre of {DATA_CENTRE} lost",
+        pushes * size.voters,
+        pushes + moved,
+        busy,
+        LeaseTimes().lease + busy,
+        "its own callers nothing until they turn elsewhere; others as with a rack, and a seventh "
+        "less capacity",
+        "configuration: a quorum is left; at most once: one member of each group at most is gone",
+    )
+
+
+def _data_centre_back(result: CapacityResult, size: Size) -> EventCost:
+    pushes = result.figures["data_centre_returned_pushes"]
+    links = DATA_CENTRE / size.voters
+    busy = result.figures["data_centre_returned_processor_s"]
+    busy += pushes * result.slopes["exchange_server_us"].slope / 2 / US_PER_SECOND
+    busy += links * (result.slopes["link_accept_us"].slope + exchange_us(result)) / US_PER_SECOND
+    return EventCost(
+        f"The data centre of {DATA_CENTRE} returns",
+        pushes * size.voters + 4.0 * DATA_CENTRE,
+        pushes + 4 * links,
+        busy,
+        LeaseTimes().heartbeat + busy,
+        "nothing: upstreams that come are ramped up as cold",
+        "never an older configuration: a node serves only from a quorum's confirmation",
+    )
+
+
+def _cut_off(size: Size) -> float:
+    return size.upstreams * _CUT_OFF_CENTRES / size.data_centres
+
+
+def _regions_apart(result: CapacityResult, size: Size) -> EventCost:
+    nodes = _cut_off(size)
+    changes = size.changes_per_s * APART_S
+    messages = _pushes(size, min(size.services, nodes))
+    return EventCost(
+        f"A region of {nodes:.0f} nodes apart for {APART_S / 60:.0f} minutes, "
+        f"{changes:.1f} changes meanwhile",
+        messages,
+        messages / size.voters,
+        messages / size.voters * push_us(result) / US_PER_SECOND,
+        _settle_after_loss(result, size, messages),
+        f"in the region without a quorum {size.calls_per_s * nodes / size.upstreams:.0f} calls a "
+        "second end `not-run` after the lease, but for services with `on_stale = serve`; "
+        "elsewhere as with a data centre",
+        "never an older configuration, at most once: kept by refusing, which costs availability",
+    )
+
+
+def _regions_joined(result: CapacityResult, size: Size) -> EventCost:
+    nodes = _cut_off(size)
+    changes = size.changes_per_s * APART_S
+    missed = min(1.0, changes * size.watched / size.services)
+    messages = nodes * (2 + missed) + _pushes(size, min(size.services, nodes))
+    share = messages / size.voters
+    return EventCost(
+        "The region returns",
+        messages,
+        share,
+        share * push_us(result) / US_PER_SECOND,
+        LeaseTimes().heartbeat + share * push_us(result) / US_PER_SECOND,
+        "calls are served again from the first confirmed heartbeat on",
+        "never an older configuration: what changed is pushed before the confirmation counts",
+    )
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/pure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure slopes of the pure code in this process."""
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/pure/calls.py
@@ -0,0 +1,125 @@
+"""Measure what the decisions on a call cost its entry node and its owner node."""
+
+import itertools
+from collections.abc import Callable
+
+import msgspec
+
+from bendwind_bench.capacity.pure.codec import make_hand_over
+from bendwind_bench.capacity.scene import INCARNATION, make_service, make_upstream
+from bendwind_bench.capacity.slope import REPEATS, Slope, decode, encode, fit, time_median, weigh
+from bendwind_core.attempts import AttemptId, HandOver, entry, owner
+from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.attempts.call import EntryCall, create_call
+from bendwind_core.attempts.events import AttemptHead, Begin, SendHandOver
+from bendwind_core.attempts.owner_events import (
+    DispatchDone,
+    DispatchHead,
+    HandOverArrived,
+    LinkOpened,
+    UpstreamAnnounced,
+)
+from bendwind_core.limits import RetryBudget
+from bendwind_core.world import UpstreamState, find_rule
+
+HELD_CALLS = (100, 250, 500, 1000)
+BATCHES = (200, 400, 800, 1600)
+_ENTRY = "node-00001"
+
+
+def _make_call(number: int, ids: AttemptIds, budget: RetryBudget) -> EntryCall:
+    service = make_service(1)
+    rule = find_rule(service, "GET", "/records/1")
+    return create_call(f"{_ENTRY}-{number}", service, rule, 2.0, ids, budget)
+
+
+def _run_entry(count: int) -> int:
+    ids, budget = AttemptIds(_ENTRY, INCARNATION), RetryBudget(0.1)
+    upstream = make_upstream(2, "service-001")
+    for number in range(count):
+        call = _make_call(number, ids, budget)
+        for effect in entry.step(call, Begin(), 0.0, lambda _: upstream):
+            if isinstance(effect, SendHandOver):
+                head = AttemptHead(effect.attempt, 200, True)
+                entry.step(call, head, 0.01, lambda _: upstream)
+    return count
+
+
+def _make_desk(slots: int) -> owner.OwnerDesk:
+    desk = owner.create_desk("service-001-00001", INCARNATION, 16)
+    owner.step(desk, UpstreamAnnounced(slots, slots, UpstreamState.READY), 0.0)
+    owner.step(desk, LinkOpened(_ENTRY, INCARNATION, 1), 0.0)
+    return desk
+
+
+def _hand_over(sequence: int, body: int = 0) -> HandOver:
+    attempt = AttemptId(_ENTRY, INCARNATION, sequence)
+    return msgspec.structs.replace(make_hand_over(body), attempt=attempt)
+
+
+def _run_owner(desk: owner.OwnerDesk, hand_overs: list[HandOver]) -> int:
+    for hand_over in hand_overs:
+        owner.step(desk, HandOverArrived(hand_over, 1), 0.0)
+        owner.step(desk, DispatchHead(hand_over.attempt, 200, 11.0), 0.01)
+        owner.step(desk, DispatchDone(hand_over.attempt), 0.01)
+    return len(hand_overs)
+
+
+def _prepare_owner(count: int) -> Callable[[], int]:
+    sequences = itertools.count(1)
+    batches = [[_hand_over(next(sequences)) for _ in range(count)] for _ in range(REPEATS)]
+    waiting = iter(batches)
+    desk = _make_desk(12)
+    return lambda: _run_owner(desk, next(waiting))
+
+
+def measure_calls() -> dict[str, Slope]:
+    """Measure time by calls in a row and memory by calls held at once.
+
+    The time of all calls is fitted, so that the slope is that of one call.
+    """
+    entry_us, owner_us = [], []
+    for count in BATCHES:
+        entry_us.append((count, count * time_median(lambda count=count: _run_entry(count))))
+        owner_us.append((count, count * time_median(_prepare_owner(count))))
+    return {
+        "entry_decision_us": fit("Entry node's decisions on a call", "us", "call", entry_us),
+        "owner_decision_us": fit("Owner node's decisions on a call", "us", "call", owner_us),
+        **_measure_held(),
+    }
+
+
+def _measure_held() -> dict[str, Slope]:
+    entry_memory, owner_memory = [], []
+    for count in HELD_CALLS:
+        entry_memory.append((count, weigh(lambda count=count: _hold_entry(count))[1]))
+        owner_memory.append((count, weigh(lambda count=count: _hold_owner(count))[1]))
+    return {
+        "entry_call_bytes": fit(
+            "Memory of a call held by its entry node (decisions only)",
+            "bytes",
+            "call",
+            entry_memory,
+        ),
+        "owner_call_bytes": fit(
+            "Memory of a call held by its owner node, 1 KiB body", "bytes", "call", owner_memory
+        ),
+    }
+
+
+def _hold_entry(count: int) -> list[EntryCall]:
+    ids, budget = AttemptIds(_ENTRY, INCARNATION), RetryBudget(0.1)
+    upstream = make_upstream(2, "service-001")
+    calls = [_make_call(number, ids, budget) for number in range(count)]
+    for call in calls:
+        entry.step(call, Begin(), 0.0, lambda _: upstream)
+    return calls
+
+
+def _hold_owner(count: int) -> owner.OwnerDesk:
+    desk = _make_desk(count)
+    for sequence in range(1, count + 1):
+        # Decoded, as from a link, so that each call keeps its own texts and body.
+        hand_over = decode(encode(_hand_over(sequence, 1024)))
+        owner.step(desk, HandOverArrived(hand_over, 1), 0.0)
+    return desk
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/pure/claims.py
@@ -0,0 +1,133 @@
+"""Measure what claims cost a primary by the size of its group, and what each keeps."""
+
+import random
+import time
+
+from bendwind_bench.capacity.scene import make_instance
+from bendwind_bench.capacity.slope import (
+    MICROSECONDS,
+    Slope,
+    decode,
+    encode,
+    fit,
+    time_median,
+    weigh,
+)
+from bendwind_core.claims import (
+    ClaimAnswer,
+    ClaimGroup,
+    ClaimHolder,
+    ClaimLimits,
+    ClaimOutcome,
+    ClaimRequest,
+    ClaimState,
+    choose_claim_group,
+    create_holder,
+    member_of,
+    node_of,
+)
+from bendwind_core.claims.holder import GroupChanged, LeaseRenewed, Received, step
+
+GROUP_SIZES = (1, 2, 3, 5)
+CLAIM_COUNTS = (500, 1000, 2000, 4000)
+NODE_COUNTS = (1_500, 3_750, 7_500, 15_000)
+_SERVICE = "service-001"
+_ENTRY = "node-00099#1"
+_BATCH = 100
+_ANSWER = ClaimAnswer(201, ((b"content-type", b"application/json"),), b"x" * 512)
+
+
+class Group:
+    """Hold the holders of one group and what the primary spent and sent."""
+
+    def __init__(self, size: int):
+        members = tuple(f"node-{index:05d}#1" for index in range(size))
+        group = ClaimGroup(_SERVICE, 1, members)
+        limits = ClaimLimits(claims=10**9, bytes=10**12)
+        self.holders: dict[str, ClaimHolder] = {}
+        for member in members:
+            holder = create_holder(member, _SERVICE, limits)
+            step(holder, GroupChanged(group), 0.0)
+            step(holder, LeaseRenewed(1e9), 0.0)
+            self.holders[node_of(member)] = holder
+        self.primary = node_of(members[0])
+        self.spent = dict.fromkeys(self.holders, 0.0)
+        self.bytes = dict.fromkeys(self.holders, 0)
+
+    def feed(self, message) -> None:
+        """Deliver a message to the primary, and all that follows from it, as bytes."""
+        waiting = [(self.primary, encode(message))]
+        while waiting:
+            to, data = waiting.pop(0)
+            if to not in self.holders:
+                continue
+            started = time.process_time()
+            effects = step(self.holders[to], Received(decode(data)), 1.0)
+            sent = [(effect.to, encode(effect.message)) for effect in effects]
+            self.spent[to] += time.process_time() - started
+            self.bytes[to] += len(data) + sum(len(part) for _, part in sent)
+            waiting += sent
+
+
+def _claim_and_settle(group: Group, number: int) -> None:
+    key, call = f"{number:036d}", f"node-00099-1-{number}"
+    group.feed(ClaimRequest(_SERVICE, key, b"f" * 16, call, _ENTRY, 2000.0))
+    group.feed(ClaimOutcome(_SERVICE, key, call, _ENTRY, ClaimState.ANSWERED, _ANSWER))
+
+
+def measure_claims() -> tuple[dict[str, Slope], dict[str, float]]:
+    """Measure a claim, from its request to the confirmation of its outcome."""
+    primary_us, backup_us, primary_bytes = [], [], []
+    for size in GROUP_SIZES:
+        group = Group(size)
+        for number in range(_BATCH):
+            _claim_and_settle(group, number)
+        spent = group.spent.pop(group.primary)
+        primary_us.append((size, spent / _BATCH * MICROSECONDS))
+        primary_bytes.append((size, group.bytes[group.primary] / _BATCH))
+        others = sum(group.spent.values()) / max(1, len(group.spent))
+        backup_us.append((size, others / _BATCH * MICROSECONDS))
+    return {
+        "claim_primary_us": fit(
+            "Primary's time for a claim and its outcome", "us", "member of the group", primary_us
+        ),
+        "claim_primary_bytes": fit(
+            "Primary's bytes for a claim and its outcome",
+            "bytes",
+            "member of the group",
+            primary_bytes,
+        ),
+        "claim_memory": _measure_memory(),
+        **_measure_placement(),
+    }, {"claim_backup_us": backup_us[2][1]}
+
+
+def _measure_memory() -> Slope:
+    weights = []
+    for count in CLAIM_COUNTS:
+
+        def hold(count=count) -> Group:
+            group = Group(1)
+            for number in range(count):
+                _claim_and_settle(group, number)
+            return group
+
+        weights.append((count, weigh(hold)[1]))
+    return fit("Memory of a claim with an answer of 512 bytes", "bytes", "claim", weights)
+
+
+def _measure_placement() -> dict[str, Slope]:
+    times = []
+    for count in NODE_COUNTS:
+        alive = tuple(make_instance(index) for index in range(count))
+        members = tuple(member_of(instance) for instance in alive[:3])
+        group = ClaimGroup(_SERVICE, 1, members)
+        rng = random.Random(1)
+        times.append((count, time_median(lambda g=group, a=alive, r=rng: _look_at(g, a, r))))
+    return {"placement_us": fit("Leader's look at one claim group", "us", "node", times)}
+
+
+def _look_at(group: ClaimGroup, alive: tuple, rng: random.Random) -> int:
+    for _ in range(3):
+        choose_claim_group(_SERVICE, group, alive, rng)
+    return 3
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/real/__init__.py
@@ -0,0 +1,1 @@
+"""Measure slopes of real processes on loopback."""
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/real/calls.py
@@ -0,0 +1,65 @@
+"""Measure what calls cost their entry node and their owner node, and what a hop adds."""
+
+from bendwind_bench.campaign import Campaign, run_campaign
+from bendwind_bench.capacity.slope import Slope, fit
+from bendwind_bench.deployment import Deployment, DeploymentDescription, ServiceDescription
+from bendwind_bench.experiments.scene import run_scene
+from bendwind_bench.load import Outcome, RequestKind, Sample
+from bendwind_bench.reports import summarize_latency
+
+RATES = (50.0, 100.0, 200.0, 400.0)
+SECONDS = 4.0
+US_PER_SECOND = 1e6
+_SERVICES = ("first", "second", "third", "fourth")
+_KINDS = [RequestKind("first", "/records/1", answer_bytes=(1024, 1024), chunked=0.0)]
+_INTENT = "".join(
+    f'[[services]]\nname = "{name}"\nupstreams = ["{name}-*"]\n\n' for name in _SERVICES
+)
+
+
+def _describe() -> DeploymentDescription:
+    services = [ServiceDescription(name, 1, 64, 200, 1.0, spread=0.0) for name in _SERVICES]
+    # The last node is no voter: it is the entry, so that no control work counts for calls.
+    return DeploymentDescription("calls", "bench", 0.0, 0.0, ["centre"], 3, services, [])
+
+
+async def _send(deployment: Deployment, name: str, rate: float, direct: bool) -> list[Sample]:
+    campaign = Campaign(
+        name,
+        rate,
+        SECONDS,
+        _KINDS,
+        entries=[deployment.layout.members[-1].callers_address],
+        direct=deployment.direct_addresses() if direct else {},
+    )
+    samples, _ = await run_campaign(deployment, campaign)
+    return [sample for sample in samples if sample.outcome is Outcome.WHOLE]
+
+
+async def measure_calls() -> tuple[dict[str, Slope], dict[str, float]]:
+    """Measure calls from an entry node, over a link, to another node's upstream."""
+    entry_us, owner_us = [], []
+    async with run_scene(_describe(), _INTENT, 1, False) as deployment:
+        members = deployment.layout.members
+        entry, owner = (deployment.nodes[members[index].name] for index in (-1, 0))
+        await _send(deployment, "warm", RATES[1], False)
+        direct = await _send(deployment, "direct", RATES[1], True)
+        for rate in RATES:
+            before = entry.cpu_seconds(), owner.cpu_seconds()
+            samples = await _send(deployment, f"rate-{rate:.0f}", rate, False)
+            entry_us.append((len(samples), (entry.cpu_seconds() - before[0]) * US_PER_SECOND))
+            owner_us.append((len(samples), (owner.cpu_seconds() - before[1]) * US_PER_SECOND))
+            if rate == RATES[1]:
+                through = samples
+    slopes = {
+        "entry_call_us": fit("Entry node's time for a call, all of it", "us", "call", entry_us),
+        "owner_call_us": fit("Owner node's time for a call, all of it", "us", "call", owner_us),
+    }
+    marks = zip(("p50", "p99"), (0, 2), strict=True)
+    figures = {}
+    for name, index in marks:
+        straight = summarize_latency([sample.latency_ms for sample in direct])[index]
+        hopped = summarize_latency([sample.latency_ms for sample in through])[index]
+        figures |= {f"direct_{name}_ms": straight, f"through_{name}_ms": hopped}
+        figures[f"added_{name}_ms"] = hopped - straight
+    return slopes, figures
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/real/fleet.py
@@ -0,0 +1,164 @@
+"""Measure whole deployments of growing size: memory, idle time, and how fast a change spreads."""
+
+import statistics
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from bendwind_bench.capacity.real.processes import measure_cpu
+from bendwind_bench.capacity.slope import Slope, fit
+from bendwind_bench.deployment import (
+    Deployment,
+    DeploymentDescription,
+    ServiceDescription,
+    run_deployment,
+)
+from bendwind_bench.http import send_json
+from bendwind_bench.operators import apply_intent
+from bendwind_core.timeline import EventKind
+
+NODE_COUNTS = (4, 8, 16, 32)
+VOTERS = 3
+SETTLE_S = 3.0
+IDLE_S = 6.0
+CHANGES = 4
+MILLI = 1000.0
+_SERVICE = "service"
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Hold what one size of deployment gave.
+
+    Units: kB resident, percent of a core, milliseconds.
+    """
+
+    nodes: int
+    node_kb: float = 0.0
+    voter_kb: float = 0.0
+    leader_kb: float = 0.0
+    node_percent: float = 0.0
+    voter_percent: float = 0.0
+    leader_percent: float = 0.0
+    lone_percent: float = 0.0
+    spread_ms: list[float] = field(default_factory=list)
+
+
+def describe_fleet(nodes: int) -> DeploymentDescription:
+    """Describe a deployment whose nodes all serve, and so watch, one service."""
+    centres = [f"centre-{number}" for number in range(1, VOTERS + 1)]
+    service = ServiceDescription(_SERVICE, nodes, 12, 200, 1.0)
+    return DeploymentDescription("fleet", "bench", 0.0, 0.0, centres, VOTERS, [service], [])
+
+
+def make_intent(wait_ms: int) -> str:
+    """Make an intent whose only difference to the last is one duration."""
+    return (
+        f'[[services]]\nname = "{_SERVICE}"\nupstreams = ["{_SERVICE}-*"]\n'
+        f"longest_wait_ms = {wait_ms}\n"
+    )
+
+
+async def measure_fleet(nodes: int) -> Fleet:
+    """Measure one size."""
+    fleet = Fleet(nodes)
+    async with run_deployment(describe_fleet(nodes)) as deployment:
+        await apply_intent(deployment, make_intent(2000))
+        await deployment.wait_upstreams_known([_SERVICE])
+        await trio.sleep(SETTLE_S)
+        leader = await _find_leader(deployment)
+        await _measure_idle(deployment, leader, fleet)
+        for number in range(CHANGES):
+            fleet.spread_ms.append(await _measure_change(deployment, 2001 + number))
+        await _measure_lone(deployment, fleet)
+    return fleet
+
+
+async def _find_leader(deployment: Deployment) -> str:
+    address = deployment.layout.voters[0].operators_address
+    answer = await send_json(address, "GET", "/v1/status")
+    return msgspec.json.decode(answer.body)["leader"]
+
+
+async def _measure_idle(deployment: Deployment, leader: str, fleet: Fleet) -> None:
+    names = list(deployment.nodes)
+    shares = await measure_cpu([deployment.nodes[name] for name in names], IDLE_S)
+    percent = dict(zip(names, shares, strict=True))
+    kb = {name: float(node.resident_kb()) for name, node in deployment.nodes.items()}
+    voters = {member.name for member in deployment.layout.voters}
+    plain = [name for name in names if name not in voters]
+    followers = [name for name in voters if name != leader]
+    fleet.node_kb = statistics.fmean(kb[name] for name in plain)
+    fleet.voter_kb = statistics.fmean(kb[name] for name in followers)
+    fleet.leader_kb = kb[leader]
+    fleet.node_percent = statistics.fmean(percent[name] for name in plain)
+    fleet.voter_percent = statistics.fmean(percent[name] for name in followers)
+    fleet.leader_percent = percent[leader]
+
+
+async def _measure_change(deployment: Deployment, wait_ms: int) -> float:
+    """Return the time from the request to confirm until the last node applied the version."""
+    version = await apply_intent(deployment, make_intent(wait_ms))
+    asked_ms = await _read_event(
+        deployment.layout.voters, EventKind.PLAN_CONFIRMED, lambda event: True, newest=True
+    )
+    applied = [
+        await _read_event((member,), EventKind.CONFIGURATION_APPLIED, _is_version(version))
+        for member in deployment.layout.members
+    ]
+    return max(applied) - asked_ms
+
+
+def _is_version(version: int):
+    return lambda event: event["detail"] == str(version)
+
+
+async def _read_event(members, kind: EventKind, is_wanted, newest: bool = False) -> float:
+    times = []
+    for member in members:
+        path = f"/v1/timeline?kind={kind.name}&limit=50"
+        answer = await send_json(member.operators_address, "GET", path)
+        events = msgspec.json.decode(answer.body)["events"]
+        times += [event["physical_ms"] for event in events if is_wanted(event)]
+    return float(max(times) if newest else min(times))
+
+
+async def _measure_lone(deployment: Deployment, fleet: Fleet) -> None:
+    """Measure nodes whose upstreams were ended, so that no announcements come."""
+    for upstream in deployment.upstreams.values():
+        upstream.kill()
+    await trio.sleep(SETTLE_S)
+    voters = {member.name for member in deployment.layout.voters}
+    plain = [node for name, node in deployment.nodes.items() if name not in voters]
+    fleet.lone_percent = statistics.fmean(await measure_cpu(plain, IDLE_S))
+
+
+async def measure_fleets() -> dict[str, Slope]:
+    """Measure every size, one after the other."""
+    fleets = [await measure_fleet(count) for count in NODE_COUNTS]
+    return {
+        "node_resident_kb": _fit("Resident memory of a node", "kB", fleets, "node_kb"),
+        "voter_resident_kb": _fit("Resident memory of a following voter", "kB", fleets, "voter_kb"),
+        "leader_resident_kb": _fit("Resident memory of the leader", "kB", fleets, "leader_kb"),
+        "node_idle_percent": _fit("Idle node", "% of a core", fleets, "node_percent"),
+        "node_lone_percent": _fit(
+            "Idle node without an upstream's announcements", "% of a core", fleets, "lone_percent"
+        ),
+        "voter_idle_percent": _fit(
+            "Following voter without calls", "% of a core", fleets, "voter_percent"
+        ),
+        "leader_idle_percent": _fit(
+            "Leader without calls", "% of a core", fleets, "leader_percent"
+        ),
+        "change_spread_ms": fit(
+            "From the confirmation of a change until the last node applied it",
+            "ms",
+            "node",
+            [(fleet.nodes, value) for fleet in fleets for value in fleet.spread_ms],
+        ),
+    }
+
+
+def _fit(title: str, unit: str, fleets: list[Fleet], name: str) -> Slope:
+    return fit(title, unit, "node", [(fleet.nodes, getattr(fleet, name)) for fleet in fleets])
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/result.py
@@ -0,0 +1,44 @@
+"""Keep everything that one run of the measurements gave."""
+
+from pathlib import Path
+
+import msgspec
+
+from bendwind_bench.capacity.pure.codec import MessageKind
+from bendwind_bench.capacity.slope import Slope
+
+FILE = Path("docs/measurements/capacity.json")
+
+
+class CapacityResult(msgspec.Struct):
+    """Hold the slopes, single figures and message kinds, and how they came about.
+
+    `note` says what else ran on the machine.
+    Units: `seconds` is how long the measurements took.
+    """
+
+    measured_on: str
+    commit: str
+    cores: int
+    load_average: list[float]
+    note: str
+    is_trial: bool
+    seconds: float
+    slopes: dict[str, Slope]
+    figures: dict[str, float]
+    kinds: tuple[MessageKind, ...]
+
+    def kind(self, name: str) -> MessageKind:
+        """Return the message kind of this name."""
+        return next(kind for kind in self.kinds if kind.name == name)
+
+
+def write_result(result: CapacityResult) -> None:
+    """Write the result to its file."""
+    FILE.parent.mkdir(parents=True, exist_ok=True)
+    FILE.write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
+
+
+def read_result() -> CapacityResult:
+    """Read the last result."""
+    return msgspec.json.decode(FILE.read_bytes(), type=CapacityResult)
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/scene.py
@@ -0,0 +1,22 @@
+"""Make instances, upstreams and services of usual size for the measurements."""
+
+import msgspec
+
+from bendwind_bench.slopes_membership import scene
+from bendwind_bench.slopes_membership.scene import make_instance
+from bendwind_core.world import Service, Upstream
+
+INCARNATION = make_instance(0).incarnation
+
+__all__ = ["INCARNATION", "make_instance", "make_service", "make_upstream"]
+
+
+def make_upstream(index: int, service: str) -> Upstream:
+    """Make the upstream beside a node."""
+    return scene.make_upstream(make_instance(index), service)
+
+
+def make_service(index: int, wait_ms: float = 1000.0) -> Service:
+    """Make a service with a duration by which it may differ from others."""
+    service = scene.make_service(f"service-{index:03d}")
+    return msgspec.structs.replace(service, longest_wait_ms=wait_ms)
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/result.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/result.py
@@ -7,6 +7,8 @@
 
 FOLDER = Path("docs/measurements")
 MILLI = 1000.0
+# Written by the measurements behind docs/CAPACITY.md.
+_NOT_EXPERIMENTS = frozenset({"capacity.json"})
 
 Figures = dict[str, dict[str, float]]
 
@@ -93,5 +95,5 @@
 
 def read_results() -> list[Result]:
     """Read every result that was written, by name."""
-    files = sorted(FOLDER.glob("*.json"))
+    files = sorted(file for file in FOLDER.glob("*.json") if file.name not in _NOT_EXPERIMENTS)
     return [msgspec.json.decode(file.read_bytes(), type=Result) for file in files]
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/reports/number.py
@@ -0,0 +1,12 @@
+"""Write figures for pages."""
+
+
+def format_number(value: float) -> str:
+    """Write a figure with three significant digits.
+
+    >>> format_number(0.012345), format_number(1234.5), format_number(0.0)
+    ('0.0123', '1234', '0')
+    """
+    if value == 0:
+        return "0"
+    return f"{value:.0f}" if abs(value) >= 100 else f"{value:.3g}"
--- a/packages/bendwind-bench/src/bendwind_bench/reports/page.py
+++ b/packages/bendwind-bench/src/bendwind_bench/reports/page.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from bendwind_bench.experiments.result import FOLDER, Result, read_results
+from bendwind_bench.reports.number import format_number
 
 PAGE = Path("docs/MEASUREMENTS.md")
 _HEAD = """# Measurements
@@ -15,17 +16,6 @@
 """
 
 
-def format_number(value: float) -> str:
-    """Write a figure with three significant digits.
-
-    >>> format_number(0.012345), format_number(1234.5), format_number(0.0)
-    ('0.0123', '1234', '0')
-    """
-    if value == 0:
-        return "0"
-    return f"{value:.0f}" if abs(value) >= 100 else f"{value:.3g}"
-
-
 def write_page() -> None:
     """Write the page from every result there is."""
     parts = [_HEAD, *(_format_result(result) for result in read_results())]
