--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -47,6 +47,8 @@
 from bendwind_core.world import Instance, Service, Upstream, UpstreamState
 
 _MAX_UNANSWERED = 8
+# Callers may name services that do not exist: the watch on those makes room for others.
+MAX_WATCHED = 512
 # Stated in heartbeats by a node that lacks the configuration of a service it watches.
 INCOMPLETE = -1
 # A node away from its preferred voter tries it again at about one good reply in this many.
@@ -167,6 +169,10 @@
         effects.append(FreshnessChanged(is_fresh))
 
 
+def _stated_version(view: NodeView) -> int:
+    return view.version if view.is_complete else INCOMPLETE
+
+
 def _renew(view: NodeView, effects: list[ViewEffect], now: Seconds, rng: random.Random) -> None:
     attachment = view.attachment
     reason = find_reason_to_move(attachment, view.times, now)
@@ -181,7 +187,7 @@
     heartbeat = Heartbeat(
         view.instance,
         attachment.sequence,
-        view.version if view.is_complete else INCOMPLETE,
+        _stated_version(view),
         view.watch_sequence,
         view.announce_sequence,
         view.holdings.digest,
@@ -248,7 +254,14 @@
 def _make_watch(view: NodeView) -> Watch:
     instance = view.instance
     services = tuple(view.holdings.watched)
-    return Watch(instance.name, services, instance.incarnation, view.watch_sequence)
+    return Watch(
+        instance.name,
+        services,
+        instance.incarnation,
+        view.watch_sequence,
+        _stated_version(view),
+        view.holdings.digest,
+    )
 
 
 def _put_in_force(view: NodeView, version: int, effects: list[ViewEffect]) -> None:
@@ -307,8 +320,20 @@
         view.waiting_proof = None
 
 
+def _make_room(view: NodeView) -> bool:
+    watched = view.holdings.watched
+    if len(watched) < MAX_WATCHED:
+        return True
+    unknown = (name for name in watched if name not in view.services)
+    dropped = next(unknown, None)
+    if dropped is not None:
+        view.pending.discard(dropped)
+        held.drop_watched(view.holdings, dropped)
+    return dropped is not None
+
+
 def _watch(view: NodeView, service: str, effects: list[ViewEffect]) -> None:
-    if service in view.holdings.watched:
+    if service in view.holdings.watched or not _make_room(view):
         return
     view.holdings.watched[service] = None
     view.pending.add(service)
