bench: stand-ins count requests beyond their slots

Cause: nothing showed that a node never sends an upstream more than its slots. Change: a stand-in counts a request that finds all slots taken; the end-to-end test asks for none. The stand-in's own test, which overfills it on purpose, sees the count.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,6 @@
 demo: setup
 	$(BIN)/python -m bendwind_bench demo --deployment=$(DEPLOYMENT)
 
-# Takes about 45 minutes on a machine that does nothing else.
+# Takes long, and needs a machine that does nothing else.
 measure: setup
 	$(BIN)/python -m bendwind_bench experiment all --runs 5
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/result.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/result.py
@@ -6,7 +6,6 @@
 import msgspec
 
 FOLDER = Path("docs/measurements")
-MILLI = 1000.0
 
 Figures = dict[str, dict[str, float]]
 
--- a/packages/bendwind-bench/src/bendwind_bench/http.py
+++ b/packages/bendwind-bench/src/bendwind_bench/http.py
@@ -14,11 +14,7 @@
 
 
 class HttpBrokenError(Exception):
-    """Report a connection that ended before the answer was whole; `began` if a head was read."""
-
-    def __init__(self, cause: str, began: bool = False):
-        super().__init__(cause)
-        self.began = began
+    """Report a connection that ended before the answer was whole."""
 
 
 @dataclass(slots=True)
@@ -71,7 +67,7 @@
         while type(event := await self.next_event()) is h11.Data:
             parts.append(bytes(event.data))
         if type(event) is not h11.EndOfMessage:
-            raise HttpBrokenError("cut body", began=True)
+            raise HttpBrokenError("cut body")
         return Message(head, b"".join(parts))
 
     def has_pending_input(self) -> bool:
--- a/packages/bendwind-bench/src/bendwind_bench/load/verdict.py
+++ b/packages/bendwind-bench/src/bendwind_bench/load/verdict.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from bendwind_bench.load.sample import Outcome, Sample
+from bendwind_bench.upstream.stand_in import UNNAMED
 
 Runs = collections.Counter
 
@@ -35,7 +36,7 @@
             continue
         for line in file.read_text().splitlines():
             request, number = line.split()
-            if request != "-":
+            if request != UNNAMED:
                 runs[request, int(number)] += 1
     return runs
 
--- a/packages/bendwind-bench/src/bendwind_bench/tests/test_end_to_end.py
+++ b/packages/bendwind-bench/src/bendwind_bench/tests/test_end_to_end.py
@@ -48,10 +48,15 @@
                     [Fault(2.0, Action.KILL, victim)],
                     timeout_ms=20_000.0,
                 )
-                return await run_campaign(deployment, campaign)
+                samples, verdict = await run_campaign(deployment, campaign)
+                upstreams = [member.upstream.name for member in deployment.layout.members]
+                return samples, verdict, [await deployment.counters(name) for name in upstreams]
 
-        samples, verdict = trio.run(main)
+        samples, verdict, counters = trio.run(main)
         self.assertEqual(verdict.broken, [])
+        # A request that waits at an upstream was sent beyond its slots.
+        self.assertEqual([item["most_waiting"] for item in counters], [0, 0, 0])
+        self.assertTrue(all(item["most_connections"] <= 50 for item in counters))
         whole = collections.Counter(
             sample.keyed for sample in samples if sample.outcome is Outcome.WHOLE
         )
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/executor.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/executor.py
@@ -36,6 +36,7 @@
     cancelled: int = 0
     loads: int = 0
     most_in_flight: int = 0
+    most_waiting: int = 0
     most_connections: int = 0
 
 
@@ -52,7 +53,7 @@
         self.factor = 1.0
         self.fail_share = 0.0
         self.shed_share = 0.0
-        self.reported_in_flight: int | None = None
+        self.reported_in_flight = -1
         self.healthy = True
         self.draining = False
         self.started_at = trio.current_time()
@@ -61,7 +62,11 @@
 
     def must_shed(self) -> bool:
         """Tell whether a request that arrives now is refused unrun."""
-        is_full = self.limiter.statistics().tasks_waiting >= self.settings.queue
+        statistics = self.limiter.statistics()
+        is_full = statistics.tasks_waiting >= self.settings.queue
+        if statistics.borrowed_tokens >= statistics.total_tokens:
+            waiting = statistics.tasks_waiting + 1
+            self.counters.most_waiting = max(self.counters.most_waiting, waiting)
         return is_full or self.rng.random() < self.shed_share
 
     def must_fail(self) -> bool:
@@ -106,7 +111,7 @@
             self.shed_share = change.shed_share
         if change.noisy_slots is not None:
             self.limiter.total_tokens = max(1, self.settings.slots - change.noisy_slots)
-        if isinstance(change.reported_in_flight, int):
+        if change.reported_in_flight is not None:
             self.reported_in_flight = change.reported_in_flight
         if change.healthy is not None:
             self.healthy = change.healthy
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/settings.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/settings.py
@@ -34,7 +34,7 @@
     """Change a stand-in's behaviour at a time after the request; a field left out stays as it is.
 
     `factor` multiplies service times, also of requests being served. `noisy_slots` are taken by a
-    neighbour. `reported_in_flight` is a lie told in place of the true load.
+    neighbour. `reported_in_flight` is a lie told in place of the true load; below 0 ends the lie.
     """
 
     at_ms: Milliseconds = 0.0
@@ -42,7 +42,7 @@
     fail_share: float | None = None
     shed_share: float | None = None
     noisy_slots: int | None = None
-    reported_in_flight: int | msgspec.UnsetType = msgspec.UNSET
+    reported_in_flight: int | None = None
     healthy: bool | None = None
     draining: bool | None = None
 
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
@@ -18,7 +18,7 @@
 DRAIN_LIMIT_S = 20.0
 ATTEMPTS = "/.bendwind/attempts/"
 SHED = (b"Bendwind-Shed", b"not-run")
-LEFT_OUT = {"request": "-", "send": "-"}
+UNNAMED = "-"
 
 Answer = tuple[int, list[tuple[bytes, bytes]], bytes]
 
@@ -84,7 +84,7 @@
         statistics = self.executor.limiter.statistics()
         lie = self.executor.reported_in_flight
         load = {
-            "in_flight": statistics.borrowed_tokens if lie is None else lie,
+            "in_flight": statistics.borrowed_tokens if lie < 0 else lie,
             "queued": statistics.tasks_waiting,
             "slots": self.settings.slots,
         }
@@ -110,8 +110,8 @@
         if executor.must_shed():
             executor.counters.shed += 1
             return 503, [SHED], b""
-        name = request.find(b"bench-request") or LEFT_OUT["request"]
-        send = request.find(b"bench-send") or LEFT_OUT["send"]
+        name = request.find(b"bench-request") or UNNAMED
+        send = request.find(b"bench-send") or UNNAMED
         if executor.must_fail():
             executor.count_run(name, send)
             executor.counters.failed += 1
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/tests/test_stand_in.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/tests/test_stand_in.py
@@ -78,6 +78,8 @@
                 answer = await self.call(pool, "r3")
                 self.assertEqual((answer.status, answer.find(b"bendwind-shed")), (503, "not-run"))
                 self.assertEqual(self.runs(), {("r1", 0): 1})
+                counters = msgspec.json.decode((await pool.request("GET", "/.bench/counters")).body)
+                self.assertEqual((counters["shed"], counters["most_waiting"]), (1, 2))
 
         trio.run(main)
 
@@ -142,8 +144,9 @@
     def test_failing_lying_and_unhealthy_upstream(self):
         async def main():
             async with self.running(service_ms=0.1) as (pool, _):
-                await self.change(pool, fail_share=1.0, reported_in_flight=0, healthy=False)
+                await self.change(pool, fail_share=1.0, reported_in_flight=7, healthy=False)
                 self.assertEqual((await self.call(pool)).status, 500)
+                await self.wait_in_flight(pool, 7)
                 self.assertEqual((await pool.request("GET", "/.bendwind/health")).status, 503)
 
         trio.run(main)
