consensus: hand leadership over before a planned stop

Cause: a planned stop of the leader left the voters without one for an election timeout. Change: the leader asks the voter that holds most of the log to lead; its vote requests say so and are answered although a leader was heard. ControlVoter.hand_over offers it. Seeded bug, in a scratch copy: such requests ignored like any other; caught by test_a_leader_that_stops_as_planned_is_followed_within_an_election_timeout with '0.26 not less than 0.2'.

--- a/packages/bendwind-core/src/bendwind_core/consensus/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/__init__.py
@@ -27,6 +27,7 @@
     SnapshotTaken,
     TakeSnapshot,
     Tick,
+    TransferLeadership,
     VotersChanged,
 )
 from bendwind_core.consensus.messages import (
@@ -42,6 +43,7 @@
     ReadRequest,
     Removed,
     SnapshotChunk,
+    TakeOver,
     VoteReply,
     VoteRequest,
 )
@@ -107,8 +109,10 @@
     "Snapshot",
     "SnapshotChunk",
     "SnapshotTaken",
+    "TakeOver",
     "TakeSnapshot",
     "Tick",
+    "TransferLeadership",
     "VoteReply",
     "VoteRequest",
     "Voter",
--- a/packages/bendwind-core/src/bendwind_core/consensus/election.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/election.py
@@ -7,7 +7,7 @@
 
 from bendwind_core.consensus.durability import is_disk_stalled
 from bendwind_core.consensus.events import Lost, ProposalDone
-from bendwind_core.consensus.messages import VoteReply, VoteRequest
+from bendwind_core.consensus.messages import TakeOver, VoteReply, VoteRequest
 from bendwind_core.consensus.records import Entry, Voter
 from bendwind_core.consensus.replica import (
     Replica,
@@ -35,6 +35,25 @@
             _campaign(replica, Role.TRIAL, now)
 
 
+def transfer_leadership(replica: Replica, now: Seconds) -> None:
+    """Ask the voter that holds most of the log to lead, when it was heard lately."""
+    oldest = now - replica.settings.election_s
+    able = [
+        progress
+        for progress in replica.progress.values()
+        if replica.voters.has_voter(progress.voter.voter_id) and progress.contact_at >= oldest
+    ]
+    if replica.is_leader and able:
+        heir = max(able, key=lambda progress: progress.match).voter
+        send(replica, TakeOver(head_to(replica, heir)), heir)
+
+
+def take_over(replica: Replica, message: TakeOver, now: Seconds) -> None:
+    """Ask for votes at once, because the leader of this term wants it."""
+    if message.head.term == replica.hard.term and _may_campaign(replica, now):
+        _campaign(replica, Role.CANDIDATE, now, is_transfer=True)
+
+
 def has_quorum_contact(replica: Replica, now: Seconds) -> bool:
     """Tell whether a quorum was heard within one election timeout."""
     oldest = now - replica.settings.election_s
@@ -54,7 +73,7 @@
     return is_voter and is_able and not is_disk_stalled(replica, now)
 
 
-def _campaign(replica: Replica, role: Role, now: Seconds) -> None:
+def _campaign(replica: Replica, role: Role, now: Seconds, *, is_transfer: bool = False) -> None:
     set_leader(replica, None)
     replica.role = role
     replica.votes.clear()
@@ -64,16 +83,20 @@
     term = replica.hard.term + 1 if is_trial else replica.hard.term
     for voter in replica.voters.voters:
         if voter.voter_id != replica.voter.voter_id:
-            send_durable(replica, _vote_request(replica, voter, term, is_trial), voter)
+            request = _vote_request(replica, voter, term, is_trial, is_transfer)
+            send_durable(replica, request, voter)
     count_votes(replica, now)
 
 
-def _vote_request(replica: Replica, to: Voter, term: int, is_trial: bool) -> VoteRequest:
+def _vote_request(
+    replica: Replica, to: Voter, term: int, is_trial: bool, is_transfer: bool
+) -> VoteRequest:
     return VoteRequest(
         head_to(replica, to, term),
         is_trial=is_trial,
         last_index=replica.log.last_index,
         last_term=replica.log.last_term,
+        is_transfer=is_transfer,
     )
 
 
@@ -81,7 +104,8 @@
     replica: Replica, request: VoteRequest, now: Seconds, rng: random.Random
 ) -> None:
     """Grant a vote once a term to a candidate whose log is not behind; trials promise nothing."""
-    if has_recent_leader(replica, now) and request.head.term > replica.hard.term:
+    is_unasked = has_recent_leader(replica, now) and not request.is_transfer
+    if is_unasked and request.head.term > replica.hard.term:
         return
     if request.is_trial:
         is_granted = request.head.term > replica.hard.term and _is_log_current(replica, request)
--- a/packages/bendwind-core/src/bendwind_core/consensus/events.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/events.py
@@ -58,8 +58,20 @@
     data: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class TransferLeadership:
+    """Ask a leader to let another voter lead, as before a planned stop."""
+
+
 ReplicaEvent = (
-    Tick | Received | Propose | RemoveVoter | Persisted | BarrierRequested | SnapshotTaken
+    Tick
+    | Received
+    | Propose
+    | RemoveVoter
+    | Persisted
+    | BarrierRequested
+    | SnapshotTaken
+    | TransferLeadership
 )
 
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/messages.py
@@ -40,12 +40,16 @@
 
 
 class VoteRequest(Record, frozen=True, array_like=True, tag="raft-vote"):
-    """Ask for a vote in a term; with `is_trial`, ask whether it would be given (pre-vote)."""
+    """Ask for a vote in a term; with `is_trial`, ask whether it would be given (pre-vote).
+
+    With `is_transfer` the leader itself has asked for the election.
+    """
 
     head: Head
     is_trial: bool
     last_index: int
     last_term: int
+    is_transfer: bool = False
 
 
 class VoteReply(Record, frozen=True, array_like=True, tag="raft-vote-reply"):
@@ -117,6 +121,12 @@
     index: int
 
 
+class TakeOver(Record, frozen=True, array_like=True, tag="raft-take-over"):
+    """Ask a voter that holds the whole log to lead from now on."""
+
+    head: Head
+
+
 class Removed(Record, frozen=True, array_like=True, tag="raft-removed"):
     """Tell a voter that its id was replaced and can never vote again."""
 
@@ -132,6 +142,7 @@
     | ChunkReply
     | ReadRequest
     | ReadReply
+    | TakeOver
     | Removed
 )
 ConsensusMessage = Offer | OfferReply | Form | MemberMessage
--- a/packages/bendwind-core/src/bendwind_core/consensus/step.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/step.py
@@ -24,7 +24,9 @@
     count_votes,
     receive_vote_reply,
     receive_vote_request,
+    take_over,
     tick_election,
+    transfer_leadership,
 )
 from bendwind_core.consensus.events import (
     BarrierRequested,
@@ -40,6 +42,7 @@
     ReplicaEvent,
     SnapshotTaken,
     Tick,
+    TransferLeadership,
 )
 from bendwind_core.consensus.membership import (
     become_removed,
@@ -61,6 +64,7 @@
     ReadRequest,
     Removed,
     SnapshotChunk,
+    TakeOver,
     VoteReply,
     VoteRequest,
 )
@@ -101,6 +105,8 @@
             count_votes(replica, now)
         case BarrierRequested(request_id=request_id):
             request_barrier(replica, request_id, now)
+        case TransferLeadership():
+            transfer_leadership(replica, now)
         case SnapshotTaken():
             take_snapshot(replica, event, now)
     _settle(replica, now, rng)
@@ -201,6 +207,8 @@
             receive_read_request(replica, message, now)
         case ReadReply():
             finish_read(replica, message.number, message.index, now)
+        case TakeOver():
+            take_over(replica, message, now)
         case Removed():
             become_removed(replica, now, rng)
 
--- a/packages/bendwind-node/src/bendwind_node/control/control_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/control_voter.py
@@ -1,5 +1,6 @@
 """Hold a control voter and answer those who use it."""
 
+import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -17,6 +18,7 @@
     Replica,
     ReplicaEvent,
     SaveSnapshot,
+    TransferLeadership,
 )
 from bendwind_core.timeline import Recorder
 from bendwind_node.control.voter_outcomes import (
@@ -109,6 +111,14 @@
             self.waiters.pop(request_id, None)
         return waiter.result
 
+    async def hand_over(self) -> None:
+        """Let another voter lead, before a planned stop; give up after an election timeout."""
+        limit = self.replica.settings.election_s
+        with trio.move_on_after(limit), contextlib.suppress(trio.BrokenResourceError):
+            while self.is_leader and self.stopped is None:
+                await self.inbox.send(TransferLeadership())
+                await trio.sleep(self.replica.settings.heartbeat_s)
+
     async def wait_applied(self, index: int) -> int:
         """Wait until a higher index is applied, and return it."""
         while self.applied <= index:
--- a/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
@@ -102,6 +102,9 @@
             for number in range(50):
                 applied = await deployment.propose(b"%d" % number)
                 self.assertEqual(applied.value, number + 1)
+            leader = await deployment.leader()
+            await leader.hand_over()
+            self.assertFalse(leader.is_leader)
             for name in NAMES:
                 await deployment.stop(name)
             for name in NAMES:
--- a/packages/bendwind-node/src/bendwind_node/control/voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter.py
@@ -11,6 +11,7 @@
   anywhere before the call is applied here, or Error(Unconfirmed | VoterStopped). The age of the
   state is the time since `started_at`. Many callers share one round.
 - `await voter.remove_voter(name)`: as propose.
+- `await voter.hand_over()`: before a planned stop, let another voter lead.
 - `await voter.wait_applied(index)`: wait until more than this index is applied.
 - `voter.applied`, `voter.leader_name`, `voter.status()`.
 
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/cluster_machine.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/cluster_machine.py
@@ -4,6 +4,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 import bendwind_core.core.tests.profiles  # noqa: F401
+from bendwind_core.consensus import TransferLeadership
 from bendwind_node.storage.tests.fake_cluster import FakeCluster
 from bendwind_node.storage.tests.fake_files import CrashError
 
@@ -134,6 +135,11 @@
             self.cluster.cut = {found[-1].name}
         self.cluster.swap_disk(name, 60)
 
+    @rule(which=WHICH, ticks=st.integers(0, 8))
+    def transfer_leadership(self, which, ticks):
+        self.cluster.members[self.name(which)].handle(TransferLeadership())
+        self.cluster.run_busy(ticks)
+
     @rule()
     def settle(self):
         self.cluster.settle()
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_consensus.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_consensus.py
@@ -1,6 +1,7 @@
 import unittest
 
-from bendwind_node.storage.tests.fake_cluster import FakeCluster
+from bendwind_core.consensus import TransferLeadership
+from bendwind_node.storage.tests.fake_cluster import SETTINGS, FakeCluster
 
 
 def form(seed: int, size: int = 3) -> FakeCluster:
@@ -69,6 +70,17 @@
         cluster.run_busy(60)
         cluster.settle()
 
+    def test_a_leader_that_stops_as_planned_is_followed_within_an_election_timeout(self):
+        for seed in range(8):
+            cluster = form(seed)
+            old = cluster.leaders()[-1]
+            cluster.run(10)
+            old.handle(TransferLeadership())
+            started = cluster.time
+            self.assertNotEqual(cluster.run_to_new_leader(), old.name)
+            self.assertLess(cluster.time - started, SETTINGS.election_s)
+            cluster.settle()
+
     def test_a_lone_voter_of_an_emptied_pair_forms_no_second_cluster(self):
         cluster = form(2)
         formed = cluster.members["c"].replica.hard.cluster
