--- a/packages/bendwind-node/src/bendwind_node/claims/tests/test_placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/tests/test_placer.py
@@ -4,7 +4,7 @@
 import trio
 import trio.testing
 
-from bendwind_core.claims import ClaimGroup, member_of
+from bendwind_core.claims import ClaimCopied, ClaimGroup, ClaimLeave, member_of
 from bendwind_core.world import Instance, Service
 from bendwind_node.claims.placer import ClaimPlacer, PlacementView
 
@@ -50,6 +50,33 @@
 
         self.run_with(check)
 
+    def test_replacement_is_a_member_only_after_its_copy(self):
+        async def check(placer):
+            group = await self.place(placer)
+            alive = tuple(node for node in NODES if member_of(node) != group.members[0])
+            copying = await self.place(placer, 5, alive=alive)
+            self.assertEqual(copying.members, group.members[1:])
+            placer.receive(ClaimCopied("emisor", copying.epoch - 1, copying.joining))
+            self.assertEqual(await self.place(placer, alive=alive), copying)
+            placer.receive(ClaimCopied("emisor", copying.epoch, copying.joining))
+            whole = await self.place(placer, alive=alive)
+            self.assertEqual(whole.members, (*copying.members, copying.joining))
+
+        self.run_with(check)
+
+    def test_leaving_member_goes_only_after_its_replacement_has_come(self):
+        async def check(placer):
+            leaving = (await self.place(placer)).members[0]
+            placer.receive(ClaimLeave(leaving))
+            for _ in range(3):
+                group = await self.place(placer)
+                self.assertGreaterEqual(len(group.members), 3)
+                if group.joining:
+                    placer.receive(ClaimCopied("emisor", group.epoch, group.joining))
+            self.assertNotIn(leaving, group.members)
+
+        self.run_with(check)
+
     def test_new_leader_drops_no_holder_before_nodes_had_time_to_return(self):
         # A leader that did was found by reading: it took unattached nodes for dead ones.
         async def check(placer):
