--- a/packages/bendwind-core/src/bendwind_core/claims/tests/cluster.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/tests/cluster.py
@@ -25,6 +25,7 @@
     apply_group_change,
     choose_claim_group,
     create_holder,
+    index_alive,
     member_of,
 )
 from bendwind_core.claims.entry import (
@@ -111,6 +112,8 @@
             case Recorded(answer):
                 expected = self.answers.get(call.key)
                 assert answer == expected, f"{answer} instead of {expected}"
+                runner = self.calls[answer.body.decode()]
+                assert runner.fingerprint == call.fingerprint, "answer to a different request"
                 self.returned[call.key] = answer
             case KeyConflict():
                 others = {c.fingerprint for c in self.calls.values() if c.key == call.key}
@@ -287,7 +290,7 @@
         chosen = choose_claim_group(
             SERVICE,
             group,
-            self.alive(),
+            index_alive(self.alive()),
             self.rng,
             leaving=self.leaving,
             copied=notice.joining if is_current else None,
@@ -323,6 +326,12 @@
                 self.commit(0)
             self.deliver_all()
 
+    def advance_until_lease_ends(self) -> None:
+        """Let control notice who is gone before it acts."""
+        for _ in range(round(CONTROL_LEASE / 0.25) + 1):
+            self.advance(0.25)
+            self.deliver_all()
+
     def change_group_at_once(self) -> None:
         """Let control act and be heard by every node before any other message arrives."""
         self.advance(0.02)
