--- a/packages/bendwind-core/src/bendwind_core/membership/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/__init__.py
@@ -48,9 +48,10 @@
     list_status,
     step_registry,
 )
+from bendwind_core.membership.renewal import step_view
 from bendwind_core.membership.settings import LeaseTimes
 from bendwind_core.membership.state import VoterRegistry
-from bendwind_core.membership.view import NodeView, create_node_view, step_view
+from bendwind_core.membership.view import NodeView, create_node_view
 
 __all__ = [
     "Announce",
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_renewal.py
@@ -2,8 +2,8 @@
 
 from bendwind_core.membership import ServiceWatched
 from bendwind_core.membership.attachment import order_voters
+from bendwind_core.membership.renewal import MAX_WATCHED
 from bendwind_core.membership.tests.fakes import PLACES, SERVICES, World
-from bendwind_core.membership.view import MAX_WATCHED
 from bendwind_core.world import Service
 
 
