daemon: a stopping leader hands its lead over

Cause: nothing called the voter's hand-over, so a planned stop of the leader left the others waiting out an election timeout.

--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -21,6 +21,7 @@
 DRAIN_NOTICE: Seconds = 1.0
 HAND_OVER_TIMEOUT: Seconds = 10.0
 DRAIN_TIMEOUT: Seconds = 60.0
+LEAD_TIMEOUT: Seconds = 2.0
 IDLE_POLL: Seconds = 0.02
 LEASE_POLL: Seconds = 0.5
 
@@ -103,6 +104,10 @@
     with trio.move_on_after(DRAIN_TIMEOUT):
         while _has_work(dispatcher):
             await trio.sleep(IDLE_POLL)
+    if dispatcher.control is not None:
+        # Otherwise the other voters wait out an election timeout without a leader.
+        with trio.move_on_after(LEAD_TIMEOUT):
+            await dispatcher.control.voter.hand_over()
     for name in tuple(dispatcher.owner.owned):
         dispatcher.owner.left(name)
     await trio.sleep(IDLE_POLL)
