attempts: an entry node dropped from a full table keeps a floor for its fences

Cause: found by a longer randomized run of the owner machine (500 examples of 80 steps): an entry node's record and a started attempt's fate were both dropped; the entry node came back with a fence of an older attempt, which set its floor below the started one; the next fence was answered never-started although that attempt had run. Change: what is dropped while its entry node is not in the table raises a common floor that a new record takes over for fences; hand-overs keep the floor they had, so quiet entry nodes still get in.

--- a/packages/bendwind-core/src/bendwind_core/attempts/attempt_log.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/attempt_log.py
@@ -23,11 +23,15 @@
 
 @dataclass(slots=True)
 class EntryPeer:
-    """Hold what is known of one entry node."""
+    """Hold what is known of one entry node.
+
+    `fence_floor` covers what was dropped while the entry node itself had been dropped.
+    """
 
     incarnation: int
     epoch: int = 0
     floor: int = 0
+    fence_floor: int = 0
 
 
 @dataclass(slots=True)
@@ -40,6 +44,7 @@
     ended: collections.deque[AttemptId] = field(default_factory=collections.deque)
     peers: collections.OrderedDict[str, EntryPeer] = field(default_factory=collections.OrderedDict)
     has_dropped_peers: bool = False
+    lost_floor: int = 0
 
 
 def meet_peer(log: AttemptLog, entry: str, incarnation: int, floor: int) -> EntryPeer | None:
@@ -53,11 +58,12 @@
     if peer is not None and peer.incarnation > incarnation:
         return None
     known_new = peer is not None or not log.has_dropped_peers
-    peer = EntryPeer(incarnation, floor=0 if known_new else floor)
+    peer = EntryPeer(incarnation, floor=0 if known_new else floor, fence_floor=log.lost_floor)
     log.peers[entry] = peer
     log.peers.move_to_end(entry)
     if len(log.peers) > log.peer_capacity:
-        log.peers.popitem(last=False)
+        _, dropped = log.peers.popitem(last=False)
+        log.lost_floor = max(log.lost_floor, dropped.floor, dropped.fence_floor)
         log.has_dropped_peers = True
     return peer
 
@@ -83,3 +89,5 @@
     peer = log.peers.get(oldest.entry)
     if peer is not None and peer.incarnation == oldest.incarnation:
         peer.floor = max(peer.floor, oldest.sequence)
+    elif peer is None or peer.incarnation < oldest.incarnation:
+        log.lost_floor = max(log.lost_floor, oldest.sequence)
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -241,7 +241,7 @@
             fence_waiting(desk, desk.waiting[attempt])
             return FenceVerdict.NEVER_STARTED
         case _:
-            if attempt.sequence <= peer.floor:
+            if attempt.sequence <= max(peer.floor, peer.fence_floor):
                 return FenceVerdict.FORGOTTEN
             record_ended(desk.log, attempt, Fate.NEVER_STARTED)
             return FenceVerdict.NEVER_STARTED
