--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.claims import ClaimLimits
 from bendwind_core.core import MILLISECONDS_PER_SECOND
 from bendwind_core.limits import ConcurrencyShare, ProbeBudget
 from bendwind_core.membership import (
@@ -22,11 +23,12 @@
 from bendwind_core.messages import Hello
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Upstream
+from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
-from bendwind_node.claims.task import GroupsPushed, create_claim_task
+from bendwind_node.claims import create_claim_task
 from bendwind_node.control.service import open_control
 from bendwind_node.daemon.dispatcher import Dispatcher
 from bendwind_node.daemon.listeners import Listeners, find_port
@@ -89,6 +91,11 @@
     )
 
 
+def _find_claim_limits(settings: Settings) -> ClaimLimits:
+    claims = settings.claims
+    return ClaimLimits(claims.retention_s, claims.keys, claims.key_bytes, claims.answer_bytes)
+
+
 def _build_node(daemon: Daemon, own: Instance, nursery: trio.Nursery, rng: random.Random) -> None:
     settings = daemon.settings
     recorder = daemon.recorder
@@ -101,7 +108,9 @@
     )
     dispatcher.membership = membership
     dispatcher.hub = _build_hub(daemon, own, membership)
-    dispatcher.claims = create_claim_task(own, names, dispatcher.send, membership.watch, recorder)
+    dispatcher.claims = create_claim_task(
+        own, names, dispatcher.send, membership.watch, recorder, _find_claim_limits(settings)
+    )
     measuring = settings.measuring
     budget = ProbeBudget(measuring.messages_per_s, measuring.bytes_per_s)
     dispatcher.owner = OwnerNode(
@@ -109,8 +118,7 @@
         recorder,
         nursery,
         settings.lease.lease_ms,
-        settings.limits.body_bytes,
-        daemon.body_budget,
+        AssemblyTable(settings.limits.body_bytes, daemon.body_budget),
         budget,
         lambda upstream: _announce(membership, upstream),
     )
@@ -178,4 +186,4 @@
                 dispatcher.entry.refresh_upstreams(service)
         case ClaimGroupsChanged():
             groups = tuple(dispatcher.membership.claim_groups.values())
-            dispatcher.claims.inbox.send_nowait(GroupsPushed(groups))
+            dispatcher.claims.learn_groups(groups)
