streams: short exchanges pass the scheduler less often

Cause: a profile of a call in the node shows a quarter of the samples in epoll and 15% in socket calls; trio yields after each successful send and reads once in vain before each wait. Change: callers', upstreams' and peers' streams write at once where the socket takes it and wait before they read. Processor time a call, own upstream, 2,200 sequential calls a row, old and new in turn, three rows each: 1.68 2.18 2.71 / 1.50 1.57 1.45 / 1.72 1.46 1.46 / 1.48 1.33 1.25 ms; medians 1.70 before, 1.47 after. Added p50 over a direct call: 1.85 before, 1.65 after (medians of the same rows).

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -13,6 +13,7 @@
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
+from bendwind_node.streams import PromptListener, PromptStream
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
 
@@ -48,9 +49,7 @@
 
     __slots__ = ("connection", "head", "is_aborted", "read_ahead", "request", "server", "stream")
 
-    def __init__(
-        self, server: "H11Server", stream: trio.SocketStream, connection: h11.Connection, head
-    ):
+    def __init__(self, server: "H11Server", stream: PromptStream, connection: h11.Connection, head):
         self.server = server
         self.stream = stream
         self.connection = connection
@@ -145,9 +144,10 @@
     async def run(self, listeners: list[trio.SocketListener], shutdown: trio.Event) -> None:
         """Accept until shut down; return when what is in flight has been answered."""
         async with trio.open_nursery() as serving:
+            prompt = [PromptListener(listener) for listener in listeners]
             async with trio.open_nursery() as accepting:
                 accepting.start_soon(
-                    partial(trio.serve_listeners, self._serve, listeners, handler_nursery=serving)
+                    partial(trio.serve_listeners, self._serve, prompt, handler_nursery=serving)
                 )
                 await shutdown.wait()
                 accepting.cancel_scope.cancel()
@@ -159,7 +159,7 @@
         for scope in self.idle:
             scope.deadline = min(scope.deadline, trio.current_time() + DRAIN_IDLE)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(self, stream: PromptStream) -> None:
         self.connections += 1
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.header_bytes)
         try:
@@ -174,13 +174,11 @@
         finally:
             self.connections -= 1
 
-    async def _refuse_connection(
-        self, stream: trio.SocketStream, connection: h11.Connection
-    ) -> None:
+    async def _refuse_connection(self, stream: PromptStream, connection: h11.Connection) -> None:
         await stream.send_all(_make_error(connection, _SERVICE_UNAVAILABLE, outcomes.NOT_RUN))
         await _linger(stream)
 
-    async def _serve_one(self, stream: trio.SocketStream, connection: h11.Connection) -> bool:
+    async def _serve_one(self, stream: PromptStream, connection: h11.Connection) -> bool:
         """Serve one request and tell whether the connection may carry another."""
         try:
             head = await self._read_head(stream, connection)
@@ -206,7 +204,7 @@
         return True
 
     async def _read_head(
-        self, stream: trio.SocketStream, connection: h11.Connection
+        self, stream: PromptStream, connection: h11.Connection
     ) -> h11.Request | None:
         is_first = True
         with trio.move_on_after(DRAIN_IDLE if self.is_draining else self.keep_alive) as scope:
@@ -249,7 +247,7 @@
     return head + connection.send(h11.EndOfMessage())
 
 
-async def _linger(stream: trio.SocketStream) -> None:
+async def _linger(stream: PromptStream) -> None:
     with trio.move_on_after(LINGER):
         try:
             await stream.send_eof()
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -9,6 +9,7 @@
 from bendwind_core.attempts import CutReason, Header, NotRunReason
 from bendwind_core.core import Seconds
 from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
+from bendwind_node.streams import PromptStream, open_prompt_stream
 
 KEEP_ALIVE: Seconds = 30.0
 # A request that must not be repeated goes over a connection that the upstream has not had time to
@@ -26,7 +27,7 @@
 class UpstreamConnection:
     """Hold one connection to the upstream."""
 
-    stream: trio.SocketStream
+    stream: PromptStream
     protocol: h11.Connection
     idle_since: Seconds = 0.0
     is_reused: bool = False
@@ -119,7 +120,7 @@
     async def _connect(self) -> UpstreamConnection | None:
         with trio.move_on_after(CONNECT_TIMEOUT):
             try:
-                stream = await trio.open_tcp_stream(self.host, self.port)
+                stream = await open_prompt_stream(self.host, self.port)
             except OSError:
                 return None
             protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -18,6 +18,7 @@
 from bendwind_core.world import Instance
 from bendwind_node.links.link import OUTBOX_MESSAGES, Link, Receiver
 from bendwind_node.security import Keys, read_identity
+from bendwind_node.streams import PromptListener, open_prompt_stream
 
 DIAL_TIMEOUT_S: Seconds = 1.0
 # The dialer alone looks after a link. What hangs on it has deadlines of its own.
@@ -101,7 +102,7 @@
             self.nursery = nursery
             await serve(
                 self._accept,
-                listeners=listeners,
+                listeners=[PromptListener(listener) for listener in listeners],
                 ssl=None if self.keys is None else self.keys.server,
                 compression=None,
                 ping_interval=None,
@@ -148,8 +149,11 @@
         secure = None if self.keys is None else self.keys.client
         scheme = "ws" if secure is None else "wss"
         try:
+            with trio.fail_after(DIAL_TIMEOUT_S):
+                stream = await open_prompt_stream(address.host, address.port)
             async with connect(
                 f"{scheme}://{address.host}:{address.port}/",
+                stream=stream,
                 ssl=secure,
                 server_hostname=None if secure is None else peer,
                 compression=None,
@@ -166,7 +170,13 @@
                     hello = await self._receive_hello(socket)
                 if hello is not None and hello.sender.name == peer:
                     await self._carry(socket, hello, epoch, is_dialed=True)
-        except (OSError, ConnectionClosed, InvalidHandshake, trio.BrokenResourceError) as error:
+        except (
+            OSError,
+            trio.TooSlowError,
+            ConnectionClosed,
+            InvalidHandshake,
+            trio.BrokenResourceError,
+        ) as error:
             self._note_unreached(peer, error)
         finally:
             unsent = self.dialing.pop(peer, None)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/streams/prompt_stream.py
@@ -0,0 +1,93 @@
+"""Wrap trio's TCP streams so that a short exchange passes the scheduler less often.
+
+trio's `send_all` yields to the scheduler after a successful send, and `receive_some` tries a read
+that mostly finds nothing before it waits. On a call that sends and receives a few hundred bytes
+four times, these are a good part of its processor time. Here data is written at once where the
+socket takes it, and a read waits first. Every receive still yields, so no task holds up others.
+"""
+
+import os
+
+import trio
+
+RECEIVE_BYTES = 64 * 1024
+
+
+class PromptStream(trio.abc.HalfCloseableStream):
+    """Carry bytes over a connected TCP socket."""
+
+    __slots__ = ("inner", "socket")
+
+    def __init__(self, inner: trio.SocketStream):
+        self.inner = inner
+        self.socket = inner.socket
+
+    async def send_all(self, data: bytes) -> None:
+        """Send all data."""
+        sent = self._send_now(data)
+        if sent < len(data):
+            await self.inner.send_all(memoryview(data)[sent:])
+
+    def _send_now(self, data: bytes) -> int:
+        try:
+            return os.write(self._find_number(), data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+    def _find_number(self) -> int:
+        number = self.socket.fileno()
+        if number < 0:
+            raise trio.ClosedResourceError
+        return number
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until the socket takes data."""
+        await self.inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return the bytes that are there, empty at the end of the stream."""
+        while True:
+            self._find_number()
+            await trio.lowlevel.wait_readable(self.socket)
+            try:
+                return os.read(self._find_number(), max_bytes or RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise trio.BrokenResourceError(str(error)) from error
+
+    async def send_eof(self) -> None:
+        """End the sending direction."""
+        await self.inner.send_eof()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self.inner.aclose()
+
+
+class PromptListener(trio.abc.Listener):
+    """Accept connections as prompt streams."""
+
+    __slots__ = ("inner", "socket")
+
+    def __init__(self, inner: trio.SocketListener):
+        self.inner = inner
+        self.socket = inner.socket
+
+    async def accept(self) -> PromptStream:
+        """Wait for a connection."""
+        return PromptStream(await self.inner.accept())
+
+    async def aclose(self) -> None:
+        """Stop listening."""
+        await self.inner.aclose()
+
+
+async def open_prompt_stream(host: str, port: int) -> PromptStream:
+    """Connect to an address.
+
+    Errors: raises OSError.
+    """
+    return PromptStream(await trio.open_tcp_stream(host, port))
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/streams/tests/test_prompt_stream.py
@@ -0,0 +1,88 @@
+import unittest
+
+import trio
+import trio.testing
+
+from bendwind_node.calls.tests.scripted_server import reset
+from bendwind_node.streams import PromptListener, PromptStream, open_prompt_stream
+
+
+async def make_pair():
+    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    client = await open_prompt_stream("127.0.0.1", listener.socket.getsockname()[1])
+    server = await PromptListener(listener).accept()
+    await listener.aclose()
+    return client, server
+
+
+class TestPromptStream(unittest.TestCase):
+    def test_half_closed_stream_still_receives(self):
+        async def main():
+            client, server = await make_pair()
+            await client.send_all(b"question")
+            await client.send_eof()
+            received = b""
+            while data := await server.receive_some(3):
+                received += data
+            await server.send_all(b"answer")
+            await server.aclose()
+            self.assertEqual(received, b"question")
+            self.assertEqual(await client.receive_some(), b"answer")
+            self.assertEqual(await client.receive_some(), b"")
+
+        trio.run(main)
+
+    def test_close_wakes_a_waiting_receive(self):
+        async def receive(stream):
+            with self.assertRaises(trio.ClosedResourceError):
+                await stream.receive_some()
+
+        async def main():
+            client, _server = await make_pair()
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(receive, client)
+                    await trio.testing.wait_all_tasks_blocked()
+                    await client.aclose()
+                with self.assertRaises(trio.ClosedResourceError):
+                    await client.send_all(b"x")
+
+        trio.run(main)
+
+    def test_every_receive_lets_other_tasks_run(self):
+        async def main():
+            client, server = await make_pair()
+            await client.send_all(b"xy")
+            with trio.testing.assert_checkpoints():
+                await server.receive_some(1)
+            with trio.testing.assert_checkpoints():
+                await server.receive_some(1)
+
+        trio.run(main)
+
+    def test_long_data_passes_a_slow_reader_whole(self):
+        async def main():
+            client, server = await make_pair()
+            sent = bytes(range(256)) * 40_000
+            received = bytearray()
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(client.send_all, sent)
+                    while len(received) < len(sent):
+                        received += await server.receive_some(100_000)
+            self.assertEqual(received, sent)
+
+        trio.run(main)
+
+    def test_reset_connection_is_broken_for_both_directions(self):
+        async def main():
+            client, server = await make_pair()
+            reset(server.inner)
+            with trio.fail_after(20):
+                with self.assertRaises(trio.BrokenResourceError):
+                    await client.receive_some(1)
+                with self.assertRaises(trio.BrokenResourceError):
+                    await client.send_all(b"x")
+            self.assertIsInstance(client, PromptStream)
+
+        trio.run(main)
