--- a/packages/bendwind-bench/src/bendwind_bench/experiments/added_latency.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/added_latency.py
@@ -2,7 +2,6 @@
 
 from bendwind_bench.campaign import Campaign
 from bendwind_bench.deployment import Deployment, ServiceDescription
-from bendwind_bench.experiments.result import Check
 from bendwind_bench.experiments.scene import (
     Measured,
     describe_scene,
@@ -10,6 +9,7 @@
     run_scene,
 )
 from bendwind_bench.load import RequestKind
+from bendwind_bench.reports.result import Check
 
 TITLE = "Latency added to a call"
 ABOUT = (
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/fast_failure.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/fast_failure.py
@@ -1,11 +1,11 @@
 """Measure what callers see of an upstream that fails fast."""
 
 from bendwind_bench.campaign import Campaign
-from bendwind_bench.experiments.result import Check
 from bendwind_bench.experiments.scene import MILLI, Measured, describe_scene, run_scene
 from bendwind_bench.experiments.slowdown import KINDS, POLICIES, RATE, SERVICE, write_intent
 from bendwind_bench.operators import apply_intent
 from bendwind_bench.reports.plot import Span
+from bendwind_bench.reports.result import Check
 from bendwind_bench.upstream import Change
 
 TITLE = "Errors that callers see while an upstream fails fast"
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/measuring.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/measuring.py
@@ -5,10 +5,10 @@
 
 from bendwind_bench.campaign import Campaign
 from bendwind_bench.deployment import Deployment, ServiceDescription
-from bendwind_bench.experiments.result import Check
 from bendwind_bench.experiments.scene import MILLI, Measured, describe_scene, run_phase, run_scene
 from bendwind_bench.load import RequestKind
 from bendwind_bench.operators import read_metrics
+from bendwind_bench.reports.result import Check
 from bendwind_core.attempts import AttemptId, NotRun, NotRunReason
 from bendwind_core.messages import PeerMessage, decode_message, encode_message
 from bendwind_core.routing import LoadProbe, LoadReport
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/overload.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/overload.py
@@ -2,9 +2,9 @@
 
 from bendwind_bench.campaign import Campaign
 from bendwind_bench.deployment import ServiceDescription
-from bendwind_bench.experiments.result import Check
 from bendwind_bench.experiments.scene import Measured, describe_scene, run_scene
 from bendwind_bench.load import RequestKind
+from bendwind_bench.reports.result import Check
 
 TITLE = "Goodput and memory under ten times overload"
 ABOUT = (
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/run.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/run.py
@@ -5,9 +5,9 @@
 import platform
 import subprocess
 
-from bendwind_bench.experiments.result import FOLDER, Result, write_result
 from bendwind_bench.reports.page import print_result, write_page
 from bendwind_bench.reports.plot import write_plot
+from bendwind_bench.reports.result import FOLDER, Result, write_result
 
 EXPERIMENTS = {
     "added-latency": "added_latency",
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/slowdown.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/slowdown.py
@@ -4,11 +4,11 @@
 
 from bendwind_bench.campaign import Campaign
 from bendwind_bench.deployment import ServiceDescription
-from bendwind_bench.experiments.result import Check
 from bendwind_bench.experiments.scene import MILLI, Measured, describe_scene, run_scene
 from bendwind_bench.load import RequestKind
 from bendwind_bench.operators import apply_intent
 from bendwind_bench.reports.plot import Span
+from bendwind_bench.reports.result import Check
 from bendwind_bench.upstream import Change
 
 TITLE = "Tail latency while an upstream slows tenfold"
--- a/packages/bendwind-bench/src/bendwind_bench/reports/page.py
+++ b/packages/bendwind-bench/src/bendwind_bench/reports/page.py
@@ -3,8 +3,8 @@
 import statistics
 from pathlib import Path
 
-from bendwind_bench.experiments.result import FOLDER, Result, read_results
 from bendwind_bench.reports.number import format_number
+from bendwind_bench.reports.result import FOLDER, Result, read_results
 
 PAGE = Path("docs/MEASUREMENTS.md")
 _HEAD = """# Measurements
--- a/packages/bendwind-bench/src/bendwind_bench/reports/tests/test_reports.py
+++ b/packages/bendwind-bench/src/bendwind_bench/reports/tests/test_reports.py
@@ -1,8 +1,8 @@
 import unittest
 
-from bendwind_bench.experiments.result import Check, Result
 from bendwind_bench.load import Outcome, Sample
 from bendwind_bench.reports import summarize
+from bendwind_bench.reports.result import Check, Result
 
 
 def make_sample(latency_ms, outcome=Outcome.WHOLE):
