--- a/packages/bendwind-bench/src/bendwind_bench/experiments/slowdown.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/slowdown.py
@@ -17,15 +17,20 @@
     "to all nodes by turns. After each pause of 0.5 to 1.5 s one upstream, drawn at random, serves "
     "ten times slower for 20 to 500 ms, also what it is serving. Every policy sees the same "
     "arrivals and the same slow-downs, one after the other in each run. `direct` draws an upstream "
-    "at random with no node between."
+    "at random with no node between. `score, hedged` lets the service hedge after 2.5 mean service "
+    "times, within the same retry budget of one in ten."
 )
+HEDGED = "score, hedged"
 CHECKS = [
     Check("p99 of score / round-robin", "score/p99 ms", 0.4, "round-robin/p99 ms"),
     Check("p99 of score / least-in-flight", "score/p99 ms", 0.7, "least-in-flight/p99 ms"),
+    Check("p99 of score, hedged / round-robin", f"{HEDGED}/p99 ms", 0.4, "round-robin/p99 ms"),
+    Check("p99 of score, hedged / no slow-down", f"{HEDGED}/p99 ms", 1.3, "no slow-down/p99 ms"),
     Check("p99 of score / with no slow-down", "score/p99 ms", 1.3, "no slow-down/p99 ms"),
 ]
-POLICIES = ("score", "least-in-flight", "round-robin", "random")
+POLICIES = ("score", HEDGED, "least-in-flight", "round-robin", "random")
 UPSTREAMS, SLOTS, SERVICE_MS = 4, 6, 40.0
+HEDGE_AFTER = 2.5
 SECONDS = 10.0
 LOAD = 0.6
 RATE = LOAD * UPSTREAMS * SLOTS * MILLI / SERVICE_MS
@@ -35,9 +40,11 @@
 
 def write_intent(policy: str) -> str:
     """Write the intent of the one service with a policy."""
+    hedge = f"hedge_after_ms = {HEDGE_AFTER * SERVICE_MS}\n" if policy == HEDGED else ""
+    policy = "score" if policy == HEDGED else policy
     return (
         '[[services]]\nname = "statusdesk"\nupstreams = ["statusdesk-*"]\n'
-        f'longest_wait_ms = 10000\npolicy = "{policy}"\n'
+        f'longest_wait_ms = 10000\npolicy = "{policy}"\n{hedge}'
     )
 
 
@@ -55,7 +62,9 @@
 
 def make_campaign(policy: str, seed: int, **keys) -> Campaign:
     """Make the load that every policy meets."""
-    return Campaign(policy.replace(" ", "-"), RATE, SECONDS, KINDS, seed=seed, **keys)
+    return Campaign(
+        policy.replace(", ", "-").replace(" ", "-"), RATE, SECONDS, KINDS, seed=seed, **keys
+    )
 
 
 async def run_once(seed: int, direct: bool) -> Measured:
