calls: a fence near the deadline is no error of its upstream

Change: an unknown result is noted when the link breaks; a finished call clears its attempts. The new test fails with the old note (0.1 != 0.0).

--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -22,7 +22,7 @@
 )
 from bendwind_core.attempts import events as ev
 from bendwind_core.attempts.attempt_ids import AttemptIds
-from bendwind_core.attempts.call import find_attempt
+from bendwind_core.attempts.call import Attempt, find_attempt
 from bendwind_core.claims import ClaimAnswer, ClaimState
 from bendwind_core.claims.messages import MAX_KEPT_ANSWER_BYTES
 from bendwind_core.core import Seconds
@@ -128,19 +128,22 @@
 
     def link_closed(self, link: Link) -> None:
         """Hear that a link to an owner node broke."""
+        now = trio.current_time()
         for run, attempt in self._find_attempts_at(link.peer.name):
-            run.feed(ev.OwnerLost(attempt))
+            table = self.desks[run.call.service.name].table
+            note_unknown(table, attempt.upstream.name, attempt.id, now)
+            run.feed(ev.OwnerLost(attempt.id))
 
     def has_attempts_at(self, owner: str) -> bool:
         """Tell whether a call under way has an attempt at this owner."""
         return bool(self._find_attempts_at(owner))
 
-    def _find_attempts_at(self, owner: str) -> list[tuple[CallRun, AttemptId]]:
+    def _find_attempts_at(self, owner: str) -> list[tuple[CallRun, Attempt]]:
         found = []
         for sequence, run in self.runs.items():
             for attempt in run.call.attempts:
                 if attempt.id.sequence == sequence and attempt.upstream.owner.name == owner:
-                    found.append((run, attempt.id))
+                    found.append((run, attempt))
         return found
 
     def dial_failed(self, unsent: tuple[PeerMessage, ...]) -> None:
@@ -259,7 +262,6 @@
                 note_cancelled(desk.table, upstream.name, attempt, trio.current_time())
                 self.send(upstream.owner.name, Cancel(attempt, upstream.name))
             case ev.SendFence(attempt=attempt, upstream=upstream):
-                note_unknown(desk.table, upstream.name, attempt, trio.current_time())
                 fence = Fence(attempt, upstream.owner.incarnation, upstream.name)
                 if not self.send(upstream.owner.name, fence):
                     run.feed(ev.FenceFailed(attempt))
@@ -335,8 +337,11 @@
 
     def forget(self, run: CallRun) -> None:
         """Drop a finished call: later messages for its attempts are late."""
+        table = self.desks[run.call.service.name].table
+        now = trio.current_time()
         for attempt in run.call.attempts:
             self.runs.pop(attempt.id.sequence, None)
+            note_cancelled(table, attempt.upstream.name, attempt.id, now)
             outflow = run.outflows.get(attempt.id)
             if outflow is not None:
                 outflow.lose()
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -120,6 +120,21 @@
 
         self.run_with(self.answer_ok, check)
 
+    def test_fence_near_the_deadline_is_no_error_of_the_upstream(self):
+        # Each fence counted as one, and an attempt whose link broke stayed outstanding for good.
+        async def wait(stream, data):
+            await trio.sleep_forever()
+
+        async def check(bench, port):
+            announce(bench.add_owner("other"), port)
+            exchange = make_exchange(POST, b"x", bendwind_timeout_ms="100")
+            done = await bench.call(exchange)
+            self.assertEqual(done.headers[b"bendwind-outcome"], b"unknown")
+            view = bench.entry.desks["svc"].table.views["svc-1"]
+            self.assertEqual((view.error_rate, len(view.outstanding)), (0.0, 0))
+
+        self.run_with(wait, check)
+
     def test_link_lost_after_the_start_is_unknown_for_a_marked_request(self):
         go_on = trio.Event()
 
