capacity: the design of the measured run stands in the result; renewals, held calls, many watchers

Change: the result holds the design's bounds and durations. Adopted from where they are measured: renewals over real links, memory of claims, plans.

--- a/packages/bendwind-bench/src/bendwind_bench/capacity/model/events.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/model/events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from bendwind_bench.capacity.model.roles import exchange_us, push_us
+from bendwind_bench.capacity.model.roles import attached_us, push_us
 from bendwind_bench.capacity.model.sizes import (
     APART_S,
     DATA_CENTRE,
@@ -12,7 +12,6 @@
     Size,
 )
 from bendwind_bench.capacity.result import CapacityResult
-from bendwind_core.membership import LeaseTimes
 
 US_PER_SECOND = 1e6
 _CUT_OFF_CENTRES = 2
@@ -53,7 +52,7 @@
 
 def _settle_after_loss(result: CapacityResult, size: Size, pushes: float) -> float:
     """Return lease plus the time that one voter needs for its share of the pushes."""
-    return LeaseTimes().lease + pushes / size.voters * push_us(result) / US_PER_SECOND
+    return size.lease_s + pushes / size.voters * push_us(result) / US_PER_SECOND
 
 
 def _ordinary_day(result: CapacityResult, size: Size) -> EventCost:
@@ -109,7 +108,7 @@
         pushes * size.voters,
         pushes + moved,
         busy,
-        LeaseTimes().lease + busy,
+        size.lease_s + busy,
         "its own callers nothing until they turn elsewhere; others as with a rack, and a seventh "
         "less capacity",
         "configuration: a quorum is left; at most once: one member of each group at most is gone",
@@ -121,13 +120,17 @@
     links = DATA_CENTRE / size.voters
     busy = result.figures["data_centre_returned_processor_s"]
     busy += pushes * result.slopes["exchange_server_us"].slope / 2 / US_PER_SECOND
-    busy += links * (result.slopes["link_accept_us"].slope + exchange_us(result)) / US_PER_SECOND
+    busy += (
+        links
+        * (result.slopes["link_accept_us"].slope + attached_us(result, size.heartbeat_s))
+        / US_PER_SECOND
+    )
     return EventCost(
         f"The data centre of {DATA_CENTRE} returns",
         pushes * size.voters + 4.0 * DATA_CENTRE,
         pushes + 4 * links,
         busy,
-        LeaseTimes().heartbeat + busy,
+        size.heartbeat_s + busy,
         "nothing: upstreams that come are ramped up as cold",
         "never an older configuration: a node serves only from a quorum's confirmation",
     )
@@ -166,7 +169,7 @@
         messages,
         share,
         share * push_us(result) / US_PER_SECOND,
-        LeaseTimes().heartbeat + share * push_us(result) / US_PER_SECOND,
+        size.heartbeat_s + share * push_us(result) / US_PER_SECOND,
         "calls are served again from the first confirmed heartbeat on",
         "never an older configuration: what changed is pushed before the confirmation counts",
     )
--- a/packages/bendwind-bench/src/bendwind_bench/capacity/pure/adopted.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/pure/adopted.py
@@ -4,15 +4,21 @@
 from collections.abc import Mapping
 
 from bendwind_bench import slopes_plans
-from bendwind_bench.capacity.slope import Slope, fit
+from bendwind_bench.capacity.slope import Slope, fit, time_median
 from bendwind_bench.slopes_membership.node import measure_nodes
+from bendwind_bench.slopes_membership.scene import attach, build_scene, make_instance, settle
 from bendwind_bench.slopes_membership.slope import Slope as Measured
 from bendwind_bench.slopes_membership.voter import (
     measure_data_centre,
     measure_registries,
     measure_watchers,
+    push_service,
 )
 
+MANY_WATCHERS = (500, 1_000, 2_000, 4_000)
+_OTHER_NODES = 1_500
+_FIRST_WATCHER = 50_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Kind:
@@ -74,6 +80,23 @@
     return _adopt(measured, _MEMBERSHIP), figures
 
 
+def measure_many_watchers() -> dict[str, Slope]:
+    """Measure a change of one service with thousands of nodes that watch it at one voter."""
+    times = []
+    for count in MANY_WATCHERS:
+        scene = build_scene(_OTHER_NODES)
+        service = scene.services[0]
+        for index in range(count):
+            node = make_instance(_FIRST_WATCHER + index)
+            scene.watched[node.name] = (service,)
+            attach(scene, node)
+        settle(scene)
+        watchers = len(scene.registry.services[service].watchers)
+        times.append((watchers, time_median(lambda s=scene, n=service: push_service(s, n))))
+    title = "Voter's time for a changed service with thousands of watchers"
+    return {"change_many_us": fit(title, "us", "watcher", times)}
+
+
 def measure_plans() -> tuple[dict[str, Slope], dict[str, float]]:
     """Measure the state of the control log by services and by remembered plans."""
     measured = slopes_plans.measure_services() | slopes_plans.measure_outcomes()
--- a/packages/bendwind-bench/src/bendwind_bench/capacity/result.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/result.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bendwind_bench.capacity.design import Design
 from bendwind_bench.capacity.pure.codec import MessageKind
 from bendwind_bench.capacity.slope import Slope
 
@@ -24,6 +25,7 @@
     note: str
     is_trial: bool
     seconds: float
+    design: Design
     slopes: dict[str, Slope]
     figures: dict[str, float]
     kinds: tuple[MessageKind, ...]
--- a/packages/bendwind-bench/src/bendwind_bench/capacity/run.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/run.py
@@ -8,7 +8,12 @@
 
 import trio
 
-from bendwind_bench.capacity.pure.adopted import measure_membership, measure_plans
+from bendwind_bench.capacity.design import read_design
+from bendwind_bench.capacity.pure.adopted import (
+    measure_many_watchers,
+    measure_membership,
+    measure_plans,
+)
 from bendwind_bench.capacity.pure.calls import measure_calls as measure_decisions
 from bendwind_bench.capacity.pure.claims import measure_claims
 from bendwind_bench.capacity.pure.codec import measure_bodies, measure_kinds
@@ -18,6 +23,7 @@
 from bendwind_bench.capacity.real.calls import measure_calls
 from bendwind_bench.capacity.real.fleet import measure_fleets
 from bendwind_bench.capacity.real.links import measure_links
+from bendwind_bench.capacity.real.renewals import measure_renewals
 from bendwind_bench.capacity.result import CapacityResult, write_result
 from bendwind_bench.capacity.slope import Slope
 
@@ -33,6 +39,7 @@
         note=note,
         is_trial=is_trial,
         seconds=0.0,
+        design=read_design(),
         slopes={},
         figures={},
         kinds=(),
@@ -55,6 +62,10 @@
     print(f"measured: {', '.join([*slopes, *(figures or ())])}", flush=True)
 
 
+async def _take_later(result: CapacityResult, measure) -> None:
+    _take(result, await measure())
+
+
 def _measure_pure(result: CapacityResult) -> None:
     result.kinds = measure_kinds()
     _take(result, measure_bodies())
@@ -64,11 +75,15 @@
     _take(result, *measure_plans())
     _take(result, measure_proposals() | measure_log(), measure_idle_log())
     _take(result, *measure_membership())
+    _take(result, measure_many_watchers())
 
 
 async def _measure_real(result: CapacityResult) -> None:
     _take(result, {}, await measure_imports())
-    _take(result, await measure_links())
+    # Both count processor time and memory only, so that they may run side by side.
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_take_later, result, measure_links)
+        nursery.start_soon(_take_later, result, measure_renewals)
     _take(result, *await measure_calls())
     _take(result, await measure_fleets())
 
