--- a/packages/bendwind-bench/src/bendwind_bench/experiments/result.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/result.py
@@ -6,7 +6,6 @@
 import msgspec
 
 FOLDER = Path("docs/measurements")
-MILLI = 1000.0
 # Written by the measurements behind docs/CAPACITY.md.
 _NOT_EXPERIMENTS = frozenset({"capacity.json"})
 
