--- a/packages/bendwind-bench/src/bendwind_bench/capacity/findings.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/findings.py
@@ -106,12 +106,13 @@
     upstreams = worst * size.per_service
     state = result.slopes["node_memory"].at(upstreams)
     return (
-        f"**Watches only grow.** A node watches any service that its callers name, up to "
-        f"{result.design.watched_most}, and never stops. Were callers to spread every service over "
-        f"every node, it would hold {upstreams:.0f} upstreams, {number(state / BYTES_PER_MB)} MB, "
-        f"and {number(worst * min(result.design.subset, size.per_service))} links each way. What "
-        "would change: an idle time after which a service is left, and entry by a node that "
-        "serves or calls the service anyway."
+        f"**Watches only grow.** A node watches each service that its callers name, up to "
+        f"{result.design.watched_most}, and leaves none that exists; a further service is unknown "
+        "to it. Were callers to spread every service over every node, it would hold "
+        f"{upstreams:.0f} upstreams, {number(state / BYTES_PER_MB)} MB, and up to "
+        f"{number(worst * min(result.design.subset, size.per_service))} links each way, as far as "
+        f"these are used within {result.design.idle_link_s:g} s. What would change: an idle time "
+        "after which a service is left, and entry by a node that serves or calls the service."
     )
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/capacity/real/fleet.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/real/fleet.py
@@ -15,6 +15,7 @@
     run_deployment,
 )
 from bendwind_bench.http import send_json
+from bendwind_bench.load import RequestKind
 from bendwind_bench.operators import apply_intent
 from bendwind_core.timeline import EventKind
 
@@ -65,7 +66,8 @@
     fleet = Fleet(nodes)
     async with run_deployment(describe_fleet(nodes)) as deployment:
         await apply_intent(deployment, make_intent(2000))
-        await deployment.wait_upstreams_known([_SERVICE])
+        if not await deployment.wait_served([RequestKind(_SERVICE, "/")]):
+            raise AssertionError(f"{nodes} nodes did not come to serve")
         await trio.sleep(SETTLE_S)
         leader = await _find_leader(deployment)
         await _measure_idle(deployment, leader, fleet)
--- a/packages/bendwind-bench/src/bendwind_bench/capacity/run.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/run.py
@@ -27,10 +27,11 @@
 from bendwind_bench.capacity.result import CapacityResult, write_result
 from bendwind_bench.capacity.slope import Slope
 
+_STARTED = time.monotonic()
+
 
 def run_capacity(note: str, is_trial: bool) -> None:
     """Measure, then write the result."""
-    started = time.monotonic()
     result = CapacityResult(
         measured_on=f"Python {platform.python_version()} ({platform.machine()})",
         commit=_read_commit(),
@@ -47,7 +48,7 @@
     _measure_pure(result)
     trio.run(_measure_real, result)
     _derive(result)
-    result.seconds = time.monotonic() - started
+    result.seconds = time.monotonic() - _STARTED
     write_result(result)
 
 
@@ -59,7 +60,8 @@
 def _take(result: CapacityResult, slopes: dict[str, Slope], figures=None) -> None:
     result.slopes |= slopes
     result.figures |= figures or {}
-    print(f"measured: {', '.join([*slopes, *(figures or ())])}", flush=True)
+    names = ", ".join([*slopes, *(figures or ())])
+    print(f"[{time.monotonic() - _STARTED:5.1f} s] measured {names}", flush=True)
 
 
 async def _take_later(result: CapacityResult, measure) -> None:
