--- a/packages/bendwind-bench/src/bendwind_bench/capacity/real/fleet.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/real/fleet.py
@@ -11,6 +11,7 @@
 from bendwind_bench.deployment import (
     Deployment,
     DeploymentDescription,
+    Member,
     ServiceDescription,
     run_deployment,
 )
@@ -24,7 +25,8 @@
 SETTLE_S = 2.0
 IDLE_S = 5.0
 CHANGES = 3
-MILLI = 1000.0
+APPLIED_WITHIN_S = 20.0
+POLL_S = 0.1
 _SERVICE = "service"
 
 
@@ -102,28 +104,31 @@
 async def _measure_change(deployment: Deployment, wait_ms: int) -> float:
     """Return the time from the request to confirm until the last node applied the version."""
     version = await apply_intent(deployment, make_intent(wait_ms))
-    asked_ms = await _read_event(
-        deployment.layout.voters, EventKind.PLAN_CONFIRMED, lambda event: True, newest=True
-    )
-    applied = [
-        await _read_event((member,), EventKind.CONFIGURATION_APPLIED, _is_version(version))
-        for member in deployment.layout.members
+    confirmed = [
+        time_ms
+        for voter in deployment.layout.voters
+        for time_ms in await _read_events(voter, EventKind.PLAN_CONFIRMED)
     ]
-    return max(applied) - asked_ms
-
-
-def _is_version(version: int):
-    return lambda event: event["detail"] == str(version)
-
-
-async def _read_event(members, kind: EventKind, is_wanted, newest: bool = False) -> float:
-    times = []
-    for member in members:
-        path = f"/v1/timeline?kind={kind.name}&limit=50"
-        answer = await send_json(member.operators_address, "GET", path)
-        events = msgspec.json.decode(answer.body)["events"]
-        times += [event["physical_ms"] for event in events if is_wanted(event)]
-    return float(max(times) if newest else min(times))
+    applied = [await _wait_applied(member, version) for member in deployment.layout.members]
+    return max(applied) - max(confirmed)
+
+
+async def _wait_applied(member: Member, version: int) -> float:
+    """Return when a node applied a version; a voter's status tells of it before its node does."""
+    with trio.fail_after(APPLIED_WITHIN_S):
+        while True:
+            times = await _read_events(member, EventKind.CONFIGURATION_APPLIED, str(version))
+            if times:
+                return min(times)
+            await trio.sleep(POLL_S)
+
+
+async def _read_events(member: Member, kind: EventKind, detail: str | None = None) -> list[float]:
+    path = f"/v1/timeline?kind={kind.name}&limit=50"
+    answer = await send_json(member.operators_address, "GET", path)
+    events = msgspec.json.decode(answer.body)["events"]
+    wanted = [event for event in events if detail is None or event["detail"] == detail]
+    return [float(event["physical_ms"]) for event in wanted]
 
 
 async def _measure_lone(deployment: Deployment, fleet: Fleet) -> None:
