--- a/packages/bendwind-bench/src/bendwind_bench/capacity/findings.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/findings.py
@@ -78,13 +78,19 @@
     cost = cost_of_holder(result, size)
     per_second = design.claims / design.claim_retention_s
     wanted = claims_kept(result, size)
+    today = ", ".join(
+        f"{other.title.split()[0]} {compare(claims_kept(result, other), design.claims)}"
+        for other in SIZES
+        if not other.is_set_aside
+    )
     return (
         f"**Claims.** A service's group keeps {design.claims} claims for "
         f"{design.claim_retention_s / SECONDS_PER_HOUR:g} h, so it takes {number(per_second)} new "
         "keys a second for good; then it is full and refuses as not run. With "
         f"{size.keyed:.0%} of calls keyed a service brings {number(size.claims_per_s)} a second: "
-        f"{compare(wanted, design.claims)}, and its primary spends {number(cost.cpu_percent)}% of "
-        f"a core ({compare(cost.cpu_percent, CONTROL.cpu_percent)} of {CONTROL.cpu_percent}%). "
+        f"{compare(wanted, design.claims)} (today, as assumed: {today}). Its primary spends "
+        f"{number(cost.cpu_percent)}% of a core: {compare(cost.cpu_percent, CONTROL.cpu_percent)} "
+        f"of {CONTROL.cpu_percent}%. "
         "What would change: a group for each part of a service's keys, by hash over all its "
         "nodes, and a retention in the order of the longest resend, stated by the service."
     )
--- a/packages/bendwind-bench/src/bendwind_bench/capacity/model/events.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/model/events.py
@@ -55,6 +55,11 @@
     return size.lease_s + pushes / size.voters * push_us(result) / US_PER_SECOND
 
 
+def _settle_after_push(result: CapacityResult, size: Size) -> float:
+    """Return the time that a voter needs to push one change to its share of the watchers."""
+    return size.watchers / size.voters * push_us(result) / US_PER_SECOND
+
+
 def _ordinary_day(result: CapacityResult, size: Size) -> EventCost:
     events = 3 * size.restarts_per_day + 2 * size.failures_per_day
     messages = _pushes(size, events)
@@ -78,7 +83,7 @@
         messages,
         messages / size.voters,
         messages / size.voters * push_us(result) / US_PER_SECOND,
-        _settle_after_loss(result, size, size.watchers),
+        _settle_after_push(result, size),
         "nothing: each is drained first",
         "a leaving upstream gets nothing new: its owner refuses before anyone has heard",
     )
--- a/packages/bendwind-bench/src/bendwind_bench/capacity/model/roles.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/model/roles.py
@@ -17,6 +17,7 @@
 class Cost:
     """Hold what one role costs one process.
 
+    `state_needed` is how many entries its state would have to hold, where `state_most` bounds it.
     Units: messages and bytes a second, percent of a core, bytes of memory.
     """
 
@@ -30,6 +31,8 @@
     bytes_per_s: float
     limits: Limits
     mechanism: str
+    state_needed: float = 0.0
+    state_most: float = 0.0
 
 
 def list_costs(result: CapacityResult, size: Size) -> list[Cost]:
@@ -189,6 +192,8 @@
         rate * result.slopes["claim_primary_bytes"].at(members),
         CONTROL,
         f"group of {members} in different data centres for each service, all copies in memory",
+        wanted,
+        float(design.claims),
     )
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/capacity/page.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/page.py
@@ -34,7 +34,7 @@
 
 def _list_places(result: CapacityResult) -> dict[str, str]:
     load = ", ".join(f"{value:.1f}" for value in result.load_average)
-    trial = "**These are the figures of a trial run, on a machine busy with other work.**\n"
+    trial = "**These are the figures of a trial run, on a machine busy with other work.**\n\n"
     return {
         "trial": trial if result.is_trial else "",
         "measured_on": result.measured_on,
@@ -103,14 +103,20 @@
         )
         cells = " | ".join(format_number(number) for number in numbers)
         lines.append(f"| {cost.role} | {cost.state} | {cells} |")
-    lines += ["", "| role | processor | memory | bytes | carried by |", "|---|---|---|---|---|"]
+    lines += [
+        "",
+        "| role | state | processor | memory | bytes | carried by |",
+        "|---|---|---|---|---|---|",
+    ]
     lines += [_format_verdicts(cost) for cost in costs]
     return "\n".join([*lines, ""])
 
 
 def _format_verdicts(cost: Cost) -> str:
     limits = cost.limits
+    bound = f"{compare(cost.state_needed, cost.state_most)} ({cost.state_most:.0f})"
     cells = (
+        bound if cost.state_most else "",
         f"{compare(cost.cpu_percent, limits.cpu_percent)} ({limits.cpu_percent:g}%)",
         f"{compare(cost.memory, limits.memory)} ({limits.memory / _BYTES_PER_MB:g} MB)",
         f"{compare(cost.bytes_per_s, limits.bytes_per_s)} "
