--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -36,7 +36,7 @@
 Send = Callable[[str, Record], None]
 
 _TICK_SECONDS = 0.05
-_BARRIER_SECONDS = 0.25
+_BARRIER_SECONDS = 1.0
 _INBOX = 4096
 _ROWS_PER_REPLY = 200
 _STATUS_SECONDS = 1.0
