calls: a call without timers can wait

Cause: found on reading: min(until, *timers) with no timers is the minimum of a single number and raises TypeError. Every call under way has a timer today, so it was not met. An unused predicate goes.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_run.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_run.py
@@ -9,7 +9,6 @@
 from bendwind_core.attempts import AnswerHead, AttemptId, BodyPart, CutReason
 from bendwind_core.attempts.call import EntryCall
 from bendwind_core.attempts.events import (
-    FINAL_EFFECTS,
     EntryEffect,
     EntryEvent,
     StartTimer,
@@ -70,7 +69,7 @@
         if self.todo:
             return
         self.wake = trio.Event()
-        with trio.move_on_at(min(until, *self.timers.values())):
+        with trio.move_on_at(min((until, *self.timers.values()))):
             await self.wake.wait()
 
     def take_due_timers(self, now: Seconds) -> list[TimerKind]:
@@ -80,8 +79,3 @@
         for kind in kinds:
             del self.timers[kind]
         return kinds
-
-
-def has_final_effect(run: CallRun) -> bool:
-    """Tell whether the call's final outcome waits to be carried out."""
-    return any(isinstance(effect, FINAL_EFFECTS) for effect in run.todo)
