calls: one object carries a dispatch

Cause: the same six arguments were handed from function to function to a relay, each with its own list. Change: a data class holds them and has the steps as methods; the owner node's load comes from the method it already has.

--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -1,6 +1,7 @@
 """Carry one dispatched attempt to its upstream and its answer back to the entry node."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 from expression import Result
@@ -20,7 +21,7 @@
     DispatchUnknown,
     OwnerEvent,
 )
-from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.messages import PeerMessage
 from bendwind_core.world import LoadSample, Repeat
 from bendwind_node.calls import headers as names
@@ -65,28 +66,6 @@
     return f"{attempt.entry}/{attempt.incarnation}/{attempt.sequence}"
 
 
-async def run_dispatch(
-    pool: UpstreamPool,
-    hand_over: HandOver,
-    scope: trio.CancelScope,
-    outflow: Outflow,
-    send: Send,
-    feed: Feed,
-    read_load: ReadLoad,
-) -> DispatchEnd:
-    """Send the request, relay the answer and return how it ended; DispatchDone was fed already."""
-    attempt = hand_over.attempt
-    end: DispatchEnd = DispatchUnknown(attempt, CutReason.UPSTREAM_TIMEOUT)
-    with scope:
-        end = await _exchange(pool, hand_over, outflow, send, feed, read_load)
-    if scope.cancelled_caught:
-        with trio.move_on_after(_CANCEL_TIMEOUT_S):
-            await _cancel_at_upstream(pool, attempt)
-        if trio.current_time() < scope.deadline:
-            end = DispatchUnknown(attempt, CutReason.CANCELLED)
-    return end
-
-
 async def _cancel_at_upstream(pool: UpstreamPool, attempt: AttemptId) -> None:
     target = f"/.bendwind/attempts/{format_attempt(attempt)}".encode()
     host = ((names.HOST, f"{pool.host}:{pool.port}".encode()),)
@@ -95,92 +74,83 @@
             await answer.aclose()
 
 
-async def _exchange(
-    pool: UpstreamPool,
-    hand_over: HandOver,
-    outflow: Outflow,
-    send: Send,
-    feed: Feed,
-    read_load: ReadLoad,
-) -> DispatchEnd:
-    attempt = hand_over.attempt
-    started_at = trio.current_time()
-    match await pool.start(create_upstream_request(hand_over)):
-        case Result(tag="error", error=RequestNotSent(reason=not_run)):
-            return DispatchNotRun(attempt, not_run)
-        case Result(tag="error", error=AnswerCut(reason=cut)):
-            return DispatchUnknown(attempt, cut)
-        case Result(tag="ok", ok=answer):
-            try:
-                relay = _Relay(attempt, answer, outflow, send, feed, read_load, started_at)
-                return await relay.run()
-            finally:
-                await answer.aclose()
-    raise AssertionError("a result is ok or an error")
-
-
 def _is_shed(answer: UpstreamAnswer) -> bool:
     if answer.status != _SERVICE_UNAVAILABLE:
         return False
     return names.find_header(answer.headers, names.SHED) == names.SHED_NOT_RUN
 
 
-class _Relay:
-    """Relay one answer."""
+def _is_short(answer: UpstreamAnswer) -> bool:
+    length = names.find_header(answer.headers, names.CONTENT_LENGTH)
+    return length is not None and int(length) <= PART_BYTES
 
-    __slots__ = (
-        "answer",
-        "attempt",
-        "feed",
-        "outflow",
-        "read_load",
-        "send",
-        "started_at",
-        "upstream_ms",
-    )
 
-    def __init__(
-        self,
-        attempt: AttemptId,
-        answer: UpstreamAnswer,
-        outflow: Outflow,
-        send: Send,
-        feed: Feed,
-        read_load: ReadLoad,
-        started_at: float,
-    ):
-        self.attempt = attempt
-        self.answer = answer
-        self.outflow = outflow
-        self.send = send
-        self.feed = feed
-        self.read_load = read_load
-        self.started_at = started_at
-        self.upstream_ms = 0.0
-
-    async def run(self) -> DispatchEnd:
+@dataclass(slots=True, eq=False)
+class UpstreamDispatch:
+    """Send one attempt's request to its upstream and relay the answer to its entry node.
+
+    Units: `upstream_ms` is the time to the answer's head, in milliseconds.
+    """
+
+    pool: UpstreamPool
+    hand_over: HandOver
+    outflow: Outflow
+    send: Send
+    feed: Feed
+    read_load: ReadLoad
+    started_at: Seconds = 0.0
+    upstream_ms: Milliseconds = 0.0
+
+    @property
+    def attempt(self) -> AttemptId:
+        """Return the attempt that is dispatched."""
+        return self.hand_over.attempt
+
+    async def run(self, scope: trio.CancelScope) -> DispatchEnd:
+        """Go on until the scope ends and return how it ended; DispatchDone was fed already."""
+        end: DispatchEnd = DispatchUnknown(self.attempt, CutReason.UPSTREAM_TIMEOUT)
+        with scope:
+            end = await self._exchange()
+        if scope.cancelled_caught:
+            with trio.move_on_after(_CANCEL_TIMEOUT_S):
+                await _cancel_at_upstream(self.pool, self.attempt)
+            if trio.current_time() < scope.deadline:
+                end = DispatchUnknown(self.attempt, CutReason.CANCELLED)
+        return end
+
+    async def _exchange(self) -> DispatchEnd:
+        self.started_at = trio.current_time()
+        match await self.pool.start(create_upstream_request(self.hand_over)):
+            case Result(tag="error", error=RequestNotSent(reason=not_run)):
+                return DispatchNotRun(self.attempt, not_run)
+            case Result(tag="error", error=AnswerCut(reason=cut)):
+                return DispatchUnknown(self.attempt, cut)
+            case Result(tag="ok", ok=answer):
+                try:
+                    return await self._relay(answer)
+                finally:
+                    await answer.aclose()
+        raise AssertionError("a result is ok or an error")
+
+    async def _relay(self, answer: UpstreamAnswer) -> DispatchEnd:
         elapsed = trio.current_time() - self.started_at
         self.upstream_ms = elapsed * MILLISECONDS_PER_SECOND
-        if _is_shed(self.answer):
-            return await self._discard_shed()
-        self.feed(DispatchHead(self.attempt, self.answer.status, self.upstream_ms))
-        if self._is_short():
-            return await self._send_whole()
-        return await self._send_parts()
-
-    async def _discard_shed(self) -> DispatchEnd:
-        while (await self.answer.next_part()).default_value(b""):
+        if _is_shed(answer):
+            return await self._discard_shed(answer)
+        self.feed(DispatchHead(self.attempt, answer.status, self.upstream_ms))
+        if _is_short(answer):
+            return await self._send_whole(answer)
+        return await self._send_parts(answer)
+
+    async def _discard_shed(self, answer: UpstreamAnswer) -> DispatchEnd:
+        while (await answer.next_part()).default_value(b""):
             continue
         return DispatchNotRun(self.attempt, NotRunReason.SHED)
 
-    def _is_short(self) -> bool:
-        length = names.find_header(self.answer.headers, names.CONTENT_LENGTH)
-        return length is not None and int(length) <= PART_BYTES
-
-    async def _send_whole(self) -> DispatchEnd:
+    async def _send_whole(self, answer: UpstreamAnswer) -> DispatchEnd:
         body = bytearray()
         while True:
-            match await self.answer.next_part():
+            match await answer.next_part():
                 case Result(tag="error", error=cut):
                     return DispatchUnknown(self.attempt, cut.reason)
                 case Result(tag="ok", ok=b""):
@@ -188,15 +158,15 @@
                 case Result(tag="ok", ok=data):
                     body += data
         self.feed(DispatchDone(self.attempt))
-        self._send_head(bytes(body), more=False)
+        self._send_head(answer, bytes(body), more=False)
         return DispatchDone(self.attempt)
 
-    def _send_head(self, body: bytes, *, more: bool) -> None:
-        headers = names.keep_end_to_end(self.answer.headers)
+    def _send_head(self, answer: UpstreamAnswer, body: bytes, *, more: bool) -> None:
+        headers = names.keep_end_to_end(answer.headers)
         self.send(
             AnswerHead(
                 self.attempt,
-                self.answer.status,
+                answer.status,
                 headers,
                 self.read_load(),
                 body,
@@ -205,10 +175,10 @@
             )
         )
 
-    async def _send_parts(self) -> DispatchEnd:
-        self._send_head(b"", more=True)
+    async def _send_parts(self, answer: UpstreamAnswer) -> DispatchEnd:
+        self._send_head(answer, b"", more=True)
         while True:
-            match await self.answer.next_part():
+            match await answer.next_part():
                 case Result(tag="error", error=cut):
                     return DispatchUnknown(self.attempt, cut.reason)
                 case Result(tag="ok", ok=b""):
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -31,7 +31,7 @@
 from bendwind_core.world import Instance, LoadSample, Upstream, UpstreamState
 from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import Outflow
-from bendwind_node.calls.dispatch import DispatchEnd, format_attempt, run_dispatch
+from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
@@ -331,16 +331,16 @@
         epoch = owned.desk.running[attempt].epoch
         outflow = Outflow()
         self.outflows[attempt] = outflow
+        dispatch = UpstreamDispatch(
+            owned.pool,
+            hand_over,
+            outflow,
+            send=lambda message: self.replies.send(attempt, epoch, message),
+            feed=lambda event: self._feed(owned, event),
+            read_load=lambda: self.read_load(owned.upstream.name),
+        )
         try:
-            end = await run_dispatch(
-                owned.pool,
-                hand_over,
-                scope,
-                outflow,
-                lambda message: self.replies.send(attempt, epoch, message),
-                lambda event: self._feed(owned, event),
-                lambda: owner.load_sample(owned.desk, trio.current_time()),
-            )
+            end = await dispatch.run(scope)
         finally:
             del owned.scopes[attempt]
             del self.outflows[attempt]
