--- a/packages/bendwind-bench/src/bendwind_bench/slopes_membership/link_voter.py
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_membership/link_voter.py
@@ -30,7 +30,7 @@
         self.configuration = Configuration(7, (make_service("service-000"),))
         self.claim_groups = {}
         self.drain_marks = DrainMarksAccepted(frozenset(), frozenset())
-        self.voters = (NAME,)
+        self.voter_names = (NAME,)
 
     async def confirm(self) -> bool:
         """Confirm at once."""
--- a/packages/bendwind-core/src/bendwind_core/limits/fair_queue.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/fair_queue.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -69,9 +68,3 @@
     if not line:
         del queue.lines[source]
     return True
-
-
-def iterate(queue: FairQueue[Item]) -> Iterator[Item]:
-    """Visit every item, line by line."""
-    for line in queue.lines.values():
-        yield from line
--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -58,7 +58,7 @@
         """Return the drain marks as of the newest applied log entry."""
 
     @property
-    def voters(self) -> tuple[str, ...]:
+    def voter_names(self) -> tuple[str, ...]:
         """Return the names of the present voters."""
 
     async def confirm(self) -> bool:
@@ -144,7 +144,7 @@
         if marks != self._marks:
             self._marks = marks
             self.step(marks)
-        voters = self.control.voters
+        voters = self.control.voter_names
         if set(voters) - {self.registry.name} != set(self.registry.peers):
             self.step(VotersChanged(voters))
 
@@ -223,5 +223,5 @@
     rng: random.Random,
 ) -> RegistryTask:
     """Create the task of a voter that has just started; call it inside a trio run."""
-    registry = create_voter_registry(name, control.voters, times, trio.current_time())
+    registry = create_voter_registry(name, control.voter_names, times, trio.current_time())
     return RegistryTask(registry, control, send, recorder, rng)
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -113,36 +113,9 @@
         """Return the names of the present voters."""
         return tuple(member.name for member in self.voter.status().voters) or self.names
 
-
-@dataclass(slots=True, eq=False)
-class RegistryControl:
-    """Give the registry what it asks of the log."""
-
-    client: LogClient
-
-    @property
-    def configuration(self) -> Configuration:
-        """Return the configuration as of the newest applied log entry."""
-        return self.client.configuration
-
-    @property
-    def claim_groups(self) -> Mapping[str, ClaimGroup]:
-        """Return the claim groups as of the newest applied log entry."""
-        return self.client.claim_groups
-
-    @property
-    def drain_marks(self) -> DrainMarksAccepted:
-        """Return the drain marks as of the newest applied log entry."""
-        return self.client.drain_marks
-
-    @property
-    def voters(self) -> tuple[str, ...]:
-        """Return the names of the present voters."""
-        return self.client.voter_names
-
     async def confirm(self) -> bool:
         """Run a quorum round; after True, all that was accepted before the call is applied."""
-        return (await self.client.voter.barrier()).is_ok()
+        return (await self.voter.barrier()).is_ok()
 
 
 @dataclass(slots=True, eq=False)
@@ -232,7 +205,7 @@
         return opened
     voter = opened.ok
     client = LogClient(voter, state, names)
-    registry = create_registry_task(name, RegistryControl(client), times, send, recorder, rng)
+    registry = create_registry_task(name, client, times, send, recorder, rng)
     service: ControlService
 
     async def propose(command: ChangeClaimGroup) -> object:
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -24,9 +24,9 @@
     gather_voter,
 )
 from bendwind_node.operators import (
-    OperatorAuthority,
     OperatorsApp,
     Response,
+    create_certificate_authority,
     create_open_authority,
     create_token_authority,
 )
@@ -71,8 +71,7 @@
     if table.token_file is not None:
         authority = create_token_authority(table.token_file)
     elif table.client_authority is not None:
-        # The handshake has let in holders of an operator's certificate only.
-        authority = OperatorAuthority()
+        authority = create_certificate_authority()
     else:
         authority = create_open_authority(table.host)
     source = DaemonStatus(
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -91,11 +91,6 @@
         self.nursery.start_soon(self._dial, peer, address)
         return True
 
-    def close_all(self) -> None:
-        """Close every link."""
-        for link in (*self.dialed.values(), *self.accepted.values()):
-            link.close()
-
     async def run(self, listeners: list[trio.SocketListener]) -> None:
         """Accept and dial links until cancelled."""
         async with trio.open_nursery() as nursery:
