--- a/Makefile
+++ b/Makefile
@@ -6,18 +6,18 @@
 
 .PHONY: setup check test demo fuzz capacity measure
 
-$(VENV)/.ready: requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.ready: requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check setuptools wheel
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt \
-		$(foreach p,$(PACKAGES),-e packages/bendwind-$(p))
+		$(foreach p,$(PACKAGES),-e packages/bendwind-$(p)) -e platform
 	touch $@
 
 setup: $(VENV)/.ready
 
 check: setup
-	$(BIN)/black --quiet --check packages tools
-	$(BIN)/ruff check --quiet packages tools
+	$(BIN)/black --quiet --check packages platform tools
+	$(BIN)/ruff check --quiet packages platform tools
 
 test: check
 	$(BIN)/python tools/run_tests.py
--- a/packages/bendwind-bench/src/bendwind_bench/slopes_membership/link_voter.py
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_membership/link_voter.py
@@ -13,7 +13,7 @@
 import trio
 
 from bendwind_bench.slopes_membership.scene import TIMES, make_service
-from bendwind_core.membership import DrainMarksAccepted, Heartbeat
+from bendwind_core.membership import DrainMarksAccepted, Heartbeat, VoterPlace
 from bendwind_core.messages import Hello
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Configuration, Instance
@@ -30,7 +30,7 @@
         self.configuration = Configuration(7, (make_service("service-000"),))
         self.claim_groups = {}
         self.drain_marks = DrainMarksAccepted(frozenset(), frozenset())
-        self.voter_names = (NAME,)
+        self.voter_places = (VoterPlace(NAME),)
 
     async def confirm(self) -> bool:
         """Confirm at once."""
--- a/packages/bendwind-bench/src/bendwind_bench/slopes_membership/scene.py
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_membership/scene.py
@@ -15,6 +15,7 @@
     MessageReceived,
     QuorumConfirmed,
     Tick,
+    VoterPlace,
     VoterRegistry,
     Watch,
     create_voter_registry,
@@ -68,7 +69,7 @@
     rng = random.Random(size)
     count = max(1, TARGET_SERVICES * size // TARGET_NODES)
     services = tuple(f"service-{index:03d}" for index in range(count))
-    registry = create_voter_registry(VOTERS[0], VOTERS, TIMES, 0.0)
+    registry = create_voter_registry(VOTERS[0], tuple(map(VoterPlace, VOTERS)), TIMES, 0.0)
     nodes = tuple(make_instance(index) for index in range(size))
     own = nodes[: size // len(VOTERS)]
     watched = {node.name: tuple(rng.sample(services, min(WATCHED, count))) for node in own}
--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -45,6 +45,8 @@
     AttemptState.WON,
     AttemptState.CANCELLED,
 )
+# Such refusals are the upstream's own: the request got as far as that.
+_REACHED = (NotRunReason.SHED, NotRunReason.MISDIRECTED)
 
 
 @dataclass(slots=True)
@@ -116,6 +118,17 @@
     return any(attempt.state in _PENDING for attempt in call.attempts)
 
 
+def has_reached_limit(call: EntryCall) -> bool:
+    """Tell whether the call may have reached as many upstreams as its rule permits."""
+    limit = call.rule.attempts
+    if limit is None:
+        return False
+    reached = sum(
+        attempt.state in _MAY_HAVE_RUN or attempt.not_run in _REACHED for attempt in call.attempts
+    )
+    return reached >= limit
+
+
 def may_have_run(call: EntryCall) -> bool:
     """Tell whether any attempt lacks the proof that it did not run."""
     return any(attempt.state in _MAY_HAVE_RUN for attempt in call.attempts)
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -23,6 +23,7 @@
     """Say why a request was proven not to have run on any upstream."""
 
     SHED = "shed"
+    MISDIRECTED = "misdirected"
     QUEUE_FULL = "queue-full"
     DRAINING = "draining"
     NO_UPSTREAM = "no-upstream"
@@ -49,6 +50,7 @@
     CLAIM_PENDING = "claim-pending"
     ANSWER_NOT_KEPT = "answer-not-kept"
     DEADLINE = "deadline"
+    FOREIGN_ANSWER = "foreign-answer"
 
 
 class FenceVerdict(enum.StrEnum):
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -9,6 +9,7 @@
     CallPhase,
     EntryCall,
     has_pending,
+    has_reached_limit,
     may_have_run,
 )
 from bendwind_core.attempts.endings import finish_not_run, give_up
@@ -61,6 +62,8 @@
     is_open = is_alone and call.attempts[0].state is AttemptState.OUTSTANDING
     if call.phase is not CallPhase.TRYING or not is_open or not may_retry(call.budget):
         return
+    if has_reached_limit(call):
+        return
     upstream = choose(frozenset((call.attempts[0].upstream.name,)))
     if upstream is None:
         return
@@ -116,6 +119,8 @@
         return False
     if not call.is_idempotent and may_have_run(call):
         return False
+    if has_reached_limit(call):
+        return False
     return is_free or may_retry(call.budget)
 
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
@@ -39,7 +39,8 @@
 
 
 def _send_offers(replica: Replica) -> None:
-    for name in replica.names:
+    known = [member.name for member in (*replica.voters.voters, *replica.voters.learners)]
+    for name in dict.fromkeys((*replica.names, *known)):
         if name != replica.voter.name:
             replica.effects.append(Send(name, Offer(replica.voter)))
 
@@ -59,7 +60,7 @@
 def _may_form(replica: Replica) -> bool:
     others = set(replica.names) - {replica.voter.name}
     is_first = replica.voter.name == min(replica.names)
-    return is_first and others <= replica.offers.keys()
+    return replica.settings.may_form and is_first and others <= replica.offers.keys()
 
 
 def _form(replica: Replica, rng: random.Random) -> None:
@@ -114,7 +115,8 @@
     """Take the first entry when it names this voter and the log is empty."""
     is_meant = form.to == replica.voter.voter_id and form.voters.has_voter(form.to)
     is_listed = {voter.name for voter in form.voters.voters} == set(replica.names)
-    if replica.role is Role.UNFORMED and is_meant and is_listed:
+    may_form = replica.settings.may_form and replica.role is Role.UNFORMED
+    if may_form and is_meant and is_listed:
         accept_first_entry(replica, form.voters)
 
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/events.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/events.py
@@ -63,6 +63,13 @@
     """Ask a leader to let another voter lead, as before a planned stop."""
 
 
+@dataclass(slots=True, frozen=True)
+class IdentityRenewed:
+    """Tell a removed replica that its disk now holds a new id, under which it may join again."""
+
+    voter: Voter
+
+
 ReplicaEvent = (
     Tick
     | Received
@@ -72,6 +79,7 @@
     | BarrierRequested
     | SnapshotTaken
     | TransferLeadership
+    | IdentityRenewed
 )
 
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/membership.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/membership.py
@@ -1,7 +1,9 @@
 """Change the voter set through the log, one voter at a time.
 
 A voter with an empty disk enters as a learner. Once it has caught up, the voter it replaces is
-taken out, and the learner is made a voter by the next change. Source: Ongaro, 2014, chapter 4.
+taken out, and the learner is made a voter by the next change. Where the set is open, a newcomer
+is made a voter while there are too few, and otherwise replaces whichever voter fell silent.
+Source: Ongaro, 2014, chapter 4.
 """
 
 import random
@@ -23,6 +25,7 @@
     Replica,
     Role,
     append_entry,
+    draw_timeout,
     head_to,
     send,
 )
@@ -32,18 +35,25 @@
 # A voter is replaced only after a silence that no restart of its process lasts.
 SILENT_TIMEOUTS = 3
 MAX_REMOVED = 1024
+# A learner that is gone for good costs a message each heartbeat; one that comes back joins anew.
+FORGET_LEARNER: Seconds = 60.0
 
 
 def admit_learner(replica: Replica, newcomer: Voter, now: Seconds) -> None:
-    """Take a voter with an empty disk in as a learner, when its name is in the settings."""
+    """Take a voter with an empty disk in as a learner, when its name or the open set permits."""
     voters = replica.voters
     if newcomer.voter_id in voters.removed:
         tell_removed(replica, newcomer)
         return
     is_known = voters.find_member(newcomer.voter_id) is not None
-    if is_known or newcomer.name not in replica.names or not _may_change(replica):
+    is_permitted = replica.settings.open_to > 0 or newcomer.name in replica.names
+    if is_known or not is_permitted or not _may_change(replica):
         return
-    replaced = [learner for learner in voters.learners if learner.name == newcomer.name]
+    replaced = [
+        learner
+        for learner in voters.learners
+        if learner.name == newcomer.name or _is_forgotten(replica, learner, now)
+    ]
     kept = tuple(learner for learner in voters.learners if learner not in replaced)
     changed = msgspec.structs.replace(
         voters,
@@ -53,6 +63,11 @@
     _append_change(replica, changed, now)
 
 
+def _is_forgotten(replica: Replica, learner: Voter, now: Seconds) -> bool:
+    progress = replica.progress.get(learner.voter_id)
+    return progress is not None and now - progress.contact_at > FORGET_LEARNER
+
+
 def _may_change(replica: Replica) -> bool:
     is_settled = replica.log.term_at(replica.commit) == replica.hard.term
     return replica.is_leader and is_settled and not replica.is_change_pending
@@ -79,14 +94,28 @@
         if not _is_caught_up(replica, progress, now):
             continue
         former = [voter for voter in replica.voters.voters if voter.name == learner.name]
-        if not former:
+        if not former and _has_place(replica):
             _promote(replica, learner, now)
             return
-        if _is_silent(replica, former[0], now):
-            _take_out(replica, former[0], now)
+        silent = [
+            voter
+            for voter in former or _list_replaceable(replica)
+            if _is_silent(replica, voter, now)
+        ]
+        if silent:
+            _take_out(replica, silent[0], now)
             return
 
 
+def _has_place(replica: Replica) -> bool:
+    limit = replica.settings.open_to
+    return limit == 0 or len(replica.voters.voters) < limit
+
+
+def _list_replaceable(replica: Replica) -> tuple[Voter, ...]:
+    return replica.voters.voters if replica.settings.open_to else ()
+
+
 def _is_caught_up(replica: Replica, progress: Progress, now: Seconds) -> bool:
     is_recent = now - progress.contact_at <= replica.settings.election_s
     return is_recent and progress.match >= replica.commit
@@ -154,6 +183,16 @@
     replica.effects.append(SelfRemoved())
 
 
+def rejoin(replica: Replica, voter: Voter, now: Seconds, rng: random.Random) -> None:
+    """Take part again under a new id, as an outsider whose log a leader will complete."""
+    if replica.role is not Role.REMOVED:
+        return
+    replica.voter = voter
+    replica.role = Role.FOLLOWER
+    replica.deadline = now + draw_timeout(replica.settings, rng)
+    replica.heartbeat_at = now
+
+
 def tell_removed(replica: Replica, voter: Voter) -> None:
     """Tell a replaced voter so; only a leader knows that the removal is committed."""
     if not replica.is_leader or voter.voter_id not in replica.committed_voters.removed:
--- a/packages/bendwind-core/src/bendwind_core/consensus/records.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/records.py
@@ -7,10 +7,14 @@
     """Identify a voter: its name, and the random id of the disk that it runs on.
 
     An emptied disk gets a new id, so that a voter which lost its votes is a different voter.
+    `host` and `port` say where its peers reach it, where that is not left to the settings.
     """
 
     name: str
     voter_id: int
+    host: str = ""
+    port: int = 0
+    data_centre: str = ""
 
 
 class VoterSet(Record, frozen=True, array_like=True):
--- a/packages/bendwind-core/src/bendwind_core/consensus/replica.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -37,6 +37,9 @@
 class ReplicaSettings:
     """Bound a replica's times and sizes.
 
+    With `open_to` 0 the settings' names are the voters for good. Otherwise any newcomer may join,
+    becomes a voter while there are fewer than `open_to`, and after that replaces a silent one.
+    `may_form` permits to form a cluster of empty voters.
     Units: seconds, entries and bytes.
     """
 
@@ -50,6 +53,8 @@
     snapshot_bytes: int = 1024 * 1024
     kept_entries: int = 100
     pending_proposals: int = 512
+    open_to: int = 0
+    may_form: bool = True
 
 
 @dataclass(slots=True)
--- a/packages/bendwind-core/src/bendwind_core/consensus/replication.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replication.py
@@ -22,7 +22,8 @@
 def create_progress(replica: Replica, now: Seconds) -> None:
     """Track every member but this one, and forget those that left."""
     members = replica.voters.voters + replica.voters.learners
-    others = {member.voter_id: member for member in members if member != replica.voter}
+    own_id = replica.voter.voter_id
+    others = {member.voter_id: member for member in members if member.voter_id != own_id}
     for voter_id in [known for known in replica.progress if known not in others]:
         del replica.progress[voter_id]
     for voter_id, member in others.items():
--- a/packages/bendwind-core/src/bendwind_core/consensus/step.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/step.py
@@ -32,6 +32,7 @@
     BarrierRequested,
     Effect,
     ForeignCluster,
+    IdentityRenewed,
     NotLeader,
     Persisted,
     ProposalDone,
@@ -47,6 +48,7 @@
 from bendwind_core.consensus.membership import (
     become_removed,
     leave_when_removed,
+    rejoin,
     remove_voter,
     tell_removed,
     tick_membership,
@@ -105,6 +107,8 @@
             count_votes(replica, now)
         case BarrierRequested(request_id=request_id):
             request_barrier(replica, request_id, now)
+        case IdentityRenewed(voter=voter):
+            rejoin(replica, voter, now, rng)
         case TransferLeadership():
             transfer_leadership(replica, now)
         case SnapshotTaken():
--- a/packages/bendwind-core/src/bendwind_core/membership/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/__init__.py
@@ -1,6 +1,5 @@
 """Offer how upstreams announce themselves and how nodes learn of them."""
 
-from bendwind_core.membership.attachment import VoterPlace
 from bendwind_core.membership.events import (
     AttachmentChanged,
     ClaimGroupsChanged,
@@ -25,6 +24,7 @@
     ViewEffect,
     ViewEvent,
     VotersChanged,
+    VotersLearned,
 )
 from bendwind_core.membership.messages import (
     Announce,
@@ -38,6 +38,8 @@
     NodeStatus,
     StatusReply,
     StatusRequest,
+    VoterPlace,
+    VotersKnown,
     Watch,
     WatchUpdate,
 )
@@ -48,7 +50,7 @@
     list_status,
     step_registry,
 )
-from bendwind_core.membership.renewal import step_view
+from bendwind_core.membership.renewal import set_seeds, step_view
 from bendwind_core.membership.settings import LeaseTimes
 from bendwind_core.membership.state import VoterRegistry
 from bendwind_core.membership.view import NodeView, create_node_view
@@ -92,6 +94,8 @@
     "VoterPlace",
     "VoterRegistry",
     "VotersChanged",
+    "VotersKnown",
+    "VotersLearned",
     "Watch",
     "WatchUpdate",
     "confirmed_age_ms",
@@ -99,6 +103,7 @@
     "create_voter_registry",
     "list_alive",
     "list_status",
+    "set_seeds",
     "step_registry",
     "step_view",
 ]
--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -3,21 +3,15 @@
 import dataclasses
 import random
 
-from bendwind_core.core import Record, Seconds
+from bendwind_core.core import Seconds
 from bendwind_core.membership.digest import digest_text
+from bendwind_core.membership.messages import VoterPlace
 from bendwind_core.membership.settings import LeaseTimes
 
 _MAX_PATIENCE_BEATS = 8
 _JITTER = 0.1
 
 
-class VoterPlace(Record, frozen=True, array_like=True):
-    """Name a control voter and the data centre it runs in."""
-
-    name: str
-    data_centre: str = ""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentBeat:
     """Hold when a heartbeat was sent and which Watch it stated."""
@@ -66,6 +60,14 @@
     return tuple(voter.name for voter in sorted(voters, key=rank))
 
 
+def set_order(attachment: Attachment, order: tuple[str, ...]) -> bool:
+    """Take over a new order of preference; tell whether the voter in use is none of it."""
+    voter = attachment.voter
+    attachment.order = order
+    attachment.index = order.index(voter) if voter in order else 0
+    return voter not in order
+
+
 def schedule_beat(
     attachment: Attachment, times: LeaseTimes, now: Seconds, rng: random.Random
 ) -> None:
--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -4,6 +4,7 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record, Seconds
+from bendwind_core.membership.messages import VoterPlace
 from bendwind_core.world import Configuration, Instance, Upstream
 
 
@@ -83,7 +84,7 @@
 class VotersChanged:
     """Tell a registry which voters there are now."""
 
-    voters: tuple[str, ...]
+    voters: tuple[VoterPlace, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,6 +121,13 @@
     instances: tuple[Instance, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VotersLearned:
+    """Tell a node which voters there are."""
+
+    voters: tuple[VoterPlace, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttachmentChanged:
     """Tell that a node moved to another voter, and why."""
@@ -152,6 +160,7 @@
 ViewEvent = Tick | MessageReceived | LinkLost | ServiceWatched | UpstreamAnnounced | PeerSeen
 ViewEffect = (
     InstancesLearned
+    | VotersLearned
     | SendTo
     | ConfigurationApplied
     | UpstreamsChanged
--- a/packages/bendwind-core/src/bendwind_core/membership/gossip.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/gossip.py
@@ -14,7 +14,13 @@
     SendTo,
 )
 from bendwind_core.membership.member import Member, bucket_of, merge, put_state
-from bendwind_core.membership.messages import MemberDigest, MemberGossip, MemberPull, MemberState
+from bendwind_core.membership.messages import (
+    MemberDigest,
+    MemberGossip,
+    MemberPull,
+    MemberState,
+    VoterPlace,
+)
 from bendwind_core.membership.state import Client, VoterRegistry
 from bendwind_core.world import Upstream, UpstreamState
 
@@ -207,10 +213,15 @@
 
 
 def set_voters(
-    registry: VoterRegistry, voters: tuple[str, ...], effects: list[RegistryEffect], now: Seconds
+    registry: VoterRegistry,
+    voters: tuple[VoterPlace, ...],
+    effects: list[RegistryEffect],
+    now: Seconds,
 ) -> None:
-    """Take over a changed set of voters."""
-    peers = [voter for voter in voters if voter != registry.name]
+    """Take over a changed set of voters and have the attached nodes told."""
+    registry.voters = voters
+    registry.uninformed.update(dict.fromkeys(registry.clients))
+    peers = [voter.name for voter in voters if voter.name != registry.name]
     changed = set(peers) ^ set(registry.peers)
     registry.peers = {voter: registry.peers.get(voter, now) for voter in peers}
     registry.lost_voters.intersection_update(peers)
--- a/packages/bendwind-core/src/bendwind_core/membership/holdings.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/holdings.py
@@ -5,7 +5,7 @@
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.messages import ConfigurationChanged, WatchUpdate
-from bendwind_core.world import Service, Upstream, UpstreamState
+from bendwind_core.world import EMPTY_ROUTING, Routing, Service, Upstream, UpstreamState
 
 UpstreamKey = tuple[str, str]
 
@@ -22,6 +22,7 @@
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
     claim_groups: dict[str, ClaimGroup] = dataclasses.field(default_factory=dict)
     upstreams: dict[str, dict[UpstreamKey, Upstream]] = dataclasses.field(default_factory=dict)
+    routing: Routing = EMPTY_ROUTING
     digest: int = 0
 
 
@@ -36,7 +37,9 @@
 
 
 def put_services(holdings: Holdings, message: ConfigurationChanged) -> None:
-    """Take over the services of a message that may be applied."""
+    """Take over the services and routes of a message that may be applied."""
+    if message.routing is not None:
+        holdings.routing = message.routing
     if message.base == 0:
         holdings.services.clear()
         listed = {group.service for group in message.claim_groups}
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -2,7 +2,7 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record
-from bendwind_core.world import Instance, Service, Upstream
+from bendwind_core.world import Instance, Routing, Service, Upstream
 
 
 class Heartbeat(Record, frozen=True, array_like=True, tag="beat"):
@@ -79,7 +79,8 @@
 
     `base` is the lowest version it may be applied to; 0 means that it is complete, so that a
     watched service it does not list does not exist. `watch` numbers the Watch it answers.
-    `holders` says where the members of the claim groups are reached.
+    `holders` says where the members of the claim groups are reached. `routing` is None if it has
+    not changed since `base`.
     """
 
     version: int
@@ -89,6 +90,22 @@
     base: int = 0
     watch: int = 0
     holders: tuple[Instance, ...] = ()
+    routing: Routing | None = None
+
+
+class VoterPlace(Record, frozen=True, array_like=True):
+    """Name a control voter, the data centre it runs in and where its peers reach it."""
+
+    name: str
+    data_centre: str = ""
+    host: str = ""
+    port: int = 0
+
+
+class VotersKnown(Record, frozen=True, array_like=True, tag="voters"):
+    """Tell a node which voters there are, so that it need not rely on its settings."""
+
+    voters: tuple[VoterPlace, ...]
 
 
 class MemberState(Record, frozen=True, array_like=True):
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -13,6 +13,7 @@
 from bendwind_core.membership.messages import (
     ConfigurationChanged,
     Heartbeat,
+    VotersKnown,
     Watch,
     WatchUpdate,
 )
@@ -71,6 +72,9 @@
             row.service = services.get(name)
             row.changed_at = configuration.version
             registry.outdated.update(row.watchers)
+    if configuration.routing != registry.configuration.routing:
+        registry.routing_changed_at = configuration.version
+        registry.outdated.update(dict.fromkeys(registry.clients))
     registry.configuration = configuration
     registry.held[configuration.version] = None
     if len(registry.held) > _HELD_VERSIONS:
@@ -92,7 +96,9 @@
 def _is_current(registry: VoterRegistry, version: int, rows: list[ServiceRow]) -> bool:
     # Between two versions that this voter held, a service may have changed and changed back: of
     # a version that it did not hold itself it cannot tell what the node has.
-    return version in registry.held and all(row.changed_at <= version for row in rows)
+    if version not in registry.held or registry.routing_changed_at > version:
+        return False
+    return all(row.changed_at <= version for row in rows)
 
 
 def _sum_digests(rows: list[ServiceRow]) -> int:
@@ -133,6 +139,7 @@
         base,
         client.watch,
         _find_holders(registry, groups),
+        registry.configuration.routing if registry.routing_changed_at > base or not base else None,
     )
     effects.append(SendTo(node, message))
 
@@ -171,6 +178,7 @@
     if client:
         _stop_watching(registry, node, client)
         registry.outdated.pop(node, None)
+        registry.uninformed.pop(node, None)
 
 
 def _stop_watching(registry: VoterRegistry, node: str, client: Client) -> None:
@@ -200,6 +208,8 @@
 def flush(registry: VoterRegistry, effects: list[RegistryEffect]) -> None:
     """Push what changed since the last flush, as far as the limit allows; leaving goes first."""
     limit = len(effects) + _PUSHES_PER_FLUSH
+    while registry.uninformed:
+        effects.append(SendTo(_pop_first(registry.uninformed), VotersKnown(registry.voters)))
     while registry.urgent:
         _flush_service(registry, _pop_first(registry.urgent), effects)
     while registry.outdated and len(effects) < limit:
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -26,6 +26,8 @@
     MemberPull,
     MemberState,
     NodeStatus,
+    VoterPlace,
+    VotersKnown,
     Watch,
 )
 from bendwind_core.membership.settings import LeaseTimes
@@ -39,11 +41,11 @@
 
 
 def create_voter_registry(
-    name: str, voters: tuple[str, ...], times: LeaseTimes, now: Seconds
+    name: str, voters: tuple[VoterPlace, ...], times: LeaseTimes, now: Seconds
 ) -> VoterRegistry:
     """Create the registry of a voter that has just started and knows no node."""
-    peers = {voter: now for voter in voters if voter != name}
-    return VoterRegistry(name, times, peers, ticked_at=now, lenient_until=now)
+    peers = {voter.name: now for voter in voters if voter.name != name}
+    return VoterRegistry(name, times, peers, ticked_at=now, lenient_until=now, voters=voters)
 
 
 def step_registry(
@@ -135,10 +137,15 @@
     node = beat.node
     if _is_outdated(registry, beat):
         return
+    if not _is_voter(registry):
+        # A learner tells no other voter of a node, so the node has to find a voter.
+        effects.append(SendTo(node.name, VotersKnown(registry.voters)))
+        return
     client = registry.clients.get(node.name)
     if client is None or client.incarnation != node.incarnation:
         pushes.drop_client(registry, node.name)
         client = Client(node.incarnation)
+        registry.uninformed[node.name] = None
     registry.clients.pop(node.name, None)
     registry.clients[node.name] = client
     client.sequence = beat.sequence
@@ -148,6 +155,10 @@
     _reply(registry, client, beat, effects, now)
 
 
+def _is_voter(registry: VoterRegistry) -> bool:
+    return any(voter.name == registry.name for voter in registry.voters)
+
+
 def _claim_member(
     registry: VoterRegistry, beat: Heartbeat, effects: list[RegistryEffect], now: Seconds
 ) -> None:
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -9,7 +9,9 @@
     find_reason_to_move,
     go_home,
     move,
+    order_voters,
     schedule_beat,
+    set_order,
     spread_beat,
 )
 from bendwind_core.membership.events import (
@@ -28,12 +30,15 @@
     UpstreamsChanged,
     ViewEffect,
     ViewEvent,
+    VotersLearned,
 )
 from bendwind_core.membership.messages import (
     Announce,
     ConfigurationChanged,
     Heartbeat,
     HeartbeatReply,
+    VoterPlace,
+    VotersKnown,
     Watch,
     WatchUpdate,
 )
@@ -128,6 +133,40 @@
         case WatchUpdate(service=service):
             if held.put_upstreams(view.holdings, message):
                 effects.append(UpstreamsChanged(service))
+        case VotersKnown(voters=voters):
+            _take_voters(view, voters, effects, now, rng)
+
+
+def _take_voters(
+    view: NodeView,
+    voters: tuple[VoterPlace, ...],
+    effects: list[ViewEffect],
+    now: Seconds,
+    rng: random.Random,
+) -> None:
+    if not voters:
+        return
+    effects.append(VotersLearned(voters))
+    own = view.instance
+    order = order_voters(own.name, own.name, own.data_centre, voters)
+    # Seeds that are no voters come last: they are asked when all the voters known are gone.
+    seeds = tuple(seed.name for seed in view.seeds if seed.name not in order)
+    order = (*order, *seeds)
+    if order == view.attachment.order:
+        return
+    is_gone = set_order(view.attachment, order)
+    if is_gone or view.attachment.index >= len(voters):
+        go_home(view.attachment, view.times, now, rng)
+        view.waiting_proof = None
+        effects.append(AttachmentChanged(view.voter, "voters changed"))
+
+
+def set_seeds(view: NodeView, seeds: tuple[VoterPlace, ...]) -> None:
+    """Take over the voters that changed settings name."""
+    view.seeds = seeds
+    order = view.attachment.order
+    added = tuple(seed.name for seed in seeds if seed.name not in order)
+    set_order(view.attachment, (*order, *added))
 
 
 def _take_reply(
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -7,6 +7,7 @@
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.holdings import UpstreamKey
 from bendwind_core.membership.member import BUCKETS, Member
+from bendwind_core.membership.messages import VoterPlace
 from bendwind_core.membership.settings import LeaseTimes
 from bendwind_core.world import EMPTY_CONFIGURATION, Configuration, Service, Upstream
 
@@ -51,7 +52,8 @@
 
     `clients` is ordered by renewal. `held` lists the newest versions that this run held, so
     that it knows what changed since each. `news` names members to tell the other voters of;
-    `dirty` and `urgent` name services and `outdated` clients to push to.
+    `dirty` and `urgent` name services and `outdated` clients to push to. `voters` are all voters,
+    this one included if it is one; `uninformed` names clients that have not been told of them.
     Units: times in seconds of the voter's clock.
     """
 
@@ -65,6 +67,9 @@
     buckets: list[int] = dataclasses.field(default_factory=lambda: [0] * BUCKETS)
     services: dict[str, ServiceRow] = dataclasses.field(default_factory=dict)
     configuration: Configuration = EMPTY_CONFIGURATION
+    routing_changed_at: int = 0
+    voters: tuple[VoterPlace, ...] = ()
+    uninformed: dict[str, None] = dataclasses.field(default_factory=dict)
     held: dict[int, None] = dataclasses.field(default_factory=lambda: {0: None})
     confirmed_from: Seconds | None = None
     news: dict[str, None] = dataclasses.field(default_factory=dict)
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/fakes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/fakes.py
@@ -91,7 +91,7 @@
 
     def start_voter(self, name: str) -> Voter:
         clock = self.make_clock()
-        return Voter(clock, create_voter_registry(name, VOTERS, TIMES, clock.read(self.now)))
+        return Voter(clock, create_voter_registry(name, PLACES, TIMES, clock.read(self.now)))
 
     def start_node(self, name: str, data_centre: str) -> None:
         self.kill_node(name)
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_registry.py
@@ -13,7 +13,7 @@
     pushes,
     step_registry,
 )
-from bendwind_core.membership.tests.fakes import SERVICES, TIMES, VOTERS, World
+from bendwind_core.membership.tests.fakes import PLACES, SERVICES, TIMES, World
 from bendwind_core.world import Configuration, Instance, Service, UpstreamState
 
 
@@ -91,7 +91,7 @@
     def state_version(self, held: tuple[Configuration, ...], version: int, service: str):
         """Let a node that watches a service state a version, and return what it is sent."""
         rng = random.Random(4)
-        registry = create_voter_registry("v0", VOTERS, TIMES, 0.0)
+        registry = create_voter_registry("v0", PLACES, TIMES, 0.0)
         for configuration in held:
             step_registry(registry, ConfigurationAccepted(configuration), 0.0, rng)
         node = Instance("n0", "dc0", "127.0.0.1", 1, 1)
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -7,13 +7,10 @@
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.membership import holdings as held
-from bendwind_core.membership.attachment import (
-    Attachment,
-    VoterPlace,
-    order_voters,
-)
+from bendwind_core.membership.attachment import Attachment, order_voters
+from bendwind_core.membership.messages import VoterPlace
 from bendwind_core.membership.settings import LeaseTimes
-from bendwind_core.world import Instance, Service, Upstream
+from bendwind_core.world import Instance, Routing, Service, Upstream
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,6 +29,7 @@
     `pending` names watched services of which nothing is known yet.
     `confirmed_at` is the time, on the node's own clock, up to which nothing newer than `version`
     had been accepted; `groups_confirmed_at` says the same of the claim groups it holds.
+    `seeds` are the voters that the settings name, to be asked when none of the known ones answers.
     """
 
     instance: Instance
@@ -49,6 +47,7 @@
     pending: set[str] = dataclasses.field(default_factory=set)
     seen_version: int = 0
     was_fresh: bool = False
+    seeds: tuple[VoterPlace, ...] = ()
 
     def is_fresh(self, now: Seconds) -> bool:
         """Tell whether nothing newer can have been accepted more than a lease ago."""
@@ -66,6 +65,11 @@
         """Return the services in force among those watched."""
         return self.holdings.services
 
+    @property
+    def routing(self) -> Routing:
+        """Return the routes in force."""
+        return self.holdings.routing
+
     @property
     def claim_groups(self) -> Mapping[str, ClaimGroup]:
         """Return the claim groups of the watched services."""
@@ -95,4 +99,6 @@
     attachment.next_beat = now + 0.1 * times.heartbeat * rng.random()
     watched = held.Holdings(watched=dict.fromkeys(services))
     pending = set(services)
-    return NodeView(instance, times, attachment, watched, watch_sequence=1, pending=pending)
+    return NodeView(
+        instance, times, attachment, watched, watch_sequence=1, pending=pending, seeds=voters
+    )
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -30,6 +30,7 @@
     MemberPull,
     StatusReply,
     StatusRequest,
+    VotersKnown,
     Watch,
     WatchUpdate,
 )
@@ -56,6 +57,7 @@
     | Watch
     | WatchUpdate
     | ConfigurationChanged
+    | VotersKnown
     | MemberGossip
     | MemberDigest
     | MemberPull
--- a/packages/bendwind-core/src/bendwind_core/plans/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/__init__.py
@@ -7,6 +7,7 @@
     CreatePlan,
     DrainTarget,
     MarkDraining,
+    PutRevision,
     decode_command,
     encode_command,
 )
@@ -31,11 +32,13 @@
     Marked,
     PlanKept,
     RequestReused,
+    RevisionHeld,
     TooManyMarks,
     TooManyPlans,
     UnknownPlan,
     VersionMoved,
 )
+from bendwind_core.plans.revision import RevisionFault, RevisionFaultKind, find_revision_fault
 from bendwind_core.plans.state import ControlState
 from bendwind_core.plans.warning import (
     Affected,
@@ -70,7 +73,11 @@
     "PlanState",
     "PlanTable",
     "PlanWarning",
+    "PutRevision",
     "RequestReused",
+    "RevisionFault",
+    "RevisionFaultKind",
+    "RevisionHeld",
     "TooManyMarks",
     "TooManyPlans",
     "UnknownPlan",
@@ -83,6 +90,7 @@
     "decode_command",
     "encode_command",
     "find_affected",
+    "find_revision_fault",
     "find_warnings",
     "parse_intent",
     "parse_plan_id",
--- a/packages/bendwind-core/src/bendwind_core/plans/changes.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/changes.py
@@ -27,4 +27,5 @@
     services |= {service.name: service for service in changes.put}
     for name in changes.removed:
         services.pop(name, None)
-    return Configuration(version, tuple(services[name] for name in sorted(services)))
+    kept = tuple(services[name] for name in sorted(services))
+    return Configuration(version, kept, configuration.routing)
--- a/packages/bendwind-core/src/bendwind_core/plans/commands.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/commands.py
@@ -7,6 +7,7 @@
 from bendwind_core.claims import ChangeClaimGroup
 from bendwind_core.core import Record
 from bendwind_core.plans.changes import Changes
+from bendwind_core.world import Routing, Service
 
 
 class CreatePlan(Record, frozen=True, array_like=True, tag="create-plan"):
@@ -48,7 +49,18 @@
     draining: bool
 
 
-Command = CreatePlan | ConfirmPlan | MarkDraining | ChangeClaimGroup
+class PutRevision(Record, frozen=True, array_like=True, tag="put-revision"):
+    """Put a whole configuration in force unless its revision is not above the one held.
+
+    `document` is what the operator sent, kept to be read back as it was.
+    """
+
+    services: tuple[Service, ...]
+    routing: Routing
+    document: bytes
+
+
+Command = CreatePlan | ConfirmPlan | MarkDraining | ChangeClaimGroup | PutRevision
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Command)
--- a/packages/bendwind-core/src/bendwind_core/plans/plan_table.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/plan_table.py
@@ -74,8 +74,15 @@
 
     def supersede(self, winner: Plan, version: int) -> None:
         """Record for every plan still open that another one won."""
+        self._lose_open(winner.id, version)
+
+    def withdraw(self, version: int) -> None:
+        """Record for every plan still open that a whole configuration came first."""
+        self._lose_open("", version)
+
+    def _lose_open(self, winner: str, version: int) -> None:
         for plan in list(self.open.values()):
-            self.decide(plan.index, WonBy(winner.id, version))
+            self.decide(plan.index, WonBy(winner, version))
 
 
 def create_plan_table(
--- a/packages/bendwind-core/src/bendwind_core/plans/results.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/results.py
@@ -70,6 +70,14 @@
     detail: str
 
 
+class RevisionHeld(Record, frozen=True, array_like=True, tag="revision-held"):
+    """Give the revision held after a whole configuration was put; `is_new` if this put it there."""
+
+    revision: int
+    version: int
+    is_new: bool
+
+
 CommandResult = (
     PlanKept
     | PlanOutcome
@@ -82,4 +90,5 @@
     | TooManyMarks
     | GroupChanged
     | GroupRefused
+    | RevisionHeld
 )
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -0,0 +1,73 @@
+"""Find what makes a whole configuration invalid."""
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from bendwind_core.plans.commands import PutRevision
+from bendwind_core.world import Route
+
+
+class RevisionFaultKind(enum.StrEnum):
+    """Name what is wrong with a whole configuration."""
+
+    BAD_REVISION = "bad-revision"
+    DUPLICATE_SERVICE = "duplicate-service"
+    DUPLICATE_PLACE = "duplicate-place"
+    NO_HOST = "no-host"
+    BAD_PREFIX = "bad-prefix"
+    NO_SERVICE = "no-service"
+    UNKNOWN_SERVICE = "unknown-service"
+    NO_WEIGHT = "no-weight"
+    NO_TIMEOUT = "no-timeout"
+    NO_ATTEMPTS = "no-attempts"
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionFault:
+    """Say what is wrong, and with which service or route."""
+
+    kind: RevisionFaultKind
+    name: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.kind}: {self.name}" if self.name else str(self.kind)
+
+
+def find_revision_fault(command: PutRevision) -> RevisionFault | None:
+    """Return the first fault of a whole configuration, or None if it is valid."""
+    return next(_find_faults(command), None)
+
+
+def _find_faults(command: PutRevision) -> Iterator[RevisionFault]:
+    if command.routing.revision < 1:
+        yield RevisionFault(RevisionFaultKind.BAD_REVISION, str(command.routing.revision))
+    services: set[str] = set()
+    for service in command.services:
+        if not service.name or service.name in services:
+            yield RevisionFault(RevisionFaultKind.DUPLICATE_SERVICE, service.name)
+        services.add(service.name)
+    places: set[tuple[str, str]] = set()
+    for route in command.routing.routes:
+        yield from _find_route_faults(route, services)
+        if (route.host, route.path_prefix) in places:
+            yield RevisionFault(RevisionFaultKind.DUPLICATE_PLACE, route.name)
+        places.add((route.host, route.path_prefix))
+
+
+def _find_route_faults(route: Route, services: set[str]) -> Iterator[RevisionFault]:
+    if not route.host:
+        yield RevisionFault(RevisionFaultKind.NO_HOST, route.name)
+    if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+        yield RevisionFault(RevisionFaultKind.BAD_PREFIX, route.name)
+    if not route.parts:
+        yield RevisionFault(RevisionFaultKind.NO_SERVICE, route.name)
+    if any(part.service not in services for part in route.parts):
+        yield RevisionFault(RevisionFaultKind.UNKNOWN_SERVICE, route.name)
+    weights = [part.weight for part in route.parts]
+    if min(weights, default=0) < 0 or sum(weights) <= 0:
+        yield RevisionFault(RevisionFaultKind.NO_WEIGHT, route.name)
+    if not (route.rule.longest_wait_ms or 0) > 0:
+        yield RevisionFault(RevisionFaultKind.NO_TIMEOUT, route.name)
+    if route.rule.attempts is not None and route.rule.attempts < 1:
+        yield RevisionFault(RevisionFaultKind.NO_ATTEMPTS, route.name)
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -12,6 +12,7 @@
     CreatePlan,
     DrainTarget,
     MarkDraining,
+    PutRevision,
     decode_command,
 )
 from bendwind_core.plans.plan import Confirmed, Plan, PlanOutcome, parse_plan_id
@@ -24,6 +25,7 @@
     Marked,
     PlanKept,
     RequestReused,
+    RevisionHeld,
     TooManyMarks,
     TooManyPlans,
     UnknownPlan,
@@ -44,6 +46,7 @@
     claim_groups: tuple[ClaimGroup, ...]
     draining_instances: tuple[str, ...]
     draining_upstreams: tuple[str, ...]
+    document: bytes = b""
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -65,6 +68,7 @@
     claim_groups: dict[str, ClaimGroup] = field(default_factory=dict)
     draining_instances: dict[str, None] = field(default_factory=dict)
     draining_upstreams: dict[str, None] = field(default_factory=dict)
+    document: bytes = b""
 
     def apply(self, index: int, command: bytes) -> CommandResult | None:
         """Apply the log entry at an index; an empty command only moves the index on.
@@ -87,6 +91,8 @@
                 return self._mark_draining(mark)
             case ChangeClaimGroup() as change:
                 return self._change_claim_group(change)
+            case PutRevision() as put:
+                return self._put_revision(index, put)
 
     def find_plan(self, plan_id: str) -> Plan | UnknownPlan | ForgottenPlan:
         """Return a plan by the id that operators use."""
@@ -140,6 +146,16 @@
         self.plans.supersede(plan, version)
         return outcome
 
+    def _put_revision(self, index: int, command: PutRevision) -> RevisionHeld:
+        held = self.configuration.routing.revision
+        if command.routing.revision <= held:
+            return RevisionHeld(held, self.configuration.version, is_new=False)
+        self.configuration = Configuration(index, command.services, command.routing)
+        self.configuration_plan = ""
+        self.document = command.document
+        self.plans.withdraw(index)
+        return RevisionHeld(command.routing.revision, index, is_new=True)
+
     def _mark_draining(self, command: MarkDraining) -> Marked | TooManyMarks:
         marks = self._find_marks(command.target)
         if command.draining and command.name not in marks:
@@ -175,6 +191,7 @@
                 tuple(self.claim_groups.values()),
                 tuple(self.draining_instances),
                 tuple(self.draining_upstreams),
+                self.document,
             )
         )
 
@@ -194,3 +211,4 @@
         self.claim_groups = {group.service: group for group in snapshot.claim_groups}
         self.draining_instances = dict.fromkeys(snapshot.draining_instances)
         self.draining_upstreams = dict.fromkeys(snapshot.draining_upstreams)
+        self.document = snapshot.document
--- a/packages/bendwind-core/src/bendwind_core/routing/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/__init__.py
@@ -3,6 +3,7 @@
 from bendwind_core.routing.choice import choose_upstream
 from bendwind_core.routing.messages import LoadProbe, LoadReport
 from bendwind_core.routing.probes import plan_probes
+from bendwind_core.routing.route_table import RouteTable, choose_part, find_route, set_routing
 from bendwind_core.routing.subset import choose_subset
 from bendwind_core.routing.table import (
     UpstreamTable,
@@ -20,11 +21,14 @@
 __all__ = [
     "LoadProbe",
     "LoadReport",
+    "RouteTable",
     "UpstreamTable",
     "UpstreamView",
+    "choose_part",
     "choose_subset",
     "choose_upstream",
     "create_table",
+    "find_route",
     "note_answered",
     "note_cancelled",
     "note_load",
@@ -32,5 +36,6 @@
     "note_sent",
     "note_unknown",
     "plan_probes",
+    "set_routing",
     "set_upstreams",
 ]
--- a/packages/bendwind-core/src/bendwind_core/world/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/world/__init__.py
@@ -2,6 +2,7 @@
 
 from bendwind_core.world.configuration import EMPTY_CONFIGURATION, Configuration
 from bendwind_core.world.places import DataCentre, Instance
+from bendwind_core.world.route import EMPTY_ROUTING, CallerLimits, Route, Routing, SplitPart
 from bendwind_core.world.service import (
     Limits,
     Policy,
@@ -16,6 +17,8 @@
 
 __all__ = [
     "EMPTY_CONFIGURATION",
+    "EMPTY_ROUTING",
+    "CallerLimits",
     "Configuration",
     "DataCentre",
     "Instance",
@@ -23,8 +26,11 @@
     "LoadSample",
     "Policy",
     "Repeat",
+    "Route",
+    "Routing",
     "Rule",
     "Service",
+    "SplitPart",
     "StaleAction",
     "Upstream",
     "UpstreamState",
--- a/packages/bendwind-core/src/bendwind_core/world/configuration.py
+++ b/packages/bendwind-core/src/bendwind_core/world/configuration.py
@@ -1,14 +1,16 @@
 """Hold the accepted configuration as one immutable value."""
 
 from bendwind_core.core import Record
+from bendwind_core.world.route import EMPTY_ROUTING, Routing
 from bendwind_core.world.service import Service
 
 
 class Configuration(Record, frozen=True, array_like=True):
-    """Hold every service as of one version, which is a position in the control log."""
+    """Hold every service and route as of one version, which is a position in the control log."""
 
     version: int
     services: tuple[Service, ...] = ()
+    routing: Routing = EMPTY_ROUTING
 
     def find_service(self, name: str) -> Service | None:
         """Return the service of this name, or None."""
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/world/route.py
@@ -0,0 +1,47 @@
+"""Describe virtual hosts: which requests go to which services, and under which rule."""
+
+from bendwind_core.core import Milliseconds, Record
+from bendwind_core.world.service import Rule
+
+
+class SplitPart(Record, frozen=True, array_like=True):
+    """Name a service that takes a share of a route's requests; shares follow the weights."""
+
+    service: str
+    weight: int = 1
+
+
+class Route(Record, frozen=True, array_like=True):
+    """Send the requests of a host whose path begins with a prefix to one or more services.
+
+    The prefix begins and ends with a slash, so that it covers whole segments.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    parts: tuple[SplitPart, ...]
+    rule: Rule
+
+
+class CallerLimits(Record, frozen=True, array_like=True):
+    """Bound what a caller may send and how long it may take or rest.
+
+    Units: bytes and milliseconds; None leaves the bound to the settings of each process.
+    """
+
+    header_bytes: int | None = None
+    body_bytes: int | None = None
+    header_timeout_ms: Milliseconds | None = None
+    idle_timeout_ms: Milliseconds | None = None
+
+
+class Routing(Record, frozen=True, array_like=True):
+    """Hold all routes as of one revision, which the operator numbers; 0 means that none was set."""
+
+    revision: int = 0
+    routes: tuple[Route, ...] = ()
+    limits: CallerLimits = CallerLimits()
+
+
+EMPTY_ROUTING = Routing()
--- a/packages/bendwind-core/src/bendwind_core/world/service.py
+++ b/packages/bendwind-core/src/bendwind_core/world/service.py
@@ -33,6 +33,8 @@
     """State how requests that match a method and a path pattern are treated.
 
     `methods` empty matches every method; `path` is a shell-style pattern over the path.
+    `attempts` bounds the upstreams that one call may reach, and `priority` ranks it, 0 the most
+    urgent; an answer within `target_latency_ms` is in time.
     """
 
     path: str
@@ -40,6 +42,9 @@
     repeat: Repeat = Repeat.IDEMPOTENT
     key_required: bool = False
     longest_wait_ms: Milliseconds | None = None
+    attempts: int | None = None
+    target_latency_ms: Milliseconds | None = None
+    priority: int = 0
 
 
 class Limits(Record, frozen=True, array_like=True):
@@ -55,7 +60,9 @@
     """State a service: the hosts that name it, the upstreams that may serve it, its rules.
 
     `upstreams` holds shell-style patterns over upstream names. `needed_upstreams` is how many the
-    operators count on; a plan warns when fewer are announced.
+    operators count on; a plan warns when fewer are announced. A service that is `routed_only` is
+    reached by routes alone, which bring their own rules. `health_path` empty means that its
+    upstreams offer none.
     """
 
     name: str
@@ -68,6 +75,8 @@
     on_stale: StaleAction = StaleAction.REFUSE
     hedge_after_ms: Milliseconds | None = None
     needed_upstreams: int = 1
+    routed_only: bool = False
+    health_path: str = ""
 
 
 # RFC 9110, section 9.2.2: the methods whose repetition has the effect of a single request.
--- a/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
@@ -131,9 +131,11 @@
 
     async def _send_head(self, head: AnswerHead) -> None:
         self.is_started = True
-        call = ((names.CALL, self.run.call.call_id.encode()),)
+        added = ()
+        if self.entry.dialect.has_outcomes:
+            added = (names.VIA, (names.CALL, self.run.call.call_id.encode()))
         with self._noticing_gone():
-            await self.exchange.send_head(head.status, (*head.headers, names.VIA, *call))
+            await self.exchange.send_head(head.status, (*head.headers, *added))
             await self.exchange.send_part(head.body, more=head.more)
 
     async def _send_part(self, attempt: AttemptId) -> None:
@@ -168,7 +170,13 @@
         self._record_end(f"{outcome.decode()}: {reason}")
         with self._noticing_gone():
             await outcomes.send_outcome(
-                self.exchange, self.run.call.call_id, status, outcome, reason, retry_after_ms
+                self.exchange,
+                self.run.call.call_id,
+                status,
+                outcome,
+                reason,
+                retry_after_ms,
+                self.entry.dialect,
             )
 
     def _record_end(self, detail: str) -> None:
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -1,16 +1,18 @@
 """Take in one request: its service, rule, deadline, key and body, each within its limits."""
 
 import math
+from dataclasses import dataclass
 
 import trio
 from expression import Error, Ok, Result
 
-from bendwind_core.attempts import NotRunReason
+from bendwind_core.attempts import Header, NotRunReason
 from bendwind_core.attempts.call import create_call
 from bendwind_core.claims import fingerprint_request
 from bendwind_core.claims.messages import MAX_KEY_CHARACTERS
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import admit, check_headers, leave
+from bendwind_core.routing import choose_part, find_route
 from bendwind_core.world import Repeat, Rule, Service, StaleAction, find_rule
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
@@ -23,6 +25,8 @@
 SERVICE_WAIT: Seconds = 2.0
 SERVICE_POLL: Seconds = 0.01
 FIRST_PROOF_WAIT: Seconds = 2.0
+# The route of a request is looked for without waiting; its service may still be on its way.
+ROUTED_SERVICE_WAIT: Seconds = 0.25
 # Callers may name services that do not exist; a node does not go on to watch ever more of them.
 MAX_WATCHED = 512
 
@@ -33,6 +37,15 @@
 _NO_KEY: Result[str, Refusal] = Ok("")
 _EMPTY: Result[bytes, Refusal] = Ok(b"")
 _UNKNOWN_SERVICE = Refusal(404, outcomes.REFUSED, "unknown-service")
+_NO_ROUTE = Refusal(404, outcomes.REFUSED, "no-route")
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Name the service that takes a request and the rule that the request comes under."""
+
+    service: Service
+    rule: Rule
 
 
 class CallIntake:
@@ -56,34 +69,33 @@
             return Error(Refusal.not_run(NotRunReason.OVERLOADED))
         if check_headers(exchange.request.headers).is_error():
             return Error(_HEADERS_TOO_LARGE)
-        service = await self._find_service(exchange.request.headers)
-        is_fresh = self.entry.membership.is_fresh()
-        if service is None:
-            # A node without proof of freshness cannot tell that there is no such service.
-            return Error(_UNKNOWN_SERVICE if is_fresh else Refusal.not_run(NotRunReason.STALE))
-        if not is_fresh and service.on_stale is StaleAction.REFUSE:
-            return Error(Refusal.not_run(NotRunReason.STALE))
+        found = await self._find_target(exchange.request)
+        if found.is_error():
+            return found
+        target = found.ok
+        service = target.service
         share = self.entry.share
         self.entry.find_desk(service)
         if not admit(share, service.name, service.limits.in_flight_per_entry):
             return Error(Refusal.not_run(NotRunReason.OVERLOADED))
         taken: Result[CallRun, Refusal] = Error(_BODY_TOO_SLOW)
         try:
-            taken = await self._take_admitted(exchange, call_id, service, arrived_at)
+            taken = await self._take_admitted(exchange, call_id, target, arrived_at)
         finally:
             if taken.is_error():
                 leave(share, service.name)
         return taken
 
     async def _take_admitted(
-        self, exchange: CallerExchange, call_id: str, service: Service, arrived_at: Seconds
+        self, exchange: CallerExchange, call_id: str, target: Target, arrived_at: Seconds
     ) -> Result[CallRun, Refusal]:
         request = exchange.request
-        rule = find_rule(service, request.method, request.path)
+        service, rule = target.service, target.rule
         key = _read_key(request.headers, rule)
         if key.is_error():
             return key
-        timeout_ms = _read_timeout_ms(request.headers, service, rule)
+        stated = names.find_header(request.headers, self.entry.dialect.timeout_ms)
+        timeout_ms = _read_timeout_ms(stated, service, rule)
         if timeout_ms.is_error():
             return timeout_ms
         deadline_at = arrived_at + timeout_ms.ok / MILLISECONDS_PER_SECOND
@@ -115,19 +127,61 @@
         call = create_call(
             call_id, service, rule, deadline_at, self.entry.ids, budget, has_key=bool(key)
         )
-        headers = (*names.keep_request_headers(request.headers), names.VIA)
+        headers = self._make_headers(request)
         run = CallRun(call, self.entry.apply, request.method, request.target, headers, body)
         if call.has_key:
             run.key = key
             run.fingerprint = fingerprint_request(request.method, request.target, body)
         return run
 
+    def _make_headers(self, request: CallerRequest) -> tuple[Header, ...]:
+        dialect = self.entry.dialect
+        kept = names.keep_request_headers(request.headers, dialect.not_forwarded)
+        if dialect.origin_service is None:
+            return (*kept, names.VIA)
+        return (*kept, (dialect.origin_service, self.entry.origin_service.encode()))
+
+    async def _find_target(self, request: CallerRequest) -> Result[Target, Refusal]:
+        if self.entry.routes.by_host:
+            return await self._find_routed(request)
+        service = await self._find_service(request.headers)
+        is_fresh = self.entry.membership.is_fresh()
+        if service is None or service.routed_only:
+            # A node without proof of freshness cannot tell that there is no such service.
+            return Error(_UNKNOWN_SERVICE if is_fresh else Refusal.not_run(NotRunReason.STALE))
+        if not is_fresh and service.on_stale is StaleAction.REFUSE:
+            return Error(Refusal.not_run(NotRunReason.STALE))
+        return Ok(Target(service, find_rule(service, request.method, request.path)))
+
+    async def _find_routed(self, request: CallerRequest) -> Result[Target, Refusal]:
+        """Find the service by the routes; one that is not known yet is waited for shortly."""
+        table = self.entry.routes
+        route = find_route(table, names.find_host(request.headers), request.path)
+        if route is None:
+            return Error(_NO_ROUTE)
+        name = choose_part(table, route, self.entry.rng)
+        membership = self.entry.membership
+        service = membership.services.get(name)
+        if service is None:
+            membership.watch(name)
+            with trio.move_on_after(ROUTED_SERVICE_WAIT):
+                while name in membership.view.pending:
+                    await trio.sleep(SERVICE_POLL)
+            service = membership.services.get(name)
+        if service is None:
+            return Error(Refusal.not_run(NotRunReason.STALE))
+        if service.on_stale is StaleAction.REFUSE and not membership.is_fresh():
+            return Error(Refusal.not_run(NotRunReason.STALE))
+        return Ok(Target(service, route.rule))
+
     async def _find_service(self, headers: tuple) -> Service | None:
         name = self._find_service_name(headers)
         membership = self.entry.membership
+        if not name:
+            return None
         await self._wait_first_proof()
         service = membership.services.get(name)
-        if service is not None or not name:
+        if service is not None:
             return service
         if len(membership.view.holdings.watched) >= MAX_WATCHED:
             return None
@@ -147,7 +201,11 @@
                 await trio.sleep(SERVICE_POLL)
 
     def _find_service_name(self, headers: tuple) -> str:
-        named = names.find_header(headers, names.SERVICE)
+        dialect = self.entry.dialect
+        if dialect.service is None:
+            # Where callers cannot name a service, only routes lead to one.
+            return ""
+        named = names.find_header(headers, dialect.service)
         if named is not None:
             return named.decode("latin-1")
         host = names.find_host(headers)
@@ -196,9 +254,10 @@
         return None
 
 
-def _read_timeout_ms(headers: tuple, service: Service, rule: Rule) -> Result[Milliseconds, Refusal]:
+def _read_timeout_ms(
+    stated: bytes | None, service: Service, rule: Rule
+) -> Result[Milliseconds, Refusal]:
     longest = rule.longest_wait_ms or service.longest_wait_ms
-    stated = names.find_header(headers, names.TIMEOUT_MS)
     if stated is None:
         return Ok(longest)
     try:
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -58,6 +58,7 @@
             refusal.outcome,
             refusal.reason,
             refusal.retry_after_ms,
+            self.entry.dialect,
         )
 
     async def _run(self, exchange: CallerExchange, run: CallRun) -> None:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -0,0 +1,76 @@
+"""Describe the HTTP headers by which callers, nodes and upstreams understand each other."""
+
+from dataclasses import dataclass, field
+
+from bendwind_core.attempts import Header, NotRunReason
+
+_SERVICE_UNAVAILABLE = 503
+# RFC 9110, section 15.5.20: the request was directed at a server that is not the one meant.
+_MISDIRECTED = 421
+
+
+@dataclass(frozen=True, slots=True)
+class Dialect:
+    """Name the headers of one kind of deployment; None where there is no such header.
+
+    `service` names a service directly, `timeout_ms` says how long the sender waits, `request_id`
+    is the sender's own id, which an upstream repeats in its answer. Towards upstreams, `attempt`
+    carries the attempt's id, `upstream` the name of the upstream that is meant, and
+    `origin_service` the service beside the entry node. `not_run` marks an answer whose request did
+    not run; where `not_run_value` is None its presence is enough, whatever the status.
+    `has_outcomes` adds Bendwind's outcome headers to answers, `has_fractions` permits fractions of
+    seconds in Retry-After, `has_cancel_path` says that upstreams take cancellations as requests.
+    """
+
+    timeout_ms: bytes
+    not_run: bytes
+    not_run_value: bytes | None
+    service: bytes | None = None
+    request_id: bytes | None = None
+    attempt: bytes | None = None
+    upstream: bytes | None = None
+    origin_service: bytes | None = None
+    load: bytes | None = None
+    has_outcomes: bool = False
+    has_fractions: bool = True
+    has_cancel_path: bool = False
+    not_forwarded: frozenset[bytes] = field(init=False)
+
+    def __post_init__(self):
+        own = (
+            self.service,
+            self.timeout_ms,
+            self.attempt,
+            self.upstream,
+            self.origin_service,
+            self.not_run,
+            self.load,
+        )
+        object.__setattr__(self, "not_forwarded", frozenset(name for name in own if name))
+
+
+BENDWIND_DIALECT = Dialect(
+    timeout_ms=b"bendwind-timeout-ms",
+    not_run=b"bendwind-shed",
+    not_run_value=b"not-run",
+    service=b"bendwind-service",
+    attempt=b"bendwind-attempt",
+    has_outcomes=True,
+    has_fractions=False,
+    has_cancel_path=True,
+)
+
+
+def find_not_run_proof(
+    dialect: Dialect, status: int, headers: tuple[Header, ...]
+) -> NotRunReason | None:
+    """Return why an upstream's answer proves that it did not run the request, or None."""
+    if dialect.upstream is not None and status == _MISDIRECTED:
+        return NotRunReason.MISDIRECTED
+    marks = [value for name, value in headers if name == dialect.not_run]
+    if not marks:
+        return None
+    if dialect.not_run_value is None:
+        return NotRunReason.SHED
+    is_shed = status == _SERVICE_UNAVAILABLE and marks[0] == dialect.not_run_value
+    return NotRunReason.SHED if is_shed else None
--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -12,6 +12,7 @@
     BodyPart,
     CutReason,
     HandOver,
+    Header,
     NotRunReason,
 )
 from bendwind_core.attempts.owner_events import (
@@ -26,6 +27,7 @@
 from bendwind_core.world import LoadSample, Repeat
 from bendwind_node.calls import headers as names
 from bendwind_node.calls.body_flow import PART_BYTES, Outflow
+from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect, find_not_run_proof
 from bendwind_node.calls.upstream_h11 import UpstreamAnswer, UpstreamPool
 from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
 
@@ -34,19 +36,18 @@
 Feed = Callable[[OwnerEvent], None]
 ReadLoad = Callable[[], LoadSample]
 
-_SERVICE_UNAVAILABLE = 503
 _CANCEL_TIMEOUT_S = 0.5
 
 
-def create_upstream_request(hand_over: HandOver) -> UpstreamRequest:
+def create_upstream_request(hand_over: HandOver, dialect: Dialect) -> UpstreamRequest:
     """Build the request that the upstream sees."""
     length = str(len(hand_over.body)).encode()
     has_length = hand_over.body or hand_over.method in ("POST", "PUT", "PATCH")
     headers = (
         *hand_over.headers,
         *(((names.CONTENT_LENGTH, length),) if has_length else ()),
-        (names.TIMEOUT_MS, str(max(1, int(hand_over.remaining_ms))).encode()),
-        (names.ATTEMPT, format_attempt(hand_over.attempt).encode()),
+        (dialect.timeout_ms, str(max(1, int(hand_over.remaining_ms))).encode()),
+        *_name_attempt(hand_over, dialect),
     )
     return UpstreamRequest(
         hand_over.method.encode(),
@@ -57,6 +58,14 @@
     )
 
 
+def _name_attempt(hand_over: HandOver, dialect: Dialect) -> tuple[Header, ...]:
+    named = (
+        (dialect.attempt, format_attempt(hand_over.attempt)),
+        (dialect.upstream, hand_over.upstream),
+    )
+    return tuple((name, text.encode()) for name, text in named if name is not None)
+
+
 def format_attempt(attempt: AttemptId) -> str:
     """Write an attempt id as a path.
 
@@ -74,12 +83,6 @@
             await answer.aclose()
 
 
-def _is_shed(answer: UpstreamAnswer) -> bool:
-    if answer.status != _SERVICE_UNAVAILABLE:
-        return False
-    return names.find_header(answer.headers, names.SHED) == names.SHED_NOT_RUN
-
-
 def _is_short(answer: UpstreamAnswer) -> bool:
     length = names.find_header(answer.headers, names.CONTENT_LENGTH)
     return length is not None and int(length) <= PART_BYTES
@@ -98,6 +101,7 @@
     send: Send
     feed: Feed
     read_load: ReadLoad
+    dialect: Dialect = BENDWIND_DIALECT
     started_at: Seconds = 0.0
     upstream_ms: Milliseconds = 0.0
 
@@ -112,15 +116,19 @@
         with scope:
             end = await self._exchange()
         if scope.cancelled_caught:
-            with trio.move_on_after(_CANCEL_TIMEOUT_S):
-                await _cancel_at_upstream(self.pool, self.attempt)
+            if self.dialect.has_cancel_path:
+                await self._cancel_at_upstream()
             if trio.current_time() < scope.deadline:
                 end = DispatchUnknown(self.attempt, CutReason.CANCELLED)
         return end
 
+    async def _cancel_at_upstream(self) -> None:
+        with trio.move_on_after(_CANCEL_TIMEOUT_S):
+            await _cancel_at_upstream(self.pool, self.attempt)
+
     async def _exchange(self) -> DispatchEnd:
         self.started_at = trio.current_time()
-        match await self.pool.start(create_upstream_request(self.hand_over)):
+        match await self.pool.start(create_upstream_request(self.hand_over, self.dialect)):
             case Result(tag="error", error=RequestNotSent(reason=not_run)):
                 return DispatchNotRun(self.attempt, not_run)
             case Result(tag="error", error=AnswerCut(reason=cut)):
@@ -135,17 +143,27 @@
     async def _relay(self, answer: UpstreamAnswer) -> DispatchEnd:
         elapsed = trio.current_time() - self.started_at
         self.upstream_ms = elapsed * MILLISECONDS_PER_SECOND
-        if _is_shed(answer):
-            return await self._discard_shed(answer)
+        not_run = find_not_run_proof(self.dialect, answer.status, answer.headers)
+        if not_run is not None:
+            return await self._discard_refusal(answer, not_run)
+        if self._is_of_another(answer):
+            return DispatchUnknown(self.attempt, CutReason.FOREIGN_ANSWER)
         self.feed(DispatchHead(self.attempt, answer.status, self.upstream_ms))
         if _is_short(answer):
             return await self._send_whole(answer)
         return await self._send_parts(answer)
 
-    async def _discard_shed(self, answer: UpstreamAnswer) -> DispatchEnd:
+    def _is_of_another(self, answer: UpstreamAnswer) -> bool:
+        name = self.dialect.request_id
+        if name is None:
+            return False
+        own = names.find_header(self.hand_over.headers, name)
+        return names.find_header(answer.headers, name) != own
+
+    async def _discard_refusal(self, answer: UpstreamAnswer, reason: NotRunReason) -> DispatchEnd:
         while (await answer.next_part()).default_value(b""):
             continue
-        return DispatchNotRun(self.attempt, NotRunReason.SHED)
+        return DispatchNotRun(self.attempt, reason)
 
     async def _send_whole(self, answer: UpstreamAnswer) -> DispatchEnd:
         body = bytearray()
@@ -162,7 +180,7 @@
         return DispatchDone(self.attempt)
 
     def _send_head(self, answer: UpstreamAnswer, body: bytes, *, more: bool) -> None:
-        headers = names.keep_end_to_end(answer.headers)
+        headers = names.keep_end_to_end(answer.headers, self.dialect.not_forwarded)
         self.send(
             AnswerHead(
                 self.attempt,
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -29,6 +29,7 @@
 from bendwind_core.limits import ConcurrencyShare, RetryBudget, set_services
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import (
+    RouteTable,
     UpstreamTable,
     choose_subset,
     choose_upstream,
@@ -38,12 +39,14 @@
     note_not_run,
     note_sent,
     note_unknown,
+    set_routing,
     set_upstreams,
 )
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Service, StaleAction, Upstream, may_serve
 from bendwind_node.calls.body_flow import Outflow, split_body
 from bendwind_node.calls.call_run import CallRun
+from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import format_attempt
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.claims.task import ClaimTask
@@ -51,6 +54,9 @@
 from bendwind_node.membership import MembershipTask
 
 LOCAL_EPOCH = 0
+# A watched upstream takes 642 bytes at a node (docs/design/distribution.md); with 23 upstreams a
+# service, so many services stay under half a megabyte.
+WATCHED_AHEAD = 32
 
 
 @dataclass(slots=True, eq=False)
@@ -91,6 +97,9 @@
     rng: random.Random
     ids: AttemptIds
     share: ConcurrencyShare
+    dialect: Dialect = BENDWIND_DIALECT
+    origin_service: str = ""
+    routes: RouteTable = field(default_factory=RouteTable)
     desks: dict[str, ServiceDesk] = field(default_factory=dict)
     runs: dict[int, CallRun] = field(default_factory=dict)
     local: LocalLink = field(init=False)
@@ -110,6 +119,18 @@
             self.refresh_upstreams(service.name)
         return desk
 
+    def refresh_routing(self) -> None:
+        """Take over the routes in force and watch the services that they lead to."""
+        routing = self.membership.routing
+        if routing.revision == self.routes.routing.revision:
+            return
+        set_routing(self.routes, routing)
+        services = {part.service for route in routing.routes for part in route.parts}
+        # Watched ahead, a service's first call need not wait; of many, each node calls only a few.
+        if len(services) <= WATCHED_AHEAD:
+            for service in sorted(services):
+                self.membership.watch(service)
+
     def refresh_upstreams(self, service_name: str) -> None:
         """Take over the announced upstreams that the service's patterns admit."""
         desk = self.desks.get(service_name)
@@ -250,7 +271,9 @@
         """Tell whether the configuration is fresh, or served stale and this the first attempt."""
         if self.membership.is_fresh():
             return True
-        return run.call.service.on_stale is StaleAction.SERVE and not run.call.attempts
+        service = run.call.service
+        is_first = not run.call.attempts
+        return service.on_stale is StaleAction.SERVE and (is_first or service.routed_only)
 
     def _carry_out(self, run: CallRun, desk: ServiceDesk, effect: ev.EntryEffect) -> None:
         match effect:
--- a/packages/bendwind-node/src/bendwind_node/calls/headers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/headers.py
@@ -2,13 +2,9 @@
 
 from bendwind_core.attempts import Header
 
-SERVICE = b"bendwind-service"
-TIMEOUT_MS = b"bendwind-timeout-ms"
-ATTEMPT = b"bendwind-attempt"
 OUTCOME = b"bendwind-outcome"
 REASON = b"bendwind-reason"
 CALL = b"bendwind-call"
-SHED = b"bendwind-shed"
 REPLAYED = b"bendwind-replayed"
 IDEMPOTENCY_KEY = b"idempotency-key"
 RETRY_AFTER = b"retry-after"
@@ -16,8 +12,6 @@
 HOST = b"host"
 VIA = (b"via", b"1.1 bendwind")
 
-SHED_NOT_RUN = b"not-run"
-
 # RFC 9110, section 7.6.1: fields that are meant for one connection only.
 _HOP_BY_HOP = frozenset(
     (
@@ -33,7 +27,7 @@
     )
 )
 # Bendwind writes these itself, so that a caller cannot forge them towards an upstream.
-_OWN = frozenset((SERVICE, TIMEOUT_MS, ATTEMPT, OUTCOME, REASON, CALL, SHED, REPLAYED))
+_OWN = frozenset((OUTCOME, REASON, CALL, REPLAYED))
 _EXPECT = b"expect"
 
 
@@ -70,17 +64,22 @@
     return frozenset(tokens)
 
 
-def keep_end_to_end(headers: tuple[Header, ...]) -> tuple[Header, ...]:
-    """Drop the fields of a single hop and those that only Bendwind may write."""
-    named = _find_connection_tokens(headers)
-    dropped = _HOP_BY_HOP | _OWN | named if named else _DROPPED
+def keep_end_to_end(
+    headers: tuple[Header, ...], own: frozenset[bytes] = frozenset()
+) -> tuple[Header, ...]:
+    """Drop the fields of a single hop and those that only Bendwind may write, `own` among them."""
+    dropped = _DROPPED | _find_connection_tokens(headers) | own
     return tuple(header for header in headers if header[0] not in dropped)
 
 
-def keep_request_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
+def keep_request_headers(
+    headers: tuple[Header, ...], own: frozenset[bytes] = frozenset()
+) -> tuple[Header, ...]:
     """Drop what the hand-over of a request restates: hops, length and expectation."""
     return tuple(
-        header for header in keep_end_to_end(headers) if header[0] not in (CONTENT_LENGTH, _EXPECT)
+        header
+        for header in keep_end_to_end(headers, own)
+        if header[0] not in (CONTENT_LENGTH, _EXPECT)
     )
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
@@ -6,6 +6,7 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds
 from bendwind_node.calls import headers as names
 from bendwind_node.calls.caller_exchange import CallerExchange
+from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 
 NOT_RUN = b"not-run"
 UNKNOWN = b"unknown"
@@ -28,18 +29,30 @@
 
 
 def make_headers(
-    call: str, outcome: bytes, reason: str, length: int, retry_after_ms: Milliseconds | None
+    call: str,
+    outcome: bytes,
+    reason: str,
+    length: int,
+    retry_after_ms: Milliseconds | None,
+    dialect: Dialect = BENDWIND_DIALECT,
 ) -> tuple[Header, ...]:
     """Build the headers of an answer made by Bendwind."""
     headers = (
         (b"content-type", b"text/plain; charset=utf-8"),
         (names.CONTENT_LENGTH, str(length).encode()),
-        (names.OUTCOME, outcome),
-        (names.REASON, reason.encode()),
-        (names.CALL, call.encode()),
     )
+    if dialect.has_outcomes:
+        headers = (
+            *headers,
+            (names.OUTCOME, outcome),
+            (names.REASON, reason.encode()),
+            (names.CALL, call.encode()),
+        )
     if retry_after_ms is None:
         return headers
+    if dialect.has_fractions:
+        seconds = f"{retry_after_ms / MILLISECONDS_PER_SECOND:.3f}"
+        return (*headers, (names.RETRY_AFTER, seconds.encode()))
     seconds = max(1, math.ceil(retry_after_ms / MILLISECONDS_PER_SECOND))
     return (
         *headers,
@@ -55,9 +68,10 @@
     outcome: bytes,
     reason: str,
     retry_after_ms: Milliseconds | None = None,
+    dialect: Dialect = BENDWIND_DIALECT,
 ) -> None:
     """Answer a caller with an outcome and its reason."""
     body = f"{outcome.decode()}: {reason}\n".encode()
-    headers = make_headers(call, outcome, reason, len(body), retry_after_ms)
+    headers = make_headers(call, outcome, reason, len(body), retry_after_ms, dialect)
     await exchange.send_head(status, headers)
     await exchange.send_part(b"" if exchange.request.method == "HEAD" else body, more=False)
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -31,6 +31,7 @@
 from bendwind_core.world import Instance, LoadSample, Upstream, UpstreamState
 from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import Outflow
+from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_h11 import UpstreamPool
@@ -52,11 +53,18 @@
     lease_until: Seconds
     scopes: dict[AttemptId, trio.CancelScope] = field(default_factory=dict)
     is_marked: bool = False
+    last_sequence: int = 0
+    has_left: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """Hold what an upstream says of itself."""
+    """Hold what an upstream says of itself.
+
+    `sequence` grows with every announcement of one upstream, so that a late one is known; 0 where
+    upstreams do not number them.
+    Units: `warmup_left_ms` is how much longer it stays slow after its start.
+    """
 
     name: str
     service: str
@@ -65,6 +73,8 @@
     slots: int
     connections: int
     state: UpstreamState
+    sequence: int = 0
+    warmup_left_ms: Milliseconds = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -78,6 +88,7 @@
     assemblies: AssemblyTable
     probe_budget: ProbeBudget
     announce: Callable[[Upstream], None]
+    dialect: Dialect = BENDWIND_DIALECT
     replies: ReplyPath = field(default_factory=ReplyPath)
     owned: dict[str, OwnedUpstream] = field(default_factory=dict)
     outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
@@ -173,6 +184,11 @@
             if len(self.owned) >= MAX_OWNED_UPSTREAMS:
                 return False
             owned = self._create_owned(news)
+        if news.sequence and (owned.has_left or news.sequence <= owned.last_sequence):
+            # A late announcement of one that has said more since; what it said then stands.
+            return True
+        owned.last_sequence = news.sequence
+        self._end_former(news)
         owned.lease_until = now + self.lease_ms / MILLISECONDS_PER_SECOND
         self._move_pool(owned, news)
         state = UpstreamState.DRAINING if self.is_draining else news.state
@@ -180,6 +196,14 @@
         self._feed_state(owned)
         return True
 
+    def _end_former(self, news: Announcement) -> None:
+        """Take an address away from the upstream that had it before."""
+        for owned in self.owned.values():
+            is_same_place = (owned.pool.host, owned.pool.port) == (news.host, news.port)
+            is_former = owned.upstream.name != news.name
+            if is_former and is_same_place and owned.upstream.state is not UpstreamState.GONE:
+                self.left(owned.upstream.name)
+
     def hear_pushed(self, pushed: Upstream) -> None:
         """Hear what the voters push of an upstream; a drain mark shows as a state not announced."""
         owned = self.owned.get(pushed.name)
@@ -239,9 +263,13 @@
         owned = self.owned.get(name)
         if owned is None:
             return False
+        owned.has_left = True
+        self._expire_lease(owned)
+        return True
+
+    def _expire_lease(self, owned: OwnedUpstream) -> None:
         self._feed(owned, ev.UpstreamLost())
         self._set_state(owned, UpstreamState.GONE)
-        return True
 
     def _set_state(self, owned: OwnedUpstream, state: UpstreamState) -> None:
         self._change(owned, replace(owned.upstream, state=state))
@@ -290,7 +318,7 @@
             if due is not None and due <= now:
                 self._feed(owned, ev.Tick())
             if owned.lease_until < now and owned.upstream.state is not UpstreamState.GONE:
-                self.left(owned.upstream.name)
+                self._expire_lease(owned)
 
     def _feed_all(self, event: ev.OwnerEvent) -> None:
         for owned in tuple(self.owned.values()):
@@ -338,6 +366,7 @@
             send=lambda message: self.replies.send(attempt, epoch, message),
             feed=lambda event: self._feed(owned, event),
             read_load=lambda: self.read_load(owned.upstream.name),
+            dialect=self.dialect,
         )
         try:
             end = await dispatch.run(scope)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -10,7 +10,7 @@
 from bendwind_core.limits import ConcurrencyShare, ProbeBudget
 from bendwind_core.routing import LoadReport
 from bendwind_core.timeline import Recorder
-from bendwind_core.world import Instance, Service, Upstream, UpstreamState
+from bendwind_core.world import EMPTY_ROUTING, Instance, Service, Upstream, UpstreamState
 from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.call_intake import CallIntake
@@ -39,6 +39,8 @@
     def is_fresh(self):
         return self.fresh
 
+    routing: object = EMPTY_ROUTING
+
     def watch(self, service):
         self.view.holdings.watched[service] = None
 
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -149,7 +149,9 @@
         """Keep a connection whose answer was read to its end, close any other."""
         protocol = connection.protocol
         is_done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
-        if is_whole and is_done and not self.is_closed:
+        # Bytes beyond the answer belong to no request, and would be read as the next answer.
+        has_surplus = bool(protocol.trailing_data[0])
+        if is_whole and is_done and not has_surplus and not self.is_closed:
             protocol.start_next_cycle()
             connection.idle_since = trio.current_time()
             self.idle.append(connection)
--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -53,7 +53,12 @@
 
 
 def needs_claims(service: Service) -> bool:
-    """Tell whether any request of a service may be marked not to be repeated."""
+    """Tell whether any request of a service may be marked not to be repeated.
+
+    Routes ask for no keys, so that a service which only they lead to needs no claims.
+    """
+    if service.routed_only:
+        return False
     for rule in service.rules:
         if rule.repeat is Repeat.NEVER:
             return True
--- a/packages/bendwind-node/src/bendwind_node/control/control_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/control_voter.py
@@ -64,6 +64,7 @@
     applied: int = 0
     dropped: int = 0
     stopped: str | None = None
+    is_removed: bool = False
     last_foreign: str | None = None
 
     @property
--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -23,6 +23,7 @@
     StatusReply,
     StatusRequest,
     Tick,
+    VoterPlace,
     VoterRegistry,
     VotersChanged,
     create_voter_registry,
@@ -58,8 +59,8 @@
         """Return the drain marks as of the newest applied log entry."""
 
     @property
-    def voter_names(self) -> tuple[str, ...]:
-        """Return the names of the present voters."""
+    def voter_places(self) -> tuple[VoterPlace, ...]:
+        """Return the present voters and where they are."""
 
     async def confirm(self) -> bool:
         """Run a quorum round; after True, all that was accepted before the call is applied."""
@@ -144,8 +145,8 @@
         if marks != self._marks:
             self._marks = marks
             self.step(marks)
-        voters = self.control.voter_names
-        if set(voters) - {self.registry.name} != set(self.registry.peers):
+        voters = self.control.voter_places
+        if voters != self.registry.voters:
             self.step(VotersChanged(voters))
 
     def step(self, event: RegistryEvent) -> None:
@@ -223,5 +224,5 @@
     rng: random.Random,
 ) -> RegistryTask:
     """Create the task of a voter that has just started; call it inside a trio run."""
-    registry = create_voter_registry(name, control.voter_names, times, trio.current_time())
+    registry = create_voter_registry(name, control.voter_places, times, trio.current_time())
     return RegistryTask(registry, control, send, recorder, rng)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/control/revisions.py
@@ -0,0 +1,51 @@
+"""Put whole configurations in force under the operator's own numbers, and read them back."""
+
+from expression import Error, Ok, Result
+
+from bendwind_core.plans import (
+    PutRevision,
+    RevisionFault,
+    RevisionHeld,
+    encode_command,
+    find_revision_fault,
+)
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.operators import ControlClient, ControlError, NoQuorum
+
+
+async def put_revision(
+    client: ControlClient, recorder: Recorder, command: PutRevision
+) -> Result[RevisionHeld, RevisionFault | ControlError]:
+    """Put a configuration in force, unless one of its number or a higher one is.
+
+    Errors: RevisionFault for an invalid one; ControlError, after which it may be put again.
+    """
+    detail = f"revision {command.routing.revision}"
+    fault = find_revision_fault(command)
+    if fault is not None:
+        recorder.record(EventKind.REVISION_REFUSED, detail=f"{detail}: {fault}")
+        return Error(fault)
+    match await client.propose(encode_command(command)):
+        case Result(tag="ok", ok=RevisionHeld() as held):
+            outcome = f"in force as version {held.version}" if held.is_new else "not above"
+            recorder.record(
+                EventKind.REVISION_HELD, detail=f"{detail}: {outcome}, held {held.revision}"
+            )
+            return Ok(held)
+        case Result(tag="error", error=error):
+            recorder.record(EventKind.REVISION_NOT_PUT, detail=f"{detail}: {error!r}")
+            return Error(error)
+    raise AssertionError("the log answers a revision by what it holds")
+
+
+async def read_document(client: ControlClient) -> Result[bytes, ControlError]:
+    """Return the newest whole configuration as the operator sent it.
+
+    Errors: ControlError where this process cannot be sure of the newest, or there is none.
+    """
+    confirmed = await client.barrier()
+    if confirmed.is_error():
+        return confirmed
+    if not client.state.document:
+        return Error(NoQuorum("no whole configuration was put yet"))
+    return Ok(client.state.document)
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -11,7 +11,7 @@
 from bendwind_core import consensus
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup
 from bendwind_core.core import Record, Seconds
-from bendwind_core.membership import DrainMarksAccepted, LeaseTimes
+from bendwind_core.membership import DrainMarksAccepted, LeaseTimes, VoterPlace
 from bendwind_core.plans import CommandResult, ControlState, GroupChanged, encode_command
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Configuration, Upstream
@@ -39,11 +39,14 @@
 
 @dataclass(slots=True, eq=False)
 class LogClient:
-    """Propose to the log and read its state, as the operators' API and the registry ask."""
+    """Propose to the log and read its state, as the operators' API and the registry ask.
+
+    `listed` are the voters that the settings name.
+    """
 
     voter: ControlVoter
     state: ControlState
-    names: tuple[str, ...]
+    listed: tuple[VoterPlace, ...]
 
     async def propose(self, command: bytes) -> Result[CommandResult, ControlError]:
         """Propose a command and return its result once it has been applied here."""
@@ -109,15 +112,23 @@
         )
 
     @property
-    def voter_names(self) -> tuple[str, ...]:
-        """Return the names of the present voters."""
-        return tuple(member.name for member in self.voter.status().voters) or self.names
+    def voter_places(self) -> tuple[VoterPlace, ...]:
+        """Return the present voters and where they are; those of the settings before any formed."""
+        listed = {place.name: place for place in self.listed}
+        present = self.voter.replica.voters.voters
+        return tuple(_place(member, listed) for member in present) or self.listed
 
     async def confirm(self) -> bool:
         """Run a quorum round; after True, all that was accepted before the call is applied."""
         return (await self.voter.barrier()).is_ok()
 
 
+def _place(voter: consensus.Voter, listed: Mapping[str, VoterPlace]) -> VoterPlace:
+    if not voter.host:
+        return listed.get(voter.name, VoterPlace(voter.name))
+    return VoterPlace(voter.name, voter.data_centre, voter.host, voter.port)
+
+
 @dataclass(slots=True, eq=False)
 class ControlService:
     """Own the tasks of a control voter."""
@@ -187,9 +198,10 @@
 
 
 def open_control(
-    name: str,
-    names: tuple[str, ...],
+    own: VoterPlace,
+    listed: tuple[VoterPlace, ...],
     data_folder: Path,
+    replica_settings: consensus.ReplicaSettings,
     times: LeaseTimes,
     send: Callable[[str, Record], object],
     recorder: Recorder,
@@ -200,12 +212,14 @@
     Errors: StoreError.
     """
     state = ControlState()
-    opened = open_voter(name, names, open_folder(data_folder), state, send, recorder, rng)
+    names = tuple(place.name for place in listed)
+    files = open_folder(data_folder)
+    opened = open_voter(own, names, files, state, send, recorder, rng, replica_settings)
     if opened.is_error():
         return opened
     voter = opened.ok
-    client = LogClient(voter, state, names)
-    registry = create_registry_task(name, client, times, send, recorder, rng)
+    client = LogClient(voter, state, listed)
+    registry = create_registry_task(own.name, client, times, send, recorder, rng)
     service: ControlService
 
     async def propose(command: ChangeClaimGroup) -> object:
--- a/packages/bendwind-node/src/bendwind_node/control/tests/test_service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/tests/test_service.py
@@ -26,7 +26,7 @@
 
 class TestLogClient(unittest.TestCase):
     def propose(self, answer, stopped=None):
-        client = LogClient(FakeVoter(answer, stopped), ControlState(), ("a",))
+        client = LogClient(FakeVoter(answer, stopped), ControlState(), ())
         return trio.run(client.propose, b"", clock=trio.testing.MockClock(autojump_threshold=0.0))
 
     def test_returns_what_applying_gave(self):
--- a/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from bendwind_core.consensus import ReplicaSettings
+from bendwind_core.membership import VoterPlace
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.control.voter import ControlVoter, VoterStopped, open_voter, run_voter
 from bendwind_node.storage import open_folder
@@ -56,7 +57,7 @@
                 self.voters[to].deliver(name, message)
 
         opened = open_voter(
-            name, NAMES, files, Register(), send, self.recorders[name], rng, SETTINGS
+            VoterPlace(name), NAMES, files, Register(), send, self.recorders[name], rng, SETTINGS
         )
         self.voters[name] = opened.ok
         self.scopes[name] = trio.CancelScope()
--- a/packages/bendwind-node/src/bendwind_node/control/voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter.py
@@ -22,11 +22,13 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
 from bendwind_core.consensus import (
     ConsensusMessage,
+    IdentityRenewed,
     Persisted,
     ReplicaEvent,
     ReplicaSettings,
@@ -35,6 +37,7 @@
     create_replica,
     step,
 )
+from bendwind_core.membership import VoterPlace
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.control.control_voter import ControlVoter
 from bendwind_node.control.voter_effects import carry_out, record_failure
@@ -75,7 +78,7 @@
 
 
 def open_voter(
-    name: str,
+    own: VoterPlace,
     names: tuple[str, ...],
     files: Files,
     machine: StateMachine,
@@ -84,7 +87,7 @@
     rng: random.Random,
     settings: ReplicaSettings | None = None,
 ) -> Result[ControlVoter, StoreError]:
-    """Read the disk and make a voter; call it inside trio.run. `names` are all voters' names.
+    """Read the disk and make a voter; call it inside trio.run. `names` are the settings' voters.
 
     Errors: StoreError, which is also recorded.
     """
@@ -96,7 +99,7 @@
     recovered = opened.ok.recovered
     _record_recovery(recorder, recovered)
     replica = create_replica(
-        Voter(name, store.identity.voter_id),
+        Voter(own.name, store.identity.voter_id, own.host, own.port, own.data_centre),
         names,
         settings or ReplicaSettings(),
         trio.current_time(),
@@ -169,6 +172,15 @@
         carry_out(voter, effect)
 
 
+async def _renew_identity(voter: ControlVoter) -> Result[int, DiskFailed]:
+    voter.is_removed = False
+    renewed = await trio.to_thread.run_sync(voter.store.renew_identity)
+    if renewed.is_ok():
+        identity = msgspec.structs.replace(voter.replica.voter, voter_id=renewed.ok)
+        await voter.inbox.send(IdentityRenewed(identity))
+    return renewed
+
+
 async def _run_writes(voter: ControlVoter) -> DiskFailed:
     """Write what is requested, all that has gathered at a time, until the disk fails."""
     while True:
@@ -176,6 +188,12 @@
         voter.has_writes = trio.Event()
         batch = voter.unwritten
         voter.unwritten = []
+        if voter.is_removed:
+            renewed = await _renew_identity(voter)
+            if renewed.is_error():
+                return renewed.error
+        if not batch:
+            continue
         written = await trio.to_thread.run_sync(voter.store.write, batch)
         if written.is_error():
             return written.error
--- a/packages/bendwind-node/src/bendwind_node/control/voter_effects.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter_effects.py
@@ -123,6 +123,9 @@
             voter.recorder.record(EventKind.VOTERS_CHANGED, detail=names)
         case SelfRemoved():
             voter.recorder.record(EventKind.VOTER_REPLACED, detail=voter.replica.voter.name)
+            if voter.replica.settings.open_to:
+                voter.is_removed = True
+                voter.has_writes.set()
         case ForeignCluster() if effect.sender != voter.last_foreign:
             voter.last_foreign = effect.sender
             voter.recorder.record(EventKind.FOREIGN_CLUSTER, detail=effect.sender)
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -9,6 +9,7 @@
 
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.claims import ClaimLimits
+from bendwind_core.consensus import ReplicaSettings
 from bendwind_core.core import MILLISECONDS_PER_SECOND
 from bendwind_core.limits import ConcurrencyShare, ProbeBudget
 from bendwind_core.membership import (
@@ -19,6 +20,7 @@
     UpstreamsChanged,
     ViewEffect,
     VoterPlace,
+    VotersLearned,
 )
 from bendwind_core.messages import Hello
 from bendwind_core.timeline import Recorder
@@ -31,6 +33,7 @@
 from bendwind_node.claims import create_claim_task
 from bendwind_node.control.service import open_control
 from bendwind_node.daemon.dispatcher import Dispatcher
+from bendwind_node.daemon.extension import NO_EXTENSION, Extension
 from bendwind_node.daemon.listeners import Listeners, find_port
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.links import LinkHub, create_link_hub
@@ -52,7 +55,10 @@
 
 
 def build_daemon(
-    settings: Settings, listeners: Listeners, nursery: trio.Nursery
+    settings: Settings,
+    listeners: Listeners,
+    nursery: trio.Nursery,
+    extension: Extension = NO_EXTENSION,
 ) -> Result[Daemon, str]:
     """Build every task; those of calls start theirs in the nursery.
 
@@ -69,18 +75,19 @@
         daemon.keys = loaded.ok
     rng = random.Random()
     own = _create_instance(settings, listeners)
-    _build_node(daemon, own, nursery, rng)
+    _build_node(daemon, own, nursery, rng, extension)
     return _build_control(daemon, own, rng)
 
 
 def _create_instance(settings: Settings, listeners: Listeners) -> Instance:
+    operators = settings.operators
     return Instance(
         settings.instance.name,
         settings.instance.data_centre,
         settings.peers.host,
         find_port(listeners.peers),
         incarnation=read_wall_ms(),
-        operators=f"{settings.operators.host}:{find_port(listeners.operators)}",
+        operators=f"{operators.host}:{find_port(listeners.operators)}" if operators else "",
     )
 
 
@@ -96,11 +103,24 @@
     return ClaimLimits(claims.retention_s, claims.keys, claims.key_bytes, claims.answer_bytes)
 
 
-def _build_node(daemon: Daemon, own: Instance, nursery: trio.Nursery, rng: random.Random) -> None:
+def _list_voters(settings: Settings) -> tuple[VoterPlace, ...]:
+    return tuple(
+        VoterPlace(voter.name, voter.data_centre, voter.host, voter.port)
+        for voter in settings.voters
+    )
+
+
+def _build_node(
+    daemon: Daemon,
+    own: Instance,
+    nursery: trio.Nursery,
+    rng: random.Random,
+    extension: Extension,
+) -> None:
     settings = daemon.settings
     recorder = daemon.recorder
     dispatcher = daemon.dispatcher
-    voters = tuple(VoterPlace(voter.name, voter.data_centre) for voter in settings.voters)
+    voters = _list_voters(settings)
     names = tuple(voter.name for voter in voters)
     times = _find_times(settings)
     membership = create_membership_task(
@@ -117,10 +137,11 @@
         own,
         recorder,
         nursery,
-        settings.lease.lease_ms,
+        settings.lease.upstream_ms or settings.lease.lease_ms,
         AssemblyTable(settings.limits.body_bytes, daemon.body_budget),
         budget,
         lambda upstream: _announce(membership, upstream),
+        extension.dialect,
     )
     dispatcher.entry = EntryNode(
         own,
@@ -133,6 +154,8 @@
         rng,
         AttemptIds(own.name, own.incarnation),
         ConcurrencyShare(settings.limits.in_flight),
+        extension.dialect,
+        extension.origin_service,
     )
     dispatcher.probes = ProbeTask(dispatcher.entry, dispatcher.owner, budget)
     membership.listeners.append(lambda effect: _hear_membership(dispatcher, effect))
@@ -142,7 +165,14 @@
     def make_hello(epoch: int) -> Hello:
         return Hello(own, epoch, membership.view.version, membership.confirmed_age_ms())
 
-    hub = create_link_hub(own, daemon.dispatcher, daemon.recorder, make_hello, daemon.keys)
+    hub = create_link_hub(
+        own,
+        daemon.dispatcher,
+        daemon.recorder,
+        make_hello,
+        daemon.keys,
+        daemon.settings.peers.silence_ms,
+    )
     for voter in daemon.settings.voters:
         hub.learn_address(voter.name, voter.host, voter.port)
     return hub
@@ -153,10 +183,16 @@
     if settings.control is None:
         return Ok(daemon)
     folder = Path(settings.control.data_folder)
-    names = tuple(voter.name for voter in settings.voters)
     dispatcher = daemon.dispatcher
     opened = open_control(
-        own.name, names, folder, _find_times(settings), dispatcher.send, daemon.recorder, rng
+        VoterPlace(own.name, own.data_centre, own.host, own.port),
+        _list_voters(settings),
+        folder,
+        ReplicaSettings(open_to=settings.control.open_to, may_form=settings.control.may_form),
+        _find_times(settings),
+        dispatcher.send,
+        daemon.recorder,
+        rng,
     )
     if opened.is_error():
         return Error(f"{folder}: {opened.error}")
@@ -181,7 +217,12 @@
                 dispatcher.hub.learn_address(owner.name, owner.host, owner.port)
                 dispatcher.owner.hear_pushed(upstream)
             dispatcher.entry.refresh_upstreams(service)
+        case VotersLearned(voters=voters):
+            for voter in voters:
+                if voter.host:
+                    dispatcher.hub.learn_address(voter.name, voter.host, voter.port)
         case ConfigurationApplied():
+            dispatcher.entry.refresh_routing()
             for service in tuple(dispatcher.entry.desks):
                 dispatcher.entry.refresh_upstreams(service)
         case ClaimGroupsChanged():
--- a/packages/bendwind-node/src/bendwind_node/daemon/listeners.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/listeners.py
@@ -1,6 +1,6 @@
 """Open every listening socket before any task starts, so that a taken port stops the start."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 from expression import Error, Ok, Result
@@ -13,24 +13,27 @@
     """Hold the open listening sockets of one process."""
 
     peers: list[trio.SocketListener]
-    callers: list[trio.SocketListener]
-    upstreams: list[trio.SocketListener]
-    operators: list[trio.SocketListener]
+    callers: list[trio.SocketListener] = field(default_factory=list)
+    upstreams: list[trio.SocketListener] = field(default_factory=list)
+    operators: list[trio.SocketListener] = field(default_factory=list)
+    readiness: list[trio.SocketListener] = field(default_factory=list)
 
 
 def find_port(listeners: list[trio.SocketListener]) -> int:
-    """Return the port that a listener got, which settles port 0."""
-    return listeners[0].socket.getsockname()[1]
+    """Return the port that a listener got, which settles port 0; 0 if there is no listener."""
+    return listeners[0].socket.getsockname()[1] if listeners else 0
 
 
 async def open_listeners(settings: Settings) -> Result[Listeners, str]:
-    """Open the four listening sockets.
+    """Open a listening socket for each of the tables that the settings hold.
 
     Errors: a text that names the table whose address cannot be had.
     """
     opened: dict[str, list[trio.SocketListener]] = {}
-    for name in ("peers", "callers", "upstreams", "operators"):
+    for name in ("peers", "callers", "upstreams", "operators", "readiness"):
         table = getattr(settings, name)
+        if table is None:
+            continue
         try:
             opened[name] = await trio.open_tcp_listeners(table.port, host=table.host)
         except OSError as error:
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -6,27 +6,25 @@
 import trio
 from expression import Ok, Result
 
-from bendwind_core.core import Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.timeline import EventKind
 from bendwind_node.claims.task import LeaseProven
 from bendwind_node.daemon.build import build_daemon
 from bendwind_node.daemon.dispatcher import Dispatcher
+from bendwind_node.daemon.extension import NO_EXTENSION, Extension
 from bendwind_node.daemon.listeners import find_port, open_listeners
-from bendwind_node.daemon.serve import serve_callers, serve_operators, serve_upstreams
+from bendwind_node.daemon.reload import watch_settings
+from bendwind_node.daemon.serve import serve_all
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.security import watch_keys
 from bendwind_node.settings import Settings
 
-# Time for the others to hear of a drain before callers are sent away.
-DRAIN_NOTICE: Seconds = 1.0
-HAND_OVER_TIMEOUT: Seconds = 10.0
-DRAIN_TIMEOUT: Seconds = 60.0
 LEAD_TIMEOUT: Seconds = 2.0
 IDLE_POLL: Seconds = 0.02
 LEASE_POLL: Seconds = 0.5
 
 
-async def run_daemon(settings: Settings) -> Result[None, str]:
+async def run_daemon(settings: Settings, extension: Extension = NO_EXTENSION) -> Result[None, str]:
     """Run a process until it is told to stop.
 
     Errors: a text that says why it could not start.
@@ -35,11 +33,17 @@
     if opened.is_error():
         return opened
     async with trio.open_nursery() as nursery:
-        built = build_daemon(settings, opened.ok, nursery)
+        built = build_daemon(settings, opened.ok, nursery, extension)
         if built.is_error():
             return built
         daemon = built.ok
-        await _start(daemon, nursery)
+        await _start(daemon, nursery, extension)
+        if extension.serve is not None:
+            served = await extension.serve(daemon, nursery)
+            if served.is_error():
+                nursery.cancel_scope.cancel()
+                return served
+        daemon.recorder.record(EventKind.PROCESS_STARTED, detail=_describe_ports(daemon))
         await daemon.stopping.wait()
         await _stop(daemon)
         nursery.cancel_scope.cancel()
@@ -47,7 +51,7 @@
     return Ok(None)
 
 
-async def _start(daemon: Daemon, nursery: trio.Nursery) -> None:
+async def _start(daemon: Daemon, nursery: trio.Nursery, extension: Extension) -> None:
     dispatcher = daemon.dispatcher
     nursery.start_soon(dispatcher.hub.run, daemon.listeners.peers)
     if dispatcher.control is not None:
@@ -60,17 +64,17 @@
     nursery.start_soon(_watch_signals, daemon.stopping)
     if daemon.keys is not None:
         nursery.start_soon(watch_keys, daemon.keys)
-    serve_upstreams(daemon, nursery)
-    serve_operators(daemon, nursery)
-    serve_callers(daemon, nursery)
+    if extension.settings_file is not None and extension.load is not None:
+        file, load = extension.settings_file, extension.load
+        nursery.start_soon(watch_settings, daemon, file, load)
+    serve_all(daemon, nursery)
     # What is built now lives as long as the process: the collector need not look at it again.
     gc.collect()
     gc.freeze()
-    daemon.recorder.record(EventKind.PROCESS_STARTED, detail=_describe_ports(daemon))
 
 
 def _describe_ports(daemon: Daemon) -> str:
-    tables = ("peers", "callers", "upstreams", "operators")
+    tables = ("peers", "callers", "upstreams", "operators", "readiness")
     return " ".join(f"{table}={find_port(getattr(daemon.listeners, table))}" for table in tables)
 
 
@@ -95,13 +99,15 @@
 async def _stop(daemon: Daemon) -> None:
     """Stop as planned: drain, send callers away, hand claims over, finish what is in flight."""
     dispatcher = daemon.dispatcher
+    limits = daemon.settings.stop
     daemon.recorder.record(EventKind.PROCESS_STOPPING)
     dispatcher.owner.drain()
-    await trio.sleep(DRAIN_NOTICE)
+    # Time for the others to hear of the stop before callers are sent away.
+    await trio.sleep(limits.notice_ms / MILLISECONDS_PER_SECOND)
     daemon.callers_done.set()
-    with trio.move_on_after(HAND_OVER_TIMEOUT):
+    with trio.move_on_after(limits.claims_ms / MILLISECONDS_PER_SECOND):
         await dispatcher.claims.hand_over()
-    with trio.move_on_after(DRAIN_TIMEOUT):
+    with trio.move_on_after(limits.drain_ms / MILLISECONDS_PER_SECOND):
         while _has_work(dispatcher):
             await trio.sleep(IDLE_POLL)
     if dispatcher.control is not None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -9,8 +9,9 @@
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_task import CallTask
 from bendwind_node.calls.caller_asgi import serve_callers_asgi
-from bendwind_node.calls.caller_h11 import H11Server
+from bendwind_node.calls.caller_h11 import H11Server, Handle
 from bendwind_node.daemon.build import read_wall_ms
+from bendwind_node.daemon.readiness import ReadinessPage
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.daemon.status import DaemonStatus
 from bendwind_node.http.asgi_server import AsgiServer, serve_asgi
@@ -33,6 +34,27 @@
 
 KEEP_ALIVE: Seconds = 30.0
 MAX_HEADER_BYTES = 16 * 1024
+PAGE_CONNECTIONS = 64
+
+
+def serve_all(daemon: Daemon, nursery: trio.Nursery) -> None:
+    """Start to serve whom the settings name addresses for."""
+    settings = daemon.settings
+    if settings.readiness is not None:
+        page = ReadinessPage(daemon, settings.readiness.path)
+        serve_page(daemon.listeners.readiness, page.handle, nursery)
+    if settings.upstreams is not None:
+        serve_upstreams(daemon, nursery)
+    if settings.operators is not None:
+        serve_operators(daemon, nursery)
+    if settings.callers is not None:
+        serve_callers(daemon, nursery)
+
+
+def serve_page(listeners: list[trio.SocketListener], handle: Handle, nursery: trio.Nursery) -> None:
+    """Start to serve a few plain requests, until the process ends."""
+    server = H11Server(handle, KEEP_ALIVE, MAX_HEADER_BYTES, PAGE_CONNECTIONS)
+    nursery.start_soon(server.run, listeners, trio.Event())
 
 
 def serve_callers(daemon: Daemon, nursery: trio.Nursery) -> None:
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -47,6 +47,7 @@
     recorder: Recorder
     make_hello: Callable[[int], Hello]
     keys: Keys | None
+    silence_ms: int | None = None
     nursery: trio.Nursery | None = None
     next_epoch: int = 1
     addresses: dict[str, Address] = field(default_factory=dict)
@@ -97,7 +98,7 @@
             self.nursery = nursery
             await serve(
                 self._accept,
-                listeners=[PromptListener(listener) for listener in listeners],
+                listeners=[PromptListener(listener, self.silence_ms) for listener in listeners],
                 ssl=None if self.keys is None else self.keys.server,
                 compression=None,
                 ping_interval=None,
@@ -145,7 +146,7 @@
         scheme = "ws" if secure is None else "wss"
         try:
             with trio.fail_after(DIAL_TIMEOUT_S):
-                stream = await open_prompt_stream(address.host, address.port)
+                stream = await open_prompt_stream(address.host, address.port, self.silence_ms)
             async with connect(
                 f"{scheme}://{address.host}:{address.port}/",
                 stream=stream,
@@ -316,6 +317,10 @@
     recorder: Recorder,
     make_hello: Callable[[int], Hello],
     keys: Keys | None = None,
+    silence_ms: int | None = None,
 ) -> LinkHub:
-    """Create a hub without links; without keys they are not encrypted."""
-    return LinkHub(own, receiver, recorder, make_hello, keys)
+    """Create a hub without links; without keys they are not encrypted.
+
+    Units: `silence_ms` is how long a link lasts whose peer acknowledges nothing, in milliseconds.
+    """
+    return LinkHub(own, receiver, recorder, make_hello, keys, silence_ms)
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -24,10 +24,11 @@
     ViewEvent,
     VoterPlace,
     create_node_view,
+    set_seeds,
     step_view,
 )
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_core.world import Instance, Service, Upstream
+from bendwind_core.world import Instance, Routing, Service, Upstream
 
 Send = Callable[[str, Record], None]
 Listener = Callable[[ViewEffect], None]
@@ -84,6 +85,10 @@
         for listener in self.listeners:
             listener(effect)
 
+    def set_seeds(self, seeds: tuple[VoterPlace, ...]) -> None:
+        """Take over the voters that changed settings name."""
+        set_seeds(self.view, seeds)
+
     def is_fresh(self) -> bool:
         """Tell whether calls may be served from the configuration in force."""
         return self.view.is_fresh(trio.current_time())
@@ -97,6 +102,11 @@
         """Return the services in force among those watched."""
         return self.view.services
 
+    @property
+    def routing(self) -> Routing:
+        """Return the routes in force."""
+        return self.view.routing
+
     @property
     def claim_groups(self) -> Mapping[str, ClaimGroup]:
         """Return the claim groups of the watched services."""
--- a/packages/bendwind-node/src/bendwind_node/membership/tests/test_task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/tests/test_task.py
@@ -29,7 +29,7 @@
         self.configuration = Configuration(0)
         self.claim_groups = {}
         self.drain_marks = DrainMarksAccepted(frozenset(), frozenset())
-        self.voter_names = VOTERS
+        self.voter_places = tuple(VoterPlace(name, f"dc-{name}") for name in VOTERS)
         self.has_quorum = True
 
     async def confirm(self) -> bool:
--- a/packages/bendwind-node/src/bendwind_node/settings/checks.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/checks.py
@@ -55,6 +55,8 @@
     if settings.control is None:
         return
     own = [voter for voter in settings.voters if voter.name == settings.instance.name]
+    if not own and settings.control.open_to:
+        return
     if not own:
         yield Finding("control", f"no such table, or {settings.instance.name!r} among [[voters]]")
     elif settings.peers.port not in (0, own[0].port):
@@ -62,8 +64,10 @@
 
 
 def _check_peers(settings: Settings) -> Iterator[Finding]:
-    if settings.peers.insecure and not is_loopback(settings.peers.host):
-        yield Finding("peers.insecure", "false, unless peers.host is a loopback address")
+    is_open = not is_loopback(settings.peers.host) and not settings.peers.is_network_trusted
+    if settings.peers.insecure and is_open:
+        expected = "false, unless peers.host is a loopback address"
+        yield Finding("peers.insecure", expected)
     if settings.peers.insecure and settings.tls is not None:
         yield Finding("peers.insecure", "false, since there is a [tls] table")
     if not settings.peers.insecure and settings.tls is None:
@@ -72,6 +76,8 @@
 
 def _check_operators(settings: Settings) -> Iterator[Finding]:
     operators = settings.operators
+    if operators is None:
+        return
     has_credentials = operators.token_file is not None or operators.client_authority is not None
     if operators.insecure and not is_loopback(operators.host):
         yield Finding("operators.insecure", "false, unless operators.host is a loopback address")
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -44,8 +44,20 @@
     host: Annotated[Host, _doc("Address to listen on and to announce to peers.")]
     port: Annotated[Port, _doc("Port of the websocket links between processes.")]
     insecure: Annotated[
-        bool, _doc("Link without TLS; accepted on loopback only, excludes `[tls]`.")
+        bool,
+        _doc("Link without TLS; on loopback or a trusted network only, excludes `[tls]`."),
     ] = False
+    is_network_trusted: Annotated[
+        bool,
+        _doc(
+            "Nobody else reaches the network between instances, so that links may do without TLS."
+        ),
+    ] = False
+    silence_ms: Annotated[
+        int,
+        Meta(ge=100, le=600_000),
+        _doc("Time after which a connection whose peer acknowledges nothing is broken off.", "ms"),
+    ] = 4000
 
 
 class CallersTable(Table, frozen=True, kw_only=True):
@@ -66,6 +78,34 @@
     port: Annotated[Port, _doc("Port of the upstream's HTTP.")]
 
 
+class ReadinessTable(Table, frozen=True, kw_only=True):
+    """Say where the process tells whether callers should be sent to it."""
+
+    host: Annotated[Host, _doc("Address to listen on for questions of readiness.")]
+    port: Annotated[Port, _doc("Port of that HTTP.")]
+    path: Annotated[
+        str,
+        Meta(pattern="^/", extra={"range": "begins with a slash"}),
+        _doc("Path that answers 200 when ready, 503 otherwise."),
+    ] = "/ready"
+
+
+class StopTable(Table, frozen=True, kw_only=True):
+    """Bound how long a planned stop takes."""
+
+    notice_ms: Annotated[
+        float,
+        Meta(ge=0, le=600_000),
+        _doc("Time for others to hear of the stop before callers are sent away.", "ms"),
+    ] = 1000
+    claims_ms: Annotated[
+        float, Meta(ge=0, le=600_000), _doc("Time for claims to be handed over.", "ms")
+    ] = 10_000
+    drain_ms: Annotated[
+        float, Meta(ge=0, le=3_600_000), _doc("Time for calls in flight to end.", "ms")
+    ] = 60_000
+
+
 class OperatorsTable(Table, frozen=True, kw_only=True):
     """Say where operators reach the process and how they prove who they are."""
 
@@ -99,6 +139,14 @@
     """Make the process a control voter."""
 
     data_folder: Annotated[File, _doc("Folder of the control log and its snapshots.")]
+    open_to: Annotated[
+        int,
+        Meta(ge=0, le=9),
+        _doc("Voters to keep, whoever joins; 0 keeps those of `[[voters]]` for good.", "voters"),
+    ] = 0
+    may_form: Annotated[bool, _doc("Form a cluster of empty voters; false once there was one.")] = (
+        True
+    )
 
 
 class LeaseTable(Table, frozen=True, kw_only=True):
@@ -112,6 +160,11 @@
         Meta(ge=150, le=600_000),
         _doc("Time after which an instance that does not renew counts as dead.", "ms"),
     ] = 4000
+    upstream_ms: Annotated[
+        float,
+        Meta(ge=0, le=600_000),
+        _doc("The same for an upstream beside the process; 0 stands for `lease_ms`.", "ms"),
+    ] = 0
 
 
 class WatchTable(Table, frozen=True, kw_only=True):
@@ -222,12 +275,14 @@
 
     instance: InstanceTable
     peers: PeersTable
-    callers: CallersTable
-    upstreams: UpstreamsTable
-    operators: OperatorsTable
+    callers: CallersTable | None = None
+    upstreams: UpstreamsTable | None = None
+    operators: OperatorsTable | None = None
+    readiness: ReadinessTable | None = None
     voters: Annotated[tuple[VoterTable, ...], Meta(min_length=1, max_length=9)]
     control: ControlTable | None = None
     lease: LeaseTable = LeaseTable()
+    stop: StopTable = StopTable()
     watch: WatchTable = WatchTable()
     measuring: MeasuringTable = MeasuringTable()
     claims: ClaimsTable = ClaimsTable()
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -147,6 +147,22 @@
             self.files.sync_folder()
             del self.segments[0]
 
+    def renew_identity(self) -> Result[int, DiskFailed]:
+        """Give this disk a new id, since the former may never vote again; the log stays.
+
+        The log holds nothing that is false under the new id: a vote given in a term binds it too.
+        Errors: DiskFailed, then and ever after.
+        """
+        if self.failure is not None:
+            return Error(self.failure)
+        try:
+            self.identity = Identity(secrets.randbits(VOTER_ID_BITS), self.identity.is_formed)
+            replace_file(self.files, _IDENTITY, encode_frame(0, encode_record(self.identity)))
+        except OSError as error:
+            self.failure = DiskFailed("renew identity", str(error))
+            return Error(self.failure)
+        return Ok(self.identity.voter_id)
+
     def close(self) -> None:
         """Release the files."""
         self.files.close()
--- a/packages/bendwind-node/src/bendwind_node/streams/prompt_stream.py
+++ b/packages/bendwind-node/src/bendwind_node/streams/prompt_stream.py
@@ -7,6 +7,7 @@
 """
 
 import os
+import socket
 
 import trio
 
@@ -70,24 +71,36 @@
 class PromptListener(trio.abc.Listener):
     """Accept connections as prompt streams."""
 
-    __slots__ = ("inner", "socket")
+    __slots__ = ("inner", "silence_ms", "socket")
 
-    def __init__(self, inner: trio.SocketListener):
+    def __init__(self, inner: trio.SocketListener, silence_ms: int | None = None):
         self.inner = inner
         self.socket = inner.socket
+        self.silence_ms = silence_ms
 
     async def accept(self) -> PromptStream:
         """Wait for a connection."""
-        return PromptStream(await self.inner.accept())
+        return _bound_silence(PromptStream(await self.inner.accept()), self.silence_ms)
 
     async def aclose(self) -> None:
         """Stop listening."""
         await self.inner.aclose()
 
 
-async def open_prompt_stream(host: str, port: int) -> PromptStream:
+def _bound_silence(stream: PromptStream, silence_ms: int | None) -> PromptStream:
+    """Have the system break a connection off whose peer acknowledges nothing for a time.
+
+    Source: RFC 5482; a peer that lost power or is cut off gives no other sign.
+    """
+    if silence_ms is not None:
+        stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+    return stream
+
+
+async def open_prompt_stream(host: str, port: int, silence_ms: int | None = None) -> PromptStream:
     """Connect to an address.
 
     Errors: raises OSError.
+    Units: `silence_ms` is how long the connection lasts without acknowledgement, in milliseconds.
     """
-    return PromptStream(await trio.open_tcp_stream(host, port))
+    return _bound_silence(PromptStream(await trio.open_tcp_stream(host, port)), silence_ms)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,7 +10,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 3
-SOURCES = os.pathsep.join(str(folder) for folder in sorted(ROOT.glob("packages/*/src")))
+SOURCES = os.pathsep.join(
+    str(folder) for folder in (*sorted(ROOT.glob("packages/*/src")), ROOT / "platform/src")
+)
 WORKERS = 6
 SUMMARY = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
 FAILED_TEST = re.compile(r"^(?:FAIL|ERROR): (.+)$", re.MULTILINE)
@@ -18,7 +20,8 @@
 
 def find_modules(pattern: str) -> list[str]:
     """List the dotted names of test modules whose file name contains the pattern."""
-    files = sorted(ROOT.glob("packages/*/src/*/**/tests/test_*.py"))
+    patterns = ("packages/*/src/*/**/tests/test_*.py", "platform/src/*/**/tests/test_*.py")
+    files = sorted(file for pattern in patterns for file in ROOT.glob(pattern))
     named = [file for file in files if pattern in file.stem]
     return [
         ".".join(file.relative_to(file.parents[_depth(file)]).with_suffix("").parts)
