--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -71,6 +71,7 @@
     deadline_at: Seconds
     attempt_ids: AttemptIds
     budget: RetryBudget
+    target_at: Seconds | None = None
     has_key: bool = False
     phase: CallPhase = CallPhase.NEW
     attempts: list[Attempt] = field(default_factory=list)
@@ -99,10 +100,23 @@
     budget: RetryBudget,
     *,
     has_key: bool = False,
+    target_at: Seconds | None = None,
 ) -> EntryCall:
-    """Create a call; `has_key` says that it carries an idempotency key to be claimed."""
+    """Create a call; `has_key` says that it carries an idempotency key to be claimed.
+
+    An answer after `target_at` is late, if there is such a time.
+    """
     is_claimed = has_key and rule.repeat is Repeat.NEVER
-    return EntryCall(call_id, service, rule, deadline_at, attempt_ids, budget, has_key=is_claimed)
+    return EntryCall(
+        call_id,
+        service,
+        rule,
+        deadline_at,
+        attempt_ids,
+        budget,
+        target_at=target_at,
+        has_key=is_claimed,
+    )
 
 
 def find_attempt(call: EntryCall, attempt_id: AttemptId) -> Attempt | None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -6,8 +6,8 @@
 from bendwind_core.attempts.messages import AttemptId, HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import Dispatch, OwnerEffect, ReplyNotRun
 from bendwind_core.attempts.service_time import ServiceTime
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
-from bendwind_core.limits import FairQueue, fair_queue
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.limits import FairQueue, UrgencyQueue, fair_queue, urgency_queue
 from bendwind_core.world import LoadSample, Repeat, UpstreamState
 
 REMEMBERED_ATTEMPTS = 4096
@@ -20,6 +20,12 @@
 
 STALL_EXPECTED = 3.0
 
+# About twenty answers settle the usual time of a route, which is less than a second's worth.
+ROUTE_TIME_WEIGHT = 0.1
+
+# Routes that lead to one service; of more, those noted first are forgotten.
+MAX_ROUTE_TIMES = 512
+
 
 @dataclass(slots=True)
 class QueuedAttempt:
@@ -37,17 +43,26 @@
     epoch: int
     started_at: Seconds
     repeat: Repeat
+    route: str = ""
     is_cancelled: bool = False
 
 
 @dataclass(slots=True)
 class OwnerDesk:
-    """Hold everything that was handed to one upstream's owner node."""
+    """Hold everything that was handed to one upstream's owner node.
+
+    Attempts with a latency objective wait in `timed`, all others in `queue`. `slot_share` is the
+    part of the slots that is used, `route_times` the usual time of each route's answers, and
+    `slow_factor` what the upstream last said of its pace.
+    Units: `route_times` in milliseconds.
+    """
 
     upstream: str
     incarnation: int
     queue: FairQueue[QueuedAttempt]
     log: AttemptLog
+    timed: UrgencyQueue[QueuedAttempt]
+    slot_share: float = 1.0
     slots: int = 0
     connections: int = 0
     state: UpstreamState = UpstreamState.GONE
@@ -58,6 +73,15 @@
     running: dict[AttemptId, RunningAttempt] = field(default_factory=dict)
     waiting: dict[AttemptId, QueuedAttempt] = field(default_factory=dict)
     times: ServiceTime = field(default_factory=ServiceTime)
+    route_times: dict[str, Milliseconds] = field(default_factory=dict)
+    slow_factor: float = 1.0
+    slow_at: Seconds = 0.0
+
+    @property
+    def run_limit(self) -> int:
+        """Return how many attempts may run at a time."""
+        used = max(1, int(self.slots * self.slot_share)) if self.slots else 0
+        return min(used, self.connections)
 
 
 def create_desk(
@@ -67,20 +91,21 @@
     *,
     remembered_attempts: int = REMEMBERED_ATTEMPTS,
     remembered_peers: int = REMEMBERED_PEERS,
+    slot_share: float = 1.0,
 ) -> OwnerDesk:
     """Create the desk of an upstream that has yet to announce itself.
 
     `incarnation` is this process's own run; `queue` bounds the attempts that wait.
     """
     log = AttemptLog(remembered_attempts, remembered_peers)
-    return OwnerDesk(upstream, incarnation, FairQueue(queue), log)
+    return OwnerDesk(upstream, incarnation, FairQueue(queue), log, UrgencyQueue(queue), slot_share)
 
 
 def load_sample(desk: OwnerDesk, now: Seconds) -> LoadSample:
     """Count the load as of now."""
     return LoadSample(
         in_flight=len(desk.running),
-        queued=desk.queue.size,
+        queued=len(desk.waiting),
         slots=desk.slots,
         latency_ms=desk.times.average_ms,
         error_rate=desk.times.error_rate,
@@ -95,7 +120,7 @@
 
 def has_slot(desk: OwnerDesk) -> bool:
     """Tell whether the upstream may run one more attempt."""
-    return len(desk.running) < min(desk.slots, desk.connections)
+    return len(desk.running) < desk.run_limit
 
 
 def is_stalled(desk: OwnerDesk, now: Seconds) -> bool:
@@ -143,10 +168,35 @@
 
 def fence_waiting(desk: OwnerDesk, queued: QueuedAttempt) -> None:
     """Take a queued attempt off the desk without a reply."""
-    fair_queue.remove(desk.queue, queued.hand_over.attempt.entry, queued)
+    take_off_queue(desk, queued)
     _forget_waiting(desk, queued)
 
 
+def take_off_queue(desk: OwnerDesk, queued: QueuedAttempt) -> None:
+    """Take an attempt out of the queue that it waits in."""
+    if queued.hand_over.target_ms is None:
+        fair_queue.remove(desk.queue, queued.hand_over.attempt.entry, queued)
+    else:
+        urgency_queue.remove(desk.timed, queued)
+
+
+def take_next(desk: OwnerDesk, now: Seconds) -> QueuedAttempt | None:
+    """Take the next attempt out of its queue, or None."""
+    timed = urgency_queue.pop(desk.timed, now)
+    return fair_queue.pop(desk.queue) if timed is None else timed
+
+
+def note_route_time(desk: OwnerDesk, route: str, upstream_ms: Milliseconds) -> None:
+    """Add the time that an answer to one of a route's requests took."""
+    usual_ms = desk.route_times.get(route)
+    if usual_ms is None:
+        if len(desk.route_times) >= MAX_ROUTE_TIMES:
+            desk.route_times.pop(next(iter(desk.route_times)))
+        desk.route_times[route] = upstream_ms
+    else:
+        desk.route_times[route] = usual_ms + ROUTE_TIME_WEIGHT * (upstream_ms - usual_ms)
+
+
 def _forget_waiting(desk: OwnerDesk, queued: QueuedAttempt) -> None:
     attempt = queued.hand_over.attempt
     del desk.waiting[attempt]
@@ -157,7 +207,7 @@
     desk: OwnerDesk, reason: NotRunReason, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
     """Refuse everything that waits."""
-    while (queued := fair_queue.pop(desk.queue)) is not None:
+    while (queued := take_next(desk, now)) is not None:
         drop_waiting(desk, queued, reason, now, effects)
 
 
@@ -175,5 +225,6 @@
     record_live(desk.log, hand_over.attempt, Fate.RUNNING)
     if not desk.running:
         desk.progress_at = now
-    desk.running[hand_over.attempt] = RunningAttempt(queued.epoch, now, hand_over.repeat)
+    running = RunningAttempt(queued.epoch, now, hand_over.repeat, hand_over.route)
+    desk.running[hand_over.attempt] = running
     effects.append(Dispatch(hand_over, queued.expires_at))
--- a/packages/bendwind-core/src/bendwind_core/attempts/events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/events.py
@@ -150,13 +150,15 @@
 class SendHandOver:
     """Hand the attempt to the owner of `upstream`.
 
-    Units: `remaining_ms` is the time the owner has, in milliseconds.
+    Units: `remaining_ms` is the time the owner has and `target_ms` that left to the latency
+    objective, None without one, in milliseconds.
     """
 
     attempt: AttemptId
     upstream: Upstream
     remaining_ms: Milliseconds
     insist: bool = True
+    target_ms: Milliseconds | None = None
 
 
 @dataclass(slots=True)
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -4,6 +4,7 @@
 attempt that it marks, in the same step, as one that never starts.
 """
 
+from bendwind_core.attempts.admission import find_due, find_refusal
 from bendwind_core.attempts.attempt_log import (
     EntryPeer,
     Fate,
@@ -24,8 +25,11 @@
     is_stalled,
     load_sample,
     next_due,
+    note_route_time,
     refuse,
     start,
+    take_next,
+    take_off_queue,
 )
 from bendwind_core.attempts.messages import (
     AttemptId,
@@ -48,6 +52,7 @@
     HandOverArrived,
     LinkLost,
     LinkOpened,
+    LoadReported,
     OwnerEffect,
     OwnerEvent,
     ReplyFenced,
@@ -58,7 +63,7 @@
 )
 from bendwind_core.attempts.service_time import note_result, note_time
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
-from bendwind_core.limits import fair_queue
+from bendwind_core.limits import fair_queue, urgency_queue
 from bendwind_core.world import Repeat, UpstreamState
 
 __all__ = ["OwnerDesk", "create_desk", "load_sample", "next_due", "step"]
@@ -77,11 +82,14 @@
         case HandOverArrived():
             _on_hand_over(desk, event, now, effects)
         case DispatchHead():
-            note_time(desk.times, event.upstream_ms)
+            _note_head_time(desk, event)
             note_result(desk.times, is_error=event.status >= _FAILED_STATUS)
         case DispatchDone():
             desk.progress_at = now
             end_running(desk, event.attempt, Fate.ENDED)
+        case LoadReported(slow_factor=slow_factor):
+            desk.slow_factor = slow_factor
+            desk.slow_at = now
         case DispatchNotRun():
             _on_dispatch_not_run(desk, event, now, effects)
         case DispatchUnknown():
@@ -109,6 +117,13 @@
     return effects
 
 
+def _note_head_time(desk: OwnerDesk, event: DispatchHead) -> None:
+    note_time(desk.times, event.upstream_ms)
+    running = desk.running.get(event.attempt)
+    if running is not None and running.route and event.status < _FAILED_STATUS:
+        note_route_time(desk, running.route, event.upstream_ms)
+
+
 def _on_hand_over(
     desk: OwnerDesk, event: HandOverArrived, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
@@ -163,7 +178,7 @@
         return NotRunReason.DEADLINE
     if not hand_over.insist and is_stalled(desk, now):
         return NotRunReason.STALLED
-    return None
+    return find_refusal(desk, hand_over, now)
 
 
 def _enqueue(
@@ -175,7 +190,11 @@
         return
     record_live(desk.log, attempt, Fate.QUEUED)
     desk.waiting[attempt] = queued
-    displaced = fair_queue.push(desk.queue, attempt.entry, queued)
+    if queued.hand_over.target_ms is None:
+        displaced = fair_queue.push(desk.queue, attempt.entry, queued)
+    else:
+        due = find_due(desk, queued.hand_over, now)
+        displaced = urgency_queue.push(desk.timed, due, queued)
     if displaced is not None:
         drop_waiting(desk, displaced, NotRunReason.QUEUE_FULL, now, effects)
 
@@ -207,7 +226,7 @@
     attempt = event.attempt
     queued = desk.waiting.get(attempt)
     if queued is not None:
-        fair_queue.remove(desk.queue, attempt.entry, queued)
+        take_off_queue(desk, queued)
         drop_waiting(desk, queued, NotRunReason.CANCELLED, now, effects)
         return
     _cancel_running(desk, attempt, effects)
@@ -318,13 +337,13 @@
         return
     for queued in list(desk.waiting.values()):
         if now >= queued.expires_at:
-            fair_queue.remove(desk.queue, queued.hand_over.attempt.entry, queued)
+            take_off_queue(desk, queued)
             drop_waiting(desk, queued, NotRunReason.DEADLINE, now, effects)
 
 
 def _dispatch_waiting(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
     while has_slot(desk):
-        queued = fair_queue.pop(desk.queue)
+        queued = take_next(desk, now)
         if queued is None:
             return
         del desk.waiting[queued.hand_over.attempt]
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -39,6 +39,13 @@
     upstream_ms: Milliseconds
 
 
+@dataclass(slots=True)
+class LoadReported:
+    """Report what the upstream said of its own pace; 1.0 is as usual."""
+
+    slow_factor: float
+
+
 @dataclass(slots=True)
 class DispatchDone:
     """Report that the upstream's answer ended whole: its slot is free."""
@@ -124,6 +131,7 @@
     HandOverArrived
     | DispatchHead
     | DispatchDone
+    | LoadReported
     | DispatchNotRun
     | DispatchUnknown
     | CancelArrived
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -15,7 +15,7 @@
 from bendwind_core.attempts.endings import finish_not_run, give_up
 from bendwind_core.attempts.events import EntryEffect, SendHandOver, StartTimer, TimerKind
 from bendwind_core.attempts.messages import NotRunReason
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import earn_retry, may_retry, spend_retry
 from bendwind_core.world import Policy, Upstream
 
@@ -76,7 +76,16 @@
     call.attempts.append(attempt)
     remaining = call.deadline_at - now - reply_margin(call, now)
     insist = _must_insist(call, upstream)
-    effects.append(SendHandOver(attempt.id, upstream, remaining * MILLISECONDS_PER_SECOND, insist))
+    remaining_ms = remaining * MILLISECONDS_PER_SECOND
+    effects.append(
+        SendHandOver(attempt.id, upstream, remaining_ms, insist, _find_target_ms(call, now))
+    )
+
+
+def _find_target_ms(call: EntryCall, now: Seconds) -> Milliseconds | None:
+    if call.target_at is None:
+        return None
+    return max(0.0, (call.target_at - now) * MILLISECONDS_PER_SECOND)
 
 
 def _must_insist(call: EntryCall, upstream: Upstream) -> bool:
--- a/packages/bendwind-core/src/bendwind_core/limits/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/__init__.py
@@ -1,10 +1,12 @@
 """Offer the bounds on what calls and measuring may take."""
 
+from bendwind_core.limits import urgency_queue
 from bendwind_core.limits.concurrency_share import ConcurrencyShare, admit, leave, set_services
 from bendwind_core.limits.fair_queue import FairQueue
 from bendwind_core.limits.probe_budget import ProbeBudget, spend_probe
 from bendwind_core.limits.request_size import SizeExceeded, check_body, check_headers
 from bendwind_core.limits.retry_budget import RetryBudget, earn_retry, may_retry, spend_retry
+from bendwind_core.limits.urgency_queue import UrgencyQueue
 
 __all__ = [
     "ConcurrencyShare",
@@ -12,6 +14,7 @@
     "ProbeBudget",
     "RetryBudget",
     "SizeExceeded",
+    "UrgencyQueue",
     "admit",
     "check_body",
     "check_headers",
@@ -21,4 +24,5 @@
     "set_services",
     "spend_probe",
     "spend_retry",
+    "urgency_queue",
 ]
--- a/packages/bendwind-core/src/bendwind_core/routing/choice.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/choice.py
@@ -4,7 +4,7 @@
 
 from bendwind_core.core import Milliseconds, Seconds
 from bendwind_core.routing.score import score
-from bendwind_core.routing.table import UpstreamTable, UpstreamView
+from bendwind_core.routing.table import UpstreamTable, UpstreamView, fade_error_rate
 from bendwind_core.world import Policy, Upstream
 
 # Power of d choices: the score is compared over this many random upstreams.
@@ -13,6 +13,8 @@
 USUAL_REFRESH: Seconds = 0.010
 # In overload a retry at an upstream whose queue was full this short a time ago is only work.
 FULL_PAUSE: Seconds = 0.020
+# An upstream that fails this share of its requests is no better for being near.
+FAILING = 0.3
 
 
 def choose_upstream(
@@ -21,14 +23,19 @@
     excluded: frozenset[str],
     now: Seconds,
     rng: random.Random,
+    near: str | None = None,
 ) -> Upstream | None:
     """Return an upstream that takes new requests and is not excluded, or None.
 
     A call that excludes some is a retry: it leaves out those whose queue has just been full too.
+    With `near`, upstreams of that data centre go first unless they lately failed; their owners
+    refuse what they would answer late, so that only such requests go further.
     """
     views = _find_candidates(table, excluded)
     if excluded:
         views = [view for view in views if now - view.full_at >= FULL_PAUSE]
+    if near is not None:
+        views = _keep_near(views, near, now)
     if not views:
         return None
     if len(views) == 1:
@@ -50,6 +57,15 @@
     ]
 
 
+def _keep_near(views: list[UpstreamView], near: str, now: Seconds) -> list[UpstreamView]:
+    kept = [
+        view
+        for view in views
+        if view.upstream.owner.data_centre == near and fade_error_rate(view, now) < FAILING
+    ]
+    return kept or views
+
+
 def _choose_by_score(
     table: UpstreamTable, views: list[UpstreamView], now: Seconds, rng: random.Random
 ) -> UpstreamView:
--- a/packages/bendwind-core/src/bendwind_core/world/service.py
+++ b/packages/bendwind-core/src/bendwind_core/world/service.py
@@ -34,7 +34,8 @@
 
     `methods` empty matches every method; `path` is a shell-style pattern over the path.
     `attempts` bounds the upstreams that one call may reach, and `priority` ranks it, 0 the most
-    urgent; an answer within `target_latency_ms` is in time.
+    urgent; an answer within `target_latency_ms` is in time. `name` tells apart the rules whose
+    requests take different times.
     """
 
     path: str
@@ -45,6 +46,7 @@
     attempts: int | None = None
     target_latency_ms: Milliseconds | None = None
     priority: int = 0
+    name: str = ""
 
 
 class Limits(Record, frozen=True, array_like=True):
@@ -62,7 +64,8 @@
     `upstreams` holds shell-style patterns over upstream names. `needed_upstreams` is how many the
     operators count on; a plan warns when fewer are announced. A service that is `routed_only` is
     reached by routes alone, which bring their own rules. `health_path` empty means that its
-    upstreams offer none.
+    upstreams offer none. `near_first` has each node call upstreams of its own data centre unless
+    they would answer late.
     """
 
     name: str
@@ -77,6 +80,7 @@
     needed_upstreams: int = 1
     routed_only: bool = False
     health_path: str = ""
+    near_first: bool = False
 
 
 # RFC 9110, section 9.2.2: the methods whose repetition has the effect of a single request.
--- a/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
@@ -100,7 +100,7 @@
             case ev.FinishDelivered():
                 self._record_end("answered")
             case ev.FinishNotRun(reason=reason, retry_after_ms=retry_after_ms):
-                status = outcomes.find_not_run_status(reason)
+                status = outcomes.find_not_run_status(reason, self.entry.dialect)
                 await self._send_outcome(status, outcomes.NOT_RUN, reason, retry_after_ms)
             case ev.FinishUnknown(reason=reason, retry_after_ms=retry_after_ms):
                 if isinstance(run.replay, str):
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -109,7 +109,7 @@
             body = await self._read_body(exchange, limit)
         return body.map(
             lambda whole: self._create_run(
-                request, call_id, service, rule, deadline_at, key.ok, whole
+                request, call_id, target, arrived_at, deadline_at, key.ok, whole
             )
         )
 
@@ -117,15 +117,26 @@
         self,
         request: CallerRequest,
         call_id: str,
-        service: Service,
-        rule: Rule,
+        target: Target,
+        arrived_at: Seconds,
         deadline_at: Seconds,
         key: str,
         body: bytes,
     ) -> CallRun:
+        service, rule = target.service, target.rule
         budget = self.entry.find_desk(service).budget
+        target_at = None
+        if rule.target_latency_ms is not None:
+            target_at = arrived_at + rule.target_latency_ms / MILLISECONDS_PER_SECOND
         call = create_call(
-            call_id, service, rule, deadline_at, self.entry.ids, budget, has_key=bool(key)
+            call_id,
+            service,
+            rule,
+            deadline_at,
+            self.entry.ids,
+            budget,
+            has_key=bool(key),
+            target_at=target_at,
         )
         headers = self._make_headers(request)
         run = CallRun(call, self.entry.apply, request.method, request.target, headers, body)
--- a/packages/bendwind-node/src/bendwind_node/calls/dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -7,6 +7,8 @@
 _SERVICE_UNAVAILABLE = 503
 # RFC 9110, section 15.5.20: the request was directed at a server that is not the one meant.
 _MISDIRECTED = 421
+_LOAD_FIGURES = 4
+_PERCENT = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,3 +76,17 @@
         return NotRunReason.SHED
     is_shed = status == _SERVICE_UNAVAILABLE and marks[0] == dialect.not_run_value
     return NotRunReason.SHED if is_shed else None
+
+
+def read_slow_factor(load: bytes | None) -> float | None:
+    """Return how much longer than usual work takes at an upstream, by its own word, or None.
+
+    The last of four figures, after running, waiting and slots, is a percentage of the usual time.
+
+    >>> read_slow_factor(b"3,0,8,400")
+    4.0
+    """
+    figures = (load or b"").split(b",")
+    if len(figures) < _LOAD_FIGURES or not figures[_LOAD_FIGURES - 1].strip().isdigit():
+        return None
+    return int(figures[_LOAD_FIGURES - 1]) / _PERCENT
--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -20,6 +20,7 @@
     DispatchHead,
     DispatchNotRun,
     DispatchUnknown,
+    LoadReported,
     OwnerEvent,
 )
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
@@ -27,7 +28,12 @@
 from bendwind_core.world import LoadSample, Repeat
 from bendwind_node.calls import headers as names
 from bendwind_node.calls.body_flow import PART_BYTES, Outflow
-from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect, find_not_run_proof
+from bendwind_node.calls.dialect import (
+    BENDWIND_DIALECT,
+    Dialect,
+    find_not_run_proof,
+    read_slow_factor,
+)
 from bendwind_node.calls.upstream_h11 import UpstreamAnswer, UpstreamPool
 from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
 
@@ -143,6 +149,7 @@
     async def _relay(self, answer: UpstreamAnswer) -> DispatchEnd:
         elapsed = trio.current_time() - self.started_at
         self.upstream_ms = elapsed * MILLISECONDS_PER_SECOND
+        self._note_load(answer)
         not_run = find_not_run_proof(self.dialect, answer.status, answer.headers)
         if not_run is not None:
             return await self._discard_refusal(answer, not_run)
@@ -153,6 +160,13 @@
             return await self._send_whole(answer)
         return await self._send_parts(answer)
 
+    def _note_load(self, answer: UpstreamAnswer) -> None:
+        if self.dialect.load is None:
+            return
+        slow_factor = read_slow_factor(names.find_header(answer.headers, self.dialect.load))
+        if slow_factor is not None:
+            self.feed(LoadReported(slow_factor))
+
     def _is_of_another(self, answer: UpstreamAnswer) -> bool:
         name = self.dialect.request_id
         if name is None:
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -262,7 +262,9 @@
         def choose(excluded: frozenset[str]) -> Upstream | None:
             if not self._may_send(run):
                 return None
-            return choose_upstream(call.service.policy, desk.table, excluded, now, self.rng)
+            service = call.service
+            near = self.own.data_centre if service.near_first else None
+            return choose_upstream(service.policy, desk.table, excluded, now, self.rng, near)
 
         for effect in entry.step(call, event, now, choose):
             self._carry_out(run, desk, effect)
@@ -328,6 +330,9 @@
             first,
             bool(rest),
             insist=effect.insist,
+            route=run.call.rule.name,
+            target_ms=effect.target_ms,
+            priority=run.call.rule.priority,
         )
         self.runs[effect.attempt.sequence] = run
         note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
@@ -18,9 +18,13 @@
 _BAD_GATEWAY = 502
 
 
-def find_not_run_status(reason: NotRunReason) -> int:
-    """Return the HTTP status of a request that was not run."""
-    return _GATEWAY_TIMEOUT if reason is NotRunReason.DEADLINE else _SERVICE_UNAVAILABLE
+def find_not_run_status(reason: NotRunReason, dialect: Dialect = BENDWIND_DIALECT) -> int:
+    """Return the HTTP status of a request that was not run.
+
+    Without outcome headers the status alone tells that it did not run, and 504 does not.
+    """
+    is_late = reason is NotRunReason.DEADLINE and dialect.has_outcomes
+    return _GATEWAY_TIMEOUT if is_late else _SERVICE_UNAVAILABLE
 
 
 def find_unknown_status(reason: CutReason) -> int:
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -89,6 +89,7 @@
     probe_budget: ProbeBudget
     announce: Callable[[Upstream], None]
     dialect: Dialect = BENDWIND_DIALECT
+    slot_share: float = 1.0
     replies: ReplyPath = field(default_factory=ReplyPath)
     owned: dict[str, OwnedUpstream] = field(default_factory=dict)
     outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
@@ -226,7 +227,9 @@
         upstream = Upstream(
             news.name, news.service, self.own, news.slots, news.connections, UpstreamState.GONE
         )
-        desk = owner.create_desk(news.name, self.own.incarnation, QUEUE_LIMIT)
+        desk = owner.create_desk(
+            news.name, self.own.incarnation, QUEUE_LIMIT, slot_share=self.slot_share
+        )
         pool = UpstreamPool(news.host, news.port, news.connections)
         owned = OwnedUpstream(upstream, desk, pool, 0.0)
         self.owned[news.name] = owned
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -142,6 +142,7 @@
         budget,
         lambda upstream: _announce(membership, upstream),
         extension.dialect,
+        settings.limits.slot_share,
     )
     dispatcher.entry = EntryNode(
         own,
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -206,6 +206,11 @@
     header_bytes: Annotated[
         int, Meta(ge=1024, le=1 << 20), _doc("Longest request line and headers of a caller.", "B")
     ] = (16 << 10)
+    slot_share: Annotated[
+        float,
+        Meta(gt=0, le=1),
+        _doc("Part of an upstream's slots that is used; some slow down when nearly full."),
+    ] = 1.0
     keep_alive_s: Annotated[
         float, Meta(gt=0, le=3600), _doc("Time an idle connection of a caller stays open.", "s")
     ] = 60
