control, membership, links: voters found from seeds, runs numbered above earlier ones; tests of the path

Cause: a newcomer knew only the voters of its settings, so that a leader outside them never took it in (found by test_open_membership); a clock stepped back made a restarted process look outdated; a link whose peer lost power was noticed only after 1.5 s. Change: offers are passed on to the leader; a process asks the voters for its newest known run before it starts; links that owe an answer are asked for a sign of life after 250 ms; the first announcement that a process hears is verified, so that one from before a restart brings no leaving upstream back.

--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -33,7 +33,10 @@
         return None
     expected_ms = find_expected_ms(desk, hand_over.route, now)
     wait_ms = 0.0 if is_free else find_wait_ms(desk, find_due(desk, hand_over, now), now)
-    if wait_ms + expected_ms <= hand_over.target_ms:
+    # A short request holds up the others little, and may be a call that a longer one waits for.
+    is_short = expected_ms <= desk.times.average_ms
+    limit_ms = hand_over.remaining_ms if is_short and hand_over.insist else hand_over.target_ms
+    if wait_ms + expected_ms <= limit_ms:
         return None
     return NotRunReason.STALLED if is_free else NotRunReason.QUEUE_FULL
 
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
@@ -0,0 +1,75 @@
+import unittest
+
+from bendwind_core.attempts import AttemptId, HandOver, NotRunReason, owner
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.world import Repeat, UpstreamState
+
+
+class AdmissionTest(unittest.TestCase):
+    """Drive one desk whose upstream has two slots and takes 100 ms for each request of `slow`."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.sequence = 0
+        self.desk = owner.create_desk("u", 1, 16)
+        self.step(ov.UpstreamAnnounced(2, 2, UpstreamState.READY))
+        for route, upstream_ms in (("slow", 100.0), ("quick", 10.0)):
+            for _ in range(5):
+                attempt = self.hand_over(route)[0].hand_over.attempt
+                self.step(ov.DispatchHead(attempt, 200, upstream_ms))
+                self.step(ov.DispatchDone(attempt))
+
+    def step(self, event):
+        return owner.step(self.desk, event, self.now)
+
+    def hand_over(self, route="slow", target_ms=1000.0, remaining_ms=1000.0, insist=True):
+        self.sequence += 1
+        attempt = AttemptId("e", 1, self.sequence)
+        parts = (attempt, 1, "s", "u", "GET", b"/", (), remaining_ms, Repeat.IDEMPOTENT, 1)
+        message = HandOver(*parts, insist=insist, route=route, target_ms=target_ms)
+        return self.step(ov.HandOverArrived(message, 1))
+
+    def fill(self):
+        return [self.hand_over()[0].hand_over.attempt for _ in range(2)]
+
+    def reason(self, effects):
+        return effects[0].reason if isinstance(effects[0], ov.ReplyNotRun) else None
+
+    def test_what_cannot_be_in_time_is_refused_on_arrival(self):
+        self.fill()
+        refused = self.hand_over(target_ms=150.0, remaining_ms=150.0)
+        self.assertIs(self.reason(refused), NotRunReason.QUEUE_FULL)
+        self.assertEqual(self.hand_over(target_ms=400.0), [])
+
+    def test_most_urgent_starts_first(self):
+        first = self.fill()[0]
+        self.hand_over(target_ms=900.0)
+        self.hand_over("quick", target_ms=300.0)
+        started = self.step(ov.DispatchDone(first))
+        self.assertEqual(started[0].hand_over.route, "quick")
+
+    def test_late_one_is_taken_where_a_slot_is_free_unless_it_can_go_elsewhere(self):
+        self.assertIs(
+            self.reason(self.hand_over(target_ms=50.0, insist=False)), NotRunReason.STALLED
+        )
+        self.assertIsInstance(self.hand_over(target_ms=50.0)[0], ov.Dispatch)
+
+    def test_upstream_that_says_it_is_slowed_is_avoided_while_the_report_is_young(self):
+        self.step(ov.LoadReported(4.0))
+        polite = {"target_ms": 150.0, "insist": False}
+        self.assertIs(self.reason(self.hand_over(**polite)), NotRunReason.STALLED)
+        self.now += 0.2
+        self.assertIsInstance(self.hand_over(**polite)[0], ov.Dispatch)
+
+    def test_short_request_may_wait_to_its_deadline(self):
+        self.fill()
+        self.assertEqual(self.hand_over("quick", target_ms=5.0, remaining_ms=400.0), [])
+
+    def test_share_of_the_slots_stays_unused(self):
+        desk = owner.create_desk("u", 1, 16, slot_share=0.8)
+        owner.step(desk, ov.UpstreamAnnounced(6, 6, UpstreamState.READY), 0.0)
+        self.assertEqual(desk.run_limit, 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
@@ -81,8 +81,13 @@
     replica.role = Role.FOLLOWER
 
 
-def receive_offer(replica: Replica, newcomer: Voter, now: Seconds) -> None:
-    """Answer an empty voter; a leader takes it in, others hand it the first entry it is in."""
+def receive_offer(replica: Replica, offer: Offer, now: Seconds) -> None:
+    """Answer an empty voter; a leader takes it in, others hand it the first entry it is in.
+
+    A newcomer knows those voters that its settings name; one of them passes its offer on to the
+    leader, which may be none of them.
+    """
+    newcomer = offer.sender
     is_formed = replica.role is not Role.UNFORMED
     reply = OfferReply(replica.voter, newcomer.voter_id, is_formed)
     send_durable(replica, reply, newcomer)
@@ -90,6 +95,9 @@
         admit_learner(replica, newcomer, now)
     elif is_formed:
         _repeat_form(replica, newcomer)
+        if not offer.is_passed_on and replica.leader is not None:
+            passed_on = Offer(newcomer, is_passed_on=True)
+            replica.effects.append(Send(replica.leader.name, passed_on))
 
 
 def _repeat_form(replica: Replica, newcomer: Voter) -> None:
--- a/packages/bendwind-core/src/bendwind_core/consensus/step.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/step.py
@@ -166,7 +166,7 @@
 ) -> None:
     match message:
         case Offer():
-            receive_offer(replica, message.sender, now)
+            receive_offer(replica, message, now)
         case OfferReply():
             receive_offer_reply(replica, message)
         case Form():
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_voter_changes.py
@@ -0,0 +1,84 @@
+import unittest
+
+from bendwind_core.membership import (
+    ConfigurationAccepted,
+    Heartbeat,
+    MessageReceived,
+    SendTo,
+    VoterPlace,
+    VotersChanged,
+    VotersKnown,
+    VotersLearned,
+    create_voter_registry,
+    set_seeds,
+    step_registry,
+    step_view,
+)
+from bendwind_core.membership.tests.fakes import PLACES, TIMES, World
+from bendwind_core.world import Configuration, Instance, Route, Routing, Rule, SplitPart
+
+ROUTE = Route("r", "h", "/a/", (SplitPart("catastro"),), Rule("*"))
+
+
+class RoutingTest(unittest.TestCase):
+    def test_routes_reach_every_node_also_one_that_watches_nothing_they_lead_to(self):
+        world = World(seed=1)
+        world.start_node("n0", "dc0")
+        world.advance(2)
+        world.accepted.append((world.now, Configuration(7, (), Routing(3, (ROUTE,)))))
+        world.apply("v0", 1)
+        world.advance(2)
+        view = world.nodes["n0"].view
+        self.assertEqual((view.version, view.routing.revision), (7, 3))
+        world.accepted.append((world.now, Configuration(9, (), Routing(4))))
+        world.advance(2)
+        self.assertEqual((view.version, view.routing.routes), (9, ()))
+
+    def test_change_of_services_alone_sends_no_routes_again(self):
+        world = World(seed=1)
+        world.start_node("n0", "dc0")
+        world.advance(2)
+        registry = world.voters["v0"].registry
+        routing = Routing(3, (ROUTE,))
+        for version in (7, 9):
+            step = ConfigurationAccepted(Configuration(version, (), routing))
+            world.step("v0", step)
+        self.assertEqual(registry.routing_changed_at, 7)
+
+
+class VoterChangesTest(unittest.TestCase):
+    def test_attached_nodes_hear_of_changed_voters_and_leave_one_that_is_none(self):
+        world = World(seed=2)
+        for index in range(3):
+            world.start_node(f"n{index}", f"dc{index}")
+        world.advance(2)
+        places = (PLACES[0], PLACES[1], VoterPlace("v9", "dc9", "10.0.0.9", 7))
+        world.step("v2", VotersChanged(places))
+        world.advance(0.5)
+        view = world.nodes["n2"].view
+        self.assertNotEqual(view.voter, "v2")
+        self.assertEqual(set(view.attachment.order), {"v0", "v1", "v9", "v2"})
+
+    def test_learner_sends_nodes_on_to_the_voters(self):
+        registry = create_voter_registry("x", PLACES, TIMES, 0.0)
+        beat = Heartbeat(Instance("n", "dc0", "h", 1, 1), 1, 0)
+        effects = step_registry(registry, MessageReceived("n", beat), 0.0, None)
+        self.assertEqual(effects, [SendTo("n", VotersKnown(PLACES))])
+        self.assertEqual(registry.clients, {})
+
+    def test_seeds_are_asked_after_all_voters_known(self):
+        world = World(seed=3)
+        world.start_node("n0", "dc0")
+        world.advance(1)
+        view = world.nodes["n0"].view
+        known = tuple(VoterPlace(name) for name in ("v0", "v7"))
+        message = MessageReceived(view.voter, VotersKnown(known))
+        effects = step_view(view, message, 200.0, world.rng)
+        self.assertIn(VotersLearned(known), effects)
+        self.assertEqual(set(view.attachment.order[:2]), {"v0", "v7"})
+        set_seeds(view, (VoterPlace("v8"),))
+        self.assertEqual(view.attachment.order[-1], "v8")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/messages/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/__init__.py
@@ -2,12 +2,14 @@
 
 from bendwind_core.messages.codec import PeerMessage, decode_message, encode_message
 from bendwind_core.messages.frame import Frame, decode_frame, encode_frame
-from bendwind_core.messages.hello import Goodbye, Hello
+from bendwind_core.messages.hello import Goodbye, Hello, IncarnationKnown, IncarnationQuestion
 
 __all__ = [
     "Frame",
     "Goodbye",
     "Hello",
+    "IncarnationKnown",
+    "IncarnationQuestion",
     "PeerMessage",
     "decode_frame",
     "decode_message",
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -34,12 +34,14 @@
     Watch,
     WatchUpdate,
 )
-from bendwind_core.messages.hello import Goodbye, Hello
+from bendwind_core.messages.hello import Goodbye, Hello, IncarnationKnown, IncarnationQuestion
 from bendwind_core.routing import LoadProbe, LoadReport
 
 PeerMessage = (
     Hello
     | Goodbye
+    | IncarnationQuestion
+    | IncarnationKnown
     | HandOver
     | AnswerHead
     | BodyPart
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
@@ -0,0 +1,93 @@
+import unittest
+
+from bendwind_core.plans import (
+    Changes,
+    ConfirmPlan,
+    ControlState,
+    CreatePlan,
+    PutRevision,
+    RevisionFaultKind,
+    RevisionHeld,
+    WonBy,
+    encode_command,
+    find_revision_fault,
+)
+from bendwind_core.world import Route, Routing, Rule, Service, SplitPart
+
+ONE_PART = (SplitPart("s"),)
+
+
+def make_put(revision, document=b"", routes=(), services=("s",)):
+    named = tuple(Service(name, ("*",)) for name in services)
+    return PutRevision(named, Routing(revision, tuple(routes)), document)
+
+
+def make_route(host="h", prefix="/a/", parts=ONE_PART, rule=None):
+    return Route("r", host, prefix, tuple(parts), rule or Rule("*", longest_wait_ms=100.0))
+
+
+class PutRevisionTest(unittest.TestCase):
+    def setUp(self):
+        self.state = ControlState()
+        self.index = 0
+
+    def apply(self, command):
+        self.index += 1
+        return self.state.apply(self.index, encode_command(command))
+
+    def test_highest_revision_holds_whatever_the_order(self):
+        for revision in (5, 3, 9, 9, 7):
+            self.apply(make_put(revision, b"%d" % revision))
+        self.assertEqual(self.state.configuration.routing.revision, 9)
+        self.assertEqual(self.state.document, b"9")
+
+    def test_other_content_under_a_held_revision_takes_no_force(self):
+        self.apply(make_put(5, b"first", services=("s",)))
+        held = self.apply(make_put(5, b"second", services=("t",)))
+        self.assertEqual(held, RevisionHeld(5, 1, is_new=False))
+        self.assertEqual(self.state.document, b"first")
+        self.assertIsNotNone(self.state.configuration.find_service("s"))
+
+    def test_snapshot_brings_routes_and_document_back(self):
+        self.apply(make_put(5, b"text", [make_route()]))
+        other = ControlState()
+        other.restore(self.state.snapshot())
+        self.assertEqual(other.configuration, self.state.configuration)
+        self.assertEqual(other.document, b"text")
+
+    def test_plan_made_before_a_revision_is_lost_and_one_after_keeps_the_routes(self):
+        changes = Changes((Service("t", ("*",)),))
+        self.apply(CreatePlan("k1", b"d", 0, changes, 0, 60_000))
+        self.apply(make_put(5, b"text", [make_route()]))
+        self.assertIsInstance(self.apply(ConfirmPlan(1, 1)), WonBy)
+        self.apply(CreatePlan("k2", b"d", 2, changes, 0, 60_000))
+        self.apply(ConfirmPlan(4, 1))
+        self.assertIsNotNone(self.state.configuration.find_service("t"))
+        self.assertEqual(self.state.configuration.routing.routes, (make_route(),))
+
+
+class RevisionFaultTest(unittest.TestCase):
+    def test_each_fault_is_named(self):
+        kinds = RevisionFaultKind
+        wait = Rule("*", longest_wait_ms=100.0)
+        cases = {
+            kinds.NO_HOST: make_route(host=""),
+            kinds.BAD_PREFIX: make_route(prefix="a/"),
+            kinds.NO_SERVICE: make_route(parts=()),
+            kinds.UNKNOWN_SERVICE: make_route(parts=(SplitPart("t"),)),
+            kinds.NO_WEIGHT: make_route(parts=(SplitPart("s", 0),)),
+            kinds.NO_TIMEOUT: make_route(rule=Rule("*", longest_wait_ms=0.0)),
+            kinds.NO_ATTEMPTS: make_route(rule=Rule("*", longest_wait_ms=1.0, attempts=0)),
+        }
+        for kind, route in cases.items():
+            self.assertEqual(find_revision_fault(make_put(1, routes=[route])).kind, kind)
+        twice = make_put(1, routes=[make_route(rule=wait), make_route(rule=wait)])
+        self.assertEqual(find_revision_fault(twice).kind, kinds.DUPLICATE_PLACE)
+        same = make_put(1, services=("s", "s"))
+        self.assertEqual(find_revision_fault(same).kind, kinds.DUPLICATE_SERVICE)
+        self.assertEqual(find_revision_fault(make_put(0)).kind, kinds.BAD_REVISION)
+        self.assertIsNone(find_revision_fault(make_put(1, routes=[make_route()])))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/routing/tests/test_route_table.py
@@ -0,0 +1,69 @@
+import collections
+import random
+import unittest
+
+from bendwind_core.routing import RouteTable, choose_part, find_route, set_routing
+from bendwind_core.world import Route, Routing, Rule, SplitPart
+
+ONE_PART = (SplitPart("s"),)
+
+
+def make_route(name, prefix, parts=ONE_PART, host="a.example"):
+    return Route(name, host, prefix, tuple(parts), Rule("*"))
+
+
+def make_table(*routes):
+    table = RouteTable()
+    set_routing(table, Routing(1, routes))
+    return table
+
+
+class FindRouteTest(unittest.TestCase):
+    def test_longest_prefix_of_whole_segments_wins(self):
+        table = make_table(make_route("short", "/a/"), make_route("long", "/a/b/"))
+        cases = {
+            "/a/x": "short",
+            "/a/b/x": "long",
+            "/a/bc": "short",
+            "/a/b": "short",
+            "/a/": "short",
+        }
+        for path, name in cases.items():
+            self.assertEqual(find_route(table, "a.example", path).name, name, path)
+
+    def test_root_takes_what_no_other_prefix_begins(self):
+        table = make_table(make_route("root", "/"), make_route("a", "/a/"))
+        self.assertEqual(find_route(table, "a.example", "/b").name, "root")
+
+    def test_nothing_is_found_for_other_hosts_and_paths(self):
+        table = make_table(make_route("a", "/a/"))
+        for host, path in (("b.example", "/a/"), ("a.example", "/a"), ("a.example", "*")):
+            self.assertIsNone(find_route(table, host, path))
+
+    def test_hosts_are_compared_in_lower_case(self):
+        table = make_table(make_route("a", "/a/", host="A.Example"))
+        self.assertEqual(find_route(table, "a.example", "/a/1").name, "a")
+
+
+class ChoosePartTest(unittest.TestCase):
+    def test_any_hundred_requests_are_split_close_to_the_weights(self):
+        parts = (SplitPart("x", 90), SplitPart("y", 10), SplitPart("z", 0))
+        route = make_route("a", "/a/", parts)
+        for seed in range(20):
+            table = make_table(route)
+            rng = random.Random(seed)
+            counts = collections.Counter(choose_part(table, route, rng) for _ in range(100))
+            self.assertAlmostEqual(counts["y"], 10, delta=2)
+            self.assertEqual(counts["z"], 0)
+
+    def test_a_change_of_other_routes_moves_no_split_back(self):
+        route = make_route("a", "/a/", (SplitPart("x"), SplitPart("y")))
+        table = make_table(route)
+        choose_part(table, route, random.Random(1))
+        share = table.shares["a"]
+        set_routing(table, Routing(2, (route, make_route("b", "/b/"))))
+        self.assertEqual(table.shares["a"], share)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -28,6 +28,7 @@
 _SERVICE_UNAVAILABLE = 503
 _FRAMING = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
 _HEADERS_TOO_LARGE = 431
+_BAD_REQUEST = 400
 # What HTTP/1.1 writes beside the text: blanks, the version and line ends.
 _LINE_OVERHEAD = 12
 _HEADER_OVERHEAD = 4
@@ -192,6 +193,10 @@
             return False
         if head is None:
             return False
+        if _is_ambiguous(head):
+            await stream.send_all(_make_error(connection, _BAD_REQUEST, outcomes.REFUSED))
+            await _linger(stream)
+            return False
         if _measure_head(head) > self.header_bytes:
             refusal = _make_error(connection, _HEADERS_TOO_LARGE, outcomes.REFUSED)
             await stream.send_all(refusal)
@@ -224,6 +229,16 @@
         return None
 
 
+def _is_ambiguous(head: h11.Request) -> bool:
+    """Tell whether a head states the length of its body in two ways.
+
+    Another server may go by the other one and take the rest for a second request.
+    Source: RFC 9112, section 6.1.
+    """
+    names = {name for name, _ in head.headers}
+    return _FRAMING <= names
+
+
 def _has_whole_request(connection: h11.Connection) -> bool:
     """Pass over what came of a body that nobody read, and tell whether the request has ended."""
     while connection.their_state is h11.SEND_BODY:
--- a/packages/bendwind-node/src/bendwind_node/calls/dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -20,6 +20,7 @@
     carries the attempt's id, `upstream` the name of the upstream that is meant, and
     `origin_service` the service beside the entry node. `not_run` marks an answer whose request did
     not run; where `not_run_value` is None its presence is enough, whatever the status.
+    `answering_upstream` is the name that an upstream gives itself on its health path.
     `has_outcomes` adds Bendwind's outcome headers to answers, `has_fractions` permits fractions of
     seconds in Retry-After, `has_cancel_path` says that upstreams take cancellations as requests.
     """
@@ -33,6 +34,7 @@
     upstream: bytes | None = None
     origin_service: bytes | None = None
     load: bytes | None = None
+    answering_upstream: bytes | None = None
     has_outcomes: bool = False
     has_fractions: bool = True
     has_cancel_path: bool = False
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -33,11 +33,15 @@
 from bendwind_node.calls.body_flow import Outflow
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
+from bendwind_node.calls.health_check import is_well
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
 QUEUE_LIMIT = 16
 MAX_OWNED_UPSTREAMS = 8
+# Names of upstreams that have left, so that a late announcement brings none of them back.
+MAX_DEPARTED = 256
+VERIFY_TIMEOUT: Seconds = 0.5
 REPORT_BYTES = 80
 # Leases of announcements are looked at this often; queued attempts expire on time.
 LEASE_CHECK: Seconds = 0.5
@@ -45,7 +49,12 @@
 
 @dataclass(slots=True, eq=False)
 class OwnedUpstream:
-    """Hold one upstream beside this process."""
+    """Hold one upstream beside this process.
+
+    One that is not verified was announced once, perhaps by a message from before an earlier run of
+    this process heard it leave; it takes requests once its health path or a second announcement
+    has shown that it stays.
+    """
 
     upstream: Upstream
     desk: owner.OwnerDesk
@@ -55,6 +64,7 @@
     is_marked: bool = False
     last_sequence: int = 0
     has_left: bool = False
+    is_verified: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +100,9 @@
     announce: Callable[[Upstream], None]
     dialect: Dialect = BENDWIND_DIALECT
     slot_share: float = 1.0
+    find_health_path: Callable[[str], str] = lambda service: ""
+    departed: dict[str, None] = field(default_factory=dict)
+    has_dropped: bool = False
     replies: ReplyPath = field(default_factory=ReplyPath)
     owned: dict[str, OwnedUpstream] = field(default_factory=dict)
     outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
@@ -173,7 +186,7 @@
             return
         # A desk lives as long as the process: without one, this run never held the upstream, and
         # the hand-over, if it still came, would be refused as one to the wrong owner.
-        is_own_run = fence.owner_incarnation == self.own.incarnation
+        is_own_run = fence.owner_incarnation == self.own.incarnation and not self.has_dropped
         verdict = FenceVerdict.NEVER_STARTED if is_own_run else FenceVerdict.FORGOTTEN
         self.replies.send(fence.attempt, epoch, Fenced(fence.attempt, verdict))
 
@@ -182,9 +195,14 @@
         now = trio.current_time()
         owned = self.owned.get(news.name)
         if owned is None:
-            if len(self.owned) >= MAX_OWNED_UPSTREAMS:
+            if news.sequence and news.name in self.departed:
+                return True
+            if len(self.owned) >= MAX_OWNED_UPSTREAMS and not self._drop_gone():
                 return False
             owned = self._create_owned(news)
+            owned.is_verified = not news.sequence
+        else:
+            owned.is_verified = True
         if news.sequence and (owned.has_left or news.sequence <= owned.last_sequence):
             # A late announcement of one that has said more since; what it said then stands.
             return True
@@ -192,10 +210,42 @@
         self._end_former(news)
         owned.lease_until = now + self.lease_ms / MILLISECONDS_PER_SECOND
         self._move_pool(owned, news)
+        if not owned.is_verified and news.state is UpstreamState.READY:
+            self.nursery.start_soon(self._verify, owned, news)
+            return True
+        self._take(owned, news)
+        return True
+
+    def _take(self, owned: OwnedUpstream, news: Announcement) -> None:
         state = UpstreamState.DRAINING if self.is_draining else news.state
         self._publish(owned, news, state)
         self._feed_state(owned)
-        return True
+
+    async def _verify(self, owned: OwnedUpstream, news: Announcement) -> None:
+        path = self.find_health_path(news.service)
+        name_header = self.dialect.answering_upstream
+        if path and name_header is not None:
+            with trio.move_on_after(VERIFY_TIMEOUT):
+                is_verified = await is_well(owned.pool, path, news.name, name_header)
+                owned.is_verified = owned.is_verified or is_verified
+        if owned.is_verified and not owned.has_left and owned.last_sequence == news.sequence:
+            self._take(owned, news)
+
+    def _drop_gone(self) -> bool:
+        """Forget an upstream that is gone and has nothing under way, to make room for another."""
+        for name, owned in self.owned.items():
+            is_idle = not owned.desk.running and not owned.desk.waiting
+            if owned.upstream.state is UpstreamState.GONE and is_idle:
+                del self.owned[name]
+                self.has_dropped = True
+                self._remember_departed(name)
+                return True
+        return False
+
+    def _remember_departed(self, name: str) -> None:
+        self.departed[name] = None
+        if len(self.departed) > MAX_DEPARTED:
+            del self.departed[next(iter(self.departed))]
 
     def _end_former(self, news: Announcement) -> None:
         """Take an address away from the upstream that had it before."""
@@ -265,6 +315,8 @@
         """Hear that an upstream leaves for good; False if it is unknown."""
         owned = self.owned.get(name)
         if owned is None:
+            # An earlier run of this process may have known it: a late announcement may follow.
+            self._remember_departed(name)
             return False
         owned.has_left = True
         self._expire_lease(owned)
--- a/packages/bendwind-node/src/bendwind_node/control/control_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/control_voter.py
@@ -19,6 +19,7 @@
     ReplicaEvent,
     SaveSnapshot,
     TransferLeadership,
+    Voter,
 )
 from bendwind_core.timeline import Recorder
 from bendwind_node.control.voter_outcomes import (
@@ -65,6 +66,7 @@
     dropped: int = 0
     stopped: str | None = None
     is_removed: bool = False
+    learn_member: Callable[[Voter], None] = lambda member: None
     last_foreign: str | None = None
 
     @property
--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -37,7 +37,9 @@
 Send = Callable[[str, Record], None]
 
 _TICK_SECONDS = 0.05
-_BARRIER_SECONDS = 1.0
+# Nodes leave a voter whose confirmation is older than half a lease: two fit into that.
+_BARRIERS_PER_LEASE = 4
+_MAX_BARRIER_SECONDS = 1.0
 _INBOX = 4096
 _ROWS_PER_REPLY = 200
 _STATUS_SECONDS = 1.0
@@ -132,7 +134,8 @@
             if await self.control.confirm():
                 self._take_state()
                 self.step(QuorumConfirmed(started))
-            await trio.sleep(_BARRIER_SECONDS)
+            lease = self.registry.times.lease
+            await trio.sleep(min(_MAX_BARRIER_SECONDS, lease / _BARRIERS_PER_LEASE))
 
     def _take_state(self) -> None:
         configuration = self.control.configuration
--- a/packages/bendwind-node/src/bendwind_node/control/voter_effects.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter_effects.py
@@ -119,6 +119,8 @@
             detail = f"{effect.leader.name}, term {effect.term}"
             voter.recorder.record(EventKind.LEADER_ELECTED, detail=detail)
         case VotersChanged():
+            for member in (*effect.voters.voters, *effect.voters.learners):
+                voter.learn_member(member)
             names = ", ".join(sorted(member.name for member in effect.voters.voters))
             voter.recorder.record(EventKind.VOTERS_CHANGED, detail=names)
         case SelfRemoved():
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -9,7 +9,7 @@
 
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.claims import ClaimLimits
-from bendwind_core.consensus import ReplicaSettings
+from bendwind_core.consensus import ReplicaSettings, Voter
 from bendwind_core.core import MILLISECONDS_PER_SECOND
 from bendwind_core.limits import ConcurrencyShare, ProbeBudget
 from bendwind_core.membership import (
@@ -31,12 +31,13 @@
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.claims import create_claim_task
+from bendwind_node.control.control_voter import ControlVoter
 from bendwind_node.control.service import open_control
 from bendwind_node.daemon.dispatcher import Dispatcher
-from bendwind_node.daemon.extension import NO_EXTENSION, Extension
+from bendwind_node.daemon.extension import Extension
 from bendwind_node.daemon.listeners import Listeners, find_port
 from bendwind_node.daemon.state import Daemon
-from bendwind_node.links import LinkHub, create_link_hub
+from bendwind_node.links import Address, LinkHub, ask_incarnation, create_link_hub
 from bendwind_node.membership import MembershipTask, create_membership_task
 from bendwind_node.security import load_keys
 from bendwind_node.settings import Settings
@@ -54,15 +55,10 @@
     return time.monotonic_ns() // _NANOSECONDS_PER_MICROSECOND
 
 
-def build_daemon(
-    settings: Settings,
-    listeners: Listeners,
-    nursery: trio.Nursery,
-    extension: Extension = NO_EXTENSION,
-) -> Result[Daemon, str]:
-    """Build every task; those of calls start theirs in the nursery.
+def prepare_daemon(settings: Settings, listeners: Listeners) -> Result[Daemon, str]:
+    """Make what needs no task: the recorder and the keys.
 
-    Errors: a text that names the file or folder that cannot be used.
+    Errors: a text that names the file that cannot be used.
     """
     name = settings.instance.name
     recorder = Recorder(name, read_wall_ms, settings.timeline.capacity, _read_monotonic_us)
@@ -73,20 +69,44 @@
         if loaded.is_error():
             return Error(str(loaded.error))
         daemon.keys = loaded.ok
+    return Ok(daemon)
+
+
+async def choose_incarnation(daemon: Daemon) -> int:
+    """Return a number for this run above those that the voters know of earlier ones."""
+    settings = daemon.settings
+    own_place = (settings.peers.host, find_port(daemon.listeners.peers))
+    voters = [Address(voter.host, voter.port) for voter in settings.voters]
+    others = [voter for voter in voters if (voter.host, voter.port) != own_place]
+    secure = None if daemon.keys is None else daemon.keys.client
+    known = await ask_incarnation(settings.instance.name, others, secure)
+    return max(read_wall_ms(), known + 1)
+
+
+def build_daemon(
+    daemon: Daemon,
+    nursery: trio.Nursery,
+    extension: Extension,
+    incarnation: int,
+) -> Result[Daemon, str]:
+    """Build every task; those of calls start theirs in the nursery.
+
+    Errors: a text that names the folder that cannot be used.
+    """
     rng = random.Random()
-    own = _create_instance(settings, listeners)
+    own = _create_instance(daemon.settings, daemon.listeners, incarnation)
     _build_node(daemon, own, nursery, rng, extension)
     return _build_control(daemon, own, rng)
 
 
-def _create_instance(settings: Settings, listeners: Listeners) -> Instance:
+def _create_instance(settings: Settings, listeners: Listeners, incarnation: int) -> Instance:
     operators = settings.operators
     return Instance(
         settings.instance.name,
         settings.instance.data_centre,
         settings.peers.host,
         find_port(listeners.peers),
-        incarnation=read_wall_ms(),
+        incarnation=incarnation,
         operators=f"{operators.host}:{find_port(listeners.operators)}" if operators else "",
     )
 
@@ -143,6 +163,7 @@
         lambda upstream: _announce(membership, upstream),
         extension.dialect,
         settings.limits.slot_share,
+        lambda service: _find_health_path(membership, service),
     )
     dispatcher.entry = EntryNode(
         own,
@@ -174,11 +195,18 @@
         daemon.keys,
         daemon.settings.peers.silence_ms,
     )
+    hub.find_registered = lambda name: _find_registered(daemon, name)
     for voter in daemon.settings.voters:
         hub.learn_address(voter.name, voter.host, voter.port)
     return hub
 
 
+def _find_registered(daemon: Daemon, name: str) -> int:
+    control = daemon.dispatcher.control
+    member = None if control is None else control.registry.registry.members.get(name)
+    return 0 if member is None else member.state.node.incarnation
+
+
 def _build_control(daemon: Daemon, own: Instance, rng: random.Random) -> Result[Daemon, str]:
     settings = daemon.settings
     if settings.control is None:
@@ -198,9 +226,28 @@
     if opened.is_error():
         return Error(f"{folder}: {opened.error}")
     dispatcher.control = opened.ok
+    _follow_members(daemon, opened.ok.voter)
     return Ok(daemon)
 
 
+def _follow_members(daemon: Daemon, voter: ControlVoter) -> None:
+    """Have links find every voter and learner that the log names, also those no settings list."""
+
+    def learn(member: Voter) -> None:
+        if member.host:
+            daemon.dispatcher.hub.learn_address(member.name, member.host, member.port)
+
+    voter.learn_member = learn
+    members = voter.replica.voters
+    for member in (*members.voters, *members.learners):
+        learn(member)
+
+
+def _find_health_path(membership: MembershipTask, name: str) -> str:
+    service = membership.services.get(name)
+    return "" if service is None else service.health_path
+
+
 def _announce(membership: MembershipTask, upstream: Upstream) -> None:
     # An owner watches what it serves: drain marks reach it with the service's upstreams.
     membership.watch(upstream.service)
--- a/packages/bendwind-node/src/bendwind_node/daemon/listeners.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/listeners.py
@@ -10,13 +10,14 @@
 
 @dataclass(slots=True)
 class Listeners:
-    """Hold the open listening sockets of one process."""
+    """Hold the open listening sockets of one process; `extra` are those of an extension."""
 
     peers: list[trio.SocketListener]
     callers: list[trio.SocketListener] = field(default_factory=list)
     upstreams: list[trio.SocketListener] = field(default_factory=list)
     operators: list[trio.SocketListener] = field(default_factory=list)
     readiness: list[trio.SocketListener] = field(default_factory=list)
+    extra: dict[str, list[trio.SocketListener]] = field(default_factory=dict)
 
 
 def find_port(listeners: list[trio.SocketListener]) -> int:
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -9,7 +9,7 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.timeline import EventKind
 from bendwind_node.claims.task import LeaseProven
-from bendwind_node.daemon.build import build_daemon
+from bendwind_node.daemon.build import build_daemon, choose_incarnation, prepare_daemon
 from bendwind_node.daemon.dispatcher import Dispatcher
 from bendwind_node.daemon.extension import NO_EXTENSION, Extension
 from bendwind_node.daemon.listeners import find_port, open_listeners
@@ -33,10 +33,14 @@
     if opened.is_error():
         return opened
     async with trio.open_nursery() as nursery:
-        built = build_daemon(settings, opened.ok, nursery, extension)
+        prepared = prepare_daemon(settings, opened.ok)
+        if prepared.is_error():
+            return prepared
+        daemon = prepared.ok
+        incarnation = await choose_incarnation(daemon)
+        built = build_daemon(daemon, nursery, extension, incarnation)
         if built.is_error():
             return built
-        daemon = built.ok
         await _start(daemon, nursery, extension)
         if extension.serve is not None:
             served = await extension.serve(daemon, nursery)
@@ -75,7 +79,8 @@
 
 def _describe_ports(daemon: Daemon) -> str:
     tables = ("peers", "callers", "upstreams", "operators", "readiness")
-    return " ".join(f"{table}={find_port(getattr(daemon.listeners, table))}" for table in tables)
+    opened = {table: getattr(daemon.listeners, table) for table in tables} | daemon.listeners.extra
+    return " ".join(f"{name}={find_port(listeners)}" for name, listeners in opened.items())
 
 
 async def _prove_lease(dispatcher: Dispatcher) -> None:
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -13,7 +13,15 @@
 from websockets.trio.server import serve
 
 from bendwind_core.core import Seconds
-from bendwind_core.messages import Frame, Hello, PeerMessage, decode_frame, encode_frame
+from bendwind_core.messages import (
+    Frame,
+    Hello,
+    IncarnationKnown,
+    IncarnationQuestion,
+    PeerMessage,
+    decode_frame,
+    encode_frame,
+)
 from bendwind_core.timeline import EventKind, HybridTime, Recorder
 from bendwind_core.world import Instance
 from bendwind_node.links.link import OUTBOX_MESSAGES, Link, Receiver
@@ -25,6 +33,11 @@
 PING_INTERVAL_S: Seconds = 20.0
 IDLE_LINK: Seconds = 60.0
 CHECK_TIMEOUT: Seconds = 1.0
+# A link that owes an answer for this long is asked for a sign of life; most attempts end sooner.
+QUIET_AFTER: Seconds = 0.25
+# A sign of life takes a round trip, which is milliseconds within a region.
+SIGN_TIMEOUT: Seconds = 0.3
+WATCH_EVERY: Seconds = 0.1
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_BATCH = 64
 MAX_UNSENT = 256
@@ -48,6 +61,7 @@
     make_hello: Callable[[int], Hello]
     keys: Keys | None
     silence_ms: int | None = None
+    find_registered: Callable[[str], int] = lambda name: 0
     nursery: trio.Nursery | None = None
     next_epoch: int = 1
     addresses: dict[str, Address] = field(default_factory=dict)
@@ -96,6 +110,7 @@
         """Accept and dial links until cancelled."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            nursery.start_soon(self._watch_quiet)
             await serve(
                 self._accept,
                 listeners=[PromptListener(listener, self.silence_ms) for listener in listeners],
@@ -192,8 +207,16 @@
         match decode_frame(await socket.recv()):
             case Result(tag="ok", ok=Frame(messages=(Hello() as hello,))):
                 return hello
+            case Result(tag="ok", ok=Frame(messages=(IncarnationQuestion(name=name),))):
+                known = IncarnationKnown(self._find_incarnation(name))
+                await socket.send(self._encode([known]))
         return None
 
+    def _find_incarnation(self, name: str) -> int:
+        links = (table.get(name) for table in (self.dialed, self.accepted))
+        linked = [link.peer.incarnation for link in links if link is not None]
+        return max([self.find_registered(name), *linked])
+
     def _encode(self, messages: list[PeerMessage]) -> bytes:
         stamp = self.recorder.timestamp()
         return encode_frame(Frame(stamp.physical_ms, stamp.logical, tuple(messages)))
@@ -255,6 +278,7 @@
 
     def _deliver(self, link: Link, frame: Frame) -> None:
         self.recorder.observe(HybridTime(frame.physical_ms, frame.logical))
+        link.note_heard()
         for message in frame.messages:
             if link.is_open:
                 self.receiver.receive(link, message)
@@ -284,20 +308,33 @@
             if self.receiver.is_idle(link.peer.name):
                 return None
 
+    async def _watch_quiet(self) -> None:
+        """Ask links that owe an answer for a sign of life, and close those that give none."""
+        while True:
+            await trio.sleep(WATCH_EVERY)
+            now = trio.current_time()
+            for link in tuple(self.dialed.values()):
+                is_quiet = link.owes_since is not None and now - link.owes_since > QUIET_AFTER
+                if is_quiet and not link.is_checked:
+                    link.is_checked = True
+                    self.nursery.start_soon(self._check, link, SIGN_TIMEOUT)
+
     def check(self, peer: str) -> None:
         """Close the dialed link to a peer unless it answers soon: others count it as gone."""
         link = self.dialed.get(peer)
         if link is not None and self.nursery is not None:
             self.nursery.start_soon(self._check, link)
 
-    async def _check(self, link: Link) -> None:
+    async def _check(self, link: Link, timeout: Seconds = CHECK_TIMEOUT) -> None:
         is_answered = False
-        with trio.move_on_after(CHECK_TIMEOUT):
+        with trio.move_on_after(timeout):
             with contextlib.suppress(ConnectionClosed, trio.BrokenResourceError):
                 answered = await link.ping()
                 await answered.wait()
                 is_answered = True
-        if not is_answered:
+        if is_answered:
+            link.note_heard()
+        else:
             link.close()
 
 
--- a/packages/bendwind-node/src/bendwind_node/links/link.py
+++ b/packages/bendwind-node/src/bendwind_node/links/link.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from bendwind_core.core import Seconds
 from bendwind_core.messages import Hello, PeerMessage
 from bendwind_core.world import Instance
 
@@ -14,7 +15,11 @@
 
 @dataclass(slots=True, eq=False)
 class Link:
-    """Hold one open link; the dialer's epoch orders the links of a pair of processes."""
+    """Hold one open link; the dialer's epoch orders the links of a pair of processes.
+
+    Units: `owes_since` is when something was first sent that nothing has been heard after, in
+    seconds of trio's clock.
+    """
 
     peer: Instance
     epoch: int
@@ -23,6 +28,13 @@
     scope: trio.CancelScope
     ping: Callable[[], Awaitable[trio.Event]]
     is_open: bool = True
+    owes_since: Seconds | None = None
+    is_checked: bool = False
+
+    def note_heard(self) -> None:
+        """Take a message or a sign of life as an answer to all that was sent so far."""
+        self.owes_since = None
+        self.is_checked = False
 
     def send(self, message: PeerMessage) -> bool:
         """Queue a message and tell whether the link took it.
@@ -37,6 +49,8 @@
         except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
             self.close()
             return False
+        if self.owes_since is None:
+            self.owes_since = trio.current_time()
         return True
 
     def close(self) -> None:
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
@@ -11,6 +11,7 @@
     BarrierFailed,
     BarrierRequested,
     Committed,
+    IdentityRenewed,
     InstallSnapshot,
     LeaderChanged,
     Persist,
@@ -20,6 +21,7 @@
     Received,
     ReplicaSettings,
     SaveSnapshot,
+    SelfRemoved,
     Send,
     SnapshotTaken,
     TakeSnapshot,
@@ -111,8 +113,8 @@
         found = opened.ok.recovered
         self.replica = create_replica(
             Voter(self.name, self.store.identity.voter_id),
-            self.cluster.names,
-            SETTINGS,
+            self.cluster.listed,
+            self.cluster.settings,
             self.now(),
             self.cluster.rng,
             hard_state=found.hard_state,
@@ -176,6 +178,9 @@
             case VotersChanged(index=index, voters=voters):
                 if oracle.voters is None or index > oracle.voters[0]:
                     oracle.voters = (index, voters)
+            case SelfRemoved() if self.cluster.settings.open_to:
+                voter_id = self.store.renew_identity().ok
+                self.events.append(IdentityRenewed(Voter(self.name, voter_id)))
             case LeaderChanged(leader=leader) if leader == self.replica.voter:
                 oracle.lead(effect.term, leader)
 
@@ -197,9 +202,11 @@
 class FakeCluster:
     """Own the members, the messages between them and the time."""
 
-    def __init__(self, size, seed):
+    def __init__(self, size, seed, settings=SETTINGS):
         self.rng = random.Random(seed)
         self.names = tuple("abcde"[:size])
+        self.listed = self.names
+        self.settings = settings
         self.time = 0.0
         self.network = []
         self.oracle = Oracle()
@@ -210,6 +217,22 @@
         for member in self.members.values():
             member.start()
 
+    def join(self, name):
+        """Start a member that no settings list; it knows the listed ones."""
+        self.names = (*self.names, name)
+        self.members[name] = Member(name, self)
+        self.members[name].start()
+
+    def lose(self, name):
+        """Take a member away for good."""
+        self.names = tuple(kept for kept in self.names if kept != name)
+        self.members[name].replica = None
+        del self.members[name]
+
+    def voter_names(self):
+        """Return the names of the newest committed voter set."""
+        return {voter.name for voter in self.oracle.voters[1].voters}
+
     def run(self, ticks):
         for _ in range(ticks):
             self.time += TICK_S
@@ -256,7 +279,8 @@
                 self.network.append(message)
                 if self.rng.random() < 0.5:
                     continue
-            self.members[to].handle(Received(sender, content))
+            if to in self.members:
+                self.members[to].handle(Received(sender, content))
 
     def propose(self, name):
         member = self.members[name]
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
@@ -0,0 +1,87 @@
+import dataclasses
+import unittest
+
+from bendwind_node.storage.tests.fake_cluster import SETTINGS, FakeCluster
+
+OPEN = dataclasses.replace(SETTINGS, open_to=3)
+
+
+def form(seed, size=3, settings=OPEN):
+    cluster = FakeCluster(size, seed, settings)
+    cluster.settle()
+    for member in cluster.members.values():
+        member.disk_speed = 1.0
+    return cluster
+
+
+class OpenMembershipTest(unittest.TestCase):
+    """Voters that no settings list join, replace what is lost, and come back; the oracle judges."""
+
+    def run_until(self, cluster, is_so, ticks=400):
+        for _ in range(ticks):
+            if is_so():
+                return
+            cluster.run(1)
+        self.fail(cluster.describe())
+
+    def test_newcomer_becomes_a_voter_while_there_are_too_few(self):
+        for seed in range(4):
+            cluster = form(seed, settings=dataclasses.replace(SETTINGS, open_to=5))
+            cluster.join("x")
+            self.run_until(cluster, lambda c=cluster: c.voter_names() == set("abcx"))
+
+    def test_newcomer_replaces_a_lost_voter_of_another_name(self):
+        for seed in range(4):
+            cluster = form(seed)
+            lost = cluster.leaders()[-1].name if seed % 2 else "b"
+            cluster.lose(lost)
+            cluster.join("x")
+            wanted = set(cluster.names)
+            self.run_until(cluster, lambda c=cluster, w=wanted: c.voter_names() == w)
+
+    def test_newcomer_waits_as_a_learner_while_all_voters_live(self):
+        cluster = form(1)
+        cluster.join("x")
+        cluster.run(200)
+        self.assertEqual(cluster.voter_names(), set("abc"))
+        self.assertEqual([v.name for v in cluster.oracle.voters[1].learners], ["x"])
+
+    def test_replaced_voter_that_comes_back_joins_under_a_new_identity(self):
+        for seed in range(4):
+            cluster = form(seed)
+            member = cluster.members["b"]
+            former = member.store.identity.voter_id
+            member.crash()
+            cluster.join("x")
+            self.run_until(cluster, lambda c=cluster: c.voter_names() == set("acx"))
+            member.start()
+            self.run_until(
+                cluster,
+                lambda c=cluster: "b" in [v.name for v in c.oracle.voters[1].learners],
+            )
+            self.assertNotEqual(member.store.identity.voter_id, former)
+            self.assertIn(former, cluster.oracle.voters[1].removed)
+
+    def test_second_loss_after_the_repair_of_the_first_loses_nothing(self):
+        for seed in range(4):
+            cluster = form(seed)
+            cluster.run_busy(10)
+            cluster.lose("a")
+            cluster.join("x")
+            self.run_until(cluster, lambda c=cluster: c.voter_names() == set("bcx"))
+            cluster.run_busy(10)
+            cluster.lose("b")
+            cluster.join("y")
+            self.run_until(cluster, lambda c=cluster: c.voter_names() == set("cxy"))
+            cluster.run_busy(20)
+            held = {command for _, command in cluster.members["c"].state}
+            self.assertGreaterEqual(held, set(cluster.oracle.accepted.values()))
+
+    def test_empty_voters_form_no_cluster_where_there_was_one(self):
+        cluster = FakeCluster(3, 5, dataclasses.replace(OPEN, may_form=False))
+        cluster.run(200)
+        self.assertEqual(cluster.leaders(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
