--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -1,33 +1,36 @@
-"""Decide whether an attempt with a latency objective may wait at its upstream.
+"""Decide whether an attempt with a latency objective may wait at its upstream, and when it starts.
 
 An upstream that answers late earns its caller little and takes a slot from one that could be
 answered in time. What cannot start in time is therefore refused on arrival, while there is time to
 try elsewhere, rather than when its time is up.
+
+What starts while the upstream is slowed stays slow to its end, so that a long request had better
+wait for the end of the phase. Reports come with answers, and are asked for where the last one is
+too old to go by.
 """
 
-from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt, has_slot
+from bendwind_core.attempts import pace as paces
+from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt, RunningAttempt, has_slot
 from bendwind_core.attempts.messages import HandOver, NotRunReason
+from bendwind_core.attempts.owner_events import AskLoad, OwnerEffect
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import urgency_queue
 
-# An upstream that just said it is slowed by its neighbours stays so for some tenths of a second:
-# docs/measurements tells nothing better yet, so a report is believed for half of that.
-SLOW_REPORT_LIFE: Seconds = 0.1
-# What such a phase adds to one answer on average: its rest passes at a fraction of the speed.
-SLOW_PHASE_COST_MS: Milliseconds = 80.0
-# Below this a report is taken for the usual scatter.
-SLOW_FACTOR = 1.5
+# An upstream is asked again this often while attempts wait for a phase that outlasts the usual.
+ASK_EVERY: Seconds = 0.025
+# A report is a round trip within the instance; without one by then, it is done without.
+ASK_TIMEOUT: Seconds = 0.010
+# A request that would lose no more than this by a slow start is not worth a question.
+BLIND_RISK_MS: Milliseconds = 60.0
 # A running attempt that took longer than expected is expected to need this share once more.
 OVERDUE_SHARE = 0.25
 
 
 def find_refusal(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> NotRunReason | None:
-    """Return why an attempt had better not be taken, or None.
+    """Return why an attempt with a latency objective had better not be taken, or None.
 
     An attempt that does not insist is also refused where it could start at once but would be late.
     """
-    if hand_over.target_ms is None:
-        return None
     is_free = has_slot(desk) and not len(desk.timed)
     if is_free and hand_over.insist:
         return None
@@ -42,39 +45,93 @@
 
 
 def find_due(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Seconds:
-    """Return the time at which an attempt should start for its answer to be in time."""
+    """Return the time by which an attempt has to start for its answer to be in time."""
     target_ms = hand_over.target_ms or 0.0
-    slack_ms = target_ms - find_expected_ms(desk, hand_over.route, now)
+    slack_ms = target_ms - find_usual_ms(desk, hand_over.route)
     return now + slack_ms / MILLISECONDS_PER_SECOND
 
 
-def find_expected_ms(desk: OwnerDesk, route: str, now: Seconds) -> Milliseconds:
-    """Return how long an attempt of a route is expected to run."""
-    usual_ms = desk.route_times.get(route, desk.times.average_ms)
-    return usual_ms + SLOW_PHASE_COST_MS if is_slowed(desk, now) else usual_ms
+def find_usual_ms(desk: OwnerDesk, route: str) -> Milliseconds:
+    """Return how long an attempt of a route runs at the usual pace."""
+    return desk.route_times.get(route, desk.times.average_ms)
 
 
-def is_slowed(desk: OwnerDesk, now: Seconds) -> bool:
-    """Tell whether the upstream lately said that its work takes longer than usual."""
-    return desk.slow_factor >= SLOW_FACTOR and now - desk.slow_at < SLOW_REPORT_LIFE
+def find_expected_ms(desk: OwnerDesk, route: str, now: Seconds) -> Milliseconds:
+    """Return how long an attempt of a route takes from now on, started now or after the phase."""
+    usual_ms = find_usual_ms(desk, route)
+    if not paces.is_slow(desk.pace, now):
+        return usual_ms
+    return min(desk.pace.factor * usual_ms, paces.find_rest_ms(desk.pace, now) + usual_ms)
+
+
+def may_start(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
+    """Tell whether an attempt is better started now than after a slow phase or a fresh report."""
+    pace = desk.pace
+    usual_ms = find_usual_ms(desk, queued.hand_over.route)
+    if now >= queued.due_at:
+        # It is late whatever comes: waiting on could hold it back to its deadline.
+        return True
+    if paces.is_slow(pace, now):
+        slow_ms = pace.factor * usual_ms
+        is_in_time = now + (slow_ms - usual_ms) / MILLISECONDS_PER_SECOND <= queued.due_at
+        return is_in_time or slow_ms <= paces.find_rest_ms(pace, now) + usual_ms
+    risk_ms = (paces.TYPICAL_SLOW_FACTOR - 1.0) * usual_ms
+    if paces.is_known(pace, now) or risk_ms <= BLIND_RISK_MS:
+        return True
+    return _is_unanswered(desk, now) or not desk.may_ask
+
+
+def _is_unanswered(desk: OwnerDesk, now: Seconds) -> bool:
+    if desk.asked_at is None or desk.asked_at <= desk.pace.reported_at:
+        return False
+    return now - desk.asked_at >= ASK_TIMEOUT
+
+
+def take_startable(desk: OwnerDesk, now: Seconds) -> QueuedAttempt | None:
+    """Take the most urgent attempt that may start now out of its queue, or None."""
+    for queued in urgency_queue.list_in_turn(desk.timed, now):
+        if may_start(desk, queued, now):
+            urgency_queue.remove(desk.timed, queued)
+            return queued
+    return None
+
+
+def ask_if_held(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
+    """Ask the upstream for its load while an attempt waits for nothing else."""
+    if not len(desk.timed) or not has_slot(desk) or not desk.may_ask:
+        return
+    is_early = desk.asked_at is not None and now - desk.asked_at < ASK_EVERY
+    if is_early or paces.is_known(desk.pace, now):
+        return
+    desk.asked_at = now
+    effects.append(AskLoad())
+
+
+def next_look(desk: OwnerDesk, now: Seconds) -> Seconds | None:
+    """Return when the attempts that are held back have to be looked at again, or None."""
+    if not len(desk.timed) or not has_slot(desk):
+        return None
+    if paces.is_slow(desk.pace, now):
+        dues = [queued.due_at for queued in urgency_queue.list_in_turn(desk.timed, now)]
+        return min(paces.find_phase_end(desk.pace), *dues)
+    if desk.asked_at is None:
+        return now
+    is_waiting = now - desk.asked_at < ASK_TIMEOUT
+    return desk.asked_at + (ASK_TIMEOUT if is_waiting else ASK_EVERY)
 
 
 def find_wait_ms(desk: OwnerDesk, due: Seconds, now: Seconds) -> Milliseconds:
     """Estimate how long an attempt due at a time waits for a slot."""
     slots = max(1, desk.run_limit)
     ahead = urgency_queue.list_before(desk.timed, due)
-    ahead_ms = sum(_find_usual_ms(desk, queued) for queued in ahead)
+    ahead_ms = sum(find_usual_ms(desk, queued.hand_over.route) for queued in ahead)
     ahead_ms += desk.queue.size * desk.times.average_ms
-    rests = [_find_rest_ms(desk, running, now) for running in desk.running.values()]
+    rests = [_find_run_rest_ms(desk, running, now) for running in desk.running.values()]
     first_free_ms = min(rests, default=0.0) if len(rests) >= slots else 0.0
     return first_free_ms + ahead_ms / slots
 
 
-def _find_usual_ms(desk: OwnerDesk, queued: QueuedAttempt) -> Milliseconds:
-    return desk.route_times.get(queued.hand_over.route, desk.times.average_ms)
-
-
-def _find_rest_ms(desk: OwnerDesk, running, now: Seconds) -> Milliseconds:
-    usual_ms = desk.route_times.get(running.route, desk.times.average_ms)
+def _find_run_rest_ms(desk: OwnerDesk, running: RunningAttempt, now: Seconds) -> Milliseconds:
+    expected_ms = find_usual_ms(desk, running.route) * running.slow_factor
     elapsed_ms = (now - running.started_at) * MILLISECONDS_PER_SECOND
-    return max(usual_ms - elapsed_ms, OVERDUE_SHARE * usual_ms)
+    return max(expected_ms - elapsed_ms, OVERDUE_SHARE * expected_ms)
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -5,6 +5,7 @@
 from bendwind_core.attempts.attempt_log import AttemptLog, Fate, record_ended, record_live
 from bendwind_core.attempts.messages import AttemptId, HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import Dispatch, OwnerEffect, ReplyNotRun
+from bendwind_core.attempts.pace import Pace
 from bendwind_core.attempts.service_time import ServiceTime
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import FairQueue, UrgencyQueue, fair_queue, urgency_queue
@@ -29,11 +30,12 @@
 
 @dataclass(slots=True)
 class QueuedAttempt:
-    """Hold an attempt that waits for a slot."""
+    """Hold an attempt that waits; one with a latency objective should start by `due_at`."""
 
     hand_over: HandOver
     epoch: int
     expires_at: Seconds
+    due_at: Seconds = 0.0
 
 
 @dataclass(slots=True)
@@ -44,6 +46,7 @@
     started_at: Seconds
     repeat: Repeat
     route: str = ""
+    slow_factor: float = 1.0
     is_cancelled: bool = False
 
 
@@ -53,7 +56,7 @@
 
     Attempts with a latency objective wait in `timed`, all others in `queue`. `slot_share` is the
     part of the slots that is used, `route_times` the usual time of each route's answers, and
-    `slow_factor` what the upstream last said of its pace.
+    `asked_at` when the upstream was last asked for its load.
     Units: `route_times` in milliseconds.
     """
 
@@ -74,8 +77,9 @@
     waiting: dict[AttemptId, QueuedAttempt] = field(default_factory=dict)
     times: ServiceTime = field(default_factory=ServiceTime)
     route_times: dict[str, Milliseconds] = field(default_factory=dict)
-    slow_factor: float = 1.0
-    slow_at: Seconds = 0.0
+    pace: Pace = field(default_factory=Pace)
+    asked_at: Seconds | None = None
+    may_ask: bool = True
 
     @property
     def run_limit(self) -> int:
@@ -132,8 +136,8 @@
     return expected > STALL_EXPECTED * desk.times.average_ms > 0.0
 
 
-def next_due(desk: OwnerDesk) -> Seconds | None:
-    """Return when the next Tick is due, or None."""
+def next_expiry(desk: OwnerDesk) -> Seconds | None:
+    """Return when the next waiting attempt expires or is refused, or None."""
     if not desk.waiting:
         return None
     due = min(queued.expires_at for queued in desk.waiting.values())
@@ -180,8 +184,8 @@
         urgency_queue.remove(desk.timed, queued)
 
 
-def take_next(desk: OwnerDesk, now: Seconds) -> QueuedAttempt | None:
-    """Take the next attempt out of its queue, or None."""
+def take_any(desk: OwnerDesk, now: Seconds) -> QueuedAttempt | None:
+    """Take the next attempt out of its queue, whether it may start or not, or None."""
     timed = urgency_queue.pop(desk.timed, now)
     return fair_queue.pop(desk.queue) if timed is None else timed
 
@@ -207,7 +211,7 @@
     desk: OwnerDesk, reason: NotRunReason, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
     """Refuse everything that waits."""
-    while (queued := take_next(desk, now)) is not None:
+    while (queued := take_any(desk, now)) is not None:
         drop_waiting(desk, queued, reason, now, effects)
 
 
@@ -225,6 +229,6 @@
     record_live(desk.log, hand_over.attempt, Fate.RUNNING)
     if not desk.running:
         desk.progress_at = now
-    running = RunningAttempt(queued.epoch, now, hand_over.repeat, hand_over.route)
+    running = RunningAttempt(queued.epoch, now, hand_over.repeat, hand_over.route, desk.pace.factor)
     desk.running[hand_over.attempt] = running
     effects.append(Dispatch(hand_over, queued.expires_at))
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -4,7 +4,14 @@
 attempt that it marks, in the same step, as one that never starts.
 """
 
-from bendwind_core.attempts.admission import find_due, find_refusal
+from bendwind_core.attempts.admission import (
+    ask_if_held,
+    find_due,
+    find_refusal,
+    may_start,
+    next_look,
+    take_startable,
+)
 from bendwind_core.attempts.attempt_log import (
     EntryPeer,
     Fate,
@@ -24,11 +31,10 @@
     is_open,
     is_stalled,
     load_sample,
-    next_due,
+    next_expiry,
     note_route_time,
     refuse,
     start,
-    take_next,
     take_off_queue,
 )
 from bendwind_core.attempts.messages import (
@@ -52,6 +58,7 @@
     HandOverArrived,
     LinkLost,
     LinkOpened,
+    LoadNotReported,
     LoadReported,
     OwnerEffect,
     OwnerEvent,
@@ -61,6 +68,7 @@
     UpstreamAnnounced,
     UpstreamLost,
 )
+from bendwind_core.attempts.pace import SLOW_FACTOR, note_report
 from bendwind_core.attempts.service_time import note_result, note_time
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import fair_queue, urgency_queue
@@ -75,6 +83,12 @@
 _FAILED_STATUS = 500
 
 
+def next_due(desk: OwnerDesk, now: Seconds) -> Seconds | None:
+    """Return when the next Tick is due, or None."""
+    dues = [due for due in (next_expiry(desk), next_look(desk, now)) if due is not None]
+    return min(dues, default=None)
+
+
 def step(desk: OwnerDesk, event: OwnerEvent, now: Seconds) -> list[OwnerEffect]:
     """Apply an event to the desk."""
     effects: list[OwnerEffect] = []
@@ -88,8 +102,9 @@
             desk.progress_at = now
             end_running(desk, event.attempt, Fate.ENDED)
         case LoadReported(slow_factor=slow_factor):
-            desk.slow_factor = slow_factor
-            desk.slow_at = now
+            note_report(desk.pace, slow_factor, now)
+        case LoadNotReported(may_ask=may_ask):
+            desk.may_ask = may_ask
         case DispatchNotRun():
             _on_dispatch_not_run(desk, event, now, effects)
         case DispatchUnknown():
@@ -113,6 +128,7 @@
             pass
     _expire_queue(desk, now, effects)
     _dispatch_waiting(desk, now, effects)
+    ask_if_held(desk, now, effects)
     _report_drained(desk, effects)
     return effects
 
@@ -120,7 +136,8 @@
 def _note_head_time(desk: OwnerDesk, event: DispatchHead) -> None:
     note_time(desk.times, event.upstream_ms)
     running = desk.running.get(event.attempt)
-    if running is not None and running.route and event.status < _FAILED_STATUS:
+    is_usual = running is not None and running.slow_factor < SLOW_FACTOR
+    if is_usual and running.route and event.status < _FAILED_STATUS:
         note_route_time(desk, running.route, event.upstream_ms)
 
 
@@ -176,16 +193,20 @@
         return NotRunReason.DRAINING
     if hand_over.remaining_ms <= 0:
         return NotRunReason.DEADLINE
+    if hand_over.target_ms is not None:
+        return find_refusal(desk, hand_over, now)
     if not hand_over.insist and is_stalled(desk, now):
         return NotRunReason.STALLED
-    return find_refusal(desk, hand_over, now)
+    return None
 
 
 def _enqueue(
     desk: OwnerDesk, queued: QueuedAttempt, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
     attempt = queued.hand_over.attempt
-    if not desk.waiting and has_slot(desk):
+    if queued.hand_over.target_ms is not None:
+        queued.due_at = find_due(desk, queued.hand_over, now)
+    if not desk.waiting and has_slot(desk) and _may_start(desk, queued, now):
         start(desk, queued, now, effects)
         return
     record_live(desk.log, attempt, Fate.QUEUED)
@@ -193,12 +214,15 @@
     if queued.hand_over.target_ms is None:
         displaced = fair_queue.push(desk.queue, attempt.entry, queued)
     else:
-        due = find_due(desk, queued.hand_over, now)
-        displaced = urgency_queue.push(desk.timed, due, queued)
+        displaced = urgency_queue.push(desk.timed, queued.due_at, queued)
     if displaced is not None:
         drop_waiting(desk, displaced, NotRunReason.QUEUE_FULL, now, effects)
 
 
+def _may_start(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
+    return queued.hand_over.target_ms is None or may_start(desk, queued, now)
+
+
 def _on_dispatch_not_run(
     desk: OwnerDesk, event: DispatchNotRun, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
@@ -343,7 +367,7 @@
 
 def _dispatch_waiting(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
     while has_slot(desk):
-        queued = take_next(desk, now)
+        queued = take_startable(desk, now) or fair_queue.pop(desk.queue)
         if queued is None:
             return
         del desk.waiting[queued.hand_over.attempt]
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -46,6 +46,16 @@
     slow_factor: float
 
 
+@dataclass(slots=True)
+class LoadNotReported:
+    """Report that the upstream was not asked for its load, or did not tell it.
+
+    `may_ask` is false where it has no page for that.
+    """
+
+    may_ask: bool = True
+
+
 @dataclass(slots=True)
 class DispatchDone:
     """Report that the upstream's answer ended whole: its slot is free."""
@@ -132,6 +142,7 @@
     | DispatchHead
     | DispatchDone
     | LoadReported
+    | LoadNotReported
     | DispatchNotRun
     | DispatchUnknown
     | CancelArrived
@@ -153,6 +164,11 @@
     expires_at: Seconds
 
 
+@dataclass(slots=True)
+class AskLoad:
+    """Ask the upstream for its load; LoadReported or LoadNotReported follows."""
+
+
 @dataclass(slots=True)
 class CancelDispatch:
     """Cancel a request at the upstream; its end is still to be reported."""
@@ -194,4 +210,6 @@
     """Report once that a draining desk holds no attempt any more."""
 
 
-OwnerEffect = Dispatch | CancelDispatch | ReplyNotRun | ReplyUnknown | ReplyFenced | Drained
+OwnerEffect = (
+    AskLoad | Dispatch | CancelDispatch | ReplyNotRun | ReplyUnknown | ReplyFenced | Drained
+)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/pace.py
@@ -0,0 +1,92 @@
+"""Follow how fast an upstream works, by its own reports.
+
+Upstreams share their instances with others and slow down for a phase at a time. A report says only
+how it is now; how long a phase lasts is learnt from the reports around its beginning and end.
+"""
+
+import collections
+import statistics
+from dataclasses import dataclass, field
+
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+
+# Below this a report is taken for the usual scatter.
+SLOW_FACTOR = 1.5
+# What to reckon with where nothing is known: the risk of starting blindly.
+TYPICAL_SLOW_FACTOR = 4.0
+# After a report of the usual pace, 1 in 20 was slow 25 to 75 ms later and 1 in 10 after 100 ms;
+# docs/design/admission.md has the figures.
+USUAL_REPORT_LIFE: Seconds = 0.08
+# A slow phase whose length is not known yet is taken to last this long: the same page.
+TYPICAL_PHASE: Seconds = 0.3
+# A phase is measured where reports stood this close around its beginning and its end.
+SHARP_EDGE: Seconds = 0.06
+# So many phases are remembered; their median bears a few that ran into each other.
+PHASES = 9
+
+
+@dataclass(slots=True)
+class Pace:
+    """Hold what an upstream reported: 1.0 is its usual pace, 4.0 four times the usual time.
+
+    `began_at` is when the present slow phase began, as far as is known; `is_sharp` says that this
+    is known closely. `lengths` are those of the last phases that were seen closely.
+    """
+
+    factor: float = 1.0
+    reported_at: Seconds | None = None
+    began_at: Seconds = 0.0
+    is_sharp: bool = False
+    lengths: collections.deque[Seconds] = field(
+        default_factory=lambda: collections.deque(maxlen=PHASES)
+    )
+
+
+def note_report(pace: Pace, factor: float, now: Seconds) -> None:
+    """Take over a report."""
+    was_slow = pace.factor >= SLOW_FACTOR
+    is_slow = factor >= SLOW_FACTOR
+    since = now if pace.reported_at is None else pace.reported_at
+    is_close = now - since <= SHARP_EDGE
+    if is_slow and not was_slow:
+        pace.began_at = max((since + now) / 2, now - find_phase_length(pace))
+        pace.is_sharp = is_close and pace.reported_at is not None
+    elif was_slow and not is_slow and pace.is_sharp and is_close:
+        pace.lengths.append((since + now) / 2 - pace.began_at)
+    elif is_slow and now >= find_phase_end(pace):
+        # It goes on beyond the usual: another phase has begun.
+        pace.began_at = find_phase_end(pace)
+        pace.is_sharp = False
+    pace.factor = factor
+    pace.reported_at = now
+
+
+def find_phase_length(pace: Pace) -> Seconds:
+    """Return how long a slow phase usually lasts."""
+    return statistics.median(pace.lengths) if pace.lengths else TYPICAL_PHASE
+
+
+def find_phase_end(pace: Pace) -> Seconds:
+    """Return when the present slow phase is expected to end."""
+    return pace.began_at + find_phase_length(pace)
+
+
+def is_slow(pace: Pace, now: Seconds) -> bool:
+    """Tell whether the upstream reported a slow phase that should not have ended yet."""
+    return pace.factor >= SLOW_FACTOR and now < find_phase_end(pace)
+
+
+def is_known(pace: Pace, now: Seconds) -> bool:
+    """Tell whether the last report still says how fast the upstream works.
+
+    One that never told its load cannot be asked for it either, so that there is nothing to wait
+    for.
+    """
+    if pace.reported_at is None or is_slow(pace, now):
+        return True
+    return pace.factor < SLOW_FACTOR and now - pace.reported_at < USUAL_REPORT_LIFE
+
+
+def find_rest_ms(pace: Pace, now: Seconds) -> Milliseconds:
+    """Return how much longer the present slow phase lasts."""
+    return max(0.0, find_phase_end(pace) - now) * MILLISECONDS_PER_SECOND
--- a/packages/bendwind-core/src/bendwind_core/limits/urgency_queue.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/urgency_queue.py
@@ -31,14 +31,20 @@
     return queue.entries.pop()[2]
 
 
+def list_in_turn(queue: UrgencyQueue[Item], now: Seconds) -> list[Item]:
+    """List the items that can still start in time, the most urgent first, then the late ones."""
+    first_in_time = bisect.bisect_left(queue.entries, now, key=lambda entry: entry[0])
+    in_time = queue.entries[first_in_time:]
+    late = reversed(queue.entries[:first_in_time])
+    return [entry[2] for entry in (*in_time, *late)]
+
+
 def pop(queue: UrgencyQueue[Item], now: Seconds) -> Item | None:
     """Take the most urgent item that can still start in time, else the one that is least late."""
-    if not queue.entries:
-        return None
-    first_in_time = bisect.bisect_left(queue.entries, now, key=lambda entry: entry[0])
-    if first_in_time < len(queue.entries):
-        return queue.entries.pop(first_in_time)[2]
-    return queue.entries.pop()[2]
+    for item in list_in_turn(queue, now):
+        remove(queue, item)
+        return item
+    return None
 
 
 def remove(queue: UrgencyQueue[Item], item: Item) -> bool:
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -31,9 +31,9 @@
 from bendwind_core.world import Instance, LoadSample, Upstream, UpstreamState
 from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import Outflow
-from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
+from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect, read_slow_factor
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
-from bendwind_node.calls.health_check import is_well
+from bendwind_node.calls.health_check import ask_load, is_well
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
@@ -108,6 +108,7 @@
     outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
     is_draining: bool = False
     probes_answered: int = 0
+    loads_asked: int = 0
     clock_moved: trio.Event = field(default_factory=trio.Event)
     wakes_at: Seconds = math.inf
 
@@ -363,13 +364,14 @@
             self._expire(trio.current_time())
 
     def _find_next_due(self) -> Seconds:
-        dues = [owner.next_due(owned.desk) for owned in self.owned.values()]
+        now = trio.current_time()
+        dues = [owner.next_due(owned.desk, now) for owned in self.owned.values()]
         soonest = min((due for due in dues if due is not None), default=math.inf)
-        return min(soonest, trio.current_time() + LEASE_CHECK)
+        return min(soonest, now + LEASE_CHECK)
 
     def _expire(self, now: Seconds) -> None:
         for owned in tuple(self.owned.values()):
-            due = owner.next_due(owned.desk)
+            due = owner.next_due(owned.desk, now)
             if due is not None and due <= now:
                 self._feed(owned, ev.Tick())
             if owned.lease_until < now and owned.upstream.state is not UpstreamState.GONE:
@@ -382,7 +384,7 @@
     def _feed(self, owned: OwnedUpstream, event: ev.OwnerEvent) -> None:
         for effect in owner.step(owned.desk, event, trio.current_time()):
             self._carry_out(owned, effect)
-        due = owner.next_due(owned.desk)
+        due = owner.next_due(owned.desk, trio.current_time())
         if due is not None and due < self.wakes_at:
             self.clock_moved.set()
 
@@ -392,6 +394,8 @@
                 scope = trio.CancelScope(deadline=expires_at)
                 owned.scopes[hand_over.attempt] = scope
                 self.nursery.start_soon(self._dispatch, owned, hand_over, scope)
+            case ev.AskLoad():
+                self.nursery.start_soon(self._ask_load, owned)
             case ev.CancelDispatch(attempt=attempt):
                 scope = owned.scopes.get(attempt)
                 if scope is not None:
@@ -405,6 +409,23 @@
             case ev.Drained():
                 self.recorder.record(EventKind.DESK_DRAINED, upstream=owned.upstream.name)
 
+    async def _ask_load(self, owned: OwnedUpstream) -> None:
+        """Ask an upstream for its load, within the budget of what measuring may cost."""
+        path = self.find_health_path(owned.upstream.service)
+        header = self.dialect.load
+        if not path or header is None:
+            self._feed(owned, ev.LoadNotReported(may_ask=False))
+            return
+        slow_factor = None
+        if spend_probe(self.probe_budget, 1, REPORT_BYTES, trio.current_time()):
+            self.loads_asked += 1
+            with trio.move_on_after(VERIFY_TIMEOUT):
+                slow_factor = read_slow_factor(await ask_load(owned.pool, path, header))
+        if slow_factor is None:
+            self._feed(owned, ev.LoadNotReported())
+        else:
+            self._feed(owned, ev.LoadReported(slow_factor))
+
     async def _dispatch(
         self, owned: OwnedUpstream, hand_over: HandOver, scope: trio.CancelScope
     ) -> None:
