--- a/packages/bendwind-cli/src/bendwind_cli/client.py
+++ b/packages/bendwind-cli/src/bendwind_cli/client.py
@@ -58,11 +58,21 @@
 
         Errors: no server answered, or a server refused the request.
         """
+        return self._ask_until(method, path, body, key).bind(lambda got: _decode(got, kind))
+
+    def ask_text(self, method: str, path: str) -> Result[str, Failure]:
+        """Ask as `ask` does for an answer that is plain text.
+
+        Errors: no server answered, or a server refused the request.
+        """
+        return self._ask_until(method, path, b"", "").bind(_read_text)
+
+    def _ask_until(self, method: str, path: str, body: bytes, key: str) -> Result[Answer, Failure]:
         deadline = time.monotonic() + self.settings.timeout_s
         while True:
             done, failure, has_answer = self._ask_round(method, path, body, key)
             if done is not None:
-                return _decode(done, kind)
+                return Ok(done)
             if not has_answer or time.monotonic() > deadline:
                 return Error(failure)
             time.sleep(_PAUSE_S)
@@ -176,6 +186,13 @@
         return ErrorReply(f"status {answer.status}")
 
 
+def _read_text(answer: Answer) -> Result[str, Failure]:
+    error = _read_error(answer)
+    if error is not None:
+        return Error(_explain(error))
+    return Ok(answer.body.decode(errors="replace"))
+
+
 def _decode(answer: Answer, kind: type[_Reply]) -> Result[_Reply, Failure]:
     # A lost race and an expired plan come as errors in HTTP and as outcomes in the body.
     try:
--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -37,6 +37,21 @@
     plan: str
 
 
+@dataclass(frozen=True, slots=True)
+class PutRevision:
+    """Put a whole configuration in force under its own number."""
+
+    target: Target
+    file: str
+
+
+@dataclass(frozen=True, slots=True)
+class ShowRevision:
+    """Show the newest whole configuration."""
+
+    target: Target
+
+
 @dataclass(frozen=True, slots=True)
 class ShowStatus:
     """Show the processes and which of them lack the newest configuration."""
@@ -121,6 +136,8 @@
     MakePlan
     | ConfirmPlan
     | ShowPlan
+    | PutRevision
+    | ShowRevision
     | ShowStatus
     | Drain
     | Stop
--- a/packages/bendwind-cli/src/bendwind_cli/parsing.py
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -17,7 +17,9 @@
     MakeInstanceKey,
     MakeOperatorKey,
     MakePlan,
+    PutRevision,
     ShowPlan,
+    ShowRevision,
     ShowStatus,
     ShowTimeline,
     Stop,
@@ -156,6 +158,27 @@
         """
         return ShowPlan(Target(control, settings), plan)
 
+    @_as_text
+    def put(self, file: str, *, control: str = "", settings: str = "") -> PutRevision:
+        """Put a whole configuration in force; one not above the number held changes nothing.
+
+        Args:
+            file: The configuration with its revision, a TOML file (docs/REVISIONS.md).
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return PutRevision(Target(control, settings), file)
+
+    @_as_text
+    def revision(self, *, control: str = "", settings: str = "") -> ShowRevision:
+        """Show the newest whole configuration as it was put.
+
+        Args:
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return ShowRevision(Target(control, settings))
+
     @_as_text
     def status(self, *, json: str = "", control: str = "", settings: str = "") -> ShowStatus:
         """Show the processes, the version in force and who does not have it yet.
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -17,6 +17,14 @@
     leader_url: str | None = None
 
 
+class RevisionReply(msgspec.Struct, frozen=True):
+    """Say which revision holds, and whether the request put it there."""
+
+    revision: int
+    version: int
+    is_new: bool
+
+
 class OutcomeReply(msgspec.Struct, frozen=True):
     """Say what became of a plan."""
 
--- a/packages/bendwind-cli/src/bendwind_cli/run.py
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -4,7 +4,7 @@
 
 from expression import Result
 
-from bendwind_cli import instances, plans, timeline
+from bendwind_cli import instances, plans, revisions, timeline
 from bendwind_cli.client import Client, open_client
 from bendwind_cli.client_settings import find_settings
 from bendwind_cli.commands import (
@@ -17,7 +17,9 @@
     MakeInstanceKey,
     MakeOperatorKey,
     MakePlan,
+    PutRevision,
     ShowPlan,
+    ShowRevision,
     ShowStatus,
     ShowTimeline,
     Stop,
@@ -38,6 +40,10 @@
             return _with_client(command.target, lambda client: plans.confirm(client, command.plan))
         case ShowPlan():
             return _with_client(command.target, lambda client: plans.show(client, command.plan))
+        case PutRevision():
+            return _with_client(command.target, lambda client: revisions.put(client, command.file))
+        case ShowRevision():
+            return _with_client(command.target, revisions.show)
         case ShowStatus():
             return _with_client(command.target, lambda client: instances.status(client, command))
         case Drain():
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -61,7 +61,7 @@
                 self.end_headers()
                 self.wfile.write(data)
 
-            do_GET = do_POST = do_DELETE = handle_any  # noqa: N815 - names of http.server
+            do_GET = do_POST = do_PUT = do_DELETE = handle_any  # noqa: N815 - names of http.server
 
             def log_message(self, *_):
                 pass
@@ -230,6 +230,24 @@
         self.assertEqual((code, out), (0, "emisor-1: draining\n"))
         self.assert_fails(["drain", "nobody", line], ExitCode.REFUSED, "no such instance")
 
+    def test_puts_a_whole_configuration_and_shows_it(self):
+        held = {"revision": 7, "version": 12, "is_new": True}
+        server = self.serve(
+            ("PUT /v1/revision", 200, held),
+            ("GET /v1/revision", 200, "revision = 7"),
+        )
+        file = self.folder / "whole.toml"
+        file.write_text("revision = 7\n")
+        line = f"--control={server.address}"
+        code, out, _ = self.run_line("put", str(file), line)
+        self.assertEqual((code, out), (0, "revision 7 is in force as version 12\n"))
+        self.assertEqual(server.seen[-1][3], b"revision = 7\n")
+        code, out, _ = self.run_line("revision", line)
+        self.assertEqual(code, 0)
+        self.assertIn("revision = 7", out)
+        missing = ["put", str(self.folder / "none.toml"), line]
+        self.assert_fails(missing, ExitCode.BAD_TOML, "expected a readable file")
+
     def test_accepts_lost_claims(self):
         reply = {"service": "emisor", "epoch": 3, "members": ["a#17", "b#18"]}
         server = self.serve(("POST /v1/services/emisor/accept-claim-loss", 200, reply))
--- a/packages/bendwind-core/src/bendwind_core/plans/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/__init__.py
@@ -39,6 +39,7 @@
     VersionMoved,
 )
 from bendwind_core.plans.revision import RevisionFault, RevisionFaultKind, find_revision_fault
+from bendwind_core.plans.revision_file import parse_revision
 from bendwind_core.plans.state import ControlState
 from bendwind_core.plans.warning import (
     Affected,
@@ -94,5 +95,6 @@
     "find_warnings",
     "parse_intent",
     "parse_plan_id",
+    "parse_revision",
     "render_plan",
 ]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision_file.py
@@ -0,0 +1,126 @@
+"""Read a whole configuration from TOML text."""
+
+from typing import Annotated
+
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta
+
+from bendwind_core.core import TomlError, decode_toml
+from bendwind_core.plans.commands import PutRevision
+from bendwind_core.plans.revision import find_revision_fault
+from bendwind_core.world import (
+    CallerLimits,
+    Repeat,
+    Route,
+    Routing,
+    Rule,
+    Service,
+    SplitPart,
+    StaleAction,
+)
+
+_Name = Annotated[str, Meta(min_length=1, max_length=128)]
+_Milliseconds = Annotated[float, Meta(gt=0, le=3_600_000)]
+_Bytes = Annotated[int, Meta(ge=0, le=1 << 30)]
+
+
+class _Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Hold one table of the file; unknown keys are refused."""
+
+
+class StatedPart(_Table, frozen=True, kw_only=True):
+    """State a part of a split as `[[routes.parts]]` does."""
+
+    service: _Name
+    weight: Annotated[int, Meta(ge=0, le=1_000_000)] = 1
+
+
+class StatedRoute(_Table, frozen=True, kw_only=True):
+    """State a route as `[[routes]]` does."""
+
+    name: _Name
+    host: Annotated[str, Meta(max_length=253)]
+    path_prefix: Annotated[str, Meta(max_length=1024)]
+    parts: tuple[StatedPart, ...]
+    repeat: Repeat = Repeat.IDEMPOTENT
+    attempts: Annotated[int, Meta(ge=1, le=5)] = 2
+    timeout_ms: _Milliseconds
+    target_latency_ms: _Milliseconds | None = None
+    priority: Annotated[int, Meta(ge=0, le=100)] = 0
+
+
+class StatedRoutedService(_Table, frozen=True, kw_only=True):
+    """State a service that routes lead to as `[[services]]` does."""
+
+    name: _Name
+    health_path: str = ""
+    near_first: bool = False
+    on_stale: StaleAction = StaleAction.REFUSE
+
+
+class StatedCallerLimits(_Table, frozen=True, kw_only=True):
+    """State what bounds callers as `[limits]` does."""
+
+    header_bytes: _Bytes | None = None
+    body_bytes: _Bytes | None = None
+    header_timeout_ms: _Milliseconds | None = None
+    idle_timeout_ms: _Milliseconds | None = None
+
+
+class StatedRevision(_Table, frozen=True, kw_only=True):
+    """State the whole content of the file."""
+
+    revision: Annotated[int, Meta(ge=1)]
+    services: tuple[StatedRoutedService, ...] = ()
+    routes: tuple[StatedRoute, ...] = ()
+    limits: StatedCallerLimits = StatedCallerLimits()
+
+
+def parse_revision(data: bytes, file: str) -> Result[PutRevision, TomlError]:
+    """Check a whole configuration's TOML text in full.
+
+    Errors: the first thing that is wrong with the text.
+    """
+    return decode_toml(data, file, StatedRevision).bind(
+        lambda stated: _check(_make_command(stated, data), file)
+    )
+
+
+def _make_command(stated: StatedRevision, data: bytes) -> PutRevision:
+    limits = msgspec.convert(stated.limits, CallerLimits, from_attributes=True)
+    routes = tuple(_make_route(route) for route in stated.routes)
+    services = tuple(_make_service(service) for service in stated.services)
+    return PutRevision(services, Routing(stated.revision, routes, limits), data)
+
+
+def _make_service(stated: StatedRoutedService) -> Service:
+    return Service(
+        stated.name,
+        ("*",),
+        on_stale=stated.on_stale,
+        routed_only=True,
+        health_path=stated.health_path,
+        near_first=stated.near_first,
+    )
+
+
+def _make_route(stated: StatedRoute) -> Route:
+    rule = Rule(
+        "*",
+        repeat=stated.repeat,
+        longest_wait_ms=stated.timeout_ms,
+        attempts=stated.attempts,
+        target_latency_ms=stated.target_latency_ms,
+        priority=stated.priority,
+        name=stated.name,
+    )
+    parts = tuple(SplitPart(part.service, part.weight) for part in stated.parts)
+    return Route(stated.name, stated.host, stated.path_prefix, parts, rule)
+
+
+def _check(command: PutRevision, file: str) -> Result[PutRevision, TomlError]:
+    fault = find_revision_fault(command)
+    if fault is not None:
+        return Error(TomlError(file, fault.name, f"expected a valid configuration: {fault.kind}"))
+    return Ok(command)
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -100,7 +100,7 @@
             return timeout_ms
         deadline_at = arrived_at + timeout_ms.ok / MILLISECONDS_PER_SECOND
         body: Result[bytes, Refusal] = Error(_BODY_TOO_SLOW)
-        limit = min(self.max_body_bytes, service.limits.body_bytes)
+        limit = self._find_body_limit(service)
         if request.may_have_body:
             with trio.move_on_at(deadline_at):
                 body = await self._read_body(exchange, limit)
@@ -113,6 +113,12 @@
             )
         )
 
+    def _find_body_limit(self, service: Service) -> int:
+        stated = self.entry.routes.routing.limits.body_bytes
+        if stated is not None and service.routed_only:
+            return min(self.max_body_bytes, stated)
+        return min(self.max_body_bytes, service.limits.body_bytes)
+
     def _create_run(
         self,
         request: CallerRequest,
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -22,6 +22,8 @@
 MAX_READ_AHEAD = 64 * 1024
 # RFC 9112, section 9.6: reading on for a while lets the caller see the answer before the reset.
 LINGER: Seconds = 1.0
+# A head fits into a few packets; one that trickles in takes a connection from others.
+HEADER_TIMEOUT: Seconds = 10.0
 # Once draining, an idle connection is kept this long for a request that is on its way.
 DRAIN_IDLE: Seconds = 2.0
 
@@ -29,6 +31,7 @@
 _FRAMING = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
 _HEADERS_TOO_LARGE = 431
 _BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
 # What HTTP/1.1 writes beside the text: blanks, the version and line ends.
 _LINE_OVERHEAD = 12
 _HEADER_OVERHEAD = 4
@@ -133,14 +136,23 @@
         await trio.sleep_forever()
 
 
+class _HeadTooSlowError(Exception):
+    """Tell that a caller began a head and did not end it in time."""
+
+
 @dataclass(slots=True, eq=False)
 class H11Server:
-    """Own the callers' connections of a process."""
+    """Own the callers' connections of a process.
+
+    `keep_alive` bounds the rest between two requests, `header_timeout` the time from the first byte
+    of a head to its last.
+    """
 
     handle: Handle
     keep_alive: Seconds
     header_bytes: int
     max_connections: int
+    header_timeout: Seconds = HEADER_TIMEOUT
     is_draining: bool = False
     connections: int = 0
     idle: set[trio.CancelScope] = field(default_factory=set)
@@ -186,6 +198,9 @@
         """Serve one request and tell whether the connection may carry another."""
         try:
             head = await self._read_head(stream, connection)
+        except _HeadTooSlowError:
+            await stream.send_all(_make_error(connection, _REQUEST_TIMEOUT, outcomes.NOT_RUN))
+            return False
         except h11.RemoteProtocolError as error:
             refusal = _make_error(connection, error.error_status_hint, outcomes.REFUSED)
             await stream.send_all(refusal)
@@ -223,10 +238,13 @@
                     if is_first:
                         is_first = False
                         self.idle.discard(scope)
+                        scope.deadline = trio.current_time() + self.header_timeout
             finally:
                 self.idle.discard(scope)
             return event if isinstance(event, h11.Request) else None
-        return None
+        if is_first:
+            return None
+        raise _HeadTooSlowError
 
 
 def _is_ambiguous(head: h11.Request) -> bool:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -20,11 +20,11 @@
 
 
 class TestH11Server(unittest.TestCase):
-    def run_with(self, handle, check, *, max_connections=8, header_bytes=2048):
+    def run_with(self, handle, check, *, max_connections=8, header_bytes=2048, header_timeout=5.0):
         async def main():
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             address = listeners[0].socket.getsockname()
-            server = H11Server(handle, 5.0, header_bytes, max_connections)
+            server = H11Server(handle, 5.0, header_bytes, max_connections, header_timeout)
             shutdown = trio.Event()
             with trio.fail_after(20):
                 async with trio.open_nursery() as nursery:
@@ -54,6 +54,27 @@
         self.assertEqual(received.count(b"200"), 2)
         self.assertLess(received.index(b"abc"), received.index(b"def"))
 
+    def test_head_with_two_lengths_is_refused_and_nothing_after_it_is_served(self):
+        # A front that goes by the other length would take the rest for a request of its own.
+        received = self.exchange_bytes(
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"0\r\n\r\nGET /hidden HTTP/1.1\r\nhost: a\r\n\r\n"
+        )
+        self.assertTrue(received.startswith(b"HTTP/1.1 400"))
+        self.assertNotIn(b"200", received)
+
+    def test_head_that_does_not_end_in_time_is_refused_and_its_connection_closed(self):
+        received = bytearray()
+
+        async def check(connect, shutdown):
+            async with await connect() as stream:
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: ")
+                while data := await stream.receive_some(65536):
+                    received.extend(data)
+
+        self.run_with(echo, check, header_timeout=0.05)
+        self.assertTrue(bytes(received).startswith(b"HTTP/1.1 408"))
+
     def test_joins_a_chunked_request_body(self):
         received = self.exchange_bytes(
             b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -0,0 +1,170 @@
+import unittest
+
+import trio
+
+from bendwind_core.attempts import NotRunReason
+from bendwind_core.world import Service, UpstreamState
+from bendwind_node.calls.dialect import (
+    BENDWIND_DIALECT,
+    Dialect,
+    find_not_run_proof,
+    read_slow_factor,
+)
+from bendwind_node.calls.owner_node import Announcement
+from bendwind_node.calls.tests.fakes import CallBench, make_exchange
+from bendwind_node.calls.tests.scripted_server import read_request, run_server
+
+DIALECT = Dialect(
+    timeout_ms=b"wait",
+    not_run=b"unrun",
+    not_run_value=None,
+    service=b"service",
+    request_id=b"id",
+    upstream=b"meant",
+    load=b"load",
+    answering_upstream=b"me",
+)
+
+
+class ProofTest(unittest.TestCase):
+    def test_only_what_the_dialect_names_proves_that_a_request_did_not_run(self):
+        shed = ((b"bendwind-shed", b"not-run"),)
+        self.assertIs(find_not_run_proof(BENDWIND_DIALECT, 503, shed), NotRunReason.SHED)
+        self.assertIsNone(find_not_run_proof(BENDWIND_DIALECT, 500, shed))
+        self.assertIsNone(find_not_run_proof(BENDWIND_DIALECT, 421, ()))
+        marked = ((b"unrun", b"1"),)
+        for status in (400, 429, 503):
+            self.assertIs(find_not_run_proof(DIALECT, status, marked), NotRunReason.SHED)
+        self.assertIs(find_not_run_proof(DIALECT, 421, ()), NotRunReason.MISDIRECTED)
+        self.assertIsNone(find_not_run_proof(DIALECT, 503, ()))
+
+    def test_slow_factor_is_the_fourth_figure(self):
+        self.assertEqual(read_slow_factor(b"3,0,8,250"), 2.5)
+        for text in (None, b"", b"3,0,8", b"3,0,8,x"):
+            self.assertIsNone(read_slow_factor(text))
+
+
+class DialectPathTest(unittest.TestCase):
+    """Carry calls in a dialect of the test's own to a scripted upstream."""
+
+    def run_with(self, answer, check):
+        self.seen = []
+
+        async def handler(stream, number):
+            while data := await read_request(stream):
+                self.seen.append(data)
+                await stream.send_all(answer(data))
+
+        async def main():
+            with trio.fail_after(20):
+                async with run_server(handler) as port, trio.open_nursery() as nursery:
+                    service = Service("svc", ("*",), health_path="/well")
+                    bench = CallBench(nursery, service)
+                    bench.entry.dialect = bench.owner.dialect = DIALECT
+                    bench.owner.find_health_path = lambda name: "/well"
+                    await check(bench, port)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def announce(self, bench, port, **changes):
+        fields = {"name": "u1", "sequence": 1, "state": UpstreamState.READY} | changes
+        bench.owner.announced(
+            Announcement(
+                fields["name"], "svc", "127.0.0.1", port, 4, 4, fields["state"], fields["sequence"]
+            )
+        )
+
+    async def call(self, bench, method=b"GET"):
+        return await bench.call(make_exchange(method, service="svc", id="q1"))
+
+    def test_answer_under_another_id_is_not_delivered(self):
+        def answer(data):
+            return b"HTTP/1.1 200 OK\r\nid: q9\r\ncontent-length: 2\r\n\r\nzz"
+
+        async def check(bench, port):
+            self.announce(bench, port)
+            self.announce(bench, port, sequence=2)
+            done = await self.call(bench, b"POST")
+            self.assertEqual(done.status, 502)
+            self.assertNotIn(b"zz", done.body)
+
+        self.run_with(answer, check)
+
+    def test_connection_with_bytes_beyond_an_answer_is_not_used_again(self):
+        def answer(data):
+            whole = b"HTTP/1.1 200 OK\r\nid: q1\r\ncontent-length: 2\r\n\r\nok"
+            return whole + b"HTTP/1.1 200 OK\r\nid: q0\r\ncontent-length: 2\r\n\r\nzz"
+
+        async def check(bench, port):
+            self.announce(bench, port)
+            self.announce(bench, port, sequence=2)
+            for _ in range(3):
+                self.assertEqual((await self.call(bench, b"POST")).body, b"ok")
+
+        self.run_with(answer, check)
+
+    def answer_well(self, name=b"u1", status=b"200 OK"):
+        def answer(data):
+            own = b"me: " + name if data.startswith(b"GET /well") else b"id: q1"
+            line = status if data.startswith(b"GET /well") else b"200 OK"
+            return b"HTTP/1.1 " + line + b"\r\n" + own + b"\r\ncontent-length: 2\r\n\r\nok"
+
+        return answer
+
+    def test_first_announcement_counts_once_the_upstream_says_it_is_the_one(self):
+        async def check(bench, port):
+            self.announce(bench, port)
+            while not self.seen:
+                await trio.sleep(0.01)
+            with trio.fail_after(5):
+                while (await self.call(bench)).status != 200:
+                    await trio.sleep(0.01)
+
+        self.run_with(self.answer_well(), check)
+
+    def test_another_upstream_at_the_address_gets_no_request(self):
+        async def check(bench, port):
+            self.announce(bench, port)
+            while not self.seen:
+                await trio.sleep(0.01)
+            await trio.sleep(0.1)
+            self.assertEqual((await self.call(bench)).status, 503)
+
+        self.run_with(self.answer_well(b"u2"), check)
+
+    def test_upstream_whose_health_lies_is_used_after_a_second_announcement(self):
+        async def check(bench, port):
+            self.announce(bench, port)
+            while not self.seen:
+                await trio.sleep(0.01)
+            self.announce(bench, port, sequence=2)
+            self.assertEqual((await self.call(bench)).status, 200)
+
+        self.run_with(self.answer_well(status=b"503 Service Unavailable"), check)
+
+    def test_address_given_to_another_upstream_ends_the_former(self):
+        async def check(bench, port):
+            for sequence in (1, 2):
+                self.announce(bench, port, sequence=sequence)
+            for sequence in (1, 2):
+                self.announce(bench, port, name="u2", sequence=sequence)
+            states = {name: o.upstream.state for name, o in bench.owner.owned.items()}
+            self.assertEqual(states, {"u1": UpstreamState.GONE, "u2": UpstreamState.READY})
+
+        self.run_with(self.answer_well(b"u2"), check)
+
+    def test_gone_upstreams_make_room_for_new_ones(self):
+        async def check(bench, port):
+            for number in range(20):
+                name = f"u{number}"
+                for sequence in (1, 2):
+                    self.announce(bench, port, name=name, sequence=sequence)
+                self.assertIn(name, bench.owner.owned)
+                bench.owner.left(name)
+
+        self.run_with(self.answer_well(), check)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -4,12 +4,14 @@
 
 import trio
 
-from bendwind_core.core import Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.membership import ConfigurationApplied, ViewEffect
 from bendwind_node.calls.announce_asgi import AnnounceApp
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_task import CallTask
 from bendwind_node.calls.caller_asgi import serve_callers_asgi
 from bendwind_node.calls.caller_h11 import H11Server, Handle
+from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.daemon.build import read_wall_ms
 from bendwind_node.daemon.readiness import ReadinessPage
 from bendwind_node.daemon.state import Daemon
@@ -68,6 +70,9 @@
             server = H11Server(
                 task.handle, limits.keep_alive_s, limits.header_bytes, limits.connections
             )
+            daemon.dispatcher.membership.listeners.append(
+                lambda effect: _follow_limits(server, entry, effect)
+            )
             nursery.start_soon(server.run, daemon.listeners.callers, daemon.callers_done)
         case "hypercorn":
             served = AsgiServer(
@@ -79,6 +84,19 @@
             nursery.start_soon(serve_callers_asgi, task.handle, served)
 
 
+def _follow_limits(server: H11Server, entry: EntryNode, effect: ViewEffect) -> None:
+    """Take over what the routes in force say of callers, where they say it."""
+    if not isinstance(effect, ConfigurationApplied):
+        return
+    stated = entry.membership.routing.limits
+    if stated.header_bytes is not None:
+        server.header_bytes = stated.header_bytes
+    if stated.header_timeout_ms is not None:
+        server.header_timeout = stated.header_timeout_ms / MILLISECONDS_PER_SECOND
+    if stated.idle_timeout_ms is not None:
+        server.keep_alive = stated.idle_timeout_ms / MILLISECONDS_PER_SECOND
+
+
 def serve_upstreams(daemon: Daemon, nursery: trio.Nursery) -> None:
     """Start to hear the announcements of the upstream beside this process."""
     app = AnnounceApp(daemon.dispatcher.owner, daemon.settings.lease.lease_ms)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_reload.py
@@ -0,0 +1,63 @@
+import tempfile
+import types
+import unittest
+from pathlib import Path
+
+from bendwind_core.membership import VoterPlace
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.daemon.reload import reload_settings
+from bendwind_node.settings import load_settings
+from bendwind_node.settings.tests.test_load import PLAIN
+
+
+class FakeDispatcher:
+    def __init__(self):
+        self.hub = types.SimpleNamespace(learn_address=self.note)
+        self.membership = types.SimpleNamespace(set_seeds=self.take)
+        self.control = None
+        self.addresses = {}
+        self.seeds = None
+
+    def note(self, name, host, port):
+        self.addresses[name] = (host, port)
+
+    def take(self, seeds):
+        self.seeds = seeds
+
+
+class ReloadTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name, "node.toml")
+        self.file.write_text(PLAIN)
+        self.daemon = types.SimpleNamespace(
+            dispatcher=FakeDispatcher(),
+            recorder=Recorder("a", lambda: 0, 100),
+            settings=load_settings(self.file).ok,
+        )
+
+    def reload(self):
+        reload_settings(self.daemon, self.file, load_settings)
+
+    def test_changed_voters_are_taken_over(self):
+        more = '[[voters]]\nname = "b"\nhost = "127.0.0.2"\nport = 7102\n'
+        self.file.write_text(PLAIN + more)
+        self.reload()
+        dispatcher = self.daemon.dispatcher
+        self.assertEqual(dispatcher.addresses["b"], ("127.0.0.2", 7102))
+        self.assertIn(VoterPlace("b", "", "127.0.0.2", 7102), dispatcher.seeds)
+        self.assertEqual(len(self.daemon.settings.voters), 2)
+        self.assertEqual(self.daemon.recorder.counts[EventKind.SETTINGS_RELOADED], 1)
+
+    def test_faulty_file_changes_nothing_and_is_recorded(self):
+        before = self.daemon.settings
+        self.file.write_text("[peers")
+        self.reload()
+        self.assertIs(self.daemon.settings, before)
+        self.assertIsNone(self.daemon.dispatcher.seeds)
+        self.assertEqual(self.daemon.recorder.counts[EventKind.SETTINGS_REFUSED], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/main.py
+++ b/packages/bendwind-node/src/bendwind_node/main.py
@@ -25,18 +25,19 @@
     if check:
         print(f"{config}: ok")
         return
-    _run_checked(loaded.ok)
+    _run_checked(loaded.ok, Path(str(config)))
 
 
-def _run_checked(settings) -> None:
+def _run_checked(settings, file: Path) -> None:
     # What follows is heavy, and a check of settings needs none of it.
     import trio
 
-    from bendwind_node.daemon import run_daemon
+    from bendwind_node.daemon import Extension, run_daemon
     from bendwind_node.logs import configure_logging
 
     configure_logging(settings)
-    ended = trio.run(run_daemon, settings)
+    extension = Extension(settings_file=file, load=load_settings)
+    ended = trio.run(run_daemon, settings, extension)
     if ended.is_error():
         print(f"bendwindd: {ended.error}", file=sys.stderr)
         sys.exit(EXIT_CANNOT_START)
--- a/packages/bendwind-node/src/bendwind_node/operators/app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/app.py
@@ -24,12 +24,15 @@
     send_response,
 )
 from bendwind_node.operators.plan_routes import PlanRoutes
+from bendwind_node.operators.revision_routes import RevisionRoutes
 from bendwind_node.operators.status_routes import StatusRoutes
 from bendwind_node.operators.status_source import StatusSource
 from bendwind_node.operators.views import StoppingView, show_catalogue
 
 _DRAIN_TARGETS = {"instances": DrainTarget.INSTANCE, "upstreams": DrainTarget.UPSTREAM}
-_CONTROL_PATHS = frozenset({"plans", "configuration", "instances", "upstreams", "services"})
+_CONTROL_PATHS = frozenset(
+    {"plans", "configuration", "instances", "upstreams", "services", "revision"}
+)
 
 
 @dataclass(slots=True)
@@ -49,14 +52,16 @@
     render_metrics: Callable[[str], Response]
     plans: PlanRoutes | None = field(init=False)
     claims: ClaimRoutes | None = field(init=False)
+    revisions: RevisionRoutes | None = field(init=False)
     status: StatusRoutes = field(init=False)
 
     def __post_init__(self):
         self.status = StatusRoutes(self.control, self.source, self.recorder)
-        self.plans = self.claims = None
+        self.plans = self.claims = self.revisions = None
         if self.control is not None:
             self.plans = PlanRoutes(self.control, self.source, self.recorder, self.wall_ms)
             self.claims = ClaimRoutes(self.control, self.source, self.recorder, random.Random())
+            self.revisions = RevisionRoutes(self.control, self.recorder)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one ASGI connection."""
@@ -97,6 +102,8 @@
                     return plain_error(404, ErrorKind.NOT_A_VOTER, text)
                 if name == "services":
                     return await self._answer_claims(request, tuple(rest))
+                if name == "revision":
+                    return await self._answer_revision(request, tuple(rest))
                 return await _answer_control(self.plans, request, (name, *rest))
         return plain_error(404, ErrorKind.NOT_FOUND)
 
@@ -109,6 +116,17 @@
                 return _refuse_method()
         return plain_error(404, ErrorKind.NOT_FOUND)
 
+    async def _answer_revision(self, request: Request, path: tuple[str, ...]) -> Response:
+        assert self.revisions is not None
+        match request.method, path:
+            case "PUT", ():
+                return await self.revisions.put(request)
+            case "GET", ():
+                return await self.revisions.get()
+            case _, ():
+                return _refuse_method()
+        return plain_error(404, ErrorKind.NOT_FOUND)
+
     def _answer_metrics(self, request: Request) -> Response:
         if request.method != "GET":
             return _refuse_method()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/revision_routes.py
@@ -0,0 +1,60 @@
+"""Answer the requests that put whole configurations and read them back."""
+
+from dataclasses import dataclass
+
+import msgspec
+from expression import Result
+
+from bendwind_core.plans import RevisionFault, parse_revision
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.operators.control_client import ControlClient
+from bendwind_node.operators.errors import (
+    ErrorKind,
+    control_error,
+    describe_intent_error,
+    plain_error,
+)
+from bendwind_node.operators.http import Request, Response, json_response
+from bendwind_node.operators.revisions import put_revision, read_document
+
+_TOML = "application/toml"
+
+
+class RevisionView(msgspec.Struct, frozen=True):
+    """Say which revision holds, and whether this request put it there."""
+
+    revision: int
+    version: int
+    is_new: bool
+
+
+@dataclass(slots=True)
+class RevisionRoutes:
+    """Answer requests about whole configurations on a control voter."""
+
+    control: ControlClient
+    recorder: Recorder
+
+    async def put(self, request: Request) -> Response:
+        """Put the configuration in the body in force, unless as high a revision holds."""
+        parsed = parse_revision(request.body, request.query.get("file", "revision"))
+        if parsed.is_error():
+            self.recorder.record(EventKind.REVISION_REFUSED, detail=str(parsed.error))
+            return json_response(400, describe_intent_error(parsed.error))
+        match await put_revision(self.control, self.recorder, parsed.ok):
+            case Result(tag="ok", ok=held):
+                return json_response(200, RevisionView(held.revision, held.version, held.is_new))
+            case Result(error=RevisionFault() as fault):
+                return plain_error(400, ErrorKind.BAD_INTENT, str(fault))
+            case Result(error=error):
+                return control_error(error)
+        raise AssertionError("a result is ok or an error")
+
+    async def get(self) -> Response:
+        """Return the newest configuration as it was put."""
+        match await read_document(self.control):
+            case Result(tag="ok", ok=document):
+                return Response(200, document, _TOML)
+            case Result(error=error):
+                return control_error(error)
+        raise AssertionError("a result is ok or an error")
--- a/packages/bendwind-node/src/bendwind_node/control/revisions.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/revisions.py
@@ -10,7 +10,7 @@
     find_revision_fault,
 )
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_node.operators import ControlClient, ControlError, NoQuorum
+from bendwind_node.operators.control_client import ControlClient, ControlError, NoQuorum
 
 
 async def put_revision(
