--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -36,14 +36,24 @@
         return None
     expected_ms = find_expected_ms(desk, hand_over.route, now)
     wait_ms = 0.0 if is_free else find_wait_ms(desk, find_due(desk, hand_over, now), now)
-    # A short request holds up the others little, and may be a call that a longer one waits for.
-    is_short = expected_ms <= desk.times.average_ms
-    limit_ms = hand_over.remaining_ms if is_short and hand_over.insist else hand_over.target_ms
-    if wait_ms + expected_ms <= limit_ms:
+    if wait_ms + expected_ms <= _find_limit_ms(desk, hand_over):
         return None
     return NotRunReason.STALLED if is_free else NotRunReason.QUEUE_FULL
 
 
+def _find_limit_ms(desk: OwnerDesk, hand_over: HandOver) -> Milliseconds:
+    """Return the time within which an attempt has to be answered to be worth taking."""
+    # A short request holds up the others little, and may be a call that a longer one waits for.
+    is_short = find_usual_ms(desk, hand_over.route) <= desk.times.average_ms
+    return hand_over.remaining_ms if is_short and hand_over.insist else hand_over.target_ms
+
+
+def find_leaving(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Seconds:
+    """Return the time at which an attempt that still waits for a slot is given back."""
+    slack_ms = _find_limit_ms(desk, hand_over) - find_usual_ms(desk, hand_over.route)
+    return now + max(0.0, slack_ms) / MILLISECONDS_PER_SECOND
+
+
 def find_due(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Seconds:
     """Return the time by which an attempt has to start for its answer to be in time."""
     target_ms = hand_over.target_ms or 0.0
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -30,12 +30,17 @@
 
 @dataclass(slots=True)
 class QueuedAttempt:
-    """Hold an attempt that waits; one with a latency objective should start by `due_at`."""
+    """Hold an attempt that waits.
+
+    One with a latency objective should start by `due_at`, and is given back at `leaves_at` if no
+    slot is free: held to its deadline, it could not be tried elsewhere any more.
+    """
 
     hand_over: HandOver
     epoch: int
     expires_at: Seconds
     due_at: Seconds = 0.0
+    leaves_at: Seconds = 0.0
 
 
 @dataclass(slots=True)
@@ -136,11 +141,18 @@
     return expected > STALL_EXPECTED * desk.times.average_ms > 0.0
 
 
+def find_end(queued: QueuedAttempt) -> Seconds:
+    """Return when a waiting attempt that has not started is refused."""
+    if queued.hand_over.target_ms is None:
+        return queued.expires_at
+    return min(queued.expires_at, queued.leaves_at)
+
+
 def next_expiry(desk: OwnerDesk) -> Seconds | None:
     """Return when the next waiting attempt expires or is refused, or None."""
     if not desk.waiting:
         return None
-    due = min(queued.expires_at for queued in desk.waiting.values())
+    due = min(find_end(queued) for queued in desk.waiting.values())
     if desk.bounce_queue_at is not None:
         due = min(due, desk.bounce_queue_at)
     return due
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -7,6 +7,7 @@
 from bendwind_core.attempts.admission import (
     ask_if_held,
     find_due,
+    find_leaving,
     find_refusal,
     may_start,
     next_look,
@@ -27,6 +28,7 @@
     drop_waiting,
     end_running,
     fence_waiting,
+    find_end,
     has_slot,
     is_open,
     is_stalled,
@@ -128,6 +130,7 @@
             pass
     _expire_queue(desk, now, effects)
     _dispatch_waiting(desk, now, effects)
+    _give_back_late(desk, now, effects)
     ask_if_held(desk, now, effects)
     _report_drained(desk, effects)
     return effects
@@ -206,6 +209,7 @@
     attempt = queued.hand_over.attempt
     if queued.hand_over.target_ms is not None:
         queued.due_at = find_due(desk, queued.hand_over, now)
+        queued.leaves_at = find_leaving(desk, queued.hand_over, now)
     if not desk.waiting and has_slot(desk) and _may_start(desk, queued, now):
         start(desk, queued, now, effects)
         return
@@ -365,6 +369,14 @@
             drop_waiting(desk, queued, NotRunReason.DEADLINE, now, effects)
 
 
+def _give_back_late(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
+    """Refuse what got no slot in time, while it can still be tried elsewhere."""
+    for queued in list(desk.waiting.values()):
+        if now >= find_end(queued):
+            take_off_queue(desk, queued)
+            drop_waiting(desk, queued, NotRunReason.QUEUE_FULL, now, effects)
+
+
 def _dispatch_waiting(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
     while has_slot(desk):
         queued = take_startable(desk, now) or fair_queue.pop(desk.queue)
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
@@ -128,6 +128,13 @@
         self.fill()
         self.assertEqual(self.hand_over("quick", target_ms=5.0, remaining_ms=400.0), [])
 
+    def test_what_got_no_slot_in_time_is_given_back_before_its_deadline(self):
+        self.fill()
+        self.assertEqual(self.hand_over(target_ms=400.0, remaining_ms=2000.0), [])
+        self.now = owner.next_due(self.desk, self.now)
+        self.assertAlmostEqual(self.now, 0.3)
+        self.assertIs(self.reason(self.step(ov.Tick())), NotRunReason.QUEUE_FULL)
+
     def test_share_of_the_slots_stays_unused(self):
         desk = owner.create_desk("u", 1, 16, slot_share=0.8)
         owner.step(desk, ov.UpstreamAnnounced(6, 6, UpstreamState.READY), 0.0)
--- a/packages/bendwind-node/src/bendwind_node/calls/probe_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/probe_task.py
@@ -40,6 +40,10 @@
 
     def _probe(self, desk: ServiceDesk, now: Seconds) -> None:
         self._note_own(desk, now)
+        service = self.entry.membership.services.get(desk.table.service)
+        if service is not None and service.near_first:
+            # Its owners refuse what they would answer late, and need not be asked beforehand.
+            return
         for name in plan_probes(desk.table, self.budget, now):
             owner = desk.table.views[name].upstream.owner.name
             # A probe is no reason to open a link.
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -41,6 +41,7 @@
 from bendwind_node.membership import MembershipTask, create_membership_task
 from bendwind_node.security import load_keys
 from bendwind_node.settings import Settings
+from bendwind_node.settings.tables import ControlTable
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 _NANOSECONDS_PER_MICROSECOND = 1_000
@@ -217,7 +218,7 @@
         VoterPlace(own.name, own.data_centre, own.host, own.port),
         _list_voters(settings),
         folder,
-        ReplicaSettings(open_to=settings.control.open_to, may_form=settings.control.may_form),
+        _make_replica_settings(settings.control),
         _find_times(settings),
         dispatcher.send,
         daemon.recorder,
@@ -230,6 +231,14 @@
     return Ok(daemon)
 
 
+def _make_replica_settings(control: ControlTable) -> ReplicaSettings:
+    return ReplicaSettings(
+        heartbeat_s=control.heartbeat_ms / MILLISECONDS_PER_SECOND,
+        open_to=control.open_to,
+        may_form=control.may_form,
+    )
+
+
 def _follow_members(daemon: Daemon, voter: ControlVoter) -> None:
     """Have links find every voter and learner that the log names, also those no settings list."""
 
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -144,6 +144,9 @@
         Meta(ge=0, le=9),
         _doc("Voters to keep, whoever joins; 0 keeps those of `[[voters]]` for good.", "voters"),
     ] = 0
+    heartbeat_ms: Annotated[
+        float, Meta(ge=20, le=500), _doc("Time between two messages of the leader.", "ms")
+    ] = 100
     may_form: Annotated[bool, _doc("Form a cluster of empty voters; false once there was one.")] = (
         True
     )
