--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
@@ -0,0 +1,86 @@
+"""Settle attempts whose link broke: fence those not started, give up those nobody awaits."""
+
+from bendwind_core.attempts.attempt_log import Fate, meet_peer, record_ended
+from bendwind_core.attempts.desk import OwnerDesk, fence_waiting
+from bendwind_core.attempts.messages import AttemptId, Fence, FenceVerdict
+from bendwind_core.attempts.owner_events import (
+    CancelDispatch,
+    LinkLost,
+    LinkOpened,
+    OwnerEffect,
+    ReplyFenced,
+)
+from bendwind_core.world import Repeat
+
+
+def cancel_running(desk: OwnerDesk, attempt: AttemptId, effects: list[OwnerEffect]) -> None:
+    """Cancel an attempt that runs, once."""
+    running = desk.running.get(attempt)
+    if running is not None and not running.is_cancelled:
+        running.is_cancelled = True
+        effects.append(CancelDispatch(attempt))
+
+
+def answer_fence(desk: OwnerDesk, fence: Fence, epoch: int, effects: list[OwnerEffect]) -> None:
+    """Make sure that an attempt which has not started never does, and say what became of it."""
+    verdict = _judge_fence(desk, fence)
+    effects.append(ReplyFenced(fence.attempt, epoch, verdict))
+
+
+def _judge_fence(desk: OwnerDesk, fence: Fence) -> FenceVerdict:
+    attempt = fence.attempt
+    if fence.owner_incarnation != desk.incarnation:
+        return FenceVerdict.FORGOTTEN
+    peer = meet_peer(desk.log, attempt.entry, attempt.incarnation, attempt.sequence)
+    if peer is None:
+        return FenceVerdict.FORGOTTEN
+    match desk.log.fates.get(attempt):
+        case Fate.RUNNING | Fate.ENDED:
+            return FenceVerdict.STARTED
+        case Fate.NEVER_STARTED:
+            return FenceVerdict.NEVER_STARTED
+        case Fate.QUEUED:
+            fence_waiting(desk, desk.waiting[attempt])
+            return FenceVerdict.NEVER_STARTED
+        case _:
+            if attempt.sequence <= max(peer.floor, peer.fence_floor):
+                return FenceVerdict.FORGOTTEN
+            record_ended(desk.log, attempt, Fate.NEVER_STARTED)
+            return FenceVerdict.NEVER_STARTED
+
+
+def open_link(desk: OwnerDesk, event: LinkOpened, effects: list[OwnerEffect]) -> None:
+    """Give up what came in on earlier links of an entry node or from its earlier runs."""
+    peer = meet_peer(desk.log, event.entry, event.incarnation, floor=0)
+    if peer is None or event.epoch <= peer.epoch:
+        return
+    peer.epoch = event.epoch
+    _abandon(desk, event.entry, event.incarnation, event.epoch, effects)
+
+
+def lose_link(desk: OwnerDesk, event: LinkLost, effects: list[OwnerEffect]) -> None:
+    """Give up what came in on a link that broke."""
+    _abandon(desk, event.entry, event.incarnation, event.epoch + 1, effects)
+
+
+def _abandon(
+    desk: OwnerDesk, entry: str, incarnation: int, epoch: int, effects: list[OwnerEffect]
+) -> None:
+    # Nobody awaits what came in on the entry node's earlier links or from its earlier runs.
+    for attempt, queued in list(desk.waiting.items()):
+        if _is_before(attempt, queued.epoch, entry, incarnation, epoch):
+            fence_waiting(desk, queued)
+    for attempt, running in desk.running.items():
+        is_before = _is_before(attempt, running.epoch, entry, incarnation, epoch)
+        if is_before and running.repeat is Repeat.IDEMPOTENT:
+            cancel_running(desk, attempt, effects)
+
+
+def _is_before(
+    attempt: AttemptId, attempt_epoch: int, entry: str, incarnation: int, epoch: int
+) -> bool:
+    if attempt.entry != entry:
+        return False
+    if attempt.incarnation != incarnation:
+        return attempt.incarnation < incarnation
+    return attempt_epoch < epoch
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -27,7 +27,6 @@
     create_desk,
     drop_waiting,
     end_running,
-    fence_waiting,
     find_end,
     has_slot,
     is_open,
@@ -39,17 +38,15 @@
     start,
     take_off_queue,
 )
+from bendwind_core.attempts.fencing import answer_fence, cancel_running, lose_link, open_link
 from bendwind_core.attempts.messages import (
     AttemptId,
     CutReason,
-    Fence,
-    FenceVerdict,
     HandOver,
     NotRunReason,
 )
 from bendwind_core.attempts.owner_events import (
     CancelArrived,
-    CancelDispatch,
     DispatchDone,
     DispatchHead,
     DispatchNotRun,
@@ -64,7 +61,6 @@
     LoadReported,
     OwnerEffect,
     OwnerEvent,
-    ReplyFenced,
     ReplyUnknown,
     Tick,
     UpstreamAnnounced,
@@ -74,7 +70,7 @@
 from bendwind_core.attempts.service_time import note_result, note_time
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import fair_queue, urgency_queue
-from bendwind_core.world import Repeat, UpstreamState
+from bendwind_core.world import UpstreamState
 
 __all__ = ["OwnerDesk", "create_desk", "load_sample", "next_due", "step"]
 
@@ -114,11 +110,11 @@
         case CancelArrived():
             _on_cancel(desk, event, now, effects)
         case FenceArrived():
-            _on_fence(desk, event.fence, event.epoch, effects)
+            answer_fence(desk, event.fence, event.epoch, effects)
         case LinkOpened():
-            _on_link_opened(desk, event, effects)
+            open_link(desk, event, effects)
         case LinkLost():
-            _on_link_lost(desk, event, effects)
+            lose_link(desk, event, effects)
         case Drain():
             _on_drain(desk, now)
         case UpstreamAnnounced():
@@ -257,76 +253,7 @@
         take_off_queue(desk, queued)
         drop_waiting(desk, queued, NotRunReason.CANCELLED, now, effects)
         return
-    _cancel_running(desk, attempt, effects)
-
-
-def _cancel_running(desk: OwnerDesk, attempt: AttemptId, effects: list[OwnerEffect]) -> None:
-    running = desk.running.get(attempt)
-    if running is not None and not running.is_cancelled:
-        running.is_cancelled = True
-        effects.append(CancelDispatch(attempt))
-
-
-def _on_fence(desk: OwnerDesk, fence: Fence, epoch: int, effects: list[OwnerEffect]) -> None:
-    verdict = _judge_fence(desk, fence)
-    effects.append(ReplyFenced(fence.attempt, epoch, verdict))
-
-
-def _judge_fence(desk: OwnerDesk, fence: Fence) -> FenceVerdict:
-    attempt = fence.attempt
-    if fence.owner_incarnation != desk.incarnation:
-        return FenceVerdict.FORGOTTEN
-    peer = meet_peer(desk.log, attempt.entry, attempt.incarnation, attempt.sequence)
-    if peer is None:
-        return FenceVerdict.FORGOTTEN
-    match desk.log.fates.get(attempt):
-        case Fate.RUNNING | Fate.ENDED:
-            return FenceVerdict.STARTED
-        case Fate.NEVER_STARTED:
-            return FenceVerdict.NEVER_STARTED
-        case Fate.QUEUED:
-            fence_waiting(desk, desk.waiting[attempt])
-            return FenceVerdict.NEVER_STARTED
-        case _:
-            if attempt.sequence <= max(peer.floor, peer.fence_floor):
-                return FenceVerdict.FORGOTTEN
-            record_ended(desk.log, attempt, Fate.NEVER_STARTED)
-            return FenceVerdict.NEVER_STARTED
-
-
-def _on_link_opened(desk: OwnerDesk, event: LinkOpened, effects: list[OwnerEffect]) -> None:
-    peer = meet_peer(desk.log, event.entry, event.incarnation, floor=0)
-    if peer is None or event.epoch <= peer.epoch:
-        return
-    peer.epoch = event.epoch
-    _abandon(desk, event.entry, event.incarnation, event.epoch, effects)
-
-
-def _on_link_lost(desk: OwnerDesk, event: LinkLost, effects: list[OwnerEffect]) -> None:
-    _abandon(desk, event.entry, event.incarnation, event.epoch + 1, effects)
-
-
-def _abandon(
-    desk: OwnerDesk, entry: str, incarnation: int, epoch: int, effects: list[OwnerEffect]
-) -> None:
-    # Nobody awaits what came in on the entry node's earlier links or from its earlier runs.
-    for attempt, queued in list(desk.waiting.items()):
-        if _is_before(attempt, queued.epoch, entry, incarnation, epoch):
-            fence_waiting(desk, queued)
-    for attempt, running in desk.running.items():
-        is_before = _is_before(attempt, running.epoch, entry, incarnation, epoch)
-        if is_before and running.repeat is Repeat.IDEMPOTENT:
-            _cancel_running(desk, attempt, effects)
-
-
-def _is_before(
-    attempt: AttemptId, attempt_epoch: int, entry: str, incarnation: int, epoch: int
-) -> bool:
-    if attempt.entry != entry:
-        return False
-    if attempt.incarnation != incarnation:
-        return attempt.incarnation < incarnation
-    return attempt_epoch < epoch
+    cancel_running(desk, attempt, effects)
 
 
 def _on_drain(desk: OwnerDesk, now: Seconds) -> None:
--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -6,7 +6,8 @@
 
 from bendwind_core.core import Milliseconds
 from bendwind_core.world import UpstreamState
-from bendwind_node.calls.owner_node import Announcement, OwnerNode
+from bendwind_node.calls.owned_upstream import Announcement
+from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.http import serve_lifespan
 
 MAX_BODY_BYTES = 16 * 1024
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -0,0 +1,50 @@
+"""Describe an upstream beside this process and what it says of itself."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from bendwind_core.attempts import AttemptId, owner
+from bendwind_core.core import Milliseconds, Seconds
+from bendwind_core.world import Upstream, UpstreamState
+from bendwind_node.calls.upstream_h11 import UpstreamPool
+
+
+@dataclass(slots=True, eq=False)
+class OwnedUpstream:
+    """Hold one upstream beside this process.
+
+    One that is not verified was announced once, perhaps by a message from before an earlier run of
+    this process heard it leave; it takes requests once its health path or a second announcement
+    has shown that it stays.
+    """
+
+    upstream: Upstream
+    desk: owner.OwnerDesk
+    pool: UpstreamPool
+    lease_until: Seconds
+    scopes: dict[AttemptId, trio.CancelScope] = field(default_factory=dict)
+    is_marked: bool = False
+    last_sequence: int = 0
+    has_left: bool = False
+    is_verified: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """Hold what an upstream says of itself.
+
+    `sequence` grows with every announcement of one upstream, so that a late one is known; 0 where
+    upstreams do not number them.
+    Units: `warmup_left_ms` is how much longer it stays slow after its start.
+    """
+
+    name: str
+    service: str
+    host: str
+    port: int
+    slots: int
+    connections: int
+    state: UpstreamState
+    sequence: int = 0
+    warmup_left_ms: Milliseconds = 0.0
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -34,6 +34,7 @@
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect, read_slow_factor
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
 from bendwind_node.calls.health_check import ask_load, is_well
+from bendwind_node.calls.owned_upstream import Announcement, OwnedUpstream
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
@@ -47,46 +48,6 @@
 LEASE_CHECK: Seconds = 0.5
 
 
-@dataclass(slots=True, eq=False)
-class OwnedUpstream:
-    """Hold one upstream beside this process.
-
-    One that is not verified was announced once, perhaps by a message from before an earlier run of
-    this process heard it leave; it takes requests once its health path or a second announcement
-    has shown that it stays.
-    """
-
-    upstream: Upstream
-    desk: owner.OwnerDesk
-    pool: UpstreamPool
-    lease_until: Seconds
-    scopes: dict[AttemptId, trio.CancelScope] = field(default_factory=dict)
-    is_marked: bool = False
-    last_sequence: int = 0
-    has_left: bool = False
-    is_verified: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class Announcement:
-    """Hold what an upstream says of itself.
-
-    `sequence` grows with every announcement of one upstream, so that a late one is known; 0 where
-    upstreams do not number them.
-    Units: `warmup_left_ms` is how much longer it stays slow after its start.
-    """
-
-    name: str
-    service: str
-    host: str
-    port: int
-    slots: int
-    connections: int
-    state: UpstreamState
-    sequence: int = 0
-    warmup_left_ms: Milliseconds = 0.0
-
-
 @dataclass(slots=True, eq=False)
 class OwnerNode:
     """Own the desks of the upstreams beside this process."""
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -17,7 +17,8 @@
 from bendwind_node.calls.call_task import CallTask
 from bendwind_node.calls.caller_exchange import CallerRequest
 from bendwind_node.calls.entry_node import EntryNode
-from bendwind_node.calls.owner_node import Announcement, OwnerNode
+from bendwind_node.calls.owned_upstream import Announcement
+from bendwind_node.calls.owner_node import OwnerNode
 
 MIB = 1 << 20
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -10,7 +10,7 @@
     find_not_run_proof,
     read_slow_factor,
 )
-from bendwind_node.calls.owner_node import Announcement
+from bendwind_node.calls.owned_upstream import Announcement
 from bendwind_node.calls.tests.fakes import CallBench, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request, run_server
 
