--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
@@ -75,8 +75,8 @@
             self.run_until(cluster, lambda c=cluster: c.voter_names() == set("cxy"))
             cluster.run_busy(20)
             member = cluster.members["c"]
-            newest = max(cluster.oracle.accepted)
-            self.run_until(cluster, lambda m=member, n=newest: m.applied >= n)
+            accepted = cluster.oracle.accepted
+            self.run_until(cluster, lambda m=member, a=accepted: m.applied >= max(a))
             held = {command for _, command in member.state}
             self.assertGreaterEqual(held, set(cluster.oracle.accepted.values()))
 
