--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -8,7 +8,9 @@
 from bendwind_core.membership.messages import VoterPlace
 from bendwind_core.membership.settings import LeaseTimes
 
-_MAX_PATIENCE_BEATS = 8
+# Longer waits would keep a node at a voter of a minority for seconds after the others have a leader
+# again; a move costs one heartbeat, since a node that has everything is sent nothing.
+_MAX_PATIENCE_BEATS = 2
 _JITTER = 0.1
 
 
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_voter_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_voter_changes.py
@@ -66,6 +66,19 @@
         self.assertEqual(effects, [SendTo("n", VotersKnown(PLACES))])
         self.assertEqual(registry.clients, {})
 
+    def test_node_finds_the_one_voter_with_a_quorum_however_often_it_has_moved(self):
+        # A node waited ever longer at each voter, and stood at one of a minority for four seconds.
+        world = World(seed=4)
+        for index in range(9):
+            world.start_node(f"n{index}", f"dc{index % 3}")
+        world.advance(2)
+        for _ in range(3):
+            world.cut = {frozenset(pair) for pair in (("v0", "v1"), ("v0", "v2"), ("v1", "v2"))}
+            world.advance(2.5 * TIMES.lease)
+            world.cut = {frozenset(pair) for pair in (("v0", "v1"), ("v0", "v2"))}
+            world.advance(2.5 * TIMES.confirmation_limit)
+            self.assertEqual([name for name in world.nodes if not world.is_fresh(name)], [])
+
     def test_seeds_are_asked_after_all_voters_known(self):
         world = World(seed=3)
         world.start_node("n0", "dc0")
