calls: an older announcement verifies no upstream

Cause: found when reading the diff: a late announcement that came while the first was being verified counted as the second one, so that an upstream whose health path says that it leaves could be used. Test: test_older_announcement_verifies_nothing fails without the change.

--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -156,18 +156,17 @@
         """Register or renew an upstream; False if this process holds too many."""
         now = trio.current_time()
         owned = self.owned.get(news.name)
+        is_first = owned is None
         if owned is None:
             if news.sequence and news.name in self.departed:
                 return True
             if len(self.owned) >= MAX_OWNED_UPSTREAMS and not self._drop_gone():
                 return False
             owned = self._create_owned(news)
-            owned.is_verified = not news.sequence
-        else:
-            owned.is_verified = True
         if news.sequence and (owned.has_left or news.sequence <= owned.last_sequence):
             # A late announcement of one that has said more since; what it said then stands.
             return True
+        owned.is_verified = not is_first or not news.sequence
         owned.last_sequence = news.sequence
         self._end_former(news)
         owned.lease_until = now + self.lease_ms / MILLISECONDS_PER_SECOND
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -143,6 +143,18 @@
 
         self.run_with(self.answer_well(status=b"503 Service Unavailable"), check)
 
+    def test_older_announcement_verifies_nothing(self):
+        async def check(bench, port):
+            # The older one comes while the question to the upstream is still under way.
+            self.announce(bench, port, sequence=5)
+            self.announce(bench, port, sequence=4)
+            while not self.seen:
+                await trio.sleep(0.01)
+            await trio.sleep(0.1)
+            self.assertEqual((await self.call(bench)).status, 503)
+
+        self.run_with(self.answer_well(status=b"503 Service Unavailable"), check)
+
     def test_address_given_to_another_upstream_ends_the_former(self):
         async def check(bench, port):
             for sequence in (1, 2):
