--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -122,8 +122,7 @@
     if not len(desk.timed) or not has_slot(desk):
         return None
     if paces.is_slow(desk.pace, now):
-        dues = [queued.due_at for queued in urgency_queue.list_in_turn(desk.timed, now)]
-        return min(paces.find_phase_end(desk.pace), *dues)
+        return min(paces.find_phase_end(desk.pace), urgency_queue.find_first_due(desk.timed))
     if desk.asked_at is None:
         return now
     is_waiting = now - desk.asked_at < ASK_TIMEOUT
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -67,7 +67,7 @@
     `owner_incarnation` names the run of the owner this is meant for; any other run refuses it.
     `insist` says to take the attempt even while the upstream has stalled.
     `body` is the first part of the request body; `more` says that BodyPart messages follow.
-    `route` names the route that the call came by, if any, and `priority` its rank.
+    `route` names the route that the call came by, if any.
     Units: `remaining_ms` is the time left to the caller's deadline and `target_ms` that left to
     the latency objective, None without one, in milliseconds.
     """
@@ -87,7 +87,6 @@
     insist: bool = True
     route: str = ""
     target_ms: Milliseconds | None = None
-    priority: int = 0
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
--- a/packages/bendwind-core/src/bendwind_core/limits/urgency_queue.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/urgency_queue.py
@@ -41,10 +41,15 @@
 
 def pop(queue: UrgencyQueue[Item], now: Seconds) -> Item | None:
     """Take the most urgent item that can still start in time, else the one that is least late."""
-    for item in list_in_turn(queue, now):
+    item = next(iter(list_in_turn(queue, now)), None)
+    if item is not None:
         remove(queue, item)
-        return item
-    return None
+    return item
+
+
+def find_first_due(queue: UrgencyQueue[Item]) -> Seconds | None:
+    """Return the earliest time at which an item should start, or None."""
+    return queue.entries[0][0] if queue.entries else None
 
 
 def remove(queue: UrgencyQueue[Item], item: Item) -> bool:
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -148,10 +148,8 @@
         return
     effects.append(VotersLearned(voters))
     own = view.instance
-    order = order_voters(own.name, own.name, own.data_centre, voters)
-    # Seeds that are no voters come last: they are asked when all the voters known are gone.
-    seeds = tuple(seed.name for seed in view.seeds if seed.name not in order)
-    order = (*order, *seeds)
+    known = order_voters(own.name, own.name, own.data_centre, voters)
+    order = _append_seeds(known, view.seeds)
     if order == view.attachment.order:
         return
     is_gone = set_order(view.attachment, order)
@@ -161,12 +159,15 @@
         effects.append(AttachmentChanged(view.voter, "voters changed"))
 
 
+def _append_seeds(order: tuple[str, ...], seeds: tuple[VoterPlace, ...]) -> tuple[str, ...]:
+    # Seeds that are no voters come last: they are asked when all the voters known are gone.
+    return (*order, *(seed.name for seed in seeds if seed.name not in order))
+
+
 def set_seeds(view: NodeView, seeds: tuple[VoterPlace, ...]) -> None:
     """Take over the voters that changed settings name."""
     view.seeds = seeds
-    order = view.attachment.order
-    added = tuple(seed.name for seed in seeds if seed.name not in order)
-    set_order(view.attachment, (*order, *added))
+    set_order(view.attachment, _append_seeds(view.attachment.order, seeds))
 
 
 def _take_reply(
--- a/packages/bendwind-core/src/bendwind_core/plans/revision_file.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision_file.py
@@ -14,10 +14,11 @@
     Repeat,
     Route,
     Routing,
-    Rule,
     Service,
     SplitPart,
     StaleAction,
+    create_route,
+    create_routed_service,
 )
 
 _Name = Annotated[str, Meta(min_length=1, max_length=128)]
@@ -95,28 +96,23 @@
 
 
 def _make_service(stated: StatedRoutedService) -> Service:
-    return Service(
-        stated.name,
-        ("*",),
-        on_stale=stated.on_stale,
-        routed_only=True,
-        health_path=stated.health_path,
-        near_first=stated.near_first,
+    return create_routed_service(
+        stated.name, stated.health_path, stated.on_stale, near_first=stated.near_first
     )
 
 
 def _make_route(stated: StatedRoute) -> Route:
-    rule = Rule(
-        "*",
+    return create_route(
+        stated.name,
+        stated.host,
+        stated.path_prefix,
+        tuple(SplitPart(part.service, part.weight) for part in stated.parts),
         repeat=stated.repeat,
-        longest_wait_ms=stated.timeout_ms,
-        attempts=stated.attempts,
+        timeout_ms=stated.timeout_ms,
         target_latency_ms=stated.target_latency_ms,
+        attempts=stated.attempts,
         priority=stated.priority,
-        name=stated.name,
     )
-    parts = tuple(SplitPart(part.service, part.weight) for part in stated.parts)
-    return Route(stated.name, stated.host, stated.path_prefix, parts, rule)
 
 
 def _check(command: PutRevision, file: str) -> Result[PutRevision, TomlError]:
--- a/packages/bendwind-core/src/bendwind_core/world/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/world/__init__.py
@@ -2,7 +2,15 @@
 
 from bendwind_core.world.configuration import EMPTY_CONFIGURATION, Configuration
 from bendwind_core.world.places import DataCentre, Instance
-from bendwind_core.world.route import EMPTY_ROUTING, CallerLimits, Route, Routing, SplitPart
+from bendwind_core.world.route import (
+    EMPTY_ROUTING,
+    CallerLimits,
+    Route,
+    Routing,
+    SplitPart,
+    create_route,
+    create_routed_service,
+)
 from bendwind_core.world.service import (
     Limits,
     Policy,
@@ -34,6 +42,8 @@
     "StaleAction",
     "Upstream",
     "UpstreamState",
+    "create_route",
+    "create_routed_service",
     "find_rule",
     "may_serve",
 ]
--- a/packages/bendwind-core/src/bendwind_core/world/route.py
+++ b/packages/bendwind-core/src/bendwind_core/world/route.py
@@ -1,7 +1,7 @@
 """Describe virtual hosts: which requests go to which services, and under which rule."""
 
 from bendwind_core.core import Milliseconds, Record
-from bendwind_core.world.service import Rule
+from bendwind_core.world.service import Repeat, Rule, Service, StaleAction
 
 
 class SplitPart(Record, frozen=True, array_like=True):
@@ -24,6 +24,45 @@
     rule: Rule
 
 
+def create_route(
+    name: str,
+    host: str,
+    path_prefix: str,
+    parts: tuple[SplitPart, ...],
+    *,
+    repeat: Repeat,
+    timeout_ms: Milliseconds,
+    target_latency_ms: Milliseconds | None,
+    attempts: int,
+    priority: int,
+) -> Route:
+    """Create a route; its rule, which goes with each request, bears its name."""
+    rule = Rule(
+        "*",
+        repeat=repeat,
+        longest_wait_ms=timeout_ms,
+        attempts=attempts,
+        target_latency_ms=target_latency_ms,
+        priority=priority,
+        name=name,
+    )
+    return Route(name, host, path_prefix, parts, rule)
+
+
+def create_routed_service(
+    name: str, health_path: str, on_stale: StaleAction, *, near_first: bool
+) -> Service:
+    """Create a service that routes alone lead to, whatever its upstreams are called."""
+    return Service(
+        name,
+        ("*",),
+        on_stale=on_stale,
+        routed_only=True,
+        health_path=health_path,
+        near_first=near_first,
+    )
+
+
 class CallerLimits(Record, frozen=True, array_like=True):
     """Bound what a caller may send and how long it may take or rest.
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -12,6 +12,7 @@
 from bendwind_core.claims.messages import MAX_KEY_CHARACTERS
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import admit, check_headers, leave
+from bendwind_core.membership.renewal import MAX_WATCHED
 from bendwind_core.routing import choose_part, find_route
 from bendwind_core.world import Repeat, Rule, Service, StaleAction, find_rule
 from bendwind_node.calls import headers as names
@@ -27,8 +28,6 @@
 FIRST_PROOF_WAIT: Seconds = 2.0
 # The route of a request is looked for without waiting; its service may still be on its way.
 ROUTED_SERVICE_WAIT: Seconds = 0.25
-# Callers may name services that do not exist; a node does not go on to watch ever more of them.
-MAX_WATCHED = 512
 
 _BODY_TOO_LARGE = Refusal(413, outcomes.REFUSED, "body-too-large")
 _HEADERS_TOO_LARGE = Refusal(431, outcomes.REFUSED, "headers-too-large")
@@ -159,15 +158,20 @@
         return (*kept, (dialect.origin_service, self.entry.origin_service.encode()))
 
     async def _find_target(self, request: CallerRequest) -> Result[Target, Refusal]:
-        if self.entry.routes.by_host:
-            return await self._find_routed(request)
+        find = self._find_routed if self.entry.routes.by_host else self._find_direct
+        found = await find(request)
+        refuses_stale = found.is_ok() and found.ok.service.on_stale is StaleAction.REFUSE
+        if refuses_stale and not self.entry.membership.is_fresh():
+            return Error(Refusal.not_run(NotRunReason.STALE))
+        return found
+
+    async def _find_direct(self, request: CallerRequest) -> Result[Target, Refusal]:
+        """Find the service that the request names."""
         service = await self._find_service(request.headers)
-        is_fresh = self.entry.membership.is_fresh()
         if service is None or service.routed_only:
             # A node without proof of freshness cannot tell that there is no such service.
+            is_fresh = self.entry.membership.is_fresh()
             return Error(_UNKNOWN_SERVICE if is_fresh else Refusal.not_run(NotRunReason.STALE))
-        if not is_fresh and service.on_stale is StaleAction.REFUSE:
-            return Error(Refusal.not_run(NotRunReason.STALE))
         return Ok(Target(service, find_rule(service, request.method, request.path)))
 
     async def _find_routed(self, request: CallerRequest) -> Result[Target, Refusal]:
@@ -187,8 +191,6 @@
             service = membership.services.get(name)
         if service is None:
             return Error(Refusal.not_run(NotRunReason.STALE))
-        if service.on_stale is StaleAction.REFUSE and not membership.is_fresh():
-            return Error(Refusal.not_run(NotRunReason.STALE))
         return Ok(Target(service, route.rule))
 
     async def _find_service(self, headers: tuple) -> Service | None:
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -332,7 +332,6 @@
             insist=effect.insist,
             route=run.call.rule.name,
             target_ms=effect.target_ms,
-            priority=run.call.rule.priority,
         )
         self.runs[effect.attempt.sequence] = run
         note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Iterable
 from pathlib import Path
 
 import trio
@@ -124,7 +125,8 @@
     return ClaimLimits(claims.retention_s, claims.keys, claims.key_bytes, claims.answer_bytes)
 
 
-def _list_voters(settings: Settings) -> tuple[VoterPlace, ...]:
+def list_voters(settings: Settings) -> tuple[VoterPlace, ...]:
+    """Return the voters that the settings name."""
     return tuple(
         VoterPlace(voter.name, voter.data_centre, voter.host, voter.port)
         for voter in settings.voters
@@ -141,7 +143,7 @@
     settings = daemon.settings
     recorder = daemon.recorder
     dispatcher = daemon.dispatcher
-    voters = _list_voters(settings)
+    voters = list_voters(settings)
     names = tuple(voter.name for voter in voters)
     times = _find_times(settings)
     membership = create_membership_task(
@@ -184,6 +186,13 @@
     membership.listeners.append(lambda effect: _hear_membership(dispatcher, effect))
 
 
+def learn_places(hub: LinkHub, places: Iterable[VoterPlace | Voter]) -> None:
+    """Have links find voters and learners, as far as it is known where they are."""
+    for place in places:
+        if place.host:
+            hub.learn_address(place.name, place.host, place.port)
+
+
 def _build_hub(daemon: Daemon, own: Instance, membership: MembershipTask) -> LinkHub:
     def make_hello(epoch: int) -> Hello:
         return Hello(own, epoch, membership.view.version, membership.confirmed_age_ms())
@@ -197,8 +206,7 @@
         daemon.settings.peers.silence_ms,
     )
     hub.find_registered = lambda name: _find_registered(daemon, name)
-    for voter in daemon.settings.voters:
-        hub.learn_address(voter.name, voter.host, voter.port)
+    learn_places(hub, list_voters(daemon.settings))
     return hub
 
 
@@ -216,7 +224,7 @@
     dispatcher = daemon.dispatcher
     opened = open_control(
         VoterPlace(own.name, own.data_centre, own.host, own.port),
-        _list_voters(settings),
+        list_voters(settings),
         folder,
         _make_replica_settings(settings.control),
         _find_times(settings),
@@ -242,14 +250,10 @@
 def _follow_members(daemon: Daemon, voter: ControlVoter) -> None:
     """Have links find every voter and learner that the log names, also those no settings list."""
 
-    def learn(member: Voter) -> None:
-        if member.host:
-            daemon.dispatcher.hub.learn_address(member.name, member.host, member.port)
-
-    voter.learn_member = learn
+    hub = daemon.dispatcher.hub
+    voter.learn_member = lambda member: learn_places(hub, (member,))
     members = voter.replica.voters
-    for member in (*members.voters, *members.learners):
-        learn(member)
+    learn_places(hub, (*members.voters, *members.learners))
 
 
 def _find_health_path(membership: MembershipTask, name: str) -> str:
@@ -275,9 +279,7 @@
                 dispatcher.owner.hear_pushed(upstream)
             dispatcher.entry.refresh_upstreams(service)
         case VotersLearned(voters=voters):
-            for voter in voters:
-                if voter.host:
-                    dispatcher.hub.learn_address(voter.name, voter.host, voter.port)
+            learn_places(dispatcher.hub, voters)
         case ConfigurationApplied():
             dispatcher.entry.refresh_routing()
             for service in tuple(dispatcher.entry.desks):
--- a/packages/bendwind-node/src/bendwind_node/daemon/reload.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/reload.py
@@ -8,8 +8,8 @@
 import trio
 
 from bendwind_core.core import Seconds
-from bendwind_core.membership import VoterPlace
 from bendwind_core.timeline import EventKind
+from bendwind_node.daemon.build import learn_places, list_voters
 from bendwind_node.daemon.extension import LoadSettings
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.settings import Settings
@@ -68,12 +68,8 @@
 
 def _take_voters(daemon: Daemon, changed: Settings) -> None:
     dispatcher = daemon.dispatcher
-    for voter in changed.voters:
-        dispatcher.hub.learn_address(voter.name, voter.host, voter.port)
-    places = tuple(
-        VoterPlace(voter.name, voter.data_centre, voter.host, voter.port)
-        for voter in changed.voters
-    )
+    places = list_voters(changed)
+    learn_places(dispatcher.hub, places)
     dispatcher.membership.set_seeds(places)
     if dispatcher.control is not None:
         dispatcher.control.voter.replica.names = tuple(place.name for place in places)
