--- a/packages/bendwind-cli/src/bendwind_cli/client.py
+++ b/packages/bendwind-cli/src/bendwind_cli/client.py
@@ -2,7 +2,6 @@
 
 import ssl
 import time
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TypeVar
 
@@ -33,23 +32,21 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """Hold one HTTP answer."""
 
     status: int
     body: bytes
 
 
-@dataclass(slots=True)
-class Client:
+class Client(msgspec.Struct):
     """Hold the connections and the addresses to ask, the likeliest first."""
 
     settings: ClientSettings
     pool: httpcore.ConnectionPool
     scheme: str
     token: str
-    addresses: list[str] = field(default_factory=list)
+    addresses: list[str] = msgspec.field(default_factory=list)
 
     def ask(
         self, method: str, path: str, kind: type[_Reply], body: bytes = b"", key: str = ""
--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -1,18 +1,16 @@
 """Define what an operator can ask for, one data class a command."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """Say which servers to ask: a list of addresses, a client settings file, or neither."""
 
     control: str = ""
     settings: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class MakePlan:
+class MakePlan(msgspec.Struct, frozen=True):
     """Have an intent turned into a plan."""
 
     target: Target
@@ -21,47 +19,41 @@
     expires_s: str
 
 
-@dataclass(frozen=True, slots=True)
-class ConfirmPlan:
+class ConfirmPlan(msgspec.Struct, frozen=True):
     """Put a plan into force."""
 
     target: Target
     plan: str
 
 
-@dataclass(frozen=True, slots=True)
-class ShowPlan:
+class ShowPlan(msgspec.Struct, frozen=True):
     """Show one plan."""
 
     target: Target
     plan: str
 
 
-@dataclass(frozen=True, slots=True)
-class PutRevision:
+class PutRevision(msgspec.Struct, frozen=True):
     """Put a whole configuration in force under its own number."""
 
     target: Target
     file: str
 
 
-@dataclass(frozen=True, slots=True)
-class ShowRevision:
+class ShowRevision(msgspec.Struct, frozen=True):
     """Show the newest whole configuration."""
 
     target: Target
 
 
-@dataclass(frozen=True, slots=True)
-class ShowStatus:
+class ShowStatus(msgspec.Struct, frozen=True):
     """Show the processes and which of them lack the newest configuration."""
 
     target: Target
     json: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Drain:
+class Drain(msgspec.Struct, frozen=True):
     """Mark an instance or upstream as leaving, or take the mark away."""
 
     target: Target
@@ -70,24 +62,21 @@
     draining: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Stop:
+class Stop(msgspec.Struct, frozen=True):
     """Stop one process once its calls are answered."""
 
     target: Target
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class AcceptClaimLoss:
+class AcceptClaimLoss(msgspec.Struct, frozen=True):
     """Let a service whose claims are lost take requests with keys again."""
 
     target: Target
     service: str
 
 
-@dataclass(frozen=True, slots=True)
-class ShowTimeline:
+class ShowTimeline(msgspec.Struct, frozen=True):
     """Show the events of all processes in causal order."""
 
     target: Target
@@ -99,21 +88,18 @@
     json: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ListEvents:
+class ListEvents(msgspec.Struct, frozen=True):
     """List the numbered events."""
 
 
-@dataclass(frozen=True, slots=True)
-class MakeAuthority:
+class MakeAuthority(msgspec.Struct, frozen=True):
     """Make the key and certificate that sign all others of a deployment."""
 
     folder: str
     days: str
 
 
-@dataclass(frozen=True, slots=True)
-class MakeInstanceKey:
+class MakeInstanceKey(msgspec.Struct, frozen=True):
     """Make an instance's key and certificate."""
 
     name: str
@@ -122,8 +108,7 @@
     days: str
 
 
-@dataclass(frozen=True, slots=True)
-class MakeOperatorKey:
+class MakeOperatorKey(msgspec.Struct, frozen=True):
     """Make an operator's key and client certificate."""
 
     name: str
--- a/packages/bendwind-cli/src/bendwind_cli/keys/certificate.py
+++ b/packages/bendwind-cli/src/bendwind_cli/keys/certificate.py
@@ -2,8 +2,8 @@
 
 import datetime
 import ipaddress
-from dataclasses import dataclass
 
+import msgspec
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
@@ -13,8 +13,7 @@
 _CLOCK_SKEW = datetime.timedelta(minutes=5)
 
 
-@dataclass(frozen=True, slots=True)
-class KeyPair:
+class KeyPair(msgspec.Struct, frozen=True):
     """Hold a private key and the certificate of its public half."""
 
     key: ec.EllipticCurvePrivateKey
--- a/packages/bendwind-cli/src/bendwind_cli/outcome.py
+++ b/packages/bendwind-cli/src/bendwind_cli/outcome.py
@@ -1,7 +1,8 @@
 """Define how a command can fail and the exit code of each failure."""
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 
 class ExitCode(enum.IntEnum):
@@ -18,8 +19,7 @@
     OUTCOME_UNKNOWN = 8
 
 
-@dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True):
     """Say in one line why a command failed."""
 
     code: ExitCode
--- a/packages/bendwind-core/src/bendwind_core/attempts/attempt_ids.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/attempt_ids.py
@@ -1,12 +1,11 @@
 """Number the attempts of one entry node."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_core.attempts.messages import AttemptId
 
 
-@dataclass(slots=True)
-class AttemptIds:
+class AttemptIds(msgspec.Struct):
     """Hold the last sequence number given out by this run of an entry node."""
 
     entry: str
--- a/packages/bendwind-core/src/bendwind_core/attempts/attempt_log.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/attempt_log.py
@@ -7,7 +7,8 @@
 
 import collections
 import enum
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.attempts.messages import AttemptId
 
@@ -21,8 +22,7 @@
     NEVER_STARTED = "never-started"
 
 
-@dataclass(slots=True)
-class EntryPeer:
+class EntryPeer(msgspec.Struct):
     """Hold what is known of one entry node.
 
     `fence_floor` covers what was dropped while the entry node itself had been dropped.
@@ -34,15 +34,16 @@
     fence_floor: int = 0
 
 
-@dataclass(slots=True)
-class AttemptLog:
+class AttemptLog(msgspec.Struct):
     """Hold the fates of live attempts and of the last `capacity` ended ones."""
 
     capacity: int
     peer_capacity: int
-    fates: dict[AttemptId, Fate] = field(default_factory=dict)
-    ended: collections.deque[AttemptId] = field(default_factory=collections.deque)
-    peers: collections.OrderedDict[str, EntryPeer] = field(default_factory=collections.OrderedDict)
+    fates: dict[AttemptId, Fate] = msgspec.field(default_factory=dict)
+    ended: collections.deque[AttemptId] = msgspec.field(default_factory=collections.deque)
+    peers: collections.OrderedDict[str, EntryPeer] = msgspec.field(
+        default_factory=collections.OrderedDict
+    )
     has_dropped_peers: bool = False
     lost_floor: int = 0
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -1,7 +1,8 @@
 """Hold the state of one call on its entry node."""
 
 import enum
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.messages import AttemptId, CutReason, NotRunReason
@@ -49,8 +50,7 @@
 _REACHED = (NotRunReason.SHED, NotRunReason.MISDIRECTED)
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(msgspec.Struct):
     """Hold one attempt of a call."""
 
     id: AttemptId
@@ -61,8 +61,7 @@
     load: LoadSample | None = None
 
 
-@dataclass(slots=True)
-class EntryCall:
+class EntryCall(msgspec.Struct):
     """Hold one call from its arrival to its one final outcome."""
 
     call_id: str
@@ -74,7 +73,7 @@
     target_at: Seconds | None = None
     has_key: bool = False
     phase: CallPhase = CallPhase.NEW
-    attempts: list[Attempt] = field(default_factory=list)
+    attempts: list[Attempt] = msgspec.field(default_factory=list)
     winner: Attempt | None = None
     next_part: int = 1
     is_claim_held: bool = False
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -1,6 +1,6 @@
 """Hold the attempts at the one node that sends to an upstream."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from bendwind_core.attempts.attempt_log import AttemptLog, Fate, record_ended, record_live
 from bendwind_core.attempts.messages import AttemptId, HandOver, NotRunReason
@@ -28,8 +28,7 @@
 MAX_ROUTE_TIMES = 512
 
 
-@dataclass(slots=True)
-class QueuedAttempt:
+class QueuedAttempt(msgspec.Struct):
     """Hold an attempt that waits.
 
     One with a latency objective should start by `due_at`, and is given back at `leaves_at` if no
@@ -43,8 +42,7 @@
     leaves_at: Seconds = 0.0
 
 
-@dataclass(slots=True)
-class RunningAttempt:
+class RunningAttempt(msgspec.Struct):
     """Hold a started attempt."""
 
     epoch: int
@@ -55,8 +53,7 @@
     is_cancelled: bool = False
 
 
-@dataclass(slots=True)
-class OwnerDesk:
+class OwnerDesk(msgspec.Struct):
     """Hold everything that was handed to one upstream's owner node.
 
     Attempts with a latency objective wait in `timed`, all others in `queue`. `slot_share` is the
@@ -78,11 +75,11 @@
     is_drained: bool = True
     bounce_queue_at: Seconds | None = None
     progress_at: Seconds = 0.0
-    running: dict[AttemptId, RunningAttempt] = field(default_factory=dict)
-    waiting: dict[AttemptId, QueuedAttempt] = field(default_factory=dict)
-    times: ServiceTime = field(default_factory=ServiceTime)
-    route_times: dict[str, Milliseconds] = field(default_factory=dict)
-    pace: Pace = field(default_factory=Pace)
+    running: dict[AttemptId, RunningAttempt] = msgspec.field(default_factory=dict)
+    waiting: dict[AttemptId, QueuedAttempt] = msgspec.field(default_factory=dict)
+    times: ServiceTime = msgspec.field(default_factory=ServiceTime)
+    route_times: dict[str, Milliseconds] = msgspec.field(default_factory=dict)
+    pace: Pace = msgspec.field(default_factory=Pace)
     asked_at: Seconds | None = None
     may_ask: bool = True
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/events.py
@@ -6,7 +6,8 @@
 """
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 from bendwind_core.attempts.messages import AttemptId, CutReason, FenceVerdict, NotRunReason
 from bendwind_core.core import Milliseconds, Seconds
@@ -36,32 +37,27 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True)
-class Begin:
+class Begin(msgspec.Struct):
     """Start the call."""
 
 
-@dataclass(slots=True)
-class ClaimGranted:
+class ClaimGranted(msgspec.Struct):
     """Report that the key of this call is claimed for it."""
 
 
-@dataclass(slots=True)
-class ClaimRefused:
+class ClaimRefused(msgspec.Struct):
     """Report that the key cannot be claimed."""
 
     reason: ClaimRefusal
 
 
-@dataclass(slots=True)
-class ClaimHeldByOther:
+class ClaimHeldByOther(msgspec.Struct):
     """Report that an earlier call claimed the key; `is_recorded` if its answer can be replayed."""
 
     is_recorded: bool = False
 
 
-@dataclass(slots=True)
-class AttemptNotRun:
+class AttemptNotRun(msgspec.Struct):
     """Report the owner's proof that the attempt did not run and never will."""
 
     attempt: AttemptId
@@ -69,8 +65,7 @@
     load: LoadSample | None = None
 
 
-@dataclass(slots=True)
-class AttemptHead:
+class AttemptHead(msgspec.Struct):
     """Report the head of an answer; `is_complete` if its whole body came with it."""
 
     attempt: AttemptId
@@ -78,8 +73,7 @@
     is_complete: bool
 
 
-@dataclass(slots=True)
-class AttemptBodyPart:
+class AttemptBodyPart(msgspec.Struct):
     """Report a further part of an answer's body, counted from 1."""
 
     attempt: AttemptId
@@ -87,43 +81,37 @@
     more: bool
 
 
-@dataclass(slots=True)
-class AttemptUnknown:
+class AttemptUnknown(msgspec.Struct):
     """Report that a started attempt's answer is lost or cut."""
 
     attempt: AttemptId
     reason: CutReason
 
 
-@dataclass(slots=True)
-class OwnerLost:
+class OwnerLost(msgspec.Struct):
     """Report that the link which carried the attempt broke before its answer was whole."""
 
     attempt: AttemptId
 
 
-@dataclass(slots=True)
-class FenceAnswered:
+class FenceAnswered(msgspec.Struct):
     """Report the owner's answer to a fence."""
 
     attempt: AttemptId
     verdict: FenceVerdict
 
 
-@dataclass(slots=True)
-class FenceFailed:
+class FenceFailed(msgspec.Struct):
     """Report that the fence could not be put to the owner."""
 
     attempt: AttemptId
 
 
-@dataclass(slots=True)
-class CallerGone:
+class CallerGone(msgspec.Struct):
     """Report that the caller closed its connection."""
 
 
-@dataclass(slots=True)
-class TimerFired:
+class TimerFired(msgspec.Struct):
     """Report that a timer of this call is due."""
 
     kind: TimerKind
@@ -146,8 +134,7 @@
 )
 
 
-@dataclass(slots=True)
-class SendHandOver:
+class SendHandOver(msgspec.Struct):
     """Hand the attempt to the owner of `upstream`.
 
     Units: `remaining_ms` is the time the owner has and `target_ms` that left to the latency
@@ -161,49 +148,42 @@
     target_ms: Milliseconds | None = None
 
 
-@dataclass(slots=True)
-class SendCancel:
+class SendCancel(msgspec.Struct):
     """Tell the owner that nobody awaits the attempt."""
 
     attempt: AttemptId
     upstream: Upstream
 
 
-@dataclass(slots=True)
-class SendFence:
+class SendFence(msgspec.Struct):
     """Ask the owner, over a new link if the old one broke, to fence the attempt."""
 
     attempt: AttemptId
     upstream: Upstream
 
 
-@dataclass(slots=True)
-class RequestClaim:
+class RequestClaim(msgspec.Struct):
     """Claim the call's key for it."""
 
 
-@dataclass(slots=True)
-class ReleaseClaim:
+class ReleaseClaim(msgspec.Struct):
     """Give the key back, or withdraw the request for it: the call did not run."""
 
 
-@dataclass(slots=True)
-class RecordClaim:
+class RecordClaim(msgspec.Struct):
     """Record the outcome of the call with its claim."""
 
     outcome: ClaimOutcome
 
 
-@dataclass(slots=True)
-class StartTimer:
+class StartTimer(msgspec.Struct):
     """Feed back `TimerFired(kind)` at a time; a later effect of the same kind replaces it."""
 
     kind: TimerKind
     at: Seconds
 
 
-@dataclass(slots=True)
-class DeliverHead:
+class DeliverHead(msgspec.Struct):
     """Send this attempt's answer head, with the body part that came with it, to the caller.
 
     The task keeps the head of each attempt until the call ends, since an answer may be held.
@@ -212,27 +192,23 @@
     attempt: AttemptId
 
 
-@dataclass(slots=True)
-class DeliverPart:
+class DeliverPart(msgspec.Struct):
     """Send the body part just reported to the caller."""
 
     attempt: AttemptId
 
 
-@dataclass(slots=True)
-class DeliverRecorded:
+class DeliverRecorded(msgspec.Struct):
     """Send the answer recorded with the claim to the caller; the call is over."""
 
 
-@dataclass(slots=True)
-class FinishDelivered:
+class FinishDelivered(msgspec.Struct):
     """End the call: its answer was delivered whole."""
 
     attempt: AttemptId
 
 
-@dataclass(slots=True)
-class FinishNotRun:
+class FinishNotRun(msgspec.Struct):
     """End the call: it was proven not to have run.
 
     Units: `retry_after_ms` is when to come back, in milliseconds.
@@ -242,8 +218,7 @@
     retry_after_ms: Milliseconds
 
 
-@dataclass(slots=True)
-class FinishUnknown:
+class FinishUnknown(msgspec.Struct):
     """End the call: it may have run.
 
     Units: `retry_after_ms` is when to ask again, in milliseconds; None where asking is unsafe.
@@ -253,20 +228,17 @@
     retry_after_ms: Milliseconds | None = None
 
 
-@dataclass(slots=True)
-class FinishRefused:
+class FinishRefused(msgspec.Struct):
     """End the call: the claim on its key forbids it."""
 
     reason: ClaimRefusal
 
 
-@dataclass(slots=True)
-class FinishGone:
+class FinishGone(msgspec.Struct):
     """End the call: its caller went away."""
 
 
-@dataclass(slots=True)
-class Cut:
+class Cut(msgspec.Struct):
     """End the call by aborting the caller's connection, so that a part is never taken as whole."""
 
     reason: CutReason
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -5,7 +5,7 @@
 gone the task drops the reply, since the entry node then fences the attempt.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_core.attempts.messages import (
     AttemptId,
@@ -19,16 +19,14 @@
 from bendwind_core.world import LoadSample, UpstreamState
 
 
-@dataclass(slots=True)
-class HandOverArrived:
+class HandOverArrived(msgspec.Struct):
     """Report a hand-over that came in on an entry node's link of this epoch."""
 
     hand_over: HandOver
     epoch: int
 
 
-@dataclass(slots=True)
-class DispatchHead:
+class DispatchHead(msgspec.Struct):
     """Report the head of the upstream's answer.
 
     Units: `upstream_ms` is the time from dispatch to the first byte, in milliseconds.
@@ -39,15 +37,13 @@
     upstream_ms: Milliseconds
 
 
-@dataclass(slots=True)
-class LoadReported:
+class LoadReported(msgspec.Struct):
     """Report what the upstream said of its own pace; 1.0 is as usual."""
 
     slow_factor: float
 
 
-@dataclass(slots=True)
-class LoadNotReported:
+class LoadNotReported(msgspec.Struct):
     """Report that the upstream was not asked for its load, or did not tell it.
 
     `may_ask` is false where it has no page for that.
@@ -56,47 +52,41 @@
     may_ask: bool = True
 
 
-@dataclass(slots=True)
-class DispatchDone:
+class DispatchDone(msgspec.Struct):
     """Report that the upstream's answer ended whole: its slot is free."""
 
     attempt: AttemptId
 
 
-@dataclass(slots=True)
-class DispatchNotRun:
+class DispatchNotRun(msgspec.Struct):
     """Report proof that the dispatched attempt did not run: no byte was sent, or a shed reply."""
 
     attempt: AttemptId
     reason: NotRunReason
 
 
-@dataclass(slots=True)
-class DispatchUnknown:
+class DispatchUnknown(msgspec.Struct):
     """Report that the dispatch ended without a whole answer."""
 
     attempt: AttemptId
     reason: CutReason
 
 
-@dataclass(slots=True)
-class CancelArrived:
+class CancelArrived(msgspec.Struct):
     """Report an entry node's cancel."""
 
     attempt: AttemptId
     epoch: int
 
 
-@dataclass(slots=True)
-class FenceArrived:
+class FenceArrived(msgspec.Struct):
     """Report an entry node's fence."""
 
     fence: Fence
     epoch: int
 
 
-@dataclass(slots=True)
-class LinkOpened:
+class LinkOpened(msgspec.Struct):
     """Report that an entry node opened a link; epochs of one incarnation only grow."""
 
     entry: str
@@ -104,8 +94,7 @@
     epoch: int
 
 
-@dataclass(slots=True)
-class LinkLost:
+class LinkLost(msgspec.Struct):
     """Report that an entry node's link of this epoch broke."""
 
     entry: str
@@ -113,13 +102,11 @@
     epoch: int
 
 
-@dataclass(slots=True)
-class Drain:
+class Drain(msgspec.Struct):
     """Refuse new attempts for good: this process or its upstream is to stop."""
 
 
-@dataclass(slots=True)
-class UpstreamAnnounced:
+class UpstreamAnnounced(msgspec.Struct):
     """Report the upstream's announced capacity and state."""
 
     slots: int
@@ -127,13 +114,11 @@
     state: UpstreamState
 
 
-@dataclass(slots=True)
-class UpstreamLost:
+class UpstreamLost(msgspec.Struct):
     """Report that the upstream left or let its lease run out."""
 
 
-@dataclass(slots=True)
-class Tick:
+class Tick(msgspec.Struct):
     """Let queued attempts expire; due at `next_due(desk)`."""
 
 
@@ -156,28 +141,24 @@
 )
 
 
-@dataclass(slots=True)
-class Dispatch:
+class Dispatch(msgspec.Struct):
     """Send the request to the upstream, to be given up at `expires_at`."""
 
     hand_over: HandOver
     expires_at: Seconds
 
 
-@dataclass(slots=True)
-class AskLoad:
+class AskLoad(msgspec.Struct):
     """Ask the upstream for its load; LoadReported or LoadNotReported follows."""
 
 
-@dataclass(slots=True)
-class CancelDispatch:
+class CancelDispatch(msgspec.Struct):
     """Cancel a request at the upstream; its end is still to be reported."""
 
     attempt: AttemptId
 
 
-@dataclass(slots=True)
-class ReplyNotRun:
+class ReplyNotRun(msgspec.Struct):
     """Send NotRun to the attempt's entry node."""
 
     attempt: AttemptId
@@ -186,8 +167,7 @@
     load: LoadSample
 
 
-@dataclass(slots=True)
-class ReplyUnknown:
+class ReplyUnknown(msgspec.Struct):
     """Send Unknown to the attempt's entry node."""
 
     attempt: AttemptId
@@ -196,8 +176,7 @@
     load: LoadSample
 
 
-@dataclass(slots=True)
-class ReplyFenced:
+class ReplyFenced(msgspec.Struct):
     """Send Fenced to the attempt's entry node."""
 
     attempt: AttemptId
@@ -205,8 +184,7 @@
     verdict: FenceVerdict
 
 
-@dataclass(slots=True)
-class Drained:
+class Drained(msgspec.Struct):
     """Report once that a draining desk holds no attempt any more."""
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/pace.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/pace.py
@@ -6,7 +6,8 @@
 
 import collections
 import statistics
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 
@@ -25,8 +26,7 @@
 PHASES = 9
 
 
-@dataclass(slots=True)
-class Pace:
+class Pace(msgspec.Struct):
     """Hold what an upstream reported: 1.0 is its usual pace, 4.0 four times the usual time.
 
     `began_at` is when the present slow phase began, as far as is known; `is_sharp` says that this
@@ -37,7 +37,7 @@
     reported_at: Seconds | None = None
     began_at: Seconds = 0.0
     is_sharp: bool = False
-    lengths: collections.deque[Seconds] = field(
+    lengths: collections.deque[Seconds] = msgspec.field(
         default_factory=lambda: collections.deque(maxlen=PHASES)
     )
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/service_time.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/service_time.py
@@ -1,6 +1,6 @@
 """Average an upstream's service time and error rate as its owner node sees them."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_core.core import Milliseconds
 
@@ -8,8 +8,7 @@
 ERROR_WEIGHT = 0.1
 
 
-@dataclass(slots=True)
-class ServiceTime:
+class ServiceTime(msgspec.Struct):
     """Hold moving averages over the last few answers."""
 
     average_ms: Milliseconds = 0.0
--- a/packages/bendwind-core/src/bendwind_core/claims/decisions.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/decisions.py
@@ -1,44 +1,37 @@
 """Define what a request for a claim may come to at its entry node."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_core.claims.messages import ClaimAnswer, RefusalReason
 
 
-@dataclass(slots=True, frozen=True)
-class Granted:
+class Granted(msgspec.Struct, frozen=True):
     """Permit the call to run its request."""
 
 
-@dataclass(slots=True, frozen=True)
-class Recorded:
+class Recorded(msgspec.Struct, frozen=True):
     """Repeat the answer of the call that ran the request."""
 
     answer: ClaimAnswer
 
 
-@dataclass(slots=True, frozen=True)
-class AnswerNotKept:
+class AnswerNotKept(msgspec.Struct, frozen=True):
     """Tell that the request ran and its answer was too large to keep."""
 
 
-@dataclass(slots=True, frozen=True)
-class OutcomeUnknown:
+class OutcomeUnknown(msgspec.Struct, frozen=True):
     """Tell that the request may have run and that nobody will learn whether it did."""
 
 
-@dataclass(slots=True, frozen=True)
-class StillPending:
+class StillPending(msgspec.Struct, frozen=True):
     """Tell that the request of the call that holds the key was still running at the deadline."""
 
 
-@dataclass(slots=True, frozen=True)
-class KeyConflict:
+class KeyConflict(msgspec.Struct, frozen=True):
     """Tell that the key was used for a different request."""
 
 
-@dataclass(slots=True, frozen=True)
-class ClaimRefused:
+class ClaimRefused(msgspec.Struct, frozen=True):
     """Tell that the call does not hold the key and must not run its request."""
 
     reason: RefusalReason
--- a/packages/bendwind-core/src/bendwind_core/claims/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/entry.py
@@ -4,7 +4,7 @@
 the same call until it is answered or its time is up.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from bendwind_core.claims.decisions import (
     AnswerNotKept,
@@ -43,52 +43,45 @@
 _FINAL_REFUSALS = frozenset({RefusalReason.FULL, RefusalReason.LOST, RefusalReason.RELEASED})
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True):
     """Start to ask for a claim; `deadline` is the caller's."""
 
     request: ClaimRequest
     deadline: Seconds
 
 
-@dataclass(slots=True, frozen=True)
-class Abandon:
+class Abandon(msgspec.Struct, frozen=True):
     """Give up asking, because the caller went away or its deadline has come."""
 
     call: str
 
 
-@dataclass(slots=True, frozen=True)
-class Settle:
+class Settle(msgspec.Struct, frozen=True):
     """Start to report an outcome or a release."""
 
     message: ClaimOutcome | ClaimRelease
 
 
-@dataclass(slots=True, frozen=True)
-class GroupKnown:
+class GroupKnown(msgspec.Struct, frozen=True):
     """Report the newest group of a service that this node knows."""
 
     group: ClaimGroup
 
 
-@dataclass(slots=True, frozen=True)
-class ReplyReceived:
+class ReplyReceived(msgspec.Struct, frozen=True):
     """Report a reply of a primary."""
 
     message: ClaimReply | ClaimSettled
 
 
-@dataclass(slots=True, frozen=True)
-class EntryTick:
+class EntryTick(msgspec.Struct, frozen=True):
     """Report that time has passed."""
 
 
 EntryEvent = Ask | Abandon | Settle | GroupKnown | ReplyReceived | EntryTick
 
 
-@dataclass(slots=True, frozen=True)
-class Decide:
+class Decide(msgspec.Struct, frozen=True):
     """Deliver the decision on a call."""
 
     call: str
@@ -98,8 +91,7 @@
 EntryEffect = Send | Decide
 
 
-@dataclass(slots=True)
-class Asking:
+class Asking(msgspec.Struct):
     """Hold a request that is not decided yet."""
 
     request: ClaimRequest
@@ -109,8 +101,7 @@
     is_sent: bool = False
 
 
-@dataclass(slots=True)
-class Settling:
+class Settling(msgspec.Struct):
     """Hold an outcome or release that is not confirmed yet."""
 
     message: ClaimOutcome | ClaimRelease
@@ -118,13 +109,12 @@
     until: Seconds
 
 
-@dataclass(slots=True)
-class EntryClaims:
+class EntryClaims(msgspec.Struct):
     """Hold what an entry node asks of claim groups, by call."""
 
-    groups: dict[str, ClaimGroup] = field(default_factory=dict)
-    asking: dict[str, Asking] = field(default_factory=dict)
-    settling: dict[str, Settling] = field(default_factory=dict)
+    groups: dict[str, ClaimGroup] = msgspec.field(default_factory=dict)
+    asking: dict[str, Asking] = msgspec.field(default_factory=dict)
+    settling: dict[str, Settling] = msgspec.field(default_factory=dict)
 
 
 def step_entry(claims: EntryClaims, event: EntryEvent, now: Seconds) -> list[EntryEffect]:
--- a/packages/bendwind-core/src/bendwind_core/claims/placement.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/placement.py
@@ -3,7 +3,8 @@
 import collections
 import random
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from bendwind_core.claims.group import ClaimGroup
 from bendwind_core.claims.members import member_of
@@ -14,8 +15,7 @@
 SAMPLE = 64
 
 
-@dataclass(frozen=True, slots=True)
-class AliveNodes:
+class AliveNodes(msgspec.Struct, frozen=True):
     """Hold the living nodes, found by member and by name; made once for many groups."""
 
     by_member: Mapping[str, Instance]
--- a/packages/bendwind-core/src/bendwind_core/claims/state.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/state.py
@@ -1,7 +1,8 @@
 """Hold the state of one run of a node as a holder of one service's claims."""
 
 import collections
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.claims.group import ClaimGroup
 from bendwind_core.claims.messages import Claim, ClaimOutcome, ClaimRelease, ClaimRequest
@@ -9,8 +10,7 @@
 from bendwind_core.core import Seconds
 
 
-@dataclass(slots=True)
-class Write:
+class Write(msgspec.Struct):
     """Hold a claim, or a chunk of a copy, that some members have not confirmed yet.
 
     `joining_lacks` is set until the joining member confirms an ordinary write; if that write
@@ -20,22 +20,20 @@
     claims: tuple[Claim, ...]
     waiting: set[str]
     sent: Seconds
-    requests: list[ClaimRequest] = field(default_factory=list)
-    settles: list[ClaimOutcome | ClaimRelease] = field(default_factory=list)
+    requests: list[ClaimRequest] = msgspec.field(default_factory=list)
+    settles: list[ClaimOutcome | ClaimRelease] = msgspec.field(default_factory=list)
     is_copy: bool = False
     joining_lacks: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class Waiter:
+class Waiter(msgspec.Struct, frozen=True):
     """Hold a request that waits for the outcome of the call that holds its key."""
 
     request: ClaimRequest
     until: Seconds
 
 
-@dataclass(slots=True)
-class ClaimHolder:
+class ClaimHolder(msgspec.Struct):
     """Hold the state of one run of a node as a member of one service's claim group.
 
     `writes` is keyed by sequence; `writing` finds the unconfirmed write of a key.
@@ -50,13 +48,13 @@
     group: ClaimGroup | None = None
     fresh_until: Seconds = 0.0
     sequence: int = 0
-    writes: dict[int, Write] = field(default_factory=dict)
-    writing: dict[str, int] = field(default_factory=dict)
-    waiters: dict[str, list[Waiter]] = field(default_factory=dict)
+    writes: dict[int, Write] = msgspec.field(default_factory=dict)
+    writing: dict[str, int] = msgspec.field(default_factory=dict)
+    waiters: dict[str, list[Waiter]] = msgspec.field(default_factory=dict)
     waiter_count: int = 0
     copy_keys: list[str] | None = None
     is_copied: bool = False
-    finished: collections.deque[Write] = field(default_factory=collections.deque)
+    finished: collections.deque[Write] = msgspec.field(default_factory=collections.deque)
 
     def is_member(self) -> bool:
         """Tell whether this run of the node is a member of the group."""
--- a/packages/bendwind-core/src/bendwind_core/claims/table.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/table.py
@@ -1,7 +1,6 @@
 """Hold one service's claims in bounded memory."""
 
 import collections
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -14,8 +13,7 @@
 ANSWER_OVERHEAD_BYTES = 260
 
 
-@dataclass(slots=True, frozen=True)
-class ClaimLimits:
+class ClaimLimits(msgspec.Struct, frozen=True):
     """Bound what a node keeps of one service's claims.
 
     Answers may take `answer_bytes`; beyond that the oldest are forgotten, but never their keys.
@@ -31,26 +29,24 @@
     copy_bytes: int = 128 * 1024
 
 
-@dataclass(slots=True)
-class StoredClaim:
+class StoredClaim(msgspec.Struct):
     """Hold a claim and the local time at which it was made."""
 
     claim: Claim
     made: Seconds
 
 
-@dataclass(slots=True)
-class ClaimTable:
+class ClaimTable(msgspec.Struct):
     """Hold claims by key, oldest first; the newest state of a key wins.
 
     `answered` lists the keys whose answers are kept, oldest first.
     """
 
     limits: ClaimLimits = ClaimLimits()
-    claims: dict[str, StoredClaim] = field(default_factory=dict)
+    claims: dict[str, StoredClaim] = msgspec.field(default_factory=dict)
     bytes: int = 0
     answer_bytes: int = 0
-    answered: collections.deque[str] = field(default_factory=collections.deque)
+    answered: collections.deque[str] = msgspec.field(default_factory=collections.deque)
 
     def find(self, key: str) -> Claim | None:
         """Return what is held of a key, or None."""
--- a/packages/bendwind-core/src/bendwind_core/consensus/events.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/events.py
@@ -1,70 +1,61 @@
 """Define what happens to a replica and what it asks its task to do."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_core.consensus.messages import ConsensusMessage
 from bendwind_core.consensus.records import Entry, HardState, Snapshot, Voter, VoterSet
 from bendwind_core.core import Seconds
 
 
-@dataclass(slots=True, frozen=True)
-class Tick:
+class Tick(msgspec.Struct, frozen=True):
     """Let time pass."""
 
 
-@dataclass(slots=True, frozen=True)
-class Received:
+class Received(msgspec.Struct, frozen=True):
     """Deliver a message from the peer of this name."""
 
     sender: str
     message: ConsensusMessage
 
 
-@dataclass(slots=True, frozen=True)
-class Propose:
+class Propose(msgspec.Struct, frozen=True):
     """Ask for a command to be committed."""
 
     request_id: int
     command: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class RemoveVoter:
+class RemoveVoter(msgspec.Struct, frozen=True):
     """Ask for the voter of this name to leave the voter set for good."""
 
     request_id: int
     name: str
 
 
-@dataclass(slots=True, frozen=True)
-class Persisted:
+class Persisted(msgspec.Struct, frozen=True):
     """Tell that every write up to this token is synced."""
 
     token: int
 
 
-@dataclass(slots=True, frozen=True)
-class BarrierRequested:
+class BarrierRequested(msgspec.Struct, frozen=True):
     """Ask for an index that holds everything committed by now."""
 
     request_id: int
 
 
-@dataclass(slots=True, frozen=True)
-class SnapshotTaken:
+class SnapshotTaken(msgspec.Struct, frozen=True):
     """Deliver the state machine's state as of an applied index."""
 
     index: int
     data: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class TransferLeadership:
+class TransferLeadership(msgspec.Struct, frozen=True):
     """Ask a leader to let another voter lead, as before a planned stop."""
 
 
-@dataclass(slots=True, frozen=True)
-class IdentityRenewed:
+class IdentityRenewed(msgspec.Struct, frozen=True):
     """Tell a removed replica that its disk now holds a new id, under which it may join again."""
 
     voter: Voter
@@ -83,45 +74,39 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class Committed:
+class Committed(msgspec.Struct, frozen=True):
     """Tell that the command is committed and was applied at this index."""
 
     index: int
 
 
-@dataclass(slots=True, frozen=True)
-class NotLeader:
+class NotLeader(msgspec.Struct, frozen=True):
     """Tell that the command was not taken, and who leads as far as is known."""
 
     leader: str | None
 
 
-@dataclass(slots=True, frozen=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """Tell that the command was not taken, and why."""
 
     reason: str
 
 
-@dataclass(slots=True, frozen=True)
-class Lost:
+class Lost(msgspec.Struct, frozen=True):
     """Tell that the command was taken but its outcome is not known: it may still be committed."""
 
 
 ProposalOutcome = Committed | NotLeader | Refused | Lost
 
 
-@dataclass(slots=True, frozen=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Send a message to the peer of this name."""
 
     to: str
     message: ConsensusMessage
 
 
-@dataclass(slots=True, frozen=True)
-class Persist:
+class Persist(msgspec.Struct, frozen=True):
     """Write in this order and sync: the hard state, a cut of the log, then entries."""
 
     token: int
@@ -130,8 +115,7 @@
     entries: tuple[Entry, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class SaveSnapshot:
+class SaveSnapshot(msgspec.Struct, frozen=True):
     """Write a snapshot and sync it; then drop entries below `first_index`.
 
     With `is_installed` the whole log before it is void.
@@ -143,38 +127,33 @@
     is_installed: bool
 
 
-@dataclass(slots=True, frozen=True)
-class Apply:
+class Apply(msgspec.Struct, frozen=True):
     """Apply committed entries to the state machine in order."""
 
     entries: tuple[Entry, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class TakeSnapshot:
+class TakeSnapshot(msgspec.Struct, frozen=True):
     """Take the state machine's state, which is as of this index."""
 
     index: int
 
 
-@dataclass(slots=True, frozen=True)
-class InstallSnapshot:
+class InstallSnapshot(msgspec.Struct, frozen=True):
     """Replace the state machine's state by this data as of this index."""
 
     index: int
     data: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class ProposalDone:
+class ProposalDone(msgspec.Struct, frozen=True):
     """End a proposal."""
 
     request_id: int
     outcome: ProposalOutcome
 
 
-@dataclass(slots=True, frozen=True)
-class BarrierDone:
+class BarrierDone(msgspec.Struct, frozen=True):
     """End a barrier: what was committed when it started is applied.
 
     Units: `started_at` is the replica's own clock, in seconds.
@@ -185,37 +164,32 @@
     started_at: Seconds
 
 
-@dataclass(slots=True, frozen=True)
-class BarrierFailed:
+class BarrierFailed(msgspec.Struct, frozen=True):
     """End a barrier that no quorum confirmed in time."""
 
     request_id: int
     leader: str | None
 
 
-@dataclass(slots=True, frozen=True)
-class LeaderChanged:
+class LeaderChanged(msgspec.Struct, frozen=True):
     """Tell who leads in a term; None while nobody is known to."""
 
     term: int
     leader: Voter | None
 
 
-@dataclass(slots=True, frozen=True)
-class VotersChanged:
+class VotersChanged(msgspec.Struct, frozen=True):
     """Tell that a voter set is committed."""
 
     index: int
     voters: VoterSet
 
 
-@dataclass(slots=True, frozen=True)
-class SelfRemoved:
+class SelfRemoved(msgspec.Struct, frozen=True):
     """Tell that this voter was replaced and takes no further part."""
 
 
-@dataclass(slots=True, frozen=True)
-class ForeignCluster:
+class ForeignCluster(msgspec.Struct, frozen=True):
     """Tell that a peer belongs to another cluster."""
 
     sender: str
--- a/packages/bendwind-core/src/bendwind_core/consensus/log.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/log.py
@@ -1,16 +1,15 @@
 """Hold a replica's log in memory: a snapshot and the entries around and after it."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from bendwind_core.consensus.records import EMPTY_SNAPSHOT, Entry, Snapshot
 
 
-@dataclass(slots=True)
-class Log:
+class Log(msgspec.Struct):
     """Hold consecutive entries; some at or before the snapshot may be kept for slow followers."""
 
     snapshot: Snapshot = EMPTY_SNAPSHOT
-    entries: list[Entry] = field(default_factory=list)
+    entries: list[Entry] = msgspec.field(default_factory=list)
     entry_bytes: int = 0
 
     @property
--- a/packages/bendwind-core/src/bendwind_core/core/toml_error.py
+++ b/packages/bendwind-core/src/bendwind_core/core/toml_error.py
@@ -1,7 +1,6 @@
 """Explain what is wrong with a TOML text by file, key and what was expected."""
 
 import re
-from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -16,8 +15,7 @@
 _UNKNOWN = re.compile(r"^Object contains unknown field `(?P<field>.*)`$")
 
 
-@dataclass(frozen=True, slots=True)
-class TomlError:
+class TomlError(msgspec.Struct, frozen=True):
     """Say which key of which file is wrong and what was expected; `key` empty means the file."""
 
     file: str
--- a/packages/bendwind-core/src/bendwind_core/limits/concurrency_share.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/concurrency_share.py
@@ -5,13 +5,13 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 RESERVED_SHARE = 0.5
 
 
-@dataclass(slots=True)
-class ConcurrencyShare:
+class ConcurrencyShare(msgspec.Struct):
     """Hold the calls in flight of each service of an entry node."""
 
     capacity: int
@@ -19,7 +19,7 @@
     common: int = 0
     total: int = 0
     common_used: int = 0
-    in_flight: dict[str, int] = field(default_factory=dict)
+    in_flight: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 def set_services(share: ConcurrencyShare, names: Iterable[str]) -> None:
--- a/packages/bendwind-core/src/bendwind_core/limits/fair_queue.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/fair_queue.py
@@ -5,19 +5,19 @@
 """
 
 import collections
-from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
+import msgspec
+
 Item = TypeVar("Item")
 
 
-@dataclass(slots=True)
-class FairQueue(Generic[Item]):
+class FairQueue(msgspec.Struct, Generic[Item]):
     """Hold at most `capacity` items in one line per source."""
 
     capacity: int
     size: int = 0
-    lines: collections.OrderedDict[str, collections.deque[Item]] = field(
+    lines: collections.OrderedDict[str, collections.deque[Item]] = msgspec.field(
         default_factory=collections.OrderedDict
     )
 
--- a/packages/bendwind-core/src/bendwind_core/limits/probe_budget.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/probe_budget.py
@@ -1,15 +1,15 @@
 """Bound what probes of upstreams' load may cost, in any second, whatever the traffic is."""
 
 import collections
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.core import Seconds
 
 _WINDOW: Seconds = 1.0
 
 
-@dataclass(slots=True)
-class ProbeBudget:
+class ProbeBudget(msgspec.Struct):
     """Hold the messages and bytes spent in the last second.
 
     The window is exact: a token bucket of this rate would let up to twice as much into a second.
@@ -18,7 +18,9 @@
 
     messages_per_s: int
     bytes_per_s: int
-    spent: collections.deque[tuple[Seconds, int, int]] = field(default_factory=collections.deque)
+    spent: collections.deque[tuple[Seconds, int, int]] = msgspec.field(
+        default_factory=collections.deque
+    )
     messages: int = 0
     bytes: int = 0
 
--- a/packages/bendwind-core/src/bendwind_core/limits/retry_budget.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/retry_budget.py
@@ -1,14 +1,13 @@
 """Bound how many retries and hedges a service's calls may add."""
 
-from dataclasses import dataclass
+import msgspec
 
 RETRY_TOKENS_CAP = 10.0
 # Ten times 0.1 is a little under 1 in floating point.
 _ONE_TOKEN = 1.0 - 1e-9
 
 
-@dataclass(slots=True)
-class RetryBudget:
+class RetryBudget(msgspec.Struct):
     """Hold the retries earned by first attempts and not yet spent.
 
     The budget starts empty, so that the attempts of a service never exceed its first attempts
--- a/packages/bendwind-core/src/bendwind_core/limits/urgency_queue.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/urgency_queue.py
@@ -2,21 +2,21 @@
 
 import bisect
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
+import msgspec
+
 from bendwind_core.core import Seconds
 
 Item = TypeVar("Item")
 
 
-@dataclass(slots=True)
-class UrgencyQueue(Generic[Item]):
+class UrgencyQueue(msgspec.Struct, Generic[Item]):
     """Hold at most `capacity` items; those due at the same time keep their order of arrival."""
 
     capacity: int
     next_number: int = 0
-    entries: list[tuple[Seconds, int, Item]] = field(default_factory=list)
+    entries: list[tuple[Seconds, int, Item]] = msgspec.field(default_factory=list)
 
     def __len__(self) -> int:
         return len(self.entries)
--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -1,8 +1,9 @@
 """Choose the voter that a node is attached to, and judge when to leave it."""
 
-import dataclasses
 import random
 
+import msgspec
+
 from bendwind_core.core import Seconds
 from bendwind_core.membership.digest import digest_text
 from bendwind_core.membership.messages import VoterPlace
@@ -14,16 +15,14 @@
 _JITTER = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SentBeat:
+class SentBeat(msgspec.Struct, frozen=True):
     """Hold when a heartbeat was sent and which Watch it stated."""
 
     at: Seconds
     watch: int
 
 
-@dataclasses.dataclass(slots=True)
-class Attachment:
+class Attachment(msgspec.Struct):
     """Hold the voter in use, the heartbeats it has not answered and when to leave it.
 
     Units: `next_beat`, `heard_at`, `good_at`, `behind_since` in seconds of the node's clock;
@@ -34,7 +33,7 @@
     index: int = 0
     next_beat: Seconds = 0.0
     sequence: int = 0
-    sent: dict[int, SentBeat] = dataclasses.field(default_factory=dict)
+    sent: dict[int, SentBeat] = msgspec.field(default_factory=dict)
     moved_at: Seconds = 0.0
     heard_at: Seconds = 0.0
     good_at: Seconds = 0.0
--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -1,6 +1,6 @@
 """Define what happens to a NodeView or a VoterRegistry, and what these want done."""
 
-import dataclasses
+import msgspec
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record, Seconds
@@ -8,42 +8,36 @@
 from bendwind_core.world import Configuration, Instance, Upstream
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(msgspec.Struct, frozen=True):
     """Let time pass."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MessageReceived:
+class MessageReceived(msgspec.Struct, frozen=True):
     """Deliver a message of a peer."""
 
     sender: str
     message: Record
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LinkLost:
+class LinkLost(msgspec.Struct, frozen=True):
     """Tell that the link to a peer broke."""
 
     peer: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceWatched:
+class ServiceWatched(msgspec.Struct, frozen=True):
     """Ask a node to watch a service from now on."""
 
     service: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamAnnounced:
+class UpstreamAnnounced(msgspec.Struct, frozen=True):
     """Register an upstream beside the node, or its new state; GONE takes it back."""
 
     upstream: Upstream
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerSeen:
+class PeerSeen(msgspec.Struct, frozen=True):
     """Report the version and the age of confirmation that another process stated.
 
     Units: `confirmed_age_ms` in milliseconds, None without a confirmation.
@@ -54,24 +48,21 @@
     confirmed_age_ms: Milliseconds | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationAccepted:
+class ConfigurationAccepted(msgspec.Struct, frozen=True):
     """Give a voter's registry the state that its control log has reached."""
 
     configuration: Configuration
     claim_groups: tuple[ClaimGroup, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DrainMarksAccepted:
+class DrainMarksAccepted(msgspec.Struct, frozen=True):
     """Give a voter's registry the drain marks that its control log holds."""
 
     instances: frozenset[str]
     upstreams: frozenset[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuorumConfirmed:
+class QuorumConfirmed(msgspec.Struct, frozen=True):
     """Tell that a barrier round which started at `started` has ended.
 
     Everything accepted before `started` was given by ConfigurationAccepted before this event.
@@ -80,78 +71,67 @@
     started: Seconds
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class VotersChanged:
+class VotersChanged(msgspec.Struct, frozen=True):
     """Tell a registry which voters there are now."""
 
     voters: tuple[VoterPlace, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendTo:
+class SendTo(msgspec.Struct, frozen=True):
     """Send a message to a peer; it may be lost."""
 
     to: str
     message: Record
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationApplied:
+class ConfigurationApplied(msgspec.Struct, frozen=True):
     """Tell that a node has put a version in force for all it watches."""
 
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamsChanged:
+class UpstreamsChanged(msgspec.Struct, frozen=True):
     """Tell that a node's set of upstreams of a service changed."""
 
     service: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimGroupsChanged:
+class ClaimGroupsChanged(msgspec.Struct, frozen=True):
     """Tell that a claim group of a service which a node watches changed."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InstancesLearned:
+class InstancesLearned(msgspec.Struct, frozen=True):
     """Tell a node where other instances are reached."""
 
     instances: tuple[Instance, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class VotersLearned:
+class VotersLearned(msgspec.Struct, frozen=True):
     """Tell a node which voters there are."""
 
     voters: tuple[VoterPlace, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttachmentChanged:
+class AttachmentChanged(msgspec.Struct, frozen=True):
     """Tell that a node moved to another voter, and why."""
 
     voter: str
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FreshnessChanged:
+class FreshnessChanged(msgspec.Struct, frozen=True):
     """Tell that a node's proof of freshness began or ended."""
 
     is_fresh: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberAppeared:
+class MemberAppeared(msgspec.Struct, frozen=True):
     """Tell that a voter counts a node as alive."""
 
     node: Instance
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberLost:
+class MemberLost(msgspec.Struct, frozen=True):
     """Tell that a voter no longer counts a node as alive."""
 
     node: Instance
--- a/packages/bendwind-core/src/bendwind_core/membership/holdings.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/holdings.py
@@ -1,6 +1,6 @@
 """Hold what a node knows of the services it watches."""
 
-import dataclasses
+import msgspec
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.membership.digest import digest_record
@@ -10,18 +10,17 @@
 UpstreamKey = tuple[str, str]
 
 
-@dataclasses.dataclass(slots=True)
-class Holdings:
+class Holdings(msgspec.Struct):
     """Hold services, claim groups and upstreams of watched services, and their digest.
 
     `upstreams` is keyed by service, then by (owner, upstream); `digest` covers upstreams and
     claim groups.
     """
 
-    watched: dict[str, None] = dataclasses.field(default_factory=dict)
-    services: dict[str, Service] = dataclasses.field(default_factory=dict)
-    claim_groups: dict[str, ClaimGroup] = dataclasses.field(default_factory=dict)
-    upstreams: dict[str, dict[UpstreamKey, Upstream]] = dataclasses.field(default_factory=dict)
+    watched: dict[str, None] = msgspec.field(default_factory=dict)
+    services: dict[str, Service] = msgspec.field(default_factory=dict)
+    claim_groups: dict[str, ClaimGroup] = msgspec.field(default_factory=dict)
+    upstreams: dict[str, dict[UpstreamKey, Upstream]] = msgspec.field(default_factory=dict)
     routing: Routing = EMPTY_ROUTING
     digest: int = 0
 
--- a/packages/bendwind-core/src/bendwind_core/membership/member.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/member.py
@@ -1,6 +1,6 @@
 """Merge what voters register of the nodes."""
 
-import dataclasses
+import msgspec
 
 from bendwind_core.core import Seconds
 from bendwind_core.membership.digest import digest_record, digest_text
@@ -9,8 +9,7 @@
 BUCKETS = 256
 
 
-@dataclasses.dataclass(slots=True)
-class Member:
+class Member(msgspec.Struct):
     """Hold a node's merged state, whether this voter counts it as alive, and its digest.
 
     Units: `changed_at` in seconds of the voter's clock.
--- a/packages/bendwind-core/src/bendwind_core/membership/settings.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/settings.py
@@ -1,6 +1,6 @@
 """Hold the durations that membership is tuned by."""
 
-import dataclasses
+import msgspec
 
 from bendwind_core.core import Seconds
 
@@ -8,8 +8,7 @@
 CLOCK_RATE_BOUND = 0.001
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseTimes:
+class LeaseTimes(msgspec.Struct, frozen=True):
     """Hold how often nodes renew and for how long a renewal counts.
 
     Units: seconds.
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -1,6 +1,6 @@
 """Hold what a voter registers of nodes, their upstreams and what they watch."""
 
-import dataclasses
+import msgspec
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Seconds
@@ -12,8 +12,7 @@
 from bendwind_core.world import EMPTY_CONFIGURATION, Configuration, Service, Upstream
 
 
-@dataclasses.dataclass(slots=True)
-class Client:
+class Client(msgspec.Struct):
     """Hold a node attached to this voter: its last heartbeat and what it watches.
 
     `is_suspect` says that the last heartbeat's digest differed from what was pushed.
@@ -29,8 +28,7 @@
     is_suspect: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class ServiceRow:
+class ServiceRow(msgspec.Struct):
     """Hold what the watchers of a service were pushed, and who they are.
 
     `digest` covers `upstreams` and `claim_group`; `dirty` names owners whose upstreams of the
@@ -40,14 +38,13 @@
     service: Service | None = None
     changed_at: int = 0
     claim_group: ClaimGroup | None = None
-    upstreams: dict[UpstreamKey, Upstream] = dataclasses.field(default_factory=dict)
-    watchers: dict[str, None] = dataclasses.field(default_factory=dict)
-    dirty: set[str] = dataclasses.field(default_factory=set)
+    upstreams: dict[UpstreamKey, Upstream] = msgspec.field(default_factory=dict)
+    watchers: dict[str, None] = msgspec.field(default_factory=dict)
+    dirty: set[str] = msgspec.field(default_factory=set)
     digest: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class VoterRegistry:
+class VoterRegistry(msgspec.Struct):
     """Hold a voter's soft state: all of it is rebuilt from nodes and other voters.
 
     `clients` is ordered by renewal. `held` lists the newest versions that this run held, so
@@ -62,23 +59,23 @@
     peers: dict[str, Seconds]
     ticked_at: Seconds
     lenient_until: Seconds
-    clients: dict[str, Client] = dataclasses.field(default_factory=dict)
-    members: dict[str, Member] = dataclasses.field(default_factory=dict)
-    buckets: list[int] = dataclasses.field(default_factory=lambda: [0] * BUCKETS)
-    services: dict[str, ServiceRow] = dataclasses.field(default_factory=dict)
+    clients: dict[str, Client] = msgspec.field(default_factory=dict)
+    members: dict[str, Member] = msgspec.field(default_factory=dict)
+    buckets: list[int] = msgspec.field(default_factory=lambda: [0] * BUCKETS)
+    services: dict[str, ServiceRow] = msgspec.field(default_factory=dict)
     configuration: Configuration = EMPTY_CONFIGURATION
     routing_changed_at: int = 0
     voters: tuple[VoterPlace, ...] = ()
-    uninformed: dict[str, None] = dataclasses.field(default_factory=dict)
-    held: dict[int, None] = dataclasses.field(default_factory=lambda: {0: None})
+    uninformed: dict[str, None] = msgspec.field(default_factory=dict)
+    held: dict[int, None] = msgspec.field(default_factory=lambda: {0: None})
     confirmed_from: Seconds | None = None
-    news: dict[str, None] = dataclasses.field(default_factory=dict)
-    dirty: dict[str, None] = dataclasses.field(default_factory=dict)
-    urgent: dict[str, None] = dataclasses.field(default_factory=dict)
-    outdated: dict[str, None] = dataclasses.field(default_factory=dict)
+    news: dict[str, None] = msgspec.field(default_factory=dict)
+    dirty: dict[str, None] = msgspec.field(default_factory=dict)
+    urgent: dict[str, None] = msgspec.field(default_factory=dict)
+    outdated: dict[str, None] = msgspec.field(default_factory=dict)
     draining_instances: frozenset[str] = frozenset()
     draining_upstreams: frozenset[str] = frozenset()
-    lost_voters: set[str] = dataclasses.field(default_factory=set)
+    lost_voters: set[str] = msgspec.field(default_factory=set)
     gossip_at: Seconds = 0.0
     digest_at: Seconds = 0.0
     forget_at: Seconds = 0.0
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -1,9 +1,10 @@
 """Hold what a node knows: its voter, what is in force and the proof that it is fresh."""
 
-import dataclasses
 import random
 from collections.abc import Mapping
 
+import msgspec
+
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.membership import holdings as held
@@ -13,16 +14,14 @@
 from bendwind_core.world import Instance, Routing, Service, Upstream
 
 
-@dataclasses.dataclass(slots=True)
-class Proof:
+class Proof(msgspec.Struct):
     """Hold a confirmation that waits for the configuration it confirmed."""
 
     version: int
     confirmed_at: Seconds
 
 
-@dataclasses.dataclass(slots=True)
-class NodeView:
+class NodeView(msgspec.Struct):
     """Hold what one run of a node knows of the configuration and of the upstreams.
 
     `version` is in force; `is_complete` says that it covers everything now watched.
@@ -43,8 +42,8 @@
     waiting_proof: Proof | None = None
     watch_sequence: int = 0
     announce_sequence: int = 0
-    announced: dict[str, Upstream] = dataclasses.field(default_factory=dict)
-    pending: set[str] = dataclasses.field(default_factory=set)
+    announced: dict[str, Upstream] = msgspec.field(default_factory=dict)
+    pending: set[str] = msgspec.field(default_factory=set)
     seen_version: int = 0
     was_fresh: bool = False
     seeds: tuple[VoterPlace, ...] = ()
--- a/packages/bendwind-core/src/bendwind_core/plans/plan_table.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/plan_table.py
@@ -1,7 +1,8 @@
 """Keep the open plans and a bounded number of past outcomes."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.plans.plan import Expired, Plan, PlanOutcome, WonBy
 from bendwind_core.plans.results import ForgottenPlan, UnknownPlan
@@ -13,8 +14,7 @@
 MAX_OUTCOMES = 6_200
 
 
-@dataclass(slots=True)
-class PlanTable:
+class PlanTable(msgspec.Struct):
     """Hold plans by the log index of their creation.
 
     `open` is in the order of creation, `decided` in the order of the outcomes: an outcome is
@@ -22,9 +22,9 @@
     the highest index whose outcome was dropped. Every voter must use the same bounds.
     """
 
-    open: dict[int, Plan] = field(default_factory=dict)
-    decided: dict[int, Plan] = field(default_factory=dict)
-    requests: dict[str, int] = field(default_factory=dict)
+    open: dict[int, Plan] = msgspec.field(default_factory=dict)
+    decided: dict[int, Plan] = msgspec.field(default_factory=dict)
+    requests: dict[str, int] = msgspec.field(default_factory=dict)
     forgotten: int = 0
 
     def find(self, index: int) -> Plan | None:
--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -2,7 +2,8 @@
 
 import enum
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+import msgspec
 
 from bendwind_core.plans.commands import PutRevision
 from bendwind_core.world import Route
@@ -23,8 +24,7 @@
     NO_ATTEMPTS = "no-attempts"
 
 
-@dataclass(frozen=True, slots=True)
-class RevisionFault:
+class RevisionFault(msgspec.Struct, frozen=True):
     """Say what is wrong, and with which service or route."""
 
     kind: RevisionFaultKind
--- a/packages/bendwind-core/src/bendwind_core/plans/rule_effects.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/rule_effects.py
@@ -6,7 +6,8 @@
 
 import itertools
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+import msgspec
 
 from bendwind_core.world import Repeat, Rule, Service, find_rule
 
@@ -16,8 +17,7 @@
 _SAMPLE_TEXT = "x"
 
 
-@dataclass(frozen=True, slots=True)
-class RuleEffect:
+class RuleEffect(msgspec.Struct, frozen=True):
     """Say how requests of a method and path are treated before and after."""
 
     method: str
@@ -37,8 +37,7 @@
     return f"{'|'.join(sorted(rule.methods)) or 'any'} {rule.path}"
 
 
-@dataclass(frozen=True, slots=True)
-class _Sample:
+class _Sample(msgspec.Struct, frozen=True):
     """Hold a path, what to show in its place, and the patterns that it was made from."""
 
     path: str
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -1,7 +1,5 @@
 """Apply the control log's commands to the configuration, plans and drain marks."""
 
-from dataclasses import dataclass, field
-
 import msgspec
 
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup, apply_group_change
@@ -53,8 +51,7 @@
 _DECODER = msgspec.msgpack.Decoder(_Snapshot)
 
 
-@dataclass(slots=True)
-class ControlState:
+class ControlState(msgspec.Struct):
     """Hold what the control log decides; equal logs give equal states on every voter.
 
     The version of a configuration is the log index of its confirmation. Nothing here reads a
@@ -64,10 +61,10 @@
     applied: int = 0
     configuration: Configuration = EMPTY_CONFIGURATION
     configuration_plan: str = ""
-    plans: PlanTable = field(default_factory=PlanTable)
-    claim_groups: dict[str, ClaimGroup] = field(default_factory=dict)
-    draining_instances: dict[str, None] = field(default_factory=dict)
-    draining_upstreams: dict[str, None] = field(default_factory=dict)
+    plans: PlanTable = msgspec.field(default_factory=PlanTable)
+    claim_groups: dict[str, ClaimGroup] = msgspec.field(default_factory=dict)
+    draining_instances: dict[str, None] = msgspec.field(default_factory=dict)
+    draining_upstreams: dict[str, None] = msgspec.field(default_factory=dict)
     document: bytes = b""
 
     def apply(self, index: int, command: bytes) -> CommandResult | None:
--- a/packages/bendwind-core/src/bendwind_core/plans/warning.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/warning.py
@@ -2,7 +2,6 @@
 
 import enum
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
 
 import msgspec
 
@@ -37,8 +36,7 @@
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class Affected:
+class Affected(msgspec.Struct, frozen=True):
     """Name what a plan reaches: services, their announced upstreams and the instances of those."""
 
     services: tuple[str, ...]
--- a/packages/bendwind-core/src/bendwind_core/routing/route_table.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/route_table.py
@@ -1,7 +1,8 @@
 """Find the route of a request and the part of its split that takes it."""
 
 import random
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.world import EMPTY_ROUTING, Route, Routing
 
@@ -10,16 +11,15 @@
 _GOLDEN_STEP = 0.6180339887498949
 
 
-@dataclass(slots=True)
-class RouteTable:
+class RouteTable(msgspec.Struct):
     """Hold the routes in force by host and path prefix, and where each split stands.
 
     `shares` is kept by route name, so that a change of other routes moves no split back.
     """
 
     routing: Routing = EMPTY_ROUTING
-    by_host: dict[str, dict[str, Route]] = field(default_factory=dict)
-    shares: dict[str, float] = field(default_factory=dict)
+    by_host: dict[str, dict[str, Route]] = msgspec.field(default_factory=dict)
+    shares: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 def set_routing(table: RouteTable, routing: Routing) -> None:
--- a/packages/bendwind-core/src/bendwind_core/routing/table.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/table.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.attempts.messages import AttemptId, NotRunReason
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
@@ -19,8 +20,7 @@
 _FAILED_STATUS = 500
 
 
-@dataclass(slots=True)
-class UpstreamView:
+class UpstreamView(msgspec.Struct):
     """Hold what is known of one upstream.
 
     `outstanding` holds when each attempt was sent, oldest first. `reported_others` is the
@@ -29,7 +29,7 @@
 
     upstream: Upstream
     seen_at: Seconds
-    outstanding: dict[AttemptId, Seconds] = field(default_factory=dict)
+    outstanding: dict[AttemptId, Seconds] = msgspec.field(default_factory=dict)
     latency_ms: Milliseconds = 0.0
     error_rate: float = 0.0
     reported_others: float = 0.0
@@ -41,12 +41,11 @@
     is_draining: bool = False
 
 
-@dataclass(slots=True)
-class UpstreamTable:
+class UpstreamTable(msgspec.Struct):
     """Hold the upstreams of one service in a fixed order."""
 
     service: str
-    views: dict[str, UpstreamView] = field(default_factory=dict)
+    views: dict[str, UpstreamView] = msgspec.field(default_factory=dict)
     next_turn: int = 0
     usual_ms: Milliseconds = 0.0
     usual_at: Seconds = float("-inf")
--- a/packages/bendwind-node/src/bendwind_node/calls/assembly.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/assembly.py
@@ -1,7 +1,6 @@
 """Put together the hand-overs whose bodies come in parts."""
 
-from dataclasses import dataclass, field
-
+import msgspec
 from expression import Error, Ok, Result
 from msgspec.structs import replace
 
@@ -11,8 +10,7 @@
 MAX_ASSEMBLING = 256
 
 
-@dataclass(slots=True, eq=False)
-class Assembly:
+class Assembly(msgspec.Struct, eq=False):
     """Hold a hand-over whose body is still coming."""
 
     hand_over: HandOver
@@ -20,8 +18,7 @@
     inflow: Inflow
 
 
-@dataclass(slots=True, eq=False)
-class AssemblyTable:
+class AssemblyTable(msgspec.Struct, eq=False):
     """Hold the incomplete hand-overs of one owner node, within a number and a byte budget.
 
     None of them has started, so each may be refused or dropped as not run.
@@ -29,7 +26,7 @@
 
     body_limit: int
     budget: ByteBudget
-    open: dict[AttemptId, Assembly] = field(default_factory=dict)
+    open: dict[AttemptId, Assembly] = msgspec.field(default_factory=dict)
 
     def start(self, hand_over: HandOver, epoch: int) -> Result[None, NotRunReason]:
         """Begin with the first part, which came with the hand-over."""
--- a/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
@@ -1,15 +1,13 @@
 """Bound the bodies that travel in parts: credit for the sender, order for the receiver."""
 
-from dataclasses import dataclass, field
-
+import msgspec
 import trio
 
 PART_BYTES = 64 * 1024
 WINDOW_BYTES = 256 * 1024
 
 
-@dataclass(slots=True)
-class ByteBudget:
+class ByteBudget(msgspec.Struct):
     """Bound the bytes of bodies that a process holds at a time."""
 
     limit: int
@@ -27,14 +25,13 @@
         self.used -= size
 
 
-@dataclass(slots=True, eq=False)
-class Outflow:
+class Outflow(msgspec.Struct, eq=False):
     """Hold the credit of a body this process sends; a lost receiver takes any amount."""
 
     credit: int = WINDOW_BYTES
     next_index: int = 1
     is_lost: bool = False
-    changed: trio.Event = field(default_factory=trio.Event)
+    changed: trio.Event = msgspec.field(default_factory=trio.Event)
 
     def add_credit(self, credit: int) -> None:
         """Let the sender go on."""
@@ -60,13 +57,12 @@
         return index
 
 
-@dataclass(slots=True, eq=False)
-class Inflow:
+class Inflow(msgspec.Struct, eq=False):
     """Gather the parts of a body until it is complete."""
 
     limit: int
     budget: ByteBudget
-    parts: list[bytes] = field(default_factory=list)
+    parts: list[bytes] = msgspec.field(default_factory=list)
     size: int = 0
     next_index: int = 0
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -1,8 +1,8 @@
 """Take in one request: its service, rule, deadline, key and body, each within its limits."""
 
 import math
-from dataclasses import dataclass
 
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -39,8 +39,7 @@
 _NO_ROUTE = Refusal(404, outcomes.REFUSED, "no-route")
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """Name the service that takes a request and the rule that the request comes under."""
 
     service: Service
--- a/packages/bendwind-node/src/bendwind_node/calls/call_run.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_run.py
@@ -2,8 +2,8 @@
 
 import collections
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 
 from bendwind_core.attempts import AnswerHead, AttemptId, BodyPart, CutReason
@@ -19,8 +19,7 @@
 from bendwind_node.calls.body_flow import Outflow
 
 
-@dataclass(slots=True, eq=False)
-class CallRun:
+class CallRun(msgspec.Struct, eq=False):
     """Hold one call; `apply` decides on an event and carries out what needs no waiting."""
 
     call: EntryCall
@@ -31,16 +30,16 @@
     body: bytes
     key: str = ""
     fingerprint: bytes = b""
-    heads: dict[AttemptId, AnswerHead] = field(default_factory=dict)
-    incoming: dict[tuple[AttemptId, int], BodyPart] = field(default_factory=dict)
-    todo: collections.deque[EntryEffect] = field(default_factory=collections.deque)
-    timers: dict[TimerKind, Seconds] = field(default_factory=dict)
-    events: collections.deque[EntryEvent] = field(default_factory=collections.deque)
-    outflows: dict[AttemptId, Outflow] = field(default_factory=dict)
-    kept_parts: list[bytes] = field(default_factory=list)
+    heads: dict[AttemptId, AnswerHead] = msgspec.field(default_factory=dict)
+    incoming: dict[tuple[AttemptId, int], BodyPart] = msgspec.field(default_factory=dict)
+    todo: collections.deque[EntryEffect] = msgspec.field(default_factory=collections.deque)
+    timers: dict[TimerKind, Seconds] = msgspec.field(default_factory=dict)
+    events: collections.deque[EntryEvent] = msgspec.field(default_factory=collections.deque)
+    outflows: dict[AttemptId, Outflow] = msgspec.field(default_factory=dict)
+    kept_parts: list[bytes] = msgspec.field(default_factory=list)
     replay: ClaimAnswer | CutReason | None = None
     is_stepping: bool = False
-    wake: trio.Event = field(default_factory=trio.Event)
+    wake: trio.Event = msgspec.field(default_factory=trio.Event)
 
     def feed(self, event: EntryEvent) -> None:
         """Apply an event; one that comes while another is applied waits its turn."""
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
@@ -1,13 +1,13 @@
 """Define the seam between the callers' HTTP and the entry node."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from bendwind_core.attempts import Header
 
 
-@dataclass(slots=True)
-class CallerRequest:
+class CallerRequest(msgspec.Struct):
     """Hold the head of a caller's request; header names are in lower case.
 
     `may_have_body` is false only if the head rules a body out, so that there is none to wait for.
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -1,11 +1,11 @@
 """Serve callers over HTTP/1.1 with h11 on trio streams, for the least time added to a call."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from functools import partial
 from urllib.parse import urlsplit
 
 import h11
+import msgspec
 import trio
 
 from bendwind_core.attempts import Header
@@ -140,8 +140,7 @@
     """Tell that a caller began a head and did not end it in time."""
 
 
-@dataclass(slots=True, eq=False)
-class H11Server:
+class H11Server(msgspec.Struct, eq=False):
     """Own the callers' connections of a process.
 
     `keep_alive` bounds the rest between two requests, `header_timeout` the time from the first byte
@@ -155,7 +154,7 @@
     header_timeout: Seconds = HEADER_TIMEOUT
     is_draining: bool = False
     connections: int = 0
-    idle: set[trio.CancelScope] = field(default_factory=set)
+    idle: set[trio.CancelScope] = msgspec.field(default_factory=set)
 
     async def run(self, listeners: list[trio.SocketListener], shutdown: trio.Event) -> None:
         """Accept until shut down; return when what is in flight has been answered."""
--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -1,8 +1,8 @@
 """Carry one dispatched attempt to its upstream and its answer back to the entry node."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
+import msgspec
 import trio
 from expression import Result
 
@@ -94,8 +94,7 @@
     return length is not None and int(length) <= PART_BYTES
 
 
-@dataclass(slots=True, eq=False)
-class UpstreamDispatch:
+class UpstreamDispatch(msgspec.Struct, eq=False):
     """Send one attempt's request to its upstream and relay the answer to its entry node.
 
     Units: `upstream_ms` is the time to the answer's head, in milliseconds.
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass, field
 
+import msgspec
 import trio
 
 from bendwind_core.attempts import (
@@ -59,8 +60,7 @@
 WATCHED_AHEAD = 32
 
 
-@dataclass(slots=True, eq=False)
-class LocalLink:
+class LocalLink(msgspec.Struct, eq=False):
     """Stand for the link between the entry node and the owner node of one process."""
 
     peer: Instance
@@ -73,8 +73,7 @@
         return True
 
 
-@dataclass(slots=True, eq=False)
-class ServiceDesk:
+class ServiceDesk(msgspec.Struct, eq=False):
     """Hold what the entry node keeps for one service."""
 
     table: UpstreamTable
--- a/packages/bendwind-node/src/bendwind_node/calls/refusal.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/refusal.py
@@ -1,6 +1,6 @@
 """Describe why a request ends before any attempt is made."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_core.attempts import NotRunReason
 from bendwind_core.core import Milliseconds
@@ -10,8 +10,7 @@
 _STALE_RETRY_MS: Milliseconds = 1000.0
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """Hold the answer to a request that nothing was done for."""
 
     status: int
--- a/packages/bendwind-node/src/bendwind_node/calls/reply_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/reply_path.py
@@ -1,8 +1,9 @@
 """Send an owner's replies back over the link that the attempt came in on."""
 
-from dataclasses import dataclass, field
 from typing import Protocol
 
+import msgspec
+
 from bendwind_core.attempts import AttemptId
 from bendwind_core.messages import PeerMessage
 from bendwind_core.world import Instance
@@ -18,11 +19,10 @@
         """Queue a message and tell whether the link took it."""
 
 
-@dataclass(slots=True)
-class ReplyPath:
+class ReplyPath(msgspec.Struct):
     """Hold the newest link of each entry node."""
 
-    links: dict[str, ReplyLink] = field(default_factory=dict)
+    links: dict[str, ReplyLink] = msgspec.field(default_factory=dict)
 
     def open(self, link: ReplyLink) -> None:
         """Use this link for the replies to its peer."""
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -1,8 +1,7 @@
 """Send requests to an upstream over HTTP/1.1 with h11 on trio streams."""
 
-from dataclasses import dataclass, field
-
 import h11
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -23,8 +22,7 @@
 _CUT = AnswerCut(CutReason.UPSTREAM_RESET)
 
 
-@dataclass(slots=True, eq=False)
-class UpstreamConnection:
+class UpstreamConnection(msgspec.Struct, eq=False):
     """Hold one connection to the upstream."""
 
     stream: PromptStream
@@ -83,14 +81,13 @@
 _END: Result[bytes, AnswerCut] = Ok(b"")
 
 
-@dataclass(slots=True, eq=False)
-class UpstreamPool:
+class UpstreamPool(msgspec.Struct, eq=False):
     """Own the connections to one upstream; the newest idle one is used first."""
 
     host: str
     port: int
     connections: int
-    idle: list[UpstreamConnection] = field(default_factory=list)
+    idle: list[UpstreamConnection] = msgspec.field(default_factory=list)
     is_closed: bool = False
 
     async def start(
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_request.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_request.py
@@ -1,12 +1,11 @@
 """Describe a request to an upstream and how it can fail."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_core.attempts import CutReason, Header, NotRunReason
 
 
-@dataclass(slots=True)
-class UpstreamRequest:
+class UpstreamRequest(msgspec.Struct):
     """Hold one request whose body is complete; a marked one must not be repeated."""
 
     method: bytes
@@ -16,15 +15,13 @@
     is_marked: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class RequestNotSent:
+class RequestNotSent(msgspec.Struct, frozen=True):
     """Tell that no byte of the request went to the upstream."""
 
     reason: NotRunReason
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerCut:
+class AnswerCut(msgspec.Struct, frozen=True):
     """Tell that the request was sent, at least in part, and its answer did not come whole."""
 
     reason: CutReason
--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -4,8 +4,8 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
 
+import msgspec
 import trio
 
 from bendwind_core.claims import (
@@ -32,8 +32,7 @@
 _LOG = logging.getLogger("bendwind")
 
 
-@dataclass(slots=True, frozen=True)
-class PlacementView:
+class PlacementView(msgspec.Struct, frozen=True):
     """Hold what the leader knows: services, groups, living nodes and each service's own nodes.
 
     `heard` gives the newest incarnation of every node this voter has heard of since it started or
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -2,8 +2,8 @@
 
 import collections
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 
 from bendwind_core.claims import (
@@ -70,16 +70,14 @@
 _TO_HOLDER = (ClaimRequest, ClaimOutcome, ClaimRelease, ClaimAppend, ClaimAppended)
 
 
-@dataclass(slots=True, frozen=True)
-class PeerClaimMessage:
+class PeerClaimMessage(msgspec.Struct, frozen=True):
     """Carry a claim message and the name of the node that sent it."""
 
     sender: str
     message: ClaimMessage
 
 
-@dataclass(slots=True, frozen=True)
-class LeaseProven:
+class LeaseProven(msgspec.Struct, frozen=True):
     """Carry the time, on this node's clock, until which its configuration is proven fresh."""
 
     until: Seconds
@@ -88,9 +86,8 @@
 ClaimInput = PeerClaimMessage | LeaseProven
 
 
-@dataclass(slots=True)
-class _Waiting:
-    decided: trio.Event = field(default_factory=trio.Event)
+class _Waiting(msgspec.Struct):
+    decided: trio.Event = msgspec.field(default_factory=trio.Event)
     decision: ClaimDecision | None = None
 
 
--- a/packages/bendwind-node/src/bendwind_node/control/control_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/control_voter.py
@@ -3,8 +3,8 @@
 import contextlib
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 from expression import Error, Result
 
@@ -36,16 +36,14 @@
 )
 
 
-@dataclass(slots=True)
-class Waiter:
+class Waiter(msgspec.Struct):
     """Hold one caller that waits for an outcome."""
 
-    done: trio.Event = field(default_factory=trio.Event)
+    done: trio.Event = msgspec.field(default_factory=trio.Event)
     result: Result | None = None
 
 
-@dataclass(slots=True)
-class ControlVoter:
+class ControlVoter(msgspec.Struct):
     """Own the replica, its store and its state machine; use one from one trio loop only."""
 
     replica: Replica
@@ -56,12 +54,12 @@
     rng: random.Random
     inbox: trio.MemorySendChannel[ReplicaEvent]
     events: trio.MemoryReceiveChannel[ReplicaEvent]
-    waiters: dict[int, Waiter] = field(default_factory=dict)
+    waiters: dict[int, Waiter] = msgspec.field(default_factory=dict)
     last_request: int = 0
-    unwritten: list[Persist | SaveSnapshot] = field(default_factory=list)
-    has_writes: trio.Event = field(default_factory=trio.Event)
-    has_applied: trio.Event = field(default_factory=trio.Event)
-    applied_values: dict[int, object] = field(default_factory=dict)
+    unwritten: list[Persist | SaveSnapshot] = msgspec.field(default_factory=list)
+    has_writes: trio.Event = msgspec.field(default_factory=trio.Event)
+    has_applied: trio.Event = msgspec.field(default_factory=trio.Event)
+    applied_values: dict[int, object] = msgspec.field(default_factory=dict)
     applied: int = 0
     dropped: int = 0
     stopped: str | None = None
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -2,9 +2,9 @@
 
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -37,8 +37,7 @@
 SETTLING_LEASES = 3.0
 
 
-@dataclass(slots=True, eq=False)
-class LogClient:
+class LogClient(msgspec.Struct, eq=False):
     """Propose to the log and read its state, as the operators' API and the registry ask.
 
     `listed` are the voters that the settings name.
@@ -129,8 +128,7 @@
     return VoterPlace(voter.name, voter.data_centre, voter.host, voter.port)
 
 
-@dataclass(slots=True, eq=False)
-class ControlService:
+class ControlService(msgspec.Struct, eq=False):
     """Own the tasks of a control voter."""
 
     voter: ControlVoter
@@ -139,7 +137,7 @@
     placer: ClaimPlacer
     led_since: Seconds | None = None
     settled_at: Seconds | None = None
-    heard: dict[str, int] = field(default_factory=dict)
+    heard: dict[str, int] = msgspec.field(default_factory=dict)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; a voter whose disk fails stops alone, the rest goes on."""
--- a/packages/bendwind-node/src/bendwind_node/control/voter_outcomes.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter_outcomes.py
@@ -1,8 +1,9 @@
 """Define the state machine above the log, and what callers of a voter get back."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from bendwind_core.consensus import (
     Lost,
     NotLeader,
@@ -25,16 +26,14 @@
         """Replace the whole state."""
 
 
-@dataclass(slots=True, frozen=True)
-class Applied:
+class Applied(msgspec.Struct, frozen=True):
     """Hold the index of a committed command and what the state machine returned for it."""
 
     index: int
     value: object
 
 
-@dataclass(slots=True, frozen=True)
-class Confirmed:
+class Confirmed(msgspec.Struct, frozen=True):
     """Hold an index that holds all that was committed when the quorum round started.
 
     Units: `started_at` is trio's clock, in seconds.
@@ -44,15 +43,13 @@
     started_at: Seconds
 
 
-@dataclass(slots=True, frozen=True)
-class Unconfirmed:
+class Unconfirmed(msgspec.Struct, frozen=True):
     """Tell that no quorum answered in time, and who leads as far as is known."""
 
     leader: str | None
 
 
-@dataclass(slots=True, frozen=True)
-class VoterStopped:
+class VoterStopped(msgspec.Struct, frozen=True):
     """Tell that the voter takes no further part, and why."""
 
     reason: str
@@ -62,8 +59,7 @@
 BarrierError = Unconfirmed | VoterStopped
 
 
-@dataclass(slots=True, frozen=True)
-class VoterStatus:
+class VoterStatus(msgspec.Struct, frozen=True):
     """Describe a voter for operators."""
 
     name: str
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -3,8 +3,8 @@
 import contextlib
 import typing
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 
 from bendwind_core import claims as claim
@@ -48,8 +48,7 @@
 _TO_PLACER = (claim.ClaimCopied, claim.ClaimLeave)
 
 
-@dataclass(slots=True, eq=False)
-class Dispatcher:
+class Dispatcher(msgspec.Struct, eq=False):
     """Hear of every link and message of the process; implements `links.Receiver`."""
 
     own_name: str
@@ -60,7 +59,7 @@
     membership: MembershipTask | None = None
     claims: ClaimTask | None = None
     control: ControlService | None = None
-    handlers: dict[type, Callable[[Link, PeerMessage], None]] = field(default_factory=dict)
+    handlers: dict[type, Callable[[Link, PeerMessage], None]] = msgspec.field(default_factory=dict)
 
     def send(self, to: str, message: PeerMessage) -> bool:
         """Send a message to a peer or to this process itself; it may be lost."""
@@ -149,8 +148,7 @@
             self.control.voter.deliver(link.peer.name, message)
 
 
-@dataclass(frozen=True, slots=True)
-class _OwnPeer:
+class _OwnPeer(msgspec.Struct, frozen=True):
     name: str
 
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/extension.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/extension.py
@@ -1,9 +1,9 @@
 """Describe what a deployment adds to a process: its headers, its servers, its settings file."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
 import trio
 from expression import Result
 
@@ -16,8 +16,7 @@
 Serve = Callable[[Daemon, trio.Nursery], Awaitable[Result[None, str]]]
 
 
-@dataclass(frozen=True, slots=True)
-class Extension:
+class Extension(msgspec.Struct, frozen=True):
     """Hold what `run_daemon` needs beside the settings.
 
     `serve` opens further servers before the process counts as started. With `settings_file` the
--- a/packages/bendwind-node/src/bendwind_node/daemon/listeners.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/listeners.py
@@ -1,23 +1,21 @@
 """Open every listening socket before any task starts, so that a taken port stops the start."""
 
-from dataclasses import dataclass, field
-
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
 from bendwind_node.settings import Settings
 
 
-@dataclass(slots=True)
-class Listeners:
+class Listeners(msgspec.Struct):
     """Hold the open listening sockets of one process; `extra` are those of an extension."""
 
     peers: list[trio.SocketListener]
-    callers: list[trio.SocketListener] = field(default_factory=list)
-    upstreams: list[trio.SocketListener] = field(default_factory=list)
-    operators: list[trio.SocketListener] = field(default_factory=list)
-    readiness: list[trio.SocketListener] = field(default_factory=list)
-    extra: dict[str, list[trio.SocketListener]] = field(default_factory=dict)
+    callers: list[trio.SocketListener] = msgspec.field(default_factory=list)
+    upstreams: list[trio.SocketListener] = msgspec.field(default_factory=list)
+    operators: list[trio.SocketListener] = msgspec.field(default_factory=list)
+    readiness: list[trio.SocketListener] = msgspec.field(default_factory=list)
+    extra: dict[str, list[trio.SocketListener]] = msgspec.field(default_factory=dict)
 
 
 def find_port(listeners: list[trio.SocketListener]) -> int:
--- a/packages/bendwind-node/src/bendwind_node/daemon/state.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/state.py
@@ -1,7 +1,6 @@
 """Hold the tasks of one process and the events that end it."""
 
-from dataclasses import dataclass, field
-
+import msgspec
 import trio
 
 from bendwind_core.timeline import Recorder
@@ -12,8 +11,7 @@
 from bendwind_node.settings import Settings
 
 
-@dataclass(slots=True, eq=False)
-class Daemon:
+class Daemon(msgspec.Struct, eq=False):
     """Hold the tasks of one process; `keys` is None where its links are not encrypted."""
 
     settings: Settings
@@ -22,5 +20,5 @@
     dispatcher: Dispatcher
     keys: Keys | None
     body_budget: ByteBudget
-    stopping: trio.Event = field(default_factory=trio.Event)
-    callers_done: trio.Event = field(default_factory=trio.Event)
+    stopping: trio.Event = msgspec.field(default_factory=trio.Event)
+    callers_done: trio.Event = msgspec.field(default_factory=trio.Event)
--- a/packages/bendwind-node/src/bendwind_node/http/asgi_server.py
+++ b/packages/bendwind-node/src/bendwind_node/http/asgi_server.py
@@ -2,8 +2,8 @@
 
 import ssl
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 
 from bendwind_core.core import Seconds
@@ -13,14 +13,13 @@
 GRACEFUL_TIMEOUT: Seconds = 60.0
 
 
-@dataclass(slots=True, eq=False)
-class AsgiServer:
+class AsgiServer(msgspec.Struct, eq=False):
     """Say what to serve on: a listening socket's file number, which the server owns from now on."""
 
     file_number: int
     keep_alive: Seconds
     header_bytes: int
-    shutdown: trio.Event = field(default_factory=trio.Event)
+    shutdown: trio.Event = msgspec.field(default_factory=trio.Event)
     tls: ssl.SSLContext | None = None
 
 
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -3,8 +3,8 @@
 import contextlib
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 from expression import Result
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
@@ -43,16 +43,14 @@
 MAX_UNSENT = 256
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
+class Address(msgspec.Struct, frozen=True):
     """Say where a peer listens."""
 
     host: str
     port: int
 
 
-@dataclass(slots=True, eq=False)
-class LinkHub:
+class LinkHub(msgspec.Struct, eq=False):
     """Own every link of this process, at most one dialed and one accepted for each peer."""
 
     own: Instance
@@ -64,11 +62,11 @@
     find_registered: Callable[[str], int] = lambda name: 0
     nursery: trio.Nursery | None = None
     next_epoch: int = 1
-    addresses: dict[str, Address] = field(default_factory=dict)
-    dialed: dict[str, Link] = field(default_factory=dict)
-    accepted: dict[str, Link] = field(default_factory=dict)
-    dialing: dict[str, list[PeerMessage]] = field(default_factory=dict)
-    unreached: set[str] = field(default_factory=set)
+    addresses: dict[str, Address] = msgspec.field(default_factory=dict)
+    dialed: dict[str, Link] = msgspec.field(default_factory=dict)
+    accepted: dict[str, Link] = msgspec.field(default_factory=dict)
+    dialing: dict[str, list[PeerMessage]] = msgspec.field(default_factory=dict)
+    unreached: set[str] = msgspec.field(default_factory=set)
 
     def learn_address(self, peer: str, host: str, port: int) -> None:
         """Remember where a peer is to be dialed."""
--- a/packages/bendwind-node/src/bendwind_node/links/link.py
+++ b/packages/bendwind-node/src/bendwind_node/links/link.py
@@ -1,9 +1,9 @@
 """Describe one open link and who hears of its messages."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
 import trio
 
 from bendwind_core.core import Seconds
@@ -13,8 +13,7 @@
 OUTBOX_MESSAGES = 2048
 
 
-@dataclass(slots=True, eq=False)
-class Link:
+class Link(msgspec.Struct, eq=False):
     """Hold one open link; the dialer's epoch orders the links of a pair of processes.
 
     Units: `owes_since` is when something was first sent that nothing has been heard after, in
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -1,7 +1,8 @@
 """List every metric with its kind, unit, labels and meaning."""
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 
 class MetricKind(enum.StrEnum):
@@ -11,8 +12,7 @@
     GAUGE = "gauge"
 
 
-@dataclass(frozen=True, slots=True)
-class _Definition:
+class _Definition(msgspec.Struct, frozen=True):
     name: str
     kind: MetricKind
     unit: str
--- a/packages/bendwind-node/src/bendwind_node/metrics/sample.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/sample.py
@@ -1,12 +1,11 @@
 """Hold one value of a metric."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_node.metrics.catalogue import Metric
 
 
-@dataclass(frozen=True, slots=True)
-class Sample:
+class Sample(msgspec.Struct, frozen=True):
     """Hold a metric's value; `labels` are the values of its labels, in their order."""
 
     metric: Metric
--- a/packages/bendwind-node/src/bendwind_node/metrics/scrape.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/scrape.py
@@ -1,22 +1,21 @@
 """Render metrics with aioprometheus when they are asked for."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from bendwind_node.metrics.catalogue import MetricKind
 from bendwind_node.metrics.sample import Sample
 
 
-@dataclass(frozen=True, slots=True)
-class Rendered:
+class Rendered(msgspec.Struct, frozen=True):
     """Hold a body and its content type."""
 
     body: bytes
     content_type: str
 
 
-@dataclass(slots=True)
-class Metrics:
+class Metrics(msgspec.Struct):
     """Read the process's state at each scrape; calls pay nothing in between."""
 
     read: Callable[[], Iterable[Sample]]
--- a/packages/bendwind-node/src/bendwind_node/operators/authority.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/authority.py
@@ -3,14 +3,14 @@
 import hashlib
 import hmac
 import ipaddress
-from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
 _SCHEME = "bearer "
 
 
-@dataclass(slots=True)
-class OperatorAuthority:
+class OperatorAuthority(msgspec.Struct):
     """Hold the file whose lines are the tokens operators may present; None asks for none."""
 
     token_file: Path | None = None
--- a/packages/bendwind-node/src/bendwind_node/operators/claim_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/claim_routes.py
@@ -1,7 +1,6 @@
 """Answer the requests that accept the loss of a service's claims."""
 
 import random
-from dataclasses import dataclass
 
 import msgspec
 
@@ -16,8 +15,7 @@
 from bendwind_node.operators.views import GroupView
 
 
-@dataclass(slots=True)
-class ClaimRoutes:
+class ClaimRoutes(msgspec.Struct):
     """Answer requests about claims on a control voter."""
 
     control: ControlClient
--- a/packages/bendwind-node/src/bendwind_node/operators/control_client.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/control_client.py
@@ -1,7 +1,6 @@
 """Describe what the operators' API needs of the control log."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -11,23 +10,20 @@
 from bendwind_core.plans import CommandResult, ControlState
 
 
-@dataclass(frozen=True, slots=True)
-class NotLeader:
+class NotLeader(msgspec.Struct, frozen=True):
     """Tell that nothing was proposed, since another voter leads; None where not known."""
 
     leader: str | None = None
     leader_url: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class NoQuorum:
+class NoQuorum(msgspec.Struct, frozen=True):
     """Tell that nothing was or will be accepted, since no quorum was reached."""
 
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class OutcomeUnknown:
+class OutcomeUnknown(msgspec.Struct, frozen=True):
     """Tell that the command entered the log and may yet be accepted."""
 
     detail: str = ""
--- a/packages/bendwind-node/src/bendwind_node/operators/http.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/http.py
@@ -2,7 +2,6 @@
 
 import urllib.parse
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -16,8 +15,7 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """Hold one request with its whole body; header names are in lower case."""
 
     method: str
@@ -27,14 +25,13 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Response:
+class Response(msgspec.Struct, frozen=True):
     """Hold one whole response."""
 
     status: int
     body: bytes
     content_type: str = JSON
-    headers: tuple[tuple[bytes, bytes], ...] = field(default=())
+    headers: tuple[tuple[bytes, bytes], ...] = msgspec.field(default=())
 
 
 class BodyTooLarge(msgspec.Struct, frozen=True):
--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -3,7 +3,6 @@
 import hashlib
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 from expression import Error, Ok, Result
@@ -58,8 +57,7 @@
 _MILLISECONDS = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class PlanRequest:
+class PlanRequest(msgspec.Struct, frozen=True):
     """Hold a checked request for a plan; `base_version` None takes the version in force."""
 
     intent: Intent
@@ -68,8 +66,7 @@
     base_version: int | None
 
 
-@dataclass(slots=True)
-class PlanRoutes:
+class PlanRoutes(msgspec.Struct):
     """Answer requests about plans on a control voter."""
 
     control: ControlClient
--- a/packages/bendwind-node/src/bendwind_node/operators/revision_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/revision_routes.py
@@ -1,7 +1,5 @@
 """Answer the requests that put whole configurations and read them back."""
 
-from dataclasses import dataclass
-
 import msgspec
 from expression import Result
 
@@ -28,8 +26,7 @@
     is_new: bool
 
 
-@dataclass(slots=True)
-class RevisionRoutes:
+class RevisionRoutes(msgspec.Struct):
     """Answer requests about whole configurations on a control voter."""
 
     control: ControlClient
--- a/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -1,8 +1,8 @@
 """Answer the requests about the status of a process and its recorded events."""
 
 import itertools
-from dataclasses import dataclass
 
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -25,16 +25,14 @@
 CONFIRMATION_TIMEOUT_S: Seconds = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class EventQuery:
+class EventQuery(msgspec.Struct, frozen=True):
     """Say which events are asked for, and how many of the newest."""
 
     wanted: EventFilter
     limit: int
 
 
-@dataclass(slots=True)
-class StatusRoutes:
+class StatusRoutes(msgspec.Struct):
     """Answer requests for status and events; `control` is None on a process that is no voter."""
 
     control: ControlClient | None
--- a/packages/bendwind-node/src/bendwind_node/security/contexts.py
+++ b/packages/bendwind-node/src/bendwind_node/security/contexts.py
@@ -1,8 +1,8 @@
 """Make the TLS contexts of a process from its key files."""
 
 import ssl
-from dataclasses import dataclass
 
+import msgspec
 from expression import Error, Ok, Result
 
 from bendwind_core.core import Record
@@ -23,8 +23,7 @@
         return f"{self.file}: {self.reason}"
 
 
-@dataclass(frozen=True, slots=True)
-class Contexts:
+class Contexts(msgspec.Struct, frozen=True):
     """Hold the contexts of one state of the key files."""
 
     server: ssl.SSLContext
--- a/packages/bendwind-node/src/bendwind_node/security/identity.py
+++ b/packages/bendwind-node/src/bendwind_node/security/identity.py
@@ -2,7 +2,8 @@
 
 import enum
 import ssl
-from dataclasses import dataclass
+
+import msgspec
 
 _SCHEME = "bendwind://"
 
@@ -14,8 +15,7 @@
     OPERATOR = "operator"
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(msgspec.Struct, frozen=True):
     """Name the holder of a certificate."""
 
     role: Role
--- a/packages/bendwind-node/src/bendwind_node/security/keys.py
+++ b/packages/bendwind-node/src/bendwind_node/security/keys.py
@@ -3,8 +3,8 @@
 import os
 import ssl
 from collections.abc import Callable
-from dataclasses import dataclass
 
+import msgspec
 from expression import Error, Result
 
 from bendwind_core.timeline import EventKind, Recorder
@@ -14,8 +14,7 @@
 _Stamps = tuple[tuple[int, int, int], ...]
 
 
-@dataclass(slots=True)
-class Keys:
+class Keys(msgspec.Struct):
     """Hold the newest usable contexts; links that run keep the ones they began with.
 
     `server` and `operators` never change as objects, so that listening sockets may hold them:
--- a/packages/bendwind-node/src/bendwind_node/settings/checks.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/checks.py
@@ -2,7 +2,8 @@
 
 import ipaddress
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+import msgspec
 
 from bendwind_node.settings.tables import Settings
 
@@ -10,8 +11,7 @@
 MIN_HEARTBEATS_PER_LEASE = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Finding:
+class Finding(msgspec.Struct, frozen=True):
     """Name a key and what it should hold instead."""
 
     key: str
--- a/packages/bendwind-node/src/bendwind_node/settings/reference.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/reference.py
@@ -3,7 +3,6 @@
 import types
 import typing
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 import msgspec
 
@@ -34,8 +33,7 @@
 _REQUIRED = "required"
 
 
-@dataclass(frozen=True, slots=True)
-class _Key:
+class _Key(msgspec.Struct, frozen=True):
     name: str
     unit: str
     default: str
--- a/packages/bendwind-node/src/bendwind_node/storage/errors.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/errors.py
@@ -1,10 +1,9 @@
 """Define how the store can fail."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(slots=True, frozen=True)
-class CorruptData:
+class CorruptData(msgspec.Struct, frozen=True):
     """Tell that a file does not hold what was synced to it."""
 
     file: str
@@ -12,8 +11,7 @@
     reason: str
 
 
-@dataclass(slots=True, frozen=True)
-class DiskFailed:
+class DiskFailed(msgspec.Struct, frozen=True):
     """Tell that an operation on a file failed, as on a full disk."""
 
     operation: str
--- a/packages/bendwind-node/src/bendwind_node/storage/frames.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/frames.py
@@ -2,9 +2,9 @@
 
 import io
 import zlib
-from dataclasses import dataclass
 
 import cbor2
+import msgspec
 from expression import Error, Ok, Result
 
 from bendwind_node.storage.errors import CorruptData
@@ -14,8 +14,7 @@
 _DECODE_ERRORS = (cbor2.CBORError, ValueError, OverflowError, MemoryError, RecursionError)
 
 
-@dataclass(slots=True, frozen=True)
-class Frame:
+class Frame(msgspec.Struct, frozen=True):
     """Hold one record's bytes and where its frame ends in the file."""
 
     sequence: int
@@ -23,8 +22,7 @@
     end: int
 
 
-@dataclass(slots=True, frozen=True)
-class FrameRun:
+class FrameRun(msgspec.Struct, frozen=True):
     """Hold a file's whole frames, and the offset where they end."""
 
     frames: tuple[Frame, ...]
--- a/packages/bendwind-node/src/bendwind_node/storage/measure.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/measure.py
@@ -6,9 +6,11 @@
 import sys
 import tempfile
 import time
-from dataclasses import asdict, dataclass
 from pathlib import Path
 
+import msgspec
+from msgspec.structs import asdict
+
 from bendwind_core.consensus import (
     Apply,
     Persist,
@@ -35,8 +37,7 @@
 _TICK_S = 0.05
 
 
-@dataclass(slots=True, frozen=True)
-class Measurement:
+class Measurement(msgspec.Struct, frozen=True):
     """Hold the figures of one number of changes.
 
     Units: milliseconds and bytes.
--- a/packages/bendwind-node/src/bendwind_node/storage/replay.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/replay.py
@@ -1,7 +1,5 @@
 """Rebuild the log from the records of its segments."""
 
-from dataclasses import dataclass, field
-
 import cbor2
 import msgspec
 from expression import Error, Ok, Result
@@ -20,13 +18,12 @@
 )
 
 
-@dataclass(slots=True)
-class Recovered:
+class Recovered(msgspec.Struct):
     """Hold what the disk knows of the log; `cut_bytes` counts a torn tail that was dropped."""
 
     hard_state: HardState = HardState()
     snapshot: Snapshot = EMPTY_SNAPSHOT
-    entries: list[Entry] = field(default_factory=list)
+    entries: list[Entry] = msgspec.field(default_factory=list)
     cut_bytes: int = 0
     is_snapshot_installed: bool = False
     reset_index: int = 0
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -7,8 +7,8 @@
 
 import secrets
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
+import msgspec
 from expression import Error, Ok, Result
 
 from bendwind_core.consensus import HardState, Persist, SaveSnapshot
@@ -38,8 +38,7 @@
 _TEMPORARY = "new"
 
 
-@dataclass(slots=True)
-class Segment:
+class Segment(msgspec.Struct):
     """Describe a segment file: the last entry it holds, or 0, and its size."""
 
     name: str
@@ -47,15 +46,14 @@
     size: int = 0
 
 
-@dataclass(slots=True)
-class Store:
+class Store(msgspec.Struct):
     """Own the files of one voter."""
 
     files: Files
     identity: Identity
     segment_bytes: int
     hard_state: HardState = HardState()
-    segments: list[Segment] = field(default_factory=list)
+    segments: list[Segment] = msgspec.field(default_factory=list)
     sequence: int = 0
     snapshot_name: str | None = None
     failure: DiskFailed | None = None
@@ -168,8 +166,7 @@
         self.files.close()
 
 
-@dataclass(slots=True, frozen=True)
-class Opened:
+class Opened(msgspec.Struct, frozen=True):
     """Hold an open store and what it recovered."""
 
     store: Store
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
@@ -1,9 +1,10 @@
-import dataclasses
 import unittest
 
+import msgspec
+
 from bendwind_node.storage.tests.fake_cluster import SETTINGS, FakeCluster
 
-OPEN = dataclasses.replace(SETTINGS, open_to=3)
+OPEN = msgspec.structs.replace(SETTINGS, open_to=3)
 
 
 def form(seed, size=3, settings=OPEN):
@@ -26,7 +27,7 @@
 
     def test_newcomer_becomes_a_voter_while_there_are_too_few(self):
         for seed in range(4):
-            cluster = form(seed, settings=dataclasses.replace(SETTINGS, open_to=5))
+            cluster = form(seed, settings=msgspec.structs.replace(SETTINGS, open_to=5))
             cluster.join("x")
             self.run_until(cluster, lambda c=cluster: c.voter_names() == set("abcx"))
 
@@ -81,7 +82,7 @@
             self.assertGreaterEqual(held, set(cluster.oracle.accepted.values()))
 
     def test_empty_voters_form_no_cluster_where_there_was_one(self):
-        cluster = FakeCluster(3, 5, dataclasses.replace(OPEN, may_form=False))
+        cluster = FakeCluster(3, 5, msgspec.structs.replace(OPEN, may_form=False))
         cluster.run(200)
         self.assertEqual(cluster.leaders(), [])
 
