consensus: a replica that has just started tries again soon until it hears of a leader

Cause: its first campaign came after a third of an election timeout, the next one only after one to two whole ones. Where the others start a little later, as after a loss of power of all, the one that holds the newest log could sit through a timeout for having asked too early.

Change: the first waits are 0.15 of a timeout, and stay so for four timeouts while no leader is heard. Trial votes change nothing at replicas that hear a leader.

--- a/packages/bendwind-core/src/bendwind_core/consensus/election.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/election.py
@@ -13,6 +13,7 @@
     Replica,
     Role,
     append_entry,
+    draw_campaign_pause,
     draw_timeout,
     head_to,
     send,
@@ -30,7 +31,7 @@
         if not has_quorum_contact(replica, now) or is_disk_stalled(replica, now):
             become_follower(replica, replica.hard.term, None, now, rng)
     elif now >= replica.deadline:
-        replica.deadline = now + draw_timeout(replica.settings, rng)
+        replica.deadline = now + draw_campaign_pause(replica, now, rng)
         if _may_campaign(replica, now):
             _campaign(replica, Role.TRIAL, now)
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/replica.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -3,7 +3,8 @@
 import enum
 import random
 from collections import deque
-from dataclasses import dataclass, field
+
+import msgspec
 
 from bendwind_core.consensus.events import Effect, LeaderChanged, Send
 from bendwind_core.consensus.log import Log
@@ -21,8 +22,12 @@
 
 _READ_NUMBER_BITS = 48
 # A replica that has just started asks for trial votes early: whoever hears a leader denies them,
-# and where all have restarted at once nobody waits for a leader that is not there.
-FIRST_TIMEOUT_SHARE = 1 / 3
+# and where all have restarted at once nobody waits for a leader that is not there. The shortest
+# such wait is many round trips, so that two candidates seldom meet.
+FIRST_TIMEOUT_SHARE = 0.15
+# It goes on so for this many election timeouts while it hears of no leader: others take longer to
+# start, and the wait after a trial that came too early must not be a whole timeout.
+EARLY_TIMEOUTS = 4
 
 
 class Role(enum.StrEnum):
@@ -36,8 +41,7 @@
     REMOVED = "removed"
 
 
-@dataclass(slots=True, frozen=True)
-class ReplicaSettings:
+class ReplicaSettings(msgspec.Struct, frozen=True):
     """Bound a replica's times and sizes.
 
     With `open_to` 0 the settings' names are the voters for good. Otherwise any newcomer may join,
@@ -60,8 +64,7 @@
     may_form: bool = True
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(msgspec.Struct):
     """Track what the leader knows of one other replica.
 
     `awaits_index` is what a reply to the last batch or snapshot part will confirm. `snapshot` is
@@ -79,19 +82,17 @@
     snapshot_offset: int = 0
 
 
-@dataclass(slots=True)
-class PendingWrite:
+class PendingWrite(msgspec.Struct):
     """Track a write that is not yet known to be synced, and what waits for it."""
 
     token: int
     hard_state: HardState
     last_index: int
     requested_at: Seconds
-    sends: list[Send] = field(default_factory=list)
+    sends: list[Send] = msgspec.field(default_factory=list)
 
 
-@dataclass(slots=True)
-class LocalRead:
+class LocalRead(msgspec.Struct):
     """Track a barrier of this process; `number` is that of the read it waits for, or 0."""
 
     request_id: int
@@ -99,8 +100,7 @@
     number: int = 0
 
 
-@dataclass(slots=True)
-class LeaderRead:
+class LeaderRead(msgspec.Struct):
     """Track a read that the leader confirms with a round; 0 while it waits for one."""
 
     voter: Voter
@@ -108,8 +108,7 @@
     round: int = 0
 
 
-@dataclass(slots=True)
-class ReadyRead:
+class ReadyRead(msgspec.Struct):
     """Track a confirmed barrier that waits for its index to be applied."""
 
     request_id: int
@@ -117,8 +116,7 @@
     started_at: Seconds
 
 
-@dataclass(slots=True)
-class Reads:
+class Reads(msgspec.Struct):
     """Hold the barriers of this process and, on a leader, those of all voters.
 
     One read at a time is open; barriers that come while it is wait for the next.
@@ -127,13 +125,12 @@
     number: int
     is_open: bool = False
     started_at: Seconds = 0.0
-    local: list[LocalRead] = field(default_factory=list)
-    ready: list[ReadyRead] = field(default_factory=list)
-    leader: list[LeaderRead] = field(default_factory=list)
+    local: list[LocalRead] = msgspec.field(default_factory=list)
+    ready: list[ReadyRead] = msgspec.field(default_factory=list)
+    leader: list[LeaderRead] = msgspec.field(default_factory=list)
 
 
-@dataclass(slots=True)
-class IncomingSnapshot:
+class IncomingSnapshot(msgspec.Struct):
     """Collect the parts of a snapshot that a leader sends."""
 
     index: int
@@ -141,8 +138,7 @@
     data: bytearray
 
 
-@dataclass(slots=True)
-class Replica:
+class Replica(msgspec.Struct):
     """Own everything that one replica knows."""
 
     voter: Voter
@@ -155,26 +151,27 @@
     deadline: Seconds
     durable_index: int
     durable_hard: HardState
+    early_until: Seconds
     reads: Reads
     leader: Voter | None = None
     leader_contact_at: Seconds | None = None
     commit: int = 0
     applied: int = 0
-    votes: set[int] = field(default_factory=set)
-    offers: dict[str, Voter] = field(default_factory=dict)
-    progress: dict[int, Progress] = field(default_factory=dict)
-    proposals: dict[int, int] = field(default_factory=dict)
+    votes: set[int] = msgspec.field(default_factory=set)
+    offers: dict[str, Voter] = msgspec.field(default_factory=dict)
+    progress: dict[int, Progress] = msgspec.field(default_factory=dict)
+    proposals: dict[int, int] = msgspec.field(default_factory=dict)
     round: int = 0
     heartbeat_at: Seconds = 0.0
     incoming: IncomingSnapshot | None = None
     is_snapshot_due: bool = False
     token: int = 0
-    writes: deque[PendingWrite] = field(default_factory=deque)
+    writes: deque[PendingWrite] = msgspec.field(default_factory=deque)
     is_hard_changed: bool = False
     truncate_from: int | None = None
-    unwritten: list[Entry] = field(default_factory=list)
-    replies: list[Send] = field(default_factory=list)
-    effects: list[Effect] = field(default_factory=list)
+    unwritten: list[Entry] = msgspec.field(default_factory=list)
+    replies: list[Send] = msgspec.field(default_factory=list)
+    effects: list[Effect] = msgspec.field(default_factory=list)
 
     @property
     def voters(self) -> VoterSet:
@@ -235,6 +232,7 @@
         deadline=now + draw_timeout(settings, rng) * FIRST_TIMEOUT_SHARE,
         durable_index=log.last_index,
         durable_hard=hard,
+        early_until=now + EARLY_TIMEOUTS * settings.election_s,
         # A reply that was meant for an earlier run must not match a read of this one.
         reads=Reads(number=rng.getrandbits(_READ_NUMBER_BITS)),
         commit=snapshot.index,
@@ -247,6 +245,12 @@
     return settings.election_s * (1 + rng.random())
 
 
+def draw_campaign_pause(replica: Replica, now: Seconds, rng: random.Random) -> Seconds:
+    """Draw how long to wait before the next campaign; short for one that has just started."""
+    is_early = now < replica.early_until and replica.leader_contact_at is None
+    return draw_timeout(replica.settings, rng) * (FIRST_TIMEOUT_SHARE if is_early else 1.0)
+
+
 def head_to(replica: Replica, to: Voter, term: int | None = None) -> Head:
     """Make the head of a message to a member; the term is the replica's own by default."""
     own = replica.hard
