calls: take the upstream beside a process at its own word until it announces itself

Change: a process whose settings say where its upstream is ([beside]) asks the health path once it knows it, and registers who answers there. An upstream that answers that it is another one is replaced in the same way. The register of upstreams is a module of its own.

Found on the way: two late announcements of a former upstream verified each other and ended the one that lives at the address now, for good. Now the health path has to name the newcomer where another one is registered; test_dialect fails before. test_address_given_to_another_upstream_ends_the_former now waits for that answer.

--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -7,7 +7,7 @@
 from bendwind_core.core import Milliseconds
 from bendwind_core.world import UpstreamState
 from bendwind_node.calls.owned_upstream import Announcement
-from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.upstream_register import UpstreamRegister
 from bendwind_node.http import serve_lifespan
 
 MAX_BODY_BYTES = 16 * 1024
@@ -34,10 +34,10 @@
 class AnnounceApp:
     """Serve the upstreams' side of docs/UPSTREAMS.md as an ASGI application."""
 
-    __slots__ = ("lease_ms", "owner")
+    __slots__ = ("lease_ms", "register")
 
-    def __init__(self, owner: OwnerNode, lease_ms: Milliseconds):
-        self.owner = owner
+    def __init__(self, register: UpstreamRegister, lease_ms: Milliseconds):
+        self.register = register
         self.lease_ms = lease_ms
 
     async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
@@ -58,7 +58,7 @@
         if method == "POST" and path == _PREFIX:
             return self._announce(await _read_body(receive))
         if method == "DELETE" and path.startswith(_PREFIX + "/"):
-            has_left = self.owner.left(path.removeprefix(_PREFIX + "/"))
+            has_left = self.register.left(path.removeprefix(_PREFIX + "/"))
             return (204, None) if has_left else (404, ErrorReply("unknown upstream"))
         return 404, ErrorReply("no such route")
 
@@ -71,7 +71,7 @@
             return 400, ErrorReply(str(error))
         if news.state is UpstreamState.GONE:
             return 400, ErrorReply("leave by DELETE")
-        if not self.owner.announced(news):
+        if not self.register.announced(news):
             return 429, ErrorReply("this node holds no more upstreams")
         return 200, LeaseReply(self.lease_ms)
 
--- a/packages/bendwind-node/src/bendwind_node/calls/dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -7,7 +7,9 @@
 _SERVICE_UNAVAILABLE = 503
 # RFC 9110, section 15.5.20: the request was directed at a server that is not the one meant.
 _MISDIRECTED = 421
-_LOAD_FIGURES = 4
+# Running, waiting, slots, and how long work takes in percent of the usual time.
+_SLOTS_FIGURE = 2
+_PACE_FIGURE = 3
 _PERCENT = 100
 
 
@@ -83,12 +85,24 @@
 def read_slow_factor(load: bytes | None) -> float | None:
     """Return how much longer than usual work takes at an upstream, by its own word, or None.
 
-    The last of four figures, after running, waiting and slots, is a percentage of the usual time.
-
     >>> read_slow_factor(b"3,0,8,400")
     4.0
     """
+    percentage = _read_load_figure(load, _PACE_FIGURE)
+    return None if percentage is None else percentage / _PERCENT
+
+
+def read_slots(load: bytes | None) -> int | None:
+    """Return how many requests an upstream works on at once, by its own word, or None.
+
+    >>> read_slots(b"3,0,8")
+    8
+    """
+    return _read_load_figure(load, _SLOTS_FIGURE)
+
+
+def _read_load_figure(load: bytes | None, position: int) -> int | None:
     figures = (load or b"").split(b",")
-    if len(figures) < _LOAD_FIGURES or not figures[_LOAD_FIGURES - 1].strip().isdigit():
+    if len(figures) <= position or not figures[position].strip().isdigit():
         return None
-    return int(figures[_LOAD_FIGURES - 1]) / _PERCENT
+    return int(figures[position])
--- a/packages/bendwind-node/src/bendwind_node/calls/health_check.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/health_check.py
@@ -1,20 +1,34 @@
 """Ask an upstream, on its health path, who it is, whether it stays and how it fares."""
 
+import msgspec
 from expression import Result
 
 from bendwind_node.calls import headers as names
+from bendwind_node.calls.dialect import Dialect, read_slots
 from bendwind_node.calls.upstream_h11 import UpstreamAnswer, UpstreamPool
 from bendwind_node.calls.upstream_request import UpstreamRequest
 
 _OK = 200
 
 
-async def is_well(pool: UpstreamPool, path: str, name: str, name_header: bytes) -> bool:
-    """Return true if the upstream answers 200 under this name."""
+class HealthAnswer(msgspec.Struct, frozen=True):
+    """Hold what an upstream says on its health path; `slots` is None where it does not tell."""
+
+    name: str
+    is_well: bool
+    slots: int | None = None
+
+
+async def ask_health(pool: UpstreamPool, path: str, dialect: Dialect) -> HealthAnswer | None:
+    """Return what the upstream says of itself, None without an answer that names it."""
+    if not path or dialect.answering_upstream is None:
+        return None
     answer = await _ask(pool, path)
-    if answer is None or answer.status != _OK:
-        return False
-    return names.find_header(answer.headers, name_header) == name.encode()
+    name = None if answer is None else names.find_header(answer.headers, dialect.answering_upstream)
+    if not name:
+        return None
+    load = None if dialect.load is None else names.find_header(answer.headers, dialect.load)
+    return HealthAnswer(name.decode("latin-1"), answer.status == _OK, read_slots(load))
 
 
 async def ask_load(pool: UpstreamPool, path: str, load_header: bytes) -> bytes | None:
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -1,7 +1,6 @@
 """Describe an upstream beside this process and what it says of itself."""
 
-from dataclasses import dataclass, field
-
+import msgspec
 import trio
 
 from bendwind_core.attempts import AttemptId, owner
@@ -10,8 +9,7 @@
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
 
-@dataclass(slots=True, eq=False)
-class OwnedUpstream:
+class OwnedUpstream(msgspec.Struct, eq=False):
     """Hold one upstream beside this process.
 
     One that is not verified was announced once, perhaps by a message from before an earlier run of
@@ -23,15 +21,22 @@
     desk: owner.OwnerDesk
     pool: UpstreamPool
     lease_until: Seconds
-    scopes: dict[AttemptId, trio.CancelScope] = field(default_factory=dict)
+    scopes: dict[AttemptId, trio.CancelScope] = msgspec.field(default_factory=dict)
     is_marked: bool = False
     last_sequence: int = 0
     has_left: bool = False
     is_verified: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class Announcement:
+class UpstreamPlace(msgspec.Struct, frozen=True):
+    """Say where the upstream beside this process is, whichever that is at present."""
+
+    service: str
+    host: str
+    port: int
+
+
+class Announcement(msgspec.Struct, frozen=True):
     """Hold what an upstream says of itself.
 
     `sequence` grows with every announcement of one upstream, so that a late one is known; 0 where
--- a/packages/bendwind-node/src/bendwind_node/calls/probe_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/probe_task.py
@@ -1,7 +1,6 @@
 """Ask owner nodes for the load of upstreams that this node's calls have not reached lately."""
 
-from dataclasses import dataclass
-
+import msgspec
 import trio
 
 from bendwind_core.core import Seconds
@@ -16,8 +15,7 @@
 IDLE_AFTER: Seconds = 5.0
 
 
-@dataclass(slots=True, eq=False)
-class ProbeTask:
+class ProbeTask(msgspec.Struct, eq=False):
     """Own the probes of one process; both what it asks and what it answers draw on the budget."""
 
     entry: EntryNode
@@ -52,7 +50,7 @@
                 self.sent += 1
 
     def _note_own(self, desk: ServiceDesk, now: Seconds) -> None:
-        for name in self.owner.owned:
+        for name in self.owner.register.owned:
             if name in desk.table.views:
                 note_load(desk.table, name, self.owner.read_load(name), now)
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -16,9 +16,11 @@
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_task import CallTask
 from bendwind_node.calls.caller_exchange import CallerRequest
+from bendwind_node.calls.dialect import BENDWIND_DIALECT
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owned_upstream import Announcement
 from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.upstream_register import UpstreamRegister
 
 MIB = 1 << 20
 
@@ -154,19 +156,15 @@
 def make_owner(nursery, name, membership, incarnation=1):
     own = Instance(name, "dc", "127.0.0.1", 1, incarnation)
     recorder = Recorder(name, lambda: 1, 1000)
-    return OwnerNode(
-        own,
-        recorder,
-        nursery,
-        60_000.0,
-        AssemblyTable(8 * MIB, ByteBudget(16 * MIB)),
-        ProbeBudget(20, 4000),
-        membership.add,
-    )
+    register = UpstreamRegister(own, recorder, nursery, 60_000.0, membership.add, BENDWIND_DIALECT)
+    assemblies = AssemblyTable(8 * MIB, ByteBudget(16 * MIB))
+    return OwnerNode(own, recorder, nursery, register, assemblies, ProbeBudget(20, 4000))
 
 
 def announce(owner, port, name="svc-1"):
-    owner.announced(Announcement(name, "svc", "127.0.0.1", port, 2, 4, UpstreamState.READY))
+    owner.register.announced(
+        Announcement(name, "svc", "127.0.0.1", port, 2, 4, UpstreamState.READY)
+    )
 
 
 class CallBench:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -283,7 +283,7 @@
                 nursery.start_soon(bench.call, first)
                 while not self.runs:
                     await trio.sleep(0.001)
-                bench.owner.drain()
+                bench.owner.register.drain()
                 second = await bench.call(make_exchange(POST, b"y"))
                 self.assertFalse(bench.owner.is_idle())
                 go_on.set()
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -1,6 +1,7 @@
 import unittest
 
 import trio
+import trio.testing
 
 from bendwind_core.attempts import NotRunReason
 from bendwind_core.world import Service, UpstreamState
@@ -10,7 +11,7 @@
     find_not_run_proof,
     read_slow_factor,
 )
-from bendwind_node.calls.owned_upstream import Announcement
+from bendwind_node.calls.owned_upstream import Announcement, UpstreamPlace
 from bendwind_node.calls.tests.fakes import CallBench, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request, run_server
 
@@ -61,7 +62,8 @@
                     service = Service("svc", ("*",), health_path="/well")
                     bench = CallBench(nursery, service)
                     bench.entry.dialect = bench.owner.dialect = DIALECT
-                    bench.owner.find_health_path = lambda name: "/well"
+                    bench.owner.register.dialect = DIALECT
+                    bench.owner.register.find_health_path = lambda name: "/well"
                     await check(bench, port)
                     nursery.cancel_scope.cancel()
 
@@ -69,7 +71,7 @@
 
     def announce(self, bench, port, **changes):
         fields = {"name": "u1", "sequence": 1, "state": UpstreamState.READY} | changes
-        bench.owner.announced(
+        bench.owner.register.announced(
             Announcement(
                 fields["name"], "svc", "127.0.0.1", port, 4, 4, fields["state"], fields["sequence"]
             )
@@ -106,8 +108,9 @@
 
     def answer_well(self, name=b"u1", status=b"200 OK"):
         def answer(data):
-            own = b"me: " + name if data.startswith(b"GET /well") else b"id: q1"
-            line = status if data.startswith(b"GET /well") else b"200 OK"
+            is_health = data.startswith(b"GET /well")
+            own = b"me: " + name + b"\r\nload: 0,0,4,100" if is_health else b"id: q1"
+            line = status if is_health else b"200 OK"
             return b"HTTP/1.1 " + line + b"\r\n" + own + b"\r\ncontent-length: 2\r\n\r\nok"
 
         return answer
@@ -155,25 +158,97 @@
 
         self.run_with(self.answer_well(status=b"503 Service Unavailable"), check)
 
+    async def wait_for_states(self, bench, **expected):
+        with trio.fail_after(5):
+            while self.find_states(bench) != expected:
+                await trio.sleep(0.01)
+
+    def find_states(self, bench):
+        owned = bench.owner.register.owned
+        return {name: each.upstream.state for name, each in owned.items()}
+
     def test_address_given_to_another_upstream_ends_the_former(self):
         async def check(bench, port):
             for sequence in (1, 2):
                 self.announce(bench, port, sequence=sequence)
             for sequence in (1, 2):
                 self.announce(bench, port, name="u2", sequence=sequence)
-            states = {name: o.upstream.state for name, o in bench.owner.owned.items()}
-            self.assertEqual(states, {"u1": UpstreamState.GONE, "u2": UpstreamState.READY})
+            await self.wait_for_states(bench, u1=UpstreamState.GONE, u2=UpstreamState.READY)
 
         self.run_with(self.answer_well(b"u2"), check)
 
+    def test_late_announcements_of_a_former_upstream_end_not_the_one_that_replaced_it(self):
+        # Two of them verified each other, and the living upstream was taken for gone for good.
+        async def check(bench, port):
+            self.announce(bench, port)
+            await self.wait_for_states(bench, u1=UpstreamState.READY)
+            for sequence in (7, 8):
+                self.announce(bench, port, name="u0", sequence=sequence)
+            await self.wait_for_questions(3)
+            self.assertEqual(self.find_states(bench)["u1"], UpstreamState.READY)
+            self.announce(bench, port, sequence=2)
+            self.assertEqual((await self.call(bench)).status, 200)
+
+        self.run_with(self.answer_well(b"u1"), check)
+
+    async def wait_for_questions(self, number):
+        with trio.fail_after(5):
+            while sum(data.startswith(b"GET /well") for data in self.seen) < number:
+                await trio.sleep(0.01)
+        # The answer to the last one is on its way.
+        await trio.testing.wait_all_tasks_blocked(0.05)
+
+    def test_upstream_at_a_known_place_serves_before_it_announced_itself(self):
+        async def check(bench, port):
+            place = UpstreamPlace("svc", "127.0.0.1", port)
+            bench.nursery.start_soon(bench.owner.register.introduce, place)
+            await self.wait_for_states(bench, u1=UpstreamState.READY)
+            self.assertEqual((await self.call(bench)).status, 200)
+            self.announce(bench, port, state=UpstreamState.DRAINING)
+            self.assertEqual((await self.call(bench)).status, 503)
+
+        self.run_with(self.answer_well(b"u1"), check)
+
+    def test_upstream_that_leaves_is_not_introduced_by_its_health_path(self):
+        for status, leaves_by_name in ((b"503 Service Unavailable", False), (b"200 OK", True)):
+
+            async def check(bench, port, leaves_by_name=leaves_by_name):
+                register = bench.owner.register
+                if leaves_by_name:
+                    register.left("u1")
+                place = UpstreamPlace("svc", "127.0.0.1", port)
+                bench.nursery.start_soon(register.introduce, place)
+                await self.wait_for_questions(2)
+                self.assertEqual(self.find_states(bench), {})
+
+            self.run_with(self.answer_well(b"u1", status), check)
+
+    def test_upstream_that_says_it_is_another_is_replaced_by_that_one(self):
+        async def check(bench, port):
+            for sequence in (1, 2):
+                self.announce(bench, port, sequence=sequence)
+            await self.call(bench)
+            await self.wait_for_states(bench, u1=UpstreamState.GONE, u2=UpstreamState.READY)
+            bench.entry.refresh_upstreams("svc")
+            self.assertEqual((await self.call(bench)).status, 200)
+
+        def answer(data):
+            if data.startswith(b"GET /well"):
+                return self.answer_well(b"u2")(data)
+            is_meant = b"meant: u2" in data.lower()
+            line = b"200 OK" if is_meant else b"421 Misdirected Request"
+            return b"HTTP/1.1 " + line + b"\r\nid: q1\r\ncontent-length: 2\r\n\r\nok"
+
+        self.run_with(answer, check)
+
     def test_gone_upstreams_make_room_for_new_ones(self):
         async def check(bench, port):
             for number in range(20):
                 name = f"u{number}"
                 for sequence in (1, 2):
                     self.announce(bench, port, name=name, sequence=sequence)
-                self.assertIn(name, bench.owner.owned)
-                bench.owner.left(name)
+                self.assertIn(name, bench.owner.register.owned)
+                bench.owner.register.left(name)
 
         self.run_with(self.answer_well(), check)
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -31,6 +31,7 @@
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
+from bendwind_node.calls.upstream_register import UpstreamRegister
 from bendwind_node.claims import create_claim_task
 from bendwind_node.control.control_voter import ControlVoter
 from bendwind_node.control.service import open_control
@@ -156,18 +157,20 @@
     )
     measuring = settings.measuring
     budget = ProbeBudget(measuring.messages_per_s, measuring.bytes_per_s)
-    dispatcher.owner = OwnerNode(
+    register = UpstreamRegister(
         own,
         recorder,
         nursery,
         settings.lease.upstream_ms or settings.lease.lease_ms,
-        AssemblyTable(settings.limits.body_bytes, daemon.body_budget),
-        budget,
         lambda upstream: _announce(membership, upstream),
         extension.dialect,
         settings.limits.slot_share,
         lambda service: _find_health_path(membership, service),
     )
+    assemblies = AssemblyTable(settings.limits.body_bytes, daemon.body_budget)
+    dispatcher.owner = OwnerNode(
+        own, recorder, nursery, register, assemblies, budget, extension.dialect
+    )
     dispatcher.entry = EntryNode(
         own,
         recorder,
@@ -276,7 +279,7 @@
             for upstream in dispatcher.membership.upstreams(service):
                 owner = upstream.owner
                 dispatcher.hub.learn_address(owner.name, owner.host, owner.port)
-                dispatcher.owner.hear_pushed(upstream)
+                dispatcher.owner.register.hear_pushed(upstream)
             dispatcher.entry.refresh_upstreams(service)
         case VotersLearned(voters=voters):
             learn_places(dispatcher.hub, voters)
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -8,6 +8,7 @@
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.timeline import EventKind
+from bendwind_node.calls.owned_upstream import UpstreamPlace
 from bendwind_node.claims.task import LeaseProven
 from bendwind_node.daemon.build import build_daemon, choose_incarnation, prepare_daemon
 from bendwind_node.daemon.dispatcher import Dispatcher
@@ -64,6 +65,10 @@
     nursery.start_soon(dispatcher.claims.run)
     nursery.start_soon(dispatcher.owner.run_clock)
     nursery.start_soon(dispatcher.probes.run)
+    if daemon.settings.beside is not None:
+        beside = daemon.settings.beside
+        place = UpstreamPlace(beside.service, beside.host, beside.port)
+        nursery.start_soon(dispatcher.owner.register.introduce, place)
     nursery.start_soon(_prove_lease, dispatcher)
     nursery.start_soon(_watch_signals, daemon.stopping)
     if daemon.keys is not None:
@@ -106,7 +111,7 @@
     dispatcher = daemon.dispatcher
     limits = daemon.settings.stop
     daemon.recorder.record(EventKind.PROCESS_STOPPING)
-    dispatcher.owner.drain()
+    dispatcher.owner.register.drain()
     # Time for the others to hear of the stop before callers are sent away.
     await trio.sleep(limits.notice_ms / MILLISECONDS_PER_SECOND)
     daemon.callers_done.set()
@@ -119,8 +124,8 @@
         # Otherwise the other voters wait out an election timeout without a leader.
         with trio.move_on_after(LEAD_TIMEOUT):
             await dispatcher.control.voter.hand_over()
-    for name in tuple(dispatcher.owner.owned):
-        dispatcher.owner.left(name)
+    for name in tuple(dispatcher.owner.register.owned):
+        dispatcher.owner.register.left(name)
     await trio.sleep(IDLE_POLL)
 
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -99,7 +99,7 @@
 
 def serve_upstreams(daemon: Daemon, nursery: trio.Nursery) -> None:
     """Start to hear the announcements of the upstream beside this process."""
-    app = AnnounceApp(daemon.dispatcher.owner, daemon.settings.lease.lease_ms)
+    app = AnnounceApp(daemon.dispatcher.owner.register, daemon.settings.lease.lease_ms)
     served = AsgiServer(_detach(daemon.listeners.upstreams), KEEP_ALIVE, MAX_HEADER_BYTES)
     nursery.start_soon(serve_asgi, app, served)
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/status.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/status.py
@@ -1,6 +1,6 @@
 """Tell operators what this process knows of itself and of the members."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bendwind_core.world import Instance, Upstream
 from bendwind_node.calls.owner_node import OwnerNode
@@ -9,8 +9,7 @@
 from bendwind_node.operators import NodeVersion, ProcessStatus
 
 
-@dataclass(slots=True, eq=False)
-class DaemonStatus:
+class DaemonStatus(msgspec.Struct, eq=False):
     """Implement `operators.StatusSource`."""
 
     own: Instance
@@ -27,7 +26,7 @@
             view.version,
             self.membership.confirmed_age_ms(),
             view.voter,
-            self.owner.is_draining,
+            self.owner.register.is_draining,
         )
 
     async def nodes(self) -> tuple[NodeVersion, ...]:
@@ -44,4 +43,4 @@
         """Return every upstream a voter knows, or those beside this process."""
         if self.control is not None:
             return self.control.upstreams()
-        return tuple(owned.upstream for owned in self.owner.owned.values())
+        return tuple(owned.upstream for owned in self.owner.register.owned.values())
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -30,11 +30,11 @@
     """Read the calls and attempts under way."""
     for service, desk in entry.desks.items():
         yield Sample(Metric.CALLS_IN_FLIGHT, desk.in_flight, (service,))
-    for upstream, owned in owner.owned.items():
+    for upstream, owned in owner.register.owned.items():
         yield Sample(Metric.ATTEMPTS_RUNNING, len(owned.desk.running), (upstream,))
         yield Sample(Metric.ATTEMPTS_WAITING, len(owned.desk.waiting), (upstream,))
         yield Sample(Metric.UPSTREAM_SLOTS, owned.upstream.slots, (upstream,))
-    yield Sample(Metric.DRAINING, int(owner.is_draining))
+    yield Sample(Metric.DRAINING, int(owner.register.is_draining))
 
 
 def gather_probes(probes: ProbeTask) -> Iterator[Sample]:
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -78,6 +78,14 @@
     port: Annotated[Port, _doc("Port of the upstream's HTTP.")]
 
 
+class BesideTable(Table, frozen=True, kw_only=True):
+    """Say where the upstream beside the process is, so that it need not be waited for."""
+
+    service: Annotated[Name, _doc("Service of the upstream beside the process.")]
+    host: Annotated[Host, _doc("Address of that upstream.")]
+    port: Annotated[FixedPort, _doc("Port of that upstream.")]
+
+
 class ReadinessTable(Table, frozen=True, kw_only=True):
     """Say where the process tells whether callers should be sent to it."""
 
@@ -285,6 +293,7 @@
     peers: PeersTable
     callers: CallersTable | None = None
     upstreams: UpstreamsTable | None = None
+    beside: BesideTable | None = None
     operators: OperatorsTable | None = None
     readiness: ReadinessTable | None = None
     voters: Annotated[tuple[VoterTable, ...], Meta(min_length=1, max_length=9)]
