membership: a node that no voter has answered yet tries them every 80 ms

Cause: after a loss of power the voters listen a moment later than the nodes. A node whose dial failed drew its next attempt from a whole heartbeat, so that half of the nodes reached a voter half a second after it had a leader.

Change: until a first reply since the start, the next attempt follows within 40 to 120 ms. Nodes that had a voter and lost it spread over a heartbeat as before (test_registry's storm; a first form of the change, which looked at the configuration instead of the reply, failed it).

--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -13,6 +13,9 @@
 # again; a move costs one heartbeat, since a node that has everything is sent nothing.
 _MAX_PATIENCE_BEATS = 2
 _JITTER = 0.1
+# A node that no voter has answered since its start tries them this fast: it refuses all calls
+# until then, and where all restart at once the voters listen a moment later than the nodes.
+FIRST_RETRY: Seconds = 0.08
 
 
 class SentBeat(msgspec.Struct, frozen=True):
@@ -26,7 +29,7 @@
     """Hold the voter in use, the heartbeats it has not answered and when to leave it.
 
     Units: `next_beat`, `heard_at`, `good_at`, `behind_since` in seconds of the node's clock;
-    `patience` in heartbeats.
+    `patience` in heartbeats. `has_heard` says that a voter has answered since the node's start.
     """
 
     order: tuple[str, ...]
@@ -39,6 +42,7 @@
     good_at: Seconds = 0.0
     behind_since: Seconds | None = None
     patience: float = 1.0
+    has_heard: bool = False
 
     @property
     def voter(self) -> str:
@@ -83,6 +87,12 @@
     attachment.next_beat = now + times.heartbeat * rng.random()
 
 
+def hurry_beat(attachment: Attachment, now: Seconds, rng: random.Random) -> None:
+    """Have the next heartbeat follow soon, for a node that serves nothing without a reply."""
+    soon = now + FIRST_RETRY * rng.uniform(0.5, 1.5)
+    attachment.next_beat = min(attachment.next_beat, soon)
+
+
 def find_reason_to_move(attachment: Attachment, times: LeaseTimes, now: Seconds) -> str | None:
     """Say why the voter should be left, or None."""
     stay = attachment.patience * times.heartbeat
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -8,6 +8,7 @@
     SentBeat,
     find_reason_to_move,
     go_home,
+    hurry_beat,
     move,
     order_voters,
     schedule_beat,
@@ -69,6 +70,8 @@
             if peer == view.voter:
                 _leave(view, "link lost", effects, now, rng)
                 spread_beat(view.attachment, view.times, now, rng)
+                if not view.attachment.has_heard:
+                    hurry_beat(view.attachment, now, rng)
         case ServiceWatched(service=service):
             _watch(view, service, effects)
         case UpstreamAnnounced(upstream=upstream):
@@ -181,6 +184,7 @@
     if sent is None:
         return
     view.attachment.heard_at = now
+    view.attachment.has_heard = True
     if reply.resync:
         _send_everything(view, effects)
     if reply.is_current and view.is_complete and sent.watch == view.watch_sequence:
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_renewal.py
@@ -1,10 +1,11 @@
+import random
 import unittest
 
-from bendwind_core.membership import ServiceWatched
+from bendwind_core.membership import LinkLost, ServiceWatched, create_node_view, step_view
 from bendwind_core.membership.attachment import order_voters
 from bendwind_core.membership.renewal import MAX_WATCHED
-from bendwind_core.membership.tests.fakes import PLACES, SERVICES, World
-from bendwind_core.world import Service
+from bendwind_core.membership.tests.fakes import PLACES, SERVICES, TIMES, World
+from bendwind_core.world import Instance, Service
 
 
 class WatchTest(unittest.TestCase):
@@ -23,6 +24,28 @@
         self.assertTrue(view.is_complete and world.is_fresh("n0"))
 
 
+class FirstContactTest(unittest.TestCase):
+    """Lose the link to each voter in turn, as where all processes have just restarted."""
+
+    def longest_wait(self, has_heard):
+        longest = 0.0
+        for seed in range(20):
+            rng = random.Random(seed)
+            instance = Instance("n0", "dc0", "127.0.0.1", 1, 1)
+            view = create_node_view(instance, PLACES, TIMES, 0.0, rng)
+            view.attachment.has_heard = has_heard
+            step_view(view, LinkLost(view.voter), 1.0, rng)
+            longest = max(longest, view.attachment.next_beat - 1.0)
+        return longest
+
+    def test_node_that_no_voter_has_answered_tries_the_next_one_soon(self):
+        # Half of the nodes found a voter half a second after it listened.
+        self.assertLess(self.longest_wait(has_heard=False), 0.15)
+
+    def test_node_that_loses_its_voter_spreads_over_a_heartbeat(self):
+        self.assertGreater(self.longest_wait(has_heard=True), 0.5 * TIMES.heartbeat)
+
+
 class OrderTest(unittest.TestCase):
     def test_own_data_centre_comes_first_and_the_rest_spreads(self):
         self.assertEqual(order_voters("n0", "n0", "dc1", PLACES)[0], "v1")
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -6,7 +6,7 @@
 import trio
 
 from bendwind_core.claims import ClaimGroup
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Milliseconds, Record, Seconds
 from bendwind_core.membership import (
     AttachmentChanged,
     ConfigurationApplied,
@@ -35,6 +35,8 @@
 
 # The view acts on heartbeats and timeouts only; this share of a heartbeat is fine enough.
 _TICK_SHARE = 0.25
+# Until a voter has answered, the view beats faster than that.
+_FIRST_TICK: Seconds = 0.02
 _INBOX = 256
 
 
@@ -54,8 +56,7 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Renew, receive and push on until cancelled."""
         task_status.started()
-        tick = self.view.times.heartbeat * _TICK_SHARE
-        wake_at = trio.current_time() + tick
+        wake_at = trio.current_time() + self._find_tick()
         while True:
             with trio.move_on_at(wake_at):
                 sender, message = await self._outbox.receive()
@@ -63,7 +64,11 @@
             # Looked at after messages too: a steady stream of them must not hold up heartbeats.
             if trio.current_time() >= wake_at:
                 self.step(Tick())
-                wake_at = trio.current_time() + tick
+                wake_at = trio.current_time() + self._find_tick()
+
+    def _find_tick(self) -> Seconds:
+        tick = self.view.times.heartbeat * _TICK_SHARE
+        return tick if self.view.attachment.has_heard else min(tick, _FIRST_TICK)
 
     def step(self, event: ViewEvent) -> None:
         """Apply an event at once and carry out its effects."""
