--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -10,7 +10,13 @@
 """
 
 from bendwind_core.attempts import pace as paces
-from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt, RunningAttempt, has_slot
+from bendwind_core.attempts.desk import (
+    OwnerDesk,
+    QueuedAttempt,
+    RunningAttempt,
+    find_usual_ms,
+    has_slot,
+)
 from bendwind_core.attempts.messages import HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import AskLoad, OwnerEffect
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
@@ -61,11 +67,6 @@
     return now + slack_ms / MILLISECONDS_PER_SECOND
 
 
-def find_usual_ms(desk: OwnerDesk, route: str) -> Milliseconds:
-    """Return how long an attempt of a route runs at the usual pace."""
-    return desk.route_times.get(route, desk.times.average_ms)
-
-
 def find_expected_ms(desk: OwnerDesk, route: str, now: Seconds) -> Milliseconds:
     """Return how long an attempt of a route takes from now on, started now or after the phase."""
     usual_ms = find_usual_ms(desk, route)
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -24,6 +24,10 @@
 # About twenty answers settle the usual time of a route, which is less than a second's worth.
 ROUTE_TIME_WEIGHT = 0.1
 
+# Objectives are usually stated at three times what the work takes; a route without answers yet is
+# expected to take this share of its objective, until the first answer tells.
+FIRST_GUESS_SHARE = 0.3
+
 # Routes that lead to one service; of more, those noted first are forgotten.
 MAX_ROUTE_TIMES = 512
 
@@ -57,9 +61,10 @@
     """Hold everything that was handed to one upstream's owner node.
 
     Attempts with a latency objective wait in `timed`, all others in `queue`. `slot_share` is the
-    part of the slots that is used, `route_times` the usual time of each route's answers, and
-    `asked_at` when the upstream was last asked for its load.
-    Units: `route_times` in milliseconds.
+    part of the slots that is used, `route_times` the usual time of each route's answers,
+    `guessed_times` stands in for routes without any, and `asked_at` is when the upstream was last
+    asked for its load.
+    Units: `route_times` and `guessed_times` in milliseconds.
     """
 
     upstream: str
@@ -79,6 +84,7 @@
     waiting: dict[AttemptId, QueuedAttempt] = msgspec.field(default_factory=dict)
     times: ServiceTime = msgspec.field(default_factory=ServiceTime)
     route_times: dict[str, Milliseconds] = msgspec.field(default_factory=dict)
+    guessed_times: dict[str, Milliseconds] = msgspec.field(default_factory=dict)
     pace: Pace = msgspec.field(default_factory=Pace)
     asked_at: Seconds | None = None
     may_ask: bool = True
@@ -199,6 +205,25 @@
     return fair_queue.pop(desk.queue) if timed is None else timed
 
 
+def guess_route_time(desk: OwnerDesk, hand_over: HandOver) -> None:
+    """Expect a time of a route that has had no answer yet, by its objective.
+
+    An upstream that has just started would otherwise take whatever comes and answer it all late.
+    """
+    if hand_over.target_ms is None or hand_over.route in desk.route_times:
+        return
+    if len(desk.guessed_times) < MAX_ROUTE_TIMES:
+        desk.guessed_times.setdefault(hand_over.route, FIRST_GUESS_SHARE * hand_over.target_ms)
+
+
+def find_usual_ms(desk: OwnerDesk, route: str) -> Milliseconds:
+    """Return how long an attempt of a route runs at the usual pace."""
+    usual_ms = desk.route_times.get(route)
+    if usual_ms is None:
+        usual_ms = desk.guessed_times.get(route)
+    return desk.times.average_ms if usual_ms is None else usual_ms
+
+
 def note_route_time(desk: OwnerDesk, route: str, upstream_ms: Milliseconds) -> None:
     """Add the time that an answer to one of a route's requests took."""
     usual_ms = desk.route_times.get(route)
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -28,6 +28,7 @@
     drop_waiting,
     end_running,
     find_end,
+    guess_route_time,
     has_slot,
     is_open,
     is_stalled,
@@ -154,6 +155,7 @@
     peer.epoch = event.epoch
     if _is_seen(desk, peer, attempt, event.epoch, now, effects):
         return
+    guess_route_time(desk, hand_over)
     refusal = _find_refusal(desk, hand_over, now)
     if refusal is not None:
         record_ended(desk.log, attempt, Fate.NEVER_STARTED)
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
@@ -42,6 +42,14 @@
         self.assertIs(self.reason(refused), NotRunReason.QUEUE_FULL)
         self.assertEqual(self.hand_over(target_ms=400.0), [])
 
+    def test_route_without_an_answer_yet_is_expected_to_take_a_share_of_its_objective(self):
+        # An upstream that had just started took all that came, and answered most of it late.
+        self.desk = owner.create_desk("u", 1, 16)
+        self.step(ov.UpstreamAnnounced(2, 2, UpstreamState.READY))
+        answers = [self.hand_over("new", 300.0, 300.0) for _ in range(12)]
+        refused = [effects for effects in answers if effects and self.reason(effects)]
+        self.assertEqual(len(refused), 7)
+
     def test_most_urgent_starts_first(self):
         first = self.fill()[0]
         self.hand_over(target_ms=900.0)
