--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -77,8 +77,8 @@
         file, load = extension.settings_file, extension.load
         nursery.start_soon(watch_settings, daemon, file, load)
     serve_all(daemon, nursery)
-    # What is built now lives as long as the process: the collector need not look at it again.
-    gc.collect()
+    # What is built now lives as long as the process: the collector need not look at it again, nor
+    # now, while callers wait for the process to start.
     gc.freeze()
 
 
