links: compress links to other data centres where the settings say so

Change: peers.compresses_far. The dialer knows which data centre a peer is in and asks for the websocket's compression with a small window; LINK_OPENED says so. Off by default: under TLS lengths would tell of contents.

--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -193,7 +193,7 @@
     """Have links find voters and learners, as far as it is known where they are."""
     for place in places:
         if place.host:
-            hub.learn_address(place.name, place.host, place.port)
+            hub.learn_address(place.name, place.host, place.port, place.data_centre)
 
 
 def _build_hub(daemon: Daemon, own: Instance, membership: MembershipTask) -> LinkHub:
@@ -207,6 +207,7 @@
         make_hello,
         daemon.keys,
         daemon.settings.peers.silence_ms,
+        compresses_far=daemon.settings.peers.compresses_far,
     )
     hub.find_registered = lambda name: _find_registered(daemon, name)
     learn_places(hub, list_voters(daemon.settings))
@@ -270,15 +271,18 @@
     membership.announce(upstream)
 
 
+def _learn_instance(hub: LinkHub, instance: Instance) -> None:
+    hub.learn_address(instance.name, instance.host, instance.port, instance.data_centre)
+
+
 def _hear_membership(dispatcher: Dispatcher, effect: ViewEffect) -> None:
     match effect:
         case InstancesLearned(instances=instances):
             for instance in instances:
-                dispatcher.hub.learn_address(instance.name, instance.host, instance.port)
+                _learn_instance(dispatcher.hub, instance)
         case UpstreamsChanged(service=service):
             for upstream in dispatcher.membership.upstreams(service):
-                owner = upstream.owner
-                dispatcher.hub.learn_address(owner.name, owner.host, owner.port)
+                _learn_instance(dispatcher.hub, upstream.owner)
                 dispatcher.owner.register.hear_pushed(upstream)
             dispatcher.entry.refresh_upstreams(service)
         case VotersLearned(voters=voters):
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_reload.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_reload.py
@@ -18,7 +18,7 @@
         self.addresses = {}
         self.seeds = None
 
-    def note(self, name, host, port):
+    def note(self, name, host, port, data_centre):
         self.addresses[name] = (host, port)
 
     def take(self, seeds):
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -43,15 +43,24 @@
 MAX_UNSENT = 256
 
 
+# Messages to one peer are much alike, so that its last few kilobytes foretell the next one; more
+# history would cost memory at each link. RFC 7692, with the library's settings for small windows.
+COMPRESSION = "deflate"
+
+
 class Address(msgspec.Struct, frozen=True):
-    """Say where a peer listens."""
+    """Say where a peer listens; its data centre is empty where that is not known."""
 
     host: str
     port: int
+    data_centre: str = ""
 
 
 class LinkHub(msgspec.Struct, eq=False):
-    """Own every link of this process, at most one dialed and one accepted for each peer."""
+    """Own every link of this process, at most one dialed and one accepted for each peer.
+
+    `compresses_far` has links to other data centres compressed.
+    """
 
     own: Instance
     receiver: Receiver
@@ -59,6 +68,7 @@
     make_hello: Callable[[int], Hello]
     keys: Keys | None
     silence_ms: int | None = None
+    compresses_far: bool = False
     find_registered: Callable[[str], int] = lambda name: 0
     nursery: trio.Nursery | None = None
     next_epoch: int = 1
@@ -68,9 +78,9 @@
     dialing: dict[str, list[PeerMessage]] = msgspec.field(default_factory=dict)
     unreached: set[str] = msgspec.field(default_factory=set)
 
-    def learn_address(self, peer: str, host: str, port: int) -> None:
+    def learn_address(self, peer: str, host: str, port: int, data_centre: str = "") -> None:
         """Remember where a peer is to be dialed."""
-        self.addresses[peer] = Address(host, port)
+        self.addresses[peer] = Address(host, port, data_centre)
 
     def find_link(self, peer: str) -> Link | None:
         """Return an open link to the peer, the dialed one first."""
@@ -113,7 +123,8 @@
                 self._accept,
                 listeners=[PromptListener(listener, self.silence_ms) for listener in listeners],
                 ssl=None if self.keys is None else self.keys.server,
-                compression=None,
+                # The dialer alone knows how far it is, and asks for compression or not.
+                compression=COMPRESSION,
                 ping_interval=None,
                 max_size=MAX_FRAME_BYTES,
             )
@@ -165,7 +176,7 @@
                 stream=stream,
                 ssl=secure,
                 server_hostname=None if secure is None else peer,
-                compression=None,
+                compression=self._find_compression(address),
                 proxy=None,
                 open_timeout=DIAL_TIMEOUT_S,
                 close_timeout=DIAL_TIMEOUT_S,
@@ -192,6 +203,10 @@
             if unsent is not None:
                 self.receiver.dial_failed(peer, tuple(unsent))
 
+    def _find_compression(self, address: Address) -> str | None:
+        is_far = address.data_centre != self.own.data_centre
+        return COMPRESSION if self.compresses_far and is_far else None
+
     def _note_unreached(self, peer: str, error: Exception) -> None:
         # A dead peer is dialed several times a second; only the first failure is news.
         if peer not in self.unreached:
@@ -223,7 +238,8 @@
         """Run an open link until either end closes it."""
         sender, outbox = trio.open_memory_channel[PeerMessage](OUTBOX_MESSAGES)
         with trio.CancelScope() as scope:
-            link = Link(hello.sender, epoch, is_dialed, sender, scope, socket.ping)
+            is_compressed = bool(socket.protocol.extensions)
+            link = Link(hello.sender, epoch, is_dialed, sender, scope, socket.ping, is_compressed)
             self._open(link, hello)
             try:
                 await self._exchange(link, socket, outbox)
@@ -238,7 +254,8 @@
             old.close()
         table[link.peer.name] = link
         self.unreached.discard(link.peer.name)
-        self.recorder.record(EventKind.LINK_OPENED, detail=link.peer.name)
+        detail = f"{link.peer.name}, compressed" if link.is_compressed else link.peer.name
+        self.recorder.record(EventKind.LINK_OPENED, detail=detail)
         self.receiver.link_opened(link, hello)
         if link.is_dialed:
             for message in self.dialing.pop(link.peer.name, ()):
@@ -353,9 +370,11 @@
     make_hello: Callable[[int], Hello],
     keys: Keys | None = None,
     silence_ms: int | None = None,
+    *,
+    compresses_far: bool = False,
 ) -> LinkHub:
     """Create a hub without links; without keys they are not encrypted.
 
     Units: `silence_ms` is how long a link lasts whose peer acknowledges nothing, in milliseconds.
     """
-    return LinkHub(own, receiver, recorder, make_hello, keys, silence_ms)
+    return LinkHub(own, receiver, recorder, make_hello, keys, silence_ms, compresses_far)
--- a/packages/bendwind-node/src/bendwind_node/links/link.py
+++ b/packages/bendwind-node/src/bendwind_node/links/link.py
@@ -26,6 +26,7 @@
     outbox: trio.MemorySendChannel
     scope: trio.CancelScope
     ping: Callable[[], Awaitable[trio.Event]]
+    is_compressed: bool = False
     is_open: bool = True
     owes_since: Seconds | None = None
     is_checked: bool = False
--- a/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
@@ -85,6 +85,23 @@
 
         self.run_with(check)
 
+    def test_only_links_to_other_data_centres_are_compressed(self):
+        async def check(connect, server):
+            for data_centre, is_compressed in (("x", False), ("y", True), ("", True)):
+                client = connect(f"to-{data_centre}")
+                client.compresses_far = True
+                address = client.addresses["b"]
+                client.learn_address("b", address.host, address.port, data_centre)
+                sent = [Goodbye(f"m{number}") for number in range(20)]
+                for message in sent:
+                    client.send("b", message)
+                await wait_until(server.receiver, lambda: len(server.receiver.heard) >= 20)
+                self.assertEqual(server.receiver.heard, sent)
+                server.receiver.heard.clear()
+                self.assertIs(client.dialed["b"].is_compressed, is_compressed)
+
+        self.run_with(check)
+
     def test_unreached_peer_gives_back_what_never_left(self):
         async def check(connect, server):
             client = connect()
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -58,6 +58,13 @@
         Meta(ge=100, le=600_000),
         _doc("Time after which a connection whose peer acknowledges nothing is broken off.", "ms"),
     ] = 4000
+    compresses_far: Annotated[
+        bool,
+        _doc(
+            "Compress links to other data centres. Their lengths then tell something of what "
+            "passes, also under TLS."
+        ),
+    ] = False
 
 
 class CallersTable(Table, frozen=True, kw_only=True):
