calls, logs: a log line for each call, dispatch and refusal, written aside

The users ask that a failure can be explained afterwards from logs and metrics alone. Each call now ends in one line at its entry node, with the caller's id, the configuration's version and age and what each attempt came to; each dispatch and each refusal has one at the owner node, with what the owner went by: slots, queue, the upstream's pace and the age of that report. The time line holds the same records.

What finds no room is counted and told of, so that a reader that stands still holds nobody up (test_aside_handler). The tests of the log close the handler before they read.

--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -59,6 +59,8 @@
     not_run: NotRunReason | None = None
     cut: CutReason | None = None
     load: LoadSample | None = None
+    sent_at: Seconds = 0.0
+    ended_at: Seconds | None = None
 
 
 class EntryCall(msgspec.Struct):
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -168,9 +168,10 @@
     reason: NotRunReason,
     now: Seconds,
     effects: list[OwnerEffect],
+    hand_over: HandOver | None = None,
 ) -> None:
     """Reply that an attempt did not run; it must be known never to start."""
-    effects.append(ReplyNotRun(attempt, epoch, reason, load_sample(desk, now)))
+    effects.append(ReplyNotRun(attempt, epoch, reason, load_sample(desk, now), hand_over))
 
 
 def drop_waiting(
@@ -182,7 +183,8 @@
 ) -> None:
     """Take an attempt, already out of the queue, off the desk and refuse it."""
     _forget_waiting(desk, queued)
-    refuse(desk, queued.hand_over.attempt, queued.epoch, reason, now, effects)
+    hand_over = queued.hand_over
+    refuse(desk, hand_over.attempt, queued.epoch, reason, now, effects, hand_over)
 
 
 def fence_waiting(desk: OwnerDesk, queued: QueuedAttempt) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -164,6 +164,7 @@
     attempt = find_attempt(call, event.attempt)
     if attempt is None or attempt.state is not AttemptState.OUTSTANDING:
         return
+    attempt.ended_at = now
     is_failed = event.status in _FAILED_STATUSES
     if is_failed and event.is_complete and call.is_idempotent and call.winner is None:
         attempt.state = AttemptState.HELD
@@ -204,6 +205,7 @@
 ) -> None:
     attempt.state = AttemptState.NOT_RUN
     attempt.not_run = proof.reason
+    attempt.ended_at = now
     attempt.load = proof.load
     is_final = proof.reason in (NotRunReason.DEADLINE, NotRunReason.CANCELLED)
     if is_final:
@@ -236,6 +238,7 @@
 ) -> None:
     attempt.state = AttemptState.UNKNOWN
     attempt.cut = reason
+    attempt.ended_at = now
     if call.is_idempotent:
         try_again(call, now, choose, effects, is_free=False)
     else:
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -147,7 +147,7 @@
     hand_over = event.hand_over
     attempt = hand_over.attempt
     if hand_over.owner_incarnation != desk.incarnation:
-        refuse(desk, attempt, event.epoch, NotRunReason.WRONG_OWNER, now, effects)
+        refuse(desk, attempt, event.epoch, NotRunReason.WRONG_OWNER, now, effects, hand_over)
         return
     peer = meet_peer(desk.log, attempt.entry, attempt.incarnation, attempt.sequence - 1)
     if peer is None or event.epoch < peer.epoch:
@@ -159,7 +159,7 @@
     refusal = _find_refusal(desk, hand_over, now)
     if refusal is not None:
         record_ended(desk.log, attempt, Fate.NEVER_STARTED)
-        refuse(desk, attempt, event.epoch, refusal, now, effects)
+        refuse(desk, attempt, event.epoch, refusal, now, effects, hand_over)
         return
     expires_at = now + hand_over.remaining_ms / MILLISECONDS_PER_SECOND
     _enqueue(desk, QueuedAttempt(hand_over, event.epoch, expires_at), now, effects)
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -159,12 +159,13 @@
 
 
 class ReplyNotRun(msgspec.Struct):
-    """Send NotRun to the attempt's entry node."""
+    """Send NotRun to the attempt's entry node; `hand_over` is what was refused, if at hand."""
 
     attempt: AttemptId
     epoch: int
     reason: NotRunReason
     load: LoadSample
+    hand_over: HandOver | None = None
 
 
 class ReplyUnknown(msgspec.Struct):
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -72,7 +72,7 @@
 
 
 def _send(call: EntryCall, upstream: Upstream, now: Seconds, effects: list[EntryEffect]) -> None:
-    attempt = Attempt(next_attempt_id(call.attempt_ids), upstream)
+    attempt = Attempt(next_attempt_id(call.attempt_ids), upstream, sent_at=now)
     call.attempts.append(attempt)
     remaining = call.deadline_at - now - reply_margin(call, now)
     insist = _must_insist(call, upstream)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -0,0 +1,73 @@
+"""Describe what decided about one request, for its log line and the time line."""
+
+import msgspec
+
+from bendwind_core.core import Milliseconds
+
+
+class AttemptFacts(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold one attempt of a call as its entry node saw it.
+
+    Units: `sent_ms` counts from the call's arrival, `ms` from the sending to the end.
+    """
+
+    upstream: str
+    sent_ms: Milliseconds
+    end: str = ""
+    ms: Milliseconds | None = None
+
+
+class CallFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="call"):
+    """Hold a call's end: what was asked, what each attempt came to and what the caller got.
+
+    `version` is that of the configuration in force, `age_ms` how long ago it was proven the newest.
+    Units: `ms` counts from the call's arrival; `timeout_ms` and `target_ms` are what it started
+    with.
+    """
+
+    service: str = ""
+    route: str = ""
+    status: int = 0
+    ms: Milliseconds = 0.0
+    timeout_ms: Milliseconds = 0.0
+    target_ms: Milliseconds | None = None
+    version: int = 0
+    age_ms: Milliseconds | None = None
+    attempts: tuple[AttemptFacts, ...] = ()
+
+
+class DispatchFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="dispatch"):
+    """Hold what an owner node knew when it started an attempt, and how long that took.
+
+    `slow_factor` is the upstream's last report of its pace, `report_age_ms` the report's age.
+    Units: milliseconds; `waited_ms` was spent in the queue, `ms` in the upstream.
+    """
+
+    route: str = ""
+    waited_ms: Milliseconds = 0.0
+    ms: Milliseconds = 0.0
+    remaining_ms: Milliseconds = 0.0
+    running: int = 0
+    slots: int = 0
+    slow_factor: float = 1.0
+    report_age_ms: Milliseconds | None = None
+
+
+class RefusalFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="refusal"):
+    """Hold what an owner node knew when it refused an attempt as not run.
+
+    Units: milliseconds; `remaining_ms` and `target_ms` are what was left when the attempt came.
+    """
+
+    route: str = ""
+    remaining_ms: Milliseconds = 0.0
+    target_ms: Milliseconds | None = None
+    usual_ms: Milliseconds = 0.0
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    slow_factor: float = 1.0
+    report_age_ms: Milliseconds | None = None
+
+
+Facts = CallFacts | DispatchFacts | RefusalFacts
--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -4,18 +4,16 @@
 
 from bendwind_core.timeline.catalogue import EventKind
 
-# Events of single calls are many, and are worth a log line only while a fault is looked for.
+# Of a call, its end at the entry node and what its owner nodes decided are logged; its other events
+# are worth a log line only while a fault is looked for.
 _OF_ONE_CALL = frozenset(
     {
         EventKind.CALL_ARRIVED,
-        EventKind.CALL_FINISHED,
         EventKind.ATTEMPT_SENT,
         EventKind.ATTEMPT_NOT_RUN,
         EventKind.ATTEMPT_ANSWERED,
         EventKind.LATE_MESSAGE_DROPPED,
-        EventKind.CALL_REFUSED,
         EventKind.DISPATCH_STARTED,
-        EventKind.DISPATCH_FINISHED,
         EventKind.CLAIM_GRANTED,
         EventKind.CLAIM_NOT_GRANTED,
     }
@@ -24,6 +22,7 @@
     {
         EventKind.ATTEMPT_UNKNOWN,
         EventKind.CLAIM_LOSS_ACCEPTED,
+        EventKind.LOG_LINES_LEFT_OUT,
         EventKind.LEADER_LOST,
         EventKind.VOTER_REPLACED,
         EventKind.LOG_TAIL_CUT,
--- a/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
@@ -8,6 +8,7 @@
 from bendwind_core.timeline.catalogue import EventKind
 from bendwind_core.timeline.clock import HybridClock, HybridTime
 from bendwind_core.timeline.event import Event
+from bendwind_core.timeline.facts import Facts
 from bendwind_core.timeline.levels import find_level
 
 _LOG = logging.getLogger("bendwind")
@@ -53,7 +54,15 @@
         return list(heapq.merge(self.of_process, self.of_calls, key=lambda event: event.time))
 
     def record(
-        self, kind: EventKind, *, call: str = "", upstream: str = "", plan: str = "", detail=""
+        self,
+        kind: EventKind,
+        *,
+        call: str = "",
+        upstream: str = "",
+        plan: str = "",
+        detail: str = "",
+        request: str = "",
+        facts: Facts | None = None,
     ) -> Event:
         """Append an event stamped after every event recorded or observed before it."""
         time = self.clock.tick()
@@ -67,6 +76,8 @@
             plan,
             detail,
             self.monotonic_us(),
+            request,
+            facts,
         )
         is_many = bool(call) or kind in _BY_STRANGERS
         buffer = self.of_calls if is_many else self.of_process
--- a/packages/bendwind-core/src/bendwind_core/timeline/render.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/render.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import msgspec
+
 from bendwind_core.timeline.event import Event
 from bendwind_core.timeline.explain import AttemptTime, CallTime
 
@@ -16,9 +18,11 @@
     head = f"{time:%Y-%m-%dT%H:%M:%S}.{event.physical_ms % _MILLISECONDS_PER_SECOND:03d}Z"
     fields = [
         f"{name}={value}"
-        for name in ("call", "upstream", "plan", "detail")
+        for name in ("request", "call", "upstream", "plan", "detail")
         if (value := getattr(event, name))
     ]
+    if event.facts is not None:
+        fields.append(f"facts={msgspec.json.encode(event.facts).decode()}")
     title = f"{head}+{event.logical} {event.instance} {event.kind:d} {event.kind.name}"
     return " ".join([title, *fields])
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
@@ -21,6 +21,7 @@
 from bendwind_core.timeline import EventKind
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
+from bendwind_node.calls.call_facts import make_call_facts
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError
 from bendwind_node.calls.entry_node import EntryNode
@@ -98,7 +99,7 @@
             case ev.DeliverRecorded():
                 await self._send_recorded()
             case ev.FinishDelivered():
-                self._record_end("answered")
+                self._record_end("answered", self._find_delivered_status())
             case ev.FinishNotRun(reason=reason, retry_after_ms=retry_after_ms):
                 status = outcomes.find_not_run_status(reason, self.entry.dialect)
                 await self._send_outcome(status, outcomes.NOT_RUN, reason, retry_after_ms)
@@ -154,7 +155,7 @@
 
     async def _send_recorded(self) -> None:
         answer = self.run.replay
-        self._record_end("recorded answer")
+        self._record_end("recorded answer", answer.status)
         extra = (
             names.VIA,
             (names.CALL, self.run.call.call_id.encode()),
@@ -167,7 +168,7 @@
     async def _send_outcome(
         self, status: int, outcome: bytes, reason: str, retry_after_ms: Milliseconds | None
     ) -> None:
-        self._record_end(f"{outcome.decode()}: {reason}")
+        self._record_end(f"{outcome.decode()}: {reason}", status)
         with self._noticing_gone():
             await outcomes.send_outcome(
                 self.exchange,
@@ -179,9 +180,20 @@
                 self.entry.dialect,
             )
 
-    def _record_end(self, detail: str) -> None:
-        call_id = self.run.call.call_id
-        self.entry.recorder.record(EventKind.CALL_FINISHED, call=call_id, detail=detail)
+    def _find_delivered_status(self) -> int:
+        winner = self.run.call.winner
+        return 0 if winner is None else self.run.heads[winner.id].status
+
+    def _record_end(self, detail: str, status: int = 0) -> None:
+        run = self.run
+        now = trio.current_time()
+        self.entry.recorder.record(
+            EventKind.CALL_FINISHED,
+            call=run.call.call_id,
+            detail=detail,
+            request=run.request_id,
+            facts=make_call_facts(run, status, self.entry.membership, now),
+        )
 
 
 def _translate_claim(decision: ClaimDecision) -> ev.EntryEvent:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -0,0 +1,98 @@
+"""Put together what decided about one request, for its log lines."""
+
+from bendwind_core.attempts import Header
+from bendwind_core.attempts.call import Attempt
+from bendwind_core.attempts.desk import OwnerDesk, find_usual_ms
+from bendwind_core.attempts.messages import HandOver
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.timeline import AttemptFacts, CallFacts, DispatchFacts, RefusalFacts
+from bendwind_node.calls import headers as names
+from bendwind_node.calls.call_run import CallRun
+from bendwind_node.calls.dialect import Dialect
+from bendwind_node.membership import MembershipTask
+
+
+def find_request_id(headers: tuple[Header, ...], dialect: Dialect) -> str:
+    """Return the caller's own id of its request, empty where there is none."""
+    if dialect.request_id is None:
+        return ""
+    return (names.find_header(headers, dialect.request_id) or b"").decode("latin-1")
+
+
+def make_call_facts(
+    run: CallRun, status: int, membership: MembershipTask, now: Seconds
+) -> CallFacts:
+    """Describe the end of a call."""
+    call = run.call
+    target_ms = None
+    if call.target_at is not None:
+        target_ms = _count_ms(call.target_at - run.arrived_at)
+    return CallFacts(
+        call.service.name,
+        call.rule.name,
+        status,
+        _count_ms(now - run.arrived_at),
+        _count_ms(call.deadline_at - run.arrived_at),
+        target_ms,
+        membership.view.version,
+        _round_age(membership.confirmed_age_ms()),
+        tuple(_make_attempt_facts(run, attempt) for attempt in call.attempts),
+    )
+
+
+def _make_attempt_facts(run: CallRun, attempt: Attempt) -> AttemptFacts:
+    ms = None if attempt.ended_at is None else _count_ms(attempt.ended_at - attempt.sent_at)
+    sent_ms = _count_ms(attempt.sent_at - run.arrived_at)
+    return AttemptFacts(attempt.upstream.name, sent_ms, _describe_end(run, attempt), ms)
+
+
+def _describe_end(run: CallRun, attempt: Attempt) -> str:
+    head = run.heads.get(attempt.id)
+    if head is not None:
+        return str(head.status)
+    reason = attempt.not_run or attempt.cut
+    return str(attempt.state) if reason is None else f"{attempt.state}: {reason}"
+
+
+def make_dispatch_facts(
+    desk: OwnerDesk, hand_over: HandOver, expires_at: Seconds, now: Seconds
+) -> DispatchFacts:
+    """Describe what is known at the start of a dispatch; its duration comes later."""
+    came_at = expires_at - hand_over.remaining_ms / MILLISECONDS_PER_SECOND
+    return DispatchFacts(
+        hand_over.route,
+        max(0.0, _count_ms(now - came_at)),
+        remaining_ms=round(hand_over.remaining_ms, 1),
+        running=len(desk.running),
+        slots=desk.slots,
+        slow_factor=desk.pace.factor,
+        report_age_ms=_find_report_age(desk, now),
+    )
+
+
+def make_refusal_facts(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> RefusalFacts:
+    """Describe what is known when an attempt is refused."""
+    return RefusalFacts(
+        hand_over.route,
+        round(hand_over.remaining_ms, 1),
+        _round_age(hand_over.target_ms),
+        round(find_usual_ms(desk, hand_over.route), 1),
+        len(desk.running),
+        len(desk.waiting),
+        desk.slots,
+        desk.pace.factor,
+        _find_report_age(desk, now),
+    )
+
+
+def _find_report_age(desk: OwnerDesk, now: Seconds) -> Milliseconds | None:
+    reported_at = desk.pace.reported_at
+    return None if reported_at is None else _count_ms(now - reported_at)
+
+
+def _round_age(age_ms: Milliseconds | None) -> Milliseconds | None:
+    return None if age_ms is None else round(age_ms, 1)
+
+
+def _count_ms(seconds: Seconds) -> Milliseconds:
+    return round(seconds * MILLISECONDS_PER_SECOND, 1)
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -18,6 +18,7 @@
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.body_flow import ByteBudget
+from bendwind_node.calls.call_facts import find_request_id
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerRequest
 from bendwind_node.calls.entry_node import EntryNode
@@ -143,7 +144,16 @@
             target_at=target_at,
         )
         headers = self._make_headers(request)
-        run = CallRun(call, self.entry.apply, request.method, request.target, headers, body)
+        run = CallRun(
+            call,
+            self.entry.apply,
+            request.method,
+            request.target,
+            headers,
+            body,
+            arrived_at,
+            find_request_id(request.headers, self.entry.dialect),
+        )
         if call.has_key:
             run.key = key
             run.fingerprint = fingerprint_request(request.method, request.target, body)
--- a/packages/bendwind-node/src/bendwind_node/calls/call_run.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_run.py
@@ -20,7 +20,10 @@
 
 
 class CallRun(msgspec.Struct, eq=False):
-    """Hold one call; `apply` decides on an event and carries out what needs no waiting."""
+    """Hold one call; `apply` decides on an event and carries out what needs no waiting.
+
+    `request_id` is the caller's own id of its request.
+    """
 
     call: EntryCall
     apply: Callable[["CallRun", EntryEvent], None]
@@ -28,6 +31,8 @@
     target: bytes
     headers: tuple
     body: bytes
+    arrived_at: Seconds = 0.0
+    request_id: str = ""
     key: str = ""
     fingerprint: bytes = b""
     heads: dict[AttemptId, AnswerHead] = msgspec.field(default_factory=dict)
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -5,9 +5,10 @@
 
 from bendwind_core.attempts import events as ev
 from bendwind_core.limits import leave
-from bendwind_core.timeline import EventKind
+from bendwind_core.timeline import CallFacts, EventKind
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.call_delivery import Delivery
+from bendwind_node.calls.call_facts import find_request_id
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError
@@ -50,7 +51,7 @@
         return call_id
 
     async def _refuse(self, exchange: CallerExchange, call_id: str, refusal: Refusal) -> None:
-        self.entry.recorder.record(EventKind.CALL_REFUSED, call=call_id, detail=refusal.reason)
+        self._record_refusal(exchange, call_id, refusal)
         await outcomes.send_outcome(
             exchange,
             call_id,
@@ -61,6 +62,19 @@
             self.entry.dialect,
         )
 
+    def _record_refusal(self, exchange: CallerExchange, call_id: str, refusal: Refusal) -> None:
+        entry = self.entry
+        age_ms = entry.membership.confirmed_age_ms()
+        entry.recorder.record(
+            EventKind.CALL_REFUSED,
+            call=call_id,
+            detail=refusal.reason,
+            request=find_request_id(exchange.request.headers, entry.dialect),
+            facts=CallFacts(
+                status=refusal.status, version=entry.membership.view.version, age_ms=age_ms
+            ),
+        )
+
     async def _run(self, exchange: CallerExchange, run: CallRun) -> None:
         call = run.call
         detail = f"{run.method} {call.service.name}"
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 from expression import Result
+from msgspec.structs import replace
 
 from bendwind_core.attempts import (
     AttemptId,
@@ -21,14 +22,19 @@
     owner,
 )
 from bendwind_core.attempts import owner_events as ev
-from bendwind_core.core import Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import ProbeBudget, spend_probe
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import LoadProbe, LoadReport
-from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.timeline import DispatchFacts, EventKind, Recorder
 from bendwind_core.world import Instance, LoadSample
 from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import Outflow
+from bendwind_node.calls.call_facts import (
+    find_request_id,
+    make_dispatch_facts,
+    make_refusal_facts,
+)
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect, read_slow_factor
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
 from bendwind_node.calls.health_check import ask_load
@@ -207,6 +213,7 @@
                     scope.cancel()
             case ev.ReplyNotRun(attempt=attempt, epoch=epoch, reason=reason, load=load):
                 self.replies.send(attempt, epoch, NotRun(attempt, reason, load))
+                self._record_refusal(owned, effect)
             case ev.ReplyUnknown(attempt=attempt, epoch=epoch, reason=reason, load=load):
                 self.replies.send(attempt, epoch, Unknown(attempt, reason, load))
             case ev.ReplyFenced(attempt=attempt, epoch=epoch, verdict=verdict):
@@ -214,6 +221,20 @@
             case ev.Drained():
                 self.recorder.record(EventKind.DESK_DRAINED, upstream=owned.upstream.name)
 
+    def _record_refusal(self, owned: OwnedUpstream, reply: ev.ReplyNotRun) -> None:
+        hand_over = reply.hand_over
+        if hand_over is None:
+            # It was dispatched, and the end of that has a line of its own.
+            return
+        self.recorder.record(
+            EventKind.ATTEMPT_REFUSED,
+            call=format_attempt(reply.attempt),
+            upstream=owned.upstream.name,
+            detail=str(reply.reason),
+            request=find_request_id(hand_over.headers, self.dialect),
+            facts=make_refusal_facts(owned.desk, hand_over, trio.current_time()),
+        )
+
     async def _ask_load(self, owned: OwnedUpstream) -> None:
         """Ask an upstream for its load, within the budget of what measuring may cost."""
         path = self.register.find_health_path(owned.upstream.service)
@@ -238,6 +259,8 @@
         call = format_attempt(attempt)
         self.recorder.record(EventKind.DISPATCH_STARTED, call=call, upstream=owned.upstream.name)
         epoch = owned.desk.running[attempt].epoch
+        started_at = trio.current_time()
+        facts = make_dispatch_facts(owned.desk, hand_over, scope.deadline, started_at)
         outflow = Outflow()
         self.outflows[attempt] = outflow
         dispatch = UpstreamDispatch(
@@ -254,16 +277,27 @@
         finally:
             del owned.scopes[attempt]
             del self.outflows[attempt]
-        self._finish_dispatch(owned, call, end)
+        took_ms = round((trio.current_time() - started_at) * MILLISECONDS_PER_SECOND, 1)
+        self._finish_dispatch(owned, hand_over, end, replace(facts, ms=took_ms))
 
-    def _finish_dispatch(self, owned: OwnedUpstream, call: str, end: DispatchEnd) -> None:
+    def _finish_dispatch(
+        self, owned: OwnedUpstream, hand_over: HandOver, end: DispatchEnd, facts: DispatchFacts
+    ) -> None:
         self.recorder.record(
             EventKind.DISPATCH_FINISHED,
-            call=call,
+            call=format_attempt(hand_over.attempt),
             upstream=owned.upstream.name,
-            detail=type(end).__name__,
+            detail=_describe_end(end),
+            request=find_request_id(hand_over.headers, self.dialect),
+            facts=facts,
         )
         if not isinstance(end, ev.DispatchDone):
             self._feed(owned, end)
         if isinstance(end, ev.DispatchNotRun) and end.reason is NotRunReason.MISDIRECTED:
             self.register.misdirected(owned.upstream.name)
+
+
+def _describe_end(end: DispatchEnd) -> str:
+    if isinstance(end, ev.DispatchDone):
+        return "answered"
+    return f"{type(end).__name__}: {end.reason}"
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -42,6 +42,9 @@
     def is_fresh(self):
         return self.fresh
 
+    def confirmed_age_ms(self):
+        return 0.0 if self.fresh else None
+
     routing: object = EMPTY_ROUTING
 
     def watch(self, service):
--- a/packages/bendwind-node/src/bendwind_node/logs/configure.py
+++ b/packages/bendwind-node/src/bendwind_node/logs/configure.py
@@ -4,7 +4,8 @@
 import sys
 from typing import TextIO
 
-from bendwind_node.logs.formatters import JsonFormatter, TextFormatter
+from bendwind_node.logs.aside_handler import AsideHandler
+from bendwind_node.logs.formatters import JsonFormatter, TextFormatter, describe_left_out
 from bendwind_node.settings import Settings
 
 # These libraries log each request or frame below this level.
@@ -12,11 +13,15 @@
 
 
 def configure_logging(settings: Settings, stream: TextIO | None = None) -> None:
-    """Write events at or above the settings' level to a stream, standard error by default."""
+    """Write events at or above the settings' level to a stream, standard error by default.
+
+    Nothing here waits for whoever reads the stream.
+    """
     instance = settings.instance.name
     is_json = settings.logging.format == "json"
-    handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(JsonFormatter(instance) if is_json else TextFormatter(instance))
+    formatter = JsonFormatter(instance) if is_json else TextFormatter(instance)
+    handler = AsideHandler(stream or sys.stderr, lambda count: describe_left_out(formatter, count))
+    handler.setFormatter(formatter)
     logging.basicConfig(handlers=[handler], level=logging.WARNING, force=True)
     logging.getLogger("bendwind").setLevel(settings.logging.level.upper())
     for name in _CHATTY:
--- a/packages/bendwind-node/src/bendwind_node/logs/formatters.py
+++ b/packages/bendwind-node/src/bendwind_node/logs/formatters.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bendwind_core.timeline import Event, render_event
+from bendwind_core.timeline import Event, EventKind, Facts, render_event
 
 _MILLISECONDS_PER_SECOND = 1000
 
@@ -25,6 +25,8 @@
     upstream: str = ""
     plan: str = ""
     detail: str = ""
+    request: str = ""
+    facts: Facts | None = None
 
 
 class JsonFormatter(logging.Formatter):
@@ -54,6 +56,8 @@
                 event.upstream,
                 event.plan,
                 event.detail,
+                event.request,
+                event.facts,
             )
         return msgspec.json.encode(line).decode()
 
@@ -75,6 +79,13 @@
         return f"{record.levelname} {text}".replace("\n", "\\n")
 
 
+def describe_left_out(formatter: logging.Formatter, count: int) -> str:
+    """Return the line that tells how many lines found no room."""
+    kind = EventKind.LOG_LINES_LEFT_OUT
+    record = logging.LogRecord(kind.name, logging.WARNING, "", 0, "%d lines", (count,), None)
+    return formatter.format(record)
+
+
 def _find_event(record: logging.LogRecord) -> Event | None:
     return getattr(record, "event", None)
 
--- a/packages/bendwind-node/src/bendwind_node/logs/tests/test_logs.py
+++ b/packages/bendwind-node/src/bendwind_node/logs/tests/test_logs.py
@@ -20,6 +20,11 @@
         configure_logging(parse_settings((PLAIN + extra).encode(), "f").ok, stream)
         return stream
 
+    def read(self, stream: io.StringIO) -> str:
+        """Return what was logged, once it is all written."""
+        logging.getLogger().handlers[0].close()
+        return stream.getvalue()
+
     def test_an_event_is_one_json_line_with_number_name_and_time(self):
         stream = self.start()
         self.recorder.record(EventKind.PROCESS_STARTED, detail='a "b"\nc')
@@ -31,17 +36,18 @@
             "number": 801,
             "detail": 'a "b"\nc',
         }
-        self.assertEqual(json.loads(stream.getvalue()), line)
-        self.assertEqual(stream.getvalue().count("\n"), 1)
+        text = self.read(stream)
+        self.assertEqual(json.loads(text), line)
+        self.assertEqual(text.count("\n"), 1)
 
     def test_events_of_calls_need_the_debug_level(self):
         stream = self.start()
         self.recorder.record(EventKind.CALL_ARRIVED)
-        self.assertEqual(stream.getvalue(), "")
+        self.assertEqual(self.read(stream), "")
         stream = self.start('[logging]\nlevel = "debug"\nformat = "text"\n')
         self.recorder.record(EventKind.CALL_ARRIVED, call="c1", detail="x\ny")
         line = "DEBUG 1970-01-01T00:00:01.500Z+1 b 101 CALL_ARRIVED call=c1 detail=x\\ny\n"
-        self.assertEqual(stream.getvalue(), line)
+        self.assertEqual(self.read(stream), line)
 
     def test_a_librarys_warning_is_logged_with_its_name_and_traceback(self):
         stream = self.start()
@@ -50,7 +56,7 @@
         except ValueError:
             logging.getLogger("some.library").warning("failed", exc_info=True)
         logging.getLogger("some.library").info("chatter")
-        line = json.loads(stream.getvalue())
+        line = json.loads(self.read(stream))
         self.assertEqual((line["name"], line["instance"]), ("some.library", "sala-norte-1"))
         self.assertIn("ValueError: odd", line["detail"])
 
