--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -28,6 +28,9 @@
 ASK_TIMEOUT: Seconds = 0.010
 # A request that would lose no more than this by a slow start is not worth a question.
 BLIND_RISK_MS: Milliseconds = 60.0
+# An attempt that can still go elsewhere is taken only if it should be answered within this share of
+# its time: estimates are means, and work scatters around them by some 30% on the users' platform.
+POLITE_SHARE = 0.85
 # A running attempt that took longer than expected is expected to need this share once more.
 OVERDUE_SHARE = 0.25
 
@@ -42,7 +45,8 @@
         return None
     expected_ms = find_expected_ms(desk, hand_over.route, now)
     wait_ms = 0.0 if is_free else find_wait_ms(desk, find_due(desk, hand_over, now), now)
-    if wait_ms + expected_ms <= _find_limit_ms(desk, hand_over):
+    share = 1.0 if hand_over.insist else POLITE_SHARE
+    if wait_ms + expected_ms <= share * _find_limit_ms(desk, hand_over):
         return None
     return NotRunReason.STALLED if is_free else NotRunReason.QUEUE_FULL
 
@@ -54,6 +58,21 @@
     return hand_over.remaining_ms if is_short and hand_over.insist else hand_over.target_ms
 
 
+def is_stalled_again(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
+    """Tell whether an attempt that waited for a slow phase to end had better go elsewhere.
+
+    Phases follow each other by chance: what waits through a second one is late for sure, while
+    another upstream may be at its usual pace.
+    """
+    if queued.hand_over.insist or queued.hand_over.target_ms is None:
+        return False
+    if not paces.is_slow(desk.pace, now) or desk.pace.began_at <= queued.queued_at:
+        return False
+    usual_ms = find_usual_ms(desk, queued.hand_over.route)
+    left_ms = (queued.due_at - now) * MILLISECONDS_PER_SECOND + usual_ms
+    return find_expected_ms(desk, queued.hand_over.route, now) > left_ms
+
+
 def find_leaving(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Seconds:
     """Return the time at which an attempt that still waits for a slot is given back."""
     slack_ms = _find_limit_ms(desk, hand_over) - find_usual_ms(desk, hand_over.route)
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -42,6 +42,7 @@
     hand_over: HandOver
     epoch: int
     expires_at: Seconds
+    queued_at: Seconds = 0.0
     due_at: Seconds = 0.0
     leaves_at: Seconds = 0.0
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -4,11 +4,14 @@
 attempt that it marks, in the same step, as one that never starts.
 """
 
+from collections.abc import Callable
+
 from bendwind_core.attempts.admission import (
     ask_if_held,
     find_due,
     find_leaving,
     find_refusal,
+    is_stalled_again,
     may_start,
     next_look,
     take_startable,
@@ -126,8 +129,9 @@
         case Tick():
             pass
     _expire_queue(desk, now, effects)
+    _give_back(desk, is_stalled_again, NotRunReason.STALLED, now, effects)
     _dispatch_waiting(desk, now, effects)
-    _give_back_late(desk, now, effects)
+    _give_back(desk, _is_at_its_end, NotRunReason.QUEUE_FULL, now, effects)
     ask_if_held(desk, now, effects)
     _report_drained(desk, effects)
     return effects
@@ -162,7 +166,7 @@
         refuse(desk, attempt, event.epoch, refusal, now, effects, hand_over)
         return
     expires_at = now + hand_over.remaining_ms / MILLISECONDS_PER_SECOND
-    _enqueue(desk, QueuedAttempt(hand_over, event.epoch, expires_at), now, effects)
+    _enqueue(desk, QueuedAttempt(hand_over, event.epoch, expires_at, now), now, effects)
 
 
 def _is_seen(
@@ -298,12 +302,22 @@
             drop_waiting(desk, queued, NotRunReason.DEADLINE, now, effects)
 
 
-def _give_back_late(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    """Refuse what got no slot in time, while it can still be tried elsewhere."""
+def _is_at_its_end(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
+    return now >= find_end(queued)
+
+
+def _give_back(
+    desk: OwnerDesk,
+    is_given_back: Callable[[OwnerDesk, QueuedAttempt, Seconds], bool],
+    reason: NotRunReason,
+    now: Seconds,
+    effects: list[OwnerEffect],
+) -> None:
+    """Refuse what would be late here, while it can still be tried elsewhere."""
     for queued in list(desk.waiting.values()):
-        if now >= find_end(queued):
+        if is_given_back(desk, queued, now):
             take_off_queue(desk, queued)
-            drop_waiting(desk, queued, NotRunReason.QUEUE_FULL, now, effects)
+            drop_waiting(desk, queued, reason, now, effects)
 
 
 def _dispatch_waiting(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -23,7 +23,7 @@
 
 MAX_ATTEMPTS = 5
 # So many attempts are sent back by a stalled upstream rather than taken.
-POLITE_ATTEMPTS = 2
+POLITE_ATTEMPTS = 3
 # The owner's time ends a little before the caller's, so that its proof still arrives in time.
 REPLY_MARGIN_MAX: Seconds = 0.020
 REPLY_MARGIN_SHARE = 0.1
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
@@ -82,6 +82,25 @@
         started = self.step(ov.LoadReported(1.0))
         self.assertEqual(started[0].hand_over.route, "slow")
 
+    def test_request_that_waited_goes_elsewhere_when_another_slow_phase_follows(self):
+        # It was held on to its deadline, though another upstream could have answered in time.
+        answers = {}
+        for insist in (False, True):
+            self.setUp()
+            self.step(ov.LoadReported(4.0))
+            self.now += 0.2
+            self.assertEqual(self.hand_over(target_ms=350.0, insist=insist), [])
+            self.now = owner.next_due(self.desk, self.now)
+            self.step(ov.Tick())
+            answers[insist] = self.step(ov.LoadReported(4.0))
+        self.assertIs(self.reason(answers[False]), NotRunReason.STALLED)
+        self.assertIsInstance(answers[True][0], ov.Dispatch)
+
+    def test_request_that_may_go_elsewhere_is_taken_with_room_for_scatter(self):
+        for target_ms, is_taken in ((100.0, False), (130.0, True)):
+            effects = self.hand_over(target_ms=target_ms, insist=False)
+            self.assertEqual(isinstance(effects[0], ov.Dispatch), is_taken, target_ms)
+
     def test_request_that_is_in_time_also_when_slowed_starts(self):
         self.step(ov.LoadReported(4.0))
         self.assertIsInstance(self.hand_over(target_ms=500.0)[0], ov.Dispatch)
