calls: CONNECT and TRACE end at the entry node

Cause: CONNECT went on its way and ended in 502 though no upstream serves it, and an answer to TRACE shows what was added to the request on the way.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -38,6 +38,10 @@
 _EMPTY: Result[bytes, Refusal] = Ok(b"")
 _UNKNOWN_SERVICE = Refusal(404, outcomes.REFUSED, "unknown-service")
 _NO_ROUTE = Refusal(404, outcomes.REFUSED, "no-route")
+# CONNECT asks for a tunnel, which no upstream takes part in. An answer to TRACE repeats the request
+# with what was added to it on the way (RFC 9110, 9.3.6 and 9.3.8).
+_NOT_SERVED = frozenset({"CONNECT", "TRACE"})
+_METHOD_NOT_SERVED = Refusal(501, outcomes.REFUSED, "method-not-served")
 
 
 class Target(msgspec.Struct, frozen=True):
@@ -66,6 +70,8 @@
         arrived_at = trio.current_time()
         if self.in_flight > self.max_in_flight:
             return Error(Refusal.not_run(NotRunReason.OVERLOADED))
+        if exchange.request.method in _NOT_SERVED:
+            return Error(_METHOD_NOT_SERVED)
         if check_headers(exchange.request.headers).is_error():
             return Error(_HEADERS_TOO_LARGE)
         found = await self._find_target(exchange.request)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -53,6 +53,16 @@
         service = Service("svc", ("*",), hosts=("svc.example",))
         self.run_with(self.answer_ok, check, service=service)
 
+    def test_methods_that_no_upstream_serves_end_at_the_entry_node(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            for method in (b"CONNECT", b"TRACE"):
+                exchange = await bench.call(make_exchange(method))
+                self.assertEqual(exchange.status, 501)
+
+        self.run_with(self.answer_ok, check)
+        self.assertEqual(self.runs, 0)
+
     def test_long_answer_passes_a_slow_caller_within_its_window(self):
         async def long_answer(stream, data):
             head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (2 * MIB)
