timeline, cli: bendwind explain tells one request's story from the logs of processes

`bendwind explain REQUEST [LOGS...]` reads log lines of any processes in any order, from files or standard input, puts the entry node's line together with what each owner node logged and what their processes reported shortly before, and ends with the most likely cause. Lines that are cut or foreign are counted and passed over. LogLine moved to the core, where it is written from and read to.

--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -88,6 +88,13 @@
     json: bool
 
 
+class ExplainRequest(msgspec.Struct, frozen=True):
+    """Explain one request from logs; without names of files from standard input."""
+
+    request: str
+    logs: tuple[str, ...]
+
+
 class ListEvents(msgspec.Struct, frozen=True):
     """List the numbered events."""
 
@@ -128,6 +135,7 @@
     | Stop
     | AcceptClaimLoss
     | ShowTimeline
+    | ExplainRequest
     | ListEvents
     | KeyCommand
 )
--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/explain.py
@@ -0,0 +1,98 @@
+"""Explain one request from the logs of processes."""
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from expression import Error, Ok, Result
+
+from bendwind_cli.commands import ExplainRequest
+from bendwind_cli.outcome import ExitCode, Failure
+from bendwind_core.timeline import (
+    CallFacts,
+    DispatchFacts,
+    LogLine,
+    RefusalFacts,
+    Story,
+    conclude,
+    find_story,
+)
+
+_STANDARD_INPUT = "-"
+
+
+def explain(command: ExplainRequest) -> Result[str, Failure]:
+    """Return what became of a request and why.
+
+    Errors: which log cannot be read, or that no line tells of the request.
+    """
+    missing = [name for name in command.logs if not _is_readable(name)]
+    if missing:
+        return Error(Failure(ExitCode.USAGE, f"{missing[0]}: expected a readable file"))
+    story = find_story(command.request, _read_lines(command.logs or (_STANDARD_INPUT,)))
+    return Ok("\n".join(_render(story)))
+
+
+def _is_readable(name: str) -> bool:
+    return name == _STANDARD_INPUT or Path(name).is_file()
+
+
+def _read_lines(names: tuple[str, ...]) -> Iterator[str]:
+    for name in names:
+        if name == _STANDARD_INPUT:
+            yield from sys.stdin
+            continue
+        with open(name, errors="replace") as file:
+            yield from file
+
+
+def _render(story: Story) -> Iterator[str]:
+    if story.end is not None:
+        yield from _render_end(story.end)
+        for number, step in enumerate(story.steps, 1):
+            attempt = step.attempt
+            took = "no end seen" if attempt.ms is None else f"{attempt.end} after {attempt.ms} ms"
+            yield f"  {number}. at +{attempt.sent_ms} ms to {attempt.upstream}: {took}"
+            yield f"     {_render_owner(step.owner)}"
+    if story.context:
+        yield "  what its processes had logged shortly before:"
+        for line in story.context:
+            before_ms = story.end.physical_ms - line.physical_ms
+            words = (f"     -{before_ms} ms", line.instance, line.name, line.upstream, line.detail)
+            yield " ".join(word for word in words if word)
+    yield f"cause: {conclude(story)}"
+    if story.unread:
+        yield f"{story.unread} lines could not be read and were passed over"
+
+
+def _render_end(end: LogLine) -> Iterator[str]:
+    facts: CallFacts = end.facts
+    yield f"request {end.request}: {end.detail}, status {facts.status}, after {facts.ms} ms"
+    target = "no objective" if facts.target_ms is None else f"objective {facts.target_ms} ms"
+    asked = f"route {facts.route or '?'}, service {facts.service or '?'}, {target}"
+    yield f"  {asked}, timeout {facts.timeout_ms} ms; call {end.call} at {end.instance}"
+    age = "never proven" if facts.age_ms is None else f"proven the newest {facts.age_ms} ms before"
+    yield f"  configuration {facts.version}, {age}"
+
+
+def _render_owner(line: LogLine | None) -> str:
+    match line.facts if line is not None else None:
+        case DispatchFacts() as facts:
+            return (
+                f"{line.instance} ran it for {facts.ms} ms ({line.detail}) after {facts.waited_ms} "
+                f"ms in its queue; {facts.running} of {facts.slots} slots taken, "
+                f"{_render_pace(facts.slow_factor, facts.report_age_ms)}"
+            )
+        case RefusalFacts() as facts:
+            return (
+                f"{line.instance} refused it ({line.detail}): {facts.running} of {facts.slots} "
+                f"slots taken, {facts.waiting} waiting, usual time {facts.usual_ms} ms, "
+                f"{_render_pace(facts.slow_factor, facts.report_age_ms)}"
+            )
+    return "no line of its owner node was found"
+
+
+def _render_pace(slow_factor: float, age_ms: float | None) -> str:
+    if age_ms is None:
+        return "pace never reported"
+    return f"pace x{slow_factor:g} reported {age_ms} ms before"
--- a/packages/bendwind-cli/src/bendwind_cli/parsing.py
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -12,6 +12,7 @@
     Command,
     ConfirmPlan,
     Drain,
+    ExplainRequest,
     ListEvents,
     MakeAuthority,
     MakeInstanceKey,
@@ -268,6 +269,16 @@
         target = Target(control, settings)
         return ShowTimeline(target, call, plan, upstream, event, limit, json in _YES)
 
+    @_as_text
+    def explain(self, request: str, *logs: str) -> ExplainRequest:
+        """Explain a request from the logs of processes: what was decided, by what, and the cause.
+
+        Args:
+            request: The caller's id of its request.
+            logs: Files of log lines, of any processes in any order; without any, standard input.
+        """
+        return ExplainRequest(request, logs)
+
     def events(self) -> ListEvents:
         """List the numbered events that processes record."""
         return ListEvents()
--- a/packages/bendwind-cli/src/bendwind_cli/run.py
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -4,7 +4,7 @@
 
 from expression import Result
 
-from bendwind_cli import instances, plans, revisions, timeline
+from bendwind_cli import explain, instances, plans, revisions, timeline
 from bendwind_cli.client import Client, open_client
 from bendwind_cli.client_settings import find_settings
 from bendwind_cli.commands import (
@@ -12,6 +12,7 @@
     Command,
     ConfirmPlan,
     Drain,
+    ExplainRequest,
     ListEvents,
     MakeAuthority,
     MakeInstanceKey,
@@ -54,6 +55,8 @@
             return _with_client(command.target, lambda client: plans.accept_loss(client, command))
         case ShowTimeline():
             return _with_client(command.target, lambda client: timeline.show(client, command))
+        case ExplainRequest():
+            return explain.explain(command)
         case ListEvents():
             return timeline.list_events()
         case MakeAuthority() | MakeInstanceKey() | MakeOperatorKey():
--- a/packages/bendwind-core/src/bendwind_core/timeline/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/__init__.py
@@ -12,9 +12,12 @@
     RefusalFacts,
 )
 from bendwind_core.timeline.levels import find_level
+from bendwind_core.timeline.log_line import LogLine, read_log_line
 from bendwind_core.timeline.merge import EventFilter, find_kind, merge_events, select_events
 from bendwind_core.timeline.recorder import Recorder
 from bendwind_core.timeline.render import render_event, render_explanation
+from bendwind_core.timeline.story import Story, find_story
+from bendwind_core.timeline.verdict import conclude
 
 __all__ = [
     "AttemptFacts",
@@ -28,13 +31,18 @@
     "Facts",
     "HybridClock",
     "HybridTime",
+    "LogLine",
     "Recorder",
     "RefusalFacts",
+    "Story",
+    "conclude",
     "explain_call",
     "find_attempts",
     "find_kind",
     "find_level",
+    "find_story",
     "merge_events",
+    "read_log_line",
     "render_event",
     "render_explanation",
     "select_events",
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
@@ -0,0 +1,119 @@
+import unittest
+
+import msgspec
+
+from bendwind_core.timeline import (
+    AttemptFacts,
+    CallFacts,
+    DispatchFacts,
+    LogLine,
+    RefusalFacts,
+    conclude,
+    find_story,
+)
+
+FULL = RefusalFacts("r", 190.0, 190.0, 60.0, running=4, waiting=3, slots=4)
+SLOWED = RefusalFacts("r", 190.0, 190.0, 60.0, 1, 0, 4, slow_factor=4.0, report_age_ms=12.0)
+
+
+def write(line, prefix=""):
+    return prefix + msgspec.json.encode(line).decode() + "\n"
+
+
+def end_call(detail, *attempts, status=200, ms=20.0, request="q1", at=1000):
+    facts = CallFacts("s", "r", status, ms, 800.0, 200.0, 7, 120.0, attempts)
+    return LogLine(
+        "info", "entry", at, "CALL_FINISHED", 102, call="c1", detail=detail, request=request,
+        facts=facts,
+    )  # fmt: skip
+
+
+def owner_line(name, upstream, facts, detail="", at=990, request="q1"):
+    return LogLine(
+        "info", f"owner-{upstream}", at, name, 1, upstream=upstream, detail=detail,
+        request=request, facts=facts,
+    )  # fmt: skip
+
+
+def process_line(instance, name, at):
+    return LogLine("info", instance, at, name, 601)
+
+
+class StoryTest(unittest.TestCase):
+    def test_lines_of_many_processes_in_any_order_are_put_together(self):
+        first = AttemptFacts("u1", 0.2, "not-run: queue-full", 1.0)
+        second = AttemptFacts("u2", 1.3, "200", 18.0)
+        lines = [
+            owner_line("DISPATCH_FINISHED", "u2", DispatchFacts("r", 1.0, 17.0), "answered", 995),
+            end_call("answered", first, second),
+            owner_line("ATTEMPT_REFUSED", "u1", FULL, "queue-full", 991),
+            owner_line("ATTEMPT_REFUSED", "u2", FULL, "queue-full", 500, request="other"),
+        ]
+        story = find_story("q1", (write(line, "12.5 node-1 ") for line in lines))
+        self.assertEqual([step.owner.instance for step in story.steps], ["owner-u1", "owner-u2"])
+        self.assertEqual(story.unread, 0)
+        self.assertEqual(conclude(story), "answered in time")
+
+    def test_cut_and_foreign_lines_are_counted_and_passed_over(self):
+        whole = write(end_call("answered", AttemptFacts("u1", 0.1, "200", 9.0)))
+        story = find_story("q1", [whole[:40], "no log line", "", '{"a": 1}', whole])
+        self.assertEqual((story.unread, story.end.call), (3, "c1"))
+
+    def test_context_holds_what_the_processes_of_the_request_logged_shortly_before(self):
+        lines = [
+            end_call("answered", AttemptFacts("u1", 0.1, "200", 9.0), at=10_000),
+            owner_line("DISPATCH_FINISHED", "u1", DispatchFacts("r"), "answered", 9_990),
+            process_line("owner-u1", "UPSTREAM_READY", 9_000),
+            process_line("entry", "VOTER_CHANGED", 8_000),
+            process_line("entry", "LINK_OPENED", 2_000),
+            process_line("stranger", "LINK_CLOSED", 9_500),
+            process_line("entry", "LINK_CLOSED", 10_500),
+        ]
+        story = find_story("q1", map(write, lines))
+        names = [line.name for line in story.context]
+        self.assertEqual(names, ["VOTER_CHANGED", "UPSTREAM_READY"])
+
+
+class VerdictTest(unittest.TestCase):
+    def conclude(self, *lines):
+        return conclude(find_story("q1", map(write, lines)))
+
+    def test_request_without_a_line_is_said_so(self):
+        self.assertIn("no line of an entry node", self.conclude(end_call("answered", request="q2")))
+
+    def test_request_refused_before_any_attempt(self):
+        verdict = self.conclude(end_call("no-route", status=404))
+        self.assertIn("no route", verdict)
+
+    def test_refusals_are_counted_by_what_the_owners_knew(self):
+        verdict = self.conclude(
+            end_call(
+                "not-run: queue-full",
+                AttemptFacts("u1", 0.1, "not-run: stalled", 1.0),
+                AttemptFacts("u2", 1.1, "not-run: queue-full", 1.0),
+                status=503,
+            ),
+            owner_line("ATTEMPT_REFUSED", "u1", SLOWED, "stalled"),
+            owner_line("ATTEMPT_REFUSED", "u2", FULL, "queue-full"),
+        )
+        self.assertIn("of 2 attempts", verdict)
+        self.assertIn("1 sent back by an upstream that was slowed", verdict)
+        self.assertIn("1 refused (queue-full) by an upstream with its slots taken", verdict)
+
+    def test_late_answer_names_the_largest_parts_of_its_time(self):
+        dispatch = DispatchFacts("r", 10.0, 240.0, 190.0, 1, 4, 4.0, 5.0)
+        verdict = self.conclude(
+            end_call("answered", AttemptFacts("u1", 0.1, "200", 252.0), ms=255.0),
+            owner_line("DISPATCH_FINISHED", "u1", dispatch, "answered"),
+        )
+        self.assertIn("55.0 ms late: it took 240.0 ms in the upstream", verdict)
+        self.assertIn("4 times as long", verdict)
+
+    def test_attempt_whose_owner_logged_no_end(self):
+        attempt = AttemptFacts("u1", 0.1, "unknown: link-lost", 30.0)
+        verdict = self.conclude(end_call("unknown: link-lost", attempt, status=502))
+        self.assertIn("the owner node logged no end of it", verdict)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
@@ -0,0 +1,106 @@
+"""Say in a sentence why a request ended as it did."""
+
+import collections
+
+from bendwind_core.core import Milliseconds
+from bendwind_core.timeline.facts import CallFacts, DispatchFacts, RefusalFacts
+from bendwind_core.timeline.story import Step, Story
+
+# A part of the time counts as the cause where it is this share of the objective.
+_LARGE_SHARE = 0.4
+_SLOW_FACTOR = 1.5
+_SERVER_ERROR = 500
+
+_BEFORE_ANY_ATTEMPT = {
+    "no-route": "no route of the configuration in force covers its host and path",
+    "unknown-service": "no service of this name is in force",
+    "stale": "the node had no configuration, or no proof that it was the newest",
+    "overloaded": "the node or the service had as many calls in flight as it may have",
+    "body-too-large": "its body is over the limit",
+    "headers-too-large": "its headers are over the limit",
+    "request-timeout": "its body did not come whole in time",
+}
+
+
+def conclude(story: Story) -> str:
+    """Return the most likely cause, as far as the lines tell."""
+    if story.end is None:
+        return (
+            "no line of an entry node was found: the request did not arrive, its process ended "
+            "before the call did, or logs are missing"
+        )
+    facts = story.end.facts
+    if not facts.attempts:
+        return _conclude_without_attempts(story.end.detail)
+    if story.end.detail.startswith("not-run"):
+        return _conclude_refusals(story.steps)
+    if story.end.detail.startswith("caller gone"):
+        return "the caller went away before an answer came"
+    if story.end.detail == "answered":
+        return _conclude_answer(story.steps[-1], facts)
+    return _conclude_unknown(story.steps[-1])
+
+
+def _conclude_without_attempts(detail: str) -> str:
+    reason = detail.rpartition(": ")[2]
+    return _BEFORE_ANY_ATTEMPT.get(reason, f"no upstream was known to take it ({detail})")
+
+
+def _conclude_refusals(steps: tuple[Step, ...]) -> str:
+    counts = collections.Counter(_classify_refusal(step) for step in steps)
+    listed = ", ".join(f"{count} {reason}" for reason, count in counts.most_common())
+    return f"no upstream ran it: of {len(steps)} attempts, {listed}"
+
+
+def _classify_refusal(step: Step) -> str:
+    facts = step.owner.facts if step.owner else None
+    if not isinstance(facts, RefusalFacts):
+        return f"ended {step.attempt.end}"
+    if facts.slow_factor >= _SLOW_FACTOR:
+        return "sent back by an upstream that was slowed and would have answered late"
+    if facts.running < facts.slots and not facts.waiting:
+        return f"sent back ({step.owner.detail}) with slots free"
+    return f"refused ({step.owner.detail}) by an upstream with its slots taken"
+
+
+def _conclude_unknown(step: Step) -> str:
+    if step.owner is None:
+        return (
+            f"its last attempt, at {step.attempt.upstream}, ended {step.attempt.end}, and the "
+            "owner node logged no end of it: it was killed, cut off, or its log is missing"
+        )
+    return f"its last attempt ran {step.owner.facts.ms} ms and ended {step.owner.detail}"
+
+
+def _conclude_answer(step: Step, facts: CallFacts) -> str:
+    if facts.status >= _SERVER_ERROR:
+        return f"the upstream itself answered {facts.status}"
+    if facts.target_ms is None or facts.ms <= facts.target_ms:
+        return "answered in time"
+    return (
+        f"answered {facts.ms - facts.target_ms:.1f} ms late: {_find_delay(step, facts.target_ms)}"
+    )
+
+
+def _find_delay(step: Step, target_ms: Milliseconds) -> str:
+    large = _LARGE_SHARE * target_ms
+    causes = []
+    if step.attempt.sent_ms > large:
+        causes.append(f"{step.attempt.sent_ms} ms went into earlier attempts")
+    dispatch = step.owner.facts if step.owner else None
+    if isinstance(dispatch, DispatchFacts):
+        if dispatch.waited_ms > large:
+            causes.append(f"it waited {dispatch.waited_ms} ms for a slot")
+        if dispatch.ms > large:
+            causes.append(_describe_run(dispatch))
+    return "; ".join(causes) or "no single part of its time stands out"
+
+
+def _describe_run(dispatch: DispatchFacts) -> str:
+    if dispatch.slow_factor >= _SLOW_FACTOR:
+        pace = f"which had reported work to take {dispatch.slow_factor:g} times as long as usual"
+    elif dispatch.report_age_ms is None:
+        pace = "which had never reported its pace"
+    else:
+        pace = f"which had reported its usual pace {dispatch.report_age_ms} ms before"
+    return f"it took {dispatch.ms} ms in the upstream, {pace}"
--- a/packages/bendwind-node/src/bendwind_node/logs/formatters.py
+++ b/packages/bendwind-node/src/bendwind_node/logs/formatters.py
@@ -4,31 +4,11 @@
 
 import msgspec
 
-from bendwind_core.timeline import Event, EventKind, Facts, render_event
+from bendwind_core.timeline import Event, EventKind, LogLine, render_event
 
 _MILLISECONDS_PER_SECOND = 1000
 
 
-class LogLine(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Hold the fields of one line; libraries' records have no number.
-
-    Units: `physical_ms` is wall-clock time in milliseconds since 1970.
-    """
-
-    level: str
-    instance: str
-    physical_ms: int
-    name: str
-    number: int = 0
-    logical: int = 0
-    call: str = ""
-    upstream: str = ""
-    plan: str = ""
-    detail: str = ""
-    request: str = ""
-    facts: Facts | None = None
-
-
 class JsonFormatter(logging.Formatter):
     """Format each record as one JSON object on one line."""
 
