logs, timeline: ends of attempts by their names on the wire; no routine lines around a request's story

The first real logs read 'AttemptState.NOT_RUN: queue-full', and twenty lines of opened links hid what had changed.

--- a/packages/bendwind-core/src/bendwind_core/timeline/story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/story.py
@@ -13,6 +13,8 @@
 CONTEXT_MS: Milliseconds = 5000.0
 # Of a busy minute the newest lines tell most.
 MAX_CONTEXT = 20
+# Links open at every first call between two processes, which explains nothing.
+_ROUTINE = frozenset({"LINK_OPENED", "MEMBER_APPEARED"})
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -50,7 +52,7 @@
             unread += bool(text.strip())
         elif line.request == request:
             of_request.append(line)
-        elif not line.request and not line.call:
+        elif not line.request and not line.call and line.name not in _ROUTINE:
             of_processes.append(line)
     end = _find_end(of_request)
     if end is None:
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -51,7 +51,7 @@
     if head is not None:
         return str(head.status)
     reason = attempt.not_run or attempt.cut
-    return str(attempt.state) if reason is None else f"{attempt.state}: {reason}"
+    return attempt.state.value if reason is None else f"{attempt.state.value}: {reason}"
 
 
 def make_dispatch_facts(
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -298,6 +298,9 @@
 
 
 def _describe_end(end: DispatchEnd) -> str:
-    if isinstance(end, ev.DispatchDone):
-        return "answered"
-    return f"{type(end).__name__}: {end.reason}"
+    match end:
+        case ev.DispatchNotRun(reason=reason):
+            return f"not-run: {reason}"
+        case ev.DispatchUnknown(reason=reason):
+            return f"unknown: {reason}"
+    return "answered"
