metrics, daemon, platform: calls by route and outcome, latency histograms, an address of their own

The users ask for counters and latency histograms on the metrics address. The recorder now counts the lines of calls, dispatches and refusals as they come: calls by route and outcome, refusals by route and reason, histograms of whole calls, of the wait at the owner and of the run at the upstream, each bounded to 200 routes; and how many log lines found no room. [metrics] serves them on an address of their own; a port that is taken is an event, not an end.

--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -23,6 +23,7 @@
         EventKind.ATTEMPT_UNKNOWN,
         EventKind.CLAIM_LOSS_ACCEPTED,
         EventKind.LOG_LINES_LEFT_OUT,
+        EventKind.METRICS_NOT_SERVED,
         EventKind.LEADER_LOST,
         EventKind.VOTER_REPLACED,
         EventKind.LOG_TAIL_CUT,
--- a/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/recorder.py
@@ -10,6 +10,7 @@
 from bendwind_core.timeline.event import Event
 from bendwind_core.timeline.facts import Facts
 from bendwind_core.timeline.levels import find_level
+from bendwind_core.timeline.statistics import CallStatistics, note_facts
 
 _LOG = logging.getLogger("bendwind")
 _MICROSECONDS_PER_MILLISECOND = 1000
@@ -24,10 +25,18 @@
 
     Half of the capacity is kept for events that are neither of single calls nor of strangers'
     attempts, so that those of a busy minute do not push out what explains it. `counts` holds how
-    often each event was recorded, those no longer held included.
+    often each event was recorded, those no longer held included; `statistics` what calls came to.
     """
 
-    __slots__ = ("clock", "counts", "instance", "monotonic_us", "of_calls", "of_process")
+    __slots__ = (
+        "clock",
+        "counts",
+        "instance",
+        "monotonic_us",
+        "of_calls",
+        "of_process",
+        "statistics",
+    )
 
     def __init__(
         self,
@@ -42,6 +51,7 @@
         self.of_calls: collections.deque[Event] = collections.deque(maxlen=capacity - capacity // 2)
         self.monotonic_us = monotonic_us or (lambda: wall_ms() * _MICROSECONDS_PER_MILLISECOND)
         self.counts: collections.Counter[EventKind] = collections.Counter()
+        self.statistics = CallStatistics()
 
     @property
     def dropped(self) -> int:
@@ -83,6 +93,8 @@
         buffer = self.of_calls if is_many else self.of_process
         buffer.append(event)
         self.counts[kind] += 1
+        if facts is not None:
+            note_facts(self.statistics, detail, facts)
         level = find_level(kind)
         if _LOG.isEnabledFor(level):
             _LOG.log(level, kind.name, extra={"event": event})
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -14,6 +14,7 @@
 from bendwind_node.daemon.dispatcher import Dispatcher
 from bendwind_node.daemon.extension import NO_EXTENSION, Extension
 from bendwind_node.daemon.listeners import find_port, open_listeners
+from bendwind_node.daemon.metrics_page import serve_metrics
 from bendwind_node.daemon.reload import watch_settings
 from bendwind_node.daemon.serve import serve_all
 from bendwind_node.daemon.state import Daemon
@@ -77,6 +78,8 @@
         file, load = extension.settings_file, extension.load
         nursery.start_soon(watch_settings, daemon, file, load)
     serve_all(daemon, nursery)
+    if daemon.settings.metrics is not None:
+        await serve_metrics(daemon, daemon.settings.metrics, nursery)
     # What is built now lives as long as the process: the collector need not look at it again, nor
     # now, while callers wait for the process to start.
     gc.freeze()
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -1,6 +1,7 @@
 """Serve a process's HTTP: callers, the upstream beside it, operators."""
 
 import os
+from collections.abc import Callable
 
 import trio
 
@@ -20,9 +21,11 @@
 from bendwind_node.metrics import Metrics
 from bendwind_node.metrics.gather import (
     gather_calls,
+    gather_logs,
     gather_node,
     gather_probes,
     gather_process,
+    gather_statistics,
     gather_timeline,
     gather_voter,
 )
@@ -135,11 +138,14 @@
     nursery.start_soon(serve_asgi, app, served)
 
 
-def _create_metrics_renderer(daemon: Daemon):
+def create_metrics(daemon: Daemon) -> Metrics:
+    """Make the metrics of a process; their values are read at each scrape."""
     dispatcher = daemon.dispatcher
 
     def read():
         yield from gather_timeline(daemon.recorder)
+        yield from gather_statistics(daemon.recorder.statistics)
+        yield from gather_logs()
         yield from gather_calls(dispatcher.entry, dispatcher.owner)
         yield from gather_probes(dispatcher.probes)
         yield from gather_node(dispatcher.hub, dispatcher.membership, dispatcher.claims)
@@ -147,7 +153,11 @@
             yield from gather_voter(dispatcher.control)
         yield from gather_process()
 
-    metrics = Metrics(read)
+    return Metrics(read)
+
+
+def _create_metrics_renderer(daemon: Daemon) -> Callable[[str], Response]:
+    metrics = create_metrics(daemon)
 
     def render(accept: str) -> Response:
         rendered = metrics.render(accept)
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -28,6 +28,21 @@
     return _Definition(f"bendwind_{name}", MetricKind.GAUGE, unit, labels, meaning)
 
 
+def _histogram(name: str, meaning: str) -> tuple[_Definition, _Definition, _Definition]:
+    """Define the three series of a histogram, as Prometheus names them."""
+    full = f"bendwind_{name}_seconds"
+    return (
+        _Definition(f"{full}_bucket", MetricKind.COUNTER, "1", ("route", "le"), meaning),
+        _Definition(f"{full}_sum", MetricKind.COUNTER, "s", ("route",), f"{meaning} Their sum."),
+        _Definition(f"{full}_count", MetricKind.COUNTER, "1", ("route",), f"{meaning} Number."),
+    )
+
+
+_CALL_SECONDS = _histogram("call", "Calls by the time from arrival to outcome.")
+_WAIT_SECONDS = _histogram("attempt_wait", "Dispatched attempts by their time in the queue.")
+_RUN_SECONDS = _histogram("attempt_run", "Dispatched attempts by their time in the upstream.")
+
+
 class Metric(enum.Enum):
     """Name the metrics; docs/METRICS.md is made from this."""
 
@@ -65,5 +80,15 @@
     VOTER_TERM = _gauge("voter_term", "term", "Term of this voter.")
     VOTER_LEADER = _gauge("voter_leader", "0 or 1", "Whether this voter is the leader.")
     MEMBERS = _gauge("members", "instances", "Instances this voter knows as alive.")
+    CALLS = _count("calls", "calls", "Calls by their one outcome.", "route", "outcome")
+    REFUSALS = _count(
+        "attempts_refused", "attempts", "Attempts this owner refused.", "route", "reason"
+    )
+    CALL_BUCKET, CALL_SUM, CALL_COUNT = _CALL_SECONDS
+    WAIT_BUCKET, WAIT_SUM, WAIT_COUNT = _WAIT_SECONDS
+    RUN_BUCKET, RUN_SUM, RUN_COUNT = _RUN_SECONDS
+    LOG_LINES_LEFT_OUT = _count(
+        "log_lines_left_out", "lines", "Log lines that found no room because nobody read them."
+    )
     CPU = _count("cpu_seconds", "s", "Processor time of the process.")
     PEAK_MEMORY = _gauge("peak_resident_bytes", "B", "Most memory the process ever held.")
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -1,16 +1,19 @@
 """Read the values of the metrics from the tasks of a process."""
 
+import logging
 import resource
 from collections.abc import Iterator
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND
 from bendwind_core.timeline import Recorder
+from bendwind_core.timeline.statistics import CallStatistics, Histogram
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.claims.task import ClaimTask
 from bendwind_node.control.service import ControlService
 from bendwind_node.links import LinkHub
+from bendwind_node.logs.aside_handler import AsideHandler
 from bendwind_node.membership import MembershipTask
 from bendwind_node.metrics.catalogue import Metric
 from bendwind_node.metrics.sample import Sample
@@ -26,6 +29,49 @@
     yield Sample(Metric.CLOCK_IGNORED, recorder.clock.ignored)
 
 
+def gather_statistics(statistics: CallStatistics) -> Iterator[Sample]:
+    """Read what calls, dispatches and refusals came to."""
+    for labels, count in statistics.calls.items():
+        yield Sample(Metric.CALLS, count, labels)
+    for labels, count in statistics.refusals.items():
+        yield Sample(Metric.REFUSALS, count, labels)
+    yield from _gather_histograms(
+        statistics.call_times,
+        Metric.CALL_BUCKET,
+        Metric.CALL_SUM,
+        Metric.CALL_COUNT,
+    )
+    yield from _gather_histograms(
+        statistics.waits,
+        Metric.WAIT_BUCKET,
+        Metric.WAIT_SUM,
+        Metric.WAIT_COUNT,
+    )
+    yield from _gather_histograms(
+        statistics.runs,
+        Metric.RUN_BUCKET,
+        Metric.RUN_SUM,
+        Metric.RUN_COUNT,
+    )
+
+
+def _gather_histograms(
+    histograms: dict[str, Histogram], bucket: Metric, total: Metric, count: Metric
+) -> Iterator[Sample]:
+    for route, histogram in histograms.items():
+        for bound, number in histogram.list_cumulative():
+            yield Sample(bucket, number, (route, bound))
+        yield Sample(total, histogram.total_ms / MILLISECONDS_PER_SECOND, (route,))
+        yield Sample(count, sum(histogram.counts), (route,))
+
+
+def gather_logs() -> Iterator[Sample]:
+    """Read how many log lines found no room."""
+    handlers = logging.getLogger().handlers
+    aside = [handler for handler in handlers if isinstance(handler, AsideHandler)]
+    yield Sample(Metric.LOG_LINES_LEFT_OUT, sum(handler.total_left_out for handler in aside))
+
+
 def gather_calls(entry: EntryNode, owner: OwnerNode) -> Iterator[Sample]:
     """Read the calls and attempts under way."""
     for service, desk in entry.desks.items():
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -105,6 +105,18 @@
     ] = "/ready"
 
 
+class MetricsTable(Table, frozen=True, kw_only=True):
+    """Say where the process serves its metrics, beside the operators' address."""
+
+    host: Annotated[Host, _doc("Address to listen on for scrapes.")]
+    port: Annotated[Port, _doc("Port of that HTTP.")]
+    path: Annotated[
+        str,
+        Meta(pattern="^/", extra={"range": "begins with a slash"}),
+        _doc("Path that answers with the metrics."),
+    ] = "/metrics"
+
+
 class StopTable(Table, frozen=True, kw_only=True):
     """Bound how long a planned stop takes."""
 
@@ -303,6 +315,7 @@
     beside: BesideTable | None = None
     operators: OperatorsTable | None = None
     readiness: ReadinessTable | None = None
+    metrics: MetricsTable | None = None
     voters: Annotated[tuple[VoterTable, ...], Meta(min_length=1, max_length=9)]
     control: ControlTable | None = None
     lease: LeaseTable = LeaseTable()
