daemon: a stopping node keeps its upstream in use until its callers have been sent elsewhere

Change: readiness goes at once as before; the owner drains only when the notice is over, together with the callers' connections. test_planned_stop fails before.

Also: bendwind explain ended with an error on a request whose last attempt was refused after an unknown one; it now goes by the last attempt that may have run.

--- a/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
@@ -110,6 +110,19 @@
         self.assertIn("55.0 ms late: it took 240.0 ms in the upstream", verdict)
         self.assertIn("4 times as long", verdict)
 
+    def test_unknown_outcome_is_told_from_the_attempt_that_ran_not_from_a_refusal_after_it(self):
+        verdict = self.conclude(
+            end_call(
+                "unknown: upstream-timeout",
+                AttemptFacts("u1", 0.1, "unknown: upstream-timeout", 140.0),
+                AttemptFacts("u2", 141.0, "not-run: queue-full", 1.0),
+                status=502,
+            ),
+            owner_line("DISPATCH_FINISHED", "u1", DispatchFacts("r", 1.0, 138.0), "unknown: x"),
+            owner_line("ATTEMPT_REFUSED", "u2", FULL, "queue-full"),
+        )
+        self.assertIn("ran 138.0 ms", verdict)
+
     def test_attempt_whose_owner_logged_no_end(self):
         attempt = AttemptFacts("u1", 0.1, "unknown: link-lost", 30.0)
         verdict = self.conclude(end_call("unknown: link-lost", attempt, status=502))
--- a/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
@@ -38,7 +38,7 @@
         return "the caller went away before an answer came"
     if story.end.detail == "answered":
         return _conclude_answer(story.steps[-1], facts)
-    return _conclude_unknown(story.steps[-1])
+    return _conclude_unknown(_find_last_sent(story.steps))
 
 
 def _conclude_without_attempts(detail: str) -> str:
@@ -63,8 +63,16 @@
     return f"refused ({step.owner.detail}) by an upstream with its slots taken"
 
 
+def _find_last_sent(steps: tuple[Step, ...]) -> Step:
+    """Return the last attempt that no owner refused, which is the one that may have run."""
+    sent = [
+        step for step in steps if step.owner is None or isinstance(step.owner.facts, DispatchFacts)
+    ]
+    return sent[-1] if sent else steps[-1]
+
+
 def _conclude_unknown(step: Step) -> str:
-    if step.owner is None:
+    if step.owner is None or not isinstance(step.owner.facts, DispatchFacts):
         return (
             f"its last attempt, at {step.attempt.upstream}, ended {step.attempt.end}, and the "
             "owner node logged no end of it: it was killed, cut off, or its log is missing"
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -114,9 +114,10 @@
     dispatcher = daemon.dispatcher
     limits = daemon.settings.stop
     daemon.recorder.record(EventKind.PROCESS_STOPPING)
-    dispatcher.owner.register.drain()
-    # Time for the others to hear of the stop before callers are sent away.
+    # Time for callers to be sent elsewhere. The upstream stays in use: it runs on, and each second
+    # that it is spared is missing to its service.
     await trio.sleep(limits.notice_ms / MILLISECONDS_PER_SECOND)
+    dispatcher.owner.register.drain()
     daemon.callers_done.set()
     with trio.move_on_after(limits.claims_ms / MILLISECONDS_PER_SECOND):
         await dispatcher.claims.hand_over()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -0,0 +1,62 @@
+import types
+import unittest
+
+import trio
+import trio.testing
+
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.daemon.run import _stop
+from bendwind_node.settings.tables import StopTable
+
+
+class FakeRegister:
+    """Note when the owner stops to take attempts, and hold one upstream."""
+
+    def __init__(self):
+        self.drained_at = None
+        self.owned = {"u": None}
+        self.has_left = False
+
+    def drain(self):
+        self.drained_at = trio.current_time()
+
+    def left(self, name):
+        self.has_left = True
+
+
+class FakeClaims:
+    def __init__(self):
+        self.entry = types.SimpleNamespace(settling=())
+
+    async def hand_over(self):
+        pass
+
+
+class PlannedStopTest(unittest.TestCase):
+    def test_upstream_stays_in_use_until_callers_have_been_sent_elsewhere(self):
+        # It was drained at once, and its service did without it for the whole notice.
+        register = FakeRegister()
+        owner = types.SimpleNamespace(register=register, is_idle=lambda: True)
+        entry = types.SimpleNamespace(runs={})
+        dispatcher = types.SimpleNamespace(
+            owner=owner, entry=entry, claims=FakeClaims(), control=None
+        )
+
+        async def main():
+            daemon = types.SimpleNamespace(
+                dispatcher=dispatcher,
+                recorder=Recorder("a", lambda: 1, 10),
+                settings=types.SimpleNamespace(stop=StopTable(notice_ms=2000, drain_ms=1000)),
+                callers_done=trio.Event(),
+            )
+            started_at = trio.current_time()
+            await _stop(daemon)
+            self.assertEqual(register.drained_at - started_at, 2.0)
+            self.assertTrue(daemon.callers_done.is_set() and register.has_left)
+            self.assertEqual(daemon.recorder.counts[EventKind.PROCESS_STOPPING], 1)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -123,7 +123,7 @@
     notice_ms: Annotated[
         float,
         Meta(ge=0, le=600_000),
-        _doc("Time for others to hear of the stop before callers are sent away.", "ms"),
+        _doc("Time for callers to be sent elsewhere before the process takes nothing more.", "ms"),
     ] = 1000
     claims_ms: Annotated[
         float, Meta(ge=0, le=600_000), _doc("Time for claims to be handed over.", "ms")
