cli: a silent server is left for the next after a second

Cause: a voter that is frozen takes connections and never answers; each command waited its whole timeout for it, 10.7 s measured before.

Change: in the first round each server but the last is given a second, in each further round twice as much; who was silent is asked last. Every request is safe to resend.

--- a/packages/bendwind-cli/src/bendwind_cli/client.py
+++ b/packages/bendwind-cli/src/bendwind_cli/client.py
@@ -16,6 +16,9 @@
 _Reply = TypeVar("_Reply")
 _PAUSE_S = 0.2
 _CONNECT_TIMEOUT_S = 2.0
+# A voter answers within milliseconds, a plan of a large intent takes it some hundred. One that is
+# silent for this long is left for the next; each round after the first is twice as patient.
+_PATIENCE_S = 1.0
 # Every request is safe to resend (docs/OPERATORS_API.md), so these lead on to another server.
 _TRY_ANOTHER = frozenset({"not-leader", "not-a-voter", "no-quorum", "outcome-unknown"})
 _CODES = {
@@ -39,6 +42,17 @@
     body: bytes
 
 
+class Round(msgspec.Struct, frozen=True):
+    """Hold what asking every server once came to.
+
+    `is_worth_another` says that one answered without deciding, or was only slow.
+    """
+
+    answer: Answer | None
+    failure: Failure
+    is_worth_another: bool
+
+
 class Client(msgspec.Struct):
     """Hold the connections and the addresses to ask, the likeliest first."""
 
@@ -66,12 +80,14 @@
 
     def _ask_until(self, method: str, path: str, body: bytes, key: str) -> Result[Answer, Failure]:
         deadline = time.monotonic() + self.settings.timeout_s
+        patience = _PATIENCE_S
         while True:
-            done, failure, has_answer = self._ask_round(method, path, body, key)
-            if done is not None:
-                return Ok(done)
-            if not has_answer or time.monotonic() > deadline:
-                return Error(failure)
+            asked = self._ask_round(method, path, body, key, patience)
+            if asked.answer is not None:
+                return Ok(asked.answer)
+            if not asked.is_worth_another or time.monotonic() > deadline:
+                return Error(asked.failure)
+            patience *= 2
             time.sleep(_PAUSE_S)
 
     def ask_one(
@@ -81,17 +97,16 @@
 
         Errors: it did not answer, or it refused the request.
         """
-        return self._send(address, method, path, b"", "").bind(lambda got: _decode(got, kind))
+        sent = self._send(address, method, path, b"", "", self.settings.timeout_s)
+        return sent.bind(lambda got: _decode(got, kind))
 
     def close(self) -> None:
         """Close the connections."""
         self.pool.close()
 
-    def _ask_round(
-        self, method: str, path: str, body: bytes, key: str
-    ) -> tuple[Answer | None, Failure, bool]:
+    def _ask_round(self, method: str, path: str, body: bytes, key: str, patience: float) -> Round:
         failures: list[Failure] = []
-        has_answer = False
+        is_worth_another = False
         queue = list(self.addresses)
         tried: set[str] = set()
         while queue:
@@ -99,33 +114,41 @@
             if address in tried:
                 continue
             tried.add(address)
-            match self._send(address, method, path, body, key):
+            # The last one left is given all the time there is.
+            timeout = min(patience, self.settings.timeout_s) if queue else self.settings.timeout_s
+            match self._send(address, method, path, body, key, timeout):
                 case Result(tag="error", error=failure):
                     failures.append(failure)
+                    if failure.is_slow:
+                        is_worth_another = True
+                        self._put_last(address)
                 case Result(ok=answer):
-                    has_answer = True
+                    is_worth_another = True
                     error = _read_error(answer)
                     if error is None or error.error not in _TRY_ANOTHER:
                         self._prefer(address)
-                        return answer, Failure(ExitCode.DONE, ""), True
+                        return Round(answer, Failure(ExitCode.DONE, ""), True)
                     failures.append(_explain(error))
                     if error.leader_url:
                         queue.insert(0, error.leader_url.partition("//")[2])
-        return None, _worst(failures), has_answer
+        return Round(None, _worst(failures), is_worth_another)
 
     def _prefer(self, address: str) -> None:
         rest = [other for other in self.addresses if other != address]
         self.addresses = [address, *rest]
 
+    def _put_last(self, address: str) -> None:
+        if address in self.addresses:
+            self.addresses = [other for other in self.addresses if other != address] + [address]
+
     def _send(
-        self, address: str, method: str, path: str, body: bytes, key: str
+        self, address: str, method: str, path: str, body: bytes, key: str, timeout: float
     ) -> Result[Answer, Failure]:
         headers = [("Host", address), ("Content-Length", str(len(body)))]
         if self.token:
             headers.append(("Authorization", f"Bearer {self.token}"))
         if key:
             headers.append(("Idempotency-Key", key))
-        timeout = self.settings.timeout_s
         timeouts = {
             "connect": min(_CONNECT_TIMEOUT_S, timeout),
             "read": timeout,
@@ -171,7 +194,8 @@
         line = f"{address} closed the connection, as it does on keys that it refuses"
         return Failure(ExitCode.NO_CREDENTIALS, f"{line}; its log says why")
     reason = str(error) or type(error).__name__
-    return Failure(ExitCode.NO_ANSWER, f"{address} did not answer: {reason}")
+    is_slow = isinstance(error, httpcore.ReadTimeout)
+    return Failure(ExitCode.NO_ANSWER, f"{address} did not answer: {reason}", is_slow)
 
 
 def _read_error(answer: Answer) -> ErrorReply | None:
--- a/packages/bendwind-cli/src/bendwind_cli/outcome.py
+++ b/packages/bendwind-cli/src/bendwind_cli/outcome.py
@@ -20,7 +20,8 @@
 
 
 class Failure(msgspec.Struct, frozen=True):
-    """Say in one line why a command failed."""
+    """Say in one line why a command failed; `is_slow` if a server took too long to answer."""
 
     code: ExitCode
     line: str
+    is_slow: bool = False
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -2,6 +2,7 @@
 import io
 import os
 import re
+import socket
 import ssl
 import tempfile
 import threading
@@ -12,6 +13,8 @@
 
 import msgspec
 
+from bendwind_cli.client import open_client
+from bendwind_cli.client_settings import ClientSettings
 from bendwind_cli.main import run_arguments
 from bendwind_cli.outcome import ExitCode
 
@@ -158,6 +161,32 @@
             self.run_line("confirm", "007", line), (0, "007: confirmed as version 18\n", "")
         )
 
+    def listen_in_silence(self) -> str:
+        """Return the address of a server that takes connections and never answers."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    def test_silent_server_is_left_for_the_next_and_asked_last_from_then_on(self):
+        # A frozen voter cost each command the whole of its time, ten seconds.
+        silent = self.listen_in_silence()
+        server = self.serve(("GET /v1/status", 200, STATUS))
+        settings = ClientSettings(control=(silent, server.address), timeout_s=600.0)
+        client = open_client(settings).ok
+        self.addCleanup(client.close)
+        with mock.patch("bendwind_cli.client._PATIENCE_S", 0.05):
+            self.assertTrue(client.ask_text("GET", "/v1/status").is_ok())
+        self.assertEqual(client.addresses, [server.address, silent])
+
+    def test_only_server_left_is_given_all_the_time(self):
+        silent = self.listen_in_silence()
+        client = open_client(ClientSettings(control=(silent,), timeout_s=0.2)).ok
+        self.addCleanup(client.close)
+        with mock.patch("bendwind_cli.client._PATIENCE_S", 0.001):
+            failure = client.ask_text("GET", "/v1/status").error
+        self.assertEqual(failure.code, ExitCode.NO_ANSWER)
+        self.assertTrue(failure.is_slow or "did not answer" in failure.line)
+
     def test_each_refusal_has_its_exit_code(self):
         cases = [
             ((409, {"kind": "won-by", "plan": "p2", "version": 9}), 6, "p2 came first"),
