calls, attempts, timeline: one piece where reading the change again found two

Nothing behaves differently. - upstream_register: one list of who is registered at an address serves both questions about it; an upstream is unverified from its creation, where a question about proof used to set that. - admission: the time of a slow start and that of a held one are worked out in one place each, for the estimate and for the decision to start. - timeline: processes load story and verdict no longer, which only bendwind explain uses; verdict takes its threshold of a slow pace from attempts.pace instead of a copy.

--- a/packages/bendwind-cli/src/bendwind_cli/explain.py
+++ b/packages/bendwind-cli/src/bendwind_cli/explain.py
@@ -13,10 +13,9 @@
     DispatchFacts,
     LogLine,
     RefusalFacts,
-    Story,
-    conclude,
-    find_story,
 )
+from bendwind_core.timeline.story import Story, find_story
+from bendwind_core.timeline.verdict import conclude
 
 _STANDARD_INPUT = "-"
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -88,23 +88,33 @@
 
 def find_expected_ms(desk: OwnerDesk, route: str, now: Seconds) -> Milliseconds:
     """Return how long an attempt of a route takes from now on, started now or after the phase."""
-    usual_ms = find_usual_ms(desk, route)
     if not paces.is_slow(desk.pace, now):
-        return usual_ms
-    return min(desk.pace.factor * usual_ms, paces.find_rest_ms(desk.pace, now) + usual_ms)
+        return find_usual_ms(desk, route)
+    return min(_find_slow_ms(desk, route), _find_held_ms(desk, route, now))
+
+
+def _find_slow_ms(desk: OwnerDesk, route: str) -> Milliseconds:
+    """Return how long an attempt takes that starts at the pace reported last."""
+    return desk.pace.factor * find_usual_ms(desk, route)
+
+
+def _find_held_ms(desk: OwnerDesk, route: str, now: Seconds) -> Milliseconds:
+    """Return how long an attempt takes that is held to the end of the present slow phase."""
+    return paces.find_rest_ms(desk.pace, now) + find_usual_ms(desk, route)
 
 
 def may_start(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
     """Tell whether an attempt is better started now than after a slow phase or a fresh report."""
     pace = desk.pace
-    usual_ms = find_usual_ms(desk, queued.hand_over.route)
+    route = queued.hand_over.route
+    usual_ms = find_usual_ms(desk, route)
     if now >= queued.due_at:
         # It is late whatever comes: waiting on could hold it back to its deadline.
         return True
     if paces.is_slow(pace, now):
-        slow_ms = pace.factor * usual_ms
+        slow_ms = _find_slow_ms(desk, route)
         is_in_time = now + (slow_ms - usual_ms) / MILLISECONDS_PER_SECOND <= queued.due_at
-        return is_in_time or slow_ms <= paces.find_rest_ms(pace, now) + usual_ms
+        return is_in_time or slow_ms <= _find_held_ms(desk, route, now)
     risk_ms = (paces.TYPICAL_SLOW_FACTOR - 1.0) * usual_ms
     if paces.is_known(pace, now) or risk_ms <= BLIND_RISK_MS:
         return True
--- a/packages/bendwind-core/src/bendwind_core/timeline/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/__init__.py
@@ -16,8 +16,6 @@
 from bendwind_core.timeline.merge import EventFilter, find_kind, merge_events, select_events
 from bendwind_core.timeline.recorder import Recorder
 from bendwind_core.timeline.render import render_event, render_explanation
-from bendwind_core.timeline.story import Story, find_story
-from bendwind_core.timeline.verdict import conclude
 
 __all__ = [
     "AttemptFacts",
@@ -34,13 +32,10 @@
     "LogLine",
     "Recorder",
     "RefusalFacts",
-    "Story",
-    "conclude",
     "explain_call",
     "find_attempts",
     "find_kind",
     "find_level",
-    "find_story",
     "merge_events",
     "read_log_line",
     "render_event",
--- a/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
@@ -8,9 +8,9 @@
     DispatchFacts,
     LogLine,
     RefusalFacts,
-    conclude,
-    find_story,
 )
+from bendwind_core.timeline.story import find_story
+from bendwind_core.timeline.verdict import conclude
 
 FULL = RefusalFacts("r", 190.0, 190.0, 60.0, running=4, waiting=3, slots=4)
 SLOWED = RefusalFacts("r", 190.0, 190.0, 60.0, 1, 0, 4, slow_factor=4.0, report_age_ms=12.0)
--- a/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
@@ -2,13 +2,13 @@
 
 import collections
 
+from bendwind_core.attempts.pace import SLOW_FACTOR
 from bendwind_core.core import Milliseconds
 from bendwind_core.timeline.facts import CallFacts, DispatchFacts, RefusalFacts
 from bendwind_core.timeline.story import Step, Story
 
 # A part of the time counts as the cause where it is this share of the objective.
 _LARGE_SHARE = 0.4
-_SLOW_FACTOR = 1.5
 _SERVER_ERROR = 500
 
 _BEFORE_ANY_ATTEMPT = {
@@ -56,7 +56,7 @@
     facts = step.owner.facts if step.owner else None
     if not isinstance(facts, RefusalFacts):
         return f"ended {step.attempt.end}"
-    if facts.slow_factor >= _SLOW_FACTOR:
+    if facts.slow_factor >= SLOW_FACTOR:
         return "sent back by an upstream that was slowed and would have answered late"
     if facts.running < facts.slots and not facts.waiting:
         return f"sent back ({step.owner.detail}) with slots free"
@@ -105,7 +105,7 @@
 
 
 def _describe_run(dispatch: DispatchFacts) -> str:
-    if dispatch.slow_factor >= _SLOW_FACTOR:
+    if dispatch.slow_factor >= SLOW_FACTOR:
         pace = f"which had reported work to take {dispatch.slow_factor:g} times as long as usual"
     elif dispatch.report_age_ms is None:
         pace = "which had never reported its pace"
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -77,12 +77,11 @@
         return True
 
     def _needs_proof(self, owned: OwnedUpstream, news: Announcement, *, is_first: bool) -> bool:
-        if not news.sequence:
+        if owned.is_verified or not news.sequence:
             return False
         if is_first:
-            owned.is_verified = False
             return True
-        if owned.is_verified or self._find_former(news) is None:
+        if self._find_former(news) is None:
             return False
         # Announcements that a cut held up may come after those of the one that replaced it.
         can_ask = self.dialect.answering_upstream is not None
@@ -142,11 +141,16 @@
         )
 
     def _is_known_at(self, place: UpstreamPlace) -> bool:
-        return any(
-            (owned.pool.host, owned.pool.port) == (place.host, place.port)
-            and owned.upstream.state is not UpstreamState.GONE
+        return bool(self._list_at(place.host, place.port))
+
+    def _list_at(self, host: str, port: int) -> list[OwnedUpstream]:
+        """List the upstreams that are registered at an address and not gone."""
+        return [
+            owned
             for owned in self.owned.values()
-        )
+            if (owned.pool.host, owned.pool.port) == (host, port)
+            and owned.upstream.state is not UpstreamState.GONE
+        ]
 
     def _take(self, owned: OwnedUpstream, news: Announcement) -> None:
         state = UpstreamState.DRAINING if self.is_draining else news.state
@@ -178,12 +182,8 @@
 
     def _find_former(self, news: Announcement) -> OwnedUpstream | None:
         """Return another upstream that is registered at the announced address, or None."""
-        for owned in self.owned.values():
-            is_same_place = (owned.pool.host, owned.pool.port) == (news.host, news.port)
-            is_other = owned.upstream.name != news.name
-            if is_other and is_same_place and owned.upstream.state is not UpstreamState.GONE:
-                return owned
-        return None
+        registered = self._list_at(news.host, news.port)
+        return next((owned for owned in registered if owned.upstream.name != news.name), None)
 
     def _end_former(self, news: Announcement) -> None:
         """Take an address away from the upstream that had it before."""
@@ -216,7 +216,7 @@
             news.name, self.own.incarnation, QUEUE_LIMIT, slot_share=self.slot_share
         )
         pool = UpstreamPool(news.host, news.port, news.connections)
-        owned = OwnedUpstream(upstream, desk, pool, 0.0)
+        owned = OwnedUpstream(upstream, desk, pool, 0.0, is_verified=not news.sequence)
         self.owned[news.name] = owned
         for link in self.list_links():
             self.feed(owned, ev.LinkOpened(link.peer.name, link.peer.incarnation, link.epoch))
