--- a/packages/bendwind-core/src/bendwind_core/timeline/facts.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -22,7 +22,7 @@
 
     `version` is that of the configuration in force, `age_ms` how long ago it was proven the newest.
     Units: `ms` counts from the call's arrival; `timeout_ms` and `target_ms` are what it started
-    with.
+    with, and `tried_ms` is how long the caller had been trying before, by the time it had left.
     """
 
     service: str = ""
@@ -34,6 +34,7 @@
     version: int = 0
     age_ms: Milliseconds | None = None
     attempts: tuple[AttemptFacts, ...] = ()
+    tried_ms: Milliseconds = 0.0
 
 
 class DispatchFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="dispatch"):
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -25,8 +25,10 @@
     """Describe the end of a call."""
     call = run.call
     target_ms = None
+    tried_ms = 0.0
     if call.target_at is not None:
         target_ms = _count_ms(call.target_at - run.arrived_at)
+        tried_ms = max(0.0, round((call.rule.target_latency_ms or 0.0) - target_ms, 1))
     return CallFacts(
         call.service.name,
         call.rule.name,
@@ -37,6 +39,7 @@
         membership.view.version,
         _round_age(membership.confirmed_age_ms()),
         tuple(_make_attempt_facts(run, attempt) for attempt in call.attempts),
+        tried_ms,
     )
 
 
