--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -9,6 +9,7 @@
 too old to go by.
 """
 
+from bendwind_core.admission import is_inner_call
 from bendwind_core.attempts import pace as paces
 from bendwind_core.attempts.desk import (
     OwnerDesk,
@@ -31,6 +32,9 @@
 # An attempt that can still go elsewhere is taken only if it should be answered within this share of
 # its time: estimates are means, and work scatters around them by some 30% on the users' platform.
 POLITE_SHARE = 0.85
+# With less time left than this share of what an attempt usually takes, no other upstream is so much
+# faster that it could still answer in time.
+HOPELESS_SHARE = 0.5
 # A running attempt that took longer than expected is expected to need this share once more.
 OVERDUE_SHARE = 0.25
 
@@ -41,21 +45,36 @@
     An attempt that does not insist is also refused where it could start at once but would be late.
     """
     is_free = has_slot(desk) and not len(desk.timed)
-    if is_free and hand_over.insist:
+    if is_free and (hand_over.insist or _is_late_anyway(desk, hand_over, now)):
         return None
     expected_ms = find_expected_ms(desk, hand_over.route, now)
     wait_ms = 0.0 if is_free else find_wait_ms(desk, find_due(desk, hand_over, now), now)
     share = 1.0 if hand_over.insist else POLITE_SHARE
-    if wait_ms + expected_ms <= share * _find_limit_ms(desk, hand_over):
+    is_slow = paces.is_slow(desk.pace, now)
+    limit_ms = _find_limit_ms(desk, hand_over)
+    if is_slow and not hand_over.insist:
+        # Others may be at their usual pace.
+        limit_ms = hand_over.target_ms
+    if wait_ms + expected_ms <= share * limit_ms:
         return None
     return NotRunReason.STALLED if is_free else NotRunReason.QUEUE_FULL
 
 
+def _is_late_anyway(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> bool:
+    """Tell whether an attempt is late wherever it runs, as those of callers that came back are.
+
+    It takes what nobody else has a use for; it waits for nothing.
+    """
+    is_late = hand_over.target_ms < HOPELESS_SHARE * _find_lasting_ms(desk, hand_over.route)
+    return is_late and not paces.is_slow(desk.pace, now)
+
+
 def _find_limit_ms(desk: OwnerDesk, hand_over: HandOver) -> Milliseconds:
     """Return the time within which an attempt has to be answered to be worth taking."""
-    # A short request holds up the others little, and may be a call that a longer one waits for.
-    is_short = find_usual_ms(desk, hand_over.route) <= desk.times.average_ms
-    return hand_over.remaining_ms if is_short and hand_over.insist else hand_over.target_ms
+    if not is_inner_call(desk.origins, hand_over.route):
+        return hand_over.target_ms
+    # The run that waits for it would have been for nothing.
+    return max(hand_over.remaining_ms, hand_over.target_ms)
 
 
 def is_stalled_again(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
@@ -68,28 +87,28 @@
         return False
     if not paces.is_slow(desk.pace, now) or desk.pace.began_at <= queued.queued_at:
         return False
-    usual_ms = find_usual_ms(desk, queued.hand_over.route)
+    usual_ms = _find_lasting_ms(desk, queued.hand_over.route)
     left_ms = (queued.due_at - now) * MILLISECONDS_PER_SECOND + usual_ms
     return find_expected_ms(desk, queued.hand_over.route, now) > left_ms
 
 
 def find_leaving(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Seconds:
     """Return the time at which an attempt that still waits for a slot is given back."""
-    slack_ms = _find_limit_ms(desk, hand_over) - find_usual_ms(desk, hand_over.route)
+    slack_ms = _find_limit_ms(desk, hand_over) - _find_lasting_ms(desk, hand_over.route)
     return now + max(0.0, slack_ms) / MILLISECONDS_PER_SECOND
 
 
 def find_due(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Seconds:
     """Return the time by which an attempt has to start for its answer to be in time."""
     target_ms = hand_over.target_ms or 0.0
-    slack_ms = target_ms - find_usual_ms(desk, hand_over.route)
+    slack_ms = target_ms - _find_lasting_ms(desk, hand_over.route)
     return now + slack_ms / MILLISECONDS_PER_SECOND
 
 
 def find_expected_ms(desk: OwnerDesk, route: str, now: Seconds) -> Milliseconds:
     """Return how long an attempt of a route takes from now on, started now or after the phase."""
     if not paces.is_slow(desk.pace, now):
-        return find_usual_ms(desk, route)
+        return _find_lasting_ms(desk, route)
     return min(_find_slow_ms(desk, route), _find_held_ms(desk, route, now))
 
 
@@ -100,14 +119,19 @@
 
 def _find_held_ms(desk: OwnerDesk, route: str, now: Seconds) -> Milliseconds:
     """Return how long an attempt takes that is held to the end of the present slow phase."""
-    return paces.find_rest_ms(desk.pace, now) + find_usual_ms(desk, route)
+    return paces.find_rest_ms(desk.pace, now) + _find_lasting_ms(desk, route)
+
+
+def _find_lasting_ms(desk: OwnerDesk, route: str) -> Milliseconds:
+    """Return how long an attempt takes outside of slow phases."""
+    return desk.pace.base * find_usual_ms(desk, route)
 
 
 def may_start(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
     """Tell whether an attempt is better started now than after a slow phase or a fresh report."""
     pace = desk.pace
     route = queued.hand_over.route
-    usual_ms = find_usual_ms(desk, route)
+    usual_ms = _find_lasting_ms(desk, route)
     if now >= queued.due_at:
         # It is late whatever comes: waiting on could hold it back to its deadline.
         return True
@@ -124,7 +148,7 @@
 def _is_unanswered(desk: OwnerDesk, now: Seconds) -> bool:
     if desk.asked_at is None or desk.asked_at <= desk.pace.reported_at:
         return False
-    return now - desk.asked_at >= ASK_TIMEOUT
+    return now >= desk.asked_at + ASK_TIMEOUT
 
 
 def take_startable(desk: OwnerDesk, now: Seconds) -> QueuedAttempt | None:
@@ -140,7 +164,7 @@
     """Ask the upstream for its load while an attempt waits for nothing else."""
     if not len(desk.timed) or not has_slot(desk) or not desk.may_ask:
         return
-    is_early = desk.asked_at is not None and now - desk.asked_at < ASK_EVERY
+    is_early = desk.asked_at is not None and now < desk.asked_at + ASK_EVERY
     if is_early or paces.is_known(desk.pace, now):
         return
     desk.asked_at = now
@@ -155,7 +179,7 @@
         return min(paces.find_phase_end(desk.pace), urgency_queue.find_first_due(desk.timed))
     if desk.asked_at is None:
         return now
-    is_waiting = now - desk.asked_at < ASK_TIMEOUT
+    is_waiting = now < desk.asked_at + ASK_TIMEOUT
     return desk.asked_at + (ASK_TIMEOUT if is_waiting else ASK_EVERY)
 
 
@@ -163,7 +187,7 @@
     """Estimate how long an attempt due at a time waits for a slot."""
     slots = max(1, desk.run_limit)
     ahead = urgency_queue.list_before(desk.timed, due)
-    ahead_ms = sum(find_usual_ms(desk, queued.hand_over.route) for queued in ahead)
+    ahead_ms = sum(_find_lasting_ms(desk, queued.hand_over.route) for queued in ahead)
     ahead_ms += desk.queue.size * desk.times.average_ms
     rests = [_find_run_rest_ms(desk, running, now) for running in desk.running.values()]
     first_free_ms = min(rests, default=0.0) if len(rests) >= slots else 0.0
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -2,10 +2,11 @@
 
 import msgspec
 
+from bendwind_core.admission import Origins
 from bendwind_core.attempts.attempt_log import AttemptLog, Fate, record_ended, record_live
 from bendwind_core.attempts.messages import AttemptId, HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import Dispatch, OwnerEffect, ReplyNotRun
-from bendwind_core.attempts.pace import Pace
+from bendwind_core.attempts.pace import Pace, find_factor, is_known
 from bendwind_core.attempts.service_time import ServiceTime
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import FairQueue, UrgencyQueue, fair_queue, urgency_queue
@@ -13,6 +14,10 @@
 
 REMEMBERED_ATTEMPTS = 4096
 
+# Attempts with an objective are admitted by how long they would wait, which bounds their number
+# where they take some time; a limit below that drops long ones for short ones that came later.
+TIMED_QUEUE = 128
+
 # One for each node of the largest deployment planned for; about 150 bytes each.
 REMEMBERED_PEERS = 16384
 
@@ -28,6 +33,11 @@
 # expected to take this share of its objective, until the first answer tells.
 FIRST_GUESS_SHARE = 0.3
 
+# An answer counts for at most this many times the expected time; a slow phase that began unseen
+# makes it four times as long, one in twenty times.
+PACED_STEP = 2.0
+UNPACED_STEP = 1.2
+
 # Routes that lead to one service; of more, those noted first are forgotten.
 MAX_ROUTE_TIMES = 512
 
@@ -48,13 +58,18 @@
 
 
 class RunningAttempt(msgspec.Struct):
-    """Hold a started attempt."""
+    """Hold a started attempt.
+
+    `slow_factor` is how much longer than usual it should take; `is_paced` says that the upstream
+    had told so shortly before.
+    """
 
     epoch: int
     started_at: Seconds
     repeat: Repeat
     route: str = ""
     slow_factor: float = 1.0
+    is_paced: bool = False
     is_cancelled: bool = False
 
 
@@ -63,8 +78,8 @@
 
     Attempts with a latency objective wait in `timed`, all others in `queue`. `slot_share` is the
     part of the slots that is used, `route_times` the usual time of each route's answers,
-    `guessed_times` stands in for routes without any, and `asked_at` is when the upstream was last
-    asked for its load.
+    `guessed_times` stands in for routes without any, `origins` tells where each route's requests
+    begin, and `asked_at` is when the upstream was last asked for its load.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
 
@@ -86,6 +101,7 @@
     times: ServiceTime = msgspec.field(default_factory=ServiceTime)
     route_times: dict[str, Milliseconds] = msgspec.field(default_factory=dict)
     guessed_times: dict[str, Milliseconds] = msgspec.field(default_factory=dict)
+    origins: Origins = msgspec.field(default_factory=Origins)
     pace: Pace = msgspec.field(default_factory=Pace)
     asked_at: Seconds | None = None
     may_ask: bool = True
@@ -102,16 +118,19 @@
     incarnation: int,
     queue: int,
     *,
+    timed_queue: int = TIMED_QUEUE,
     remembered_attempts: int = REMEMBERED_ATTEMPTS,
     remembered_peers: int = REMEMBERED_PEERS,
     slot_share: float = 1.0,
 ) -> OwnerDesk:
     """Create the desk of an upstream that has yet to announce itself.
 
-    `incarnation` is this process's own run; `queue` bounds the attempts that wait.
+    `incarnation` is this process's own run; `queue` bounds the attempts that wait, `timed_queue`
+    those of them with a latency objective.
     """
     log = AttemptLog(remembered_attempts, remembered_peers)
-    return OwnerDesk(upstream, incarnation, FairQueue(queue), log, UrgencyQueue(queue), slot_share)
+    timed = UrgencyQueue(timed_queue)
+    return OwnerDesk(upstream, incarnation, FairQueue(queue), log, timed, slot_share)
 
 
 def load_sample(desk: OwnerDesk, now: Seconds) -> LoadSample:
@@ -227,15 +246,25 @@
     return desk.times.average_ms if usual_ms is None else usual_ms
 
 
-def note_route_time(desk: OwnerDesk, route: str, upstream_ms: Milliseconds) -> None:
-    """Add the time that an answer to one of a route's requests took."""
-    usual_ms = desk.route_times.get(route)
-    if usual_ms is None:
+def note_route_time(desk: OwnerDesk, running: RunningAttempt, upstream_ms: Milliseconds) -> None:
+    """Add the time that an answer to one of a route's requests took.
+
+    It is taken at the usual pace. Where the pace at the start was not known, a slow phase would
+    be learnt as the route's usual time, so that a long one counts only a little then.
+    """
+    route = running.route
+    known_ms = desk.route_times.get(route)
+    expected_ms = desk.guessed_times.get(route) if known_ms is None else known_ms
+    taken_ms = upstream_ms / max(1.0, running.slow_factor)
+    if expected_ms is not None:
+        is_paced = running.is_paced or desk.pace.reported_at is None
+        taken_ms = min(taken_ms, expected_ms * (PACED_STEP if is_paced else UNPACED_STEP))
+    if known_ms is None:
         if len(desk.route_times) >= MAX_ROUTE_TIMES:
             desk.route_times.pop(next(iter(desk.route_times)))
-        desk.route_times[route] = upstream_ms
+        desk.route_times[route] = taken_ms
     else:
-        desk.route_times[route] = usual_ms + ROUTE_TIME_WEIGHT * (upstream_ms - usual_ms)
+        desk.route_times[route] = known_ms + ROUTE_TIME_WEIGHT * (taken_ms - known_ms)
 
 
 def _forget_waiting(desk: OwnerDesk, queued: QueuedAttempt) -> None:
@@ -266,6 +295,13 @@
     record_live(desk.log, hand_over.attempt, Fate.RUNNING)
     if not desk.running:
         desk.progress_at = now
-    running = RunningAttempt(queued.epoch, now, hand_over.repeat, hand_over.route, desk.pace.factor)
+    running = RunningAttempt(
+        queued.epoch,
+        now,
+        hand_over.repeat,
+        hand_over.route,
+        find_factor(desk.pace, now),
+        desk.pace.reported_at is not None and is_known(desk.pace, now),
+    )
     desk.running[hand_over.attempt] = running
     effects.append(Dispatch(hand_over, queued.expires_at))
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -67,7 +67,8 @@
     `owner_incarnation` names the run of the owner this is meant for; any other run refuses it.
     `insist` says to take the attempt even while the upstream has stalled.
     `body` is the first part of the request body; `more` says that BodyPart messages follow.
-    `route` names the route that the call came by, if any.
+    `route` names the route that the call came by, and `origin` the service whose upstream stands
+    beside the entry node, if any.
     Units: `remaining_ms` is the time left to the caller's deadline and `target_ms` that left to
     the latency objective, None without one, in milliseconds.
     """
@@ -87,6 +88,7 @@
     insist: bool = True
     route: str = ""
     target_ms: Milliseconds | None = None
+    origin: str = ""
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+from bendwind_core.admission import note_origin
 from bendwind_core.attempts.admission import (
     ask_if_held,
     find_due,
@@ -70,13 +71,13 @@
     UpstreamAnnounced,
     UpstreamLost,
 )
-from bendwind_core.attempts.pace import SLOW_FACTOR, note_report
+from bendwind_core.attempts.pace import note_report
 from bendwind_core.attempts.service_time import note_result, note_time
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import fair_queue, urgency_queue
 from bendwind_core.world import UpstreamState
 
-__all__ = ["OwnerDesk", "create_desk", "load_sample", "next_due", "step"]
+__all__ = ["OwnerDesk", "create_desk", "find_early_refusal", "load_sample", "next_due", "step"]
 
 
 # A leaving upstream gets nothing new after this, not even what was queued before.
@@ -91,6 +92,14 @@
     return min(dues, default=None)
 
 
+def find_early_refusal(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> NotRunReason | None:
+    """Return why a hand-over whose body is still coming would be refused now, or None."""
+    if hand_over.owner_incarnation != desk.incarnation:
+        return NotRunReason.WRONG_OWNER
+    guess_route_time(desk, hand_over)
+    return _find_refusal(desk, hand_over, now)
+
+
 def step(desk: OwnerDesk, event: OwnerEvent, now: Seconds) -> list[OwnerEffect]:
     """Apply an event to the desk."""
     effects: list[OwnerEffect] = []
@@ -140,9 +149,8 @@
 def _note_head_time(desk: OwnerDesk, event: DispatchHead) -> None:
     note_time(desk.times, event.upstream_ms)
     running = desk.running.get(event.attempt)
-    is_usual = running is not None and running.slow_factor < SLOW_FACTOR
-    if is_usual and running.route and event.status < _FAILED_STATUS:
-        note_route_time(desk, running.route, event.upstream_ms)
+    if running is not None and running.route and event.status < _FAILED_STATUS:
+        note_route_time(desk, running, event.upstream_ms)
 
 
 def _on_hand_over(
@@ -160,6 +168,7 @@
     if _is_seen(desk, peer, attempt, event.epoch, now, effects):
         return
     guess_route_time(desk, hand_over)
+    note_origin(desk.origins, hand_over.route, hand_over.origin)
     refusal = _find_refusal(desk, hand_over, now)
     if refusal is not None:
         record_ended(desk.log, attempt, Fate.NEVER_STARTED)
--- a/packages/bendwind-core/src/bendwind_core/attempts/pace.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/pace.py
@@ -20,6 +20,9 @@
 USUAL_REPORT_LIFE: Seconds = 0.08
 # A slow phase whose length is not known yet is taken to last this long: the same page.
 TYPICAL_PHASE: Seconds = 0.3
+# An upstream that reported nothing better for this many phases is slow for longer than a phase, as
+# one that has just started is: that is then its usual pace.
+LASTING_PHASES = 1.5
 # A phase is measured where reports stood this close around its beginning and its end.
 SHARP_EDGE: Seconds = 0.06
 # So many phases are remembered; their median bears a few that ran into each other.
@@ -30,11 +33,16 @@
     """Hold what an upstream reported: 1.0 is its usual pace, 4.0 four times the usual time.
 
     `began_at` is when the present slow phase began, as far as is known; `is_sharp` says that this
-    is known closely. `lengths` are those of the last phases that were seen closely.
+    is known closely. `lengths` are those of the last phases that were seen closely. `least` is the
+    least factor reported since `since`, from when on no report told the usual pace, and `base` the
+    factor that has lasted.
     """
 
     factor: float = 1.0
     reported_at: Seconds | None = None
+    base: float = 1.0
+    since: Seconds | None = None
+    least: float = 1.0
     began_at: Seconds = 0.0
     is_sharp: bool = False
     lengths: collections.deque[Seconds] = msgspec.field(
@@ -44,8 +52,9 @@
 
 def note_report(pace: Pace, factor: float, now: Seconds) -> None:
     """Take over a report."""
-    was_slow = pace.factor >= SLOW_FACTOR
-    is_slow = factor >= SLOW_FACTOR
+    _note_base(pace, factor, now)
+    was_slow = _is_slowed(pace, pace.factor)
+    is_slow = _is_slowed(pace, factor)
     since = now if pace.reported_at is None else pace.reported_at
     is_close = now - since <= SHARP_EDGE
     if is_slow and not was_slow:
@@ -61,6 +70,24 @@
     pace.reported_at = now
 
 
+def _note_base(pace: Pace, factor: float, now: Seconds) -> None:
+    if factor < SLOW_FACTOR:
+        pace.since = None
+        pace.base = 1.0
+        return
+    if pace.since is None:
+        pace.since = now
+        pace.least = factor
+    pace.least = min(pace.least, factor)
+    has_lasted = now - pace.since >= LASTING_PHASES * find_phase_length(pace)
+    if has_lasted or pace.base > pace.least:
+        pace.base = pace.least
+
+
+def _is_slowed(pace: Pace, factor: float) -> bool:
+    return factor >= SLOW_FACTOR * pace.base
+
+
 def find_phase_length(pace: Pace) -> Seconds:
     """Return how long a slow phase usually lasts."""
     return statistics.median(pace.lengths) if pace.lengths else TYPICAL_PHASE
@@ -73,7 +100,7 @@
 
 def is_slow(pace: Pace, now: Seconds) -> bool:
     """Tell whether the upstream reported a slow phase that should not have ended yet."""
-    return pace.factor >= SLOW_FACTOR and now < find_phase_end(pace)
+    return _is_slowed(pace, pace.factor) and now < find_phase_end(pace)
 
 
 def is_known(pace: Pace, now: Seconds) -> bool:
@@ -84,7 +111,12 @@
     """
     if pace.reported_at is None or is_slow(pace, now):
         return True
-    return pace.factor < SLOW_FACTOR and now - pace.reported_at < USUAL_REPORT_LIFE
+    return not _is_slowed(pace, pace.factor) and now - pace.reported_at < USUAL_REPORT_LIFE
+
+
+def find_factor(pace: Pace, now: Seconds) -> float:
+    """Return how many times the usual an attempt takes that starts now."""
+    return pace.factor if is_slow(pace, now) else pace.base
 
 
 def find_rest_ms(pace: Pace, now: Seconds) -> Milliseconds:
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_pace.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_pace.py
@@ -3,6 +3,7 @@
 from bendwind_core.attempts.pace import (
     TYPICAL_PHASE,
     Pace,
+    find_factor,
     find_phase_length,
     find_rest_ms,
     is_known,
@@ -42,6 +43,32 @@
         self.assertTrue(is_known(pace, 0.05))
         self.assertFalse(is_known(pace, 0.5))
 
+    def test_upstream_that_stays_slowed_has_that_as_its_usual_pace(self):
+        # The seconds after a start were taken for one slow phase after the other, so that waiting
+        # requests were held for an end that did not come, and then sent away.
+        pace = Pace()
+        self.report(pace, *[(0.1 * number, 2.0) for number in range(6)])
+        self.assertFalse(is_slow(pace, 0.51))
+        self.assertTrue(is_known(pace, 0.51))
+        self.assertEqual(find_factor(pace, 0.51), 2.0)
+        self.report(pace, (0.6, 8.0))
+        self.assertTrue(is_slow(pace, 0.61))
+        self.assertEqual(find_factor(pace, 0.61), 8.0)
+        self.assertEqual(find_factor(pace, 1.5), 2.0)
+
+    def test_upstream_that_warms_up_is_at_its_usual_pace_at_once(self):
+        pace = Pace()
+        self.report(pace, *[(0.1 * number, 2.0) for number in range(6)], (0.6, 1.0))
+        self.assertEqual((pace.base, find_factor(pace, 0.6)), (1.0, 1.0))
+        self.report(pace, (0.7, 4.0))
+        self.assertTrue(is_slow(pace, 0.7))
+
+    def test_two_phases_in_a_row_are_no_usual_pace_once_it_is_told(self):
+        pace = Pace()
+        self.report(pace, *[(0.1 * number, 4.0) for number in range(6)])
+        self.report(pace, (0.6, 1.0), (0.7, 4.0))
+        self.assertTrue(is_slow(pace, 0.71))
+
     def test_nothing_is_waited_for_where_no_load_was_ever_told(self):
         self.assertTrue(is_known(Pace(), 5.0))
 
--- a/packages/bendwind-core/src/bendwind_core/routing/choice.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/choice.py
@@ -16,6 +16,8 @@
 # An upstream that fails this share of its requests is no better for being near.
 FAILING = 0.3
 
+_NONE: frozenset[str] = frozenset()
+
 
 def choose_upstream(
     policy: Policy,
@@ -24,18 +26,22 @@
     now: Seconds,
     rng: random.Random,
     near: str | None = None,
+    *,
+    stays: bool = False,
 ) -> Upstream | None:
     """Return an upstream that takes new requests and is not excluded, or None.
 
     A call that excludes some is a retry: it leaves out those whose queue has just been full too.
     With `near`, upstreams of that data centre go first unless they lately failed; their owners
-    refuse what they would answer late, so that only such requests go further.
+    refuse what they would answer late, so that only such requests go further. A request that
+    `stays` goes further only where that data centre has no upstream that serves.
     """
     views = _find_candidates(table, excluded)
     if excluded:
         views = [view for view in views if now - view.full_at >= FULL_PAUSE]
     if near is not None:
-        views = _keep_near(views, near, now)
+        has_home = stays and bool(_list_near(_find_candidates(table, _NONE), near, now))
+        views = _list_near(views, near, now) or ([] if has_home else views)
     if not views:
         return None
     if len(views) == 1:
@@ -57,13 +63,12 @@
     ]
 
 
-def _keep_near(views: list[UpstreamView], near: str, now: Seconds) -> list[UpstreamView]:
-    kept = [
+def _list_near(views: list[UpstreamView], near: str, now: Seconds) -> list[UpstreamView]:
+    return [
         view
         for view in views
         if view.upstream.owner.data_centre == near and fade_error_rate(view, now) < FAILING
     ]
-    return kept or views
 
 
 def _choose_by_score(
--- a/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
@@ -86,6 +86,11 @@
         return b"".join(self.parts)
 
 
+def cut_body(body: bytes) -> tuple[bytes, ...]:
+    """Cut a body into parts."""
+    return tuple(body[start : start + PART_BYTES] for start in range(0, len(body), PART_BYTES))
+
+
 def split_body(body: bytes) -> tuple[bytes, tuple[bytes, ...]]:
     """Split a body into the part that goes with its head and those that follow.
 
@@ -94,5 +99,5 @@
     """
     if len(body) <= PART_BYTES:
         return body, ()
-    rest = range(PART_BYTES, len(body), PART_BYTES)
-    return body[:PART_BYTES], tuple(body[start : start + PART_BYTES] for start in rest)
+    parts = cut_body(body)
+    return parts[0], parts[1:]
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -45,7 +45,7 @@
 )
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Service, StaleAction, Upstream, may_serve
-from bendwind_node.calls.body_flow import Outflow, split_body
+from bendwind_node.calls.body_flow import Outflow, cut_body, split_body
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import format_attempt
@@ -55,6 +55,8 @@
 from bendwind_node.membership import MembershipTask
 
 LOCAL_EPOCH = 0
+# A longer body goes to another data centre only after its owner has said that it takes the request.
+DEFAULT_FAR_BODY_BYTES = 16 * 1024
 # A watched upstream takes 642 bytes at a node (docs/design/distribution.md); with 23 upstreams a
 # service, so many services stay under half a megabyte.
 WATCHED_AHEAD = 32
@@ -98,6 +100,7 @@
     share: ConcurrencyShare
     dialect: Dialect = BENDWIND_DIALECT
     origin_service: str = ""
+    far_body_bytes: int = DEFAULT_FAR_BODY_BYTES
     routes: RouteTable = field(default_factory=RouteTable)
     desks: dict[str, ServiceDesk] = field(default_factory=dict)
     runs: dict[int, CallRun] = field(default_factory=dict)
@@ -263,7 +266,10 @@
                 return None
             service = call.service
             near = self.own.data_centre if service.near_first else None
-            return choose_upstream(service.policy, desk.table, excluded, now, self.rng, near)
+            stays = len(run.body) > self.far_body_bytes
+            return choose_upstream(
+                service.policy, desk.table, excluded, now, self.rng, near, stays=stays
+            )
 
         for effect in entry.step(call, event, now, choose):
             self._carry_out(run, desk, effect)
@@ -314,7 +320,8 @@
     def _send_hand_over(self, run: CallRun, desk: ServiceDesk, effect: ev.SendHandOver) -> None:
         upstream = effect.upstream
         owner = upstream.owner
-        first, rest = split_body(run.body)
+        is_asked = self._asks_first(run, owner)
+        first, rest = (b"", cut_body(run.body)) if is_asked else split_body(run.body)
         hand_over = HandOver(
             effect.attempt,
             owner.incarnation,
@@ -331,6 +338,7 @@
             insist=effect.insist,
             route=run.call.rule.name,
             target_ms=effect.target_ms,
+            origin=self.origin_service,
         )
         self.runs[effect.attempt.sequence] = run
         note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
@@ -340,16 +348,22 @@
             upstream=upstream.name,
             detail=format_attempt(effect.attempt),
         )
+        if rest:
+            run.outflows[effect.attempt] = Outflow(credit=0) if is_asked else Outflow()
         if not self.send(owner.name, hand_over):
             run.feed(ev.AttemptNotRun(effect.attempt, NotRunReason.CONNECT_FAILED))
         elif rest:
             self.nursery.start_soon(self._send_parts, run, effect.attempt, owner.name, rest)
 
+    def _asks_first(self, run: CallRun, owner: Instance) -> bool:
+        """Tell whether the owner has to say that it takes a request before it gets the body."""
+        is_far = owner.data_centre != self.own.data_centre
+        return is_far and len(run.body) > self.far_body_bytes
+
     async def _send_parts(
         self, run: CallRun, attempt: AttemptId, owner: str, parts: tuple[bytes, ...]
     ) -> None:
-        outflow = Outflow()
-        run.outflows[attempt] = outflow
+        outflow = run.outflows[attempt]
         for number, part in enumerate(parts, start=1):
             index = await outflow.take(len(part))
             if attempt.sequence not in self.runs:
--- a/packages/bendwind-node/src/bendwind_node/calls/health_check.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/health_check.py
@@ -4,7 +4,7 @@
 from expression import Result
 
 from bendwind_node.calls import headers as names
-from bendwind_node.calls.dialect import Dialect, read_slots
+from bendwind_node.calls.dialect import Dialect, read_slots, read_slow_factor
 from bendwind_node.calls.upstream_h11 import UpstreamAnswer, UpstreamPool
 from bendwind_node.calls.upstream_request import UpstreamRequest
 
@@ -12,11 +12,15 @@
 
 
 class HealthAnswer(msgspec.Struct, frozen=True):
-    """Hold what an upstream says on its health path; `slots` is None where it does not tell."""
+    """Hold what an upstream says on its health path; None is what it does not tell.
+
+    `slow_factor` is how much longer than usual work takes there.
+    """
 
     name: str
     is_well: bool
     slots: int | None = None
+    slow_factor: float | None = None
 
 
 async def ask_health(pool: UpstreamPool, path: str, dialect: Dialect) -> HealthAnswer | None:
@@ -28,7 +32,9 @@
     if not name:
         return None
     load = None if dialect.load is None else names.find_header(answer.headers, dialect.load)
-    return HealthAnswer(name.decode("latin-1"), answer.status == _OK, read_slots(load))
+    return HealthAnswer(
+        name.decode("latin-1"), answer.status == _OK, read_slots(load), read_slow_factor(load)
+    )
 
 
 async def ask_load(pool: UpstreamPool, path: str, load_header: bytes) -> bytes | None:
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -29,7 +29,7 @@
 from bendwind_core.timeline import DispatchFacts, EventKind, Recorder
 from bendwind_core.world import Instance, LoadSample
 from bendwind_node.calls.assembly import AssemblyTable
-from bendwind_node.calls.body_flow import Outflow
+from bendwind_node.calls.body_flow import WINDOW_BYTES, Outflow
 from bendwind_node.calls.call_facts import (
     find_request_id,
     make_dispatch_facts,
@@ -115,9 +115,27 @@
         self.replies.send(attempt, epoch, NotRun(attempt, reason))
 
     def _start_assembly(self, link: ReplyLink, hand_over: HandOver) -> None:
+        owned = self.register.owned.get(hand_over.upstream)
+        if owned is None:
+            self._refuse(hand_over.attempt, link.epoch, NotRunReason.WRONG_OWNER)
+            return
+        if self._is_refused_early(owned, hand_over, link.epoch):
+            return
         started = self.assemblies.start(hand_over, link.epoch)
         if started.is_error():
             self._refuse(hand_over.attempt, link.epoch, started.error)
+        elif not hand_over.body:
+            link.send(BodyCredit(hand_over.attempt, WINDOW_BYTES))
+
+    def _is_refused_early(self, owned: OwnedUpstream, hand_over: HandOver, epoch: int) -> bool:
+        """Refuse what would be refused once its body is there; the body need not come."""
+        reason = owner.find_early_refusal(owned.desk, hand_over, trio.current_time())
+        if reason is None:
+            return False
+        load = self.read_load(hand_over.upstream)
+        refusal = ev.ReplyNotRun(hand_over.attempt, epoch, reason, load, hand_over)
+        self._carry_out(owned, refusal)
+        return True
 
     def _add_part(self, link: ReplyLink, part: BodyPart) -> None:
         match self.assemblies.add(part, link.epoch):
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -2,9 +2,10 @@
 
 import trio
 import trio.testing
+from msgspec.structs import replace
 
 from bendwind_core.limits import ProbeBudget
-from bendwind_core.world import Limits, Service, StaleAction
+from bendwind_core.world import Limits, Service, StaleAction, UpstreamState
 from bendwind_node.calls.body_flow import PART_BYTES, WINDOW_BYTES
 from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.calls.tests.fakes import MIB, CallBench, announce, make_exchange
@@ -102,6 +103,36 @@
 
         self.run_with(swallow, check)
 
+    def test_long_body_goes_far_only_once_its_owner_takes_it(self):
+        # Bodies were sent whole to owners in other data centres that then refused the request.
+        received = bytearray()
+
+        async def swallow(stream, data):
+            received.extend(data.partition(b"\r\n\r\n")[2])
+            while len(received) < MIB:
+                received.extend(await stream.receive_some(65536))
+            await stream.send_all(OK)
+
+        async def check(bench, port):
+            owner = bench.add_owner("other", data_centre="far")
+            announce(owner, port)
+            sent = bench.hub.sent
+            done = await bench.call(make_exchange(POST, b"q" * MIB))
+            self.assertEqual((done.status, len(received)), (200, MIB))
+            self.assertEqual(sent[0].body, b"")
+            owner.register.drain()
+            bench.membership.known["svc"]["svc-1"] = replace(
+                bench.membership.known["svc"]["svc-1"], state=UpstreamState.READY
+            )
+            bench.entry.refresh_upstreams("svc")
+            sent.clear()
+            refused = await bench.call(make_exchange(POST, b"q" * MIB))
+            self.assertEqual(refused.headers[b"bendwind-reason"], b"draining")
+            self.assertEqual(len(sent), 1)
+            self.assertEqual((owner.assemblies.budget.used, bench.intake.budget.used), (0, 0))
+
+        self.run_with(swallow, check)
+
     def test_answer_cut_at_the_upstream_aborts_the_caller(self):
         async def cut(stream, data):
             await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nso")
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -100,8 +100,14 @@
             # An upstream that is well may say otherwise, but not that it announces itself twice.
             owned.is_verified = owned.is_verified or answer.is_well or not is_first
         if owned.is_verified and not owned.has_left and owned.last_sequence == news.sequence:
+            self._note_pace(owned, answer)
             self._take(owned, news)
 
+    def _note_pace(self, owned: OwnedUpstream, answer: HealthAnswer | None) -> None:
+        # One that has just started is slow: its first answers would be taken for its usual pace.
+        if answer is not None and answer.slow_factor is not None:
+            self.feed(owned, ev.LoadReported(answer.slow_factor))
+
     async def _ask(self, pool: UpstreamPool, service: str) -> HealthAnswer | None:
         with trio.move_on_after(VERIFY_TIMEOUT):
             return await ask_health(pool, self.find_health_path(service), self.dialect)
@@ -139,6 +145,9 @@
                 UpstreamState.READY,
             )
         )
+        introduced = self.owned.get(answer.name)
+        if introduced is not None:
+            self._note_pace(introduced, answer)
 
     def _is_known_at(self, place: UpstreamPlace) -> bool:
         return bool(self._list_at(place.host, place.port))
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -184,6 +184,7 @@
         ConcurrencyShare(settings.limits.in_flight),
         extension.dialect,
         extension.origin_service,
+        settings.limits.far_body_bytes,
     )
     dispatcher.probes = ProbeTask(dispatcher.entry, dispatcher.owner, budget)
     membership.listeners.append(lambda effect: _hear_membership(dispatcher, effect))
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -236,6 +236,17 @@
     header_bytes: Annotated[
         int, Meta(ge=1024, le=1 << 20), _doc("Longest request line and headers of a caller.", "B")
     ] = (16 << 10)
+    far_body_bytes: Annotated[
+        int,
+        Meta(ge=0, le=1 << 30),
+        _doc(
+            "Longest request body that goes to another data centre while the own one serves; "
+            "for services whose near upstreams go first.",
+            "B",
+        ),
+    ] = (
+        16 << 10
+    )
     slot_share: Annotated[
         float,
         Meta(gt=0, le=1),
