--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -142,12 +142,24 @@
         announced = self.membership.upstreams(service_name)
         admitted = [u for u in announced if service is not None and may_serve(service, u.name)]
         used = choose_subset(self.own.name, self.own.data_centre, admitted)
+        reached = self._list_reached(desk, {upstream.name for upstream in announced})
         before = {view.upstream.owner.name for view in desk.table.views.values()}
-        set_upstreams(desk.table, used, trio.current_time())
+        set_upstreams(desk.table, (*used, *reached), trio.current_time())
         # An attempt at an owner that fell silent should not have to wait for its deadline.
         for owner in before - {upstream.owner.name for upstream in used}:
-            if self.has_attempts_at(owner):
-                self.hub.check(owner)
+            self.hub.check(owner)
+
+    def _list_reached(self, desk: ServiceDesk, listed: set[str]) -> list[Upstream]:
+        """List the upstreams that no voter names any more though their owners are reached.
+
+        An instance that is cut off from the voters alone goes on serving. Its owner node knows
+        best whether the upstream stays, and says so to the next attempt if it does not.
+        """
+        return [
+            view.upstream
+            for name, view in desk.table.views.items()
+            if name not in listed and not view.is_draining and self.hub.reaches(view.upstream.owner)
+        ]
 
     def link_closed(self, link: Link) -> None:
         """Hear that a link to an owner node broke."""
@@ -156,6 +168,10 @@
             table = self.desks[run.call.service.name].table
             note_unknown(table, attempt.upstream.name, attempt.id, now)
             run.feed(ev.OwnerLost(attempt.id))
+        for service, desk in self.desks.items():
+            owners = {view.upstream.owner.name for view in desk.table.views.values()}
+            if link.peer.name in owners:
+                self.refresh_upstreams(service)
 
     def has_attempts_at(self, owner: str) -> bool:
         """Tell whether a call under way has an attempt at this owner."""
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -89,6 +89,13 @@
         self.epoch = 0
         self.hold = False
         self.sent = []
+        self.checked = []
+
+    def reaches(self, peer):
+        return peer.name in self.links and self.owners[peer.name].own == peer
+
+    def check(self, name):
+        self.checked.append(name)
 
     def send_dialed(self, name, message):
         if name not in self.owners:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -145,6 +145,39 @@
 
         self.run_with(cut, check)
 
+    def test_upstream_of_an_owner_that_only_the_voters_lost_stays_in_use(self):
+        # Upstreams of instances that were cut off from the voters alone stood idle while others
+        # refused requests.
+        async def check(bench, port):
+            announce(bench.add_owner("other"), port)
+            self.assertEqual((await bench.call(make_exchange())).status, 200)
+            bench.membership.known.clear()
+            bench.entry.refresh_upstreams("svc")
+            self.assertEqual(bench.hub.checked, ["other"])
+            self.assertEqual((await bench.call(make_exchange())).status, 200)
+            bench.hub.cut("other")
+            done = await bench.call(make_exchange())
+            self.assertEqual(done.headers[b"bendwind-reason"], b"no-upstream")
+
+        self.run_with(self.answer_ok, check)
+
+    def test_upstream_that_its_owner_sends_away_is_used_no_more(self):
+        async def check(bench, port):
+            owner = bench.add_owner("other")
+            announce(owner, port)
+            await bench.call(make_exchange())
+            owner.register.left("svc-1")
+            bench.membership.known.clear()
+            bench.entry.refresh_upstreams("svc")
+            for _ in range(2):
+                done = await bench.call(make_exchange())
+                self.assertEqual(done.headers[b"bendwind-reason"], b"no-upstream")
+            bench.entry.refresh_upstreams("svc")
+            self.assertEqual(bench.entry.desks["svc"].table.views, {})
+            self.assertEqual(self.runs, 1)
+
+        self.run_with(self.answer_ok, check)
+
     def test_link_lost_before_the_hand_over_arrived_is_proven_not_run(self):
         async def check(bench, port):
             announce(bench.add_owner("other"), port)
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -86,6 +86,11 @@
         """Return an open link to the peer, the dialed one first."""
         return self.dialed.get(peer) or self.accepted.get(peer)
 
+    def reaches(self, peer: Instance) -> bool:
+        """Tell whether this process has dialed a link to this very run of a peer."""
+        link = self.dialed.get(peer.name)
+        return link is not None and link.is_open and link.peer.incarnation == peer.incarnation
+
     def send(self, peer: str, message: PeerMessage) -> bool:
         """Send over any open link, or dial if the address is known; else drop and say so."""
         link = self.find_link(peer)
