--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_losses.py
@@ -0,0 +1,80 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from bendwind_bench.losses import Cause, count_losses, read_logs, render_report, write_report
+from bendwind_core.timeline import AttemptFacts, CallFacts, DispatchFacts, LogLine, RefusalFacts
+
+
+def call(request, detail="answered", status=200, ms=100.0, target_ms=200.0, **more):
+    facts = CallFacts("s", "r", status, ms, 4000.0, target_ms, **more)
+    line = LogLine("info", "n", 1000, "CALL_FINISHED", 102, request=request, detail=detail)
+    return msgspec.structs.replace(line, facts=facts)
+
+
+def owner(request, facts, upstream="u"):
+    line = LogLine("info", "o", 900, "X", 202, request=request, upstream=upstream)
+    return msgspec.structs.replace(line, facts=facts)
+
+
+SENT = (AttemptFacts("u", 1.0, "200", 90.0),)
+
+
+class LossesTest(unittest.TestCase):
+    def count(self, *lines):
+        texts = [msgspec.json.encode(line).decode() for line in lines]
+        return count_losses(read_logs(texts))
+
+    def cause(self, *lines):
+        (counts,) = self.count(*lines).routes.values()
+        return next(iter(counts))
+
+    def test_answer_within_the_objective_is_no_loss(self):
+        self.assertIs(self.cause(call("a")), Cause.NONE)
+
+    def test_lateness_is_told_by_the_part_that_took_most(self):
+        late = call("a", ms=300.0, attempts=SENT)
+        waited = owner("a", DispatchFacts("r", waited_ms=100.0))
+        slow = owner("a", DispatchFacts("r", slow_factor=4.0))
+        self.assertIs(self.cause(late, waited), Cause.WAITED)
+        self.assertIs(self.cause(late, slow), Cause.STARTED_SLOW)
+        self.assertIs(self.cause(late), Cause.RAN_LONG)
+        again = call("a", ms=300.0, attempts=(AttemptFacts("u", 150.0, "200", 90.0),))
+        self.assertIs(self.cause(again), Cause.RETRIED)
+        back = call("a", ms=300.0, target_ms=-10.0, tried_ms=210.0, attempts=SENT)
+        self.assertIs(self.cause(back), Cause.CAME_BACK)
+
+    def test_refusals_are_told_by_what_owners_knew(self):
+        full = call("a", "not-run: queue-full", 503)
+        free = owner("a", RefusalFacts("r", running=2, slots=9))
+        taken = owner("a", RefusalFacts("r", running=9, slots=9))
+        slowed = owner("a", RefusalFacts("r", running=2, slots=9, slow_factor=4.0))
+        self.assertIs(self.cause(full, free, taken), Cause.FREE_SLOT)
+        self.assertIs(self.cause(full, taken, slowed), Cause.FULL)
+        self.assertIs(self.cause(full, slowed), Cause.SLOWED)
+        self.assertIs(self.cause(call("a", "not-run: no-upstream", 503)), Cause.NO_UPSTREAM)
+        self.assertIs(self.cause(call("a", "not-run: shed", 503)), Cause.SHED)
+
+    def test_failures_cuts_and_callers_that_left_are_told_apart(self):
+        self.assertIs(self.cause(call("a", status=500)), Cause.FAILED)
+        self.assertIs(self.cause(call("a", "unknown: link-lost", 502)), Cause.CUT)
+        self.assertIs(self.cause(call("a", "caller gone", 0)), Cause.GONE)
+
+    def test_report_has_tables_and_a_plot(self):
+        tally = self.count(call("a"), call("b", "not-run: shed", 503))
+        text = render_report(tally)
+        self.assertIn("refused by the upstream itself", text)
+        self.assertIn("0.50", text)
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "losses.png"
+            write_report(tally, file)
+            self.assertGreater(file.stat().st_size, 1000)
+
+    def test_lines_of_others_are_counted_and_passed_over(self):
+        self.assertEqual(read_logs(["", "not a log line"]).unread, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
