--- a/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
@@ -1,6 +1,6 @@
 """Settle attempts whose link broke: fence those not started, give up those nobody awaits."""
 
-from bendwind_core.attempts.attempt_log import Fate, meet_peer, record_ended
+from bendwind_core.attempts.attempt_log import EntryPeer, Fate, meet_peer, record_ended
 from bendwind_core.attempts.desk import OwnerDesk, fence_waiting
 from bendwind_core.attempts.messages import AttemptId, Fence, FenceVerdict
 from bendwind_core.attempts.owner_events import (
@@ -52,10 +52,22 @@
 def open_link(desk: OwnerDesk, event: LinkOpened, effects: list[OwnerEffect]) -> None:
     """Give up what came in on earlier links of an entry node or from its earlier runs."""
     peer = meet_peer(desk.log, event.entry, event.incarnation, floor=0)
-    if peer is None or event.epoch <= peer.epoch:
-        return
-    peer.epoch = event.epoch
-    _abandon(desk, event.entry, event.incarnation, event.epoch, effects)
+    if peer is not None:
+        take_epoch(desk, peer, event.entry, event.incarnation, event.epoch, effects)
+
+
+def take_epoch(
+    desk: OwnerDesk,
+    peer: EntryPeer,
+    entry: str,
+    incarnation: int,
+    epoch: int,
+    effects: list[OwnerEffect],
+) -> None:
+    """Give up what came in on earlier links, at the first sign of a later one."""
+    if epoch > peer.epoch:
+        peer.epoch = epoch
+        _abandon(desk, entry, incarnation, epoch, effects)
 
 
 def lose_link(desk: OwnerDesk, event: LinkLost, effects: list[OwnerEffect]) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -43,7 +43,13 @@
     start,
     take_off_queue,
 )
-from bendwind_core.attempts.fencing import answer_fence, cancel_running, lose_link, open_link
+from bendwind_core.attempts.fencing import (
+    answer_fence,
+    cancel_running,
+    lose_link,
+    open_link,
+    take_epoch,
+)
 from bendwind_core.attempts.messages import (
     AttemptId,
     CutReason,
@@ -164,7 +170,7 @@
     peer = meet_peer(desk.log, attempt.entry, attempt.incarnation, attempt.sequence - 1)
     if peer is None or event.epoch < peer.epoch:
         return
-    peer.epoch = event.epoch
+    take_epoch(desk, peer, attempt.entry, attempt.incarnation, event.epoch, effects)
     if _is_seen(desk, peer, attempt, event.epoch, now, effects):
         return
     guess_route_time(desk, hand_over)
