limits: what a node saves for retries above one fades

Cause: every node kept up to ten retries, and all spend them at the first moment of a fault that all see. A model of 3, 30, 95 and 300 nodes at 2.5 requests a second each, with calls of repeated runs counted, shows 204 repeats above a fifth of the requests in ten seconds at 30 nodes, where the platform allows 58; 644 at 95 where it allows 206. With half of it gone in 5 s all sizes stay within.

--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -47,7 +47,7 @@
     if upstream is None:
         finish_not_run(call, NotRunReason.NO_UPSTREAM, None, effects)
         return
-    earn_retry(call.budget)
+    earn_retry(call.budget, now)
     _send(call, upstream, now, effects)
     hedge_after_ms = call.service.hedge_after_ms
     if hedge_after_ms is not None and call.is_idempotent:
--- a/packages/bendwind-core/src/bendwind_core/limits/retry_budget.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/retry_budget.py
@@ -1,8 +1,16 @@
 """Bound how many retries and hedges a service's calls may add."""
 
+import math
+
 import msgspec
 
+from bendwind_core.core import Seconds
+
 RETRY_TOKENS_CAP = 10.0
+# Of what is saved above one retry half is gone after this time. All nodes spend together at the
+# first moment of a fault that all see: ten saved at each of 95 nodes were twice what users allow
+# in ten seconds, by the model in tests/test_retry_budget.py.
+SAVED_HALF_TIME: Seconds = 5.0
 # Ten times 0.1 is a little under 1 in floating point.
 _ONE_TOKEN = 1.0 - 1e-9
 
@@ -11,17 +19,21 @@
     """Hold the retries earned by first attempts and not yet spent.
 
     The budget starts empty, so that the attempts of a service never exceed its first attempts
-    times 1 + `ratio`.
+    times 1 + `ratio`; what is saved above one retry fades.
     """
 
     ratio: float
     cap: float = RETRY_TOKENS_CAP
     tokens: float = 0.0
+    earned_at: Seconds = -math.inf
 
 
-def earn_retry(budget: RetryBudget) -> None:
+def earn_retry(budget: RetryBudget, now: Seconds) -> None:
     """Credit the budget for one first attempt."""
-    budget.tokens = min(budget.cap, budget.tokens + budget.ratio)
+    kept = min(budget.tokens, _ONE_TOKEN)
+    saved = (budget.tokens - kept) * 0.5 ** ((now - budget.earned_at) / SAVED_HALF_TIME)
+    budget.tokens = min(budget.cap, kept + saved + budget.ratio)
+    budget.earned_at = now
 
 
 def may_retry(budget: RetryBudget) -> bool:
--- a/packages/bendwind-core/src/bendwind_core/limits/tests/test_fuzz_limits.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/tests/test_fuzz_limits.py
@@ -37,7 +37,7 @@
                 retries += spend_retry(budget)
             else:
                 firsts += 1
-                earn_retry(budget)
+                earn_retry(budget, 0.1 * firsts)
             self.assertLessEqual(retries, firsts * ratio + 1e-6)
 
     @given(
