--- a/packages/bendwind-node/src/bendwind_node/logs/configure.py
+++ b/packages/bendwind-node/src/bendwind_node/logs/configure.py
@@ -13,14 +13,14 @@
 
 
 def configure_logging(settings: Settings, stream: TextIO | None = None) -> None:
-    """Write events at or above the settings' level to a stream, standard error by default.
+    """Write events at or above the settings' level to a stream, standard output by default.
 
     Nothing here waits for whoever reads the stream.
     """
     instance = settings.instance.name
     is_json = settings.logging.format == "json"
     formatter = JsonFormatter(instance) if is_json else TextFormatter(instance)
-    handler = AsideHandler(stream or sys.stderr, lambda count: describe_left_out(formatter, count))
+    handler = AsideHandler(stream or sys.stdout, lambda count: describe_left_out(formatter, count))
     handler.setFormatter(formatter)
     logging.basicConfig(handlers=[handler], level=logging.WARNING, force=True)
     logging.getLogger("bendwind").setLevel(settings.logging.level.upper())
--- a/packages/bendwind-node/src/bendwind_node/logs/tests/test_logs.py
+++ b/packages/bendwind-node/src/bendwind_node/logs/tests/test_logs.py
@@ -1,3 +1,4 @@
+import contextlib
 import io
 import json
 import logging
@@ -25,6 +26,14 @@
         logging.getLogger().handlers[0].close()
         return stream.getvalue()
 
+    def test_logs_go_to_standard_output(self):
+        # They went to standard error, where the users' collectors do not look.
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            configure_logging(parse_settings(PLAIN.encode(), "f").ok)
+        self.recorder.record(EventKind.PROCESS_STARTED)
+        self.assertIn("PROCESS_STARTED", self.read(out))
+
     def test_an_event_is_one_json_line_with_number_name_and_time(self):
         stream = self.start()
         self.recorder.record(EventKind.PROCESS_STARTED, detail='a "b"\nc')
