--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -31,6 +31,18 @@
 
         trio.run(main)
 
+    def make_swallower(self):
+        """Return a buffer and the handler that reads a body of one mebibyte into it."""
+        received = bytearray()
+
+        async def swallow(stream, data):
+            received.extend(data.partition(b"\r\n\r\n")[2])
+            while len(received) < MIB:
+                received.extend(await stream.receive_some(65536))
+            await stream.send_all(OK)
+
+        return received, swallow
+
     async def answer_ok(self, stream, data):
         await stream.send_all(OK)
 
@@ -86,13 +98,7 @@
         self.run_with(long_answer, check)
 
     def test_long_request_reaches_another_owner_whole(self):
-        received = bytearray()
-
-        async def swallow(stream, data):
-            received.extend(data.partition(b"\r\n\r\n")[2])
-            while len(received) < MIB:
-                received.extend(await stream.receive_some(65536))
-            await stream.send_all(OK)
+        received, swallow = self.make_swallower()
 
         async def check(bench, port):
             owner = bench.add_owner("other")
@@ -105,13 +111,7 @@
 
     def test_long_body_goes_far_only_once_its_owner_takes_it(self):
         # Bodies were sent whole to owners in other data centres that then refused the request.
-        received = bytearray()
-
-        async def swallow(stream, data):
-            received.extend(data.partition(b"\r\n\r\n")[2])
-            while len(received) < MIB:
-                received.extend(await stream.receive_some(65536))
-            await stream.send_all(OK)
+        received, swallow = self.make_swallower()
 
         async def check(bench, port):
             owner = bench.add_owner("other", data_centre="far")
