--- a/packages/bendwind-bench/src/bendwind_bench/__main__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/__main__.py
@@ -61,14 +61,19 @@
 
     def losses(self, *logs: str, plot: str = "") -> int:
         """Tell from processes' logs which calls were not answered in time, when and why."""
-        from bendwind_bench.losses import count_losses, read_logs, render_report, write_report
+        from bendwind_bench.losses import (
+            count_losses,
+            read_lines,
+            read_logs,
+            render_report,
+            write_report,
+        )
 
         missing = [name for name in logs if not Path(name).is_file()]
         if missing or not logs:
             print(f"expected readable log files: {missing or 'none given'}", file=sys.stderr)
             return 2
-        lines = (line for name in logs for line in Path(name).open(errors="replace"))
-        tally = count_losses(read_logs(lines))
+        tally = count_losses(read_logs(read_lines(logs)))
         print(render_report(tally))
         if plot:
             write_report(tally, Path(plot))
--- a/packages/bendwind-bench/src/bendwind_bench/losses/__init__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/__init__.py
@@ -1,7 +1,7 @@
 """Tell from the logs of a deployment's processes where answers in time were lost, and why."""
 
 from bendwind_bench.losses.causes import Cause, find_cause
-from bendwind_bench.losses.read import Logs, read_logs
+from bendwind_bench.losses.read import Logs, read_lines, read_logs
 from bendwind_bench.losses.report import render_report, write_report
 from bendwind_bench.losses.tally import Tally, count_losses
 
@@ -11,6 +11,7 @@
     "Tally",
     "count_losses",
     "find_cause",
+    "read_lines",
     "read_logs",
     "render_report",
     "write_report",
--- a/packages/bendwind-bench/src/bendwind_bench/losses/read.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/read.py
@@ -1,6 +1,6 @@
 """Read what the processes of a deployment logged of calls and attempts."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -16,6 +16,13 @@
     unread: int = 0
 
 
+def read_lines(names: Iterable[str]) -> Iterator[str]:
+    """Read the lines of files one after the other; each is closed at its end."""
+    for name in names:
+        with open(name, errors="replace") as file:
+            yield from file
+
+
 def read_logs(lines: Iterable[str]) -> Logs:
     """Read lines of any processes in any order; those that are no log lines are counted."""
     logs = Logs()
