--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -62,6 +62,14 @@
     draining: bool
 
 
+class Evacuate(msgspec.Struct, frozen=True):
+    """Have a data centre's upstreams get nothing new, or take it back."""
+
+    target: Target
+    data_centre: str
+    evacuated: bool
+
+
 class Stop(msgspec.Struct, frozen=True):
     """Stop one process once its calls are answered."""
 
@@ -132,6 +140,7 @@
     | ShowRevision
     | ShowStatus
     | Drain
+    | Evacuate
     | Stop
     | AcceptClaimLoss
     | ShowTimeline
--- a/packages/bendwind-cli/src/bendwind_cli/instances.py
+++ b/packages/bendwind-cli/src/bendwind_cli/instances.py
@@ -136,6 +136,8 @@
         yield f"draining instance {name}"
     for name in reply.draining.upstreams:
         yield f"draining upstream {name}"
+    for name in reply.evacuated:
+        yield f"evacuated data centre {name}"
     absent = set(reply.not_there_yet) - {node.name for node in reply.nodes}
     if absent:
         yield f"not there yet: {', '.join(sorted(absent))}"
--- a/packages/bendwind-cli/src/bendwind_cli/parsing.py
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -12,6 +12,7 @@
     Command,
     ConfirmPlan,
     Drain,
+    Evacuate,
     ExplainRequest,
     ListEvents,
     MakeAuthority,
@@ -215,6 +216,28 @@
         """
         return Drain(Target(control, settings), name, kind, False)
 
+    @_as_text
+    def evacuate(self, data_centre: str, *, control: str = "", settings: str = "") -> Evacuate:
+        """Send nothing new to the upstreams of a data centre; what runs there is answered.
+
+        Args:
+            data_centre: The data centre.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return Evacuate(Target(control, settings), data_centre, True)
+
+    @_as_text
+    def readmit(self, data_centre: str, *, control: str = "", settings: str = "") -> Evacuate:
+        """Take an evacuated data centre back; its upstreams count as cold until they tell.
+
+        Args:
+            data_centre: The data centre.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return Evacuate(Target(control, settings), data_centre, False)
+
     @_as_text
     def stop(self, name: str, *, control: str = "", settings: str = "") -> Stop:
         """Stop a process once the calls it holds are answered.
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -62,6 +62,24 @@
     version: int | None = None
 
 
+class WarningReply(msgspec.Struct, frozen=True):
+    """Warn of what a change may break."""
+
+    kind: str
+    service: str
+    detail: str = ""
+
+
+class EvacuationReply(msgspec.Struct, frozen=True):
+    """Hold whether a data centre is evacuated, and what that leaves too little room for."""
+
+    data_centre: str
+    evacuated: bool
+    version: int = 0
+    is_new: bool = True
+    warnings: tuple[WarningReply, ...] = ()
+
+
 class VoterReply(msgspec.Struct, frozen=True):
     """Describe a control voter."""
 
@@ -115,6 +133,7 @@
     not_there_yet: tuple[str, ...] = ()
     upstreams: tuple[UpstreamReply, ...] = ()
     draining: DrainingReply = DrainingReply()
+    evacuated: tuple[str, ...] = ()
 
 
 class EventReply(msgspec.Struct, frozen=True):
--- a/packages/bendwind-cli/src/bendwind_cli/run.py
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -4,7 +4,7 @@
 
 from expression import Result
 
-from bendwind_cli import explain, instances, plans, revisions, timeline
+from bendwind_cli import evacuation, explain, instances, plans, revisions, timeline
 from bendwind_cli.client import Client, open_client
 from bendwind_cli.client_settings import find_settings
 from bendwind_cli.commands import (
@@ -12,6 +12,7 @@
     Command,
     ConfirmPlan,
     Drain,
+    Evacuate,
     ExplainRequest,
     ListEvents,
     MakeAuthority,
@@ -49,6 +50,8 @@
             return _with_client(command.target, lambda client: instances.status(client, command))
         case Drain():
             return _with_client(command.target, lambda client: instances.drain(client, command))
+        case Evacuate():
+            return _with_client(command.target, lambda client: evacuation.mark(client, command))
         case Stop():
             return _with_client(command.target, lambda client: instances.stop(client, command.name))
         case AcceptClaimLoss():
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -116,7 +116,18 @@
             self.assertEqual((code, err), (0, ""), arguments)
             self.assertIn("COMMAND", out)
             self.assertNotIn("FIRE_METADATA", out)
-        for name in ("plan", "confirm", "show", "status", "drain", "undrain", "stop", "timeline"):
+        for name in (
+            "plan",
+            "confirm",
+            "show",
+            "status",
+            "drain",
+            "undrain",
+            "evacuate",
+            "readmit",
+            "stop",
+            "timeline",
+        ):
             code, out, _ = self.run_line(name, "--help")
             self.assertEqual((code, "--control" in out), (0, True), name)
 
@@ -259,6 +270,30 @@
         self.assertEqual((code, out), (0, "emisor-1: draining\n"))
         self.assert_fails(["drain", "nobody", line], ExitCode.REFUSED, "no such instance")
 
+    def test_evacuates_a_data_centre_and_takes_it_back(self):
+        reply = {"data_centre": "sala-norte", "evacuated": True, "version": 19, "is_new": True}
+        short = {"kind": "no-upstreams", "service": "emisor", "detail": "none of 2 is left"}
+        path = "/v1/data-centres/sala-norte/evacuation"
+        server = self.serve(
+            (f"POST {path}", 200, reply | {"warnings": [short]}),
+            (f"DELETE {path}", 200, reply | {"evacuated": False, "is_new": False}),
+            ("GET /v1/status", 200, STATUS | {"evacuated": ["sala-norte"]}),
+        )
+        line = f"--control={server.address}"
+        code, out, _ = self.run_line("evacuate", "sala-norte", line)
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            out.splitlines(),
+            [
+                "sala-norte: evacuated, as of version 19",
+                "warning: emisor: no-upstreams: none of 2 is left",
+            ],
+        )
+        code, out, _ = self.run_line("readmit", "sala-norte", line)
+        self.assertEqual((code, out), (0, "sala-norte: readmitted, nothing changed\n"))
+        self.assertIn("evacuated data centre sala-norte", self.run_line("status", line)[1])
+        self.assert_fails(["evacuate", "nowhere", line], ExitCode.REFUSED, "not-found")
+
     def test_puts_a_whole_configuration_and_shows_it(self):
         held = {"revision": 7, "version": 12, "is_new": True}
         server = self.serve(
--- a/packages/bendwind-core/src/bendwind_core/admission/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/__init__.py
@@ -14,6 +14,17 @@
     note_refused,
     take_began_at,
 )
+from bendwind_core.admission.warm_up import (
+    WarmUp,
+    WarmUpLimits,
+    assume_cold,
+    find_room_at,
+    is_assumed_cold,
+    is_cold,
+    note_asked,
+    note_sent,
+    note_told,
+)
 
 __all__ = [
     "CallerTime",
@@ -21,11 +32,20 @@
     "Origins",
     "Request",
     "Returns",
+    "WarmUp",
+    "WarmUpLimits",
+    "assume_cold",
+    "find_room_at",
+    "is_assumed_cold",
+    "is_cold",
     "is_inner_call",
+    "note_asked",
     "note_call_refused",
     "note_origin",
     "note_refused",
     "note_run_ended",
+    "note_sent",
+    "note_told",
     "take_began_at",
     "turns_away",
 ]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/admission/tests/test_warm_up.py
@@ -0,0 +1,86 @@
+import unittest
+
+from bendwind_core.admission import (
+    WarmUp,
+    WarmUpLimits,
+    assume_cold,
+    find_room_at,
+    is_assumed_cold,
+    is_cold,
+    note_asked,
+    note_sent,
+    note_told,
+)
+from bendwind_core.admission.warm_up import SPAN
+from bendwind_core.world import WarmUpRule
+
+# Twelve requests in any second.
+RULE = WarmUpRule(3.0, 8.0)
+LIMITS = WarmUpLimits(1.25, 2.0)
+LIMIT = 12
+
+
+class WarmUpTest(unittest.TestCase):
+    def setUp(self):
+        self.warm_up = WarmUp(LIMITS, RULE)
+
+    def test_upstream_of_which_nothing_is_known_is_cold_for_as_long_as_a_warm_up(self):
+        assume_cold(self.warm_up, 10.0)
+        self.assertTrue(is_cold(self.warm_up, 12.9))
+        self.assertFalse(is_cold(self.warm_up, 13.0))
+
+    def test_answer_to_a_question_that_was_asked_later_ends_the_assumption(self):
+        assume_cold(self.warm_up, 10.0)
+        note_asked(self.warm_up, 0.0, asked_at=9.9, now=10.1)
+        self.assertTrue(is_assumed_cold(self.warm_up, 10.1))
+        note_asked(self.warm_up, 0.0, asked_at=10.0, now=10.1)
+        self.assertFalse(is_cold(self.warm_up, 10.1))
+
+    def test_late_announcement_never_makes_an_upstream_warm(self):
+        note_asked(self.warm_up, 2000.0, asked_at=10.0, now=10.0)
+        note_told(self.warm_up, 0.0, 10.5)
+        self.assertTrue(is_cold(self.warm_up, 11.9))
+        self.assertFalse(is_cold(self.warm_up, 12.0))
+
+    def test_upstream_of_a_service_without_warm_up_is_never_cold(self):
+        warm_up = WarmUp(LIMITS)
+        assume_cold(warm_up, 10.0)
+        note_told(warm_up, 2000.0, 10.0)
+        self.assertFalse(is_cold(warm_up, 10.0))
+
+    def test_room_comes_when_the_first_of_the_last_second_is_over(self):
+        note_told(self.warm_up, 3000.0, 0.0)
+        for step in range(LIMIT):
+            self.assertEqual(find_room_at(self.warm_up, 0, 0, 0.01 * step), 0.01 * step)
+            note_sent(self.warm_up, 0.01 * step)
+        self.assertEqual(find_room_at(self.warm_up, 0, 0, 0.2), SPAN)
+        self.assertEqual(find_room_at(self.warm_up, 0, 3, 0.2), 0.03 + SPAN)
+        self.assertEqual(find_room_at(self.warm_up, 0, LIMIT, 0.2), 2 * SPAN)
+
+    def test_nobody_waits_longer_than_the_upstream_is_cold(self):
+        note_told(self.warm_up, 1500.0, 0.0)
+        for _ in range(LIMIT):
+            note_sent(self.warm_up, 1.0)
+        self.assertEqual(find_room_at(self.warm_up, 0, 0, 1.0), 1.5)
+
+    def test_earlier_run_of_the_process_may_have_sent_all_that_is_permitted(self):
+        warm_up = WarmUp(LIMITS, RULE, cold_until=5.0, started_at=1.0)
+        self.assertEqual(find_room_at(warm_up, 0, 0, 1.5), 1.0 + SPAN)
+
+    def test_requests_that_may_still_be_on_their_way_take_room(self):
+        note_told(self.warm_up, 3000.0, 0.0)
+        for _ in range(LIMIT - 2):
+            note_sent(self.warm_up, 0.0)
+        self.assertEqual(find_room_at(self.warm_up, 1, 0, 0.5), 0.5)
+        self.assertEqual(find_room_at(self.warm_up, 2, 0, 0.5), SPAN)
+        self.assertEqual(find_room_at(WarmUp(LIMITS, RULE, 3.0), LIMIT, 0, 0.5), 0.5 + SPAN)
+
+    def test_what_a_warm_upstream_was_sent_counts_when_it_turns_cold(self):
+        for _ in range(LIMIT):
+            note_sent(self.warm_up, 0.9)
+        note_told(self.warm_up, 3000.0, 1.0)
+        self.assertEqual(find_room_at(self.warm_up, 0, 0, 1.0), 0.9 + SPAN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -15,8 +15,9 @@
     OwnerDesk,
     QueuedAttempt,
     RunningAttempt,
+    find_cold_wait_ms,
     find_usual_ms,
-    has_slot,
+    has_room,
 )
 from bendwind_core.attempts.messages import HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import AskLoad, OwnerEffect
@@ -44,7 +45,7 @@
 
     An attempt that does not insist is also refused where it could start at once but would be late.
     """
-    is_free = has_slot(desk) and not len(desk.timed)
+    is_free = has_room(desk, now) and not len(desk.timed)
     if is_free and (hand_over.insist or _is_late_anyway(desk, hand_over, now)):
         return None
     expected_ms = find_expected_ms(desk, hand_over.route, now)
@@ -163,7 +164,7 @@
 
 def ask_if_held(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
     """Ask the upstream for its load while an attempt waits for nothing else."""
-    if not len(desk.timed) or not has_slot(desk) or not desk.may_ask:
+    if not len(desk.timed) or not has_room(desk, now) or not desk.may_ask:
         return
     is_early = desk.asked_at is not None and now < desk.asked_at + ASK_EVERY
     if is_early or paces.is_known(desk.pace, now):
@@ -174,7 +175,7 @@
 
 def next_look(desk: OwnerDesk, now: Seconds) -> Seconds | None:
     """Return when the attempts that are held back have to be looked at again, or None."""
-    if not len(desk.timed) or not has_slot(desk):
+    if not len(desk.timed) or not has_room(desk, now):
         return None
     if paces.is_slow(desk.pace, now):
         return min(paces.find_phase_end(desk.pace), urgency_queue.find_first_due(desk.timed))
@@ -185,14 +186,15 @@
 
 
 def find_wait_ms(desk: OwnerDesk, due: Seconds, now: Seconds) -> Milliseconds:
-    """Estimate how long an attempt due at a time waits for a slot."""
+    """Estimate how long an attempt due at a time waits for a slot, and for a cold upstream."""
     slots = max(1, desk.run_limit)
-    ahead = urgency_queue.list_before(desk.timed, due)
+    ahead = list(urgency_queue.list_before(desk.timed, due))
     ahead_ms = sum(_find_lasting_ms(desk, queued.hand_over.route) for queued in ahead)
     ahead_ms += desk.queue.size * desk.times.average_ms
     rests = [_find_run_rest_ms(desk, running, now) for running in desk.running.values()]
     first_free_ms = min(rests, default=0.0) if len(rests) >= slots else 0.0
-    return first_free_ms + ahead_ms / slots
+    slot_wait_ms = first_free_ms + ahead_ms / slots
+    return max(slot_wait_ms, find_cold_wait_ms(desk, len(ahead) + desk.queue.size, now))
 
 
 def _find_run_rest_ms(desk: OwnerDesk, running: RunningAttempt, now: Seconds) -> Milliseconds:
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from bendwind_core.admission import Dependency, Origins
+from bendwind_core.admission import (
+    Dependency,
+    Origins,
+    WarmUp,
+    find_room_at,
+    is_cold,
+    note_sent,
+)
 from bendwind_core.attempts.attempt_log import AttemptLog, Fate, record_ended, record_live
 from bendwind_core.attempts.messages import AttemptId, HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import Dispatch, OwnerEffect, ReplyNotRun
@@ -61,7 +68,7 @@
     """Hold a started attempt.
 
     `slow_factor` is how much longer than usual it should take; `is_paced` says that the upstream
-    had told so shortly before.
+    had told so shortly before, and `is_sent` that the request went out whole.
     """
 
     epoch: int
@@ -71,6 +78,7 @@
     slow_factor: float = 1.0
     is_paced: bool = False
     is_cancelled: bool = False
+    is_sent: bool = False
 
 
 class OwnerDesk(msgspec.Struct):
@@ -79,8 +87,9 @@
     Attempts with a latency objective wait in `timed`, all others in `queue`. `slot_share` is the
     part of the slots that is used, `route_times` the usual time of each route's answers,
     `guessed_times` stands in for routes without any, `origins` tells where each route's requests
-    begin, `dependency` what is known of the upstream's own calls, and `asked_at` is when the
-    upstream was last asked for its load.
+    begin, `dependency` what is known of the upstream's own calls, `warm_up` whether it is cold, and
+    `asked_at` is when the upstream was last asked for its load. `is_unreachable` says that it
+    refused the last connection.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
 
@@ -105,6 +114,8 @@
     origins: Origins = msgspec.field(default_factory=Origins)
     dependency: Dependency = msgspec.field(default_factory=Dependency)
     pace: Pace = msgspec.field(default_factory=Pace)
+    warm_up: WarmUp = msgspec.field(default_factory=WarmUp)
+    is_unreachable: bool = False
     asked_at: Seconds | None = None
     may_ask: bool = True
 
@@ -124,6 +135,7 @@
     remembered_attempts: int = REMEMBERED_ATTEMPTS,
     remembered_peers: int = REMEMBERED_PEERS,
     slot_share: float = 1.0,
+    warm_up: WarmUp | None = None,
 ) -> OwnerDesk:
     """Create the desk of an upstream that has yet to announce itself.
 
@@ -132,7 +144,10 @@
     """
     log = AttemptLog(remembered_attempts, remembered_peers)
     timed = UrgencyQueue(timed_queue)
-    return OwnerDesk(upstream, incarnation, FairQueue(queue), log, timed, slot_share)
+    desk = OwnerDesk(upstream, incarnation, FairQueue(queue), log, timed, slot_share)
+    if warm_up is not None:
+        desk.warm_up = warm_up
+    return desk
 
 
 def load_sample(desk: OwnerDesk, now: Seconds) -> LoadSample:
@@ -144,12 +159,14 @@
         latency_ms=desk.times.average_ms,
         error_rate=desk.times.error_rate,
         draining=not is_open(desk),
+        cold_wait_ms=find_cold_wait_ms(desk, len(desk.waiting), now),
     )
 
 
 def is_open(desk: OwnerDesk) -> bool:
     """Tell whether new attempts are taken."""
-    return desk.state is UpstreamState.READY and not desk.is_stopping
+    is_ready = desk.state is UpstreamState.READY and not desk.is_stopping
+    return is_ready and not desk.is_unreachable
 
 
 def has_slot(desk: OwnerDesk) -> bool:
@@ -157,6 +174,33 @@
     return len(desk.running) < desk.run_limit
 
 
+def has_room(desk: OwnerDesk, now: Seconds) -> bool:
+    """Tell whether the upstream may be sent one more attempt now."""
+    if not has_slot(desk):
+        return False
+    return not is_cold(desk.warm_up, now) or _find_cold_room_at(desk, 0, now) <= now
+
+
+def find_cold_wait_ms(desk: OwnerDesk, ahead: int, now: Seconds) -> Milliseconds:
+    """Return how long an attempt with so many ahead of it waits until a cold upstream bears it."""
+    if not is_cold(desk.warm_up, now):
+        return 0.0
+    return (_find_cold_room_at(desk, ahead, now) - now) * MILLISECONDS_PER_SECOND
+
+
+def _find_cold_room_at(desk: OwnerDesk, ahead: int, now: Seconds) -> Seconds:
+    unsent = sum(1 for running in desk.running.values() if not running.is_sent)
+    return find_room_at(desk.warm_up, unsent, ahead, now)
+
+
+def next_cold_room(desk: OwnerDesk, now: Seconds) -> Seconds | None:
+    """Return when a cold upstream may be sent the next waiting attempt, or None."""
+    if not desk.waiting or not has_slot(desk) or not is_cold(desk.warm_up, now):
+        return None
+    room_at = _find_cold_room_at(desk, 0, now)
+    return room_at if room_at > now else None
+
+
 def is_stalled(desk: OwnerDesk, now: Seconds) -> bool:
     """Tell whether the running attempts take much longer than usual."""
     # At the usual pace, this many of the running attempts would have ended since the last one did.
@@ -285,6 +329,14 @@
         drop_waiting(desk, queued, reason, now, effects)
 
 
+def mark_sent(desk: OwnerDesk, attempt: AttemptId, now: Seconds) -> None:
+    """Note that a running attempt's request went out, at the first sign of it."""
+    running = desk.running.get(attempt)
+    if running is not None and not running.is_sent:
+        running.is_sent = True
+        note_sent(desk.warm_up, now)
+
+
 def end_running(desk: OwnerDesk, attempt: AttemptId, fate: Fate) -> RunningAttempt | None:
     """Take a running attempt off the desk; return None if it was not there."""
     running = desk.running.pop(attempt, None)
--- a/packages/bendwind-core/src/bendwind_core/attempts/endings.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/endings.py
@@ -21,7 +21,8 @@
     SendCancel,
 )
 from bendwind_core.attempts.messages import CutReason, NotRunReason
-from bendwind_core.attempts.retry_after import estimate_retry_after_ms
+from bendwind_core.attempts.retry_after import bound_retry_after_ms, estimate_retry_after_ms
+from bendwind_core.core import Milliseconds
 
 
 def deliver(
@@ -105,6 +106,15 @@
     finish(call, FinishNotRun(reason, estimate_retry_after_ms(reason, load)), effects)
 
 
+def refuse_for_want_of_room(
+    call: EntryCall, wait_ms: Milliseconds, effects: list[EntryEffect]
+) -> None:
+    """End a call that no cold upstream can serve in time, before anything was sent."""
+    if call.is_claim_held or call.phase is CallPhase.CLAIMING:
+        effects.append(ReleaseClaim())
+    finish(call, FinishNotRun(NotRunReason.QUEUE_FULL, bound_retry_after_ms(wait_ms)), effects)
+
+
 def finish(call: EntryCall, final: EntryEffect, effects: list[EntryEffect]) -> None:
     """End the call with its final outcome."""
     call.phase = CallPhase.FINISHED
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -6,7 +6,15 @@
 
 from collections.abc import Callable
 
-from bendwind_core.admission import note_call_refused, note_origin, note_run_ended, turns_away
+from bendwind_core.admission import (
+    assume_cold,
+    note_asked,
+    note_call_refused,
+    note_origin,
+    note_run_ended,
+    note_told,
+    turns_away,
+)
 from bendwind_core.attempts.admission import (
     ask_if_held,
     find_due,
@@ -33,10 +41,12 @@
     end_running,
     find_end,
     guess_route_time,
-    has_slot,
+    has_room,
     is_open,
     is_stalled,
     load_sample,
+    mark_sent,
+    next_cold_room,
     next_expiry,
     note_route_time,
     refuse,
@@ -59,9 +69,11 @@
 from bendwind_core.attempts.owner_events import (
     CallRefused,
     CancelArrived,
+    ColdAssumed,
     DispatchDone,
     DispatchHead,
     DispatchNotRun,
+    DispatchSent,
     DispatchUnknown,
     Drain,
     Drained,
@@ -77,8 +89,14 @@
     Tick,
     UpstreamAnnounced,
     UpstreamLost,
+    UpstreamReached,
+    UpstreamRestarted,
+    UpstreamUnreachable,
+    WaitingWithdrawn,
+    WarmUpRuled,
+    WarmUpTold,
 )
-from bendwind_core.attempts.pace import note_report
+from bendwind_core.attempts.pace import Pace, note_report
 from bendwind_core.attempts.service_time import note_result, note_time
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import fair_queue, urgency_queue
@@ -95,8 +113,8 @@
 
 def next_due(desk: OwnerDesk, now: Seconds) -> Seconds | None:
     """Return when the next Tick is due, or None."""
-    dues = [due for due in (next_expiry(desk), next_look(desk, now)) if due is not None]
-    return min(dues, default=None)
+    looks = next_expiry(desk), next_look(desk, now), next_cold_room(desk, now)
+    return min((due for due in looks if due is not None), default=None)
 
 
 def find_early_refusal(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> NotRunReason | None:
@@ -113,7 +131,10 @@
     match event:
         case HandOverArrived():
             _on_hand_over(desk, event, now, effects)
+        case DispatchSent():
+            mark_sent(desk, event.attempt, now)
         case DispatchHead():
+            mark_sent(desk, event.attempt, now)
             _note_head(desk, event, now)
             note_result(desk.times, is_error=event.status >= _FAILED_STATUS)
         case DispatchDone():
@@ -125,6 +146,20 @@
             note_report(desk.pace, slow_factor, now)
         case LoadNotReported(may_ask=may_ask):
             desk.may_ask = may_ask
+        case WarmUpRuled(rule=rule):
+            desk.warm_up.rule = rule
+        case ColdAssumed():
+            assume_cold(desk.warm_up, now)
+        case WarmUpTold(left_ms=left_ms, asked_at=None):
+            note_told(desk.warm_up, left_ms, now)
+        case WarmUpTold(left_ms=left_ms, asked_at=asked_at):
+            note_asked(desk.warm_up, left_ms, asked_at, now)
+        case UpstreamReached():
+            desk.is_unreachable = False
+        case UpstreamRestarted():
+            _on_restarted(desk, now, effects)
+        case WaitingWithdrawn():
+            bounce_queue(desk, NotRunReason.DRAINING, now, effects)
         case DispatchNotRun():
             _on_dispatch_not_run(desk, event, now, effects)
         case DispatchUnknown():
@@ -143,6 +178,7 @@
             _on_announced(desk, event, now, effects)
         case UpstreamLost():
             desk.state = UpstreamState.GONE
+            desk.is_unreachable = False
             bounce_queue(desk, NotRunReason.NO_UPSTREAM, now, effects)
         case Tick():
             pass
@@ -216,7 +252,7 @@
 
 
 def _find_refusal(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> NotRunReason | None:
-    if desk.state is UpstreamState.GONE:
+    if desk.state is UpstreamState.GONE or desk.is_unreachable:
         return NotRunReason.NO_UPSTREAM
     if not is_open(desk):
         return NotRunReason.DRAINING
@@ -236,7 +272,7 @@
     if queued.hand_over.target_ms is not None:
         queued.due_at = find_due(desk, queued.hand_over, now)
         queued.leaves_at = find_leaving(desk, queued.hand_over, now)
-    if not desk.waiting and has_slot(desk) and _may_start(desk, queued, now):
+    if not desk.waiting and has_room(desk, now) and _may_start(desk, queued, now):
         start(desk, queued, now, effects)
         return
     record_live(desk.log, attempt, Fate.QUEUED)
@@ -256,15 +292,32 @@
 def _on_dispatch_not_run(
     desk: OwnerDesk, event: DispatchNotRun, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
+    if event.reason is not NotRunReason.CONNECT_FAILED:
+        mark_sent(desk, event.attempt, now)
     running = end_running(desk, event.attempt, Fate.NEVER_STARTED)
     if running is not None:
         note_result(desk.times, is_error=True)
+        if event.reason is NotRunReason.CONNECT_FAILED:
+            _hold_down(desk, now, effects)
         refuse(desk, event.attempt, running.epoch, event.reason, now, effects)
 
 
+def _hold_down(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
+    """Take nothing more for an upstream that refuses connections, and give back what waits.
+
+    Its attempts fail within a millisecond, so that it seems idle and draws the next ones: 483 of
+    them in one second after a loss of power.
+    """
+    if not desk.is_unreachable:
+        desk.is_unreachable = True
+        effects.append(UpstreamUnreachable())
+    bounce_queue(desk, NotRunReason.NO_UPSTREAM, now, effects)
+
+
 def _on_dispatch_unknown(
     desk: OwnerDesk, event: DispatchUnknown, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
+    mark_sent(desk, event.attempt, now)
     running = end_running(desk, event.attempt, Fate.ENDED)
     if running is None:
         return
@@ -314,6 +367,14 @@
             desk.is_drained = False
 
 
+def _on_restarted(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
+    desk.is_unreachable = False
+    desk.pace = Pace()
+    assume_cold(desk.warm_up, now)
+    for attempt in list(desk.running):
+        cancel_running(desk, attempt, effects)
+
+
 def _expire_queue(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
     if not desk.waiting:
         return
@@ -345,7 +406,7 @@
 
 
 def _dispatch_waiting(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    while has_slot(desk):
+    while has_room(desk, now):
         queued = take_startable(desk, now) or fair_queue.pop(desk.queue)
         if queued is None:
             return
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -16,7 +16,7 @@
     NotRunReason,
 )
 from bendwind_core.core import Milliseconds, Seconds
-from bendwind_core.world import LoadSample, UpstreamState
+from bendwind_core.world import LoadSample, UpstreamState, WarmUpRule
 
 
 class HandOverArrived(msgspec.Struct):
@@ -30,6 +30,12 @@
     """Report that a call which the upstream made was refused."""
 
 
+class DispatchSent(msgspec.Struct):
+    """Report that the whole request went out to the upstream."""
+
+    attempt: AttemptId
+
+
 class DispatchHead(msgspec.Struct):
     """Report the head of the upstream's answer.
 
@@ -118,6 +124,38 @@
     state: UpstreamState
 
 
+class WarmUpRuled(msgspec.Struct):
+    """Report what the configuration says of the warm-up of the upstream's service."""
+
+    rule: WarmUpRule | None
+
+
+class ColdAssumed(msgspec.Struct):
+    """Report that the upstream may have turned cold without saying so."""
+
+
+class WarmUpTold(msgspec.Struct):
+    """Report how much longer the upstream said that it is cold.
+
+    `asked_at` is when it was asked, None for an announcement of its own, which may be late.
+    """
+
+    left_ms: Milliseconds
+    asked_at: Seconds | None = None
+
+
+class UpstreamRestarted(msgspec.Struct):
+    """Report that the upstream started again under its name: what ran there has an unknown end."""
+
+
+class WaitingWithdrawn(msgspec.Struct):
+    """Give back what waits: operators want nothing more sent to the upstream."""
+
+
+class UpstreamReached(msgspec.Struct):
+    """Report that an upstream which refused connections takes them again."""
+
+
 class UpstreamLost(msgspec.Struct):
     """Report that the upstream left or let its lease run out."""
 
@@ -129,6 +167,7 @@
 OwnerEvent = (
     HandOverArrived
     | CallRefused
+    | DispatchSent
     | DispatchHead
     | DispatchDone
     | LoadReported
@@ -142,6 +181,12 @@
     | Drain
     | UpstreamAnnounced
     | UpstreamLost
+    | UpstreamReached
+    | UpstreamRestarted
+    | WaitingWithdrawn
+    | WarmUpRuled
+    | ColdAssumed
+    | WarmUpTold
     | Tick
 )
 
@@ -190,10 +235,21 @@
     verdict: FenceVerdict
 
 
+class UpstreamUnreachable(msgspec.Struct):
+    """Report that the upstream refuses connections; UpstreamReached says when it no longer does."""
+
+
 class Drained(msgspec.Struct):
     """Report once that a draining desk holds no attempt any more."""
 
 
 OwnerEffect = (
-    AskLoad | Dispatch | CancelDispatch | ReplyNotRun | ReplyUnknown | ReplyFenced | Drained
+    AskLoad
+    | Dispatch
+    | CancelDispatch
+    | ReplyNotRun
+    | ReplyUnknown
+    | ReplyFenced
+    | UpstreamUnreachable
+    | Drained
 )
--- a/packages/bendwind-core/src/bendwind_core/attempts/retry_after.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/retry_after.py
@@ -1,5 +1,7 @@
 """Estimate when a caller whose request was not run should come back."""
 
+import msgspec
+
 from bendwind_core.attempts.messages import NotRunReason
 from bendwind_core.core import Milliseconds
 from bendwind_core.world import LoadSample
@@ -19,6 +21,20 @@
 )
 
 
+class NoRoom(msgspec.Struct, frozen=True):
+    """Say that every upstream is cold and bears no further request in time.
+
+    Units: `wait_ms` is the time until the first of them does.
+    """
+
+    wait_ms: Milliseconds
+
+
+def bound_retry_after_ms(wait_ms: Milliseconds) -> Milliseconds:
+    """Return a time to come back that is neither in a rush nor for ever."""
+    return min(LONGEST_MS, max(SHORTEST_MS, wait_ms))
+
+
 def estimate_retry_after_ms(reason: NotRunReason, load: LoadSample | None) -> Milliseconds:
     """Return the time after which a slot should be free, from the last load seen."""
     if reason not in _LOAD_REASONS:
@@ -26,4 +42,4 @@
     if load is None or load.slots <= 0:
         return SHORTEST_MS
     backlog = (load.in_flight + load.queued) / load.slots
-    return min(LONGEST_MS, max(SHORTEST_MS, backlog * load.latency_ms))
+    return bound_retry_after_ms(max(backlog * load.latency_ms, load.cold_wait_ms))
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -12,14 +12,15 @@
     has_reached_limit,
     may_have_run,
 )
-from bendwind_core.attempts.endings import finish_not_run, give_up
+from bendwind_core.attempts.endings import finish_not_run, give_up, refuse_for_want_of_room
 from bendwind_core.attempts.events import EntryEffect, SendHandOver, StartTimer, TimerKind
 from bendwind_core.attempts.messages import NotRunReason
+from bendwind_core.attempts.retry_after import NoRoom
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import earn_retry, may_retry, spend_retry
 from bendwind_core.world import Policy, Upstream
 
-Choose = Callable[[frozenset[str]], Upstream | None]
+Choose = Callable[[frozenset[str]], Upstream | NoRoom | None]
 
 MAX_ATTEMPTS = 5
 # So many attempts are sent back by a stalled upstream rather than taken.
@@ -44,9 +45,13 @@
     """Send the first attempt."""
     call.phase = CallPhase.TRYING
     upstream = choose(_NONE_EXCLUDED)
-    if upstream is None:
-        finish_not_run(call, NotRunReason.NO_UPSTREAM, None, effects)
-        return
+    match upstream:
+        case None:
+            finish_not_run(call, NotRunReason.NO_UPSTREAM, None, effects)
+            return
+        case NoRoom(wait_ms=wait_ms):
+            refuse_for_want_of_room(call, wait_ms, effects)
+            return
     earn_retry(call.budget, now)
     _send(call, upstream, now, effects)
     hedge_after_ms = call.service.hedge_after_ms
@@ -65,7 +70,7 @@
     if has_reached_limit(call):
         return
     upstream = choose(frozenset((call.attempts[0].upstream.name,)))
-    if upstream is None:
+    if not isinstance(upstream, Upstream):
         return
     spend_retry(call.budget)
     _send(call, upstream, now, effects)
@@ -113,7 +118,7 @@
     upstream = None
     if _may_try_again(call, now, is_free=is_free):
         upstream = _choose_next(call, choose)
-    if upstream is None:
+    if not isinstance(upstream, Upstream):
         give_up(call, effects)
         return
     if not is_free:
@@ -133,9 +138,9 @@
     return is_free or may_retry(call.budget)
 
 
-def _choose_next(call: EntryCall, choose: Choose) -> Upstream | None:
+def _choose_next(call: EntryCall, choose: Choose) -> Upstream | NoRoom | None:
     upstream = choose(frozenset(attempt.upstream.name for attempt in call.attempts))
-    if upstream is not None:
+    if isinstance(upstream, Upstream):
         return upstream
     lasting = [attempt for attempt in call.attempts if attempt.not_run not in _PASSING_BOUNCES]
     return choose(frozenset(attempt.upstream.name for attempt in lasting))
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_cold_upstream.py
@@ -0,0 +1,166 @@
+import unittest
+
+from bendwind_core.admission import WarmUp, WarmUpLimits
+from bendwind_core.attempts import AttemptId, CutReason, HandOver, NotRunReason, owner
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.world import Repeat, UpstreamState, WarmUpRule
+
+# Six requests in any second, for three seconds.
+RULE = WarmUpRule(3.0, 4.0)
+LIMITS = WarmUpLimits(1.0, 2.0)
+LIMIT = 6
+
+
+class ColdUpstreamTest(unittest.TestCase):
+    """Drive one desk whose upstream has twenty slots and answers at once."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.sequence = 0
+        self.desk = owner.create_desk("u", 1, 64, warm_up=WarmUp(LIMITS, RULE))
+        self.step(ov.UpstreamAnnounced(20, 20, UpstreamState.READY))
+
+    def step(self, event):
+        return owner.step(self.desk, event, self.now)
+
+    def hand_over(self, target_ms=None, remaining_ms=10_000.0):
+        self.sequence += 1
+        attempt = AttemptId("e", 1, self.sequence)
+        parts = (attempt, 1, "s", "u", "GET", b"/", (), remaining_ms, Repeat.IDEMPOTENT, 1)
+        message = HandOver(*parts, insist=True, route="r", target_ms=target_ms)
+        return self.step(ov.HandOverArrived(message, 1))
+
+    def press(self, requests, **times):
+        """Hand over requests, answer all that is dispatched and count it."""
+        effects = [effect for _ in range(requests) for effect in self.hand_over(**times)]
+        return self.answer(effects)
+
+    def answer(self, effects):
+        started = [one.hand_over.attempt for one in effects if isinstance(one, ov.Dispatch)]
+        for attempt in started:
+            self.step(ov.DispatchSent(attempt))
+        for attempt in started:
+            self.step(ov.DispatchHead(attempt, 200, 10.0))
+            started += self.answer_attempts(self.step(ov.DispatchDone(attempt)))
+        return len(started)
+
+    def answer_attempts(self, effects):
+        return [one.hand_over.attempt for one in effects if isinstance(one, ov.Dispatch)]
+
+    def test_cold_upstream_is_sent_what_it_bears_in_a_second_and_the_rest_later(self):
+        self.step(ov.WarmUpTold(3000.0))
+        self.assertEqual(self.press(10), LIMIT)
+        self.assertEqual(len(self.desk.waiting), 4)
+        self.now = owner.next_due(self.desk, self.now)
+        self.assertEqual(self.answer(self.step(ov.Tick())), 4)
+
+    def test_warm_upstream_is_sent_all(self):
+        self.assertEqual(self.press(10), 10)
+
+    def test_upstream_that_started_again_counts_as_cold_before_it_tells(self):
+        self.step(ov.UpstreamRestarted())
+        self.assertEqual(self.press(10), LIMIT)
+
+    def test_late_announcement_of_a_warm_upstream_frees_no_room(self):
+        self.step(ov.WarmUpTold(3000.0, asked_at=self.now))
+        self.step(ov.WarmUpTold(0.0))
+        self.assertEqual(self.press(10), LIMIT)
+
+    def test_request_that_waits_for_a_connection_takes_room_when_it_goes_out(self):
+        self.step(ov.WarmUpTold(3000.0))
+        for _ in range(LIMIT):
+            self.hand_over()
+        self.now += 1.5
+        self.assertEqual(self.press(2), 0)
+        for number in range(1, LIMIT + 1):
+            self.step(ov.DispatchSent(AttemptId("e", 1, number)))
+        self.now += 0.5
+        self.assertEqual(self.answer(self.step(ov.Tick())), 0)
+
+    def test_request_that_no_cold_room_serves_in_time_is_refused_at_once(self):
+        self.step(ov.WarmUpTold(3000.0))
+        self.press(LIMIT)
+        self.now += 0.2
+        refused = self.hand_over(target_ms=400.0, remaining_ms=900.0)[0]
+        self.assertIs(refused.reason, NotRunReason.QUEUE_FULL)
+        self.assertAlmostEqual(refused.load.cold_wait_ms, 850.0, delta=1.0)
+
+    def test_most_urgent_request_takes_the_first_cold_room(self):
+        self.step(ov.WarmUpTold(3000.0))
+        self.press(LIMIT)
+        self.hand_over(target_ms=8000.0)
+        self.hand_over(target_ms=4000.0)
+        self.now = owner.next_due(self.desk, self.now)
+        first = self.step(ov.Tick())[0]
+        self.assertEqual(first.hand_over.attempt.sequence, LIMIT + 2)
+
+    def test_services_upstreams_that_come_back_together_are_not_pushed_over(self):
+        """Replay a return after a loss of power: thirty a second at what bears six."""
+        self.step(ov.UpstreamRestarted())
+        sent_at = []
+        while self.now < 102.9:
+            effects = self.hand_over(target_ms=600.0, remaining_ms=600.0)
+            effects += self.step(ov.Tick())
+            for attempt in self.answer_attempts(effects):
+                sent_at.append(self.now)
+                self.step(ov.DispatchSent(attempt))
+                self.step(ov.DispatchHead(attempt, 200, 10.0))
+                self.step(ov.DispatchDone(attempt))
+            self.now += 1 / 30
+        busiest = max(sum(1 for at in sent_at if first <= at <= first + 1) for first in sent_at)
+        self.assertEqual(busiest, LIMIT)
+        self.assertGreaterEqual(len(sent_at), 2 * LIMIT)
+
+
+class UnreachableUpstreamTest(unittest.TestCase):
+    """Drive one desk whose upstream refuses connections."""
+
+    def setUp(self):
+        self.desk = owner.create_desk("u", 1, 64)
+        self.step(ov.UpstreamAnnounced(2, 20, UpstreamState.READY))
+        self.sequence = 0
+
+    def step(self, event):
+        return owner.step(self.desk, event, 1.0)
+
+    def hand_over(self):
+        self.sequence += 1
+        attempt = AttemptId("e", 1, self.sequence)
+        parts = (attempt, 1, "s", "u", "GET", b"/", (), 900.0, Repeat.IDEMPOTENT, 1)
+        return self.step(ov.HandOverArrived(HandOver(*parts), 1))
+
+    def refuse_connection(self):
+        for _ in range(4):
+            self.hand_over()
+        return self.step(ov.DispatchNotRun(AttemptId("e", 1, 1), NotRunReason.CONNECT_FAILED))
+
+    def test_first_refusal_gives_back_what_waits_and_takes_nothing_more(self):
+        effects = self.refuse_connection()
+        self.assertEqual(sum(isinstance(one, ov.UpstreamUnreachable) for one in effects), 1)
+        refusals = [one for one in effects if isinstance(one, ov.ReplyNotRun)]
+        self.assertEqual({one.attempt.sequence for one in refusals}, {1, 3, 4})
+        self.assertTrue(all(one.load.draining for one in refusals[-1:]))
+        self.assertIs(self.hand_over()[0].reason, NotRunReason.NO_UPSTREAM)
+
+    def test_second_refusal_is_no_news(self):
+        self.refuse_connection()
+        effects = self.step(ov.DispatchNotRun(AttemptId("e", 1, 2), NotRunReason.CONNECT_FAILED))
+        self.assertFalse(any(isinstance(one, ov.UpstreamUnreachable) for one in effects))
+
+    def test_it_is_used_again_once_it_was_reached(self):
+        self.refuse_connection()
+        self.step(ov.UpstreamAnnounced(2, 20, UpstreamState.READY))
+        self.assertIs(self.hand_over()[0].reason, NotRunReason.NO_UPSTREAM)
+        self.step(ov.UpstreamReached())
+        self.assertIsInstance(self.hand_over()[0], ov.Dispatch)
+
+    def test_next_run_is_used_at_once_and_what_ran_has_an_unknown_end(self):
+        self.refuse_connection()
+        effects = self.step(ov.UpstreamRestarted())
+        self.assertEqual(effects, [ov.CancelDispatch(AttemptId("e", 1, 2))])
+        self.step(ov.DispatchUnknown(AttemptId("e", 1, 2), CutReason.CANCELLED))
+        self.assertIsInstance(self.hand_over()[0], ov.Dispatch)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/membership/holdings.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/holdings.py
@@ -22,6 +22,7 @@
     claim_groups: dict[str, ClaimGroup] = msgspec.field(default_factory=dict)
     upstreams: dict[str, dict[UpstreamKey, Upstream]] = msgspec.field(default_factory=dict)
     routing: Routing = EMPTY_ROUTING
+    evacuated: frozenset[str] = frozenset()
     digest: int = 0
 
 
@@ -36,9 +37,10 @@
 
 
 def put_services(holdings: Holdings, message: ConfigurationChanged) -> None:
-    """Take over the services and routes of a message that may be applied."""
+    """Take over the services, routes and evacuations of a message that may be applied."""
     if message.routing is not None:
         holdings.routing = message.routing
+    holdings.evacuated = frozenset(message.evacuated)
     if message.base == 0:
         holdings.services.clear()
         listed = {group.service for group in message.claim_groups}
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -80,7 +80,7 @@
     `base` is the lowest version it may be applied to; 0 means that it is complete, so that a
     watched service it does not list does not exist. `watch` numbers the Watch it answers.
     `holders` says where the members of the claim groups are reached. `routing` is None if it has
-    not changed since `base`.
+    not changed since `base`; `evacuated` names all data centres whose upstreams get nothing new.
     """
 
     version: int
@@ -91,6 +91,7 @@
     watch: int = 0
     holders: tuple[Instance, ...] = ()
     routing: Routing | None = None
+    evacuated: tuple[str, ...] = ()
 
 
 class VoterPlace(Record, frozen=True, array_like=True):
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -75,6 +75,9 @@
     if configuration.routing != registry.configuration.routing:
         registry.routing_changed_at = configuration.version
         registry.outdated.update(dict.fromkeys(registry.clients))
+    if configuration.evacuated != registry.configuration.evacuated:
+        registry.evacuated_changed_at = configuration.version
+        registry.outdated.update(dict.fromkeys(registry.clients))
     registry.configuration = configuration
     registry.held[configuration.version] = None
     if len(registry.held) > _HELD_VERSIONS:
@@ -96,7 +99,8 @@
 def _is_current(registry: VoterRegistry, version: int, rows: list[ServiceRow]) -> bool:
     # Between two versions that this voter held, a service may have changed and changed back: of
     # a version that it did not hold itself it cannot tell what the node has.
-    if version not in registry.held or registry.routing_changed_at > version:
+    newest_for_all = max(registry.routing_changed_at, registry.evacuated_changed_at)
+    if version not in registry.held or newest_for_all > version:
         return False
     return all(row.changed_at <= version for row in rows)
 
@@ -140,6 +144,7 @@
         client.watch,
         _find_holders(registry, groups),
         registry.configuration.routing if registry.routing_changed_at > base or not base else None,
+        registry.configuration.evacuated,
     )
     effects.append(SendTo(node, message))
 
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -2,6 +2,8 @@
 
 import random
 
+from msgspec.structs import replace
+
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.membership import holdings as held
 from bendwind_core.membership.attachment import (
@@ -303,15 +305,7 @@
     if upstream.state is UpstreamState.GONE:
         view.announced.pop(upstream.name, None)
     else:
-        stamped = Upstream(
-            upstream.name,
-            upstream.service,
-            view.instance,
-            upstream.slots,
-            upstream.connections,
-            upstream.state,
-            view.announce_sequence,
-        )
+        stamped = replace(upstream, owner=view.instance, sequence=view.announce_sequence)
         view.announced[upstream.name] = stamped
     effects.append(SendTo(view.voter, _make_announce(view)))
 
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -65,6 +65,7 @@
     services: dict[str, ServiceRow] = msgspec.field(default_factory=dict)
     configuration: Configuration = EMPTY_CONFIGURATION
     routing_changed_at: int = 0
+    evacuated_changed_at: int = 0
     voters: tuple[VoterPlace, ...] = ()
     uninformed: dict[str, None] = msgspec.field(default_factory=dict)
     held: dict[int, None] = msgspec.field(default_factory=lambda: {0: None})
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/fakes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/fakes.py
@@ -118,13 +118,17 @@
         if state is not UpstreamState.GONE:
             self.truth[name][upstream.name] = upstream
 
-    def accept(self, services: tuple[Service, ...]) -> bool:
+    def accept(
+        self, services: tuple[Service, ...], evacuated: tuple[str, ...] | None = None
+    ) -> bool:
         """Accept a configuration if a majority of voters is connected, as the log would."""
         majority = [voter for voter in VOTERS if self.has_quorum(voter)]
         if not majority:
             return False
         version = self.accepted[-1][1].version + self.rng.randint(1, 3)
-        self.accepted.append((self.now, Configuration(version, services)))
+        held = self.accepted[-1][1].evacuated
+        after = held if evacuated is None else evacuated
+        self.accepted.append((self.now, Configuration(version, services, evacuated=after)))
         self.apply(self.rng.choice(majority), len(self.accepted) - 1)
         return True
 
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_freshness.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_freshness.py
@@ -36,6 +36,11 @@
         if self.world.accept(services):
             self.content = content
 
+    @rule(evacuated=st.sets(st.sampled_from(("dc0", "dc1", "dc2"))))
+    def evacuate(self, evacuated):
+        services = self.world.accepted[-1][1].services
+        self.world.accept(services, tuple(sorted(evacuated)))
+
     @rule(voter=VOTER)
     def cut_voter_from_voters(self, voter):
         self.world.cut |= {frozenset((voter, other)) for other in VOTERS if other != voter}
@@ -116,6 +121,7 @@
     def check_content(self, view):
         configurations = [config for _, config in self.world.accepted]
         truth = next(config for config in configurations if config.version == view.version)
+        assert view.evacuated == set(truth.evacuated), f"{view.evacuated} at {view.version}"
         for service in view.holdings.watched.keys() - view.pending:
             expected = truth.find_service(service)
             assert view.services.get(service) == expected, f"{service} at {view.version}"
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -69,6 +69,11 @@
         """Return the routes in force."""
         return self.holdings.routing
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres whose upstreams get nothing new."""
+        return self.holdings.evacuated
+
     @property
     def claim_groups(self) -> Mapping[str, ClaimGroup]:
         """Return the claim groups of the watched services."""
--- a/packages/bendwind-core/src/bendwind_core/plans/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/__init__.py
@@ -7,11 +7,13 @@
     CreatePlan,
     DrainTarget,
     MarkDraining,
+    MarkEvacuated,
     PutRevision,
     decode_command,
     encode_command,
 )
 from bendwind_core.plans.difference import Difference, DifferenceKind, compute_differences
+from bendwind_core.plans.evacuation import find_evacuation_warnings
 from bendwind_core.plans.intent import Intent, parse_intent
 from bendwind_core.plans.plan import (
     Confirmed,
@@ -26,6 +28,7 @@
 from bendwind_core.plans.render import render_plan
 from bendwind_core.plans.results import (
     CommandResult,
+    EvacuationHeld,
     ForgottenPlan,
     GroupChanged,
     GroupRefused,
@@ -33,6 +36,7 @@
     PlanKept,
     RequestReused,
     RevisionHeld,
+    TooManyEvacuated,
     TooManyMarks,
     TooManyPlans,
     UnknownPlan,
@@ -61,12 +65,14 @@
     "Difference",
     "DifferenceKind",
     "DrainTarget",
+    "EvacuationHeld",
     "Expired",
     "ForgottenPlan",
     "GroupChanged",
     "GroupRefused",
     "Intent",
     "MarkDraining",
+    "MarkEvacuated",
     "Marked",
     "Plan",
     "PlanKept",
@@ -79,6 +85,7 @@
     "RevisionFault",
     "RevisionFaultKind",
     "RevisionHeld",
+    "TooManyEvacuated",
     "TooManyMarks",
     "TooManyPlans",
     "UnknownPlan",
@@ -91,6 +98,7 @@
     "decode_command",
     "encode_command",
     "find_affected",
+    "find_evacuation_warnings",
     "find_revision_fault",
     "find_warnings",
     "parse_intent",
--- a/packages/bendwind-core/src/bendwind_core/plans/changes.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/changes.py
@@ -28,4 +28,4 @@
     for name in changes.removed:
         services.pop(name, None)
     kept = tuple(services[name] for name in sorted(services))
-    return Configuration(version, kept, configuration.routing)
+    return Configuration(version, kept, configuration.routing, configuration.evacuated)
--- a/packages/bendwind-core/src/bendwind_core/plans/commands.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/commands.py
@@ -60,7 +60,14 @@
     document: bytes
 
 
-Command = CreatePlan | ConfirmPlan | MarkDraining | ChangeClaimGroup | PutRevision
+class MarkEvacuated(Record, frozen=True, array_like=True, tag="mark-evacuated"):
+    """Ask that the upstreams of a data centre get nothing new, or no longer."""
+
+    data_centre: str
+    evacuated: bool
+
+
+Command = CreatePlan | ConfirmPlan | MarkDraining | ChangeClaimGroup | PutRevision | MarkEvacuated
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Command)
--- a/packages/bendwind-core/src/bendwind_core/plans/intent.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/intent.py
@@ -17,6 +17,7 @@
 _Pattern = Annotated[str, Meta(min_length=1, max_length=128)]
 _Host = Annotated[str, Meta(pattern="^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$")]
 _Path = Annotated[str, Meta(pattern=r"^[/*]", max_length=256)]
+_HealthPath = Annotated[str, Meta(pattern=r"^(/|$)", max_length=256)]
 _Method = Annotated[str, Meta(pattern="^[A-Z]{1,20}$")]
 _Wait = Annotated[float, Meta(gt=0, le=MAX_WAIT_MS)]
 _Count = Annotated[int, Meta(ge=0, le=100_000)]
@@ -48,6 +49,13 @@
     retry_ratio: _Ratio = Limits().retry_ratio
 
 
+class StatedWarmUp(_Table, frozen=True, kw_only=True):
+    """State how long upstreams are cold as `[services.warm_up]` does."""
+
+    seconds: Annotated[float, Meta(gt=0, le=3600)]
+    per_second: Annotated[float, Meta(gt=0, le=1_000_000)]
+
+
 class StatedService(_Table, frozen=True, kw_only=True):
     """State a service as `[[services]]` does."""
 
@@ -61,6 +69,8 @@
     on_stale: StaleAction = StaleAction.REFUSE
     hedge_after_ms: _Wait | None = None
     needed_upstreams: _AtLeastOne = 1
+    health_path: _HealthPath = ""
+    warm_up: StatedWarmUp | None = None
 
 
 class StatedIntent(_Table, frozen=True, kw_only=True):
--- a/packages/bendwind-core/src/bendwind_core/plans/results.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/results.py
@@ -78,6 +78,21 @@
     is_new: bool
 
 
+class EvacuationHeld(Record, frozen=True, array_like=True, tag="evacuation-held"):
+    """Give whether a data centre is evacuated, as of a version; `is_new` if this made it so."""
+
+    data_centre: str
+    evacuated: bool
+    version: int
+    is_new: bool
+
+
+class TooManyEvacuated(Record, frozen=True, array_like=True, tag="too-many-evacuated"):
+    """Refuse an evacuation because too many data centres are evacuated."""
+
+    evacuated: int
+
+
 CommandResult = (
     PlanKept
     | PlanOutcome
@@ -91,4 +106,6 @@
     | GroupChanged
     | GroupRefused
     | RevisionHeld
+    | EvacuationHeld
+    | TooManyEvacuated
 )
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -1,6 +1,7 @@
 """Apply the control log's commands to the configuration, plans and drain marks."""
 
 import msgspec
+from msgspec.structs import replace
 
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup, apply_group_change
 from bendwind_core.core import Record
@@ -10,6 +11,7 @@
     CreatePlan,
     DrainTarget,
     MarkDraining,
+    MarkEvacuated,
     PutRevision,
     decode_command,
 )
@@ -17,6 +19,7 @@
 from bendwind_core.plans.plan_table import PlanTable, create_plan_table
 from bendwind_core.plans.results import (
     CommandResult,
+    EvacuationHeld,
     ForgottenPlan,
     GroupChanged,
     GroupRefused,
@@ -24,6 +27,7 @@
     PlanKept,
     RequestReused,
     RevisionHeld,
+    TooManyEvacuated,
     TooManyMarks,
     TooManyPlans,
     UnknownPlan,
@@ -32,6 +36,8 @@
 from bendwind_core.world import EMPTY_CONFIGURATION, Configuration
 
 MAX_DRAIN_MARKS = 4_096
+# Several times the data centres of the largest deployment planned for, which has seven.
+MAX_EVACUATED = 64
 
 
 class _Snapshot(Record, frozen=True, array_like=True):
@@ -90,6 +96,8 @@
                 return self._change_claim_group(change)
             case PutRevision() as put:
                 return self._put_revision(index, put)
+            case MarkEvacuated() as mark:
+                return self._mark_evacuated(index, mark)
 
     def find_plan(self, plan_id: str) -> Plan | UnknownPlan | ForgottenPlan:
         """Return a plan by the id that operators use."""
@@ -147,12 +155,29 @@
         held = self.configuration.routing.revision
         if command.routing.revision <= held:
             return RevisionHeld(held, self.configuration.version, is_new=False)
-        self.configuration = Configuration(index, command.services, command.routing)
+        evacuated = self.configuration.evacuated
+        self.configuration = Configuration(index, command.services, command.routing, evacuated)
         self.configuration_plan = ""
         self.document = command.document
         self.plans.withdraw(index)
         return RevisionHeld(command.routing.revision, index, is_new=True)
 
+    def _mark_evacuated(
+        self, index: int, command: MarkEvacuated
+    ) -> EvacuationHeld | TooManyEvacuated:
+        held = self.configuration
+        name = command.data_centre
+        if (name in held.evacuated) == command.evacuated:
+            return EvacuationHeld(name, command.evacuated, held.version, is_new=False)
+        if command.evacuated and len(held.evacuated) >= MAX_EVACUATED:
+            return TooManyEvacuated(len(held.evacuated))
+        changed = {*held.evacuated, name} if command.evacuated else {*held.evacuated} - {name}
+        self.configuration = replace(held, version=index, evacuated=tuple(sorted(changed)))
+        self.configuration_plan = ""
+        # Open plans were worked out against the room that there was before.
+        self.plans.withdraw(index)
+        return EvacuationHeld(name, command.evacuated, index, is_new=True)
+
     def _mark_draining(self, command: MarkDraining) -> Marked | TooManyMarks:
         marks = self._find_marks(command.target)
         if command.draining and command.name not in marks:
--- a/packages/bendwind-core/src/bendwind_core/routing/choice.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/choice.py
@@ -28,15 +28,19 @@
     near: str | None = None,
     *,
     stays: bool = False,
+    target_at: Seconds | None = None,
 ) -> Upstream | None:
     """Return an upstream that takes new requests and is not excluded, or None.
 
     A call that excludes some is a retry: it leaves out those whose queue has just been full too.
     With `near`, upstreams of that data centre go first unless they lately failed; their owners
     refuse what they would answer late, so that only such requests go further. A request that
-    `stays` goes further only where that data centre has no upstream that serves.
+    `stays` goes further only where that data centre has no upstream that serves. A cold upstream
+    that bears no further request until `target_at` is left out.
     """
     views = _find_candidates(table, excluded)
+    if target_at is not None:
+        views = [view for view in views if view.room_at <= max(now, target_at)]
     if excluded:
         views = [view for view in views if now - view.full_at >= FULL_PAUSE]
     if near is not None:
--- a/packages/bendwind-core/src/bendwind_core/routing/table.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/table.py
@@ -24,7 +24,8 @@
     """Hold what is known of one upstream.
 
     `outstanding` holds when each attempt was sent, oldest first. `reported_others` is the
-    reported load without this node's own share of it.
+    reported load without this node's own share of it. `room_at` is when a cold upstream bears a
+    further request, by its last report.
     """
 
     upstream: Upstream
@@ -38,6 +39,7 @@
     probed_at: Seconds = 0.0
     result_at: Seconds = 0.0
     full_at: Seconds = float("-inf")
+    room_at: Seconds = float("-inf")
     is_draining: bool = False
 
 
@@ -71,7 +73,7 @@
     table: UpstreamTable, upstream: Upstream, now: Seconds, *, is_first: bool
 ) -> UpstreamView:
     view = table.views.get(upstream.name)
-    is_same_run = view is not None and view.upstream.owner.incarnation == upstream.owner.incarnation
+    is_same_run = view is not None and _is_same_run(view.upstream, upstream)
     if view is None or not is_same_run:
         # What was there before this node looked is taken as warm.
         seen_at = float("-inf") if is_first else now
@@ -81,6 +83,11 @@
     return view
 
 
+def _is_same_run(before: Upstream, after: Upstream) -> bool:
+    is_same_owner = before.owner.incarnation == after.owner.incarnation
+    return is_same_owner and before.born_ms == after.born_ms
+
+
 def note_sent(table: UpstreamTable, name: str, attempt: AttemptId, now: Seconds) -> None:
     """Note that an attempt was handed over."""
     view = table.views.get(name)
@@ -173,6 +180,13 @@
     view.result_at = now
 
 
+def find_room_at(table: UpstreamTable) -> Seconds | None:
+    """Return when the first upstream that takes requests bears one, None where none takes any."""
+    return min(
+        (view.room_at for view in table.views.values() if not view.is_draining), default=None
+    )
+
+
 def fade_error_rate(view: UpstreamView, now: Seconds) -> float:
     """Return the error rate, faded by the time since the last result."""
     if view.error_rate < NO_ERRORS:
@@ -186,4 +200,6 @@
     busy = load.in_flight + load.queued
     view.reported_others = max(0.0, float(busy - len(view.outstanding)))
     view.reported_at = now
-    view.is_draining = load.draining
+    is_announced = view.upstream.state is UpstreamState.READY
+    view.is_draining = load.draining or not is_announced
+    view.room_at = now + load.cold_wait_ms / MILLISECONDS_PER_SECOND
--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -30,6 +30,8 @@
         EventKind.PLAN_OUTCOME_UNKNOWN,
         EventKind.REVISION_REFUSED,
         EventKind.REVISION_NOT_PUT,
+        EventKind.EVACUATION_NOT_MARKED,
+        EventKind.ANNOUNCEMENT_REFUSED,
         EventKind.FRESHNESS_LOST,
         EventKind.MEMBER_LOST,
         EventKind.DIAL_FAILED,
--- a/packages/bendwind-core/src/bendwind_core/world/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/world/__init__.py
@@ -18,6 +18,7 @@
     Rule,
     Service,
     StaleAction,
+    WarmUpRule,
     find_rule,
     may_serve,
 )
@@ -42,6 +43,7 @@
     "StaleAction",
     "Upstream",
     "UpstreamState",
+    "WarmUpRule",
     "create_route",
     "create_routed_service",
     "find_rule",
--- a/packages/bendwind-core/src/bendwind_core/world/route.py
+++ b/packages/bendwind-core/src/bendwind_core/world/route.py
@@ -1,7 +1,7 @@
 """Describe virtual hosts: which requests go to which services, and under which rule."""
 
 from bendwind_core.core import Milliseconds, Record
-from bendwind_core.world.service import Repeat, Rule, Service, StaleAction
+from bendwind_core.world.service import Repeat, Rule, Service, StaleAction, WarmUpRule
 
 
 class SplitPart(Record, frozen=True, array_like=True):
@@ -50,7 +50,12 @@
 
 
 def create_routed_service(
-    name: str, health_path: str, on_stale: StaleAction, *, near_first: bool
+    name: str,
+    health_path: str,
+    on_stale: StaleAction,
+    *,
+    near_first: bool,
+    warm_up: WarmUpRule | None = None,
 ) -> Service:
     """Create a service that routes alone lead to, whatever its upstreams are called."""
     return Service(
@@ -60,6 +65,7 @@
         routed_only=True,
         health_path=health_path,
         near_first=near_first,
+        warm_up=warm_up,
     )
 
 
--- a/packages/bendwind-core/src/bendwind_core/world/service.py
+++ b/packages/bendwind-core/src/bendwind_core/world/service.py
@@ -3,7 +3,7 @@
 import enum
 import fnmatch
 
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Milliseconds, Record, Seconds
 
 
 class Repeat(enum.StrEnum):
@@ -58,6 +58,16 @@
     retry_ratio: float = 0.1
 
 
+class WarmUpRule(Record, frozen=True, array_like=True):
+    """State how long an upstream is cold after its start, and what it bears until then.
+
+    Units: `per_second` is in requests a second.
+    """
+
+    seconds: Seconds
+    per_second: float
+
+
 class Service(Record, frozen=True, array_like=True):
     """State a service: the hosts that name it, the upstreams that may serve it, its rules.
 
@@ -65,7 +75,7 @@
     operators count on; a plan warns when fewer are announced. A service that is `routed_only` is
     reached by routes alone, which bring their own rules. `health_path` empty means that its
     upstreams offer none. `near_first` has each node call upstreams of its own data centre unless
-    they would answer late.
+    they would answer late. `warm_up` is None where upstreams need none.
     """
 
     name: str
@@ -81,6 +91,7 @@
     routed_only: bool = False
     health_path: str = ""
     near_first: bool = False
+    warm_up: WarmUpRule | None = None
 
 
 # RFC 9110, section 9.2.2: the methods whose repetition has the effect of a single request.
--- a/packages/bendwind-core/src/bendwind_core/world/upstream.py
+++ b/packages/bendwind-core/src/bendwind_core/world/upstream.py
@@ -18,6 +18,8 @@
     """Describe an announced upstream and the instance whose node owns it.
 
     `sequence` orders the announcements of one owner incarnation: the highest is the newest.
+    Units: `born_ms` is when the upstream started, in milliseconds since 1970 on its own clock, 0
+    where it does not tell; it tells apart two runs under one name.
     """
 
     name: str
@@ -27,12 +29,14 @@
     connections: int
     state: UpstreamState = UpstreamState.READY
     sequence: int = 0
+    born_ms: int = 0
 
 
 class LoadSample(Record, frozen=True, array_like=True):
     """Report an upstream's load as its owner node counted it.
 
-    Units: `latency_ms` is the moving average service time in milliseconds.
+    Units: `latency_ms` is the moving average service time in milliseconds; `cold_wait_ms` is how
+    long a further request would wait until a cold upstream may be sent it, 0 at a warm one.
     """
 
     in_flight: int
@@ -41,3 +45,4 @@
     latency_ms: Milliseconds = 0.0
     error_rate: float = 0.0
     draining: bool = False
+    cold_wait_ms: Milliseconds = 0.0
--- a/packages/bendwind-node/src/bendwind_node/calls/dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -22,7 +22,8 @@
     carries the attempt's id, `upstream` the name of the upstream that is meant, and
     `origin_service` the service beside the entry node. `not_run` marks an answer whose request did
     not run; where `not_run_value` is None its presence is enough, whatever the status.
-    `answering_upstream` is the name that an upstream gives itself on its health path.
+    `answering_upstream` is the name that an upstream gives itself on its health path, and
+    `warm_up` how many milliseconds longer it stays cold.
     `has_outcomes` adds Bendwind's outcome headers to answers, `has_fractions` permits fractions of
     seconds in Retry-After, `has_cancel_path` says that upstreams take cancellations as requests.
     """
@@ -37,6 +38,7 @@
     origin_service: bytes | None = None
     load: bytes | None = None
     answering_upstream: bytes | None = None
+    warm_up: bytes | None = None
     has_outcomes: bool = False
     has_fractions: bool = True
     has_cancel_path: bool = False
@@ -92,6 +94,16 @@
     return None if percentage is None else percentage / _PERCENT
 
 
+def read_warm_up_ms(value: bytes | None) -> float:
+    """Return how much longer an upstream stays cold, by its own word; one that is silent is warm.
+
+    >>> read_warm_up_ms(b"1200")
+    1200.0
+    """
+    text = (value or b"").strip()
+    return float(text) if text.isdigit() else 0.0
+
+
 def read_slots(load: bytes | None) -> int | None:
     """Return how many requests an upstream works on at once, by its own word, or None.
 
--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -19,6 +19,7 @@
     DispatchDone,
     DispatchHead,
     DispatchNotRun,
+    DispatchSent,
     DispatchUnknown,
     LoadReported,
     OwnerEvent,
@@ -133,7 +134,8 @@
 
     async def _exchange(self) -> DispatchEnd:
         self.started_at = trio.current_time()
-        match await self.pool.start(create_upstream_request(self.hand_over, self.dialect)):
+        request = create_upstream_request(self.hand_over, self.dialect)
+        match await self.pool.start(request, self._note_sent):
             case Result(tag="error", error=RequestNotSent(reason=not_run)):
                 return DispatchNotRun(self.attempt, not_run)
             case Result(tag="error", error=AnswerCut(reason=cut)):
@@ -145,6 +147,9 @@
                     await answer.aclose()
         raise AssertionError("a result is ok or an error")
 
+    def _note_sent(self) -> None:
+        self.feed(DispatchSent(self.attempt))
+
     async def _relay(self, answer: UpstreamAnswer) -> DispatchEnd:
         elapsed = trio.current_time() - self.started_at
         self.upstream_ms = elapsed * MILLISECONDS_PER_SECOND
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -25,9 +25,10 @@
 from bendwind_core.attempts import events as ev
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.call import Attempt, find_attempt
+from bendwind_core.attempts.retry_after import NoRoom
 from bendwind_core.claims import ClaimAnswer, ClaimState
 from bendwind_core.claims.messages import MAX_KEPT_ANSWER_BYTES
-from bendwind_core.core import Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import ConcurrencyShare, RetryBudget, set_services
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import (
@@ -36,6 +37,7 @@
     choose_subset,
     choose_upstream,
     create_table,
+    find_room_at,
     note_answered,
     note_cancelled,
     note_load,
@@ -143,7 +145,7 @@
         if desk is None:
             return
         announced = self.membership.upstreams(service_name)
-        admitted = [u for u in announced if service is not None and may_serve(service, u.name)]
+        admitted = [u for u in announced if service is not None and self._may_use(service, u)]
         used = choose_subset(self.own.name, self.own.data_centre, admitted)
         reached = self._list_reached(desk, {upstream.name for upstream in announced})
         before = {view.upstream.owner.name for view in desk.table.views.values()}
@@ -152,6 +154,10 @@
         for owner in before - {upstream.owner.name for upstream in used}:
             self.hub.check(owner)
 
+    def _may_use(self, service: Service, upstream: Upstream) -> bool:
+        is_evacuated = upstream.owner.data_centre in self.membership.evacuated
+        return may_serve(service, upstream.name) and not is_evacuated
+
     def _list_reached(self, desk: ServiceDesk, listed: set[str]) -> list[Upstream]:
         """List the upstreams that no voter names any more though their owners are reached.
 
@@ -163,7 +169,10 @@
         return [
             view.upstream
             for name, view in desk.table.views.items()
-            if name not in listed and not view.is_draining and self.hub.reaches(view.upstream.owner)
+            if name not in listed
+            and not view.is_draining
+            and view.upstream.owner.data_centre not in self.membership.evacuated
+            and self.hub.reaches(view.upstream.owner)
         ]
 
     def link_closed(self, link: Link) -> None:
@@ -283,7 +292,7 @@
         call = run.call
         desk = self.desks[call.service.name]
 
-        def choose(excluded: frozenset[str]) -> Upstream | None:
+        def choose(excluded: frozenset[str]) -> Upstream | NoRoom | None:
             if not self._may_send(run):
                 return None
             self._note_own_load(desk, now)
@@ -292,9 +301,17 @@
             # Long bodies made most of the bytes between data centres, which fell by 52% (one run of
             # 50 s each with bodies of 60 kB on average).
             stays = len(run.body) > self.far_body_bytes
-            return choose_upstream(
-                service.policy, desk.table, excluded, now, self.rng, near, stays=stays
+            chosen = choose_upstream(
+                service.policy,
+                desk.table,
+                excluded,
+                now,
+                self.rng,
+                near,
+                stays=stays,
+                target_at=call.target_at,
             )
+            return _explain_absence(desk.table, now) if chosen is None else chosen
 
         for effect in entry.step(call, event, now, choose):
             self._carry_out(run, desk, effect)
@@ -428,3 +445,11 @@
     if len(body) > MAX_KEPT_ANSWER_BYTES:
         return ClaimState.NOT_KEPT, None
     return ClaimState.ANSWERED, ClaimAnswer(head.status, head.headers, body)
+
+
+def _explain_absence(table: UpstreamTable, now: Seconds) -> NoRoom | None:
+    """Say when there is room again where only cold upstreams are left, else None."""
+    room_at = find_room_at(table)
+    if room_at is None or room_at <= now:
+        return None
+    return NoRoom((room_at - now) * MILLISECONDS_PER_SECOND)
--- a/packages/bendwind-node/src/bendwind_node/calls/health_check.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/health_check.py
@@ -3,8 +3,14 @@
 import msgspec
 from expression import Result
 
+from bendwind_core.core import Milliseconds
 from bendwind_node.calls import headers as names
-from bendwind_node.calls.dialect import Dialect, read_slots, read_slow_factor
+from bendwind_node.calls.dialect import (
+    Dialect,
+    read_slots,
+    read_slow_factor,
+    read_warm_up_ms,
+)
 from bendwind_node.calls.upstream_h11 import UpstreamAnswer, UpstreamPool
 from bendwind_node.calls.upstream_request import UpstreamRequest
 
@@ -12,35 +18,41 @@
 
 
 class HealthAnswer(msgspec.Struct, frozen=True):
-    """Hold what an upstream says on its health path; None is what it does not tell.
+    """Hold what an upstream says on its health path; None, or no name, is what it does not tell.
 
     `slow_factor` is how much longer than usual work takes there.
+    Units: `warm_up_left_ms` is how much longer it stays cold, None where upstreams never tell.
     """
 
     name: str
     is_well: bool
     slots: int | None = None
     slow_factor: float | None = None
+    warm_up_left_ms: Milliseconds | None = None
 
 
 async def ask_health(pool: UpstreamPool, path: str, dialect: Dialect) -> HealthAnswer | None:
-    """Return what the upstream says of itself, None without an answer that names it."""
-    if not path or dialect.answering_upstream is None:
-        return None
-    answer = await _ask(pool, path)
-    name = None if answer is None else names.find_header(answer.headers, dialect.answering_upstream)
-    if not name:
+    """Return what the upstream says of itself, None without an answer."""
+    answer = await _ask(pool, path) if path else None
+    if answer is None:
         return None
+    name = None
+    if dialect.answering_upstream is not None:
+        name = names.find_header(answer.headers, dialect.answering_upstream)
     load = None if dialect.load is None else names.find_header(answer.headers, dialect.load)
     return HealthAnswer(
-        name.decode("latin-1"), answer.status == _OK, read_slots(load), read_slow_factor(load)
+        (name or b"").decode("latin-1"),
+        answer.status == _OK,
+        read_slots(load),
+        read_slow_factor(load),
+        _find_warm_up_left(answer, dialect),
     )
 
 
-async def ask_load(pool: UpstreamPool, path: str, load_header: bytes) -> bytes | None:
-    """Return what the upstream says of its load, None without an answer that tells."""
-    answer = await _ask(pool, path)
-    return None if answer is None else names.find_header(answer.headers, load_header)
+def _find_warm_up_left(answer: UpstreamAnswer, dialect: Dialect) -> Milliseconds | None:
+    if dialect.warm_up is None:
+        return None
+    return read_warm_up_ms(names.find_header(answer.headers, dialect.warm_up))
 
 
 async def _ask(pool: UpstreamPool, path: str) -> UpstreamAnswer | None:
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -14,7 +14,10 @@
 
     One that is not verified was announced once, perhaps by a message from before an earlier run of
     this process heard it leave; it takes requests once its health path or a second announcement
-    has shown that it stays.
+    has shown that it stays. `said` is the state that it announced last and `born_ms` its newest
+    known run. `is_being_asked` says that its health path is being asked how cold it is,
+    `is_marked` that operators want nothing sent to it, `is_unreachable` that it refused the last
+    connection.
     """
 
     upstream: Upstream
@@ -26,6 +29,10 @@
     last_sequence: int = 0
     has_left: bool = False
     is_verified: bool = True
+    is_unreachable: bool = False
+    said: UpstreamState = UpstreamState.GONE
+    born_ms: int = 0
+    is_being_asked: bool = False
 
 
 class UpstreamPlace(msgspec.Struct, frozen=True):
@@ -41,7 +48,9 @@
 
     `sequence` grows with every announcement of one upstream, so that a late one is known; 0 where
     upstreams do not number them.
-    Units: `warmup_left_ms` is how much longer it stays slow after its start.
+    Units: `warm_up_left_ms` is how much longer it stays cold; `born_ms` is when it started, in
+    milliseconds since 1970 on its own clock, 0 where it does not tell. `sequence` starts anew with
+    each run, which `name` and `born_ms` tell apart.
     """
 
     name: str
@@ -52,4 +61,24 @@
     connections: int
     state: UpstreamState
     sequence: int = 0
-    warmup_left_ms: Milliseconds = 0.0
+    warm_up_left_ms: Milliseconds = 0.0
+    born_ms: int = 0
+
+
+def is_earlier_run(owned: OwnedUpstream, news: Announcement) -> bool:
+    """Tell whether an announcement is that of a run before the one that is registered."""
+    return 0 < news.born_ms < owned.born_ms
+
+
+def is_later_run(owned: OwnedUpstream, news: Announcement) -> bool:
+    """Tell whether an announcement is that of a run after the one that is registered."""
+    return 0 < owned.born_ms < news.born_ms
+
+
+def claims_other_service(owned: OwnedUpstream, news: Announcement) -> bool:
+    """Tell whether an announcement names another service than the one that is served there.
+
+    An upstream keeps its service for life, so that such an announcement is not its own.
+    """
+    is_there = owned.said is not UpstreamState.GONE
+    return is_there and news.service != owned.upstream.service
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -36,9 +36,9 @@
     make_dispatch_facts,
     make_refusal_facts,
 )
-from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect, read_slow_factor
+from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
-from bendwind_node.calls.health_check import ask_load
+from bendwind_node.calls.health_check import ask_health
 from bendwind_node.calls.owned_upstream import OwnedUpstream
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_register import VERIFY_TIMEOUT, UpstreamRegister
@@ -238,6 +238,8 @@
                 self.replies.send(attempt, epoch, Unknown(attempt, reason, load))
             case ev.ReplyFenced(attempt=attempt, epoch=epoch, verdict=verdict):
                 self.replies.send(attempt, epoch, Fenced(attempt, verdict))
+            case ev.UpstreamUnreachable():
+                self.register.hold_down(owned)
             case ev.Drained():
                 self.recorder.record(EventKind.DESK_DRAINED, upstream=owned.upstream.name)
 
@@ -266,19 +268,18 @@
     async def _ask_load(self, owned: OwnedUpstream) -> None:
         """Ask an upstream for its load, within the budget of what measuring may cost."""
         path = self.register.find_health_path(owned.upstream.service)
-        header = self.dialect.load
-        if not path or header is None:
+        if not path or self.dialect.load is None:
             self._feed(owned, ev.LoadNotReported(may_ask=False))
             return
-        slow_factor = None
-        if spend_probe(self.probe_budget, 1, REPORT_BYTES, trio.current_time()):
+        answer = None
+        asked_at = trio.current_time()
+        if spend_probe(self.probe_budget, 1, REPORT_BYTES, asked_at):
             self.loads_asked += 1
             with trio.move_on_after(VERIFY_TIMEOUT):
-                slow_factor = read_slow_factor(await ask_load(owned.pool, path, header))
-        if slow_factor is None:
+                answer = await ask_health(owned.pool, path, self.dialect)
+        if answer is None or answer.slow_factor is None:
             self._feed(owned, ev.LoadNotReported())
-        else:
-            self._feed(owned, ev.LoadReported(slow_factor))
+        self.register.note_answer(owned, answer, asked_at)
 
     async def _dispatch(
         self, owned: OwnedUpstream, hand_over: HandOver, scope: trio.CancelScope
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -37,6 +37,7 @@
     services: dict = field(default_factory=dict)
     known: dict = field(default_factory=dict)
     fresh: bool = True
+    evacuated: frozenset = frozenset()
     view: object = field(default_factory=lambda: make_view())
 
     def is_fresh(self):
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -1,5 +1,8 @@
 """Send requests to an upstream over HTTP/1.1 with h11 on trio streams."""
 
+import random
+from collections.abc import Callable
+
 import h11
 import msgspec
 import trio
@@ -15,6 +18,10 @@
 # tire of: one closed at the same moment would leave its outcome unknown.
 FRESH_FOR_MARKED: Seconds = 1.0
 CONNECT_TIMEOUT: Seconds = 1.0
+# An upstream that refuses connections is tried twice a second, which costs it next to nothing; a
+# new run of it announces itself anyway.
+RETRY_PAUSE: Seconds = 0.5
+RETRY_SPREAD = 0.2
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 
@@ -91,18 +98,21 @@
     is_closed: bool = False
 
     async def start(
-        self, request: UpstreamRequest
+        self, request: UpstreamRequest, note_sent: Callable[[], None] = lambda: None
     ) -> Result[UpstreamAnswer, RequestNotSent | AnswerCut]:
-        """Send a request and return its answer as soon as the head is there."""
+        """Send a request and return its answer as soon as the head is there.
+
+        `note_sent` is called once the request went out whole.
+        """
         connection = await self._take(FRESH_FOR_MARKED if request.is_marked else KEEP_ALIVE)
         if connection is None:
             return Error(RequestNotSent(NotRunReason.CONNECT_FAILED))
-        answer = await self._exchange(connection, request)
+        answer = await self._exchange(connection, request, note_sent)
         if answer.is_ok() or not connection.is_reused or request.is_marked:
             return answer
         # The upstream may have closed the kept connection just as the request went out.
         fresh = await self._connect()
-        return answer if fresh is None else await self._exchange(fresh, request)
+        return answer if fresh is None else await self._exchange(fresh, request, note_sent)
 
     async def _take(self, max_idle: Seconds) -> UpstreamConnection | None:
         now = trio.current_time()
@@ -125,10 +135,14 @@
         return None
 
     async def _exchange(
-        self, connection: UpstreamConnection, request: UpstreamRequest
+        self,
+        connection: UpstreamConnection,
+        request: UpstreamRequest,
+        note_sent: Callable[[], None],
     ) -> Result[UpstreamAnswer, AnswerCut]:
         try:
             await connection.stream.send_all(_encode(connection.protocol, request))
+            note_sent()
             head = await connection.next_event()
             while isinstance(head, h11.InformationalResponse):
                 head = await connection.next_event()
@@ -162,6 +176,20 @@
             await trio.aclose_forcefully(self.idle.pop().stream)
 
 
+async def wait_until_accepting(host: str, port: int, is_wanted: Callable[[], bool]) -> bool:
+    """Try an address that refuses connections until it takes one; False once that is not wanted."""
+    while is_wanted():
+        await trio.sleep(RETRY_PAUSE * random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD))
+        with trio.move_on_after(CONNECT_TIMEOUT):
+            try:
+                stream = await open_prompt_stream(host, port)
+            except OSError:
+                continue
+            await trio.aclose_forcefully(stream)
+            return is_wanted()
+    return False
+
+
 def _encode(protocol: h11.Connection, request: UpstreamRequest) -> bytes:
     head = h11.Request(method=request.method, target=request.target, headers=request.headers)
     out = protocol.send(head)
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -6,21 +6,28 @@
 import trio
 from msgspec.structs import replace
 
+from bendwind_core.admission import WarmUp, WarmUpLimits, is_assumed_cold
 from bendwind_core.attempts import owner
 from bendwind_core.attempts import owner_events as ev
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_core.world import Instance, Upstream, UpstreamState
+from bendwind_core.world import Instance, Upstream, UpstreamState, WarmUpRule
+from bendwind_node.calls.departures import Departures
 from bendwind_node.calls.dialect import Dialect
 from bendwind_node.calls.health_check import HealthAnswer, ask_health
-from bendwind_node.calls.owned_upstream import Announcement, OwnedUpstream, UpstreamPlace
+from bendwind_node.calls.owned_upstream import (
+    Announcement,
+    OwnedUpstream,
+    UpstreamPlace,
+    claims_other_service,
+    is_earlier_run,
+    is_later_run,
+)
 from bendwind_node.calls.reply_path import ReplyLink
-from bendwind_node.calls.upstream_h11 import UpstreamPool
+from bendwind_node.calls.upstream_h11 import UpstreamPool, wait_until_accepting
 
 QUEUE_LIMIT = 16
 MAX_OWNED_UPSTREAMS = 8
-# Names of upstreams that have left, so that a late announcement brings none of them back.
-MAX_DEPARTED = 256
 # A health answer is a round trip within the instance; a stalled upstream answers none.
 VERIFY_TIMEOUT: Seconds = 0.5
 # Until the configuration names the health path, and after an answer that introduced nobody.
@@ -34,7 +41,8 @@
     """Hold the upstreams beside this process by name.
 
     `feed` and `list_links` lead to the owner node: to an upstream's desk, and to the links that a
-    new desk has to hear of.
+    new desk has to hear of. `started_at` is when this process started. `is_evacuated` says that
+    operators want nothing sent to the upstreams of this data centre.
     """
 
     own: Instance
@@ -45,27 +53,41 @@
     dialect: Dialect
     slot_share: float = 1.0
     find_health_path: Callable[[str], str] = lambda service: ""
+    find_warm_up: Callable[[str], WarmUpRule | None] = lambda service: None
+    warm_up_limits: WarmUpLimits = WarmUpLimits()
+    started_at: Seconds = 0.0
     feed: Feed = lambda owned, event: None
     list_links: Callable[[], Iterable[ReplyLink]] = lambda: ()
-    departed: dict[str, None] = msgspec.field(default_factory=dict)
+    departures: Departures = msgspec.field(default_factory=Departures)
     has_dropped: bool = False
     owned: dict[str, OwnedUpstream] = msgspec.field(default_factory=dict)
     is_draining: bool = False
+    is_evacuated: bool = False
 
     def announced(self, news: Announcement) -> bool:
         """Register or renew an upstream; False if this process holds too many."""
         owned = self.owned.get(news.name)
         is_first = owned is None
         if owned is None:
-            if news.sequence and news.name in self.departed:
+            if news.sequence and self.departures.cover(news.name, news.born_ms):
                 return True
             if len(self.owned) >= MAX_OWNED_UPSTREAMS and not self._drop_gone():
                 return False
             owned = self._create_owned(news)
+        elif is_earlier_run(owned, news):
+            return True
+        elif is_later_run(owned, news):
+            self._begin_run(owned, news)
+        elif claims_other_service(owned, news):
+            self.recorder.record(
+                EventKind.ANNOUNCEMENT_REFUSED, upstream=news.name, detail=news.service
+            )
+            return True
         if news.sequence and (owned.has_left or news.sequence <= owned.last_sequence):
             # A late announcement of one that has said more since; what it said then stands.
             return True
         owned.last_sequence = max(owned.last_sequence, news.sequence)
+        owned.born_ms = max(owned.born_ms, news.born_ms)
         owned.lease_until = trio.current_time() + self.lease_ms / MILLISECONDS_PER_SECOND
         self._move_pool(owned, news)
         if self._needs_proof(owned, news, is_first=is_first):
@@ -76,6 +98,19 @@
             self._take(owned, news)
         return True
 
+    def _begin_run(self, owned: OwnedUpstream, news: Announcement) -> None:
+        """Turn to the next run of an upstream, which knows nothing of the earlier one."""
+        self.recorder.record(
+            EventKind.UPSTREAM_RESTARTED, upstream=news.name, detail=str(news.born_ms)
+        )
+        self.feed(owned, ev.UpstreamRestarted())
+        self.nursery.start_soon(owned.pool.aclose)
+        owned.pool = UpstreamPool(news.host, news.port, news.connections)
+        owned.last_sequence = 0
+        owned.has_left = False
+        owned.is_verified = False
+        owned.is_unreachable = False
+
     def _needs_proof(self, owned: OwnedUpstream, news: Announcement, *, is_first: bool) -> bool:
         if owned.is_verified or not news.sequence:
             return False
@@ -94,19 +129,30 @@
             self._take(owned, news)
 
     async def _verify(self, owned: OwnedUpstream, news: Announcement, is_first: bool) -> None:
+        asked_at = trio.current_time()
         answer = await self._ask(owned.pool, news.service)
+        if owned.born_ms != news.born_ms:
+            # The answer may be that of the run which has begun since.
+            return
         if answer is not None and answer.name == news.name:
             self._end_former(news)
             # An upstream that is well may say otherwise, but not that it announces itself twice.
             owned.is_verified = owned.is_verified or answer.is_well or not is_first
         if owned.is_verified and not owned.has_left and owned.last_sequence == news.sequence:
-            self._note_pace(owned, answer)
+            self.note_answer(owned, answer, asked_at)
             self._take(owned, news)
 
-    def _note_pace(self, owned: OwnedUpstream, answer: HealthAnswer | None) -> None:
+    def note_answer(
+        self, owned: OwnedUpstream, answer: HealthAnswer | None, asked_at: Seconds
+    ) -> None:
+        """Note what an upstream said of its pace and of how cold it is."""
+        if answer is None:
+            return
         # One that has just started is slow: its first answers would be taken for its usual pace.
-        if answer is not None and answer.slow_factor is not None:
+        if answer.slow_factor is not None:
             self.feed(owned, ev.LoadReported(answer.slow_factor))
+        if answer.warm_up_left_ms is not None and answer.name == owned.upstream.name:
+            self.feed(owned, ev.WarmUpTold(answer.warm_up_left_ms, asked_at))
 
     async def _ask(self, pool: UpstreamPool, service: str) -> HealthAnswer | None:
         with trio.move_on_after(VERIFY_TIMEOUT):
@@ -123,16 +169,17 @@
         with trio.move_on_after(self.lease_ms / MILLISECONDS_PER_SECOND):
             while not self._is_known_at(place):
                 path = self.find_health_path(place.service)
+                asked_at = trio.current_time()
                 answer = await self._ask(pool, place.service) if path else None
                 if answer is not None and not self._is_known_at(place):
-                    self._introduce(place, answer)
+                    self._introduce(place, answer, asked_at)
                 await trio.sleep(INTRODUCTION_PAUSE if path else PATH_POLL)
         await pool.aclose()
 
-    def _introduce(self, place: UpstreamPlace, answer: HealthAnswer) -> None:
+    def _introduce(self, place: UpstreamPlace, answer: HealthAnswer, asked_at: Seconds) -> None:
         owned = self.owned.get(answer.name)
-        has_left = answer.name in self.departed or (owned is not None and owned.has_left)
-        if has_left or not answer.is_well or not answer.slots:
+        has_left = self.departures.name_any(answer.name) or (owned is not None and owned.has_left)
+        if has_left or not answer.name or not answer.is_well or not answer.slots:
             return
         self.announced(
             Announcement(
@@ -147,48 +194,54 @@
         )
         introduced = self.owned.get(answer.name)
         if introduced is not None:
-            self._note_pace(introduced, answer)
+            self.note_answer(introduced, answer, asked_at)
 
     def _is_known_at(self, place: UpstreamPlace) -> bool:
         return bool(self._list_at(place.host, place.port))
 
     def _list_at(self, host: str, port: int) -> list[OwnedUpstream]:
-        """List the upstreams that are registered at an address and not gone."""
+        """List the upstreams that are registered at an address and have not ended."""
         return [
             owned
             for owned in self.owned.values()
             if (owned.pool.host, owned.pool.port) == (host, port)
-            and owned.upstream.state is not UpstreamState.GONE
+            and owned.said is not UpstreamState.GONE
         ]
 
     def _take(self, owned: OwnedUpstream, news: Announcement) -> None:
-        state = UpstreamState.DRAINING if self.is_draining else news.state
+        owned.said = news.state
         changed = replace(
             owned.upstream,
             service=news.service,
             slots=news.slots,
             connections=news.connections,
-            state=state,
+            state=self._find_state(owned),
+            born_ms=owned.born_ms,
         )
         self._change(owned, changed)
+        self.feed(owned, ev.WarmUpRuled(self.find_warm_up(news.service)))
+        if news.sequence:
+            self.feed(owned, ev.WarmUpTold(news.warm_up_left_ms))
         self._feed_state(owned)
+        self._learn_warmth(owned)
+
+    def _find_state(self, owned: OwnedUpstream) -> UpstreamState:
+        """Return the state that others are told: one that refuses connections serves nobody."""
+        if owned.is_unreachable or owned.said is UpstreamState.GONE:
+            return UpstreamState.GONE
+        return UpstreamState.DRAINING if self.is_draining else owned.said
 
     def _drop_gone(self) -> bool:
         """Forget an upstream that is gone and has nothing under way, to make room for another."""
         for name, owned in self.owned.items():
             is_idle = not owned.desk.running and not owned.desk.waiting
-            if owned.upstream.state is UpstreamState.GONE and is_idle:
+            if owned.said is UpstreamState.GONE and is_idle:
                 del self.owned[name]
                 self.has_dropped = True
-                self._remember_departed(name)
+                self.departures.remember(name, owned.born_ms)
                 return True
         return False
 
-    def _remember_departed(self, name: str) -> None:
-        self.departed[name] = None
-        if len(self.departed) > MAX_DEPARTED:
-            del self.departed[next(iter(self.departed))]
-
     def _find_former(self, news: Announcement) -> OwnedUpstream | None:
         """Return another upstream that is registered at the announced address, or None."""
         registered = self._list_at(news.host, news.port)
@@ -212,9 +265,29 @@
             owned.is_marked = is_marked
             self._feed_state(owned)
 
+    def hear_configuration(self, evacuated: frozenset[str]) -> None:
+        """Hear that a configuration came into force, and which data centres are evacuated."""
+        was_evacuated = self.is_evacuated
+        self.is_evacuated = self.own.data_centre in evacuated
+        for owned in self.owned.values():
+            self.feed(owned, ev.WarmUpRuled(self.find_warm_up(owned.upstream.service)))
+            if self.is_evacuated != was_evacuated:
+                self._evacuate(owned)
+            self._learn_warmth(owned)
+
+    def _evacuate(self, owned: OwnedUpstream) -> None:
+        self._feed_state(owned)
+        if self.is_evacuated:
+            self.feed(owned, ev.WaitingWithdrawn())
+        else:
+            # It was sent nothing, and may have been restarted meanwhile.
+            self.feed(owned, ev.ColdAssumed())
+
     def _feed_state(self, owned: OwnedUpstream) -> None:
         upstream = owned.upstream
-        state = UpstreamState.DRAINING if owned.is_marked else upstream.state
+        is_withdrawn = owned.is_marked or self.is_evacuated
+        is_ready = upstream.state is UpstreamState.READY
+        state = UpstreamState.DRAINING if is_withdrawn and is_ready else upstream.state
         self.feed(owned, ev.UpstreamAnnounced(upstream.slots, upstream.connections, state))
 
     def _create_owned(self, news: Announcement) -> OwnedUpstream:
@@ -222,7 +295,15 @@
             news.name, news.service, self.own, news.slots, news.connections, UpstreamState.GONE
         )
         desk = owner.create_desk(
-            news.name, self.own.incarnation, QUEUE_LIMIT, slot_share=self.slot_share
+            news.name,
+            self.own.incarnation,
+            QUEUE_LIMIT,
+            slot_share=self.slot_share,
+            warm_up=WarmUp(
+                self.warm_up_limits,
+                assumed_at=trio.current_time(),
+                started_at=self.started_at,
+            ),
         )
         pool = UpstreamPool(news.host, news.port, news.connections)
         owned = OwnedUpstream(upstream, desk, pool, 0.0, is_verified=not news.sequence)
@@ -231,11 +312,50 @@
             self.feed(owned, ev.LinkOpened(link.peer.name, link.peer.incarnation, link.epoch))
         return owned
 
+    def _learn_warmth(self, owned: OwnedUpstream) -> None:
+        """Have an upstream asked that counts as cold only since nothing is known of it."""
+        is_assumed = is_assumed_cold(owned.desk.warm_up, trio.current_time())
+        if is_assumed and not owned.is_being_asked and self.dialect.warm_up is not None:
+            owned.is_being_asked = True
+            self.nursery.start_soon(self._ask_until_known, owned)
+
+    async def _ask_until_known(self, owned: OwnedUpstream) -> None:
+        while is_assumed_cold(owned.desk.warm_up, trio.current_time()):
+            asked_at = trio.current_time()
+            answer = await self._ask(owned.pool, owned.upstream.service)
+            self.note_answer(owned, answer, asked_at)
+            if is_assumed_cold(owned.desk.warm_up, trio.current_time()):
+                await trio.sleep(INTRODUCTION_PAUSE)
+        owned.is_being_asked = False
+
+    def hold_down(self, owned: OwnedUpstream) -> None:
+        """Tell all that an upstream refuses connections, and try it aside until it does not."""
+        owned.is_unreachable = True
+        self._set_state(owned)
+        self.nursery.start_soon(self._wait_until_reached, owned)
+
+    async def _wait_until_reached(self, owned: OwnedUpstream) -> None:
+        pool = owned.pool
+        is_reached = await wait_until_accepting(
+            pool.host, pool.port, lambda: owned.is_unreachable and owned.pool is pool
+        )
+        if is_reached:
+            owned.is_unreachable = False
+            self.feed(owned, ev.UpstreamReached())
+            # Whatever refuses connections and takes them again has most likely started anew.
+            self.feed(owned, ev.ColdAssumed())
+            self._set_state(owned)
+            self._feed_state(owned)
+            self._learn_warmth(owned)
+
     def _move_pool(self, owned: OwnedUpstream, news: Announcement) -> None:
         if (owned.pool.host, owned.pool.port) == (news.host, news.port):
             return
         self.nursery.start_soon(owned.pool.aclose)
         owned.pool = UpstreamPool(news.host, news.port, news.connections)
+        if owned.is_unreachable:
+            owned.is_unreachable = False
+            self.feed(owned, ev.UpstreamReached())
 
     def _change(self, owned: OwnedUpstream, changed: Upstream) -> None:
         if changed == owned.upstream:
@@ -245,13 +365,19 @@
         self.recorder.record(kind, upstream=changed.name, detail=changed.service)
         self.announce(owned.upstream)
 
-    def left(self, name: str) -> bool:
-        """Hear that an upstream leaves for good; False if it is unknown."""
+    def left(self, name: str, born_ms: int = 0) -> bool:
+        """Hear that a run of an upstream leaves for good; False if it is unknown.
+
+        `born_ms` 0 means whichever run is there.
+        """
         owned = self.owned.get(name)
         if owned is None:
             # An earlier run of this process may have known it: a late announcement may follow.
-            self._remember_departed(name)
+            self.departures.remember(name, born_ms)
             return False
+        if born_ms and born_ms < owned.born_ms:
+            return True
+        owned.born_ms = max(owned.born_ms, born_ms)
         owned.has_left = True
         self._end(owned)
         return True
@@ -259,7 +385,7 @@
     def misdirected(self, name: str) -> None:
         """Hear from the upstream at an address that it is not the one registered there."""
         owned = self.owned.get(name)
-        if owned is None or owned.upstream.state is UpstreamState.GONE:
+        if owned is None or owned.said is UpstreamState.GONE:
             return
         place = UpstreamPlace(owned.upstream.service, owned.pool.host, owned.pool.port)
         self._end(owned)
@@ -269,22 +395,23 @@
     def end_expired(self, now: Seconds) -> None:
         """End the upstreams that have not renewed their announcement in time."""
         for owned in tuple(self.owned.values()):
-            if owned.lease_until < now and owned.upstream.state is not UpstreamState.GONE:
+            if owned.lease_until < now and owned.said is not UpstreamState.GONE:
                 self._end(owned)
 
     def _end(self, owned: OwnedUpstream) -> None:
+        owned.said = UpstreamState.GONE
+        owned.is_unreachable = False
         self.feed(owned, ev.UpstreamLost())
-        self._set_state(owned, UpstreamState.GONE)
+        self._set_state(owned)
 
-    def _set_state(self, owned: OwnedUpstream, state: UpstreamState) -> None:
-        self._change(owned, replace(owned.upstream, state=state))
+    def _set_state(self, owned: OwnedUpstream) -> None:
+        self._change(owned, replace(owned.upstream, state=self._find_state(owned)))
 
     def drain(self) -> None:
         """Refuse new attempts for good and tell every watcher."""
         self.is_draining = True
         for owned in self.owned.values():
-            if owned.upstream.state is not UpstreamState.GONE:
-                self._set_state(owned, UpstreamState.DRAINING)
+            self._set_state(owned)
             self.feed(owned, ev.Drain())
 
 
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -1,7 +1,7 @@
 """Run a control voter's tasks: the log, the registry of nodes, the placement of claims."""
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 
 import msgspec
@@ -40,12 +40,15 @@
 class LogClient(msgspec.Struct, eq=False):
     """Propose to the log and read its state, as the operators' API and the registry ask.
 
-    `listed` are the voters that the settings name.
+    `listed` are the voters that the settings name, `stated_data_centres` the data centres;
+    `list_seen` gives those of the processes that are alive.
     """
 
     voter: ControlVoter
     state: ControlState
     listed: tuple[VoterPlace, ...]
+    stated_data_centres: frozenset[str] = frozenset()
+    list_seen: Callable[[], Iterable[str]] = lambda: ()
 
     async def propose(self, command: bytes) -> Result[CommandResult, ControlError]:
         """Propose a command and return its result once it has been applied here."""
@@ -75,6 +78,13 @@
                     return Error(NoQuorum(f"this voter has stopped: {reason}"))
         return Error(NoQuorum("no quorum answered in time"))
 
+    def data_centres(self) -> frozenset[str]:
+        """Return the data centres of the settings, else those of voters and of processes alive."""
+        if self.stated_data_centres:
+            return self.stated_data_centres
+        voters = {place.data_centre for place in self.voter_places}
+        return frozenset(voters.union(self.list_seen())) - {""}
+
     def leader(self) -> str | None:
         """Return the name of the leader, or None where it is not known."""
         return self.voter.leader_name
@@ -204,6 +214,7 @@
     send: Callable[[str, Record], object],
     recorder: Recorder,
     rng: random.Random,
+    data_centres: tuple[str, ...] = (),
 ) -> Result[ControlService, StoreError]:
     """Read the disk and make a control voter's tasks; call it inside a trio run.
 
@@ -216,8 +227,9 @@
     if opened.is_error():
         return opened
     voter = opened.ok
-    client = LogClient(voter, state, listed)
+    client = LogClient(voter, state, listed, frozenset(data_centres))
     registry = create_registry_task(own.name, client, times, send, recorder, rng)
+    client.list_seen = lambda: (instance.data_centre for instance in registry.alive())
     service: ControlService
 
     async def propose(command: ChangeClaimGroup) -> object:
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -8,6 +8,7 @@
 import trio
 from expression import Error, Ok, Result
 
+from bendwind_core.admission import WarmUpLimits
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.claims import ClaimLimits
 from bendwind_core.consensus import ReplicaSettings, Voter
@@ -25,7 +26,8 @@
 )
 from bendwind_core.messages import Hello
 from bendwind_core.timeline import Recorder
-from bendwind_core.world import Instance, Upstream
+from bendwind_core.world import Instance, Upstream, WarmUpRule
+from bendwind_node import STARTED_AT
 from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.entry_node import EntryNode
@@ -166,6 +168,9 @@
         extension.dialect,
         settings.limits.slot_share,
         lambda service: _find_health_path(membership, service),
+        lambda service: _find_warm_up(membership, service),
+        WarmUpLimits(settings.limits.warm_up_overage, settings.limits.warm_up_slack),
+        trio.current_time() - (time.monotonic() - STARTED_AT),
     )
     assemblies = AssemblyTable(settings.limits.body_bytes, daemon.body_budget)
     dispatcher.owner = OwnerNode(
@@ -236,6 +241,7 @@
         dispatcher.send,
         daemon.recorder,
         rng,
+        settings.control.data_centres,
     )
     if opened.is_error():
         return Error(f"{folder}: {opened.error}")
@@ -266,6 +272,11 @@
     return "" if service is None else service.health_path
 
 
+def _find_warm_up(membership: MembershipTask, name: str) -> WarmUpRule | None:
+    service = membership.services.get(name)
+    return None if service is None else service.warm_up
+
+
 def _announce(membership: MembershipTask, upstream: Upstream) -> None:
     # An owner watches what it serves: drain marks reach it with the service's upstreams.
     membership.watch(upstream.service)
@@ -289,6 +300,7 @@
         case VotersLearned(voters=voters):
             learn_places(dispatcher.hub, voters)
         case ConfigurationApplied():
+            dispatcher.owner.register.hear_configuration(dispatcher.membership.evacuated)
             dispatcher.entry.refresh_routing()
             for service in tuple(dispatcher.entry.desks):
                 dispatcher.entry.refresh_upstreams(service)
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -112,6 +112,11 @@
         """Return the routes in force."""
         return self.view.routing
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres whose upstreams get nothing new."""
+        return self.view.evacuated
+
     @property
     def claim_groups(self) -> Mapping[str, ClaimGroup]:
         """Return the claim groups of the watched services."""
--- a/packages/bendwind-node/src/bendwind_node/operators/app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/app.py
@@ -11,6 +11,7 @@
 from bendwind_node.operators.claim_routes import ClaimRoutes
 from bendwind_node.operators.control_client import ControlClient
 from bendwind_node.operators.errors import ErrorKind, plain_error
+from bendwind_node.operators.evacuation_routes import EvacuationRoutes
 from bendwind_node.operators.http import (
     BodyTooLarge,
     Receive,
@@ -31,7 +32,7 @@
 
 _DRAIN_TARGETS = {"instances": DrainTarget.INSTANCE, "upstreams": DrainTarget.UPSTREAM}
 _CONTROL_PATHS = frozenset(
-    {"plans", "configuration", "instances", "upstreams", "services", "revision"}
+    {"plans", "configuration", "instances", "upstreams", "services", "revision", "data-centres"}
 )
 
 
@@ -53,15 +54,17 @@
     plans: PlanRoutes | None = field(init=False)
     claims: ClaimRoutes | None = field(init=False)
     revisions: RevisionRoutes | None = field(init=False)
+    evacuations: EvacuationRoutes | None = field(init=False)
     status: StatusRoutes = field(init=False)
 
     def __post_init__(self):
         self.status = StatusRoutes(self.control, self.source, self.recorder)
-        self.plans = self.claims = self.revisions = None
+        self.plans = self.claims = self.revisions = self.evacuations = None
         if self.control is not None:
             self.plans = PlanRoutes(self.control, self.source, self.recorder, self.wall_ms)
             self.claims = ClaimRoutes(self.control, self.source, self.recorder, random.Random())
             self.revisions = RevisionRoutes(self.control, self.recorder)
+            self.evacuations = EvacuationRoutes(self.control, self.source, self.recorder)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one ASGI connection."""
@@ -104,6 +107,8 @@
                     return await self._answer_claims(request, tuple(rest))
                 if name == "revision":
                     return await self._answer_revision(request, tuple(rest))
+                if name == "data-centres":
+                    return await self._answer_evacuation(request, tuple(rest))
                 return await _answer_control(self.plans, request, (name, *rest))
         return plain_error(404, ErrorKind.NOT_FOUND)
 
@@ -116,6 +121,15 @@
                 return _refuse_method()
         return plain_error(404, ErrorKind.NOT_FOUND)
 
+    async def _answer_evacuation(self, request: Request, path: tuple[str, ...]) -> Response:
+        assert self.evacuations is not None
+        match request.method, path:
+            case "POST" | "DELETE", (name, "evacuation"):
+                return await self.evacuations.mark(name, evacuated=request.method == "POST")
+            case _, (_, "evacuation"):
+                return _refuse_method()
+        return plain_error(404, ErrorKind.NOT_FOUND)
+
     async def _answer_revision(self, request: Request, path: tuple[str, ...]) -> Response:
         assert self.revisions is not None
         match request.method, path:
--- a/packages/bendwind-node/src/bendwind_node/operators/control_client.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/control_client.py
@@ -60,6 +60,10 @@
         """Return an applied index that a quorum has confirmed as the newest since the call."""
         ...
 
+    def data_centres(self) -> frozenset[str]:
+        """Return the data centres that operators may name."""
+        ...
+
     def leader(self) -> str | None:
         """Return the name of the leader, or None where it is not known."""
         ...
--- a/packages/bendwind-node/src/bendwind_node/operators/errors.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/errors.py
@@ -30,6 +30,7 @@
     UNKNOWN_PLAN = "unknown-plan"
     NO_LOST_CLAIMS = "no-lost-claims"
     GROUP_REFUSED = "group-refused"
+    UNKNOWN_DATA_CENTRE = "unknown-data-centre"
     UNKNOWN_SERVICE = "unknown-service"
     METHOD_NOT_ALLOWED = "method-not-allowed"
     VERSION_MOVED = "version-moved"
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/evacuations.py
@@ -0,0 +1,65 @@
+"""Empty a data centre of new requests and take it back."""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from bendwind_core.plans import (
+    EvacuationHeld,
+    MarkEvacuated,
+    PlanWarning,
+    TooManyEvacuated,
+    encode_command,
+    find_evacuation_warnings,
+)
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.operators.control_client import ControlClient, ControlError
+from bendwind_node.operators.status_source import StatusSource
+
+
+class UnknownDataCentre(msgspec.Struct, frozen=True):
+    """Tell that no data centre of this name is known, so that nothing was changed."""
+
+    name: str
+    known: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return f"no data centre {self.name!r}; known: {', '.join(self.known) or 'none'}"
+
+
+EvacuationError = UnknownDataCentre | TooManyEvacuated | ControlError
+
+
+async def mark_evacuated(
+    client: ControlClient, recorder: Recorder, data_centre: str, *, evacuated: bool
+) -> Result[EvacuationHeld, EvacuationError]:
+    """Have a data centre's upstreams get nothing new, or take it back; both may be asked again.
+
+    Errors: UnknownDataCentre; TooManyEvacuated; ControlError, after which it may be asked again.
+    """
+    detail = f"{data_centre}: {'evacuate' if evacuated else 'readmit'}"
+    known = client.data_centres()
+    is_held = data_centre in client.state.configuration.evacuated
+    if data_centre not in known and not is_held:
+        unknown = UnknownDataCentre(data_centre, tuple(sorted(known)))
+        recorder.record(EventKind.EVACUATION_NOT_MARKED, detail=f"{detail}: {unknown}")
+        return Error(unknown)
+    match await client.propose(encode_command(MarkEvacuated(data_centre, evacuated))):
+        case Result(tag="ok", ok=EvacuationHeld() as held):
+            outcome = f"as of version {held.version}" if held.is_new else "held already"
+            recorder.record(EventKind.EVACUATION_MARKED, detail=f"{detail}: {outcome}")
+            return Ok(held)
+        case Result(tag="ok", ok=TooManyEvacuated() as refusal):
+            recorder.record(EventKind.EVACUATION_NOT_MARKED, detail=f"{detail}: {refusal}")
+            return Error(refusal)
+        case Result(tag="error", error=error):
+            recorder.record(EventKind.EVACUATION_NOT_MARKED, detail=f"{detail}: {error!r}")
+            return Error(error)
+    raise AssertionError("the log answers an evacuation by what holds")
+
+
+def warn_of_evacuation(
+    client: ControlClient, source: StatusSource, data_centre: str
+) -> tuple[PlanWarning, ...]:
+    """List what the evacuation of a data centre leaves too little room for."""
+    configuration = client.state.configuration
+    return find_evacuation_warnings(configuration, data_centre, tuple(source.upstreams()))
--- a/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -86,6 +86,7 @@
             not_there_yet=tuple(node.name for node in nodes if node.version < version),
             upstreams=tuple(show_upstream(upstream) for upstream in self.source.upstreams()),
             draining=draining or DrainingView(),
+            evacuated=() if control is None else control.state.configuration.evacuated,
         )
 
     def get_timeline(self, request: Request) -> Response:
--- a/packages/bendwind-node/src/bendwind_node/operators/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/fakes.py
@@ -80,6 +80,9 @@
     def leader(self):
         return "a"
 
+    def data_centres(self):
+        return frozenset({"sala-norte", "sala-sur"})
+
     def voters(self):
         return [VoterStatus("a", "leader", self.state.applied)]
 
@@ -90,7 +93,7 @@
     def process(self):
         return ProcessStatus("a", "sala-norte", 0)
 
-    def nodes(self):
+    async def nodes(self):
         return []
 
     def upstreams(self):
--- a/packages/bendwind-node/src/bendwind_node/operators/views.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/views.py
@@ -124,6 +124,7 @@
     not_there_yet: tuple[str, ...]
     upstreams: tuple[UpstreamView, ...]
     draining: DrainingView
+    evacuated: tuple[str, ...] = ()
 
 
 class EventView(msgspec.Struct, frozen=True):
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -174,6 +174,10 @@
     heartbeat_ms: Annotated[
         float, Meta(ge=20, le=500), _doc("Time between two messages of the leader.", "ms")
     ] = 100
+    data_centres: Annotated[
+        tuple[Name, ...],
+        _doc("Data centres that may be evacuated; none stands for those of processes seen alive."),
+    ] = ()
     may_form: Annotated[bool, _doc("Form a cluster of empty voters; false once there was one.")] = (
         True
     )
@@ -252,6 +256,16 @@
         Meta(gt=0, le=1),
         _doc("Part of an upstream's slots that is used; some slow down when nearly full."),
     ] = 1.0
+    warm_up_overage: Annotated[
+        float,
+        Meta(gt=0, le=100),
+        _doc("Factor by which a cold upstream may be sent more than its service's warm-up rate."),
+    ] = 1.0
+    warm_up_slack: Annotated[
+        float,
+        Meta(ge=0, le=10_000),
+        _doc("Requests that a cold upstream may be sent beyond that in any second.", "requests"),
+    ] = 1.0
     keep_alive_s: Annotated[
         float, Meta(gt=0, le=3600), _doc("Time an idle connection of a caller stays open.", "s")
     ] = 60
