--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -65,6 +65,13 @@
     UPSTREAM_SLOTS = _gauge(
         "upstream_slots", "attempts", "Attempts the upstream takes at a time.", "upstream"
     )
+    UPSTREAM_COLD = _gauge(
+        "upstream_cold", "0 or 1", "Whether the upstream is spared because it is cold.", "upstream"
+    )
+    UPSTREAM_UNREACHABLE = _gauge(
+        "upstream_unreachable", "0 or 1", "Whether it refused the last connection.", "upstream"
+    )
+    EVACUATED = _gauge("evacuated", "0 or 1", "Whether this data centre is evacuated.")
     LOAD_PROBES = _count("load_probes", "messages", "Load probes asked and answered.", "direction")
     LINKS = _gauge("links", "links", "Open links to peers, by which end opened them.", "opened_by")
     DRAINING = _gauge("draining", "0 or 1", "Whether the process takes no new attempts.")
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -4,6 +4,9 @@
 import resource
 from collections.abc import Iterator
 
+import trio
+
+from bendwind_core.admission import is_cold
 from bendwind_core.core import MILLISECONDS_PER_SECOND
 from bendwind_core.timeline import Recorder
 from bendwind_core.timeline.statistics import CallStatistics, Histogram
@@ -80,7 +83,11 @@
         yield Sample(Metric.ATTEMPTS_RUNNING, len(owned.desk.running), (upstream,))
         yield Sample(Metric.ATTEMPTS_WAITING, len(owned.desk.waiting), (upstream,))
         yield Sample(Metric.UPSTREAM_SLOTS, owned.upstream.slots, (upstream,))
+        is_spared = is_cold(owned.desk.warm_up, trio.current_time())
+        yield Sample(Metric.UPSTREAM_COLD, int(is_spared), (upstream,))
+        yield Sample(Metric.UPSTREAM_UNREACHABLE, int(owned.is_unreachable), (upstream,))
     yield Sample(Metric.DRAINING, int(owner.register.is_draining))
+    yield Sample(Metric.EVACUATED, int(owner.register.is_evacuated))
 
 
 def gather_probes(probes: ProbeTask) -> Iterator[Sample]:
