daemon: nodes hear which voters there are

Cause: VotersKnown went to the task of claims, which passed it over, so that a node knew its three seeds alone. Messages without a task are now dropped by name, not handed to the claims.

--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -21,7 +21,7 @@
     NotRun,
     Unknown,
 )
-from bendwind_core.messages import Goodbye, Hello, PeerMessage
+from bendwind_core.messages import Hello, PeerMessage
 from bendwind_core.routing import LoadProbe, LoadReport
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
@@ -33,7 +33,12 @@
 
 _TO_OWNER = (HandOver, Cancel, Fence, LoadProbe)
 _TO_ENTRY = (AnswerHead, NotRun, Unknown, Fenced)
-_TO_NODE = (member.HeartbeatReply, member.ConfigurationChanged, member.WatchUpdate)
+_TO_NODE = (
+    member.HeartbeatReply,
+    member.ConfigurationChanged,
+    member.WatchUpdate,
+    member.VotersKnown,
+)
 _TO_REGISTRY = (
     member.Heartbeat,
     member.Announce,
@@ -45,6 +50,7 @@
     member.StatusReply,
 )
 _TO_VOTER = typing.get_args(consensus.ConsensusMessage)
+_TO_CLAIMS = typing.get_args(claim.ClaimMessage)
 _TO_PLACER = (claim.ClaimCopied, claim.ClaimLeave)
 
 
@@ -121,7 +127,7 @@
             return self._to_membership
         if kind in _TO_PLACER or kind in _TO_REGISTRY or kind in _TO_VOTER:
             return None if self.control is None else self._to_control
-        return None if kind in (Hello, Goodbye) else self._to_claims
+        return self._to_claims if kind in _TO_CLAIMS else None
 
     def _receive_body(self, link: Link, message: PeerMessage) -> None:
         # The dialer of a link is the entry node: what comes back on it belongs to an answer.
