--- a/packages/bendwind-core/src/bendwind_core/admission/warm_up.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/warm_up.py
@@ -5,9 +5,10 @@
 
 The node beside an upstream is the only one that sends to it, so the bound is kept where it is
 exact. An upstream that is not known to be warm counts as cold: it may have started a moment ago.
+Requests are spaced evenly, so that the bound holds in any second, also in one during which this
+process was killed and started again: neither life sends sooner than one space after the other.
 """
 
-import collections
 import math
 
 import msgspec
@@ -31,19 +32,17 @@
 
 
 class WarmUp(msgspec.Struct):
-    """Hold what is known of how warm an upstream is, and what it was sent in the last second.
+    """Hold what is known of how warm an upstream is, and when it was sent the last request.
 
     `assumed_at` is when it was last taken for cold without being told so, None once it has told.
-    `started_at` is when this process started: an earlier run of it may have sent all that the
-    bound permits until then.
+    `sent_at` begins with the start of this process: its earlier life may have sent one just before.
     """
 
     limits: WarmUpLimits = WarmUpLimits()
     rule: WarmUpRule | None = None
     cold_until: Seconds = -math.inf
     assumed_at: Seconds | None = None
-    started_at: Seconds = -math.inf
-    sent: collections.deque[Seconds] = msgspec.field(default_factory=collections.deque)
+    sent_at: Seconds = -math.inf
 
 
 def assume_cold(warm_up: WarmUp, now: Seconds) -> None:
@@ -82,35 +81,26 @@
 
 def note_sent(warm_up: WarmUp, now: Seconds) -> None:
     """Note that a request went out, also to a warm upstream: it may turn cold at any moment."""
-    if warm_up.rule is None:
-        return
-    warm_up.sent.append(now)
-    while len(warm_up.sent) > _find_limit(warm_up):
-        warm_up.sent.popleft()
+    warm_up.sent_at = now
 
 
-def find_room_at(warm_up: WarmUp, unsent: int, ahead: int, now: Seconds) -> Seconds:
+def find_room_at(warm_up: WarmUp, ahead: int, now: Seconds, *, has_unsent: bool = False) -> Seconds:
     """Return when a request may go out that has so many others ahead of it.
 
-    `unsent` is how many requests are still waiting for a connection: they will count in the second
-    in which they go out.
+    `has_unsent` says that one is still waiting for a connection, and may go out at any moment.
     """
     if not is_cold(warm_up, now):
         return now
-    limit = _find_limit(warm_up)
-    turns, place = divmod(ahead, limit)
-    recent = [at for at in warm_up.sent if at > now - SPAN] + [now] * unsent
-    # Each request takes the place, a second later, of the one sent `limit` requests before it.
-    replaced = len(recent) + place - limit
-    free_at = recent[replaced] + SPAN if replaced >= 0 else now
-    room_at = max(now, free_at, warm_up.started_at + SPAN) + turns * SPAN
+    space = find_space(warm_up.rule, warm_up.limits)
+    last = now if has_unsent else warm_up.sent_at
+    room_at = max(now, last + space) + ahead * space
     return min(room_at, max(now, _find_warm_at(warm_up)))
 
 
-def _find_limit(warm_up: WarmUp) -> int:
-    """Return how many requests a cold upstream may be sent in any second."""
-    limits = warm_up.limits
-    return max(1, math.floor(warm_up.rule.per_second * limits.overage + limits.slack))
+def find_space(rule: WarmUpRule, limits: WarmUpLimits) -> Seconds:
+    """Return the time between two requests by which any second holds no more than it may."""
+    most = max(1, math.floor(rule.per_second * limits.overage + limits.slack))
+    return SPAN / most
 
 
 def _find_warm_at(warm_up: WarmUp) -> Seconds:
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -189,8 +189,8 @@
 
 
 def _find_cold_room_at(desk: OwnerDesk, ahead: int, now: Seconds) -> Seconds:
-    unsent = sum(1 for running in desk.running.values() if not running.is_sent)
-    return find_room_at(desk.warm_up, unsent, ahead, now)
+    has_unsent = any(not running.is_sent for running in desk.running.values())
+    return find_room_at(desk.warm_up, ahead, now, has_unsent=has_unsent)
 
 
 def next_cold_room(desk: OwnerDesk, now: Seconds) -> Seconds | None:
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -302,7 +302,7 @@
             warm_up=WarmUp(
                 self.warm_up_limits,
                 assumed_at=trio.current_time(),
-                started_at=self.started_at,
+                sent_at=self.started_at,
             ),
         )
         pool = UpstreamPool(news.host, news.port, news.connections)
