--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := core node cli bench
 DEPLOYMENT ?= certitermica
 
-.PHONY: setup check test demo fuzz capacity measure
+.PHONY: setup check test demo emulate fuzz capacity measure
 
 $(VENV)/.ready: requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,10 @@
 demo: setup
 	$(BIN)/python -m bendwind_bench demo --deployment=$(DEPLOYMENT)
 
+# All shipped scenarios in virtual time; ARGS="power-loss --against=policy.spares_cold=false".
+emulate: setup
+	$(BIN)/python -m bendwind_bench emulate $(ARGS)
+
 # Takes up to five minutes; NOTE says on the page what else ran on the machine.
 capacity: NOTE ?= Nothing else ran on the machine.
 capacity: setup
--- a/packages/bendwind-bench/src/bendwind_bench/__main__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/__main__.py
@@ -79,6 +79,31 @@
             write_report(tally, Path(plot))
         return 0
 
+    def emulate(
+        self,
+        *scenarios: str,
+        against: str = "",
+        seeds: str = "1..5",
+        jobs: int = 2,
+        plot: str = "",
+        json: str = "",
+        size: int = 1,
+    ) -> int:
+        """Run scenarios in virtual time, beside an earlier revision or KEY=VALUE if asked.
+
+        Args:
+            scenarios: Names of shipped scenarios or TOML files; none runs all that are shipped.
+            against: A revision of this repository, whose core decides, or a key of the scenario.
+            seeds: A..B.
+            jobs: Processes to run at a time.
+            plot: PNG file to draw.
+            json: File for machines to read, or - for standard output.
+            size: Multiplies upstreams and callers.
+        """
+        from bendwind_bench.emulator.command import emulate
+
+        return emulate(scenarios, str(against), str(seeds), jobs, plot, json, size)
+
     def page(self) -> None:
         """Rewrite the page of measurements from the results."""
         from bendwind_bench.reports.page import write_page
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/agenda.py
@@ -0,0 +1,35 @@
+"""Keep virtual time: what is to be done, and when."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+from bendwind_core.core import Seconds
+
+Action = Callable[[], None]
+
+
+class Agenda:
+    """Hold the actions to come, in the order of their times, first put first done."""
+
+    __slots__ = ("_entries", "_order", "now")
+
+    def __init__(self):
+        self.now: Seconds = 0.0
+        self._entries: list[tuple[Seconds, int, Action]] = []
+        self._order = itertools.count()
+
+    def at(self, when: Seconds, action: Action) -> None:
+        """Do an action at a time, at once if that is over."""
+        heapq.heappush(self._entries, (max(when, self.now), next(self._order), action))
+
+    def after(self, delay: Seconds, action: Action) -> None:
+        """Do an action after a time."""
+        self.at(self.now + delay, action)
+
+    def run(self, until: Seconds) -> None:
+        """Do everything up to a time."""
+        while self._entries and self._entries[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._entries)
+            action()
+        self.now = until
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
@@ -0,0 +1,143 @@
+"""Emulate callers: when they come, how long they wait, and what they do when they are refused."""
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bendwind_bench.emulator.entry_side import Answered, Lost, Outcome, Refused
+from bendwind_bench.emulator.scenario import RouteTable
+from bendwind_bench.emulator.tally import Fate
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.world import Repeat
+
+if TYPE_CHECKING:
+    from bendwind_bench.emulator.world import Node, World
+
+_FAILED_STATUS = 500
+# A caller does as Retry-After says if that leaves it two thirds of its time.
+PATIENCE = 1 / 3
+
+
+class Request(msgspec.Struct, eq=False):
+    """Hold one request of a caller over all of its tries."""
+
+    route: RouteTable
+    node: str
+    began_at: Seconds
+    tries_left: int
+    is_at_once: bool
+
+    @property
+    def deadline_at(self) -> Seconds:
+        """Return when the caller gives up."""
+        return self.began_at + self.route.timeout_ms / MILLISECONDS_PER_SECOND
+
+    @property
+    def target_at(self) -> Seconds:
+        """Return until when an answer is in time."""
+        return self.began_at + self.route.target_ms / MILLISECONDS_PER_SECOND
+
+
+class Callers:
+    """Send the requests of a scenario at its rates."""
+
+    __slots__ = ("names", "rate_factor", "rng", "until", "world")
+
+    def __init__(self, world: "World", rng: random.Random):
+        self.world = world
+        self.rng = rng
+        self.names = tuple(world.nodes)
+        self.rate_factor = 1.0
+        self.until: Seconds = 0.0
+
+    def start(self) -> None:
+        """Begin to send."""
+        self.until = self.world.agenda.now + self.world.scenario.seconds
+        for route in self.world.scenario.routes:
+            if route.per_second > 0.0:
+                self._plan_next(route)
+
+    def _plan_next(self, route: RouteTable) -> None:
+        gap = self.rng.expovariate(route.per_second * self.rate_factor)
+        if self.world.agenda.now + gap < self.until:
+            self.world.agenda.after(gap, lambda: self._arrive(route))
+
+    def _arrive(self, route: RouteTable) -> None:
+        callers = self.world.scenario.callers
+        request = Request(
+            route,
+            self.rng.choice(self.names),
+            self.world.agenda.now,
+            callers.retries,
+            self.rng.random() < callers.at_once,
+        )
+        self._try(request)
+        self._plan_next(route)
+
+    def _try(self, request: Request) -> None:
+        node = self.world.nodes[request.node]
+        if not node.is_up:
+            # A port with nothing behind it: the caller turns to another instance.
+            up = [name for name, other in self.world.nodes.items() if other.is_up]
+            if not up:
+                self._hear(request, Refused(MILLISECONDS_PER_SECOND))
+                return
+            request.node = self.rng.choice(up)
+            node = self.world.nodes[request.node]
+        node.entry.begin(
+            request.route,
+            request.deadline_at,
+            request.target_at,
+            lambda outcome: self._hear(request, outcome),
+        )
+
+    def _hear(self, request: Request, outcome: Outcome) -> None:
+        now = self.world.agenda.now
+        match outcome:
+            case Answered(status=status) if status < _FAILED_STATUS:
+                is_in_time = now <= request.target_at
+                is_late = now <= request.deadline_at
+                fate = Fate.IN_TIME if is_in_time else Fate.LATE if is_late else Fate.FAILED
+                self._end(request, fate)
+            case Refused(retry_after_ms=retry_after_ms):
+                wait = retry_after_ms / MILLISECONDS_PER_SECOND
+                self._come_back(request, 0.0 if request.is_at_once else wait, Fate.REFUSED)
+            case Answered() | Lost():
+                is_idempotent = request.route.repeat is Repeat.IDEMPOTENT
+                if is_idempotent:
+                    self._come_back(request, 0.0, Fate.FAILED)
+                else:
+                    self._end(request, Fate.FAILED)
+
+    def _come_back(self, request: Request, wait: Seconds, fate: Fate) -> None:
+        left = request.deadline_at - self.world.agenda.now
+        if request.tries_left <= 0 or wait > PATIENCE * left:
+            self._end(request, fate)
+            return
+        request.tries_left -= 1
+        self.world.agenda.after(wait, lambda: self._try(request))
+
+    def _end(self, request: Request, fate: Fate) -> None:
+        self.world.tally.note(request.route.name, request.began_at, fate)
+
+    def call_from_upstream(self, node: "Node", name: str, deadline_at: Seconds, done) -> None:
+        """Carry a call that an upstream makes at its own node."""
+        if not node.is_up:
+            done(False)
+            return
+        route = self.world.scenario.find_route(name)
+        now = self.world.agenda.now
+
+        def hear(outcome: Outcome) -> None:
+            if isinstance(outcome, Refused):
+                node.owner.feed(ov.CallRefused())
+            done(isinstance(outcome, Answered) and outcome.status < _FAILED_STATUS)
+
+        node.entry.begin(
+            route,
+            min(deadline_at, now + route.timeout_ms / MILLISECONDS_PER_SECOND),
+            now + route.target_ms / MILLISECONDS_PER_SECOND,
+            hear,
+        )
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/compare.py
@@ -0,0 +1,126 @@
+"""Run scenarios over seeds, side by side with another revision or setting."""
+
+import concurrent.futures
+import json
+import math
+import os
+import statistics
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import msgspec
+from expression import Error, Ok, Result
+
+from bendwind_bench.emulator.scenario import load_scenario, scale_scenario
+from bendwind_bench.emulator.tally import Figures
+from bendwind_bench.emulator.world import run_scenario
+
+COMPARED = ("in_time", "late", "refused", "failed", "worst", "sent_back", "busiest", "retries")
+
+
+class Job(msgspec.Struct, frozen=True):
+    """Name one run: a scenario, its seed, keys changed, the folder of another core, if any.
+
+    `size` is by how much upstreams and callers are multiplied.
+    """
+
+    scenario: str
+    seed: int
+    changes: tuple[str, ...] = ()
+    core: str = ""
+    size: int = 1
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """Hold the mean difference of a figure over seeds and its standard error."""
+
+    mean: float
+    error: float
+
+    @property
+    def is_clear(self) -> bool:
+        """Tell whether the difference exceeds twice its error."""
+        return abs(self.mean) > 2 * self.error
+
+
+def run_job(job: Job) -> Figures:
+    """Run one job, in a process of its own where it needs another core."""
+    if job.core:
+        return _run_with_core(job)
+    loaded = load_scenario(job.scenario, job.changes)
+    assert loaded.is_ok(), loaded.error
+    return run_scenario(scale_scenario(loaded.ok, job.size), job.seed)
+
+
+def _run_with_core(job: Job) -> Figures:
+    command = [sys.executable, "-m", "bendwind_bench", "emulate", job.scenario]
+    command += [f"--seeds={job.seed}..{job.seed}", "--jobs=1", "--json=-", f"--size={job.size}"]
+    folders = [job.core, str(Path(__file__).parents[2])]
+    environment = os.environ | {"PYTHONPATH": os.pathsep.join(folders)}
+    done = subprocess.run(command, env=environment, capture_output=True, text=True)
+    if done.returncode != 0:
+        raise RuntimeError(f"that revision's core does not run here: {done.stderr.strip()[-400:]}")
+    rows = json.loads(done.stdout)
+    return msgspec.convert(rows[0]["runs"][0]["figures"], Figures)
+
+
+def run_all(jobs: list[Job], workers: int, note) -> list[Figures]:
+    """Run jobs on some processes and return their figures in order; `note` hears of each end."""
+    if workers <= 1:
+        return [_run_noted(job, note) for job in jobs]
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        futures = [pool.submit(run_job, job) for job in jobs]
+        for future in concurrent.futures.as_completed(futures):
+            note(jobs[futures.index(future)])
+        return [future.result() for future in futures]
+
+
+def _run_noted(job: Job, note) -> Figures:
+    figures = run_job(job)
+    note(job)
+    return figures
+
+
+def find_differences(before: list[Figures], after: list[Figures]) -> dict[str, Difference]:
+    """Return the paired differences of the figures, `after` less `before`."""
+    found = {}
+    for name in COMPARED:
+        pairs = zip(before, after, strict=True)
+        deltas = [getattr(new, name) - getattr(old, name) for old, new in pairs]
+        spread = statistics.stdev(deltas) if len(deltas) > 1 else math.nan
+        found[name] = Difference(statistics.mean(deltas), spread / math.sqrt(len(deltas)))
+    return found
+
+
+def parse_seeds(text: str) -> Result[range, str]:
+    """Read `A..B` or one number.
+
+    Errors: a text that says what was expected.
+
+    >>> list(parse_seeds("3..5").ok)
+    [3, 4, 5]
+    """
+    first, dots, last = text.partition("..")
+    if not first.isdecimal() or (dots and not last.isdecimal()):
+        return Error(f"--seeds: expected A..B or a number, got {text!r}")
+    found = range(int(first), int(last or first) + 1)
+    return Ok(found) if found else Error(f"--seeds: expected A <= B, got {text!r}")
+
+
+def check_out(revision: str, folder: Path) -> Result[Path, str]:
+    """Lay out the core of a revision in a folder and return where it is.
+
+    Errors: what git says.
+    """
+    root = Path(__file__).parents[5]
+    archive = ["git", "-C", str(root), "archive", revision, "packages/bendwind-core/src"]
+    made = subprocess.run(archive, capture_output=True)
+    if made.returncode != 0:
+        return Error(f"--against: {made.stderr.decode().strip()}")
+    with tempfile.TemporaryFile() as file:
+        file.write(made.stdout)
+        file.seek(0)
+        subprocess.run(["tar", "-x", "-C", str(folder)], stdin=file, check=True)
+    return Ok(folder / "packages/bendwind-core/src")
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -0,0 +1,293 @@
+"""Emulate an entry node: the product's calls, tables and choice decide."""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from bendwind_bench.emulator.agenda import Agenda
+from bendwind_bench.emulator.owner_side import Answer
+from bendwind_bench.emulator.scenario import RouteTable, Scenario
+from bendwind_core.attempts import Cancel, Fence, Fenced, HandOver, NotRun, Unknown, entry
+from bendwind_core.attempts import events as ev
+from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.attempts.call import AttemptState, EntryCall, create_call, find_attempt
+from bendwind_core.attempts.retry_after import NoRoom
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Record, Seconds
+from bendwind_core.limits import RetryBudget
+from bendwind_core.routing import (
+    UpstreamTable,
+    choose_subset,
+    choose_upstream,
+    create_table,
+    find_room_at,
+    note_answered,
+    note_cancelled,
+    note_not_run,
+    note_sent,
+    note_unknown,
+    set_upstreams,
+)
+from bendwind_core.world import Rule, Service, Upstream
+
+_FAILED_STATUS = 500
+
+
+class Answered(msgspec.Struct, frozen=True):
+    """Say that a call was answered, by the upstream's status."""
+
+    status: int
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """Say that a call did not run, and when to come back."""
+
+    retry_after_ms: Milliseconds
+
+
+class Lost(msgspec.Struct, frozen=True):
+    """Say that nobody knows whether a call ran."""
+
+
+Outcome = Answered | Refused | Lost
+Done = Callable[[Outcome], None]
+
+
+class Network(Protocol):
+    """State what an entry node asks of the world."""
+
+    def send(self, sender: str, to: str, message: Record) -> None:
+        """Carry a message to a node's owner side."""
+
+    def note_attempt(self, upstream: str) -> None:
+        """Count an attempt that was sent."""
+
+    def note_sent_back(self) -> None:
+        """Count an attempt that was sent back unrun."""
+
+    def note_retry(self) -> None:
+        """Count an attempt that the retry budget paid for."""
+
+
+class CallRun(msgspec.Struct, eq=False):
+    """Hold one call, its timers and who awaits it."""
+
+    call: EntryCall
+    route: RouteTable
+    done: Done
+    timers: dict[ev.TimerKind, Seconds] = msgspec.field(default_factory=dict)
+    status: int = 0
+
+
+class EntrySide:
+    """Own the calls that came to a node."""
+
+    __slots__ = (
+        "agenda",
+        "budgets",
+        "data_centre",
+        "ids",
+        "incarnation",
+        "is_stopped",
+        "name",
+        "network",
+        "origin",
+        "rng",
+        "runs",
+        "scenario",
+        "services",
+        "tables",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        origin: str,
+        scenario: Scenario,
+        agenda: Agenda,
+        network: Network,
+        rng: random.Random,
+        incarnation: int,
+    ):
+        self.name = name
+        self.data_centre = data_centre
+        self.origin = origin
+        self.scenario = scenario
+        self.agenda = agenda
+        self.network = network
+        self.rng = rng
+        self.incarnation = incarnation
+        self.ids = AttemptIds(name, incarnation)
+        self.tables: dict[str, UpstreamTable] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.services: dict[str, Service] = {}
+        self.runs: dict[int, CallRun] = {}
+        self.is_stopped = False
+        for table in scenario.services:
+            self.tables[table.name] = create_table(table.name)
+            self.budgets[table.name] = RetryBudget(scenario.policy.retry_ratio)
+            self.services[table.name] = Service(
+                table.name,
+                ("*",),
+                policy=scenario.policy.policy,
+                hedge_after_ms=scenario.policy.hedge_after_ms,
+                near_first=scenario.policy.near_first,
+            )
+
+    def hear_upstreams(self, service: str, upstreams: tuple[Upstream, ...]) -> None:
+        """Hear which upstreams serve a service."""
+        used = choose_subset(self.name, self.data_centre, upstreams)
+        set_upstreams(self.tables[service], used, self.agenda.now)
+
+    def begin(
+        self, route: RouteTable, deadline_at: Seconds, target_at: Seconds, done: Done
+    ) -> None:
+        """Take a call and tell its outcome once."""
+        rule = Rule(
+            "*",
+            repeat=route.repeat,
+            longest_wait_ms=route.timeout_ms,
+            attempts=route.attempts,
+            target_latency_ms=route.target_ms,
+            priority=route.priority,
+            name=route.name,
+        )
+        call = create_call(
+            "",
+            self.services[route.service],
+            rule,
+            deadline_at,
+            self.ids,
+            self.budgets[route.service],
+            target_at=target_at,
+        )
+        self._feed(CallRun(call, route, done), ev.Begin())
+
+    def _feed(self, run: CallRun, event: ev.EntryEvent) -> None:
+        if self.is_stopped:
+            return
+        table = self.tables[run.route.service]
+
+        def choose(excluded: frozenset[str]) -> Upstream | NoRoom | None:
+            return self._choose(run, table, excluded)
+
+        for effect in entry.step(run.call, event, self.agenda.now, choose):
+            self._carry_out(run, table, effect)
+
+    def _choose(
+        self, run: CallRun, table: UpstreamTable, excluded: frozenset[str]
+    ) -> Upstream | NoRoom | None:
+        policy = self.scenario.policy
+        now = self.agenda.now
+        near = self.data_centre if policy.near_first else None
+        chosen = choose_upstream(
+            policy.policy, table, excluded, now, self.rng, near, target_at=run.call.target_at
+        )
+        if chosen is not None:
+            return chosen
+        room_at = find_room_at(table)
+        if room_at is None or room_at <= now:
+            return None
+        return NoRoom((room_at - now) * MILLISECONDS_PER_SECOND)
+
+    def _carry_out(self, run: CallRun, table: UpstreamTable, effect: ev.EntryEffect) -> None:
+        now = self.agenda.now
+        match effect:
+            case ev.SendHandOver(attempt=attempt, upstream=upstream):
+                self.runs[attempt.sequence] = run
+                note_sent(table, upstream.name, attempt, now)
+                self.network.note_attempt(upstream.name)
+                if any(one.not_run is None for one in run.call.attempts[:-1]):
+                    self.network.note_retry()
+                self.network.send(self.name, upstream.owner.name, self._make(run, effect))
+            case ev.SendCancel(attempt=attempt, upstream=upstream):
+                note_cancelled(table, upstream.name, attempt, now)
+                self.network.send(self.name, upstream.owner.name, Cancel(attempt, upstream.name))
+            case ev.SendFence(attempt=attempt, upstream=upstream):
+                fence = Fence(attempt, upstream.owner.incarnation, upstream.name)
+                self.network.send(self.name, upstream.owner.name, fence)
+            case ev.StartTimer(kind=kind, at=at):
+                run.timers[kind] = at
+                self.agenda.at(at, lambda: self._fire(run, kind, at))
+            case ev.FinishDelivered():
+                self._finish(run, Answered(run.status))
+            case ev.FinishNotRun(retry_after_ms=retry_after_ms):
+                self._finish(run, Refused(retry_after_ms))
+            case ev.FinishUnknown() | ev.Cut() | ev.FinishRefused():
+                self._finish(run, Lost())
+
+    def _make(self, run: CallRun, effect: ev.SendHandOver) -> HandOver:
+        return HandOver(
+            effect.attempt,
+            effect.upstream.owner.incarnation,
+            run.route.service,
+            effect.upstream.name,
+            "GET",
+            b"/",
+            (),
+            effect.remaining_ms,
+            run.route.repeat,
+            1,
+            insist=effect.insist,
+            route=run.route.name,
+            target_ms=effect.target_ms,
+            origin=self.origin,
+        )
+
+    def _fire(self, run: CallRun, kind: ev.TimerKind, at: Seconds) -> None:
+        if run.timers.get(kind) == at:
+            self._feed(run, ev.TimerFired(kind))
+
+    def _finish(self, run: CallRun, outcome: Outcome) -> None:
+        for attempt in run.call.attempts:
+            self.runs.pop(attempt.id.sequence, None)
+        run.timers.clear()
+        run.done(outcome)
+
+    def hear(self, message: Record) -> None:
+        """Hear a message of an owner node; one that matches no open attempt is dropped."""
+        run = self.runs.get(message.attempt.sequence)
+        is_own = message.attempt.incarnation == self.incarnation
+        attempt = find_attempt(run.call, message.attempt) if run is not None and is_own else None
+        if attempt is None:
+            return
+        table = self.tables[run.route.service]
+        name, now = attempt.upstream.name, self.agenda.now
+        match message:
+            case Answer(attempt=id, status=status, load=load):
+                run.status = status
+                note_answered(table, name, id, now, status, load)
+                self._feed(run, ev.AttemptHead(id, status, True))
+            case NotRun(attempt=id, reason=reason, load=load):
+                note_not_run(table, name, id, now, reason, load)
+                self.network.note_sent_back()
+                self._feed(run, ev.AttemptNotRun(id, reason, load))
+            case Unknown(attempt=id, reason=reason):
+                note_unknown(table, name, id, now)
+                self._feed(run, ev.AttemptUnknown(id, reason))
+            case Fenced(attempt=id, verdict=verdict):
+                self._feed(run, ev.FenceAnswered(id, verdict))
+
+    def lose(self, node: str) -> None:
+        """Hear that the link to a node broke."""
+        for run in list(self.runs.values()):
+            for attempt in list(run.call.attempts):
+                is_there = attempt.upstream.owner.name == node
+                if is_there and attempt.state is AttemptState.OUTSTANDING:
+                    note_unknown(
+                        self.tables[run.route.service],
+                        attempt.upstream.name,
+                        attempt.id,
+                        self.agenda.now,
+                    )
+                    self._feed(run, ev.OwnerLost(attempt.id))
+
+    def stop(self) -> None:
+        """End with the process: callers see their connections close."""
+        self.is_stopped = True
+        runs = {id(run): run for run in self.runs.values()}
+        self.runs.clear()
+        for run in runs.values():
+            self.agenda.at(self.agenda.now, lambda done=run.done: done(Lost()))
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
@@ -0,0 +1,80 @@
+"""Have the faults of a scenario happen at their times."""
+
+from typing import TYPE_CHECKING
+
+from bendwind_bench.emulator.scenario import Fault, FaultKind
+
+if TYPE_CHECKING:
+    from bendwind_bench.emulator.world import Node, World
+
+
+def plan_faults(world: "World") -> None:
+    """Plan every fault of the scenario, counted from now."""
+    for fault in world.scenario.faults:
+        world.agenda.after(fault.at, lambda fault=fault: _begin(world, fault))
+
+
+def _begin(world: "World", fault: Fault) -> None:
+    nodes = _pick(world, fault)
+    match fault.kind:
+        case FaultKind.BURST:
+            world.callers.rate_factor = fault.x
+            world.agenda.after(fault.for_s, lambda: _end_burst(world))
+        case FaultKind.SLOW:
+            for node in nodes:
+                node.upstream.slow(fault.x, fault.for_s)
+        case FaultKind.SHED:
+            _shed(world, nodes, fault)
+        case FaultKind.CRASH | FaultKind.RETURN_COLD:
+            for node in nodes:
+                node.upstream.crash(fault.for_s)
+        case FaultKind.POWER_LOSS:
+            for node in nodes:
+                node.upstream.crash(fault.for_s)
+                world.kill(node, fault.for_s + 0.5)
+        case FaultKind.RESTART_EACH:
+            for position, node in enumerate(nodes):
+                delay = fault.for_s * position / len(nodes)
+                world.agenda.after(delay, lambda node=node: node.upstream.crash(1.0))
+        case FaultKind.KILL_NODES:
+            for node in nodes:
+                world.kill(node)
+        case FaultKind.SILENT_REPORTS:
+            for node in nodes:
+                node.owner.is_reporting = False
+        case FaultKind.EVACUATE:
+            _evacuate(world, fault)
+
+
+def _pick(world: "World", fault: Fault) -> list["Node"]:
+    fitting = [
+        node
+        for node in world.nodes.values()
+        if fault.service in ("", node.upstream.table.name)
+        and fault.data_centre in ("", node.upstream.data_centre)
+    ]
+    count = max(1, round(fault.share * len(fitting)))
+    if count >= len(fitting):
+        return fitting
+    return world.rng.sample(fitting, count)
+
+
+def _end_burst(world: "World") -> None:
+    world.callers.rate_factor = 1.0
+
+
+def _shed(world: "World", nodes: list["Node"], fault: Fault) -> None:
+    for node in nodes:
+        node.upstream.shed_share = min(1.0, fault.x)
+    world.agenda.after(fault.for_s, lambda: _stop_shedding(nodes))
+
+
+def _stop_shedding(nodes: list["Node"]) -> None:
+    for node in nodes:
+        node.upstream.shed_share = 0.0
+
+
+def _evacuate(world: "World", fault: Fault) -> None:
+    name = fault.data_centre or world.scenario.places.data_centres[0]
+    world.set_evacuated(name, evacuated=True)
+    world.agenda.after(fault.for_s, lambda: world.set_evacuated(name, evacuated=False))
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -0,0 +1,221 @@
+"""Emulate an owner node: the product's desk decides, the model of its upstream answers."""
+
+from typing import Protocol
+
+from bendwind_bench.emulator.agenda import Agenda
+from bendwind_bench.emulator.scenario import Scenario
+from bendwind_bench.emulator.upstream import SHED, Run, UpstreamModel
+from bendwind_core.admission import WarmUp, WarmUpLimits
+from bendwind_core.attempts import (
+    AttemptId,
+    CutReason,
+    Fenced,
+    HandOver,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    owner,
+)
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
+from bendwind_core.world import LoadSample, UpstreamState, WarmUpRule
+
+# A round trip within the instance.
+NEAR: Seconds = 0.0003
+RETRY_PAUSE: Seconds = 0.5
+QUEUE = 16
+
+
+class Answer(Record, frozen=True):
+    """Carry an upstream's whole answer to the entry node."""
+
+    attempt: AttemptId
+    status: int
+    load: LoadSample
+
+
+class Beside(Protocol):
+    """State what an owner node asks of the process that it is part of."""
+
+    def reply(self, entry: str, message: Record) -> None:
+        """Send a message to an entry node."""
+
+    def tell_all(self) -> None:
+        """Have all nodes hear of this node's upstream."""
+
+
+class OwnerSide:
+    """Own the desk of the one upstream beside a node."""
+
+    __slots__ = (
+        "agenda",
+        "beside",
+        "desk",
+        "epoch",
+        "is_reporting",
+        "is_unreachable",
+        "runs",
+        "scenario",
+        "ticks_at",
+        "upstream",
+    )
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        upstream: UpstreamModel,
+        agenda: Agenda,
+        beside: Beside,
+        incarnation: int,
+    ):
+        self.scenario = scenario
+        self.upstream = upstream
+        self.agenda = agenda
+        self.beside = beside
+        self.epoch = incarnation
+        self.runs: dict[AttemptId, Run] = {}
+        self.is_unreachable = False
+        self.is_reporting = upstream.table.reports_load
+        self.ticks_at: Seconds | None = None
+        self.desk = self._create_desk(incarnation)
+
+    def _create_desk(self, incarnation: int) -> owner.OwnerDesk:
+        warm_up = self.upstream.table.warm_up
+        state = WarmUp(sent_at=self.agenda.now, assumed_at=self.agenda.now)
+        if warm_up is not None and self.scenario.policy.spares_cold:
+            state.rule = WarmUpRule(warm_up.seconds, warm_up.per_second)
+            state.limits = WarmUpLimits(warm_up.overage, warm_up.slack)
+        return owner.create_desk(
+            self.upstream.name,
+            incarnation,
+            QUEUE,
+            slot_share=self.scenario.policy.slot_share,
+            warm_up=state,
+        )
+
+    def announce(self, state: UpstreamState = UpstreamState.READY) -> None:
+        """Have the desk hear the upstream's announcement and its answer on the health path."""
+        slots = self.upstream.table.slots
+        self.feed(ov.UpstreamAnnounced(slots, 10 * slots, state))
+        self.ask()
+
+    def ask(self) -> None:
+        """Ask the upstream how cold it is and how fast it works."""
+        asked_at = self.agenda.now
+        self.agenda.after(NEAR, lambda: self._hear_health(asked_at))
+
+    def _hear_health(self, asked_at: Seconds) -> None:
+        if self.upstream.is_down:
+            return
+        self.feed(ov.WarmUpTold(self.upstream.warm_up_left_ms, asked_at))
+        if self.is_reporting:
+            self.feed(ov.LoadReported(self.upstream.find_factor()))
+        else:
+            self.feed(ov.LoadNotReported(may_ask=False))
+
+    def feed(self, event: ov.OwnerEvent) -> None:
+        """Apply an event and carry out what the desk decides."""
+        for effect in owner.step(self.desk, event, self.agenda.now):
+            self._carry_out(effect)
+        due = owner.next_due(self.desk, self.agenda.now)
+        if due is not None and (self.ticks_at is None or due < self.ticks_at):
+            self.ticks_at = due
+            self.agenda.at(due, lambda: self._tick(due))
+
+    def _tick(self, due: Seconds) -> None:
+        if self.ticks_at == due:
+            self.ticks_at = None
+            self.feed(ov.Tick())
+
+    def _carry_out(self, effect: ov.OwnerEffect) -> None:
+        match effect:
+            case ov.Dispatch(hand_over=hand_over, expires_at=expires_at):
+                self.agenda.after(NEAR, lambda: self._connect(hand_over, expires_at))
+            case ov.CancelDispatch(attempt=attempt):
+                self._drop(attempt, CutReason.CANCELLED)
+            case ov.AskLoad():
+                self.ask()
+            case ov.ReplyNotRun(attempt=attempt, reason=reason, load=load):
+                self.beside.reply(attempt.entry, NotRun(attempt, reason, load))
+            case ov.ReplyUnknown(attempt=attempt, reason=reason, load=load):
+                self.beside.reply(attempt.entry, Unknown(attempt, reason, load))
+            case ov.ReplyFenced(attempt=attempt, verdict=verdict):
+                self.beside.reply(attempt.entry, Fenced(attempt, verdict))
+            case ov.UpstreamUnreachable():
+                self.is_unreachable = True
+                self.beside.tell_all()
+                self.agenda.after(RETRY_PAUSE, self._try_aside)
+
+    def _try_aside(self) -> None:
+        if not self.is_unreachable:
+            return
+        if self.upstream.is_down:
+            self.agenda.after(RETRY_PAUSE, self._try_aside)
+            return
+        self.take_back()
+
+    def take_back(self) -> None:
+        """Use the upstream again after a new start or an evacuation; it may be cold."""
+        self.is_unreachable = False
+        self.feed(ov.UpstreamReached())
+        self.feed(ov.ColdAssumed())
+        self.announce()
+        self.beside.tell_all()
+
+    def _connect(self, hand_over: HandOver, expires_at: Seconds) -> None:
+        attempt = hand_over.attempt
+        if attempt not in self.desk.running:
+            return
+        if self.upstream.is_down:
+            self.feed(ov.DispatchNotRun(attempt, NotRunReason.CONNECT_FAILED))
+            return
+        self.feed(ov.DispatchSent(attempt))
+        route = self.scenario.find_route(hand_over.route)
+        sent_at = self.agenda.now
+        run = self.upstream.receive(
+            route, expires_at, lambda status: self._hear(attempt, status, sent_at)
+        )
+        if run is not None:
+            self.runs[attempt] = run
+            self.agenda.at(expires_at, lambda: self._drop(attempt, CutReason.UPSTREAM_TIMEOUT))
+
+    def _hear(self, attempt: AttemptId, status: int | None, sent_at: Seconds) -> None:
+        self.runs.pop(attempt, None)
+        if attempt not in self.desk.running:
+            return
+        if status is None:
+            self.feed(ov.DispatchUnknown(attempt, CutReason.UPSTREAM_RESET))
+        elif status == SHED:
+            self.feed(ov.DispatchNotRun(attempt, NotRunReason.SHED))
+        else:
+            self._hear_answer(attempt, status, sent_at)
+
+    def _hear_answer(self, attempt: AttemptId, status: int, sent_at: Seconds) -> None:
+        if self.is_reporting:
+            self.feed(ov.LoadReported(self.upstream.find_factor()))
+        took_ms = (self.agenda.now - sent_at) * MILLISECONDS_PER_SECOND
+        self.feed(ov.DispatchHead(attempt, status, took_ms))
+        self.feed(ov.DispatchDone(attempt))
+        load = owner.load_sample(self.desk, self.agenda.now)
+        self.beside.reply(attempt.entry, Answer(attempt, status, load))
+
+    def _drop(self, attempt: AttemptId, reason: CutReason) -> None:
+        run = self.runs.pop(attempt, None)
+        if run is not None:
+            self.upstream.cancel(run)
+        if attempt in self.desk.running:
+            # Fed later, as a task does: the desk is in the middle of a step.
+            self.agenda.at(self.agenda.now, lambda: self._end_dropped(attempt, reason))
+
+    def _end_dropped(self, attempt: AttemptId, reason: CutReason) -> None:
+        if attempt in self.desk.running:
+            self.feed(ov.DispatchUnknown(attempt, reason))
+
+    def stop(self) -> None:
+        """End with the process: the upstream sees its connections close."""
+        for run in self.runs.values():
+            self.upstream.cancel(run)
+        self.runs.clear()
+
+
+__all__ = ["Answer", "Beside", "OwnerSide"]
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
@@ -0,0 +1,103 @@
+"""Count what became of callers' requests, by route and by window, and what it cost."""
+
+import collections
+import enum
+
+import msgspec
+
+from bendwind_core.core import Seconds
+
+WINDOW: Seconds = 2.0
+
+
+class Fate(enum.StrEnum):
+    """Say what a caller got in the end."""
+
+    IN_TIME = "in-time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the figures of one run; shares are of the requests that callers made.
+
+    `sent_back` is attempts returned unrun for each request, `busiest` the most attempts of an
+    upstream against the mean of its service, `retries` the share of attempts that the retry budget
+    paid for, and `worst` the mean share in time of the two worst windows.
+    """
+
+    requests: int
+    in_time: float
+    late: float
+    refused: float
+    failed: float
+    worst: float
+    sent_back: float
+    busiest: float
+    retries: float
+    fell_over: int
+    routes: dict[str, dict[str, float]]
+    windows: dict[str, dict[str, float]]
+
+
+class Tally:
+    """Collect the fates of one run."""
+
+    __slots__ = ("attempts", "by_route", "by_window", "retries", "sent_back")
+
+    def __init__(self):
+        self.by_route: dict[str, collections.Counter] = {}
+        self.by_window: dict[int, collections.Counter] = {}
+        self.attempts: collections.Counter[str] = collections.Counter()
+        self.sent_back = 0
+        self.retries = 0
+
+    def note(self, route: str, began_at: Seconds, fate: Fate) -> None:
+        """Count what became of one request of a caller."""
+        self.by_route.setdefault(route, collections.Counter())[fate] += 1
+        window = int(began_at / WINDOW)
+        self.by_window.setdefault(window, collections.Counter())[fate] += 1
+
+    def summarize(self, services: dict[str, list[str]], fell_over: int) -> Figures:
+        """Return the figures; `services` lists the upstreams of each."""
+        total = sum(self.by_route.values(), collections.Counter())
+        requests = sum(total.values())
+        shares = _find_shares(total)
+        windows = {
+            f"{window * WINDOW:g}": _find_shares(counter)
+            for window, counter in sorted(self.by_window.items())
+        }
+        worst = sorted(window[Fate.IN_TIME] for window in windows.values())[:2]
+        sent = sum(self.attempts.values())
+        return Figures(
+            requests=requests,
+            in_time=shares[Fate.IN_TIME],
+            late=shares[Fate.LATE],
+            refused=shares[Fate.REFUSED],
+            failed=shares[Fate.FAILED],
+            worst=_round(sum(worst) / max(1, len(worst))),
+            sent_back=_round(self.sent_back / max(1, requests)),
+            busiest=self._find_busiest(services),
+            retries=_round(self.retries / max(1, sent)),
+            fell_over=fell_over,
+            routes={name: _find_shares(counts) for name, counts in sorted(self.by_route.items())},
+            windows=windows,
+        )
+
+    def _find_busiest(self, services: dict[str, list[str]]) -> float:
+        ratios = []
+        for names in services.values():
+            counts = [self.attempts[name] for name in names]
+            if sum(counts):
+                ratios.append(max(counts) * len(counts) / sum(counts))
+        return _round(max(ratios, default=1.0))
+
+
+def _find_shares(counts: collections.Counter) -> dict[str, float]:
+    whole = max(1, sum(counts.values()))
+    return {str(fate): _round(counts[fate] / whole) for fate in Fate}
+
+
+def _round(value: float) -> float:
+    return round(value, 6)
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_scenario.py
@@ -0,0 +1,66 @@
+import unittest
+
+from bendwind_bench.emulator import list_scenarios, load_scenario
+from bendwind_bench.emulator.scenario import change_scenario, parse_scenario
+
+SERVICE = b'[[services]]\nname = "a"\nupstreams = 2\nslots = 4\n'
+ROUTE = (
+    b'[[routes]]\nname = "r"\nservice = "a"\nper_second = 20.0\nwork_ms = 50.0\n'
+    b"target_ms = 200.0\ntimeout_ms = 800.0\n"
+)
+HEAD = b'name = "x"\nabout = "."\nseconds = 2.0\n'
+
+
+class ScenarioTest(unittest.TestCase):
+    def find_fault(self, data):
+        read = parse_scenario(data, "x.toml")
+        self.assertTrue(read.is_error(), data)
+        return read.error
+
+    def test_every_shipped_scenario_is_right_and_says_what_it_is(self):
+        self.assertGreaterEqual(len(list_scenarios()), 12)
+        for name in list_scenarios():
+            scenario = load_scenario(name)
+            self.assertTrue(scenario.is_ok(), scenario)
+            self.assertEqual(scenario.ok.name, name)
+            self.assertTrue(scenario.ok.about)
+
+    def test_faulty_keys_are_named_with_file_and_what_was_expected(self):
+        whole = HEAD + SERVICE + ROUTE
+        cases = {
+            whole.replace(b"slots", b"slosts"): "services[0]",
+            whole.replace(b"upstreams = 2", b"upstreams = 0"): "services[0].upstreams",
+            whole.replace(b'service = "a"', b'service = "b"'): "routes[0].service",
+            whole + b'calls = ["nowhere"]\n': "routes[0].calls",
+            whole + b'calls = ["r"]\n': "routes[0].calls",
+            whole + b'[[faults]]\nkind = "storm"\nat = 1.0\n': "faults[0].kind",
+            whole + b'[[faults]]\nkind = "slow"\nat = 1.0\nservice = "b"\n': "faults[0].service",
+            HEAD + SERVICE: "routes",
+            HEAD + b'base = "nowhere"\n': "base",
+        }
+        for data, key in cases.items():
+            error = self.find_fault(data)
+            self.assertEqual(error.file, "x.toml")
+            self.assertIn(key, f"{error.key} {error}", data)
+
+    def test_scenario_takes_from_its_base_what_it_leaves_out(self):
+        calm, burst = load_scenario("calm").ok, load_scenario("burst").ok
+        self.assertEqual(burst.services, calm.services)
+        self.assertNotEqual(burst.faults, calm.faults)
+
+    def test_key_is_changed_by_its_path(self):
+        calm = load_scenario("calm").ok
+        changes = ("policy.slot_share=1.0", "services.agenda.slots=8", "policy.policy=random")
+        changed = change_scenario(calm, changes).ok
+        self.assertEqual(changed.policy.slot_share, 1.0)
+        self.assertEqual(changed.find_service("agenda").slots, 8)
+        self.assertEqual(changed.policy.policy, "random")
+        for change in ("policy.nothing=1", "services.b.slots=8", "policy.slot_share=2"):
+            self.assertTrue(change_scenario(calm, (change,)).is_error(), change)
+
+    def test_file_that_is_not_there_names_the_shipped_ones(self):
+        self.assertIn("power-loss", str(load_scenario("no-such").error))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -0,0 +1,242 @@
+"""Put nodes, upstreams, callers and faults together and run a scenario in virtual time."""
+
+import random
+
+from bendwind_bench.emulator.agenda import Agenda
+from bendwind_bench.emulator.callers import Callers
+from bendwind_bench.emulator.entry_side import EntrySide
+from bendwind_bench.emulator.faults import plan_faults
+from bendwind_bench.emulator.owner_side import OwnerSide
+from bendwind_bench.emulator.scenario import Scenario
+from bendwind_bench.emulator.tally import Figures, Tally
+from bendwind_bench.emulator.upstream import UpstreamModel
+from bendwind_core.attempts import Cancel, Fence, HandOver
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
+from bendwind_core.world import Instance, Upstream, UpstreamState
+
+# Callers' last requests end within their timeouts; nothing new begins after the scenario's time.
+AFTERMATH: Seconds = 10.0
+# A link that broke is noticed by a reset.
+LINK_LOSS: Seconds = 0.02
+# A process that was killed is up again after this time; Python and its libraries take half of it.
+NODE_RESTART: Seconds = 1.0
+
+
+class Node:
+    """Hold one instance: its owner side, its entry side and the upstream beside them."""
+
+    __slots__ = ("entry", "incarnation", "is_up", "name", "owner", "upstream", "world")
+
+    def __init__(self, name: str, upstream: UpstreamModel, world: "World"):
+        self.name = name
+        self.upstream = upstream
+        self.world = world
+        self.incarnation = 0
+        self.is_up = False
+        self.start()
+
+    def start(self) -> None:
+        """Start a new run of the process."""
+        world, upstream = self.world, self.upstream
+        self.incarnation += 1
+        self.is_up = True
+        self.owner = OwnerSide(world.scenario, upstream, world.agenda, self, self.incarnation)
+        self.entry = EntrySide(
+            self.name,
+            upstream.data_centre,
+            upstream.table.name,
+            world.scenario,
+            world.agenda,
+            world,
+            random.Random(f"{world.seed} {self.name} {self.incarnation}"),
+            self.incarnation,
+        )
+
+    def reply(self, entry: str, message: Record) -> None:
+        """Send a message of the owner side to an entry node."""
+        self.world.carry_back(self.name, entry, message)
+
+    def tell_all(self) -> None:
+        """Have all nodes hear of this node's upstream."""
+        self.world.push()
+
+    def describe(self) -> Upstream:
+        """Return the upstream as it is announced."""
+        place = Instance(self.name, self.upstream.data_centre, "", 0, self.incarnation)
+        slots = self.upstream.table.slots
+        return Upstream(self.upstream.name, self.upstream.table.name, place, slots, 10 * slots)
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether other nodes are told to use the upstream."""
+        is_open = self.upstream.data_centre not in self.world.evacuated
+        return self.is_up and is_open and not self.owner.is_unreachable
+
+
+class World:
+    """Hold a run."""
+
+    __slots__ = (
+        "agenda",
+        "callers",
+        "evacuated",
+        "has_push",
+        "nodes",
+        "rng",
+        "scenario",
+        "seed",
+        "tally",
+    )
+
+    def __init__(self, scenario: Scenario, seed: int):
+        self.scenario = scenario
+        self.seed = seed
+        self.agenda = Agenda()
+        self.rng = random.Random(f"{seed} world")
+        self.tally = Tally()
+        self.evacuated: set[str] = set()
+        self.has_push = False
+        self.nodes: dict[str, Node] = {}
+        self._create_nodes()
+        self.callers = Callers(self, random.Random(f"{seed} callers"))
+
+    def _create_nodes(self) -> None:
+        places = self.scenario.places.data_centres
+        position = 0
+        for table in self.scenario.services:
+            for number in range(table.upstreams):
+                name = f"{table.name}-{number}"
+                rng = random.Random(f"{self.seed} upstream {name}")
+                place = places[position % len(places)]
+                upstream = UpstreamModel(name, table, place, self.agenda, rng)
+                node = Node(f"node-{name}", upstream, self)
+                upstream.call = self.call
+                upstream.on_restart = node.owner.take_back
+                self.nodes[node.name] = node
+                position += 1
+
+    def run(self) -> Figures:
+        """Run the scenario and return its figures."""
+        for node in self.nodes.values():
+            node.owner.announce()
+        self._push_now()
+        self.agenda.run(1.0)
+        self.callers.start()
+        plan_faults(self)
+        self.agenda.run(self.agenda.now + self.scenario.seconds + AFTERMATH)
+        services: dict[str, list[str]] = {}
+        for node in self.nodes.values():
+            services.setdefault(node.upstream.table.name, []).append(node.upstream.name)
+        fell_over = sum(node.upstream.fell_over for node in self.nodes.values())
+        return self.tally.summarize(services, fell_over)
+
+    def call(self, upstream: UpstreamModel, route: str, deadline_at: Seconds, done) -> None:
+        """Carry a call that an upstream makes while it runs a request."""
+        self.callers.call_from_upstream(
+            self.nodes[f"node-{upstream.name}"], route, deadline_at, done
+        )
+
+    def _find_delay(self, one: str, other: str) -> Seconds:
+        places = self.scenario.places
+        first, second = self.nodes[one].upstream, self.nodes[other].upstream
+        if one == other:
+            return 0.0
+        is_near = first.data_centre == second.data_centre
+        delay_ms = places.within_ms if is_near else places.between_ms
+        return delay_ms / MILLISECONDS_PER_SECOND
+
+    def send(self, sender: str, to: str, message: Record) -> None:
+        """Carry a message of an entry node to an owner node; lost if that is down."""
+        delay = self._find_delay(sender, to)
+        self.agenda.after(delay, lambda: self._arrive(sender, to, message))
+
+    def _arrive(self, sender: str, to: str, message: Record) -> None:
+        node = self.nodes[to]
+        if not node.is_up:
+            self.agenda.after(LINK_LOSS, lambda: self.nodes[sender].entry.lose(to))
+            return
+        match message:
+            case HandOver():
+                node.owner.feed(ov.HandOverArrived(message, self.nodes[sender].incarnation))
+            case Cancel(attempt=attempt):
+                node.owner.feed(ov.CancelArrived(attempt, self.nodes[sender].incarnation))
+            case Fence():
+                node.owner.feed(ov.FenceArrived(message, self.nodes[sender].incarnation))
+
+    def carry_back(self, sender: str, to: str, message: Record) -> None:
+        """Carry a message of an owner node to an entry node."""
+        delay = self._find_delay(sender, to)
+        self.agenda.after(delay, lambda: self._arrive_back(to, message))
+
+    def _arrive_back(self, to: str, message: Record) -> None:
+        if self.nodes[to].is_up:
+            self.nodes[to].entry.hear(message)
+
+    def note_attempt(self, upstream: str) -> None:
+        """Count an attempt that was sent."""
+        self.tally.attempts[upstream] += 1
+
+    def note_sent_back(self) -> None:
+        """Count an attempt that was sent back unrun."""
+        self.tally.sent_back += 1
+
+    def note_retry(self) -> None:
+        """Count an attempt that the retry budget paid for."""
+        self.tally.retries += 1
+
+    def push(self) -> None:
+        """Have all nodes hear soon which upstreams serve."""
+        if not self.has_push:
+            self.has_push = True
+            delay = self.scenario.places.push_ms / MILLISECONDS_PER_SECOND
+            self.agenda.after(delay, self._push_now)
+
+    def _push_now(self) -> None:
+        self.has_push = False
+        serving: dict[str, list[Upstream]] = {table.name: [] for table in self.scenario.services}
+        for node in self.nodes.values():
+            if node.is_serving:
+                serving[node.upstream.table.name].append(node.describe())
+        for node in self.nodes.values():
+            if node.is_up:
+                for service, upstreams in serving.items():
+                    node.entry.hear_upstreams(service, tuple(upstreams))
+
+    def kill(self, node: Node, restart: Seconds = NODE_RESTART) -> None:
+        """Kill the process of a node and start it again."""
+        if not node.is_up:
+            return
+        node.is_up = False
+        node.owner.stop()
+        node.entry.stop()
+        for other in self.nodes.values():
+            if other.is_up:
+                self.agenda.after(LINK_LOSS, lambda entry=other.entry: entry.lose(node.name))
+        self.push()
+        self.agenda.after(restart, lambda: self._start(node))
+
+    def _start(self, node: Node) -> None:
+        node.start()
+        node.upstream.on_restart = node.owner.take_back
+        node.owner.announce()
+        self._push_now()
+
+    def set_evacuated(self, data_centre: str, *, evacuated: bool) -> None:
+        """Evacuate a data centre or take it back."""
+        (self.evacuated.add if evacuated else self.evacuated.discard)(data_centre)
+        self._push_now()
+        for node in self.nodes.values():
+            if node.upstream.data_centre != data_centre or not node.is_up:
+                continue
+            if evacuated:
+                node.owner.announce(UpstreamState.DRAINING)
+                node.owner.feed(ov.WaitingWithdrawn())
+            else:
+                node.upstream.turn_cold()
+                node.owner.take_back()
+
+
+def run_scenario(scenario: Scenario, seed: int) -> Figures:
+    """Run a scenario with a seed; the same two give the same figures."""
+    return World(scenario, seed).run()
