bench, membership: what nobody uses goes, and a learner's set-up stands once

Read as a newcomer: a constant, a slot and a re-export of the emulator that nothing reads, a wrapper that only turned a path into text, and the same eight lines that start a learner in two tests.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/command.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/command.py
@@ -5,7 +5,7 @@
 import time
 from pathlib import Path
 
-from expression import Error, Ok, Result
+from expression import Ok
 
 from bendwind_bench.emulator.compare import (
     Job,
@@ -51,7 +51,7 @@
         if loaded.is_error():
             return _refuse(str(loaded.error))
     with tempfile.TemporaryDirectory() as folder:
-        core = Ok("") if is_setting or not against else _check_out(against, folder)
+        core = Ok("") if is_setting or not against else check_out(against, Path(folder))
         if core.is_error():
             return _refuse(core.error)
         sides = [("", (), "")]
@@ -66,11 +66,6 @@
     return 0
 
 
-def _check_out(revision: str, folder: str) -> Result[str, str]:
-    found = check_out(revision, Path(folder))
-    return Ok(str(found.ok)) if found.is_ok() else Error(found.error)
-
-
 def _run_one(
     name: str,
     sides: list[tuple[str, tuple[str, ...], str]],
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/compare.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/compare.py
@@ -109,7 +109,7 @@
     return Ok(found) if found else Error(f"--seeds: expected A <= B, got {text!r}")
 
 
-def check_out(revision: str, folder: Path) -> Result[Path, str]:
+def check_out(revision: str, folder: Path) -> Result[str, str]:
     """Lay out the core of a revision in a folder and return where it is.
 
     Errors: what git says.
@@ -123,4 +123,4 @@
         file.write(made.stdout)
         file.seek(0)
         subprocess.run(["tar", "-x", "-C", str(folder)], stdin=file, check=True)
-    return Ok(folder / "packages/bendwind-core/src")
+    return Ok(str(folder / "packages/bendwind-core/src"))
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -31,8 +31,6 @@
 )
 from bendwind_core.world import Rule, Service, Upstream
 
-_FAILED_STATUS = 500
-
 
 class Answered(msgspec.Struct, frozen=True):
     """Say that a call was answered, by the upstream's status."""
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -51,7 +51,6 @@
         "agenda",
         "beside",
         "desk",
-        "epoch",
         "is_reporting",
         "is_unreachable",
         "runs",
@@ -72,7 +71,6 @@
         self.upstream = upstream
         self.agenda = agenda
         self.beside = beside
-        self.epoch = incarnation
         self.runs: dict[AttemptId, Run] = {}
         self.is_unreachable = False
         self.is_reporting = upstream.table.reports_load
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bendwind_bench.emulator.compare import COMPARED, Difference
+from bendwind_bench.emulator.compare import Difference
 from bendwind_bench.emulator.tally import Fate, Figures
 
 _COLUMNS = (
@@ -127,7 +127,6 @@
 
 
 __all__ = [
-    "COMPARED",
     "ScenarioReport",
     "Side",
     "render",
--- a/packages/bendwind-node/src/bendwind_node/membership/tests/test_task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/tests/test_task.py
@@ -40,6 +40,20 @@
         return self.has_quorum
 
 
+@contextlib.asynccontextmanager
+async def run_learner(deployment):
+    """Run the registry of a process without a vote, and yield its control."""
+    control = Control()
+    parts = deployment.make_parts("learner")
+    learner = create_registry_task(
+        "learner", control, LeaseTimes(), lambda to, message: None, *parts
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(learner.run)
+        yield control
+        nursery.cancel_scope.cancel()
+
+
 class Deployment:
     def __init__(self):
         self.control = Control()
@@ -149,31 +163,18 @@
 
     def test_learner_confirms_nothing_until_it_has_a_vote(self):
         async def test(deployment):
-            control = Control()
-            parts = deployment.make_parts("learner")
-            learner = create_registry_task(
-                "learner", control, LeaseTimes(), lambda to, message: None, *parts
-            )
-            async with trio.open_nursery() as nursery:
-                await nursery.start(learner.run)
+            async with run_learner(deployment) as control:
                 await trio.sleep(10)
                 self.assertEqual(control.confirmed, 0)
                 control.voter_places = (*control.voter_places, VoterPlace("learner", "dc"))
                 await trio.sleep(2)
                 self.assertGreater(control.confirmed, 0)
-                nursery.cancel_scope.cancel()
 
         run(test)
 
     def test_learner_that_saw_others_join_before_confirms_once_it_has_a_vote(self):
         async def test(deployment):
-            control = Control()
-            parts = deployment.make_parts("learner")
-            learner = create_registry_task(
-                "learner", control, LeaseTimes(), lambda to, message: None, *parts
-            )
-            async with trio.open_nursery() as nursery:
-                await nursery.start(learner.run)
+            async with run_learner(deployment) as control:
                 await trio.sleep(10)
                 # Replacing what the task waited on lost the news of its own vote, for good.
                 for other in ("v2", "v3"):
@@ -183,7 +184,6 @@
                 control.voter_places = (*control.voter_places, VoterPlace("learner", "dc"))
                 await trio.sleep(2)
                 self.assertGreater(control.confirmed, 0)
-                nursery.cancel_scope.cancel()
 
         run(test)
 
