timeline, attempts: what an upstream ended under is logged

Cause: the incident's logs name the tries that were cut, each with an id of its own, and not what they asked for, so that a request that comes again cannot be told from load or from a second send. Change: event 210 UPSTREAM_ENDED, once an upstream is seen to have ended by itself (it refuses a connection, or another run stands in its place), lists the unanswered requests with a signature of what was asked; 'bendwind explain' lists all ends under a request. No decision reads it yet. Measured: tests only; test_upstream_end has seven cases, a sign of life and a goodbye among them. test_cold_upstream compares the whole list of effects as before, with the new one in it.

--- a/packages/bendwind-cli/src/bendwind_cli/explain.py
+++ b/packages/bendwind-cli/src/bendwind_cli/explain.py
@@ -53,6 +53,7 @@
             took = "no end seen" if attempt.ms is None else f"{attempt.end} after {attempt.ms} ms"
             yield f"  {number}. at +{attempt.sent_ms} ms to {attempt.upstream}: {took}"
             yield f"     {_render_owner(step.owner)}"
+    yield from _render_upstream_ends(story)
     if story.context:
         yield "  what its processes had logged shortly before:"
         for line in story.context:
@@ -64,6 +65,14 @@
         yield f"{story.unread} lines could not be read and were passed over"
 
 
+def _render_upstream_ends(story: Story) -> Iterator[str]:
+    if not story.upstream_ends:
+        return
+    yield "  upstreams that ended while it, or the same asked again, ran there:"
+    for line in story.upstream_ends:
+        yield f"     {line.upstream} beside {line.instance} at {line.physical_ms} ms: {line.detail}"
+
+
 def _render_end(end: LogLine) -> Iterator[str]:
     facts: CallFacts = end.facts
     yield f"request {end.request}: {end.detail}, status {facts.status}, after {facts.ms} ms"
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -15,9 +15,10 @@
 from bendwind_core.attempts.owner_events import Dispatch, OwnerEffect, ReplyNotRun
 from bendwind_core.attempts.pace import Pace, find_factor, is_known
 from bendwind_core.attempts.service_time import ServiceTime
+from bendwind_core.attempts.upstream_end import EndWatch
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import FairQueue, UrgencyQueue, fair_queue, urgency_queue
-from bendwind_core.world import LoadSample, Repeat, UpstreamState
+from bendwind_core.world import LoadSample, UpstreamState
 
 REMEMBERED_ATTEMPTS = 4096
 
@@ -68,17 +69,23 @@
     """Hold a started attempt.
 
     `slow_factor` is how much longer than usual it should take; `is_paced` says that the upstream
-    had told so shortly before, and `is_sent` that the request went out whole.
+    had told so shortly before, `is_sent` that the request went out whole, and `is_under_end` that
+    the upstream is known to have ended while it ran.
     """
 
     epoch: int
     started_at: Seconds
-    repeat: Repeat
-    route: str = ""
+    hand_over: HandOver
     slow_factor: float = 1.0
     is_paced: bool = False
     is_cancelled: bool = False
     is_sent: bool = False
+    is_under_end: bool = False
+
+    @property
+    def route(self) -> str:
+        """Return the route that the call came by, empty without one."""
+        return self.hand_over.route
 
 
 class OwnerDesk(msgspec.Struct):
@@ -87,9 +94,9 @@
     Attempts with a latency objective wait in `timed`, all others in `queue`. `slot_share` is the
     part of the slots that is used, `route_times` the usual time of each route's answers,
     `guessed_times` stands in for routes without any, `origins` tells where each route's requests
-    begin, `dependency` what is known of the upstream's own calls, `warm_up` whether it is cold, and
-    `asked_at` is when the upstream was last asked for its load. `is_unreachable` says that it
-    refused the last connection.
+    begin, `dependency` what is known of the upstream's own calls, `warm_up` whether it is cold,
+    `ends` what it may have ended under, and `asked_at` is when it was last asked for its load.
+    `is_unreachable` says that it refused the last connection.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
 
@@ -115,6 +122,7 @@
     dependency: Dependency = msgspec.field(default_factory=Dependency)
     pace: Pace = msgspec.field(default_factory=Pace)
     warm_up: WarmUp = msgspec.field(default_factory=WarmUp)
+    ends: EndWatch = msgspec.field(default_factory=EndWatch)
     is_unreachable: bool = False
     asked_at: Seconds | None = None
     may_ask: bool = True
@@ -354,8 +362,7 @@
     running = RunningAttempt(
         queued.epoch,
         now,
-        hand_over.repeat,
-        hand_over.route,
+        hand_over,
         find_factor(desk.pace, now),
         desk.pace.reported_at is not None and is_known(desk.pace, now),
     )
--- a/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
@@ -84,7 +84,7 @@
             fence_waiting(desk, queued)
     for attempt, running in desk.running.items():
         is_before = _is_before(attempt, running.epoch, entry, incarnation, epoch)
-        if is_before and running.repeat is Repeat.IDEMPOTENT:
+        if is_before and running.hand_over.repeat is Repeat.IDEMPOTENT:
             cancel_running(desk, attempt, effects)
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -88,6 +88,7 @@
     ReplyUnknown,
     Tick,
     UpstreamAnnounced,
+    UpstreamEnded,
     UpstreamLost,
     UpstreamReached,
     UpstreamRestarted,
@@ -98,6 +99,7 @@
 )
 from bendwind_core.attempts.pace import Pace, note_report
 from bendwind_core.attempts.service_time import note_result, note_time
+from bendwind_core.attempts.upstream_end import note_alive, note_unanswered, take_unanswered
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import fair_queue, urgency_queue
 from bendwind_core.world import UpstreamState
@@ -144,6 +146,7 @@
             note_call_refused(desk.dependency, now)
         case LoadReported(slow_factor=slow_factor):
             note_report(desk.pace, slow_factor, now)
+            note_alive(desk.ends, now)
         case LoadNotReported(may_ask=may_ask):
             desk.may_ask = may_ask
         case WarmUpRuled(rule=rule):
@@ -176,7 +179,9 @@
             _on_drain(desk, now)
         case UpstreamAnnounced():
             _on_announced(desk, event, now, effects)
-        case UpstreamLost():
+        case UpstreamLost(is_replaced=is_replaced):
+            if is_replaced:
+                _give_up_running(desk, now, effects)
             desk.state = UpstreamState.GONE
             desk.is_unreachable = False
             bounce_queue(desk, NotRunReason.NO_UPSTREAM, now, effects)
@@ -192,6 +197,7 @@
 
 
 def _note_head(desk: OwnerDesk, event: DispatchHead, now: Seconds) -> None:
+    note_alive(desk.ends, now)
     note_time(desk.times, event.upstream_ms)
     running = desk.running.get(event.attempt)
     if running is None or not running.route:
@@ -299,6 +305,8 @@
         note_result(desk.times, is_error=True)
         if event.reason is NotRunReason.CONNECT_FAILED:
             _hold_down(desk, now, effects)
+            if not event.is_timed_out:
+                _note_end(desk, now, effects)
         refuse(desk, event.attempt, running.epoch, event.reason, now, effects)
 
 
@@ -323,10 +331,29 @@
         return
     if event.reason is not CutReason.CANCELLED:
         note_result(desk.times, is_error=True)
+    if not running.is_under_end:
+        note_unanswered(desk.ends, running.hand_over, event.reason, now)
+    if now < desk.ends.settles_at:
+        _note_end(desk, now, effects)
     sample = load_sample(desk, now)
     effects.append(ReplyUnknown(event.attempt, running.epoch, event.reason, sample))
 
 
+def _note_end(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
+    under = take_unanswered(desk.ends, now)
+    if under:
+        effects.append(UpstreamEnded(under))
+
+
+def _give_up_running(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
+    """Cancel what ran at an upstream in whose place another run stands."""
+    for attempt, running in list(desk.running.items()):
+        note_unanswered(desk.ends, running.hand_over, CutReason.UPSTREAM_RESET, now)
+        running.is_under_end = True
+        cancel_running(desk, attempt, effects)
+    _note_end(desk, now, effects)
+
+
 def _on_cancel(
     desk: OwnerDesk, event: CancelArrived, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
@@ -371,8 +398,7 @@
     desk.is_unreachable = False
     desk.pace = Pace()
     assume_cold(desk.warm_up, now)
-    for attempt in list(desk.running):
-        cancel_running(desk, attempt, effects)
+    _give_up_running(desk, now, effects)
 
 
 def _expire_queue(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -15,6 +15,7 @@
     HandOver,
     NotRunReason,
 )
+from bendwind_core.attempts.upstream_end import Unanswered
 from bendwind_core.core import Milliseconds, Seconds
 from bendwind_core.world import LoadSample, UpstreamState, WarmUpRule
 
@@ -69,10 +70,14 @@
 
 
 class DispatchNotRun(msgspec.Struct):
-    """Report proof that the dispatched attempt did not run: no byte was sent, or a shed reply."""
+    """Report proof that the dispatched attempt did not run: no byte was sent, or a shed reply.
+
+    `is_timed_out` says that the upstream neither took nor refused the connection.
+    """
 
     attempt: AttemptId
     reason: NotRunReason
+    is_timed_out: bool = False
 
 
 class DispatchUnknown(msgspec.Struct):
@@ -157,7 +162,12 @@
 
 
 class UpstreamLost(msgspec.Struct):
-    """Report that the upstream left or let its lease run out."""
+    """Report that the upstream left or let its lease run out.
+
+    `is_replaced` says that another one stands at its address, and that it had not said goodbye.
+    """
+
+    is_replaced: bool = False
 
 
 class Tick(msgspec.Struct):
@@ -239,6 +249,12 @@
     """Report that the upstream refuses connections; UpstreamReached says when it no longer does."""
 
 
+class UpstreamEnded(msgspec.Struct):
+    """Report that the upstream ended by itself, and what it had not answered by then."""
+
+    under: tuple[Unanswered, ...]
+
+
 class Drained(msgspec.Struct):
     """Report once that a draining desk holds no attempt any more."""
 
@@ -251,5 +267,6 @@
     | ReplyUnknown
     | ReplyFenced
     | UpstreamUnreachable
+    | UpstreamEnded
     | Drained
 )
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_cold_upstream.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_cold_upstream.py
@@ -153,7 +153,9 @@
     def test_next_run_is_used_at_once_and_what_ran_has_an_unknown_end(self):
         self.refuse_connection()
         effects = self.step(ov.UpstreamRestarted())
-        self.assertEqual(effects, [ov.CancelDispatch(AttemptId("e", 1, 2))])
+        cancelled, ended = effects
+        self.assertEqual(cancelled, ov.CancelDispatch(AttemptId("e", 1, 2)))
+        self.assertEqual([one.attempt for one in ended.under], [AttemptId("e", 1, 2)])
         self.step(ov.DispatchUnknown(AttemptId("e", 1, 2), CutReason.CANCELLED))
         self.assertIsInstance(self.hand_over()[0], ov.Dispatch)
 
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_upstream_end.py
@@ -0,0 +1,85 @@
+import unittest
+
+from bendwind_core.attempts import AttemptId, CutReason, HandOver, NotRunReason, owner
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.attempts.upstream_end import SETTLING
+from bendwind_core.world import Repeat, UpstreamState
+
+ANNOUNCED = ov.UpstreamAnnounced(8, 8, UpstreamState.READY)
+
+
+class UpstreamEndTest(unittest.TestCase):
+    """Drive one desk whose upstream runs eight attempts."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.desk = owner.create_desk("u", 1, 16)
+        self.step(ANNOUNCED)
+
+    def step(self, event):
+        return owner.step(self.desk, event, self.now)
+
+    def run_attempts(self, *sequences):
+        for sequence in sequences:
+            path = f"/{sequence}".encode()
+            attempt = AttemptId("e", 1, sequence)
+            message = HandOver(attempt, 1, "s", "u", "GET", path, (), 1000.0, Repeat.NEVER, 1)
+            self.step(ov.HandOverArrived(message, 1))
+
+    def reset(self, sequence, reason=CutReason.UPSTREAM_RESET):
+        return self.step(ov.DispatchUnknown(AttemptId("e", 1, sequence), reason))
+
+    def refuse_connection(self, sequence, *, is_timed_out=False):
+        self.run_attempts(sequence)
+        failed = NotRunReason.CONNECT_FAILED
+        return self.step(ov.DispatchNotRun(AttemptId("e", 1, sequence), failed, is_timed_out))
+
+    def list_under(self, effects):
+        ends = [effect for effect in effects if isinstance(effect, ov.UpstreamEnded)]
+        return [ended.attempt.sequence for end in ends for ended in end.under]
+
+    def test_refused_connection_shows_what_the_upstream_ended_under(self):
+        self.run_attempts(1, 2)
+        self.reset(1)
+        self.reset(2, CutReason.UPSTREAM_TIMEOUT)
+        self.assertEqual(self.list_under(self.refuse_connection(3)), [1, 2])
+
+    def test_connection_read_as_broken_a_moment_later_belongs_to_the_same_end(self):
+        self.run_attempts(1, 2)
+        self.reset(1)
+        self.refuse_connection(3)
+        self.now = SETTLING / 2
+        self.assertEqual(self.list_under(self.reset(2)), [2])
+
+    def test_upstream_that_answers_after_a_lost_answer_has_not_ended_under_it(self):
+        self.run_attempts(1, 2, 3)
+        self.reset(1)
+        self.now = 2 * SETTLING
+        self.step(ov.DispatchHead(AttemptId("e", 1, 2), 200, 5.0))
+        self.reset(3)
+        self.assertEqual(self.list_under(self.refuse_connection(4)), [3])
+
+    def test_upstream_that_takes_no_connection_in_time_has_not_been_seen_to_end(self):
+        self.run_attempts(1)
+        self.reset(1)
+        self.assertEqual(self.list_under(self.refuse_connection(2, is_timed_out=True)), [])
+
+    def test_next_run_shows_the_end_of_the_one_before_once(self):
+        self.run_attempts(1, 2)
+        self.reset(1)
+        self.assertEqual(self.list_under(self.step(ov.UpstreamRestarted())), [1, 2])
+        self.assertEqual(self.list_under(self.reset(2, CutReason.CANCELLED)), [])
+        self.assertEqual(self.list_under(self.step(ov.UpstreamRestarted())), [])
+
+    def test_upstream_that_leaves_as_it_said_has_not_ended_by_itself(self):
+        self.run_attempts(1)
+        self.reset(1)
+        self.assertEqual(self.list_under(self.step(ov.UpstreamLost())), [])
+
+    def test_another_upstream_in_its_place_shows_its_end(self):
+        self.run_attempts(1)
+        self.assertEqual(self.list_under(self.step(ov.UpstreamLost(is_replaced=True))), [1])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
@@ -0,0 +1,66 @@
+"""Tell which attempts an upstream ended under.
+
+The connections of an upstream that ends break one after the other, and only a refused connection or
+another run in its place shows that it was its end. Until then an attempt without an answer is kept,
+for as long as the upstream gives no sign of life.
+"""
+
+import msgspec
+
+from bendwind_core.attempts.messages import AttemptId, CutReason, HandOver, Header
+from bendwind_core.core import Seconds
+from bendwind_core.suspicion import sign_request
+
+# Nine connections of an upstream that ended were read as broken within 1 ms; a busy node is slower.
+SETTLING: Seconds = 0.1
+# More than the slots of any upstream planned for; of more, the oldest are forgotten.
+MAX_UNANSWERED = 64
+
+
+class Unanswered(msgspec.Struct, frozen=True):
+    """Hold an attempt whose answer did not come, without its body."""
+
+    attempt: AttemptId
+    headers: tuple[Header, ...]
+    signature: bytes
+    ended_at: Seconds
+
+
+class EndWatch(msgspec.Struct):
+    """Hold the attempts that ended without an answer since the upstream's last sign of life.
+
+    Until `settles_at`, such attempts are still those of an end that was seen.
+    """
+
+    unanswered: list[Unanswered] = msgspec.field(default_factory=list)
+    settles_at: Seconds = 0.0
+
+
+def sign_hand_over(hand_over: HandOver) -> bytes:
+    """Return the signature of the request that is handed over."""
+    return sign_request(hand_over.method, hand_over.target, hand_over.headers, hand_over.body)
+
+
+def note_unanswered(watch: EndWatch, hand_over: HandOver, reason: CutReason, now: Seconds) -> None:
+    """Note that an attempt ended without its answer."""
+    if reason is CutReason.FOREIGN_ANSWER:
+        # The upstream did answer, though something else.
+        return
+    signature = sign_hand_over(hand_over)
+    watch.unanswered.append(Unanswered(hand_over.attempt, hand_over.headers, signature, now))
+    del watch.unanswered[:-MAX_UNANSWERED]
+
+
+def note_alive(watch: EndWatch, now: Seconds) -> None:
+    """Note a sign of life: what ended well before it did not end the upstream."""
+    if watch.unanswered:
+        since = now - SETTLING
+        watch.unanswered = [ended for ended in watch.unanswered if ended.ended_at >= since]
+
+
+def take_unanswered(watch: EndWatch, now: Seconds) -> tuple[Unanswered, ...]:
+    """Return and forget the attempts that an upstream has ended under."""
+    watch.settles_at = now + SETTLING
+    under = tuple(watch.unanswered)
+    watch.unanswered = []
+    return under
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/suspicion/tests/test_signature.py
@@ -0,0 +1,30 @@
+import unittest
+
+from bendwind_core.suspicion import sign_request
+
+HOST = (b"host", b"records.example")
+
+
+class SignatureTest(unittest.TestCase):
+    def test_same_request_by_another_try_is_told(self):
+        first = sign_request("POST", b"/a", (HOST, (b"request-id", b"1")), b"x")
+        again = sign_request("POST", b"/a", ((b"request-id", b"2"), HOST), b"x")
+        self.assertEqual(first, again)
+
+    def test_whatever_makes_it_another_request_tells_it_apart(self):
+        one = sign_request("POST", b"/a", (HOST, (b"cookie", b"c=1")), b"x")
+        others = {
+            sign_request("PUT", b"/a", (HOST, (b"cookie", b"c=1")), b"x"),
+            sign_request("POST", b"/a?b", (HOST, (b"cookie", b"c=1")), b"x"),
+            sign_request("POST", b"/a", ((b"host", b"else.example"), (b"cookie", b"c=1")), b"x"),
+            sign_request("POST", b"/a", (HOST, (b"cookie", b"c=2")), b"x"),
+            sign_request("POST", b"/a", (HOST, (b"authorization", b"c=1")), b"x"),
+            sign_request("POST", b"/a", (HOST, (b"cookie", b"c=1")), b"y"),
+            sign_request("POST", b"/ax", (HOST, (b"cookie", b"c=1")), b""),
+        }
+        self.assertEqual(len(others), 7)
+        self.assertNotIn(one, others)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/timeline/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/__init__.py
@@ -8,8 +8,10 @@
     AttemptFacts,
     CallFacts,
     DispatchFacts,
+    EndFacts,
     Facts,
     RefusalFacts,
+    UnansweredFacts,
 )
 from bendwind_core.timeline.levels import find_level
 from bendwind_core.timeline.log_line import LogLine, read_log_line
@@ -23,6 +25,7 @@
     "CallFacts",
     "CallTime",
     "DispatchFacts",
+    "EndFacts",
     "Event",
     "EventFilter",
     "EventKind",
@@ -32,6 +35,7 @@
     "LogLine",
     "Recorder",
     "RefusalFacts",
+    "UnansweredFacts",
     "explain_call",
     "find_attempts",
     "find_kind",
--- a/packages/bendwind-core/src/bendwind_core/timeline/facts.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -71,4 +71,21 @@
     report_age_ms: Milliseconds | None = None
 
 
-Facts = CallFacts | DispatchFacts | RefusalFacts
+class UnansweredFacts(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold one request that an upstream ended under.
+
+    `signature` is equal for requests of one caller for the same thing, `request` the caller's own
+    id of this one.
+    """
+
+    signature: str
+    request: str = ""
+
+
+class EndFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="end"):
+    """Hold what an upstream had not answered when it ended by itself."""
+
+    requests: tuple[UnansweredFacts, ...] = ()
+
+
+Facts = CallFacts | DispatchFacts | RefusalFacts | EndFacts
--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -32,6 +32,7 @@
         EventKind.REVISION_NOT_PUT,
         EventKind.EVACUATION_NOT_MARKED,
         EventKind.ANNOUNCEMENT_REFUSED,
+        EventKind.UPSTREAM_ENDED,
         EventKind.FRESHNESS_LOST,
         EventKind.MEMBER_LOST,
         EventKind.DIAL_FAILED,
--- a/packages/bendwind-core/src/bendwind_core/timeline/story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/story.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from bendwind_core.core import Milliseconds
-from bendwind_core.timeline.facts import AttemptFacts, CallFacts, DispatchFacts, RefusalFacts
+from bendwind_core.timeline.facts import (
+    AttemptFacts,
+    CallFacts,
+    DispatchFacts,
+    EndFacts,
+    RefusalFacts,
+)
 from bendwind_core.timeline.log_line import LogLine, read_log_line
 
 # Lines of this long before a call's end show what its processes believed: a lease on the users'
@@ -27,8 +33,10 @@
 class Story(msgspec.Struct, frozen=True):
     """Hold what was found of a request.
 
-    `end` is the entry node's line of the call, `context` the lines of its processes that are of no
-    single call and came shortly before its end. `unread` counts the lines that could not be read.
+    `upstream_ends` are the lines of upstreams that ended under this request, or under one by the
+    same caller for the same thing. `end` is the entry node's line of the call, `context` the lines of
+    its processes that are of no single call and came shortly before its end. `unread` counts the
+    lines that could not be read.
     """
 
     request: str
@@ -36,6 +44,7 @@
     steps: tuple[Step, ...] = ()
     context: tuple[LogLine, ...] = ()
     unread: int = 0
+    upstream_ends: tuple[LogLine, ...] = ()
 
 
 def find_story(request: str, lines: Iterable[str]) -> Story:
@@ -45,21 +54,35 @@
     """
     of_request: list[LogLine] = []
     of_processes: list[LogLine] = []
+    of_ends: list[LogLine] = []
     unread = 0
     for text in lines:
         line = read_log_line(text)
         if line is None:
             unread += bool(text.strip())
+        elif isinstance(line.facts, EndFacts):
+            of_ends.append(line)
         elif line.request == request:
             of_request.append(line)
         elif not line.request and not line.call and line.name not in _ROUTINE:
             of_processes.append(line)
+    upstream_ends = _find_upstream_ends(request, of_ends)
     end = _find_end(of_request)
     if end is None:
-        return Story(request, None, unread=unread)
+        return Story(request, None, unread=unread, upstream_ends=upstream_ends)
     steps = _match_steps(end, of_request)
     instances = {end.instance} | {step.owner.instance for step in steps if step.owner}
-    return Story(request, end, steps, _find_context(end, of_processes, instances), unread)
+    context = _find_context(end, of_processes, instances)
+    return Story(request, end, steps, context, unread, upstream_ends)
+
+
+def _find_upstream_ends(request: str, lines: list[LogLine]) -> tuple[LogLine, ...]:
+    listed = [asked for line in lines for asked in line.facts.requests]
+    wanted = {asked.signature for asked in listed if asked.request == request}
+    found = [
+        line for line in lines if any(asked.signature in wanted for asked in line.facts.requests)
+    ]
+    return tuple(sorted(found, key=lambda line: line.time))
 
 
 def _find_end(lines: list[LogLine]) -> LogLine | None:
--- a/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
@@ -6,8 +6,10 @@
     AttemptFacts,
     CallFacts,
     DispatchFacts,
+    EndFacts,
     LogLine,
     RefusalFacts,
+    UnansweredFacts,
 )
 from bendwind_core.timeline.story import find_story
 from bendwind_core.timeline.verdict import conclude
@@ -54,6 +56,20 @@
         self.assertEqual(story.unread, 0)
         self.assertEqual(conclude(story), "answered in time")
 
+    def test_ends_of_upstreams_under_the_same_request_are_found_by_one_of_its_ids(self):
+        def end_upstream(upstream, at, *requests):
+            facts = EndFacts(tuple(UnansweredFacts(*asked) for asked in requests))
+            return owner_line("UPSTREAM_ENDED", upstream, facts, at=at, request="")
+
+        lines = [
+            end_upstream("u2", 300, ("5a", "q1"), ("77", "q4")),
+            end_upstream("u1", 200, ("5a", "q0")),
+            end_upstream("u3", 250, ("77", "q3")),
+            end_call("answered", AttemptFacts("u1", 0.1, "200", 9.0)),
+        ]
+        story = find_story("q1", (write(line) for line in lines))
+        self.assertEqual([line.upstream for line in story.upstream_ends], ["u1", "u2"])
+
     def test_cut_and_foreign_lines_are_counted_and_passed_over(self):
         whole = write(end_call("answered", AttemptFacts("u1", 0.1, "200", 9.0)))
         story = find_story("q1", [whole[:40], "no log line", "", '{"a": 1}', whole])
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -4,8 +4,16 @@
 from bendwind_core.attempts.call import Attempt
 from bendwind_core.attempts.desk import OwnerDesk, find_usual_ms
 from bendwind_core.attempts.messages import HandOver
+from bendwind_core.attempts.upstream_end import Unanswered
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
-from bendwind_core.timeline import AttemptFacts, CallFacts, DispatchFacts, RefusalFacts
+from bendwind_core.timeline import (
+    AttemptFacts,
+    CallFacts,
+    DispatchFacts,
+    EndFacts,
+    RefusalFacts,
+    UnansweredFacts,
+)
 from bendwind_node.calls import headers as names
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.dialect import Dialect
@@ -88,6 +96,16 @@
     )
 
 
+def make_end_facts(under: tuple[Unanswered, ...], dialect: Dialect) -> EndFacts:
+    """Describe what an upstream ended under."""
+    return EndFacts(
+        tuple(
+            UnansweredFacts(ended.signature.hex(), find_request_id(ended.headers, dialect))
+            for ended in under
+        )
+    )
+
+
 def _find_report_age(desk: OwnerDesk, now: Seconds) -> Milliseconds | None:
     reported_at = desk.pace.reported_at
     return None if reported_at is None else _count_ms(now - reported_at)
--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -136,8 +136,8 @@
         self.started_at = trio.current_time()
         request = create_upstream_request(self.hand_over, self.dialect)
         match await self.pool.start(request, self._note_sent):
-            case Result(tag="error", error=RequestNotSent(reason=not_run)):
-                return DispatchNotRun(self.attempt, not_run)
+            case Result(tag="error", error=RequestNotSent(reason, is_timed_out)):
+                return DispatchNotRun(self.attempt, reason, is_timed_out)
             case Result(tag="error", error=AnswerCut(reason=cut)):
                 return DispatchUnknown(self.attempt, cut)
             case Result(tag="ok", ok=answer):
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -23,6 +23,7 @@
     owner,
 )
 from bendwind_core.attempts import owner_events as ev
+from bendwind_core.attempts.upstream_end import Unanswered
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import ProbeBudget, spend_probe
 from bendwind_core.messages import PeerMessage
@@ -34,6 +35,7 @@
 from bendwind_node.calls.call_facts import (
     find_request_id,
     make_dispatch_facts,
+    make_end_facts,
     make_refusal_facts,
 )
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
@@ -238,11 +240,21 @@
                 self.replies.send(attempt, epoch, Unknown(attempt, reason, load))
             case ev.ReplyFenced(attempt=attempt, epoch=epoch, verdict=verdict):
                 self.replies.send(attempt, epoch, Fenced(attempt, verdict))
+            case ev.UpstreamEnded(under=under):
+                self._record_end(owned, under)
             case ev.UpstreamUnreachable():
                 self.register.hold_down(owned)
             case ev.Drained():
                 self.recorder.record(EventKind.DESK_DRAINED, upstream=owned.upstream.name)
 
+    def _record_end(self, owned: OwnedUpstream, under: tuple[Unanswered, ...]) -> None:
+        self.recorder.record(
+            EventKind.UPSTREAM_ENDED,
+            upstream=owned.upstream.name,
+            detail=f"{len(under)} unanswered",
+            facts=make_end_facts(under, self.dialect),
+        )
+
     def _is_inner(self, owned: OwnedUpstream, reply: ev.ReplyNotRun) -> bool:
         hand_over = reply.hand_over
         return hand_over is not None and is_inner_call(owned.desk.origins, hand_over.route)
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -104,35 +104,36 @@
 
         `note_sent` is called once the request went out whole.
         """
-        connection = await self._take(FRESH_FOR_MARKED if request.is_marked else KEEP_ALIVE)
-        if connection is None:
-            return Error(RequestNotSent(NotRunReason.CONNECT_FAILED))
+        taken = await self._take(FRESH_FOR_MARKED if request.is_marked else KEEP_ALIVE)
+        if taken.is_error():
+            return taken
+        connection = taken.ok
         answer = await self._exchange(connection, request, note_sent)
         if answer.is_ok() or not connection.is_reused or request.is_marked:
             return answer
         # The upstream may have closed the kept connection just as the request went out.
         fresh = await self._connect()
-        return answer if fresh is None else await self._exchange(fresh, request, note_sent)
+        return answer if fresh.is_error() else await self._exchange(fresh.ok, request, note_sent)
 
-    async def _take(self, max_idle: Seconds) -> UpstreamConnection | None:
+    async def _take(self, max_idle: Seconds) -> Result[UpstreamConnection, RequestNotSent]:
         now = trio.current_time()
         while self.idle:
             connection = self.idle.pop()
             if connection.is_usable(now, max_idle):
                 connection.is_reused = True
-                return connection
+                return Ok(connection)
             await trio.aclose_forcefully(connection.stream)
         return await self._connect()
 
-    async def _connect(self) -> UpstreamConnection | None:
+    async def _connect(self) -> Result[UpstreamConnection, RequestNotSent]:
         with trio.move_on_after(CONNECT_TIMEOUT):
             try:
                 stream = await open_prompt_stream(self.host, self.port)
             except OSError:
-                return None
+                return Error(RequestNotSent(NotRunReason.CONNECT_FAILED))
             protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-            return UpstreamConnection(stream, protocol)
-        return None
+            return Ok(UpstreamConnection(stream, protocol))
+        return Error(RequestNotSent(NotRunReason.CONNECT_FAILED, is_timed_out=True))
 
     async def _exchange(
         self,
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -250,7 +250,8 @@
     def _end_former(self, news: Announcement) -> None:
         """Take an address away from the upstream that had it before."""
         while (former := self._find_former(news)) is not None:
-            self.left(former.upstream.name)
+            self._replace(former)
+            former.has_left = True
 
     def hear_pushed(self, pushed: Upstream) -> None:
         """Hear what the voters push of an upstream; a drain mark shows as a state not announced."""
@@ -388,7 +389,7 @@
         if owned is None or owned.said is UpstreamState.GONE:
             return
         place = UpstreamPlace(owned.upstream.service, owned.pool.host, owned.pool.port)
-        self._end(owned)
+        self._replace(owned)
         # Whoever stands there now may be taken at its own word.
         self.nursery.start_soon(self.introduce, place)
 
@@ -398,10 +399,14 @@
             if owned.lease_until < now and owned.said is not UpstreamState.GONE:
                 self._end(owned)
 
-    def _end(self, owned: OwnedUpstream) -> None:
+    def _replace(self, owned: OwnedUpstream) -> None:
+        """End an upstream at whose address another one stands."""
+        self._end(owned, is_replaced=owned.said is UpstreamState.READY)
+
+    def _end(self, owned: OwnedUpstream, *, is_replaced: bool = False) -> None:
         owned.said = UpstreamState.GONE
         owned.is_unreachable = False
-        self.feed(owned, ev.UpstreamLost())
+        self.feed(owned, ev.UpstreamLost(is_replaced))
         self._set_state(owned)
 
     def _set_state(self, owned: OwnedUpstream) -> None:
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_request.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_request.py
@@ -16,9 +16,13 @@
 
 
 class RequestNotSent(msgspec.Struct, frozen=True):
-    """Tell that no byte of the request went to the upstream."""
+    """Tell that no byte of the request went to the upstream.
+
+    `is_timed_out` says that the connection was neither taken nor refused.
+    """
 
     reason: NotRunReason
+    is_timed_out: bool = False
 
 
 class AnswerCut(msgspec.Struct, frozen=True):
