emulator: a request that ends every upstream, reproduced and failing

Cause: nothing connects a request that comes again with the upstreams that ended under it before. Change: the emulator has requests that ask for different things, and a fault 'crashing-request'; the scenario of that name is the reproduction.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
@@ -1,5 +1,6 @@
 """Emulate callers: when they come, how long they wait, and what they do when they are refused."""
 
+import itertools
 import random
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,8 @@
     began_at: Seconds
     tries_left: int
     is_at_once: bool
+    target: bytes
+    is_counted: bool = True
 
     @property
     def deadline_at(self) -> Seconds:
@@ -43,13 +46,14 @@
 class Callers:
     """Send the requests of a scenario at its rates."""
 
-    __slots__ = ("names", "rate_factor", "rng", "until", "world")
+    __slots__ = ("asked", "names", "rate_factor", "rng", "until", "world")
 
     def __init__(self, world: "World", rng: random.Random):
         self.world = world
         self.rng = rng
         self.names = tuple(world.nodes)
         self.rate_factor = 1.0
+        self.asked = itertools.count()
         self.until: Seconds = 0.0
 
     def start(self) -> None:
@@ -72,10 +76,22 @@
             self.world.agenda.now,
             callers.retries,
             self.rng.random() < callers.at_once,
+            self._find_target(route),
         )
         self._try(request)
         self._plan_next(route)
 
+    def _find_target(self, route: RouteTable) -> bytes:
+        number = self.rng.randrange(route.targets) if route.targets else next(self.asked)
+        return f"/{route.name}/{number}".encode()
+
+    def send_crashing(self, route: RouteTable, target: bytes) -> None:
+        """Send a request that ends upstreams to any node; what becomes of it is not counted."""
+        node = self.rng.choice(self.names)
+        retries = self.world.scenario.callers.retries
+        now = self.world.agenda.now
+        self._try(Request(route, node, now, retries, True, target, is_counted=False))
+
     def _try(self, request: Request) -> None:
         node = self.world.nodes[request.node]
         if not node.is_up:
@@ -91,6 +107,7 @@
             request.deadline_at,
             request.target_at,
             lambda outcome: self._hear(request, outcome),
+            request.target,
         )
 
     def _hear(self, request: Request, outcome: Outcome) -> None:
@@ -120,6 +137,8 @@
         self.world.agenda.after(wait, lambda: self._try(request))
 
     def _end(self, request: Request, fate: Fate) -> None:
+        if not request.is_counted:
+            return
         self.world.tally.note(request.route.name, request.began_at, fate)
 
     def call_from_upstream(self, node: "Node", name: str, deadline_at: Seconds, done) -> None:
@@ -140,4 +159,5 @@
             min(deadline_at, now + route.timeout_ms / MILLISECONDS_PER_SECOND),
             now + route.target_ms / MILLISECONDS_PER_SECOND,
             hear,
+            self._find_target(route),
         )
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -74,6 +74,7 @@
     call: EntryCall
     route: RouteTable
     done: Done
+    target: bytes
     timers: dict[ev.TimerKind, Seconds] = msgspec.field(default_factory=dict)
     status: int = 0
 
@@ -140,7 +141,12 @@
         set_upstreams(self.tables[service], used, self.agenda.now)
 
     def begin(
-        self, route: RouteTable, deadline_at: Seconds, target_at: Seconds, done: Done
+        self,
+        route: RouteTable,
+        deadline_at: Seconds,
+        target_at: Seconds,
+        done: Done,
+        target: bytes,
     ) -> None:
         """Take a call and tell its outcome once."""
         rule = Rule(
@@ -161,7 +167,7 @@
             self.budgets[route.service],
             target_at=target_at,
         )
-        self._feed(CallRun(call, route, done), ev.Begin())
+        self._feed(CallRun(call, route, done, target), ev.Begin())
 
     def _feed(self, run: CallRun, event: ev.EntryEvent) -> None:
         if self.is_stopped:
@@ -223,7 +229,7 @@
             run.route.service,
             effect.upstream.name,
             "GET",
-            b"/",
+            run.target,
             (),
             effect.remaining_ms,
             run.route.repeat,
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from bendwind_bench.emulator.scenario import Fault, FaultKind
+from bendwind_bench.emulator.upstream import CrashCount
 
 if TYPE_CHECKING:
     from bendwind_bench.emulator.world import Node, World
@@ -44,6 +45,8 @@
                 node.owner.is_reporting = False
         case FaultKind.EVACUATE:
             _evacuate(world, fault)
+        case FaultKind.CRASHING_REQUEST:
+            _send_crashing(world, fault)
 
 
 def _pick(world: "World", fault: Fault) -> list["Node"]:
@@ -74,6 +77,17 @@
         node.upstream.shed_share = 0.0
 
 
+def _send_crashing(world: "World", fault: Fault) -> None:
+    called = [route for route in world.scenario.routes if route.per_second > 0.0]
+    route = next(route for route in called if fault.service in ("", route.service))
+    target = f"/{route.name}/{fault.target}".encode()
+    world.crashes.setdefault(target, CrashCount())
+    for _ in range(fault.count):
+        world.callers.send_crashing(route, target)
+    for number in range(1, int(fault.for_s * fault.x) + 1):
+        world.agenda.after(number / fault.x, lambda: world.callers.send_crashing(route, target))
+
+
 def _evacuate(world: "World", fault: Fault) -> None:
     name = fault.data_centre or world.scenario.places.data_centres[0]
     world.set_evacuated(name, evacuated=True)
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -171,7 +171,10 @@
         route = self.scenario.find_route(hand_over.route)
         sent_at = self.agenda.now
         run = self.upstream.receive(
-            route, expires_at, lambda status: self._hear(attempt, status, sent_at)
+            route,
+            expires_at,
+            lambda status: self._hear(attempt, status, sent_at),
+            hand_over.target,
         )
         if run is not None:
             self.runs[attempt] = run
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
@@ -19,6 +19,8 @@
     ("busiest", "busiest"),
     ("retries", "retries"),
     ("fell_over", "fell over"),
+    ("crashed", "crashed"),
+    ("crash_repeats", "repeats"),
 )
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
@@ -68,7 +68,10 @@
 
 
 class RouteTable(_Table, frozen=True, kw_only=True):
-    """State a route; the runs of its requests make `calls`, by route, one after the other."""
+    """State a route; the runs of its requests make `calls`, by route, one after the other.
+
+    Its requests ask for `targets` different things, each for another one if that is 0.
+    """
 
     name: Name
     service: Name
@@ -80,6 +83,7 @@
     priority: Annotated[int, Meta(ge=0)] = 0
     attempts: Count = 3
     calls: tuple[Name, ...] = ()
+    targets: Annotated[int, Meta(ge=0)] = 0
 
 
 class Callers(_Table, frozen=True, kw_only=True):
@@ -122,10 +126,15 @@
     KILL_NODES = "kill-nodes"
     SILENT_REPORTS = "silent-reports"
     EVACUATE = "evacuate"
+    CRASHING_REQUEST = "crashing-request"
 
 
 class Fault(_Table, frozen=True, kw_only=True):
-    """State one fault; `service` or `data_centre` empty means all, `share` how many of those."""
+    """State one fault; `service` or `data_centre` empty means all, `share` how many of those.
+
+    A crashing request ends each upstream that runs it. It comes at `count` nodes at once, and then
+    `x` times a second for `for_s`; two such faults with one `target` are the same request.
+    """
 
     kind: FaultKind
     at: NotNegative
@@ -134,6 +143,8 @@
     data_centre: str = ""
     share: Share = 1.0
     x: Positive = 2.0
+    count: Count = 1
+    target: str = "crash"
 
 
 class Scenario(_Table, frozen=True, kw_only=True):
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
@@ -2,12 +2,18 @@
 
 import collections
 import enum
+from collections.abc import Iterable
 
 import msgspec
 
+from bendwind_bench.emulator.upstream import CrashCount
 from bendwind_core.core import Seconds
 
 WINDOW: Seconds = 2.0
+# So many upstreams end under a request before it can be told from others, and so long it may take
+# until all nodes that reach their voters know of it.
+TELLING_ENDS = 3
+TELLING: Seconds = 3.0
 
 
 class Fate(enum.StrEnum):
@@ -24,7 +30,9 @@
 
     `sent_back` is attempts returned unrun for each request, `busiest` the most attempts of an
     upstream against the mean of its service, `retries` the share of attempts that the retry budget
-    paid for, and `worst` the mean share in time of the two worst windows.
+    paid for, and `worst` the mean share in time of the two worst windows. `crashed` counts the
+    upstreams that ended under requests which end them, `crash_repeats` how often the worst of these
+    reached upstreams later than `TELLING` after the third end under it.
     """
 
     requests: int
@@ -37,6 +45,8 @@
     busiest: float
     retries: float
     fell_over: int
+    crashed: int
+    crash_repeats: int
     routes: dict[str, dict[str, float]]
     windows: dict[str, dict[str, float]]
 
@@ -59,7 +69,9 @@
         window = int(began_at / WINDOW)
         self.by_window.setdefault(window, collections.Counter())[fate] += 1
 
-    def summarize(self, services: dict[str, list[str]], fell_over: int) -> Figures:
+    def summarize(
+        self, services: dict[str, list[str]], fell_over: int, crashes: Iterable[CrashCount] = ()
+    ) -> Figures:
         """Return the figures; `services` lists the upstreams of each."""
         total = sum(self.by_route.values(), collections.Counter())
         requests = sum(total.values())
@@ -81,6 +93,8 @@
             busiest=self._find_busiest(services),
             retries=_round(self.retries / max(1, sent)),
             fell_over=fell_over,
+            crashed=sum(len(crash.ended) for crash in crashes),
+            crash_repeats=max((_count_repeats(crash) for crash in crashes), default=0),
             routes={name: _find_shares(counts) for name, counts in sorted(self.by_route.items())},
             windows=windows,
         )
@@ -94,6 +108,13 @@
         return _round(max(ratios, default=1.0))
 
 
+def _count_repeats(crash: CrashCount) -> int:
+    if len(crash.ended) < TELLING_ENDS:
+        return 0
+    told_at = crash.ended[TELLING_ENDS - 1] + TELLING
+    return sum(at > told_at for at in crash.arrived)
+
+
 def _find_shares(counts: collections.Counter) -> dict[str, float]:
     whole = max(1, sum(counts.values()))
     return {str(fate): _round(counts[fate] / whole) for fate in Fate}
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
@@ -13,6 +13,10 @@
 
 # An upstream that fell over starts again after this time; a guess for a supervised process.
 RESTART: Seconds = 1.0
+# A request that ends its upstream does so early in its run, and a supervisor has the upstream back
+# after some seconds: 30 to 90 ms, and 1.3 to 4.9 s, in the logs of an incident.
+CRASH_AFTER: Seconds = 0.05
+CRASH_RESTART: Seconds = 1.5
 OK = 200
 SHED = 503
 FAILED = 500
@@ -29,9 +33,17 @@
     reply: Reply
     deadline_at: Seconds
     calls_left: list[str]
+    target: bytes = b""
     is_cancelled: bool = False
 
 
+class CrashCount(msgspec.Struct):
+    """Hold when a request that ends upstreams reached one, and when one ended under it."""
+
+    arrived: list[Seconds] = msgspec.field(default_factory=list)
+    ended: list[Seconds] = msgspec.field(default_factory=list)
+
+
 class UpstreamModel:
     """Answer requests as the scenario states."""
 
@@ -40,6 +52,7 @@
         "arrivals",
         "call",
         "cold_until",
+        "crashes",
         "data_centre",
         "fell_over",
         "generation",
@@ -67,6 +80,7 @@
         self.rng = rng
         self.call: Call = lambda upstream, route, deadline_at, done: done(True)
         self.on_restart: Callable[[], None] = lambda: None
+        self.crashes: dict[bytes, CrashCount] = {}
         self.running: list[Run] = []
         self.queue: collections.deque[Run] = collections.deque()
         self.arrivals: collections.deque[Seconds] = collections.deque()
@@ -113,13 +127,17 @@
         self.slow_factor = factor
         self.slow_until = max(self.slow_until, self.agenda.now + length)
 
-    def receive(self, route: RouteTable, deadline_at: Seconds, reply: Reply) -> Run | None:
+    def receive(
+        self, route: RouteTable, deadline_at: Seconds, reply: Reply, target: bytes = b""
+    ) -> Run | None:
         """Take a request; None, with the reply made, where it is not taken."""
         self._note_arrival()
+        if target in self.crashes:
+            self.crashes[target].arrived.append(self.agenda.now)
         if self.is_down:
             reply(None)
             return None
-        run = Run(route, reply, deadline_at, list(route.calls))
+        run = Run(route, reply, deadline_at, list(route.calls), target)
         is_shed = self.shed_share > 0.0 and self.rng.random() < self.shed_share
         if is_shed or len(self.queue) >= self.table.queue + self.table.slots:
             reply(SHED)
@@ -152,8 +170,16 @@
         if len(self.running) > self.table.knee * self.table.slots:
             work_s *= self.table.knee_factor
         generation = self.generation
+        if run.target in self.crashes:
+            self.agenda.after(CRASH_AFTER, lambda: self._end_under(run, generation))
+            return
         self.agenda.after(work_s, lambda: self._go_on(run, generation))
 
+    def _end_under(self, run: Run, generation: int) -> None:
+        if generation == self.generation and run in self.running:
+            self.crashes[run.target].ended.append(self.agenda.now)
+            self.crash(CRASH_RESTART)
+
     def _go_on(self, run: Run, generation: int) -> None:
         if generation != self.generation or run not in self.running:
             return
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -9,7 +9,7 @@
 from bendwind_bench.emulator.owner_side import OwnerSide
 from bendwind_bench.emulator.scenario import Scenario
 from bendwind_bench.emulator.tally import Figures, Tally
-from bendwind_bench.emulator.upstream import UpstreamModel
+from bendwind_bench.emulator.upstream import CrashCount, UpstreamModel
 from bendwind_core.attempts import Cancel, Fence, HandOver
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
@@ -80,6 +80,7 @@
     __slots__ = (
         "agenda",
         "callers",
+        "crashes",
         "evacuated",
         "has_push",
         "nodes",
@@ -96,6 +97,7 @@
         self.rng = random.Random(f"{seed} world")
         self.tally = Tally()
         self.evacuated: set[str] = set()
+        self.crashes: dict[bytes, CrashCount] = {}
         self.has_push = False
         self.nodes: dict[str, Node] = {}
         self._create_nodes()
@@ -112,6 +114,7 @@
                 upstream = UpstreamModel(name, table, place, self.agenda, rng)
                 node = Node(f"node-{name}", upstream, self)
                 upstream.call = self.call
+                upstream.crashes = self.crashes
                 upstream.on_restart = node.owner.take_back
                 self.nodes[node.name] = node
                 position += 1
@@ -129,7 +132,7 @@
         for node in self.nodes.values():
             services.setdefault(node.upstream.table.name, []).append(node.upstream.name)
         fell_over = sum(node.upstream.fell_over for node in self.nodes.values())
-        return self.tally.summarize(services, fell_over)
+        return self.tally.summarize(services, fell_over, self.crashes.values())
 
     def call(self, upstream: UpstreamModel, route: str, deadline_at: Seconds, done) -> None:
         """Carry a call that an upstream makes while it runs a request."""
--- a/packages/bendwind-core/src/bendwind_core/timeline/story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/story.py
@@ -34,8 +34,8 @@
     """Hold what was found of a request.
 
     `upstream_ends` are the lines of upstreams that ended under this request, or under one by the
-    same caller for the same thing. `end` is the entry node's line of the call, `context` the lines of
-    its processes that are of no single call and came shortly before its end. `unread` counts the
+    same caller for the same thing. `end` is the entry node's line of the call, `context` the lines
+    of its processes that are of no single call and came shortly before its end. `unread` counts the
     lines that could not be read.
     """
 
