--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -29,6 +29,7 @@
     note_unknown,
     set_upstreams,
 )
+from bendwind_core.suspicion import SuspectTable, SuspectTold, find_told, sign_request
 from bendwind_core.world import Rule, Service, Upstream
 
 
@@ -94,6 +95,7 @@
         "origin",
         "rng",
         "runs",
+        "suspects",
         "scenario",
         "services",
         "tables",
@@ -109,6 +111,7 @@
         network: Network,
         rng: random.Random,
         incarnation: int,
+        suspects: SuspectTable,
     ):
         self.name = name
         self.data_centre = data_centre
@@ -118,6 +121,7 @@
         self.network = network
         self.rng = rng
         self.incarnation = incarnation
+        self.suspects = suspects
         self.ids = AttemptIds(name, incarnation)
         self.tables: dict[str, UpstreamTable] = {}
         self.budgets: dict[str, RetryBudget] = {}
@@ -238,8 +242,15 @@
             route=run.route.name,
             target_ms=effect.target_ms,
             origin=self.origin,
+            suspicion=self._find_suspicion(run),
         )
 
+    def _find_suspicion(self, run: CallRun) -> SuspectTold | None:
+        if not self.suspects.suspects:
+            return None
+        signature = sign_request("GET", run.target, (), b"")
+        return find_told(self.suspects, signature, self.agenda.now)
+
     def _fire(self, run: CallRun, kind: ev.TimerKind, at: Seconds) -> None:
         if run.timers.get(kind) == at:
             self._feed(run, ev.TimerFired(kind))
@@ -264,10 +275,10 @@
                 run.status = status
                 note_answered(table, name, id, now, status, load)
                 self._feed(run, ev.AttemptHead(id, status, True))
-            case NotRun(attempt=id, reason=reason, load=load):
+            case NotRun(attempt=id, reason=reason, load=load, wait_ms=wait_ms):
                 note_not_run(table, name, id, now, reason, load)
                 self.network.note_sent_back()
-                self._feed(run, ev.AttemptNotRun(id, reason, load))
+                self._feed(run, ev.AttemptNotRun(id, reason, load, wait_ms))
             case Unknown(attempt=id, reason=reason):
                 note_unknown(table, name, id, now)
                 self._feed(run, ev.AttemptUnknown(id, reason))
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -18,6 +18,7 @@
 )
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
+from bendwind_core.suspicion import SuspectTable
 from bendwind_core.world import LoadSample, UpstreamState, WarmUpRule
 
 # A round trip within the instance.
@@ -43,6 +44,9 @@
     def tell_all(self) -> None:
         """Have all nodes hear of this node's upstream."""
 
+    def tell_suspects(self) -> None:
+        """Have all nodes hear what is new against requests."""
+
 
 class OwnerSide:
     """Own the desk of the one upstream beside a node."""
@@ -66,6 +70,7 @@
         agenda: Agenda,
         beside: Beside,
         incarnation: int,
+        suspects: SuspectTable,
     ):
         self.scenario = scenario
         self.upstream = upstream
@@ -75,9 +80,9 @@
         self.is_unreachable = False
         self.is_reporting = upstream.table.reports_load
         self.ticks_at: Seconds | None = None
-        self.desk = self._create_desk(incarnation)
+        self.desk = self._create_desk(incarnation, suspects)
 
-    def _create_desk(self, incarnation: int) -> owner.OwnerDesk:
+    def _create_desk(self, incarnation: int, suspects: SuspectTable) -> owner.OwnerDesk:
         warm_up = self.upstream.table.warm_up
         state = WarmUp(sent_at=self.agenda.now, assumed_at=self.agenda.now)
         if warm_up is not None and self.scenario.policy.spares_cold:
@@ -89,6 +94,7 @@
             QUEUE,
             slot_share=self.scenario.policy.slot_share,
             warm_up=state,
+            suspects=suspects,
         )
 
     def announce(self, state: UpstreamState = UpstreamState.READY) -> None:
@@ -115,6 +121,8 @@
         """Apply an event and carry out what the desk decides."""
         for effect in owner.step(self.desk, event, self.agenda.now):
             self._carry_out(effect)
+        if self.desk.suspects.news:
+            self.beside.tell_suspects()
         due = owner.next_due(self.desk, self.agenda.now)
         if due is not None and (self.ticks_at is None or due < self.ticks_at):
             self.ticks_at = due
@@ -133,8 +141,11 @@
                 self._drop(attempt, CutReason.CANCELLED)
             case ov.AskLoad():
                 self.ask()
-            case ov.ReplyNotRun(attempt=attempt, reason=reason, load=load):
-                self.beside.reply(attempt.entry, NotRun(attempt, reason, load))
+            case ov.CheckUpstream():
+                self.agenda.after(NEAR, lambda: self._check())
+            case ov.ReplyNotRun(attempt=attempt, reason=reason, load=load, wait_ms=wait_ms):
+                not_run = NotRun(attempt, reason, load, wait_ms=wait_ms)
+                self.beside.reply(attempt.entry, not_run)
             case ov.ReplyUnknown(attempt=attempt, reason=reason, load=load):
                 self.beside.reply(attempt.entry, Unknown(attempt, reason, load))
             case ov.ReplyFenced(attempt=attempt, verdict=verdict):
@@ -144,6 +155,9 @@
                 self.beside.tell_all()
                 self.agenda.after(RETRY_PAUSE, self._try_aside)
 
+    def _check(self) -> None:
+        self.feed(ov.UpstreamChecked(self.upstream.is_down))
+
     def _try_aside(self) -> None:
         if not self.is_unreachable:
             return
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
@@ -10,6 +10,11 @@
 from msgspec.structs import replace
 
 from bendwind_core.core import TomlError, decode_toml
+from bendwind_core.suspicion.limits import (
+    DEFAULT_APART_FROM,
+    DEFAULT_QUARANTINE,
+    DEFAULT_QUARANTINE_FROM,
+)
 from bendwind_core.world import Policy, Repeat
 
 FOLDER = Path(__file__).parent / "scenarios"
@@ -111,6 +116,9 @@
     hedge_after_ms: Positive | None = None
     retry_ratio: Share = 0.1
     spares_cold: bool = True
+    apart_from: Count = DEFAULT_APART_FROM
+    quarantine_from: Count = DEFAULT_QUARANTINE_FROM
+    quarantine_s: Positive = DEFAULT_QUARANTINE
 
 
 class FaultKind(enum.StrEnum):
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -13,6 +13,15 @@
 from bendwind_core.attempts import Cancel, Fence, HandOver
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
+from bendwind_core.suspicion import (
+    SuspectTable,
+    SuspectTold,
+    SuspicionLimits,
+    hear,
+    hear_and_pass_on,
+    take_news,
+    tell,
+)
 from bendwind_core.world import Instance, Upstream, UpstreamState
 
 # Callers' last requests end within their timeouts; nothing new begins after the scenario's time.
@@ -26,7 +35,16 @@
 class Node:
     """Hold one instance: its owner side, its entry side and the upstream beside them."""
 
-    __slots__ = ("entry", "incarnation", "is_up", "name", "owner", "upstream", "world")
+    __slots__ = (
+        "entry",
+        "incarnation",
+        "is_up",
+        "name",
+        "owner",
+        "suspects",
+        "upstream",
+        "world",
+    )
 
     def __init__(self, name: str, upstream: UpstreamModel, world: "World"):
         self.name = name
@@ -41,7 +59,12 @@
         world, upstream = self.world, self.upstream
         self.incarnation += 1
         self.is_up = True
-        self.owner = OwnerSide(world.scenario, upstream, world.agenda, self, self.incarnation)
+        policy = world.scenario.policy
+        limits = SuspicionLimits(policy.apart_from, policy.quarantine_from, policy.quarantine_s)
+        self.suspects = SuspectTable(self.name, limits)
+        self.owner = OwnerSide(
+            world.scenario, upstream, world.agenda, self, self.incarnation, self.suspects
+        )
         self.entry = EntrySide(
             self.name,
             upstream.data_centre,
@@ -51,6 +74,7 @@
             world,
             random.Random(f"{world.seed} {self.name} {self.incarnation}"),
             self.incarnation,
+            self.suspects,
         )
 
     def reply(self, entry: str, message: Record) -> None:
@@ -61,6 +85,15 @@
         """Have all nodes hear of this node's upstream."""
         self.world.push()
 
+    def tell_suspects(self) -> None:
+        """Tell the voters what is new against requests."""
+        self.world.tell_voters(take_news(self.suspects, self.world.agenda.now))
+
+    def hear_suspects(self, told: tuple[SuspectTold, ...]) -> None:
+        """Hear from the voters what is known against requests."""
+        for one in told:
+            hear(self.suspects, one, self.world.agenda.now)
+
     def describe(self) -> Upstream:
         """Return the upstream as it is announced."""
         place = Instance(self.name, self.upstream.data_centre, "", 0, self.incarnation)
@@ -88,6 +121,7 @@
         "scenario",
         "seed",
         "tally",
+        "voters",
     )
 
     def __init__(self, scenario: Scenario, seed: int):
@@ -98,6 +132,7 @@
         self.tally = Tally()
         self.evacuated: set[str] = set()
         self.crashes: dict[bytes, CrashCount] = {}
+        self.voters = SuspectTable("voters")
         self.has_push = False
         self.nodes: dict[str, Node] = {}
         self._create_nodes()
@@ -206,6 +241,19 @@
                 for service, upstreams in serving.items():
                     node.entry.hear_upstreams(service, tuple(upstreams))
 
+    def tell_voters(self, told: tuple[SuspectTold, ...]) -> None:
+        """Carry to the voters what a node knows against requests, and on to all nodes."""
+        delay = self.scenario.places.push_ms / MILLISECONDS_PER_SECOND
+        self.agenda.after(delay, lambda: self._pass_on(told))
+
+    def _pass_on(self, told: tuple[SuspectTold, ...]) -> None:
+        for one in told:
+            hear_and_pass_on(self.voters, one, self.agenda.now)
+        news = take_news(self.voters, self.agenda.now)
+        for node in self.nodes.values():
+            if node.is_up:
+                node.hear_suspects(news)
+
     def kill(self, node: Node, restart: Seconds = NODE_RESTART) -> None:
         """Kill the process of a node and start it again."""
         if not node.is_up:
@@ -224,6 +272,8 @@
         node.upstream.on_restart = node.owner.take_back
         node.owner.announce()
         self._push_now()
+        known = self.voters.suspects.values()
+        node.hear_suspects(tuple(tell(suspect, self.agenda.now) for suspect in known))
 
     def set_evacuated(self, data_centre: str, *, evacuated: bool) -> None:
         """Evacuate a data centre or take it back."""
--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -70,6 +70,19 @@
     evacuated: bool
 
 
+class ShowSuspects(msgspec.Struct, frozen=True):
+    """Show the requests that upstreams ended under."""
+
+    target: Target
+
+
+class Release(msgspec.Struct, frozen=True):
+    """Clear a request of suspicion."""
+
+    target: Target
+    signature: str
+
+
 class Stop(msgspec.Struct, frozen=True):
     """Stop one process once its calls are answered."""
 
@@ -141,6 +154,8 @@
     | ShowStatus
     | Drain
     | Evacuate
+    | ShowSuspects
+    | Release
     | Stop
     | AcceptClaimLoss
     | ShowTimeline
--- a/packages/bendwind-cli/src/bendwind_cli/parsing.py
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -20,9 +20,11 @@
     MakeOperatorKey,
     MakePlan,
     PutRevision,
+    Release,
     ShowPlan,
     ShowRevision,
     ShowStatus,
+    ShowSuspects,
     ShowTimeline,
     Stop,
     Target,
@@ -238,6 +240,27 @@
         """
         return Evacuate(Target(control, settings), data_centre, False)
 
+    @_as_text
+    def suspects(self, *, control: str = "", settings: str = "") -> ShowSuspects:
+        """Show the requests that upstreams ended under, by signature; the worst come first.
+
+        Args:
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return ShowSuspects(Target(control, settings))
+
+    @_as_text
+    def release(self, signature: str, *, control: str = "", settings: str = "") -> Release:
+        """Clear a request of suspicion, so that it runs again at once.
+
+        Args:
+            signature: As `suspects` shows it.
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return Release(Target(control, settings), signature)
+
     @_as_text
     def stop(self, name: str, *, control: str = "", settings: str = "") -> Stop:
         """Stop a process once the calls it holds are answered.
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -80,6 +80,32 @@
     warnings: tuple[WarningReply, ...] = ()
 
 
+class SuspectReply(msgspec.Struct, frozen=True):
+    """Hold what is known against one request.
+
+    Units: `last_ms` in milliseconds.
+    """
+
+    signature: str
+    service: str
+    ends: int
+    quarantined: bool
+    last_ms: float = 0.0
+    upstreams: tuple[str, ...] = ()
+
+
+class SuspectsReply(msgspec.Struct, frozen=True):
+    """Hold all requests that something is known against."""
+
+    suspects: tuple[SuspectReply, ...]
+
+
+class ReleaseReply(msgspec.Struct, frozen=True):
+    """Name the request that is no longer suspected."""
+
+    released: str
+
+
 class VoterReply(msgspec.Struct, frozen=True):
     """Describe a control voter."""
 
--- a/packages/bendwind-cli/src/bendwind_cli/run.py
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -4,7 +4,7 @@
 
 from expression import Result
 
-from bendwind_cli import evacuation, explain, instances, plans, revisions, timeline
+from bendwind_cli import evacuation, explain, instances, plans, revisions, suspects, timeline
 from bendwind_cli.client import Client, open_client
 from bendwind_cli.client_settings import find_settings
 from bendwind_cli.commands import (
@@ -20,9 +20,11 @@
     MakeOperatorKey,
     MakePlan,
     PutRevision,
+    Release,
     ShowPlan,
     ShowRevision,
     ShowStatus,
+    ShowSuspects,
     ShowTimeline,
     Stop,
     Target,
@@ -52,6 +54,10 @@
             return _with_client(command.target, lambda client: instances.drain(client, command))
         case Evacuate():
             return _with_client(command.target, lambda client: evacuation.mark(client, command))
+        case ShowSuspects():
+            return _with_client(command.target, suspects.show)
+        case Release():
+            return _with_client(command.target, lambda client: suspects.release(client, command))
         case Stop():
             return _with_client(command.target, lambda client: instances.stop(client, command.name))
         case AcceptClaimLoss():
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -125,6 +125,8 @@
             "undrain",
             "evacuate",
             "readmit",
+            "suspects",
+            "release",
             "stop",
             "timeline",
         ):
@@ -294,6 +296,30 @@
         self.assertIn("evacuated data centre sala-norte", self.run_line("status", line)[1])
         self.assert_fails(["evacuate", "nowhere", line], ExitCode.REFUSED, "not-found")
 
+    def test_shows_the_requests_that_upstreams_ended_under_and_releases_one(self):
+        suspect = {
+            "signature": "0012",
+            "service": "emisor",
+            "ends": 3,
+            "quarantined": True,
+            "last_ms": 4200,
+            "upstreams": ["emisor-1", "emisor-2", "emisor-1"],
+        }
+        server = self.serve(
+            ("GET /v1/suspects", 200, {"suspects": [suspect]}),
+            ("POST /v1/suspects/0012/release", 200, {"released": "0012"}),
+        )
+        line = f"--control={server.address}"
+        code, out, _ = self.run_line("suspects", line)
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            out,
+            "0012 quarantined emisor 3 ended under it, the last one 4.2 s ago: "
+            "emisor-1 emisor-2 emisor-1\n",
+        )
+        self.assertEqual(self.run_line("release", "0012", line)[:2], (0, "0012: released\n"))
+        self.assert_fails(["release", "ff", line], ExitCode.REFUSED, "not-found")
+
     def test_puts_a_whole_configuration_and_shows_it(self):
         held = {"revision": 7, "version": 12, "is_new": True}
         server = self.serve(
--- a/packages/bendwind-core/src/bendwind_core/admission/tests/test_constants_page.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/tests/test_constants_page.py
@@ -9,10 +9,16 @@
 import bendwind_core.admission
 import bendwind_core.attempts
 import bendwind_core.routing
+import bendwind_core.suspicion
 from bendwind_core.limits import retry_budget
 
 PAGE = Path(__file__).parents[6] / "docs" / "design" / "policy-constants.md"
-PACKAGES = (bendwind_core.admission, bendwind_core.attempts, bendwind_core.routing)
+PACKAGES = (
+    bendwind_core.admission,
+    bendwind_core.attempts,
+    bendwind_core.routing,
+    bendwind_core.suspicion,
+)
 ROW = re.compile(r"^\| `(\w+)` \| ([\w/]+) \| ([0-9.]+)", re.MULTILINE)
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -6,7 +6,7 @@
 
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.messages import AttemptId, CutReason, NotRunReason
-from bendwind_core.core import Seconds
+from bendwind_core.core import Milliseconds, Seconds
 from bendwind_core.limits import RetryBudget
 from bendwind_core.world import LoadSample, Repeat, Rule, Service, Upstream
 
@@ -51,7 +51,10 @@
 
 
 class Attempt(msgspec.Struct):
-    """Hold one attempt of a call."""
+    """Hold one attempt of a call.
+
+    Units: `wait_ms` is when its owner would take it, in milliseconds, 0 where that is not known.
+    """
 
     id: AttemptId
     upstream: Upstream
@@ -59,6 +62,7 @@
     not_run: NotRunReason | None = None
     cut: CutReason | None = None
     load: LoadSample | None = None
+    wait_ms: Milliseconds = 0.0
     sent_at: Seconds = 0.0
     ended_at: Seconds | None = None
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -18,6 +18,7 @@
 from bendwind_core.attempts.upstream_end import EndWatch
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import FairQueue, UrgencyQueue, fair_queue, urgency_queue
+from bendwind_core.suspicion import Served, SuspectTable
 from bendwind_core.world import LoadSample, UpstreamState
 
 REMEMBERED_ATTEMPTS = 4096
@@ -54,7 +55,8 @@
     """Hold an attempt that waits.
 
     One with a latency objective should start by `due_at`, and is given back at `leaves_at` if no
-    slot is free: held to its deadline, it could not be tried elsewhere any more.
+    slot is free: held to its deadline, it could not be tried elsewhere any more. `suspicion` is
+    the signature of a suspect, empty otherwise.
     """
 
     hand_over: HandOver
@@ -63,6 +65,7 @@
     queued_at: Seconds = 0.0
     due_at: Seconds = 0.0
     leaves_at: Seconds = 0.0
+    suspicion: bytes = b""
 
 
 class RunningAttempt(msgspec.Struct):
@@ -70,7 +73,8 @@
 
     `slow_factor` is how much longer than usual it should take; `is_paced` says that the upstream
     had told so shortly before, `is_sent` that the request went out whole, and `is_under_end` that
-    the upstream is known to have ended while it ran.
+    the upstream is known to have ended while it ran. `suspicion` is the signature of a suspect, and
+    `status` that of the answer's head, 0 without one.
     """
 
     epoch: int
@@ -81,6 +85,8 @@
     is_cancelled: bool = False
     is_sent: bool = False
     is_under_end: bool = False
+    suspicion: bytes = b""
+    status: int = 0
 
     @property
     def route(self) -> str:
@@ -95,7 +101,8 @@
     part of the slots that is used, `route_times` the usual time of each route's answers,
     `guessed_times` stands in for routes without any, `origins` tells where each route's requests
     begin, `dependency` what is known of the upstream's own calls, `warm_up` whether it is cold,
-    `ends` what it may have ended under, and `asked_at` is when it was last asked for its load.
+    `ends` what it may have ended under, `suspects` what the process knows against requests,
+    `served` which were served here lately, and `asked_at` is when it was last asked for its load.
     `is_unreachable` says that it refused the last connection.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
@@ -123,6 +130,8 @@
     pace: Pace = msgspec.field(default_factory=Pace)
     warm_up: WarmUp = msgspec.field(default_factory=WarmUp)
     ends: EndWatch = msgspec.field(default_factory=EndWatch)
+    suspects: SuspectTable = msgspec.field(default_factory=SuspectTable)
+    served: Served = msgspec.field(default_factory=Served)
     is_unreachable: bool = False
     asked_at: Seconds | None = None
     may_ask: bool = True
@@ -144,6 +153,7 @@
     remembered_peers: int = REMEMBERED_PEERS,
     slot_share: float = 1.0,
     warm_up: WarmUp | None = None,
+    suspects: SuspectTable | None = None,
 ) -> OwnerDesk:
     """Create the desk of an upstream that has yet to announce itself.
 
@@ -155,6 +165,8 @@
     desk = OwnerDesk(upstream, incarnation, FairQueue(queue), log, timed, slot_share)
     if warm_up is not None:
         desk.warm_up = warm_up
+    if suspects is not None:
+        desk.suspects = suspects
     return desk
 
 
@@ -243,9 +255,11 @@
     now: Seconds,
     effects: list[OwnerEffect],
     hand_over: HandOver | None = None,
+    wait_ms: Milliseconds = 0.0,
 ) -> None:
     """Reply that an attempt did not run; it must be known never to start."""
-    effects.append(ReplyNotRun(attempt, epoch, reason, load_sample(desk, now), hand_over))
+    sample = load_sample(desk, now)
+    effects.append(ReplyNotRun(attempt, epoch, reason, sample, hand_over, wait_ms))
 
 
 def drop_waiting(
@@ -365,6 +379,7 @@
         hand_over,
         find_factor(desk.pace, now),
         desk.pace.reported_at is not None and is_known(desk.pace, now),
+        suspicion=queued.suspicion,
     )
     desk.running[hand_over.attempt] = running
     effects.append(Dispatch(hand_over, queued.expires_at))
--- a/packages/bendwind-core/src/bendwind_core/attempts/endings.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/endings.py
@@ -103,7 +103,9 @@
     if call.is_claim_held or call.phase is CallPhase.CLAIMING:
         effects.append(ReleaseClaim())
     load = last.load if last is not None else None
-    finish(call, FinishNotRun(reason, estimate_retry_after_ms(reason, load)), effects)
+    wait_ms = last.wait_ms if last is not None else 0.0
+    retry_after_ms = wait_ms or estimate_retry_after_ms(reason, load)
+    finish(call, FinishNotRun(reason, retry_after_ms), effects)
 
 
 def refuse_for_want_of_room(
--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -63,10 +63,15 @@
 CLAIM_PENDING_RETRY_MS = 1000.0
 _FAILED_STATUSES = frozenset({500, 502, 503, 504})
 
-# No other upstream would take the attempt: its time is up, or the service that all of them call has
-# no room.
+# No other upstream would take the attempt: its time is up, the service that all of them call has no
+# room, or too many upstreams ended under it.
 _FINAL_REFUSALS = frozenset(
-    {NotRunReason.DEADLINE, NotRunReason.CANCELLED, NotRunReason.DEPENDENCY_FULL}
+    {
+        NotRunReason.DEADLINE,
+        NotRunReason.CANCELLED,
+        NotRunReason.DEPENDENCY_FULL,
+        NotRunReason.QUARANTINED,
+    }
 )
 
 # These bounces cost the upstream nothing.
@@ -80,6 +85,7 @@
         NotRunReason.CONNECT_FAILED,
         NotRunReason.OVERLOADED,
         NotRunReason.STALLED,
+        NotRunReason.KEPT_APART,
     }
 )
 
@@ -213,6 +219,7 @@
     attempt.not_run = proof.reason
     attempt.ended_at = now
     attempt.load = proof.load
+    attempt.wait_ms = proof.wait_ms
     if proof.reason in _FINAL_REFUSALS:
         give_up(call, effects)
         return
--- a/packages/bendwind-core/src/bendwind_core/attempts/events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/events.py
@@ -63,6 +63,7 @@
     attempt: AttemptId
     reason: NotRunReason
     load: LoadSample | None = None
+    wait_ms: Milliseconds = 0.0
 
 
 class AttemptHead(msgspec.Struct):
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -3,6 +3,7 @@
 import enum
 
 from bendwind_core.core import Milliseconds, Record
+from bendwind_core.suspicion import SuspectTold
 from bendwind_core.world import LoadSample, Repeat
 
 Header = tuple[bytes, bytes]
@@ -37,6 +38,8 @@
     OVERLOADED = "overloaded"
     STALLED = "stalled"
     DEPENDENCY_FULL = "dependency-full"
+    KEPT_APART = "kept-apart"
+    QUARANTINED = "quarantined"
 
 
 class CutReason(enum.StrEnum):
@@ -69,7 +72,7 @@
     `insist` says to take the attempt even while the upstream has stalled.
     `body` is the first part of the request body; `more` says that BodyPart messages follow.
     `route` names the route that the call came by, and `origin` the service whose upstream stands
-    beside the entry node, if any.
+    beside the entry node, if any. `suspicion` is what the entry node knows against the request.
     Units: `remaining_ms` is the time left to the caller's deadline and `target_ms` that left to
     the latency objective, None without one, in milliseconds.
     """
@@ -90,6 +93,7 @@
     route: str = ""
     target_ms: Milliseconds | None = None
     origin: str = ""
+    suspicion: SuspectTold | None = None
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
@@ -130,12 +134,14 @@
     """Prove that the attempt did not run and never will.
 
     `is_inner` says that the request is a call that an upstream makes while it runs another.
+    Units: `wait_ms` is when the owner would take it, in milliseconds, 0 where it does not know.
     """
 
     attempt: AttemptId
     reason: NotRunReason
     load: LoadSample | None = None
     is_inner: bool = False
+    wait_ms: Milliseconds = 0.0
 
 
 class Unknown(Record, frozen=True, array_like=True, tag="unknown"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -69,6 +69,7 @@
 from bendwind_core.attempts.owner_events import (
     CallRefused,
     CancelArrived,
+    CheckUpstream,
     ColdAssumed,
     DispatchDone,
     DispatchHead,
@@ -88,7 +89,7 @@
     ReplyUnknown,
     Tick,
     UpstreamAnnounced,
-    UpstreamEnded,
+    UpstreamChecked,
     UpstreamLost,
     UpstreamReached,
     UpstreamRestarted,
@@ -99,9 +100,17 @@
 )
 from bendwind_core.attempts.pace import Pace, note_report
 from bendwind_core.attempts.service_time import note_result, note_time
-from bendwind_core.attempts.upstream_end import note_alive, note_unanswered, take_unanswered
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.attempts.suspects import (
+    count_other_suspects,
+    is_withheld_here,
+    judge_hand_over,
+    note_success,
+    note_upstream_end,
+)
+from bendwind_core.attempts.upstream_end import note_alive, note_unanswered, sign_hand_over
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import fair_queue, urgency_queue
+from bendwind_core.suspicion import Quarantined, RunApart, note_let_in
 from bendwind_core.world import UpstreamState
 
 __all__ = ["OwnerDesk", "create_desk", "find_early_refusal", "load_sample", "next_due", "step"]
@@ -141,7 +150,9 @@
             note_result(desk.times, is_error=event.status >= _FAILED_STATUS)
         case DispatchDone():
             desk.progress_at = now
-            end_running(desk, event.attempt, Fate.ENDED)
+            running = end_running(desk, event.attempt, Fate.ENDED)
+            if running is not None and running.status < _FAILED_STATUS:
+                note_success(desk, running.hand_over, now)
         case CallRefused():
             note_call_refused(desk.dependency, now)
         case LoadReported(slow_factor=slow_factor):
@@ -157,6 +168,11 @@
             note_told(desk.warm_up, left_ms, now)
         case WarmUpTold(left_ms=left_ms, asked_at=asked_at):
             note_asked(desk.warm_up, left_ms, asked_at, now)
+        case UpstreamChecked(is_refused=is_refused):
+            desk.ends.is_checked = False
+            if is_refused:
+                _hold_down(desk, now, effects)
+                note_upstream_end(desk, now, effects)
         case UpstreamReached():
             desk.is_unreachable = False
         case UpstreamRestarted():
@@ -200,7 +216,10 @@
     note_alive(desk.ends, now)
     note_time(desk.times, event.upstream_ms)
     running = desk.running.get(event.attempt)
-    if running is None or not running.route:
+    if running is None:
+        return
+    running.status = event.status
+    if not running.route:
         return
     is_error = event.status >= _FAILED_STATUS
     note_run_ended(desk.dependency, running.route, running.started_at, now, is_error=is_error)
@@ -231,8 +250,37 @@
         record_ended(desk.log, attempt, Fate.NEVER_STARTED)
         refuse(desk, attempt, event.epoch, refusal, now, effects, hand_over)
         return
+    suspicion = b""
+    is_crowded = False
+    if desk.suspects.suspects or hand_over.suspicion is not None:
+        match judge_hand_over(desk, hand_over, now):
+            case Quarantined(wait_ms=wait_ms):
+                _refuse_suspect(desk, event, NotRunReason.QUARANTINED, wait_ms, now, effects)
+                return
+            case RunApart(others=others):
+                suspicion = sign_hand_over(hand_over)
+                is_crowded = count_other_suspects(desk, suspicion) > others
+    if is_crowded:
+        _refuse_suspect(desk, event, NotRunReason.KEPT_APART, 0.0, now, effects)
+        return
+    if suspicion:
+        note_let_in(desk.suspects, suspicion, now)
     expires_at = now + hand_over.remaining_ms / MILLISECONDS_PER_SECOND
-    _enqueue(desk, QueuedAttempt(hand_over, event.epoch, expires_at, now), now, effects)
+    queued = QueuedAttempt(hand_over, event.epoch, expires_at, now, suspicion=suspicion)
+    _enqueue(desk, queued, now, effects)
+
+
+def _refuse_suspect(
+    desk: OwnerDesk,
+    event: HandOverArrived,
+    reason: NotRunReason,
+    wait_ms: Milliseconds,
+    now: Seconds,
+    effects: list[OwnerEffect],
+) -> None:
+    attempt = event.hand_over.attempt
+    record_ended(desk.log, attempt, Fate.NEVER_STARTED)
+    refuse(desk, attempt, event.epoch, reason, now, effects, event.hand_over, wait_ms)
 
 
 def _is_seen(
@@ -306,7 +354,7 @@
         if event.reason is NotRunReason.CONNECT_FAILED:
             _hold_down(desk, now, effects)
             if not event.is_timed_out:
-                _note_end(desk, now, effects)
+                note_upstream_end(desk, now, effects)
         refuse(desk, event.attempt, running.epoch, event.reason, now, effects)
 
 
@@ -334,24 +382,21 @@
     if not running.is_under_end:
         note_unanswered(desk.ends, running.hand_over, event.reason, now)
     if now < desk.ends.settles_at:
-        _note_end(desk, now, effects)
+        note_upstream_end(desk, now, effects)
+    elif event.reason is CutReason.UPSTREAM_RESET and not desk.ends.is_checked:
+        desk.ends.is_checked = True
+        effects.append(CheckUpstream())
     sample = load_sample(desk, now)
     effects.append(ReplyUnknown(event.attempt, running.epoch, event.reason, sample))
 
 
-def _note_end(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    under = take_unanswered(desk.ends, now)
-    if under:
-        effects.append(UpstreamEnded(under))
-
-
 def _give_up_running(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
     """Cancel what ran at an upstream in whose place another run stands."""
     for attempt, running in list(desk.running.items()):
         note_unanswered(desk.ends, running.hand_over, CutReason.UPSTREAM_RESET, now)
         running.is_under_end = True
         cancel_running(desk, attempt, effects)
-    _note_end(desk, now, effects)
+    note_upstream_end(desk, now, effects)
 
 
 def _on_cancel(
@@ -436,6 +481,10 @@
         queued = take_startable(desk, now) or fair_queue.pop(desk.queue)
         if queued is None:
             return
+        if is_withheld_here(desk, queued.hand_over, now):
+            # While it waited, upstreams ended under it elsewhere.
+            drop_waiting(desk, queued, NotRunReason.QUARANTINED, now, effects)
+            continue
         del desk.waiting[queued.hand_over.attempt]
         start(desk, queued, now, effects)
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -157,6 +157,12 @@
     """Give back what waits: operators want nothing more sent to the upstream."""
 
 
+class UpstreamChecked(msgspec.Struct):
+    """Report whether the upstream refused a connection that was made to find that out."""
+
+    is_refused: bool
+
+
 class UpstreamReached(msgspec.Struct):
     """Report that an upstream which refused connections takes them again."""
 
@@ -191,6 +197,7 @@
     | Drain
     | UpstreamAnnounced
     | UpstreamLost
+    | UpstreamChecked
     | UpstreamReached
     | UpstreamRestarted
     | WaitingWithdrawn
@@ -218,14 +225,22 @@
     attempt: AttemptId
 
 
+class CheckUpstream(msgspec.Struct):
+    """Find out whether the upstream takes connections, and answer by UpstreamChecked."""
+
+
 class ReplyNotRun(msgspec.Struct):
-    """Send NotRun to the attempt's entry node; `hand_over` is what was refused, if at hand."""
+    """Send NotRun to the attempt's entry node; `hand_over` is what was refused, if at hand.
+
+    Units: `wait_ms` as in NotRun.
+    """
 
     attempt: AttemptId
     epoch: int
     reason: NotRunReason
     load: LoadSample
     hand_over: HandOver | None = None
+    wait_ms: Milliseconds = 0.0
 
 
 class ReplyUnknown(msgspec.Struct):
@@ -261,6 +276,7 @@
 
 OwnerEffect = (
     AskLoad
+    | CheckUpstream
     | Dispatch
     | CancelDispatch
     | ReplyNotRun
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -35,6 +35,7 @@
         NotRunReason.FENCED,
         NotRunReason.WRONG_OWNER,
         NotRunReason.CONNECT_FAILED,
+        NotRunReason.KEPT_APART,
     }
 )
 
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_suspects.py
@@ -0,0 +1,167 @@
+import unittest
+
+from bendwind_core.attempts import AttemptId, CutReason, HandOver, NotRunReason, owner
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.suspicion import EndName, SuspectTable, find_told, note_end, sign_request
+from bendwind_core.suspicion.table import MOST_TOGETHER
+from bendwind_core.world import Repeat, UpstreamState
+
+
+def sign(path):
+    return sign_request("GET", path, (), b"")
+
+
+class SuspectsTest(unittest.TestCase):
+    """Drive one desk that shares its node's table of suspects."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.sequence = 0
+        self.table = SuspectTable("n1")
+        self.desk = owner.create_desk("u", 1, 16, suspects=self.table)
+        self.step(ov.UpstreamAnnounced(8, 8, UpstreamState.READY))
+
+    def step(self, event):
+        return owner.step(self.desk, event, self.now)
+
+    def hand_over(self, path, suspicion=None):
+        self.sequence += 1
+        attempt = AttemptId("e", 1, self.sequence)
+        message = HandOver(
+            attempt, 1, "s", "u", "GET", path, (), 9000.0, Repeat.IDEMPOTENT, 1,
+            suspicion=suspicion,
+        )  # fmt: skip
+        (effect,) = self.step(ov.HandOverArrived(message, 1))
+        return attempt, effect
+
+    def suspect(self, path, count, table=None):
+        for number in range(count):
+            name = EndName("n2", 1, "v", number)
+            note_end(table or self.table, sign(path), "s", name, self.now)
+
+    def end_upstream(self, *attempts):
+        for attempt in attempts:
+            self.step(ov.DispatchUnknown(attempt, CutReason.UPSTREAM_RESET))
+        self.step(ov.UpstreamChecked(is_refused=True))
+        self.step(ov.UpstreamReached())
+
+    def count(self, path):
+        suspect = self.table.suspects.get(sign(path))
+        return 0 if suspect is None else suspect.count
+
+    def answer(self, attempt, status):
+        self.step(ov.DispatchHead(attempt, status, 5.0))
+        self.step(ov.DispatchDone(attempt))
+
+    def test_lost_connection_has_the_upstream_looked_at_once(self):
+        first, second = self.hand_over(b"/a")[0], self.hand_over(b"/b")[0]
+        effects = self.step(ov.DispatchUnknown(first, CutReason.UPSTREAM_RESET))
+        self.assertIn(ov.CheckUpstream(), effects)
+        effects = self.step(ov.DispatchUnknown(second, CutReason.UPSTREAM_RESET))
+        self.assertNotIn(ov.CheckUpstream(), effects)
+        effects = self.step(ov.UpstreamChecked(is_refused=True))
+        self.assertIn(ov.UpstreamUnreachable(), effects)
+        self.assertEqual((self.count(b"/a"), self.count(b"/b")), (1, 1))
+
+    def test_upstream_that_takes_connections_has_not_ended(self):
+        attempt, _ = self.hand_over(b"/a")
+        self.step(ov.DispatchUnknown(attempt, CutReason.UPSTREAM_RESET))
+        self.step(ov.UpstreamChecked(is_refused=False))
+        self.assertEqual(self.count(b"/a"), 0)
+
+    def test_request_that_ended_three_upstreams_is_refused_with_the_time_to_come_back(self):
+        for _ in range(3):
+            self.end_upstream(self.hand_over(b"/a")[0])
+            self.now += 1.0
+        _, refusal = self.hand_over(b"/a")
+        self.assertIs(refusal.reason, NotRunReason.QUARANTINED)
+        self.assertEqual(refusal.wait_ms, 4000.0)
+        self.assertIsInstance(self.hand_over(b"/b")[1], ov.Dispatch)
+
+    def test_what_its_entry_node_knows_counts_too(self):
+        elsewhere = SuspectTable("n2")
+        self.suspect(b"/a", 3, elsewhere)
+        told = find_told(elsewhere, sign(b"/a"), self.now)
+        _, refusal = self.hand_over(b"/a", told)
+        self.assertIs(refusal.reason, NotRunReason.QUARANTINED)
+        self.assertIn(sign(b"/a"), self.table.news)
+
+    def test_few_suspects_run_beside_each_other(self):
+        paths = [b"/a", *(f"/{number}".encode() for number in range(MOST_TOGETHER))]
+        for path in paths:
+            self.suspect(path, 2)
+        attempt, started = self.hand_over(b"/a")
+        self.assertIsInstance(started, ov.Dispatch)
+        further = [self.hand_over(path)[1] for path in paths[1:]]
+        self.assertTrue(all(isinstance(effect, ov.Dispatch) for effect in further[:-1]))
+        self.assertIs(further[-1].reason, NotRunReason.KEPT_APART)
+        self.assertIsInstance(self.hand_over(b"/a")[1], ov.Dispatch)
+        self.assertIsInstance(self.hand_over(b"/innocent")[1], ov.Dispatch)
+        self.answer(attempt, 200)
+        self.assertEqual(self.count(b"/a"), 0)
+
+    def test_no_other_suspect_runs_beside_a_trial(self):
+        self.suspect(b"/b", 2)
+        for _ in range(3):
+            self.end_upstream(self.hand_over(b"/a")[0])
+            self.now += 1.0
+        self.now = 7.0
+        self.assertIsInstance(self.hand_over(b"/a")[1], ov.Dispatch)
+        self.assertIs(self.hand_over(b"/b")[1].reason, NotRunReason.KEPT_APART)
+
+    def test_of_two_requests_that_end_upstreams_each_is_told_from_forty_beside_them(self):
+        """Replay two guilty ones among innocent ones that are sent again until they are served."""
+        guilty = (b"/g1", b"/g2")
+        innocent = [f"/{number}".encode() for number in range(40)]
+        self.step(ov.UpstreamAnnounced(64, 64, UpstreamState.READY))
+        runs = dict.fromkeys(guilty, 0)
+        served = set()
+        for _ in range(40):
+            self.now += 1.0
+            started = {}
+            for path in (*guilty, *(path for path in innocent if path not in served)):
+                attempt, effect = self.hand_over(path)
+                if isinstance(effect, ov.Dispatch):
+                    started[path] = attempt
+            ending = [path for path in guilty if path in started]
+            for path in ending:
+                runs[path] += 1
+            if ending:
+                self.end_upstream(*started.values())
+                continue
+            for path, attempt in started.items():
+                self.answer(attempt, 200)
+                served.add(path)
+        self.assertEqual(served, set(innocent))
+        self.assertLessEqual(max(runs.values()), 5)
+
+    def test_error_does_not_clear_and_success_does(self):
+        self.suspect(b"/a", 2)
+        self.answer(self.hand_over(b"/a")[0], 500)
+        self.assertEqual(self.count(b"/a"), 2)
+        self.answer(self.hand_over(b"/a")[0], 200)
+        self.assertEqual(self.count(b"/a"), 0)
+
+    def test_upstream_that_ends_after_it_said_so_speaks_against_nobody(self):
+        attempt, _ = self.hand_over(b"/a")
+        self.step(ov.UpstreamAnnounced(8, 8, UpstreamState.DRAINING))
+        self.end_upstream(attempt)
+        self.assertEqual(self.count(b"/a"), 0)
+
+    def test_request_that_waits_is_given_back_once_it_is_quarantined(self):
+        for number in range(8):
+            self.hand_over(f"/{number}".encode())
+        self.sequence += 1
+        waiting = AttemptId("e", 1, self.sequence)
+        message = HandOver(waiting, 1, "s", "u", "GET", b"/a", (), 9000.0, Repeat.IDEMPOTENT, 1)
+        self.step(ov.HandOverArrived(message, 1))
+        self.assertIn(waiting, self.desk.waiting)
+        self.suspect(b"/a", 3)
+        effects = self.step(ov.DispatchDone(AttemptId("e", 1, 1)))
+        refused = [effect for effect in effects if isinstance(effect, ov.ReplyNotRun)]
+        self.assertEqual([one.reason for one in refused], [NotRunReason.QUARANTINED])
+        self.assertNotIn(waiting, self.desk.running)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
@@ -9,7 +9,7 @@
 
 from bendwind_core.attempts.messages import AttemptId, CutReason, HandOver, Header
 from bendwind_core.core import Seconds
-from bendwind_core.suspicion import sign_request
+from bendwind_core.suspicion import number_request, sign_request
 
 # Nine connections of an upstream that ended were read as broken within 1 ms; a busy node is slower.
 SETTLING: Seconds = 0.1
@@ -18,22 +18,30 @@
 
 
 class Unanswered(msgspec.Struct, frozen=True):
-    """Hold an attempt whose answer did not come, without its body."""
+    """Hold an attempt whose answer did not come, without its body.
+
+    `number` is what `number_request` gives its request.
+    """
 
     attempt: AttemptId
+    service: str
     headers: tuple[Header, ...]
     signature: bytes
     ended_at: Seconds
+    number: int | None = None
 
 
 class EndWatch(msgspec.Struct):
     """Hold the attempts that ended without an answer since the upstream's last sign of life.
 
-    Until `settles_at`, such attempts are still those of an end that was seen.
+    Until `settles_at`, such attempts are still those of the last end that was seen; `ends` counts
+    these. `is_checked` says that the upstream is being asked whether it takes connections.
     """
 
     unanswered: list[Unanswered] = msgspec.field(default_factory=list)
     settles_at: Seconds = 0.0
+    ends: int = 0
+    is_checked: bool = False
 
 
 def sign_hand_over(hand_over: HandOver) -> bytes:
@@ -41,13 +49,26 @@
     return sign_request(hand_over.method, hand_over.target, hand_over.headers, hand_over.body)
 
 
+def number_hand_over(hand_over: HandOver) -> int | None:
+    """Return what `number_request` gives the request that is handed over."""
+    return number_request(hand_over.method, hand_over.target, hand_over.body)
+
+
 def note_unanswered(watch: EndWatch, hand_over: HandOver, reason: CutReason, now: Seconds) -> None:
     """Note that an attempt ended without its answer."""
     if reason is CutReason.FOREIGN_ANSWER:
         # The upstream did answer, though something else.
         return
-    signature = sign_hand_over(hand_over)
-    watch.unanswered.append(Unanswered(hand_over.attempt, hand_over.headers, signature, now))
+    watch.unanswered.append(
+        Unanswered(
+            hand_over.attempt,
+            hand_over.service,
+            hand_over.headers,
+            sign_hand_over(hand_over),
+            now,
+            number_hand_over(hand_over),
+        )
+    )
     del watch.unanswered[:-MAX_UNANSWERED]
 
 
@@ -60,6 +81,8 @@
 
 def take_unanswered(watch: EndWatch, now: Seconds) -> tuple[Unanswered, ...]:
     """Return and forget the attempts that an upstream has ended under."""
+    if now >= watch.settles_at:
+        watch.ends += 1
     watch.settles_at = now + SETTLING
     under = tuple(watch.unanswered)
     watch.unanswered = []
--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -5,6 +5,7 @@
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record, Seconds
 from bendwind_core.membership.messages import VoterPlace
+from bendwind_core.suspicion import SuspectTold
 from bendwind_core.world import Configuration, Instance, Upstream
 
 
@@ -96,6 +97,12 @@
     service: str
 
 
+class SuspectsLearned(msgspec.Struct, frozen=True):
+    """Tell what a voter knows against requests of the services that a node watches."""
+
+    suspects: tuple[SuspectTold, ...]
+
+
 class ClaimGroupsChanged(msgspec.Struct, frozen=True):
     """Tell that a claim group of a service which a node watches changed."""
 
@@ -144,6 +151,7 @@
     | SendTo
     | ConfigurationApplied
     | UpstreamsChanged
+    | SuspectsLearned
     | ClaimGroupsChanged
     | AttachmentChanged
     | FreshnessChanged
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -2,6 +2,7 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record
+from bendwind_core.suspicion import SuspectTold
 from bendwind_core.world import Instance, Routing, Service, Upstream
 
 
@@ -160,6 +161,12 @@
     operators: str = ""
 
 
+class SuspectsTold(Record, frozen=True, array_like=True, tag="suspects"):
+    """Tell what is known against requests, from node to voter, between voters and to nodes."""
+
+    suspects: tuple[SuspectTold, ...]
+
+
 class StatusRequest(Record, frozen=True, array_like=True, tag="status-request"):
     """Ask a voter for the status of the nodes attached to it."""
 
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -26,12 +26,18 @@
     MemberPull,
     MemberState,
     NodeStatus,
+    SuspectsTold,
     VoterPlace,
     VotersKnown,
     Watch,
 )
 from bendwind_core.membership.settings import LeaseTimes
 from bendwind_core.membership.state import Client, VoterRegistry
+from bendwind_core.membership.suspicions import (
+    flush_suspects,
+    send_known_suspects,
+    take_suspects,
+)
 from bendwind_core.world import Instance
 
 # Longer than a voter stays cut off, so that it cannot bring a forgotten node back.
@@ -80,6 +86,7 @@
         # Voters heed gossip of voters alone: ten learners sent five voters 100 messages a second
         # in vain (counted over 10 s of a calm day).
         gossip.send_due(registry, effects, now, rng)
+        flush_suspects(registry, effects, now)
     pushes.flush(registry, effects)
     if now >= registry.forget_at:
         gossip.forget_dead(registry, now - _FORGET_AFTER)
@@ -116,6 +123,9 @@
             _take_announce(registry, message, effects, now)
         case Watch():
             _take_watch(registry, message, effects)
+            send_known_suspects(registry, message, effects, now)
+        case SuspectsTold():
+            take_suspects(registry, message, now)
         case MemberGossip():
             gossip.take_gossip(registry, message, effects, now)
         case MemberDigest():
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -28,6 +28,7 @@
     PeerSeen,
     SendTo,
     ServiceWatched,
+    SuspectsLearned,
     Tick,
     UpstreamAnnounced,
     UpstreamsChanged,
@@ -40,6 +41,7 @@
     ConfigurationChanged,
     Heartbeat,
     HeartbeatReply,
+    SuspectsTold,
     VoterPlace,
     VotersKnown,
     Watch,
@@ -138,6 +140,8 @@
         case WatchUpdate(service=service):
             if held.put_upstreams(view.holdings, message):
                 effects.append(UpstreamsChanged(service))
+        case SuspectsTold(suspects=suspects):
+            effects.append(SuspectsLearned(suspects))
         case VotersKnown(voters=voters):
             _take_voters(view, voters, effects, now, rng)
 
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -9,6 +9,7 @@
 from bendwind_core.membership.member import BUCKETS, Member
 from bendwind_core.membership.messages import VoterPlace
 from bendwind_core.membership.settings import LeaseTimes
+from bendwind_core.suspicion import SuspectTable
 from bendwind_core.world import EMPTY_CONFIGURATION, Configuration, Service, Upstream
 
 
@@ -51,6 +52,7 @@
     that it knows what changed since each. `news` names members to tell the other voters of;
     `dirty` and `urgent` name services and `outdated` clients to push to. `voters` are all voters,
     this one included if it is one; `uninformed` names clients that have not been told of them.
+    `suspects` are the requests that may end the upstreams which run them.
     Units: times in seconds of the voter's clock.
     """
 
@@ -80,6 +82,8 @@
     gossip_at: Seconds = 0.0
     digest_at: Seconds = 0.0
     forget_at: Seconds = 0.0
+    suspects: SuspectTable = msgspec.field(default_factory=SuspectTable)
+    suspects_at: Seconds = 0.0
 
 
 def find_row(registry: VoterRegistry, service: str) -> ServiceRow:
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/suspicions.py
@@ -0,0 +1,74 @@
+"""Spread what is known against requests: from owner nodes to voters, and on to all that send."""
+
+from collections.abc import Iterable
+
+from bendwind_core.core import Seconds
+from bendwind_core.membership.events import RegistryEffect, SendTo
+from bendwind_core.membership.messages import SuspectsTold, Watch
+from bendwind_core.membership.state import VoterRegistry
+from bendwind_core.suspicion import (
+    SuspectTold,
+    forget_over,
+    hear_and_pass_on,
+    list_serious,
+    take_news,
+    tell,
+)
+
+# What has a consequence is told again this often. By then a voter that was cut off, or that missed
+# a message, knows as much as the others; nodes have three times as long.
+REPEAT_EVERY: Seconds = 1.0
+# A suspect with three ends takes some 200 bytes.
+_PER_MESSAGE = 50
+
+
+def take_suspects(registry: VoterRegistry, message: SuspectsTold, now: Seconds) -> None:
+    """Take over what a node or another voter tells; what is new is passed on at the next flush."""
+    for told in message.suspects:
+        hear_and_pass_on(registry.suspects, told, now)
+
+
+def flush_suspects(registry: VoterRegistry, effects: list[RegistryEffect], now: Seconds) -> None:
+    """Tell the other voters and the nodes that watch the service what is new against requests."""
+    if registry.suspects.news:
+        news = take_news(registry.suspects, now)
+        for voter in registry.peers:
+            _send(voter, news, effects)
+        _push(registry, news, effects)
+    if registry.suspects.suspects and now >= registry.suspects_at:
+        registry.suspects_at = now + REPEAT_EVERY
+        forget_over(registry.suspects, now)
+        serious = list_serious(registry.suspects, now)
+        for voter in registry.peers:
+            _send(voter, serious, effects)
+
+
+def _push(
+    registry: VoterRegistry, news: tuple[SuspectTold, ...], effects: list[RegistryEffect]
+) -> None:
+    by_service: dict[str, list[SuspectTold]] = {}
+    for told in news:
+        by_service.setdefault(told.service, []).append(told)
+    for service, suspects in by_service.items():
+        row = registry.services.get(service)
+        for node in row.watchers if row is not None else ():
+            _send(node, suspects, effects)
+
+
+def send_known_suspects(
+    registry: VoterRegistry, watch: Watch, effects: list[RegistryEffect], now: Seconds
+) -> None:
+    """Tell a node what is known against requests of the services that it watches."""
+    services = frozenset(watch.services)
+    known = registry.suspects.suspects.values()
+    _send(
+        watch.node,
+        [tell(suspect, now) for suspect in known if suspect.service in services],
+        effects,
+    )
+
+
+def _send(to: str, suspects: Iterable[SuspectTold], effects: list[RegistryEffect]) -> None:
+    told = tuple(suspects)
+    for start in range(0, len(told), _PER_MESSAGE):
+        effects.append(SendTo(to, SuspectsTold(told[start : start + _PER_MESSAGE])))
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -30,6 +30,7 @@
     MemberPull,
     StatusReply,
     StatusRequest,
+    SuspectsTold,
     VotersKnown,
     Watch,
     WatchUpdate,
@@ -65,6 +66,7 @@
     | MemberPull
     | StatusRequest
     | StatusReply
+    | SuspectsTold
     | ClaimMessage
     | ConsensusMessage
 )
--- a/packages/bendwind-core/src/bendwind_core/suspicion/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/suspicion/__init__.py
@@ -1,5 +1,68 @@
 """Offer what connects a request with what became of it before."""
 
+from bendwind_core.suspicion.limits import SuspicionLimits
+from bendwind_core.suspicion.served import Served, note_served, number_request, take_served
 from bendwind_core.suspicion.signature import sign_request
+from bendwind_core.suspicion.suspect import (
+    EndName,
+    Suspect,
+    SuspectTold,
+    UpstreamEnd,
+    UpstreamEndTold,
+)
+from bendwind_core.suspicion.table import (
+    Judgement,
+    Quarantined,
+    RunApart,
+    SuspectTable,
+    Unsuspected,
+    clear,
+    find_told,
+    find_trial_at,
+    forget_over,
+    hear,
+    hear_and_pass_on,
+    is_quarantined,
+    is_withheld,
+    judge,
+    list_news,
+    list_serious,
+    note_end,
+    note_let_in,
+    take_news,
+    tell,
+)
 
-__all__ = ["sign_request"]
+__all__ = [
+    "EndName",
+    "Judgement",
+    "Quarantined",
+    "RunApart",
+    "Served",
+    "Suspect",
+    "SuspectTable",
+    "SuspectTold",
+    "SuspicionLimits",
+    "Unsuspected",
+    "UpstreamEnd",
+    "UpstreamEndTold",
+    "clear",
+    "find_told",
+    "find_trial_at",
+    "forget_over",
+    "hear",
+    "hear_and_pass_on",
+    "is_quarantined",
+    "is_withheld",
+    "judge",
+    "list_news",
+    "list_serious",
+    "note_end",
+    "note_let_in",
+    "note_served",
+    "number_request",
+    "sign_request",
+    "take_news",
+    "take_served",
+    "tell",
+]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/suspicion/tests/test_table.py
@@ -0,0 +1,207 @@
+import unittest
+
+from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.suspicion import (
+    EndName,
+    Quarantined,
+    RunApart,
+    SuspectTable,
+    SuspicionLimits,
+    Unsuspected,
+    clear,
+    find_told,
+    find_trial_at,
+    hear,
+    hear_and_pass_on,
+    is_withheld,
+    judge,
+    list_news,
+    list_serious,
+    note_end,
+    note_let_in,
+    take_news,
+)
+from bendwind_core.suspicion.table import (
+    MAX_ENDS,
+    MAX_SUSPECTS,
+    MOST_TOGETHER,
+    ONE_CAUSE,
+    OTHERS_AFTER,
+    OTHERS_SPREAD,
+    TRIAL_AGAIN,
+)
+
+LIMITS = SuspicionLimits(apart_from=2, quarantine_from=3, quarantine=5.0, keep=600.0)
+GUILTY = b"guilty"
+APART = RunApart(MOST_TOGETHER - 1)
+TRIAL = RunApart(0)
+
+
+class TableTest(unittest.TestCase):
+    """Follow the table of the node n1, and of others that it tells."""
+
+    def setUp(self):
+        self.table = SuspectTable("n1", LIMITS)
+        self.now = 0.0
+
+    def end(self, number, signature=GUILTY, owner="n1", table=None, *, is_served=False):
+        name = EndName(owner, 1, f"u-{owner}", number)
+        table = table or self.table
+        note_end(table, signature, "s", name, self.now, is_served=is_served)
+
+    def judge(self, signature=GUILTY, table=None):
+        return judge(table or self.table, signature, self.now)
+
+    def test_request_runs_beside_few_suspects_after_two_ends_and_not_after_three(self):
+        judgements = []
+        for number in range(3):
+            self.end(number)
+            judgements.append(self.judge())
+        self.assertEqual(judgements, [Unsuspected(), APART, Quarantined(5000.0)])
+
+    def test_one_end_counts_once_however_many_of_the_same_request_it_ended_under(self):
+        for _ in range(5):
+            self.end(1)
+        self.assertEqual(self.judge(), Unsuspected())
+
+    def test_another_request_is_not_suspected(self):
+        for number in range(5):
+            self.end(number)
+        self.assertEqual(self.judge(b"innocent"), Unsuspected())
+
+    def test_answer_clears_and_what_was_told_before_is_over(self):
+        for number in range(3):
+            self.end(number)
+        before = find_told(self.table, GUILTY, self.now)
+        self.assertTrue(clear(self.table, GUILTY, self.now))
+        self.assertEqual(self.judge(), Unsuspected())
+        self.assertFalse(hear(self.table, before, self.now))
+        self.assertEqual(self.judge(), Unsuspected())
+        self.assertFalse(clear(self.table, GUILTY, self.now))
+
+    def test_trials_come_ever_later_and_one_at_a_time(self):
+        for number in range(3):
+            self.end(number)
+        waits = []
+        for number in range(3, 6):
+            waits.append(self.judge().wait_ms / MILLISECONDS_PER_SECOND)
+            self.now += waits[-1]
+            self.assertEqual(self.judge(), TRIAL)
+            note_let_in(self.table, GUILTY, self.now)
+            self.assertEqual(self.judge(), Quarantined(TRIAL_AGAIN * MILLISECONDS_PER_SECOND))
+            self.end(number)
+        self.assertEqual(waits, [5.0, 40.0, 320.0])
+
+    def test_trial_that_never_started_is_made_again(self):
+        for number in range(3):
+            self.end(number)
+        self.now = 5.0
+        self.assertEqual(self.judge(), TRIAL)
+        note_let_in(self.table, GUILTY, self.now)
+        self.now += TRIAL_AGAIN
+        self.assertEqual(self.judge(), TRIAL)
+
+    def test_others_try_only_where_the_last_owner_does_not_and_not_all_at_once(self):
+        for number in range(3):
+            self.end(number)
+        told = find_told(self.table, GUILTY, self.now)
+        trials = []
+        for index in range(20):
+            other = SuspectTable(f"other-{index}", LIMITS)
+            hear(other, told, self.now)
+            trials.append(find_trial_at(other, other.suspects[GUILTY]))
+        first, last = 5.0 + OTHERS_AFTER, 5.0 + OTHERS_AFTER + OTHERS_SPREAD
+        self.assertTrue(all(first <= trial <= last for trial in trials))
+        self.assertGreater(len({round(trial) for trial in trials}), 10)
+
+    def test_suspicion_ends(self):
+        for number in range(3):
+            self.end(number)
+        self.now = LIMITS.keep + 6.0
+        self.assertEqual(self.judge(), Unsuspected())
+        self.assertIsNone(self.table.suspects[GUILTY].tried_at)
+
+    def test_two_nodes_that_saw_some_ends_each_know_all_of_them_once_they_have_told(self):
+        other = SuspectTable("n2", LIMITS)
+        self.end(1)
+        self.now = 1.0
+        self.end(1, owner="n2", table=other)
+        self.end(2, owner="n2", table=other)
+        for told in take_news(other, self.now):
+            self.assertTrue(hear_and_pass_on(self.table, told, self.now))
+        for told in take_news(self.table, self.now):
+            hear(other, told, self.now)
+        for table in (self.table, other):
+            self.assertIsInstance(self.judge(table=table), Quarantined)
+
+    def test_end_does_not_grow_younger_by_being_told_to_and_fro(self):
+        other = SuspectTable("n2", LIMITS)
+        for number in range(3):
+            self.end(number)
+        told = find_told(self.table, GUILTY, self.now)
+        for _ in range(10):
+            self.now += 1.0
+            hear(other, told, self.now)
+            self.now += 1.0
+            hear(self.table, find_told(other, GUILTY, self.now), self.now)
+            told = find_told(self.table, GUILTY, self.now)
+        self.assertEqual(self.table.suspects[GUILTY].last.at, 0.0)
+
+    def test_what_was_heard_before_is_no_news(self):
+        for number in range(3):
+            self.end(number)
+        other = SuspectTable("n2", LIMITS)
+        told = find_told(self.table, GUILTY, self.now)
+        self.assertTrue(hear_and_pass_on(other, told, self.now))
+        take_news(other, self.now)
+        self.assertFalse(hear_and_pass_on(other, told, self.now + 1.0))
+        self.assertEqual(list_news(other, self.now), ())
+
+    def test_ends_at_one_moment_speak_once_against_what_was_served_shortly_before(self):
+        """Replay a loss of power: one popular request ran at each of four upstreams."""
+        for owner in ("n1", "n2", "n3", "n4"):
+            self.end(1, owner=owner, is_served=True)
+            self.now += 0.1
+        self.assertEqual(self.judge(), Unsuspected())
+
+    def test_request_that_was_served_and_ends_upstreams_from_then_on_is_found_out(self):
+        for owner in ("n1", "n2", "n3", "n4"):
+            self.end(1, owner=owner, is_served=True)
+            self.now += ONE_CAUSE + 0.5
+        self.assertIsInstance(self.judge(), Quarantined)
+
+    def test_request_that_waits_is_withheld_once_three_upstreams_ended_under_it(self):
+        for number in range(2):
+            self.end(number)
+        self.assertFalse(is_withheld(self.table, GUILTY, self.now))
+        self.end(2)
+        self.assertTrue(is_withheld(self.table, GUILTY, self.now))
+        self.now = 5.0
+        note_let_in(self.table, GUILTY, self.now)
+        self.assertFalse(is_withheld(self.table, GUILTY, self.now))
+
+    def test_memory_is_bounded_and_what_has_consequences_stays(self):
+        for number in range(3):
+            self.end(number)
+        for index in range(3 * MAX_SUSPECTS):
+            self.end(9, str(index).encode())
+        for number in range(3, 3 * MAX_ENDS):
+            self.end(number)
+        self.assertLessEqual(len(self.table.suspects), MAX_SUSPECTS)
+        self.assertLessEqual(len(self.table.news), MAX_SUSPECTS)
+        self.assertEqual(len(self.table.suspects[GUILTY].ends), MAX_ENDS)
+        self.assertEqual([told.signature for told in list_serious(self.table, 0.0)], [GUILTY])
+
+    def test_request_that_was_cleared_is_suspected_anew_from_the_first_end_on(self):
+        for number in range(3):
+            self.end(number)
+        clear(self.table, GUILTY, self.now)
+        self.end(7)
+        self.assertEqual(self.judge(), Unsuspected())
+        self.end(8)
+        self.end(9)
+        self.assertIsInstance(self.judge(), Quarantined)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/timeline/facts.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -57,6 +57,7 @@
 class RefusalFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="refusal"):
     """Hold what an owner node knew when it refused an attempt as not run.
 
+    `signature` is that of a suspect, as in UnansweredFacts.
     Units: milliseconds; `remaining_ms` and `target_ms` are what was left when the attempt came.
     """
 
@@ -69,6 +70,7 @@
     slots: int = 0
     slow_factor: float = 1.0
     report_age_ms: Milliseconds | None = None
+    signature: str = ""
 
 
 class UnansweredFacts(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/bendwind-core/src/bendwind_core/timeline/story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/story.py
@@ -66,7 +66,8 @@
             of_request.append(line)
         elif not line.request and not line.call and line.name not in _ROUTINE:
             of_processes.append(line)
-    upstream_ends = _find_upstream_ends(request, of_ends)
+    refusals = [line for line in of_request if isinstance(line.facts, RefusalFacts)]
+    upstream_ends = _find_upstream_ends(request, of_ends, refusals)
     end = _find_end(of_request)
     if end is None:
         return Story(request, None, unread=unread, upstream_ends=upstream_ends)
@@ -76,9 +77,12 @@
     return Story(request, end, steps, context, unread, upstream_ends)
 
 
-def _find_upstream_ends(request: str, lines: list[LogLine]) -> tuple[LogLine, ...]:
+def _find_upstream_ends(
+    request: str, lines: list[LogLine], refusals: list[LogLine]
+) -> tuple[LogLine, ...]:
     listed = [asked for line in lines for asked in line.facts.requests]
     wanted = {asked.signature for asked in listed if asked.request == request}
+    wanted |= {line.facts.signature for line in refusals if line.facts.signature}
     found = [
         line for line in lines if any(asked.signature in wanted for asked in line.facts.requests)
     ]
--- a/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
@@ -56,6 +56,8 @@
     facts = step.owner.facts if step.owner else None
     if not isinstance(facts, RefusalFacts):
         return f"ended {step.attempt.end}"
+    if facts.signature:
+        return f"refused ({step.owner.detail}) since upstreams had ended under it"
     if facts.slow_factor >= SLOW_FACTOR:
         return "sent back by an upstream that was slowed and would have answered late"
     if facts.running < facts.slots and not facts.waiting:
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -3,8 +3,8 @@
 from bendwind_core.attempts import Header
 from bendwind_core.attempts.call import Attempt
 from bendwind_core.attempts.desk import OwnerDesk, find_usual_ms
-from bendwind_core.attempts.messages import HandOver
-from bendwind_core.attempts.upstream_end import Unanswered
+from bendwind_core.attempts.messages import HandOver, NotRunReason
+from bendwind_core.attempts.upstream_end import Unanswered, sign_hand_over
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.timeline import (
     AttemptFacts,
@@ -81,8 +81,11 @@
     )
 
 
-def make_refusal_facts(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> RefusalFacts:
+def make_refusal_facts(
+    desk: OwnerDesk, hand_over: HandOver, reason: NotRunReason, now: Seconds
+) -> RefusalFacts:
     """Describe what is known when an attempt is refused."""
+    is_suspect = reason in (NotRunReason.KEPT_APART, NotRunReason.QUARANTINED)
     return RefusalFacts(
         hand_over.route,
         round(hand_over.remaining_ms, 1),
@@ -93,6 +96,7 @@
         desk.slots,
         desk.pace.factor,
         _find_report_age(desk, now),
+        sign_hand_over(hand_over).hex() if is_suspect else "",
     )
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_run.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_run.py
@@ -38,6 +38,7 @@
     is_inner: bool = False
     span: CallerTime | None = None
     key: str = ""
+    signature: bytes = b""
     fingerprint: bytes = b""
     heads: dict[AttemptId, AnswerHead] = msgspec.field(default_factory=dict)
     incoming: dict[tuple[AttemptId, int], BodyPart] = msgspec.field(default_factory=dict)
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -47,6 +47,7 @@
     set_routing,
     set_upstreams,
 )
+from bendwind_core.suspicion import SuspectTold, find_told, hear, sign_request
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Service, StaleAction, Upstream, may_serve
 from bendwind_node.calls.body_flow import Outflow, cut_body, split_body
@@ -238,9 +239,9 @@
             case BodyPart(attempt=id, index=index, more=more):
                 run.incoming[id, index] = message
                 run.feed(ev.AttemptBodyPart(id, index, more))
-            case NotRun(attempt=id, reason=reason, load=load):
+            case NotRun(attempt=id, reason=reason, load=load, wait_ms=wait_ms):
                 self._note_not_run(run, attempt.upstream, message)
-                run.feed(ev.AttemptNotRun(id, reason, load))
+                run.feed(ev.AttemptNotRun(id, reason, load, wait_ms))
             case Unknown(attempt=id, reason=reason):
                 self._note_unknown(run, attempt.upstream, id, reason)
                 run.feed(ev.AttemptUnknown(id, reason))
@@ -387,6 +388,7 @@
             route=run.call.rule.name,
             target_ms=effect.target_ms,
             origin=self.origin_service,
+            suspicion=self._find_suspicion(run),
         )
         self.runs[effect.attempt.sequence] = run
         note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
@@ -403,6 +405,21 @@
         elif rest:
             self.nursery.start_soon(self._send_parts, run, effect.attempt, owner.name, rest)
 
+    def _find_suspicion(self, run: CallRun) -> SuspectTold | None:
+        """Return what this process knows against a request; its owner may not have heard of it."""
+        suspects = self.owner.register.suspects
+        if not suspects.suspects:
+            return None
+        if not run.signature:
+            run.signature = sign_request(run.method, run.target, run.headers, run.body)
+        return find_told(suspects, run.signature, trio.current_time())
+
+    def hear_suspects(self, told: tuple[SuspectTold, ...]) -> None:
+        """Hear from a voter what is known against requests."""
+        now = trio.current_time()
+        for one in told:
+            hear(self.owner.register.suspects, one, now)
+
     def _asks_first(self, run: CallRun, owner: Instance) -> bool:
         """Tell whether the owner has to say that it takes a request before it gets the body."""
         is_far = owner.data_centre != self.own.data_centre
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -1,6 +1,7 @@
 """Own the upstreams beside this process: decide by their desks and carry out the effects."""
 
 import math
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -26,8 +27,16 @@
 from bendwind_core.attempts.upstream_end import Unanswered
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import ProbeBudget, spend_probe
+from bendwind_core.membership.suspicions import REPEAT_EVERY
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import LoadProbe, LoadReport
+from bendwind_core.suspicion import (
+    SuspectTold,
+    forget_over,
+    is_quarantined,
+    list_news,
+    list_serious,
+)
 from bendwind_core.timeline import DispatchFacts, EventKind, Recorder
 from bendwind_core.world import Instance, LoadSample
 from bendwind_node.calls.assembly import AssemblyTable
@@ -45,6 +54,8 @@
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.upstream_register import VERIFY_TIMEOUT, UpstreamRegister
 
+TellSuspects = Callable[[tuple[SuspectTold, ...]], bool]
+
 REPORT_BYTES = 80
 # Leases of announcements are looked at this often; queued attempts expire on time.
 LEASE_CHECK: Seconds = 0.5
@@ -60,12 +71,14 @@
     assemblies: AssemblyTable
     probe_budget: ProbeBudget
     dialect: Dialect = BENDWIND_DIALECT
+    tell_suspects: TellSuspects = lambda told: False
     replies: ReplyPath = msgspec.field(default_factory=ReplyPath)
     outflows: dict[AttemptId, Outflow] = msgspec.field(default_factory=dict)
     probes_answered: int = 0
     loads_asked: int = 0
     clock_moved: trio.Event = msgspec.field(default_factory=trio.Event)
     wakes_at: Seconds = math.inf
+    suspects_told_at: Seconds = 0.0
 
     def __post_init__(self):
         self.register.feed = self._feed
@@ -208,6 +221,25 @@
             if due is not None and due <= now:
                 self._feed(owned, ev.Tick())
         self.register.end_expired(now)
+        self._repeat_suspects(now)
+
+    def _repeat_suspects(self, now: Seconds) -> None:
+        """Tell again what has a consequence: the voter may have missed it, or be another one."""
+        suspects = self.register.suspects
+        if not suspects.suspects or now - self.suspects_told_at < REPEAT_EVERY:
+            return
+        self.suspects_told_at = now
+        forget_over(suspects, now)
+        services = {owned.upstream.service for owned in self.register.owned.values()}
+        serious = [told for told in list_serious(suspects, now) if told.service in services]
+        if serious:
+            self.tell_suspects(tuple(serious))
+        self._tell_news()
+
+    def _tell_news(self) -> None:
+        suspects = self.register.suspects
+        if suspects.news and self.tell_suspects(list_news(suspects, trio.current_time())):
+            suspects.news.clear()
 
     def _feed_all(self, event: ev.OwnerEvent) -> None:
         for owned in tuple(self.register.owned.values()):
@@ -216,6 +248,7 @@
     def _feed(self, owned: OwnedUpstream, event: ev.OwnerEvent) -> None:
         for effect in owner.step(owned.desk, event, trio.current_time()):
             self._carry_out(owned, effect)
+        self._tell_news()
         due = owner.next_due(owned.desk, trio.current_time())
         if due is not None and due < self.wakes_at:
             self.clock_moved.set()
@@ -228,12 +261,14 @@
                 self.nursery.start_soon(self._dispatch, owned, hand_over, scope)
             case ev.AskLoad():
                 self.nursery.start_soon(self._ask_load, owned)
+            case ev.CheckUpstream():
+                self.nursery.start_soon(self._check_upstream, owned)
             case ev.CancelDispatch(attempt=attempt):
                 scope = owned.scopes.get(attempt)
                 if scope is not None:
                     scope.cancel()
-            case ev.ReplyNotRun(attempt=attempt, epoch=epoch, reason=reason, load=load):
-                not_run = NotRun(attempt, reason, load, self._is_inner(owned, effect))
+            case ev.ReplyNotRun(attempt, epoch, reason, load, wait_ms=wait_ms):
+                not_run = NotRun(attempt, reason, load, self._is_inner(owned, effect), wait_ms)
                 self.replies.send(attempt, epoch, not_run)
                 self._record_refusal(owned, effect)
             case ev.ReplyUnknown(attempt=attempt, epoch=epoch, reason=reason, load=load):
@@ -254,6 +289,14 @@
             detail=f"{len(under)} unanswered",
             facts=make_end_facts(under, self.dialect),
         )
+        suspects = self.register.suspects
+        for signature in {ended.signature for ended in under}:
+            suspect = suspects.suspects.get(signature)
+            if suspect is not None and is_quarantined(suspects, suspect):
+                detail = f"{signature.hex()}: {suspect.count} upstreams ended"
+                self.recorder.record(
+                    EventKind.REQUEST_QUARANTINED, upstream=owned.upstream.name, detail=detail
+                )
 
     def _is_inner(self, owned: OwnedUpstream, reply: ev.ReplyNotRun) -> bool:
         hand_over = reply.hand_over
@@ -274,7 +317,7 @@
             upstream=owned.upstream.name,
             detail=str(reply.reason),
             request=find_request_id(hand_over.headers, self.dialect),
-            facts=make_refusal_facts(owned.desk, hand_over, trio.current_time()),
+            facts=make_refusal_facts(owned.desk, hand_over, reply.reason, trio.current_time()),
         )
 
     async def _ask_load(self, owned: OwnedUpstream) -> None:
@@ -293,6 +336,10 @@
             self._feed(owned, ev.LoadNotReported())
         self.register.note_answer(owned, answer, asked_at)
 
+    async def _check_upstream(self, owned: OwnedUpstream) -> None:
+        is_refused = await owned.pool.refuses_connections()
+        self._feed(owned, ev.UpstreamChecked(is_refused))
+
     async def _dispatch(
         self, owned: OwnedUpstream, hand_over: HandOver, scope: trio.CancelScope
     ) -> None:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_h11.py
@@ -27,11 +27,11 @@
 
 
 class TestUpstreamPool(unittest.TestCase):
-    def run_with(self, handler, check):
+    def run_with(self, handler, check, resend_within=60.0):
         async def main():
             with trio.fail_after(20):
                 async with run_server(handler) as port:
-                    pool = UpstreamPool("127.0.0.1", port, 4)
+                    pool = UpstreamPool("127.0.0.1", port, 4, resend_within)
                     await check(pool)
                     await pool.aclose()
 
@@ -89,7 +89,7 @@
 
         self.run_with(handler, check)
 
-    def check_stale(self, request):
+    def check_stale(self, request, resend_within=60.0):
         """Let the upstream close the kept connection as the second request goes out."""
         served = []
 
@@ -109,7 +109,7 @@
             await answer.aclose()
             outcomes.append(await pool.start(request))
 
-        self.run_with(handler, check)
+        self.run_with(handler, check, resend_within)
         return outcomes[0], served
 
     def test_idempotent_request_survives_the_close_of_a_kept_connection(self):
@@ -117,6 +117,12 @@
         self.assertTrue(outcome.is_ok())
         self.assertEqual(served, [1, 2])
 
+    def test_request_that_the_upstream_had_time_to_read_is_not_sent_a_second_time(self):
+        # It may have ended the upstream, and would end the next run of it too.
+        outcome, served = self.check_stale(make_request(), resend_within=-1.0)
+        self.assertEqual(outcome.error, AnswerCut(CutReason.UPSTREAM_RESET))
+        self.assertEqual(served, [1])
+
     def test_marked_request_is_never_sent_a_second_time(self):
         outcome, served = self.check_stale(make_request(b"POST", is_marked=True))
         self.assertEqual(outcome.error, AnswerCut(CutReason.UPSTREAM_RESET))
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -22,6 +22,10 @@
 # new run of it announces itself anyway.
 RETRY_PAUSE: Seconds = 0.5
 RETRY_SPREAD = 0.2
+# A connection that was closed while the request was on its way fails within a round trip inside the
+# instance. What fails later was read, and may have ended the upstream: under one such request 15
+# upstreams ended, each 30 to 90 ms after it had reached them.
+RESEND_WITHIN: Seconds = 0.02
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 
@@ -89,11 +93,15 @@
 
 
 class UpstreamPool(msgspec.Struct, eq=False):
-    """Own the connections to one upstream; the newest idle one is used first."""
+    """Own the connections to one upstream; the newest idle one is used first.
+
+    Units: within `resend_within` seconds a kept connection that failed is taken for closed before.
+    """
 
     host: str
     port: int
     connections: int
+    resend_within: Seconds = RESEND_WITHIN
     idle: list[UpstreamConnection] = msgspec.field(default_factory=list)
     is_closed: bool = False
 
@@ -108,9 +116,13 @@
         if taken.is_error():
             return taken
         connection = taken.ok
+        begun_at = trio.current_time()
         answer = await self._exchange(connection, request, note_sent)
         if answer.is_ok() or not connection.is_reused or request.is_marked:
             return answer
+        if trio.current_time() - begun_at > self.resend_within:
+            # Whatever ended it ran it first; another send is for the entry node to decide and pay.
+            return answer
         # The upstream may have closed the kept connection just as the request went out.
         fresh = await self._connect()
         return answer if fresh.is_error() else await self._exchange(fresh.ok, request, note_sent)
@@ -135,6 +147,18 @@
             return Ok(UpstreamConnection(stream, protocol))
         return Error(RequestNotSent(NotRunReason.CONNECT_FAILED, is_timed_out=True))
 
+    async def refuses_connections(self) -> bool:
+        """Find out by a connection, which is kept if the upstream takes it."""
+        made = await self._connect()
+        match made:
+            case Result(tag="ok", ok=connection):
+                connection.idle_since = trio.current_time()
+                self.idle.append(connection)
+                return False
+            case Result(tag="error", error=failed):
+                return not failed.is_timed_out
+        raise AssertionError("a result is ok or an error")
+
     async def _exchange(
         self,
         connection: UpstreamConnection,
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -10,6 +10,7 @@
 from bendwind_core.attempts import owner
 from bendwind_core.attempts import owner_events as ev
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.suspicion import SuspectTable
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Upstream, UpstreamState, WarmUpRule
 from bendwind_node.calls.departures import Departures
@@ -41,7 +42,8 @@
     """Hold the upstreams beside this process by name.
 
     `feed` and `list_links` lead to the owner node: to an upstream's desk, and to the links that a
-    new desk has to hear of. `started_at` is when this process started. `is_evacuated` says that
+    new desk has to hear of. `started_at` is when this process started, `suspects` are the requests
+    that may end upstreams. `is_evacuated` says that
     operators want nothing sent to the upstreams of this data centre.
     """
 
@@ -56,6 +58,7 @@
     find_warm_up: Callable[[str], WarmUpRule | None] = lambda service: None
     warm_up_limits: WarmUpLimits = WarmUpLimits()
     started_at: Seconds = 0.0
+    suspects: SuspectTable = msgspec.field(default_factory=SuspectTable)
     feed: Feed = lambda owned, event: None
     list_links: Callable[[], Iterable[ReplyLink]] = lambda: ()
     departures: Departures = msgspec.field(default_factory=Departures)
@@ -305,6 +308,7 @@
                 assumed_at=trio.current_time(),
                 sent_at=self.started_at,
             ),
+            suspects=self.suspects,
         )
         pool = UpstreamPool(news.host, news.port, news.connections)
         owned = OwnedUpstream(upstream, desk, pool, 0.0, is_verified=not news.sequence)
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -19,12 +19,14 @@
     ConfigurationApplied,
     InstancesLearned,
     LeaseTimes,
+    SuspectsLearned,
     UpstreamsChanged,
     ViewEffect,
     VoterPlace,
     VotersLearned,
 )
 from bendwind_core.messages import Hello
+from bendwind_core.suspicion import SuspectTable, SuspicionLimits
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Upstream, WarmUpRule
 from bendwind_node import STARTED_AT
@@ -128,6 +130,13 @@
     return ClaimLimits(claims.retention_s, claims.keys, claims.key_bytes, claims.answer_bytes)
 
 
+def _find_suspicion_limits(settings: Settings) -> SuspicionLimits:
+    suspicion = settings.suspicion
+    return SuspicionLimits(
+        suspicion.apart_from, suspicion.quarantine_from, suspicion.quarantine_s, suspicion.keep_s
+    )
+
+
 def list_voters(settings: Settings) -> tuple[VoterPlace, ...]:
     """Return the voters that the settings name."""
     return tuple(
@@ -171,10 +180,18 @@
         lambda service: _find_warm_up(membership, service),
         WarmUpLimits(settings.limits.warm_up_overage, settings.limits.warm_up_slack),
         trio.current_time() - (time.monotonic() - STARTED_AT),
+        SuspectTable(own.name, _find_suspicion_limits(settings)),
     )
     assemblies = AssemblyTable(settings.limits.body_bytes, daemon.body_budget)
     dispatcher.owner = OwnerNode(
-        own, recorder, nursery, register, assemblies, budget, extension.dialect
+        own,
+        recorder,
+        nursery,
+        register,
+        assemblies,
+        budget,
+        extension.dialect,
+        membership.tell_suspects,
     )
     dispatcher.entry = EntryNode(
         own,
@@ -297,6 +314,8 @@
                 _learn_instance(dispatcher.hub, upstream.owner)
                 dispatcher.owner.register.hear_pushed(upstream)
             dispatcher.entry.refresh_upstreams(service)
+        case SuspectsLearned(suspects=suspects):
+            dispatcher.entry.hear_suspects(suspects)
         case VotersLearned(voters=voters):
             learn_places(dispatcher.hub, voters)
         case ConfigurationApplied():
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -39,6 +39,8 @@
     member.WatchUpdate,
     member.VotersKnown,
 )
+# These travel from nodes to voters, between voters, and from voters to nodes.
+_TO_NODE_AND_REGISTRY = (member.SuspectsTold,)
 _TO_REGISTRY = (
     member.Heartbeat,
     member.Announce,
@@ -48,6 +50,7 @@
     member.MemberPull,
     member.StatusRequest,
     member.StatusReply,
+    *_TO_NODE_AND_REGISTRY,
 )
 _TO_VOTER = typing.get_args(consensus.ConsensusMessage)
 _TO_CLAIMS = typing.get_args(claim.ClaimMessage)
@@ -125,6 +128,8 @@
             return self._to_probes
         if kind in _TO_NODE:
             return self._to_membership
+        if kind in _TO_NODE_AND_REGISTRY:
+            return self._to_both
         if kind in _TO_PLACER or kind in _TO_REGISTRY or kind in _TO_VOTER:
             return None if self.control is None else self._to_control
         return self._to_claims if kind in _TO_CLAIMS else None
@@ -142,6 +147,11 @@
     def _to_membership(self, link: Link, message: PeerMessage) -> None:
         _put(self.membership.inbox, (link.peer.name, message))
 
+    def _to_both(self, link: Link, message: PeerMessage) -> None:
+        self._to_membership(link, message)
+        if self.control is not None:
+            self._to_control(link, message)
+
     def _to_claims(self, link: Link, message: PeerMessage) -> None:
         _put(self.claims.inbox, PeerClaimMessage(link.peer.name, message))
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -7,6 +7,7 @@
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.membership import ConfigurationApplied, ViewEffect
+from bendwind_core.suspicion import SuspectTable
 from bendwind_node.calls.announce_asgi import AnnounceApp
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_task import CallTask
@@ -128,6 +129,7 @@
         read_wall_ms,
         daemon.stopping.set,
         _create_metrics_renderer(daemon),
+        _find_suspects(daemon),
     )
     served = AsgiServer(
         _detach(daemon.listeners.operators),
@@ -138,6 +140,14 @@
     nursery.start_soon(serve_asgi, app, served)
 
 
+def _find_suspects(daemon: Daemon) -> SuspectTable:
+    """Return all that is known against requests on a voter, else what this node knows."""
+    control = daemon.dispatcher.control
+    if control is not None:
+        return control.registry.registry.suspects
+    return daemon.dispatcher.owner.register.suspects
+
+
 def create_metrics(daemon: Daemon) -> Metrics:
     """Make the metrics of a process; their values are read at each scrape."""
     dispatcher = daemon.dispatcher
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -18,6 +18,7 @@
     PeerSeen,
     SendTo,
     ServiceWatched,
+    SuspectsTold,
     Tick,
     UpstreamAnnounced,
     ViewEffect,
@@ -27,10 +28,11 @@
     set_seeds,
     step_view,
 )
+from bendwind_core.suspicion import SuspectTold
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Routing, Service, Upstream
 
-Send = Callable[[str, Record], None]
+Send = Callable[[str, Record], bool]
 Listener = Callable[[ViewEffect], None]
 
 # The view acts on heartbeats and timeouts only; this share of a heartbeat is fine enough.
@@ -136,6 +138,10 @@
         self.recorder.record(EventKind.UPSTREAM_ANNOUNCED, upstream=upstream.name, detail=detail)
         self.step(UpstreamAnnounced(upstream))
 
+    def tell_suspects(self, suspects: tuple[SuspectTold, ...]) -> bool:
+        """Tell the voter what is known against requests; False if there is no way to it now."""
+        return self.send(self.view.voter, SuspectsTold(suspects))
+
     def note_link_lost(self, peer: str) -> None:
         """Take notice that the link to a peer broke."""
         self.step(LinkLost(peer))
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -91,6 +91,7 @@
     REFUSALS = _count(
         "attempts_refused", "attempts", "Attempts this owner refused.", "route", "reason"
     )
+    SUSPECTS = _gauge("suspects", "requests", "Requests that upstreams ended under.", "state")
     CALL_BUCKET, CALL_SUM, CALL_COUNT = _CALL_SECONDS
     WAIT_BUCKET, WAIT_SUM, WAIT_COUNT = _WAIT_SECONDS
     RUN_BUCKET, RUN_SUM, RUN_COUNT = _RUN_SECONDS
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -8,6 +8,7 @@
 
 from bendwind_core.admission import is_cold
 from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.suspicion import SuspectTable, is_quarantined
 from bendwind_core.timeline import Recorder
 from bendwind_core.timeline.statistics import CallStatistics, Histogram
 from bendwind_node.calls.entry_node import EntryNode
@@ -86,10 +87,18 @@
         is_spared = is_cold(owned.desk.warm_up, trio.current_time())
         yield Sample(Metric.UPSTREAM_COLD, int(is_spared), (upstream,))
         yield Sample(Metric.UPSTREAM_UNREACHABLE, int(owned.is_unreachable), (upstream,))
+    yield from _gather_suspects(owner.register.suspects)
     yield Sample(Metric.DRAINING, int(owner.register.is_draining))
     yield Sample(Metric.EVACUATED, int(owner.register.is_evacuated))
 
 
+def _gather_suspects(table: SuspectTable) -> Iterator[Sample]:
+    suspects = [suspect for suspect in table.suspects.values() if suspect.ends]
+    quarantined = sum(is_quarantined(table, suspect) for suspect in suspects)
+    yield Sample(Metric.SUSPECTS, len(suspects) - quarantined, ("noted",))
+    yield Sample(Metric.SUSPECTS, quarantined, ("quarantined",))
+
+
 def gather_probes(probes: ProbeTask) -> Iterator[Sample]:
     """Read what was spent on measuring the load of upstreams."""
     yield Sample(Metric.LOAD_PROBES, probes.sent, ("asked",))
--- a/packages/bendwind-node/src/bendwind_node/operators/app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/app.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from bendwind_core.plans import DrainTarget
+from bendwind_core.suspicion import SuspectTable
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.http import serve_lifespan
 from bendwind_node.operators.authority import OperatorAuthority
@@ -28,6 +29,7 @@
 from bendwind_node.operators.revision_routes import RevisionRoutes
 from bendwind_node.operators.status_routes import StatusRoutes
 from bendwind_node.operators.status_source import StatusSource
+from bendwind_node.operators.suspect_routes import SuspectRoutes
 from bendwind_node.operators.views import StoppingView, show_catalogue
 
 _DRAIN_TARGETS = {"instances": DrainTarget.INSTANCE, "upstreams": DrainTarget.UPSTREAM}
@@ -40,8 +42,9 @@
 class OperatorsApp:
     """Serve the operators' API as an ASGI application.
 
-    `control` is None on a process that is no voter. `request_stop` begins a planned stop and
-    returns at once. `render_metrics` takes the Accept header.
+    `control` is None on a process that is no voter; `suspects` is what it knows against requests.
+    `request_stop` begins a planned stop and returns at once. `render_metrics` takes the Accept
+    header.
     """
 
     control: ControlClient | None
@@ -51,6 +54,7 @@
     wall_ms: Callable[[], int]
     request_stop: Callable[[], None]
     render_metrics: Callable[[str], Response]
+    suspects: SuspectTable = field(default_factory=SuspectTable)
     plans: PlanRoutes | None = field(init=False)
     claims: ClaimRoutes | None = field(init=False)
     revisions: RevisionRoutes | None = field(init=False)
@@ -97,6 +101,8 @@
         match request.path:
             case ("metrics",):
                 return self._answer_metrics(request)
+            case ("v1", "suspects", *rest):
+                return self._answer_suspects(request, tuple(rest))
             case ("v1", "events" | "timeline" | "status" | "stop" as name):
                 return await self._answer_process(request, name)
             case ("v1", name, *rest) if name in _CONTROL_PATHS:
@@ -121,6 +127,17 @@
                 return _refuse_method()
         return plain_error(404, ErrorKind.NOT_FOUND)
 
+    def _answer_suspects(self, request: Request, path: tuple[str, ...]) -> Response:
+        routes = SuspectRoutes(self.suspects, self.recorder)
+        match request.method, path:
+            case "GET", ():
+                return routes.get_suspects()
+            case "POST", (signature, "release"):
+                return routes.release(signature)
+            case _, () | (_, "release"):
+                return _refuse_method()
+        return plain_error(404, ErrorKind.NOT_FOUND)
+
     async def _answer_evacuation(self, request: Request, path: tuple[str, ...]) -> Response:
         assert self.evacuations is not None
         match request.method, path:
--- a/packages/bendwind-node/src/bendwind_node/operators/errors.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/errors.py
@@ -31,6 +31,7 @@
     NO_LOST_CLAIMS = "no-lost-claims"
     GROUP_REFUSED = "group-refused"
     UNKNOWN_DATA_CENTRE = "unknown-data-centre"
+    UNKNOWN_SUSPECT = "unknown-suspect"
     UNKNOWN_SERVICE = "unknown-service"
     METHOD_NOT_ALLOWED = "method-not-allowed"
     VERSION_MOVED = "version-moved"
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/suspect_routes.py
@@ -0,0 +1,71 @@
+"""Answer the requests about requests that upstreams end under."""
+
+import msgspec
+import trio
+
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds
+from bendwind_core.suspicion import Suspect, SuspectTable, clear, is_quarantined
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.operators.errors import ErrorKind, plain_error
+from bendwind_node.operators.http import Response, json_response
+
+
+class SuspectView(msgspec.Struct, frozen=True):
+    """Show what is known against one request.
+
+    Units: `last_ms` is how long ago the last upstream ended under it, in milliseconds.
+    """
+
+    signature: str
+    service: str
+    ends: int
+    quarantined: bool
+    last_ms: Milliseconds
+    upstreams: tuple[str, ...]
+
+
+class SuspectsView(msgspec.Struct, frozen=True):
+    """Show all requests that something is known against, the most serious first."""
+
+    suspects: tuple[SuspectView, ...]
+
+
+class ReleasedView(msgspec.Struct, frozen=True):
+    """Say that a request is no longer suspected."""
+
+    released: str
+
+
+class SuspectRoutes(msgspec.Struct):
+    """Answer requests about what one process knows against requests."""
+
+    table: SuspectTable
+    recorder: Recorder
+
+    def get_suspects(self) -> Response:
+        """List what is known."""
+        now = trio.current_time()
+        known = [suspect for suspect in self.table.suspects.values() if suspect.ends]
+        known.sort(key=lambda suspect: -suspect.count)
+        return json_response(200, SuspectsView(tuple(self._show(s, now) for s in known)))
+
+    def _show(self, suspect: Suspect, now: float) -> SuspectView:
+        return SuspectView(
+            suspect.signature.hex(),
+            suspect.service,
+            suspect.count,
+            is_quarantined(self.table, suspect),
+            round((now - suspect.last.at) * MILLISECONDS_PER_SECOND),
+            tuple(end.name.upstream for end in suspect.ends),
+        )
+
+    def release(self, text: str) -> Response:
+        """Clear a request of suspicion, here and wherever that is told."""
+        try:
+            signature = bytes.fromhex(text)
+        except ValueError:
+            return plain_error(400, ErrorKind.BAD_REQUEST, "signature: expected hexadecimal digits")
+        if not clear(self.table, signature, trio.current_time()):
+            return plain_error(404, ErrorKind.UNKNOWN_SUSPECT, "nothing is known against it here")
+        self.recorder.record(EventKind.REQUEST_RELEASED, detail=signature.hex())
+        return json_response(200, ReleasedView(signature.hex()))
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -5,6 +5,13 @@
 import msgspec
 from msgspec import Meta
 
+from bendwind_core.suspicion.limits import (
+    DEFAULT_APART_FROM,
+    DEFAULT_KEEP,
+    DEFAULT_QUARANTINE,
+    DEFAULT_QUARANTINE_FROM,
+)
+
 Name = Annotated[
     str,
     Meta(
@@ -271,6 +278,31 @@
     ] = 60
 
 
+class SuspicionTable(Table, frozen=True, kw_only=True):
+    """Say what is done with requests that upstreams end under; all nodes should have the same."""
+
+    apart_from: Annotated[
+        int,
+        Meta(ge=1, le=8),
+        _doc("Upstreams ended from which on a request runs beside no other such one.", "ends"),
+    ] = DEFAULT_APART_FROM
+    quarantine_from: Annotated[
+        int,
+        Meta(ge=2, le=8),
+        _doc("Upstreams ended from which on a request is refused, but for trials.", "ends"),
+    ] = DEFAULT_QUARANTINE_FROM
+    quarantine_s: Annotated[
+        float,
+        Meta(ge=1, le=3600),
+        _doc("Time to the first trial; each end more makes it eight times as long.", "s"),
+    ] = DEFAULT_QUARANTINE
+    keep_s: Annotated[
+        float,
+        Meta(ge=10, le=86_400),
+        _doc("Time without a further end after which suspicion is over.", "s"),
+    ] = DEFAULT_KEEP
+
+
 class ClaimsTable(Table, frozen=True, kw_only=True):
     """Bound what the process keeps of the keys of each service whose claims it holds.
 
@@ -348,6 +380,7 @@
     watch: WatchTable = WatchTable()
     measuring: MeasuringTable = MeasuringTable()
     claims: ClaimsTable = ClaimsTable()
+    suspicion: SuspicionTable = SuspicionTable()
     limits: LimitsTable = LimitsTable()
     timeline: TimelineTable = TimelineTable()
     logging: LoggingTable = LoggingTable()
