daemon, calls: suspended time counts for leases, proofs, deadlines and hand-overs

Cause: the processes went by a steady clock that leaves out the time in which the machine stood still, so that a node that woke up took its proof of freshness for as young as before; and a hand-over that had waited in its socket meanwhile was granted all of its time. Change: one clock module, CLOCK_BOOTTIME for all tasks; an owner that stood still takes the pause from what it reads next.

--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -59,6 +59,11 @@
 REPORT_BYTES = 80
 # Leases of announcements are looked at this often; queued attempts expire on time.
 LEASE_CHECK: Seconds = 0.5
+# The clock of the owner node runs at least every `LEASE_CHECK`: if it is so much later, the process
+# stood still meanwhile. What came in is read within the time to catch up; without this a request
+# that was handed over during a pause of four seconds ran after its caller had gone.
+LONGEST_PAUSE: Seconds = 1.0
+CATCH_UP: Seconds = 0.1
 
 
 class OwnerNode(msgspec.Struct, eq=False):
@@ -79,6 +84,9 @@
     clock_moved: trio.Event = msgspec.field(default_factory=trio.Event)
     wakes_at: Seconds = math.inf
     suspects_told_at: Seconds = 0.0
+    seen_at: Seconds = math.inf
+    stood_still: Seconds = 0.0
+    catches_up_until: Seconds = 0.0
 
     def __post_init__(self):
         self.register.feed = self._feed
@@ -125,7 +133,29 @@
         if owned is None:
             self._refuse(hand_over.attempt, epoch, NotRunReason.WRONG_OWNER)
             return
-        self._feed(owned, ev.HandOverArrived(hand_over, epoch))
+        self._feed(owned, ev.HandOverArrived(self._allow_for_pause(hand_over), epoch))
+
+    def _note_awake(self, now: Seconds) -> None:
+        """Notice that the process stood still: what it reads next may have waited for as long."""
+        pause = now - self.seen_at
+        if pause > LONGEST_PAUSE:
+            self.seen_at = now
+            self.stood_still = pause
+            self.catches_up_until = now + CATCH_UP
+
+    def _allow_for_pause(self, hand_over: HandOver) -> HandOver:
+        """Take from a hand-over's time what it may have waited while the process stood still."""
+        now = trio.current_time()
+        self._note_awake(now)
+        if now >= self.catches_up_until:
+            return hand_over
+        pause_ms = self.stood_still * MILLISECONDS_PER_SECOND
+        target_ms = hand_over.target_ms
+        return replace(
+            hand_over,
+            remaining_ms=hand_over.remaining_ms - pause_ms,
+            target_ms=None if target_ms is None else max(0.0, target_ms - pause_ms),
+        )
 
     def _refuse(self, attempt: AttemptId, epoch: int, reason: NotRunReason) -> None:
         self.replies.send(attempt, epoch, NotRun(attempt, reason))
@@ -216,6 +246,8 @@
         return min(soonest, now + LEASE_CHECK)
 
     def _expire(self, now: Seconds) -> None:
+        self._note_awake(now)
+        self.seen_at = now
         for owned in tuple(self.register.owned.values()):
             due = owner.next_due(owned.desk, now)
             if due is not None and due <= now:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -194,6 +194,27 @@
 
         self.run_with(self.answer_ok, check)
 
+    def test_hand_over_that_came_while_its_owner_stood_still_does_not_run_after_its_time(self):
+        # The process read it four seconds later, and granted it all of its time.
+        async def check(bench, port):
+            other = bench.add_owner("other")
+            announce(other, port)
+            bench.hub.hold = True
+            exchange = make_exchange(POST, b"x", bendwind_timeout_ms="1000")
+            async with trio.open_nursery() as nursery:
+                other.seen_at = trio.current_time()
+                nursery.start_soon(bench.call, exchange)
+                await trio.testing.wait_all_tasks_blocked()
+                other.seen_at -= 4.0
+                link = bench.hub.links["other"][0]
+                for message in link.held:
+                    link.deliver(message)
+                link.held = None
+            self.assertEqual(exchange.headers[b"bendwind-outcome"], b"not-run")
+            self.assertEqual(self.runs, 0)
+
+        self.run_with(self.answer_ok, check)
+
     def test_fence_near_the_deadline_is_no_error_of_the_upstream(self):
         # Each fence counted as one, and an attempt whose link broke stayed outstanding for good.
         async def wait(stream, data):
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -37,6 +37,7 @@
 from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.calls.upstream_register import UpstreamRegister
 from bendwind_node.claims import create_claim_task
+from bendwind_node.clock import read_steady, read_steady_us
 from bendwind_node.control.control_voter import ControlVoter
 from bendwind_node.control.service import open_control
 from bendwind_node.daemon.dispatcher import Dispatcher
@@ -50,7 +51,6 @@
 from bendwind_node.settings.tables import ControlTable
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
-_NANOSECONDS_PER_MICROSECOND = 1_000
 
 
 def read_wall_ms() -> int:
@@ -58,17 +58,13 @@
     return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
 
 
-def _read_monotonic_us() -> int:
-    return time.monotonic_ns() // _NANOSECONDS_PER_MICROSECOND
-
-
 def prepare_daemon(settings: Settings, listeners: Listeners) -> Result[Daemon, str]:
     """Make what needs no task: the recorder and the keys.
 
     Errors: a text that names the file that cannot be used.
     """
     name = settings.instance.name
-    recorder = Recorder(name, read_wall_ms, settings.timeline.capacity, _read_monotonic_us)
+    recorder = Recorder(name, read_wall_ms, settings.timeline.capacity, read_steady_us)
     budget = ByteBudget(settings.limits.buffered_bytes)
     daemon = Daemon(settings, listeners, recorder, Dispatcher(name), None, budget)
     if settings.tls is not None:
@@ -179,7 +175,7 @@
         lambda service: _find_health_path(membership, service),
         lambda service: _find_warm_up(membership, service),
         WarmUpLimits(settings.limits.warm_up_overage, settings.limits.warm_up_slack),
-        trio.current_time() - (time.monotonic() - STARTED_AT),
+        trio.current_time() - (read_steady() - STARTED_AT),
         SuspectTable(own.name, _find_suspicion_limits(settings)),
     )
     assemblies = AssemblyTable(settings.limits.body_bytes, daemon.body_budget)
--- a/packages/bendwind-node/src/bendwind_node/main.py
+++ b/packages/bendwind-node/src/bendwind_node/main.py
@@ -32,12 +32,13 @@
     # What follows is heavy, and a check of settings needs none of it.
     import trio
 
+    from bendwind_node.clock import SteadyClock
     from bendwind_node.daemon import Extension, run_daemon
     from bendwind_node.logs import configure_logging
 
     configure_logging(settings)
     extension = Extension(settings_file=file, load=load_settings)
-    ended = trio.run(run_daemon, settings, extension)
+    ended = trio.run(run_daemon, settings, extension, clock=SteadyClock())
     if ended.is_error():
         print(f"bendwindd: {ended.error}", file=sys.stderr)
         sys.exit(EXIT_CANNOT_START)
