--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -55,8 +55,8 @@
     """Hold an attempt that waits.
 
     One with a latency objective should start by `due_at`, and is given back at `leaves_at` if no
-    slot is free: held to its deadline, it could not be tried elsewhere any more. `suspicion` is
-    the signature of a suspect, empty otherwise.
+    slot is free: held to its deadline, it could not be tried elsewhere any more. `signature`
+    is empty where nothing was known against any request.
     """
 
     hand_over: HandOver
@@ -65,7 +65,8 @@
     queued_at: Seconds = 0.0
     due_at: Seconds = 0.0
     leaves_at: Seconds = 0.0
-    suspicion: bytes = b""
+    signature: bytes = b""
+    is_suspect: bool = False
 
 
 class RunningAttempt(msgspec.Struct):
@@ -73,8 +74,8 @@
 
     `slow_factor` is how much longer than usual it should take; `is_paced` says that the upstream
     had told so shortly before, `is_sent` that the request went out whole, and `is_under_end` that
-    the upstream is known to have ended while it ran. `suspicion` is the signature of a suspect, and
-    `status` that of the answer's head, 0 without one.
+    the upstream is known to have ended while it ran. `signature` and `is_suspect` are as when it
+    was queued, and `status` is that of the answer's head, 0 without one.
     """
 
     epoch: int
@@ -85,7 +86,8 @@
     is_cancelled: bool = False
     is_sent: bool = False
     is_under_end: bool = False
-    suspicion: bytes = b""
+    signature: bytes = b""
+    is_suspect: bool = False
     status: int = 0
 
     @property
@@ -379,7 +381,8 @@
         hand_over,
         find_factor(desk.pace, now),
         desk.pace.reported_at is not None and is_known(desk.pace, now),
-        suspicion=queued.suspicion,
+        signature=queued.signature,
+        is_suspect=queued.is_suspect,
     )
     desk.running[hand_over.attempt] = running
     effects.append(Dispatch(hand_over, queued.expires_at))
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -101,16 +101,14 @@
 from bendwind_core.attempts.pace import Pace, note_report
 from bendwind_core.attempts.service_time import note_result, note_time
 from bendwind_core.attempts.suspects import (
-    count_other_suspects,
+    find_suspicion,
     is_withheld_here,
-    judge_hand_over,
     note_success,
     note_upstream_end,
 )
-from bendwind_core.attempts.upstream_end import note_alive, note_unanswered, sign_hand_over
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.attempts.upstream_end import note_alive, note_unanswered
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import fair_queue, urgency_queue
-from bendwind_core.suspicion import Quarantined, RunApart, note_let_in
 from bendwind_core.world import UpstreamState
 
 __all__ = ["OwnerDesk", "create_desk", "find_early_refusal", "load_sample", "next_due", "step"]
@@ -152,7 +150,7 @@
             desk.progress_at = now
             running = end_running(desk, event.attempt, Fate.ENDED)
             if running is not None and running.status < _FAILED_STATUS:
-                note_success(desk, running.hand_over, now)
+                note_success(desk, running, now)
         case CallRefused():
             note_call_refused(desk.dependency, now)
         case LoadReported(slow_factor=slow_factor):
@@ -250,39 +248,18 @@
         record_ended(desk.log, attempt, Fate.NEVER_STARTED)
         refuse(desk, attempt, event.epoch, refusal, now, effects, hand_over)
         return
-    suspicion = b""
-    is_crowded = False
-    if desk.suspects.suspects or hand_over.suspicion is not None:
-        match judge_hand_over(desk, hand_over, now):
-            case Quarantined(wait_ms=wait_ms):
-                _refuse_suspect(desk, event, NotRunReason.QUARANTINED, wait_ms, now, effects)
-                return
-            case RunApart(others=others):
-                suspicion = sign_hand_over(hand_over)
-                is_crowded = count_other_suspects(desk, suspicion) > others
-    if is_crowded:
-        _refuse_suspect(desk, event, NotRunReason.KEPT_APART, 0.0, now, effects)
-        return
-    if suspicion:
-        note_let_in(desk.suspects, suspicion, now)
     expires_at = now + hand_over.remaining_ms / MILLISECONDS_PER_SECOND
-    queued = QueuedAttempt(hand_over, event.epoch, expires_at, now, suspicion=suspicion)
+    queued = QueuedAttempt(hand_over, event.epoch, expires_at, now)
+    if desk.suspects.suspects or hand_over.suspicion is not None:
+        withheld = find_suspicion(desk, queued, now)
+        if withheld is not None:
+            record_ended(desk.log, attempt, Fate.NEVER_STARTED)
+            reason, wait_ms = withheld.reason, withheld.wait_ms
+            refuse(desk, attempt, event.epoch, reason, now, effects, hand_over, wait_ms)
+            return
     _enqueue(desk, queued, now, effects)
 
 
-def _refuse_suspect(
-    desk: OwnerDesk,
-    event: HandOverArrived,
-    reason: NotRunReason,
-    wait_ms: Milliseconds,
-    now: Seconds,
-    effects: list[OwnerEffect],
-) -> None:
-    attempt = event.hand_over.attempt
-    record_ended(desk.log, attempt, Fate.NEVER_STARTED)
-    refuse(desk, attempt, event.epoch, reason, now, effects, event.hand_over, wait_ms)
-
-
 def _is_seen(
     desk: OwnerDesk,
     peer: EntryPeer,
@@ -481,7 +458,7 @@
         queued = take_startable(desk, now) or fair_queue.pop(desk.queue)
         if queued is None:
             return
-        if is_withheld_here(desk, queued.hand_over, now):
+        if is_withheld_here(desk, queued, now):
             # While it waited, upstreams ended under it elsewhere.
             drop_waiting(desk, queued, NotRunReason.QUARANTINED, now, effects)
             continue
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -149,12 +149,13 @@
         self, owned: OwnedUpstream, answer: HealthAnswer | None, asked_at: Seconds
     ) -> None:
         """Note what an upstream said of its pace and of how cold it is."""
-        if answer is None:
+        if answer is None or answer.name not in ("", owned.upstream.name):
+            # What another upstream says of itself is no sign of life of this one.
             return
         # One that has just started is slow: its first answers would be taken for its usual pace.
         if answer.slow_factor is not None:
             self.feed(owned, ev.LoadReported(answer.slow_factor))
-        if answer.warm_up_left_ms is not None and answer.name == owned.upstream.name:
+        if answer.warm_up_left_ms is not None and answer.name:
             self.feed(owned, ev.WarmUpTold(answer.warm_up_left_ms, asked_at))
 
     async def _ask(self, pool: UpstreamPool, service: str) -> HealthAnswer | None:
