--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -51,6 +51,7 @@
         EventKind.FOREIGN_CLUSTER,
         EventKind.LOG_CORRUPT,
         EventKind.DISK_FAILED,
+        EventKind.TASK_FAILED,
     }
 )
 _LEVELS = (
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -10,9 +10,11 @@
 
 from bendwind_core.attempts import Header
 from bendwind_core.core import Seconds
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
+from bendwind_node.calls.failure import describe_failure
 from bendwind_node.streams import PromptListener, PromptStream
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
@@ -40,11 +42,15 @@
 _BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
-def _find_origin_form(target: bytes) -> bytes:
+def _find_origin_form(target: bytes) -> bytes | None:
+    """Return the target as a path, None where it is no address."""
     # RFC 9112, section 3.2.2: a server must accept the absolute form as well.
     if target.startswith((b"/", b"*")):
         return target
-    parts = urlsplit(target)
+    try:
+        parts = urlsplit(target)
+    except ValueError:
+        return None
     path = parts.path or b"/"
     return path + b"?" + parts.query if parts.query else path
 
@@ -54,11 +60,17 @@
 
     __slots__ = ("connection", "head", "is_aborted", "read_ahead", "request", "server", "stream")
 
-    def __init__(self, server: "H11Server", stream: PromptStream, connection: h11.Connection, head):
+    def __init__(
+        self,
+        server: "H11Server",
+        stream: PromptStream,
+        connection: h11.Connection,
+        head: h11.Request,
+        target: bytes,
+    ):
         self.server = server
         self.stream = stream
         self.connection = connection
-        target = _find_origin_form(head.target)
         headers = tuple(head.headers)
         may_have_body = any(name in _FRAMING for name, _ in headers)
         self.request = CallerRequest(head.method.decode(), target, headers, may_have_body)
@@ -144,7 +156,8 @@
     """Own the callers' connections of a process.
 
     `keep_alive` bounds the rest between two requests, `header_timeout` the time from the first byte
-    of a head to its last.
+    of a head to its last. With a `recorder`, a fault that one request meets ends its connection and
+    is recorded; without one it is raised.
     """
 
     handle: Handle
@@ -155,6 +168,7 @@
     is_draining: bool = False
     connections: int = 0
     idle: set[trio.CancelScope] = msgspec.field(default_factory=set)
+    recorder: Recorder | None = None
 
     async def run(self, listeners: list[trio.SocketListener], shutdown: trio.Event) -> None:
         """Accept until shut down; return when what is in flight has been answered."""
@@ -186,6 +200,11 @@
                     connection.start_next_cycle()
         except _BROKEN:
             return
+        except Exception as error:
+            if self.recorder is None:
+                raise
+            # A request that ends the process ends the next one with its next try.
+            self.recorder.record(EventKind.TASK_FAILED, detail=describe_failure(error))
         finally:
             self.connections -= 1
 
@@ -207,7 +226,8 @@
             return False
         if head is None:
             return False
-        if _is_ambiguous(head):
+        target = _find_origin_form(head.target)
+        if target is None or _is_ambiguous(head):
             await stream.send_all(_make_error(connection, _BAD_REQUEST, outcomes.REFUSED))
             await _linger(stream)
             return False
@@ -216,7 +236,7 @@
             await stream.send_all(refusal)
             await _linger(stream)
             return False
-        exchange = H11Exchange(self, stream, connection, head)
+        exchange = H11Exchange(self, stream, connection, head, target)
         await self.handle(exchange)
         if exchange.is_aborted or connection.our_state is not h11.DONE:
             return False
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -14,6 +14,7 @@
     BodyCredit,
     BodyPart,
     Cancel,
+    CutReason,
     Fence,
     Fenced,
     FenceVerdict,
@@ -49,6 +50,7 @@
 )
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
+from bendwind_node.calls.failure import describe_failure
 from bendwind_node.calls.health_check import ask_health
 from bendwind_node.calls.owned_upstream import OwnedUpstream
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
@@ -394,6 +396,10 @@
         )
         try:
             end = await dispatch.run(scope)
+        except Exception as error:
+            # A request that ends the process ends the next owner node with its next try.
+            self.recorder.record(EventKind.TASK_FAILED, call=call, detail=describe_failure(error))
+            end = ev.DispatchUnknown(attempt, CutReason.BODY_CUT)
         finally:
             del owned.scopes[attempt]
             del self.outflows[attempt]
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.calls.caller_exchange import CallerGoneError
 from bendwind_node.calls.caller_h11 import H11Server
 
@@ -20,11 +21,22 @@
 
 
 class TestH11Server(unittest.TestCase):
-    def run_with(self, handle, check, *, max_connections=8, header_bytes=2048, header_timeout=5.0):
+    def run_with(
+        self,
+        handle,
+        check,
+        *,
+        max_connections=8,
+        header_bytes=2048,
+        header_timeout=5.0,
+        recorder=None,
+    ):
         async def main():
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             address = listeners[0].socket.getsockname()
-            server = H11Server(handle, 5.0, header_bytes, max_connections, header_timeout)
+            server = H11Server(
+                handle, 5.0, header_bytes, max_connections, header_timeout, recorder=recorder
+            )
             shutdown = trio.Event()
             with trio.fail_after(20):
                 async with trio.open_nursery() as nursery:
@@ -54,6 +66,30 @@
         self.assertEqual(received.count(b"200"), 2)
         self.assertLess(received.index(b"abc"), received.index(b"def"))
 
+    def test_target_that_is_no_address_is_refused_and_ends_nothing_else(self):
+        # It ended the process, and with each try another one.
+        received = self.exchange_bytes(b"GET http://[ HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
+
+    def test_request_whose_task_fails_ends_its_own_connection_only(self):
+        recorder = Recorder("a", lambda: 1, 100)
+
+        async def handle(exchange):
+            if exchange.request.target == b"/fails":
+                raise ValueError("some fault")
+            await echo(exchange)
+
+        async def check(connect, shutdown):
+            for target, expected in ((b"/fails", b""), (b"/", b"HTTP/1.1 200 ")):
+                async with await connect() as stream:
+                    await stream.send_all(b"GET " + target + b" HTTP/1.1\r\nhost: a\r\n\r\n")
+                    self.assertTrue((await stream.receive_some(65536)).startswith(expected))
+
+        self.run_with(handle, check, recorder=recorder)
+        (failed,) = recorder.events
+        self.assertIs(failed.kind, EventKind.TASK_FAILED)
+        self.assertIn("ValueError: some fault", failed.detail)
+
     def test_head_with_two_lengths_is_refused_and_nothing_after_it_is_served(self):
         # A front that goes by the other length would take the rest for a request of its own.
         received = self.exchange_bytes(
--- a/packages/bendwind-node/src/bendwind_node/daemon/metrics_page.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/metrics_page.py
@@ -47,4 +47,5 @@
         daemon.recorder.record(EventKind.METRICS_NOT_SERVED, detail=detail)
         return
     daemon.listeners.extra["metrics"] = listeners
-    serve_page(listeners, MetricsPage(create_metrics(daemon), table.path).handle, nursery)
+    page = MetricsPage(create_metrics(daemon), table.path)
+    serve_page(listeners, page.handle, nursery, daemon.recorder)
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -8,6 +8,7 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.membership import ConfigurationApplied, ViewEffect
 from bendwind_core.suspicion import SuspectTable
+from bendwind_core.timeline import Recorder
 from bendwind_node.calls.announce_asgi import AnnounceApp
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_task import CallTask
@@ -48,7 +49,7 @@
     settings = daemon.settings
     if settings.readiness is not None:
         page = ReadinessPage(daemon, settings.readiness.path)
-        serve_page(daemon.listeners.readiness, page.handle, nursery)
+        serve_page(daemon.listeners.readiness, page.handle, nursery, daemon.recorder)
     if settings.upstreams is not None:
         serve_upstreams(daemon, nursery)
     if settings.operators is not None:
@@ -57,9 +58,14 @@
         serve_callers(daemon, nursery)
 
 
-def serve_page(listeners: list[trio.SocketListener], handle: Handle, nursery: trio.Nursery) -> None:
+def serve_page(
+    listeners: list[trio.SocketListener],
+    handle: Handle,
+    nursery: trio.Nursery,
+    recorder: Recorder,
+) -> None:
     """Start to serve a few plain requests, until the process ends."""
-    server = H11Server(handle, KEEP_ALIVE, MAX_HEADER_BYTES, PAGE_CONNECTIONS)
+    server = H11Server(handle, KEEP_ALIVE, MAX_HEADER_BYTES, PAGE_CONNECTIONS, recorder=recorder)
     nursery.start_soon(server.run, listeners, trio.Event())
 
 
@@ -72,7 +78,11 @@
     match daemon.settings.callers.server:
         case "h11":
             server = H11Server(
-                task.handle, limits.keep_alive_s, limits.header_bytes, limits.connections
+                task.handle,
+                limits.keep_alive_s,
+                limits.header_bytes,
+                limits.connections,
+                recorder=daemon.recorder,
             )
             daemon.dispatcher.membership.listeners.append(
                 lambda effect: _follow_limits(server, entry, effect)
