--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -9,7 +9,16 @@
 from bendwind_bench.emulator.agenda import Agenda
 from bendwind_bench.emulator.owner_side import Answer
 from bendwind_bench.emulator.scenario import RouteTable, Scenario
-from bendwind_core.attempts import Cancel, Fence, Fenced, HandOver, NotRun, Unknown, entry
+from bendwind_core.attempts import (
+    Cancel,
+    Fence,
+    Fenced,
+    HandOver,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    entry,
+)
 from bendwind_core.attempts import events as ev
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.call import AttemptState, EntryCall, create_call, find_attempt
@@ -62,7 +71,7 @@
     def note_attempt(self, upstream: str) -> None:
         """Count an attempt that was sent."""
 
-    def note_sent_back(self) -> None:
+    def note_sent_back(self, target: bytes, reason: NotRunReason) -> None:
         """Count an attempt that was sent back unrun."""
 
     def note_retry(self) -> None:
@@ -277,7 +286,7 @@
                 self._feed(run, ev.AttemptHead(id, status, True))
             case NotRun(attempt=id, reason=reason, load=load, wait_ms=wait_ms):
                 note_not_run(table, name, id, now, reason, load)
-                self.network.note_sent_back()
+                self.network.note_sent_back(run.target, reason)
                 self._feed(run, ev.AttemptNotRun(id, reason, load, wait_ms))
             case Unknown(attempt=id, reason=reason):
                 note_unknown(table, name, id, now)
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
@@ -21,6 +21,7 @@
     ("fell_over", "fell over"),
     ("crashed", "crashed"),
     ("crash_repeats", "repeats"),
+    ("wronged", "wronged"),
 )
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
@@ -32,7 +32,8 @@
     upstream against the mean of its service, `retries` the share of attempts that the retry budget
     paid for, and `worst` the mean share in time of the two worst windows. `crashed` counts the
     upstreams that ended under requests which end them, `crash_repeats` how often the worst of these
-    reached upstreams later than `TELLING` after the third end under it.
+    reached upstreams later than `TELLING` after the third end under it, and `wronged` the attempts
+    for each request that were quarantined though the request ends nothing.
     """
 
     requests: int
@@ -47,6 +48,7 @@
     fell_over: int
     crashed: int
     crash_repeats: int
+    wronged: float
     routes: dict[str, dict[str, float]]
     windows: dict[str, dict[str, float]]
 
@@ -54,13 +56,14 @@
 class Tally:
     """Collect the fates of one run."""
 
-    __slots__ = ("attempts", "by_route", "by_window", "retries", "sent_back")
+    __slots__ = ("attempts", "by_route", "by_window", "retries", "sent_back", "wronged")
 
     def __init__(self):
         self.by_route: dict[str, collections.Counter] = {}
         self.by_window: dict[int, collections.Counter] = {}
         self.attempts: collections.Counter[str] = collections.Counter()
         self.sent_back = 0
+        self.wronged = 0
         self.retries = 0
 
     def note(self, route: str, began_at: Seconds, fate: Fate) -> None:
@@ -94,6 +97,7 @@
             retries=_round(self.retries / max(1, sent)),
             fell_over=fell_over,
             crashed=sum(len(crash.ended) for crash in crashes),
+            wronged=_round(self.wronged / max(1, requests)),
             crash_repeats=max((_count_repeats(crash) for crash in crashes), default=0),
             routes={name: _find_shares(counts) for name, counts in sorted(self.by_route.items())},
             windows=windows,
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -10,7 +10,7 @@
 from bendwind_bench.emulator.scenario import Scenario
 from bendwind_bench.emulator.tally import Figures, Tally
 from bendwind_bench.emulator.upstream import CrashCount, UpstreamModel
-from bendwind_core.attempts import Cancel, Fence, HandOver
+from bendwind_core.attempts import Cancel, Fence, HandOver, NotRunReason
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
 from bendwind_core.suspicion import (
@@ -215,9 +215,11 @@
         """Count an attempt that was sent."""
         self.tally.attempts[upstream] += 1
 
-    def note_sent_back(self) -> None:
+    def note_sent_back(self, target: bytes, reason: NotRunReason) -> None:
         """Count an attempt that was sent back unrun."""
         self.tally.sent_back += 1
+        if reason is NotRunReason.QUARANTINED and target not in self.crashes:
+            self.tally.wronged += 1
 
     def note_retry(self) -> None:
         """Count an attempt that the retry budget paid for."""
