--- a/packages/bendwind-bench/src/bendwind_bench/emulator/agenda.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/agenda.py
@@ -33,3 +33,39 @@
             self.now, _, action = heapq.heappop(self._entries)
             action()
         self.now = until
+
+
+class PausableAgenda:
+    """Put the actions of one process on an agenda; while it stands still, they wait.
+
+    Its clock goes on meanwhile, as one does that counts suspended time.
+    """
+
+    __slots__ = ("_agenda", "_paused_until")
+
+    def __init__(self, agenda: Agenda):
+        self._agenda = agenda
+        self._paused_until: Seconds = 0.0
+
+    @property
+    def now(self) -> Seconds:
+        """Return the time."""
+        return self._agenda.now
+
+    def pause(self, length: Seconds) -> None:
+        """Have the process stand still."""
+        self._paused_until = max(self._paused_until, self.now + length)
+
+    def at(self, when: Seconds, action: Action) -> None:
+        """Do an action at a time, or when the process goes on."""
+        self._agenda.at(when, lambda: self._do(action))
+
+    def after(self, delay: Seconds, action: Action) -> None:
+        """Do an action after a time, or when the process goes on."""
+        self.at(self.now + delay, action)
+
+    def _do(self, action: Action) -> None:
+        if self.now < self._paused_until:
+            self.at(self._paused_until, action)
+        else:
+            action()
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bendwind_bench.emulator.agenda import Agenda
+from bendwind_bench.emulator.agenda import PausableAgenda
 from bendwind_bench.emulator.owner_side import Answer
 from bendwind_bench.emulator.scenario import RouteTable, Scenario
 from bendwind_core.attempts import (
@@ -116,7 +116,7 @@
         data_centre: str,
         origin: str,
         scenario: Scenario,
-        agenda: Agenda,
+        agenda: PausableAgenda,
         network: Network,
         rng: random.Random,
         incarnation: int,
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
@@ -43,6 +43,9 @@
         case FaultKind.SILENT_REPORTS:
             for node in nodes:
                 node.owner.is_reporting = False
+        case FaultKind.SUSPEND:
+            for node in nodes:
+                node.agenda.pause(fault.for_s)
         case FaultKind.EVACUATE:
             _evacuate(world, fault)
         case FaultKind.CRASHING_REQUEST:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from bendwind_bench.emulator.agenda import Agenda
+from bendwind_bench.emulator.agenda import PausableAgenda
 from bendwind_bench.emulator.scenario import Scenario
 from bendwind_bench.emulator.upstream import SHED, Run, UpstreamModel
 from bendwind_core.admission import WarmUp, WarmUpLimits
@@ -67,7 +67,7 @@
         self,
         scenario: Scenario,
         upstream: UpstreamModel,
-        agenda: Agenda,
+        agenda: PausableAgenda,
         beside: Beside,
         incarnation: int,
         suspects: SuspectTable,
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
@@ -135,6 +135,7 @@
     SILENT_REPORTS = "silent-reports"
     EVACUATE = "evacuate"
     CRASHING_REQUEST = "crashing-request"
+    SUSPEND = "suspend"
 
 
 class Fault(_Table, frozen=True, kw_only=True):
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_world.py
@@ -57,6 +57,12 @@
         self.assertEqual(figures.fell_over, 0)
         self.assertGreater(figures.in_time, 0.95)
 
+    def test_nodes_that_stood_still_serve_as_before_once_they_go_on(self):
+        faults = (Fault(kind=FaultKind.SUSPEND, at=1.0, for_s=4.0, share=0.2),)
+        figures = run_scenario(shorten("calm", 9.0, faults=faults), 1)
+        self.assertLess(figures.windows["4"]["in-time"], 0.9)
+        self.assertGreater(figures.windows["8"]["in-time"], 0.97)
+
     def test_refused_calls_and_attempts_are_counted(self):
         figures = run_scenario(
             shorten(
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -2,7 +2,7 @@
 
 import random
 
-from bendwind_bench.emulator.agenda import Agenda
+from bendwind_bench.emulator.agenda import Agenda, PausableAgenda
 from bendwind_bench.emulator.callers import Callers
 from bendwind_bench.emulator.entry_side import EntrySide
 from bendwind_bench.emulator.faults import plan_faults
@@ -36,6 +36,7 @@
     """Hold one instance: its owner side, its entry side and the upstream beside them."""
 
     __slots__ = (
+        "agenda",
         "entry",
         "incarnation",
         "is_up",
@@ -52,6 +53,7 @@
         self.world = world
         self.incarnation = 0
         self.is_up = False
+        self.agenda = PausableAgenda(world.agenda)
         self.start()
 
     def start(self) -> None:
@@ -63,14 +65,14 @@
         limits = SuspicionLimits(policy.apart_from, policy.quarantine_from, policy.quarantine_s)
         self.suspects = SuspectTable(self.name, limits)
         self.owner = OwnerSide(
-            world.scenario, upstream, world.agenda, self, self.incarnation, self.suspects
+            world.scenario, upstream, self.agenda, self, self.incarnation, self.suspects
         )
         self.entry = EntrySide(
             self.name,
             upstream.data_centre,
             upstream.table.name,
             world.scenario,
-            world.agenda,
+            self.agenda,
             world,
             random.Random(f"{world.seed} {self.name} {self.incarnation}"),
             self.incarnation,
@@ -187,7 +189,7 @@
     def send(self, sender: str, to: str, message: Record) -> None:
         """Carry a message of an entry node to an owner node; lost if that is down."""
         delay = self._find_delay(sender, to)
-        self.agenda.after(delay, lambda: self._arrive(sender, to, message))
+        self.nodes[to].agenda.after(delay, lambda: self._arrive(sender, to, message))
 
     def _arrive(self, sender: str, to: str, message: Record) -> None:
         node = self.nodes[to]
@@ -205,7 +207,7 @@
     def carry_back(self, sender: str, to: str, message: Record) -> None:
         """Carry a message of an owner node to an entry node."""
         delay = self._find_delay(sender, to)
-        self.agenda.after(delay, lambda: self._arrive_back(to, message))
+        self.nodes[to].agenda.after(delay, lambda: self._arrive_back(to, message))
 
     def _arrive_back(self, to: str, message: Record) -> None:
         if self.nodes[to].is_up:
