--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -53,7 +53,7 @@
 class Attempt(msgspec.Struct):
     """Hold one attempt of a call.
 
-    Units: `wait_ms` is when its owner would take it, in milliseconds, 0 where that is not known.
+    Units: `wait_ms` is when its owner would take it, in milliseconds, None where that is not known.
     """
 
     id: AttemptId
@@ -62,7 +62,7 @@
     not_run: NotRunReason | None = None
     cut: CutReason | None = None
     load: LoadSample | None = None
-    wait_ms: Milliseconds = 0.0
+    wait_ms: Milliseconds | None = None
     sent_at: Seconds = 0.0
     ended_at: Seconds | None = None
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -257,7 +257,7 @@
     now: Seconds,
     effects: list[OwnerEffect],
     hand_over: HandOver | None = None,
-    wait_ms: Milliseconds = 0.0,
+    wait_ms: Milliseconds | None = None,
 ) -> None:
     """Reply that an attempt did not run; it must be known never to start."""
     sample = load_sample(desk, now)
--- a/packages/bendwind-core/src/bendwind_core/attempts/endings.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/endings.py
@@ -103,8 +103,9 @@
     if call.is_claim_held or call.phase is CallPhase.CLAIMING:
         effects.append(ReleaseClaim())
     load = last.load if last is not None else None
-    wait_ms = last.wait_ms if last is not None else 0.0
-    retry_after_ms = wait_ms or estimate_retry_after_ms(reason, load)
+    retry_after_ms = last.wait_ms if last is not None else None
+    if retry_after_ms is None:
+        retry_after_ms = estimate_retry_after_ms(reason, load)
     finish(call, FinishNotRun(reason, retry_after_ms), effects)
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/events.py
@@ -63,7 +63,7 @@
     attempt: AttemptId
     reason: NotRunReason
     load: LoadSample | None = None
-    wait_ms: Milliseconds = 0.0
+    wait_ms: Milliseconds | None = None
 
 
 class AttemptHead(msgspec.Struct):
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -134,14 +134,14 @@
     """Prove that the attempt did not run and never will.
 
     `is_inner` says that the request is a call that an upstream makes while it runs another.
-    Units: `wait_ms` is when the owner would take it, in milliseconds, 0 where it does not know.
+    Units: `wait_ms` is when the owner would take it, in milliseconds, None where it does not know.
     """
 
     attempt: AttemptId
     reason: NotRunReason
     load: LoadSample | None = None
     is_inner: bool = False
-    wait_ms: Milliseconds = 0.0
+    wait_ms: Milliseconds | None = None
 
 
 class Unknown(Record, frozen=True, array_like=True, tag="unknown"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -168,7 +168,7 @@
             note_asked(desk.warm_up, left_ms, asked_at, now)
         case UpstreamChecked(is_refused=is_refused):
             desk.ends.is_checked = False
-            if is_refused:
+            if is_refused and desk.state is not UpstreamState.GONE:
                 _hold_down(desk, now, effects)
                 note_upstream_end(desk, now, effects)
         case UpstreamReached():
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -240,7 +240,7 @@
     reason: NotRunReason
     load: LoadSample
     hand_over: HandOver | None = None
-    wait_ms: Milliseconds = 0.0
+    wait_ms: Milliseconds | None = None
 
 
 class ReplyUnknown(msgspec.Struct):
--- a/packages/bendwind-core/src/bendwind_core/attempts/suspects.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/suspects.py
@@ -28,11 +28,11 @@
 class Withheld(msgspec.Struct, frozen=True):
     """Say why a request that upstreams ended under is not let in.
 
-    Units: `wait_ms` is when it would be, in milliseconds, 0 where that is not known.
+    Units: `wait_ms` is when it would be, in milliseconds, None where that is not known.
     """
 
     reason: NotRunReason
-    wait_ms: Milliseconds = 0.0
+    wait_ms: Milliseconds | None = None
 
 
 def note_upstream_end(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_upstream_end.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_upstream_end.py
@@ -2,7 +2,7 @@
 
 from bendwind_core.attempts import AttemptId, CutReason, HandOver, NotRunReason, owner
 from bendwind_core.attempts import owner_events as ov
-from bendwind_core.attempts.upstream_end import SETTLING
+from bendwind_core.attempts.upstream_end import SETTLING, UNANSWERED_FOR
 from bendwind_core.world import Repeat, UpstreamState
 
 ANNOUNCED = ov.UpstreamAnnounced(8, 8, UpstreamState.READY)
@@ -59,6 +59,17 @@
         self.reset(3)
         self.assertEqual(self.list_under(self.refuse_connection(4)), [3])
 
+    def test_what_ended_unanswered_long_before_has_no_part_in_an_end(self):
+        self.run_attempts(1, 2)
+        self.reset(1, CutReason.CANCELLED)
+        self.now = UNANSWERED_FOR + 1.0
+        self.reset(2)
+        self.assertEqual(self.list_under(self.refuse_connection(3)), [2])
+
+    def test_upstream_that_has_left_is_not_looked_after(self):
+        self.step(ov.UpstreamLost())
+        self.assertEqual(self.step(ov.UpstreamChecked(is_refused=True)), [])
+
     def test_upstream_that_takes_no_connection_in_time_has_not_been_seen_to_end(self):
         self.run_attempts(1)
         self.reset(1)
--- a/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
@@ -13,6 +13,9 @@
 
 # Nine connections of an upstream that ended were read as broken within 1 ms; a busy node is slower.
 SETTLING: Seconds = 0.1
+# A silent end is noticed when the upstream is back or is tried next. What ended without an answer
+# longer ago, as a caller that left with nothing else to do for the upstream, has no part in it.
+UNANSWERED_FOR: Seconds = 10.0
 # More than the slots of any upstream planned for; of more, the oldest are forgotten.
 MAX_UNANSWERED = 64
 
@@ -84,6 +87,7 @@
     if now >= watch.settles_at:
         watch.ends += 1
     watch.settles_at = now + SETTLING
-    under = tuple(watch.unanswered)
+    since = now - UNANSWERED_FOR
+    under = tuple(ended for ended in watch.unanswered if ended.ended_at >= since)
     watch.unanswered = []
     return under
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -151,6 +151,9 @@
         """Find out by a connection, which is kept if the upstream takes it."""
         made = await self._connect()
         match made:
+            case Result(tag="ok", ok=connection) if self.is_closed:
+                await trio.aclose_forcefully(connection.stream)
+                return False
             case Result(tag="ok", ok=connection):
                 connection.idle_since = trio.current_time()
                 self.idle.append(connection)
