--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_explain.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_explain.py
@@ -9,7 +9,14 @@
 
 from bendwind_cli.main import run_arguments
 from bendwind_cli.outcome import ExitCode
-from bendwind_core.timeline import AttemptFacts, CallFacts, LogLine, RefusalFacts
+from bendwind_core.timeline import (
+    AttemptFacts,
+    CallFacts,
+    EndFacts,
+    LogLine,
+    RefusalFacts,
+    UnansweredFacts,
+)
 
 REFUSAL = RefusalFacts("r", 190.0, 190.0, 60.0, 4, 3, 4, 4.0, 12.0)
 ATTEMPT = AttemptFacts("u1", 0.2, "not-run: stalled", 1.5)
@@ -51,6 +58,26 @@
         self.assertIn("owner refused it (stalled): 4 of 4 slots taken, 3 waiting", out)
         self.assertIn("cause: no upstream ran it: of 1 attempts", out.splitlines()[-1])
 
+    def test_upstreams_that_ended_under_the_request_however_often_it_came_are_listed(self):
+        refusal = msgspec.structs.replace(REFUSAL, signature="5f0c")
+        refused = msgspec.structs.replace(REFUSED, detail="quarantined", facts=refusal)
+        lines = [END, refused]
+        for at, upstream, request in ((700, "u1", "001"), (800, "u2", "002"), (900, "u1", "003")):
+            facts = EndFacts((UnansweredFacts("5f0c", request), UnansweredFacts("77", "x")))
+            ended = LogLine(
+                "warning", "owner", at, "UPSTREAM_ENDED", 210, upstream=upstream,
+                detail="2 unanswered", facts=facts,
+            )  # fmt: skip
+            lines.append(ended)
+        file = self.folder / "all"
+        file.write_bytes(b"".join(msgspec.json.encode(line) + b"\n" for line in lines))
+        _, out, _ = self.run_command("007", str(file))
+        listed = [line.split(" ")[0] for line in out.split("ran there:\n     ")[1].split("     ")]
+        self.assertEqual(listed[:3], ["u1", "u2", "u1"])
+        self.assertIn("1 refused (quarantined) since upstreams had ended under it", out)
+        # An earlier try, whose end at its entry node is in no log at hand, tells as much.
+        self.assertIn("u2 beside owner at 800 ms", self.run_command("001", str(file))[1])
+
     def test_standard_input_is_read_where_no_file_is_named(self):
         text = "".join((self.folder / name).read_text() for name in ("entry", "owner"))
         with mock.patch("sys.stdin", io.StringIO("half a li\n" + text)):
