--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -93,12 +93,11 @@
     UpstreamLost,
     UpstreamReached,
     UpstreamRestarted,
-    UpstreamUnreachable,
     WaitingWithdrawn,
     WarmUpRuled,
     WarmUpTold,
 )
-from bendwind_core.attempts.pace import Pace, note_report
+from bendwind_core.attempts.pace import note_report
 from bendwind_core.attempts.service_time import note_result, note_time
 from bendwind_core.attempts.suspects import (
     find_suspicion,
@@ -107,6 +106,14 @@
     note_upstream_end,
 )
 from bendwind_core.attempts.upstream_end import note_alive, note_unanswered
+from bendwind_core.attempts.upstream_state import (
+    hold_down,
+    lose,
+    restart,
+    stop,
+    take_announcement,
+    take_check,
+)
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import fair_queue, urgency_queue
 from bendwind_core.world import UpstreamState
@@ -114,9 +121,6 @@
 __all__ = ["OwnerDesk", "create_desk", "find_early_refusal", "load_sample", "next_due", "step"]
 
 
-# A leaving upstream gets nothing new after this, not even what was queued before.
-DRAIN_QUEUE_WAIT: Seconds = 1.0
-
 _FAILED_STATUS = 500
 
 
@@ -167,14 +171,11 @@
         case WarmUpTold(left_ms=left_ms, asked_at=asked_at):
             note_asked(desk.warm_up, left_ms, asked_at, now)
         case UpstreamChecked(is_refused=is_refused):
-            desk.ends.is_checked = False
-            if is_refused and desk.state is not UpstreamState.GONE:
-                _hold_down(desk, now, effects)
-                note_upstream_end(desk, now, effects)
+            take_check(desk, now, effects, is_refused=is_refused)
         case UpstreamReached():
             desk.is_unreachable = False
         case UpstreamRestarted():
-            _on_restarted(desk, now, effects)
+            restart(desk, now, effects)
         case WaitingWithdrawn():
             bounce_queue(desk, NotRunReason.DRAINING, now, effects)
         case DispatchNotRun():
@@ -190,15 +191,11 @@
         case LinkLost():
             lose_link(desk, event, effects)
         case Drain():
-            _on_drain(desk, now)
+            stop(desk, now)
         case UpstreamAnnounced():
-            _on_announced(desk, event, now, effects)
+            take_announcement(desk, event, now, effects)
         case UpstreamLost(is_replaced=is_replaced):
-            if is_replaced:
-                _give_up_running(desk, now, effects)
-            desk.state = UpstreamState.GONE
-            desk.is_unreachable = False
-            bounce_queue(desk, NotRunReason.NO_UPSTREAM, now, effects)
+            lose(desk, now, effects, is_replaced=is_replaced)
         case Tick():
             pass
     _expire_queue(desk, now, effects)
@@ -329,24 +326,12 @@
     if running is not None:
         note_result(desk.times, is_error=True)
         if event.reason is NotRunReason.CONNECT_FAILED:
-            _hold_down(desk, now, effects)
+            hold_down(desk, now, effects)
             if not event.is_timed_out:
                 note_upstream_end(desk, now, effects)
         refuse(desk, event.attempt, running.epoch, event.reason, now, effects)
 
 
-def _hold_down(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    """Take nothing more for an upstream that refuses connections, and give back what waits.
-
-    Its attempts fail within a millisecond, so that it seems idle and draws the next ones: 483 of
-    them in one second after a loss of power.
-    """
-    if not desk.is_unreachable:
-        desk.is_unreachable = True
-        effects.append(UpstreamUnreachable())
-    bounce_queue(desk, NotRunReason.NO_UPSTREAM, now, effects)
-
-
 def _on_dispatch_unknown(
     desk: OwnerDesk, event: DispatchUnknown, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
@@ -367,15 +352,6 @@
     effects.append(ReplyUnknown(event.attempt, running.epoch, event.reason, sample))
 
 
-def _give_up_running(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    """Cancel what ran at an upstream in whose place another run stands."""
-    for attempt, running in list(desk.running.items()):
-        note_unanswered(desk.ends, running.hand_over, CutReason.UPSTREAM_RESET, now)
-        running.is_under_end = True
-        cancel_running(desk, attempt, effects)
-    note_upstream_end(desk, now, effects)
-
-
 def _on_cancel(
     desk: OwnerDesk, event: CancelArrived, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
@@ -388,41 +364,6 @@
     cancel_running(desk, attempt, effects)
 
 
-def _on_drain(desk: OwnerDesk, now: Seconds) -> None:
-    if not desk.is_stopping:
-        desk.is_stopping = True
-        desk.is_drained = False
-        _start_draining(desk, now)
-
-
-def _start_draining(desk: OwnerDesk, now: Seconds) -> None:
-    if desk.bounce_queue_at is None:
-        desk.bounce_queue_at = now + DRAIN_QUEUE_WAIT
-
-
-def _on_announced(
-    desk: OwnerDesk, event: UpstreamAnnounced, now: Seconds, effects: list[OwnerEffect]
-) -> None:
-    desk.slots = event.slots
-    desk.connections = event.connections
-    desk.state = event.state
-    match event.state:
-        case UpstreamState.GONE:
-            bounce_queue(desk, NotRunReason.NO_UPSTREAM, now, effects)
-        case UpstreamState.DRAINING:
-            _start_draining(desk, now)
-        case UpstreamState.READY if not desk.is_stopping:
-            desk.bounce_queue_at = None
-            desk.is_drained = False
-
-
-def _on_restarted(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    desk.is_unreachable = False
-    desk.pace = Pace()
-    assume_cold(desk.warm_up, now)
-    _give_up_running(desk, now, effects)
-
-
 def _expire_queue(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
     if not desk.waiting:
         return
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -1,7 +1,6 @@
 """Own the upstreams beside this process: decide by their desks and carry out the effects."""
 
 import math
-from collections.abc import Callable
 
 import msgspec
 import trio
@@ -28,16 +27,9 @@
 from bendwind_core.attempts.upstream_end import Unanswered
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import ProbeBudget, spend_probe
-from bendwind_core.membership.suspicions import REPEAT_EVERY
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import LoadProbe, LoadReport
-from bendwind_core.suspicion import (
-    SuspectTold,
-    forget_over,
-    is_quarantined,
-    list_news,
-    list_serious,
-)
+from bendwind_core.suspicion import is_quarantined
 from bendwind_core.timeline import DispatchFacts, EventKind, Recorder
 from bendwind_core.world import Instance, LoadSample
 from bendwind_node.calls.assembly import AssemblyTable
@@ -53,19 +45,14 @@
 from bendwind_node.calls.failure import describe_failure
 from bendwind_node.calls.health_check import ask_health
 from bendwind_node.calls.owned_upstream import OwnedUpstream
+from bendwind_node.calls.pause_watch import PauseWatch
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
+from bendwind_node.calls.suspect_teller import SuspectTeller, TellSuspects
 from bendwind_node.calls.upstream_register import VERIFY_TIMEOUT, UpstreamRegister
 
-TellSuspects = Callable[[tuple[SuspectTold, ...]], bool]
-
 REPORT_BYTES = 80
 # Leases of announcements are looked at this often; queued attempts expire on time.
 LEASE_CHECK: Seconds = 0.5
-# The clock of the owner node runs at least every `LEASE_CHECK`: if it is so much later, the process
-# stood still meanwhile. What came in is read within the time to catch up; without this a request
-# that was handed over during a pause of four seconds ran after its caller had gone.
-LONGEST_PAUSE: Seconds = 1.0
-CATCH_UP: Seconds = 0.1
 
 
 class OwnerNode(msgspec.Struct, eq=False):
@@ -85,13 +72,12 @@
     loads_asked: int = 0
     clock_moved: trio.Event = msgspec.field(default_factory=trio.Event)
     wakes_at: Seconds = math.inf
-    suspects_told_at: Seconds = 0.0
-    seen_at: Seconds = math.inf
-    stood_still: Seconds = 0.0
-    catches_up_until: Seconds = 0.0
+    pauses: PauseWatch = msgspec.field(default_factory=PauseWatch)
+    teller: SuspectTeller | None = None
 
     def __post_init__(self):
         self.register.feed = self._feed
+        self.teller = SuspectTeller(self.register.suspects, self.tell_suspects)
         self.register.list_links = self.replies.links.values
 
     def link_opened(self, link: ReplyLink) -> None:
@@ -135,29 +121,8 @@
         if owned is None:
             self._refuse(hand_over.attempt, epoch, NotRunReason.WRONG_OWNER)
             return
-        self._feed(owned, ev.HandOverArrived(self._allow_for_pause(hand_over), epoch))
-
-    def _note_awake(self, now: Seconds) -> None:
-        """Notice that the process stood still: what it reads next may have waited for as long."""
-        pause = now - self.seen_at
-        if pause > LONGEST_PAUSE:
-            self.seen_at = now
-            self.stood_still = pause
-            self.catches_up_until = now + CATCH_UP
-
-    def _allow_for_pause(self, hand_over: HandOver) -> HandOver:
-        """Take from a hand-over's time what it may have waited while the process stood still."""
-        now = trio.current_time()
-        self._note_awake(now)
-        if now >= self.catches_up_until:
-            return hand_over
-        pause_ms = self.stood_still * MILLISECONDS_PER_SECOND
-        target_ms = hand_over.target_ms
-        return replace(
-            hand_over,
-            remaining_ms=hand_over.remaining_ms - pause_ms,
-            target_ms=None if target_ms is None else max(0.0, target_ms - pause_ms),
-        )
+        allowed = self.pauses.allow(hand_over, trio.current_time())
+        self._feed(owned, ev.HandOverArrived(allowed, epoch))
 
     def _refuse(self, attempt: AttemptId, epoch: int, reason: NotRunReason) -> None:
         self.replies.send(attempt, epoch, NotRun(attempt, reason))
@@ -248,32 +213,15 @@
         return min(soonest, now + LEASE_CHECK)
 
     def _expire(self, now: Seconds) -> None:
-        self._note_awake(now)
-        self.seen_at = now
+        self.pauses.tick(now)
         for owned in tuple(self.register.owned.values()):
             due = owner.next_due(owned.desk, now)
             if due is not None and due <= now:
                 self._feed(owned, ev.Tick())
         self.register.end_expired(now)
-        self._repeat_suspects(now)
-
-    def _repeat_suspects(self, now: Seconds) -> None:
-        """Tell again what has a consequence: the voter may have missed it, or be another one."""
-        suspects = self.register.suspects
-        if not suspects.suspects or now - self.suspects_told_at < REPEAT_EVERY:
-            return
-        self.suspects_told_at = now
-        forget_over(suspects, now)
-        services = {owned.upstream.service for owned in self.register.owned.values()}
-        serious = [told for told in list_serious(suspects, now) if told.service in services]
-        if serious:
-            self.tell_suspects(tuple(serious))
-        self._tell_news()
-
-    def _tell_news(self) -> None:
-        suspects = self.register.suspects
-        if suspects.news and self.tell_suspects(list_news(suspects, trio.current_time())):
-            suspects.news.clear()
+        if self.register.suspects.suspects:
+            services = frozenset(owned.upstream.service for owned in self.register.owned.values())
+            self.teller.repeat(services, now)
 
     def _feed_all(self, event: ev.OwnerEvent) -> None:
         for owned in tuple(self.register.owned.values()):
@@ -282,7 +230,8 @@
     def _feed(self, owned: OwnedUpstream, event: ev.OwnerEvent) -> None:
         for effect in owner.step(owned.desk, event, trio.current_time()):
             self._carry_out(owned, effect)
-        self._tell_news()
+        if self.register.suspects.news:
+            self.teller.tell_news(trio.current_time())
         due = owner.next_due(owned.desk, trio.current_time())
         if due is not None and due < self.wakes_at:
             self.clock_moved.set()
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/suspect_teller.py
@@ -0,0 +1,46 @@
+"""Tell a voter what an owner node knows against requests."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from bendwind_core.core import Seconds
+from bendwind_core.membership.suspicions import REPEAT_EVERY
+from bendwind_core.suspicion import (
+    SuspectTable,
+    SuspectTold,
+    forget_over,
+    list_news,
+    list_serious,
+)
+
+# Returns False if there is no way to the voter now.
+TellSuspects = Callable[[tuple[SuspectTold, ...]], bool]
+
+
+class SuspectTeller(msgspec.Struct):
+    """Hold what is to be told, and when the rest was told last."""
+
+    table: SuspectTable
+    tell: TellSuspects = lambda told: False
+    repeated_at: Seconds = 0.0
+
+    def tell_news(self, now: Seconds) -> None:
+        """Tell what is new; it stays to be told while no voter is reached."""
+        if self.tell(list_news(self.table, now)):
+            self.table.news.clear()
+
+    def repeat(self, services: frozenset[str], now: Seconds) -> None:
+        """Tell again what has a consequence for these services, once in a while.
+
+        The voter may have missed it, or be another one.
+        """
+        if now - self.repeated_at < REPEAT_EVERY:
+            return
+        self.repeated_at = now
+        forget_over(self.table, now)
+        serious = [told for told in list_serious(self.table, now) if told.service in services]
+        if serious:
+            self.tell(tuple(serious))
+        if self.table.news:
+            self.tell_news(now)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -202,10 +202,10 @@
             bench.hub.hold = True
             exchange = make_exchange(POST, b"x", bendwind_timeout_ms="1000")
             async with trio.open_nursery() as nursery:
-                other.seen_at = trio.current_time()
+                other.pauses.seen_at = trio.current_time()
                 nursery.start_soon(bench.call, exchange)
                 await trio.testing.wait_all_tasks_blocked()
-                other.seen_at -= 4.0
+                other.pauses.seen_at -= 4.0
                 link = bench.hub.links["other"][0]
                 for message in link.held:
                     link.deliver(message)
