--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_crashing_request.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_crashing_request.py
@@ -3,7 +3,7 @@
 A request ended the upstream that ran it, and came again, with a new id, at another node. Nothing
 connected it with what had become of it before, so that each node placed it as new, at whichever
 upstream had just started: all upstreams of its service went down, and each that came back went down
-again within two seconds. The log of one end shows the innocent beside it:
+again within two seconds. The log of one end shows the harmless beside it:
 
 42.950 DISPATCH_FINISHED i-941efb0b20 unknown: upstream-reset (seven within 1 ms, nine ran)
 42.977 DISPATCH_FINISHED i-941efb0b20 not-run: connect-failed
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_suspects.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_suspects.py
@@ -96,7 +96,7 @@
         self.assertTrue(all(isinstance(effect, ov.Dispatch) for effect in further[:-1]))
         self.assertIs(further[-1].reason, NotRunReason.KEPT_APART)
         self.assertIsInstance(self.hand_over(b"/a")[1], ov.Dispatch)
-        self.assertIsInstance(self.hand_over(b"/innocent")[1], ov.Dispatch)
+        self.assertIsInstance(self.hand_over(b"/harmless")[1], ov.Dispatch)
         self.answer(attempt, 200)
         self.assertEqual(self.count(b"/a"), 0)
 
@@ -110,20 +110,20 @@
         self.assertIs(self.hand_over(b"/b")[1].reason, NotRunReason.KEPT_APART)
 
     def test_of_two_requests_that_end_upstreams_each_is_told_from_forty_beside_them(self):
-        """Replay two guilty ones among innocent ones that are sent again until they are served."""
-        guilty = (b"/g1", b"/g2")
-        innocent = [f"/{number}".encode() for number in range(40)]
+        """Replay two poison requests among harmless ones that are sent again until they are served."""
+        poison = (b"/g1", b"/g2")
+        harmless = [f"/{number}".encode() for number in range(40)]
         self.step(ov.UpstreamAnnounced(64, 64, UpstreamState.READY))
-        runs = dict.fromkeys(guilty, 0)
+        runs = dict.fromkeys(poison, 0)
         served = set()
         for _ in range(40):
             self.now += 1.0
             started = {}
-            for path in (*guilty, *(path for path in innocent if path not in served)):
+            for path in (*poison, *(path for path in harmless if path not in served)):
                 attempt, effect = self.hand_over(path)
                 if isinstance(effect, ov.Dispatch):
                     started[path] = attempt
-            ending = [path for path in guilty if path in started]
+            ending = [path for path in poison if path in started]
             for path in ending:
                 runs[path] += 1
             if ending:
@@ -132,7 +132,7 @@
             for path, attempt in started.items():
                 self.answer(attempt, 200)
                 served.add(path)
-        self.assertEqual(served, set(innocent))
+        self.assertEqual(served, set(harmless))
         self.assertLessEqual(max(runs.values()), 5)
 
     def test_error_does_not_clear_and_success_does(self):
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_suspicions.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_suspicions.py
@@ -31,7 +31,7 @@
 VOTERS = ("v0", "v1", "v2")
 PLACES = tuple(VoterPlace(name) for name in VOTERS)
 TICK = 0.05
-GUILTY = b"guilty"
+POISON = b"poison"
 # Nodes that reach their voters have to know within this time.
 CONTACT = 3.0
 
@@ -86,7 +86,7 @@
 
     def end(self, node, number):
         table = self.nodes[node]
-        note_end(table, GUILTY, "s", EndName(node, 1, f"u-{node}", number), self.now)
+        note_end(table, POISON, "s", EndName(node, 1, f"u-{node}", number), self.now)
         self.tell(node, take_news(table, self.now))
 
     def tell(self, node, suspects):
@@ -103,7 +103,7 @@
                 self.step(voter, Tick())
 
     def refuses(self, node):
-        return isinstance(judge(self.nodes[node], GUILTY, self.now), Quarantined)
+        return isinstance(judge(self.nodes[node], POISON, self.now), Quarantined)
 
 
 class SuspicionsTest(unittest.TestCase):
@@ -168,7 +168,7 @@
         self.end_three()
         self.world.pass_time(1.0)
         table = self.world.nodes["n4"]
-        clear(table, GUILTY, self.world.now)
+        clear(table, POISON, self.world.now)
         self.world.tell("n4", take_news(table, self.world.now))
         self.world.pass_time(1.0)
         self.assertEqual(self.list_refusing(), [])
--- a/packages/bendwind-core/src/bendwind_core/suspicion/table.py
+++ b/packages/bendwind-core/src/bendwind_core/suspicion/table.py
@@ -24,7 +24,7 @@
     UpstreamEndTold,
 )
 
-# Suspects that run at one upstream at a time. Forty innocent requests beside two that end
+# Suspects that run at one upstream at a time. Forty harmless requests beside two that end
 # upstreams were all served after 17 runs of one upstream, with one at a time after 46, with 16
 # after 23 (one run a second, all sent again until they are served).
 MOST_TOGETHER = 4
--- a/packages/bendwind-core/src/bendwind_core/suspicion/tests/test_table.py
+++ b/packages/bendwind-core/src/bendwind_core/suspicion/tests/test_table.py
@@ -32,7 +32,7 @@
 )
 
 LIMITS = SuspicionLimits(apart_from=2, quarantine_from=3, quarantine=5.0, keep=600.0)
-GUILTY = b"guilty"
+POISON = b"poison"
 APART = RunApart(MOST_TOGETHER - 1)
 TRIAL = RunApart(0)
 
@@ -44,12 +44,12 @@
         self.table = SuspectTable("n1", LIMITS)
         self.now = 0.0
 
-    def end(self, number, signature=GUILTY, owner="n1", table=None, *, is_served=False):
+    def end(self, number, signature=POISON, owner="n1", table=None, *, is_served=False):
         name = EndName(owner, 1, f"u-{owner}", number)
         table = table or self.table
         note_end(table, signature, "s", name, self.now, is_served=is_served)
 
-    def judge(self, signature=GUILTY, table=None):
+    def judge(self, signature=POISON, table=None):
         return judge(table or self.table, signature, self.now)
 
     def test_request_runs_beside_few_suspects_after_two_ends_and_not_after_three(self):
@@ -67,17 +67,17 @@
     def test_another_request_is_not_suspected(self):
         for number in range(5):
             self.end(number)
-        self.assertEqual(self.judge(b"innocent"), Unsuspected())
+        self.assertEqual(self.judge(b"harmless"), Unsuspected())
 
     def test_answer_clears_and_what_was_told_before_is_over(self):
         for number in range(3):
             self.end(number)
-        before = find_told(self.table, GUILTY, self.now)
-        self.assertTrue(clear(self.table, GUILTY, self.now))
+        before = find_told(self.table, POISON, self.now)
+        self.assertTrue(clear(self.table, POISON, self.now))
         self.assertEqual(self.judge(), Unsuspected())
         self.assertFalse(hear(self.table, before, self.now))
         self.assertEqual(self.judge(), Unsuspected())
-        self.assertFalse(clear(self.table, GUILTY, self.now))
+        self.assertFalse(clear(self.table, POISON, self.now))
 
     def test_trials_come_ever_later_and_one_at_a_time(self):
         for number in range(3):
@@ -87,7 +87,7 @@
             waits.append(self.judge().wait_ms / MILLISECONDS_PER_SECOND)
             self.now += waits[-1]
             self.assertEqual(self.judge(), TRIAL)
-            note_let_in(self.table, GUILTY, self.now)
+            note_let_in(self.table, POISON, self.now)
             self.assertEqual(self.judge(), Quarantined(TRIAL_AGAIN * MILLISECONDS_PER_SECOND))
             self.end(number)
         self.assertEqual(waits, [5.0, 40.0, 320.0])
@@ -97,19 +97,19 @@
             self.end(number)
         self.now = 5.0
         self.assertEqual(self.judge(), TRIAL)
-        note_let_in(self.table, GUILTY, self.now)
+        note_let_in(self.table, POISON, self.now)
         self.now += TRIAL_AGAIN
         self.assertEqual(self.judge(), TRIAL)
 
     def test_others_try_only_where_the_last_owner_does_not_and_not_all_at_once(self):
         for number in range(3):
             self.end(number)
-        told = find_told(self.table, GUILTY, self.now)
+        told = find_told(self.table, POISON, self.now)
         trials = []
         for index in range(20):
             other = SuspectTable(f"other-{index}", LIMITS)
             hear(other, told, self.now)
-            trials.append(find_trial_at(other, other.suspects[GUILTY]))
+            trials.append(find_trial_at(other, other.suspects[POISON]))
         first, last = 5.0 + OTHERS_AFTER, 5.0 + OTHERS_AFTER + OTHERS_SPREAD
         self.assertTrue(all(first <= trial <= last for trial in trials))
         self.assertGreater(len({round(trial) for trial in trials}), 10)
@@ -119,7 +119,7 @@
             self.end(number)
         self.now = LIMITS.keep + 6.0
         self.assertEqual(self.judge(), Unsuspected())
-        self.assertIsNone(self.table.suspects[GUILTY].tried_at)
+        self.assertIsNone(self.table.suspects[POISON].tried_at)
 
     def test_two_nodes_that_saw_some_ends_each_know_all_of_them_once_they_have_told(self):
         other = SuspectTable("n2", LIMITS)
@@ -138,20 +138,20 @@
         other = SuspectTable("n2", LIMITS)
         for number in range(3):
             self.end(number)
-        told = find_told(self.table, GUILTY, self.now)
+        told = find_told(self.table, POISON, self.now)
         for _ in range(10):
             self.now += 1.0
             hear(other, told, self.now)
             self.now += 1.0
-            hear(self.table, find_told(other, GUILTY, self.now), self.now)
-            told = find_told(self.table, GUILTY, self.now)
-        self.assertEqual(self.table.suspects[GUILTY].last.at, 0.0)
+            hear(self.table, find_told(other, POISON, self.now), self.now)
+            told = find_told(self.table, POISON, self.now)
+        self.assertEqual(self.table.suspects[POISON].last.at, 0.0)
 
     def test_what_was_heard_before_is_no_news(self):
         for number in range(3):
             self.end(number)
         other = SuspectTable("n2", LIMITS)
-        told = find_told(self.table, GUILTY, self.now)
+        told = find_told(self.table, POISON, self.now)
         self.assertTrue(hear_and_pass_on(other, told, self.now))
         take_news(other, self.now)
         self.assertFalse(hear_and_pass_on(other, told, self.now + 1.0))
@@ -173,12 +173,12 @@
     def test_request_that_waits_is_withheld_once_three_upstreams_ended_under_it(self):
         for number in range(2):
             self.end(number)
-        self.assertFalse(is_withheld(self.table, GUILTY, self.now))
+        self.assertFalse(is_withheld(self.table, POISON, self.now))
         self.end(2)
-        self.assertTrue(is_withheld(self.table, GUILTY, self.now))
+        self.assertTrue(is_withheld(self.table, POISON, self.now))
         self.now = 5.0
-        note_let_in(self.table, GUILTY, self.now)
-        self.assertFalse(is_withheld(self.table, GUILTY, self.now))
+        note_let_in(self.table, POISON, self.now)
+        self.assertFalse(is_withheld(self.table, POISON, self.now))
 
     def test_memory_is_bounded_and_what_has_consequences_stays(self):
         for number in range(3):
@@ -189,13 +189,13 @@
             self.end(number)
         self.assertLessEqual(len(self.table.suspects), MAX_SUSPECTS)
         self.assertLessEqual(len(self.table.news), MAX_SUSPECTS)
-        self.assertEqual(len(self.table.suspects[GUILTY].ends), MAX_ENDS)
-        self.assertEqual([told.signature for told in list_serious(self.table, 0.0)], [GUILTY])
+        self.assertEqual(len(self.table.suspects[POISON].ends), MAX_ENDS)
+        self.assertEqual([told.signature for told in list_serious(self.table, 0.0)], [POISON])
 
     def test_request_that_was_cleared_is_suspected_anew_from_the_first_end_on(self):
         for number in range(3):
             self.end(number)
-        clear(self.table, GUILTY, self.now)
+        clear(self.table, POISON, self.now)
         self.end(7)
         self.assertEqual(self.judge(), Unsuspected())
         self.end(8)
