--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_suspects.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_suspects.py
@@ -110,7 +110,7 @@
         self.assertIs(self.hand_over(b"/b")[1].reason, NotRunReason.KEPT_APART)
 
     def test_of_two_requests_that_end_upstreams_each_is_told_from_forty_beside_them(self):
-        """Replay two poison requests among harmless ones that are sent again until they are served."""
+        """Replay two poison requests among harmless ones, all sent again until they are served."""
         poison = (b"/g1", b"/g2")
         harmless = [f"/{number}".encode() for number in range(40)]
         self.step(ov.UpstreamAnnounced(64, 64, UpstreamState.READY))
