calls: a quarantined call of an upstream has no other request turned away

Cause: a refused call of a run raises the share of its route that is turned away for want of room at the service called; a poison request that is refused says nothing of that room. Change: it does not count.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
@@ -7,7 +7,7 @@
 import trio
 
 from bendwind_core.admission import Request, note_refused
-from bendwind_core.attempts import AnswerHead, AttemptId, BodyCredit, CutReason
+from bendwind_core.attempts import AnswerHead, AttemptId, BodyCredit, CutReason, NotRunReason
 from bendwind_core.attempts import events as ev
 from bendwind_core.claims import (
     AnswerNotKept,
@@ -104,7 +104,8 @@
             case ev.FinishNotRun(reason=reason, retry_after_ms=retry_after_ms):
                 status = outcomes.find_not_run_status(reason, self.entry.dialect)
                 self._remember_refused()
-                if run.is_inner:
+                if run.is_inner and reason is not NotRunReason.QUARANTINED:
+                    # A poison request says nothing of the room at the service that it calls.
                     self.entry.owner.note_call_refused()
                 await self._send_outcome(status, outcomes.NOT_RUN, reason, retry_after_ms)
             case ev.FinishUnknown(reason=reason, retry_after_ms=retry_after_ms):
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -1,12 +1,17 @@
 import unittest
+from unittest import mock
 
 import trio
 import trio.testing
 from msgspec.structs import replace
 
+from bendwind_core.attempts import NotRunReason
+from bendwind_core.attempts import events as ev
 from bendwind_core.limits import ProbeBudget
 from bendwind_core.world import Limits, Service, StaleAction, UpstreamState
 from bendwind_node.calls.body_flow import PART_BYTES, WINDOW_BYTES
+from bendwind_node.calls.call_delivery import Delivery
+from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.calls.tests.fakes import MIB, CallBench, announce, make_exchange
 from bendwind_node.calls.tests.scripted_server import OK, read_request, run_server
@@ -215,6 +220,20 @@
 
         self.run_with(self.answer_ok, check)
 
+    def test_quarantined_call_of_an_upstream_has_no_other_request_turned_away(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            for reason, expected in ((NotRunReason.QUEUE_FULL, 1), (NotRunReason.QUARANTINED, 0)):
+                exchange = make_exchange()
+                run = (await bench.intake.take(exchange, "c1")).ok
+                run.is_inner = True
+                delivery = Delivery(bench.entry, exchange, run)
+                with mock.patch.object(OwnerNode, "note_call_refused") as noted:
+                    await delivery._carry_out(ev.FinishNotRun(reason, 50.0))
+                self.assertEqual(noted.call_count, expected)
+
+        self.run_with(self.answer_ok, check)
+
     def test_fence_near_the_deadline_is_no_error_of_the_upstream(self):
         # Each fence counted as one, and an attempt whose link broke stayed outstanding for good.
         async def wait(stream, data):
