attempts: an upstream that resets whatever it is sent is held down

Change: three resets one after the other, none of an attempt that began before the last, and no answer between: held down as if it refused connections. Resets of many connections at once and answers between do not count (tests).

--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -105,7 +105,7 @@
     note_success,
     note_upstream_end,
 )
-from bendwind_core.attempts.upstream_end import note_alive, note_unanswered
+from bendwind_core.attempts.upstream_end import note_alive, note_reset, note_unanswered
 from bendwind_core.attempts.upstream_state import (
     hold_down,
     lose,
@@ -209,6 +209,8 @@
 
 def _note_head(desk: OwnerDesk, event: DispatchHead, now: Seconds) -> None:
     note_alive(desk.ends, now)
+    # Health may be good while every request is reset: only an answer to one counts.
+    desk.ends.resets = 0
     note_time(desk.times, event.upstream_ms)
     running = desk.running.get(event.attempt)
     if running is None:
@@ -343,9 +345,12 @@
         note_result(desk.times, is_error=True)
     if not running.is_under_end:
         note_unanswered(desk.ends, running.hand_over, event.reason, now)
+    is_reset = event.reason is CutReason.UPSTREAM_RESET
     if now < desk.ends.settles_at:
         note_upstream_end(desk, now, effects)
-    elif event.reason is CutReason.UPSTREAM_RESET and not desk.ends.is_checked:
+    elif is_reset and note_reset(desk.ends, running.started_at, now):
+        hold_down(desk, now, effects)
+    elif is_reset and not desk.ends.is_checked:
         desk.ends.is_checked = True
         effects.append(CheckUpstream())
     sample = load_sample(desk, now)
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_upstream_end.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_upstream_end.py
@@ -70,6 +70,34 @@
         self.step(ov.UpstreamLost())
         self.assertEqual(self.step(ov.UpstreamChecked(is_refused=True)), [])
 
+    def test_upstream_that_takes_connections_and_resets_each_request_is_held_down(self):
+        # It was sent 388 requests in ten seconds, each of which failed within some milliseconds.
+        effects = []
+        for sequence in range(1, 4):
+            self.run_attempts(sequence)
+            self.now += 0.005
+            effects = self.reset(sequence)
+            self.step(ov.UpstreamChecked(is_refused=False))
+        self.assertIn(ov.UpstreamUnreachable(), effects)
+        self.step(ov.UpstreamReached())
+        self.run_attempts(4)
+        self.now += 0.005
+        self.assertNotIn(ov.UpstreamUnreachable(), self.reset(4))
+
+    def test_connections_that_break_all_at_once_are_one_reset(self):
+        self.run_attempts(1, 2, 3, 4)
+        self.now += 0.005
+        effects = [effect for sequence in (1, 2, 3, 4) for effect in self.reset(sequence)]
+        self.assertNotIn(ov.UpstreamUnreachable(), effects)
+
+    def test_upstream_that_answers_between_resets_is_not_held_down(self):
+        for sequence in range(1, 9, 2):
+            self.run_attempts(sequence, sequence + 1)
+            self.now += 0.005
+            self.step(ov.DispatchHead(AttemptId("e", 1, sequence), 200, 5.0))
+            self.step(ov.DispatchDone(AttemptId("e", 1, sequence)))
+            self.assertNotIn(ov.UpstreamUnreachable(), self.reset(sequence + 1))
+
     def test_upstream_that_takes_no_connection_in_time_has_not_been_seen_to_end(self):
         self.run_attempts(1)
         self.reset(1)
--- a/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
@@ -5,6 +5,8 @@
 for as long as the upstream gives no sign of life.
 """
 
+import math
+
 import msgspec
 
 from bendwind_core.attempts.messages import AttemptId, CutReason, HandOver, Header
@@ -16,6 +18,9 @@
 # A silent end is noticed when the upstream is back or is tried next. What ended without an answer
 # longer ago, as a caller that left with nothing else to do for the upstream, has no part in it.
 UNANSWERED_FOR: Seconds = 10.0
+# An upstream that takes connections and resets each request, so many one after the other, serves
+# nobody: held down only once it refused connections, one was sent 388 requests in ten seconds.
+RESETS_IN_A_ROW = 3
 # More than the slots of any upstream planned for; of more, the oldest are forgotten.
 MAX_UNANSWERED = 64
 
@@ -38,13 +43,16 @@
     """Hold the attempts that ended without an answer since the upstream's last sign of life.
 
     Until `settles_at`, such attempts are still those of the last end that was seen; `ends` counts
-    these. `is_checked` says that the upstream is being asked whether it takes connections.
+    these. `is_checked` says that the upstream is being asked whether it takes connections. `resets`
+    counts those one after the other, each of an attempt that began after the one at `reset_at`.
     """
 
     unanswered: list[Unanswered] = msgspec.field(default_factory=list)
     settles_at: Seconds = 0.0
     ends: int = 0
     is_checked: bool = False
+    resets: int = 0
+    reset_at: Seconds = -math.inf
 
 
 def sign_hand_over(hand_over: HandOver) -> bytes:
@@ -75,6 +83,17 @@
     del watch.unanswered[:-MAX_UNANSWERED]
 
 
+def note_reset(watch: EndWatch, started_at: Seconds, now: Seconds) -> bool:
+    """Note that a connection was reset; tell whether the upstream resets whatever it is sent."""
+    if started_at >= watch.reset_at:
+        watch.resets += 1
+        watch.reset_at = now
+    if watch.resets < RESETS_IN_A_ROW:
+        return False
+    watch.resets = 0
+    return True
+
+
 def note_alive(watch: EndWatch, now: Seconds) -> None:
     """Note a sign of life: what ended well before it did not end the upstream."""
     if watch.unanswered:
