world, attempts, docs: customers, ranks and requests that may not wait, as interfaces

A request names its customer and rank at the hand-over; an owner sends back as busy what may not wait.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -252,6 +252,9 @@
             target_ms=effect.target_ms,
             origin=self.origin,
             suspicion=self._find_suspicion(run),
+            rank=run.call.rank,
+            customer=run.call.customer,
+            may_wait=effect.may_wait,
         )
 
     def _find_suspicion(self, run: CallRun) -> SuspectTold | None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -40,6 +40,17 @@
 OVERDUE_SHARE = 0.25
 
 
+def has_place_at_once(desk: OwnerDesk, now: Seconds) -> bool:
+    """Tell whether an attempt that came now would start at once, at the usual pace."""
+    return not desk.waiting and has_room(desk, now) and not paces.is_slow(desk.pace, now)
+
+
+def find_start_wait_ms(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Milliseconds:
+    """Estimate how long an attempt that came now would wait until it starts at the usual pace."""
+    phase_ms = paces.find_rest_ms(desk.pace, now) if paces.is_slow(desk.pace, now) else 0.0
+    return max(phase_ms, find_wait_ms(desk, find_due(desk, hand_over, now), now))
+
+
 def find_refusal(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> NotRunReason | None:
     """Return why an attempt with a latency objective had better not be taken, or None.
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -68,7 +68,11 @@
 
 
 class EntryCall(msgspec.Struct):
-    """Hold one call from its arrival to its one final outcome."""
+    """Hold one call from its arrival to its one final outcome.
+
+    `rank` says how urgent it is, 0 the most, and `customer` whose it is, empty where that is not
+    known.
+    """
 
     call_id: str
     service: Service
@@ -84,6 +88,8 @@
     next_part: int = 1
     is_claim_held: bool = False
     is_caller_gone: bool = False
+    rank: int = 0
+    customer: str = ""
 
     @property
     def is_idempotent(self) -> bool:
@@ -106,10 +112,13 @@
     *,
     has_key: bool = False,
     target_at: Seconds | None = None,
+    rank: int | None = None,
+    customer: str = "",
 ) -> EntryCall:
     """Create a call; `has_key` says that it carries an idempotency key to be claimed.
 
-    An answer after `target_at` is late, if there is such a time.
+    An answer after `target_at` is late, if there is such a time. `rank` is that of the customer,
+    None where the rule's holds.
     """
     is_claimed = has_key and rule.repeat is Repeat.NEVER
     return EntryCall(
@@ -121,6 +130,8 @@
         budget,
         target_at=target_at,
         has_key=is_claimed,
+        rank=rule.priority if rank is None else rank,
+        customer=customer,
     )
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -86,6 +86,7 @@
         NotRunReason.OVERLOADED,
         NotRunReason.STALLED,
         NotRunReason.KEPT_APART,
+        NotRunReason.BUSY,
     }
 )
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/events.py
@@ -136,7 +136,7 @@
 
 
 class SendHandOver(msgspec.Struct):
-    """Hand the attempt to the owner of `upstream`.
+    """Hand the attempt to the owner of `upstream`, which may let it wait if `may_wait`.
 
     Units: `remaining_ms` is the time the owner has and `target_ms` that left to the latency
     objective, None without one, in milliseconds.
@@ -147,6 +147,7 @@
     remaining_ms: Milliseconds
     insist: bool = True
     target_ms: Milliseconds | None = None
+    may_wait: bool = True
 
 
 class SendCancel(msgspec.Struct):
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -40,6 +40,9 @@
     DEPENDENCY_FULL = "dependency-full"
     KEPT_APART = "kept-apart"
     QUARANTINED = "quarantined"
+    BUSY = "busy"
+    OVER_QUOTA = "over-quota"
+    QUOTA_UNKNOWN = "quota-unknown"
 
 
 class CutReason(enum.StrEnum):
@@ -73,6 +76,9 @@
     `body` is the first part of the request body; `more` says that BodyPart messages follow.
     `route` names the route that the call came by, and `origin` the service whose upstream stands
     beside the entry node, if any. `suspicion` is what the entry node knows against the request.
+    `rank` says how urgent the request is, 0 the most, and `customer` whose it is, empty where that
+    is not known. An owner refuses as busy what it
+    cannot start at once where `may_wait` is false.
     Units: `remaining_ms` is the time left to the caller's deadline and `target_ms` that left to
     the latency objective, None without one, in milliseconds.
     """
@@ -94,6 +100,9 @@
     target_ms: Milliseconds | None = None
     origin: str = ""
     suspicion: SuspectTold | None = None
+    rank: int = 0
+    customer: str = ""
+    may_wait: bool = True
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -20,6 +20,8 @@
     find_due,
     find_leaving,
     find_refusal,
+    find_start_wait_ms,
+    has_place_at_once,
     is_stalled_again,
     may_start,
     next_look,
@@ -245,7 +247,8 @@
         refusal = NotRunReason.DEPENDENCY_FULL
     if refusal is not None:
         record_ended(desk.log, attempt, Fate.NEVER_STARTED)
-        refuse(desk, attempt, event.epoch, refusal, now, effects, hand_over)
+        wait_ms = find_start_wait_ms(desk, hand_over, now) if refusal is NotRunReason.BUSY else None
+        refuse(desk, attempt, event.epoch, refusal, now, effects, hand_over, wait_ms)
         return
     expires_at = now + hand_over.remaining_ms / MILLISECONDS_PER_SECOND
     queued = QueuedAttempt(hand_over, event.epoch, expires_at, now)
@@ -288,6 +291,8 @@
         return NotRunReason.DRAINING
     if hand_over.remaining_ms <= 0:
         return NotRunReason.DEADLINE
+    if not hand_over.may_wait and not has_place_at_once(desk, now):
+        return NotRunReason.BUSY
     if hand_over.target_ms is not None:
         return find_refusal(desk, hand_over, now)
     if not hand_over.insist and is_stalled(desk, now):
--- a/packages/bendwind-core/src/bendwind_core/world/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/world/__init__.py
@@ -1,6 +1,7 @@
 """Offer the objects of the world: data centres, instances, upstreams, services, rules."""
 
 from bendwind_core.world.configuration import EMPTY_CONFIGURATION, Configuration
+from bendwind_core.world.customer import Customer, digest_key
 from bendwind_core.world.places import DataCentre, Instance
 from bendwind_core.world.route import (
     EMPTY_ROUTING,
@@ -29,6 +30,7 @@
     "EMPTY_ROUTING",
     "CallerLimits",
     "Configuration",
+    "Customer",
     "DataCentre",
     "Instance",
     "Limits",
@@ -46,6 +48,7 @@
     "WarmUpRule",
     "create_route",
     "create_routed_service",
+    "digest_key",
     "find_rule",
     "may_serve",
 ]
--- a/packages/bendwind-core/src/bendwind_core/world/configuration.py
+++ b/packages/bendwind-core/src/bendwind_core/world/configuration.py
@@ -1,6 +1,7 @@
 """Hold the accepted configuration as one immutable value."""
 
 from bendwind_core.core import Record
+from bendwind_core.world.customer import Customer
 from bendwind_core.world.route import EMPTY_ROUTING, Routing
 from bendwind_core.world.service import Service
 
@@ -8,13 +9,15 @@
 class Configuration(Record, frozen=True, array_like=True):
     """Hold every service and route as of one version, which is a position in the control log.
 
-    `evacuated` names the data centres whose upstreams get nothing new.
+    `evacuated` names the data centres whose upstreams get nothing new. `customers` are in the order
+    of their names; None means that requests need no key.
     """
 
     version: int
     services: tuple[Service, ...] = ()
     routing: Routing = EMPTY_ROUTING
     evacuated: tuple[str, ...] = ()
+    customers: tuple[Customer, ...] | None = None
 
     def find_service(self, name: str) -> Service | None:
         """Return the service of this name, or None."""
--- a/packages/bendwind-core/src/bendwind_core/world/route.py
+++ b/packages/bendwind-core/src/bendwind_core/world/route.py
@@ -14,7 +14,8 @@
 class Route(Record, frozen=True, array_like=True):
     """Send the requests of a host whose path begins with a prefix to one or more services.
 
-    The prefix begins and ends with a slash, so that it covers whole segments.
+    The prefix begins and ends with a slash, so that it covers whole segments. Requests of a route
+    that `is_open` need no key.
     """
 
     name: str
@@ -22,6 +23,7 @@
     path_prefix: str
     parts: tuple[SplitPart, ...]
     rule: Rule
+    is_open: bool = False
 
 
 def create_route(
@@ -35,6 +37,7 @@
     target_latency_ms: Milliseconds | None,
     attempts: int,
     priority: int,
+    is_open: bool = False,
 ) -> Route:
     """Create a route; its rule, which goes with each request, bears its name."""
     rule = Rule(
@@ -46,7 +49,7 @@
         priority=priority,
         name=name,
     )
-    return Route(name, host, path_prefix, parts, rule)
+    return Route(name, host, path_prefix, parts, rule, is_open)
 
 
 def create_routed_service(
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -389,6 +389,9 @@
             target_ms=effect.target_ms,
             origin=self.origin_service,
             suspicion=self._find_suspicion(run),
+            rank=run.call.rank,
+            customer=run.call.customer,
+            may_wait=effect.may_wait,
         )
         self.runs[effect.attempt.sequence] = run
         note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
@@ -14,6 +14,8 @@
 
 _RETRY_AFTER_MS = b"bendwind-retry-after-ms"
 _SERVICE_UNAVAILABLE = 503
+# RFC 6585, section 4: the customer has sent more than it is due.
+_TOO_MANY_REQUESTS = 429
 _GATEWAY_TIMEOUT = 504
 _BAD_GATEWAY = 502
 
@@ -23,6 +25,8 @@
 
     Without outcome headers the status alone tells that it did not run, and 504 does not.
     """
+    if reason is NotRunReason.OVER_QUOTA:
+        return _TOO_MANY_REQUESTS
     is_late = reason is NotRunReason.DEADLINE and dialect.has_outcomes
     return _GATEWAY_TIMEOUT if is_late else _SERVICE_UNAVAILABLE
 
