--- a/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/upstream_end.py
@@ -57,7 +57,13 @@
 
 def sign_hand_over(hand_over: HandOver) -> bytes:
     """Return the signature of the request that is handed over."""
-    return sign_request(hand_over.method, hand_over.target, hand_over.headers, hand_over.body)
+    return sign_request(
+        hand_over.method,
+        hand_over.target,
+        hand_over.headers,
+        hand_over.body,
+        hand_over.customer,
+    )
 
 
 def number_hand_over(hand_over: HandOver) -> int | None:
--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -19,10 +19,11 @@
 
 
 class SentBeat(msgspec.Struct, frozen=True):
-    """Hold when a heartbeat was sent and which Watch it stated."""
+    """Hold when a heartbeat was sent and which Watch and version of the customers it stated."""
 
     at: Seconds
     watch: int
+    version: int = 0
 
 
 class Attachment(msgspec.Struct):
--- a/packages/bendwind-core/src/bendwind_core/membership/holdings.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/holdings.py
@@ -3,6 +3,12 @@
 import msgspec
 
 from bendwind_core.claims import ClaimGroup
+from bendwind_core.customers import (
+    CustomersChange,
+    CustomerTable,
+    change_customers,
+    create_customer_table,
+)
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.messages import ConfigurationChanged, WatchUpdate
 from bendwind_core.world import EMPTY_ROUTING, Routing, Service, Upstream, UpstreamState
@@ -14,7 +20,8 @@
     """Hold services, claim groups and upstreams of watched services, and their digest.
 
     `upstreams` is keyed by service, then by (owner, upstream); `digest` covers upstreams and
-    claim groups.
+    claim groups. `customers` are all there are, None if no key is needed; `customers_digest` covers
+    them.
     """
 
     watched: dict[str, None] = msgspec.field(default_factory=dict)
@@ -24,6 +31,8 @@
     routing: Routing = EMPTY_ROUTING
     evacuated: frozenset[str] = frozenset()
     digest: int = 0
+    customers: CustomerTable | None = None
+    customers_digest: int = 0
 
 
 def upstream_key(upstream: Upstream) -> UpstreamKey:
@@ -52,6 +61,37 @@
             holdings.services[service.name] = service
 
 
+def put_customers(holdings: Holdings, change: CustomersChange) -> bool:
+    """Take over customers; False, with nothing changed, if it was not made for those held."""
+    is_whole = change.base == 0
+    if not is_whole and _digest_changed(holdings, change) != change.digest:
+        return False
+    if not change.is_key_needed:
+        holdings.customers = None
+    elif is_whole:
+        holdings.customers = create_customer_table(change.put)
+    else:
+        change_customers(holdings.customers, change.put, change.removed)
+    holdings.customers_digest = change.digest
+    return True
+
+
+def _digest_changed(holdings: Holdings, change: CustomersChange) -> int | None:
+    """Return the digest of the customers held as they would be after a change, if it fits."""
+    if change.is_key_needed is not (holdings.customers is not None):
+        return None
+    if holdings.customers is None:
+        return 0
+    held = holdings.customers.by_name
+    digest = holdings.customers_digest
+    for name in {*change.removed, *(customer.name for customer in change.put)}:
+        if name in held:
+            digest ^= digest_record(held[name])
+    for customer in change.put:
+        digest ^= digest_record(customer)
+    return digest
+
+
 def _drop_claim_groups(holdings: Holdings, services: set[str]) -> None:
     for service in services:
         holdings.digest ^= digest_record(holdings.claim_groups.pop(service))
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -2,6 +2,7 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record
+from bendwind_core.customers import CustomersChange
 from bendwind_core.suspicion import SuspectTold
 from bendwind_core.world import Instance, Routing, Service, Upstream
 
@@ -13,6 +14,7 @@
     `version` is the configuration the node has in force for all it watches, -1 if it lacks any.
     `watch` and `announced` number the newest Watch and Announce the node sent; `digest` sums up
     the upstreams and claim groups it holds, so that the voter sees what was lost on the way.
+    `customers` is the version as of which it holds all customers, -1 if it is in doubt of them.
     """
 
     node: Instance
@@ -21,6 +23,7 @@
     watch: int = 0
     announced: int = 0
     digest: int = 0
+    customers: int = 0
 
 
 class HeartbeatReply(Record, frozen=True, array_like=True, tag="beat-reply"):
@@ -53,7 +56,7 @@
 class Watch(Record, frozen=True, array_like=True, tag="watch"):
     """Name every service whose configuration and upstreams the node wants pushed.
 
-    `version` and `digest` say what the node already has, as in its heartbeats.
+    `version`, `digest` and `customers` say what the node already has, as in its heartbeats.
     """
 
     node: str
@@ -62,6 +65,7 @@
     sequence: int = 0
     version: int = -1
     digest: int = 0
+    customers: int = 0
 
 
 class WatchUpdate(Record, frozen=True, array_like=True, tag="watch-update"):
@@ -82,6 +86,7 @@
     watched service it does not list does not exist. `watch` numbers the Watch it answers.
     `holders` says where the members of the claim groups are reached. `routing` is None if it has
     not changed since `base`; `evacuated` names all data centres whose upstreams get nothing new.
+    `customers` has a base of its own, since they are the same for every node, whatever it watches.
     """
 
     version: int
@@ -93,6 +98,7 @@
     holders: tuple[Instance, ...] = ()
     routing: Routing | None = None
     evacuated: tuple[str, ...] = ()
+    customers: CustomersChange = CustomersChange()
 
 
 class VoterPlace(Record, frozen=True, array_like=True):
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bendwind_core.claims import ClaimGroup, node_of
+from bendwind_core.membership.customer_ledger import make_change, take_customers
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.events import RegistryEffect, SendTo
 from bendwind_core.membership.holdings import UpstreamKey, upstream_key
@@ -78,6 +79,8 @@
     if configuration.evacuated != registry.configuration.evacuated:
         registry.evacuated_changed_at = configuration.version
         registry.outdated.update(dict.fromkeys(registry.clients))
+    if take_customers(registry.customers, configuration.customers, configuration.version):
+        registry.outdated.update(dict.fromkeys(registry.clients))
     registry.configuration = configuration
     registry.held[configuration.version] = None
     if len(registry.held) > _HELD_VERSIONS:
@@ -89,19 +92,25 @@
 ) -> bool:
     """Tell whether a node misses no configuration, and push what it misses."""
     rows = [find_row(registry, name) for name in client.services]
-    is_current = _is_current(registry, beat.version, rows)
+    is_current = _is_current(registry, beat.version, beat.customers, rows)
     is_ahead = beat.version > registry.configuration.version
     if not is_current and not is_ahead:
         _push_configuration(registry, beat.node.name, client, effects)
     return is_current
 
 
-def _is_current(registry: VoterRegistry, version: int, rows: list[ServiceRow]) -> bool:
+def _is_current(
+    registry: VoterRegistry, version: int, customers: int, rows: list[ServiceRow]
+) -> bool:
     # Between two versions that this voter held, a service may have changed and changed back: of
     # a version that it did not hold itself it cannot tell what the node has.
     newest_for_all = max(registry.routing_changed_at, registry.evacuated_changed_at)
     if version not in registry.held or newest_for_all > version:
         return False
+    if customers and customers not in registry.held:
+        return False
+    if registry.customers.newest_change > customers:
+        return False
     return all(row.changed_at <= version for row in rows)
 
 
@@ -112,7 +121,8 @@
 def has_everything(registry: VoterRegistry, watch: Watch) -> bool:
     """Tell whether a node already has all that it asks for."""
     rows = [find_row(registry, name) for name in watch.services]
-    return _is_current(registry, watch.version, rows) and watch.digest == _sum_digests(rows)
+    is_current = _is_current(registry, watch.version, watch.customers, rows)
+    return is_current and watch.digest == _sum_digests(rows)
 
 
 def compare_digest(
@@ -145,6 +155,9 @@
         _find_holders(registry, groups),
         registry.configuration.routing if registry.routing_changed_at > base or not base else None,
         registry.configuration.evacuated,
+        make_change(
+            registry.customers, client.customers if client.customers in registry.held else 0
+        ),
     )
     effects.append(SendTo(node, message))
 
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -164,6 +164,7 @@
     client.sequence = beat.sequence
     client.renewed_at = now
     client.version = beat.version
+    client.customers = beat.customers
     _claim_member(registry, beat, effects, now)
     _reply(registry, client, beat, effects, now)
 
@@ -239,6 +240,7 @@
     if watch.sequence < client.watch:
         return
     pushes.set_watch(registry, watch.node, client, watch)
+    client.customers = watch.customers
     # A node that comes from another voter mostly has all of it: 3,000 may come at once.
     if not pushes.has_everything(registry, watch):
         pushes.send_everything(registry, watch.node, client, effects)
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -53,7 +53,8 @@
 _MAX_UNANSWERED = 8
 # Callers may name services that do not exist: the watch on those makes room for others.
 MAX_WATCHED = 512
-# Stated in heartbeats by a node that lacks the configuration of a service it watches.
+# Stated in heartbeats by a node that lacks the configuration of a service it watches, or that is in
+# doubt whether the customers it holds are those of its version: it is sent all of them.
 INCOMPLETE = -1
 # A node away from its preferred voter tries it again at about one good reply in this many.
 _BEATS_AWAY = 120
@@ -97,6 +98,10 @@
     return view.version if view.is_complete else INCOMPLETE
 
 
+def _customers_version(view: NodeView) -> int:
+    return INCOMPLETE if view.is_in_doubt else view.version
+
+
 def _renew(view: NodeView, effects: list[ViewEffect], now: Seconds, rng: random.Random) -> None:
     attachment = view.attachment
     reason = find_reason_to_move(attachment, view.times, now)
@@ -107,7 +112,8 @@
     attachment.sequence += 1
     if len(attachment.sent) >= _MAX_UNANSWERED:
         attachment.sent.pop(next(iter(attachment.sent)))
-    attachment.sent[attachment.sequence] = SentBeat(now, view.watch_sequence)
+    sent = SentBeat(now, view.watch_sequence, _customers_version(view))
+    attachment.sent[attachment.sequence] = sent
     heartbeat = Heartbeat(
         view.instance,
         attachment.sequence,
@@ -115,6 +121,7 @@
         view.watch_sequence,
         view.announce_sequence,
         view.holdings.digest,
+        _customers_version(view),
     )
     effects.append(SendTo(view.voter, heartbeat))
     schedule_beat(attachment, view.times, now, rng)
@@ -193,7 +200,9 @@
     view.attachment.has_heard = True
     if reply.resync:
         _send_everything(view, effects)
-    if reply.is_current and view.is_complete and sent.watch == view.watch_sequence:
+    # What was current at the heartbeat says nothing of what has been put in force since.
+    is_as_sent = sent.watch == view.watch_sequence and sent.version == _customers_version(view)
+    if reply.is_current and view.is_complete and is_as_sent:
         _put_in_force(view, reply.version, effects)
     if reply.confirmed_age_ms is not None:
         _take_proof(view, reply, sent.at, now)
@@ -223,6 +232,7 @@
         view.watch_sequence,
         _stated_version(view),
         view.holdings.digest,
+        _customers_version(view),
     )
 
 
@@ -272,6 +282,12 @@
     known = view.version if view.is_complete else 0
     if is_older or is_for_other_watch or message.base > known:
         return
+    if message.customers.base > max(_customers_version(view), 0):
+        return
+    if not held.put_customers(view.holdings, message.customers):
+        view.is_in_doubt = True
+        return
+    view.is_in_doubt = False
     held.put_services(view.holdings, message)
     view.is_complete = True
     view.pending.clear()
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -4,6 +4,7 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Seconds
+from bendwind_core.membership.customer_ledger import CustomerLedger
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.holdings import UpstreamKey
 from bendwind_core.membership.member import BUCKETS, Member
@@ -16,7 +17,8 @@
 class Client(msgspec.Struct):
     """Hold a node attached to this voter: its last heartbeat and what it watches.
 
-    `is_suspect` says that the last heartbeat's digest differed from what was pushed.
+    `is_suspect` says that the last heartbeat's digest differed from what was pushed. `customers`
+    is the version as of which it holds all customers, by its own word.
     Units: `renewed_at` in seconds of the voter's clock.
     """
 
@@ -27,6 +29,7 @@
     watch: int = 0
     services: tuple[str, ...] = ()
     is_suspect: bool = False
+    customers: int = 0
 
 
 class ServiceRow(msgspec.Struct):
@@ -68,6 +71,7 @@
     configuration: Configuration = EMPTY_CONFIGURATION
     routing_changed_at: int = 0
     evacuated_changed_at: int = 0
+    customers: CustomerLedger = msgspec.field(default_factory=CustomerLedger)
     voters: tuple[VoterPlace, ...] = ()
     uninformed: dict[str, None] = msgspec.field(default_factory=dict)
     held: dict[int, None] = msgspec.field(default_factory=lambda: {0: None})
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/fakes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/fakes.py
@@ -24,7 +24,7 @@
     step_view,
 )
 from bendwind_core.membership.settings import CLOCK_RATE_BOUND
-from bendwind_core.world import Configuration, Instance, Service, Upstream, UpstreamState
+from bendwind_core.world import Configuration, Customer, Instance, Service, Upstream, UpstreamState
 
 TICK = 0.05
 BARRIER = 0.25
@@ -119,7 +119,10 @@
             self.truth[name][upstream.name] = upstream
 
     def accept(
-        self, services: tuple[Service, ...], evacuated: tuple[str, ...] | None = None
+        self,
+        services: tuple[Service, ...],
+        evacuated: tuple[str, ...] | None = None,
+        customers: tuple[Customer, ...] | None = None,
     ) -> bool:
         """Accept a configuration if a majority of voters is connected, as the log would."""
         majority = [voter for voter in VOTERS if self.has_quorum(voter)]
@@ -128,7 +131,8 @@
         version = self.accepted[-1][1].version + self.rng.randint(1, 3)
         held = self.accepted[-1][1].evacuated
         after = held if evacuated is None else evacuated
-        self.accepted.append((self.now, Configuration(version, services, evacuated=after)))
+        configuration = Configuration(version, services, evacuated=after, customers=customers)
+        self.accepted.append((self.now, configuration))
         self.apply(self.rng.choice(majority), len(self.accepted) - 1)
         return True
 
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_customer_pushes.py
@@ -0,0 +1,272 @@
+import random
+import unittest
+import unittest.mock
+
+from bendwind_core.customers import CustomersChange, find_customer
+from bendwind_core.membership import (
+    ConfigurationAccepted,
+    ConfigurationChanged,
+    Heartbeat,
+    HeartbeatReply,
+    MessageReceived,
+    ServiceWatched,
+    Watch,
+    create_voter_registry,
+    customer_ledger,
+    step_registry,
+)
+from bendwind_core.membership.attachment import SentBeat
+from bendwind_core.membership.customer_ledger import CustomerLedger, make_change, take_customers
+from bendwind_core.membership.tests.fakes import PLACES, SERVICES, TIMES, World
+from bendwind_core.world import Configuration, Customer, Instance, Service, digest_key
+
+SERVED = (Service(SERVICES[0], ("*",)),)
+# A voter hears of a version with its next round; a push is collected and crosses one link.
+PUSH = 0.6
+
+
+def make_customers(count, **changed):
+    """Make customers c0, c1... whose keys are k0, k1..., but for those that are named."""
+    keys = {f"c{index}": f"k{index}" for index in range(count)} | changed
+    return tuple(
+        Customer(name, (digest_key(key.encode()),)) for name, key in sorted(keys.items()) if key
+    )
+
+
+class LedgerTest(unittest.TestCase):
+    def test_one_changed_key_sends_one_customer(self):
+        ledger = CustomerLedger()
+        take_customers(ledger, make_customers(100), 10)
+        self.assertTrue(take_customers(ledger, make_customers(100, c7="new"), 11))
+        change = make_change(ledger, 10)
+        self.assertEqual((change.base, change.removed), (10, ()))
+        self.assertEqual(change.put, make_customers(0, c7="new"))
+        self.assertEqual(make_change(ledger, 11).put, ())
+
+    def test_removed_customers_are_named_to_those_that_may_hold_them(self):
+        ledger = CustomerLedger()
+        take_customers(ledger, make_customers(3), 10)
+        take_customers(ledger, make_customers(3, c1=""), 12)
+        take_customers(ledger, make_customers(3, c1="again"), 14)
+        self.assertEqual(make_change(ledger, 10).put, make_customers(0, c1="again"))
+        self.assertEqual(make_change(ledger, 10).removed, ())
+        take_customers(ledger, make_customers(3, c1=""), 16)
+        self.assertEqual(make_change(ledger, 14).removed, ("c1",))
+        self.assertEqual(make_change(ledger, 16).removed, ())
+
+    def test_nodes_that_miss_a_forgotten_removal_are_sent_all(self):
+        ledger = CustomerLedger()
+        with unittest.mock.patch.object(customer_ledger, "MAX_REMOVED", 2):
+            take_customers(ledger, make_customers(5), 10)
+            for version, ended in ((11, "c0"), (12, "c1"), (13, "c2")):
+                held = tuple(c for c in ledger.customers.values() if c.name != ended)
+                take_customers(ledger, held, version)
+        self.assertEqual(len(ledger.removed_at), 2)
+        whole = make_change(ledger, 10)
+        self.assertEqual((whole.base, len(whole.put)), (0, 2))
+        self.assertEqual(set(make_change(ledger, 11).removed), {"c1", "c2"})
+
+    def test_first_customers_and_their_end_are_told_to_all(self):
+        ledger = CustomerLedger()
+        self.assertFalse(take_customers(ledger, None, 5))
+        self.assertTrue(take_customers(ledger, (), 7))
+        self.assertEqual(make_change(ledger, 5), CustomersChange(is_key_needed=True))
+        self.assertTrue(take_customers(ledger, None, 9))
+        self.assertEqual(make_change(ledger, 7), CustomersChange())
+
+    def test_digest_is_that_of_the_same_customers_sent_whole(self):
+        ledger, other = CustomerLedger(), CustomerLedger()
+        take_customers(ledger, make_customers(4, c9="x"), 3)
+        take_customers(ledger, make_customers(4, c1="new", c2=""), 4)
+        take_customers(other, make_customers(4, c1="new", c2=""), 4)
+        self.assertEqual(ledger.digest, other.digest)
+
+
+class PushTest(unittest.TestCase):
+    """One voter, told of versions, and one node that states what it holds."""
+
+    def setUp(self):
+        self.rng = random.Random(4)
+        self.node = Instance("n0", "dc0", "127.0.0.1", 1, 1)
+        self.start_voter()
+
+    def start_voter(self):
+        self.registry = create_voter_registry("v0", PLACES, TIMES, 0.0)
+        self.sequence = 0
+
+    def accept(self, version, customers):
+        configuration = Configuration(version, SERVED, customers=customers)
+        step_registry(self.registry, ConfigurationAccepted(configuration), 0.0, self.rng)
+
+    def beat(self, version, customers):
+        """Let a node state what it holds; return the push and the reply that it gets."""
+        self.sequence += 1
+        beat = Heartbeat(self.node, self.sequence, version, 1, customers=customers)
+        if self.sequence == 1:
+            watch = Watch("n0", SERVICES[:1], 1, 1, version, customers=customers)
+            for message in (beat, watch):
+                step_registry(self.registry, MessageReceived("n0", message), 0.0, self.rng)
+            return self.beat(version, customers)
+        effects = step_registry(self.registry, MessageReceived("n0", beat), 0.0, self.rng)
+        sent = [effect.message for effect in effects]
+        pushes = [message for message in sent if isinstance(message, ConfigurationChanged)]
+        (reply,) = (message for message in sent if isinstance(message, HeartbeatReply))
+        return (pushes[0].customers if pushes else None), reply
+
+    def test_node_that_states_an_older_version_is_sent_the_difference(self):
+        self.accept(10, make_customers(50))
+        self.accept(12, make_customers(50, c3="new"))
+        change, reply = self.beat(10, 10)
+        self.assertEqual((change.base, change.put), (10, make_customers(0, c3="new")))
+        self.assertFalse(reply.is_current)
+
+    def test_node_stays_sent_until_it_states_the_version(self):
+        self.accept(10, make_customers(5))
+        self.accept(12, make_customers(5, c3="new"))
+        for _ in range(3):
+            change, _ = self.beat(10, 10)
+            self.assertEqual(change.put, make_customers(0, c3="new"))
+        change, reply = self.beat(12, 12)
+        self.assertIsNone(change)
+        self.assertTrue(reply.is_current)
+
+    def test_node_that_watches_another_service_is_not_sent_the_customers_again(self):
+        self.accept(10, make_customers(50))
+        change, _ = self.beat(-1, 10)
+        self.assertEqual((change.base, change.put), (10, ()))
+
+    def test_restarted_voter_sends_all_to_nodes_at_versions_that_it_never_held(self):
+        self.accept(10, make_customers(5))
+        self.accept(12, make_customers(5, c1=""))
+        self.start_voter()
+        self.accept(12, make_customers(5, c1=""))
+        change, reply = self.beat(10, 10)
+        self.assertEqual((change.base, change.put), (0, make_customers(5, c1="")))
+        self.assertFalse(reply.is_current)
+
+    def test_voter_that_skipped_a_change_taken_back_sends_all_to_nodes_that_hold_it(self):
+        self.accept(10, make_customers(5))
+        self.accept(17, make_customers(5))
+        change, reply = self.beat(15, 15)
+        self.assertEqual(change.base, 0)
+        self.assertFalse(reply.is_current)
+
+    def test_node_in_doubt_is_sent_all_although_its_version_is_the_newest(self):
+        self.accept(10, make_customers(5))
+        change, reply = self.beat(10, -1)
+        self.assertEqual((change.base, len(change.put)), (0, 5))
+        self.assertFalse(reply.is_current)
+
+    def test_nodes_without_customers_are_current_where_there_never_were_any(self):
+        self.accept(10, None)
+        change, reply = self.beat(10, 0)
+        self.assertIsNone(change)
+        self.assertTrue(reply.is_current)
+
+    def test_voter_that_never_saw_customers_ends_those_that_a_node_holds(self):
+        self.accept(20, None)
+        change, reply = self.beat(15, 15)
+        self.assertEqual(change, CustomersChange())
+        self.assertFalse(reply.is_current)
+
+
+class NodeTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World(seed=6)
+        self.world.start_node("n0", "dc0")
+        self.world.advance(2)
+        self.put(make_customers(5))
+
+    def put(self, customers):
+        self.world.accept(SERVED, customers=customers)
+        self.world.advance(PUSH)
+
+    @property
+    def view(self):
+        return self.world.nodes["n0"].view
+
+    def find(self, key):
+        found = find_customer(self.view.customers, key)
+        return found and found.name
+
+    def assert_holds(self, customers):
+        self.assertEqual(sorted(self.view.customers.by_name), [c.name for c in customers])
+        self.assertEqual(tuple(sorted(self.view.customers.by_name.values(), key=str)), customers)
+
+    def receive(self, message):
+        self.world.step("n0", MessageReceived(self.view.voter, message))
+
+    def test_changes_reach_a_node_within_a_push(self):
+        self.assertEqual(self.find(b"k3"), "c3")
+        self.put(make_customers(5, c3="new", c4=""))
+        self.assertEqual([self.find(key) for key in (b"k3", b"new", b"k4")], [None, "c3", None])
+
+    def test_end_of_all_customers_asks_for_no_key_and_an_empty_list_refuses_all(self):
+        self.put(())
+        self.assertEqual(self.view.customers.by_name, {})
+        self.put(None)
+        self.assertIsNone(self.view.customers)
+
+    def test_lost_push_is_made_good_by_the_next_heartbeat(self):
+        self.world.loss = 1.0
+        self.put(make_customers(5, c3="new"))
+        self.assertEqual(self.find(b"k3"), "c3")
+        self.world.loss = 0.0
+        self.world.advance(2 * TIMES.heartbeat)
+        self.assert_holds(make_customers(5, c3="new"))
+
+    def test_node_that_moves_to_a_restarted_voter_loses_none(self):
+        self.world.cut.add(frozenset(("n0", self.view.voter)))
+        self.put(make_customers(5, c1="", c2="new"))
+        for voter in self.world.voters:
+            self.world.voters[voter] = self.world.start_voter(voter)
+        self.world.advance(10)
+        self.assert_holds(make_customers(5, c1="", c2="new"))
+
+    def test_change_made_for_other_customers_is_not_applied_and_all_are_asked_for(self):
+        view = self.view
+        held = dict(view.customers.by_name)
+        wrong = CustomersChange(view.version, make_customers(0, c2="new"), ("c7",), True, 123)
+        message = ConfigurationChanged(
+            view.version + 1, (), base=view.version, watch=view.watch_sequence, customers=wrong
+        )
+        version = view.version
+        self.receive(message)
+        self.assertEqual((view.customers.by_name, view.version), (held, version))
+        self.assertTrue(view.is_in_doubt)
+        self.world.advance(2 * TIMES.heartbeat)
+        self.assertFalse(view.is_in_doubt)
+        self.assert_holds(make_customers(5))
+
+    def test_difference_from_a_version_that_a_new_run_never_had_is_not_applied(self):
+        version = self.view.version
+        message = ConfigurationChanged(
+            version + 1, (), watch=1, customers=CustomersChange(version, (), (), True, 1)
+        )
+        self.world.loss = 1.0
+        self.world.start_node("n0", "dc0")
+        self.receive(message)
+        self.assertEqual((self.view.version, self.view.customers), (0, None))
+
+    def test_reply_to_an_older_state_puts_no_later_version_in_force(self):
+        view = self.view
+        version = view.version
+        for stated, expected in ((version - 1, version), (version, version + 5)):
+            view.attachment.sent[99] = SentBeat(0.0, view.watch_sequence, stated)
+            self.receive(HeartbeatReply(99, version + 5, 0.0, is_current=True))
+            self.assertEqual(view.version, expected)
+
+    def test_new_watch_brings_no_customers_again(self):
+        sent = []
+        send = self.world.send
+        self.world.send = lambda name, effect: (sent.append(effect.message), send(name, effect))
+        self.world.step("n0", ServiceWatched(SERVICES[1]))
+        self.world.advance(PUSH)
+        pushes = [message for message in sent if isinstance(message, ConfigurationChanged)]
+        self.assertEqual([push.base for push in pushes], [0])
+        self.assertEqual([push.customers.put for push in pushes], [()])
+        self.assertTrue(self.view.is_complete)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -7,6 +7,7 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.customers import CustomerTable
 from bendwind_core.membership import holdings as held
 from bendwind_core.membership.attachment import Attachment, order_voters
 from bendwind_core.membership.messages import VoterPlace
@@ -28,6 +29,7 @@
     `pending` names watched services of which nothing is known yet.
     `confirmed_at` is the time, on the node's own clock, up to which nothing newer than `version`
     had been accepted; `groups_confirmed_at` says the same of the claim groups it holds.
+    `is_in_doubt` says that the customers held may not be those of `version`.
     `seeds` are the voters that the settings name, to be asked when none of the known ones answers.
     """
 
@@ -46,6 +48,7 @@
     pending: set[str] = msgspec.field(default_factory=set)
     seen_version: int = 0
     was_fresh: bool = False
+    is_in_doubt: bool = False
     seeds: tuple[VoterPlace, ...] = ()
 
     def is_fresh(self, now: Seconds) -> bool:
@@ -74,6 +77,11 @@
         """Return the data centres whose upstreams get nothing new."""
         return self.holdings.evacuated
 
+    @property
+    def customers(self) -> CustomerTable | None:
+        """Return the customers in force, None if requests need no key."""
+        return self.holdings.customers
+
     @property
     def claim_groups(self) -> Mapping[str, ClaimGroup]:
         """Return the claim groups of the watched services."""
--- a/packages/bendwind-core/src/bendwind_core/plans/changes.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/changes.py
@@ -1,5 +1,7 @@
 """Work out and apply the changes that turn one configuration into another."""
 
+from msgspec.structs import replace
+
 from bendwind_core.core import Record
 from bendwind_core.plans.intent import Intent
 from bendwind_core.world import Configuration, Service
@@ -28,4 +30,4 @@
     for name in changes.removed:
         services.pop(name, None)
     kept = tuple(services[name] for name in sorted(services))
-    return Configuration(version, kept, configuration.routing, configuration.evacuated)
+    return replace(configuration, version=version, services=kept)
--- a/packages/bendwind-core/src/bendwind_core/plans/commands.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/commands.py
@@ -7,7 +7,7 @@
 from bendwind_core.claims import ChangeClaimGroup
 from bendwind_core.core import Record
 from bendwind_core.plans.changes import Changes
-from bendwind_core.world import Routing, Service
+from bendwind_core.world import Customer, Routing, Service
 
 
 class CreatePlan(Record, frozen=True, array_like=True, tag="create-plan"):
@@ -52,12 +52,14 @@
 class PutRevision(Record, frozen=True, array_like=True, tag="put-revision"):
     """Put a whole configuration in force unless its revision is not above the one held.
 
-    `document` is what the operator sent, kept to be read back as it was.
+    `document` is what the operator sent, kept to be read back as it was. `customers` is None where
+    requests need no key.
     """
 
     services: tuple[Service, ...]
     routing: Routing
     document: bytes
+    customers: tuple[Customer, ...] | None = None
 
 
 class MarkEvacuated(Record, frozen=True, array_like=True, tag="mark-evacuated"):
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/customer_faults.py
@@ -0,0 +1,99 @@
+"""Find what makes customers invalid."""
+
+import enum
+import math
+from collections.abc import Iterator
+
+from bendwind_core.world import Customer, digest_key
+
+# A name stands in a header of every request, and as a label beside figures.
+MAX_NAME_CHARACTERS = 64
+# A node that has just started is sent all customers in one message: with names and rates at their
+# longest these take 2.9 of the 4 MiB that a message may have.
+MAX_CUSTOMERS = 20_000
+MAX_KEYS = 60_000
+# The least urgent rank that leaves room for every rank in use; a rank fits into one byte.
+MAX_RANK = 99
+
+_FIRST_VISIBLE = "!"
+_LAST_VISIBLE = "~"
+_EMPTY_KEY = digest_key(b"")
+
+
+class CustomerFaultKind(enum.StrEnum):
+    """Name what is wrong with a customer; none of it shows a key."""
+
+    BAD_NAME = "bad-customer-name"
+    DUPLICATE_NAME = "duplicate-customer"
+    EMPTY_KEY = "empty-key"
+    DUPLICATE_KEY = "duplicate-key"
+    SHARED_KEY = "shared-key"
+    BAD_RANK = "bad-rank"
+    BAD_RATE = "bad-rate"
+    BAD_BURST = "bad-burst"
+    TOO_MANY_CUSTOMERS = "too-many-customers"
+    TOO_MANY_KEYS = "too-many-keys"
+
+
+def order_customers(customers: tuple[Customer, ...] | None) -> tuple[Customer, ...] | None:
+    """Return customers in the order in which a configuration holds them."""
+    if customers is None:
+        return None
+    return tuple(sorted(customers, key=lambda customer: customer.name))
+
+
+def is_customer_name(name: str) -> bool:
+    """Tell whether a name may stand in a header: visible ASCII, not too long.
+
+    >>> is_customer_name("norte-07"), is_customer_name("norte 07")
+    (True, False)
+    """
+    if not 0 < len(name) <= MAX_NAME_CHARACTERS:
+        return False
+    return all(_FIRST_VISIBLE <= character <= _LAST_VISIBLE for character in name)
+
+
+def find_customer_faults(
+    customers: tuple[Customer, ...],
+) -> Iterator[tuple[CustomerFaultKind, str]]:
+    """Find what is wrong, and with which customer."""
+    if len(customers) > MAX_CUSTOMERS:
+        yield CustomerFaultKind.TOO_MANY_CUSTOMERS, str(len(customers))
+    if sum(len(customer.keys) for customer in customers) > MAX_KEYS:
+        yield CustomerFaultKind.TOO_MANY_KEYS, ""
+    names: set[str] = set()
+    holders: dict[bytes, str] = {}
+    for customer in customers:
+        if not is_customer_name(customer.name):
+            yield CustomerFaultKind.BAD_NAME, ascii(customer.name[:MAX_NAME_CHARACTERS])
+        if customer.name in names:
+            yield CustomerFaultKind.DUPLICATE_NAME, customer.name
+        names.add(customer.name)
+        yield from _find_key_faults(customer, holders)
+        yield from _find_limit_faults(customer)
+
+
+def _find_key_faults(
+    customer: Customer, holders: dict[bytes, str]
+) -> Iterator[tuple[CustomerFaultKind, str]]:
+    for key in customer.keys:
+        holder = holders.setdefault(key, customer.name)
+        if key == _EMPTY_KEY:
+            yield CustomerFaultKind.EMPTY_KEY, customer.name
+        if holder != customer.name:
+            yield CustomerFaultKind.SHARED_KEY, f"{holder} and {customer.name}"
+    if len(set(customer.keys)) < len(customer.keys):
+        yield CustomerFaultKind.DUPLICATE_KEY, customer.name
+
+
+def _find_limit_faults(customer: Customer) -> Iterator[tuple[CustomerFaultKind, str]]:
+    if customer.rank is not None and not 0 <= customer.rank <= MAX_RANK:
+        yield CustomerFaultKind.BAD_RANK, customer.name
+    if not _is_amount(customer.rate_per_s):
+        yield CustomerFaultKind.BAD_RATE, customer.name
+    if not _is_amount(customer.burst):
+        yield CustomerFaultKind.BAD_BURST, customer.name
+
+
+def _is_amount(value: float) -> bool:
+    return math.isfinite(value) and value >= 0.0
--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bendwind_core.plans.commands import PutRevision
+from bendwind_core.plans.customer_faults import CustomerFaultKind, find_customer_faults
 from bendwind_core.world import Route
 
 
@@ -25,9 +26,9 @@
 
 
 class RevisionFault(msgspec.Struct, frozen=True):
-    """Say what is wrong, and with which service or route."""
+    """Say what is wrong, and with which service, route or customer."""
 
-    kind: RevisionFaultKind
+    kind: RevisionFaultKind | CustomerFaultKind
     name: str = ""
 
     def __str__(self) -> str:
@@ -53,6 +54,8 @@
         if (route.host, route.path_prefix) in places:
             yield RevisionFault(RevisionFaultKind.DUPLICATE_PLACE, route.name)
         places.add((route.host, route.path_prefix))
+    for kind, name in find_customer_faults(command.customers or ()):
+        yield RevisionFault(kind, name)
 
 
 def _find_route_faults(route: Route, services: set[str]) -> Iterator[RevisionFault]:
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -15,6 +15,7 @@
     PutRevision,
     decode_command,
 )
+from bendwind_core.plans.customer_faults import order_customers
 from bendwind_core.plans.plan import Confirmed, Plan, PlanOutcome, parse_plan_id
 from bendwind_core.plans.plan_table import PlanTable, create_plan_table
 from bendwind_core.plans.results import (
@@ -155,8 +156,13 @@
         held = self.configuration.routing.revision
         if command.routing.revision <= held:
             return RevisionHeld(held, self.configuration.version, is_new=False)
-        evacuated = self.configuration.evacuated
-        self.configuration = Configuration(index, command.services, command.routing, evacuated)
+        self.configuration = Configuration(
+            index,
+            command.services,
+            command.routing,
+            self.configuration.evacuated,
+            order_customers(command.customers),
+        )
         self.configuration_plan = ""
         self.document = command.document
         self.plans.withdraw(index)
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
@@ -1,10 +1,14 @@
+import math
 import unittest
 
+import msgspec
+
 from bendwind_core.plans import (
     Changes,
     ConfirmPlan,
     ControlState,
     CreatePlan,
+    MarkEvacuated,
     PutRevision,
     RevisionFaultKind,
     RevisionHeld,
@@ -12,7 +16,8 @@
     encode_command,
     find_revision_fault,
 )
-from bendwind_core.world import Route, Routing, Rule, Service, SplitPart
+from bendwind_core.plans.customer_faults import CustomerFaultKind
+from bendwind_core.world import Customer, Route, Routing, Rule, Service, SplitPart, digest_key
 
 ONE_PART = (SplitPart("s"),)
 
@@ -65,6 +70,19 @@
         self.assertIsNotNone(self.state.configuration.find_service("t"))
         self.assertEqual(self.state.configuration.routing.routes, (make_route(),))
 
+    def test_customers_are_held_by_name_through_plans_evacuations_and_snapshots(self):
+        customers = (Customer("sul", (digest_key(b"b"),), 1, 5.0, 2.0), Customer("norte"))
+        self.apply(msgspec.structs.replace(make_put(5), customers=customers))
+        self.apply(CreatePlan("k", b"d", 1, Changes((Service("t", ("*",)),)), 0, 60_000))
+        self.apply(ConfirmPlan(2, 1))
+        self.apply(MarkEvacuated("dc", True))
+        other = ControlState()
+        other.restore(self.state.snapshot())
+        self.assertEqual(other.configuration.version, 4)
+        self.assertEqual(other.configuration.customers, customers[::-1])
+        self.apply(make_put(6))
+        self.assertIsNone(self.state.configuration.customers)
+
 
 class RevisionFaultTest(unittest.TestCase):
     def test_each_fault_is_named(self):
@@ -88,6 +106,45 @@
         self.assertEqual(find_revision_fault(make_put(0)).kind, kinds.BAD_REVISION)
         self.assertIsNone(find_revision_fault(make_put(1, routes=[make_route()])))
 
+    def find_customer_fault(self, *customers):
+        put = msgspec.structs.replace(make_put(1), customers=customers)
+        return find_revision_fault(put)
+
+    def test_each_fault_of_a_customer_is_named_without_its_key(self):
+        kinds = CustomerFaultKind
+        key, other = digest_key(b"secret"), digest_key(b"else")
+        cases = (
+            (kinds.BAD_NAME, Customer("")),
+            (kinds.BAD_NAME, Customer("a b")),
+            (kinds.BAD_NAME, Customer("a\r\nx: y")),
+            (kinds.BAD_NAME, Customer("é")),
+            (kinds.BAD_NAME, Customer("x" * 65)),
+            (kinds.EMPTY_KEY, Customer("a", (digest_key(b""),))),
+            (kinds.DUPLICATE_KEY, Customer("a", (key, other, key))),
+            (kinds.BAD_RANK, Customer("a", rank=-1)),
+            (kinds.BAD_RANK, Customer("a", rank=100)),
+            (kinds.BAD_RATE, Customer("a", rate_per_s=-0.5)),
+            (kinds.BAD_RATE, Customer("a", rate_per_s=math.inf)),
+            (kinds.BAD_BURST, Customer("a", burst=-1.0)),
+            (kinds.BAD_BURST, Customer("a", burst=math.nan)),
+        )
+        for kind, customer in cases:
+            self.assertEqual(self.find_customer_fault(customer).kind, kind)
+        twice = self.find_customer_fault(Customer("a", (key,)), Customer("a", (other,)))
+        self.assertEqual(twice.kind, kinds.DUPLICATE_NAME)
+        shared = self.find_customer_fault(Customer("a", (key,)), Customer("b", (other, key)))
+        self.assertEqual(str(shared), "shared-key: a and b")
+
+    def test_customers_within_bounds_are_taken(self):
+        many = tuple(Customer(f"c{index}", (b"%d" % index,)) for index in range(20_000))
+        self.assertIsNone(self.find_customer_fault(*many))
+        self.assertIsNone(self.find_customer_fault())
+        more = self.find_customer_fault(*many, Customer("x"))
+        self.assertEqual(more.kind, CustomerFaultKind.TOO_MANY_CUSTOMERS)
+        keys = tuple(b"%d" % index for index in range(60_001))
+        fault = self.find_customer_fault(Customer("a", keys))
+        self.assertEqual(fault.kind, CustomerFaultKind.TOO_MANY_KEYS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/suspicion/tests/test_signature.py
+++ b/packages/bendwind-core/src/bendwind_core/suspicion/tests/test_signature.py
@@ -25,6 +25,21 @@
         self.assertEqual(len(others), 7)
         self.assertNotIn(one, others)
 
+    def test_customer_stands_for_what_its_callers_say_of_themselves(self):
+        def sign(customer, *headers, host=HOST):
+            return sign_request("POST", b"/a", (host, *headers), b"x", customer)
+
+        one = sign("norte", (b"cookie", b"c=1"))
+        self.assertEqual(one, sign("norte", (b"authorization", b"a")))
+        others = {
+            sign("sul", (b"cookie", b"c=1")),
+            sign("", (b"cookie", b"c=1")),
+            sign("norte", host=(b"host", b"else.example")),
+            sign("", (b"customer", b"norte")),
+        }
+        self.assertEqual(len(others), 4)
+        self.assertNotIn(one, others)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -15,9 +15,10 @@
 from bendwind_core.limits import admit, check_headers, leave
 from bendwind_core.membership.renewal import MAX_WATCHED
 from bendwind_core.routing import choose_part, find_route
-from bendwind_core.world import Repeat, Rule, Service, StaleAction, find_rule
+from bendwind_core.world import Customer, Repeat, Rule, Service, StaleAction, find_rule
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
+from bendwind_node.calls.authentication import authenticate
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.call_facts import find_request_id
 from bendwind_node.calls.call_run import CallRun
@@ -46,10 +47,11 @@
 
 
 class Target(msgspec.Struct, frozen=True):
-    """Name the service that takes a request and the rule that the request comes under."""
+    """Name the service that takes a request, the rule that it comes under and whose it is."""
 
     service: Service
     rule: Rule
+    customer: Customer | None = None
 
 
 class CallIntake:
@@ -149,7 +151,7 @@
         key: str,
         body: bytes,
     ) -> CallRun:
-        service, rule = target.service, target.rule
+        service, rule, customer = target.service, target.rule, target.customer
         budget = self.entry.find_desk(service).budget
         target_at = None
         if rule.target_latency_ms is not None:
@@ -163,8 +165,10 @@
             budget,
             has_key=bool(key),
             target_at=target_at,
+            rank=None if customer is None else customer.rank,
+            customer="" if customer is None else customer.name,
         )
-        headers = self._make_headers(request)
+        headers = self._make_headers(request, call.customer)
         run = CallRun(
             call,
             self.entry.apply,
@@ -181,9 +185,11 @@
             run.fingerprint = fingerprint_request(request.method, request.target, body)
         return run
 
-    def _make_headers(self, request: CallerRequest) -> tuple[Header, ...]:
+    def _make_headers(self, request: CallerRequest, customer: str) -> tuple[Header, ...]:
         dialect = self.entry.dialect
         kept = names.keep_request_headers(request.headers, dialect.not_forwarded)
+        if customer and dialect.customer is not None:
+            kept = (*kept, (dialect.customer, customer.encode()))
         if dialect.origin_service is None:
             return (*kept, names.VIA)
         return (*kept, (dialect.origin_service, self.entry.origin_service.encode()))
@@ -198,12 +204,26 @@
 
     async def _find_direct(self, request: CallerRequest) -> Result[Target, Refusal]:
         """Find the service that the request names."""
+        if self.entry.dialect.service is None:
+            # Where callers cannot name a service, only routes lead to one.
+            return Error(self._find_absence())
+        asked = self._authenticate(request)
+        if asked.is_error():
+            return asked
         service = await self._find_service(request.headers)
+        if asked.ok is None:
+            # A node that knew no configuration could not ask for a key before.
+            asked = self._authenticate(request)
+        if asked.is_error():
+            return asked
         if service is None or service.routed_only:
-            # A node without proof of freshness cannot tell that there is no such service.
-            is_fresh = self.entry.membership.is_fresh()
-            return Error(_UNKNOWN_SERVICE if is_fresh else Refusal.not_run(NotRunReason.STALE))
-        return Ok(Target(service, find_rule(service, request.method, request.path)))
+            return Error(self._find_absence())
+        return Ok(Target(service, find_rule(service, request.method, request.path), asked.ok))
+
+    def _find_absence(self) -> Refusal:
+        # A node without proof of freshness cannot tell that there is no such service.
+        is_fresh = self.entry.membership.is_fresh()
+        return _UNKNOWN_SERVICE if is_fresh else Refusal.not_run(NotRunReason.STALE)
 
     async def _find_routed(self, request: CallerRequest) -> Result[Target, Refusal]:
         """Find the service by the routes; one that is not known yet is waited for shortly."""
@@ -211,6 +231,9 @@
         route = find_route(table, names.find_host(request.headers), request.path)
         if route is None:
             return Error(_NO_ROUTE)
+        asked = self._authenticate(request, is_open=route.is_open)
+        if asked.is_error():
+            return asked
         name = choose_part(table, route, self.entry.rng)
         membership = self.entry.membership
         service = membership.services.get(name)
@@ -222,7 +245,13 @@
             service = membership.services.get(name)
         if service is None:
             return Error(Refusal.not_run(NotRunReason.STALE))
-        return Ok(Target(service, route.rule))
+        return Ok(Target(service, route.rule, asked.ok))
+
+    def _authenticate(
+        self, request: CallerRequest, *, is_open: bool = False
+    ) -> Result[Customer | None, Refusal]:
+        customers = self.entry.membership.customers
+        return authenticate(customers, request.headers, self.entry.dialect, is_open=is_open)
 
     async def _find_service(self, headers: tuple) -> Service | None:
         name = self._find_service_name(headers)
@@ -252,9 +281,6 @@
 
     def _find_service_name(self, headers: tuple) -> str:
         dialect = self.entry.dialect
-        if dialect.service is None:
-            # Where callers cannot name a service, only routes lead to one.
-            return ""
         named = names.find_header(headers, dialect.service)
         if named is not None:
             return named.decode("latin-1")
--- a/packages/bendwind-node/src/bendwind_node/calls/dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -23,7 +23,8 @@
     `origin_service` the service beside the entry node. `not_run` marks an answer whose request did
     not run; where `not_run_value` is None its presence is enough, whatever the status.
     `answering_upstream` is the name that an upstream gives itself on its health path, and
-    `warm_up` how many milliseconds longer it stays cold.
+    `warm_up` how many milliseconds longer it stays cold. `key` carries a caller's key, which
+    goes no further, and `customer` tells the upstream whose request it is.
     `has_outcomes` adds Bendwind's outcome headers to answers, `has_fractions` permits fractions of
     seconds in Retry-After, `has_cancel_path` says that upstreams take cancellations as requests.
     """
@@ -39,6 +40,8 @@
     load: bytes | None = None
     answering_upstream: bytes | None = None
     warm_up: bytes | None = None
+    key: bytes | None = None
+    customer: bytes | None = None
     has_outcomes: bool = False
     has_fractions: bool = True
     has_cancel_path: bool = False
@@ -53,6 +56,8 @@
             self.origin_service,
             self.not_run,
             self.load,
+            self.key,
+            self.customer,
         )
         object.__setattr__(self, "not_forwarded", frozenset(name for name in own if name))
 
@@ -63,6 +68,8 @@
     not_run_value=b"not-run",
     service=b"bendwind-service",
     attempt=b"bendwind-attempt",
+    key=b"bendwind-key",
+    customer=b"bendwind-customer",
     has_outcomes=True,
     has_fractions=False,
     has_cancel_path=True,
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -414,7 +414,9 @@
         if not suspects.suspects:
             return None
         if not run.signature:
-            run.signature = sign_request(run.method, run.target, run.headers, run.body)
+            run.signature = sign_request(
+                run.method, run.target, run.headers, run.body, run.call.customer
+            )
         return find_told(suspects, run.signature, trio.current_time())
 
     def hear_suspects(self, told: tuple[SuspectTold, ...]) -> None:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -38,6 +38,7 @@
     known: dict = field(default_factory=dict)
     fresh: bool = True
     evacuated: frozenset = frozenset()
+    customers: object = None
     view: object = field(default_factory=lambda: make_view())
 
     def is_fresh(self):
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_authentication.py
@@ -0,0 +1,146 @@
+import unittest
+
+import trio
+import trio.testing
+
+from bendwind_core.customers import create_customer_table
+from bendwind_core.routing import set_routing
+from bendwind_core.world import Customer, Repeat, Routing, SplitPart, create_route, digest_key
+from bendwind_node.calls.authentication import authenticate
+from bendwind_node.calls.dialect import BENDWIND_DIALECT
+from bendwind_node.calls.tests.fakes import CallBench, announce, make_exchange
+from bendwind_node.calls.tests.scripted_server import OK, read_request, run_server
+
+KEY = b"bendwind-key"
+NORTE = Customer("norte", (digest_key(b"k1"), digest_key(b"k2")), rank=0)
+SUL = Customer("sul", (digest_key(b"k3"),))
+
+
+def ask(*keys, is_open=False, customers=(NORTE, SUL)):
+    table = None if customers is None else create_customer_table(customers)
+    headers = ((b"host", b"h"), *((KEY, key) for key in keys))
+    return authenticate(table, headers, BENDWIND_DIALECT, is_open=is_open)
+
+
+class AuthenticateTest(unittest.TestCase):
+    def test_one_known_key_names_its_customer_on_every_route(self):
+        for is_open in (False, True):
+            self.assertEqual(ask(b"k2", is_open=is_open).ok, NORTE)
+            self.assertEqual(ask(b"k3", is_open=is_open).ok, SUL)
+
+    def test_anything_else_is_refused_but_on_open_routes(self):
+        for keys in ((), (b"k4",), (b"",), (b"k1", b"k1"), (b"k1", b"k4"), (b"k1, k1",), (b"K1",)):
+            refusal = ask(*keys).error
+            self.assertEqual((refusal.status, refusal.retry_after_ms), (401, None), keys)
+            self.assertIsNone(ask(*keys, is_open=True).ok)
+
+    def test_an_empty_list_of_customers_refuses_all_and_none_asks_for_no_key(self):
+        self.assertEqual(ask(b"k1", customers=()).error.status, 401)
+        self.assertIsNone(ask(b"k1", customers=None).ok)
+
+
+class AuthenticatedCallTest(unittest.TestCase):
+    def run_with(self, check):
+        self.seen = []
+
+        async def handler(stream, number):
+            while data := await read_request(stream):
+                self.seen.append(data.lower())
+                await stream.send_all(OK)
+
+        async def main():
+            with trio.fail_after(20):
+                async with run_server(handler) as port, trio.open_nursery() as nursery:
+                    bench = CallBench(nursery)
+                    bench.membership.customers = create_customer_table((NORTE, SUL))
+                    await check(bench, port)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_upstream_and_owner_learn_the_customer_and_its_rank(self):
+        async def check(bench, port):
+            announce(bench.add_owner("other"), port)
+            done = await bench.call(make_exchange(bendwind_key="k1", bendwind_customer="forged"))
+            self.assertEqual(done.status, 200)
+            hand_over = bench.hub.sent[0]
+            self.assertEqual((hand_over.customer, hand_over.rank), ("norte", 0))
+            names = [name for name, _ in hand_over.headers]
+            self.assertNotIn(KEY, names)
+            self.assertIn((b"bendwind-customer", b"norte"), hand_over.headers)
+            self.assertIn(b"bendwind-customer: norte\r\n", self.seen[0])
+            self.assertNotIn(b"forged", self.seen[0])
+            self.assertNotIn(b"k1", self.seen[0])
+
+        self.run_with(check)
+
+    def test_request_without_a_known_key_is_neither_watched_for_nor_read(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            exchange = make_exchange(b"POST", b"body", bendwind_service="else")
+            self.assertEqual((await bench.call(exchange)).status, 401)
+            self.assertEqual(exchange.parts, [b"body"])
+            self.assertEqual(bench.membership.view.holdings.watched, {})
+            self.assertEqual((bench.entry.runs, bench.intake.in_flight), ({}, 0))
+
+        self.run_with(check)
+        self.assertEqual(self.seen, [])
+
+    def test_node_without_a_configuration_never_says_that_a_key_is_unknown(self):
+        async def check(bench, port):
+            membership = bench.membership
+            membership.customers, membership.fresh = None, False
+            membership.services.clear()
+            self.assertEqual((await bench.call(make_exchange(bendwind_key="k9"))).status, 503)
+
+        self.run_with(check)
+
+    def test_customers_that_come_while_the_service_is_waited_for_are_heeded(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            membership = bench.membership
+            table, membership.customers = membership.customers, None
+            membership.view.confirmed_at = None
+
+            async def learn():
+                await trio.sleep(0.05)
+                membership.customers = table
+                membership.view.confirmed_at = 0.0
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(learn)
+                done = await bench.call(make_exchange(bendwind_key="k9"))
+            self.assertEqual(done.status, 401)
+
+        self.run_with(check)
+        self.assertEqual(self.seen, [])
+
+    def test_open_route_is_served_without_a_key(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            routes = tuple(
+                create_route(
+                    name,
+                    "svc",
+                    prefix,
+                    (SplitPart("svc"),),
+                    repeat=Repeat.NEVER,
+                    timeout_ms=1000.0,
+                    target_latency_ms=None,
+                    attempts=1,
+                    priority=2,
+                    is_open=is_open,
+                )
+                for name, prefix, is_open in (("open", "/", True), ("closed", "/x/", False))
+            )
+            set_routing(bench.entry.routes, Routing(1, routes))
+            self.assertEqual((await bench.call(make_exchange())).status, 200)
+            closed = make_exchange()
+            closed.request.target = b"/x/1"
+            self.assertEqual((await bench.call(closed)).status, 401)
+
+        self.run_with(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -7,6 +7,7 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Milliseconds, Record, Seconds
+from bendwind_core.customers import CustomerTable
 from bendwind_core.membership import (
     AttachmentChanged,
     ConfigurationApplied,
@@ -119,6 +120,11 @@
         """Return the data centres whose upstreams get nothing new."""
         return self.view.evacuated
 
+    @property
+    def customers(self) -> CustomerTable | None:
+        """Return the customers in force, None if requests need no key."""
+        return self.view.customers
+
     @property
     def claim_groups(self) -> Mapping[str, ClaimGroup]:
         """Return the claim groups of the watched services."""
