--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -70,6 +70,12 @@
     evacuated: bool
 
 
+class ShowCustomers(msgspec.Struct, frozen=True):
+    """Show the customers and what they are due."""
+
+    target: Target
+
+
 class ShowSuspects(msgspec.Struct, frozen=True):
     """Show the requests that upstreams ended under."""
 
@@ -154,6 +160,7 @@
     | ShowStatus
     | Drain
     | Evacuate
+    | ShowCustomers
     | ShowSuspects
     | Release
     | Stop
--- a/packages/bendwind-cli/src/bendwind_cli/parsing.py
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -21,6 +21,7 @@
     MakePlan,
     PutRevision,
     Release,
+    ShowCustomers,
     ShowPlan,
     ShowRevision,
     ShowStatus,
@@ -240,6 +241,16 @@
         """
         return Evacuate(Target(control, settings), data_centre, False)
 
+    @_as_text
+    def customers(self, *, control: str = "", settings: str = "") -> ShowCustomers:
+        """Show the customers with how many keys each has, its rank, rate and burst.
+
+        Args:
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return ShowCustomers(Target(control, settings))
+
     @_as_text
     def suspects(self, *, control: str = "", settings: str = "") -> ShowSuspects:
         """Show the requests that upstreams ended under, by signature; the worst come first.
--- a/packages/bendwind-cli/src/bendwind_cli/plans.py
+++ b/packages/bendwind-cli/src/bendwind_cli/plans.py
@@ -12,6 +12,8 @@
 from bendwind_cli.replies import ClaimGroupReply, OutcomeReply, PlanReply
 
 _MILLISECONDS_PER_SECOND = 1000
+# There may be thousands of customers, and the lines above name each that changes.
+_NAMES_SHOWN = 20
 
 
 def make_plan(client: Client, command: MakePlan) -> Result[str, Failure]:
@@ -111,5 +113,6 @@
         ("services", plan.affected.services),
         ("upstreams", plan.affected.upstreams),
         ("instances", plan.affected.instances),
+        ("customers", plan.affected.customers[:_NAMES_SHOWN]),
     )
     return [f"affects {title}: {', '.join(names)}" for title, names in named if names]
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -39,6 +39,7 @@
     services: tuple[str, ...] = ()
     upstreams: tuple[str, ...] = ()
     instances: tuple[str, ...] = ()
+    customers: tuple[str, ...] = ()
 
 
 class PlanReply(msgspec.Struct, frozen=True):
@@ -80,6 +81,27 @@
     warnings: tuple[WarningReply, ...] = ()
 
 
+class CustomerReply(msgspec.Struct, frozen=True):
+    """Hold a customer; `keys` counts its keys.
+
+    Units: `rate_per_s` in requests a second, 0 without a limit; `burst` in requests.
+    """
+
+    name: str
+    keys: int
+    rank: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class CustomersReply(msgspec.Struct, frozen=True):
+    """Hold all customers; `are_keys_needed` is false where requests need no key."""
+
+    version: int
+    are_keys_needed: bool
+    customers: tuple[CustomerReply, ...] = ()
+
+
 class SuspectReply(msgspec.Struct, frozen=True):
     """Hold what is known against one request.
 
--- a/packages/bendwind-cli/src/bendwind_cli/run.py
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -4,7 +4,16 @@
 
 from expression import Result
 
-from bendwind_cli import evacuation, explain, instances, plans, revisions, suspects, timeline
+from bendwind_cli import (
+    customers,
+    evacuation,
+    explain,
+    instances,
+    plans,
+    revisions,
+    suspects,
+    timeline,
+)
 from bendwind_cli.client import Client, open_client
 from bendwind_cli.client_settings import find_settings
 from bendwind_cli.commands import (
@@ -21,6 +30,7 @@
     MakePlan,
     PutRevision,
     Release,
+    ShowCustomers,
     ShowPlan,
     ShowRevision,
     ShowStatus,
@@ -54,6 +64,8 @@
             return _with_client(command.target, lambda client: instances.drain(client, command))
         case Evacuate():
             return _with_client(command.target, lambda client: evacuation.mark(client, command))
+        case ShowCustomers():
+            return _with_client(command.target, customers.show)
         case ShowSuspects():
             return _with_client(command.target, suspects.show)
         case Release():
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -125,6 +125,7 @@
             "undrain",
             "evacuate",
             "readmit",
+            "customers",
             "suspects",
             "release",
             "stop",
@@ -320,6 +321,20 @@
         self.assertEqual(self.run_line("release", "0012", line)[:2], (0, "0012: released\n"))
         self.assert_fails(["release", "ff", line], ExitCode.REFUSED, "not-found")
 
+    def test_shows_the_customers_and_what_they_are_due(self):
+        limited = {"name": "norte", "keys": 2, "rank": 1, "rate_per_s": 5.0, "burst": 2.0}
+        plain = {"name": "sul", "keys": 1, "rank": None, "rate_per_s": 0.0, "burst": 0.0}
+        held = {"version": 7, "are_keys_needed": True, "customers": [limited, plain]}
+        server = self.serve(("GET /v1/customers", 200, held))
+        code, out, _ = self.run_line("customers", f"--control={server.address}")
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            out,
+            "version 7: 2 customers\n"
+            "norte: 2 keys, rank 1, 5 requests/s, burst 2\n"
+            "sul: 1 key, rank of the route, no limit\n",
+        )
+
     def test_puts_a_whole_configuration_and_shows_it(self):
         held = {"revision": 7, "version": 12, "is_new": True}
         server = self.serve(
--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -91,6 +91,17 @@
     version: int
 
 
+class CustomersChanged(msgspec.Struct, frozen=True):
+    """Tell that a node has put other customers in force; `names` are those that differ.
+
+    Customers and keys in force are counted, None where requests need no key.
+    """
+
+    names: tuple[str, ...]
+    customers: int | None
+    keys: int | None
+
+
 class UpstreamsChanged(msgspec.Struct, frozen=True):
     """Tell that a node's set of upstreams of a service changed."""
 
@@ -150,6 +161,7 @@
     | VotersLearned
     | SendTo
     | ConfigurationApplied
+    | CustomersChanged
     | UpstreamsChanged
     | SuspectsLearned
     | ClaimGroupsChanged
--- a/packages/bendwind-core/src/bendwind_core/membership/holdings.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/holdings.py
@@ -61,11 +61,15 @@
             holdings.services[service.name] = service
 
 
-def put_customers(holdings: Holdings, change: CustomersChange) -> bool:
-    """Take over customers; False, with nothing changed, if it was not made for those held."""
+def put_customers(holdings: Holdings, change: CustomersChange) -> frozenset[str] | None:
+    """Take over customers and return the names of those that differ.
+
+    None, with nothing changed, if the change was not made for the customers held.
+    """
     is_whole = change.base == 0
     if not is_whole and _digest_changed(holdings, change) != change.digest:
-        return False
+        return None
+    differing = _find_differing(holdings, change)
     if not change.is_key_needed:
         holdings.customers = None
     elif is_whole:
@@ -73,7 +77,15 @@
     else:
         change_customers(holdings.customers, change.put, change.removed)
     holdings.customers_digest = change.digest
-    return True
+    return differing
+
+
+def _find_differing(holdings: Holdings, change: CustomersChange) -> frozenset[str]:
+    held = holdings.customers.by_name if holdings.customers else {}
+    put = {customer.name for customer in change.put if held.get(customer.name) != customer}
+    if change.base:
+        return frozenset(put | (held.keys() & set(change.removed)))
+    return frozenset(put | (held.keys() - {customer.name for customer in change.put}))
 
 
 def _digest_changed(holdings: Holdings, change: CustomersChange) -> int | None:
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -21,6 +21,7 @@
     AttachmentChanged,
     ClaimGroupsChanged,
     ConfigurationApplied,
+    CustomersChanged,
     FreshnessChanged,
     InstancesLearned,
     LinkLost,
@@ -284,10 +285,14 @@
         return
     if message.customers.base > max(_customers_version(view), 0):
         return
-    if not held.put_customers(view.holdings, message.customers):
+    had_customers = view.customers is not None
+    differing = held.put_customers(view.holdings, message.customers)
+    if differing is None:
         view.is_in_doubt = True
         return
     view.is_in_doubt = False
+    if differing or had_customers is not (view.customers is not None):
+        effects.append(_make_customers_changed(view, differing))
     held.put_services(view.holdings, message)
     view.is_complete = True
     view.pending.clear()
@@ -298,6 +303,12 @@
         view.waiting_proof = None
 
 
+def _make_customers_changed(view: NodeView, names: frozenset[str]) -> CustomersChanged:
+    table = view.customers
+    counts = (None, None) if table is None else (len(table.by_name), len(table.by_key))
+    return CustomersChanged(tuple(sorted(names)), *counts)
+
+
 def _make_room(view: NodeView) -> bool:
     watched = view.holdings.watched
     if len(watched) < MAX_WATCHED:
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_customer_pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_customer_pushes.py
@@ -6,6 +6,7 @@
 from bendwind_core.membership import (
     ConfigurationAccepted,
     ConfigurationChanged,
+    CustomersChanged,
     Heartbeat,
     HeartbeatReply,
     MessageReceived,
@@ -14,6 +15,7 @@
     create_voter_registry,
     customer_ledger,
     step_registry,
+    step_view,
 )
 from bendwind_core.membership.attachment import SentBeat
 from bendwind_core.membership.customer_ledger import CustomerLedger, make_change, take_customers
@@ -201,6 +203,28 @@
         self.put(make_customers(5, c3="new", c4=""))
         self.assertEqual([self.find(key) for key in (b"k3", b"new", b"k4")], [None, "c3", None])
 
+    def test_each_change_is_told_once_by_names_and_counts(self):
+        told = []
+
+        def step(event):
+            effects = step_view(self.view, event, 0.0, self.world.rng)
+            told.extend(effect for effect in effects if isinstance(effect, CustomersChanged))
+
+        version = self.view.version
+        ledger = CustomerLedger()
+        take_customers(ledger, make_customers(5), version)
+        take_customers(ledger, make_customers(5, c3="new", c4=""), version + 1)
+        change = make_change(ledger, version)
+        message = ConfigurationChanged(version + 1, SERVED, watch=1, customers=change)
+        for _ in range(2):
+            step(MessageReceived(self.view.voter, message))
+        whole = ConfigurationChanged(version + 2, SERVED, watch=1, customers=make_change(ledger, 0))
+        step(MessageReceived(self.view.voter, whole))
+        self.assertEqual(told, [CustomersChanged(("c3", "c4"), 4, 4)])
+        none = ConfigurationChanged(version + 3, SERVED, watch=1)
+        step(MessageReceived(self.view.voter, none))
+        self.assertEqual(told[1:], [CustomersChanged(("c0", "c1", "c2", "c3"), None, None)])
+
     def test_end_of_all_customers_asks_for_no_key_and_an_empty_list_refuses_all(self):
         self.put(())
         self.assertEqual(self.view.customers.by_name, {})
--- a/packages/bendwind-core/src/bendwind_core/plans/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/__init__.py
@@ -12,6 +12,9 @@
     decode_command,
     encode_command,
 )
+from bendwind_core.plans.customer_differences import compute_customer_differences
+from bendwind_core.plans.customer_faults import CustomerFault, find_customer_fault
+from bendwind_core.plans.customer_warnings import find_customer_warnings
 from bendwind_core.plans.difference import Difference, DifferenceKind, compute_differences
 from bendwind_core.plans.evacuation import find_evacuation_warnings
 from bendwind_core.plans.intent import Intent, parse_intent
@@ -62,6 +65,7 @@
     "Confirmed",
     "ControlState",
     "CreatePlan",
+    "CustomerFault",
     "Difference",
     "DifferenceKind",
     "DrainTarget",
@@ -94,10 +98,13 @@
     "WonBy",
     "apply_changes",
     "compute_changes",
+    "compute_customer_differences",
     "compute_differences",
     "decode_command",
     "encode_command",
     "find_affected",
+    "find_customer_fault",
+    "find_customer_warnings",
     "find_evacuation_warnings",
     "find_revision_fault",
     "find_warnings",
--- a/packages/bendwind-core/src/bendwind_core/plans/changes.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/changes.py
@@ -3,15 +3,24 @@
 from msgspec.structs import replace
 
 from bendwind_core.core import Record
+from bendwind_core.plans.customer_changes import (
+    CustomerChanges,
+    apply_customer_changes,
+    compute_customer_changes,
+)
 from bendwind_core.plans.intent import Intent
 from bendwind_core.world import Configuration, Service
 
 
 class Changes(Record, frozen=True, array_like=True):
-    """Hold the services to put in place, new or changed, and the names of those to remove."""
+    """Hold the services to put in place, new or changed, and the names of those to remove.
+
+    `customers` holds the same for customers.
+    """
 
     put: tuple[Service, ...] = ()
     removed: tuple[str, ...] = ()
+    customers: CustomerChanges = CustomerChanges()
 
 
 def compute_changes(configuration: Configuration, intent: Intent) -> Changes:
@@ -20,7 +29,9 @@
     wanted = {service.name: service for service in intent.services}
     put = [wanted[name] for name in sorted(wanted) if present.get(name) != wanted[name]]
     ended = intent.remove if intent.partial else present.keys() - wanted.keys()
-    return Changes(tuple(put), tuple(sorted(name for name in ended if name in present)))
+    removed = tuple(sorted(name for name in ended if name in present))
+    customers = compute_customer_changes(configuration.customers, intent)
+    return Changes(tuple(put), removed, customers)
 
 
 def apply_changes(configuration: Configuration, changes: Changes, version: int) -> Configuration:
@@ -30,4 +41,5 @@
     for name in changes.removed:
         services.pop(name, None)
     kept = tuple(services[name] for name in sorted(services))
-    return replace(configuration, version=version, services=kept)
+    customers = apply_customer_changes(configuration.customers, changes.customers)
+    return replace(configuration, version=version, services=kept, customers=customers)
--- a/packages/bendwind-core/src/bendwind_core/plans/customer_faults.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/customer_faults.py
@@ -4,6 +4,8 @@
 import math
 from collections.abc import Iterator
 
+import msgspec
+
 from bendwind_core.world import Customer, digest_key
 
 # A name stands in a header of every request, and as a label beside figures.
@@ -35,6 +37,21 @@
     TOO_MANY_KEYS = "too-many-keys"
 
 
+class CustomerFault(msgspec.Struct, frozen=True):
+    """Say what is wrong, and with which customer."""
+
+    kind: CustomerFaultKind
+    name: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.kind}: {self.name}" if self.name else str(self.kind)
+
+
+def find_customer_fault(customers: tuple[Customer, ...] | None) -> CustomerFault | None:
+    """Return the first fault of the customers of a configuration, or None if they are valid."""
+    return next(_find_faults(customers or ()), None)
+
+
 def order_customers(customers: tuple[Customer, ...] | None) -> tuple[Customer, ...] | None:
     """Return customers in the order in which a configuration holds them."""
     if customers is None:
@@ -53,46 +70,43 @@
     return all(_FIRST_VISIBLE <= character <= _LAST_VISIBLE for character in name)
 
 
-def find_customer_faults(
-    customers: tuple[Customer, ...],
-) -> Iterator[tuple[CustomerFaultKind, str]]:
-    """Find what is wrong, and with which customer."""
+def _find_faults(customers: tuple[Customer, ...]) -> Iterator[CustomerFault]:
     if len(customers) > MAX_CUSTOMERS:
-        yield CustomerFaultKind.TOO_MANY_CUSTOMERS, str(len(customers))
+        yield CustomerFault(CustomerFaultKind.TOO_MANY_CUSTOMERS, str(len(customers)))
     if sum(len(customer.keys) for customer in customers) > MAX_KEYS:
-        yield CustomerFaultKind.TOO_MANY_KEYS, ""
+        yield CustomerFault(CustomerFaultKind.TOO_MANY_KEYS)
     names: set[str] = set()
     holders: dict[bytes, str] = {}
     for customer in customers:
         if not is_customer_name(customer.name):
-            yield CustomerFaultKind.BAD_NAME, ascii(customer.name[:MAX_NAME_CHARACTERS])
+            yield CustomerFault(
+                CustomerFaultKind.BAD_NAME, ascii(customer.name[:MAX_NAME_CHARACTERS])
+            )
         if customer.name in names:
-            yield CustomerFaultKind.DUPLICATE_NAME, customer.name
+            yield CustomerFault(CustomerFaultKind.DUPLICATE_NAME, customer.name)
         names.add(customer.name)
         yield from _find_key_faults(customer, holders)
         yield from _find_limit_faults(customer)
 
 
-def _find_key_faults(
-    customer: Customer, holders: dict[bytes, str]
-) -> Iterator[tuple[CustomerFaultKind, str]]:
+def _find_key_faults(customer: Customer, holders: dict[bytes, str]) -> Iterator[CustomerFault]:
     for key in customer.keys:
         holder = holders.setdefault(key, customer.name)
         if key == _EMPTY_KEY:
-            yield CustomerFaultKind.EMPTY_KEY, customer.name
+            yield CustomerFault(CustomerFaultKind.EMPTY_KEY, customer.name)
         if holder != customer.name:
-            yield CustomerFaultKind.SHARED_KEY, f"{holder} and {customer.name}"
+            yield CustomerFault(CustomerFaultKind.SHARED_KEY, f"{holder} and {customer.name}")
     if len(set(customer.keys)) < len(customer.keys):
-        yield CustomerFaultKind.DUPLICATE_KEY, customer.name
+        yield CustomerFault(CustomerFaultKind.DUPLICATE_KEY, customer.name)
 
 
-def _find_limit_faults(customer: Customer) -> Iterator[tuple[CustomerFaultKind, str]]:
+def _find_limit_faults(customer: Customer) -> Iterator[CustomerFault]:
     if customer.rank is not None and not 0 <= customer.rank <= MAX_RANK:
-        yield CustomerFaultKind.BAD_RANK, customer.name
+        yield CustomerFault(CustomerFaultKind.BAD_RANK, customer.name)
     if not _is_amount(customer.rate_per_s):
-        yield CustomerFaultKind.BAD_RATE, customer.name
+        yield CustomerFault(CustomerFaultKind.BAD_RATE, customer.name)
     if not _is_amount(customer.burst):
-        yield CustomerFaultKind.BAD_BURST, customer.name
+        yield CustomerFault(CustomerFaultKind.BAD_BURST, customer.name)
 
 
 def _is_amount(value: float) -> bool:
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/customer_warnings.py
@@ -0,0 +1,64 @@
+"""Warn operators of what a plan may take from customers."""
+
+from collections.abc import Iterator
+
+from bendwind_core.plans.customer_changes import CustomerChanges, apply_customer_changes
+from bendwind_core.plans.difference import format_value
+from bendwind_core.plans.warning import PlanWarning, WarningKind
+from bendwind_core.world import Customer
+
+
+def find_customer_warnings(
+    held: tuple[Customer, ...] | None, changes: CustomerChanges
+) -> tuple[PlanWarning, ...]:
+    """List the warnings, customer by customer."""
+    return tuple(_find_warnings(held, changes))
+
+
+def _find_warnings(
+    held: tuple[Customer, ...] | None, changes: CustomerChanges
+) -> Iterator[PlanWarning]:
+    match changes.are_keys_needed:
+        case True:
+            text = "requests without a known key are refused from then on, but for open ones"
+            yield PlanWarning(WarningKind.KEYS_NEEDED, "", text)
+        case False:
+            text = "requests of anybody are taken from then on, without a limit"
+            yield PlanWarning(WarningKind.KEYS_NOT_NEEDED, "", text)
+    before = {customer.name: customer for customer in held or ()}
+    after = apply_customer_changes(held, changes) or ()
+    for customer in after:
+        yield from _check(before.get(customer.name), customer)
+    if changes.are_keys_needed is not False:
+        kept = {customer.name for customer in after}
+        for name in sorted(before.keys() - kept):
+            text = "its keys are refused from then on"
+            yield PlanWarning(WarningKind.CUSTOMER_ENDED, "", text, name)
+
+
+def _check(before: Customer | None, after: Customer) -> Iterator[PlanWarning]:
+    if before == after:
+        return
+    if not after.keys:
+        text = "it has no key left" if before and before.keys else "it has no key"
+        yield PlanWarning(WarningKind.NO_KEY, "", text, after.name)
+    if before is None:
+        return
+    if _is_lower(before, after):
+        texts = [_describe_limit(customer) for customer in (before, after)]
+        yield PlanWarning(WarningKind.RATE_LOWERED, "", " -> ".join(texts), after.name)
+
+
+def _is_lower(before: Customer, after: Customer) -> bool:
+    if not after.is_limited:
+        return False
+    if not before.is_limited:
+        return True
+    return after.rate_per_s < before.rate_per_s or after.burst < before.burst
+
+
+def _describe_limit(customer: Customer) -> str:
+    if not customer.is_limited:
+        return "no limit"
+    rate, burst = format_value(customer.rate_per_s), format_value(customer.burst)
+    return f"{rate} requests/s, burst {burst}"
--- a/packages/bendwind-core/src/bendwind_core/plans/difference.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/difference.py
@@ -23,16 +23,26 @@
     RULE_LOOSENED = "rule-loosened"
     RULE_TIGHTENED = "rule-tightened"
     RULES_REORDERED = "rules-reordered"
+    KEYS_NEEDED = "keys-needed"
+    CUSTOMER_ADDED = "customer-added"
+    CUSTOMER_REMOVED = "customer-removed"
+    CUSTOMER_CHANGED = "customer-changed"
+    KEYS_ADDED = "keys-added"
+    KEYS_WITHDRAWN = "keys-withdrawn"
 
 
 class Difference(msgspec.Struct, frozen=True):
-    """Name one thing that differs, with its values before and after as text."""
+    """Name one thing that differs, with its values before and after as text.
+
+    It is of a service or of a customer; where both are empty, of all customers.
+    """
 
     kind: DifferenceKind
     service: str
     field: str = ""
     before: str = ""
     after: str = ""
+    customer: str = ""
 
 
 # Compared rule by rule, or limit by limit, instead of as one value.
@@ -40,7 +50,7 @@
 
 
 def compute_differences(before: Configuration, changes: Changes) -> tuple[Difference, ...]:
-    """List every difference that the changes make, service by service in the order of names."""
+    """List every difference that the changes make to services, in the order of names."""
     present = {service.name: service for service in before.services}
     wanted = {service.name: service for service in changes.put}
     removed = set(changes.removed) & present.keys()
@@ -121,6 +131,8 @@
     parts = [f"repeat {rule.repeat}"]
     if rule.key_required:
         parts.append("key required")
+    if rule.is_open:
+        parts.append("open")
     if rule.longest_wait_ms is not None:
         parts.append(f"longest wait {format_value(rule.longest_wait_ms)} ms")
     return ", ".join(parts)
--- a/packages/bendwind-core/src/bendwind_core/plans/intent.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/intent.py
@@ -8,7 +8,9 @@
 from msgspec import Meta
 
 from bendwind_core.core import TomlError, decode_toml
-from bendwind_core.world import Limits, Policy, Repeat, Service, StaleAction
+from bendwind_core.plans.customer_faults import find_customer_fault
+from bendwind_core.plans.stated_customer import CustomerName, StatedCustomers, make_customers
+from bendwind_core.world import Customer, Limits, Policy, Repeat, Service, StaleAction
 
 MAX_WAIT_MS = 3_600_000.0
 MAX_SERVICES = 2_000
@@ -38,6 +40,7 @@
     repeat: Repeat = Repeat.IDEMPOTENT
     key_required: bool = False
     longest_wait_ms: _Wait | None = None
+    is_open: bool = msgspec.field(default=False, name="open")
 
 
 class StatedLimits(_Table, frozen=True, kw_only=True):
@@ -76,20 +79,30 @@
 class StatedIntent(_Table, frozen=True, kw_only=True):
     """State the whole content of an intent's file.
 
-    `partial` leaves services that are not named as they are; otherwise they are removed.
+    `partial` leaves services and customers that are not named as they are; otherwise they are
+    removed. A file that states no customers leaves them all as they are.
     """
 
     services: Annotated[tuple[StatedService, ...], Meta(max_length=MAX_SERVICES)] | None = None
     partial: bool = False
     remove: tuple[_Name, ...] = ()
+    customers: StatedCustomers | None = None
+    remove_customers: tuple[CustomerName, ...] = ()
+    end_customers: bool = False
 
 
 class Intent(msgspec.Struct, frozen=True):
-    """Hold a checked intent: the services wanted, and those to end when it is partial."""
+    """Hold a checked intent: what is wanted, and what is to end when it is partial.
+
+    `customers` is None where they stay as they are; `end_customers` has requests need no key.
+    """
 
     services: tuple[Service, ...]
     partial: bool = False
     remove: tuple[str, ...] = ()
+    customers: tuple[Customer, ...] | None = None
+    remove_customers: tuple[str, ...] = ()
+    end_customers: bool = False
 
 
 def parse_intent(text: str | bytes, file: str) -> Result[Intent, TomlError]:
@@ -102,11 +115,21 @@
 
 
 def _check(stated: StatedIntent, file: str) -> Result[Intent, TomlError]:
-    clash = _find_clash(stated, file)
+    customers = make_customers(stated.customers)
+    clash = _find_clash(stated, file) or _find_customer_clash(stated, customers, file)
     if clash is not None:
         return Error(clash)
     services = msgspec.convert(stated.services or (), tuple[Service, ...], from_attributes=True)
-    return Ok(Intent(services, stated.partial, stated.remove))
+    return Ok(
+        Intent(
+            services,
+            stated.partial,
+            stated.remove,
+            customers,
+            stated.remove_customers,
+            stated.end_customers,
+        )
+    )
 
 
 def _find_clash(stated: StatedIntent, file: str) -> TomlError | None:
@@ -127,6 +150,24 @@
     return _find_rule_clash(stated, file)
 
 
+def _find_customer_clash(
+    stated: StatedIntent, customers: tuple[Customer, ...] | None, file: str
+) -> TomlError | None:
+    if stated.remove_customers and not stated.partial:
+        return TomlError(file, "remove_customers", "expected partial = true beside it")
+    if stated.end_customers and (customers is not None or stated.remove_customers):
+        return TomlError(file, "end_customers", "expected no other word on customers beside it")
+    names = [customer.name for customer in customers or ()]
+    twice = _find_repeated([*names, *stated.remove_customers])
+    if twice is not None:
+        text = f"expected each customer once, {twice!r} is named twice"
+        return TomlError(file, "customers", text)
+    fault = find_customer_fault(customers)
+    if fault is not None:
+        return TomlError(file, "customers", f"expected valid customers: {fault}")
+    return None
+
+
 def _find_repeated(names: list[str]) -> str | None:
     counts = collections.Counter(names)
     return next((name for name, count in counts.items() if count > 1), None)
--- a/packages/bendwind-core/src/bendwind_core/plans/plan_table.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/plan_table.py
@@ -4,12 +4,15 @@
 
 import msgspec
 
+from bendwind_core.plans.changes import Changes
 from bendwind_core.plans.plan import Expired, Plan, PlanOutcome, WonBy
 from bendwind_core.plans.results import ForgottenPlan, UnknownPlan
 
 MAX_OPEN_PLANS = 32
 # Four whole configurations of the largest size planned for, 650 services.
 MAX_OPEN_SERVICES = 2_600
+# Two whole lists of the most customers that there may be.
+MAX_OPEN_CUSTOMERS = 40_000
 # A day of changes at the largest size planned for, 6,200 a day.
 MAX_OUTCOMES = 6_200
 
@@ -45,10 +48,15 @@
         plans = [*self.open.values(), *self.decided.values()]
         return sorted(plans, key=lambda plan: plan.index, reverse=True)
 
-    def has_room_for(self, services: int) -> bool:
-        """Tell whether one more plan that puts this many services may be kept open."""
-        held = sum(len(plan.changes.put) for plan in self.open.values())
-        return len(self.open) < MAX_OPEN_PLANS and held + services <= MAX_OPEN_SERVICES
+    def has_room_for(self, changes: Changes) -> bool:
+        """Tell whether one more plan that makes these changes may be kept open."""
+        services = sum(len(plan.changes.put) for plan in self.open.values())
+        customers = sum(len(plan.changes.customers.put) for plan in self.open.values())
+        return (
+            len(self.open) < MAX_OPEN_PLANS
+            and services + len(changes.put) <= MAX_OPEN_SERVICES
+            and customers + len(changes.customers.put) <= MAX_OPEN_CUSTOMERS
+        )
 
     def add(self, plan: Plan) -> None:
         """Keep an open plan."""
--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -6,7 +6,11 @@
 import msgspec
 
 from bendwind_core.plans.commands import PutRevision
-from bendwind_core.plans.customer_faults import CustomerFaultKind, find_customer_faults
+from bendwind_core.plans.customer_faults import (
+    CustomerFault,
+    CustomerFaultKind,
+    find_customer_fault,
+)
 from bendwind_core.world import Route
 
 
@@ -54,8 +58,9 @@
         if (route.host, route.path_prefix) in places:
             yield RevisionFault(RevisionFaultKind.DUPLICATE_PLACE, route.name)
         places.add((route.host, route.path_prefix))
-    for kind, name in find_customer_faults(command.customers or ()):
-        yield RevisionFault(kind, name)
+    match find_customer_fault(command.customers):
+        case CustomerFault(kind=kind, name=name):
+            yield RevisionFault(kind, name)
 
 
 def _find_route_faults(route: Route, services: set[str]) -> Iterator[RevisionFault]:
--- a/packages/bendwind-core/src/bendwind_core/plans/revision_file.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision_file.py
@@ -9,6 +9,7 @@
 from bendwind_core.core import TomlError, decode_toml
 from bendwind_core.plans.commands import PutRevision
 from bendwind_core.plans.revision import find_revision_fault
+from bendwind_core.plans.stated_customer import StatedCustomers, make_customers
 from bendwind_core.world import (
     CallerLimits,
     Repeat,
@@ -49,6 +50,7 @@
     timeout_ms: _Milliseconds
     target_latency_ms: _Milliseconds | None = None
     priority: Annotated[int, Meta(ge=0, le=100)] = 0
+    is_open: bool = msgspec.field(default=False, name="open")
 
 
 class StatedRoutedService(_Table, frozen=True, kw_only=True):
@@ -76,6 +78,7 @@
     services: tuple[StatedRoutedService, ...] = ()
     routes: tuple[StatedRoute, ...] = ()
     limits: StatedCallerLimits = StatedCallerLimits()
+    customers: StatedCustomers | None = None
 
 
 def parse_revision(data: bytes, file: str) -> Result[PutRevision, TomlError]:
@@ -92,7 +95,8 @@
     limits = msgspec.convert(stated.limits, CallerLimits, from_attributes=True)
     routes = tuple(_make_route(route) for route in stated.routes)
     services = tuple(_make_service(service) for service in stated.services)
-    return PutRevision(services, Routing(stated.revision, routes, limits), data)
+    routing = Routing(stated.revision, routes, limits)
+    return PutRevision(services, routing, data, make_customers(stated.customers))
 
 
 def _make_service(stated: StatedRoutedService) -> Service:
@@ -112,6 +116,7 @@
         target_latency_ms=stated.target_latency_ms,
         attempts=stated.attempts,
         priority=stated.priority,
+        is_open=stated.is_open,
     )
 
 
--- a/packages/bendwind-core/src/bendwind_core/plans/rule_effects.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/rule_effects.py
@@ -46,7 +46,7 @@
 
 
 def find_rule_effects(before: Service, after: Service) -> Iterator[RuleEffect]:
-    """Yield how sampled requests are treated otherwise in repetition or in the key they need.
+    """Yield how sampled requests are treated otherwise in repetition or in the keys they need.
 
     A path that matches two patterns is left out where one of them shows the same effect.
     """
@@ -96,3 +96,6 @@
         yield RuleEffect(
             method, sample.shown, "key_required", *texts, is_loosened=not new.key_required
         )
+    if old.is_open != new.is_open:
+        texts = [str(rule.is_open).lower() for rule in (old, new)]
+        yield RuleEffect(method, sample.shown, "open", *texts, is_loosened=new.is_open)
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -117,7 +117,7 @@
         if command.base_version != self.configuration.version:
             return VersionMoved(self.configuration.version, self.configuration_plan)
         self.plans.expire(command.now_ms)
-        if not self.plans.has_room_for(len(command.changes.put)):
+        if not self.plans.has_room_for(command.changes):
             return TooManyPlans(len(self.plans.open))
         plan = Plan(
             index,
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/plans/stated_customer.py
@@ -0,0 +1,46 @@
+"""Read the customers that a TOML file states."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from bendwind_core.plans.customer_faults import MAX_CUSTOMERS, MAX_NAME_CHARACTERS, MAX_RANK
+from bendwind_core.world import Customer, digest_key
+from bendwind_core.world.customer import KEY_DIGEST_BYTES
+
+CustomerName = Annotated[str, Meta(pattern=f"^[!-~]{{1,{MAX_NAME_CHARACTERS}}}$")]
+# What a header's value can carry as it is; no key in use is as long.
+_Key = Annotated[str, Meta(pattern="^[!-~]{1,256}$")]
+_Digest = Annotated[str, Meta(pattern=f"^[0-9a-f]{{{2 * KEY_DIGEST_BYTES}}}$")]
+_Amount = Annotated[float, Meta(ge=0, le=1_000_000_000)]
+
+
+class StatedCustomer(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """State a customer as `[[customers]]` does; unknown keys are refused.
+
+    `key_digests` stand beside `keys`, so that a file need not hold a key that callers know.
+    """
+
+    name: CustomerName
+    keys: tuple[_Key, ...] = ()
+    key_digests: tuple[_Digest, ...] = ()
+    rank: Annotated[int, Meta(ge=0, le=MAX_RANK)] | None = None
+    rate_per_s: _Amount = 0.0
+    burst: _Amount = 0.0
+
+
+StatedCustomers = Annotated[tuple[StatedCustomer, ...], Meta(max_length=MAX_CUSTOMERS)]
+
+
+def make_customers(stated: tuple[StatedCustomer, ...] | None) -> tuple[Customer, ...] | None:
+    """Return the customers that are stated, with their keys as digests; None where none are."""
+    return None if stated is None else tuple(map(_make_customer, stated))
+
+
+def _make_customer(stated: StatedCustomer) -> Customer:
+    digests = (
+        *(digest_key(key.encode()) for key in stated.keys),
+        *map(bytes.fromhex, stated.key_digests),
+    )
+    return Customer(stated.name, digests, stated.rank, stated.rate_per_s, stated.burst)
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_intent.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_intent.py
@@ -17,8 +17,8 @@
     match found:
         case msgspec.inspect.StructType(fields=fields):
             for field in fields:
-                yield prefix + field.name, field.default
-                yield from list_keys(field.type, f"{prefix}{field.name}.")
+                yield prefix + field.encode_name, field.default
+                yield from list_keys(field.type, f"{prefix}{field.encode_name}.")
         case msgspec.inspect.VarTupleType(item_type=item):
             yield from list_keys(item, prefix)
         case msgspec.inspect.UnionType(types=types):
--- a/packages/bendwind-core/src/bendwind_core/plans/warning.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/warning.py
@@ -26,6 +26,11 @@
     LIMIT_LOWERED = "limit-lowered"
     SHARED_HOST = "shared-host"
     UNREACHABLE_RULE = "unreachable-rule"
+    KEYS_NEEDED = "keys-needed"
+    KEYS_NOT_NEEDED = "keys-not-needed"
+    NO_KEY = "no-key"
+    CUSTOMER_ENDED = "customer-ended"
+    RATE_LOWERED = "rate-lowered"
 
 
 class PlanWarning(msgspec.Struct, frozen=True):
@@ -34,14 +39,16 @@
     kind: WarningKind
     service: str
     detail: str
+    customer: str = ""
 
 
 class Affected(msgspec.Struct, frozen=True):
-    """Name what a plan reaches: services, their announced upstreams and the instances of those."""
+    """Name what a plan reaches: services, their announced upstreams, their instances, customers."""
 
     services: tuple[str, ...]
     upstreams: tuple[str, ...]
     instances: tuple[str, ...]
+    customers: tuple[str, ...] = ()
 
 
 def find_affected(changes: Changes, upstreams: Sequence[Upstream]) -> Affected:
@@ -52,6 +59,7 @@
         tuple(sorted(services)),
         tuple(sorted({upstream.name for upstream in reached})),
         tuple(sorted({upstream.owner.name for upstream in reached})),
+        tuple(sorted({c.name for c in changes.customers.put} | set(changes.customers.removed))),
     )
 
 
--- a/packages/bendwind-core/src/bendwind_core/world/service.py
+++ b/packages/bendwind-core/src/bendwind_core/world/service.py
@@ -35,7 +35,7 @@
     `methods` empty matches every method; `path` is a shell-style pattern over the path.
     `attempts` bounds the upstreams that one call may reach, and `priority` ranks it, 0 the most
     urgent; an answer within `target_latency_ms` is in time. `name` tells apart the rules whose
-    requests take different times.
+    requests take different times. Requests of one that `is_open` need no customer's key.
     """
 
     path: str
@@ -47,6 +47,7 @@
     target_latency_ms: Milliseconds | None = None
     priority: int = 0
     name: str = ""
+    is_open: bool = False
 
 
 class Limits(Record, frozen=True, array_like=True):
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -181,7 +181,7 @@
             span=span,
         )
         if call.has_key:
-            run.key = key
+            run.key = _scope_key(call.customer, key)
             run.fingerprint = fingerprint_request(request.method, request.target, body)
         return run
 
@@ -207,18 +207,16 @@
         if self.entry.dialect.service is None:
             # Where callers cannot name a service, only routes lead to one.
             return Error(self._find_absence())
-        asked = self._authenticate(request)
-        if asked.is_error():
-            return asked
+        # Only the service's rules tell whether a key is needed, and a node that waited for its
+        # first configuration has heard of keys only now.
         service = await self._find_service(request.headers)
-        if asked.ok is None:
-            # A node that knew no configuration could not ask for a key before.
-            asked = self._authenticate(request)
+        rule = None if service is None else find_rule(service, request.method, request.path)
+        asked = self._authenticate(request, is_open=rule is not None and rule.is_open)
         if asked.is_error():
             return asked
-        if service is None or service.routed_only:
+        if rule is None or service.routed_only:
             return Error(self._find_absence())
-        return Ok(Target(service, find_rule(service, request.method, request.path), asked.ok))
+        return Ok(Target(service, rule, asked.ok))
 
     def _find_absence(self) -> Refusal:
         # A node without proof of freshness cannot tell that there is no such service.
@@ -248,10 +246,15 @@
         return Ok(Target(service, route.rule, asked.ok))
 
     def _authenticate(
-        self, request: CallerRequest, *, is_open: bool = False
+        self, request: CallerRequest, *, is_open: bool
     ) -> Result[Customer | None, Refusal]:
-        customers = self.entry.membership.customers
-        return authenticate(customers, request.headers, self.entry.dialect, is_open=is_open)
+        entry = self.entry
+        asked = authenticate(
+            entry.membership.customers, request.headers, entry.dialect, is_open=is_open
+        )
+        if asked.is_error():
+            entry.unknown_keys += 1
+        return asked
 
     async def _find_service(self, headers: tuple) -> Service | None:
         name = self._find_service_name(headers)
@@ -330,6 +333,12 @@
         return None
 
 
+def _scope_key(customer: str, key: str) -> str:
+    # Customers choose their keys without knowing of each other. No header's value holds a line's
+    # end, so that no caller can name a key of a customer's.
+    return f"{customer}\n{key}" if customer else key
+
+
 def _read_timeout_ms(
     stated: bytes | None, service: Service, rule: Rule
 ) -> Result[Milliseconds, Refusal]:
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -91,7 +91,10 @@
 
 @dataclass(slots=True, eq=False)
 class EntryNode:
-    """Own the calls that callers brought to this process."""
+    """Own the calls that callers brought to this process.
+
+    `unknown_keys` counts requests refused for want of a known key.
+    """
 
     own: Instance
     recorder: Recorder
@@ -108,6 +111,7 @@
     far_body_bytes: int = DEFAULT_FAR_BODY_BYTES
     routes: RouteTable = field(default_factory=RouteTable)
     returns: Returns = field(default_factory=Returns)
+    unknown_keys: int = 0
     desks: dict[str, ServiceDesk] = field(default_factory=dict)
     runs: dict[int, CallRun] = field(default_factory=dict)
     local: LocalLink = field(init=False)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_authentication.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_authentication.py
@@ -5,7 +5,16 @@
 
 from bendwind_core.customers import create_customer_table
 from bendwind_core.routing import set_routing
-from bendwind_core.world import Customer, Repeat, Routing, SplitPart, create_route, digest_key
+from bendwind_core.world import (
+    Customer,
+    Repeat,
+    Routing,
+    Rule,
+    Service,
+    SplitPart,
+    create_route,
+    digest_key,
+)
 from bendwind_node.calls.authentication import authenticate
 from bendwind_node.calls.dialect import BENDWIND_DIALECT
 from bendwind_node.calls.tests.fakes import CallBench, announce, make_exchange
@@ -74,14 +83,15 @@
 
         self.run_with(check)
 
-    def test_request_without_a_known_key_is_neither_watched_for_nor_read(self):
+    def test_request_without_a_known_key_is_neither_read_nor_admitted(self):
         async def check(bench, port):
             announce(bench.owner, port)
-            exchange = make_exchange(b"POST", b"body", bendwind_service="else")
-            self.assertEqual((await bench.call(exchange)).status, 401)
-            self.assertEqual(exchange.parts, [b"body"])
-            self.assertEqual(bench.membership.view.holdings.watched, {})
+            for service in ("svc", "else"):
+                exchange = make_exchange(b"POST", b"body", bendwind_service=service)
+                self.assertEqual((await bench.call(exchange)).status, 401)
+                self.assertEqual(exchange.parts, [b"body"])
             self.assertEqual((bench.entry.runs, bench.intake.in_flight), ({}, 0))
+            self.assertEqual((bench.entry.desks, bench.entry.unknown_keys), ({}, 2))
 
         self.run_with(check)
         self.assertEqual(self.seen, [])
@@ -115,6 +125,16 @@
         self.run_with(check)
         self.assertEqual(self.seen, [])
 
+    def test_open_rule_is_served_without_a_key(self):
+        async def check(bench, port):
+            announce(bench.owner, port)
+            rules = (Rule("/x", ("GET",), is_open=True),)
+            bench.membership.services["svc"] = Service("svc", ("*",), rules=rules)
+            self.assertEqual((await bench.call(make_exchange())).status, 200)
+            self.assertEqual((await bench.call(make_exchange(b"POST"))).status, 401)
+
+        self.run_with(check)
+
     def test_open_route_is_served_without_a_key(self):
         async def check(bench, port):
             announce(bench.owner, port)
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -11,6 +11,7 @@
 from bendwind_core.membership import (
     AttachmentChanged,
     ConfigurationApplied,
+    CustomersChanged,
     FreshnessChanged,
     LeaseTimes,
     LinkLost,
@@ -41,6 +42,8 @@
 # Until a voter has answered, the view beats faster than that.
 _FIRST_TICK: Seconds = 0.02
 _INBOX = 256
+# An event's text stays a line, however many customers change at once.
+_NAMES_SHOWN = 8
 
 
 class MembershipTask:
@@ -87,6 +90,9 @@
                 self.recorder.record(EventKind.VOTER_CHANGED, detail=f"{voter}: {reason}")
             case ConfigurationApplied(version=version):
                 self.recorder.record(EventKind.CONFIGURATION_APPLIED, detail=str(version))
+            case CustomersChanged():
+                detail = _describe_customers(effect)
+                self.recorder.record(EventKind.CUSTOMERS_CHANGED, detail=detail)
             case FreshnessChanged(is_fresh=is_fresh):
                 kind = EventKind.FRESHNESS_GAINED if is_fresh else EventKind.FRESHNESS_LOST
                 self.recorder.record(kind, detail=str(self.view.version))
@@ -157,6 +163,16 @@
         self.step(PeerSeen(peer, version, confirmed_age_ms))
 
 
+def _describe_customers(changed: CustomersChanged) -> str:
+    names = changed.names[:_NAMES_SHOWN]
+    more = len(changed.names) - len(names)
+    listed = " ".join((*names, f"and {more} more") if more else names)
+    if changed.customers is None:
+        return f"no key is needed any more; {len(changed.names)} ended: {listed}"
+    held = f"{changed.customers} customers with {changed.keys} keys"
+    return f"{held}; {len(changed.names)} changed: {listed}"
+
+
 def create_membership_task(
     instance: Instance,
     voters: tuple[VoterPlace, ...],
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -91,6 +91,10 @@
     REFUSALS = _count(
         "attempts_refused", "attempts", "Attempts this owner refused.", "route", "reason"
     )
+    CUSTOMERS = _gauge("customers", "customers", "Customers whose keys are in force on this node.")
+    UNKNOWN_KEYS = _count(
+        "calls_unknown_key", "calls", "Calls refused for want of a key that is known."
+    )
     SUSPECTS = _gauge("suspects", "requests", "Requests that upstreams ended under.", "state")
     CALL_BUCKET, CALL_SUM, CALL_COUNT = _CALL_SECONDS
     WAIT_BUCKET, WAIT_SUM, WAIT_COUNT = _WAIT_SECONDS
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -88,6 +88,10 @@
         yield Sample(Metric.UPSTREAM_COLD, int(is_spared), (upstream,))
         yield Sample(Metric.UPSTREAM_UNREACHABLE, int(owned.is_unreachable), (upstream,))
     yield from _gather_suspects(owner.register.suspects)
+    customers = entry.membership.customers
+    if customers is not None:
+        yield Sample(Metric.CUSTOMERS, len(customers.by_name))
+        yield Sample(Metric.UNKNOWN_KEYS, entry.unknown_keys)
     yield Sample(Metric.DRAINING, int(owner.register.is_draining))
     yield Sample(Metric.EVACUATED, int(owner.register.is_evacuated))
 
--- a/packages/bendwind-node/src/bendwind_node/operators/app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/app.py
@@ -11,6 +11,7 @@
 from bendwind_node.operators.authority import OperatorAuthority
 from bendwind_node.operators.claim_routes import ClaimRoutes
 from bendwind_node.operators.control_client import ControlClient
+from bendwind_node.operators.customer_routes import CustomerRoutes
 from bendwind_node.operators.errors import ErrorKind, plain_error
 from bendwind_node.operators.evacuation_routes import EvacuationRoutes
 from bendwind_node.operators.http import (
@@ -34,7 +35,16 @@
 
 _DRAIN_TARGETS = {"instances": DrainTarget.INSTANCE, "upstreams": DrainTarget.UPSTREAM}
 _CONTROL_PATHS = frozenset(
-    {"plans", "configuration", "instances", "upstreams", "services", "revision", "data-centres"}
+    {
+        "plans",
+        "configuration",
+        "customers",
+        "instances",
+        "upstreams",
+        "services",
+        "revision",
+        "data-centres",
+    }
 )
 
 
@@ -57,16 +67,18 @@
     suspects: SuspectTable = field(default_factory=SuspectTable)
     plans: PlanRoutes | None = field(init=False)
     claims: ClaimRoutes | None = field(init=False)
+    customers: CustomerRoutes | None = field(init=False)
     revisions: RevisionRoutes | None = field(init=False)
     evacuations: EvacuationRoutes | None = field(init=False)
     status: StatusRoutes = field(init=False)
 
     def __post_init__(self):
         self.status = StatusRoutes(self.control, self.source, self.recorder)
-        self.plans = self.claims = self.revisions = self.evacuations = None
+        self.plans = self.claims = self.revisions = self.evacuations = self.customers = None
         if self.control is not None:
             self.plans = PlanRoutes(self.control, self.source, self.recorder, self.wall_ms)
             self.claims = ClaimRoutes(self.control, self.source, self.recorder, random.Random())
+            self.customers = CustomerRoutes(self.control)
             self.revisions = RevisionRoutes(self.control, self.recorder)
             self.evacuations = EvacuationRoutes(self.control, self.source, self.recorder)
 
@@ -111,6 +123,8 @@
                     return plain_error(404, ErrorKind.NOT_A_VOTER, text)
                 if name == "services":
                     return await self._answer_claims(request, tuple(rest))
+                if name == "customers":
+                    return await self._answer_customers(request, tuple(rest))
                 if name == "revision":
                     return await self._answer_revision(request, tuple(rest))
                 if name == "data-centres":
@@ -147,6 +161,15 @@
                 return _refuse_method()
         return plain_error(404, ErrorKind.NOT_FOUND)
 
+    async def _answer_customers(self, request: Request, path: tuple[str, ...]) -> Response:
+        assert self.customers is not None
+        match request.method, path:
+            case "GET", ():
+                return await self.customers.get_customers()
+            case _, ():
+                return _refuse_method()
+        return plain_error(404, ErrorKind.NOT_FOUND)
+
     async def _answer_revision(self, request: Request, path: tuple[str, ...]) -> Response:
         assert self.revisions is not None
         match request.method, path:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/customer_routes.py
@@ -0,0 +1,50 @@
+"""Answer the requests about customers."""
+
+import msgspec
+
+from bendwind_core.world import Customer
+from bendwind_node.operators.control_client import ControlClient
+from bendwind_node.operators.errors import control_error
+from bendwind_node.operators.http import Response, json_response
+
+
+class CustomerView(msgspec.Struct, frozen=True):
+    """Show a customer; `keys` counts its keys, which are shown nowhere.
+
+    Units: `rate_per_s` in requests a second, 0 without a limit; `burst` in requests.
+    """
+
+    name: str
+    keys: int
+    rank: int | None
+    rate_per_s: float
+    burst: float
+
+
+class CustomersView(msgspec.Struct, frozen=True):
+    """Show all customers; `are_keys_needed` is false where requests need no key."""
+
+    version: int
+    are_keys_needed: bool
+    customers: tuple[CustomerView, ...]
+
+
+class CustomerRoutes(msgspec.Struct):
+    """Answer requests about customers on a control voter."""
+
+    control: ControlClient
+
+    async def get_customers(self) -> Response:
+        """Give the customers in force as a quorum confirms them."""
+        confirmed = await self.control.barrier()
+        if confirmed.is_error():
+            return control_error(confirmed.error)
+        held = self.control.state.configuration
+        shown = tuple(map(_show, held.customers or ()))
+        return json_response(200, CustomersView(held.version, held.customers is not None, shown))
+
+
+def _show(customer: Customer) -> CustomerView:
+    return CustomerView(
+        customer.name, len(customer.keys), customer.rank, customer.rate_per_s, customer.burst
+    )
--- a/packages/bendwind-node/src/bendwind_node/operators/errors.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/errors.py
@@ -7,6 +7,7 @@
 
 from bendwind_core.core import TomlError
 from bendwind_core.plans import (
+    CustomerFault,
     ForgottenPlan,
     GroupRefused,
     RequestReused,
@@ -61,6 +62,7 @@
 
 CommandRefusal = (
     VersionMoved
+    | CustomerFault
     | RequestReused
     | TooManyPlans
     | UnknownPlan
@@ -102,6 +104,8 @@
             text = f"version {version} is in force"
             body = ErrorBody(ErrorKind.VERSION_MOVED, text, version=version, plan=plan)
             return json_response(409, body)
+        case CustomerFault():
+            return plain_error(400, ErrorKind.BAD_INTENT, f"customers: {refusal}")
         case RequestReused(plan):
             text = f"the idempotency key made {plan} out of another intent"
             return json_response(409, ErrorBody(ErrorKind.REQUEST_REUSED, text, plan=plan))
--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -13,6 +13,7 @@
     Confirmed,
     ConfirmPlan,
     CreatePlan,
+    CustomerFault,
     DrainTarget,
     Expired,
     Intent,
@@ -22,8 +23,10 @@
     PlanKept,
     VersionMoved,
     WonBy,
+    apply_changes,
     compute_changes,
     encode_command,
+    find_customer_fault,
     parse_intent,
     parse_plan_id,
 )
@@ -94,7 +97,9 @@
                 return command_error(refusal)
         raise AssertionError(outcome)
 
-    async def _propose_plan(self, asked: PlanRequest) -> Result[CommandResult, ControlError]:
+    async def _propose_plan(
+        self, asked: PlanRequest
+    ) -> Result[CommandResult | CustomerFault, ControlError]:
         outcome = await self._propose_once(asked)
         for _ in range(MAX_ATTEMPTS - 1):
             if outcome.is_error() or not isinstance(outcome.ok, VersionMoved):
@@ -102,7 +107,9 @@
             outcome = await self._propose_once(asked)
         return outcome
 
-    async def _propose_once(self, asked: PlanRequest) -> Result[CommandResult, ControlError]:
+    async def _propose_once(
+        self, asked: PlanRequest
+    ) -> Result[CommandResult | CustomerFault, ControlError]:
         state = self.control.state
         if asked.base_version not in (None, state.configuration.version):
             # This voter may be behind: the changes must be worked out from the stated version.
@@ -113,7 +120,11 @@
             is_resent = state.plans.find_request(asked.key) is not None
             if asked.base_version != version and not is_resent:
                 return Ok(VersionMoved(version, state.configuration_plan))
-        return await self._propose(self._build_command(asked))
+        command = self._build_command(asked)
+        after = apply_changes(state.configuration, command.changes, command.base_version)
+        # What an intent adds to customers in force may clash with those that it does not name.
+        fault = find_customer_fault(after.customers)
+        return await self._propose(command) if fault is None else Ok(fault)
 
     def _build_command(self, asked: PlanRequest) -> CreatePlan:
         configuration = self.control.state.configuration
@@ -195,7 +206,7 @@
             return command_error(found)
         # Both are immutable, and an open plan starts from the configuration in force.
         before, upstreams = self.control.state.configuration, tuple(self.source.upstreams())
-        size = len(found.changes.put) * BYTES_PER_SERVICE
+        size = (len(found.changes.put) + len(found.changes.customers.put)) * BYTES_PER_SERVICE
         view = await run_aside(size, show_plan, found, before, upstreams)
         return json_response(status, view)
 
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_customers.py
@@ -0,0 +1,68 @@
+import unittest
+
+import msgspec
+import trio
+
+from bendwind_core.world import digest_key
+from bendwind_node.operators import OperatorAuthority
+from bendwind_node.operators.tests.fakes import FakeClient, FakeLog, Fate, ask, create_app
+
+SECRET = "k-secret"
+NORTE = f"""[[customers]]
+name = "norte"
+keys = ["{SECRET}"]
+rank = 1
+rate_per_s = 5
+burst = 2
+"""
+
+
+class CustomersTest(unittest.TestCase):
+    def setUp(self):
+        self.log = FakeLog()
+        self.app = create_app(FakeClient(self.log), OperatorAuthority())
+
+    def ask(self, method, path, body=""):
+        return trio.run(lambda: ask(self.app, method, path, body))
+
+    def put(self, text):
+        status, plan = self.ask("POST", "/v1/plans", "partial = true\n" + text)
+        self.assertEqual(status, 201, plan)
+        self.assertEqual(self.ask("POST", f"/v1/plans/{plan['id']}/confirm")[0], 200)
+        return plan
+
+    def test_customers_are_listed_without_their_keys(self):
+        empty = {"version": 0, "are_keys_needed": False, "customers": []}
+        self.assertEqual(self.ask("GET", "/v1/customers"), (200, empty))
+        self.put(NORTE)
+        status, shown = self.ask("GET", "/v1/customers")
+        norte = {"name": "norte", "keys": 1, "rank": 1, "rate_per_s": 5.0, "burst": 2.0}
+        self.assertEqual(status, 200)
+        self.assertEqual((shown["are_keys_needed"], shown["customers"]), (True, [norte]))
+
+    def test_neither_plans_nor_events_show_a_key(self):
+        plan = self.put(NORTE)
+        self.assertEqual(plan["affected"]["customers"], ["norte"])
+        events = [event.detail for event in self.app.recorder.events]
+        shown = msgspec.json.encode((plan, events)).decode()
+        self.assertNotIn(SECRET, shown)
+        self.assertNotIn(digest_key(SECRET.encode()).hex(), shown)
+
+    def test_key_of_a_customer_that_the_intent_does_not_name_is_refused(self):
+        self.put(NORTE)
+        applied = len(self.log.entries)
+        text = "partial = true\n" + NORTE.replace("norte", "sul")
+        status, error = self.ask("POST", "/v1/plans", text)
+        self.assertEqual((status, error["error"]), (400, "bad-intent"))
+        self.assertEqual(error["detail"], "customers: shared-key: norte and sul")
+        self.assertEqual(len(self.log.entries), applied)
+
+    def test_voter_that_is_not_sure_of_the_newest_shows_none(self):
+        self.log.fate = Fate.NOT_ACCEPTED
+        self.assertEqual(self.ask("GET", "/v1/customers")[0], 503)
+        self.assertEqual(self.ask("POST", "/v1/customers")[0], 405)
+        self.assertEqual(self.ask("GET", "/v1/customers/norte")[0], 404)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/operators/views.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/views.py
@@ -15,8 +15,10 @@
     PlanState,
     PlanWarning,
     WonBy,
+    compute_customer_differences,
     compute_differences,
     find_affected,
+    find_customer_warnings,
     find_warnings,
     render_plan,
 )
@@ -41,6 +43,7 @@
     services: tuple[str, ...] = ()
     upstreams: tuple[str, ...] = ()
     instances: tuple[str, ...] = ()
+    customers: tuple[str, ...] = ()
 
 
 class PlanView(msgspec.Struct, frozen=True):
@@ -201,11 +204,16 @@
         return summary
     differences = compute_differences(before, plan.changes)
     warnings = find_warnings(before, plan.changes, differences, upstreams)
+    changes = plan.changes.customers
+    differences = (*differences, *compute_customer_differences(before.customers, changes))
+    warnings = (*warnings, *find_customer_warnings(before.customers, changes))
     affected = find_affected(plan.changes, upstreams)
     return msgspec.structs.replace(
         summary,
         differences=differences,
-        affected=AffectedView(affected.services, affected.upstreams, affected.instances),
+        affected=AffectedView(
+            affected.services, affected.upstreams, affected.instances, affected.customers
+        ),
         warnings=warnings,
         lines=render_plan(differences, warnings),
     )
