--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -8,6 +8,7 @@
 
 from bendwind_core.claims import ClaimGroup, node_of
 from bendwind_core.core import Seconds
+from bendwind_core.membership.customer_ledger import make_change, take_customers
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.events import RegistryEffect, SendTo
 from bendwind_core.membership.holdings import UpstreamKey, upstream_key
@@ -18,7 +19,7 @@
     Watch,
     WatchUpdate,
 )
-from bendwind_core.membership.routing_changes import make_change, note_routing
+from bendwind_core.membership.routing_changes import make_routing_change, note_routing
 from bendwind_core.membership.state import (
     Client,
     ServiceRow,
@@ -34,6 +35,9 @@
 # A configuration of 1,400 routes, 178 KB, takes 0.7 s on a link of 2 Mbit/s. Sent again for each
 # heartbeat meanwhile, it would hold up itself; one that is lost is sent again after this time.
 PUSH_TAKES: Seconds = 1.0
+# Services, routes and customers of a push that arrives within 0.1 s on such a link; it may be sent
+# again at once.
+LARGE_PUSH = 128
 
 
 def accept_configuration(
@@ -85,6 +89,8 @@
     if configuration.evacuated != registry.configuration.evacuated:
         registry.evacuated_changed_at = configuration.version
         registry.outdated.update(dict.fromkeys(registry.clients))
+    if take_customers(registry.customers, configuration.customers, configuration.version):
+        registry.outdated.update(dict.fromkeys(registry.clients))
     registry.configuration = configuration
     registry.held[configuration.version] = None
     if len(registry.held) > _HELD_VERSIONS:
@@ -96,7 +102,7 @@
 ) -> bool:
     """Tell whether a node misses no configuration, and push what it misses."""
     rows = [find_row(registry, name) for name in client.services]
-    is_current = _is_current(registry, beat.version, rows)
+    is_current = _is_current(registry, beat.version, beat.customers, rows)
     is_ahead = beat.version > registry.configuration.version
     if not is_current and not is_ahead and not _is_under_way(registry, client):
         _push_configuration(registry, beat.node.name, client, effects)
@@ -106,16 +112,25 @@
 def _is_under_way(registry: VoterRegistry, client: Client) -> bool:
     """Tell whether the newest version was sent so lately that it may not have arrived yet."""
     is_newest = client.pushed == registry.configuration.version
-    is_same = is_newest and client.pushed_base == _find_base(registry, client)
-    return is_same and registry.ticked_at - client.pushed_at < PUSH_TAKES
+    is_same = client.pushed_base == _find_base(
+        registry, client
+    ) and client.pushed_customers_base == _find_customers_base(registry, client)
+    is_large = client.pushed_items > LARGE_PUSH
+    return is_large and is_newest and is_same and registry.ticked_at - client.pushed_at < PUSH_TAKES
 
 
-def _is_current(registry: VoterRegistry, version: int, rows: list[ServiceRow]) -> bool:
+def _is_current(
+    registry: VoterRegistry, version: int, customers: int, rows: list[ServiceRow]
+) -> bool:
     # Between two versions that this voter held, a service may have changed and changed back: of
     # a version that it did not hold itself it cannot tell what the node has.
     newest_for_all = max(registry.routing.newest, registry.evacuated_changed_at)
     if version not in registry.held or newest_for_all > version:
         return False
+    if customers and customers not in registry.held:
+        return False
+    if registry.customers.newest_change > customers:
+        return False
     return all(row.changed_at <= version for row in rows)
 
 
@@ -126,7 +141,8 @@
 def has_everything(registry: VoterRegistry, watch: Watch) -> bool:
     """Tell whether a node already has all that it asks for."""
     rows = [find_row(registry, name) for name in watch.services]
-    return _is_current(registry, watch.version, rows) and watch.digest == _sum_digests(rows)
+    is_current = _is_current(registry, watch.version, watch.customers, rows)
+    return is_current and watch.digest == _sum_digests(rows)
 
 
 def compare_digest(
@@ -142,11 +158,22 @@
     return is_same
 
 
+def _count_items(message: ConfigurationChanged) -> int:
+    routes = message.routing.routes if message.routing is not None else ()
+    customers = message.customers.put if message.customers is not None else ()
+    return len(message.services) + len(routes) + len(customers)
+
+
 def _find_base(registry: VoterRegistry, client: Client) -> int:
     """Return the version that a node holds, 0 if what changed since is not known."""
     return client.version if client.version in registry.held else 0
 
 
+def _find_customers_base(registry: VoterRegistry, client: Client) -> int:
+    """Return the version as of which a node holds all customers, 0 as in `_find_base`."""
+    return client.customers if client.customers in registry.held else 0
+
+
 def _push_configuration(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
@@ -162,11 +189,14 @@
         base,
         client.watch,
         _find_holders(registry, groups),
-        make_change(registry.routing, registry.configuration.routing, base),
+        make_routing_change(registry.routing, registry.configuration.routing, base),
         registry.configuration.evacuated,
+        make_change(registry.customers, _find_customers_base(registry, client)),
     )
     client.pushed = message.version
+    client.pushed_items = _count_items(message)
     client.pushed_base = base
+    client.pushed_customers_base = _find_customers_base(registry, client)
     client.pushed_at = registry.ticked_at
     effects.append(SendTo(node, message))
 
--- a/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
@@ -52,7 +52,9 @@
     history.newest = version
 
 
-def make_change(history: RoutingHistory, routing: Routing, base: int) -> RoutingChange | None:
+def make_routing_change(
+    history: RoutingHistory, routing: Routing, base: int
+) -> RoutingChange | None:
     """Return what changed since a version, all routes where it is 0, None if nothing did."""
     # A change of one route of 1,400 held up a node's link of 2.45 Mbit/s for 0.6 s, so that
     # heartbeats went unanswered and some nodes had the change 2.5 s after it was accepted; median
@@ -68,7 +70,7 @@
     return RoutingChange(routing.revision, routing.limits, changed, removed, is_whole=False)
 
 
-def apply_change(routing: Routing, change: RoutingChange) -> Routing:
+def apply_routing_change(routing: Routing, change: RoutingChange) -> Routing:
     """Return the routes after a change that follows on those held."""
     if change.is_whole:
         return Routing(change.revision, change.routes, change.limits)
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -4,6 +4,7 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Seconds
+from bendwind_core.membership.customer_ledger import CustomerLedger
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.holdings import UpstreamKey
 from bendwind_core.membership.member import BUCKETS, Member
@@ -18,8 +19,9 @@
     """Hold a node attached to this voter: its last heartbeat and what it watches.
 
     `is_suspect` says that the last heartbeat's digest differed from what was pushed, `pushed` which
-    version it was sent last, -1 for none since its watch changed, and `pushed_base` since which
-    version the changes were.
+    version it was sent last, -1 for none since its watch changed, with `pushed_items` that changed
+    since the two bases. `customers` is the version as of which it holds all customers, by its
+    own word.
     Units: `renewed_at` and `pushed_at` in seconds of the voter's clock.
     """
 
@@ -31,8 +33,11 @@
     services: tuple[str, ...] = ()
     is_suspect: bool = False
     pushed: int = -1
+    pushed_items: int = 0
     pushed_base: int = 0
+    pushed_customers_base: int = 0
     pushed_at: Seconds = 0.0
+    customers: int = 0
 
 
 class ServiceRow(msgspec.Struct):
@@ -75,6 +80,7 @@
     configuration: Configuration = EMPTY_CONFIGURATION
     routing: RoutingHistory = msgspec.field(default_factory=RoutingHistory)
     evacuated_changed_at: int = 0
+    customers: CustomerLedger = msgspec.field(default_factory=CustomerLedger)
     voters: tuple[VoterPlace, ...] = ()
     uninformed: dict[str, None] = msgspec.field(default_factory=dict)
     held: dict[int, None] = msgspec.field(default_factory=lambda: {0: None})
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -15,6 +15,7 @@
     PutRevision,
     decode_command,
 )
+from bendwind_core.plans.customer_faults import order_customers
 from bendwind_core.plans.plan import Confirmed, Plan, PlanOutcome, parse_plan_id
 from bendwind_core.plans.plan_table import PlanTable, create_plan_table
 from bendwind_core.plans.results import (
@@ -116,7 +117,7 @@
         if command.base_version != self.configuration.version:
             return VersionMoved(self.configuration.version, self.configuration_plan)
         self.plans.expire(command.now_ms)
-        if not self.plans.has_room_for(len(command.changes.put)):
+        if not self.plans.has_room_for(command.changes):
             return TooManyPlans(len(self.plans.open))
         plan = Plan(
             index,
@@ -155,8 +156,13 @@
         held = self.configuration.routing.revision
         if command.routing.revision <= held:
             return RevisionHeld(held, self.configuration.version, is_new=False)
-        evacuated = self.configuration.evacuated
-        self.configuration = Configuration(index, command.services, command.routing, evacuated)
+        self.configuration = Configuration(
+            index,
+            command.services,
+            command.routing,
+            self.configuration.evacuated,
+            order_customers(command.customers),
+        )
         self.configuration_plan = ""
         self.document = command.document
         self.plans.withdraw(index)
