emulator: what waited beside a free upstream, who was served by rank and customer, and imports one way

Cause: the table said nothing of waiting, of runs for nothing or of customers, and world, callers and faults imported each other for their types.

Change: new columns and JSON keys: share of calls that waited over 20 ms at an owner while another upstream of the service was free, seconds so waited, hand-overs sent back a call, calls of upstreams that were refused (runs for nothing), the worst tenth of the customers; tables by route and rank. Scenarios state customers with uneven sizes and ranks, a hot customer, waves with phases by data centre, services in some data centres. uneven-waves and competing-customers are new. interfaces.py holds what the parts ask of each other; a test reads the imports. Of entry_side.py, EntrySide.begin takes customer and rank.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/agenda.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/agenda.py
@@ -52,6 +52,11 @@
         """Return the time."""
         return self._agenda.now
 
+    @property
+    def is_paused(self) -> bool:
+        """Tell whether the process stands still."""
+        return self.now < self._paused_until
+
     def pause(self, length: Seconds) -> None:
         """Have the process stand still."""
         self._paused_until = max(self._paused_until, self.now + length)
@@ -65,7 +70,7 @@
         self.at(self.now + delay, action)
 
     def _do(self, action: Action) -> None:
-        if self.now < self._paused_until:
+        if self.is_paused:
             self.at(self._paused_until, action)
         else:
             action()
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
@@ -2,20 +2,18 @@
 
 import itertools
 import random
-from typing import TYPE_CHECKING
 
 import msgspec
 
+from bendwind_bench.emulator.demand import NOBODY, Demand, Sender
 from bendwind_bench.emulator.entry_side import Answered, Lost, Outcome, Refused
-from bendwind_bench.emulator.scenario import RouteTable
+from bendwind_bench.emulator.interfaces import Instance, Site
+from bendwind_bench.emulator.tables import RouteTable
 from bendwind_bench.emulator.tally import Fate
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.world import Repeat
 
-if TYPE_CHECKING:
-    from bendwind_bench.emulator.world import Node, World
-
 _FAILED_STATUS = 500
 # A caller does as Retry-After says if that leaves it two thirds of its time.
 PATIENCE = 1 / 3
@@ -30,6 +28,7 @@
     tries_left: int
     is_at_once: bool
     target: bytes
+    sender: Sender = NOBODY
     is_counted: bool = True
 
     @property
@@ -46,40 +45,47 @@
 class Callers:
     """Send the requests of a scenario at its rates."""
 
-    __slots__ = ("asked", "names", "rate_factor", "rng", "until", "world")
+    __slots__ = ("asked", "began_at", "demand", "names", "rng", "until", "world")
 
-    def __init__(self, world: "World", rng: random.Random):
+    def __init__(self, world: Site, demand: Demand, rng: random.Random):
         self.world = world
+        self.demand = demand
         self.rng = rng
         self.names = tuple(world.nodes)
-        self.rate_factor = 1.0
         self.asked = itertools.count()
+        self.began_at: Seconds = 0.0
         self.until: Seconds = 0.0
 
     def start(self) -> None:
         """Begin to send."""
-        self.until = self.world.agenda.now + self.world.scenario.seconds
+        self.began_at = self.world.agenda.now
+        self.until = self.began_at + self.world.scenario.seconds
         for route in self.world.scenario.routes:
             if route.per_second > 0.0:
                 self._plan_next(route)
 
     def _plan_next(self, route: RouteTable) -> None:
-        gap = self.rng.expovariate(route.per_second * self.rate_factor)
+        gap = self.rng.expovariate(self.demand.find_peak(route))
         if self.world.agenda.now + gap < self.until:
             self.world.agenda.after(gap, lambda: self._arrive(route))
 
     def _arrive(self, route: RouteTable) -> None:
+        node = self.rng.choice(self.names)
+        if not self.demand.is_left_out(node, self.world.agenda.now - self.began_at):
+            self._try(self._create_request(route, node))
+        self._plan_next(route)
+
+    def _create_request(self, route: RouteTable, node: str) -> Request:
         callers = self.world.scenario.callers
-        request = Request(
+        return Request(
             route,
-            self.rng.choice(self.names),
+            node,
             self.world.agenda.now,
             callers.retries,
             self.rng.random() < callers.at_once,
             self._find_target(route),
+            self.demand.pick_sender(route),
         )
-        self._try(request)
-        self._plan_next(route)
 
     def _find_target(self, route: RouteTable) -> bytes:
         number = self.rng.randrange(route.targets) if route.targets else next(self.asked)
@@ -102,12 +108,15 @@
                 return
             request.node = self.rng.choice(up)
             node = self.world.nodes[request.node]
+        self.world.tally.calls += 1
         node.entry.begin(
             request.route,
             request.deadline_at,
             request.target_at,
             lambda outcome: self._hear(request, outcome),
             request.target,
+            request.sender.customer,
+            request.sender.rank,
         )
 
     def _hear(self, request: Request, outcome: Outcome) -> None:
@@ -139,9 +148,11 @@
     def _end(self, request: Request, fate: Fate) -> None:
         if not request.is_counted:
             return
-        self.world.tally.note(request.route.name, request.began_at, fate)
+        sender = request.sender
+        rank = request.route.priority if sender.rank is None else sender.rank
+        self.world.tally.note(request.route.name, request.began_at, fate, rank, sender.customer)
 
-    def call_from_upstream(self, node: "Node", name: str, deadline_at: Seconds, done) -> None:
+    def call_from_upstream(self, node: Instance, name: str, deadline_at: Seconds, done) -> None:
         """Carry a call that an upstream makes at its own node."""
         if not node.is_up:
             done(False)
@@ -151,9 +162,12 @@
 
         def hear(outcome: Outcome) -> None:
             if isinstance(outcome, Refused):
+                self.world.tally.inner_refused += 1
                 node.owner.feed(ov.CallRefused())
             done(isinstance(outcome, Answered) and outcome.status < _FAILED_STATUS)
 
+        self.world.tally.calls += 1
+        self.world.tally.inner_calls += 1
         node.entry.begin(
             route,
             min(deadline_at, now + route.timeout_ms / MILLISECONDS_PER_SECOND),
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/command.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/command.py
@@ -18,6 +18,8 @@
     ScenarioReport,
     Side,
     render,
+    render_kinds,
+    render_room,
     render_windows,
     to_json,
     write_plot,
@@ -97,6 +99,10 @@
         sys.stdout.write(to_json(reports).decode())
         return
     print(render(reports))
+    print("\nwaited: share of calls that waited over 20 ms at an owner while another was free")
+    print(render_room(reports))
+    print("\nby route and rank")
+    print(render_kinds(reports))
     print("\nin time by window of two seconds")
     print(render_windows(reports))
     if json:
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/demand.py
@@ -0,0 +1,104 @@
+"""Say how many requests come, at which nodes and from which customers."""
+
+import itertools
+import math
+import random
+
+import msgspec
+
+from bendwind_bench.emulator.tables import CustomerTable, RouteTable, Scenario, Wave
+from bendwind_core.core import Seconds
+
+
+class Sender(msgspec.Struct, frozen=True):
+    """Name whose requests they are; `rank` is None where the route's holds."""
+
+    customer: str = ""
+    rank: int | None = None
+
+
+NOBODY = Sender()
+
+
+class _Shares(msgspec.Struct, frozen=True):
+    """Hold who sends a route's requests; `factor` is their sum against the usual."""
+
+    senders: tuple[Sender, ...]
+    cumulated: tuple[float, ...]
+    factor: float
+
+
+class Demand:
+    """Hold how much comes now; without customers and waves, that is the routes' rates."""
+
+    __slots__ = ("_hot", "_shares", "places", "rate_factor", "rng", "scenario")
+
+    def __init__(self, scenario: Scenario, places: dict[str, str], rng: random.Random):
+        """Create the demand; `places` maps each node to its data centre."""
+        self.scenario = scenario
+        self.places = places
+        self.rng = rng
+        self.rate_factor = 1.0
+        self._hot: dict[str, float] = {}
+        self._shares: dict[str, _Shares] = {}
+
+    @property
+    def _wave(self) -> Wave | None:
+        return self.scenario.callers.wave
+
+    def heat(self, customer: str, factor: float) -> None:
+        """Have a customer send so many times its usual; 1 ends that."""
+        self._hot[customer] = factor
+        self._shares.clear()
+
+    def find_peak(self, route: RouteTable) -> float:
+        """Return how many requests a second are drawn, of which waves leave a part out."""
+        depth = self._wave.depth if self._wave is not None else 0.0
+        rate = route.per_second * self.rate_factor * (1.0 + depth)
+        return rate * self._find_shares(route).factor
+
+    def is_left_out(self, node: str, elapsed: Seconds) -> bool:
+        """Tell whether a request that was drawn for a node does not come, its wave being low."""
+        wave = self._wave
+        if wave is None:
+            return False
+        phase = elapsed / wave.every_s - wave.phases.get(self.places[node], 0.0)
+        height = 1.0 + wave.depth * math.sin(2 * math.pi * phase)
+        return self.rng.random() * (1.0 + wave.depth) >= height
+
+    def pick_sender(self, route: RouteTable) -> Sender:
+        """Return whose the next request of a route is."""
+        shares = self._find_shares(route)
+        if not shares.senders:
+            return NOBODY
+        return self.rng.choices(shares.senders, cum_weights=shares.cumulated)[0]
+
+    def _find_shares(self, route: RouteTable) -> _Shares:
+        shares = self._shares.get(route.name)
+        if shares is None:
+            shares = self._shares[route.name] = self._make_shares(route)
+        return shares
+
+    def _make_shares(self, route: RouteTable) -> _Shares:
+        groups = [
+            group
+            for group in self.scenario.customers
+            if route.name in (group.routes or (route.name,))
+        ]
+        usual = [pair for group in groups for pair in _list_sizes(group)]
+        sizes = [size * self._hot.get(sender.customer, 1.0) for sender, size in usual]
+        factor = sum(sizes) / sum(size for _, size in usual) if usual else 1.0
+        senders = tuple(sender for sender, _ in usual)
+        return _Shares(senders, tuple(itertools.accumulate(sizes)), factor)
+
+
+def _list_sizes(group: CustomerTable) -> list[tuple[Sender, float]]:
+    sizes = [(number + 1) ** -group.zipf for number in range(group.count)]
+    scale = group.weight / sum(sizes)
+    return [
+        (Sender(group.find_name(number), group.rank), size * scale)
+        for number, size in enumerate(sizes)
+    ]
+
+
+__all__ = ["NOBODY", "Demand", "Sender"]
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -160,8 +160,10 @@
         target_at: Seconds,
         done: Done,
         target: bytes,
+        customer: str = "",
+        rank: int | None = None,
     ) -> None:
-        """Take a call and tell its outcome once."""
+        """Take a call and tell its outcome once; `rank` is the customer's, if it has one."""
         rule = Rule(
             "*",
             repeat=route.repeat,
@@ -179,6 +181,8 @@
             self.ids,
             self.budgets[route.service],
             target_at=target_at,
+            rank=rank,
+            customer=customer,
         )
         self._feed(CallRun(call, route, done, target), ev.Begin())
 
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
@@ -1,25 +1,21 @@
 """Have the faults of a scenario happen at their times."""
 
-from typing import TYPE_CHECKING
-
-from bendwind_bench.emulator.scenario import Fault, FaultKind
+from bendwind_bench.emulator.interfaces import Instance, Stage
+from bendwind_bench.emulator.tables import Fault, FaultKind
 from bendwind_bench.emulator.upstream import CrashCount
 
-if TYPE_CHECKING:
-    from bendwind_bench.emulator.world import Node, World
-
 
-def plan_faults(world: "World") -> None:
+def plan_faults(world: Stage) -> None:
     """Plan every fault of the scenario, counted from now."""
     for fault in world.scenario.faults:
         world.agenda.after(fault.at, lambda fault=fault: _begin(world, fault))
 
 
-def _begin(world: "World", fault: Fault) -> None:
+def _begin(world: Stage, fault: Fault) -> None:
     nodes = _pick(world, fault)
     match fault.kind:
         case FaultKind.BURST:
-            world.callers.rate_factor = fault.x
+            world.callers.demand.rate_factor = fault.x
             world.agenda.after(fault.for_s, lambda: _end_burst(world))
         case FaultKind.SLOW:
             for node in nodes:
@@ -48,11 +44,14 @@
                 node.agenda.pause(fault.for_s)
         case FaultKind.EVACUATE:
             _evacuate(world, fault)
+        case FaultKind.HOT_CUSTOMER:
+            world.callers.demand.heat(fault.customer, fault.x)
+            world.agenda.after(fault.for_s, lambda: world.callers.demand.heat(fault.customer, 1.0))
         case FaultKind.CRASHING_REQUEST:
             _send_crashing(world, fault)
 
 
-def _pick(world: "World", fault: Fault) -> list["Node"]:
+def _pick(world: Stage, fault: Fault) -> list[Instance]:
     fitting = [
         node
         for node in world.nodes.values()
@@ -65,22 +64,22 @@
     return world.rng.sample(fitting, count)
 
 
-def _end_burst(world: "World") -> None:
-    world.callers.rate_factor = 1.0
+def _end_burst(world: Stage) -> None:
+    world.callers.demand.rate_factor = 1.0
 
 
-def _shed(world: "World", nodes: list["Node"], fault: Fault) -> None:
+def _shed(world: Stage, nodes: list[Instance], fault: Fault) -> None:
     for node in nodes:
         node.upstream.shed_share = min(1.0, fault.x)
     world.agenda.after(fault.for_s, lambda: _stop_shedding(nodes))
 
 
-def _stop_shedding(nodes: list["Node"]) -> None:
+def _stop_shedding(nodes: list[Instance]) -> None:
     for node in nodes:
         node.upstream.shed_share = 0.0
 
 
-def _send_crashing(world: "World", fault: Fault) -> None:
+def _send_crashing(world: Stage, fault: Fault) -> None:
     called = [route for route in world.scenario.routes if route.per_second > 0.0]
     route = next(route for route in called if fault.service in ("", route.service))
     target = f"/{route.name}/{fault.target}".encode()
@@ -91,7 +90,7 @@
         world.agenda.after(number / fault.x, lambda: world.callers.send_crashing(route, target))
 
 
-def _evacuate(world: "World", fault: Fault) -> None:
+def _evacuate(world: Stage, fault: Fault) -> None:
     name = fault.data_centre or world.scenario.places.data_centres[0]
     world.set_evacuated(name, evacuated=True)
     world.agenda.after(fault.for_s, lambda: world.set_evacuated(name, evacuated=False))
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/names.py
@@ -0,0 +1,44 @@
+"""Check that the names in a scenario are of what it has."""
+
+from collections.abc import Iterator
+
+from bendwind_bench.emulator.tables import FaultKind, Scenario
+
+
+def list_wrong_names(scenario: Scenario) -> Iterator[tuple[str, set[str]]]:
+    """List the keys that name what is not there, each with the names that are."""
+    services = {service.name for service in scenario.services}
+    routes = {route.name for route in scenario.routes}
+    places = set(scenario.places.data_centres)
+    for i, service in enumerate(scenario.services):
+        if not set(service.data_centres) <= places:
+            yield f"services[{i}].data_centres", places
+    for i, route in enumerate(scenario.routes):
+        if route.service not in services:
+            yield f"routes[{i}].service", services
+        if not set(route.calls) <= routes - {route.name}:
+            yield f"routes[{i}].calls", routes - {route.name}
+    for i, group in enumerate(scenario.customers):
+        if not set(group.routes) <= routes:
+            yield f"customers[{i}].routes", routes
+    if scenario.callers.wave is not None and not set(scenario.callers.wave.phases) <= places:
+        yield "callers.wave.phases", places
+    yield from _list_in_faults(scenario, services, places)
+
+
+def _list_in_faults(
+    scenario: Scenario, services: set[str], places: set[str]
+) -> Iterator[tuple[str, set[str]]]:
+    customers = {
+        group.find_name(number) for group in scenario.customers for number in range(group.count)
+    }
+    for i, fault in enumerate(scenario.faults):
+        if fault.service and fault.service not in services:
+            yield f"faults[{i}].service", services
+        if fault.data_centre and fault.data_centre not in places:
+            yield f"faults[{i}].data_centre", places
+        if fault.kind is FaultKind.HOT_CUSTOMER and fault.customer not in customers:
+            yield f"faults[{i}].customer", customers
+
+
+__all__ = ["list_wrong_names"]
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/node.py
@@ -0,0 +1,98 @@
+"""Hold one emulated instance: its owner side, its entry side and the upstream beside them."""
+
+import random
+
+from bendwind_bench.emulator.agenda import PausableAgenda
+from bendwind_bench.emulator.entry_side import EntrySide
+from bendwind_bench.emulator.interfaces import Surroundings
+from bendwind_bench.emulator.owner_side import OwnerSide
+from bendwind_bench.emulator.upstream import UpstreamModel
+from bendwind_core.core import Record
+from bendwind_core.suspicion import (
+    SuspectTable,
+    SuspectTold,
+    SuspicionLimits,
+    hear,
+    take_news,
+)
+from bendwind_core.world import Instance, Upstream
+
+
+class Node:
+    """Hold one instance: its owner side, its entry side and the upstream beside them."""
+
+    __slots__ = (
+        "agenda",
+        "entry",
+        "incarnation",
+        "is_up",
+        "name",
+        "owner",
+        "suspects",
+        "upstream",
+        "world",
+    )
+
+    def __init__(self, name: str, upstream: UpstreamModel, world: Surroundings):
+        self.name = name
+        self.upstream = upstream
+        self.world = world
+        self.incarnation = 0
+        self.is_up = False
+        self.agenda = PausableAgenda(world.agenda)
+        self.start()
+
+    def start(self) -> None:
+        """Start a new run of the process."""
+        world, upstream = self.world, self.upstream
+        self.incarnation += 1
+        self.is_up = True
+        policy = world.scenario.policy
+        limits = SuspicionLimits(policy.apart_from, policy.quarantine_from, policy.quarantine_s)
+        self.suspects = SuspectTable(self.name, limits)
+        self.owner = OwnerSide(
+            world.scenario, upstream, self.agenda, self, self.incarnation, self.suspects
+        )
+        self.entry = EntrySide(
+            self.name,
+            upstream.data_centre,
+            upstream.table.name,
+            world.scenario,
+            self.agenda,
+            world,
+            random.Random(f"{world.seed} {self.name} {self.incarnation}"),
+            self.incarnation,
+            self.suspects,
+        )
+
+    def reply(self, entry: str, message: Record) -> None:
+        """Send a message of the owner side to an entry node."""
+        self.world.carry_back(self.name, entry, message)
+
+    def tell_all(self) -> None:
+        """Have all nodes hear of this node's upstream."""
+        self.world.push()
+
+    def tell_suspects(self) -> None:
+        """Tell the voters what is new against requests."""
+        self.world.tell_voters(take_news(self.suspects, self.world.agenda.now))
+
+    def hear_suspects(self, told: tuple[SuspectTold, ...]) -> None:
+        """Hear from the voters what is known against requests."""
+        for one in told:
+            hear(self.suspects, one, self.world.agenda.now)
+
+    def describe(self) -> Upstream:
+        """Return the upstream as it is announced."""
+        place = Instance(self.name, self.upstream.data_centre, "", 0, self.incarnation)
+        slots = self.upstream.table.slots
+        return Upstream(self.upstream.name, self.upstream.table.name, place, slots, 10 * slots)
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether other nodes are told to use the upstream."""
+        is_open = self.upstream.data_centre not in self.world.evacuated
+        return self.is_up and is_open and not self.owner.is_unreachable
+
+
+__all__ = ["Node"]
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
@@ -9,7 +9,7 @@
 from bendwind_bench.emulator.compare import Difference
 from bendwind_bench.emulator.tally import Fate, Figures
 
-_COLUMNS = (
+_FATES = (
     ("in_time", "in time"),
     ("late", "late"),
     ("refused", "refused"),
@@ -23,6 +23,16 @@
     ("crash_repeats", "repeats"),
     ("wronged", "wronged"),
 )
+_ROOM = (
+    ("waited_free", "waited"),
+    ("waited_free_s", "seconds"),
+    ("sent_back_a_call", "back/call"),
+    ("for_nothing", "for nothing"),
+    ("worst_in_time", "worst 10th"),
+    ("worst_served", "served"),
+)
+_KIND = ("requests", "in-time", "served", "late", "refused", "failed")
+_WIDTH = 12
 
 
 class Side(msgspec.Struct, frozen=True):
@@ -43,30 +53,59 @@
 
 def render(reports: list[ScenarioReport]) -> str:
     """Return the table of the mean figures, with paired differences below each pair."""
-    head = "".join(f"{title:>11}" for _, title in _COLUMNS)
-    lines = [f"{'scenario':24}{head}"]
+    return _render_table(reports, _FATES)
+
+
+def render_room(reports: list[ScenarioReport]) -> str:
+    """Return the table of what waited, was refused and ran for nothing."""
+    return _render_table(reports, _ROOM)
+
+
+def _render_table(reports: list[ScenarioReport], columns: tuple[tuple[str, str], ...]) -> str:
+    lines = [_render_row("scenario", [title for _, title in columns])]
     for report in reports:
-        lines += _render_one(report)
+        lines += _render_one(report, [key for key, _ in columns])
     return "\n".join(lines)
 
 
-def _render_one(report: ScenarioReport) -> Iterator[str]:
+def _render_row(name: str, cells: list[str]) -> str:
+    return f"{name[:24]:24}" + "".join(cell.rjust(_WIDTH) for cell in cells)
+
+
+def _render_one(report: ScenarioReport, keys: list[str]) -> Iterator[str]:
     for side in report.sides:
         name = report.scenario if side.label == "" else f"  {side.label}"
-        means = [statistics.mean(getattr(run, key) for run in side.runs) for key, _ in _COLUMNS]
-        yield f"{name[:24]:24}" + "".join(f"{mean:11.3f}" for mean in means)
+        means = [statistics.mean(getattr(run, key) for run in side.runs) for key in keys]
+        yield _render_row(name, [f"{mean:.3f}" for mean in means])
     if report.differences:
-        shown = [report.differences.get(key) for key, _ in _COLUMNS]
-        yield f"{'  difference':24}" + "".join(_render_difference(item) for item in shown)
-        yield f"{'  standard error':24}" + "".join(
-            " " * 11 if item is None else f"{item.error:11.3f}" for item in shown
-        )
+        shown = [report.differences.get(key) for key in keys]
+        yield _render_row("  difference", [_render_difference(item) for item in shown])
+        errors = ["" if item is None else f"{item.error:.3f}" for item in shown]
+        yield _render_row("  standard error", errors)
 
 
 def _render_difference(item: Difference | None) -> str:
-    if item is None:
-        return " " * 11
-    return f"{item.mean:+.3f}{'*' if item.is_clear else ''}".rjust(11)
+    return "" if item is None else f"{item.mean:+.3f}{'*' if item.is_clear else ''}"
+
+
+def render_kinds(reports: list[ScenarioReport]) -> str:
+    """Return for each scenario what became of the requests of each route and of each rank."""
+    lines = [_render_row("", list(_KIND))]
+    for report in reports:
+        for side in report.sides:
+            lines.append(side.label or report.scenario)
+            lines += _render_groups(side, "routes", "  {}")
+            lines += _render_groups(side, "ranks", "  rank {}")
+    return "\n".join(lines)
+
+
+def _render_groups(side: Side, table: str, name: str) -> Iterator[str]:
+    tables = [getattr(run, table) for run in side.runs]
+    for group in sorted({group for found in tables for group in found}):
+        rows = [found[group] for found in tables if group in found]
+        means = [statistics.mean(row[key] for row in rows) for key in _KIND]
+        cells = [f"{means[0]:.0f}", *(f"{mean:.3f}" for mean in means[1:])]
+        yield _render_row(name.format(group), cells)
 
 
 def render_windows(reports: list[ScenarioReport]) -> str:
@@ -133,6 +172,8 @@
     "ScenarioReport",
     "Side",
     "render",
+    "render_kinds",
+    "render_room",
     "render_windows",
     "to_json",
     "write_plot",
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
@@ -1,186 +1,26 @@
-"""Read a scenario: services and their upstreams, routes, callers, data centres and faults."""
+"""Read a scenario, change its keys and its size."""
 
-import enum
 from pathlib import Path
-from typing import Annotated
 
 import msgspec
 from expression import Error, Ok, Result
-from msgspec import Meta
 from msgspec.structs import replace
 
-from bendwind_core.core import TomlError, decode_toml
-from bendwind_core.suspicion.limits import (
-    DEFAULT_APART_FROM,
-    DEFAULT_QUARANTINE,
-    DEFAULT_QUARANTINE_FROM,
+from bendwind_bench.emulator.names import list_wrong_names
+from bendwind_bench.emulator.tables import (
+    Callers,
+    Fault,
+    FaultKind,
+    Places,
+    PolicyTable,
+    RouteTable,
+    Scenario,
+    ServiceTable,
 )
-from bendwind_core.world import Policy, Repeat
+from bendwind_core.core import TomlError, decode_toml
 
 FOLDER = Path(__file__).parent / "scenarios"
 
-Share = Annotated[float, Meta(ge=0, le=1)]
-Positive = Annotated[float, Meta(gt=0, le=1_000_000)]
-NotNegative = Annotated[float, Meta(ge=0, le=1_000_000)]
-Count = Annotated[int, Meta(ge=1, le=100_000)]
-Factor = Annotated[float, Meta(ge=1, le=1_000)]
-Name = Annotated[str, Meta(min_length=1, max_length=63)]
-
-
-class _Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Hold one table of a scenario; unknown keys are refused."""
-
-
-class Phases(_Table, frozen=True, kw_only=True):
-    """State the slow phases that each upstream has by itself; work begun in one stays slow.
-
-    Units: `every_s` is the mean time from one phase's end to the next one's beginning.
-    """
-
-    every_s: Positive
-    length_s: Positive
-    factor: Factor
-
-
-class WarmUp(_Table, frozen=True, kw_only=True):
-    """State how an upstream is after a start; `falls_over` above what it bears in a second."""
-
-    seconds: Positive
-    per_second: Positive
-    factor: Factor = 2.0
-    overage: Factor = 1.5
-    slack: NotNegative = 8.0
-    falls_over: bool = True
-
-
-class ServiceTable(_Table, frozen=True, kw_only=True):
-    """State a service and its upstreams.
-
-    Above `knee` of its slots an upstream takes `knee_factor` times as long. `queue` is how many
-    requests it holds itself before it sheds. `scatter` is the deviation of the logarithm of work.
-    """
-
-    name: Name
-    upstreams: Count
-    slots: Count
-    queue: Annotated[int, Meta(ge=0)] = 4
-    knee: Share = 1.0
-    knee_factor: Factor = 1.0
-    scatter: Annotated[float, Meta(ge=0, le=3)] = 0.3
-    phases: Phases | None = None
-    warm_up: WarmUp | None = None
-    reports_load: bool = True
-
-
-class RouteTable(_Table, frozen=True, kw_only=True):
-    """State a route; the runs of its requests make `calls`, by route, one after the other.
-
-    Its requests ask for `targets` different things, each for another one if that is 0.
-    """
-
-    name: Name
-    service: Name
-    work_ms: Positive
-    target_ms: Positive
-    timeout_ms: Positive
-    per_second: NotNegative = 0.0
-    repeat: Repeat = Repeat.IDEMPOTENT
-    priority: Annotated[int, Meta(ge=0)] = 0
-    attempts: Count = 3
-    calls: tuple[Name, ...] = ()
-    targets: Annotated[int, Meta(ge=0)] = 0
-
-
-class Callers(_Table, frozen=True, kw_only=True):
-    """State how callers behave: tries beyond the first, and the share that asks again at once."""
-
-    retries: Annotated[int, Meta(ge=0, le=20)] = 1
-    at_once: Share = 0.0
-
-
-class Places(_Table, frozen=True, kw_only=True):
-    """State the data centres, over which upstreams are spread in turn, and the ways between."""
-
-    data_centres: Annotated[tuple[Name, ...], Meta(min_length=1)] = ("north", "south", "east")
-    within_ms: NotNegative = 0.3
-    between_ms: NotNegative = 1.4
-    push_ms: NotNegative = 100.0
-
-
-class PolicyTable(_Table, frozen=True, kw_only=True):
-    """State the settings of the product that the run uses."""
-
-    policy: Policy = Policy.SCORE
-    near_first: bool = True
-    slot_share: Annotated[float, Meta(gt=0, le=1)] = 0.8
-    hedge_after_ms: Positive | None = None
-    retry_ratio: Share = 0.1
-    spares_cold: bool = True
-    apart_from: Count = DEFAULT_APART_FROM
-    quarantine_from: Count = DEFAULT_QUARANTINE_FROM
-    quarantine_s: Positive = DEFAULT_QUARANTINE
-
-
-class FaultKind(enum.StrEnum):
-    """Name what may happen during a run."""
-
-    BURST = "burst"
-    SLOW = "slow"
-    SHED = "shed"
-    CRASH = "crash"
-    RETURN_COLD = "return-cold"
-    POWER_LOSS = "power-loss"
-    RESTART_EACH = "restart-each"
-    KILL_NODES = "kill-nodes"
-    SILENT_REPORTS = "silent-reports"
-    EVACUATE = "evacuate"
-    CRASHING_REQUEST = "crashing-request"
-    SUSPEND = "suspend"
-
-
-class Fault(_Table, frozen=True, kw_only=True):
-    """State one fault; `service` or `data_centre` empty means all, `share` how many of those.
-
-    A crashing request ends each upstream that runs it. It comes at `count` nodes at once, and then
-    `x` times a second for `for_s`; two such faults with one `target` are the same request.
-    """
-
-    kind: FaultKind
-    at: NotNegative
-    for_s: NotNegative = 2.0
-    service: str = ""
-    data_centre: str = ""
-    share: Share = 1.0
-    x: Positive = 2.0
-    count: Count = 1
-    target: str = "crash"
-
-
-class Scenario(_Table, frozen=True, kw_only=True):
-    """Hold a whole scenario; tables that it leaves out are those of its `base`, if it names one.
-
-    Units: `seconds` is how long callers come.
-    """
-
-    name: Name
-    about: str
-    seconds: Annotated[float, Meta(gt=0, le=3600)]
-    base: str = ""
-    services: tuple[ServiceTable, ...] = ()
-    routes: tuple[RouteTable, ...] = ()
-    places: Places | None = None
-    callers: Callers | None = None
-    policy: PolicyTable | None = None
-    faults: tuple[Fault, ...] = ()
-
-    def find_service(self, name: str) -> ServiceTable:
-        """Return the service of a name that is known to exist."""
-        return next(service for service in self.services if service.name == name)
-
-    def find_route(self, name: str) -> RouteTable:
-        """Return the route of a name that is known to exist."""
-        return next(route for route in self.routes if route.name == name)
-
 
 def list_scenarios() -> tuple[str, ...]:
     """Return the names of the scenarios that come with the program."""
@@ -211,7 +51,7 @@
     return read.bind(lambda scenario: _check_names(scenario, file))
 
 
-_TABLES = ("services", "routes", "places", "callers", "policy")
+_TABLES = ("services", "routes", "customers", "places", "callers", "policy")
 _DEFAULTS = {"places": Places(), "callers": Callers(), "policy": PolicyTable()}
 
 
@@ -276,20 +116,24 @@
 
 
 def _check_names(scenario: Scenario, file: str) -> Result[Scenario, TomlError]:
-    services = {service.name for service in scenario.services}
-    routes = {route.name for route in scenario.routes}
-    for i, route in enumerate(scenario.routes):
-        if route.service not in services:
-            expected = f"expected one of {', '.join(sorted(services))}"
-            return Error(TomlError(file, f"routes[{i}].service", expected))
-        if not set(route.calls) <= routes or route.name in route.calls:
-            expected = "expected names of other routes"
-            return Error(TomlError(file, f"routes[{i}].calls", expected))
-    for i, fault in enumerate(scenario.faults):
-        if fault.service and fault.service not in services:
-            expected = f"expected one of {', '.join(sorted(services))}"
-            return Error(TomlError(file, f"faults[{i}].service", expected))
-        if fault.data_centre and fault.data_centre not in scenario.places.data_centres:
-            expected = f"expected one of {', '.join(scenario.places.data_centres)}"
-            return Error(TomlError(file, f"faults[{i}].data_centre", expected))
-    return Ok(scenario)
+    wrong = next(list_wrong_names(scenario), None)
+    if wrong is None:
+        return Ok(scenario)
+    key, names = wrong
+    expected = f"expected one of {', '.join(sorted(names))}" if names else "expected [[customers]]"
+    return Error(TomlError(file, key, expected))
+
+
+__all__ = [
+    "FOLDER",
+    "Fault",
+    "FaultKind",
+    "RouteTable",
+    "Scenario",
+    "ServiceTable",
+    "change_scenario",
+    "list_scenarios",
+    "load_scenario",
+    "parse_scenario",
+    "scale_scenario",
+]
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -14,6 +15,9 @@
 # until all nodes that reach their voters know of it.
 TELLING_ENDS = 3
 TELLING: Seconds = 3.0
+# Of customers with fewer requests, one answer more or less decides the share.
+FEWEST_REQUESTS = 10
+WORST_SHARE = 0.1
 
 
 class Fate(enum.StrEnum):
@@ -25,6 +29,9 @@
     FAILED = "failed"
 
 
+_SERVED = (Fate.IN_TIME, Fate.LATE)
+
+
 class Figures(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the figures of one run; shares are of the requests that callers made.
 
@@ -34,6 +41,15 @@
     upstreams that ended under requests which end them, `crash_repeats` how often the worst of these
     reached upstreams later than `TELLING` after the third end under it, and `wronged` the attempts
     for each request that were quarantined though the request ends nothing.
+
+    A call is one try of a caller, or one call that an upstream makes. `sent_back_a_call` is
+    `sent_back` for each of these, `waited_free` the share of them that waited over 20 ms at an
+    owner while another upstream of the service was free, and `waited_free_s` how long all waited
+    so. `for_nothing` is the share of upstreams' own calls that were refused, each of which ended a
+    run with an error. `worst_in_time` and `worst_served` are the shares of the tenth of the
+    customers that fared worst by that, 1 where the scenario has none.
+    `routes`, `ranks` and `customers` hold for each the number of requests, the share served at all
+    and the shares by what became of them.
     """
 
     requests: int
@@ -49,25 +65,63 @@
     crashed: int
     crash_repeats: int
     wronged: float
+    calls: int
+    sent_back_a_call: float
+    waited_free: float
+    waited_free_s: float
+    for_nothing: float
+    worst_in_time: float
+    worst_served: float
     routes: dict[str, dict[str, float]]
+    ranks: dict[str, dict[str, float]]
+    customers: dict[str, dict[str, float]]
     windows: dict[str, dict[str, float]]
 
 
 class Tally:
-    """Collect the fates of one run."""
+    """Collect the fates of one run, and what it cost.
 
-    __slots__ = ("attempts", "by_route", "by_window", "retries", "sent_back", "wronged")
+    `waited_long` counts the calls that waited while another upstream was free, `waited_s` how long.
+    """
+
+    __slots__ = (
+        "attempts",
+        "by_customer",
+        "by_rank",
+        "by_route",
+        "by_window",
+        "calls",
+        "inner_calls",
+        "inner_refused",
+        "retries",
+        "sent_back",
+        "waited_long",
+        "waited_s",
+        "wronged",
+    )
 
     def __init__(self):
+        self.by_customer: dict[str, collections.Counter] = {}
+        self.by_rank: dict[int, collections.Counter] = {}
         self.by_route: dict[str, collections.Counter] = {}
         self.by_window: dict[int, collections.Counter] = {}
         self.attempts: collections.Counter[str] = collections.Counter()
         self.sent_back = 0
         self.wronged = 0
         self.retries = 0
-
-    def note(self, route: str, began_at: Seconds, fate: Fate) -> None:
+        self.calls = 0
+        self.inner_calls = 0
+        self.inner_refused = 0
+        self.waited_long = 0
+        self.waited_s: Seconds = 0.0
+
+    def note(
+        self, route: str, began_at: Seconds, fate: Fate, rank: int = 0, customer: str = ""
+    ) -> None:
         """Count what became of one request of a caller."""
+        self.by_rank.setdefault(rank, collections.Counter())[fate] += 1
+        if customer:
+            self.by_customer.setdefault(customer, collections.Counter())[fate] += 1
         self.by_route.setdefault(route, collections.Counter())[fate] += 1
         window = int(began_at / WINDOW)
         self.by_window.setdefault(window, collections.Counter())[fate] += 1
@@ -99,7 +153,16 @@
             crashed=sum(len(crash.ended) for crash in crashes),
             wronged=_round(self.wronged / max(1, requests)),
             crash_repeats=max((_count_repeats(crash) for crash in crashes), default=0),
-            routes={name: _find_shares(counts) for name, counts in sorted(self.by_route.items())},
+            calls=self.calls,
+            sent_back_a_call=_round(self.sent_back / max(1, self.calls)),
+            waited_free=_round(self.waited_long / max(1, self.calls)),
+            waited_free_s=_round(self.waited_s),
+            for_nothing=_round(self.inner_refused / max(1, self.inner_calls)),
+            worst_in_time=_find_worst(self.by_customer.values(), (Fate.IN_TIME,)),
+            worst_served=_find_worst(self.by_customer.values(), _SERVED),
+            routes=_describe_groups(self.by_route),
+            ranks=_describe_groups(self.by_rank),
+            customers=_describe_groups(self.by_customer),
             windows=windows,
         )
 
@@ -119,6 +182,25 @@
     return sum(at > told_at for at in crash.arrived)
 
 
+def _find_worst(groups: Iterable[collections.Counter], fates: tuple[Fate, ...]) -> float:
+    """Return the mean share of some fates among the tenth of the groups where it is lowest."""
+    counted = [counts for counts in groups if counts.total() >= FEWEST_REQUESTS]
+    shares = sorted(sum(counts[fate] for fate in fates) / counts.total() for counts in counted)
+    worst = shares[: math.ceil(WORST_SHARE * len(shares))]
+    return _round(sum(worst) / len(worst)) if worst else 1.0
+
+
+def _describe_groups(groups: dict) -> dict[str, dict[str, float]]:
+    return {
+        str(name): {
+            "requests": counts.total(),
+            "served": _round(sum(counts[fate] for fate in _SERVED) / counts.total()),
+            **_find_shares(counts),
+        }
+        for name, counts in sorted(groups.items())
+    }
+
+
 def _find_shares(counts: collections.Counter) -> dict[str, float]:
     whole = max(1, sum(counts.values()))
     return {str(fate): _round(counts[fate] / whole) for fate in Fate}
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_demand.py
@@ -0,0 +1,100 @@
+import collections
+import random
+import unittest
+
+import msgspec
+
+from bendwind_bench.emulator import load_scenario, run_scenario
+from bendwind_bench.emulator.demand import NOBODY, Demand
+from bendwind_bench.emulator.tables import Callers, CustomerTable, Fault, FaultKind, Wave
+from bendwind_bench.emulator.tests.test_world import SMALL, shorten
+
+PLACES = {"n": "north", "s": "south"}
+
+
+def create(customers=(), wave=None):
+    scenario = msgspec.structs.replace(SMALL, customers=customers, callers=Callers(wave=wave))
+    return Demand(scenario, PLACES, random.Random(1)), scenario.routes[0]
+
+
+def count(demand, route, number=6000):
+    return collections.Counter(demand.pick_sender(route).customer for _ in range(number))
+
+
+class DemandTest(unittest.TestCase):
+    def test_without_customers_requests_are_nobodys_at_the_routes_rate(self):
+        demand, route = create()
+        self.assertIs(demand.pick_sender(route), NOBODY)
+        self.assertEqual(demand.find_peak(route), route.per_second)
+
+    def test_sizes_fall_with_the_exponent_and_groups_share_by_weight(self):
+        groups = (
+            CustomerTable(name="a", count=2, zipf=1.0, weight=3.0),
+            CustomerTable(name="b", rank=1),
+            CustomerTable(name="c", routes=("another",)),
+        )
+        found = count(*create(groups))
+        self.assertEqual(set(found), {"a-0", "a-1", "b-0"})
+        self.assertAlmostEqual(found["a-0"] / found["a-1"], 2.0, delta=0.3)
+        self.assertAlmostEqual(found["b-0"] / found.total(), 0.25, delta=0.03)
+
+    def test_rank_is_that_of_the_group(self):
+        demand, route = create((CustomerTable(name="b", rank=1),))
+        self.assertEqual(demand.pick_sender(route).rank, 1)
+
+    def test_hot_customer_sends_more_and_takes_nothing_from_others(self):
+        demand, route = create((CustomerTable(name="a", count=4),))
+        usual = demand.find_peak(route)
+        demand.heat("a-3", 5.0)
+        self.assertAlmostEqual(demand.find_peak(route), 2 * usual)
+        self.assertAlmostEqual(count(demand, route)["a-3"] / 6000, 5 / 8, delta=0.03)
+        demand.heat("a-3", 1.0)
+        self.assertAlmostEqual(demand.find_peak(route), usual)
+
+    def test_wave_rises_in_one_data_centre_while_it_falls_in_the_other(self):
+        demand, _ = create(wave=Wave(every_s=8.0, depth=0.5, phases={"south": 0.5}))
+        came = {
+            (node, at): sum(not demand.is_left_out(node, at) for _ in range(4000)) / 4000
+            for node in PLACES
+            for at in (2.0, 6.0)
+        }
+        self.assertAlmostEqual(came["n", 2.0], 1.0, delta=0.03)
+        self.assertAlmostEqual(came["n", 6.0], 1 / 3, delta=0.03)
+        self.assertAlmostEqual(came["s", 2.0], 1 / 3, delta=0.03)
+        self.assertAlmostEqual(came["s", 6.0], 1.0, delta=0.03)
+
+    def test_mean_over_a_wave_is_the_routes_rate(self):
+        wave = Wave(every_s=2.0, depth=0.8)
+        calm = shorten("calm", 8.0)
+        waved = msgspec.structs.replace(calm, callers=Callers(wave=wave))
+        plain, other = run_scenario(calm, 1).requests, run_scenario(waved, 1).requests
+        self.assertAlmostEqual(other / plain, 1.0, delta=0.1)
+
+
+class CustomersTest(unittest.TestCase):
+    def test_figures_tell_customers_and_ranks_apart(self):
+        figures = run_scenario(shorten("competing-customers", 6.0), 1)
+        self.assertEqual(set(figures.ranks), {"0", "2"})
+        counted = sum(group["requests"] for group in figures.ranks.values())
+        self.assertEqual(counted, figures.requests)
+        whole = sum(group["requests"] for group in figures.customers.values())
+        self.assertEqual(whole, figures.requests)
+        self.assertLessEqual(figures.worst_in_time, figures.in_time)
+
+    def test_hot_customer_is_hot_for_its_span_only(self):
+        calm = shorten("competing-customers", 6.0, faults=())
+        hot = Fault(kind=FaultKind.HOT_CUSTOMER, at=1.0, for_s=1.0, customer="workshop-1", x=9.0)
+        heated = msgspec.structs.replace(calm, faults=(hot,))
+        usual, figures = run_scenario(calm, 1), run_scenario(heated, 1)
+        sent = [one.customers["workshop-1"]["requests"] for one in (usual, figures)]
+        # Nine times the usual for one of six seconds.
+        self.assertAlmostEqual(sent[1] / sent[0], 14 / 6, delta=0.8)
+
+    def test_runs_whose_call_was_refused_are_for_nothing(self):
+        figures = run_scenario(load_scenario("scarce-service").ok, 1)
+        self.assertGreater(figures.for_nothing, 0.02)
+        self.assertEqual(run_scenario(shorten("calm"), 1).for_nothing, 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_scenario.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_scenario.py
@@ -35,6 +35,11 @@
             whole + b'calls = ["r"]\n': "routes[0].calls",
             whole + b'[[faults]]\nkind = "storm"\nat = 1.0\n': "faults[0].kind",
             whole + b'[[faults]]\nkind = "slow"\nat = 1.0\nservice = "b"\n': "faults[0].service",
+            whole + b'[[faults]]\nkind = "hot-customer"\nat = 1.0\ncustomer = "c-1"\n': "customer",
+            whole + b'[[customers]]\nname = "c"\nroutes = ["s"]\n': "customers[0].routes",
+            whole + b"[callers.wave]\nevery_s = 1.0\ndepth = 2.0\n": "depth",
+            whole + b"[callers.wave]\nevery_s = 1.0\ndepth = 1.0\nphases = { x = 0.1 }\n": "wave",
+            whole.replace(b"slots", b'data_centres = ["x"]\nslots'): "services[0].data_centres",
             HEAD + SERVICE: "routes",
             HEAD + b'base = "nowhere"\n': "base",
         }
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -2,27 +2,26 @@
 
 import random
 
-from bendwind_bench.emulator.agenda import Agenda, PausableAgenda
+from bendwind_bench.emulator.agenda import Agenda
 from bendwind_bench.emulator.callers import Callers
-from bendwind_bench.emulator.entry_side import EntrySide
+from bendwind_bench.emulator.demand import Demand
 from bendwind_bench.emulator.faults import plan_faults
-from bendwind_bench.emulator.owner_side import OwnerSide
-from bendwind_bench.emulator.scenario import Scenario
+from bendwind_bench.emulator.node import Node
+from bendwind_bench.emulator.tables import Scenario
 from bendwind_bench.emulator.tally import Figures, Tally
 from bendwind_bench.emulator.upstream import CrashCount, UpstreamModel
+from bendwind_bench.emulator.waiting import WaitWatch
 from bendwind_core.attempts import Cancel, Fence, HandOver, NotRunReason
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
 from bendwind_core.suspicion import (
     SuspectTable,
     SuspectTold,
-    SuspicionLimits,
-    hear,
     hear_and_pass_on,
     take_news,
     tell,
 )
-from bendwind_core.world import Instance, Upstream, UpstreamState
+from bendwind_core.world import Upstream, UpstreamState
 
 # Callers' last requests end within their timeouts; nothing new begins after the scenario's time.
 AFTERMATH: Seconds = 10.0
@@ -32,83 +31,6 @@
 NODE_RESTART: Seconds = 1.0
 
 
-class Node:
-    """Hold one instance: its owner side, its entry side and the upstream beside them."""
-
-    __slots__ = (
-        "agenda",
-        "entry",
-        "incarnation",
-        "is_up",
-        "name",
-        "owner",
-        "suspects",
-        "upstream",
-        "world",
-    )
-
-    def __init__(self, name: str, upstream: UpstreamModel, world: "World"):
-        self.name = name
-        self.upstream = upstream
-        self.world = world
-        self.incarnation = 0
-        self.is_up = False
-        self.agenda = PausableAgenda(world.agenda)
-        self.start()
-
-    def start(self) -> None:
-        """Start a new run of the process."""
-        world, upstream = self.world, self.upstream
-        self.incarnation += 1
-        self.is_up = True
-        policy = world.scenario.policy
-        limits = SuspicionLimits(policy.apart_from, policy.quarantine_from, policy.quarantine_s)
-        self.suspects = SuspectTable(self.name, limits)
-        self.owner = OwnerSide(
-            world.scenario, upstream, self.agenda, self, self.incarnation, self.suspects
-        )
-        self.entry = EntrySide(
-            self.name,
-            upstream.data_centre,
-            upstream.table.name,
-            world.scenario,
-            self.agenda,
-            world,
-            random.Random(f"{world.seed} {self.name} {self.incarnation}"),
-            self.incarnation,
-            self.suspects,
-        )
-
-    def reply(self, entry: str, message: Record) -> None:
-        """Send a message of the owner side to an entry node."""
-        self.world.carry_back(self.name, entry, message)
-
-    def tell_all(self) -> None:
-        """Have all nodes hear of this node's upstream."""
-        self.world.push()
-
-    def tell_suspects(self) -> None:
-        """Tell the voters what is new against requests."""
-        self.world.tell_voters(take_news(self.suspects, self.world.agenda.now))
-
-    def hear_suspects(self, told: tuple[SuspectTold, ...]) -> None:
-        """Hear from the voters what is known against requests."""
-        for one in told:
-            hear(self.suspects, one, self.world.agenda.now)
-
-    def describe(self) -> Upstream:
-        """Return the upstream as it is announced."""
-        place = Instance(self.name, self.upstream.data_centre, "", 0, self.incarnation)
-        slots = self.upstream.table.slots
-        return Upstream(self.upstream.name, self.upstream.table.name, place, slots, 10 * slots)
-
-    @property
-    def is_serving(self) -> bool:
-        """Tell whether other nodes are told to use the upstream."""
-        is_open = self.upstream.data_centre not in self.world.evacuated
-        return self.is_up and is_open and not self.owner.is_unreachable
-
-
 class World:
     """Hold a run."""
 
@@ -124,6 +46,7 @@
         "seed",
         "tally",
         "voters",
+        "watch",
     )
 
     def __init__(self, scenario: Scenario, seed: int):
@@ -138,12 +61,15 @@
         self.has_push = False
         self.nodes: dict[str, Node] = {}
         self._create_nodes()
-        self.callers = Callers(self, random.Random(f"{seed} callers"))
+        rng = random.Random(f"{seed} callers")
+        places = {node.name: node.upstream.data_centre for node in self.nodes.values()}
+        self.callers = Callers(self, Demand(scenario, places, rng), rng)
+        self.watch = WaitWatch(self)
 
     def _create_nodes(self) -> None:
-        places = self.scenario.places.data_centres
         position = 0
         for table in self.scenario.services:
+            places = table.data_centres or self.scenario.places.data_centres
             for number in range(table.upstreams):
                 name = f"{table.name}-{number}"
                 rng = random.Random(f"{self.seed} upstream {name}")
@@ -163,12 +89,15 @@
         self._push_now()
         self.agenda.run(1.0)
         self.callers.start()
+        self.watch.start()
         plan_faults(self)
         self.agenda.run(self.agenda.now + self.scenario.seconds + AFTERMATH)
         services: dict[str, list[str]] = {}
         for node in self.nodes.values():
             services.setdefault(node.upstream.table.name, []).append(node.upstream.name)
         fell_over = sum(node.upstream.fell_over for node in self.nodes.values())
+        self.tally.waited_long = self.watch.count_long()
+        self.tally.waited_s = self.watch.sum_up()
         return self.tally.summarize(services, fell_over, self.crashes.values())
 
     def call(self, upstream: UpstreamModel, route: str, deadline_at: Seconds, done) -> None:
