timeline, metrics: rank, customer, named waits and waits that ended in a refusal

A full upstream therefore read as one with a slot free where slot_share is below 1.

Change: CallFacts, DispatchFacts and RefusalFacts have rank and customer, the latter two limit, RefusalFacts waited_ms, AttemptFacts wait_ms; each is left out of the line where it says nothing. ReplyNotRun carries how long the attempt was in the queue (desk.py, three lines). PROCESS_STARTED tells the data centre. New series, counted with the lines as the others are: calls_refused and attempts_sent_back by rank and reason, rank_wait_seconds by rank; ranks above 3 stand together. explain shows the wait and the slots in use.

--- a/packages/bendwind-cli/src/bendwind_cli/explain.py
+++ b/packages/bendwind-cli/src/bendwind_cli/explain.py
@@ -88,12 +88,14 @@
         case DispatchFacts() as facts:
             return (
                 f"{line.instance} ran it for {facts.ms} ms ({line.detail}) after {facts.waited_ms} "
-                f"ms in its queue; {facts.running} of {facts.slots} slots taken, "
+                f"ms in its queue; {facts.running} of {facts.limit or facts.slots} slots taken, "
                 f"{_render_pace(facts.slow_factor, facts.report_age_ms)}"
             )
         case RefusalFacts() as facts:
+            waited = "" if facts.waited_ms is None else f" after {facts.waited_ms} ms in its queue"
+            slots = facts.limit or facts.slots
             return (
-                f"{line.instance} refused it ({line.detail}): {facts.running} of {facts.slots} "
+                f"{line.instance} refused it ({line.detail}){waited}: {facts.running} of {slots} "
                 f"slots taken, {facts.waiting} waiting, usual time {facts.usual_ms} ms, "
                 f"{_render_pace(facts.slow_factor, facts.report_age_ms)}"
             )
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_explain.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_explain.py
@@ -50,6 +50,13 @@
             code = run_arguments(["explain", *arguments])
         return code, out.getvalue(), err.getvalue()
 
+    def test_refusal_from_the_queue_is_told_with_its_wait_and_the_slots_in_use(self):
+        refusal = msgspec.structs.replace(REFUSAL, waited_ms=33.0, limit=2, running=2)
+        line = msgspec.structs.replace(REFUSED, facts=refusal)
+        (self.folder / "owner").write_bytes(msgspec.json.encode(line) + b"\n")
+        out = self.run_command("007", *(str(self.folder / name) for name in ("owner", "entry")))[1]
+        self.assertIn("refused it (stalled) after 33.0 ms in its queue: 2 of 2 slots taken", out)
+
     def test_story_is_told_from_files_with_its_cause_at_the_end(self):
         files = [str(self.folder / name) for name in ("owner", "entry")]
         code, out, _ = self.run_command("007", *files)
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -258,10 +258,11 @@
     effects: list[OwnerEffect],
     hand_over: HandOver | None = None,
     wait_ms: Milliseconds | None = None,
+    waited: Seconds | None = None,
 ) -> None:
     """Reply that an attempt did not run; it must be known never to start."""
     sample = load_sample(desk, now)
-    effects.append(ReplyNotRun(attempt, epoch, reason, sample, hand_over, wait_ms))
+    effects.append(ReplyNotRun(attempt, epoch, reason, sample, hand_over, wait_ms, waited))
 
 
 def drop_waiting(
@@ -274,7 +275,8 @@
     """Take an attempt, already out of the queue, off the desk and refuse it."""
     _forget_waiting(desk, queued)
     hand_over = queued.hand_over
-    refuse(desk, hand_over.attempt, queued.epoch, reason, now, effects, hand_over)
+    waited = now - queued.queued_at
+    refuse(desk, hand_over.attempt, queued.epoch, reason, now, effects, hand_over, waited=waited)
 
 
 def fence_waiting(desk: OwnerDesk, queued: QueuedAttempt) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -232,7 +232,7 @@
 class ReplyNotRun(msgspec.Struct):
     """Send NotRun to the attempt's entry node; `hand_over` is what was refused, if at hand.
 
-    Units: `wait_ms` as in NotRun.
+    Units: `wait_ms` as in NotRun; `waited` is how long it was in the queue, in seconds.
     """
 
     attempt: AttemptId
@@ -241,6 +241,7 @@
     load: LoadSample
     hand_over: HandOver | None = None
     wait_ms: Milliseconds | None = None
+    waited: Seconds | None = None
 
 
 class ReplyUnknown(msgspec.Struct):
--- a/packages/bendwind-core/src/bendwind_core/timeline/facts.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -8,13 +8,15 @@
 class AttemptFacts(msgspec.Struct, frozen=True, omit_defaults=True):
     """Hold one attempt of a call as its entry node saw it.
 
-    Units: `sent_ms` counts from the call's arrival, `ms` from the sending to the end.
+    Units: `sent_ms` counts from the call's arrival, `ms` from the sending to the end; `wait_ms` is
+    what its owner told of when it would take it, None where it told nothing.
     """
 
     upstream: str
     sent_ms: Milliseconds
     end: str = ""
     ms: Milliseconds | None = None
+    wait_ms: Milliseconds | None = None
 
 
 class CallFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="call"):
@@ -23,6 +25,7 @@
     `version` is that of the configuration in force, `age_ms` how long ago it was proven the newest.
     Units: `ms` counts from the call's arrival; `timeout_ms` and `target_ms` are what it started
     with, and `tried_ms` is how long the caller had been trying before, by the time it had left.
+    `rank` says how urgent it was, 0 the most, and `customer` whose it was, empty where not known.
     """
 
     service: str = ""
@@ -35,12 +38,16 @@
     age_ms: Milliseconds | None = None
     attempts: tuple[AttemptFacts, ...] = ()
     tried_ms: Milliseconds = 0.0
+    rank: int = 0
+    customer: str = ""
 
 
 class DispatchFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="dispatch"):
     """Hold what an owner node knew when it started an attempt, and how long that took.
 
     `slow_factor` is the upstream's last report of its pace, `report_age_ms` the report's age.
+    `limit` is how many attempts may run of `slots`, 0 for all; `rank` and `customer` are those of
+    the hand-over.
     Units: milliseconds; `waited_ms` was spent in the queue, `ms` in the upstream.
     """
 
@@ -52,13 +59,18 @@
     slots: int = 0
     slow_factor: float = 1.0
     report_age_ms: Milliseconds | None = None
+    limit: int = 0
+    rank: int = 0
+    customer: str = ""
 
 
 class RefusalFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="refusal"):
     """Hold what an owner node knew when it refused an attempt as not run.
 
-    `signature` is that of a suspect, as in UnansweredFacts.
-    Units: milliseconds; `remaining_ms` and `target_ms` are what was left when the attempt came.
+    `signature` is that of a suspect, as in UnansweredFacts; `limit`, `rank` and `customer` are as
+    in DispatchFacts.
+    Units: milliseconds; `remaining_ms` and `target_ms` are what was left when the attempt came,
+    `waited_ms` was spent in the queue since, None where it did not wait.
     """
 
     route: str = ""
@@ -71,6 +83,10 @@
     slow_factor: float = 1.0
     report_age_ms: Milliseconds | None = None
     signature: str = ""
+    waited_ms: Milliseconds | None = None
+    limit: int = 0
+    rank: int = 0
+    customer: str = ""
 
 
 class UnansweredFacts(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/bendwind-core/src/bendwind_core/timeline/statistics.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/statistics.py
@@ -1,4 +1,4 @@
-"""Count calls, dispatches and refusals, and how long they took, by route."""
+"""Count calls, dispatches and refusals, and how long they took, by route and by rank."""
 
 import bisect
 import collections
@@ -14,6 +14,10 @@
 # Routes that have figures of their own; further ones are counted together.
 MAX_ROUTES = 200
 OTHER_ROUTES = "other"
+# Ranks that have figures of their own, from the most urgent on; there may be any number of them.
+MAX_RANKS = 4
+MORE_RANKS = "more"
+_NOT_RUN = "not-run: "
 
 
 class Histogram(msgspec.Struct):
@@ -44,6 +48,10 @@
     `calls` counts ends of calls by route and outcome, `refusals` attempts that an owner node
     refused by route and reason. The histograms hold the whole time of calls, the time attempts
     waited at an owner node, and the time they ran at the upstream.
+
+    By rank, `calls_refused` counts calls that did not run by their reason, `sent_back` hand-overs
+    that came back to this entry node unrun, and `rank_waits` the time that attempts spent at
+    an owner node until they were dispatched, or refused from its queue.
     """
 
     calls: collections.Counter[tuple[str, str]] = msgspec.field(default_factory=collections.Counter)
@@ -53,6 +61,13 @@
     call_times: dict[str, Histogram] = msgspec.field(default_factory=dict)
     waits: dict[str, Histogram] = msgspec.field(default_factory=dict)
     runs: dict[str, Histogram] = msgspec.field(default_factory=dict)
+    calls_refused: collections.Counter[tuple[str, str]] = msgspec.field(
+        default_factory=collections.Counter
+    )
+    sent_back: collections.Counter[tuple[str, str]] = msgspec.field(
+        default_factory=collections.Counter
+    )
+    rank_waits: dict[str, Histogram] = msgspec.field(default_factory=dict)
 
 
 def note_facts(statistics: CallStatistics, detail: str, facts: Facts) -> None:
@@ -61,12 +76,34 @@
         case CallFacts(route=route, ms=ms):
             route = _note_time(statistics.call_times, route, ms)
             statistics.calls[route, _find_outcome(detail, facts)] += 1
-        case DispatchFacts(route=route, waited_ms=waited_ms, ms=ms):
+            _note_sent_back(statistics, detail, facts)
+        case DispatchFacts(route=route, waited_ms=waited_ms, ms=ms, rank=rank):
             _note_time(statistics.waits, route, waited_ms)
             _note_time(statistics.runs, route, ms)
-        case RefusalFacts(route=route):
+            _note_time(statistics.rank_waits, name_rank(rank), waited_ms)
+        case RefusalFacts(route=route, waited_ms=waited_ms, rank=rank):
             is_known = route in statistics.runs or len(statistics.runs) < MAX_ROUTES
             statistics.refusals[route if is_known else OTHER_ROUTES, detail] += 1
+            if waited_ms is not None:
+                _note_time(statistics.rank_waits, name_rank(rank), waited_ms)
+
+
+def name_rank(rank: int) -> str:
+    """Return the label of a rank.
+
+    >>> name_rank(0), name_rank(7)
+    ('0', 'more')
+    """
+    return str(rank) if rank < MAX_RANKS else MORE_RANKS
+
+
+def _note_sent_back(statistics: CallStatistics, detail: str, facts: CallFacts) -> None:
+    rank = name_rank(facts.rank)
+    if detail.startswith(_NOT_RUN):
+        statistics.calls_refused[rank, detail.removeprefix(_NOT_RUN)] += 1
+    for attempt in facts.attempts:
+        if attempt.end.startswith(_NOT_RUN):
+            statistics.sent_back[rank, attempt.end.removeprefix(_NOT_RUN)] += 1
 
 
 def _find_outcome(detail: str, facts: CallFacts) -> str:
--- a/packages/bendwind-core/src/bendwind_core/timeline/tests/test_statistics.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_statistics.py
@@ -1,7 +1,21 @@
 import unittest
 
-from bendwind_core.timeline import CallFacts, DispatchFacts, EventKind, Recorder, RefusalFacts
-from bendwind_core.timeline.statistics import BOUNDS_MS, MAX_ROUTES, OTHER_ROUTES, Histogram
+from bendwind_core.timeline import (
+    AttemptFacts,
+    CallFacts,
+    DispatchFacts,
+    EventKind,
+    Recorder,
+    RefusalFacts,
+)
+from bendwind_core.timeline.statistics import (
+    BOUNDS_MS,
+    MAX_RANKS,
+    MAX_ROUTES,
+    MORE_RANKS,
+    OTHER_ROUTES,
+    Histogram,
+)
 
 
 class HistogramTest(unittest.TestCase):
@@ -42,6 +56,35 @@
         self.assertEqual(self.statistics.runs["r"].total_ms, 40.0)
         self.assertEqual(dict(self.statistics.refusals), {("r", "stalled"): 1})
 
+    def test_refused_calls_and_hand_overs_sent_back_are_counted_by_rank_and_reason(self):
+        attempts = tuple(
+            AttemptFacts("u", 0.0, end)
+            for end in ("not-run: busy", "not-run: busy", "not-run: stalled", "200")
+        )
+        self.end_call("answered", status=200, attempts=attempts, rank=2)
+        self.end_call("not-run: queue-full", status=503, attempts=attempts[:1], rank=MAX_RANKS)
+        sent_back = {("2", "busy"): 2, ("2", "stalled"): 1, (MORE_RANKS, "busy"): 1}
+        self.assertEqual(dict(self.statistics.sent_back), sent_back)
+        self.assertEqual(dict(self.statistics.calls_refused), {(MORE_RANKS, "queue-full"): 1})
+
+    def test_waits_are_counted_by_rank_whether_they_ended_in_a_run_or_a_refusal(self):
+        for facts in (
+            DispatchFacts("r", 3.0, 40.0),
+            RefusalFacts("r", waited_ms=30.0),
+            RefusalFacts("r", waited_ms=0.0),
+            RefusalFacts("r"),
+            RefusalFacts("r", waited_ms=7.0, rank=99),
+        ):
+            self.recorder.record(EventKind.DISPATCH_FINISHED, call="c", facts=facts)
+        waits = self.statistics.rank_waits
+        self.assertEqual(set(waits), {"0", MORE_RANKS})
+        self.assertEqual((sum(waits["0"].counts), waits["0"].total_ms), (3, 33.0))
+
+    def test_labels_by_rank_are_bounded(self):
+        for rank in range(1000):
+            self.end_call("not-run: shed", status=503, rank=rank)
+        self.assertEqual(len(self.statistics.calls_refused), MAX_RANKS + 1)
+
     def test_routes_beyond_the_limit_are_counted_together(self):
         for number in range(MAX_ROUTES + 50):
             self.end_call("answered", f"r{number}", status=200)
--- a/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
@@ -60,7 +60,7 @@
         return f"refused ({step.owner.detail}) since upstreams had ended under it"
     if facts.slow_factor >= SLOW_FACTOR:
         return "sent back by an upstream that was slowed and would have answered late"
-    if facts.running < facts.slots and not facts.waiting:
+    if facts.running < (facts.limit or facts.slots) and not facts.waiting:
         return f"sent back ({step.owner.detail}) with slots free"
     return f"refused ({step.owner.detail}) by an upstream with its slots taken"
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -48,13 +48,16 @@
         _round_age(membership.confirmed_age_ms()),
         tuple(_make_attempt_facts(run, attempt) for attempt in call.attempts),
         tried_ms,
+        call.rank,
+        call.customer,
     )
 
 
 def _make_attempt_facts(run: CallRun, attempt: Attempt) -> AttemptFacts:
     ms = None if attempt.ended_at is None else _count_ms(attempt.ended_at - attempt.sent_at)
     sent_ms = _count_ms(attempt.sent_at - run.arrived_at)
-    return AttemptFacts(attempt.upstream.name, sent_ms, _describe_end(run, attempt), ms)
+    end, wait_ms = _describe_end(run, attempt), _round_age(attempt.wait_ms)
+    return AttemptFacts(attempt.upstream.name, sent_ms, end, ms, wait_ms)
 
 
 def _describe_end(run: CallRun, attempt: Attempt) -> str:
@@ -78,11 +81,18 @@
         slots=desk.slots,
         slow_factor=desk.pace.factor,
         report_age_ms=_find_report_age(desk, now),
+        limit=_find_limit(desk),
+        rank=hand_over.rank,
+        customer=hand_over.customer,
     )
 
 
 def make_refusal_facts(
-    desk: OwnerDesk, hand_over: HandOver, reason: NotRunReason, now: Seconds
+    desk: OwnerDesk,
+    hand_over: HandOver,
+    reason: NotRunReason,
+    now: Seconds,
+    waited: Seconds | None = None,
 ) -> RefusalFacts:
     """Describe what is known when an attempt is refused."""
     is_suspect = reason in (NotRunReason.KEPT_APART, NotRunReason.QUARANTINED)
@@ -97,6 +107,10 @@
         desk.pace.factor,
         _find_report_age(desk, now),
         sign_hand_over(hand_over).hex() if is_suspect else "",
+        None if waited is None else _count_ms(waited),
+        _find_limit(desk),
+        hand_over.rank,
+        hand_over.customer,
     )
 
 
@@ -110,6 +124,11 @@
     )
 
 
+def _find_limit(desk: OwnerDesk) -> int:
+    """Return how many attempts may run; 0, which no line spells out, for all slots."""
+    return 0 if desk.run_limit == desk.slots else desk.run_limit
+
+
 def _find_report_age(desk: OwnerDesk, now: Seconds) -> Milliseconds | None:
     reported_at = desk.pace.reported_at
     return None if reported_at is None else _count_ms(now - reported_at)
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -294,13 +294,14 @@
         if hand_over is None:
             # It was dispatched, and the end of that has a line of its own.
             return
+        now = trio.current_time()
         self.recorder.record(
             EventKind.ATTEMPT_REFUSED,
             call=format_attempt(reply.attempt),
             upstream=owned.upstream.name,
             detail=str(reply.reason),
             request=find_request_id(hand_over.headers, self.dialect),
-            facts=make_refusal_facts(owned.desk, hand_over, reply.reason, trio.current_time()),
+            facts=make_refusal_facts(owned.desk, hand_over, reply.reason, now, reply.waited),
         )
 
     async def _ask_load(self, owned: OwnedUpstream) -> None:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_facts.py
@@ -0,0 +1,93 @@
+import types
+import unittest
+
+import msgspec
+
+from bendwind_core.attempts import AttemptId, HandOver, NotRunReason, owner
+from bendwind_core.attempts import owner_events as ov
+from bendwind_core.attempts.attempt_ids import AttemptIds
+from bendwind_core.attempts.call import Attempt, AttemptState, create_call
+from bendwind_core.limits import RetryBudget
+from bendwind_core.world import Instance, Repeat, Rule, Service, Upstream, UpstreamState
+from bendwind_node.calls.call_facts import (
+    make_call_facts,
+    make_dispatch_facts,
+    make_refusal_facts,
+)
+
+UPSTREAM = Upstream("u", "s", Instance("o", "north", "", 0, 1), 3, 30)
+
+
+def hand_over(sequence, **more):
+    fields = {"remaining_ms": 400.0, "repeat": Repeat.NEVER, "version": 1, "route": "r", **more}
+    attempt = AttemptId("e", 1, sequence)
+    return HandOver(attempt, 1, "s", "u", "GET", b"/", (), **fields)
+
+
+class OwnersFactsTest(unittest.TestCase):
+    def setUp(self):
+        self.desk = owner.create_desk("u", 1, 16, slot_share=0.8)
+        self.feed(ov.UpstreamAnnounced(3, 30, UpstreamState.READY), 0.0)
+
+    def feed(self, event, now):
+        return owner.step(self.desk, event, now)
+
+    def arrive(self, message, now=0.0):
+        return self.feed(ov.HandOverArrived(message, 1), now)
+
+    def test_refusal_from_the_queue_says_how_long_it_waited(self):
+        for sequence in (1, 2, 3):
+            self.arrive(hand_over(sequence), 0.1)
+        (refused,) = self.feed(ov.Tick(), 0.5)
+        facts = make_refusal_facts(
+            self.desk, refused.hand_over, refused.reason, 0.5, refused.waited
+        )
+        self.assertEqual((refused.reason, facts.waited_ms), (NotRunReason.DEADLINE, 400.0))
+
+    def test_refusal_on_arrival_has_no_wait(self):
+        (refused,) = self.arrive(hand_over(1, remaining_ms=0.0))
+        self.assertIsNone(refused.waited)
+        facts = make_refusal_facts(self.desk, refused.hand_over, refused.reason, 0.0)
+        self.assertNotIn(b"waited_ms", msgspec.json.encode(facts))
+
+    def test_rank_customer_and_the_slots_in_use_are_told(self):
+        message = hand_over(1, rank=2, customer="mill")
+        refusal = make_refusal_facts(self.desk, message, NotRunReason.BUSY, 0.0)
+        dispatch = make_dispatch_facts(self.desk, message, 0.4, 0.0)
+        for facts in (refusal, dispatch):
+            self.assertEqual((facts.rank, facts.customer), (2, "mill"))
+            self.assertEqual((facts.limit, facts.slots), (2, 3))
+
+    def test_what_is_as_usual_is_left_out_of_the_line(self):
+        self.desk.slot_share = 1.0
+        dispatch = msgspec.json.encode(make_dispatch_facts(self.desk, hand_over(1), 0.4, 0.0))
+        for name in (b"rank", b"customer", b"limit"):
+            self.assertNotIn(name, dispatch)
+
+
+class CallFactsTest(unittest.TestCase):
+    def test_rank_customer_and_the_wait_that_an_owner_named_are_told(self):
+        service, rule = Service("s", ("*",)), Rule("*", name="r", priority=1)
+        ids, budget = AttemptIds("e", 1), RetryBudget(0.1)
+        call = create_call("c", service, rule, 2.0, ids, budget, rank=3, customer="mill")
+        busy = Attempt(
+            AttemptId("e", 1, 1),
+            UPSTREAM,
+            AttemptState.NOT_RUN,
+            NotRunReason.BUSY,
+            wait_ms=41.26,
+            sent_at=0.1,
+            ended_at=0.15,
+        )
+        call.attempts += [busy, Attempt(AttemptId("e", 1, 2), UPSTREAM, sent_at=0.15)]
+        run = types.SimpleNamespace(call=call, arrived_at=0.0, heads={})
+        view = types.SimpleNamespace(version=7)
+        membership = types.SimpleNamespace(view=view, confirmed_age_ms=lambda: None)
+        facts = make_call_facts(run, 503, membership, 0.2)
+        self.assertEqual((facts.rank, facts.customer), (3, "mill"))
+        self.assertEqual([attempt.wait_ms for attempt in facts.attempts], [41.3, None])
+        self.assertEqual(msgspec.json.encode(facts).count(b"wait_ms"), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -49,7 +49,7 @@
             if served.is_error():
                 nursery.cancel_scope.cancel()
                 return served
-        daemon.recorder.record(EventKind.PROCESS_STARTED, detail=_describe_ports(daemon))
+        daemon.recorder.record(EventKind.PROCESS_STARTED, detail=_describe_start(daemon))
         await daemon.stopping.wait()
         await _stop(daemon)
         nursery.cancel_scope.cancel()
@@ -85,10 +85,11 @@
     gc.freeze()
 
 
-def _describe_ports(daemon: Daemon) -> str:
+def _describe_start(daemon: Daemon) -> str:
     tables = ("peers", "callers", "upstreams", "operators", "readiness")
     opened = {table: getattr(daemon.listeners, table) for table in tables} | daemon.listeners.extra
-    return " ".join(f"{name}={find_port(listeners)}" for name, listeners in opened.items())
+    ports = " ".join(f"{name}={find_port(listeners)}" for name, listeners in opened.items())
+    return f"{ports} data_centre={daemon.settings.instance.data_centre}"
 
 
 async def _prove_lease(dispatcher: Dispatcher) -> None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_daemon.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_daemon.py
@@ -60,12 +60,14 @@
 
     def __init__(self):
         super().__init__(logging.INFO)
+        self.detail = ""
         self.operators = 0
         self.is_started = trio.Event()
 
     def emit(self, record):
         event = getattr(record, "event", None)
         if event is not None and event.kind is EventKind.PROCESS_STARTED:
+            self.detail = event.detail
             self.operators = int(re.search(r"operators=(\d+)", event.detail)[1])
             self.is_started.set()
 
@@ -110,6 +112,7 @@
 
     async def use(self):
         await self.log.is_started.wait()
+        self.assertIn(" data_centre=x", self.log.detail)
         line = self.write_client("operator-oncall")
         plan = await self.operate("plan", str(self.folder / "intent.toml"), line)
         id = re.search(r"bendwind confirm (\S+)", plan)[1]
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -28,19 +28,24 @@
     return _Definition(f"bendwind_{name}", MetricKind.GAUGE, unit, labels, meaning)
 
 
-def _histogram(name: str, meaning: str) -> tuple[_Definition, _Definition, _Definition]:
+def _histogram(
+    name: str, meaning: str, label: str = "route"
+) -> tuple[_Definition, _Definition, _Definition]:
     """Define the three series of a histogram, as Prometheus names them."""
     full = f"bendwind_{name}_seconds"
     return (
-        _Definition(f"{full}_bucket", MetricKind.COUNTER, "1", ("route", "le"), meaning),
-        _Definition(f"{full}_sum", MetricKind.COUNTER, "s", ("route",), f"{meaning} Their sum."),
-        _Definition(f"{full}_count", MetricKind.COUNTER, "1", ("route",), f"{meaning} Number."),
+        _Definition(f"{full}_bucket", MetricKind.COUNTER, "1", (label, "le"), meaning),
+        _Definition(f"{full}_sum", MetricKind.COUNTER, "s", (label,), f"{meaning} Their sum."),
+        _Definition(f"{full}_count", MetricKind.COUNTER, "1", (label,), f"{meaning} Number."),
     )
 
 
 _CALL_SECONDS = _histogram("call", "Calls by the time from arrival to outcome.")
 _WAIT_SECONDS = _histogram("attempt_wait", "Dispatched attempts by their time in the queue.")
 _RUN_SECONDS = _histogram("attempt_run", "Dispatched attempts by their time in the upstream.")
+_RANK_WAIT_SECONDS = _histogram(
+    "rank_wait", "Attempts dispatched, or refused from the queue, by their time in it.", "rank"
+)
 
 
 class Metric(enum.Enum):
@@ -91,10 +96,17 @@
     REFUSALS = _count(
         "attempts_refused", "attempts", "Attempts this owner refused.", "route", "reason"
     )
+    CALLS_REFUSED = _count(
+        "calls_refused", "calls", "Calls of this entry node that did not run.", "rank", "reason"
+    )
+    SENT_BACK = _count(
+        "attempts_sent_back", "attempts", "Hand-overs that came back unrun.", "rank", "reason"
+    )
     SUSPECTS = _gauge("suspects", "requests", "Requests that upstreams ended under.", "state")
     CALL_BUCKET, CALL_SUM, CALL_COUNT = _CALL_SECONDS
     WAIT_BUCKET, WAIT_SUM, WAIT_COUNT = _WAIT_SECONDS
     RUN_BUCKET, RUN_SUM, RUN_COUNT = _RUN_SECONDS
+    RANK_WAIT_BUCKET, RANK_WAIT_SUM, RANK_WAIT_COUNT = _RANK_WAIT_SECONDS
     LOG_LINES_LEFT_OUT = _count(
         "log_lines_left_out", "lines", "Log lines that found no room because nobody read them."
     )
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -39,6 +39,10 @@
         yield Sample(Metric.CALLS, count, labels)
     for labels, count in statistics.refusals.items():
         yield Sample(Metric.REFUSALS, count, labels)
+    for labels, count in statistics.calls_refused.items():
+        yield Sample(Metric.CALLS_REFUSED, count, labels)
+    for labels, count in statistics.sent_back.items():
+        yield Sample(Metric.SENT_BACK, count, labels)
     yield from _gather_histograms(
         statistics.call_times,
         Metric.CALL_BUCKET,
@@ -57,16 +61,22 @@
         Metric.RUN_SUM,
         Metric.RUN_COUNT,
     )
+    yield from _gather_histograms(
+        statistics.rank_waits,
+        Metric.RANK_WAIT_BUCKET,
+        Metric.RANK_WAIT_SUM,
+        Metric.RANK_WAIT_COUNT,
+    )
 
 
 def _gather_histograms(
     histograms: dict[str, Histogram], bucket: Metric, total: Metric, count: Metric
 ) -> Iterator[Sample]:
-    for route, histogram in histograms.items():
+    for label, histogram in histograms.items():
         for bound, number in histogram.list_cumulative():
-            yield Sample(bucket, number, (route, bound))
-        yield Sample(total, histogram.total_ms / MILLISECONDS_PER_SECOND, (route,))
-        yield Sample(count, sum(histogram.counts), (route,))
+            yield Sample(bucket, number, (label, bound))
+        yield Sample(total, histogram.total_ms / MILLISECONDS_PER_SECOND, (label,))
+        yield Sample(count, sum(histogram.counts), (label,))
 
 
 def gather_logs() -> Iterator[Sample]:
--- a/packages/bendwind-node/src/bendwind_node/metrics/reference.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/reference.py
@@ -8,8 +8,8 @@
 Every process serves these at `GET /metrics` on its `[operators]` address, and on that of
 `[metrics]` where there is one, in the format that Prometheus reads. Values are read when they are
 asked for; only calls are counted as they go. Histograms come as their three series, each a counter;
-of routes beyond 200 the figures stand together under `other`. Made by
-`python -m bendwind_node.metrics.reference > docs/METRICS.md`; a test compares the two.
+of routes beyond 200 the figures stand together under `other`, of ranks above 3 under `more`. Made
+by `python -m bendwind_node.metrics.reference > docs/METRICS.md`; a test compares the two.
 
 | metric | kind | unit | labels | meaning |
 |---|---|---|---|---|
--- a/packages/bendwind-node/src/bendwind_node/metrics/tests/test_metrics.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/tests/test_metrics.py
@@ -1,9 +1,9 @@
 import unittest
 from pathlib import Path
 
-from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.timeline import AttemptFacts, CallFacts, DispatchFacts, EventKind, Recorder
 from bendwind_node.metrics import Metric, Metrics, Sample
-from bendwind_node.metrics.gather import gather_process, gather_timeline
+from bendwind_node.metrics.gather import gather_process, gather_statistics, gather_timeline
 from bendwind_node.metrics.reference import render_reference
 
 ROOT = Path(__file__).parents[6]
@@ -41,6 +41,21 @@
         self.assertIn('bendwind_links{opened_by="this"} 2\n', text)
         self.assertRegex(text, r"bendwind_peak_resident_bytes [1-9]")
 
+    def test_refusals_and_waits_are_shown_by_rank(self):
+        recorder = Recorder("a", lambda: 1, 4)
+        busy = AttemptFacts("u", 0.0, "not-run: busy", 3.0)
+        refused = CallFacts("s", "r", 503, attempts=(busy,), rank=1)
+        recorder.record(EventKind.CALL_FINISHED, detail="not-run: queue-full", facts=refused)
+        ran = DispatchFacts("r", 20.0, 40.0, rank=1)
+        recorder.record(EventKind.DISPATCH_FINISHED, facts=ran)
+        samples = Metrics(lambda: gather_statistics(recorder.statistics))
+        text = samples.render("text/plain; version=0.0.4").body.decode()
+        self.assertIn('bendwind_calls_refused_total{rank="1",reason="queue-full"} 1\n', text)
+        self.assertIn('bendwind_attempts_sent_back_total{rank="1",reason="busy"} 1\n', text)
+        self.assertIn('bendwind_rank_wait_seconds_bucket{le="0.01",rank="1"} 0\n', text)
+        self.assertIn('bendwind_rank_wait_seconds_bucket{le="0.025",rank="1"} 1\n', text)
+        self.assertIn('bendwind_rank_wait_seconds_sum{rank="1"} 0.02\n', text)
+
     def test_scrapes_do_not_pile_up(self):
         metrics = Metrics(lambda: [Sample(Metric.FRESH, 1)])
         self.assertEqual(metrics.render(), metrics.render())
