losses: who waited beside a free one, who was refused and what ran for nothing

Cause: one cause a call by route and second did not tell who waited while another upstream was free, by whose rank, customer or data centre, nor which inner call a run had failed for; a full upstream read as one with a slot free where slot_share is below 1.

Change: an account of every call from the lines 102, 202 and 207: time by stage, waits at owners and how much of them an upstream of the service was free for, refusals by reason and whether one was free, runs that ended with an error and the inner call they failed for. When upstreams were free is rebuilt from starts and ends of runs; the command prints how well that agrees with what owners told. count_losses, its report and its plot are gone: the account holds what they did, causes with the ages of reports included. Their tests are the same checks on the account, one of them with the slots in use.

--- a/packages/bendwind-bench/src/bendwind_bench/__main__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/__main__.py
@@ -59,25 +59,19 @@
             return 2
         return max(trio.run(run_experiment, item, runs, seed, direct) for item in names)
 
-    def losses(self, *logs: str, plot: str = "") -> int:
-        """Tell from processes' logs which calls were not answered in time, when and why."""
-        from bendwind_bench.losses import (
-            count_losses,
-            read_lines,
-            read_logs,
-            render_report,
-            write_report,
-        )
-
-        missing = [name for name in logs if not Path(name).is_file()]
-        if missing or not logs:
-            print(f"expected readable log files: {missing or 'none given'}", file=sys.stderr)
-            return 2
-        tally = count_losses(read_logs(read_lines(logs)))
-        print(render_report(tally))
-        if plot:
-            write_report(tally, Path(plot))
-        return 0
+    def losses(self, *logs: str, by: str = "route", plot: str = "", place: str = "") -> int:
+        """Tell from processes' logs which calls waited, were refused, late or for nothing, and why.
+
+        Args:
+            logs: Files with lines of any processes in any order, as a collector wrote them.
+            by: route, rank, customer, service or data-centre.
+            plot: PNG file to draw.
+            place: Regular expression whose first group is the data centre, in what stands before
+                a line; without it, the lines of processes' starts tell it.
+        """
+        from bendwind_bench.losses import account_for
+
+        return account_for(logs, str(by), str(plot), str(place))
 
     def emulate(
         self,
--- a/packages/bendwind-bench/src/bendwind_bench/losses/causes.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/causes.py
@@ -89,7 +89,7 @@
     if not refusals:
         return Cause.OTHER
     at_pace = [facts for facts in refusals if facts.slow_factor < SLOW_FACTOR]
-    if any(facts.running < facts.slots and not facts.waiting for facts in at_pace):
+    if any(facts.running < (facts.limit or facts.slots) and not facts.waiting for facts in at_pace):
         return Cause.FREE_SLOT
     return Cause.FULL if at_pace else Cause.SLOWED
 
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_account.py
@@ -0,0 +1,177 @@
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from bendwind_bench.losses import By, Fate, account_for, group, list_rows, render_account, sum_up
+from bendwind_bench.losses.account import REST, TOP
+from bendwind_bench.losses.tests.test_free import run, start
+from bendwind_bench.losses.tests.test_losses import read
+from bendwind_core.timeline import AttemptFacts, CallFacts, LogLine
+
+
+def call(request, end_ms=1000, detail="answered", ends=("200",), number=1, instance="e", **more):
+    """Make the end of a call whose attempts took 50 ms each, one after the other."""
+    attempts = tuple(
+        AttemptFacts("u" if i == len(ends) - 1 else f"u{i}", 5.0 + 50 * i, end, 50.0)
+        for i, end in enumerate(ends)
+    )
+    fields = {"status": 200, "ms": 10.0 + 50 * len(ends), "target_ms": 2000.0, **more}
+    facts = CallFacts(**{"service": "s", "route": "r", "attempts": attempts, **fields})
+    line = LogLine("info", instance, end_ms, "CALL_FINISHED", 102)
+    return msgspec.structs.replace(
+        line, call=f"e/1/c{number}", request=request, detail=detail, facts=facts
+    )
+
+
+def dispatch(request, end_ms, ms, waited_ms, upstream="u", **more):
+    line = run(upstream, end_ms, ms, waited_ms, **more)
+    return msgspec.structs.replace(line, request=request)
+
+
+class AccountTest(unittest.TestCase):
+    def only(self, *lines):
+        (row,) = list_rows(read(*lines))
+        return row
+
+    def test_time_is_split_into_stages_that_add_up(self):
+        ends = ("not-run: queue-full", "200")
+        row = self.only(call("a", ends=ends), dispatch("a", 990, 20.0, 15.0))
+        stages = msgspec.structs.asdict(row.stages)
+        self.assertEqual(stages["sent_back"], 50.0)
+        self.assertEqual((stages["waiting"], stages["running"]), (15.0, 20.0))
+        self.assertEqual(stages["on_the_way"], 15.0)
+        self.assertEqual(sum(stages.values()), row.call.facts.ms)
+        self.assertEqual(row.sent_back, 1)
+
+    def test_wait_counts_while_another_upstream_was_free(self):
+        waits = dispatch("a", 990, 100.0, 200.0)
+        long = call("a", ms=400.0)
+        other = dispatch("b", 750, 50.0, 0.0, "v")
+        beside = call("b", 750, ms=50.0, attempts=(AttemptFacts("v", 0.0, "200", 50.0),), number=2)
+        rows = list_rows(read(long, waits, other, beside))
+        row = next(row for row in rows if row.call.request == "a")
+        # It waited from 690 to 890, and the other one ran from 700 to 750.
+        self.assertEqual((row.waited_ms, row.waited_free_ms), (200.0, 150.0))
+        account = sum_up(rows)
+        self.assertEqual((account.waited, account.waited_free, account.waited_near), (1, 1, 1))
+        self.assertEqual(account.waited_free_ms, 150.0)
+
+    def test_fates_and_reasons(self):
+        rows = list_rows(
+            read(
+                call("a"),
+                call("b", ms=3000.0, number=2),
+                call("c", detail="not-run: queue-full", status=503, number=3),
+                call("d", detail="unknown: link-lost", status=502, number=4),
+                call("e", detail="caller gone", status=0, number=5),
+                call("f", status=500, number=6),
+            )
+        )
+        account = sum_up(rows)
+        self.assertEqual(account.fates[Fate.FAILED], 2)
+        self.assertEqual(
+            {fate: account.fates[fate] for fate in Fate if fate is not Fate.FAILED},
+            dict.fromkeys((Fate.IN_TIME, Fate.LATE, Fate.REFUSED, Fate.GONE), 1),
+        )
+        self.assertEqual(dict(account.reasons), {"queue-full": 1})
+        self.assertEqual(account.served, 2)
+
+    def test_run_is_for_nothing_if_a_call_it_made_was_refused(self):
+        outer = call("a", status=500, ends=("500",))
+        ran = dispatch("a", 990, 400.0, 0.0)
+        refused = call("a.1", 900, "not-run: shed", status=503, service="t", number=2)
+        row = next(row for row in list_rows(read(outer, ran, refused)) if not row.is_inner)
+        self.assertTrue(row.is_for_nothing)
+        self.assertEqual(row.failed_run.inner.facts.service, "t")
+        text = render_account(list_rows(read(outer, ran, refused)), By.SERVICE)
+        self.assertRegex(text, r"s r +t r +not-run: shed +1")
+
+    def test_run_that_failed_by_itself_or_before_the_refusal_is_not(self):
+        outer = call("a", status=500, ends=("500",))
+        ran = dispatch("a", 990, 100.0, 0.0)
+        early = call("a.1", 500, "not-run: shed", status=503, number=2)
+        lost = call("a.2", 950, "unknown: link-lost", status=502, number=3)
+        for inner in ((), (early,), (early, lost)):
+            rows = list_rows(read(outer, ran, *inner))
+            self.assertEqual(sum_up(rows).for_nothing, 0, inner)
+
+    def test_calls_are_told_apart_by_rank_customer_service_and_data_centre(self):
+        rows = list_rows(
+            read(
+                start("e", "north"),
+                call("a", rank=2, customer="mill"),
+                call("b", number=2, instance="f", service="t"),
+            )
+        )
+        self.assertEqual(set(group(rows, By.RANK)), {"rank 0", "rank 2"})
+        self.assertEqual(set(group(rows, By.CUSTOMER)), {"mill", "unnamed"})
+        self.assertEqual(set(group(rows, By.SERVICE)), {"s", "t"})
+        self.assertEqual(set(group(rows, By.DATA_CENTRE)), {"north", "unknown"})
+
+    def test_customers_beyond_the_largest_ten_stand_together(self):
+        calls = [
+            call(f"{i}-{j}", customer=f"c{i}", number=100 * i + j)
+            for i in range(TOP + 3)
+            for j in range(20 - i)
+        ]
+        groups = group(list_rows(read(*calls)), By.CUSTOMER)
+        self.assertEqual(list(groups), [*(f"c{i}" for i in range(TOP)), REST])
+        self.assertEqual(sum(map(len, groups.values())), len(calls))
+
+    def test_refusal_while_another_was_free_is_counted(self):
+        refused = call("a", detail="not-run: queue-full", status=503)
+        free = call("b", 2000, ms=1900.0, number=2)
+        self.assertEqual(sum_up(list_rows(read(refused, free))).refused_free, 0)
+        known = dispatch("c", 500, 10.0, 0.0)
+        self.assertEqual(sum_up(list_rows(read(refused, free, known))).refused_free, 1)
+        full = dispatch("c", 1500, 1400.0, 0.0)
+        self.assertEqual(sum_up(list_rows(read(refused, free, known, full))).refused_free, 0)
+
+
+class CommandTest(unittest.TestCase):
+    def account(self, *files, by="route", plot="", place=""):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = account_for(files, by, plot, place)
+        return code, out.getvalue(), err.getvalue()
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "day.txt"
+        lines = (call("a", instance="e"), dispatch("a", 990, 20.0, 15.0))
+        texts = [f"0.1 north-7 {msgspec.json.encode(line).decode()}\n" for line in lines]
+        self.file.write_text("".join(texts))
+
+    def test_account_with_a_plot_says_how_exact_it_is(self):
+        plot = self.file.with_suffix(".png")
+        code, out, err = self.account(str(self.file), plot=str(plot))
+        self.assertEqual((code, err), (0, ""))
+        self.assertIn("at 1 of 1 starts", out)
+        self.assertGreater(plot.stat().st_size, 1000)
+
+    def test_data_centre_is_read_from_what_the_collector_wrote(self):
+        _, out, _ = self.account(str(self.file), by="data-centre", place=r"(\w+)-\d+ $")
+        self.assertRegex(out, r"(?m)^north +1 ")
+
+    def test_bad_input_is_one_line_that_says_what_was_expected(self):
+        name = str(self.file)
+        cases = (
+            ((), {}),
+            (("nowhere",), {}),
+            ((name,), {"by": "colour"}),
+            ((name,), {"place": "("}),
+            ((name,), {"place": "north"}),
+        )
+        for files, options in cases:
+            code, out, err = self.account(*files, **options)
+            self.assertEqual((code, out, err.count("\n")), (2, "", 1), (files, options))
+            self.assertIn("expected", err)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_losses.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_losses.py
@@ -4,10 +4,14 @@
 
 import msgspec
 
-from bendwind_bench.losses import Cause, count_losses, read_logs, render_report, write_report
+from bendwind_bench.losses import By, Cause, list_rows, read_logs, render_account, write_account
 from bendwind_core.timeline import AttemptFacts, CallFacts, DispatchFacts, LogLine, RefusalFacts
 
 
+def read(*lines):
+    return read_logs(msgspec.json.encode(line).decode() for line in lines)
+
+
 def call(request, detail="answered", status=200, ms=100.0, target_ms=200.0, **more):
     facts = CallFacts("s", "r", status, ms, 4000.0, target_ms, **more)
     line = LogLine("info", "n", 1000, "CALL_FINISHED", 102, request=request, detail=detail)
@@ -23,13 +27,12 @@
 
 
 class LossesTest(unittest.TestCase):
-    def count(self, *lines):
-        texts = [msgspec.json.encode(line).decode() for line in lines]
-        return count_losses(read_logs(texts))
+    def list_rows(self, *lines):
+        return list_rows(read(*lines))
 
     def cause(self, *lines):
-        (counts,) = self.count(*lines).routes.values()
-        return next(iter(counts))
+        (row,) = self.list_rows(*lines)
+        return row.cause
 
     def test_answer_within_the_objective_is_no_loss(self):
         self.assertIs(self.cause(call("a")), Cause.NONE)
@@ -52,6 +55,8 @@
         taken = owner("a", RefusalFacts("r", running=9, slots=9))
         slowed = owner("a", RefusalFacts("r", running=2, slots=9, slow_factor=4.0))
         self.assertIs(self.cause(full, free, taken), Cause.FREE_SLOT)
+        shared = owner("a", RefusalFacts("r", running=2, slots=9, limit=2))
+        self.assertIs(self.cause(full, shared, taken), Cause.FULL)
         self.assertIs(self.cause(full, taken, slowed), Cause.FULL)
         self.assertIs(self.cause(full, slowed), Cause.SLOWED)
         self.assertIs(self.cause(call("a", "not-run: no-upstream", 503)), Cause.NO_UPSTREAM)
@@ -63,13 +68,13 @@
         self.assertIs(self.cause(call("a", "caller gone", 0)), Cause.GONE)
 
     def test_report_has_tables_and_a_plot(self):
-        tally = self.count(call("a"), call("b", "not-run: shed", 503))
-        text = render_report(tally)
+        rows = self.list_rows(call("a"), call("b", "not-run: shed", 503))
+        text = render_account(rows, By.ROUTE)
         self.assertIn("refused by the upstream itself", text)
-        self.assertIn("0.50", text)
+        self.assertIn("0.500", text)
         with tempfile.TemporaryDirectory() as folder:
             file = Path(folder) / "losses.png"
-            write_report(tally, file)
+            write_account(rows, By.ROUTE, file)
             self.assertGreater(file.stat().st_size, 1000)
 
     def test_lines_of_others_are_counted_and_passed_over(self):
