emulator: the table by route shows each route's rank

Cause: the rows of routes did not say how urgent they are. The type of a reason was missing in the interfaces.

Seeded: a rank left out of the routes' figures fails test_demand and test_command.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
@@ -150,7 +150,7 @@
             return
         sender = request.sender
         rank = request.route.priority if sender.rank is None else sender.rank
-        self.world.tally.note(request.route.name, request.began_at, fate, rank, sender.customer)
+        self.world.tally.note(request.route, request.began_at, fate, rank, sender.customer)
 
     def call_from_upstream(self, node: Instance, name: str, deadline_at: Seconds, done) -> None:
         """Carry a call that an upstream makes at its own node."""
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/interfaces.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/interfaces.py
@@ -13,6 +13,7 @@
 from bendwind_bench.emulator.tables import RouteTable, Scenario
 from bendwind_bench.emulator.tally import Tally
 from bendwind_bench.emulator.upstream import CrashCount, UpstreamModel
+from bendwind_core.attempts import NotRunReason
 from bendwind_core.core import Record, Seconds
 from bendwind_core.suspicion import SuspectTold
 
@@ -52,7 +53,7 @@
     def note_retry(self) -> None:
         """Count an attempt that the retry budget paid for."""
 
-    def note_sent_back(self, target: bytes, reason) -> None:
+    def note_sent_back(self, target: bytes, reason: NotRunReason) -> None:
         """Count an attempt that was sent back unrun."""
 
     def push(self) -> None:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
@@ -94,18 +94,19 @@
     for report in reports:
         for side in report.sides:
             lines.append(side.label or report.scenario)
-            lines += _render_groups(side, "routes", "  {}")
-            lines += _render_groups(side, "ranks", "  rank {}")
+            lines += _render_groups(side, "routes")
+            lines += _render_groups(side, "ranks")
     return "\n".join(lines)
 
 
-def _render_groups(side: Side, table: str, name: str) -> Iterator[str]:
+def _render_groups(side: Side, table: str) -> Iterator[str]:
     tables = [getattr(run, table) for run in side.runs]
     for group in sorted({group for found in tables for group in found}):
         rows = [found[group] for found in tables if group in found]
         means = [statistics.mean(row[key] for row in rows) for key in _KIND]
         cells = [f"{means[0]:.0f}", *(f"{mean:.3f}" for mean in means[1:])]
-        yield _render_row(name.format(group), cells)
+        name = f"  {group} (rank {rows[0]['rank']:g})" if table == "routes" else f"  rank {group}"
+        yield _render_row(name, cells)
 
 
 def render_windows(reports: list[ScenarioReport]) -> str:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bendwind_bench.emulator.tables import RouteTable
 from bendwind_bench.emulator.upstream import CrashCount
 from bendwind_core.core import Seconds
 
@@ -49,7 +50,7 @@
     run with an error. `worst_in_time` and `worst_served` are the shares of the tenth of the
     customers that fared worst by that, 1 where the scenario has none.
     `routes`, `ranks` and `customers` hold for each the number of requests, the share served at all
-    and the shares by what became of them.
+    and the shares by what became of them, `routes` also the rank of each.
     """
 
     requests: int
@@ -93,6 +94,7 @@
         "calls",
         "inner_calls",
         "inner_refused",
+        "priorities",
         "retries",
         "sent_back",
         "waited_long",
@@ -103,6 +105,7 @@
     def __init__(self):
         self.by_customer: dict[str, collections.Counter] = {}
         self.by_rank: dict[int, collections.Counter] = {}
+        self.priorities: dict[str, int] = {}
         self.by_route: dict[str, collections.Counter] = {}
         self.by_window: dict[int, collections.Counter] = {}
         self.attempts: collections.Counter[str] = collections.Counter()
@@ -116,13 +119,14 @@
         self.waited_s: Seconds = 0.0
 
     def note(
-        self, route: str, began_at: Seconds, fate: Fate, rank: int = 0, customer: str = ""
+        self, route: RouteTable, began_at: Seconds, fate: Fate, rank: int, customer: str
     ) -> None:
         """Count what became of one request of a caller."""
         self.by_rank.setdefault(rank, collections.Counter())[fate] += 1
         if customer:
             self.by_customer.setdefault(customer, collections.Counter())[fate] += 1
-        self.by_route.setdefault(route, collections.Counter())[fate] += 1
+        self.by_route.setdefault(route.name, collections.Counter())[fate] += 1
+        self.priorities[route.name] = route.priority
         window = int(began_at / WINDOW)
         self.by_window.setdefault(window, collections.Counter())[fate] += 1
 
@@ -160,7 +164,10 @@
             for_nothing=_round(self.inner_refused / max(1, self.inner_calls)),
             worst_in_time=_find_worst(self.by_customer.values(), (Fate.IN_TIME,)),
             worst_served=_find_worst(self.by_customer.values(), _SERVED),
-            routes=_describe_groups(self.by_route),
+            routes={
+                name: {"rank": self.priorities[name], **figures}
+                for name, figures in _describe_groups(self.by_route).items()
+            },
             ranks=_describe_groups(self.by_rank),
             customers=_describe_groups(self.by_customer),
             windows=windows,
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_command.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_command.py
@@ -47,6 +47,8 @@
         code, out, err = self.emulate(against="services.a.slots=1", plot=str(plot), json=str(file))
         self.assertEqual(code, 0, err)
         self.assertIn("difference", out)
+        self.assertRegex(out, r"(?m)^  r \(rank 0\) +[1-9]")
+        self.assertRegex(out, r"(?m)^scenario +waited +seconds +back/call +for nothing")
         self.assertIn("0 runs left", err)
         self.assertTrue(plot.read_bytes().startswith(b"\x89PNG"))
         sides = [row["side"] for row in json.loads(file.read_bytes())]
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_demand.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_demand.py
@@ -77,6 +77,9 @@
         self.assertEqual(set(figures.ranks), {"0", "2"})
         counted = sum(group["requests"] for group in figures.ranks.values())
         self.assertEqual(counted, figures.requests)
+        self.assertEqual(
+            {name: row["rank"] for name, row in figures.routes.items()}, {"stock": 0, "history": 2}
+        )
         whole = sum(group["requests"] for group in figures.customers.values())
         self.assertEqual(whole, figures.requests)
         self.assertLessEqual(figures.worst_in_time, figures.in_time)
