--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -216,7 +216,7 @@
         for (status, reply), code, pattern in cases:
             with self.subTest(reply):
                 server = self.serve(("POST", status, reply))
-                settings.write_text(f'control = ["{server.address}"]\ntimeout_s = 10\n')
+                settings.write_text(f'control = ["{server.address}"]\ntimeout_s = 2\n')
                 self.assert_fails(["confirm", "p1", f"--settings={settings}"], code, pattern)
 
     def test_bad_intent_names_file_key_and_expectation(self):
