--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -36,6 +36,7 @@
     WatchUpdate,
 )
 from bendwind_core.messages.hello import Goodbye, Hello, IncarnationKnown, IncarnationQuestion
+from bendwind_core.quotas.messages import QuotaAsk, QuotaBack, QuotaLoan, QuotaPull, QuotaReply
 from bendwind_core.routing import LoadProbe, LoadReport
 
 PeerMessage = (
@@ -67,6 +68,11 @@
     | StatusRequest
     | StatusReply
     | SuspectsTold
+    | QuotaAsk
+    | QuotaReply
+    | QuotaBack
+    | QuotaPull
+    | QuotaLoan
     | ClaimMessage
     | ConsensusMessage
 )
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/quotas/node.py
@@ -0,0 +1,383 @@
+"""Decide what a node does about quotas: keep tokens shortly, ask for them, give them back.
+
+A request whose ask was sent after it came may take a token however long its answer took, since the
+token was taken from a bucket later than the request was sent. All other tokens end by their age.
+"""
+
+import collections
+import math
+
+import msgspec
+from expression import Error, Ok, Result
+
+from bendwind_core.attempts.messages import NotRunReason
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.quotas.bounds import QuotaBounds
+from bendwind_core.quotas.messages import (
+    QuotaAsk,
+    QuotaBack,
+    QuotaGrant,
+    QuotaReply,
+    QuotaUnused,
+    QuotaWant,
+)
+from bendwind_core.quotas.voter import Effects, QuotaSend
+
+# An answer takes a round trip and, where the voter has to borrow, a second one.
+ANSWER_WAIT: Seconds = 0.1
+# A voter that did not answer is asked again after this; a lost voter would cost each ask 100 ms.
+SILENT_FOR: Seconds = 1.0
+# Requests that come within this time share one ask, which is a tenth of what an answer may take.
+ASK_GAP: Seconds = 0.005
+# Tokens are kept for what is needed in this time, so that a busy customer's requests never wait.
+AHEAD_FOR: Seconds = 0.25
+GIVE_BACK_EACH: Seconds = 0.05
+# What a node knows of a customer is forgotten after so long without a request.
+FORGET_AFTER: Seconds = 10.0
+# Answers that come later than this bring no token that still counts.
+LATE_FOR: Seconds = 2.0
+MAX_ASKS = 1024
+MAX_WANTS = 64
+MAX_WAITING = 65_536
+MAX_BACK = 4096
+# A caller that comes back sooner would meet the same want of an answer.
+UNKNOWN_RETRY_MS: Milliseconds = 250.0
+_PER_TOKEN = 0.693
+
+
+class Grant(msgspec.Struct, eq=False):
+    """Hold a grant of a voter's run, and how many of its tokens are given back."""
+
+    voter: str
+    run: int
+    number: int
+    back: int = 0
+
+
+class Batch(msgspec.Struct, eq=False):
+    """Hold tokens of one grant that no request has taken."""
+
+    grant: Grant
+    left: int
+    expires_at: Seconds
+
+
+class Waiter(msgspec.Struct, eq=False):
+    """Hold a request that waits for a token; `outcome` is set once, then `settle` is called."""
+
+    customer: str
+    arrived_at: Seconds
+    until: Seconds
+    outcome: "Result[Grant, QuotaRefusal] | None" = None
+
+
+class QuotaRefusal(msgspec.Struct, frozen=True):
+    """Say why a request gets no token, and when to come back."""
+
+    reason: NotRunReason
+    retry_after_ms: Milliseconds
+
+
+class Ask(msgspec.Struct, eq=False):
+    """Hold an ask that is not answered whole: the tokens still awaited of each customer."""
+
+    number: int
+    voter: str
+    sent_at: Seconds
+    wants: dict[str, int]
+    is_late: bool = False
+
+
+class Stock(msgspec.Struct, eq=False):
+    """Hold what a node keeps of a customer that it served lately.
+
+    `asked` are the tokens in asks that are not late. Units: `use` in requests a second.
+    """
+
+    batches: collections.deque[Batch] = msgspec.field(default_factory=collections.deque)
+    waiting: collections.deque[Waiter] = msgspec.field(default_factory=collections.deque)
+    asked: int = 0
+    refused_until: Seconds = -math.inf
+    use: float = 0.0
+    used_at: Seconds = 0.0
+
+
+class NodeTotals(msgspec.Struct):
+    """Count, since the start, what became of requests of customers with a quota."""
+
+    taken: int = 0
+    refused: int = 0
+    unknown: int = 0
+    returned: int = 0
+    asks: int = 0
+
+
+class NodeQuotas(msgspec.Struct, eq=False):
+    """Hold a node's quotas.
+
+    `wanting` names customers to ask for, `settled` the waiters whose outcome is new, `back` the
+    grants of which tokens are to be given back.
+    """
+
+    bounds: QuotaBounds
+    stocks: dict[str, Stock] = msgspec.field(default_factory=dict)
+    asks: dict[int, Ask] = msgspec.field(default_factory=dict)
+    wanting: dict[str, None] = msgspec.field(default_factory=dict)
+    settled: list[Waiter] = msgspec.field(default_factory=list)
+    back: dict[tuple[str, int, int], Grant] = msgspec.field(default_factory=dict)
+    silent: dict[str, Seconds] = msgspec.field(default_factory=dict)
+    next_ask: int = 1
+    ask_from: Seconds = -math.inf
+    back_at: Seconds = -math.inf
+    forget_at: Seconds = -math.inf
+    waiting: int = 0
+    totals: NodeTotals = msgspec.field(default_factory=NodeTotals)
+
+
+def request_token(
+    quotas: NodeQuotas, customer: str, until: Seconds, now: Seconds
+) -> Result[Grant, QuotaRefusal] | Waiter:
+    """Take a token for a request, refuse it, or have it wait, at most until a time."""
+    stock = quotas.stocks.get(customer)
+    if stock is None:
+        stock = quotas.stocks[customer] = Stock(used_at=now)
+    _note_use(stock, now)
+    grant = _take_from_stock(quotas, stock, now)
+    if grant is not None:
+        quotas.totals.taken += 1
+        if _count_ahead(stock, now) > 0:
+            quotas.wanting[customer] = None
+        return Ok(grant)
+    if now < stock.refused_until:
+        return Error(_refuse_over(quotas, stock, now))
+    if quotas.waiting >= MAX_WAITING:
+        return Error(_refuse_unknown(quotas))
+    waiter = Waiter(customer, now, until)
+    stock.waiting.append(waiter)
+    quotas.waiting += 1
+    quotas.wanting[customer] = None
+    return waiter
+
+
+def _note_use(stock: Stock, now: Seconds) -> None:
+    passed = max(0.0, now - stock.used_at)
+    stock.use = stock.use * 0.5**passed + _PER_TOKEN
+    stock.used_at = now
+
+
+def _take_from_stock(quotas: NodeQuotas, stock: Stock, now: Seconds) -> Grant | None:
+    _drop_old(quotas, stock, now)
+    if not stock.batches:
+        return None
+    batch = stock.batches[0]
+    batch.left -= 1
+    if not batch.left:
+        stock.batches.popleft()
+    return batch.grant
+
+
+def _drop_old(quotas: NodeQuotas, stock: Stock, now: Seconds) -> None:
+    """Give back the tokens that are too old."""
+    while stock.batches and stock.batches[0].expires_at <= now:
+        batch = stock.batches.popleft()
+        _put_back(quotas, batch.grant, batch.left)
+
+
+def _put_back(quotas: NodeQuotas, grant: Grant, tokens: int) -> None:
+    if not tokens:
+        return
+    grant.back += tokens
+    quotas.totals.returned += tokens
+    if len(quotas.back) < MAX_BACK:
+        quotas.back[grant.voter, grant.run, grant.number] = grant
+
+
+def return_token(quotas: NodeQuotas, grant: Grant) -> None:
+    """Give back the token of a request that did not run."""
+    _put_back(quotas, grant, 1)
+
+
+def cancel_wait(quotas: NodeQuotas, waiter: Waiter) -> None:
+    """Forget a request that waits no longer; its token goes to another one."""
+    stock = quotas.stocks.get(waiter.customer)
+    if waiter.outcome is None and stock is not None and waiter in stock.waiting:
+        stock.waiting.remove(waiter)
+        quotas.waiting -= 1
+    elif waiter.outcome is not None and waiter.outcome.is_ok():
+        return_token(quotas, waiter.outcome.ok)
+
+
+def _count_ahead(stock: Stock, now: Seconds) -> int:
+    """Return how many tokens to ask for beside those that are waited for."""
+    needed = int(stock.use * 0.5 ** max(0.0, now - stock.used_at) * AHEAD_FOR)
+    has = sum(batch.left for batch in stock.batches) + stock.asked
+    # Asked for only when half is gone, it is some asks a second whatever the rate is.
+    return 0 if 2 * has > needed else needed - has
+
+
+def _refuse_over(quotas: NodeQuotas, stock: Stock, now: Seconds) -> QuotaRefusal:
+    quotas.totals.refused += 1
+    wait_ms = max(0.0, stock.refused_until - now) * MILLISECONDS_PER_SECOND
+    return QuotaRefusal(NotRunReason.OVER_QUOTA, wait_ms)
+
+
+def _refuse_unknown(quotas: NodeQuotas) -> QuotaRefusal:
+    quotas.totals.unknown += 1
+    return QuotaRefusal(NotRunReason.QUOTA_UNKNOWN, UNKNOWN_RETRY_MS)
+
+
+def flush_asks(quotas: NodeQuotas, voters: tuple[str, ...], now: Seconds) -> Effects:
+    """Ask for all that is wanted; `voters` are in the order in which this node uses them."""
+    if not quotas.wanting or now < quotas.ask_from or not voters:
+        return []
+    if len(quotas.asks) >= MAX_ASKS:
+        return []
+    wants = []
+    for customer in tuple(quotas.wanting)[:MAX_WANTS]:
+        del quotas.wanting[customer]
+        want = _make_want(quotas, customer, now)
+        if want is not None:
+            wants.append(want)
+    if not wants:
+        return []
+    quotas.ask_from = now + ASK_GAP
+    voter = _choose_voter(quotas, voters, now)
+    number = quotas.next_ask
+    quotas.next_ask += 1
+    asked = {want.customer: want.waiting + want.ahead for want in wants}
+    quotas.asks[number] = Ask(number, voter, now, asked)
+    quotas.totals.asks += 1
+    return [QuotaSend(voter, QuotaAsk(number, tuple(wants)))]
+
+
+def _make_want(quotas: NodeQuotas, customer: str, now: Seconds) -> QuotaWant | None:
+    stock = quotas.stocks.get(customer)
+    if stock is None:
+        return None
+    waiting = max(0, len(stock.waiting) - stock.asked)
+    ahead = _count_ahead(stock, now)
+    if not waiting and not ahead:
+        return None
+    stock.asked += waiting + ahead
+    return QuotaWant(customer, waiting, ahead)
+
+
+def _choose_voter(quotas: NodeQuotas, voters: tuple[str, ...], now: Seconds) -> str:
+    for voter in voters:
+        if quotas.silent.get(voter, -math.inf) <= now:
+            return voter
+    return min(voters, key=lambda voter: quotas.silent[voter])
+
+
+def hear_reply(quotas: NodeQuotas, voter: str, reply: QuotaReply, now: Seconds) -> None:
+    """Give the granted tokens to those who wait, and refuse those for whom there are none."""
+    ask = quotas.asks.get(reply.number)
+    if ask is None or ask.voter != voter:
+        return
+    quotas.silent.pop(voter, None)
+    for grant in reply.grants:
+        asked = ask.wants.pop(grant.customer, None)
+        if asked is None:
+            continue
+        stock = quotas.stocks.get(grant.customer)
+        granted = Grant(voter, reply.run, grant.number)
+        if stock is None:
+            _put_back(quotas, granted, grant.tokens)
+            continue
+        if not ask.is_late:
+            stock.asked -= asked
+        _take_over(quotas, stock, granted, grant, ask, now)
+    if not ask.wants:
+        del quotas.asks[reply.number]
+
+
+def _take_over(
+    quotas: NodeQuotas, stock: Stock, grant: Grant, told: QuotaGrant, ask: Ask, now: Seconds
+) -> None:
+    left = told.tokens
+    expires_at = ask.sent_at + quotas.bounds.node_validity
+    while left and stock.waiting:
+        if stock.waiting[0].arrived_at > ask.sent_at and now >= expires_at:
+            break
+        left -= 1
+        quotas.totals.taken += 1
+        _settle(quotas, stock.waiting.popleft(), Ok(grant))
+    if left and now < expires_at:
+        stock.batches.append(Batch(grant, left, expires_at))
+    else:
+        _put_back(quotas, grant, left)
+    if told.wait_ms is not None:
+        stock.refused_until = now + told.wait_ms / MILLISECONDS_PER_SECOND
+        while stock.waiting:
+            _settle(quotas, stock.waiting.popleft(), Error(_refuse_over(quotas, stock, now)))
+
+
+def _settle(quotas: NodeQuotas, waiter: Waiter, outcome: Result[Grant, QuotaRefusal]) -> None:
+    waiter.outcome = outcome
+    quotas.waiting -= 1
+    quotas.settled.append(waiter)
+
+
+def tick_node(quotas: NodeQuotas, now: Seconds) -> Effects:
+    """Turn from a voter that is silent, refuse who waited too long, give back what is too old."""
+    _drop_late(quotas, now)
+    for customer, stock in quotas.stocks.items():
+        while stock.waiting and now >= stock.waiting[0].until:
+            _settle(quotas, stock.waiting.popleft(), Error(_refuse_unknown(quotas)))
+        _drop_old(quotas, stock, now)
+        if len(stock.waiting) > stock.asked:
+            quotas.wanting[customer] = None
+    if now >= quotas.forget_at:
+        quotas.forget_at = now + FORGET_AFTER / 2
+        _forget(quotas, now)
+    return _flush_back(quotas, now)
+
+
+def _drop_late(quotas: NodeQuotas, now: Seconds) -> None:
+    over = []
+    for ask in quotas.asks.values():
+        if not ask.is_late and now - ask.sent_at >= ANSWER_WAIT:
+            ask.is_late = True
+            quotas.silent[ask.voter] = now + SILENT_FOR
+            for customer, asked in ask.wants.items():
+                if customer in quotas.stocks:
+                    quotas.stocks[customer].asked -= asked
+        elif ask.is_late and now - ask.sent_at >= LATE_FOR:
+            over.append(ask.number)
+    for number in over:
+        del quotas.asks[number]
+
+
+def _forget(quotas: NodeQuotas, now: Seconds) -> None:
+    idle = [
+        customer
+        for customer, stock in quotas.stocks.items()
+        if now - stock.used_at > FORGET_AFTER
+        and not stock.waiting
+        and not stock.batches
+        and not stock.asked
+    ]
+    for customer in idle:
+        del quotas.stocks[customer]
+    for voter in [voter for voter, until in quotas.silent.items() if until <= now]:
+        del quotas.silent[voter]
+
+
+def _flush_back(quotas: NodeQuotas, now: Seconds) -> Effects:
+    if not quotas.back or now < quotas.back_at:
+        return []
+    quotas.back_at = now + GIVE_BACK_EACH
+    unused: dict[tuple[str, int], list[QuotaUnused]] = {}
+    for grant in quotas.back.values():
+        if grant.number:
+            row = QuotaUnused(grant.number, grant.back)
+            unused.setdefault((grant.voter, grant.run), []).append(row)
+    quotas.back.clear()
+    return [QuotaSend(voter, QuotaBack(run, tuple(rows))) for (voter, run), rows in unused.items()]
+
+
+def has_work(quotas: NodeQuotas) -> bool:
+    """Tell whether time changes anything soon: someone waits, or there is something to give."""
+    return bool(quotas.asks or quotas.wanting or quotas.back or quotas.waiting) or any(
+        stock.batches for stock in quotas.stocks.values()
+    )
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/quota_world.py
@@ -0,0 +1,230 @@
+"""Model nodes, voters and the messages between them, in virtual time."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import cbor2
+import msgspec
+from expression import Result
+
+from bendwind_core.core import Record, Seconds
+from bendwind_core.quotas import (
+    Grant,
+    NodeQuotas,
+    QuotaAsk,
+    QuotaBack,
+    QuotaBounds,
+    QuotaLoan,
+    QuotaPull,
+    QuotaReply,
+    QuotaSend,
+    VoterQuotas,
+    Waiter,
+    flush_asks,
+    hear_ask,
+    hear_back,
+    hear_loan,
+    hear_pull,
+    hear_reply,
+    note_configuration,
+    note_confirmed,
+    note_voters,
+    request_token,
+    return_token,
+    tick_node,
+    tick_voter,
+)
+from bendwind_core.world import Configuration, Customer
+
+CONFIRMED_FOR: Seconds = 1.0
+CONFIRM_EACH: Seconds = 0.4
+TICK: Seconds = 0.01
+TOKEN_WAIT: Seconds = 0.25
+
+
+def hear_as_voter(quotas: VoterQuotas, sender: str, message: Record, now: Seconds):
+    """Have a voter hear a message."""
+    match message:
+        case QuotaAsk():
+            return hear_ask(quotas, sender, message, now)
+        case QuotaPull():
+            return hear_pull(quotas, sender, message, now)
+        case QuotaLoan():
+            return hear_loan(quotas, sender, message, now)
+        case QuotaBack():
+            hear_back(quotas, message, now)
+    return []
+
+
+class Node(msgspec.Struct, eq=False):
+    """Hold a node, the voters in its order, and the requests that wait."""
+
+    name: str
+    quotas: NodeQuotas
+    voters: tuple[str, ...]
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """Hold what became of one request; `reason` is empty where it ran."""
+
+    customer: str
+    node: str
+    arrived_at: Seconds
+    settled_at: Seconds
+    reason: str
+
+
+class Model:
+    """Run nodes and voters; every message takes a few milliseconds."""
+
+    def __init__(
+        self,
+        customers: tuple[Customer, ...],
+        nodes: int,
+        voters: int = 5,
+        bounds: QuotaBounds | None = None,
+        seed: int = 1,
+        delay: Seconds = 0.002,
+    ):
+        self.rng = random.Random(seed)
+        self.bounds = bounds or QuotaBounds()
+        self.now: Seconds = 0.0
+        self.delay = delay
+        self.agenda: list[tuple[Seconds, int, Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.outcomes: list[Outcome] = []
+        self.messages: dict[str, int] = {}
+        self.bytes = 0
+        self.runs_back: Callable[[str], bool] = lambda customer: False
+        self.lost: set[str] = set()
+        self.configuration = Configuration(1, customers=customers)
+        self.voter_count = voters
+        names = tuple(f"v{index}" for index in range(voters))
+        self.voters = {
+            name: self.start_voter(name, names, index) for index, name in enumerate(names)
+        }
+        for quotas in self.voters.values():
+            note_confirmed(quotas, self.now)
+            note_configuration(quotas, self.configuration, self.now)
+        self.nodes = {}
+        for index in range(nodes):
+            home = index % voters
+            order = names[home:] + names[:home]
+            self.nodes[f"n{index}"] = Node(f"n{index}", NodeQuotas(self.bounds), order)
+        self.at(CONFIRM_EACH, self._confirm)
+        self.at(TICK, self._tick)
+
+    def start_voter(self, name: str, names: tuple[str, ...], voter_id: int) -> VoterQuotas:
+        """Start the process of a voter."""
+        quotas = VoterQuotas(
+            name, int(self.now * 1000) + 1, self.bounds, self.voter_count, CONFIRMED_FOR
+        )
+        note_voters(quotas, voter_id, tuple(other for other in names if other != name), self.now)
+        return quotas
+
+    def restart_voter(self, name: str) -> None:
+        """Start a voter anew: all it knew is lost."""
+        names = tuple(self.voters)
+        self.voters[name] = self.start_voter(name, names, names.index(name))
+        note_configuration(self.voters[name], self.configuration, self.now)
+        self.lost.discard(name)
+
+    def at(self, time: Seconds, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self.agenda, (time, next(self.order), action))
+
+    def run(self, until: Seconds) -> None:
+        """Let time pass."""
+        while self.agenda and self.agenda[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.agenda)
+            action()
+        self.now = until
+
+    def _confirm(self) -> None:
+        for name, quotas in self.voters.items():
+            if name not in self.lost:
+                note_confirmed(quotas, self.now)
+        self.at(self.now + CONFIRM_EACH, self._confirm)
+
+    def _tick(self) -> None:
+        for name, quotas in self.voters.items():
+            if name not in self.lost:
+                self.send_all(name, tick_voter(quotas, self.now))
+        for node in self.nodes.values():
+            self.send_all(node.name, tick_node(node.quotas, self.now))
+            self._flush(node)
+        self.at(self.now + TICK, self._tick)
+
+    def send_all(self, sender: str, effects: list[QuotaSend]) -> None:
+        """Send messages; what goes to or comes from a lost voter is lost."""
+        for effect in effects:
+            kind = type(effect.message).__name__
+            self.messages[kind] = self.messages.get(kind, 0) + 1
+            self.bytes += len(cbor2.dumps(msgspec.to_builtins(effect.message)))
+            due = self.now + self.delay * self.rng.uniform(0.5, 1.5)
+            self.at(due, lambda effect=effect: self._deliver(sender, effect))
+
+    def _deliver(self, sender: str, effect: QuotaSend) -> None:
+        if sender in self.lost or effect.to in self.lost:
+            return
+        voter = self.voters.get(effect.to)
+        if voter is not None:
+            self.send_all(effect.to, hear_as_voter(voter, sender, effect.message, self.now))
+            return
+        node = self.nodes[effect.to]
+        assert isinstance(effect.message, QuotaReply)
+        hear_reply(node.quotas, sender, effect.message, self.now)
+        self._flush(node)
+
+    def _flush(self, node: Node) -> None:
+        for waiter in node.quotas.settled:
+            self._note(node, waiter.customer, waiter.arrived_at, waiter.outcome)
+        node.quotas.settled.clear()
+        self.send_all(node.name, flush_asks(node.quotas, node.voters, self.now))
+
+    def request(self, customer: str, node: str) -> None:
+        """Have a request of a customer come to a node."""
+        where = self.nodes[node]
+        asked = request_token(where.quotas, customer, self.now + TOKEN_WAIT, self.now)
+        if not isinstance(asked, Waiter):
+            self._note(where, customer, self.now, asked)
+        self._flush(where)
+
+    def _note(self, node: Node, customer: str, arrived_at: Seconds, outcome: Result) -> None:
+        reason = ""
+        match outcome:
+            case Result(tag="ok", ok=grant):
+                self._end(node, customer, grant)
+            case Result(error=refused):
+                reason = str(refused.reason)
+        self.outcomes.append(Outcome(customer, node.name, arrived_at, self.now, reason))
+
+    def _end(self, node: Node, customer: str, grant: Grant) -> None:
+        if self.runs_back(customer):
+            return_token(node.quotas, grant)
+
+    def stream(
+        self, customer: str, nodes: tuple[str, ...], rate: float, start: Seconds, end: Seconds
+    ):
+        """Have requests come at random times, each to one of the nodes."""
+
+        def arrive() -> None:
+            self.request(customer, self.rng.choice(nodes))
+            plan()
+
+        def plan() -> None:
+            due = max(self.now, start) + self.rng.expovariate(rate)
+            if due < end:
+                self.at(due, arrive)
+
+        plan()
+
+    def count(self, customer: str | None = None, reason: str | None = None) -> int:
+        """Count outcomes, of one customer or all, with one reason or any."""
+        return sum(
+            (customer is None or one.customer == customer)
+            and (reason is None or one.reason == reason)
+            for one in self.outcomes
+        )
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -0,0 +1,404 @@
+"""Decide what a voter does about quotas: grant, lend, borrow, forget."""
+
+import msgspec
+
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
+from bendwind_core.quotas.bucket import ROUNDING, fill, find_wait, put_back, set_share, take
+from bendwind_core.quotas.messages import (
+    QuotaAsk,
+    QuotaBack,
+    QuotaGrant,
+    QuotaLoan,
+    QuotaPull,
+    QuotaReply,
+    QuotaUnused,
+    QuotaWant,
+)
+from bendwind_core.quotas.voter_state import (
+    MAX_TAKINGS,
+    MAX_WAITING,
+    UNDONE_FOR,
+    Account,
+    Borrowed,
+    Lender,
+    Pulling,
+    Taking,
+    VoterQuotas,
+    Waiting,
+    add_account,
+    find_account,
+    find_share,
+    find_use,
+    is_forgettable,
+    note_use,
+)
+from bendwind_core.world import Configuration, Customer
+
+# A node asks another voter after 100 ms; a loan takes a round trip within a region.
+LOAN_WAIT: Seconds = 0.05
+# A voter that has nothing is left alone for about as long as it takes to have a token.
+SHORTEST_PAUSE: Seconds = 0.1
+LONGEST_PAUSE: Seconds = 1.0
+# Callers that come back sooner would cost more than they get; a node asks for nothing until then.
+SHORTEST_REFUSAL: Seconds = 0.05
+# However many nodes are short of a customer's tokens, each asks for them at most once in this time.
+LONGEST_REFUSAL: Seconds = 1.0
+_FORGET_EACH: Seconds = 0.5
+
+
+class QuotaSend(msgspec.Struct, frozen=True):
+    """Send a message to a node or voter; it may be lost."""
+
+    to: str
+    message: Record
+
+
+Effects = list[QuotaSend]
+
+
+def note_voters(
+    quotas: VoterQuotas, voter_id: int | None, peers: tuple[str, ...], now: Seconds
+) -> None:
+    """Take over the voters: this one's id among them, None if it is none, and the others' names.
+
+    A voter that was not one before begins with empty buckets, and only once its predecessor, which
+    may be cut off, grants nothing more. One that was a voter when its process started has no other
+    predecessor than its own last run.
+    """
+    quotas.peers = peers
+    is_first = not quotas.has_begun
+    quotas.has_begun = True
+    if voter_id == quotas.voter_id:
+        return
+    delay = 0.0 if is_first else quotas.confirmed_for
+    quotas.voter_id = voter_id
+    quotas.accounts.clear()
+    quotas.busy.clear()
+    quotas.takings.clear()
+    quotas.waiting = 0
+    quotas.has_confirmed = False
+    quotas.confirmed_at = None
+    quotas.filling_from = None if voter_id is None else now + delay
+
+
+def note_confirmed(quotas: VoterQuotas, started_at: Seconds) -> None:
+    """Hear that a quorum confirmed, since a time, that this is a voter and knows all limits."""
+    if quotas.filling_from is None:
+        return
+    quotas.confirmed_at = started_at
+    quotas.has_confirmed = True
+
+
+def note_configuration(quotas: VoterQuotas, configuration: Configuration, now: Seconds) -> None:
+    """Take over the customers' limits."""
+    listed = configuration.customers or ()
+    limited = {customer.name: customer for customer in listed if customer.is_limited}
+    if limited == quotas.customers:
+        return
+    before, quotas.customers = quotas.customers, limited
+    for name, customer in limited.items():
+        old = before.get(name)
+        if old is None:
+            _begin_customer(quotas, customer, now)
+        elif (old.rate_per_s, old.burst) != (customer.rate_per_s, customer.burst):
+            _change_limit(quotas, old, customer, now)
+
+
+def _begin_customer(quotas: VoterQuotas, customer: Customer, now: Seconds) -> None:
+    # Nobody can have granted anything of it, unless this voter merely had not heard of it yet.
+    share = find_share(quotas, customer)
+    account = quotas.accounts.get(customer.name)
+    if account is not None:
+        set_share(account.bucket, share, quotas.next_number, now)
+    elif quotas.has_confirmed:
+        add_account(quotas, customer.name, share, share.cap, now)
+
+
+def _change_limit(quotas: VoterQuotas, old: Customer, new: Customer, now: Seconds) -> None:
+    account = quotas.accounts.get(old.name)
+    if account is None:
+        # It holds what the old limit permitted, and fills up to the new one from there.
+        quotas.customers[old.name] = old
+        account = find_account(quotas, old.name, now)
+        quotas.customers[old.name] = new
+    if account is not None:
+        set_share(account.bucket, find_share(quotas, new), quotas.next_number, now)
+
+
+def hear_ask(quotas: VoterQuotas, node: str, ask: QuotaAsk, now: Seconds) -> Effects:
+    """Answer a node, at once for all wants but those that wait for a loan."""
+    effects: Effects = []
+    if not quotas.may_grant(now):
+        # The node asks another voter.
+        quotas.totals.unconfirmed += 1
+        return effects
+    grants = []
+    for want in ask.wants:
+        grant = _answer_want(quotas, node, ask.number, want, now, effects)
+        if grant is not None:
+            grants.append(grant)
+    if grants:
+        effects.append(QuotaSend(node, QuotaReply(ask.number, quotas.run, tuple(grants))))
+    return effects
+
+
+def _answer_want(
+    quotas: VoterQuotas, node: str, number: int, want: QuotaWant, now: Seconds, effects: Effects
+) -> QuotaGrant | None:
+    account = find_account(quotas, want.customer, now)
+    if account is None:
+        return QuotaGrant(want.customer, 0, 0, SHORTEST_REFUSAL * MILLISECONDS_PER_SECOND)
+    note_use(account, want.waiting + want.ahead, now)
+    if not account.waiting and _count_whole(account, now) >= want.waiting:
+        return _grant(quotas, want.customer, account, want.waiting, want.ahead, now)
+    if quotas.waiting < MAX_WAITING:
+        account.waiting.append(Waiting(node, number, want.waiting, now + LOAN_WAIT))
+        quotas.waiting += 1
+        quotas.busy[want.customer] = None
+        _seek_loan(quotas, want.customer, account, now, effects)
+        if account.pulling is not None:
+            return None
+        _settle(quotas, want.customer, account, now, effects)
+        return None
+    return _grant(quotas, want.customer, account, want.waiting, 0, now)
+
+
+def _count_available(account: Account, now: Seconds) -> float:
+    fill(account.bucket, now)
+    account_borrowed = sum(part.tokens for part in account.borrowed if part.expires_at > now)
+    return account.bucket.level + account_borrowed
+
+
+def _count_whole(account: Account, now: Seconds) -> int:
+    return int(_count_available(account, now) + ROUNDING)
+
+
+def _grant(
+    quotas: VoterQuotas, name: str, account: Account, waiting: int, ahead: int, now: Seconds
+) -> QuotaGrant:
+    """Grant what is there: whole tokens to those who wait, and half of the rest ahead."""
+    whole = _count_whole(account, now)
+    tokens = min(waiting, whole)
+    refused = waiting - tokens
+    if not refused:
+        # Others may ask in the next moment.
+        tokens += max(0, min(ahead, (whole - tokens) // 2))
+    number = _take(quotas, name, account, tokens, now) if tokens else 0
+    account.granted += tokens
+    account.refused += refused
+    quotas.totals.granted += tokens
+    quotas.totals.refused += refused
+    wait_ms = _find_refusal_ms(account, now) if refused else None
+    return QuotaGrant(name, number, tokens, wait_ms)
+
+
+def _take(quotas: VoterQuotas, name: str, account: Account, tokens: float, now: Seconds) -> int:
+    """Take tokens for a grant or loan, first what was borrowed; return the number of it."""
+    number = quotas.next_number
+    quotas.next_number += 1
+    own = tokens - _use_borrowed(account, tokens, now)
+    if own > ROUNDING:
+        take(account.bucket, own, number, now)
+        _remember(quotas, number, Taking(name, own, now))
+    return number
+
+
+def _use_borrowed(account: Account, tokens: float, now: Seconds) -> float:
+    used = 0.0
+    for part in account.borrowed:
+        if part.expires_at > now:
+            share = min(part.tokens, tokens - used)
+            part.tokens -= share
+            used += share
+    return used
+
+
+def _remember(quotas: VoterQuotas, number: int, taking: Taking) -> None:
+    quotas.takings[number] = taking
+    if len(quotas.takings) > MAX_TAKINGS:
+        del quotas.takings[next(iter(quotas.takings))]
+
+
+def _find_refusal_ms(account: Account, now: Seconds) -> float:
+    """Return when the asker should come back: each later than the one before, by one token."""
+    waits = [find_wait(account.bucket, 1.0, now)]
+    waits += [lender.ask_from - now for lender in account.lenders.values()]
+    room_at = max(now + min(waits), account.room_at + 1.0 / account.bucket.share.rate)
+    account.room_at = min(room_at, now + LONGEST_REFUSAL)
+    wait = max(SHORTEST_REFUSAL, account.room_at - now)
+    return wait * MILLISECONDS_PER_SECOND
+
+
+def _seek_loan(
+    quotas: VoterQuotas, name: str, account: Account, now: Seconds, effects: Effects
+) -> None:
+    """Ask the voter that had most by its last word, unless one is being asked."""
+    if account.pulling is not None or not account.waiting:
+        return
+    lender = _choose_lender(quotas, account, now)
+    if lender is None:
+        return
+    wanted = sum(want.waiting for want in account.waiting) - _count_available(account, now)
+    if wanted <= ROUNDING:
+        return
+    # Whoever is short now will be so again before the next loan.
+    ahead = find_use(account, now) * quotas.bounds.loan_validity / 2
+    number = quotas.next_pull
+    quotas.next_pull += 1
+    account.pulling = Pulling(number, lender, now)
+    effects.append(QuotaSend(lender, QuotaPull(number, name, wanted + int(ahead))))
+
+
+def _choose_lender(quotas: VoterQuotas, account: Account, now: Seconds) -> str | None:
+    free = [name for name in quotas.peers if _may_ask(account, name, now)]
+    unheard = account.bucket.share.cap
+    return max(
+        free,
+        key=lambda name: account.lenders[name].left if name in account.lenders else unheard,
+        default=None,
+    )
+
+
+def _may_ask(account: Account, name: str, now: Seconds) -> bool:
+    lender = account.lenders.get(name)
+    return lender is None or now >= lender.ask_from
+
+
+def hear_pull(quotas: VoterQuotas, voter: str, pull: QuotaPull, now: Seconds) -> Effects:
+    """Lend what is not needed here in the next moment."""
+    if not quotas.may_grant(now):
+        return []
+    account = find_account(quotas, pull.customer, now)
+    if account is None:
+        return [QuotaSend(voter, QuotaLoan(pull.number, quotas.run, pull.customer, 0, 0.0, 0.0))]
+    bucket = account.bucket
+    fill(bucket, now)
+    own_need = find_use(account, now) * LOAN_WAIT + sum(want.waiting for want in account.waiting)
+    tokens = max(0.0, min(pull.tokens, bucket.level - own_need))
+    number = 0
+    if tokens > ROUNDING:
+        number = quotas.next_number
+        quotas.next_number += 1
+        take(bucket, tokens, number, now)
+        _remember(quotas, number, Taking(pull.customer, tokens, now))
+        quotas.totals.lent += tokens
+    else:
+        tokens = 0.0
+    left = max(0.0, bucket.level - own_need)
+    loan = QuotaLoan(pull.number, quotas.run, pull.customer, number, tokens, left)
+    return [QuotaSend(voter, loan)]
+
+
+def hear_loan(quotas: VoterQuotas, voter: str, loan: QuotaLoan, now: Seconds) -> Effects:
+    """Take over a loan that is still asked for, and answer those who waited for it."""
+    effects: Effects = []
+    account = quotas.accounts.get(loan.customer)
+    pulling = None if account is None else account.pulling
+    if pulling is None or (pulling.number, pulling.lender) != (loan.pull, voter):
+        return effects
+    account.pulling = None
+    _note_lender(account, voter, loan, now)
+    expires_at = pulling.sent_at + quotas.bounds.loan_validity
+    if loan.tokens > 0:
+        account.borrowed.append(Borrowed(voter, loan.run, loan.number, loan.tokens, expires_at))
+        quotas.totals.borrowed += loan.tokens
+        quotas.busy[loan.customer] = None
+    _settle(quotas, loan.customer, account, now, effects)
+    return effects
+
+
+def _note_lender(account: Account, voter: str, loan: QuotaLoan, now: Seconds) -> None:
+    ask_from = now
+    if loan.left <= ROUNDING:
+        until_token = 1.0 / account.bucket.share.rate
+        ask_from = now + min(LONGEST_PAUSE, max(SHORTEST_PAUSE, until_token))
+    account.lenders[voter] = Lender(loan.left, ask_from)
+
+
+def _settle(
+    quotas: VoterQuotas, name: str, account: Account, now: Seconds, effects: Effects
+) -> None:
+    """Answer in turn whoever can have all it waits for, and all once nobody can lend."""
+    while account.waiting and _count_whole(account, now) >= account.waiting[0].waiting:
+        _answer_first(quotas, name, account, now, effects)
+    _seek_loan(quotas, name, account, now, effects)
+    if account.pulling is None:
+        while account.waiting:
+            _answer_first(quotas, name, account, now, effects)
+
+
+def _answer_first(
+    quotas: VoterQuotas, name: str, account: Account, now: Seconds, effects: Effects
+) -> None:
+    want = account.waiting.popleft()
+    quotas.waiting -= 1
+    grant = _grant(quotas, name, account, want.waiting, 0, now)
+    effects.append(QuotaSend(want.node, QuotaReply(want.number, quotas.run, (grant,))))
+
+
+def hear_back(quotas: VoterQuotas, back: QuotaBack, now: Seconds) -> None:
+    """Put back what was granted or lent and not used; a repeated message changes nothing."""
+    if back.run != quotas.run:
+        return
+    for unused in back.unused:
+        taking = quotas.takings.get(unused.number)
+        if taking is None or now - taking.at > UNDONE_FOR:
+            continue
+        more = min(unused.tokens, taking.tokens) - taking.back
+        account = quotas.accounts.get(taking.customer)
+        if more <= 0 or account is None:
+            continue
+        taking.back += more
+        put_back(account.bucket, more, unused.number, now)
+
+
+def tick_voter(quotas: VoterQuotas, now: Seconds) -> Effects:
+    """Answer who waited long enough, give loans back that are over, forget what is full."""
+    effects: Effects = []
+    for name in tuple(quotas.busy):
+        account = quotas.accounts[name]
+        if account.pulling is not None and now - account.pulling.sent_at >= LOAN_WAIT:
+            _give_up_pull(account, now)
+            _settle(quotas, name, account, now, effects)
+        while account.waiting and now >= account.waiting[0].until:
+            _answer_first(quotas, name, account, now, effects)
+        if account.borrowed:
+            _give_back(account, now, effects)
+        if not account.waiting and not account.borrowed and account.pulling is None:
+            del quotas.busy[name]
+    if now >= quotas.forget_at:
+        quotas.forget_at = now + _FORGET_EACH
+        _forget(quotas, now)
+    return effects
+
+
+def _give_up_pull(account: Account, now: Seconds) -> None:
+    # A voter that is lost or cut off should not be waited for by every request.
+    account.lenders[account.pulling.lender] = Lender(0.0, now + LONGEST_PAUSE)
+    account.pulling = None
+
+
+def _give_back(account: Account, now: Seconds, effects: Effects) -> None:
+    over = [part for part in account.borrowed if part.expires_at <= now]
+    account.borrowed = [
+        part for part in account.borrowed if part.expires_at > now and part.tokens > ROUNDING
+    ]
+    for part in over:
+        if part.tokens > ROUNDING:
+            unused = QuotaUnused(part.number, part.tokens)
+            effects.append(QuotaSend(part.lender, QuotaBack(part.run, (unused,))))
+
+
+def _forget(quotas: VoterQuotas, now: Seconds) -> None:
+    full = [
+        name for name, account in quotas.accounts.items() if is_forgettable(quotas, account, now)
+    ]
+    for name in full:
+        del quotas.accounts[name]
+    old = []
+    for number, taking in quotas.takings.items():
+        if now - taking.at <= UNDONE_FOR:
+            break
+        old.append(number)
+    for number in old:
+        del quotas.takings[number]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -0,0 +1,189 @@
+"""Hold what a voter knows of quotas: buckets, loans and the wants that wait for one."""
+
+import collections
+
+import msgspec
+
+from bendwind_core.core import Seconds
+from bendwind_core.quotas.bounds import QuotaBounds, Share, create_share
+from bendwind_core.quotas.bucket import Bucket, fill
+from bendwind_core.world import Customer
+
+# A full bucket of a customer is not kept, so that only those are that were asked for in the last
+# seconds. Each takes under a kilobyte.
+MAX_BUCKETS = 65_536
+# A request that waits for room longer than this and then does not run has cost its customer one.
+UNDONE_FOR: Seconds = 5.0
+MAX_TAKINGS = 65_536
+# What waits for a loan waits for a few milliseconds; a full list refuses what its bucket lacks.
+MAX_WAITING = 4096
+# What fades by half each second sums up to the rate of a steady stream if each token adds so much.
+_PER_TOKEN = 0.693
+
+
+class Taking(msgspec.Struct):
+    """Hold what was taken from a bucket for one grant or loan, and how much of it came back."""
+
+    customer: str
+    tokens: float
+    at: Seconds
+    back: float = 0.0
+
+
+class Borrowed(msgspec.Struct):
+    """Hold what another voter lent: its run's number of the loan, and what is left of it."""
+
+    lender: str
+    run: int
+    number: int
+    tokens: float
+    expires_at: Seconds
+
+
+class Waiting(msgspec.Struct):
+    """Hold a node's want for which the bucket had too little."""
+
+    node: str
+    number: int
+    waiting: int
+    until: Seconds
+
+
+class Pulling(msgspec.Struct):
+    """Hold the question to another voter that is under way for a customer."""
+
+    number: int
+    lender: str
+    sent_at: Seconds
+
+
+class Lender(msgspec.Struct):
+    """Hold the last word of another voter about a customer; before `ask_from` it is left alone."""
+
+    left: float
+    ask_from: Seconds
+
+
+class Account(msgspec.Struct):
+    """Hold what a voter keeps of a customer that was asked for lately.
+
+    Units: `use` in tokens a second, as of `used_at`; `granted` and `refused` in tokens.
+    `room_at` is when the last node that was refused should ask again.
+    """
+
+    bucket: Bucket
+    borrowed: list[Borrowed] = msgspec.field(default_factory=list)
+    waiting: collections.deque[Waiting] = msgspec.field(default_factory=collections.deque)
+    pulling: Pulling | None = None
+    lenders: dict[str, Lender] = msgspec.field(default_factory=dict)
+    use: float = 0.0
+    used_at: Seconds = 0.0
+    granted: int = 0
+    refused: int = 0
+    room_at: Seconds = 0.0
+
+
+class QuotaTotals(msgspec.Struct):
+    """Count, since the start, what a voter granted, refused, lent and got lent."""
+
+    granted: int = 0
+    refused: int = 0
+    lent: float = 0.0
+    borrowed: float = 0.0
+    unconfirmed: int = 0
+
+
+class VoterQuotas(msgspec.Struct):
+    """Hold a voter's quotas.
+
+    `run` is that of its process, `kept_voters` the number that the deployment keeps. Grants need a
+    confirmation, by a quorum, that is younger than `confirmed_for`. Buckets fill since
+    `filling_from`, None while this is no voter. `has_begun` says that the voters were told of since
+    the start; until `has_confirmed`, a customer that is new here need not be new elsewhere.
+    `busy` names the accounts with wants, loans or questions under way.
+    """
+
+    name: str
+    run: int
+    bounds: QuotaBounds
+    kept_voters: int
+    confirmed_for: Seconds
+    peers: tuple[str, ...] = ()
+    filling_from: Seconds | None = None
+    has_begun: bool = False
+    has_confirmed: bool = False
+    confirmed_at: Seconds | None = None
+    voter_id: int | None = None
+    customers: dict[str, Customer] = msgspec.field(default_factory=dict)
+    accounts: dict[str, Account] = msgspec.field(default_factory=dict)
+    busy: dict[str, None] = msgspec.field(default_factory=dict)
+    takings: dict[int, Taking] = msgspec.field(default_factory=dict)
+    next_number: int = 1
+    next_pull: int = 1
+    waiting: int = 0
+    forget_at: Seconds = 0.0
+    totals: QuotaTotals = msgspec.field(default_factory=QuotaTotals)
+
+    def may_grant(self, now: Seconds) -> bool:
+        """Tell whether no successor can have begun to fill this voter's buckets."""
+        is_filling = self.filling_from is not None and now >= self.filling_from
+        confirmed_at = self.confirmed_at
+        if not is_filling or confirmed_at is None:
+            return False
+        return now - confirmed_at < self.confirmed_for
+
+
+def find_share(quotas: VoterQuotas, customer: Customer) -> Share:
+    """Return this voter's part of a customer's quota."""
+    return create_share(customer, quotas.bounds, quotas.kept_voters)
+
+
+def find_account(quotas: VoterQuotas, name: str, now: Seconds) -> Account | None:
+    """Return the account of a limited customer, made if there is none; None if it has no limit."""
+    account = quotas.accounts.get(name)
+    if account is not None:
+        return account
+    customer = quotas.customers.get(name)
+    if customer is None or len(quotas.accounts) >= MAX_BUCKETS:
+        return None
+    share = find_share(quotas, customer)
+    return add_account(quotas, name, share, _find_first_level(quotas, share, now), now)
+
+
+def add_account(
+    quotas: VoterQuotas, name: str, share: Share, level: float, now: Seconds
+) -> Account:
+    """Open an account whose bucket holds so much."""
+    bucket = Bucket(share, level, now, quotas.next_number)
+    account = Account(bucket, used_at=now)
+    quotas.accounts[name] = account
+    return account
+
+
+def _find_first_level(quotas: VoterQuotas, share: Share, now: Seconds) -> float:
+    """Return what a bucket holds that was left alone ever since it began to fill."""
+    if quotas.filling_from is None:
+        return 0.0
+    return min(share.cap, share.rate * max(0.0, now - quotas.filling_from))
+
+
+def is_forgettable(quotas: VoterQuotas, account: Account, now: Seconds) -> bool:
+    """Tell whether an account opened anew would hold the same."""
+    if account.waiting or account.borrowed or account.pulling is not None:
+        return False
+    bucket = account.bucket
+    fill(bucket, now)
+    is_full = bucket.level >= bucket.share.cap
+    return is_full and _find_first_level(quotas, bucket.share, now) >= bucket.share.cap
+
+
+def note_use(account: Account, tokens: float, now: Seconds) -> None:
+    """Follow how many tokens of a customer are asked for here, over about a second."""
+    passed = max(0.0, now - account.used_at)
+    account.use = account.use * 0.5**passed + tokens * _PER_TOKEN
+    account.used_at = max(account.used_at, now)
+
+
+def find_use(account: Account, now: Seconds) -> float:
+    """Return the rate at which tokens of a customer are asked for here."""
+    return account.use * 0.5 ** max(0.0, now - account.used_at)
--- a/packages/bendwind-node/src/bendwind_node/calls/call_run.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_run.py
@@ -17,6 +17,7 @@
 )
 from bendwind_core.claims import ClaimAnswer
 from bendwind_core.core import Seconds
+from bendwind_core.quotas import Grant
 from bendwind_node.calls.body_flow import Outflow
 
 
@@ -24,7 +25,8 @@
     """Hold one call; `apply` decides on an event and carries out what needs no waiting.
 
     `request_id` is the caller's own id of its request, `span` the time that the caller has, and
-    `is_inner` says that an owner took it for a call of an upstream.
+    `is_inner` says that an owner took it for a call of an upstream. `quota_grant` is where the
+    token of its customer's quota comes from.
     """
 
     call: EntryCall
@@ -48,6 +50,7 @@
     outflows: dict[AttemptId, Outflow] = msgspec.field(default_factory=dict)
     kept_parts: list[bytes] = msgspec.field(default_factory=list)
     replay: ClaimAnswer | CutReason | None = None
+    quota_grant: Grant | None = None
     is_stepping: bool = False
     wake: trio.Event = msgspec.field(default_factory=trio.Event)
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -4,6 +4,7 @@
 from expression import Result
 
 from bendwind_core.attempts import events as ev
+from bendwind_core.attempts.call import may_have_run
 from bendwind_core.limits import leave
 from bendwind_core.timeline import CallFacts, EventKind
 from bendwind_node.calls import outcomes
@@ -83,6 +84,10 @@
         desk.in_flight += 1
         desk.called_at = trio.current_time()
         try:
+            refusal = await self._take_token(run)
+            if refusal is not None:
+                await self._refuse(exchange, call.call_id, refusal)
+                return
             run.feed(ev.Begin())
             await Delivery(self.entry, exchange, run).finish()
         finally:
@@ -90,4 +95,19 @@
             leave(self.entry.share, call.service.name)
             if not call.is_finished:
                 run.feed(ev.CallerGone())
+            if run.quota_grant is not None and not may_have_run(call):
+                self.entry.quotas.give_back(run.quota_grant)
             self.entry.forget(run)
+
+    async def _take_token(self, run: CallRun) -> Refusal | None:
+        """Take a token of the customer's quota; the first attempt may not start without one."""
+        call = run.call
+        quotas = self.entry.quotas
+        if quotas is None or not quotas.is_limited(call.customer):
+            return None
+        match await quotas.take(call.customer, call.target_at, call.deadline_at):
+            case Result(tag="ok", ok=grant):
+                run.quota_grant = grant
+                return None
+            case Result(error=refused):
+                return Refusal.not_run(refused.reason, refused.retry_after_ms)
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -58,6 +58,7 @@
 from bendwind_node.claims.task import ClaimTask
 from bendwind_node.links import Link, LinkHub
 from bendwind_node.membership import MembershipTask
+from bendwind_node.quotas import NodeQuotaTask
 
 LOCAL_EPOCH = 0
 # A longer body goes to another data centre only after its owner has said that it takes the request.
@@ -106,6 +107,7 @@
     dialect: Dialect = BENDWIND_DIALECT
     origin_service: str = ""
     far_body_bytes: int = DEFAULT_FAR_BODY_BYTES
+    quotas: NodeQuotaTask | None = None
     routes: RouteTable = field(default_factory=RouteTable)
     returns: Returns = field(default_factory=Returns)
     desks: dict[str, ServiceDesk] = field(default_factory=dict)
--- a/packages/bendwind-node/src/bendwind_node/calls/refusal.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/refusal.py
@@ -19,9 +19,10 @@
     retry_after_ms: Milliseconds | None = None
 
     @staticmethod
-    def not_run(reason: NotRunReason) -> "Refusal":
+    def not_run(reason: NotRunReason, retry_after_ms: Milliseconds | None = None) -> "Refusal":
         """Refuse a request that may be sent again later."""
-        is_load = reason is NotRunReason.OVERLOADED
-        retry_after_ms = _OVERLOADED_RETRY_MS if is_load else _STALE_RETRY_MS
+        if retry_after_ms is None:
+            is_load = reason is NotRunReason.OVERLOADED
+            retry_after_ms = _OVERLOADED_RETRY_MS if is_load else _STALE_RETRY_MS
         status = outcomes.find_not_run_status(reason)
         return Refusal(status, outcomes.NOT_RUN, reason, retry_after_ms)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_quota_path.py
@@ -0,0 +1,82 @@
+"""Test that a request of a customer with a quota runs only with a token."""
+
+import unittest
+
+import trio
+
+from bendwind_node.calls.call_intake import CallIntake
+from bendwind_node.calls.tests.fakes import CallBench, announce, make_exchange
+from bendwind_node.calls.tests.scripted_server import read_request, run_server
+from bendwind_node.quotas.tests.fakes import QuotaBench, make_customer
+
+
+class CustomersIntake(CallIntake):
+    """Take every request for one customer."""
+
+    async def take(self, exchange, call_id):
+        taken = await super().take(exchange, call_id)
+        if taken.is_ok():
+            taken.ok.call.customer = "maria"
+        return taken
+
+
+class TestQuotaPath(unittest.TestCase):
+    def play(self, customer, requests, is_up=True):
+        """Send requests one after the other; return their statuses and what was run."""
+        statuses, ran, headers = [], [], []
+
+        async def upstream(stream, number):
+            while await read_request(stream):
+                ran.append(number)
+                await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+        async def main():
+            async with run_server(upstream) as port, trio.open_nursery() as nursery:
+                bench = CallBench(nursery)
+                quotas = QuotaBench(nursery, [customer], voters=1)
+                nursery.start_soon(quotas.keep_confirming)
+                bench.entry.quotas = quotas.add_node("n")
+                intake = bench.intake
+                bench.task.intake = CustomersIntake(
+                    bench.entry, intake.max_in_flight, intake.max_body_bytes, intake.budget
+                )
+                if is_up:
+                    announce(bench.owner, port)
+                for _ in range(requests):
+                    exchange = await bench.call(make_exchange())
+                    statuses.append(exchange.status)
+                    headers.append(exchange.headers)
+                self.stock = bench.entry.quotas.quotas.totals
+                nursery.cancel_scope.cancel()
+
+        async def bounded():
+            with trio.fail_after(60):
+                await main()
+
+        trio.run(bounded)
+        return statuses, ran, headers
+
+    def test_what_is_beyond_the_quota_gets_429_and_does_not_run(self):
+        statuses, ran, headers = self.play(make_customer(0.01, 5.0), 40)
+        self.assertGreaterEqual(statuses.count(200), 5)
+        self.assertEqual(statuses.count(200), len(ran))
+        self.assertEqual(set(statuses), {200, 429})
+        refused = headers[-1]
+        self.assertEqual(refused[b"bendwind-outcome"], b"not-run")
+        self.assertEqual(refused[b"bendwind-reason"], b"over-quota")
+        self.assertIn(b"retry-after", refused)
+
+    def test_a_customer_without_a_limit_is_asked_for_no_token(self):
+        statuses, _, _ = self.play(make_customer(0.0, 0.0), 40)
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual((self.stock.taken, self.stock.asks), (0, 0))
+
+    def test_requests_that_do_not_run_give_their_tokens_back(self):
+        statuses, _, _ = self.play(make_customer(0.01, 5.0), 40, is_up=False)
+        self.assertLessEqual(set(statuses), {503, 429})
+        self.assertEqual(self.stock.taken, self.stock.returned)
+        self.assertGreaterEqual(statuses.count(503), 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -7,7 +7,7 @@
 import trio
 
 from bendwind_core.claims import ClaimGroup
-from bendwind_core.core import Record
+from bendwind_core.core import Record, Seconds
 from bendwind_core.membership import (
     ConfigurationAccepted,
     DrainMarksAccepted,
@@ -69,6 +69,16 @@
         """Run a quorum round; after True, all that was accepted before the call is applied."""
 
 
+class StateFollower(Protocol):
+    """State who hears of the voter's state beside the registry."""
+
+    def take_state(self) -> None:
+        """Look at what the control log has reached."""
+
+    def note_confirmed(self, started_at: Seconds) -> None:
+        """Hear that a quorum confirmed since a time that the state is the newest."""
+
+
 class RegistryTask:
     """Own a voter's registry; `inbox` takes (sender, message) of the peer links."""
 
@@ -81,6 +91,7 @@
         "_replies",
         "_rng",
         "control",
+        "followers",
         "inbox",
         "recorder",
         "registry",
@@ -99,6 +110,7 @@
         self.control = control
         self.send = send
         self.recorder = recorder
+        self.followers: list[StateFollower] = []
         self._rng = rng
         self._groups: Mapping[str, ClaimGroup] | None = None
         self._marks = DrainMarksAccepted(frozenset(), frozenset())
@@ -139,6 +151,8 @@
             if await self.control.confirm():
                 self._take_state()
                 self.step(QuorumConfirmed(started))
+                for follower in self.followers:
+                    follower.note_confirmed(started)
             lease = self.registry.times.lease
             await trio.sleep(min(_MAX_BARRIER_SECONDS, lease / _BARRIERS_PER_LEASE))
 
@@ -157,6 +171,8 @@
         if voters != self.registry.voters:
             self.step(VotersChanged(voters))
             self._note_vote()
+        for follower in self.followers:
+            follower.take_state()
 
     def _note_vote(self) -> None:
         """Have a voter confirm what is committed, and a learner stop: nodes renew with voters."""
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -10,9 +10,11 @@
 
 from bendwind_core import consensus
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup
+from bendwind_core.consensus.membership import SILENT_TIMEOUTS
 from bendwind_core.core import Record, Seconds
 from bendwind_core.membership import DrainMarksAccepted, LeaseTimes, VoterPlace
 from bendwind_core.plans import CommandResult, ControlState, GroupChanged, encode_command
+from bendwind_core.quotas import QuotaBounds
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Configuration, Upstream
 from bendwind_node.claims.placer import ClaimPlacer, PlacementView
@@ -31,10 +33,12 @@
     OutcomeUnknown,
     VoterStatus,
 )
+from bendwind_node.quotas import VoterQuotaTask, create_voter_quota_task
 from bendwind_node.storage import StoreError, open_folder
 
 PROPOSAL_TIMEOUT: Seconds = 5.0
 SETTLING_LEASES = 3.0
+DEFAULT_BOUNDS = QuotaBounds()
 
 
 class LogClient(msgspec.Struct, eq=False):
@@ -120,6 +124,18 @@
             frozenset(state.draining_instances), frozenset(state.draining_upstreams)
         )
 
+    @property
+    def voter_id(self) -> int | None:
+        """Return this process's id among the committed voters, None if it is none of them."""
+        replica = self.voter.replica
+        own = replica.voter.voter_id
+        return own if replica.committed_voters.has_voter(own) else None
+
+    @property
+    def voter_names(self) -> tuple[str, ...]:
+        """Return the names of the committed voters."""
+        return tuple(voter.name for voter in self.voter.replica.committed_voters.voters)
+
     @property
     def voter_places(self) -> tuple[VoterPlace, ...]:
         """Return the present voters and where they are; those of the settings before any formed."""
@@ -145,6 +161,7 @@
     client: LogClient
     registry: RegistryTask
     placer: ClaimPlacer
+    quotas: VoterQuotaTask
     led_since: Seconds | None = None
     settled_at: Seconds | None = None
     heard: dict[str, int] = msgspec.field(default_factory=dict)
@@ -155,6 +172,7 @@
             await nursery.start(run_voter, self.voter)
             await nursery.start(self.registry.run)
             nursery.start_soon(self.placer.run)
+            nursery.start_soon(self.quotas.run)
             task_status.started()
 
     def view_placement(self) -> PlacementView | None:
@@ -205,6 +223,14 @@
         )
 
 
+def _find_confirmed_for(settings: consensus.ReplicaSettings, times: LeaseTimes) -> Seconds:
+    """Return for how long a voter may grant tokens after a quorum has confirmed it.
+
+    Nodes leave it after that time anyway, and one that was silent for shorter is not replaced.
+    """
+    return min(times.confirmation_limit, SILENT_TIMEOUTS * settings.election_s)
+
+
 def open_control(
     own: VoterPlace,
     listed: tuple[VoterPlace, ...],
@@ -215,9 +241,12 @@
     recorder: Recorder,
     rng: random.Random,
     data_centres: tuple[str, ...] = (),
+    quota_bounds: QuotaBounds = DEFAULT_BOUNDS,
+    run: int = 0,
 ) -> Result[ControlService, StoreError]:
     """Read the disk and make a control voter's tasks; call it inside a trio run.
 
+    `run` is the incarnation of the process.
     Errors: StoreError.
     """
     state = ControlState()
@@ -240,5 +269,15 @@
         return outcome
 
     placer = ClaimPlacer(lambda: service.view_placement(), propose, rng, times.lease)
-    service = ControlService(voter, client, registry, placer)
+    quotas = create_voter_quota_task(
+        own.name,
+        run,
+        quota_bounds,
+        replica_settings.open_to or len(listed),
+        _find_confirmed_for(replica_settings, times),
+        client,
+        send,
+    )
+    registry.followers.append(quotas)
+    service = ControlService(voter, client, registry, placer, quotas)
     return Ok(service)
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -26,6 +26,7 @@
     VotersLearned,
 )
 from bendwind_core.messages import Hello
+from bendwind_core.quotas import QuotaBounds
 from bendwind_core.suspicion import SuspectTable, SuspicionLimits
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Upstream, WarmUpRule
@@ -46,6 +47,7 @@
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.links import Address, LinkHub, ask_incarnation, create_link_hub
 from bendwind_node.membership import MembershipTask, create_membership_task
+from bendwind_node.quotas import create_node_quota_task
 from bendwind_node.security import load_keys
 from bendwind_node.settings import Settings
 from bendwind_node.settings.tables import ControlTable
@@ -133,6 +135,11 @@
     )
 
 
+def _find_quota_bounds(settings: Settings) -> QuotaBounds:
+    quotas = settings.quotas
+    return QuotaBounds(quotas.window_s, quotas.overage, quotas.slack)
+
+
 def list_voters(settings: Settings) -> tuple[VoterPlace, ...]:
     """Return the voters that the settings name."""
     return tuple(
@@ -189,6 +196,9 @@
         extension.dialect,
         membership.tell_suspects,
     )
+    dispatcher.quotas = create_node_quota_task(
+        _find_quota_bounds(settings), membership.list_voters, dispatcher.send
+    )
     dispatcher.entry = EntryNode(
         own,
         recorder,
@@ -203,6 +213,7 @@
         extension.dialect,
         extension.origin_service,
         settings.limits.far_body_bytes,
+        quotas=dispatcher.quotas,
     )
     dispatcher.probes = ProbeTask(dispatcher.entry, dispatcher.owner, budget)
     membership.listeners.append(lambda effect: _hear_membership(dispatcher, effect))
@@ -255,6 +266,8 @@
         daemon.recorder,
         rng,
         settings.control.data_centres,
+        _find_quota_bounds(settings),
+        own.incarnation,
     )
     if opened.is_error():
         return Error(f"{folder}: {opened.error}")
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -22,6 +22,7 @@
     Unknown,
 )
 from bendwind_core.messages import Hello, PeerMessage
+from bendwind_core.quotas import QuotaAsk, QuotaBack, QuotaLoan, QuotaPull, QuotaReply
 from bendwind_core.routing import LoadProbe, LoadReport
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
@@ -30,6 +31,7 @@
 from bendwind_node.control.service import ControlService
 from bendwind_node.links import Link, LinkHub
 from bendwind_node.membership import MembershipTask
+from bendwind_node.quotas import NodeQuotaTask
 
 _TO_OWNER = (HandOver, Cancel, Fence, LoadProbe)
 _TO_ENTRY = (AnswerHead, NotRun, Unknown, Fenced)
@@ -54,6 +56,7 @@
 )
 _TO_VOTER = typing.get_args(consensus.ConsensusMessage)
 _TO_CLAIMS = typing.get_args(claim.ClaimMessage)
+_TO_VOTER_QUOTAS = (QuotaAsk, QuotaBack, QuotaLoan, QuotaPull)
 _TO_PLACER = (claim.ClaimCopied, claim.ClaimLeave)
 
 
@@ -68,6 +71,7 @@
     membership: MembershipTask | None = None
     claims: ClaimTask | None = None
     control: ControlService | None = None
+    quotas: NodeQuotaTask | None = None
     handlers: dict[type, Callable[[Link, PeerMessage], None]] = msgspec.field(default_factory=dict)
 
     def send(self, to: str, message: PeerMessage) -> bool:
@@ -130,6 +134,10 @@
             return self._to_membership
         if kind in _TO_NODE_AND_REGISTRY:
             return self._to_both
+        if kind is QuotaReply:
+            return self._to_quotas
+        if kind in _TO_VOTER_QUOTAS:
+            return None if self.control is None else self._to_voter_quotas
         if kind in _TO_PLACER or kind in _TO_REGISTRY or kind in _TO_VOTER:
             return None if self.control is None else self._to_control
         return self._to_claims if kind in _TO_CLAIMS else None
@@ -155,6 +163,12 @@
     def _to_claims(self, link: Link, message: PeerMessage) -> None:
         _put(self.claims.inbox, PeerClaimMessage(link.peer.name, message))
 
+    def _to_quotas(self, link: Link, message: PeerMessage) -> None:
+        self.quotas.receive(link.peer.name, message)
+
+    def _to_voter_quotas(self, link: Link, message: PeerMessage) -> None:
+        self.control.quotas.receive(link.peer.name, message)
+
     def _to_control(self, link: Link, message: PeerMessage) -> None:
         if isinstance(message, _TO_PLACER):
             self.control.placer.receive(message)
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -64,6 +64,7 @@
         await nursery.start(dispatcher.control.run)
     await nursery.start(dispatcher.membership.run)
     nursery.start_soon(dispatcher.claims.run)
+    nursery.start_soon(dispatcher.quotas.run)
     nursery.start_soon(dispatcher.owner.run_clock)
     nursery.start_soon(dispatcher.probes.run)
     if daemon.settings.beside is not None:
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -104,6 +104,12 @@
         """Return the age of the proof of freshness, None without one."""
         return self.view.confirmed_age_ms(trio.current_time())
 
+    def list_voters(self) -> tuple[str, ...]:
+        """List the voters, the one in use first, then in the order of preference."""
+        attachment = self.view.attachment
+        index = attachment.index
+        return attachment.order[index:] + attachment.order[:index]
+
     @property
     def services(self) -> Mapping[str, Service]:
         """Return the services in force among those watched."""
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
@@ -0,0 +1,148 @@
+"""Take a token for each request of a customer with a quota."""
+
+import math
+from collections.abc import Callable
+
+import trio
+from expression import Result
+
+from bendwind_core.core import Record, Seconds
+from bendwind_core.quotas import (
+    Grant,
+    NodeQuotas,
+    QuotaBounds,
+    QuotaRefusal,
+    QuotaReply,
+    QuotaSend,
+    Waiter,
+    cancel_wait,
+    flush_asks,
+    has_work,
+    hear_reply,
+    request_token,
+    return_token,
+    tick_node,
+)
+from bendwind_core.world import Customer
+
+Send = Callable[[str, Record], object]
+
+# An eighth of its objective is what a request can spare, and a quarter of a second is what a caller
+# without one bears; both leave time to ask a second voter where the objective is a second or more.
+TOKEN_WAIT: Seconds = 0.25
+OBJECTIVE_SHARE = 0.125
+# Timeouts of 100 ms need no finer ticks.
+_TICK: Seconds = 0.02
+
+
+class NodeQuotaTask:
+    """Own a node's quotas; `find_customer` tells what is known of a name."""
+
+    __slots__ = ("_has_work", "_settled", "find_customer", "list_voters", "quotas", "send")
+
+    def __init__(
+        self,
+        quotas: NodeQuotas,
+        list_voters: Callable[[], tuple[str, ...]],
+        send: Send,
+        find_customer: Callable[[str], Customer | None] = lambda name: None,
+    ):
+        self.quotas = quotas
+        self.list_voters = list_voters
+        self.send = send
+        self.find_customer = find_customer
+        self._settled: dict[Waiter, trio.Event] = {}
+        self._has_work = trio.Event()
+
+    async def run(self) -> None:
+        """Ask, turn from silent voters and give back, until cancelled."""
+        while True:
+            await self._has_work.wait()
+            self._has_work = trio.Event()
+            while has_work(self.quotas):
+                await trio.sleep(_TICK)
+                self._tick(trio.current_time())
+
+    def is_limited(self, customer: str) -> bool:
+        """Tell whether a customer has a quota."""
+        found = self.find_customer(customer) if customer else None
+        return found is not None and found.is_limited
+
+    async def take(
+        self, customer: str, target_at: Seconds | None, deadline_at: Seconds
+    ) -> Result[Grant, QuotaRefusal]:
+        """Take a token, waiting shortly for one; `target_at` is when an answer is late.
+
+        Errors: a refusal for want of tokens or of an answer.
+        """
+        now = trio.current_time()
+        until = _find_limit(now, target_at, deadline_at)
+        asked = request_token(self.quotas, customer, until, now)
+        self._flush(now)
+        self._wake()
+        if not isinstance(asked, Waiter):
+            return asked
+        return await self._wait(asked)
+
+    async def _wait(self, waiter: Waiter) -> Result[Grant, QuotaRefusal]:
+        settled = self._settled[waiter] = trio.Event()
+        is_taken = False
+        try:
+            # A voter in this process may have answered already.
+            self._hand_out()
+            await settled.wait()
+            is_taken = True
+        finally:
+            self._settled.pop(waiter, None)
+            if not is_taken:
+                cancel_wait(self.quotas, waiter)
+        return waiter.outcome
+
+    def give_back(self, grant: Grant) -> None:
+        """Give back the token of a request that did not run."""
+        return_token(self.quotas, grant)
+        self._wake()
+
+    def receive(self, sender: str, reply: QuotaReply) -> None:
+        """Take over what a voter granted."""
+        now = trio.current_time()
+        hear_reply(self.quotas, sender, reply, now)
+        self._hand_out()
+        self._flush(now)
+        self._wake()
+
+    def _tick(self, now: Seconds) -> None:
+        for effect in tick_node(self.quotas, now):
+            self._carry_out(effect)
+        self._hand_out()
+        self._flush(now)
+
+    def _flush(self, now: Seconds) -> None:
+        for effect in flush_asks(self.quotas, self.list_voters(), now):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: QuotaSend) -> None:
+        self.send(effect.to, effect.message)
+
+    def _hand_out(self) -> None:
+        settled = [waiter for waiter in self.quotas.settled if waiter in self._settled]
+        self.quotas.settled = [
+            waiter for waiter in self.quotas.settled if waiter not in self._settled
+        ]
+        for waiter in settled:
+            self._settled[waiter].set()
+
+    def _wake(self) -> None:
+        self._has_work.set()
+
+
+def _find_limit(now: Seconds, target_at: Seconds | None, deadline_at: Seconds) -> Seconds:
+    spare = math.inf if target_at is None else max(0.0, target_at - now) * OBJECTIVE_SHARE
+    return min(deadline_at, now + min(TOKEN_WAIT, spare))
+
+
+def create_node_quota_task(
+    bounds: QuotaBounds, list_voters: Callable[[], tuple[str, ...]], send: Send
+) -> NodeQuotaTask:
+    """Create the task of a node that has just started."""
+    return NodeQuotaTask(NodeQuotas(bounds), list_voters, send)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/quotas/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test quotas at nodes and voters."""
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
@@ -0,0 +1,130 @@
+"""Grant customers' tokens to nodes, and lend them to other voters."""
+
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from bendwind_core.core import Record, Seconds
+from bendwind_core.quotas import (
+    QuotaAsk,
+    QuotaBack,
+    QuotaBounds,
+    QuotaLoan,
+    QuotaPull,
+    QuotaSend,
+    VoterQuotas,
+    hear_ask,
+    hear_back,
+    hear_loan,
+    hear_pull,
+    note_configuration,
+    note_confirmed,
+    note_voters,
+    tick_voter,
+)
+from bendwind_core.world import EMPTY_CONFIGURATION, Configuration
+
+Send = Callable[[str, Record], object]
+
+# A loan that does not come is given up after 50 ms.
+_BUSY_TICK: Seconds = 0.01
+_IDLE_TICK: Seconds = 0.5
+
+
+class QuotaControl(Protocol):
+    """State what the quotas ask of the voter beside them."""
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration as of the newest applied log entry."""
+
+    @property
+    def voter_id(self) -> int | None:
+        """Return this process's id among the committed voters, None if it is none."""
+
+    @property
+    def voter_names(self) -> tuple[str, ...]:
+        """Return the names of the committed voters."""
+
+
+class VoterQuotaTask:
+    """Own a voter's quotas."""
+
+    __slots__ = ("_configuration", "_has_work", "_voters", "control", "quotas", "send")
+
+    def __init__(self, quotas: VoterQuotas, control: QuotaControl, send: Send):
+        self.quotas = quotas
+        self.control = control
+        self.send = send
+        self._configuration = EMPTY_CONFIGURATION
+        self._voters: tuple[int | None, tuple[str, ...]] | None = None
+        self._has_work = trio.Event()
+
+    async def run(self) -> None:
+        """Answer who waits for a loan and forget what is full, until cancelled."""
+        while True:
+            if self.quotas.busy:
+                await trio.sleep(_BUSY_TICK)
+            else:
+                await self._wait_work()
+            self._carry_out(tick_voter(self.quotas, trio.current_time()))
+
+    async def _wait_work(self) -> None:
+        self._has_work = trio.Event()
+        with trio.move_on_after(_IDLE_TICK if self.quotas.accounts else math.inf):
+            await self._has_work.wait()
+
+    def take_state(self) -> None:
+        """Take over who votes and what the customers' limits are."""
+        now = trio.current_time()
+        voters = (self.control.voter_id, self.control.voter_names)
+        if voters != self._voters:
+            self._voters = voters
+            voter_id, names = voters
+            others = tuple(name for name in names if name != self.quotas.name)
+            note_voters(self.quotas, voter_id, others, now)
+        configuration = self.control.configuration
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            note_configuration(self.quotas, configuration, now)
+            self._has_work.set()
+
+    def note_confirmed(self, started_at: Seconds) -> None:
+        """Hear that all that was accepted before a time is known here."""
+        note_confirmed(self.quotas, started_at)
+
+    def receive(self, sender: str, message: Record) -> None:
+        """Answer a node or another voter."""
+        now = trio.current_time()
+        had_accounts = bool(self.quotas.accounts)
+        match message:
+            case QuotaAsk():
+                self._carry_out(hear_ask(self.quotas, sender, message, now))
+            case QuotaPull():
+                self._carry_out(hear_pull(self.quotas, sender, message, now))
+            case QuotaLoan():
+                self._carry_out(hear_loan(self.quotas, sender, message, now))
+            case QuotaBack():
+                hear_back(self.quotas, message, now)
+        if self.quotas.busy or not had_accounts:
+            self._has_work.set()
+
+    def _carry_out(self, effects: list[QuotaSend]) -> None:
+        for effect in effects:
+            self.send(effect.to, effect.message)
+
+
+def create_voter_quota_task(
+    name: str,
+    run: int,
+    bounds: QuotaBounds,
+    kept_voters: int,
+    confirmed_for: Seconds,
+    control: QuotaControl,
+    send: Send,
+) -> VoterQuotaTask:
+    """Create the task of a voter that has just started; call it inside a trio run."""
+    quotas = VoterQuotas(name, run, bounds, kept_voters, confirmed_for)
+    return VoterQuotaTask(quotas, control, send)
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Meta
 
+from bendwind_core.quotas.bounds import DEFAULT_OVERAGE, DEFAULT_SLACK, DEFAULT_WINDOW
 from bendwind_core.suspicion.limits import (
     DEFAULT_APART_FROM,
     DEFAULT_KEEP,
@@ -303,6 +304,32 @@
     ] = DEFAULT_KEEP
 
 
+class QuotasTable(Table, frozen=True, kw_only=True):
+    """Bound what customers may have more than their quotas state; all processes need the same.
+
+    In any window their requests that run are at most
+    (rate x window + burst) x (1 + overage) + slack.
+    """
+
+    window_s: Annotated[
+        float, Meta(ge=1, le=3600), _doc("Time over which a customer's requests are summed.", "s")
+    ] = DEFAULT_WINDOW
+    overage: Annotated[
+        float,
+        Meta(ge=0, le=1),
+        _doc("Share that a customer may have more; with less, nodes ask for tokens more often."),
+    ] = DEFAULT_OVERAGE
+    slack: Annotated[
+        float,
+        Meta(ge=0, le=10_000),
+        _doc(
+            "Requests that it may have beyond that; two for each voter serve customers of less "
+            "than a request a second best.",
+            "requests",
+        ),
+    ] = DEFAULT_SLACK
+
+
 class ClaimsTable(Table, frozen=True, kw_only=True):
     """Bound what the process keeps of the keys of each service whose claims it holds.
 
@@ -381,6 +408,7 @@
     measuring: MeasuringTable = MeasuringTable()
     claims: ClaimsTable = ClaimsTable()
     suspicion: SuspicionTable = SuspicionTable()
+    quotas: QuotasTable = QuotasTable()
     limits: LimitsTable = LimitsTable()
     timeline: TimelineTable = TimelineTable()
     logging: LoggingTable = LoggingTable()
