--- a/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
@@ -1,13 +1,14 @@
 """Emulate callers: when they come, how long they wait, and what they do when they are refused."""
 
 import itertools
+import math
 import random
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from bendwind_bench.emulator.entry_side import Answered, Lost, Outcome, Refused
-from bendwind_bench.emulator.scenario import RouteTable
+from bendwind_bench.emulator.scenario import RouteTable, Wave
 from bendwind_bench.emulator.tally import Fate
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
@@ -43,6 +44,11 @@
         return self.began_at + self.route.target_ms / MILLISECONDS_PER_SECOND
 
 
+def _find_height(wave: Wave, now: Seconds) -> float:
+    turn = now / wave.period_s + wave.phase
+    return wave.weight * (1.0 + wave.swing * math.sin(2.0 * math.pi * turn))
+
+
 class Callers:
     """Send the requests of a scenario at its rates."""
 
@@ -64,7 +70,11 @@
                 self._plan_next(route)
 
     def _plan_next(self, route: RouteTable) -> None:
-        gap = self.rng.expovariate(route.per_second * self.rate_factor)
+        waves = self.world.scenario.callers.waves
+        whole = sum(wave.weight for wave in waves)
+        height = sum(_find_height(wave, self.world.agenda.now) for wave in waves)
+        level = height / whole if waves else 1.0
+        gap = self.rng.expovariate(route.per_second * self.rate_factor * level)
         if self.world.agenda.now + gap < self.until:
             self.world.agenda.after(gap, lambda: self._arrive(route))
 
@@ -72,7 +82,7 @@
         callers = self.world.scenario.callers
         request = Request(
             route,
-            self.rng.choice(self.names),
+            self._choose_node(),
             self.world.agenda.now,
             callers.retries,
             self.rng.random() < callers.at_once,
@@ -81,6 +91,16 @@
         self._try(request)
         self._plan_next(route)
 
+    def _choose_node(self) -> str:
+        waves = self.world.scenario.callers.waves
+        if not waves:
+            return self.rng.choice(self.names)
+        heights = [_find_height(wave, self.world.agenda.now) for wave in waves]
+        [wave] = self.rng.choices(waves, heights)
+        nodes = self.world.nodes.values()
+        there = [node.name for node in nodes if node.upstream.data_centre == wave.data_centre]
+        return self.rng.choice(there)
+
     def _find_target(self, route: RouteTable) -> bytes:
         number = self.rng.randrange(route.targets) if route.targets else next(self.asked)
         return f"/{route.name}/{number}".encode()
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
@@ -91,11 +91,28 @@
     targets: Annotated[int, Meta(ge=0)] = 0
 
 
+class Wave(_Table, frozen=True, kw_only=True):
+    """State how many of the callers come to a data centre, and how their rate rises and falls.
+
+    `weight` is relative to the other waves; `phase` is where the wave begins, as a part of it.
+    """
+
+    data_centre: Name
+    weight: Positive = 1.0
+    swing: Share = 0.0
+    period_s: Positive = 13.0
+    phase: Share = 0.0
+
+
 class Callers(_Table, frozen=True, kw_only=True):
-    """State how callers behave: tries beyond the first, and the share that asks again at once."""
+    """State how callers behave: tries beyond the first, and the share that asks again at once.
+
+    Without `waves` they come to all nodes alike.
+    """
 
     retries: Annotated[int, Meta(ge=0, le=20)] = 1
     at_once: Share = 0.0
+    waves: tuple[Wave, ...] = ()
 
 
 class Places(_Table, frozen=True, kw_only=True):
