--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -99,6 +99,7 @@
     CUSTOMERS = _gauge("customers", "customers", "Customers whose keys are in force on this node.")
     UNKNOWN_KEYS = _count(
         "calls_unknown_key", "calls", "Calls refused for want of a key that is known."
+    )
     CALLS_REFUSED = _count(
         "calls_refused", "calls", "Calls of this entry node that did not run.", "rank", "reason"
     )
