--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_customers.py
@@ -0,0 +1,217 @@
+"""Measure what customers cost nodes and voters, and print it as JSON.
+
+Run it with `python -m bendwind_bench.slopes_customers`. All of it is the pure code in this process.
+"""
+
+import dataclasses
+import gc
+import json
+import sys
+import tracemalloc
+from collections.abc import Callable
+
+from bendwind_bench.slopes_membership.slope import Point, Slope, decode, encode, fit, time_median
+from bendwind_core.customers import CustomersChange, find_customer
+from bendwind_core.membership import ConfigurationChanged
+from bendwind_core.membership.customer_ledger import CustomerLedger, make_change, take_customers
+from bendwind_core.membership.holdings import Holdings, put_customers
+from bendwind_core.plans import ControlState, PutRevision, encode_command
+from bendwind_core.world import Customer, Routing, digest_key
+
+COUNTS = (100, 1_000, 20_000)
+KEYS = 2
+FIRST_VERSION = 7
+# Small sizes are repeated, so that a run is not shorter than the clock can tell.
+WORK_UNITS = 20_000
+
+
+def make_customer(index: int, salt: int = 0) -> Customer:
+    """Make a customer with two keys, a rank and a quota; another salt gives it another key."""
+    keys = (digest_key(b"%d" % index), digest_key(b"%d-%d" % (index, salt)))
+    return Customer(f"customer-{index:05d}", keys, 1, 12.5, 40.0)
+
+
+def make_customers(count: int, salt: int = 0) -> tuple[Customer, ...]:
+    """Make this many customers, in the order of their names."""
+    return tuple(make_customer(index, salt) for index in range(count))
+
+
+def make_ledger(count: int) -> CustomerLedger:
+    """Make a voter's record of customers that came with one version."""
+    ledger = CustomerLedger()
+    take_customers(ledger, make_customers(count), FIRST_VERSION)
+    return ledger
+
+
+def make_holdings(count: int) -> Holdings:
+    """Make what a node holds after its first push."""
+    holdings = Holdings()
+    put_customers(holdings, make_change(make_ledger(count), 0))
+    return holdings
+
+
+def _change_all(count: int, version: int) -> tuple[CustomersChange, CustomersChange]:
+    """Return a change of every customer's key, and the one that takes it back."""
+    ledger = make_ledger(count)
+    take_customers(ledger, make_customers(count, 1), version)
+    there = make_change(ledger, FIRST_VERSION)
+    take_customers(ledger, make_customers(count), version + 1)
+    return there, make_change(ledger, version)
+
+
+def _change_one(count: int) -> tuple[CustomersChange, CustomersChange]:
+    ledger = make_ledger(count)
+    others = make_customers(count)[1:]
+    take_customers(ledger, (make_customer(0, 1), *others), FIRST_VERSION + 1)
+    there = make_change(ledger, FIRST_VERSION)
+    take_customers(ledger, (make_customer(0), *others), FIRST_VERSION + 2)
+    return there, make_change(ledger, FIRST_VERSION + 1)
+
+
+def _time_put(count: int, changes: tuple[CustomersChange, ...]) -> float:
+    holdings = make_holdings(count)
+    rounds = max(1, WORK_UNITS // count)
+
+    def run() -> int:
+        for _ in range(rounds):
+            for change in changes:
+                assert put_customers(holdings, change) is not None
+        return rounds * len(changes)
+
+    return time_median(run)
+
+
+def _time_take(count: int, lists: tuple[tuple[Customer, ...], ...]) -> float:
+    ledger = make_ledger(count)
+    rounds = max(1, WORK_UNITS // count)
+
+    def run() -> int:
+        version = ledger.newest_change
+        for _ in range(rounds):
+            for customers in lists:
+                version += 1
+                assert take_customers(ledger, customers, version)
+        return rounds * len(lists)
+
+    return time_median(run)
+
+
+def _time_take_one(count: int) -> float:
+    held = make_customers(count)
+    return _time_take(count, ((make_customer(0, 1), *held[1:]), held))
+
+
+def _time_take_all(count: int) -> float:
+    return _time_take(count, (make_customers(count, 1), make_customers(count)))
+
+
+def _time_find(count: int) -> float:
+    table = make_holdings(count).customers
+
+    def run() -> int:
+        for index in range(WORK_UNITS):
+            find_customer(table, b"%d" % (index % count))
+        return WORK_UNITS
+
+    return time_median(run)
+
+
+def _time_decode(count: int) -> float:
+    data = encode(make_push(make_change(make_ledger(count), 0)))
+
+    def run() -> int:
+        decode(data)
+        return 1
+
+    return time_median(run)
+
+
+def make_push(change: CustomersChange) -> ConfigurationChanged:
+    """Return the message that brings a node nothing but customers."""
+    return ConfigurationChanged(FIRST_VERSION + 1, (), base=change.base, customers=change)
+
+
+def _count_bytes(change: CustomersChange) -> float:
+    return float(len(encode(make_push(change))))
+
+
+def _count_command(count: int) -> float:
+    command = PutRevision((), Routing(1), b"", make_customers(count))
+    return float(len(encode_command(command)))
+
+
+def _count_snapshot(count: int) -> float:
+    state = ControlState()
+    state.apply(1, encode_command(PutRevision((), Routing(1), b"", make_customers(count))))
+    return float(len(state.snapshot()))
+
+
+def _measure_memory(work: Callable[[], object]) -> float:
+    """Return the bytes that a result holds beyond what it was made from."""
+    gc.collect()
+    tracemalloc.start()
+    kept = work()
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert kept is not None
+    return float(held)
+
+
+def _measure_node(count: int) -> float:
+    data = encode(make_push(make_change(make_ledger(count), 0)))
+
+    def receive() -> Holdings:
+        holdings = Holdings()
+        message = decode(data)
+        put_customers(holdings, message.customers)
+        return holdings
+
+    return _measure_memory(receive)
+
+
+def _measure_voter(count: int) -> float:
+    customers = make_customers(count)
+
+    def take() -> CustomerLedger:
+        ledger = CustomerLedger()
+        take_customers(ledger, customers, FIRST_VERSION)
+        return ledger
+
+    return _measure_memory(take)
+
+
+def measure_customers() -> dict[str, Slope]:
+    """Measure what grows with the customers."""
+    works = {
+        "node_memory": ("byte", _measure_node),
+        "voter_ledger_memory": ("byte", _measure_voter),
+        "node_put_one_key_time": ("us", lambda n: _time_put(n, _change_one(n))),
+        "node_put_all_keys_time": ("us", lambda n: _time_put(n, _change_all(n, 8))),
+        "node_put_whole_time": ("us", lambda n: _time_put(n, (make_change(make_ledger(n), 0),))),
+        "node_decode_whole_time": ("us", _time_decode),
+        "node_find_time": ("us", _time_find),
+        "voter_take_one_key_time": ("us", _time_take_one),
+        "voter_take_all_keys_time": ("us", _time_take_all),
+        "push_one_key_bytes": ("byte", lambda n: _count_bytes(_change_one(n)[0])),
+        "push_whole_bytes": ("byte", lambda n: _count_bytes(make_change(make_ledger(n), 0))),
+        "command_bytes": ("byte", _count_command),
+        "snapshot_bytes": ("byte", _count_snapshot),
+    }
+    return {
+        name: fit(unit, "customer", [Point(count, work(count)) for count in COUNTS])
+        for name, (unit, work) in works.items()
+    }
+
+
+def main() -> None:
+    """Measure all and print JSON."""
+    slopes = measure_customers()
+    json.dump(
+        {name: dataclasses.asdict(slope) for name, slope in slopes.items()}, sys.stdout, indent=1
+    )
+    print()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bendwind-core/src/bendwind_core/plans/commands.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/commands.py
@@ -69,6 +69,9 @@
     evacuated: bool
 
 
+# A voter sends another an entry of the log in one message, which may have 4 MiB with all around it.
+MAX_COMMAND_BYTES = 7 << 19
+
 Command = CreatePlan | ConfirmPlan | MarkDraining | ChangeClaimGroup | PutRevision | MarkEvacuated
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bendwind_core.plans.commands import PutRevision
+from bendwind_core.plans.commands import MAX_COMMAND_BYTES, PutRevision, encode_command
 from bendwind_core.plans.customer_faults import (
     CustomerFault,
     CustomerFaultKind,
@@ -27,6 +27,7 @@
     NO_WEIGHT = "no-weight"
     NO_TIMEOUT = "no-timeout"
     NO_ATTEMPTS = "no-attempts"
+    TOO_LARGE = "too-large"
 
 
 class RevisionFault(msgspec.Struct, frozen=True):
@@ -58,6 +59,9 @@
         if (route.host, route.path_prefix) in places:
             yield RevisionFault(RevisionFaultKind.DUPLICATE_PLACE, route.name)
         places.add((route.host, route.path_prefix))
+    size = len(encode_command(command))
+    if size > MAX_COMMAND_BYTES:
+        yield RevisionFault(RevisionFaultKind.TOO_LARGE, f"{size} bytes of {MAX_COMMAND_BYTES}")
     match find_customer_fault(command.customers):
         case CustomerFault(kind=kind, name=name):
             yield RevisionFault(kind, name)
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
@@ -106,6 +106,11 @@
         self.assertEqual(find_revision_fault(make_put(0)).kind, kinds.BAD_REVISION)
         self.assertIsNone(find_revision_fault(make_put(1, routes=[make_route()])))
 
+    def test_configuration_that_one_message_cannot_carry_is_refused(self):
+        fault = find_revision_fault(make_put(1, b"x" * (7 << 19)))
+        self.assertEqual(fault.kind, RevisionFaultKind.TOO_LARGE)
+        self.assertIsNone(find_revision_fault(make_put(1, b"x" * (3 << 20))))
+
     def find_customer_fault(self, *customers):
         put = msgspec.structs.replace(make_put(1), customers=customers)
         return find_revision_fault(put)
--- a/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/outcomes.py
@@ -13,6 +13,7 @@
 REFUSED = b"refused"
 
 _RETRY_AFTER_MS = b"bendwind-retry-after-ms"
+_UNAUTHORIZED = 401
 _SERVICE_UNAVAILABLE = 503
 # RFC 6585, section 4: the customer has sent more than it is due.
 _TOO_MANY_REQUESTS = 429
@@ -81,5 +82,8 @@
     """Answer a caller with an outcome and its reason."""
     body = f"{outcome.decode()}: {reason}\n".encode()
     headers = make_headers(call, outcome, reason, len(body), retry_after_ms, dialect)
+    if status == _UNAUTHORIZED and dialect.key is not None:
+        # RFC 9110, section 11.6.1: such an answer says how to ask.
+        headers = (*headers, (b"www-authenticate", b'ApiKey header="%s"' % dialect.key))
     await exchange.send_head(status, headers)
     await exchange.send_part(b"" if exchange.request.method == "HEAD" else body, more=False)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_authentication.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_authentication.py
@@ -88,8 +88,10 @@
             announce(bench.owner, port)
             for service in ("svc", "else"):
                 exchange = make_exchange(b"POST", b"body", bendwind_service=service)
-                self.assertEqual((await bench.call(exchange)).status, 401)
-                self.assertEqual(exchange.parts, [b"body"])
+                done = await bench.call(exchange)
+                self.assertEqual((done.status, exchange.parts), (401, [b"body"]))
+                self.assertEqual(done.headers[b"www-authenticate"], b'ApiKey header="bendwind-key"')
+                self.assertNotIn(b"retry-after", done.headers)
             self.assertEqual((bench.entry.runs, bench.intake.in_flight), ({}, 0))
             self.assertEqual((bench.entry.desks, bench.entry.unknown_keys), ({}, 2))
 
@@ -125,6 +127,20 @@
         self.run_with(check)
         self.assertEqual(self.seen, [])
 
+    def test_customers_may_choose_the_same_idempotency_key(self):
+        async def check(bench, port):
+            keys = []
+            for key in ("k1", "k2", "k3"):
+                exchange = make_exchange(b"POST", b"x", bendwind_key=key, idempotency_key="order-1")
+                keys.append((await bench.intake.take(exchange, "c")).ok.key)
+            self.assertEqual(keys[0], keys[1])
+            self.assertNotIn(keys[2], (keys[0], "order-1"))
+            bench.membership.customers = None
+            exchange = make_exchange(b"POST", b"x", idempotency_key="order-1")
+            self.assertEqual((await bench.intake.take(exchange, "c")).ok.key, "order-1")
+
+        self.run_with(check)
+
     def test_open_rule_is_served_without_a_key(self):
         async def check(bench, port):
             announce(bench.owner, port)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_callers_page.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_callers_page.py
@@ -25,9 +25,10 @@
         self.assertEqual(read_rows("unknown"), expected)
 
     def test_lists_every_refusal_at_the_intake(self):
-        source = (Path(__file__).parents[1] / "call_intake.py").read_text()
+        files = ("authentication.py", "call_intake.py")
+        source = "".join((Path(__file__).parents[1] / file).read_text() for file in files)
         found = {reason: int(status) for status, reason in REFUSED.findall(source)}
-        self.assertGreaterEqual(len(found), 5)
+        self.assertGreaterEqual(len(found), 6)
         self.assertEqual(read_rows("refused"), found | {"key-reused": 422})
 
 
