calls: the choice of an upstream stands apart, and long bodies follow a try that may not wait

ServiceDesk becomes ServiceChoice, in a module of its own beside what carries messages. A body of over 16 KB went along with a try that may be sent back; now the owner is asked first, as in another data centre already, and what has come whole may wait there. What is sent back for want of room is bounded: a third owner is asked only while tries are taken elsewhere.

--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -55,7 +55,14 @@
     TimerKind,
 )
 from bendwind_core.attempts.messages import CutReason, FenceVerdict, NotRunReason
-from bendwind_core.attempts.sending import Choose, reply_margin, send_first, send_hedge, try_again
+from bendwind_core.attempts.sending import (
+    NO_ROOM,
+    Choose,
+    reply_margin,
+    send_first,
+    send_hedge,
+    try_again,
+)
 from bendwind_core.core import Seconds
 from bendwind_core.limits import may_retry, pay_sent_back
 
@@ -74,8 +81,6 @@
     }
 )
 
-_NO_PLACE = frozenset({NotRunReason.BUSY, NotRunReason.STALLED, NotRunReason.QUEUE_FULL})
-
 # These bounces cost the upstream nothing.
 FREE_BOUNCES = frozenset(
     {
@@ -223,8 +228,8 @@
     attempt.ended_at = now
     attempt.load = proof.load
     attempt.wait_ms = proof.wait_ms
-    if not attempt.may_wait and proof.reason in _NO_PLACE:
-        pay_sent_back(call.budget.tries)
+    if proof.reason in NO_ROOM:
+        pay_sent_back(call.budget.tries, is_try=not attempt.may_wait)
     if proof.reason in _FINAL_REFUSALS:
         give_up(call, effects)
         return
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -34,9 +34,14 @@
 POLITE_ATTEMPTS = 3
 # So many owners may say that they are busy before one is asked to let the request wait.
 POLITE_TRIES = 6
+# So many owners may refuse to let a request wait before it is given up where most have no room: one
+# refusal may be chance, and the run that waits for an inner call is lost with it.
+SURE_OWNERS = 2
 # The owner's time ends a little before the caller's, so that its proof still arrives in time.
 REPLY_MARGIN_MAX: Seconds = 0.020
 REPLY_MARGIN_SHARE = 0.1
+# So an owner says that it has no room for a request that it might have taken at another time.
+NO_ROOM = frozenset({NotRunReason.BUSY, NotRunReason.STALLED, NotRunReason.QUEUE_FULL})
 # After these the same upstream may well take the next attempt.
 _PASSING_BOUNCES = frozenset(
     {
@@ -204,7 +209,17 @@
         return False
     if has_reached_limit(call):
         return False
-    return is_free or may_retry(call.budget)
+    return (is_free and _may_be_sent_back(call)) or (not is_free and may_retry(call.budget))
+
+
+def _may_be_sent_back(call: EntryCall) -> bool:
+    """Tell whether another owner may be asked after one that has no room.
+
+    Where most have none, each further one is a message for nothing, and the caller had better hear
+    at once when to come back.
+    """
+    refused = sum(one.may_wait and one.not_run in NO_ROOM for one in call.attempts)
+    return refused < SURE_OWNERS or may_try(call.budget.tries)
 
 
 def _choose_next(
--- a/packages/bendwind-core/src/bendwind_core/limits/try_budget.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/try_budget.py
@@ -32,9 +32,10 @@
     budget.tokens = min(TRY_TOKENS_CAP, budget.tokens + EARNED_BY_TAKEN)
 
 
-def pay_sent_back(budget: TryBudget) -> None:
-    """Charge the budget for a try that was sent back as busy."""
-    budget.tokens = max(0.0, budget.tokens - EARNED_BY_TAKEN - 1.0)
+def pay_sent_back(budget: TryBudget, *, is_try: bool) -> None:
+    """Charge the budget for what was sent back; a try gives back what it earned."""
+    price = 1.0 + EARNED_BY_TAKEN if is_try else 1.0
+    budget.tokens = max(0.0, budget.tokens - price)
 
 
 def may_try(budget: TryBudget) -> bool:
--- a/packages/bendwind-node/src/bendwind_node/calls/assembly.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/assembly.py
@@ -49,7 +49,9 @@
         if part.more:
             return Ok(None)
         self.drop(part.attempt)
-        return Ok(replace(assembly.hand_over, body=assembly.inflow.join(), more=False))
+        # Its body would have to come again to another owner, which takes longer than most waits.
+        whole = replace(assembly.hand_over, body=assembly.inflow.join(), more=False, may_wait=True)
+        return Ok(whole)
 
     def drop(self, attempt: AttemptId) -> None:
         """Forget a hand-over and free its bytes."""
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -81,7 +81,7 @@
         target = found.ok
         service = target.service
         share = self.entry.share
-        self.entry.find_desk(service)
+        self.entry.find_choice(service)
         if not admit(share, service.name, service.limits.in_flight_per_entry):
             return Error(Refusal.not_run(NotRunReason.OVERLOADED))
         taken: Result[CallRun, Refusal] = Error(_BODY_TOO_SLOW)
@@ -150,7 +150,7 @@
         body: bytes,
     ) -> CallRun:
         service, rule = target.service, target.rule
-        budget = self.entry.find_desk(service).budget
+        budget = self.entry.find_choice(service).budget
         target_at = None
         if rule.target_latency_ms is not None:
             target_at = span.began_at + rule.target_latency_ms / MILLISECONDS_PER_SECOND
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -79,14 +79,14 @@
         call = run.call
         detail = f"{run.method} {call.service.name}"
         self.entry.recorder.record(EventKind.CALL_ARRIVED, call=call.call_id, detail=detail)
-        desk = self.entry.find_desk(call.service)
-        desk.in_flight += 1
-        desk.called_at = trio.current_time()
+        choice = self.entry.find_choice(call.service)
+        choice.in_flight += 1
+        choice.called_at = trio.current_time()
         try:
             run.feed(ev.Begin())
             await Delivery(self.entry, exchange, run).finish()
         finally:
-            desk.in_flight -= 1
+            choice.in_flight -= 1
             leave(self.entry.share, call.service.name)
             if not call.is_finished:
                 run.feed(ev.CallerGone())
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -1,6 +1,5 @@
 """Carry the calls that reach this process: decide, hand over, deliver."""
 
-import math
 import random
 from dataclasses import dataclass, field
 
@@ -28,39 +27,40 @@
 from bendwind_core.attempts.retry_after import NoRoom
 from bendwind_core.claims import ClaimAnswer, ClaimState
 from bendwind_core.claims.messages import MAX_KEPT_ANSWER_BYTES
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
-from bendwind_core.limits import ConcurrencyShare, RetryBudget, set_services
+from bendwind_core.limits import ConcurrencyShare, set_services
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import (
     RouteTable,
-    UpstreamTable,
-    choose_subset,
-    choose_upstream,
-    create_table,
-    find_room_at,
     note_answered,
     note_cancelled,
-    note_load,
     note_not_run,
     note_sent,
     note_unknown,
     set_routing,
-    set_upstreams,
 )
 from bendwind_core.suspicion import SuspectTold, find_told, hear, sign_request
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_core.world import Instance, Service, StaleAction, Upstream, may_serve
+from bendwind_core.world import Instance, Service, Upstream
 from bendwind_node.calls.body_flow import Outflow, cut_body, split_body
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import format_attempt
 from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.service_choice import (
+    ServiceChoice,
+    choose_for,
+    create_choice,
+    may_send,
+    note_own_load,
+    refresh_choice,
+)
 from bendwind_node.claims.task import ClaimTask
 from bendwind_node.links import Link, LinkHub
 from bendwind_node.membership import MembershipTask
 
 LOCAL_EPOCH = 0
-# A longer body goes to another data centre only after its owner has said that it takes the request.
+# A longer body goes to another data centre, or with a try that may not wait, only once the owner
+# has said that it takes the request: on a link of 2.45 Mbit/s it takes over 50 ms.
 DEFAULT_FAR_BODY_BYTES = 16 * 1024
 # A watched upstream takes 642 bytes at a node (docs/design/distribution.md); with 23 upstreams a
 # service, so many services stay under half a megabyte.
@@ -80,15 +80,6 @@
         return True
 
 
-class ServiceDesk(msgspec.Struct, eq=False):
-    """Hold what the entry node keeps for one service."""
-
-    table: UpstreamTable
-    budget: RetryBudget
-    in_flight: int = 0
-    called_at: Seconds = -math.inf
-
-
 @dataclass(slots=True, eq=False)
 class EntryNode:
     """Own the calls that callers brought to this process."""
@@ -108,7 +99,7 @@
     far_body_bytes: int = DEFAULT_FAR_BODY_BYTES
     routes: RouteTable = field(default_factory=RouteTable)
     returns: Returns = field(default_factory=Returns)
-    desks: dict[str, ServiceDesk] = field(default_factory=dict)
+    choices: dict[str, ServiceChoice] = field(default_factory=dict)
     runs: dict[int, CallRun] = field(default_factory=dict)
     local: LocalLink = field(init=False)
 
@@ -116,16 +107,15 @@
         self.local = LocalLink(self.own, self)
         self.owner.link_opened(self.local)
 
-    def find_desk(self, service: Service) -> ServiceDesk:
-        """Return the desk of a service, a new one on its first call."""
-        desk = self.desks.get(service.name)
-        if desk is None:
-            budget = RetryBudget(service.limits.retry_ratio)
-            desk = ServiceDesk(create_table(service.name), budget)
-            self.desks[service.name] = desk
-            set_services(self.share, self.desks)
+    def find_choice(self, service: Service) -> ServiceChoice:
+        """Return the choice of a service, a new one on its first call."""
+        choice = self.choices.get(service.name)
+        if choice is None:
+            choice = create_choice(service)
+            self.choices[service.name] = choice
+            set_services(self.share, self.choices)
             self.refresh_upstreams(service.name)
-        return desk
+        return choice
 
     def refresh_routing(self) -> None:
         """Take over the routes in force and watch the services that they lead to."""
@@ -141,50 +131,20 @@
 
     def refresh_upstreams(self, service_name: str) -> None:
         """Take over the announced upstreams that the service's patterns admit."""
-        desk = self.desks.get(service_name)
-        service = self.membership.services.get(service_name)
-        if desk is None:
-            return
-        announced = self.membership.upstreams(service_name)
-        admitted = [u for u in announced if service is not None and self._may_use(service, u)]
-        used = choose_subset(self.own.name, self.own.data_centre, admitted)
-        reached = self._list_reached(desk, {upstream.name for upstream in announced})
-        before = {view.upstream.owner.name for view in desk.table.views.values()}
-        set_upstreams(desk.table, (*used, *reached), trio.current_time())
-        # An attempt at an owner that fell silent should not have to wait for its deadline.
-        for owner in before - {upstream.owner.name for upstream in used}:
-            self.hub.check(owner)
-
-    def _may_use(self, service: Service, upstream: Upstream) -> bool:
-        is_evacuated = upstream.owner.data_centre in self.membership.evacuated
-        return may_serve(service, upstream.name) and not is_evacuated
-
-    def _list_reached(self, desk: ServiceDesk, listed: set[str]) -> list[Upstream]:
-        """List the upstreams that no voter names any more though their owners are reached.
-
-        An instance that is cut off from the voters alone goes on serving. Its owner node knows
-        best whether the upstream stays, and says so to the next attempt if it does not.
-        """
-        # With two fifths of the nodes cut off from the voters for 7 s, 57% of the credit of the
-        # worst seconds was earned instead of 45% (one run each).
-        return [
-            view.upstream
-            for name, view in desk.table.views.items()
-            if name not in listed
-            and not view.is_draining
-            and view.upstream.owner.data_centre not in self.membership.evacuated
-            and self.hub.reaches(view.upstream.owner)
-        ]
+        choice = self.choices.get(service_name)
+        if choice is not None:
+            now = trio.current_time()
+            refresh_choice(choice, self.own, self.membership, self.hub, now)
 
     def link_closed(self, link: Link) -> None:
         """Hear that a link to an owner node broke."""
         now = trio.current_time()
         for run, attempt in self._find_attempts_at(link.peer.name):
-            table = self.desks[run.call.service.name].table
+            table = self.choices[run.call.service.name].table
             note_unknown(table, attempt.upstream.name, attempt.id, now)
             run.feed(ev.OwnerLost(attempt.id))
-        for service, desk in self.desks.items():
-            owners = {view.upstream.owner.name for view in desk.table.views.values()}
+        for service, choice in self.choices.items():
+            owners = {view.upstream.owner.name for view in choice.table.views.values()}
             if link.peer.name in owners:
                 self.refresh_upstreams(service)
 
@@ -253,7 +213,7 @@
                     outflow.add_credit(credit)
 
     def _note_answer(self, run: CallRun, upstream: Upstream, head: AnswerHead) -> None:
-        table = self.desks[run.call.service.name].table
+        table = self.choices[run.call.service.name].table
         now = trio.current_time()
         note_answered(table, upstream.name, head.attempt, now, head.status, head.load)
         self.recorder.record(
@@ -264,7 +224,7 @@
         )
 
     def _note_not_run(self, run: CallRun, upstream: Upstream, proof: NotRun) -> None:
-        table = self.desks[run.call.service.name].table
+        table = self.choices[run.call.service.name].table
         now = trio.current_time()
         note_not_run(table, upstream.name, proof.attempt, now, proof.reason, proof.load)
         run.is_inner = run.is_inner or proof.is_inner
@@ -278,7 +238,7 @@
     def _note_unknown(
         self, run: CallRun, upstream: Upstream, attempt: AttemptId, reason: str
     ) -> None:
-        table = self.desks[run.call.service.name].table
+        table = self.choices[run.call.service.name].table
         note_unknown(table, upstream.name, attempt, trio.current_time())
         self.recorder.record(
             EventKind.ATTEMPT_UNKNOWN,
@@ -291,54 +251,28 @@
         """Decide on an event and carry out what needs no waiting."""
         now = trio.current_time()
         call = run.call
-        desk = self.desks[call.service.name]
+        choice = self.choices[call.service.name]
 
         def choose(excluded: frozenset[str]) -> Upstream | NoRoom | None:
-            if not self._may_send(run):
+            if not may_send(self.membership, run):
                 return None
-            self._note_own_load(desk, now)
-            service = call.service
-            near = self.own.data_centre if service.near_first else None
+            note_own_load(choice, self.owner, now)
             # Long bodies made most of the bytes between data centres, which fell by 52% (one run of
             # 50 s each with bodies of 60 kB on average).
-            stays = len(run.body) > self.far_body_bytes
-            chosen = choose_upstream(
-                service.policy,
-                desk.table,
-                excluded,
-                now,
-                self.rng,
-                near,
-                stays=stays,
-                target_at=call.target_at,
-            )
-            return _explain_absence(desk.table, now) if chosen is None else chosen
+            stays = self._is_long(run)
+            return choose_for(choice, run, excluded, self.own, now, self.rng, stays=stays)
 
         for effect in entry.step(call, event, now, choose):
-            self._carry_out(run, desk, effect)
-
-    def _note_own_load(self, desk: ServiceDesk, now: Seconds) -> None:
-        """Have a choice weigh the exact load of the upstreams beside this process."""
-        for name in self.owner.register.owned:
-            if name in desk.table.views:
-                note_load(desk.table, name, self.owner.read_load(name), now)
+            self._carry_out(run, choice, effect)
 
-    def _may_send(self, run: CallRun) -> bool:
-        """Tell whether the configuration is fresh, or served stale and this the first attempt."""
-        if self.membership.is_fresh():
-            return True
-        service = run.call.service
-        is_first = not run.call.attempts
-        return service.on_stale is StaleAction.SERVE and (is_first or service.routed_only)
-
-    def _carry_out(self, run: CallRun, desk: ServiceDesk, effect: ev.EntryEffect) -> None:
+    def _carry_out(self, run: CallRun, choice: ServiceChoice, effect: ev.EntryEffect) -> None:
         match effect:
             case ev.SendHandOver():
-                self._send_hand_over(run, desk, effect)
+                self._send_hand_over(run, choice, effect)
             case ev.StartTimer():
                 run.start_timer(effect)
             case ev.SendCancel(attempt=attempt, upstream=upstream):
-                note_cancelled(desk.table, upstream.name, attempt, trio.current_time())
+                note_cancelled(choice.table, upstream.name, attempt, trio.current_time())
                 self.send(upstream.owner.name, Cancel(attempt, upstream.name))
             case ev.SendFence(attempt=attempt, upstream=upstream):
                 fence = Fence(attempt, upstream.owner.incarnation, upstream.name)
@@ -366,10 +300,10 @@
             return True
         return self.hub.send_dialed(owner, message)
 
-    def _send_hand_over(self, run: CallRun, desk: ServiceDesk, effect: ev.SendHandOver) -> None:
+    def _send_hand_over(self, run: CallRun, choice: ServiceChoice, effect: ev.SendHandOver) -> None:
         upstream = effect.upstream
         owner = upstream.owner
-        is_asked = self._asks_first(run, owner)
+        is_asked = self._asks_first(run, effect)
         first, rest = (b"", cut_body(run.body)) if is_asked else split_body(run.body)
         hand_over = HandOver(
             effect.attempt,
@@ -394,7 +328,7 @@
             may_wait=effect.may_wait,
         )
         self.runs[effect.attempt.sequence] = run
-        note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
+        note_sent(choice.table, upstream.name, effect.attempt, trio.current_time())
         self.recorder.record(
             EventKind.ATTEMPT_SENT,
             call=run.call.call_id,
@@ -423,10 +357,16 @@
         for one in told:
             hear(self.owner.register.suspects, one, now)
 
-    def _asks_first(self, run: CallRun, owner: Instance) -> bool:
-        """Tell whether the owner has to say that it takes a request before it gets the body."""
-        is_far = owner.data_centre != self.own.data_centre
-        return is_far and len(run.body) > self.far_body_bytes
+    def _asks_first(self, run: CallRun, effect: ev.SendHandOver) -> bool:
+        """Tell whether the owner has to say that it takes a request before it gets the body.
+
+        A body that is sent back was a load on the links of both nodes for nothing.
+        """
+        is_far = effect.upstream.owner.data_centre != self.own.data_centre
+        return self._is_long(run) and (is_far or not effect.may_wait)
+
+    def _is_long(self, run: CallRun) -> bool:
+        return len(run.body) > self.far_body_bytes
 
     async def _send_parts(
         self, run: CallRun, attempt: AttemptId, owner: str, parts: tuple[bytes, ...]
@@ -445,7 +385,7 @@
 
     def forget(self, run: CallRun) -> None:
         """Drop a finished call: later messages for its attempts are late."""
-        table = self.desks[run.call.service.name].table
+        table = self.choices[run.call.service.name].table
         now = trio.current_time()
         for attempt in run.call.attempts:
             self.runs.pop(attempt.id.sequence, None)
@@ -465,11 +405,3 @@
     if len(body) > MAX_KEPT_ANSWER_BYTES:
         return ClaimState.NOT_KEPT, None
     return ClaimState.ANSWERED, ClaimAnswer(head.status, head.headers, body)
-
-
-def _explain_absence(table: UpstreamTable, now: Seconds) -> NoRoom | None:
-    """Say when there is room again where only cold upstreams are left, else None."""
-    room_at = find_room_at(table)
-    if room_at is None or room_at <= now:
-        return None
-    return NoRoom((room_at - now) * MILLISECONDS_PER_SECOND)
--- a/packages/bendwind-node/src/bendwind_node/calls/probe_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/probe_task.py
@@ -6,8 +6,9 @@
 from bendwind_core.core import Seconds
 from bendwind_core.limits import ProbeBudget
 from bendwind_core.routing import LoadProbe, LoadReport, note_load, plan_probes
-from bendwind_node.calls.entry_node import EntryNode, ServiceDesk
+from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.service_choice import ServiceChoice
 
 PROBE_EVERY: Seconds = 0.25
 IDLE_SLEEP: Seconds = 1.0
@@ -31,24 +32,24 @@
 
     def probe_all(self, now: Seconds) -> bool:
         """Probe for every service in use and tell whether there is one."""
-        active = [desk for desk in self.entry.desks.values() if self._is_probed(desk, now)]
-        for desk in active:
-            self._probe(desk, now)
+        active = [one for one in self.entry.choices.values() if self._is_probed(one, now)]
+        for choice in active:
+            self._probe(choice, now)
         return bool(active)
 
-    def _is_probed(self, desk: ServiceDesk, now: Seconds) -> bool:
+    def _is_probed(self, choice: ServiceChoice, now: Seconds) -> bool:
         """Tell whether a service is in use and chosen by load.
 
         Owners of a service that is called near first refuse what they would answer late, and need
         not be asked beforehand.
         """
-        service = self.entry.membership.services.get(desk.table.service)
+        service = self.entry.membership.services.get(choice.table.service)
         is_near_first = service is not None and service.near_first
-        return not is_near_first and now - desk.called_at < IDLE_AFTER
+        return not is_near_first and now - choice.called_at < IDLE_AFTER
 
-    def _probe(self, desk: ServiceDesk, now: Seconds) -> None:
-        for name in plan_probes(desk.table, self.budget, now):
-            owner = desk.table.views[name].upstream.owner.name
+    def _probe(self, choice: ServiceChoice, now: Seconds) -> None:
+        for name in plan_probes(choice.table, self.budget, now):
+            owner = choice.table.views[name].upstream.owner.name
             # A probe is no reason to open a link.
             if owner in self.entry.hub.dialed:
                 self.entry.send(owner, LoadProbe(name))
@@ -56,6 +57,6 @@
 
     def receive(self, report: LoadReport) -> None:
         """Hear the load of an upstream."""
-        desk = self.entry.desks.get(report.service)
-        if desk is not None:
-            note_load(desk.table, report.upstream, report.load, trio.current_time())
+        choice = self.entry.choices.get(report.service)
+        if choice is not None:
+            note_load(choice.table, report.upstream, report.load, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -178,7 +178,7 @@
                 done = await bench.call(make_exchange())
                 self.assertEqual(done.headers[b"bendwind-reason"], b"no-upstream")
             bench.entry.refresh_upstreams("svc")
-            self.assertEqual(bench.entry.desks["svc"].table.views, {})
+            self.assertEqual(bench.entry.choices["svc"].table.views, {})
             self.assertEqual(self.runs, 1)
 
         self.run_with(self.answer_ok, check)
@@ -244,7 +244,7 @@
             exchange = make_exchange(POST, b"x", bendwind_timeout_ms="100")
             done = await bench.call(exchange)
             self.assertEqual(done.headers[b"bendwind-outcome"], b"unknown")
-            view = bench.entry.desks["svc"].table.views["svc-1"]
+            view = bench.entry.choices["svc"].table.views["svc-1"]
             self.assertEqual((view.error_rate, len(view.outstanding)), (0.0, 0))
 
         self.run_with(wait, check)
@@ -350,7 +350,7 @@
         async def check(bench, port):
             quiet = Service("quiet", ("*",))
             bench.membership.services["quiet"] = quiet
-            bench.entry.find_desk(quiet)
+            bench.entry.find_choice(quiet)
             announce(bench.owner, port)
             async with trio.open_nursery() as nursery:
                 for _ in range(80):
@@ -369,7 +369,7 @@
             owner = bench.add_owner("other")
             announce(owner, port)
             await bench.call(make_exchange())
-            desk = bench.entry.desks["svc"]
+            desk = bench.entry.choices["svc"]
             view = desk.table.views["svc-1"]
             probes = ProbeTask(bench.entry, bench.owner, ProbeBudget(20, 4000))
             bench.hub.reports = probes.receive
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -317,7 +317,7 @@
         case ConfigurationApplied():
             dispatcher.owner.register.hear_configuration(dispatcher.membership.evacuated)
             dispatcher.entry.refresh_routing()
-            for service in tuple(dispatcher.entry.desks):
+            for service in tuple(dispatcher.entry.choices):
                 dispatcher.entry.refresh_upstreams(service)
         case ClaimGroupsChanged():
             groups = tuple(dispatcher.membership.claim_groups.values())
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -78,8 +78,8 @@
 
 def gather_calls(entry: EntryNode, owner: OwnerNode) -> Iterator[Sample]:
     """Read the calls and attempts under way."""
-    for service, desk in entry.desks.items():
-        yield Sample(Metric.CALLS_IN_FLIGHT, desk.in_flight, (service,))
+    for service, choice in entry.choices.items():
+        yield Sample(Metric.CALLS_IN_FLIGHT, choice.in_flight, (service,))
     for upstream, owned in owner.register.owned.items():
         yield Sample(Metric.ATTEMPTS_RUNNING, len(owned.desk.running), (upstream,))
         yield Sample(Metric.ATTEMPTS_WAITING, len(owned.desk.waiting), (upstream,))
