--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_authentication.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_authentication.py
@@ -93,7 +93,7 @@
                 self.assertEqual(done.headers[b"www-authenticate"], b'ApiKey header="bendwind-key"')
                 self.assertNotIn(b"retry-after", done.headers)
             self.assertEqual((bench.entry.runs, bench.intake.in_flight), ({}, 0))
-            self.assertEqual((bench.entry.desks, bench.entry.unknown_keys), ({}, 2))
+            self.assertEqual((bench.entry.choices, bench.entry.unknown_keys), ({}, 2))
 
         self.run_with(check)
         self.assertEqual(self.seen, [])
