--- a/packages/bendwind-bench/src/bendwind_bench/emulator/demand.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/demand.py
@@ -67,7 +67,8 @@
             return self.rng.choice(self._names)
         [wave] = self.rng.choices(waves, self._list_heights(now))
         there = [name for name, place in self.places.items() if place == wave.data_centre]
-        return self.rng.choice(there)
+        # A data centre without an instance has callers, which come to any.
+        return self.rng.choice(there or self._names)
 
     def _list_heights(self, now: Seconds) -> list[float]:
         return [_find_height(wave, now) for wave in self.scenario.callers.waves]
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_demand.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_demand.py
@@ -74,6 +74,10 @@
         picked = collections.Counter(demand.pick_node(2.0) for _ in range(4000))
         self.assertAlmostEqual(picked["n"] / 4000, 0.75, delta=0.03)
 
+    def test_callers_of_a_data_centre_without_instances_come_to_any(self):
+        demand, _ = create(waves=(Wave(data_centre="east"),))
+        self.assertEqual({demand.pick_node(0.0) for _ in range(100)}, set(PLACES))
+
 
 class CustomersTest(unittest.TestCase):
     def test_figures_tell_customers_and_ranks_apart(self):
