calls, timeline, losses: a refusal before any attempt tells whose request it was

Change: where the call is known, the line has the facts of a call (call_task.py). calls_refused and losses count refusals without an attempt; losses has a cause for quotas, explain a sentence for each of both reasons.

Seeded, each failing its test: facts without the call, bare reasons not counted, all ends counted as refused, bare reasons not taken for refusals, refusals without an objective left out.

--- a/packages/bendwind-bench/src/bendwind_bench/losses/account.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/account.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bendwind_bench.losses.causes import Cause, find_cause
+from bendwind_bench.losses.causes import Cause, find_cause, is_refused
 from bendwind_bench.losses.free import FreeTimes, find_free_times, find_wait
 from bendwind_bench.losses.read import Logs, list_owner_lines
 from bendwind_bench.losses.runs import FailedRun, is_inner, list_failed_runs
@@ -77,8 +77,8 @@
 
 
 def list_rows(logs: Logs) -> list[Row]:
-    """Give account of all calls that have a latency objective."""
-    calls = [call for call in logs.calls if call.facts.target_ms is not None]
+    """Give account of all calls with a latency objective, and of those refused without one."""
+    calls = [call for call in logs.calls if call.facts.target_ms is not None or is_refused(call)]
     first_ms = min((_find_start(call) for call in calls), default=0.0)
     requests = {call.request for call in logs.calls}
     free, failed = find_free_times(logs), list_failed_runs(logs)
@@ -138,7 +138,7 @@
             return Fate.FAILED
         is_in_time = facts.target_ms is None or facts.ms <= facts.target_ms
         return Fate.IN_TIME if is_in_time else Fate.LATE
-    if call.detail.startswith(("not-run", "stale")):
+    if is_refused(call):
         return Fate.REFUSED
     return Fate.GONE if call.detail == "caller gone" else Fate.FAILED
 
--- a/packages/bendwind-bench/src/bendwind_bench/losses/causes.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/causes.py
@@ -3,6 +3,7 @@
 import enum
 
 from bendwind_bench.losses.read import Logs, list_owner_lines
+from bendwind_core.attempts.messages import NotRunReason
 from bendwind_core.attempts.pace import SLOW_FACTOR
 from bendwind_core.core import Milliseconds
 from bendwind_core.timeline import CallFacts, DispatchFacts, LogLine, RefusalFacts
@@ -12,6 +13,7 @@
 _ANSWERED = "answered"
 _NOT_RUN = "not-run"
 _SERVER_ERROR = 500
+_REASONS = frozenset(NotRunReason)
 
 
 class Cause(enum.StrEnum):
@@ -21,6 +23,7 @@
     CAME_BACK = "late before it came: its caller had been refused"
     NO_CONFIGURATION = "refused: no configuration yet"
     NO_UPSTREAM = "refused: no upstream known"
+    OVER_QUOTA = "refused: over its customer's quota, or that not known"
     FREE_SLOT = "refused while a slot was free"
     FULL = "refused: slots taken"
     SLOWED = "refused: upstreams slowed"
@@ -42,13 +45,18 @@
         return _find_answered(call, facts, logs)
     if call.detail == "caller gone":
         return Cause.GONE
-    if call.detail.startswith(_NOT_RUN) or call.detail.startswith("stale"):
+    if is_refused(call):
         return _find_refused(call, logs)
     if call.detail.startswith(("unknown", "cut")):
         return Cause.CUT
     return Cause.OTHER
 
 
+def is_refused(call: LogLine) -> bool:
+    """Tell whether a call provably did not run; before any attempt, the reason stands alone."""
+    return call.detail.startswith(_NOT_RUN) or call.detail in _REASONS
+
+
 def _find_answered(call: LogLine, facts: CallFacts, logs: Logs) -> Cause:
     if facts.status >= _SERVER_ERROR:
         return Cause.FAILED
@@ -77,6 +85,8 @@
     match reason:
         case "stale-configuration":
             return Cause.NO_CONFIGURATION
+        case "over-quota" | "quota-unknown":
+            return Cause.OVER_QUOTA
         case "no-upstream" | "draining" | "connect-failed":
             return Cause.NO_UPSTREAM
         case "shed":
--- a/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_losses.py
+++ b/packages/bendwind-bench/src/bendwind_bench/losses/tests/test_losses.py
@@ -4,7 +4,15 @@
 
 import msgspec
 
-from bendwind_bench.losses import By, Cause, list_rows, read_logs, render_account, write_account
+from bendwind_bench.losses import (
+    By,
+    Cause,
+    Fate,
+    list_rows,
+    read_logs,
+    render_account,
+    write_account,
+)
 from bendwind_core.timeline import AttemptFacts, CallFacts, DispatchFacts, LogLine, RefusalFacts
 
 
@@ -62,6 +70,15 @@
         self.assertIs(self.cause(call("a", "not-run: no-upstream", 503)), Cause.NO_UPSTREAM)
         self.assertIs(self.cause(call("a", "not-run: shed", 503)), Cause.SHED)
 
+    def test_refusals_before_any_attempt_are_told_by_their_reason(self):
+        over = call("a", "over-quota", 429)
+        self.assertIs(self.cause(over), Cause.OVER_QUOTA)
+        unknown = msgspec.structs.replace(over, facts=CallFacts(status=503), detail="overloaded")
+        (row,) = self.list_rows(unknown)
+        self.assertIs(row.fate, Fate.REFUSED)
+        nowhere = msgspec.structs.replace(unknown, detail="no-route")
+        self.assertEqual(self.list_rows(nowhere), [])
+
     def test_failures_cuts_and_callers_that_left_are_told_apart(self):
         self.assertIs(self.cause(call("a", status=500)), Cause.FAILED)
         self.assertIs(self.cause(call("a", "unknown: link-lost", 502)), Cause.CUT)
--- a/packages/bendwind-core/src/bendwind_core/timeline/statistics.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/statistics.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bendwind_core.attempts.messages import NotRunReason
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds
 from bendwind_core.timeline.facts import CallFacts, DispatchFacts, Facts, RefusalFacts
 
@@ -18,6 +19,7 @@
 MAX_RANKS = 4
 MORE_RANKS = "more"
 _NOT_RUN = "not-run: "
+_REASONS = frozenset(NotRunReason)
 
 
 class Histogram(msgspec.Struct):
@@ -99,8 +101,10 @@
 
 def _note_sent_back(statistics: CallStatistics, detail: str, facts: CallFacts) -> None:
     rank = name_rank(facts.rank)
-    if detail.startswith(_NOT_RUN):
-        statistics.calls_refused[rank, detail.removeprefix(_NOT_RUN)] += 1
+    # A request that is refused before any attempt has the reason alone.
+    reason = detail.removeprefix(_NOT_RUN)
+    if reason in _REASONS:
+        statistics.calls_refused[rank, reason] += 1
     for attempt in facts.attempts:
         if attempt.end.startswith(_NOT_RUN):
             statistics.sent_back[rank, attempt.end.removeprefix(_NOT_RUN)] += 1
--- a/packages/bendwind-core/src/bendwind_core/timeline/tests/test_statistics.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_statistics.py
@@ -67,6 +67,11 @@
         self.assertEqual(dict(self.statistics.sent_back), sent_back)
         self.assertEqual(dict(self.statistics.calls_refused), {(MORE_RANKS, "queue-full"): 1})
 
+    def test_calls_refused_before_any_attempt_are_counted_if_they_did_not_run(self):
+        for detail in ("over-quota", "no-route", "caller gone"):
+            self.end_call(detail, rank=1)
+        self.assertEqual(dict(self.statistics.calls_refused), {("1", "over-quota"): 1})
+
     def test_waits_are_counted_by_rank_whether_they_ended_in_a_run_or_a_refusal(self):
         for facts in (
             DispatchFacts("r", 3.0, 40.0),
--- a/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
@@ -15,6 +15,8 @@
     "no-route": "no route of the configuration in force covers its host and path",
     "unknown-service": "no service of this name is in force",
     "stale": "the node had no configuration, or no proof that it was the newest",
+    "over-quota": "its customer had sent more than its quota",
+    "quota-unknown": "no voter answered whether its customer's quota permits it",
     "overloaded": "the node or the service had as many calls in flight as it may have",
     "body-too-large": "its body is over the limit",
     "headers-too-large": "its headers are over the limit",
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -9,7 +9,7 @@
 from bendwind_core.timeline import CallFacts, EventKind
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.call_delivery import Delivery
-from bendwind_node.calls.call_facts import find_request_id
+from bendwind_node.calls.call_facts import find_request_id, make_call_facts
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError
@@ -51,8 +51,14 @@
         self.next_call += 1
         return call_id
 
-    async def _refuse(self, exchange: CallerExchange, call_id: str, refusal: Refusal) -> None:
-        self._record_refusal(exchange, call_id, refusal)
+    async def _refuse(
+        self,
+        exchange: CallerExchange,
+        call_id: str,
+        refusal: Refusal,
+        run: CallRun | None = None,
+    ) -> None:
+        self._record_refusal(exchange, call_id, refusal, run)
         await outcomes.send_outcome(
             exchange,
             call_id,
@@ -63,19 +69,26 @@
             self.entry.dialect,
         )
 
-    def _record_refusal(self, exchange: CallerExchange, call_id: str, refusal: Refusal) -> None:
+    def _record_refusal(
+        self, exchange: CallerExchange, call_id: str, refusal: Refusal, run: CallRun | None
+    ) -> None:
         entry = self.entry
-        age_ms = entry.membership.confirmed_age_ms()
         entry.recorder.record(
             EventKind.CALL_REFUSED,
             call=call_id,
             detail=refusal.reason,
             request=find_request_id(exchange.request.headers, entry.dialect),
-            facts=CallFacts(
-                status=refusal.status, version=entry.membership.view.version, age_ms=age_ms
-            ),
+            facts=self._make_facts(refusal, run),
         )
 
+    def _make_facts(self, refusal: Refusal, run: CallRun | None) -> CallFacts:
+        """Describe a refused request; before it was taken, nothing is known but the status."""
+        membership = self.entry.membership
+        if run is not None:
+            return make_call_facts(run, refusal.status, membership, trio.current_time())
+        version, age_ms = membership.view.version, membership.confirmed_age_ms()
+        return CallFacts(status=refusal.status, version=version, age_ms=age_ms)
+
     async def _run(self, exchange: CallerExchange, run: CallRun) -> None:
         call = run.call
         detail = f"{run.method} {call.service.name}"
@@ -86,7 +99,7 @@
         try:
             refusal = await self._take_token(run)
             if refusal is not None:
-                await self._refuse(exchange, call.call_id, refusal)
+                await self._refuse(exchange, call.call_id, refusal, run)
                 return
             run.feed(ev.Begin())
             await Delivery(self.entry, exchange, run).finish()
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_quota_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_quota_path.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from bendwind_core.timeline import EventKind
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.tests.fakes import CallBench, announce, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request, run_server
@@ -46,6 +47,8 @@
                     exchange = await bench.call(make_exchange())
                     statuses.append(exchange.status)
                     headers.append(exchange.headers)
+                self.counted = bench.owner.recorder.statistics
+                self.events = bench.owner.recorder.events
                 self.stock = bench.entry.quotas.quotas.totals
                 nursery.cancel_scope.cancel()
 
@@ -66,6 +69,15 @@
         self.assertEqual(refused[b"bendwind-reason"], b"over-quota")
         self.assertIn(b"retry-after", refused)
 
+    def test_line_of_a_refusal_tells_whose_request_it_was(self):
+        statuses, _, _ = self.play(make_customer(0.01, 5.0), 40)
+        lines = [event for event in self.events if event.kind is EventKind.CALL_REFUSED]
+        self.assertEqual(
+            {(line.detail, line.facts.customer) for line in lines}, {("over-quota", "maria")}
+        )
+        self.assertEqual({line.facts.service for line in lines}, {"svc"})
+        self.assertEqual(self.counted.calls_refused["0", "over-quota"], statuses.count(429))
+
     def test_a_customer_without_a_limit_is_asked_for_no_token(self):
         statuses, _, _ = self.play(make_customer(0.0, 0.0), 40)
         self.assertEqual(set(statuses), {200})
