emulator: customers with quotas

Cause: what a limit does to the customer that it is for, and to others, could not be tried.

Change: customers may state rate_per_s and burst. A request beyond it is refused with the time until a token.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
@@ -8,6 +8,7 @@
 from bendwind_bench.emulator.demand import NOBODY, Demand, Sender
 from bendwind_bench.emulator.entry_side import Answered, Lost, Outcome, Refused
 from bendwind_bench.emulator.interfaces import Instance, Site
+from bendwind_bench.emulator.quota import Quotas
 from bendwind_bench.emulator.tables import RouteTable
 from bendwind_bench.emulator.tally import Fate
 from bendwind_core.attempts import owner_events as ov
@@ -45,12 +46,13 @@
 class Callers:
     """Send the requests of a scenario at its rates."""
 
-    __slots__ = ("asked", "demand", "names", "rng", "until", "world")
+    __slots__ = ("asked", "demand", "names", "quotas", "rng", "until", "world")
 
     def __init__(self, world: Site, demand: Demand, rng: random.Random):
         self.world = world
         self.demand = demand
         self.rng = rng
+        self.quotas = Quotas(world.scenario.customers)
         self.names = tuple(world.nodes)
         self.asked = itertools.count()
         self.until: Seconds = 0.0
@@ -102,6 +104,10 @@
                 return
             request.node = self.rng.choice(up)
             node = self.world.nodes[request.node]
+        wait_ms = self.quotas.take(request.sender.customer, self.world.agenda.now)
+        if wait_ms is not None:
+            self._hear(request, Refused(wait_ms))
+            return
         self.world.tally.calls += 1
         node.entry.begin(
             request.route,
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/quota.py
@@ -0,0 +1,45 @@
+"""Keep customers within their quotas, as if all nodes shared one bucket for each at no cost."""
+
+import msgspec
+
+from bendwind_bench.emulator.tables import CustomerTable
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+
+
+class _Bucket(msgspec.Struct):
+    """Hold what a customer may still send at once."""
+
+    rate_per_s: float
+    burst: float
+    level: float
+    filled_at: Seconds = 0.0
+
+
+class Quotas:
+    """Hold a bucket for each customer that has a quota."""
+
+    __slots__ = ("_buckets",)
+
+    def __init__(self, groups: tuple[CustomerTable, ...]):
+        self._buckets = {
+            group.find_name(number): _Bucket(group.rate_per_s, group.burst, group.burst)
+            for group in groups
+            if group.rate_per_s is not None
+            for number in range(group.count)
+        }
+
+    def take(self, customer: str, now: Seconds) -> Milliseconds | None:
+        """Take a token; return how long until there is one if there is none, else None."""
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return None
+        came = bucket.rate_per_s * (now - bucket.filled_at)
+        bucket.level = min(bucket.burst, bucket.level + came)
+        bucket.filled_at = now
+        if bucket.level >= 1.0:
+            bucket.level -= 1.0
+            return None
+        return (1.0 - bucket.level) / bucket.rate_per_s * MILLISECONDS_PER_SECOND
+
+
+__all__ = ["Quotas"]
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tables.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tables.py
@@ -93,7 +93,7 @@
 
     The n-th, counted from 1, sends in proportion to n to the power of -`zipf`. `weight` is the part
     of the group in the requests of `routes`, of all where none is named. `rank` goes before that of
-    a route.
+    a route. Each may send `rate_per_s`, and `burst` at once; without a rate it has no quota.
     """
 
     name: Name
@@ -101,6 +101,8 @@
     zipf: Annotated[float, Meta(ge=0, le=5)] = 0.0
     weight: Positive = 1.0
     rank: Annotated[int, Meta(ge=0)] | None = None
+    rate_per_s: Positive | None = None
+    burst: Factor = 10.0
     routes: tuple[Name, ...] = ()
 
     def find_name(self, number: int) -> str:
