--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_pace.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_pace.py
@@ -57,6 +57,13 @@
         self.assertEqual(find_factor(pace, 0.61), 8.0)
         self.assertEqual(find_factor(pace, 1.5), 2.0)
 
+    def test_two_phases_without_a_report_between_are_no_usual_pace(self):
+        # An upstream that few requests reach was taken for one that stays slowed, and what started
+        # in a phase there for what starts at its usual pace.
+        pace = Pace()
+        self.report(pace, (0.0, 1.0), (0.5, 5.0), (1.1, 5.0))
+        self.assertEqual(pace.base, 1.0)
+
     def test_upstream_that_warms_up_is_at_its_usual_pace_at_once(self):
         pace = Pace()
         self.report(pace, *[(0.1 * number, 2.0) for number in range(6)], (0.6, 1.0))
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_sending.py
@@ -1,8 +1,9 @@
 """Check when an attempt is pressed upon a stalled upstream, and what a refused caller is told."""
 
+import types
 import unittest
 
-from bendwind_core.attempts import entry, owner
+from bendwind_core.attempts import entry, owner, sending
 from bendwind_core.attempts import events as ev
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.attempts.attempt_ids import AttemptIds
@@ -28,7 +29,8 @@
 
 
 class TestSending(unittest.TestCase):
-    def bounce(self, count, policy, reasons):
+    def bounce(self, count, policy, reasons, waits=types.MappingProxyType({})):
+        self.may_wait = []
         upstreams = describe(count)
 
         def choose(excluded):
@@ -44,8 +46,11 @@
             if not isinstance(last, ev.SendHandOver):
                 return sent, last
             sent.append((last.upstream.name, last.insist))
+            self.may_wait.append(last.may_wait)
             if reason is not None:
-                effects = entry.step(call, ev.AttemptNotRun(last.attempt, reason), 0.0, choose)
+                load = LoadSample(2, 0, 3, wait_ms=waits.get(last.upstream.name, 0.0))
+                not_run = ev.AttemptNotRun(last.attempt, reason, load)
+                effects = entry.step(call, not_run, 0.0, choose)
         return sent, None
 
     def test_the_fourth_attempt_and_a_second_at_one_upstream_insist(self):
@@ -55,6 +60,25 @@
         sent, _ = self.bounce(1, Policy.SCORE, stalled[:1])
         self.assertEqual(sent, [("u0", False), ("u0", True)])
 
+    def test_busy_ones_are_tried_in_turn_and_then_the_one_that_is_free_first(self):
+        waits = {f"u{number}": 100.0 - 10.0 * (number == 3) for number in range(9)}
+        busy = [NotRunReason.BUSY] * sending.POLITE_TRIES
+        sent, _ = self.bounce(9, Policy.SCORE, busy, waits)
+        names = [f"u{number}" for number in range(sending.POLITE_TRIES)]
+        self.assertEqual([name for name, _ in sent], [*names, "u3"])
+        self.assertEqual(self.may_wait, [False] * sending.POLITE_TRIES + [True])
+
+    def test_where_fewer_serve_the_first_to_be_free_is_handed_over_to_after_all_were_asked(self):
+        sent, _ = self.bounce(2, Policy.SCORE, [NotRunReason.BUSY] * 2, {"u0": 90.0, "u1": 20.0})
+        self.assertEqual([name for name, _ in sent], ["u0", "u1", "u1"])
+        self.assertEqual(self.may_wait, [False, False, True])
+
+    def test_a_request_may_wait_where_there_is_one_upstream_or_another_policy(self):
+        self.bounce(1, Policy.SCORE, [])
+        self.assertEqual(self.may_wait, [True])
+        self.bounce(3, Policy.LEAST_IN_FLIGHT, [])
+        self.assertEqual(self.may_wait, [True])
+
     def test_baseline_policies_always_insist(self):
         for policy in set(Policy) - {Policy.SCORE}:
             self.assertEqual(self.bounce(1, policy, [])[0], [("u0", True)])
--- a/packages/bendwind-core/src/bendwind_core/routing/choice.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/choice.py
@@ -35,20 +35,22 @@
     """Return an upstream that takes new requests and is not excluded, or None.
 
     A call that excludes some is a retry: it leaves out those whose queue has just been full too.
-    With `near`, upstreams of that data centre go first unless they lately failed; their owners
-    refuse what they would answer late, so that only such requests go further. A request that
-    `stays` goes further only where that data centre has no upstream that serves. A cold upstream
-    that bears no further request until `target_at` is left out.
+    With `near`, upstreams of that data centre go first unless they lately failed or are known to be
+    busy while others are not. A request that `stays` goes further only where that data centre has
+    no upstream that serves. A cold upstream that bears no further request until `target_at` is left
+    out.
     """
     views = _find_candidates(table, excluded)
     if target_at is not None:
         views = [view for view in views if view.room_at <= max(now, target_at)]
     if excluded:
         views = [view for view in views if now - view.full_at >= FULL_PAUSE]
+    nearby = views
     if near is not None:
         has_home = stays and bool(_list_near(_find_candidates(table, _NONE), near, now))
         nearby = _list_near(views, near, now) or ([] if has_home else views)
-        views = nearby if has_home else _prefer_free(nearby, views, now)
+        views = nearby if has_home else views
+    views = _prefer_free(nearby, views, now) if policy is Policy.SCORE else nearby
     if not views:
         return None
     if len(views) == 1:
@@ -81,7 +83,10 @@
 def _prefer_free(
     nearby: list[UpstreamView], views: list[UpstreamView], now: Seconds
 ) -> list[UpstreamView]:
-    """Return the near ones unless all of them are known to be busy and others are not."""
+    """Return the near ones unless all of them are known to be busy and others are not.
+
+    Near first is a price: a way there and back is little beside a wait.
+    """
     free = [view for view in nearby if view.free_at <= now + BUSY_FROM]
     free = free or [view for view in views if view.free_at <= now + BUSY_FROM]
     return free or nearby
--- a/packages/bendwind-core/src/bendwind_core/routing/tests/test_choice.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/tests/test_choice.py
@@ -57,6 +57,34 @@
         chosen = choose_upstream(Policy.SCORE, *rest, stays=True)
         return None if chosen is None else chosen.name
 
+    def make_busy(self, name, now, wait_ms):
+        note_load(self.table, name, LoadSample(2, 0, 3, wait_ms=wait_ms), now)
+
+    def choose_near(self, now, *, stays=False):
+        near = (Policy.SCORE, self.table, NONE, now, self.rng, "here")
+        return {choose_upstream(*near, stays=stays).name for _ in range(100)}
+
+    def test_upstreams_that_told_how_long_they_are_busy_are_passed_over_so_long(self):
+        for name in ("u0", "u1"):
+            self.make_busy(name, 1.0, 120.0)
+        self.assertEqual(self.share_of("u0", 1.05) + self.share_of("u1", 1.05), 0.0)
+        self.assertGreater(self.share_of("u0", 1.05, Policy.RANDOM), 0.0)
+        for name in ("u2", "u3"):
+            self.make_busy(name, 1.2, 0.0)
+        self.assertGreater(self.share_of("u0", 1.2), 0.0)
+
+    def test_another_data_centre_serves_only_while_all_near_are_known_to_be_busy(self):
+        here = [describe(name, data_centre="here") for name in ("u0", "u1")]
+        set_upstreams(self.table, [*here, describe("u2"), describe("u3")], 0.0)
+        self.make_busy("u0", 1.0, 120.0)
+        self.assertEqual(self.choose_near(1.0), {"u1"})
+        self.make_busy("u1", 1.0, 120.0)
+        self.assertEqual(self.choose_near(1.0), {"u2", "u3"})
+        self.assertEqual(self.choose_near(1.0, stays=True), {"u0", "u1"})
+        # A wait as short as the way there and back is none.
+        self.make_busy("u1", 1.0, 8.0)
+        self.assertEqual(self.choose_near(1.0), {"u1"})
+
     def test_a_request_that_stays_goes_further_only_where_nobody_near_serves(self):
         # Large bodies went to other data centres whenever the near upstream was busy, which made
         # most of the bytes between data centres.
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -5,7 +5,7 @@
 import trio.testing
 from msgspec.structs import replace
 
-from bendwind_core.attempts import NotRunReason
+from bendwind_core.attempts import BodyPart, HandOver, NotRunReason
 from bendwind_core.attempts import events as ev
 from bendwind_core.limits import ProbeBudget
 from bendwind_core.world import Limits, Service, StaleAction, UpstreamState
@@ -138,6 +138,30 @@
 
         self.run_with(swallow, check)
 
+    def test_long_body_stays_until_an_owner_takes_a_try_that_may_not_wait(self):
+        # An upstream in the same data centre got the whole body, and sent it back when busy.
+        received, swallow = self.make_swallower()
+
+        async def check(bench, port):
+            owners = [bench.add_owner(name) for name in ("one", "two")]
+            for number, owner in enumerate(owners):
+                announce(owner, port, name=f"svc-{number}")
+            for owned in owners[0].register.owned.values():
+                owned.desk.slot_share = 0.0
+                owned.desk.connections = 0
+            sent = bench.hub.sent
+            for _ in range(4):
+                received.clear()
+                done = await bench.call(make_exchange(POST, b"q" * MIB))
+                self.assertEqual((done.status, len(received)), (200, MIB))
+            firsts = [message for message in sent if isinstance(message, HandOver)]
+            self.assertTrue(all(message.body == b"" for message in firsts))
+            self.assertEqual(owners[0].assemblies.budget.used, 0)
+            parts = [message for message in sent if isinstance(message, BodyPart)]
+            self.assertEqual(sum(len(part.data) for part in parts), 4 * MIB)
+
+        self.run_with(swallow, check)
+
     def test_answer_cut_at_the_upstream_aborts_the_caller(self):
         async def cut(stream, data):
             await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nso")
