attempts, limits, admission, emulator: who starts next is decided by rank, and by turns of customers

Cause: waiting attempts were ordered by their latest time to start alone, and rank was read by no decision; a call that an upstream makes waited behind new requests, and its run failed if refused.

Change: rank, what can still be in time, turns of customers by the work lately done for each, due time. A call of an upstream has the rank of the most urgent run beside its entry node, goes before new requests of that rank, and may use the slots above the share unless something more urgent runs or waits. The estimate of the wait counts what goes before only; what will not start any more since a more urgent one came is given back at once. A rank that starts less than 0.3 times as often as all waits before the others, one at a time. The emulator knows customers, hot ones, bursts of one route and runs of which a share makes calls, and counts who was served.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/callers.py
@@ -17,6 +17,8 @@
     from bendwind_bench.emulator.world import Node, World
 
 _FAILED_STATUS = 500
+# Customers that turn hot are among so many of the largest.
+LARGE = 10
 # A caller does as Retry-After says if that leaves it two thirds of its time.
 PATIENCE = 1 / 3
 
@@ -31,6 +33,7 @@
     is_at_once: bool
     target: bytes
     is_counted: bool = True
+    customer: str = ""
 
     @property
     def deadline_at(self) -> Seconds:
@@ -46,13 +49,18 @@
 class Callers:
     """Send the requests of a scenario at its rates."""
 
-    __slots__ = ("asked", "names", "rate_factor", "rng", "until", "world")
+    __slots__ = ("asked", "customers", "hot", "names", "rate_factors", "rng", "until", "world")
 
     def __init__(self, world: "World", rng: random.Random):
         self.world = world
         self.rng = rng
         self.names = tuple(world.nodes)
-        self.rate_factor = 1.0
+        self.rate_factors: dict[str, float] = {}
+        callers = world.scenario.callers
+        self.customers = {
+            f"customer-{place}": place**-callers.skew for place in range(1, callers.customers + 1)
+        }
+        self.hot: dict[str, float] = {}
         self.asked = itertools.count()
         self.until: Seconds = 0.0
 
@@ -64,10 +72,39 @@
                 self._plan_next(route)
 
     def _plan_next(self, route: RouteTable) -> None:
-        gap = self.rng.expovariate(route.per_second * self.rate_factor)
+        gap = self.rng.expovariate(route.per_second * self._find_rate_factor(route))
         if self.world.agenda.now + gap < self.until:
             self.world.agenda.after(gap, lambda: self._arrive(route))
 
+    def set_rate(self, route: str, factor: float) -> None:
+        """Have the callers of a route, of all if it is empty, come at so many times the usual."""
+        self.rate_factors[route] = factor
+
+    def set_customers(self, names: tuple[str, ...], factor: float) -> None:
+        """Have customers send so many times their usual."""
+        self.hot |= dict.fromkeys(names, factor)
+        self.world.tally.hot.update(names)
+
+    def pick_large(self, count: int) -> tuple[str, ...]:
+        """Pick some of the largest customers."""
+        large = list(self.customers)[:LARGE]
+        return tuple(self.rng.sample(large, min(count, len(large))))
+
+    def _find_rate_factor(self, route: RouteTable) -> float:
+        factor = self.rate_factors.get("", 1.0) * self.rate_factors.get(route.name, 1.0)
+        if not self.hot:
+            return factor
+        usual = sum(self.customers.values())
+        return factor * sum(self._list_weights()) / usual
+
+    def _list_weights(self) -> list[float]:
+        return [weight * self.hot.get(name, 1.0) for name, weight in self.customers.items()]
+
+    def _pick_customer(self) -> str:
+        if not self.customers:
+            return ""
+        return self.rng.choices(list(self.customers), self._list_weights())[0]
+
     def _arrive(self, route: RouteTable) -> None:
         callers = self.world.scenario.callers
         request = Request(
@@ -77,6 +114,7 @@
             callers.retries,
             self.rng.random() < callers.at_once,
             self._find_target(route),
+            customer=self._pick_customer(),
         )
         self._try(request)
         self._plan_next(route)
@@ -108,6 +146,7 @@
             request.target_at,
             lambda outcome: self._hear(request, outcome),
             request.target,
+            request.customer,
         )
 
     def _hear(self, request: Request, outcome: Outcome) -> None:
@@ -139,7 +178,8 @@
     def _end(self, request: Request, fate: Fate) -> None:
         if not request.is_counted:
             return
-        self.world.tally.note(request.route.name, request.began_at, fate)
+        route = request.route
+        self.world.tally.note(route.name, request.began_at, fate, route.priority, request.customer)
 
     def call_from_upstream(self, node: "Node", name: str, deadline_at: Seconds, done) -> None:
         """Carry a call that an upstream makes at its own node."""
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/compare.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/compare.py
@@ -17,7 +17,22 @@
 from bendwind_bench.emulator.tally import Figures
 from bendwind_bench.emulator.world import run_scenario
 
-COMPARED = ("in_time", "late", "refused", "failed", "worst", "sent_back", "busiest", "retries")
+COMPARED = (
+    "in_time",
+    "late",
+    "refused",
+    "failed",
+    "worst",
+    "sent_back",
+    "busiest",
+    "retries",
+    "urgent",
+    "put_behind",
+    "least_kind",
+    "least_customer",
+    "others",
+    "for_nothing",
+)
 
 
 class Job(msgspec.Struct, frozen=True):
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -74,6 +74,9 @@
     def note_sent_back(self, target: bytes, reason: NotRunReason) -> None:
         """Count an attempt that was sent back unrun."""
 
+    def find_run_rank(self, name: str) -> int | None:
+        """Return the most urgent rank of what runs beside a node."""
+
     def note_retry(self) -> None:
         """Count an attempt that the retry budget paid for."""
 
@@ -160,6 +163,7 @@
         target_at: Seconds,
         done: Done,
         target: bytes,
+        customer: str = "",
     ) -> None:
         """Take a call and tell its outcome once."""
         rule = Rule(
@@ -179,6 +183,7 @@
             self.ids,
             self.budgets[route.service],
             target_at=target_at,
+            customer=customer,
         )
         self._feed(CallRun(call, route, done, target), ev.Begin())
 
@@ -255,8 +260,15 @@
             rank=run.call.rank,
             customer=run.call.customer,
             may_wait=effect.may_wait,
+            **self._find_run_rank(),
         )
 
+    def _find_run_rank(self) -> dict[str, int | None]:
+        # A core that is compared against may not know of it.
+        if "run_rank" not in HandOver.__struct_fields__:
+            return {}
+        return {"run_rank": self.network.find_run_rank(self.name)}
+
     def _find_suspicion(self, run: CallRun) -> SuspectTold | None:
         if not self.suspects.suspects:
             return None
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
@@ -19,8 +19,12 @@
     nodes = _pick(world, fault)
     match fault.kind:
         case FaultKind.BURST:
-            world.callers.rate_factor = fault.x
-            world.agenda.after(fault.for_s, lambda: _end_burst(world))
+            world.callers.set_rate(fault.route, fault.x)
+            world.agenda.after(fault.for_s, lambda: world.callers.set_rate(fault.route, 1.0))
+        case FaultKind.HOT_CUSTOMERS:
+            hot = world.callers.pick_large(fault.count)
+            world.callers.set_customers(hot, fault.x)
+            world.agenda.after(fault.for_s, lambda: world.callers.set_customers(hot, 1.0))
         case FaultKind.SLOW:
             for node in nodes:
                 node.upstream.slow(fault.x, fault.for_s)
@@ -65,10 +69,6 @@
     return world.rng.sample(fitting, count)
 
 
-def _end_burst(world: "World") -> None:
-    world.callers.rate_factor = 1.0
-
-
 def _shed(world: "World", nodes: list["Node"], fault: Fault) -> None:
     for node in nodes:
         node.upstream.shed_share = min(1.0, fault.x)
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -97,6 +97,10 @@
             suspects=suspects,
         )
 
+    def find_run_rank(self) -> int | None:
+        """Return the most urgent rank of what runs, None where nothing does."""
+        return min((run.hand_over.rank for run in self.desk.running.values()), default=None)
+
     def announce(self, state: UpstreamState = UpstreamState.READY) -> None:
         """Have the desk hear the upstream's announcement and its answer on the health path."""
         slots = self.upstream.table.slots
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
@@ -22,6 +22,12 @@
     ("crashed", "crashed"),
     ("crash_repeats", "repeats"),
     ("wronged", "wronged"),
+    ("urgent", "urgent"),
+    ("put_behind", "behind"),
+    ("least_kind", "least kind"),
+    ("least_customer", "least cust"),
+    ("others", "others"),
+    ("for_nothing", "wasted"),
 )
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/scenario.py
@@ -75,7 +75,8 @@
 class RouteTable(_Table, frozen=True, kw_only=True):
     """State a route; the runs of its requests make `calls`, by route, one after the other.
 
-    Its requests ask for `targets` different things, each for another one if that is 0.
+    Its requests ask for `targets` different things, each for another one if that is 0. Of its runs
+    `calling` make the calls, the others none.
     """
 
     name: Name
@@ -88,14 +89,20 @@
     priority: Annotated[int, Meta(ge=0)] = 0
     attempts: Count = 3
     calls: tuple[Name, ...] = ()
+    calling: Share = 1.0
     targets: Annotated[int, Meta(ge=0)] = 0
 
 
 class Callers(_Table, frozen=True, kw_only=True):
-    """State how callers behave: tries beyond the first, and the share that asks again at once."""
+    """State how callers behave: tries beyond the first, and the share that asks again at once.
+
+    They are of `customers`, of whom the one at place n sends in proportion to n ** -skew.
+    """
 
     retries: Annotated[int, Meta(ge=0, le=20)] = 1
     at_once: Share = 0.0
+    customers: Annotated[int, Meta(ge=0, le=10_000)] = 0
+    skew: Annotated[float, Meta(ge=0, le=5)] = 1.2
 
 
 class Places(_Table, frozen=True, kw_only=True):
@@ -125,6 +132,7 @@
     """Name what may happen during a run."""
 
     BURST = "burst"
+    HOT_CUSTOMERS = "hot-customers"
     SLOW = "slow"
     SHED = "shed"
     CRASH = "crash"
@@ -141,6 +149,9 @@
 class Fault(_Table, frozen=True, kw_only=True):
     """State one fault; `service` or `data_centre` empty means all, `share` how many of those.
 
+    A burst is of one `route`, of all if that is empty; hot customers are `count` of the ten
+    largest, which send `x` times their usual.
+
     A crashing request ends each upstream that runs it. It comes at `count` nodes at once, and then
     `x` times a second for `for_s`; two such faults with one `target` are the same request.
     """
@@ -154,6 +165,7 @@
     x: Positive = 2.0
     count: Count = 1
     target: str = "crash"
+    route: str = ""
 
 
 class Scenario(_Table, frozen=True, kw_only=True):
@@ -289,6 +301,9 @@
         if fault.service and fault.service not in services:
             expected = f"expected one of {', '.join(sorted(services))}"
             return Error(TomlError(file, f"faults[{i}].service", expected))
+        if fault.route and fault.route not in routes:
+            expected = f"expected one of {', '.join(sorted(routes))}"
+            return Error(TomlError(file, f"faults[{i}].route", expected))
         if fault.data_centre and fault.data_centre not in scenario.places.data_centres:
             expected = f"expected one of {', '.join(scenario.places.data_centres)}"
             return Error(TomlError(file, f"faults[{i}].data_centre", expected))
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bendwind_bench.emulator import fairness
 from bendwind_bench.emulator.upstream import CrashCount
 from bendwind_core.core import Seconds
 
@@ -34,6 +35,12 @@
     upstreams that ended under requests which end them, `crash_repeats` how often the worst of these
     reached upstreams later than `TELLING` after the third end under it, and `wronged` the attempts
     for each request that were quarantined though the request ends nothing.
+
+    `urgent` is the share in time of the most urgent kinds, `put_behind` by how much a kind was
+    served oftener than a more urgent one of its service, `least_kind` and `least_customer` how
+    often the worst-served was, as a share of how often all were, `others` the share in time of the
+    customers that sent their usual, and `for_nothing` the runs, for each request, that ended with
+    an error since a call of theirs was refused.
     """
 
     requests: int
@@ -49,6 +56,12 @@
     crashed: int
     crash_repeats: int
     wronged: float
+    urgent: float = 0.0
+    put_behind: float = 0.0
+    least_kind: float = 1.0
+    least_customer: float = 1.0
+    others: float = 0.0
+    for_nothing: float = 0.0
     routes: dict[str, dict[str, float]]
     windows: dict[str, dict[str, float]]
 
@@ -56,7 +69,18 @@
 class Tally:
     """Collect the fates of one run."""
 
-    __slots__ = ("attempts", "by_route", "by_window", "retries", "sent_back", "wronged")
+    __slots__ = (
+        "attempts",
+        "by_route",
+        "by_window",
+        "fairness",
+        "for_nothing",
+        "hot",
+        "retries",
+        "sent_back",
+        "services",
+        "wronged",
+    )
 
     def __init__(self):
         self.by_route: dict[str, collections.Counter] = {}
@@ -65,10 +89,24 @@
         self.sent_back = 0
         self.wronged = 0
         self.retries = 0
-
-    def note(self, route: str, began_at: Seconds, fate: Fate) -> None:
+        self.for_nothing = 0
+        self.services: dict[str, str] = {}
+        self.hot: set[str] = set()
+        self.fairness = fairness.Fairness()
+
+    def note(
+        self, route: str, began_at: Seconds, fate: Fate, rank: int = 0, customer: str = ""
+    ) -> None:
         """Count what became of one request of a caller."""
         self.by_route.setdefault(route, collections.Counter())[fate] += 1
+        fairness.note_end(
+            self.fairness,
+            rank,
+            route,
+            customer,
+            is_served=fate in (Fate.IN_TIME, Fate.LATE),
+            is_in_time=fate is Fate.IN_TIME,
+        )
         window = int(began_at / WINDOW)
         self.by_window.setdefault(window, collections.Counter())[fate] += 1
 
@@ -98,6 +136,12 @@
             fell_over=fell_over,
             crashed=sum(len(crash.ended) for crash in crashes),
             wronged=_round(self.wronged / max(1, requests)),
+            urgent=_round(fairness.find_urgent(self.fairness)),
+            put_behind=_round(fairness.find_put_behind(self.fairness, self.services)),
+            least_kind=_round(fairness.find_least_kind(self.fairness)),
+            least_customer=_round(fairness.find_least_customer(self.fairness)),
+            others=_round(fairness.find_others(self.fairness, self.hot)),
+            for_nothing=_round(self.for_nothing / max(1, requests)),
             crash_repeats=max((_count_repeats(crash) for crash in crashes), default=0),
             routes={name: _find_shares(counts) for name, counts in sorted(self.by_route.items())},
             windows=windows,
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
@@ -55,6 +55,7 @@
         "crashes",
         "data_centre",
         "fell_over",
+        "for_nothing",
         "generation",
         "is_down",
         "most_running",
@@ -91,6 +92,7 @@
         self.is_down = False
         self.generation = 0
         self.fell_over = 0
+        self.for_nothing = 0
         self.most_running = 0
         self.served = 0
         if table.phases is not None:
@@ -137,7 +139,7 @@
         if self.is_down:
             reply(None)
             return None
-        run = Run(route, reply, deadline_at, list(route.calls), target)
+        run = Run(route, reply, deadline_at, self._list_calls(route), target)
         is_shed = self.shed_share > 0.0 and self.rng.random() < self.shed_share
         if is_shed or len(self.queue) >= self.table.queue + self.table.slots:
             reply(SHED)
@@ -148,6 +150,11 @@
             self.queue.append(run)
         return run
 
+    def _list_calls(self, route: RouteTable) -> list[str]:
+        if route.calling < 1.0 and self.rng.random() >= route.calling:
+            return []
+        return list(route.calls)
+
     def _note_arrival(self) -> None:
         warm_up = self.table.warm_up
         if warm_up is None or not self.is_cold:
@@ -195,6 +202,7 @@
         if is_well:
             self._go_on(run, generation)
         elif generation == self.generation and run in self.running:
+            self.for_nothing += 1
             self._end(run, FAILED)
 
     def _end(self, run: Run, status: int) -> None:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -168,6 +168,9 @@
         services: dict[str, list[str]] = {}
         for node in self.nodes.values():
             services.setdefault(node.upstream.table.name, []).append(node.upstream.name)
+        upstreams = [node.upstream for node in self.nodes.values()]
+        self.tally.for_nothing = sum(upstream.for_nothing for upstream in upstreams)
+        self.tally.services = {route.name: route.service for route in self.scenario.routes}
         fell_over = sum(node.upstream.fell_over for node in self.nodes.values())
         return self.tally.summarize(services, fell_over, self.crashes.values())
 
@@ -223,6 +226,10 @@
         if reason is NotRunReason.QUARANTINED and target not in self.crashes:
             self.tally.wronged += 1
 
+    def find_run_rank(self, name: str) -> int | None:
+        """Return the most urgent rank of what runs beside a node."""
+        return self.nodes[name].owner.find_run_rank()
+
     def note_retry(self) -> None:
         """Count an attempt that the retry budget paid for."""
         self.tally.retries += 1
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/admission/room.py
@@ -0,0 +1,88 @@
+"""Decide by rank who is served where there is too little room, and that nobody starves.
+
+Load pattern: lasting overload. The more urgent goes first; but a rank that was served much less
+often than all together gets the next slot, so that strict order starves nobody.
+
+The callers' bound is that each kind is served at least a quarter as often as all. What is counted
+here are requests that were offered to wait or run at this upstream, and those that were started.
+"""
+
+import msgspec
+
+from bendwind_core.core import Seconds
+
+# A rank whose requests start less often than this, as a share of how often all do, goes first. The
+# bound that callers are promised is a quarter; a twentieth more, since what is offered is counted
+# at one upstream and may go to another one.
+LEAST_SERVED = 0.3
+# Counts fade by half in so long: longer than most requests run and wait, shorter than a burst that
+# callers would call starvation.
+COUNT_HALF_TIME: Seconds = 5.0
+# So many requests of a rank tell how often it is served; of fewer, one more or less decides.
+LEAST_OFFERED = 1.0
+# Ranks that are counted apart; configurations state a few.
+MAX_RANKS = 64
+
+
+class RankCount(msgspec.Struct):
+    """Count one rank's requests that were offered and started, faded to a time."""
+
+    offered: float = 0.0
+    started: float = 0.0
+    at: Seconds = 0.0
+
+
+class RankCounts(msgspec.Struct):
+    """Hold how often the requests of each rank were offered and started lately."""
+
+    ranks: dict[int, RankCount] = msgspec.field(default_factory=dict)
+
+
+def note_offered(counts: RankCounts, rank: int, now: Seconds) -> None:
+    """Count a request that would wait or run."""
+    count = _find_count(counts, rank, now)
+    if count is not None:
+        count.offered += 1.0
+
+
+def note_started(counts: RankCounts, rank: int, now: Seconds) -> None:
+    """Count a request that was started."""
+    count = _find_count(counts, rank, now)
+    if count is not None:
+        count.started += 1.0
+
+
+def _find_count(counts: RankCounts, rank: int, now: Seconds) -> RankCount | None:
+    count = counts.ranks.get(rank)
+    if count is None:
+        if len(counts.ranks) >= MAX_RANKS:
+            return None
+        count = counts.ranks[rank] = RankCount(at=now)
+    _fade(count, now)
+    return count
+
+
+def _fade(count: RankCount, now: Seconds) -> None:
+    left = 0.5 ** ((now - count.at) / COUNT_HALF_TIME)
+    count.offered *= left
+    count.started *= left
+    count.at = now
+
+
+def find_starved_rank(counts: RankCounts, now: Seconds) -> int | None:
+    """Return the rank that has to go first since it was served too seldom, or None."""
+    for count in counts.ranks.values():
+        _fade(count, now)
+    offered = sum(count.offered for count in counts.ranks.values())
+    if not offered:
+        return None
+    overall = sum(count.started for count in counts.ranks.values()) / offered
+    shares = {
+        rank: count.started / count.offered
+        for rank, count in counts.ranks.items()
+        if count.offered >= LEAST_OFFERED
+    }
+    worst = min(shares, key=lambda rank: (shares[rank], rank), default=None)
+    if worst is None or shares[worst] >= LEAST_SERVED * overall:
+        return None
+    return worst
--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -9,7 +9,6 @@
 too old to go by.
 """
 
-from bendwind_core.admission import is_inner_call
 from bendwind_core.attempts import pace as paces
 from bendwind_core.attempts.desk import (
     OwnerDesk,
@@ -21,6 +20,7 @@
 )
 from bendwind_core.attempts.messages import HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import AskLoad, OwnerEffect
+from bendwind_core.attempts.precedence import find_slots, list_ahead, list_in_turn
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import urgency_queue
 
@@ -40,30 +40,39 @@
 OVERDUE_SHARE = 0.25
 
 
-def has_place_at_once(desk: OwnerDesk, now: Seconds) -> bool:
+def has_place_at_once(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
     """Tell whether an attempt that came now would start at once, at the usual pace."""
-    return not desk.waiting and has_room(desk, now) and not paces.is_slow(desk.pace, now)
+    return is_next(desk, queued, now) and not paces.is_slow(desk.pace, now)
 
 
-def find_start_wait_ms(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Milliseconds:
+def is_next(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
+    """Tell whether there is room for an attempt that came now, and nothing as urgent waits."""
+    if not has_room(desk, now, find_slots(desk, queued)):
+        return False
+    return not desk.queue.size and not urgency_queue.has_as_urgent(desk.timed, queued.rank)
+
+
+def find_start_wait_ms(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> Milliseconds:
     """Estimate how long an attempt that came now would wait until it starts at the usual pace."""
     phase_ms = paces.find_rest_ms(desk.pace, now) if paces.is_slow(desk.pace, now) else 0.0
-    return max(phase_ms, find_wait_ms(desk, find_due(desk, hand_over, now), now))
+    return max(phase_ms, find_wait_ms(desk, queued, now))
 
 
-def find_refusal(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> NotRunReason | None:
+def find_refusal(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> NotRunReason | None:
     """Return why an attempt with a latency objective had better not be taken, or None.
 
     An attempt that does not insist is also refused where it could start at once but would be late.
     """
-    is_free = has_room(desk, now) and not len(desk.timed)
+    hand_over = queued.hand_over
+    is_free = has_room(desk, now, find_slots(desk, queued))
+    is_free = is_free and not urgency_queue.has_as_urgent(desk.timed, queued.rank)
     if is_free and (hand_over.insist or _is_late_anyway(desk, hand_over, now)):
         return None
     expected_ms = find_expected_ms(desk, hand_over.route, now)
-    wait_ms = 0.0 if is_free else find_wait_ms(desk, find_due(desk, hand_over, now), now)
+    wait_ms = 0.0 if is_free else find_wait_ms(desk, queued, now)
     share = 1.0 if hand_over.insist else POLITE_SHARE
     is_slow = paces.is_slow(desk.pace, now)
-    limit_ms = _find_limit_ms(desk, hand_over)
+    limit_ms = _find_limit_ms(queued)
     if is_slow and not hand_over.insist:
         # Others may be at their usual pace.
         limit_ms = hand_over.target_ms
@@ -81,9 +90,10 @@
     return is_late and not paces.is_slow(desk.pace, now)
 
 
-def _find_limit_ms(desk: OwnerDesk, hand_over: HandOver) -> Milliseconds:
+def _find_limit_ms(queued: QueuedAttempt) -> Milliseconds:
     """Return the time within which an attempt has to be answered to be worth taking."""
-    if not is_inner_call(desk.origins, hand_over.route):
+    hand_over = queued.hand_over
+    if not queued.is_inner:
         return hand_over.target_ms
     # The run that waits for it would have been for nothing: failed requests under overload fell
     # from 9.5% to 3.7% (one run each).
@@ -105,9 +115,9 @@
     return find_expected_ms(desk, queued.hand_over.route, now) > left_ms
 
 
-def find_leaving(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> Seconds:
+def find_leaving(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> Seconds:
     """Return the time at which an attempt that still waits for a slot is given back."""
-    slack_ms = _find_limit_ms(desk, hand_over) - _find_lasting_ms(desk, hand_over.route)
+    slack_ms = _find_limit_ms(queued) - _find_lasting_ms(desk, queued.hand_over.route)
     return now + max(0.0, slack_ms) / MILLISECONDS_PER_SECOND
 
 
@@ -166,8 +176,9 @@
 
 def take_startable(desk: OwnerDesk, now: Seconds) -> QueuedAttempt | None:
     """Take the most urgent attempt that may start now out of its queue, or None."""
-    for queued in urgency_queue.list_in_turn(desk.timed, now):
-        if may_start(desk, queued, now):
+    for queued in list_in_turn(desk, now):
+        has_place = has_room(desk, now, find_slots(desk, queued))
+        if has_place and may_start(desk, queued, now):
             urgency_queue.remove(desk.timed, queued)
             return queued
     return None
@@ -196,10 +207,43 @@
     return desk.asked_at + (ASK_TIMEOUT if is_waiting else ASK_EVERY)
 
 
-def find_wait_ms(desk: OwnerDesk, due: Seconds, now: Seconds) -> Milliseconds:
-    """Estimate how long an attempt due at a time waits for a slot, and for a cold upstream."""
-    slots = max(1, desk.run_limit)
-    ahead = list(urgency_queue.list_before(desk.timed, due))
+def find_wait_ms(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> Milliseconds:
+    """Estimate how long an attempt that came now waits for a slot, and for a cold upstream.
+
+    Only what goes before it counts.
+    """
+    ahead = list_ahead(desk, queued, now)
+    return _find_wait_behind_ms(desk, ahead, max(1, find_slots(desk, queued)), now)
+
+
+def list_hopeless(desk: OwnerDesk, newcomer: QueuedAttempt, now: Seconds) -> list[QueuedAttempt]:
+    """List what waits behind a newcomer and will not start any more before it is given back.
+
+    It is better given back at once, while there is time to try elsewhere.
+    """
+    behind = urgency_queue.list_behind(desk.timed, newcomer.rank)
+    if not behind:
+        return []
+    hopeless: list[QueuedAttempt] = []
+    ahead: list[QueuedAttempt] = []
+    for queued in list_in_turn(desk, now):
+        if queued.rank > newcomer.rank and _is_hopeless(desk, queued, ahead, now):
+            hopeless.append(queued)
+        else:
+            ahead.append(queued)
+    return hopeless
+
+
+def _is_hopeless(
+    desk: OwnerDesk, queued: QueuedAttempt, ahead: list[QueuedAttempt], now: Seconds
+) -> bool:
+    wait_ms = _find_wait_behind_ms(desk, ahead, max(1, find_slots(desk, queued)), now)
+    return now + wait_ms / MILLISECONDS_PER_SECOND > queued.leaves_at
+
+
+def _find_wait_behind_ms(
+    desk: OwnerDesk, ahead: list[QueuedAttempt], slots: int, now: Seconds
+) -> Milliseconds:
     ahead_ms = sum(_find_lasting_ms(desk, queued.hand_over.route) for queued in ahead)
     ahead_ms += desk.queue.size * desk.times.average_ms
     rests = [_find_run_rest_ms(desk, running, now) for running in desk.running.values()]
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/desk.py
@@ -5,10 +5,12 @@
 from bendwind_core.admission import (
     Dependency,
     Origins,
+    RankCounts,
     WarmUp,
     find_room_at,
     is_cold,
     note_sent,
+    note_started,
 )
 from bendwind_core.attempts.attempt_log import AttemptLog, Fate, record_ended, record_live
 from bendwind_core.attempts.messages import AttemptId, HandOver, NotRunReason
@@ -17,7 +19,8 @@
 from bendwind_core.attempts.service_time import ServiceTime
 from bendwind_core.attempts.upstream_end import EndWatch
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
-from bendwind_core.limits import FairQueue, UrgencyQueue, fair_queue, urgency_queue
+from bendwind_core.limits import FairQueue, Turns, UrgencyQueue, fair_queue, urgency_queue
+from bendwind_core.limits.turns import note_work
 from bendwind_core.suspicion import Served, SuspectTable
 from bendwind_core.world import LoadSample, UpstreamState
 
@@ -56,7 +59,8 @@
 
     One with a latency objective should start by `due_at`, and is given back at `leaves_at` if no
     slot is free: held to its deadline, it could not be tried elsewhere any more. `signature`
-    is empty where nothing was known against any request.
+    is empty where nothing was known against any request. `rank` is where it waits, the lowest
+    first, and `is_inner` says that the calling run fails without it.
     """
 
     hand_over: HandOver
@@ -67,6 +71,8 @@
     leaves_at: Seconds = 0.0
     signature: bytes = b""
     is_suspect: bool = False
+    rank: float = 0.0
+    is_inner: bool = False
 
 
 class RunningAttempt(msgspec.Struct):
@@ -104,7 +110,8 @@
     `guessed_times` stands in for routes without any, `origins` tells where each route's requests
     begin, `dependency` what is known of the upstream's own calls, `warm_up` whether it is cold,
     `ends` what it may have ended under, `suspects` what the process knows against requests,
-    `served` which were served here lately, and `asked_at` is when it was last asked for its load.
+    `served` which were served here lately, `turns` what was done for each customer, `rank_counts`
+    how often each rank is served, and `asked_at` is when it was last asked for its load.
     `is_unreachable` says that it refused the last connection.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
@@ -134,6 +141,8 @@
     ends: EndWatch = msgspec.field(default_factory=EndWatch)
     suspects: SuspectTable = msgspec.field(default_factory=SuspectTable)
     served: Served = msgspec.field(default_factory=Served)
+    turns: Turns = msgspec.field(default_factory=Turns)
+    rank_counts: RankCounts = msgspec.field(default_factory=RankCounts)
     is_unreachable: bool = False
     asked_at: Seconds | None = None
     may_ask: bool = True
@@ -196,9 +205,12 @@
     return len(desk.running) < desk.run_limit
 
 
-def has_room(desk: OwnerDesk, now: Seconds) -> bool:
-    """Tell whether the upstream may be sent one more attempt now."""
-    if not has_slot(desk):
+def has_room(desk: OwnerDesk, now: Seconds, slots: int | None = None) -> bool:
+    """Tell whether the upstream may be sent one more attempt now; `slots` is how many it may run.
+
+    Without `slots` the share holds that is used for requests.
+    """
+    if len(desk.running) >= (desk.run_limit if slots is None else slots):
         return False
     return not is_cold(desk.warm_up, now) or _find_cold_room_at(desk, 0, now) <= now
 
@@ -385,4 +397,7 @@
         is_suspect=queued.is_suspect,
     )
     desk.running[hand_over.attempt] = running
+    if not queued.is_inner:
+        note_started(desk.rank_counts, hand_over.rank, now)
+    note_work(desk.turns, hand_over.customer, find_usual_ms(desk, hand_over.route), now)
     effects.append(Dispatch(hand_over, queued.expires_at))
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -78,7 +78,8 @@
     beside the entry node, if any. `suspicion` is what the entry node knows against the request.
     `rank` says how urgent the request is, 0 the most, and `customer` whose it is, empty where that
     is not known. An owner refuses as busy what it
-    cannot start at once where `may_wait` is false.
+    cannot start at once where `may_wait` is false. `run_rank` is the most urgent rank of what runs
+    beside the entry node, None where nothing does: a call that an upstream makes is as urgent.
     Units: `remaining_ms` is the time left to the caller's deadline and `target_ms` that left to
     the latency objective, None without one, in milliseconds.
     """
@@ -103,6 +104,7 @@
     rank: int = 0
     customer: str = ""
     may_wait: bool = True
+    run_rank: int | None = None
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -10,6 +10,7 @@
     assume_cold,
     note_asked,
     note_call_refused,
+    note_offered,
     note_origin,
     note_run_ended,
     note_told,
@@ -23,6 +24,7 @@
     find_start_wait_ms,
     has_place_at_once,
     is_stalled_again,
+    list_hopeless,
     may_start,
     next_look,
     take_startable,
@@ -100,6 +102,7 @@
     WarmUpTold,
 )
 from bendwind_core.attempts.pace import note_report
+from bendwind_core.attempts.precedence import push, set_precedence
 from bendwind_core.attempts.service_time import note_result, note_time
 from bendwind_core.attempts.suspects import (
     find_suspicion,
@@ -117,7 +120,7 @@
     take_check,
 )
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
-from bendwind_core.limits import fair_queue, urgency_queue
+from bendwind_core.limits import fair_queue
 from bendwind_core.world import UpstreamState
 
 __all__ = ["OwnerDesk", "create_desk", "find_early_refusal", "load_sample", "next_due", "step"]
@@ -137,7 +140,17 @@
     if hand_over.owner_incarnation != desk.incarnation:
         return NotRunReason.WRONG_OWNER
     guess_route_time(desk, hand_over)
-    return _find_refusal(desk, hand_over, now)
+    return _find_refusal(desk, _create_queued(desk, hand_over, 0, now), now)
+
+
+def _create_queued(desk: OwnerDesk, hand_over: HandOver, epoch: int, now: Seconds) -> QueuedAttempt:
+    expires_at = now + hand_over.remaining_ms / MILLISECONDS_PER_SECOND
+    queued = QueuedAttempt(hand_over, epoch, expires_at, now)
+    set_precedence(desk, queued, now)
+    if hand_over.target_ms is not None:
+        queued.due_at = find_due(desk, hand_over, now)
+        queued.leaves_at = find_leaving(desk, queued, now)
+    return queued
 
 
 def step(desk: OwnerDesk, event: OwnerEvent, now: Seconds) -> list[OwnerEffect]:
@@ -242,16 +255,17 @@
         return
     guess_route_time(desk, hand_over)
     note_origin(desk.origins, hand_over.route, hand_over.origin)
-    refusal = _find_refusal(desk, hand_over, now)
+    queued = _create_queued(desk, hand_over, event.epoch, now)
+    if hand_over.may_wait and not queued.is_inner:
+        note_offered(desk.rank_counts, hand_over.rank, now)
+    refusal = _find_refusal(desk, queued, now)
     if refusal is None and turns_away(desk.dependency, hand_over.route, now):
         refusal = NotRunReason.DEPENDENCY_FULL
     if refusal is not None:
         record_ended(desk.log, attempt, Fate.NEVER_STARTED)
-        wait_ms = find_start_wait_ms(desk, hand_over, now) if refusal is NotRunReason.BUSY else None
+        wait_ms = find_start_wait_ms(desk, queued, now) if refusal is NotRunReason.BUSY else None
         refuse(desk, attempt, event.epoch, refusal, now, effects, hand_over, wait_ms)
         return
-    expires_at = now + hand_over.remaining_ms / MILLISECONDS_PER_SECOND
-    queued = QueuedAttempt(hand_over, event.epoch, expires_at, now)
     if desk.suspects.suspects or hand_over.suspicion is not None:
         withheld = find_suspicion(desk, queued, now)
         if withheld is not None:
@@ -284,17 +298,18 @@
     return False
 
 
-def _find_refusal(desk: OwnerDesk, hand_over: HandOver, now: Seconds) -> NotRunReason | None:
+def _find_refusal(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> NotRunReason | None:
+    hand_over = queued.hand_over
     if desk.state is UpstreamState.GONE or desk.is_unreachable:
         return NotRunReason.NO_UPSTREAM
     if not is_open(desk):
         return NotRunReason.DRAINING
     if hand_over.remaining_ms <= 0:
         return NotRunReason.DEADLINE
-    if not hand_over.may_wait and not has_place_at_once(desk, now):
+    if not hand_over.may_wait and not has_place_at_once(desk, queued, now):
         return NotRunReason.BUSY
     if hand_over.target_ms is not None:
-        return find_refusal(desk, hand_over, now)
+        return find_refusal(desk, queued, now)
     if not hand_over.insist and is_stalled(desk, now):
         return NotRunReason.STALLED
     return None
@@ -304,9 +319,6 @@
     desk: OwnerDesk, queued: QueuedAttempt, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
     attempt = queued.hand_over.attempt
-    if queued.hand_over.target_ms is not None:
-        queued.due_at = find_due(desk, queued.hand_over, now)
-        queued.leaves_at = find_leaving(desk, queued.hand_over, now)
     if not desk.waiting and has_room(desk, now) and _may_start(desk, queued, now):
         start(desk, queued, now, effects)
         return
@@ -315,9 +327,12 @@
     if queued.hand_over.target_ms is None:
         displaced = fair_queue.push(desk.queue, attempt.entry, queued)
     else:
-        displaced = urgency_queue.push(desk.timed, queued.due_at, queued)
+        displaced = push(desk, queued)
     if displaced is not None:
         drop_waiting(desk, displaced, NotRunReason.QUEUE_FULL, now, effects)
+    for hopeless in list_hopeless(desk, queued, now):
+        take_off_queue(desk, hopeless)
+        drop_waiting(desk, hopeless, NotRunReason.QUEUE_FULL, now, effects)
 
 
 def _may_start(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
@@ -405,10 +420,7 @@
 
 
 def _dispatch_waiting(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    while has_room(desk, now):
-        queued = take_startable(desk, now) or fair_queue.pop(desk.queue)
-        if queued is None:
-            return
+    while (queued := _take_next(desk, now)) is not None:
         if is_withheld_here(desk, queued, now):
             # While it waited, upstreams ended under it elsewhere.
             drop_waiting(desk, queued, NotRunReason.QUARANTINED, now, effects)
@@ -417,6 +429,13 @@
         start(desk, queued, now, effects)
 
 
+def _take_next(desk: OwnerDesk, now: Seconds) -> QueuedAttempt | None:
+    queued = take_startable(desk, now) if len(desk.timed) else None
+    if queued is None and has_room(desk, now):
+        return fair_queue.pop(desk.queue)
+    return queued
+
+
 def _report_drained(desk: OwnerDesk, effects: list[OwnerEffect]) -> None:
     is_empty = not desk.running and not desk.waiting
     if not is_open(desk) and is_empty and not desk.is_drained:
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/precedence.py
@@ -0,0 +1,73 @@
+"""Decide which attempts go before which at an upstream, and how many slots each may take.
+
+A call that an upstream makes goes before new requests of the rank of the run that makes it: that
+run fails without it, and its work was for nothing. It may also take a slot above the share that is
+used, unless something more urgent runs or waits.
+"""
+
+from bendwind_core.admission import find_starved_rank, is_inner_call
+from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt, find_usual_ms
+from bendwind_core.attempts.messages import HandOver
+from bendwind_core.core import Seconds
+from bendwind_core.limits import urgency_queue
+
+# An inner call stands between the rank of its run and the next more urgent one.
+INNER_STEP = 0.5
+# Before every rank that a request may have, and every call of theirs.
+_STARVED_RANK = -1.0
+
+
+def set_precedence(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> None:
+    """Note where an attempt waits."""
+    queued.is_inner = is_inner_call(desk.origins, queued.hand_over.route)
+    queued.rank = _find_place(desk, queued.hand_over, now, is_inner=queued.is_inner)
+
+
+def _find_place(desk: OwnerDesk, hand_over: HandOver, now: Seconds, *, is_inner: bool) -> float:
+    if is_inner:
+        run_rank = hand_over.rank if hand_over.run_rank is None else hand_over.run_rank
+        return run_rank - INNER_STEP
+    if hand_over.rank == 0 or find_starved_rank(desk.rank_counts, now) != hand_over.rank:
+        return hand_over.rank
+    waits = any(entry.rank == _STARVED_RANK for entry in desk.timed.entries)
+    return hand_over.rank if waits else _STARVED_RANK
+
+
+def find_slots(desk: OwnerDesk, queued: QueuedAttempt) -> int:
+    """Return how many attempts may run so that one more of this kind may start."""
+    if not queued.is_inner:
+        return desk.run_limit
+    held = (*desk.running.values(), *desk.waiting.values())
+    # Above its knee an upstream is slow for all: only what is more urgent is spared that.
+    if any(other.hand_over.rank < queued.rank for other in held):
+        return desk.run_limit
+    return min(desk.slots, desk.connections)
+
+
+def list_ahead(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> list[QueuedAttempt]:
+    """List what waits and goes before an attempt that does not wait yet."""
+    hand_over = queued.hand_over
+    work_ms = find_usual_ms(desk, hand_over.route)
+    newcomer = urgency_queue.Waiting(
+        queued,
+        queued.due_at,
+        desk.timed.next_number,
+        queued.rank,
+        hand_over.customer,
+        work_ms,
+    )
+    return urgency_queue.list_ahead(desk.timed, newcomer, now, desk.turns)
+
+
+def push(desk: OwnerDesk, queued: QueuedAttempt) -> QueuedAttempt | None:
+    """Have an attempt with an objective wait; return the one that gives way to it, if any."""
+    hand_over = queued.hand_over
+    work_ms = find_usual_ms(desk, hand_over.route)
+    return urgency_queue.push(
+        desk.timed, queued.due_at, queued, queued.rank, hand_over.customer, work_ms
+    )
+
+
+def list_in_turn(desk: OwnerDesk, now: Seconds) -> list[QueuedAttempt]:
+    """List what waits with an objective in the order in which it should start."""
+    return urgency_queue.list_in_turn(desk.timed, now, desk.turns)
--- a/packages/bendwind-core/src/bendwind_core/limits/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/__init__.py
@@ -6,6 +6,7 @@
 from bendwind_core.limits.probe_budget import ProbeBudget, spend_probe
 from bendwind_core.limits.request_size import SizeExceeded, check_body, check_headers
 from bendwind_core.limits.retry_budget import RetryBudget, earn_retry, may_retry, spend_retry
+from bendwind_core.limits.turns import Turns
 from bendwind_core.limits.urgency_queue import UrgencyQueue
 
 __all__ = [
@@ -14,6 +15,7 @@
     "ProbeBudget",
     "RetryBudget",
     "SizeExceeded",
+    "Turns",
     "UrgencyQueue",
     "admit",
     "check_body",
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -392,6 +392,7 @@
             rank=run.call.rank,
             customer=run.call.customer,
             may_wait=effect.may_wait,
+            run_rank=self.owner.find_run_rank(),
         )
         self.runs[effect.attempt.sequence] = run
         note_sent(desk.table, upstream.name, effect.attempt, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -183,6 +183,17 @@
         """Return the load of an upstream beside this process."""
         return owner.load_sample(self.register.owned[name].desk, trio.current_time())
 
+    def find_run_rank(self) -> int | None:
+        """Return the most urgent rank of what runs beside this process, None where nothing does."""
+        return min(
+            (
+                running.hand_over.rank
+                for owned in self.register.owned.values()
+                for running in owned.desk.running.values()
+            ),
+            default=None,
+        )
+
     def _answer_probe(self, link: ReplyLink, name: str) -> None:
         owned = self.register.owned.get(name)
         now = trio.current_time()
