--- a/packages/bendwind-bench/src/bendwind_bench/emulator/demand.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/demand.py
@@ -36,18 +36,22 @@
 class Demand:
     """Hold how much comes now; without customers and waves, that is the routes' rates."""
 
-    __slots__ = ("_hot", "_names", "_shares", "places", "rate_factor", "rng", "scenario")
+    __slots__ = ("_hot", "_names", "_shares", "places", "rate_factors", "rng", "scenario")
 
     def __init__(self, scenario: Scenario, places: dict[str, str], rng: random.Random):
         """Create the demand; `places` maps each node to its data centre."""
         self.scenario = scenario
         self.places = places
         self.rng = rng
-        self.rate_factor = 1.0
+        self.rate_factors: dict[str, float] = {}
         self._names = tuple(places)
         self._hot: dict[str, float] = {}
         self._shares: dict[str, _Shares] = {}
 
+    def set_rate(self, route: str, factor: float) -> None:
+        """Have a route's requests, all where it is empty, come so many times as often as usual."""
+        self.rate_factors[route] = factor
+
     def heat(self, customer: str, factor: float) -> None:
         """Have a customer send so many times its usual; 1 ends that."""
         self._hot[customer] = factor
@@ -58,7 +62,8 @@
         heights = self._list_heights(now)
         whole = sum(wave.weight for wave in self.scenario.callers.waves)
         level = sum(heights) / whole if heights else 1.0
-        return route.per_second * self.rate_factor * level * self._find_shares(route).factor
+        factor = self.rate_factors.get("", 1.0) * self.rate_factors.get(route.name, 1.0)
+        return route.per_second * factor * level * self._find_shares(route).factor
 
     def pick_node(self, now: Seconds) -> str:
         """Return the node that the next request comes to."""
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -74,6 +74,9 @@
     def note_sent_back(self, target: bytes, reason: NotRunReason) -> None:
         """Count an attempt that was sent back unrun."""
 
+    def find_run_rank(self, name: str) -> int | None:
+        """Return the most urgent rank of what runs beside a node."""
+
     def note_retry(self) -> None:
         """Count an attempt that the retry budget paid for."""
 
@@ -259,8 +262,15 @@
             rank=run.call.rank,
             customer=run.call.customer,
             may_wait=effect.may_wait,
+            **self._find_run_rank(),
         )
 
+    def _find_run_rank(self) -> dict[str, int | None]:
+        # A core that is compared against may not know of it.
+        if "run_rank" not in HandOver.__struct_fields__:
+            return {}
+        return {"run_rank": self.network.find_run_rank(self.name)}
+
     def _find_suspicion(self, run: CallRun) -> SuspectTold | None:
         if not self.suspects.suspects:
             return None
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
@@ -15,8 +15,8 @@
     nodes = _pick(world, fault)
     match fault.kind:
         case FaultKind.BURST:
-            world.callers.demand.rate_factor = fault.x
-            world.agenda.after(fault.for_s, lambda: _end_burst(world))
+            world.callers.demand.set_rate(fault.route, fault.x)
+            world.agenda.after(fault.for_s, lambda: world.callers.demand.set_rate(fault.route, 1.0))
         case FaultKind.SLOW:
             for node in nodes:
                 node.upstream.slow(fault.x, fault.for_s)
@@ -64,10 +64,6 @@
     return world.rng.sample(fitting, count)
 
 
-def _end_burst(world: Stage) -> None:
-    world.callers.demand.rate_factor = 1.0
-
-
 def _shed(world: Stage, nodes: list[Instance], fault: Fault) -> None:
     for node in nodes:
         node.upstream.shed_share = min(1.0, fault.x)
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/interfaces.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/interfaces.py
@@ -69,7 +69,8 @@
 class Demand(Protocol):
     """State what faults change of the callers' demand."""
 
-    rate_factor: float
+    def set_rate(self, route: str, factor: float) -> None:
+        """Have a route's requests, all where it is empty, come so many times as often as usual."""
 
     def heat(self, customer: str, factor: float) -> None:
         """Have a customer send so many times its usual; 1 ends that."""
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tables.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tables.py
@@ -69,7 +69,7 @@
 
 
 class RouteTable(_Table, frozen=True, kw_only=True):
-    """State a route; the runs of its requests make `calls`, by route, one after the other.
+    """State a route; the share `calling` of its runs make `calls`, by route, one after the other.
 
     `priority` is its rank, 0 the most urgent, for requests of customers that have none. Its
     requests ask for `targets` different things, each for another one if that is 0.
@@ -85,6 +85,7 @@
     priority: Annotated[int, Meta(ge=0)] = 0
     attempts: Count = 3
     calls: tuple[Name, ...] = ()
+    calling: Share = 1.0
     targets: Annotated[int, Meta(ge=0)] = 0
 
 
@@ -180,7 +181,7 @@
 
     A crashing request ends each upstream that runs it. It comes at `count` nodes at once, and then
     `x` times a second for `for_s`; two such faults with one `target` are the same request. A hot
-    `customer` sends `x` times its usual.
+    `customer` sends `x` times its usual; a burst is one of a `route`, of all where that is empty.
     """
 
     kind: FaultKind
@@ -193,6 +194,7 @@
     count: Count = 1
     target: str = "crash"
     customer: str = ""
+    route: str = ""
 
 
 class Scenario(_Table, frozen=True, kw_only=True):
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
@@ -137,7 +137,7 @@
         if self.is_down:
             reply(None)
             return None
-        run = Run(route, reply, deadline_at, list(route.calls), target)
+        run = Run(route, reply, deadline_at, self._list_calls(route), target)
         is_shed = self.shed_share > 0.0 and self.rng.random() < self.shed_share
         if is_shed or len(self.queue) >= self.table.queue + self.table.slots:
             reply(SHED)
@@ -148,6 +148,11 @@
             self.queue.append(run)
         return run
 
+    def _list_calls(self, route: RouteTable) -> list[str]:
+        if route.calling < 1.0 and self.rng.random() >= route.calling:
+            return []
+        return list(route.calls)
+
     def _note_arrival(self) -> None:
         warm_up = self.table.warm_up
         if warm_up is None or not self.is_cold:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -152,6 +152,10 @@
         if reason is NotRunReason.QUARANTINED and target not in self.crashes:
             self.tally.wronged += 1
 
+    def find_run_rank(self, name: str) -> int | None:
+        """Return the most urgent rank of what runs beside a node."""
+        return self.nodes[name].owner.find_run_rank()
+
     def note_retry(self) -> None:
         """Count an attempt that the retry budget paid for."""
         self.tally.retries += 1
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_free_upstreams.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_free_upstreams.py
@@ -15,6 +15,7 @@
 from bendwind_core.attempts.admission import has_place_at_once
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.call import create_call
+from bendwind_core.attempts.desk import QueuedAttempt
 from bendwind_core.limits import RetryBudget
 from bendwind_core.routing import (
     choose_upstream,
@@ -146,12 +147,13 @@
             may_wait=effect.may_wait,
         )
         others = [one for one in self.places.values() if one is not place]
-        is_free = any(self._is_free(one) for one in others)
+        queued = QueuedAttempt(hand_over, 1, self.now + TIMEOUT)
+        is_free = any(self._is_free(one, queued) for one in others)
         run.asked = (self.now, is_free)
         self.step(place, ov.HandOverArrived(hand_over, 1))
 
-    def _is_free(self, place):
-        return has_place_at_once(place.desk, self.now) and self.now >= place.slow_until
+    def _is_free(self, place, queued):
+        return has_place_at_once(place.desk, queued, self.now) and self.now >= place.slow_until
 
     def step(self, place, event):
         for effect in owner.step(place.desk, event, self.now):
--- a/packages/bendwind-core/src/bendwind_core/limits/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/__init__.py
@@ -13,6 +13,7 @@
     may_try,
     pay_sent_back,
 )
+from bendwind_core.limits.turns import Turns
 from bendwind_core.limits.urgency_queue import UrgencyQueue
 
 __all__ = [
@@ -22,6 +23,7 @@
     "RetryBudget",
     "SizeExceeded",
     "TryBudget",
+    "Turns",
     "UrgencyQueue",
     "admit",
     "check_body",
