operators: a plan that is asked for again is given, and a voter behind refuses no customers

The check of an intent's customers against those in force ran before the log was asked: a plan resent after a clash had come up got 400 instead of the same plan, and a voter that had not heard of an ended customer refused by it. A resend now skips the check, and a fault is told only once a quorum has confirmed the version that it was found against. It runs only where an intent puts customers in place.

--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from bendwind_core.plans import (
+    Changes,
     Command,
     CommandResult,
     Confirmed,
@@ -32,6 +33,7 @@
 )
 from bendwind_core.plans.results import UnknownPlan
 from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.world import Configuration
 from bendwind_node.operators.aside import BYTES_PER_SERVICE, run_aside
 from bendwind_node.operators.control_client import ControlClient, ControlError, OutcomeUnknown
 from bendwind_node.operators.errors import (
@@ -121,10 +123,17 @@
             if asked.base_version != version and not is_resent:
                 return Ok(VersionMoved(version, state.configuration_plan))
         command = self._build_command(asked)
-        after = apply_changes(state.configuration, command.changes, command.base_version)
-        # What an intent adds to customers in force may clash with those that it does not name.
-        fault = find_customer_fault(after.customers)
-        return await self._propose(command) if fault is None else Ok(fault)
+        is_resent = state.plans.find_request(asked.key) is not None
+        fault = None if is_resent else _find_customer_fault(state.configuration, command.changes)
+        if fault is None:
+            return await self._propose(command)
+        # This voter may be behind: the clash may be with customers that have ended since.
+        confirmed = await self.control.barrier()
+        if confirmed.is_error():
+            return Error(confirmed.error)
+        if state.configuration.version != command.base_version:
+            return Ok(VersionMoved(state.configuration.version, state.configuration_plan))
+        return Ok(fault)
 
     def _build_command(self, asked: PlanRequest) -> CreatePlan:
         configuration = self.control.state.configuration
@@ -217,6 +226,13 @@
         return control_error(error)
 
 
+def _find_customer_fault(before: Configuration, changes: Changes) -> CustomerFault | None:
+    """Find a clash between what an intent says of customers and those that it does not name."""
+    if not changes.customers.put:
+        return None
+    return find_customer_fault(apply_changes(before, changes, before.version).customers)
+
+
 def _read_plan_request(request: Request) -> Result[PlanRequest, ErrorBody]:
     ttl_s = _read_number(request, "expires_s", 1, MAX_TTL_S)
     base_version = _read_number(request, "base_version", 0, 2**62)
--- a/packages/bendwind-node/src/bendwind_node/operators/tests/test_customers.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_customers.py
@@ -57,6 +57,33 @@
         self.assertEqual(error["detail"], "customers: shared-key: norte and sul")
         self.assertEqual(len(self.log.entries), applied)
 
+    def test_plan_that_is_asked_for_again_is_given_whatever_clashes_since(self):
+        def plan():
+            return trio.run(lambda: ask(self.app, "POST", "/v1/plans", text, key="once"))
+
+        text = "partial = true\n" + NORTE
+        status, first = plan()
+        self.assertEqual(status, 201)
+        self.put(NORTE.replace("norte", "sul"))
+        status, again = plan()
+        self.assertEqual((status, again["id"], again["state"]), (200, first["id"], "superseded"))
+
+    def test_voter_that_may_be_behind_does_not_refuse_by_what_it_knows(self):
+        self.put(NORTE)
+        self.log.fate = Fate.NOT_ACCEPTED
+        text = "partial = true\n" + NORTE.replace("norte", "sul")
+        self.assertEqual(self.ask("POST", "/v1/plans", text)[0], 503)
+        newer = FakeClient(self.log)
+        newer.catch_up()
+        self.app, behind = create_app(newer, OperatorAuthority()), self.app
+        self.put('remove_customers = ["norte"]')
+        self.app = behind
+        status, plan = self.ask("POST", "/v1/plans", text)
+        self.assertEqual(
+            (status, plan["lines"]),
+            (201, ["+ customer sul (1 key, rank 1, 5 requests/s, burst 2)"]),
+        )
+
     def test_voter_that_is_not_sure_of_the_newest_shows_none(self):
         self.log.fate = Fate.NOT_ACCEPTED
         self.assertEqual(self.ask("GET", "/v1/customers")[0], 503)
