--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -33,7 +33,7 @@
 # So many attempts are sent back by a stalled upstream rather than taken.
 POLITE_ATTEMPTS = 3
 # So many owners may say that they are busy before one is asked to let the request wait.
-POLITE_TRIES = 6
+POLITE_TRIES = 8
 # So many owners may refuse to let a request wait before it is given up where most have no room: one
 # refusal may be chance, and the run that waits for an inner call is lost with it.
 SURE_OWNERS = 2
