--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -199,6 +199,7 @@
     dispatcher.quotas = create_node_quota_task(
         _find_quota_bounds(settings), membership.list_voters, dispatcher.send
     )
+    dispatcher.quotas.find_customer = membership.find_customer
     dispatcher.entry = EntryNode(
         own,
         recorder,
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -32,7 +32,7 @@
 )
 from bendwind_core.suspicion import SuspectTold
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_core.world import Instance, Routing, Service, Upstream
+from bendwind_core.world import Customer, Instance, Routing, Service, Upstream
 
 Send = Callable[[str, Record], bool]
 Listener = Callable[[ViewEffect], None]
@@ -137,6 +137,11 @@
         """Return the customers in force, None if requests need no key."""
         return self.view.customers
 
+    def find_customer(self, name: str) -> Customer | None:
+        """Return the customer of a name, None for one that is not known."""
+        table = self.view.customers
+        return None if table is None else table.by_name.get(name)
+
     @property
     def claim_groups(self) -> Mapping[str, ClaimGroup]:
         """Return the claim groups of the watched services."""
