--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -76,6 +76,12 @@
     target: Target
 
 
+class ShowQuotas(msgspec.Struct, frozen=True):
+    """Show what a voter holds of customers' quotas."""
+
+    target: Target
+
+
 class Release(msgspec.Struct, frozen=True):
     """Clear a request of suspicion."""
 
@@ -155,6 +161,7 @@
     | Drain
     | Evacuate
     | ShowSuspects
+    | ShowQuotas
     | Release
     | Stop
     | AcceptClaimLoss
--- a/packages/bendwind-cli/src/bendwind_cli/explain.py
+++ b/packages/bendwind-cli/src/bendwind_cli/explain.py
@@ -81,6 +81,8 @@
     yield f"  {asked}, timeout {facts.timeout_ms} ms; call {end.call} at {end.instance}"
     age = "never proven" if facts.age_ms is None else f"proven the newest {facts.age_ms} ms before"
     yield f"  configuration {facts.version}, {age}"
+    if facts.quota:
+        yield f"  quota of {facts.quota}"
 
 
 def _render_owner(line: LogLine | None) -> str:
--- a/packages/bendwind-cli/src/bendwind_cli/parsing.py
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -22,6 +22,7 @@
     PutRevision,
     Release,
     ShowPlan,
+    ShowQuotas,
     ShowRevision,
     ShowStatus,
     ShowSuspects,
@@ -250,6 +251,16 @@
         """
         return ShowSuspects(Target(control, settings))
 
+    @_as_text
+    def quotas(self, *, control: str = "", settings: str = "") -> ShowQuotas:
+        """Show what a voter holds of customers' quotas; those most refused come first.
+
+        Args:
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return ShowQuotas(Target(control, settings))
+
     @_as_text
     def release(self, signature: str, *, control: str = "", settings: str = "") -> Release:
         """Clear a request of suspicion, so that it runs again at once.
--- /dev/null
+++ b/packages/bendwind-cli/src/bendwind_cli/quotas.py
@@ -0,0 +1,32 @@
+"""Show what a control voter holds of customers' quotas."""
+
+from collections.abc import Iterator
+
+from expression import Result
+
+from bendwind_cli.client import Client
+from bendwind_cli.outcome import Failure
+from bendwind_cli.replies import QuotasReply
+
+
+def show(client: Client) -> Result[str, Failure]:
+    """List the customers that the voter was asked for lately.
+
+    Errors: no answer.
+    """
+    return client.ask("GET", "/v1/quotas", QuotasReply).map(lambda reply: "\n".join(_list(reply)))
+
+
+def _list(reply: QuotasReply) -> Iterator[str]:
+    state = "grants" if reply.granting else "grants nothing now"
+    yield (
+        f"{reply.voter} {state}: {reply.granted} granted, {reply.refused} refused, "
+        f"{reply.lent:g} lent, {reply.borrowed:g} borrowed; "
+        f"{reply.active} of {reply.limited} limited customers active"
+    )
+    for quota in reply.quotas:
+        yield (
+            f"{quota.customer} {quota.rate_per_s:g}/s burst {quota.burst:g}: "
+            f"{quota.level:g} of {quota.cap:g} here, {quota.granted} granted, "
+            f"{quota.refused} refused"
+        )
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -100,6 +100,35 @@
     suspects: tuple[SuspectReply, ...]
 
 
+class QuotaReply(msgspec.Struct, frozen=True):
+    """Hold what a voter holds of one customer's quota.
+
+    Units: tokens, one for each request; `rate_per_s` in tokens a second.
+    """
+
+    customer: str
+    rate_per_s: float
+    burst: float
+    level: float
+    cap: float
+    granted: int
+    refused: int
+
+
+class QuotasReply(msgspec.Struct, frozen=True):
+    """Hold the quotas of a voter, those of whom most was refused first."""
+
+    voter: str
+    granting: bool
+    limited: int
+    active: int
+    granted: int
+    refused: int
+    lent: float
+    borrowed: float
+    quotas: tuple[QuotaReply, ...]
+
+
 class ReleaseReply(msgspec.Struct, frozen=True):
     """Name the request that is no longer suspected."""
 
--- a/packages/bendwind-cli/src/bendwind_cli/run.py
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -4,7 +4,16 @@
 
 from expression import Result
 
-from bendwind_cli import evacuation, explain, instances, plans, revisions, suspects, timeline
+from bendwind_cli import (
+    evacuation,
+    explain,
+    instances,
+    plans,
+    quotas,
+    revisions,
+    suspects,
+    timeline,
+)
 from bendwind_cli.client import Client, open_client
 from bendwind_cli.client_settings import find_settings
 from bendwind_cli.commands import (
@@ -22,6 +31,7 @@
     PutRevision,
     Release,
     ShowPlan,
+    ShowQuotas,
     ShowRevision,
     ShowStatus,
     ShowSuspects,
@@ -56,6 +66,8 @@
             return _with_client(command.target, lambda client: evacuation.mark(client, command))
         case ShowSuspects():
             return _with_client(command.target, suspects.show)
+        case ShowQuotas():
+            return _with_client(command.target, quotas.show)
         case Release():
             return _with_client(command.target, lambda client: suspects.release(client, command))
         case Stop():
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -126,6 +126,7 @@
             "evacuate",
             "readmit",
             "suspects",
+            "quotas",
             "release",
             "stop",
             "timeline",
@@ -320,6 +321,21 @@
         self.assertEqual(self.run_line("release", "0012", line)[:2], (0, "0012: released\n"))
         self.assert_fails(["release", "ff", line], ExitCode.REFUSED, "not-found")
 
+    def test_shows_what_a_voter_holds_of_quotas(self):
+        quota = {"customer": "maria", "rate_per_s": 10.0, "burst": 20.0, "level": 1.5, "cap": 6.0}
+        held = {"voter": "v1", "granting": True, "limited": 71, "active": 1, "granted": 12}
+        held |= {"refused": 3, "lent": 2.5, "borrowed": 0.0}
+        held["quotas"] = [quota | {"granted": 12, "refused": 3}]
+        server = self.serve(("GET /v1/quotas", 200, held))
+        code, out, _ = self.run_line("quotas", f"--control={server.address}")
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            out,
+            "v1 grants: 12 granted, 3 refused, 2.5 lent, 0 borrowed; "
+            "1 of 71 limited customers active\n"
+            "maria 10/s burst 20: 1.5 of 6 here, 12 granted, 3 refused\n",
+        )
+
     def test_puts_a_whole_configuration_and_shows_it(self):
         held = {"revision": 7, "version": 12, "is_new": True}
         server = self.serve(
--- a/packages/bendwind-core/src/bendwind_core/quotas/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/__init__.py
@@ -17,6 +17,7 @@
     QuotaRefusal,
     Waiter,
     cancel_wait,
+    create_node_quotas,
     flush_asks,
     has_work,
     hear_reply,
@@ -35,7 +36,7 @@
     note_voters,
     tick_voter,
 )
-from bendwind_core.quotas.voter_state import VoterQuotas
+from bendwind_core.quotas.voter_state import VoterQuotas, create_voter_quotas
 
 __all__ = [
     "Grant",
@@ -55,7 +56,9 @@
     "VoterQuotas",
     "Waiter",
     "cancel_wait",
+    "create_node_quotas",
     "create_share",
+    "create_voter_quotas",
     "find_most",
     "flush_asks",
     "has_work",
--- a/packages/bendwind-core/src/bendwind_core/quotas/node.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/node.py
@@ -22,6 +22,7 @@
     QuotaWant,
 )
 from bendwind_core.quotas.voter import Effects, QuotaSend
+from bendwind_core.quotas.voter_state import NUMBERS_PER_RUN
 
 # An answer takes a round trip and, where the voter has to borrow, a second one.
 ANSWER_WAIT: Seconds = 0.1
@@ -29,8 +30,10 @@
 SILENT_FOR: Seconds = 1.0
 # Requests that come within this time share one ask, which is a tenth of what an answer may take.
 ASK_GAP: Seconds = 0.005
-# Tokens are kept for what is needed in this time, so that a busy customer's requests never wait.
+# Tokens are kept for what is needed in this time, so that a busy customer's requests never wait;
+# where they are valid for less, for most of what they are.
 AHEAD_FOR: Seconds = 0.25
+AHEAD_SHARE = 0.8
 GIVE_BACK_EACH: Seconds = 0.05
 # What a node knows of a customer is forgotten after so long without a request.
 FORGET_AFTER: Seconds = 10.0
@@ -72,10 +75,11 @@
 
 
 class QuotaRefusal(msgspec.Struct, frozen=True):
-    """Say why a request gets no token, and when to come back."""
+    """Say why a request gets no token, which voter said so, if any, and when to come back."""
 
     reason: NotRunReason
     retry_after_ms: Milliseconds
+    voter: str = ""
 
 
 class Ask(msgspec.Struct, eq=False):
@@ -98,6 +102,7 @@
     waiting: collections.deque[Waiter] = msgspec.field(default_factory=collections.deque)
     asked: int = 0
     refused_until: Seconds = -math.inf
+    refused_by: str = ""
     use: float = 0.0
     used_at: Seconds = 0.0
 
@@ -126,7 +131,7 @@
     settled: list[Waiter] = msgspec.field(default_factory=list)
     back: dict[tuple[str, int, int], Grant] = msgspec.field(default_factory=dict)
     silent: dict[str, Seconds] = msgspec.field(default_factory=dict)
-    next_ask: int = 1
+    next_ask: int = 0
     ask_from: Seconds = -math.inf
     back_at: Seconds = -math.inf
     forget_at: Seconds = -math.inf
@@ -134,6 +139,12 @@
     totals: NodeTotals = msgspec.field(default_factory=NodeTotals)
 
 
+def create_node_quotas(bounds: QuotaBounds, run: int) -> NodeQuotas:
+    """Create the quotas of a node that has just started; `run` grows with each start."""
+    # What was asked in an earlier run must not be taken for an answer to this one.
+    return NodeQuotas(bounds, next_ask=run * NUMBERS_PER_RUN)
+
+
 def request_token(
     quotas: NodeQuotas, customer: str, until: Seconds, now: Seconds
 ) -> Result[Grant, QuotaRefusal] | Waiter:
@@ -145,7 +156,7 @@
     grant = _take_from_stock(quotas, stock, now)
     if grant is not None:
         quotas.totals.taken += 1
-        if _count_ahead(stock, now) > 0:
+        if _count_ahead(quotas, stock, now) > 0:
             quotas.wanting[customer] = None
         return Ok(grant)
     if now < stock.refused_until:
@@ -207,9 +218,10 @@
         return_token(quotas, waiter.outcome.ok)
 
 
-def _count_ahead(stock: Stock, now: Seconds) -> int:
+def _count_ahead(quotas: NodeQuotas, stock: Stock, now: Seconds) -> int:
     """Return how many tokens to ask for beside those that are waited for."""
-    needed = int(stock.use * 0.5 ** max(0.0, now - stock.used_at) * AHEAD_FOR)
+    ahead_for = min(AHEAD_FOR, AHEAD_SHARE * quotas.bounds.node_validity)
+    needed = int(stock.use * 0.5 ** max(0.0, now - stock.used_at) * ahead_for)
     has = sum(batch.left for batch in stock.batches) + stock.asked
     # Asked for only when half is gone, it is some asks a second whatever the rate is.
     return 0 if 2 * has > needed else needed - has
@@ -218,7 +230,7 @@
 def _refuse_over(quotas: NodeQuotas, stock: Stock, now: Seconds) -> QuotaRefusal:
     quotas.totals.refused += 1
     wait_ms = max(0.0, stock.refused_until - now) * MILLISECONDS_PER_SECOND
-    return QuotaRefusal(NotRunReason.OVER_QUOTA, wait_ms)
+    return QuotaRefusal(NotRunReason.OVER_QUOTA, wait_ms, stock.refused_by)
 
 
 def _refuse_unknown(quotas: NodeQuotas) -> QuotaRefusal:
@@ -255,7 +267,7 @@
     if stock is None:
         return None
     waiting = max(0, len(stock.waiting) - stock.asked)
-    ahead = _count_ahead(stock, now)
+    ahead = _count_ahead(quotas, stock, now)
     if not waiting and not ahead:
         return None
     stock.asked += waiting + ahead
@@ -308,6 +320,7 @@
         _put_back(quotas, grant, left)
     if told.wait_ms is not None:
         stock.refused_until = now + told.wait_ms / MILLISECONDS_PER_SECOND
+        stock.refused_by = grant.voter
         while stock.waiting:
             _settle(quotas, stock.waiting.popleft(), Error(_refuse_over(quotas, stock, now)))
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/quota_world.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/quota_world.py
@@ -22,6 +22,8 @@
     QuotaSend,
     VoterQuotas,
     Waiter,
+    create_node_quotas,
+    create_voter_quotas,
     flush_asks,
     hear_ask,
     hear_back,
@@ -112,15 +114,14 @@
         for index in range(nodes):
             home = index % voters
             order = names[home:] + names[:home]
-            self.nodes[f"n{index}"] = Node(f"n{index}", NodeQuotas(self.bounds), order)
+            self.nodes[f"n{index}"] = Node(f"n{index}", create_node_quotas(self.bounds, 1), order)
         self.at(CONFIRM_EACH, self._confirm)
         self.at(TICK, self._tick)
 
     def start_voter(self, name: str, names: tuple[str, ...], voter_id: int) -> VoterQuotas:
         """Start the process of a voter."""
-        quotas = VoterQuotas(
-            name, int(self.now * 1000) + 1, self.bounds, self.voter_count, CONFIRMED_FOR
-        )
+        run = int(self.now * 1000) + 1
+        quotas = create_voter_quotas(name, run, self.bounds, self.voter_count, CONFIRMED_FOR)
         note_voters(quotas, voter_id, tuple(other for other in names if other != name), self.now)
         return quotas
 
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
@@ -0,0 +1,288 @@
+"""Test what one voter grants, lends, borrows and forgets."""
+
+import unittest
+
+from bendwind_core.quotas import (
+    QuotaAsk,
+    QuotaBack,
+    QuotaBounds,
+    QuotaLoan,
+    QuotaPull,
+    QuotaReply,
+    QuotaUnused,
+    QuotaWant,
+    create_voter_quotas,
+    hear_ask,
+    hear_back,
+    hear_loan,
+    hear_pull,
+    note_configuration,
+    note_confirmed,
+    note_voters,
+    tick_voter,
+)
+from bendwind_core.quotas.voter import LENDER_WAIT
+from bendwind_core.quotas.voter_state import UNDONE_FOR
+from bendwind_core.world import Configuration, Customer
+
+BOUNDS = QuotaBounds(10.0, 0.1, 0.0)
+CONFIRMED_FOR = 1.0
+RUN = 7
+
+
+def create_voter(rate=10.0, burst=10.0, voters=1, now=0.0, run=RUN):
+    """Make a voter that has been one for long, and a customer that is new."""
+    quotas = create_voter_quotas("v1", run, BOUNDS, voters, CONFIRMED_FOR)
+    peers = tuple(f"v{number}" for number in range(2, voters + 1))
+    note_voters(quotas, 1, peers, now)
+    note_confirmed(quotas, now)
+    set_limit(quotas, rate, burst, now)
+    return quotas
+
+
+def set_limit(quotas, rate, burst, now):
+    listed = () if rate is None else (Customer("maria", rate_per_s=rate, burst=burst),)
+    note_configuration(quotas, Configuration(1, customers=listed), now)
+
+
+def ask(quotas, waiting, now, ahead=0, number=1):
+    effects = hear_ask(quotas, "n", QuotaAsk(number, (QuotaWant("maria", waiting, ahead),)), now)
+    return effects
+
+
+def grant(quotas, waiting, now, ahead=0, number=1):
+    """Ask, and return the grant that comes at once."""
+    replies = [
+        effect.message
+        for effect in ask(quotas, waiting, now, ahead, number)
+        if isinstance(effect.message, QuotaReply)
+    ]
+    return replies[-1].grants[0]
+
+
+class TestGranting(unittest.TestCase):
+    def test_a_new_customer_has_its_burst_at_once(self):
+        quotas = create_voter()
+        granted = grant(quotas, 30, 0.0)
+        self.assertEqual(granted.tokens, 11)
+        self.assertGreater(granted.wait_ms, 0)
+
+    def test_half_of_what_is_left_is_granted_ahead(self):
+        self.assertEqual(grant(create_voter(), 1, 0.0, ahead=100).tokens, 6)
+
+    def test_those_refused_are_told_to_come_back_one_after_the_other(self):
+        quotas = create_voter()
+        grant(quotas, 30, 0.0)
+        waits = [grant(quotas, 1, 0.0, number=number).wait_ms for number in range(2, 6)]
+        self.assertEqual(waits, sorted(waits))
+        self.assertGreater(waits[-1], waits[0] + 200)
+
+    def test_without_a_young_confirmation_nothing_is_answered(self):
+        quotas = create_voter()
+        self.assertEqual(ask(quotas, 1, CONFIRMED_FOR), [])
+        note_confirmed(quotas, CONFIRMED_FOR)
+        self.assertEqual(len(ask(quotas, 1, CONFIRMED_FOR)), 1)
+
+    def test_nothing_is_lent_without_a_young_confirmation(self):
+        self.assertEqual(hear_pull(create_voter(), "v2", QuotaPull(1, "maria", 1.0), 5.0), [])
+
+    def test_a_voter_made_one_begins_empty_after_its_predecessor_stopped(self):
+        quotas = create_voter_quotas("v1", RUN, BOUNDS, 1, CONFIRMED_FOR)
+        note_voters(quotas, None, (), 0.0)
+        set_limit(quotas, 10.0, 10.0, 0.0)
+        note_voters(quotas, 1, (), 5.0)
+        note_confirmed(quotas, 5.0)
+        self.assertEqual(ask(quotas, 1, 5.5), [])
+        note_confirmed(quotas, 6.5)
+        self.assertEqual(grant(quotas, 30, 6.52).tokens, 5)
+
+    def test_a_voter_that_restarted_begins_empty(self):
+        quotas = create_voter_quotas("v1", RUN, BOUNDS, 1, CONFIRMED_FOR)
+        note_voters(quotas, 1, (), 0.0)
+        set_limit(quotas, 10.0, 10.0, 0.0)
+        note_confirmed(quotas, 0.0)
+        self.assertEqual(grant(quotas, 30, 0.52).tokens, 5)
+
+    def test_a_voter_taken_out_and_in_again_begins_empty(self):
+        quotas = create_voter()
+        note_voters(quotas, 2, (), 5.0)
+        note_confirmed(quotas, 6.0)
+        self.assertEqual(grant(quotas, 30, 6.52).tokens, 5)
+
+
+class TestLimits(unittest.TestCase):
+    def test_a_lowered_limit_cuts_a_bucket_that_is_kept_and_one_that_is_not(self):
+        for was_asked in (True, False):
+            with self.subTest(was_asked=was_asked):
+                quotas = create_voter(10.0, 100.0)
+                if was_asked:
+                    grant(quotas, 1, 0.0)
+                set_limit(quotas, 10.0, 10.0, 0.0)
+                self.assertEqual(grant(quotas, 300, 0.0).tokens, 11)
+
+    def test_a_raised_limit_fills_faster_at_once_but_adds_nothing(self):
+        quotas = create_voter(10.0, 10.0)
+        grant(quotas, 11, 0.0)
+        set_limit(quotas, 100.0, 100.0, 0.0)
+        self.assertEqual(grant(quotas, 300, 0.505).tokens, 50)
+
+    def test_raising_and_lowering_in_turn_adds_nothing(self):
+        quotas = create_voter(10.0, 100.0)
+        total = 0
+        for number in range(1, 10):
+            set_limit(quotas, 10.0, 10.0, 0.0)
+            total += grant(quotas, 300, 0.0, number=2 * number).tokens
+            set_limit(quotas, 10.0, 100.0, 0.0)
+            total += grant(quotas, 300, 0.0, number=2 * number + 1).tokens
+        self.assertLessEqual(total, 110)
+
+    def test_a_customer_that_goes_and_comes_back_has_what_it_had(self):
+        quotas = create_voter()
+        grant(quotas, 300, 0.0)
+        for _ in range(3):
+            set_limit(quotas, None, None, 0.0)
+            self.assertEqual(grant(quotas, 1, 0.0).tokens, 0)
+            set_limit(quotas, 10.0, 10.0, 0.0)
+            self.assertEqual(grant(quotas, 300, 0.0).tokens, 0)
+
+    def test_a_customer_that_goes_while_buckets_fill_comes_back_with_what_it_had(self):
+        quotas = create_voter_quotas("v1", RUN, BOUNDS, 1, CONFIRMED_FOR)
+        note_voters(quotas, 1, (), 0.0)
+        set_limit(quotas, 10.0, 10.0, 0.0)
+        note_confirmed(quotas, 0.0)
+        set_limit(quotas, None, None, 0.3)
+        set_limit(quotas, 10.0, 10.0, 0.3)
+        self.assertEqual(grant(quotas, 30, 0.52).tokens, 5)
+
+
+class TestReturns(unittest.TestCase):
+    def give_back(self, quotas, number, tokens, now=0.0, run=RUN):
+        hear_back(quotas, QuotaBack(run, (QuotaUnused(number, tokens),)), now)
+
+    def test_what_comes_back_is_granted_again_once(self):
+        quotas = create_voter()
+        number = grant(quotas, 11, 0.0).number
+        self.give_back(quotas, number, 2)
+        self.give_back(quotas, number, 2)
+        self.give_back(quotas, number, 3)
+        self.give_back(quotas, number, 1)
+        self.assertEqual(grant(quotas, 30, 0.0).tokens, 3)
+
+    def test_no_more_comes_back_than_was_granted(self):
+        quotas = create_voter()
+        number = grant(quotas, 5, 0.0).number
+        grant(quotas, 6, 0.0)
+        self.give_back(quotas, number, 100)
+        self.assertEqual(grant(quotas, 30, 0.0).tokens, 5)
+
+    def test_what_another_run_granted_does_not_come_back(self):
+        quotas = create_voter()
+        number = grant(quotas, 11, 0.0).number
+        self.give_back(quotas, number, 5, run=RUN - 1)
+        self.assertEqual(grant(quotas, 30, 0.0).tokens, 0)
+
+    def test_what_comes_back_too_late_is_lost(self):
+        quotas = create_voter(0.01, 10.0)
+        number = grant(quotas, 11, 0.0).number
+        self.give_back(quotas, number, 5, now=UNDONE_FOR + 0.1)
+        note_confirmed(quotas, UNDONE_FOR)
+        self.assertEqual(grant(quotas, 30, UNDONE_FOR + 0.1).tokens, 0)
+
+
+class TestLoans(unittest.TestCase):
+    def setUp(self):
+        self.quotas = create_voter(30.0, 30.0, voters=3)
+        self.first = grant(self.quotas, 11, 0.0)
+        self.assertEqual(self.first.tokens, 11)
+
+    def pull(self, now=0.0, waiting=2):
+        """Ask for more than there is; return the question to another voter."""
+        (effect,) = ask(self.quotas, waiting, now, number=2)
+        self.assertIsInstance(effect.message, QuotaPull)
+        return effect
+
+    def lend(self, effect, tokens, now=0.01, left=5.0, voter=None, run=3):
+        loan = QuotaLoan(effect.message.number, run, "maria", 4, tokens, left)
+        return hear_loan(self.quotas, voter or effect.to, loan, now)
+
+    def test_who_waits_is_answered_with_what_was_lent(self):
+        (answer,) = self.lend(self.pull(), 2.0)
+        self.assertEqual((answer.to, answer.message.grants[0].tokens), ("n", 2))
+
+    def test_a_loan_counts_once_and_only_from_whom_was_asked(self):
+        effect = self.pull(waiting=2)
+        self.assertEqual(self.lend(effect, 2.0, voter="v9"), [])
+        self.assertEqual(len(self.lend(effect, 2.0)), 1)
+        self.assertEqual(self.lend(effect, 2.0), [])
+        self.assertEqual(self.quotas.totals.borrowed, 2.0)
+
+    def test_a_loan_asked_for_in_an_earlier_run_does_not_count(self):
+        effect = self.pull()
+        later = create_voter(30.0, 30.0, voters=3, run=RUN + 1)
+        grant(later, 11, 0.0)
+        (again,) = ask(later, 2, 0.0, number=2)
+        self.assertNotEqual(effect.message.number, again.message.number)
+
+    def test_what_was_lent_too_much_ends_and_is_given_back(self):
+        self.lend(self.pull(), 5.0)
+        until = BOUNDS.loan_validity
+        note_confirmed(self.quotas, until)
+        self.quotas.accounts["maria"].bucket.level = 0.0
+        back = [effect for effect in tick_voter(self.quotas, until + 0.001)]
+        self.assertEqual([effect.message.unused[0].tokens for effect in back], [3.0])
+        self.assertEqual((back[0].to, back[0].message.run), ("v2", 3))
+
+    def test_what_was_lent_is_not_lent_on(self):
+        self.lend(self.pull(), 5.0)
+        (answer,) = hear_pull(self.quotas, "v3", QuotaPull(1, "maria", 5.0), 0.01)
+        self.assertLess(answer.message.tokens, 1.0)
+
+    def test_a_voter_that_has_nothing_is_left_alone_for_a_while(self):
+        effect = self.pull()
+        (second,) = self.lend(effect, 0.0, left=0.0)
+        self.assertNotEqual(second.to, effect.to)
+        (answer,) = self.lend(second, 0.0, left=0.0)
+        self.assertEqual(answer.message.grants[0].tokens, 0)
+        (answer,) = ask(self.quotas, 1, 0.02, number=3)
+        self.assertIsInstance(answer.message, QuotaReply)
+
+    def test_a_voter_that_does_not_answer_is_passed_over(self):
+        effect = self.pull()
+        (second,) = tick_voter(self.quotas, LENDER_WAIT)
+        self.assertNotEqual(second.to, effect.to)
+        self.assertIsInstance(second.message, QuotaPull)
+
+    def test_who_waits_is_answered_though_nobody_lends(self):
+        self.pull()
+        answers = []
+        for tick in range(1, 20):
+            note_confirmed(self.quotas, 0.01 * tick)
+            answers += tick_voter(self.quotas, 0.01 * tick)
+        told = [effect.message for effect in answers if isinstance(effect.message, QuotaReply)]
+        self.assertEqual(len(told), 1)
+
+    def test_lending_takes_from_the_bucket_and_returning_puts_it_back(self):
+        lender = create_voter(30.0, 30.0, voters=3)
+        (answer,) = hear_pull(lender, "v2", QuotaPull(1, "maria", 6.0), 0.0)
+        self.assertEqual(answer.message.tokens, 6.0)
+        self.assertEqual(lender.accounts["maria"].bucket.level, 5.0)
+        unused = QuotaUnused(answer.message.number, 2.5)
+        hear_back(lender, QuotaBack(RUN, (unused,)), 0.0)
+        self.assertEqual(lender.accounts["maria"].bucket.level, 7.5)
+
+
+class TestForgetting(unittest.TestCase):
+    def test_a_full_bucket_is_forgotten_and_is_full_when_it_is_asked_again(self):
+        quotas = create_voter()
+        grant(quotas, 11, 0.0)
+        tick_voter(quotas, 1.0)
+        self.assertTrue(quotas.accounts)
+        tick_voter(quotas, 60.0)
+        self.assertFalse(quotas.accounts)
+        self.assertFalse(quotas.takings)
+        note_confirmed(quotas, 60.0)
+        self.assertEqual(grant(quotas, 30, 60.0).tokens, 11)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -34,8 +34,10 @@
 )
 from bendwind_core.world import Configuration, Customer
 
-# A node asks another voter after 100 ms; a loan takes a round trip within a region.
-LOAN_WAIT: Seconds = 0.05
+# A loan takes a round trip within a region. A node asks another voter after 100 ms, which leaves
+# time for a second lender where the first one does not answer.
+LENDER_WAIT: Seconds = 0.04
+WANT_WAIT: Seconds = 0.08
 # A voter that has nothing is left alone for about as long as it takes to have a token.
 SHORTEST_PAUSE: Seconds = 0.1
 LONGEST_PAUSE: Seconds = 1.0
@@ -95,7 +97,11 @@
     limited = {customer.name: customer for customer in listed if customer.is_limited}
     if limited == quotas.customers:
         return
-    before, quotas.customers = quotas.customers, limited
+    before = quotas.customers
+    for name in before.keys() - limited.keys():
+        # Should it come back, it has no more than it would have had.
+        find_account(quotas, name, now)
+    quotas.customers = limited
     for name, customer in limited.items():
         old = before.get(name)
         if old is None:
@@ -152,7 +158,7 @@
     if not account.waiting and _count_whole(account, now) >= want.waiting:
         return _grant(quotas, want.customer, account, want.waiting, want.ahead, now)
     if quotas.waiting < MAX_WAITING:
-        account.waiting.append(Waiting(node, number, want.waiting, now + LOAN_WAIT))
+        account.waiting.append(Waiting(node, number, want.waiting, now + WANT_WAIT))
         quotas.waiting += 1
         quotas.busy[want.customer] = None
         _seek_loan(quotas, want.customer, account, now, effects)
@@ -273,7 +279,7 @@
         return [QuotaSend(voter, QuotaLoan(pull.number, quotas.run, pull.customer, 0, 0.0, 0.0))]
     bucket = account.bucket
     fill(bucket, now)
-    own_need = find_use(account, now) * LOAN_WAIT + sum(want.waiting for want in account.waiting)
+    own_need = find_use(account, now) * LENDER_WAIT + sum(want.waiting for want in account.waiting)
     tokens = max(0.0, min(pull.tokens, bucket.level - own_need))
     number = 0
     if tokens > ROUNDING:
@@ -357,7 +363,7 @@
     effects: Effects = []
     for name in tuple(quotas.busy):
         account = quotas.accounts[name]
-        if account.pulling is not None and now - account.pulling.sent_at >= LOAN_WAIT:
+        if account.pulling is not None and now - account.pulling.sent_at >= LENDER_WAIT:
             _give_up_pull(account, now)
             _settle(quotas, name, account, now, effects)
         while account.waiting and now >= account.waiting[0].until:
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -17,6 +17,8 @@
 MAX_TAKINGS = 65_536
 # What waits for a loan waits for a few milliseconds; a full list refuses what its bucket lacks.
 MAX_WAITING = 4096
+# Runs are numbered by the milliseconds at which they start, and 2^20 are asked in none of them.
+NUMBERS_PER_RUN = 1 << 20
 # What fades by half each second sums up to the rate of a steady stream if each token adds so much.
 _PER_TOKEN = 0.693
 
@@ -119,7 +121,7 @@
     busy: dict[str, None] = msgspec.field(default_factory=dict)
     takings: dict[int, Taking] = msgspec.field(default_factory=dict)
     next_number: int = 1
-    next_pull: int = 1
+    next_pull: int = 0
     waiting: int = 0
     forget_at: Seconds = 0.0
     totals: QuotaTotals = msgspec.field(default_factory=QuotaTotals)
@@ -133,6 +135,15 @@
         return now - confirmed_at < self.confirmed_for
 
 
+def create_voter_quotas(
+    name: str, run: int, bounds: QuotaBounds, kept_voters: int, confirmed_for: Seconds
+) -> VoterQuotas:
+    """Create the quotas of a voter that has just started; `run` grows with each start."""
+    # What was asked in an earlier run must not be taken for an answer to this one.
+    next_pull = run * NUMBERS_PER_RUN
+    return VoterQuotas(name, run, bounds, kept_voters, confirmed_for, next_pull=next_pull)
+
+
 def find_share(quotas: VoterQuotas, customer: Customer) -> Share:
     """Return this voter's part of a customer's quota."""
     return create_share(customer, quotas.bounds, quotas.kept_voters)
@@ -140,11 +151,13 @@
 
 def find_account(quotas: VoterQuotas, name: str, now: Seconds) -> Account | None:
     """Return the account of a limited customer, made if there is none; None if it has no limit."""
+    customer = quotas.customers.get(name)
+    if customer is None:
+        return None
     account = quotas.accounts.get(name)
     if account is not None:
         return account
-    customer = quotas.customers.get(name)
-    if customer is None or len(quotas.accounts) >= MAX_BUCKETS:
+    if len(quotas.accounts) >= MAX_BUCKETS:
         return None
     share = find_share(quotas, customer)
     return add_account(quotas, name, share, _find_first_level(quotas, share, now), now)
--- a/packages/bendwind-core/src/bendwind_core/timeline/facts.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -21,6 +21,7 @@
     """Hold a call's end: what was asked, what each attempt came to and what the caller got.
 
     `version` is that of the configuration in force, `age_ms` how long ago it was proven the newest.
+    `quota` says whose quota the call came under and which voter had the last word, if any.
     Units: `ms` counts from the call's arrival; `timeout_ms` and `target_ms` are what it started
     with, and `tried_ms` is how long the caller had been trying before, by the time it had left.
     """
@@ -35,6 +36,7 @@
     age_ms: Milliseconds | None = None
     attempts: tuple[AttemptFacts, ...] = ()
     tried_ms: Milliseconds = 0.0
+    quota: str = ""
 
 
 class DispatchFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="dispatch"):
--- a/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
@@ -18,6 +18,8 @@
     "overloaded": "the node or the service had as many calls in flight as it may have",
     "body-too-large": "its body is over the limit",
     "headers-too-large": "its headers are over the limit",
+    "over-quota": "its customer had used up its quota",
+    "quota-unknown": "no voter said in time whether its customer's quota had room",
     "request-timeout": "its body did not come whole in time",
 }
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -48,9 +48,15 @@
         _round_age(membership.confirmed_age_ms()),
         tuple(_make_attempt_facts(run, attempt) for attempt in call.attempts),
         tried_ms,
+        _describe_quota(run),
     )
 
 
+def _describe_quota(run: CallRun) -> str:
+    grant = run.quota_grant
+    return "" if grant is None else f"{run.call.customer}: token of voter {grant.voter}"
+
+
 def _make_attempt_facts(run: CallRun, attempt: Attempt) -> AttemptFacts:
     ms = None if attempt.ended_at is None else _count_ms(attempt.ended_at - attempt.sent_at)
     sent_ms = _count_ms(attempt.sent_at - run.arrived_at)
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -2,6 +2,7 @@
 
 import trio
 from expression import Result
+from msgspec.structs import replace
 
 from bendwind_core.attempts import events as ev
 from bendwind_core.attempts.call import may_have_run
@@ -72,7 +73,10 @@
             detail=refusal.reason,
             request=find_request_id(exchange.request.headers, entry.dialect),
             facts=CallFacts(
-                status=refusal.status, version=entry.membership.view.version, age_ms=age_ms
+                status=refusal.status,
+                version=entry.membership.view.version,
+                age_ms=age_ms,
+                quota=refusal.quota,
             ),
         )
 
@@ -110,4 +114,6 @@
                 run.quota_grant = grant
                 return None
             case Result(error=refused):
-                return Refusal.not_run(refused.reason, refused.retry_after_ms)
+                refusal = Refusal.not_run(refused.reason, refused.retry_after_ms)
+                voter = f"voter {refused.voter}" if refused.voter else "no voter"
+                return replace(refusal, quota=f"{call.customer}: refused, told by {voter}")
--- a/packages/bendwind-node/src/bendwind_node/calls/refusal.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/refusal.py
@@ -11,12 +11,16 @@
 
 
 class Refusal(msgspec.Struct, frozen=True):
-    """Hold the answer to a request that nothing was done for."""
+    """Hold the answer to a request that nothing was done for.
+
+    `quota` says whose quota forbade it and which voter had the last word, if one did.
+    """
 
     status: int
     outcome: bytes
     reason: str
     retry_after_ms: Milliseconds | None = None
+    quota: str = ""
 
     @staticmethod
     def not_run(reason: NotRunReason, retry_after_ms: Milliseconds | None = None) -> "Refusal":
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_quota_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_quota_path.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from bendwind_core.timeline import CallFacts
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.tests.fakes import CallBench, announce, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request, run_server
@@ -47,6 +48,7 @@
                     statuses.append(exchange.status)
                     headers.append(exchange.headers)
                 self.stock = bench.entry.quotas.quotas.totals
+                self.events = tuple(bench.entry.recorder.events)
                 nursery.cancel_scope.cancel()
 
         async def bounded():
@@ -66,6 +68,12 @@
         self.assertEqual(refused[b"bendwind-reason"], b"over-quota")
         self.assertIn(b"retry-after", refused)
 
+    def test_what_is_logged_of_a_request_names_its_customer_and_the_voter(self):
+        self.play(make_customer(0.01, 5.0), 40)
+        facts = [event.facts.quota for event in self.events if isinstance(event.facts, CallFacts)]
+        self.assertIn("maria: token of voter v0", facts)
+        self.assertIn("maria: refused, told by voter v0", facts)
+
     def test_a_customer_without_a_limit_is_asked_for_no_token(self):
         statuses, _, _ = self.play(make_customer(0.0, 0.0), 40)
         self.assertEqual(set(statuses), {200})
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -197,7 +197,11 @@
         membership.tell_suspects,
     )
     dispatcher.quotas = create_node_quota_task(
-        _find_quota_bounds(settings), membership.list_voters, dispatcher.send
+        _find_quota_bounds(settings),
+        own.incarnation,
+        membership.list_voters,
+        dispatcher.send,
+        recorder,
     )
     dispatcher.entry = EntryNode(
         own,
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -27,6 +27,7 @@
     gather_node,
     gather_probes,
     gather_process,
+    gather_quotas,
     gather_statistics,
     gather_timeline,
     gather_voter,
@@ -140,6 +141,7 @@
         daemon.stopping.set,
         _create_metrics_renderer(daemon),
         _find_suspects(daemon),
+        None if dispatcher.control is None else dispatcher.control.quotas.quotas,
     )
     served = AsgiServer(
         _detach(daemon.listeners.operators),
@@ -169,6 +171,7 @@
         yield from gather_calls(dispatcher.entry, dispatcher.owner)
         yield from gather_probes(dispatcher.probes)
         yield from gather_node(dispatcher.hub, dispatcher.membership, dispatcher.claims)
+        yield from gather_quotas(dispatcher.quotas)
         if dispatcher.control is not None:
             yield from gather_voter(dispatcher.control)
         yield from gather_process()
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -91,6 +91,23 @@
     REFUSALS = _count(
         "attempts_refused", "attempts", "Attempts this owner refused.", "route", "reason"
     )
+    QUOTA_REQUESTS = _count(
+        "quota_requests",
+        "requests",
+        "Requests of customers with a quota, by what came of asking for a token; `returned` counts "
+        "tokens that were given back.",
+        "outcome",
+    )
+    QUOTA_ASKS = _count("quota_asks", "messages", "Questions for tokens to voters.")
+    VOTER_QUOTA_TOKENS = _count(
+        "voter_quota_tokens",
+        "tokens",
+        "Tokens that nodes and voters asked this voter for, by what it did.",
+        "action",
+    )
+    VOTER_QUOTAS = _gauge(
+        "voter_quotas", "customers", "Limited customers that this voter was asked for lately."
+    )
     SUSPECTS = _gauge("suspects", "requests", "Requests that upstreams ended under.", "state")
     CALL_BUCKET, CALL_SUM, CALL_COUNT = _CALL_SECONDS
     WAIT_BUCKET, WAIT_SUM, WAIT_COUNT = _WAIT_SECONDS
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -21,6 +21,7 @@
 from bendwind_node.membership import MembershipTask
 from bendwind_node.metrics.catalogue import Metric
 from bendwind_node.metrics.sample import Sample
+from bendwind_node.quotas import NodeQuotaTask
 
 _BYTES_PER_KIB = 1024
 
@@ -125,6 +126,18 @@
     yield Sample(Metric.VOTER_TERM, status.term)
     yield Sample(Metric.VOTER_LEADER, int(status.leader == status.name))
     yield Sample(Metric.MEMBERS, len(control.registry.registry.members))
+    quotas = control.quotas.quotas
+    yield Sample(Metric.VOTER_QUOTAS, len(quotas.accounts))
+    for action in ("granted", "refused", "lent", "borrowed"):
+        yield Sample(Metric.VOTER_QUOTA_TOKENS, getattr(quotas.totals, action), (action,))
+
+
+def gather_quotas(task: NodeQuotaTask) -> Iterator[Sample]:
+    """Read what came of requests of customers with a quota."""
+    totals = task.quotas.totals
+    for outcome in ("taken", "refused", "unknown", "returned"):
+        yield Sample(Metric.QUOTA_REQUESTS, getattr(totals, outcome), (outcome,))
+    yield Sample(Metric.QUOTA_ASKS, totals.asks)
 
 
 def gather_process() -> Iterator[Sample]:
--- a/packages/bendwind-node/src/bendwind_node/operators/app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/app.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from bendwind_core.plans import DrainTarget
+from bendwind_core.quotas import VoterQuotas
 from bendwind_core.suspicion import SuspectTable
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.http import serve_lifespan
@@ -26,6 +27,7 @@
     send_response,
 )
 from bendwind_node.operators.plan_routes import PlanRoutes
+from bendwind_node.operators.quota_routes import show_quotas
 from bendwind_node.operators.revision_routes import RevisionRoutes
 from bendwind_node.operators.status_routes import StatusRoutes
 from bendwind_node.operators.status_source import StatusSource
@@ -37,12 +39,15 @@
     {"plans", "configuration", "instances", "upstreams", "services", "revision", "data-centres"}
 )
 
+_NO_VOTER = "this process keeps no configuration; ask a voter"
+
 
 @dataclass(slots=True)
 class OperatorsApp:
     """Serve the operators' API as an ASGI application.
 
-    `control` is None on a process that is no voter; `suspects` is what it knows against requests.
+    `control` is None on a process that is no voter; `suspects` is what it knows against requests,
+    and `quotas` what a voter holds of customers' quotas.
     `request_stop` begins a planned stop and returns at once. `render_metrics` takes the Accept
     header.
     """
@@ -55,6 +60,7 @@
     request_stop: Callable[[], None]
     render_metrics: Callable[[str], Response]
     suspects: SuspectTable = field(default_factory=SuspectTable)
+    quotas: VoterQuotas | None = None
     plans: PlanRoutes | None = field(init=False)
     claims: ClaimRoutes | None = field(init=False)
     revisions: RevisionRoutes | None = field(init=False)
@@ -103,12 +109,13 @@
                 return self._answer_metrics(request)
             case ("v1", "suspects", *rest):
                 return self._answer_suspects(request, tuple(rest))
+            case ("v1", "quotas"):
+                return self._answer_quotas(request)
             case ("v1", "events" | "timeline" | "status" | "stop" as name):
                 return await self._answer_process(request, name)
             case ("v1", name, *rest) if name in _CONTROL_PATHS:
                 if self.plans is None:
-                    text = "this process keeps no configuration; ask a voter"
-                    return plain_error(404, ErrorKind.NOT_A_VOTER, text)
+                    return plain_error(404, ErrorKind.NOT_A_VOTER, _NO_VOTER)
                 if name == "services":
                     return await self._answer_claims(request, tuple(rest))
                 if name == "revision":
@@ -138,6 +145,11 @@
                 return _refuse_method()
         return plain_error(404, ErrorKind.NOT_FOUND)
 
+    def _answer_quotas(self, request: Request) -> Response:
+        if self.quotas is None:
+            return plain_error(404, ErrorKind.NOT_A_VOTER, _NO_VOTER)
+        return show_quotas(self.quotas) if request.method == "GET" else _refuse_method()
+
     async def _answer_evacuation(self, request: Request, path: tuple[str, ...]) -> Response:
         assert self.evacuations is not None
         match request.method, path:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_quotas.py
@@ -0,0 +1,67 @@
+import json
+import unittest
+
+import trio
+
+from bendwind_core.quotas import (
+    QuotaAsk,
+    QuotaBounds,
+    QuotaWant,
+    create_voter_quotas,
+    hear_ask,
+    note_configuration,
+    note_confirmed,
+    note_voters,
+)
+from bendwind_core.world import Configuration, Customer
+from bendwind_node.operators import OperatorAuthority
+from bendwind_node.operators.http import Request
+from bendwind_node.operators.quota_routes import MOST_SHOWN
+from bendwind_node.operators.tests.fakes import create_app
+
+
+class QuotasTest(unittest.TestCase):
+    def ask(self, method="GET", wants=(), is_voter=True):
+        async def main():
+            app = create_app(None, OperatorAuthority())
+            if is_voter:
+                app.quotas = self.make_quotas(wants)
+            return await app.answer(Request(method, ("v1", "quotas"), {}, {}, b""))
+
+        response = trio.run(main)
+        return response.status, json.loads(response.body)
+
+    def make_quotas(self, wants):
+        now = trio.current_time()
+        quotas = create_voter_quotas("v1", 1, QuotaBounds(10.0, 0.1, 0.0), 1, 1000.0)
+        note_voters(quotas, 1, (), now)
+        note_confirmed(quotas, now)
+        names = sorted({want.customer for want in wants} | {"silent"})
+        customers = tuple(Customer(name, rate_per_s=0.001, burst=10.0) for name in names)
+        note_configuration(quotas, Configuration(1, customers=customers), now)
+        for number, want in enumerate(wants):
+            hear_ask(quotas, "n", QuotaAsk(number, (want,)), now)
+        return quotas
+
+    def test_shows_what_is_held_those_most_refused_first(self):
+        status, body = self.ask(wants=(QuotaWant("ana", 4), QuotaWant("maria", 14)))
+        self.assertEqual(status, 200)
+        self.assertEqual((body["voter"], body["granting"], body["limited"]), ("v1", True, 3))
+        self.assertEqual((body["granted"], body["refused"]), (15, 3))
+        maria, ana = body["quotas"][:2]
+        self.assertEqual((maria["customer"], maria["granted"], maria["refused"]), ("maria", 11, 3))
+        self.assertEqual((ana["customer"], ana["burst"], ana["level"]), ("ana", 10.0, 7.0))
+
+    def test_shows_a_bounded_number(self):
+        wants = tuple(QuotaWant(f"c{number}", 1) for number in range(MOST_SHOWN + 10))
+        _, body = self.ask(wants=wants)
+        self.assertEqual(len(body["quotas"]), MOST_SHOWN)
+        self.assertEqual(body["granted"], MOST_SHOWN + 10)
+
+    def test_a_process_that_is_no_voter_has_none(self):
+        self.assertEqual(self.ask(is_voter=False)[0], 404)
+        self.assertEqual(self.ask("POST")[0], 405)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
@@ -3,9 +3,11 @@
 import math
 from collections.abc import Callable
 
+import msgspec
 import trio
 from expression import Result
 
+from bendwind_core.attempts import NotRunReason
 from bendwind_core.core import Record, Seconds
 from bendwind_core.quotas import (
     Grant,
@@ -16,6 +18,7 @@
     QuotaSend,
     Waiter,
     cancel_wait,
+    create_node_quotas,
     flush_asks,
     has_work,
     hear_reply,
@@ -23,6 +26,7 @@
     return_token,
     tick_node,
 )
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Customer
 
 Send = Callable[[str, Record], object]
@@ -31,27 +35,49 @@
 # without one bears; both leave time to ask a second voter where the objective is a second or more.
 TOKEN_WAIT: Seconds = 0.25
 OBJECTIVE_SHARE = 0.125
+# A customer stays over its quota for seconds to minutes: that is worth a line, not one a request.
+TELL_EACH: Seconds = 10.0
+KEEP: Seconds = 60.0
 # Timeouts of 100 ms need no finer ticks.
 _TICK: Seconds = 0.02
 
 
+class _Told(msgspec.Struct):
+    """Hold when a customer's excess was last recorded and how much was refused since."""
+
+    at: Seconds
+    untold: int = 0
+
+
 class NodeQuotaTask:
     """Own a node's quotas; `find_customer` tells what is known of a name."""
 
-    __slots__ = ("_has_work", "_settled", "find_customer", "list_voters", "quotas", "send")
+    __slots__ = (
+        "_has_work",
+        "_settled",
+        "_told",
+        "find_customer",
+        "list_voters",
+        "quotas",
+        "recorder",
+        "send",
+    )
 
     def __init__(
         self,
         quotas: NodeQuotas,
         list_voters: Callable[[], tuple[str, ...]],
         send: Send,
+        recorder: Recorder,
         find_customer: Callable[[str], Customer | None] = lambda name: None,
     ):
         self.quotas = quotas
         self.list_voters = list_voters
         self.send = send
+        self.recorder = recorder
         self.find_customer = find_customer
         self._settled: dict[Waiter, trio.Event] = {}
+        self._told: dict[str, _Told] = {}
         self._has_work = trio.Event()
 
     async def run(self) -> None:
@@ -80,9 +106,22 @@
         asked = request_token(self.quotas, customer, until, now)
         self._flush(now)
         self._wake()
-        if not isinstance(asked, Waiter):
-            return asked
-        return await self._wait(asked)
+        outcome = await self._wait(asked) if isinstance(asked, Waiter) else asked
+        if outcome.is_error() and outcome.error.reason is NotRunReason.OVER_QUOTA:
+            self._tell(customer, outcome.error.voter, now)
+        return outcome
+
+    def _tell(self, customer: str, voter: str, now: Seconds) -> None:
+        """Record that a customer is over its quota, once in a while however much is refused."""
+        told = self._told.get(customer)
+        if told is not None and now - told.at < TELL_EACH:
+            told.untold += 1
+            return
+        untold = 0 if told is None else told.untold
+        self._told = {name: known for name, known in self._told.items() if now - known.at < KEEP}
+        self._told[customer] = _Told(now)
+        detail = f"{customer}, told by {voter}; {untold} more refused before"
+        self.recorder.record(EventKind.QUOTA_EXCEEDED, detail=detail)
 
     async def _wait(self, waiter: Waiter) -> Result[Grant, QuotaRefusal]:
         settled = self._settled[waiter] = trio.Event()
@@ -142,7 +181,11 @@
 
 
 def create_node_quota_task(
-    bounds: QuotaBounds, list_voters: Callable[[], tuple[str, ...]], send: Send
+    bounds: QuotaBounds,
+    run: int,
+    list_voters: Callable[[], tuple[str, ...]],
+    send: Send,
+    recorder: Recorder,
 ) -> NodeQuotaTask:
-    """Create the task of a node that has just started."""
-    return NodeQuotaTask(NodeQuotas(bounds), list_voters, send)
+    """Create the task of a node that has just started; `run` is its incarnation."""
+    return NodeQuotaTask(create_node_quotas(bounds, run), list_voters, send, recorder)
--- a/packages/bendwind-node/src/bendwind_node/quotas/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/tests/fakes.py
@@ -3,6 +3,7 @@
 import trio
 
 from bendwind_core.quotas import QuotaBounds, QuotaReply
+from bendwind_core.timeline import Recorder
 from bendwind_core.world import Configuration, Customer
 from bendwind_node.quotas import create_node_quota_task, create_voter_quota_task
 
@@ -24,6 +25,7 @@
 
     def __init__(self, nursery, customers, voters=3, bounds=None):
         self.nursery = nursery
+        self.recorder = Recorder("n", lambda: 1, 1000)
         self.bounds = bounds or QuotaBounds()
         self.customers = {customer.name: customer for customer in customers}
         self.names = tuple(f"v{index}" for index in range(voters))
@@ -68,7 +70,11 @@
     def add_node(self, name, first=0):
         order = self.names[first:] + self.names[:first]
         task = create_node_quota_task(
-            self.bounds, lambda: order, lambda to, message: self.send(name, to, message)
+            self.bounds,
+            1,
+            lambda: order,
+            lambda to, message: self.send(name, to, message),
+            self.recorder,
         )
         task.find_customer = self.customers.get
         self.nodes[name] = task
--- a/packages/bendwind-node/src/bendwind_node/quotas/tests/test_tasks.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/tests/test_tasks.py
@@ -8,8 +8,11 @@
 
 from bendwind_core.attempts import NotRunReason
 from bendwind_core.quotas import QuotaAsk, QuotaBounds
+from bendwind_core.timeline import EventKind
 from bendwind_node.quotas.tests.fakes import QuotaBench, make_customer
 
+QUOTA_EXCEEDED = EventKind.QUOTA_EXCEEDED
+
 
 def run(play, *arguments):
     async def main():
@@ -66,6 +69,23 @@
 
         run(play)
 
+    def test_an_excess_is_recorded_once_in_a_while_however_much_is_refused(self):
+        async def play(nursery):
+            bench = QuotaBench(nursery, [make_customer(10.0, 10.0)])
+            nursery.start_soon(bench.keep_confirming)
+            node = bench.add_node("n")
+            await count_taken(node, 500)
+            told = [event for event in bench.recorder.events if event.kind is QUOTA_EXCEEDED]
+            self.assertEqual(len(told), 1)
+            self.assertIn("maria", told[0].detail)
+            await trio.sleep(11.0)
+            await count_taken(node, 500)
+            told = [event for event in bench.recorder.events if event.kind is QUOTA_EXCEEDED]
+            self.assertEqual(len(told), 2)
+            self.assertRegex(told[1].detail, r"; [1-9]\d* more refused before")
+
+        run(play)
+
     def test_after_the_time_told_there_is_room(self):
         async def play(nursery):
             bench = QuotaBench(nursery, [make_customer(10.0, 10.0)])
--- a/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
@@ -15,6 +15,7 @@
     QuotaPull,
     QuotaSend,
     VoterQuotas,
+    create_voter_quotas,
     hear_ask,
     hear_back,
     hear_loan,
@@ -28,7 +29,7 @@
 
 Send = Callable[[str, Record], object]
 
-# A loan that does not come is given up after 50 ms.
+# A loan that does not come is given up after 40 ms.
 _BUSY_TICK: Seconds = 0.01
 _IDLE_TICK: Seconds = 0.5
 
@@ -126,5 +127,5 @@
     send: Send,
 ) -> VoterQuotaTask:
     """Create the task of a voter that has just started; call it inside a trio run."""
-    quotas = VoterQuotas(name, run, bounds, kept_voters, confirmed_for)
+    quotas = create_voter_quotas(name, run, bounds, kept_voters, confirmed_for)
     return VoterQuotaTask(quotas, control, send)
