--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -222,7 +222,7 @@
 def _remember(quotas: VoterQuotas, number: int, taking: Taking) -> None:
     quotas.takings[number] = taking
     if len(quotas.takings) > MAX_TAKINGS:
-        del quotas.takings[next(iter(quotas.takings))]
+        quotas.takings.popitem(last=False)
 
 
 def _find_refusal_ms(account: Account, now: Seconds) -> float:
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -10,8 +10,8 @@
 from bendwind_core.world import Customer
 
 # A full bucket of a customer is not kept, so that only those are that were asked for in the last
-# seconds. Each takes under a kilobyte.
-MAX_BUCKETS = 65_536
+# seconds. Each takes 2.3 kB, so that all stay under 80 MB.
+MAX_BUCKETS = 32_768
 # A request that waits for room longer than this and then does not run has cost its customer one.
 UNDONE_FOR: Seconds = 5.0
 MAX_TAKINGS = 65_536
@@ -119,7 +119,9 @@
     customers: dict[str, Customer] = msgspec.field(default_factory=dict)
     accounts: dict[str, Account] = msgspec.field(default_factory=dict)
     busy: dict[str, None] = msgspec.field(default_factory=dict)
-    takings: dict[int, Taking] = msgspec.field(default_factory=dict)
+    takings: collections.OrderedDict[int, Taking] = msgspec.field(
+        default_factory=collections.OrderedDict
+    )
     next_number: int = 1
     next_pull: int = 0
     waiting: int = 0
