--- a/packages/bendwind-cli/src/bendwind_cli/commands.py
+++ b/packages/bendwind-cli/src/bendwind_cli/commands.py
@@ -82,6 +82,12 @@
     target: Target
 
 
+class ShowQuotas(msgspec.Struct, frozen=True):
+    """Show what a voter holds of customers' quotas."""
+
+    target: Target
+
+
 class Release(msgspec.Struct, frozen=True):
     """Clear a request of suspicion."""
 
@@ -162,6 +168,7 @@
     | Evacuate
     | ShowCustomers
     | ShowSuspects
+    | ShowQuotas
     | Release
     | Stop
     | AcceptClaimLoss
--- a/packages/bendwind-cli/src/bendwind_cli/parsing.py
+++ b/packages/bendwind-cli/src/bendwind_cli/parsing.py
@@ -23,6 +23,7 @@
     Release,
     ShowCustomers,
     ShowPlan,
+    ShowQuotas,
     ShowRevision,
     ShowStatus,
     ShowSuspects,
@@ -261,6 +262,16 @@
         """
         return ShowSuspects(Target(control, settings))
 
+    @_as_text
+    def quotas(self, *, control: str = "", settings: str = "") -> ShowQuotas:
+        """Show what a voter holds of customers' quotas; those most refused come first.
+
+        Args:
+            control: Addresses of control voters, HOST:PORT, separated by commas.
+            settings: Client settings file.
+        """
+        return ShowQuotas(Target(control, settings))
+
     @_as_text
     def release(self, signature: str, *, control: str = "", settings: str = "") -> Release:
         """Clear a request of suspicion, so that it runs again at once.
--- a/packages/bendwind-cli/src/bendwind_cli/run.py
+++ b/packages/bendwind-cli/src/bendwind_cli/run.py
@@ -10,6 +10,7 @@
     explain,
     instances,
     plans,
+    quotas,
     revisions,
     suspects,
     timeline,
@@ -32,6 +33,7 @@
     Release,
     ShowCustomers,
     ShowPlan,
+    ShowQuotas,
     ShowRevision,
     ShowStatus,
     ShowSuspects,
@@ -68,6 +70,8 @@
             return _with_client(command.target, customers.show)
         case ShowSuspects():
             return _with_client(command.target, suspects.show)
+        case ShowQuotas():
+            return _with_client(command.target, quotas.show)
         case Release():
             return _with_client(command.target, lambda client: suspects.release(client, command))
         case Stop():
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -50,9 +50,15 @@
         tried_ms,
         call.rank,
         call.customer,
+        _describe_quota(run),
     )
 
 
+def _describe_quota(run: CallRun) -> str:
+    grant = run.quota_grant
+    return "" if grant is None else f"{run.call.customer}: token of voter {grant.voter}"
+
+
 def _make_attempt_facts(run: CallRun, attempt: Attempt) -> AttemptFacts:
     ms = None if attempt.ended_at is None else _count_ms(attempt.ended_at - attempt.sent_at)
     sent_ms = _count_ms(attempt.sent_at - run.arrived_at)
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -2,6 +2,7 @@
 
 import trio
 from expression import Result
+from msgspec.structs import replace
 
 from bendwind_core.attempts import events as ev
 from bendwind_core.attempts.call import may_have_run
@@ -85,7 +86,8 @@
         """Describe a refused request; before it was taken, nothing is known but the status."""
         membership = self.entry.membership
         if run is not None:
-            return make_call_facts(run, refusal.status, membership, trio.current_time())
+            facts = make_call_facts(run, refusal.status, membership, trio.current_time())
+            return replace(facts, quota=refusal.quota)
         version, age_ms = membership.view.version, membership.confirmed_age_ms()
         return CallFacts(status=refusal.status, version=version, age_ms=age_ms)
 
@@ -123,4 +125,6 @@
                 run.quota_grant = grant
                 return None
             case Result(error=refused):
-                return Refusal.not_run(refused.reason, refused.retry_after_ms)
+                refusal = Refusal.not_run(refused.reason, refused.retry_after_ms)
+                voter = f"voter {refused.voter}" if refused.voter else "no voter"
+                return replace(refusal, quota=f"{call.customer}: refused, told by {voter}")
