routing, attempts: half of the known upstreams near as before, three refusals before a call is given up

Three quarters near left upstreams of another data centre with half of their share of nodes (test_subset).

--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -34,9 +34,9 @@
 POLITE_ATTEMPTS = 3
 # So many owners may say that they are busy before one is asked to let the request wait.
 POLITE_TRIES = 8
-# So many owners may refuse to let a request wait before it is given up where most have no room: one
-# refusal may be chance, and the run that waits for an inner call is lost with it.
-SURE_OWNERS = 2
+# So many owners may refuse to let a request wait before it is given up where most have no room: few
+# refusals may be chance, and the run that waits for an inner call is lost with it.
+SURE_OWNERS = 3
 # The owner's time ends a little before the caller's, so that its proof still arrives in time.
 REPLY_MARGIN_MAX: Seconds = 0.020
 REPLY_MARGIN_SHARE = 0.1
--- a/packages/bendwind-core/src/bendwind_core/routing/subset.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/subset.py
@@ -7,15 +7,12 @@
 
 # Each upstream in use costs a link between two processes. Of eight, four are compared for a call.
 SUBSET = 8
-# Of these so many are near: a request goes further when all of them are busy, which took 13 of 100
-# runs to another data centre with half of them near and 5 with this, with the same waits.
-NEAR_SHARE = 0.75
 
 
 def choose_subset(
     node: str, data_centre: str, upstreams: Iterable[Upstream], size: int = SUBSET
 ) -> tuple[Upstream, ...]:
-    """Return the upstreams this node uses: most from its own data centre where there are enough.
+    """Return the upstreams this node uses: half from its own data centre where there are enough.
 
     The choice is stable: an upstream that comes or goes changes one place of the subset at most,
     since nodes rank upstreams by a hash of both names.
@@ -28,7 +25,7 @@
     # A draining upstream holds no place: its calls end by themselves.
     ready = [upstream for upstream in usable if upstream.state is UpstreamState.READY] or usable
     near = [upstream for upstream in ready if upstream.owner.data_centre == data_centre]
-    chosen = near[: round(NEAR_SHARE * size)]
+    chosen = near[: size // 2]
     names = {upstream.name for upstream in chosen}
     others = [upstream for upstream in ready if upstream.name not in names]
     return (*chosen, *others[: size - len(chosen)])
