--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_facts.py
@@ -80,7 +80,7 @@
             ended_at=0.15,
         )
         call.attempts += [busy, Attempt(AttemptId("e", 1, 2), UPSTREAM, sent_at=0.15)]
-        run = types.SimpleNamespace(call=call, arrived_at=0.0, heads={})
+        run = types.SimpleNamespace(call=call, arrived_at=0.0, heads={}, quota_grant=None)
         view = types.SimpleNamespace(version=7)
         membership = types.SimpleNamespace(view=view, confirmed_age_ms=lambda: None)
         facts = make_call_facts(run, 503, membership, 0.2)
