--- a/packages/bendwind-bench/src/bendwind_bench/__main__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/__main__.py
@@ -87,7 +87,8 @@
 
         Args:
             scenarios: Names of shipped scenarios or TOML files; none runs all that are shipped.
-            against: A revision of this repository, whose core decides, or a key of the scenario.
+            against: A revision of this repository, whose core decides, or keys of the scenario with
+                other values, parted by spaces.
             seeds: A..B.
             jobs: Processes to run at a time.
             plot: PNG file to draw.
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/command.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/command.py
@@ -47,7 +47,7 @@
     if not isinstance(size, int) or size < 1 or not isinstance(jobs, int) or jobs < 1:
         return _refuse("--size and --jobs: expected whole numbers from 1")
     is_setting = "=" in against
-    changes = (against,) if is_setting else ()
+    changes = tuple(against.split()) if is_setting else ()
     for name in names:
         loaded = load_scenario(name, changes)
         if loaded.is_error():
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_command.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_command.py
@@ -62,6 +62,14 @@
             ]
         self.assertGreater(counts[1], 2 * counts[0])
 
+    def test_several_keys_are_changed_together(self):
+        code, out, err = self.emulate(against="services.a.slots=1 routes.r.priority=3")
+        self.assertEqual(code, 0, err)
+        self.assertRegex(out, r"(?m)^  r \(rank 3\)")
+        code, _, err = self.emulate(against="services.a.slots=1 routes.none=3")
+        self.assertEqual(code, 2)
+        self.assertIn("expected a key of the scenario", err)
+
     def test_same_seeds_give_the_same_bytes(self):
         first, again = (self.emulate(json="-")[1] for _ in range(2))
         self.assertEqual(first, again)
