attempts, limits, quotas: faults that a review of the merged parts found

- A call of an upstream that may not wait was taken for a slot above the share and sent back as busy in the same step: both looks now go by the slots of its kind.
- The guard against starvation counted starts of tries that may not wait, but not the tries: a rank that waits a little looked starved beside one that is served at once, and went before everybody.
A try that is taken counts as offered.
- Requests of nobody known went before customers of their rank for ever; they take turns as one more.
- The shortest wait is that which the owner named for the request's rank, not that of its whole load.
- A bucket opened by a changed limit filled while the voter's predecessor might still grant.
- A request with a short objective was refused only after an earlier one that could wait longer.

world: among requests alike in rank the route's rank decides.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -9,6 +9,7 @@
 from bendwind_bench.emulator.agenda import PausableAgenda
 from bendwind_bench.emulator.owner_side import Answer
 from bendwind_bench.emulator.scenario import RouteTable, Scenario
+from bendwind_core import world
 from bendwind_core.attempts import (
     Cancel,
     Fence,
@@ -74,7 +75,7 @@
     def note_sent_back(self, target: bytes, reason: NotRunReason) -> None:
         """Count an attempt that was sent back unrun."""
 
-    def find_run_rank(self, name: str) -> int | None:
+    def find_run_rank(self, name: str) -> float | None:
         """Return the most urgent rank of what runs beside a node."""
 
     def note_retry(self) -> None:
@@ -259,18 +260,23 @@
             target_ms=effect.target_ms,
             origin=self.origin,
             suspicion=self._find_suspicion(run),
-            rank=run.call.rank,
+            rank=self._combine_ranks(run),
             customer=run.call.customer,
             may_wait=effect.may_wait,
             **self._find_run_rank(),
         )
 
-    def _find_run_rank(self) -> dict[str, int | None]:
+    def _find_run_rank(self) -> dict[str, float | None]:
         # A core that is compared against may not know of it.
         if "run_rank" not in HandOver.__struct_fields__:
             return {}
         return {"run_rank": self.network.find_run_rank(self.name)}
 
+    def _combine_ranks(self, run: CallRun) -> float:
+        # A core that is compared against may not know of it.
+        combine = getattr(world, "combine_ranks", lambda rank, route_rank: rank)
+        return combine(run.call.rank, run.route.priority)
+
     def _find_suspicion(self, run: CallRun) -> SuspectTold | None:
         if not self.suspects.suspects:
             return None
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -97,7 +97,7 @@
             suspects=suspects,
         )
 
-    def find_run_rank(self) -> int | None:
+    def find_run_rank(self) -> float | None:
         """Return the most urgent rank of what runs, None where nothing does."""
         return min((run.hand_over.rank for run in self.desk.running.values()), default=None)
 
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -152,7 +152,7 @@
         if reason is NotRunReason.QUARANTINED and target not in self.crashes:
             self.tally.wronged += 1
 
-    def find_run_rank(self, name: str) -> int | None:
+    def find_run_rank(self, name: str) -> float | None:
         """Return the most urgent rank of what runs beside a node."""
         return self.nodes[name].owner.find_run_rank()
 
--- a/packages/bendwind-core/src/bendwind_core/admission/reserve.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/reserve.py
@@ -24,11 +24,11 @@
 class Arrivals(msgspec.Struct):
     """Count the requests of each rank that came lately, faded to `at`."""
 
-    counts: dict[int, float] = msgspec.field(default_factory=dict)
+    counts: dict[float, float] = msgspec.field(default_factory=dict)
     at: Seconds = 0.0
 
 
-def note_arrival(arrivals: Arrivals, rank: int, now: Seconds) -> None:
+def note_arrival(arrivals: Arrivals, rank: float, now: Seconds) -> None:
     """Count a request that came, whatever becomes of it."""
     left = 0.5 ** ((now - arrivals.at) / ARRIVAL_HALF_TIME)
     for known in arrivals.counts:
@@ -38,7 +38,7 @@
         arrivals.counts[rank] = arrivals.counts.get(rank, 0.0) + 1.0
 
 
-def find_kept_until(arrivals: Arrivals, rank: int, run_ms: Milliseconds) -> Seconds:
+def find_kept_until(arrivals: Arrivals, rank: float, run_ms: Milliseconds) -> Seconds:
     """Return until when a slot is kept from a request of a rank that runs for so long."""
     count = sum(count for other, count in arrivals.counts.items() if other < rank)
     rate = count * math.log(2.0) / ARRIVAL_HALF_TIME
--- a/packages/bendwind-core/src/bendwind_core/admission/room.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/room.py
@@ -35,24 +35,24 @@
 class RankCounts(msgspec.Struct):
     """Hold how often the requests of each rank were offered and started lately."""
 
-    ranks: dict[int, RankCount] = msgspec.field(default_factory=dict)
+    ranks: dict[float, RankCount] = msgspec.field(default_factory=dict)
 
 
-def note_offered(counts: RankCounts, rank: int, now: Seconds) -> None:
+def note_offered(counts: RankCounts, rank: float, now: Seconds) -> None:
     """Count a request that would wait or run."""
     count = _find_count(counts, rank, now)
     if count is not None:
         count.offered += 1.0
 
 
-def note_started(counts: RankCounts, rank: int, now: Seconds) -> None:
+def note_started(counts: RankCounts, rank: float, now: Seconds) -> None:
     """Count a request that was started."""
     count = _find_count(counts, rank, now)
     if count is not None:
         count.started += 1.0
 
 
-def _find_count(counts: RankCounts, rank: int, now: Seconds) -> RankCount | None:
+def _find_count(counts: RankCounts, rank: float, now: Seconds) -> RankCount | None:
     count = counts.ranks.get(rank)
     if count is None:
         if len(counts.ranks) >= MAX_RANKS:
@@ -69,7 +69,7 @@
     count.at = now
 
 
-def find_starved_rank(counts: RankCounts, now: Seconds) -> int | None:
+def find_starved_rank(counts: RankCounts, now: Seconds) -> float | None:
     """Return the rank that has to go first since it was served too seldom, or None."""
     for count in counts.ranks.values():
         _fade(count, now)
--- a/packages/bendwind-core/src/bendwind_core/attempts/endings.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/endings.py
@@ -104,6 +104,8 @@
         effects.append(ReleaseClaim())
     load = last.load if last is not None else None
     retry_after_ms = last.wait_ms if last is not None else None
+    if reason is NotRunReason.BUSY and retry_after_ms is not None:
+        retry_after_ms = bound_retry_after_ms(retry_after_ms)
     if retry_after_ms is None:
         retry_after_ms = estimate_retry_after_ms(reason, load)
     finish(call, FinishNotRun(reason, retry_after_ms), effects)
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -101,10 +101,10 @@
     target_ms: Milliseconds | None = None
     origin: str = ""
     suspicion: SuspectTold | None = None
-    rank: int = 0
+    rank: float = 0.0
     customer: str = ""
     may_wait: bool = True
-    run_rank: int | None = None
+    run_rank: float | None = None
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -263,9 +263,10 @@
     queued = _create_queued(desk, hand_over, event.epoch, now)
     if not queued.is_inner:
         note_arrival(desk.arrivals, hand_over.rank, now)
-    if hand_over.may_wait and not queued.is_inner:
-        note_offered(desk.rank_counts, hand_over.rank, now)
     refusal = _find_refusal(desk, queued, now)
+    # A try that is sent back is offered elsewhere; one that is taken counts like any other.
+    if not queued.is_inner and (hand_over.may_wait or refusal is None):
+        note_offered(desk.rank_counts, hand_over.rank, now)
     if refusal is None and turns_away(desk.dependency, hand_over.route, now):
         refusal = NotRunReason.DEPENDENCY_FULL
     if refusal is not None:
@@ -415,7 +416,7 @@
     """Tell whether an attempt that may not wait would, as a report that came since it did says."""
     if queued.hand_over.may_wait:
         return False
-    return is_slow(desk.pace, now) or not has_room(desk, now)
+    return is_slow(desk.pace, now) or not has_room(desk, now, find_slots(desk, queued, now))
 
 
 def _is_at_its_end(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -124,7 +124,9 @@
 
 
 def _find_free_at(attempt: Attempt) -> Seconds:
-    wait_ms = attempt.load.wait_ms if attempt.load is not None else 0.0
+    # The owner's word counts what goes before a request of this rank, its load all that waits.
+    load_ms = attempt.load.wait_ms if attempt.load is not None else 0.0
+    wait_ms = load_ms if attempt.wait_ms is None else attempt.wait_ms
     return (attempt.ended_at or 0.0) + wait_ms / MILLISECONDS_PER_SECOND
 
 
--- a/packages/bendwind-core/src/bendwind_core/limits/turns.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/turns.py
@@ -33,9 +33,7 @@
 
 
 def note_work(turns: Turns, customer: str, work_ms: Milliseconds, now: Seconds) -> None:
-    """Count work for a customer; requests of nobody known take no turns."""
-    if not customer:
-        return
+    """Count work for a customer; requests of nobody known are those of one more, unnamed."""
     done_ms = find_use_ms(turns, customer, now) + work_ms
     turns.uses[customer] = Use(done_ms, now)
     turns.uses.move_to_end(customer)
--- a/packages/bendwind-core/src/bendwind_core/quotas/node.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/node.py
@@ -28,7 +28,7 @@
 ANSWER_WAIT: Seconds = 0.1
 # A voter that did not answer is asked again after this; a lost voter would cost each ask 100 ms.
 SILENT_FOR: Seconds = 1.0
-# Requests that come within this time share one ask, which is a tenth of what an answer may take.
+# Requests that come within this time share one ask; an answer may take twenty times as long.
 ASK_GAP: Seconds = 0.005
 # Tokens are kept for what is needed in this time, so that a busy customer's requests never wait;
 # where they are valid for less, for most of what they are.
@@ -43,9 +43,11 @@
 MAX_WANTS = 64
 MAX_WAITING = 65_536
 MAX_BACK = 4096
-# A caller that comes back sooner would meet the same want of an answer.
-UNKNOWN_RETRY_MS: Milliseconds = 250.0
-_PER_TOKEN = 0.693
+# No voter answers while they elect a leader or start anew, which is over in about a second. A
+# caller that may come back once had better do so afterwards.
+UNKNOWN_RETRY_MS: Milliseconds = 1000.0
+# Use fades by half in a second: a steady rate adds up to its figure if each request adds ln 2.
+_PER_TOKEN = math.log(2.0)
 
 
 class Grant(msgspec.Struct, eq=False):
@@ -335,8 +337,7 @@
     """Turn from a voter that is silent, refuse who waited too long, give back what is too old."""
     _drop_late(quotas, now)
     for customer, stock in quotas.stocks.items():
-        while stock.waiting and now >= stock.waiting[0].until:
-            _settle(quotas, stock.waiting.popleft(), Error(_refuse_unknown(quotas)))
+        _refuse_waiting_long(quotas, stock, now)
         _drop_old(quotas, stock, now)
         if len(stock.waiting) > stock.asked:
             quotas.wanting[customer] = None
@@ -346,6 +347,14 @@
     return _flush_back(quotas, now)
 
 
+def _refuse_waiting_long(quotas: NodeQuotas, stock: Stock, now: Seconds) -> None:
+    # Requests with short objectives may have come after others that can wait longer.
+    over = [waiter for waiter in stock.waiting if now >= waiter.until]
+    for waiter in over:
+        stock.waiting.remove(waiter)
+        _settle(quotas, waiter, Error(_refuse_unknown(quotas)))
+
+
 def _drop_late(quotas: NodeQuotas, now: Seconds) -> None:
     over = []
     for ask in quotas.asks.values():
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -169,7 +169,9 @@
     quotas: VoterQuotas, name: str, share: Share, level: float, now: Seconds
 ) -> Account:
     """Open an account whose bucket holds so much."""
-    bucket = Bucket(share, level, now, quotas.next_number)
+    # A voter that took another's place fills nothing while its predecessor may still grant.
+    filled_at = now if quotas.filling_from is None else max(now, quotas.filling_from)
+    bucket = Bucket(share, level, filled_at, quotas.next_number)
     account = Account(bucket, used_at=now)
     quotas.accounts[name] = account
     return account
--- a/packages/bendwind-core/src/bendwind_core/world/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/world/__init__.py
@@ -1,7 +1,7 @@
 """Offer the objects of the world: data centres, instances, upstreams, services, rules."""
 
 from bendwind_core.world.configuration import EMPTY_CONFIGURATION, Configuration
-from bendwind_core.world.customer import Customer, digest_key
+from bendwind_core.world.customer import Customer, combine_ranks, digest_key
 from bendwind_core.world.places import DataCentre, Instance
 from bendwind_core.world.route import (
     EMPTY_ROUTING,
@@ -46,6 +46,7 @@
     "Upstream",
     "UpstreamState",
     "WarmUpRule",
+    "combine_ranks",
     "create_route",
     "create_routed_service",
     "digest_key",
--- a/packages/bendwind-core/src/bendwind_core/world/customer.py
+++ b/packages/bendwind-core/src/bendwind_core/world/customer.py
@@ -28,6 +28,21 @@
         return self.rate_per_s > 0.0
 
 
+# Ranks of customers and routes have at most two digits.
+RANK_STEP = 0.01
+
+
+def combine_ranks(rank: int, route_rank: int) -> float:
+    """Return how urgent a request is: by its rank, and among those alike by its route's.
+
+    Where all customers have one rank, their routes would else be told apart no more.
+
+    >>> combine_ranks(1, 0) < combine_ranks(1, 2) < combine_ranks(2, 0)
+    True
+    """
+    return rank + RANK_STEP * min(max(route_rank, 0), 1 / RANK_STEP - 1)
+
+
 def digest_key(text: bytes) -> bytes:
     """Return what stands for a key wherever its text is not needed."""
     return hashlib.blake2b(text, digest_size=KEY_DIGEST_BYTES).digest()
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -88,7 +88,7 @@
         slow_factor=desk.pace.factor,
         report_age_ms=_find_report_age(desk, now),
         limit=_find_limit(desk),
-        rank=hand_over.rank,
+        rank=int(hand_over.rank),
         customer=hand_over.customer,
     )
 
@@ -115,7 +115,7 @@
         sign_hand_over(hand_over).hex() if is_suspect else "",
         None if waited is None else _count_ms(waited),
         _find_limit(desk),
-        hand_over.rank,
+        int(hand_over.rank),
         hand_over.customer,
     )
 
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -40,7 +40,7 @@
 )
 from bendwind_core.suspicion import SuspectTold, find_told, hear, sign_request
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_core.world import Instance, Service, Upstream
+from bendwind_core.world import Instance, Service, Upstream, combine_ranks
 from bendwind_node.calls.body_flow import Outflow, cut_body, split_body
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
@@ -329,7 +329,7 @@
             target_ms=effect.target_ms,
             origin=self.origin_service,
             suspicion=self._find_suspicion(run),
-            rank=run.call.rank,
+            rank=combine_ranks(run.call.rank, run.call.rule.priority),
             customer=run.call.customer,
             may_wait=effect.may_wait,
             run_rank=self.owner.find_run_rank(),
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -183,7 +183,7 @@
         """Return the load of an upstream beside this process."""
         return owner.load_sample(self.register.owned[name].desk, trio.current_time())
 
-    def find_run_rank(self) -> int | None:
+    def find_run_rank(self) -> float | None:
         """Return the most urgent rank of what runs beside this process, None where nothing does."""
         return min(
             (
