--- a/packages/bendwind-core/src/bendwind_core/quotas/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/messages.py
@@ -8,11 +8,17 @@
 
 
 class QuotaWant(Record, frozen=True, array_like=True):
-    """Say how many tokens of a customer are waited for, and how many more are soon needed."""
+    """Say how many tokens of a customer are waited for, and how many more are soon needed.
+
+    `reserve` is how many more the node would hold for when no voter answers, and `kept` are the
+    numbers of those that it has of this voter and did not use.
+    """
 
     customer: str
     waiting: int
     ahead: int = 0
+    reserve: int = 0
+    kept: tuple[int, ...] = ()
 
 
 class QuotaAsk(Record, frozen=True, array_like=True, tag="quota?"):
@@ -25,6 +31,7 @@
 class QuotaGrant(Record, frozen=True, array_like=True):
     """Grant tokens of one customer; `number` is new with each grant of one run of a voter.
 
+    `reserve` are the numbers of the tokens that the node may hold for when no voter answers.
     Units: `wait_ms` is when there is room again, None where everyone who waits got a token.
     """
 
@@ -32,6 +39,7 @@
     number: int
     tokens: int
     wait_ms: Milliseconds | None = None
+    reserve: tuple[int, ...] = ()
 
 
 class QuotaReply(Record, frozen=True, array_like=True, tag="quota"):
--- a/packages/bendwind-core/src/bendwind_core/quotas/node.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/node.py
@@ -21,6 +21,13 @@
     QuotaUnused,
     QuotaWant,
 )
+from bendwind_core.quotas.reserve import (
+    MOST_HELD,
+    RENEWED_EACH,
+    Reserved,
+    drop_ended,
+    take_over,
+)
 from bendwind_core.quotas.voter import Effects, QuotaSend
 from bendwind_core.quotas.voter_state import NUMBERS_PER_RUN
 
@@ -83,19 +90,24 @@
 
 
 class Ask(msgspec.Struct, eq=False):
-    """Hold an ask that is not answered whole: the tokens still awaited of each customer."""
+    """Hold an ask that is not answered whole: the tokens still awaited of each customer.
+
+    `kept` are the numbers of the reserve that it stated.
+    """
 
     number: int
     voter: str
     sent_at: Seconds
     wants: dict[str, int]
+    kept: dict[str, tuple[int, ...]]
     is_late: bool = False
 
 
 class Stock(msgspec.Struct, eq=False):
     """Hold what a node keeps of a customer that it served lately.
 
-    `asked` are the tokens in asks that are not late. Units: `use` in requests a second.
+    `asked` are the tokens in asks that are not late. `reserve` is for when no voter answers, and is
+    renewed at `reserve_at`. Units: `use` in requests a second.
     """
 
     batches: collections.deque[Batch] = msgspec.field(default_factory=collections.deque)
@@ -103,6 +115,8 @@
     asked: int = 0
     refused_until: Seconds = -math.inf
     refused_by: str = ""
+    reserve: list[Reserved] = msgspec.field(default_factory=list)
+    reserve_at: Seconds = -math.inf
     use: float = 0.0
     used_at: Seconds = 0.0
 
@@ -114,6 +128,7 @@
     refused: int = 0
     unknown: int = 0
     returned: int = 0
+    reserve: int = 0
     asks: int = 0
 
 
@@ -244,25 +259,26 @@
         return []
     if len(quotas.asks) >= MAX_ASKS:
         return []
+    voter = _choose_voter(quotas, voters, now)
     wants = []
     for customer in tuple(quotas.wanting)[:MAX_WANTS]:
         del quotas.wanting[customer]
-        want = _make_want(quotas, customer, now)
+        want = _make_want(quotas, customer, voter, now)
         if want is not None:
             wants.append(want)
     if not wants:
         return []
     quotas.ask_from = now + ASK_GAP
-    voter = _choose_voter(quotas, voters, now)
     number = quotas.next_ask
     quotas.next_ask += 1
     asked = {want.customer: want.waiting + want.ahead for want in wants}
-    quotas.asks[number] = Ask(number, voter, now, asked)
+    kept = {want.customer: want.kept for want in wants if want.kept}
+    quotas.asks[number] = Ask(number, voter, now, asked, kept)
     quotas.totals.asks += 1
     return [QuotaSend(voter, QuotaAsk(number, tuple(wants)))]
 
 
-def _make_want(quotas: NodeQuotas, customer: str, now: Seconds) -> QuotaWant | None:
+def _make_want(quotas: NodeQuotas, customer: str, voter: str, now: Seconds) -> QuotaWant | None:
     stock = quotas.stocks.get(customer)
     if stock is None:
         return None
@@ -271,7 +287,13 @@
     if not waiting and not ahead:
         return None
     stock.asked += waiting + ahead
-    return QuotaWant(customer, waiting, ahead)
+    if now < stock.reserve_at:
+        return QuotaWant(customer, waiting, ahead)
+    stock.reserve_at = now + RENEWED_EACH
+    stock.reserve = drop_ended(stock.reserve, now)
+    wished = max(0, min(MOST_HELD, round(stock.use)) - len(stock.reserve))
+    kept = tuple(token.number for token in stock.reserve if token.voter == voter)
+    return QuotaWant(customer, waiting, ahead, wished, kept)
 
 
 def _choose_voter(quotas: NodeQuotas, voters: tuple[str, ...], now: Seconds) -> str:
@@ -306,6 +328,9 @@
 def _take_over(
     quotas: NodeQuotas, stock: Stock, grant: Grant, told: QuotaGrant, ask: Ask, now: Seconds
 ) -> None:
+    if told.reserve:
+        kept = ask.kept.get(told.customer, ())
+        take_over(stock.reserve, grant.voter, kept, told.reserve, ask.sent_at)
     left = told.tokens
     expires_at = ask.sent_at + quotas.bounds.node_validity
     while left and stock.waiting:
@@ -336,7 +361,7 @@
     _drop_late(quotas, now)
     for customer, stock in quotas.stocks.items():
         while stock.waiting and now >= stock.waiting[0].until:
-            _settle(quotas, stock.waiting.popleft(), Error(_refuse_unknown(quotas)))
+            _settle(quotas, stock.waiting.popleft(), _take_reserve(quotas, stock, now))
         _drop_old(quotas, stock, now)
         if len(stock.waiting) > stock.asked:
             quotas.wanting[customer] = None
@@ -346,6 +371,17 @@
     return _flush_back(quotas, now)
 
 
+def _take_reserve(quotas: NodeQuotas, stock: Stock, now: Seconds) -> Result[Grant, QuotaRefusal]:
+    """Take a token for a request that no voter answered in time, else refuse it."""
+    stock.reserve = drop_ended(stock.reserve, now)
+    if not stock.reserve:
+        return Error(_refuse_unknown(quotas))
+    quotas.totals.reserve += 1
+    token = stock.reserve.pop(0)
+    # It is not given back: its place stays taken for a window.
+    return Ok(Grant(token.voter, 0, 0))
+
+
 def _drop_late(quotas: NodeQuotas, now: Seconds) -> None:
     over = []
     for ask in quotas.asks.values():
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_messages.py
@@ -0,0 +1,40 @@
+"""Test that the messages about quotas arrive as they were sent."""
+
+import unittest
+
+from bendwind_core.messages import decode_message, encode_message
+from bendwind_core.quotas import (
+    QuotaAsk,
+    QuotaBack,
+    QuotaGrant,
+    QuotaLoan,
+    QuotaPull,
+    QuotaReply,
+    QuotaUnused,
+    QuotaWant,
+)
+
+# Runs are milliseconds since 1970, and numbers of asks begin at 2^20 times that.
+RUN = 1_764_685_000_123
+MESSAGES = (
+    QuotaAsk(RUN << 20, (QuotaWant("maria", 3, 2, 1, (7, 8)), QuotaWant("ana", 1))),
+    QuotaReply(RUN << 20, RUN, (QuotaGrant("maria", 9, 3, 250.0, (7,)), QuotaGrant("ana", 0, 0))),
+    QuotaBack(RUN, (QuotaUnused(9, 1), QuotaUnused(10, 0.25))),
+    QuotaPull(RUN << 20, "maria", 1.75),
+    QuotaLoan(RUN << 20, RUN, "maria", 11, 1.5, 0.25),
+)
+
+
+class TestMessages(unittest.TestCase):
+    def test_each_is_decoded_to_what_was_encoded(self):
+        for message in MESSAGES:
+            with self.subTest(type(message).__name__):
+                self.assertEqual(decode_message(encode_message(message)).ok, message)
+
+    def test_a_message_with_a_wrong_field_is_refused(self):
+        broken = encode_message(MESSAGES[3]).replace(b"maria", b"\xff\xff\xff\xff\xff")
+        self.assertTrue(decode_message(broken).is_error())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_model.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_model.py
@@ -104,6 +104,17 @@
         late = sum(o.arrived_at >= 14.0 for o in self.model.outcomes)
         self.assertGreaterEqual(self.count_since(14.0, ""), 0.99 * late)
 
+    def test_a_reserve_carries_a_part_of_what_comes_while_all_voters_are_gone(self):
+        customers = make_customers([300.0])
+        model = Model(customers, 20)
+        model.stream("c00", tuple(model.nodes), 300.0, 0.0, 22.0)
+        model.at(20.0, lambda: model.lost.update(model.voters))
+        model.run(23.0)
+        during = [o for o in model.outcomes if 20.0 <= o.arrived_at < 22.0]
+        served = sum(not o.reason for o in during)
+        self.assertGreater(served, 0.25 * len(during))
+        self.assertLess(served, 0.6 * len(during))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
@@ -271,6 +271,28 @@
         self.assertEqual(lender.accounts["maria"].bucket.level, 7.5)
 
 
+class TestWithoutOverage(unittest.TestCase):
+    """Pin that loans serve those who waited for them, where no token may be kept at all."""
+
+    def setUp(self):
+        bounds = QuotaBounds(10.0, 0.0, 0.0)
+        self.quotas = create_voter_quotas("v1", RUN, bounds, 3, CONFIRMED_FOR)
+        note_voters(self.quotas, 1, ("v2", "v3"), 0.0)
+        note_confirmed(self.quotas, 0.0)
+        set_limit(self.quotas, 30.0, 30.0, 0.0)
+        grant(self.quotas, 10, 0.0)
+
+    def test_who_waited_is_served_by_the_loan_and_who_came_later_is_not(self):
+        (pull,) = ask(self.quotas, 2, 0.001, number=2)
+        ask(self.quotas, 1, 0.002, number=3)
+        loan = QuotaLoan(pull.message.number, 3, "maria", 4, 4.0, 5.0)
+        effects = hear_loan(self.quotas, pull.to, loan, 0.005)
+        told = [e.message for e in effects if isinstance(e.message, QuotaReply)]
+        self.assertEqual([(reply.number, reply.grants[0].tokens) for reply in told], [(2, 2)])
+        (back,) = [e for e in tick_voter(self.quotas, 0.01) if isinstance(e.message, QuotaBack)]
+        self.assertEqual(back.message.unused[0].tokens, 2.0)
+
+
 class TestForgetting(unittest.TestCase):
     def test_a_full_bucket_is_forgotten_and_is_full_when_it_is_asked_again(self):
         quotas = create_voter()
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -1,6 +1,9 @@
 """Decide what a voter does about quotas: grant, lend, borrow, forget."""
 
+import math
+
 import msgspec
+from msgspec.structs import replace
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
 from bendwind_core.quotas.bucket import ROUNDING, fill, find_wait, put_back, set_share, take
@@ -14,6 +17,7 @@
     QuotaUnused,
     QuotaWant,
 )
+from bendwind_core.quotas.reserve import Reserve, find_pause, forget_free, hand_out
 from bendwind_core.quotas.voter_state import (
     MAX_TAKINGS,
     MAX_WAITING,
@@ -81,6 +85,8 @@
     quotas.has_confirmed = False
     quotas.confirmed_at = None
     quotas.filling_from = None if voter_id is None else now + delay
+    opens_at = math.inf if voter_id is None else now + delay + find_pause(quotas.bounds.window)
+    quotas.reserve = Reserve(quotas.bounds.window, opens_at)
 
 
 def note_confirmed(quotas: VoterQuotas, started_at: Seconds) -> None:
@@ -155,10 +161,12 @@
     if account is None:
         return QuotaGrant(want.customer, 0, 0, SHORTEST_REFUSAL * MILLISECONDS_PER_SECOND)
     note_use(account, want.waiting + want.ahead, now)
+    reserve = _hand_out(quotas, node, want, account, now)
     if not account.waiting and _count_whole(account, now) >= want.waiting:
-        return _grant(quotas, want.customer, account, want.waiting, want.ahead, now)
+        grant = _grant(quotas, want.customer, account, want.waiting, want.ahead, now)
+        return replace(grant, reserve=reserve) if reserve else grant
     if quotas.waiting < MAX_WAITING:
-        account.waiting.append(Waiting(node, number, want.waiting, now + WANT_WAIT))
+        account.waiting.append(Waiting(node, number, want.waiting, now, now + WANT_WAIT, reserve))
         quotas.waiting += 1
         quotas.busy[want.customer] = None
         _seek_loan(quotas, want.customer, account, now, effects)
@@ -169,6 +177,15 @@
     return _grant(quotas, want.customer, account, want.waiting, 0, now)
 
 
+def _hand_out(
+    quotas: VoterQuotas, node: str, want: QuotaWant, account: Account, now: Seconds
+) -> tuple[int, ...]:
+    first = quotas.next_number
+    quotas.next_number += want.reserve
+    share = account.bucket.share
+    return hand_out(quotas.reserve, want.customer, share, node, want.reserve, want.kept, first, now)
+
+
 def _count_available(account: Account, now: Seconds) -> float:
     fill(account.bucket, now)
     account_borrowed = sum(part.tokens for part in account.borrowed if part.expires_at > now)
@@ -304,11 +321,14 @@
         return effects
     account.pulling = None
     _note_lender(account, voter, loan, now)
-    expires_at = pulling.sent_at + quotas.bounds.loan_validity
     if loan.tokens > 0:
-        account.borrowed.append(Borrowed(voter, loan.run, loan.number, loan.tokens, expires_at))
+        part = Borrowed(voter, loan.run, loan.number, loan.tokens, math.inf)
+        account.borrowed.append(part)
         quotas.totals.borrowed += loan.tokens
         quotas.busy[loan.customer] = None
+        # Who waited before it was asked for takes of it at any age: it was lent after they came.
+        _answer_ready(quotas, loan.customer, account, pulling.sent_at, now, effects)
+        part.expires_at = pulling.sent_at + quotas.bounds.loan_validity
     _settle(quotas, loan.customer, account, now, effects)
     return effects
 
@@ -325,20 +345,34 @@
     quotas: VoterQuotas, name: str, account: Account, now: Seconds, effects: Effects
 ) -> None:
     """Answer in turn whoever can have all it waits for, and all once nobody can lend."""
-    while account.waiting and _count_whole(account, now) >= account.waiting[0].waiting:
-        _answer_first(quotas, name, account, now, effects)
+    _answer_ready(quotas, name, account, now, now, effects)
     _seek_loan(quotas, name, account, now, effects)
     if account.pulling is None:
         while account.waiting:
             _answer_first(quotas, name, account, now, effects)
 
 
+def _answer_ready(
+    quotas: VoterQuotas,
+    name: str,
+    account: Account,
+    since: Seconds,
+    now: Seconds,
+    effects: Effects,
+) -> None:
+    """Answer in turn whoever waits since a time or longer, as long as there is all it waits for."""
+    while account.waiting and account.waiting[0].since <= since:
+        if _count_whole(account, now) < account.waiting[0].waiting:
+            return
+        _answer_first(quotas, name, account, now, effects)
+
+
 def _answer_first(
     quotas: VoterQuotas, name: str, account: Account, now: Seconds, effects: Effects
 ) -> None:
     want = account.waiting.popleft()
     quotas.waiting -= 1
-    grant = _grant(quotas, name, account, want.waiting, 0, now)
+    grant = replace(_grant(quotas, name, account, want.waiting, 0, now), reserve=want.reserve)
     effects.append(QuotaSend(want.node, QuotaReply(want.number, quotas.run, (grant,))))
 
 
@@ -396,6 +430,7 @@
 
 
 def _forget(quotas: VoterQuotas, now: Seconds) -> None:
+    forget_free(quotas.reserve, now)
     full = [
         name for name, account in quotas.accounts.items() if is_forgettable(quotas, account, now)
     ]
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -1,12 +1,14 @@
 """Hold what a voter knows of quotas: buckets, loans and the wants that wait for one."""
 
 import collections
+import math
 
 import msgspec
 
 from bendwind_core.core import Seconds
 from bendwind_core.quotas.bounds import QuotaBounds, Share, create_share
 from bendwind_core.quotas.bucket import Bucket, fill
+from bendwind_core.quotas.reserve import Reserve
 from bendwind_core.world import Customer
 
 # A full bucket of a customer is not kept, so that only those are that were asked for in the last
@@ -43,12 +45,14 @@
 
 
 class Waiting(msgspec.Struct):
-    """Hold a node's want for which the bucket had too little."""
+    """Hold a node's want for which the bucket had too little, and since when it waits."""
 
     node: str
     number: int
     waiting: int
+    since: Seconds
     until: Seconds
+    reserve: tuple[int, ...] = ()
 
 
 class Pulling(msgspec.Struct):
@@ -110,6 +114,7 @@
     bounds: QuotaBounds
     kept_voters: int
     confirmed_for: Seconds
+    reserve: Reserve
     peers: tuple[str, ...] = ()
     filling_from: Seconds | None = None
     has_begun: bool = False
@@ -143,7 +148,8 @@
     """Create the quotas of a voter that has just started; `run` grows with each start."""
     # What was asked in an earlier run must not be taken for an answer to this one.
     next_pull = run * NUMBERS_PER_RUN
-    return VoterQuotas(name, run, bounds, kept_voters, confirmed_for, next_pull=next_pull)
+    reserve = Reserve(bounds.window, math.inf)
+    return VoterQuotas(name, run, bounds, kept_voters, confirmed_for, reserve, next_pull=next_pull)
 
 
 def find_share(quotas: VoterQuotas, customer: Customer) -> Share:
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -135,7 +135,7 @@
 def gather_quotas(task: NodeQuotaTask) -> Iterator[Sample]:
     """Read what came of requests of customers with a quota."""
     totals = task.quotas.totals
-    for outcome in ("taken", "refused", "unknown", "returned"):
+    for outcome in ("taken", "reserve", "refused", "unknown", "returned"):
         yield Sample(Metric.QUOTA_REQUESTS, getattr(totals, outcome), (outcome,))
     yield Sample(Metric.QUOTA_ASKS, totals.asks)
 
--- a/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
@@ -40,6 +40,7 @@
 KEEP: Seconds = 60.0
 # Timeouts of 100 ms need no finer ticks.
 _TICK: Seconds = 0.02
+_SHORTEST_TICK: Seconds = 0.001
 
 
 class _Told(msgspec.Struct):
@@ -56,6 +57,7 @@
         "_has_work",
         "_settled",
         "_told",
+        "_wake_at",
         "find_customer",
         "list_voters",
         "quotas",
@@ -79,16 +81,32 @@
         self._settled: dict[Waiter, trio.Event] = {}
         self._told: dict[str, _Told] = {}
         self._has_work = trio.Event()
+        self._wake_at = math.inf
 
     async def run(self) -> None:
         """Ask, turn from silent voters and give back, until cancelled."""
         while True:
-            await self._has_work.wait()
             self._has_work = trio.Event()
-            while has_work(self.quotas):
-                await trio.sleep(_TICK)
+            self._wake_at = self._find_wake(trio.current_time())
+            is_due = True
+            with trio.move_on_at(self._wake_at):
+                await self._has_work.wait()
+                is_due = False
+            if is_due:
                 self._tick(trio.current_time())
 
+    def _find_wake(self, now: Seconds) -> Seconds:
+        if not has_work(self.quotas):
+            return math.inf
+        due = max(now + _SHORTEST_TICK, self.quotas.ask_from)
+        return due if self.quotas.wanting else now + _TICK
+
+    def _wake(self) -> None:
+        """Have the task look anew if there is something to do before it would next wake."""
+        due = self.quotas.ask_from if self.quotas.wanting else trio.current_time() + _TICK
+        if due < self._wake_at:
+            self._has_work.set()
+
     def is_limited(self, customer: str) -> bool:
         """Tell whether a customer has a quota."""
         found = self.find_customer(customer) if customer else None
@@ -171,9 +189,6 @@
         for waiter in settled:
             self._settled[waiter].set()
 
-    def _wake(self) -> None:
-        self._has_work.set()
-
 
 def _find_limit(now: Seconds, target_at: Seconds | None, deadline_at: Seconds) -> Seconds:
     spare = math.inf if target_at is None else max(0.0, target_at - now) * OBJECTIVE_SHARE
--- a/packages/bendwind-node/src/bendwind_node/quotas/tests/test_tasks.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/tests/test_tasks.py
@@ -86,6 +86,23 @@
 
         run(play)
 
+    def test_requests_that_come_just_after_an_ask_share_the_next_one_soon(self):
+        async def play(nursery):
+            bench = QuotaBench(nursery, [make_customer()])
+            nursery.start_soon(bench.keep_confirming)
+            node = bench.add_node("n")
+            began = trio.current_time()
+            nursery.start_soon(take, node)
+            await trio.sleep(0.0005)
+            async with trio.open_nursery() as others:
+                for _ in range(3):
+                    others.start_soon(take, node)
+            self.assertLess(trio.current_time() - began, 0.01)
+            asks = [message for _, _, message in bench.sent if isinstance(message, QuotaAsk)]
+            self.assertEqual([ask.wants[0].waiting for ask in asks], [1, 3])
+
+        run(play)
+
     def test_after_the_time_told_there_is_room(self):
         async def play(nursery):
             bench = QuotaBench(nursery, [make_customer(10.0, 10.0)])
