quotas: a customer without a limit is granted all, one not known is asked for again

Cause: a voter that had heard before a node that a limit was gone refused the node's requests, and one that had not heard of a new customer did too. Change: the first grants all that wait, the second neither grants nor refuses, so that the node asks again while the request can wait. A change of configuration that leaves the customers alone is not looked through. Two whole processes take tokens in a test.

--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/fuzz_actions.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/fuzz_actions.py
@@ -68,10 +68,10 @@
             world.undo(run)
 
 
-def come_back(world: FuzzWorld, pause: float) -> None:
-    """Take the customer away and bring it back."""
+def come_back(world: FuzzWorld, pause: float, is_gone: bool) -> None:
+    """Take the customer or its limit away and bring it back."""
     _, limit = world.limits[-1]
-    world.set_limit(None)
+    world.set_limit(None if is_gone else Customer(NAME))
     world.pass_time(pause)
     world.set_limit(limit)
 
@@ -128,7 +128,7 @@
         case "limit":
             world.set_limit(rng.choice(LIMITS))
         case "comeback":
-            come_back(world, pause)
+            come_back(world, pause, is_gone=rng.random() < 0.7)
 
 
 USUAL = ("time", "time", "requests", "demand")
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/fuzz_world.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/fuzz_world.py
@@ -1,5 +1,6 @@
 """Drive nodes and voters step by step, with messages that are held, lost, doubled and reordered."""
 
+import math
 import random
 
 import msgspec
@@ -275,6 +276,8 @@
 
 def find_all_shares(customer: Customer, length: Seconds) -> float:
     """Return what the shares of all voters come to, which is within the bound of the settings."""
+    if not customer.is_limited:
+        return math.inf
     share = create_share(customer, BOUNDS, VOTERS)
     # Processes' clocks are faster by less than what shares and ages are cut by.
     rate = customer.rate_per_s / VOTERS
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_fuzz_quotas.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_fuzz_quotas.py
@@ -102,9 +102,9 @@
     def limit_changes(self, limit):
         self.world.set_limit(limit)
 
-    @rule(pause=PAUSES)
-    def customer_goes_and_comes_back(self, pause):
-        actions.come_back(self.world, pause)
+    @rule(pause=PAUSES, is_gone=st.booleans())
+    def customer_or_its_limit_goes_and_comes_back(self, pause, is_gone):
+        actions.come_back(self.world, pause, is_gone)
 
 
 class TestQuotas(QuotaMachine.TestCase):
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_node.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_node.py
@@ -131,6 +131,15 @@
         tick_node(self.quotas, 0.25)
         self.assertEqual(waiter.outcome.error.reason, NotRunReason.QUOTA_UNKNOWN)
 
+    def test_an_answer_that_neither_grants_nor_refuses_is_asked_for_again(self):
+        waiter, effect = self.ask(0.0)
+        self.reply(effect, 0, 0.01)
+        self.assertIsNone(waiter.outcome)
+        tick_node(self.quotas, 0.02)
+        (again,) = self.flush(0.02)
+        self.reply(again, 1, 0.03)
+        self.assertTrue(waiter.outcome.is_ok())
+
     def test_a_late_answer_serves_those_who_still_wait(self):
         waiter, effect = self.ask(0.0)
         tick_node(self.quotas, ANSWER_WAIT)
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
@@ -136,6 +136,21 @@
             total += grant(quotas, 300, 0.0, number=2 * number + 1).tokens
         self.assertLessEqual(total, 110)
 
+    def test_a_customer_whose_limit_is_gone_is_granted_all(self):
+        quotas = create_voter()
+        grant(quotas, 11, 0.0)
+        set_limit(quotas, 0.0, 0.0, 0.0)
+        self.assertEqual(grant(quotas, 50, 0.0).tokens, 50)
+        set_limit(quotas, 10.0, 10.0, 0.0)
+        self.assertEqual(grant(quotas, 50, 0.0).tokens, 0)
+
+    def test_a_customer_that_is_not_known_is_neither_granted_nor_refused(self):
+        quotas = create_voter()
+        want = QuotaAsk(1, (QuotaWant("new", 1),))
+        (effect,) = hear_ask(quotas, "n", want, 0.0)
+        granted = effect.message.grants[0]
+        self.assertEqual((granted.tokens, granted.wait_ms), (0, None))
+
     def test_a_customer_that_goes_and_comes_back_has_what_it_had(self):
         quotas = create_voter()
         grant(quotas, 300, 0.0)
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -101,6 +101,7 @@
     """Take over the customers' limits."""
     listed = configuration.customers or ()
     limited = {customer.name: customer for customer in listed if customer.is_limited}
+    quotas.unlimited = frozenset(customer.name for customer in listed) - limited.keys()
     if limited == quotas.customers:
         return
     before = quotas.customers
@@ -159,7 +160,7 @@
 ) -> QuotaGrant | None:
     account = find_account(quotas, want.customer, now)
     if account is None:
-        return QuotaGrant(want.customer, 0, 0, SHORTEST_REFUSAL * MILLISECONDS_PER_SECOND)
+        return _answer_without_account(quotas, want)
     note_use(account, want.waiting + want.ahead, now)
     reserve = _hand_out(quotas, node, want, account, now)
     if not account.waiting and _count_whole(account, now) >= want.waiting:
@@ -177,6 +178,16 @@
     return _grant(quotas, want.customer, account, want.waiting, 0, now)
 
 
+def _answer_without_account(quotas: VoterQuotas, want: QuotaWant) -> QuotaGrant:
+    if want.customer in quotas.unlimited:
+        # The node has not heard yet that the limit is gone.
+        return QuotaGrant(want.customer, 0, want.waiting)
+    if want.customer in quotas.customers:
+        return QuotaGrant(want.customer, 0, 0, LONGEST_REFUSAL * MILLISECONDS_PER_SECOND)
+    # One of the two has not heard yet; the node asks again while its requests can wait.
+    return QuotaGrant(want.customer, 0, 0)
+
+
 def _hand_out(
     quotas: VoterQuotas, node: str, want: QuotaWant, account: Account, now: Seconds
 ) -> tuple[int, ...]:
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -106,7 +106,8 @@
     confirmation, by a quorum, that is younger than `confirmed_for`. Buckets fill since
     `filling_from`, None while this is no voter. `has_begun` says that the voters were told of since
     the start; until `has_confirmed`, a customer that is new here need not be new elsewhere.
-    `busy` names the accounts with wants, loans or questions under way.
+    `customers` are those with a limit, `unlimited` names the others. `busy` names the accounts with
+    wants, loans or questions under way.
     """
 
     name: str
@@ -122,6 +123,7 @@
     confirmed_at: Seconds | None = None
     voter_id: int | None = None
     customers: dict[str, Customer] = msgspec.field(default_factory=dict)
+    unlimited: frozenset[str] = frozenset()
     accounts: dict[str, Account] = msgspec.field(default_factory=dict)
     busy: dict[str, None] = msgspec.field(default_factory=dict)
     takings: collections.OrderedDict[int, Taking] = msgspec.field(
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_quotas.py
@@ -0,0 +1,91 @@
+"""Take tokens through two whole processes: a voter and a node, over a link."""
+
+import math
+import tempfile
+import unittest
+from pathlib import Path
+
+import trio
+from expression import Ok
+
+from bendwind_core.attempts import NotRunReason
+from bendwind_core.core import MILLISECONDS_PER_SECOND
+from bendwind_core.world import Configuration, Customer
+from bendwind_node.daemon import run_daemon
+from bendwind_node.daemon.extension import Extension
+from bendwind_node.daemon.listeners import find_port
+from bendwind_node.settings import load_settings
+
+SETTINGS = """
+voters = [{{ name = "a", host = "127.0.0.1", port = {port} }}]
+[instance]
+name = "{name}"
+data_centre = "x"
+[peers]
+host = "127.0.0.1"
+port = 0
+insecure = true
+[callers]
+host = "127.0.0.1"
+port = 0
+"""
+CONTROL = '[control]\ndata_folder = "data"\n'
+MARIA = Customer("maria", rate_per_s=20.0, burst=30.0)
+
+
+class TestQuotas(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    async def start(self, nursery, name, port, tables=""):
+        """Start a process and return its parts once it serves."""
+        file = self.folder / f"{name}.toml"
+        file.write_text(SETTINGS.format(name=name, port=port) + tables)
+        started = trio.Event()
+        parts = []
+
+        async def serve(daemon, _):
+            parts.append(daemon)
+            started.set()
+            return Ok(None)
+
+        nursery.start_soon(run_daemon, load_settings(file).ok, Extension(serve=serve))
+        await started.wait()
+        return parts[0]
+
+    async def play(self):
+        with trio.fail_after(120):
+            async with trio.open_nursery() as nursery:
+                voter = await self.start(nursery, "a", 1, CONTROL)
+                node = await self.start(nursery, "b", find_port(voter.listeners.peers))
+                control = voter.dispatcher.control
+                while not control.quotas.quotas.has_confirmed:
+                    await trio.sleep(0.05)
+                control.client.state.configuration = Configuration(1, customers=(MARIA,))
+                quotas = node.dispatcher.quotas
+                quotas.find_customer = {"maria": MARIA}.get
+                await self.check(quotas)
+                nursery.cancel_scope.cancel()
+
+    async def check(self, quotas):
+        # Until the voter has applied the limit and fills its buckets there is no token.
+        while (await quotas.take("maria", None, math.inf)).is_error():
+            await trio.sleep(0.05)
+        taken, refusal = 1, None
+        while refusal is None:
+            outcome = await quotas.take("maria", None, math.inf)
+            taken += outcome.is_ok()
+            refusal = outcome.error if outcome.is_error() else None
+        self.assertEqual((refusal.reason, refusal.voter), (NotRunReason.OVER_QUOTA, "a"))
+        self.assertGreaterEqual(taken, 30)
+        await trio.sleep(refusal.retry_after_ms / MILLISECONDS_PER_SECOND)
+        self.assertTrue((await quotas.take("maria", None, math.inf)).is_ok())
+
+    def test_a_node_takes_what_its_voter_holds_and_no_more(self):
+        trio.run(self.play)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
@@ -25,7 +25,7 @@
     note_voters,
     tick_voter,
 )
-from bendwind_core.world import EMPTY_CONFIGURATION, Configuration
+from bendwind_core.world import Configuration, Customer
 
 Send = Callable[[str, Record], object]
 
@@ -53,13 +53,13 @@
 class VoterQuotaTask:
     """Own a voter's quotas."""
 
-    __slots__ = ("_configuration", "_has_work", "_voters", "control", "quotas", "send")
+    __slots__ = ("_customers", "_has_work", "_voters", "control", "quotas", "send")
 
     def __init__(self, quotas: VoterQuotas, control: QuotaControl, send: Send):
         self.quotas = quotas
         self.control = control
         self.send = send
-        self._configuration = EMPTY_CONFIGURATION
+        self._customers: tuple[Customer, ...] | None = None
         self._voters: tuple[int | None, tuple[str, ...]] | None = None
         self._has_work = trio.Event()
 
@@ -87,8 +87,9 @@
             others = tuple(name for name in names if name != self.quotas.name)
             note_voters(self.quotas, voter_id, others, now)
         configuration = self.control.configuration
-        if configuration is not self._configuration:
-            self._configuration = configuration
+        # Most changes of the configuration leave the customers alone.
+        if configuration.customers is not self._customers:
+            self._customers = configuration.customers
             note_configuration(self.quotas, configuration, now)
             self._has_work.set()
 
