--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -1,12 +1,14 @@
 """Hold what a voter knows of quotas: buckets, loans and the wants that wait for one."""
 
 import collections
+import math
 
 import msgspec
 
 from bendwind_core.core import Seconds
 from bendwind_core.quotas.bounds import QuotaBounds, Share, create_share
 from bendwind_core.quotas.bucket import Bucket, fill
+from bendwind_core.quotas.reserve import Reserve
 from bendwind_core.world import Customer
 
 # A full bucket of a customer is not kept, so that only those are that were asked for in the last
@@ -43,12 +45,14 @@
 
 
 class Waiting(msgspec.Struct):
-    """Hold a node's want for which the bucket had too little."""
+    """Hold a node's want for which the bucket had too little, and since when it waits."""
 
     node: str
     number: int
     waiting: int
+    since: Seconds
     until: Seconds
+    reserve: tuple[int, ...] = ()
 
 
 class Pulling(msgspec.Struct):
@@ -102,7 +106,8 @@
     confirmation, by a quorum, that is younger than `confirmed_for`. Buckets fill since
     `filling_from`, None while this is no voter. `has_begun` says that the voters were told of since
     the start; until `has_confirmed`, a customer that is new here need not be new elsewhere.
-    `busy` names the accounts with wants, loans or questions under way.
+    `customers` are those with a limit, `unlimited` names the others. `busy` names the accounts with
+    wants, loans or questions under way.
     """
 
     name: str
@@ -110,6 +115,7 @@
     bounds: QuotaBounds
     kept_voters: int
     confirmed_for: Seconds
+    reserve: Reserve
     peers: tuple[str, ...] = ()
     filling_from: Seconds | None = None
     has_begun: bool = False
@@ -117,6 +123,7 @@
     confirmed_at: Seconds | None = None
     voter_id: int | None = None
     customers: dict[str, Customer] = msgspec.field(default_factory=dict)
+    unlimited: frozenset[str] = frozenset()
     accounts: dict[str, Account] = msgspec.field(default_factory=dict)
     busy: dict[str, None] = msgspec.field(default_factory=dict)
     takings: collections.OrderedDict[int, Taking] = msgspec.field(
@@ -143,7 +150,8 @@
     """Create the quotas of a voter that has just started; `run` grows with each start."""
     # What was asked in an earlier run must not be taken for an answer to this one.
     next_pull = run * NUMBERS_PER_RUN
-    return VoterQuotas(name, run, bounds, kept_voters, confirmed_for, next_pull=next_pull)
+    reserve = Reserve(bounds.window, math.inf)
+    return VoterQuotas(name, run, bounds, kept_voters, confirmed_for, reserve, next_pull=next_pull)
 
 
 def find_share(quotas: VoterQuotas, customer: Customer) -> Share:
