--- a/packages/bendwind-core/src/bendwind_core/attempts/endings.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/endings.py
@@ -104,7 +104,7 @@
         effects.append(ReleaseClaim())
     load = last.load if last is not None else None
     retry_after_ms = last.wait_ms if last is not None else None
-    if retry_after_ms is None:
+    if retry_after_ms is None or reason is NotRunReason.BUSY:
         retry_after_ms = estimate_retry_after_ms(reason, load)
     finish(call, FinishNotRun(reason, retry_after_ms), effects)
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -55,14 +55,8 @@
     TimerKind,
 )
 from bendwind_core.attempts.messages import CutReason, FenceVerdict, NotRunReason
-from bendwind_core.attempts.sending import (
-    NO_ROOM,
-    Choose,
-    reply_margin,
-    send_first,
-    send_hedge,
-    try_again,
-)
+from bendwind_core.attempts.sending import Choose, reply_margin, send_first, send_hedge, try_again
+from bendwind_core.attempts.tries import NO_ROOM
 from bendwind_core.core import Seconds
 from bendwind_core.limits import may_retry, pay_sent_back
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/retry_after.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/retry_after.py
@@ -37,6 +37,8 @@
 
 def estimate_retry_after_ms(reason: NotRunReason, load: LoadSample | None) -> Milliseconds:
     """Return the time after which a slot should be free, from the last load seen."""
+    if reason is NotRunReason.BUSY and load is not None:
+        return bound_retry_after_ms(load.wait_ms)
     if reason not in _LOAD_REASONS:
         return SETTLING_MS
     if load is None or load.slots <= 0:
