--- a/packages/bendwind-core/src/bendwind_core/attempts/tries.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tries.py
@@ -19,7 +19,7 @@
 FAR_TRIES = 2
 # A request that may start at a near upstream within this share of what is left to its objective
 # waits there: it is in time all the same.
-NEAR_WAIT_SHARE = 0.1
+NEAR_WAIT_SHARE = 0.05
 # So many owners may refuse to let a request wait before it is given up where most have no room: few
 # refusals may be chance, and the run that waits for an inner call is lost with it. With two, 0.946
 # of the requests with mixed timeouts were in time, with three 0.958.
