--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/fuzz_world.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/fuzz_world.py
@@ -79,7 +79,7 @@
 class FuzzWorld:
     """Hold the processes, the messages under way and what ran."""
 
-    def __init__(self):
+    def __init__(self, burst: float = 40.0):
         self.rng = random.Random(1)
         self.now: Seconds = 100.0
         self.is_holding = False
@@ -90,6 +90,7 @@
         self.starts = 0
         self.demand = 1
         self.undoes = False
+        self.doubled: tuple[type, ...] = ()
         self.processes: dict[str, Process] = {}
         self.waiters: dict[Waiter, Seconds] = {}
         for _ in range(VOTERS):
@@ -98,7 +99,7 @@
         for name in self.nodes:
             self.start_node(name)
         self.confirm_all()
-        self.set_limit(Customer(NAME, rate_per_s=24.0, burst=40.0))
+        self.set_limit(Customer(NAME, rate_per_s=24.0, burst=burst))
         self.confirm_all()
 
     def read_clock(self, process: Process) -> Seconds:
@@ -177,7 +178,8 @@
             if self.is_holding:
                 self.held = [*self.held, message][-MAX_HELD:]
             else:
-                self.deliver(message)
+                for _ in range(1 + isinstance(effect.message, self.doubled)):
+                    self.deliver(message)
 
     def deliver(self, message: Message) -> None:
         process = self.processes.get(message.to)
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_fuzz_quotas.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_fuzz_quotas.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from bendwind_core.core.tests import profiles  # noqa: F401
+from bendwind_core.quotas import QuotaAsk, QuotaBack, QuotaLoan, QuotaPull, QuotaReply
 from bendwind_core.quotas.tests import fuzz_actions as actions
 from bendwind_core.quotas.tests.fuzz_world import FuzzWorld
 
@@ -14,6 +15,7 @@
 # Most of what the machines try is short; it takes long walks for several faults to meet.
 WALKS = 60
 ACTIONS_PER_WALK = 80
+BURSTS = (40.0, 1.0)
 
 
 class QuotaMachine(RuleBasedStateMachine):
@@ -122,7 +124,8 @@
         ran = 0
         for seed in range(WALKS):
             with self.subTest(seed=seed):
-                world = FuzzWorld()
+                # What gathers in large buckets shows there, what leaks in small ones.
+                world = FuzzWorld(BURSTS[seed % len(BURSTS)])
                 actions.walk(world, seed, ACTIONS_PER_WALK, has_changes)
                 self.assertEqual(world.find_excess(), "")
                 ran += len(world.runs)
@@ -135,6 +138,17 @@
     def test_no_more_runs_than_permitted_while_the_limit_changes(self):
         self.walk(has_changes=True)
 
+    def test_no_more_runs_while_half_does_not_run_and_messages_come_twice(self):
+        for doubled in (QuotaBack, QuotaReply, QuotaLoan, QuotaAsk, QuotaPull):
+            with self.subTest(doubled=doubled.__name__):
+                world = FuzzWorld(burst=40.0)
+                world.doubled = (doubled,)
+                world.undoes = True
+                world.demand = 3
+                world.pass_time(17.0)
+                self.assertEqual(world.find_excess(), "")
+                self.assertGreater(len(world.runs), 100)
+
 
 if __name__ == "__main__":
     unittest.main()
