quotas: a process that hears its log anew waits from its start, not from when it hears of itself

Change: in the first second of a process its delay counts from its start. One that is promoted for the first time within a second of its start may overlap with its predecessor for the rest of that second.

--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
@@ -96,6 +96,16 @@
         note_confirmed(quotas, 6.5)
         self.assertEqual(grant(quotas, 30, 6.52).tokens, 5)
 
+    def test_a_process_that_hears_its_log_anew_waits_from_its_start(self):
+        # Each process that came back after a loss of power granted nothing for a second more.
+        quotas = create_voter_quotas("v1", RUN, BOUNDS, 1, CONFIRMED_FOR)
+        note_voters(quotas, None, (), 5.0)
+        note_voters(quotas, 1, (), 5.6)
+        set_limit(quotas, 10.0, 10.0, 5.6)
+        note_confirmed(quotas, 5.9)
+        self.assertEqual(ask(quotas, 1, 5.95), [])
+        self.assertEqual(grant(quotas, 30, 6.52).tokens, 5)
+
     def test_a_voter_that_restarted_begins_empty(self):
         quotas = create_voter_quotas("v1", RUN, BOUNDS, 1, CONFIRMED_FOR)
         note_voters(quotas, 1, (), 0.0)
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -72,11 +72,11 @@
     predecessor than its own last run.
     """
     quotas.peers = peers
-    is_first = not quotas.has_begun
-    quotas.has_begun = True
+    is_first = quotas.begun_at is None
+    quotas.begun_at = now if is_first else quotas.begun_at
     if voter_id == quotas.voter_id:
         return
-    delay = 0.0 if is_first else quotas.confirmed_for
+    delay = 0.0 if is_first else _find_delay(quotas, now)
     quotas.voter_id = voter_id
     quotas.accounts.clear()
     quotas.busy.clear()
@@ -89,6 +89,16 @@
     quotas.reserve = Reserve(quotas.bounds.window, opens_at)
 
 
+def _find_delay(quotas: VoterQuotas, now: Seconds) -> Seconds:
+    """Return for how long a predecessor may still grant.
+
+    A process that has just started hears its log anew, with how it once became a voter: it counts
+    from its start, so that customers are served again sooner after a loss of power.
+    """
+    is_starting = now - quotas.begun_at < quotas.confirmed_for
+    return (quotas.begun_at if is_starting else now) + quotas.confirmed_for - now
+
+
 def note_confirmed(quotas: VoterQuotas, started_at: Seconds) -> None:
     """Hear that a quorum confirmed, since a time, that this is a voter and knows all limits."""
     if quotas.filling_from is None:
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -104,10 +104,10 @@
 
     `run` is that of its process, `kept_voters` the number that the deployment keeps. Grants need a
     confirmation, by a quorum, that is younger than `confirmed_for`. Buckets fill since
-    `filling_from`, None while this is no voter. `has_begun` says that the voters were told of since
-    the start; until `has_confirmed`, a customer that is new here need not be new elsewhere.
-    `customers` are those with a limit, `unlimited` names the others. `busy` names the accounts with
-    wants, loans or questions under way.
+    `filling_from`, None while this is no voter. `begun_at` is when the voters were first told of,
+    shortly after the process started; until `has_confirmed`, a customer that is new here need not
+    be new elsewhere. `customers` are those with a limit, `unlimited` names the others. `busy` names
+    the accounts with wants, loans or questions under way.
     """
 
     name: str
@@ -118,7 +118,7 @@
     reserve: Reserve
     peers: tuple[str, ...] = ()
     filling_from: Seconds | None = None
-    has_begun: bool = False
+    begun_at: Seconds | None = None
     has_confirmed: bool = False
     confirmed_at: Seconds | None = None
     voter_id: int | None = None
