quotas: modules of one job each

Change: what a node holds, what a voter takes over of the log, and the taking of tokens stand by themselves; nothing decides differently.

--- a/packages/bendwind-core/src/bendwind_core/quotas/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/__init__.py
@@ -12,12 +12,7 @@
     QuotaWant,
 )
 from bendwind_core.quotas.node import (
-    Grant,
-    NodeQuotas,
-    QuotaRefusal,
-    Waiter,
     cancel_wait,
-    create_node_quotas,
     flush_asks,
     has_work,
     hear_reply,
@@ -25,17 +20,22 @@
     return_token,
     tick_node,
 )
+from bendwind_core.quotas.node_state import (
+    Grant,
+    NodeQuotas,
+    QuotaRefusal,
+    Waiter,
+    create_node_quotas,
+)
 from bendwind_core.quotas.voter import (
     QuotaSend,
     hear_ask,
     hear_back,
     hear_loan,
     hear_pull,
-    note_configuration,
-    note_confirmed,
-    note_voters,
     tick_voter,
 )
+from bendwind_core.quotas.voter_changes import note_configuration, note_confirmed, note_voters
 from bendwind_core.quotas.voter_state import VoterQuotas, create_voter_quotas
 
 __all__ = [
--- a/packages/bendwind-core/src/bendwind_core/quotas/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/messages.py
@@ -32,7 +32,8 @@
     """Grant tokens of one customer; `number` is new with each grant of one run of a voter.
 
     `reserve` are the numbers of the tokens that the node may hold for when no voter answers.
-    Units: `wait_ms` is when there is room again, None where everyone who waits got a token.
+    Units: `wait_ms` is when there is room again; None where nobody is refused, be it that all who
+    wait got a token or that they may ask again.
     """
 
     customer: str
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
-from bendwind_core.quotas.bucket import ROUNDING, fill, find_wait, put_back, set_share, take
+from bendwind_core.quotas.bucket import ROUNDING, fill, find_wait, put_back, take
 from bendwind_core.quotas.messages import (
     QuotaAsk,
     QuotaBack,
@@ -17,9 +17,9 @@
     QuotaUnused,
     QuotaWant,
 )
-from bendwind_core.quotas.reserve import Reserve, find_pause, forget_free, hand_out
+from bendwind_core.quotas.reserve import forget_free, hand_out
+from bendwind_core.quotas.takings import count_available, count_whole, remember, take_tokens
 from bendwind_core.quotas.voter_state import (
-    MAX_TAKINGS,
     MAX_WAITING,
     UNDONE_FOR,
     Account,
@@ -29,14 +29,11 @@
     Taking,
     VoterQuotas,
     Waiting,
-    add_account,
     find_account,
-    find_share,
     find_use,
     is_forgettable,
     note_use,
 )
-from bendwind_core.world import Configuration, Customer
 
 # A loan takes a round trip within a region. A node asks another voter after 100 ms, which leaves
 # time for a second lender where the first one does not answer.
@@ -62,82 +59,6 @@
 Effects = list[QuotaSend]
 
 
-def note_voters(
-    quotas: VoterQuotas, voter_id: int | None, peers: tuple[str, ...], now: Seconds
-) -> None:
-    """Take over the voters: this one's id among them, None if it is none, and the others' names.
-
-    A voter that was not one before begins with empty buckets, and only once its predecessor, which
-    may be cut off, grants nothing more. One that was a voter when its process started has no other
-    predecessor than its own last run.
-    """
-    quotas.peers = peers
-    is_first = not quotas.has_begun
-    quotas.has_begun = True
-    if voter_id == quotas.voter_id:
-        return
-    delay = 0.0 if is_first else quotas.confirmed_for
-    quotas.voter_id = voter_id
-    quotas.accounts.clear()
-    quotas.busy.clear()
-    quotas.takings.clear()
-    quotas.waiting = 0
-    quotas.has_confirmed = False
-    quotas.confirmed_at = None
-    quotas.filling_from = None if voter_id is None else now + delay
-    opens_at = math.inf if voter_id is None else now + delay + find_pause(quotas.bounds.window)
-    quotas.reserve = Reserve(quotas.bounds.window, opens_at)
-
-
-def note_confirmed(quotas: VoterQuotas, started_at: Seconds) -> None:
-    """Hear that a quorum confirmed, since a time, that this is a voter and knows all limits."""
-    if quotas.filling_from is None:
-        return
-    quotas.confirmed_at = started_at
-    quotas.has_confirmed = True
-
-
-def note_configuration(quotas: VoterQuotas, configuration: Configuration, now: Seconds) -> None:
-    """Take over the customers' limits."""
-    listed = configuration.customers or ()
-    limited = {customer.name: customer for customer in listed if customer.is_limited}
-    quotas.unlimited = frozenset(customer.name for customer in listed) - limited.keys()
-    if limited == quotas.customers:
-        return
-    before = quotas.customers
-    for name in before.keys() - limited.keys():
-        # Should it come back, it has no more than it would have had.
-        find_account(quotas, name, now)
-    quotas.customers = limited
-    for name, customer in limited.items():
-        old = before.get(name)
-        if old is None:
-            _begin_customer(quotas, customer, now)
-        elif (old.rate_per_s, old.burst) != (customer.rate_per_s, customer.burst):
-            _change_limit(quotas, old, customer, now)
-
-
-def _begin_customer(quotas: VoterQuotas, customer: Customer, now: Seconds) -> None:
-    # Nobody can have granted anything of it, unless this voter merely had not heard of it yet.
-    share = find_share(quotas, customer)
-    account = quotas.accounts.get(customer.name)
-    if account is not None:
-        set_share(account.bucket, share, quotas.next_number, now)
-    elif quotas.has_confirmed:
-        add_account(quotas, customer.name, share, share.cap, now)
-
-
-def _change_limit(quotas: VoterQuotas, old: Customer, new: Customer, now: Seconds) -> None:
-    account = quotas.accounts.get(old.name)
-    if account is None:
-        # It holds what the old limit permitted, and fills up to the new one from there.
-        quotas.customers[old.name] = old
-        account = find_account(quotas, old.name, now)
-        quotas.customers[old.name] = new
-    if account is not None:
-        set_share(account.bucket, find_share(quotas, new), quotas.next_number, now)
-
-
 def hear_ask(quotas: VoterQuotas, node: str, ask: QuotaAsk, now: Seconds) -> Effects:
     """Answer a node, at once for all wants but those that wait for a loan."""
     effects: Effects = []
@@ -163,7 +84,7 @@
         return _answer_without_account(quotas, want)
     note_use(account, want.waiting + want.ahead, now)
     reserve = _hand_out(quotas, node, want, account, now)
-    if not account.waiting and _count_whole(account, now) >= want.waiting:
+    if not account.waiting and count_whole(account, now) >= want.waiting:
         grant = _grant(quotas, want.customer, account, want.waiting, want.ahead, now)
         return replace(grant, reserve=reserve) if reserve else grant
     if quotas.waiting < MAX_WAITING:
@@ -197,27 +118,17 @@
     return hand_out(quotas.reserve, want.customer, share, node, want.reserve, want.kept, first, now)
 
 
-def _count_available(account: Account, now: Seconds) -> float:
-    fill(account.bucket, now)
-    account_borrowed = sum(part.tokens for part in account.borrowed if part.expires_at > now)
-    return account.bucket.level + account_borrowed
-
-
-def _count_whole(account: Account, now: Seconds) -> int:
-    return int(_count_available(account, now) + ROUNDING)
-
-
 def _grant(
     quotas: VoterQuotas, name: str, account: Account, waiting: int, ahead: int, now: Seconds
 ) -> QuotaGrant:
     """Grant what is there: whole tokens to those who wait, and half of the rest ahead."""
-    whole = _count_whole(account, now)
+    whole = count_whole(account, now)
     tokens = min(waiting, whole)
     refused = waiting - tokens
     if not refused:
         # Others may ask in the next moment.
         tokens += max(0, min(ahead, (whole - tokens) // 2))
-    number = _take(quotas, name, account, tokens, now) if tokens else 0
+    number = take_tokens(quotas, name, account, tokens, now) if tokens else 0
     account.granted += tokens
     account.refused += refused
     quotas.totals.granted += tokens
@@ -226,33 +137,6 @@
     return QuotaGrant(name, number, tokens, wait_ms)
 
 
-def _take(quotas: VoterQuotas, name: str, account: Account, tokens: float, now: Seconds) -> int:
-    """Take tokens for a grant or loan, first what was borrowed; return the number of it."""
-    number = quotas.next_number
-    quotas.next_number += 1
-    own = tokens - _use_borrowed(account, tokens, now)
-    if own > ROUNDING:
-        take(account.bucket, own, number, now)
-        _remember(quotas, number, Taking(name, own, now))
-    return number
-
-
-def _use_borrowed(account: Account, tokens: float, now: Seconds) -> float:
-    used = 0.0
-    for part in account.borrowed:
-        if part.expires_at > now:
-            share = min(part.tokens, tokens - used)
-            part.tokens -= share
-            used += share
-    return used
-
-
-def _remember(quotas: VoterQuotas, number: int, taking: Taking) -> None:
-    quotas.takings[number] = taking
-    if len(quotas.takings) > MAX_TAKINGS:
-        quotas.takings.popitem(last=False)
-
-
 def _find_refusal_ms(account: Account, now: Seconds) -> float:
     """Return when the asker should come back: each later than the one before, by one token."""
     waits = [find_wait(account.bucket, 1.0, now)]
@@ -272,7 +156,7 @@
     lender = _choose_lender(quotas, account, now)
     if lender is None:
         return
-    wanted = sum(want.waiting for want in account.waiting) - _count_available(account, now)
+    wanted = sum(want.waiting for want in account.waiting) - count_available(account, now)
     if wanted <= ROUNDING:
         return
     # Whoever is short now will be so again before the next loan.
@@ -314,7 +198,7 @@
         number = quotas.next_number
         quotas.next_number += 1
         take(bucket, tokens, number, now)
-        _remember(quotas, number, Taking(pull.customer, tokens, now))
+        remember(quotas, number, Taking(pull.customer, tokens, now))
         quotas.totals.lent += tokens
     else:
         tokens = 0.0
@@ -373,7 +257,7 @@
 ) -> None:
     """Answer in turn whoever waits since a time or longer, as long as there is all it waits for."""
     while account.waiting and account.waiting[0].since <= since:
-        if _count_whole(account, now) < account.waiting[0].waiting:
+        if count_whole(account, now) < account.waiting[0].waiting:
             return
         _answer_first(quotas, name, account, now, effects)
 
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
@@ -0,0 +1,90 @@
+"""Take over at a voter who votes, what a quorum confirmed and what the customers' limits are."""
+
+import math
+
+from bendwind_core.core import Seconds
+from bendwind_core.quotas.bucket import set_share
+from bendwind_core.quotas.reserve import Reserve, find_pause
+from bendwind_core.quotas.voter_state import (
+    VoterQuotas,
+    add_account,
+    find_account,
+    find_share,
+)
+from bendwind_core.world import Configuration, Customer
+
+
+def note_voters(
+    quotas: VoterQuotas, voter_id: int | None, peers: tuple[str, ...], now: Seconds
+) -> None:
+    """Take over the voters: this one's id among them, None if it is none, and the others' names.
+
+    A voter that was not one before begins with empty buckets, and only once its predecessor, which
+    may be cut off, grants nothing more. One that was a voter when its process started has no other
+    predecessor than its own last run.
+    """
+    quotas.peers = peers
+    is_first = not quotas.has_begun
+    quotas.has_begun = True
+    if voter_id == quotas.voter_id:
+        return
+    delay = 0.0 if is_first else quotas.confirmed_for
+    quotas.voter_id = voter_id
+    quotas.accounts.clear()
+    quotas.busy.clear()
+    quotas.takings.clear()
+    quotas.waiting = 0
+    quotas.has_confirmed = False
+    quotas.confirmed_at = None
+    quotas.filling_from = None if voter_id is None else now + delay
+    opens_at = math.inf if voter_id is None else now + delay + find_pause(quotas.bounds.window)
+    quotas.reserve = Reserve(quotas.bounds.window, opens_at)
+
+
+def note_confirmed(quotas: VoterQuotas, started_at: Seconds) -> None:
+    """Hear that a quorum confirmed, since a time, that this is a voter and knows all limits."""
+    if quotas.filling_from is None:
+        return
+    quotas.confirmed_at = started_at
+    quotas.has_confirmed = True
+
+
+def note_configuration(quotas: VoterQuotas, configuration: Configuration, now: Seconds) -> None:
+    """Take over the customers' limits."""
+    listed = configuration.customers or ()
+    limited = {customer.name: customer for customer in listed if customer.is_limited}
+    quotas.unlimited = frozenset(customer.name for customer in listed) - limited.keys()
+    if limited == quotas.customers:
+        return
+    before = quotas.customers
+    for name in before.keys() - limited.keys():
+        # Should it come back, it has no more than it would have had.
+        find_account(quotas, name, now)
+    quotas.customers = limited
+    for name, customer in limited.items():
+        old = before.get(name)
+        if old is None:
+            _begin_customer(quotas, customer, now)
+        elif (old.rate_per_s, old.burst) != (customer.rate_per_s, customer.burst):
+            _change_limit(quotas, old, customer, now)
+
+
+def _begin_customer(quotas: VoterQuotas, customer: Customer, now: Seconds) -> None:
+    # Nobody can have granted anything of it, unless this voter merely had not heard of it yet.
+    share = find_share(quotas, customer)
+    account = quotas.accounts.get(customer.name)
+    if account is not None:
+        set_share(account.bucket, share, quotas.next_number, now)
+    elif quotas.has_confirmed:
+        add_account(quotas, customer.name, share, share.cap, now)
+
+
+def _change_limit(quotas: VoterQuotas, old: Customer, new: Customer, now: Seconds) -> None:
+    account = quotas.accounts.get(old.name)
+    if account is None:
+        # It holds what the old limit permitted, and fills up to the new one from there.
+        quotas.customers[old.name] = old
+        account = find_account(quotas, old.name, now)
+        quotas.customers[old.name] = new
+    if account is not None:
+        set_share(account.bucket, find_share(quotas, new), quotas.next_number, now)
