--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -245,7 +245,6 @@
         running.started_at,
         now,
         is_error=is_error,
-        rank=running.hand_over.rank,
     )
     if not is_error:
         note_route_time(desk, running, event.upstream_ms)
