attempts: what an owner decides is cut into modules

No decision changes: the bodies of all functions are as before, but that is_failure names the comparison of a status with 500 and four handlers, now used by another module, have public names and doc lines.

--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -10,14 +10,7 @@
 """
 
 from bendwind_core.attempts import pace as paces
-from bendwind_core.attempts.desk import (
-    OwnerDesk,
-    QueuedAttempt,
-    find_cold_wait_ms,
-    find_run_rest_ms,
-    find_usual_ms,
-    has_room,
-)
+from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt
 from bendwind_core.attempts.messages import HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import AskLoad, OwnerEffect
 from bendwind_core.attempts.precedence import (
@@ -26,6 +19,8 @@
     list_ahead,
     list_in_turn,
 )
+from bendwind_core.attempts.slots import find_cold_wait_ms, has_room
+from bendwind_core.attempts.usual_times import find_run_rest_ms, find_usual_ms
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import urgency_queue
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
@@ -1,7 +1,7 @@
 """Settle attempts whose link broke: fence those not started, give up those nobody awaits."""
 
 from bendwind_core.attempts.attempt_log import EntryPeer, Fate, meet_peer, record_ended
-from bendwind_core.attempts.desk import OwnerDesk, fence_waiting
+from bendwind_core.attempts.desk import OwnerDesk
 from bendwind_core.attempts.messages import AttemptId, Fence, FenceVerdict
 from bendwind_core.attempts.owner_events import (
     CancelDispatch,
@@ -10,6 +10,7 @@
     OwnerEffect,
     ReplyFenced,
 )
+from bendwind_core.attempts.refusals import fence_waiting
 from bendwind_core.world import Repeat
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/precedence.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/precedence.py
@@ -8,8 +8,9 @@
 import math
 
 from bendwind_core.admission import find_kept_until, find_starved_rank, is_inner_call
-from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt, find_usual_ms
+from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt
 from bendwind_core.attempts.messages import HandOver
+from bendwind_core.attempts.usual_times import find_usual_ms
 from bendwind_core.core import Seconds
 from bendwind_core.limits import urgency_queue
 
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/run_ends.py
@@ -0,0 +1,95 @@
+"""Take notice of how an attempt that was started went."""
+
+from bendwind_core.admission import note_run_ended
+from bendwind_core.attempts.attempt_log import Fate
+from bendwind_core.attempts.desk import OwnerDesk
+from bendwind_core.attempts.messages import CutReason, NotRunReason
+from bendwind_core.attempts.owner_events import (
+    CheckUpstream,
+    DispatchHead,
+    DispatchNotRun,
+    DispatchUnknown,
+    OwnerEffect,
+    ReplyUnknown,
+)
+from bendwind_core.attempts.refusals import refuse
+from bendwind_core.attempts.runs import end_running, mark_sent
+from bendwind_core.attempts.service_time import note_result, note_time
+from bendwind_core.attempts.slots import load_sample
+from bendwind_core.attempts.suspects import note_upstream_end
+from bendwind_core.attempts.upstream_end import note_alive, note_reset, note_unanswered
+from bendwind_core.attempts.upstream_state import hold_down
+from bendwind_core.attempts.usual_times import note_route_time
+from bendwind_core.core import Seconds
+
+_FAILED_STATUS = 500
+
+
+def is_failure(status: int) -> bool:
+    """Tell whether an answer's status says that the upstream failed."""
+    return status >= _FAILED_STATUS
+
+
+def take_head(desk: OwnerDesk, event: DispatchHead, now: Seconds) -> None:
+    """Take notice of the head of an answer."""
+    note_alive(desk.ends, now)
+    # Health may be good while every request is reset: only an answer to one counts.
+    desk.ends.resets = 0
+    note_time(desk.times, event.upstream_ms)
+    running = desk.running.get(event.attempt)
+    if running is None:
+        return
+    running.status = event.status
+    if not running.route:
+        return
+    is_error = is_failure(event.status)
+    note_run_ended(
+        desk.dependency,
+        running.route,
+        running.started_at,
+        now,
+        is_error=is_error,
+        rank=running.hand_over.rank,
+    )
+    if not is_error:
+        note_route_time(desk, running, event.upstream_ms)
+
+
+def take_not_run(
+    desk: OwnerDesk, event: DispatchNotRun, now: Seconds, effects: list[OwnerEffect]
+) -> None:
+    """Hear that a started attempt did not run after all."""
+    if event.reason is not NotRunReason.CONNECT_FAILED:
+        mark_sent(desk, event.attempt, now)
+    running = end_running(desk, event.attempt, Fate.NEVER_STARTED)
+    if running is not None:
+        note_result(desk.times, is_error=True)
+        if event.reason is NotRunReason.CONNECT_FAILED:
+            hold_down(desk, now, effects)
+            if not event.is_timed_out:
+                note_upstream_end(desk, now, effects)
+        refuse(desk, event.attempt, running.epoch, event.reason, now, effects)
+
+
+def take_unknown(
+    desk: OwnerDesk, event: DispatchUnknown, now: Seconds, effects: list[OwnerEffect]
+) -> None:
+    """Hear that nobody knows how a started attempt went."""
+    mark_sent(desk, event.attempt, now)
+    running = end_running(desk, event.attempt, Fate.ENDED)
+    if running is None:
+        return
+    if event.reason is not CutReason.CANCELLED:
+        note_result(desk.times, is_error=True)
+    if not running.is_under_end:
+        note_unanswered(desk.ends, running.hand_over, event.reason, now)
+    is_reset = event.reason is CutReason.UPSTREAM_RESET
+    if now < desk.ends.settles_at:
+        note_upstream_end(desk, now, effects)
+    elif is_reset and note_reset(desk.ends, running.started_at, now):
+        hold_down(desk, now, effects)
+    elif is_reset and not desk.ends.is_checked:
+        desk.ends.is_checked = True
+        effects.append(CheckUpstream())
+    sample = load_sample(desk, now)
+    effects.append(ReplyUnknown(event.attempt, running.epoch, event.reason, sample))
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/slots.py
@@ -0,0 +1,79 @@
+"""Decide whether an upstream bears one more attempt, and tell its load."""
+
+from bendwind_core.admission import find_room_at, is_cold
+from bendwind_core.attempts.desk import OwnerDesk, is_open
+from bendwind_core.attempts.pace import find_rest_ms, is_slow
+from bendwind_core.attempts.usual_times import find_run_rest_ms
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.world import LoadSample
+
+# An upstream that runs so many attempts, and should have ended so many more, has stalled.
+STALL_RUNNING = 2
+
+STALL_EXPECTED = 3.0
+
+
+def load_sample(desk: OwnerDesk, now: Seconds) -> LoadSample:
+    """Count the load as of now."""
+    return LoadSample(
+        in_flight=len(desk.running),
+        queued=len(desk.waiting),
+        slots=desk.slots,
+        latency_ms=desk.times.average_ms,
+        error_rate=desk.times.error_rate,
+        draining=not is_open(desk),
+        cold_wait_ms=find_cold_wait_ms(desk, len(desk.waiting), now),
+        wait_ms=find_free_wait_ms(desk, now),
+    )
+
+
+def find_free_wait_ms(desk: OwnerDesk, now: Seconds) -> Milliseconds:
+    """Estimate how long an attempt that came now would wait until it starts at the usual pace."""
+    phase_ms = find_rest_ms(desk.pace, now) if is_slow(desk.pace, now) else 0.0
+    slots = max(1, desk.run_limit)
+    if len(desk.running) + len(desk.waiting) < slots:
+        return max(phase_ms, find_cold_wait_ms(desk, len(desk.waiting), now))
+    rests = [find_run_rest_ms(desk, running, now) for running in desk.running.values()]
+    ahead_ms = len(desk.waiting) * desk.times.average_ms / slots
+    slot_wait_ms = min(rests, default=0.0) + ahead_ms
+    return max(phase_ms, slot_wait_ms, find_cold_wait_ms(desk, len(desk.waiting), now))
+
+
+def has_room(desk: OwnerDesk, now: Seconds, slots: int | None = None) -> bool:
+    """Tell whether the upstream may be sent one more attempt now; `slots` is how many it may run.
+
+    Without `slots` the share holds that is used for requests.
+    """
+    if len(desk.running) >= (desk.run_limit if slots is None else slots):
+        return False
+    return not is_cold(desk.warm_up, now) or _find_cold_room_at(desk, 0, now) <= now
+
+
+def find_cold_wait_ms(desk: OwnerDesk, ahead: int, now: Seconds) -> Milliseconds:
+    """Return how long an attempt with so many ahead of it waits until a cold upstream bears it."""
+    if not is_cold(desk.warm_up, now):
+        return 0.0
+    return (_find_cold_room_at(desk, ahead, now) - now) * MILLISECONDS_PER_SECOND
+
+
+def _find_cold_room_at(desk: OwnerDesk, ahead: int, now: Seconds) -> Seconds:
+    has_unsent = any(not running.is_sent for running in desk.running.values())
+    return find_room_at(desk.warm_up, ahead, now, has_unsent=has_unsent)
+
+
+def next_cold_room(desk: OwnerDesk, now: Seconds) -> Seconds | None:
+    """Return when a cold upstream may be sent the next waiting attempt, or None."""
+    has_slot = len(desk.running) < min(desk.slots, desk.connections)
+    if not desk.waiting or not has_slot or not is_cold(desk.warm_up, now):
+        return None
+    room_at = _find_cold_room_at(desk, 0, now)
+    return room_at if room_at > now else None
+
+
+def is_stalled(desk: OwnerDesk, now: Seconds) -> bool:
+    """Tell whether the running attempts take much longer than usual."""
+    # At the usual pace, this many of the running attempts would have ended since the last one did.
+    if len(desk.running) < STALL_RUNNING:
+        return False
+    expected = len(desk.running) * (now - desk.progress_at) * MILLISECONDS_PER_SECOND
+    return expected > STALL_EXPECTED * desk.times.average_ms > 0.0
--- a/packages/bendwind-core/src/bendwind_core/attempts/upstream_state.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/upstream_state.py
@@ -1,7 +1,7 @@
 """Follow what becomes of a desk's upstream: announced, unreachable, ended, restarted, gone."""
 
 from bendwind_core.admission import assume_cold
-from bendwind_core.attempts.desk import OwnerDesk, bounce_queue
+from bendwind_core.attempts.desk import OwnerDesk
 from bendwind_core.attempts.fencing import cancel_running
 from bendwind_core.attempts.messages import CutReason, NotRunReason
 from bendwind_core.attempts.owner_events import (
@@ -10,6 +10,7 @@
     UpstreamUnreachable,
 )
 from bendwind_core.attempts.pace import Pace
+from bendwind_core.attempts.refusals import bounce_queue
 from bendwind_core.attempts.suspects import note_upstream_end
 from bendwind_core.attempts.upstream_end import note_unanswered
 from bendwind_core.core import Seconds
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -2,9 +2,10 @@
 
 from bendwind_core.attempts import Header
 from bendwind_core.attempts.call import Attempt
-from bendwind_core.attempts.desk import OwnerDesk, find_usual_ms
+from bendwind_core.attempts.desk import OwnerDesk
 from bendwind_core.attempts.messages import HandOver, NotRunReason
 from bendwind_core.attempts.upstream_end import Unanswered, sign_hand_over
+from bendwind_core.attempts.usual_times import find_usual_ms
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.timeline import (
     AttemptFacts,
