--- a/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
@@ -22,16 +22,16 @@
 DEFAULT_WINDOW: Seconds = 10.0
 # A tenth above its rate is within what any service that is sized for a customer bears.
 DEFAULT_OVERAGE = 0.1
-# Two tokens for each of five voters, so that a customer of few requests finds one at any of them.
+# In requests: two tokens for each of five voters, so that a customer of few requests finds one at any.
 DEFAULT_SLACK = 10.0
-# Tokens age at nodes and, where one voter lent them to another, on the way there.
+# Tokens age at nodes and, where one voter lent them to another, at voters: each may use half.
 _NODE_SHARE = 0.5
 
 
 class QuotaBounds(msgspec.Struct, frozen=True):
-    """Hold within what customers may have more than their quotas state.
+    """Hold how much more than its quota a customer may send.
 
-    Units: `slack` in requests; `overage` is a share.
+    Units: `slack` in requests; `overage` is a share of what the quota permits in a window.
     """
 
     window: Seconds = DEFAULT_WINDOW
@@ -40,7 +40,7 @@
 
     @property
     def age(self) -> Seconds:
-        """Return how old a token may be that no request has waited for."""
+        """Return how old a token may be when it goes to a request that came after its ask."""
         return self.overage * self.window / 2 * (1 - CLOCK_RATE_BOUND)
 
     @property
@@ -57,6 +57,8 @@
 class Share(msgspec.Struct, frozen=True):
     """Hold one voter's part of a customer's quota.
 
+    The bucket fills at `rate` up to `cap`. `reserve` is how many tokens nodes may hold of this voter
+    for when no voter answers; it is paid for out of the overage.
     Units: `rate` in tokens a second, `cap` and `reserve` in tokens.
     """
 
@@ -66,7 +68,7 @@
 
 
 def create_share(customer: Customer, bounds: QuotaBounds, voters: int) -> Share:
-    """Return the part of one of so many voters."""
+    """Return one voter's part of a customer's quota, where `voters` share it."""
     spare = customer.rate_per_s * bounds.window * bounds.overage / 2
     held = customer.burst * (1 + bounds.overage) + bounds.slack
     lacking = min(spare, max(0.0, voters - held))
@@ -77,6 +79,6 @@
 def find_most(customer: Customer, bounds: QuotaBounds, window: Seconds) -> float:
     """Return how many requests of a customer may run in a window of this length."""
     due = customer.rate_per_s * window + customer.burst
-    # Ages are fixed by the settings: a shorter window has the same allowance as a whole one.
+    # The age of tokens is fixed by the settings: in a shorter window as many old ones may be used.
     allowed = customer.rate_per_s * max(window, bounds.window) + customer.burst
     return due + allowed * bounds.overage + bounds.slack
--- a/packages/bendwind-core/src/bendwind_core/quotas/bucket.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/bucket.py
@@ -11,10 +11,10 @@
 from bendwind_core.core import Seconds
 from bendwind_core.quotas.bounds import Share
 
-# Tokens are parts of one: sums of them miss a whole by rounding.
+# Buckets hold parts of tokens, in tokens: what misses a whole one by this is rounding.
 ROUNDING = 1e-9
-# Peaks between takings, of which only falling ones matter; a bucket that is asked 1,000 times a
-# second keeps a few of them, so that more are those of a very uneven stream.
+# Peaks kept for one customer. Only those that no later one exceeds matter, which even at 1,000 asks a
+# second are a few; without the oldest, tokens taken before it cannot be put back.
 MAX_PEAKS = 64
 
 
@@ -78,7 +78,7 @@
     fill(bucket, now)
     if number < bucket.known_from:
         return 0.0
-    # What was there before the taking itself is no matter, but whatever came after it.
+    # Only peaks after the taking count: what would have flowed over since then stays lost.
     later = [peak for peak in bucket.peaks if peak.number > number]
     highest = max((peak.level for peak in later), default=0.0)
     back = min(amount, bucket.share.cap - max(highest, bucket.level))
--- a/packages/bendwind-core/src/bendwind_core/quotas/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/messages.py
@@ -10,8 +10,8 @@
 class QuotaWant(Record, frozen=True, array_like=True):
     """Say how many tokens of a customer are waited for, and how many more are soon needed.
 
-    `reserve` is how many more the node would hold for when no voter answers, and `kept` are the
-    numbers of those that it has of this voter and did not use.
+    `reserve` is how many more the node would like to reserve for when no voter answers, and `kept`
+    are the numbers of the reserved ones that it has of this voter and did not use.
     """
 
     customer: str
@@ -66,7 +66,7 @@
 
 
 class QuotaPull(Record, frozen=True, array_like=True, tag="quota-pull"):
-    """Ask another voter to lend tokens of a customer; `number` is new with each of a run."""
+    """Ask another voter to lend tokens of a customer; `number` is new with each of a voter's run."""
 
     number: int
     customer: str
@@ -76,7 +76,7 @@
 class QuotaLoan(Record, frozen=True, array_like=True, tag="quota-loan"):
     """Lend tokens: `pull` is the number of the question, `number` that of the loan.
 
-    `left` is what the lender still has.
+    Units: `tokens`, and `left`, which the lender could still lend, in tokens or parts of one.
     """
 
     pull: int
--- a/packages/bendwind-core/src/bendwind_core/quotas/node.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/node.py
@@ -1,7 +1,7 @@
 """Decide what a node does about quotas: keep tokens shortly, ask for them, give them back.
 
-A request whose ask was sent after it came may take a token however long its answer took, since the
-token was taken from a bucket later than the request was sent. All other tokens end by their age.
+Tokens end by their age, counted from the ask that brought them, so that they cannot gather. Only a
+request that came before that ask was sent takes one of any age: it waited all the while.
 """
 
 import math
@@ -35,27 +35,40 @@
 )
 from bendwind_core.quotas.voter import Effects, QuotaSend
 
-# An answer takes a round trip and, where the voter has to borrow, a second one.
+# An answer takes a round trip and, where the voter has to borrow, up to two more. A request waits at
+# most a quarter of a second for its token, so that a second voter can be asked in that time.
 ANSWER_WAIT: Seconds = 0.1
-# A voter that did not answer is asked again after this; a lost voter would cost each ask 100 ms.
+# A voter that did not answer is passed over for so long: each ask to a lost one would keep requests
+# waiting for `ANSWER_WAIT`, and one that is back should soon be used again.
 SILENT_FOR: Seconds = 1.0
-# Requests that come within this time share one ask; an answer may take twenty times as long.
+# Asks are at least so far apart, and what is wanted meanwhile shares the next one. That is little
+# beside the wait for an answer, and bounds what one node asks of its voter to 200 messages a second.
 ASK_GAP: Seconds = 0.005
 # Tokens are kept for what is needed in this time, so that a busy customer's requests never wait;
 # where they are valid for less, for most of what they are.
 AHEAD_FOR: Seconds = 0.25
 AHEAD_SHARE = 0.8
+# Tokens to give back are gathered for so long, so that one message returns those of many requests;
+# another caller of the customer can use them soon after.
 GIVE_BACK_EACH: Seconds = 0.05
-# What a node knows of a customer is forgotten after so long without a request.
+# What a node knows of a customer is forgotten after so long without a request: its use has faded to
+# a thousandth by then, and most customers send their requests to few nodes.
 FORGET_AFTER: Seconds = 10.0
-# Answers that come later than this bring no token that still counts.
+# An ask is remembered for so long, so that the tokens of a late answer can be given back. Those of a
+# later one are lost, and the customer's bucket fills again.
 LATE_FOR: Seconds = 2.0
+# Asks under way: more than `ASK_GAP` lets be sent within `LATE_FOR`, which bounds memory.
 MAX_ASKS = 1024
+# Customers in one ask: a voter answers so many within a millisecond, so that no node holds up the
+# others. Further customers are in the next ask.
 MAX_WANTS = 64
+# Requests that wait for a token; a further one is refused, so that memory stays bounded.
 MAX_WAITING = 65_536
+# Grants of which tokens are to be given back with the next messages; of further ones they are lost,
+# which lets nobody send more.
 MAX_BACK = 4096
-# No voter answers while they elect a leader or start anew, which is over in about a second. A
-# caller that may come back once had better do so afterwards.
+# No voter answers while a leader is elected or all voters restart, which is over in about a second;
+# a caller that retries once had better do so afterwards.
 UNKNOWN_RETRY_MS: Milliseconds = 1000.0
 # Use fades by half in a second: a steady rate adds up to its figure if each request adds ln 2.
 _PER_TOKEN = math.log(2.0)
@@ -139,7 +152,8 @@
     ahead_for = min(AHEAD_FOR, AHEAD_SHARE * quotas.bounds.node_validity)
     needed = int(stock.use * 0.5 ** max(0.0, now - stock.used_at) * ahead_for)
     has = sum(batch.left for batch in stock.batches) + stock.asked
-    # Asked for only when half is gone, it is some asks a second whatever the rate is.
+    # Asked for only when half is gone, so that a busy customer costs some asks a second, not one a
+    # request.
     return 0 if 2 * has > needed else needed - has
 
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/reserve.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/reserve.py
@@ -11,11 +11,14 @@
 from bendwind_core.membership.settings import CLOCK_RATE_BOUND
 from bendwind_core.quotas.bounds import Share
 
-# Longer than the elections and moves after which a voter answers again, and renewed thrice in it.
+# A reserved token is good for so long: longer than an election, or the move to another voter, after
+# which tokens are granted again.
 KEPT_FOR: Seconds = 6.0
+# A node renews its reserve so often, so that one lost message does not end it.
 RENEWED_EACH: Seconds = 2.0
-# A node holds what its customer usually sends it in a second.
+# Tokens that a node reserves of a customer, about what the customer sends it in a second, at most.
 MOST_HELD = 64
+# Customers with places at a voter, a bound for memory; further ones have no reserve.
 MAX_CUSTOMERS = 4096
 
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/takings.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/takings.py
@@ -6,14 +6,17 @@
 
 
 def count_available(account: Account, now: Seconds) -> float:
-    """Return what a bucket holds and what was borrowed beside it."""
+    """Return what a bucket holds and what was borrowed beside it.
+
+    Units: tokens, whole or parts of one.
+    """
     fill(account.bucket, now)
     account_borrowed = sum(part.tokens for part in account.borrowed if part.expires_at > now)
     return account.bucket.level + account_borrowed
 
 
 def count_whole(account: Account, now: Seconds) -> int:
-    """Return how many whole tokens that is."""
+    """Return how many whole tokens there are, borrowed ones among them."""
     return int(count_available(account, now) + ROUNDING)
 
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -35,17 +35,24 @@
     note_use,
 )
 
-# A loan takes a round trip within a region. A node asks another voter after 100 ms, which leaves
-# time for a second lender where the first one does not answer.
+# A loan takes a round trip within a region. A lender that does not answer in this time is given up,
+# which leaves time to ask a second one before the node turns to another voter.
 LENDER_WAIT: Seconds = 0.04
+# What a node asked for waits so long for loans: for two lenders. It is answered in time for the way
+# back, before the node turns to another voter.
 WANT_WAIT: Seconds = 0.08
-# A voter that has nothing is left alone for about as long as it takes to have a token.
+# A lender that has nothing left is not asked again until it has filled by about a token. A question
+# sooner than this would find next to nothing, and is a message for each request of the customer.
 SHORTEST_PAUSE: Seconds = 0.1
+# Room that comes back at a lender, by what is given back or by a raised limit, is found within this.
 LONGEST_PAUSE: Seconds = 1.0
-# Callers that come back sooner would cost more than they get; a node asks for nothing until then.
+# After a refusal a node asks nothing for the customer for at least this long, so that one far over
+# its limit costs at most 20 asks a second and node.
 SHORTEST_REFUSAL: Seconds = 0.05
-# However many nodes are short of a customer's tokens, each asks for them at most once in this time.
+# The more nodes are refused, the later each asks again, but never later than this: room that comes
+# back, by what is given back or by a raised limit, is found within a second.
 LONGEST_REFUSAL: Seconds = 1.0
+# Full buckets and old takings are looked for so often; a pass over all of them takes milliseconds.
 _FORGET_EACH: Seconds = 0.5
 
 
@@ -63,7 +70,7 @@
     """Answer a node, at once for all wants but those that wait for a loan."""
     effects: Effects = []
     if not quotas.may_grant(now):
-        # The node asks another voter.
+        # Without an answer the node asks another voter.
         quotas.totals.unconfirmed += 1
         return effects
     grants = []
@@ -104,6 +111,7 @@
         # The node has not heard yet that the limit is gone.
         return QuotaGrant(want.customer, 0, want.waiting)
     if want.customer in quotas.customers:
+        # The table of buckets is full.
         return QuotaGrant(want.customer, 0, 0, LONGEST_REFUSAL * MILLISECONDS_PER_SECOND)
     # One of the two has not heard yet; the node asks again while its requests can wait.
     return QuotaGrant(want.customer, 0, 0)
@@ -222,6 +230,7 @@
         quotas.totals.borrowed += loan.tokens
         quotas.busy[loan.customer] = None
         # Who waited before it was asked for takes of it at any age: it was lent after they came.
+        # What is left ends by its age.
         _answer_ready(quotas, loan.customer, account, pulling.sent_at, now, effects)
         part.expires_at = pulling.sent_at + quotas.bounds.loan_validity
     _settle(quotas, loan.customer, account, now, effects)
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
@@ -68,7 +68,7 @@
         return
     before = quotas.customers
     for name in before.keys() - limited.keys():
-        # Should it come back, it has no more than it would have had.
+        # The account is kept, so that a customer that comes back has no more than it would have had.
         find_account(quotas, name, now)
     quotas.customers = limited
     for name, customer in limited.items():
@@ -80,7 +80,8 @@
 
 
 def _begin_customer(quotas: VoterQuotas, customer: Customer, now: Seconds) -> None:
-    # Nobody can have granted anything of it, unless this voter merely had not heard of it yet.
+    # Nobody can have granted its tokens, unless this voter merely had not heard of it yet: then its
+    # bucket must not begin full.
     share = find_share(quotas, customer)
     account = quotas.accounts.get(customer.name)
     if account is not None:
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -11,18 +11,23 @@
 from bendwind_core.quotas.reserve import Reserve
 from bendwind_core.world import Customer
 
-# A full bucket of a customer is not kept, so that only those are that were asked for in the last
-# seconds. Each takes 2.3 kB, so that all stay under 80 MB.
+# Buckets kept at once. A full one is forgotten, so that those remain that were asked for lately; at
+# 2.4 kB each, all stay under 80 MB. A customer beyond them is refused.
 MAX_BUCKETS = 32_768
-# A request that waits for room longer than this and then does not run has cost its customer one.
+# What was taken can be put back for so long: longer than most requests wait for an upstream. One that
+# waits longer and then does not run has cost its customer a token.
 UNDONE_FOR: Seconds = 5.0
+# Takings that can be put back: those of `UNDONE_FOR` at 13,000 grants and loans a second, which
+# bounds memory. Of more, the oldest cannot be put back: that costs customers, and lets nobody send more.
 MAX_TAKINGS = 65_536
-# What waits for a loan waits for a few milliseconds; a full list refuses what its bucket lacks.
+# Wants that wait for a loan, mostly for milliseconds. Further ones get what the bucket has, and are
+# refused the rest.
 MAX_WAITING = 4096
-# Runs are numbered by the milliseconds at which they start, and 2^20 are asked in none of them.
+# The run of a process is numbered by the millisecond at which it starts. Its questions count on from
+# there by so many a millisecond, more than any process sends, so that two runs never share a number.
 NUMBERS_PER_RUN = 1 << 20
-# What fades by half each second sums up to the rate of a steady stream if each token adds so much.
-_PER_TOKEN = 0.693
+# Use fades by half in a second: a steady rate adds up to its figure if each token adds ln 2.
+_PER_TOKEN = math.log(2.0)
 
 
 class Taking(msgspec.Struct):
--- a/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
@@ -31,15 +31,20 @@
 
 Send = Callable[[str, Record], object]
 
-# An eighth of its objective is what a request can spare, and a quarter of a second is what a caller
-# without one bears; both leave time to ask a second voter where the objective is a second or more.
+# The longest wait for a token, which a caller without an objective bears: a voter that does not
+# answer takes 100 ms of it, and a second one has the rest.
 TOKEN_WAIT: Seconds = 0.25
+# A request with an objective spares this share of what is left to it. At one second that leaves a
+# second voter 25 ms, a round trip; at less the first answer decides.
 OBJECTIVE_SHARE = 0.125
-# A customer stays over its quota for seconds to minutes: that is worth a line, not one a request.
+# A customer stays over its quota for seconds to minutes: that is worth a line of the time line so
+# often, not one a request.
 TELL_EACH: Seconds = 10.0
+# A customer's count of refusals not told yet is kept for so long after its last line.
 KEEP: Seconds = 60.0
-# Timeouts of 100 ms need no finer ticks.
+# An unanswered ask is noticed this late at most, a fifth of the time that an answer may take.
 _TICK: Seconds = 0.02
+# The task sleeps at least so long, so that a full list of asks does not keep it busy.
 _SHORTEST_TICK: Seconds = 0.001
 
 
