--- a/packages/bendwind-core/src/bendwind_core/admission/reserve.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/reserve.py
@@ -13,9 +13,8 @@
 
 # What came fades by half in so long: a burst is over a second after its last request.
 ARRIVAL_HALF_TIME: Seconds = 1.0
-# The slot is kept if so many more urgent requests are expected while the less urgent one would run.
-# Of 1, 2, 3 and 4 the lasting overload of the emulator served most in time with 3 and 4 (0.698,
-# without it 0.627), and with 3 no kind oftener than a more urgent one by over 0.01.
+# The slot is kept if more than so many more urgent requests are expected while the less urgent one
+# would run: with fewer, slots stay idle; with more, a less urgent caller may go before.
 KEPT_FROM = 3.0
 # Ranks that are counted apart; configurations state a few.
 MAX_ARRIVAL_RANKS = 64
--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -52,8 +52,8 @@
 
 def ask_for_next(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
     """Ask the upstream for its load after a refusal as slow, so that the next one goes by it."""
-    # Phases are shorter than assumed until their length is learnt: 57 of 1000 attempts waited
-    # beside a free upstream without, 27 with it.
+    # Until the length of its slow phases is learnt, the upstream may be fast again long before the
+    # assumed end.
     is_old = now - (desk.pace.reported_at or 0.0) >= ASK_EVERY
     is_early = desk.asked_at is not None and now < desk.asked_at + ASK_EVERY
     if not desk.may_ask or is_early or not is_old or not paces.is_slow(desk.pace, now):
--- a/packages/bendwind-core/src/bendwind_core/attempts/pace.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/pace.py
@@ -87,8 +87,8 @@
 
 def _has_gap(pace: Pace, now: Seconds) -> bool:
     """Tell whether a phase may have ended and another begun since the last report."""
-    # Two phases with nothing between them were taken for what lasts, and what then started in a
-    # phase was thought to be at the usual pace (94 of 100 such starts were slow).
+    # Two phases seen as one would pass for what lasts, and what then starts in a phase would be
+    # thought to run at the usual pace.
     since = now if pace.reported_at is None else pace.reported_at
     return now - since > find_phase_length(pace) / 2
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/tries.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tries.py
@@ -10,27 +10,26 @@
 from bendwind_core.limits import may_try
 from bendwind_core.world import Policy, Upstream
 
-# So many owners may say that they are busy before one is asked to let the request wait. Each is a
-# round trip, 0.4 to 6 ms, where a wait is that of a run. Of attempts, 0.405 waited over 20 ms
-# beside a free upstream; with two tries 0.193, three 0.101, four 0.058, six 0.025, eight 0.011.
+# So many owners may say that they are busy before one is asked to let the request wait. Each costs
+# the caller a round trip, some milliseconds, where a wait is as long as a run. It is as many as a
+# node knows of a service.
 POLITE_TRIES = 8
-# Of these so many may be in other data centres, where each costs bytes on a link that may be dear,
-# also if it is sent back: with eight the bytes rose by a third to a half on small deployments.
+# Of these tries so many may go to other data centres: each costs bytes on a link that may be dear,
+# also if it is sent back.
 FAR_TRIES = 2
-# A request that may start at a near upstream within this share of what is left to its objective
-# waits there: it is in time all the same.
+# A request waits at an upstream of its own data centre, instead of being tried in others, that
+# starts it within this share of what is left to its objective: it is in time all the same.
 NEAR_WAIT_SHARE = 0.05
-# So many owners may refuse to let a request wait before it is given up where most have no room: few
-# refusals may be chance, and the run that waits for an inner call is lost with it. With two, 0.946
-# of the requests with mixed timeouts were in time, with three 0.958.
+# Where most owners have no room, a request is given up once so many refused to let it wait. Fewer
+# refusals may be chance, and one that is given up as an inner call costs the run that waits for it.
 SURE_OWNERS = 3
-# So an owner says that it has no room for a request that it might have taken at another time.
+# The reasons by which an owner says that it has no room now, and might have at another time.
 NO_ROOM = frozenset({NotRunReason.BUSY, NotRunReason.STALLED, NotRunReason.QUEUE_FULL})
 
 
 def may_try_free(call: EntryCall, upstream: Upstream, now: Seconds) -> bool:
     """Tell whether the next attempt is only to be taken by an upstream that is free."""
-    # The other policies stay the plain baselines that they are.
+    # The other policies stay plain: they are what this one is compared with.
     if call.service.policy is not Policy.SCORE or not may_try(call.budget.tries):
         return False
     if len(_list_busy(call)) >= POLITE_TRIES:
@@ -81,7 +80,8 @@
 
 
 def _find_free_at(attempt: Attempt) -> Seconds:
-    # The owner's word counts what goes before a request of this rank, its load all that waits.
+    # The wait that an owner names counts what goes before a request of this rank; that in its load
+    # counts all that waits.
     load_ms = attempt.load.wait_ms if attempt.load is not None else 0.0
     wait_ms = load_ms if attempt.wait_ms is None else attempt.wait_ms
     return (attempt.ended_at or 0.0) + wait_ms / MILLISECONDS_PER_SECOND
--- a/packages/bendwind-core/src/bendwind_core/attempts/usual_times.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/usual_times.py
@@ -11,10 +11,11 @@
 # expected to take this share of its objective, until the first answer tells.
 FIRST_GUESS_SHARE = 0.3
 
-# An answer counts for at most this many times the expected time; a slow phase that began unseen
-# makes it four times as long, one in twenty times.
+# An answer counts for at most this many times the expected time where the pace at its start was
+# known: a slow phase that began unseen makes one in twenty four times as long.
 PACED_STEP = 2.0
 
+# The same where the pace was not known: any of those answers may be of a slow phase.
 UNPACED_STEP = 1.2
 
 # Routes that lead to one service; of more, those noted first are forgotten.
@@ -56,8 +57,6 @@
     It is taken at the usual pace. Where the pace at the start was not known, a slow phase would
     be learnt as the route's usual time, so that a long one counts only a little then.
     """
-    # With the base in `pace`: the credit of the worst seconds, those after all processes were
-    # started anew, rose from 40% to 58% and from 15% to 28% (two deployment days, one run each).
     route = running.route
     known_ms = desk.route_times.get(route)
     expected_ms = desk.guessed_times.get(route) if known_ms is None else known_ms
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -32,11 +32,12 @@
 # What one flush sends at most, so that a data centre's loss does not hold up heartbeats.
 _PUSHES_PER_FLUSH = 1000
 _HELD_VERSIONS = 256
-# A configuration of 1,400 routes, 178 KB, takes 0.7 s on a link of 2 Mbit/s. Sent again for each
-# heartbeat meanwhile, it would hold up itself; one that is lost is sent again after this time.
+# A push of many routes or customers takes most of this on a slow link, and would hold up itself if
+# it were sent again for each heartbeat that comes meanwhile. One that is lost is sent again after
+# this.
 PUSH_TAKES: Seconds = 1.0
-# Services, routes and customers of a push that arrives within 0.1 s on such a link; it may be sent
-# again at once.
+# A push of more services, routes and customers than this is not repeated within `PUSH_TAKES`; of
+# fewer, it has arrived before the next heartbeat.
 LARGE_PUSH = 128
 
 
--- a/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
@@ -56,9 +56,7 @@
     history: RoutingHistory, routing: Routing, base: int
 ) -> RoutingChange | None:
     """Return what changed since a version, all routes where it is 0, None if nothing did."""
-    # A change of one route of 1,400 held up a node's link of 2.45 Mbit/s for 0.6 s, so that
-    # heartbeats went unanswered and some nodes had the change 2.5 s after it was accepted; median
-    # 0.42 s. One route is 130 bytes instead of 178 KB.
+    # All routes sent for a change of one would hold up a slow link, and the heartbeats on it.
     if base == 0:
         return RoutingChange(routing.revision, routing.limits, routing.routes)
     if history.newest <= base:
--- a/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
@@ -22,7 +22,8 @@
 DEFAULT_WINDOW: Seconds = 10.0
 # A tenth above its rate is within what any service that is sized for a customer bears.
 DEFAULT_OVERAGE = 0.1
-# In requests: two tokens for each of five voters, so that a customer of few requests finds one at any.
+# In requests: two tokens for each of five voters, so that a customer of few requests finds one at
+# any.
 DEFAULT_SLACK = 10.0
 # Tokens age at nodes and, where one voter lent them to another, at voters: each may use half.
 _NODE_SHARE = 0.5
@@ -57,8 +58,8 @@
 class Share(msgspec.Struct, frozen=True):
     """Hold one voter's part of a customer's quota.
 
-    The bucket fills at `rate` up to `cap`. `reserve` is how many tokens nodes may hold of this voter
-    for when no voter answers; it is paid for out of the overage.
+    The bucket fills at `rate` up to `cap`. `reserve` is how many tokens of this voter nodes may
+    hold for when no voter answers; it is paid for out of the overage.
     Units: `rate` in tokens a second, `cap` and `reserve` in tokens.
     """
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/bucket.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/bucket.py
@@ -13,8 +13,8 @@
 
 # Buckets hold parts of tokens, in tokens: what misses a whole one by this is rounding.
 ROUNDING = 1e-9
-# Peaks kept for one customer. Only those that no later one exceeds matter, which even at 1,000 asks a
-# second are a few; without the oldest, tokens taken before it cannot be put back.
+# Peaks kept for one customer. Only those that no later one exceeds matter, which even at 1,000 asks
+# a second are a few; without the oldest, tokens taken before it cannot be put back.
 MAX_PEAKS = 64
 
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/messages.py
@@ -66,7 +66,7 @@
 
 
 class QuotaPull(Record, frozen=True, array_like=True, tag="quota-pull"):
-    """Ask another voter to lend tokens of a customer; `number` is new with each of a voter's run."""
+    """Ask another voter to lend tokens of a customer; `number` is new in the voter's run."""
 
     number: int
     customer: str
--- a/packages/bendwind-core/src/bendwind_core/quotas/node.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/node.py
@@ -35,14 +35,15 @@
 )
 from bendwind_core.quotas.voter import Effects, QuotaSend
 
-# An answer takes a round trip and, where the voter has to borrow, up to two more. A request waits at
-# most a quarter of a second for its token, so that a second voter can be asked in that time.
+# An answer takes a round trip and, where the voter has to borrow, up to two more. A request waits
+# at most a quarter of a second for its token, so that a second voter can be asked in that time.
 ANSWER_WAIT: Seconds = 0.1
 # A voter that did not answer is passed over for so long: each ask to a lost one would keep requests
 # waiting for `ANSWER_WAIT`, and one that is back should soon be used again.
 SILENT_FOR: Seconds = 1.0
 # Asks are at least so far apart, and what is wanted meanwhile shares the next one. That is little
-# beside the wait for an answer, and bounds what one node asks of its voter to 200 messages a second.
+# beside the wait for an answer, and bounds what one node asks of its voter to 200 messages a
+# second.
 ASK_GAP: Seconds = 0.005
 # Tokens are kept for what is needed in this time, so that a busy customer's requests never wait;
 # where they are valid for less, for most of what they are.
@@ -52,10 +53,10 @@
 # another caller of the customer can use them soon after.
 GIVE_BACK_EACH: Seconds = 0.05
 # What a node knows of a customer is forgotten after so long without a request: its use has faded to
-# a thousandth by then, and most customers send their requests to few nodes.
+# a thousandth by then, and what is kept of one takes 2 kB.
 FORGET_AFTER: Seconds = 10.0
-# An ask is remembered for so long, so that the tokens of a late answer can be given back. Those of a
-# later one are lost, and the customer's bucket fills again.
+# An ask is remembered for so long, so that the tokens of a late answer can be given back. Those of
+# a later one are lost, and the customer's bucket fills again.
 LATE_FOR: Seconds = 2.0
 # Asks under way: more than `ASK_GAP` lets be sent within `LATE_FOR`, which bounds memory.
 MAX_ASKS = 1024
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -41,18 +41,19 @@
 # What a node asked for waits so long for loans: for two lenders. It is answered in time for the way
 # back, before the node turns to another voter.
 WANT_WAIT: Seconds = 0.08
-# A lender that has nothing left is not asked again until it has filled by about a token. A question
-# sooner than this would find next to nothing, and is a message for each request of the customer.
+# A lender that has nothing left is not asked again until it has filled by about a token. However
+# fast it fills, it is left alone for at least this long: it is short itself.
 SHORTEST_PAUSE: Seconds = 0.1
-# Room that comes back at a lender, by what is given back or by a raised limit, is found within this.
+# Room that comes back at a lender, by what is given back or by a raised limit, is found within
+# this.
 LONGEST_PAUSE: Seconds = 1.0
 # After a refusal a node asks nothing for the customer for at least this long, so that one far over
-# its limit costs at most 20 asks a second and node.
+# its limit costs at most 20 refused asks a second and node.
 SHORTEST_REFUSAL: Seconds = 0.05
 # The more nodes are refused, the later each asks again, but never later than this: room that comes
 # back, by what is given back or by a raised limit, is found within a second.
 LONGEST_REFUSAL: Seconds = 1.0
-# Full buckets and old takings are looked for so often; a pass over all of them takes milliseconds.
+# Full buckets and old takings are forgotten so often: nobody waits for it, it only costs memory.
 _FORGET_EACH: Seconds = 0.5
 
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
@@ -68,7 +68,8 @@
         return
     before = quotas.customers
     for name in before.keys() - limited.keys():
-        # The account is kept, so that a customer that comes back has no more than it would have had.
+        # The account is kept, so that a customer that comes back has no more than it would have
+        # had.
         find_account(quotas, name, now)
     quotas.customers = limited
     for name, customer in limited.items():
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -14,17 +14,19 @@
 # Buckets kept at once. A full one is forgotten, so that those remain that were asked for lately; at
 # 2.4 kB each, all stay under 80 MB. A customer beyond them is refused.
 MAX_BUCKETS = 32_768
-# What was taken can be put back for so long: longer than most requests wait for an upstream. One that
-# waits longer and then does not run has cost its customer a token.
+# What was taken can be put back for so long: longer than most requests wait for an upstream. One
+# that waits longer and then does not run has cost its customer a token.
 UNDONE_FOR: Seconds = 5.0
 # Takings that can be put back: those of `UNDONE_FOR` at 13,000 grants and loans a second, which
-# bounds memory. Of more, the oldest cannot be put back: that costs customers, and lets nobody send more.
+# bounds memory. Of more, the oldest cannot be put back: that costs customers, and lets nobody send
+# more.
 MAX_TAKINGS = 65_536
 # Wants that wait for a loan, mostly for milliseconds. Further ones get what the bucket has, and are
 # refused the rest.
 MAX_WAITING = 4096
-# The run of a process is numbered by the millisecond at which it starts. Its questions count on from
-# there by so many a millisecond, more than any process sends, so that two runs never share a number.
+# The run of a process is numbered by the millisecond at which it starts. Its questions count on
+# from there by so many a millisecond, more than any process sends, so that two runs never share a
+# number.
 NUMBERS_PER_RUN = 1 << 20
 # Use fades by half in a second: a steady rate adds up to its figure if each token adds ln 2.
 _PER_TOKEN = math.log(2.0)
--- a/packages/bendwind-core/src/bendwind_core/routing/choice.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/choice.py
@@ -87,8 +87,6 @@
 
     Near first is a price: a way there and back is little beside a wait.
     """
-    # Sent back for each request without and with it: 0.596 and 0.560 with mixed timeouts, 2.508 and
-    # 2.327 at a scarce service; no difference where a node hears of each upstream once in seconds.
     free = [view for view in nearby if view.free_at <= now + BUSY_FROM]
     free = free or [view for view in views if view.free_at <= now + BUSY_FROM]
     return free or nearby
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -61,7 +61,7 @@
 
 LOCAL_EPOCH = 0
 # A longer body goes to another data centre, or with a try that may not wait, only once the owner
-# has said that it takes the request: on a link of 2.45 Mbit/s it takes over 50 ms.
+# has said that it takes the request: on a slow link it takes longer than most waits.
 DEFAULT_FAR_BODY_BYTES = 16 * 1024
 # A watched upstream takes 642 bytes at a node (docs/design/distribution.md); with 23 upstreams a
 # service, so many services stay under half a megabyte.
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -35,9 +35,9 @@
 CHECK_TIMEOUT: Seconds = 1.0
 # A sign of life takes a round trip, which is milliseconds within a region.
 SIGN_TIMEOUT: Seconds = 0.3
-# It waits behind what is under way on the link of either instance: a large body or a configuration.
-# With 0.3 s alone, links of 2.45 Mbit/s were closed under uploads of 60 kB on average: 175 of 454
-# uploads of a day failed with their link.
+# A sign of life waits behind what is being sent on the instance's link, a large body or a
+# configuration. The time that so many bytes take at `link_mbps` is added to `SIGN_TIMEOUT`, so that
+# a slow link is not closed under a caller's upload.
 BACKLOG_BYTES = 200_000
 DEFAULT_LINK_MBPS = 1000.0
 BITS = 8
--- a/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/node_task.py
@@ -35,7 +35,7 @@
 # answer takes 100 ms of it, and a second one has the rest.
 TOKEN_WAIT: Seconds = 0.25
 # A request with an objective spares this share of what is left to it. At one second that leaves a
-# second voter 25 ms, a round trip; at less the first answer decides.
+# second voter 25 ms, a few round trips; below 0.8 s the first voter alone is waited for.
 OBJECTIVE_SHARE = 0.125
 # A customer stays over its quota for seconds to minutes: that is worth a line of the time line so
 # often, not one a request.
@@ -44,7 +44,7 @@
 KEEP: Seconds = 60.0
 # An unanswered ask is noticed this late at most, a fifth of the time that an answer may take.
 _TICK: Seconds = 0.02
-# The task sleeps at least so long, so that a full list of asks does not keep it busy.
+# While nothing can be asked, for want of a voter for example, it is tried anew so often.
 _SHORTEST_TICK: Seconds = 0.001
 
 
--- a/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
@@ -29,8 +29,8 @@
 
 Send = Callable[[str, Record], object]
 
-# While nodes wait for a loan, lenders that do not answer are noticed this late at most, a quarter of
-# the time that they have.
+# While nodes wait for a loan, lenders that do not answer are noticed this late at most, a quarter
+# of the time that they have.
 _BUSY_TICK: Seconds = 0.01
 # Full buckets are looked for so often: nobody waits for it.
 _IDLE_TICK: Seconds = 0.5
