--- a/packages/bendwind-core/src/bendwind_core/admission/reserve.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/reserve.py
@@ -38,7 +38,10 @@
 
 
 def find_kept_until(arrivals: Arrivals, rank: float, run_ms: Milliseconds) -> Seconds:
-    """Return until when a slot is kept from a request of a rank that runs for so long."""
+    """Return until when a slot is kept from a request of `rank` whose run takes `run_ms`.
+
+    Units: seconds of the owner's clock; minus infinity where none is kept.
+    """
     count = sum(count for other, count in arrivals.counts.items() if other < rank)
     rate = count * math.log(2.0) / ARRIVAL_HALF_TIME
     expected = rate * run_ms / MILLISECONDS_PER_SECOND
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -172,7 +172,7 @@
 
 
 def _has_to_wait(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
-    """Tell whether an attempt that may not wait would, as a report that came since it did says."""
+    """Tell whether an attempt that may not wait would have to, by what has been reported since."""
     if queued.hand_over.may_wait:
         return False
     return is_slow(desk.pace, now) or not has_room(desk, now, find_slots(desk, queued, now))
--- a/packages/bendwind-core/src/bendwind_core/attempts/precedence.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/precedence.py
@@ -15,7 +15,8 @@
 
 # An inner call stands between the rank of its run and the next more urgent one.
 INNER_STEP = 0.5
-# Before every rank that a request may have, and every call of theirs.
+# Where the request of a starved rank waits: before every rank and every inner call, of which the
+# most urgent stands at minus one half.
 _STARVED_RANK = -1.0
 
 
@@ -34,6 +35,7 @@
         return queued.own_rank - INNER_STEP
     if queued.own_rank == 0 or find_starved_rank(desk.rank_counts, now) != queued.own_rank:
         return queued.own_rank
+    # One at a time, so that the starved rank does not keep out the more urgent ones in its turn.
     waits = any(entry.rank == _STARVED_RANK for entry in desk.timed.entries)
     return queued.own_rank if waits else _STARVED_RANK
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/slots.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/slots.py
@@ -7,9 +7,10 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.world import LoadSample
 
-# An upstream that runs so many attempts, and should have ended so many more, has stalled.
+# Attempts that must be running for an upstream to count as stalled: one alone may just be long.
 STALL_RUNNING = 2
 
+# It has stalled when so many should have ended at the usual pace since the last one did.
 STALL_EXPECTED = 3.0
 
 
--- a/packages/bendwind-core/src/bendwind_core/limits/try_budget.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/try_budget.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
-# While nothing is free, calls go straight to a queue; one in five tries, so that a node finds out
-# within some calls that an upstream is free again.
+# Tries that each call earns. While nothing is free, calls go straight to a queue and only one in
+# five tries, so that a node finds out within some calls that an upstream is free again.
 EARNED_BY_CALL = 0.2
-# Tries go on while one in five is taken: each is a round trip, a queue costs the time of a request.
+# Tries that a taken one earns, so that they go on while one in five is taken: a try costs a round
+# trip, where a queue costs the caller the time of other requests.
 EARNED_BY_TAKEN = 4.0
-# Tries of a few calls; a rush is met with no more.
+# Tries that may be saved up, those of five calls: of a sudden rush, no more are sent back.
 TRY_TOKENS_CAP = 40.0
 _ONE_TOKEN = 1.0 - 1e-9
 
--- a/packages/bendwind-core/src/bendwind_core/limits/urgency_queue.py
+++ b/packages/bendwind-core/src/bendwind_core/limits/urgency_queue.py
@@ -1,7 +1,7 @@
 """Queue items by rank, then by what can still start in time, by turns of customers, by due time.
 
-Within a rank the items of one customer keep the order in which they are due, so that where nobody
-is known as a customer due time alone decides.
+Within a rank the items of one customer keep the order in which they are due, so that due time alone
+decides where requests have no customer.
 """
 
 import bisect
--- a/packages/bendwind-core/src/bendwind_core/membership/customer_ledger.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/customer_ledger.py
@@ -70,7 +70,7 @@
         ledger.digest ^= digest_record(held)
     ledger.customers[customer.name] = customer
     ledger.digest ^= digest_record(customer)
-    # Out and in again, so that the newest change stands at the end.
+    # Removed first, so that the newest change stands at the end of the dict.
     ledger.changed_at.pop(customer.name, None)
     ledger.changed_at[customer.name] = version
     ledger.removed_at.pop(customer.name, None)
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -314,7 +314,7 @@
 
 
 class QuotasTable(Table, frozen=True, kw_only=True):
-    """Bound what customers may have more than their quotas state; all processes need the same.
+    """Bound how far customers may exceed their quotas; all processes need the same.
 
     In any window their requests that run are at most
     (rate x window + burst) x (1 + overage) + slack.
