--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -31,7 +31,7 @@
 # A request that would lose no more than this by a slow start is not worth a question.
 BLIND_RISK_MS: Milliseconds = 60.0
 # An attempt that can still go elsewhere is taken only if it should be answered within this share of
-# its time: estimates are means, and work scatters around them by some 30% on the users' platform.
+# its time: estimates are means, and work scatters around them by some 30%.
 POLITE_SHARE = 0.85
 # With less time left than this share of what an attempt usually takes, no other upstream is so much
 # faster that it could still answer in time.
--- a/packages/bendwind-core/src/bendwind_core/timeline/statistics.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/statistics.py
@@ -9,8 +9,8 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds
 from bendwind_core.timeline.facts import CallFacts, DispatchFacts, Facts, RefusalFacts
 
-# Bounds of the histograms, each at most 2.5 times the one before: objectives on the users' platform
-# lie between 80 ms and 500 ms.
+# Bounds of the histograms, each at most 2.5 times the one before: callers' objectives mostly lie
+# between 80 ms and 500 ms.
 BOUNDS_MS: tuple[Milliseconds, ...] = (5, 10, 25, 50, 100, 150, 250, 400, 600, 1000, 2500, 5000)
 # Routes that have figures of their own; further ones are counted together.
 MAX_ROUTES = 200
