--- a/packages/bendwind-core/src/bendwind_core/admission/reserve.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/reserve.py
@@ -13,9 +13,8 @@
 
 # What came fades by half in so long: a burst is over a second after its last request.
 ARRIVAL_HALF_TIME: Seconds = 1.0
-# The slot is kept if so many more urgent requests are expected while the less urgent one would run.
-# Of 1, 2, 3 and 4 the lasting overload of the emulator served most in time with 3 and 4 (0.698,
-# without it 0.627), and with 3 no kind oftener than a more urgent one by over 0.01.
+# The slot is kept if more than so many more urgent requests are expected while the less urgent one
+# would run: with fewer, slots stay idle; with more, a less urgent caller may go before.
 KEPT_FROM = 3.0
 # Ranks that are counted apart; configurations state a few.
 MAX_ARRIVAL_RANKS = 64
@@ -39,7 +38,10 @@
 
 
 def find_kept_until(arrivals: Arrivals, rank: float, run_ms: Milliseconds) -> Seconds:
-    """Return until when a slot is kept from a request of a rank that runs for so long."""
+    """Return until when a slot is kept from a request of `rank` whose run takes `run_ms`.
+
+    Units: seconds of the owner's clock; minus infinity where none is kept.
+    """
     count = sum(count for other, count in arrivals.counts.items() if other < rank)
     rate = count * math.log(2.0) / ARRIVAL_HALF_TIME
     expected = rate * run_ms / MILLISECONDS_PER_SECOND
