attempts: a call of a run goes before new requests of the next more urgent rank, near waits of a tenth

Cause: under overload runs were lost for nothing since the calls that they wait for stood behind new requests.

--- a/packages/bendwind-core/src/bendwind_core/attempts/precedence.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/precedence.py
@@ -1,8 +1,8 @@
 """Decide which attempts go before which at an upstream, and how many slots each may take.
 
-A call that an upstream makes goes before new requests of the rank of the run that makes it: that
-run fails without it, and its work was for nothing. It may also take a slot above the share that is
-used, unless something more urgent runs or waits.
+A call that an upstream makes goes before new requests of the rank of the run that makes it, and of
+the next more urgent one: that run fails without it, and its work was for nothing. It may also
+take a slot above the share that is used, unless something more urgent runs or waits.
 """
 
 import math
@@ -13,11 +13,13 @@
 from bendwind_core.core import Seconds
 from bendwind_core.limits import urgency_queue
 
-# An inner call stands between the rank of its run and the next more urgent one.
-INNER_STEP = 0.5
+# An inner call goes before new requests of the next more urgent rank too: its run holds a slot and
+# is lost without it, they hold nothing yet. With half a rank 0.018 fewer requests were in time in
+# full-with-inner-calls.
+INNER_STEP = 1.5
 # Where the request of a starved rank waits: before every rank and every inner call, of which the
-# most urgent stands at minus one half.
-_STARVED_RANK = -1.0
+# most urgent stands at minus one and a half.
+_STARVED_RANK = -2.0
 
 
 def set_precedence(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/tries.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tries.py
@@ -19,7 +19,7 @@
 FAR_TRIES = 2
 # A request waits at an upstream of its own data centre, instead of being tried in others, that
 # starts it within this share of what is left to its objective: it is in time all the same.
-NEAR_WAIT_SHARE = 0.05
+NEAR_WAIT_SHARE = 0.1
 # Where most owners have no room, a request is given up once so many refused to let it wait. Fewer
 # refusals may be chance, and one that is given up as an inner call costs the run that waits for it.
 SURE_OWNERS = 3
