--- a/packages/bendwind-bench/src/bendwind_bench/capacity/pure/calls.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/pure/calls.py
@@ -45,11 +45,11 @@
     return count
 
 
-def _make_desk(slots: int) -> owner.OwnerDesk:
-    desk = owner.create_desk("service-001-00001", INCARNATION, 16)
-    owner.step(desk, UpstreamAnnounced(slots, slots, UpstreamState.READY), 0.0)
-    owner.step(desk, LinkOpened(_ENTRY, INCARNATION, 1), 0.0)
-    return desk
+def _make_owner_state(slots: int) -> owner.OwnerState:
+    owner_state = owner.create_owner_state("service-001-00001", INCARNATION, 16)
+    owner.step(owner_state, UpstreamAnnounced(slots, slots, UpstreamState.READY), 0.0)
+    owner.step(owner_state, LinkOpened(_ENTRY, INCARNATION, 1), 0.0)
+    return owner_state
 
 
 def _hand_over(sequence: int, body: int = 0) -> HandOver:
@@ -57,11 +57,11 @@
     return msgspec.structs.replace(make_hand_over(body), attempt=attempt)
 
 
-def _run_owner(desk: owner.OwnerDesk, hand_overs: list[HandOver]) -> int:
+def _run_owner(owner_state: owner.OwnerState, hand_overs: list[HandOver]) -> int:
     for hand_over in hand_overs:
-        owner.step(desk, HandOverArrived(hand_over, 1), 0.0)
-        owner.step(desk, DispatchHead(hand_over.attempt, 200, 11.0), 0.01)
-        owner.step(desk, DispatchDone(hand_over.attempt), 0.01)
+        owner.step(owner_state, HandOverArrived(hand_over, 1), 0.0)
+        owner.step(owner_state, DispatchHead(hand_over.attempt, 200, 11.0), 0.01)
+        owner.step(owner_state, DispatchDone(hand_over.attempt), 0.01)
     return len(hand_overs)
 
 
@@ -69,8 +69,8 @@
     sequences = itertools.count(1)
     batches = [[_hand_over(next(sequences)) for _ in range(count)] for _ in range(REPEATS)]
     waiting = iter(batches)
-    desk = _make_desk(12)
-    return lambda: _run_owner(desk, next(waiting))
+    owner_state = _make_owner_state(12)
+    return lambda: _run_owner(owner_state, next(waiting))
 
 
 def measure_calls() -> dict[str, Slope]:
@@ -116,10 +116,10 @@
     return calls
 
 
-def _hold_owner(count: int) -> owner.OwnerDesk:
-    desk = _make_desk(count)
+def _hold_owner(count: int) -> owner.OwnerState:
+    owner_state = _make_owner_state(count)
     for sequence in range(1, count + 1):
         # Decoded, as from a link, so that each call keeps its own texts and body.
         hand_over = decode(encode(_hand_over(sequence, 1024)))
-        owner.step(desk, HandOverArrived(hand_over, 1), 0.0)
-    return desk
+        owner.step(owner_state, HandOverArrived(hand_over, 1), 0.0)
+    return owner_state
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -1,4 +1,4 @@
-"""Emulate an owner node: the product's desk decides, the model of its upstream answers."""
+"""Emulate an owner node: the product's owner decides, the model of its upstream answers."""
 
 from typing import Protocol
 
@@ -49,12 +49,12 @@
 
 
 class OwnerSide:
-    """Own the desk of the one upstream beside a node."""
+    """Hold the state of the one upstream beside a node."""
 
     __slots__ = (
         "agenda",
         "beside",
-        "desk",
+        "owner_state",
         "is_reporting",
         "is_unreachable",
         "runs",
@@ -80,15 +80,15 @@
         self.is_unreachable = False
         self.is_reporting = upstream.table.reports_load
         self.ticks_at: Seconds | None = None
-        self.desk = self._create_desk(incarnation, suspects)
+        self.owner_state = self._create_owner_state(incarnation, suspects)
 
-    def _create_desk(self, incarnation: int, suspects: SuspectTable) -> owner.OwnerDesk:
+    def _create_owner_state(self, incarnation: int, suspects: SuspectTable) -> owner.OwnerState:
         warm_up = self.upstream.table.warm_up
         state = WarmUp(sent_at=self.agenda.now, assumed_at=self.agenda.now)
         if warm_up is not None and self.scenario.policy.spares_cold:
             state.rule = WarmUpRule(warm_up.seconds, warm_up.per_second)
             state.limits = WarmUpLimits(warm_up.overage, warm_up.slack)
-        return owner.create_desk(
+        return owner.create_owner_state(
             self.upstream.name,
             incarnation,
             QUEUE,
@@ -99,10 +99,10 @@
 
     def find_run_rank(self) -> float | None:
         """Return the most urgent rank of what runs, None where nothing does."""
-        return min((run.own_rank for run in self.desk.running.values()), default=None)
+        return min((run.own_rank for run in self.owner_state.running.values()), default=None)
 
     def announce(self, state: UpstreamState = UpstreamState.READY) -> None:
-        """Have the desk hear the upstream's announcement and its answer on the health path."""
+        """Have the owner hear the upstream's announcement and its answer on the health path."""
         slots = self.upstream.table.slots
         self.feed(ov.UpstreamAnnounced(slots, 10 * slots, state))
         self.ask()
@@ -122,12 +122,12 @@
             self.feed(ov.LoadNotReported(may_ask=False))
 
     def feed(self, event: ov.OwnerEvent) -> None:
-        """Apply an event and carry out what the desk decides."""
-        for effect in owner.step(self.desk, event, self.agenda.now):
+        """Apply an event and carry out what the owner decides."""
+        for effect in owner.step(self.owner_state, event, self.agenda.now):
             self._carry_out(effect)
-        if self.desk.suspects.news:
+        if self.owner_state.suspects.news:
             self.beside.tell_suspects()
-        due = owner.next_due(self.desk, self.agenda.now)
+        due = owner.next_due(self.owner_state, self.agenda.now)
         if due is not None and (self.ticks_at is None or due < self.ticks_at):
             self.ticks_at = due
             self.agenda.at(due, lambda: self._tick(due))
@@ -180,7 +180,7 @@
 
     def _connect(self, hand_over: HandOver, expires_at: Seconds) -> None:
         attempt = hand_over.attempt
-        if attempt not in self.desk.running:
+        if attempt not in self.owner_state.running:
             return
         if self.upstream.is_down:
             self.feed(ov.DispatchNotRun(attempt, NotRunReason.CONNECT_FAILED))
@@ -200,7 +200,7 @@
 
     def _hear(self, attempt: AttemptId, status: int | None, sent_at: Seconds) -> None:
         self.runs.pop(attempt, None)
-        if attempt not in self.desk.running:
+        if attempt not in self.owner_state.running:
             return
         if status is None:
             self.feed(ov.DispatchUnknown(attempt, CutReason.UPSTREAM_RESET))
@@ -215,19 +215,19 @@
         took_ms = (self.agenda.now - sent_at) * MILLISECONDS_PER_SECOND
         self.feed(ov.DispatchHead(attempt, status, took_ms))
         self.feed(ov.DispatchDone(attempt))
-        load = owner.load_sample(self.desk, self.agenda.now)
+        load = owner.load_sample(self.owner_state, self.agenda.now)
         self.beside.reply(attempt.entry, Answer(attempt, status, load))
 
     def _drop(self, attempt: AttemptId, reason: CutReason) -> None:
         run = self.runs.pop(attempt, None)
         if run is not None:
             self.upstream.cancel(run)
-        if attempt in self.desk.running:
-            # Fed later, as a task does: the desk is in the middle of a step.
+        if attempt in self.owner_state.running:
+            # Fed later, as a task does: the owner is in the middle of a step.
             self.agenda.at(self.agenda.now, lambda: self._end_dropped(attempt, reason))
 
     def _end_dropped(self, attempt: AttemptId, reason: CutReason) -> None:
-        if attempt in self.desk.running:
+        if attempt in self.owner_state.running:
             self.feed(ov.DispatchUnknown(attempt, reason))
 
     def stop(self) -> None:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_waiting.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_waiting.py
@@ -25,7 +25,7 @@
         self.watch.start()
 
     def create(self, service):
-        desk = types.SimpleNamespace(
+        owner_state = types.SimpleNamespace(
             waiting={},
             running={},
             run_limit=2,
@@ -39,12 +39,12 @@
             agenda=PausableAgenda(self.agenda),
             entry=types.SimpleNamespace(runs={}),
             is_up=True,
-            owner=types.SimpleNamespace(desk=desk),
+            owner=types.SimpleNamespace(owner_state=owner_state),
             upstream=upstream,
         )
 
     def wait(self, length, attempt=WAITING):
-        waiting = self.nodes["a"].owner.desk.waiting
+        waiting = self.nodes["a"].owner.owner_state.waiting
         waiting[attempt] = None
         self.agenda.run(self.agenda.now + length)
         waiting.clear()
@@ -73,10 +73,10 @@
 
     def test_upstream_that_could_not_start_it_at_once_is_not_free(self):
         cases = {
-            "slots taken": lambda node: node.owner.desk.running.update({1: None, 2: None}),
-            "has one waiting": lambda node: node.owner.desk.waiting.update({2: None}),
-            "drains": lambda node: setattr(node.owner.desk, "state", UpstreamState.DRAINING),
-            "unreachable": lambda node: setattr(node.owner.desk, "is_unreachable", True),
+            "slots taken": lambda node: node.owner.owner_state.running.update({1: None, 2: None}),
+            "has one waiting": lambda node: node.owner.owner_state.waiting.update({2: None}),
+            "drains": lambda node: setattr(node.owner.owner_state, "state", UpstreamState.DRAINING),
+            "unreachable": lambda node: setattr(node.owner.owner_state, "is_unreachable", True),
             "down": lambda node: setattr(node.upstream, "is_down", True),
             "slow": lambda node: setattr(node.upstream, "find_factor", lambda: 4.0),
             "stands still": lambda node: node.agenda.pause(9.0),
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_world.py
@@ -123,7 +123,7 @@
         connect, hear, finish = OwnerSide._connect, OwnerSide._hear, EntrySide._finish
 
         def note_connect(owner, hand_over, expires_at):
-            was_sent = hand_over.attempt in owner.desk.running and not owner.upstream.is_down
+            was_sent = hand_over.attempt in owner.owner_state.running and not owner.upstream.is_down
             if was_sent:
                 self.ran.add(hand_over.attempt)
             connect(owner, hand_over, expires_at)
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/waiting.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/waiting.py
@@ -3,7 +3,7 @@
 import collections
 
 from bendwind_bench.emulator.interfaces import Instance, Site
-from bendwind_core.attempts.desk import is_open
+from bendwind_core.attempts.owner_state import is_open
 from bendwind_core.core import Seconds
 
 # Waits are measured to this; a fourth of the shortest that counts, and cheap beside the calls.
@@ -30,12 +30,12 @@
 
     def _look(self) -> None:
         for nodes in self._services.values():
-            waited_at = [node for node in nodes if node.is_up and node.owner.desk.waiting]
+            waited_at = [node for node in nodes if node.is_up and node.owner.owner_state.waiting]
             # One with something waiting is not free, so that a free one is always another.
             if waited_at and any(is_free(node) for node in nodes):
                 for node in waited_at:
                     self._looks.update(
-                        self._find_call(attempt) for attempt in node.owner.desk.waiting
+                        self._find_call(attempt) for attempt in node.owner.owner_state.waiting
                     )
         self._site.agenda.after(LOOK_EVERY, self._look)
 
@@ -56,9 +56,9 @@
     """Tell whether a node's upstream could start a request at once, at its usual pace."""
     if not node.is_up or node.agenda.is_paused or node.upstream.is_down:
         return False
-    desk = node.owner.desk
-    has_slot = len(desk.running) < desk.run_limit and not desk.waiting
-    return has_slot and is_open(desk) and node.upstream.find_factor() <= 1.0
+    owner_state = node.owner.owner_state
+    has_slot = len(owner_state.running) < owner_state.run_limit and not owner_state.waiting
+    return has_slot and is_open(owner_state) and node.upstream.find_factor() <= 1.0
 
 
 __all__ = ["LOOK_EVERY", "SHORT", "WaitWatch", "is_free"]
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/measuring.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/measuring.py
@@ -36,8 +36,8 @@
     Check("messages a second and node at 1 time", "1x/messages/s", BUDGET_PER_S),
     Check("messages a second and node at 10 times", "10x/messages/s", BUDGET_PER_S),
 ]
-KINDS = [RequestKind("desk", "/item", answer_bytes=(200, 400))]
-INTENT = '[[services]]\nname = "desk"\nupstreams = ["desk-*"]\n'
+KINDS = [RequestKind("status", "/item", answer_bytes=(200, 400))]
+INTENT = '[[services]]\nname = "status"\nupstreams = ["status-*"]\n'
 UPSTREAMS = 3
 REPEATS = 1000
 ROUNDS = 20
@@ -71,8 +71,8 @@
 
 def measure_probe() -> Cost:
     """Measure a probe or its answer, whose numbers are alike."""
-    asked = measure_message(LoadProbe("desk-1"))
-    answered = measure_message(LoadReport("desk-1", "desk", SAMPLE))
+    asked = measure_message(LoadProbe("status-1"))
+    answered = measure_message(LoadReport("status-1", "status", SAMPLE))
     return Cost((asked.size + answered.size) / 2, (asked.cpu_ms + answered.cpu_ms) / 2)
 
 
@@ -91,7 +91,7 @@
     measured = Measured()
     sample = measure_sample()
     probe = measure_probe()
-    service = ServiceDescription("desk", UPSTREAMS, 12, 200, 5.0)
+    service = ServiceDescription("status", UPSTREAMS, 12, 200, 5.0)
     async with run_scene(describe_scene([service]), INTENT, seed, direct) as deployment:
         addresses = deployment.direct_addresses() if direct else {}
         for times in TIMES:
--- a/packages/bendwind-bench/src/bendwind_bench/experiments/overload.py
+++ b/packages/bendwind-bench/src/bendwind_bench/experiments/overload.py
@@ -20,14 +20,14 @@
     Check("goodput at 10 times / at 2 times", "10x/whole/s", 0.9, "2x/whole/s", at_least=True),
     Check("memory at 10 times / at 0.5 times", "10x/peak kB", 1.5, "0.5x/peak kB"),
 ]
-KINDS = [RequestKind("desk", "/item", answer_bytes=(200, 400))]
-INTENT = '[[services]]\nname = "desk"\nupstreams = ["desk-*"]\nlongest_wait_ms = 1000\n'
+KINDS = [RequestKind("status", "/item", answer_bytes=(200, 400))]
+INTENT = '[[services]]\nname = "status"\nupstreams = ["status-*"]\nlongest_wait_ms = 1000\n'
 
 
 async def run_once(seed: int, direct: bool) -> Measured:
     """Measure each multiple of the capacity once."""
     measured = Measured()
-    service = ServiceDescription("desk", 3, 2, 200, 60.0)
+    service = ServiceDescription("status", 3, 2, 200, 60.0)
     async with run_scene(describe_scene([service]), INTENT, seed, direct) as deployment:
         addresses = deployment.direct_addresses() if direct else {}
         for times in TIMES:
--- a/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/fencing.py
@@ -1,7 +1,6 @@
 """Settle attempts whose link broke: fence those not started, give up those nobody awaits."""
 
 from bendwind_core.attempts.attempt_log import EntryPeer, Fate, meet_peer, record_ended
-from bendwind_core.attempts.desk import OwnerDesk
 from bendwind_core.attempts.messages import AttemptId, Fence, FenceVerdict
 from bendwind_core.attempts.owner_events import (
     CancelDispatch,
@@ -10,55 +9,58 @@
     OwnerEffect,
     ReplyFenced,
 )
+from bendwind_core.attempts.owner_state import OwnerState
 from bendwind_core.attempts.refusals import fence_waiting
 from bendwind_core.world import Repeat
 
 
-def cancel_running(desk: OwnerDesk, attempt: AttemptId, effects: list[OwnerEffect]) -> None:
+def cancel_running(owner_state: OwnerState, attempt: AttemptId, effects: list[OwnerEffect]) -> None:
     """Cancel an attempt that runs, once."""
-    running = desk.running.get(attempt)
+    running = owner_state.running.get(attempt)
     if running is not None and not running.is_cancelled:
         running.is_cancelled = True
         effects.append(CancelDispatch(attempt))
 
 
-def answer_fence(desk: OwnerDesk, fence: Fence, epoch: int, effects: list[OwnerEffect]) -> None:
+def answer_fence(
+    owner_state: OwnerState, fence: Fence, epoch: int, effects: list[OwnerEffect]
+) -> None:
     """Make sure that an attempt which has not started never does, and say what became of it."""
-    verdict = _judge_fence(desk, fence)
+    verdict = _judge_fence(owner_state, fence)
     effects.append(ReplyFenced(fence.attempt, epoch, verdict))
 
 
-def _judge_fence(desk: OwnerDesk, fence: Fence) -> FenceVerdict:
+def _judge_fence(owner_state: OwnerState, fence: Fence) -> FenceVerdict:
     attempt = fence.attempt
-    if fence.owner_incarnation != desk.incarnation:
+    if fence.owner_incarnation != owner_state.incarnation:
         return FenceVerdict.FORGOTTEN
-    peer = meet_peer(desk.log, attempt.entry, attempt.incarnation, attempt.sequence)
+    peer = meet_peer(owner_state.log, attempt.entry, attempt.incarnation, attempt.sequence)
     if peer is None:
         return FenceVerdict.FORGOTTEN
-    match desk.log.fates.get(attempt):
+    match owner_state.log.fates.get(attempt):
         case Fate.RUNNING | Fate.ENDED:
             return FenceVerdict.STARTED
         case Fate.NEVER_STARTED:
             return FenceVerdict.NEVER_STARTED
         case Fate.QUEUED:
-            fence_waiting(desk, desk.waiting[attempt])
+            fence_waiting(owner_state, owner_state.waiting[attempt])
             return FenceVerdict.NEVER_STARTED
         case _:
             if attempt.sequence <= max(peer.floor, peer.fence_floor):
                 return FenceVerdict.FORGOTTEN
-            record_ended(desk.log, attempt, Fate.NEVER_STARTED)
+            record_ended(owner_state.log, attempt, Fate.NEVER_STARTED)
             return FenceVerdict.NEVER_STARTED
 
 
-def open_link(desk: OwnerDesk, event: LinkOpened, effects: list[OwnerEffect]) -> None:
+def open_link(owner_state: OwnerState, event: LinkOpened, effects: list[OwnerEffect]) -> None:
     """Give up what came in on earlier links of an entry node or from its earlier runs."""
-    peer = meet_peer(desk.log, event.entry, event.incarnation, floor=0)
+    peer = meet_peer(owner_state.log, event.entry, event.incarnation, floor=0)
     if peer is not None:
-        take_epoch(desk, peer, event.entry, event.incarnation, event.epoch, effects)
+        take_epoch(owner_state, peer, event.entry, event.incarnation, event.epoch, effects)
 
 
 def take_epoch(
-    desk: OwnerDesk,
+    owner_state: OwnerState,
     peer: EntryPeer,
     entry: str,
     incarnation: int,
@@ -68,25 +70,25 @@
     """Give up what came in on earlier links, at the first sign of a later one."""
     if epoch > peer.epoch:
         peer.epoch = epoch
-        _abandon(desk, entry, incarnation, epoch, effects)
+        _abandon(owner_state, entry, incarnation, epoch, effects)
 
 
-def lose_link(desk: OwnerDesk, event: LinkLost, effects: list[OwnerEffect]) -> None:
+def lose_link(owner_state: OwnerState, event: LinkLost, effects: list[OwnerEffect]) -> None:
     """Give up what came in on a link that broke."""
-    _abandon(desk, event.entry, event.incarnation, event.epoch + 1, effects)
+    _abandon(owner_state, event.entry, event.incarnation, event.epoch + 1, effects)
 
 
 def _abandon(
-    desk: OwnerDesk, entry: str, incarnation: int, epoch: int, effects: list[OwnerEffect]
+    owner_state: OwnerState, entry: str, incarnation: int, epoch: int, effects: list[OwnerEffect]
 ) -> None:
     # Nobody awaits what came in on the entry node's earlier links or from its earlier runs.
-    for attempt, queued in list(desk.waiting.items()):
+    for attempt, queued in list(owner_state.waiting.items()):
         if _is_before(attempt, queued.epoch, entry, incarnation, epoch):
-            fence_waiting(desk, queued)
-    for attempt, running in desk.running.items():
+            fence_waiting(owner_state, queued)
+    for attempt, running in owner_state.running.items():
         is_before = _is_before(attempt, running.epoch, entry, incarnation, epoch)
         if is_before and running.hand_over.repeat is Repeat.IDEMPOTENT:
-            cancel_running(desk, attempt, effects)
+            cancel_running(owner_state, attempt, effects)
 
 
 def _is_before(
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -1,6 +1,6 @@
 """Decide, at the one node that sends to an upstream, what happens to each attempt.
 
-The desk alone knows which attempts were started, so it alone says "not run", and only of an
+The owner alone knows which attempts were started, so it alone says "not run", and only of an
 attempt that it marks, in the same step, as one that never starts.
 """
 
@@ -15,7 +15,6 @@
 )
 from bendwind_core.attempts.arrivals import find_early_refusal, take_hand_over
 from bendwind_core.attempts.attempt_log import Fate
-from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt, create_desk, is_open
 from bendwind_core.attempts.fencing import answer_fence, cancel_running, lose_link, open_link
 from bendwind_core.attempts.messages import NotRunReason
 from bendwind_core.attempts.owner_events import (
@@ -47,6 +46,12 @@
     WarmUpRuled,
     WarmUpTold,
 )
+from bendwind_core.attempts.owner_state import (
+    OwnerState,
+    QueuedAttempt,
+    create_owner_state,
+    is_open,
+)
 from bendwind_core.attempts.pace import is_slow, note_report
 from bendwind_core.attempts.precedence import find_slots
 from bendwind_core.attempts.refusals import (
@@ -66,155 +71,164 @@
 from bendwind_core.core import Seconds
 from bendwind_core.limits import fair_queue
 
-__all__ = ["OwnerDesk", "create_desk", "find_early_refusal", "load_sample", "next_due", "step"]
+__all__ = [
+    "OwnerState",
+    "create_owner_state",
+    "find_early_refusal",
+    "load_sample",
+    "next_due",
+    "step",
+]
 
 
-def next_due(desk: OwnerDesk, now: Seconds) -> Seconds | None:
+def next_due(owner_state: OwnerState, now: Seconds) -> Seconds | None:
     """Return when the next Tick is due, or None."""
-    looks = next_expiry(desk), next_look(desk, now), next_cold_room(desk, now)
+    looks = next_expiry(owner_state), next_look(owner_state, now), next_cold_room(owner_state, now)
     return min((due for due in looks if due is not None), default=None)
 
 
-def step(desk: OwnerDesk, event: OwnerEvent, now: Seconds) -> list[OwnerEffect]:
-    """Apply an event to the desk."""
+def step(owner_state: OwnerState, event: OwnerEvent, now: Seconds) -> list[OwnerEffect]:
+    """Apply an event to the owner."""
     effects: list[OwnerEffect] = []
     match event:
         case HandOverArrived():
-            take_hand_over(desk, event, now, effects)
+            take_hand_over(owner_state, event, now, effects)
         case DispatchSent():
-            mark_sent(desk, event.attempt, now)
+            mark_sent(owner_state, event.attempt, now)
         case DispatchHead():
-            mark_sent(desk, event.attempt, now)
-            take_head(desk, event, now)
-            note_result(desk.times, is_error=is_failure(event.status))
+            mark_sent(owner_state, event.attempt, now)
+            take_head(owner_state, event, now)
+            note_result(owner_state.times, is_error=is_failure(event.status))
         case DispatchDone():
-            desk.progress_at = now
-            running = end_running(desk, event.attempt, Fate.ENDED)
+            owner_state.progress_at = now
+            running = end_running(owner_state, event.attempt, Fate.ENDED)
             if running is not None and not is_failure(running.status):
-                note_success(desk, running, now)
+                note_success(owner_state, running, now)
         case CallRefused():
-            note_call_refused(desk.dependency, now)
+            note_call_refused(owner_state.dependency, now)
         case LoadReported(slow_factor=slow_factor):
-            note_report(desk.pace, slow_factor, now)
-            note_alive(desk.ends, now)
+            note_report(owner_state.pace, slow_factor, now)
+            note_alive(owner_state.ends, now)
         case LoadNotReported(may_ask=may_ask):
-            desk.may_ask = may_ask
+            owner_state.may_ask = may_ask
         case WarmUpRuled(rule=rule):
-            desk.warm_up.rule = rule
+            owner_state.warm_up.rule = rule
         case ColdAssumed():
-            assume_cold(desk.warm_up, now)
+            assume_cold(owner_state.warm_up, now)
         case WarmUpTold(left_ms=left_ms, asked_at=None):
-            note_told(desk.warm_up, left_ms, now)
+            note_told(owner_state.warm_up, left_ms, now)
         case WarmUpTold(left_ms=left_ms, asked_at=asked_at):
-            note_asked(desk.warm_up, left_ms, asked_at, now)
+            note_asked(owner_state.warm_up, left_ms, asked_at, now)
         case UpstreamChecked(is_refused=is_refused):
-            take_check(desk, now, effects, is_refused=is_refused)
+            take_check(owner_state, now, effects, is_refused=is_refused)
         case UpstreamReached():
-            desk.is_unreachable = False
+            owner_state.is_unreachable = False
         case UpstreamRestarted():
-            restart(desk, now, effects)
+            restart(owner_state, now, effects)
         case WaitingWithdrawn():
-            bounce_queue(desk, NotRunReason.DRAINING, now, effects)
+            bounce_queue(owner_state, NotRunReason.DRAINING, now, effects)
         case DispatchNotRun():
-            take_not_run(desk, event, now, effects)
+            take_not_run(owner_state, event, now, effects)
         case DispatchUnknown():
-            take_unknown(desk, event, now, effects)
+            take_unknown(owner_state, event, now, effects)
         case CancelArrived():
-            _on_cancel(desk, event, now, effects)
+            _on_cancel(owner_state, event, now, effects)
         case FenceArrived():
-            answer_fence(desk, event.fence, event.epoch, effects)
+            answer_fence(owner_state, event.fence, event.epoch, effects)
         case LinkOpened():
-            open_link(desk, event, effects)
+            open_link(owner_state, event, effects)
         case LinkLost():
-            lose_link(desk, event, effects)
+            lose_link(owner_state, event, effects)
         case Drain():
-            stop(desk, now)
+            stop(owner_state, now)
         case UpstreamAnnounced():
-            take_announcement(desk, event, now, effects)
+            take_announcement(owner_state, event, now, effects)
         case UpstreamLost(is_replaced=is_replaced):
-            lose(desk, now, effects, is_replaced=is_replaced)
+            lose(owner_state, now, effects, is_replaced=is_replaced)
         case Tick():
             pass
-    _expire_queue(desk, now, effects)
-    _give_back(desk, _has_to_wait, NotRunReason.BUSY, now, effects)
-    _give_back(desk, is_stalled_again, NotRunReason.STALLED, now, effects)
-    _dispatch_waiting(desk, now, effects)
-    _give_back(desk, _is_at_its_end, NotRunReason.QUEUE_FULL, now, effects)
+    _expire_queue(owner_state, now, effects)
+    _give_back(owner_state, _has_to_wait, NotRunReason.BUSY, now, effects)
+    _give_back(owner_state, is_stalled_again, NotRunReason.STALLED, now, effects)
+    _dispatch_waiting(owner_state, now, effects)
+    _give_back(owner_state, _is_at_its_end, NotRunReason.QUEUE_FULL, now, effects)
     # What was given back may have been what kept a call from a slot that requests do not use.
-    _dispatch_waiting(desk, now, effects)
-    ask_if_held(desk, now, effects)
-    _report_drained(desk, effects)
+    _dispatch_waiting(owner_state, now, effects)
+    ask_if_held(owner_state, now, effects)
+    _report_drained(owner_state, effects)
     return effects
 
 
 def _on_cancel(
-    desk: OwnerDesk, event: CancelArrived, now: Seconds, effects: list[OwnerEffect]
+    owner_state: OwnerState, event: CancelArrived, now: Seconds, effects: list[OwnerEffect]
 ) -> None:
     attempt = event.attempt
-    queued = desk.waiting.get(attempt)
+    queued = owner_state.waiting.get(attempt)
     if queued is not None:
-        take_off_queue(desk, queued)
-        drop_waiting(desk, queued, NotRunReason.CANCELLED, now, effects)
+        take_off_queue(owner_state, queued)
+        drop_waiting(owner_state, queued, NotRunReason.CANCELLED, now, effects)
         return
-    cancel_running(desk, attempt, effects)
+    cancel_running(owner_state, attempt, effects)
 
 
-def _expire_queue(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    if not desk.waiting:
+def _expire_queue(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
+    if not owner_state.waiting:
         return
-    if desk.bounce_queue_at is not None and now >= desk.bounce_queue_at:
-        bounce_queue(desk, NotRunReason.DRAINING, now, effects)
+    if owner_state.bounce_queue_at is not None and now >= owner_state.bounce_queue_at:
+        bounce_queue(owner_state, NotRunReason.DRAINING, now, effects)
         return
-    for queued in list(desk.waiting.values()):
+    for queued in list(owner_state.waiting.values()):
         if now >= queued.expires_at:
-            take_off_queue(desk, queued)
-            drop_waiting(desk, queued, NotRunReason.DEADLINE, now, effects)
+            take_off_queue(owner_state, queued)
+            drop_waiting(owner_state, queued, NotRunReason.DEADLINE, now, effects)
 
 
-def _has_to_wait(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
+def _has_to_wait(owner_state: OwnerState, queued: QueuedAttempt, now: Seconds) -> bool:
     """Tell whether an attempt that may not wait would have to, by what has been reported since."""
     if queued.hand_over.may_wait:
         return False
-    return is_slow(desk.pace, now) or not has_room(desk, now, find_slots(desk, queued, now))
+    return is_slow(owner_state.pace, now) or not has_room(
+        owner_state, now, find_slots(owner_state, queued, now)
+    )
 
 
-def _is_at_its_end(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
+def _is_at_its_end(owner_state: OwnerState, queued: QueuedAttempt, now: Seconds) -> bool:
     return now >= find_end(queued)
 
 
 def _give_back(
-    desk: OwnerDesk,
-    is_given_back: Callable[[OwnerDesk, QueuedAttempt, Seconds], bool],
+    owner_state: OwnerState,
+    is_given_back: Callable[[OwnerState, QueuedAttempt, Seconds], bool],
     reason: NotRunReason,
     now: Seconds,
     effects: list[OwnerEffect],
 ) -> None:
     """Refuse what would be late here, while it can still be tried elsewhere."""
-    for queued in list(desk.waiting.values()):
-        if is_given_back(desk, queued, now):
-            take_off_queue(desk, queued)
-            drop_waiting(desk, queued, reason, now, effects)
+    for queued in list(owner_state.waiting.values()):
+        if is_given_back(owner_state, queued, now):
+            take_off_queue(owner_state, queued)
+            drop_waiting(owner_state, queued, reason, now, effects)
 
 
-def _dispatch_waiting(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
-    while (queued := _take_next(desk, now)) is not None:
-        if is_withheld_here(desk, queued, now):
+def _dispatch_waiting(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
+    while (queued := _take_next(owner_state, now)) is not None:
+        if is_withheld_here(owner_state, queued, now):
             # While it waited, upstreams ended under it elsewhere.
-            drop_waiting(desk, queued, NotRunReason.QUARANTINED, now, effects)
+            drop_waiting(owner_state, queued, NotRunReason.QUARANTINED, now, effects)
             continue
-        del desk.waiting[queued.hand_over.attempt]
-        start(desk, queued, now, effects)
+        del owner_state.waiting[queued.hand_over.attempt]
+        start(owner_state, queued, now, effects)
 
 
-def _take_next(desk: OwnerDesk, now: Seconds) -> QueuedAttempt | None:
-    queued = take_startable(desk, now) if len(desk.timed) else None
-    if queued is None and has_room(desk, now):
-        return fair_queue.pop(desk.queue)
+def _take_next(owner_state: OwnerState, now: Seconds) -> QueuedAttempt | None:
+    queued = take_startable(owner_state, now) if len(owner_state.timed) else None
+    if queued is None and has_room(owner_state, now):
+        return fair_queue.pop(owner_state.queue)
     return queued
 
 
-def _report_drained(desk: OwnerDesk, effects: list[OwnerEffect]) -> None:
-    is_empty = not desk.running and not desk.waiting
-    if not is_open(desk) and is_empty and not desk.is_drained:
-        desk.is_drained = True
+def _report_drained(owner_state: OwnerState, effects: list[OwnerEffect]) -> None:
+    is_empty = not owner_state.running and not owner_state.waiting
+    if not is_open(owner_state) and is_empty and not owner_state.is_drained:
+        owner_state.is_drained = True
         effects.append(Drained())
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -1,4 +1,4 @@
-"""Define the events and effects of the owner node's desk for one upstream.
+"""Define the events and effects of the owner node for one upstream.
 
 The task that owns the upstream feeds events to `bendwind_core.attempts.owner.step` and carries
 out the effects in order. A reply names the link epoch its attempt came in on; where that link is
@@ -177,7 +177,7 @@
 
 
 class Tick(msgspec.Struct):
-    """Let queued attempts expire; due at `next_due(desk)`."""
+    """Let queued attempts expire; due at `next_due(owner_state)`."""
 
 
 OwnerEvent = (
@@ -272,7 +272,7 @@
 
 
 class Drained(msgspec.Struct):
-    """Report once that a draining desk holds no attempt any more."""
+    """Report once that no attempt at a draining upstream is held any more."""
 
 
 OwnerEffect = (
--- a/packages/bendwind-core/src/bendwind_core/attempts/desk.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
@@ -74,7 +74,7 @@
         return self.hand_over.route
 
 
-class OwnerDesk(msgspec.Struct):
+class OwnerState(msgspec.Struct):
     """Hold everything that was handed to one upstream's owner node.
 
     Attempts with a latency objective wait in `timed`, all others in `queue`. `slot_share` is the
@@ -128,7 +128,7 @@
         return min(used, self.connections)
 
 
-def create_desk(
+def create_owner_state(
     upstream: str,
     incarnation: int,
     queue: int,
@@ -139,23 +139,23 @@
     slot_share: float = 1.0,
     warm_up: WarmUp | None = None,
     suspects: SuspectTable | None = None,
-) -> OwnerDesk:
-    """Create the desk of an upstream that has yet to announce itself.
+) -> OwnerState:
+    """Create an owner's state for an upstream that has yet to announce itself.
 
     `incarnation` is this process's own run; `queue` bounds the attempts that wait, `timed_queue`
     those of them with a latency objective.
     """
     log = AttemptLog(remembered_attempts, remembered_peers)
     timed = UrgencyQueue(timed_queue)
-    desk = OwnerDesk(upstream, incarnation, FairQueue(queue), log, timed, slot_share)
+    owner_state = OwnerState(upstream, incarnation, FairQueue(queue), log, timed, slot_share)
     if warm_up is not None:
-        desk.warm_up = warm_up
+        owner_state.warm_up = warm_up
     if suspects is not None:
-        desk.suspects = suspects
-    return desk
+        owner_state.suspects = suspects
+    return owner_state
 
 
-def is_open(desk: OwnerDesk) -> bool:
+def is_open(owner_state: OwnerState) -> bool:
     """Tell whether new attempts are taken."""
-    is_ready = desk.state is UpstreamState.READY and not desk.is_stopping
-    return is_ready and not desk.is_unreachable
+    is_ready = owner_state.state is UpstreamState.READY and not owner_state.is_stopping
+    return is_ready and not owner_state.is_unreachable
--- a/packages/bendwind-core/src/bendwind_core/attempts/slots.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/slots.py
@@ -1,7 +1,7 @@
 """Decide whether an upstream bears one more attempt, and tell its load."""
 
 from bendwind_core.admission import find_room_at, is_cold
-from bendwind_core.attempts.desk import OwnerDesk, is_open
+from bendwind_core.attempts.owner_state import OwnerState, is_open
 from bendwind_core.attempts.pace import find_rest_ms, is_slow
 from bendwind_core.attempts.usual_times import find_run_rest_ms
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
@@ -14,67 +14,71 @@
 STALL_EXPECTED = 3.0
 
 
-def load_sample(desk: OwnerDesk, now: Seconds) -> LoadSample:
+def load_sample(owner_state: OwnerState, now: Seconds) -> LoadSample:
     """Count the load as of now."""
     return LoadSample(
-        in_flight=len(desk.running),
-        queued=len(desk.waiting),
-        slots=desk.slots,
-        latency_ms=desk.times.average_ms,
-        error_rate=desk.times.error_rate,
-        draining=not is_open(desk),
-        cold_wait_ms=find_cold_wait_ms(desk, len(desk.waiting), now),
-        wait_ms=find_free_wait_ms(desk, now),
+        in_flight=len(owner_state.running),
+        queued=len(owner_state.waiting),
+        slots=owner_state.slots,
+        latency_ms=owner_state.times.average_ms,
+        error_rate=owner_state.times.error_rate,
+        draining=not is_open(owner_state),
+        cold_wait_ms=find_cold_wait_ms(owner_state, len(owner_state.waiting), now),
+        wait_ms=find_free_wait_ms(owner_state, now),
     )
 
 
-def find_free_wait_ms(desk: OwnerDesk, now: Seconds) -> Milliseconds:
+def find_free_wait_ms(owner_state: OwnerState, now: Seconds) -> Milliseconds:
     """Estimate how long an attempt that came now would wait until it starts at the usual pace."""
-    phase_ms = find_rest_ms(desk.pace, now) if is_slow(desk.pace, now) else 0.0
-    slots = max(1, desk.run_limit)
-    if len(desk.running) + len(desk.waiting) < slots:
-        return max(phase_ms, find_cold_wait_ms(desk, len(desk.waiting), now))
-    rests = [find_run_rest_ms(desk, running, now) for running in desk.running.values()]
-    ahead_ms = len(desk.waiting) * desk.times.average_ms / slots
+    phase_ms = find_rest_ms(owner_state.pace, now) if is_slow(owner_state.pace, now) else 0.0
+    slots = max(1, owner_state.run_limit)
+    if len(owner_state.running) + len(owner_state.waiting) < slots:
+        return max(phase_ms, find_cold_wait_ms(owner_state, len(owner_state.waiting), now))
+    rests = [
+        find_run_rest_ms(owner_state, running, now) for running in owner_state.running.values()
+    ]
+    ahead_ms = len(owner_state.waiting) * owner_state.times.average_ms / slots
     slot_wait_ms = min(rests, default=0.0) + ahead_ms
-    return max(phase_ms, slot_wait_ms, find_cold_wait_ms(desk, len(desk.waiting), now))
+    return max(
+        phase_ms, slot_wait_ms, find_cold_wait_ms(owner_state, len(owner_state.waiting), now)
+    )
 
 
-def has_room(desk: OwnerDesk, now: Seconds, slots: int | None = None) -> bool:
+def has_room(owner_state: OwnerState, now: Seconds, slots: int | None = None) -> bool:
     """Tell whether the upstream may be sent one more attempt now; `slots` is how many it may run.
 
     Without `slots` the share holds that is used for requests.
     """
-    if len(desk.running) >= (desk.run_limit if slots is None else slots):
+    if len(owner_state.running) >= (owner_state.run_limit if slots is None else slots):
         return False
-    return not is_cold(desk.warm_up, now) or _find_cold_room_at(desk, 0, now) <= now
+    return not is_cold(owner_state.warm_up, now) or _find_cold_room_at(owner_state, 0, now) <= now
 
 
-def find_cold_wait_ms(desk: OwnerDesk, ahead: int, now: Seconds) -> Milliseconds:
+def find_cold_wait_ms(owner_state: OwnerState, ahead: int, now: Seconds) -> Milliseconds:
     """Return how long an attempt with so many ahead of it waits until a cold upstream bears it."""
-    if not is_cold(desk.warm_up, now):
+    if not is_cold(owner_state.warm_up, now):
         return 0.0
-    return (_find_cold_room_at(desk, ahead, now) - now) * MILLISECONDS_PER_SECOND
+    return (_find_cold_room_at(owner_state, ahead, now) - now) * MILLISECONDS_PER_SECOND
 
 
-def _find_cold_room_at(desk: OwnerDesk, ahead: int, now: Seconds) -> Seconds:
-    has_unsent = any(not running.is_sent for running in desk.running.values())
-    return find_room_at(desk.warm_up, ahead, now, has_unsent=has_unsent)
+def _find_cold_room_at(owner_state: OwnerState, ahead: int, now: Seconds) -> Seconds:
+    has_unsent = any(not running.is_sent for running in owner_state.running.values())
+    return find_room_at(owner_state.warm_up, ahead, now, has_unsent=has_unsent)
 
 
-def next_cold_room(desk: OwnerDesk, now: Seconds) -> Seconds | None:
+def next_cold_room(owner_state: OwnerState, now: Seconds) -> Seconds | None:
     """Return when a cold upstream may be sent the next waiting attempt, or None."""
-    has_slot = len(desk.running) < min(desk.slots, desk.connections)
-    if not desk.waiting or not has_slot or not is_cold(desk.warm_up, now):
+    has_slot = len(owner_state.running) < min(owner_state.slots, owner_state.connections)
+    if not owner_state.waiting or not has_slot or not is_cold(owner_state.warm_up, now):
         return None
-    room_at = _find_cold_room_at(desk, 0, now)
+    room_at = _find_cold_room_at(owner_state, 0, now)
     return room_at if room_at > now else None
 
 
-def is_stalled(desk: OwnerDesk, now: Seconds) -> bool:
+def is_stalled(owner_state: OwnerState, now: Seconds) -> bool:
     """Tell whether the running attempts take much longer than usual."""
     # At the usual pace, this many of the running attempts would have ended since the last one did.
-    if len(desk.running) < STALL_RUNNING:
+    if len(owner_state.running) < STALL_RUNNING:
         return False
-    expected = len(desk.running) * (now - desk.progress_at) * MILLISECONDS_PER_SECOND
-    return expected > STALL_EXPECTED * desk.times.average_ms > 0.0
+    expected = len(owner_state.running) * (now - owner_state.progress_at) * MILLISECONDS_PER_SECOND
+    return expected > STALL_EXPECTED * owner_state.times.average_ms > 0.0
--- a/packages/bendwind-core/src/bendwind_core/attempts/suspects.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/suspects.py
@@ -1,10 +1,10 @@
-"""Have an owner node's desk note what speaks for and against requests, and go by it."""
+"""Have an owner node note what speaks for and against requests, and go by it."""
 
 import msgspec
 
-from bendwind_core.attempts.desk import OwnerDesk, QueuedAttempt, RunningAttempt
 from bendwind_core.attempts.messages import NotRunReason
 from bendwind_core.attempts.owner_events import OwnerEffect, UpstreamEnded
+from bendwind_core.attempts.owner_state import OwnerState, QueuedAttempt, RunningAttempt
 from bendwind_core.attempts.upstream_end import number_hand_over, sign_hand_over, take_unanswered
 from bendwind_core.core import Milliseconds, Seconds
 from bendwind_core.suspicion import (
@@ -35,56 +35,63 @@
     wait_ms: Milliseconds | None = None
 
 
-def note_upstream_end(desk: OwnerDesk, now: Seconds, effects: list[OwnerEffect]) -> None:
+def note_upstream_end(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
     """Note that the upstream has ended, and hold that against what it had not answered."""
-    under = take_unanswered(desk.ends, now)
+    under = take_unanswered(owner_state.ends, now)
     # One that leaves as it said may break off what it runs.
-    if not under or desk.state is not UpstreamState.READY:
+    if not under or owner_state.state is not UpstreamState.READY:
         return
-    name = EndName(desk.suspects.own, desk.incarnation, desk.upstream, desk.ends.ends)
+    name = EndName(
+        owner_state.suspects.own,
+        owner_state.incarnation,
+        owner_state.upstream,
+        owner_state.ends.ends,
+    )
     for ended in under:
-        is_served = take_served(desk.served, ended.number, now)
-        note_end(desk.suspects, ended.signature, ended.service, name, now, is_served=is_served)
+        is_served = take_served(owner_state.served, ended.number, now)
+        note_end(
+            owner_state.suspects, ended.signature, ended.service, name, now, is_served=is_served
+        )
     effects.append(UpstreamEnded(under))
 
 
-def note_success(desk: OwnerDesk, running: RunningAttempt, now: Seconds) -> None:
+def note_success(owner_state: OwnerState, running: RunningAttempt, now: Seconds) -> None:
     """Note that a request was answered with success, which clears it of suspicion."""
     hand_over = running.hand_over
-    note_served(desk.served, number_hand_over(hand_over), now)
-    if desk.suspects.suspects:
-        clear(desk.suspects, running.signature or sign_hand_over(hand_over), now)
+    note_served(owner_state.served, number_hand_over(hand_over), now)
+    if owner_state.suspects.suspects:
+        clear(owner_state.suspects, running.signature or sign_hand_over(hand_over), now)
 
 
-def find_suspicion(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> Withheld | None:
+def find_suspicion(owner_state: OwnerState, queued: QueuedAttempt, now: Seconds) -> Withheld | None:
     """Return why a request is not let in, by what this process and its entry node know, or None."""
     hand_over = queued.hand_over
     queued.signature = sign_hand_over(hand_over)
     if hand_over.suspicion is not None:
-        hear_and_pass_on(desk.suspects, hand_over.suspicion, now)
-    match judge(desk.suspects, queued.signature, now):
+        hear_and_pass_on(owner_state.suspects, hand_over.suspicion, now)
+    match judge(owner_state.suspects, queued.signature, now):
         case Quarantined(wait_ms=wait_ms):
             return Withheld(NotRunReason.QUARANTINED, wait_ms)
         case RunApart(others=others):
-            if _count_other_suspects(desk, queued.signature) > others:
+            if _count_other_suspects(owner_state, queued.signature) > others:
                 return Withheld(NotRunReason.KEPT_APART)
             queued.is_suspect = True
-            note_let_in(desk.suspects, queued.signature, now)
+            note_let_in(owner_state.suspects, queued.signature, now)
     return None
 
 
-def _count_other_suspects(desk: OwnerDesk, signature: bytes) -> int:
+def _count_other_suspects(owner_state: OwnerState, signature: bytes) -> int:
     """Count the other suspects that run or wait at the upstream; beside a trial, none may."""
-    held = (*desk.running.values(), *desk.waiting.values())
+    held = (*owner_state.running.values(), *owner_state.waiting.values())
     others = {attempt.signature for attempt in held if attempt.is_suspect} - {signature}
-    suspects = (desk.suspects.suspects.get(other) for other in others)
-    has_trial = any(found and is_quarantined(desk.suspects, found) for found in suspects)
+    suspects = (owner_state.suspects.suspects.get(other) for other in others)
+    has_trial = any(found and is_quarantined(owner_state.suspects, found) for found in suspects)
     return MOST_TOGETHER if has_trial else len(others)
 
 
-def is_withheld_here(desk: OwnerDesk, queued: QueuedAttempt, now: Seconds) -> bool:
+def is_withheld_here(owner_state: OwnerState, queued: QueuedAttempt, now: Seconds) -> bool:
     """Tell whether a request that waits is not to run any more."""
-    if not desk.suspects.suspects:
+    if not owner_state.suspects.suspects:
         return False
     signature = queued.signature or sign_hand_over(queued.hand_over)
-    return is_withheld(desk.suspects, signature, now)
+    return is_withheld(owner_state.suspects, signature, now)
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/call_path_world.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/call_path_world.py
@@ -1,4 +1,4 @@
-"""Carry entry calls and owner desks over links that lose, repeat, reorder and break."""
+"""Carry entry calls and owners over links that lose, repeat, reorder and break."""
 
 import collections
 from dataclasses import dataclass, field
@@ -62,7 +62,7 @@
         self.orphans += [run for run in self.runs.values() if not run.is_read]
         self.runs = {}
         self.is_drained = False
-        self.desk = owner.create_desk(
+        self.owner_state = owner.create_owner_state(
             f"u{self.index}", self.incarnation, QUEUE, remembered_attempts=6, remembered_peers=1
         )
 
@@ -188,13 +188,13 @@
     # Owner side.
 
     def owner_step(self, node: OwnerNode, event) -> None:
-        for effect in owner.step(node.desk, event, self.now):
+        for effect in owner.step(node.owner_state, event, self.now):
             self.carry_owner(node, effect)
 
     def carry_owner(self, node: OwnerNode, effect) -> None:
         match effect:
             case ov.Dispatch(hand_over):
-                assert not node.is_drained, "a drained desk dispatched"
+                assert not node.is_drained, "a drained owner dispatched"
                 assert hand_over.attempt not in node.runs, "an attempt was dispatched twice"
                 node.runs[hand_over.attempt] = Run(hand_over)
                 assert len(node.runs) <= SLOTS, "slots exceeded"
@@ -214,12 +214,12 @@
             link.to_entry.append(message)
 
     def reply_running(self, node: OwnerNode, attempt, message) -> None:
-        running = node.desk.running.get(attempt)
+        running = node.owner_state.running.get(attempt)
         if running is not None:
             self.reply(node, attempt, running.epoch, message)
 
     def announce(self, node: OwnerNode, state: UpstreamState) -> None:
-        node.is_drained &= state is not UpstreamState.READY or node.desk.is_stopping
+        node.is_drained &= state is not UpstreamState.READY or node.owner_state.is_stopping
         self.owner_step(node, ov.UpstreamAnnounced(SLOTS, SLOTS, state))
 
     # The upstream.
@@ -329,6 +329,6 @@
             self.entry_step(self.callers[due[0][0]], ev.TimerFired(due[0][1]))
         self.now = until
         for node in self.owners:
-            next_due = owner.next_due(node.desk, self.now)
+            next_due = owner.next_due(node.owner_state, self.now)
             if next_due is not None and next_due <= until:
                 self.owner_step(node, ov.Tick())
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/room_load.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/room_load.py
@@ -31,7 +31,7 @@
         self.kinds = kinds
         self.rng = random.Random(seed)
         self.customers = customers or {}
-        self.desk = owner.create_desk("u", 1, 16)
+        self.owner_state = owner.create_owner_state("u", 1, 16)
         self.now = 0.0
         self.agenda = []
         self.ticks_at = None
@@ -89,13 +89,13 @@
         return self.rng.choices(list(self.customers), list(self.customers.values()))[0]
 
     def step(self, event):
-        for effect in owner.step(self.desk, event, self.now):
+        for effect in owner.step(self.owner_state, event, self.now):
             if isinstance(effect, ov.Dispatch):
                 kind = self.kind_of[effect.hand_over.attempt]
                 work_s = kind.work_ms / 1000 * self.rng.lognormvariate(-0.045, 0.3)
                 self.plan(self.now + work_s, ("end", (effect.hand_over.attempt, work_s)))
-        assert len(self.desk.running) <= SLOTS
-        due = owner.next_due(self.desk, self.now)
+        assert len(self.owner_state.running) <= SLOTS
+        due = owner.next_due(self.owner_state, self.now)
         if due is not None and (self.ticks_at is None or due < self.ticks_at):
             self.ticks_at = due
             self.plan(max(due, self.now), ("tick", due))
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_admission.py
@@ -9,12 +9,12 @@
 
 
 class AdmissionTest(unittest.TestCase):
-    """Drive one desk whose upstream has two slots and takes 100 ms for each request of `slow`."""
+    """Drive one owner whose upstream has two slots and takes 100 ms for each request of `slow`."""
 
     def setUp(self):
         self.now = 0.0
         self.sequence = 0
-        self.desk = owner.create_desk("u", 1, 16)
+        self.owner_state = owner.create_owner_state("u", 1, 16)
         self.step(ov.UpstreamAnnounced(2, 2, UpstreamState.READY))
         for route, upstream_ms in (("slow", 100.0), ("quick", 10.0)):
             for _ in range(5):
@@ -23,7 +23,7 @@
                 self.step(ov.DispatchDone(attempt))
 
     def step(self, event):
-        return owner.step(self.desk, event, self.now)
+        return owner.step(self.owner_state, event, self.now)
 
     def hand_over(self, route="slow", target_ms=1000.0, remaining_ms=1000.0, insist=True):
         self.sequence += 1
@@ -46,7 +46,7 @@
 
     def test_route_without_an_answer_yet_is_expected_to_take_a_share_of_its_objective(self):
         # An upstream that had just started took all that came, and answered most of it late.
-        self.desk = owner.create_desk("u", 1, 16)
+        self.owner_state = owner.create_owner_state("u", 1, 16)
         self.step(ov.UpstreamAnnounced(2, 2, UpstreamState.READY))
         answers = [self.hand_over("new", 300.0, 300.0) for _ in range(12)]
         refused = [effects for effects in answers if effects and self.reason(effects)]
@@ -58,7 +58,7 @@
             self.now += report_age
             effects = self.hand_over(target_ms=4000.0, remaining_ms=4000.0)
             while not (started := [one for one in effects if isinstance(one, ov.Dispatch)]):
-                self.now = owner.next_due(self.desk, self.now)
+                self.now = owner.next_due(self.owner_state, self.now)
                 effects = self.step(ov.Tick())
             attempt = started[0].hand_over.attempt
             self.step(ov.DispatchHead(attempt, 200, upstream_ms))
@@ -68,15 +68,15 @@
         # Runs that began in a slow phase were taken for usual ones; upstreams then refused for
         # seconds what they had free slots for.
         self.run_slow(4.0, 400.0, 20)
-        self.assertAlmostEqual(self.desk.route_times["slow"], 100.0, delta=1.0)
+        self.assertAlmostEqual(self.owner_state.route_times["slow"], 100.0, delta=1.0)
 
     def test_a_phase_that_began_unseen_does_not_stretch_the_usual_time(self):
         self.run_slow(1.0, 400.0, 2, report_age=1.0)
-        self.assertLess(self.desk.route_times["slow"], 110.0)
+        self.assertLess(self.owner_state.route_times["slow"], 110.0)
 
     def test_a_route_that_takes_longer_than_before_is_followed(self):
         self.run_slow(1.0, 300.0, 40)
-        self.assertGreater(self.desk.route_times["slow"], 250.0)
+        self.assertGreater(self.owner_state.route_times["slow"], 250.0)
 
     def test_most_urgent_starts_first(self):
         first = self.fill()[0]
@@ -105,7 +105,7 @@
         self.now += 0.1
         self.assertEqual(self.hand_over(target_ms=350.0), [])
         self.assertIsInstance(self.hand_over("quick", target_ms=350.0)[0], ov.Dispatch)
-        self.now = owner.next_due(self.desk, self.now)
+        self.now = owner.next_due(self.owner_state, self.now)
         self.assertEqual(self.step(ov.Tick()), [ov.AskLoad()])
         started = self.step(ov.LoadReported(1.0))
         self.assertEqual(started[0].hand_over.route, "slow")
@@ -118,7 +118,7 @@
             self.step(ov.LoadReported(4.0))
             self.now += 0.2
             self.assertEqual(self.hand_over(target_ms=350.0, insist=insist), [])
-            self.now = owner.next_due(self.desk, self.now)
+            self.now = owner.next_due(self.owner_state, self.now)
             self.step(ov.Tick())
             answers[insist] = self.step(ov.LoadReported(4.0))
         self.assertIs(self.reason(answers[False]), NotRunReason.STALLED)
@@ -137,11 +137,11 @@
         self.step(ov.LoadReported(4.0))
         self.now += 0.1
         self.hand_over(target_ms=320.0)
-        self.now = owner.next_due(self.desk, self.now)
+        self.now = owner.next_due(self.owner_state, self.now)
         self.assertEqual(self.step(ov.Tick()), [ov.AskLoad()])
         self.now += 0.005
         self.assertEqual(self.step(ov.LoadReported(4.0)), [])
-        self.now = owner.next_due(self.desk, self.now)
+        self.now = owner.next_due(self.owner_state, self.now)
         self.assertAlmostEqual(self.now, 0.1 + 0.22)
         self.assertIsInstance(self.step(ov.Tick())[0], ov.Dispatch)
 
@@ -149,11 +149,11 @@
         self.step(ov.LoadReported(4.0))
         self.now += 0.1
         self.hand_over(target_ms=350.0)
-        self.now = owner.next_due(self.desk, self.now)
+        self.now = owner.next_due(self.owner_state, self.now)
         self.step(ov.Tick())
         self.now += 0.02
         self.assertEqual(self.step(ov.LoadReported(4.0)), [])
-        self.assertAlmostEqual(self.desk.pace.began_at, TYPICAL_PHASE)
+        self.assertAlmostEqual(self.owner_state.pace.began_at, TYPICAL_PHASE)
 
     def test_request_starts_blindly_where_the_upstream_does_not_tell_its_load(self):
         self.step(ov.LoadReported(1.0))
@@ -176,14 +176,14 @@
         self.step(ov.LoadReported(1.0))
         self.now += 1.0
         self.hand_over()
-        self.now = owner.next_due(self.desk, self.now)
+        self.now = owner.next_due(self.owner_state, self.now)
         self.assertIsInstance(self.step(ov.Tick())[0], ov.Dispatch)
 
     def tell_origins(self):
-        """Show the desk that `quick` is a call of one service's upstreams, unlike `slow`."""
+        """Show the owner that `quick` is a call of one service's upstreams, unlike `slow`."""
         for number in range(2 * MOST_SEEN):
-            note_origin(self.desk.origins, "quick", "till")
-            note_origin(self.desk.origins, "slow", ("till", "ledger", "portal")[number % 3])
+            note_origin(self.owner_state.origins, "quick", "till")
+            note_origin(self.owner_state.origins, "slow", ("till", "ledger", "portal")[number % 3])
 
     def test_call_of_an_upstream_may_wait_to_its_deadline(self):
         # Refused at its objective, it made the run that waited for it fail.
@@ -218,19 +218,19 @@
         self.assertEqual(self.hand_over(target_ms=900.0), [])
         for _ in range(20):
             self.hand_over("quick", target_ms=800.0)
-        self.assertEqual(len(self.desk.waiting), 21)
+        self.assertEqual(len(self.owner_state.waiting), 21)
 
     def test_what_got_no_slot_in_time_is_given_back_before_its_deadline(self):
         self.fill()
         self.assertEqual(self.hand_over(target_ms=400.0, remaining_ms=2000.0), [])
-        self.now = owner.next_due(self.desk, self.now)
+        self.now = owner.next_due(self.owner_state, self.now)
         self.assertAlmostEqual(self.now, 0.3)
         self.assertIs(self.reason(self.step(ov.Tick())), NotRunReason.QUEUE_FULL)
 
     def test_share_of_the_slots_stays_unused(self):
-        desk = owner.create_desk("u", 1, 16, slot_share=0.8)
-        owner.step(desk, ov.UpstreamAnnounced(6, 6, UpstreamState.READY), 0.0)
-        self.assertEqual(desk.run_limit, 4)
+        owner_state = owner.create_owner_state("u", 1, 16, slot_share=0.8)
+        owner.step(owner_state, ov.UpstreamAnnounced(6, 6, UpstreamState.READY), 0.0)
+        self.assertEqual(owner_state.run_limit, 4)
 
 
 if __name__ == "__main__":
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_busy_owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_busy_owner.py
@@ -5,14 +5,14 @@
 from bendwind_core.attempts import HandOver, NotRunReason
 from bendwind_core.attempts import owner_events as ev
 from bendwind_core.attempts.messages import AttemptId
-from bendwind_core.attempts.owner import create_desk, load_sample, step
+from bendwind_core.attempts.owner import create_owner_state, load_sample, step
 from bendwind_core.world import Repeat, UpstreamState
 
 
 class BusyOwnerTest(unittest.TestCase):
     def setUp(self):
-        self.desk = create_desk("u", 1, 16)
-        step(self.desk, ev.UpstreamAnnounced(2, 20, UpstreamState.READY), 0.0)
+        self.owner_state = create_owner_state("u", 1, 16)
+        step(self.owner_state, ev.UpstreamAnnounced(2, 20, UpstreamState.READY), 0.0)
         self.sequence = 0
 
     def hand_over(self, now, *, may_wait=False):
@@ -33,10 +33,10 @@
             target_ms=955.0,
             may_wait=may_wait,
         )
-        return step(self.desk, ev.HandOverArrived(hand_over, 1), now)
+        return step(self.owner_state, ev.HandOverArrived(hand_over, 1), now)
 
     def report(self, factor, now):
-        return step(self.desk, ev.LoadReported(factor), now)
+        return step(self.owner_state, ev.LoadReported(factor), now)
 
     def list_reasons(self, effects):
         return [effect.reason for effect in effects if isinstance(effect, ev.ReplyNotRun)]
@@ -56,7 +56,7 @@
         [asked] = self.hand_over(1.0)
         self.assertIsInstance(asked, ev.AskLoad)
         self.assertEqual(self.list_reasons(self.report(5.0, 1.001)), [NotRunReason.BUSY])
-        self.assertFalse(self.desk.waiting)
+        self.assertFalse(self.owner_state.waiting)
 
     def test_the_usual_pace_told_while_it_is_held_starts_it(self):
         self.report(1.0, 0.5)
@@ -67,7 +67,7 @@
         self.report(1.0, 0.98)
         self.report(5.0, 1.0)
         self.assertEqual(self.list_reasons(self.hand_over(1.01, may_wait=True)), [])
-        self.assertEqual(len(self.desk.waiting), 1)
+        self.assertEqual(len(self.owner_state.waiting), 1)
 
     def test_a_refusal_as_slow_asks_anew_so_that_the_next_one_goes_by_it(self):
         self.report(1.0, 0.98)
@@ -80,7 +80,7 @@
 
     def test_a_free_upstream_tells_no_wait(self):
         self.report(1.0, 1.0)
-        self.assertEqual(load_sample(self.desk, 1.0).wait_ms, 0.0)
+        self.assertEqual(load_sample(self.owner_state, 1.0).wait_ms, 0.0)
 
 
 if __name__ == "__main__":
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_cold_upstream.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_cold_upstream.py
@@ -13,16 +13,16 @@
 
 
 class ColdUpstreamTest(unittest.TestCase):
-    """Drive one desk whose upstream has twenty slots and answers at once."""
+    """Drive one owner whose upstream has twenty slots and answers at once."""
 
     def setUp(self):
         self.now = 100.0
         self.sequence = 0
-        self.desk = owner.create_desk("u", 1, 64, warm_up=WarmUp(LIMITS, RULE))
+        self.owner_state = owner.create_owner_state("u", 1, 64, warm_up=WarmUp(LIMITS, RULE))
         self.step(ov.UpstreamAnnounced(20, 20, UpstreamState.READY))
 
     def step(self, event):
-        return owner.step(self.desk, event, self.now)
+        return owner.step(self.owner_state, event, self.now)
 
     def hand_over(self, target_ms=None, remaining_ms=10_000.0):
         self.sequence += 1
@@ -57,8 +57,8 @@
     def test_cold_upstream_is_sent_what_it_bears_and_the_rest_later(self):
         self.step(ov.WarmUpTold(3000.0))
         self.assert_spared(self.press(1.0))
-        self.assertTrue(self.desk.waiting)
-        due = owner.next_due(self.desk, self.now)
+        self.assertTrue(self.owner_state.waiting)
+        due = owner.next_due(self.owner_state, self.now)
         self.assertLess(due, self.now + SPAN / LIMIT)
 
     def test_warm_upstream_is_sent_all(self):
@@ -96,7 +96,7 @@
         self.answer(self.hand_over(), [])
         self.hand_over(target_ms=8000.0)
         self.hand_over(target_ms=4000.0)
-        self.now = owner.next_due(self.desk, self.now)
+        self.now = owner.next_due(self.owner_state, self.now)
         first = self.step(ov.Tick())[0]
         self.assertEqual(first.hand_over.attempt.sequence, 3)
 
@@ -109,15 +109,15 @@
 
 
 class UnreachableUpstreamTest(unittest.TestCase):
-    """Drive one desk whose upstream refuses connections."""
+    """Drive one owner whose upstream refuses connections."""
 
     def setUp(self):
-        self.desk = owner.create_desk("u", 1, 64)
+        self.owner_state = owner.create_owner_state("u", 1, 64)
         self.step(ov.UpstreamAnnounced(2, 20, UpstreamState.READY))
         self.sequence = 0
 
     def step(self, event):
-        return owner.step(self.desk, event, 1.0)
+        return owner.step(self.owner_state, event, 1.0)
 
     def hand_over(self):
         self.sequence += 1
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_dependency_full.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_dependency_full.py
@@ -5,7 +5,7 @@
 from bendwind_core.attempts import HandOver, NotRunReason
 from bendwind_core.attempts import owner_events as ev
 from bendwind_core.attempts.messages import AttemptId
-from bendwind_core.attempts.owner import create_desk, step
+from bendwind_core.attempts.owner import create_owner_state, step
 from bendwind_core.world import Repeat, UpstreamState
 
 
@@ -29,24 +29,24 @@
 
 class DependencyFullTest(unittest.TestCase):
     def setUp(self):
-        self.desk = create_desk("u1", 1, 16)
+        self.owner_state = create_owner_state("u1", 1, 16)
         announced = ev.UpstreamAnnounced(20, 20, UpstreamState.READY)
-        step(self.desk, announced, 0.0)
-        step(self.desk, ev.LinkOpened("entry", 1, 1), 0.0)
+        step(self.owner_state, announced, 0.0)
+        step(self.owner_state, ev.LinkOpened("entry", 1, 1), 0.0)
         self.sequence = 0
 
     def run_one(self, now, status, *, is_call_refused):
         """Hand one request over and return why it was refused, None if it ran."""
         self.sequence += 1
         hand_over = make_hand_over(self.sequence)
-        effects = step(self.desk, ev.HandOverArrived(hand_over, 1), now)
+        effects = step(self.owner_state, ev.HandOverArrived(hand_over, 1), now)
         refused = [effect.reason for effect in effects if isinstance(effect, ev.ReplyNotRun)]
         if refused:
             return refused[0]
         if is_call_refused:
-            step(self.desk, ev.CallRefused(), now + 0.01)
-        step(self.desk, ev.DispatchHead(hand_over.attempt, status, 20.0), now + 0.02)
-        step(self.desk, ev.DispatchDone(hand_over.attempt), now + 0.02)
+            step(self.owner_state, ev.CallRefused(), now + 0.01)
+        step(self.owner_state, ev.DispatchHead(hand_over.attempt, status, 20.0), now + 0.02)
+        step(self.owner_state, ev.DispatchDone(hand_over.attempt), now + 0.02)
         return None
 
     def run_many(self, status, *, is_call_refused):
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fencing.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fencing.py
@@ -6,30 +6,30 @@
 
 
 class LaterLinkTest(unittest.TestCase):
-    """Drive one desk whose upstream has one slot."""
+    """Drive one owner whose upstream has one slot."""
 
     def setUp(self):
-        self.desk = owner.create_desk("u", 1, 16)
-        owner.step(self.desk, ov.UpstreamAnnounced(1, 1, UpstreamState.READY), 0.0)
+        self.owner_state = owner.create_owner_state("u", 1, 16)
+        owner.step(self.owner_state, ov.UpstreamAnnounced(1, 1, UpstreamState.READY), 0.0)
 
     def hand_over(self, sequence, epoch):
         attempt = AttemptId("e", 1, sequence)
         message = HandOver(attempt, 1, "s", "u", "GET", b"/", (), 1000.0, Repeat.IDEMPOTENT, 1)
-        return owner.step(self.desk, ov.HandOverArrived(message, epoch), 0.0)
+        return owner.step(self.owner_state, ov.HandOverArrived(message, epoch), 0.0)
 
     def test_hand_over_of_a_later_link_gives_up_what_waits_of_an_earlier_one(self):
         # Found by fuzzing: it waited on where the hand-over came before the link's opening.
         self.hand_over(1, 1)
         self.hand_over(2, 1)
         effects = self.hand_over(3, 2)
-        self.assertEqual([queued.epoch for queued in self.desk.waiting.values()], [2])
+        self.assertEqual([queued.epoch for queued in self.owner_state.waiting.values()], [2])
         self.assertIsInstance(effects[0], ov.CancelDispatch)
-        self.assertEqual(owner.step(self.desk, ov.LinkOpened("e", 1, 2), 0.0), [])
+        self.assertEqual(owner.step(self.owner_state, ov.LinkOpened("e", 1, 2), 0.0), [])
 
     def test_hand_over_of_an_earlier_link_is_passed_over(self):
         self.hand_over(1, 2)
         self.assertEqual(self.hand_over(2, 1), [])
-        self.assertFalse(self.desk.waiting)
+        self.assertFalse(self.owner_state.waiting)
 
 
 if __name__ == "__main__":
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_free_upstreams.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_free_upstreams.py
@@ -15,7 +15,7 @@
 from bendwind_core.attempts.admission import has_place_at_once
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.call import create_call
-from bendwind_core.attempts.desk import QueuedAttempt
+from bendwind_core.attempts.owner_state import QueuedAttempt
 from bendwind_core.limits import RetryBudget
 from bendwind_core.routing import (
     choose_upstream,
@@ -39,10 +39,10 @@
 
 
 class Place(msgspec.Struct, eq=False):
-    """Hold one upstream and its owner's desk."""
+    """Hold one upstream and its owner's state."""
 
     upstream: Upstream
-    desk: owner.OwnerDesk
+    owner_state: owner.OwnerState
     slow_until: float = 0.0
 
 
@@ -55,7 +55,7 @@
 
 
 class Replay:
-    """Play callers of one service against entry tables and owners' desks; messages take no time."""
+    """Play callers of one service against entry tables and owners; messages take no time."""
 
     def __init__(self, upstreams, nodes, per_second, has_phases, seed=1):
         self.rng = random.Random(seed)
@@ -81,11 +81,11 @@
 
     def _add(self, name):
         upstream = Upstream(name, "s", Instance(name, "dc", "h", 1, 1), SLOTS, 30)
-        desk = owner.create_desk(name, 1, 16, slot_share=SLOT_SHARE)
-        place = Place(upstream, desk)
+        owner_state = owner.create_owner_state(name, 1, 16, slot_share=SLOT_SHARE)
+        place = Place(upstream, owner_state)
         self.places[name] = place
-        owner.step(desk, ov.UpstreamAnnounced(SLOTS, 30, UpstreamState.READY), 0.0)
-        owner.step(desk, ov.LoadReported(1.0), 0.0)
+        owner.step(owner_state, ov.UpstreamAnnounced(SLOTS, 30, UpstreamState.READY), 0.0)
+        owner.step(owner_state, ov.LoadReported(1.0), 0.0)
         if self.has_phases:
             self.at(self.rng.expovariate(1 / BETWEEN_PHASES), lambda: self._slow(place))
 
@@ -153,10 +153,12 @@
         self.step(place, ov.HandOverArrived(hand_over, 1))
 
     def _is_free(self, place, queued):
-        return has_place_at_once(place.desk, queued, self.now) and self.now >= place.slow_until
+        return (
+            has_place_at_once(place.owner_state, queued, self.now) and self.now >= place.slow_until
+        )
 
     def step(self, place, event):
-        for effect in owner.step(place.desk, event, self.now):
+        for effect in owner.step(place.owner_state, event, self.now):
             match effect:
                 case ov.Dispatch(hand_over=hand_over):
                     self._start(place, hand_over.attempt)
@@ -164,7 +166,7 @@
                     self.at(self.now + ASK, lambda: self._report(place))
                 case ov.ReplyNotRun(attempt=attempt, reason=reason, load=load, wait_ms=wait_ms):
                     self._send_back(place, attempt, reason, load, wait_ms)
-        due = owner.next_due(place.desk, self.now)
+        due = owner.next_due(place.owner_state, self.now)
         if due is not None:
             self.at(max(due, self.now + 0.001), lambda: self._tick(place))
 
@@ -172,7 +174,7 @@
         self.step(place, ov.LoadReported(self.factor(place)))
 
     def _tick(self, place):
-        due = owner.next_due(place.desk, self.now)
+        due = owner.next_due(place.owner_state, self.now)
         if due is not None and due <= self.now:
             self.step(place, ov.Tick())
 
@@ -190,7 +192,7 @@
         self.step(place, ov.DispatchHead(attempt, 200, took * 1000))
         self.step(place, ov.DispatchDone(attempt))
         run = self.runs[attempt]
-        load = owner.load_sample(place.desk, self.now)
+        load = owner.load_sample(place.owner_state, self.now)
         note_answered(run.table, place.upstream.name, attempt, self.now, 200, load)
         self.feed(run, ev.AttemptHead(attempt, 200, True))
 
@@ -199,7 +201,7 @@
         self.sent_back[reason] += 1
         name = place.upstream.name
         note_not_run(run.table, name, attempt, self.now, reason, load)
-        # As a message would come: after what the desk still does in this step.
+        # As a message would come: after what the owner still does in this step.
         self.at(self.now, lambda: self.feed(run, ev.AttemptNotRun(attempt, reason, load, wait_ms)))
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_call_path.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_call_path.py
@@ -1,4 +1,4 @@
-"""Check calls end to end: entry machines, links, desks and upstreams that count their runs."""
+"""Check calls end to end: entry machines, links, owners and upstreams that count their runs."""
 
 import unittest
 
@@ -169,10 +169,10 @@
     @invariant()
     def bounds_hold(self):
         for node in self.world.owners:
-            assert len(node.desk.running) <= SLOTS and node.desk.queue.size <= QUEUE
-            assert node.desk.queue.size == len(node.desk.waiting)
-            log = node.desk.log
-            live = len(node.desk.running) + len(node.desk.waiting)
+            assert len(node.owner_state.running) <= SLOTS and node.owner_state.queue.size <= QUEUE
+            assert node.owner_state.queue.size == len(node.owner_state.waiting)
+            log = node.owner_state.log
+            live = len(node.owner_state.running) + len(node.owner_state.waiting)
             assert len(log.ended) <= log.capacity and len(log.fates) == len(log.ended) + live
             assert len(log.peers) <= log.peer_capacity
         for entry_node in self.world.entries:
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_cold.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_cold.py
@@ -21,7 +21,7 @@
 
 
 class ColdUpstream(RuleBasedStateMachine):
-    """Drive the desk of one upstream; both the node's process and the upstream start again."""
+    """Drive the owner of one upstream; both the node's process and the upstream start again."""
 
     def __init__(self):
         super().__init__()
@@ -40,7 +40,7 @@
         self.connecting.clear()
         self.running.clear()
         warm_up = WarmUp(LIMITS, RULE, assumed_at=self.now, sent_at=self.now)
-        self.desk = owner.create_desk("u", self.incarnation, 16, warm_up=warm_up)
+        self.owner_state = owner.create_owner_state("u", self.incarnation, 16, warm_up=warm_up)
         self.step(ov.UpstreamAnnounced(SLOTS, 50, UpstreamState.READY))
 
     @property
@@ -48,7 +48,7 @@
         return self.born_at + RULE.seconds
 
     def step(self, event):
-        for effect in owner.step(self.desk, event, self.now):
+        for effect in owner.step(self.owner_state, event, self.now):
             match effect:
                 case ov.Dispatch(hand_over=hand_over):
                     self.connecting[hand_over.attempt] = self.now
@@ -125,11 +125,11 @@
         while True:
             # A dispatch waits for a connection for a second at most.
             dues = [at + 1.0 for at in self.connecting.values()]
-            due = owner.next_due(self.desk, self.now)
+            due = owner.next_due(self.owner_state, self.now)
             soonest = min([until, *dues, *([] if due is None else [max(due, self.now)])])
             if soonest >= until:
                 break
-            assert soonest > self.now or dues, "the desk asks to be looked at without end"
+            assert soonest > self.now or dues, "the owner asks to be looked at without end"
             self.now = soonest
             if any(at + 1.0 <= self.now for at in self.connecting.values()):
                 self.connect()
@@ -146,7 +146,7 @@
         self.connecting.clear()
         self.running.clear()
         self.later = []
-        for attempt in list(self.desk.running):
+        for attempt in list(self.owner_state.running):
             self.later.append(ov.DispatchUnknown(attempt, CutReason.UPSTREAM_RESET))
         self.run_later()
         self.later = []
@@ -157,7 +157,7 @@
     def turn_cold_during_an_evacuation(self):
         self.step(ov.UpstreamAnnounced(SLOTS, 50, UpstreamState.DRAINING))
         self.step(ov.WaitingWithdrawn())
-        assert not self.desk.waiting
+        assert not self.owner_state.waiting
         self.connect()
         asked_at = self.now
         self.now += 0.01
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_owner.py
@@ -1,4 +1,4 @@
-"""Check one owner desk against a model that remembers every attempt for ever."""
+"""Check one owner against a model that remembers every attempt for ever."""
 
 import unittest
 
@@ -30,7 +30,7 @@
 incarnations = st.sampled_from([INCARNATION] * 5 + [INCARNATION - 1])
 
 
-class Desk(RuleBasedStateMachine):
+class Owner(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
         self.now = 0.0
@@ -46,7 +46,7 @@
     )
     def create(self, peers, remembered):
         self.peers, self.remembered = peers, remembered
-        self.desk = owner.create_desk(
+        self.owner_state = owner.create_owner_state(
             "u",
             INCARNATION,
             QUEUE,
@@ -58,11 +58,11 @@
 
     def step(self, event):
         lines = self._lines(event)
-        for effect in owner.step(self.desk, event, self.now):
+        for effect in owner.step(self.owner_state, event, self.now):
             self.check(effect, lines)
 
     def _lines(self, event):
-        lines = {entry: len(line) for entry, line in self.desk.queue.lines.items()}
+        lines = {entry: len(line) for entry, line in self.owner_state.queue.lines.items()}
         if isinstance(event, ov.HandOverArrived):
             entry = event.hand_over.attempt.entry
             lines[entry] = lines.get(entry, 0) + 1
@@ -79,7 +79,9 @@
                 assert not self.is_drained
                 self.started.add(attempt)
                 self.running[attempt] = hand_over
-                assert len(self.running) <= min(self.desk.slots, self.desk.connections)
+                assert len(self.running) <= min(
+                    self.owner_state.slots, self.owner_state.connections
+                )
             case ov.ReplyNotRun(attempt, _, reason):
                 assert attempt not in self.started, "told not-run, but it started"
                 self.proven.add(attempt)
@@ -92,7 +94,7 @@
             case ov.CancelDispatch(attempt):
                 assert attempt in self.running
             case ov.Drained():
-                assert not self.running and not self.desk.waiting
+                assert not self.running and not self.owner_state.waiting
                 self.is_drained = True
 
     def check_verdict(self, attempt, verdict):
@@ -167,7 +169,7 @@
                 self.step(ov.Drain())
 
     def check_abandoned(self, attempt, epoch):
-        for other, queued in self.desk.waiting.items():
+        for other, queued in self.owner_state.waiting.items():
             is_same = other.entry == attempt.entry and other.incarnation == attempt.incarnation
             assert not is_same or queued.epoch > epoch, "kept what nobody awaits"
 
@@ -197,7 +199,7 @@
         state=st.sampled_from([UpstreamState.READY] * 8 + list(UpstreamState)),
     )
     def announce(self, slots, connections, state):
-        if state is UpstreamState.READY and not self.desk.is_stopping:
+        if state is UpstreamState.READY and not self.owner_state.is_stopping:
             self.is_drained = False
         before = len(self.running)
         self.step(ov.UpstreamAnnounced(slots, connections, state))
@@ -206,33 +208,35 @@
     @rule(dt=st.sampled_from([0.001, 0.02, 2.0]))
     def advance(self, dt):
         self.now += dt
-        due = owner.next_due(self.desk, self.now)
+        due = owner.next_due(self.owner_state, self.now)
         if due is not None and due <= self.now:
             self.step(ov.Tick())
-            due = owner.next_due(self.desk, self.now)
+            due = owner.next_due(self.owner_state, self.now)
             assert due is None or due > self.now, "kept an expired attempt"
 
     @invariant()
     def bounds_hold(self):
-        if not hasattr(self, "desk"):
+        if not hasattr(self, "owner_state"):
             return
-        desk, log = self.desk, self.desk.log
-        assert set(desk.running) == set(self.running)
-        assert desk.queue.size + len(desk.timed) == len(desk.waiting)
-        assert desk.queue.size <= QUEUE and len(desk.timed) <= QUEUE
+        owner_state, log = self.owner_state, self.owner_state.log
+        assert set(owner_state.running) == set(self.running)
+        assert owner_state.queue.size + len(owner_state.timed) == len(owner_state.waiting)
+        assert owner_state.queue.size <= QUEUE and len(owner_state.timed) <= QUEUE
         assert len(log.ended) <= log.capacity and len(log.peers) <= log.peer_capacity
-        assert len(log.fates) == len(log.ended) + len(desk.running) + len(desk.waiting)
-        has_slot = len(desk.running) < min(desk.slots, desk.connections)
-        assert not (has_slot and desk.queue.size), "a slot is idle while attempts wait"
-        if has_slot and len(desk.timed):
-            due = owner.next_due(desk, self.now)
+        assert len(log.fates) == len(log.ended) + len(owner_state.running) + len(
+            owner_state.waiting
+        )
+        has_slot = len(owner_state.running) < min(owner_state.slots, owner_state.connections)
+        assert not (has_slot and owner_state.queue.size), "a slot is idle while attempts wait"
+        if has_slot and len(owner_state.timed):
+            due = owner.next_due(owner_state, self.now)
             assert due is not None, "an attempt is held back and nothing will start it"
             # What is held back is so for a slow phase, or for the moment that a question takes.
-            assert due <= self.now + TYPICAL_PHASE or desk.pace.lengths
+            assert due <= self.now + TYPICAL_PHASE or owner_state.pace.lengths
 
 
-TestDesk = Desk.TestCase
-TestDesk.settings = settings(max_examples=max(600, settings().max_examples))
+TestOwner = Owner.TestCase
+TestOwner.settings = settings(max_examples=max(600, settings().max_examples))
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_room.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_room.py
@@ -38,14 +38,16 @@
 
     @initialize()
     def create(self):
-        self.desk = owner.create_desk("u", 1, QUEUE, timed_queue=QUEUE, slot_share=0.8)
+        self.owner_state = owner.create_owner_state(
+            "u", 1, QUEUE, timed_queue=QUEUE, slot_share=0.8
+        )
         self.step(ov.UpstreamAnnounced(SLOTS, 9, UpstreamState.READY))
         for number in range(MOST_SEEN - 1):
-            note_origin(self.desk.origins, "call", "shop")
-            note_origin(self.desk.origins, "check", f"place-{number % 3}")
+            note_origin(self.owner_state.origins, "call", "shop")
+            note_origin(self.owner_state.origins, "check", f"place-{number % 3}")
 
     def step(self, event):
-        for effect in owner.step(self.desk, event, self.now):
+        for effect in owner.step(self.owner_state, event, self.now):
             match effect:
                 case ov.Dispatch(hand_over=hand_over):
                     self.settle(hand_over.attempt)
@@ -86,7 +88,7 @@
         self.waiting[attempt] = message
         self.step(ov.HandOverArrived(message, 1))
         # A question after the pace is the moment that starting takes.
-        is_asked = not is_known(self.desk.pace, self.now)
+        is_asked = not is_known(self.owner_state.pace, self.now)
         assert may_wait or is_asked or attempt not in self.waiting, "waits though it may not"
 
     @rule(count=st.sampled_from([10, 20]))
@@ -113,20 +115,22 @@
 
     def find_next(self):
         """Return what has to start once a run ends: the most urgent, if a slot will be free."""
-        if self.is_held or len(self.running) != USED - 1 or len(self.desk.running) != USED:
+        if self.is_held or len(self.running) != USED - 1 or len(self.owner_state.running) != USED:
             return None
-        ranks = {attempt: queued.rank for attempt, queued in self.desk.waiting.items()}
+        ranks = {attempt: queued.rank for attempt, queued in self.owner_state.waiting.items()}
         most_urgent = [attempt for attempt, rank in ranks.items() if rank == min(ranks.values())]
         if len(most_urgent) != 1:
             return None
-        queued = self.desk.waiting[most_urgent[0]]
-        is_kept = self.now < find_slot_kept_until(self.desk, queued)
+        queued = self.owner_state.waiting[most_urgent[0]]
+        is_kept = self.now < find_slot_kept_until(self.owner_state, queued)
         return None if is_kept else most_urgent[0]
 
     @property
     def is_held(self):
         """Tell whether what waits may do so for the upstream's pace."""
-        return is_slow(self.desk.pace, self.now) or not is_known(self.desk.pace, self.now)
+        return is_slow(self.owner_state.pace, self.now) or not is_known(
+            self.owner_state.pace, self.now
+        )
 
     @rule(pick=st.integers(1, 30))
     def cancel(self, pick):
@@ -137,39 +141,39 @@
     @rule(dt=st.sampled_from([0.001, 0.02, 0.3]))
     def advance(self, dt):
         until = self.now + dt
-        while (due := owner.next_due(self.desk, self.now)) is not None and due <= until:
+        while (due := owner.next_due(self.owner_state, self.now)) is not None and due <= until:
             assert due > self.now or due == self.now, "looks back"
             self.now = max(self.now, due)
             self.step(ov.Tick())
-            again = owner.next_due(self.desk, self.now)
+            again = owner.next_due(self.owner_state, self.now)
             assert again is None or again > self.now, "would look again at once, for ever"
         self.now = until
 
     @invariant()
     def room_is_used_and_not_exceeded(self):
-        if not hasattr(self, "desk"):
+        if not hasattr(self, "owner_state"):
             return
-        desk = self.desk
-        requests = [run for run in desk.running.values() if run.hand_over.route != "call"]
-        assert len(desk.running) <= SLOTS, "more than the upstream bears"
+        owner_state = self.owner_state
+        requests = [run for run in owner_state.running.values() if run.hand_over.route != "call"]
+        assert len(owner_state.running) <= SLOTS, "more than the upstream bears"
         assert len(requests) <= USED, "a request took a slot that only calls may use"
-        assert set(desk.waiting) == set(self.waiting)
-        assert len(desk.waiting) <= QUEUE
-        due = owner.next_due(desk, self.now)
-        for queued in desk.waiting.values():
-            slots = find_slots(desk, queued, self.now)
-            if self.is_held and len(desk.running) < slots:
-                assert due <= self.now + TYPICAL_PHASE or desk.pace.lengths, "held for ever"
+        assert set(owner_state.waiting) == set(self.waiting)
+        assert len(owner_state.waiting) <= QUEUE
+        due = owner.next_due(owner_state, self.now)
+        for queued in owner_state.waiting.values():
+            slots = find_slots(owner_state, queued, self.now)
+            if self.is_held and len(owner_state.running) < slots:
+                assert due <= self.now + TYPICAL_PHASE or owner_state.pace.lengths, "held for ever"
                 continue
-            kept_until = find_slot_kept_until(desk, queued)
-            if len(desk.running) < USED and kept_until > self.now:
+            kept_until = find_slot_kept_until(owner_state, queued)
+            if len(owner_state.running) < USED and kept_until > self.now:
                 assert due <= kept_until, "a slot that is kept will not be lent in time"
-            is_kept = self.now < find_slot_kept_until(desk, queued)
-            is_full = len(desk.running) >= USED
+            is_kept = self.now < find_slot_kept_until(owner_state, queued)
+            is_full = len(owner_state.running) >= USED
             assert is_full or is_kept, "a slot is idle while something waits that may run"
-            assert find_slot_kept_until(desk, queued) <= self.now + LONGEST_KEPT
-            if queued.is_inner and len(desk.running) < SLOTS:
-                held = (*desk.running.values(), *desk.waiting.values())
+            assert find_slot_kept_until(owner_state, queued) <= self.now + LONGEST_KEPT
+            if queued.is_inner and len(owner_state.running) < SLOTS:
+                held = (*owner_state.running.values(), *owner_state.waiting.values())
                 has_more_urgent = any(one.own_rank < queued.own_rank for one in held)
                 assert has_more_urgent, "a call waits beside an idle slot"
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_room.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_room.py
@@ -88,7 +88,7 @@
     def setUp(self):
         self.now = 0.0
         self.sequence = 0
-        self.desk = owner.create_desk("u", 1, 16, timed_queue=4, slot_share=0.8)
+        self.owner_state = owner.create_owner_state("u", 1, 16, timed_queue=4, slot_share=0.8)
         self.step(ov.UpstreamAnnounced(3, 30, UpstreamState.READY))
         for route, upstream_ms in (("check", 100.0), ("history", 400.0), ("call", 40.0)):
             for _ in range(5):
@@ -96,12 +96,12 @@
                 self.end(attempt, upstream_ms)
         self.now = 100.0
         for number in range(MOST_SEEN - 1):
-            note_origin(self.desk.origins, "call", "shop")
+            note_origin(self.owner_state.origins, "call", "shop")
             for route in ("check", "history"):
-                note_origin(self.desk.origins, route, f"place-{number % 3}")
+                note_origin(self.owner_state.origins, route, f"place-{number % 3}")
 
     def step(self, event):
-        return owner.step(self.desk, event, self.now)
+        return owner.step(self.owner_state, event, self.now)
 
     def end(self, attempt, upstream_ms=100.0):
         self.step(ov.DispatchHead(attempt, 200, upstream_ms))
@@ -145,7 +145,7 @@
         waits = self.sequence
         effects = [self.hand_over("check", rank=0) for _ in range(3)]
         self.assertEqual(self.list_refused(sum(effects, [])), [waits])
-        self.assertEqual(len(self.desk.running), 2, "what runs is not cut")
+        self.assertEqual(len(self.owner_state.running), 2, "what runs is not cut")
 
     def test_full_queue_gives_back_the_least_urgent_of_who_waits_with_most(self):
         self.fill()
@@ -181,7 +181,7 @@
         self.hand_over("check", rank=0, target_ms=400.0)
         waits = self.sequence
         self.assertEqual(self.hand_over("call", run_rank=1), [])
-        self.now = owner.next_due(self.desk, self.now)
+        self.now = owner.next_due(self.owner_state, self.now)
         effects = self.step(ov.Tick())
         self.assertEqual(self.list_refused(effects), [waits])
         self.assertEqual(self.list_started(effects), [self.sequence])
@@ -210,10 +210,10 @@
             self.end(self.hand_over("check", rank=0)[0].hand_over.attempt)
         self.hand_over("history", rank=2)
         self.hand_over("history", rank=2)
-        self.assertEqual(len(self.desk.running), 1)
+        self.assertEqual(len(self.owner_state.running), 1)
         self.assertEqual(len(self.list_started(self.hand_over("check", rank=0))), 1)
         self.end(AttemptId("e", 1, self.sequence))
-        due = owner.next_due(self.desk, self.now)
+        due = owner.next_due(self.owner_state, self.now)
         # It would be given back after 1.6 s, and looked at then whatever the slot is kept for.
         self.assertLess(due, self.now + 1.2)
         self.now = due
@@ -237,7 +237,9 @@
         queue = urgency_queue.UrgencyQueue(8)
         for due in (5.0, 1.0, 3.0):
             urgency_queue.push(queue, due, due, work_ms=due)
-        self.assertEqual(urgency_queue.list_in_turn(queue, 2.0, self.desk.turns), [3.0, 5.0, 1.0])
+        self.assertEqual(
+            urgency_queue.list_in_turn(queue, 2.0, self.owner_state.turns), [3.0, 5.0, 1.0]
+        )
 
 
 if __name__ == "__main__":
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_sending.py
@@ -111,22 +111,22 @@
 
 class TestStall(unittest.TestCase):
     def test_an_upstream_that_ends_nothing_sends_back_until_it_does(self):
-        desk = owner.create_desk("u", 1, 4)
-        owner.step(desk, ov.UpstreamAnnounced(4, 4, UpstreamState.READY), 0.0)
-        self.hand_over(desk, 1, 0.0)
-        owner.step(desk, ov.DispatchHead(AttemptId("e", 1, 1), 200, 10.0), 0.010)
-        owner.step(desk, ov.DispatchDone(AttemptId("e", 1, 1)), 0.010)
+        owner_state = owner.create_owner_state("u", 1, 4)
+        owner.step(owner_state, ov.UpstreamAnnounced(4, 4, UpstreamState.READY), 0.0)
+        self.hand_over(owner_state, 1, 0.0)
+        owner.step(owner_state, ov.DispatchHead(AttemptId("e", 1, 1), 200, 10.0), 0.010)
+        owner.step(owner_state, ov.DispatchDone(AttemptId("e", 1, 1)), 0.010)
         for sequence in (2, 3, 4):
-            self.assertIsInstance(self.hand_over(desk, sequence, 0.010), ov.Dispatch)
-        self.assertIsInstance(self.hand_over(desk, 5, 0.021), ov.ReplyNotRun)
-        owner.step(desk, ov.DispatchDone(AttemptId("e", 1, 2)), 0.022)
-        self.assertIsInstance(self.hand_over(desk, 6, 0.022), ov.Dispatch)
+            self.assertIsInstance(self.hand_over(owner_state, sequence, 0.010), ov.Dispatch)
+        self.assertIsInstance(self.hand_over(owner_state, 5, 0.021), ov.ReplyNotRun)
+        owner.step(owner_state, ov.DispatchDone(AttemptId("e", 1, 2)), 0.022)
+        self.assertIsInstance(self.hand_over(owner_state, 6, 0.022), ov.Dispatch)
 
-    def hand_over(self, desk, sequence, now):
+    def hand_over(self, owner_state, sequence, now):
         attempt = AttemptId("e", 1, sequence)
         parts = (attempt, 1, "s", "u", "GET", b"/", (), 1000.0, Repeat.NEVER, 1)
         message = HandOver(*parts, insist=False)
-        return owner.step(desk, ov.HandOverArrived(message, 1), now)[0]
+        return owner.step(owner_state, ov.HandOverArrived(message, 1), now)[0]
 
 
 class TestRetryAfter(unittest.TestCase):
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_suspects.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_suspects.py
@@ -12,17 +12,17 @@
 
 
 class SuspectsTest(unittest.TestCase):
-    """Drive one desk that shares its node's table of suspects."""
+    """Drive one owner that shares its node's table of suspects."""
 
     def setUp(self):
         self.now = 0.0
         self.sequence = 0
         self.table = SuspectTable("n1")
-        self.desk = owner.create_desk("u", 1, 16, suspects=self.table)
+        self.owner_state = owner.create_owner_state("u", 1, 16, suspects=self.table)
         self.step(ov.UpstreamAnnounced(8, 8, UpstreamState.READY))
 
     def step(self, event):
-        return owner.step(self.desk, event, self.now)
+        return owner.step(self.owner_state, event, self.now)
 
     def hand_over(self, path, suspicion=None):
         self.sequence += 1
@@ -155,12 +155,12 @@
         waiting = AttemptId("e", 1, self.sequence)
         message = HandOver(waiting, 1, "s", "u", "GET", b"/a", (), 9000.0, Repeat.IDEMPOTENT, 1)
         self.step(ov.HandOverArrived(message, 1))
-        self.assertIn(waiting, self.desk.waiting)
+        self.assertIn(waiting, self.owner_state.waiting)
         self.suspect(b"/a", 3)
         effects = self.step(ov.DispatchDone(AttemptId("e", 1, 1)))
         refused = [effect for effect in effects if isinstance(effect, ov.ReplyNotRun)]
         self.assertEqual([one.reason for one in refused], [NotRunReason.QUARANTINED])
-        self.assertNotIn(waiting, self.desk.running)
+        self.assertNotIn(waiting, self.owner_state.running)
 
 
 if __name__ == "__main__":
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_upstream_end.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_upstream_end.py
@@ -9,15 +9,15 @@
 
 
 class UpstreamEndTest(unittest.TestCase):
-    """Drive one desk whose upstream runs eight attempts."""
+    """Drive one owner whose upstream runs eight attempts."""
 
     def setUp(self):
         self.now = 0.0
-        self.desk = owner.create_desk("u", 1, 16)
+        self.owner_state = owner.create_owner_state("u", 1, 16)
         self.step(ANNOUNCED)
 
     def step(self, event):
-        return owner.step(self.desk, event, self.now)
+        return owner.step(self.owner_state, event, self.now)
 
     def run_attempts(self, *sequences):
         for sequence in sequences:
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -2,8 +2,8 @@
 
 from bendwind_core.attempts import Header
 from bendwind_core.attempts.call import Attempt
-from bendwind_core.attempts.desk import OwnerDesk
 from bendwind_core.attempts.messages import HandOver, NotRunReason
+from bendwind_core.attempts.owner_state import OwnerState
 from bendwind_core.attempts.upstream_end import Unanswered, sign_hand_over
 from bendwind_core.attempts.usual_times import find_usual_ms
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
@@ -76,7 +76,7 @@
 
 
 def make_dispatch_facts(
-    desk: OwnerDesk, hand_over: HandOver, expires_at: Seconds, now: Seconds
+    owner_state: OwnerState, hand_over: HandOver, expires_at: Seconds, now: Seconds
 ) -> DispatchFacts:
     """Describe what is known at the start of a dispatch; its duration comes later."""
     came_at = expires_at - hand_over.remaining_ms / MILLISECONDS_PER_SECOND
@@ -84,18 +84,18 @@
         hand_over.route,
         max(0.0, _count_ms(now - came_at)),
         remaining_ms=round(hand_over.remaining_ms, 1),
-        running=len(desk.running),
-        slots=desk.slots,
-        slow_factor=desk.pace.factor,
-        report_age_ms=_find_report_age(desk, now),
-        limit=_find_limit(desk),
+        running=len(owner_state.running),
+        slots=owner_state.slots,
+        slow_factor=owner_state.pace.factor,
+        report_age_ms=_find_report_age(owner_state, now),
+        limit=_find_limit(owner_state),
         rank=int(hand_over.rank),
         customer=hand_over.customer,
     )
 
 
 def make_refusal_facts(
-    desk: OwnerDesk,
+    owner_state: OwnerState,
     hand_over: HandOver,
     reason: NotRunReason,
     now: Seconds,
@@ -107,15 +107,15 @@
         hand_over.route,
         round(hand_over.remaining_ms, 1),
         _round_age(hand_over.target_ms),
-        round(find_usual_ms(desk, hand_over.route), 1),
-        len(desk.running),
-        len(desk.waiting),
-        desk.slots,
-        desk.pace.factor,
-        _find_report_age(desk, now),
+        round(find_usual_ms(owner_state, hand_over.route), 1),
+        len(owner_state.running),
+        len(owner_state.waiting),
+        owner_state.slots,
+        owner_state.pace.factor,
+        _find_report_age(owner_state, now),
         sign_hand_over(hand_over).hex() if is_suspect else "",
         None if waited is None else _count_ms(waited),
-        _find_limit(desk),
+        _find_limit(owner_state),
         int(hand_over.rank),
         hand_over.customer,
     )
@@ -131,13 +131,13 @@
     )
 
 
-def _find_limit(desk: OwnerDesk) -> int:
+def _find_limit(owner_state: OwnerState) -> int:
     """Return how many attempts may run; 0, which no line spells out, for all slots."""
-    return 0 if desk.run_limit == desk.slots else desk.run_limit
+    return 0 if owner_state.run_limit == owner_state.slots else owner_state.run_limit
 
 
-def _find_report_age(desk: OwnerDesk, now: Seconds) -> Milliseconds | None:
-    reported_at = desk.pace.reported_at
+def _find_report_age(owner_state: OwnerState, now: Seconds) -> Milliseconds | None:
+    reported_at = owner_state.pace.reported_at
     return None if reported_at is None else _count_ms(now - reported_at)
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -21,7 +21,7 @@
     """
 
     upstream: Upstream
-    desk: owner.OwnerDesk
+    owner_state: owner.OwnerState
     pool: UpstreamPool
     lease_until: Seconds
     scopes: dict[AttemptId, trio.CancelScope] = msgspec.field(default_factory=dict)
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -1,4 +1,4 @@
-"""Own the upstreams beside this process: decide by their desks and carry out the effects."""
+"""Own the upstreams beside this process: decide by their states and carry out the effects."""
 
 import math
 
@@ -56,7 +56,7 @@
 
 
 class OwnerNode(msgspec.Struct, eq=False):
-    """Own the desks of the upstreams beside this process."""
+    """Hold the states of the upstreams beside this process."""
 
     own: Instance
     recorder: Recorder
@@ -142,7 +142,7 @@
 
     def _is_refused_early(self, owned: OwnedUpstream, hand_over: HandOver, epoch: int) -> bool:
         """Refuse what would be refused once its body is there; the body need not come."""
-        reason = owner.find_early_refusal(owned.desk, hand_over, trio.current_time())
+        reason = owner.find_early_refusal(owned.owner_state, hand_over, trio.current_time())
         if reason is None:
             return False
         load = self.read_load(hand_over.upstream)
@@ -172,8 +172,8 @@
         if owned is not None:
             self._feed(owned, ev.FenceArrived(fence, epoch))
             return
-        # A desk lives as long as the process: without one, this run never held the upstream, and
-        # the hand-over, if it still came, would be refused as one to the wrong owner.
+        # An owner's state lives as long as the process: without one, this run never held the
+        # upstream, and the hand-over, if it still came, would be refused as one to the wrong owner.
         is_own_run = fence.owner_incarnation == self.own.incarnation
         has_all = is_own_run and not self.register.has_dropped
         verdict = FenceVerdict.NEVER_STARTED if has_all else FenceVerdict.FORGOTTEN
@@ -181,7 +181,7 @@
 
     def read_load(self, name: str) -> LoadSample:
         """Return the load of an upstream beside this process."""
-        return owner.load_sample(self.register.owned[name].desk, trio.current_time())
+        return owner.load_sample(self.register.owned[name].owner_state, trio.current_time())
 
     def find_run_rank(self) -> float | None:
         """Return the most urgent rank of what runs beside this process, None where nothing does."""
@@ -189,7 +189,7 @@
             (
                 running.own_rank
                 for owned in self.register.owned.values()
-                for running in owned.desk.running.values()
+                for running in owned.owner_state.running.values()
             ),
             default=None,
         )
@@ -204,7 +204,8 @@
     def is_idle(self) -> bool:
         """Tell whether no attempt runs, waits or is still coming in."""
         has_work = any(
-            owned.desk.running or owned.desk.waiting for owned in self.register.owned.values()
+            owned.owner_state.running or owned.owner_state.waiting
+            for owned in self.register.owned.values()
         )
         return not has_work and not self.assemblies.open and not self.outflows
 
@@ -219,14 +220,14 @@
 
     def _find_next_due(self) -> Seconds:
         now = trio.current_time()
-        dues = [owner.next_due(owned.desk, now) for owned in self.register.owned.values()]
+        dues = [owner.next_due(owned.owner_state, now) for owned in self.register.owned.values()]
         soonest = min((due for due in dues if due is not None), default=math.inf)
         return min(soonest, now + LEASE_CHECK)
 
     def _expire(self, now: Seconds) -> None:
         self.pauses.tick(now)
         for owned in tuple(self.register.owned.values()):
-            due = owner.next_due(owned.desk, now)
+            due = owner.next_due(owned.owner_state, now)
             if due is not None and due <= now:
                 self._feed(owned, ev.Tick())
         self.register.end_expired(now)
@@ -239,11 +240,11 @@
             self._feed(owned, event)
 
     def _feed(self, owned: OwnedUpstream, event: ev.OwnerEvent) -> None:
-        for effect in owner.step(owned.desk, event, trio.current_time()):
+        for effect in owner.step(owned.owner_state, event, trio.current_time()):
             self._carry_out(owned, effect)
         if self.register.suspects.news:
             self.teller.tell_news(trio.current_time())
-        due = owner.next_due(owned.desk, trio.current_time())
+        due = owner.next_due(owned.owner_state, trio.current_time())
         if due is not None and due < self.wakes_at:
             self.clock_moved.set()
 
@@ -274,7 +275,7 @@
             case ev.UpstreamUnreachable():
                 self.register.hold_down(owned)
             case ev.Drained():
-                self.recorder.record(EventKind.DESK_DRAINED, upstream=owned.upstream.name)
+                self.recorder.record(EventKind.UPSTREAM_DRAINED, upstream=owned.upstream.name)
 
     def _record_end(self, owned: OwnedUpstream, under: tuple[Unanswered, ...]) -> None:
         self.recorder.record(
@@ -294,7 +295,7 @@
 
     def _is_inner(self, owned: OwnedUpstream, reply: ev.ReplyNotRun) -> bool:
         hand_over = reply.hand_over
-        return hand_over is not None and is_inner_call(owned.desk.origins, hand_over.route)
+        return hand_over is not None and is_inner_call(owned.owner_state.origins, hand_over.route)
 
     def note_call_refused(self) -> None:
         """Hear that a call was refused which an upstream beside this process made."""
@@ -312,7 +313,7 @@
             upstream=owned.upstream.name,
             detail=str(reply.reason),
             request=find_request_id(hand_over.headers, self.dialect),
-            facts=make_refusal_facts(owned.desk, hand_over, reply.reason, now, reply.waited),
+            facts=make_refusal_facts(owned.owner_state, hand_over, reply.reason, now, reply.waited),
         )
 
     async def _ask_load(self, owned: OwnedUpstream) -> None:
@@ -341,9 +342,9 @@
         attempt = hand_over.attempt
         call = format_attempt(attempt)
         self.recorder.record(EventKind.DISPATCH_STARTED, call=call, upstream=owned.upstream.name)
-        epoch = owned.desk.running[attempt].epoch
+        epoch = owned.owner_state.running[attempt].epoch
         started_at = trio.current_time()
-        facts = make_dispatch_facts(owned.desk, hand_over, scope.deadline, started_at)
+        facts = make_dispatch_facts(owned.owner_state, hand_over, scope.deadline, started_at)
         outflow = Outflow()
         self.outflows[attempt] = outflow
         dispatch = UpstreamDispatch(
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_facts.py
@@ -26,11 +26,11 @@
 
 class OwnersFactsTest(unittest.TestCase):
     def setUp(self):
-        self.desk = owner.create_desk("u", 1, 16, slot_share=0.8)
+        self.owner_state = owner.create_owner_state("u", 1, 16, slot_share=0.8)
         self.feed(ov.UpstreamAnnounced(3, 30, UpstreamState.READY), 0.0)
 
     def feed(self, event, now):
-        return owner.step(self.desk, event, now)
+        return owner.step(self.owner_state, event, now)
 
     def arrive(self, message, now=0.0):
         return self.feed(ov.HandOverArrived(message, 1), now)
@@ -40,27 +40,29 @@
             self.arrive(hand_over(sequence), 0.1)
         (refused,) = self.feed(ov.Tick(), 0.5)
         facts = make_refusal_facts(
-            self.desk, refused.hand_over, refused.reason, 0.5, refused.waited
+            self.owner_state, refused.hand_over, refused.reason, 0.5, refused.waited
         )
         self.assertEqual((refused.reason, facts.waited_ms), (NotRunReason.DEADLINE, 400.0))
 
     def test_refusal_on_arrival_has_no_wait(self):
         (refused,) = self.arrive(hand_over(1, remaining_ms=0.0))
         self.assertIsNone(refused.waited)
-        facts = make_refusal_facts(self.desk, refused.hand_over, refused.reason, 0.0)
+        facts = make_refusal_facts(self.owner_state, refused.hand_over, refused.reason, 0.0)
         self.assertNotIn(b"waited_ms", msgspec.json.encode(facts))
 
     def test_rank_customer_and_the_slots_in_use_are_told(self):
         message = hand_over(1, rank=2, customer="mill")
-        refusal = make_refusal_facts(self.desk, message, NotRunReason.BUSY, 0.0)
-        dispatch = make_dispatch_facts(self.desk, message, 0.4, 0.0)
+        refusal = make_refusal_facts(self.owner_state, message, NotRunReason.BUSY, 0.0)
+        dispatch = make_dispatch_facts(self.owner_state, message, 0.4, 0.0)
         for facts in (refusal, dispatch):
             self.assertEqual((facts.rank, facts.customer), (2, "mill"))
             self.assertEqual((facts.limit, facts.slots), (2, 3))
 
     def test_what_is_as_usual_is_left_out_of_the_line(self):
-        self.desk.slot_share = 1.0
-        dispatch = msgspec.json.encode(make_dispatch_facts(self.desk, hand_over(1), 0.4, 0.0))
+        self.owner_state.slot_share = 1.0
+        dispatch = msgspec.json.encode(
+            make_dispatch_facts(self.owner_state, hand_over(1), 0.4, 0.0)
+        )
         for name in (b"rank", b"customer", b"limit"):
             self.assertNotIn(name, dispatch)
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -147,8 +147,8 @@
             for number, owner in enumerate(owners):
                 announce(owner, port, name=f"svc-{number}")
             for owned in owners[0].register.owned.values():
-                owned.desk.slot_share = 0.0
-                owned.desk.connections = 0
+                owned.owner_state.slot_share = 0.0
+                owned.owner_state.connections = 0
             sent = bench.hub.sent
             for _ in range(4):
                 received.clear()
@@ -393,8 +393,8 @@
             owner = bench.add_owner("other")
             announce(owner, port)
             await bench.call(make_exchange())
-            desk = bench.entry.choices["svc"]
-            view = desk.table.views["svc-1"]
+            owner_state = bench.entry.choices["svc"]
+            view = owner_state.table.views["svc-1"]
             probes = ProbeTask(bench.entry, bench.owner, ProbeBudget(20, 4000))
             bench.hub.reports = probes.receive
             bench.hub.dialed = bench.hub.links
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_run_rank.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_run_rank.py
@@ -25,14 +25,14 @@
         recorder = Recorder("n1", lambda: 0, 100)
         node = OwnerNode(OWN, recorder, None, register, None, ProbeBudget(1.0, 1.0))
         # What the node would carry out is of no weight here.
-        register.feed = lambda owned, event: owner.step(owned.desk, event, 0.0)
+        register.feed = lambda owned, event: owner.step(owned.owner_state, event, 0.0)
         return node, register
 
     def run_one(self, register, sequence, upstream, rank):
         owned = register.owned[upstream]
-        owner.step(owned.desk, ov.UpstreamAnnounced(4, 4, UpstreamState.READY), 0.0)
+        owner.step(owned.owner_state, ov.UpstreamAnnounced(4, 4, UpstreamState.READY), 0.0)
         arrived = ov.HandOverArrived(make_hand_over(sequence, upstream, rank), 1)
-        return owner.step(owned.desk, arrived, 0.0)
+        return owner.step(owned.owner_state, arrived, 0.0)
 
     def announce(self, register, name):
         harness = Register()
@@ -49,7 +49,7 @@
         self.assertEqual(node.find_run_rank(), 2)
         self.run_one(register, 2, "u2", 1)
         self.assertEqual(node.find_run_rank(), 1)
-        owner.step(register.owned["u2"].desk, ov.DispatchDone(AttemptId("e", 1, 2)), 0.0)
+        owner.step(register.owned["u2"].owner_state, ov.DispatchDone(AttemptId("e", 1, 2)), 0.0)
         self.assertEqual(node.find_run_rank(), 2)
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
@@ -10,7 +10,7 @@
 from bendwind_core.admission import is_cold
 from bendwind_core.attempts import owner
 from bendwind_core.attempts import owner_events as ov
-from bendwind_core.attempts.desk import is_open
+from bendwind_core.attempts.owner_state import is_open
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, UpstreamState, WarmUpRule
 from bendwind_node.calls.dialect import BENDWIND_DIALECT
@@ -48,7 +48,7 @@
         self.register.feed = self.feed
 
     def feed(self, owned, event):
-        owner.step(owned.desk, event, trio.current_time())
+        owner.step(owned.owner_state, event, trio.current_time())
 
     def announce(self, name="u1", sequence=1, born_ms=0, state=READY, service="s", port=80):
         news = Announcement(name, service, "127.0.0.1", port, 4, 4, state, sequence, 0.0, born_ms)
@@ -116,7 +116,7 @@
         one.announce(sequence=1, born_ms=2000)
         self.assertIsNot(owned.pool, former)
         self.assertIn((former.aclose, ()), one.register.nursery.started)
-        self.assertTrue(is_cold(owned.desk.warm_up, trio.current_time()))
+        self.assertTrue(is_cold(owned.owner_state.warm_up, trio.current_time()))
 
     @in_trio
     def test_next_run_takes_no_address_away_unproven(self):
@@ -197,16 +197,16 @@
         one = Register()
         for sequence in (1, 2):
             one.announce(sequence=sequence)
-        desk = one.register.owned["u1"].desk
+        owner_state = one.register.owned["u1"].owner_state
         one.feed(one.register.owned["u1"], ov.WarmUpTold(0.0, trio.current_time()))
-        self.assertFalse(is_cold(desk.warm_up, trio.current_time()))
+        self.assertFalse(is_cold(owner_state.warm_up, trio.current_time()))
         one.register.hear_configuration(frozenset({"dc1"}))
-        self.assertFalse(is_open(desk))
+        self.assertFalse(is_open(owner_state))
         one.announce(sequence=3)
-        self.assertFalse(is_open(desk))
+        self.assertFalse(is_open(owner_state))
         one.register.hear_configuration(frozenset({"dc2"}))
-        self.assertTrue(is_open(desk))
-        self.assertTrue(is_cold(desk.warm_up, trio.current_time()))
+        self.assertTrue(is_open(owner_state))
+        self.assertTrue(is_cold(owner_state.warm_up, trio.current_time()))
 
     @in_trio
     def test_upstream_that_comes_during_an_evacuation_gets_nothing(self):
@@ -214,7 +214,7 @@
         one.register.hear_configuration(frozenset({"dc1"}))
         for sequence in (1, 2):
             one.announce(sequence=sequence)
-        self.assertFalse(is_open(one.register.owned["u1"].desk))
+        self.assertFalse(is_open(one.register.owned["u1"].owner_state))
 
 
 class RefusedConnectionsTest(unittest.TestCase):
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -41,9 +41,9 @@
 class UpstreamRegister(msgspec.Struct, eq=False):
     """Hold the upstreams beside this process by name.
 
-    `feed` and `list_links` lead to the owner node: to an upstream's desk, and to the links that a
-    new desk has to hear of. `started_at` is when this process started, `suspects` are the requests
-    that may end upstreams. `is_evacuated` says that
+    `feed` and `list_links` lead to the owner node: to an upstream's state, and to the links
+    that a new one has to hear of. `started_at` is when this process started, `suspects` are the
+    requests that may end upstreams. `is_evacuated` says that
     operators want nothing sent to the upstreams of this data centre.
     """
 
@@ -238,7 +238,7 @@
     def _drop_gone(self) -> bool:
         """Forget an upstream that is gone and has nothing under way, to make room for another."""
         for name, owned in self.owned.items():
-            is_idle = not owned.desk.running and not owned.desk.waiting
+            is_idle = not owned.owner_state.running and not owned.owner_state.waiting
             if owned.said is UpstreamState.GONE and is_idle:
                 del self.owned[name]
                 self.has_dropped = True
@@ -299,7 +299,7 @@
         upstream = Upstream(
             news.name, news.service, self.own, news.slots, news.connections, UpstreamState.GONE
         )
-        desk = owner.create_desk(
+        owner_state = owner.create_owner_state(
             news.name,
             self.own.incarnation,
             QUEUE_LIMIT,
@@ -312,7 +312,7 @@
             suspects=self.suspects,
         )
         pool = UpstreamPool(news.host, news.port, news.connections)
-        owned = OwnedUpstream(upstream, desk, pool, 0.0, is_verified=not news.sequence)
+        owned = OwnedUpstream(upstream, owner_state, pool, 0.0, is_verified=not news.sequence)
         self.owned[news.name] = owned
         for link in self.list_links():
             self.feed(owned, ev.LinkOpened(link.peer.name, link.peer.incarnation, link.epoch))
@@ -320,17 +320,17 @@
 
     def _learn_warmth(self, owned: OwnedUpstream) -> None:
         """Have an upstream asked that counts as cold only since nothing is known of it."""
-        is_assumed = is_assumed_cold(owned.desk.warm_up, trio.current_time())
+        is_assumed = is_assumed_cold(owned.owner_state.warm_up, trio.current_time())
         if is_assumed and not owned.is_being_asked and self.dialect.warm_up is not None:
             owned.is_being_asked = True
             self.nursery.start_soon(self._ask_until_known, owned)
 
     async def _ask_until_known(self, owned: OwnedUpstream) -> None:
-        while is_assumed_cold(owned.desk.warm_up, trio.current_time()):
+        while is_assumed_cold(owned.owner_state.warm_up, trio.current_time()):
             asked_at = trio.current_time()
             answer = await self._ask(owned.pool, owned.upstream.service)
             self.note_answer(owned, answer, asked_at)
-            if is_assumed_cold(owned.desk.warm_up, trio.current_time()):
+            if is_assumed_cold(owned.owner_state.warm_up, trio.current_time()):
                 await trio.sleep(INTRODUCTION_PAUSE)
         owned.is_being_asked = False
 
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -92,10 +92,10 @@
     for service, choice in entry.choices.items():
         yield Sample(Metric.CALLS_IN_FLIGHT, choice.in_flight, (service,))
     for upstream, owned in owner.register.owned.items():
-        yield Sample(Metric.ATTEMPTS_RUNNING, len(owned.desk.running), (upstream,))
-        yield Sample(Metric.ATTEMPTS_WAITING, len(owned.desk.waiting), (upstream,))
+        yield Sample(Metric.ATTEMPTS_RUNNING, len(owned.owner_state.running), (upstream,))
+        yield Sample(Metric.ATTEMPTS_WAITING, len(owned.owner_state.waiting), (upstream,))
         yield Sample(Metric.UPSTREAM_SLOTS, owned.upstream.slots, (upstream,))
-        is_spared = is_cold(owned.desk.warm_up, trio.current_time())
+        is_spared = is_cold(owned.owner_state.warm_up, trio.current_time())
         yield Sample(Metric.UPSTREAM_COLD, int(is_spared), (upstream,))
         yield Sample(Metric.UPSTREAM_UNREACHABLE, int(owned.is_unreachable), (upstream,))
     yield from _gather_suspects(owner.register.suspects)
