--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_customers.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_customers.py
@@ -4,26 +4,17 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import initialize, invariant, precondition, rule
 
 import bendwind_core.core.tests.profiles  # noqa: F401
 from bendwind_core.customers import find_customer
-from bendwind_core.membership import ServiceWatched
-from bendwind_core.membership.tests.fakes import SERVICES, TIMES, VOTERS, World
+from bendwind_core.membership.tests.fakes import SERVICES, TIMES, VOTERS
+from bendwind_core.membership.tests.faulty_world import NODE, FaultyWorldMachine
 from bendwind_core.world import Customer, Service, digest_key
 
-NODES = ("n0", "n1", "n2", "n3")
 NAMES = ("c0", "c1", "c2", "c3", "c4")
 KEYS = ("k0", "k1", "k2", "k3", "k4", "k5", "k6")
 SERVED = (Service(SERVICES[0], ("*",)),)
-VOTER = st.sampled_from(VOTERS)
-NODE = st.sampled_from(NODES)
 # Once nothing is lost any more, a node that moved on finds a voter, states what it holds, and is
 # sent what it lacks: that takes up to eight heartbeats.
 SETTLE_BEATS = 8
@@ -38,15 +29,12 @@
     )
 
 
-class CustomersMachine(RuleBasedStateMachine):
+class CustomersMachine(FaultyWorldMachine):
     @initialize(seed=st.integers(0, 2**32))
     def start(self, seed):
-        self.world = World(seed)
+        self.start_world(seed)
         self.held = {"k0": "c0", "k1": "c1"}
         self.before = dict(self.held)
-        for index, name in enumerate(NODES):
-            self.world.start_node(name, f"dc{index}")
-        self.world.advance(2)
         self.accept(self.held)
 
     def accept(self, held):
@@ -74,45 +62,6 @@
     def end_all(self, held):
         self.accept(held)
 
-    @rule(voter=VOTER)
-    def cut_voter_from_voters(self, voter):
-        self.world.cut |= {frozenset((voter, other)) for other in VOTERS if other != voter}
-
-    @rule(voter=VOTER, node=NODE)
-    def cut_node_from_voter(self, voter, node):
-        self.world.cut.add(frozenset((voter, node)))
-
-    @rule()
-    def heal(self):
-        self.world.heal()
-
-    @rule(
-        loss=st.sampled_from((0.0, 0.1, 0.5)),
-        repeat=st.sampled_from((0.0, 0.3)),
-        delay=st.sampled_from((0.02, 0.5, 3.0)),
-    )
-    def degrade_network(self, loss, repeat, delay):
-        self.world.loss, self.world.repeat, self.world.longest_delay = loss, repeat, delay
-
-    @rule(voter=VOTER, share=st.floats(0, 1))
-    def restart_voter(self, voter, share):
-        # It has a part of the log on disk and hears the rest with its first round.
-        known = self.world.voters[voter].applied
-        self.world.voters[voter] = self.world.start_voter(voter)
-        self.world.apply(voter, round(share * known))
-
-    @rule(node=NODE)
-    def restart_node(self, node):
-        self.world.start_node(node, f"dc{node[1]}")
-
-    @rule(node=NODE, service=st.sampled_from(SERVICES))
-    def watch(self, node, service):
-        self.world.step(node, ServiceWatched(service))
-
-    @rule(voter=VOTER, node=NODE)
-    def lose_link(self, voter, node):
-        self.world.lose_link(voter, node)
-
     @rule(changes=st.lists(st.tuples(st.sampled_from(KEYS), st.sampled_from(NAMES)), max_size=6))
     def change_quickly(self, changes):
         """Accept versions faster than voters hear of each, so that they skip some."""
@@ -149,12 +98,6 @@
         self.take_back()
         self.pass_time(2.0)
 
-    @rule(seconds=st.sampled_from((0.1, 0.5, 1.0, 2.0, 4.0)))
-    def pass_time(self, seconds):
-        for _ in range(round(seconds / 0.1)):
-            self.world.advance(0.1)
-            self.check()
-
     @precondition(lambda self: hasattr(self, "world"))
     @invariant()
     def check(self):
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_freshness.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_freshness.py
@@ -2,32 +2,19 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import initialize, invariant, precondition, rule
 
 import bendwind_core.core.tests.profiles  # noqa: F401
-from bendwind_core.membership import ServiceWatched
-from bendwind_core.membership.tests.fakes import SERVICES, TIMES, VOTERS, World
+from bendwind_core.membership.tests.fakes import SERVICES, TIMES, VOTERS
+from bendwind_core.membership.tests.faulty_world import NODE, NODES, FaultyWorldMachine
 from bendwind_core.world import Route, Rule, Service, SplitPart
 
-NODES = ("n0", "n1", "n2", "n3")
-VOTER = st.sampled_from(VOTERS)
-NODE = st.sampled_from(NODES)
 
-
-class FreshnessMachine(RuleBasedStateMachine):
+class FreshnessMachine(FaultyWorldMachine):
     @initialize(seed=st.integers(0, 2**32))
     def start(self, seed):
-        self.world = World(seed)
         self.content = dict.fromkeys(SERVICES, 0)
-        for index, name in enumerate(NODES):
-            self.world.start_node(name, f"dc{index}")
-        self.world.advance(2)
+        self.start_world(seed)
 
     @rule(service=st.sampled_from(SERVICES), number=st.integers(1, 9), ends=st.booleans())
     def accept_change(self, service, number, ends):
@@ -50,10 +37,6 @@
             routes.append(Route(place, "h", place, (SplitPart(part),), Rule("*")))
         self.world.accept(held.services, routes=tuple(routes))
 
-    @rule(voter=VOTER)
-    def cut_voter_from_voters(self, voter):
-        self.world.cut |= {frozenset((voter, other)) for other in VOTERS if other != voter}
-
     @rule(number=st.integers(0, len(VOTERS) - 1))
     def cut_data_centre(self, number):
         inside = {f"v{number}", *(name for name in NODES if name.endswith(str(number)))}
@@ -69,51 +52,10 @@
         self.accept_change(SERVICES[0], number + 1, False)
         self.pass_time(6.0)
 
-    @rule(voter=VOTER, node=NODE)
-    def cut_node_from_voter(self, voter, node):
-        self.world.cut.add(frozenset((voter, node)))
-
-    @rule()
-    def heal(self):
-        self.world.heal()
-
-    @rule(
-        loss=st.sampled_from((0.0, 0.1, 0.5)),
-        repeat=st.sampled_from((0.0, 0.3)),
-        delay=st.sampled_from((0.02, 0.5, 3.0)),
-    )
-    def degrade_network(self, loss, repeat, delay):
-        self.world.loss, self.world.repeat, self.world.longest_delay = loss, repeat, delay
-
-    @rule(voter=VOTER, share=st.floats(0, 1))
-    def restart_voter(self, voter, share):
-        # It has a part of the log on disk and hears the rest with its first round.
-        known = self.world.voters[voter].applied
-        self.world.voters[voter] = self.world.start_voter(voter)
-        self.world.apply(voter, round(share * known))
-
-    @rule(node=NODE)
-    def restart_node(self, node):
-        self.world.start_node(node, f"dc{node[1]}")
-
-    @rule(node=NODE, service=st.sampled_from(SERVICES))
-    def watch(self, node, service):
-        self.world.step(node, ServiceWatched(service))
-
     @rule(one=NODE, other=NODE)
     def greet(self, one, other):
         self.world.meet(one, other)
 
-    @rule(voter=VOTER, node=NODE)
-    def lose_link(self, voter, node):
-        self.world.lose_link(voter, node)
-
-    @rule(seconds=st.sampled_from((0.1, 0.5, 1.0, 2.0, 4.0)))
-    def pass_time(self, seconds):
-        for _ in range(round(seconds / 0.1)):
-            self.world.advance(0.1)
-            self.check()
-
     @precondition(lambda self: hasattr(self, "world"))
     @invariant()
     def check(self):
