--- a/packages/bendwind-core/src/bendwind_core/quotas/node.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/node.py
@@ -33,6 +33,7 @@
     drop_ended,
     take_over,
 )
+from bendwind_core.quotas.use import find_use, note_use
 from bendwind_core.quotas.voter import Effects, QuotaSend
 
 # An answer takes a round trip and, where the voter has to borrow, up to two more. A request waits
@@ -71,8 +72,6 @@
 # No voter answers while a leader is elected or all voters restart, which is over in about a second;
 # a caller that retries once had better do so afterwards.
 UNKNOWN_RETRY_MS: Milliseconds = 1000.0
-# Use fades by half in a second: a steady rate adds up to its figure if each request adds ln 2.
-_PER_TOKEN = math.log(2.0)
 
 
 def request_token(
@@ -82,7 +81,7 @@
     stock = quotas.stocks.get(customer)
     if stock is None:
         stock = quotas.stocks[customer] = Stock(used_at=now)
-    _note_use(stock, now)
+    note_use(stock, 1, now)
     grant = _take_from_stock(quotas, stock, now)
     if grant is not None:
         quotas.totals.taken += 1
@@ -100,12 +99,6 @@
     return waiter
 
 
-def _note_use(stock: Stock, now: Seconds) -> None:
-    passed = max(0.0, now - stock.used_at)
-    stock.use = stock.use * 0.5**passed + _PER_TOKEN
-    stock.used_at = now
-
-
 def _take_from_stock(quotas: NodeQuotas, stock: Stock, now: Seconds) -> Grant | None:
     _drop_old(quotas, stock, now)
     if not stock.batches:
@@ -151,7 +144,7 @@
 def _count_ahead(quotas: NodeQuotas, stock: Stock, now: Seconds) -> int:
     """Return how many tokens to ask for beside those that are waited for."""
     ahead_for = min(AHEAD_FOR, AHEAD_SHARE * quotas.bounds.node_validity)
-    needed = int(stock.use * 0.5 ** max(0.0, now - stock.used_at) * ahead_for)
+    needed = int(find_use(stock, now) * ahead_for)
     has = sum(batch.left for batch in stock.batches) + stock.asked
     # Asked for only when half is gone, so that a busy customer costs some asks a second, not one a
     # request.
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -19,6 +19,7 @@
 )
 from bendwind_core.quotas.reserve import forget_free, hand_out
 from bendwind_core.quotas.takings import count_available, count_whole, remember, take_tokens
+from bendwind_core.quotas.use import find_use, note_use
 from bendwind_core.quotas.voter_state import (
     MAX_WAITING,
     UNDONE_FOR,
@@ -30,9 +31,7 @@
     VoterQuotas,
     Waiting,
     find_account,
-    find_use,
     is_forgettable,
-    note_use,
 )
 
 # A loan takes a round trip within a region. A lender that does not answer in this time is given up,
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -28,8 +28,6 @@
 # from there by so many a millisecond, more than any process sends, so that two runs never share a
 # number.
 NUMBERS_PER_RUN = 1 << 20
-# Use fades by half in a second: a steady rate adds up to its figure if each token adds ln 2.
-_PER_TOKEN = math.log(2.0)
 
 
 class Taking(msgspec.Struct):
@@ -207,15 +205,3 @@
     fill(bucket, now)
     is_full = bucket.level >= bucket.share.cap
     return is_full and _find_first_level(quotas, bucket.share, now) >= bucket.share.cap
-
-
-def note_use(account: Account, tokens: float, now: Seconds) -> None:
-    """Follow how many tokens of a customer are asked for here, over about a second."""
-    passed = max(0.0, now - account.used_at)
-    account.use = account.use * 0.5**passed + tokens * _PER_TOKEN
-    account.used_at = max(account.used_at, now)
-
-
-def find_use(account: Account, now: Seconds) -> float:
-    """Return the rate at which tokens of a customer are asked for here."""
-    return account.use * 0.5 ** max(0.0, now - account.used_at)
