calls, metrics: an account of the requests that come to each address and how they end

Cause: a request that is cut by a stop or by a fault of ours leaves neither a log line nor a count, so that the hypotheses on requests without an answer cannot be told apart. Change: each server counts what it took against what was answered, left by its caller, cut with its upstream's answer or ended unanswered; the last is event 809 with the request's id. PROCESS_STOPPED tells the sums. No decision changes.

--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -52,6 +52,7 @@
         EventKind.LOG_CORRUPT,
         EventKind.DISK_FAILED,
         EventKind.TASK_FAILED,
+        EventKind.REQUEST_UNANSWERED,
     }
 )
 _LEVELS = (
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -4,6 +4,7 @@
 
 from bendwind_core.attempts import Header
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
+from bendwind_node.calls.request_account import Ending, RequestAccount, find_ending
 from bendwind_node.http import AsgiServer, serve_asgi, serve_lifespan
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
@@ -12,7 +13,16 @@
 class AsgiExchange:
     """Carry one ASGI request."""
 
-    __slots__ = ("is_aborted", "is_body_read", "receive", "request", "send")
+    __slots__ = (
+        "is_aborted",
+        "is_answered",
+        "is_body_read",
+        "is_gone",
+        "is_started",
+        "receive",
+        "request",
+        "send",
+    )
 
     def __init__(self, scope: dict, receive: Callable, send: Callable):
         path = scope["raw_path"].split(b"?")[0]
@@ -24,6 +34,9 @@
         self.send = send
         self.is_body_read = False
         self.is_aborted = False
+        self.is_started = False
+        self.is_answered = False
+        self.is_gone = False
 
     async def receive_part(self) -> bytes | None:
         """Return the next part of the body, None at its end."""
@@ -31,17 +44,20 @@
             return None
         event = await self.receive()
         if event["type"] == "http.disconnect":
+            self.is_gone = True
             raise CallerGoneError
         self.is_body_read = not event.get("more_body", False)
         return event.get("body", b"")
 
     async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
         """Send the head of the answer."""
+        self.is_started = True
         await self.send({"type": "http.response.start", "status": status, "headers": list(headers)})
 
     async def send_part(self, data: bytes, *, more: bool) -> None:
         """Send a part of the body."""
         await self.send({"type": "http.response.body", "body": data, "more_body": more})
+        self.is_answered = not more
 
     def abort(self) -> None:
         """End without the rest of the body, upon which hypercorn closes the connection."""
@@ -51,15 +67,32 @@
         """Return when the caller has closed its connection."""
         while (await self.receive())["type"] != "http.disconnect":
             continue
+        self.is_gone = True
 
+    def find_ending(self) -> Ending:
+        """Return how the request has ended for its caller."""
+        return find_ending(
+            is_answered=self.is_answered,
+            is_gone=self.is_gone,
+            is_aborted=self.is_aborted,
+            is_started=self.is_started,
+        )
 
-async def serve_callers_asgi(handle: Handle, server: AsgiServer) -> None:
+
+async def serve_callers_asgi(handle: Handle, server: AsgiServer, account: RequestAccount) -> None:
     """Serve callers until shut down, then finish what is in flight."""
 
+    async def answer(exchange: AsgiExchange) -> None:
+        account.open()
+        try:
+            await handle(exchange)
+        finally:
+            account.close(exchange.request, exchange.find_ending())
+
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         match scope["type"]:
             case "http":
-                await handle(AsgiExchange(scope, receive, send))
+                await answer(AsgiExchange(scope, receive, send))
             case "lifespan":
                 await serve_lifespan(receive, send)
 
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -15,6 +15,7 @@
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
 from bendwind_node.calls.failure import describe_failure
+from bendwind_node.calls.request_account import Ending, RequestAccount, find_ending
 from bendwind_node.streams import PromptListener, PromptStream
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
@@ -58,7 +59,18 @@
 class H11Exchange:
     """Carry one request of a connection."""
 
-    __slots__ = ("connection", "head", "is_aborted", "read_ahead", "request", "server", "stream")
+    __slots__ = (
+        "connection",
+        "head",
+        "is_aborted",
+        "is_answered",
+        "is_gone",
+        "is_started",
+        "read_ahead",
+        "request",
+        "server",
+        "stream",
+    )
 
     def __init__(
         self,
@@ -76,6 +88,9 @@
         self.request = CallerRequest(head.method.decode(), target, headers, may_have_body)
         self.head = b""
         self.is_aborted = False
+        self.is_started = False
+        self.is_answered = False
+        self.is_gone = False
         self.read_ahead = 0
 
     async def receive_part(self) -> bytes | None:
@@ -97,14 +112,17 @@
         try:
             return self.connection.next_event()
         except h11.RemoteProtocolError as error:
+            self.is_gone = True
             raise CallerGoneError from error
 
     async def _receive(self) -> None:
         try:
             data = await self.stream.receive_some(RECEIVE_BYTES)
         except _BROKEN as error:
+            self.is_gone = True
             raise CallerGoneError from error
         if not data:
+            self.is_gone = True
             raise CallerGoneError
         self.connection.receive_data(data)
 
@@ -122,26 +140,39 @@
             out += self.connection.send(h11.Data(data=data))
         if not more:
             out += self.connection.send(h11.EndOfMessage())
+        self.is_started = True
         await self._send(out)
+        self.is_answered = not more
 
     async def _send(self, data: bytes) -> None:
         try:
             await self.stream.send_all(data)
         except _BROKEN as error:
+            self.is_gone = True
             raise CallerGoneError from error
 
     def abort(self) -> None:
         """Mark the connection to be closed before the answer is whole."""
         self.is_aborted = True
 
+    def find_ending(self) -> Ending:
+        """Return how the request has ended for its caller."""
+        return find_ending(
+            is_answered=self.is_answered,
+            is_gone=self.is_gone,
+            is_aborted=self.is_aborted,
+            is_started=self.is_started,
+        )
+
     async def wait_gone(self) -> None:
         """Return when the caller has closed its connection."""
         while self.read_ahead < MAX_READ_AHEAD:
             try:
                 data = await self.stream.receive_some(RECEIVE_BYTES)
             except _BROKEN:
-                return
+                data = b""
             if not data:
+                self.is_gone = True
                 return
             self.connection.receive_data(data)
             self.read_ahead += len(data)
@@ -169,6 +200,7 @@
     connections: int = 0
     idle: set[trio.CancelScope] = msgspec.field(default_factory=set)
     recorder: Recorder | None = None
+    account: RequestAccount = msgspec.field(default_factory=RequestAccount)
 
     async def run(self, listeners: list[trio.SocketListener], shutdown: trio.Event) -> None:
         """Accept until shut down; return when what is in flight has been answered."""
@@ -237,7 +269,11 @@
             await _linger(stream)
             return False
         exchange = H11Exchange(self, stream, connection, head, target)
-        await self.handle(exchange)
+        self.account.open()
+        try:
+            await self.handle(exchange)
+        finally:
+            self.account.close(exchange.request, exchange.find_ending())
         if exchange.is_aborted or connection.our_state is not h11.DONE:
             return False
         if connection.their_state is not h11.DONE or self.is_draining:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_asgi.py
@@ -5,6 +5,7 @@
 import trio
 
 from bendwind_node.calls.caller_asgi import serve_callers_asgi
+from bendwind_node.calls.request_account import RequestAccount
 from bendwind_node.calls.tests.test_caller_h11 import echo, read_body
 from bendwind_node.http import AsgiServer
 
@@ -26,7 +27,7 @@
             server = AsgiServer(os.dup(listeners[0].socket.fileno()), 0.5, 4096)
             with trio.fail_after(20):
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(serve_callers_asgi, handle, server)
+                    nursery.start_soon(serve_callers_asgi, handle, server, RequestAccount())
                     async with httpcore.AsyncConnectionPool(http1=not http2, http2=http2) as pool:
                         await check(pool, f"http://127.0.0.1:{port}/x?y=1")
                     nursery.cancel_scope.cancel()
--- a/packages/bendwind-node/src/bendwind_node/daemon/metrics_page.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/metrics_page.py
@@ -48,4 +48,4 @@
         return
     daemon.listeners.extra["metrics"] = listeners
     page = MetricsPage(create_metrics(daemon), table.path)
-    serve_page(listeners, page.handle, nursery, daemon.recorder)
+    serve_page(daemon, "metrics", listeners, page.handle, nursery)
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -53,7 +53,8 @@
         await daemon.stopping.wait()
         await _stop(daemon)
         nursery.cancel_scope.cancel()
-    daemon.recorder.record(EventKind.PROCESS_STOPPED)
+    endings = "; ".join(account.describe() for account in daemon.accounts)
+    daemon.recorder.record(EventKind.PROCESS_STOPPED, detail=endings)
     return Ok(None)
 
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -8,13 +8,13 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.membership import ConfigurationApplied, ViewEffect
 from bendwind_core.suspicion import SuspectTable
-from bendwind_core.timeline import Recorder
 from bendwind_node.calls.announce_asgi import AnnounceApp
 from bendwind_node.calls.call_intake import CallIntake
 from bendwind_node.calls.call_task import CallTask
 from bendwind_node.calls.caller_asgi import serve_callers_asgi
 from bendwind_node.calls.caller_h11 import H11Server, Handle
 from bendwind_node.calls.entry_node import EntryNode
+from bendwind_node.calls.request_account import RequestAccount
 from bendwind_node.daemon.build import read_wall_ms
 from bendwind_node.daemon.readiness import ReadinessPage
 from bendwind_node.daemon.state import Daemon
@@ -28,6 +28,7 @@
     gather_probes,
     gather_process,
     gather_quotas,
+    gather_requests,
     gather_statistics,
     gather_timeline,
     gather_voter,
@@ -50,7 +51,7 @@
     settings = daemon.settings
     if settings.readiness is not None:
         page = ReadinessPage(daemon, settings.readiness.path)
-        serve_page(daemon.listeners.readiness, page.handle, nursery, daemon.recorder)
+        serve_page(daemon, "readiness", daemon.listeners.readiness, page.handle, nursery)
     if settings.upstreams is not None:
         serve_upstreams(daemon, nursery)
     if settings.operators is not None:
@@ -59,14 +60,29 @@
         serve_callers(daemon, nursery)
 
 
+def open_account(daemon: Daemon, address: str) -> RequestAccount:
+    """Make the account of the requests that come to one address of a process."""
+    account = RequestAccount(address, daemon.recorder, daemon.dispatcher.entry.dialect)
+    daemon.accounts.append(account)
+    return account
+
+
 def serve_page(
+    daemon: Daemon,
+    address: str,
     listeners: list[trio.SocketListener],
     handle: Handle,
     nursery: trio.Nursery,
-    recorder: Recorder,
 ) -> None:
     """Start to serve a few plain requests, until the process ends."""
-    server = H11Server(handle, KEEP_ALIVE, MAX_HEADER_BYTES, PAGE_CONNECTIONS, recorder=recorder)
+    server = H11Server(
+        handle,
+        KEEP_ALIVE,
+        MAX_HEADER_BYTES,
+        PAGE_CONNECTIONS,
+        recorder=daemon.recorder,
+        account=open_account(daemon, address),
+    )
     nursery.start_soon(server.run, listeners, trio.Event())
 
 
@@ -84,6 +100,7 @@
                 limits.header_bytes,
                 limits.connections,
                 recorder=daemon.recorder,
+                account=open_account(daemon, "callers"),
             )
             daemon.dispatcher.membership.listeners.append(
                 lambda effect: _follow_limits(server, entry, effect)
@@ -96,7 +113,8 @@
                 limits.header_bytes,
                 daemon.callers_done,
             )
-            nursery.start_soon(serve_callers_asgi, task.handle, served)
+            account = open_account(daemon, "callers")
+            nursery.start_soon(serve_callers_asgi, task.handle, served, account)
 
 
 def _follow_limits(server: H11Server, entry: EntryNode, effect: ViewEffect) -> None:
@@ -169,6 +187,7 @@
         yield from gather_statistics(daemon.recorder.statistics)
         yield from gather_logs()
         yield from gather_calls(dispatcher.entry, dispatcher.owner)
+        yield from gather_requests(daemon.accounts)
         yield from gather_probes(dispatcher.probes)
         yield from gather_node(dispatcher.hub, dispatcher.membership, dispatcher.claims)
         yield from gather_quotas(dispatcher.quotas)
--- a/packages/bendwind-node/src/bendwind_node/daemon/state.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/state.py
@@ -5,6 +5,7 @@
 
 from bendwind_core.timeline import Recorder
 from bendwind_node.calls.body_flow import ByteBudget
+from bendwind_node.calls.request_account import RequestAccount
 from bendwind_node.daemon.dispatcher import Dispatcher
 from bendwind_node.daemon.listeners import Listeners
 from bendwind_node.security import Keys
@@ -12,7 +13,10 @@
 
 
 class Daemon(msgspec.Struct, eq=False):
-    """Hold the tasks of one process; `keys` is None where its links are not encrypted."""
+    """Hold the tasks of one process; `keys` is None where its links are not encrypted.
+
+    `accounts` tells of each address what became of the requests that came there.
+    """
 
     settings: Settings
     listeners: Listeners
@@ -22,3 +26,4 @@
     body_budget: ByteBudget
     stopping: trio.Event = msgspec.field(default_factory=trio.Event)
     callers_done: trio.Event = msgspec.field(default_factory=trio.Event)
+    accounts: list[RequestAccount] = msgspec.field(default_factory=list)
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -58,6 +58,20 @@
     CLOCK_IGNORED = _count(
         "clock_ignored", "messages", "Peer times too far ahead of this wall clock to follow."
     )
+    REQUESTS_TAKEN = _count(
+        "requests_taken", "requests", "Requests whose head was read, by address.", "address"
+    )
+    REQUESTS_IN_HAND = _gauge(
+        "requests_in_hand", "requests", "Requests taken that have not ended.", "address"
+    )
+    REQUESTS_ENDED = _count(
+        "requests_ended",
+        "requests",
+        "Requests by their end: answered or refused whole, cut with the answer of their upstream, "
+        "left by their caller, or unanswered, of which there should be none.",
+        "address",
+        "ending",
+    )
     CALLS_IN_FLIGHT = _gauge(
         "calls_in_flight", "calls", "Calls of this entry node without their outcome.", "service"
     )
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -2,7 +2,7 @@
 
 import logging
 import resource
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import trio
 
@@ -14,6 +14,7 @@
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
+from bendwind_node.calls.request_account import Ending, RequestAccount
 from bendwind_node.claims.task import ClaimTask
 from bendwind_node.control.service import ControlService
 from bendwind_node.links import LinkHub
@@ -87,6 +88,16 @@
     yield Sample(Metric.LOG_LINES_LEFT_OUT, sum(handler.total_left_out for handler in aside))
 
 
+def gather_requests(accounts: Iterable[RequestAccount]) -> Iterator[Sample]:
+    """Read what became of the requests that came to each address."""
+    for account in accounts:
+        yield Sample(Metric.REQUESTS_TAKEN, account.taken, (account.address,))
+        yield Sample(Metric.REQUESTS_IN_HAND, account.in_hand, (account.address,))
+        for ending in Ending:
+            labels = (account.address, ending)
+            yield Sample(Metric.REQUESTS_ENDED, account.ended[ending], labels)
+
+
 def gather_calls(entry: EntryNode, owner: OwnerNode) -> Iterator[Sample]:
     """Read the calls and attempts under way."""
     for service, choice in entry.choices.items():
