--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.calls.request_account import Ending, RequestAccount
 from bendwind_node.daemon.run import _stop
 from bendwind_node.settings.tables import StopTable
 
@@ -32,23 +33,46 @@
         pass
 
 
+def make_daemon(register, accounts=()):
+    owner = types.SimpleNamespace(register=register, is_idle=lambda: True)
+    dispatcher = types.SimpleNamespace(
+        owner=owner, entry=types.SimpleNamespace(runs={}), claims=FakeClaims(), control=None
+    )
+    return types.SimpleNamespace(
+        dispatcher=dispatcher,
+        recorder=Recorder("a", lambda: 1, 10),
+        settings=types.SimpleNamespace(stop=StopTable(notice_ms=2000, drain_ms=1000)),
+        callers_done=trio.Event(),
+        accounts=accounts,
+    )
+
+
 class PlannedStopTest(unittest.TestCase):
+    def test_request_without_an_attempt_is_waited_for(self):
+        # What a stopping node counted were attempts. A request that had none yet, since its
+        # body was being read, or that was being answered ended with the process, unanswered.
+        account = RequestAccount("callers")
+        account.open()
+        daemon = make_daemon(FakeRegister(), [account])
+
+        async def answer_late():
+            await trio.sleep(2.5)
+            account.close(None, Ending.ANSWERED)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(answer_late)
+                await _stop(daemon)
+                self.assertEqual(account.in_hand, 0)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_upstream_stays_in_use_until_callers_have_been_sent_elsewhere(self):
         # It was drained at once, and its service did without it for the whole notice.
         register = FakeRegister()
-        owner = types.SimpleNamespace(register=register, is_idle=lambda: True)
-        entry = types.SimpleNamespace(runs={})
-        dispatcher = types.SimpleNamespace(
-            owner=owner, entry=entry, claims=FakeClaims(), control=None
-        )
+        daemon = make_daemon(register)
 
         async def main():
-            daemon = types.SimpleNamespace(
-                dispatcher=dispatcher,
-                recorder=Recorder("a", lambda: 1, 10),
-                settings=types.SimpleNamespace(stop=StopTable(notice_ms=2000, drain_ms=1000)),
-                callers_done=trio.Event(),
-            )
             started_at = trio.current_time()
             await _stop(daemon)
             self.assertEqual(register.drained_at - started_at, 2.0)
