daemon: signals are listened to from a process's first moment to its last

Callers saw: a connection closed without a byte of an answer when their node was told to stop twice; a reload asked for in the first tenth of a second ended the process (exit -1). Cause: SIGTERM had a handler only until the first one came, SIGHUP only once the process ran; at all other times a signal's default action ends a process, with all that it holds.

--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -18,6 +18,7 @@
 from bendwind_node.daemon.reload import watch_settings
 from bendwind_node.daemon.serve import serve_all
 from bendwind_node.daemon.state import Daemon
+from bendwind_node.early_signals import STOP_SIGNALS, is_stop_asked
 from bendwind_node.security import watch_keys
 from bendwind_node.settings import Settings
 
@@ -43,6 +44,9 @@
         built = build_daemon(daemon, nursery, extension, incarnation)
         if built.is_error():
             return built
+        if is_stop_asked():
+            # Nothing is served yet, so that nothing has to be finished.
+            return Ok(None)
         await _start(daemon, nursery, extension)
         if extension.serve is not None:
             served = await extension.serve(daemon, nursery)
@@ -73,7 +77,7 @@
         place = UpstreamPlace(beside.service, beside.host, beside.port)
         nursery.start_soon(dispatcher.owner.register.introduce, place)
     nursery.start_soon(_prove_lease, dispatcher)
-    nursery.start_soon(_watch_signals, daemon.stopping)
+    nursery.start_soon(_watch_signals, daemon)
     if daemon.keys is not None:
         nursery.start_soon(watch_keys, daemon.keys)
     if extension.settings_file is not None and extension.load is not None:
@@ -106,11 +110,17 @@
         await trio.sleep(LEASE_POLL)
 
 
-async def _watch_signals(stopping: trio.Event) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stopping.set()
-            return
+async def _watch_signals(daemon: Daemon) -> None:
+    # It listens until the process ends: a second signal would end the process in the midst of what
+    # it is answering.
+    with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        if is_stop_asked():
+            daemon.stopping.set()
+        async for number in signals:
+            if daemon.stopping.is_set():
+                detail = signal.Signals(number).name
+                daemon.recorder.record(EventKind.STOP_ASKED_AGAIN, detail=detail)
+            daemon.stopping.set()
 
 
 async def _stop(daemon: Daemon) -> None:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/early_signals.py
@@ -0,0 +1,33 @@
+"""Take the signals of a process from its first moment to its last.
+
+Import this module before any that takes time to load. A signal that comes while nobody listens
+would end the process: before it listens, or once a listener has left.
+"""
+
+import signal
+from types import FrameType
+
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+RELOAD_SIGNALS = frozenset({signal.SIGHUP})
+
+_heard: set[int] = set()
+
+
+def hold_signals() -> None:
+    """Note the signals that ask for a stop or a reload until someone listens."""
+    for number in STOP_SIGNALS | RELOAD_SIGNALS:
+        signal.signal(number, _note)
+
+
+def _note(number: int, frame: FrameType | None) -> None:
+    _heard.add(number)
+
+
+def is_stop_asked() -> bool:
+    """Tell whether a stop was asked for while nobody listened."""
+    return bool(_heard & STOP_SIGNALS)
+
+
+def is_reload_asked() -> bool:
+    """Tell whether a reload was asked for while nobody listened."""
+    return bool(_heard & RELOAD_SIGNALS)
