daemon, calls: a stop ends once no caller is connected and nothing that was read is unanswered

Callers saw: a whole request at a stopping node got neither an answer nor a refusal, though its upstream answered it; a request whose body was being read, too. Cause: a stop looked whether attempts were under way, and ended at least 20 ms after it had found none, while it read on from kept connections. A request without an attempt was not counted at all. Change: the wait counts requests in hand at each address; before it looks at the work the callers' server has closed every connection, idle kept ones at once if nothing has come on them, new ones after a quarter of a second without a request. The other addresses are closed after that, once what they had in hand is answered. What has come by the moment at which an idle connection is closed is served, also where it rested for too long. Why it holds: no connection is left on which a request could be read after the last look.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -27,8 +27,8 @@
 LINGER: Seconds = 1.0
 # A head fits into a few packets; one that trickles in takes a connection from others.
 HEADER_TIMEOUT: Seconds = 10.0
-# Once draining, an idle connection is kept this long for a request that is on its way.
-DRAIN_IDLE: Seconds = 2.0
+# A caller that has just connected is about to send its request.
+FIRST_REQUEST_TIMEOUT: Seconds = 0.25
 
 _SERVICE_UNAVAILABLE = 503
 _FRAMING = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
@@ -187,7 +187,8 @@
     """Own the callers' connections of a process.
 
     `keep_alive` bounds the rest between two requests, `header_timeout` the time from the first byte
-    of a head to its last. With a `recorder`, a fault that one request meets ends its connection and
+    of a head to its last. `idle` holds what waits for a request, and whether for the first one of
+    its connection. With a `recorder`, a fault that one request meets ends its connection and
     is recorded; without one it is raised.
     """
 
@@ -198,7 +199,7 @@
     header_timeout: Seconds = HEADER_TIMEOUT
     is_draining: bool = False
     connections: int = 0
-    idle: set[trio.CancelScope] = msgspec.field(default_factory=set)
+    idle: dict[trio.CancelScope, bool] = msgspec.field(default_factory=dict)
     recorder: Recorder | None = None
     account: RequestAccount = msgspec.field(default_factory=RequestAccount)
 
@@ -215,10 +216,18 @@
             self._start_draining()
 
     def _start_draining(self) -> None:
-        # An idle caller may be sending just now: it gets a last answer, with "close" in its head.
         self.is_draining = True
-        for scope in self.idle:
-            scope.deadline = min(scope.deadline, trio.current_time() + DRAIN_IDLE)
+        for scope, is_fresh in self.idle.items():
+            scope.deadline = min(scope.deadline, self._find_idle_end(is_fresh=is_fresh))
+
+    def _find_idle_end(self, *, is_fresh: bool) -> Seconds:
+        """Return until when a connection may wait for its next request."""
+        now = trio.current_time()
+        if not self.is_draining:
+            return now + self.keep_alive
+        # At whatever moment a kept connection is closed, a request may be on its way; it is not
+        # read, which its caller can go by.
+        return now + FIRST_REQUEST_TIMEOUT if is_fresh else now
 
     async def _serve(self, stream: PromptStream) -> None:
         self.connections += 1
@@ -228,8 +237,10 @@
                 if self.connections > self.max_connections:
                     await self._refuse_connection(stream, connection)
                     return
-                while await self._serve_one(stream, connection):
+                is_fresh = True
+                while await self._serve_one(stream, connection, is_fresh=is_fresh):
                     connection.start_next_cycle()
+                    is_fresh = False
         except _BROKEN:
             return
         except Exception as error:
@@ -244,10 +255,12 @@
         await stream.send_all(_make_error(connection, _SERVICE_UNAVAILABLE, outcomes.NOT_RUN))
         await _linger(stream)
 
-    async def _serve_one(self, stream: PromptStream, connection: h11.Connection) -> bool:
+    async def _serve_one(
+        self, stream: PromptStream, connection: h11.Connection, *, is_fresh: bool
+    ) -> bool:
         """Serve one request and tell whether the connection may carry another."""
         try:
-            head = await self._read_head(stream, connection)
+            head = await self._read_head(stream, connection, is_fresh=is_fresh)
         except _HeadTooSlowError:
             await stream.send_all(_make_error(connection, _REQUEST_TIMEOUT, outcomes.NOT_RUN))
             return False
@@ -282,23 +295,32 @@
         return True
 
     async def _read_head(
-        self, stream: PromptStream, connection: h11.Connection
+        self, stream: PromptStream, connection: h11.Connection, *, is_fresh: bool
     ) -> h11.Request | None:
-        is_first = True
-        with trio.move_on_after(DRAIN_IDLE if self.is_draining else self.keep_alive) as scope:
-            self.idle.add(scope)
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await self._receive_first(stream, is_fresh=is_fresh))
+            event = connection.next_event()
+        if event is h11.NEED_DATA:
+            event = await self._read_rest(stream, connection)
+        return event if isinstance(event, h11.Request) else None
+
+    async def _receive_first(self, stream: PromptStream, *, is_fresh: bool) -> bytes:
+        """Wait for the first bytes of a request; empty where the connection is to be closed."""
+        with trio.CancelScope(deadline=self._find_idle_end(is_fresh=is_fresh)) as scope:
+            self.idle[scope] = is_fresh
             try:
-                while (event := connection.next_event()) is h11.NEED_DATA:
-                    connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
-                    if is_first:
-                        is_first = False
-                        self.idle.discard(scope)
-                        scope.deadline = trio.current_time() + self.header_timeout
+                return await stream.receive_some(RECEIVE_BYTES)
             finally:
-                self.idle.discard(scope)
-            return event if isinstance(event, h11.Request) else None
-        if is_first:
-            return None
+                del self.idle[scope]
+        # A request that came just now is still served; its caller would wait for an answer.
+        return stream.receive_now()
+
+    async def _read_rest(self, stream: PromptStream, connection: h11.Connection) -> object:
+        with trio.move_on_after(self.header_timeout):
+            while (event := connection.next_event()) is h11.NEED_DATA:
+                connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+            return event
         raise _HeadTooSlowError
 
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -24,6 +24,8 @@
 
 LEAD_TIMEOUT: Seconds = 2.0
 IDLE_POLL: Seconds = 0.02
+# Calls to the other addresses take milliseconds; one that waits for the log may take longer.
+PAGES_TIMEOUT: Seconds = 0.5
 LEASE_POLL: Seconds = 0.5
 
 
@@ -136,8 +138,11 @@
     with trio.move_on_after(limits.claims_ms / MILLISECONDS_PER_SECOND):
         await dispatcher.claims.hand_over()
     with trio.move_on_after(limits.drain_ms / MILLISECONDS_PER_SECOND):
-        while _has_work(dispatcher):
-            await trio.sleep(IDLE_POLL)
+        await _finish_calls(daemon)
+    daemon.pages_done.set()
+    with trio.move_on_after(PAGES_TIMEOUT):
+        for closed in daemon.pages_closed:
+            await closed.wait()
     if dispatcher.control is not None:
         # Otherwise the other voters wait out an election timeout without a leader.
         with trio.move_on_after(LEAD_TIMEOUT):
@@ -147,7 +152,17 @@
     await trio.sleep(IDLE_POLL)
 
 
-def _has_work(dispatcher: Dispatcher) -> bool:
-    # An outcome that no claim holder has confirmed yet would be told as unknown to a resend.
+async def _finish_calls(daemon: Daemon) -> None:
+    # Once no caller is connected, no request can come after the last look at the work.
+    if daemon.settings.callers is not None:
+        await daemon.callers_closed.wait()
+    while _has_work(daemon):
+        await trio.sleep(IDLE_POLL)
+
+
+def _has_work(daemon: Daemon) -> bool:
+    dispatcher = daemon.dispatcher
+    has_requests = any(account.in_hand for account in daemon.accounts)
     has_calls = bool(dispatcher.entry.runs) or not dispatcher.owner.is_idle()
-    return has_calls or bool(dispatcher.claims.entry.settling)
+    # An outcome that no claim holder has confirmed yet would be told as unknown to a resend.
+    return has_requests or has_calls or bool(dispatcher.claims.entry.settling)
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -1,7 +1,8 @@
 """Serve a process's HTTP: callers, the upstream beside it, operators."""
 
 import os
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 
@@ -74,7 +75,7 @@
     handle: Handle,
     nursery: trio.Nursery,
 ) -> None:
-    """Start to serve a few plain requests, until the process ends."""
+    """Start to serve a few plain requests, until the calls of a stopping process have ended."""
     server = H11Server(
         handle,
         KEEP_ALIVE,
@@ -83,7 +84,19 @@
         recorder=daemon.recorder,
         account=open_account(daemon, address),
     )
-    nursery.start_soon(server.run, listeners, trio.Event())
+    run = partial(server.run, listeners, daemon.pages_done)
+    nursery.start_soon(_run_to_end, run, _note_page(daemon))
+
+
+def _note_page(daemon: Daemon) -> trio.Event:
+    closed = trio.Event()
+    daemon.pages_closed.append(closed)
+    return closed
+
+
+async def _run_to_end(run: Callable[[], Awaitable[None]], closed: trio.Event) -> None:
+    await run()
+    closed.set()
 
 
 def serve_callers(daemon: Daemon, nursery: trio.Nursery) -> None:
@@ -105,7 +118,7 @@
             daemon.dispatcher.membership.listeners.append(
                 lambda effect: _follow_limits(server, entry, effect)
             )
-            nursery.start_soon(server.run, daemon.listeners.callers, daemon.callers_done)
+            run = partial(server.run, daemon.listeners.callers, daemon.callers_done)
         case "hypercorn":
             served = AsgiServer(
                 _detach(daemon.listeners.callers),
@@ -114,7 +127,8 @@
                 daemon.callers_done,
             )
             account = open_account(daemon, "callers")
-            nursery.start_soon(serve_callers_asgi, task.handle, served, account)
+            run = partial(serve_callers_asgi, task.handle, served, account)
+    nursery.start_soon(_run_to_end, run, daemon.callers_closed)
 
 
 def _follow_limits(server: H11Server, entry: EntryNode, effect: ViewEffect) -> None:
@@ -133,8 +147,10 @@
 def serve_upstreams(daemon: Daemon, nursery: trio.Nursery) -> None:
     """Start to hear the announcements of the upstream beside this process."""
     app = AnnounceApp(daemon.dispatcher.owner.register, daemon.settings.lease.lease_ms)
-    served = AsgiServer(_detach(daemon.listeners.upstreams), KEEP_ALIVE, MAX_HEADER_BYTES)
-    nursery.start_soon(serve_asgi, app, served)
+    served = AsgiServer(
+        _detach(daemon.listeners.upstreams), KEEP_ALIVE, MAX_HEADER_BYTES, daemon.pages_done
+    )
+    nursery.start_soon(_run_to_end, partial(serve_asgi, app, served), _note_page(daemon))
 
 
 def serve_operators(daemon: Daemon, nursery: trio.Nursery) -> None:
@@ -165,9 +181,10 @@
         _detach(daemon.listeners.operators),
         KEEP_ALIVE,
         MAX_HEADER_BYTES,
+        daemon.pages_done,
         tls=None if daemon.keys is None else daemon.keys.operators,
     )
-    nursery.start_soon(serve_asgi, app, served)
+    nursery.start_soon(_run_to_end, partial(serve_asgi, app, served), _note_page(daemon))
 
 
 def _find_suspects(daemon: Daemon) -> SuspectTable:
--- a/packages/bendwind-node/src/bendwind_node/daemon/state.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/state.py
@@ -15,6 +15,8 @@
 class Daemon(msgspec.Struct, eq=False):
     """Hold the tasks of one process; `keys` is None where its links are not encrypted.
 
+    `callers_done` and `pages_done` have callers, and whoever uses the other addresses, sent away;
+    `callers_closed` and `pages_closed` tell once all that was taken there has been answered.
     `accounts` tells of each address what became of the requests that came there.
     """
 
@@ -26,4 +28,7 @@
     body_budget: ByteBudget
     stopping: trio.Event = msgspec.field(default_factory=trio.Event)
     callers_done: trio.Event = msgspec.field(default_factory=trio.Event)
+    pages_done: trio.Event = msgspec.field(default_factory=trio.Event)
+    callers_closed: trio.Event = msgspec.field(default_factory=trio.Event)
+    pages_closed: list[trio.Event] = msgspec.field(default_factory=list)
     accounts: list[RequestAccount] = msgspec.field(default_factory=list)
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -41,8 +41,10 @@
     return types.SimpleNamespace(
         dispatcher=dispatcher,
         recorder=Recorder("a", lambda: 1, 10),
-        settings=types.SimpleNamespace(stop=StopTable(notice_ms=2000, drain_ms=1000)),
+        settings=types.SimpleNamespace(stop=StopTable(notice_ms=2000, drain_ms=1000), callers=None),
         callers_done=trio.Event(),
+        pages_done=trio.Event(),
+        pages_closed=[],
         accounts=accounts,
     )
 
--- a/packages/bendwind-node/src/bendwind_node/streams/prompt_stream.py
+++ b/packages/bendwind-node/src/bendwind_node/streams/prompt_stream.py
@@ -59,6 +59,15 @@
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
 
+    def receive_now(self) -> bytes:
+        """Return the bytes that have come, empty where there are none."""
+        try:
+            return os.read(self._find_number(), RECEIVE_BYTES)
+        except BlockingIOError:
+            return b""
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
     async def send_eof(self) -> None:
         """End the sending direction."""
         await self.inner.send_eof()
