calls: a connection whose answer did not say that it closes is read on at a stop

Callers saw: a second request on a kept connection was read and the connection closed without an answer, where the first one's answer had begun before the process stopped to take callers. Cause: whether a connection closes was decided anew at the end of an answer; what its head had said was not asked. Change: only what the head of the answer said decides. The next request gets the answer that says close.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -289,7 +289,7 @@
             self.account.close(exchange.request, exchange.find_ending())
         if exchange.is_aborted or connection.our_state is not h11.DONE:
             return False
-        if connection.their_state is not h11.DONE or self.is_draining:
+        if connection.their_state is not h11.DONE:
             await _linger(stream)
             return False
         return True
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -1,6 +1,7 @@
 import unittest
 
 import trio
+import trio.testing
 
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.calls.caller_exchange import CallerGoneError
@@ -90,6 +91,35 @@
         self.assertIs(failed.kind, EventKind.TASK_FAILED)
         self.assertIn("ValueError: some fault", failed.detail)
 
+    def test_request_behind_an_answer_that_began_before_draining_is_answered(self):
+        # The answer had not said that the connection closes. What its caller sent next was read for
+        # a second, thrown away, and got no answer.
+        may_end = trio.Event()
+
+        async def handle(exchange):
+            await exchange.send_head(200, ((b"content-length", b"2"),))
+            await exchange.send_part(b"o", more=True)
+            await may_end.wait()
+            await exchange.send_part(b"k", more=False)
+
+        async def check(connect, shutdown):
+            request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+            received = b""
+            async with await connect() as stream:
+                await stream.send_all(request)
+                while not received.endswith(b"o"):
+                    received += await stream.receive_some(65536)
+                await stream.send_all(request)
+                shutdown.set()
+                await trio.testing.wait_all_tasks_blocked()
+                may_end.set()
+                while data := await stream.receive_some(65536):
+                    received += data
+            self.assertEqual(received.count(b"HTTP/1.1 200 "), 2)
+            self.assertEqual(received.lower().count(b"connection: close"), 1)
+
+        self.run_with(handle, check)
+
     def test_head_with_two_lengths_is_refused_and_nothing_after_it_is_served(self):
         # A front that goes by the other length would take the rest for a request of its own.
         received = self.exchange_bytes(
