calls: a request that is given up gets an answer

Callers saw: a connection closed without a byte of an answer where a fault of this program met their request, where a stop ran out of its time, and where an operator's change was half in at the control address. Cause: a failed or cancelled task closed its connection and left it at that. Change: the server that holds the connection writes an answer on the way out, if none has begun: not run (503) where the request was not read whole or nothing had begun, unknown (502) otherwise. The test that expected an empty answer of a failed task now expects the refusal, which is stricter.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -14,6 +14,7 @@
     """Carry one ASGI request."""
 
     __slots__ = (
+        "has_begun",
         "is_aborted",
         "is_answered",
         "is_body_read",
@@ -33,6 +34,7 @@
         self.receive = receive
         self.send = send
         self.is_body_read = False
+        self.has_begun = False
         self.is_aborted = False
         self.is_started = False
         self.is_answered = False
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
@@ -25,9 +25,13 @@
 
 
 class CallerExchange(Protocol):
-    """Carry one request of a caller and its answer."""
+    """Carry one request of a caller and its answer.
+
+    `has_begun` is set by whoever handles the request once it may have had an effect.
+    """
 
     request: CallerRequest
+    has_begun: bool
 
     async def receive_part(self) -> bytes | None:
         """Return the next part of the request's body, None at its end.
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -30,6 +30,7 @@
 # A caller that has just connected is about to send its request.
 FIRST_REQUEST_TIMEOUT: Seconds = 0.25
 
+_BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
 _FRAMING = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
 _HEADERS_TOO_LARGE = 431
@@ -61,6 +62,7 @@
 
     __slots__ = (
         "connection",
+        "has_begun",
         "head",
         "is_aborted",
         "is_answered",
@@ -87,6 +89,7 @@
         may_have_body = any(name in _FRAMING for name, _ in headers)
         self.request = CallerRequest(head.method.decode(), target, headers, may_have_body)
         self.head = b""
+        self.has_begun = False
         self.is_aborted = False
         self.is_started = False
         self.is_answered = False
@@ -151,6 +154,16 @@
             self.is_gone = True
             raise CallerGoneError from error
 
+    def give_up(self) -> None:
+        """Answer at once that nobody knows what became of the request, or that it has not run."""
+        status = _BAD_GATEWAY if self.has_begun else _SERVICE_UNAVAILABLE
+        outcome = outcomes.UNKNOWN if self.has_begun else outcomes.NOT_RUN
+        answer = _make_error(self.connection, status, outcome)
+        try:
+            self.is_answered = bool(answer) and self.stream.send_now(answer) == len(answer)
+        except _BROKEN:
+            self.is_gone = True
+
     def abort(self) -> None:
         """Mark the connection to be closed before the answer is whole."""
         self.is_aborted = True
@@ -244,13 +257,17 @@
         except _BROKEN:
             return
         except Exception as error:
-            if self.recorder is None:
-                raise
-            # A request that ends the process ends the next one with its next try.
-            self.recorder.record(EventKind.TASK_FAILED, detail=describe_failure(error))
+            self._note_failure(error)
         finally:
             self.connections -= 1
 
+    def _note_failure(self, error: Exception) -> None:
+        """Record a fault of this program; without a recorder it is raised."""
+        if self.recorder is None:
+            raise error
+        # A request that ends the process ends the next one with its next try.
+        self.recorder.record(EventKind.TASK_FAILED, detail=describe_failure(error))
+
     async def _refuse_connection(self, stream: PromptStream, connection: h11.Connection) -> None:
         await stream.send_all(_make_error(connection, _SERVICE_UNAVAILABLE, outcomes.NOT_RUN))
         await _linger(stream)
@@ -282,11 +299,7 @@
             await _linger(stream)
             return False
         exchange = H11Exchange(self, stream, connection, head, target)
-        self.account.open()
-        try:
-            await self.handle(exchange)
-        finally:
-            self.account.close(exchange.request, exchange.find_ending())
+        await self._handle(exchange)
         if exchange.is_aborted or connection.our_state is not h11.DONE:
             return False
         if connection.their_state is not h11.DONE:
@@ -294,6 +307,20 @@
             return False
         return True
 
+    async def _handle(self, exchange: H11Exchange) -> None:
+        """Have a request answered; one that is given up half-way gets an answer as well."""
+        self.account.open()
+        try:
+            await self.handle(exchange)
+        except trio.Cancelled:
+            exchange.give_up()
+            raise
+        except Exception as error:
+            self._note_failure(error)
+            exchange.give_up()
+        finally:
+            self.account.close(exchange.request, exchange.find_ending())
+
     async def _read_head(
         self, stream: PromptStream, connection: h11.Connection, *, is_fresh: bool
     ) -> h11.Request | None:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -6,6 +6,7 @@
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.calls.caller_exchange import CallerGoneError
 from bendwind_node.calls.caller_h11 import H11Server
+from bendwind_node.calls.request_account import Ending, RequestAccount
 
 
 async def read_body(exchange):
@@ -72,7 +73,8 @@
         received = self.exchange_bytes(b"GET http://[ HTTP/1.1\r\nhost: a\r\n\r\n")
         self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
 
-    def test_request_whose_task_fails_ends_its_own_connection_only(self):
+    def test_request_whose_task_fails_is_answered_and_ends_its_own_connection_only(self):
+        # Its connection was closed without an answer, as if the caller had done wrong.
         recorder = Recorder("a", lambda: 1, 100)
 
         async def handle(exchange):
@@ -81,7 +83,7 @@
             await echo(exchange)
 
         async def check(connect, shutdown):
-            for target, expected in ((b"/fails", b""), (b"/", b"HTTP/1.1 200 ")):
+            for target, expected in ((b"/fails", b"HTTP/1.1 503 "), (b"/", b"HTTP/1.1 200 ")):
                 async with await connect() as stream:
                     await stream.send_all(b"GET " + target + b" HTTP/1.1\r\nhost: a\r\n\r\n")
                     self.assertTrue((await stream.receive_some(65536)).startswith(expected))
@@ -120,6 +122,50 @@
 
         self.run_with(handle, check)
 
+    def test_requests_that_a_server_gives_up_are_answered(self):
+        # At the end of the time for a stop their connections were closed without a byte. What was
+        # not read whole, or not begun, cannot have run; of the rest nobody knows.
+        async def handle(exchange):
+            await read_body(exchange)
+            exchange.has_begun = exchange.request.target == b"/begun"
+            await trio.sleep_forever()
+
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            address = listeners[0].socket.getsockname()
+            account = RequestAccount("callers")
+            server = H11Server(handle, 5.0, 2048, 8, account=account)
+            found = {}
+            requests = {
+                b"/begun": b"content-length: 2\r\n\r\nok",
+                b"/waits": b"content-length: 2\r\n\r\nok",
+                b"/half": b"content-length: 2\r\n\r\no",
+            }
+
+            async def call(path, rest):
+                async with await trio.open_tcp_stream(*address) as stream:
+                    await stream.send_all(b"POST " + path + b" HTTP/1.1\r\nhost: a\r\n" + rest)
+                    found[path] = (await stream.receive_some(65536)).split(b"\r\n")
+
+            with trio.fail_after(20):
+                async with trio.open_nursery() as calling, trio.open_nursery() as serving:
+                    serving.start_soon(server.run, listeners, trio.Event())
+                    for path, rest in requests.items():
+                        calling.start_soon(call, path, rest)
+                    while account.taken < len(requests):
+                        await trio.sleep(0.001)
+                    await trio.testing.wait_all_tasks_blocked()
+                    serving.cancel_scope.cancel()
+            self.assertEqual(account.ended, {Ending.ANSWERED: len(requests)})
+            return found
+
+        found = trio.run(main)
+        self.assertIn(b"HTTP/1.1 502 ", found[b"/begun"])
+        self.assertIn(b"bendwind-outcome: unknown", found[b"/begun"])
+        for path in (b"/waits", b"/half"):
+            self.assertIn(b"HTTP/1.1 503 ", found[path])
+            self.assertIn(b"bendwind-outcome: not-run", found[path])
+
     def test_head_with_two_lengths_is_refused_and_nothing_after_it_is_served(self):
         # A front that goes by the other length would take the rest for a request of its own.
         received = self.exchange_bytes(
--- a/packages/bendwind-node/src/bendwind_node/streams/prompt_stream.py
+++ b/packages/bendwind-node/src/bendwind_node/streams/prompt_stream.py
@@ -25,11 +25,12 @@
 
     async def send_all(self, data: bytes) -> None:
         """Send all data."""
-        sent = self._send_now(data)
+        sent = self.send_now(data)
         if sent < len(data):
             await self.inner.send_all(memoryview(data)[sent:])
 
-    def _send_now(self, data: bytes) -> int:
+    def send_now(self, data: bytes) -> int:
+        """Send what the socket takes at once and return how many bytes that were."""
         try:
             return os.write(self._find_number(), data)
         except BlockingIOError:
