calls: answers say close from the moment at which a process is told to stop

Callers saw: a kept connection closed under a request that was not read, at the end of the time of notice. Cause: answers said close only once the callers' server took no more connections, so that callers with kept connections used them until that moment.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -131,7 +131,7 @@
 
     async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
         """Prepare the head of the answer; it goes out with the first part of the body."""
-        if self.server.is_draining or not _has_whole_request(self.connection):
+        if self.server.is_leaving or not _has_whole_request(self.connection):
             headers = (*headers, _CLOSE)
         self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
 
@@ -201,8 +201,8 @@
 
     `keep_alive` bounds the rest between two requests, `header_timeout` the time from the first byte
     of a head to its last. `idle` holds what waits for a request, and whether for the first one of
-    its connection. With a `recorder`, a fault that one request meets ends its connection and
-    is recorded; without one it is raised.
+    its connection. From `stopping` on, answers close their connections. With a `recorder`, a fault
+    that one request meets ends its connection and is recorded; without one it is raised.
     """
 
     handle: Handle
@@ -215,6 +215,14 @@
     idle: dict[trio.CancelScope, bool] = msgspec.field(default_factory=dict)
     recorder: Recorder | None = None
     account: RequestAccount = msgspec.field(default_factory=RequestAccount)
+    stopping: trio.Event = msgspec.field(default_factory=trio.Event)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether callers are told to use their connections no longer."""
+        # A caller whose kept connection is closed under a request cannot tell whether it was read;
+        # one that has to connect anew, and cannot, can.
+        return self.is_draining or self.stopping.is_set()
 
     async def run(self, listeners: list[trio.SocketListener], shutdown: trio.Event) -> None:
         """Accept until shut down; return when what is in flight has been answered."""
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -32,12 +32,19 @@
         header_bytes=2048,
         header_timeout=5.0,
         recorder=None,
+        stopping=None,
     ):
         async def main():
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             address = listeners[0].socket.getsockname()
             server = H11Server(
-                handle, 5.0, header_bytes, max_connections, header_timeout, recorder=recorder
+                handle,
+                5.0,
+                header_bytes,
+                max_connections,
+                header_timeout,
+                recorder=recorder,
+                stopping=trio.Event() if stopping is None else stopping,
             )
             shutdown = trio.Event()
             with trio.fail_after(20):
@@ -93,6 +100,25 @@
         self.assertIs(failed.kind, EventKind.TASK_FAILED)
         self.assertIn("ValueError: some fault", failed.detail)
 
+    def test_answers_say_close_from_the_moment_at_which_the_process_is_told_to_stop(self):
+        # A caller that kept its connection until the end had a request on its way when it was
+        # closed, and could not tell whether that had been read.
+        stopping = trio.Event()
+
+        async def check(connect, shutdown):
+            request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+            async with await connect() as kept:
+                await kept.send_all(request)
+                self.assertNotIn(b"close", (await kept.receive_some(65536)).lower())
+                stopping.set()
+                await kept.send_all(request)
+                self.assertIn(b"connection: close", (await kept.receive_some(65536)).lower())
+            async with await connect() as fresh:
+                await fresh.send_all(request)
+                self.assertTrue((await fresh.receive_some(65536)).startswith(b"HTTP/1.1 200 "))
+
+        self.run_with(echo, check, stopping=stopping)
+
     def test_request_behind_an_answer_that_began_before_draining_is_answered(self):
         # The answer had not said that the connection closes. What its caller sent next was read for
         # a second, thrown away, and got no answer.
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -114,6 +114,7 @@
                 limits.connections,
                 recorder=daemon.recorder,
                 account=open_account(daemon, "callers"),
+                stopping=daemon.stopping,
             )
             daemon.dispatcher.membership.listeners.append(
                 lambda effect: _follow_limits(server, entry, effect)
