calls: an answer that closes its connection is not lost behind what the caller still sends

Callers saw: a connection reset while they sent a body that was refused early, or behind an answer that said close; the refusal or the answer could be lost on its way. Cause: such a connection was closed with bytes unread, which resets it; reading on for a while (RFC 9112, 9.6) was meant for it, but stood behind a condition that an answer with close never reached. Change: the connection is read on for up to a second behind each answer that says close.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -70,6 +70,7 @@
         "is_started",
         "read_ahead",
         "request",
+        "says_close",
         "server",
         "stream",
     )
@@ -94,6 +95,7 @@
         self.is_started = False
         self.is_answered = False
         self.is_gone = False
+        self.says_close = False
         self.read_ahead = 0
 
     async def receive_part(self) -> bytes | None:
@@ -131,7 +133,8 @@
 
     async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
         """Prepare the head of the answer; it goes out with the first part of the body."""
-        if self.server.is_leaving or not _has_whole_request(self.connection):
+        self.says_close = self.server.is_leaving or not _has_whole_request(self.connection)
+        if self.says_close:
             headers = (*headers, _CLOSE)
         self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
 
@@ -308,12 +311,11 @@
             return False
         exchange = H11Exchange(self, stream, connection, head, target)
         await self._handle(exchange)
-        if exchange.is_aborted or connection.our_state is not h11.DONE:
-            return False
-        if connection.their_state is not h11.DONE:
+        if exchange.says_close and exchange.is_answered:
+            # What the caller still sends, or has sent behind its request, would reset the
+            # connection, and the answer could be lost on its way.
             await _linger(stream)
-            return False
-        return True
+        return not exchange.is_aborted and connection.our_state is h11.DONE
 
     async def _handle(self, exchange: H11Exchange) -> None:
         """Have a request answered; one that is given up half-way gets an answer as well."""
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -119,6 +119,29 @@
 
         self.run_with(echo, check, stopping=stopping)
 
+    def test_caller_that_still_sends_its_body_can_read_its_refusal(self):
+        # The connection was closed with bytes unread, which resets it: the caller's sending failed,
+        # and the refusal could be lost on its way.
+        part = b"x" * 50_000
+
+        async def refuse(exchange):
+            await exchange.send_head(413, ((b"content-length", b"0"),))
+            await exchange.send_part(b"", more=False)
+
+        async def check(connect, shutdown):
+            async with await connect() as stream:
+                await stream.send_all(
+                    b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 400000\r\n\r\n" + part
+                )
+                answer = await stream.receive_some(65536)
+                for _ in range(7):
+                    await stream.send_all(part)
+                    await trio.testing.wait_all_tasks_blocked()
+                self.assertTrue(answer.startswith(b"HTTP/1.1 413 "))
+                self.assertEqual(await stream.receive_some(65536), b"")
+
+        self.run_with(refuse, check)
+
     def test_request_behind_an_answer_that_began_before_draining_is_answered(self):
         # The answer had not said that the connection closes. What its caller sent next was read for
         # a second, thrown away, and got no answer.
