calls: a call that lasts is answered when it is given up, and an answered one stays so

Callers saw: no byte of an answer where a stop ran out of its time under a call of more than 25 ms; the account counted an answered request as unanswered where its task failed behind the answer. Cause: such a call waits in a nursery, and what is cancelled there comes out as a group of exceptions, which the server did not take for a cancellation; giving up overwrote what had been answered. Change: whatever ends the task but an ordinary fault is a cancellation; giving up leaves an answer that has begun. Run: caller_h11 18 passed; the two tests failed before.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -158,7 +158,12 @@
             raise CallerGoneError from error
 
     def give_up(self) -> None:
-        """Answer at once that nobody knows what became of the request, or that it has not run."""
+        """Answer at once that nobody knows what became of the request, or that it has not run.
+
+        An answer that has begun stays as it is.
+        """
+        if self.is_started:
+            return
         status = _BAD_GATEWAY if self.has_begun else _SERVICE_UNAVAILABLE
         outcome = outcomes.UNKNOWN if self.has_begun else outcomes.NOT_RUN
         answer = _make_error(self.connection, status, outcome)
@@ -322,12 +327,13 @@
         self.account.open()
         try:
             await self.handle(exchange)
-        except trio.Cancelled:
-            exchange.give_up()
-            raise
         except Exception as error:
             self._note_failure(error)
             exchange.give_up()
+        except BaseException:
+            # Cancelled; out of a nursery that comes as a group.
+            exchange.give_up()
+            raise
         finally:
             self.account.close(exchange.request, exchange.find_ending())
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -33,6 +33,7 @@
         header_timeout=5.0,
         recorder=None,
         stopping=None,
+        account=None,
     ):
         async def main():
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -44,6 +45,7 @@
                 max_connections,
                 header_timeout,
                 recorder=recorder,
+                account=account or RequestAccount(),
                 stopping=trio.Event() if stopping is None else stopping,
             )
             shutdown = trio.Event()
@@ -171,13 +173,34 @@
 
         self.run_with(handle, check)
 
+    def test_request_that_was_answered_stays_so_where_its_task_fails_behind_it(self):
+        account = RequestAccount("callers")
+        recorder = Recorder("a", lambda: 1, 100)
+
+        async def handle(exchange):
+            await echo(exchange)
+            raise ValueError("some fault")
+
+        async def check(connect, shutdown):
+            async with await connect() as stream:
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                received = await stream.receive_some(65536)
+                self.assertEqual(received.count(b"HTTP/1.1"), 1)
+                self.assertEqual(await stream.receive_some(65536), b"")
+
+        self.run_with(handle, check, recorder=recorder, account=account)
+        self.assertEqual(account.ended, {Ending.ANSWERED: 1})
+
     def test_requests_that_a_server_gives_up_are_answered(self):
         # At the end of the time for a stop their connections were closed without a byte. What was
         # not read whole, or not begun, cannot have run; of the rest nobody knows.
         async def handle(exchange):
             await read_body(exchange)
             exchange.has_begun = exchange.request.target == b"/begun"
-            await trio.sleep_forever()
+            # As a call does that lasts: what is given up comes out of a nursery as a group.
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(exchange.wait_gone)
+                await trio.sleep_forever()
 
         async def main():
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
