daemon: callers are given up with an answer while the grace time lasts

Callers saw: at the end of a stop that ran out of its time the last answers came after the other addresses were closed and the leadership was handed over, so after the time at which the process may be ended by force. Cause: only the end of the whole process gave callers up; half a second for the other addresses was added before. Change: what callers are still owed is answered when the time for their calls ends, and the time for the other addresses is a quarter of a second. On the platform the process keeps at most an eighth of the grace time for its end, so that a call whose upstream is at work is given up in the last sixth of it.

--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -25,7 +25,7 @@
 LEAD_TIMEOUT: Seconds = 2.0
 IDLE_POLL: Seconds = 0.02
 # Calls to the other addresses take milliseconds; one that waits for the log may take longer.
-PAGES_TIMEOUT: Seconds = 0.5
+PAGES_TIMEOUT: Seconds = 0.25
 LEASE_POLL: Seconds = 0.5
 
 
@@ -139,6 +139,8 @@
         await dispatcher.claims.hand_over()
     with trio.move_on_after(limits.drain_ms / MILLISECONDS_PER_SECOND):
         await _finish_calls(daemon)
+    # What is not answered by now is answered as given up, while there is time for it.
+    daemon.callers_scope.cancel()
     daemon.pages_done.set()
     with trio.move_on_after(PAGES_TIMEOUT):
         for closed in daemon.pages_closed:
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -129,7 +129,13 @@
             )
             account = open_account(daemon, "callers")
             run = partial(serve_callers_asgi, task.handle, served, account)
-    nursery.start_soon(_run_to_end, run, daemon.callers_closed)
+    nursery.start_soon(_run_callers, daemon, run)
+
+
+async def _run_callers(daemon: Daemon, run: Callable[[], Awaitable[None]]) -> None:
+    with daemon.callers_scope:
+        await run()
+    daemon.callers_closed.set()
 
 
 def _follow_limits(server: H11Server, entry: EntryNode, effect: ViewEffect) -> None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/state.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/state.py
@@ -17,7 +17,8 @@
 
     `callers_done` and `pages_done` have callers, and whoever uses the other addresses, sent away;
     `callers_closed` and `pages_closed` tell once all that was taken there has been answered.
-    `accounts` tells of each address what became of the requests that came there.
+    `callers_scope` has all callers given up. `accounts` tells of each address what became of the
+    requests that came there.
     """
 
     settings: Settings
@@ -29,6 +30,7 @@
     stopping: trio.Event = msgspec.field(default_factory=trio.Event)
     callers_done: trio.Event = msgspec.field(default_factory=trio.Event)
     pages_done: trio.Event = msgspec.field(default_factory=trio.Event)
+    callers_scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
     callers_closed: trio.Event = msgspec.field(default_factory=trio.Event)
     pages_closed: list[trio.Event] = msgspec.field(default_factory=list)
     accounts: list[RequestAccount] = msgspec.field(default_factory=list)
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -1,3 +1,4 @@
+import contextlib
 import types
 import unittest
 
@@ -5,6 +6,7 @@
 import trio.testing
 
 from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.calls.caller_h11 import H11Server
 from bendwind_node.calls.request_account import Ending, RequestAccount
 from bendwind_node.daemon.run import _stop
 from bendwind_node.settings.tables import StopTable
@@ -33,8 +35,8 @@
         pass
 
 
-def make_daemon(register, accounts=()):
-    owner = types.SimpleNamespace(register=register, is_idle=lambda: True)
+def make_daemon(register, accounts=(), notice_ms=2000, has_callers=None, is_idle=lambda: True):
+    owner = types.SimpleNamespace(register=register, is_idle=is_idle)
     dispatcher = types.SimpleNamespace(
         owner=owner, entry=types.SimpleNamespace(runs={}), claims=FakeClaims(), control=None
     )
@@ -45,11 +47,61 @@
         callers_done=trio.Event(),
         pages_done=trio.Event(),
         pages_closed=[],
+        callers_closed=trio.Event(),
+        callers_scope=trio.CancelScope(),
         accounts=accounts,
     )
 
 
 class PlannedStopTest(unittest.TestCase):
+    def test_request_that_comes_after_the_last_look_at_the_work_is_not_left_unanswered(self):
+        # The process looked, found no work, and ended some milliseconds later; it read on from kept
+        # connections meanwhile, and what came there was passed on and cut:
+        #      9.9502  UPSTREAM_DRAINED, UPSTREAM_GONE
+        #      9.9592  a request that came after that starts at its upstream
+        #      9.9793  PROCESS_STOPPED; no CALL_FINISHED for it
+        account = RequestAccount("callers")
+        has_looked = trio.Event()
+
+        def is_idle():
+            has_looked.set()
+            return True
+
+        async def handle(exchange):
+            await trio.sleep(0.001 if account.taken == 1 else 5)
+            await exchange.send_head(200, ((b"content-length", b"2"),))
+            await exchange.send_part(b"ok", more=False)
+
+        async def call(stream):
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                return await stream.receive_some(65536)
+
+        async def main():
+            daemon = make_daemon(FakeRegister(), [account], 0, "h11", is_idle)
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            address = listeners[0].socket.getsockname()
+            server = H11Server(handle, 5.0, 2048, 8, account=account)
+
+            async def serve():
+                await server.run(listeners, daemon.callers_done)
+                daemon.callers_closed.set()
+
+            async def use_kept_connection(stream):
+                await has_looked.wait()
+                await call(stream)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve)
+                async with await trio.open_tcp_stream(*address) as stream:
+                    await call(stream)
+                    nursery.start_soon(use_kept_connection, stream)
+                    await _stop(daemon)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(account.ended, {Ending.ANSWERED: account.taken})
+
     def test_request_without_an_attempt_is_waited_for(self):
         # What a stopping node counted were attempts. A request that had none yet, since its
         # body was being read, or that was being answered ended with the process, unanswered.
