calls: connections that were made when a server begins to drain are accepted and answered

Callers saw: a reset of a connection on which they had sent a request, as the process stopped to take callers. Cause: the listening socket was closed with connections still in its queue. Change: what has connected is taken in for ten milliseconds before it is closed. Run: caller_h11 19 passed; the new test failed before (connection reset).

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -29,6 +29,8 @@
 HEADER_TIMEOUT: Seconds = 10.0
 # A caller that has just connected is about to send its request.
 FIRST_REQUEST_TIMEOUT: Seconds = 0.25
+# What has connected already would be reset with the listening socket; taking it in takes less.
+LAST_ACCEPTS: Seconds = 0.01
 
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
@@ -241,8 +243,8 @@
                     partial(trio.serve_listeners, self._serve, prompt, handler_nursery=serving)
                 )
                 await shutdown.wait()
-                accepting.cancel_scope.cancel()
-            self._start_draining()
+                self._start_draining()
+                accepting.cancel_scope.deadline = trio.current_time() + LAST_ACCEPTS
 
     def _start_draining(self) -> None:
         self.is_draining = True
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -1,3 +1,4 @@
+import socket
 import unittest
 
 import trio
@@ -121,6 +122,23 @@
 
         self.run_with(echo, check, stopping=stopping)
 
+    def test_connections_that_were_made_before_draining_are_accepted_and_answered(self):
+        # They were complete for their callers, who had sent their requests, and were reset with the
+        # listening socket.
+        async def check(connect, shutdown):
+            address = (await connect()).socket.getpeername()
+            made = [socket.create_connection(address) for _ in range(5)]
+            for connection in made:
+                connection.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            shutdown.set()
+            for connection in made:
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+                answer = await stream.receive_some(65536)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200 "))
+                await stream.aclose()
+
+        self.run_with(echo, check)
+
     def test_caller_that_still_sends_its_body_can_read_its_refusal(self):
         # The connection was closed with bytes unread, which resets it: the caller's sending failed,
         # and the refusal could be lost on its way.
