calls: a node without proof answers 503, not 404, where it knows no route

Cause: `_find_routed` answered `no-route` before the proof of freshness was asked for; only a route that was found led to that question.

Change: absence is said of routes as it is of services: without proof the answer is 503 `stale-configuration`, which has not run and may come again. Why it holds: a proof counts for the lease less 0.1% from the start of the round that it stands for, and what is accepted after that start is acknowledged after it, so that the 404 of an older version ends 1.998 s after the acknowledgement of the next, whatever the links do.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -207,7 +207,7 @@
         """Find the service that the request names."""
         if self.entry.dialect.service is None:
             # Where callers cannot name a service, only routes lead to one.
-            return Error(self._find_absence())
+            return Error(self._refuse_unless_stale(_UNKNOWN_SERVICE))
         # Only the service's rules tell whether a key is needed, and a node that waited for its
         # first configuration has heard of keys only now.
         service = await self._find_service(request.headers)
@@ -216,20 +216,20 @@
         if asked.is_error():
             return asked
         if rule is None or service.routed_only:
-            return Error(self._find_absence())
+            return Error(self._refuse_unless_stale(_UNKNOWN_SERVICE))
         return Ok(Target(service, rule, asked.ok))
 
-    def _find_absence(self) -> Refusal:
-        # A node without proof of freshness cannot tell that there is no such service.
+    def _refuse_unless_stale(self, refusal: Refusal) -> Refusal:
+        # A node without proof of freshness cannot tell what the newest configuration lacks.
         is_fresh = self.entry.membership.is_fresh()
-        return _UNKNOWN_SERVICE if is_fresh else Refusal.not_run(NotRunReason.STALE)
+        return refusal if is_fresh else Refusal.not_run(NotRunReason.STALE)
 
     async def _find_routed(self, request: CallerRequest) -> Result[Target, Refusal]:
         """Find the service by the routes; one that is not known yet is waited for shortly."""
         table = self.entry.routes
         route = find_route(table, names.find_host(request.headers), request.path)
         if route is None:
-            return Error(_NO_ROUTE)
+            return Error(self._refuse_unless_stale(_NO_ROUTE))
         asked = self._authenticate(request, is_open=route.is_open)
         if asked.is_error():
             return asked
