calls, tests: only a node with proof says that a key is unknown

What held for routes held for keys: a node without proof of freshness refused with 401 a key that a newer version had brought. Nobody was seen to meet it. The test fails: 401 instead of 503.

--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_routed_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_routed_intake.py
@@ -2,13 +2,14 @@
 
 import trio
 
+from bendwind_core.customers import create_customer_table
 from bendwind_core.routing import set_routing
-from bendwind_core.world import Repeat, Routing, SplitPart, create_route
+from bendwind_core.world import Customer, Repeat, Routing, SplitPart, create_route, digest_key
 from bendwind_node.calls.tests.fakes import CallBench, make_exchange
 
 
 class RoutedIntakeTest(unittest.TestCase):
-    def ask(self, *, path=b"/a/1", is_fresh, **headers):
+    def ask(self, *, path=b"/a/1", is_fresh, customers=None, **headers):
         """Return the answer of a node that has one route, `/a/`, and no upstream."""
 
         async def main():
@@ -27,6 +28,8 @@
                 )
                 set_routing(bench.entry.routes, Routing(1, (route,)))
                 bench.membership.fresh = is_fresh
+                if customers is not None:
+                    bench.membership.customers = create_customer_table(customers)
                 exchange = make_exchange(**headers)
                 exchange.request.target = path
                 await bench.call(exchange)
@@ -47,6 +50,14 @@
         self.assertEqual(self.ask(path=b"/b/1", is_fresh=True).status, 404)
         self.check_not_run(self.ask(path=b"/b/1", is_fresh=False))
 
+    # The same held for keys: one that a newer version brought was refused with 401.
+    def test_only_a_fresh_node_says_that_a_key_is_unknown(self):
+        customers = (Customer("norte", (digest_key(b"k1"),)),)
+        for headers in ({}, {"bendwind_key": "k2"}):
+            fresh = self.ask(is_fresh=True, customers=customers, **headers)
+            self.assertEqual(fresh.status, 401)
+            self.check_not_run(self.ask(is_fresh=False, customers=customers, **headers))
+
 
 if __name__ == "__main__":
     unittest.main()
