calls: a node without proof answers 503, not 401, to a key that it does not know

Cause: keys are compared with the customers that the node holds before its proof of freshness is asked for, as routes were. Change: the refusal of a key is given only with proof; `unknown_keys` counts it only then. A request without a known key is still neither read nor admitted.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -253,9 +253,12 @@
         asked = authenticate(
             entry.membership.customers, request.headers, entry.dialect, is_open=is_open
         )
-        if asked.is_error():
+        if asked.is_ok():
+            return asked
+        refusal = self._refuse_unless_stale(asked.error)
+        if refusal is asked.error:
             entry.unknown_keys += 1
-        return asked
+        return Error(refusal)
 
     async def _find_service(self, headers: tuple) -> Service | None:
         name = self._find_service_name(headers)
