membership, tests: a node behind a slow link keeps to voters that answer late

A node whose link was taken up by uploads heard no voter within the 0.75 s after which it turns to the next. The next had to be dialed over the same link, in several round trips, which took longer than the answer of the first, so that the node went from voter to voter, paid no heed to what those that it had left sent it, and had a version 3.4 s after its acceptance. It also left voters that had just confirmed, because it took the delay of its own link for the age of their confirmation.

--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_slow_node.py
@@ -0,0 +1,129 @@
+import random
+import unittest
+
+from bendwind_core.membership import (
+    AttachmentChanged,
+    ConfigurationApplied,
+    ConfigurationChanged,
+    Heartbeat,
+    HeartbeatReply,
+    LeaseTimes,
+    LinkLost,
+    MessageReceived,
+    SendTo,
+    Tick,
+    VoterPlace,
+    create_node_view,
+    step_view,
+)
+from bendwind_core.world import Instance
+
+TIMES = LeaseTimes(heartbeat=0.5, lease=2.0)
+VOTERS = tuple(VoterPlace(name, "dc0") for name in ("v0", "v1", "v2"))
+STEP = 0.05
+
+
+class SlowNodeTest(unittest.TestCase):
+    """A node behind a slow link hears each voter late; times are seconds of its clock."""
+
+    def setUp(self):
+        self.rng = random.Random(1)
+        self.now = 0.0
+        self.node = Instance("n0", "dc0", "127.0.0.1", 1, 1)
+        self.view = create_node_view(self.node, VOTERS, TIMES, 0.0, self.rng)
+        self.beats = []
+        self.moves = []
+
+    def step(self, event):
+        effects = step_view(self.view, event, self.now, self.rng)
+        self.beats += [one for one in effects if isinstance(one, SendTo) and is_beat(one)]
+        self.moves += [one for one in effects if isinstance(one, AttachmentChanged)]
+        return effects
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            self.step(Tick())
+
+    def answer(self, beat, version=0, age_ms=100.0):
+        reply = HeartbeatReply(beat.message.sequence, version, age_ms, is_current=True)
+        return self.step(MessageReceived(beat.to, reply))
+
+    def attach(self):
+        """Let the preferred voter answer at once, and the next heartbeat stay unanswered."""
+        self.push(0, self.view.voter)
+        self.advance(0.1)
+        self.answer(self.beats[-1])
+        self.advance(TIMES.heartbeat * 1.2)
+        return self.beats[-1]
+
+    def push(self, version, sender):
+        message = ConfigurationChanged(version, (), watch=1)
+        return self.step(MessageReceived(sender, message))
+
+    # A node whose link was taken up by uploads heard no voter within the 0.75 s after which it
+    # turns to the next. That one had to be dialed over the same link, which took longer than an
+    # answer, so that the node went from voter to voter, paid no heed to what the ones left behind
+    # sent it, and had a version 3.4 s after its acceptance.
+    def test_node_turns_back_to_a_voter_that_answers_late(self):
+        beat = self.attach()
+        home = self.view.voter
+        self.advance(TIMES.reply_timeout - 0.3)
+        self.assertNotEqual(self.view.voter, home)
+        self.answer(beat)
+        self.assertEqual(self.view.voter, home)
+        self.assertEqual(self.moves[-1], AttachmentChanged(home, "answered late"))
+        self.assertTrue(self.view.is_fresh(self.now))
+
+    def test_configuration_of_a_voter_that_may_still_answer_is_put_in_force(self):
+        self.attach()
+        home = self.view.voter
+        self.advance(TIMES.reply_timeout - 0.3)
+        self.assertNotEqual(self.view.voter, home)
+        self.assertIn(ConfigurationApplied(5), self.push(5, home))
+
+    def test_voter_that_answers_with_an_old_confirmation_is_not_turned_back_to(self):
+        beat = self.attach()
+        self.advance(TIMES.reply_timeout - 0.3)
+        voter = self.view.voter
+        self.answer(beat, age_ms=1000 * TIMES.confirmation_limit)
+        self.assertEqual(self.view.voter, voter)
+
+    def test_first_good_answer_settles_which_voter_is_used(self):
+        late = self.attach()
+        self.advance(TIMES.reply_timeout - 0.3)
+        self.advance(TIMES.heartbeat * 0.6)
+        voter = self.view.voter
+        self.assertEqual(self.beats[-1].to, voter)
+        self.answer(self.beats[-1])
+        self.answer(late)
+        self.assertEqual(self.view.voter, voter)
+
+    def test_voter_whose_link_was_lost_is_not_turned_back_to(self):
+        beat = self.attach()
+        home = self.view.voter
+        self.step(LinkLost(home))
+        self.answer(beat)
+        self.assertNotEqual(self.view.voter, home)
+
+    # The age of a confirmation that the node had reckoned from its own sending grew by what its
+    # link took, and it left voters for it that had just confirmed.
+    def test_voter_that_has_just_confirmed_is_kept_however_late_the_answer_is(self):
+        self.push(0, self.view.voter)
+        home = self.view.voter
+        due = {}
+        for _ in range(60):
+            self.advance(STEP)
+            for beat in self.beats:
+                if self.now >= due.setdefault(beat.message.sequence, self.now + 0.6):
+                    self.answer(beat, age_ms=480.0)
+        self.assertEqual((self.view.voter, self.moves), (home, []))
+
+
+def is_beat(effect):
+    return isinstance(effect.message, Heartbeat)
+
+
+if __name__ == "__main__":
+    unittest.main()
