membership: a node behind a slow link does not give up a voter whose answer is under way

Callers saw old routes for over 2 s at nodes that nothing was wrong with but a full link.

Cause: 0.75 s without a reply is taken for a dead voter, and leaving it forgets the heartbeat under way. A push, too, counted only from the voter in use. The next voter has to be dialed over the same link: three round trips, a heartbeat, a request to send everything, and everything.

Change: the heartbeats to voters left for silence are still awaited. What such a voter sends is taken, and a late reply with a good confirmation brings the node back to it; the first good reply of any voter settles it. A voter left for another reason is not turned back to, nor is one whose link broke. A confirmation is judged by the voter's own clock and the delay of the reply apart, each bounded by half a lease; their sum made nodes leave voters that had confirmed just before.

Why it holds: a proof counts from the node's sending of the heartbeat less the voter's age, whoever gives it; a push is applied only to the version that it follows on. Dead voters are left as soon as before.

--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -16,18 +16,22 @@
 # A node that no voter has answered since its start tries them this fast: it refuses all calls
 # until then, and where all restart at once the voters listen a moment later than the nodes.
 FIRST_RETRY: Seconds = 0.08
+NO_REPLY = "no reply"
 
 
 class SentBeat(msgspec.Struct, frozen=True):
-    """Hold when a heartbeat was sent and which Watch and version of the customers it stated."""
+    """Hold when and to whom a heartbeat was sent, and which Watch and customers it stated."""
 
     at: Seconds
     watch: int
     version: int = 0
+    voter: str = ""
 
 
 class Attachment(msgspec.Struct):
-    """Hold the voter in use, the heartbeats it has not answered and when to leave it.
+    """Hold the voter in use, when to leave it, and the heartbeats not answered.
+
+    `sent` has heartbeats to other voters too, left because they had not answered yet.
 
     Units: `next_beat`, `heard_at`, `good_at`, `behind_since` in seconds of the node's clock;
     `patience` in heartbeats. `has_heard` says that a voter has answered since the node's start.
@@ -98,7 +102,7 @@
     """Say why the voter should be left, or None."""
     stay = attachment.patience * times.heartbeat
     if now - max(attachment.heard_at, attachment.moved_at) > max(times.reply_timeout, stay):
-        return "no reply"
+        return NO_REPLY
     limit = max(times.confirmation_limit, stay)
     if now - max(attachment.good_at, attachment.moved_at) > limit:
         return "confirmation too old"
@@ -111,13 +115,37 @@
 def move(attachment: Attachment, times: LeaseTimes, now: Seconds, rng: random.Random) -> None:
     """Turn to the next voter; wait longer at each while none gives a good reply."""
     attachment.index = (attachment.index + 1) % len(attachment.order)
-    attachment.sent.clear()
     attachment.moved_at = now
     attachment.behind_since = None
     attachment.patience = min(attachment.patience * 2, _MAX_PATIENCE_BEATS)
     attachment.next_beat = now + 0.5 * times.heartbeat * rng.random()
 
 
+def hears(attachment: Attachment, peer: str) -> bool:
+    """Tell whether a peer is the voter in use, or one left whose answer may still come."""
+    return peer == attachment.voter or any(beat.voter == peer for beat in attachment.sent.values())
+
+
+def forget_beats(attachment: Attachment, voter: str) -> None:
+    """Await no answer of a voter any more."""
+    attachment.sent = {n: beat for n, beat in attachment.sent.items() if beat.voter != voter}
+
+
+def settle(attachment: Attachment) -> None:
+    """Await no answer of any voter but the one in use."""
+    attachment.sent = {
+        n: beat for n, beat in attachment.sent.items() if beat.voter == attachment.voter
+    }
+
+
+def turn_back(attachment: Attachment, voter: str, now: Seconds) -> None:
+    """Turn back to a voter that answered late, if it still is one."""
+    if voter in attachment.order:
+        attachment.index = attachment.order.index(voter)
+        attachment.moved_at = now
+        attachment.behind_since = None
+
+
 def go_home(attachment: Attachment, times: LeaseTimes, now: Seconds, rng: random.Random) -> None:
     """Turn back to the voter that is preferred."""
     attachment.index = 0
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -7,15 +7,20 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.membership import holdings as held
 from bendwind_core.membership.attachment import (
+    NO_REPLY,
     SentBeat,
     find_reason_to_move,
+    forget_beats,
     go_home,
+    hears,
     hurry_beat,
     move,
     order_voters,
     schedule_beat,
     set_order,
+    settle,
     spread_beat,
+    turn_back,
 )
 from bendwind_core.membership.events import (
     AttachmentChanged,
@@ -70,9 +75,10 @@
         case Tick():
             _renew(view, effects, now, rng)
         case MessageReceived(sender=sender, message=message):
-            if sender == view.voter:
-                _receive(view, message, effects, now, rng)
+            if hears(view.attachment, sender):
+                _receive(view, sender, message, effects, now, rng)
         case LinkLost(peer=peer):
+            forget_beats(view.attachment, peer)
             if peer == view.voter:
                 _leave(view, "link lost", effects, now, rng)
                 spread_beat(view.attachment, view.times, now, rng)
@@ -113,7 +119,7 @@
     attachment.sequence += 1
     if len(attachment.sent) >= _MAX_UNANSWERED:
         attachment.sent.pop(next(iter(attachment.sent)))
-    sent = SentBeat(now, view.watch_sequence, _customers_version(view))
+    sent = SentBeat(now, view.watch_sequence, _customers_version(view), view.voter)
     attachment.sent[attachment.sequence] = sent
     heartbeat = Heartbeat(
         view.instance,
@@ -131,17 +137,26 @@
 def _leave(
     view: NodeView, reason: str, effects: list[ViewEffect], now: Seconds, rng: random.Random
 ) -> None:
+    # One's own slow link holds up the answers of all voters, and a new one's come last: it has to
+    # be dialed first.
+    if reason != NO_REPLY:
+        forget_beats(view.attachment, view.voter)
     move(view.attachment, view.times, now, rng)
     view.waiting_proof = None
     effects.append(AttachmentChanged(view.voter, reason))
 
 
 def _receive(
-    view: NodeView, message, effects: list[ViewEffect], now: Seconds, rng: random.Random
+    view: NodeView,
+    sender: str,
+    message,
+    effects: list[ViewEffect],
+    now: Seconds,
+    rng: random.Random,
 ) -> None:
     match message:
         case HeartbeatReply():
-            _take_reply(view, message, effects, now, rng)
+            _take_reply(view, sender, message, effects, now, rng)
         case ConfigurationChanged():
             effects.append(InstancesLearned(message.holders))
             _take_configuration(view, message, effects)
@@ -189,13 +204,14 @@
 
 def _take_reply(
     view: NodeView,
+    sender: str,
     reply: HeartbeatReply,
     effects: list[ViewEffect],
     now: Seconds,
     rng: random.Random,
 ) -> None:
     sent = view.attachment.sent.pop(reply.sequence, None)
-    if sent is None:
+    if sent is None or not _takes_sender(view, sender, reply, effects, now):
         return
     view.attachment.heard_at = now
     view.attachment.has_heard = True
@@ -212,6 +228,28 @@
         effects.append(AttachmentChanged(view.voter, "preferred"))
 
 
+def _takes_sender(
+    view: NodeView, sender: str, reply: HeartbeatReply, effects: list[ViewEffect], now: Seconds
+) -> bool:
+    """Tell whether the node is attached to the sender of a reply, or turns back to it."""
+    attachment = view.attachment
+    is_good = _is_good(view, reply)
+    if sender != view.voter and is_good:
+        turn_back(attachment, sender, now)
+        if sender == view.voter:
+            effects.append(AttachmentChanged(sender, "answered late"))
+    if sender == view.voter and is_good:
+        settle(attachment)
+    return sender == view.voter
+
+
+def _is_good(view: NodeView, reply: HeartbeatReply) -> bool:
+    # By the voter's own clock: one that answers late over a slow link is as good as any other.
+    age_ms = reply.confirmed_age_ms
+    limit = view.times.confirmation_limit
+    return age_ms is not None and age_ms < limit * MILLISECONDS_PER_SECOND
+
+
 def _send_everything(view: NodeView, effects: list[ViewEffect]) -> None:
     effects.append(SendTo(view.voter, _make_announce(view)))
     effects.append(SendTo(view.voter, _make_watch(view)))
@@ -248,7 +286,7 @@
     # The voter's round began at least this long before it answered, and it answered after the
     # heartbeat was sent, so the round began no earlier than this on the node's own clock.
     confirmed_at = sent - reply.confirmed_age_ms / MILLISECONDS_PER_SECOND
-    if now - confirmed_at < view.times.confirmation_limit:
+    if _is_good(view, reply) and now - sent < view.times.confirmation_limit:
         view.attachment.good_at = now
         view.attachment.patience = 1.0
     if reply.is_same:
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_slow_node.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_slow_node.py
@@ -120,6 +120,19 @@
                     self.answer(beat, age_ms=480.0)
         self.assertEqual((self.view.voter, self.moves), (home, []))
 
+    def test_slow_voter_is_left_for_one_that_answers_at_once(self):
+        self.push(0, self.view.voter)
+        slow = self.view.voter
+        due = {}
+        for _ in range(100):
+            self.advance(STEP)
+            for beat in self.beats:
+                delay = 1.2 if beat.to == slow else 0.0
+                if self.now >= due.setdefault(beat.message.sequence, self.now + delay):
+                    self.answer(beat)
+        self.assertNotEqual(self.view.voter, slow)
+        self.assertTrue(self.view.is_fresh(self.now))
+
 
 def is_beat(effect):
     return isinstance(effect.message, Heartbeat)
