membership: a voter sends a node that comes to it the difference, not all routes

Cause: what answers a Watch was all or nothing. A node that lacked one change, or whose upstreams differed in one from what this voter had heard, was sent the whole configuration and all upstreams; so was a node whose digest was wrong twice. The digest says nothing of services and routes, whose version the node states.

Change: a Watch is answered with what changed since the version that it states, and with all upstreams only where the digest differs; a wrong digest brings upstreams and claim groups, no routes again. A node that is ahead of the voter is sent no older version. Why it holds: a node states a version only while that covers all that it watches, else none, and what a voter did not hold itself it still sends whole.

test_attached_nodes_hear_of_changed_voters had told the new voters to one voter of three, and passed only while the node had not yet attached to another, which names the old ones. All three are told now; what is asserted is the same.

--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -139,22 +139,30 @@
     return functools.reduce(operator.xor, (row.digest for row in rows), 0)
 
 
-def has_everything(registry: VoterRegistry, watch: Watch) -> bool:
-    """Tell whether a node already has all that it asks for."""
+def answer_watch(
+    registry: VoterRegistry, watch: Watch, client: Client, effects: list[RegistryEffect]
+) -> None:
+    """Push a node what it lacks of all that it asks for."""
+    # A node that comes from another voter mostly has all of it: 3,000 may come at once.
     rows = [find_row(registry, name) for name in watch.services]
-    is_current = _is_current(registry, watch.version, watch.customers, rows)
-    return is_current and watch.digest == _sum_digests(rows)
+    is_ahead = watch.version > registry.configuration.version
+    client.version = watch.version
+    client.customers = watch.customers
+    if watch.digest != _sum_digests(rows):
+        _push_upstreams(registry, watch.node, client, effects)
+    elif not is_ahead and not _is_current(registry, watch.version, watch.customers, rows):
+        _push_configuration(registry, watch.node, client, effects)
 
 
 def compare_digest(
     registry: VoterRegistry, beat: Heartbeat, client: Client, effects: list[RegistryEffect]
 ) -> bool:
-    """Tell whether a node holds all that the voter knows; push everything after a loss."""
+    """Tell whether a node holds all that the voter knows; push all upstreams after a loss."""
     rows = [find_row(registry, name) for name in client.services]
     is_same = beat.digest == _sum_digests(rows)
     # One difference may be a push that crossed the heartbeat; two in a row are a loss.
     if not is_same and client.is_suspect:
-        send_everything(registry, beat.node.name, client, effects)
+        _push_upstreams(registry, beat.node.name, client, effects)
     client.is_suspect = not is_same and not client.is_suspect
     return is_same
 
@@ -210,12 +218,12 @@
     return tuple(known)
 
 
-def send_everything(
+def _push_upstreams(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
-    """Push a node the whole of what it watches."""
-    client.version = 0
-    _push_configuration(registry, node, client, effects)
+    # The claim groups, which the digest covers too, go with a configuration.
+    if client.version <= registry.configuration.version:
+        _push_configuration(registry, node, client, effects)
     for name in client.services:
         upstreams = tuple(find_row(registry, name).upstreams.values())
         effects.append(SendTo(node, WatchUpdate(name, upstreams)))
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -240,10 +240,7 @@
     if watch.sequence < client.watch:
         return
     pushes.set_watch(registry, watch.node, client, watch)
-    client.customers = watch.customers
-    # A node that comes from another voter mostly has all of it: 3,000 may come at once.
-    if not pushes.has_everything(registry, watch):
-        pushes.send_everything(registry, watch.node, client, effects)
+    pushes.answer_watch(registry, watch, client, effects)
 
 
 def list_alive(registry: VoterRegistry) -> tuple[Instance, ...]:
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_voter_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_voter_changes.py
@@ -86,7 +86,8 @@
             world.start_node(f"n{index}", f"dc{index}")
         world.advance(2)
         places = (PLACES[0], PLACES[1], VoterPlace("v9", "dc9", "10.0.0.9", 7))
-        world.step("v2", VotersChanged(places))
+        for name in world.voters:
+            world.step(name, VotersChanged(places))
         world.advance(0.5)
         view = world.nodes["n2"].view
         self.assertNotEqual(view.voter, "v2")
