attempts, tests: a call that must run once is sent anew after its time is up

What happens: shortly before the deadline the entry node fences the open attempt of such a call. The owner proves in time that it never started, and the entry node takes that for a free refusal and hands the call over once more. Nobody fences this attempt: the timer of the fence has fired. Its owner starts it some milliseconds before the deadline, and the caller, whose request was proven not to have run, hears "unknown". The same follows a refusal that comes in that time, and a claim that is granted in it.

Why: whether there is time left is asked anew with a margin of a tenth of what is left, which shrinks with it, while the fence went out by the margin at the call's begin.

No second run was found this way: each further send follows a proof. What is broken is that a proven "not run" is told as such.

--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_entry.py
@@ -34,6 +34,7 @@
         self.proven = set()
         self.cancelled = set()
         self.timers = {}
+        self.expires_at = DEADLINE
         self.heads = {}
         self.finals = []
         self.delivered = []
@@ -87,6 +88,8 @@
             case ev.StartTimer(kind, at):
                 assert at <= DEADLINE
                 self.timers[kind] = at
+                if kind is ev.TimerKind.EXPIRY:
+                    self.expires_at = at
             case ev.RequestClaim():
                 self.claims.append("requested")
             case ev.ReleaseClaim():
@@ -103,6 +106,7 @@
         unproven = set(self.sent) - self.proven
         if not self.call.is_idempotent:
             assert not unproven, "repeated without a proof"
+            assert self.now < self.expires_at, "sent after the fences of its time"
         tried = {u.name for u in self.sent.values()}
         assert upstream.name not in tried or len(tried) == len(UPSTREAMS)
         assert len(unproven) <= self.tokens, "retried beyond the budget"
