attempts: of a call that must run once nothing is sent after its time is up

Cause: the time at which its attempts are fenced was found once, the time until which it may be sent was found anew each time, with a margin that shrinks. What was proven not to have run was handed over again some milliseconds before the deadline, without a fence, and told as unknown.

Change: the call keeps the time of its fences, and neither a proof nor a claim that comes after it is followed by a hand-over. The caller hears "not run", which is proven, and its key is free for a resend.

--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -72,7 +72,9 @@
     """Hold one call from its arrival to its one final outcome.
 
     `rank` says how urgent it is, 0 the most, and `customer` whose it is, empty where that is not
-    known. `near` is the data centre whose upstreams go first, empty where none do.
+    known. `near` is the data centre whose upstreams go first, empty where none do. At `expires_at`
+    the open attempts of a call that may not be repeated are fenced, and nothing is sent from then
+    on; None for a call that may be repeated.
     """
 
     call_id: str
@@ -82,6 +84,7 @@
     attempt_ids: AttemptIds
     budget: RetryBudget
     target_at: Seconds | None = None
+    expires_at: Seconds | None = None
     has_key: bool = False
     phase: CallPhase = CallPhase.NEW
     attempts: list[Attempt] = msgspec.field(default_factory=list)
@@ -163,6 +166,11 @@
     return reached >= limit
 
 
+def has_expired(call: EntryCall, now: Seconds) -> bool:
+    """Tell whether the time of a call that may not be repeated is up."""
+    return call.expires_at is not None and now >= call.expires_at
+
+
 def may_have_run(call: EntryCall) -> bool:
     """Tell whether any attempt lacks the proof that it did not run."""
     return any(attempt.state in _MAY_HAVE_RUN for attempt in call.attempts)
--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -140,7 +140,8 @@
     if call.is_idempotent:
         effects.append(StartTimer(TimerKind.DEADLINE, call.deadline_at))
     else:
-        effects.append(StartTimer(TimerKind.EXPIRY, call.deadline_at - reply_margin(call, now)))
+        call.expires_at = call.deadline_at - reply_margin(call, now)
+        effects.append(StartTimer(TimerKind.EXPIRY, call.expires_at))
     if call.has_key:
         call.phase = CallPhase.CLAIMING
         effects.append(RequestClaim())
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -8,6 +8,7 @@
     AttemptState,
     CallPhase,
     EntryCall,
+    has_expired,
     has_pending,
     has_reached_limit,
     may_have_run,
@@ -51,6 +52,10 @@
 
 def send_first(call: EntryCall, now: Seconds, choose: Choose, effects: list[EntryEffect]) -> None:
     """Send the first attempt."""
+    if has_expired(call, now):
+        # Its key was granted too late.
+        finish_not_run(call, NotRunReason.DEADLINE, None, effects)
+        return
     call.phase = CallPhase.TRYING
     upstream = choose(_NONE_EXCLUDED)
     match upstream:
@@ -167,7 +172,8 @@
 def _may_try_again(call: EntryCall, now: Seconds, *, is_free: bool) -> bool:
     if call.is_caller_gone or len(list_waiting(call.attempts)) >= MAX_ATTEMPTS:
         return False
-    if now + reply_margin(call, now) >= call.deadline_at:
+    # What is sent after the fences could end as unknown where a proof is at hand.
+    if has_expired(call, now) or now + reply_margin(call, now) >= call.deadline_at:
         return False
     if not call.is_idempotent and may_have_run(call):
         return False
