quotas, tests: what a voter lends after its borrower gave it up is nobody's

What happens: a voter that lacks tokens asks another one and gives it up after 40 ms. The lender has taken the tokens out of its bucket by then, or takes them out when the question comes. The loan that comes later is passed over: who still waits is refused, the lender never hears that nothing was used, and the customer has that much less of its quota. Links that take over 20 ms lose each loan.

Why: a loan is known by the question that is under way, and giving up a lender forgets the question. That the message must not count twice is no reason: its number says so also later.

--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
@@ -11,6 +11,7 @@
     QuotaReply,
     QuotaUnused,
     QuotaWant,
+    Share,
     create_voter_quotas,
     hear_ask,
     hear_back,
@@ -296,6 +297,72 @@
         self.assertEqual(lender.accounts["maria"].bucket.level, 7.5)
 
 
+class TestLateLoans(unittest.TestCase):
+    """Pin that what was lent after the lender was given up is used or given back, once."""
+
+    def setUp(self):
+        self.quotas = create_voter(30.0, 30.0, voters=3)
+        grant(self.quotas, 11, 0.0)
+        (self.pull,) = ask(self.quotas, 2, 0.0, number=2)
+        (self.second,) = tick_voter(self.quotas, LENDER_WAIT)
+        self.quotas.accounts["maria"].bucket.share = Share(1e-6, 10.0, 0.0)
+
+    def lend(self, pull, tokens, now, number=4, run=3):
+        loan = QuotaLoan(pull.message.number, run, "maria", number, tokens, 5.0)
+        return hear_loan(self.quotas, pull.to, loan, now)
+
+    def list_back(self, now):
+        return [
+            (effect.to, effect.message)
+            for effect in tick_voter(self.quotas, now)
+            if isinstance(effect.message, QuotaBack)
+        ]
+
+    def test_it_serves_those_who_wait_since_before_it_was_asked_for(self):
+        (answer,) = self.lend(self.pull, 2.0, LENDER_WAIT + 0.01)
+        self.assertEqual((answer.to, answer.message.number), ("n", 2))
+        self.assertEqual(answer.message.grants[0].tokens, 2)
+
+    def test_the_other_lender_is_still_heard(self):
+        self.lend(self.pull, 2.0, LENDER_WAIT + 0.01)
+        self.lend(self.second, 1.5, LENDER_WAIT + 0.02, number=5)
+        self.assertEqual(self.quotas.totals.borrowed, 3.5)
+
+    def test_what_nobody_waits_for_goes_back_to_its_lender_once(self):
+        self.lend(self.second, 2.0, LENDER_WAIT + 0.005, number=5)
+        self.assertEqual(self.lend(self.pull, 6.0, LENDER_WAIT + 0.01), [])
+        until = BOUNDS.loan_validity + LENDER_WAIT
+        back = QuotaBack(3, (QuotaUnused(4, 6.0),))
+        self.assertEqual(self.list_back(until), [(self.pull.to, back)])
+        self.assertEqual(self.list_back(until + 0.1), [])
+
+    def test_what_comes_too_old_goes_back_at_the_next_tick(self):
+        self.lend(self.second, 2.0, LENDER_WAIT + 0.005, number=5)
+        until = BOUNDS.loan_validity + LENDER_WAIT
+        self.lend(self.pull, 6.0, until)
+        back = QuotaBack(3, (QuotaUnused(4, 6.0),))
+        self.assertEqual(self.list_back(until), [(self.pull.to, back)])
+
+    def test_what_comes_for_a_customer_that_is_forgotten_goes_back_at_once(self):
+        note_voters(self.quotas, None, (), LENDER_WAIT)
+        (effect,) = self.lend(self.pull, 6.0, LENDER_WAIT + 0.01)
+        back = QuotaBack(3, (QuotaUnused(4, 6.0),))
+        self.assertEqual((effect.to, effect.message), (self.pull.to, back))
+
+    def test_a_repeated_one_neither_counts_nor_goes_back_again(self):
+        for _ in range(2):
+            self.lend(self.pull, 2.0, LENDER_WAIT + 0.01)
+        self.assertEqual(self.quotas.totals.borrowed, 2.0)
+        self.lend(self.second, 0.0, LENDER_WAIT + 0.02)
+        note_voters(self.quotas, None, (), LENDER_WAIT)
+        self.assertEqual(self.lend(self.pull, 2.0, LENDER_WAIT + 0.03), [])
+
+    def test_one_of_whom_was_not_asked_is_not_taken(self):
+        loan = QuotaLoan(self.pull.message.number, 3, "maria", 4, 2.0, 5.0)
+        self.assertEqual(hear_loan(self.quotas, "v9", loan, LENDER_WAIT + 0.01), [])
+        self.assertEqual(self.quotas.totals.borrowed, 0.0)
+
+
 class TestWithoutOverage(unittest.TestCase):
     """Pin that loans serve those who waited for them, where no token may be kept at all."""
 
