quotas: a loan that comes late is used or goes back to its lender

Cause: giving up a lender after 40 ms forgot the question to it, so that the loan which came later was passed over. The lender had taken the tokens out of its bucket and never heard of them again.

Change: a voter remembers each question until it is answered, for as long as the lender can put tokens back (5 s, 8,192 questions at most). A late loan counts like one in time: by the age of its question, for those who waited before it, never lent on, the rest back to its lender. Where the customer is kept no more it goes back at once. A repeated loan finds its question gone. What is known of lenders stands in a module of its own.

--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
@@ -362,6 +362,11 @@
         self.assertEqual(hear_loan(self.quotas, "v9", loan, LENDER_WAIT + 0.01), [])
         self.assertEqual(self.quotas.totals.borrowed, 0.0)
 
+    def test_questions_are_forgotten_when_the_lender_cannot_take_it_back_any_more(self):
+        tick_voter(self.quotas, UNDONE_FOR + 1.0)
+        self.assertNotIn(self.pull.message.number, self.quotas.pulls)
+        self.assertNotIn(self.second.message.number, self.quotas.pulls)
+
 
 class TestWithoutOverage(unittest.TestCase):
     """Pin that loans serve those who waited for them, where no token may be kept at all."""
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -7,6 +7,13 @@
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
 from bendwind_core.quotas.bucket import ROUNDING, fill, find_wait, put_back, take
+from bendwind_core.quotas.lenders import (
+    choose_lender,
+    forget_pulls,
+    give_up_pull,
+    note_lender,
+    remember_pull,
+)
 from bendwind_core.quotas.messages import (
     QuotaAsk,
     QuotaBack,
@@ -25,7 +32,6 @@
     UNDONE_FOR,
     Account,
     Borrowed,
-    Lender,
     Pulling,
     Taking,
     VoterQuotas,
@@ -40,12 +46,6 @@
 # What a node asked for waits so long for loans: for two lenders. It is answered in time for the way
 # back, before the node turns to another voter.
 WANT_WAIT: Seconds = 0.08
-# A lender that has nothing left is not asked again until it has filled by about a token. However
-# fast it fills, it is left alone for at least this long: it is short itself.
-SHORTEST_PAUSE: Seconds = 0.1
-# Room that comes back at a lender, by what is given back or by a raised limit, is found within
-# this.
-LONGEST_PAUSE: Seconds = 1.0
 # After a refusal a node asks nothing for the customer for at least this long, so that one far over
 # its limit costs at most 20 refused asks a second and node.
 SHORTEST_REFUSAL: Seconds = 0.05
@@ -161,7 +161,7 @@
     """Ask the voter that had most by its last word, unless one is being asked."""
     if account.pulling is not None or not account.waiting:
         return
-    lender = _choose_lender(quotas, account, now)
+    lender = choose_lender(quotas, account, now)
     if lender is None:
         return
     wanted = sum(want.waiting for want in account.waiting) - count_available(account, now)
@@ -172,24 +172,10 @@
     number = quotas.next_pull
     quotas.next_pull += 1
     account.pulling = Pulling(number, lender, now)
+    remember_pull(quotas, account.pulling)
     effects.append(QuotaSend(lender, QuotaPull(number, name, wanted + int(ahead))))
 
 
-def _choose_lender(quotas: VoterQuotas, account: Account, now: Seconds) -> str | None:
-    free = [name for name in quotas.peers if _may_ask(account, name, now)]
-    unheard = account.bucket.share.cap
-    return max(
-        free,
-        key=lambda name: account.lenders[name].left if name in account.lenders else unheard,
-        default=None,
-    )
-
-
-def _may_ask(account: Account, name: str, now: Seconds) -> bool:
-    lender = account.lenders.get(name)
-    return lender is None or now >= lender.ask_from
-
-
 def hear_pull(quotas: VoterQuotas, voter: str, pull: QuotaPull, now: Seconds) -> Effects:
     """Lend what is not needed here in the next moment."""
     if not quotas.may_grant(now):
@@ -216,33 +202,50 @@
 
 
 def hear_loan(quotas: VoterQuotas, voter: str, loan: QuotaLoan, now: Seconds) -> Effects:
-    """Take over a loan that is still asked for, and answer those who waited for it."""
+    """Take over a loan, also a late one, and answer those who waited for it.
+
+    Each question is answered once: a repeated loan finds it gone.
+    """
     effects: Effects = []
-    account = quotas.accounts.get(loan.customer)
-    pulling = None if account is None else account.pulling
-    if pulling is None or (pulling.number, pulling.lender) != (loan.pull, voter):
+    pulling = quotas.pulls.get(loan.pull)
+    if pulling is None or pulling.lender != voter:
         return effects
-    account.pulling = None
-    _note_lender(account, voter, loan, now)
+    del quotas.pulls[loan.pull]
+    account = quotas.accounts.get(loan.customer)
+    if account is None:
+        return _return_loan(voter, loan)
+    if account.pulling is pulling:
+        account.pulling = None
+        note_lender(account, voter, loan, now)
     if loan.tokens > 0:
-        part = Borrowed(voter, loan.run, loan.number, loan.tokens, math.inf)
-        account.borrowed.append(part)
-        quotas.totals.borrowed += loan.tokens
-        quotas.busy[loan.customer] = None
-        # Who waited before it was asked for takes of it at any age: it was lent after they came.
-        # What is left ends by its age.
-        _answer_ready(quotas, loan.customer, account, pulling.sent_at, now, effects)
-        part.expires_at = pulling.sent_at + quotas.bounds.loan_validity
+        _take_loan(quotas, account, pulling, loan, now, effects)
     _settle(quotas, loan.customer, account, now, effects)
     return effects
 
 
-def _note_lender(account: Account, voter: str, loan: QuotaLoan, now: Seconds) -> None:
-    ask_from = now
-    if loan.left <= ROUNDING:
-        until_token = 1.0 / account.bucket.share.rate
-        ask_from = now + min(LONGEST_PAUSE, max(SHORTEST_PAUSE, until_token))
-    account.lenders[voter] = Lender(loan.left, ask_from)
+def _return_loan(voter: str, loan: QuotaLoan) -> Effects:
+    if loan.tokens <= 0:
+        return []
+    unused = QuotaUnused(loan.number, loan.tokens)
+    return [QuotaSend(voter, QuotaBack(loan.run, (unused,)))]
+
+
+def _take_loan(
+    quotas: VoterQuotas,
+    account: Account,
+    pulling: Pulling,
+    loan: QuotaLoan,
+    now: Seconds,
+    effects: Effects,
+) -> None:
+    part = Borrowed(pulling.lender, loan.run, loan.number, loan.tokens, math.inf)
+    account.borrowed.append(part)
+    quotas.totals.borrowed += loan.tokens
+    quotas.busy[loan.customer] = None
+    # Who waited before it was asked for takes of it at any age: it was lent after they came. What
+    # is left ends by its age.
+    _answer_ready(quotas, loan.customer, account, pulling.sent_at, now, effects)
+    part.expires_at = pulling.sent_at + quotas.bounds.loan_validity
 
 
 def _settle(
@@ -302,7 +305,7 @@
     for name in tuple(quotas.busy):
         account = quotas.accounts[name]
         if account.pulling is not None and now - account.pulling.sent_at >= LENDER_WAIT:
-            _give_up_pull(account, now)
+            give_up_pull(account, now)
             _settle(quotas, name, account, now, effects)
         while account.waiting and now >= account.waiting[0].until:
             _answer_first(quotas, name, account, now, effects)
@@ -316,12 +319,6 @@
     return effects
 
 
-def _give_up_pull(account: Account, now: Seconds) -> None:
-    # A voter that is lost or cut off should not be waited for by every request.
-    account.lenders[account.pulling.lender] = Lender(0.0, now + LONGEST_PAUSE)
-    account.pulling = None
-
-
 def _give_back(account: Account, now: Seconds, effects: Effects) -> None:
     over = [part for part in account.borrowed if part.expires_at <= now]
     account.borrowed = [
@@ -347,3 +344,4 @@
         old.append(number)
     for number in old:
         del quotas.takings[number]
+    forget_pulls(quotas, now)
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -21,6 +21,10 @@
 # bounds memory. Of more, the oldest cannot be put back: that costs customers, and lets nobody send
 # more.
 MAX_TAKINGS = 65_536
+# Questions to lenders that are remembered until they are answered, so that what is lent late can be
+# used or given back: those of `UNDONE_FOR` at 1,600 a second, which bounds memory. What is lent on
+# more is lost, which lets nobody send more.
+MAX_PULLS = 8192
 # Wants that wait for a loan, mostly for milliseconds. Further ones get what the bucket has, and are
 # refused the rest.
 MAX_WAITING = 4096
@@ -61,7 +65,7 @@
 
 
 class Pulling(msgspec.Struct):
-    """Hold the question to another voter that is under way for a customer."""
+    """Hold a question to another voter that is not answered, be it that it was given up."""
 
     number: int
     lender: str
@@ -112,7 +116,8 @@
     `filling_from`, None while this is no voter. `begun_at` is when the voters were first told of,
     shortly after the process started; until `has_confirmed`, a customer that is new here need not
     be new elsewhere. `customers` are those with a limit, `unlimited` names the others. `busy` names
-    the accounts with wants, loans or questions under way.
+    the accounts with wants, loans or questions under way. `pulls` are the questions that are not
+    answered, also those given up.
     """
 
     name: str
@@ -134,6 +139,9 @@
     takings: collections.OrderedDict[int, Taking] = msgspec.field(
         default_factory=collections.OrderedDict
     )
+    pulls: collections.OrderedDict[int, Pulling] = msgspec.field(
+        default_factory=collections.OrderedDict
+    )
     next_number: int = 1
     next_pull: int = 0
     waiting: int = 0
