quotas, tests: a customer put back finds a full bucket at voters that restarted meanwhile

What happens: a customer spends its burst, is taken out, its voters restart, it is put back.

Why: a voter takes a customer for a new one if this run of its process, once confirmed, did not know it yet. The run before may have known it and granted its tokens. One restart of one voter gives its share of the burst again.

A customer that only lost its limit for a while goes the same way.

--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/fuzz_actions.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/fuzz_actions.py
@@ -68,10 +68,16 @@
             world.undo(run)
 
 
-def come_back(world: FuzzWorld, pause: float, is_gone: bool) -> None:
-    """Take the customer or its limit away and bring it back."""
+def come_back(
+    world: FuzzWorld, pause: float, is_gone: bool, *, are_restarted: bool = False
+) -> None:
+    """Take the customer or its limit away and bring it back, perhaps with all voters restarted."""
     _, limit = world.limits[-1]
     world.set_limit(None if is_gone else Customer(NAME))
+    if are_restarted:
+        world.confirm_all()
+        for voter in world.list_voters():
+            restart_voter(world, voter)
     world.pass_time(pause)
     world.set_limit(limit)
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_fuzz_quotas.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_fuzz_quotas.py
@@ -108,6 +108,10 @@
     def customer_or_its_limit_goes_and_comes_back(self, pause, is_gone):
         actions.come_back(self.world, pause, is_gone)
 
+    @rule(pause=PAUSES, is_gone=st.booleans())
+    def voters_restart_while_customer_or_its_limit_is_gone(self, pause, is_gone):
+        actions.come_back(self.world, pause, is_gone, are_restarted=True)
+
 
 class TestQuotas(QuotaMachine.TestCase):
     """Run the machine whose limit stays, against the narrowest bound."""
@@ -138,6 +142,18 @@
     def test_no_more_runs_than_permitted_while_the_limit_changes(self):
         self.walk(has_changes=True)
 
+    def test_no_more_runs_when_voters_restart_while_the_customer_or_its_limit_is_gone(self):
+        for is_gone in (True, False):
+            with self.subTest(is_gone=is_gone):
+                world = FuzzWorld(burst=40.0)
+                world.demand = 3
+                world.pass_time(2.0)
+                for _ in range(4):
+                    actions.come_back(world, 0.3, is_gone, are_restarted=True)
+                    world.pass_time(0.4)
+                self.assertEqual(world.find_excess(), "")
+                self.assertGreater(len(world.runs), 50)
+
     def test_no_more_runs_while_half_does_not_run_and_messages_come_twice(self):
         for doubled in (QuotaBack, QuotaReply, QuotaLoan, QuotaAsk, QuotaPull):
             with self.subTest(doubled=doubled.__name__):
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
@@ -181,6 +181,48 @@
         self.assertEqual(grant(quotas, 30, 0.52).tokens, 5)
 
 
+class TestComebacks(unittest.TestCase):
+    """Pin that a voter grants no burst which its earlier run may have granted."""
+
+    def restart(self, *, version=3, is_known=False, confirmed_at=0.0):
+        """Make a run that begins while the customer is not listed, or not limited."""
+        quotas = create_voter_quotas("v1", RUN, BOUNDS, 1, CONFIRMED_FOR)
+        note_voters(quotas, 1, (), 0.0)
+        listed = (Customer("maria"),) if is_known else None
+        note_configuration(quotas, Configuration(version, customers=listed), 0.0)
+        note_confirmed(quotas, confirmed_at)
+        return quotas
+
+    def count(self, quotas, now):
+        note_confirmed(quotas, now)
+        return grant(quotas, 30, now).tokens
+
+    def test_a_customer_put_back_after_a_restart_has_what_it_would_have_had(self):
+        for is_known in (False, True):
+            with self.subTest(is_known=is_known):
+                quotas = self.restart(is_known=is_known)
+                set_limit(quotas, 10.0, 10.0, 0.4)
+                self.assertEqual(self.count(quotas, 0.52), 5)
+
+    def test_one_put_back_after_another_place_was_taken_has_no_more(self):
+        quotas = self.restart()
+        note_voters(quotas, 2, (), 2.0)
+        note_confirmed(quotas, 3.0)
+        set_limit(quotas, 10.0, 10.0, 3.0)
+        self.assertEqual(self.count(quotas, 3.52), 5)
+
+    def test_a_voter_that_runs_for_long_gives_a_new_customer_its_burst(self):
+        quotas = self.restart()
+        set_limit(quotas, 10.0, 10.0, 2.0)
+        self.assertEqual(self.count(quotas, 2.0), 11)
+
+    def test_a_run_that_knows_all_customers_there_were_gives_a_new_one_its_burst(self):
+        quotas = self.restart(version=0)
+        note_configuration(quotas, Configuration(1), 0.1)
+        set_limit(quotas, 10.0, 10.0, 0.2)
+        self.assertEqual(self.count(quotas, 0.2), 11)
+
+
 class TestReturns(unittest.TestCase):
     def give_back(self, quotas, number, tokens, now=0.0, run=RUN):
         hear_back(quotas, QuotaBack(run, (QuotaUnused(number, tokens),)), now)
--- a/packages/bendwind-node/src/bendwind_node/quotas/tests/test_tasks.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/tests/test_tasks.py
@@ -9,6 +9,7 @@
 from bendwind_core.attempts import NotRunReason
 from bendwind_core.quotas import QuotaAsk, QuotaBounds
 from bendwind_core.timeline import EventKind
+from bendwind_core.world import Configuration
 from bendwind_node.quotas.tests.fakes import QuotaBench, make_customer
 
 QUOTA_EXCEEDED = EventKind.QUOTA_EXCEEDED
@@ -155,6 +156,25 @@
 
         run(play)
 
+    def test_a_customer_put_back_after_its_voter_restarted_begins_empty(self):
+        async def play(nursery):
+            customer = make_customer(10.0, 100.0)
+            bench = QuotaBench(nursery, [customer], voters=1)
+            nursery.start_soon(bench.keep_confirming)
+            node = bench.add_node("n")
+            taken, _ = await count_taken(node, 200)
+            self.assertGreaterEqual(taken, 100)
+            voter = bench.start_voter("v0", 0, Configuration(2))
+            bench.confirm()
+            await trio.sleep(1.0)
+            voter.control.configuration = Configuration(3, customers=(customer,))
+            voter.take_state()
+            taken, _ = await count_taken(node, 200)
+            self.assertGreaterEqual(taken, 9)
+            self.assertLessEqual(taken, 11)
+
+        run(play)
+
     def test_without_any_voter_a_request_is_refused_as_not_known_in_time(self):
         async def play(nursery):
             bench = QuotaBench(nursery, [make_customer()])
