quotas: a customer new to a voter has no burst that an earlier run may have granted

Cause: a confirmed voter opened a full bucket for each customer that this run of its process did not know. A customer that was taken out, or lost its limit, while the voter restarted had its share of the burst again.

Change: a bucket begins full only where no configuration was in force when the voter was first confirmed: then nobody can have granted anything. Elsewhere it holds what came since this run began, as for any bucket that is not kept; after burst / rate of a voter's life that is the whole burst again. The task tells the quotas of the first configuration also where it lists no customers.

What was weighed: to begin full again one window after the restart keeps windows of W, but not longer ones, which the fuzz test checks too; a record of former customers would have to go through the log.

--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
@@ -35,6 +35,7 @@
     quotas.takings.clear()
     quotas.waiting = 0
     quotas.has_confirmed = False
+    quotas.knows_all = False
     quotas.confirmed_at = None
     quotas.filling_from = None if voter_id is None else now + delay
     opens_at = math.inf if voter_id is None else now + delay + find_pause(quotas.bounds.window)
@@ -55,12 +56,16 @@
     """Hear that a quorum confirmed, since a time, that this is a voter and knows all limits."""
     if quotas.filling_from is None:
         return
+    if not quotas.has_confirmed:
+        # Where nothing was in force yet, no earlier run or predecessor can have granted anything.
+        quotas.knows_all = not quotas.is_configured
     quotas.confirmed_at = started_at
     quotas.has_confirmed = True
 
 
 def note_configuration(quotas: VoterQuotas, configuration: Configuration, now: Seconds) -> None:
     """Take over the customers' limits."""
+    quotas.is_configured = quotas.is_configured or configuration.version > 0
     listed = configuration.customers or ()
     limited = {customer.name: customer for customer in listed if customer.is_limited}
     quotas.unlimited = frozenset(customer.name for customer in listed) - limited.keys()
@@ -81,13 +86,13 @@
 
 
 def _begin_customer(quotas: VoterQuotas, customer: Customer, now: Seconds) -> None:
-    # Nobody can have granted its tokens, unless this voter merely had not heard of it yet: then its
-    # bucket must not begin full.
     share = find_share(quotas, customer)
     account = quotas.accounts.get(customer.name)
     if account is not None:
         set_share(account.bucket, share, quotas.next_number, now)
-    elif quotas.has_confirmed:
+    elif quotas.knows_all:
+        # Nobody can have granted its tokens. Otherwise an earlier run of this voter may have: the
+        # bucket is opened when it is asked for, with what came since this run began.
         add_account(quotas, customer.name, share, share.cap, now)
 
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -114,10 +114,11 @@
     `run` is that of its process, `kept_voters` the number that the deployment keeps. Grants need a
     confirmation, by a quorum, that is younger than `confirmed_for`. Buckets fill since
     `filling_from`, None while this is no voter. `begun_at` is when the voters were first told of,
-    shortly after the process started; until `has_confirmed`, a customer that is new here need not
-    be new elsewhere. `customers` are those with a limit, `unlimited` names the others. `busy` names
-    the accounts with wants, loans or questions under way. `pulls` are the questions that are not
-    answered, also those given up.
+    shortly after the process started. `is_configured` says that a configuration was ever in force,
+    and `knows_all` that none was when this was first confirmed (`has_confirmed`), so that a
+    customer which is new here is new everywhere. `customers` are those with a limit, `unlimited`
+    names the others. `busy` names the accounts with wants, loans or questions under way. `pulls`
+    are the questions that are not answered, also those given up.
     """
 
     name: str
@@ -130,6 +131,8 @@
     filling_from: Seconds | None = None
     begun_at: Seconds | None = None
     has_confirmed: bool = False
+    is_configured: bool = False
+    knows_all: bool = False
     confirmed_at: Seconds | None = None
     voter_id: int | None = None
     customers: dict[str, Customer] = msgspec.field(default_factory=dict)
--- a/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
+++ b/packages/bendwind-node/src/bendwind_node/quotas/voter_task.py
@@ -89,8 +89,10 @@
             others = tuple(name for name in names if name != self.quotas.name)
             note_voters(self.quotas, voter_id, others, now)
         configuration = self.control.configuration
-        # Most changes of the configuration leave the customers alone.
-        if configuration.customers is not self._customers:
+        # Most changes of the configuration leave the customers alone; of the first one the quotas
+        # have to know even so.
+        is_first = configuration.version > 0 and not self.quotas.is_configured
+        if is_first or configuration.customers is not self._customers:
             self._customers = configuration.customers
             note_configuration(self.quotas, configuration, now)
             self._has_work.set()
