quotas, tests: what small customers have while no voter answers

Half of the overage pays for 98 tokens; 45 can be handed out, since a voter's part of under one token is none.

The check pins this; nothing is changed.

--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_model.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_model.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bendwind_core.quotas import QuotaBounds
 from bendwind_core.quotas.tests.quota_world import Model
 from bendwind_core.world import Customer
 
@@ -115,6 +116,36 @@
         self.assertGreater(served, 0.25 * len(during))
         self.assertLess(served, 0.6 * len(during))
 
+    def test_small_customers_are_hardly_served_without_voters_and_are_soon_after(self):
+        # Half of the overage of 71 customers is 98 tokens; what is under a token at a voter cannot
+        # be handed out, so that most customers have no reserve.
+        rates = skew(71, 244.0)
+        model = Model(make_customers(rates), 52, bounds=QuotaBounds(5.0, 0.1, 20.0))
+        for customer, rate in zip(model.configuration.customers, rates, strict=True):
+            model.stream(customer.name, tuple(model.nodes), rate, 0.0, 26.0)
+        voters = tuple(model.voters)
+        model.at(20.0, lambda: model.lost.update(voters))
+        for name in voters:
+            model.at(22.0, lambda name=name: model.restart_voter(name))
+        model.run(27.0)
+        shares = []
+        for begin, end in ((0.0, 20.0), (20.0, 22.0), (22.5, 24.0), (24.0, 26.0)):
+            within = [one for one in model.outcomes if begin <= one.arrived_at < end]
+            shares.append(sum(not one.reason for one in within) / len(within))
+        before, during, after, later = shares
+        self.assertGreater(before, 0.999)
+        self.assertGreater(during, 0.04)
+        self.assertLess(during, 0.10)
+        self.assertGreater(after, 0.85)
+        self.assertGreater(later, 0.94)
+        self.assertEqual(model.count(reason="quota-unknown"), self.count_unknown(model, 20.0, 22.5))
+
+    def count_unknown(self, model, begin, end):
+        return sum(
+            one.reason == "quota-unknown" and begin - 0.25 <= one.arrived_at < end
+            for one in model.outcomes
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
