calls: the time that a body takes between nodes is taken from its attempt

Cause: a hand-over whose body comes in parts was handed on with the time that its first part had stated, however long the others took.

Change: an owner notes when it read the first part and takes what passed from the time left and from that to the objective. A pause of the process before the first part counts there, one after it as time that passed; neither counts twice. The early refusal goes by the same time.

--- a/packages/bendwind-node/src/bendwind_node/calls/assembly.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/assembly.py
@@ -5,17 +5,20 @@
 from msgspec.structs import replace
 
 from bendwind_core.attempts import AttemptId, BodyPart, HandOver, NotRunReason
+from bendwind_core.core import Seconds
 from bendwind_node.calls.body_flow import ByteBudget, Inflow
+from bendwind_node.calls.time_left import take_time
 
 MAX_ASSEMBLING = 256
 
 
 class Assembly(msgspec.Struct, eq=False):
-    """Hold a hand-over whose body is still coming."""
+    """Hold a hand-over whose body is still coming, and since when."""
 
     hand_over: HandOver
     epoch: int
     inflow: Inflow
+    begun_at: Seconds
 
 
 class AssemblyTable(msgspec.Struct, eq=False):
@@ -28,17 +31,19 @@
     budget: ByteBudget
     open: dict[AttemptId, Assembly] = msgspec.field(default_factory=dict)
 
-    def start(self, hand_over: HandOver, epoch: int) -> Result[None, NotRunReason]:
+    def start(self, hand_over: HandOver, epoch: int, now: Seconds) -> Result[None, NotRunReason]:
         """Begin with the first part, which came with the hand-over."""
         if len(self.open) >= MAX_ASSEMBLING:
             return Error(NotRunReason.OVERLOADED)
         inflow = Inflow(self.body_limit, self.budget)
         if not inflow.append(0, hand_over.body):
             return Error(NotRunReason.OVERLOADED)
-        self.open[hand_over.attempt] = Assembly(hand_over, epoch, inflow)
+        self.open[hand_over.attempt] = Assembly(hand_over, epoch, inflow, now)
         return Ok(None)
 
-    def add(self, part: BodyPart, epoch: int) -> Result[HandOver | None, NotRunReason] | None:
+    def add(
+        self, part: BodyPart, epoch: int, now: Seconds
+    ) -> Result[HandOver | None, NotRunReason] | None:
         """Add a part; return the whole hand-over once complete, None for an unknown attempt."""
         assembly = self.open.get(part.attempt)
         if assembly is None or assembly.epoch != epoch:
@@ -51,7 +56,8 @@
         self.drop(part.attempt)
         # Its body would have to come again to another owner, which takes longer than most waits.
         whole = replace(assembly.hand_over, body=assembly.inflow.join(), more=False, may_wait=True)
-        return Ok(whole)
+        # Its caller waited while the body came.
+        return Ok(take_time(whole, now - assembly.begun_at))
 
     def drop(self, attempt: AttemptId) -> None:
         """Forget a hand-over and free its bytes."""
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -117,24 +117,28 @@
                 self._fence(message, link.epoch)
 
     def _hand_over(self, hand_over: HandOver, epoch: int) -> None:
+        self._take(self.pauses.allow(hand_over, trio.current_time()), epoch)
+
+    def _take(self, hand_over: HandOver, epoch: int) -> None:
         owned = self.register.owned.get(hand_over.upstream)
         if owned is None:
             self._refuse(hand_over.attempt, epoch, NotRunReason.WRONG_OWNER)
             return
-        allowed = self.pauses.allow(hand_over, trio.current_time())
-        self._feed(owned, ev.HandOverArrived(allowed, epoch))
+        self._feed(owned, ev.HandOverArrived(hand_over, epoch))
 
     def _refuse(self, attempt: AttemptId, epoch: int, reason: NotRunReason) -> None:
         self.replies.send(attempt, epoch, NotRun(attempt, reason))
 
-    def _start_assembly(self, link: ReplyLink, hand_over: HandOver) -> None:
+    def _start_assembly(self, link: ReplyLink, came: HandOver) -> None:
+        now = trio.current_time()
+        hand_over = self.pauses.allow(came, now)
         owned = self.register.owned.get(hand_over.upstream)
         if owned is None:
             self._refuse(hand_over.attempt, link.epoch, NotRunReason.WRONG_OWNER)
             return
         if self._is_refused_early(owned, hand_over, link.epoch):
             return
-        started = self.assemblies.start(hand_over, link.epoch)
+        started = self.assemblies.start(hand_over, link.epoch, now)
         if started.is_error():
             self._refuse(hand_over.attempt, link.epoch, started.error)
         elif not hand_over.body:
@@ -151,11 +155,12 @@
         return True
 
     def _add_part(self, link: ReplyLink, part: BodyPart) -> None:
-        match self.assemblies.add(part, link.epoch):
+        match self.assemblies.add(part, link.epoch, trio.current_time()):
             case Result(tag="ok", ok=None):
                 link.send(BodyCredit(part.attempt, len(part.data)))
             case Result(tag="ok", ok=hand_over):
-                self._hand_over(hand_over, link.epoch)
+                # A pause since the first part is among the time that was taken from it.
+                self._take(hand_over, link.epoch)
             case Result(tag="error", error=reason):
                 self._refuse(part.attempt, link.epoch, reason)
 
--- a/packages/bendwind-node/src/bendwind_node/calls/pause_watch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/pause_watch.py
@@ -3,10 +3,10 @@
 import math
 
 import msgspec
-from msgspec.structs import replace
 
 from bendwind_core.attempts import HandOver
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.core import Seconds
+from bendwind_node.calls.time_left import take_time
 
 # Whoever keeps the watch looks at the clock twice a second: if it is so much later, the process
 # stood still meanwhile.
@@ -40,10 +40,4 @@
         self._look(now)
         if now >= self.catches_up_until:
             return hand_over
-        pause_ms = self.stood_still * MILLISECONDS_PER_SECOND
-        target_ms = hand_over.target_ms
-        return replace(
-            hand_over,
-            remaining_ms=hand_over.remaining_ms - pause_ms,
-            target_ms=None if target_ms is None else max(0.0, target_ms - pause_ms),
-        )
+        return take_time(hand_over, self.stood_still)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/time_left.py
@@ -0,0 +1,17 @@
+"""Count down the time that a hand-over states as left to its caller."""
+
+from msgspec.structs import replace
+
+from bendwind_core.attempts import HandOver
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+
+
+def take_time(hand_over: HandOver, passed: Seconds) -> HandOver:
+    """Take from a hand-over's time what passed since it was stated."""
+    passed_ms = passed * MILLISECONDS_PER_SECOND
+    target_ms = hand_over.target_ms
+    return replace(
+        hand_over,
+        remaining_ms=hand_over.remaining_ms - passed_ms,
+        target_ms=None if target_ms is None else max(0.0, target_ms - passed_ms),
+    )
