calls: an upstream is told the time that is left when its request is sent

Cause: the header with the time left was made from the hand-over as it came to the owner, however long it waited there for a slot.

Change: an attempt is dispatched with the time to its end, by which the owner itself gives it up. The facts of a dispatch still tell what was left when it came.

--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -352,9 +352,11 @@
         facts = make_dispatch_facts(owned.owner_state, hand_over, scope.deadline, started_at)
         outflow = Outflow()
         self.outflows[attempt] = outflow
+        # What it waited is gone for its upstream too.
+        left_ms = (scope.deadline - started_at) * MILLISECONDS_PER_SECOND
         dispatch = UpstreamDispatch(
             owned.pool,
-            hand_over,
+            replace(hand_over, remaining_ms=left_ms),
             outflow,
             send=lambda message: self.replies.send(attempt, epoch, message),
             feed=lambda event: self._feed(owned, event),
