calls: a call that is cancelled while its caller is watched gets an answer

Callers saw: their connection closed without a byte where a stop ran out of its time and their request had been under way for more than a moment; an answer came only to shorter ones. The request was counted as unanswered. Cause: such a call runs in a nursery beside the task that watches its caller. Where both are cancelled, what is raised is a group of cancellations, which the handler for a single one does not catch. Change: whatever ends a handler, alone or in a group, has its request answered on the way out. Every way out of the handler passes there, so that no further kind of exception can be missed.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -312,12 +312,13 @@
         self.account.open()
         try:
             await self.handle(exchange)
-        except trio.Cancelled:
-            exchange.give_up()
-            raise
         except Exception as error:
             self._note_failure(error)
             exchange.give_up()
+        except BaseException:
+            # What cancels a handler's nursery comes as a group, and is no `trio.Cancelled`.
+            exchange.give_up()
+            raise
         finally:
             self.account.close(exchange.request, exchange.find_ending())
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -93,6 +93,43 @@
         self.assertIs(failed.kind, EventKind.TASK_FAILED)
         self.assertIn("ValueError: some fault", failed.detail)
 
+    def test_request_whose_tasks_are_cancelled_is_answered(self):
+        # A call that lasted longer than a moment had a task beside it that watched its caller. Where
+        # a stop ran out of its time, both were cancelled, which comes as a group; the connection was
+        # closed without a byte, and the request was counted as unanswered.
+        async def handle(exchange):
+            exchange.has_begun = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(exchange.wait_gone)
+                await trio.sleep_forever()
+
+        account, received = self.end_while_held(handle, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue(received.startswith(b"HTTP/1.1 502 "))
+        self.assertEqual(dict(account.ended), {Ending.ANSWERED: 1})
+
+    def end_while_held(self, handle, request):
+        """Cancel a server while it holds a request; return its account and what came back."""
+        account = RequestAccount()
+        received = bytearray()
+
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            server = H11Server(handle, 5.0, 2048, 8, account=account)
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(server.run, listeners, trio.Event())
+                    stream = await trio.open_tcp_stream(*listeners[0].socket.getsockname())
+                    await stream.send_all(request)
+                    while not account.taken:
+                        await trio.sleep(0.001)
+                    await trio.testing.wait_all_tasks_blocked()
+                    nursery.cancel_scope.cancel()
+                while data := await stream.receive_some(65536):
+                    received.extend(data)
+
+        trio.run(main)
+        return account, bytes(received)
+
     def test_request_behind_an_answer_that_began_before_draining_is_answered(self):
         # The answer had not said that the connection closes. What its caller sent next was read for
         # a second, thrown away, and got no answer.
