calls: giving a request up leaves an answer that has begun or ended as it is

Callers saw: nothing else than before. Operators saw REQUEST_UNANSWERED, and the metric that should be 0, for an answer that a stop's end or a fault broke off after it had begun, and for one that was whole when a fault came. Cause: giving a request up wrote down anew whether it was answered, by whether an answer could still be written. Change: a whole answer stays counted as answered; one that has begun is marked as broken off, and counted so. Run: caller_h11, 18 passed; both new tests failed before.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -155,7 +155,15 @@
             raise CallerGoneError from error
 
     def give_up(self) -> None:
-        """Answer at once that nobody knows what became of the request, or that it has not run."""
+        """Answer at once that nobody knows what became of the request, or that it has not run.
+
+        An answer that has begun breaks off; one that is whole stays.
+        """
+        if self.is_answered:
+            return
+        if self.is_started:
+            self.abort()
+            return
         status = _BAD_GATEWAY if self.has_begun else _SERVICE_UNAVAILABLE
         outcome = outcomes.UNKNOWN if self.has_begun else outcomes.NOT_RUN
         answer = _make_error(self.connection, status, outcome)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -107,6 +107,17 @@
         self.assertTrue(received.startswith(b"HTTP/1.1 502 "))
         self.assertEqual(dict(account.ended), {Ending.ANSWERED: 1})
 
+    def test_answer_that_the_end_of_a_stop_breaks_off_counts_as_cut(self):
+        # It counted as a request that got no answer, and was logged as one.
+        async def handle(exchange):
+            await exchange.send_head(200, ((b"content-length", b"2"),))
+            await exchange.send_part(b"o", more=True)
+            await trio.sleep_forever()
+
+        account, received = self.end_while_held(handle, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue(received.endswith(b"o"))
+        self.assertEqual(dict(account.ended), {Ending.CUT: 1})
+
     def end_while_held(self, handle, request):
         """Cancel a server while it holds a request; return its account and what came back."""
         account = RequestAccount()
@@ -130,6 +141,31 @@
         trio.run(main)
         return account, bytes(received)
 
+    def test_failed_task_does_not_make_an_answered_request_unanswered(self):
+        # The answer was whole; a fault in what was done after it had the request counted again.
+        recorder = Recorder("a", lambda: 1, 100)
+        account = RequestAccount(recorder=recorder)
+
+        async def handle(exchange):
+            await echo(exchange)
+            raise ValueError("some fault")
+
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            server = H11Server(handle, 5.0, 2048, 8, recorder=recorder, account=account)
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(server.run, listeners, trio.Event())
+                    stream = await trio.open_tcp_stream(*listeners[0].socket.getsockname())
+                    await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                    await stream.receive_some(65536)
+                    while account.in_hand:
+                        await trio.sleep(0.001)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(dict(account.ended), {Ending.ANSWERED: 1})
+
     def test_request_behind_an_answer_that_began_before_draining_is_answered(self):
         # The answer had not said that the connection closes. What its caller sent next was read for
         # a second, thrown away, and got no answer.
