calls: an answer that says that its connection closes is there before it is closed

Callers saw: at a node that stops, a connection that broke in the midst of an answer, or before it, though the node had written it whole and counted it as answered, where the caller had sent something more meanwhile: a kept connection on which the next request was already in. Cause: the connection was closed as soon as the answer was written. With bytes in it that nobody read, the system resets it then, and throws away what the caller has not got yet. Change: the connection's sending side is ended, and what still comes is read and thrown away until the caller closes, for a second at most (RFC 9112, section 9.6), as it was after refusals already. The answer has said that the connection closes, so the caller knows that what it sent after it was not read.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -308,12 +308,13 @@
             return False
         exchange = H11Exchange(self, stream, connection, head, target)
         await self._handle(exchange)
-        if exchange.is_aborted or connection.our_state is not h11.DONE:
+        if exchange.is_aborted:
             return False
-        if connection.their_state is not h11.DONE:
-            await _linger(stream)
-            return False
-        return True
+        if connection.our_state is h11.DONE and connection.their_state is h11.DONE:
+            return True
+        # What the caller has sent meanwhile would have the answer reset before it is there.
+        await _linger(stream)
+        return False
 
     async def _handle(self, exchange: H11Exchange) -> None:
         """Have a request answered; one that is given up half-way gets an answer as well."""
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -1,3 +1,4 @@
+import contextlib
 import unittest
 
 import trio
@@ -166,6 +167,37 @@
         trio.run(main)
         self.assertEqual(dict(account.ended), {Ending.ANSWERED: 1})
 
+    def test_answer_is_whole_though_the_next_request_was_not_read(self):
+        # While it drained, the server closed a connection as soon as its answer was written. What
+        # its caller had sent by then stayed unread, so that the system reset the connection and
+        # threw away the part of the answer that the caller had not got yet.
+        may_answer = trio.Event()
+        long_answer = b"z" * (4 << 20)
+
+        async def handle(exchange):
+            await may_answer.wait()
+            length = str(len(long_answer)).encode()
+            await exchange.send_head(200, ((b"content-length", length),))
+            await exchange.send_part(long_answer, more=False)
+
+        async def check(connect, shutdown):
+            received = b""
+            async with await connect() as stream:
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                shutdown.set()
+                await trio.testing.wait_all_tasks_blocked()
+                may_answer.set()
+                with contextlib.suppress(trio.BrokenResourceError):
+                    while data := await stream.receive_some(65536):
+                        received += data
+                        await trio.sleep(0)
+            self.assertIn(b"connection: close", received[:200].lower())
+            self.assertTrue(received.endswith(long_answer))
+
+        self.run_with(handle, check)
+
     def test_request_behind_an_answer_that_began_before_draining_is_answered(self):
         # The answer had not said that the connection closes. What its caller sent next was read for
         # a second, thrown away, and got no answer.
