--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -95,9 +95,9 @@
         self.assertIn("ValueError: some fault", failed.detail)
 
     def test_request_whose_tasks_are_cancelled_is_answered(self):
-        # A call that lasted longer than a moment had a task beside it that watched its caller. Where
-        # a stop ran out of its time, both were cancelled, which comes as a group; the connection was
-        # closed without a byte, and the request was counted as unanswered.
+        # A call that lasted longer than a moment had a task beside it that watched its caller.
+        # Where a stop ran out of its time, both were cancelled, which comes as a group; the
+        # connection was closed without a byte, and the request was counted as unanswered.
         async def handle(exchange):
             exchange.has_begun = True
             async with trio.open_nursery() as nursery:
