--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_stopping_hub.py
@@ -0,0 +1,120 @@
+"""Stop a process whose answers are still on their way to the node that waits for them.
+
+Callers got 502 for requests that their upstream had answered: the owner had nothing more in hand
+and ended 20 ms later, while its answers lay in the queue of a link, or in a connection that was
+reset as it was closed. The node that waited could only tell that the link broke.
+"""
+
+import unittest
+from unittest import mock
+
+import trio
+
+from bendwind_core.messages import Goodbye
+from bendwind_node.daemon.run import _stop
+from bendwind_node.daemon.tests.test_planned_stop import FakeRegister, make_daemon
+from bendwind_node.links.tests.test_hub import make_hub, wait_until
+from bendwind_node.settings.tables import StopTable
+
+SMALL_BUFFER = 8 * 1024
+# What a slow link lets through in each of its steps.
+STEP_BYTES = 8 * 1024
+STEP_S = 0.002
+MESSAGES = 40
+MESSAGE_BYTES = 10_000
+FLUSH_TIMEOUT = "bendwind_node.links.hub.FLUSH_TIMEOUT"
+
+
+class SlowLink:
+    """Relay one connection, slowly towards the one that dials."""
+
+    def __init__(self):
+        self.may_pass = trio.Event()
+        self.port = 0
+
+    async def run(self, port, task_status):
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listener.socket.getsockname()[1]
+        task_status.started()
+        near = await listener.accept()
+        far_socket = trio.socket.socket()
+        far_socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, SMALL_BUFFER)
+        await far_socket.connect(("127.0.0.1", port))
+        far = trio.SocketStream(far_socket)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._pass_on, near, far, 0.0)
+            nursery.start_soon(self._pass_on, far, near, STEP_S)
+
+    async def _pass_on(self, source, target, step):
+        try:
+            while data := await source.receive_some(STEP_BYTES):
+                await target.send_all(data)
+                if step:
+                    await self.may_pass.wait()
+                    await trio.sleep(step)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        await target.aclose()
+
+
+class StoppingHubTest(unittest.TestCase):
+    def run_with(self, check):
+        async def main():
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            option = (trio.socket.SOL_SOCKET, trio.socket.SO_SNDBUF)
+            listener.socket.setsockopt(*option, SMALL_BUFFER)
+            owner, entry, link = make_hub("owner"), make_hub("entry"), SlowLink()
+            scope = trio.CancelScope()
+
+            async def run_owner():
+                with scope:
+                    await owner.run([listener])
+
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(run_owner)
+                    await nursery.start(link.run, listener.socket.getsockname()[1])
+                    entry.nursery = nursery
+                    entry.learn_address("owner", "127.0.0.1", link.port)
+                    entry.send("owner", Goodbye("entry"))
+                    link.may_pass.set()
+                    await wait_until(owner.receiver, lambda: owner.receiver.heard)
+                    await check(owner, entry, link, scope)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def stop(self, owner, scope):
+        """End a process that has nothing in hand, as its daemon does."""
+        daemon = make_daemon(FakeRegister())
+        daemon.settings.stop = StopTable(notice_ms=0, drain_ms=1000)
+        daemon.dispatcher.hub = owner
+        await _stop(daemon)
+        scope.cancel()
+
+    def test_answers_on_their_way_over_a_slow_link_arrive_though_their_owner_stops(self):
+        async def check(owner, entry, link, scope):
+            answers = [Goodbye(f"{number}".zfill(MESSAGE_BYTES)) for number in range(MESSAGES)]
+            for answer in answers:
+                self.assertTrue(owner.send("entry", answer))
+            await self.stop(owner, scope)
+            await wait_until(entry.receiver, lambda: entry.receiver.closed)
+            self.assertEqual(len(entry.receiver.heard), MESSAGES)
+            self.assertEqual(entry.receiver.heard, answers)
+
+        with mock.patch(FLUSH_TIMEOUT, 10.0, create=True):
+            self.run_with(check)
+
+    def test_peer_that_reads_nothing_does_not_hold_up_a_stop(self):
+        async def check(owner, entry, link, scope):
+            link.may_pass = trio.Event()
+            for _ in range(MESSAGES):
+                owner.send("entry", Goodbye("a" * MESSAGE_BYTES))
+            await self.stop(owner, scope)
+
+        with mock.patch(FLUSH_TIMEOUT, 0.05, create=True):
+            self.run_with(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
