links, daemon: a process that stops waits until its peers have its answers

Callers saw: 502 for requests that their upstream had answered, as the node of the upstream stopped. On a slow link the answer still lay in the link's queue, or in a connection that was reset as it was closed with something unread. Cause: a stop looks at the work that is in hand, which ends with an answer's hand-over to the link, and ends the process some 20 ms later. Change: at its end a stop waits, for half a second at most, until what the links took that peers dialed is written and a ping behind it is answered. A ping is read in its turn, so that its answer proves that all before it is there.

--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -150,6 +150,8 @@
     for name in tuple(dispatcher.owner.register.owned):
         dispatcher.owner.register.left(name)
     await trio.sleep(IDLE_POLL)
+    # Answers for other nodes' callers may be on their way.
+    await dispatcher.hub.flush()
 
 
 async def _finish_calls(daemon: Daemon) -> None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -33,10 +33,19 @@
         pass
 
 
+class FakeHub:
+    async def flush(self):
+        pass
+
+
 def make_daemon(register, accounts=()):
     owner = types.SimpleNamespace(register=register, is_idle=lambda: True)
     dispatcher = types.SimpleNamespace(
-        owner=owner, entry=types.SimpleNamespace(runs={}), claims=FakeClaims(), control=None
+        owner=owner,
+        entry=types.SimpleNamespace(runs={}),
+        claims=FakeClaims(),
+        control=None,
+        hub=FakeHub(),
     )
     return types.SimpleNamespace(
         dispatcher=dispatcher,
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -35,6 +35,9 @@
 CHECK_TIMEOUT: Seconds = 1.0
 # A sign of life takes a round trip, which is milliseconds within a region.
 SIGN_TIMEOUT: Seconds = 0.3
+# A process that ends waits no longer than this until its peers have what it sent them.
+FLUSH_TIMEOUT: Seconds = 0.5
+FLUSH_POLL: Seconds = 0.002
 # A sign of life waits behind what is being sent on the instance's link, a large body or a
 # configuration. The time that so many bytes take at `link_mbps` is added to `SIGN_TIMEOUT`, so that
 # a slow link is not closed under a caller's upload.
@@ -330,6 +333,7 @@
             batch = [first, *_take_queued(outbox)]
             try:
                 await socket.send(self._encode(batch))
+                link.unwritten -= len(batch)
             except (ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
                 link.close()
                 return
@@ -372,6 +376,13 @@
     def _find_sign_timeout(self) -> Seconds:
         return SIGN_TIMEOUT + BACKLOG_BYTES * BITS / (self.link_mbps * MEGA)
 
+    async def flush(self) -> None:
+        """Wait, for a short while, until peers have what was sent over the links they dialed."""
+        with trio.move_on_after(FLUSH_TIMEOUT):
+            async with trio.open_nursery() as nursery:
+                for link in tuple(self.accepted.values()):
+                    nursery.start_soon(_flush, link)
+
     def check(self, peer: str) -> None:
         """Close the dialed link to a peer unless it answers soon: others count it as gone."""
         link = self.dialed.get(peer)
@@ -391,6 +402,18 @@
             link.close()
 
 
+async def _flush(link: Link) -> None:
+    """Return once a link's peer has what the link took, or the link is closed."""
+    while link.is_open and link.unwritten:
+        await trio.sleep(FLUSH_POLL)
+    # A connection that is closed with something unread in it is reset, and loses what its peer has
+    # not got yet. A ping is answered only once all before it is there.
+    with contextlib.suppress(ConnectionClosed, trio.BrokenResourceError):
+        answered = await link.ping()
+        while link.is_open and not answered.is_set():
+            await trio.sleep(FLUSH_POLL)
+
+
 def _take_queued(outbox: trio.MemoryReceiveChannel) -> list[PeerMessage]:
     messages: list[PeerMessage] = []
     while len(messages) < MAX_BATCH:
--- a/packages/bendwind-node/src/bendwind_node/links/link.py
+++ b/packages/bendwind-node/src/bendwind_node/links/link.py
@@ -22,6 +22,7 @@
 class Link(msgspec.Struct, eq=False):
     """Hold one open link; the dialer's epoch orders the links of a pair of processes.
 
+    `unwritten` counts the messages that the link took and has not written to its connection.
     Units: `owes_since` is when something was first sent that nothing has been heard after, in
     seconds of trio's clock.
     """
@@ -37,6 +38,7 @@
     is_open: bool = True
     owes_since: Seconds | None = None
     is_checked: bool = False
+    unwritten: int = 0
 
     @property
     def quiet_at(self) -> Seconds | None:
@@ -63,6 +65,7 @@
         except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
             self.close()
             return False
+        self.unwritten += 1
         if self.owes_since is None:
             self.owes_since = trio.current_time()
             self.note_owed()
