calls: a request whose answer was begun in vain and not sent gets one

Callers saw: their connection closed without a byte where a fault met their request between the head of its answer and the first part, which go out together. Cause: the protocol's state had moved on with the head that was held back, and permitted no other one. Change: as long as nothing was sent, the answer of a request that is given up is written from a fresh state. Run: caller_h11, 20 passed (the new test failed before); ways_out 6, request_account 4, uploads 3 passed.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -166,9 +166,10 @@
             return
         status = _BAD_GATEWAY if self.has_begun else _SERVICE_UNAVAILABLE
         outcome = outcomes.UNKNOWN if self.has_begun else outcomes.NOT_RUN
-        answer = _make_error(self.connection, status, outcome)
+        # Nothing was sent, so that it does not matter how far the connection's own state had come.
+        answer = _make_error(h11.Connection(h11.SERVER), status, outcome)
         try:
-            self.is_answered = bool(answer) and self.stream.send_now(answer) == len(answer)
+            self.is_answered = self.stream.send_now(answer) == len(answer)
         except _BROKEN:
             self.is_gone = True
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -108,6 +108,21 @@
         self.assertTrue(received.startswith(b"HTTP/1.1 502 "))
         self.assertEqual(dict(account.ended), {Ending.ANSWERED: 1})
 
+    def test_request_whose_answer_is_at_odds_with_itself_is_answered(self):
+        # The head was held back for the first part, which was longer than the head had said. The
+        # protocol takes nothing more after such a fault, and the connection was closed without a
+        # byte.
+        recorder = Recorder("a", lambda: 1, 100)
+
+        async def handle(exchange):
+            exchange.has_begun = True
+            await exchange.send_head(200, ((b"content-length", b"1"),))
+            await exchange.send_part(b"ok", more=False)
+
+        request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+        received = self.exchange_bytes(request, handle, recorder=recorder)
+        self.assertTrue(received.startswith(b"HTTP/1.1 502 "))
+
     def test_answer_that_the_end_of_a_stop_breaks_off_counts_as_cut(self):
         # It counted as a request that got no answer, and was logged as one.
         async def handle(exchange):
