daemon: nothing begins at the other addresses once a stop has waited for them

Callers saw: 502 unknown for a change whose rest came some milliseconds before the process ended, which had best been refused as not run. Cause: after the stop had waited half a second for the other addresses, it went on to serve there what was half in until its very end. What became whole by then began, and was given up at once.

--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -143,6 +143,9 @@
     with trio.move_on_after(PAGES_TIMEOUT):
         for closed in daemon.pages_closed:
             await closed.wait()
+    # What would begin from here on could not end; its caller is told that it has not run.
+    for scope in daemon.pages_scopes:
+        scope.cancel()
     if dispatcher.control is not None:
         # Otherwise the other voters wait out an election timeout without a leader.
         with trio.move_on_after(LEAD_TIMEOUT):
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -85,17 +85,21 @@
         account=open_account(daemon, address),
     )
     run = partial(server.run, listeners, daemon.pages_done)
-    nursery.start_soon(_run_to_end, run, _note_page(daemon))
+    _start_page(daemon, run, nursery)
 
 
-def _note_page(daemon: Daemon) -> trio.Event:
-    closed = trio.Event()
+def _start_page(daemon: Daemon, run: Callable[[], Awaitable[None]], nursery: trio.Nursery) -> None:
+    closed, scope = trio.Event(), trio.CancelScope()
     daemon.pages_closed.append(closed)
-    return closed
+    daemon.pages_scopes.append(scope)
+    nursery.start_soon(_run_to_end, run, closed, scope)
 
 
-async def _run_to_end(run: Callable[[], Awaitable[None]], closed: trio.Event) -> None:
-    await run()
+async def _run_to_end(
+    run: Callable[[], Awaitable[None]], closed: trio.Event, scope: trio.CancelScope
+) -> None:
+    with scope:
+        await run()
     closed.set()
 
 
@@ -128,7 +132,7 @@
             )
             account = open_account(daemon, "callers")
             run = partial(serve_callers_asgi, task.handle, served, account)
-    nursery.start_soon(_run_to_end, run, daemon.callers_closed)
+    nursery.start_soon(_run_to_end, run, daemon.callers_closed, trio.CancelScope())
 
 
 def _follow_limits(server: H11Server, entry: EntryNode, effect: ViewEffect) -> None:
@@ -150,7 +154,7 @@
     served = AsgiServer(
         _detach(daemon.listeners.upstreams), KEEP_ALIVE, MAX_HEADER_BYTES, daemon.pages_done
     )
-    nursery.start_soon(_run_to_end, partial(serve_asgi, app, served), _note_page(daemon))
+    _start_page(daemon, partial(serve_asgi, app, served), nursery)
 
 
 def serve_operators(daemon: Daemon, nursery: trio.Nursery) -> None:
@@ -184,7 +188,7 @@
         daemon.pages_done,
         tls=None if daemon.keys is None else daemon.keys.operators,
     )
-    nursery.start_soon(_run_to_end, partial(serve_asgi, app, served), _note_page(daemon))
+    _start_page(daemon, partial(serve_asgi, app, served), nursery)
 
 
 def _find_suspects(daemon: Daemon) -> SuspectTable:
--- a/packages/bendwind-node/src/bendwind_node/daemon/state.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/state.py
@@ -17,6 +17,7 @@
 
     `callers_done` and `pages_done` have callers, and whoever uses the other addresses, sent away;
     `callers_closed` and `pages_closed` tell once all that was taken there has been answered.
+    `pages_scopes` end what is still served at the other addresses.
     `accounts` tells of each address what became of the requests that came there.
     """
 
@@ -31,4 +32,5 @@
     pages_done: trio.Event = msgspec.field(default_factory=trio.Event)
     callers_closed: trio.Event = msgspec.field(default_factory=trio.Event)
     pages_closed: list[trio.Event] = msgspec.field(default_factory=list)
+    pages_scopes: list[trio.CancelScope] = msgspec.field(default_factory=list)
     accounts: list[RequestAccount] = msgspec.field(default_factory=list)
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -23,6 +23,10 @@
 
     def left(self, name):
         self.has_left = True
+        self.note_left()
+
+    def note_left(self):
+        pass
 
 
 class FakeClaims:
@@ -54,6 +58,7 @@
         callers_done=trio.Event(),
         pages_done=trio.Event(),
         pages_closed=[],
+        pages_scopes=[],
         accounts=accounts,
     )
 
@@ -78,6 +83,18 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_request_that_is_half_in_does_not_begin_after_the_last_look(self):
+        # The rest of an operator's change came some milliseconds before the process ended: it
+        # began, was given up at once, and its caller could not know what had become of it.
+        register = FakeRegister()
+        daemon = make_daemon(register)
+        daemon.pages_closed.append(trio.Event())
+        daemon.pages_scopes.append(trio.CancelScope())
+        ended = []
+        register.note_left = lambda: ended.append(daemon.pages_scopes[0].cancel_called)
+        trio.run(_stop, daemon, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(ended, [True])
+
     def test_upstream_stays_in_use_until_callers_have_been_sent_elsewhere(self):
         # It was drained at once, and its service did without it for the whole notice.
         register = FakeRegister()
