--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -168,9 +168,11 @@
             return
         status = _BAD_GATEWAY if self.has_begun else _SERVICE_UNAVAILABLE
         outcome = outcomes.UNKNOWN if self.has_begun else outcomes.NOT_RUN
-        answer = _make_error(self.connection, status, outcome)
+        self.says_close = True
+        # Nothing was sent, so that it does not matter how far the connection's own state had come.
+        answer = _make_error(h11.Connection(h11.SERVER), status, outcome)
         try:
-            self.is_answered = bool(answer) and self.stream.send_now(answer) == len(answer)
+            self.is_answered = self.stream.send_now(answer) == len(answer)
         except _BROKEN:
             self.is_gone = True
 
@@ -322,7 +324,11 @@
             # What the caller still sends, or has sent behind its request, would reset the
             # connection, and the answer could be lost on its way.
             await _linger(stream)
-        return not exchange.is_aborted and connection.our_state is h11.DONE
+        return (
+            not exchange.is_aborted
+            and connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+        )
 
     async def _handle(self, exchange: H11Exchange) -> None:
         """Have a request answered; one that is given up half-way gets an answer as well."""
@@ -333,7 +339,7 @@
             self._note_failure(error)
             exchange.give_up()
         except BaseException:
-            # Cancelled; out of a nursery that comes as a group.
+            # What cancels a handler's nursery comes as a group, and is no `trio.Cancelled`.
             exchange.give_up()
             raise
         finally:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import unittest
 
@@ -162,6 +163,100 @@
 
         self.run_with(refuse, check)
 
+    def test_request_whose_tasks_are_cancelled_is_answered(self):
+        # A call that lasted longer than a moment had a task beside it that watched its caller.
+        # Where a stop ran out of its time, both were cancelled, which comes as a group; the
+        # connection was closed without a byte, and the request was counted as unanswered.
+        async def handle(exchange):
+            exchange.has_begun = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(exchange.wait_gone)
+                await trio.sleep_forever()
+
+        account, received = self.end_while_held(handle, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue(received.startswith(b"HTTP/1.1 502 "))
+        self.assertEqual(dict(account.ended), {Ending.ANSWERED: 1})
+
+    def test_request_whose_answer_is_at_odds_with_itself_is_answered(self):
+        # The head was held back for the first part, which was longer than the head had said. The
+        # protocol takes nothing more after such a fault, and the connection was closed without a
+        # byte.
+        recorder = Recorder("a", lambda: 1, 100)
+
+        async def handle(exchange):
+            exchange.has_begun = True
+            await exchange.send_head(200, ((b"content-length", b"1"),))
+            await exchange.send_part(b"ok", more=False)
+
+        request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+        received = self.exchange_bytes(request, handle, recorder=recorder)
+        self.assertTrue(received.startswith(b"HTTP/1.1 502 "))
+
+    def test_answer_that_the_end_of_a_stop_breaks_off_counts_as_unanswered(self):
+        # Its upstream was still answering: that the answer is not whole is our doing.
+        async def handle(exchange):
+            await exchange.send_head(200, ((b"content-length", b"2"),))
+            await exchange.send_part(b"o", more=True)
+            await trio.sleep_forever()
+
+        account, received = self.end_while_held(handle, b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        self.assertTrue(received.endswith(b"o"))
+        self.assertEqual(dict(account.ended), {Ending.UNANSWERED: 1})
+
+    def end_while_held(self, handle, request):
+        """Cancel a server while it holds a request; return its account and what came back."""
+        account = RequestAccount()
+        received = bytearray()
+
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            server = H11Server(handle, 5.0, 2048, 8, account=account)
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(server.run, listeners, trio.Event())
+                    stream = await trio.open_tcp_stream(*listeners[0].socket.getsockname())
+                    await stream.send_all(request)
+                    while not account.taken:
+                        await trio.sleep(0.001)
+                    await trio.testing.wait_all_tasks_blocked()
+                    nursery.cancel_scope.cancel()
+                while data := await stream.receive_some(65536):
+                    received.extend(data)
+
+        trio.run(main)
+        return account, bytes(received)
+
+    def test_answer_is_whole_though_the_next_request_was_not_read(self):
+        # While it drained, the server closed a connection as soon as its answer was written. What
+        # its caller had sent by then stayed unread, so that the system reset the connection and
+        # threw away the part of the answer that the caller had not got yet.
+        may_answer = trio.Event()
+        long_answer = b"z" * (4 << 20)
+
+        async def handle(exchange):
+            await may_answer.wait()
+            length = str(len(long_answer)).encode()
+            await exchange.send_head(200, ((b"content-length", length),))
+            await exchange.send_part(long_answer, more=False)
+
+        async def check(connect, shutdown):
+            received = b""
+            async with await connect() as stream:
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                shutdown.set()
+                await trio.testing.wait_all_tasks_blocked()
+                may_answer.set()
+                with contextlib.suppress(trio.BrokenResourceError):
+                    while data := await stream.receive_some(65536):
+                        received += data
+                        await trio.sleep(0)
+            self.assertIn(b"connection: close", received[:200].lower())
+            self.assertTrue(received.endswith(long_answer))
+
+        self.run_with(handle, check)
+
     def test_request_behind_an_answer_that_began_before_draining_is_answered(self):
         # The answer had not said that the connection closes. What its caller sent next was read for
         # a second, thrown away, and got no answer.
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -145,6 +145,9 @@
     with trio.move_on_after(PAGES_TIMEOUT):
         for closed in daemon.pages_closed:
             await closed.wait()
+    # What would begin from here on could not end; its caller is told that it has not run.
+    for scope in daemon.pages_scopes:
+        scope.cancel()
     if dispatcher.control is not None:
         # Otherwise the other voters wait out an election timeout without a leader.
         with trio.move_on_after(LEAD_TIMEOUT):
@@ -152,6 +155,8 @@
     for name in tuple(dispatcher.owner.register.owned):
         dispatcher.owner.register.left(name)
     await trio.sleep(IDLE_POLL)
+    # Answers for other nodes' callers may be on their way.
+    await dispatcher.hub.flush()
 
 
 async def _finish_calls(daemon: Daemon) -> None:
