storage: a gap among writes that were not synced is no damage

What operators saw: after a loss of power a voter ended at its start with LOG_CORRUPT ("a record before the last is damaged"), and again at each start after it, although no disk was faulty. Where a majority of the voters was syncing at that moment, what had been acknowledged was out of reach.

Cause: the store took any whole frame behind a bad one as a sign that synced data was damaged. The mark of a sync is not synced itself, and a batch is several writes: while the next sync is under way the disk may hold a later one of these and not an earlier one.

Now only a mark behind a bad frame is such a sign: a mark is written once all before it is synced. Without one, all from the bad frame on was never confirmed, and it is cut. So that what was read back at a start is as well guarded as before, the tail that a start writes anew ends with a mark. What is weaker: damage to the records of the very last sync, when its mark was lost too, is not told from a torn tail though records of a sync under way follow; it was not told before either where none followed.

--- a/packages/bendwind-node/src/bendwind_node/storage/frames.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/frames.py
@@ -59,11 +59,13 @@
 
 
 def read_frames(
-    file: str, data: bytes, sequence: int, *, is_last: bool
+    file: str, data: bytes, sequence: int, mark: bytes, *, is_last: bool
 ) -> Result[FrameRun, CorruptData]:
-    """Read a file's frames, numbered from a sequence on.
+    """Read a file's frames, numbered from a sequence on, up to the first that is not whole.
 
-    Only the last file may end in a torn frame, and only when no whole frame follows it.
+    A frame that holds the payload `mark` tells that all before it was synced. Only the last file
+    may end sooner than its data, and only when no mark follows: of writes that were not synced, a
+    loss of power may take one and leave a later one.
     Errors: CorruptData for anything else that is not whole.
     """
     frames: list[Frame] = []
@@ -73,8 +75,8 @@
         if frame is None or frame.sequence != sequence:
             if not is_last:
                 return Error(CorruptData(file, end, "a record is damaged"))
-            if _has_later_frame(data, end, sequence):
-                return Error(CorruptData(file, end, "a record before the last is damaged"))
+            if _has_later_mark(data, end, sequence, mark):
+                return Error(CorruptData(file, end, "a record that was synced is damaged"))
             break
         frames.append(frame)
         sequence += 1
@@ -82,11 +84,11 @@
     return Ok(FrameRun(tuple(frames), end))
 
 
-def _has_later_frame(data: bytes, start: int, sequence: int) -> bool:
+def _has_later_mark(data: bytes, start: int, sequence: int, mark: bytes) -> bool:
     position = data.find(_ARRAY_OF_THREE, start)
     while position >= 0:
         frame = read_frame(data, position)
-        if frame is not None and frame.sequence >= sequence:
+        if frame is not None and frame.sequence >= sequence and frame.payload == mark:
             return True
         position = data.find(_ARRAY_OF_THREE, position + 1)
     return False
--- a/packages/bendwind-node/src/bendwind_node/storage/records.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/records.py
@@ -81,3 +81,6 @@
     Errors: raises msgspec.ValidationError or cbor2.CBORError.
     """
     return msgspec.convert(cbor2.loads(data), StoredRecord)
+
+
+SYNCED_MARK = encode_record(Synced())
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -16,6 +16,7 @@
 from bendwind_node.storage.files import Files
 from bendwind_node.storage.frames import FrameRun, encode_frame, read_frame, read_frames
 from bendwind_node.storage.records import (
+    SYNCED_MARK,
     EntryWritten,
     HardStateWritten,
     Identity,
@@ -254,7 +255,7 @@
         if name != _segment_name(store.sequence):
             return Error(CorruptData(name, 0, f"record {store.sequence} is missing before it"))
         data = store.files.read(name)
-        run = read_frames(name, data, store.sequence, is_last=name == found[-1])
+        run = read_frames(name, data, store.sequence, SYNCED_MARK, is_last=name == found[-1])
         if run.is_error():
             return run
         outcome = _replay_run(store, name, run.ok, recovered)
@@ -281,14 +282,17 @@
 
 
 def _renew_tail(store: Store, data: bytes, recovered: Recovered) -> None:
-    """Write the last segment anew: what was read may never have reached the disk."""
+    """Write the last segment anew, with a mark: what was read may never have reached the disk."""
     if not data:
         empty = store.segments.pop()
         store.files.remove(empty.name)
         store.hard_state = recovered.hard_state
         store._start_segment()
         return
-    replace_file(store.files, store.segments[-1].name, data)
+    marked = data + encode_frame(store.sequence, SYNCED_MARK)
+    store.sequence += 1
+    store.segments[-1].size = len(marked)
+    replace_file(store.files, store.segments[-1].name, marked)
 
 
 def _segment_name(sequence: int) -> str:
