consensus: a voter gone for good leaves an open set that has no successor waiting

What operators saw: nothing, while all went well. With three voters, one machine removed for good and a new one added, the log listed four voters and only three lived. One more disk lost, the one that must be borne, and no leader was ever elected again: all that was acknowledged was out of reach.

Cause: where the set has places left, a caught-up newcomer is added; silent voters were taken out only to make room for a newcomer in a full set, so one that was gone counted in each quorum from then on.

Now the leader takes a voter that was silent for three election timeouts out of an open set of four or more, when the number is even and no learner is heard that could make it odd. An even number bears no more losses than the odd one below it, so nothing is given up while the voter is silent; if it comes back it joins again under a new id. From an odd number, none is taken out so.

Not covered: five voters of which two are gone for good and none is at hand to replace them stay five.

--- a/packages/bendwind-core/src/bendwind_core/consensus/membership.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/membership.py
@@ -2,7 +2,8 @@
 
 A voter with an empty disk enters as a learner. Once it has caught up, the voter it replaces is
 taken out, and the learner is made a voter by the next change. Where the set is open, a newcomer
-is made a voter while there are too few, and otherwise replaces whichever voter fell silent.
+is made a voter while there are too few, and otherwise replaces whichever voter fell silent; one
+that only makes the number even is taken out without a successor.
 Source: Ongaro, 2014, chapter 4.
 """
 
@@ -35,6 +36,8 @@
 # A voter is replaced only after a silence that no restart of its process lasts.
 SILENT_TIMEOUTS = 3
 MAX_REMOVED = 1024
+# Of two voters both must live, and the one that is left needs a second to go on at all.
+FEWEST_TO_DROP_FROM = 4
 # A learner that is gone for good costs a message each heartbeat; one that comes back joins anew.
 FORGET_LEARNER: Seconds = 60.0
 
@@ -86,7 +89,7 @@
 
 
 def tick_membership(replica: Replica, now: Seconds) -> None:
-    """Make the next change that a caught-up learner needs."""
+    """Make the next change that a caught-up learner or a voter gone for good needs."""
     if not _may_change(replica):
         return
     for learner in replica.voters.learners:
@@ -105,6 +108,22 @@
         if silent:
             _take_out(replica, silent[0], now)
             return
+    _drop_needless_voter(replica, now)
+
+
+def _drop_needless_voter(replica: Replica, now: Seconds) -> None:
+    """Take a silent voter out of an open set that bears no more losses with it than without it.
+
+    Four voters bear one loss, as three do, and the silent one is that loss already. From an odd
+    number none is dropped: it may come back, and until then the others need not be fewer.
+    """
+    voters = replica.voters.voters
+    is_awaiting = any(_is_heard(replica, learner, now) for learner in replica.voters.learners)
+    if len(voters) < FEWEST_TO_DROP_FROM or len(voters) % 2 == 1 or is_awaiting:
+        return
+    silent = [voter for voter in _list_replaceable(replica) if _is_silent(replica, voter, now)]
+    if silent:
+        _take_out(replica, silent[0], now)
 
 
 def _has_place(replica: Replica) -> bool:
@@ -117,8 +136,11 @@
 
 
 def _is_caught_up(replica: Replica, progress: Progress, now: Seconds) -> bool:
-    is_recent = now - progress.contact_at <= replica.settings.election_s
-    return is_recent and progress.match >= replica.commit
+    return _is_heard(replica, progress.voter, now) and progress.match >= replica.commit
+
+
+def _is_heard(replica: Replica, learner: Voter, now: Seconds) -> bool:
+    return now - replica.progress[learner.voter_id].contact_at <= replica.settings.election_s
 
 
 def _is_silent(replica: Replica, voter: Voter, now: Seconds) -> bool:
