--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_late_snapshot.py
@@ -0,0 +1,98 @@
+import random
+import unittest
+
+from bendwind_core.consensus import (
+    Append,
+    AppendReply,
+    Entry,
+    HardState,
+    Head,
+    Persist,
+    Persisted,
+    Received,
+    ReplicaSettings,
+    SaveSnapshot,
+    Send,
+    Snapshot,
+    SnapshotChunk,
+    Voter,
+    VoterSet,
+    create_replica,
+    step,
+)
+
+OWN = Voter("b", 2)
+LEADER = Voter("a", 1)
+VOTERS = VoterSet(7, (LEADER, OWN, Voter("c", 3)))
+TERM = 4
+
+
+def create_follower():
+    """Make a follower that holds the entries 1 to 6 and knows none but the first as committed."""
+    entries = tuple(Entry(index, 1, b"%d" % index) for index in range(2, 7))
+    return create_replica(
+        OWN,
+        ("a", "b", "c"),
+        ReplicaSettings(),
+        0.0,
+        random.Random(1),
+        hard_state=HardState(TERM, 0, 7),
+        snapshot=Snapshot(1, 1, VOTERS),
+        entries=entries,
+    )
+
+
+def make_head():
+    return Head(7, LEADER, OWN.voter_id, TERM)
+
+
+def send_chunk(index, term):
+    return SnapshotChunk(make_head(), index, term, VOTERS, 0, 5, b"state", 1)
+
+
+class LateSnapshotTest(unittest.TestCase):
+    """A snapshot that comes after entries that were confirmed takes none of them back."""
+
+    def take(self, replica, message):
+        """Deliver a message, sync all that is written, and return all effects."""
+        effects = step(replica, Received("a", message), 1.0, random.Random(1))
+        writes = [effect for effect in effects if isinstance(effect, Persist | SaveSnapshot)]
+        for write in writes:
+            effects += step(replica, Persisted(write.token), 1.0, random.Random(1))
+        return effects
+
+    def replies(self, effects):
+        sent = [effect.message for effect in effects if isinstance(effect, Send)]
+        return [reply for reply in sent if isinstance(reply, AppendReply)]
+
+    def test_entries_after_a_snapshot_that_the_log_agrees_with_are_kept(self):
+        # A follower had confirmed entries that a quorum rests on; a snapshot of an earlier index
+        # came late, from a time at which it seemed to lag. It was installed in place of the whole
+        # log, so that what the leader had acknowledged was on fewer disks than a quorum.
+        replica = create_follower()
+        confirmed = Append(make_head(), 6, 1, (Entry(7, TERM, b"7"),), 1, 1)
+        (reply,) = self.replies(self.take(replica, confirmed))
+        self.assertEqual((reply.is_matching, reply.index), (True, 7))
+        (reply,) = self.replies(self.take(replica, send_chunk(4, 1)))
+        self.assertTrue(reply.is_matching)
+        self.assertEqual(replica.log.last_index, 7)
+        self.assertEqual(replica.durable_index, 7)
+        self.assertEqual(replica.commit, 4)
+        self.assertEqual(replica.applied, 4)
+
+    def test_a_log_that_contradicts_a_snapshot_is_replaced_by_it(self):
+        replica = create_follower()
+        self.take(replica, send_chunk(4, 2))
+        self.assertEqual(replica.log.last_index, 4)
+        self.assertEqual(replica.log.last_term, 2)
+        self.assertEqual((replica.commit, replica.applied), (4, 4))
+
+    def test_a_snapshot_beyond_the_log_is_installed(self):
+        replica = create_follower()
+        (reply,) = self.replies(self.take(replica, send_chunk(9, 2)))
+        self.assertEqual((reply.is_matching, reply.index), (True, 9))
+        self.assertEqual(replica.log.last_index, 9)
+
+
+if __name__ == "__main__":
+    unittest.main()
