--- a/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
@@ -74,9 +74,14 @@
 def receive_chunk(
     replica: Replica, message: SnapshotChunk, now: Seconds, rng: random.Random
 ) -> None:
-    """Collect a snapshot's parts in order; install it when it is whole."""
+    """Collect a snapshot's parts in order; install it when it is whole.
+
+    A log that holds the snapshot's last entry needs none of it: what follows may be confirmed.
+    """
     replica.leader_contact_at = now
     replica.deadline = now + draw_timeout(replica.settings, rng)
+    if replica.log.term_at(message.index) == message.snapshot_term:
+        replica.commit = max(replica.commit, message.index)
     if message.index <= replica.commit:
         reply_append(replica, message, is_matching=True, index=message.index)
         return
