--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_store.py
@@ -37,6 +37,17 @@
     return files
 
 
+def kill_while_saving(files: FakeFiles, snapshot: Snapshot) -> None:
+    """End the process between the new snapshot's rename and the sync of its folder."""
+    store: Store = open_store(files, 200).ok.store
+    files.budget = 4
+    try:
+        store.write([SaveSnapshot(13, snapshot, 11, False)])
+    except CrashError:
+        files.budget = None
+    assert "new" not in files.names()
+
+
 def read_entries(files: FakeFiles):
     return open_store(files, 200).ok.recovered.entries
 
@@ -97,6 +108,26 @@
             whole = sum(itertools.takewhile(bool, kept[1:])) if kept[0] else 0
             self.assertEqual(indexes, list(range(1, 4 + whole)), kept)
 
+    def test_power_lost_at_a_start_after_a_kill_during_a_snapshot_leaves_one_snapshot(self):
+        # A process is killed as the new snapshot has its name and the folder is not yet synced.
+        # The next start removed the older snapshot at once; with the power lost just then neither
+        # had a name, and the rest of the log alone was refused.
+        for operations, seed in itertools.product(range(9), range(24)):
+            files = write_log()
+            files.rng.seed(seed)
+            kill_while_saving(files, Snapshot(12, 1, data=b"later"))
+            files.budget = operations
+            try:
+                open_store(files, 200)
+            except CrashError:
+                pass
+            files.lose_power()
+            opened = open_store(files, 200)
+            self.assertTrue(opened.is_ok(), (operations, seed, opened))
+            recovered = opened.ok.recovered
+            held = max([recovered.snapshot.index, *(entry.index for entry in recovered.entries)])
+            self.assertEqual(held, 12)
+
 
 if __name__ == "__main__":
     unittest.main()
