--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -240,6 +240,9 @@
     record = decode_record(frame.payload)
     recovered.snapshot = record.snapshot
     recovered.is_snapshot_installed = record.is_installed
+    if found[:-1]:
+        # The newest may have been renamed by a process that was killed before it synced the folder.
+        store.files.sync_folder()
     for name in found[:-1]:
         store.files.remove(name)
     return Ok(None)
