--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
@@ -95,6 +95,38 @@
             self.assertNotEqual(member.store.identity.voter_id, former)
             self.assertIn(former, cluster.oracle.voters[1].removed)
 
+    def test_replaced_voter_that_knows_no_present_leader_joins_again(self):
+        # A voter was down while another took its place, and that one led when it came back. It
+        # asked the voters of its own log for votes; those passed it over, and only a leader tells
+        # a replaced voter so. It was out for good, though it ran, and after two more such as it
+        # the others were too few.
+        for seed in range(4):
+            cluster = form(seed, size=5, settings=OPEN_TO_FIVE)
+            member = cluster.members["b"]
+            former = member.store.identity.voter_id
+            member.crash()
+            cluster.join("x")
+            self.run_until(cluster, lambda c=cluster: c.voter_names() == set("acdex"))
+            self.lead_by(cluster, "x")
+            member.start()
+            self.run_until(
+                cluster,
+                lambda c=cluster: "b" in [v.name for v in c.oracle.voters[1].learners],
+            )
+            self.assertIn(former, cluster.oracle.voters[1].removed)
+
+    def lead_by(self, cluster, name):
+        """Restart the leader until the member of this name leads."""
+        for _ in range(100):
+            self.run_until(cluster, lambda c=cluster: c.leaders())
+            leader = cluster.leaders()[-1]
+            if leader.name == name:
+                return
+            leader.crash()
+            self.assertIsNotNone(cluster.run_to_new_leader())
+            leader.start()
+        self.fail(f"{name} never led")
+
     def test_second_loss_after_the_repair_of_the_first_loses_nothing(self):
         for seed in range(4):
             cluster = form(seed)
