consensus: a voter that hears no leader offers itself, so that a replaced one learns of it

What operators saw: a voter that was down, cut off or stood still while it was replaced stayed a pre-candidate for good, though it ran and its disk was whole; `voters` did not list it. The others went on with one machine fewer in reserve than there were.

Cause: only the leader tells a replaced id so, and it hears of one that asks it. The replaced one asks the voters of its own log, those drop what a removed id sends, and the leader may be none of them. Only those that are no voters in their own log offered themselves anew.

Now every replica that is not led offers itself once an election timeout, to the settings' names and all it knows; who does not lead passes it on. The leader passes over an id that it has as a member, and tells a removed one so, which then joins again under a new id.

--- a/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
@@ -46,12 +46,13 @@
 
 
 def tick_outsider(replica: Replica, now: Seconds) -> None:
-    """Offer this voter again when it may not vote and no leader sends it anything.
+    """Offer this voter again when no leader sends it anything.
 
-    The entry that made it a learner may have been overwritten, so that no leader knows of it.
+    The entry that made it a learner may have been overwritten, so that no leader knows of it; or
+    it was replaced meanwhile, and none of those that its log names may tell it so. A leader that
+    knows it as a voter passes the offer over.
     """
-    is_voter = replica.voters.has_voter(replica.voter.voter_id)
-    if is_voter or now < replica.heartbeat_at or has_recent_leader(replica, now):
+    if now < replica.heartbeat_at or has_recent_leader(replica, now):
         return
     replica.heartbeat_at = now + replica.settings.election_s
     _send_offers(replica)
