control: a voter learns the place of whoever offers itself

What operators saw: a voter that was replaced while it was away could stay outside for good, where the leader was started after it had been replaced: the answer to an offer passed on by another voter went to a name without a known place, and was dropped. Cause: places were learned from voter sets only. Change: an offer carries the place of its sender, which is learned as it comes in.

--- a/packages/bendwind-node/src/bendwind_node/control/control_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/control_voter.py
@@ -11,6 +11,7 @@
 from bendwind_core.consensus import (
     BarrierRequested,
     ConsensusMessage,
+    Offer,
     Persist,
     Propose,
     Received,
@@ -79,6 +80,9 @@
 
     def deliver(self, sender: str, message: ConsensusMessage) -> None:
         """Hand in a peer's message, or drop it when the voter is behind or has stopped."""
+        if isinstance(message, Offer):
+            # It may come by another voter's hand, and whoever leads has to be able to answer it.
+            self.learn_member(message.sender)
         try:
             self.inbox.send_nowait(Received(sender, message))
         except (trio.WouldBlock, trio.BrokenResourceError):
--- a/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from bendwind_core.consensus import ReplicaSettings
+from bendwind_core.consensus import Offer, ReplicaSettings, Voter
 from bendwind_core.membership import VoterPlace
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.control.voter import ControlVoter, VoterStopped, open_voter, run_voter
@@ -99,6 +99,19 @@
 
 
 class VoterTest(unittest.TestCase):
+    def test_place_of_whoever_offers_itself_is_learned(self):
+        # A voter that was replaced while it was away offers itself by another one's hand. A leader
+        # that did not know where to reach it answered nobody, and it stayed outside for good.
+        async def scenario(deployment):
+            learned = []
+            voter = deployment.start("a")
+            voter.learn_member = learned.append
+            replaced = Voter("d", 7, "127.0.0.1", 4444)
+            voter.deliver("b", Offer(replaced, is_passed_on=True))
+            self.assertEqual(learned, [replaced])
+
+        self.run_deployment(scenario)
+
     def run_deployment(self, scenario) -> None:
         async def run():
             with tempfile.TemporaryDirectory() as folder, trio.fail_after(30):
