--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_model.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_model.py
@@ -117,9 +117,9 @@
         self.assertLess(served, 0.6 * len(during))
 
     def test_small_customers_are_hardly_served_without_voters_and_are_soon_after(self):
-        # Half of the overage of 71 customers is 98 tokens; what is under a token at a voter cannot
+        # Half of the overage of 71 customers is 110 tokens; what is under a token at a voter cannot
         # be handed out, so that most customers have no reserve.
-        rates = skew(71, 244.0)
+        rates = skew(71, 274.1)
         model = Model(make_customers(rates), 52, bounds=QuotaBounds(5.0, 0.1, 20.0))
         for customer, rate in zip(model.configuration.customers, rates, strict=True):
             model.stream(customer.name, tuple(model.nodes), rate, 0.0, 26.0)
