calls: the exchange of one request stands apart from the server of connections; storage: marks are looked for between frames only

No decision changes. A mark within the payload of a whole frame is no sign of a sync, and need not be looked for.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -8,21 +8,23 @@
 import msgspec
 import trio
 
-from bendwind_core.attempts import Header
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
-from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
+from bendwind_node.calls.caller_exchange import CallerExchange
 from bendwind_node.calls.failure import describe_failure
-from bendwind_node.calls.request_account import Ending, RequestAccount, find_ending
+from bendwind_node.calls.h11_exchange import (
+    BROKEN,
+    FRAMING,
+    RECEIVE_BYTES,
+    H11Exchange,
+    make_error,
+)
+from bendwind_node.calls.request_account import RequestAccount
 from bendwind_node.streams import PromptListener, PromptStream
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
 
-RECEIVE_BYTES = 64 * 1024
-# Pipelined requests beyond this stay in the socket, and the caller's end is no longer watched.
-MAX_READ_AHEAD = 64 * 1024
 # RFC 9112, section 9.6: reading on for a while lets the caller see the answer before the reset.
 LINGER: Seconds = 1.0
 # A head fits into a few packets; one that trickles in takes a connection from others.
@@ -32,9 +34,7 @@
 # What has connected already would be reset with the listening socket; taking it in takes less.
 LAST_ACCEPTS: Seconds = 0.01
 
-_BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
-_FRAMING = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
 _HEADERS_TOO_LARGE = 431
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
@@ -42,9 +42,6 @@
 _LINE_OVERHEAD = 12
 _HEADER_OVERHEAD = 4
 
-_CLOSE = (b"connection", b"close")
-_BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
-
 
 def _find_origin_form(target: bytes) -> bytes | None:
     """Return the target as a path, None where it is no address."""
@@ -59,151 +56,6 @@
     return path + b"?" + parts.query if parts.query else path
 
 
-class H11Exchange:
-    """Carry one request of a connection."""
-
-    __slots__ = (
-        "connection",
-        "has_begun",
-        "head",
-        "is_aborted",
-        "is_answered",
-        "is_gone",
-        "is_started",
-        "read_ahead",
-        "request",
-        "says_close",
-        "server",
-        "stream",
-    )
-
-    def __init__(
-        self,
-        server: "H11Server",
-        stream: PromptStream,
-        connection: h11.Connection,
-        head: h11.Request,
-        target: bytes,
-    ):
-        self.server = server
-        self.stream = stream
-        self.connection = connection
-        headers = tuple(head.headers)
-        may_have_body = any(name in _FRAMING for name, _ in headers)
-        self.request = CallerRequest(head.method.decode(), target, headers, may_have_body)
-        self.head = b""
-        self.has_begun = False
-        self.is_aborted = False
-        self.is_started = False
-        self.is_answered = False
-        self.is_gone = False
-        self.says_close = False
-        self.read_ahead = 0
-
-    async def receive_part(self) -> bytes | None:
-        """Return the next part of the body, None at its end."""
-        connection = self.connection
-        if connection.they_are_waiting_for_100_continue:
-            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
-            await self._send(connection.send(go_ahead))
-        while True:
-            match self._next_event():
-                case h11.NEED_DATA:
-                    await self._receive()
-                case h11.Data(data=data):
-                    return bytes(data)
-                case _:
-                    return None
-
-    def _next_event(self) -> object:
-        try:
-            return self.connection.next_event()
-        except h11.RemoteProtocolError as error:
-            self.is_gone = True
-            raise CallerGoneError from error
-
-    async def _receive(self) -> None:
-        try:
-            data = await self.stream.receive_some(RECEIVE_BYTES)
-        except _BROKEN as error:
-            self.is_gone = True
-            raise CallerGoneError from error
-        if not data:
-            self.is_gone = True
-            raise CallerGoneError
-        self.connection.receive_data(data)
-
-    async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
-        """Prepare the head of the answer; it goes out with the first part of the body."""
-        self.says_close = self.server.is_leaving or not _has_whole_request(self.connection)
-        if self.says_close:
-            headers = (*headers, _CLOSE)
-        self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
-
-    async def send_part(self, data: bytes, *, more: bool) -> None:
-        """Send a part of the body."""
-        out = self.head
-        self.head = b""
-        if data:
-            out += self.connection.send(h11.Data(data=data))
-        if not more:
-            out += self.connection.send(h11.EndOfMessage())
-        self.is_started = True
-        await self._send(out)
-        self.is_answered = not more
-
-    async def _send(self, data: bytes) -> None:
-        try:
-            await self.stream.send_all(data)
-        except _BROKEN as error:
-            self.is_gone = True
-            raise CallerGoneError from error
-
-    def give_up(self) -> None:
-        """Answer at once that nobody knows what became of the request, or that it has not run.
-
-        An answer that has begun stays as it is.
-        """
-        if self.is_started:
-            return
-        status = _BAD_GATEWAY if self.has_begun else _SERVICE_UNAVAILABLE
-        outcome = outcomes.UNKNOWN if self.has_begun else outcomes.NOT_RUN
-        self.says_close = True
-        # Nothing was sent, so that it does not matter how far the connection's own state had come.
-        answer = _make_error(h11.Connection(h11.SERVER), status, outcome)
-        try:
-            self.is_answered = self.stream.send_now(answer) == len(answer)
-        except _BROKEN:
-            self.is_gone = True
-
-    def abort(self) -> None:
-        """Mark the connection to be closed before the answer is whole."""
-        self.is_aborted = True
-
-    def find_ending(self) -> Ending:
-        """Return how the request has ended for its caller."""
-        return find_ending(
-            is_answered=self.is_answered,
-            is_gone=self.is_gone,
-            is_aborted=self.is_aborted,
-            is_started=self.is_started,
-        )
-
-    async def wait_gone(self) -> None:
-        """Return when the caller has closed its connection."""
-        while self.read_ahead < MAX_READ_AHEAD:
-            try:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
-            except _BROKEN:
-                data = b""
-            if not data:
-                self.is_gone = True
-                return
-            self.connection.receive_data(data)
-            self.read_ahead += len(data)
-        await trio.sleep_forever()
-
-
 class _HeadTooSlowError(Exception):
     """Tell that a caller began a head and did not end it in time."""
 
@@ -214,7 +66,7 @@
     `keep_alive` bounds the rest between two requests, `header_timeout` the time from the first byte
     of a head to its last. `idle` holds what waits for a request, and whether for the first one of
     its connection. From `stopping` on, answers close their connections. With a `recorder`, a fault
-    that one request meets ends its connection and is recorded; without one it is raised.
+    that one request meets is recorded and its caller answered; without one it is raised.
     """
 
     handle: Handle
@@ -229,7 +81,6 @@
     account: RequestAccount = msgspec.field(default_factory=RequestAccount)
     stopping: trio.Event = msgspec.field(default_factory=trio.Event)
 
-    @property
     def is_leaving(self) -> bool:
         """Tell whether callers are told to use their connections no longer."""
         # A caller whose kept connection is closed under a request cannot tell whether it was read;
@@ -274,7 +125,7 @@
                 while await self._serve_one(stream, connection, is_fresh=is_fresh):
                     connection.start_next_cycle()
                     is_fresh = False
-        except _BROKEN:
+        except BROKEN:
             return
         except Exception as error:
             self._note_failure(error)
@@ -289,7 +140,7 @@
         self.recorder.record(EventKind.TASK_FAILED, detail=describe_failure(error))
 
     async def _refuse_connection(self, stream: PromptStream, connection: h11.Connection) -> None:
-        await stream.send_all(_make_error(connection, _SERVICE_UNAVAILABLE, outcomes.NOT_RUN))
+        await stream.send_all(make_error(connection, _SERVICE_UNAVAILABLE, outcomes.NOT_RUN))
         await _linger(stream)
 
     async def _serve_one(
@@ -299,10 +150,10 @@
         try:
             head = await self._read_head(stream, connection, is_fresh=is_fresh)
         except _HeadTooSlowError:
-            await stream.send_all(_make_error(connection, _REQUEST_TIMEOUT, outcomes.NOT_RUN))
+            await stream.send_all(make_error(connection, _REQUEST_TIMEOUT, outcomes.NOT_RUN))
             return False
         except h11.RemoteProtocolError as error:
-            refusal = _make_error(connection, error.error_status_hint, outcomes.REFUSED)
+            refusal = make_error(connection, error.error_status_hint, outcomes.REFUSED)
             await stream.send_all(refusal)
             await _linger(stream)
             return False
@@ -310,15 +161,15 @@
             return False
         target = _find_origin_form(head.target)
         if target is None or _is_ambiguous(head):
-            await stream.send_all(_make_error(connection, _BAD_REQUEST, outcomes.REFUSED))
+            await stream.send_all(make_error(connection, _BAD_REQUEST, outcomes.REFUSED))
             await _linger(stream)
             return False
         if _measure_head(head) > self.header_bytes:
-            refusal = _make_error(connection, _HEADERS_TOO_LARGE, outcomes.REFUSED)
+            refusal = make_error(connection, _HEADERS_TOO_LARGE, outcomes.REFUSED)
             await stream.send_all(refusal)
             await _linger(stream)
             return False
-        exchange = H11Exchange(self, stream, connection, head, target)
+        exchange = H11Exchange(self.is_leaving, stream, connection, head, target)
         await self._handle(exchange)
         if exchange.says_close and exchange.is_answered:
             # What the caller still sends, or has sent behind its request, would reset the
@@ -382,19 +233,7 @@
     Source: RFC 9112, section 6.1.
     """
     names = {name for name, _ in head.headers}
-    return _FRAMING <= names
-
-
-def _has_whole_request(connection: h11.Connection) -> bool:
-    """Pass over what came of a body that nobody read, and tell whether the request has ended."""
-    while connection.their_state is h11.SEND_BODY:
-        try:
-            event = connection.next_event()
-        except h11.RemoteProtocolError:
-            return False
-        if event is h11.NEED_DATA:
-            return False
-    return connection.their_state is h11.DONE
+    return FRAMING <= names
 
 
 def _measure_head(head: h11.Request) -> int:
@@ -403,19 +242,11 @@
     return line + sum(len(name) + len(text) + _HEADER_OVERHEAD for name, text in head.headers)
 
 
-def _make_error(connection: h11.Connection, status: int, outcome: bytes) -> bytes:
-    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-        return b""
-    headers = [(names.CONTENT_LENGTH, b"0"), (names.OUTCOME, outcome), _CLOSE]
-    head = connection.send(h11.Response(status_code=status, headers=headers))
-    return head + connection.send(h11.EndOfMessage())
-
-
 async def _linger(stream: PromptStream) -> None:
     with trio.move_on_after(LINGER):
         try:
             await stream.send_eof()
             while await stream.receive_some(RECEIVE_BYTES):
                 continue
-        except _BROKEN:
+        except BROKEN:
             return
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
@@ -0,0 +1,189 @@
+"""Carry one request of an HTTP/1.1 connection and its answer, with h11 on a trio stream."""
+
+from collections.abc import Callable
+
+import h11
+import trio
+
+from bendwind_core.attempts import Header
+from bendwind_node.calls import headers as names
+from bendwind_node.calls import outcomes
+from bendwind_node.calls.caller_exchange import CallerGoneError, CallerRequest
+from bendwind_node.calls.request_account import Ending, find_ending
+from bendwind_node.streams import PromptStream
+
+RECEIVE_BYTES = 64 * 1024
+# Pipelined requests beyond this stay in the socket, and the caller's end is no longer watched.
+MAX_READ_AHEAD = 64 * 1024
+FRAMING = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
+BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+_BAD_GATEWAY = 502
+_SERVICE_UNAVAILABLE = 503
+_CLOSE = (b"connection", b"close")
+
+
+class H11Exchange:
+    """Carry one request of a connection."""
+
+    __slots__ = (
+        "connection",
+        "has_begun",
+        "head",
+        "is_aborted",
+        "is_answered",
+        "is_gone",
+        "is_leaving",
+        "is_started",
+        "read_ahead",
+        "request",
+        "says_close",
+        "stream",
+    )
+
+    def __init__(
+        self,
+        is_leaving: Callable[[], bool],
+        stream: PromptStream,
+        connection: h11.Connection,
+        head: h11.Request,
+        target: bytes,
+    ):
+        self.is_leaving = is_leaving
+        self.stream = stream
+        self.connection = connection
+        headers = tuple(head.headers)
+        may_have_body = any(name in FRAMING for name, _ in headers)
+        self.request = CallerRequest(head.method.decode(), target, headers, may_have_body)
+        self.head = b""
+        self.has_begun = False
+        self.is_aborted = False
+        self.is_started = False
+        self.is_answered = False
+        self.is_gone = False
+        self.says_close = False
+        self.read_ahead = 0
+
+    async def receive_part(self) -> bytes | None:
+        """Return the next part of the body, None at its end."""
+        connection = self.connection
+        if connection.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(connection.send(go_ahead))
+        while True:
+            match self._next_event():
+                case h11.NEED_DATA:
+                    await self._receive()
+                case h11.Data(data=data):
+                    return bytes(data)
+                case _:
+                    return None
+
+    def _next_event(self) -> object:
+        try:
+            return self.connection.next_event()
+        except h11.RemoteProtocolError as error:
+            self.is_gone = True
+            raise CallerGoneError from error
+
+    async def _receive(self) -> None:
+        try:
+            data = await self.stream.receive_some(RECEIVE_BYTES)
+        except BROKEN as error:
+            self.is_gone = True
+            raise CallerGoneError from error
+        if not data:
+            self.is_gone = True
+            raise CallerGoneError
+        self.connection.receive_data(data)
+
+    async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Prepare the head of the answer; it goes out with the first part of the body."""
+        self.says_close = self.is_leaving() or not _has_whole_request(self.connection)
+        if self.says_close:
+            headers = (*headers, _CLOSE)
+        self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
+
+    async def send_part(self, data: bytes, *, more: bool) -> None:
+        """Send a part of the body."""
+        out = self.head
+        self.head = b""
+        if data:
+            out += self.connection.send(h11.Data(data=data))
+        if not more:
+            out += self.connection.send(h11.EndOfMessage())
+        self.is_started = True
+        await self._send(out)
+        self.is_answered = not more
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self.stream.send_all(data)
+        except BROKEN as error:
+            self.is_gone = True
+            raise CallerGoneError from error
+
+    def give_up(self) -> None:
+        """Answer at once that nobody knows what became of the request, or that it has not run.
+
+        An answer that has begun stays as it is.
+        """
+        if self.is_started:
+            return
+        status = _BAD_GATEWAY if self.has_begun else _SERVICE_UNAVAILABLE
+        outcome = outcomes.UNKNOWN if self.has_begun else outcomes.NOT_RUN
+        self.says_close = True
+        # Nothing was sent, so that it does not matter how far the connection's own state had come.
+        answer = make_error(h11.Connection(h11.SERVER), status, outcome)
+        try:
+            self.is_answered = self.stream.send_now(answer) == len(answer)
+        except BROKEN:
+            self.is_gone = True
+
+    def abort(self) -> None:
+        """Mark the connection to be closed before the answer is whole."""
+        self.is_aborted = True
+
+    def find_ending(self) -> Ending:
+        """Return how the request has ended for its caller."""
+        return find_ending(
+            is_answered=self.is_answered,
+            is_gone=self.is_gone,
+            is_aborted=self.is_aborted,
+            is_started=self.is_started,
+        )
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has closed its connection."""
+        while self.read_ahead < MAX_READ_AHEAD:
+            try:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+            except BROKEN:
+                data = b""
+            if not data:
+                self.is_gone = True
+                return
+            self.connection.receive_data(data)
+            self.read_ahead += len(data)
+        await trio.sleep_forever()
+
+
+def _has_whole_request(connection: h11.Connection) -> bool:
+    """Pass over what came of a body that nobody read, and tell whether the request has ended."""
+    while connection.their_state is h11.SEND_BODY:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return False
+        if event is h11.NEED_DATA:
+            return False
+    return connection.their_state is h11.DONE
+
+
+def make_error(connection: h11.Connection, status: int, outcome: bytes) -> bytes:
+    """Return the bytes of an answer that ends a connection, none where one has begun."""
+    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return b""
+    headers = [(names.CONTENT_LENGTH, b"0"), (names.OUTCOME, outcome), _CLOSE]
+    head = connection.send(h11.Response(status_code=status, headers=headers))
+    return head + connection.send(h11.EndOfMessage())
--- a/packages/bendwind-node/src/bendwind_node/storage/frames.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/frames.py
@@ -90,5 +90,7 @@
         frame = read_frame(data, position)
         if frame is not None and frame.sequence >= sequence and frame.payload == mark:
             return True
-        position = data.find(_ARRAY_OF_THREE, position + 1)
+        # Within a whole frame nothing else can begin.
+        after = position + 1 if frame is None else frame.end
+        position = data.find(_ARRAY_OF_THREE, after)
     return False
