consensus, tests: of five voters two silent ones are kept, of four one is dropped and joins again

The rule had no test of its own: without the check of parity all tests passed. With the check taken out in a scratch copy the first of these fails.

--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_open_membership.py
@@ -72,6 +72,32 @@
                 lambda c=cluster, a=accepted: all(m.applied >= max(a) for m in c.members.values()),
             )
 
+    def test_two_silent_voters_of_five_are_kept(self):
+        # They may come back; without them three would be left, of which none may be lost.
+        for seed in range(4):
+            cluster = form(seed, size=5, settings=OPEN_TO_FIVE)
+            leader = cluster.leaders()[-1].name
+            for name in [name for name in "abcde" if name != leader][:2]:
+                cluster.lose(name)
+            cluster.run(300)
+            self.assertEqual(cluster.voter_names(), set("abcde"))
+
+    def test_silent_voter_of_four_is_dropped_and_joins_again_under_a_new_identity(self):
+        for seed in range(4):
+            cluster = form(seed, settings=OPEN_TO_FIVE)
+            cluster.join("x")
+            self.run_until(cluster, lambda c=cluster: c.voter_names() == set("abcx"))
+            leader = cluster.leaders()[-1].name
+            silent = next(name for name in "abc" if name != leader)
+            member = cluster.members[silent]
+            former = member.store.identity.voter_id
+            member.crash()
+            left = set("abcx") - {silent}
+            self.run_until(cluster, lambda c=cluster, w=left: c.voter_names() == w)
+            member.start()
+            self.run_until(cluster, lambda c=cluster: c.voter_names() == set("abcx"))
+            self.assertNotEqual(member.store.identity.voter_id, former)
+
     def test_newcomer_waits_as_a_learner_while_all_voters_live(self):
         cluster = form(1)
         cluster.join("x")
