consensus, tests: a model of disks, power, cuts and changes of voters against what was acknowledged

An open set of five loses what may be lost at once: disks of one or of two voters, chosen by age, leadership or how much they hold, also soon after a change is sent, with the power of all others; failed syncs (data is read back, but no later sync makes it durable), slow and stalled disks, cuts, also of one direction, processes that stand still and take all that was sent in order, machines replaced before or after their successor comes. Oracle: that of the cluster tests, and what is acknowledged is at that moment on the disks of a quorum, though all that was not synced be lost.

--- a/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
@@ -139,6 +139,10 @@
         self.replica = None
         self.files.crash()
 
+    def lose_power(self):
+        self.replica = None
+        self.files.lose_power()
+
     def handle(self, event):
         """Take an event, and then those that it causes here, as the voter's task does."""
         self.events.append(event)
@@ -211,6 +215,8 @@
         self.network = []
         self.oracle = Oracle()
         self.cut = set()
+        self.cut_one_way = set()
+        self.still = {}
         self.loss = 0.0
         self.request = 0
         self.members = {name: Member(name, self) for name in self.names}
@@ -237,6 +243,8 @@
         for _ in range(ticks):
             self.time += TICK_S
             for member in self.members.values():
+                if member.name in self.still:
+                    continue
                 member.handle(Tick())
                 if member.replica and member.writes and self.rng.random() < member.disk_speed:
                     member.write()
@@ -275,6 +283,11 @@
             sender, to, content = message
             if (sender in self.cut) != (to in self.cut) or self.rng.random() < self.loss:
                 continue
+            if (sender, to) in self.cut_one_way:
+                continue
+            if to in self.still:
+                self.still[to].append(message)
+                continue
             if self.rng.random() < self.loss + 0.1:
                 self.network.append(message)
                 if self.rng.random() < 0.5:
@@ -282,6 +295,12 @@
             if to in self.members:
                 self.members[to].handle(Received(sender, content))
 
+    def go_on(self, name):
+        """Let a process that stood still go on, with all that was sent to it in order."""
+        for sender, to, content in self.still.pop(name, ()):
+            if to in self.members:
+                self.members[to].handle(Received(sender, content))
+
     def propose(self, name):
         member = self.members[name]
         self.request += 1
@@ -324,6 +343,9 @@
 
     def heal(self):
         self.cut.clear()
+        self.cut_one_way.clear()
+        for name in list(self.still):
+            self.go_on(name)
         self.loss = 0.0
         for member in self.members.values():
             member.files.budget = None
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/fake_files.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/fake_files.py
@@ -17,22 +17,27 @@
 
 
 class _File:
-    """Hold a file's data, what of it was synced, and where each later write went."""
+    """Hold a file's data, what of it was synced, and where each later write went.
 
-    __slots__ = ("data", "synced", "writes")
+    After a sync that failed the data is still read back, but no later sync makes it durable.
+    """
+
+    __slots__ = ("data", "is_dropped", "synced", "writes")
 
     def __init__(self):
         self.data = b""
         self.synced = b""
         self.writes = []
+        self.is_dropped = False
 
     def append(self, data: bytes) -> None:
         self.writes.append((len(self.data), data))
         self.data += data
 
     def sync(self) -> None:
-        self.synced = self.data
-        self.writes.clear()
+        if not self.is_dropped:
+            self.synced = self.data
+            self.writes.clear()
 
     def rebuild(self, kept) -> None:
         """Hold what was synced and these later writes; nothing but zeros is between them."""
@@ -42,6 +47,7 @@
                 data += bytes(max(0, offset - len(data)))
                 data[offset : offset + len(written)] = written
         self.data = bytes(data)
+        self.is_dropped = False
         self.sync()
 
 
@@ -78,7 +84,11 @@
         file.append(data)
 
     def sync(self, name: str) -> None:
-        self._spend()
+        try:
+            self._spend()
+        except OSError:
+            self.present[name].is_dropped = True
+            raise
         self.present[name].sync()
 
     def replace(self, old: str, new: str) -> None:
@@ -117,6 +127,15 @@
         self.present = chosen
         self.durable = dict(chosen)
 
+    def copy_synced(self) -> "FakeFiles":
+        """Return the folder as a loss of power leaves it that takes all that was not synced."""
+        left = FakeFiles(random.Random(0))
+        for name, file in self.durable.items():
+            left.append(name, file.synced)
+            left.sync(name)
+        left.sync_folder()
+        return left
+
     def _choose_writes(self, file: _File):
         for offset, written in file.writes:
             fate = self.rng.choice(list(Fate))
