consensus, tests: two disks lost while a voter that is down is replaced, failing

No leader is ever elected again where two disks and all power are lost between the two changes of a replacement, though the voter that was only down comes back with the log. Adding the successor first was tried on a scratch copy and has the same gap for a voter that is gone for good; joint consensus would have neither.

--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_losses.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_losses.py
@@ -64,6 +64,40 @@
             self.assertEqual(cluster.oracle.leaders[newest].name, leader)
             cluster.settle()
 
+    def test_two_disks_lost_while_a_voter_that_is_down_is_replaced_lose_nothing(self):
+        # Between the change that takes a silent voter out and the one that adds its successor, four
+        # voters need three. With two disks lost and all power gone at that moment two are left; the
+        # voter that was only down holds the log and comes back, but it has been taken out. Nobody
+        # is elected any more, and all that was accepted is out of reach.
+        for seed in range(4):
+            cluster = form(seed)
+            cluster.run_busy(5)
+            down = next(n for n in cluster.names if not cluster.members[n].replica.is_leader)
+            cluster.members[down].crash()
+            cluster.join("x")
+            leader = self.run_to_change(cluster, down)
+            others = [name for name in cluster.names if name not in (leader, down, "x")]
+            left = (leader, others[2], "x")
+            cluster.listed = left
+            for name in others[:2]:
+                cluster.replace_disk(name)
+            for name in left:
+                cluster.members[name].lose_power()
+                cluster.members[name].start()
+            cluster.members[down].start()
+            cluster.run(1000)
+            self.assertTrue(cluster.leaders(), cluster.describe())
+
+    def run_to_change(self, cluster, name):
+        """Run until a committed change has taken a voter out, and return the leader's name."""
+        for _ in range(600):
+            cluster.run(1)
+            leaders = cluster.leaders()
+            voters = leaders[-1].replica.committed_voters.voters if leaders else ()
+            if len(voters) == 4 and name not in [voter.name for voter in voters]:
+                return leaders[-1].name
+        self.fail(cluster.describe())
+
 
 if __name__ == "__main__":
     unittest.main()
