--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_request_account.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_request_account.py
@@ -18,7 +18,7 @@
     def run_with(self, handle, use):
         recorder = Recorder("a", lambda: 1, 100)
         account = RequestAccount(
-            "callers", recorder, replace(BENDWIND_DIALECT, request_id=b"request-id")
+            "callers", recorder, DIALECT
         )
 
         async def main():
