names: what a stop, a proof, a late voter and a loan are called; one function refuses a connection

From a read-through of the change: may_have_run, is_answer_begun, is_closing, deduct_time, has_whole_history, forget_other_beats and others in place of names that had to be explained; the four refusals that end a connection are one function; the closing of the other addresses has a function of its own. No decision changes.

--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -53,7 +53,7 @@
 def send_first(call: EntryCall, now: Seconds, choose: Choose, effects: list[EntryEffect]) -> None:
     """Send the first attempt."""
     if has_expired(call, now):
-        # Its key was granted too late.
+        # Its claim was granted too late.
         finish_not_run(call, NotRunReason.DEADLINE, None, effects)
         return
     call.phase = CallPhase.TRYING
@@ -172,7 +172,7 @@
 def _may_try_again(call: EntryCall, now: Seconds, *, is_free: bool) -> bool:
     if call.is_caller_gone or len(list_waiting(call.attempts)) >= MAX_ATTEMPTS:
         return False
-    # What is sent after the fences could end as unknown where a proof is at hand.
+    # An attempt sent now would have no fence: it could end as unknown despite a proof of not-run.
     if has_expired(call, now) or now + reply_margin(call, now) >= call.deadline_at:
         return False
     if not call.is_idempotent and may_have_run(call):
--- a/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
@@ -50,7 +50,7 @@
 
     The entry that made it a learner may have been overwritten, so that no leader knows of it; or
     it was replaced meanwhile, and none of those that its log names may tell it so. A leader that
-    knows it as a voter passes the offer over.
+    knows it as a voter ignores the offer.
     """
     if now < replica.heartbeat_at or has_recent_leader(replica, now):
         return
--- a/packages/bendwind-core/src/bendwind_core/consensus/membership.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/membership.py
@@ -36,8 +36,8 @@
 # A voter is replaced only after a silence that no restart of its process lasts.
 SILENT_TIMEOUTS = 3
 MAX_REMOVED = 1024
-# Of two voters both must live, and the one that is left needs a second to go on at all.
-FEWEST_TO_DROP_FROM = 4
+# Two voters have a quorum of two: when one of them is silent, no change can be committed.
+MIN_VOTERS_TO_DROP_ONE = 4
 # A learner that is gone for good costs a message each heartbeat; one that comes back joins anew.
 FORGET_LEARNER: Seconds = 60.0
 
@@ -114,12 +114,12 @@
 def _drop_needless_voter(replica: Replica, now: Seconds) -> None:
     """Take a silent voter out of an open set that bears no more losses with it than without it.
 
-    Four voters bear one loss, as three do, and the silent one is that loss already. From an odd
-    number none is dropped: it may come back, and until then the others need not be fewer.
+    Four voters bear one loss, as three do, and the silent voter is that loss already. An odd number
+    is left alone: without the silent one it would bear no more losses.
     """
     voters = replica.voters.voters
     is_awaiting = any(_is_heard(replica, learner, now) for learner in replica.voters.learners)
-    if len(voters) < FEWEST_TO_DROP_FROM or len(voters) % 2 == 1 or is_awaiting:
+    if len(voters) < MIN_VOTERS_TO_DROP_ONE or len(voters) % 2 == 1 or is_awaiting:
         return
     silent = [voter for voter in _list_replaceable(replica) if _is_silent(replica, voter, now)]
     if silent:
--- a/packages/bendwind-core/src/bendwind_core/consensus/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/messages.py
@@ -18,7 +18,7 @@
 
 
 class Offer(Record, frozen=True, array_like=True, tag="raft-offer"):
-    """Introduce a voter that has no log, or none that is led, and ask who has one.
+    """Introduce a voter that has no log, or hears no leader, and ask who has one.
 
     `is_passed_on` says that it comes from the voter that was asked, on to its leader.
     """
--- a/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
@@ -76,7 +76,7 @@
 ) -> None:
     """Collect a snapshot's parts in order; install it when it is whole.
 
-    A log that holds the snapshot's last entry needs none of it: what follows may be confirmed.
+    A log that holds the snapshot's last entry is kept: entries after it may be acknowledged.
     """
     replica.leader_contact_at = now
     replica.deadline = now + draw_timeout(replica.settings, rng)
--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -121,7 +121,7 @@
     attachment.next_beat = now + 0.5 * times.heartbeat * rng.random()
 
 
-def hears(attachment: Attachment, peer: str) -> bool:
+def is_awaited(attachment: Attachment, peer: str) -> bool:
     """Tell whether a peer is the voter in use, or one left whose answer may still come."""
     return peer == attachment.voter or any(beat.voter == peer for beat in attachment.sent.values())
 
@@ -131,7 +131,7 @@
     attachment.sent = {n: beat for n, beat in attachment.sent.items() if beat.voter != voter}
 
 
-def settle(attachment: Attachment) -> None:
+def forget_other_beats(attachment: Attachment) -> None:
     """Await no answer of any voter but the one in use."""
     attachment.sent = {
         n: beat for n, beat in attachment.sent.items() if beat.voter == attachment.voter
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -149,7 +149,7 @@
     client.version = watch.version
     client.customers = watch.customers
     if watch.digest != _sum_digests(rows):
-        _push_upstreams(registry, watch.node, client, effects)
+        _push_watched(registry, watch.node, client, effects)
     elif not is_ahead and not _is_current(registry, watch.version, watch.customers, rows):
         _push_configuration(registry, watch.node, client, effects)
 
@@ -162,7 +162,7 @@
     is_same = beat.digest == _sum_digests(rows)
     # One difference may be a push that crossed the heartbeat; two in a row are a loss.
     if not is_same and client.is_suspect:
-        _push_upstreams(registry, beat.node.name, client, effects)
+        _push_watched(registry, beat.node.name, client, effects)
     client.is_suspect = not is_same and not client.is_suspect
     return is_same
 
@@ -218,7 +218,7 @@
     return tuple(known)
 
 
-def _push_upstreams(
+def _push_watched(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
     # The claim groups, which the digest covers too, go with a configuration.
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -11,14 +11,14 @@
     SentBeat,
     find_reason_to_move,
     forget_beats,
+    forget_other_beats,
     go_home,
-    hears,
     hurry_beat,
+    is_awaited,
     move,
     order_voters,
     schedule_beat,
     set_order,
-    settle,
     spread_beat,
     turn_back,
 )
@@ -75,7 +75,7 @@
         case Tick():
             _renew(view, effects, now, rng)
         case MessageReceived(sender=sender, message=message):
-            if hears(view.attachment, sender):
+            if is_awaited(view.attachment, sender):
                 _receive(view, sender, message, effects, now, rng)
         case LinkLost(peer=peer):
             forget_beats(view.attachment, peer)
@@ -137,8 +137,8 @@
 def _leave(
     view: NodeView, reason: str, effects: list[ViewEffect], now: Seconds, rng: random.Random
 ) -> None:
-    # One's own slow link holds up the answers of all voters, and a new one's come last: it has to
-    # be dialed first.
+    # After a timeout the old voter's answer may still come, and sooner than one of the next voter,
+    # which this node has to dial over the same slow link.
     if reason != NO_REPLY:
         forget_beats(view.attachment, view.voter)
     move(view.attachment, view.times, now, rng)
@@ -211,7 +211,7 @@
     rng: random.Random,
 ) -> None:
     sent = view.attachment.sent.pop(reply.sequence, None)
-    if sent is None or not _takes_sender(view, sender, reply, effects, now):
+    if sent is None or not _settle_sender(view, sender, reply, effects, now):
         return
     view.attachment.heard_at = now
     view.attachment.has_heard = True
@@ -228,7 +228,7 @@
         effects.append(AttachmentChanged(view.voter, "preferred"))
 
 
-def _takes_sender(
+def _settle_sender(
     view: NodeView, sender: str, reply: HeartbeatReply, effects: list[ViewEffect], now: Seconds
 ) -> bool:
     """Tell whether the node is attached to the sender of a reply, or turns back to it."""
@@ -239,12 +239,12 @@
         if sender == view.voter:
             effects.append(AttachmentChanged(sender, "answered late"))
     if sender == view.voter and is_good:
-        settle(attachment)
+        forget_other_beats(attachment)
     return sender == view.voter
 
 
 def _is_good(view: NodeView, reply: HeartbeatReply) -> bool:
-    # By the voter's own clock: one that answers late over a slow link is as good as any other.
+    # Not by this node's clock, which counts the delay of its own link as well.
     age_ms = reply.confirmed_age_ms
     limit = view.times.confirmation_limit
     return age_ms is not None and age_ms < limit * MILLISECONDS_PER_SECOND
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_changes.py
@@ -35,7 +35,7 @@
     quotas.takings.clear()
     quotas.waiting = 0
     quotas.has_confirmed = False
-    quotas.knows_all = False
+    quotas.has_whole_history = False
     quotas.confirmed_at = None
     quotas.filling_from = None if voter_id is None else now + delay
     opens_at = math.inf if voter_id is None else now + delay + find_pause(quotas.bounds.window)
@@ -58,7 +58,7 @@
         return
     if not quotas.has_confirmed:
         # Where nothing was in force yet, no earlier run or predecessor can have granted anything.
-        quotas.knows_all = not quotas.is_configured
+        quotas.has_whole_history = not quotas.is_configured
     quotas.confirmed_at = started_at
     quotas.has_confirmed = True
 
@@ -90,7 +90,7 @@
     account = quotas.accounts.get(customer.name)
     if account is not None:
         set_share(account.bucket, share, quotas.next_number, now)
-    elif quotas.knows_all:
+    elif quotas.has_whole_history:
         # Nobody can have granted its tokens. Otherwise an earlier run of this voter may have: the
         # bucket is opened when it is asked for, with what came since this run began.
         add_account(quotas, customer.name, share, share.cap, now)
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter_state.py
@@ -115,7 +115,7 @@
     confirmation, by a quorum, that is younger than `confirmed_for`. Buckets fill since
     `filling_from`, None while this is no voter. `begun_at` is when the voters were first told of,
     shortly after the process started. `is_configured` says that a configuration was ever in force,
-    and `knows_all` that none was when this was first confirmed (`has_confirmed`), so that a
+    and `has_whole_history` that none was when this was first confirmed (`has_confirmed`), so that a
     customer which is new here is new everywhere. `customers` are those with a limit, `unlimited`
     names the others. `busy` names the accounts with wants, loans or questions under way. `pulls`
     are the questions that are not answered, also those given up.
@@ -132,7 +132,7 @@
     begun_at: Seconds | None = None
     has_confirmed: bool = False
     is_configured: bool = False
-    knows_all: bool = False
+    has_whole_history: bool = False
     confirmed_at: Seconds | None = None
     voter_id: int | None = None
     customers: dict[str, Customer] = msgspec.field(default_factory=dict)
--- a/packages/bendwind-node/src/bendwind_node/calls/assembly.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/assembly.py
@@ -7,7 +7,7 @@
 from bendwind_core.attempts import AttemptId, BodyPart, HandOver, NotRunReason
 from bendwind_core.core import Seconds
 from bendwind_node.calls.body_flow import ByteBudget, Inflow
-from bendwind_node.calls.time_left import take_time
+from bendwind_node.calls.time_left import deduct_time
 
 MAX_ASSEMBLING = 256
 
@@ -57,7 +57,7 @@
         # Its body would have to come again to another owner, which takes longer than most waits.
         whole = replace(assembly.hand_over, body=assembly.inflow.join(), more=False, may_wait=True)
         # Its caller waited while the body came.
-        return Ok(take_time(whole, now - assembly.begun_at))
+        return Ok(deduct_time(whole, now - assembly.begun_at))
 
     def drop(self, attempt: AttemptId) -> None:
         """Forget a hand-over and free its bytes."""
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -207,7 +207,7 @@
         """Find the service that the request names."""
         if self.entry.dialect.service is None:
             # Where callers cannot name a service, only routes lead to one.
-            return Error(self._refuse_unless_stale(_UNKNOWN_SERVICE))
+            return Error(self._refuse_if_fresh(_UNKNOWN_SERVICE))
         # Only the service's rules tell whether a key is needed, and a node that waited for its
         # first configuration has heard of keys only now.
         service = await self._find_service(request.headers)
@@ -216,10 +216,11 @@
         if asked.is_error():
             return asked
         if rule is None or service.routed_only:
-            return Error(self._refuse_unless_stale(_UNKNOWN_SERVICE))
+            return Error(self._refuse_if_fresh(_UNKNOWN_SERVICE))
         return Ok(Target(service, rule, asked.ok))
 
-    def _refuse_unless_stale(self, refusal: Refusal) -> Refusal:
+    def _refuse_if_fresh(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that only a fresh node may give, otherwise not-run as stale."""
         # A node without proof of freshness cannot tell what the newest configuration lacks.
         is_fresh = self.entry.membership.is_fresh()
         return refusal if is_fresh else Refusal.not_run(NotRunReason.STALE)
@@ -229,7 +230,7 @@
         table = self.entry.routes
         route = find_route(table, names.find_host(request.headers), request.path)
         if route is None:
-            return Error(self._refuse_unless_stale(_NO_ROUTE))
+            return Error(self._refuse_if_fresh(_NO_ROUTE))
         asked = self._authenticate(request, is_open=route.is_open)
         if asked.is_error():
             return asked
@@ -255,7 +256,7 @@
         )
         if asked.is_ok():
             return asked
-        refusal = self._refuse_unless_stale(asked.error)
+        refusal = self._refuse_if_fresh(asked.error)
         if refusal is asked.error:
             entry.unknown_keys += 1
         return Error(refusal)
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -103,7 +103,7 @@
             if refusal is not None:
                 await self._refuse(exchange, call.call_id, refusal, run)
                 return
-            exchange.has_begun = True
+            exchange.may_have_run = True
             run.feed(ev.Begin())
             await Delivery(self.entry, exchange, run).finish()
         finally:
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -14,12 +14,12 @@
     """Carry one ASGI request."""
 
     __slots__ = (
-        "has_begun",
         "is_aborted",
+        "is_answer_begun",
         "is_answered",
         "is_body_read",
         "is_gone",
-        "is_started",
+        "may_have_run",
         "receive",
         "request",
         "send",
@@ -34,9 +34,9 @@
         self.receive = receive
         self.send = send
         self.is_body_read = False
-        self.has_begun = False
+        self.may_have_run = False
         self.is_aborted = False
-        self.is_started = False
+        self.is_answer_begun = False
         self.is_answered = False
         self.is_gone = False
 
@@ -53,7 +53,7 @@
 
     async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
         """Send the head of the answer."""
-        self.is_started = True
+        self.is_answer_begun = True
         await self.send({"type": "http.response.start", "status": status, "headers": list(headers)})
 
     async def send_part(self, data: bytes, *, more: bool) -> None:
@@ -77,7 +77,7 @@
             is_answered=self.is_answered,
             is_gone=self.is_gone,
             is_aborted=self.is_aborted,
-            is_started=self.is_started,
+            is_answer_begun=self.is_answer_begun,
         )
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_exchange.py
@@ -27,11 +27,12 @@
 class CallerExchange(Protocol):
     """Carry one request of a caller and its answer.
 
-    `has_begun` is set by whoever handles the request once it may have had an effect.
+    `may_have_run` is set by the handler once the request may have had an effect; until then it has
+    not run.
     """
 
     request: CallerRequest
-    has_begun: bool
+    may_have_run: bool
 
     async def receive_part(self) -> bytes | None:
         """Return the next part of the request's body, None at its end.
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -31,8 +31,8 @@
 HEADER_TIMEOUT: Seconds = 10.0
 # A caller that has just connected is about to send its request.
 FIRST_REQUEST_TIMEOUT: Seconds = 0.25
-# What has connected already would be reset with the listening socket; taking it in takes less.
-LAST_ACCEPTS: Seconds = 0.01
+# Connections in the backlog are reset with the listening socket; accepting them takes less.
+LAST_ACCEPT_TIMEOUT: Seconds = 0.01
 
 _SERVICE_UNAVAILABLE = 503
 _HEADERS_TOO_LARGE = 431
@@ -81,10 +81,10 @@
     account: RequestAccount = msgspec.field(default_factory=RequestAccount)
     stopping: trio.Event = msgspec.field(default_factory=trio.Event)
 
-    def is_leaving(self) -> bool:
-        """Tell whether callers are told to use their connections no longer."""
-        # A caller whose kept connection is closed under a request cannot tell whether it was read;
-        # one that has to connect anew, and cannot, can.
+    def is_closing(self) -> bool:
+        """Tell whether answers say that their connection closes."""
+        # A caller cannot tell whether a request on a kept connection that closes was read; a
+        # refused new connection tells it that the request was not.
         return self.is_draining or self.stopping.is_set()
 
     async def run(self, listeners: list[trio.SocketListener], shutdown: trio.Event) -> None:
@@ -97,7 +97,7 @@
                 )
                 await shutdown.wait()
                 self._start_draining()
-                accepting.cancel_scope.deadline = trio.current_time() + LAST_ACCEPTS
+                accepting.cancel_scope.deadline = trio.current_time() + LAST_ACCEPT_TIMEOUT
 
     def _start_draining(self) -> None:
         self.is_draining = True
@@ -119,7 +119,7 @@
         try:
             async with stream:
                 if self.connections > self.max_connections:
-                    await self._refuse_connection(stream, connection)
+                    await _refuse(stream, connection, _SERVICE_UNAVAILABLE, outcomes.NOT_RUN)
                     return
                 is_fresh = True
                 while await self._serve_one(stream, connection, is_fresh=is_fresh):
@@ -139,10 +139,6 @@
         # A request that ends the process ends the next one with its next try.
         self.recorder.record(EventKind.TASK_FAILED, detail=describe_failure(error))
 
-    async def _refuse_connection(self, stream: PromptStream, connection: h11.Connection) -> None:
-        await stream.send_all(make_error(connection, _SERVICE_UNAVAILABLE, outcomes.NOT_RUN))
-        await _linger(stream)
-
     async def _serve_one(
         self, stream: PromptStream, connection: h11.Connection, *, is_fresh: bool
     ) -> bool:
@@ -153,23 +149,18 @@
             await stream.send_all(make_error(connection, _REQUEST_TIMEOUT, outcomes.NOT_RUN))
             return False
         except h11.RemoteProtocolError as error:
-            refusal = make_error(connection, error.error_status_hint, outcomes.REFUSED)
-            await stream.send_all(refusal)
-            await _linger(stream)
+            await _refuse(stream, connection, error.error_status_hint, outcomes.REFUSED)
             return False
         if head is None:
             return False
         target = _find_origin_form(head.target)
         if target is None or _is_ambiguous(head):
-            await stream.send_all(make_error(connection, _BAD_REQUEST, outcomes.REFUSED))
-            await _linger(stream)
+            await _refuse(stream, connection, _BAD_REQUEST, outcomes.REFUSED)
             return False
         if _measure_head(head) > self.header_bytes:
-            refusal = make_error(connection, _HEADERS_TOO_LARGE, outcomes.REFUSED)
-            await stream.send_all(refusal)
-            await _linger(stream)
+            await _refuse(stream, connection, _HEADERS_TOO_LARGE, outcomes.REFUSED)
             return False
-        exchange = H11Exchange(self.is_leaving, stream, connection, head, target)
+        exchange = H11Exchange(self.is_closing, stream, connection, head, target)
         await self._handle(exchange)
         if exchange.says_close and exchange.is_answered:
             # What the caller still sends, or has sent behind its request, would reset the
@@ -242,6 +233,14 @@
     return line + sum(len(name) + len(text) + _HEADER_OVERHEAD for name, text in head.headers)
 
 
+async def _refuse(
+    stream: PromptStream, connection: h11.Connection, status: int, outcome: bytes
+) -> None:
+    """Answer with an error that ends the connection."""
+    await stream.send_all(make_error(connection, status, outcome))
+    await _linger(stream)
+
+
 async def _linger(stream: PromptStream) -> None:
     with trio.move_on_after(LINGER):
         try:
--- a/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
@@ -14,7 +14,7 @@
 
 RECEIVE_BYTES = 64 * 1024
 # Pipelined requests beyond this stay in the socket, and the caller's end is no longer watched.
-MAX_READ_AHEAD = 64 * 1024
+MAX_READ_AHEAD_BYTES = 64 * 1024
 FRAMING = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 
@@ -28,13 +28,13 @@
 
     __slots__ = (
         "connection",
-        "has_begun",
         "head",
         "is_aborted",
+        "is_answer_begun",
         "is_answered",
+        "is_closing",
         "is_gone",
-        "is_leaving",
-        "is_started",
+        "may_have_run",
         "read_ahead",
         "request",
         "says_close",
@@ -43,22 +43,22 @@
 
     def __init__(
         self,
-        is_leaving: Callable[[], bool],
+        is_closing: Callable[[], bool],
         stream: PromptStream,
         connection: h11.Connection,
         head: h11.Request,
         target: bytes,
     ):
-        self.is_leaving = is_leaving
+        self.is_closing = is_closing
         self.stream = stream
         self.connection = connection
         headers = tuple(head.headers)
         may_have_body = any(name in FRAMING for name, _ in headers)
         self.request = CallerRequest(head.method.decode(), target, headers, may_have_body)
         self.head = b""
-        self.has_begun = False
+        self.may_have_run = False
         self.is_aborted = False
-        self.is_started = False
+        self.is_answer_begun = False
         self.is_answered = False
         self.is_gone = False
         self.says_close = False
@@ -99,7 +99,7 @@
 
     async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
         """Prepare the head of the answer; it goes out with the first part of the body."""
-        self.says_close = self.is_leaving() or not _has_whole_request(self.connection)
+        self.says_close = self.is_closing() or not _has_whole_request(self.connection)
         if self.says_close:
             headers = (*headers, _CLOSE)
         self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
@@ -112,7 +112,7 @@
             out += self.connection.send(h11.Data(data=data))
         if not more:
             out += self.connection.send(h11.EndOfMessage())
-        self.is_started = True
+        self.is_answer_begun = True
         await self._send(out)
         self.is_answered = not more
 
@@ -128,10 +128,10 @@
 
         An answer that has begun stays as it is.
         """
-        if self.is_started:
+        if self.is_answer_begun:
             return
-        status = _BAD_GATEWAY if self.has_begun else _SERVICE_UNAVAILABLE
-        outcome = outcomes.UNKNOWN if self.has_begun else outcomes.NOT_RUN
+        status = _BAD_GATEWAY if self.may_have_run else _SERVICE_UNAVAILABLE
+        outcome = outcomes.UNKNOWN if self.may_have_run else outcomes.NOT_RUN
         self.says_close = True
         # Nothing was sent, so that it does not matter how far the connection's own state had come.
         answer = make_error(h11.Connection(h11.SERVER), status, outcome)
@@ -150,12 +150,12 @@
             is_answered=self.is_answered,
             is_gone=self.is_gone,
             is_aborted=self.is_aborted,
-            is_started=self.is_started,
+            is_answer_begun=self.is_answer_begun,
         )
 
     async def wait_gone(self) -> None:
         """Return when the caller has closed its connection."""
-        while self.read_ahead < MAX_READ_AHEAD:
+        while self.read_ahead < MAX_READ_AHEAD_BYTES:
             try:
                 data = await self.stream.receive_some(RECEIVE_BYTES)
             except BROKEN:
@@ -181,7 +181,7 @@
 
 
 def make_error(connection: h11.Connection, status: int, outcome: bytes) -> bytes:
-    """Return the bytes of an answer that ends a connection, none where one has begun."""
+    """Return an error answer that closes the connection, empty if an answer has begun."""
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return b""
     headers = [(names.CONTENT_LENGTH, b"0"), (names.OUTCOME, outcome), _CLOSE]
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -159,7 +159,7 @@
             case Result(tag="ok", ok=None):
                 link.send(BodyCredit(part.attempt, len(part.data)))
             case Result(tag="ok", ok=hand_over):
-                # A pause since the first part is among the time that was taken from it.
+                # The time deducted since the first part includes any pause.
                 self._take(hand_over, link.epoch)
             case Result(tag="error", error=reason):
                 self._refuse(part.attempt, link.epoch, reason)
@@ -352,7 +352,7 @@
         facts = make_dispatch_facts(owned.owner_state, hand_over, scope.deadline, started_at)
         outflow = Outflow()
         self.outflows[attempt] = outflow
-        # What it waited is gone for its upstream too.
+        # Its time in the queue is deducted for its upstream too.
         left_ms = (scope.deadline - started_at) * MILLISECONDS_PER_SECOND
         dispatch = UpstreamDispatch(
             owned.pool,
--- a/packages/bendwind-node/src/bendwind_node/calls/pause_watch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/pause_watch.py
@@ -6,7 +6,7 @@
 
 from bendwind_core.attempts import HandOver
 from bendwind_core.core import Seconds
-from bendwind_node.calls.time_left import take_time
+from bendwind_node.calls.time_left import deduct_time
 
 # Whoever keeps the watch looks at the clock twice a second: if it is so much later, the process
 # stood still meanwhile.
@@ -40,4 +40,4 @@
         self._look(now)
         if now >= self.catches_up_until:
             return hand_over
-        return take_time(hand_over, self.stood_still)
+        return deduct_time(hand_over, self.stood_still)
--- a/packages/bendwind-node/src/bendwind_node/calls/request_account.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/request_account.py
@@ -59,10 +59,12 @@
         return f"{self.address}: taken={self.taken} {ended}"
 
 
-def find_ending(*, is_answered: bool, is_gone: bool, is_aborted: bool, is_started: bool) -> Ending:
+def find_ending(
+    *, is_answered: bool, is_gone: bool, is_aborted: bool, is_answer_begun: bool
+) -> Ending:
     """Return how a request ended, by what its exchange saw."""
     if is_answered:
         return Ending.ANSWERED
     if is_gone:
         return Ending.LEFT
-    return Ending.CUT if is_started and is_aborted else Ending.UNANSWERED
+    return Ending.CUT if is_answer_begun and is_aborted else Ending.UNANSWERED
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -168,7 +168,7 @@
         # Where a stop ran out of its time, both were cancelled, which comes as a group; the
         # connection was closed without a byte, and the request was counted as unanswered.
         async def handle(exchange):
-            exchange.has_begun = True
+            exchange.may_have_run = True
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(exchange.wait_gone)
                 await trio.sleep_forever()
@@ -184,7 +184,7 @@
         recorder = Recorder("a", lambda: 1, 100)
 
         async def handle(exchange):
-            exchange.has_begun = True
+            exchange.may_have_run = True
             await exchange.send_head(200, ((b"content-length", b"1"),))
             await exchange.send_part(b"ok", more=False)
 
@@ -309,7 +309,7 @@
         # not read whole, or not begun, cannot have run; of the rest nobody knows.
         async def handle(exchange):
             await read_body(exchange)
-            exchange.has_begun = exchange.request.target == b"/begun"
+            exchange.may_have_run = exchange.request.target == b"/begun"
             # As a call does that lasts: what is given up comes out of a nursery as a group.
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(exchange.wait_gone)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_request_account.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_request_account.py
@@ -17,9 +17,7 @@
 
     def run_with(self, handle, use):
         recorder = Recorder("a", lambda: 1, 100)
-        account = RequestAccount(
-            "callers", recorder, DIALECT
-        )
+        account = RequestAccount("callers", recorder, DIALECT)
 
         async def main():
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
--- a/packages/bendwind-node/src/bendwind_node/calls/time_left.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/time_left.py
@@ -6,8 +6,8 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 
 
-def take_time(hand_over: HandOver, passed: Seconds) -> HandOver:
-    """Take from a hand-over's time what passed since it was stated."""
+def deduct_time(hand_over: HandOver, passed: Seconds) -> HandOver:
+    """Deduct from a hand-over's time what has passed since it was stated."""
     passed_ms = passed * MILLISECONDS_PER_SECOND
     target_ms = hand_over.target_ms
     return replace(
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -113,8 +113,8 @@
 
 
 async def _watch_signals(daemon: Daemon) -> None:
-    # It listens until the process ends: a second signal would end the process in the midst of what
-    # it is answering.
+    # Open until the process ends: without it a second signal would end the process while requests
+    # are in hand.
     with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
         if is_stop_asked():
             daemon.stopping.set()
@@ -139,15 +139,9 @@
         await dispatcher.claims.hand_over()
     with trio.move_on_after(limits.drain_ms / MILLISECONDS_PER_SECOND):
         await _finish_calls(daemon)
-    # What is not answered by now is answered as given up, while there is time for it.
+    # Cancelled requests are answered as not run or unknown, see H11Exchange.give_up.
     daemon.callers_scope.cancel()
-    daemon.pages_done.set()
-    with trio.move_on_after(PAGES_TIMEOUT):
-        for closed in daemon.pages_closed:
-            await closed.wait()
-    # What would begin from here on could not end; its caller is told that it has not run.
-    for scope in daemon.pages_scopes:
-        scope.cancel()
+    await _close_pages(daemon)
     if dispatcher.control is not None:
         # Otherwise the other voters wait out an election timeout without a leader.
         with trio.move_on_after(LEAD_TIMEOUT):
@@ -159,6 +153,17 @@
     await dispatcher.hub.flush()
 
 
+async def _close_pages(daemon: Daemon) -> None:
+    """Let the other addresses finish what they have in hand, then cancel the rest."""
+    daemon.pages_done.set()
+    with trio.move_on_after(PAGES_TIMEOUT):
+        for closed in daemon.pages_closed:
+            await closed.wait()
+    # What would begin from here on could not end; its caller is told that it has not run.
+    for scope in daemon.pages_scopes:
+        scope.cancel()
+
+
 async def _finish_calls(daemon: Daemon) -> None:
     # Once no caller is connected, no request can come after the last look at the work.
     if daemon.settings.callers is not None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -62,7 +62,7 @@
 
 
 def open_account(daemon: Daemon, address: str) -> RequestAccount:
-    """Make the account of the requests that come to one address of a process."""
+    """Create and register the account of one address; operators and upstreams have none."""
     account = RequestAccount(address, daemon.recorder, daemon.dispatcher.entry.dialect)
     daemon.accounts.append(account)
     return account
--- a/packages/bendwind-node/src/bendwind_node/daemon/state.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/state.py
@@ -15,10 +15,9 @@
 class Daemon(msgspec.Struct, eq=False):
     """Hold the tasks of one process; `keys` is None where its links are not encrypted.
 
-    `callers_done` and `pages_done` have callers, and whoever uses the other addresses, sent away;
-    `callers_closed` and `pages_closed` tell once all that was taken there has been answered.
-    `callers_scope` and `pages_scopes` have what is still served there given up. `accounts` tells of
-    each address what became of the requests that came there.
+    `callers_done` tells the callers' server to drain, `callers_closed` says that it has drained and
+    `callers_scope` cancels what it still serves; `pages_done`, `pages_closed` and `pages_scopes` do
+    so for all other addresses. `accounts` has one entry for each address that counts.
     """
 
     settings: Settings
--- a/packages/bendwind-node/src/bendwind_node/early_signals.py
+++ b/packages/bendwind-node/src/bendwind_node/early_signals.py
@@ -1,7 +1,7 @@
 """Take the signals of a process from its first moment to its last.
 
-Import this module before any that takes time to load. A signal that comes while nobody listens
-would end the process: before it listens, or once a listener has left.
+Call hold_signals before importing what takes time to load. Without it, a signal that comes before
+a receiver is open, or after it is closed, ends the process.
 """
 
 import signal
