consensus: a voter is replaced through a joint set, in which both it and its successor count

What callers saw: with five voters, one of them down and being replaced, two disks and all power lost between the two changes of the replacement left nobody who could be elected, for ever. All that had been acknowledged was out of reach.

Cause: the set in between has four voters, which bear one loss, and the voter that was only down had been taken out though its disk was there.

Change: the leader appends a joint set (those that stay, the one that leaves, the one that joins). Votes, trial votes, commits, reads and contact ask VoterSet alone who is a majority: one of the former voters and one of the next. The next set follows once the successor holds the joint one, the former set if the successor falls silent and the former voter is heard. An operator's removal with a learner at hand goes the same way.

Why it works: any two of five disks lost and a third voter down leave three of each half once that one is back.

--- a/packages/bendwind-cli/src/bendwind_cli/instances.py
+++ b/packages/bendwind-cli/src/bendwind_cli/instances.py
@@ -9,7 +9,7 @@
 from bendwind_cli.client import Client
 from bendwind_cli.commands import Drain, ShowStatus
 from bendwind_cli.outcome import ExitCode, Failure
-from bendwind_cli.replies import DrainReply, StatusReply, StopReply
+from bendwind_cli.replies import DrainReply, ReplacementReply, StatusReply, StopReply
 
 _KINDS = ("instance", "upstream")
 
@@ -126,6 +126,8 @@
     for voter in reply.voters:
         applied = f", applied {voter.applied}" if voter.applied else ""
         yield f"voter {voter.name}: {voter.role}{applied}"
+    if reply.replacement is not None:
+        yield _render_replacement(reply.replacement)
     for node in reply.nodes:
         mark = "  (not there yet)" if node.name in reply.not_there_yet else ""
         yield f"node {node.name} in {node.data_centre}: version {node.version}{mark}"
@@ -143,5 +145,12 @@
         yield f"not there yet: {', '.join(sorted(absent))}"
 
 
+def _render_replacement(reply: ReplacementReply) -> str:
+    since = "" if reply.for_ms is None else f" for {reply.for_ms:.0f} ms"
+    awaited = f", waiting for {', '.join(reply.awaited)}" if reply.awaited else ""
+    pair = f"{', '.join(reply.leaving)} by {', '.join(reply.joining)}"
+    return f"replacing voter {pair}{since}{awaited}"
+
+
 def _render_age(age_ms: float | None) -> str:
     return "never confirmed" if age_ms is None else f"last confirmed {age_ms:.0f} ms ago"
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -194,6 +194,15 @@
     upstreams: tuple[str, ...] = ()
 
 
+class ReplacementReply(msgspec.Struct, frozen=True):
+    """Hold which voter is being replaced by which learner, and whom that waits for."""
+
+    leaving: tuple[str, ...] = ()
+    joining: tuple[str, ...] = ()
+    awaited: tuple[str, ...] = ()
+    for_ms: float | None = None
+
+
 class StatusReply(msgspec.Struct, frozen=True):
     """Hold the status of a process and of what it knows."""
 
@@ -211,6 +220,7 @@
     upstreams: tuple[UpstreamReply, ...] = ()
     draining: DrainingReply = DrainingReply()
     evacuated: tuple[str, ...] = ()
+    replacement: ReplacementReply | None = None
 
 
 class EventReply(msgspec.Struct, frozen=True):
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -264,6 +264,13 @@
         self.assertIn("version 18, confirmed by a quorum", out)
         self.assertIn("node b in x: version 17  (not there yet)", out)
 
+    def test_status_names_a_replacement_under_way_and_whom_it_waits_for(self):
+        replacement = {"leaving": ["c"], "joining": ["d"], "awaited": ["d"], "for_ms": 40.2}
+        server = self.serve(("GET /v1/status", 200, STATUS | {"replacement": replacement}))
+        code, out, _ = self.run_line("status", f"--control={server.address}")
+        self.assertEqual(code, 0)
+        self.assertIn("replacing voter c by d for 40 ms, waiting for d\n", out)
+
     def test_drain_finds_out_what_a_name_is(self):
         reply = {"name": "emisor-1", "draining": True, "version": 19}
         server = self.serve(
--- a/packages/bendwind-core/src/bendwind_core/consensus/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/__init__.py
@@ -56,6 +56,7 @@
     Voter,
     VoterSet,
 )
+from bendwind_core.consensus.replacement import list_awaited
 from bendwind_core.consensus.replica import (
     Replica,
     ReplicaSettings,
@@ -121,5 +122,6 @@
     "VoterSet",
     "VotersChanged",
     "create_replica",
+    "list_awaited",
     "step",
 ]
--- a/packages/bendwind-core/src/bendwind_core/consensus/barriers.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/barriers.py
@@ -7,7 +7,6 @@
 
 from bendwind_core.consensus.events import BarrierDone, BarrierFailed
 from bendwind_core.consensus.messages import ReadReply, ReadRequest
-from bendwind_core.consensus.records import Voter
 from bendwind_core.consensus.replica import (
     LeaderRead,
     LocalRead,
@@ -79,15 +78,9 @@
 
 
 def _confirmed_round(replica: Replica) -> int:
-    rounds = sorted((_round_of(replica, voter) for voter in replica.voters.voters), reverse=True)
-    return rounds[replica.voters.quorum() - 1]
-
-
-def _round_of(replica: Replica, voter: Voter) -> int:
-    if voter == replica.voter:
-        return replica.round
-    progress = replica.progress.get(voter.voter_id)
-    return progress.round if progress else 0
+    rounds = {voter_id: progress.round for voter_id, progress in replica.progress.items()}
+    rounds[replica.voter.voter_id] = replica.round
+    return replica.voters.find_agreed(rounds)
 
 
 def _answer_read(replica: Replica, read: LeaderRead, now: Seconds) -> None:
--- a/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
@@ -39,7 +39,7 @@
 
 
 def _send_offers(replica: Replica) -> None:
-    known = [member.name for member in (*replica.voters.voters, *replica.voters.learners)]
+    known = [member.name for member in replica.voters.members]
     for name in dict.fromkeys((*replica.names, *known)):
         if name != replica.voter.name:
             replica.effects.append(Send(name, Offer(replica.voter)))
--- a/packages/bendwind-core/src/bendwind_core/consensus/election.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/election.py
@@ -37,12 +37,15 @@
 
 
 def transfer_leadership(replica: Replica, now: Seconds) -> None:
-    """Ask the voter that holds most of the log to lead, when it was heard lately."""
+    """Ask the voter that holds most of the log to lead, when it was heard lately.
+
+    One that is being replaced would not lead for long.
+    """
     oldest = now - replica.settings.election_s
     able = [
         progress
         for progress in replica.progress.values()
-        if replica.voters.has_voter(progress.voter.voter_id) and progress.contact_at >= oldest
+        if progress.voter in replica.voters.next and progress.contact_at >= oldest
     ]
     if replica.is_leader and able:
         heir = max(able, key=lambda progress: progress.match).voter
@@ -64,8 +67,7 @@
         if progress.contact_at >= oldest
     }
     recent.add(replica.voter.voter_id)
-    present = sum(voter.voter_id in recent for voter in replica.voters.voters)
-    return present >= replica.voters.quorum()
+    return replica.voters.is_quorum(recent)
 
 
 def _may_campaign(replica: Replica, now: Seconds) -> bool:
@@ -82,7 +84,7 @@
     if not is_trial:
         set_hard_state(replica, replica.hard.term + 1, replica.voter.voter_id)
     term = replica.hard.term + 1 if is_trial else replica.hard.term
-    for voter in replica.voters.voters:
+    for voter in replica.voters.voting:
         if voter.voter_id != replica.voter.voter_id:
             request = _vote_request(replica, voter, term, is_trial, is_transfer)
             send_durable(replica, request, voter)
@@ -170,8 +172,7 @@
     is_own_durable = replica.durable_hard.term >= replica.hard.term
     if replica.role is Role.TRIAL or is_own_durable:
         replica.votes.add(replica.voter.voter_id)
-    granted = sum(voter.voter_id in replica.votes for voter in replica.voters.voters)
-    if granted < replica.voters.quorum():
+    if not replica.voters.is_quorum(replica.votes):
         return
     if replica.role is Role.TRIAL:
         _campaign(replica, Role.CANDIDATE, now)
@@ -200,9 +201,12 @@
     if replica.role is not Role.REMOVED:
         replica.role = Role.FOLLOWER
     replica.deadline = now + draw_timeout(replica.settings, rng)
-    for request_id in replica.proposals.values():
-        replica.effects.append(ProposalDone(request_id, Lost()))
+    lost = list(replica.proposals.values())
+    if replica.removal is not None:
+        lost.append(replica.removal)
+    replica.effects.extend(ProposalDone(request_id, Lost()) for request_id in lost)
     replica.proposals.clear()
+    replica.removal = None
     replica.progress.clear()
     replica.reads.leader.clear()
     replica.incoming = None
--- a/packages/bendwind-core/src/bendwind_core/consensus/records.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/records.py
@@ -1,5 +1,7 @@
 """Define the records of the replicated log that are stored and sent."""
 
+from collections.abc import Collection, Mapping
+
 from bendwind_core.core import Record
 
 
@@ -20,26 +22,73 @@
 class VoterSet(Record, frozen=True, array_like=True):
     """Hold the voters, the learners and the ids that may never vote again.
 
-    `cluster` is a random id made once, when the first voters agree to form.
+    `cluster` is a random id made once, when the first voters agree to form. While a voter is being
+    replaced the set is joint: `voters` are those that stay, `leaving` and `joining` those that are
+    exchanged, and whatever is decided needs a majority with the one and a majority with the other.
+    A process that knows no joint sets reads the voters that stay, of an odd number less one: each
+    majority of them is a majority of both.
+    Source: Ongaro, 2014, section 4.3.
     """
 
     cluster: int = 0
     voters: tuple[Voter, ...] = ()
     learners: tuple[Voter, ...] = ()
     removed: tuple[int, ...] = ()
+    leaving: tuple[Voter, ...] = ()
+    joining: tuple[Voter, ...] = ()
+
+    @property
+    def is_joint(self) -> bool:
+        """Tell whether a voter is being replaced."""
+        return bool(self.leaving or self.joining)
+
+    @property
+    def former(self) -> tuple[Voter, ...]:
+        """Return the voters as they were before a replacement under way."""
+        return self.voters + self.leaving
+
+    @property
+    def next(self) -> tuple[Voter, ...]:
+        """Return the voters as they will be after a replacement under way."""
+        return self.voters + self.joining
+
+    @property
+    def voting(self) -> tuple[Voter, ...]:
+        """Return all whose votes count: while a voter is being replaced, it and its successor."""
+        return self.voters + self.leaving + self.joining
+
+    @property
+    def members(self) -> tuple[Voter, ...]:
+        """Return all who hold the log: those whose votes count, and the learners."""
+        return self.voting + self.learners
 
     def has_voter(self, voter_id: int) -> bool:
-        """Tell whether this id counts in a quorum."""
-        return any(voter.voter_id == voter_id for voter in self.voters)
+        """Tell whether this id counts in a majority."""
+        return any(voter.voter_id == voter_id for voter in self.voting)
 
     def find_member(self, voter_id: int) -> Voter | None:
         """Return the voter or learner of this id, or None."""
-        members = self.voters + self.learners
-        return next((member for member in members if member.voter_id == voter_id), None)
+        return next((member for member in self.members if member.voter_id == voter_id), None)
+
+    def halves(self) -> tuple[tuple[Voter, ...], ...]:
+        """Return the sets of which a majority each has to agree: two while the set is joint."""
+        return (self.former, self.next) if self.is_joint else (self.voters,)
+
+    def is_quorum(self, voter_ids: Collection[int]) -> bool:
+        """Tell whether these ids are a majority: of each half, while the set is joint."""
+        return self.find_agreed(dict.fromkeys(voter_ids, 1)) == 1
+
+    def find_agreed(self, reached: Mapping[int, int]) -> int:
+        """Return the highest value that a majority has reached, of each voter's by its id.
+
+        A voter that is not named has reached 0.
+        """
+        return min(_find_agreed(half, reached) for half in self.halves())
+
 
-    def quorum(self) -> int:
-        """Return how many voters are a majority."""
-        return len(self.voters) // 2 + 1
+def _find_agreed(voters: tuple[Voter, ...], reached: Mapping[int, int]) -> int:
+    values = sorted((reached.get(voter.voter_id, 0) for voter in voters), reverse=True)
+    return values[len(values) // 2] if values else 0
 
 
 class Entry(Record, frozen=True, array_like=True):
--- a/packages/bendwind-core/src/bendwind_core/consensus/replica.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -139,7 +139,10 @@
 
 
 class Replica(msgspec.Struct):
-    """Own everything that one replica knows."""
+    """Own everything that one replica knows.
+
+    `removal` is the operator's request that the replacement under way is to answer.
+    """
 
     voter: Voter
     names: tuple[str, ...]
@@ -161,6 +164,7 @@
     offers: dict[str, Voter] = msgspec.field(default_factory=dict)
     progress: dict[int, Progress] = msgspec.field(default_factory=dict)
     proposals: dict[int, int] = msgspec.field(default_factory=dict)
+    removal: int | None = None
     round: int = 0
     heartbeat_at: Seconds = 0.0
     incoming: IncomingSnapshot | None = None
--- a/packages/bendwind-core/src/bendwind_core/consensus/replication.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replication.py
@@ -4,7 +4,7 @@
 
 from bendwind_core.consensus.events import Apply, Committed, ProposalDone, VotersChanged
 from bendwind_core.consensus.messages import Append, AppendReply
-from bendwind_core.consensus.records import Entry, Voter
+from bendwind_core.consensus.records import Entry
 from bendwind_core.consensus.replica import (
     Progress,
     Replica,
@@ -21,8 +21,8 @@
 
 def create_progress(replica: Replica, now: Seconds) -> None:
     """Track every member but this one, and forget those that left."""
-    members = replica.voters.voters + replica.voters.learners
     own_id = replica.voter.voter_id
+    members = replica.voters.members
     others = {member.voter_id: member for member in members if member.voter_id != own_id}
     for voter_id in [known for known in replica.progress if known not in others]:
         del replica.progress[voter_id]
@@ -61,7 +61,7 @@
     # With 5 voters and 10 learners a leader sent 400 messages a second, of which 330 were to
     # learners for rounds of reads (steps of its tasks counted over 10 s of a calm day).
     _open_round(replica)
-    for voter in replica.voters.voters:
+    for voter in replica.voters.voting:
         progress = replica.progress.get(voter.voter_id)
         if progress is not None:
             send_append(replica, progress, now)
@@ -185,24 +185,16 @@
 
 
 def advance_commit(replica: Replica) -> None:
-    """Commit the newest entry of the own term that a quorum has synced."""
+    """Commit the newest entry of the own term that a majority has synced."""
     if not replica.is_leader:
         return
-    synced = sorted(
-        (_synced_index(replica, voter) for voter in replica.voters.voters), reverse=True
-    )
-    index = synced[replica.voters.quorum() - 1] if synced else 0
+    synced = {voter_id: progress.match for voter_id, progress in replica.progress.items()}
+    synced[replica.voter.voter_id] = replica.durable_index
+    index = replica.voters.find_agreed(synced)
     if index > replica.commit and replica.log.term_at(index) == replica.hard.term:
         replica.commit = index
 
 
-def _synced_index(replica: Replica, voter: Voter) -> int:
-    if voter == replica.voter:
-        return replica.durable_index
-    progress = replica.progress.get(voter.voter_id)
-    return progress.match if progress else 0
-
-
 def apply_committed(replica: Replica) -> None:
     """Hand on entries that are committed and synced here, and end their proposals."""
     end = min(replica.commit, replica.durable_index)
--- a/packages/bendwind-core/src/bendwind_core/consensus/step.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/step.py
@@ -45,14 +45,7 @@
     Tick,
     TransferLeadership,
 )
-from bendwind_core.consensus.membership import (
-    become_removed,
-    leave_when_removed,
-    rejoin,
-    remove_voter,
-    tell_removed,
-    tick_membership,
-)
+from bendwind_core.consensus.membership import tick_membership
 from bendwind_core.consensus.messages import (
     Append,
     AppendReply,
@@ -71,6 +64,13 @@
     VoteRequest,
 )
 from bendwind_core.consensus.records import Entry
+from bendwind_core.consensus.removal import (
+    become_removed,
+    leave_when_removed,
+    rejoin,
+    remove_voter,
+    tell_removed,
+)
 from bendwind_core.consensus.replica import Replica, Role, append_entry
 from bendwind_core.consensus.replication import (
     advance_commit,
--- a/packages/bendwind-node/src/bendwind_node/control/control_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/control_voter.py
@@ -21,7 +21,9 @@
     SaveSnapshot,
     TransferLeadership,
     Voter,
+    list_awaited,
 )
+from bendwind_core.core import Seconds
 from bendwind_core.timeline import Recorder
 from bendwind_node.control.voter_outcomes import (
     Applied,
@@ -67,6 +69,7 @@
     is_removed: bool = False
     learn_member: Callable[[Voter], None] = lambda member: None
     last_foreign: str | None = None
+    replacing_since: Seconds | None = None
 
     @property
     def leader_name(self) -> str | None:
@@ -141,7 +144,8 @@
             leader=replica.leader_name(),
             commit=replica.commit,
             applied=self.applied,
-            voters=replica.voters.voters,
-            learners=replica.voters.learners,
+            voters=replica.voters,
+            awaited=list_awaited(replica),
+            replacing_since=self.replacing_since,
             stopped=self.stopped,
         )
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -10,8 +10,8 @@
 
 from bendwind_core import consensus
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup
-from bendwind_core.consensus.membership import SILENT_TIMEOUTS
-from bendwind_core.core import Record, Seconds
+from bendwind_core.consensus.voter_changes import SILENT_TIMEOUTS
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
 from bendwind_core.membership import DrainMarksAccepted, LeaseTimes, VoterPlace
 from bendwind_core.plans import CommandResult, ControlState, GroupChanged, encode_command
 from bendwind_core.quotas import QuotaBounds
@@ -31,6 +31,7 @@
     NoQuorum,
     NotLeader,
     OutcomeUnknown,
+    ReplacementStatus,
     VoterStatus,
 )
 from bendwind_node.quotas import VoterQuotaTask, create_voter_quota_task
@@ -96,13 +97,27 @@
     def voters(self) -> tuple[VoterStatus, ...]:
         """Return every voter as this one sees it."""
         own = self.voter.status()
-        known = [*own.voters, *own.learners]
-        return tuple(self._describe(member.name, own) for member in known)
+        return tuple(self._describe(member.name, own) for member in own.voters.members)
+
+    def replacement(self) -> ReplacementStatus | None:
+        """Return the replacement of a voter that is under way, as this voter sees it."""
+        own = self.voter.status()
+        if not own.voters.is_joint:
+            return None
+        since = own.replacing_since
+        return ReplacementStatus(
+            leaving=tuple(voter.name for voter in own.voters.leaving),
+            joining=tuple(voter.name for voter in own.voters.joining),
+            awaited=tuple(voter.name for voter in own.awaited),
+            for_ms=(
+                None if since is None else (trio.current_time() - since) * MILLISECONDS_PER_SECOND
+            ),
+        )
 
     def _describe(self, name: str, own) -> VoterStatus:
         if name == own.name:
             return VoterStatus(name, own.role, own.applied)
-        is_learner = any(member.name == name for member in own.learners)
+        is_learner = any(member.name == name for member in own.voters.learners)
         role = "leader" if name == own.leader else "learner" if is_learner else "follower"
         return VoterStatus(name, role, 0)
 
@@ -126,21 +141,25 @@
 
     @property
     def voter_id(self) -> int | None:
-        """Return this process's id among the committed voters, None if it is none of them."""
+        """Return this process's id among the committed voters, None if it is none of them.
+
+        A voter that is being replaced counts until its successor alone does: never both at once.
+        """
         replica = self.voter.replica
         own = replica.voter.voter_id
-        return own if replica.committed_voters.has_voter(own) else None
+        is_voter = any(voter.voter_id == own for voter in replica.committed_voters.former)
+        return own if is_voter else None
 
     @property
     def voter_names(self) -> tuple[str, ...]:
         """Return the names of the committed voters."""
-        return tuple(voter.name for voter in self.voter.replica.committed_voters.voters)
+        return tuple(voter.name for voter in self.voter.replica.committed_voters.former)
 
     @property
     def voter_places(self) -> tuple[VoterPlace, ...]:
         """Return the present voters and where they are; those of the settings before any formed."""
         listed = {place.name: place for place in self.listed}
-        present = self.voter.replica.voters.voters
+        present = self.voter.replica.voters.former
         return tuple(_place(member, listed) for member in present) or self.listed
 
     async def confirm(self) -> bool:
--- a/packages/bendwind-node/src/bendwind_node/control/voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter.py
@@ -40,7 +40,7 @@
 from bendwind_core.membership import VoterPlace
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.control.control_voter import ControlVoter
-from bendwind_node.control.voter_effects import carry_out, record_failure
+from bendwind_node.control.voter_effects import carry_out, note_replacement, record_failure
 from bendwind_node.control.voter_outcomes import (
     Applied,
     BarrierError,
@@ -170,6 +170,7 @@
     voter.applied_values.clear()
     for effect in effects:
         carry_out(voter, effect)
+    note_replacement(voter)
 
 
 async def _renew_identity(voter: ControlVoter) -> Result[int, DiskFailed]:
--- a/packages/bendwind-node/src/bendwind_node/control/voter_effects.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter_effects.py
@@ -20,6 +20,7 @@
     SnapshotTaken,
     TakeSnapshot,
     VotersChanged,
+    VoterSet,
 )
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.control.control_voter import ControlVoter
@@ -111,6 +112,24 @@
         waiter.done.set()
 
 
+def _note_voters(voter: ControlVoter, voters: VoterSet) -> None:
+    for member in voters.members:
+        voter.learn_member(member)
+    detail = ", ".join(sorted(member.name for member in voters.voters))
+    voter.recorder.record(EventKind.VOTERS_CHANGED, detail=detail)
+
+
+def note_replacement(voter: ControlVoter) -> None:
+    """Note since when a voter is being replaced, by whatever way this process came to know."""
+    voters = voter.replica.voters
+    if not voters.is_joint:
+        voter.replacing_since = None
+    elif voter.replacing_since is None:
+        voter.replacing_since = trio.current_time()
+        leaving, joining = voters.leaving[0].name, voters.joining[0].name
+        voter.recorder.record(EventKind.VOTER_REPLACEMENT_BEGUN, detail=f"{leaving} by {joining}")
+
+
 def _record(voter: ControlVoter, effect: Effect) -> None:
     match effect:
         case LeaderChanged(leader=None):
@@ -119,10 +138,7 @@
             detail = f"{effect.leader.name}, term {effect.term}"
             voter.recorder.record(EventKind.LEADER_ELECTED, detail=detail)
         case VotersChanged():
-            for member in (*effect.voters.voters, *effect.voters.learners):
-                voter.learn_member(member)
-            names = ", ".join(sorted(member.name for member in effect.voters.voters))
-            voter.recorder.record(EventKind.VOTERS_CHANGED, detail=names)
+            _note_voters(voter, effect.voters)
         case SelfRemoved():
             voter.recorder.record(EventKind.VOTER_REPLACED, detail=voter.replica.voter.name)
             if voter.replica.settings.open_to:
--- a/packages/bendwind-node/src/bendwind_node/control/voter_outcomes.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter_outcomes.py
@@ -9,6 +9,7 @@
     NotLeader,
     Refused,
     Voter,
+    VoterSet,
 )
 from bendwind_core.core import Seconds
 
@@ -60,7 +61,11 @@
 
 
 class VoterStatus(msgspec.Struct, frozen=True):
-    """Describe a voter for operators."""
+    """Describe a voter for operators.
+
+    `awaited` are those whose confirmation a replacement waits for, as far as this voter leads;
+    `replacing_since` is when this process saw it begin, on the loop's clock.
+    """
 
     name: str
     voter_id: int
@@ -69,6 +74,7 @@
     leader: str | None
     commit: int
     applied: int
-    voters: tuple[Voter, ...]
-    learners: tuple[Voter, ...]
+    voters: VoterSet
+    awaited: tuple[Voter, ...]
+    replacing_since: Seconds | None
     stopped: str | None
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -295,8 +295,7 @@
 
     hub = daemon.dispatcher.hub
     voter.learn_member = lambda member: learn_places(hub, (member,))
-    members = voter.replica.voters
-    learn_places(hub, (*members.voters, *members.learners))
+    learn_places(hub, voter.replica.voters.members)
 
 
 def _find_health_path(membership: MembershipTask, name: str) -> str:
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -105,6 +105,9 @@
     VOTER_APPLIED = _gauge("voter_applied_index", "entries", "Log entries this voter applied.")
     VOTER_TERM = _gauge("voter_term", "term", "Term of this voter.")
     VOTER_LEADER = _gauge("voter_leader", "0 or 1", "Whether this voter is the leader.")
+    VOTER_REPLACING = _gauge(
+        "voter_replacement_seconds", "s", "For how long a voter is being replaced; 0 if none is."
+    )
     MEMBERS = _gauge("members", "instances", "Instances this voter knows as alive.")
     CALLS = _count("calls", "calls", "Calls by their one outcome.", "route", "outcome")
     REFUSALS = _count(
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -150,6 +150,8 @@
     yield Sample(Metric.VOTER_APPLIED, status.applied)
     yield Sample(Metric.VOTER_TERM, status.term)
     yield Sample(Metric.VOTER_LEADER, int(status.leader == status.name))
+    since = status.replacing_since
+    yield Sample(Metric.VOTER_REPLACING, 0.0 if since is None else trio.current_time() - since)
     yield Sample(Metric.MEMBERS, len(control.registry.registry.members))
     quotas = control.quotas.quotas
     yield Sample(Metric.VOTER_QUOTAS, len(quotas.accounts))
--- a/packages/bendwind-node/src/bendwind_node/operators/__init__.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/__init__.py
@@ -13,6 +13,7 @@
     NoQuorum,
     NotLeader,
     OutcomeUnknown,
+    ReplacementStatus,
     VoterStatus,
 )
 from bendwind_node.operators.http import Response
@@ -28,6 +29,7 @@
     "OperatorsApp",
     "OutcomeUnknown",
     "ProcessStatus",
+    "ReplacementStatus",
     "Response",
     "StatusSource",
     "VoterStatus",
--- a/packages/bendwind-node/src/bendwind_node/operators/control_client.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/control_client.py
@@ -44,6 +44,18 @@
     last_heard_ms: Milliseconds | None = None
 
 
+class ReplacementStatus(msgspec.Struct, frozen=True):
+    """Say which voter is being replaced by which learner, and whose confirmation that awaits.
+
+    Units: `for_ms` is the time since the voter asked saw it begin, in milliseconds.
+    """
+
+    leaving: tuple[str, ...]
+    joining: tuple[str, ...]
+    awaited: tuple[str, ...] = ()
+    for_ms: Milliseconds | None = None
+
+
 class ControlClient(Protocol):
     """Propose commands to the control log and read the state it replicates.
 
@@ -71,3 +83,7 @@
     def voters(self) -> Sequence[VoterStatus]:
         """Return every voter as this one sees it."""
         ...
+
+    def replacement(self) -> ReplacementStatus | None:
+        """Return the replacement of a voter that is under way, or None."""
+        ...
--- a/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -87,6 +87,7 @@
             upstreams=tuple(show_upstream(upstream) for upstream in self.source.upstreams()),
             draining=draining or DrainingView(),
             evacuated=() if control is None else control.state.configuration.evacuated,
+            replacement=None if control is None else control.replacement(),
         )
 
     def get_timeline(self, request: Request) -> Response:
--- a/packages/bendwind-node/src/bendwind_node/operators/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/fakes.py
@@ -15,6 +15,7 @@
     OperatorsApp,
     OutcomeUnknown,
     ProcessStatus,
+    ReplacementStatus,
     Response,
     VoterStatus,
 )
@@ -48,6 +49,7 @@
 
     log: FakeLog
     state: ControlState = field(default_factory=ControlState)
+    under_way: ReplacementStatus | None = None
 
     def catch_up(self) -> object:
         result = None
@@ -86,6 +88,9 @@
     def voters(self):
         return [VoterStatus("a", "leader", self.state.applied)]
 
+    def replacement(self):
+        return self.under_way
+
 
 class FakeSource:
     """Stand in for the members."""
--- a/packages/bendwind-node/src/bendwind_node/operators/views.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/views.py
@@ -25,7 +25,7 @@
 from bendwind_core.plans.intent import StatedService
 from bendwind_core.timeline import Event, EventKind
 from bendwind_core.world import Configuration, Upstream
-from bendwind_node.operators.control_client import VoterStatus
+from bendwind_node.operators.control_client import ReplacementStatus, VoterStatus
 from bendwind_node.operators.status_source import NodeVersion
 
 
@@ -128,6 +128,7 @@
     upstreams: tuple[UpstreamView, ...]
     draining: DrainingView
     evacuated: tuple[str, ...] = ()
+    replacement: ReplacementStatus | None = None
 
 
 class EventView(msgspec.Struct, frozen=True):
