control: a voter whose disk takes writes again takes part again

What operators saw: a disk that had been full for some seconds cost its voter for as long as the process lived. With three voters a second one ended every change, though all disks were sound.

Cause: run_voter ended at the first failed write, and nothing opened the folder again.

Change: the folder is opened anew each second, as at a start, and the replica begins with what it holds. Entries that were applied before are passed over, so that the state above never goes back. Events 423 and 424 tell of it.

Tests: test_a_voter_whose_disk_takes_writes_again_takes_part_again waits without end on the code before.

--- a/packages/bendwind-core/src/bendwind_core/timeline/catalogue.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/catalogue.py
@@ -48,6 +48,7 @@
     LOG_TAIL_CUT = 421
     LOG_CORRUPT = 422
     DISK_FAILED = 423
+    DISK_RECOVERED = 424
     PLAN_CREATED = 501
     PLAN_REFUSED = 502
     PLAN_CONFIRMED = 503
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -186,7 +186,7 @@
     heard: dict[str, int] = msgspec.field(default_factory=dict)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Run until cancelled; a voter whose disk fails stops alone, the rest goes on."""
+        """Run until cancelled; a voter whose disk fails rests until it takes writes again."""
         async with trio.open_nursery() as nursery:
             await nursery.start(run_voter, self.voter)
             await nursery.start(self.registry.run)
--- a/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/tests/test_voter.py
@@ -186,9 +186,6 @@
                 deployment.start(name)
             leader = await deployment.leader()
 
-            def fail(name):
-                raise OSError(28, "No space left on device")
-
             leader.store.files = FailingFiles(leader.store.files)
             error = (await leader.propose(b"z")).error
             self.assertIsInstance(error, VoterStopped)
@@ -201,16 +198,80 @@
 
         self.run_deployment(scenario)
 
+    def test_a_voter_whose_disk_takes_writes_again_takes_part_again(self):
+        # It stayed away until its process was restarted, which nobody did: one loss was used up
+        # for good by a disk that had been full for some seconds.
+        async def scenario(deployment):
+            for name in NAMES:
+                deployment.start(name)
+            leader = await deployment.leader()
+            name = leader.replica.voter.name
+            for number in range(8):
+                await deployment.propose(b"%d" % number)
+            files = leader.store.files = FailingFiles(leader.store.files)
+            await leader.propose(b"lost")
+            self.assertIsNotNone(leader.stopped)
+            others = [other for other in NAMES if other != name]
+            for number in range(8, 8 + 3 * SETTINGS.snapshot_entries):
+                await deployment.propose(b"%d" % number)
+            files.is_full = False
+            while leader.stopped is not None:
+                await trio.sleep(0.05)
+            kinds = {event.kind for event in deployment.recorders[name].events}
+            self.assertIn(EventKind.DISK_RECOVERED, kinds)
+            await deployment.stop(others[0])
+            await deployment.propose(b"last")
+            while b"last" not in leader.machine.commands:
+                await trio.sleep(0.02)
+            expected = deployment.voters[others[1]].machine.commands
+            self.assertEqual(leader.machine.commands, expected)
+            self.assertEqual(len(set(expected)), len(expected))
+
+        self.run_deployment(scenario)
+
+    def test_what_was_applied_before_a_disk_failed_is_not_applied_again(self):
+        async def scenario(deployment):
+            for name in NAMES:
+                deployment.start(name)
+            for number in range(8):
+                await deployment.propose(b"%d" % number)
+            for voter in list(deployment.voters.values()):
+                await deployment.propose(b"before %d" % voter.replica.voter.voter_id)
+                files = voter.store.files = FailingFiles(voter.store.files)
+                while voter.stopped is None:
+                    deployment.nursery.start_soon(self.propose_once, deployment)
+                    await trio.sleep(0.02)
+                files.is_full = False
+                while voter.stopped is not None:
+                    await trio.sleep(0.05)
+            await deployment.propose(b"last")
+            for voter in deployment.voters.values():
+                self.assertTrue((await voter.barrier()).is_ok())
+                commands = [c for c in voter.machine.commands if c != b"filler"]
+                self.assertEqual(len(set(commands)), len(commands))
+
+        self.run_deployment(scenario)
+
+    async def propose_once(self, deployment):
+        for voter in deployment.voters.values():
+            if voter.is_leader and voter.stopped is None:
+                await voter.propose(b"filler")
+
 
 class FailingFiles:
+    """Pass everything on to real files, but refuse writes while the disk is full."""
+
     def __init__(self, files):
         self.files = files
+        self.is_full = True
 
-    def append(self, name, data):
-        raise OSError(28, "No space left on device")
+    def __getattr__(self, name):
+        return getattr(self.files, name)
 
-    def close(self):
-        self.files.close()
+    def append(self, name, data):
+        if self.is_full:
+            raise OSError(28, "No space left on device")
+        self.files.append(name, data)
 
 
 if __name__ == "__main__":
--- a/packages/bendwind-node/src/bendwind_node/control/voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter.py
@@ -30,6 +30,7 @@
     ConsensusMessage,
     IdentityRenewed,
     Persisted,
+    Replica,
     ReplicaEvent,
     ReplicaSettings,
     Tick,
@@ -37,6 +38,7 @@
     create_replica,
     step,
 )
+from bendwind_core.core import Seconds
 from bendwind_core.membership import VoterPlace
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.control.control_voter import ControlVoter
@@ -52,8 +54,10 @@
     VoterStopped,
 )
 from bendwind_node.storage import (
+    CorruptData,
     DiskFailed,
     Files,
+    Opened,
     Recovered,
     StoreError,
     open_store,
@@ -73,6 +77,8 @@
     "run_voter",
 ]
 
+# Each try reads the whole log.
+REOPEN_EVERY: Seconds = 1.0
 _INBOX_SIZE = 512
 _TICKS_PER_HEARTBEAT = 2
 
@@ -98,22 +104,33 @@
     store = opened.ok.store
     recovered = opened.ok.recovered
     _record_recovery(recorder, recovered)
-    replica = create_replica(
-        Voter(own.name, store.identity.voter_id, own.host, own.port, own.data_centre),
+    identity = Voter(own.name, store.identity.voter_id, own.host, own.port, own.data_centre)
+    replica = _create_replica(identity, names, settings or ReplicaSettings(), recovered, rng)
+    if recovered.snapshot.index > 0:
+        machine.restore(recovered.snapshot.data)
+    inbox, events = trio.open_memory_channel[ReplicaEvent](_INBOX_SIZE)
+    voter = ControlVoter(replica, store, machine, send, recorder, rng, inbox, events)
+    voter.applied = recovered.snapshot.index
+    return Ok(voter)
+
+
+def _create_replica(
+    own: Voter,
+    names: tuple[str, ...],
+    settings: ReplicaSettings,
+    recovered: Recovered,
+    rng: random.Random,
+) -> Replica:
+    return create_replica(
+        own,
         names,
-        settings or ReplicaSettings(),
+        settings,
         trio.current_time(),
         rng,
         hard_state=recovered.hard_state,
         snapshot=recovered.snapshot,
         entries=tuple(recovered.entries),
     )
-    if recovered.snapshot.index > 0:
-        machine.restore(recovered.snapshot.data)
-    inbox, events = trio.open_memory_channel[ReplicaEvent](_INBOX_SIZE)
-    voter = ControlVoter(replica, store, machine, send, recorder, rng, inbox, events)
-    voter.applied = recovered.snapshot.index
-    return Ok(voter)
 
 
 def _record_recovery(recorder: Recorder, recovered: Recovered) -> None:
@@ -123,11 +140,24 @@
 
 async def run_voter(
     voter: ControlVoter, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
-) -> Result[None, StoreError]:
-    """Run the voter until it is cancelled or its disk fails; callers then get VoterStopped.
+) -> Result[None, CorruptData]:
+    """Run the voter until it is cancelled; while its disk refuses writes, callers get VoterStopped.
 
-    Errors: DiskFailed, which is also recorded; the voter acknowledges nothing after it.
+    Errors: CorruptData, which is also recorded, where a disk that failed cannot be read any more.
     """
+    try:
+        while True:
+            await _run_until_failure(voter, task_status)
+            task_status = trio.TASK_STATUS_IGNORED
+            reopened = await _reopen(voter)
+            if reopened.is_error():
+                return reopened
+    finally:
+        voter.store.close()
+
+
+async def _run_until_failure(voter: ControlVoter, task_status: trio.TaskStatus) -> None:
+    """Run until the disk refuses a write; nothing is acknowledged after it."""
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_run_ticks, voter)
@@ -136,7 +166,6 @@
             failure = await _run_writes(voter)
             record_failure(voter.recorder, failure)
             nursery.cancel_scope.cancel()
-        return Error(failure)
     finally:
         _stop(voter)
 
@@ -149,7 +178,38 @@
             waiter.result = Error(VoterStopped(voter.stopped))
         waiter.done.set()
     voter.events.close()
-    voter.store.close()
+
+
+async def _reopen(voter: ControlVoter) -> Result[None, CorruptData]:
+    """Wait until the disk takes writes again, and go on with what it holds, as after a restart.
+
+    A voter that stayed away would count as lost for as long as its process lives.
+    """
+    store = voter.store
+    while True:
+        await trio.sleep(REOPEN_EVERY)
+        opened = await trio.to_thread.run_sync(open_store, store.files, store.segment_bytes)
+        if opened.is_ok():
+            _resume(voter, opened.ok)
+            return Ok(None)
+        if isinstance(opened.error, CorruptData):
+            record_failure(voter.recorder, opened.error)
+            return Error(opened.error)
+
+
+def _resume(voter: ControlVoter, opened: Opened) -> None:
+    """Begin anew with what a disk holds; what was applied before is not applied again."""
+    _record_recovery(voter.recorder, opened.recovered)
+    former = voter.replica
+    own = msgspec.structs.replace(former.voter, voter_id=opened.store.identity.voter_id)
+    voter.replica = _create_replica(own, former.names, former.settings, opened.recovered, voter.rng)
+    voter.store = opened.store
+    voter.inbox, voter.events = trio.open_memory_channel[ReplicaEvent](_INBOX_SIZE)
+    voter.unwritten = []
+    voter.has_writes = trio.Event()
+    voter.is_removed = False
+    voter.stopped = None
+    voter.recorder.record(EventKind.DISK_RECOVERED, detail=f"index {voter.replica.log.last_index}")
 
 
 async def _run_ticks(voter: ControlVoter) -> None:
--- a/packages/bendwind-node/src/bendwind_node/control/voter_effects.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter_effects.py
@@ -68,10 +68,14 @@
 
 
 def _apply(voter: ControlVoter, effect: Apply) -> None:
-    for entry in effect.entries:
+    # A voter that has read its disk anew hears of entries that it applied before.
+    entries = [entry for entry in effect.entries if entry.index > voter.applied]
+    if not entries:
+        return
+    for entry in entries:
         value = voter.machine.apply(entry.index, entry.command) if entry.command else None
         voter.applied_values[entry.index] = value
-    _advance_applied(voter, effect.entries[-1].index)
+    _advance_applied(voter, entries[-1].index)
 
 
 def _advance_applied(voter: ControlVoter, index: int) -> None:
@@ -81,6 +85,10 @@
 
 
 def _take_snapshot(voter: ControlVoter, index: int) -> None:
+    if index != voter.applied:
+        # The state is ahead of a replica that has read its disk anew; asked again later.
+        voter.replica.is_snapshot_due = False
+        return
     data = voter.machine.snapshot()
     voter.recorder.record(EventKind.SNAPSHOT_TAKEN, detail=f"index {index}, {len(data)} bytes")
     try:
@@ -91,6 +99,8 @@
 
 
 def _install(voter: ControlVoter, effect: InstallSnapshot) -> None:
+    if effect.index <= voter.applied:
+        return
     voter.machine.restore(effect.data)
     _advance_applied(voter, effect.index)
     voter.recorder.record(EventKind.SNAPSHOT_INSTALLED, detail=f"index {effect.index}")
