consensus: who is left out by a set that is not committed yet still stands for election; removal takes a learner that lags

What operators would have seen: no leader ever again, in two states of an operator's removal; the second one also when the voter that is being replaced comes back and leads.

Cause 1: a learner that lacked the newest commit at that instant did not count as a successor, so that the voter was taken out by itself: four voters, of which two lost disks leave too few. It need not have caught up, since the voter counts until the learner holds the joint set. Cause 2: a leader that is not in the next set writes that set to its own log first. With its office lost there, it held the longest log, denied its vote to the others and was no voter of its newest set, so that it did not stand. Ongaro, 2014, 4.2.2, has it stand until the set is committed; so it does now.

--- a/packages/bendwind-core/src/bendwind_core/consensus/election.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/election.py
@@ -71,7 +71,10 @@
 
 
 def _may_campaign(replica: Replica, now: Seconds) -> bool:
-    is_voter = replica.voters.has_voter(replica.voter.voter_id)
+    # Whoever is left out by a set that may not be committed yet may be the only one to hold it:
+    # it denies the others its vote, and has to lead until the set is committed.
+    sets = (replica.voters, replica.committed_voters)
+    is_voter = any(voters.has_voter(replica.voter.voter_id) for voters in sets)
     is_able = replica.role in (Role.FOLLOWER, Role.TRIAL, Role.CANDIDATE)
     return is_voter and is_able and not is_disk_stalled(replica, now)
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/removal.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/removal.py
@@ -34,7 +34,7 @@
 def remove_voter(replica: Replica, event: RemoveVoter, now: Seconds) -> None:
     """Take the voter of a name out of the set, unless a change is under way or it is the last.
 
-    A learner that is ready takes its place in the same change, so that as many losses are borne.
+    A learner takes its place in the same change, so that as many losses are borne.
     """
     if not replica.is_leader:
         outcome = NotLeader(replica.leader_name())
@@ -65,10 +65,14 @@
 
 
 def _find_successor(replica: Replica, now: Seconds) -> Voter | None:
+    """Return the learner that is heard and holds most of the log, if one can follow a voter.
+
+    It need not have caught up: the voter counts until its successor holds the joint set.
+    """
     if not replica.settings.open_to or not can_replace(replica):
         return None
-    ready = [learner for learner in replica.voters.learners if is_caught_up(replica, learner, now)]
-    return ready[0] if ready else None
+    heard = [learner for learner in replica.voters.learners if is_heard(replica, learner, now)]
+    return max(heard, key=lambda one: replica.progress[one.voter_id].match, default=None)
 
 
 def is_caught_up(replica: Replica, learner: Voter, now: Seconds) -> bool:
