--- a/packages/bendwind-core/src/bendwind_core/consensus/records.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/records.py
@@ -25,8 +25,8 @@
     `cluster` is a random id made once, when the first voters agree to form. While a voter is being
     replaced the set is joint: `voters` are those that stay, `leaving` and `joining` those that are
     exchanged, and whatever is decided needs a majority with the one and a majority with the other.
-    A process that knows no joint sets reads the voters that stay, of an odd number less one: each
-    majority of them is a majority of both.
+    A process that knows no joint sets reads those that stay as all voters. One voter of an odd
+    number is exchanged, so that each majority of those that stay is one of both.
     Source: Ongaro, 2014, section 4.3.
     """
 
