calls, consensus, tests: one function tells an ending, one stand-in forms a calm cluster

Found on reading the change once more; behaviour and assertions stay. find_ending takes the exchange, so that both exchanges lose the method that only handed their four marks on. is_caught_up stands in membership, the only one that asks.

--- a/packages/bendwind-core/src/bendwind_core/consensus/membership.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/membership.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bendwind_core.consensus.records import Voter
-from bendwind_core.consensus.removal import is_caught_up, take_out, tell_removed
+from bendwind_core.consensus.removal import take_out, tell_removed
 from bendwind_core.consensus.replacement import begin_replacement, can_replace, end_replacement
 from bendwind_core.consensus.replica import Replica
 from bendwind_core.consensus.voter_changes import (
@@ -64,11 +64,16 @@
         end_replacement(replica, now)
         return
     for learner in replica.voters.learners:
-        if is_caught_up(replica, learner, now) and _find_place(replica, learner, now):
+        if _is_caught_up(replica, learner, now) and _find_place(replica, learner, now):
             return
     _drop_needless_voter(replica, now)
 
 
+def _is_caught_up(replica: Replica, learner: Voter, now: Seconds) -> bool:
+    is_current = replica.progress[learner.voter_id].match >= replica.commit
+    return is_heard(replica, learner, now) and is_current
+
+
 def _find_place(replica: Replica, learner: Voter, now: Seconds) -> bool:
     """Give a learner a silent voter's place, or a free one; tell whether there is one."""
     former = tuple(voter for voter in replica.voters.voters if voter.name == learner.name)
--- a/packages/bendwind-core/src/bendwind_core/consensus/removal.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/removal.py
@@ -75,12 +75,6 @@
     return max(heard, key=lambda one: replica.progress[one.voter_id].match, default=None)
 
 
-def is_caught_up(replica: Replica, learner: Voter, now: Seconds) -> bool:
-    """Tell whether a learner is heard and holds all that is committed."""
-    is_current = replica.progress[learner.voter_id].match >= replica.commit
-    return is_heard(replica, learner, now) and is_current
-
-
 def leave_when_removed(replica: Replica, now: Seconds, rng: random.Random) -> None:
     """Stop taking part once a committed voter set names the own id as removed."""
     is_removed = replica.voter.voter_id in replica.committed_voters.removed
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_asgi.py
@@ -4,7 +4,7 @@
 
 from bendwind_core.attempts import Header
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError, CallerRequest
-from bendwind_node.calls.request_account import Ending, RequestAccount, find_ending
+from bendwind_node.calls.request_account import RequestAccount, find_ending
 from bendwind_node.http import AsgiServer, serve_asgi, serve_lifespan
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
@@ -71,15 +71,6 @@
             continue
         self.is_gone = True
 
-    def find_ending(self) -> Ending:
-        """Return how the request has ended for its caller."""
-        return find_ending(
-            is_answered=self.is_answered,
-            is_gone=self.is_gone,
-            is_aborted=self.is_aborted,
-            is_answer_begun=self.is_answer_begun,
-        )
-
 
 async def serve_callers_asgi(handle: Handle, server: AsgiServer, account: RequestAccount) -> None:
     """Serve callers until shut down, then finish what is in flight."""
@@ -89,7 +80,7 @@
         try:
             await handle(exchange)
         finally:
-            account.close(exchange.request, exchange.find_ending())
+            account.close(exchange.request, find_ending(exchange))
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         match scope["type"]:
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -20,7 +20,7 @@
     H11Exchange,
     make_error,
 )
-from bendwind_node.calls.request_account import RequestAccount
+from bendwind_node.calls.request_account import RequestAccount, find_ending
 from bendwind_node.streams import PromptListener, PromptStream
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
@@ -185,7 +185,7 @@
             exchange.give_up()
             raise
         finally:
-            self.account.close(exchange.request, exchange.find_ending())
+            self.account.close(exchange.request, find_ending(exchange))
 
     async def _read_head(
         self, stream: PromptStream, connection: h11.Connection, *, is_fresh: bool
--- a/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
@@ -9,7 +9,6 @@
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.caller_exchange import CallerGoneError, CallerRequest
-from bendwind_node.calls.request_account import Ending, find_ending
 from bendwind_node.streams import PromptStream
 
 RECEIVE_BYTES = 64 * 1024
@@ -144,15 +143,6 @@
         """Mark the connection to be closed before the answer is whole."""
         self.is_aborted = True
 
-    def find_ending(self) -> Ending:
-        """Return how the request has ended for its caller."""
-        return find_ending(
-            is_answered=self.is_answered,
-            is_gone=self.is_gone,
-            is_aborted=self.is_aborted,
-            is_answer_begun=self.is_answer_begun,
-        )
-
     async def wait_gone(self) -> None:
         """Return when the caller has closed its connection."""
         while self.read_ahead < MAX_READ_AHEAD_BYTES:
--- a/packages/bendwind-node/src/bendwind_node/calls/request_account.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/request_account.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+from typing import Protocol
 
 import msgspec
 
@@ -21,6 +22,15 @@
     UNANSWERED = "unanswered"
 
 
+class SeenExchange(Protocol):
+    """Name what an exchange notes of how it went."""
+
+    is_answered: bool
+    is_gone: bool
+    is_aborted: bool
+    is_answer_begun: bool
+
+
 class RequestAccount(msgspec.Struct, eq=False):
     """Hold how many requests one server took and how they ended.
 
@@ -59,12 +69,11 @@
         return f"{self.address}: taken={self.taken} {ended}"
 
 
-def find_ending(
-    *, is_answered: bool, is_gone: bool, is_aborted: bool, is_answer_begun: bool
-) -> Ending:
-    """Return how a request ended, by what its exchange saw."""
-    if is_answered:
+def find_ending(exchange: SeenExchange) -> Ending:
+    """Return how a request ended for its caller, by what its exchange saw."""
+    if exchange.is_answered:
         return Ending.ANSWERED
-    if is_gone:
+    if exchange.is_gone:
         return Ending.LEFT
-    return Ending.CUT if is_answer_begun and is_aborted else Ending.UNANSWERED
+    is_cut = exchange.is_answer_begun and exchange.is_aborted
+    return Ending.CUT if is_cut else Ending.UNANSWERED
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
@@ -4,6 +4,7 @@
 import random
 
 import cbor2
+import msgspec
 
 from bendwind_core.consensus import (
     Apply,
@@ -47,6 +48,8 @@
     kept_entries=2,
 )
 
+OPEN_TO_FIVE = msgspec.structs.replace(SETTINGS, open_to=5)
+
 
 class Oracle:
     """Remember what was committed, and refuse anything that contradicts it."""
@@ -426,3 +429,13 @@
             for member in self.members.values()
             if member.replica
         ]
+
+
+def form(seed, size=5, settings=OPEN_TO_FIVE):
+    """Make a cluster that has formed and forms no other; disks write at once."""
+    cluster = FakeCluster(size, seed, settings)
+    cluster.settle()
+    cluster.settings = msgspec.structs.replace(settings, may_form=False)
+    for member in cluster.members.values():
+        member.disk_speed = 1.0
+    return cluster
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_replacement.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_replacement.py
@@ -3,21 +3,11 @@
 import msgspec
 
 from bendwind_core.consensus import Append, Committed, Refused, SnapshotChunk
-from bendwind_node.storage.tests.fake_cluster import SETTINGS, FakeCluster
+from bendwind_node.storage.tests.fake_cluster import SETTINGS, form
 
-OPEN_TO_FIVE = msgspec.structs.replace(SETTINGS, open_to=5)
 SEEDS = range(4)
 
 
-def form(seed, size=5, settings=OPEN_TO_FIVE):
-    cluster = FakeCluster(size, seed, settings)
-    cluster.settle()
-    cluster.settings = msgspec.structs.replace(settings, may_form=False)
-    for member in cluster.members.values():
-        member.disk_speed = 1.0
-    return cluster
-
-
 def forget_joint_sets(message):
     """Return a message as a process reads it that knows no joint sets."""
     match message:
@@ -43,6 +33,13 @@
             cluster.run(1)
         self.fail(cluster.describe())
 
+    def run_to_voters(self, cluster, names):
+        self.run_until(cluster, lambda: cluster.voter_names() == names)
+
+    def join_as_learner(self, cluster, name):
+        cluster.join(name)
+        self.run_until(cluster, lambda: cluster.oracle.voters[1].learners)
+
     def run_to_joint(self, cluster, down):
         """End a voter, let a newcomer take its place, and stop once the joint set is committed."""
         cluster.run_busy(5)
@@ -66,12 +63,11 @@
             self.run_to_joint(cluster, down)
             cluster.lose("x")
             cluster.members[down].start()
-            self.run_until(cluster, lambda c=cluster: c.voter_names() == set("abcde"))
+            self.run_to_voters(cluster, set("abcde"))
             self.assertFalse(cluster.oracle.voters[1].is_joint)
             cluster.join("y")
             cluster.lose(down)
-            wanted = set(cluster.names)
-            self.run_until(cluster, lambda c=cluster, w=wanted: c.voter_names() == w)
+            self.run_to_voters(cluster, set(cluster.names))
             cluster.settle()
 
     def test_successor_and_voter_both_gone_hold_up_no_further_replacement(self):
@@ -82,8 +78,7 @@
             cluster.lose("x")
             cluster.lose(down)
             cluster.join("y")
-            wanted = set(cluster.names)
-            self.run_until(cluster, lambda c=cluster, w=wanted: c.voter_names() == w)
+            self.run_to_voters(cluster, set(cluster.names))
             cluster.settle()
 
     def test_leader_lost_in_the_middle_leaves_a_change_that_another_leader_ends(self):
@@ -154,8 +149,7 @@
         # Taken out first, it left four voters of which three had to live.
         for seed in SEEDS:
             cluster = form(seed)
-            cluster.join("x")
-            self.run_until(cluster, lambda c=cluster: c.oracle.voters[1].learners)
+            self.join_as_learner(cluster, "x")
             leader = cluster.leaders()[-1]
             cluster.run(20)
             removed = leader.name if seed % 2 else self.follower(cluster)
@@ -172,8 +166,7 @@
     def test_removed_leader_leads_until_the_set_without_it_is_committed_and_no_longer(self):
         for seed in SEEDS:
             cluster = form(seed)
-            cluster.join("x")
-            self.run_until(cluster, lambda c=cluster: c.oracle.voters[1].learners)
+            self.join_as_learner(cluster, "x")
             leader = cluster.leaders()[-1]
             cluster.run(20)
             former = leader.replica.voter
@@ -187,8 +180,7 @@
     def test_removal_whose_learner_falls_silent_is_refused_and_the_voter_stays(self):
         for seed in SEEDS:
             cluster = form(seed)
-            cluster.join("x")
-            self.run_until(cluster, lambda c=cluster: c.oracle.voters[1].learners)
+            self.join_as_learner(cluster, "x")
             leader = cluster.leaders()[-1]
             cluster.run(20)
             cluster.lose("x")
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_replacement_losses.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_replacement_losses.py
@@ -3,12 +3,9 @@
 import os
 import unittest
 
-import msgspec
-
 import bendwind_core.core.tests.profiles  # noqa: F401
-from bendwind_node.storage.tests.fake_cluster import SETTINGS, FakeCluster
+from bendwind_node.storage.tests.fake_cluster import form
 
-OPEN_TO_FIVE = msgspec.structs.replace(SETTINGS, open_to=5)
 IS_FUZZED = os.environ.get("HYPOTHESIS_PROFILE") == "fuzz"
 SEEDS = 40 if IS_FUZZED else 6
 # Each seed walks every tick; only some pairs of disks are lost at each, in turn, but for the fuzz.
@@ -17,15 +14,6 @@
 CHANGE_TICKS = 200
 
 
-def form(seed, size=5):
-    cluster = FakeCluster(size, seed, OPEN_TO_FIVE)
-    cluster.settle()
-    cluster.settings = msgspec.structs.replace(OPEN_TO_FIVE, may_form=False)
-    for member in cluster.members.values():
-        member.disk_speed = 1.0
-    return cluster
-
-
 def list_sets(cluster):
     """List the newest voter set in each log of a process that runs."""
     return [member.replica.voters for member in cluster.members.values() if member.replica]
