calls, timeline: a line and a metric tell when an upstream names a limit or that it leaves

Nothing is decided by it yet. An answer without either header is looked through once, and nothing more is done for it.

--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -6,7 +6,14 @@
 
 from collections.abc import Callable
 
-from bendwind_core.admission import assume_cold, note_asked, note_call_refused, note_told
+from bendwind_core.admission import (
+    assume_cold,
+    note_asked,
+    note_call_refused,
+    note_named,
+    note_not_named,
+    note_told,
+)
 from bendwind_core.attempts.admission import (
     ask_if_held,
     is_stalled_again,
@@ -16,6 +23,7 @@
 from bendwind_core.attempts.arrivals import find_early_refusal, take_hand_over
 from bendwind_core.attempts.attempt_log import Fate
 from bendwind_core.attempts.fencing import answer_fence, cancel_running, lose_link, open_link
+from bendwind_core.attempts.limits import report_limit
 from bendwind_core.attempts.messages import NotRunReason
 from bendwind_core.attempts.owner_events import (
     CallRefused,
@@ -30,6 +38,8 @@
     Drained,
     FenceArrived,
     HandOverArrived,
+    LimitNamed,
+    LimitNotNamed,
     LinkLost,
     LinkOpened,
     LoadNotReported,
@@ -111,6 +121,12 @@
             note_alive(owner_state.ends, now)
         case LoadNotReported(may_ask=may_ask):
             owner_state.may_ask = may_ask
+        case LimitNamed(per_second=per_second, sent_at=sent_at):
+            change = note_named(owner_state.rate_limit, per_second, sent_at, now)
+            report_limit(owner_state, change, effects)
+        case LimitNotNamed(sent_at=sent_at):
+            change = note_not_named(owner_state.rate_limit, sent_at, now)
+            report_limit(owner_state, change, effects)
         case WarmUpRuled(rule=rule):
             owner_state.warm_up.rule = rule
         case ColdAssumed():
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bendwind_core.admission.rate_limit import LimitChange
 from bendwind_core.attempts.messages import (
     AttemptId,
     CutReason,
@@ -63,6 +64,22 @@
     may_ask: bool = True
 
 
+class LimitNamed(msgspec.Struct):
+    """Report the rate limit that the upstream named in an answer, to a request sent at `sent_at`.
+
+    Units: `per_second` in requests a second.
+    """
+
+    per_second: float
+    sent_at: Seconds
+
+
+class LimitNotNamed(msgspec.Struct):
+    """Report that an answer of the upstream, to a request sent at `sent_at`, named no limit."""
+
+    sent_at: Seconds
+
+
 class DispatchDone(msgspec.Struct):
     """Report that the upstream's answer ended whole: its slot is free."""
 
@@ -188,6 +205,8 @@
     | DispatchDone
     | LoadReported
     | LoadNotReported
+    | LimitNamed
+    | LimitNotNamed
     | DispatchNotRun
     | DispatchUnknown
     | CancelArrived
@@ -271,6 +290,16 @@
     under: tuple[Unanswered, ...]
 
 
+class LimitChanged(msgspec.Struct):
+    """Report what became of the upstream's rate limit; None is none.
+
+    Units: `per_second` in requests a second.
+    """
+
+    change: LimitChange
+    per_second: float | None
+
+
 class Drained(msgspec.Struct):
     """Report once that no attempt at a draining upstream is held any more."""
 
@@ -285,5 +314,6 @@
     | ReplyFenced
     | UpstreamUnreachable
     | UpstreamEnded
+    | LimitChanged
     | Drained
 )
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from bendwind_core.admission import Arrivals, Dependency, Origins, RankCounts, WarmUp
+from bendwind_core.admission import (
+    Arrivals,
+    Dependency,
+    Origins,
+    RankCounts,
+    RateLimit,
+    WarmUp,
+)
 from bendwind_core.attempts.attempt_log import AttemptLog
 from bendwind_core.attempts.messages import AttemptId, HandOver
 from bendwind_core.attempts.pace import Pace
@@ -81,10 +88,10 @@
     part of the slots that is used, `route_times` the usual time of each route's answers,
     `guessed_times` stands in for routes without any, `origins` tells where each route's requests
     begin, `dependency` what is known of the upstream's own calls, `warm_up` whether it is cold,
-    `ends` what it may have ended under, `suspects` what the process knows against requests,
-    `served` which were served here lately, `turns` what was done for each customer, `rank_counts`
-    how often each rank is served, `arrivals` what came of each rank lately, and `asked_at` is when
-    it was last asked for its load.
+    `rate_limit` what it takes by its own word, `ends` what it may have ended under, `suspects` what
+    the process knows against requests, `served` which were served here lately, `turns` what was
+    done for each customer, `rank_counts` how often each rank is served, `arrivals` what came of
+    each rank lately, and `asked_at` is when it was last asked for its load.
     `is_unreachable` says that it refused the last connection.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
@@ -111,6 +118,7 @@
     dependency: Dependency = msgspec.field(default_factory=Dependency)
     pace: Pace = msgspec.field(default_factory=Pace)
     warm_up: WarmUp = msgspec.field(default_factory=WarmUp)
+    rate_limit: RateLimit = msgspec.field(default_factory=RateLimit)
     ends: EndWatch = msgspec.field(default_factory=EndWatch)
     suspects: SuspectTable = msgspec.field(default_factory=SuspectTable)
     served: Served = msgspec.field(default_factory=Served)
--- a/packages/bendwind-core/src/bendwind_core/attempts/upstream_state.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/upstream_state.py
@@ -1,7 +1,8 @@
 """Follow what becomes of an owner's upstream: announced, unreachable, ended, restarted, gone."""
 
-from bendwind_core.admission import assume_cold
+from bendwind_core.admission import assume_cold, forget
 from bendwind_core.attempts.fencing import cancel_running
+from bendwind_core.attempts.limits import report_limit
 from bendwind_core.attempts.messages import CutReason, NotRunReason
 from bendwind_core.attempts.owner_events import (
     OwnerEffect,
@@ -76,6 +77,7 @@
     """Turn to another run of the upstream, which knows nothing of the one before."""
     owner_state.is_unreachable = False
     owner_state.pace = Pace()
+    report_limit(owner_state, forget(owner_state.rate_limit), effects)
     assume_cold(owner_state.warm_up, now)
     _give_up_running(owner_state, now, effects)
 
--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -33,6 +33,7 @@
         EventKind.EVACUATION_NOT_MARKED,
         EventKind.ANNOUNCEMENT_REFUSED,
         EventKind.UPSTREAM_ENDED,
+        EventKind.NOTICE_MALFORMED,
         EventKind.REQUEST_QUARANTINED,
         EventKind.FRESHNESS_LOST,
         EventKind.MEMBER_LOST,
--- a/packages/bendwind-node/src/bendwind_node/calls/dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -6,7 +6,7 @@
 
 _SERVICE_UNAVAILABLE = 503
 # RFC 9110, section 15.5.20: the request was directed at a server that is not the one meant.
-_MISDIRECTED = 421
+MISDIRECTED = 421
 # Running, waiting, slots, and how long work takes in percent of the usual time.
 _SLOTS_FIGURE = 2
 _PACE_FIGURE = 3
@@ -24,7 +24,9 @@
     not run; where `not_run_value` is None its presence is enough, whatever the status.
     `answering_upstream` is the name that an upstream gives itself on its health path, and
     `warm_up` how many milliseconds longer it stays cold. `key` carries a caller's key, which
-    goes no further, and `customer` tells the upstream whose request it is.
+    goes no further, and `customer` tells the upstream whose request it is. In its answers an
+    upstream names by `rate_limit` how many requests a second it takes from all nodes together, and
+    says by `leaving` that it is to get no more.
     `has_outcomes` adds Bendwind's outcome headers to answers, `has_fractions` permits fractions of
     seconds in Retry-After, `has_cancel_path` says that upstreams take cancellations as requests.
     """
@@ -42,6 +44,8 @@
     warm_up: bytes | None = None
     key: bytes | None = None
     customer: bytes | None = None
+    rate_limit: bytes | None = None
+    leaving: bytes | None = None
     has_outcomes: bool = False
     has_fractions: bool = True
     has_cancel_path: bool = False
@@ -70,6 +74,8 @@
     attempt=b"bendwind-attempt",
     key=b"bendwind-key",
     customer=b"bendwind-customer",
+    rate_limit=b"bendwind-rate-limit",
+    leaving=b"bendwind-leaving",
     has_outcomes=True,
     has_fractions=False,
     has_cancel_path=True,
@@ -80,7 +86,7 @@
     dialect: Dialect, status: int, headers: tuple[Header, ...]
 ) -> NotRunReason | None:
     """Return why an upstream's answer proves that it did not run the request, or None."""
-    if dialect.upstream is not None and status == _MISDIRECTED:
+    if dialect.upstream is not None and status == MISDIRECTED:
         return NotRunReason.MISDIRECTED
     marks = [value for name, value in headers if name == dialect.not_run]
     if not marks:
--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -31,17 +31,20 @@
 from bendwind_node.calls.body_flow import PART_BYTES, Outflow
 from bendwind_node.calls.dialect import (
     BENDWIND_DIALECT,
+    MISDIRECTED,
     Dialect,
     find_not_run_proof,
     read_slow_factor,
 )
 from bendwind_node.calls.upstream_h11 import UpstreamAnswer, UpstreamPool
+from bendwind_node.calls.upstream_notice import UpstreamNotice, read_notice
 from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
 
 DispatchEnd = DispatchDone | DispatchNotRun | DispatchUnknown
 Send = Callable[[PeerMessage], bool]
 Feed = Callable[[OwnerEvent], None]
 ReadLoad = Callable[[], LoadSample]
+HearNotice = Callable[[UpstreamNotice, Seconds], None]
 
 _CANCEL_TIMEOUT_S = 0.5
 
@@ -98,6 +101,7 @@
 class UpstreamDispatch(msgspec.Struct, eq=False):
     """Send one attempt's request to its upstream and relay the answer to its entry node.
 
+    `hear_notice` is called with what the answer says of the upstream and when its request was sent.
     Units: `upstream_ms` is the time to the answer's head, in milliseconds.
     """
 
@@ -108,7 +112,9 @@
     feed: Feed
     read_load: ReadLoad
     dialect: Dialect = BENDWIND_DIALECT
+    hear_notice: HearNotice = lambda notice, sent_at: None
     started_at: Seconds = 0.0
+    sent_at: Seconds = 0.0
     upstream_ms: Milliseconds = 0.0
 
     @property
@@ -148,12 +154,15 @@
         raise AssertionError("a result is ok or an error")
 
     def _note_sent(self) -> None:
+        self.sent_at = trio.current_time()
         self.feed(DispatchSent(self.attempt))
 
     async def _relay(self, answer: UpstreamAnswer) -> DispatchEnd:
         elapsed = trio.current_time() - self.started_at
         self.upstream_ms = elapsed * MILLISECONDS_PER_SECOND
         self._note_load(answer)
+        if not self._names_another(answer) and answer.status != MISDIRECTED:
+            self.hear_notice(read_notice(answer.headers, self.dialect), self.sent_at)
         not_run = find_not_run_proof(self.dialect, answer.status, answer.headers)
         if not_run is not None:
             return await self._discard_refusal(answer, not_run)
@@ -171,6 +180,12 @@
         if slow_factor is not None:
             self.feed(LoadReported(slow_factor))
 
+    def _names_another(self, answer: UpstreamAnswer) -> bool:
+        """Tell whether an answer names another request; a refusal may name none."""
+        name = self.dialect.request_id
+        named = None if name is None else names.find_header(answer.headers, name)
+        return named is not None and self._is_of_another(answer)
+
     def _is_of_another(self, answer: UpstreamAnswer) -> bool:
         name = self.dialect.request_id
         if name is None:
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -7,7 +7,7 @@
 from expression import Result
 from msgspec.structs import replace
 
-from bendwind_core.admission import is_inner_call
+from bendwind_core.admission import is_inner_call, is_limited
 from bendwind_core.attempts import (
     AttemptId,
     BodyCredit,
@@ -44,10 +44,12 @@
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
 from bendwind_node.calls.failure import describe_failure
 from bendwind_node.calls.health_check import ask_health
+from bendwind_node.calls.notice_log import NoticeLog
 from bendwind_node.calls.owned_upstream import OwnedUpstream
 from bendwind_node.calls.pause_watch import PauseWatch
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.suspect_teller import SuspectTeller, TellSuspects
+from bendwind_node.calls.upstream_notice import UpstreamNotice
 from bendwind_node.calls.upstream_register import VERIFY_TIMEOUT, UpstreamRegister
 
 REPORT_BYTES = 80
@@ -74,9 +76,11 @@
     wakes_at: Seconds = math.inf
     pauses: PauseWatch = msgspec.field(default_factory=PauseWatch)
     teller: SuspectTeller | None = None
+    notices: NoticeLog | None = None
 
     def __post_init__(self):
         self.register.feed = self._feed
+        self.notices = NoticeLog(self.recorder)
         self.teller = SuspectTeller(self.register.suspects, self.tell_suspects)
         self.register.list_links = self.replies.links.values
 
@@ -279,6 +283,9 @@
                 self._record_end(owned, under)
             case ev.UpstreamUnreachable():
                 self.register.hold_down(owned)
+            case ev.LimitChanged(change=change, per_second=per_second):
+                detail = change if per_second is None else f"{change}: {per_second:g} a second"
+                self._log_notice(owned, EventKind.UPSTREAM_LIMIT, detail)
             case ev.Drained():
                 self.recorder.record(EventKind.UPSTREAM_DRAINED, upstream=owned.upstream.name)
 
@@ -362,6 +369,7 @@
             feed=lambda event: self._feed(owned, event),
             read_load=lambda: self.read_load(owned.upstream.name),
             dialect=self.dialect,
+            hear_notice=lambda notice, sent_at: self._hear_notice(owned, notice, sent_at),
         )
         try:
             end = await dispatch.run(scope)
@@ -375,6 +383,22 @@
         took_ms = round((trio.current_time() - started_at) * MILLISECONDS_PER_SECOND, 1)
         self._finish_dispatch(owned, hand_over, end, replace(facts, ms=took_ms))
 
+    def _hear_notice(self, owned: OwnedUpstream, notice: UpstreamNotice, sent_at: Seconds) -> None:
+        """Hear what an answer of an upstream says of it."""
+        limit = owned.owner_state.rate_limit
+        if notice.limit_per_s is not None:
+            self._feed(owned, ev.LimitNamed(notice.limit_per_s, sent_at))
+        elif not notice.malformed and (is_limited(limit) or not limit.is_heard):
+            self._feed(owned, ev.LimitNotNamed(sent_at))
+        if notice.malformed:
+            self._log_notice(owned, EventKind.NOTICE_MALFORMED, repr(notice.malformed))
+        if notice.is_leaving and not owned.is_leaving:
+            owned.is_leaving = True
+            self._log_notice(owned, EventKind.UPSTREAM_LEAVING, "")
+
+    def _log_notice(self, owned: OwnedUpstream, kind: EventKind, detail: str) -> None:
+        self.notices.write(kind, owned.upstream.name, detail, trio.current_time())
+
     def _finish_dispatch(
         self, owned: OwnedUpstream, hand_over: HandOver, end: DispatchEnd, facts: DispatchFacts
     ) -> None:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_notice.py
@@ -0,0 +1,56 @@
+"""Read what an upstream says of itself in its answers: its rate limit, and that it leaves."""
+
+import re
+
+import msgspec
+
+from bendwind_core.attempts import Header
+from bendwind_node.calls.dialect import Dialect
+
+# Enough for any decimal number that a program writes; what is longer comes from a faulty one.
+_MOST_DIGITS = 32
+_DECIMAL = re.compile(rb"\d{1,%d}(\.\d{1,%d})?" % (_MOST_DIGITS, _MOST_DIGITS))
+_LEAVES = b"1"
+_STAYS = b"0"
+
+
+class UpstreamNotice(msgspec.Struct, frozen=True):
+    """Hold what an answer says of its upstream; `malformed` is a value that says nothing.
+
+    Units: `limit_per_s` is the rate limit in requests a second, None where none is named.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    malformed: bytes = b""
+
+
+_NOTHING = UpstreamNotice()
+
+
+def read_notice(headers: tuple[Header, ...], dialect: Dialect) -> UpstreamNotice:
+    """Read an answer's headers; what is malformed neither sets a limit nor ends one.
+
+    >>> from bendwind_node.calls.dialect import BENDWIND_DIALECT
+    >>> read_notice(((b"bendwind-rate-limit", b"6.2"),), BENDWIND_DIALECT).limit_per_s
+    6.2
+    """
+    own = (dialect.rate_limit, dialect.leaving)
+    said = [header for header in headers if header[0] in own]
+    if not said:
+        return _NOTHING
+    limits = [value.strip() for name, value in said if name == dialect.rate_limit]
+    leaving = [value.strip() for name, value in said if name == dialect.leaving]
+    malformed = _find_malformed(limits, leaving)
+    is_limited = len(limits) == 1 and _DECIMAL.fullmatch(limits[0]) is not None
+    return UpstreamNotice(
+        float(limits[0]) if is_limited else None, _LEAVES in leaving, malformed[:_MOST_DIGITS]
+    )
+
+
+def _find_malformed(limits: list[bytes], leaving: list[bytes]) -> bytes:
+    if len(limits) > 1:
+        return b", ".join(limits)
+    if limits and _DECIMAL.fullmatch(limits[0]) is None:
+        return limits[0] or b"(empty)"
+    return next((value or b"(empty)" for value in leaving if value not in (_LEAVES, _STAYS)), b"")
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -87,6 +87,12 @@
     UPSTREAM_COLD = _gauge(
         "upstream_cold", "0 or 1", "Whether the upstream is spared because it is cold.", "upstream"
     )
+    UPSTREAM_LIMIT = _gauge(
+        "upstream_limit",
+        "requests/s",
+        "What the upstream takes by its own word, only while it names a limit.",
+        "upstream",
+    )
     UPSTREAM_UNREACHABLE = _gauge(
         "upstream_unreachable", "0 or 1", "Whether it refused the last connection.", "upstream"
     )
--- a/packages/bendwind-node/src/bendwind_node/metrics/gather.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/gather.py
@@ -108,6 +108,9 @@
         yield Sample(Metric.UPSTREAM_SLOTS, owned.upstream.slots, (upstream,))
         is_spared = is_cold(owned.owner_state.warm_up, trio.current_time())
         yield Sample(Metric.UPSTREAM_COLD, int(is_spared), (upstream,))
+        limit = owned.owner_state.rate_limit.per_second
+        if limit is not None:
+            yield Sample(Metric.UPSTREAM_LIMIT, limit, (upstream,))
         yield Sample(Metric.UPSTREAM_UNREACHABLE, int(owned.is_unreachable), (upstream,))
     yield from _gather_suspects(owner.register.suspects)
     customers = entry.membership.customers
