attempts, routing, calls: an upstream's rate limit is kept by its owner, and told to an owner that starts

The owner node is the only process that sends to its upstream: it spaces what it starts by a bucket of two requests that fills at the named rate and is empty when the limit becomes known. A hand-over carries the limit that its entry node heard last, so that an owner which has just started knows it before the first request of any node that was told; until its own upstream has answered it goes by that. An owner that may have a former one beside it for a lease sends at half the rate. What gets no turn in time is refused at once as limited, with a time to come back that is another one for each caller. Entry nodes remember the word of an upstream's run beyond its listing, and leave it once it said that it leaves.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_waiting.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tests/test_waiting.py
@@ -32,6 +32,7 @@
             state=UpstreamState.READY,
             is_stopping=False,
             is_unreachable=False,
+            is_leaving=False,
         )
         table = types.SimpleNamespace(name=service)
         upstream = types.SimpleNamespace(table=table, is_down=False, find_factor=lambda: 1.0)
@@ -76,6 +77,7 @@
             "slots taken": lambda node: node.owner.owner_state.running.update({1: None, 2: None}),
             "has one waiting": lambda node: node.owner.owner_state.waiting.update({2: None}),
             "drains": lambda node: setattr(node.owner.owner_state, "state", UpstreamState.DRAINING),
+            "leaves": lambda node: setattr(node.owner.owner_state, "is_leaving", True),
             "unreachable": lambda node: setattr(node.owner.owner_state, "is_unreachable", True),
             "down": lambda node: setattr(node.upstream, "is_down", True),
             "slow": lambda node: setattr(node.upstream, "find_factor", lambda: 4.0),
--- a/packages/bendwind-core/src/bendwind_core/admission/rate_limit.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/rate_limit.py
@@ -129,6 +129,16 @@
     return limit.per_second is not None
 
 
+def find_told_limit(limit: RateLimit) -> float | None:
+    """Return what entry nodes are told: None where this run has named no limit since its start.
+
+    Units: requests a second; infinite once a limit has ended.
+    """
+    if limit.per_second is None and limit.is_heard and limit.named_at > -math.inf:
+        return math.inf
+    return limit.per_second
+
+
 def note_taken(limit: RateLimit, now: Seconds) -> None:
     """Note that a request goes out, whether it had waited for its turn or not."""
     if is_limited(limit):
--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -9,6 +9,7 @@
 too old to go by.
 """
 
+from bendwind_core.admission import is_limited
 from bendwind_core.attempts import pace as paces
 from bendwind_core.attempts.messages import HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import AskLoad, OwnerEffect
@@ -19,7 +20,7 @@
     list_ahead,
     list_in_turn,
 )
-from bendwind_core.attempts.slots import find_cold_wait_ms, has_room
+from bendwind_core.attempts.slots import find_room_wait_ms, has_room
 from bendwind_core.attempts.usual_times import find_run_rest_ms, find_usual_ms
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import urgency_queue
@@ -57,10 +58,15 @@
     # Until the length of its slow phases is learnt, the upstream may be fast again long before the
     # assumed end.
     is_old = now - (owner_state.pace.reported_at or 0.0) >= ASK_EVERY
-    if owner_state.may_ask and is_old and paces.is_slow(owner_state.pace, now):
+    if _may_ask(owner_state) and is_old and paces.is_slow(owner_state.pace, now):
         _ask(owner_state, now, effects)
 
 
+def _may_ask(owner_state: OwnerState) -> bool:
+    """Tell whether the upstream may be asked for its load: a question counts for its limit too."""
+    return owner_state.may_ask and not is_limited(owner_state.rate_limit)
+
+
 def _ask(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
     """Ask the upstream for its load, unless it was asked a moment ago."""
     if owner_state.asked_at is not None and now < owner_state.asked_at + ASK_EVERY:
@@ -188,7 +194,7 @@
     risk_ms = (paces.TYPICAL_SLOW_FACTOR - 1.0) * usual_ms
     if paces.is_known(pace, now) or risk_ms <= BLIND_RISK_MS:
         return True
-    return _is_unanswered(owner_state, now) or not owner_state.may_ask
+    return _is_unanswered(owner_state, now) or not _may_ask(owner_state)
 
 
 def _is_unanswered(owner_state: OwnerState, now: Seconds) -> bool:
@@ -209,7 +215,7 @@
 
 def ask_if_held(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
     """Ask the upstream for its load while an attempt waits for nothing else."""
-    if not owner_state.may_ask or not _list_with_room(owner_state, now):
+    if not _may_ask(owner_state) or not _list_with_room(owner_state, now):
         return
     if not paces.is_known(owner_state.pace, now):
         _ask(owner_state, now, effects)
@@ -303,5 +309,5 @@
     first_free_ms = min(rests, default=0.0) if len(rests) >= slots else 0.0
     slot_wait_ms = first_free_ms + ahead_ms / slots
     return max(
-        slot_wait_ms, find_cold_wait_ms(owner_state, len(ahead) + owner_state.queue.size, now)
+        slot_wait_ms, find_room_wait_ms(owner_state, len(ahead) + owner_state.queue.size, now)
     )
--- a/packages/bendwind-core/src/bendwind_core/attempts/arrivals.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/arrivals.py
@@ -1,6 +1,6 @@
 """Decide on each attempt that is handed over: refused, started or waiting."""
 
-from bendwind_core.admission import note_arrival, note_offered, note_origin, turns_away
+from bendwind_core.admission import is_limited, note_arrival, note_offered, note_origin, turns_away
 from bendwind_core.attempts.admission import (
     ask_for_next,
     find_due,
@@ -13,16 +13,17 @@
 )
 from bendwind_core.attempts.attempt_log import EntryPeer, Fate, meet_peer, record_ended, record_live
 from bendwind_core.attempts.fencing import take_epoch
+from bendwind_core.attempts.limits import find_return_ms, name_reason, take_carried
 from bendwind_core.attempts.messages import AttemptId, CutReason, HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import HandOverArrived, OwnerEffect, ReplyUnknown
 from bendwind_core.attempts.owner_state import OwnerState, QueuedAttempt, is_open
 from bendwind_core.attempts.precedence import find_slots, push, set_precedence
 from bendwind_core.attempts.refusals import drop_waiting, refuse, take_off_queue
 from bendwind_core.attempts.runs import start
-from bendwind_core.attempts.slots import has_room, is_stalled, load_sample
+from bendwind_core.attempts.slots import find_room_wait_ms, has_room, is_stalled, load_sample
 from bendwind_core.attempts.suspects import find_suspicion
 from bendwind_core.attempts.usual_times import guess_route_time
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import fair_queue
 from bendwind_core.world import UpstreamState
 
@@ -64,6 +65,7 @@
     take_epoch(owner_state, peer, attempt.entry, attempt.incarnation, event.epoch, effects)
     if _is_seen(owner_state, peer, attempt, event.epoch, now, effects):
         return
+    take_carried(owner_state, hand_over, now, effects)
     guess_route_time(owner_state, hand_over)
     note_origin(owner_state.origins, hand_over.route, hand_over.origin)
     queued = _create_queued(owner_state, hand_over, event.epoch, now)
@@ -77,9 +79,7 @@
         refusal = NotRunReason.DEPENDENCY_FULL
     if refusal is not None:
         record_ended(owner_state.log, attempt, Fate.NEVER_STARTED)
-        wait_ms = (
-            find_start_wait_ms(owner_state, queued, now) if refusal is NotRunReason.BUSY else None
-        )
+        wait_ms = _find_told_wait(owner_state, queued, refusal, now)
         refuse(owner_state, attempt, event.epoch, refusal, now, effects, hand_over, wait_ms)
         if refusal is NotRunReason.BUSY:
             ask_for_next(owner_state, now, effects)
@@ -94,6 +94,17 @@
     _enqueue(owner_state, queued, now, effects)
 
 
+def _find_told_wait(
+    owner_state: OwnerState, queued: QueuedAttempt, refusal: NotRunReason, now: Seconds
+) -> Milliseconds | None:
+    """Return how long the entry node is told that a refused attempt would have waited, or None."""
+    if refusal is NotRunReason.LIMITED and queued.hand_over.may_wait:
+        return find_return_ms(owner_state, now)
+    if refusal in (NotRunReason.BUSY, NotRunReason.LIMITED):
+        return find_start_wait_ms(owner_state, queued, now)
+    return None
+
+
 def _is_seen(
     owner_state: OwnerState,
     peer: EntryPeer,
@@ -118,6 +129,13 @@
 
 def _find_refusal(
     owner_state: OwnerState, queued: QueuedAttempt, now: Seconds
+) -> NotRunReason | None:
+    reason = _find_reason(owner_state, queued, now)
+    return None if reason is None else name_reason(owner_state, reason, now)
+
+
+def _find_reason(
+    owner_state: OwnerState, queued: QueuedAttempt, now: Seconds
 ) -> NotRunReason | None:
     hand_over = queued.hand_over
     if owner_state.state is UpstreamState.GONE or owner_state.is_unreachable:
@@ -132,6 +150,9 @@
         return find_refusal(owner_state, queued, now)
     if not hand_over.insist and is_stalled(owner_state, now):
         return NotRunReason.STALLED
+    wait_ms = find_room_wait_ms(owner_state, len(owner_state.waiting), now)
+    if is_limited(owner_state.rate_limit) and wait_ms >= hand_over.remaining_ms:
+        return NotRunReason.QUEUE_FULL
     return None
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/endings.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/endings.py
@@ -106,16 +106,18 @@
     retry_after_ms = last.wait_ms if last is not None else None
     if retry_after_ms is None or reason is NotRunReason.BUSY:
         retry_after_ms = estimate_retry_after_ms(reason, load)
+    elif reason is NotRunReason.LIMITED:
+        retry_after_ms = bound_retry_after_ms(retry_after_ms)
     finish(call, FinishNotRun(reason, retry_after_ms), effects)
 
 
 def refuse_for_want_of_room(
-    call: EntryCall, wait_ms: Milliseconds, effects: list[EntryEffect]
+    call: EntryCall, reason: NotRunReason, wait_ms: Milliseconds, effects: list[EntryEffect]
 ) -> None:
-    """End a call that no cold upstream can serve in time, before anything was sent."""
+    """End a call that no cold or limited upstream can serve in time, before anything was sent."""
     if call.is_claim_held or call.phase is CallPhase.CLAIMING:
         effects.append(ReleaseClaim())
-    finish(call, FinishNotRun(NotRunReason.QUEUE_FULL, bound_retry_after_ms(wait_ms)), effects)
+    finish(call, FinishNotRun(reason, bound_retry_after_ms(wait_ms)), effects)
 
 
 def finish(call: EntryCall, final: EntryEffect, effects: list[EntryEffect]) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -88,6 +88,7 @@
         NotRunReason.STALLED,
         NotRunReason.KEPT_APART,
         NotRunReason.BUSY,
+        NotRunReason.LIMITED,
     }
 )
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -41,6 +41,7 @@
     KEPT_APART = "kept-apart"
     QUARANTINED = "quarantined"
     BUSY = "busy"
+    LIMITED = "limited"
     OVER_QUOTA = "over-quota"
     QUOTA_UNKNOWN = "quota-unknown"
 
@@ -80,8 +81,10 @@
     is not known. An owner refuses as busy what it
     cannot start at once where `may_wait` is false. `run_rank` is the most urgent rank of what runs
     beside the entry node, None where nothing does: a call that an upstream makes is as urgent.
+    `limit_per_s` is the upstream's limit as the entry node heard it last, None where it heard none:
+    an owner that has just started knows nothing else of it.
     Units: `remaining_ms` is the time left to the caller's deadline and `target_ms` that left to
-    the latency objective, None without one, in milliseconds.
+    the latency objective, None without one, in milliseconds; `limit_per_s` in requests a second.
     """
 
     attempt: AttemptId
@@ -105,6 +108,7 @@
     customer: str = ""
     may_wait: bool = True
     run_rank: float | None = None
+    limit_per_s: float | None = None
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -12,6 +12,7 @@
     note_call_refused,
     note_named,
     note_not_named,
+    note_taken,
     note_told,
 )
 from bendwind_core.attempts.admission import (
@@ -23,7 +24,7 @@
 from bendwind_core.attempts.arrivals import find_early_refusal, take_hand_over
 from bendwind_core.attempts.attempt_log import Fate
 from bendwind_core.attempts.fencing import answer_fence, cancel_running, lose_link, open_link
-from bendwind_core.attempts.limits import report_limit
+from bendwind_core.attempts.limits import name_reason, take_change
 from bendwind_core.attempts.messages import NotRunReason
 from bendwind_core.attempts.owner_events import (
     CallRefused,
@@ -38,6 +39,7 @@
     Drained,
     FenceArrived,
     HandOverArrived,
+    LeavingSaid,
     LimitNamed,
     LimitNotNamed,
     LinkLost,
@@ -48,6 +50,7 @@
     OwnerEvent,
     Tick,
     UpstreamAnnounced,
+    UpstreamAsked,
     UpstreamChecked,
     UpstreamLost,
     UpstreamReached,
@@ -72,12 +75,19 @@
     take_off_queue,
 )
 from bendwind_core.attempts.run_ends import is_failure, take_head, take_not_run, take_unknown
-from bendwind_core.attempts.runs import end_running, mark_sent, start
+from bendwind_core.attempts.runs import end_running, mark_sent, note_sent_again, start
 from bendwind_core.attempts.service_time import note_result
-from bendwind_core.attempts.slots import has_room, load_sample, next_cold_room
+from bendwind_core.attempts.slots import has_room, load_sample, next_room
 from bendwind_core.attempts.suspects import is_withheld_here, note_success
 from bendwind_core.attempts.upstream_end import note_alive
-from bendwind_core.attempts.upstream_state import lose, restart, stop, take_announcement, take_check
+from bendwind_core.attempts.upstream_state import (
+    hear_leaving,
+    lose,
+    restart,
+    stop,
+    take_announcement,
+    take_check,
+)
 from bendwind_core.core import Seconds
 from bendwind_core.limits import fair_queue
 
@@ -93,7 +103,7 @@
 
 def next_due(owner_state: OwnerState, now: Seconds) -> Seconds | None:
     """Return when the next Tick is due, or None."""
-    looks = next_expiry(owner_state), next_look(owner_state, now), next_cold_room(owner_state, now)
+    looks = next_expiry(owner_state), next_look(owner_state, now), next_room(owner_state, now)
     return min((due for due in looks if due is not None), default=None)
 
 
@@ -104,6 +114,7 @@
         case HandOverArrived():
             take_hand_over(owner_state, event, now, effects)
         case DispatchSent():
+            note_sent_again(owner_state, event.attempt, now)
             mark_sent(owner_state, event.attempt, now)
         case DispatchHead():
             mark_sent(owner_state, event.attempt, now)
@@ -123,10 +134,14 @@
             owner_state.may_ask = may_ask
         case LimitNamed(per_second=per_second, sent_at=sent_at):
             change = note_named(owner_state.rate_limit, per_second, sent_at, now)
-            report_limit(owner_state, change, effects)
+            take_change(owner_state, change, now, effects)
         case LimitNotNamed(sent_at=sent_at):
             change = note_not_named(owner_state.rate_limit, sent_at, now)
-            report_limit(owner_state, change, effects)
+            take_change(owner_state, change, now, effects)
+        case LeavingSaid():
+            hear_leaving(owner_state, now, effects)
+        case UpstreamAsked():
+            note_taken(owner_state.rate_limit, now)
         case WarmUpRuled(rule=rule):
             owner_state.warm_up.rule = rule
         case ColdAssumed():
@@ -223,7 +238,8 @@
     for queued in list(owner_state.waiting.values()):
         if is_given_back(owner_state, queued, now):
             take_off_queue(owner_state, queued)
-            drop_waiting(owner_state, queued, reason, now, effects)
+            named = name_reason(owner_state, reason, now)
+            drop_waiting(owner_state, queued, named, now, effects)
 
 
 def _dispatch_waiting(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -80,6 +80,14 @@
     sent_at: Seconds
 
 
+class LeavingSaid(msgspec.Struct):
+    """Report that the upstream said in an answer that it leaves; that is final for its run."""
+
+
+class UpstreamAsked(msgspec.Struct):
+    """Report that the upstream was sent a question, which counts for its limit as a request."""
+
+
 class DispatchDone(msgspec.Struct):
     """Report that the upstream's answer ended whole: its slot is free."""
 
@@ -207,6 +215,8 @@
     | LoadNotReported
     | LimitNamed
     | LimitNotNamed
+    | LeavingSaid
+    | UpstreamAsked
     | DispatchNotRun
     | DispatchUnknown
     | CancelArrived
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
@@ -1,5 +1,7 @@
 """Hold the attempts at the one node that sends to an upstream."""
 
+import math
+
 import msgspec
 
 from bendwind_core.admission import (
@@ -92,7 +94,8 @@
     the process knows against requests, `served` which were served here lately, `turns` what was
     done for each customer, `rank_counts` how often each rank is served, `arrivals` what came of
     each rank lately, and `asked_at` is when it was last asked for its load.
-    `is_unreachable` says that it refused the last connection.
+    `is_unreachable` says that it refused the last connection, `is_leaving` that its present run is
+    to get nothing more, by its own word.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
 
@@ -126,6 +129,7 @@
     rank_counts: RankCounts = msgspec.field(default_factory=RankCounts)
     arrivals: Arrivals = msgspec.field(default_factory=Arrivals)
     is_unreachable: bool = False
+    is_leaving: bool = False
     asked_at: Seconds | None = None
     may_ask: bool = True
 
@@ -147,17 +151,20 @@
     slot_share: float = 1.0,
     warm_up: WarmUp | None = None,
     suspects: SuspectTable | None = None,
+    alone_from: Seconds = -math.inf,
 ) -> OwnerState:
     """Create an owner's state for an upstream that has yet to announce itself.
 
     `incarnation` is this process's own run; `queue` bounds the attempts that wait, `timed_queue`
-    those of them with a latency objective.
+    those of them with a latency objective. `alone_from` is when no other process sends to the
+    upstream any more.
     """
     log = AttemptLog(remembered_attempts, remembered_peers)
     timed = UrgencyQueue(timed_queue)
     owner_state = OwnerState(upstream, incarnation, FairQueue(queue), log, timed, slot_share)
     if warm_up is not None:
         owner_state.warm_up = warm_up
+    owner_state.rate_limit.alone_from = alone_from
     if suspects is not None:
         owner_state.suspects = suspects
     return owner_state
@@ -166,4 +173,4 @@
 def is_open(owner_state: OwnerState) -> bool:
     """Tell whether new attempts are taken."""
     is_ready = owner_state.state is UpstreamState.READY and not owner_state.is_stopping
-    return is_ready and not owner_state.is_unreachable
+    return is_ready and not owner_state.is_unreachable and not owner_state.is_leaving
--- a/packages/bendwind-core/src/bendwind_core/attempts/refusals.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/refusals.py
@@ -48,13 +48,22 @@
     reason: NotRunReason,
     now: Seconds,
     effects: list[OwnerEffect],
+    wait_ms: Milliseconds | None = None,
 ) -> None:
     """Take an attempt, already out of the queue, off the owner's state and refuse it."""
     _forget_waiting(owner_state, queued)
     hand_over = queued.hand_over
     waited = now - queued.queued_at
     refuse(
-        owner_state, hand_over.attempt, queued.epoch, reason, now, effects, hand_over, waited=waited
+        owner_state,
+        hand_over.attempt,
+        queued.epoch,
+        reason,
+        now,
+        effects,
+        hand_over,
+        wait_ms,
+        waited,
     )
 
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/retry_after.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/retry_after.py
@@ -17,17 +17,19 @@
         NotRunReason.QUEUE_FULL,
         NotRunReason.OVERLOADED,
         NotRunReason.DEPENDENCY_FULL,
+        NotRunReason.LIMITED,
     }
 )
 
 
 class NoRoom(msgspec.Struct, frozen=True):
-    """Say that every upstream is cold and bears no further request in time.
+    """Say that every upstream is cold, or at its limit, and bears no further request in time.
 
     Units: `wait_ms` is the time until the first of them does.
     """
 
     wait_ms: Milliseconds
+    reason: NotRunReason = NotRunReason.QUEUE_FULL
 
 
 def bound_retry_after_ms(wait_ms: Milliseconds) -> Milliseconds:
@@ -44,4 +46,4 @@
     if load is None or load.slots <= 0:
         return SHORTEST_MS
     backlog = (load.in_flight + load.queued) / load.slots
-    return bound_retry_after_ms(max(backlog * load.latency_ms, load.cold_wait_ms))
+    return bound_retry_after_ms(max(backlog * load.latency_ms, load.room_wait_ms))
--- a/packages/bendwind-core/src/bendwind_core/attempts/runs.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/runs.py
@@ -1,6 +1,6 @@
 """Start attempts at an upstream and end them."""
 
-from bendwind_core.admission import note_sent, note_started
+from bendwind_core.admission import note_sent, note_started, note_taken
 from bendwind_core.attempts.attempt_log import Fate, record_ended, record_live
 from bendwind_core.attempts.messages import AttemptId
 from bendwind_core.attempts.owner_events import Dispatch, OwnerEffect
@@ -19,6 +19,13 @@
         note_sent(owner_state.warm_up, now)
 
 
+def note_sent_again(owner_state: OwnerState, attempt: AttemptId, now: Seconds) -> None:
+    """Count a request that goes out a second time, over another connection, for the limit too."""
+    running = owner_state.running.get(attempt)
+    if running is not None and running.is_sent:
+        note_taken(owner_state.rate_limit, now)
+
+
 def end_running(owner_state: OwnerState, attempt: AttemptId, fate: Fate) -> RunningAttempt | None:
     """Take a running attempt off the owner's state; return None if it was not there."""
     running = owner_state.running.pop(attempt, None)
@@ -46,6 +53,7 @@
         own_rank=queued.own_rank,
     )
     owner_state.running[hand_over.attempt] = running
+    note_taken(owner_state.rate_limit, now)
     if not queued.is_inner:
         note_started(owner_state.rank_counts, hand_over.rank, now)
     note_work(
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -44,6 +44,7 @@
         NotRunReason.CONNECT_FAILED,
         NotRunReason.KEPT_APART,
         NotRunReason.BUSY,
+        NotRunReason.LIMITED,
     }
 )
 
@@ -63,7 +64,7 @@
             finish_not_run(call, NotRunReason.NO_UPSTREAM, None, effects)
             return
         case NoRoom(wait_ms=wait_ms):
-            refuse_for_want_of_room(call, wait_ms, effects)
+            refuse_for_want_of_room(call, upstream.reason, wait_ms, effects)
             return
     earn_retry(call.budget, now)
     earn_by_call(call.budget.tries)
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_cold_upstream.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_cold_upstream.py
@@ -89,7 +89,7 @@
             self.hand_over()
         refused = self.hand_over(target_ms=400.0, remaining_ms=900.0)[0]
         self.assertIs(refused.reason, NotRunReason.QUEUE_FULL)
-        self.assertAlmostEqual(refused.load.cold_wait_ms, 1000 * SPAN, delta=1.0)
+        self.assertAlmostEqual(refused.load.room_wait_ms, 1000 * SPAN, delta=1.0)
 
     def test_most_urgent_request_takes_the_first_cold_room(self):
         self.step(ov.WarmUpTold(3000.0))
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_entry.py
@@ -21,6 +21,9 @@
 pick = st.integers(0, 7)
 skips = st.sampled_from([-1, 0, 0, 0, 1])
 
+# By these an owner says that its upstream, whose slots or limit are used up, takes no try now.
+SENT_BACK = (NotRunReason.BUSY, NotRunReason.LIMITED)
+
 
 class Call(RuleBasedStateMachine):
     def __init__(self):
@@ -110,7 +113,7 @@
         tried = {u.name for u in self.sent.values()}
         assert upstream.name not in tried or len(tried) == len(UPSTREAMS)
         assert len(unproven) <= self.tokens, "retried beyond the budget"
-        bounced = [a for a in self.call.attempts if a.not_run is NotRunReason.BUSY]
+        bounced = [a for a in self.call.attempts if a.not_run in SENT_BACK]
         busy = sum(not attempt.may_wait for attempt in bounced)
         assert busy <= tries.POLITE_TRIES
         assert len(self.sent) - busy < sending.MAX_ATTEMPTS
--- a/packages/bendwind-core/src/bendwind_core/attempts/tries.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tries.py
@@ -24,7 +24,10 @@
 # refusals may be chance, and one that is given up as an inner call costs the run that waits for it.
 SURE_OWNERS = 3
 # The reasons by which an owner says that it has no room now, and might have at another time.
-NO_ROOM = frozenset({NotRunReason.BUSY, NotRunReason.STALLED, NotRunReason.QUEUE_FULL})
+NO_ROOM = frozenset(
+    {NotRunReason.BUSY, NotRunReason.LIMITED, NotRunReason.STALLED, NotRunReason.QUEUE_FULL}
+)
+_BUSY = frozenset({NotRunReason.BUSY, NotRunReason.LIMITED})
 
 
 def may_try_free(call: EntryCall, upstream: Upstream, now: Seconds) -> bool:
@@ -97,4 +100,4 @@
 
 
 def _is_busy(attempt: Attempt) -> bool:
-    return not attempt.may_wait and attempt.not_run is NotRunReason.BUSY
+    return not attempt.may_wait and attempt.not_run in _BUSY
--- a/packages/bendwind-core/src/bendwind_core/attempts/upstream_state.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/upstream_state.py
@@ -2,7 +2,7 @@
 
 from bendwind_core.admission import assume_cold, forget
 from bendwind_core.attempts.fencing import cancel_running
-from bendwind_core.attempts.limits import report_limit
+from bendwind_core.attempts.limits import take_change
 from bendwind_core.attempts.messages import CutReason, NotRunReason
 from bendwind_core.attempts.owner_events import (
     OwnerEffect,
@@ -51,6 +51,13 @@
         owner_state.bounce_queue_at = now + DRAIN_QUEUE_WAIT
 
 
+def hear_leaving(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
+    """Take nothing more for the present run of an upstream, and give back what waits."""
+    owner_state.is_leaving = True
+    owner_state.is_drained = False
+    bounce_queue(owner_state, NotRunReason.DRAINING, now, effects)
+
+
 def hold_down(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
     """Take nothing more for an upstream that refuses connections, and give back what waits.
 
@@ -77,7 +84,8 @@
     """Turn to another run of the upstream, which knows nothing of the one before."""
     owner_state.is_unreachable = False
     owner_state.pace = Pace()
-    report_limit(owner_state, forget(owner_state.rate_limit), effects)
+    take_change(owner_state, forget(owner_state.rate_limit), now, effects)
+    owner_state.is_leaving = False
     assume_cold(owner_state.warm_up, now)
     _give_up_running(owner_state, now, effects)
 
--- a/packages/bendwind-core/src/bendwind_core/routing/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from bendwind_core.routing.choice import choose_upstream
 from bendwind_core.routing.messages import LoadProbe, LoadReport
+from bendwind_core.routing.notices import find_limit
 from bendwind_core.routing.probes import plan_probes
 from bendwind_core.routing.route_table import RouteTable, choose_part, find_route, set_routing
 from bendwind_core.routing.subset import choose_subset
@@ -29,6 +30,7 @@
     "choose_subset",
     "choose_upstream",
     "create_table",
+    "find_limit",
     "find_room_at",
     "find_route",
     "note_answered",
--- a/packages/bendwind-core/src/bendwind_core/routing/table.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/table.py
@@ -10,6 +10,7 @@
 
 from bendwind_core.attempts.messages import AttemptId, NotRunReason
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.routing.notices import Notices, has_said_to_leave, note_notice
 from bendwind_core.world import LoadSample, Upstream, UpstreamState
 
 LATENCY_WEIGHT = 0.3
@@ -24,8 +25,9 @@
     """Hold what is known of one upstream.
 
     `outstanding` holds when each attempt was sent, oldest first. `reported_others` is the
-    reported load without this node's own share of it. `room_at` is when a cold upstream bears a
-    further request, and `free_at` when one would start at the usual pace, by its last report.
+    reported load without this node's own share of it. `room_at` is when an upstream that is cold or
+    has named a limit bears a further request, and `free_at` when one would start at the usual pace,
+    by its last report.
     """
 
     upstream: Upstream
@@ -45,10 +47,11 @@
 
 
 class UpstreamTable(msgspec.Struct):
-    """Hold the upstreams of one service in a fixed order."""
+    """Hold the upstreams of one service in a fixed order, and what these and former ones said."""
 
     service: str
     views: dict[str, UpstreamView] = msgspec.field(default_factory=dict)
+    notices: Notices = msgspec.field(default_factory=dict)
     next_turn: int = 0
     usual_ms: Milliseconds = 0.0
     usual_at: Seconds = float("-inf")
@@ -80,10 +83,15 @@
         seen_at = float("-inf") if is_first else now
         view = UpstreamView(upstream, seen_at)
     view.upstream = upstream
-    view.is_draining = upstream.state is UpstreamState.DRAINING
+    view.is_draining = _is_draining(table, upstream)
     return view
 
 
+def _is_draining(table: UpstreamTable, upstream: Upstream) -> bool:
+    is_announced = upstream.state is UpstreamState.READY
+    return not is_announced or has_said_to_leave(table.notices, upstream)
+
+
 def _is_same_run(before: Upstream, after: Upstream) -> bool:
     is_same_owner = before.owner.incarnation == after.owner.incarnation
     return is_same_owner and before.born_ms == after.born_ms
@@ -114,7 +122,7 @@
     if sent_at is not None and not is_error:
         _note_latency(view, (now - sent_at) * MILLISECONDS_PER_SECOND)
     _note_result(view, now, is_error=is_error)
-    _note_view_load(view, load, now)
+    _note_view_load(table, view, load, now)
 
 
 def note_not_run(
@@ -136,7 +144,7 @@
         view.full_at = now
     if reason in (NotRunReason.DRAINING, NotRunReason.NO_UPSTREAM):
         view.is_draining = True
-    _note_view_load(view, load, now)
+    _note_view_load(table, view, load, now)
 
 
 def note_unknown(table: UpstreamTable, name: str, attempt: AttemptId, now: Seconds) -> None:
@@ -165,7 +173,7 @@
     """Note a load sample that came by itself."""
     view = table.views.get(name)
     if view is not None:
-        _note_view_load(view, load, now)
+        _note_view_load(table, view, load, now)
 
 
 def _note_latency(view: UpstreamView, latency_ms: Milliseconds) -> None:
@@ -195,13 +203,15 @@
     return view.error_rate * 0.5 ** ((now - view.result_at) / ERROR_HALF_TIME)
 
 
-def _note_view_load(view: UpstreamView, load: LoadSample | None, now: Seconds) -> None:
+def _note_view_load(
+    table: UpstreamTable, view: UpstreamView, load: LoadSample | None, now: Seconds
+) -> None:
     if load is None:
         return
     busy = load.in_flight + load.queued
     view.reported_others = max(0.0, float(busy - len(view.outstanding)))
     view.reported_at = now
-    is_announced = view.upstream.state is UpstreamState.READY
-    view.is_draining = load.draining or not is_announced
-    view.room_at = now + load.cold_wait_ms / MILLISECONDS_PER_SECOND
+    note_notice(table.notices, view.upstream, load)
+    view.is_draining = load.draining or _is_draining(table, view.upstream)
+    view.room_at = now + load.room_wait_ms / MILLISECONDS_PER_SECOND
     view.free_at = now + load.wait_ms / MILLISECONDS_PER_SECOND
--- a/packages/bendwind-core/src/bendwind_core/world/upstream.py
+++ b/packages/bendwind-core/src/bendwind_core/world/upstream.py
@@ -35,9 +35,11 @@
 class LoadSample(Record, frozen=True, array_like=True):
     """Report an upstream's load as its owner node counted it.
 
-    Units: `latency_ms` is the moving average service time in milliseconds; `cold_wait_ms` is how
-    long a further request would wait until a cold upstream may be sent it, 0 at a warm one, and
-    `wait_ms` how long until it would start at the usual pace.
+    `is_leaving` says that the upstream is to get nothing more, by its own word.
+    Units: `latency_ms` is the moving average service time in milliseconds; `room_wait_ms` is how
+    long a further request would wait for its turn at an upstream that is cold or has named a limit,
+    0 at others, and `wait_ms` how long until it would start at the usual pace. `limit_per_s` is the
+    limit that it named, in requests a second, infinite once that has ended, None before.
     """
 
     in_flight: int
@@ -46,5 +48,7 @@
     latency_ms: Milliseconds = 0.0
     error_rate: float = 0.0
     draining: bool = False
-    cold_wait_ms: Milliseconds = 0.0
+    room_wait_ms: Milliseconds = 0.0
     wait_ms: Milliseconds = 0.0
+    limit_per_s: float | None = None
+    is_leaving: bool = False
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -31,6 +31,7 @@
 from bendwind_core.messages import PeerMessage
 from bendwind_core.routing import (
     RouteTable,
+    find_limit,
     note_answered,
     note_cancelled,
     note_not_run,
@@ -333,6 +334,7 @@
             customer=run.call.customer,
             may_wait=effect.may_wait,
             run_rank=self.owner.find_run_rank(),
+            limit_per_s=find_limit(choice.table.notices, upstream),
         )
         self.runs[effect.attempt.sequence] = run
         note_sent(choice.table, upstream.name, effect.attempt, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/calls/health_check.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/health_check.py
@@ -12,6 +12,7 @@
     read_warm_up_ms,
 )
 from bendwind_node.calls.upstream_h11 import UpstreamAnswer, UpstreamPool
+from bendwind_node.calls.upstream_notice import UpstreamNotice, read_notice
 from bendwind_node.calls.upstream_request import UpstreamRequest
 
 _OK = 200
@@ -21,6 +22,7 @@
     """Hold what an upstream says on its health path; None, or no name, is what it does not tell.
 
     `slow_factor` is how much longer than usual work takes there.
+    `notice` is what it says of itself as in any answer.
     Units: `warm_up_left_ms` is how much longer it stays cold, None where upstreams never tell.
     """
 
@@ -29,6 +31,7 @@
     slots: int | None = None
     slow_factor: float | None = None
     warm_up_left_ms: Milliseconds | None = None
+    notice: UpstreamNotice = UpstreamNotice()
 
 
 async def ask_health(pool: UpstreamPool, path: str, dialect: Dialect) -> HealthAnswer | None:
@@ -46,6 +49,7 @@
         read_slots(load),
         read_slow_factor(load),
         _find_warm_up_left(answer, dialect),
+        read_notice(answer.headers, dialect),
     )
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -17,7 +17,7 @@
     has shown that it stays. `said` is the state that it announced last and `born_ms` its newest
     known run. `is_being_asked` says that its health path is being asked how cold it is,
     `is_marked` that operators want nothing sent to it, `is_unreachable` that it refused the last
-    connection, and `is_leaving` that this run has said in an answer that it leaves.
+    connection.
     """
 
     upstream: Upstream
@@ -33,7 +33,6 @@
     said: UpstreamState = UpstreamState.GONE
     born_ms: int = 0
     is_being_asked: bool = False
-    is_leaving: bool = False
 
 
 class UpstreamPlace(msgspec.Struct, frozen=True):
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -392,9 +392,8 @@
             self._feed(owned, ev.LimitNotNamed(sent_at))
         if notice.malformed:
             self._log_notice(owned, EventKind.NOTICE_MALFORMED, repr(notice.malformed))
-        if notice.is_leaving and not owned.is_leaving:
-            owned.is_leaving = True
-            self._log_notice(owned, EventKind.UPSTREAM_LEAVING, "")
+        if notice.is_leaving:
+            self.register.hear_leaving(owned)
 
     def _log_notice(self, owned: OwnedUpstream, kind: EventKind, detail: str) -> None:
         self.notices.write(kind, owned.upstream.name, detail, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/calls/service_choice.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/service_choice.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bendwind_core.attempts import NotRunReason
 from bendwind_core.attempts.retry_after import NoRoom
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_core.limits import RetryBudget
@@ -17,6 +18,7 @@
     choose_subset,
     choose_upstream,
     create_table,
+    find_limit,
     find_room_at,
     note_load,
     set_upstreams,
@@ -27,6 +29,9 @@
 from bendwind_node.links import LinkHub
 from bendwind_node.membership import MembershipTask
 
+# Callers that are refused by one word of when there is room come back up to so many times as late.
+RETURN_SPREAD = 3.0
+
 
 class ServiceChoice(msgspec.Struct, eq=False):
     """Hold the upstreams that one service's calls choose from, and what their tries may cost."""
@@ -117,15 +122,19 @@
         stays=stays,
         target_at=run.call.target_at,
     )
-    return _explain_absence(choice.table, now) if chosen is None else chosen
+    return _explain_absence(choice.table, now, rng) if chosen is None else chosen
 
 
-def _explain_absence(table: UpstreamTable, now: Seconds) -> NoRoom | None:
-    """Say when there is room again where only cold upstreams are left, else None."""
+def _explain_absence(table: UpstreamTable, now: Seconds, rng: random.Random) -> NoRoom | None:
+    """Say when there is room again where only cold or limited upstreams are left, else None."""
     room_at = find_room_at(table)
     if room_at is None or room_at <= now:
         return None
-    return NoRoom((room_at - now) * MILLISECONDS_PER_SECOND)
+    wait_ms = (room_at - now) * MILLISECONDS_PER_SECOND
+    if not any(find_limit(table.notices, view.upstream) for view in table.views.values()):
+        return NoRoom(wait_ms)
+    # At a limit there is room for one at that moment, and for one more each such while.
+    return NoRoom(wait_ms * rng.uniform(1.0, RETURN_SPREAD), NotRunReason.LIMITED)
 
 
 def note_own_load(choice: ServiceChoice, owner: OwnerNode, now: Seconds) -> None:
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -6,7 +6,7 @@
 import trio
 from msgspec.structs import replace
 
-from bendwind_core.admission import WarmUp, WarmUpLimits, is_assumed_cold
+from bendwind_core.admission import WarmUp, WarmUpLimits, find_turn_at, is_assumed_cold
 from bendwind_core.attempts import owner
 from bendwind_core.attempts import owner_events as ev
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
@@ -43,8 +43,9 @@
 
     `feed` and `list_links` lead to the owner node: to an upstream's state, and to the links
     that a new one has to hear of. `started_at` is when this process started, `suspects` are the
-    requests that may end upstreams. `is_evacuated` says that
-    operators want nothing sent to the upstreams of this data centre.
+    requests that may end upstreams. `is_evacuated` says that operators want nothing sent to the
+    upstreams of this data centre. `place` is where the settings say that the one upstream beside
+    this process is, which no other process reaches, None where they do not say.
     """
 
     own: Instance
@@ -66,6 +67,7 @@
     owned: dict[str, OwnedUpstream] = msgspec.field(default_factory=dict)
     is_draining: bool = False
     is_evacuated: bool = False
+    place: UpstreamPlace | None = None
 
     def announced(self, news: Announcement) -> bool:
         """Register or renew an upstream; False if this process holds too many."""
@@ -133,7 +135,7 @@
 
     async def _verify(self, owned: OwnedUpstream, news: Announcement, is_first: bool) -> None:
         asked_at = trio.current_time()
-        answer = await self._ask(owned.pool, news.service)
+        answer = await self._ask_owned(owned, news.service)
         if owned.born_ms != news.born_ms:
             # The answer may be that of the run which has begun since.
             return
@@ -157,6 +159,23 @@
             self.feed(owned, ev.LoadReported(answer.slow_factor))
         if answer.warm_up_left_ms is not None and answer.name:
             self.feed(owned, ev.WarmUpTold(answer.warm_up_left_ms, asked_at))
+        # An answer on the health path that names no limit ends none: it need not repeat it.
+        if answer.notice.limit_per_s is not None and answer.name:
+            self.feed(owned, ev.LimitNamed(answer.notice.limit_per_s, asked_at))
+        if answer.notice.is_leaving and answer.name:
+            self.hear_leaving(owned)
+
+    def hear_leaving(self, owned: OwnedUpstream) -> None:
+        """Hear from an upstream itself that it leaves, and tell all; it may never announce it."""
+        if owned.owner_state.is_leaving:
+            return
+        self.feed(owned, ev.LeavingSaid())
+        self._set_state(owned)
+        self.recorder.record(EventKind.UPSTREAM_LEAVING, upstream=owned.upstream.name)
+
+    async def _ask_owned(self, owned: OwnedUpstream, service: str) -> HealthAnswer | None:
+        self.feed(owned, ev.UpstreamAsked())
+        return await self._ask(owned.pool, service)
 
     async def _ask(self, pool: UpstreamPool, service: str) -> HealthAnswer | None:
         with trio.move_on_after(VERIFY_TIMEOUT):
@@ -169,6 +188,7 @@
         A process that has just started would otherwise refuse every request until the next
         announcement. It stops asking once one was heard or a lease has passed.
         """
+        self.place = place
         pool = UpstreamPool(place.host, place.port, 1)
         with trio.move_on_after(self.lease_ms / MILLISECONDS_PER_SECOND):
             while not self._is_known_at(place):
@@ -182,6 +202,8 @@
 
     def _introduce(self, place: UpstreamPlace, answer: HealthAnswer, asked_at: Seconds) -> None:
         owned = self.owned.get(answer.name)
+        if answer.notice.is_leaving:
+            self.departures.remember(answer.name, 0)
         has_left = self.departures.name_any(answer.name) or (owned is not None and owned.has_left)
         if has_left or not answer.name or not answer.is_well or not answer.slots:
             return
@@ -233,7 +255,8 @@
         """Return the state that others are told: one that refuses connections serves nobody."""
         if owned.is_unreachable or owned.said is UpstreamState.GONE:
             return UpstreamState.GONE
-        return UpstreamState.DRAINING if self.is_draining else owned.said
+        is_leaving = self.is_draining or owned.owner_state.is_leaving
+        return UpstreamState.DRAINING if is_leaving else owned.said
 
     def _drop_gone(self) -> bool:
         """Forget an upstream that is gone and has nothing under way, to make room for another."""
@@ -310,6 +333,7 @@
                 sent_at=self.started_at,
             ),
             suspects=self.suspects,
+            alone_from=self._find_alone_from(news),
         )
         pool = UpstreamPool(news.host, news.port, news.connections)
         owned = OwnedUpstream(upstream, owner_state, pool, 0.0, is_verified=not news.sequence)
@@ -318,6 +342,16 @@
             self.feed(owned, ev.LinkOpened(link.peer.name, link.peer.incarnation, link.epoch))
         return owned
 
+    def _find_alone_from(self, news: Announcement) -> Seconds:
+        """Return when no other process sends to an upstream any more that is new here.
+
+        One that was announced to another process before is that one's until its lease runs out.
+        """
+        now = trio.current_time()
+        if self.place is not None and (self.place.host, self.place.port) == (news.host, news.port):
+            return now
+        return now + self.lease_ms / MILLISECONDS_PER_SECOND
+
     def _learn_warmth(self, owned: OwnedUpstream) -> None:
         """Have an upstream asked that counts as cold only since nothing is known of it."""
         is_assumed = is_assumed_cold(owned.owner_state.warm_up, trio.current_time())
@@ -328,10 +362,12 @@
     async def _ask_until_known(self, owned: OwnedUpstream) -> None:
         while is_assumed_cold(owned.owner_state.warm_up, trio.current_time()):
             asked_at = trio.current_time()
-            answer = await self._ask(owned.pool, owned.upstream.service)
+            answer = await self._ask_owned(owned, owned.upstream.service)
             self.note_answer(owned, answer, asked_at)
-            if is_assumed_cold(owned.owner_state.warm_up, trio.current_time()):
-                await trio.sleep(INTRODUCTION_PAUSE)
+            now = trio.current_time()
+            if is_assumed_cold(owned.owner_state.warm_up, now):
+                turn_at = find_turn_at(owned.owner_state.rate_limit, 0, now)
+                await trio.sleep(max(INTRODUCTION_PAUSE, turn_at - now))
         owned.is_being_asked = False
 
     def hold_down(self, owned: OwnedUpstream) -> None:
