--- a/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/entry_side.py
@@ -265,6 +265,7 @@
             customer=run.call.customer,
             may_wait=effect.may_wait,
             **self._find_run_rank(),
+            **self._find_limit(run, effect.upstream),
         )
 
     def _find_run_rank(self) -> dict[str, float | None]:
@@ -273,6 +274,14 @@
             return {}
         return {"run_rank": self.network.find_run_rank(self.name)}
 
+    def _find_limit(self, run: CallRun, upstream: Upstream) -> dict[str, float | None]:
+        # A core that is compared against may not know of it.
+        if "limit_per_s" not in HandOver.__struct_fields__:
+            return {}
+        from bendwind_core.routing import find_limit
+
+        return {"limit_per_s": find_limit(self.tables[run.route.service].notices, upstream)}
+
     def _name_near(self) -> dict[str, str]:
         # A core that is compared against may not know of it.
         if not self.scenario.policy.near_first or "near" not in EntryCall.__struct_fields__:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
@@ -47,6 +47,12 @@
         case FaultKind.HOT_CUSTOMER:
             world.callers.demand.heat(fault.customer, fault.x)
             world.agenda.after(fault.for_s, lambda: world.callers.demand.heat(fault.customer, 1.0))
+        case FaultKind.LIMIT:
+            for node in nodes:
+                _limit(world, node, fault)
+        case FaultKind.LEAVE:
+            for node in nodes:
+                node.upstream.is_leaving = True
         case FaultKind.CRASHING_REQUEST:
             _send_crashing(world, fault)
 
@@ -64,6 +70,12 @@
     return world.rng.sample(fitting, count)
 
 
+def _limit(world: Stage, node: Instance, fault: Fault) -> None:
+    limit = node.upstream.limit
+    limit.name(fault.x, world.agenda.now)
+    world.agenda.after(fault.for_s, lambda: limit.name(None, world.agenda.now))
+
+
 def _shed(world: Stage, nodes: list[Instance], fault: Fault) -> None:
     for node in nodes:
         node.upstream.shed_share = min(1.0, fault.x)
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/node.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/node.py
@@ -92,7 +92,9 @@
     def is_serving(self) -> bool:
         """Tell whether other nodes are told to use the upstream."""
         is_open = self.upstream.data_centre not in self.world.evacuated
-        return self.is_up and is_open and not self.owner.is_unreachable
+        # A core that is compared against may not know that upstreams leave by their answers.
+        is_leaving = getattr(self.owner.owner_state, "is_leaving", False)
+        return self.is_up and is_open and not self.owner.is_unreachable and not is_leaving
 
 
 __all__ = ["Node"]
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/owner_side.py
@@ -212,12 +212,28 @@
     def _hear_answer(self, attempt: AttemptId, status: int, sent_at: Seconds) -> None:
         if self.is_reporting:
             self.feed(ov.LoadReported(self.upstream.find_factor()))
+        self._hear_notice(sent_at)
         took_ms = (self.agenda.now - sent_at) * MILLISECONDS_PER_SECOND
         self.feed(ov.DispatchHead(attempt, status, took_ms))
         self.feed(ov.DispatchDone(attempt))
         load = owner.load_sample(self.owner_state, self.agenda.now)
         self.beside.reply(attempt.entry, Answer(attempt, status, load))
 
+    def _hear_notice(self, sent_at: Seconds) -> None:
+        """Have the owner hear what the answer says of the upstream."""
+        # A core that is compared against may not know of it.
+        if "rate_limit" not in owner.OwnerState.__struct_fields__:
+            return
+        limit = self.owner_state.rate_limit
+        per_second = self.upstream.limit.per_second
+        if per_second is not None:
+            self.feed(ov.LimitNamed(per_second, sent_at))
+        elif limit.per_second is not None or not limit.is_heard:
+            self.feed(ov.LimitNotNamed(sent_at))
+        if self.upstream.is_leaving and not self.owner_state.is_leaving:
+            self.feed(ov.LeavingSaid())
+            self.beside.tell_all()
+
     def _drop(self, attempt: AttemptId, reason: CutReason) -> None:
         run = self.runs.pop(attempt, None)
         if run is not None:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/report.py
@@ -30,6 +30,8 @@
     ("for_nothing", "for nothing"),
     ("worst_in_time", "worst 10th"),
     ("worst_served", "served"),
+    ("limit_worst", "limit worst"),
+    ("limit_used", "limit used"),
 )
 _KIND = ("requests", "in-time", "served", "late", "refused", "failed")
 _WIDTH = 12
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tables.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tables.py
@@ -174,6 +174,8 @@
     CRASHING_REQUEST = "crashing-request"
     SUSPEND = "suspend"
     HOT_CUSTOMER = "hot-customer"
+    LIMIT = "limit"
+    LEAVE = "leave"
 
 
 class Fault(_Table, frozen=True, kw_only=True):
@@ -182,6 +184,8 @@
     A crashing request ends each upstream that runs it. It comes at `count` nodes at once, and then
     `x` times a second for `for_s`; two such faults with one `target` are the same request. A hot
     `customer` sends `x` times its usual; a burst is one of a `route`, of all where that is empty.
+    With a limit, upstreams name `x` requests a second in their answers; with a leave, they say in
+    their answers that they leave, and for good.
     """
 
     kind: FaultKind
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bendwind_bench.emulator.limited import LimitCount
 from bendwind_bench.emulator.tables import RouteTable
 from bendwind_bench.emulator.upstream import CrashCount
 from bendwind_core.core import Seconds
@@ -73,6 +74,8 @@
     for_nothing: float
     worst_in_time: float
     worst_served: float
+    limit_worst: float
+    limit_used: float
     routes: dict[str, dict[str, float]]
     ranks: dict[str, dict[str, float]]
     customers: dict[str, dict[str, float]]
@@ -94,6 +97,7 @@
         "calls",
         "inner_calls",
         "inner_refused",
+        "limits",
         "priorities",
         "retries",
         "sent_back",
@@ -115,6 +119,7 @@
         self.calls = 0
         self.inner_calls = 0
         self.inner_refused = 0
+        self.limits: list[LimitCount] = []
         self.waited_long = 0
         self.waited_s: Seconds = 0.0
 
@@ -164,6 +169,8 @@
             for_nothing=_round(self.inner_refused / max(1, self.inner_calls)),
             worst_in_time=_find_worst(self.by_customer.values(), (Fate.IN_TIME,)),
             worst_served=_find_worst(self.by_customer.values(), _SERVED),
+            limit_worst=_round(max((limit.worst for limit in self.limits), default=0.0)),
+            limit_used=self._find_limit_used(),
             routes={
                 name: {"rank": self.priorities[name], **figures}
                 for name, figures in _describe_groups(self.by_route).items()
@@ -173,6 +180,10 @@
             windows=windows,
         )
 
+    def _find_limit_used(self) -> float:
+        allowed = sum(limit.allowed for limit in self.limits)
+        return _round(sum(limit.taken for limit in self.limits) / allowed) if allowed else 0.0
+
     def _find_busiest(self, services: dict[str, list[str]]) -> float:
         ratios = []
         for names in services.values():
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bendwind_bench.emulator.agenda import Agenda
+from bendwind_bench.emulator.limited import LimitCount
 from bendwind_bench.emulator.scenario import RouteTable, ServiceTable
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 
@@ -57,6 +58,8 @@
         "fell_over",
         "generation",
         "is_down",
+        "is_leaving",
+        "limit",
         "most_running",
         "name",
         "on_restart",
@@ -89,6 +92,8 @@
         self.slow_factor = 1.0
         self.shed_share = 0.0
         self.is_down = False
+        self.is_leaving = False
+        self.limit = LimitCount()
         self.generation = 0
         self.fell_over = 0
         self.most_running = 0
@@ -132,6 +137,7 @@
     ) -> Run | None:
         """Take a request; None, with the reply made, where it is not taken."""
         self._note_arrival()
+        self.limit.note_arrival(self.agenda.now)
         if target in self.crashes:
             self.crashes[target].arrived.append(self.agenda.now)
         if self.is_down:
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/world.py
@@ -98,6 +98,9 @@
         fell_over = sum(node.upstream.fell_over for node in self.nodes.values())
         self.tally.waited_long = self.watch.count_long()
         self.tally.waited_s = self.watch.sum_up()
+        for node in self.nodes.values():
+            node.upstream.limit.name(None, self.agenda.now)
+            self.tally.limits.append(node.upstream.limit)
         return self.tally.summarize(services, fell_over, self.crashes.values())
 
     def call(self, upstream: UpstreamModel, route: str, deadline_at: Seconds, done) -> None:
