calls, routing, attempts: tests of which answers name a limit, what is remembered, and who waits

An owner whose upstream leaves hears it on the health path too, where it may say that it is not well, so that a process that starts beside it does not announce it again.

--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -369,7 +369,7 @@
             feed=lambda event: self._feed(owned, event),
             read_load=lambda: self.read_load(owned.upstream.name),
             dialect=self.dialect,
-            hear_notice=lambda notice, sent_at: self._hear_notice(owned, notice, sent_at),
+            hear_notice=lambda notice, sent_at: self.hear_notice(owned, notice, sent_at),
         )
         try:
             end = await dispatch.run(scope)
@@ -383,7 +383,7 @@
         took_ms = round((trio.current_time() - started_at) * MILLISECONDS_PER_SECOND, 1)
         self._finish_dispatch(owned, hand_over, end, replace(facts, ms=took_ms))
 
-    def _hear_notice(self, owned: OwnedUpstream, notice: UpstreamNotice, sent_at: Seconds) -> None:
+    def hear_notice(self, owned: OwnedUpstream, notice: UpstreamNotice, sent_at: Seconds) -> None:
         """Hear what an answer of an upstream says of it."""
         limit = owned.owner_state.rate_limit
         if notice.limit_per_s is not None:
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_notices_path.py
@@ -0,0 +1,152 @@
+import unittest
+
+import trio
+
+from bendwind_core.timeline import EventKind
+from bendwind_core.world import Service, UpstreamState
+from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
+from bendwind_node.calls.owned_upstream import Announcement
+from bendwind_node.calls.tests.fakes import CallBench, make_exchange
+from bendwind_node.calls.tests.scripted_server import read_request, run_server
+from bendwind_node.calls.upstream_notice import UpstreamNotice, read_notice
+
+DIALECT = Dialect(
+    timeout_ms=b"wait",
+    not_run=b"unrun",
+    not_run_value=None,
+    service=b"service",
+    request_id=b"id",
+    upstream=b"meant",
+    answering_upstream=b"me",
+    rate_limit=b"limit",
+    leaving=b"leaving",
+)
+LONG = b"9" * 10_000
+
+
+def read(*values, name=b"bendwind-rate-limit"):
+    return read_notice(tuple((name, value) for value in values), BENDWIND_DIALECT)
+
+
+class ReadNoticeTest(unittest.TestCase):
+    def test_decimal_numbers_are_limits(self):
+        for text, figure in ((b"6.2", 6.2), (b" 60 ", 60.0), (b"0", 0.0), (b"0.01", 0.01)):
+            self.assertEqual(read(text), UpstreamNotice(figure))
+
+    def test_what_is_malformed_says_nothing(self):
+        for text in (b"", b"-1", b"nan", b"inf", b"1e400", b"5, 6", b"5;6", b"+5", LONG):
+            notice = read(text)
+            self.assertIsNone(notice.limit_per_s, text[:10])
+            self.assertTrue(notice.malformed)
+            self.assertLessEqual(len(notice.malformed), 32)
+        self.assertTrue(read(b"5", b"5").malformed)
+
+    def test_only_one_as_the_value_says_that_an_upstream_leaves(self):
+        self.assertTrue(read(b"1", name=b"bendwind-leaving").is_leaving)
+        self.assertEqual(read(b"0", name=b"bendwind-leaving"), UpstreamNotice())
+        for text in (b"", b"true", b"11"):
+            notice = read(text, name=b"bendwind-leaving")
+            self.assertFalse(notice.is_leaving)
+            self.assertTrue(notice.malformed)
+
+
+class NoticesPathTest(unittest.TestCase):
+    """Have a scripted upstream answer a call, and look at what its owner node heard."""
+
+    def run_with(self, answer, check):
+        async def handler(stream, number):
+            while data := await read_request(stream):
+                if data.startswith(b"GET /well"):
+                    await stream.send_all(make_answer(b"me: u1"))
+                    continue
+                await stream.send_all(answer)
+                if answer.endswith(b"broken"):
+                    await stream.aclose()
+                    return
+
+        async def main():
+            with trio.fail_after(20):
+                async with run_server(handler) as port, trio.open_nursery() as nursery:
+                    bench = CallBench(nursery, Service("svc", ("*",), health_path="/well"))
+                    bench.entry.dialect = bench.owner.dialect = DIALECT
+                    bench.owner.register.dialect = DIALECT
+                    bench.owner.register.find_health_path = lambda name: "/well"
+                    for sequence in (1, 2):
+                        announce(bench, port, sequence)
+                    await check(bench, port)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def call(self, bench):
+        return await bench.call(make_exchange(b"POST", service="svc", id="q1"))
+
+    def check_limit(self, answer, limit):
+        async def check(bench, port):
+            await self.call(bench)
+            owned = bench.owner.register.owned["u1"]
+            self.assertEqual(owned.owner_state.rate_limit.per_second, limit)
+
+        self.run_with(answer, check)
+
+    def test_any_answer_of_the_upstream_itself_names_its_limit(self):
+        named = b"limit: 7.5\r\n"
+        answers = {
+            "well": make_answer(named + b"id: q1"),
+            "failed": make_answer(named + b"id: q1", b"500 Failed"),
+            "refused": make_answer(named + b"id: q1\r\nunrun: 1", b"503 Full"),
+            "refused without an id": make_answer(named + b"unrun: 1", b"400 No Id"),
+            "broken off": make_answer(named + b"id: q1", length=100) + b"broken",
+        }
+        for name, answer in answers.items():
+            with self.subTest(name):
+                self.check_limit(answer, 7.5)
+
+    def test_no_other_answer_does(self):
+        answers = {
+            "of another upstream": make_answer(b"id: q1\r\nlimit: 7.5", b"421 Misdirected"),
+            "to another request": make_answer(b"id: q9\r\nlimit: 7.5"),
+            "bytes behind it": make_answer(b"id: q1") + make_answer(b"id: q1\r\nlimit: 7.5"),
+            "malformed": make_answer(b"id: q1\r\nlimit: inf"),
+        }
+        for name, answer in answers.items():
+            with self.subTest(name):
+                self.check_limit(answer, None)
+
+    def test_many_figures_make_few_lines(self):
+        async def check(bench, port):
+            owned = bench.owner.register.owned["u1"]
+            for number in range(1000):
+                notice = UpstreamNotice(float(number), malformed=b"x")
+                bench.owner.hear_notice(owned, notice, trio.current_time())
+            counts = bench.owner.recorder.counts
+            self.assertLessEqual(counts[EventKind.UPSTREAM_LIMIT], 2)
+            self.assertLessEqual(counts[EventKind.NOTICE_MALFORMED], 2)
+
+        self.run_with(make_answer(b"id: q1"), check)
+
+    def test_upstream_that_leaves_is_told_to_all_and_taken_back_by_no_announcement(self):
+        async def check(bench, port):
+            await self.call(bench)
+            owned = bench.owner.register.owned["u1"]
+            self.assertIs(owned.upstream.state, UpstreamState.DRAINING)
+            announce(bench, port, 9)
+            self.assertIs(owned.upstream.state, UpstreamState.DRAINING)
+            self.assertEqual((await self.call(bench)).status, 503)
+
+        self.run_with(make_answer(b"id: q1\r\nleaving: 1"), check)
+
+
+def make_answer(headers, status=b"200 OK", length=2):
+    head = b"HTTP/1.1 " + status + b"\r\n" + headers + b"\r\ncontent-length: %d" % length
+    return head + b"\r\n\r\nok"
+
+
+def announce(bench, port, sequence):
+    bench.owner.register.announced(
+        Announcement("u1", "svc", "127.0.0.1", port, 4, 4, UpstreamState.READY, sequence)
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -26,6 +26,7 @@
 )
 from bendwind_node.calls.reply_path import ReplyLink
 from bendwind_node.calls.upstream_h11 import UpstreamPool, wait_until_accepting
+from bendwind_node.calls.upstream_notice import UpstreamNotice
 
 QUEUE_LIMIT = 16
 MAX_OWNED_UPSTREAMS = 8
@@ -141,6 +142,8 @@
             return
         if answer is not None and answer.name == news.name:
             self._end_former(news)
+            # One that leaves may say that it is not well, so that nothing else is believed.
+            self._note_notice(owned, answer.notice, asked_at)
             # An upstream that is well may say otherwise, but not that it announces itself twice.
             owned.is_verified = owned.is_verified or answer.is_well or not is_first
         if owned.is_verified and not owned.has_left and owned.last_sequence == news.sequence:
@@ -159,10 +162,14 @@
             self.feed(owned, ev.LoadReported(answer.slow_factor))
         if answer.warm_up_left_ms is not None and answer.name:
             self.feed(owned, ev.WarmUpTold(answer.warm_up_left_ms, asked_at))
+        if answer.name:
+            self._note_notice(owned, answer.notice, asked_at)
+
+    def _note_notice(self, owned: OwnedUpstream, notice: UpstreamNotice, asked_at: Seconds) -> None:
         # An answer on the health path that names no limit ends none: it need not repeat it.
-        if answer.notice.limit_per_s is not None and answer.name:
-            self.feed(owned, ev.LimitNamed(answer.notice.limit_per_s, asked_at))
-        if answer.notice.is_leaving and answer.name:
+        if notice.limit_per_s is not None:
+            self.feed(owned, ev.LimitNamed(notice.limit_per_s, asked_at))
+        if notice.is_leaving:
             self.hear_leaving(owned)
 
     def hear_leaving(self, owned: OwnedUpstream) -> None:
