calls: a refusal that names another request proves nothing of this one

What callers saw: a surplus answer that says its request did not run, and that is read where the next answer is due, was taken for a proof of the next request: 503, a promise, of one that may be running. Cause: the proof was looked for before the id was compared. test_notices_path failed before (503 for 502).

--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -161,7 +161,9 @@
         elapsed = trio.current_time() - self.started_at
         self.upstream_ms = elapsed * MILLISECONDS_PER_SECOND
         self._note_load(answer)
-        if not self._names_another(answer) and answer.status != MISDIRECTED:
+        if self._names_another(answer):
+            return DispatchUnknown(self.attempt, CutReason.FOREIGN_ANSWER)
+        if answer.status != MISDIRECTED:
             self.hear_notice(read_notice(answer.headers, self.dialect), self.sent_at)
         not_run = find_not_run_proof(self.dialect, answer.status, answer.headers)
         if not_run is not None:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_notices_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_notices_path.py
@@ -136,6 +136,12 @@
 
         self.run_with(make_answer(b"id: q1\r\nleaving: 1"), check)
 
+    def test_refusal_of_another_request_proves_nothing_of_this_one(self):
+        async def check(bench, port):
+            self.assertEqual((await self.call(bench)).status, 502)
+
+        self.run_with(make_answer(b"id: q9\r\nunrun: 1", b"503 Full"), check)
+
 
 def make_answer(headers, status=b"200 OK", length=2):
     head = b"HTTP/1.1 " + status + b"\r\n" + headers + b"\r\ncontent-length: %d" % length
