bench, tests: an upstream that names a limit, called through three real nodes

Its owner is killed and started again and its announcements move, at ten times the limit: no window over what is allowed, and at least 0.85 of the limit served in each calm span. The stand-in names a limit or leaves by a change of behaviour, and counts what it gets meanwhile.

--- a/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/tally.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from bendwind_bench.emulator.limited import LimitCount
 from bendwind_bench.emulator.tables import RouteTable
 from bendwind_bench.emulator.upstream import CrashCount
+from bendwind_bench.limit_count import LimitCount
 from bendwind_core.core import Seconds
 
 WINDOW: Seconds = 2.0
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from bendwind_bench.emulator.agenda import Agenda
-from bendwind_bench.emulator.limited import LimitCount
 from bendwind_bench.emulator.scenario import RouteTable, ServiceTable
+from bendwind_bench.limit_count import LimitCount
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 
 # An upstream that fell over starts again after this time; a guess for a supervised process.
--- /dev/null
+++ b/packages/bendwind-bench/src/bendwind_bench/tests/test_limits_of_several_nodes.py
@@ -0,0 +1,91 @@
+"""Have an upstream that names a limit be called through several real nodes.
+
+Its owner node is killed and started again, and its announcements move to another node, while all
+offer ten times as much. An owner that had just started knew nothing of the limit.
+"""
+
+import contextlib
+import unittest
+
+import trio
+
+from bendwind_bench.deployment import ServiceDescription
+from bendwind_bench.experiments.scene import describe_scene, run_scene
+from bendwind_bench.http import HttpBrokenError, pool_of
+from bendwind_bench.load import RequestKind
+from bendwind_bench.upstream import Change
+
+INTENT = """
+[[services]]
+name = "emisor"
+upstreams = ["emisor-*"]
+longest_wait_ms = 2000
+
+[[services]]
+name = "agenda"
+upstreams = ["agenda-*"]
+longest_wait_ms = 2000
+"""
+LIMIT_PER_S = 5.0
+OFFERED_PER_S = 50.0
+# What callers are to get of all that the limit allows, while nothing is at fault.
+LEAST_SERVED = 0.85
+SETTLE_S = 4.0
+MEASURE_S = 6.0
+KIND = RequestKind("emisor", "/records/1")
+
+
+class SeveralNodesTest(unittest.TestCase):
+    def test_limit_is_kept_and_used_through_a_restart_and_a_change_of_its_owner(self):
+        trio.run(self.play)
+
+    async def play(self):
+        services = [ServiceDescription("emisor", 1, 8, 50, 5.0)]
+        services.append(ServiceDescription("agenda", 2, 8, 50, 5.0))
+        scene = run_scene(describe_scene(services), INTENT, 1, False, [KIND])
+        async with scene as deployment, trio.open_nursery() as nursery:
+            for number in range(3):
+                nursery.start_soon(self.offer, deployment, number)
+            await deployment.change("emisor-1", [Change(rate_limit=LIMIT_PER_S)])
+            await trio.sleep(SETTLE_S)
+            served = [await self.measure(deployment)]
+            owner = deployment.nodes[deployment.layout.find("emisor-1").name]
+            owner.kill()
+            owner.start()
+            await trio.sleep(2 * SETTLE_S)
+            served.append(await self.measure(deployment))
+            other = deployment.layout.members[1]
+            address = f"127.0.0.1:{other.upstreams}"
+            await deployment.change("emisor-1", [Change(node=address)])
+            await trio.sleep(2 * SETTLE_S)
+            served.append(await self.measure(deployment))
+            counters = await deployment.counters("emisor-1")
+            nursery.cancel_scope.cancel()
+        self.assertLessEqual(counters["limit_worst"], 1.0)
+        for per_second in served:
+            self.assertGreaterEqual(per_second, LEAST_SERVED * LIMIT_PER_S)
+
+    async def offer(self, deployment, number):
+        """Call through one of the nodes, at a third of the whole rate."""
+        address = deployment.layout.members[number].callers_address
+        async with trio.open_nursery() as nursery:
+            while True:
+                nursery.start_soon(self.call, address)
+                await trio.sleep(3 / OFFERED_PER_S)
+
+    async def call(self, address):
+        pool = pool_of(address)
+        with contextlib.suppress(OSError, HttpBrokenError), trio.move_on_after(5):
+            await pool.request(KIND.method, KIND.path, [(b"Bendwind-Service", b"emisor")])
+        pool.close()
+
+    async def measure(self, deployment):
+        """Return how many requests a second the upstream runs."""
+        before, begun_at = await deployment.counters("emisor-1"), trio.current_time()
+        await trio.sleep(MEASURE_S)
+        after, span = await deployment.counters("emisor-1"), trio.current_time() - begun_at
+        return (after["runs"] - before["runs"]) / span
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/executor.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/executor.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from bendwind_bench.limit_count import LimitCount
 from bendwind_bench.upstream.settings import Change, UpstreamSettings
 from bendwind_core.core import MILLISECONDS_PER_SECOND
 
@@ -38,6 +39,8 @@
     most_in_flight: int = 0
     most_waiting: int = 0
     most_connections: int = 0
+    limit_worst: float = 0.0
+    while_leaving: int = 0
 
 
 class Executor:
@@ -56,10 +59,19 @@
         self.reported_in_flight = -1
         self.healthy = True
         self.draining = False
+        self.is_leaving = False
+        self.node = settings.node
+        self.limit = LimitCount()
         self.started_at = trio.current_time()
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         self.runs_file = os.open(settings.runs_file, flags) if settings.runs_file else None
 
+    def note_arrival(self) -> None:
+        """Count a request against the limit, and against having said that it leaves."""
+        self.limit.note_arrival(trio.current_time())
+        self.counters.limit_worst = self.limit.worst
+        self.counters.while_leaving += self.is_leaving
+
     def must_shed(self) -> bool:
         """Tell whether a request that arrives now is refused unrun."""
         statistics = self.limiter.statistics()
@@ -118,6 +130,14 @@
         if change.draining is not None:
             self.draining = change.draining
 
+        if change.rate_limit is not None:
+            limit = None if change.rate_limit < 0 else change.rate_limit
+            self.limit.name(limit, trio.current_time())
+        if change.leaving is not None:
+            self.is_leaving = change.leaving
+        if change.node is not None:
+            self.node = change.node
+
     def _set_factor(self, factor: float) -> None:
         now = trio.current_time()
         for job in self.serving:
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/settings.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/settings.py
@@ -35,6 +35,8 @@
 
     `factor` multiplies service times, also of requests being served. `noisy_slots` are taken by a
     neighbour. `reported_in_flight` is a lie told in place of the true load; below 0 ends the lie.
+    `rate_limit` is named in each answer, in requests a second; below 0 ends it. With `leaving` each
+    answer says that the stand-in leaves. `node` is whom it announces itself to from then on.
     """
 
     at_ms: Milliseconds = 0.0
@@ -45,6 +47,9 @@
     reported_in_flight: int | None = None
     healthy: bool | None = None
     draining: bool | None = None
+    rate_limit: float | None = None
+    leaving: bool | None = None
+    node: str | None = None
 
 
 def read_upstream_settings(file: Path) -> UpstreamSettings:
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
@@ -18,6 +18,8 @@
 DRAIN_LIMIT_S = 20.0
 ATTEMPTS = "/.bendwind/attempts/"
 SHED = (b"Bendwind-Shed", b"not-run")
+RATE_LIMIT = b"Bendwind-Rate-Limit"
+LEAVING = b"Bendwind-Leaving"
 UNNAMED = "-"
 
 Answer = tuple[int, list[tuple[bytes, bytes]], bytes]
@@ -69,9 +71,17 @@
         elif target.startswith("/.bench/"):
             answer = self._control(target, request)
         else:
-            answer = await self._run(http, request)
+            self.executor.note_arrival()
+            status, headers, body = await self._run(http, request)
+            answer = status, [*headers, *self._make_notice()], body
         return await _send_answer(http, request, answer)
 
+    def _make_notice(self) -> list[tuple[bytes, bytes]]:
+        """Say what the stand-in takes and whether it leaves, as any of its answers does."""
+        limit = self.executor.limit.per_second
+        notice = [] if limit is None else [(RATE_LIMIT, f"{limit:g}".encode())]
+        return [*notice, (LEAVING, b"1")] if self.executor.is_leaving else notice
+
     def _cancel(self, attempt: str) -> Answer:
         job = self.executor.jobs.get(attempt)
         if job is None:
@@ -150,14 +160,15 @@
 
     async def announce(self) -> None:
         """Tell the node beside this upstream of it; a node that is away is asked again later."""
-        if not self.settings.node:
+        node = self.executor.node
+        if not node:
             return
         state = "draining" if self.executor.draining else "ready"
         keys = ("name", "service", "host", "port", "slots", "connections")
         body = {key: getattr(self.settings, key) for key in keys} | {"state": state}
         with trio.move_on_after(ANNOUNCE_EVERY_S):
             try:
-                await send_json(self.settings.node, "POST", "/v1/upstreams", body)
+                await send_json(node, "POST", "/v1/upstreams", body)
             except (OSError, HttpBrokenError):
                 return
 
@@ -175,11 +186,11 @@
             await trio.sleep(ANNOUNCE_EVERY_S)
             while self.executor.limiter.statistics().borrowed_tokens:
                 await trio.sleep(0.05)
-        if self.settings.node:
+        if self.executor.node:
             with trio.move_on_after(ANNOUNCE_EVERY_S):
                 try:
                     path = f"/v1/upstreams/{self.settings.name}"
-                    await send_json(self.settings.node, "DELETE", path)
+                    await send_json(self.executor.node, "DELETE", path)
                 except (OSError, HttpBrokenError):
                     return
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/arrivals.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/arrivals.py
@@ -171,7 +171,8 @@
     else:
         displaced = push(owner_state, queued)
     if displaced is not None:
-        drop_waiting(owner_state, displaced, NotRunReason.QUEUE_FULL, now, effects)
+        reason = name_reason(owner_state, NotRunReason.QUEUE_FULL, now)
+        drop_waiting(owner_state, displaced, reason, now, effects)
     for hopeless in list_hopeless(owner_state, queued, now):
         take_off_queue(owner_state, hopeless)
         drop_waiting(owner_state, hopeless, NotRunReason.QUEUE_FULL, now, effects)
