calls, timeline: a limit of zero is one too where no upstream has room; refusals tell the limit

Without any other upstream a limit of 0 was taken for a cold upstream: callers were told one moment to come back. test_service_choice was run with the mend only.

--- a/packages/bendwind-core/src/bendwind_core/timeline/facts.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -72,7 +72,7 @@
     """Hold what an owner node knew when it refused an attempt as not run.
 
     `signature` is that of a suspect, as in UnansweredFacts; `limit`, `rank` and `customer` are as
-    in DispatchFacts.
+    in DispatchFacts. `limit_per_s` is the limit that the upstream has named, None without one.
     Units: milliseconds; `remaining_ms` and `target_ms` are what was left when the attempt came,
     `waited_ms` was spent in the queue since, None where it did not wait.
     """
@@ -91,6 +91,7 @@
     limit: int = 0
     rank: int = 0
     customer: str = ""
+    limit_per_s: float | None = None
 
 
 class UnansweredFacts(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -118,6 +118,7 @@
         _find_limit(owner_state),
         int(hand_over.rank),
         hand_over.customer,
+        owner_state.rate_limit.per_second,
     )
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/service_choice.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/service_choice.py
@@ -131,7 +131,8 @@
     if room_at is None or room_at <= now:
         return None
     wait_ms = (room_at - now) * MILLISECONDS_PER_SECOND
-    if not any(find_limit(table.notices, view.upstream) for view in table.views.values()):
+    limits = [find_limit(table.notices, view.upstream) for view in table.views.values()]
+    if all(limit is None for limit in limits):
         return NoRoom(wait_ms)
     # At a limit there is room for one at that moment, and for one more each such while.
     return NoRoom(wait_ms * rng.uniform(1.0, RETURN_SPREAD), NotRunReason.LIMITED)
