--- a/packages/bendwind-cli/src/bendwind_cli/explain.py
+++ b/packages/bendwind-cli/src/bendwind_cli/explain.py
@@ -100,10 +100,15 @@
                 f"{line.instance} refused it ({line.detail}){waited}: {facts.running} of {slots} "
                 f"slots taken, {facts.waiting} waiting, usual time {facts.usual_ms} ms, "
                 f"{_render_pace(facts.slow_factor, facts.report_age_ms)}"
+                f"{_render_limit(facts.limit_per_s)}"
             )
     return "no line of its owner node was found"
 
 
+def _render_limit(per_second: float | None) -> str:
+    return "" if per_second is None else f", limit {per_second:g} a second"
+
+
 def _render_pace(slow_factor: float, age_ms: float | None) -> str:
     if age_ms is None:
         return "pace never reported"
--- a/packages/bendwind-cli/src/bendwind_cli/instances.py
+++ b/packages/bendwind-cli/src/bendwind_cli/instances.py
@@ -9,7 +9,7 @@
 from bendwind_cli.client import Client
 from bendwind_cli.commands import Drain, ShowStatus
 from bendwind_cli.outcome import ExitCode, Failure
-from bendwind_cli.replies import DrainReply, ReplacementReply, StatusReply, StopReply
+from bendwind_cli.replies import DrainReply, NoticeReply, ReplacementReply, StatusReply, StopReply
 
 _KINDS = ("instance", "upstream")
 
@@ -134,6 +134,8 @@
     for upstream in reply.upstreams:
         place = f"owner {upstream.owner}, slots {upstream.slots}"
         yield f"upstream {upstream.name} of {upstream.service}: {upstream.state}, {place}"
+    for notice in reply.notices:
+        yield f"upstream {notice.upstream} says: {_render_notice(notice)}"
     for name in reply.draining.instances:
         yield f"draining instance {name}"
     for name in reply.draining.upstreams:
@@ -145,6 +147,11 @@
         yield f"not there yet: {', '.join(sorted(absent))}"
 
 
+def _render_notice(reply: NoticeReply) -> str:
+    limit = () if reply.limit_per_s is None else (f"at most {reply.limit_per_s:g} a second",)
+    return ", ".join((*limit, *(("it leaves",) if reply.is_leaving else ())))
+
+
 def _render_replacement(reply: ReplacementReply) -> str:
     since = "" if reply.for_ms is None else f" for {reply.for_ms:.0f} ms"
     awaited = f", waiting for {', '.join(reply.awaited)}" if reply.awaited else ""
--- a/packages/bendwind-cli/src/bendwind_cli/replies.py
+++ b/packages/bendwind-cli/src/bendwind_cli/replies.py
@@ -203,6 +203,14 @@
     for_ms: float | None = None
 
 
+class NoticeReply(msgspec.Struct, frozen=True):
+    """Hold what an upstream has said of itself in its answers."""
+
+    upstream: str
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
 class StatusReply(msgspec.Struct, frozen=True):
     """Hold the status of a process and of what it knows."""
 
@@ -221,6 +229,7 @@
     draining: DrainingReply = DrainingReply()
     evacuated: tuple[str, ...] = ()
     replacement: ReplacementReply | None = None
+    notices: tuple[NoticeReply, ...] = ()
 
 
 class EventReply(msgspec.Struct, frozen=True):
--- a/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
@@ -117,6 +117,14 @@
         self.assertIn("1 sent back by an upstream that was slowed", verdict)
         self.assertIn("1 refused (queue-full) by an upstream with its slots taken", verdict)
 
+    def test_refusal_by_the_limit_of_an_upstream_names_the_limit(self):
+        facts = msgspec.structs.replace(SLOWED, limit_per_s=6.2)
+        verdict = self.conclude(
+            end_call("not-run: limited", AttemptFacts("u1", 0.1, "not-run: limited"), status=503),
+            owner_line("ATTEMPT_REFUSED", "u1", facts, "limited"),
+        )
+        self.assertIn("1 refused by the limit of its upstream, 6.2 a second", verdict)
+
     def test_late_answer_names_the_largest_parts_of_its_time(self):
         dispatch = DispatchFacts("r", 10.0, 240.0, 190.0, 1, 4, 4.0, 5.0)
         verdict = self.conclude(
--- a/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/verdict.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from bendwind_core.attempts.messages import NotRunReason
 from bendwind_core.attempts.pace import SLOW_FACTOR
 from bendwind_core.core import Milliseconds
 from bendwind_core.timeline.facts import CallFacts, DispatchFacts, RefusalFacts
@@ -60,6 +61,8 @@
         return f"ended {step.attempt.end}"
     if facts.signature:
         return f"refused ({step.owner.detail}) since upstreams had ended under it"
+    if facts.limit_per_s is not None and step.owner.detail == NotRunReason.LIMITED:
+        return f"refused by the limit of its upstream, {facts.limit_per_s:g} a second"
     if facts.slow_factor >= SLOW_FACTOR:
         return "sent back by an upstream that was slowed and would have answered late"
     if facts.running < (facts.limit or facts.slots) and not facts.waiting:
--- a/packages/bendwind-node/src/bendwind_node/daemon/status.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/status.py
@@ -6,7 +6,7 @@
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.control.service import ControlService
 from bendwind_node.membership import MembershipTask
-from bendwind_node.operators import NodeVersion, ProcessStatus
+from bendwind_node.operators import NodeVersion, NoticeStatus, ProcessStatus
 
 
 class DaemonStatus(msgspec.Struct, eq=False):
@@ -44,3 +44,12 @@
         if self.control is not None:
             return self.control.upstreams()
         return tuple(owned.upstream for owned in self.owner.register.owned.values())
+
+    def notices(self) -> tuple[NoticeStatus, ...]:
+        """Return what upstreams beside this process have said of themselves, of those that did."""
+        states = [(name, owned.owner_state) for name, owned in self.owner.register.owned.items()]
+        notices = (
+            NoticeStatus(name, state.rate_limit.per_second, state.is_leaving)
+            for name, state in states
+        )
+        return tuple(one for one in notices if one.limit_per_s is not None or one.is_leaving)
--- a/packages/bendwind-node/src/bendwind_node/operators/__init__.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/__init__.py
@@ -17,7 +17,12 @@
     VoterStatus,
 )
 from bendwind_node.operators.http import Response
-from bendwind_node.operators.status_source import NodeVersion, ProcessStatus, StatusSource
+from bendwind_node.operators.status_source import (
+    NodeVersion,
+    NoticeStatus,
+    ProcessStatus,
+    StatusSource,
+)
 
 __all__ = [
     "ControlClient",
@@ -25,6 +30,7 @@
     "NoQuorum",
     "NodeVersion",
     "NotLeader",
+    "NoticeStatus",
     "OperatorAuthority",
     "OperatorsApp",
     "OutcomeUnknown",
--- a/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_routes.py
@@ -88,6 +88,7 @@
             draining=draining or DrainingView(),
             evacuated=() if control is None else control.state.configuration.evacuated,
             replacement=None if control is None else control.replacement(),
+            notices=tuple(self.source.notices()),
         )
 
     def get_timeline(self, request: Request) -> Response:
--- a/packages/bendwind-node/src/bendwind_node/operators/status_source.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/status_source.py
@@ -38,6 +38,17 @@
     operators: str = ""
 
 
+class NoticeStatus(msgspec.Struct, frozen=True):
+    """Say what an upstream beside the process has said of itself in its answers.
+
+    Units: `limit_per_s` is its rate limit in requests a second, None without one.
+    """
+
+    upstream: str
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
 class StatusSource(Protocol):
     """Tell the process's own status and the members it knows."""
 
@@ -52,3 +63,7 @@
     def upstreams(self) -> Sequence[Upstream]:
         """Return the upstreams this process knows; all of them on a voter."""
         ...
+
+    def notices(self) -> Sequence[NoticeStatus]:
+        """Return what upstreams beside this process have said of themselves, of those that did."""
+        ...
--- a/packages/bendwind-node/src/bendwind_node/operators/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/fakes.py
@@ -104,6 +104,9 @@
     def upstreams(self):
         return []
 
+    def notices(self):
+        return []
+
 
 def create_app(client: FakeClient | None, authority: OperatorAuthority) -> OperatorsApp:
     return OperatorsApp(
--- a/packages/bendwind-node/src/bendwind_node/operators/views.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/views.py
@@ -26,7 +26,7 @@
 from bendwind_core.timeline import Event, EventKind
 from bendwind_core.world import Configuration, Upstream
 from bendwind_node.operators.control_client import ReplacementStatus, VoterStatus
-from bendwind_node.operators.status_source import NodeVersion
+from bendwind_node.operators.status_source import NodeVersion, NoticeStatus
 
 
 class OutcomeView(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -129,6 +129,7 @@
     draining: DrainingView
     evacuated: tuple[str, ...] = ()
     replacement: ReplacementStatus | None = None
+    notices: tuple[NoticeStatus, ...] = ()
 
 
 class EventView(msgspec.Struct, frozen=True):
