--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -44,7 +44,6 @@
         NotRunReason.CONNECT_FAILED,
         NotRunReason.KEPT_APART,
         NotRunReason.BUSY,
-        NotRunReason.LIMITED,
     }
 )
 
@@ -183,6 +182,14 @@
     return (is_free and may_be_refused_again(call)) or (not is_free and may_retry(call.budget))
 
 
+def _is_lasting(attempt: Attempt) -> bool:
+    """Tell whether an upstream that sent an attempt back would send the next one back too."""
+    if attempt.not_run is NotRunReason.LIMITED:
+        # It would have let it wait for its turn, if there were one in time.
+        return attempt.may_wait
+    return attempt.not_run not in _PASSING_BOUNCES
+
+
 def _choose_next(
     call: EntryCall, now: Seconds, choose: Choose
 ) -> tuple[Upstream | NoRoom | None, bool]:
@@ -195,5 +202,5 @@
         return soonest, True
     if isinstance(upstream, Upstream):
         return upstream, True
-    lasting = [attempt for attempt in call.attempts if attempt.not_run not in _PASSING_BOUNCES]
+    lasting = [attempt for attempt in call.attempts if _is_lasting(attempt)]
     return choose(frozenset(attempt.upstream.name for attempt in lasting)), True
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_sending.py
@@ -73,6 +73,13 @@
         self.assertEqual([name for name, _ in sent], ["u0", "u1", "u1"])
         self.assertEqual(self.may_wait, [False, False, True])
 
+    def test_upstream_whose_limit_leaves_no_turn_in_time_is_not_asked_again(self):
+        sent, final = self.bounce(1, Policy.SCORE, [NotRunReason.LIMITED])
+        self.assertEqual(len(sent), 1)
+        self.assertIs(final.reason, NotRunReason.LIMITED)
+        sent, _ = self.bounce(2, Policy.SCORE, [NotRunReason.LIMITED] * 2, {"u0": 90.0})
+        self.assertEqual([name for name, _ in sent], ["u0", "u1", "u1"])
+
     def test_a_request_may_wait_where_there_is_one_upstream_or_another_policy(self):
         self.bounce(1, Policy.SCORE, [])
         self.assertEqual(self.may_wait, [True])
