--- a/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/faults.py
@@ -52,7 +52,7 @@
                 _limit(world, node, fault)
         case FaultKind.LEAVE:
             for node in nodes:
-                node.upstream.is_leaving = True
+                node.upstream.leaves_at = world.agenda.now
         case FaultKind.CRASHING_REQUEST:
             _send_crashing(world, fault)
 
--- a/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
+++ b/packages/bendwind-bench/src/bendwind_bench/emulator/upstream.py
@@ -18,6 +18,8 @@
 # after some seconds: 30 to 90 ms, and 1.3 to 4.9 s, in the logs of an incident.
 CRASH_AFTER: Seconds = 0.05
 CRASH_RESTART: Seconds = 1.5
+# What an upstream that leaves is sent this long after it first said so comes too late.
+DRAIN: Seconds = 2.0
 OK = 200
 SHED = 503
 FAILED = 500
@@ -49,6 +51,7 @@
     """Answer requests as the scenario states."""
 
     __slots__ = (
+        "after_leaving",
         "agenda",
         "arrivals",
         "call",
@@ -58,7 +61,7 @@
         "fell_over",
         "generation",
         "is_down",
-        "is_leaving",
+        "leaves_at",
         "limit",
         "most_running",
         "name",
@@ -92,7 +95,8 @@
         self.slow_factor = 1.0
         self.shed_share = 0.0
         self.is_down = False
-        self.is_leaving = False
+        self.leaves_at: Seconds = math.inf
+        self.after_leaving = 0
         self.limit = LimitCount()
         self.generation = 0
         self.fell_over = 0
@@ -101,6 +105,11 @@
         if table.phases is not None:
             self._plan_phase()
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the upstream says in its answers that it leaves."""
+        return self.agenda.now >= self.leaves_at
+
     @property
     def is_cold(self) -> bool:
         """Tell whether the upstream started a short while ago."""
@@ -138,6 +147,7 @@
         """Take a request; None, with the reply made, where it is not taken."""
         self._note_arrival()
         self.limit.note_arrival(self.agenda.now)
+        self.after_leaving += self.agenda.now > self.leaves_at + DRAIN
         if target in self.crashes:
             self.crashes[target].arrived.append(self.agenda.now)
         if self.is_down:
--- a/packages/bendwind-bench/src/bendwind_bench/upstream/tests/test_stand_in.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/tests/test_stand_in.py
@@ -54,6 +54,21 @@
     def runs(self):
         return {key: count for key, count in read_runs([self.runs_file]).items()}
 
+    def test_changed_stand_in_says_in_its_answers_what_it_takes_and_that_it_leaves(self):
+        async def main():
+            async with self.running(service_ms=0.1) as (pool, _):
+                self.assertFalse((await self.call(pool)).find(b"bendwind-rate-limit"))
+                await self.change(pool, rate_limit=6.25, leaving=True)
+                answer = await self.call(pool)
+                self.assertEqual(answer.find(b"bendwind-rate-limit"), "6.25")
+                self.assertEqual(answer.find(b"bendwind-leaving"), "1")
+                await self.change(pool, rate_limit=-1.0, leaving=False)
+                self.assertFalse((await self.call(pool)).find(b"bendwind-rate-limit"))
+                counters = msgspec.json.decode((await pool.request("GET", "/.bench/counters")).body)
+                self.assertEqual(counters["while_leaving"], 1)
+
+        trio.run(main)
+
     def test_answer_echoes_request_whole_and_chunked(self):
         async def main():
             async with self.running(service_ms=0.1) as (pool, _):
