attempts, calls: a call to an upstream without a limit costs what it did

Whether an upstream has room is asked some thirty times for each attempt; each went through the turn of a limit that is not there.

--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -9,7 +9,6 @@
 too old to go by.
 """
 
-from bendwind_core.admission import is_limited
 from bendwind_core.attempts import pace as paces
 from bendwind_core.attempts.messages import HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import AskLoad, OwnerEffect
@@ -64,7 +63,7 @@
 
 def _may_ask(owner_state: OwnerState) -> bool:
     """Tell whether the upstream may be asked for its load: a question counts for its limit too."""
-    return owner_state.may_ask and not is_limited(owner_state.rate_limit)
+    return owner_state.may_ask and owner_state.rate_limit.per_second is None
 
 
 def _ask(owner_state: OwnerState, now: Seconds, effects: list[OwnerEffect]) -> None:
--- a/packages/bendwind-core/src/bendwind_core/attempts/slots.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/slots.py
@@ -53,6 +53,9 @@
     """
     if len(owner_state.running) >= (owner_state.run_limit if slots is None else slots):
         return False
+    # Asked some thirty times for each attempt, at upstreams of which nearly all need no turns.
+    if owner_state.rate_limit.per_second is None and not is_cold(owner_state.warm_up, now):
+        return True
     return _find_room_at(owner_state, 0, now) <= now
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -50,6 +50,7 @@
     has_fractions: bool = True
     has_cancel_path: bool = False
     not_forwarded: frozenset[bytes] = field(init=False)
+    notices: frozenset[bytes] = field(init=False)
 
     def __post_init__(self):
         own = (
@@ -64,6 +65,8 @@
             self.customer,
         )
         object.__setattr__(self, "not_forwarded", frozenset(name for name in own if name))
+        notices = (self.rate_limit, self.leaving)
+        object.__setattr__(self, "notices", frozenset(name for name in notices if name))
 
 
 BENDWIND_DIALECT = Dialect(
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_notice.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_notice.py
@@ -35,8 +35,7 @@
     >>> read_notice(((b"bendwind-rate-limit", b"6.2"),), BENDWIND_DIALECT).limit_per_s
     6.2
     """
-    own = (dialect.rate_limit, dialect.leaving)
-    said = [header for header in headers if header[0] in own]
+    said = [header for header in headers if header[0] in dialect.notices]
     if not said:
         return _NOTHING
     limits = [value.strip() for name, value in said if name == dialect.rate_limit]
