--- a/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
+++ b/packages/bendwind-bench/src/bendwind_bench/upstream/stand_in.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket
+import time
 import zlib
 from functools import partial
 
@@ -21,6 +22,7 @@
 RATE_LIMIT = b"Bendwind-Rate-Limit"
 LEAVING = b"Bendwind-Leaving"
 UNNAMED = "-"
+NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 Answer = tuple[int, list[tuple[bytes, bytes]], bytes]
 
@@ -42,6 +44,7 @@
         self.settings = settings
         self.executor = Executor(settings)
         self.connections = 0
+        self.born_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
         self.nursery: trio.Nursery | None = None
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -165,7 +168,8 @@
             return
         state = "draining" if self.executor.draining else "ready"
         keys = ("name", "service", "host", "port", "slots", "connections")
-        body = {key: getattr(self.settings, key) for key in keys} | {"state": state}
+        body = {key: getattr(self.settings, key) for key in keys}
+        body |= {"state": state, "born_ms": self.born_ms}
         with trio.move_on_after(ANNOUNCE_EVERY_S):
             try:
                 await send_json(node, "POST", "/v1/upstreams", body)
