calls, routing, admission: an upstream that left and comes back under its name is used again

What callers would see: an upstream of the product's own interface that said it leaves, was withdrawn and announced again without a birth, was never used any more: nothing told the next run from the one that left. An announcement after a DELETE that is not numbered begins a run now, whose birth is when it was heard of, and a run whose birth is told is another than one whose birth never was. test_upstream_runs and test_notices fail before. What finds something changes nothing any more in rate_limit; what tells a caller when to return is named for it.

--- a/packages/bendwind-core/src/bendwind_core/admission/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/__init__.py
@@ -11,7 +11,6 @@
     LimitChange,
     RateLimit,
     find_rate,
-    find_return_at,
     find_told_limit,
     find_turn_at,
     forget,
@@ -20,6 +19,7 @@
     note_named,
     note_not_named,
     note_taken,
+    tell_return_at,
 )
 from bendwind_core.admission.reserve import Arrivals, find_kept_until, note_arrival
 from bendwind_core.admission.returns import (
@@ -62,7 +62,6 @@
     "assume_cold",
     "find_kept_until",
     "find_rate",
-    "find_return_at",
     "find_room_at",
     "find_starved_rank",
     "find_told_limit",
@@ -87,5 +86,6 @@
     "note_taken",
     "note_told",
     "take_began_at",
+    "tell_return_at",
     "turns_away",
 ]
--- a/packages/bendwind-core/src/bendwind_core/admission/rate_limit.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/rate_limit.py
@@ -116,10 +116,10 @@
         return None
     if before is None:
         limit.tokens = 0.0
-        limit.counted_at = now
         limit.told_until = now
     else:
-        _refill(limit, now)
+        limit.tokens = _count_tokens(limit, now)
+    limit.counted_at = now
     limit.per_second = per_second
     return first if before is None else LimitChange.CHANGED
 
@@ -142,8 +142,8 @@
 def note_taken(limit: RateLimit, now: Seconds) -> None:
     """Note that a request goes out, whether it had waited for its turn or not."""
     if is_limited(limit):
-        _refill(limit, now)
-        limit.tokens = max(-BURST, limit.tokens - 1.0)
+        limit.tokens = max(-BURST, _count_tokens(limit, now) - 1.0)
+        limit.counted_at = now
 
 
 def find_rate(limit: RateLimit, now: Seconds) -> float:
@@ -156,8 +156,7 @@
     """Return when a request may go out that has so many others ahead of it."""
     if not is_limited(limit):
         return now
-    _refill(limit, now)
-    missing = 1.0 + ahead - limit.tokens
+    missing = 1.0 + ahead - _count_tokens(limit, now)
     if missing <= _ROUNDING:
         return now
     turn_at = now + missing / find_rate(limit, now)
@@ -168,7 +167,7 @@
     return limit.alone_from + missing / find_rate(limit, limit.alone_from)
 
 
-def find_return_at(limit: RateLimit, now: Seconds, longest: Seconds) -> Seconds:
+def tell_return_at(limit: RateLimit, now: Seconds, longest: Seconds) -> Seconds:
     """Return when a refused caller should come back: each a turn later than the one before.
 
     Told the same moment, all would come back at once, and all but one be refused again.
@@ -178,13 +177,10 @@
     return limit.told_until
 
 
-def _refill(limit: RateLimit, now: Seconds) -> None:
+def _count_tokens(limit: RateLimit, now: Seconds) -> float:
     spans = (
         (limit.counted_at, min(now, limit.alone_from)),
         (max(limit.counted_at, limit.alone_from), now),
     )
-    for begin, end in spans:
-        if end > begin:
-            limit.tokens += (end - begin) * find_rate(limit, begin)
-    limit.tokens = min(BURST, limit.tokens)
-    limit.counted_at = max(limit.counted_at, now)
+    earned = sum((end - begin) * find_rate(limit, begin) for begin, end in spans if end > begin)
+    return min(BURST, limit.tokens + earned)
--- a/packages/bendwind-core/src/bendwind_core/admission/tests/test_rate_limit.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/tests/test_rate_limit.py
@@ -4,7 +4,6 @@
 from bendwind_core.admission import (
     LimitChange,
     RateLimit,
-    find_return_at,
     find_told_limit,
     find_turn_at,
     forget,
@@ -12,6 +11,7 @@
     note_named,
     note_not_named,
     note_taken,
+    tell_return_at,
 )
 from bendwind_core.admission.rate_limit import BURST
 
@@ -111,11 +111,11 @@
 
     def test_refused_callers_are_told_to_come_back_one_after_the_other(self):
         self.name(5.0, 100.0)
-        told = [find_return_at(self.limit, 100.0, 5.0) - 100.0 for _ in range(4)]
+        told = [tell_return_at(self.limit, 100.0, 5.0) - 100.0 for _ in range(4)]
         spaces = [later - at for at, later in zip(told, told[1:], strict=False)]
         self.assertEqual([round(space, 6) for space in spaces], [0.2, 0.2, 0.2])
         for _ in range(100):
-            self.assertLessEqual(find_return_at(self.limit, 100.0, 5.0), 105.0)
+            self.assertLessEqual(tell_return_at(self.limit, 100.0, 5.0), 105.0)
 
 
 if __name__ == "__main__":
--- a/packages/bendwind-core/src/bendwind_core/attempts/arrivals.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/arrivals.py
@@ -13,7 +13,7 @@
 )
 from bendwind_core.attempts.attempt_log import EntryPeer, Fate, meet_peer, record_ended, record_live
 from bendwind_core.attempts.fencing import take_epoch
-from bendwind_core.attempts.limits import find_return_ms, name_reason, take_carried
+from bendwind_core.attempts.limits import name_reason, take_carried, tell_return_ms
 from bendwind_core.attempts.messages import AttemptId, CutReason, HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import HandOverArrived, OwnerEffect, ReplyUnknown
 from bendwind_core.attempts.owner_state import OwnerState, QueuedAttempt, is_open
@@ -99,7 +99,7 @@
 ) -> Milliseconds | None:
     """Return how long the entry node is told that a refused attempt would have waited, or None."""
     if refusal is NotRunReason.LIMITED and queued.hand_over.may_wait:
-        return find_return_ms(owner_state, now)
+        return tell_return_ms(owner_state, now)
     if refusal in (NotRunReason.BUSY, NotRunReason.LIMITED):
         return find_start_wait_ms(owner_state, queued, now)
     return None
--- a/packages/bendwind-core/src/bendwind_core/attempts/limits.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/limits.py
@@ -2,10 +2,10 @@
 
 from bendwind_core.admission import (
     LimitChange,
-    find_return_at,
     find_turn_at,
     is_limited,
     note_carried,
+    tell_return_at,
 )
 from bendwind_core.attempts.messages import HandOver, NotRunReason
 from bendwind_core.attempts.owner_events import LimitChanged, OwnerEffect
@@ -51,7 +51,7 @@
             ahead += 1
             continue
         take_off_queue(owner_state, queued)
-        wait_ms = find_return_ms(owner_state, now)
+        wait_ms = tell_return_ms(owner_state, now)
         drop_waiting(owner_state, queued, NotRunReason.LIMITED, now, effects, wait_ms)
 
 
@@ -61,7 +61,7 @@
     return NotRunReason.LIMITED if is_limit else reason
 
 
-def find_return_ms(owner_state: OwnerState, now: Seconds) -> Milliseconds:
+def tell_return_ms(owner_state: OwnerState, now: Seconds) -> Milliseconds:
     """Return in how long the caller of an attempt that the limit leaves no room should be back."""
     longest = LONGEST_MS / MILLISECONDS_PER_SECOND
-    return (find_return_at(owner_state.rate_limit, now, longest) - now) * MILLISECONDS_PER_SECOND
+    return (tell_return_at(owner_state.rate_limit, now, longest) - now) * MILLISECONDS_PER_SECOND
--- a/packages/bendwind-core/src/bendwind_core/routing/notices.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/notices.py
@@ -33,7 +33,6 @@
     if load.limit_per_s is None and not load.is_leaving:
         return
     notice = find_notice(notices, upstream) or Notice(upstream.born_ms)
-    notice.born_ms = notice.born_ms or upstream.born_ms
     notice.is_leaving = notice.is_leaving or load.is_leaving
     if load.limit_per_s is not None:
         notice.limit_per_s = None if math.isinf(load.limit_per_s) else load.limit_per_s
@@ -48,7 +47,8 @@
     notice = notices.get(upstream.name)
     if notice is None:
         return None
-    is_other_run = 0 < notice.born_ms != upstream.born_ms > 0
+    # A node that has just started may list an upstream before it has heard of its birth.
+    is_other_run = 0 < upstream.born_ms != notice.born_ms
     return None if is_other_run else notice
 
 
--- a/packages/bendwind-core/src/bendwind_core/routing/tests/test_notices.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/tests/test_notices.py
@@ -45,6 +45,17 @@
         self.assertIsNone(self.find(make_upstream(born_ms=8)))
         self.assertFalse(self.table.views["u"].is_draining)
 
+    def test_run_whose_birth_is_told_is_another_than_one_whose_birth_never_was(self):
+        self.report(limit_per_s=5.0, is_leaving=True)
+        self.assertEqual(self.find(make_upstream()), 5.0)
+        self.assertIsNone(self.find(make_upstream(born_ms=8)))
+
+    def test_listing_that_does_not_tell_the_birth_is_of_the_run_that_was_known(self):
+        self.list(make_upstream(born_ms=7))
+        self.report(limit_per_s=5.0)
+        self.list(make_upstream(incarnation=2))
+        self.assertEqual(self.find(make_upstream(incarnation=2)), 5.0)
+
     def test_upstream_that_said_it_leaves_is_not_used_whoever_lists_it_as_ready(self):
         self.report(is_leaving=True)
         self.list()
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
@@ -60,6 +60,9 @@
     def kinds(self):
         return [event.kind for event in self.recorder.events]
 
+    def say_leaving(self, name="u1"):
+        self.register.hear_leaving(self.register.owned[name])
+
 
 def in_trio(test):
     def run(self, *arguments):
@@ -272,5 +275,28 @@
             nursery.cancel_scope.cancel()
 
 
+class LeavingTest(unittest.TestCase):
+    @in_trio
+    def test_upstream_that_said_it_leaves_is_not_taken_back_by_its_own_announcements(self):
+        site = Register()
+        site.announce(sequence=0)
+        site.say_leaving()
+        site.announce(sequence=0)
+        self.assertIs(site.state(), DRAINING)
+
+    @in_trio
+    def test_one_that_is_not_numbered_begins_a_run_when_it_comes_back_after_it_has_left(self):
+        site = Register()
+        site.announce(sequence=0)
+        site.say_leaving()
+        told = site.seen[-1]
+        site.register.left("u1")
+        site.announce(sequence=0)
+        self.assertIs(site.state(), READY)
+        self.assertFalse(site.register.owned["u1"].owner_state.is_leaving)
+        self.assertGreater(site.seen[-1].born_ms, told.born_ms)
+        self.assertEqual(site.kinds().count(EventKind.UPSTREAM_LEAVING), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -84,6 +84,10 @@
             return True
         elif is_later_run(owned, news):
             self._begin_run(owned, news)
+        elif owned.has_left and not news.sequence:
+            # It has said goodbye and tells no birth: that of its next run is when it is heard of.
+            self._begin_run(owned, news)
+            owned.born_ms = max(owned.born_ms + 1, self.recorder.clock.wall_ms())
         elif claims_other_service(owned, news):
             self.recorder.record(
                 EventKind.ANNOUNCEMENT_REFUSED, upstream=news.name, detail=news.service
