--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_notices_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_notices_path.py
@@ -1,26 +1,18 @@
 import unittest
+from dataclasses import replace
 
 import trio
 
 from bendwind_core.timeline import EventKind
 from bendwind_core.world import Service, UpstreamState
-from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
+from bendwind_node.calls.dialect import BENDWIND_DIALECT
 from bendwind_node.calls.owned_upstream import Announcement
+from bendwind_node.calls.tests import test_dialect
 from bendwind_node.calls.tests.fakes import CallBench, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request, run_server
 from bendwind_node.calls.upstream_notice import UpstreamNotice, read_notice
 
-DIALECT = Dialect(
-    timeout_ms=b"wait",
-    not_run=b"unrun",
-    not_run_value=None,
-    service=b"service",
-    request_id=b"id",
-    upstream=b"meant",
-    answering_upstream=b"me",
-    rate_limit=b"limit",
-    leaving=b"leaving",
-)
+DIALECT = replace(test_dialect.DIALECT, rate_limit=b"limit", leaving=b"leaving")
 LONG = b"9" * 10_000
 
 
