--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -76,6 +76,7 @@
     incarnation refuses it.
     `accept_if_slow` requests the owner to accept the attempt even if the upstream has stalled, or
     could start it at once but would answer late.
+    `version` is the configuration by which the entry node resolved the request.
     `body` is the first part of the request body; `more` says that BodyPart messages follow.
     `route` is the name of the route that the call matched, and `origin` the service whose upstream
     runs on the entry node's instance, if any. `suspicion` is the entry node's report on the request
--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -91,6 +91,13 @@
     version: int
 
 
+class ConfigurationDropped(msgspec.Struct, frozen=True):
+    """Report that a node could not apply a newer configuration that it received."""
+
+    version: int
+    reason: str
+
+
 class CustomersChanged(msgspec.Struct, frozen=True):
     """Report that a node has applied changed customers; `names` lists those that differ.
 
@@ -163,6 +170,7 @@
     | VotersReceived
     | SendTo
     | ConfigurationApplied
+    | ConfigurationDropped
     | CustomersChanged
     | UpstreamsChanged
     | SuspectsReceived
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -26,6 +26,7 @@
     AttachmentChanged,
     ClaimGroupsChanged,
     ConfigurationApplied,
+    ConfigurationDropped,
     CustomersChanged,
     FreshnessChanged,
     InstancesReceived,
@@ -317,22 +318,41 @@
         view.confirmed_at = confirmed_at
 
 
+def _find_reason_to_drop(view: NodeView, message: ConfigurationChanged) -> str | None:
+    if message.watch != view.watch_sequence:
+        return f"for watch {message.watch}, not {view.watch_sequence}"
+    known = view.version if view.is_complete else 0
+    if message.base > known:
+        return f"base {message.base}, not {known}"
+    known_customers = max(_customers_version(view), 0)
+    if message.customers.base > known_customers:
+        return f"customers' base {message.customers.base}, not {known_customers}"
+    return None
+
+
+def _report_dropped(
+    view: NodeView, message: ConfigurationChanged, reason: str, effects: list[ViewEffect]
+) -> None:
+    if message.version > view.version:
+        effects.append(ConfigurationDropped(message.version, reason))
+
+
 def _handle_configuration(
     view: NodeView, message: ConfigurationChanged, effects: list[ViewEffect]
 ) -> None:
     if watch_cache.put_claim_groups(view.cache, message.claim_groups):
         effects.append(ClaimGroupsChanged())
-    is_older = message.version < view.version
-    is_for_other_watch = message.watch != view.watch_sequence
-    known = view.version if view.is_complete else 0
-    if is_older or is_for_other_watch or message.base > known:
+    if message.version < view.version:
         return
-    if message.customers.base > max(_customers_version(view), 0):
+    reason = _find_reason_to_drop(view, message)
+    if reason is not None:
+        _report_dropped(view, message, reason, effects)
         return
     had_customers = view.customers is not None
     differing = watch_cache.put_customers(view.cache, message.customers)
     if differing is None:
         view.has_uncertain_customers = True
+        _report_dropped(view, message, "other customers held", effects)
         return
     view.has_uncertain_customers = False
     if differing or had_customers is not (view.customers is not None):
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_slow_node.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_slow_node.py
@@ -5,6 +5,7 @@
     AttachmentChanged,
     ConfigurationApplied,
     ConfigurationChanged,
+    ConfigurationDropped,
     Heartbeat,
     HeartbeatReply,
     LeaseTimes,
@@ -86,6 +87,16 @@
         self.assertNotEqual(self.view.voter, home)
         self.assertIn(ConfigurationApplied(5), self.push(5, home))
 
+    def test_newer_configuration_that_cannot_be_applied_is_reported(self):
+        self.attach()
+        for message, reason in (
+            (ConfigurationChanged(5, (), watch=7), "for watch 7, not 1"),
+            (ConfigurationChanged(5, (), watch=1, base=4), "base 4, not 0"),
+        ):
+            effects = self.step(MessageReceived(self.view.voter, message))
+            self.assertEqual(effects[1:], [ConfigurationDropped(5, reason)])
+        self.assertEqual(self.view.version, 0)
+
     def test_node_does_not_return_for_late_reply_with_old_confirmation(self):
         beat = self.attach()
         self.advance(TIMES.reply_timeout - 0.3)
--- a/packages/bendwind-core/src/bendwind_core/timeline/facts.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/facts.py
@@ -26,9 +26,10 @@
 class CallFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="call"):
     """Hold the end of a call: the request, the outcome of each attempt and the caller's result.
 
-    `version` is the version of the active configuration, `age_ms` the time since that version was
-    last confirmed to be the newest. `quota` names the quota that applied to the call and the voter
-    that made the final decision, if any.
+    `version` is the configuration by which the request was resolved, `age_ms` the time since that
+    version was last confirmed to be the newest, and `newest` a newer version that a peer had stated
+    by then, 0 if none had: the three tell why a request went by an old route. `quota` names the
+    quota that applied to the call and the voter that made the final decision, if any.
     Units: `ms` counts from the call's arrival; `timeout_ms` and `target_ms` are the values at its
     start, and `tried_ms` is how long the caller had already been trying, derived from the time that
     it had left.
@@ -48,6 +49,7 @@
     rank: int = 0
     customer: str = ""
     quota: str = ""
+    newest: int = 0
 
 
 class DispatchFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="dispatch"):
@@ -55,7 +57,8 @@
 
     `slow_factor` is the pace that the upstream last reported, `report_age_ms` the report's age.
     `limit` is how many of the `slots` attempts may use, 0 for all; `rank` and `customer` are those
-    of the hand-over.
+    of the hand-over. `version` is the owner's configuration, `entry_version` that of the entry node
+    when it sent the hand-over, 0 if both are the same.
     Units: milliseconds; `waited_ms` was spent in the queue, `ms` in the upstream.
     """
 
@@ -70,6 +73,8 @@
     limit: int = 0
     rank: int = 0
     customer: str = ""
+    version: int = 0
+    entry_version: int = 0
 
 
 class RefusalFacts(msgspec.Struct, frozen=True, omit_defaults=True, tag="refusal"):
--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -39,6 +39,7 @@
         EventKind.MEMBER_LOST,
         EventKind.DIAL_FAILED,
         EventKind.FRAME_REFUSED,
+        EventKind.INBOX_FULL,
         EventKind.SETTINGS_REFUSED,
         EventKind.OPERATOR_REFUSED,
         EventKind.KEYS_REFUSED,
--- a/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_delivery.py
@@ -206,7 +206,7 @@
             call=run.call.call_id,
             detail=detail,
             request=run.request_id,
-            facts=make_call_facts(run, status, self.entry.membership, now),
+            facts=make_call_facts(run, status, now),
         )
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_facts.py
@@ -18,7 +18,6 @@
 from bendwind_node.calls import headers as names
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.dialect import Dialect
-from bendwind_node.membership import MembershipTask
 
 
 def find_request_id(headers: tuple[Header, ...], dialect: Dialect) -> str:
@@ -28,9 +27,7 @@
     return (names.find_header(headers, dialect.request_id) or b"").decode("latin-1")
 
 
-def make_call_facts(
-    run: CallRun, status: int, membership: MembershipTask, now: Seconds
-) -> CallFacts:
+def make_call_facts(run: CallRun, status: int, now: Seconds) -> CallFacts:
     """Return the facts of a finished call."""
     call = run.call
     target_ms = None
@@ -45,13 +42,14 @@
         _convert_to_ms(now - run.arrived_at),
         _convert_to_ms(call.deadline_at - run.arrived_at),
         target_ms,
-        membership.view.version,
-        _round_ms(membership.confirmed_age_ms()),
+        run.basis.version,
+        _round_ms(run.basis.age_ms),
         tuple(_make_attempt_facts(run, attempt) for attempt in call.attempts),
         tried_ms,
         call.rank,
         call.customer,
         _describe_quota(run),
+        run.basis.newest,
     )
 
 
@@ -76,9 +74,12 @@
 
 
 def make_dispatch_facts(
-    owner_state: OwnerState, hand_over: HandOver, expires_at: Seconds, now: Seconds
+    owner_state: OwnerState, hand_over: HandOver, expires_at: Seconds, version: int, now: Seconds
 ) -> DispatchFacts:
-    """Return the facts known at the start of a dispatch; its duration is added later."""
+    """Return the facts known at the start of a dispatch; its duration is added later.
+
+    `version` is the owner's configuration.
+    """
     arrived_at = expires_at - hand_over.remaining_ms / MILLISECONDS_PER_SECOND
     return DispatchFacts(
         hand_over.route,
@@ -91,6 +92,8 @@
         limit=_find_run_limit(owner_state),
         rank=int(hand_over.rank),
         customer=hand_over.customer,
+        version=version,
+        entry_version=0 if hand_over.version == version else hand_over.version,
     )
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -25,6 +25,7 @@
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerRequest
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.refusal import Refusal
+from bendwind_node.membership import ConfigurationBasis
 
 SERVICE_WAIT: Seconds = 2.0
 SERVICE_POLL: Seconds = 0.01
@@ -48,11 +49,15 @@
 
 
 class ResolvedRequest(msgspec.Struct, frozen=True):
-    """Hold the service that serves a request, the rule that applies to it, and its customer."""
+    """Hold a request's service, the rule that applies to it and its customer.
+
+    `basis` is the configuration that these were taken from.
+    """
 
     service: Service
     rule: Rule
     customer: Customer | None = None
+    basis: ConfigurationBasis = ConfigurationBasis()
 
 
 class CallIntake:
@@ -188,6 +193,7 @@
             arrived_at,
             find_request_id(request.headers, self.entry.dialect),
             span=span,
+            basis=target.basis,
         )
         if call.has_key:
             run.key = _scope_key(call.customer, key)
@@ -223,13 +229,14 @@
         # Authentication comes after the wait for the service: only the rules of the service state
         # whether a key is needed, and a node without a configuration learns the keys in this wait.
         service = await self._find_service(request.headers)
+        basis = self.entry.membership.read_basis()
         rule = None if service is None else find_rule(service, request.method, request.path)
         authenticated = self._authenticate(request, is_open=rule is not None and rule.is_open)
         if authenticated.is_error():
             return authenticated
         if rule is None or service.routed_only:
             return Error(self._refuse_if_fresh(_UNKNOWN_SERVICE))
-        return Ok(ResolvedRequest(service, rule, authenticated.ok))
+        return Ok(ResolvedRequest(service, rule, authenticated.ok, basis))
 
     def _refuse_if_fresh(self, refusal: Refusal) -> Refusal:
         """Return the refusal if the configuration is fresh, otherwise a refusal as stale."""
@@ -240,6 +247,7 @@
     async def _resolve_by_route(self, request: CallerRequest) -> Result[ResolvedRequest, Refusal]:
         """Resolve a request by the routes; wait briefly for a service that is not known yet."""
         table = self.entry.routes
+        basis = self.entry.membership.read_basis()
         route = find_route(table, names.find_host(request.headers), request.path)
         if route is None:
             return Error(self._refuse_if_fresh(_NO_ROUTE))
@@ -257,7 +265,7 @@
             service = membership.services.get(name)
         if service is None:
             return Error(Refusal.not_run(NotRunReason.STALE))
-        return Ok(ResolvedRequest(service, route.rule, authenticated.ok))
+        return Ok(ResolvedRequest(service, route.rule, authenticated.ok, basis))
 
     def _authenticate(
         self, request: CallerRequest, *, is_open: bool
--- a/packages/bendwind-node/src/bendwind_node/calls/call_run.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_run.py
@@ -19,6 +19,7 @@
 from bendwind_core.core import Seconds
 from bendwind_core.quotas import Grant
 from bendwind_node.calls.body_flow import Outflow
+from bendwind_node.membership import ConfigurationBasis
 
 
 class CallRun(msgspec.Struct, eq=False):
@@ -26,6 +27,7 @@
 
     `request_id` is the caller's own id of its request, `span` the time that the caller has, and
     `is_inner` is true once an owner has classified the request as a call made by an upstream.
+    `basis` is the configuration by which the request was resolved.
     `quota_grant` states which voter granted the token of the customer's quota.
     """
 
@@ -39,6 +41,7 @@
     request_id: str = ""
     is_inner: bool = False
     span: CallerTime | None = None
+    basis: ConfigurationBasis = ConfigurationBasis()
     key: str = ""
     signature: bytes = b""
     fingerprint: bytes = b""
--- a/packages/bendwind-node/src/bendwind_node/calls/call_task.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_task.py
@@ -84,12 +84,16 @@
 
     def _make_facts(self, refusal: Refusal, run: CallRun | None) -> CallFacts:
         """Return the facts of a refused request; before its admission only its status is known."""
-        membership = self.entry.membership
         if run is not None:
-            facts = make_call_facts(run, refusal.status, membership, trio.current_time())
+            facts = make_call_facts(run, refusal.status, trio.current_time())
             return replace(facts, quota=refusal.quota)
-        version, age_ms = membership.view.version, membership.confirmed_age_ms()
-        return CallFacts(status=refusal.status, version=version, age_ms=age_ms)
+        basis = self.entry.membership.read_basis()
+        return CallFacts(
+            status=refusal.status,
+            version=basis.version,
+            age_ms=basis.age_ms,
+            newest=basis.newest,
+        )
 
     async def _run(self, exchange: CallerExchange, run: CallRun) -> None:
         call = run.call
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -332,7 +332,7 @@
             run.headers,
             effect.remaining_ms,
             run.call.rule.repeat,
-            self.membership.view.version,
+            run.basis.version,
             first,
             bool(rest),
             accept_if_slow=effect.accept_if_slow,
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -1,6 +1,7 @@
 """Run the owner node: step the state of each local upstream and execute the effects."""
 
 import math
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -70,6 +71,7 @@
     probe_budget: ProbeBudget
     dialect: Dialect = BENDWIND_DIALECT
     send_suspects: SendSuspects = lambda reports: False
+    find_version: Callable[[], int] = lambda: 0
     replies: ReplyPath = msgspec.field(default_factory=ReplyPath)
     outflows: dict[AttemptId, Outflow] = msgspec.field(default_factory=dict)
     probes_answered: int = 0
@@ -363,7 +365,9 @@
         self.recorder.record(EventKind.DISPATCH_STARTED, call=call, upstream=owned.upstream.name)
         epoch = owned.owner_state.running[attempt].epoch
         started_at = trio.current_time()
-        facts = make_dispatch_facts(owned.owner_state, hand_over, scope.deadline, started_at)
+        facts = make_dispatch_facts(
+            owned.owner_state, hand_over, scope.deadline, self.find_version(), started_at
+        )
         outflow = Outflow()
         self.outflows[attempt] = outflow
         # The upstream is sent the time that remains after the wait in the queue.
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/fakes.py
@@ -21,6 +21,7 @@
 from bendwind_node.calls.owned_upstream import Announcement
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.upstream_register import UpstreamRegister
+from bendwind_node.membership import ConfigurationBasis
 
 MIB = 1 << 20
 
@@ -47,6 +48,9 @@
     def confirmed_age_ms(self):
         return 0.0 if self.fresh else None
 
+    def read_basis(self):
+        return ConfigurationBasis(self.view.version, self.confirmed_age_ms())
+
     routing: object = EMPTY_ROUTING
 
     def watch(self, service):
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_facts.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_facts.py
@@ -14,6 +14,7 @@
     make_dispatch_facts,
     make_refusal_facts,
 )
+from bendwind_node.membership import ConfigurationBasis
 
 UPSTREAM = Upstream("u", "s", Instance("o", "north", "", 0, 1), 3, 30)
 
@@ -53,17 +54,18 @@
     def test_facts_include_rank_customer_and_slot_limit(self):
         message = make_hand_over(1, rank=2, customer="mill")
         refusal = make_refusal_facts(self.owner_state, message, NotRunReason.BUSY, 0.0)
-        dispatch = make_dispatch_facts(self.owner_state, message, 0.4, 0.0)
+        dispatch = make_dispatch_facts(self.owner_state, message, 0.4, 9, 0.0)
         for facts in (refusal, dispatch):
             self.assertEqual((facts.rank, facts.customer), (2, "mill"))
             self.assertEqual((facts.limit, facts.slots), (2, 3))
+        self.assertEqual((dispatch.version, dispatch.entry_version), (9, 1))
 
     def test_default_values_are_omitted(self):
         self.owner_state.slot_share = 1.0
         dispatch = msgspec.json.encode(
-            make_dispatch_facts(self.owner_state, make_hand_over(1), 0.4, 0.0)
+            make_dispatch_facts(self.owner_state, make_hand_over(1, version=9), 0.4, 9, 0.0)
         )
-        for name in (b"rank", b"customer", b"limit"):
+        for name in (b"rank", b"customer", b"limit", b"entry_version"):
             self.assertNotIn(name, dispatch)
 
 
@@ -82,10 +84,12 @@
             ended_at=0.15,
         )
         call.attempts += [busy, Attempt(AttemptId("e", 1, 2), UPSTREAM, sent_at=0.15)]
-        run = types.SimpleNamespace(call=call, arrived_at=0.0, heads={}, quota_grant=None)
-        view = types.SimpleNamespace(version=7)
-        membership = types.SimpleNamespace(view=view, confirmed_age_ms=lambda: None)
-        facts = make_call_facts(run, 503, membership, 0.2)
+        basis = ConfigurationBasis(7, 1900.04, 9)
+        run = types.SimpleNamespace(
+            call=call, arrived_at=0.0, heads={}, quota_grant=None, basis=basis
+        )
+        facts = make_call_facts(run, 503, 0.2)
+        self.assertEqual((facts.version, facts.age_ms, facts.newest), (7, 1900.0, 9))
         self.assertEqual((facts.rank, facts.customer), (3, "mill"))
         self.assertEqual([attempt.wait_ms for attempt in facts.attempts], [41.3, None])
         self.assertEqual(msgspec.json.encode(facts).count(b"wait_ms"), 1)
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -195,6 +195,7 @@
         budget,
         extension.dialect,
         membership.send_suspects,
+        lambda: membership.view.version,
     )
     dispatcher.quotas = create_node_quota_task(
         _make_quota_bounds(settings),
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -1,6 +1,5 @@
 """Dispatch each message from a peer to the task that handles its type."""
 
-import contextlib
 import typing
 from collections.abc import Callable
 
@@ -24,6 +23,7 @@
 from bendwind_core.messages import Hello, PeerMessage
 from bendwind_core.quotas import QuotaLoan, QuotaLoanRequest, QuotaReply, QuotaRequest, QuotaReturn
 from bendwind_core.routing import LoadProbe, LoadReport
+from bendwind_core.timeline import EventKind
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
@@ -61,7 +61,10 @@
 
 
 class Dispatcher(msgspec.Struct, eq=False):
-    """Receive the events of all links of the process; implements `links.Receiver`."""
+    """Receive the events of all links of the process; implements `links.Receiver`.
+
+    `full_inboxes` names the tasks whose inbox refused the last message sent to it.
+    """
 
     own_name: str
     hub: LinkHub | None = None
@@ -72,6 +75,7 @@
     claims: ClaimTask | None = None
     control: ControlService | None = None
     quotas: NodeQuotaTask | None = None
+    full_inboxes: set[str] = msgspec.field(default_factory=set)
     handlers: dict[type, Callable[[Link, PeerMessage], None]] = msgspec.field(default_factory=dict)
 
     def send(self, to: str, message: PeerMessage) -> bool:
@@ -156,7 +160,7 @@
         self.probes.receive(message)
 
     def _dispatch_to_membership(self, link: Link, message: PeerMessage) -> None:
-        _enqueue(self.membership.inbox, (link.peer.name, message))
+        self._enqueue("membership", self.membership.inbox, (link.peer.name, message))
 
     def _dispatch_to_membership_and_control(self, link: Link, message: PeerMessage) -> None:
         self._dispatch_to_membership(link, message)
@@ -164,7 +168,7 @@
             self._dispatch_to_control(link, message)
 
     def _dispatch_to_claims(self, link: Link, message: PeerMessage) -> None:
-        _enqueue(self.claims.inbox, PeerClaimMessage(link.peer.name, message))
+        self._enqueue("claims", self.claims.inbox, PeerClaimMessage(link.peer.name, message))
 
     def _dispatch_to_quotas(self, link: Link, message: PeerMessage) -> None:
         self.quotas.receive(link.peer.name, message)
@@ -176,10 +180,27 @@
         if isinstance(message, _TO_PLACER):
             self.control.placer.receive(message)
         elif isinstance(message, _TO_REGISTRY):
-            _enqueue(self.control.registry.inbox, (link.peer.name, message))
+            self._enqueue("registry", self.control.registry.inbox, (link.peer.name, message))
         else:
             self.control.voter.deliver(link.peer.name, message)
 
+    def _enqueue(self, task: str, inbox: trio.MemorySendChannel, item: object) -> None:
+        """Queue a message for a task; drop it if the inbox is full.
+
+        The senders of these messages repeat them until they are answered. Only the first of a
+        series of dropped messages is recorded.
+        """
+        try:
+            inbox.send_nowait(item)
+            self.full_inboxes.discard(task)
+        except trio.BrokenResourceError:
+            # The task has ended, and the process is stopping.
+            return
+        except trio.WouldBlock:
+            if task not in self.full_inboxes:
+                self.full_inboxes.add(task)
+                self.hub.recorder.record(EventKind.INBOX_FULL, detail=task)
+
 
 class _OwnPeer(msgspec.Struct, frozen=True):
     name: str
@@ -193,10 +214,3 @@
     def __init__(self, name: str):
         self.peer = _OwnPeer(name)
         self.is_dialed = False
-
-
-def _enqueue(inbox: trio.MemorySendChannel, item: object) -> None:
-    # The senders of these messages repeat them until they are answered, so that a message may be
-    # dropped if the inbox is full.
-    with contextlib.suppress(trio.WouldBlock, trio.BrokenResourceError):
-        inbox.send_nowait(item)
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_dispatcher.py
@@ -2,11 +2,14 @@
 import typing
 import unittest
 
+import trio
+
 from bendwind_core.claims import ClaimMessage
 from bendwind_core.membership import messages as member
 from bendwind_core.messages import Goodbye, Hello
 from bendwind_core.messages.codec import PeerMessage
 from bendwind_core.quotas import QuotaLoan, QuotaLoanRequest, QuotaReply, QuotaRequest, QuotaReturn
+from bendwind_core.timeline import EventKind
 from bendwind_node.daemon.dispatcher import Dispatcher
 
 MEMBERSHIP_MESSAGES = (
@@ -55,5 +58,23 @@
         self.assertIsNone(self.choose_handler(Goodbye))
 
 
+class FullInboxTest(unittest.TestCase):
+    def test_first_message_dropped_by_a_full_inbox_is_recorded(self):
+        recorded = []
+        dispatcher = Dispatcher("n1")
+        recorder = types.SimpleNamespace(
+            record=lambda kind, detail: recorded.append((kind, detail))
+        )
+        dispatcher.hub = types.SimpleNamespace(recorder=recorder)
+        inbox, outbox = trio.open_memory_channel(1)
+        for _ in range(3):
+            dispatcher._enqueue("membership", inbox, "message")
+        self.assertEqual(recorded, [(EventKind.INBOX_FULL, "membership")])
+        outbox.receive_nowait()
+        for _ in range(2):
+            dispatcher._enqueue("membership", inbox, "message")
+        self.assertEqual(len(recorded), 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -285,8 +285,8 @@
         table = self.dialed if link.is_dialed else self.accepted
         old = table.get(link.peer.name)
         if old is not None:
+            old.close("replaced")
             self._close(old)
-            old.close()
         table[link.peer.name] = link
         self.unreachable_peers.discard(link.peer.name)
         detail = f"{link.peer.name}, compressed" if link.is_compressed else link.peer.name
@@ -302,7 +302,8 @@
             return
         del table[link.peer.name]
         link.is_open = False
-        self.recorder.record(EventKind.LINK_CLOSED, detail=link.peer.name)
+        reason = f": {link.close_reason}" if link.close_reason else ""
+        self.recorder.record(EventKind.LINK_CLOSED, detail=link.peer.name + reason)
         self.receiver.link_closed(link)
 
     async def _exchange(
@@ -339,7 +340,7 @@
         while link.is_open:
             first = await self._next_message(link, receive_channel)
             if first is None:
-                link.close()
+                link.close("idle")
                 return
             batch = [first, *_pop_queued_messages(receive_channel)]
             try:
@@ -410,7 +411,7 @@
         if is_answered:
             link.record_reply()
         else:
-            link.close()
+            link.close("no pong")
 
 
 async def _flush(link: Link) -> None:
--- a/packages/bendwind-node/src/bendwind_node/links/link.py
+++ b/packages/bendwind-node/src/bendwind_node/links/link.py
@@ -24,7 +24,8 @@
     """Hold one open link; the dialer's epoch orders the links of a pair of processes.
 
     `unwritten_count` is the number of messages that the link accepted and has not yet written to
-    its connection.
+    its connection. `close_reason` says why this process closed the link, empty if the peer or the
+    network did.
     `on_reply_awaited` is called when the link begins to wait for a message or pong of the peer.
     Units: `awaiting_reply_since` is the time of the first send after which nothing was received,
     in seconds of trio's clock.
@@ -42,6 +43,7 @@
     awaiting_reply_since: Seconds | None = None
     is_being_checked: bool = False
     unwritten_count: int = 0
+    close_reason: str = ""
 
     @property
     def check_due_at(self) -> Seconds | None:
@@ -66,7 +68,7 @@
         try:
             self.send_channel.send_nowait(message)
         except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
-            self.close()
+            self.close("queue full")
             return False
         self.unwritten_count += 1
         if self.awaiting_reply_since is None:
@@ -74,9 +76,10 @@
             self.on_reply_awaited()
         return True
 
-    def close(self) -> None:
+    def close(self, reason: str = "") -> None:
         """Close the link and stop its tasks; messages still queued are lost."""
         self.is_open = False
+        self.close_reason = self.close_reason or reason
         self.scope.cancel()
 
 
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Mapping
 
+import msgspec
 import trio
 
 from bendwind_core.claims import ClaimGroup
@@ -11,6 +12,7 @@
 from bendwind_core.membership import (
     AttachmentChanged,
     ConfigurationApplied,
+    ConfigurationDropped,
     CustomersChanged,
     FreshnessChanged,
     LeaseTimes,
@@ -48,6 +50,18 @@
 _NAMES_SHOWN = 8
 
 
+class ConfigurationBasis(msgspec.Struct, frozen=True):
+    """Hold what a node knew of the configuration when it decided something.
+
+    `newest` is a newer version that a peer had stated, 0 if none had.
+    Units: `age_ms` is the age of the proof of freshness in milliseconds, None without one.
+    """
+
+    version: int = 0
+    age_ms: Milliseconds | None = None
+    newest: int = 0
+
+
 class MembershipTask:
     """Own a node's view; `inbox` receives (sender, message) from the peer links."""
 
@@ -94,6 +108,9 @@
                 self.recorder.record(EventKind.VOTER_CHANGED, detail=f"{voter}: {reason}")
             case ConfigurationApplied(version=version):
                 self.recorder.record(EventKind.CONFIGURATION_APPLIED, detail=str(version))
+            case ConfigurationDropped(version=version, reason=reason):
+                detail = f"{version}: {reason}"
+                self.recorder.record(EventKind.CONFIGURATION_DROPPED, detail=detail)
             case CustomersChanged():
                 detail = _describe_customers(effect)
                 self.recorder.record(EventKind.CUSTOMERS_CHANGED, detail=detail)
@@ -115,6 +132,12 @@
         """Return the age of the proof of freshness, None without one."""
         return self.view.confirmed_age_ms(trio.current_time())
 
+    def read_basis(self) -> ConfigurationBasis:
+        """Return the configuration on which a decision made now is based."""
+        view = self.view
+        newest = view.newest_peer_version if view.newest_peer_version > view.version else 0
+        return ConfigurationBasis(view.version, self.confirmed_age_ms(), newest)
+
     def list_voters(self) -> tuple[str, ...]:
         """List the voters in the order of preference, rotated to begin with the one in use."""
         attachment = self.view.attachment
