--- a/packages/bendwind-node/src/bendwind_node/calls/assembly.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/assembly.py
@@ -5,11 +5,13 @@
 from msgspec.structs import replace
 
 from bendwind_core.attempts import AttemptId, BodyPart, HandOver, NotRunReason
-from bendwind_core.core import Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
 from bendwind_node.calls.body_flow import ByteBudget, Inflow
+from bendwind_node.calls.body_share import BodyShare, create_body_share
 from bendwind_node.calls.time_left import deduct_time
 
 MAX_INCOMPLETE_HAND_OVERS = 256
+DEFAULT_LINK_MBPS = 1000.0
 
 
 class Assembly(msgspec.Struct, eq=False):
@@ -20,16 +22,23 @@
     inflow: Inflow
     started_at: Seconds
 
+    @property
+    def expires_at(self) -> Seconds:
+        """Return the time at which the caller's time ends."""
+        return self.started_at + self.hand_over.remaining_ms / MILLISECONDS_PER_SECOND
+
 
 class AssemblyTable(msgspec.Struct, eq=False):
     """Hold the incomplete hand-overs of one owner node, limited in number and in bytes.
 
-    None of them has started, so each may be refused as not run or dropped.
+    None of them has started, so each may be refused as not run or dropped. `share` limits how much
+    of their bodies may be under way.
     """
 
     body_limit: int
     budget: ByteBudget
     open: dict[AttemptId, Assembly] = msgspec.field(default_factory=dict)
+    share: BodyShare = msgspec.field(default_factory=lambda: create_body_share(DEFAULT_LINK_MBPS))
 
     def start(self, hand_over: HandOver, epoch: int, now: Seconds) -> Result[None, NotRunReason]:
         """Start an assembly with the first part of the body, which the hand-over contains."""
@@ -39,6 +48,8 @@
         if not inflow.append(0, hand_over.body):
             return Error(NotRunReason.OVERLOADED)
         self.open[hand_over.attempt] = Assembly(hand_over, epoch, inflow, now)
+        if not hand_over.body:
+            self.share.open(hand_over.attempt)
         return Ok(None)
 
     def add(
@@ -51,6 +62,7 @@
         if not assembly.inflow.append(part.index, part.data):
             self.drop(part.attempt)
             return Error(NotRunReason.OVERLOADED)
+        self.share.record_arrival(part.attempt, len(part.data))
         if part.more:
             return Ok(None)
         self.drop(part.attempt)
@@ -63,9 +75,25 @@
     def drop(self, attempt: AttemptId) -> None:
         """Remove a hand-over and free its bytes."""
         assembly = self.open.pop(attempt, None)
+        self.share.close(attempt)
         if assembly is not None:
             assembly.inflow.release()
 
+    def is_credited_by_share(self, attempt: AttemptId) -> bool:
+        """Return whether the entry node sends a body only as the share permits."""
+        return attempt in self.share.credits
+
+    def grant_credits(self) -> list[tuple[Assembly, int]]:
+        """Return the hand-overs whose bodies may go on, with the credit of each."""
+        return [(self.open[attempt], credit) for attempt, credit in self.share.grant()]
+
+    def pop_expired(self, now: Seconds) -> list[Assembly]:
+        """Remove and return the hand-overs whose time has ended before their body was complete."""
+        expired = [assembly for assembly in self.open.values() if now >= assembly.expires_at]
+        for assembly in expired:
+            self.drop(assembly.hand_over.attempt)
+        return expired
+
     def drop_by_entry(self, entry: str) -> None:
         """Remove all hand-overs of an entry node whose link broke."""
         for attempt in [attempt for attempt in self.open if attempt.entry == entry]:
--- a/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
@@ -86,18 +86,18 @@
         return b"".join(self.parts)
 
 
-def split_into_parts(body: bytes) -> tuple[bytes, ...]:
-    """Split a body into parts of at most PART_BYTES."""
-    return tuple(body[start : start + PART_BYTES] for start in range(0, len(body), PART_BYTES))
+def split_into_parts(body: bytes, part_bytes: int = PART_BYTES) -> tuple[bytes, ...]:
+    """Split a body into parts of at most `part_bytes`."""
+    return tuple(body[start : start + part_bytes] for start in range(0, len(body), part_bytes))
 
 
-def split_first_part(body: bytes) -> tuple[bytes, tuple[bytes, ...]]:
+def split_first_part(body: bytes, part_bytes: int = PART_BYTES) -> tuple[bytes, tuple[bytes, ...]]:
     """Split a body into the part that is sent with the head and the parts that follow.
 
     >>> split_first_part(b"ab")
     (b'ab', ())
     """
-    if len(body) <= PART_BYTES:
+    if len(body) <= part_bytes:
         return body, ()
-    parts = split_into_parts(body)
+    parts = split_into_parts(body, part_bytes)
     return parts[0], parts[1:]
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -43,6 +43,7 @@
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Service, Upstream, combine_ranks
 from bendwind_node.calls.body_flow import Outflow, split_first_part, split_into_parts
+from bendwind_node.calls.body_share import BodyPacer
 from bendwind_node.calls.call_run import CallRun
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import format_attempt
@@ -103,6 +104,7 @@
     origin_service: str = ""
     far_body_bytes: int = DEFAULT_FAR_BODY_BYTES
     quotas: NodeQuotaTask | None = None
+    pacer: BodyPacer = field(default_factory=BodyPacer)
     routes: RouteTable = field(default_factory=RouteTable)
     refused_callers: RefusedCallers = field(default_factory=RefusedCallers)
     unknown_keys: int = 0
@@ -319,8 +321,11 @@
         upstream = effect.upstream
         owner = upstream.owner
         is_body_withheld = self._withholds_body(run, effect)
+        part_bytes = self.pacer.part_bytes
         first, rest = (
-            (b"", split_into_parts(run.body)) if is_body_withheld else split_first_part(run.body)
+            (b"", split_into_parts(run.body, part_bytes))
+            if is_body_withheld
+            else split_first_part(run.body, part_bytes)
         )
         hand_over = HandOver(
             effect.attempt,
@@ -379,12 +384,12 @@
             merge_report(self.owner.register.suspects, report, now)
 
     def _withholds_body(self, run: CallRun, effect: ev.SendHandOver) -> bool:
-        """Return whether the body is sent only after the owner has accepted the request.
+        """Return whether the body is sent only as the owner permits.
 
-        The body of a refused request would load the links of both nodes without any use.
+        The body of a refused request would load the network links of both instances without any
+        use, and an owner has to limit how many bodies are sent to it at a time.
         """
-        is_far = effect.upstream.owner.data_centre != self.own.data_centre
-        return self._has_long_body(run) and (is_far or not effect.may_wait)
+        return self._has_long_body(run) and effect.upstream.owner.name != self.own.name
 
     def _has_long_body(self, run: CallRun) -> bool:
         return len(run.body) > self.far_body_bytes
@@ -395,6 +400,8 @@
         outflow = run.outflows[attempt]
         for number, part in enumerate(parts, start=1):
             index = await outflow.consume_credit(len(part))
+            if owner != self.own.name:
+                await self.pacer.wait(len(part))
             if attempt.sequence not in self.runs:
                 return
             self.send(owner, BodyPart(attempt, index, part, number < len(parts)))
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -34,7 +34,7 @@
 from bendwind_core.timeline import DispatchFacts, EventKind, Recorder
 from bendwind_core.world import Instance, LoadSample
 from bendwind_node.calls.assembly import AssemblyTable
-from bendwind_node.calls.body_flow import WINDOW_BYTES, Outflow
+from bendwind_node.calls.body_flow import Outflow
 from bendwind_node.calls.call_facts import (
     find_request_id,
     make_dispatch_facts,
@@ -99,6 +99,7 @@
         if not self.replies.close(link):
             return
         self.assemblies.drop_by_entry(link.peer.name)
+        self._send_credits()
         for attempt, outflow in self.outflows.items():
             if attempt.entry == link.peer.name:
                 outflow.mark_lost()
@@ -151,8 +152,13 @@
         started = self.assemblies.start(hand_over, link.epoch, now)
         if started.is_error():
             self._refuse(hand_over.attempt, link.epoch, started.error)
-        elif not hand_over.body:
-            link.send(BodyCredit(hand_over.attempt, WINDOW_BYTES))
+        else:
+            self._send_credits()
+
+    def _send_credits(self) -> None:
+        for assembly, credit in self.assemblies.grant_credits():
+            attempt = assembly.hand_over.attempt
+            self.replies.send(attempt, assembly.epoch, BodyCredit(attempt, credit))
 
     def _refuse_early(self, owned: OwnedUpstream, hand_over: HandOver, epoch: int) -> bool:
         """Refuse a hand-over that would be refused anyway, before its body is transferred."""
@@ -167,15 +173,18 @@
     def _add_part(self, link: ReplyLink, part: BodyPart) -> None:
         match self.assemblies.add(part, link.epoch, trio.current_time()):
             case Result(tag="ok", ok=None):
-                link.send(BodyCredit(part.attempt, len(part.data)))
+                if not self.assemblies.is_credited_by_share(part.attempt):
+                    link.send(BodyCredit(part.attempt, len(part.data)))
             case Result(tag="ok", ok=hand_over):
                 # The time already deducted since the first part includes any pause of this process.
                 self._submit_hand_over(hand_over, link.epoch)
             case Result(tag="error", error=reason):
                 self._refuse(part.attempt, link.epoch, reason)
+        self._send_credits()
 
     def _handle_cancel(self, name: str, attempt: AttemptId, epoch: int) -> None:
         self.assemblies.drop(attempt)
+        self._send_credits()
         owned = self.register.owned.get(name)
         if owned is not None:
             self._feed(owned, ev.CancelArrived(attempt, epoch))
@@ -183,6 +192,7 @@
     def _handle_fence(self, fence: Fence, epoch: int) -> None:
         # An attempt whose body is still incomplete has not started, so it can be dropped.
         self.assemblies.drop(fence.attempt)
+        self._send_credits()
         owned = self.register.owned.get(fence.upstream)
         if owned is not None:
             self._feed(owned, ev.FenceArrived(fence, epoch))
@@ -246,6 +256,9 @@
             due = owner.next_due(owned.owner_state, now)
             if due is not None and due <= now:
                 self._feed(owned, ev.Tick())
+        for assembly in self.assemblies.pop_expired(now):
+            self._refuse(assembly.hand_over.attempt, assembly.epoch, NotRunReason.DEADLINE)
+        self._send_credits()
         self.register.end_expired(now)
         if self.register.suspects.suspects:
             services = frozenset(owned.upstream.service for owned in self.register.owned.values())
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -10,12 +10,14 @@
 from bendwind_core.limits import ProbeBudget
 from bendwind_core.world import Limits, Service, StaleAction, UpstreamState
 from bendwind_node.calls.body_flow import PART_BYTES, WINDOW_BYTES
+from bendwind_node.calls.body_share import create_body_share
 from bendwind_node.calls.call_delivery import Delivery
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.calls.tests.fakes import MIB, CallTestCluster, announce, make_exchange
 from bendwind_node.calls.tests.scripted_server import OK, read_request, run_server
 
+SLOW_MBPS = 3.9
 POST = b"POST"
 
 
@@ -139,6 +141,22 @@
 
         self.run_with(read_body, check)
 
+    def test_long_body_is_sent_only_as_an_owner_in_the_same_data_centre_permits(self):
+        # Guards against many entry nodes filling the network link of an owner with bodies.
+        received, read_body = self.make_body_reader()
+
+        async def check(cluster, port):
+            owner = cluster.add_owner("other")
+            announce(owner, port)
+            owner.assemblies.share = create_body_share(SLOW_MBPS)
+            sent = cluster.hub.sent
+            done = await cluster.call(make_exchange(POST, b"q" * MIB))
+            self.assertEqual((done.status, len(received)), (200, MIB))
+            self.assertEqual(sent[0].body, b"")
+            self.assertEqual(owner.assemblies.share.credits, {})
+
+        self.run_with(read_body, check)
+
     def test_long_body_is_sent_only_after_an_owner_accepted_a_no_wait_attempt(self):
         # Guards against sending the complete body to an owner in the same data centre that then
         # refuses the attempt as busy.
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -33,6 +33,7 @@
 from bendwind_node import STARTED_AT
 from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import ByteBudget
+from bendwind_node.calls.body_share import create_body_pacer, create_body_share
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
 from bendwind_node.calls.probe_task import ProbeTask
@@ -185,7 +186,10 @@
         trio.current_time() - (read_steady_clock() - STARTED_AT),
         SuspectTable(own.name, _make_suspicion_limits(settings)),
     )
-    assemblies = AssemblyTable(settings.limits.body_bytes, daemon.body_budget)
+    link_mbps = settings.peers.link_mbps
+    assemblies = AssemblyTable(
+        settings.limits.body_bytes, daemon.body_budget, share=create_body_share(link_mbps)
+    )
     dispatcher.owner = OwnerNode(
         own,
         recorder,
@@ -220,6 +224,7 @@
         extension.origin_service,
         settings.limits.far_body_bytes,
         quotas=dispatcher.quotas,
+        pacer=create_body_pacer(link_mbps),
     )
     dispatcher.probes = ProbeTask(dispatcher.entry, dispatcher.owner, budget)
     membership.listeners.append(lambda effect: _handle_view_effect(dispatcher, effect))
