--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -185,5 +185,6 @@
     | DrainMarksAccepted
     | QuorumConfirmed
     | VotersChanged
+    | LinkLost
 )
 RegistryEffect = SendTo | MemberAppeared | MemberLost
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -32,12 +32,12 @@
 # Maximum number of pushes per flush, so that the loss of a data centre does not delay heartbeats.
 _PUSHES_PER_FLUSH = 1000
 _HELD_VERSIONS = 256
-# A large push is not repeated before this delay. On a slow link, a push of many routes or customers
-# takes most of this time, and repeating it for each heartbeat in between would delay it further. A
-# lost push is sent again after the delay.
-PUSH_REPEAT_DELAY: Seconds = 1.0
-# A push with more services, routes and customers than this is large: it is not repeated within
-# `PUSH_REPEAT_DELAY`. A smaller one arrives before the next heartbeat.
+# What was sent is taken to arrive within this time while its link stays open. Until then, a later
+# push contains only what has changed since, and a large push is not repeated: on a slow link, a
+# copy would delay all later versions by as much time again.
+PUSH_TRAVEL_LIMIT: Seconds = 1.5
+# A push with more services, routes and customers than this is large. A smaller one is repeated for
+# each heartbeat that does not confirm it.
 LARGE_PUSH_ITEMS = 128
 
 
@@ -100,6 +100,17 @@
         del registry.held_versions[next(iter(registry.held_versions))]
 
 
+def record_report(client: Client, version: int, customers: int) -> None:
+    """Record the versions that a node reports, and drop the pushes that they confirm."""
+    if version < client.version or customers < client.customers:
+        # The node could not apply what was sent.
+        client.pushes.clear()
+    client.version = version
+    client.customers = customers
+    for pushed in [pushed for pushed in client.pushes if pushed <= version]:
+        del client.pushes[pushed]
+
+
 def push_missing_configuration(
     registry: VoterRegistry, beat: Heartbeat, client: Client, effects: list[RegistryEffect]
 ) -> bool:
@@ -107,24 +118,27 @@
     rows = [find_or_create_row(registry, name) for name in client.services]
     is_current = _is_current(registry, beat.version, beat.customers, rows)
     is_ahead = beat.version > registry.configuration.version
-    if not is_current and not is_ahead and not _is_push_in_flight(registry, client):
-        _push_configuration(registry, beat.node.name, client, effects)
+    if not is_current and not is_ahead:
+        _repeat_push(registry, beat.node.name, client, effects)
     return is_current
 
 
-def _is_push_in_flight(registry: VoterRegistry, client: Client) -> bool:
-    """Return whether a large push of the newest version may still be on its way to the node."""
-    is_newest = client.pushed_version == registry.configuration.version
-    is_same = client.pushed_base == _find_base(
-        registry, client
-    ) and client.pushed_customers_base == _find_customers_base(registry, client)
-    is_large = client.pushed_items > LARGE_PUSH_ITEMS
-    return (
-        is_large
-        and is_newest
-        and is_same
-        and registry.ticked_at - client.pushed_at < PUSH_REPEAT_DELAY
-    )
+def _repeat_push(
+    registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
+) -> None:
+    """Push all that a node lacks by its own report, unless a large push of it is under way."""
+    message = _make_push(registry, client, client.version, client.customers)
+    is_newest_pushed = message.version in client.pushes
+    is_large = _count_items(message) > LARGE_PUSH_ITEMS
+    if is_large and is_newest_pushed and _has_push_under_way(registry, client):
+        return
+    client.pushes.clear()
+    _send_push(registry, node, client, message, effects)
+
+
+def _has_push_under_way(registry: VoterRegistry, client: Client) -> bool:
+    oldest = next(iter(client.pushes.values()), None)
+    return oldest is not None and registry.ticked_at - oldest < PUSH_TRAVEL_LIMIT
 
 
 def _is_current(
@@ -154,8 +168,7 @@
     # are sent nothing.
     rows = [find_or_create_row(registry, name) for name in watch.services]
     is_ahead = watch.version > registry.configuration.version
-    client.version = watch.version
-    client.customers = watch.customers
+    record_report(client, watch.version, watch.customers)
     if watch.digest != _sum_digests(rows):
         _push_watched(registry, watch.node, client, effects)
     elif not is_ahead and not _is_current(registry, watch.version, watch.customers, rows):
@@ -181,24 +194,44 @@
     return len(message.services) + len(routes) + len(customers)
 
 
-def _find_base(registry: VoterRegistry, client: Client) -> int:
-    """Return the version that a node holds, 0 if the changes since then are not known."""
-    return client.version if client.version in registry.held_versions else 0
-
-
-def _find_customers_base(registry: VoterRegistry, client: Client) -> int:
-    """Return the version for which a node holds all customers, 0 as in `_find_base`."""
-    return client.customers if client.customers in registry.held_versions else 0
+def _find_base(registry: VoterRegistry, version: int) -> int:
+    """Return a version that a node holds, 0 if the changes since then are not known."""
+    return version if version in registry.held_versions else 0
 
 
 def _push_configuration(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
-    base = _find_base(registry, client)
+    """Push what has changed since the last push under way, or else since the node's report."""
+    if _has_push_under_way(registry, client):
+        version = customers = next(reversed(client.pushes))
+    else:
+        client.pushes.clear()
+        version, customers = client.version, client.customers
+    message = _make_push(registry, client, version, customers)
+    _send_push(registry, node, client, message, effects)
+
+
+def _send_push(
+    registry: VoterRegistry,
+    node: str,
+    client: Client,
+    message: ConfigurationChanged,
+    effects: list[RegistryEffect],
+) -> None:
+    client.pushes.setdefault(message.version, registry.ticked_at)
+    effects.append(SendTo(node, message))
+
+
+def _make_push(
+    registry: VoterRegistry, client: Client, version: int, customers: int
+) -> ConfigurationChanged:
+    """Return what a node lacks that holds these versions of its services and of the customers."""
+    base = _find_base(registry, version)
     rows = [(name, find_or_create_row(registry, name)) for name in client.services]
     changed = [(name, row) for name, row in rows if base == 0 or row.changed_at > base]
     groups = tuple(row.claim_group for _, row in rows if row.claim_group)
-    message = ConfigurationChanged(
+    return ConfigurationChanged(
         registry.configuration.version,
         tuple(row.service for _, row in changed if row.service),
         tuple(name for name, row in changed if base and not row.service),
@@ -208,14 +241,8 @@
         _find_holders(registry, groups),
         make_routing_change(registry.routing, registry.configuration.routing, base),
         registry.configuration.evacuated,
-        make_customers_change(registry.customers, _find_customers_base(registry, client)),
+        make_customers_change(registry.customers, _find_base(registry, customers)),
     )
-    client.pushed_version = message.version
-    client.pushed_items = _count_items(message)
-    client.pushed_base = base
-    client.pushed_customers_base = _find_customers_base(registry, client)
-    client.pushed_at = registry.ticked_at
-    effects.append(SendTo(node, message))
 
 
 def _find_holders(registry: VoterRegistry, groups: tuple[ClaimGroup, ...]) -> tuple[Instance, ...]:
@@ -244,7 +271,7 @@
     """Replace the services that a node watches."""
     _stop_watching(registry, node, client)
     client.watch = watch.sequence
-    client.pushed_version = -1
+    client.pushes.clear()
     client.services = watch.services
     for name in watch.services:
         find_or_create_row(registry, name).watchers[node] = None
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -9,6 +9,7 @@
 from bendwind_core.membership.events import (
     ConfigurationAccepted,
     DrainMarksAccepted,
+    LinkLost,
     MessageReceived,
     QuorumConfirmed,
     RegistryEffect,
@@ -73,6 +74,9 @@
             registry.confirmed_round_started_at = started
         case VotersChanged(voters=voters):
             gossip.set_voters(registry, voters, effects, now)
+        case LinkLost(peer=peer):
+            if peer in registry.clients:
+                registry.clients[peer].pushes.clear()
     return effects
 
 
@@ -164,8 +168,7 @@
     registry.clients[node.name] = client
     client.sequence = beat.sequence
     client.renewed_at = now
-    client.version = beat.version
-    client.customers = beat.customers
+    pushes.record_report(client, beat.version, beat.customers)
     _register_member(registry, beat, effects, now)
     _reply(registry, client, beat, effects, now)
 
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -20,11 +20,10 @@
 
     `has_digest_mismatch` is true if the digest of the last heartbeat differed from that of the
     pushed upstreams and claim groups.
-    `pushed_version` is the version sent last, -1 if none was sent since the node's watch changed.
-    `pushed_items` counts the items of that push which had changed since its two bases,
-    `pushed_base` and `pushed_customers_base`.
+    `version` and `customers` are what the node reported last. `pushes` are the versions sent since
+    then and the time of each, the oldest first.
     `customers` is the version for which the node, by its own report, holds all customers.
-    Units: `renewed_at` and `pushed_at` in seconds of the voter's clock.
+    Units: `renewed_at` and the times of `pushes` in seconds of the voter's clock.
     """
 
     incarnation: int
@@ -34,11 +33,7 @@
     watch: int = 0
     services: tuple[str, ...] = ()
     has_digest_mismatch: bool = False
-    pushed_version: int = -1
-    pushed_items: int = 0
-    pushed_base: int = 0
-    pushed_customers_base: int = 0
-    pushed_at: Seconds = 0.0
+    pushes: dict[int, Seconds] = msgspec.field(default_factory=dict)
     customers: int = 0
 
 
--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -12,6 +12,7 @@
     ConfigurationAccepted,
     DrainMarksAccepted,
     LeaseTimes,
+    LinkLost,
     MemberAppeared,
     MemberLost,
     MessageReceived,
@@ -189,6 +190,10 @@
             # the vote if the event was replaced.
             self._has_vote = trio.Event()
 
+    def handle_link_lost(self, peer: str) -> None:
+        """Handle the loss of a link, over which pushes may have been under way to a node."""
+        self.step(LinkLost(peer))
+
     def step(self, event: RegistryEvent) -> None:
         """Apply an event to the registry immediately, and then its effects."""
         for effect in step_registry(self.registry, event, trio.current_time(), self._rng):
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -101,6 +101,8 @@
             self.entry.link_closed(link)
         else:
             self.owner.link_closed(link)
+        if self.control is not None:
+            self.control.registry.handle_link_lost(link.peer.name)
         if self.hub.find_link(link.peer.name) is None:
             self.membership.handle_link_lost(link.peer.name)
 
