--- a/packages/bendwind-core/src/bendwind_core/admission/slot_reservation.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/slot_reservation.py
@@ -17,14 +17,21 @@
 # of the less urgent one. With a lower number slots stay idle; with a higher one less urgent
 # callers may be served first.
 MAX_EXPECTED_ARRIVALS = 3.0
+# The slot is released this long after the last more urgent request, however many there were. What
+# arrived in one instant says little about how many will arrive seconds later.
+MAX_RESERVATION: Seconds = 6 * ARRIVAL_HALF_LIFE
 # Number of ranks that are counted separately. Configurations have only a few.
 MAX_ARRIVAL_RANKS = 64
 
 
 class ArrivalCounts(msgspec.Struct):
-    """Hold the decayed number of recent requests of each rank, as of `updated_at`."""
+    """Hold the decayed number of recent requests of each rank, as of `updated_at`.
+
+    `last_at` holds the time of the last request of each rank.
+    """
 
     counts: dict[float, float] = msgspec.field(default_factory=dict)
+    last_at: dict[float, Seconds] = msgspec.field(default_factory=dict)
     updated_at: Seconds = 0.0
 
 
@@ -36,6 +43,7 @@
     arrivals.updated_at = now
     if rank in arrivals.counts or len(arrivals.counts) < MAX_ARRIVAL_RANKS:
         arrivals.counts[rank] = arrivals.counts.get(rank, 0.0) + 1.0
+        arrivals.last_at[rank] = now
 
 
 def find_reserved_until(arrivals: ArrivalCounts, rank: float, run_ms: Milliseconds) -> Seconds:
@@ -48,4 +56,6 @@
     expected = rate * run_ms / MILLISECONDS_PER_SECOND
     if expected <= MAX_EXPECTED_ARRIVALS:
         return -math.inf
-    return arrivals.updated_at + ARRIVAL_HALF_LIFE * math.log2(expected / MAX_EXPECTED_ARRIVALS)
+    last_at = max(at for other_rank, at in arrivals.last_at.items() if other_rank < rank)
+    faded_at = arrivals.updated_at + ARRIVAL_HALF_LIFE * math.log2(expected / MAX_EXPECTED_ARRIVALS)
+    return min(faded_at, last_at + MAX_RESERVATION)
