--- a/packages/bendwind-core/src/bendwind_core/membership/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/__init__.py
@@ -31,7 +31,9 @@
 )
 from bendwind_core.membership.messages import (
     Announce,
+    ConfigurationAnswer,
     ConfigurationChanged,
+    ConfigurationQuery,
     Heartbeat,
     HeartbeatReply,
     MemberDigest,
@@ -65,9 +67,11 @@
     "AttachmentChanged",
     "ClaimGroupsChanged",
     "ConfigurationAccepted",
+    "ConfigurationAnswer",
     "ConfigurationApplied",
     "ConfigurationChanged",
     "ConfigurationDropped",
+    "ConfigurationQuery",
     "CustomersChanged",
     "DrainMarksAccepted",
     "FreshnessChanged",
--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -37,6 +37,8 @@
     `unanswered` also holds heartbeats to voters that were left because they had not replied yet.
     `last_good_reply_at` is the time of the last reply with a recent confirmation, `behind_since`
     that since which the voter lags behind its peers. `stay_beats` is the minimum time at a voter.
+    `contacted` are the voters that this run has sent heartbeats to over a link that is still open.
+    `useful_voter` is the one that last answered a query with a recent confirmation, at `useful_at`.
     `has_received_reply` is true if any voter has replied since the node's start.
 
     Units: `next_heartbeat_at`, `moved_at`, `last_reply_at`, `last_good_reply_at`, `behind_since` in
@@ -54,6 +56,9 @@
     behind_since: Seconds | None = None
     stay_beats: float = 1.0
     has_received_reply: bool = False
+    contacted: set[str] = msgspec.field(default_factory=set)
+    useful_voter: str = ""
+    useful_at: Seconds = 0.0
 
     @property
     def voter(self) -> str:
@@ -118,11 +123,19 @@
     return None
 
 
+def _find_next_index(attachment: Attachment, times: LeaseTimes, now: Seconds) -> int:
+    useful = attachment.useful_voter
+    is_recent = now - attachment.useful_at < times.confirmation_limit
+    if is_recent and useful != attachment.voter and useful in attachment.order:
+        return attachment.order.index(useful)
+    return (attachment.index + 1) % len(attachment.order)
+
+
 def select_next_voter(
     attachment: Attachment, times: LeaseTimes, now: Seconds, rng: random.Random
 ) -> None:
-    """Select the next voter; stay longer at each one while none sends a good reply."""
-    attachment.index = (attachment.index + 1) % len(attachment.order)
+    """Select a voter that answered a query, or the next; stay longer while none replies well."""
+    attachment.index = _find_next_index(attachment, times, now)
     attachment.moved_at = now
     attachment.behind_since = None
     attachment.stay_beats = min(attachment.stay_beats * 2, _MAX_STAY_BEATS)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/membership/configuration.py
@@ -0,0 +1,115 @@
+"""Apply the configurations that a node receives, and record the proofs that they are the newest."""
+
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.membership import watch_cache
+from bendwind_core.membership.events import (
+    ClaimGroupsChanged,
+    ConfigurationApplied,
+    ConfigurationDropped,
+    CustomersChanged,
+    ViewEffect,
+)
+from bendwind_core.membership.messages import ConfigurationChanged
+from bendwind_core.membership.view import NodeView, PendingConfirmation
+
+# Version in the heartbeats of a node that lacks the configuration of a service it watches, or that
+# is not certain that it holds the customers of its version. The voter then sends the complete
+# configuration, or all customers.
+INCOMPLETE = -1
+
+
+def reported_version(view: NodeView) -> int:
+    """Return the version that a node reports, INCOMPLETE if it lacks a watched service."""
+    return view.version if view.is_complete else INCOMPLETE
+
+
+def customers_version(view: NodeView) -> int:
+    """Return the version of the customers that a node reports, INCOMPLETE if uncertain."""
+    return INCOMPLETE if view.has_uncertain_customers else view.version
+
+
+def apply_version(view: NodeView, version: int, effects: list[ViewEffect]) -> None:
+    """Put a version in force, all of whose content the node holds."""
+    if version <= view.version:
+        return
+    view.version = version
+    if version >= view.newest_peer_version:
+        view.overtaken_since = None
+    effects.append(ConfigurationApplied(version))
+
+
+def record_proof(view: NodeView, version: int, age_ms: Milliseconds, sent_at: Seconds) -> None:
+    """Record a voter's proof, in reply to what was sent at a time, that a version is the newest."""
+    # The voter's round began this long before its reply, and it replied after the node had sent. On
+    # the node's own clock the round therefore began no earlier than `confirmed_at`.
+    confirmed_at = sent_at - age_ms / MILLISECONDS_PER_SECOND
+    if view.is_complete and view.version >= version:
+        _advance_confirmed_at(view, confirmed_at)
+    else:
+        view.pending_confirmation = PendingConfirmation(version, confirmed_at)
+
+
+def _advance_confirmed_at(view: NodeView, confirmed_at: Seconds) -> None:
+    if view.confirmed_at is None or confirmed_at > view.confirmed_at:
+        view.confirmed_at = confirmed_at
+    if view.overtaken_since is not None and confirmed_at > view.overtaken_since:
+        # A peer stated a version that was never accepted.
+        view.newest_peer_version = view.version
+        view.overtaken_since = None
+
+
+def _find_reason_to_drop(view: NodeView, message: ConfigurationChanged) -> str | None:
+    if message.watch != view.watch_sequence:
+        return f"for watch {message.watch}, not {view.watch_sequence}"
+    known = view.version if view.is_complete else 0
+    if message.base > known:
+        return f"base {message.base}, not {known}"
+    known_customers = max(customers_version(view), 0)
+    if message.customers.base > known_customers:
+        return f"customers' base {message.customers.base}, not {known_customers}"
+    return None
+
+
+def _report_dropped(
+    view: NodeView, message: ConfigurationChanged, reason: str, effects: list[ViewEffect]
+) -> None:
+    if message.version > view.version:
+        effects.append(ConfigurationDropped(message.version, reason))
+
+
+def apply_configuration(
+    view: NodeView, message: ConfigurationChanged, effects: list[ViewEffect]
+) -> None:
+    """Apply what a voter sent, unless it does not fit what the node holds."""
+    if watch_cache.put_claim_groups(view.cache, message.claim_groups):
+        effects.append(ClaimGroupsChanged())
+    if message.version < view.version:
+        return
+    reason = _find_reason_to_drop(view, message)
+    if reason is not None:
+        _report_dropped(view, message, reason, effects)
+        return
+    had_customers = view.customers is not None
+    differing = watch_cache.put_customers(view.cache, message.customers)
+    if differing is None:
+        view.has_uncertain_customers = True
+        _report_dropped(view, message, "other customers held", effects)
+        return
+    view.has_uncertain_customers = False
+    if differing or had_customers is not (view.customers is not None):
+        effects.append(_make_customers_changed(view, differing))
+    watch_cache.put_services(view.cache, message)
+    view.is_complete = True
+    view.incomplete_since = None
+    view.pending.clear()
+    apply_version(view, message.version, effects)
+    confirmation = view.pending_confirmation
+    if confirmation and confirmation.version <= view.version:
+        _advance_confirmed_at(view, confirmation.confirmed_at)
+        view.pending_confirmation = None
+
+
+def _make_customers_changed(view: NodeView, names: frozenset[str]) -> CustomersChanged:
+    table = view.customers
+    counts = (None, None) if table is None else (len(table.by_name), len(table.by_key))
+    return CustomersChanged(tuple(sorted(names)), *counts)
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -49,6 +49,21 @@
     is_same: bool = False
 
 
+class ConfigurationQuery(Record, frozen=True, array_like=True, tag="configuration?"):
+    """Ask a voter that a node is not attached to for what is new, without registering the node.
+
+    `number` identifies the query; `version`, `customers`, `watch` and `services` are as in the
+    node's heartbeats and its newest Watch.
+    """
+
+    node: str
+    number: int
+    version: int
+    customers: int
+    watch: int
+    services: tuple[str, ...]
+
+
 class Announce(Record, frozen=True, array_like=True, tag="announce"):
     """Register all upstreams of a node with its voter; the highest `sequence` replaces the rest."""
 
@@ -110,6 +125,21 @@
     customers: CustomersChange = CustomersChange()
 
 
+class ConfigurationAnswer(Record, frozen=True, array_like=True, tag="configuration!"):
+    """Answer a ConfigurationQuery; the first fields are as in a HeartbeatReply.
+
+    `change` is what the node lacks, None if it lacks nothing or more than one message should carry
+    to a node that another voter pushes it to.
+    Units: `confirmed_age_ms` as in a HeartbeatReply.
+    """
+
+    number: int
+    version: int
+    confirmed_age_ms: Milliseconds | None
+    is_current: bool = False
+    change: ConfigurationChanged | None = None
+
+
 class VoterPlace(Record, frozen=True, array_like=True):
     """Hold the name of a control voter, its data centre and the address for its peers."""
 
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -116,21 +116,20 @@
 ) -> bool:
     """Return whether a node's configuration is current; if it is not, push what it lacks."""
     rows = [find_or_create_row(registry, name) for name in client.services]
-    is_current = _is_current(registry, beat.version, beat.customers, rows)
+    has_all = is_current(registry, beat.version, beat.customers, rows)
     is_ahead = beat.version > registry.configuration.version
-    if not is_current and not is_ahead:
+    if not has_all and not is_ahead:
         _repeat_push(registry, beat.node.name, client, effects)
-    return is_current
+    return has_all
 
 
 def _repeat_push(
     registry: VoterRegistry, node: str, client: Client, effects: list[RegistryEffect]
 ) -> None:
     """Push all that a node lacks by its own report, unless a large push of it is under way."""
-    message = _make_push(registry, client, client.version, client.customers)
+    message = make_push(registry, client.services, client.watch, client.version, client.customers)
     is_newest_pushed = message.version in client.pushes
-    is_large = _count_items(message) > LARGE_PUSH_ITEMS
-    if is_large and is_newest_pushed and _has_push_under_way(registry, client):
+    if is_large(message) and is_newest_pushed and _has_push_under_way(registry, client):
         return
     client.pushes.clear()
     _send_push(registry, node, client, message, effects)
@@ -141,9 +140,10 @@
     return oldest is not None and registry.ticked_at - oldest < PUSH_TRAVEL_LIMIT
 
 
-def _is_current(
+def is_current(
     registry: VoterRegistry, version: int, customers: int, rows: list[ServiceRow]
 ) -> bool:
+    """Return whether nothing in the rows or for all nodes changed since these versions."""
     # Between two versions that this voter held, a service may have changed and changed back.
     # Therefore the voter cannot determine the node's state from a version it never held itself.
     newest_for_all = max(registry.routing.newest, registry.evacuated_changed_at)
@@ -171,7 +171,7 @@
     record_report(client, watch.version, watch.customers)
     if watch.digest != _sum_digests(rows):
         _push_watched(registry, watch.node, client, effects)
-    elif not is_ahead and not _is_current(registry, watch.version, watch.customers, rows):
+    elif not is_ahead and not is_current(registry, watch.version, watch.customers, rows):
         _push_configuration(registry, watch.node, client, effects)
 
 
@@ -188,10 +188,11 @@
     return is_same
 
 
-def _count_items(message: ConfigurationChanged) -> int:
+def is_large(message: ConfigurationChanged) -> bool:
+    """Return whether a push is so large that it should not be sent twice."""
     routes = message.routing.routes if message.routing is not None else ()
     customers = message.customers.put if message.customers is not None else ()
-    return len(message.services) + len(routes) + len(customers)
+    return len(message.services) + len(routes) + len(customers) > LARGE_PUSH_ITEMS
 
 
 def _find_base(registry: VoterRegistry, version: int) -> int:
@@ -208,7 +209,7 @@
     else:
         client.pushes.clear()
         version, customers = client.version, client.customers
-    message = _make_push(registry, client, version, customers)
+    message = make_push(registry, client.services, client.watch, version, customers)
     _send_push(registry, node, client, message, effects)
 
 
@@ -223,12 +224,12 @@
     effects.append(SendTo(node, message))
 
 
-def _make_push(
-    registry: VoterRegistry, client: Client, version: int, customers: int
+def make_push(
+    registry: VoterRegistry, services: tuple[str, ...], watch: int, version: int, customers: int
 ) -> ConfigurationChanged:
     """Return what a node lacks that holds these versions of its services and of the customers."""
     base = _find_base(registry, version)
-    rows = [(name, find_or_create_row(registry, name)) for name in client.services]
+    rows = [(name, find_or_create_row(registry, name)) for name in services]
     changed = [(name, row) for name, row in rows if base == 0 or row.changed_at > base]
     groups = tuple(row.claim_group for _, row in rows if row.claim_group)
     return ConfigurationChanged(
@@ -237,7 +238,7 @@
         tuple(name for name, row in changed if base and not row.service),
         groups,
         base,
-        client.watch,
+        watch,
         _find_holders(registry, groups),
         make_routing_change(registry.routing, registry.configuration.routing, base),
         registry.configuration.evacuated,
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -20,6 +20,7 @@
 )
 from bendwind_core.membership.messages import (
     Announce,
+    ConfigurationQuery,
     Heartbeat,
     HeartbeatReply,
     MemberDigest,
@@ -32,6 +33,7 @@
     VoterPlace,
     Watch,
 )
+from bendwind_core.membership.query_answers import answer_query
 from bendwind_core.membership.settings import LeaseTimes
 from bendwind_core.membership.state import Client, VoterRegistry
 from bendwind_core.membership.suspicions import (
@@ -129,6 +131,8 @@
         case Watch():
             _handle_watch(registry, message, effects)
             send_known_suspects(registry, message, effects, now)
+        case ConfigurationQuery():
+            answer_query(registry, message, confirmed_age_ms(registry, now), effects)
         case SuspectReports():
             merge_suspects(registry, message, now)
         case MemberGossip():
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
 from bendwind_core.membership import watch_cache
 from bendwind_core.membership.attachment import (
     NO_REPLY,
@@ -22,12 +22,15 @@
     select_next_voter,
     set_voter_order,
 )
+from bendwind_core.membership.configuration import (
+    apply_configuration,
+    apply_version,
+    customers_version,
+    record_proof,
+    reported_version,
+)
 from bendwind_core.membership.events import (
     AttachmentChanged,
-    ClaimGroupsChanged,
-    ConfigurationApplied,
-    ConfigurationDropped,
-    CustomersChanged,
     FreshnessChanged,
     InstancesReceived,
     LinkLost,
@@ -45,6 +48,7 @@
 )
 from bendwind_core.membership.messages import (
     Announce,
+    ConfigurationAnswer,
     ConfigurationChanged,
     Heartbeat,
     HeartbeatReply,
@@ -54,17 +58,19 @@
     Watch,
     WatchUpdate,
 )
-from bendwind_core.membership.view import NodeView, PendingConfirmation
+from bendwind_core.membership.queries import (
+    apply_answer,
+    is_recently_confirmed,
+    query_preferred_voter,
+    send_due_query,
+)
+from bendwind_core.membership.view import NodeView
 from bendwind_core.world import Upstream, UpstreamState
 
 _MAX_UNANSWERED = 8
 # Limits the watched services, since callers may name services that do not exist. At the limit, a
 # new service replaces a watched one that does not exist.
 MAX_WATCHED = 512
-# Version in the heartbeats of a node that lacks the configuration of a service it watches, or that
-# is not certain that it holds the customers of its version. The voter then sends the complete
-# configuration, or all customers.
-INCOMPLETE = -1
 # A node that uses another voter than the preferred one returns to that at about one in this many
 # replies while its view is fresh.
 _REPLIES_PER_RETURN = 120
@@ -78,18 +84,20 @@
     match event:
         case Tick():
             _renew(view, effects, now, rng)
+            send_due_query(view, effects, now)
         case MessageReceived(sender=sender, message=message):
-            if is_reply_expected(view.attachment, sender):
+            if _is_acceptable(view, sender, message):
                 _handle_message(view, sender, message, effects, now, rng)
         case LinkLost(peer=peer):
             discard_heartbeats(view.attachment, peer)
+            view.attachment.contacted.discard(peer)
             if peer == view.voter:
                 _move_to_next_voter(view, "link lost", effects, now, rng)
                 schedule_spread_heartbeat(view.attachment, view.times, now, rng)
                 if not view.attachment.has_received_reply:
                     schedule_early_heartbeat(view.attachment, now, rng)
         case ServiceWatched(service=service):
-            _watch(view, service, effects)
+            _watch(view, service, effects, now)
         case UpstreamAnnounced(upstream=upstream):
             _announce(view, upstream, effects)
         case PeerVersionReceived(version=version):
@@ -98,6 +106,21 @@
     return effects
 
 
+def _is_acceptable(view: NodeView, sender: str, message: Record) -> bool:
+    """Return whether a message comes from the voter in use, or may be used from another one.
+
+    A configuration is the same from every voter, and a node that moves would otherwise hear of no
+    change until the next voter has answered.
+    """
+    attachment = view.attachment
+    match message:
+        case ConfigurationAnswer():
+            return True
+        case ConfigurationChanged() if sender in attachment.contacted:
+            return True
+    return is_reply_expected(attachment, sender)
+
+
 def _report_freshness(view: NodeView, effects: list[ViewEffect], now: Seconds) -> None:
     is_fresh = view.is_fresh(now)
     if is_fresh != view.was_fresh:
@@ -105,14 +128,6 @@
         effects.append(FreshnessChanged(is_fresh))
 
 
-def _reported_version(view: NodeView) -> int:
-    return view.version if view.is_complete else INCOMPLETE
-
-
-def _customers_version(view: NodeView) -> int:
-    return INCOMPLETE if view.has_uncertain_customers else view.version
-
-
 def _renew(view: NodeView, effects: list[ViewEffect], now: Seconds, rng: random.Random) -> None:
     attachment = view.attachment
     reason = find_reason_to_move(attachment, view.times, now)
@@ -123,16 +138,17 @@
     attachment.sequence += 1
     if len(attachment.unanswered) >= _MAX_UNANSWERED:
         attachment.unanswered.pop(next(iter(attachment.unanswered)))
-    sent = SentHeartbeat(now, view.watch_sequence, _customers_version(view), view.voter)
+    sent = SentHeartbeat(now, view.watch_sequence, customers_version(view), view.voter)
     attachment.unanswered[attachment.sequence] = sent
+    attachment.contacted.add(view.voter)
     heartbeat = Heartbeat(
         view.instance,
         attachment.sequence,
-        _reported_version(view),
+        reported_version(view),
         view.watch_sequence,
         view.announce_sequence,
         view.cache.digest,
-        _customers_version(view),
+        customers_version(view),
     )
     effects.append(SendTo(view.voter, heartbeat))
     schedule_heartbeat(attachment, view.times, now, rng)
@@ -163,7 +179,9 @@
             _handle_reply(view, sender, message, effects, now, rng)
         case ConfigurationChanged():
             effects.append(InstancesReceived(message.holders))
-            _handle_configuration(view, message, effects)
+            apply_configuration(view, message, effects)
+        case ConfigurationAnswer():
+            _handle_answer(view, sender, message, effects, now, rng)
         case WatchUpdate(service=service):
             if watch_cache.put_upstreams(view.cache, message):
                 effects.append(UpstreamsChanged(service))
@@ -222,14 +240,13 @@
     if reply.resync:
         _resend_registration(view, effects)
     # `is_current` refers to the state at the heartbeat, not to configuration applied since.
-    is_as_sent = sent.watch == view.watch_sequence and sent.customers == _customers_version(view)
+    is_as_sent = sent.watch == view.watch_sequence and sent.customers == customers_version(view)
     if reply.is_current and view.is_complete and is_as_sent:
-        _apply_version(view, reply.version, effects)
+        apply_version(view, reply.version, effects)
     if reply.confirmed_age_ms is not None:
         _handle_confirmation(view, reply, sent.sent_at, now)
     if view.attachment.index and view.is_fresh(now) and rng.random() * _REPLIES_PER_RETURN < 1:
-        return_to_preferred_voter(view.attachment, view.times, now, rng)
-        effects.append(AttachmentChanged(view.voter, "preferred"))
+        query_preferred_voter(view, effects, now)
 
 
 def _resolve_attachment(
@@ -237,7 +254,7 @@
 ) -> bool:
     """Return whether the node is attached to the sender of a reply, possibly by returning to it."""
     attachment = view.attachment
-    is_recent = _is_recently_confirmed(view, reply)
+    is_recent = is_recently_confirmed(view, reply.confirmed_age_ms)
     if sender != view.voter and is_recent:
         return_to_voter(attachment, sender, now)
         if sender == view.voter:
@@ -247,12 +264,19 @@
     return sender == view.voter
 
 
-def _is_recently_confirmed(view: NodeView, reply: HeartbeatReply) -> bool:
-    # The age is the one the voter reports. By this node's clock it would include the delay of the
-    # node's own link.
-    age_ms = reply.confirmed_age_ms
-    limit = view.times.confirmation_limit
-    return age_ms is not None and age_ms < limit * MILLISECONDS_PER_SECOND
+def _handle_answer(
+    view: NodeView,
+    sender: str,
+    answer: ConfigurationAnswer,
+    effects: list[ViewEffect],
+    now: Seconds,
+    rng: random.Random,
+) -> None:
+    is_return = sender == view.attachment.order[0] and view.queries.is_returning
+    is_good = apply_answer(view, sender, answer, effects, now)
+    if is_good and is_return and view.attachment.index and view.is_fresh(now):
+        return_to_preferred_voter(view.attachment, view.times, now, rng)
+        effects.append(AttachmentChanged(view.voter, "preferred"))
 
 
 def _resend_registration(view: NodeView, effects: list[ViewEffect]) -> None:
@@ -274,35 +298,26 @@
         services,
         instance.incarnation,
         view.watch_sequence,
-        _reported_version(view),
+        reported_version(view),
         view.cache.digest,
-        _customers_version(view),
+        customers_version(view),
     )
 
 
-def _apply_version(view: NodeView, version: int, effects: list[ViewEffect]) -> None:
-    if version <= view.version:
-        return
-    view.version = version
-    effects.append(ConfigurationApplied(version))
-
-
 def _handle_confirmation(
     view: NodeView, reply: HeartbeatReply, sent_at: Seconds, now: Seconds
 ) -> None:
-    # The voter's round began this long before its reply, and it replied after the heartbeat was
-    # sent. On the node's own clock the round therefore began no earlier than `confirmed_at`.
-    confirmed_at = sent_at - reply.confirmed_age_ms / MILLISECONDS_PER_SECOND
-    if _is_recently_confirmed(view, reply) and now - sent_at < view.times.confirmation_limit:
+    if (
+        is_recently_confirmed(view, reply.confirmed_age_ms)
+        and now - sent_at < view.times.confirmation_limit
+    ):
         view.attachment.last_good_reply_at = now
         view.attachment.stay_beats = 1.0
     if reply.is_same:
+        confirmed_at = sent_at - reply.confirmed_age_ms / MILLISECONDS_PER_SECOND
         view.groups_confirmed_at = max(confirmed_at, view.groups_confirmed_at or confirmed_at)
     _compare_versions(view, reply.version, now)
-    if view.is_complete and view.version >= reply.version:
-        _advance_confirmed_at(view, confirmed_at)
-    else:
-        view.pending_confirmation = PendingConfirmation(reply.version, confirmed_at)
+    record_proof(view, reply.version, reply.confirmed_age_ms, sent_at)
 
 
 def _compare_versions(view: NodeView, voter_version: int, now: Seconds) -> None:
@@ -313,66 +328,6 @@
         attachment.behind_since = now
 
 
-def _advance_confirmed_at(view: NodeView, confirmed_at: Seconds) -> None:
-    if view.confirmed_at is None or confirmed_at > view.confirmed_at:
-        view.confirmed_at = confirmed_at
-
-
-def _find_reason_to_drop(view: NodeView, message: ConfigurationChanged) -> str | None:
-    if message.watch != view.watch_sequence:
-        return f"for watch {message.watch}, not {view.watch_sequence}"
-    known = view.version if view.is_complete else 0
-    if message.base > known:
-        return f"base {message.base}, not {known}"
-    known_customers = max(_customers_version(view), 0)
-    if message.customers.base > known_customers:
-        return f"customers' base {message.customers.base}, not {known_customers}"
-    return None
-
-
-def _report_dropped(
-    view: NodeView, message: ConfigurationChanged, reason: str, effects: list[ViewEffect]
-) -> None:
-    if message.version > view.version:
-        effects.append(ConfigurationDropped(message.version, reason))
-
-
-def _handle_configuration(
-    view: NodeView, message: ConfigurationChanged, effects: list[ViewEffect]
-) -> None:
-    if watch_cache.put_claim_groups(view.cache, message.claim_groups):
-        effects.append(ClaimGroupsChanged())
-    if message.version < view.version:
-        return
-    reason = _find_reason_to_drop(view, message)
-    if reason is not None:
-        _report_dropped(view, message, reason, effects)
-        return
-    had_customers = view.customers is not None
-    differing = watch_cache.put_customers(view.cache, message.customers)
-    if differing is None:
-        view.has_uncertain_customers = True
-        _report_dropped(view, message, "other customers held", effects)
-        return
-    view.has_uncertain_customers = False
-    if differing or had_customers is not (view.customers is not None):
-        effects.append(_make_customers_changed(view, differing))
-    watch_cache.put_services(view.cache, message)
-    view.is_complete = True
-    view.pending.clear()
-    _apply_version(view, message.version, effects)
-    confirmation = view.pending_confirmation
-    if confirmation and confirmation.version <= view.version:
-        _advance_confirmed_at(view, confirmation.confirmed_at)
-        view.pending_confirmation = None
-
-
-def _make_customers_changed(view: NodeView, names: frozenset[str]) -> CustomersChanged:
-    table = view.customers
-    counts = (None, None) if table is None else (len(table.by_name), len(table.by_key))
-    return CustomersChanged(tuple(sorted(names)), *counts)
-
-
 def _ensure_watch_capacity(view: NodeView) -> bool:
     watched = view.cache.watched
     if len(watched) < MAX_WATCHED:
@@ -385,12 +340,14 @@
     return evicted is not None
 
 
-def _watch(view: NodeView, service: str, effects: list[ViewEffect]) -> None:
+def _watch(view: NodeView, service: str, effects: list[ViewEffect], now: Seconds) -> None:
     if service in view.cache.watched or not _ensure_watch_capacity(view):
         return
     view.cache.watched[service] = None
     view.pending.add(service)
     view.watch_sequence += 1
+    if view.is_complete or view.incomplete_since is None:
+        view.incomplete_since = now
     view.is_complete = False
     effects.append(SendTo(view.voter, _make_watch(view)))
 
@@ -409,5 +366,7 @@
     if version <= view.newest_peer_version:
         return
     view.newest_peer_version = version
+    if version > view.version and view.overtaken_since is None:
+        view.overtaken_since = now
     if version > view.version and view.attachment.behind_since is None:
         view.attachment.behind_since = now
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/fakes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/fakes.py
@@ -36,6 +36,7 @@
 )
 
 TICK = 0.05
+CALM_DELAY = 0.02
 BARRIER = 0.25
 BARRIER_DURATION = 0.1
 TIMES = LeaseTimes()
@@ -86,7 +87,8 @@
         self.cut: set[frozenset[str]] = set()
         self.loss = 0.0
         self.repeat = 0.0
-        self.longest_delay = 0.02
+        self.longest_delay = CALM_DELAY
+        self.disturbed_at = self.now
         self.accepted = [(0.0, Configuration(0))]
         self.incarnation = 0
         self.truth: dict[str, dict[str, Upstream]] = {}
@@ -99,10 +101,12 @@
         return Clock(self.rng.uniform(0, 1e6), 1 + self.rng.uniform(-drift, drift))
 
     def start_voter(self, name: str) -> Voter:
+        self.disturbed_at = self.now
         clock = self.make_clock()
         return Voter(clock, create_voter_registry(name, PLACES, TIMES, clock.read(self.now)))
 
     def start_node(self, name: str, data_centre: str) -> None:
+        self.disturbed_at = self.now
         self.kill_node(name)
         self.incarnation += 1
         instance = Instance(name, data_centre, "127.0.0.1", 1, self.incarnation)
@@ -163,6 +167,7 @@
 
     def lose_link(self, one: str, other: str) -> None:
         """Break a link so that both ends detect it, and drop its messages in flight."""
+        self.disturbed_at = self.now
         pair = {one, other}
         self.in_flight = [entry for entry in self.in_flight if set(entry[2:4]) != pair]
         heapq.heapify(self.in_flight)
@@ -194,6 +199,8 @@
     def advance(self, seconds: float) -> None:
         for _ in range(round(seconds / TICK)):
             self.now += TICK
+            if self.cut or self.loss or self.repeat or self.longest_delay > CALM_DELAY:
+                self.disturbed_at = self.now
             self._deliver()
             for name in self.voters:
                 self._run_barrier(name)
@@ -238,4 +245,4 @@
     def heal(self) -> None:
         self.cut.clear()
         self.loss = self.repeat = 0.0
-        self.longest_delay = 0.02
+        self.longest_delay = CALM_DELAY
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_freshness.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_fuzz_freshness.py
@@ -9,6 +9,9 @@
 from bendwind_core.membership.tests.faulty_world import NODE, NODES, FaultyWorldMachine
 from bendwind_core.world import Route, Rule, Service, SplitPart
 
+# Nodes are in contact once processes and links have been whole for this long.
+CONTACT = 1.5 * TIMES.lease
+
 
 class FreshnessMachine(FaultyWorldMachine):
     @initialize(seed=st.integers(0, 2**32))
@@ -64,6 +67,11 @@
             view = node.view
             assert view.version >= node.highest, f"{name} went back from {node.highest}"
             node.highest = view.version
+            in_contact = world.now - world.disturbed_at >= CONTACT
+            if in_contact:
+                # Also without a proof: a service may be served by the version held.
+                oldest = world.newest_before(world.now - TIMES.lease)
+                assert view.version >= oldest, f"{name} goes by {view.version}, not {oldest}"
             if world.is_fresh(name):
                 oldest = world.newest_before(world.now - TIMES.lease)
                 assert view.version >= oldest, f"{name} serves {view.version}, not {oldest}"
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -22,6 +22,28 @@
     confirmed_at: Seconds
 
 
+class SentQuery(msgspec.Struct, frozen=True):
+    """Hold the voter that was queried, the time, and the Watch and customers version stated."""
+
+    voter: str
+    sent_at: Seconds
+    watch: int
+    customers: int
+
+
+class Queries(msgspec.Struct):
+    """Hold the queries to other voters that are unanswered, and when and whom to query next.
+
+    `is_returning` is true if the node returns to its preferred voter once that answers.
+    """
+
+    unanswered: dict[int, SentQuery] = msgspec.field(default_factory=dict)
+    number: int = 0
+    position: int = -1
+    next_at: Seconds = 0.0
+    is_returning: bool = False
+
+
 class NodeView(msgspec.Struct):
     """Hold the configuration and the upstreams that one run of a node has received.
 
@@ -30,6 +52,8 @@
     `confirmed_at` is the time, on the node's own clock, up to which nothing newer than `version`
     had been accepted; `groups_confirmed_at` is the same time for the claim groups it holds.
     `newest_peer_version` is the highest version that another process has stated.
+    `overtaken_since` is the time since which a peer is known to hold a newer version,
+    `incomplete_since` the time of the first unanswered watch; both are None if there is none.
     `has_uncertain_customers` is true if the customers held may not be those of `version`.
     `seeds` are the voters listed in the settings, to be tried when no known voter replies.
     """
@@ -51,6 +75,9 @@
     was_fresh: bool = False
     has_uncertain_customers: bool = False
     seeds: tuple[VoterPlace, ...] = ()
+    overtaken_since: Seconds | None = None
+    incomplete_since: Seconds | None = None
+    queries: Queries = msgspec.field(default_factory=Queries)
 
     def is_fresh(self, now: Seconds) -> bool:
         """Return whether nothing newer can have been accepted more than a lease ago."""
--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -22,7 +22,9 @@
 from bendwind_core.core import Record
 from bendwind_core.membership import (
     Announce,
+    ConfigurationAnswer,
     ConfigurationChanged,
+    ConfigurationQuery,
     Heartbeat,
     HeartbeatReply,
     MemberDigest,
@@ -67,6 +69,8 @@
     | Watch
     | WatchUpdate
     | ConfigurationChanged
+    | ConfigurationQuery
+    | ConfigurationAnswer
     | VoterList
     | MemberGossip
     | MemberDigest
--- a/packages/bendwind-core/src/bendwind_core/messages/frame.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/frame.py
@@ -9,11 +9,16 @@
 
 
 class Frame(Record, frozen=True, array_like=True):
-    """Hold messages in order, with the hybrid logical time of the sender."""
+    """Hold messages in order, with the hybrid logical time of the sender.
+
+    `version` is the configuration in force at the sender, 0 if unknown: a node learns from any peer
+    that its own is overtaken.
+    """
 
     physical_ms: int
     logical: int
     messages: tuple[PeerMessage, ...]
+    version: int = 0
 
 
 def encode_frame(frame: Frame) -> bytes:
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -37,6 +37,7 @@
 _TO_ENTRY = (AnswerHead, NotRun, Unknown, Fenced)
 _TO_NODE = (
     member.HeartbeatReply,
+    member.ConfigurationAnswer,
     member.ConfigurationChanged,
     member.WatchUpdate,
     member.VoterList,
@@ -47,6 +48,7 @@
     member.Heartbeat,
     member.Announce,
     member.Watch,
+    member.ConfigurationQuery,
     member.MemberGossip,
     member.MemberDigest,
     member.MemberPull,
@@ -117,6 +119,10 @@
         if handler is not None:
             handler(link, message)
 
+    def handle_version(self, link: Link, version: int) -> None:
+        """Report a newer configuration version of a peer to membership."""
+        self.membership.handle_peer_version(link.peer.name, version, None)
+
     def is_idle(self, peer: str) -> bool:
         """Return whether the entry node has no attempts at an owner."""
         return not self.entry.has_attempts_at(peer)
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_quotas.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_quotas.py
@@ -85,8 +85,8 @@
         self.assertTrue((await quotas.acquire_token("maria", None, math.inf)).is_ok())
 
     def test_node_acquires_as_many_tokens_as_its_voter_grants(self):
-        # By real clocks, a reply that a busy machine delays beyond the time that a request waits for
-        # its token makes a refusal of another kind. This clock moves only while nothing can run.
+        # By real clocks, a busy machine may delay a reply beyond the time that a request waits for
+        # its token, which is then refused as unknown. This clock moves only while nothing can run.
         trio.run(self.run_processes, clock=trio.testing.MockClock(autojump_threshold=0.002))
 
 
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -71,6 +71,7 @@
     `compresses_far` enables compression of links to other data centres.
     `dialing` holds, for each peer that is being dialed, the messages to send once its link opens.
     `unreachable_peers` are the peers whose dial failed and with which no link has opened since.
+    `find_version` returns this process's configuration version, which it states in its frames.
     `reply_awaited` is set when a link begins to wait for a message or pong.
     Units: `link_mbps` is the rate of the instance's own network link, in megabits per second.
     """
@@ -84,6 +85,7 @@
     compresses_far: bool = False
     link_mbps: float = DEFAULT_LINK_MBPS
     find_registered_incarnation: Callable[[str], int] = lambda name: 0
+    find_version: Callable[[], int] = lambda: 0
     nursery: trio.Nursery | None = None
     next_epoch: int = 1
     addresses: dict[str, Address] = msgspec.field(default_factory=dict)
@@ -256,7 +258,8 @@
 
     def _encode(self, messages: list[PeerMessage]) -> bytes:
         stamp = self.recorder.timestamp()
-        return encode_frame(Frame(stamp.physical_ms, stamp.logical, tuple(messages)))
+        frame = Frame(stamp.physical_ms, stamp.logical, tuple(messages), self.find_version())
+        return encode_frame(frame)
 
     async def _run_link(
         self, socket: Connection, hello: Hello, epoch: int, is_dialed: bool
@@ -330,6 +333,8 @@
     def _deliver(self, link: Link, frame: Frame) -> None:
         self.recorder.observe(HybridTime(frame.physical_ms, frame.logical))
         link.record_reply()
+        if frame.version > self.find_version():
+            self.receiver.handle_version(link, frame.version)
         for message in frame.messages:
             if link.is_open:
                 self.receiver.receive(link, message)
--- a/packages/bendwind-node/src/bendwind_node/links/link.py
+++ b/packages/bendwind-node/src/bendwind_node/links/link.py
@@ -98,5 +98,8 @@
     def receive(self, link: Link, message: PeerMessage) -> None:
         """Handle a message that a link received."""
 
+    def handle_version(self, link: Link, version: int) -> None:
+        """Handle a peer's configuration version that is higher than this process's."""
+
     def is_idle(self, peer: str) -> bool:
         """Return whether nothing is awaited from a peer to which nothing was sent recently."""
--- a/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
@@ -17,6 +17,7 @@
         self.closed = []
         self.received = []
         self.unsent = []
+        self.versions = []
         self.idle = True
         self.changed = trio.Event()
 
@@ -40,6 +41,9 @@
         self.received.append(message)
         self._signal_change()
 
+    def handle_version(self, link, version):
+        self.versions.append((link.peer.name, version))
+
     def is_idle(self, peer):
         return self.idle
 
@@ -81,6 +85,24 @@
 
         trio.run(main)
 
+    # Failure: a node heard of a newer version from its voter only; peers with which it exchanged
+    # requests all the time stated theirs once, when their link opened.
+    def test_peer_with_a_newer_version_states_it_in_every_frame(self):
+        async def check(connect, server):
+            client = connect()
+            server.find_version = lambda: 7
+            client.find_version = lambda: 9
+            client.send_dialed("b", Goodbye("a"))
+            await wait_until(server.receiver, lambda: server.receiver.received)
+            self.assertEqual(server.receiver.versions, [("a", 9)])
+            server.find_version = lambda: 9
+            client.send_dialed("b", Goodbye("a"))
+            await wait_until(server.receiver, lambda: len(server.receiver.received) > 1)
+            self.assertEqual(server.receiver.versions, [("a", 9)])
+            self.assertEqual(client.receiver.versions, [])
+
+        self.run_with(check)
+
     def test_messages_sent_before_the_link_is_open_arrive_in_order(self):
         async def check(connect, server):
             client = connect()
--- a/packages/bendwind-node/src/bendwind_node/links/tests/test_secure_links.py
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_secure_links.py
@@ -29,6 +29,9 @@
     def dial_failed(self, peer, unsent):
         self.has_failed.set()
 
+    def handle_version(self, link, version):
+        pass
+
     def is_idle(self, peer):
         return True
 
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -199,7 +199,7 @@
     def handle_peer_version(
         self, peer: str, version: int, confirmed_age_ms: Milliseconds | None
     ) -> None:
-        """Handle the version that another process stated in its Hello."""
+        """Handle the version that another process stated in its Hello or in a later frame."""
         self.step(PeerVersionReceived(peer, version, confirmed_age_ms))
 
 
