--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -98,6 +98,13 @@
     reason: str
 
 
+class ConfigurationFetched(msgspec.Struct, frozen=True):
+    """Report that a newer configuration came from a voter that the node is not attached to."""
+
+    version: int
+    voter: str
+
+
 class CustomersChanged(msgspec.Struct, frozen=True):
     """Report that a node has applied changed customers; `names` lists those that differ.
 
@@ -171,6 +178,7 @@
     | SendTo
     | ConfigurationApplied
     | ConfigurationDropped
+    | ConfigurationFetched
     | CustomersChanged
     | UpstreamsChanged
     | SuspectsReceived
--- a/packages/bendwind-core/src/bendwind_core/membership/queries.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/queries.py
@@ -12,13 +12,13 @@
     record_proof,
     reported_version,
 )
-from bendwind_core.membership.events import SendTo, ViewEffect
+from bendwind_core.membership.events import ConfigurationFetched, SendTo, ViewEffect
 from bendwind_core.membership.messages import ConfigurationAnswer, ConfigurationQuery
 from bendwind_core.membership.view import NodeView, SentQuery
 
 # Units: heartbeat intervals.
 # Without a good reply for this long, one heartbeat or its reply is overdue.
-_MAX_REPLY_GAP = 1.6
+_MAX_REPLY_GAP = 1.3
 # A push takes much less than this, on all but the slowest links.
 _MAX_PUSH_DELAY = 0.5
 _QUERY_INTERVAL = 0.5
@@ -94,11 +94,14 @@
     del view.queries.unanswered[answer.number]
     if sender == view.attachment.order[0]:
         view.queries.is_returning = False
+    version = view.version
     if answer.change is not None:
         apply_configuration(view, answer.change, effects)
     is_as_sent = sent.watch == view.watch_sequence and sent.customers == customers_version(view)
     if answer.is_current and view.is_complete and is_as_sent:
         apply_version(view, answer.version, effects)
+    if view.version > version:
+        effects.append(ConfigurationFetched(view.version, sender))
     if answer.confirmed_age_ms is not None:
         record_proof(view, answer.version, answer.confirmed_age_ms, sent.sent_at)
     is_late = now - sent.sent_at >= view.times.confirmation_limit
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_silent_voters.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_silent_voters.py
@@ -3,7 +3,8 @@
 import unittest
 import unittest.mock
 
-from bendwind_core.membership import renewal
+from bendwind_core.membership import ConfigurationFetched, renewal, step_view
+from bendwind_core.membership.tests import fakes
 from bendwind_core.membership.tests.fakes import SERVICES, TIMES, World
 from bendwind_core.world import Service
 
@@ -33,6 +34,15 @@
     return world.now - accepted_at
 
 
+def make_recorder(effects):
+    def step(*arguments):
+        stepped = step_view(*arguments)
+        effects.extend(stepped)
+        return stepped
+
+    return step
+
+
 class SilentVotersTest(unittest.TestCase):
     # Failure: a node heard of changes from the voter that it was attached to, and from no other.
     # While it went from one silent voter to the next, a second for each, it served by old routes.
@@ -45,6 +55,17 @@
             lags.append(find_lag(world, 2))
         self.assertLess(max(lags), TIMES.provable_lease)
 
+    def test_change_from_another_voter_is_reported_with_its_name(self):
+        world = start_world(0)
+        view = world.nodes["n0"].view
+        former, effects = view.voter, []
+        silence(world, former)
+        with unittest.mock.patch.object(fakes, "step_view", make_recorder(effects)):
+            find_lag(world, 2)
+        [fetched] = [one for one in effects if isinstance(one, ConfigurationFetched)]
+        self.assertEqual(fetched.version, view.version)
+        self.assertNotEqual(fetched.voter, former)
+
     # Failure: a node that returned to its preferred voter ended what the former one sent before the
     # preferred one had sent anything.
     def test_return_to_a_silent_preferred_voter_delays_no_change(self):
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -13,6 +13,7 @@
     AttachmentChanged,
     ConfigurationApplied,
     ConfigurationDropped,
+    ConfigurationFetched,
     CustomersChanged,
     FreshnessChanged,
     LeaseTimes,
@@ -111,6 +112,9 @@
             case ConfigurationDropped(version=version, reason=reason):
                 detail = f"{version}: {reason}"
                 self.recorder.record(EventKind.CONFIGURATION_DROPPED, detail=detail)
+            case ConfigurationFetched(version=version, voter=voter):
+                detail = f"{version} from {voter}"
+                self.recorder.record(EventKind.CONFIGURATION_FETCHED, detail=detail)
             case CustomersChanged():
                 detail = _describe_customers(effect)
                 self.recorder.record(EventKind.CUSTOMERS_CHANGED, detail=detail)
