--- a/packages/bendwind-core/src/bendwind_core/membership/queries.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/queries.py
@@ -51,11 +51,12 @@
 
 
 def _is_in_doubt(view: NodeView, now: Seconds) -> bool:
-    attachment = view.attachment
-    if not attachment.has_received_reply:
+    last_good_reply_at = view.attachment.last_good_reply_at
+    if not last_good_reply_at:
+        # While all processes start, nodes that query two voters at a time would only delay them.
         return False
     heartbeat = view.times.heartbeat
-    if now - attachment.last_good_reply_at > _MAX_REPLY_GAP * heartbeat:
+    if now - last_good_reply_at > _MAX_REPLY_GAP * heartbeat:
         return True
     times = (view.overtaken_since, view.incomplete_since)
     return any(since is not None and now - since > _MAX_PUSH_DELAY * heartbeat for since in times)
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -75,8 +75,8 @@
         float,
         Meta(ge=0.1, le=1_000_000),
         _doc(
-            "Rate of the instance's own network link. If it is low, peers get more time to answer "
-            "a ping, since the answer may wait behind a large body.",
+            "Rate of the instance's own network link, of which the bodies of requests may fill "
+            "little at a time. If it is low, peers get more time to answer a ping.",
             "Mbit/s",
         ),
     ] = 1000.0
@@ -277,8 +277,9 @@
         int,
         Meta(ge=0, le=1 << 30),
         _doc(
-            "Maximum size of a request body that is sent to another data centre while the own data "
-            "centre serves; for services that prefer near upstreams.",
+            "Maximum size of a request body that is sent before its owner permits it, and that is "
+            "sent to another data centre while the own data centre serves; the latter for services "
+            "that prefer near upstreams.",
             "B",
         ),
     ] = (
