--- a/packages/bendwind-cli/src/bendwind_cli/explain.py
+++ b/packages/bendwind-cli/src/bendwind_cli/explain.py
@@ -15,7 +15,7 @@
     RefusalFacts,
 )
 from bendwind_core.timeline.diagnosis import diagnose
-from bendwind_core.timeline.story import Story, find_story
+from bendwind_core.timeline.request_trace import RequestTrace, find_trace
 
 _STANDARD_INPUT = "-"
 
@@ -28,8 +28,8 @@
     missing = [name for name in command.logs if not _is_readable(name)]
     if missing:
         return Error(Failure(ExitCode.USAGE, f"{missing[0]}: expected a readable file"))
-    story = find_story(command.request, _read_lines(command.logs or (_STANDARD_INPUT,)))
-    return Ok("\n".join(_render(story)))
+    trace = find_trace(command.request, _read_lines(command.logs or (_STANDARD_INPUT,)))
+    return Ok("\n".join(_render(trace)))
 
 
 def _is_readable(name: str) -> bool:
@@ -45,31 +45,31 @@
             yield from file
 
 
-def _render(story: Story) -> Iterator[str]:
-    if story.end is not None:
-        yield from _render_end(story.end)
-        for number, step in enumerate(story.steps, 1):
+def _render(trace: RequestTrace) -> Iterator[str]:
+    if trace.end is not None:
+        yield from _render_end(trace.end)
+        for number, step in enumerate(trace.steps, 1):
             attempt = step.attempt
             took = "no end seen" if attempt.ms is None else f"{attempt.end} after {attempt.ms} ms"
             yield f"  {number}. at +{attempt.sent_ms} ms to {attempt.upstream}: {took}"
             yield f"     {_render_owner(step.owner)}"
-    yield from _render_upstream_ends(story)
-    if story.context:
+    yield from _render_upstream_ends(trace)
+    if trace.context:
         yield "  what its processes had logged shortly before:"
-        for line in story.context:
-            before_ms = story.end.physical_ms - line.physical_ms
+        for line in trace.context:
+            before_ms = trace.end.physical_ms - line.physical_ms
             words = (f"     -{before_ms} ms", line.instance, line.name, line.upstream, line.detail)
             yield " ".join(word for word in words if word)
-    yield f"cause: {diagnose(story)}"
-    if story.unread:
-        yield f"{story.unread} lines could not be read and were passed over"
+    yield f"cause: {diagnose(trace)}"
+    if trace.unread:
+        yield f"{trace.unread} lines could not be read and were passed over"
 
 
-def _render_upstream_ends(story: Story) -> Iterator[str]:
-    if not story.upstream_ends:
+def _render_upstream_ends(trace: RequestTrace) -> Iterator[str]:
+    if not trace.upstream_ends:
         return
     yield "  upstreams that ended while it, or the same asked again, ran there:"
-    for line in story.upstream_ends:
+    for line in trace.upstream_ends:
         yield f"     {line.upstream} beside {line.instance} at {line.physical_ms} ms: {line.detail}"
 
 
--- a/packages/bendwind-core/src/bendwind_core/timeline/diagnosis.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/diagnosis.py
@@ -6,7 +6,7 @@
 from bendwind_core.attempts.pace import SLOW_FACTOR
 from bendwind_core.core import Milliseconds
 from bendwind_core.timeline.facts import CallFacts, DispatchFacts, RefusalFacts
-from bendwind_core.timeline.story import Step, Story
+from bendwind_core.timeline.request_trace import RequestTrace, Step
 
 # A stage counts as a cause of a late answer if it took more than this share of the latency
 # objective.
@@ -26,23 +26,23 @@
 }
 
 
-def diagnose(story: Story) -> str:
+def diagnose(trace: RequestTrace) -> str:
     """Return the most likely cause of the outcome, based on the available log lines."""
-    if story.end is None:
+    if trace.end is None:
         return (
             "no line of an entry node was found: the request did not arrive, its process ended "
             "before the call did, or logs are missing"
         )
-    facts = story.end.facts
+    facts = trace.end.facts
     if not facts.attempts:
-        return _diagnose_without_attempts(story.end.detail)
-    if story.end.detail.startswith("not-run"):
-        return _diagnose_refusals(story.steps)
-    if story.end.detail.startswith("caller gone"):
+        return _diagnose_without_attempts(trace.end.detail)
+    if trace.end.detail.startswith("not-run"):
+        return _diagnose_refusals(trace.steps)
+    if trace.end.detail.startswith("caller gone"):
         return "the caller went away before an answer came"
-    if story.end.detail == "answered":
-        return _diagnose_answer(story.steps[-1], facts)
-    return _diagnose_unknown(_find_last_sent(story.steps))
+    if trace.end.detail == "answered":
+        return _diagnose_answer(trace.steps[-1], facts)
+    return _diagnose_unknown(_find_last_sent(trace.steps))
 
 
 def _diagnose_without_attempts(detail: str) -> str:
--- a/packages/bendwind-core/src/bendwind_core/timeline/story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/request_trace.py
@@ -31,7 +31,7 @@
     owner: LogLine | None = None
 
 
-class Story(msgspec.Struct, frozen=True):
+class RequestTrace(msgspec.Struct, frozen=True):
     """Hold the log lines that were found for a request.
 
     `upstream_ends` are the lines about upstreams that ended while they ran this request or an
@@ -48,7 +48,7 @@
     upstream_ends: tuple[LogLine, ...] = ()
 
 
-def find_story(request: str, lines: Iterable[str]) -> Story:
+def find_trace(request: str, lines: Iterable[str]) -> RequestTrace:
     """Read the logs of any processes in any order and select the lines that concern a request.
 
     `request` is the id that the caller gave its request.
@@ -71,11 +71,11 @@
     upstream_ends = _find_upstream_ends(request, end_lines, refusals)
     end = _find_end(request_lines)
     if end is None:
-        return Story(request, None, unread=unread, upstream_ends=upstream_ends)
+        return RequestTrace(request, None, unread=unread, upstream_ends=upstream_ends)
     steps = _match_steps(end, request_lines)
     instances = {end.instance} | {step.owner.instance for step in steps if step.owner}
     context = _find_context(end, process_lines, instances)
-    return Story(request, end, steps, context, unread, upstream_ends)
+    return RequestTrace(request, end, steps, context, unread, upstream_ends)
 
 
 def _find_upstream_ends(
--- a/packages/bendwind-core/src/bendwind_core/timeline/tests/test_story.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_request_trace.py
@@ -12,7 +12,7 @@
     UnansweredFacts,
 )
 from bendwind_core.timeline.diagnosis import diagnose
-from bendwind_core.timeline.story import find_story
+from bendwind_core.timeline.request_trace import find_trace
 
 FULL = RefusalFacts("r", 190.0, 190.0, 60.0, running=4, waiting=3, slots=4)
 SLOWED = RefusalFacts("r", 190.0, 190.0, 60.0, 1, 0, 4, slow_factor=4.0, report_age_ms=12.0)
@@ -41,7 +41,7 @@
     return LogLine("info", instance, at, name, 601)
 
 
-class StoryTest(unittest.TestCase):
+class RequestTraceTest(unittest.TestCase):
     def test_lines_of_many_processes_in_any_order_are_combined(self):
         first = AttemptFacts("u1", 0.2, "not-run: queue-full", 1.0)
         second = AttemptFacts("u2", 1.3, "200", 18.0)
@@ -51,10 +51,10 @@
             owner_line("ATTEMPT_REFUSED", "u1", FULL, "queue-full", 991),
             owner_line("ATTEMPT_REFUSED", "u2", FULL, "queue-full", 500, request="other"),
         ]
-        story = find_story("q1", (write(line, "12.5 node-1 ") for line in lines))
-        self.assertEqual([step.owner.instance for step in story.steps], ["owner-u1", "owner-u2"])
-        self.assertEqual(story.unread, 0)
-        self.assertEqual(diagnose(story), "answered in time")
+        trace = find_trace("q1", (write(line, "12.5 node-1 ") for line in lines))
+        self.assertEqual([step.owner.instance for step in trace.steps], ["owner-u1", "owner-u2"])
+        self.assertEqual(trace.unread, 0)
+        self.assertEqual(diagnose(trace), "answered in time")
 
     def test_upstream_ends_during_equivalent_requests_are_found_by_request_id(self):
         def end_upstream(upstream, at, *requests):
@@ -67,13 +67,13 @@
             end_upstream("u3", 250, ("77", "q3")),
             end_call("answered", AttemptFacts("u1", 0.1, "200", 9.0)),
         ]
-        story = find_story("q1", (write(line) for line in lines))
-        self.assertEqual([line.upstream for line in story.upstream_ends], ["u1", "u2"])
+        trace = find_trace("q1", (write(line) for line in lines))
+        self.assertEqual([line.upstream for line in trace.upstream_ends], ["u1", "u2"])
 
     def test_truncated_and_foreign_lines_are_counted_and_skipped(self):
         whole = write(end_call("answered", AttemptFacts("u1", 0.1, "200", 9.0)))
-        story = find_story("q1", [whole[:40], "no log line", "", '{"a": 1}', whole])
-        self.assertEqual((story.unread, story.end.call), (3, "c1"))
+        trace = find_trace("q1", [whole[:40], "no log line", "", '{"a": 1}', whole])
+        self.assertEqual((trace.unread, trace.end.call), (3, "c1"))
 
     def test_context_holds_what_the_processes_of_the_request_logged_shortly_before(self):
         lines = [
@@ -86,14 +86,14 @@
             process_line("stranger", "LINK_CLOSED", 9_500),
             process_line("entry", "LINK_CLOSED", 10_500),
         ]
-        story = find_story("q1", map(write, lines))
-        names = [line.name for line in story.context]
+        trace = find_trace("q1", map(write, lines))
+        names = [line.name for line in trace.context]
         self.assertEqual(names, ["VOTER_CHANGED", "UPSTREAM_READY"])
 
 
 class DiagnosisTest(unittest.TestCase):
     def diagnose(self, *lines):
-        return diagnose(find_story("q1", map(write, lines)))
+        return diagnose(find_trace("q1", map(write, lines)))
 
     def test_missing_log_lines_are_reported(self):
         self.assertIn("no line of an entry node", self.diagnose(end_call("answered", request="q2")))
