--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_push_order.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_push_order.py
@@ -6,6 +6,7 @@
 from bendwind_core.membership import (
     ConfigurationAccepted,
     ConfigurationChanged,
+    ConfigurationQuery,
     Heartbeat,
     LinkLost,
     MessageReceived,
@@ -27,8 +28,8 @@
     return Route(f"r{number}", "h", f"/{number}/", (SplitPart(service),), Rule("*"))
 
 
-class PushOrderTest(unittest.TestCase):
-    """Let a node report version 1 while versions 2, with many routes, and 3 are sent to it."""
+class VoterTest(unittest.TestCase):
+    """Attach a node that reports version 1 to a voter; further versions have many routes."""
 
     def setUp(self):
         self.rng = random.Random(1)
@@ -66,6 +67,8 @@
     def find_bases(self, messages):
         return [(message.base, len(message.routing.routes)) for message in messages]
 
+
+class PushOrderTest(VoterTest):
     def test_change_after_a_push_under_way_contains_only_what_is_new(self):
         self.assertEqual(self.find_bases(self.accept(2, self.routes)), [(1, MANY)])
         self.assertEqual(self.find_bases(self.accept_small_change(3)), [(2, 1)])
@@ -106,5 +109,38 @@
         self.assertEqual(self.find_bases(self.accept_small_change(5)), [(2, 1)])
 
 
+class QueryTest(VoterTest):
+    """Let a node that is attached to another voter query this one."""
+
+    def query(self, version, customers=None):
+        asked = ConfigurationQuery("n9", 4, version, customers or version, 3, (SERVICE,))
+        effects = step_registry(self.registry, MessageReceived("n9", asked), self.now, self.rng)
+        [answer] = [effect.message for effect in effects]
+        self.assertEqual(answer.number, 4)
+        self.assertNotIn("n9", self.registry.clients)
+        return answer
+
+    def test_answer_contains_what_is_new(self):
+        self.accept(2, self.routes[:3])
+        answer = self.query(1)
+        self.assertEqual((answer.version, answer.is_current), (2, False))
+        self.assertEqual((answer.change.base, answer.change.watch), (1, 3))
+        self.assertEqual(answer.change.routing.routes, self.routes[:3])
+
+    # Failure: a second copy of a large change delays the one that the voter in use has sent.
+    def test_answer_leaves_a_large_change_to_the_voter_in_use(self):
+        self.accept(2, self.routes)
+        answer = self.query(1)
+        self.assertEqual((answer.version, answer.is_current, answer.change), (2, False, None))
+
+    def test_node_that_lacks_nothing_is_told_so(self):
+        answer = self.query(1)
+        self.assertEqual((answer.version, answer.is_current, answer.change), (1, True, None))
+
+    def test_node_ahead_of_the_voter_is_sent_no_older_version(self):
+        answer = self.query(5)
+        self.assertEqual((answer.version, answer.is_current, answer.change), (1, False, None))
+
+
 if __name__ == "__main__":
     unittest.main()
