--- a/packages/bendwind-core/src/bendwind_core/membership/attachment.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/attachment.py
@@ -22,7 +22,7 @@
 
 
 class SentHeartbeat(msgspec.Struct, frozen=True):
-    """Hold the time and recipient of a heartbeat, and the Watch and customers version in it."""
+    """Hold the time and recipient of a heartbeat or query, and the versions stated in it."""
 
     sent_at: Seconds
     watch: int
--- a/packages/bendwind-core/src/bendwind_core/membership/configuration.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/configuration.py
@@ -2,6 +2,7 @@
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.membership import watch_cache
+from bendwind_core.membership.attachment import SentHeartbeat
 from bendwind_core.membership.events import (
     ClaimGroupsChanged,
     ConfigurationApplied,
@@ -38,6 +39,16 @@
     effects.append(ConfigurationApplied(version))
 
 
+def apply_unchanged(
+    view: NodeView, version: int, sent: SentHeartbeat, effects: list[ViewEffect]
+) -> None:
+    """Put a version in force that changed nothing which the node watched when it sent a message."""
+    # The voter speaks of the state as it was sent, not of configuration applied since.
+    is_as_sent = sent.watch == view.watch_sequence and sent.customers == customers_version(view)
+    if view.is_complete and is_as_sent:
+        apply_version(view, version, effects)
+
+
 def record_proof(view: NodeView, version: int, age_ms: Milliseconds, sent_at: Seconds) -> None:
     """Record a voter's proof, in reply to what was sent at a time, that a version is the newest."""
     # The voter's round began this long before its reply, and it replied after the node had sent. On
--- a/packages/bendwind-core/src/bendwind_core/membership/queries.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/queries.py
@@ -5,16 +5,17 @@
 """
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.membership.attachment import SentHeartbeat
 from bendwind_core.membership.configuration import (
     apply_configuration,
-    apply_version,
+    apply_unchanged,
     customers_version,
     record_proof,
     reported_version,
 )
 from bendwind_core.membership.events import ConfigurationFetched, SendTo, ViewEffect
 from bendwind_core.membership.messages import ConfigurationAnswer, ConfigurationQuery
-from bendwind_core.membership.view import NodeView, SentQuery
+from bendwind_core.membership.view import NodeView
 
 # Units: heartbeat intervals.
 # Without a good reply for this long, one heartbeat or its reply is overdue.
@@ -33,6 +34,13 @@
     return age_ms is not None and age_ms < limit_ms
 
 
+def is_good_reply(
+    view: NodeView, age_ms: Milliseconds | None, sent_at: Seconds, now: Seconds
+) -> bool:
+    """Return whether a reply came in time from a voter in contact with a quorum."""
+    return is_recently_confirmed(view, age_ms) and now - sent_at < view.times.confirmation_limit
+
+
 def send_due_query(view: NodeView, effects: list[ViewEffect], now: Seconds) -> None:
     """Query the next voter if the one in use may keep something from this node."""
     if now < view.queries.next_at or not _is_in_doubt(view, now):
@@ -69,7 +77,8 @@
     if len(queries.unanswered) >= _MAX_UNANSWERED:
         queries.unanswered.pop(next(iter(queries.unanswered)))
     customers = customers_version(view)
-    queries.unanswered[queries.number] = SentQuery(voter, now, view.watch_sequence, customers)
+    sent = SentHeartbeat(now, view.watch_sequence, customers, voter)
+    queries.unanswered[queries.number] = sent
     query = ConfigurationQuery(
         view.instance.name,
         queries.number,
@@ -98,15 +107,13 @@
     version = view.version
     if answer.change is not None:
         apply_configuration(view, answer.change, effects)
-    is_as_sent = sent.watch == view.watch_sequence and sent.customers == customers_version(view)
-    if answer.is_current and view.is_complete and is_as_sent:
-        apply_version(view, answer.version, effects)
+    if answer.is_current:
+        apply_unchanged(view, answer.version, sent, effects)
     if view.version > version:
         effects.append(ConfigurationFetched(view.version, sender))
     if answer.confirmed_age_ms is not None:
         record_proof(view, answer.version, answer.confirmed_age_ms, sent.sent_at)
-    is_late = now - sent.sent_at >= view.times.confirmation_limit
-    is_good = is_recently_confirmed(view, answer.confirmed_age_ms) and not is_late
+    is_good = is_good_reply(view, answer.confirmed_age_ms, sent.sent_at, now)
     if is_good:
         view.attachment.useful_voter = sender
         view.attachment.useful_at = now
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -24,7 +24,7 @@
 )
 from bendwind_core.membership.configuration import (
     apply_configuration,
-    apply_version,
+    apply_unchanged,
     customers_version,
     record_proof,
     reported_version,
@@ -60,6 +60,7 @@
 )
 from bendwind_core.membership.queries import (
     apply_answer,
+    is_good_reply,
     is_recently_confirmed,
     query_preferred_voter,
     send_due_query,
@@ -239,10 +240,8 @@
     view.attachment.has_received_reply = True
     if reply.resync:
         _resend_registration(view, effects)
-    # `is_current` refers to the state at the heartbeat, not to configuration applied since.
-    is_as_sent = sent.watch == view.watch_sequence and sent.customers == customers_version(view)
-    if reply.is_current and view.is_complete and is_as_sent:
-        apply_version(view, reply.version, effects)
+    if reply.is_current:
+        apply_unchanged(view, reply.version, sent, effects)
     if reply.confirmed_age_ms is not None:
         _handle_confirmation(view, reply, sent.sent_at, now)
     if view.attachment.index and view.is_fresh(now) and rng.random() * _REPLIES_PER_RETURN < 1:
@@ -307,10 +306,7 @@
 def _handle_confirmation(
     view: NodeView, reply: HeartbeatReply, sent_at: Seconds, now: Seconds
 ) -> None:
-    if (
-        is_recently_confirmed(view, reply.confirmed_age_ms)
-        and now - sent_at < view.times.confirmation_limit
-    ):
+    if is_good_reply(view, reply.confirmed_age_ms, sent_at, now):
         view.attachment.last_good_reply_at = now
         view.attachment.stay_beats = 1.0
     if reply.is_same:
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -9,7 +9,7 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.customers import CustomerTable
 from bendwind_core.membership import watch_cache
-from bendwind_core.membership.attachment import Attachment, order_voters
+from bendwind_core.membership.attachment import Attachment, SentHeartbeat, order_voters
 from bendwind_core.membership.messages import VoterPlace
 from bendwind_core.membership.settings import LeaseTimes
 from bendwind_core.world import Instance, Routing, Service, Upstream
@@ -22,22 +22,13 @@
     confirmed_at: Seconds
 
 
-class SentQuery(msgspec.Struct, frozen=True):
-    """Hold the voter that was queried, the time, and the Watch and customers version stated."""
-
-    voter: str
-    sent_at: Seconds
-    watch: int
-    customers: int
-
-
 class Queries(msgspec.Struct):
     """Hold the queries to other voters that are unanswered, and when and whom to query next.
 
     `is_returning` is true if the node returns to its preferred voter once that answers.
     """
 
-    unanswered: dict[int, SentQuery] = msgspec.field(default_factory=dict)
+    unanswered: dict[int, SentHeartbeat] = msgspec.field(default_factory=dict)
     number: int = 0
     position: int = -1
     next_at: Seconds = 0.0
--- a/packages/bendwind-node/src/bendwind_node/calls/body_share.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/body_share.py
@@ -12,6 +12,7 @@
 from bendwind_core.attempts import AttemptId
 from bendwind_core.core import Seconds
 from bendwind_node.calls.body_flow import PART_BYTES, WINDOW_BYTES
+from bendwind_node.links.hub import BYTES_PER_MEGABIT
 
 # How long the bodies under way to an instance may occupy its network link. A node leaves its voter
 # after 0.75 s without a reply at the shortest leases in use.
@@ -19,7 +20,6 @@
 # A part occupies the network link for this long, since what is sent after it waits for all of it.
 PART_DURATION: Seconds = 0.03
 MIN_PART_BYTES = 8 * 1024
-BYTES_PER_MEGABIT = 125_000
 
 
 def find_part_bytes(link_mbps: float) -> int:
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -44,8 +44,7 @@
 # `PONG_TIMEOUT`, so that a slow link is not closed during a caller's upload.
 BACKLOG_BYTES = 200_000
 DEFAULT_LINK_MBPS = 1000.0
-BITS_PER_BYTE = 8
-BITS_PER_MEGABIT = 1_000_000
+BYTES_PER_MEGABIT = 125_000
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_BATCH = 64
 MAX_UNSENT = 256
@@ -391,7 +390,7 @@
                 self.nursery.start_soon(self._check, link, self._find_pong_timeout())
 
     def _find_pong_timeout(self) -> Seconds:
-        return PONG_TIMEOUT + BACKLOG_BYTES * BITS_PER_BYTE / (self.link_mbps * BITS_PER_MEGABIT)
+        return PONG_TIMEOUT + BACKLOG_BYTES / (self.link_mbps * BYTES_PER_MEGABIT)
 
     async def flush(self) -> None:
         """Wait briefly until peers have received what was sent over the links that they dialed."""
