membership, node: tell which routes a node holds when it applies a version

It now has a digest of the routes and their number. The digest is kept up by what changes, at the voter and at the node; nothing decides by it.

--- a/packages/bendwind-bench/src/bendwind_bench/capacity/real/fleet.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/real/fleet.py
@@ -126,11 +126,12 @@
             await trio.sleep(POLL_INTERVAL_S)
 
 
-async def _read_events(member: Member, kind: EventKind, detail: str | None = None) -> list[float]:
+async def _read_events(member: Member, kind: EventKind, word: str | None = None) -> list[float]:
+    """Return the times of a member's events of a kind, of those whose detail begins with a word."""
     path = f"/v1/timeline?kind={kind.name}&limit=50"
     answer = await send_json(member.operators_address, "GET", path)
     events = msgspec.json.decode(answer.body)["events"]
-    matching = [event for event in events if detail is None or event["detail"] == detail]
+    matching = [event for event in events if word is None or event["detail"].split(" ")[0] == word]
     return [float(event["physical_ms"]) for event in matching]
 
 
--- a/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
@@ -1,9 +1,13 @@
 """Compute which routes changed since the version that a node holds, to send only those."""
 
+import functools
+import operator
+
 import msgspec
 
 from bendwind_core.core import Record
-from bendwind_core.world import CallerLimits, Route, Routing
+from bendwind_core.membership.digest import digest_record
+from bendwind_core.world import EMPTY_ROUTING, CallerLimits, Route, Routing
 
 RouteKey = tuple[str, str]
 
@@ -21,12 +25,35 @@
     is_whole: bool = True
 
 
+def _digest_head(routing: Routing) -> int:
+    return digest_record(Routing(routing.revision, (), routing.limits))
+
+
+def digest_routing(routing: Routing) -> int:
+    """Return the digest of all routes, their revision and the limits of callers."""
+    return functools.reduce(operator.xor, map(digest_record, routing.routes), _digest_head(routing))
+
+
+_EMPTY_DIGEST = digest_routing(EMPTY_ROUTING)
+
+
+class HeldRouting(msgspec.Struct, frozen=True):
+    """Hold the routes that a node has received, and their digest."""
+
+    routing: Routing = EMPTY_ROUTING
+    digest: int = _EMPTY_DIGEST
+
+
 class RoutingHistory(msgspec.Struct):
-    """Hold the version of each route's last change, and the version that removed each old route."""
+    """Hold the version of each route's last change, and the version that removed each old route.
+
+    `digest` covers all routes of the newest version.
+    """
 
     changed_at: dict[RouteKey, int] = msgspec.field(default_factory=dict)
     removed_at: dict[RouteKey, int] = msgspec.field(default_factory=dict)
     newest: int = 0
+    digest: int = _EMPTY_DIGEST
 
 
 def find_route_key(route: Route) -> RouteKey:
@@ -34,6 +61,10 @@
     return route.host, route.path_prefix
 
 
+def _digest_old(route: Route | None) -> int:
+    return 0 if route is None else digest_record(route)
+
+
 def record_routing_change(
     history: RoutingHistory, before: Routing, after: Routing, version: int, oldest: int
 ) -> None:
@@ -42,12 +73,16 @@
     No node is sent the changes since versions before `oldest`, so removals up to it are dropped.
     """
     known = {find_route_key(route): route for route in before.routes}
+    history.digest ^= _digest_head(before) ^ _digest_head(after)
     for route in after.routes:
         place = find_route_key(route)
-        if known.pop(place, None) != route:
+        old = known.pop(place, None)
+        if old != route:
             history.changed_at[place] = version
             history.removed_at.pop(place, None)
-    for place in known:
+            history.digest ^= digest_record(route) ^ _digest_old(old)
+    for place, old in known.items():
+        history.digest ^= digest_record(old)
         history.changed_at.pop(place, None)
         history.removed_at[place] = version
     for place in [one for one, at in history.removed_at.items() if at <= oldest]:
@@ -71,12 +106,18 @@
     return RoutingChange(routing.revision, routing.limits, changed, removed, is_whole=False)
 
 
-def apply_routing_change(routing: Routing, change: RoutingChange) -> Routing:
+def apply_routing_change(held: HeldRouting, change: RoutingChange) -> HeldRouting:
     """Return the routes that result from applying a change to the held routes."""
     if change.is_whole:
-        return Routing(change.revision, change.routes, change.limits)
-    routes = {find_route_key(route): route for route in routing.routes}
+        whole = Routing(change.revision, change.routes, change.limits)
+        return HeldRouting(whole, digest_routing(whole))
+    routes = {find_route_key(route): route for route in held.routing.routes}
+    digest = held.digest ^ _digest_head(held.routing)
     for place in change.removed:
-        routes.pop(place, None)
-    routes.update((find_route_key(route), route) for route in change.routes)
-    return Routing(change.revision, tuple(routes.values()), change.limits)
+        digest ^= _digest_old(routes.pop(place, None))
+    for route in change.routes:
+        place = find_route_key(route)
+        digest ^= _digest_old(routes.get(place)) ^ digest_record(route)
+        routes[place] = route
+    changed = Routing(change.revision, tuple(routes.values()), change.limits)
+    return HeldRouting(changed, digest ^ _digest_head(changed))
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -89,7 +89,7 @@
     @property
     def routing(self) -> Routing:
         """Return the applied routes."""
-        return self.cache.routing
+        return self.cache.routing.routing
 
     @property
     def evacuated(self) -> frozenset[str]:
--- a/packages/bendwind-core/src/bendwind_core/membership/watch_cache.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/watch_cache.py
@@ -11,8 +11,8 @@
 )
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.messages import ConfigurationChanged, WatchUpdate
-from bendwind_core.membership.routing_changes import apply_routing_change
-from bendwind_core.world import EMPTY_ROUTING, Routing, Service, Upstream, UpstreamState
+from bendwind_core.membership.routing_changes import HeldRouting, apply_routing_change
+from bendwind_core.world import Service, Upstream, UpstreamState
 
 UpstreamKey = tuple[str, str]
 
@@ -29,7 +29,7 @@
     services: dict[str, Service] = msgspec.field(default_factory=dict)
     claim_groups: dict[str, ClaimGroup] = msgspec.field(default_factory=dict)
     upstreams: dict[str, dict[UpstreamKey, Upstream]] = msgspec.field(default_factory=dict)
-    routing: Routing = EMPTY_ROUTING
+    routing: HeldRouting = HeldRouting()
     evacuated: frozenset[str] = frozenset()
     digest: int = 0
     customers: CustomerTable | None = None
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -108,7 +108,8 @@
             case AttachmentChanged(voter=voter, reason=reason):
                 self.recorder.record(EventKind.VOTER_CHANGED, detail=f"{voter}: {reason}")
             case ConfigurationApplied(version=version):
-                self.recorder.record(EventKind.CONFIGURATION_APPLIED, detail=str(version))
+                detail = _describe_applied(version, self.view)
+                self.recorder.record(EventKind.CONFIGURATION_APPLIED, detail=detail)
             case ConfigurationDropped(version=version, reason=reason):
                 detail = f"{version}: {reason}"
                 self.recorder.record(EventKind.CONFIGURATION_DROPPED, detail=detail)
@@ -207,6 +208,10 @@
         self.step(PeerVersionReceived(peer, version, confirmed_age_ms))
 
 
+def _describe_applied(version: int, view: NodeView) -> str:
+    return f"{version} d={view.cache.routing.digest:016x} n={len(view.routing.routes)}"
+
+
 def _describe_customers(changed: CustomersChanged) -> str:
     names = changed.names[:_NAMES_SHOWN]
     more = len(changed.names) - len(names)
