membership: check what a version contains before it is put in force

Cause: a difference states the version that it starts from, and nobody can check that claim. A voter reads the newest state each 50 ms and skips versions; what it sends as the changes since 1 doesn't name a route that a skipped 2 had added and 3 dropped. Since queries, nodes hear of changes from two voters at once; a node that has 2 from another one applied that difference and held the route of 2 under the version 3, with a young proof, until the same route changed again.

The mend: voters state a digest of all that a version contains for a node: in what they push, in replies and in answers. So the class is closed: a version is no longer taken for its content, whatever led to the difference. Digests are kept up by what changes, at both ends.

What a process of a former release sends has no digest: its differences are taken only from the version held. A release that computes other digests is recognised by a whole configuration whose digest differs; what it states is then not compared.

--- a/packages/bendwind-core/src/bendwind_core/membership/configuration.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/configuration.py
@@ -3,14 +3,20 @@
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.membership import watch_cache
 from bendwind_core.membership.attachment import SentHeartbeat
+from bendwind_core.membership.content import HeldContent, change_content, digest_content
 from bendwind_core.membership.events import (
     ClaimGroupsChanged,
     ConfigurationApplied,
+    ConfigurationDiffers,
     ConfigurationDropped,
     CustomersChanged,
     ViewEffect,
 )
-from bendwind_core.membership.messages import ConfigurationChanged
+from bendwind_core.membership.messages import (
+    ConfigurationAnswer,
+    ConfigurationChanged,
+    HeartbeatReply,
+)
 from bendwind_core.membership.view import NodeView, PendingConfirmation
 
 # Version in the heartbeats of a node that lacks the configuration of a service it watches, or that
@@ -39,14 +45,42 @@
     effects.append(ConfigurationApplied(version))
 
 
-def apply_unchanged(
-    view: NodeView, version: int, sent: SentHeartbeat, effects: list[ViewEffect]
+def apply_stated_version(
+    view: NodeView,
+    stated: HeartbeatReply | ConfigurationAnswer,
+    sent: SentHeartbeat,
+    effects: list[ViewEffect],
+    now: Seconds,
+) -> None:
+    """Put the version that a voter states in force if the node holds just what it contains."""
+    if not view.is_complete or sent.watch != view.watch_sequence:
+        return
+    if stated.content == view.content_digest:
+        view.has_other_digests = False
+        apply_version(view, stated.version, effects)
+    elif stated.content is None or view.has_other_digests:
+        _apply_unchanged(view, stated, sent, effects)
+    elif stated.version == view.version:
+        effects.append(ConfigurationDiffers(view.version))
+        _request_whole(view, now)
+
+
+def _apply_unchanged(
+    view: NodeView,
+    stated: HeartbeatReply | ConfigurationAnswer,
+    sent: SentHeartbeat,
+    effects: list[ViewEffect],
 ) -> None:
-    """Put a version in force that changed nothing which the node watched when it sent a message."""
     # The voter speaks of the state as it was sent, not of configuration applied since.
-    is_as_sent = sent.watch == view.watch_sequence and sent.customers == customers_version(view)
-    if view.is_complete and is_as_sent:
-        apply_version(view, version, effects)
+    if stated.is_current and sent.customers == customers_version(view):
+        apply_version(view, stated.version, effects)
+
+
+def _request_whole(view: NodeView, now: Seconds) -> None:
+    """Report nothing as held, so that a voter sends everything."""
+    view.is_complete = False
+    view.incomplete_since = now
+    view.attachment.next_heartbeat_at = now
 
 
 def record_proof(view: NodeView, version: int, age_ms: Milliseconds, sent_at: Seconds) -> None:
@@ -73,7 +107,9 @@
     if message.watch != view.watch_sequence:
         return f"for watch {message.watch}, not {view.watch_sequence}"
     known = view.version if view.is_complete else 0
-    if message.base > known:
+    is_compared = message.content is not None and not view.has_other_digests
+    is_base_held = message.base in (0, known) or (is_compared and message.base < known)
+    if not is_base_held:
         return f"base {message.base}, not {known}"
     known_customers = max(customers_version(view), 0)
     if message.customers.base > known_customers:
@@ -89,7 +125,7 @@
 
 
 def apply_configuration(
-    view: NodeView, message: ConfigurationChanged, effects: list[ViewEffect]
+    view: NodeView, message: ConfigurationChanged, effects: list[ViewEffect], now: Seconds
 ) -> None:
     """Apply what a voter sent, unless it does not fit what the node holds."""
     if watch_cache.put_claim_groups(view.cache, message.claim_groups):
@@ -100,16 +136,41 @@
     if reason is not None:
         _report_dropped(view, message, reason, effects)
         return
-    had_customers = view.customers is not None
-    differing = watch_cache.put_customers(view.cache, message.customers)
-    if differing is None:
+    if not watch_cache.is_for_held_customers(view.cache, message.customers):
         view.has_uncertain_customers = True
         _report_dropped(view, message, "other customers held", effects)
         return
+    content = change_content(view.cache.content, message, view.cache.watched)
+    if not _is_as_stated(view, content, message):
+        _report_dropped(view, message, "another content results", effects)
+        _request_whole(view, now)
+        return
+    _put_in_force(view, content, message, effects)
+
+
+def _is_as_stated(view: NodeView, content: HeldContent, message: ConfigurationChanged) -> bool:
+    """Return whether a message results in what its version contains, as far as that is stated."""
+    if message.content is None:
+        return True
+    customers = message.customers
+    result = digest_content(content, customers.digest, is_key_needed=customers.is_key_needed)
+    if message.base == 0:
+        view.has_other_digests = result != message.content
+    return view.has_other_digests or result == message.content
+
+
+def _put_in_force(
+    view: NodeView,
+    content: HeldContent,
+    message: ConfigurationChanged,
+    effects: list[ViewEffect],
+) -> None:
+    had_customers = view.customers is not None
+    differing = watch_cache.put_customers(view.cache, message.customers)
     view.has_uncertain_customers = False
     if differing or had_customers is not (view.customers is not None):
         effects.append(_make_customers_changed(view, differing))
-    watch_cache.put_services(view.cache, message)
+    watch_cache.put_content(view.cache, content, message)
     view.is_complete = True
     view.incomplete_since = None
     view.pending.clear()
--- a/packages/bendwind-core/src/bendwind_core/membership/events.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/events.py
@@ -98,6 +98,12 @@
     reason: str
 
 
+class ConfigurationDiffers(msgspec.Struct, frozen=True):
+    """Report that a node holds something else under its version than that version contains."""
+
+    version: int
+
+
 class ConfigurationFetched(msgspec.Struct, frozen=True):
     """Report that a newer configuration came from a voter that the node is not attached to."""
 
@@ -178,6 +184,7 @@
     | SendTo
     | ConfigurationApplied
     | ConfigurationDropped
+    | ConfigurationDiffers
     | ConfigurationFetched
     | CustomersChanged
     | UpstreamsChanged
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -36,7 +36,9 @@
     `is_current` is true if nothing that the node watches changed between the version in its
     heartbeat and `version`. `resync` requests Watch and Announce again. `is_same` is true if the
     node's digest equals the voter's, so that the node holds every upstream and claim group that the
-    voter had registered.
+    voter had registered. `content` is the digest of all that `version` contains for the services
+    of the node's newest Watch; None if the voter does not have that Watch. Without it, as in what
+    a process of a former release sends, `is_current` says whether `version` may be put in force.
     Units: `confirmed_age_ms` is the time since the start of the last quorum round that confirmed
     `version` as the newest, in milliseconds on the voter's clock; None if there was none.
     """
@@ -47,6 +49,7 @@
     is_current: bool = False
     resync: bool = False
     is_same: bool = False
+    content: int | None = None
 
 
 class ConfigurationQuery(Record, frozen=True, array_like=True, tag="configuration?"):
@@ -111,6 +114,8 @@
     `evacuated` lists all data centres whose upstreams receive no new attempts.
     `customers` has its own base, since customers are the same for every node, regardless of the
     services that it watches.
+    `content` is the digest of all that `version` contains for the services of that Watch; None from
+    a process of a former release.
     """
 
     version: int
@@ -123,6 +128,7 @@
     routing: RoutingChange | None = None
     evacuated: tuple[str, ...] = ()
     customers: CustomersChange = CustomersChange()
+    content: int | None = None
 
 
 class ConfigurationAnswer(Record, frozen=True, array_like=True, tag="configuration!"):
@@ -138,6 +144,7 @@
     confirmed_age_ms: Milliseconds | None
     is_current: bool = False
     change: ConfigurationChanged | None = None
+    content: int | None = None
 
 
 class VoterPlace(Record, frozen=True, array_like=True):
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -8,6 +8,7 @@
 
 from bendwind_core.claims import ClaimGroup, parse_node_name
 from bendwind_core.core import Seconds
+from bendwind_core.membership.content import digest_shared
 from bendwind_core.membership.customer_history import make_customers_change, update_customers
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.events import RegistryEffect, SendTo
@@ -80,6 +81,7 @@
     for name, row in registry.services.items():
         if row.service != services.get(name):
             row.service = services.get(name)
+            row.service_digest = digest_record(row.service) if row.service else 0
             row.changed_at = configuration.version
             registry.outdated_clients.update(row.watchers)
     if configuration.routing != registry.configuration.routing:
@@ -95,6 +97,12 @@
     if update_customers(registry.customers, configuration.customers, configuration.version):
         registry.outdated_clients.update(dict.fromkeys(registry.clients))
     registry.configuration = configuration
+    registry.shared_digest = digest_shared(
+        registry.routing.digest,
+        configuration.evacuated,
+        registry.customers.digest,
+        is_key_needed=registry.customers.customers is not None,
+    )
     registry.held_versions[configuration.version] = None
     if len(registry.held_versions) > _HELD_VERSIONS:
         del registry.held_versions[next(iter(registry.held_versions))]
@@ -160,6 +168,12 @@
     return functools.reduce(operator.xor, (row.digest for row in rows), 0)
 
 
+def digest_watched(registry: VoterRegistry, services: tuple[str, ...]) -> int:
+    """Return the digest of all that the configuration contains for a node that watches services."""
+    digests = (find_or_create_row(registry, name).service_digest for name in services)
+    return functools.reduce(operator.xor, digests, registry.shared_digest)
+
+
 def answer_watch(
     registry: VoterRegistry, watch: Watch, client: Client, effects: list[RegistryEffect]
 ) -> None:
@@ -243,6 +257,7 @@
         make_routing_change(registry.routing, registry.configuration.routing, base),
         registry.configuration.evacuated,
         make_customers_change(registry.customers, _find_base(registry, customers)),
+        digest_watched(registry, services),
     )
 
 
--- a/packages/bendwind-core/src/bendwind_core/membership/queries.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/queries.py
@@ -8,7 +8,7 @@
 from bendwind_core.membership.attachment import SentHeartbeat
 from bendwind_core.membership.configuration import (
     apply_configuration,
-    apply_unchanged,
+    apply_stated_version,
     customers_version,
     record_proof,
     reported_version,
@@ -106,9 +106,8 @@
         view.queries.is_returning = False
     version = view.version
     if answer.change is not None:
-        apply_configuration(view, answer.change, effects)
-    if answer.is_current:
-        apply_unchanged(view, answer.version, sent, effects)
+        apply_configuration(view, answer.change, effects, now)
+    apply_stated_version(view, answer, sent, effects, now)
     if view.version > version:
         effects.append(ConfigurationFetched(view.version, sender))
     if answer.confirmed_age_ms is not None:
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -206,7 +206,9 @@
     resync = client.watch != beat.watch or announced != beat.announced
     is_current = False
     is_same = False
+    content = None
     if not resync:
+        content = pushes.digest_watched(registry, client.services)
         is_current = pushes.push_missing_configuration(registry, beat, client, effects)
         is_same = pushes.compare_digest(registry, beat, client, effects)
     reply = HeartbeatReply(
@@ -216,6 +218,7 @@
         is_current,
         resync,
         is_same,
+        content,
     )
     effects.append(SendTo(beat.node.name, reply))
 
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -24,7 +24,7 @@
 )
 from bendwind_core.membership.configuration import (
     apply_configuration,
-    apply_unchanged,
+    apply_stated_version,
     customers_version,
     record_proof,
     reported_version,
@@ -180,7 +180,7 @@
             _handle_reply(view, sender, message, effects, now, rng)
         case ConfigurationChanged():
             effects.append(InstancesReceived(message.holders))
-            apply_configuration(view, message, effects)
+            apply_configuration(view, message, effects, now)
         case ConfigurationAnswer():
             _handle_answer(view, sender, message, effects, now, rng)
         case WatchUpdate(service=service):
@@ -240,8 +240,7 @@
     view.attachment.has_received_reply = True
     if reply.resync:
         _resend_registration(view, effects)
-    if reply.is_current:
-        apply_unchanged(view, reply.version, sent, effects)
+    apply_stated_version(view, reply, sent, effects, now)
     if reply.confirmed_age_ms is not None:
         _handle_confirmation(view, reply, sent.sent_at, now)
     if view.attachment.index and view.is_fresh(now) and rng.random() * _REPLIES_PER_RETURN < 1:
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -4,11 +4,12 @@
 
 from bendwind_core.claims import ClaimGroup
 from bendwind_core.core import Seconds
+from bendwind_core.membership.content import digest_shared
 from bendwind_core.membership.customer_history import CustomerHistory
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.member import BUCKET_COUNT, Member
 from bendwind_core.membership.messages import VoterPlace
-from bendwind_core.membership.routing_changes import RoutingHistory
+from bendwind_core.membership.routing_changes import HeldRouting, RoutingHistory
 from bendwind_core.membership.settings import LeaseTimes
 from bendwind_core.membership.watch_cache import UpstreamKey
 from bendwind_core.suspicion import SuspectTable
@@ -40,11 +41,12 @@
 class ServiceRow(msgspec.Struct):
     """Hold the watchers of a service and the state that was pushed to them.
 
-    `digest` covers `upstreams` and `claim_group`. `dirty_owners` lists the owners whose upstreams
-    of the service may differ from those pushed.
+    `service_digest` covers `service`. `digest` covers `upstreams` and `claim_group`. `dirty_owners`
+    lists the owners whose upstreams of the service may differ from those pushed.
     """
 
     service: Service | None = None
+    service_digest: int = 0
     changed_at: int = 0
     claim_group: ClaimGroup | None = None
     upstreams: dict[UpstreamKey, Upstream] = msgspec.field(default_factory=dict)
@@ -62,6 +64,7 @@
     `changed_members` lists the members to send to the other voters.
     `dirty_services` and `urgent_services` list services, and `outdated_clients` lists clients, for
     which pushes are due.
+    `shared_digest` covers what the configuration contains for all nodes alike.
     `voters` are all voters, including this process if it is one. `clients_awaiting_voters` lists
     the clients to which they have not been sent.
     `confirmed_round_started_at` is the start of the last quorum round that confirmed the version.
@@ -83,6 +86,7 @@
     routing: RoutingHistory = msgspec.field(default_factory=RoutingHistory)
     evacuated_changed_at: int = 0
     customers: CustomerHistory = msgspec.field(default_factory=CustomerHistory)
+    shared_digest: int = digest_shared(HeldRouting().digest, (), 0, is_key_needed=False)
     voters: tuple[VoterPlace, ...] = ()
     clients_awaiting_voters: dict[str, None] = msgspec.field(default_factory=dict)
     held_versions: dict[int, None] = msgspec.field(default_factory=lambda: {0: None})
--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -10,6 +10,7 @@
 from bendwind_core.customers import CustomerTable
 from bendwind_core.membership import watch_cache
 from bendwind_core.membership.attachment import Attachment, SentHeartbeat, order_voters
+from bendwind_core.membership.content import digest_content
 from bendwind_core.membership.messages import VoterPlace
 from bendwind_core.membership.settings import LeaseTimes
 from bendwind_core.world import Instance, Routing, Service, Upstream
@@ -46,6 +47,8 @@
     `overtaken_since` is the time since which a peer is known to hold a newer version,
     `incomplete_since` the time of the first unanswered watch; both are None if there is none.
     `has_uncertain_customers` is true if the customers held may not be those of `version`.
+    `has_other_digests` is true if the voter that sent a whole configuration computes other digests
+    than this process, as another release may; what voters state is then not compared.
     `seeds` are the voters listed in the settings, to be tried when no known voter replies.
     """
 
@@ -65,6 +68,7 @@
     newest_peer_version: int = 0
     was_fresh: bool = False
     has_uncertain_customers: bool = False
+    has_other_digests: bool = False
     seeds: tuple[VoterPlace, ...] = ()
     overtaken_since: Seconds | None = None
     incomplete_since: Seconds | None = None
@@ -84,17 +88,17 @@
     @property
     def services(self) -> Mapping[str, Service]:
         """Return the applied configuration of the watched services that exist."""
-        return self.cache.services
+        return self.cache.content.services
 
     @property
     def routing(self) -> Routing:
         """Return the applied routes."""
-        return self.cache.routing.routing
+        return self.cache.content.routing.routing
 
     @property
     def evacuated(self) -> frozenset[str]:
         """Return the data centres whose upstreams receive no new attempts."""
-        return self.cache.evacuated
+        return self.cache.content.evacuated
 
     @property
     def customers(self) -> CustomerTable | None:
@@ -106,6 +110,13 @@
         """Return the claim groups of the watched services."""
         return self.cache.claim_groups
 
+    @property
+    def content_digest(self) -> int:
+        """Return the digest of the configuration held, for the services watched."""
+        cache = self.cache
+        is_key_needed = cache.customers is not None
+        return digest_content(cache.content, cache.customers_digest, is_key_needed=is_key_needed)
+
     @property
     def voter(self) -> str:
         """Return the name of the voter that the node is attached to."""
--- a/packages/bendwind-core/src/bendwind_core/membership/watch_cache.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/watch_cache.py
@@ -9,10 +9,10 @@
     change_customers,
     create_customer_table,
 )
+from bendwind_core.membership.content import HeldContent, remove_service
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.membership.messages import ConfigurationChanged, WatchUpdate
-from bendwind_core.membership.routing_changes import HeldRouting, apply_routing_change
-from bendwind_core.world import Service, Upstream, UpstreamState
+from bendwind_core.world import Upstream, UpstreamState
 
 UpstreamKey = tuple[str, str]
 
@@ -22,15 +22,13 @@
 
     `upstreams` is keyed by service, then by (owner, upstream); `digest` covers upstreams and
     claim groups. `customers` holds all customers, None if no key is needed; `customers_digest`
-    covers them.
+    covers them. `content` and the customers are what the applied version contains.
     """
 
     watched: dict[str, None] = msgspec.field(default_factory=dict)
-    services: dict[str, Service] = msgspec.field(default_factory=dict)
+    content: HeldContent = HeldContent()
     claim_groups: dict[str, ClaimGroup] = msgspec.field(default_factory=dict)
     upstreams: dict[str, dict[UpstreamKey, Upstream]] = msgspec.field(default_factory=dict)
-    routing: HeldRouting = HeldRouting()
-    evacuated: frozenset[str] = frozenset()
     digest: int = 0
     customers: CustomerTable | None = None
     customers_digest: int = 0
@@ -46,34 +44,25 @@
     return upstream.owner.incarnation, upstream.sequence
 
 
-def put_services(cache: WatchCache, message: ConfigurationChanged) -> None:
-    """Apply the services, routes and evacuations of a message that may be applied."""
-    if message.routing is not None:
-        cache.routing = apply_routing_change(cache.routing, message.routing)
-    cache.evacuated = frozenset(message.evacuated)
+def put_content(cache: WatchCache, content: HeldContent, message: ConfigurationChanged) -> None:
+    """Replace the content by the one that results from a message."""
+    cache.content = content
     if message.base == 0:
-        cache.services.clear()
         listed = {group.service for group in message.claim_groups}
         _remove_claim_groups(cache, set(cache.claim_groups) - listed)
-    for name in message.removed:
-        cache.services.pop(name, None)
-    for service in message.services:
-        if service.name in cache.watched:
-            cache.services[service.name] = service
 
 
-def put_customers(cache: WatchCache, change: CustomersChange) -> frozenset[str] | None:
-    """Apply a change of customers and return the names of those that differ.
+def is_for_held_customers(cache: WatchCache, change: CustomersChange) -> bool:
+    """Return whether a change of customers is whole, or was made for the customers held."""
+    return change.base == 0 or _compute_changed_digest(cache, change) == change.digest
 
-    Return None, and change nothing, if the change was not made for the customers held.
-    """
-    is_whole = change.base == 0
-    if not is_whole and _compute_changed_digest(cache, change) != change.digest:
-        return None
+
+def put_customers(cache: WatchCache, change: CustomersChange) -> frozenset[str]:
+    """Apply a change of customers and return the names of those that differ."""
     differing = _find_differing(cache, change)
     if not change.is_key_needed:
         cache.customers = None
-    elif is_whole:
+    elif change.base == 0:
         cache.customers = create_customer_table(change.put)
     else:
         change_customers(cache.customers, change.put, change.removed)
@@ -154,7 +143,7 @@
 def remove_watched(cache: WatchCache, service: str) -> None:
     """Remove a service that is no longer watched."""
     cache.watched.pop(service, None)
-    cache.services.pop(service, None)
+    cache.content = remove_service(cache.content, service)
     _remove_claim_groups(cache, {service} & cache.claim_groups.keys())
     for upstream in cache.upstreams.pop(service, {}).values():
         cache.digest ^= digest_record(upstream)
--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -36,6 +36,7 @@
         EventKind.NOTICE_MALFORMED,
         EventKind.REQUEST_QUARANTINED,
         EventKind.FRESHNESS_LOST,
+        EventKind.CONFIGURATION_DIFFERS,
         EventKind.MEMBER_LOST,
         EventKind.DIAL_FAILED,
         EventKind.FRAME_REFUSED,
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -12,6 +12,7 @@
 from bendwind_core.membership import (
     AttachmentChanged,
     ConfigurationApplied,
+    ConfigurationDiffers,
     ConfigurationDropped,
     ConfigurationFetched,
     CustomersChanged,
@@ -110,6 +111,8 @@
             case ConfigurationApplied(version=version):
                 detail = _describe_applied(version, self.view)
                 self.recorder.record(EventKind.CONFIGURATION_APPLIED, detail=detail)
+            case ConfigurationDiffers(version=version):
+                self.recorder.record(EventKind.CONFIGURATION_DIFFERS, detail=str(version))
             case ConfigurationDropped(version=version, reason=reason):
                 detail = f"{version}: {reason}"
                 self.recorder.record(EventKind.CONFIGURATION_DROPPED, detail=detail)
@@ -209,7 +212,7 @@
 
 
 def _describe_applied(version: int, view: NodeView) -> str:
-    return f"{version} d={view.cache.routing.digest:016x} n={len(view.routing.routes)}"
+    return f"{version} d={view.cache.content.routing.digest:016x} n={len(view.routing.routes)}"
 
 
 def _describe_customers(changed: CustomersChanged) -> str:
