--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_late_snapshot.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_late_snapshot.py
@@ -7,6 +7,7 @@
     Entry,
     HardState,
     Head,
+    InstallSnapshot,
     Persist,
     Persisted,
     Received,
@@ -55,7 +56,7 @@
 
     def deliver_and_sync(self, replica, message):
         """Deliver a message, sync all writes that it causes, and return all effects."""
-        effects = step(replica, Received("a", message), 1.0, random.Random(1))
+        effects = step(replica, Received(message.head.sender.name, message), 1.0, random.Random(1))
         writes = [effect for effect in effects if isinstance(effect, Persist | SaveSnapshot)]
         for write in writes:
             effects += step(replica, Persisted(write.token), 1.0, random.Random(1))
@@ -94,6 +95,19 @@
         self.assertEqual((reply.is_matching, reply.index), (True, 9))
         self.assertEqual(replica.log.last_index, 9)
 
+    # Guards against joining parts of the snapshots of two leaders, which may encode the same state
+    # differently where one of them runs another release.
+    def test_parts_from_two_leaders_are_not_joined(self):
+        replica = create_follower()
+        first = SnapshotChunk(make_head(), 9, 2, VOTERS, 0, 10, b"state", 1)
+        self.deliver_and_sync(replica, first)
+        other = Head(7, Voter("c", 3), OWN.voter_id, TERM + 1)
+        second = SnapshotChunk(other, 9, 2, VOTERS, 5, 10, b"-two-", 1)
+        effects = self.deliver_and_sync(replica, second)
+        self.assertFalse([effect for effect in effects if isinstance(effect, InstallSnapshot)])
+        [reply] = [effect.message for effect in effects if isinstance(effect, Send)]
+        self.assertEqual((reply.index, reply.offset), (9, 0))
+
 
 if __name__ == "__main__":
     unittest.main()
