--- a/packages/bendwind-bench/src/bendwind_bench/capacity/design.py
+++ b/packages/bendwind-bench/src/bendwind_bench/capacity/design.py
@@ -7,7 +7,7 @@
 from bendwind_core.consensus import ReplicaSettings
 from bendwind_core.core import Seconds
 from bendwind_core.membership import LeaseTimes
-from bendwind_core.membership.renewal import MAX_WATCHED
+from bendwind_core.membership.registration import MAX_WATCHED
 from bendwind_core.routing.subset import SUBSET_SIZE
 from bendwind_node.claims.placer import PLACEMENT_INTERVAL
 from bendwind_node.links.hub import IDLE_LINK_TIMEOUT, PING_INTERVAL_S
--- a/packages/bendwind-core/src/bendwind_core/membership/gossip.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/gossip.py
@@ -22,6 +22,7 @@
     VoterPlace,
 )
 from bendwind_core.membership.state import Client, VoterRegistry
+from bendwind_core.membership.upstream_updates import mark_dirty
 from bendwind_core.world import Upstream, UpstreamState
 
 _CHANGES_INTERVAL = 0.1
@@ -60,7 +61,7 @@
 ) -> None:
     after = member.state.upstreams if member.is_visible else ()
     is_leaving = any(upstream.state is UpstreamState.DRAINING for upstream in after)
-    pushes.mark_dirty(registry, name, (*before, *after), is_urgent=is_leaving)
+    mark_dirty(registry, name, (*before, *after), is_urgent=is_leaving)
 
 
 def _is_reachable(registry: VoterRegistry, voter: str) -> bool:
--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -2,15 +2,10 @@
 
 import functools
 import operator
-from collections.abc import Iterator
-
-import msgspec
 
 from bendwind_core.claims import ClaimGroup, parse_node_name
 from bendwind_core.core import Seconds
-from bendwind_core.membership.content import digest_shared
-from bendwind_core.membership.customer_history import make_customers_change, update_customers
-from bendwind_core.membership.digest import digest_record
+from bendwind_core.membership.customer_history import make_customers_change
 from bendwind_core.membership.events import RegistryEffect, SendTo
 from bendwind_core.membership.messages import (
     ConfigurationChanged,
@@ -19,20 +14,19 @@
     Watch,
     WatchUpdate,
 )
-from bendwind_core.membership.routing_changes import make_routing_change, record_routing_change
+from bendwind_core.membership.routing_changes import make_routing_change
 from bendwind_core.membership.state import (
     Client,
     ServiceRow,
     VoterRegistry,
+    discard_empty_row,
     find_or_create_row,
-    put_claim_group,
 )
-from bendwind_core.membership.watch_cache import UpstreamKey, upstream_key
-from bendwind_core.world import Configuration, Instance, Upstream, UpstreamState
+from bendwind_core.membership.upstream_updates import flush_service
+from bendwind_core.world import Instance
 
 # Maximum number of pushes per flush, so that the loss of a data centre does not delay heartbeats.
 _PUSHES_PER_FLUSH = 1000
-_HELD_VERSIONS = 256
 # What was sent is taken to arrive within this time while its link stays open. Until then, a later
 # push contains only what has changed since, and a large push is not repeated: on a slow link, a
 # copy would delay all later versions by as much time again.
@@ -42,72 +36,6 @@
 LARGE_PUSH_ITEMS = 128
 
 
-def accept_configuration(
-    registry: VoterRegistry, configuration: Configuration, claim_groups: tuple[ClaimGroup, ...]
-) -> None:
-    """Store a newer configuration and the claim groups, and mark the clients to push them to."""
-    if configuration.version > registry.configuration.version:
-        _update_services(registry, configuration)
-    groups = {group.service: group for group in claim_groups}
-    for name in groups:
-        find_or_create_row(registry, name)
-    for name, row in registry.services.items():
-        if row.claim_group != groups.get(name):
-            put_claim_group(row, groups.get(name))
-            registry.outdated_clients.update(row.watchers)
-
-
-def accept_drain_marks(
-    registry: VoterRegistry, instances: frozenset[str], upstreams: frozenset[str]
-) -> None:
-    """Replace the drain marks and mark the owners of the affected upstreams as dirty."""
-    changed_instances = registry.draining_instances ^ instances
-    changed_upstreams = registry.draining_upstreams ^ upstreams
-    registry.draining_instances = instances
-    registry.draining_upstreams = upstreams
-    for owner, member in registry.members.items():
-        touched = tuple(
-            upstream
-            for upstream in member.state.upstreams
-            if owner in changed_instances or upstream.name in changed_upstreams
-        )
-        mark_dirty(registry, owner, touched, is_urgent=True)
-
-
-def _update_services(registry: VoterRegistry, configuration: Configuration) -> None:
-    services = {service.name: service for service in configuration.services}
-    for name in services:
-        find_or_create_row(registry, name)
-    for name, row in registry.services.items():
-        if row.service != services.get(name):
-            row.service = services.get(name)
-            row.service_digest = digest_record(row.service) if row.service else 0
-            row.changed_at = configuration.version
-            registry.outdated_clients.update(row.watchers)
-    if configuration.routing != registry.configuration.routing:
-        oldest = next(iter(registry.held_versions))
-        before = registry.configuration.routing
-        record_routing_change(
-            registry.routing, before, configuration.routing, configuration.version, oldest
-        )
-        registry.outdated_clients.update(dict.fromkeys(registry.clients))
-    if configuration.evacuated != registry.configuration.evacuated:
-        registry.evacuated_changed_at = configuration.version
-        registry.outdated_clients.update(dict.fromkeys(registry.clients))
-    if update_customers(registry.customers, configuration.customers, configuration.version):
-        registry.outdated_clients.update(dict.fromkeys(registry.clients))
-    registry.configuration = configuration
-    registry.shared_digest = digest_shared(
-        registry.routing.digest,
-        configuration.evacuated,
-        registry.customers.digest,
-        is_key_needed=registry.customers.customers is not None,
-    )
-    registry.held_versions[configuration.version] = None
-    if len(registry.held_versions) > _HELD_VERSIONS:
-        del registry.held_versions[next(iter(registry.held_versions))]
-
-
 def record_report(client: Client, version: int, customers: int) -> None:
     """Record the versions that a node reports, and drop the pushes that they confirm."""
     if version < client.version or customers < client.customers:
@@ -307,23 +235,7 @@
         row = registry.services.get(name)
         if row:
             row.watchers.pop(node, None)
-            _discard_empty(registry, name, row)
-
-
-def _discard_empty(registry: VoterRegistry, name: str, row: ServiceRow) -> None:
-    is_used = row.watchers or row.upstreams or row.dirty_owners or row.service or row.claim_group
-    if not is_used and row.changed_at == 0:
-        del registry.services[name]
-
-
-def mark_dirty(
-    registry: VoterRegistry, owner: str, upstreams: tuple[Upstream, ...], *, is_urgent: bool
-) -> None:
-    """Record that the upstreams of a node may differ from what was pushed."""
-    queue = registry.urgent_services if is_urgent else registry.dirty_services
-    for upstream in upstreams:
-        find_or_create_row(registry, upstream.service).dirty_owners.add(owner)
-        queue[upstream.service] = None
+            discard_empty_row(registry, name, row)
 
 
 def flush(registry: VoterRegistry, effects: list[RegistryEffect]) -> None:
@@ -334,76 +246,17 @@
             SendTo(_pop_first(registry.clients_awaiting_voters), VoterList(registry.voters))
         )
     while registry.urgent_services:
-        _flush_service(registry, _pop_first(registry.urgent_services), effects)
+        flush_service(registry, _pop_first(registry.urgent_services), effects)
     while registry.outdated_clients and len(effects) < limit:
         node = _pop_first(registry.outdated_clients)
         client = registry.clients.get(node)
         if client:
             _push_configuration(registry, node, client, effects)
     while registry.dirty_services and len(effects) < limit:
-        _flush_service(registry, _pop_first(registry.dirty_services), effects)
+        flush_service(registry, _pop_first(registry.dirty_services), effects)
 
 
 def _pop_first(queue: dict[str, None]) -> str:
     name = next(iter(queue))
     del queue[name]
     return name
-
-
-def _flush_service(registry: VoterRegistry, service: str, effects: list[RegistryEffect]) -> None:
-    row = find_or_create_row(registry, service)
-    changes = [
-        change
-        for owner in row.dirty_owners
-        for change in _find_changes(registry, service, row, owner)
-    ]
-    row.dirty_owners.clear()
-    for change in changes:
-        _put_change(row, change)
-    if changes:
-        update = WatchUpdate(service, tuple(changes), is_full=False)
-        effects.extend(SendTo(node, update) for node in row.watchers)
-    _discard_empty(registry, service, row)
-
-
-def _find_changes(
-    registry: VoterRegistry, service: str, row: ServiceRow, owner: str
-) -> Iterator[Upstream]:
-    pushed = {key: upstream for key, upstream in row.upstreams.items() if key[0] == owner}
-    present = _list_present(registry, service, owner)
-    for key, upstream in present.items():
-        if pushed.get(key) != upstream:
-            yield upstream
-    for key, upstream in pushed.items():
-        if key not in present:
-            yield msgspec.structs.replace(upstream, state=UpstreamState.GONE)
-
-
-def _list_present(registry: VoterRegistry, service: str, owner: str) -> dict[UpstreamKey, Upstream]:
-    member = registry.members.get(owner)
-    if member is None or not member.is_visible:
-        return {}
-    return {
-        upstream_key(upstream): _mark_draining(registry, upstream)
-        for upstream in member.state.upstreams
-        if upstream.service == service
-    }
-
-
-def _mark_draining(registry: VoterRegistry, upstream: Upstream) -> Upstream:
-    is_marked = (
-        upstream.name in registry.draining_upstreams
-        or upstream.owner.name in registry.draining_instances
-    )
-    if is_marked and upstream.state is UpstreamState.READY:
-        return msgspec.structs.replace(upstream, state=UpstreamState.DRAINING)
-    return upstream
-
-
-def _put_change(row: ServiceRow, change: Upstream) -> None:
-    old = row.upstreams.pop(upstream_key(change), None)
-    if old:
-        row.digest ^= digest_record(old)
-    if change.state is not UpstreamState.GONE:
-        row.upstreams[upstream_key(change)] = change
-        row.digest ^= digest_record(change)
--- a/packages/bendwind-core/src/bendwind_core/membership/registry.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/registry.py
@@ -6,6 +6,7 @@
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.membership import gossip, pushes
+from bendwind_core.membership.accepted_state import accept_configuration, accept_drain_marks
 from bendwind_core.membership.events import (
     ConfigurationAccepted,
     DrainMarksAccepted,
@@ -69,9 +70,9 @@
         case MessageReceived(sender=sender, message=message):
             _handle_message(registry, sender, message, effects, now)
         case ConfigurationAccepted(configuration=configuration, claim_groups=claim_groups):
-            pushes.accept_configuration(registry, configuration, claim_groups)
+            accept_configuration(registry, configuration, claim_groups)
         case DrainMarksAccepted(instances=instances, upstreams=upstreams):
-            pushes.accept_drain_marks(registry, instances, upstreams)
+            accept_drain_marks(registry, instances, upstreams)
         case QuorumConfirmed(started=started):
             registry.confirmed_round_started_at = started
         case VotersChanged(voters=voters):
--- a/packages/bendwind-core/src/bendwind_core/membership/renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/renewal.py
@@ -2,8 +2,6 @@
 
 import random
 
-from msgspec.structs import replace
-
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
 from bendwind_core.membership import watch_cache
 from bendwind_core.membership.attachment import (
@@ -47,7 +45,6 @@
     VotersReceived,
 )
 from bendwind_core.membership.messages import (
-    Announce,
     ConfigurationAnswer,
     ConfigurationChanged,
     Heartbeat,
@@ -55,7 +52,6 @@
     SuspectReports,
     VoterList,
     VoterPlace,
-    Watch,
     WatchUpdate,
 )
 from bendwind_core.membership.queries import (
@@ -65,13 +61,14 @@
     query_preferred_voter,
     send_due_query,
 )
+from bendwind_core.membership.registration import (
+    announce_upstream,
+    resend_registration,
+    watch_service,
+)
 from bendwind_core.membership.view import NodeView
-from bendwind_core.world import Upstream, UpstreamState
 
 _MAX_UNANSWERED = 8
-# Limits the watched services, since callers may name services that do not exist. At the limit, a
-# new service replaces a watched one that does not exist.
-MAX_WATCHED = 512
 # A node that uses another voter than the preferred one returns to that at about one in this many
 # replies while its view is fresh.
 _REPLIES_PER_RETURN = 120
@@ -98,9 +95,9 @@
                 if not view.attachment.has_received_reply:
                     schedule_early_heartbeat(view.attachment, now, rng)
         case ServiceWatched(service=service):
-            _watch(view, service, effects, now)
+            watch_service(view, service, effects, now)
         case UpstreamAnnounced(upstream=upstream):
-            _announce(view, upstream, effects)
+            announce_upstream(view, upstream, effects)
         case PeerVersionReceived(version=version):
             _compare_with_peer(view, version, now)
     _report_freshness(view, effects, now)
@@ -239,7 +236,7 @@
     view.attachment.last_reply_at = now
     view.attachment.has_received_reply = True
     if reply.resync:
-        _resend_registration(view, effects)
+        resend_registration(view, effects)
     apply_stated_version(view, reply, sent, effects, now)
     if reply.confirmed_age_ms is not None:
         _handle_confirmation(view, reply, sent.sent_at, now)
@@ -277,31 +274,6 @@
         effects.append(AttachmentChanged(view.voter, "preferred"))
 
 
-def _resend_registration(view: NodeView, effects: list[ViewEffect]) -> None:
-    effects.append(SendTo(view.voter, _make_announce(view)))
-    effects.append(SendTo(view.voter, _make_watch(view)))
-
-
-def _make_announce(view: NodeView) -> Announce:
-    instance = view.instance
-    announced = tuple(view.announced.values())
-    return Announce(instance.name, instance.incarnation, view.announce_sequence, announced)
-
-
-def _make_watch(view: NodeView) -> Watch:
-    instance = view.instance
-    services = tuple(view.cache.watched)
-    return Watch(
-        instance.name,
-        services,
-        instance.incarnation,
-        view.watch_sequence,
-        reported_version(view),
-        view.cache.digest,
-        customers_version(view),
-    )
-
-
 def _handle_confirmation(
     view: NodeView, reply: HeartbeatReply, sent_at: Seconds, now: Seconds
 ) -> None:
@@ -323,40 +295,6 @@
         attachment.behind_since = now
 
 
-def _ensure_watch_capacity(view: NodeView) -> bool:
-    watched = view.cache.watched
-    if len(watched) < MAX_WATCHED:
-        return True
-    unknown = (name for name in watched if name not in view.services)
-    evicted = next(unknown, None)
-    if evicted is not None:
-        view.pending.discard(evicted)
-        watch_cache.remove_watched(view.cache, evicted)
-    return evicted is not None
-
-
-def _watch(view: NodeView, service: str, effects: list[ViewEffect], now: Seconds) -> None:
-    if service in view.cache.watched or not _ensure_watch_capacity(view):
-        return
-    view.cache.watched[service] = None
-    view.pending.add(service)
-    view.watch_sequence += 1
-    if view.is_complete or view.incomplete_since is None:
-        view.incomplete_since = now
-    view.is_complete = False
-    effects.append(SendTo(view.voter, _make_watch(view)))
-
-
-def _announce(view: NodeView, upstream: Upstream, effects: list[ViewEffect]) -> None:
-    view.announce_sequence += 1
-    if upstream.state is UpstreamState.GONE:
-        view.announced.pop(upstream.name, None)
-    else:
-        stamped = replace(upstream, owner=view.instance, sequence=view.announce_sequence)
-        view.announced[upstream.name] = stamped
-    effects.append(SendTo(view.voter, _make_announce(view)))
-
-
 def _compare_with_peer(view: NodeView, version: int, now: Seconds) -> None:
     if version <= view.newest_peer_version:
         return
--- a/packages/bendwind-core/src/bendwind_core/membership/state.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/state.py
@@ -120,3 +120,10 @@
     row.claim_group = group
     if group:
         row.digest ^= digest_record(group)
+
+
+def discard_empty_row(registry: VoterRegistry, name: str, row: ServiceRow) -> None:
+    """Remove the row of a service that nobody watches and that says nothing."""
+    is_used = row.watchers or row.upstreams or row.dirty_owners or row.service or row.claim_group
+    if not is_used and row.changed_at == 0:
+        del registry.services[name]
--- a/packages/bendwind-core/src/bendwind_core/membership/tests/test_renewal.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/tests/test_renewal.py
@@ -3,7 +3,7 @@
 
 from bendwind_core.membership import LinkLost, ServiceWatched, create_node_view, step_view
 from bendwind_core.membership.attachment import order_voters
-from bendwind_core.membership.renewal import MAX_WATCHED
+from bendwind_core.membership.registration import MAX_WATCHED
 from bendwind_core.membership.tests.fakes import PLACES, SERVICES, TIMES, World
 from bendwind_core.world import Instance, Service
 
--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -13,7 +13,7 @@
 from bendwind_core.claims.messages import MAX_KEY_CHARACTERS
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 from bendwind_core.limits import acquire_call, check_headers, release_call
-from bendwind_core.membership.renewal import MAX_WATCHED
+from bendwind_core.membership.registration import MAX_WATCHED
 from bendwind_core.routing import choose_part, find_route
 from bendwind_core.world import Customer, Repeat, Rule, Service, StaleAction, find_rule
 from bendwind_node.calls import headers as names
