--- a/packages/bendwind-bench/src/bendwind_bench/slopes_membership/__main__.py
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_membership/__main__.py
@@ -9,6 +9,7 @@
 import sys
 
 from bendwind_bench.slopes_membership.node import measure_bytes, measure_nodes
+from bendwind_bench.slopes_membership.route_changes import measure_route_changes
 from bendwind_bench.slopes_membership.voter import (
     measure_data_centre,
     measure_registries,
@@ -19,6 +20,7 @@
 def main() -> None:
     """Run all measurements and print them as JSON."""
     slopes = measure_registries() | measure_watchers() | measure_nodes()
+    slopes |= measure_route_changes()
     result = {
         "slopes": {name: dataclasses.asdict(slope) for name, slope in slopes.items()},
         "data_centre": measure_data_centre(),
