membership: compute the routes changed since a version once, not for each node

What was computed since a version is kept until the next change of routes. The messages are the same.

--- a/packages/bendwind-core/src/bendwind_core/membership/pushes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/pushes.py
@@ -14,7 +14,7 @@
     Watch,
     WatchUpdate,
 )
-from bendwind_core.membership.routing_changes import make_routing_change
+from bendwind_core.membership.routing_changes import find_routing_change
 from bendwind_core.membership.state import (
     Client,
     ServiceRow,
@@ -182,7 +182,7 @@
         base,
         watch,
         _find_holders(registry, groups),
-        make_routing_change(registry.routing, registry.configuration.routing, base),
+        find_routing_change(registry.routing, registry.configuration.routing, base),
         registry.configuration.evacuated,
         make_customers_change(registry.customers, _find_base(registry, customers)),
         digest_watched(registry, services),
--- a/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
@@ -47,13 +47,15 @@
 class RoutingHistory(msgspec.Struct):
     """Hold the version of each route's last change, and the version that removed each old route.
 
-    `digest` covers all routes of the newest version.
+    `digest` covers all routes of the newest version. `changes` holds those since a version that
+    were computed for one node, for the others.
     """
 
     changed_at: dict[RouteKey, int] = msgspec.field(default_factory=dict)
     removed_at: dict[RouteKey, int] = msgspec.field(default_factory=dict)
     newest: int = 0
     digest: int = _EMPTY_DIGEST
+    changes: dict[int, RoutingChange | None] = msgspec.field(default_factory=dict)
 
 
 def find_route_key(route: Route) -> RouteKey:
@@ -88,12 +90,24 @@
     for place in [one for one, at in history.removed_at.items() if at <= oldest]:
         del history.removed_at[place]
     history.newest = version
+    history.changes.clear()
 
 
-def make_routing_change(
+def find_routing_change(
+    history: RoutingHistory, routing: Routing, base: int
+) -> RoutingChange | None:
+    """Return the changes since a version, all routes for version 0, None if nothing changed.
+
+    `routing` are the newest routes recorded.
+    """
+    if base not in history.changes:
+        history.changes[base] = _compute_routing_change(history, routing, base)
+    return history.changes[base]
+
+
+def _compute_routing_change(
     history: RoutingHistory, routing: Routing, base: int
 ) -> RoutingChange | None:
-    """Return the changes since a version, all routes for version 0, None if nothing changed."""
     # Sending all routes for a change of one would block a slow link and delay the heartbeats on it.
     if base == 0:
         return RoutingChange(routing.revision, routing.limits, routing.routes)
