--- a/packages/bendwind-node/src/bendwind_node/settings/reference.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/reference.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from bendwind_node.settings.tables import Settings, Table
+from bendwind_node.settings.table import Table
+from bendwind_node.settings.tables import Settings
 
 _HEAD = """\
 # Settings of bendwindd
