--- a/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
@@ -55,7 +55,7 @@
     removed_at: dict[RouteKey, int] = msgspec.field(default_factory=dict)
     newest: int = 0
     digest: int = _EMPTY_DIGEST
-    changes: dict[int, RoutingChange | None] = msgspec.field(default_factory=dict)
+    changes: dict[int, RoutingChange] = msgspec.field(default_factory=dict)
 
 
 def find_route_key(route: Route) -> RouteKey:
@@ -100,19 +100,17 @@
 
     `routing` are the newest routes recorded.
     """
+    if base and history.newest <= base:
+        return None
     if base not in history.changes:
         history.changes[base] = _compute_routing_change(history, routing, base)
     return history.changes[base]
 
 
-def _compute_routing_change(
-    history: RoutingHistory, routing: Routing, base: int
-) -> RoutingChange | None:
+def _compute_routing_change(history: RoutingHistory, routing: Routing, base: int) -> RoutingChange:
     # Sending all routes for a change of one would block a slow link and delay the heartbeats on it.
     if base == 0:
         return RoutingChange(routing.revision, routing.limits, routing.routes)
-    if history.newest <= base:
-        return None
     changed = tuple(
         route for route in routing.routes if history.changed_at.get(find_route_key(route), 0) > base
     )
