--- a/packages/bendwind-core/src/bendwind_core/membership/view.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/view.py
@@ -39,13 +39,15 @@
 class NodeView(msgspec.Struct):
     """Hold the configuration and the upstreams that one run of a node has received.
 
-    `version` is the applied version; `is_complete` is true if it covers all services now watched.
+    `version` is the applied version; `is_complete` is true if it covers all services now watched
+    and what is held is not known to differ from it.
     `pending` lists watched services for which nothing has been received yet.
     `confirmed_at` is the time, on the node's own clock, up to which nothing newer than `version`
     had been accepted; `groups_confirmed_at` is the same time for the claim groups it holds.
     `newest_peer_version` is the highest version that another process has stated.
     `overtaken_since` is the time since which a peer is known to hold a newer version,
-    `incomplete_since` the time of the first unanswered watch; both are None if there is none.
+    `incomplete_since` the time since which everything is awaited, for a new watch or because what
+    is held differs from what `version` contains; both are None if there is none.
     `has_uncertain_customers` is true if the customers held may not be those of `version`.
     `has_other_digests` is true if the voter that sent a whole configuration computes other digests
     than this process, as another release may; what voters state is then not compared.
