calls: take an upstream's service from its own announcement only

Cause: a 421 led to a query of the health path, and whoever answered was registered under the service of the upstream that had ended. A health answer names an upstream, never its service. At a start the service came from the settings, which may lag what stands at the address. The newcomer's own heartbeat, which names the true service, was refused and yet answered 200.

Why this works: nothing is registered any more but by an announcement of that upstream, or by a health answer that names one which announced itself before. A contradicting announcement is refused with 409. beside.service is gone from the settings, since nothing may be concluded from it.

--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -6,7 +6,7 @@
 
 from bendwind_core.core import Milliseconds
 from bendwind_core.world import UpstreamState
-from bendwind_node.calls.owned_upstream import Announcement
+from bendwind_node.calls.owned_upstream import Announcement, AnnouncementRefusal
 from bendwind_node.calls.upstream_register import UpstreamRegister
 from bendwind_node.http import serve_lifespan
 
@@ -71,8 +71,11 @@
             return 400, ErrorReply(str(error))
         if announcement.state is UpstreamState.GONE:
             return 400, ErrorReply("leave by DELETE")
-        if not self.register.handle_announcement(announcement):
-            return 429, ErrorReply("this node holds no more upstreams")
+        match self.register.handle_announcement(announcement):
+            case AnnouncementRefusal.NO_CAPACITY:
+                return 429, ErrorReply("this node holds no more upstreams")
+            case AnnouncementRefusal.OTHER_SERVICE:
+                return 409, ErrorReply("this upstream is registered for another service")
         return 200, LeaseReply(self.lease_ms)
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -1,5 +1,7 @@
 """Describe an upstream on this instance and its announcements."""
 
+import enum
+
 import msgspec
 import trio
 
@@ -36,13 +38,30 @@
 
 
 class UpstreamAddress(msgspec.Struct, frozen=True):
-    """Hold the service and address of the upstream on this instance, whichever runs there."""
+    """Hold the address of the upstream on this instance, whichever runs there."""
 
-    service: str
     host: str
     port: int
 
 
+class StatedUpstream(msgspec.Struct, frozen=True):
+    """Hold the service that a run of an upstream has named itself; a run never changes it.
+
+    Units: `born_ms` as in an announcement.
+    """
+
+    name: str
+    service: str
+    born_ms: int = 0
+
+
+class AnnouncementRefusal(enum.StrEnum):
+    """Enumerate why an announcement changes nothing although it is not late."""
+
+    NO_CAPACITY = "no-capacity"
+    OTHER_SERVICE = "other-service"
+
+
 class Announcement(msgspec.Struct, frozen=True):
     """Hold what an upstream announces about itself.
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -11,7 +11,7 @@
     find_not_run_proof,
     read_slow_factor,
 )
-from bendwind_node.calls.owned_upstream import Announcement, UpstreamAddress
+from bendwind_node.calls.owned_upstream import Announcement, StatedUpstream, UpstreamAddress
 from bendwind_node.calls.tests.fakes import CallTestCluster, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request, run_server
 
@@ -70,10 +70,18 @@
         trio.run(main)
 
     def announce(self, cluster, port, **changes):
-        fields = {"name": "u1", "sequence": 1, "state": UpstreamState.READY} | changes
+        fields = {"name": "u1", "sequence": 1, "state": UpstreamState.READY, "service": "svc"}
+        fields |= changes
         cluster.owner.register.handle_announcement(
             Announcement(
-                fields["name"], "svc", "127.0.0.1", port, 4, 4, fields["state"], fields["sequence"]
+                fields["name"],
+                fields["service"],
+                "127.0.0.1",
+                port,
+                4,
+                4,
+                fields["state"],
+                fields["sequence"],
             )
         )
 
@@ -202,10 +210,14 @@
         # The answer to the last query is still in transit.
         await trio.testing.wait_all_tasks_blocked(0.05)
 
-    def test_upstream_at_a_configured_address_serves_before_its_first_announcement(self):
+    def register_stated(self, cluster, port, *stated):
+        cluster.owner.register.list_stated = lambda: stated
+        address = UpstreamAddress("127.0.0.1", port)
+        cluster.nursery.start_soon(cluster.owner.register.register_by_health_path, address)
+
+    def test_known_upstream_at_the_configured_address_serves_before_its_announcement(self):
         async def check(cluster, port):
-            address = UpstreamAddress("svc", "127.0.0.1", port)
-            cluster.nursery.start_soon(cluster.owner.register.register_by_health_path, address)
+            self.register_stated(cluster, port, StatedUpstream("u1", "svc"))
             await self.wait_for_states(cluster, u1=UpstreamState.READY)
             self.assertEqual((await self.call(cluster)).status, 200)
             self.announce(cluster, port, state=UpstreamState.DRAINING)
@@ -220,30 +232,68 @@
                 register = cluster.owner.register
                 if leaves_by_name:
                     register.handle_departure("u1")
-                address = UpstreamAddress("svc", "127.0.0.1", port)
-                cluster.nursery.start_soon(register.register_by_health_path, address)
+                self.register_stated(cluster, port, StatedUpstream("u1", "svc"))
                 await self.wait_for_health_queries(2)
                 self.assertEqual(self.find_states(cluster), {})
 
             self.run_with(self.answer_health(b"u1", status), check)
 
-    def test_upstream_that_answers_421_is_replaced_by_the_one_at_its_address(self):
+    def answer_as(self, name):
+        """Answer as an upstream that runs only what is meant for it."""
+
+        def answer(data):
+            if data.startswith(b"GET /well"):
+                return self.answer_health(name)(data)
+            is_meant = b"meant: " + name in data.lower()
+            line = b"200 OK" if is_meant else b"421 Misdirected Request"
+            return b"HTTP/1.1 " + line + b"\r\nid: q1\r\ncontent-length: 2\r\n\r\nok"
+
+        return answer
+
+    def list_runs(self):
+        return [data for data in self.seen if b"meant: u2" in data.lower()]
+
+    def test_upstream_that_answers_421_is_replaced_by_the_one_that_announces_itself(self):
         async def check(cluster, port):
             for sequence in (1, 2):
                 self.announce(cluster, port, sequence=sequence)
             await self.call(cluster)
+            await self.wait_for_states(cluster, u1=UpstreamState.GONE)
+            self.announce(cluster, port, name="u2")
             await self.wait_for_states(cluster, u1=UpstreamState.GONE, u2=UpstreamState.READY)
             cluster.entry.refresh_upstreams("svc")
             self.assertEqual((await self.call(cluster)).status, 200)
 
-        def answer(data):
-            if data.startswith(b"GET /well"):
-                return self.answer_health(b"u2")(data)
-            is_meant = b"meant: u2" in data.lower()
-            line = b"200 OK" if is_meant else b"421 Misdirected Request"
-            return b"HTTP/1.1 " + line + b"\r\nid: q1\r\ncontent-length: 2\r\n\r\nok"
+        self.run_with(self.answer_as(b"u2"), check)
 
-        self.run_with(answer, check)
+    def test_upstream_at_a_reused_address_gets_nothing_before_it_names_its_service(self):
+        # Guards against requests that an upstream of another service ran at a reused address.
+        async def check(cluster, port):
+            cluster.owner.register.list_stated = lambda: (StatedUpstream("u1", "svc"),)
+            for sequence in (1, 2):
+                self.announce(cluster, port, sequence=sequence)
+            await self.call(cluster)
+            await self.wait_for_states(cluster, u1=UpstreamState.GONE)
+            for _ in range(3):
+                await trio.testing.wait_all_tasks_blocked(0.05)
+                cluster.entry.refresh_upstreams("svc")
+                self.assertEqual((await self.call(cluster)).status, 503)
+            self.announce(cluster, port, name="u2", service="other")
+            await self.wait_for_states(cluster, u1=UpstreamState.GONE, u2=UpstreamState.READY)
+            self.assertEqual(cluster.owner.register.owned["u2"].upstream.service, "other")
+            self.assertEqual((await self.call(cluster)).status, 503)
+            self.assertEqual(self.list_runs(), [])
+
+        self.run_with(self.answer_as(b"u2"), check)
+
+    def test_unknown_upstream_at_the_configured_address_is_not_registered(self):
+        # Guards against requests sent to another service's upstream after a restart of the node.
+        async def check(cluster, port):
+            self.register_stated(cluster, port, StatedUpstream("u1", "svc"))
+            await self.wait_for_health_queries(2)
+            self.assertEqual(self.find_states(cluster), {})
+
+        self.run_with(self.answer_as(b"u2"), check)
 
     def test_gone_upstreams_are_evicted_for_new_ones(self):
         async def check(cluster, port):
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
@@ -14,7 +14,7 @@
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, UpstreamState, WarmUpRule
 from bendwind_node.calls.dialect import BENDWIND_DIALECT
-from bendwind_node.calls.owned_upstream import Announcement
+from bendwind_node.calls.owned_upstream import Announcement, AnnouncementRefusal
 from bendwind_node.calls.tests.fakes import CallTestCluster, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request
 from bendwind_node.calls.tests.test_dialect import DIALECT
@@ -141,7 +141,8 @@
         driver = RegisterDriver()
         for sequence in (1, 2):
             driver.announce(sequence=sequence)
-        driver.announce(sequence=3, service="other")
+        refusal = driver.announce(sequence=3, service="other")
+        self.assertIs(refusal, AnnouncementRefusal.OTHER_SERVICE)
         self.assertEqual(driver.register.owned["u1"].upstream.service, "s")
         self.assertIn(EventKind.ANNOUNCEMENT_REFUSED, driver.kinds())
 
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -18,7 +18,9 @@
 from bendwind_node.calls.health_check import HealthAnswer, query_health
 from bendwind_node.calls.owned_upstream import (
     Announcement,
+    AnnouncementRefusal,
     OwnedUpstream,
+    StatedUpstream,
     UpstreamAddress,
     is_earlier_run,
     is_later_run,
@@ -50,6 +52,9 @@
     `is_evacuated` says that operators withdrew this data centre, so that its upstreams get no
     requests. `configured_address` is the address of the only upstream on this instance
     according to the settings, None if they name none; no other process reaches that upstream.
+    `list_stated` returns what upstreams have stated about themselves to this process or to an
+    earlier run of it. Nothing else shows which service an upstream belongs to: its address may have
+    been given to an upstream of another service.
     """
 
     own: Instance
@@ -72,21 +77,25 @@
     is_draining: bool = False
     is_evacuated: bool = False
     configured_address: UpstreamAddress | None = None
+    list_stated: Callable[[], tuple[StatedUpstream, ...]] = lambda: ()
 
-    def handle_announcement(self, announcement: Announcement) -> bool:
-        """Register an upstream or renew its lease; return False if too many are registered."""
+    def handle_announcement(self, announcement: Announcement) -> AnnouncementRefusal | None:
+        """Register an upstream or renew its lease; return why the announcement changes nothing.
+
+        A late announcement is no refusal: a newer one of the same upstream is in force.
+        """
         owned = self.owned.get(announcement.name)
         is_first = owned is None
         if owned is None:
             if announcement.sequence and self.departures.has_departed(
                 announcement.name, announcement.born_ms
             ):
-                return True
+                return None
             if len(self.owned) >= MAX_OWNED_UPSTREAMS and not self._evict_gone():
-                return False
+                return AnnouncementRefusal.NO_CAPACITY
             owned = self._create_owned(announcement)
         elif is_earlier_run(owned, announcement):
-            return True
+            return None
         elif is_later_run(owned, announcement):
             self._begin_run(owned, announcement)
         elif owned.has_left and not announcement.sequence:
@@ -100,13 +109,13 @@
                 upstream=announcement.name,
                 detail=announcement.service,
             )
-            return True
+            return AnnouncementRefusal.OTHER_SERVICE
         if announcement.sequence and (
             owned.has_left or announcement.sequence <= owned.last_sequence
         ):
             # The announcement is late: the upstream has sent a newer one or has left since, which
             # stays in force.
-            return True
+            return None
         owned.last_sequence = max(owned.last_sequence, announcement.sequence)
         owned.born_ms = max(owned.born_ms, announcement.born_ms)
         owned.lease_until = trio.current_time() + self.lease_ms / MILLISECONDS_PER_SECOND
@@ -117,7 +126,7 @@
             owned.is_verified = True
             self._end_previous(announcement)
             self._apply_announcement(owned, announcement)
-        return True
+        return None
 
     def _begin_run(self, owned: OwnedUpstream, announcement: Announcement) -> None:
         """Reset the state for the next run of an upstream, which knows nothing of the last one."""
@@ -223,24 +232,34 @@
         return None
 
     async def register_by_health_path(self, address: UpstreamAddress) -> None:
-        """Register the upstream at an address by its health answer, without an announcement.
+        """Register the upstream at an address before it announces itself, if it is a known one.
 
-        A process that has just started would otherwise refuse every request until the next
-        announcement. The queries end once an upstream is registered at the address, or after the
-        length of a lease.
+        Its health answer names it, and `list_stated` names its service. Without this, a process
+        that has just started would refuse every request until the next announcement. The queries
+        end once an upstream is registered at the address, or after the length of a lease.
         """
         self.configured_address = address
         pool = UpstreamPool(address.host, address.port, 1)
         with trio.move_on_after(self.lease_ms / MILLISECONDS_PER_SECOND):
             while not self._is_registered_at(address):
-                path = self.find_health_path(address.service)
-                queried_at = trio.current_time()
-                answer = await self._query_health(pool, address.service) if path else None
-                if answer is not None and not self._is_registered_at(address):
-                    self._register_from_answer(address, answer, queried_at)
-                await trio.sleep(HEALTH_QUERY_INTERVAL if path else HEALTH_PATH_POLL_INTERVAL)
+                services = self._list_services_with_health_path()
+                for service in services:
+                    await self._register_by_answer(address, pool, service)
+                await trio.sleep(HEALTH_QUERY_INTERVAL if services else HEALTH_PATH_POLL_INTERVAL)
         await pool.aclose()
 
+    def _list_services_with_health_path(self) -> tuple[str, ...]:
+        services = {stated.service: None for stated in self.list_stated()}
+        return tuple(service for service in services if self.find_health_path(service))
+
+    async def _register_by_answer(
+        self, address: UpstreamAddress, pool: UpstreamPool, service: str
+    ) -> None:
+        queried_at = trio.current_time()
+        answer = await self._query_health(pool, service)
+        if answer is not None and not self._is_registered_at(address):
+            self._register_from_answer(address, answer, queried_at)
+
     def _register_from_answer(
         self, address: UpstreamAddress, answer: HealthAnswer, queried_at: Seconds
     ) -> None:
@@ -252,15 +271,20 @@
         )
         if has_left or not answer.name or not answer.is_healthy or not answer.slots:
             return
+        named = (stated for stated in self.list_stated() if stated.name == answer.name)
+        stated = next(named, None)
+        if stated is None:
+            return
         self.handle_announcement(
             Announcement(
                 answer.name,
-                address.service,
+                stated.service,
                 address.host,
                 address.port,
                 answer.slots,
                 answer.slots,
                 UpstreamState.READY,
+                born_ms=stated.born_ms,
             )
         )
         registered = self.owned.get(answer.name)
@@ -484,14 +508,14 @@
         return True
 
     def handle_misdirected(self, name: str) -> None:
-        """End an upstream after another one at its address has answered that it is not the one."""
+        """End an upstream after another one at its address has answered that it is not the one.
+
+        The other one may be of any service, so it gets no requests before it announces itself.
+        """
         owned = self.owned.get(name)
         if owned is None or owned.announced_state is UpstreamState.GONE:
             return
-        address = UpstreamAddress(owned.upstream.service, owned.pool.host, owned.pool.port)
         self._end_replaced(owned)
-        # The upstream that now has the address can be registered by its health answer.
-        self.nursery.start_soon(self.register_by_health_path, address)
 
     def end_expired(self, now: Seconds) -> None:
         """End the upstreams whose announcement lease has expired."""
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -77,7 +77,7 @@
     nursery.start_soon(dispatcher.probes.run)
     if daemon.settings.beside is not None:
         beside = daemon.settings.beside
-        address = UpstreamAddress(beside.service, beside.host, beside.port)
+        address = UpstreamAddress(beside.host, beside.port)
         nursery.start_soon(dispatcher.owner.register.register_by_health_path, address)
     nursery.start_soon(_report_lease_proof, dispatcher)
     nursery.start_soon(_watch_signals, daemon)
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -81,9 +81,11 @@
 
 
 class BesideTable(Table, frozen=True, kw_only=True):
-    """Define the upstream on this instance, so that it is used before it announces itself."""
+    """Define where the upstream on this instance is, so that a known one is used at once.
+
+    Known is one that has announced itself to an earlier run of this process.
+    """
 
-    service: Annotated[Name, describe("Service of the upstream on this instance.")]
     host: Annotated[Host, describe("Address of that upstream.")]
     port: Annotated[FixedPort, describe("Port of that upstream.")]
 
