calls, platform: encode texts of a configuration where they are sent, guard the tasks that send them

Cause: the text went into the head of a request as it was, h11 raised LocalProtocolError, and the query ran directly in the process's nursery.

Why this works: health paths are encoded as RFC 3986 says where they are sent, so also those that an earlier release kept; prefixes and the paths of requests are compared in one form. What cannot be a path, a version or an address is refused with 400. Tasks that send to upstreams, probe or watch files are guarded: one that raises is logged and counted, and those of the process start again.

--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -11,7 +11,10 @@
     CustomerFaultKind,
     find_customer_fault,
 )
-from bendwind_core.world import Route
+from bendwind_core.world import Route, is_absolute_path, normalize_path
+
+# The largest number that a message can hold.
+MAX_REVISION = 2**63 - 1
 
 
 class RevisionFaultKind(enum.StrEnum):
@@ -19,6 +22,7 @@
 
     BAD_REVISION = "bad-revision"
     DUPLICATE_SERVICE = "duplicate-service"
+    BAD_HEALTH_PATH = "bad-health-path"
     DUPLICATE_PLACE = "duplicate-place"
     NO_HOST = "no-host"
     BAD_PREFIX = "bad-prefix"
@@ -46,19 +50,22 @@
 
 
 def _find_faults(command: PutRevision) -> Iterator[RevisionFault]:
-    if command.routing.revision < 1:
+    if not 1 <= command.routing.revision <= MAX_REVISION:
         yield RevisionFault(RevisionFaultKind.BAD_REVISION, str(command.routing.revision))
     services: set[str] = set()
     for service in command.services:
         if not service.name or service.name in services:
             yield RevisionFault(RevisionFaultKind.DUPLICATE_SERVICE, service.name)
         services.add(service.name)
+        if service.health_path and not is_absolute_path(service.health_path):
+            yield RevisionFault(RevisionFaultKind.BAD_HEALTH_PATH, service.name)
     places: set[tuple[str, str]] = set()
     for route in command.routing.routes:
         yield from _find_route_faults(route, services)
-        if (route.host, route.path_prefix) in places:
+        place = route.host, normalize_path(route.path_prefix)
+        if place in places:
             yield RevisionFault(RevisionFaultKind.DUPLICATE_PLACE, route.name)
-        places.add((route.host, route.path_prefix))
+        places.add(place)
     size = len(encode_command(command))
     if size > MAX_COMMAND_BYTES:
         yield RevisionFault(RevisionFaultKind.TOO_LARGE, f"{size} bytes of {MAX_COMMAND_BYTES}")
--- a/packages/bendwind-core/src/bendwind_core/routing/route_table.py
+++ b/packages/bendwind-core/src/bendwind_core/routing/route_table.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bendwind_core.world import EMPTY_ROUTING, Route, Routing
+from bendwind_core.world import EMPTY_ROUTING, Route, Routing, normalize_path
 
 # Multiples of this number modulo 1 spread evenly over [0, 1), so any sequence of requests is split
 # close to the weights.
@@ -15,6 +15,7 @@
 class RouteTable(msgspec.Struct):
     """Hold the active routes by host and path prefix, and the position of each traffic split.
 
+    Prefixes are normalized, so that a prefix matches every equivalent form of a path.
     `split_positions` is keyed by route name, so a change to other routes does not reset a split.
     """
 
@@ -27,7 +28,7 @@
     """Replace the routes by those of a revision."""
     by_host: dict[str, dict[str, Route]] = {}
     for route in routing.routes:
-        by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        by_host.setdefault(route.host.lower(), {})[normalize_path(route.path_prefix)] = route
     names = {route.name for route in routing.routes}
     table.routing = routing
     table.by_host = by_host
@@ -44,6 +45,8 @@
     prefixes = table.by_host.get(host)
     if prefixes is None:
         return None
+    if "%" in path:
+        path = normalize_path(path)
     end = path.rfind("/")
     while end >= 0:
         route = prefixes.get(path[: end + 1])
--- a/packages/bendwind-core/src/bendwind_core/world/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/world/__init__.py
@@ -24,6 +24,7 @@
     may_serve,
 )
 from bendwind_core.world.upstream import LoadSample, Upstream, UpstreamState
+from bendwind_core.world.uri import encode_target, is_absolute_path, normalize_path
 
 __all__ = [
     "EMPTY_CONFIGURATION",
@@ -50,6 +51,9 @@
     "create_route",
     "create_routed_service",
     "digest_key",
+    "encode_target",
     "find_rule",
+    "is_absolute_path",
     "may_serve",
+    "normalize_path",
 ]
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -9,10 +9,9 @@
 import trio
 
 from bendwind_core.core import Seconds
-from bendwind_core.timeline import EventKind, Recorder
+from bendwind_core.timeline import Recorder
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.caller_exchange import CallerExchange
-from bendwind_node.calls.failure import describe_failure
 from bendwind_node.calls.h11_exchange import (
     BROKEN_STREAM_ERRORS,
     FRAMING_HEADERS,
@@ -21,6 +20,7 @@
     make_error,
 )
 from bendwind_node.calls.request_account import RequestAccount, find_ending
+from bendwind_node.guarded_tasks import record_task_failure
 from bendwind_node.streams import DirectListener, DirectStream
 
 Handle = Callable[[CallerExchange], Awaitable[None]]
@@ -140,7 +140,7 @@
         if self.recorder is None:
             raise error
         # Raising it would end the process, and the caller's next retry would end the next process.
-        self.recorder.record(EventKind.TASK_FAILED, detail=describe_failure(error))
+        record_task_failure(self.recorder, error)
 
     async def _serve_request(
         self, stream: DirectStream, connection: h11.Connection, *, is_new: bool
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -57,6 +57,7 @@
     refresh_service_state,
 )
 from bendwind_node.claims.task import ClaimTask
+from bendwind_node.guarded_tasks import GuardedNursery
 from bendwind_node.links import Link, LinkHub
 from bendwind_node.membership import MembershipTask
 from bendwind_node.quotas import NodeQuotaTask
@@ -92,7 +93,7 @@
 
     own: Instance
     recorder: Recorder
-    nursery: trio.Nursery
+    nursery: trio.Nursery | GuardedNursery
     hub: LinkHub
     owner: OwnerNode
     membership: MembershipTask
--- a/packages/bendwind-node/src/bendwind_node/calls/health_check.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/health_check.py
@@ -4,6 +4,7 @@
 from expression import Result
 
 from bendwind_core.core import Milliseconds
+from bendwind_core.world import encode_target
 from bendwind_node.calls import headers as names
 from bendwind_node.calls.dialect import (
     Dialect,
@@ -61,7 +62,7 @@
 
 async def _send_query(pool: UpstreamPool, path: str) -> UpstreamAnswer | None:
     host = ((names.HOST, f"{pool.host}:{pool.port}".encode()),)
-    match await pool.start(UpstreamRequest(b"GET", path.encode(), host, b"")):
+    match await pool.start(UpstreamRequest(b"GET", encode_target(path), host, b"")):
         case Result(tag="ok", ok=answer):
             while (await answer.next_part()).default_value(b""):
                 continue
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -1,15 +1,29 @@
 """Describe an upstream on this instance and its announcements."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 import trio
+from msgspec import Meta
 
 from bendwind_core.attempts import AttemptId, owner
 from bendwind_core.core import Milliseconds, Seconds
 from bendwind_core.world import Upstream, UpstreamState
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
+# Far above the slots of any deployment; a larger value comes from a faulty sender.
+MAX_SLOTS = 1_000_000
+MAX_PORT = 65_535
+# One week; no upstream takes this long to warm up.
+MAX_WARM_UP_MS = 604_800_000
+# In the year 2286; no run of an upstream has started later.
+MAX_BORN_MS = 9_999_999_999_999
+
+# A name is sent in a header of every request to the upstream.
+UpstreamName = Annotated[str, Meta(pattern=r"\A[!-~]{1,128}\Z")]
+UpstreamHost = Annotated[str, Meta(pattern=r"\A[A-Za-z0-9.:_-]{1,255}\Z")]
+
 
 class OwnedUpstream(msgspec.Struct, eq=False):
     """Hold one upstream on this instance.
@@ -72,16 +86,16 @@
     upstream in milliseconds since 1970 on its own clock, 0 if it does not report one.
     """
 
-    name: str
-    service: str
-    host: str
-    port: int
-    slots: int
-    connections: int
+    name: UpstreamName
+    service: Annotated[str, Meta(min_length=1)]
+    host: UpstreamHost
+    port: Annotated[int, Meta(ge=1, le=MAX_PORT)]
+    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
+    connections: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
     state: UpstreamState
-    sequence: int = 0
-    warm_up_left_ms: Milliseconds = 0.0
-    born_ms: int = 0
+    sequence: Annotated[int, Meta(ge=0)] = 0
+    warm_up_left_ms: Annotated[Milliseconds, Meta(ge=0, le=MAX_WARM_UP_MS)] = 0.0
+    born_ms: Annotated[int, Meta(ge=0, le=MAX_BORN_MS)] = 0
 
 
 def is_earlier_run(owned: OwnedUpstream, announcement: Announcement) -> bool:
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -43,15 +43,15 @@
 )
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import DispatchEnd, UpstreamDispatch, format_attempt
-from bendwind_node.calls.failure import describe_failure
-from bendwind_node.calls.health_check import query_health
 from bendwind_node.calls.notice_log import NoticeLog
 from bendwind_node.calls.owned_upstream import OwnedUpstream
 from bendwind_node.calls.pause_detector import PauseDetector
 from bendwind_node.calls.reply_path import ReplyLink, ReplyPath
 from bendwind_node.calls.suspect_reporter import SendSuspects, SuspectReporter
 from bendwind_node.calls.upstream_notice import UpstreamNotice
-from bendwind_node.calls.upstream_register import HEALTH_QUERY_TIMEOUT, UpstreamRegister
+from bendwind_node.calls.upstream_register import UpstreamRegister
+from bendwind_node.failure import describe_failure
+from bendwind_node.guarded_tasks import GuardedNursery
 
 # Size of a load report that is charged to the probe budget.
 LOAD_REPORT_BYTES = 80
@@ -65,7 +65,7 @@
 
     own: Instance
     recorder: Recorder
-    nursery: trio.Nursery
+    nursery: trio.Nursery | GuardedNursery
     register: UpstreamRegister
     assemblies: AssemblyTable
     probe_budget: ProbeBudget
@@ -360,8 +360,7 @@
         queried_at = trio.current_time()
         if spend_probe(self.probe_budget, 1, LOAD_REPORT_BYTES, queried_at):
             self.load_queries_sent += 1
-            with trio.move_on_after(HEALTH_QUERY_TIMEOUT):
-                answer = await query_health(owned.pool, path, self.dialect)
+            answer = await self.register.query_health(owned.pool, owned.upstream.service)
         if answer is None or answer.slow_factor is None:
             self._feed(owned, ev.LoadNotReported())
         self.register.record_health_answer(owned, answer, queried_at)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -4,6 +4,7 @@
 import trio.testing
 
 from bendwind_core.attempts import NotRunReason
+from bendwind_core.timeline import EventKind
 from bendwind_core.world import Service, UpstreamState
 from bendwind_node.calls.dialect import (
     BENDWIND_DIALECT,
@@ -225,6 +226,33 @@
 
         self.run_with(self.answer_health(b"u1"), check)
 
+    def test_health_path_with_any_letters_is_encoded_and_ends_no_process(self):
+        # Guards against nodes that ended again and again under such a configuration.
+        async def check(cluster, port):
+            register = cluster.owner.register
+            register.find_health_path = lambda name: "/well/ágil y 100%"
+            self.announce(cluster, port)
+            await self.wait_for_states(cluster, u1=UpstreamState.READY)
+            self.register_stated(cluster, port, StatedUpstream("u1", "svc"))
+            cluster.nursery.start_soon(cluster.owner._query_load, register.owned["u1"])
+            await self.wait_for_health_queries(2)
+            self.assertIn(b"GET /well/%C3%A1gil%20y%20100%25 HTTP/1.1", self.seen[0])
+
+        self.run_with(self.answer_health(b"u1"), check)
+
+    def test_query_that_fails_in_this_program_counts_as_one_without_an_answer(self):
+        async def check(cluster, port):
+            register = cluster.owner.register
+            register.find_health_path = lambda name: 1
+            self.announce(cluster, port)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            kinds = [event.kind for event in cluster.owner.recorder.events]
+            self.assertIn(EventKind.TASK_FAILED, kinds)
+            self.announce(cluster, port, sequence=2)
+            self.assertEqual((await self.call(cluster)).status, 200)
+
+        self.run_with(self.answer_health(b"u1"), check)
+
     def test_leaving_upstream_is_not_registered_by_its_health_path(self):
         for status, leaves_by_name in ((b"503 Service Unavailable", False), (b"200 OK", True)):
 
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -181,7 +181,7 @@
                 head = await connection.next_event()
         except _CONNECTION_ERRORS:
             head = None
-        except trio.Cancelled:
+        except (trio.Cancelled, h11.LocalProtocolError):
             await trio.aclose_forcefully(connection.stream)
             raise
         if isinstance(head, h11.Response):
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -29,6 +29,7 @@
 from bendwind_node.calls.reply_path import ReplyLink
 from bendwind_node.calls.upstream_h11 import UpstreamPool, wait_until_accepting
 from bendwind_node.calls.upstream_notice import UpstreamNotice
+from bendwind_node.guarded_tasks import GuardedNursery, record_task_failure
 
 QUEUE_LIMIT = 16
 MAX_OWNED_UPSTREAMS = 8
@@ -59,7 +60,7 @@
 
     own: Instance
     recorder: Recorder
-    nursery: trio.Nursery
+    nursery: trio.Nursery | GuardedNursery
     lease_ms: Milliseconds
     announce: Callable[[Upstream], None]
     dialect: Dialect
@@ -224,11 +225,18 @@
 
     async def _query_owned(self, owned: OwnedUpstream, service: str) -> HealthAnswer | None:
         self.feed(owned, ev.UpstreamQueried())
-        return await self._query_health(owned.pool, service)
+        return await self.query_health(owned.pool, service)
 
-    async def _query_health(self, pool: UpstreamPool, service: str) -> HealthAnswer | None:
-        with trio.move_on_after(HEALTH_QUERY_TIMEOUT):
-            return await query_health(pool, self.find_health_path(service), self.dialect)
+    async def query_health(self, pool: UpstreamPool, service: str) -> HealthAnswer | None:
+        """Return the answer on the health path of a service, None if there is none in time.
+
+        Whoever waits for the answer goes on without one if the query itself fails.
+        """
+        try:
+            with trio.move_on_after(HEALTH_QUERY_TIMEOUT):
+                return await query_health(pool, self.find_health_path(service), self.dialect)
+        except Exception as error:
+            record_task_failure(self.recorder, error, f"health query of {service}")
         return None
 
     async def register_by_health_path(self, address: UpstreamAddress) -> None:
@@ -256,7 +264,7 @@
         self, address: UpstreamAddress, pool: UpstreamPool, service: str
     ) -> None:
         queried_at = trio.current_time()
-        answer = await self._query_health(pool, service)
+        answer = await self.query_health(pool, service)
         if answer is not None and not self._is_registered_at(address):
             self._register_from_answer(address, answer, queried_at)
 
@@ -442,6 +450,12 @@
             self.nursery.start_soon(self._query_until_warm_up_known, owned)
 
     async def _query_until_warm_up_known(self, owned: OwnedUpstream) -> None:
+        try:
+            await self._query_while_assumed_cold(owned)
+        finally:
+            owned.is_being_queried = False
+
+    async def _query_while_assumed_cold(self, owned: OwnedUpstream) -> None:
         while is_assumed_cold(owned.owner_state.warm_up, trio.current_time()):
             queried_at = trio.current_time()
             answer = await self._query_owned(owned, owned.upstream.service)
@@ -450,7 +464,6 @@
             if is_assumed_cold(owned.owner_state.warm_up, now):
                 next_send_at = find_limited_send_at(owned.owner_state.rate_limit, 0, now)
                 await trio.sleep(max(HEALTH_QUERY_INTERVAL, next_send_at - now))
-        owned.is_being_queried = False
 
     def mark_unreachable(self, owned: OwnedUpstream) -> None:
         """Publish an upstream that refuses connections as gone, and retry it in the background."""
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -46,6 +46,7 @@
 from bendwind_node.daemon.extension import Extension
 from bendwind_node.daemon.listeners import Listeners, find_port
 from bendwind_node.daemon.state import Daemon
+from bendwind_node.guarded_tasks import GuardedNursery
 from bendwind_node.links import Address, LinkHub, create_link_hub, query_incarnation
 from bendwind_node.membership import MembershipTask, create_membership_task
 from bendwind_node.quotas import create_node_quota_task
@@ -159,6 +160,7 @@
     settings = daemon.settings
     recorder = daemon.recorder
     dispatcher = daemon.dispatcher
+    guarded = GuardedNursery(nursery, recorder)
     voters = list_voters(settings)
     names = tuple(voter.name for voter in voters)
     times = _make_lease_times(settings)
@@ -175,7 +177,7 @@
     register = UpstreamRegister(
         own,
         recorder,
-        nursery,
+        guarded,
         settings.lease.upstream_ms or settings.lease.lease_ms,
         lambda upstream: _announce(membership, upstream),
         extension.dialect,
@@ -193,7 +195,7 @@
     dispatcher.owner = OwnerNode(
         own,
         recorder,
-        nursery,
+        guarded,
         register,
         assemblies,
         budget,
@@ -212,7 +214,7 @@
     dispatcher.entry = EntryNode(
         own,
         recorder,
-        nursery,
+        guarded,
         dispatcher.hub,
         dispatcher.owner,
         membership,
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -19,6 +19,7 @@
 from bendwind_node.daemon.serve import serve_all
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.early_signals import STOP_SIGNALS, is_stop_requested
+from bendwind_node.guarded_tasks import GuardedNursery
 from bendwind_node.security import watch_keys
 from bendwind_node.settings import Settings
 
@@ -74,18 +75,19 @@
     nursery.start_soon(dispatcher.claims.run)
     nursery.start_soon(dispatcher.quotas.run)
     nursery.start_soon(dispatcher.owner.run_clock)
-    nursery.start_soon(dispatcher.probes.run)
+    guarded = GuardedNursery(nursery, daemon.recorder)
+    guarded.start_repeatedly(dispatcher.probes.run)
     if daemon.settings.beside is not None:
         beside = daemon.settings.beside
         address = UpstreamAddress(beside.host, beside.port)
-        nursery.start_soon(dispatcher.owner.register.register_by_health_path, address)
-    nursery.start_soon(_report_lease_proof, dispatcher)
+        guarded.start_repeatedly(dispatcher.owner.register.register_by_health_path, address)
+    guarded.start_repeatedly(_report_lease_proof, dispatcher)
     nursery.start_soon(_watch_signals, daemon)
     if daemon.keys is not None:
-        nursery.start_soon(watch_keys, daemon.keys)
+        guarded.start_repeatedly(watch_keys, daemon.keys)
     if extension.settings_file is not None and extension.load is not None:
         file, load = extension.settings_file, extension.load
-        nursery.start_soon(watch_settings, daemon, file, load)
+        guarded.start_repeatedly(watch_settings, daemon, file, load)
     serve_all(daemon, nursery)
     if daemon.settings.metrics is not None:
         await serve_metrics(daemon, daemon.settings.metrics, nursery)
--- a/packages/bendwind-node/src/bendwind_node/calls/failure.py
+++ b/packages/bendwind-node/src/bendwind_node/failure.py
@@ -1,4 +1,4 @@
-"""Describe an unexpected exception that occurred while serving one request."""
+"""Describe an unexpected exception that occurred in a task that serves one request or purpose."""
 
 import traceback
 
--- a/packages/bendwind-node/src/bendwind_node/streams/direct_stream.py
+++ b/packages/bendwind-node/src/bendwind_node/streams/direct_stream.py
@@ -114,10 +114,12 @@
 async def open_direct_stream(host: str, port: int, silence_ms: int | None = None) -> DirectStream:
     """Connect to an address.
 
-    Errors: raises OSError.
+    Errors: raises OSError, also for a host or port that cannot be an address.
     Units: `silence_ms` is the time without acknowledgement after which the connection is aborted,
     in milliseconds.
     """
-    return _set_acknowledgement_timeout(
-        DirectStream(await trio.open_tcp_stream(host, port)), silence_ms
-    )
+    try:
+        stream = await trio.open_tcp_stream(host, port)
+    except (ValueError, OverflowError) as error:
+        raise OSError(f"not an address: {host!r}:{port}") from error
+    return _set_acknowledgement_timeout(DirectStream(stream), silence_ms)
