runs: keep in the control log what a node acknowledges about its upstreams

Cause: departures and drainings were kept in the memory of the node that acknowledged them.

A process registers no numbered upstream before a quorum round has told it what the log holds of its instance. Late announcements are told by run and sequence, and a health answer registers only a run that the log holds as serving, with the service that it announced. A planned stop of a node is no departure.

A first announcement is verified again until its query has an answer: one that came before the configuration waited for the next announcement.

--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -46,6 +46,14 @@
     QuotaReturn,
 )
 from bendwind_core.routing import LoadProbe, LoadReport
+from bendwind_core.runs import (
+    ForwardedRecorded,
+    ForwardRuns,
+    QueryRuns,
+    ReportRuns,
+    RunsAnswer,
+    RunsRecorded,
+)
 
 PeerMessage = (
     Hello
@@ -83,6 +91,12 @@
     | QuotaReturn
     | QuotaLoanRequest
     | QuotaLoan
+    | ReportRuns
+    | RunsRecorded
+    | ForwardRuns
+    | ForwardedRecorded
+    | QueryRuns
+    | RunsAnswer
     | ClaimMessage
     | ConsensusMessage
 )
--- a/packages/bendwind-core/src/bendwind_core/plans/commands.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/commands.py
@@ -7,6 +7,7 @@
 from bendwind_core.claims import ChangeClaimGroup
 from bendwind_core.core import Record
 from bendwind_core.plans.changes import Changes
+from bendwind_core.runs import RunRecord
 from bendwind_core.world import Customer, Routing, Service
 
 
@@ -73,11 +74,29 @@
     evacuated: bool
 
 
+class RecordRuns(Record, frozen=True, array_like=True, tag="record-runs"):
+    """Keep what nodes reported of the runs of their upstreams.
+
+    Units: `now_ms` is the leader's wall clock in milliseconds since 1970.
+    """
+
+    now_ms: int
+    records: tuple[RunRecord, ...]
+
+
 # A voter sends a log entry to another voter in one message. A message is limited to 4 MiB, which
 # includes everything that surrounds the entry.
 MAX_COMMAND_BYTES = 7 << 19
 
-Command = CreatePlan | ConfirmPlan | MarkDraining | ChangeClaimGroup | PutRevision | MarkEvacuated
+Command = (
+    CreatePlan
+    | ConfirmPlan
+    | MarkDraining
+    | ChangeClaimGroup
+    | PutRevision
+    | MarkEvacuated
+    | RecordRuns
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Command)
--- a/packages/bendwind-core/src/bendwind_core/plans/results.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/results.py
@@ -96,6 +96,10 @@
     evacuated: int
 
 
+class RunsKept(Record, frozen=True, array_like=True, tag="runs-kept"):
+    """Confirm that reported runs are kept, or something newer of the same upstreams."""
+
+
 CommandResult = (
     PlanCreated
     | PlanOutcome
@@ -111,4 +115,5 @@
     | RevisionStatus
     | EvacuationStatus
     | TooManyEvacuated
+    | RunsKept
 )
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -1,4 +1,4 @@
-"""Apply the commands of the control log to the configuration, plans and drain marks."""
+"""Apply the commands of the control log to the configuration, plans, drain marks and runs."""
 
 import msgspec
 from msgspec.structs import replace
@@ -13,6 +13,7 @@
     MarkDraining,
     MarkEvacuated,
     PutRevision,
+    RecordRuns,
     decode_command,
 )
 from bendwind_core.plans.customer_faults import sort_customers
@@ -28,12 +29,14 @@
     PlanCreated,
     RequestReused,
     RevisionStatus,
+    RunsKept,
     TooManyEvacuated,
     TooManyMarks,
     TooManyPlans,
     UnknownPlan,
     VersionMoved,
 )
+from bendwind_core.runs import KeptRun, RunTable, create_run_table, list_kept, put_runs
 from bendwind_core.world import EMPTY_CONFIGURATION, Configuration
 
 MAX_DRAIN_MARKS = 4_096
@@ -52,6 +55,8 @@
     draining_instances: tuple[str, ...]
     draining_upstreams: tuple[str, ...]
     document: bytes = b""
+    runs: tuple[KeptRun, ...] = ()
+    runs_clock_ms: int = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -73,6 +78,7 @@
     draining_instances: dict[str, None] = msgspec.field(default_factory=dict)
     draining_upstreams: dict[str, None] = msgspec.field(default_factory=dict)
     document: bytes = b""
+    runs: RunTable = msgspec.field(default_factory=RunTable)
 
     def apply(self, index: int, command: bytes) -> CommandResult | None:
         """Apply the log entry at an index; an empty command only advances the index.
@@ -99,6 +105,9 @@
                 return self._put_revision(index, put)
             case MarkEvacuated() as mark:
                 return self._mark_evacuated(index, mark)
+            case RecordRuns(now_ms=now_ms, records=records):
+                put_runs(self.runs, records, now_ms)
+                return RunsKept()
 
     def find_plan(self, plan_id: str) -> Plan | UnknownPlan | EvictedPlan:
         """Return a plan by the id that operators use."""
@@ -221,6 +230,8 @@
                 tuple(self.draining_instances),
                 tuple(self.draining_upstreams),
                 self.document,
+                list_kept(self.runs),
+                self.runs.clock_ms,
             )
         )
 
@@ -241,3 +252,4 @@
         self.draining_instances = dict.fromkeys(snapshot.draining_instances)
         self.draining_upstreams = dict.fromkeys(snapshot.draining_upstreams)
         self.document = snapshot.document
+        self.runs = create_run_table(snapshot.runs, snapshot.runs_clock_ms)
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/runs/record.py
@@ -0,0 +1,52 @@
+"""Describe a run of an upstream as the control log keeps it, and order what is reported of it."""
+
+from msgspec.structs import replace
+
+from bendwind_core.core import Record
+from bendwind_core.world import UpstreamState
+
+_ORDER = {UpstreamState.READY: 0, UpstreamState.DRAINING: 1, UpstreamState.GONE: 2}
+
+
+class RunRecord(Record, frozen=True, array_like=True):
+    """Hold what the newest run of an upstream has announced to the node of its instance.
+
+    `service` is empty if the run was never registered there. `sequence` is that of the announcement
+    that named `state`, 0 if announcements are not numbered. GONE is final for the run.
+    Units: `born_ms` is when the run started, in milliseconds since 1970 on the upstream's own
+    clock, 0 if it does not report it.
+    """
+
+    instance: str
+    name: str
+    service: str = ""
+    born_ms: int = 0
+    sequence: int = 0
+    state: UpstreamState = UpstreamState.READY
+
+
+def is_newer(stated: RunRecord, held: RunRecord) -> bool:
+    """Return whether a record replaces the one that is held of the same upstream.
+
+    The result of any number of records does not depend on the order in which they arrive.
+    """
+    return _rank(stated) > _rank(held)
+
+
+def _rank(record: RunRecord) -> tuple[int, bool, int, int, str]:
+    is_gone = record.state is UpstreamState.GONE
+    return record.born_ms, is_gone, record.sequence, _ORDER[record.state], record.service
+
+
+def name_departed_run(stated: RunRecord, held: RunRecord) -> RunRecord:
+    """Return a departure with the run that it ends: one that names none ends the run held."""
+    if stated.state is UpstreamState.GONE and not stated.born_ms:
+        return replace(stated, born_ms=held.born_ms, service=stated.service or held.service)
+    return stated
+
+
+def is_overtaken(record: RunRecord, born_ms: int, sequence: int) -> bool:
+    """Return whether a numbered announcement is older than what is held of its upstream."""
+    if born_ms and born_ms != record.born_ms:
+        return born_ms < record.born_ms
+    return record.state is UpstreamState.GONE or sequence <= record.sequence
--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -34,6 +34,7 @@
         EventKind.ANNOUNCEMENT_REFUSED,
         EventKind.UPSTREAM_ENDED,
         EventKind.NOTICE_MALFORMED,
+        EventKind.RUN_NOT_RECORDED,
         EventKind.REQUEST_QUARANTINED,
         EventKind.FRESHNESS_LOST,
         EventKind.CONFIGURATION_DIFFERS,
--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -31,6 +31,9 @@
     error: str
 
 
+_NOT_RECORDED = ErrorReply("not recorded yet; send it again")
+
+
 class AnnounceApp:
     """Serve the interface for upstreams (docs/UPSTREAMS.md) as an ASGI application."""
 
@@ -56,13 +59,18 @@
         self, method: str, path: str, receive: Callable
     ) -> tuple[int, LeaseReply | ErrorReply | None]:
         if method == "POST" and path == _PREFIX:
-            return self._announce(await _read_body(receive))
+            return await self._announce(await _read_body(receive))
         if method == "DELETE" and path.startswith(_PREFIX + "/"):
-            has_left = self.register.handle_departure(path.removeprefix(_PREFIX + "/"))
-            return (204, None) if has_left else (404, ErrorReply("unknown upstream"))
+            return await self._leave(path.removeprefix(_PREFIX + "/"))
         return 404, ErrorReply("no such route")
 
-    def _announce(self, body: bytes | None) -> tuple[int, LeaseReply | ErrorReply]:
+    async def _leave(self, name: str) -> tuple[int, ErrorReply | None]:
+        is_known = self.register.handle_departure(name)
+        if not await self.register.wait_recorded(name):
+            return 503, _NOT_RECORDED
+        return (204, None) if is_known else (404, ErrorReply("unknown upstream"))
+
+    async def _announce(self, body: bytes | None) -> tuple[int, LeaseReply | ErrorReply]:
         if body is None:
             return 413, ErrorReply(f"at most {MAX_BODY_BYTES} bytes")
         try:
@@ -76,6 +84,9 @@
                 return 429, ErrorReply("this node holds no more upstreams")
             case AnnouncementRefusal.OTHER_SERVICE:
                 return 409, ErrorReply("this upstream is registered for another service")
+        is_draining = announcement.state is UpstreamState.DRAINING
+        if is_draining and not await self.register.wait_recorded(announcement.name):
+            return 503, _NOT_RECORDED
         return 200, LeaseReply(self.lease_ms)
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -58,17 +58,6 @@
     port: int
 
 
-class StatedUpstream(msgspec.Struct, frozen=True):
-    """Hold the service that a run of an upstream has named itself; a run never changes it.
-
-    Units: `born_ms` as in an announcement.
-    """
-
-    name: str
-    service: str
-    born_ms: int = 0
-
-
 class AnnouncementRefusal(enum.StrEnum):
     """Enumerate why an announcement changes nothing although it is not late."""
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -4,6 +4,7 @@
 import trio.testing
 
 from bendwind_core.attempts import NotRunReason
+from bendwind_core.runs import report_run
 from bendwind_core.timeline import EventKind
 from bendwind_core.world import Service, UpstreamState
 from bendwind_node.calls.dialect import (
@@ -12,7 +13,7 @@
     find_not_run_proof,
     read_slow_factor,
 )
-from bendwind_node.calls.owned_upstream import Announcement, StatedUpstream, UpstreamAddress
+from bendwind_node.calls.owned_upstream import Announcement, UpstreamAddress
 from bendwind_node.calls.tests.fakes import CallTestCluster, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request, run_server
 
@@ -211,14 +212,14 @@
         # The answer to the last query is still in transit.
         await trio.testing.wait_all_tasks_blocked(0.05)
 
-    def register_stated(self, cluster, port, *stated):
-        cluster.owner.register.list_stated = lambda: stated
+    def register_known(self, cluster, port, name):
+        report_run(cluster.owner.register.runs, name, UpstreamState.READY, "svc")
         address = UpstreamAddress("127.0.0.1", port)
         cluster.nursery.start_soon(cluster.owner.register.register_by_health_path, address)
 
     def test_known_upstream_at_the_configured_address_serves_before_its_announcement(self):
         async def check(cluster, port):
-            self.register_stated(cluster, port, StatedUpstream("u1", "svc"))
+            self.register_known(cluster, port, "u1")
             await self.wait_for_states(cluster, u1=UpstreamState.READY)
             self.assertEqual((await self.call(cluster)).status, 200)
             self.announce(cluster, port, state=UpstreamState.DRAINING)
@@ -233,13 +234,26 @@
             register.find_health_path = lambda name: "/well/ágil y 100%"
             self.announce(cluster, port)
             await self.wait_for_states(cluster, u1=UpstreamState.READY)
-            self.register_stated(cluster, port, StatedUpstream("u1", "svc"))
+            self.register_known(cluster, port, "u1")
             cluster.nursery.start_soon(cluster.owner._query_load, register.owned["u1"])
             await self.wait_for_health_queries(2)
             self.assertIn(b"GET /well/%C3%A1gil%20y%20100%25 HTTP/1.1", self.seen[0])
 
         self.run_with(self.answer_health(b"u1"), check)
 
+    def test_announcement_before_the_configuration_is_verified_once_the_path_is_known(self):
+        # Guards against an upstream that gets nothing until its next announcement.
+        async def check(cluster, port):
+            register = cluster.owner.register
+            register.find_health_path = lambda name: ""
+            self.announce(cluster, port)
+            await trio.sleep(0.1)
+            self.assertEqual(self.find_states(cluster), {"u1": UpstreamState.GONE})
+            register.find_health_path = lambda name: "/well"
+            await self.wait_for_states(cluster, u1=UpstreamState.READY)
+
+        self.run_with(self.answer_health(b"u1"), check)
+
     def test_query_that_fails_in_this_program_counts_as_one_without_an_answer(self):
         async def check(cluster, port):
             register = cluster.owner.register
@@ -260,7 +274,9 @@
                 register = cluster.owner.register
                 if leaves_by_name:
                     register.handle_departure("u1")
-                self.register_stated(cluster, port, StatedUpstream("u1", "svc"))
+                # Another one that may be at the address keeps the queries going.
+                report_run(register.runs, "u0", UpstreamState.READY, "svc")
+                self.register_known(cluster, port, "u1")
                 await self.wait_for_health_queries(2)
                 self.assertEqual(self.find_states(cluster), {})
 
@@ -297,7 +313,6 @@
     def test_upstream_at_a_reused_address_gets_nothing_before_it_names_its_service(self):
         # Guards against requests that an upstream of another service ran at a reused address.
         async def check(cluster, port):
-            cluster.owner.register.list_stated = lambda: (StatedUpstream("u1", "svc"),)
             for sequence in (1, 2):
                 self.announce(cluster, port, sequence=sequence)
             await self.call(cluster)
@@ -317,7 +332,7 @@
     def test_unknown_upstream_at_the_configured_address_is_not_registered(self):
         # Guards against requests sent to another service's upstream after a restart of the node.
         async def check(cluster, port):
-            self.register_stated(cluster, port, StatedUpstream("u1", "svc"))
+            self.register_known(cluster, port, "u1")
             await self.wait_for_health_queries(2)
             self.assertEqual(self.find_states(cluster), {})
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
@@ -11,6 +11,15 @@
 from bendwind_core.attempts import owner
 from bendwind_core.attempts import owner_events as ov
 from bendwind_core.attempts.owner_state import is_accepting
+from bendwind_core.runs import (
+    RunRecord,
+    RunsAnswer,
+    create_run_keeper,
+    handle_runs,
+    has_left,
+    is_recorded,
+    list_ready,
+)
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, UpstreamState, WarmUpRule
 from bendwind_node.calls.dialect import BENDWIND_DIALECT
@@ -198,6 +207,68 @@
         self.assertLessEqual(len(driver.register.owned), MAX_OWNED_UPSTREAMS)
 
 
+class KeptRunsTest(unittest.TestCase):
+    """Hand what one process knows of runs to the next one, as the voters do."""
+
+    def restart(self, former):
+        following = RegisterDriver()
+        following.register.runs = create_run_keeper("n1", 6, is_loaded=False)
+        handle_runs(
+            following.register.runs, RunsAnswer(0, tuple(former.register.runs.known.values()))
+        )
+        return following
+
+    @in_trio
+    def test_departure_of_a_registered_upstream_must_be_recorded(self):
+        driver = RegisterDriver()
+        for sequence in (1, 2):
+            driver.announce(sequence=sequence)
+        self.assertFalse(has_left(driver.register.runs, "u1"))
+        driver.register.handle_departure("u1")
+        self.assertTrue(has_left(driver.register.runs, "u1"))
+        self.assertFalse(is_recorded(driver.register.runs, "u1"))
+
+    @in_trio
+    def test_planned_stop_of_the_process_is_no_departure_of_its_upstreams(self):
+        driver = RegisterDriver()
+        for sequence in (1, 2):
+            driver.announce(sequence=sequence)
+        driver.register.withdraw_all()
+        self.assertIs(driver.state(), GONE)
+        self.assertEqual([run.name for run in list_ready(driver.register.runs)], ["u1"])
+
+    @in_trio
+    def test_late_announcements_after_a_restart_do_not_bring_back_an_upstream(self):
+        for end in ("leave", "drain", "leaving"):
+            former = RegisterDriver()
+            for sequence in (1, 2):
+                former.announce(sequence=sequence)
+            match end:
+                case "leave":
+                    former.register.handle_departure("u1")
+                case "drain":
+                    former.announce(sequence=9, state=DRAINING)
+                case "leaving":
+                    former.report_leaving()
+            following = self.restart(former)
+            for sequence in (3, 4):
+                following.announce(sequence=sequence)
+            self.assertEqual(following.register.owned, {}, end)
+
+    @in_trio
+    def test_announcements_wait_until_it_is_known_what_was_announced_before(self):
+        driver = RegisterDriver()
+        driver.register.runs = create_run_keeper("n1", 6, is_loaded=False)
+        for name, sequence in (("u1", 2), ("u1", 1), ("u2", 1)):
+            self.assertIsNone(driver.announce(name, sequence))
+        self.assertEqual(driver.register.owned, {})
+        left = RunRecord("n1", "u2", "s", state=GONE)
+        handle_runs(driver.register.runs, RunsAnswer(0, (left,)))
+        driver.register.handle_loaded()
+        self.assertEqual(list(driver.register.owned), ["u1"])
+        self.assertEqual(driver.register.owned["u1"].last_sequence, 2)
+
+
 class EvacuationTest(unittest.TestCase):
     @in_trio
     def test_evacuated_upstream_accepts_nothing_and_is_cold_after_the_evacuation(self):
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -1,6 +1,6 @@
 """Register the upstreams on this instance, verify them and expire their leases."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import msgspec
 import trio
@@ -10,17 +10,24 @@
 from bendwind_core.attempts import owner
 from bendwind_core.attempts import owner_events as ev
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
+from bendwind_core.runs import (
+    RunKeeper,
+    create_run_keeper,
+    forget_run,
+    has_left,
+    is_late,
+    list_ready,
+    report_run,
+)
 from bendwind_core.suspicion import SuspectTable
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Upstream, UpstreamState, WarmUpRule
-from bendwind_node.calls.departures import Departures
 from bendwind_node.calls.dialect import Dialect
 from bendwind_node.calls.health_check import HealthAnswer, query_health
 from bendwind_node.calls.owned_upstream import (
     Announcement,
     AnnouncementRefusal,
     OwnedUpstream,
-    StatedUpstream,
     UpstreamAddress,
     is_earlier_run,
     is_later_run,
@@ -43,6 +50,10 @@
 Feed = Callable[[OwnedUpstream, ev.OwnerEvent], None]
 
 
+async def _confirm_at_once(name: str) -> bool:
+    return True
+
+
 class UpstreamRegister(msgspec.Struct, eq=False):
     """Hold the upstreams on this instance by name.
 
@@ -53,9 +64,12 @@
     `is_evacuated` says that operators withdrew this data centre, so that its upstreams get no
     requests. `configured_address` is the address of the only upstream on this instance
     according to the settings, None if they name none; no other process reaches that upstream.
-    `list_stated` returns what upstreams have stated about themselves to this process or to an
-    earlier run of it. Nothing else shows which service an upstream belongs to: its address may have
-    been given to an upstream of another service.
+    `runs` holds what upstreams have announced to this process or to an earlier one here. Nothing
+    else shows which service an upstream belongs to, since its address may have been given to one of
+    another service, nor that it has not left. `unloaded` holds the newest announcement of each
+    upstream that arrived before `runs` was loaded. `wake_runs` is called after `runs` changed, and
+    `wait_recorded` returns whether what is known of an upstream will outlive this process: until
+    then no draining and no departure of it may be acknowledged.
     """
 
     own: Instance
@@ -72,13 +86,19 @@
     suspects: SuspectTable = msgspec.field(default_factory=SuspectTable)
     feed: Feed = lambda owned, event: None
     list_links: Callable[[], Iterable[ReplyLink]] = lambda: ()
-    departures: Departures = msgspec.field(default_factory=Departures)
+    runs: RunKeeper | None = None
+    wake_runs: Callable[[], None] = lambda: None
+    wait_recorded: Callable[[str], Awaitable[bool]] = _confirm_at_once
+    unloaded: dict[str, Announcement] = msgspec.field(default_factory=dict)
     has_evicted: bool = False
     owned: dict[str, OwnedUpstream] = msgspec.field(default_factory=dict)
     is_draining: bool = False
     is_evacuated: bool = False
     configured_address: UpstreamAddress | None = None
-    list_stated: Callable[[], tuple[StatedUpstream, ...]] = lambda: ()
+
+    def __post_init__(self):
+        if self.runs is None:
+            self.runs = create_run_keeper(self.own.name, self.own.incarnation, is_loaded=True)
 
     def handle_announcement(self, announcement: Announcement) -> AnnouncementRefusal | None:
         """Register an upstream or renew its lease; return why the announcement changes nothing.
@@ -88,10 +108,12 @@
         owned = self.owned.get(announcement.name)
         is_first = owned is None
         if owned is None:
-            if announcement.sequence and self.departures.has_departed(
-                announcement.name, announcement.born_ms
+            if announcement.sequence and is_late(
+                self.runs, announcement.name, announcement.born_ms, announcement.sequence
             ):
                 return None
+            if announcement.sequence and not self.runs.is_loaded:
+                return self._keep_unloaded(announcement)
             if len(self.owned) >= MAX_OWNED_UPSTREAMS and not self._evict_gone():
                 return AnnouncementRefusal.NO_CAPACITY
             owned = self._create_owned(announcement)
@@ -119,6 +141,7 @@
             return None
         owned.last_sequence = max(owned.last_sequence, announcement.sequence)
         owned.born_ms = max(owned.born_ms, announcement.born_ms)
+        self._note_run(announcement, owned.born_ms)
         owned.lease_until = trio.current_time() + self.lease_ms / MILLISECONDS_PER_SECOND
         self._move_pool(owned, announcement)
         if self._needs_verification(owned, announcement, is_first=is_first):
@@ -129,6 +152,39 @@
             self._apply_announcement(owned, announcement)
         return None
 
+    def _keep_unloaded(self, announcement: Announcement) -> AnnouncementRefusal | None:
+        """Keep an announcement until it can be told whether it is late."""
+        kept = self.unloaded.get(announcement.name)
+        if kept is None and len(self.unloaded) >= MAX_OWNED_UPSTREAMS:
+            return AnnouncementRefusal.NO_CAPACITY
+        if kept is None or _find_order(kept) < _find_order(announcement):
+            self.unloaded[announcement.name] = announcement
+        if announcement.state is UpstreamState.DRAINING:
+            self._note_run(announcement, announcement.born_ms)
+        return None
+
+    def handle_loaded(self) -> None:
+        """Apply the announcements that arrived before it was known what had been announced."""
+        unloaded = tuple(self.unloaded.values())
+        self.unloaded.clear()
+        for announcement in unloaded:
+            self.handle_announcement(announcement)
+
+    def _note_run(self, announcement: Announcement, born_ms: int) -> None:
+        report_run(
+            self.runs,
+            announcement.name,
+            announcement.state,
+            announcement.service,
+            born_ms,
+            announcement.sequence,
+        )
+        self.wake_runs()
+
+    def _note_left(self, name: str, born_ms: int) -> None:
+        report_run(self.runs, name, UpstreamState.GONE, born_ms=born_ms)
+        self.wake_runs()
+
     def _begin_run(self, owned: OwnedUpstream, announcement: Announcement) -> None:
         """Reset the state for the next run of an upstream, which knows nothing of the last one."""
         self.recorder.record(
@@ -171,6 +227,13 @@
     ) -> None:
         queried_at = trio.current_time()
         answer = await self._query_owned(owned, announcement.service)
+        while answer is None and self._awaits_verification(owned, announcement):
+            # The configuration may not name the path yet, or the upstream may be busy. The next
+            # announcement, which may come a second later, verifies it too.
+            has_path = bool(self.find_health_path(announcement.service))
+            await trio.sleep(HEALTH_QUERY_INTERVAL if has_path else HEALTH_PATH_POLL_INTERVAL)
+            queried_at = trio.current_time()
+            answer = await self._query_owned(owned, announcement.service)
         if owned.born_ms != announcement.born_ms:
             # Another run has begun since, and the answer may be from that run.
             return
@@ -190,6 +253,17 @@
             self.record_health_answer(owned, answer, queried_at)
             self._apply_announcement(owned, announcement)
 
+    def _awaits_verification(self, owned: OwnedUpstream, announcement: Announcement) -> bool:
+        """Return whether an announcement is the newest of an upstream that is not verified yet."""
+        return (
+            self.owned.get(announcement.name) is owned
+            and not owned.is_verified
+            and not owned.has_left
+            and owned.born_ms == announcement.born_ms
+            and owned.last_sequence == announcement.sequence
+            and trio.current_time() < owned.lease_until
+        )
+
     def record_health_answer(
         self, owned: OwnedUpstream, answer: HealthAnswer | None, queried_at: Seconds
     ) -> None:
@@ -219,6 +293,7 @@
         """Publish an upstream as draining that reports that it leaves; it may never announce it."""
         if owned.owner_state.is_leaving:
             return
+        self._note_left(owned.upstream.name, owned.born_ms)
         self.feed(owned, ev.LeavingReported())
         self._set_state(owned)
         self.recorder.record(EventKind.UPSTREAM_LEAVING, upstream=owned.upstream.name)
@@ -242,14 +317,16 @@
     async def register_by_health_path(self, address: UpstreamAddress) -> None:
         """Register the upstream at an address before it announces itself, if it is a known one.
 
-        Its health answer names it, and `list_stated` names its service. Without this, a process
-        that has just started would refuse every request until the next announcement. The queries
-        end once an upstream is registered at the address, or after the length of a lease.
+        Its health answer names it, and `runs` holds its service. Without this, a process that has
+        just started would refuse every request until the next announcement. The queries end once an
+        upstream is registered at the address, or after the length of a lease.
         """
         self.configured_address = address
         pool = UpstreamPool(address.host, address.port, 1)
         with trio.move_on_after(self.lease_ms / MILLISECONDS_PER_SECOND):
             while not self._is_registered_at(address):
+                if self.runs.is_loaded and not list_ready(self.runs):
+                    break
                 services = self._list_services_with_health_path()
                 for service in services:
                     await self._register_by_answer(address, pool, service)
@@ -257,7 +334,7 @@
         await pool.aclose()
 
     def _list_services_with_health_path(self) -> tuple[str, ...]:
-        services = {stated.service: None for stated in self.list_stated()}
+        services = {run.service: None for run in list_ready(self.runs)}
         return tuple(service for service in services if self.find_health_path(service))
 
     async def _register_by_answer(
@@ -271,28 +348,24 @@
     def _register_from_answer(
         self, address: UpstreamAddress, answer: HealthAnswer, queried_at: Seconds
     ) -> None:
-        owned = self.owned.get(answer.name)
+        run = next((run for run in list_ready(self.runs) if run.name == answer.name), None)
+        if run is None:
+            return
         if answer.notice.is_leaving:
-            self.departures.record(answer.name, 0)
-        has_left = self.departures.has_any_departed(answer.name) or (
-            owned is not None and owned.has_left
-        )
-        if has_left or not answer.name or not answer.is_healthy or not answer.slots:
+            self._note_left(run.name, run.born_ms)
             return
-        named = (stated for stated in self.list_stated() if stated.name == answer.name)
-        stated = next(named, None)
-        if stated is None:
+        if not answer.is_healthy or not answer.slots:
             return
         self.handle_announcement(
             Announcement(
                 answer.name,
-                stated.service,
+                run.service,
                 address.host,
                 address.port,
                 answer.slots,
                 answer.slots,
                 UpstreamState.READY,
-                born_ms=stated.born_ms,
+                born_ms=run.born_ms,
             )
         )
         registered = self.owned.get(answer.name)
@@ -342,7 +415,6 @@
             if owned.announced_state is UpstreamState.GONE and is_idle:
                 del self.owned[name]
                 self.has_evicted = True
-                self.departures.record(name, owned.born_ms)
                 return True
         return False
 
@@ -358,6 +430,7 @@
         while (previous := self._find_previous(announcement)) is not None:
             self._end_replaced(previous)
             previous.has_left = True
+            self._note_left(previous.upstream.name, previous.born_ms)
 
     def handle_pushed_upstream(self, pushed: Upstream) -> None:
         """Apply a state pushed by the voters; DRAINING without an announcement is a drain mark."""
@@ -511,15 +584,24 @@
         if owned is None:
             # It may have been registered at an earlier run of this process, and a late announcement
             # of it may still arrive.
-            self.departures.record(name, born_ms)
-            return False
+            is_known = has_left(self.runs, name)
+            self.unloaded.pop(name, None)
+            self._note_left(name, born_ms)
+            return is_known
         if born_ms and born_ms < owned.born_ms:
             return True
         owned.born_ms = max(owned.born_ms, born_ms)
         owned.has_left = True
+        self._note_left(name, owned.born_ms)
         self._end(owned)
         return True
 
+    def withdraw_all(self) -> None:
+        """Publish all upstreams as gone, since this process stops; they run on and may return."""
+        for owned in tuple(self.owned.values()):
+            owned.has_left = True
+            self._end(owned)
+
     def handle_misdirected(self, name: str) -> None:
         """End an upstream after another one at its address has answered that it is not the one.
 
@@ -534,6 +616,7 @@
         """End the upstreams whose announcement lease has expired."""
         for owned in tuple(self.owned.values()):
             if owned.lease_until < now and owned.announced_state is not UpstreamState.GONE:
+                forget_run(self.runs, owned.upstream.name)
                 self._end(owned)
 
     def _end_replaced(self, owned: OwnedUpstream) -> None:
@@ -557,6 +640,10 @@
             self.feed(owned, ev.Drain())
 
 
+def _find_order(announcement: Announcement) -> tuple[int, int]:
+    return announcement.born_ms, announcement.sequence
+
+
 _STATE_EVENTS = {
     UpstreamState.READY: EventKind.UPSTREAM_READY,
     UpstreamState.DRAINING: EventKind.UPSTREAM_DRAINING,
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -35,6 +35,7 @@
     VoterStatus,
 )
 from bendwind_node.quotas import VoterQuotaTask, create_voter_quota_task
+from bendwind_node.runs import VoterRunTask
 from bendwind_node.storage import StoreError, open_folder
 
 PROPOSAL_TIMEOUT: Seconds = 5.0
@@ -192,6 +193,7 @@
     registry: RegistryTask
     placer: ClaimPlacer
     quotas: VoterQuotaTask
+    runs: VoterRunTask
     leader_since: Seconds | None = None
     return_period_ends_at: Seconds | None = None
     newest_incarnations: dict[str, int] = msgspec.field(default_factory=dict)
@@ -203,6 +205,7 @@
             await nursery.start(self.registry.run)
             nursery.start_soon(self.placer.run)
             nursery.start_soon(self.quotas.run)
+            nursery.start_soon(self.runs.run)
             task_status.started()
 
     def view_placement(self) -> PlacementView | None:
@@ -310,5 +313,6 @@
         send,
     )
     registry.observers.append(quotas)
-    service = ControlService(voter, client, registry, placer, quotas)
+    runs = VoterRunTask(own.name, incarnation, client, send, recorder.clock.wall_ms)
+    service = ControlService(voter, client, registry, placer, quotas, runs)
     return Ok(service)
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -27,6 +27,7 @@
 )
 from bendwind_core.messages import Hello
 from bendwind_core.quotas import QuotaBounds
+from bendwind_core.runs import create_run_keeper
 from bendwind_core.suspicion import SuspectTable, SuspicionLimits
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Upstream, WarmUpRule
@@ -50,6 +51,7 @@
 from bendwind_node.links import Address, LinkHub, create_link_hub, query_incarnation
 from bendwind_node.membership import MembershipTask, create_membership_task
 from bendwind_node.quotas import create_node_quota_task
+from bendwind_node.runs import NodeRunTask
 from bendwind_node.security import load_keys
 from bendwind_node.settings import Settings
 from bendwind_node.settings.tables import ControlTable
@@ -188,6 +190,12 @@
         trio.current_time() - (read_steady_clock() - STARTED_AT),
         SuspectTable(own.name, _make_suspicion_limits(settings)),
     )
+    register.runs = create_run_keeper(own.name, own.incarnation, is_loaded=False)
+    dispatcher.runs = NodeRunTask(
+        register.runs, membership.list_voters, dispatcher.send, recorder, register.handle_loaded
+    )
+    register.wake_runs = dispatcher.runs.wake
+    register.wait_recorded = dispatcher.runs.wait_recorded
     link_mbps = settings.peers.link_mbps
     assemblies = AssemblyTable(
         settings.limits.body_bytes, daemon.body_budget, share=create_body_share(link_mbps)
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -23,6 +23,14 @@
 from bendwind_core.messages import Hello, PeerMessage
 from bendwind_core.quotas import QuotaLoan, QuotaLoanRequest, QuotaReply, QuotaRequest, QuotaReturn
 from bendwind_core.routing import LoadProbe, LoadReport
+from bendwind_core.runs import (
+    ForwardedRecorded,
+    ForwardRuns,
+    QueryRuns,
+    ReportRuns,
+    RunsAnswer,
+    RunsRecorded,
+)
 from bendwind_core.timeline import EventKind
 from bendwind_node.calls.entry_node import EntryNode
 from bendwind_node.calls.owner_node import OwnerNode
@@ -32,6 +40,7 @@
 from bendwind_node.links import Link, LinkHub
 from bendwind_node.membership import MembershipTask
 from bendwind_node.quotas import NodeQuotaTask
+from bendwind_node.runs import NodeRunTask
 
 _TO_OWNER = (HandOver, Cancel, Fence, LoadProbe)
 _TO_ENTRY = (AnswerHead, NotRun, Unknown, Fenced)
@@ -59,6 +68,8 @@
 _TO_VOTER = typing.get_args(consensus.ConsensusMessage)
 _TO_CLAIMS = typing.get_args(claim.ClaimMessage)
 _TO_VOTER_QUOTAS = (QuotaRequest, QuotaReturn, QuotaLoan, QuotaLoanRequest)
+_TO_RUNS = (RunsRecorded, RunsAnswer)
+_TO_VOTER_RUNS = (ReportRuns, QueryRuns, ForwardRuns, ForwardedRecorded)
 _TO_PLACER = (claim.ClaimCopied, claim.ClaimLeave)
 
 
@@ -77,6 +88,7 @@
     claims: ClaimTask | None = None
     control: ControlService | None = None
     quotas: NodeQuotaTask | None = None
+    runs: NodeRunTask | None = None
     full_inboxes: set[str] = msgspec.field(default_factory=set)
     handlers: dict[type, Callable[[Link, PeerMessage], None]] = msgspec.field(default_factory=dict)
 
@@ -150,6 +162,10 @@
             return self._dispatch_to_membership_and_control
         if kind is QuotaReply:
             return self._dispatch_to_quotas
+        if kind in _TO_RUNS:
+            return self._dispatch_to_runs
+        if kind in _TO_VOTER_RUNS:
+            return None if self.control is None else self._dispatch_to_voter_runs
         if kind in _TO_VOTER_QUOTAS:
             return None if self.control is None else self._dispatch_to_voter_quotas
         if kind in _TO_PLACER or kind in _TO_REGISTRY or kind in _TO_VOTER:
@@ -184,6 +200,12 @@
     def _dispatch_to_voter_quotas(self, link: Link, message: PeerMessage) -> None:
         self.control.quotas.receive(link.peer.name, message)
 
+    def _dispatch_to_runs(self, link: Link, message: PeerMessage) -> None:
+        self.runs.receive(link.peer.name, message)
+
+    def _dispatch_to_voter_runs(self, link: Link, message: PeerMessage) -> None:
+        self.control.runs.receive(link.peer.name, message)
+
     def _dispatch_to_control(self, link: Link, message: PeerMessage) -> None:
         if isinstance(message, _TO_PLACER):
             self.control.placer.receive(message)
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -74,6 +74,7 @@
     await nursery.start(dispatcher.membership.run)
     nursery.start_soon(dispatcher.claims.run)
     nursery.start_soon(dispatcher.quotas.run)
+    nursery.start_soon(dispatcher.runs.run)
     nursery.start_soon(dispatcher.owner.run_clock)
     guarded = GuardedNursery(nursery, daemon.recorder)
     guarded.start_repeatedly(dispatcher.probes.run)
@@ -149,8 +150,7 @@
         # Without the transfer the other voters have no leader for an election timeout.
         with trio.move_on_after(LEADERSHIP_TRANSFER_TIMEOUT):
             await dispatcher.control.voter.transfer_leadership()
-    for name in tuple(dispatcher.owner.register.owned):
-        dispatcher.owner.register.handle_departure(name)
+    dispatcher.owner.register.withdraw_all()
     await trio.sleep(IDLE_POLL_INTERVAL)
     # Answers to callers of other nodes may still be queued on links.
     await dispatcher.hub.flush()
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -23,7 +23,7 @@
     def drain(self):
         self.drained_at = trio.current_time()
 
-    def handle_departure(self, name):
+    def withdraw_all(self):
         self.has_left = True
         self.on_departure()
 
