--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -66,7 +66,7 @@
 
     async def _leave(self, name: str) -> tuple[int, ErrorReply | None]:
         is_known = self.register.handle_departure(name)
-        if not await self.register.wait_recorded(name):
+        if not await self.register.runs.wait_recorded(name):
             return 503, _NOT_RECORDED
         return (204, None) if is_known else (404, ErrorReply("unknown upstream"))
 
@@ -85,7 +85,7 @@
             case AnnouncementRefusal.OTHER_SERVICE:
                 return 409, ErrorReply("this upstream is registered for another service")
         is_draining = announcement.state is UpstreamState.DRAINING
-        if is_draining and not await self.register.wait_recorded(announcement.name):
+        if is_draining and not await self.register.runs.wait_recorded(announcement.name):
             return 503, _NOT_RECORDED
         return 200, LeaseReply(self.lease_ms)
 
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -7,11 +7,14 @@
 import trio
 from msgspec import Meta
 
+from bendwind_core.admission import WarmUpState
 from bendwind_core.attempts import AttemptId, owner
 from bendwind_core.core import Milliseconds, Seconds
-from bendwind_core.world import Upstream, UpstreamState
+from bendwind_core.suspicion import SuspectTable
+from bendwind_core.world import Instance, Upstream, UpstreamState
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
+QUEUE_LIMIT = 16
 # Far above the slots of any deployment; a larger value comes from a faulty sender.
 MAX_SLOTS = 1_000_000
 MAX_PORT = 65_535
@@ -87,6 +90,43 @@
     born_ms: Annotated[int, Meta(ge=0, le=MAX_BORN_MS)] = 0
 
 
+def create_owned_upstream(
+    announcement: Announcement,
+    own: Instance,
+    slot_share: float,
+    warm_up: WarmUpState,
+    suspects: SuspectTable,
+    alone_from: Seconds,
+) -> OwnedUpstream:
+    """Create an upstream that has announced itself for the first time, in state GONE.
+
+    Units: `alone_from` is when on no other process sends requests to it.
+    """
+    owner_state = owner.create_owner_state(
+        announcement.name,
+        own.incarnation,
+        QUEUE_LIMIT,
+        slot_share=slot_share,
+        warm_up=warm_up,
+        suspects=suspects,
+        alone_from=alone_from,
+    )
+    return OwnedUpstream(
+        Upstream(
+            announcement.name,
+            announcement.service,
+            own,
+            announcement.slots,
+            announcement.connections,
+            UpstreamState.GONE,
+        ),
+        owner_state,
+        UpstreamPool(announcement.host, announcement.port, announcement.connections),
+        0.0,
+        is_verified=not announcement.sequence,
+    )
+
+
 def is_earlier_run(owned: OwnedUpstream, announcement: Announcement) -> bool:
     """Return whether an announcement comes from a run before the registered one."""
     return 0 < announcement.born_ms < owned.born_ms
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -360,10 +360,10 @@
         queried_at = trio.current_time()
         if spend_probe(self.probe_budget, 1, LOAD_REPORT_BYTES, queried_at):
             self.load_queries_sent += 1
-            answer = await self.register.query_health(owned.pool, owned.upstream.service)
+            answer = await self.register.queries.query(owned.pool, owned.upstream.service)
         if answer is None or answer.slow_factor is None:
             self._feed(owned, ev.LoadNotReported())
-        self.register.record_health_answer(owned, answer, queried_at)
+        self.register.queries.record_answer(owned, answer, queried_at)
 
     async def _check_upstream(self, owned: OwnedUpstream) -> None:
         is_refused = await owned.pool.refuses_connections()
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -213,9 +213,9 @@
         await trio.testing.wait_all_tasks_blocked(0.05)
 
     def register_known(self, cluster, port, name):
-        report_run(cluster.owner.register.runs, name, UpstreamState.READY, "svc")
+        report_run(cluster.owner.register.runs.keeper, name, UpstreamState.READY, "svc")
         address = UpstreamAddress("127.0.0.1", port)
-        cluster.nursery.start_soon(cluster.owner.register.register_by_health_path, address)
+        cluster.nursery.start_soon(cluster.owner.register.queries.register_known, address)
 
     def test_known_upstream_at_the_configured_address_serves_before_its_announcement(self):
         async def check(cluster, port):
@@ -275,7 +275,7 @@
                 if leaves_by_name:
                     register.handle_departure("u1")
                 # Another one that may be at the address keeps the queries going.
-                report_run(register.runs, "u0", UpstreamState.READY, "svc")
+                report_run(register.runs.keeper, "u0", UpstreamState.READY, "svc")
                 self.register_known(cluster, port, "u1")
                 await self.wait_for_health_queries(2)
                 self.assertEqual(self.find_states(cluster), {})
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_fuzz_departures.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_fuzz_departures.py
@@ -51,13 +51,13 @@
         self.register = UpstreamRegister(
             own, recorder, Nursery(), 6000.0, lambda upstream: None, DIALECT
         )
-        self.register.runs = create_run_keeper("n1", incarnation, is_loaded=False)
+        self.register.runs.keeper = create_run_keeper("n1", incarnation, is_loaded=False)
         self.register.feed = lambda owned, event: owner.step(owned.owner_state, event, read_time())
         self.sent = []
 
     @property
     def keeper(self):
-        return self.register.runs
+        return self.register.runs.keeper
 
     def find_ready(self):
         return [
@@ -164,7 +164,9 @@
     @rule()
     def answer_health_falsely(self):
         answer = HealthAnswer("u1", True, 4, 1.0)
-        self.process.register._register_from_answer(UpstreamAddress(*ADDRESS), answer, self.now)
+        self.process.register.queries.register_from_answer(
+            UpstreamAddress(*ADDRESS), answer, self.now
+        )
 
     # The network and the voters.
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
@@ -212,9 +212,10 @@
 
     def restart(self, former):
         following = RegisterDriver()
-        following.register.runs = create_run_keeper("n1", 6, is_loaded=False)
+        following.register.runs.keeper = create_run_keeper("n1", 6, is_loaded=False)
         handle_runs(
-            following.register.runs, RunsAnswer(0, tuple(former.register.runs.known.values()))
+            following.register.runs.keeper,
+            RunsAnswer(0, tuple(former.register.runs.keeper.known.values())),
         )
         return following
 
@@ -223,10 +224,10 @@
         driver = RegisterDriver()
         for sequence in (1, 2):
             driver.announce(sequence=sequence)
-        self.assertFalse(has_left(driver.register.runs, "u1"))
+        self.assertFalse(has_left(driver.register.runs.keeper, "u1"))
         driver.register.handle_departure("u1")
-        self.assertTrue(has_left(driver.register.runs, "u1"))
-        self.assertFalse(is_recorded(driver.register.runs, "u1"))
+        self.assertTrue(has_left(driver.register.runs.keeper, "u1"))
+        self.assertFalse(is_recorded(driver.register.runs.keeper, "u1"))
 
     @in_trio
     def test_planned_stop_of_the_process_is_no_departure_of_its_upstreams(self):
@@ -235,7 +236,7 @@
             driver.announce(sequence=sequence)
         driver.register.withdraw_all()
         self.assertIs(driver.state(), GONE)
-        self.assertEqual([run.name for run in list_ready(driver.register.runs)], ["u1"])
+        self.assertEqual([run.name for run in list_ready(driver.register.runs.keeper)], ["u1"])
 
     @in_trio
     def test_late_announcements_after_a_restart_do_not_bring_back_an_upstream(self):
@@ -258,12 +259,12 @@
     @in_trio
     def test_announcements_wait_until_it_is_known_what_was_announced_before(self):
         driver = RegisterDriver()
-        driver.register.runs = create_run_keeper("n1", 6, is_loaded=False)
+        driver.register.runs.keeper = create_run_keeper("n1", 6, is_loaded=False)
         for name, sequence in (("u1", 2), ("u1", 1), ("u2", 1)):
             self.assertIsNone(driver.announce(name, sequence))
         self.assertEqual(driver.register.owned, {})
         left = RunRecord("n1", "u2", "s", state=GONE)
-        handle_runs(driver.register.runs, RunsAnswer(0, (left,)))
+        handle_runs(driver.register.runs.keeper, RunsAnswer(0, (left,)))
         driver.register.handle_loaded()
         self.assertEqual(list(driver.register.owned), ["u1"])
         self.assertEqual(driver.register.owned["u1"].last_sequence, 2)
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -32,6 +32,7 @@
 from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Upstream, WarmUpRule
 from bendwind_node import STARTED_AT
+from bendwind_node.calls.announced_runs import AnnouncedRuns
 from bendwind_node.calls.assembly import AssemblyTable
 from bendwind_node.calls.body_flow import ByteBudget
 from bendwind_node.calls.body_share import create_body_pacer, create_body_share
@@ -190,12 +191,16 @@
         trio.current_time() - (read_steady_clock() - STARTED_AT),
         SuspectTable(own.name, _make_suspicion_limits(settings)),
     )
-    register.runs = create_run_keeper(own.name, own.incarnation, is_loaded=False)
     dispatcher.runs = NodeRunTask(
-        register.runs, membership.list_voters, dispatcher.send, recorder, register.handle_loaded
+        create_run_keeper(own.name, own.incarnation, is_loaded=False),
+        membership.list_voters,
+        dispatcher.send,
+        recorder,
+        register.handle_loaded,
+    )
+    register.runs = AnnouncedRuns(
+        dispatcher.runs.keeper, dispatcher.runs.wake, dispatcher.runs.wait_recorded
     )
-    register.wake_runs = dispatcher.runs.wake
-    register.wait_recorded = dispatcher.runs.wait_recorded
     link_mbps = settings.peers.link_mbps
     assemblies = AssemblyTable(
         settings.limits.body_bytes, daemon.body_budget, share=create_body_share(link_mbps)
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -81,7 +81,7 @@
     if daemon.settings.beside is not None:
         beside = daemon.settings.beside
         address = UpstreamAddress(beside.host, beside.port)
-        guarded.start_repeatedly(dispatcher.owner.register.register_by_health_path, address)
+        guarded.start_repeatedly(dispatcher.owner.register.queries.register_known, address)
     guarded.start_repeatedly(_report_lease_proof, dispatcher)
     nursery.start_soon(_watch_signals, daemon)
     if daemon.keys is not None:
