links: send a batch of messages as frames that the peer takes

Cause: up to 64 waiting messages became one frame, and 64 such answers are longer than the 4 MiB that the other end takes. Evidence: test_large_messages_that_wait_together_arrive_over_the_same_link, which fails before (the link closes after the first message) and passes now.

Why this works: a frame over the limit is encoded again as two of half the messages each.

--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 import trio
@@ -255,6 +255,16 @@
         linked = [link.peer.incarnation for link in links if link is not None]
         return max([self.find_registered_incarnation(name), *linked])
 
+    def _encode_frames(self, messages: list[PeerMessage]) -> Iterator[bytes]:
+        """Yield frames that the peer takes; it closes a link at a longer one."""
+        encoded = self._encode(messages)
+        if len(encoded) <= MAX_FRAME_BYTES or len(messages) == 1:
+            yield encoded
+            return
+        half = len(messages) // 2
+        yield from self._encode_frames(messages[:half])
+        yield from self._encode_frames(messages[half:])
+
     def _encode(self, messages: list[PeerMessage]) -> bytes:
         stamp = self.recorder.timestamp()
         frame = Frame(stamp.physical_ms, stamp.logical, tuple(messages), self.find_version())
@@ -348,7 +358,8 @@
                 return
             batch = [first, *_pop_queued_messages(receive_channel)]
             try:
-                await socket.send(self._encode(batch))
+                for frame in self._encode_frames(batch):
+                    await socket.send(frame)
                 link.unwritten_count -= len(batch)
             except (ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
                 link.close()
--- a/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
@@ -103,6 +103,24 @@
 
         self.run_with(check)
 
+    def test_large_messages_that_wait_together_arrive_over_the_same_link(self):
+        # Guards against a link that closed because its queue made one frame over the limit.
+        async def check(connect, server):
+            client = connect()
+            sent = [Goodbye(f"{number:03}" + 65_000 * "x") for number in range(150)]
+            client.send_dialed("b", sent[0])
+            await wait_until(server.receiver, lambda: server.receiver.received)
+            for message in sent[1:]:
+                self.assertTrue(client.send_dialed("b", message))
+            await wait_until(
+                server.receiver,
+                lambda: len(server.receiver.received) == len(sent) or server.receiver.closed,
+            )
+            self.assertEqual(server.receiver.received, sent)
+            self.assertEqual(len(server.receiver.opened), 1)
+
+        self.run_with(check)
+
     def test_messages_sent_before_the_link_is_open_arrive_in_order(self):
         async def check(connect, server):
             client = connect()
