calls: keep an empty query of a target in absolute form

A request for http://host/x? reached the upstream as /x: its lone question mark was lost.

Cause: the target was split and put together again from its parts, in which an empty query and none are the same. Evidence: test_target_in_absolute_form_keeps_its_path_and_query_as_they_stand, which fails before (b'/x' for b'/x?'). Why this works: what follows the authority is taken as it stands.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -54,8 +54,12 @@
         parts = urlsplit(target)
     except ValueError:
         return None
-    path = parts.path or b"/"
-    return path + b"?" + parts.query if parts.query else path
+    if not parts.netloc:
+        path = parts.path or b"/"
+        return path + b"?" + parts.query if parts.query else path
+    # Taken as it stands after the authority: a query that is empty differs from none.
+    rest = target.partition(b"://")[2].removeprefix(parts.netloc)
+    return rest if rest.startswith(b"/") else b"/" + rest
 
 
 class _HeadTooSlowError(Exception):
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -79,6 +79,26 @@
         self.assertEqual(received.count(b"200"), 2)
         self.assertLess(received.index(b"abc"), received.index(b"def"))
 
+    def test_target_in_absolute_form_keeps_its_path_and_query_as_they_stand(self):
+        # Guards against a request whose empty query was lost on its way.
+        targets = []
+
+        async def handle(exchange):
+            targets.append(exchange.request.target)
+            await echo(exchange)
+
+        cases = {
+            b"http://a/x?": b"/x?",
+            b"http://a/x?y=1": b"/x?y=1",
+            b"http://a?y": b"/?y",
+            b"http://a": b"/",
+            b"/x?": b"/x?",
+        }
+
+        for target in cases:
+            self.exchange_bytes(b"GET " + target + b" HTTP/1.1\r\nhost: a\r\n\r\n", handle)
+        self.assertEqual(targets, list(cases.values()))
+
     def test_invalid_target_is_refused_without_ending_the_process(self):
         # Guards against an invalid target that ends the process, and with each retry another one.
         received = self.exchange_bytes(b"GET http://[ HTTP/1.1\r\nhost: a\r\n\r\n")
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -74,9 +74,9 @@
     await nursery.start(dispatcher.membership.run)
     nursery.start_soon(dispatcher.claims.run)
     nursery.start_soon(dispatcher.quotas.run)
-    nursery.start_soon(dispatcher.runs.run)
     nursery.start_soon(dispatcher.owner.run_clock)
     guarded = GuardedNursery(nursery, daemon.recorder)
+    guarded.start_repeatedly(dispatcher.runs.run)
     guarded.start_repeatedly(dispatcher.probes.run)
     if daemon.settings.beside is not None:
         beside = daemon.settings.beside
