--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_fuzz_departures.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_fuzz_departures.py
@@ -42,12 +42,16 @@
 picks = st.integers(0, 1000)
 
 
+def find_wall_ms(now):
+    return 1_000_000 + int(now * 1000)
+
+
 class Process:
     """Run one node's register and keeper without sockets."""
 
     def __init__(self, incarnation, read_time):
         own = Instance("n1", "dc1", "127.0.0.1", 1, incarnation)
-        recorder = Recorder("n1", lambda: 0, 1000)
+        recorder = Recorder("n1", lambda: find_wall_ms(read_time()), 1000)
         self.register = UpstreamRegister(
             own, recorder, Nursery(), 6000.0, lambda upstream: None, DIALECT
         )
@@ -90,7 +94,7 @@
         self.log = []
         self.voters = [ControlState() for _ in range(VOTERS)]
         self.process = self.start()
-        self.run = Run(1000)
+        self.run = Run(find_wall_ms(self.now))
         self.beats = []
         self.to_voters = []
         self.to_node = []
@@ -115,7 +119,8 @@
     @precondition(lambda self: self.run.is_acknowledged)
     @rule()
     def start_next_run(self):
-        self.run = Run(self.run.born_ms + 1000)
+        self.now += 0.1
+        self.run = Run(find_wall_ms(self.now))
 
     @rule(arrives=st.booleans())
     def beat(self, arrives):
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
@@ -207,6 +207,28 @@
         self.assertLessEqual(len(driver.register.owned), MAX_OWNED_UPSTREAMS)
 
 
+class DepartureOfUnknownRunTest(unittest.TestCase):
+    """Let a run leave whose announcements are all late, by a departure that does not name it."""
+
+    def leave_unheard(self, driver):
+        driver.register.handle_departure("u1")
+        for sequence in (1, 2):
+            driver.announce(sequence=sequence, born_ms=2000)
+        owned = driver.register.owned.get("u1")
+        self.assertTrue(owned is None or owned.upstream.state is GONE)
+
+    @in_trio
+    def test_late_announcements_of_a_run_that_left_unheard_are_ignored(self):
+        self.leave_unheard(RegisterDriver())
+
+    @in_trio
+    def test_late_announcements_of_a_run_that_left_unheard_after_another_are_ignored(self):
+        driver = RegisterDriver()
+        for sequence in (1, 2):
+            driver.announce(sequence=sequence, born_ms=1000)
+        self.leave_unheard(driver)
+
+
 class KeptRunsTest(unittest.TestCase):
     """Hand what one process knows of runs to the next one, as the voters do."""
 
