--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_asgi.py
@@ -6,7 +6,7 @@
 
 from bendwind_node.calls.caller_asgi import serve_callers_asgi
 from bendwind_node.calls.request_account import RequestAccount
-from bendwind_node.calls.tests.test_caller_h11 import echo, read_body
+from bendwind_node.calls.tests.caller_h11_harness import echo, read_body
 from bendwind_node.http import AsgiServer
 
 CUT = b"x" * 1000
