--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -205,19 +205,22 @@
             port, p = int(port), "/" + rest
         return status, data
 
-    async def put(self, config, limit=20.0, at=None):
+    async def put(self, config, limit=20.0):
+        return await self.send(config["version"][1:], json.dumps(config).encode(), limit)
+
+    async def send(self, version, body, limit, timeout=2.0):
+        """Send an order until it is acknowledged (True) or refused; False also after `limit`."""
         end = now() + limit
-        body = json.dumps(config).encode()
         while now() < end:
             try:
-                status, _ = await self.order("PUT", "/bendwind/config", body, at)
-                self.fleet.log("operator PUT", config["version"], status)
+                status, _ = await self.order("PUT", "/bendwind/config", body, timeout=timeout)
+                self.fleet.log("operator PUT", f"r{version}", status)
                 if status == 200:
                     return True
                 if status in (400, 409, 412, 413, 422):
                     return False
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError) as e:
-                self.fleet.log("operator PUT", config["version"], repr(e))
+                self.fleet.log("operator PUT", f"r{version}", repr(e))
             await asyncio.sleep(0.2)
         return False
 
