--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -190,19 +190,26 @@
 
 
 class Operator:
+    """Send orders; the node that acknowledged last is asked first, and any other after a failure."""
+
     def __init__(self, fleet):
         self.fleet = fleet
+        self.last = None
 
     async def order(self, method, path, body=b"", at=None, timeout=2.0):
-        ip, port, p = (at or random.choice(self.fleet.cores())).ip, CONTROL, path
+        """Send one order, follow 307 twice, and return the last status and body."""
+        ip = (at or random.choice(self.fleet.cores())).ip
+        port, target = CONTROL, path
         for _ in range(3):
-            status, hs, data = await call(ip, port, method, p, [("Host", ip), ("Content-Type", "application/json")], body, timeout)
+            headers = [("Host", ip), ("Content-Type", "application/json")]
+            status, hs, data = await call(ip, port, method, target, headers, body, timeout)
+            if status == 200 and method == "PUT":
+                self.last = next((m for m in self.fleet.cores() if m.ip == ip), None)
             if status != 307:
-                return status, data
-            where = get(hs, "location").removeprefix("http://")
-            hostport, _, rest = where.partition("/")
-            ip, _, port = hostport.partition(":")
-            port, p = int(port), "/" + rest
+                break
+            address, _, rest = get(hs, "location").removeprefix("http://").partition("/")
+            ip, _, port = address.rpartition(":")
+            port, target = int(port), "/" + rest
         return status, data
 
     async def put(self, config, limit=20.0):
@@ -213,7 +220,7 @@
         end = now() + limit
         while now() < end:
             try:
-                status, _ = await self.order("PUT", "/bendwind/config", body, timeout=timeout)
+                status, _ = await self.order("PUT", "/bendwind/config", body, self.last, timeout)
                 self.fleet.log("operator PUT", f"r{version}", status)
                 if status == 200:
                     return True
@@ -221,10 +228,31 @@
                     return False
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError) as e:
                 self.fleet.log("operator PUT", f"r{version}", repr(e))
+            self.last = None
             await asyncio.sleep(0.2)
         return False
 
 
+    async def read_back(self, newest, length=3.5):
+        """Read the configuration at every core machine for `length` seconds, contact_ms at least.
+
+        Return whether it came, and not older than the newest one that was acknowledged.
+        """
+        end = now() + length
+        while now() < end:
+            for m in self.fleet.cores():
+                try:
+                    status, body = await self.order("GET", "/bendwind/config", at=m, timeout=1.0)
+                    version = json.loads(body).get("version") if status == 200 else None
+                    self.fleet.log("operator GET", m.ip, status, version)
+                    if version is not None and int(version[1:]) >= newest:
+                        return True
+                except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError) as e:
+                    self.fleet.log("operator GET", m.ip, repr(e))
+            await asyncio.sleep(0.3)
+        return False
+
+
 def config(version, services, routes, host="shop.example", max_body=67108864):
     return {"version": f"r{version}", "services": [{"name": s, "health_path": "/healthz", "max_connections": 220, "protocol": "h1", "tls": False} for s in services],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
