consensus: bound the log by bytes, not by entries alone

Callers saw: with some 6,700 routes and changes in quick succession each process of the core went over its memory and ended, again and again; orders were hardly acknowledged any more.

--- a/packages/bendwind-core/src/bendwind_core/consensus/log.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/log.py
@@ -6,11 +6,14 @@
 
 
 class Log(msgspec.Struct):
-    """Hold consecutive entries; some up to the snapshot may be retained for slow followers."""
+    """Hold consecutive entries; some up to the snapshot may be retained for slow followers.
+
+    Units: `newer_bytes` counts the commands of the entries after the snapshot.
+    """
 
     snapshot: Snapshot = EMPTY_SNAPSHOT
     entries: list[Entry] = msgspec.field(default_factory=list)
-    entry_bytes: int = 0
+    newer_bytes: int = 0
 
     @property
     def first_index(self) -> int:
@@ -61,26 +64,37 @@
                 f"entry {entry.index} does not follow last index {self.last_index}"
             )
         self.entries.append(entry)
-        self.entry_bytes += len(entry.command)
+        self.newer_bytes += len(entry.command)
 
     def truncate(self, start: int) -> None:
         """Delete the entries from an index on."""
         del self.entries[max(0, start - self.first_index) :]
         self._count_bytes()
 
-    def compact(self, snapshot: Snapshot, keep: int) -> None:
-        """Set a snapshot of the applied entries and retain only `keep` entries up to it."""
+    def compact(self, snapshot: Snapshot, keep: int, keep_bytes: int) -> None:
+        """Set a snapshot of the applied entries and retain only the last ones up to it.
+
+        At most `keep` are retained, and no more than fit into `keep_bytes`.
+        """
         self.snapshot = snapshot
-        dropped = snapshot.index - keep - self.first_index + 1
-        if dropped > 0:
-            del self.entries[:dropped]
+        del self.entries[: self._count_dropped(keep, keep_bytes)]
         self._count_bytes()
 
+    def _count_dropped(self, keep: int, keep_bytes: int) -> int:
+        covered = self.snapshot.index - self.first_index + 1
+        room = keep_bytes
+        for position in range(covered - 1, max(covered - keep, 0) - 1, -1):
+            room -= len(self.entries[position].command)
+            if room < 0:
+                return position + 1
+        return max(covered - keep, 0)
+
     def reset(self, snapshot: Snapshot) -> None:
         """Replace the whole log by a snapshot."""
         self.snapshot = snapshot
         self.entries.clear()
-        self.entry_bytes = 0
+        self.newer_bytes = 0
 
     def _count_bytes(self) -> None:
-        self.entry_bytes = sum(len(entry.command) for entry in self.entries)
+        newer = self.entries[max(0, self.snapshot.index + 1 - self.first_index) :]
+        self.newer_bytes = sum(len(entry.command) for entry in newer)
--- a/packages/bendwind-core/src/bendwind_core/consensus/replica.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -61,7 +61,9 @@
     snapshot_entries: int = 1000
     snapshot_bytes: int = 1024 * 1024
     kept_entries: int = 100
+    kept_bytes: int = 1024 * 1024
     pending_proposals: int = 512
+    pending_bytes: int = 8 * 1024 * 1024
     open_to: int = 0
     may_form: bool = True
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/snapshots.py
@@ -19,12 +19,21 @@
 from bendwind_core.core import Seconds
 
 
+def find_snapshot_limit(replica: Replica) -> int:
+    """Return after how many bytes of entries the next snapshot is due.
+
+    Entries as large as the last snapshot may follow it, so that what is written of snapshots stays
+    in proportion to the entries.
+    """
+    return max(replica.settings.snapshot_bytes, len(replica.log.snapshot.data))
+
+
 def request_snapshot(replica: Replica) -> None:
     """Request a snapshot when enough entries were applied since the last one."""
     applied = replica.applied - replica.log.snapshot.index
     is_due = (
         applied >= replica.settings.snapshot_entries
-        or replica.log.entry_bytes >= replica.settings.snapshot_bytes
+        or replica.log.newer_bytes >= find_snapshot_limit(replica)
     )
     if is_due and applied > 0 and not replica.is_snapshot_due:
         replica.is_snapshot_due = True
@@ -41,7 +50,7 @@
     snapshot = Snapshot(index, replica.log.term_at(index) or 0, base.voters, event.data)
     newer = [at for at in replica.configurations if at.index > index]
     replica.configurations = [base, *newer]
-    replica.log.compact(snapshot, replica.settings.kept_entries)
+    replica.log.compact(snapshot, replica.settings.kept_entries, replica.settings.kept_bytes)
     request_snapshot_write(replica, snapshot, now, is_installed=False)
 
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/step.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/step.py
@@ -83,6 +83,7 @@
 from bendwind_core.consensus.replies import reply_append
 from bendwind_core.consensus.snapshots import (
     compact_log,
+    find_snapshot_limit,
     receive_chunk,
     receive_chunk_reply,
     request_snapshot,
@@ -144,12 +145,24 @@
     tick_reads(replica, now)
 
 
+def _has_capacity_for(replica: Replica, command: bytes) -> bool:
+    """Return whether a command may join the entries that wait for their commit or for a snapshot.
+
+    Every process holds these entries in memory and on disk.
+    """
+    settings = replica.settings
+    if len(replica.proposals) >= settings.pending_proposals:
+        return False
+    limit = find_snapshot_limit(replica) + settings.pending_bytes
+    return replica.log.newer_bytes + len(command) <= limit
+
+
 def _propose(replica: Replica, event: Propose, now: Seconds) -> None:
     if not replica.is_leader:
         outcome = NotLeader(replica.leader_name())
         replica.effects.append(ProposalDone(event.request_id, outcome))
         return
-    if len(replica.proposals) >= replica.settings.pending_proposals:
+    if not _has_capacity_for(replica, event.command):
         outcome = Refused("too many proposals are waiting")
         replica.effects.append(ProposalDone(event.request_id, outcome))
         return
