consensus: a first start that was interrupted still forms one cluster

Cause: only the voter whose name sorts first forms a cluster, and only if its own settings say that this is the first start. A process that ends in that start reads other settings, and its disk did not tell.

Change: the identity of a disk keeps that it was created in the first start, answers to join requests say so, and the first voter forms once all are empty and one of them is in its first start. Empty disks alone still form nothing. Where the forming disk is lost under way, the cluster without a majority gives way to the one that has it.

--- a/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
@@ -2,8 +2,12 @@
 
 Every empty voter sends a join request to all names in the settings. The voter whose name sorts
 first forms the cluster once every other voter has replied, to the current id of the first one, that
-it is also empty. A voter that has accepted a first entry replies that it has a log, and therefore
-every newcomer becomes a learner.
+it is also empty, and one of them, or itself, is in its first start. Its process may have ended in
+that start and run again since, so that its own settings alone do not show this. A voter that has
+accepted a first entry replies that it has a log, and therefore every newcomer becomes a learner.
+
+If the disk of the first voter is lost while its first entries are in transit, it may form a second
+cluster. At most one of the two gets a majority; the voters of the other give way to it.
 """
 
 import random
@@ -11,7 +15,14 @@
 from bendwind_core.consensus.election import has_recent_leader
 from bendwind_core.consensus.events import Send
 from bendwind_core.consensus.membership import admit_learner
-from bendwind_core.consensus.messages import FormCluster, JoinReply, JoinRequest
+from bendwind_core.consensus.messages import (
+    Append,
+    FormCluster,
+    JoinReply,
+    JoinRequest,
+    MemberMessage,
+    SnapshotChunk,
+)
 from bendwind_core.consensus.records import Entry, Voter, VoterSet
 from bendwind_core.consensus.replica import (
     Replica,
@@ -20,6 +31,7 @@
     send_durable,
     set_cluster,
     set_hard_state,
+    truncate_log,
 )
 from bendwind_core.core import Seconds
 
@@ -62,7 +74,8 @@
 def _may_form_cluster(replica: Replica) -> bool:
     others = set(replica.names) - {replica.voter.name}
     is_first = replica.voter.name == min(replica.names)
-    return replica.settings.may_form and is_first and others <= replica.empty_peers.keys()
+    is_first_start = replica.settings.may_form or replica.has_first_starter
+    return is_first_start and is_first and others <= replica.empty_peers.keys()
 
 
 def _form_cluster(replica: Replica, rng: random.Random) -> None:
@@ -91,7 +104,8 @@
     """
     newcomer = request.sender
     is_formed = replica.role is not Role.UNFORMED
-    reply = JoinReply(replica.voter, newcomer.voter_id, is_formed)
+    may_form = replica.settings.may_form and not is_formed
+    reply = JoinReply(replica.voter, newcomer.voter_id, is_formed, may_form)
     send_durable(replica, reply, newcomer)
     if replica.is_leader:
         admit_learner(replica, newcomer, now)
@@ -117,19 +131,42 @@
         return
     if reply.is_formed:
         replica.empty_peers.clear()
+        replica.has_first_starter = False
     elif reply.sender.name in replica.names:
         replica.empty_peers[reply.sender.name] = reply.sender
+        replica.has_first_starter = replica.has_first_starter or reply.may_form
 
 
 def receive_form_cluster(replica: Replica, form: FormCluster) -> None:
     """Accept the first entry if it names this voter and the log is empty."""
     is_addressed = form.to == replica.voter.voter_id and form.voters.has_voter(form.to)
     is_listed = {voter.name for voter in form.voters.voters} == set(replica.names)
-    may_form = replica.settings.may_form and replica.role is Role.UNFORMED
-    if may_form and is_addressed and is_listed:
+    if replica.role is Role.UNFORMED and is_addressed and is_listed:
         accept_first_entry(replica, form.voters)
 
 
+def gives_way(replica: Replica, message: MemberMessage) -> bool:
+    """Return whether a message shows that another cluster has a majority, and its own never had.
+
+    A voter that holds its first entry alone has not seen it committed. Two first entries that name
+    the same voters differ in one of them at most, so that they cannot both get a majority.
+    """
+    match message:
+        case Append(commit=commit):
+            is_committed = commit >= _FIRST_INDEX
+        case SnapshotChunk():
+            is_committed = True
+        case _:
+            is_committed = False
+    return is_committed and replica.commit == 0 and replica.log.last_index <= _FIRST_INDEX
+
+
+def abandon_first_entry(replica: Replica) -> None:
+    """Return to the empty state, in order to join a cluster that has a majority."""
+    truncate_log(replica, _FIRST_INDEX)
+    replica.role = Role.UNFORMED
+
+
 def adopt_cluster(replica: Replica, cluster: int) -> None:
     """Join a cluster from the empty state, since a leader has sent a message to this id."""
     set_cluster(replica, cluster)
--- a/packages/bendwind-core/src/bendwind_core/consensus/replica.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -48,7 +48,8 @@
 
     With `open_to` 0 the voters are always the names in the settings. Otherwise the voter set is
     open: any newcomer may join, becomes a voter while there are fewer than `open_to`, and after
-    that replaces a silent voter. `may_form` allows empty voters to form a new cluster.
+    that replaces a silent voter. `may_form` says that no cluster existed when this voter's disk was
+    created, so that empty voters may form one.
     Units: seconds, entries and bytes.
     """
 
@@ -147,6 +148,7 @@
     """Hold the complete state of one replica.
 
     `removal` is the id of the operator's request that ends with the replacement in progress.
+    `has_first_starter` says that one of the `empty_peers` may form a cluster.
     """
 
     voter: Voter
@@ -167,6 +169,7 @@
     applied: int = 0
     votes: set[int] = msgspec.field(default_factory=set)
     empty_peers: dict[str, Voter] = msgspec.field(default_factory=dict)
+    has_first_starter: bool = False
     progress: dict[int, Progress] = msgspec.field(default_factory=dict)
     proposals: dict[int, int] = msgspec.field(default_factory=dict)
     removal: int | None = None
--- a/packages/bendwind-core/src/bendwind_core/consensus/step.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/step.py
@@ -11,7 +11,9 @@
     tick_reads,
 )
 from bendwind_core.consensus.bootstrap import (
+    abandon_first_entry,
     adopt_cluster,
+    gives_way,
     receive_form_cluster,
     receive_join_reply,
     receive_join_request,
@@ -193,6 +195,9 @@
         return False
     if replica.role is Role.REMOVED:
         return False
+    is_foreign = message.head.cluster != replica.hard_state.cluster
+    if is_foreign and replica.role is not Role.UNFORMED and gives_way(replica, message):
+        abandon_first_entry(replica)
     if replica.role is Role.UNFORMED:
         if not isinstance(message, Append | SnapshotChunk):
             return False
--- a/packages/bendwind-node/src/bendwind_node/control/voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter.py
@@ -100,7 +100,8 @@
     `names` are the voters that the settings name.
     Errors: StoreError, which is also recorded.
     """
-    opened = open_store(files)
+    settings = settings or ReplicaSettings()
+    opened = open_store(files, may_form=settings.may_form)
     if opened.is_error():
         record_failure(recorder, opened.error)
         return opened
@@ -108,7 +109,9 @@
     recovered = opened.ok.recovered
     _record_recovery(recorder, recovered)
     identity = Voter(own.name, store.identity.voter_id, own.host, own.port, own.data_centre)
-    replica = _create_replica(identity, names, settings or ReplicaSettings(), recovered, rng)
+    may_form = settings.may_form or store.identity.may_form
+    settings = msgspec.structs.replace(settings, may_form=may_form)
+    replica = _create_replica(identity, names, settings, recovered, rng)
     if recovered.snapshot.index > 0:
         state_machine.restore(recovered.snapshot.data)
     inbox, events = trio.open_memory_channel[ReplicaEvent](_INBOX_SIZE)
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -107,7 +107,7 @@
             segment.last_index = max(segment.last_index, request.entries[-1].index)
 
     def _mark_formed(self) -> None:
-        self.identity = Identity(self.identity.voter_id, True)
+        self.identity = Identity(self.identity.voter_id, is_formed=True)
         write_file_atomically(self.files, _IDENTITY, encode_frame(0, encode_record(self.identity)))
 
     def _append_records(self, records: list[StoredRecord]) -> None:
@@ -183,22 +183,25 @@
     recovered: RecoveredState
 
 
-def open_store(files: Files, segment_bytes: int = SEGMENT_BYTES) -> Result[OpenedStore, StoreError]:
+def open_store(
+    files: Files, segment_bytes: int = SEGMENT_BYTES, *, may_form: bool = False
+) -> Result[OpenedStore, StoreError]:
     """Read all files, discard a torn tail, and make the data that was read durable again.
 
+    With `may_form`, a disk that is created keeps in mind that no cluster existed.
     Errors: CorruptData if synced data is damaged or missing, DiskFailed if a file operation fails.
     """
     try:
-        return _open(files, segment_bytes)
+        return _open(files, segment_bytes, may_form=may_form)
     except OSError as error:
         return Error(DiskFailed("open", str(error)))
 
 
-def _open(files: Files, segment_bytes: int) -> Result[OpenedStore, StoreError]:
+def _open(files: Files, segment_bytes: int, *, may_form: bool) -> Result[OpenedStore, StoreError]:
     names = sorted(files.names())
     if _TEMPORARY in names:
         files.remove(_TEMPORARY)
-    identity = _read_or_create_identity(files, names)
+    identity = _read_or_create_identity(files, names, may_form=may_form)
     if identity.is_error():
         return identity
     store = Store(files, identity.ok, segment_bytes)
@@ -219,11 +222,13 @@
     return Ok(OpenedStore(store, recovered))
 
 
-def _read_or_create_identity(files: Files, names: list[str]) -> Result[Identity, StoreError]:
+def _read_or_create_identity(
+    files: Files, names: list[str], *, may_form: bool
+) -> Result[Identity, StoreError]:
     if _IDENTITY not in names:
         if any(name.startswith((_SEGMENT_PREFIX, _SNAPSHOT_PREFIX)) for name in names):
             return Error(CorruptData(_IDENTITY, 0, "missing although a log or snapshot exists"))
-        identity = Identity(secrets.randbits(VOTER_ID_BITS), False)
+        identity = Identity(secrets.randbits(VOTER_ID_BITS), is_formed=False, may_form=may_form)
         write_file_atomically(files, _IDENTITY, encode_frame(0, encode_record(identity)))
         return Ok(identity)
     frame = read_frame(files.read(_IDENTITY), 0)
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
@@ -63,6 +63,11 @@
         self.leaders = {}
         self.highest_committed = 0
         self.voters = None
+        self.cluster_id = 0
+
+    def record_cluster(self, cluster):
+        self.cluster_id = self.cluster_id or cluster
+        assert self.cluster_id == cluster, "two clusters have committed entries"
 
     def record_committed(self, entry):
         known = self.log.setdefault(entry.index, (entry.term, entry.command))
@@ -97,6 +102,7 @@
         self.replica = None
         self.former_disks = []
         self.removal_outcomes = {}
+        self.may_form = True
 
     def now(self):
         return self.clock_offset + self.cluster.time * self.clock_rate
@@ -110,22 +116,31 @@
         """Open the store, and retry if the disk fails while it is opened."""
         while True:
             try:
-                opened = open_store(self.files, segment_bytes=200)
+                opened = open_store(self.files, segment_bytes=200, may_form=self.find_may_form())
             except CrashError:
                 opened = None
+                self.end_first_start()
             if opened is not None and opened.is_ok():
                 return opened
             assert opened is None or isinstance(opened.error, DiskFailed), opened
             self.files.crash()
 
+    def find_may_form(self):
+        return self.cluster.settings.may_form and self.may_form
+
+    def end_first_start(self):
+        if self.cluster.has_first_start:
+            self.may_form = False
+
     def start(self):
         opened = self.open()
         self.store = opened.ok.store
         recovered = opened.ok.recovered
+        may_form = self.find_may_form() or self.store.identity.may_form
         self.replica = create_replica(
             Voter(self.name, self.store.identity.voter_id),
             self.cluster.listed_names,
-            self.cluster.settings,
+            msgspec.structs.replace(self.cluster.settings, may_form=may_form),
             self.now(),
             self.cluster.rng,
             hard_state=recovered.hard_state,
@@ -147,10 +162,12 @@
         assert self.state == self.cluster.oracle.list_committed(index), "snapshot differs"
 
     def crash(self):
+        self.end_first_start()
         self.replica = None
         self.files.crash()
 
     def lose_power(self):
+        self.end_first_start()
         self.replica = None
         self.files.lose_power()
 
@@ -171,6 +188,7 @@
             case Persist() | SaveSnapshot():
                 self.writes.append(effect)
             case Apply(entries=entries):
+                oracle.record_cluster(self.replica.hard_state.cluster)
                 for entry in entries:
                     assert entry.index == self.applied + 1, "gap in the applied entries"
                     oracle.record_committed(entry)
@@ -239,10 +257,12 @@
 
     `partition` names the members on one side of a network partition. `blocked_links` are pairs of
     a sender and a receiver. `paused` maps each paused member to the messages that wait for it.
-    `decoders` maps a member to the function that converts each message that it receives.
+    `decoders` maps a member to the function that converts each message that it receives. With
+    `has_first_start`, settings let a member form a cluster until its process ends for the first
+    time.
     """
 
-    def __init__(self, size, seed, settings=SETTINGS):
+    def __init__(self, size, seed, settings=SETTINGS, *, has_first_start=False):
         self.rng = random.Random(seed)
         self.names = tuple("abcde"[:size])
         self.listed_names = self.names
@@ -254,16 +274,21 @@
         self.blocked_links = set()
         self.paused = {}
         self.decoders = {}
+        self.has_first_start = has_first_start
         self.loss_rate = 0.0
         self.last_request_id = 0
         self.members = {name: Member(name, self) for name in self.names}
         for member in self.members.values():
             member.start()
 
-    def add_member(self, name):
-        """Start a member that is not listed in the settings; it knows the listed members."""
+    def add_member(self, name, operations=None):
+        """Start a member that is not listed in the settings; it knows the listed members.
+
+        Its process ends after so many operations on its disk.
+        """
         self.names = (*self.names, name)
         self.members[name] = Member(name, self)
+        self.members[name].files.operations_left = operations
         self.members[name].start()
 
     def remove_member(self, name):
@@ -379,6 +404,7 @@
     def replace_disk(self, name):
         """Replace a disk that the cluster can afford to lose by an empty one, and restart."""
         member = self.members[name]
+        member.end_first_start()
         member.replica = None
         member.former_disks.append(member.files)
         member.files = FakeFiles(self.rng)
