runs: a report that no entry can hold ends neither the task nor the process

Cause: VoterRunTask takes all waiting reports out of its queue, encodes them as one command and retries nothing of its own. Integers over 64 bits raise OverflowError in `encode_command`; the task ended, the process with it, and the node, which had confirmed nothing, sent the same report to the next voter, which forwarded it to the next leader. Nothing limited the size of the command either: reports with long texts made entries above the limit of a frame, which replicate to nobody.

Mend: `encode_command` returns a Result, so that no caller can forget the case. It refuses what cannot be encoded, what voters could not decode, and what is larger than MAX_COMMAND_BYTES, for each command. The run task divides records into commands that the log can hold, and leaves out those that none can; its confirmation names them, so that the node forgets them instead of sending them for good, and does not acknowledge a departure by them. A node refuses such a report before it takes it into its keeper. A batch that meets any other fault is recorded report by report. Operators get 400, or 413 for the size, at once.

Why it works: what a command may hold is decided before anything is sent or confirmed, for each record alone, by the encoder and decoder that the log itself uses.

--- a/packages/bendwind-bench/src/bendwind_bench/slopes_customers.py
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_customers.py
@@ -142,12 +142,12 @@
 
 def _count_command(count: int) -> float:
     command = PutRevision((), Routing(1), b"", make_customers(count))
-    return float(len(encode_command(command)))
+    return float(len(encode_command(command).ok))
 
 
 def _count_snapshot(count: int) -> float:
     state = ControlState()
-    state.apply(1, encode_command(PutRevision((), Routing(1), b"", make_customers(count))))
+    state.apply(1, encode_command(PutRevision((), Routing(1), b"", make_customers(count))).ok)
     return float(len(state.snapshot()))
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/slopes_plans.py
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_plans.py
@@ -51,8 +51,8 @@
     request, version = f"{number:032x}", state.configuration.version
     create = CreatePlan(request, b"d" * 32, version, changes, number, TTL_MS)
     index = state.applied + 1
-    state.apply(index, encode_command(create))
-    state.apply(index + 1, encode_command(ConfirmPlan(index, number)))
+    state.apply(index, encode_command(create).ok)
+    state.apply(index + 1, encode_command(ConfirmPlan(index, number)).ok)
 
 
 def make_state(services: int, outcomes: int = 1) -> ControlState:
@@ -161,8 +161,8 @@
     change = Changes((make_service(0),))
     create = CreatePlan("0" * 32, b"d" * 32, 10_000, change, 1_790_000_000_000, TTL_MS)
     return {
-        "create_one_service": len(encode_command(create)),
-        "confirm": len(encode_command(ConfirmPlan(10_000, 1_790_000_000_000))),
+        "create_one_service": len(encode_command(create).ok),
+        "confirm": len(encode_command(ConfirmPlan(10_000, 1_790_000_000_000)).ok),
     }
 
 
--- a/packages/bendwind-bench/src/bendwind_bench/slopes_runs.py
+++ b/packages/bendwind-bench/src/bendwind_bench/slopes_runs.py
@@ -47,7 +47,7 @@
     """Make the state of a log that keeps one run of each instance."""
     state = ControlState()
     records = tuple(make_run(number) for number in range(instances))
-    state.apply(1, encode_command(RecordRuns(INCARNATION, records)))
+    state.apply(1, encode_command(RecordRuns(INCARNATION, records)).ok)
     return state
 
 
@@ -62,7 +62,7 @@
         def work(reports=reports) -> int:
             for _ in range(ROUNDS // len(reports) + 1):
                 records = tuple(record for data in reports for record in decode(data).records)
-                command = encode_command(RecordRuns(INCARNATION, records))
+                command = encode_command(RecordRuns(INCARNATION, records)).ok
                 state.apply(state.applied + 1, command)
                 for _ in records:
                     encode(RunsRecorded(INCARNATION << 20))
@@ -139,7 +139,7 @@
         RunsAnswer(number, (record,)),
     )
     sizes = {type(message).__name__: len(encode(message)) for message in messages}
-    return sizes | {"command": len(encode_command(RecordRuns(INCARNATION, (record,))))}
+    return sizes | {"command": len(encode_command(RecordRuns(INCARNATION, (record,))).ok)}
 
 
 def main() -> None:
--- a/packages/bendwind-core/src/bendwind_core/plans/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/__init__.py
@@ -2,7 +2,9 @@
 
 from bendwind_core.plans.changes import Changes, apply_changes, compute_changes
 from bendwind_core.plans.commands import (
+    MAX_COMMAND_BYTES,
     Command,
+    CommandFault,
     ConfirmPlan,
     CreatePlan,
     DrainTarget,
@@ -29,6 +31,7 @@
     parse_plan_id,
 )
 from bendwind_core.plans.plan_table import PlanTable
+from bendwind_core.plans.recorded_parts import DividedRecords, RecordedPart, divide_records
 from bendwind_core.plans.render import render_plan
 from bendwind_core.plans.results import (
     CommandResult,
@@ -59,9 +62,11 @@
 )
 
 __all__ = [
+    "MAX_COMMAND_BYTES",
     "Affected",
     "Changes",
     "Command",
+    "CommandFault",
     "CommandResult",
     "ConfirmPlan",
     "Confirmed",
@@ -70,6 +75,7 @@
     "CustomerFault",
     "Difference",
     "DifferenceKind",
+    "DividedRecords",
     "DrainMarked",
     "DrainTarget",
     "EvacuationStatus",
@@ -88,6 +94,7 @@
     "PlanWarning",
     "PutRevision",
     "RecordRuns",
+    "RecordedPart",
     "RequestReused",
     "RevisionFault",
     "RevisionFaultKind",
@@ -105,6 +112,7 @@
     "compute_customer_differences",
     "compute_differences",
     "decode_command",
+    "divide_records",
     "encode_command",
     "find_affected",
     "find_customer_fault",
--- a/packages/bendwind-core/src/bendwind_core/plans/commands.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/commands.py
@@ -3,6 +3,7 @@
 import enum
 
 import msgspec
+from expression import Error, Ok, Result
 
 from bendwind_core.claims import ChangeClaimGroup
 from bendwind_core.core import Record
@@ -102,9 +103,39 @@
 _DECODER = msgspec.msgpack.Decoder(Command)
 
 
-def encode_command(command: Command) -> bytes:
-    """Encode a command for the control log."""
-    return _ENCODER.encode(command)
+# What the encoder raises beside its own errors: for integers beyond 64 bits, for texts that are not
+# Unicode, for values of other types, and for values nested too deeply.
+_UNENCODABLE = (msgspec.MsgspecError, OverflowError, ValueError, TypeError, RecursionError)
+_MAX_REASON_CHARACTERS = 200
+
+
+class CommandFault(msgspec.Struct, frozen=True):
+    """Report that no entry of the log can hold a command, whoever proposes it and when."""
+
+    command: str
+    reason: str
+    is_too_large: bool = False
+
+    def __str__(self) -> str:
+        return f"{self.command}: {self.reason}"
+
+
+def encode_command(command: Command) -> Result[bytes, CommandFault]:
+    """Encode a command for the control log, and check that every voter can decode it.
+
+    Errors: CommandFault.
+    """
+    name = command.__struct_config__.tag
+    try:
+        encoded = _ENCODER.encode(command)
+        # A voter that cannot decode an entry stops, and so do all others.
+        _DECODER.decode(encoded)
+    except _UNENCODABLE as error:
+        return Error(CommandFault(name, ascii(str(error)[:_MAX_REASON_CHARACTERS])))
+    if len(encoded) > MAX_COMMAND_BYTES:
+        reason = f"{len(encoded)} bytes of {MAX_COMMAND_BYTES}"
+        return Error(CommandFault(name, reason, is_too_large=True))
+    return Ok(encoded)
 
 
 def decode_command(data: bytes) -> Command:
--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -4,8 +4,9 @@
 from collections.abc import Iterator
 
 import msgspec
+from expression import Result
 
-from bendwind_core.plans.commands import MAX_COMMAND_BYTES, PutRevision, encode_command
+from bendwind_core.plans.commands import CommandFault, PutRevision, encode_command
 from bendwind_core.plans.customer_faults import (
     CustomerFault,
     CustomerFaultKind,
@@ -32,6 +33,7 @@
     NO_TIMEOUT = "no-timeout"
     NO_ATTEMPTS = "no-attempts"
     TOO_LARGE = "too-large"
+    UNENCODABLE = "unencodable"
 
 
 class RevisionFault(msgspec.Struct, frozen=True):
@@ -66,9 +68,11 @@
         if place in places:
             yield RevisionFault(RevisionFaultKind.DUPLICATE_PLACE, route.name)
         places.add(place)
-    size = len(encode_command(command))
-    if size > MAX_COMMAND_BYTES:
-        yield RevisionFault(RevisionFaultKind.TOO_LARGE, f"{size} bytes of {MAX_COMMAND_BYTES}")
+    match encode_command(command):
+        case Result(error=CommandFault(reason=reason, is_too_large=True)):
+            yield RevisionFault(RevisionFaultKind.TOO_LARGE, reason)
+        case Result(error=CommandFault(reason=reason)):
+            yield RevisionFault(RevisionFaultKind.UNENCODABLE, reason)
     match find_customer_fault(command.customers):
         case CustomerFault(kind=kind, name=name):
             yield RevisionFault(kind, name)
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_evacuation.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_evacuation.py
@@ -64,7 +64,7 @@
 
     def test_new_state_has_no_evacuation_and_accepts_one(self):
         self.assertEqual(ControlState().configuration.evacuated, ())
-        encoded = encode_command(MarkEvacuated("north", True))
+        encoded = encode_command(MarkEvacuated("north", True)).ok
         self.assertEqual(ControlState().apply(1, encoded).version, 1)
 
 
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_fuzz_plans.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_fuzz_plans.py
@@ -191,10 +191,10 @@
 
     def _send(self, command, is_immediate: bool = False) -> None:
         if is_immediate:
-            self.log.append(encode_command(command))
+            self.log.append(encode_command(command).ok)
             self.catch_up(0, len(self.log))
         else:
-            self.in_flight.append(encode_command(command))
+            self.in_flight.append(encode_command(command).ok)
 
     @precondition(lambda self: self.in_flight)
     @rule(pick=picks, is_repeated=st.booleans())
@@ -272,7 +272,7 @@
     def teardown(self):
         try:
             for index in list(self.oracle.plans):
-                self.log.append(encode_command(ConfirmPlan(index, self.now_ms)))
+                self.log.append(encode_command(ConfirmPlan(index, self.now_ms)).ok)
             for voter in range(3):
                 self.catch_up(voter, len(self.log))
             assert self.voters[0] == self.voters[1] == self.voters[2]
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
@@ -38,7 +38,7 @@
 
     def apply(self, command):
         self.index += 1
-        return self.state.apply(self.index, encode_command(command))
+        return self.state.apply(self.index, encode_command(command).ok)
 
     def test_highest_revision_is_active_regardless_of_order(self):
         for revision in (5, 3, 9, 9, 7):
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_state.py
@@ -21,7 +21,7 @@
 
 
 def propose(state: ControlState, command) -> object:
-    return state.apply(state.applied + 1, encode_command(command))
+    return state.apply(state.applied + 1, encode_command(command).ok)
 
 
 def create(state: ControlState, now_ms: int, ttl_ms: int = LONG_MS) -> object:
--- a/packages/bendwind-core/src/bendwind_core/runs/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/runs/__init__.py
@@ -11,6 +11,7 @@
     has_left,
     is_late,
     is_recorded,
+    is_refused,
     list_ready,
     report_run,
     send_due,
@@ -24,7 +25,7 @@
     RunsRecorded,
     find_first_number,
 )
-from bendwind_core.runs.record import RunRecord, is_newer, is_overtaken
+from bendwind_core.runs.record import RunRecord, find_record_fault, is_newer, is_overtaken
 from bendwind_core.runs.table import (
     GONE_RETENTION_MS,
     MAX_RUNS_PER_INSTANCE,
@@ -56,6 +57,7 @@
     "create_run_table",
     "find_first_number",
     "find_next_due",
+    "find_record_fault",
     "forget_run",
     "handle_recorded",
     "handle_runs",
@@ -64,6 +66,7 @@
     "is_newer",
     "is_overtaken",
     "is_recorded",
+    "is_refused",
     "list_kept",
     "list_ready",
     "list_runs",
--- a/packages/bendwind-core/src/bendwind_core/runs/keeper.py
+++ b/packages/bendwind-core/src/bendwind_core/runs/keeper.py
@@ -15,7 +15,13 @@
     RunsRecorded,
     find_first_number,
 )
-from bendwind_core.runs.record import RunRecord, is_newer, is_overtaken, name_departed_run
+from bendwind_core.runs.record import (
+    RunRecord,
+    find_record_fault,
+    is_newer,
+    is_overtaken,
+    name_departed_run,
+)
 from bendwind_core.runs.table import MAX_RUNS_PER_INSTANCE, RETENTION_MS
 from bendwind_core.world import UpstreamState
 
@@ -38,12 +44,14 @@
 
     `is_loaded` says that the log's records are included. `unrecorded` maps the names whose newest
     record the log is not known to hold to the number of the report that is under way, 0 if none is.
+    `refused` holds the names whose last report no entry of the log can hold, the oldest first.
     """
 
     instance: str
     is_loaded: bool = False
     known: dict[str, RunRecord] = msgspec.field(default_factory=dict)
     unrecorded: dict[str, int] = msgspec.field(default_factory=dict)
+    refused: dict[str, None] = msgspec.field(default_factory=dict)
     number: int = 0
     query: int = 0
     position: int = 0
@@ -67,13 +75,20 @@
     born_ms: int = 0,
     sequence: int = 0,
 ) -> None:
-    """Note a state that an upstream announced; it is reported if it changes what is known."""
+    """Note a state that an upstream announced; it is reported if it changes what is known.
+
+    A state that no entry of the log can hold changes nothing.
+    """
+    keeper.refused.pop(name, None)
     held = keeper.known.get(name)
     stated = RunRecord(keeper.instance, name, service, born_ms, sequence, state)
     if held is not None:
         stated = name_departed_run(stated, held)
         if _says_same(stated, held) or not is_newer(stated, held):
             return
+    if find_record_fault(stated) is not None:
+        _refuse(keeper, name)
+        return
     keeper.known.pop(name, None)
     if len(keeper.known) >= MAX_RUNS_PER_INSTANCE:
         _forget_oldest(keeper)
@@ -81,6 +96,12 @@
     keeper.unrecorded[name] = 0
 
 
+def _refuse(keeper: RunKeeper, name: str) -> None:
+    keeper.refused[name] = None
+    if len(keeper.refused) > MAX_RUNS_PER_INSTANCE:
+        del keeper.refused[next(iter(keeper.refused))]
+
+
 def _says_same(stated: RunRecord, held: RunRecord) -> bool:
     return (stated.born_ms, stated.state, stated.service) == (
         held.born_ms,
@@ -121,6 +142,11 @@
     return name not in keeper.unrecorded
 
 
+def is_refused(keeper: RunKeeper, name: str) -> bool:
+    """Return whether no entry of the log can hold what was last reported of an upstream."""
+    return name in keeper.refused
+
+
 def list_ready(keeper: RunKeeper) -> tuple[RunRecord, ...]:
     """Return the runs that are known to serve; none before the log's records are known."""
     if not keeper.is_loaded:
@@ -187,10 +213,14 @@
 
 
 def handle_recorded(keeper: RunKeeper, recorded: RunsRecorded) -> None:
-    """Note that the log holds what a report said."""
+    """Note that the log holds what a report said, but for what no entry of it can hold."""
+    refused = set(recorded.refused)
     for name, number in tuple(keeper.unrecorded.items()):
         if number == recorded.number:
             del keeper.unrecorded[name]
+            if name in refused:
+                keeper.known.pop(name, None)
+                _refuse(keeper, name)
 
 
 def handle_runs(keeper: RunKeeper, answer: RunsAnswer) -> None:
--- a/packages/bendwind-core/src/bendwind_core/runs/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/runs/messages.py
@@ -24,9 +24,13 @@
 
 
 class RunsRecorded(Record, frozen=True, array_like=True, tag="runs-recorded"):
-    """Confirm that the control log holds what a ReportRuns said, or something newer."""
+    """Confirm that the control log holds what a ReportRuns said, or something newer.
+
+    `refused` names the upstreams whose records no entry of the log can hold.
+    """
 
     number: int
+    refused: tuple[str, ...] = ()
 
 
 class ForwardRuns(Record, frozen=True, array_like=True, tag="runs-forwarded"):
--- a/packages/bendwind-core/src/bendwind_core/runs/record.py
+++ b/packages/bendwind-core/src/bendwind_core/runs/record.py
@@ -1,10 +1,14 @@
 """Describe a run of an upstream as the control log keeps it, and order what is reported of it."""
 
+import msgspec
 from msgspec.structs import replace
 
 from bendwind_core.core import Record
 from bendwind_core.world import UpstreamState
 
+# Names and services have up to a few hundred bytes. All that an instance may report at a time fits
+# into one message.
+MAX_RECORD_BYTES = 16_384
 _ORDER = {UpstreamState.READY: 0, UpstreamState.DRAINING: 1, UpstreamState.GONE: 2}
 
 
@@ -25,6 +29,21 @@
     state: UpstreamState = UpstreamState.READY
 
 
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(RunRecord)
+
+
+def find_record_fault(record: RunRecord) -> str | None:
+    """Return why no entry of the control log can hold a record, or None if one can."""
+    try:
+        encoded = _ENCODER.encode(record)
+        _DECODER.decode(encoded)
+    except (msgspec.MsgspecError, OverflowError, ValueError, TypeError) as error:
+        return str(error)
+    size = len(encoded)
+    return f"{size} bytes of {MAX_RECORD_BYTES}" if size > MAX_RECORD_BYTES else None
+
+
 def is_newer(stated: RunRecord, held: RunRecord) -> bool:
     """Return whether a record replaces the one that is held of the same upstream.
 
--- a/packages/bendwind-core/src/bendwind_core/runs/tests/test_runs.py
+++ b/packages/bendwind-core/src/bendwind_core/runs/tests/test_runs.py
@@ -116,7 +116,7 @@
         state = ControlState()
         reported = (make_run("u1"), make_run("u2", state=GONE), make_run("u3", instance="n2"))
         for index, record in enumerate(reported, 1):
-            state.apply(index, encode_command(RecordRuns(index, (record,))))
+            state.apply(index, encode_command(RecordRuns(index, (record,))).ok)
         restored = ControlState()
         restored.restore(state.snapshot())
         self.assertEqual(restored.runs, state.runs)
--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -27,6 +27,7 @@
         EventKind.LEADER_LOST,
         EventKind.VOTER_REPLACED,
         EventKind.LOG_TAIL_CUT,
+        EventKind.COMMAND_REFUSED,
         EventKind.PLAN_OUTCOME_UNKNOWN,
         EventKind.REVISION_REFUSED,
         EventKind.REVISION_NOT_PUT,
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_fuzz_departures.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_fuzz_departures.py
@@ -193,7 +193,7 @@
             return
         match message:
             case ReportRuns(number=number, records=records):
-                self.log.append(encode_command(RecordRuns(int(self.now * 1000), records)))
+                self.log.append(encode_command(RecordRuns(int(self.now * 1000), records)).ok)
                 self.to_node.append(RunsRecorded(number))
             case QueryRuns(number=number):
                 # A quorum round: the voter has applied all that was accepted before the query.
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -13,7 +13,7 @@
 from bendwind_core.consensus.voter_changes import SILENT_TIMEOUTS
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Record, Seconds
 from bendwind_core.membership import DrainMarksAccepted, LeaseTimes, VoterPlace
-from bendwind_core.plans import CommandResult, ControlState, GroupChanged, encode_command
+from bendwind_core.plans import CommandFault, CommandResult, ControlState, GroupChanged
 from bendwind_core.quotas import QuotaBounds
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Configuration, Upstream
@@ -33,6 +33,7 @@
     OutcomeUnknown,
     ReplacementStatus,
     VoterStatus,
+    propose_command,
 )
 from bendwind_node.quotas import VoterQuotaTask, create_voter_quota_task
 from bendwind_node.runs import VoterRunTask
@@ -296,10 +297,12 @@
     service: ControlService
 
     async def propose(command: ChangeClaimGroup) -> object:
-        outcome = await client.propose(encode_command(command))
+        outcome = await propose_command(client, command)
         if command.group.lost and outcome.is_ok() and isinstance(outcome.ok, GroupChanged):
             # No member of the group is left that could record the loss.
             recorder.record(EventKind.CLAIM_GROUP_LOST, detail=command.group.service)
+        if outcome.is_error() and isinstance(outcome.error, CommandFault):
+            recorder.record(EventKind.COMMAND_REFUSED, detail=str(outcome.error))
         return outcome
 
     placer = ClaimPlacer(lambda: service.view_placement(), propose, rng, times.lease)
@@ -313,6 +316,6 @@
         send,
     )
     registry.observers.append(quotas)
-    runs = VoterRunTask(own.name, incarnation, client, send, recorder.clock.wall_ms)
+    runs = VoterRunTask(own.name, incarnation, client, send, recorder.clock.wall_ms, recorder)
     service = ControlService(voter, client, registry, placer, quotas, runs)
     return Ok(service)
--- a/packages/bendwind-node/src/bendwind_node/operators/__init__.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/__init__.py
@@ -15,6 +15,7 @@
     OutcomeUnknown,
     ReplacementStatus,
     VoterStatus,
+    propose_command,
 )
 from bendwind_node.operators.http import Response
 from bendwind_node.operators.status_source import (
@@ -42,4 +43,5 @@
     "create_certificate_authority",
     "create_open_authority",
     "create_token_authority",
+    "propose_command",
 ]
--- a/packages/bendwind-node/src/bendwind_node/operators/claim_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/claim_routes.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup, choose_claim_group, index_alive_nodes
-from bendwind_core.plans import GroupChanged, encode_command
+from bendwind_core.plans import GroupChanged
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Upstream, UpstreamState
-from bendwind_node.operators.control_client import ControlClient
+from bendwind_node.operators.control_client import ControlClient, propose_command
 from bendwind_node.operators.errors import ErrorKind, command_error, control_error, plain_error
 from bendwind_node.operators.http import Response, json_response
 from bendwind_node.operators.status_source import StatusSource
@@ -42,7 +42,7 @@
         if new is None:
             return plain_error(503, ErrorKind.NO_QUORUM, "no node is available to hold claims")
         command = ChangeClaimGroup(new, lost_group.epoch, accept_loss=True)
-        outcome = await self.control.propose(encode_command(command))
+        outcome = await propose_command(self.control, command)
         if outcome.is_error():
             return control_error(outcome.error)
         if not isinstance(outcome.ok, GroupChanged):
--- a/packages/bendwind-node/src/bendwind_node/operators/control_client.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/control_client.py
@@ -4,10 +4,10 @@
 from typing import Protocol
 
 import msgspec
-from expression import Result
+from expression import Error, Result
 
 from bendwind_core.core import Milliseconds
-from bendwind_core.plans import CommandResult, ControlState
+from bendwind_core.plans import Command, CommandFault, CommandResult, ControlState, encode_command
 
 
 class NotLeader(msgspec.Struct, frozen=True):
@@ -29,7 +29,7 @@
     detail: str = ""
 
 
-ControlError = NotLeader | NoQuorum | OutcomeUnknown
+ControlError = NotLeader | NoQuorum | OutcomeUnknown | CommandFault
 
 
 class VoterStatus(msgspec.Struct, frozen=True):
@@ -88,3 +88,15 @@
     def replacement(self) -> ReplacementStatus | None:
         """Return the replacement of a voter that is in progress, or None."""
         ...
+
+
+async def propose_command(
+    client: ControlClient, command: Command
+) -> Result[CommandResult, ControlError]:
+    """Propose a command that an entry of the log can hold.
+
+    Errors: ControlError; CommandFault means that nothing was proposed, and that nothing will be
+    accepted however often the command is proposed.
+    """
+    encoded = encode_command(command)
+    return Error(encoded.error) if encoded.is_error() else await client.propose(encoded.ok)
--- a/packages/bendwind-node/src/bendwind_node/operators/errors.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/errors.py
@@ -7,6 +7,7 @@
 
 from bendwind_core.core import TomlError
 from bendwind_core.plans import (
+    CommandFault,
     CustomerFault,
     EvictedPlan,
     GroupRefused,
@@ -90,6 +91,10 @@
         case NotLeader(leader, url):
             body = ErrorBody(ErrorKind.NOT_LEADER, "ask the leader", leader=leader, leader_url=url)
             return json_response(421, body)
+        case CommandFault(is_too_large=True):
+            return plain_error(413, ErrorKind.TOO_LARGE, str(error))
+        case CommandFault():
+            return plain_error(400, ErrorKind.BAD_REQUEST, str(error))
         case NoQuorum(detail):
             return plain_error(503, ErrorKind.NO_QUORUM, detail or "nothing was accepted")
         case OutcomeUnknown(detail):
--- a/packages/bendwind-node/src/bendwind_node/operators/evacuations.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/evacuations.py
@@ -8,11 +8,10 @@
     MarkEvacuated,
     PlanWarning,
     TooManyEvacuated,
-    encode_command,
     find_evacuation_warnings,
 )
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_node.operators.control_client import ControlClient, ControlError
+from bendwind_node.operators.control_client import ControlClient, ControlError, propose_command
 from bendwind_node.operators.status_source import StatusSource
 
 
@@ -43,7 +42,7 @@
         unknown = UnknownDataCentre(data_centre, tuple(sorted(known)))
         recorder.record(EventKind.EVACUATION_NOT_MARKED, detail=f"{detail}: {unknown}")
         return Error(unknown)
-    match await client.propose(encode_command(MarkEvacuated(data_centre, evacuated))):
+    match await propose_command(client, MarkEvacuated(data_centre, evacuated)):
         case Result(tag="ok", ok=EvacuationStatus() as status):
             outcome = f"as of version {status.version}" if status.is_new else "already in force"
             recorder.record(EventKind.EVACUATION_MARKED, detail=f"{detail}: {outcome}")
--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -10,6 +10,7 @@
 from bendwind_core.plans import (
     Changes,
     Command,
+    CommandFault,
     CommandResult,
     Confirmed,
     ConfirmPlan,
@@ -26,7 +27,6 @@
     VersionMoved,
     apply_changes,
     compute_changes,
-    encode_command,
     find_customer_fault,
     parse_intent,
     parse_plan_id,
@@ -34,7 +34,12 @@
 from bendwind_core.plans.results import UnknownPlan
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Configuration
-from bendwind_node.operators.control_client import ControlClient, ControlError, OutcomeUnknown
+from bendwind_node.operators.control_client import (
+    ControlClient,
+    ControlError,
+    OutcomeUnknown,
+    propose_command,
+)
 from bendwind_node.operators.errors import (
     ErrorBody,
     ErrorKind,
@@ -213,7 +218,7 @@
         raise AssertionError(outcome)
 
     async def _propose(self, command: Command) -> Result[CommandResult, ControlError]:
-        return await self.control.propose(encode_command(command))
+        return await propose_command(self.control, command)
 
     async def _make_plan_response(self, plan_id: str, status: int) -> Response:
         found = self.control.state.find_plan(plan_id)
@@ -230,6 +235,8 @@
         if isinstance(error, OutcomeUnknown):
             detail = error.detail
             self.recorder.record(EventKind.PLAN_OUTCOME_UNKNOWN, plan=plan_id, detail=detail)
+        elif isinstance(error, CommandFault):
+            self.recorder.record(EventKind.COMMAND_REFUSED, plan=plan_id, detail=str(error))
         return control_error(error)
 
 
--- a/packages/bendwind-node/src/bendwind_node/operators/revisions.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/revisions.py
@@ -6,11 +6,15 @@
     PutRevision,
     RevisionFault,
     RevisionStatus,
-    encode_command,
     find_revision_fault,
 )
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_node.operators.control_client import ControlClient, ControlError, NoQuorum
+from bendwind_node.operators.control_client import (
+    ControlClient,
+    ControlError,
+    NoQuorum,
+    propose_command,
+)
 
 
 async def put_revision(
@@ -26,7 +30,7 @@
     if fault is not None:
         recorder.record(EventKind.REVISION_REFUSED, detail=f"{detail}: {fault}")
         return Error(fault)
-    match await client.propose(encode_command(command)):
+    match await propose_command(client, command):
         case Result(tag="ok", ok=RevisionStatus() as status):
             outcome = f"in force as version {status.version}" if status.is_new else "not higher"
             recorder.record(
--- a/packages/bendwind-node/src/bendwind_node/runs/node_task.py
+++ b/packages/bendwind-node/src/bendwind_node/runs/node_task.py
@@ -13,6 +13,7 @@
     handle_recorded,
     handle_runs,
     is_recorded,
+    is_refused,
     send_due,
 )
 from bendwind_core.timeline import EventKind, Recorder
@@ -21,6 +22,8 @@
 
 # Senders give up an announcement that is not acknowledged within a second, and send it again.
 RECORD_TIMEOUT: Seconds = 0.8
+# Of a name, in an event.
+MAX_NAME_CHARACTERS = 64
 # The shortest interval between two sends, while no voter is known or a link is full.
 _MIN_INTERVAL: Seconds = 0.02
 
@@ -30,6 +33,7 @@
 
     __slots__ = (
         "_has_news",
+        "_refused",
         "_settled",
         "handle_loaded",
         "keeper",
@@ -52,6 +56,7 @@
         self.recorder = recorder
         self.handle_loaded = handle_loaded
         self._has_news = trio.Event()
+        self._refused: set[str] = set()
         self._settled = trio.Event()
 
     async def run(self) -> None:
@@ -73,13 +78,22 @@
 
     def wake(self) -> None:
         """Send what has been noted since the last send."""
+        self._record_refusals()
         self._has_news.set()
 
+    def _record_refusals(self) -> None:
+        for name in self.keeper.refused:
+            if name not in self._refused:
+                detail = f"report of upstream {ascii(name[:MAX_NAME_CHARACTERS])}"
+                self.recorder.record(EventKind.COMMAND_REFUSED, detail=detail)
+        self._refused = set(self.keeper.refused)
+
     def receive(self, sender: str, message: Record) -> None:
         """Handle a message of a voter."""
         match message:
             case RunsRecorded():
                 handle_recorded(self.keeper, message)
+                self._record_refusals()
             case RunsAnswer():
                 self._load(message)
         self._settled.set()
@@ -103,7 +117,8 @@
         with trio.move_on_after(RECORD_TIMEOUT):
             while not is_recorded(self.keeper, name):
                 await self._settled.wait()
-            return True
+            if not is_refused(self.keeper, name):
+                return True
         self.recorder.record(EventKind.RUN_NOT_RECORDED, upstream=name)
         return False
 
--- a/packages/bendwind-node/src/bendwind_node/runs/voter_task.py
+++ b/packages/bendwind-node/src/bendwind_node/runs/voter_task.py
@@ -4,13 +4,13 @@
 of commands is bounded by the time that one takes, not by the number of nodes.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 import trio
 
 from bendwind_core.core import Record, Seconds
-from bendwind_core.plans import RecordRuns, encode_command
+from bendwind_core.plans import RecordedPart, divide_records
 from bendwind_core.runs import (
     ForwardedRecorded,
     ForwardRuns,
@@ -22,10 +22,14 @@
     find_first_number,
     list_runs,
 )
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.guarded_tasks import record_task_failure
 from bendwind_node.operators import ControlClient
 
 Send = Callable[[str, Record], object]
 
+# Of a name, in an event.
+MAX_NAME_CHARACTERS = 64
 # Records of one command, some hundred bytes each: far below the limit of a command.
 MAX_BATCH = 2_000
 # Reports that wait; a node sends one that was dropped again after its timeout.
@@ -55,6 +59,7 @@
         "client",
         "name",
         "read_wall_ms",
+        "recorder",
         "send",
     )
 
@@ -65,11 +70,13 @@
         client: ControlClient,
         send: Send,
         read_wall_ms: Callable[[], int],
+        recorder: Recorder,
     ):
         self.name = name
         self.client = client
         self.send = send
         self.read_wall_ms = read_wall_ms
+        self.recorder = recorder
         self._reports: list[_Report] = []
         self._has_reports = trio.Event()
         self._queries: list[tuple[str, int]] = []
@@ -109,10 +116,41 @@
     async def _record_reports(self) -> None:
         while True:
             await self._has_reports.wait()
-            batch = self._take_batch()
-            if await self._record(tuple(record for report in batch for record in report.records)):
-                for report in batch:
-                    self.send(report.sender, report.confirmation)
+            await self._record_batch(self._take_batch())
+
+    async def _record_batch(self, batch: list[_Report]) -> None:
+        """Record reports together; if that meets a fault, record each alone."""
+        try:
+            await self._record_together(batch)
+        except Exception as error:
+            record_task_failure(self.recorder, error, "record runs")
+            # One that is left unconfirmed is sent again by its node.
+            for report in batch if len(batch) > 1 else ():
+                await self._record_batch([report])
+
+    async def _record_together(self, batch: list[_Report]) -> None:
+        records = tuple(record for report in batch for record in report.records)
+        divided = divide_records(records, self.read_wall_ms())
+        self._report_refused(divided.refused)
+        for part in divided.parts:
+            if not await self._record(part):
+                return
+        for report in batch:
+            self._confirm(report, divided.refused)
+
+    def _report_refused(self, refused: dict[RunRecord, str]) -> None:
+        for record, fault in refused.items():
+            names = f"{record.instance[:MAX_NAME_CHARACTERS]} {record.name[:MAX_NAME_CHARACTERS]}"
+            detail = f"report of a run, {ascii(names)}: {fault}"
+            self.recorder.record(EventKind.COMMAND_REFUSED, detail=detail)
+
+    def _confirm(self, report: _Report, refused: Collection[RunRecord]) -> None:
+        """Confirm a report to its sender, which keeps no record that was refused."""
+        confirmation = report.confirmation
+        if isinstance(confirmation, RunsRecorded):
+            names = tuple(record.name for record in report.records if record in refused)
+            confirmation = msgspec.structs.replace(confirmation, refused=names)
+        self.send(report.sender, confirmation)
 
     def _take_batch(self) -> list[_Report]:
         batch: list[_Report] = []
@@ -124,16 +162,15 @@
             self._has_reports = trio.Event()
         return batch
 
-    async def _record(self, records: tuple[RunRecord, ...]) -> bool:
+    async def _record(self, part: RecordedPart) -> bool:
         if self._is_leader():
-            command = RecordRuns(self.read_wall_ms(), records)
-            return (await self.client.propose(encode_command(command))).is_ok()
+            return (await self.client.propose(part.command)).is_ok()
         leader = self.client.leader()
         if leader is None:
             return False
         self._number += 1
         self._forwarded = trio.Event()
-        self.send(leader, ForwardRuns(self._number, records))
+        self.send(leader, ForwardRuns(self._number, part.records))
         with trio.move_on_after(FORWARD_TIMEOUT):
             await self._forwarded.wait()
             return True
