plans: no committed entry leaves a state that cannot be saved

No caller has seen this; the operators' API bounds the time to live, so that it took a leader's clock or another release to propose it.

The entry is not refused, since voters of other releases accept it and the states must stay equal; where the sum fits, nothing changes.

--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -39,6 +39,10 @@
 from bendwind_core.runs import KeptRun, RunTable, create_run_table, list_kept, put_runs
 from bendwind_core.world import EMPTY_CONFIGURATION, Configuration
 
+# The numbers that a snapshot can hold. Sums of numbers of commands are kept within them: a state
+# that cannot be saved would end every voter, at each start anew. Entries are not refused for it,
+# since voters of other releases may accept them.
+_SMALLEST_NUMBER, _LARGEST_NUMBER = -(2**63), 2**64 - 1
 MAX_DRAIN_MARKS = 4_096
 # Several times the number of data centres of the largest planned deployment, which has seven.
 MAX_EVACUATED_DATA_CENTRES = 64
@@ -63,6 +67,10 @@
 _DECODER = msgspec.msgpack.Decoder(_Snapshot)
 
 
+def _find_expiry_ms(command: CreatePlan) -> int:
+    return max(_SMALLEST_NUMBER, min(_LARGEST_NUMBER, command.now_ms + command.ttl_ms))
+
+
 class ControlState(msgspec.Struct):
     """Hold the state that the control log determines; equal logs give equal states on all voters.
 
@@ -134,7 +142,7 @@
             command.digest,
             command.base_version,
             command.now_ms,
-            command.now_ms + command.ttl_ms,
+            _find_expiry_ms(command),
             command.changes,
         )
         self.plans.add(plan)
