quotas: no limit of a customer ends the voters that grant its tokens

From then on each request of that customer ended the voter that it was asked of, and no voter could serve until the operator put another configuration. Operators would have seen processes end one after the other; this was found by a test, not by a caller.

Cause: a voter's share is computed from the stated numbers without a range. A share of the smallest number is 0, and the wait for a token divides by it; a burst times 1.1 or a rate times the window becomes infinite, infinite less infinite is not a number, and neither becomes an integer.

Why it works: a share is computed from numbers between which every sum, product and quotient of the quotas is finite. Nothing that anybody could count changes: a rate of one token in 30 years, and 2^53 tokens.

--- a/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
@@ -31,6 +31,11 @@
 # Tokens age at nodes and, if one voter lent them to another, also at voters. Each of the two may
 # use half of the maximum age.
 _NODE_AGE_SHARE = 0.5
+# Numbers of tokens are counted, added and divided. Up to this number, in tokens, a float holds each
+# count exactly, and no sum or product of them is infinite. No deployment has as many requests.
+MAX_TOKENS = 2.0**53
+# In tokens per second. The time until the next token, 30 years, is finite.
+MIN_RATE = 1e-9
 
 
 class QuotaBounds(msgspec.Struct, frozen=True):
@@ -74,10 +79,13 @@
 
 def create_share(customer: Customer, bounds: QuotaBounds, voters: int) -> Share:
     """Return one voter's share of a customer's quota, which is split among `voters` voters."""
-    max_reserve = customer.rate_per_s * bounds.window * bounds.overage / 2
-    total_cap = customer.burst * (1 + bounds.overage) + bounds.slack
+    # The limit is the first operand, so that it replaces what is not a number.
+    rate_per_s = max(MIN_RATE, min(MAX_TOKENS, customer.rate_per_s))
+    burst = max(0.0, min(MAX_TOKENS, customer.burst))
+    max_reserve = rate_per_s * bounds.window * bounds.overage / 2
+    total_cap = burst * (1 + bounds.overage) + bounds.slack
     shortfall = min(max_reserve, max(0.0, voters - total_cap))
-    rate = customer.rate_per_s / voters * (1 - CLOCK_RATE_BOUND)
+    rate = rate_per_s / voters * (1 - CLOCK_RATE_BOUND)
     return Share(rate, (total_cap + shortfall) / voters, (max_reserve - shortfall) / voters)
 
 
