admission: no warm-up rate ends the node that keeps to it

A service whose warm-up rate is infinite, not a number, or so large that a node's overage makes it infinite, is not refused by the log. The first request to a cold upstream of it then raised where the node finds the time of the next one, in the task that owns the upstream.

Cause: `math.floor` of a number that is not finite. Why it works: the rate is bounded before it is rounded, by a number that spaces requests by a nanosecond; a number that is none counts as that.

--- a/packages/bendwind-core/src/bendwind_core/admission/warm_up.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/warm_up.py
@@ -22,6 +22,9 @@
 # than a second, since one request may take a little longer than the next one to reach the upstream,
 # which is on the same instance.
 SPACING_WINDOW: Seconds = 1.05
+# In requests per second. Above it, requests are as good as unlimited, and a finite number can be
+# rounded.
+MAX_RATE = 1e9
 
 
 class WarmUpLimits(Record, frozen=True, array_like=True):
@@ -107,8 +110,9 @@
 
 def find_spacing(rule: WarmUpRule, limits: WarmUpLimits) -> Seconds:
     """Return the time between two requests that keeps any second within the limit."""
-    max_requests = max(1, math.floor(rule.per_second * limits.overage + limits.slack))
-    return SPACING_WINDOW / max_requests
+    # The bounds are the first operands, so that they replace what is not a number.
+    stated = min(MAX_RATE, rule.per_second * limits.overage + limits.slack)
+    return SPACING_WINDOW / math.floor(max(1.0, stated))
 
 
 def _find_warm_at(warm_up: WarmUpState) -> Seconds:
