membership: an upstream with a number over 64 bits ends no voter

A peer's message that registers an upstream with `slots` or `born_ms` of 2^64 raised OverflowError in its voter's registry, which is part of the process, and in each other voter that the message reached. Announcements and heartbeats of upstreams are bounded, so that it took a faulty process or one of another release; found by a property, not by a caller.

Cause: messages between processes hold integers of any size, but the digests by which voters and nodes compare what they hold are taken from an encoding of 64 bits.

Why it works: what the short encoding does not hold is digested from the encoding of the messages, which is equal for equal records too. Digests of all other records are the same as before, so that releases can be mixed.

--- a/packages/bendwind-core/src/bendwind_core/membership/digest.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/digest.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+import cbor2
 import msgspec
 
 from bendwind_core.core import Record
@@ -19,8 +20,15 @@
     >>> digest_record(DataCentre("a")) == digest_record(DataCentre("a"))
     True
     """
-    hashed = hashlib.blake2b(_ENCODER.encode(record), digest_size=_DIGEST_BYTES)
-    return int.from_bytes(hashed.digest())
+    return int.from_bytes(hashlib.blake2b(_encode(record), digest_size=_DIGEST_BYTES).digest())
+
+
+def _encode(record: Record) -> bytes:
+    try:
+        return _ENCODER.encode(record)
+    except OverflowError:
+        # Messages between processes hold integers of any size, which this encoder does not.
+        return cbor2.dumps(msgspec.to_builtins(record, builtin_types=(bytes,)))
 
 
 def digest_text(text: str) -> int:
