claims: a member that names no run of a node does not end the leader

A claim group whose members end in no number, which an entry of the log can hold, raised ValueError in the placer of the leader as soon as a node of that name had sent a heartbeat; the process ended, and that of the next leader. Found by reading what takes its input from the log.

Why it works: such a member has the incarnation 0, which every report is newer than, so that the group is replaced as one without living members.

--- a/packages/bendwind-core/src/bendwind_core/claims/members.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/members.py
@@ -8,6 +8,8 @@
 from bendwind_core.world import Instance
 
 _SEPARATOR = "#"
+# A number of 64 bits has at most this many digits.
+_MAX_DIGITS = 20
 
 
 def format_member(instance: Instance) -> str:
@@ -29,9 +31,11 @@
 
 
 def parse_incarnation(member: str) -> int:
-    """Return the incarnation of a member's node.
+    """Return the incarnation of a member's node, 0 for a text that names none.
 
-    >>> parse_incarnation("norte-1#3")
-    3
+    >>> parse_incarnation("norte-1#3"), parse_incarnation("norte-1#x")
+    (3, 0)
     """
-    return int(member.rpartition(_SEPARATOR)[2])
+    digits = member.rpartition(_SEPARATOR)[2]
+    is_number = digits.isascii() and digits.isdecimal() and len(digits) <= _MAX_DIGITS
+    return int(digits) if is_number else 0
