control: a fault of what only proposes does not end the process

The placer also proposed for no service behind one whose change raised.

Cause: they were started beside the tasks whose state may be half changed. They hold no state of that kind: until the log has accepted a command nothing has been applied, and nodes repeat what they were not confirmed.

What applies entries, and what may be half changed, ends the process as before; the header of guarded_tasks.py says so.

--- a/packages/bendwind-node/src/bendwind_node/claims/placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/placer.py
@@ -22,7 +22,9 @@
     parse_node_name,
 )
 from bendwind_core.core import Seconds
+from bendwind_core.timeline import Recorder
 from bendwind_core.world import Instance, Repeat, Service
+from bendwind_node.guarded_tasks import record_task_failure
 
 PLACEMENT_INTERVAL: Seconds = 0.5
 LEAVE_NOTICE_RETENTION: Seconds = 30.0
@@ -70,7 +72,16 @@
 class ClaimPlacer:
     """Propose changes of claim groups while this voter is the leader."""
 
-    __slots__ = ("copy_reports", "lease", "leaving", "lost_since", "propose", "rng", "view")
+    __slots__ = (
+        "copy_reports",
+        "lease",
+        "leaving",
+        "lost_since",
+        "propose",
+        "recorder",
+        "rng",
+        "view",
+    )
 
     def __init__(
         self,
@@ -78,11 +89,13 @@
         propose: Callable[[ChangeClaimGroup], Awaitable[object]],
         rng: random.Random,
         lease: Seconds,
+        recorder: Recorder,
     ):
         self.view = view
         self.propose = propose
         self.rng = rng
         self.lease = lease
+        self.recorder = recorder
         self.copy_reports: dict[str, ClaimCopied] = {}
         self.leaving: dict[str, Seconds] = {}
         self.lost_since: dict[str, Seconds] = {}
@@ -112,17 +125,30 @@
         for service in view.services:
             if not needs_claims(service):
                 continue
-            current = view.groups.get(service.name)
-            if current is not None and self._needs_no_change(current, alive):
-                self.lost_since.pop(service.name, None)
-                continue
-            if not self._can_place(service.name, current, view):
-                continue
-            group = self._choose_group(service.name, view, alive, group_counts)
-            if self._is_change_due(service.name, group):
-                epoch = current.epoch if current else 0
-                await self.propose(ChangeClaimGroup(group, epoch))
-                group_counts.update(parse_node_name(member) for member in group.members)
+            # Nothing has been applied yet, and the groups of the other services must not wait.
+            try:
+                await self._propose_change(service.name, view, alive, group_counts)
+            except Exception as error:
+                record_task_failure(self.recorder, error, f"place claims of {service.name!a}")
+
+    async def _propose_change(
+        self,
+        service: str,
+        view: PlacementView,
+        alive: AliveNodes,
+        group_counts: collections.Counter[str],
+    ) -> None:
+        current = view.groups.get(service)
+        if current is not None and self._needs_no_change(current, alive):
+            self.lost_since.pop(service, None)
+            return
+        if not self._can_place(service, current, view):
+            return
+        group = self._choose_group(service, view, alive, group_counts)
+        if self._is_change_due(service, group):
+            epoch = current.epoch if current else 0
+            await self.propose(ChangeClaimGroup(group, epoch))
+            group_counts.update(parse_node_name(member) for member in group.members)
 
     def _needs_no_change(self, group: ClaimGroup, alive: AliveNodes) -> bool:
         is_staying = not any(member in self.leaving for member in group.members)
--- a/packages/bendwind-node/src/bendwind_node/claims/tests/test_placer.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/tests/test_placer.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from bendwind_core.claims import ClaimCopied, ClaimGroup, ClaimLeave, format_member
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, Service
 from bendwind_node.claims.placer import ClaimPlacer, PlacementView
 
@@ -16,21 +17,24 @@
     def run_with(self, check):
         async def main():
             self.groups = {}
+            self.services = (Service("emisor", ("*",)),)
+            self.recorder = Recorder("v", lambda: 0, 100)
             self.alive = NODES
             self.leader_for = 0.0
             self.newest_incarnations = {}
-            placer = ClaimPlacer(self.make_view, self.propose, random.Random(1), LEASE)
+            placer = ClaimPlacer(
+                self.make_view, self.propose, random.Random(1), LEASE, self.recorder
+            )
             await check(placer)
 
         trio.run(main, clock=trio.testing.MockClock(rate=0.0, autojump_threshold=0.0))
 
     def make_view(self):
-        services = (Service("emisor", ("*",)),)
         self.newest_incarnations |= {node.name: node.incarnation for node in self.alive}
         is_return_period_over = self.leader_for >= 3 * LEASE
         return PlacementView(
             self.leader_for,
-            services,
+            self.services,
             self.groups,
             self.alive,
             {},
@@ -56,6 +60,32 @@
 
         self.run_with(check)
 
+    def test_group_whose_members_name_no_run_is_replaced(self):
+        async def check(placer):
+            self.groups["emisor"] = ClaimGroup("emisor", 7, ("n0#x", f"n1#{'9' * 5000}"))
+            await self.place(placer, times=80, leader_for=2 * LEASE)
+            self.assertTrue(self.groups["emisor"].lost)
+            self.assertEqual(self.recorder.events, [])
+
+        self.run_with(check)
+
+    def test_service_whose_change_fails_keeps_no_other_from_its_group(self):
+        async def check(placer):
+            self.services = tuple(Service(name, ("*",)) for name in ("broken", "emisor"))
+            accept = placer.propose
+
+            async def propose(command):
+                if command.group.service == "broken":
+                    raise RuntimeError("broken")
+                await accept(command)
+
+            placer.propose = propose
+            self.assertEqual(len((await self.place(placer)).members), 3)
+            kinds = [event.kind for event in self.recorder.events]
+            self.assertEqual(kinds, [EventKind.TASK_FAILED])
+
+        self.run_with(check)
+
     def test_replacement_is_a_member_only_after_its_copy(self):
         async def check(placer):
             group = await self.place(placer)
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -26,6 +26,7 @@
     open_voter,
     run_voter,
 )
+from bendwind_node.guarded_tasks import GuardedNursery
 from bendwind_node.operators import (
     ControlError,
     NoQuorum,
@@ -204,9 +205,10 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(run_voter, self.voter)
             await nursery.start(self.registry.run)
-            nursery.start_soon(self.placer.run)
             nursery.start_soon(self.quotas.run)
-            nursery.start_soon(self.runs.run)
+            guarded = GuardedNursery(nursery, self.voter.recorder)
+            guarded.start_repeatedly(self.placer.run)
+            guarded.start_repeatedly(self.runs.run)
             task_status.started()
 
     def view_placement(self) -> PlacementView | None:
@@ -305,7 +307,7 @@
             recorder.record(EventKind.COMMAND_REFUSED, detail=str(outcome.error))
         return outcome
 
-    placer = ClaimPlacer(lambda: service.view_placement(), propose, rng, times.lease)
+    placer = ClaimPlacer(lambda: service.view_placement(), propose, rng, times.lease, recorder)
     quotas = create_voter_quota_task(
         own.name,
         incarnation,
--- a/packages/bendwind-node/src/bendwind_node/guarded_tasks.py
+++ b/packages/bendwind-node/src/bendwind_node/guarded_tasks.py
@@ -1,8 +1,14 @@
 """Start tasks whose fault ends neither the process nor its other tasks.
 
-What must end the process is started in its nursery directly: the control voter, whose state would
-differ from that of others, and the links, membership, claims, quotas and clocks, whose state may be
-half changed. Every process that starts again reads that state anew.
+What only reports to the log or proposes to it is started here too: until the log has accepted a
+command, nothing has been applied, and what is proposed next is found anew from state that the fault
+left whole. Such a task handles each of its items by itself, so that a faulty one keeps none back.
+
+What must end the process is started in its nursery directly: the control voter, which applies what
+the log has accepted, so that its state would differ from that of others, and the links, membership,
+claims held, quotas and clocks, whose state may be half changed. Every process that starts again
+reads that state anew, and meets the same fault again if it lies in what the state holds. What is
+applied is therefore checked before it is proposed, and applied without faults whatever it holds.
 """
 
 from collections.abc import Awaitable, Callable
