links: a message that no frame can hold ends neither the process nor its link

A message that cannot be encoded ended the process that was to send it: the link's writer raised in the nursery of all links. One longer than a frame was sent all the same, and the peer closed the link; its sender repeats it, so that the link was closed again for good, with all that waited on it.

Cause: the writer took each batch for encodable, and sent a single message whatever its length.

Evidence: the two new tests of links/tests/test_hub.py ended with `UnicodeEncodeError: 'utf-8' codec can't encode character '\ud800' in position 0: surrogates not allowed` in the nursery on the code before.

Why it works: a batch that no frame can hold is halved until the message is alone, which is dropped, counted (bendwind_messages_not_sent_total) and named once for each link and type (event 706); the others keep their order. The senders of such messages repeat them and bear their loss already when an inbox is full. Parts of an attempt are sent once, so that their link is closed, as after a full queue.

--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -43,6 +43,7 @@
         EventKind.DIAL_FAILED,
         EventKind.FRAME_REFUSED,
         EventKind.INBOX_FULL,
+        EventKind.MESSAGE_NOT_SENT,
         EventKind.SETTINGS_REFUSED,
         EventKind.OPERATOR_REFUSED,
         EventKind.KEYS_REFUSED,
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -24,6 +24,7 @@
 )
 from bendwind_core.timeline import EventKind, HybridTime, Recorder
 from bendwind_core.world import Instance
+from bendwind_node.links.framing import MAX_FRAME_BYTES, Unsendable, divide_messages
 from bendwind_node.links.link import MAX_QUEUED_MESSAGES, Link, Receiver
 from bendwind_node.security import Keys, read_identity
 from bendwind_node.streams import DirectListener, open_direct_stream
@@ -45,7 +46,6 @@
 BACKLOG_BYTES = 200_000
 DEFAULT_LINK_MBPS = 1000.0
 BYTES_PER_MEGABIT = 125_000
-MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_BATCH = 64
 MAX_UNSENT = 256
 
@@ -71,6 +71,7 @@
     `dialing` holds, for each peer that is being dialed, the messages to send once its link opens.
     `unreachable_peers` are the peers whose dial failed and with which no link has opened since.
     `find_version` returns this process's configuration version, which it states in its frames.
+    `unsendable_count` is the number of messages dropped because no frame can hold them.
     `reply_awaited` is set when a link begins to wait for a message or pong.
     Units: `link_mbps` is the rate of the instance's own network link, in megabits per second.
     """
@@ -93,6 +94,7 @@
     dialing: dict[str, list[PeerMessage]] = msgspec.field(default_factory=dict)
     unreachable_peers: set[str] = msgspec.field(default_factory=set)
     reply_awaited: trio.Event = msgspec.field(default_factory=trio.Event)
+    unsendable_count: int = 0
 
     def set_address(self, peer: str, host: str, port: int, data_centre: str = "") -> None:
         """Set the address at which a peer is dialed."""
@@ -255,16 +257,6 @@
         linked = [link.peer.incarnation for link in links if link is not None]
         return max([self.find_registered_incarnation(name), *linked])
 
-    def _encode_frames(self, messages: list[PeerMessage]) -> Iterator[bytes]:
-        """Yield frames that the peer takes; it closes a link at a longer one."""
-        encoded = self._encode(messages)
-        if len(encoded) <= MAX_FRAME_BYTES or len(messages) == 1:
-            yield encoded
-            return
-        half = len(messages) // 2
-        yield from self._encode_frames(messages[:half])
-        yield from self._encode_frames(messages[half:])
-
     def _encode(self, messages: list[PeerMessage]) -> bytes:
         stamp = self.recorder.timestamp()
         frame = Frame(stamp.physical_ms, stamp.logical, tuple(messages), self.find_version())
@@ -358,13 +350,27 @@
                 return
             batch = [first, *_pop_queued_messages(receive_channel)]
             try:
-                for frame in self._encode_frames(batch):
-                    await socket.send(frame)
+                for frame in divide_messages(batch, self._encode):
+                    if isinstance(frame, Unsendable):
+                        self._drop(link, frame)
+                    elif link.is_open:
+                        await socket.send(frame)
                 link.unwritten_count -= len(batch)
             except (ConnectionClosed, trio.BrokenResourceError, trio.ClosedResourceError):
                 link.close()
                 return
 
+    def _drop(self, link: Link, unsendable: Unsendable) -> None:
+        """Drop a message for good; an attempt that lacks it ends together with the link."""
+        self.unsendable_count += 1
+        kind = type(unsendable.message)
+        if kind not in link.unsendable_kinds:
+            link.unsendable_kinds.add(kind)
+            detail = f"to {link.peer.name}: {unsendable}"
+            self.recorder.record(EventKind.MESSAGE_NOT_SENT, detail=detail)
+        if unsendable.is_part_of_attempt:
+            link.close(f"cannot send {kind.__name__}")
+
     async def _next_message(
         self, link: Link, receive_channel: trio.MemoryReceiveChannel
     ) -> PeerMessage | None:
--- a/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
@@ -4,10 +4,12 @@
 import trio
 import trio.testing
 
+from bendwind_core.attempts import BodyPart
 from bendwind_core.messages import Goodbye, Hello
-from bendwind_core.timeline import Recorder
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance
 from bendwind_node.links import create_link_hub
+from bendwind_node.links.framing import MAX_FRAME_BYTES
 from bendwind_node.links.link import Link
 
 
@@ -121,6 +123,37 @@
 
         self.run_with(check)
 
+    def test_message_that_no_frame_can_hold_is_dropped_and_those_beside_it_arrive(self):
+        async def check(connect, server):
+            client = connect()
+            for unsendable in (Goodbye("\ud800"), Goodbye(MAX_FRAME_BYTES * "x")):
+                server.receiver.received.clear()
+                sent = [Goodbye(f"m{number}") for number in range(40)]
+                for message in (*sent[:20], unsendable, unsendable, *sent[20:]):
+                    self.assertTrue(client.send_dialed("b", message))
+                await wait_until(
+                    server.receiver,
+                    lambda: len(server.receiver.received) == 40 or server.receiver.closed,
+                )
+                self.assertEqual(server.receiver.received, sent)
+            self.assertEqual(len(server.receiver.opened), 1)
+            self.assertEqual(client.unsendable_count, 4)
+            kinds = [event.kind for event in client.recorder.events]
+            self.assertEqual(kinds.count(EventKind.MESSAGE_NOT_SENT), 1)
+
+        self.run_with(check)
+
+    def test_attempt_whose_message_no_frame_can_hold_ends_with_the_link(self):
+        async def check(connect, server):
+            client = connect()
+            for message in (Goodbye("m"), BodyPart("\ud800", 0, b"", True), Goodbye("n")):
+                client.send_dialed("b", message)
+            await wait_until(client.receiver, lambda: client.receiver.closed)
+            await wait_until(server.receiver, lambda: server.receiver.closed)
+            self.assertNotIn(Goodbye("n"), server.receiver.received)
+
+        self.run_with(check)
+
     def test_messages_sent_before_the_link_is_open_arrive_in_order(self):
         async def check(connect, server):
             client = connect()
--- a/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
+++ b/packages/bendwind-node/src/bendwind_node/metrics/catalogue.py
@@ -99,6 +99,9 @@
     EVACUATED = _gauge("evacuated", "0 or 1", "Whether this data centre is evacuated.")
     LOAD_PROBES = _count("load_probes", "messages", "Load probes asked and answered.", "direction")
     LINKS = _gauge("links", "links", "Open links to peers, by which end opened them.", "opened_by")
+    MESSAGES_NOT_SENT = _count(
+        "messages_not_sent", "messages", "Messages to peers that no frame can hold."
+    )
     DRAINING = _gauge("draining", "0 or 1", "Whether the process takes no new attempts.")
     CONFIGURATION_VERSION = _gauge(
         "configuration_version", "version", "Configuration in force on this node."
