operators: what no entry can hold is refused as invalid, and tested so

Operators got a 502, outcome unknown, for a configuration with a number over 64 bits, each time that they sent it, and a failed request for the drain mark of a name that is not Unicode. Cause: `encode_command` raised in the request. A route whose timeout is infinite or not a number counts as one without a timeout: nothing can be computed from it where its time left is sent on.

Evidence, on: `OverflowError: can't serialize ints < -2**63 or > 2**64 - 1`, `UnicodeEncodeError: 'utf-8' codec can't encode character '\udcff'`, and no fault found for the timeout.

--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -1,6 +1,7 @@
 """Find faults that make a complete configuration invalid."""
 
 import enum
+import math
 from collections.abc import Iterator
 
 import msgspec
@@ -90,7 +91,7 @@
     weights = [part.weight for part in route.parts]
     if min(weights, default=0) < 0 or sum(weights) <= 0:
         yield RevisionFault(RevisionFaultKind.NO_WEIGHT, route.name)
-    if not (route.rule.longest_wait_ms or 0) > 0:
+    if not 0 < (route.rule.longest_wait_ms or 0) < math.inf:
         yield RevisionFault(RevisionFaultKind.NO_TIMEOUT, route.name)
     if route.rule.attempts is not None and route.rule.attempts < 1:
         yield RevisionFault(RevisionFaultKind.NO_ATTEMPTS, route.name)
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_revision.py
@@ -111,6 +111,18 @@
         self.assertEqual(fault.kind, RevisionFaultKind.TOO_LARGE)
         self.assertIsNone(find_revision_fault(make_put(1, b"x" * (3 << 20))))
 
+    def test_number_that_no_entry_can_hold_is_refused_as_invalid(self):
+        for number in (2**64, -(2**70), 10**5000):
+            rule = Rule("*", longest_wait_ms=1.0, priority=number)
+            fault = find_revision_fault(make_put(1, routes=[make_route(rule=rule)]))
+            self.assertEqual(fault.kind, RevisionFaultKind.UNENCODABLE)
+
+    def test_timeout_that_never_ends_is_refused(self):
+        for timeout_ms in (math.inf, math.nan):
+            rule = Rule("*", longest_wait_ms=timeout_ms)
+            fault = find_revision_fault(make_put(1, routes=[make_route(rule=rule)]))
+            self.assertEqual(fault.kind, RevisionFaultKind.NO_TIMEOUT)
+
     def find_customer_fault(self, *customers):
         put = msgspec.structs.replace(make_put(1), customers=customers)
         return find_revision_fault(put)
--- a/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/tests/test_app.py
@@ -3,6 +3,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import trio
 
@@ -87,6 +88,16 @@
         )
         self.assertEqual(body["expected"], "expected `str`, got `int`")
 
+    def test_command_that_no_entry_can_hold_is_refused_for_good(self):
+        status, body = self.check("POST", "/v1/upstreams/\udcff/drain")
+        self.assertEqual((status, body["error"]), (400, "bad-request"))
+        self.assertEqual(self.app.recorder.events[-1].kind, EventKind.COMMAND_REFUSED)
+        with mock.patch("bendwind_core.plans.commands.MAX_COMMAND_BYTES", 100):
+            text = '[[services]]\nname = "emisor"\nupstreams = ["*"]'
+            status, body = self.check("POST", "/v1/plans", text)
+        self.assertEqual((status, body["error"]), (413, "too-large"))
+        self.assertEqual(self.client.log.entries, [])
+
     def test_error_of_an_invalid_choice_lists_the_valid_ones(self):
         text = '[[services]]\nname = "a"\nupstreams = ["*"]\npolicy = "fair"'
         _, body = self.check("POST", "/v1/plans", text)
