plans: a voter that cannot apply an entry names it

A voter that cannot decode an entry of its log has to stop, since its state would differ from that of others; so it does at each start.

EntryError names the entry, its size and the reason in a bounded form; what cannot be decoded changes nothing of the state before. Tests: entries cut, extended, of another release or nested deeply (before: ValidationError, DecodeError and RecursionError without the entry's index); commands with tens of thousands of items.

--- a/packages/bendwind-core/src/bendwind_core/plans/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/__init__.py
@@ -52,7 +52,7 @@
 )
 from bendwind_core.plans.revision import RevisionFault, RevisionFaultKind, find_revision_fault
 from bendwind_core.plans.revision_file import parse_revision
-from bendwind_core.plans.state import ControlState
+from bendwind_core.plans.state import ControlState, EntryError
 from bendwind_core.plans.warning import (
     Affected,
     PlanWarning,
@@ -78,6 +78,7 @@
     "DividedRecords",
     "DrainMarked",
     "DrainTarget",
+    "EntryError",
     "EvacuationStatus",
     "EvictedPlan",
     "Expired",
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -7,6 +7,7 @@
 from bendwind_core.core import Record
 from bendwind_core.plans.changes import apply_changes
 from bendwind_core.plans.commands import (
+    Command,
     ConfirmPlan,
     CreatePlan,
     DrainTarget,
@@ -43,6 +44,7 @@
 # that cannot be saved would end every voter, at each start anew. Entries are not refused for it,
 # since voters of other releases may accept them.
 _SMALLEST_NUMBER, _LARGEST_NUMBER = -(2**63), 2**64 - 1
+_MAX_REASON_CHARACTERS = 200
 MAX_DRAIN_MARKS = 4_096
 # Several times the number of data centres of the largest planned deployment, which has seven.
 MAX_EVACUATED_DATA_CENTRES = 64
@@ -67,6 +69,14 @@
 _DECODER = msgspec.msgpack.Decoder(_Snapshot)
 
 
+class EntryError(Exception):
+    """Report the entry that a voter cannot apply, so that it has to stop."""
+
+    def __init__(self, index: int, size: int, error: Exception):
+        reason = ascii(str(error)[:_MAX_REASON_CHARACTERS])
+        super().__init__(f"entry {index} of {size} bytes: {type(error).__name__}: {reason}")
+
+
 def _find_expiry_ms(command: CreatePlan) -> int:
     return max(_SMALLEST_NUMBER, min(_LARGEST_NUMBER, command.now_ms + command.ttl_ms))
 
@@ -91,16 +101,20 @@
     def apply(self, index: int, command: bytes) -> CommandResult | None:
         """Apply the log entry at an index; an empty command only advances the index.
 
-        Errors: raises on an index out of order and on a command that cannot be decoded.
+        Errors: raises EntryError on an entry that cannot be applied, which changes nothing if it
+        cannot be decoded; raises ValueError on an index out of order.
         """
         if index <= self.applied:
             raise ValueError(f"entry {index} applied after entry {self.applied}")
-        result = self._apply_command(index, command) if command else None
+        try:
+            result = self._apply_command(index, decode_command(command)) if command else None
+        except Exception as error:
+            raise EntryError(index, len(command), error) from error
         self.applied = index
         return result
 
-    def _apply_command(self, index: int, command: bytes) -> CommandResult:
-        match decode_command(command):
+    def _apply_command(self, index: int, command: Command) -> CommandResult:
+        match command:
             case CreatePlan() as create:
                 return self._create_plan(index, create)
             case ConfirmPlan() as confirm:
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/test_fuzz_extremes.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/test_fuzz_extremes.py
@@ -3,6 +3,7 @@
 import typing
 import unittest
 
+import msgspec
 from hypothesis import example, given
 from hypothesis import strategies as st
 from msgspec.structs import replace
@@ -15,6 +16,7 @@
     ConfirmPlan,
     ControlState,
     CreatePlan,
+    EntryError,
     PutRevision,
     RecordRuns,
     decode_command,
@@ -22,7 +24,7 @@
 )
 from bendwind_core.plans.tests.extremes import LARGEST, SMALLEST, draw_commands
 from bendwind_core.runs import RunRecord
-from bendwind_core.world import Routing
+from bendwind_core.world import Customer, Routing, Service
 
 
 def fit(command, state, is_fitting):
@@ -85,6 +87,39 @@
             with self.subTest(kind=kind.__name__):
                 check()
 
+    def test_entry_that_cannot_be_decoded_is_named_and_changes_nothing(self):
+        state = ControlState()
+        state.apply(1, encode_command(PutRevision((), Routing(1), b"text")).ok)
+        held = state.snapshot()
+        whole = encode_command(ConfirmPlan(1, 2)).ok
+        unknown = msgspec.msgpack.encode(["another-command", 1])
+        wrong = msgspec.msgpack.encode(["confirm-plan", "x" * 5_000, None])
+        for entry in (whole[:-1], whole + b"\0", unknown, wrong, b"\xc1", b"\x91" * 100_000):
+            with self.assertRaises(EntryError) as raised:
+                state.apply(2, entry)
+            text = str(raised.exception)
+            self.assertTrue(text.startswith(f"entry 2 of {len(entry)} bytes: "), text)
+            self.assertLess(len(text), 400)
+            self.assertEqual(state.snapshot(), held)
+
+    def test_commands_with_very_many_items_are_applied_saved_and_restored(self):
+        services = tuple(Service(f"s{number}", ("*",)) for number in range(10_000))
+        customers = tuple(Customer(f"c{number}") for number in range(20_000))
+        records = tuple(RunRecord(f"i{number % 50}", f"u{number}") for number in range(20_000))
+        members = tuple(f"n{number}#1" for number in range(20_000))
+        changes = Changes(services, tuple(service.name for service in services[:5_000]))
+        self.check(
+            [
+                (PutRevision(services, Routing(1), b"", customers), True),
+                (CreatePlan("r", b"", 0, changes, 1, 1_000), True),
+                (ConfirmPlan(2, 2), True),
+                (RecordRuns(1, records), True),
+                (RecordRuns(LARGEST, records[::-1]), True),
+                (ChangeClaimGroup(ClaimGroup("s", 1, members), 0), True),
+                (PutRevision((), Routing(1), b"", (*customers[:9], *customers[:9])), True),
+            ]
+        )
+
     def test_revision_that_nothing_can_follow_leaves_all_other_commands_working(self):
         last = PutRevision((), Routing(LARGEST), b"")
         self.check([(last, False), (last, False), (CreatePlan("r", b"", 0, Changes(), 0, 1), True)])
