quotas: a demand of any size ends no voter

A node's demand for tokens is a message, whose numbers have any size. One beyond the range of a float ended the voter that it was sent to, and then the next, since the node asks another voter when none answers; one below 0 turned back the numbers by which reserved tokens are told apart. No node of ours sends such a demand; found by drawing the messages of voters and nodes with extreme numbers.

Evidence: test_demand_of_any_size_is_answered_and_gets_what_there_is ended with `OverflowError: int too large to convert to float` on the code before.

--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_voter.py
@@ -1,5 +1,6 @@
 """Test what one voter grants, takes back and evicts."""
 
+import itertools
 import unittest
 
 from bendwind_core.quotas import (
@@ -51,6 +52,17 @@
         self.assertEqual(waits, sorted(waits))
         self.assertGreater(waits[-1], waits[0] + 200)
 
+    def test_demand_of_any_size_is_answered_and_gets_what_there_is(self):
+        numbers = (-(10**400), -(2**64), -1, 0, 2**64, 10**400)
+        for waiting, prefetch, reserve in itertools.product(numbers, repeat=3):
+            quotas = create_voter(rate=1e300)
+            set_limit(quotas, 1e300, 11.0, 0.0)
+            demand = QuotaDemand("maria", waiting, prefetch, reserve, (waiting, reserve))
+            handle_quota_request(quotas, "n", QuotaRequest(1, (demand,)), 0.0)
+            tick_voter(quotas, 0.1)
+            self.assertEqual(grant(quotas, 1, 0.2, number=2).tokens, 1)
+            self.assertGreaterEqual(quotas.next_number, 1)
+
     def test_without_a_recent_confirmation_nothing_is_answered(self):
         quotas = create_voter()
         self.assertEqual(request_tokens(quotas, 1, CONFIRMED_FOR), [])
--- a/packages/bendwind-core/src/bendwind_core/quotas/voter.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/voter.py
@@ -25,7 +25,11 @@
     QuotaReturn,
     QuotaUnused,
 )
-from bendwind_core.quotas.reserve import assign_reservations, remove_free_reservations
+from bendwind_core.quotas.reserve import (
+    MAX_RESERVE_TOKENS,
+    assign_reservations,
+    remove_free_reservations,
+)
 from bendwind_core.quotas.voter_state import (
     MAX_WAITING_DEMANDS,
     RETURN_PERIOD,
@@ -60,6 +64,8 @@
 # Full buckets and old withdrawals are removed at this interval. Nothing waits for the removal; a
 # delay only costs memory.
 _EVICTION_INTERVAL: Seconds = 0.5
+# In tokens. No node has as many requests waiting, and messages hold numbers of any size.
+_MAX_DEMANDED = 1_000_000
 
 
 class QuotaSend(msgspec.Struct, frozen=True):
@@ -82,7 +88,7 @@
         quotas.totals.unconfirmed += 1
         return effects
     grants = []
-    for demand in request.demands:
+    for demand in map(_bound_demand, request.demands):
         grant = _answer_demand(quotas, node, request.number, demand, now, effects)
         if grant is not None:
             grants.append(grant)
@@ -91,6 +97,15 @@
     return effects
 
 
+def _bound_demand(demand: QuotaDemand) -> QuotaDemand:
+    return replace(
+        demand,
+        waiting=max(0, min(demand.waiting, _MAX_DEMANDED)),
+        prefetch=max(0, min(demand.prefetch, _MAX_DEMANDED)),
+        reserve=max(0, min(demand.reserve, MAX_RESERVE_TOKENS)),
+    )
+
+
 def _answer_demand(
     quotas: VoterQuotas,
     node: str,
