--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -1,11 +1,13 @@
 """Find faults that make a complete configuration invalid."""
 
 import enum
+import math
 from collections.abc import Iterator
 
 import msgspec
+from expression import Result
 
-from bendwind_core.plans.commands import MAX_COMMAND_BYTES, PutRevision, encode_command
+from bendwind_core.plans.commands import CommandFault, PutRevision, encode_command
 from bendwind_core.plans.customer_faults import (
     CustomerFault,
     CustomerFaultKind,
@@ -32,6 +34,7 @@
     NO_TIMEOUT = "no-timeout"
     NO_ATTEMPTS = "no-attempts"
     TOO_LARGE = "too-large"
+    UNENCODABLE = "unencodable"
 
 
 class RevisionFault(msgspec.Struct, frozen=True):
@@ -66,9 +69,11 @@
         if place in places:
             yield RevisionFault(RevisionFaultKind.DUPLICATE_PLACE, route.name)
         places.add(place)
-    size = len(encode_command(command))
-    if size > MAX_COMMAND_BYTES:
-        yield RevisionFault(RevisionFaultKind.TOO_LARGE, f"{size} bytes of {MAX_COMMAND_BYTES}")
+    match encode_command(command):
+        case Result(error=CommandFault(reason=reason, is_too_large=True)):
+            yield RevisionFault(RevisionFaultKind.TOO_LARGE, reason)
+        case Result(error=CommandFault(reason=reason)):
+            yield RevisionFault(RevisionFaultKind.UNENCODABLE, reason)
     match find_customer_fault(command.customers):
         case CustomerFault(kind=kind, name=name):
             yield RevisionFault(kind, name)
@@ -86,7 +91,7 @@
     weights = [part.weight for part in route.parts]
     if min(weights, default=0) < 0 or sum(weights) <= 0:
         yield RevisionFault(RevisionFaultKind.NO_WEIGHT, route.name)
-    if not (route.rule.longest_wait_ms or 0) > 0:
+    if not 0 < (route.rule.longest_wait_ms or 0) < math.inf:
         yield RevisionFault(RevisionFaultKind.NO_TIMEOUT, route.name)
     if route.rule.attempts is not None and route.rule.attempts < 1:
         yield RevisionFault(RevisionFaultKind.NO_ATTEMPTS, route.name)
