core: state the ranges of numbers in one place

Ranges of what is taken from outside, stored or sent stood in three modules or nowhere. Types that carry them let a decoder refuse what the rest cannot hold.

--- a/packages/bendwind-core/src/bendwind_core/core/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/core/__init__.py
@@ -1,14 +1,58 @@
 """Define the types that every other subpackage depends on."""
 
+from bendwind_core.core.ranges import (
+    MAX_AMOUNT,
+    MAX_BORN_MS,
+    MAX_INT64,
+    MAX_PORT,
+    MAX_SEQUENCE,
+    MAX_SLOTS,
+    MAX_WARM_UP_MS,
+    MIN_INT64,
+    Amount,
+    BornMs,
+    Count,
+    Int64,
+    LiftableLimit,
+    Port,
+    PositiveAmount,
+    PositiveCount,
+    SequenceNumber,
+    SignedAmount,
+    Slots,
+    Unsigned64,
+    WarmUpMs,
+)
 from bendwind_core.core.record import Record
 from bendwind_core.core.toml_error import TomlError, decode_toml
 from bendwind_core.core.units import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 
 __all__ = [
+    "MAX_AMOUNT",
+    "MAX_BORN_MS",
+    "MAX_INT64",
+    "MAX_PORT",
+    "MAX_SEQUENCE",
+    "MAX_SLOTS",
+    "MAX_WARM_UP_MS",
     "MILLISECONDS_PER_SECOND",
+    "MIN_INT64",
+    "Amount",
+    "BornMs",
+    "Count",
+    "Int64",
+    "LiftableLimit",
     "Milliseconds",
+    "Port",
+    "PositiveAmount",
+    "PositiveCount",
     "Record",
     "Seconds",
+    "SequenceNumber",
+    "SignedAmount",
+    "Slots",
     "TomlError",
+    "Unsigned64",
+    "WarmUpMs",
     "decode_toml",
 ]
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/core/ranges.py
@@ -0,0 +1,47 @@
+"""State the ranges of all numbers that come from outside a process, or are stored or sent.
+
+A type carries its range, so that a decoder refuses a number that the rest cannot hold: the control
+log holds integers of 64 bits, and neither a deadline nor a rate may be infinite or NaN.
+"""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+MIN_INT64 = -(2**63)
+MAX_INT64 = 2**63 - 1
+# In milliseconds 31,000 years. Doubles of this size still tell whole numbers apart, and sums and
+# products of a few of them stay finite.
+MAX_AMOUNT = 1e15
+# Far above the slots of any deployment; a larger value comes from a faulty sender.
+MAX_SLOTS = 1_000_000
+MAX_PORT = 65_535
+# One week; no upstream takes this long to warm up.
+MAX_WARM_UP_MS = 604_800_000
+# In the year 2286; no run of an upstream has started later.
+MAX_BORN_MS = 9_999_999_999_999
+
+Int64 = Annotated[int, Meta(ge=MIN_INT64, le=MAX_INT64)]
+# A count, size, number, version or position, or a rank of which 0 is the most urgent.
+Count = Annotated[int, Meta(ge=0, le=MAX_INT64)]
+# A number that starts at 1.
+PositiveCount = Annotated[int, Meta(ge=1, le=MAX_INT64)]
+# 64 bits without a sign, as digests and random ids have. msgspec states no bound above 63 bits;
+# frames and files hold no integer above 64 bits.
+Unsigned64 = Annotated[int, Meta(ge=0)]
+# The order of an upstream's announcements, 0 for none; MAX_SEQUENCE is one above 63 bits.
+SequenceNumber = Annotated[int, Meta(ge=MIN_INT64)]
+MAX_SEQUENCE = MAX_INT64 + 1
+
+Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
+Slots = Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
+BornMs = Annotated[int, Meta(ge=0, le=MAX_BORN_MS)]
+WarmUpMs = Annotated[float, Meta(ge=0, le=MAX_WARM_UP_MS)]
+
+# A finite quantity, rate or time that cannot be negative.
+Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
+PositiveAmount = Annotated[float, Meta(gt=0, le=MAX_AMOUNT)]
+# A finite difference, such as the time left until a deadline that may have passed.
+SignedAmount = Annotated[float, Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+# A limit that is infinite once it has been lifted.
+LiftableLimit = Annotated[float, Meta(ge=0)]
