heartbeats: refuse sequence numbers that no log entry can hold

Cause: seq had no upper bound, nor had the sequence of a node's own announcements. What is recorded of a run goes into the control log as msgpack, which holds integers up to 2^64-1; the sequence is seq + 1.

Evidence: the last lines of the processes that ended are those of encode_command, OverflowError: can't serialize ints < -2**63 or > 2**64 - 1.

Fix: seq is taken up to 2^63-1 and the sequence of an announcement up to 2^63; a larger one gets 400 at once, before anything was noted. Every value that a signed 64-bit counter has is still taken. Both structs take their ranges from bendwind_core.core.ranges.

test_sequence_numbers_that_no_log_entry_can_hold_are_refused failed before: "AssertionError: False is not true :".

--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -9,19 +9,20 @@
 
 from bendwind_core.admission import WarmUpState
 from bendwind_core.attempts import AttemptId, owner
-from bendwind_core.core import Milliseconds, Seconds
+from bendwind_core.core import (
+    MAX_PORT,
+    MAX_SEQUENCE,
+    BornMs,
+    Seconds,
+    SequenceNumber,
+    Slots,
+    WarmUpMs,
+)
 from bendwind_core.suspicion import SuspectTable
 from bendwind_core.world import Instance, Upstream, UpstreamState
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
 QUEUE_LIMIT = 16
-# Far above the slots of any deployment; a larger value comes from a faulty sender.
-MAX_SLOTS = 1_000_000
-MAX_PORT = 65_535
-# One week; no upstream takes this long to warm up.
-MAX_WARM_UP_MS = 604_800_000
-# In the year 2286; no run of an upstream has started later.
-MAX_BORN_MS = 9_999_999_999_999
 
 # A name is sent in a header of every request to the upstream.
 UpstreamName = Annotated[str, Meta(pattern=r"\A[!-~]{1,128}\Z")]
@@ -82,12 +83,17 @@
     service: Annotated[str, Meta(min_length=1)]
     host: UpstreamHost
     port: Annotated[int, Meta(ge=1, le=MAX_PORT)]
-    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
-    connections: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
+    slots: Slots
+    connections: Slots
     state: UpstreamState
-    sequence: Annotated[int, Meta(ge=0)] = 0
-    warm_up_left_ms: Annotated[Milliseconds, Meta(ge=0, le=MAX_WARM_UP_MS)] = 0.0
-    born_ms: Annotated[int, Meta(ge=0, le=MAX_BORN_MS)] = 0
+    sequence: SequenceNumber = 0
+    warm_up_left_ms: WarmUpMs = 0.0
+    born_ms: BornMs = 0
+
+    def __post_init__(self):
+        # A decoder reports this as it reports a field out of range.
+        if not 0 <= self.sequence <= MAX_SEQUENCE:
+            raise ValueError(f"Expected `sequence` from 0 to {MAX_SEQUENCE}")
 
 
 def create_owned_upstream(
