core: a text that makes a decoder raise is refused like any other

Callers saw: a configuration of JSON nested 100,000 deep got 502 each time (outcome unknown), so the operator sent it again without end; a heartbeat nested 4,000 deep likewise ended in the server's handler of failures.

Cause: each edge caught msgspec.DecodeError only. The JSON and TOML decoders also raise RecursionError, and TOML's a ValueError for integers of over 4,300 digits, in the settings file of a reload and in the operators' intents too.

The sender gets 400.

--- a/packages/bendwind-core/src/bendwind_core/core/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/core/__init__.py
@@ -1,5 +1,6 @@
 """Define the types that every other subpackage depends on."""
 
+from bendwind_core.core.decoding import DECODE_ERRORS, decode_cbor, decode_json
 from bendwind_core.core.ranges import (
     MAX_AMOUNT,
     MAX_BORN_MS,
@@ -28,6 +29,7 @@
 from bendwind_core.core.units import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 
 __all__ = [
+    "DECODE_ERRORS",
     "MAX_AMOUNT",
     "MAX_BORN_MS",
     "MAX_INT64",
@@ -54,5 +56,7 @@
     "TomlError",
     "Unsigned64",
     "WarmUpMs",
+    "decode_cbor",
+    "decode_json",
     "decode_toml",
 ]
--- a/packages/bendwind-core/src/bendwind_core/core/toml_error.py
+++ b/packages/bendwind-core/src/bendwind_core/core/toml_error.py
@@ -6,6 +6,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from bendwind_core.core.decoding import DECODE_ERRORS
+
 _Checked = TypeVar("_Checked")
 
 # msgspec ends its messages with the location of the error, such as " - at `$.peers.port`".
@@ -39,7 +41,7 @@
         return Ok(msgspec.toml.decode(data, type=kind))
     except msgspec.ValidationError as error:
         return Error(_describe_error(file, str(error), kind))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Error(TomlError(file, "", f"expected TOML: {error}"))
 
 
--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bendwind_core.core import Milliseconds
+from bendwind_core.core import Milliseconds, decode_json
 from bendwind_core.world import UpstreamState
 from bendwind_node.calls.owned_upstream import Announcement, AnnouncementRefusal
 from bendwind_node.calls.upstream_register import UpstreamRegister
@@ -13,7 +13,6 @@
 MAX_BODY_BYTES = 16 * 1024
 _PREFIX = "/v1/upstreams"
 _JSON = [(b"content-type", b"application/json")]
-_DECODER = msgspec.json.Decoder(Announcement)
 
 
 class LeaseReply(msgspec.Struct, frozen=True):
@@ -73,10 +72,10 @@
     async def _announce(self, body: bytes | None) -> tuple[int, LeaseReply | ErrorReply]:
         if body is None:
             return 413, ErrorReply(f"at most {MAX_BODY_BYTES} bytes")
-        try:
-            announcement = _DECODER.decode(body)
-        except (msgspec.ValidationError, msgspec.DecodeError) as error:
-            return 400, ErrorReply(str(error))
+        decoded = decode_json(body, Announcement)
+        if decoded.is_error():
+            return 400, ErrorReply(decoded.error)
+        announcement = decoded.ok
         if announcement.state is UpstreamState.GONE:
             return 400, ErrorReply("leave by DELETE")
         match self.register.handle_announcement(announcement):
