messages: take no CBOR tags from a peer, and bound the depth

Callers saw: nothing yet; found by reading, with the heartbeat of 2^64 in mind.

Cause: frames of links were read with every tag that cbor2 knows. With bignums an integer has any size, so a field of a peer's message could hold what neither the control log nor a digest of a record can; with shared references an item contains itself; a text frame of a peer made the decoder raise a TypeError, which nothing at the link caught.

Fix: decode_cbor refuses tags, which no message of ours has, texts, and more than 64 levels. Integers are thereby bounded to 64 bits for all fields at once; ranges of single fields follow with the types of the records.

--- a/packages/bendwind-core/src/bendwind_core/messages/codec.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/codec.py
@@ -19,7 +19,7 @@
 )
 from bendwind_core.claims import ClaimMessage
 from bendwind_core.consensus import ConsensusMessage
-from bendwind_core.core import Record
+from bendwind_core.core import DECODE_ERRORS, Record, decode_cbor
 from bendwind_core.membership import (
     Announce,
     ConfigurationAnswer,
@@ -131,11 +131,13 @@
 
     Errors: a description of what is wrong with the data.
     """
+    decoded = decode_cbor(data)
+    if decoded.is_error():
+        return Error(f"undecodable message: {decoded.error}")
+    message_type = _find_message_type(decoded.ok)
+    if message_type is None:
+        return Error("undecodable message: not an array that begins with a known tag")
     try:
-        value = cbor2.loads(data)
-        message_type = _find_message_type(value)
-        if message_type is None:
-            return Error("undecodable message: not an array that begins with a known tag")
-        return Ok(msgspec.convert(value, message_type))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+        return Ok(msgspec.convert(decoded.ok, message_type))
+    except DECODE_ERRORS as error:
         return Error(f"undecodable message: {error}")
--- a/packages/bendwind-core/src/bendwind_core/messages/frame.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/frame.py
@@ -4,7 +4,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from bendwind_core.core import Record
+from bendwind_core.core import DECODE_ERRORS, Record, decode_cbor
 from bendwind_core.messages.codec import PeerMessage
 
 
@@ -26,12 +26,15 @@
     return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=(bytes,)))
 
 
-def decode_frame(data: bytes) -> Result[Frame, str]:
+def decode_frame(data: bytes | str) -> Result[Frame, str]:
     """Decode a frame and check every field.
 
     Errors: a description of what is wrong with the data.
     """
+    decoded = decode_cbor(data)
+    if decoded.is_error():
+        return Error(f"undecodable frame: {decoded.error}")
     try:
-        return Ok(msgspec.convert(cbor2.loads(data), Frame))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+        return Ok(msgspec.convert(decoded.ok, Frame))
+    except DECODE_ERRORS as error:
         return Error(f"undecodable frame: {error}")
