documents: refuse numbers without a meaning, take large limits

Callers saw: an operator's configuration with a priority, attempts, weight or max_body_bytes over 64 bits got 502 (outcome unknown) each time it was sent.

Cause: the fields were plain int and float. What fits into no log entry raised OverflowError in encode_command.

Fix: the fields have the ranges of bendwind_core.core.ranges. Refused with 400: a negative number, a priority or weight above 2^63-1 (only their order or proportion matters), limits below the smallest request, a time limit for a head of less than a millisecond. Limits and times of any size are taken and lowered to what a message holds.

Failed before: test_numbers_without_a_meaning_are_refused, "False is not true : ('priority', -5)"; test_limits_far_beyond_any_use_are_taken, "OverflowError: can't serialize ints"; test_every_version_that_fits_into_a_message_is_taken, "'Result' object has no attribute 'ok'".

--- a/packages/bendwind-core/src/bendwind_core/core/ranges.py
+++ b/packages/bendwind-core/src/bendwind_core/core/ranges.py
@@ -13,6 +13,8 @@
 # In milliseconds 31,000 years. Doubles of this size still tell whole numbers apart, and sums and
 # products of a few of them stay finite.
 MAX_AMOUNT = 1e15
+# One in 30 years. Quotients by it stay finite, also by a small part of it.
+MIN_RATE_PER_S = 1e-9
 # Far above the slots of any deployment; a larger value comes from a faulty sender.
 MAX_SLOTS = 1_000_000
 MAX_PORT = 65_535
@@ -22,10 +24,11 @@
 MAX_BORN_MS = 9_999_999_999_999
 
 Int64 = Annotated[int, Meta(ge=MIN_INT64, le=MAX_INT64)]
+# A limit of any size, which is lowered to MAX_INT64 where it is taken over.
+AnyCount = Annotated[int, Meta(ge=0)]
+AtLeastOne = Annotated[int, Meta(ge=1)]
 # A count, size, number, version or position, or a rank of which 0 is the most urgent.
 Count = Annotated[int, Meta(ge=0, le=MAX_INT64)]
-# A number that starts at 1.
-PositiveCount = Annotated[int, Meta(ge=1, le=MAX_INT64)]
 # 64 bits without a sign, as digests and random ids have. msgspec states no bound above 63 bits;
 # frames and files hold no integer above 64 bits.
 Unsigned64 = Annotated[int, Meta(ge=0)]
@@ -40,8 +43,10 @@
 
 # A finite quantity, rate or time that cannot be negative.
 Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
-PositiveAmount = Annotated[float, Meta(gt=0, le=MAX_AMOUNT)]
+# A quantity, rate or time of any size, which is lowered to MAX_AMOUNT where it is used.
+AnyAmount = Annotated[float, Meta(ge=0)]
+PositiveAmount = Annotated[float, Meta(gt=0)]
+# A limit on the time that a sender takes; no sender keeps to less than a millisecond.
+TimeLimitMs = Annotated[float, Meta(ge=1)]
 # A finite difference, such as the time left until a deadline that may have passed.
 SignedAmount = Annotated[float, Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
-# A limit that is infinite once it has been lifted.
-LiftableLimit = Annotated[float, Meta(ge=0)]
