quotas: count the tokens of any quota in finite numbers

Callers saw: nothing yet; found by asking what an acknowledged rate of 1e308 does in force.

Cause: a voter's share multiplies the rate by the window and the burst by the overage. Such an entry stands in the log and meets each voter again.

Fix: a share takes the rate between 1e-9 and 1e15 a second and a burst of at most 1e15, where it is computed, so that quotas that an earlier release has acknowledged are covered too.

test_tokens_and_waits_of_the_largest_and_smallest_quotas_are_finite failed before with "OverflowError: cannot convert float infinity to integer" and "ZeroDivisionError: float division by zero".

--- a/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from bendwind_core.core import Seconds
+from bendwind_core.core import MAX_AMOUNT, MIN_RATE_PER_S, Seconds
 from bendwind_core.membership.settings import CLOCK_RATE_BOUND
 from bendwind_core.world import Customer
 
@@ -73,11 +73,16 @@
 
 
 def create_share(customer: Customer, bounds: QuotaBounds, voters: int) -> Share:
-    """Return one voter's share of a customer's quota, which is split among `voters` voters."""
-    max_reserve = customer.rate_per_s * bounds.window * bounds.overage / 2
-    total_cap = customer.burst * (1 + bounds.overage) + bounds.slack
+    """Return one voter's share of a customer's quota, which is split among `voters` voters.
+
+    Tokens are counted in whole numbers and waits are quotients by the rate, so both have to stay
+    finite, whatever the quota is.
+    """
+    rate_per_s = min(max(customer.rate_per_s, MIN_RATE_PER_S), MAX_AMOUNT)
+    max_reserve = rate_per_s * bounds.window * bounds.overage / 2
+    total_cap = min(customer.burst, MAX_AMOUNT) * (1 + bounds.overage) + bounds.slack
     shortfall = min(max_reserve, max(0.0, voters - total_cap))
-    rate = customer.rate_per_s / voters * (1 - CLOCK_RATE_BOUND)
+    rate = rate_per_s / voters * (1 - CLOCK_RATE_BOUND)
     return Share(rate, (total_cap + shortfall) / voters, (max_reserve - shortfall) / voters)
 
 
--- a/packages/bendwind-core/src/bendwind_core/quotas/tests/test_bucket.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/tests/test_bucket.py
@@ -1,5 +1,6 @@
 """Test the bucket of one customer at one voter."""
 
+import math
 import unittest
 
 from bendwind_core.quotas.bounds import QuotaBounds, Share, create_share, find_max_requests
@@ -12,6 +13,8 @@
     set_share,
     withdraw,
 )
+from bendwind_core.quotas.voter_state import VoterAccount
+from bendwind_core.quotas.withdrawals import count_whole
 from bendwind_core.world import Customer
 
 SHARE = Share(rate=10.0, cap=20.0, reserve=0.0)
@@ -120,6 +123,20 @@
         customer = Customer("a", rate_per_s=0.5, burst=0.5)
         self.assertGreaterEqual(create_share(customer, QuotaBounds(10.0, 0.1, 10.0), 5).cap, 1.0)
 
+    def test_tokens_and_waits_of_the_largest_and_smallest_quotas_are_finite(self):
+        for rate in (5e-324, 1e-300, 1.0, 1e308, 1.7e308):
+            for burst in (0.0, 5e-324, 1e308, 1.7e308):
+                with self.subTest(rate=rate, burst=burst):
+                    self._count(Customer("a", rate_per_s=rate, burst=burst))
+
+    def _count(self, customer: Customer) -> None:
+        share = create_share(customer, QuotaBounds(), 5)
+        account = VoterAccount(Bucket(share, 0.0, 0.0, 1), last_demand_at=0.0)
+        self.assertGreaterEqual(count_whole(account, 1e6), 0)
+        self.assertGreaterEqual(int(share.reserve), 0)
+        withdraw(account.bucket, share.cap, 1, 1e6)
+        self.assertTrue(math.isfinite(find_wait(account.bucket, 1.0, 1e6)))
+
 
 if __name__ == "__main__":
     unittest.main()
