dialect: read no number from an upstream that nothing can hold

Callers saw: nothing yet; found by asking which texts int() and float() take.

Cause: the fields of a load header were read with int() whatever their length. Over 4,300 digits that raises ValueError in the health check; the slots of a register that takes over a serving upstream came from there without a range, so that 2^64 slots went to the voters, whose digest of a member (msgpack) raises OverflowError. A warm-up of 400 digits was infinite: cold for good.

Fix: a number of more than 18 digits, or slots above MAX_SLOTS, count as absent, like any other malformed value; a warm-up is at most MAX_WARM_UP_MS.

test_numbers_of_upstreams_that_are_out_of_range_are_as_if_absent failed before: the value of 19 digits was taken (with 5,000 digits: ValueError, "Exceeds the limit (4300 digits) for integer string conversion").

--- a/packages/bendwind-node/src/bendwind_node/calls/dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dialect.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from bendwind_core.attempts import Header, NotRunReason
+from bendwind_core.core import MAX_SLOTS, MAX_WARM_UP_MS
 
 _SERVICE_UNAVAILABLE = 503
 # RFC 9110, section 15.5.20: the request was directed at another server than the intended one.
@@ -12,6 +13,8 @@
 _SLOTS_FIELD = 2
 _SLOW_FACTOR_FIELD = 3
 _PERCENT = 100
+# Any number of so many digits fits into the integers of a message.
+_MAX_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +104,12 @@
     return NotRunReason.SHED if is_shed else None
 
 
+def _read_whole(text: bytes) -> int | None:
+    """Return a whole number from 0, None if the text is no such number or has too many digits."""
+    digits = text.strip()
+    return int(digits) if digits.isdigit() and len(digits) <= _MAX_DIGITS else None
+
+
 def read_slow_factor(load: bytes | None) -> float | None:
     """Return the slow factor in a load header (duration of work / usual duration), or None.
 
@@ -117,8 +126,8 @@
     >>> read_warm_up_ms(b"1200")
     1200.0
     """
-    text = (value or b"").strip()
-    return float(text) if text.isdigit() else 0.0
+    milliseconds = _read_whole(value or b"")
+    return 0.0 if milliseconds is None else float(min(milliseconds, MAX_WARM_UP_MS))
 
 
 def read_slots(load: bytes | None) -> int | None:
@@ -127,11 +136,10 @@
     >>> read_slots(b"3,0,8")
     8
     """
-    return _read_load_field(load, _SLOTS_FIELD)
+    slots = _read_load_field(load, _SLOTS_FIELD)
+    return None if slots is None or slots > MAX_SLOTS else slots
 
 
 def _read_load_field(load: bytes | None, position: int) -> int | None:
     fields = (load or b"").split(b",")
-    if len(fields) <= position or not fields[position].strip().isdigit():
-        return None
-    return int(fields[position])
+    return _read_whole(fields[position]) if position < len(fields) else None
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_dialect.py
@@ -4,6 +4,7 @@
 import trio.testing
 
 from bendwind_core.attempts import NotRunReason
+from bendwind_core.core import MAX_WARM_UP_MS
 from bendwind_core.runs import report_run
 from bendwind_core.timeline import EventKind
 from bendwind_core.world import Service, UpstreamState
@@ -11,7 +12,9 @@
     BENDWIND_DIALECT,
     Dialect,
     find_not_run_proof,
+    read_slots,
     read_slow_factor,
+    read_warm_up_ms,
 )
 from bendwind_node.calls.owned_upstream import Announcement, UpstreamAddress
 from bendwind_node.calls.tests.fakes import CallTestCluster, make_exchange
@@ -29,6 +32,17 @@
 )
 
 
+class NumbersTest(unittest.TestCase):
+    def test_numbers_of_upstreams_that_are_out_of_range_are_as_if_absent(self):
+        for digits in (b"9" * 19, b"9" * 400, b"9" * 5000, b"-1", b"1e9", b"NaN", b"\xb2", b""):
+            load = b",".join([digits] * 4)
+            self.assertIsNone(read_slots(load), digits[:20])
+            self.assertIsNone(read_slow_factor(load), digits[:20])
+            self.assertEqual(read_warm_up_ms(digits), 0.0, digits[:20])
+        self.assertIsNone(read_slots(b"0,0,1000001"))
+        self.assertEqual(read_warm_up_ms(b"9" * 18), MAX_WARM_UP_MS)
+
+
 class ProofTest(unittest.TestCase):
     def test_only_the_marks_of_the_dialect_prove_that_a_request_did_not_run(self):
         shed = ((b"bendwind-shed", b"not-run"),)
