admission: space the requests of a cold upstream at any rate

Callers saw: nothing yet; found by asking what an acknowledged warmup_per_s of 1e308 does in force.

Cause: the requests that the rate allows, with its overage, are counted in a whole number; at 1.7e308 a second with an overage of 1.25 the product is infinite and math.floor raises OverflowError in the owner of the upstream.

test_requests_are_spaced_by_any_rate failed before with "OverflowError: cannot convert float infinity to integer".

--- a/packages/bendwind-core/src/bendwind_core/admission/tests/test_warm_up.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/tests/test_warm_up.py
@@ -11,7 +11,7 @@
     record_cold_reply,
     record_request_sent,
 )
-from bendwind_core.admission.warm_up import SPACING_WINDOW
+from bendwind_core.admission.warm_up import SPACING_WINDOW, find_spacing
 from bendwind_core.world import WarmUpRule
 
 # These allow twelve requests in any second.
@@ -29,6 +29,11 @@
         self.assertTrue(is_cold(self.warm_up, 12.9))
         self.assertFalse(is_cold(self.warm_up, 13.0))
 
+    def test_requests_are_spaced_by_any_rate(self):
+        for per_second in (5e-324, 1e15, 1e308, 1.7e308):
+            spacing = find_spacing(WarmUpRule(3.0, per_second), LIMITS)
+            self.assertTrue(0.0 < spacing <= SPACING_WINDOW, per_second)
+
     def test_reply_to_a_later_query_ends_the_assumption(self):
         assume_cold(self.warm_up, 10.0)
         record_cold_reply(self.warm_up, 0.0, asked_at=9.9, now=10.1)
--- a/packages/bendwind-core/src/bendwind_core/admission/warm_up.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/warm_up.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Record, Seconds
+from bendwind_core.core import MAX_AMOUNT, MILLISECONDS_PER_SECOND, Milliseconds, Record, Seconds
 from bendwind_core.world import WarmUpRule
 
 # Period in which as many requests are sent as the limit allows in one second. It is a little longer
@@ -107,7 +107,8 @@
 
 def find_spacing(rule: WarmUpRule, limits: WarmUpLimits) -> Seconds:
     """Return the time between two requests that keeps any second within the limit."""
-    max_requests = max(1, math.floor(rule.per_second * limits.overage + limits.slack))
+    per_second = min(rule.per_second, MAX_AMOUNT)
+    max_requests = max(1, math.floor(per_second * limits.overage + limits.slack))
     return SPACING_WINDOW / max_requests
 
 
