heartbeats: a sequence number may be below zero

Callers saw: a heartbeat whose seq is below zero got 400 each time, so that an upstream which counts in a signed 64-bit integer from its smallest value on was never registered.

Cause: the number 0 means "not numbered" inside, seq is taken as seq + 1, and the register and the log's records compared with an initial 0.

Fix: a seq below zero is taken as it is, which keeps the order and never gives 0; the register knows "none yet" by None, and a record that is not numbered makes nothing late. Numbers from 0 on are taken as before, so that records of an earlier release order right.

--- a/packages/bendwind-core/src/bendwind_core/runs/record.py
+++ b/packages/bendwind-core/src/bendwind_core/runs/record.py
@@ -49,4 +49,6 @@
     """Return whether a numbered announcement is older than what is held of its upstream."""
     if born_ms and born_ms != record.born_ms:
         return born_ms < record.born_ms
-    return record.state is UpstreamState.GONE or sequence <= record.sequence
+    if record.state is UpstreamState.GONE:
+        return True
+    return record.sequence != 0 and sequence <= record.sequence
--- a/packages/bendwind-node/src/bendwind_node/calls/announced_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announced_runs.py
@@ -45,7 +45,7 @@
 
     def is_late(self, announcement: Announcement) -> bool:
         """Return whether a numbered announcement is older than what is known of its upstream."""
-        return announcement.sequence > 0 and is_late(
+        return announcement.sequence != 0 and is_late(
             self.keeper, announcement.name, announcement.born_ms, announcement.sequence
         )
 
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -35,9 +35,10 @@
     An upstream that is not verified was announced once, perhaps by a late message: an earlier run
     of this process may have handled its departure since. It gets requests once its health path or
     a second announcement has shown that it stays. `announced_state` is the state that it announced
-    last, and `born_ms` is the start time of its newest known run. `is_being_queried` says that its
-    health path is being queried for the remaining warm-up, `is_drain_marked` that operators want no
-    requests sent to it, `is_unreachable` that it refused the last connection.
+    last, `last_sequence` the number of its last announcement that had one, and `born_ms` the start
+    time of its newest known run. `is_being_queried` says that its health path is being queried for
+    the remaining warm-up, `is_drain_marked` that operators want no requests sent to it,
+    `is_unreachable` that it refused the last connection.
     """
 
     upstream: Upstream
@@ -46,7 +47,7 @@
     lease_until: Seconds
     scopes: dict[AttemptId, trio.CancelScope] = msgspec.field(default_factory=dict)
     is_drain_marked: bool = False
-    last_sequence: int = 0
+    last_sequence: int | None = None
     has_left: bool = False
     is_verified: bool = True
     is_unreachable: bool = False
@@ -92,8 +93,8 @@
 
     def __post_init__(self):
         # A decoder reports this as it reports a field out of range.
-        if not 0 <= self.sequence <= MAX_SEQUENCE:
-            raise ValueError(f"Expected `sequence` from 0 to {MAX_SEQUENCE}")
+        if self.sequence > MAX_SEQUENCE:
+            raise ValueError(f"Expected `sequence` <= {MAX_SEQUENCE}")
 
 
 def create_owned_upstream(
@@ -133,6 +134,12 @@
     )
 
 
+def is_overtaken(owned: OwnedUpstream, announcement: Announcement) -> bool:
+    """Return whether the registered run has sent this numbered announcement or a later one."""
+    last = owned.last_sequence
+    return last is not None and announcement.sequence <= last
+
+
 def is_earlier_run(owned: OwnedUpstream, announcement: Announcement) -> bool:
     """Return whether an announcement comes from a run before the registered one."""
     return 0 < announcement.born_ms < owned.born_ms
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
@@ -292,6 +292,31 @@
         self.assertEqual(driver.register.owned["u1"].last_sequence, 2)
 
 
+class NegativeSequenceTest(unittest.TestCase):
+    @in_trio
+    def test_numbers_below_zero_order_the_announcements_of_a_run(self):
+        driver = RegisterDriver()
+        for sequence in (-(2**63), -7, -6):
+            driver.announce(sequence=sequence)
+        driver.announce(sequence=-5, state=DRAINING)
+        driver.announce(sequence=-6)
+        self.assertIs(driver.state(), DRAINING)
+        driver.announce(sequence=2**63)
+        self.assertIs(driver.state(), READY)
+        self.assertEqual(driver.register.owned["u1"].last_sequence, 2**63)
+
+    @in_trio
+    def test_late_number_below_zero_is_late_after_a_restart(self):
+        driver = RegisterDriver()
+        held = RunRecord("n1", "u1", "s", 0, -5)
+        driver.register.runs.keeper = create_run_keeper("n1", 6, is_loaded=False)
+        handle_runs(driver.register.runs.keeper, RunsAnswer(0, (held,)))
+        driver.announce(sequence=-6)
+        self.assertEqual(driver.register.owned, {})
+        driver.announce(sequence=-4)
+        self.assertEqual(list(driver.register.owned), ["u1"])
+
+
 class EvacuationTest(unittest.TestCase):
     @in_trio
     def test_evacuated_upstream_accepts_nothing_and_is_cold_after_the_evacuation(self):
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -23,6 +23,7 @@
     create_owned_upstream,
     is_earlier_run,
     is_later_run,
+    is_overtaken,
     names_other_service,
 )
 from bendwind_node.calls.reply_path import ReplyLink
@@ -108,13 +109,11 @@
                 detail=announcement.service,
             )
             return AnnouncementRefusal.OTHER_SERVICE
-        if announcement.sequence and (
-            owned.has_left or announcement.sequence <= owned.last_sequence
-        ):
+        if announcement.sequence and (owned.has_left or is_overtaken(owned, announcement)):
             # The announcement is late: the upstream has sent a newer one or has left since, which
             # stays in force.
             return None
-        owned.last_sequence = max(owned.last_sequence, announcement.sequence)
+        owned.last_sequence = announcement.sequence or owned.last_sequence
         owned.born_ms = max(owned.born_ms, announcement.born_ms)
         self.runs.note(announcement, owned.born_ms)
         owned.lease_until = trio.current_time() + self.lease_ms / MILLISECONDS_PER_SECOND
@@ -161,7 +160,7 @@
         self.feed(owned, ev.UpstreamRestarted())
         self.nursery.start_soon(owned.pool.aclose)
         owned.pool = UpstreamPool(announcement.host, announcement.port, announcement.connections)
-        owned.last_sequence = 0
+        owned.last_sequence = None
         owned.has_left = False
         owned.is_verified = False
         owned.is_unreachable = False
