messages: the numbers of links and records carry their ranges

Callers saw: nothing yet; found by drawing extreme numbers for every field of every message between processes.

Cause: the fields were plain int and float. A member's slots, port or incarnation of 2^64 raised OverflowError in a voter's digest of it, a rank of NaN in int() where a call is recorded, tokens of NaN where they are counted.

Fix: the fields have types of bendwind_core.core.ranges, so that decode_frame refuses the frame and its link closes. What entries of the log also hold (rules, limits, customers, runs) is bounded only by what msgpack holds: a narrower range would refuse at replay what an earlier release acknowledged.

test_fuzz_numbers draws each message from the description of its type; what is taken can be digested and sent on, holds no NaN.

--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Count, Finite, Incarnation, Int64, Measure, Record
 from bendwind_core.suspicion import SuspectReport
 from bendwind_core.world import LoadSample, Repeat
 
@@ -16,8 +16,8 @@
     """
 
     entry: str
-    incarnation: int
-    sequence: int
+    incarnation: Incarnation
+    sequence: Count
 
 
 class NotRunReason(enum.StrEnum):
@@ -93,27 +93,27 @@
     """
 
     attempt: AttemptId
-    owner_incarnation: int
+    owner_incarnation: Incarnation
     service: str
     upstream: str
     method: str
     target: bytes
     headers: tuple[Header, ...]
-    remaining_ms: Milliseconds
+    remaining_ms: Finite
     repeat: Repeat
-    version: int
+    version: Int64
     body: bytes = b""
     more: bool = False
     accept_if_slow: bool = True
     route: str = ""
-    target_ms: Milliseconds | None = None
+    target_ms: Finite | None = None
     origin: str = ""
     suspicion: SuspectReport | None = None
-    rank: float = 0.0
+    rank: Finite = 0.0
     customer: str = ""
     may_wait: bool = True
-    run_rank: float | None = None
-    limit_per_s: float | None = None
+    run_rank: Finite | None = None
+    limit_per_s: Measure | None = None
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
@@ -123,12 +123,12 @@
     """
 
     attempt: AttemptId
-    status: int
+    status: Count
     headers: tuple[Header, ...]
     load: LoadSample
     body: bytes = b""
     more: bool = False
-    upstream_ms: Milliseconds = 0.0
+    upstream_ms: Finite = 0.0
 
 
 class BodyPart(Record, frozen=True, array_like=True, tag="body"):
@@ -138,7 +138,7 @@
     """
 
     attempt: AttemptId
-    index: int
+    index: Count
     data: bytes
     more: bool
 
@@ -147,7 +147,7 @@
     """Permit the sender of a body to send this many more bytes."""
 
     attempt: AttemptId
-    credit: int
+    credit: Count
 
 
 class NotRun(Record, frozen=True, array_like=True, tag="not-run"):
@@ -163,7 +163,7 @@
     reason: NotRunReason
     load: LoadSample | None = None
     is_inner: bool = False
-    wait_ms: Milliseconds | None = None
+    wait_ms: Finite | None = None
 
 
 class Unknown(Record, frozen=True, array_like=True, tag="unknown"):
@@ -185,7 +185,7 @@
     """Ask the owner to ensure that an attempt which has not started never starts."""
 
     attempt: AttemptId
-    owner_incarnation: int
+    owner_incarnation: Incarnation
     upstream: str
 
 
--- a/packages/bendwind-core/src/bendwind_core/claims/group.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/group.py
@@ -1,6 +1,6 @@
 """Describe which nodes hold the claims of a service."""
 
-from bendwind_core.core import Record
+from bendwind_core.core import Record, Storable
 
 
 class ClaimGroup(Record, frozen=True, array_like=True):
@@ -11,7 +11,7 @@
     """
 
     service: str
-    epoch: int
+    epoch: Storable
     members: tuple[str, ...]
     joining: str | None = None
     lost: bool = False
--- a/packages/bendwind-core/src/bendwind_core/claims/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/claims/messages.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Count, Finite, Record, Storable
 
 MAX_KEPT_ANSWER_BYTES = 16 * 1024
 MAX_KEY_CHARACTERS = 255
@@ -34,7 +34,7 @@
 class ClaimAnswer(Record, frozen=True, array_like=True):
     """Hold an upstream's complete answer."""
 
-    status: int
+    status: Count
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
@@ -51,9 +51,9 @@
     fingerprint: bytes
     call: str
     state: ClaimState
-    epoch: int
-    sequence: int
-    pending_timeout_ms: Milliseconds = 0.0
+    epoch: Storable
+    sequence: Count
+    pending_timeout_ms: Finite = 0.0
     answer: ClaimAnswer | None = None
 
 
@@ -70,7 +70,7 @@
     fingerprint: bytes
     call: str
     entry: str
-    remaining_ms: Milliseconds
+    remaining_ms: Finite
 
 
 class ClaimGranted(Record, frozen=True, array_like=True, tag="claim-granted"):
@@ -79,7 +79,7 @@
     service: str
     key: str
     call: str
-    epoch: int
+    epoch: Storable
 
 
 class ClaimHeld(Record, frozen=True, array_like=True, tag="claim-held"):
@@ -145,20 +145,20 @@
     """
 
     service: str
-    epoch: int
-    sequence: int
+    epoch: Storable
+    sequence: Count
     sender: str
     receiver: str
     claims: tuple[Claim, ...]
-    ages_ms: tuple[Milliseconds, ...]
+    ages_ms: tuple[Finite, ...]
 
 
 class ClaimAppended(Record, frozen=True, array_like=True, tag="claim-appended"):
     """Confirm that a member stores the claims of an append."""
 
     service: str
-    epoch: int
-    sequence: int
+    epoch: Storable
+    sequence: Count
     member: str
 
 
@@ -166,7 +166,7 @@
     """Report to control that the joining member of this epoch stores every claim."""
 
     service: str
-    epoch: int
+    epoch: Storable
     joining: str
 
 
--- a/packages/bendwind-core/src/bendwind_core/consensus/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/messages.py
@@ -5,16 +5,16 @@
 """
 
 from bendwind_core.consensus.records import Entry, Voter, VoterSet
-from bendwind_core.core import Record
+from bendwind_core.core import Count, Int64, Record
 
 
 class Head(Record, frozen=True, array_like=True):
     """Hold the common fields of messages between members; `to` is the receiver's id."""
 
-    cluster: int
+    cluster: Count
     sender: Voter
-    to: int
-    term: int
+    to: Count
+    term: Count
 
 
 class JoinRequest(Record, frozen=True, array_like=True, tag="raft-offer"):
@@ -31,7 +31,7 @@
     """Answer the request of the voter with id `to`; `is_formed` is true if the sender has a log."""
 
     sender: Voter
-    to: int
+    to: Count
     is_formed: bool
 
 
@@ -39,7 +39,7 @@
     """Carry the first entry of the log to a voter that is named in it."""
 
     sender: Voter
-    to: int
+    to: Count
     voters: VoterSet
 
 
@@ -51,8 +51,8 @@
 
     head: Head
     is_pre_vote: bool
-    last_index: int
-    last_term: int
+    last_index: Count
+    last_term: Count
     is_transfer: bool = False
 
 
@@ -61,7 +61,7 @@
 
     head: Head
     is_pre_vote: bool
-    request_term: int
+    request_term: Count
     is_granted: bool
 
 
@@ -72,11 +72,11 @@
     """
 
     head: Head
-    previous_index: int
-    previous_term: int
+    previous_index: Count
+    previous_term: Count
     entries: tuple[Entry, ...]
-    commit: int
-    round: int
+    commit: Count
+    round: Count
 
 
 class AppendReply(Record, frozen=True, array_like=True, tag="raft-append-reply"):
@@ -84,45 +84,45 @@
 
     head: Head
     is_matching: bool
-    index: int
-    round: int
+    index: Int64
+    round: Count
 
 
 class SnapshotChunk(Record, frozen=True, array_like=True, tag="raft-chunk"):
     """Carry one part of a snapshot's data, from `offset` of `size` bytes."""
 
     head: Head
-    index: int
-    snapshot_term: int
+    index: Count
+    snapshot_term: Count
     voters: VoterSet
-    offset: int
-    size: int
+    offset: Count
+    size: Count
     data: bytes
-    round: int
+    round: Count
 
 
 class ChunkReply(Record, frozen=True, array_like=True, tag="raft-chunk-reply"):
     """Request the next part of the snapshot at an index, by its offset."""
 
     head: Head
-    index: int
-    offset: int
-    round: int
+    index: Count
+    offset: Count
+    round: Count
 
 
 class ReadRequest(Record, frozen=True, array_like=True, tag="raft-read"):
     """Request from the leader an index that covers everything committed so far."""
 
     head: Head
-    number: int
+    number: Count
 
 
 class ReadReply(Record, frozen=True, array_like=True, tag="raft-read-reply"):
     """Answer a read request after a quorum has confirmed the leader."""
 
     head: Head
-    number: int
-    index: int
+    number: Count
+    index: Count
 
 
 class TakeOver(Record, frozen=True, array_like=True, tag="raft-take-over"):
--- a/packages/bendwind-core/src/bendwind_core/consensus/records.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/records.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Mapping
 
-from bendwind_core.core import Record
+from bendwind_core.core import Count, Port, Record
 
 
 class Voter(Record, frozen=True, array_like=True):
@@ -14,9 +14,9 @@
     """
 
     name: str
-    voter_id: int
+    voter_id: Count
     host: str = ""
-    port: int = 0
+    port: Port = 0
     data_centre: str = ""
 
 
@@ -32,10 +32,10 @@
     Source: Ongaro, 2014, section 4.3.
     """
 
-    cluster: int = 0
+    cluster: Count = 0
     voters: tuple[Voter, ...] = ()
     learners: tuple[Voter, ...] = ()
-    removed: tuple[int, ...] = ()
+    removed: tuple[Count, ...] = ()
     leaving: tuple[Voter, ...] = ()
     joining: tuple[Voter, ...] = ()
 
@@ -96,8 +96,8 @@
 class Entry(Record, frozen=True, array_like=True):
     """Hold one log entry: a command or a voter set, or neither for a leader's first entry."""
 
-    index: int
-    term: int
+    index: Count
+    term: Count
     command: bytes = b""
     voters: VoterSet | None = None
 
@@ -105,16 +105,16 @@
 class HardState(Record, frozen=True, array_like=True):
     """Hold the term, vote and cluster that a replica must retain across a restart."""
 
-    term: int = 0
-    voted_for: int = 0
-    cluster: int = 0
+    term: Count = 0
+    voted_for: Count = 0
+    cluster: Count = 0
 
 
 class Snapshot(Record, frozen=True, array_like=True):
     """Hold the state of the state machine at an index, which replaces the log up to there."""
 
-    index: int = 0
-    term: int = 0
+    index: Count = 0
+    term: Count = 0
     voters: VoterSet = VoterSet()
     data: bytes = b""
 
@@ -122,7 +122,7 @@
 class VotersAt(Record, frozen=True, array_like=True):
     """Hold the voter set that became active with the entry at an index."""
 
-    index: int
+    index: Count
     voters: VoterSet
 
 
--- a/packages/bendwind-core/src/bendwind_core/customers/change.py
+++ b/packages/bendwind-core/src/bendwind_core/customers/change.py
@@ -1,6 +1,6 @@
 """Define how a voter sends changes of customers to a node."""
 
-from bendwind_core.core import Record
+from bendwind_core.core import Int64, Record, Unsigned64
 from bendwind_core.world import Customer
 
 
@@ -11,8 +11,8 @@
     covers all customers that are active after the change, so that a node detects a lost change.
     """
 
-    base: int = 0
+    base: Int64 = 0
     put: tuple[Customer, ...] = ()
     removed: tuple[str, ...] = ()
     is_key_needed: bool = False
-    digest: int = 0
+    digest: Unsigned64 = 0
--- a/packages/bendwind-core/src/bendwind_core/membership/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/messages.py
@@ -1,7 +1,7 @@
 """Define the messages between a node and its voter, and between the registries of voters."""
 
 from bendwind_core.claims import ClaimGroup
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Count, Finite, Incarnation, Int64, Port, Record, Unsigned64
 from bendwind_core.customers import CustomersChange
 from bendwind_core.membership.routing_changes import RoutingChange
 from bendwind_core.suspicion import SuspectReport
@@ -22,12 +22,12 @@
     """
 
     node: Instance
-    sequence: int
-    version: int
-    watch: int = 0
-    announced: int = 0
-    digest: int = 0
-    customers: int = 0
+    sequence: Count
+    version: Int64
+    watch: Count = 0
+    announced: Count = 0
+    digest: Unsigned64 = 0
+    customers: Int64 = 0
 
 
 class HeartbeatReply(Record, frozen=True, array_like=True, tag="beat-reply"):
@@ -43,13 +43,13 @@
     `version` as the newest, in milliseconds on the voter's clock; None if there was none.
     """
 
-    sequence: int
-    version: int
-    confirmed_age_ms: Milliseconds | None
+    sequence: Count
+    version: Int64
+    confirmed_age_ms: Finite | None
     is_current: bool = False
     resync: bool = False
     is_same: bool = False
-    content: int | None = None
+    content: Unsigned64 | None = None
 
 
 class ConfigurationQuery(Record, frozen=True, array_like=True, tag="configuration?"):
@@ -60,10 +60,10 @@
     """
 
     node: str
-    number: int
-    version: int
-    customers: int
-    watch: int
+    number: Count
+    version: Int64
+    customers: Int64
+    watch: Count
     services: tuple[str, ...]
 
 
@@ -71,8 +71,8 @@
     """Register all upstreams of a node with its voter; the highest `sequence` replaces the rest."""
 
     node: str
-    incarnation: int
-    sequence: int
+    incarnation: Incarnation
+    sequence: Count
     upstreams: tuple[Upstream, ...]
 
 
@@ -84,11 +84,11 @@
 
     node: str
     services: tuple[str, ...]
-    incarnation: int = 0
-    sequence: int = 0
-    version: int = -1
-    digest: int = 0
-    customers: int = 0
+    incarnation: Incarnation = 0
+    sequence: Count = 0
+    version: Int64 = -1
+    digest: Unsigned64 = 0
+    customers: Int64 = 0
 
 
 class WatchUpdate(Record, frozen=True, array_like=True, tag="watch-update"):
@@ -118,17 +118,17 @@
     a process of a former release.
     """
 
-    version: int
+    version: Int64
     services: tuple[Service, ...]
     removed: tuple[str, ...] = ()
     claim_groups: tuple[ClaimGroup, ...] = ()
-    base: int = 0
-    watch: int = 0
+    base: Int64 = 0
+    watch: Count = 0
     holders: tuple[Instance, ...] = ()
     routing: RoutingChange | None = None
     evacuated: tuple[str, ...] = ()
     customers: CustomersChange = CustomersChange()
-    content: int | None = None
+    content: Unsigned64 | None = None
 
 
 class ConfigurationAnswer(Record, frozen=True, array_like=True, tag="configuration!"):
@@ -139,12 +139,12 @@
     Units: `confirmed_age_ms` as in a HeartbeatReply.
     """
 
-    number: int
-    version: int
-    confirmed_age_ms: Milliseconds | None
+    number: Count
+    version: Int64
+    confirmed_age_ms: Finite | None
     is_current: bool = False
     change: ConfigurationChanged | None = None
-    content: int | None = None
+    content: Unsigned64 | None = None
 
 
 class VoterPlace(Record, frozen=True, array_like=True):
@@ -153,7 +153,7 @@
     name: str
     data_centre: str = ""
     host: str = ""
-    port: int = 0
+    port: Port = 0
 
 
 class VoterList(Record, frozen=True, array_like=True, tag="voters"):
@@ -172,9 +172,9 @@
 
     node: Instance
     home: str
-    beat: int
+    beat: Count
     is_alive: bool = True
-    announced: int = 0
+    announced: Count = 0
     upstreams: tuple[Upstream, ...] = ()
 
 
@@ -189,14 +189,14 @@
     """Send one digest for each bucket of members, so that the receiver finds those that differ."""
 
     voter: str
-    buckets: tuple[int, ...]
+    buckets: tuple[Unsigned64, ...]
 
 
 class MemberPull(Record, frozen=True, array_like=True, tag="gossip-pull"):
     """Request all members of some buckets from a voter."""
 
     voter: str
-    buckets: tuple[int, ...]
+    buckets: tuple[Count, ...]
 
 
 class NodeStatus(Record, frozen=True, array_like=True):
@@ -208,8 +208,8 @@
     node: str
     data_centre: str
     voter: str
-    version: int
-    heartbeat_age_ms: Milliseconds
+    version: Int64
+    heartbeat_age_ms: Finite
     is_fresh: bool
     operators: str = ""
 
@@ -224,13 +224,13 @@
     """Request the status of the nodes attached to a voter."""
 
     voter: str
-    number: int
+    number: Count
 
 
 class StatusReply(Record, frozen=True, array_like=True, tag="status-reply"):
     """Send a part of the requested status; `more` is true if another part follows."""
 
     voter: str
-    number: int
+    number: Count
     rows: tuple[NodeStatus, ...]
     more: bool = False
--- a/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
+++ b/packages/bendwind-core/src/bendwind_core/membership/routing_changes.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bendwind_core.core import Record
+from bendwind_core.core import Record, Storable
 from bendwind_core.membership.digest import digest_record
 from bendwind_core.world import EMPTY_ROUTING, CallerLimits, Route, Routing
 
@@ -18,7 +18,7 @@
     A change with `is_whole` holds all routes.
     """
 
-    revision: int
+    revision: Storable
     limits: CallerLimits
     routes: tuple[Route, ...]
     removed: tuple[RouteKey, ...] = ()
--- a/packages/bendwind-core/src/bendwind_core/messages/frame.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/frame.py
@@ -4,7 +4,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from bendwind_core.core import DECODE_ERRORS, Record, decode_cbor
+from bendwind_core.core import DECODE_ERRORS, Count, Int64, Record, decode_cbor
 from bendwind_core.messages.codec import PeerMessage
 
 
@@ -15,10 +15,10 @@
     that its own is overtaken.
     """
 
-    physical_ms: int
-    logical: int
+    physical_ms: Int64
+    logical: Count
     messages: tuple[PeerMessage, ...]
-    version: int = 0
+    version: Int64 = 0
 
 
 def encode_frame(frame: Frame) -> bytes:
--- a/packages/bendwind-core/src/bendwind_core/messages/hello.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/hello.py
@@ -1,6 +1,6 @@
 """Define the messages that open and close a link between two processes."""
 
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Count, Finite, Incarnation, Int64, Record
 from bendwind_core.world import Instance
 
 
@@ -12,9 +12,9 @@
     """
 
     sender: Instance
-    epoch: int
-    version: int = 0
-    confirmed_age_ms: Milliseconds | None = None
+    epoch: Count
+    version: Int64 = 0
+    confirmed_age_ms: Finite | None = None
 
 
 class IncarnationQuery(Record, frozen=True, array_like=True, tag="incarnation?"):
@@ -26,7 +26,7 @@
 class IncarnationReply(Record, frozen=True, array_like=True, tag="incarnation"):
     """Reply with the newest known incarnation of a process, 0 if none is known."""
 
-    incarnation: int
+    incarnation: Incarnation
 
 
 class Goodbye(Record, frozen=True, array_like=True, tag="goodbye"):
--- a/packages/bendwind-core/src/bendwind_core/quotas/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/messages.py
@@ -4,7 +4,7 @@
 recognised by its numbers and creates no tokens.
 """
 
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Count, Record, SignedAmount, Unsigned64
 
 
 class QuotaDemand(Record, frozen=True, array_like=True):
@@ -16,16 +16,16 @@
     """
 
     customer: str
-    waiting: int
-    prefetch: int = 0
-    reserve: int = 0
-    held_numbers: tuple[int, ...] = ()
+    waiting: Count
+    prefetch: Count = 0
+    reserve: Count = 0
+    held_numbers: tuple[Unsigned64, ...] = ()
 
 
 class QuotaRequest(Record, frozen=True, array_like=True, tag="quota?"):
     """Request tokens from a voter; `number` is unique for each request of one run of a node."""
 
-    number: int
+    number: Unsigned64
     demands: tuple[QuotaDemand, ...]
 
 
@@ -38,17 +38,17 @@
     """
 
     customer: str
-    number: int
-    tokens: int
-    wait_ms: Milliseconds | None = None
-    reserve: tuple[int, ...] = ()
+    number: Unsigned64
+    tokens: Count
+    wait_ms: SignedAmount | None = None
+    reserve: tuple[Unsigned64, ...] = ()
 
 
 class QuotaReply(Record, frozen=True, array_like=True, tag="quota"):
     """Answer some or all demands of a quota request; `run` is the voter's run."""
 
-    number: int
-    run: int
+    number: Unsigned64
+    run: Unsigned64
     grants: tuple[QuotaGrant, ...]
 
 
@@ -58,23 +58,23 @@
     `tokens` is the sum since the grant or loan was made; `number` is that of the grant or loan.
     """
 
-    number: int
-    tokens: float
+    number: Unsigned64
+    tokens: SignedAmount
 
 
 class QuotaReturn(Record, frozen=True, array_like=True, tag="quota-back"):
     """Return tokens to the run of a voter that granted or lent them."""
 
-    run: int
+    run: Unsigned64
     unused: tuple[QuotaUnused, ...]
 
 
 class QuotaLoanRequest(Record, frozen=True, array_like=True, tag="quota-pull"):
     """Request a loan of a customer's tokens; `number` is unique within the voter's run."""
 
-    number: int
+    number: Unsigned64
     customer: str
-    tokens: float
+    tokens: SignedAmount
 
 
 class QuotaLoan(Record, frozen=True, array_like=True, tag="quota-loan"):
@@ -84,9 +84,9 @@
     Units: `tokens` and `lendable` in tokens or fractions of a token.
     """
 
-    request_number: int
-    run: int
+    request_number: Unsigned64
+    run: Unsigned64
     customer: str
-    number: int
-    tokens: float
-    lendable: float
+    number: Unsigned64
+    tokens: SignedAmount
+    lendable: SignedAmount
--- a/packages/bendwind-core/src/bendwind_core/runs/record.py
+++ b/packages/bendwind-core/src/bendwind_core/runs/record.py
@@ -2,7 +2,7 @@
 
 from msgspec.structs import replace
 
-from bendwind_core.core import Record
+from bendwind_core.core import Record, SequenceNumber, Storable
 from bendwind_core.world import UpstreamState
 
 _ORDER = {UpstreamState.READY: 0, UpstreamState.DRAINING: 1, UpstreamState.GONE: 2}
@@ -20,8 +20,8 @@
     instance: str
     name: str
     service: str = ""
-    born_ms: int = 0
-    sequence: int = 0
+    born_ms: Storable = 0
+    sequence: SequenceNumber = 0
     state: UpstreamState = UpstreamState.READY
 
 
--- a/packages/bendwind-core/src/bendwind_core/suspicion/suspect.py
+++ b/packages/bendwind-core/src/bendwind_core/suspicion/suspect.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bendwind_core.core import Milliseconds, Record, Seconds
+from bendwind_core.core import Count, Finite, Incarnation, Record, Seconds
 
 
 class UpstreamEndId(Record, frozen=True, array_like=True):
@@ -15,9 +15,9 @@
     """
 
     owner: str
-    incarnation: int
+    incarnation: Incarnation
     upstream: str
-    number: int
+    number: Count
 
 
 class UpstreamEndReport(Record, frozen=True, array_like=True):
@@ -29,7 +29,7 @@
     """
 
     id: UpstreamEndId
-    age_ms: Milliseconds
+    age_ms: Finite
     is_excused: bool = False
 
 
@@ -43,7 +43,7 @@
 
     signature: bytes
     service: str
-    cleared: int
+    cleared: Count
     ends: tuple[UpstreamEndReport, ...] = ()
 
 
--- a/packages/bendwind-core/src/bendwind_core/world/customer.py
+++ b/packages/bendwind-core/src/bendwind_core/world/customer.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from bendwind_core.core import Record
+from bendwind_core.core import Finite, Record, Storable
 
 # The probability that any two of a billion keys have the same digest is 10^-20.
 KEY_DIGEST_BYTES = 16
@@ -19,9 +19,9 @@
 
     name: str
     keys: tuple[bytes, ...] = ()
-    rank: int | None = None
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rank: Storable | None = None
+    rate_per_s: Finite = 0.0
+    burst: Finite = 0.0
 
     @property
     def is_limited(self) -> bool:
--- a/packages/bendwind-core/src/bendwind_core/world/places.py
+++ b/packages/bendwind-core/src/bendwind_core/world/places.py
@@ -1,6 +1,6 @@
 """Describe where processes run."""
 
-from bendwind_core.core import Record
+from bendwind_core.core import Incarnation, Port, Record
 
 
 class DataCentre(Record, frozen=True, array_like=True):
@@ -20,6 +20,6 @@
     name: str
     data_centre: str
     host: str
-    port: int
-    incarnation: int
+    port: Port
+    incarnation: Incarnation
     operators: str = ""
--- a/packages/bendwind-core/src/bendwind_core/world/route.py
+++ b/packages/bendwind-core/src/bendwind_core/world/route.py
@@ -1,6 +1,6 @@
 """Describe virtual hosts: which requests are routed to which services, and under which rule."""
 
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Finite, Milliseconds, Record, Storable
 from bendwind_core.world.service import Repeat, Rule, Service, StaleAction, WarmUpRule
 
 
@@ -8,7 +8,7 @@
     """Name a service that receives a share of a route's requests, proportional to its weight."""
 
     service: str
-    weight: int = 1
+    weight: Storable = 1
 
 
 class Route(Record, frozen=True, array_like=True):
@@ -78,16 +78,16 @@
     Units: bytes and milliseconds; with None, the settings of each process apply.
     """
 
-    header_bytes: int | None = None
-    body_bytes: int | None = None
-    header_timeout_ms: Milliseconds | None = None
-    idle_timeout_ms: Milliseconds | None = None
+    header_bytes: Storable | None = None
+    body_bytes: Storable | None = None
+    header_timeout_ms: Finite | None = None
+    idle_timeout_ms: Finite | None = None
 
 
 class Routing(Record, frozen=True, array_like=True):
     """Hold all routes of one revision; the operator assigns its number, 0 means none was set."""
 
-    revision: int = 0
+    revision: Storable = 0
     routes: tuple[Route, ...] = ()
     limits: CallerLimits = CallerLimits()
 
--- a/packages/bendwind-core/src/bendwind_core/world/service.py
+++ b/packages/bendwind-core/src/bendwind_core/world/service.py
@@ -3,7 +3,7 @@
 import enum
 import fnmatch
 
-from bendwind_core.core import Milliseconds, Record, Seconds
+from bendwind_core.core import Finite, Record, Storable
 
 
 class Repeat(enum.StrEnum):
@@ -42,10 +42,10 @@
     methods: tuple[str, ...] = ()
     repeat: Repeat = Repeat.IDEMPOTENT
     key_required: bool = False
-    longest_wait_ms: Milliseconds | None = None
-    attempts: int | None = None
-    target_latency_ms: Milliseconds | None = None
-    priority: int = 0
+    longest_wait_ms: Finite | None = None
+    attempts: Storable | None = None
+    target_latency_ms: Finite | None = None
+    priority: Storable = 0
     name: str = ""
     is_open: bool = False
 
@@ -53,10 +53,10 @@
 class Limits(Record, frozen=True, array_like=True):
     """Limit the resources of upstreams and nodes that a service may use."""
 
-    queue: int = 16
-    body_bytes: int = 8 * 1024 * 1024
-    in_flight_per_entry: int = 512
-    retry_ratio: float = 0.1
+    queue: Storable = 16
+    body_bytes: Storable = 8 * 1024 * 1024
+    in_flight_per_entry: Storable = 512
+    retry_ratio: Finite = 0.1
 
 
 class WarmUpRule(Record, frozen=True, array_like=True):
@@ -65,8 +65,8 @@
     Units: `per_second` is in requests per second.
     """
 
-    seconds: Seconds
-    per_second: float
+    seconds: Finite
+    per_second: Finite
 
 
 class Service(Record, frozen=True, array_like=True):
@@ -83,12 +83,12 @@
     upstreams: tuple[str, ...]
     hosts: tuple[str, ...] = ()
     rules: tuple[Rule, ...] = ()
-    longest_wait_ms: Milliseconds = 2000.0
+    longest_wait_ms: Finite = 2000.0
     limits: Limits = Limits()
     policy: Policy = Policy.SCORE
     on_stale: StaleAction = StaleAction.REFUSE
-    hedge_after_ms: Milliseconds | None = None
-    needed_upstreams: int = 1
+    hedge_after_ms: Finite | None = None
+    needed_upstreams: Storable = 1
     routed_only: bool = False
     health_path: str = ""
     near_first: bool = False
--- a/packages/bendwind-core/src/bendwind_core/world/upstream.py
+++ b/packages/bendwind-core/src/bendwind_core/world/upstream.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from bendwind_core.core import Milliseconds, Record
+from bendwind_core.core import Count, Measure, Record, Slots
 from bendwind_core.world.places import Instance
 
 
@@ -25,11 +25,11 @@
     name: str
     service: str
     owner: Instance
-    slots: int
-    connections: int
+    slots: Slots
+    connections: Slots
     state: UpstreamState = UpstreamState.READY
-    sequence: int = 0
-    born_ms: int = 0
+    sequence: Count = 0
+    born_ms: Count = 0
 
 
 class LoadSample(Record, frozen=True, array_like=True):
@@ -43,13 +43,13 @@
     infinite after the limit has ended and None before one was announced.
     """
 
-    in_flight: int
-    queued: int
-    slots: int
-    latency_ms: Milliseconds = 0.0
-    error_rate: float = 0.0
+    in_flight: Count
+    queued: Count
+    slots: Count
+    latency_ms: Measure = 0.0
+    error_rate: Measure = 0.0
     draining: bool = False
-    room_wait_ms: Milliseconds = 0.0
-    wait_ms: Milliseconds = 0.0
-    limit_per_s: float | None = None
+    room_wait_ms: Measure = 0.0
+    wait_ms: Measure = 0.0
+    limit_per_s: Measure | None = None
     is_leaving: bool = False
