heartbeats: keep no departure of a name that no upstream has

Callers saw: DELETE /bendwind/instances/ with any text of any length behind it was answered 200, at the platform's address; at a node's own address 404.

Cause: the name of an announcement has a pattern and at most 128 characters, a departure's was taken as it stood and went with its run into the control log, up to 64 of them an instance, each as long as a head may be.

--- a/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/announce_asgi.py
@@ -6,7 +6,11 @@
 
 from bendwind_core.core import Milliseconds, decode_json
 from bendwind_core.world import UpstreamState
-from bendwind_node.calls.owned_upstream import Announcement, AnnouncementRefusal
+from bendwind_node.calls.owned_upstream import (
+    Announcement,
+    AnnouncementRefusal,
+    is_upstream_name,
+)
 from bendwind_node.calls.upstream_register import UpstreamRegister
 from bendwind_node.http import serve_lifespan
 
@@ -64,6 +68,8 @@
         return 404, ErrorReply("no such route")
 
     async def _leave(self, name: str) -> tuple[int, ErrorReply | None]:
+        if not is_upstream_name(name):
+            return 404, ErrorReply("unknown upstream")
         is_known = self.register.handle_departure(name)
         if not await self.register.runs.wait_recorded(name):
             return 503, _NOT_RECORDED
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -1,6 +1,7 @@
 """Describe an upstream on this instance and its announcements."""
 
 import enum
+import re
 from typing import Annotated
 
 import msgspec
@@ -25,7 +26,9 @@
 QUEUE_LIMIT = 16
 
 # A name is sent in a header of every request to the upstream.
-UpstreamName = Annotated[str, Meta(pattern=r"\A[!-~]{1,128}\Z")]
+_NAME_PATTERN = r"\A[!-~]{1,128}\Z"
+_NAME = re.compile(_NAME_PATTERN)
+UpstreamName = Annotated[str, Meta(pattern=_NAME_PATTERN)]
 UpstreamHost = Annotated[str, Meta(pattern=r"\A[A-Za-z0-9.:_-]{1,255}\Z")]
 
 
@@ -140,6 +143,11 @@
     return last is not None and announcement.sequence <= last
 
 
+def is_upstream_name(text: str) -> bool:
+    """Return whether a text can be the name of an upstream."""
+    return _NAME.match(text) is not None
+
+
 def is_earlier_run(owned: OwnedUpstream, announcement: Announcement) -> bool:
     """Return whether an announcement comes from a run before the registered one."""
     return 0 < announcement.born_ms < owned.born_ms
