operators: read whole numbers in one place

Cause: str.isdigit() is true of texts that int() refuses, and of more digits than int() takes (4,300); each place had its own check.

A log line that is nested too deep is no log line instead of a RecursionError.

--- a/packages/bendwind-cli/src/bendwind_cli/keys/make.py
+++ b/packages/bendwind-cli/src/bendwind_cli/keys/make.py
@@ -16,6 +16,7 @@
     read_pair,
 )
 from bendwind_cli.outcome import ExitCode, Failure
+from bendwind_core.core import read_whole_number
 
 AUTHORITY = "authority"
 _NAME = re.compile(r"^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$")
@@ -40,7 +41,7 @@
 
 
 def _make(command: KeyCommand, folder: Path) -> Result[str, Failure]:
-    days = int(command.days)
+    days = read_whole_number(command.days, _MAX_DAYS) or 0
     match command:
         case MakeAuthority():
             return _write_authority(folder, days)
@@ -58,7 +59,7 @@
 
 
 def _find_fault(command: KeyCommand) -> str | None:
-    if not command.days.isdigit() or not 1 <= int(command.days) <= _MAX_DAYS:
+    if not read_whole_number(command.days, _MAX_DAYS):
         return f"days: expected 1 to {_MAX_DAYS}, got {command.days!r}"
     if isinstance(command, MakeAuthority):
         return None
--- a/packages/bendwind-cli/src/bendwind_cli/plans.py
+++ b/packages/bendwind-cli/src/bendwind_cli/plans.py
@@ -10,6 +10,7 @@
 from bendwind_cli.commands import AcceptClaimLoss, MakePlan
 from bendwind_cli.outcome import ExitCode, Failure
 from bendwind_cli.replies import ClaimGroupReply, OutcomeReply, PlanReply
+from bendwind_core.core import read_whole_number
 
 _MILLISECONDS_PER_SECOND = 1000
 # There may be thousands of customers, and the preceding lines already name each one that changes.
@@ -22,7 +23,7 @@
     Errors: an invalid file or intent, or no answer.
     """
     for name, value in (("base_version", command.base_version), ("expires_s", command.expires_s)):
-        if value and not value.isdigit():
+        if value and read_whole_number(value) is None:
             return Error(Failure(ExitCode.USAGE, f"{name}: expected a whole number, got {value!r}"))
     try:
         intent = Path(command.file).read_bytes()
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -147,7 +147,12 @@
             (["timeline", "--event=7", "--control=h:1"], "expected a number or name"),
             (["plan", "x", "--expires-s=soon", "--control=h:1"], "expires_s"),
             (["drain", "x", "--kind=y", "--control=h:1"], "kind: expected instance or upstream"),
+            (["plan", "x", "--expires-s=²", "--control=h:1"], "expires_s"),
+            (["timeline", "--event=²", "--control=h:1"], "expected a number or name"),
+            (["timeline", "--limit=²", "--control=h:1"], "limit: expected a whole number"),
             (["keys", "authority", "--days=0"], "days: expected 1 to 36500"),
+            (["keys", "authority", "--days=²"], "days: expected 1 to 36500"),
+            (["keys", "authority", "--days=" + "9" * 5000], "days: expected 1 to 36500"),
         ]
         for arguments, pattern in cases:
             with self.subTest(arguments):
--- a/packages/bendwind-cli/src/bendwind_cli/timeline.py
+++ b/packages/bendwind-cli/src/bendwind_cli/timeline.py
@@ -12,6 +12,7 @@
 from bendwind_cli.instances import find_addresses
 from bendwind_cli.outcome import ExitCode, Failure
 from bendwind_cli.replies import EventReply, TimelineReply
+from bendwind_core.core import read_whole_number
 from bendwind_core.timeline import (
     Event,
     EventKind,
@@ -34,7 +35,7 @@
     if command.event and kind is None:
         line = f"event: expected a number or name of `bendwind events`, got {command.event!r}"
         return Error(Failure(ExitCode.USAGE, line))
-    if not command.limit.isdigit():
+    if read_whole_number(command.limit) is None:
         line = f"limit: expected a whole number, got {command.limit!r}"
         return Error(Failure(ExitCode.USAGE, line))
     addresses = sorted(set(client.addresses) | set(find_addresses(client).values()))
--- a/packages/bendwind-core/src/bendwind_core/core/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/core/__init__.py
@@ -1,6 +1,6 @@
 """Define the types that every other subpackage depends on."""
 
-from bendwind_core.core.decoding import DECODE_ERRORS, decode_cbor, decode_json
+from bendwind_core.core.decoding import DECODE_ERRORS, decode_cbor, decode_json, read_whole_number
 from bendwind_core.core.ranges import (
     MAX_AMOUNT,
     MAX_BORN_MS,
@@ -73,4 +73,5 @@
     "decode_cbor",
     "decode_json",
     "decode_toml",
+    "read_whole_number",
 ]
--- a/packages/bendwind-core/src/bendwind_core/core/decoding.py
+++ b/packages/bendwind-core/src/bendwind_core/core/decoding.py
@@ -6,15 +6,31 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from bendwind_core.core.ranges import MAX_INT64
+
 _Checked = TypeVar("_Checked")
 
 # Several times the depth of the deepest message.
 MAX_CBOR_DEPTH = 64
+# As many as MAX_INT64 has.
+_MAX_DIGITS = 19
 # What a decoder raises beside its own errors: an integer of too many digits is a ValueError, one
 # that no float holds an OverflowError, and a text that is nested too deep a RecursionError.
 DECODE_ERRORS = (ValueError, OverflowError, RecursionError)
 
 
+def read_whole_number(text: str, largest: int = MAX_INT64) -> int | None:
+    """Return a whole number from 0 to `largest`, None for any other text.
+
+    >>> read_whole_number("07"), read_whole_number("-7"), read_whole_number("²")
+    (7, None, None)
+    """
+    if not text.isascii() or not text.isdecimal() or len(text) > _MAX_DIGITS:
+        return None
+    number = int(text)
+    return number if number <= largest else None
+
+
 def decode_json(data: bytes, kind: type[_Checked]) -> Result[_Checked, str]:
     """Decode a JSON text into a type and check every field.
 
--- a/packages/bendwind-core/src/bendwind_core/timeline/log_line.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/log_line.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bendwind_core.core import decode_json
 from bendwind_core.timeline.clock import HybridTime
 from bendwind_core.timeline.facts import Facts
 
@@ -31,9 +32,6 @@
         return HybridTime(self.physical_ms, self.logical)
 
 
-_DECODER = msgspec.json.Decoder(LogLine)
-
-
 def read_log_line(text: str) -> LogLine | None:
     """Parse a line after any prefix added by a log collector; return None if it is not a LogLine.
 
@@ -43,7 +41,5 @@
     start = text.find("{")
     if start < 0:
         return None
-    try:
-        return _DECODER.decode(text[start:].strip().encode())
-    except (msgspec.DecodeError, UnicodeEncodeError):
-        return None
+    data = text[start:].strip().encode(errors="surrogatepass")
+    return decode_json(data, LogLine).default_value(None)
--- a/packages/bendwind-core/src/bendwind_core/timeline/merge.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/merge.py
@@ -3,7 +3,7 @@
 import heapq
 from collections.abc import Iterable, Iterator
 
-from bendwind_core.core import Record
+from bendwind_core.core import Record, read_whole_number
 from bendwind_core.timeline.catalogue import EventKind
 from bendwind_core.timeline.event import Event
 
@@ -49,8 +49,9 @@
     >>> find_kind("801") is find_kind("process_started")
     True
     """
-    if text.isdigit():
-        return next((kind for kind in EventKind if kind == int(text)), None)
+    number = read_whole_number(text)
+    if number is not None:
+        return next((kind for kind in EventKind if kind == number), None)
     return EventKind.__members__.get(text.upper().replace("-", "_"))
 
 
--- a/packages/bendwind-core/src/bendwind_core/timeline/tests/test_merge.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/tests/test_merge.py
@@ -30,6 +30,10 @@
         self.assertIsNone(find_kind("1"))
         self.assertIsNone(find_kind("nothing"))
 
+    def test_finds_no_kind_by_a_text_that_is_no_number(self):
+        for text in ("²", "９", "9" * 5000, "-101", "", "1e2"):
+            self.assertIsNone(find_kind(text), text[:9])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
+++ b/packages/bendwind-node/src/bendwind_node/operators/plan_routes.py
@@ -7,6 +7,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from bendwind_core.core import read_whole_number
 from bendwind_core.plans import (
     Changes,
     Command,
@@ -263,7 +264,7 @@
     text = request.query.get(name)
     if text is None:
         return Ok(None)
-    is_number = text.isascii() and text.isdecimal() and len(text) < 20
-    if not is_number or not smallest <= int(text) <= largest:
+    number = read_whole_number(text, largest)
+    if number is None or number < smallest:
         return Error(f"{name}: expected a whole number from {smallest} to {largest}")
-    return Ok(int(text))
+    return Ok(number)
