storage: a record that no store writes is corrupt data

Callers saw: nothing yet; found by reading what is decoded without a guard.

Fix: decode_record gives a Result through decode_cbor, a file that holds one record has to hold that kind, and a name that is no number is a segment that does not follow. The start ends with the message of CorruptData.

--- a/packages/bendwind-node/src/bendwind_node/storage/records.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/records.py
@@ -2,9 +2,10 @@
 
 import cbor2
 import msgspec
+from expression import Error, Ok, Result
 
 from bendwind_core.consensus import Entry, HardState, Snapshot
-from bendwind_core.core import Record
+from bendwind_core.core import DECODE_ERRORS, Count, Record, decode_cbor
 
 
 class Identity(Record, frozen=True, array_like=True, tag="identity"):
@@ -13,7 +14,7 @@
     `is_formed` means that a log exists beside this file; it is set before the first log write.
     """
 
-    voter_id: int
+    voter_id: Count
     is_formed: bool
 
 
@@ -38,13 +39,13 @@
 class Truncated(Record, frozen=True, array_like=True, tag="truncate"):
     """Remove all entries from an index on."""
 
-    start: int
+    start: Count
 
 
 class ResetTo(Record, frozen=True, array_like=True, tag="reset"):
     """Remove all entries, because an installed snapshot as of this index replaces them."""
 
-    index: int
+    index: Count
 
 
 class Synced(Record, frozen=True, array_like=True, tag="synced"):
@@ -81,12 +82,19 @@
     return cbor2.dumps(msgspec.to_builtins(record, builtin_types=(bytes,)))
 
 
-def decode_record(data: bytes) -> StoredRecord:
+def decode_record(data: bytes) -> Result[StoredRecord, str]:
     """Decode a record whose checksum is correct.
 
-    Errors: raises msgspec.ValidationError or cbor2.CBORError.
+    Errors: a text that describes what is wrong with the data.
     """
-    return msgspec.convert(cbor2.loads(data), StoredRecord)
+    return decode_cbor(data).bind(_convert_record)
+
+
+def _convert_record(value: object) -> Result[StoredRecord, str]:
+    try:
+        return Ok(msgspec.convert(value, StoredRecord))
+    except DECODE_ERRORS as error:
+        return Error(str(error))
 
 
 SYNCED_MARK = encode_record(Synced())
--- a/packages/bendwind-node/src/bendwind_node/storage/replay.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/replay.py
@@ -1,12 +1,13 @@
 """Rebuild the log from the records in its segment files."""
 
-import cbor2
+from typing import TypeVar
+
 import msgspec
 from expression import Error, Ok, Result
 
 from bendwind_core.consensus import EMPTY_SNAPSHOT, Entry, HardState, Snapshot
 from bendwind_node.storage.errors import CorruptData
-from bendwind_node.storage.frames import Frame
+from bendwind_node.storage.frames import Frame, read_frame
 from bendwind_node.storage.records import (
     EntryWritten,
     HardStateWritten,
@@ -17,6 +18,8 @@
     decode_record,
 )
 
+_Kind = TypeVar("_Kind")
+
 
 class RecoveredState(msgspec.Struct):
     """Hold the state that was read from disk.
@@ -35,16 +38,31 @@
     is_log_superseded: bool = False
 
 
+def read_only_record(file: str, data: bytes, kind: type[_Kind]) -> Result[_Kind, CorruptData]:
+    """Read the record of a file that holds a single one of this kind.
+
+    Errors: CorruptData for anything else.
+    """
+    frame = read_frame(data, 0)
+    if frame is None:
+        return Error(CorruptData(file, 0, "damaged"))
+    decoded = decode_record(frame.payload)
+    if decoded.is_error():
+        return Error(CorruptData(file, frame.end, f"undecodable record: {decoded.error}"))
+    if not isinstance(decoded.ok, kind):
+        return Error(CorruptData(file, frame.end, "record type does not belong in this file"))
+    return Ok(decoded.ok)
+
+
 def replay_frame(recovered: RecoveredState, file: str, frame: Frame) -> Result[int, CorruptData]:
     """Apply one record, and return the index of its entry, or 0 if it holds none.
 
     Errors: CorruptData if the record cannot follow the records before it.
     """
-    try:
-        record = decode_record(frame.payload)
-    except (cbor2.CBORError, msgspec.ValidationError) as error:
-        return Error(CorruptData(file, frame.end, f"undecodable record: {error}"))
-    match record:
+    decoded = decode_record(frame.payload)
+    if decoded.is_error():
+        return Error(CorruptData(file, frame.end, f"undecodable record: {decoded.error}"))
+    match decoded.ok:
         case SegmentHead(hard_state=hard_state) | HardStateWritten(hard_state=hard_state):
             recovered.hard_state = hard_state
         case Truncated(start=start):
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -13,9 +13,10 @@
 from expression import Error, Ok, Result
 
 from bendwind_core.consensus import HardState, Persist, SaveSnapshot
+from bendwind_core.core import read_whole_number
 from bendwind_node.storage.errors import CorruptData, DiskFailed, StoreError
 from bendwind_node.storage.files import Files
-from bendwind_node.storage.frames import ValidFrames, encode_frame, read_frame, read_frames
+from bendwind_node.storage.frames import ValidFrames, encode_frame, read_frames
 from bendwind_node.storage.records import (
     SYNCED_MARK,
     EntryWritten,
@@ -27,10 +28,14 @@
     StoredRecord,
     Synced,
     Truncated,
-    decode_record,
     encode_record,
 )
-from bendwind_node.storage.replay import RecoveredState, align_with_snapshot, replay_frame
+from bendwind_node.storage.replay import (
+    RecoveredState,
+    align_with_snapshot,
+    read_only_record,
+    replay_frame,
+)
 
 SEGMENT_BYTES = 256 * 1024
 VOTER_ID_BITS = 63
@@ -226,14 +231,11 @@
         identity = Identity(secrets.randbits(VOTER_ID_BITS), False)
         write_file_atomically(files, _IDENTITY, encode_frame(0, encode_record(identity)))
         return Ok(identity)
-    frame = read_frame(files.read(_IDENTITY), 0)
-    if frame is None:
-        return Error(CorruptData(_IDENTITY, 0, "damaged"))
-    identity = decode_record(frame.payload)
+    identity = read_only_record(_IDENTITY, files.read(_IDENTITY), Identity)
     has_log = any(name.startswith(_SEGMENT_PREFIX) for name in names)
-    if identity.is_formed and not has_log:
+    if identity.is_ok() and identity.ok.is_formed and not has_log:
         return Error(CorruptData(_IDENTITY, 0, "a log was formed, but its segments are missing"))
-    return Ok(identity)
+    return identity
 
 
 def _read_snapshot(
@@ -243,12 +245,13 @@
     if not snapshot_names:
         return Ok(None)
     store.snapshot_name = snapshot_names[-1]
-    frame = read_frame(store.files.read(snapshot_names[-1]), 0)
-    if frame is None:
-        return Error(CorruptData(snapshot_names[-1], 0, "damaged"))
-    record = decode_record(frame.payload)
-    recovered.snapshot = record.snapshot
-    recovered.is_snapshot_installed = record.is_installed
+    record = read_only_record(
+        snapshot_names[-1], store.files.read(snapshot_names[-1]), SnapshotFile
+    )
+    if record.is_error():
+        return record
+    recovered.snapshot = record.ok.snapshot
+    recovered.is_snapshot_installed = record.ok.is_installed
     if snapshot_names[:-1]:
         # The process that renamed the newest snapshot may have been killed before it synced the
         # folder. Its name must be durable before the older snapshots are removed.
@@ -263,7 +266,9 @@
 ) -> Result[None, StoreError]:
     segment_names = [name for name in names if name.startswith(_SEGMENT_PREFIX)]
     if segment_names:
-        store.sequence = int(segment_names[0].removeprefix(_SEGMENT_PREFIX))
+        # A name that is no number differs from that of the segment that is looked for.
+        first = segment_names[0].removeprefix(_SEGMENT_PREFIX)
+        store.sequence = read_whole_number(first.lstrip("0") or "0") or 0
     for name in segment_names:
         if name != _segment_name(store.sequence):
             return Error(CorruptData(name, 0, f"record {store.sequence} is missing before it"))
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_store.py
@@ -2,8 +2,11 @@
 import random
 import unittest
 
+import cbor2
+
 from bendwind_core.consensus import Entry, HardState, Persist, SaveSnapshot, Snapshot
 from bendwind_node.storage.errors import CorruptData
+from bendwind_node.storage.frames import encode_frame
 from bendwind_node.storage.store import Store, open_store
 from bendwind_node.storage.tests.fake_files import CrashError, FakeFiles
 
@@ -52,6 +55,45 @@
     return open_store(files, 200).ok.recovered.entries
 
 
+class ForeignRecordTest(unittest.TestCase):
+    def test_record_with_a_right_checksum_that_no_store_writes_is_corrupt_data(self):
+        payloads = (
+            b"\x81" * 100_000,
+            b"",
+            b"\xd8\x1c\x81\xd8\x1d\x00",
+            cbor2.dumps(["truncate", 2**64]),
+            cbor2.dumps(["truncate", -1]),
+            cbor2.dumps(["entry", [2**63, 1, b"", None]]),
+            cbor2.dumps(["head", [[float("nan"), 0, 0]]]),
+            cbor2.dumps("identity"),
+            cbor2.dumps(["nothing"]),
+        )
+        names = ("identity", *(name for name in write_log().names() if "-" in name))
+        for name in names:
+            for payload in payloads:
+                files = write_log()
+                sequence = int(name.removeprefix("log-")) if name.startswith("log-") else 0
+                files.current[name].data = encode_frame(sequence, payload)
+                opened = open_store(files, 200)
+                self.assertIsInstance(opened.error, CorruptData, (name, payload[:20]))
+
+    def test_file_with_the_record_of_another_is_corrupt_data(self):
+        identity = write_log().read("identity")
+        for name in write_log().names():
+            if name.startswith("snapshot-"):
+                files = write_log()
+                files.current[name].data = identity
+                self.assertIsInstance(open_store(files, 200).error, CorruptData)
+
+    def test_segment_whose_name_is_no_number_is_corrupt_data(self):
+        for suffix in ("", "²", "9" * 5000, "-1", "x"):
+            files = write_log()
+            name = next(name for name in sorted(files.names()) if name.startswith("log-"))
+            files.current[f"log-{suffix}"] = files.current.pop(name)
+            opened = open_store(files, 200)
+            self.assertIsInstance(opened.error, CorruptData, suffix[:5])
+
+
 class StoreTest(unittest.TestCase):
     def test_damage_to_any_synced_byte_is_refused_and_never_skipped(self):
         whole = read_entries(write_log())
