cli: an answer that is nested too deep is reported like any other

Users saw: a traceback. Found with the edges of the processes: the client decodes answers of a server, with the same guard that lacked RecursionError.

Fix: it decodes by decode_json. test_answer_that_is_nested_too_deep_is_reported _in_one_line failed before with "RecursionError: maximum recursion depth exceeded while deserializing an object".

--- a/packages/bendwind-cli/src/bendwind_cli/client.py
+++ b/packages/bendwind-cli/src/bendwind_cli/client.py
@@ -12,6 +12,7 @@
 from bendwind_cli.client_settings import ClientSettings, make_ssl_context
 from bendwind_cli.outcome import ExitCode, Failure
 from bendwind_cli.replies import ErrorReply
+from bendwind_core.core import decode_json
 
 _Reply = TypeVar("_Reply")
 _RETRY_INTERVAL_S = 0.2
@@ -212,10 +213,7 @@
 def _read_error(answer: HttpAnswer) -> ErrorReply | None:
     if answer.status < 400:
         return None
-    try:
-        return msgspec.json.decode(answer.body, type=ErrorReply)
-    except msgspec.DecodeError:
-        return ErrorReply(f"status {answer.status}")
+    return decode_json(answer.body, ErrorReply).default_value(ErrorReply(f"status {answer.status}"))
 
 
 def _read_text(answer: HttpAnswer) -> Result[str, Failure]:
@@ -227,13 +225,13 @@
 
 def _decode(answer: HttpAnswer, kind: type[_Reply]) -> Result[_Reply, Failure]:
     # A lost race and an expired plan have an HTTP error status but an outcome as their body.
-    try:
-        return Ok(msgspec.json.decode(answer.body, type=kind))
-    except msgspec.DecodeError as fault:
-        error = _read_error(answer)
-        if error is None:
-            return Error(Failure(ExitCode.REFUSED, f"cannot decode the response: {fault}"))
-        return Error(_describe_error(error))
+    decoded = decode_json(answer.body, kind)
+    if decoded.is_ok():
+        return decoded
+    error = _read_error(answer)
+    if error is None:
+        return Error(Failure(ExitCode.REFUSED, f"cannot decode the response: {decoded.error}"))
+    return Error(_describe_error(error))
 
 
 def _describe_error(error: ErrorReply) -> Failure:
--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -158,6 +158,14 @@
             with self.subTest(arguments):
                 self.assert_fails(arguments, ExitCode.USAGE, pattern)
 
+    def test_answer_that_is_nested_too_deep_is_reported_in_one_line(self):
+        intent = self.folder / "intent"
+        intent.write_text("services = []")
+        for status, pattern in ((201, "cannot decode the response"), (400, "status 400")):
+            server = self.serve(("POST /v1/plans", status, msgspec.Raw(b'{"id":' + b"[" * 9000)))
+            arguments = ["plan", str(intent), f"--control={server.address}"]
+            self.assert_fails(arguments, ExitCode.REFUSED, pattern)
+
     def test_shows_a_plan_like_a_diff(self):
         server = self.serve(("POST /v1/plans?file=", 201, PLAN))
         intent = self.folder / "007"
