--- a/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
+++ b/packages/bendwind-cli/src/bendwind_cli/tests/test_main.py
@@ -147,12 +147,25 @@
             (["timeline", "--event=7", "--control=h:1"], "expected a number or name"),
             (["plan", "x", "--expires-s=soon", "--control=h:1"], "expires_s"),
             (["drain", "x", "--kind=y", "--control=h:1"], "kind: expected instance or upstream"),
+            (["plan", "x", "--expires-s=²", "--control=h:1"], "expires_s"),
+            (["timeline", "--event=²", "--control=h:1"], "expected a number or name"),
+            (["timeline", "--limit=²", "--control=h:1"], "limit: expected a whole number"),
             (["keys", "authority", "--days=0"], "days: expected 1 to 36500"),
+            (["keys", "authority", "--days=²"], "days: expected 1 to 36500"),
+            (["keys", "authority", "--days=" + "9" * 5000], "days: expected 1 to 36500"),
         ]
         for arguments, pattern in cases:
             with self.subTest(arguments):
                 self.assert_fails(arguments, ExitCode.USAGE, pattern)
 
+    def test_answer_that_is_nested_too_deep_is_reported_in_one_line(self):
+        intent = self.folder / "intent"
+        intent.write_text("services = []")
+        for status, pattern in ((201, "cannot decode the response"), (400, "status 400")):
+            server = self.serve(("POST /v1/plans", status, msgspec.Raw(b'{"id":' + b"[" * 9000)))
+            arguments = ["plan", str(intent), f"--control={server.address}"]
+            self.assert_fails(arguments, ExitCode.REFUSED, pattern)
+
     def test_shows_a_plan_like_a_diff(self):
         server = self.serve(("POST /v1/plans?file=", 201, PLAN))
         intent = self.folder / "007"
--- a/packages/bendwind-core/src/bendwind_core/admission/warm_up.py
+++ b/packages/bendwind-core/src/bendwind_core/admission/warm_up.py
@@ -15,16 +15,13 @@
 
 import msgspec
 
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Record, Seconds
+from bendwind_core.core import MAX_AMOUNT, MILLISECONDS_PER_SECOND, Milliseconds, Record, Seconds
 from bendwind_core.world import WarmUpRule
 
 # Period in which as many requests are sent as the limit allows in one second. It is a little longer
 # than a second, since one request may take a little longer than the next one to reach the upstream,
 # which is on the same instance.
 SPACING_WINDOW: Seconds = 1.05
-# In requests per second. Above it, requests are as good as unlimited, and a finite number can be
-# rounded.
-MAX_RATE = 1e9
 
 
 class WarmUpLimits(Record, frozen=True, array_like=True):
@@ -111,7 +108,7 @@
 def find_spacing(rule: WarmUpRule, limits: WarmUpLimits) -> Seconds:
     """Return the time between two requests that keeps any second within the limit."""
     # The bounds are the first operands, so that they replace what is not a number.
-    stated = min(MAX_RATE, rule.per_second * limits.overage + limits.slack)
+    stated = min(MAX_AMOUNT, rule.per_second * limits.overage + limits.slack)
     return SPACING_WINDOW / math.floor(max(1.0, stated))
 
 
--- a/packages/bendwind-core/src/bendwind_core/plans/tests/extremes.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/extremes.py
@@ -4,6 +4,7 @@
 import math
 import types
 import typing
+from collections.abc import Iterator
 
 import msgspec
 from hypothesis import strategies as st
@@ -18,6 +19,20 @@
 MAX_ITEMS = 3
 
 
+def has_non_finite(record: msgspec.Struct) -> bool:
+    """Return whether a record holds a float that is infinite or not a number."""
+    return any(not math.isfinite(number) for number in _list_floats(msgspec.to_builtins(record)))
+
+
+def _list_floats(value: object) -> Iterator[float]:
+    match value:
+        case float():
+            yield value
+        case list() | tuple():
+            for item in value:
+                yield from _list_floats(item)
+
+
 def draw_commands(kind: type | None = None) -> st.SearchStrategy:
     """Return a strategy for the commands of a type, or for all commands."""
     kinds = (kind,) if kind else typing.get_args(Command)
--- a/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
+++ b/packages/bendwind-core/src/bendwind_core/quotas/bounds.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from bendwind_core.core import Seconds
+from bendwind_core.core import MAX_AMOUNT, MIN_RATE_PER_S, Seconds
 from bendwind_core.membership.settings import CLOCK_RATE_BOUND
 from bendwind_core.world import Customer
 
@@ -31,11 +31,6 @@
 # Tokens age at nodes and, if one voter lent them to another, also at voters. Each of the two may
 # use half of the maximum age.
 _NODE_AGE_SHARE = 0.5
-# Numbers of tokens are counted, added and divided. Up to this number, in tokens, a float holds each
-# count exactly, and no sum or product of them is infinite. No deployment has as many requests.
-MAX_TOKENS = 2.0**53
-# In tokens per second. The time until the next token, 30 years, is finite.
-MIN_RATE = 1e-9
 
 
 class QuotaBounds(msgspec.Struct, frozen=True):
@@ -78,10 +73,14 @@
 
 
 def create_share(customer: Customer, bounds: QuotaBounds, voters: int) -> Share:
-    """Return one voter's share of a customer's quota, which is split among `voters` voters."""
+    """Return one voter's share of a customer's quota, which is split among `voters` voters.
+
+    Tokens are counted in whole numbers and waits are quotients by the rate, so both have to stay
+    finite, whatever the quota is.
+    """
     # The limit is the first operand, so that it replaces what is not a number.
-    rate_per_s = max(MIN_RATE, min(MAX_TOKENS, customer.rate_per_s))
-    burst = max(0.0, min(MAX_TOKENS, customer.burst))
+    rate_per_s = max(MIN_RATE_PER_S, min(MAX_AMOUNT, customer.rate_per_s))
+    burst = max(0.0, min(MAX_AMOUNT, customer.burst))
     max_reserve = rate_per_s * bounds.window * bounds.overage / 2
     total_cap = burst * (1 + bounds.overage) + bounds.slack
     shortfall = min(max_reserve, max(0.0, voters - total_cap))
--- a/packages/bendwind-core/src/bendwind_core/runs/record.py
+++ b/packages/bendwind-core/src/bendwind_core/runs/record.py
@@ -3,7 +3,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from bendwind_core.core import Record
+from bendwind_core.core import Record, SequenceNumber, Storable
 from bendwind_core.world import UpstreamState
 
 # Names and services have up to a few hundred bytes. All that an instance may report at a time fits
@@ -24,8 +24,8 @@
     instance: str
     name: str
     service: str = ""
-    born_ms: int = 0
-    sequence: int = 0
+    born_ms: Storable = 0
+    sequence: SequenceNumber = 0
     state: UpstreamState = UpstreamState.READY
 
 
@@ -68,4 +68,6 @@
     """Return whether a numbered announcement is older than what is held of its upstream."""
     if born_ms and born_ms != record.born_ms:
         return born_ms < record.born_ms
-    return record.state is UpstreamState.GONE or sequence <= record.sequence
+    if record.state is UpstreamState.GONE:
+        return True
+    return record.sequence != 0 and sequence <= record.sequence
--- a/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owned_upstream.py
@@ -1,6 +1,7 @@
 """Describe an upstream on this instance and its announcements."""
 
 import enum
+import re
 from typing import Annotated
 
 import msgspec
@@ -9,22 +10,25 @@
 
 from bendwind_core.admission import WarmUpState
 from bendwind_core.attempts import AttemptId, owner
-from bendwind_core.core import Milliseconds, Seconds
+from bendwind_core.core import (
+    MAX_PORT,
+    MAX_SEQUENCE,
+    BornMs,
+    Seconds,
+    SequenceNumber,
+    Slots,
+    WarmUpMs,
+)
 from bendwind_core.suspicion import SuspectTable
 from bendwind_core.world import Instance, Upstream, UpstreamState
 from bendwind_node.calls.upstream_h11 import UpstreamPool
 
 QUEUE_LIMIT = 16
-# Far above the slots of any deployment; a larger value comes from a faulty sender.
-MAX_SLOTS = 1_000_000
-MAX_PORT = 65_535
-# One week; no upstream takes this long to warm up.
-MAX_WARM_UP_MS = 604_800_000
-# In the year 2286; no run of an upstream has started later.
-MAX_BORN_MS = 9_999_999_999_999
 
 # A name is sent in a header of every request to the upstream.
-UpstreamName = Annotated[str, Meta(pattern=r"\A[!-~]{1,128}\Z")]
+_NAME_PATTERN = r"\A[!-~]{1,128}\Z"
+_NAME = re.compile(_NAME_PATTERN)
+UpstreamName = Annotated[str, Meta(pattern=_NAME_PATTERN)]
 UpstreamHost = Annotated[str, Meta(pattern=r"\A[A-Za-z0-9.:_-]{1,255}\Z")]
 
 
@@ -34,9 +38,10 @@
     An upstream that is not verified was announced once, perhaps by a late message: an earlier run
     of this process may have handled its departure since. It gets requests once its health path or
     a second announcement has shown that it stays. `announced_state` is the state that it announced
-    last, and `born_ms` is the start time of its newest known run. `is_being_queried` says that its
-    health path is being queried for the remaining warm-up, `is_drain_marked` that operators want no
-    requests sent to it, `is_unreachable` that it refused the last connection.
+    last, `last_sequence` the number of its last announcement that had one, and `born_ms` the start
+    time of its newest known run. `is_being_queried` says that its health path is being queried for
+    the remaining warm-up, `is_drain_marked` that operators want no requests sent to it,
+    `is_unreachable` that it refused the last connection.
     """
 
     upstream: Upstream
@@ -45,7 +50,7 @@
     lease_until: Seconds
     scopes: dict[AttemptId, trio.CancelScope] = msgspec.field(default_factory=dict)
     is_drain_marked: bool = False
-    last_sequence: int = 0
+    last_sequence: int | None = None
     has_left: bool = False
     is_verified: bool = True
     is_unreachable: bool = False
@@ -82,12 +87,17 @@
     service: Annotated[str, Meta(min_length=1)]
     host: UpstreamHost
     port: Annotated[int, Meta(ge=1, le=MAX_PORT)]
-    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
-    connections: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
+    slots: Slots
+    connections: Slots
     state: UpstreamState
-    sequence: Annotated[int, Meta(ge=0)] = 0
-    warm_up_left_ms: Annotated[Milliseconds, Meta(ge=0, le=MAX_WARM_UP_MS)] = 0.0
-    born_ms: Annotated[int, Meta(ge=0, le=MAX_BORN_MS)] = 0
+    sequence: SequenceNumber = 0
+    warm_up_left_ms: WarmUpMs = 0.0
+    born_ms: BornMs = 0
+
+    def __post_init__(self):
+        # A decoder reports this as it reports a field out of range.
+        if self.sequence > MAX_SEQUENCE:
+            raise ValueError(f"Expected `sequence` <= {MAX_SEQUENCE}")
 
 
 def create_owned_upstream(
@@ -127,6 +137,17 @@
     )
 
 
+def is_overtaken(owned: OwnedUpstream, announcement: Announcement) -> bool:
+    """Return whether the registered run has sent this numbered announcement or a later one."""
+    last = owned.last_sequence
+    return last is not None and announcement.sequence <= last
+
+
+def is_upstream_name(text: str) -> bool:
+    """Return whether a text can be the name of an upstream."""
+    return _NAME.match(text) is not None
+
+
 def is_earlier_run(owned: OwnedUpstream, announcement: Announcement) -> bool:
     """Return whether an announcement comes from a run before the registered one."""
     return 0 < announcement.born_ms < owned.born_ms
