limits: a time limit below a millisecond is refused, and raised where kept

Callers saw: nothing yet; found by asking what an acknowledged limit does in force. With an idle_timeout_ms of 0 a connection is closed unless its first request has arrived already; a negative header_timeout_ms raises ValueError ("`seconds` must be non-negative") in trio for each head that comes in pieces.

Cause: idle_timeout_ms was taken from 0 on, and limits that an earlier release acknowledged stay in the control log, unchecked.

--- a/packages/bendwind-core/src/bendwind_core/core/ranges.py
+++ b/packages/bendwind-core/src/bendwind_core/core/ranges.py
@@ -16,6 +16,8 @@
 MAX_AMOUNT = 1e15
 # One in 30 years. Quotients by it stay finite, also by a small part of it.
 MIN_RATE_PER_S = 1e-9
+# No sender keeps to less than a millisecond.
+MIN_TIME_LIMIT_MS = 1.0
 # Far above the slots of any deployment; a larger value comes from a faulty sender.
 MAX_SLOTS = 1_000_000
 MAX_PORT = 65_535
@@ -52,8 +54,8 @@
 # A quantity, rate or time of any size, which is lowered to MAX_AMOUNT where it is used.
 AnyAmount = Annotated[float, Meta(ge=0)]
 PositiveAmount = Annotated[float, Meta(gt=0)]
-# A limit on the time that a sender takes; no sender keeps to less than a millisecond.
-TimeLimitMs = Annotated[float, Meta(ge=1)]
+# A limit on the time that a sender takes.
+TimeLimitMs = Annotated[float, Meta(ge=MIN_TIME_LIMIT_MS)]
 # Any number that is neither infinite nor NaN, such as a time that derives from a configuration.
 Finite = Annotated[float, Meta(ge=-sys.float_info.max, le=sys.float_info.max)]
 # Any number from there on but NaN, such as a limit that is infinite once it has been lifted.
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -6,7 +6,12 @@
 
 import trio
 
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.core import (
+    MILLISECONDS_PER_SECOND,
+    MIN_TIME_LIMIT_MS,
+    Milliseconds,
+    Seconds,
+)
 from bendwind_core.membership import ConfigurationApplied, ViewEffect
 from bendwind_core.suspicion import SuspectTable
 from bendwind_node.calls.announce_asgi import AnnounceApp
@@ -144,6 +149,11 @@
     nursery.start_soon(_run_until_closed, run, daemon.callers_closed, daemon.callers_scope)
 
 
+def _find_time_limit(stated_ms: Milliseconds) -> Seconds:
+    # The control log may hold limits that an earlier release accepted and no caller can keep to.
+    return max(stated_ms, MIN_TIME_LIMIT_MS) / MILLISECONDS_PER_SECOND
+
+
 def _apply_caller_limits(server: H11Server, entry: EntryNode, effect: ViewEffect) -> None:
     """Apply those caller limits that the active routing configuration sets."""
     if not isinstance(effect, ConfigurationApplied):
@@ -152,9 +162,9 @@
     if stated.header_bytes is not None:
         server.header_bytes = stated.header_bytes
     if stated.header_timeout_ms is not None:
-        server.header_timeout = stated.header_timeout_ms / MILLISECONDS_PER_SECOND
+        server.header_timeout = _find_time_limit(stated.header_timeout_ms)
     if stated.idle_timeout_ms is not None:
-        server.keep_alive = stated.idle_timeout_ms / MILLISECONDS_PER_SECOND
+        server.keep_alive = _find_time_limit(stated.idle_timeout_ms)
 
 
 def serve_upstreams(daemon: Daemon, nursery: trio.Nursery) -> None:
