--- a/packages/bendwind-core/src/bendwind_core/core/decoding.py
+++ b/packages/bendwind-core/src/bendwind_core/core/decoding.py
@@ -10,7 +10,7 @@
 
 _Checked = TypeVar("_Checked")
 
-# Several times the depth of the deepest message.
+# Several times the depth of the deepest message or record.
 MAX_CBOR_DEPTH = 64
 # As many as MAX_INT64 has.
 _MAX_DIGITS = 19
--- a/packages/bendwind-core/src/bendwind_core/core/ranges.py
+++ b/packages/bendwind-core/src/bendwind_core/core/ranges.py
@@ -49,8 +49,6 @@
 BornMs = Annotated[int, Meta(ge=0, le=MAX_BORN_MS)]
 WarmUpMs = Annotated[float, Meta(ge=0, le=MAX_WARM_UP_MS)]
 
-# A finite quantity, rate or time that cannot be negative.
-Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
 # A quantity, rate or time of any size, which is lowered to MAX_AMOUNT where it is used.
 AnyAmount = Annotated[float, Meta(ge=0)]
 PositiveAmount = Annotated[float, Meta(gt=0)]
