logs: the last lines of a process are not lost

Seen: an error that is logged while 4096 lines wait for a slow reader was dropped like any other, and so were all queued lines if the log thread had ended early (MemoryError in it ends the thread only). Cause: one bound for all levels, and close() only joined the thread. Found by reading, for the line that a process writes when a fault ends it. Errors now have room of their own behind the bound (64 lines, so memory stays bounded), and close() writes what a dead thread has left. Nothing else changes: an event below error is dropped and counted as before.

--- a/packages/bendwind-node/src/bendwind_node/logs/background_handler.py
+++ b/packages/bendwind-node/src/bendwind_node/logs/background_handler.py
@@ -10,6 +10,8 @@
 
 # Lines that may wait for a reader: about 1 MB at some 300 bytes per line.
 MAX_PENDING_LINES = 4096
+# Errors may use this much more room, so that the line of a process's end is not dropped.
+RESERVED_ERROR_LINES = 64
 # Lines are collected for this long and written together, which saves most of the system calls.
 BATCH_DELAY: Seconds = 0.02
 # A process that stops waits at most this long for its reader to read the last lines.
@@ -43,7 +45,8 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue the formatted line of a record, or count it as dropped if the queue is full."""
-        if len(self.pending_lines) >= self.max_pending:
+        reserve = RESERVED_ERROR_LINES if record.levelno >= logging.ERROR else 0
+        if len(self.pending_lines) >= self.max_pending + reserve:
             self.unreported_dropped += 1
             self.total_dropped += 1
             return
@@ -60,6 +63,9 @@
         self.is_closing = True
         self.has_pending_lines.set()
         self.thread.join(CLOSE_TIMEOUT)
+        if not self.thread.is_alive():
+            # A thread that ended early, for instance without memory, has left lines.
+            self._write_pending()
         super().close()
 
     def _run(self) -> None:
