daemon: a process that ends by a fault says so in one line

Seen: processes of the core ended, and their own logs held no line on why; a traceback of many lines went to standard error, and the exit status was that of a process that cannot start (1). Cause: main.py and program.py each ran the event loop and caught nothing, so nothing that ended it became an event; which task, and which message, was known to nobody by then. Evidence: a process whose task raises (OverflowError, MemoryError, KeyboardInterrupt, SystemExit, RecursionError, a group) logged PROCESS_STARTED and nothing more. Now daemon/process.py runs the event loop for both programs and records PROCESS_FAILED (811), flushes the log and ends with status 70; a start that fails records START_FAILED (812). The tasks in the process's nursery and in the control service note their name on what they raise (run_named), and what handles a message notes its type, numbers and sender (HandledInput). Texts of a message are left out, and quoted parts of an exception's text where they may be data: both may be keys, credentials or bodies of callers. All distinct exceptions of a group are named, at most four. TASK_FAILED uses the same bounded text. The traceback is no longer printed. The test of the steady clock passed a mock as settings; it passes real ones, and checks the same.

--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -56,6 +56,8 @@
         EventKind.LOG_CORRUPT,
         EventKind.DISK_FAILED,
         EventKind.TASK_FAILED,
+        EventKind.PROCESS_FAILED,
+        EventKind.START_FAILED,
         EventKind.REQUEST_UNANSWERED,
     }
 )
--- a/packages/bendwind-node/src/bendwind_node/claims/task.py
+++ b/packages/bendwind-node/src/bendwind_node/claims/task.py
@@ -60,6 +60,7 @@
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance
+from bendwind_node.failure import HandledInput
 
 TICK: Seconds = 0.1
 IDLE_TICK: Seconds = 0.5
@@ -230,8 +231,9 @@
 
     def _handle(self, item: ClaimInput) -> None:
         match item:
-            case PeerClaimMessage(message=message):
-                self._receive(message)
+            case PeerClaimMessage(sender, message):
+                with HandledInput(message, sender):
+                    self._receive(message)
             case LeaseProven(until):
                 self.fresh_until = max(self.fresh_until, until)
                 for holder in self.holders.values():
--- a/packages/bendwind-node/src/bendwind_node/control/registry.py
+++ b/packages/bendwind-node/src/bendwind_node/control/registry.py
@@ -35,6 +35,7 @@
 )
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Configuration, Instance
+from bendwind_node.failure import HandledInput
 
 Send = Callable[[str, Record], None]
 
@@ -143,7 +144,8 @@
                 case StatusReply():
                     self._handle_status_reply(message)
                 case _:
-                    self.step(MessageReceived(sender, message))
+                    with HandledInput(message, sender):
+                        self.step(MessageReceived(sender, message))
 
     async def _tick(self) -> None:
         while True:
--- a/packages/bendwind-node/src/bendwind_node/control/service.py
+++ b/packages/bendwind-node/src/bendwind_node/control/service.py
@@ -26,6 +26,7 @@
     open_voter,
     run_voter,
 )
+from bendwind_node.failure import run_named
 from bendwind_node.operators import (
     ControlError,
     NoQuorum,
@@ -201,11 +202,11 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; a voter whose disk fails pauses until the disk accepts writes."""
         async with trio.open_nursery() as nursery:
-            await nursery.start(run_voter, self.voter)
-            await nursery.start(self.registry.run)
-            nursery.start_soon(self.placer.run)
-            nursery.start_soon(self.quotas.run)
-            nursery.start_soon(self.runs.run)
+            await nursery.start(run_named, run_voter, self.voter)
+            await nursery.start(run_named, self.registry.run)
+            nursery.start_soon(run_named, self.placer.run)
+            nursery.start_soon(run_named, self.quotas.run)
+            nursery.start_soon(run_named, self.runs.run)
             task_status.started()
 
     def view_placement(self) -> PlacementView | None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -65,13 +65,20 @@
     return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
 
 
-def prepare_daemon(settings: Settings, listeners: Listeners) -> Result[Daemon, str]:
-    """Create the parts that need no running task, such as the recorder and the keys.
+def create_recorder(settings: Settings) -> Recorder:
+    """Create the recorder of a process's events."""
+    name = settings.instance.name
+    return Recorder(name, read_wall_ms, settings.timeline.capacity, read_steady_clock_us)
+
+
+def prepare_daemon(
+    settings: Settings, listeners: Listeners, recorder: Recorder
+) -> Result[Daemon, str]:
+    """Create the parts that need no running task, such as the keys.
 
     Errors: a text that names the unusable file.
     """
     name = settings.instance.name
-    recorder = Recorder(name, read_wall_ms, settings.timeline.capacity, read_steady_clock_us)
     budget = ByteBudget(settings.limits.buffered_bytes)
     daemon = Daemon(settings, listeners, recorder, Dispatcher(name), None, budget)
     if settings.tls is not None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -37,6 +37,7 @@
 from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.claims.task import ClaimTask, PeerClaimMessage
 from bendwind_node.control.service import ControlService
+from bendwind_node.failure import HandledInput
 from bendwind_node.links import Link, LinkHub
 from bendwind_node.membership import MembershipTask
 from bendwind_node.quotas import NodeQuotaTask
@@ -129,7 +130,8 @@
         """Dispatch a message to its task, or drop it if this process has no task for it."""
         handler = self._find_handler(type(message))
         if handler is not None:
-            handler(link, message)
+            with HandledInput(message, link.peer.name):
+                handler(link, message)
 
     def handle_version(self, link: Link, version: int) -> None:
         """Report a newer configuration version of a peer to membership."""
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -7,10 +7,15 @@
 from expression import Ok, Result
 
 from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
-from bendwind_core.timeline import EventKind
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.calls.owned_upstream import UpstreamAddress
 from bendwind_node.claims.task import LeaseProven
-from bendwind_node.daemon.build import build_daemon, choose_incarnation, prepare_daemon
+from bendwind_node.daemon.build import (
+    build_daemon,
+    choose_incarnation,
+    create_recorder,
+    prepare_daemon,
+)
 from bendwind_node.daemon.dispatcher import Dispatcher
 from bendwind_node.daemon.extension import NO_EXTENSION, Extension
 from bendwind_node.daemon.listeners import find_port, open_listeners
@@ -19,6 +24,7 @@
 from bendwind_node.daemon.serve import serve_all
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.early_signals import STOP_SIGNALS, is_stop_requested
+from bendwind_node.failure import run_named
 from bendwind_node.guarded_tasks import GuardedNursery
 from bendwind_node.security import watch_keys
 from bendwind_node.settings import Settings
@@ -31,7 +37,11 @@
 LEASE_POLL_INTERVAL: Seconds = 0.5
 
 
-async def run_daemon(settings: Settings, extension: Extension = NO_EXTENSION) -> Result[None, str]:
+async def run_daemon(
+    settings: Settings,
+    extension: Extension = NO_EXTENSION,
+    recorder: Recorder | None = None,
+) -> Result[None, str]:
     """Run a process until it is requested to stop.
 
     Errors: a text with the reason why the process could not start.
@@ -40,7 +50,7 @@
     if opened.is_error():
         return opened
     async with trio.open_nursery() as nursery:
-        prepared = prepare_daemon(settings, opened.ok)
+        prepared = prepare_daemon(settings, opened.ok, recorder or create_recorder(settings))
         if prepared.is_error():
             return prepared
         daemon = prepared.ok
@@ -68,13 +78,13 @@
 
 async def _start(daemon: Daemon, nursery: trio.Nursery, extension: Extension) -> None:
     dispatcher = daemon.dispatcher
-    nursery.start_soon(dispatcher.hub.run, daemon.listeners.peers)
+    nursery.start_soon(run_named, dispatcher.hub.run, daemon.listeners.peers)
     if dispatcher.control is not None:
-        await nursery.start(dispatcher.control.run)
-    await nursery.start(dispatcher.membership.run)
-    nursery.start_soon(dispatcher.claims.run)
-    nursery.start_soon(dispatcher.quotas.run)
-    nursery.start_soon(dispatcher.owner.run_clock)
+        await nursery.start(run_named, dispatcher.control.run)
+    await nursery.start(run_named, dispatcher.membership.run)
+    nursery.start_soon(run_named, dispatcher.claims.run)
+    nursery.start_soon(run_named, dispatcher.quotas.run)
+    nursery.start_soon(run_named, dispatcher.owner.run_clock)
     guarded = GuardedNursery(nursery, daemon.recorder)
     guarded.start_repeatedly(dispatcher.runs.run)
     guarded.start_repeatedly(dispatcher.probes.run)
@@ -83,7 +93,7 @@
         address = UpstreamAddress(beside.host, beside.port)
         guarded.start_repeatedly(dispatcher.owner.register.queries.register_known, address)
     guarded.start_repeatedly(_report_lease_proof, dispatcher)
-    nursery.start_soon(_watch_signals, daemon)
+    nursery.start_soon(run_named, _watch_signals, daemon)
     if daemon.keys is not None:
         guarded.start_repeatedly(watch_keys, daemon.keys)
     if extension.settings_file is not None and extension.load is not None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -20,6 +20,7 @@
 from bendwind_node.daemon.readiness import ReadinessPage
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.daemon.status import DaemonStatus
+from bendwind_node.failure import run_named
 from bendwind_node.http.asgi_server import AsgiServer, serve_asgi
 from bendwind_node.metrics import Metrics
 from bendwind_node.metrics.gather import (
@@ -107,7 +108,7 @@
     run: Callable[[], Awaitable[None]], closed: trio.Event, scope: trio.CancelScope
 ) -> None:
     with scope:
-        await run()
+        await run_named(run)
     closed.set()
 
 
--- a/packages/bendwind-node/src/bendwind_node/guarded_tasks.py
+++ b/packages/bendwind-node/src/bendwind_node/guarded_tasks.py
@@ -11,7 +11,7 @@
 
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_node.failure import describe_failure
+from bendwind_node.failure import describe_failure, describe_task
 
 # A task that always fails costs next to nothing, and one that failed once is soon back.
 RESTART_DELAY: Seconds = 1.0
@@ -47,11 +47,6 @@
             await trio.sleep(RESTART_DELAY)
 
 
-def describe_task(run: Callable[..., object]) -> str:
-    """Return the name of a task's function."""
-    return getattr(run, "__qualname__", type(run).__name__)
-
-
 def record_task_failure(recorder: Recorder, error: BaseException, task: str = "") -> None:
     """Record an exception that ended a task or a request, but not the process."""
     detail = describe_failure(error)
--- a/packages/bendwind-node/src/bendwind_node/logs/configure.py
+++ b/packages/bendwind-node/src/bendwind_node/logs/configure.py
@@ -28,3 +28,9 @@
     logging.getLogger("bendwind").setLevel(settings.logging.level.upper())
     for name in _VERBOSE_LIBRARIES:
         logging.getLogger(name).setLevel(logging.WARNING)
+
+
+def close_logging() -> None:
+    """Write the queued lines; a reader that does not read delays this by a bounded time."""
+    for handler in logging.getLogger().handlers:
+        handler.close()
--- a/packages/bendwind-node/src/bendwind_node/main.py
+++ b/packages/bendwind-node/src/bendwind_node/main.py
@@ -9,7 +9,6 @@
 from bendwind_node.settings import load_settings
 
 EXIT_BAD_SETTINGS = 5
-EXIT_CANNOT_START = 1
 
 
 def run(config: str, check: bool = False) -> None:
@@ -31,18 +30,12 @@
 
 def _run_checked(settings, file: Path) -> None:
     # These modules are expensive to import, and a check of the settings needs none of them.
-    import trio
-
-    from bendwind_node.clock import SteadyClock
-    from bendwind_node.daemon import Extension, run_daemon
-    from bendwind_node.logs import configure_logging
-
-    configure_logging(settings)
-    extension = Extension(settings_file=file, load=load_settings)
-    ended = trio.run(run_daemon, settings, extension, clock=SteadyClock())
-    if ended.is_error():
-        print(f"bendwindd: {ended.error}", file=sys.stderr)
-        sys.exit(EXIT_CANNOT_START)
+    from bendwind_node.daemon import Extension
+    from bendwind_node.daemon.process import run_process
+
+    status = run_process(settings, Extension(settings_file=file, load=load_settings))
+    if status:
+        sys.exit(status)
 
 
 def main() -> None:
--- a/packages/bendwind-node/src/bendwind_node/membership/task.py
+++ b/packages/bendwind-node/src/bendwind_node/membership/task.py
@@ -37,6 +37,7 @@
 from bendwind_core.suspicion import SuspectReport
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Customer, Instance, Routing, Service, Upstream
+from bendwind_node.failure import HandledInput
 
 Send = Callable[[str, Record], bool]
 Listener = Callable[[ViewEffect], None]
@@ -86,7 +87,8 @@
         while True:
             with trio.move_on_at(wake_at):
                 sender, message = await self._receive_channel.receive()
-                self.step(MessageReceived(sender, message))
+                with HandledInput(message, sender):
+                    self.step(MessageReceived(sender, message))
             # Checked after messages too, so that a steady stream of them does not delay heartbeats.
             if trio.current_time() >= wake_at:
                 self.step(Tick())
--- a/packages/bendwind-node/src/bendwind_node/tests/test_clock.py
+++ b/packages/bendwind-node/src/bendwind_node/tests/test_clock.py
@@ -8,6 +8,8 @@
 
 from bendwind_node import main
 from bendwind_node.clock import STEADY_CLOCK, SteadyClock, read_steady_clock
+from bendwind_node.settings import parse_settings
+from bendwind_node.settings.tests.test_load import PLAIN
 
 SOURCES = Path(__file__).parents[1]
 # Times shown to people and incarnation numbers; the duration of disk operations.
@@ -33,10 +35,10 @@
         self.assertTrue(trio.run(run, clock=SteadyClock()))
 
     def test_daemon_uses_the_steady_clock(self):
-        settings = mock.MagicMock()
+        settings = parse_settings(PLAIN.encode(), "a.toml").ok
         with (
             mock.patch.object(trio, "run") as run,
-            mock.patch("bendwind_node.logs.configure_logging"),
+            mock.patch("bendwind_node.daemon.process.configure_logging"),
         ):
             run.return_value.is_error.return_value = False
             main._run_checked(settings, Path("a.toml"))
