daemon: an apostrophe in an exception's text does not show quoted data

Seen (by reading what was written before): in a text like "can't read 'token'" the apostrophe of the first word opened the quotation, so that the data after it was shown in a log line. Cause: the pattern took any apostrophe as an opening one, and knew no escaped ones. It now opens none within a word, and ends none at an escaped one. Test failed before: 'token' found.

--- a/packages/bendwind-node/src/bendwind_node/failure.py
+++ b/packages/bendwind-node/src/bendwind_node/failure.py
@@ -20,7 +20,11 @@
 _MAX_NUMBER_BITS = 64
 # What these types quote are names in the code, types, files and addresses.
 _QUOTING_NO_DATA = (AttributeError, TypeError, NameError, ImportError, OSError)
-_QUOTED = re.compile(r"""'[^']*'|"[^"]*"|`[^`]*`|\b[bB]?(?:'[^']*|"[^"]*)$""")
+# An apostrophe within a word opens no quotation; one that is left open quotes the rest.
+_QUOTED = re.compile(
+    r"""(?<!\w)(?:b|B)?(?:'(?:[^'\\]|\\.)*(?:'|$)|"(?:[^"\\]|\\.)*(?:"|$)|`[^`]*(?:`|$))""",
+    re.DOTALL,
+)
 
 
 class TaskNote(str):
--- a/packages/bendwind-node/src/bendwind_node/tests/test_failure.py
+++ b/packages/bendwind-node/src/bendwind_node/tests/test_failure.py
@@ -72,6 +72,14 @@
         ):
             self.assertNotIn("token", describe_failure(error))
 
+    def test_quoted_data_is_left_out_whatever_it_holds(self):
+        for data in ("token", "it's token", 'say "token"', 'it\'s "token"', "a\\", "token\n'"):
+            for shown in (repr(data), repr(data.encode())):
+                error = ValueError(f"can't read {shown}, or can't it")
+                self.assertNotIn("token", describe_failure(error))
+                self.assertIn("can't read <", describe_failure(error))
+        self.assertNotIn("token", describe_failure(ValueError("cut: 'a token")))
+
     def test_names_in_the_code_are_shown(self):
         found = describe_failure(catch(getattr, None, "missing"))
         self.assertIn("'NoneType' object has no attribute 'missing'", found)
