daemon: the next start tells how the former run ended

Seen: after an end by a fault, a kill or a loss of power, the next start of a process logged the same as after a planned stop; a crash loop could be seen only from outside. Cause: nothing of the end was kept. Processes with a data folder keep the file run-state there: written and synced once at the start, removed at a planned stop, and rewritten with the fault (at most 4096 bytes) at a fault's end, after the log line. The next start records PREVIOUS_RUN_FAILED (813) or PREVIOUS_RUN_UNFINISHED (814), which bendwind_events_total counts. Not synced is the removal at a planned stop: a loss of power just then reads as unfinished.

--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -43,6 +43,7 @@
         EventKind.FRAME_REFUSED,
         EventKind.INBOX_FULL,
         EventKind.SETTINGS_REFUSED,
+        EventKind.PREVIOUS_RUN_UNFINISHED,
         EventKind.OPERATOR_REFUSED,
         EventKind.KEYS_REFUSED,
         EventKind.PEER_REFUSED,
@@ -58,6 +59,7 @@
         EventKind.TASK_FAILED,
         EventKind.PROCESS_FAILED,
         EventKind.START_FAILED,
+        EventKind.PREVIOUS_RUN_FAILED,
         EventKind.REQUEST_UNANSWERED,
     }
 )
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -21,6 +21,7 @@
 from bendwind_node.daemon.listeners import find_port, open_listeners
 from bendwind_node.daemon.metrics_page import serve_metrics
 from bendwind_node.daemon.reload import watch_settings
+from bendwind_node.daemon.run_marker import RunMarker
 from bendwind_node.daemon.serve import serve_all
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.early_signals import STOP_SIGNALS, is_stop_requested
@@ -41,6 +42,7 @@
     settings: Settings,
     extension: Extension = NO_EXTENSION,
     recorder: Recorder | None = None,
+    marker: RunMarker | None = None,
 ) -> Result[None, str]:
     """Run a process until it is requested to stop.
 
@@ -61,6 +63,8 @@
         if is_stop_requested():
             # No server has started yet, so no request has to be finished.
             return Ok(None)
+        if marker is not None:
+            marker.begin(daemon.recorder)
         await _start(daemon, nursery, extension)
         if extension.serve is not None:
             served = await extension.serve(daemon, nursery)
@@ -73,6 +77,8 @@
         nursery.cancel_scope.cancel()
     account_totals = "; ".join(account.describe() for account in daemon.accounts)
     daemon.recorder.record(EventKind.PROCESS_STOPPED, detail=account_totals)
+    if marker is not None:
+        marker.end_planned()
     return Ok(None)
 
 
