settings: a file that no decoder can hold is refused, not raised

Seen: a settings file nested 100,000 deep, or a number of 5,000 digits in it, raised RecursionError or ValueError from the load. At a start this was a traceback with status 1 in place of one line with status 5; in a process that runs, the watcher of the file ended with TASK_FAILED ('report the fault') and no SETTINGS_REFUSED, and after an early SIGHUP it would have read the file again each second. Cause: both loads caught msgspec's errors, and the decoders raise others beside them. Evidence: thirteen TOML files and fifteen extreme values in every field of the platform's file were loaded; these raised, nothing else but a file name with a null byte did.

--- a/packages/bendwind-core/src/bendwind_core/core/toml_error.py
+++ b/packages/bendwind-core/src/bendwind_core/core/toml_error.py
@@ -39,7 +39,8 @@
         return Ok(msgspec.toml.decode(data, type=kind))
     except msgspec.ValidationError as error:
         return Error(_describe_error(file, str(error), kind))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        # A number of too many digits raises ValueError, nesting that is too deep RecursionError.
         return Error(TomlError(file, "", f"expected TOML: {error}"))
 
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_reload.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_reload.py
@@ -58,6 +58,19 @@
         self.assertIsNone(self.daemon.dispatcher.seeds)
         self.assertEqual(self.daemon.recorder.counts[EventKind.SETTINGS_REFUSED], 1)
 
+    def test_file_that_no_decoder_can_hold_changes_nothing_and_is_recorded(self):
+        before = self.daemon.settings
+        bodies = (
+            PLAIN + "x = " + "[" * 100_000 + "]" * 100_000,
+            PLAIN + "x = " + "{a = " * 3000 + "1" + "}" * 3000,
+            PLAIN + "x = " + "9" * 5000,
+        )
+        for count, body in enumerate(bodies, 1):
+            self.file.write_text(body)
+            self.reload()
+            self.assertIs(self.daemon.settings, before)
+            self.assertEqual(self.daemon.recorder.counts[EventKind.SETTINGS_REFUSED], count)
+
 
 if __name__ == "__main__":
     unittest.main()
