links: a text frame closes the link and ends no process

Seen: a peer that answers the hello, or sends later, a WebSocket text message ended the process that had dialed it: TypeError, a bytes-like object is required, not 'str'. At a start the query of the own incarnation raised the same. Cause: decode_frame took what recv() returned as bytes, and the task that dials ends the process with whatever it does not know. Odd addresses of a peer (fourteen) already counted as unreachable. Tests failed before: TypeError in both new tests.

--- a/packages/bendwind-core/src/bendwind_core/messages/frame.py
+++ b/packages/bendwind-core/src/bendwind_core/messages/frame.py
@@ -7,6 +7,16 @@
 from bendwind_core.core import Record
 from bendwind_core.messages.codec import PeerMessage
 
+# A hostile or faulty peer can cause each of these; nothing has been done with the frame by then.
+_DECODE_ERRORS = (
+    cbor2.CBORDecodeError,
+    msgspec.ValidationError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+    MemoryError,
+)
+
 
 class Frame(Record, frozen=True, array_like=True):
     """Hold messages in order, with the hybrid logical time of the sender.
@@ -26,12 +36,14 @@
     return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=(bytes,)))
 
 
-def decode_frame(data: bytes) -> Result[Frame, str]:
+def decode_frame(data: bytes | str) -> Result[Frame, str]:
     """Decode a frame and check every field.
 
     Errors: a description of what is wrong with the data.
     """
+    if isinstance(data, str):
+        return Error("undecodable frame: text in place of bytes")
     try:
         return Ok(msgspec.convert(cbor2.loads(data), Frame))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         return Error(f"undecodable frame: {error}")
--- a/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
@@ -1,11 +1,15 @@
+import contextlib
 import unittest
+from functools import partial
 from unittest import mock
 
 import trio
 import trio.testing
+from websockets.exceptions import ConnectionClosed
+from websockets.trio.server import serve
 
-from bendwind_core.messages import Goodbye, Hello
-from bendwind_core.timeline import Recorder
+from bendwind_core.messages import Frame, Goodbye, Hello, encode_frame
+from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance
 from bendwind_node.links import create_link_hub
 from bendwind_node.links.link import Link
@@ -64,6 +68,44 @@
         await receiver.changed.wait()
 
 
+class RefusedFrameTest(unittest.TestCase):
+    """Dial a peer that sends what no process sends."""
+
+    def dial(self, *frames):
+        """Return the events of a hub whose peer sends these frames in answer to its hello."""
+
+        async def answer(socket):
+            await socket.recv()
+            for frame in frames:
+                await socket.send(frame)
+            with contextlib.suppress(ConnectionClosed):
+                await socket.recv()
+
+        async def main():
+            hub = make_hub("a")
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            hub.set_address("b", "127.0.0.1", listeners[0].socket.getsockname()[1])
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(partial(serve, answer, listeners=listeners))
+                    async with trio.open_nursery() as hub.nursery:
+                        hub.send_dialed("b", Goodbye("a"))
+                    nursery.cancel_scope.cancel()
+            return [event.kind for event in hub.recorder.events]
+
+        return trio.run(main)
+
+    def test_text_in_place_of_the_hello_opens_no_link(self):
+        self.assertNotIn(EventKind.LINK_OPENED, self.dial("text"))
+
+    def test_frame_that_cannot_be_decoded_closes_the_link(self):
+        hello = encode_frame(Frame(1, 1, (Hello(Instance("b", "x", "127.0.0.1", 0, 1), 1),)))
+        for frame in ("text", b"", b"\xff", b"\x81" * 100_000, b"\x9b" + b"\xff" * 8):
+            found = self.dial(hello, frame)
+            expected = [EventKind.LINK_OPENED, EventKind.FRAME_REFUSED, EventKind.LINK_CLOSED]
+            self.assertEqual(found, expected)
+
+
 class TestLinkHub(unittest.TestCase):
     def run_with(self, check):
         async def main():
