links: a fault on an accepted link is a numbered event

Seen: a message that raised when handled closed the link that its peer had dialed, and the WebSocket library logged 'connection handler failed' with a traceback; no TASK_FAILED, nothing counted, and no word on which message of whom. Cause: the library catches what its handler raises. (On a link that this process dialed the same fault ends the process.) Now the handler records TASK_FAILED itself, with the message's type, numbers and sender; the link closes as before. Whether such a fault should end the process on both kinds of links is left open. Test failed before: no TASK_FAILED event.

--- a/packages/bendwind-node/src/bendwind_node/failure.py
+++ b/packages/bendwind-node/src/bendwind_node/failure.py
@@ -78,9 +78,14 @@
 
 
 def describe_failure(error: BaseException) -> str:
-    """Return every distinct exception and where it was raised, on one line."""
+    """Return every distinct exception, where it was raised and the message in hand, on one line."""
     failures, rest = list_failures(error)
-    return "; ".join([failure.fault for failure in failures] + _describe_rest(rest))
+    texts = [_add_input(failure) for failure in failures]
+    return "; ".join(texts + _describe_rest(rest))
+
+
+def _add_input(failure: Failure) -> str:
+    return f"{failure.fault} handling {failure.input}" if failure.input else failure.fault
 
 
 def describe_end(error: BaseException, default_task: str) -> str:
--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -24,6 +24,8 @@
 )
 from bendwind_core.timeline import EventKind, HybridTime, Recorder
 from bendwind_core.world import Instance
+from bendwind_node.failure import describe_task
+from bendwind_node.guarded_tasks import record_task_failure
 from bendwind_node.links.link import MAX_QUEUED_MESSAGES, Link, Receiver
 from bendwind_node.security import Keys, read_identity
 from bendwind_node.streams import DirectListener, open_direct_stream
@@ -151,6 +153,13 @@
             )
 
     async def _accept(self, socket: Connection) -> None:
+        try:
+            await self._serve_accepted(socket)
+        except Exception as error:
+            # The library would log it as text. It closes the link, as after a lost connection.
+            record_task_failure(self.recorder, error, describe_task(self._accept))
+
+    async def _serve_accepted(self, socket: Connection) -> None:
         hello = None
         with trio.move_on_after(DIAL_TIMEOUT_S):
             hello = await self._answer_hello(socket)
--- a/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/tests/test_hub.py
@@ -11,6 +11,7 @@
 from bendwind_core.messages import Frame, Goodbye, Hello, encode_frame
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance
+from bendwind_node.failure import HandledInput
 from bendwind_node.links import create_link_hub
 from bendwind_node.links.link import Link
 
@@ -145,6 +146,22 @@
 
         self.run_with(check)
 
+    def test_fault_in_handling_a_message_on_an_accepted_link_is_recorded(self):
+        async def check(connect, server):
+            def fail(link, message):
+                with HandledInput(message, link.peer.name):
+                    raise ValueError("broken")
+
+            server.receiver.receive = fail
+            client = connect()
+            client.send_dialed("b", Goodbye("a"))
+            await wait_until(client.receiver, lambda: client.receiver.closed)
+            (event,) = [e for e in server.recorder.events if e.kind is EventKind.TASK_FAILED]
+            for text in ("LinkHub._accept: ValueError: broken", "handling Goodbye(", "from a"):
+                self.assertIn(text, event.detail)
+
+        self.run_with(check)
+
     def test_large_messages_that_wait_together_arrive_over_the_same_link(self):
         # Guards against a link that closed because its queue made one frame over the limit.
         async def check(connect, server):
