calls: a body that breaks the protocol is refused, and is no fault of the program

Seen: at the control address a chunk of bad length, or a caller that left within its body, was logged as TASK_FAILED ('report the fault', level error) by anybody at any rate; the bad chunk was answered 503, 'not run, send it again', though it can never work. Callers of routes got no answer to it. Cause: the API's handler lets CallerGoneError through, which the server took for a fault; and the answer after a handler that ended did not know that the body was malformed. Now the server takes CallerGoneError as the end of the request, and answers 400 where nothing may have run (RFC 9112, 7.1); where something may have run it stays 502. Tests failed before: 503 in place of 400, and one TASK_FAILED event.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -11,7 +11,7 @@
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import Recorder
 from bendwind_node.calls import outcomes
-from bendwind_node.calls.caller_exchange import CallerExchange
+from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError
 from bendwind_node.calls.h11_exchange import (
     BROKEN_STREAM_ERRORS,
     FRAMING_HEADERS,
@@ -184,6 +184,10 @@
         self.account.record_received()
         try:
             await self.handle(exchange)
+            if exchange.is_malformed:
+                exchange.send_failure()
+        except CallerGoneError:
+            exchange.send_failure()
         except Exception as error:
             self._record_failure(error)
             exchange.send_failure()
--- a/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
@@ -18,6 +18,7 @@
 FRAMING_HEADERS = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
 BROKEN_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
+_BAD_REQUEST = 400
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
 _CLOSE = (b"connection", b"close")
@@ -34,6 +35,7 @@
         "is_answered",
         "is_closing",
         "is_gone",
+        "is_malformed",
         "may_have_run",
         "read_ahead",
         "request",
@@ -61,6 +63,7 @@
         self.is_answer_begun = False
         self.is_answered = False
         self.is_gone = False
+        self.is_malformed = False
         self.announces_close = False
         self.read_ahead = 0
 
@@ -84,6 +87,7 @@
             return self.connection.next_event()
         except h11.RemoteProtocolError as error:
             self.is_gone = True
+            self.is_malformed = True
             raise CallerGoneError from error
 
     async def _receive(self) -> None:
@@ -126,12 +130,12 @@
     def send_failure(self) -> None:
         """Answer at once that the outcome of the request is unknown, or that it has not run.
 
-        Do nothing if the answer has begun.
+        A request whose body breaks the protocol is refused, since sending it again can't help. Do
+        nothing if the answer has begun.
         """
         if self.is_answer_begun:
             return
-        status = _BAD_GATEWAY if self.may_have_run else _SERVICE_UNAVAILABLE
-        outcome = outcomes.UNKNOWN if self.may_have_run else outcomes.NOT_RUN
+        status, outcome = self._choose_failure()
         self.announces_close = True
         # Nothing was sent yet, so a new h11 state can be used whatever state the connection is in.
         answer = make_error(h11.Connection(h11.SERVER), status, outcome)
@@ -140,6 +144,13 @@
         except BROKEN_STREAM_ERRORS:
             self.is_gone = True
 
+    def _choose_failure(self) -> tuple[int, bytes]:
+        if self.may_have_run:
+            return _BAD_GATEWAY, outcomes.UNKNOWN
+        if self.is_malformed:
+            return _BAD_REQUEST, outcomes.REFUSED
+        return _SERVICE_UNAVAILABLE, outcomes.NOT_RUN
+
     def abort(self) -> None:
         """Mark the connection to be closed before the answer is complete."""
         self.is_aborted = True
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -42,6 +42,25 @@
         received = self.exchange_bytes(b"GET http://[ HTTP/1.1\r\nhost: a\r\n\r\n")
         self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
 
+    def test_body_that_breaks_the_protocol_is_refused_and_is_no_fault_of_the_program(self):
+        async def handle_gone(exchange):
+            with contextlib.suppress(CallerGoneError):
+                await echo(exchange)
+
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        for handle in (echo, handle_gone):
+            for chunk in (b"-1\r\nx\r\n", b"f" * 40 + b"\r\nx", b"zz\r\n"):
+                recorder = Recorder("a", lambda: 0, 10)
+                received = self.exchange_bytes(head + chunk, handle, recorder=recorder)
+                self.assertTrue(received.startswith(b"HTTP/1.1 400 "), received)
+                self.assertEqual(recorder.events, [])
+
+    def test_caller_that_leaves_within_its_body_is_no_fault_of_the_program(self):
+        recorder = Recorder("a", lambda: 0, 10)
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc"
+        self.exchange_bytes(head, recorder=recorder)
+        self.assertEqual(recorder.events, [])
+
     def test_request_whose_handler_fails_is_answered_and_closes_only_its_connection(self):
         # Guards against closing the connection without an answer, as if the caller were at fault.
         recorder = Recorder("a", lambda: 1, 100)
