http: a connection that the library cannot serve ends only itself

Seen: one request 'upgrade: h2c' with invalid HTTP2-Settings to the address of operators or of upstreams (or of callers, where hypercorn serves them) ended the process, without credentials: task=serve_asgi fault=InvalidFrameError: Invalid SETTINGS body Cause: hypercorn's own server starts all connections in one nursery, and lets what its protocols raise through; that ended the server, and the server the process. Now serve_asgi accepts by itself, with hypercorn's connections, and records TASK_FAILED for one that raises. The bound on a stop (60 s), keep-alive, TLS and the 'fd' bind are as before; the lifespan messages are no longer sent, and no application did anything at them. Tests failed before: InvalidFrameError out of serve_asgi.

--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -139,6 +139,7 @@
                 limits.keep_alive_s,
                 limits.header_bytes,
                 daemon.callers_drain,
+                recorder=daemon.recorder,
             )
             account = create_account(daemon, "callers")
             run = partial(serve_callers_asgi, task.handle, asgi_server, account)
@@ -166,6 +167,7 @@
         KEEP_ALIVE,
         MAX_HEADER_BYTES,
         daemon.auxiliary_drain,
+        recorder=daemon.recorder,
     )
     _start_auxiliary(daemon, partial(serve_asgi, app, asgi_server), nursery)
 
@@ -200,6 +202,7 @@
         MAX_HEADER_BYTES,
         daemon.auxiliary_drain,
         tls=None if daemon.keys is None else daemon.keys.operators,
+        recorder=daemon.recorder,
     )
     _start_auxiliary(daemon, partial(serve_asgi, app, asgi_server), nursery)
 
--- a/packages/bendwind-node/src/bendwind_node/http/asgi_server.py
+++ b/packages/bendwind-node/src/bendwind_node/http/asgi_server.py
@@ -1,12 +1,23 @@
 """Run hypercorn on an open listening socket."""
 
+from __future__ import annotations
+
 import ssl
 from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
 from bendwind_core.core import Seconds
+from bendwind_core.timeline import Recorder
+from bendwind_node.guarded_tasks import record_task_failure
+
+if TYPE_CHECKING:
+    from hypercorn.config import Config
+    from hypercorn.trio.worker_context import WorkerContext
+    from hypercorn.typing import ConnectionState
 
 # By default hypercorn closes a connection after 1,000 requests.
 MAX_REQUESTS_PER_CONNECTION = 1_000_000_000
@@ -14,20 +25,44 @@
 
 
 class AsgiServer(msgspec.Struct, eq=False):
-    """Configure a server; it takes ownership of the listening socket's file descriptor."""
+    """Configure a server; it takes ownership of the listening socket's file descriptor.
+
+    `recorder` records what the library raises for a connection; without one it is raised.
+    """
 
     file_descriptor: int
     keep_alive: Seconds
     header_bytes: int
     shutdown: trio.Event = msgspec.field(default_factory=trio.Event)
     tls: ssl.SSLContext | None = None
+    recorder: Recorder | None = None
 
 
 async def serve_asgi(app: Callable, server: AsgiServer) -> None:
     """Serve an ASGI application until shutdown, then finish the requests in flight."""
     # hypercorn is expensive to import, and a process that only checks settings does not need it.
+    from hypercorn.trio.worker_context import WorkerContext
+    from hypercorn.typing import ConnectionState
+
+    config = _create_config(server)
+    context = WorkerContext(None)
+    handle = partial(_serve_connection, app, config, context, ConnectionState({}), server.recorder)
+    listeners = _open_listeners(config)
+    async with trio.open_nursery() as serving:
+        try:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    partial(trio.serve_listeners, handle, listeners, handler_nursery=serving)
+                )
+                await server.shutdown.wait()
+                accepting.cancel_scope.cancel()
+        finally:
+            await context.terminated.set()
+            serving.cancel_scope.deadline = trio.current_time() + GRACEFUL_TIMEOUT
+
+
+def _create_config(server: AsgiServer) -> Config:
     from hypercorn.config import Config
-    from hypercorn.trio import serve
 
     class _Config(Config):
         """Use the process's own TLS context, which switches to renewed keys."""
@@ -48,4 +83,44 @@
     config.include_server_header = False
     config.accesslog = None
     config.errorlog = None
-    await serve(app, config, shutdown_trigger=server.shutdown.wait, mode="asgi")
+    return config
+
+
+def _open_listeners(config: Config) -> list[trio.abc.Listener]:
+    sockets = config.create_sockets()
+    listeners: list[trio.abc.Listener] = []
+    for socket in (*sockets.secure_sockets, *sockets.insecure_sockets):
+        socket.listen(config.backlog)
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(socket))
+        if config.ssl_enabled:
+            listener = trio.SSLListener(
+                listener, config.create_ssl_context(), https_compatible=True
+            )
+        listeners.append(listener)
+    return listeners
+
+
+async def _serve_connection(
+    app: Callable,
+    config: Config,
+    context: WorkerContext,
+    state: ConnectionState,
+    recorder: Recorder | None,
+    stream: trio.abc.Stream,
+) -> None:
+    """Serve one connection, and close only that one if the library raises.
+
+    The library's own server would end with it, and the process with the server: an upgrade to
+    HTTP/2 with invalid settings is enough.
+    """
+    from hypercorn.trio.tcp_server import TCPServer
+    from hypercorn.utils import wrap_app
+
+    try:
+        await TCPServer(
+            wrap_app(app, config.wsgi_max_body_size, "asgi"), config, context, state, stream
+        )
+    except Exception as error:
+        if recorder is None:
+            raise
+        record_task_failure(recorder, error, _serve_connection.__name__)
--- /dev/null
+++ b/packages/bendwind-node/src/bendwind_node/http/tests/test_asgi_server.py
@@ -0,0 +1,69 @@
+import os
+import unittest
+
+import trio
+
+from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.http import AsgiServer, serve_asgi
+
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade, http2-settings\r\n"
+    b"upgrade: h2c\r\nhttp2-settings: %b\r\n\r\n"
+)
+KEEP_ALIVE_S = 0.5
+REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+
+
+async def answer(scope, receive, send):
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+class AsgiServerTest(unittest.TestCase):
+    def exchange(self, *requests):
+        """Send each of the requests on a connection; return the answers and recorded events."""
+        recorder = Recorder("a", lambda: 0, 100)
+
+        async def send(address, request):
+            data = b""
+            try:
+                async with await trio.open_tcp_stream(*address) as stream:
+                    await stream.send_all(request)
+                    while part := await stream.receive_some(65536):
+                        data += part
+            except trio.BrokenResourceError:
+                return data
+            return data
+
+        async def main():
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            file = os.dup(listeners[0].socket.fileno())
+            server = AsgiServer(file, KEEP_ALIVE_S, 4096, recorder=recorder)
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(serve_asgi, answer, server)
+                    address = listeners[0].socket.getsockname()
+                    answers = [await send(address, request) for request in requests]
+                    server.shutdown.set()
+            return answers
+
+        return trio.run(main), [event.kind for event in recorder.events]
+
+    def test_upgrade_with_invalid_settings_closes_only_its_connection(self):
+        for settings in (b"AAAA", b"*", b"", b"A" * 300):
+            answers, events = self.exchange(UPGRADE % settings, REQUEST)
+            self.assertTrue(answers[1].startswith(b"HTTP/1.1 200 "), (settings, answers))
+            self.assertLessEqual(set(events), {EventKind.TASK_FAILED})
+
+    def test_fault_of_the_library_is_recorded(self):
+        _, events = self.exchange(UPGRADE % b"AAAA")
+        self.assertEqual(events, [EventKind.TASK_FAILED])
+
+    def test_requests_are_served_until_the_shutdown(self):
+        answers, events = self.exchange(REQUEST, REQUEST)
+        self.assertEqual([data.startswith(b"HTTP/1.1 200 ") for data in answers], [True, True])
+        self.assertEqual(events, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
