--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -72,13 +72,14 @@
 
 
 def prepare_daemon(
-    settings: Settings, listeners: Listeners, recorder: Recorder
+    settings: Settings, listeners: Listeners, recorder: Recorder | None = None
 ) -> Result[Daemon, str]:
     """Create the parts that need no running task, such as the keys.
 
     Errors: a text that names the unusable file.
     """
     name = settings.instance.name
+    recorder = recorder or create_recorder(settings)
     budget = ByteBudget(settings.limits.buffered_bytes)
     daemon = Daemon(settings, listeners, recorder, Dispatcher(name), None, budget)
     if settings.tls is not None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/dispatcher.py
@@ -37,7 +37,7 @@
 from bendwind_node.calls.probe_task import ProbeTask
 from bendwind_node.claims.task import ClaimTask, PeerClaimMessage
 from bendwind_node.control.service import ControlService
-from bendwind_node.failure import HandledInput
+from bendwind_node.failure import note_input
 from bendwind_node.links import Link, LinkHub
 from bendwind_node.membership import MembershipTask
 from bendwind_node.quotas import NodeQuotaTask
@@ -130,8 +130,11 @@
         """Dispatch a message to its task, or drop it if this process has no task for it."""
         handler = self._find_handler(type(message))
         if handler is not None:
-            with HandledInput(message, link.peer.name):
+            try:
                 handler(link, message)
+            except Exception as error:
+                note_input(error, message, link.peer.name)
+                raise
 
     def handle_version(self, link: Link, version: int) -> None:
         """Report a newer configuration version of a peer to membership."""
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -13,7 +13,6 @@
 from bendwind_node.daemon.build import (
     build_daemon,
     choose_incarnation,
-    create_recorder,
     prepare_daemon,
 )
 from bendwind_node.daemon.dispatcher import Dispatcher
@@ -52,7 +51,7 @@
     if opened.is_error():
         return opened
     async with trio.open_nursery() as nursery:
-        prepared = prepare_daemon(settings, opened.ok, recorder or create_recorder(settings))
+        prepared = prepare_daemon(settings, opened.ok, recorder)
         if prepared.is_error():
             return prepared
         daemon = prepared.ok
--- a/packages/bendwind-node/src/bendwind_node/failure.py
+++ b/packages/bendwind-node/src/bendwind_node/failure.py
@@ -58,7 +58,12 @@
     def __exit__(self, kind: type | None, error: BaseException | None, places: object) -> None:
         """Add the note if handling the message raised."""
         if isinstance(error, Exception):
-            error.add_note(InputNote(f"{describe_input(self.message)} from {bound(self.sender)}"))
+            note_input(error, self.message, self.sender)
+
+
+def note_input(error: Exception, message: object, sender: str) -> None:
+    """Note on an exception which message was being handled, and from which peer."""
+    error.add_note(InputNote(f"{describe_input(message)} from {bound(sender)}"))
 
 
 def describe_task(run: Callable[..., object]) -> str:
