--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_dispatcher.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_dispatcher.py
@@ -11,6 +11,7 @@
 from bendwind_core.quotas import QuotaLoan, QuotaLoanRequest, QuotaReply, QuotaRequest, QuotaReturn
 from bendwind_core.timeline import EventKind
 from bendwind_node.daemon.dispatcher import Dispatcher
+from bendwind_node.failure import describe_end
 
 MEMBERSHIP_MESSAGES = (
     member.HeartbeatReply,
@@ -20,6 +21,21 @@
 )
 
 
+class FailingHandlerTest(unittest.TestCase):
+    def test_fault_of_a_handler_names_the_message_and_its_sender(self):
+        def fail(link, message):
+            raise OverflowError("too large")
+
+        dispatcher = Dispatcher("n1")
+        dispatcher.handlers[Goodbye] = fail
+        link = types.SimpleNamespace(peer=types.SimpleNamespace(name="peer-1"))
+        with self.assertRaises(OverflowError) as raised:
+            dispatcher.receive(link, Goodbye("a secret"))
+        found = describe_end(raised.exception, "main")
+        self.assertRegex(found, r"^task=main input=Goodbye\(.*\) from peer-1 fault=OverflowError")
+        self.assertNotIn("secret", found)
+
+
 class HandlersTest(unittest.TestCase):
     def setUp(self):
         self.dispatcher = Dispatcher("n1")
