--- a/packages/bendwind-core/src/bendwind_core/timeline/levels.py
+++ b/packages/bendwind-core/src/bendwind_core/timeline/levels.py
@@ -45,6 +45,7 @@
         EventKind.INBOX_FULL,
         EventKind.MESSAGE_NOT_SENT,
         EventKind.SETTINGS_REFUSED,
+        EventKind.PREVIOUS_RUN_UNFINISHED,
         EventKind.OPERATOR_REFUSED,
         EventKind.KEYS_REFUSED,
         EventKind.PEER_REFUSED,
@@ -58,6 +59,9 @@
         EventKind.LOG_CORRUPT,
         EventKind.DISK_FAILED,
         EventKind.TASK_FAILED,
+        EventKind.PROCESS_FAILED,
+        EventKind.START_FAILED,
+        EventKind.PREVIOUS_RUN_FAILED,
         EventKind.REQUEST_UNANSWERED,
     }
 )
--- a/packages/bendwind-node/src/bendwind_node/daemon/serve.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/serve.py
@@ -25,6 +25,7 @@
 from bendwind_node.daemon.readiness import ReadinessPage
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.daemon.status import DaemonStatus
+from bendwind_node.failure import run_named
 from bendwind_node.http.asgi_server import AsgiServer, serve_asgi
 from bendwind_node.metrics import Metrics
 from bendwind_node.metrics.gather import (
@@ -112,7 +113,7 @@
     run: Callable[[], Awaitable[None]], closed: trio.Event, scope: trio.CancelScope
 ) -> None:
     with scope:
-        await run()
+        await run_named(run)
     closed.set()
 
 
@@ -143,6 +144,7 @@
                 limits.keep_alive_s,
                 limits.header_bytes,
                 daemon.callers_drain,
+                recorder=daemon.recorder,
             )
             account = create_account(daemon, "callers")
             run = partial(serve_callers_asgi, task.handle, asgi_server, account)
@@ -175,6 +177,7 @@
         KEEP_ALIVE,
         MAX_HEADER_BYTES,
         daemon.auxiliary_drain,
+        recorder=daemon.recorder,
     )
     _start_auxiliary(daemon, partial(serve_asgi, app, asgi_server), nursery)
 
@@ -209,6 +212,7 @@
         MAX_HEADER_BYTES,
         daemon.auxiliary_drain,
         tls=None if daemon.keys is None else daemon.keys.operators,
+        recorder=daemon.recorder,
     )
     _start_auxiliary(daemon, partial(serve_asgi, app, asgi_server), nursery)
 
