calls: a stopping process begins nothing that may outlast it

Callers whose request became whole late in a planned stop had it passed on to an upstream and broken off when the time for the stop ran out: 502, unknown, also for requests that may not be repeated, while the upstream was at work on them (LOST).

Cause: the end of the notice closes the listening socket and idle connections, but nothing asked whether a request that is read after it can still be finished. There are four ways for one to come: a head or a body that ends late, a request behind an answer that began before the stop (its caller was not told of the close), and a refused one that is sent again.

The fix: from FIRST_REQUEST_TIMEOUT after the notice on, a request is sent to an upstream only if its time (the caller's or its route's) ends before the stop does; others are refused as not run. The bodies of those are not waited for.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -117,11 +117,9 @@
         longest_ms = rule.longest_wait_ms or service.longest_wait_ms
         deadline_at = arrived_at + min(timeout_ms.ok, longest_ms) / MILLISECONDS_PER_SECOND
         span = self._find_caller_time(request, rule, arrived_at, timeout_ms.ok)
-        body: Result[bytes, Refusal] = Error(_BODY_TOO_SLOW)
         limit = self._find_body_limit(service)
         if request.may_have_body:
-            with trio.move_on_at(deadline_at):
-                body = await self._read_body(exchange, limit)
+            body = await self._read_body_until(exchange, limit, deadline_at)
         else:
             # There is nothing to wait for, and for most calls a cancel scope would take longer than
             # everything else here.
@@ -318,6 +316,21 @@
                 return service.name
         return host
 
+    async def _read_body_until(
+        self, exchange: CallerExchange, limit: int, deadline_at: Seconds
+    ) -> Result[bytes, Refusal]:
+        """Read the body of a request until its deadline, or until it could no longer begin."""
+        stop_limit = self.entry.stop_limit
+        with trio.CancelScope(deadline=stop_limit.find_read_end(deadline_at)) as scope:
+            stop_limit.reading.add(scope)
+            try:
+                return await self._read_body(exchange, limit)
+            finally:
+                stop_limit.reading.discard(scope)
+        if trio.current_time() < deadline_at:
+            return Error(Refusal.not_run(NotRunReason.DRAINING))
+        return Error(_BODY_TOO_SLOW)
+
     async def _read_body(self, exchange: CallerExchange, limit: int) -> Result[bytes, Refusal]:
         length = names.find_header(exchange.request.headers, names.CONTENT_LENGTH)
         if length is not None and int(length) > limit:
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -24,7 +24,7 @@
 from bendwind_core.attempts import events as ev
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.call import Attempt, find_attempt
-from bendwind_core.attempts.retry_after import NoCapacity
+from bendwind_core.attempts.retry_after import DEFAULT_RETRY_AFTER_MS, NoCapacity
 from bendwind_core.claims import ClaimAnswer, ClaimState
 from bendwind_core.claims.messages import MAX_KEPT_ANSWER_BYTES
 from bendwind_core.limits import ConcurrencyShare, set_services
@@ -48,6 +48,7 @@
 from bendwind_node.calls.dialect import BENDWIND_DIALECT, Dialect
 from bendwind_node.calls.dispatch import format_attempt
 from bendwind_node.calls.owner_node import OwnerNode
+from bendwind_node.calls.stop_limit import StopLimit
 from bendwind_node.calls.upstream_choice import (
     ServiceState,
     choose_next_upstream,
@@ -108,6 +109,7 @@
     pacer: BodyPacer = field(default_factory=BodyPacer)
     routes: RouteTable = field(default_factory=RouteTable)
     refused_callers: RefusedCallers = field(default_factory=RefusedCallers)
+    stop_limit: StopLimit = field(default_factory=StopLimit)
     unknown_keys: int = 0
     service_states: dict[str, ServiceState] = field(default_factory=dict)
     runs: dict[int, CallRun] = field(default_factory=dict)
@@ -269,6 +271,8 @@
         def choose(excluded: frozenset[str]) -> Upstream | NoCapacity | None:
             if not may_send(self.membership, run):
                 return None
+            if not self.stop_limit.may_start(call.deadline_at, now):
+                return NoCapacity(DEFAULT_RETRY_AFTER_MS, NotRunReason.DRAINING)
             record_own_load(service_state, self.owner, now)
             # Long bodies make up most of the bytes between data centres. Keeping them near reduced
             # these bytes by 52% (one run of 50 s each, with bodies of 60 kB on average).
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -8,6 +8,7 @@
 
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import EventKind
+from bendwind_node.calls.caller_h11 import FIRST_REQUEST_TIMEOUT
 from bendwind_node.calls.owned_upstream import UpstreamAddress
 from bendwind_node.claims.task import LeaseProven
 from bendwind_node.daemon.build import build_daemon, choose_incarnation, prepare_daemon
@@ -135,6 +136,9 @@
     dispatcher = daemon.dispatcher
     times = find_stop_times(daemon.settings.stop, trio.current_time())
     daemon.recorder.record(EventKind.PROCESS_STOPPING)
+    # A connection that was made at the end of the notice brings its first request a little later.
+    last_start_at = times.notice_ends_at + FIRST_REQUEST_TIMEOUT
+    dispatcher.entry.stop_limit.set_times(last_start_at, times.earliest_end)
     # During this time callers are redirected to other nodes. The upstream stays in use: it keeps
     # running, and draining it now would take its capacity from its service for that time.
     await trio.sleep_until(times.notice_ends_at)
--- a/packages/bendwind-node/src/bendwind_node/daemon/stop_times.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/stop_times.py
@@ -18,6 +18,11 @@
     ends_at: Seconds
     drain_time: Seconds
 
+    @property
+    def earliest_end(self) -> Seconds:
+        """Return when the drain ends if claims are handed over at once."""
+        return self.notice_ends_at + self.drain_time
+
     def find_drain_end(self, now: Seconds) -> Seconds:
         """Return by when the calls in flight have to end, if the other phases have ended now."""
         return min(self.ends_at, now + self.drain_time)
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -8,6 +8,7 @@
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_node.calls.caller_h11 import H11Server
 from bendwind_node.calls.request_account import Ending, RequestAccount
+from bendwind_node.calls.stop_limit import StopLimit
 from bendwind_node.daemon.run import _stop
 from bendwind_node.settings.tables import StopTable
 
@@ -48,7 +49,7 @@
     owner = types.SimpleNamespace(register=register, is_idle=is_idle)
     dispatcher = types.SimpleNamespace(
         owner=owner,
-        entry=types.SimpleNamespace(runs={}),
+        entry=types.SimpleNamespace(runs={}, stop_limit=StopLimit()),
         claims=FakeClaims(),
         control=None,
         hub=FakeHub(),
