attempts: a request that waits at an owner ends as not run in a stop

Callers whose request still waited in the queue of an owner elsewhere when the time for a stop ran out were answered 502, unknown, although it had not run and never would: one that may not be repeated was given up without need.

Cause: at the end of the stop, the entry node cancels its calls and answers for each attempt that it has handed over that nobody can say whether it ran; it doesn't ask the owner. An attempt in a queue could also start moments before the end, only to be broken off (LOST).

Evidence: daemon/tests/test_late_requests.py, an owner without a free connection. On the code before: "([502], []) != ([503], [])", repeatable or not. A first fix that gated the choice of an upstream only failed the fuzz test of the entry with its new rule: after a busy owner's refusal, the attempt goes to the upstream with the shortest wait without a new choice ("sent by a process that stops").

An owner answers a fence with the proof that the attempt never starts, or that it has started; then it goes on until the stop ends, as before.

--- a/packages/bendwind-core/src/bendwind_core/attempts/call.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/call.py
@@ -74,7 +74,8 @@
     `rank` is its urgency, 0 the most urgent, and `customer` the customer that it belongs to, empty
     if unknown. `near` is the data centre whose upstreams are preferred, empty if none is. At
     `expires_at` the open attempts of a call that may not be repeated are fenced, and nothing is
-    sent afterwards; None for a call that may be repeated.
+    sent afterwards; None for a call that may be repeated. `has_ended_starts` says that this process
+    stops and sends no further attempt of the call.
     """
 
     call_id: str
@@ -92,6 +93,7 @@
     next_part: int = 1
     is_claim_held: bool = False
     is_caller_gone: bool = False
+    has_ended_starts: bool = False
     rank: int = 0
     customer: str = ""
     near: str = ""
--- a/packages/bendwind-core/src/bendwind_core/attempts/entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/entry.py
@@ -50,6 +50,7 @@
     RequestClaim,
     SendCancel,
     SendFence,
+    StartsEnded,
     StartTimer,
     TimerFired,
     TimerKind,
@@ -131,6 +132,9 @@
             _handle_timer(call, event.kind, now, choose, effects)
         case ClaimGranted() | ClaimRefused() | ClaimHeldByOther():
             _handle_claim(call, event, now, choose, effects)
+        case StartsEnded():
+            call.has_ended_starts = True
+            _fence_outstanding(call, effects)
         case CallerGone():
             _handle_caller_gone(call, effects)
     return effects
@@ -366,6 +370,11 @@
 
 def _handle_expiry(call: EntryCall, effects: list[EntryEffect]) -> None:
     effects.append(StartTimer(TimerKind.DEADLINE, call.deadline_at))
+    _fence_outstanding(call, effects)
+
+
+def _fence_outstanding(call: EntryCall, effects: list[EntryEffect]) -> None:
+    """Ask the owners that no attempt starts from now on; those that have started go on."""
     if call.phase is not CallPhase.TRYING:
         return
     for attempt in call.attempts:
--- a/packages/bendwind-core/src/bendwind_core/attempts/events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/events.py
@@ -111,6 +111,10 @@
     attempt: AttemptId
 
 
+class StartsEnded(msgspec.Struct):
+    """Report that this process stops and sends no more attempts of the call."""
+
+
 class CallerGone(msgspec.Struct):
     """Report that the caller closed its connection."""
 
@@ -133,6 +137,7 @@
     | OwnerLinkLost
     | FenceAnswered
     | FenceFailed
+    | StartsEnded
     | CallerGone
     | TimerFired
 )
--- a/packages/bendwind-core/src/bendwind_core/attempts/sending.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/sending.py
@@ -192,7 +192,9 @@
 
 
 def _is_retry_permitted(call: EntryCall, now: Seconds, *, is_budget_exempt: bool) -> bool:
-    if call.is_caller_gone or len(exclude_busy_refusals(call.attempts)) >= MAX_ATTEMPTS:
+    if call.is_caller_gone or call.has_ended_starts:
+        return False
+    if len(exclude_busy_refusals(call.attempts)) >= MAX_ATTEMPTS:
         return False
     # An attempt sent now would not be fenced: the call could end as unknown despite a proof of
     # not-run.
--- a/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_entry.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_fuzz_entry.py
@@ -12,6 +12,7 @@
 from bendwind_core.attempts.attempt_ids import AttemptIds
 from bendwind_core.attempts.call import AttemptState, CallPhase, create_call
 from bendwind_core.attempts.messages import AttemptId, CutReason, FenceVerdict, NotRunReason
+from bendwind_core.attempts.retry_after import NoCapacity
 from bendwind_core.limits import RetryBudget
 from bendwind_core.world import Instance, Repeat, Rule, Service, Upstream
 
@@ -39,6 +40,7 @@
         self.timers = {}
         self.expires_at = DEADLINE
         self.heads = {}
+        self.has_ended_starts = False
         self.finals = []
         self.delivered = []
         self.claims = []
@@ -72,6 +74,8 @@
         self.begin(repeat, tokens, hedge, has_key)
 
     def choose(self, excluded):
+        if self.has_ended_starts:
+            return NoCapacity(1.0, NotRunReason.DRAINING)
         return next((u for u in UPSTREAMS if u.name not in excluded), None)
 
     def step(self, event):
@@ -108,6 +112,7 @@
                 self.finals.append(effect)
 
     def check_may_send(self, upstream):
+        assert not self.has_ended_starts, "sent by a process that stops"
         unproven = set(self.sent) - self.proven
         if not self.call.is_idempotent:
             assert not unproven, "repeated without a proof"
@@ -214,6 +219,11 @@
             case "failed":
                 self.step(ev.FenceFailed(attempt))
 
+    @rule()
+    def end_starts(self):
+        self.has_ended_starts = True
+        self.step(ev.StartsEnded())
+
     @rule(is_gone=st.sampled_from([False] * 5 + [True]))
     def disturb(self, is_gone):
         if is_gone:
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -417,6 +417,12 @@
         call = run.call
         self.claims.report_outcome(call.service.name, run.key, call.call_id, state, answer)
 
+    def end_starts(self) -> None:
+        """Fence the attempts that have not started yet, of calls that may outlast this process."""
+        for run in {id(run): run for run in self.runs.values()}.values():
+            if self.stop_limit.may_outlast(run.call.deadline_at):
+                run.feed(ev.StartsEnded())
+
     def remove_call(self, run: CallRun) -> None:
         """Remove a finished call; messages for its attempts are dropped as late from then on."""
         table = self.service_states[run.call.service.name].table
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -147,7 +147,10 @@
     with trio.move_on_at(times.claims_end_at):
         await dispatcher.claims.leave_groups()
     with trio.move_on_at(times.find_drain_end(trio.current_time())):
-        await _wait_for_calls(daemon)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_end_starts, daemon)
+            await _wait_for_calls(daemon)
+            nursery.cancel_scope.cancel()
     # Cancelled requests are answered as not run or unknown, see H11Exchange.send_failure.
     daemon.callers_scope.cancel()
     await _close_auxiliary_servers(daemon)
@@ -173,6 +176,13 @@
         scope.cancel()
 
 
+async def _end_starts(daemon: Daemon) -> None:
+    """Make sure that no attempt starts so late that the stop would cut off its request."""
+    entry = daemon.dispatcher.entry
+    await trio.sleep_until(entry.stop_limit.last_start_at)
+    entry.end_starts()
+
+
 async def _wait_for_calls(daemon: Daemon) -> None:
     # Once no caller is connected, no request can arrive after the last check for work.
     if daemon.settings.callers is not None:
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_late_requests.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_late_requests.py
@@ -170,6 +170,17 @@
 
         self.run_check(check)
 
+    def test_request_that_has_not_started_late_in_the_stop_is_refused_as_not_run(self):
+        # It waited in the queue of an owner elsewhere until the time for the stop ended.
+        async def check(node, upstream):
+            node.set_connections(0)
+            statuses = await self.send_around_stop(node, make_request("/held"), b"")
+            self.assertEqual((statuses, upstream.paths), ([503], []))
+
+        for repeat in (Repeat.NEVER, Repeat.IDEMPOTENT):
+            with self.subTest(repeat):
+                self.run_check(check, repeat)
+
     def test_request_that_started_before_is_finished_late(self):
         async def check(node, upstream):
             async def answer_late():
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -49,7 +49,7 @@
     owner = types.SimpleNamespace(register=register, is_idle=is_idle)
     dispatcher = types.SimpleNamespace(
         owner=owner,
-        entry=types.SimpleNamespace(runs={}, stop_limit=StopLimit()),
+        entry=types.SimpleNamespace(runs={}, stop_limit=StopLimit(), end_starts=lambda: None),
         claims=FakeClaims(),
         control=None,
         hub=FakeHub(),
