attempts: an owner that stops starts nothing that would outlast it

Callers at other nodes had a request handed over to a stopping owner late in its notice, or started from its queue in the second after it; the owner's process ended while the upstream was at work, and the caller got 502, unknown, though other upstreams had time for the request.

Cause: the owner drains at the end of its notice and refuses its queue a second later, but neither the arrival nor the start of an attempt asked whether it can end while the process runs.

The fix: the owner is told when the process gives up what runs. An attempt whose time ends later, and which would by the usual time of its route and the upstream's pace end later, is refused as draining, on arrival and whenever the queue is looked at, so before any start. An attempt whose own time ends before the process, and one of a route with no answers yet, are started as before: what is not known refuses nobody.

--- a/packages/bendwind-core/src/bendwind_core/attempts/hand_overs.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/hand_overs.py
@@ -16,6 +16,7 @@
     list_unstartable,
     query_load_after_refusal,
     should_start_now,
+    would_outlast_process,
 )
 from bendwind_core.attempts.attempt_log import (
     EntryPeer,
@@ -164,7 +165,7 @@
     hand_over = queued.hand_over
     if owner_state.state is UpstreamState.GONE or owner_state.is_unreachable:
         return NotRunReason.NO_UPSTREAM
-    if not is_accepting(owner_state):
+    if not is_accepting(owner_state) or would_outlast_process(owner_state, queued, now):
         return NotRunReason.DRAINING
     if hand_over.remaining_ms <= 0:
         return NotRunReason.DEADLINE
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -4,6 +4,7 @@
 did not run, and in the same step it records that this attempt never starts.
 """
 
+import math
 from collections.abc import Callable
 
 from bendwind_core.admission import (
@@ -20,6 +21,7 @@
     next_recheck,
     pop_startable,
     query_load_if_held,
+    would_outlast_process,
 )
 from bendwind_core.attempts.attempt_log import ExecutionState
 from bendwind_core.attempts.dispatch_results import (
@@ -57,6 +59,7 @@
     QueueWithdrawn,
     RateLimitNotReported,
     RateLimitReported,
+    StopRequested,
     Tick,
     UpstreamAnnounced,
     UpstreamAssumedCold,
@@ -189,6 +192,8 @@
             handle_link_opened(owner_state, event, effects)
         case LinkLost():
             handle_link_lost(owner_state, event, effects)
+        case StopRequested(ends_at=ends_at):
+            owner_state.ends_at = ends_at
         case Drain():
             handle_drain(owner_state, now)
         case UpstreamAnnounced():
@@ -198,6 +203,8 @@
         case Tick():
             pass
     _expire_queue(owner_state, now, effects)
+    if math.isfinite(owner_state.ends_at):
+        _refuse_matching(owner_state, would_outlast_process, NotRunReason.DRAINING, now, effects)
     _refuse_matching(owner_state, _cannot_start_immediately, NotRunReason.BUSY, now, effects)
     _refuse_matching(owner_state, is_delayed_by_next_slow_phase, NotRunReason.STALLED, now, effects)
     _dispatch_waiting(owner_state, now, effects)
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_events.py
@@ -150,6 +150,12 @@
     """Refuse new attempts permanently: this process or its upstream is about to stop."""
 
 
+class StopRequested(msgspec.Struct):
+    """Report that this process stops, and when it gives up the attempts that still run."""
+
+    ends_at: Seconds
+
+
 class UpstreamAnnounced(msgspec.Struct):
     """Report the upstream's announced capacity and state."""
 
@@ -233,6 +239,7 @@
     | LinkOpened
     | LinkLost
     | Drain
+    | StopRequested
     | UpstreamAnnounced
     | UpstreamLost
     | UpstreamChecked
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
@@ -101,7 +101,8 @@
     `arrival_counts` how many requests of each rank arrived recently. `load_queried_at` is when the
     upstream was last queried for its load, and `has_load_endpoint` whether it has a page for that.
     `is_unreachable` says that the upstream refused the last connection. `is_leaving` says that the
-    upstream reported that it leaves: its present run gets no further requests.
+    upstream reported that it leaves: its present run gets no further requests. `ends_at` is when
+    this process gives up the attempts that still run, infinite unless it stops.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
 
@@ -115,6 +116,7 @@
     connections: int = 0
     state: UpstreamState = UpstreamState.GONE
     is_stopping: bool = False
+    ends_at: Seconds = math.inf
     is_drained: bool = True
     refuse_queue_at: Seconds | None = None
     last_progress_at: Seconds = 0.0
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -227,6 +227,10 @@
             self.probes_answered += 1
             link.send(LoadReport(name, owned.upstream.service, self.read_load(name)))
 
+    def begin_stop(self, ends_at: Seconds) -> None:
+        """Start no attempt from now on that would still run when this process ends."""
+        self._feed_all(ev.StopRequested(ends_at))
+
     def is_idle(self) -> bool:
         """Return whether no attempt runs, waits or is being received."""
         has_work = any(
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -139,6 +139,7 @@
     # A connection that was made at the end of the notice brings its first request a little later.
     last_start_at = times.notice_ends_at + FIRST_REQUEST_TIMEOUT
     dispatcher.entry.stop_limit.set_times(last_start_at, times.earliest_end)
+    dispatcher.owner.begin_stop(times.earliest_end)
     # During this time callers are redirected to other nodes. The upstream stays in use: it keeps
     # running, and draining it now would take its capacity from its service for that time.
     await trio.sleep_until(times.notice_ends_at)
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_planned_stop.py
@@ -46,7 +46,9 @@
 
 
 def make_daemon(register, accounts=(), notice_ms=2000, callers=None, is_idle=lambda: True):
-    owner = types.SimpleNamespace(register=register, is_idle=is_idle)
+    owner = types.SimpleNamespace(
+        register=register, is_idle=is_idle, begin_stop=lambda ends_at: None
+    )
     dispatcher = types.SimpleNamespace(
         owner=owner,
         entry=types.SimpleNamespace(runs={}, stop_limit=StopLimit(), end_starts=lambda: None),
