attempts: owners know when a stopping entry node gives up its calls

Callers of a stopping node whose request usually takes longer than the stop has left had it passed on in the notice and given up at its end: 502, unknown, while the upstream was at work.

Cause: an owner elsewhere knows how long a route takes, its pace and its queue, but not that the entry node will be gone; the entry node knows that, but not the time of a route.

Evidence: daemon/tests/test_late_requests.py, a route that usually takes 1.8 s and a stop of 0.95 s. On the code before: "([502], [b'/held', b'/.bendwind/attempts/entry-1/1/1']) != ([503], [])", repeatable or not.

The fix: a hand-over of a stopping entry node carries the time that it has left, and the owner refuses as draining, on arrival and before a start, what would probably end later, as it does for its own stop. The rule moves to a module of its own, attempts/outlasting.py, with tests of each side.

--- a/packages/bendwind-core/src/bendwind_core/attempts/admission.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/admission.py
@@ -171,14 +171,6 @@
     return now + max(0.0, slack_ms) / MILLISECONDS_PER_SECOND
 
 
-def would_outlast_process(owner_state: OwnerState, queued: QueuedAttempt, now: Seconds) -> bool:
-    """Return whether an attempt that starts now would probably be broken off by a planned stop."""
-    if queued.expires_at <= owner_state.ends_at:
-        return False
-    expected_ms = estimate_completion_ms(owner_state, queued.hand_over.route, now)
-    return now + expected_ms / MILLISECONDS_PER_SECOND > owner_state.ends_at
-
-
 def find_latest_start(owner_state: OwnerState, hand_over: HandOver, now: Seconds) -> Seconds:
     """Return the time by which an attempt must start to be answered in time."""
     target_ms = hand_over.target_ms or 0.0
--- a/packages/bendwind-core/src/bendwind_core/attempts/hand_overs.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/hand_overs.py
@@ -16,7 +16,6 @@
     list_unstartable,
     query_load_after_refusal,
     should_start_now,
-    would_outlast_process,
 )
 from bendwind_core.attempts.attempt_log import (
     EntryPeer,
@@ -27,6 +26,7 @@
 )
 from bendwind_core.attempts.fencing import advance_link_epoch
 from bendwind_core.attempts.messages import AttemptId, CutReason, HandOver, NotRunReason
+from bendwind_core.attempts.outlasting import would_outlast_process
 from bendwind_core.attempts.owner_events import HandOverArrived, OwnerEffect, ReplyUnknown
 from bendwind_core.attempts.owner_state import OwnerState, QueuedAttempt, is_accepting
 from bendwind_core.attempts.precedence import find_slot_limit, push_timed, set_precedence
@@ -60,6 +60,8 @@
 ) -> QueuedAttempt:
     expires_at = now + hand_over.remaining_ms / MILLISECONDS_PER_SECOND
     queued = QueuedAttempt(hand_over, epoch, expires_at, now)
+    if hand_over.entry_left_ms is not None:
+        queued.entry_ends_at = now + hand_over.entry_left_ms / MILLISECONDS_PER_SECOND
     set_precedence(owner_state, queued, now)
     if hand_over.target_ms is not None:
         queued.due_at = find_latest_start(owner_state, hand_over, now)
--- a/packages/bendwind-core/src/bendwind_core/attempts/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/messages.py
@@ -87,8 +87,9 @@
     upstream makes is as urgent as that. `limit_per_s` is the upstream's rate limit as the entry
     node received it last, None if it received none: an owner that has just started has no other
     source for it.
-    Units: `remaining_ms` is the time left to the caller's deadline and `target_ms` the time left to
-    the latency objective, None without one, in milliseconds; `limit_per_s` is in requests per
+    Units: `remaining_ms` is the time left to the caller's deadline, `target_ms` the time left to
+    the latency objective, None without one, and `entry_left_ms` the time left until the entry node
+    gives up its calls, None unless it stops, in milliseconds; `limit_per_s` is in requests per
     second.
     """
 
@@ -114,6 +115,7 @@
     may_wait: bool = True
     run_rank: float | None = None
     limit_per_s: float | None = None
+    entry_left_ms: Milliseconds | None = None
 
 
 class AnswerHead(Record, frozen=True, array_like=True, tag="answer"):
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner.py
@@ -21,7 +21,6 @@
     next_recheck,
     pop_startable,
     query_load_if_held,
-    would_outlast_process,
 )
 from bendwind_core.attempts.attempt_log import ExecutionState
 from bendwind_core.attempts.dispatch_results import (
@@ -38,6 +37,7 @@
 )
 from bendwind_core.attempts.hand_overs import find_early_refusal, handle_hand_over
 from bendwind_core.attempts.messages import NotRunReason
+from bendwind_core.attempts.outlasting import would_outlast_process
 from bendwind_core.attempts.owner_events import (
     CancelArrived,
     DispatchDone,
@@ -274,6 +274,9 @@
             # Other upstreams ended while they ran this request, after it had been queued here.
             refuse_waiting(owner_state, queued, NotRunReason.QUARANTINED, now, effects)
             continue
+        if would_outlast_process(owner_state, queued, now):
+            refuse_waiting(owner_state, queued, NotRunReason.DRAINING, now, effects)
+            continue
         del owner_state.waiting[queued.hand_over.attempt]
         start_attempt(owner_state, queued, now, effects)
 
--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
@@ -38,6 +38,7 @@
 
     An attempt with a latency objective should start by `due_at`, and is refused at `refuse_at` if
     no slot is free: if it waited until its deadline, no other upstream could be tried any more.
+    At `entry_ends_at` its entry node gives up its calls, never unless that node stops.
     `signature` is empty if nothing was known against any request. `queue_rank` is the rank by
     which the queue is ordered, the lowest first. `effective_rank` is how urgent the attempt is; for
     a call that an upstream makes, it is the rank of the run that makes the call. `is_inner` says
@@ -50,6 +51,7 @@
     queued_at: Seconds = 0.0
     due_at: Seconds = 0.0
     refuse_at: Seconds = 0.0
+    entry_ends_at: Seconds = math.inf
     signature: bytes = b""
     is_suspect: bool = False
     queue_rank: float = 0.0
--- /dev/null
+++ b/packages/bendwind-core/src/bendwind_core/attempts/tests/test_outlasting.py
@@ -0,0 +1,78 @@
+"""Test that an owner starts no attempt that would still run when a planned stop ends."""
+
+import unittest
+
+from bendwind_core.attempts import HandOver, NotRunReason
+from bendwind_core.attempts import owner_events as ev
+from bendwind_core.attempts.messages import AttemptId
+from bendwind_core.attempts.owner import create_owner_state, step
+from bendwind_core.world import Repeat, UpstreamState
+
+USUAL_MS = 300.0
+
+
+class OutlastingAttemptTest(unittest.TestCase):
+    def setUp(self):
+        self.owner_state = create_owner_state("u", 1, 16)
+        self.owner_state.route_times["read"] = USUAL_MS
+        step(self.owner_state, ev.UpstreamAnnounced(1, 20, UpstreamState.READY), 0.0)
+
+    def hand_over(self, sequence, now, *, left_ms=3000.0, entry_left_ms=None, target_ms=None):
+        identity = (AttemptId("e", 1, sequence), 1, "s", "u", "GET", b"/", ())
+        hand_over = HandOver(
+            *identity,
+            left_ms,
+            Repeat.NEVER,
+            1,
+            route="read",
+            target_ms=target_ms,
+            entry_left_ms=entry_left_ms,
+        )
+        return step(self.owner_state, ev.HandOverArrived(hand_over, 1), now)
+
+    def list_outcomes(self, effects):
+        return [
+            effect.reason if isinstance(effect, ev.ReplyNotRun) else "started"
+            for effect in effects
+            if isinstance(effect, ev.ReplyNotRun | ev.Dispatch)
+        ]
+
+    def test_attempt_that_would_outlast_this_process_is_refused(self):
+        step(self.owner_state, ev.StopRequested(1.0), 0.0)
+        self.assertEqual(self.list_outcomes(self.hand_over(1, 0.8)), [NotRunReason.DRAINING])
+        self.assertEqual(self.list_outcomes(self.hand_over(2, 0.6)), ["started"])
+
+    def test_attempt_that_would_outlast_its_entry_node_is_refused(self):
+        refused = self.hand_over(1, 0.0, entry_left_ms=USUAL_MS - 1)
+        self.assertEqual(self.list_outcomes(refused), [NotRunReason.DRAINING])
+        started = self.hand_over(2, 0.0, entry_left_ms=USUAL_MS + 1)
+        self.assertEqual(self.list_outcomes(started), ["started"])
+
+    def test_attempt_whose_time_ends_first_is_started(self):
+        started = self.hand_over(1, 0.0, left_ms=100.0, entry_left_ms=200.0)
+        self.assertEqual(self.list_outcomes(started), ["started"])
+
+    def test_attempt_of_a_route_without_answers_is_started(self):
+        self.owner_state.route_times.clear()
+        self.assertEqual(self.list_outcomes(self.hand_over(1, 0.0, entry_left_ms=1.0)), ["started"])
+
+    def test_waiting_attempt_is_not_started_too_late_for_its_entry_node(self):
+        for target_ms in (None, 2000.0):
+            with self.subTest(target_ms=target_ms):
+                self.setUp()
+                self.hand_over(1, 0.0, target_ms=target_ms)
+                waits = self.hand_over(2, 0.0, entry_left_ms=500.0, target_ms=target_ms)
+                self.assertEqual(self.list_outcomes(waits), [])
+                ended = step(self.owner_state, ev.DispatchDone(AttemptId("e", 1, 1)), 0.4)
+                self.assertEqual(self.list_outcomes(ended), [NotRunReason.DRAINING])
+                self.assertFalse(self.owner_state.waiting)
+
+    def test_waiting_attempts_are_refused_when_this_process_is_told_to_stop(self):
+        self.hand_over(1, 0.0)
+        self.hand_over(2, 0.0)
+        effects = step(self.owner_state, ev.StopRequested(0.1), 0.0)
+        self.assertEqual(self.list_outcomes(effects), [NotRunReason.DRAINING])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -356,6 +356,7 @@
             may_wait=effect.may_wait,
             run_rank=self.owner.find_run_rank(),
             limit_per_s=find_rate_limit(service_state.table.notices, upstream),
+            entry_left_ms=self.stop_limit.find_left_ms(trio.current_time()),
         )
         self.runs[effect.attempt.sequence] = run
         record_attempt_sent(service_state.table, upstream.name, effect.attempt, trio.current_time())
--- a/packages/bendwind-node/src/bendwind_node/calls/stop_limit.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/stop_limit.py
@@ -5,7 +5,7 @@
 import msgspec
 import trio
 
-from bendwind_core.core import Seconds
+from bendwind_core.core import MILLISECONDS_PER_SECOND, Milliseconds, Seconds
 
 
 class StopLimit(msgspec.Struct, eq=False):
@@ -34,6 +34,12 @@
         """Return whether a request with this deadline may be sent to an upstream now."""
         return now < self.last_start_at or not self.may_outlast(deadline_at)
 
+    def find_left_ms(self, now: Seconds) -> Milliseconds | None:
+        """Return the time left until the process gives up its calls, None unless it stops."""
+        if math.isinf(self.ends_at):
+            return None
+        return max(0.0, self.ends_at - now) * MILLISECONDS_PER_SECOND
+
     def find_read_end(self, deadline_at: Seconds) -> Seconds:
         """Return until when the body of a request with this deadline is read."""
         return (
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_late_requests.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_late_requests.py
@@ -181,6 +181,27 @@
             with self.subTest(repeat):
                 self.run_check(check, repeat)
 
+    def test_request_that_usually_takes_longer_than_the_stop_is_refused(self):
+        async def check(node, upstream):
+            for owner in node.bench.hub.owners.values():
+                owner.register.owned["svc-0"].owner_state.route_times[""] = 2 * DRAIN_MS
+            statuses = []
+
+            async def call():
+                await trio.testing.wait_all_tasks_blocked()
+                async with await node.connect() as stream:
+                    await stream.send_all(make_request("/held"))
+                    statuses.extend(await read_statuses(stream))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await _stop(node.daemon)
+            self.assertEqual((statuses, upstream.paths), ([503], []))
+
+        for repeat in (Repeat.NEVER, Repeat.IDEMPOTENT):
+            with self.subTest(repeat):
+                self.run_check(check, repeat)
+
     def test_request_that_started_before_is_finished_late(self):
         async def check(node, upstream):
             async def answer_late():
