daemon: tests of overlapping stops and of an upload that goes on

Two more cases of daemon/tests/test_late_requests.py. An upload that goes on through the stop gets its 503 although its caller keeps sending; it held before.

--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_late_requests.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_late_requests.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import re
 import unittest
 
@@ -152,6 +153,28 @@
             with self.subTest(repeat):
                 self.run_check(check, repeat)
 
+    def test_upload_that_goes_on_is_refused_and_its_caller_receives_the_answer(self):
+        # A connection that is closed with unread data is reset, and its answer may be lost.
+        async def check(node, upstream):
+            statuses = []
+
+            async def upload(stream):
+                with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                    while not statuses:
+                        await stream.send_all(b"z" * 100)
+                        await trio.sleep(0.005)
+
+            async with trio.open_nursery() as nursery:
+                async with await node.connect() as stream:
+                    head = b"POST /held HTTP/1.1\r\nhost: svc\r\ncontent-length: 1000000\r\n\r\n"
+                    await stream.send_all(head)
+                    nursery.start_soon(upload, stream)
+                    nursery.start_soon(_stop, node.daemon)
+                    statuses.extend(await read_statuses(stream))
+            self.assertEqual((statuses, upstream.paths), ([503], []))
+
+        self.run_check(check)
+
     def test_request_whose_head_ends_late_is_refused(self):
         async def check(node, upstream):
             request = make_request("/held")
@@ -232,6 +255,30 @@
 
         self.run_check(check)
 
+    def test_two_stops_that_overlap_leave_no_request_without_an_answer(self):
+        # The owner elsewhere stops with the entry node: a request that waits there is refused, and
+        # one that runs there is answered.
+        async def check(node, upstream, connections):
+            node.set_connections(connections)
+
+            async def stop_owner():
+                await node.daemon.callers_drain.wait()
+                for owner in node.bench.hub.owners.values():
+                    owner.begin_stop(trio.current_time() + DRAIN_MS / 1000)
+                    owner.register.drain()
+                await node.wait_late()
+                upstream.may_answer.set()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stop_owner)
+                statuses = await self.send_around_stop(node, make_request("/held"), b"")
+            expected = ([200], [b"/held"]) if connections else ([503], [])
+            self.assertEqual((statuses, upstream.paths), expected)
+
+        for connections in (0, 4):
+            with self.subTest(connections=connections):
+                self.run_check(functools.partial(check, connections=connections))
+
     def test_late_request_is_not_sent_again_after_a_refusal(self):
         # The owner refuses the queued attempt late, when another owner could take it.
         async def check(node, upstream):
