--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_late_requests.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_late_requests.py
@@ -7,6 +7,7 @@
 import contextlib
 import functools
 import re
+import socket
 import unittest
 
 import trio
@@ -20,6 +21,7 @@
 from bendwind_node.calls.tests.scripted_server import read_request, run_server
 from bendwind_node.daemon.run import _stop
 from bendwind_node.daemon.tests.test_planned_stop import FakeClaims, make_daemon
+from bendwind_node.daemon.tests.test_suspension import SuspendedClock
 
 NOTICE_MS = 50
 DRAIN_MS = 900
@@ -108,7 +110,7 @@
 
 
 class LateRequestsTest(unittest.TestCase):
-    def run_check(self, check, repeat=Repeat.NEVER):
+    def run_check(self, check, repeat=Repeat.NEVER, clock=None):
         async def main():
             upstream = Upstream()
             with trio.fail_after(20):
@@ -120,7 +122,7 @@
             self.assertEqual(node.account.in_flight, 0)
             self.assertEqual(node.account.ended[Ending.UNANSWERED], 0)
 
-        trio.run(main)
+        trio.run(main, clock=clock)
 
     async def send_around_stop(self, node, early, late):
         """Send some bytes, stop the node, send the rest late and return the answers' statuses."""
@@ -279,6 +281,34 @@
             with self.subTest(connections=connections):
                 self.run_check(functools.partial(check, connections=connections))
 
+    def test_request_that_arrived_while_the_stopping_process_was_suspended_is_not_begun(self):
+        # The process reads it when it resumes, later than its stop should have ended.
+        clock = SuspendedClock()
+
+        async def check(node, upstream):
+            statuses = []
+
+            async def call(stream):
+                statuses.extend(await read_statuses(stream))
+
+            raw = socket.create_connection(node.address)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
+            async with stream, trio.open_nursery() as nursery:
+                # The connection is kept from one request before the stop.
+                await stream.send_all(make_request("/a"))
+                nursery.start_soon(call, stream)
+                while not upstream.paths:
+                    await trio.sleep(0.001)
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                nursery.start_soon(_stop, node.daemon)
+                await trio.testing.wait_all_tasks_blocked()
+                raw.send(make_request("/held"))
+                clock.omitted += 2 * (NOTICE_MS + DRAIN_MS) / 1000
+            self.assertEqual(upstream.paths, [b"/a"])
+            self.assertIn(statuses, ([200], [200, 503]))
+
+        self.run_check(check, clock=clock)
+
     def test_late_request_is_not_sent_again_after_a_refusal(self):
         # The owner refuses the queued attempt late, when another owner could take it.
         async def check(node, upstream):
