--- a/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
+++ b/packages/bendwind-core/src/bendwind_core/attempts/owner_state.py
@@ -38,6 +38,7 @@
 
     An attempt with a latency objective should start by `due_at`, and is refused at `refuse_at` if
     no slot is free: if it waited until its deadline, no other upstream could be tried any more.
+    At `entry_ends_at` its entry node gives up its calls, never unless that node stops.
     `signature` is empty if nothing was known against any request. `queue_rank` is the rank by
     which the queue is ordered, the lowest first. `effective_rank` is how urgent the attempt is; for
     a call that an upstream makes, it is the rank of the run that makes the call. `is_inner` says
@@ -50,6 +51,7 @@
     queued_at: Seconds = 0.0
     due_at: Seconds = 0.0
     refuse_at: Seconds = 0.0
+    entry_ends_at: Seconds = math.inf
     signature: bytes = b""
     is_suspect: bool = False
     queue_rank: float = 0.0
@@ -101,7 +103,8 @@
     `arrival_counts` how many requests of each rank arrived recently. `load_queried_at` is when the
     upstream was last queried for its load, and `has_load_endpoint` whether it has a page for that.
     `is_unreachable` says that the upstream refused the last connection. `is_leaving` says that the
-    upstream reported that it leaves: its present run gets no further requests.
+    upstream reported that it leaves: its present run gets no further requests. `ends_at` is when
+    this process gives up the attempts that still run, infinite unless it stops.
     Units: `route_times` and `guessed_times` in milliseconds.
     """
 
@@ -115,6 +118,7 @@
     connections: int = 0
     state: UpstreamState = UpstreamState.GONE
     is_stopping: bool = False
+    ends_at: Seconds = math.inf
     is_drained: bool = True
     refuse_queue_at: Seconds | None = None
     last_progress_at: Seconds = 0.0
--- a/packages/bendwind-node/src/bendwind_node/daemon/run.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/run.py
@@ -6,8 +6,9 @@
 import trio
 from expression import Ok, Result
 
-from bendwind_core.core import MILLISECONDS_PER_SECOND, Seconds
+from bendwind_core.core import Seconds
 from bendwind_core.timeline import EventKind, Recorder
+from bendwind_node.calls.caller_h11 import FIRST_REQUEST_TIMEOUT
 from bendwind_node.calls.owned_upstream import UpstreamAddress
 from bendwind_node.claims.task import LeaseProven
 from bendwind_node.daemon.build import (
@@ -23,6 +24,7 @@
 from bendwind_node.daemon.run_marker import RunMarker
 from bendwind_node.daemon.serve import serve_all
 from bendwind_node.daemon.state import Daemon
+from bendwind_node.daemon.stop_times import find_stop_times
 from bendwind_node.early_signals import STOP_SIGNALS, is_stop_requested
 from bendwind_node.failure import run_named
 from bendwind_node.guarded_tasks import GuardedNursery
@@ -147,17 +149,24 @@
 async def _stop(daemon: Daemon) -> None:
     """Stop as planned: drain, send callers elsewhere, leave claim groups, finish requests."""
     dispatcher = daemon.dispatcher
-    limits = daemon.settings.stop
+    times = find_stop_times(daemon.settings.stop, trio.current_time())
     daemon.recorder.record(EventKind.PROCESS_STOPPING)
+    # A connection that was made at the end of the notice brings its first request a little later.
+    last_start_at = times.notice_ends_at + FIRST_REQUEST_TIMEOUT
+    dispatcher.entry.stop_limit.set_times(last_start_at, times.earliest_end)
+    dispatcher.owner.begin_stop(times.earliest_end)
     # During this time callers are redirected to other nodes. The upstream stays in use: it keeps
     # running, and draining it now would take its capacity from its service for that time.
-    await trio.sleep(limits.notice_ms / MILLISECONDS_PER_SECOND)
+    await trio.sleep_until(times.notice_ends_at)
     dispatcher.owner.register.drain()
     daemon.callers_drain.set()
-    with trio.move_on_after(limits.claims_ms / MILLISECONDS_PER_SECOND):
+    with trio.move_on_at(times.claims_end_at):
         await dispatcher.claims.leave_groups()
-    with trio.move_on_after(limits.drain_ms / MILLISECONDS_PER_SECOND):
-        await _wait_for_calls(daemon)
+    with trio.move_on_at(times.find_drain_end(trio.current_time())):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_end_starts, daemon)
+            await _wait_for_calls(daemon)
+            nursery.cancel_scope.cancel()
     # Cancelled requests are answered as not run or unknown, see H11Exchange.send_failure.
     daemon.callers_scope.cancel()
     await _close_auxiliary_servers(daemon)
@@ -183,6 +192,13 @@
         scope.cancel()
 
 
+async def _end_starts(daemon: Daemon) -> None:
+    """Make sure that no attempt starts so late that the stop would cut off its request."""
+    entry = daemon.dispatcher.entry
+    await trio.sleep_until(entry.stop_limit.last_start_at)
+    entry.end_starts()
+
+
 async def _wait_for_calls(daemon: Daemon) -> None:
     # Once no caller is connected, no request can arrive after the last check for work.
     if daemon.settings.callers is not None:
