Upstreams: an answer with an invalid status or another version is no answer

Callers saw: status 600 or 999, and an answer in HTTP/9.9, 2.0 or 0.9, of an upstream were passed on as an answer (status 000, 00, 099, 2000 and 101 already gave 502). Cause: h11 checks that a status is from 100 to 999 and a version is one digit, a point and one digit. Nothing after it asked whether they mean anything: RFC 9110, section 15, knows 100 to 599, and RFC 9112, section 2.3, lets no one read another major version as HTTP/1. Why it works: every answer, of calls, uploads, health and load queries, is read by the pool, which now takes a head, an interim one as well, only with major version 1 and a status of at most 599. Anything else is treated as bytes that are no answer: the connection is closed, and the caller gets 502, since its request may have run; a health query has no answer.

--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -29,6 +29,10 @@
 RESEND_WINDOW: Seconds = 0.02
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+# RFC 9112, section 2.3: an answer in another major version cannot be understood.
+HTTP_1_PREFIX = b"1."
+# RFC 9110, section 15: a status above this one is invalid.
+MAX_STATUS = 599
 
 _CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError)
 _CUT = AnswerCut(CutReason.UPSTREAM_RESET)
@@ -57,6 +61,25 @@
                 return event
             self.protocol.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
 
+    async def next_head(self) -> h11.Response | None:
+        """Return the head of the final answer, None if the upstream's bytes are no valid answer.
+
+        Errors: raises those of `next_event`.
+        """
+        while True:
+            head = await self.next_event()
+            if not isinstance(head, h11.InformationalResponse | h11.Response):
+                return None
+            if not _is_valid_head(head):
+                return None
+            if isinstance(head, h11.Response):
+                return head
+
+
+def _is_valid_head(head: h11.InformationalResponse | h11.Response) -> bool:
+    """Return whether the version and the status of a head have a meaning."""
+    return head.http_version.startswith(HTTP_1_PREFIX) and head.status_code <= MAX_STATUS
+
 
 class UpstreamAnswer:
     """Hold the head of an answer and read its body in parts."""
@@ -176,15 +199,13 @@
         try:
             await connection.stream.send_all(_encode(connection.protocol, request))
             on_sent()
-            head = await connection.next_event()
-            while isinstance(head, h11.InformationalResponse):
-                head = await connection.next_event()
+            head = await connection.next_head()
         except _CONNECTION_ERRORS:
             head = None
         except (trio.Cancelled, h11.LocalProtocolError):
             await trio.aclose_forcefully(connection.stream)
             raise
-        if isinstance(head, h11.Response):
+        if head is not None:
             return Ok(UpstreamAnswer(self, connection, head))
         await trio.aclose_forcefully(connection.stream)
         return Error(_CUT)
