Upstreams: an answer that states two lengths is no answer, and takes no memory

Callers saw: nothing wrong while the lengths agreed. For a chunked body beside a Content-Length, a node collected the chunks for as long as they came, whatever the length said: 76 to 82 MB in 0.3 s for one request, which ends a process of 300 MB well before a usual deadline. Cause: h11 ignores a Content-Length beside a Transfer-Encoding, as RFC 9112 permits. Lengths that differ made h11 raise when the answer was sent on. Why it works: RFC 9112, section 6.3, wants such a head handled as an error. The pool no longer takes it as an answer, on any path; the callers' edge refuses such requests already, and both use one set of names. What is left with a Content-Length is bounded by it.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -10,11 +10,11 @@
 
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import Recorder
+from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
 from bendwind_node.calls.caller_exchange import CallerExchange
 from bendwind_node.calls.h11_exchange import (
     BROKEN_STREAM_ERRORS,
-    FRAMING_HEADERS,
     RECEIVE_BYTES,
     H11Exchange,
     make_error,
@@ -231,8 +231,7 @@
     Another server may use the other length and read the rest as a second request.
     Source: RFC 9112, section 6.1.
     """
-    names = {name for name, _ in head.headers}
-    return FRAMING_HEADERS <= names
+    return {name for name, _ in head.headers} >= names.FRAMING
 
 
 def _measure_head(head: h11.Request) -> int:
--- a/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
@@ -15,7 +15,6 @@
 # Pipelined requests beyond this size stay unread in the socket, and the caller's connection is no
 # longer watched for its close.
 MAX_READ_AHEAD_BYTES = 64 * 1024
-FRAMING_HEADERS = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
 BROKEN_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 _BAD_GATEWAY = 502
@@ -53,7 +52,7 @@
         self.stream = stream
         self.connection = connection
         headers = tuple(head.headers)
-        may_have_body = any(name in FRAMING_HEADERS for name, _ in headers)
+        may_have_body = any(name in names.FRAMING for name, _ in headers)
         self.request = CallerRequest(head.method.decode(), target, headers, may_have_body)
         self.head = b""
         self.may_have_run = False
--- a/packages/bendwind-node/src/bendwind_node/calls/headers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/headers.py
@@ -9,6 +9,9 @@
 IDEMPOTENCY_KEY = b"idempotency-key"
 RETRY_AFTER = b"retry-after"
 CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+# The fields that state where a body ends; a message has at most one of them.
+FRAMING = frozenset((CONTENT_LENGTH, TRANSFER_ENCODING))
 HOST = b"host"
 VIA = (b"via", b"1.1 bendwind")
 
@@ -22,7 +25,7 @@
         b"proxy-connection",
         b"te",
         b"trailer",
-        b"transfer-encoding",
+        TRANSFER_ENCODING,
         b"upgrade",
     )
 )
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -10,6 +10,7 @@
 
 from bendwind_core.attempts import CutReason, Header, NotRunReason
 from bendwind_core.core import Seconds
+from bendwind_node.calls import headers as names
 from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
 from bendwind_node.streams import DirectStream, open_direct_stream
 
@@ -77,8 +78,12 @@
 
 
 def _is_valid_head(head: h11.InformationalResponse | h11.Response) -> bool:
-    """Return whether the version and the status of a head have a meaning."""
-    return head.http_version.startswith(HTTP_1_PREFIX) and head.status_code <= MAX_STATUS
+    """Return whether a head has a known version, a valid status and at most one length of its body.
+
+    Source: RFC 9112, section 6.3, for a Content-Length beside a Transfer-Encoding.
+    """
+    is_known = head.http_version.startswith(HTTP_1_PREFIX) and head.status_code <= MAX_STATUS
+    return is_known and not {name for name, _ in head.headers} >= names.FRAMING
 
 
 class UpstreamAnswer:
