HTTP edges: much white space in a line no longer blocks the process

Callers saw: one answer of an upstream with 60 kB of white space in a header's value and a NUL after it stopped the whole node for 20.4 s; one request of a caller with the same head, 19.5 s. Every other caller, link and lease of the process waited. A chunk's extension, a trailer and folded lines do it too (0.1 to 0.4 s for 8 kB, growing with the square). Cause: h11 checks a line with a regular expression that tries each way of splitting its leading white space in two before it rejects the line, and does so for lines up to the size of what was received. Why it works: BoundedConnection keeps h11's interface. What was received goes to h11 as a whole unless it has 256 blanks in a row; then h11 gets it in slices of 1 kB as long as it reads lines, and an incomplete line with 256 blanks in a row is rejected as malformed: 502 for an answer, 400 for a request. A line that h11 checks has thus under 2 kB of white space. Bodies are data and not looked at. A head with 256 blanks in a row that is valid is refused as well; no sender writes it. Evidence: found by timing h11 over malformed heads. Not covered: the addresses that hypercorn serves (operators, announcements) create h11's connection themselves.

--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -12,6 +12,7 @@
 from bendwind_core.timeline import Recorder
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
+from bendwind_node.calls.bounded_h11 import BoundedConnection
 from bendwind_node.calls.caller_exchange import CallerExchange
 from bendwind_node.calls.h11_exchange import (
     BROKEN_STREAM_ERRORS,
@@ -122,7 +123,7 @@
 
     async def _serve(self, stream: DirectStream) -> None:
         self.connections += 1
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.header_bytes)
+        connection = BoundedConnection(h11.SERVER, self.header_bytes)
         try:
             async with stream:
                 if self.connections > self.max_connections:
--- a/packages/bendwind-node/src/bendwind_node/calls/headers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/headers.py
@@ -1,5 +1,7 @@
 """Define the HTTP headers that Bendwind reads and writes, and remove hop-by-hop headers."""
 
+from collections.abc import Iterable
+
 from bendwind_core.attempts import Header
 
 OUTCOME = b"bendwind-outcome"
@@ -46,6 +48,15 @@
     return None
 
 
+def has_header(headers: Iterable[Header], name: bytes) -> bool:
+    """Return whether a header is present.
+
+    >>> has_header(((b"host", b"emisor"),), b"via")
+    False
+    """
+    return any(key == name for key, _ in headers)
+
+
 def find_host(headers: tuple[Header, ...]) -> str:
     """Return the host that a request names, in lower case and without its port.
 
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_caller_h11.py
@@ -197,6 +197,12 @@
         long_head = b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 4000 + b"\r\n\r\n"
         self.assertIn(b"431", self.exchange_bytes(long_head))
 
+    def test_head_with_white_space_without_end_is_refused_before_its_lines_are_checked(self):
+        # Guards against h11's check of a line, which blocks the process for 20 s.
+        for end in (b"a", b"\x00"):
+            head = b"GET / HTTP/1.1\r\nhost: a\r\nx:" + b" " * 60_000 + end + b"\r\n\r\n"
+            self.assertTrue(self.exchange_bytes(head).startswith(b"HTTP/1.1 400 "))
+
     def test_connection_over_the_limit_is_refused_as_not_run(self):
         async def check(connect, shutdown):
             async with await connect() as first, await connect() as second:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_malformed_answers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_malformed_answers.py
@@ -40,6 +40,8 @@
     OK + b"content-length: 1\r\ntransfer-encoding: chunked\r\n\r\n" + CHUNKS,
     OK + b"transfer-encoding: gzip\r\n\r\n" + CHUNKS,
     OK + b"transfer-encoding: chunked, chunked\r\n\r\n" + CHUNKS,
+    OK + b"x:" + b" " * 60_000 + b"\x00\r\n" + BODY,
+    OK + b"x:" + b" " * 60_000 + b"a\r\n" + BODY,
     OK + b"x: a\x00b\r\n" + BODY,
     OK + b"x: a\rb\r\n" + BODY,
     OK + b"x: a\nb\r\n" + BODY,
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -11,6 +11,7 @@
 from bendwind_core.attempts import CutReason, Header, NotRunReason
 from bendwind_core.core import Seconds
 from bendwind_node.calls import headers as names
+from bendwind_node.calls.bounded_h11 import BoundedConnection
 from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
 from bendwind_node.streams import DirectStream, open_direct_stream
 
@@ -176,7 +177,7 @@
                 stream = await open_direct_stream(self.host, self.port)
             except OSError:
                 return Error(RequestNotSent(NotRunReason.CONNECT_FAILED))
-            protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+            protocol = BoundedConnection(h11.CLIENT, MAX_HEAD_BYTES)
             return Ok(UpstreamConnection(stream, protocol))
         return Error(RequestNotSent(NotRunReason.CONNECT_FAILED, is_timed_out=True))
 
