HTTP edges: tiny chunks let other tasks run

Callers saw: while an upstream, or a caller's upload, sent chunks of one byte, everything else in the process waited for all that had arrived at a time: 10,000 and more events of h11 in a row, 0.2 s and more for 64 kB, again and again as long as they came. Cause: the loops that take events from h11 wait only when it needs more bytes. 64 kB hold some 11,000 chunks of a byte, and none of them waits. Why it works: both edges take events by BoundedConnection.take_event, which lets other tasks run after 32 events. Receiving starts the count anew, since it waits; a usual exchange has fewer events. Evidence: test_endless_answers counts events between two turns of another task.

--- a/packages/bendwind-node/src/bendwind_node/calls/bounded_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/bounded_h11.py
@@ -6,6 +6,7 @@
 """
 
 import h11
+import trio
 
 from bendwind_node.calls import headers as names
 
@@ -13,6 +14,8 @@
 # No sender writes this much white space between two words of a head; h11 checks that of one slice
 # and of this much in a few milliseconds.
 MAX_WHITE_SPACE = 256
+# Taking this many events of a few bytes each takes less than a millisecond.
+EVENTS_PER_TURN = 32
 
 _HEADS = (h11.Request, h11.Response)
 _AS_SPACES = bytes.maketrans(b"\t\r\n", b"   ")
@@ -27,13 +30,14 @@
     """Extend h11's connection, whose interface it keeps.
 
     `pending` are received bytes that h11 has not got yet, `held` counts those that it got since its
-    last event.
+    last event. `events` counts the events since bytes were received, which lets other tasks run.
     """
 
     def __init__(self, our_role: type, max_incomplete_event_size: int):
         super().__init__(our_role, max_incomplete_event_size)
         self.pending = bytearray()
         self.held = 0
+        self.events = 0
         self.is_ended = False
         self.is_chunked = False
 
@@ -44,6 +48,7 @@
 
     def receive_data(self, data: bytes) -> None:
         """Add received bytes; empty ones mean that the peer has closed."""
+        self.events = 0
         if not data:
             self.is_ended = True
         elif self.pending or len(data) > SLICE_BYTES:
@@ -51,6 +56,17 @@
         else:
             self._hand_over(data)
 
+    async def take_event(self) -> object:
+        """Return the next event, or NEED_DATA, and let other tasks run after a number of them.
+
+        Errors: raises h11.RemoteProtocolError.
+        """
+        self.events += 1
+        if self.events > EVENTS_PER_TURN:
+            self.events = 0
+            await trio.lowlevel.checkpoint()
+        return self.next_event()
+
     def next_event(self) -> object:
         """Return the next event, or NEED_DATA.
 
--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -148,7 +148,7 @@
         record_task_failure(self.recorder, error)
 
     async def _serve_request(
-        self, stream: DirectStream, connection: h11.Connection, *, is_new: bool
+        self, stream: DirectStream, connection: BoundedConnection, *, is_new: bool
     ) -> bool:
         """Serve one request; return whether the connection may carry another."""
         try:
@@ -197,12 +197,12 @@
             self.account.record_ended(exchange.request, find_ending(exchange))
 
     async def _read_head(
-        self, stream: DirectStream, connection: h11.Connection, *, is_new: bool
+        self, stream: DirectStream, connection: BoundedConnection, *, is_new: bool
     ) -> h11.Request | None:
-        event = connection.next_event()
+        event = await connection.take_event()
         if event is h11.NEED_DATA:
             connection.receive_data(await self._receive_first(stream, is_new=is_new))
-            event = connection.next_event()
+            event = await connection.take_event()
         if event is h11.NEED_DATA:
             event = await self._read_rest(stream, connection)
         return event if isinstance(event, h11.Request) else None
@@ -218,7 +218,7 @@
         # A request that has just arrived is still served, since its caller waits for an answer.
         return stream.receive_nowait()
 
-    async def _read_rest(self, stream: DirectStream, connection: h11.Connection) -> object:
+    async def _read_rest(self, stream: DirectStream, connection: BoundedConnection) -> object:
         with trio.move_on_after(self.header_timeout):
             while (event := connection.next_event()) is h11.NEED_DATA:
                 connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
--- a/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
@@ -8,6 +8,7 @@
 from bendwind_core.attempts import Header
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
+from bendwind_node.calls.bounded_h11 import BoundedConnection
 from bendwind_node.calls.caller_exchange import CallerGoneError, CallerRequest
 from bendwind_node.streams import DirectStream
 
@@ -44,7 +45,7 @@
         self,
         is_closing: Callable[[], bool],
         stream: DirectStream,
-        connection: h11.Connection,
+        connection: BoundedConnection,
         head: h11.Request,
         target: bytes,
     ):
@@ -70,7 +71,7 @@
             go_ahead = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(connection.send(go_ahead))
         while True:
-            match self._next_event():
+            match await self._take_event():
                 case h11.NEED_DATA:
                     await self._receive()
                 case h11.Data(data=data):
@@ -78,9 +79,9 @@
                 case _:
                     return None
 
-    def _next_event(self) -> object:
+    async def _take_event(self) -> object:
         try:
-            return self.connection.next_event()
+            return await self.connection.take_event()
         except h11.RemoteProtocolError as error:
             self.is_gone = True
             raise CallerGoneError from error
@@ -98,7 +99,7 @@
 
     async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
         """Prepare the head of the answer; it is sent with the first part of the body."""
-        self.announces_close = self.is_closing() or not _discard_unread_body(self.connection)
+        self.announces_close = self.is_closing() or not await _discard_unread_body(self.connection)
         if self.announces_close:
             headers = (*headers, _CLOSE)
         self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
@@ -158,11 +159,11 @@
         await trio.sleep_forever()
 
 
-def _discard_unread_body(connection: h11.Connection) -> bool:
+async def _discard_unread_body(connection: BoundedConnection) -> bool:
     """Discard the received part of an unread body; return whether the request has ended."""
     while connection.their_state is h11.SEND_BODY:
         try:
-            event = connection.next_event()
+            event = await connection.take_event()
         except h11.RemoteProtocolError:
             return False
         if event is h11.NEED_DATA:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
@@ -1,21 +1,28 @@
 """Check answers whose bytes never end: memory, time and other callers, on every path."""
 
+import contextlib
 import unittest
+from unittest import mock
 
 import trio
 
 from bendwind_node.calls.body_flow import WINDOW_BYTES
+from bendwind_node.calls.bounded_h11 import EVENTS_PER_TURN, BoundedConnection
 from bendwind_node.calls.tests.answer_paths import (
     MAX_SECONDS,
     Path,
     open_path,
     read_whole_request,
 )
+from bendwind_node.calls.tests.scripted_server import read_request
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
 MIB = 1 << 20
+BODY = b"content-length: 2\r\n\r\nok"
 TIMEOUT_MS = 300
+# Events of h11 between two turns of another task: those of both edges, and what follows the last.
+MAX_EVENTS = 4 * EVENTS_PER_TURN
 # What a process may hold of one answer, and what the sockets of both sides hold.
 MAX_TAKEN_BYTES = WINDOW_BYTES + 16 * MIB
 
@@ -37,6 +44,41 @@
                 self.taken += len(self.part)
 
 
+class TurnMeter:
+    """Measure how many events of h11 come before another task has its turn."""
+
+    def __init__(self):
+        self.events = 0
+        self.most = 0
+
+    def count(self):
+        self.events += 1
+        self.most = max(self.most, self.events)
+
+    async def run(self):
+        """Take turns until cancelled."""
+        while True:
+            await trio.lowlevel.checkpoint()
+            self.events = 0
+
+
+@contextlib.asynccontextmanager
+async def measure_turns():
+    """Yield a meter while the events of all connections are counted."""
+    meter = TurnMeter()
+    next_event = BoundedConnection.next_event
+
+    def count(connection):
+        meter.count()
+        return next_event(connection)
+
+    with mock.patch.object(BoundedConnection, "next_event", count):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(meter.run)
+            yield meter
+            nursery.cancel_scope.cancel()
+
+
 class TestEndlessAnswers(unittest.TestCase):
     def run_with(self, endless, check, paths=tuple(Path)):
         for path in paths:
@@ -61,6 +103,36 @@
 
         self.run_with(endless, check)
 
+    def test_other_tasks_run_while_a_body_of_tiny_chunks_is_read(self):
+        endless = Endless(CHUNKED, b"1\r\nz\r\n" * 10_000)
+
+        async def check(served):
+            async with measure_turns() as meter:
+                received = await served.call(timeout_ms=TIMEOUT_MS)
+            self.assertFalse(received.is_complete)
+            self.assertLess(meter.most, MAX_EVENTS)
+
+        self.run_with(endless, check)
+
+    def test_other_tasks_run_while_an_upload_of_tiny_chunks_is_read(self):
+        async def answer(stream, number):
+            await read_request(stream)
+            await stream.send_all(OK + BODY)
+            await trio.sleep_forever()
+
+        async def main():
+            async with open_path(Path.OWN, answer) as served, measure_turns() as meter:
+                async with await trio.open_tcp_stream(*served.address) as caller:
+                    await caller.send_all(
+                        b"POST /x HTTP/1.1\r\nhost: svc\r\ntransfer-encoding: chunked\r\n\r\n"
+                        + b"1\r\nz\r\n" * 20_000
+                        + b"0\r\n\r\n"
+                    )
+                    self.assertIn(b" 200 ", await caller.receive_some(4096))
+            self.assertLess(meter.most, MAX_EVENTS)
+
+        trio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -44,7 +44,7 @@
     """Hold one HTTP/1.1 connection to the upstream."""
 
     stream: DirectStream
-    protocol: h11.Connection
+    protocol: BoundedConnection
     idle_since: Seconds = 0.0
     is_reused: bool = False
 
@@ -58,7 +58,7 @@
         Errors: raises those of the stream and h11.RemoteProtocolError.
         """
         while True:
-            event = self.protocol.next_event()
+            event = await self.protocol.take_event()
             if event is not h11.NEED_DATA:
                 return event
             self.protocol.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
