Upstreams: interim answers without end are no answer

Callers saw: for 103s without end of an upstream, 504 at the deadline. Until then the node read and parsed them as fast as they came: a whole core, also for a health query, until its time-out. Cause: any number of interim answers was read before the final one. Why it works: after 100 of them the connection is closed and the bytes count as no answer: 502 for a caller, no answer for a health query. 100 is far above what an answer needs (RFC 9110, 15.2, allows one or more); between them other tasks run. Evidence: test_endless_answers sends 103s without end, and 100 before an answer.

--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
@@ -15,12 +15,14 @@
     read_whole_request,
 )
 from bendwind_node.calls.tests.scripted_server import read_request
+from bendwind_node.calls.upstream_h11 import MAX_INTERIM_ANSWERS
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
 MIB = 1 << 20
 BODY = b"content-length: 2\r\n\r\nok"
 TIMEOUT_MS = 300
+INTERIM = b"HTTP/1.1 103 X\r\n\r\n"
 # Events of h11 between two turns of another task: those of both edges, and what follows the last.
 MAX_EVENTS = 4 * EVENTS_PER_TURN
 # What a process may hold of one answer, and what the sockets of both sides hold.
@@ -103,6 +105,30 @@
 
         self.run_with(endless, check)
 
+    def test_interim_answers_without_end_are_no_answer(self):
+        endless = Endless(b"", INTERIM * 3000)
+
+        async def check(served):
+            async with measure_turns() as meter:
+                received = await served.call(timeout_ms=5000)
+            self.assertEqual(received.status, 502)
+            self.assertLess(meter.most, MAX_EVENTS)
+
+        self.run_with(endless, check)
+
+    def test_interim_answers_within_the_limit_precede_an_answer(self):
+        async def answer(stream, number):
+            while await read_whole_request(stream):
+                await stream.send_all(INTERIM * MAX_INTERIM_ANSWERS + OK + BODY)
+
+        async def main():
+            for path in Path:
+                async with open_path(path, answer) as served:
+                    received = await served.call()
+                self.assertEqual((received.status, received.body), (200, b"ok"))
+
+        trio.run(main)
+
     def test_other_tasks_run_while_a_body_of_tiny_chunks_is_read(self):
         endless = Endless(CHUNKED, b"1\r\nz\r\n" * 10_000)
 
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -31,6 +31,9 @@
 RESEND_WINDOW: Seconds = 0.02
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+# Interim answers (RFC 9110, section 15.2) tell that a request is being worked on; an upstream that
+# sends more than these sends them without end.
+MAX_INTERIM_ANSWERS = 100
 # RFC 9112, section 2.3: an answer in another major version cannot be understood.
 HTTP_1_PREFIX = b"1."
 # RFC 9110, section 15: a status above this one is invalid.
@@ -68,7 +71,7 @@
 
         Errors: raises those of `next_event`.
         """
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             head = await self.next_event()
             if not isinstance(head, h11.InformationalResponse | h11.Response):
                 return None
@@ -76,6 +79,7 @@
                 return None
             if isinstance(head, h11.Response):
                 return head
+        return None
 
 
 def _is_valid_head(head: h11.InformationalResponse | h11.Response) -> bool:
