Upstreams: bodies of health answers and refusals are not read without end

A refusal (not run) with such a body was held until the deadline and then given as 502, unknown, though its head proves that the request did not run. Cause: both bodies are of no use and were read to their end, so that the connection can be used again. Nothing bounded that but the time-out of the query, or the request's deadline. Why it works: UpstreamAnswer.discard_body reads at most 16 events, about 16 kB and 50 ms of a body; what does not end by then is closed. A health query also closes its connection when it is cancelled. Evidence: test_endless_answers sends bodies without end, in each framing, and one that drips, as health answers and refusals.

--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -196,8 +196,7 @@
         return names.find_header(answer.headers, name) != own
 
     async def _discard_refusal(self, answer: UpstreamAnswer, reason: NotRunReason) -> DispatchEnd:
-        while (await answer.next_part()).default_value(b""):
-            continue
+        await answer.discard_body()
         return DispatchNotRun(self.attempt, reason)
 
     async def _send_whole(self, answer: UpstreamAnswer) -> DispatchEnd:
--- a/packages/bendwind-node/src/bendwind_node/calls/health_check.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/health_check.py
@@ -64,8 +64,9 @@
     host = ((names.HOST, f"{pool.host}:{pool.port}".encode()),)
     match await pool.start(UpstreamRequest(b"GET", encode_target(path), host, b"")):
         case Result(tag="ok", ok=answer):
-            while (await answer.next_part()).default_value(b""):
-                continue
-            await answer.aclose()
+            try:
+                await answer.discard_body()
+            finally:
+                await answer.aclose()
             return answer
     return None
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/answer_paths.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/answer_paths.py
@@ -13,6 +13,7 @@
 from bendwind_node.calls.tests.fakes import CallTestCluster, announce
 from bendwind_node.calls.tests.scripted_server import read_request, reset, run_server
 from bendwind_node.calls.upstream_h11 import UpstreamPool
+from bendwind_node.calls.upstream_queries import HEALTH_QUERY_TIMEOUT
 
 DIALECT = Dialect(
     timeout_ms=b"wait",
@@ -201,15 +202,16 @@
 
 
 def check_health(handler):
-    """Query an upstream for its health and return its answer."""
+    """Query an upstream for its health, in the time that a node allows, and return its answer."""
 
     async def main():
         with trio.fail_after(MAX_SECONDS):
             async with run_server(handler) as port:
                 pool = UpstreamPool("127.0.0.1", port, 4)
-                answers.append(await query_health(pool, "/health", DIALECT))
+                with trio.move_on_after(HEALTH_QUERY_TIMEOUT):
+                    answers.append(await query_health(pool, "/health", DIALECT))
                 await pool.aclose()
 
     answers = []
     trio.run(main)
-    return answers[0]
+    return answers[0] if answers else None
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
@@ -11,6 +11,7 @@
 from bendwind_node.calls.tests.answer_paths import (
     MAX_SECONDS,
     Path,
+    check_health,
     open_path,
     read_whole_request,
 )
@@ -19,6 +20,13 @@
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+# Each framing of a body, with a part of a body that can be repeated without end.
+BODIES = (
+    (b"content-length: 99999999999999999999\r\n\r\n", b"z" * 65536),
+    (b"transfer-encoding: chunked\r\n\r\n", b"10000\r\n" + b"z" * 65536 + b"\r\n"),
+    (b"transfer-encoding: chunked\r\n\r\n", b"1\r\nz\r\n" * 10_000),
+    (b"\r\n", b"z" * 65536),
+)
 MIB = 1 << 20
 BODY = b"content-length: 2\r\n\r\nok"
 TIMEOUT_MS = 300
@@ -159,6 +167,43 @@
 
         trio.run(main)
 
+    def test_body_without_end_of_a_refusal_does_not_hide_that_the_request_did_not_run(self):
+        shed = b"HTTP/1.1 503 X\r\nbendwind-shed: not-run\r\n"
+
+        async def check(served):
+            received = await served.call(timeout_ms=2000)
+            self.assertEqual(received.status, 503)
+            self.assertIn(b"bendwind-outcome: not-run", received.raw)
+
+        for framing, part in BODIES:
+            self.run_with(Endless(shed + framing, part), check)
+
+
+class TestEndlessHealthAnswers(unittest.TestCase):
+    HEAD = OK + b"me: u1\r\nload: 3,0,8,400\r\n"
+
+    def test_body_without_end_is_not_read(self):
+        for framing, part in BODIES:
+            endless = Endless(self.HEAD + framing, part)
+            answer = check_health(endless.handle)
+            self.assertEqual((answer.name, answer.slots, answer.slow_factor), ("u1", 8, 4.0))
+            self.assertLess(endless.taken, MAX_TAKEN_BYTES)
+
+    def test_body_that_comes_slowly_is_not_awaited(self):
+        async def drip(stream, number):
+            await read_request(stream)
+            await stream.send_all(self.HEAD + b"content-length: 9000\r\n\r\n")
+            while True:
+                await stream.send_all(b"z")
+                await trio.sleep(0.01)
+
+        self.assertEqual(check_health(drip).name, "u1")
+
+    def test_interim_answers_without_end_are_no_answer(self):
+        endless = Endless(b"", INTERIM * 3000)
+        self.assertIsNone(check_health(endless.handle))
+        self.assertLess(endless.taken, MAX_TAKEN_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -34,6 +34,11 @@
 # Interim answers (RFC 9110, section 15.2) tell that a request is being worked on; an upstream that
 # sends more than these sends them without end.
 MAX_INTERIM_ANSWERS = 100
+# What is read of a body that nobody needs, so that its connection can be used again. A new
+# connection costs less than a longer body or a longer wait.
+MAX_DISCARDED_BYTES = 16 * 1024
+MAX_DISCARDED_EVENTS = 16
+DISCARD_TIMEOUT: Seconds = 0.05
 # RFC 9112, section 2.3: an answer in another major version cannot be understood.
 HTTP_1_PREFIX = b"1."
 # RFC 9110, section 15: a status above this one is invalid.
@@ -107,16 +112,29 @@
         """Return the next part of the body, empty at its end."""
         if self.is_complete:
             return _END
+        event = await self._next_body_event()
+        if isinstance(event, h11.Data):
+            return Ok(bytes(event.data))
+        return _END if self.is_complete else Error(_CUT)
+
+    async def _next_body_event(self) -> object:
+        """Return the next event, None if the connection broke or its bytes are malformed."""
         try:
             event = await self.connection.next_event()
         except _CONNECTION_ERRORS:
-            return Error(_CUT)
-        if isinstance(event, h11.Data):
-            return Ok(bytes(event.data))
-        if isinstance(event, h11.EndOfMessage):
-            self.is_complete = True
-            return _END
-        return Error(_CUT)
+            return None
+        self.is_complete = isinstance(event, h11.EndOfMessage)
+        return event
+
+    async def discard_body(self) -> None:
+        """Read the body to its end if that comes soon."""
+        discarded = 0
+        with trio.move_on_after(DISCARD_TIMEOUT):
+            for _ in range(MAX_DISCARDED_EVENTS):
+                event = await self._next_body_event()
+                if not isinstance(event, h11.Data) or discarded > MAX_DISCARDED_BYTES:
+                    return
+                discarded += len(event.data)
 
     async def aclose(self) -> None:
         """Release the connection, which closes it if the body was not read to its end."""
