Calls: an answer in tiny parts takes bounded memory and time on its way

Callers saw: an upstream that sends chunks of one byte to a caller that reads slowly. Its node and the caller's held up to 262,144 parts of one byte, as each counts one byte of the window of 256 kB; to find the next one, the caller's node looked at all of them, each time. Cause: the window counts bytes, and each chunk became a part. Why it works: chunks that arrived together are joined to one part, and an owner sends at most 256 parts before one is credited; what comes meanwhile waits in the socket and is joined later. Entry nodes credit each delivered part already, so the messages stay as they are. Evidence: test_call_path sends 3,000 chunks to a slow caller over another node.

--- a/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/body_flow.py
@@ -5,6 +5,9 @@
 
 PART_BYTES = 64 * 1024
 WINDOW_BYTES = 256 * 1024
+# Parts of an answer on their way to its caller. Without this bound, a window of parts of one byte
+# each would take a hundred times its bytes.
+WINDOW_PARTS = 256
 
 
 class ByteBudget(msgspec.Struct):
@@ -26,9 +29,14 @@
 
 
 class Outflow(msgspec.Struct, eq=False):
-    """Hold the credit of a body that this process sends; a lost receiver needs no credit."""
+    """Hold the credit of a body that this process sends; a lost receiver needs no credit.
+
+    `parts` is the number of parts that may be sent before one of them is credited, None if the
+    receiver does not credit each part by itself.
+    """
 
     credit: int = WINDOW_BYTES
+    parts: int | None = None
     next_index: int = 1
     is_lost: bool = False
     changed: trio.Event = msgspec.field(default_factory=trio.Event)
@@ -36,6 +44,8 @@
     def add_credit(self, credit: int) -> None:
         """Add credit and wake the sender."""
         self.credit += credit
+        if self.parts is not None:
+            self.parts += 1
         self._wake()
 
     def mark_lost(self) -> None:
@@ -49,9 +59,11 @@
 
     async def consume_credit(self, size: int) -> int:
         """Wait for credit, consume it and return the index of the part to send."""
-        while self.credit <= 0 and not self.is_lost:
+        while (self.credit <= 0 or self.parts == 0) and not self.is_lost:
             await self.changed.wait()
         self.credit -= size
+        if self.parts:
+            self.parts -= 1
         index = self.next_index
         self.next_index += 1
         return index
--- a/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/owner_node.py
@@ -34,7 +34,7 @@
 from bendwind_core.timeline import DispatchFacts, EventKind, Recorder
 from bendwind_core.world import Instance, LoadSample
 from bendwind_node.calls.assembly import AssemblyTable
-from bendwind_node.calls.body_flow import Outflow
+from bendwind_node.calls.body_flow import WINDOW_PARTS, Outflow
 from bendwind_node.calls.call_facts import (
     find_request_id,
     make_dispatch_facts,
@@ -380,7 +380,7 @@
         facts = make_dispatch_facts(
             owned.owner_state, hand_over, scope.deadline, self.find_version(), started_at
         )
-        outflow = Outflow()
+        outflow = Outflow(parts=WINDOW_PARTS)
         self.outflows[attempt] = outflow
         # The upstream is sent the time that remains after the wait in the queue.
         remaining_ms = (scope.deadline - started_at) * MILLISECONDS_PER_SECOND
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_call_path.py
@@ -9,7 +9,7 @@
 from bendwind_core.attempts import events as ev
 from bendwind_core.limits import ProbeBudget
 from bendwind_core.world import Limits, Service, StaleAction, UpstreamState
-from bendwind_node.calls.body_flow import PART_BYTES, WINDOW_BYTES
+from bendwind_node.calls.body_flow import PART_BYTES, WINDOW_BYTES, WINDOW_PARTS
 from bendwind_node.calls.body_share import create_body_share
 from bendwind_node.calls.call_delivery import Delivery
 from bendwind_node.calls.owner_node import OwnerNode
@@ -104,6 +104,34 @@
 
         self.run_with(long_answer, check)
 
+    def test_tiny_parts_of_an_answer_to_a_slow_caller_are_bounded_in_number(self):
+        # Guards against parts of one byte each that fill the window: they take a hundred times its
+        # size, and the work to find the next one grows with the square of their number.
+        chunks = 3000
+
+        async def drip(stream, data):
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            for _ in range(chunks):
+                await stream.send_all(b"1\r\nz\r\n")
+            await stream.send_all(b"0\r\n\r\n")
+
+        async def check(cluster, port):
+            announce(cluster.add_owner("other"), port)
+            exchange = make_exchange()
+            exchange.send_delay = 0.5
+            most = 0
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cluster.call, exchange)
+                while not exchange.is_complete:
+                    held = [part for run in cluster.entry.runs.values() for part in run.incoming]
+                    most = max(most, len(held))
+                    exchange.send_delay = 0 if exchange.body else 0.5
+                    await trio.sleep(0.001)
+            self.assertEqual(len(exchange.body), chunks)
+            self.assertLessEqual(most, WINDOW_PARTS + 1)
+
+        self.run_with(drip, check)
+
     def test_long_request_body_reaches_another_owner_completely(self):
         received, read_body = self.make_body_reader()
 
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -60,14 +60,16 @@
         """Return whether the connection was idle for less than `max_idle` and is still open."""
         return now - self.idle_since < max_idle and not self.stream.socket.is_readable()
 
-    async def next_event(self) -> object:
+    async def next_event(self, *, may_wait: bool = True) -> object:
         """Return the next event of the upstream's answer.
 
+        Return NEED_DATA, instead of waiting for more bytes, if it may not wait.
+
         Errors: raises those of the stream and h11.RemoteProtocolError.
         """
         while True:
             event = await self.protocol.take_event()
-            if event is not h11.NEED_DATA:
+            if event is not h11.NEED_DATA or not may_wait:
                 return event
             self.protocol.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
 
@@ -109,18 +111,25 @@
         self.is_complete = False
 
     async def next_part(self) -> Result[bytes, AnswerCut]:
-        """Return the next part of the body, empty at its end."""
+        """Return the next part of the body, empty at its end; what arrived together is joined."""
         if self.is_complete:
             return _END
         event = await self._next_body_event()
-        if isinstance(event, h11.Data):
-            return Ok(bytes(event.data))
+        part = bytearray()
+        while isinstance(event, h11.Data):
+            part += event.data
+            if len(part) >= RECEIVE_BYTES:
+                break
+            event = await self._next_body_event(may_wait=False)
+        if part:
+            # After malformed bytes, the next call finds the same fault again.
+            return Ok(bytes(part))
         return _END if self.is_complete else Error(_CUT)
 
-    async def _next_body_event(self) -> object:
+    async def _next_body_event(self, *, may_wait: bool = True) -> object:
         """Return the next event, None if the connection broke or its bytes are malformed."""
         try:
-            event = await self.connection.next_event()
+            event = await self.connection.next_event(may_wait=may_wait)
         except _CONNECTION_ERRORS:
             return None
         self.is_complete = isinstance(event, h11.EndOfMessage)
