Upstreams: a request that got bytes that are no answer is not sent again by the pool

Callers saw: nothing by themselves. An upstream that answers on a kept connection in bytes that are no answer got an idempotent request a second time at once, which no retry budget was asked for, and ran it twice where the entry node counted one. Cause: the pool sends an idempotent request again if a kept connection fails within 20 ms, since the upstream may have closed it just then. Bytes that are no answer are such a failure too, though they show that the upstream was there and may have run the request. Why it works: a request is sent again only if nothing came after it. The failure is unknown to the entry node otherwise, which decides on a retry at the expense of its budget. Evidence: test_upstream_h11 answers status 000 on a kept connection and counts the requests. On the code before: [1, 1, 2] != [1, 1].

--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_h11.py
@@ -123,6 +123,26 @@
         self.assertEqual(outcome.error, AnswerCut(CutReason.UPSTREAM_RESET))
         self.assertEqual(served, [1])
 
+    def test_request_that_got_bytes_that_are_no_answer_is_not_sent_again(self):
+        # The upstream may have run it. Sending it again is the entry node's decision, at the
+        # expense of its retry budget.
+        served = []
+
+        async def handler(stream, number):
+            while await read_request(stream):
+                served.append(number)
+                await stream.send_all(OK if len(served) == 1 else b"HTTP/1.1 000 X\r\n\r\n")
+
+        async def check(pool):
+            answer = (await pool.start(make_request())).ok
+            await read_body(answer)
+            await answer.aclose()
+            started = await pool.start(make_request())
+            self.assertEqual(started.error, AnswerCut(CutReason.UPSTREAM_RESET))
+
+        self.run_with(handler, check)
+        self.assertEqual(served, [1, 1])
+
     def test_non_idempotent_request_is_never_sent_again(self):
         outcome, served = self.check_closed_connection(
             make_request(b"POST", is_non_idempotent=True)
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -49,12 +49,16 @@
 
 
 class UpstreamConnection(msgspec.Struct, eq=False):
-    """Hold one HTTP/1.1 connection to the upstream."""
+    """Hold one HTTP/1.1 connection to the upstream.
+
+    `has_received` says whether bytes have come since the newest request was sent.
+    """
 
     stream: DirectStream
     protocol: BoundedConnection
     idle_since: Seconds = 0.0
     is_reused: bool = False
+    has_received: bool = False
 
     def is_usable(self, now: Seconds, max_idle: Seconds) -> bool:
         """Return whether the connection was idle for less than `max_idle` and is still open."""
@@ -71,7 +75,9 @@
             event = await self.protocol.take_event()
             if event is not h11.NEED_DATA or not may_wait:
                 return event
-            self.protocol.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+            data = await self.stream.receive_some(RECEIVE_BYTES)
+            self.has_received = self.has_received or bool(data)
+            self.protocol.receive_data(data)
 
     async def next_head(self) -> h11.Response | None:
         """Return the head of the final answer, None if the upstream's bytes are no valid answer.
@@ -184,9 +190,10 @@
         answer = await self._exchange(connection, request, on_sent)
         if answer.is_ok() or not connection.is_reused or request.is_non_idempotent:
             return answer
-        if trio.current_time() - started_at > self.resend_window:
-            # The upstream had time to read the request and may have run it. The entry node decides
-            # whether to send it again, at the expense of its retry budget.
+        is_late = trio.current_time() - started_at > self.resend_window
+        if is_late or connection.has_received:
+            # The upstream had time to read the request, or has sent something, and may have run it.
+            # The entry node decides whether to send it again, at the expense of its retry budget.
             return answer
         # The upstream may have closed the idle connection just as the request was sent.
         fresh = await self._connect()
@@ -233,6 +240,7 @@
         request: UpstreamRequest,
         on_sent: Callable[[], None],
     ) -> Result[UpstreamAnswer, AnswerCut]:
+        connection.has_received = False
         try:
             await connection.stream.send_all(_encode(connection.protocol, request))
             on_sent()
