--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
@@ -16,7 +16,7 @@
     read_whole_request,
 )
 from bendwind_node.calls.tests.scripted_server import read_request
-from bendwind_node.calls.upstream_h11 import MAX_INTERIM_ANSWERS
+from bendwind_node.calls.upstream_connection import MAX_INTERIM_ANSWERS
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
