Callers: a cut answer does not appear complete over HTTP/1.0

Callers saw: a caller of HTTP/1.0 whose answer had no length and was cut, by its upstream, at the deadline or because the process stopped, got 200 with a part of the body, which looked whole. Cause: HTTP/1.0 has no chunks, so h11 lets such an answer end with its connection. A cut answer closed the connection too, and in the same way. Why it works: while such an answer is sent, its connection is set to end by a reset, however it ends, also if the process is killed; once its last byte is sent, it closes as usual. Evidence: test_cut_answers, a case of all four paths. Not covered: the same over hypercorn, which has no means to reset a connection.

--- a/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         "connection",
+        "ends_with_connection",
         "head",
         "is_aborted",
         "is_answer_begun",
@@ -62,6 +63,7 @@
         self.is_answered = False
         self.is_gone = False
         self.announces_close = False
+        self.ends_with_connection = False
         self.read_ahead = 0
 
     async def receive_part(self) -> bytes | None:
@@ -102,8 +104,18 @@
         self.announces_close = self.is_closing() or not await _discard_unread_body(self.connection)
         if self.announces_close:
             headers = (*headers, _CLOSE)
+        if self._ends_with_connection(headers):
+            # Until the answer is complete, its caller must not take the end of the connection for
+            # the end of the answer.
+            self._set_reset_on_close(is_reset=True)
+            self.ends_with_connection = True
         self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
 
+    def _ends_with_connection(self, headers: tuple[Header, ...]) -> bool:
+        """Return whether only the end of the connection tells the end of the answer."""
+        has_chunks = self.connection.their_http_version >= b"1.1"
+        return not has_chunks and not names.has_header(headers, names.CONTENT_LENGTH)
+
     async def send_part(self, data: bytes, *, more: bool) -> None:
         """Send a part of the body."""
         out = self.head
@@ -115,6 +127,15 @@
         self.is_answer_begun = True
         await self._send(out)
         self.is_answered = not more
+        if self.is_answered and self.ends_with_connection:
+            self._set_reset_on_close(is_reset=False)
+
+    def _set_reset_on_close(self, *, is_reset: bool) -> None:
+        try:
+            self.stream.set_reset_on_close(is_reset=is_reset)
+        except BROKEN_STREAM_ERRORS as error:
+            self.is_gone = True
+            raise CallerGoneError from error
 
     async def _send(self, data: bytes) -> None:
         try:
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_cut_answers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_cut_answers.py
@@ -84,6 +84,17 @@
             (cut,) = exchange_each(path, [whole], Ending.RESET)
             self.check_incomplete(cut)
 
+    def test_cut_answer_without_a_length_is_reset_for_a_caller_of_http_1_0(self):
+        # HTTP/1.0 has no chunks: the end of the connection is the end of the answer.
+        whole = HEAD + CHUNKS[0] + CHUNKS[1]
+        for path in Path:
+            (complete,) = exchange_each(path, [whole], Ending.CLOSE, version=b"1.0")
+            self.assertEqual((complete.is_complete, complete.body), (True, b"twelve bytes"))
+            (cut,) = exchange_each(path, [whole[:-20]], Ending.CLOSE, version=b"1.0")
+            self.check_incomplete(cut)
+            (cut,) = exchange_each(path, [HEAD + b"\r\ntwelve"], Ending.RESET, version=b"1.0")
+            self.check_incomplete(cut)
+
     def test_health_answer_cut_in_its_head_is_no_answer(self):
         head = HEAD + b"me: u1\r\nload: 3,0,8,400\r\n" + NO_BODY[0]
         for ending in CUTS:
--- a/packages/bendwind-node/src/bendwind_node/streams/direct_stream.py
+++ b/packages/bendwind-node/src/bendwind_node/streams/direct_stream.py
@@ -9,10 +9,15 @@
 
 import os
 import socket
+import struct
 
 import trio
 
 RECEIVE_BYTES = 64 * 1024
+# Values of SO_LINGER: whether closing waits for bytes in transit, and for how many seconds. Waiting
+# for no time resets the connection.
+_RESET = struct.pack("ii", 1, 0)
+_END = struct.pack("ii", 0, 0)
 
 
 class DirectStream(trio.abc.HalfCloseableStream):
@@ -70,6 +75,18 @@
         except OSError as error:
             raise trio.BrokenResourceError(str(error)) from error
 
+    def set_reset_on_close(self, *, is_reset: bool) -> None:
+        """Choose whether the peer sees a reset once the connection closes, however it does.
+
+        Errors: raises trio.BrokenResourceError and trio.ClosedResourceError.
+        """
+        self._get_file_descriptor()
+        linger = _RESET if is_reset else _END
+        try:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
     async def send_eof(self) -> None:
         """Close the sending direction."""
         await self.inner.send_eof()
--- a/packages/bendwind-node/src/bendwind_node/streams/tests/test_direct_stream.py
+++ b/packages/bendwind-node/src/bendwind_node/streams/tests/test_direct_stream.py
@@ -49,6 +49,26 @@
 
         trio.run(main)
 
+    def test_close_is_a_reset_only_as_long_as_that_is_chosen(self):
+        async def main():
+            for is_reset in (True, False):
+                client, server = await make_pair()
+                await server.send_all(b"answer")
+                server.set_reset_on_close(is_reset=True)
+                if not is_reset:
+                    server.set_reset_on_close(is_reset=False)
+                await server.aclose()
+                if is_reset:
+                    with self.assertRaises(trio.BrokenResourceError):
+                        while await client.receive_some():
+                            continue
+                else:
+                    self.assertEqual(await client.receive_some(), b"answer")
+                    self.assertEqual(await client.receive_some(), b"")
+                await client.aclose()
+
+        trio.run(main)
+
     def test_every_receive_lets_other_tasks_run(self):
         async def main():
             client, server = await make_pair()
