Calls: a 204 of an upstream is passed on without a length

Callers saw: a 204 whose upstream stated a Content-Length came with it. 204 has no body, but a caller that heeds the length waits for it, and takes the first bytes of the next answer for it. Cause: end-to-end headers are passed on as they are, and h11 adds but removes none here. Why it works: RFC 9110, section 8.6, forbids the header in a 204; it is dropped where the answer's head is passed on, on each path. Evidence: test_surplus_answers; on the code before: b'content-length' unexpectedly found in b'http/1.1 204 ...'. The module's other tests passed when they were written: surplus bytes with or after an answer (also to HEAD, 204, 304 and behind chunks) never reach the next request, and an answer that precedes the rest of a long body is its own, and the upstream gets that rest.

--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -47,6 +47,8 @@
 HandleNotice = Callable[[UpstreamNotice, Seconds], None]
 
 _CANCEL_TIMEOUT_S = 0.5
+# RFC 9110, section 8.6: an answer with this status must not state a length.
+_NO_CONTENT = 204
 
 
 def create_upstream_request(hand_over: HandOver, dialect: Dialect) -> UpstreamRequest:
@@ -214,7 +216,10 @@
         return DispatchDone(self.attempt)
 
     def _send_head(self, answer: UpstreamAnswer, body: bytes, *, more: bool) -> None:
-        headers = names.keep_end_to_end(answer.headers, self.dialect.not_forwarded)
+        dropped = self.dialect.not_forwarded
+        if answer.status == _NO_CONTENT:
+            dropped |= names.FRAMING
+        headers = names.keep_end_to_end(answer.headers, dropped)
         self.send(
             AnswerHead(
                 self.attempt,
