--- a/packages/bendwind-node/src/bendwind_node/calls/tests/answer_paths.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/answer_paths.py
@@ -90,6 +90,8 @@
     with contextlib.suppress(h11.RemoteProtocolError):
         while True:
             match connection.next_event():
+                case h11.InformationalResponse():
+                    continue
                 case h11.Response(status_code=status):
                     continue
                 case h11.Data(data=data):
@@ -179,13 +181,16 @@
     """Yield a cluster whose only upstream runs `handler(stream, number)` for each connection."""
     async with run_server(handler) as port, trio.open_nursery() as nursery:
         cluster = CallTestCluster(nursery)
-        announce(cluster.owner if path.is_own else cluster.add_owner("other"), port)
+        owner = cluster.owner if path.is_own else cluster.add_owner("other")
+        announce(owner, port)
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         recorder = cluster.owner.recorder
         server = H11Server(cluster.task.handle, 5.0, 4096, 64, recorder=recorder)
         nursery.start_soon(server.run, listeners, trio.Event())
         yield PathCluster(path, cluster, listeners[0].socket.getsockname())
         nursery.cancel_scope.cancel()
+        for owned in owner.register.owned.values():
+            await owned.pool.aclose()
 
 
 def exchange(path, handler, **settings):
