HTTP edges: a head of many thousand lines no longer holds the process up

Callers saw: an answer or a request with 15,000 header lines (60 kB) made everything else in the process wait for 65 to 76 ms (trials of 4 s beside a health path that answers so), each time. Cause: h11 reads a head at once, and a head had a limit of bytes but none of lines. Why it works: BoundedConnection hands a head with over 1,000 lines over in slices and rejects it once 1,000 of them have come: 502 for an answer, 400 for a request. Bodies are not counted. Evidence: test_malformed_answers and test_bounded_h11; on the code before, such an answer is passed on ((200, True) != (502, True)) on all four paths, closed or reset.

--- a/packages/bendwind-node/src/bendwind_node/calls/bounded_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/bounded_h11.py
@@ -2,7 +2,8 @@
 
 h11 checks lines with regular expressions whose time grows with the square of the white space in a
 line: a head with 60 kB of it blocks the process for 20 s. While lines are read, this connection
-hands h11 bytes with much white space in small slices, and rejects an incomplete line that has it.
+hands h11 bytes with much white space in small slices, and rejects an incomplete line that has it;
+it does the same with a head of many lines.
 """
 
 import h11
@@ -14,6 +15,8 @@
 # No sender writes this much white space between two words of a head; h11 checks that of one slice
 # and of this much in a few milliseconds.
 MAX_WHITE_SPACE = 256
+# Far above what any sender writes. h11 reads a head at once, 15,000 lines of it in 40 ms.
+MAX_HEAD_LINES = 1000
 # Taking this many events of a few bytes each takes less than a millisecond.
 EVENTS_PER_TURN = 32
 
@@ -80,25 +83,28 @@
                     self.is_chunked = names.has_header(event.headers, names.TRANSFER_ENCODING)
                 return event
             if self.held >= MAX_WHITE_SPACE and self._reads_lines():
-                self._check_white_space()
+                self._check_lines()
             if not self._feed():
                 return event
 
     def _reads_lines(self) -> bool:
-        return self.is_chunked or self.their_state is not h11.SEND_BODY
+        return self.is_chunked or self._reads_head()
 
-    def _check_white_space(self) -> None:
+    def _reads_head(self) -> bool:
+        return self.their_state is not h11.SEND_BODY
+
+    def _check_lines(self) -> None:
         # What h11 has left over here is a part of a head, a chunk's header or a trailer.
         rest = super().trailing_data[0]
         if _has_too_much_white_space(rest[-(SLICE_BYTES + MAX_WHITE_SPACE) :]):
             raise h11.RemoteProtocolError("too much white space in a line")
+        if self._reads_head() and rest.count(b"\n") > MAX_HEAD_LINES:
+            raise h11.RemoteProtocolError("too many lines in a head")
 
     def _feed(self) -> bool:
         """Hand bytes or the end to h11; return False if nothing is left to hand over."""
         if self.pending:
-            size = len(self.pending)
-            if self._reads_lines() and _has_too_much_white_space(self.pending):
-                size = SLICE_BYTES
+            size = SLICE_BYTES if self._needs_slices() else len(self.pending)
             self._hand_over(self.pending[:size])
             del self.pending[:size]
             return True
@@ -107,6 +113,13 @@
             return True
         return False
 
+    def _needs_slices(self) -> bool:
+        """Return whether h11 could take long for the pending bytes."""
+        if len(self.pending) <= SLICE_BYTES or not self._reads_lines():
+            return False
+        has_many_lines = self._reads_head() and self.pending.count(b"\n") > MAX_HEAD_LINES
+        return has_many_lines or _has_too_much_white_space(self.pending)
+
     def _hand_over(self, data: bytes | bytearray) -> None:
         self.held += len(data)
         super().receive_data(data)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_bounded_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_bounded_h11.py
@@ -7,7 +7,12 @@
 from hypothesis import strategies as st
 
 import bendwind_core.core.tests.profiles  # noqa: F401
-from bendwind_node.calls.bounded_h11 import MAX_WHITE_SPACE, SLICE_BYTES, BoundedConnection
+from bendwind_node.calls.bounded_h11 import (
+    MAX_HEAD_LINES,
+    MAX_WHITE_SPACE,
+    SLICE_BYTES,
+    BoundedConnection,
+)
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
@@ -77,6 +82,24 @@
             with self.subTest(raw=raw[:60]):
                 self.assertIn("white space", read_events(self.make(), [raw])[2])
 
+    def test_head_with_too_many_lines_is_rejected_and_one_with_many_is_read(self):
+        end = b"content-length: 5\r\n\r\n"
+        many = OK + b"a:\r\n" * (MAX_HEAD_LINES - 50) + end + b"hello"
+        self.assertEqual(read_events(self.make(), [many])[1], b"hello")
+        for size in (700, 65536):
+            raw = OK + b"a:\r\n" * 15_000 + end
+            pieces = [raw[at : at + size] for at in range(0, len(raw), size)]
+            self.assertIn("too many lines", read_events(self.make(), pieces)[2])
+
+    def test_lines_of_a_body_are_data(self):
+        body = b"\n" * 5000
+        for framed in (
+            OK + b"content-length: %d\r\n\r\n" % len(body) + body,
+            CHUNKED + b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n",
+            OK + b"\r\n" + body,
+        ):
+            self.assertEqual(read_events(self.make(), [framed])[1], body)
+
     def test_white_space_of_a_request_is_bounded_as_well(self):
         connection = BoundedConnection(h11.SERVER, MAX_HEAD_BYTES)
         connection.receive_data(b"GET / HTTP/1.1\r\nhost: a\r\nx:" + SPACES + b"\x00\r\n\r\n")
@@ -106,6 +129,7 @@
         cut = [raw[at : at + size] for at in range(0, len(raw), size)]
         plain = start(h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES))
         own = read_events(self.make(), cut)
+        self.assertNotIn("too many lines", str(own[2]))
         if "white space" in str(own[2]):
             self.assertIn(b" " * (MAX_WHITE_SPACE // 2), raw)
             return
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_malformed_answers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_malformed_answers.py
@@ -42,6 +42,7 @@
     OK + b"transfer-encoding: chunked, chunked\r\n\r\n" + CHUNKS,
     OK + b"x:" + b" " * 60_000 + b"\x00\r\n" + BODY,
     OK + b"x:" + b" " * 60_000 + b"a\r\n" + BODY,
+    OK + b"x:\r\n" * 15_000 + BODY,
     OK + b"x: a\x00b\r\n" + BODY,
     OK + b"x: a\rb\r\n" + BODY,
     OK + b"x: a\nb\r\n" + BODY,
