Upstreams: tests of heads and bodies without end, and of slow ones

On each path: a head, a name, a value, lines or folded lines without end, and heads that drip for five callers at once, end at the deadline at the latest; a body without end to a caller that does not read is taken within the window and releases its upstream at the deadline; one to a caller that reads is incomplete at the deadline. Open, seen while writing: the request of a caller that does not read its answer stays in flight until that caller closes, also beyond its deadline (in_flight was not 0 after 20 s for a deadline of 0.3 s).

--- a/packages/bendwind-node/src/bendwind_node/calls/tests/answer_paths.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/answer_paths.py
@@ -162,9 +162,10 @@
 class PathCluster:
     """Serve callers in front of one upstream."""
 
-    def __init__(self, path, cluster, address):
+    def __init__(self, path, cluster, owner, address):
         self.path = path
         self.cluster = cluster
+        self.owner = owner
         self.address = address
 
     async def call(self, **settings):
@@ -187,7 +188,7 @@
         recorder = cluster.owner.recorder
         server = H11Server(cluster.task.handle, 5.0, 4096, 64, recorder=recorder)
         nursery.start_soon(server.run, listeners, trio.Event())
-        yield PathCluster(path, cluster, listeners[0].socket.getsockname())
+        yield PathCluster(path, cluster, owner, listeners[0].socket.getsockname())
         nursery.cancel_scope.cancel()
         for owned in owner.register.owned.values():
             await owned.pool.aclose()
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_endless_answers.py
@@ -12,6 +12,7 @@
     MAX_SECONDS,
     Path,
     check_health,
+    make_request,
     open_path,
     read_whole_request,
 )
@@ -27,6 +28,17 @@
     (b"transfer-encoding: chunked\r\n\r\n", b"1\r\nz\r\n" * 10_000),
     (b"\r\n", b"z" * 65536),
 )
+# Heads, with a part of one that can be repeated without end.
+HEADS = (
+    (b"", b"z" * 65536),
+    (b"", b" " * 65536),
+    (b"", b"\r\n"),
+    (OK, b"z" * 65536),
+    (OK + b"x:", b" " * 65536),
+    (OK, b"x: y\r\n" * 1000),
+    (OK, b" folded\r\n" * 1000),
+    (b"\x00", b"\x00" * 65536),
+)
 MIB = 1 << 20
 BODY = b"content-length: 2\r\n\r\nok"
 TIMEOUT_MS = 300
@@ -167,6 +179,68 @@
 
         trio.run(main)
 
+    def test_head_without_end_ends_at_the_latest_at_the_deadline(self):
+        async def check(served):
+            endless.taken = 0
+            received = await served.call(timeout_ms=TIMEOUT_MS)
+            self.assertIn(received.status, (502, 504))
+            self.assertLess(endless.taken, MAX_TAKEN_BYTES)
+
+        for head, part in HEADS:
+            endless = Endless(head, part)
+            self.run_with(endless, check)
+
+    def test_head_that_comes_slowly_ends_at_the_deadline_and_others_are_served(self):
+        async def drip(stream, number):
+            while await read_whole_request(stream):
+                await stream.send_all(OK + b"x: ")
+                while True:
+                    await stream.send_all(b"z")
+                    await trio.sleep(0.005)
+
+        async def main():
+            for path in Path:
+                async with open_path(path, drip) as served, trio.open_nursery() as nursery:
+                    received = []
+
+                    async def call(served=served, received=received):
+                        received.append(await served.call(timeout_ms=TIMEOUT_MS))
+
+                    for _ in range(5):
+                        nursery.start_soon(call)
+                self.assertTrue(all(got.status in (502, 503, 504) for got in received))
+                self.assertEqual(len(received), 5)
+
+        trio.run(main)
+
+    def test_body_without_end_to_a_caller_that_does_not_read_is_taken_within_the_window(self):
+        for framing, part in BODIES:
+            endless = Endless(OK + framing, part)
+
+            async def check(served, endless=endless):
+                endless.taken = 0
+                request = make_request(served.path, timeout_ms=TIMEOUT_MS)
+                async with await trio.open_tcp_stream(*served.address) as caller:
+                    await caller.send_all(request)
+                    while not served.owner.outflows:
+                        await trio.sleep(0.001)
+                    # The deadline releases the upstream, whether or not the caller reads.
+                    while served.owner.outflows:
+                        await trio.sleep(0.01)
+                while served.cluster.intake.in_flight:
+                    await trio.sleep(0.01)
+                self.assertLess(endless.taken, MAX_TAKEN_BYTES)
+
+            self.run_with(endless, check)
+
+    def test_body_without_end_is_incomplete_at_the_deadline(self):
+        async def check(served):
+            received = await served.call(timeout_ms=TIMEOUT_MS)
+            self.assertEqual((received.status, received.is_complete), (200, False))
+
+        for framing, part in BODIES[1:3]:
+            self.run_with(Endless(OK + framing, part), check)
+
     def test_body_without_end_of_a_refusal_does_not_hide_that_the_request_did_not_run(self):
         shed = b"HTTP/1.1 503 X\r\nbendwind-shed: not-run\r\n"
 
