--- a/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/caller_h11.py
@@ -10,11 +10,12 @@
 
 from bendwind_core.core import Seconds
 from bendwind_core.timeline import Recorder
+from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
+from bendwind_node.calls.bounded_h11 import BoundedConnection
 from bendwind_node.calls.caller_exchange import CallerExchange, CallerGoneError
 from bendwind_node.calls.h11_exchange import (
     BROKEN_STREAM_ERRORS,
-    FRAMING_HEADERS,
     RECEIVE_BYTES,
     H11Exchange,
     make_error,
@@ -122,7 +123,7 @@
 
     async def _serve(self, stream: DirectStream) -> None:
         self.connections += 1
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.header_bytes)
+        connection = BoundedConnection(h11.SERVER, self.header_bytes)
         try:
             async with stream:
                 if self.connections > self.max_connections:
@@ -147,7 +148,7 @@
         record_task_failure(self.recorder, error)
 
     async def _serve_request(
-        self, stream: DirectStream, connection: h11.Connection, *, is_new: bool
+        self, stream: DirectStream, connection: BoundedConnection, *, is_new: bool
     ) -> bool:
         """Serve one request; return whether the connection may carry another."""
         try:
@@ -200,12 +201,12 @@
             self.account.record_ended(exchange.request, find_ending(exchange))
 
     async def _read_head(
-        self, stream: DirectStream, connection: h11.Connection, *, is_new: bool
+        self, stream: DirectStream, connection: BoundedConnection, *, is_new: bool
     ) -> h11.Request | None:
-        event = connection.next_event()
+        event = await connection.take_event()
         if event is h11.NEED_DATA:
             connection.receive_data(await self._receive_first(stream, is_new=is_new))
-            event = connection.next_event()
+            event = await connection.take_event()
         if event is h11.NEED_DATA:
             event = await self._read_rest(stream, connection)
         return event if isinstance(event, h11.Request) else None
@@ -221,7 +222,7 @@
         # A request that has just arrived is still served, since its caller waits for an answer.
         return stream.receive_nowait()
 
-    async def _read_rest(self, stream: DirectStream, connection: h11.Connection) -> object:
+    async def _read_rest(self, stream: DirectStream, connection: BoundedConnection) -> object:
         with trio.move_on_after(self.header_timeout):
             while (event := connection.next_event()) is h11.NEED_DATA:
                 connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
@@ -235,8 +236,7 @@
     Another server may use the other length and read the rest as a second request.
     Source: RFC 9112, section 6.1.
     """
-    names = {name for name, _ in head.headers}
-    return FRAMING_HEADERS <= names
+    return {name for name, _ in head.headers} >= names.FRAMING
 
 
 def _measure_head(head: h11.Request) -> int:
--- a/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/dispatch.py
@@ -47,6 +47,8 @@
 HandleNotice = Callable[[UpstreamNotice, Seconds], None]
 
 _CANCEL_TIMEOUT_S = 0.5
+# RFC 9110, section 8.6: an answer with this status must not state a length.
+_NO_CONTENT = 204
 
 
 def create_upstream_request(hand_over: HandOver, dialect: Dialect) -> UpstreamRequest:
@@ -196,8 +198,7 @@
         return names.find_header(answer.headers, name) != own
 
     async def _discard_refusal(self, answer: UpstreamAnswer, reason: NotRunReason) -> DispatchEnd:
-        while (await answer.next_part()).default_value(b""):
-            continue
+        await answer.discard_body()
         return DispatchNotRun(self.attempt, reason)
 
     async def _send_whole(self, answer: UpstreamAnswer) -> DispatchEnd:
@@ -215,7 +216,10 @@
         return DispatchDone(self.attempt)
 
     def _send_head(self, answer: UpstreamAnswer, body: bytes, *, more: bool) -> None:
-        headers = names.keep_end_to_end(answer.headers, self.dialect.not_forwarded)
+        dropped = self.dialect.not_forwarded
+        if answer.status == _NO_CONTENT:
+            dropped |= names.FRAMING
+        headers = names.keep_end_to_end(answer.headers, dropped)
         self.send(
             AnswerHead(
                 self.attempt,
--- a/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/h11_exchange.py
@@ -8,6 +8,7 @@
 from bendwind_core.attempts import Header
 from bendwind_node.calls import headers as names
 from bendwind_node.calls import outcomes
+from bendwind_node.calls.bounded_h11 import BoundedConnection
 from bendwind_node.calls.caller_exchange import CallerGoneError, CallerRequest
 from bendwind_node.streams import DirectStream
 
@@ -15,7 +16,6 @@
 # Pipelined requests beyond this size stay unread in the socket, and the caller's connection is no
 # longer watched for its close.
 MAX_READ_AHEAD_BYTES = 64 * 1024
-FRAMING_HEADERS = frozenset((names.CONTENT_LENGTH, b"transfer-encoding"))
 BROKEN_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 _BAD_REQUEST = 400
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "connection",
+        "ends_with_connection",
         "head",
         "is_aborted",
         "is_answer_begun",
@@ -47,7 +48,7 @@
         self,
         is_closing: Callable[[], bool],
         stream: DirectStream,
-        connection: h11.Connection,
+        connection: BoundedConnection,
         head: h11.Request,
         target: bytes,
     ):
@@ -55,7 +56,7 @@
         self.stream = stream
         self.connection = connection
         headers = tuple(head.headers)
-        may_have_body = any(name in FRAMING_HEADERS for name, _ in headers)
+        may_have_body = any(name in names.FRAMING for name, _ in headers)
         self.request = CallerRequest(head.method.decode(), target, headers, may_have_body)
         self.head = b""
         self.may_have_run = False
@@ -65,6 +66,7 @@
         self.is_gone = False
         self.is_malformed = False
         self.announces_close = False
+        self.ends_with_connection = False
         self.read_ahead = 0
 
     async def receive_part(self) -> bytes | None:
@@ -74,7 +76,7 @@
             go_ahead = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(connection.send(go_ahead))
         while True:
-            match self._next_event():
+            match await self._take_event():
                 case h11.NEED_DATA:
                     await self._receive()
                 case h11.Data(data=data):
@@ -82,9 +84,9 @@
                 case _:
                     return None
 
-    def _next_event(self) -> object:
+    async def _take_event(self) -> object:
         try:
-            return self.connection.next_event()
+            return await self.connection.take_event()
         except h11.RemoteProtocolError as error:
             self.is_gone = True
             self.is_malformed = True
@@ -103,11 +105,21 @@
 
     async def send_head(self, status: int, headers: tuple[Header, ...]) -> None:
         """Prepare the head of the answer; it is sent with the first part of the body."""
-        self.announces_close = self.is_closing() or not _discard_unread_body(self.connection)
+        self.announces_close = self.is_closing() or not await _discard_unread_body(self.connection)
         if self.announces_close:
             headers = (*headers, _CLOSE)
+        if self._ends_with_connection(headers):
+            # Until the answer is complete, its caller must not take the end of the connection for
+            # the end of the answer.
+            self._set_reset_on_close(is_reset=True)
+            self.ends_with_connection = True
         self.head = self.connection.send(h11.Response(status_code=status, headers=list(headers)))
 
+    def _ends_with_connection(self, headers: tuple[Header, ...]) -> bool:
+        """Return whether only the end of the connection tells the end of the answer."""
+        has_chunks = self.connection.their_http_version >= b"1.1"
+        return not has_chunks and not names.has_header(headers, names.CONTENT_LENGTH)
+
     async def send_part(self, data: bytes, *, more: bool) -> None:
         """Send a part of the body."""
         out = self.head
@@ -119,6 +131,15 @@
         self.is_answer_begun = True
         await self._send(out)
         self.is_answered = not more
+        if self.is_answered and self.ends_with_connection:
+            self._set_reset_on_close(is_reset=False)
+
+    def _set_reset_on_close(self, *, is_reset: bool) -> None:
+        try:
+            self.stream.set_reset_on_close(is_reset=is_reset)
+        except BROKEN_STREAM_ERRORS as error:
+            self.is_gone = True
+            raise CallerGoneError from error
 
     async def _send(self, data: bytes) -> None:
         try:
@@ -170,11 +191,11 @@
         await trio.sleep_forever()
 
 
-def _discard_unread_body(connection: h11.Connection) -> bool:
+async def _discard_unread_body(connection: BoundedConnection) -> bool:
     """Discard the received part of an unread body; return whether the request has ended."""
     while connection.their_state is h11.SEND_BODY:
         try:
-            event = connection.next_event()
+            event = await connection.take_event()
         except h11.RemoteProtocolError:
             return False
         if event is h11.NEED_DATA:
--- a/packages/bendwind-node/src/bendwind_node/calls/headers.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/headers.py
@@ -1,5 +1,7 @@
 """Define the HTTP headers that Bendwind reads and writes, and remove hop-by-hop headers."""
 
+from collections.abc import Iterable
+
 from bendwind_core.attempts import Header
 
 OUTCOME = b"bendwind-outcome"
@@ -9,6 +11,9 @@
 IDEMPOTENCY_KEY = b"idempotency-key"
 RETRY_AFTER = b"retry-after"
 CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+# The fields that state where a body ends; a message has at most one of them.
+FRAMING = frozenset((CONTENT_LENGTH, TRANSFER_ENCODING))
 HOST = b"host"
 VIA = (b"via", b"1.1 bendwind")
 
@@ -22,7 +27,7 @@
         b"proxy-connection",
         b"te",
         b"trailer",
-        b"transfer-encoding",
+        TRANSFER_ENCODING,
         b"upgrade",
     )
 )
@@ -43,6 +48,15 @@
     return None
 
 
+def has_header(headers: Iterable[Header], name: bytes) -> bool:
+    """Return whether a header is present.
+
+    >>> has_header(((b"host", b"emisor"),), b"via")
+    False
+    """
+    return any(key == name for key, _ in headers)
+
+
 def find_host(headers: tuple[Header, ...]) -> str:
     """Return the host that a request names, in lower case and without its port.
 
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_h11.py
@@ -10,8 +10,14 @@
 
 from bendwind_core.attempts import CutReason, Header, NotRunReason
 from bendwind_core.core import Seconds
+from bendwind_node.calls.bounded_h11 import BoundedConnection
+from bendwind_node.calls.upstream_connection import (
+    MAX_HEAD_BYTES,
+    RECEIVE_BYTES,
+    UpstreamConnection,
+)
 from bendwind_node.calls.upstream_request import AnswerCut, RequestNotSent, UpstreamRequest
-from bendwind_node.streams import DirectStream, open_direct_stream
+from bendwind_node.streams import open_direct_stream
 
 KEEP_ALIVE_TIMEOUT: Seconds = 30.0
 # A request that must not run twice is sent only over a connection that was idle for less than this
@@ -27,37 +33,16 @@
 # round trip inside the instance. A request that fails later was read, and may have ended the
 # upstream: one such request ended 15 upstreams, each 30 to 90 ms after it had reached them.
 RESEND_WINDOW: Seconds = 0.02
-RECEIVE_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 64 * 1024
+# What is read of a body that nobody needs, so that its connection can be used again. A new
+# connection costs less than a longer body or a longer wait.
+MAX_DISCARDED_BYTES = 16 * 1024
+MAX_DISCARDED_EVENTS = 16
+DISCARD_TIMEOUT: Seconds = 0.05
 
 _CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError)
 _CUT = AnswerCut(CutReason.UPSTREAM_RESET)
 
 
-class UpstreamConnection(msgspec.Struct, eq=False):
-    """Hold one HTTP/1.1 connection to the upstream."""
-
-    stream: DirectStream
-    protocol: h11.Connection
-    idle_since: Seconds = 0.0
-    is_reused: bool = False
-
-    def is_usable(self, now: Seconds, max_idle: Seconds) -> bool:
-        """Return whether the connection was idle for less than `max_idle` and is still open."""
-        return now - self.idle_since < max_idle and not self.stream.socket.is_readable()
-
-    async def next_event(self) -> object:
-        """Return the next event of the upstream's answer.
-
-        Errors: raises those of the stream and h11.RemoteProtocolError.
-        """
-        while True:
-            event = self.protocol.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self.protocol.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
-
-
 class UpstreamAnswer:
     """Hold the head of an answer and read its body in parts."""
 
@@ -71,19 +56,39 @@
         self.is_complete = False
 
     async def next_part(self) -> Result[bytes, AnswerCut]:
-        """Return the next part of the body, empty at its end."""
+        """Return the next part of the body, empty at its end; what arrived together is joined."""
         if self.is_complete:
             return _END
+        event = await self._next_body_event()
+        part = bytearray()
+        while isinstance(event, h11.Data):
+            part += event.data
+            if len(part) >= RECEIVE_BYTES:
+                break
+            event = await self._next_body_event(may_wait=False)
+        if part:
+            # After malformed bytes, the next call finds the same fault again.
+            return Ok(bytes(part))
+        return _END if self.is_complete else Error(_CUT)
+
+    async def _next_body_event(self, *, may_wait: bool = True) -> object:
+        """Return the next event, None if the connection broke or its bytes are malformed."""
         try:
-            event = await self.connection.next_event()
+            event = await self.connection.next_event(may_wait=may_wait)
         except _CONNECTION_ERRORS:
-            return Error(_CUT)
-        if isinstance(event, h11.Data):
-            return Ok(bytes(event.data))
-        if isinstance(event, h11.EndOfMessage):
-            self.is_complete = True
-            return _END
-        return Error(_CUT)
+            return None
+        self.is_complete = isinstance(event, h11.EndOfMessage)
+        return event
+
+    async def discard_body(self) -> None:
+        """Read the body to its end if that comes soon."""
+        discarded = 0
+        with trio.move_on_after(DISCARD_TIMEOUT):
+            for _ in range(MAX_DISCARDED_EVENTS):
+                event = await self._next_body_event()
+                if not isinstance(event, h11.Data) or discarded > MAX_DISCARDED_BYTES:
+                    return
+                discarded += len(event.data)
 
     async def aclose(self) -> None:
         """Release the connection, which closes it if the body was not read to its end."""
@@ -124,9 +129,10 @@
         answer = await self._exchange(connection, request, on_sent)
         if answer.is_ok() or not connection.is_reused or request.is_non_idempotent:
             return answer
-        if trio.current_time() - started_at > self.resend_window:
-            # The upstream had time to read the request and may have run it. The entry node decides
-            # whether to send it again, at the expense of its retry budget.
+        is_late = trio.current_time() - started_at > self.resend_window
+        if is_late or connection.has_received:
+            # The upstream had time to read the request, or has sent something, and may have run it.
+            # The entry node decides whether to send it again, at the expense of its retry budget.
             return answer
         # The upstream may have closed the idle connection just as the request was sent.
         fresh = await self._connect()
@@ -148,7 +154,7 @@
                 stream = await open_direct_stream(self.host, self.port)
             except OSError:
                 return Error(RequestNotSent(NotRunReason.CONNECT_FAILED))
-            protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+            protocol = BoundedConnection(h11.CLIENT, MAX_HEAD_BYTES)
             return Ok(UpstreamConnection(stream, protocol))
         return Error(RequestNotSent(NotRunReason.CONNECT_FAILED, is_timed_out=True))
 
@@ -173,18 +179,17 @@
         request: UpstreamRequest,
         on_sent: Callable[[], None],
     ) -> Result[UpstreamAnswer, AnswerCut]:
+        connection.has_received = False
         try:
             await connection.stream.send_all(_encode(connection.protocol, request))
             on_sent()
-            head = await connection.next_event()
-            while isinstance(head, h11.InformationalResponse):
-                head = await connection.next_event()
+            head = await connection.next_head()
         except _CONNECTION_ERRORS:
             head = None
         except (trio.Cancelled, h11.LocalProtocolError):
             await trio.aclose_forcefully(connection.stream)
             raise
-        if isinstance(head, h11.Response):
+        if head is not None:
             return Ok(UpstreamAnswer(self, connection, head))
         await trio.aclose_forcefully(connection.stream)
         return Error(_CUT)
