membership, quotas: messages with numbers of any size as a property

The trial that found the demand of quotas is now a test: messages between voters and nodes, with integers beyond 64 bits and other extremes, are encoded, decoded and handled, and what follows them works.

--- a/packages/bendwind-core/src/bendwind_core/plans/tests/extremes.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/tests/extremes.py
@@ -21,30 +21,38 @@
 def draw_commands(kind: type | None = None) -> st.SearchStrategy:
     """Return a strategy for the commands of a type, or for all commands."""
     kinds = (kind,) if kind else typing.get_args(Command)
-    return st.one_of([_draw_type(each) for each in kinds])
+    return st.one_of([_draw_type(each, _PLAIN) for each in kinds])
 
 
-def _draw_type(kind: object) -> st.SearchStrategy:
+def draw_messages(kind: type, texts: tuple[str, ...]) -> st.SearchStrategy:
+    """Return a strategy for the messages of a type, whose integers have any size."""
+    wide = (*NUMBERS, LARGEST + 1, -(2**70), 10**400)
+    return _draw_type(
+        kind, _PLAIN | {int: st.sampled_from(wide), str: st.sampled_from((*texts, "", "#"))}
+    )
+
+
+def _draw_type(kind: object, plain: dict[type, st.SearchStrategy]) -> st.SearchStrategy:
     origin, arguments = typing.get_origin(kind), typing.get_args(kind)
     if origin is typing.Annotated:
-        return _draw_type(arguments[0])
+        return _draw_type(arguments[0], plain)
     if origin in (typing.Union, types.UnionType):
-        return st.one_of([_draw_type(argument) for argument in arguments])
+        return st.one_of([_draw_type(argument, plain) for argument in arguments])
     if origin is tuple:
-        return _draw_tuple(arguments)
-    if kind in _PLAIN:
-        return _PLAIN[kind]
+        return _draw_tuple(arguments, plain)
+    if kind in plain:
+        return plain[kind]
     if issubclass(kind, enum.Enum):
         return st.sampled_from(kind)
     fields = msgspec.structs.fields(kind)
     hints = typing.get_type_hints(kind, include_extras=True)
-    return st.builds(kind, **{field.name: _draw_type(hints[field.name]) for field in fields})
+    return st.builds(kind, **{field.name: _draw_type(hints[field.name], plain) for field in fields})
 
 
-def _draw_tuple(arguments: tuple) -> st.SearchStrategy:
+def _draw_tuple(arguments: tuple, plain: dict[type, st.SearchStrategy]) -> st.SearchStrategy:
     if len(arguments) == 2 and arguments[1] is Ellipsis:
-        return st.lists(_draw_type(arguments[0]), max_size=MAX_ITEMS).map(tuple)
-    return st.tuples(*map(_draw_type, arguments))
+        return st.lists(_draw_type(arguments[0], plain), max_size=MAX_ITEMS).map(tuple)
+    return st.tuples(*(_draw_type(argument, plain) for argument in arguments))
 
 
 _PLAIN = {
