--- a/packages/bendwind-core/src/bendwind_core/plans/revision.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/revision.py
@@ -69,14 +69,14 @@
         if place in places:
             yield RevisionFault(RevisionFaultKind.DUPLICATE_PLACE, route.name)
         places.add(place)
+    match find_customer_fault(command.customers):
+        case CustomerFault(kind=kind, name=name):
+            yield RevisionFault(kind, name)
     match encode_command(command):
         case Result(error=CommandFault(reason=reason, is_too_large=True)):
             yield RevisionFault(RevisionFaultKind.TOO_LARGE, reason)
         case Result(error=CommandFault(reason=reason)):
             yield RevisionFault(RevisionFaultKind.UNENCODABLE, reason)
-    match find_customer_fault(command.customers):
-        case CustomerFault(kind=kind, name=name):
-            yield RevisionFault(kind, name)
 
 
 def _find_route_faults(route: Route, services: set[str]) -> Iterator[RevisionFault]:
