calls: a request names the service that runs beside its node now

Cause: the service was passed once, at the start; neither a reload nor an announcement changed it.

Change: callers.origin_service is a setting that a reload takes over, and an upstream that is registered and verified at the configured address states the origin.

OriginTest and test_reload check it; both need what did not exist before.

--- a/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/call_intake.py
@@ -205,7 +205,7 @@
             kept = (*kept, (dialect.customer, customer.encode()))
         if dialect.origin_service is None:
             return (*kept, names.VIA)
-        return (*kept, (dialect.origin_service, self.entry.origin_service.encode()))
+        return (*kept, (dialect.origin_service, self.entry.find_origin().encode()))
 
     async def _resolve_request(self, request: CallerRequest) -> Result[ResolvedRequest, Refusal]:
         find = (
--- a/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/entry_node.py
@@ -1,6 +1,7 @@
 """Run the calls that callers send to this process: choose upstreams and exchange messages."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -89,7 +90,9 @@
 class EntryNode:
     """Hold the calls that callers sent to this process.
 
-    `unknown_keys` counts the requests refused because they carried no known key.
+    `origin_service` is the service of the upstream on this instance; `refresh_origin` takes over
+    what the settings name by now. `unknown_keys` counts the requests refused because they carried
+    no known key.
     """
 
     own: Instance
@@ -110,6 +113,7 @@
     routes: RouteTable = field(default_factory=RouteTable)
     refused_callers: RefusedCallers = field(default_factory=RefusedCallers)
     stop_limit: StopLimit = field(default_factory=StopLimit)
+    refresh_origin: Callable[[], None] = lambda: None
     unknown_keys: int = 0
     service_states: dict[str, ServiceState] = field(default_factory=dict)
     runs: dict[int, CallRun] = field(default_factory=dict)
@@ -119,6 +123,15 @@
         self.local = LocalLink(self.own, self)
         self.owner.link_opened(self.local)
 
+    def find_origin(self) -> str:
+        """Return the service that requests which begin now come from."""
+        self.refresh_origin()
+        return self.origin_service
+
+    def note_origin(self, service: str) -> None:
+        """Name this service in requests that begin here from now on."""
+        self.origin_service = service
+
     def find_or_create_service_state(self, service: Service) -> ServiceState:
         """Return the state of a service; its first call creates it."""
         service_state = self.service_states.get(service.name)
--- a/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/tests/test_upstream_runs.py
@@ -23,7 +23,11 @@
 from bendwind_core.timeline import EventKind, Recorder
 from bendwind_core.world import Instance, UpstreamState, WarmUpRule
 from bendwind_node.calls.dialect import BENDWIND_DIALECT
-from bendwind_node.calls.owned_upstream import Announcement, AnnouncementRefusal
+from bendwind_node.calls.owned_upstream import (
+    Announcement,
+    AnnouncementRefusal,
+    UpstreamAddress,
+)
 from bendwind_node.calls.tests.fakes import CallTestCluster, make_exchange
 from bendwind_node.calls.tests.scripted_server import read_request
 from bendwind_node.calls.tests.test_dialect import DIALECT
@@ -229,6 +233,41 @@
         self.leave_unheard(driver)
 
 
+class OriginTest(unittest.TestCase):
+    """Note the service of the upstream that is registered at the configured address."""
+
+    def make_driver(self):
+        driver = RegisterDriver()
+        driver.origins = []
+        driver.register.configured_address = UpstreamAddress("127.0.0.1", 80)
+        driver.register.note_origin = driver.origins.append
+        return driver
+
+    # Guards against requests that name the service of an upstream that has ended.
+    @in_trio
+    def test_upstream_of_another_service_at_the_address_is_the_origin(self):
+        driver = self.make_driver()
+        for sequence in (1, 2, 3):
+            driver.announce(sequence=sequence, service="s1")
+        for sequence in (1, 2, 3):
+            driver.announce("u2", sequence=sequence, service="s2")
+        driver.announce(sequence=4, service="s1")
+        self.assertEqual(driver.origins, ["s1", "s2"])
+
+    @in_trio
+    def test_unverified_upstream_is_not_the_origin(self):
+        driver = self.make_driver()
+        driver.announce(sequence=1, service="s1")
+        self.assertEqual(driver.origins, [])
+
+    @in_trio
+    def test_upstream_at_another_address_is_not_the_origin(self):
+        driver = self.make_driver()
+        for sequence in (1, 2):
+            driver.announce(sequence=sequence, service="s1", port=81)
+        self.assertEqual(driver.origins, [])
+
+
 class KeptRunsTest(unittest.TestCase):
     """Hand what one process knows of runs to the next one, as the voters do."""
 
--- a/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
+++ b/packages/bendwind-node/src/bendwind_node/calls/upstream_register.py
@@ -46,7 +46,8 @@
     `is_evacuated` says that operators withdrew this data centre, so that its upstreams get no
     requests. `configured_address` is the address of the only upstream on this instance
     according to the settings, None if they name none; no other process reaches that upstream.
-    `runs` holds what upstreams have announced here, also to earlier processes.
+    `runs` holds what upstreams have announced here, also to earlier processes. `note_origin` is
+    called with the service of an upstream that is registered at the configured address.
     """
 
     own: Instance
@@ -70,6 +71,7 @@
     is_evacuated: bool = False
     configured_address: UpstreamAddress | None = None
     queries: UpstreamQueries | None = None
+    note_origin: Callable[[str], None] = lambda service: None
 
     def __post_init__(self):
         self.queries = UpstreamQueries(self)
@@ -135,7 +137,7 @@
         now = trio.current_time()
         # An upstream that was announced to another process before stays with that process until the
         # lease there expires. No other process reaches the one at the configured address.
-        is_alone = self.configured_address == UpstreamAddress(announcement.host, announcement.port)
+        is_alone = self._is_beside(announcement)
         lease = self.lease_ms / MILLISECONDS_PER_SECOND
         owned = create_owned_upstream(
             announcement,
@@ -211,6 +213,8 @@
 
     def apply_announcement(self, owned: OwnedUpstream, announcement: Announcement) -> None:
         """Put a verified announcement in force."""
+        if owned.announced_state is UpstreamState.GONE and self._is_beside(announcement):
+            self.note_origin(announcement.service)
         owned.announced_state = announcement.state
         changed = replace(
             owned.upstream,
@@ -227,6 +231,10 @@
         self.feed_state(owned)
         self.queries.start_warm_up_queries(owned)
 
+    def _is_beside(self, announcement: Announcement) -> bool:
+        address = UpstreamAddress(announcement.host, announcement.port)
+        return self.configured_address == address
+
     def _find_state(self, owned: OwnedUpstream) -> UpstreamState:
         """Return the state to publish; an upstream that refuses connections counts as gone."""
         if owned.is_unreachable or owned.announced_state is UpstreamState.GONE:
--- a/packages/bendwind-node/src/bendwind_node/daemon/build.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/build.py
@@ -244,11 +244,12 @@
         AttemptIds(own.name, own.incarnation),
         ConcurrencyShare(settings.limits.in_flight),
         extension.dialect,
-        extension.origin_service,
+        "" if settings.callers is None else settings.callers.origin_service,
         settings.limits.far_body_bytes,
         quotas=dispatcher.quotas,
         pacer=create_body_pacer(link_mbps),
     )
+    dispatcher.owner.register.note_origin = dispatcher.entry.note_origin
     dispatcher.probes = ProbeTask(dispatcher.entry, dispatcher.owner, budget)
     membership.listeners.append(lambda effect: _handle_view_effect(dispatcher, effect))
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/extension.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/extension.py
@@ -24,7 +24,6 @@
     """
 
     dialect: Dialect = BENDWIND_DIALECT
-    origin_service: str = ""
     serve: Serve | None = None
     settings_file: Path | None = None
     load: LoadSettings | None = None
--- a/packages/bendwind-node/src/bendwind_node/daemon/reload.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/reload.py
@@ -1,7 +1,11 @@
 """Reload the settings file on SIGHUP and when it changes; apply the reloadable settings."""
 
 import os
+import signal
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
+from types import FrameType
 
 import msgspec
 import trio
@@ -13,6 +17,7 @@
 from bendwind_node.daemon.state import Daemon
 from bendwind_node.early_signals import RELOAD_SIGNALS, is_reload_requested
 from bendwind_node.settings import Settings
+from bendwind_node.settings.tables import CallersTable
 
 # A check of the file costs one system call, and changed voters are needed within seconds.
 FILE_CHECK_INTERVAL: Seconds = 1.0
@@ -27,11 +32,45 @@
 
 async def _watch_signal(daemon: Daemon, file: Path, load: LoadSettings) -> None:
     with trio.open_signal_receiver(*RELOAD_SIGNALS) as signals:
-        if is_reload_requested():
-            # The file may have been read before the change that the early signal reported.
-            reload_settings(daemon, file, load)
+        request = _ReloadRequest(partial(reload_settings, daemon, file, load))
+        # The file may have been read before the change that the early signal reported.
+        request.is_due = is_reload_requested()
+        request.catch_signals()
+        daemon.dispatcher.entry.refresh_origin = request.fulfil
+        request.fulfil()
         async for _ in signals:
-            reload_settings(daemon, file, load)
+            request.fulfil()
+
+
+class _ReloadRequest:
+    """Reload once for a signal: as soon as its task runs, or a request that begins needs it.
+
+    A request may be read in the same turn of the event loop as a signal that came before it.
+    """
+
+    __slots__ = ("is_due", "reload")
+
+    def __init__(self, reload: Callable[[], None]):
+        self.reload = reload
+        self.is_due = False
+
+    def catch_signals(self) -> None:
+        """Note the signals at once, and leave them to the open receiver then."""
+        for number in RELOAD_SIGNALS:
+            receive = signal.getsignal(number)
+            signal.signal(number, partial(self._note, receive))
+
+    def _note(
+        self, receive: Callable[[int, FrameType | None], None], number: int, frame: FrameType | None
+    ) -> None:
+        self.is_due = True
+        receive(number, frame)
+
+    def fulfil(self) -> None:
+        """Reload if a signal has come since the last time."""
+        if self.is_due:
+            self.is_due = False
+            self.reload()
 
 
 async def _watch_file(daemon: Daemon, file: Path, load: LoadSettings) -> None:
@@ -64,11 +103,29 @@
 def _apply_settings(daemon: Daemon, changed: Settings) -> None:
     if changed.voters != daemon.settings.voters:
         _apply_voters(daemon, changed)
-    daemon.settings = msgspec.structs.replace(daemon.settings, voters=changed.voters)
+    _apply_origin(daemon, changed)
+    daemon.settings = msgspec.structs.replace(
+        daemon.settings, voters=changed.voters, callers=_find_callers(daemon.settings, changed)
+    )
     names = ",".join(voter.name for voter in changed.voters)
     daemon.recorder.record(EventKind.SETTINGS_RELOADED, detail=f"voters {names}")
 
 
+def _apply_origin(daemon: Daemon, changed: Settings) -> None:
+    """Use a service that the file names anew; an upstream may have announced another since."""
+    callers = _find_callers(daemon.settings, changed)
+    if callers != daemon.settings.callers:
+        daemon.dispatcher.entry.note_origin(callers.origin_service)
+
+
+def _find_callers(current: Settings, changed: Settings) -> CallersTable | None:
+    """Return the callers' table with the reloaded service; its other values need a restart."""
+    if current.callers is None or changed.callers is None:
+        return current.callers
+    service = changed.callers.origin_service
+    return msgspec.structs.replace(current.callers, origin_service=service)
+
+
 def _apply_voters(daemon: Daemon, changed: Settings) -> None:
     dispatcher = daemon.dispatcher
     places = list_voters(changed)
--- a/packages/bendwind-node/src/bendwind_node/daemon/tests/test_reload.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/tests/test_reload.py
@@ -1,11 +1,15 @@
+import signal
 import tempfile
 import types
 import unittest
 from pathlib import Path
 
+import trio
+import trio.testing
+
 from bendwind_core.membership import VoterPlace
 from bendwind_core.timeline import EventKind, Recorder
-from bendwind_node.daemon.reload import reload_settings
+from bendwind_node.daemon.reload import reload_settings, watch_settings
 from bendwind_node.settings import load_settings
 from bendwind_node.settings.tests.test_load import PLAIN
 
@@ -15,12 +19,17 @@
         self.hub = types.SimpleNamespace(set_address=self.record_address)
         self.membership = types.SimpleNamespace(set_seeds=self.record_seeds)
         self.control = None
+        self.entry = types.SimpleNamespace(note_origin=self.record_origin)
+        self.origins = []
         self.addresses = {}
         self.seeds = None
 
     def record_address(self, name, host, port, data_centre):
         self.addresses[name] = (host, port)
 
+    def record_origin(self, service):
+        self.origins.append(service)
+
     def record_seeds(self, seeds):
         self.seeds = seeds
 
@@ -50,6 +59,34 @@
         self.assertEqual(len(self.daemon.settings.voters), 2)
         self.assertEqual(self.daemon.recorder.counts[EventKind.SETTINGS_RELOADED], 1)
 
+    # Guards against requests that name the service of an upstream that has ended.
+    def test_changed_service_beside_is_named_once(self):
+        named = PLAIN.replace("[callers]", '[callers]\norigin_service = "s1"')
+        self.file.write_text(named)
+        self.daemon.settings = load_settings(self.file).ok
+        self.reload()
+        self.file.write_text(named.replace("s1", "s2"))
+        self.reload()
+        self.reload()
+        self.assertEqual(self.daemon.dispatcher.origins, ["s2"])
+
+    # Guards against a request that names a service although a signal before it says another.
+    def test_signal_is_followed_before_its_task_runs(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch_settings, self.daemon, self.file, load_settings)
+                await trio.testing.wait_all_tasks_blocked()
+                named = PLAIN.replace("[callers]", '[callers]\norigin_service = "s2"')
+                self.file.write_text(named)
+                signal.raise_signal(signal.SIGHUP)
+                self.daemon.dispatcher.entry.refresh_origin()
+                self.assertEqual(self.daemon.dispatcher.origins, ["s2"])
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(self.daemon.dispatcher.origins, ["s2"])
+
     def test_invalid_file_changes_nothing_and_is_recorded(self):
         before = self.daemon.settings
         self.file.write_text("[peers")
--- a/packages/bendwind-node/src/bendwind_node/settings/tables.py
+++ b/packages/bendwind-node/src/bendwind_node/settings/tables.py
@@ -71,6 +71,14 @@
         Literal["h11", "hypercorn"],
         describe("HTTP server: `h11` is fastest, `hypercorn` also supports HTTP/2."),
     ] = "h11"
+    origin_service: Annotated[
+        str,
+        Meta(max_length=255),
+        describe(
+            "Service of the upstream on this instance, which requests that begin here name until "
+            "an upstream announces itself at the address of `beside`; reloadable."
+        ),
+    ] = ""
 
 
 class UpstreamsTable(Table, frozen=True, kw_only=True):
