links: a redirect from a dialed address is a failed dial

What operators would see: another HTTP server answers at the address of a former peer with a redirect; every process that dials it ends, and one that starts and asks it for its incarnation does not start. Found by the review; the exception was seen to leave the dial, the end of a whole process is by reading.

Cause: the library follows redirects, and raises ValueError where it cannot. Neither the dial nor the query names that.

Change: a peer never redirects, so PeerConnect hands back the handshake's own error.

--- a/packages/bendwind-node/src/bendwind_node/links/hub.py
+++ b/packages/bendwind-node/src/bendwind_node/links/hub.py
@@ -8,7 +8,6 @@
 import trio
 from expression import Result
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
-from websockets.trio.client import connect
 from websockets.trio.connection import Connection
 from websockets.trio.server import serve
 
@@ -26,6 +25,7 @@
 from bendwind_core.world import Instance
 from bendwind_node.failure import describe_task
 from bendwind_node.guarded_tasks import record_task_failure
+from bendwind_node.links.dialing import PeerConnect
 from bendwind_node.links.framing import MAX_FRAME_BYTES, Unsendable, divide_messages
 from bendwind_node.links.link import MAX_QUEUED_MESSAGES, Link, Receiver
 from bendwind_node.security import Keys, read_identity
@@ -207,7 +207,7 @@
         try:
             with trio.fail_after(DIAL_TIMEOUT_S):
                 stream = await open_direct_stream(address.host, address.port, self.silence_ms)
-            async with connect(
+            async with PeerConnect(
                 f"{scheme}://{address.host}:{address.port}/",
                 stream=stream,
                 ssl=ssl_context,
--- a/packages/bendwind-node/src/bendwind_node/links/incarnation.py
+++ b/packages/bendwind-node/src/bendwind_node/links/incarnation.py
@@ -11,7 +11,6 @@
 import trio
 from expression import Result
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
-from websockets.trio.client import connect
 
 from bendwind_core.core import Seconds
 from bendwind_core.messages import (
@@ -21,6 +20,7 @@
     decode_frame,
     encode_frame,
 )
+from bendwind_node.links.dialing import PeerConnect
 from bendwind_node.links.hub import Address
 from bendwind_node.streams import open_direct_stream
 
@@ -56,7 +56,7 @@
     scheme = "ws" if ssl_context is None else "wss"
     try:
         stream = await open_direct_stream(address.host, address.port)
-        async with connect(
+        async with PeerConnect(
             f"{scheme}://{address.host}:{address.port}/",
             stream=stream,
             ssl=ssl_context,
