--- a/packages/bendwind-core/src/bendwind_core/consensus/log.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/log.py
@@ -69,7 +69,7 @@
     def truncate(self, start: int) -> None:
         """Delete the entries from an index on."""
         del self.entries[max(0, start - self.first_index) :]
-        self._count_bytes()
+        self.count_bytes()
 
     def compact(self, snapshot: Snapshot, keep: int, keep_bytes: int) -> None:
         """Set a snapshot of the applied entries and retain only the last ones up to it.
@@ -78,7 +78,7 @@
         """
         self.snapshot = snapshot
         del self.entries[: self._count_dropped(keep, keep_bytes)]
-        self._count_bytes()
+        self.count_bytes()
 
     def _count_dropped(self, keep: int, keep_bytes: int) -> int:
         covered = self.snapshot.index - self.first_index + 1
@@ -95,6 +95,14 @@
         self.entries.clear()
         self.newer_bytes = 0
 
-    def _count_bytes(self) -> None:
+    def count_bytes(self) -> None:
+        """Count the commands after the snapshot."""
         newer = self.entries[max(0, self.snapshot.index + 1 - self.first_index) :]
         self.newer_bytes = sum(len(entry.command) for entry in newer)
+
+
+def create_log(snapshot: Snapshot, entries: tuple[Entry, ...]) -> Log:
+    """Create the log of a stored snapshot and the entries around and after it."""
+    log = Log(snapshot, list(entries))
+    log.count_bytes()
+    return log
--- a/packages/bendwind-core/src/bendwind_core/consensus/replica.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bendwind_core.consensus.events import Effect, LeaderChanged, Send
-from bendwind_core.consensus.log import Log
+from bendwind_core.consensus.log import Log, create_log
 from bendwind_core.consensus.messages import ConsensusMessage, Head
 from bendwind_core.consensus.records import (
     EMPTY_SNAPSHOT,
@@ -224,8 +224,7 @@
 ) -> Replica:
     """Create a replica from its stored state; `names` are the voters in the settings."""
     hard = hard_state or HardState()
-    log = Log(snapshot)
-    log.entries = list(entries)
+    log = create_log(snapshot, entries)
     configurations = [VotersAt(snapshot.index, snapshot.voters)]
     configurations += [
         VotersAt(entry.index, entry.voters)
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_log_bytes.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_log_bytes.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import msgspec
+
 from bendwind_core.consensus import (
     Committed,
     Persist,
@@ -91,6 +93,24 @@
             self.assertLessEqual(voter.count_log_bytes(), MAX_LOG_BYTES)
             self.assertLessEqual(voter.count_disk_bytes(), 2 * MAX_LOG_BYTES)
 
+    def test_entries_count_after_a_restart(self):
+        voter = SingleVoter(msgspec.structs.replace(SETTINGS, snapshot_bytes=10**9))
+        for number in range(4):
+            voter.propose(number, make_command(number))
+            voter.write()
+        opened = open_store(voter.files).ok.recovered
+        replica = create_replica(
+            voter.replica.voter,
+            ("a",),
+            SETTINGS,
+            0.0,
+            random.Random(1),
+            hard_state=opened.hard_state,
+            snapshot=opened.snapshot,
+            entries=tuple(opened.entries),
+        )
+        self.assertEqual(replica.log.newer_bytes, 4 * ENTRY_BYTES)
+
     def test_small_entries_are_retained_by_their_number(self):
         voter = SingleVoter()
         for number in range(3 * SETTINGS.snapshot_entries):
