consensus: one disk of the first start alone forms no cluster

Operators could see: two clusters that each acknowledge orders, after one disk of the first start was never used, a cluster formed without it, and two other listed disks were lost at once.

Cause: the mark of a disk that was created in the first start stays while it is unused, and one such answer let the first voter form. Change: most of the listed disks have to say so, or the forming voter's own settings. Had a cluster of that list had a majority, one of these disks would hold its log.

--- a/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/bootstrap.py
@@ -2,9 +2,10 @@
 
 Every empty voter sends a join request to all names in the settings. The voter whose name sorts
 first forms the cluster once every other voter has replied, to the current id of the first one, that
-it is also empty, and one of them, or itself, is in its first start. Its process may have ended in
-that start and run again since, so that its own settings alone do not show this. A voter that has
-accepted a first entry replies that it has a log, and therefore every newcomer becomes a learner.
+it is also empty, and either its settings allow it or most disks were created before any cluster
+existed: its process may have ended in the first start and run again with other settings. Had such a
+cluster had a majority, one of these disks would hold its log. A voter that has accepted a first
+entry replies that it has a log, and therefore every newcomer becomes a learner.
 
 If the disk of the first voter is lost while its first entries are in transit, it may form a second
 cluster. At most one of the two gets a majority; the voters of the other give way to it.
@@ -74,8 +75,13 @@
 def _may_form_cluster(replica: Replica) -> bool:
     others = set(replica.names) - {replica.voter.name}
     is_first = replica.voter.name == min(replica.names)
-    is_first_start = replica.settings.may_form or replica.has_first_starter
-    return is_first_start and is_first and others <= replica.empty_peers.keys()
+    may_form = replica.settings.may_form or _has_first_majority(replica)
+    return may_form and is_first and others <= replica.empty_peers.keys()
+
+
+def _has_first_majority(replica: Replica) -> bool:
+    count = len(replica.first_starters) + replica.is_first_starter
+    return count > len(set(replica.names)) // 2
 
 
 def _form_cluster(replica: Replica, rng: random.Random) -> None:
@@ -104,8 +110,8 @@
     """
     newcomer = request.sender
     is_formed = replica.role is not Role.UNFORMED
-    may_form = replica.settings.may_form and not is_formed
-    reply = JoinReply(replica.voter, newcomer.voter_id, is_formed, may_form)
+    is_first_starter = replica.is_first_starter and not is_formed
+    reply = JoinReply(replica.voter, newcomer.voter_id, is_formed, is_first_starter)
     send_durable(replica, reply, newcomer)
     if replica.is_leader:
         admit_learner(replica, newcomer, now)
@@ -131,10 +137,17 @@
         return
     if reply.is_formed:
         replica.empty_peers.clear()
-        replica.has_first_starter = False
+        replica.first_starters.clear()
     elif reply.sender.name in replica.names:
         replica.empty_peers[reply.sender.name] = reply.sender
-        replica.has_first_starter = replica.has_first_starter or reply.may_form
+        _record_first_starter(replica, reply)
+
+
+def _record_first_starter(replica: Replica, reply: JoinReply) -> None:
+    if reply.is_first_starter:
+        replica.first_starters.add(reply.sender.name)
+    else:
+        replica.first_starters.discard(reply.sender.name)
 
 
 def receive_form_cluster(replica: Replica, form: FormCluster) -> None:
--- a/packages/bendwind-core/src/bendwind_core/consensus/messages.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/messages.py
@@ -30,13 +30,13 @@
 class JoinReply(Record, frozen=True, array_like=True, tag="raft-offer-reply"):
     """Answer the request of the voter with id `to`; `is_formed` is true if the sender has a log.
 
-    `may_form` says that the sender is in its first start, in which no cluster exists yet.
+    `is_first_starter` says that no cluster existed when the sender's disk was created.
     """
 
     sender: Voter
     to: Count
     is_formed: bool
-    may_form: bool = False
+    is_first_starter: bool = False
 
 
 class FormCluster(Record, frozen=True, array_like=True, tag="raft-form"):
--- a/packages/bendwind-core/src/bendwind_core/consensus/replica.py
+++ b/packages/bendwind-core/src/bendwind_core/consensus/replica.py
@@ -48,8 +48,7 @@
 
     With `open_to` 0 the voters are always the names in the settings. Otherwise the voter set is
     open: any newcomer may join, becomes a voter while there are fewer than `open_to`, and after
-    that replaces a silent voter. `may_form` says that no cluster existed when this voter's disk was
-    created, so that empty voters may form one.
+    that replaces a silent voter. `may_form` allows empty voters to form a new cluster.
     Units: seconds, entries and bytes.
     """
 
@@ -148,7 +147,8 @@
     """Hold the complete state of one replica.
 
     `removal` is the id of the operator's request that ends with the replacement in progress.
-    `has_first_starter` says that one of the `empty_peers` may form a cluster.
+    `is_first_starter` says that no cluster existed when this voter's disk was created, and
+    `first_starters` names the `empty_peers` that say so.
     """
 
     voter: Voter
@@ -169,7 +169,8 @@
     applied: int = 0
     votes: set[int] = msgspec.field(default_factory=set)
     empty_peers: dict[str, Voter] = msgspec.field(default_factory=dict)
-    has_first_starter: bool = False
+    first_starters: set[str] = msgspec.field(default_factory=set)
+    is_first_starter: bool = False
     progress: dict[int, Progress] = msgspec.field(default_factory=dict)
     proposals: dict[int, int] = msgspec.field(default_factory=dict)
     removal: int | None = None
@@ -221,6 +222,7 @@
     hard_state: HardState | None = None,
     snapshot: Snapshot = EMPTY_SNAPSHOT,
     entries: tuple[Entry, ...] = (),
+    is_first_starter: bool = False,
 ) -> Replica:
     """Create a replica from its stored state; `names` are the voters in the settings."""
     hard = hard_state or HardState()
@@ -249,6 +251,7 @@
         reads=Reads(number=rng.getrandbits(_READ_NUMBER_BITS)),
         commit=snapshot.index,
         applied=snapshot.index,
+        is_first_starter=is_first_starter,
     )
 
 
--- a/packages/bendwind-node/src/bendwind_node/control/voter.py
+++ b/packages/bendwind-node/src/bendwind_node/control/voter.py
@@ -101,7 +101,7 @@
     Errors: StoreError, which is also recorded.
     """
     settings = settings or ReplicaSettings()
-    opened = open_store(files, may_form=settings.may_form)
+    opened = open_store(files, is_first_start=settings.may_form)
     if opened.is_error():
         record_failure(recorder, opened.error)
         return opened
@@ -109,9 +109,8 @@
     recovered = opened.ok.recovered
     _record_recovery(recorder, recovered)
     identity = Voter(own.name, store.identity.voter_id, own.host, own.port, own.data_centre)
-    may_form = settings.may_form or store.identity.may_form
-    settings = msgspec.structs.replace(settings, may_form=may_form)
-    replica = _create_replica(identity, names, settings, recovered, rng)
+    is_first_starter = store.identity.is_first_starter
+    replica = _create_replica(identity, names, settings, recovered, rng, is_first_starter)
     if recovered.snapshot.index > 0:
         state_machine.restore(recovered.snapshot.data)
     inbox, events = trio.open_memory_channel[ReplicaEvent](_INBOX_SIZE)
@@ -126,6 +125,7 @@
     settings: ReplicaSettings,
     recovered: RecoveredState,
     rng: random.Random,
+    is_first_starter: bool,
 ) -> Replica:
     return create_replica(
         own,
@@ -136,6 +136,7 @@
         hard_state=recovered.hard_state,
         snapshot=recovered.snapshot,
         entries=tuple(recovered.entries),
+        is_first_starter=is_first_starter,
     )
 
 
@@ -209,7 +210,12 @@
     previous = voter.replica
     own = msgspec.structs.replace(previous.voter, voter_id=opened.store.identity.voter_id)
     voter.replica = _create_replica(
-        own, previous.names, previous.settings, opened.recovered, voter.rng
+        own,
+        previous.names,
+        previous.settings,
+        opened.recovered,
+        voter.rng,
+        opened.store.identity.is_first_starter,
     )
     voter.store = opened.store
     voter.inbox, voter.events = trio.open_memory_channel[ReplicaEvent](_INBOX_SIZE)
--- a/packages/bendwind-node/src/bendwind_node/storage/records.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/records.py
@@ -12,12 +12,12 @@
     """Hold the voter id of the disk.
 
     `is_formed` means that a log exists beside this file; it is set before the first log write.
-    `may_form` means that no cluster existed when the disk was created.
+    `is_first_starter` means that no cluster existed when the disk was created.
     """
 
     voter_id: Count
     is_formed: bool
-    may_form: bool = False
+    is_first_starter: bool = False
 
 
 class SegmentHead(Record, frozen=True, array_like=True, tag="head"):
--- a/packages/bendwind-node/src/bendwind_node/storage/store.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/store.py
@@ -189,24 +189,26 @@
 
 
 def open_store(
-    files: Files, segment_bytes: int = SEGMENT_BYTES, *, may_form: bool = False
+    files: Files, segment_bytes: int = SEGMENT_BYTES, *, is_first_start: bool = False
 ) -> Result[OpenedStore, StoreError]:
     """Read all files, discard a torn tail, and make the data that was read durable again.
 
-    With `may_form`, a disk that is created keeps in mind that no cluster existed.
+    With `is_first_start`, a disk that is created keeps in mind that no cluster existed.
     Errors: CorruptData if synced data is damaged or missing, DiskFailed if a file operation fails.
     """
     try:
-        return _open(files, segment_bytes, may_form=may_form)
+        return _open(files, segment_bytes, is_first_start=is_first_start)
     except OSError as error:
         return Error(DiskFailed("open", str(error)))
 
 
-def _open(files: Files, segment_bytes: int, *, may_form: bool) -> Result[OpenedStore, StoreError]:
+def _open(
+    files: Files, segment_bytes: int, *, is_first_start: bool
+) -> Result[OpenedStore, StoreError]:
     names = sorted(files.names())
     if _TEMPORARY in names:
         files.remove(_TEMPORARY)
-    identity = _read_or_create_identity(files, names, may_form=may_form)
+    identity = _read_or_create_identity(files, names, is_first_start=is_first_start)
     if identity.is_error():
         return identity
     store = Store(files, identity.ok, segment_bytes)
@@ -228,12 +230,14 @@
 
 
 def _read_or_create_identity(
-    files: Files, names: list[str], *, may_form: bool
+    files: Files, names: list[str], *, is_first_start: bool
 ) -> Result[Identity, StoreError]:
     if _IDENTITY not in names:
         if any(name.startswith((_SEGMENT_PREFIX, _SNAPSHOT_PREFIX)) for name in names):
             return Error(CorruptData(_IDENTITY, 0, "missing although a log or snapshot exists"))
-        identity = Identity(secrets.randbits(VOTER_ID_BITS), is_formed=False, may_form=may_form)
+        identity = Identity(
+            secrets.randbits(VOTER_ID_BITS), is_formed=False, is_first_starter=is_first_start
+        )
         write_file_atomically(files, _IDENTITY, encode_frame(0, encode_record(identity)))
         return Ok(identity)
     identity = read_only_record(_IDENTITY, files.read(_IDENTITY), Identity)
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/fake_cluster.py
@@ -116,7 +116,9 @@
         """Open the store, and retry if the disk fails while it is opened."""
         while True:
             try:
-                opened = open_store(self.files, segment_bytes=200, may_form=self.find_may_form())
+                opened = open_store(
+                    self.files, segment_bytes=200, is_first_start=self.find_may_form()
+                )
             except CrashError:
                 opened = None
                 self.end_first_start()
@@ -136,16 +138,16 @@
         opened = self.open()
         self.store = opened.ok.store
         recovered = opened.ok.recovered
-        may_form = self.find_may_form() or self.store.identity.may_form
         self.replica = create_replica(
             Voter(self.name, self.store.identity.voter_id),
             self.cluster.listed_names,
-            msgspec.structs.replace(self.cluster.settings, may_form=may_form),
+            msgspec.structs.replace(self.cluster.settings, may_form=self.find_may_form()),
             self.now(),
             self.cluster.rng,
             hard_state=recovered.hard_state,
             snapshot=recovered.snapshot,
             entries=tuple(recovered.entries),
+            is_first_starter=self.store.identity.is_first_starter,
         )
         self.applied = 0
         self.state = []
--- a/packages/bendwind-node/src/bendwind_node/storage/tests/test_first_start.py
+++ b/packages/bendwind-node/src/bendwind_node/storage/tests/test_first_start.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bendwind_core.consensus import Append, Entry, FormCluster, Head, Received, Voter, VoterSet
+from bendwind_core.consensus.replica import Role
 from bendwind_node.storage.tests.fake_cluster import SETTINGS, FakeCluster
 
 SEED_NAMES = ("a", "b", "c")
@@ -58,12 +59,11 @@
         self.cluster.replace_disk(self.lost_disk)
 
     def may_form(self):
-        """Return whether a disk of a listed member shows that no cluster existed before."""
-        members = (self.cluster.members[name] for name in SEED_NAMES)
-        return any(
-            member.store.identity.may_form or member.store.identity.is_formed or member.may_form
-            for member in members
-        )
+        """Return whether the disks of listed members show that no cluster existed before."""
+        members = [self.cluster.members[name] for name in SEED_NAMES]
+        first_disks = sum(member.store.identity.is_first_starter for member in members)
+        is_formed = any(member.store.identity.is_formed for member in members)
+        return is_formed or members[0].may_form or 2 * first_disks > len(members)
 
     def allow_forming(self):
         """Let a listed member form a cluster, as an operator does by its settings."""
@@ -122,6 +122,33 @@
     return isinstance(sent[2], FormCluster)
 
 
+class LateFirstDiskTest(unittest.TestCase):
+    # Guards against a second cluster where one disk of the first start was never used.
+    def test_one_disk_of_the_first_start_forms_no_second_cluster(self):
+        for seed in range(12):
+            cluster = FakeCluster(0, seed, OPEN, has_first_start=True)
+            cluster.listed_names = SEED_NAMES
+            for name in SEED_NAMES:
+                cluster.add_member(name)
+            while cluster.members["a"].replica.role is Role.UNFORMED:
+                cluster.run(1)
+            late = cluster.members["b"]
+            if late.replica.role is not Role.UNFORMED or late.store.identity.is_formed:
+                continue
+            late.crash()
+            cluster.remove_member("b")
+            for name in "defgh":
+                cluster.add_member(name)
+            cluster.run_with_requests(600)
+            cluster.names = (*cluster.names, "b")
+            cluster.members["b"] = late
+            for name in ("a", "c"):
+                cluster.replace_disk(name)
+            late.start()
+            with self.subTest(seed=seed):
+                cluster.run_with_requests(400)
+
+
 class HoldingCluster(FakeCluster):
     """Hold back the first entries that are sent, by receiver."""
 
