core, daemon: what encoders raise and its bounded text stand in one place

The commands, their application and the frames each had the same list of exceptions or the same cut of their text; core.encoding has both now. A reload worked out the callers' table twice. Nothing else changes.

--- a/packages/bendwind-core/src/bendwind_core/core/__init__.py
+++ b/packages/bendwind-core/src/bendwind_core/core/__init__.py
@@ -1,6 +1,7 @@
 """Define the types that every other subpackage depends on."""
 
 from bendwind_core.core.decoding import DECODE_ERRORS, decode_cbor, decode_json, read_whole_number
+from bendwind_core.core.encoding import ENCODE_ERRORS, describe_reason
 from bendwind_core.core.ranges import (
     MAX_AMOUNT,
     MAX_BORN_MS,
@@ -37,6 +38,7 @@
 
 __all__ = [
     "DECODE_ERRORS",
+    "ENCODE_ERRORS",
     "MAX_AMOUNT",
     "MAX_BORN_MS",
     "MAX_INT64",
@@ -73,5 +75,6 @@
     "decode_cbor",
     "decode_json",
     "decode_toml",
+    "describe_reason",
     "read_whole_number",
 ]
--- a/packages/bendwind-core/src/bendwind_core/plans/commands.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/commands.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from bendwind_core.claims import ChangeClaimGroup
-from bendwind_core.core import Record
+from bendwind_core.core import ENCODE_ERRORS, Record, describe_reason
 from bendwind_core.plans.changes import Changes
 from bendwind_core.runs import RunRecord
 from bendwind_core.world import Customer, Routing, Service
@@ -103,12 +103,6 @@
 _DECODER = msgspec.msgpack.Decoder(Command)
 
 
-# What the encoder raises beside its own errors: for integers beyond 64 bits, for texts that are not
-# Unicode, for values of other types, and for values nested too deeply.
-_UNENCODABLE = (msgspec.MsgspecError, OverflowError, ValueError, TypeError, RecursionError)
-_MAX_REASON_CHARACTERS = 200
-
-
 class CommandFault(msgspec.Struct, frozen=True):
     """Report that no entry of the log can hold a command, whoever proposes it and when."""
 
@@ -130,8 +124,8 @@
         encoded = _ENCODER.encode(command)
         # A voter that cannot decode an entry stops, and so do all others.
         _DECODER.decode(encoded)
-    except _UNENCODABLE as error:
-        return Error(CommandFault(name, ascii(str(error)[:_MAX_REASON_CHARACTERS])))
+    except ENCODE_ERRORS as error:
+        return Error(CommandFault(name, describe_reason(error)))
     if len(encoded) > MAX_COMMAND_BYTES:
         reason = f"{len(encoded)} bytes of {MAX_COMMAND_BYTES}"
         return Error(CommandFault(name, reason, is_too_large=True))
--- a/packages/bendwind-core/src/bendwind_core/plans/state.py
+++ b/packages/bendwind-core/src/bendwind_core/plans/state.py
@@ -4,7 +4,7 @@
 from msgspec.structs import replace
 
 from bendwind_core.claims import ChangeClaimGroup, ClaimGroup, apply_group_change
-from bendwind_core.core import Record
+from bendwind_core.core import Record, describe_reason
 from bendwind_core.plans.changes import apply_changes
 from bendwind_core.plans.commands import (
     Command,
@@ -44,7 +44,6 @@
 # that cannot be saved would end every voter, at each start anew. Entries are not refused for it,
 # since voters of other releases may accept them.
 _SMALLEST_NUMBER, _LARGEST_NUMBER = -(2**63), 2**64 - 1
-_MAX_REASON_CHARACTERS = 200
 MAX_DRAIN_MARKS = 4_096
 # Several times the number of data centres of the largest planned deployment, which has seven.
 MAX_EVACUATED_DATA_CENTRES = 64
@@ -73,7 +72,7 @@
     """Report the entry that a voter cannot apply, so that it has to stop."""
 
     def __init__(self, index: int, size: int, error: Exception):
-        reason = ascii(str(error)[:_MAX_REASON_CHARACTERS])
+        reason = describe_reason(error)
         super().__init__(f"entry {index} of {size} bytes: {type(error).__name__}: {reason}")
 
 
--- a/packages/bendwind-node/src/bendwind_node/daemon/reload.py
+++ b/packages/bendwind-node/src/bendwind_node/daemon/reload.py
@@ -103,21 +103,17 @@
 def _apply_settings(daemon: Daemon, changed: Settings) -> None:
     if changed.voters != daemon.settings.voters:
         _apply_voters(daemon, changed)
-    _apply_origin(daemon, changed)
+    callers = _find_callers(daemon.settings, changed)
+    if callers != daemon.settings.callers:
+        # An upstream may have announced another service since; what the file names anew counts.
+        daemon.dispatcher.entry.note_origin(callers.origin_service)
     daemon.settings = msgspec.structs.replace(
-        daemon.settings, voters=changed.voters, callers=_find_callers(daemon.settings, changed)
+        daemon.settings, voters=changed.voters, callers=callers
     )
     names = ",".join(voter.name for voter in changed.voters)
     daemon.recorder.record(EventKind.SETTINGS_RELOADED, detail=f"voters {names}")
 
 
-def _apply_origin(daemon: Daemon, changed: Settings) -> None:
-    """Use a service that the file names anew; an upstream may have announced another since."""
-    callers = _find_callers(daemon.settings, changed)
-    if callers != daemon.settings.callers:
-        daemon.dispatcher.entry.note_origin(callers.origin_service)
-
-
 def _find_callers(current: Settings, changed: Settings) -> CallersTable | None:
     """Return the callers' table with the reloaded service; its other values need a restart."""
     if current.callers is None or changed.callers is None:
--- a/packages/bendwind-node/src/bendwind_node/links/framing.py
+++ b/packages/bendwind-node/src/bendwind_node/links/framing.py
@@ -16,20 +16,11 @@
     NotRun,
     Unknown,
 )
+from bendwind_core.core import ENCODE_ERRORS, describe_reason
 from bendwind_core.messages import PeerMessage
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
-# What the encoder raises beside its own errors: for texts that are not Unicode, for values of other
-# types, and for values nested too deeply.
-_UNENCODABLE = (
-    cbor2.CBOREncodeError,
-    msgspec.MsgspecError,
-    OverflowError,
-    ValueError,
-    TypeError,
-    RecursionError,
-)
-_MAX_REASON_CHARACTERS = 200
+_UNENCODABLE = (cbor2.CBOREncodeError, *ENCODE_ERRORS)
 # Each is a part of one attempt and is sent once. All other messages are repeated until answered, or
 # followed by newer ones.
 _PARTS_OF_ATTEMPTS = (
@@ -70,7 +61,7 @@
     try:
         encoded = encode(messages)
     except _UNENCODABLE as error:
-        reason = ascii(str(error)[:_MAX_REASON_CHARACTERS])
+        reason = describe_reason(error)
     else:
         if len(encoded) <= MAX_FRAME_BYTES:
             yield encoded
